--- /dev/null
+++ b/kingcuppost/exception.py
@@ -0,0 +1,66 @@
+"""Errors of the package, each with the step and the peer at which it arose."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "KingcuppostError",
+    "InvalidInputError",
+    "InvalidSettingsError",
+    "PeerError",
+    "Failure",
+]
+
+
+class KingcuppostError(Exception):
+    """Base class of every error that the package raises.
+
+    Parameters
+    ----------
+    reason : str
+        What went wrong, as one sentence without a full stop.
+    step : str
+        The step that failed, such as ``"append"``.
+    peer : str
+        The peer that took part, such as ``"log 127.0.0.1:7000"``; empty if none.
+    """
+
+    def __init__(self, reason: str, step: str = "", peer: str = "") -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        place = " ".join(part for part in (self.step, self.peer) if part)
+        return f"{place}: {self.reason}" if place else self.reason
+
+
+class InvalidInputError(KingcuppostError):
+    """A message from outside that a border model refused."""
+
+
+class InvalidSettingsError(KingcuppostError):
+    """A settings file that was refused whole."""
+
+
+class PeerError(KingcuppostError):
+    """An exchange with a peer that failed or went silent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An expected failure, carried in the error side of a ``Result``.
+
+    Attributes
+    ----------
+    reason : str
+        What went wrong, one sentence without a full stop.
+    step : str
+        The step that failed.
+    peer : str
+        The peer that took part; empty if none.
+    """
+
+    reason: str
+    step: str
+    peer: str = ""
--- /dev/null
+++ b/kingcuppost/tables/mailbox.py
@@ -0,0 +1,42 @@
+"""A mailbox of typed messages."""
+
+from collections import defaultdict
+from typing import Any, TypeVar
+
+__all__ = ["Mailbox"]
+
+Message = TypeVar("Message")
+
+
+class Mailbox:
+    """Messages by type, each type in order of arrival.
+
+    Examples
+    --------
+    >>> box = Mailbox()
+    >>> box.put("hello")
+    >>> box.take(str)
+    ['hello']
+    >>> box.take(str)
+    []
+    """
+
+    def __init__(self) -> None:
+        self._messages: dict[type, list[Any]] = defaultdict(list)
+
+    def __len__(self) -> int:
+        return sum(len(messages) for messages in self._messages.values())
+
+    def put(self, message: Any) -> None:
+        """Add a message behind those of its type."""
+        self._messages[type(message)].append(message)
+
+    def take(self, kind: type[Message]) -> list[Message]:
+        """Return and remove all messages of a type."""
+        return self._messages.pop(kind, [])
+
+    def take_all(self) -> list[Any]:
+        """Return and remove all messages, grouped by type."""
+        messages = [item for group in self._messages.values() for item in group]
+        self._messages.clear()
+        return messages
--- /dev/null
+++ b/kingcuppost/tables/outbox.py
@@ -0,0 +1,181 @@
+"""Messages that systems hand to edges, as data classes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.record import Record
+from kingcuppost.tables.task import MemberReport
+
+__all__ = [
+    "AppendRecords",
+    "AskHolder",
+    "CheckpointTask",
+    "ExitProcess",
+    "HandOver",
+    "ReadLog",
+    "RenewTasks",
+    "Reply",
+    "ReserveTask",
+    "SendAttempt",
+    "SendGangReports",
+    "SendHeartbeat",
+    "StartTask",
+    "StopTask",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer to an open HTTP exchange.
+
+    Attributes
+    ----------
+    exchange_id : str
+        The exchange.
+    status : int
+        HTTP status code.
+    body : Any
+        A data class that the edge encodes.
+    """
+
+    exchange_id: str
+    status: int
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read records after an offset; wait at most `wait_ms` for a new one."""
+
+    read_id: str
+    after: int
+    wait_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecords:
+    """Append records to the log, all in one message."""
+
+    records: tuple[Record, ...]
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendAttempt:
+    """Send an attempt to a sidecar."""
+
+    attempt_id: str
+    minion: str
+    incarnation: str
+    host: str
+    port: int
+    team: str
+    body: str
+    keyed: bool
+    urgency: Urgency
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Give an attempt to the minion beside this sidecar."""
+
+    attempt_id: str
+    body: str
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Tell an entry how this sidecar and its members are."""
+
+    entry: str
+    host: str
+    port: int
+    minion: str
+    incarnation: str
+    free_slots: int
+    leaving: bool
+    service_ms: float
+    reports: tuple[MemberReport, ...]
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendGangReports:
+    """Tell the sidecar of a gang's leader how members are."""
+
+    worker: str
+    host: str
+    port: int
+    from_worker: str
+    reports: tuple[MemberReport, ...]
+    timeout_ms: int
+    sent_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReserveTask:
+    """Reserve a worker's resources for a member, under a lease."""
+
+    task_id: str
+    cores: int
+    memory_mb: int
+    accelerators: tuple[int, ...]
+    payload: str
+    lease_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartTask:
+    """Start a reserved member."""
+
+    task_id: str
+    lease_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewTasks:
+    """Renew leases and ask how all tasks of the worker are."""
+
+    task_ids: tuple[str, ...]
+    lease_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CheckpointTask:
+    """Ask a member to write a checkpoint."""
+
+    task_id: str
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopTask:
+    """Stop a member and free what it reserved."""
+
+    task_id: str
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ExitProcess:
+    """Stop the loop; nothing is under way any more."""
+
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskHolder:
+    """Ask the holder of the scheduling lease whether it is alive."""
+
+    entry: str
+    host: str
+    port: int
+    sent_ms: int
+    timeout_ms: int
