--- /dev/null
+++ b/kingcuppost/cli/__init__.py
@@ -0,0 +1,45 @@
+"""The command line: one binary for processes and operators."""
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+from kingcuppost import __version__
+from kingcuppost.cli import changes, jobs, processes, timeline
+from kingcuppost.cli.registry import EXIT_INVALID, commands
+from kingcuppost.exception import InvalidInputError
+
+__all__ = ["main"]
+
+EPILOG = (
+    "exit codes: 0 done; 1 not run, or a peer failed; 2 refused as wrong, with the "
+    "reason; 3 the outcome is not known"
+)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="kingcuppost", epilog=EPILOG)
+    parser.add_argument("--version", action="version", version=__version__)
+    actions = parser.add_subparsers(dest="command", required=True)
+    for item in commands.values():
+        item.add_options(actions.add_parser(item.name, help=item.text))
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit code.
+
+    Parameters
+    ----------
+    argv : sequence of str, optional
+        Arguments; those of the process if None.
+    """
+    args = _parser().parse_args(argv)
+    try:
+        return commands[args.command].run(args)
+    except InvalidInputError as exc:
+        print(f"kingcuppost: {exc}", file=sys.stderr)
+        return EXIT_INVALID
+
+
+del changes, jobs, processes, timeline
--- /dev/null
+++ b/kingcuppost/cli/changes.py
@@ -0,0 +1,187 @@
+"""Commands for teams, availability zones and settings."""
+
+import argparse
+import json
+from typing import Any
+from urllib.parse import quote
+
+from kingcuppost.cli.client import send
+from kingcuppost.cli.registry import add_operator_options, command
+from kingcuppost.cli.tables import format_table
+from kingcuppost.exception import InvalidInputError
+from kingcuppost.tables.record import ANY_OFFSET
+
+__all__: list[str] = []
+
+SHAPE_HELP = "guaranteed shape MEMBERSxACCELERATORS or COUNT*MEMBERSxACCELERATORS"
+
+
+def parse_shape(text: str) -> dict[str, int]:
+    """Return a shape given as text.
+
+    Raises
+    ------
+    InvalidInputError
+        If the text is no shape.
+
+    Examples
+    --------
+    >>> parse_shape("3*2x4")
+    {'members': 2, 'accelerators': 4, 'count': 3}
+    """
+    count, _, shape = text.rpartition("*")
+    members, _, accelerators = shape.partition("x")
+    numbers = (members, accelerators, count or "1")
+    if not all(number.isdigit() for number in numbers):
+        raise InvalidInputError(f"{text!r} is no shape, such as 2x4", "options")
+    return {
+        "members": int(members),
+        "accelerators": int(accelerators),
+        "count": int(count or "1"),
+    }
+
+
+def parse_value(text: str) -> str | int | float | bool:
+    """Return a setting's value: a number, true, false, or else text.
+
+    Examples
+    --------
+    >>> parse_value("250"), parse_value("true"), parse_value("shapes")
+    (250, True, 'shapes')
+    """
+    try:
+        value = json.loads(text)
+    except json.JSONDecodeError:
+        return text
+    return value if isinstance(value, str | int | float | bool) else text
+
+
+def _add_team_options(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    put = actions.add_parser("put", help="create or change a team")
+    put.add_argument("name")
+    put.add_argument("--guarantee", action="append", default=[], help=SHAPE_HELP)
+    put.add_argument("--accelerator-limit", type=int, default=0)
+    put.add_argument("--base-offset", type=int, default=ANY_OFFSET)
+    show = actions.add_parser("show", help="show a team, or all")
+    show.add_argument("name", nargs="?", default="")
+    for action in (put, show):
+        add_operator_options(action)
+
+
+@command("team", "Create, change and show teams.", _add_team_options)
+def run_team(args: argparse.Namespace) -> int:
+    """Create, change or show a team."""
+    if args.action == "put":
+        body = {
+            "operator": args.operator,
+            "guarantees": [parse_shape(text) for text in args.guarantee],
+            "accelerator_limit": args.accelerator_limit,
+            "base_offset": args.base_offset,
+        }
+        return send(args, "PUT", f"/v1/teams/{quote(args.name, safe='')}", body)
+    if args.name:
+        return send(args, "GET", f"/v1/teams/{quote(args.name, safe='')}")
+    return send(args, "GET", "/v1/teams", show=_show_teams)
+
+
+def _show_teams(answer: Any) -> str:
+    rows = [
+        [
+            row["name"],
+            " ".join(
+                f"{shape['count']}*{shape['members']}x{shape['accelerators']}"
+                for shape in row["guarantees"]
+            ),
+            row["offset"],
+            row["operator"],
+        ]
+        for row in answer["rows"]
+    ]
+    return format_table(["TEAM", "GUARANTEES", "OFFSET", "OPERATOR"], rows)
+
+
+def _add_zone_options(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    for name, text in (
+        ("add", "create a zone, in service"),
+        ("out", "take a zone out of service"),
+        ("in", "take a zone back into service"),
+        ("show", "show all zones"),
+    ):
+        action = actions.add_parser(name, help=text)
+        if name != "show":
+            action.add_argument("name")
+            action.add_argument("--region", required=name == "add", default="")
+            action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
+        add_operator_options(action)
+
+
+@command("availability-zone", "Take zones out and in; show them.", _add_zone_options)
+def run_zone(args: argparse.Namespace) -> int:
+    """Create, take out, take in or show availability zones."""
+    if args.action == "show":
+        return send(args, "GET", "/v1/availability-zones", show=_show_zones)
+    path = f"/v1/availability-zones/{quote(args.name, safe='')}"
+    if args.action == "add":
+        body = {"operator": args.operator, "region": args.region, "in_service": True}
+        return send(args, "PUT", path, body)
+    body = {
+        "operator": args.operator,
+        "in_service": args.action == "in",
+        "base_offset": args.base_offset,
+    }
+    return send(args, "POST", f"{path}/service", body)
+
+
+def _show_zones(answer: Any) -> str:
+    rows = [
+        [
+            row["name"],
+            row["region"],
+            "in" if row["in_service"] else "OUT",
+            row["offset"],
+            row["operator"],
+        ]
+        for row in answer["rows"]
+    ]
+    return format_table(["ZONE", "REGION", "SERVICE", "OFFSET", "OPERATOR"], rows)
+
+
+def _add_settings_options(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    put = actions.add_parser("set", help="set a key on a branch")
+    put.add_argument("key")
+    put.add_argument("value")
+    unset = actions.add_parser("unset", help="inherit a key again")
+    unset.add_argument("key")
+    for action in (put, unset):
+        action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
+    show = actions.add_parser("show", help="show the values that hold on a branch")
+    for action in (put, unset, show):
+        action.add_argument("--path", default="", help="branch; the root if absent")
+        add_operator_options(action)
+
+
+@command("settings", "Change and show the settings tree.", _add_settings_options)
+def run_settings(args: argparse.Namespace) -> int:
+    """Set, unset or show keys of the settings tree."""
+    if args.action == "show":
+        path = f"/v1/settings?path={quote(args.path, safe='')}"
+        return send(args, "GET", path, show=_show_branch)
+    body = {
+        "operator": args.operator,
+        "path": args.path,
+        "key": args.key,
+        "value": parse_value(args.value) if args.action == "set" else None,
+        "base_offset": args.base_offset,
+    }
+    return send(args, "PUT", "/v1/settings", body)
+
+
+def _show_branch(answer: Any) -> str:
+    rows = [
+        [row["key"], row["value"], row["path"], row["offset"], row["operator"]]
+        for row in answer["effective"]
+    ]
+    return format_table(["KEY", "VALUE", "FROM", "OFFSET", "OPERATOR"], rows)
--- /dev/null
+++ b/kingcuppost/cli/jobs.py
@@ -0,0 +1,156 @@
+"""Commands for jobs and callers' requests."""
+
+import argparse
+from typing import Any
+from urllib.parse import quote
+
+from kingcuppost.cli.client import send, send_to
+from kingcuppost.cli.registry import add_operator_options, command
+from kingcuppost.cli.tables import format_table
+
+__all__: list[str] = []
+
+DEFAULT_CALLERS = "127.0.0.1:7300"
+JOB_FIELDS = (
+    "operator",
+    "name",
+    "team",
+    "members",
+    "accelerators",
+    "cores",
+    "memory_mb",
+    "urgency",
+    "declared_ms",
+    "payload",
+)
+
+
+def _add_job_options(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    submit = actions.add_parser("submit", help="submit a job")
+    submit.add_argument("--name", default="")
+    submit.add_argument("--team", required=True)
+    submit.add_argument("--members", type=int, default=1)
+    submit.add_argument("--accelerators", type=int, default=0)
+    submit.add_argument("--cores", type=int, default=1)
+    submit.add_argument("--memory-mb", type=int, default=0)
+    submit.add_argument(
+        "--urgency", choices=["interactive", "overnight"], default="overnight"
+    )
+    submit.add_argument("--declared-ms", type=int, default=0)
+    submit.add_argument("--payload", default="")
+    show = actions.add_parser("show", help="show a job, or all")
+    show.add_argument("name", nargs="?", default="")
+    cancel = actions.add_parser("cancel", help="cancel a job")
+    cancel.add_argument("name")
+    for action in (submit, show, cancel):
+        add_operator_options(action)
+
+
+@command("job", "Submit, show and cancel jobs.", _add_job_options)
+def run_job(args: argparse.Namespace) -> int:
+    """Submit, show or cancel a job."""
+    if args.action == "submit":
+        body = {name: getattr(args, name) for name in JOB_FIELDS}
+        return send(args, "POST", "/v1/jobs", body)
+    path = f"/v1/jobs/{quote(args.name, safe='')}"
+    if args.action == "cancel":
+        return send(args, "POST", f"{path}/cancel", {"operator": args.operator})
+    if args.name:
+        return send(args, "GET", path, show=_show_job)
+    return send(args, "GET", "/v1/jobs", show=_show_jobs)
+
+
+def _show_jobs(answer: Any) -> str:
+    rows = [
+        [
+            row["name"],
+            row["team"],
+            f"{row['members']}x{row['accelerators']}",
+            row["urgency"],
+            row["state"],
+            row["incarnation"],
+            row["reason"],
+        ]
+        for row in answer["rows"]
+    ]
+    return format_table(
+        ["JOB", "TEAM", "GANG", "URGENCY", "STATE", "TRY", "REASON"], rows
+    )
+
+
+def _show_job(answer: Any) -> str:
+    lines = [_show_jobs({"rows": [answer["job"]]})]
+    if answer["job"]["result"]:
+        lines.append(f"result: {answer['job']['result']}")
+    for gang in answer["gangs"]:
+        lines.append(f"gang {gang['key']}: {gang['state']}")
+        lines.extend(_show_members(gang))
+    return "\n".join(lines)
+
+
+def _show_members(gang: Any) -> list[str]:
+    return [
+        f"  member {i} on {item['worker']}, accelerators {item['accelerators']}"
+        for i, item in enumerate(gang["placements"])
+    ]
+
+
+def _add_request_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--callers", default=DEFAULT_CALLERS, help="IP:PORT")
+    parser.add_argument("--team", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--body", default="")
+    parser.add_argument(
+        "--urgency", choices=["interactive", "overnight"], default="interactive"
+    )
+    parser.add_argument("--key", default="", help="run at most once under this key")
+    parser.add_argument("--timeout-ms", type=int, default=0)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+@command("request", "Send a request to a service.", _add_request_options)
+def run_request(args: argparse.Namespace) -> int:
+    """Send a caller's request and print the outcome."""
+    body = {
+        "team": args.team,
+        "service": args.service,
+        "body": args.body,
+        "urgency": args.urgency,
+        "idempotent": not args.key,
+        "key": args.key,
+        "timeout_ms": args.timeout_ms,
+    }
+    return send_to(args.callers, args.json, "POST", "/v1/requests", body, None)
+
+
+def _add_explain_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("job", help="name of the job")
+    add_operator_options(parser)
+
+
+@command("explain", "Show the settings and decisions of a job.", _add_explain_options)
+def run_explain(args: argparse.Namespace) -> int:
+    """Show what a job ran under."""
+    path = f"/v1/jobs/{quote(args.job, safe='')}/explain"
+    return send(args, "GET", path, show=_show_explanation)
+
+
+def _show_explanation(answer: Any) -> str:
+    lines = [_show_jobs({"rows": [answer["job"]]})]
+    for gang in answer["gangs"]:
+        decision = gang["decision"]
+        lines.append(
+            f"gang {gang['key']}, placed at offset {gang['placed_offset']} in term "
+            f"{gang['term']} by policy {decision['policy']}, settings up to offset "
+            f"{decision['settings_offset']}"
+        )
+        lines.extend(_show_members(gang))
+        for value in decision["values"]:
+            lines.append(
+                f"  {value['key']} = {value['value']} from {value['path']}, "
+                f"offset {value['offset']}, {value['operator'] or 'no operator'}"
+            )
+        for item in decision["refused"]:
+            lines.append(f"  not on {item['place']}: {item['reason']}")
+    return "\n".join(lines)
--- /dev/null
+++ b/kingcuppost/cli/registry.py
@@ -0,0 +1,101 @@
+"""The registry of commands and what they share."""
+
+import argparse
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from kingcuppost.exception import Failure, InvalidInputError
+from kingcuppost.tables.config import Address
+
+__all__ = [
+    "EXIT_FAILED",
+    "EXIT_INVALID",
+    "EXIT_OK",
+    "EXIT_UNKNOWN",
+    "Command",
+    "add_operator_options",
+    "command",
+    "commands",
+    "parse_address",
+    "print_failure",
+]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_UNKNOWN = 3
+DEFAULT_ADDRESS = "127.0.0.1:7301"
+
+Run = Callable[[argparse.Namespace], int]
+AddOptions = Callable[[argparse.ArgumentParser], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command of the command line.
+
+    Attributes
+    ----------
+    name, text : str
+        Its name, and what it does in one sentence.
+    add_options : callable
+        Adds its options to a parser.
+    run : callable
+        Runs it and returns the exit code.
+    """
+
+    name: str
+    text: str
+    add_options: AddOptions
+    run: Run
+
+
+commands: dict[str, Command] = {}
+
+
+def command(name: str, text: str, add_options: AddOptions) -> Callable[[Run], Run]:
+    """Return a decorator that registers a command."""
+
+    def register(run: Run) -> Run:
+        commands[name] = Command(name, text, add_options, run)
+        return run
+
+    return register
+
+
+def add_operator_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that all commands towards an entry share."""
+    parser.add_argument(
+        "--entry",
+        default=DEFAULT_ADDRESS,
+        help=f"operators' address of an entry, IP:PORT (default {DEFAULT_ADDRESS})",
+    )
+    parser.add_argument("--operator", default="operator", help="who makes the change")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def parse_address(text: str) -> Address:
+    """Return an address given as ``IP:PORT``.
+
+    Raises
+    ------
+    InvalidInputError
+        If the text is none.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:80")
+    Address(host='127.0.0.1', port=80)
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise InvalidInputError(f"{text!r} is no IP:PORT", "options")
+    return Address(host, int(port))
+
+
+def print_failure(failure: Failure) -> int:
+    """Print why a command failed, and return the exit code."""
+    place = " ".join(part for part in (failure.step, failure.peer) if part)
+    print(f"kingcuppost: {place}: {failure.reason}", file=sys.stderr)
+    return EXIT_FAILED
--- /dev/null
+++ b/kingcuppost/cli/tables.py
@@ -0,0 +1,26 @@
+"""Plain text tables for people."""
+
+from collections.abc import Iterable, Sequence
+
+__all__ = ["format_table"]
+
+GAP = "  "
+
+
+def format_table(titles: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return rows in columns under their titles.
+
+    Examples
+    --------
+    >>> print(format_table(["NAME", "N"], [["a", 1], ["bcdef", 22]]))
+    NAME   N
+    a      1
+    bcdef  22
+    """
+    lines = [list(titles), *[[str(cell) for cell in row] for row in rows]]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(titles))]
+    padded = [
+        GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in lines
+    ]
+    return "\n".join(line.rstrip() for line in padded)
--- /dev/null
+++ b/kingcuppost/edges/http_client.py
@@ -0,0 +1,149 @@
+"""JSON over HTTP to peers by IP number, each exchange bounded in time."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import defer, error
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from zope.interface import implementer
+
+from kingcuppost.exception import PeerError
+from kingcuppost.tables.config import Address
+
+__all__ = ["JsonClient", "Response", "is_never_sent"]
+
+MS_PER_SECOND = 1_000
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS_PER_PEER = 8
+IDLE_CONNECTION_TIMEOUT_S = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole HTTP response.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    body: bytes
+
+
+@implementer(IAgentEndpointFactory)
+class _IpEndpoints:
+    """Endpoints by IP number, without any resolver."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+
+    def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
+        host = uri.host.decode("ascii")
+        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        return kind(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+
+
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """A request body that is all there."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> defer.Deferred:  # noqa: N802
+        consumer.write(self._body)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        pass
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        pass
+
+    def stopProducing(self) -> None:  # noqa: N802
+        pass
+
+
+class JsonClient:
+    """Client that keeps a few idle connections to each peer.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
+        pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._agent = Agent.usingEndpointFactory(
+            reactor, _IpEndpoints(reactor), pool=pool
+        )
+
+    async def exchange(
+        self,
+        method: str,
+        address: Address,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+    ) -> Response:
+        """Send a request and return the whole response.
+
+        Parameters
+        ----------
+        method, path : str
+            HTTP method and path with query.
+        address : Address
+            IP number and port of the peer.
+        body : bytes
+            JSON text; empty for none.
+        timeout_ms : int
+            Bound on the whole exchange, in ms.
+
+        Raises
+        ------
+        PeerError
+            If the exchange failed or took too long; ``never_sent`` in its
+            `step` says that no byte of the request left this process.
+        """
+        pending = defer.ensureDeferred(self._exchange(method, address, path, body))
+        pending.addTimeout(max(timeout_ms, 1) / MS_PER_SECOND, self._reactor)
+        try:
+            return await pending
+        except Exception as exc:
+            step = "connect" if is_never_sent(exc) else "exchange"
+            reason = str(exc) or type(exc).__name__
+            raise PeerError(reason, step, str(address)) from exc
+
+    async def _exchange(
+        self, method: str, address: Address, path: str, body: bytes
+    ) -> Response:
+        url = f"http://{address}{path}".encode("ascii")
+        headers = Headers({b"Content-Type": [b"application/json"]} if body else {})
+        producer = _BytesProducer(body) if body else None
+        response = await self._agent.request(
+            method.encode("ascii"), url, headers, producer
+        )
+        return Response(response.code, await readBody(response))
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._pool.closeCachedConnections()
+
+
+def is_never_sent(exc: BaseException) -> bool:
+    """Return whether an exchange failed before a connection was made."""
+    return isinstance(exc, error.ConnectError)
--- /dev/null
+++ b/kingcuppost/edges/http_server.py
@@ -0,0 +1,113 @@
+"""HTTP exchanges: requests to inbox messages, replies to responses."""
+
+from typing import Any
+
+from expression import Result
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from kingcuppost.edges.context import EdgeContext, senders
+from kingcuppost.edges.routes import Call, find_route
+from kingcuppost.exception import Failure
+from kingcuppost.models import encode
+from kingcuppost.tables.inbox import ExchangeLost
+from kingcuppost.tables.outbox import Reply
+from kingcuppost.tables.replies import ChangeRefused
+from kingcuppost.tables.request import Outcome
+from kingcuppost.utils.identifiers import new_identifier
+
+__all__ = ["listen", "make_site"]
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_TOO_LARGE = 413
+LARGEST_BODY_BYTES = 1_048_576
+
+
+class _Surface(Resource):
+    """All routes of one surface, such as ``"callers"``."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, context: EdgeContext, surface: str) -> None:
+        super().__init__()
+        self._context = context
+        self._surface = surface
+
+    def render(self, request: Request) -> int | bytes:
+        """Turn a request into an inbox message, or refuse it at once."""
+        path = request.path.decode("ascii", "replace")
+        found = find_route(self._surface, request.method.decode("ascii"), path)
+        if found is None:
+            return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
+        body = request.content.read(LARGEST_BODY_BYTES + 1)
+        if len(body) > LARGEST_BODY_BYTES:
+            reason = f"the body is larger than {LARGEST_BODY_BYTES} bytes"
+            return _refuse(request, STATUS_TOO_LARGE, reason)
+        route, names = found
+        if route.direct is not None:
+            return route.direct(self._context, request)
+        exchange_id = new_identifier(self._context.world.rng, "exc")
+        call = Call(exchange_id, names, _query(request), body, _peer_of(request))
+        return self._put(request, exchange_id, route.parse(call))
+
+    def _put(
+        self, request: Request, exchange_id: str, parsed: Result[Any, Failure]
+    ) -> int | bytes:
+        if parsed.is_error():
+            return _refuse(request, STATUS_BAD_REQUEST, parsed.error.reason)
+        self._context.exchanges[exchange_id] = request
+        request.notifyFinish().addErrback(self._lost, exchange_id)
+        self._context.deliver(parsed.ok)
+        return NOT_DONE_YET
+
+    def _lost(self, _: Any, exchange_id: str) -> None:
+        if self._context.exchanges.pop(exchange_id, None) is not None:
+            self._context.deliver(ExchangeLost(exchange_id))
+
+
+def _query(request: Request) -> dict[str, str]:
+    return {
+        name.decode("utf-8", "replace"): values[0].decode("utf-8", "replace")
+        for name, values in request.args.items()
+    }
+
+
+def _peer_of(request: Request) -> str:
+    address = request.getClientAddress()
+    return f"{address.host}:{address.port}"
+
+
+def _refuse(request: Request, status: int, reason: str) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    return encode(ChangeRefused(Outcome.NOT_RUN, "decode", _peer_of(request), reason))
+
+
+@senders.register(Reply)
+def send_reply(context: EdgeContext, reply: Reply) -> None:
+    """Write the whole response of an exchange that is still open."""
+    request = context.exchanges.pop(reply.exchange_id, None)
+    if request is None:
+        return
+    body = encode(reply.body)
+    request.setResponseCode(reply.status)
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", str(len(body)).encode("ascii"))
+    request.write(body)
+    request.finish()
+
+
+def make_site(context: EdgeContext, surface: str) -> Site:
+    """Return the protocol factory of a surface."""
+    site = Site(_Surface(context, surface))
+    site.displayTracebacks = False
+    return site
+
+
+def listen(context: EdgeContext, surface: str, host: str, port: int) -> int:
+    """Listen for a surface and return the port that was bound."""
+    bound = context.reactor.listenTCP(
+        port, make_site(context, surface), interface=host, backlog=512
+    )
+    return bound.getHost().port
--- /dev/null
+++ b/kingcuppost/edges/loop.py
@@ -0,0 +1,73 @@
+"""The loop: a tick when something arrived or a deadline is due, else nothing."""
+
+from collections.abc import Callable
+from typing import Any
+
+from kingcuppost.edges.context import EdgeContext, senders
+from kingcuppost.systems.registry import System, run_tick
+
+__all__ = ["TickLoop"]
+
+MS_PER_SECOND = 1_000
+LEAST_DELAY_MS = 1
+
+
+class TickLoop:
+    """Runs ticks on the reactor's one thread.
+
+    Parameters
+    ----------
+    reactor : object
+        Twisted's reactor.
+    systems : list of System
+        Systems of the role, in order.
+    """
+
+    def __init__(self, reactor: Any, systems: list[System]) -> None:
+        self._reactor = reactor
+        self._systems = systems
+        self._context: EdgeContext | None = None
+        self._after: Callable[[], None] = lambda: None
+        self._soon: Any = None
+        self._timer: Any = None
+        self.ticks = 0
+
+    def attach(self, context: EdgeContext, after: Callable[[], None]) -> None:
+        """Give the loop the context whose world it ticks.
+
+        Parameters
+        ----------
+        context : EdgeContext
+            The process's edges.
+        after : callable
+            Runs after every tick; writes the new events.
+        """
+        self._context = context
+        self._after = after
+
+    def wake(self) -> None:
+        """Ask for a tick; all that asks before it runs shares it."""
+        if self._soon is None:
+            self._soon = self._reactor.callLater(0, self._tick)
+
+    def _tick(self) -> None:
+        self._soon = None
+        world = self._context.world
+        self.ticks += 1
+        run_tick(world, self._systems, world.clock.now_ms())
+        for message in world.outbox.take_all():
+            senders[type(message)](self._context, message)
+        self._after()
+        if len(world.inbox):
+            self.wake()
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        world = self._context.world
+        next_ms = world.deadlines.next_ms()
+        if next_ms is None:
+            return
+        delay_ms = max(next_ms - world.clock.now_ms(), LEAST_DELAY_MS)
+        self._timer = self._reactor.callLater(delay_ms / MS_PER_SECOND, self.wake)
--- /dev/null
+++ b/kingcuppost/edges/peers.py
@@ -0,0 +1,195 @@
+"""Exchanges with the system's other processes and with the minion."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from kingcuppost.edges.context import EdgeContext, senders
+from kingcuppost.exception import PeerError
+from kingcuppost.models import decode, encode
+from kingcuppost.models.peer import (
+    AttemptModel,
+    GangReplyModel,
+    GangReportsModel,
+    HeartbeatModel,
+    HeartbeatReplyModel,
+    HolderModel,
+    HolderReplyModel,
+    ServedModel,
+)
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.inbox import (
+    AttemptDone,
+    GangReplyArrived,
+    HeartbeatDone,
+    HolderAnswered,
+    MinionAnswered,
+)
+from kingcuppost.tables.outbox import (
+    AskHolder,
+    HandOver,
+    SendAttempt,
+    SendGangReports,
+    SendHeartbeat,
+)
+from kingcuppost.tables.request import Outcome
+
+__all__ = ["post", "run"]
+
+STATUS_OK = 200
+
+
+def run(context: EdgeContext, work: Any, failed: Callable[[PeerError], Any]) -> None:
+    """Run a coroutine that returns an inbox message, and deliver the message.
+
+    Parameters
+    ----------
+    context : EdgeContext
+        The process's edges.
+    work : coroutine
+        Returns the message; may raise `PeerError`.
+    failed : callable
+        Makes the message for a failure.
+    """
+
+    async def finish() -> None:
+        try:
+            message = await work
+        except PeerError as exc:
+            message = failed(exc)
+        context.deliver(message)
+
+    ensureDeferred(finish())
+
+
+async def post(
+    context: EdgeContext,
+    address: Address,
+    path: str,
+    model: Any,
+    reply: type,
+    timeout_ms: int,
+) -> Any:
+    """Post a model and return the peer's validated reply.
+
+    Raises
+    ------
+    PeerError
+        If the exchange failed, or the reply is not of the model `reply`.
+    """
+    response = await context.client.exchange(
+        "POST", address, path, encode(model), timeout_ms
+    )
+    if response.status != STATUS_OK:
+        raise PeerError(f"status {response.status}", "exchange", str(address))
+    parsed = decode(reply, response.body, str(address))
+    if parsed.is_error():
+        raise PeerError(parsed.error.reason, "decode", str(address))
+    return parsed.ok
+
+
+@senders.register(SendAttempt)
+def send_attempt(context: EdgeContext, row: SendAttempt) -> None:
+    """Send an attempt; only a failed connection proves that it did not run."""
+
+    async def work() -> AttemptDone:
+        address = Address(row.host, row.port)
+        model = AttemptModel.from_row(row)
+        reply = await post(
+            context, address, "/peer/attempts", model, ServedModel, row.timeout_ms
+        )
+        return reply.to_message(row)
+
+    def failed(exc: PeerError) -> AttemptDone:
+        return AttemptDone(
+            row.attempt_id,
+            row.minion,
+            "",
+            Outcome.UNKNOWN,
+            never_sent=exc.step == "connect",
+            reason=str(exc),
+        )
+
+    run(context, work(), failed)
+
+
+@senders.register(HandOver)
+def hand_over(context: EdgeContext, row: HandOver) -> None:
+    """Give an attempt to the minion and take its whole answer."""
+    address = context.world.cfg.sidecar.minion
+
+    async def work() -> MinionAnswered:
+        response = await context.client.exchange(
+            "POST", address, "/v1/run", row.body.encode("utf-8"), row.timeout_ms
+        )
+        if response.status != STATUS_OK:
+            reason = f"the minion answered with status {response.status}"
+            return MinionAnswered(row.attempt_id, False, reason=reason)
+        return MinionAnswered(
+            row.attempt_id, True, response.body.decode("utf-8", "replace")
+        )
+
+    def failed(exc: PeerError) -> MinionAnswered:
+        never_sent = exc.step == "connect"
+        return MinionAnswered(row.attempt_id, False, "", never_sent, str(exc))
+
+    run(context, work(), failed)
+
+
+@senders.register(SendHeartbeat)
+def send_heartbeat(context: EdgeContext, row: SendHeartbeat) -> None:
+    """Send a heartbeat to an entry."""
+
+    async def work() -> HeartbeatDone:
+        address = Address(row.host, row.port)
+        model = HeartbeatModel.from_row(row)
+        await post(
+            context,
+            address,
+            "/peer/heartbeats",
+            model,
+            HeartbeatReplyModel,
+            row.timeout_ms,
+        )
+        return HeartbeatDone(row.entry, True)
+
+    run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
+
+
+@senders.register(SendGangReports)
+def send_gang_reports(context: EdgeContext, row: SendGangReports) -> None:
+    """Send members' reports to the sidecar of their leader."""
+
+    async def work() -> GangReplyArrived:
+        address = Address(row.host, row.port)
+        model = GangReportsModel.from_row(row)
+        reply = await post(
+            context, address, "/peer/gangs", model, GangReplyModel, row.timeout_ms
+        )
+        return reply.to_message(row)
+
+    run(
+        context,
+        work(),
+        lambda exc: GangReplyArrived(row.worker, False, row.sent_ms),
+    )
+
+
+@senders.register(AskHolder)
+def ask_holder(context: EdgeContext, row: AskHolder) -> None:
+    """Ask the holder of the scheduling lease whether it is alive."""
+
+    async def work() -> HolderAnswered:
+        address = Address(row.host, row.port)
+        model = HolderModel(entry=context.world.identity.name)
+        reply = await post(
+            context, address, "/peer/holder", model, HolderReplyModel, row.timeout_ms
+        )
+        return reply.to_message(row)
+
+    run(
+        context,
+        work(),
+        lambda exc: HolderAnswered(False, "", row.sent_ms, str(exc)),
+    )
--- /dev/null
+++ b/kingcuppost/models/base.py
@@ -0,0 +1,56 @@
+"""The base of border models, and JSON in and out."""
+
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+
+from kingcuppost.exception import Failure
+
+__all__ = ["BorderModel", "decode", "encode", "fault_text"]
+
+Model = TypeVar("Model", bound=BaseModel)
+FAULTS_SHOWN = 3
+
+_adapters: dict[type, TypeAdapter] = {}
+
+
+class BorderModel(BaseModel):
+    """A message from or to the outside; unknown fields are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+def decode(model: type[Model], text: bytes, peer: str) -> Result[Model, Failure]:
+    """Return a validated model, or why the text is none.
+
+    Parameters
+    ----------
+    model : type
+        The border model.
+    text : bytes
+        JSON text.
+    peer : str
+        Who sent it.
+    """
+    try:
+        return Ok(model.model_validate_json(text))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), "decode", peer))
+
+
+def fault_text(exc: ValidationError) -> str:
+    """Return the first faults of a validation in one line."""
+    parts = []
+    for fault in exc.errors()[:FAULTS_SHOWN]:
+        place = ".".join(str(part) for part in fault["loc"]) or "body"
+        parts.append(f"{place}: {fault['msg']}")
+    return "; ".join(parts)
+
+
+def encode(row: Any) -> bytes:
+    """Return the JSON text of a data class or border model."""
+    kind = type(row)
+    if kind not in _adapters:
+        _adapters[kind] = TypeAdapter(kind)
+    return _adapters[kind].dump_json(row)
--- /dev/null
+++ b/kingcuppost/models/caller.py
@@ -0,0 +1,62 @@
+"""Messages of callers."""
+
+from pydantic import Field
+
+from kingcuppost.models.base import BorderModel
+from kingcuppost.tables.inbox import CallerRequest
+from kingcuppost.tables.job import Urgency
+
+__all__ = ["RequestModel"]
+
+LONGEST_NAME = 63
+LONGEST_KEY = 128
+LONGEST_BODY = 262_144
+LONGEST_TIMEOUT_MS = 600_000
+
+
+class RequestModel(BorderModel):
+    """A request to a service.
+
+    Attributes
+    ----------
+    team, service : str
+        Who asks, and which service is asked.
+    body : str
+        What the minion is given.
+    urgency : Urgency
+        Whether somebody waits.
+    idempotent : bool
+        False for a request that runs at most once; it carries a key.
+    key : str
+        Names a non-idempotent request among those of its team.
+    timeout_ms : int
+        Time within which the answer is of use, in ms; 0 for the team's setting.
+    """
+
+    team: str = Field(min_length=1, max_length=LONGEST_NAME)
+    service: str = Field(min_length=1, max_length=LONGEST_NAME)
+    body: str = Field(default="", max_length=LONGEST_BODY)
+    urgency: Urgency = Urgency.INTERACTIVE
+    idempotent: bool = True
+    key: str = Field(default="", max_length=LONGEST_KEY)
+    timeout_ms: int = Field(default=0, ge=0, le=LONGEST_TIMEOUT_MS)
+
+    def fault(self) -> str:
+        """Return why fields do not fit together; empty if they do."""
+        if not self.idempotent and not self.key:
+            return "key: a non-idempotent request carries a key"
+        if self.idempotent and self.key:
+            return "key: only a non-idempotent request carries a key"
+        return ""
+
+    def to_message(self, exchange_id: str) -> CallerRequest:
+        """Return the inbox message."""
+        return CallerRequest(
+            exchange_id,
+            self.team,
+            self.service,
+            self.body,
+            self.urgency,
+            self.key,
+            self.timeout_ms,
+        )
--- /dev/null
+++ b/kingcuppost/models/files.py
@@ -0,0 +1,169 @@
+"""The settings file of a process, in TOML."""
+
+import tomllib
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated, Literal
+
+from expression import Error, Ok, Result
+from pydantic import AfterValidator, Field, ValidationError
+
+from kingcuppost.exception import Failure
+from kingcuppost.models.base import BorderModel, fault_text
+from kingcuppost.tables.config import (
+    Address,
+    EntryConfig,
+    LogConfig,
+    ProcessConfig,
+    SidecarConfig,
+    WorkerConfig,
+)
+from kingcuppost.tables.identity import Role
+
+__all__ = ["FileModel", "read_config"]
+
+LARGEST_PORT = 65_535
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ip_address(host)
+    except ValueError:
+        raise ValueError(f"{host!r} is no IP number") from None
+    if not port.isdigit() or int(port) > LARGEST_PORT:
+        raise ValueError(f"{port!r} is no port")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+class LogModel(BorderModel):
+    """The platform's log."""
+
+    driver: str = "http"
+    address: AddressText
+
+
+class EntryModel(BorderModel):
+    """Addresses of an entry."""
+
+    callers: AddressText
+    operators: AddressText
+
+
+class WorkerModel(BorderModel):
+    """The worker beside a sidecar."""
+
+    driver: str = "http"
+    name: NameText
+    rack: NameText
+    address: AddressText
+    cores: int = Field(ge=1)
+    memory_mb: int = Field(ge=1)
+    accelerators: int = Field(ge=0, le=64)
+
+
+class SidecarModel(BorderModel):
+    """The minion beside a sidecar."""
+
+    service: NameText
+    minion: AddressText
+    slots: int = Field(ge=1, le=1_024)
+    connections: int = Field(ge=1, le=4_096)
+    operators: AddressText
+    worker: WorkerModel
+
+
+class FileModel(BorderModel):
+    """A whole settings file."""
+
+    role: Role
+    name: NameText
+    availability_zone: NameText
+    region: NameText
+    peers: AddressText
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    seed: int | None = None
+    log: LogModel
+    entry: EntryModel | None = None
+    sidecar: SidecarModel | None = None
+
+    def fault(self) -> str:
+        """Return why the tables do not fit the role; empty if they do."""
+        if (self.role is Role.ENTRY) != (self.entry is not None):
+            return "entry: this table goes with role 'entry', and only with it"
+        if (self.role is Role.SIDECAR) != (self.sidecar is not None):
+            return "sidecar: this table goes with role 'sidecar', and only with it"
+        return ""
+
+    def to_config(self) -> ProcessConfig:
+        """Return the settings as data classes."""
+        return ProcessConfig(
+            self.role,
+            self.name,
+            self.availability_zone,
+            self.region,
+            _address(self.peers),
+            LogConfig(self.log.driver, _address(self.log.address)),
+            self._entry_config(),
+            self._sidecar_config(),
+            self.seed,
+            self.log_level,
+        )
+
+    def _entry_config(self) -> EntryConfig | None:
+        if self.entry is None:
+            return None
+        return EntryConfig(_address(self.entry.callers), _address(self.entry.operators))
+
+    def _sidecar_config(self) -> SidecarConfig | None:
+        if self.sidecar is None:
+            return None
+        worker = self.sidecar.worker
+        return SidecarConfig(
+            self.sidecar.service,
+            _address(self.sidecar.minion),
+            self.sidecar.slots,
+            self.sidecar.connections,
+            WorkerConfig(
+                worker.driver,
+                worker.name,
+                worker.rack,
+                _address(worker.address),
+                worker.cores,
+                worker.memory_mb,
+                worker.accelerators,
+            ),
+            _address(self.sidecar.operators),
+        )
+
+
+def read_config(path: str) -> Result[ProcessConfig, Failure]:
+    """Return the settings of a file, or why the file is refused whole.
+
+    Parameters
+    ----------
+    path : str
+        Path of a TOML file.
+    """
+    step = f"read {path}"
+    try:
+        table = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        model = FileModel.model_validate(table)
+    except OSError as exc:
+        return Error(Failure(exc.strerror or str(exc), step))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        return Error(Failure(str(exc), step))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), step))
+    if reason := model.fault():
+        return Error(Failure(reason, step))
+    return Ok(model.to_config())
--- /dev/null
+++ b/kingcuppost/models/operator.py
@@ -0,0 +1,138 @@
+"""Messages of operators to the administration API."""
+
+from pydantic import Field
+
+from kingcuppost.models.base import BorderModel
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.record import (
+    ANY_OFFSET,
+    JobCancel,
+    JobSubmit,
+    SettingPut,
+    TeamPut,
+    ZonePut,
+)
+from kingcuppost.tables.team import Shape
+
+__all__ = [
+    "CancelModel",
+    "JobModel",
+    "ServiceModel",
+    "SettingModel",
+    "ShapeModel",
+    "TeamModel",
+    "ZoneModel",
+]
+
+LONGEST_NAME = 63
+LONGEST_PAYLOAD = 65_536
+MOST_GUARANTEES = 32
+MOST_MEMBERS = 1_024
+MOST_ACCELERATORS = 64
+MOST_CORES = 4_096
+MOST_MEMORY_MB = 16_777_216
+LONGEST_RUN_MS = 31_536_000_000
+
+
+class OperatorModel(BorderModel):
+    """A change that names its operator."""
+
+    operator: str = Field(min_length=1, max_length=LONGEST_NAME)
+
+
+class ShapeModel(BorderModel):
+    """A guaranteed shape."""
+
+    members: int = Field(ge=1, le=MOST_MEMBERS)
+    accelerators: int = Field(ge=1, le=MOST_ACCELERATORS)
+    count: int = Field(default=1, ge=1, le=MOST_MEMBERS)
+
+
+class TeamModel(OperatorModel):
+    """Create or change a team; `base_offset` 0 only creates."""
+
+    guarantees: list[ShapeModel] = Field(default=[], max_length=MOST_GUARANTEES)
+    accelerator_limit: int = Field(default=0, ge=0)
+    base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
+
+    def to_body(self, name: str) -> TeamPut:
+        """Return the body of the record."""
+        shapes = tuple(
+            Shape(item.members, item.accelerators, item.count)
+            for item in self.guarantees
+        )
+        return TeamPut(name, shapes, self.accelerator_limit, self.base_offset)
+
+
+class ZoneModel(OperatorModel):
+    """Create an availability zone, or take it out of or into service."""
+
+    region: str = Field(min_length=1, max_length=LONGEST_NAME)
+    in_service: bool
+    base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
+
+    def to_body(self, name: str) -> ZonePut:
+        """Return the body of the record."""
+        return ZonePut(name, self.region, self.in_service, self.base_offset)
+
+
+class ServiceModel(OperatorModel):
+    """Take a known availability zone out of or into service."""
+
+    in_service: bool
+    base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
+
+    def to_body(self, name: str) -> ZonePut:
+        """Return the body of the record; the entry adds the zone's region."""
+        return ZonePut(name, "", self.in_service, self.base_offset)
+
+
+class SettingModel(OperatorModel):
+    """Set a key on a branch; null makes the branch inherit again."""
+
+    path: str = Field(default="", max_length=256)
+    key: str = Field(min_length=1, max_length=128)
+    value: bool | int | float | str | None
+    base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
+
+    def to_body(self) -> SettingPut:
+        """Return the body of the record."""
+        return SettingPut(self.path, self.key, self.value, self.base_offset)
+
+
+class JobModel(OperatorModel):
+    """Submit a job; the system names it if `name` is empty."""
+
+    name: str = Field(default="", max_length=LONGEST_NAME, pattern=r"^[a-z0-9_.-]*$")
+    team: str = Field(min_length=1, max_length=LONGEST_NAME)
+    members: int = Field(default=1, ge=1, le=MOST_MEMBERS)
+    accelerators: int = Field(default=0, ge=0, le=MOST_ACCELERATORS)
+    cores: int = Field(default=1, ge=0, le=MOST_CORES)
+    memory_mb: int = Field(default=0, ge=0, le=MOST_MEMORY_MB)
+    urgency: Urgency = Urgency.OVERNIGHT
+    declared_ms: int = Field(default=0, ge=0, le=LONGEST_RUN_MS)
+    payload: str = Field(default="", max_length=LONGEST_PAYLOAD)
+
+    def to_body(self) -> JobSubmit:
+        """Return the body of the record."""
+        return JobSubmit(
+            self.name,
+            self.team,
+            self.members,
+            self.accelerators,
+            self.cores,
+            self.memory_mb,
+            self.urgency,
+            self.declared_ms,
+            self.payload,
+        )
+
+
+class CancelModel(OperatorModel):
+    """Cancel a job."""
+
+    reason: str = Field(default="cancelled by operator", max_length=256)
+
+    def to_body(self, job: str) -> JobCancel:
+        """Return the body of the record."""
+        return JobCancel(job, self.reason)
--- /dev/null
+++ b/kingcuppost/models/peer.py
@@ -0,0 +1,229 @@
+"""Messages between the system's own processes."""
+
+from pydantic import Field
+
+from kingcuppost.models.base import BorderModel
+from kingcuppost.tables.inbox import (
+    AttemptArrived,
+    AttemptDone,
+    GangReplyArrived,
+    GangReportArrived,
+    HeartbeatArrived,
+    HolderAnswered,
+    HolderAsked,
+)
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.outbox import (
+    AskHolder,
+    SendAttempt,
+    SendGangReports,
+    SendHeartbeat,
+)
+from kingcuppost.tables.request import Outcome
+from kingcuppost.tables.task import MemberReport, TaskState
+
+__all__ = [
+    "AttemptModel",
+    "GangReplyModel",
+    "GangReportsModel",
+    "HeartbeatModel",
+    "HeartbeatReplyModel",
+    "HolderModel",
+    "HolderReplyModel",
+    "ReportModel",
+    "ServedModel",
+]
+
+
+class ReportModel(BorderModel):
+    """What a member says of itself."""
+
+    job: str
+    incarnation: int
+    member: int
+    state: TaskState
+    result: str = ""
+
+    def to_row(self) -> MemberReport:
+        """Return the row."""
+        return MemberReport(
+            self.job, self.incarnation, self.member, self.state, self.result
+        )
+
+
+def _reports(rows: tuple[MemberReport, ...]) -> list[ReportModel]:
+    return [
+        ReportModel(
+            job=row.job,
+            incarnation=row.incarnation,
+            member=row.member,
+            state=row.state,
+            result=row.result,
+        )
+        for row in rows
+    ]
+
+
+class AttemptModel(BorderModel):
+    """An attempt from an entry to a sidecar."""
+
+    attempt_id: str
+    incarnation: str
+    team: str
+    body: str
+    keyed: bool
+    urgency: Urgency
+    timeout_ms: int = Field(ge=0)
+
+    @classmethod
+    def from_row(cls, row: SendAttempt) -> "AttemptModel":
+        """Return the model of an outbox message."""
+        return cls(
+            attempt_id=row.attempt_id,
+            incarnation=row.incarnation,
+            team=row.team,
+            body=row.body,
+            keyed=row.keyed,
+            urgency=row.urgency,
+            timeout_ms=max(row.timeout_ms, 0),
+        )
+
+    def to_message(self, exchange_id: str) -> AttemptArrived:
+        """Return the inbox message."""
+        return AttemptArrived(
+            exchange_id,
+            self.attempt_id,
+            self.incarnation,
+            self.team,
+            self.body,
+            self.keyed,
+            self.urgency,
+            self.timeout_ms,
+        )
+
+
+class ServedModel(BorderModel):
+    """A sidecar's answer to an attempt."""
+
+    attempt_id: str
+    incarnation: str
+    outcome: Outcome
+    body: str
+    free_slots: int
+    leaving: bool
+    service_ms: float
+    reason: str = ""
+
+    def to_message(self, row: SendAttempt) -> AttemptDone:
+        """Return the inbox message; a crossed answer counts as none."""
+        if self.attempt_id != row.attempt_id:
+            reason = "the answer belongs to another attempt"
+            return AttemptDone(
+                row.attempt_id, row.minion, "", Outcome.UNKNOWN, reason=reason
+            )
+        return AttemptDone(
+            row.attempt_id,
+            row.minion,
+            self.incarnation,
+            self.outcome,
+            self.body,
+            self.free_slots,
+            self.leaving,
+            self.service_ms,
+            reason=self.reason,
+        )
+
+
+class HeartbeatModel(BorderModel):
+    """A sidecar's heartbeat."""
+
+    minion: str
+    incarnation: str
+    free_slots: int
+    leaving: bool
+    service_ms: float
+    reports: list[ReportModel]
+
+    @classmethod
+    def from_row(cls, row: SendHeartbeat) -> "HeartbeatModel":
+        """Return the model of an outbox message."""
+        return cls(
+            minion=row.minion,
+            incarnation=row.incarnation,
+            free_slots=row.free_slots,
+            leaving=row.leaving,
+            service_ms=row.service_ms,
+            reports=_reports(row.reports),
+        )
+
+    def to_message(self, exchange_id: str) -> HeartbeatArrived:
+        """Return the inbox message."""
+        return HeartbeatArrived(
+            exchange_id,
+            self.minion,
+            self.incarnation,
+            self.free_slots,
+            self.leaving,
+            self.service_ms,
+            tuple(item.to_row() for item in self.reports),
+        )
+
+
+class HeartbeatReplyModel(BorderModel):
+    """An entry's answer to a heartbeat."""
+
+    entry: str
+    incarnation: str
+    folded_offset: int
+
+
+class GangReportsModel(BorderModel):
+    """Members' reports to the leaders at one sidecar."""
+
+    worker: str
+    reports: list[ReportModel]
+
+    @classmethod
+    def from_row(cls, row: SendGangReports) -> "GangReportsModel":
+        """Return the model of an outbox message."""
+        return cls(worker=row.from_worker, reports=_reports(row.reports))
+
+    def to_message(self, exchange_id: str) -> GangReportArrived:
+        """Return the inbox message."""
+        reports = tuple(item.to_row() for item in self.reports)
+        return GangReportArrived(exchange_id, self.worker, reports)
+
+
+class GangReplyModel(BorderModel):
+    """A leader's answer to reports."""
+
+    worker: str
+    whole: list[str]
+    broken: list[str]
+
+    def to_message(self, row: SendGangReports) -> GangReplyArrived:
+        """Return the inbox message."""
+        return GangReplyArrived(
+            row.worker, True, row.sent_ms, tuple(self.whole), tuple(self.broken)
+        )
+
+
+class HolderModel(BorderModel):
+    """An entry asks the holder of the scheduling lease."""
+
+    entry: str
+
+    def to_message(self, exchange_id: str) -> HolderAsked:
+        """Return the inbox message."""
+        return HolderAsked(exchange_id, self.entry)
+
+
+class HolderReplyModel(BorderModel):
+    """A process says that it is alive."""
+
+    entry: str
+    incarnation: str
+
+    def to_message(self, row: AskHolder) -> HolderAnswered:
+        """Return the inbox message."""
+        return HolderAnswered(True, self.incarnation, row.sent_ms)
--- /dev/null
+++ b/kingcuppost/models/worker.py
@@ -0,0 +1,69 @@
+"""Messages of the worker's interface, as the repository's stand-in speaks them."""
+
+from pydantic import BaseModel, ConfigDict
+
+from kingcuppost.models.base import BorderModel
+from kingcuppost.tables.inbox import WorkerTask
+from kingcuppost.tables.outbox import ReserveTask
+from kingcuppost.tables.task import TaskState
+
+__all__ = ["RenewModel", "ReserveModel", "StartModel", "TaskListModel", "TaskModel"]
+
+
+class ReserveModel(BorderModel):
+    """Reserve resources for a task."""
+
+    task_id: str
+    cores: int
+    memory_mb: int
+    accelerators: list[int]
+    payload: str
+    lease_ms: int
+
+    @classmethod
+    def from_row(cls, row: ReserveTask) -> "ReserveModel":
+        """Return the model of an outbox message."""
+        return cls(
+            task_id=row.task_id,
+            cores=row.cores,
+            memory_mb=row.memory_mb,
+            accelerators=list(row.accelerators),
+            payload=row.payload,
+            lease_ms=row.lease_ms,
+        )
+
+
+class StartModel(BorderModel):
+    """Start, checkpoint or stop a task."""
+
+    task_id: str
+    lease_ms: int = 0
+
+
+class RenewModel(BorderModel):
+    """Renew leases and ask for all tasks."""
+
+    task_ids: list[str]
+    lease_ms: int
+
+
+class TaskModel(BaseModel):
+    """A task as the worker reports it."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    task_id: str
+    state: TaskState
+    result: str = ""
+
+    def to_row(self) -> WorkerTask:
+        """Return the row."""
+        return WorkerTask(self.task_id, self.state, self.result)
+
+
+class TaskListModel(BaseModel):
+    """All tasks of a worker."""
+
+    model_config = ConfigDict(extra="ignore")
+
+    tasks: list[TaskModel]
--- /dev/null
+++ b/kingcuppost/programs/sidecar.py
@@ -0,0 +1,30 @@
+"""The sidecar: one beside each minion."""
+
+from kingcuppost.edges import drivers, listen
+from kingcuppost.programs.process import build_context, run_process
+from kingcuppost.tables.config import ProcessConfig
+
+__all__ = ["run_sidecar"]
+
+
+def run_sidecar(cfg: ProcessConfig) -> int:
+    """Run a sidecar until it is told to stop.
+
+    Parameters
+    ----------
+    cfg : ProcessConfig
+        Settings of the process.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a graceful stop, 1 after one that was cut short.
+    """
+    context = build_context(cfg)
+    worker_driver = drivers["worker", cfg.sidecar.worker.driver]
+    context.drivers["worker"] = worker_driver(context)
+    ports = context.world.announcement
+    operators = cfg.sidecar.operators
+    ports.operator_port = listen(context, "operators", operators.host, operators.port)
+    ports.peer_port = listen(context, "peers", cfg.peers.host, cfg.peers.port)
+    return run_process(context)
--- /dev/null
+++ b/kingcuppost/systems/agreement/announce.py
@@ -0,0 +1,117 @@
+"""Announcing this process in the log, and its graceful leave."""
+
+from kingcuppost.settings import effective_value
+from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.events import note
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.fleet import MemberState
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import StopRequested
+from kingcuppost.tables.outbox import ExitProcess
+from kingcuppost.tables.record import EntryAnnounce, MemberLeave, MinionAnnounce
+from kingcuppost.tables.request import ServedState
+from kingcuppost.tables.world import World
+
+__all__ = ["announce", "leave"]
+
+EXIT_STOPPED = 0
+EXIT_CUT = 1
+
+
+@system(Phase.MEMBERSHIP)
+def announce(world: World, now_ms: int) -> None:
+    """Keep this process announced under its present incarnation."""
+    if not world.log_view.caught_up or world.stopping:
+        return
+    if world.announcement.record_id in world.proposals:
+        return
+    if _announced(world):
+        return
+    body = _entry_body(world) if world.cfg.entry else _minion_body(world)
+    world.announcement.record_id = propose(world, body, now_ms)
+
+
+def _announced(world: World) -> bool:
+    is_entry = world.identity.role is Role.ENTRY
+    table = world.agreed.entries if is_entry else world.agreed.minions
+    row = table.get(world.identity.name)
+    return row is not None and row.incarnation == world.identity.incarnation
+
+
+def _entry_body(world: World) -> EntryAnnounce:
+    ports = world.announcement
+    return EntryAnnounce(
+        world.identity.name,
+        world.identity.availability_zone,
+        world.identity.incarnation,
+        world.cfg.peers.host,
+        ports.caller_port,
+        ports.operator_port,
+        ports.peer_port,
+    )
+
+
+def _minion_body(world: World) -> MinionAnnounce:
+    cfg = world.cfg.sidecar
+    return MinionAnnounce(
+        world.identity.name,
+        cfg.service,
+        cfg.worker.name,
+        world.identity.availability_zone,
+        cfg.worker.rack,
+        world.identity.incarnation,
+        world.cfg.peers.host,
+        world.announcement.peer_port,
+        cfg.slots,
+        cfg.connections,
+        cfg.worker.cores,
+        cfg.worker.memory_mb,
+        cfg.worker.accelerators,
+    )
+
+
+@system(Phase.REPORT)
+def leave(world: World, now_ms: int) -> None:
+    """Say in the log that the process leaves, finish what runs, then exit.
+
+    A second request to stop, or the end of the bound, exits at once.
+    """
+    for _ in world.inbox.take(StopRequested):
+        if world.stopping:
+            world.outbox.put(ExitProcess(EXIT_CUT))
+            return
+        _begin(world, now_ms)
+    if not world.stopping:
+        return
+    if now_ms >= world.announcement.stop_ms:
+        note(world, "stop.cut", "The bound of the graceful stop is over.")
+        world.outbox.put(ExitProcess(EXIT_CUT))
+    elif _idle(world) and _left(world):
+        world.outbox.put(ExitProcess(EXIT_STOPPED))
+
+
+def _begin(world: World, now_ms: int) -> None:
+    world.stopping = True
+    bound_ms = effective_value(world.agreed, "stop.bound_ms")
+    world.announcement.stop_ms = now_ms + bound_ms
+    world.deadlines.add(world.announcement.stop_ms)
+    body = MemberLeave(world.identity.name, world.identity.incarnation)
+    world.announcement.leave_id = propose(world, body, now_ms)
+    note(world, "stop.begin", "A graceful stop begins.")
+
+
+def _idle(world: World) -> bool:
+    open_work = len(world.requests) + len(world.attempts)
+    for state in (ServedState.WAITING, ServedState.RUNNING):
+        open_work += world.served.count("state", state)
+    return open_work == 0
+
+
+def _left(world: World) -> bool:
+    """Return whether the leave is folded, or can't be since the log is silent."""
+    if world.announcement.leave_id not in world.proposals:
+        return True
+    is_entry = world.identity.role is Role.ENTRY
+    table = world.agreed.entries if is_entry else world.agreed.minions
+    row = table.get(world.identity.name)
+    return row is None or row.state is MemberState.LEAVING
--- /dev/null
+++ b/kingcuppost/systems/agreement/lease.py
@@ -0,0 +1,96 @@
+"""The scheduling lease: who may place gangs."""
+
+from kingcuppost.settings import effective_value
+from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.events import note
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.fleet import Entry
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import HolderAnswered, HolderAsked
+from kingcuppost.tables.outbox import AskHolder, Reply
+from kingcuppost.tables.record import LeaseClaim
+from kingcuppost.tables.replies import HolderReply
+from kingcuppost.tables.world import World
+
+__all__ = ["answer_watchers", "hold_lease", "is_scheduler"]
+
+JITTER_SHARE = 0.5
+STATUS_OK = 200
+
+
+def is_scheduler(world: World) -> bool:
+    """Return whether this process holds the scheduling lease, as far as it knows.
+
+    A process that is wrong about it does no harm: the fold rejects records of
+    an old term.
+    """
+    lease = world.agreed.lease
+    return (
+        lease.holder == world.identity.name
+        and lease.incarnation == world.identity.incarnation
+    )
+
+
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+def hold_lease(world: World, now_ms: int) -> None:
+    """Ask the holder at intervals; claim the lease when it stays silent."""
+    watch = world.holder_watch
+    _hear_holder(world, now_ms)
+    if not world.log_view.caught_up or world.stopping or is_scheduler(world):
+        return
+    if watch.term != world.agreed.lease.term:
+        watch.term = world.agreed.lease.term
+        watch.heard_ms = now_ms
+    holder = world.agreed.entries.get(world.agreed.lease.holder)
+    if holder is None or holder.incarnation != world.agreed.lease.incarnation:
+        _claim(world, now_ms)
+        return
+    if now_ms - watch.heard_ms >= _lost_after_ms(world):
+        note(world, "lease.lost", "The holder is silent.", peer=holder.name)
+        _claim(world, now_ms)
+        return
+    _ask(world, holder, now_ms)
+
+
+def _lost_after_ms(world: World) -> int:
+    """Return the bound, longer by a share that differs among processes."""
+    lost_ms = effective_value(world.agreed, "lease.lost_ms")
+    return int(lost_ms * (1 + JITTER_SHARE * world.holder_watch.jitter))
+
+
+def _hear_holder(world: World, now_ms: int) -> None:
+    for answer in world.inbox.take(HolderAnswered):
+        lease = world.agreed.lease
+        if answer.ok and answer.incarnation == lease.incarnation:
+            world.holder_watch.heard_ms = max(
+                world.holder_watch.heard_ms, answer.sent_ms
+            )
+
+
+def _claim(world: World, now_ms: int) -> None:
+    for proposal in world.proposals:
+        if isinstance(proposal.record.body, LeaseClaim):
+            return
+    body = LeaseClaim(
+        world.identity.name, world.identity.incarnation, world.agreed.lease.term
+    )
+    propose(world, body, now_ms)
+
+
+def _ask(world: World, holder: Entry, now_ms: int) -> None:
+    watch = world.holder_watch
+    period_ms = effective_value(world.agreed, "lease.ping_ms")
+    if now_ms >= watch.ask_ms:
+        watch.ask_ms = now_ms + period_ms
+        world.outbox.put(
+            AskHolder(holder.name, holder.host, holder.peer_port, now_ms, period_ms)
+        )
+    world.deadlines.add(watch.ask_ms)
+
+
+@system(Phase.REPORT, roles=(Role.ENTRY,))
+def answer_watchers(world: World, now_ms: int) -> None:
+    """Tell other entries that this process is alive."""
+    reply = HolderReply(world.identity.name, world.identity.incarnation)
+    for question in world.inbox.take(HolderAsked):
+        world.outbox.put(Reply(question.exchange_id, STATUS_OK, reply))
--- /dev/null
+++ b/kingcuppost/systems/agreement/wishes.py
@@ -0,0 +1,65 @@
+"""Completing what operators leave out of a change."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from kingcuppost.tables.record import (
+    ANY_OFFSET,
+    Body,
+    JobSubmit,
+    SettingPut,
+    TeamPut,
+    ZonePut,
+)
+from kingcuppost.tables.setting import setting_id
+from kingcuppost.tables.world import World
+from kingcuppost.utils.identifiers import new_identifier
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["complete"]
+
+completers: Registry[type, Callable[[World, Any], Body]] = Registry("completer")
+
+
+def complete(world: World, body: Body) -> Body:
+    """Return a body with the names and base offsets that were left out."""
+    if type(body) not in completers:
+        return body
+    return completers[type(body)](world, body)
+
+
+def _base_of(row: Any, base_offset: int) -> int:
+    if base_offset != ANY_OFFSET:
+        return base_offset
+    return row.offset if row is not None else 0
+
+
+@completers.register(JobSubmit)
+def complete_job(world: World, body: JobSubmit) -> JobSubmit:
+    """Name a job that has no name."""
+    if body.job:
+        return body
+    return replace(body, job=new_identifier(world.rng, "job"))
+
+
+@completers.register(TeamPut)
+def complete_team(world: World, body: TeamPut) -> TeamPut:
+    """Take the team as this process knows it for the base of the change."""
+    row = world.agreed.teams.get(body.name)
+    return replace(body, base_offset=_base_of(row, body.base_offset))
+
+
+@completers.register(ZonePut)
+def complete_zone(world: World, body: ZonePut) -> ZonePut:
+    """Take the zone as this process knows it for the base of the change."""
+    row = world.agreed.availability_zones.get(body.name)
+    region = body.region or (row.region if row is not None else "")
+    return replace(body, region=region, base_offset=_base_of(row, body.base_offset))
+
+
+@completers.register(SettingPut)
+def complete_setting(world: World, body: SettingPut) -> SettingPut:
+    """Take the key as this process knows it for the base of the change."""
+    row = world.agreed.settings.get(setting_id(body.path, body.key))
+    return replace(body, base_offset=_base_of(row, body.base_offset))
--- /dev/null
+++ b/kingcuppost/systems/events.py
@@ -0,0 +1,53 @@
+"""Writing events for the time line."""
+
+from kingcuppost.tables.event import Event
+from kingcuppost.tables.world import World
+
+__all__ = ["note"]
+
+
+def note(
+    world: World,
+    step: str,
+    text: str,
+    *,
+    peer: str = "",
+    request: str = "",
+    job: str = "",
+    team: str = "",
+    availability_zone: str = "",
+    offset: int = 0,
+) -> None:
+    """Add an event to the process's part of the time line.
+
+    Parameters
+    ----------
+    world : World
+        Tables of the process.
+    step : str
+        What was being done, such as ``"gang.release"``; the part before the dot
+        is the prefix of the log line.
+    text : str
+        A short sentence.
+    peer, request, job, team, availability_zone : str
+        What it concerns.
+    offset : int
+        Log offset concerned; the folded offset if 0.
+    """
+    world.event_count += 1
+    world.events.append(
+        Event(
+            world.clock.wall_ms(),
+            world.identity.name,
+            world.identity.incarnation,
+            world.event_count,
+            step,
+            text,
+            peer,
+            request,
+            job,
+            team,
+            availability_zone,
+            offset or world.log_view.folded_offset,
+        )
+    )
--- /dev/null
+++ b/kingcuppost/systems/fold/__init__.py
@@ -0,0 +1,22 @@
+"""The fold of the log: what each record requires and does."""
+
+from kingcuppost.systems.fold import fleet, jobs, keys, teams
+from kingcuppost.systems.fold.registry import (
+    Fault,
+    FoldInput,
+    appliers,
+    apply_record,
+    checkers,
+    fault_of,
+)
+
+__all__ = [
+    "Fault",
+    "FoldInput",
+    "appliers",
+    "apply_record",
+    "checkers",
+    "fault_of",
+]
+
+del fleet, jobs, keys, teams
--- /dev/null
+++ b/kingcuppost/systems/fold/fleet.py
@@ -0,0 +1,91 @@
+"""Records by which entries and sidecars announce themselves and leave."""
+
+from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.tables.fleet import Entry, MemberState, Minion, Worker
+from kingcuppost.tables.record import EntryAnnounce, MemberLeave, MinionAnnounce
+from kingcuppost.tables.world import Agreed
+
+__all__: list[str] = []
+
+
+@checkers.register(EntryAnnounce)
+def check_entry(agreed: Agreed, body: EntryAnnounce) -> Fault | None:
+    """Accept every announcement; the newest process of a name counts."""
+    return None
+
+
+@appliers.register(EntryAnnounce)
+def apply_entry(agreed: Agreed, body: EntryAnnounce, item: FoldInput) -> None:
+    """Set the entry's row."""
+    agreed.entries.put(
+        Entry(
+            body.name,
+            body.availability_zone,
+            body.incarnation,
+            body.host,
+            body.caller_port,
+            body.operator_port,
+            body.peer_port,
+            MemberState.SERVING,
+            item.offset,
+        )
+    )
+
+
+@checkers.register(MinionAnnounce)
+def check_minion(agreed: Agreed, body: MinionAnnounce) -> Fault | None:
+    """Refuse a worker that another minion already acts for."""
+    worker = agreed.workers.get(body.worker)
+    if worker is not None and worker.minion != body.name:
+        return Fault(f"worker {body.worker} belongs to minion {worker.minion}")
+    return None
+
+
+@appliers.register(MinionAnnounce)
+def apply_minion(agreed: Agreed, body: MinionAnnounce, item: FoldInput) -> None:
+    """Set the rows of the minion and of its worker."""
+    agreed.minions.put(
+        Minion(
+            body.name,
+            body.service,
+            body.worker,
+            body.availability_zone,
+            body.incarnation,
+            body.host,
+            body.peer_port,
+            body.slots,
+            body.connections,
+            MemberState.SERVING,
+            item.offset,
+        )
+    )
+    agreed.workers.put(
+        Worker(
+            body.worker,
+            body.availability_zone,
+            body.rack,
+            body.cores,
+            body.memory_mb,
+            body.accelerators,
+            body.name,
+        )
+    )
+
+
+@checkers.register(MemberLeave)
+def check_leave(agreed: Agreed, body: MemberLeave) -> Fault | None:
+    """Refuse the leave of a process that a newer one has replaced."""
+    for table in (agreed.minions, agreed.entries):
+        row = table.get(body.name)
+        if row is not None and row.incarnation == body.incarnation:
+            return None
+    return Fault(f"{body.name} {body.incarnation} is not the announced process")
+
+
+@appliers.register(MemberLeave)
+def apply_leave(agreed: Agreed, body: MemberLeave, item: FoldInput) -> None:
+    """Mark the minion or entry as leaving."""
+    for table in (agreed.minions, agreed.entries):
+        row = table.get(body.name)
+        if row is not None and row.incarnation == body.incarnation:
+            table.update(body.name, state=MemberState.LEAVING, offset=item.offset)
--- /dev/null
+++ b/kingcuppost/systems/fold/jobs.py
@@ -0,0 +1,290 @@
+"""Records about jobs, gangs and the scheduling lease."""
+
+from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.tables.agreement import SchedulingLease
+from kingcuppost.tables.job import Gang, GangState, Job, JobState, gang_key
+from kingcuppost.tables.record import (
+    GangEnd,
+    GangFinish,
+    GangPlace,
+    GangRelease,
+    GangStop,
+    JobCancel,
+    JobPark,
+    JobRefuse,
+    JobSubmit,
+    LeaseClaim,
+)
+from kingcuppost.tables.world import Agreed
+
+__all__ = ["FINAL_STATES"]
+
+FINAL_STATES = frozenset(
+    {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.REFUSED}
+)
+ENDED_GANGS = 2_000
+WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
+
+
+def _fault_of_term(agreed: Agreed, term: int) -> Fault | None:
+    if term == agreed.lease.term:
+        return None
+    return Fault(f"term {term} is over, term {agreed.lease.term} holds", lost_race=True)
+
+
+def _fault_of_open_job(agreed: Agreed, name: str) -> Fault | None:
+    job = agreed.jobs.get(name)
+    if job is None:
+        return Fault(f"there is no job {name!r}", missing=True)
+    if job.state in FINAL_STATES:
+        return Fault(f"job {name} is already {job.state}", lost_race=True)
+    return None
+
+
+def _fault_of_gang(agreed: Agreed, job: str, incarnation: int) -> Fault | None:
+    if agreed.gangs.get(gang_key(job, incarnation)) is None:
+        return Fault(f"there is no gang {gang_key(job, incarnation)}", lost_race=True)
+    return None
+
+
+@checkers.register(LeaseClaim)
+def check_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
+    """Refuse a claim that is not based on the present term."""
+    return _fault_of_term(agreed, body.base_term)
+
+
+@appliers.register(LeaseClaim)
+def apply_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
+    """Open a new term, named by the offset of its claim."""
+    agreed.lease = SchedulingLease(item.offset, body.holder, body.incarnation)
+
+
+@checkers.register(JobSubmit)
+def check_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
+    """Refuse unknown teams, taken names and impossible numbers."""
+    if body.team not in agreed.teams:
+        return Fault(f"there is no team {body.team!r}", missing=True)
+    if body.job in agreed.jobs:
+        return Fault(f"there is already a job {body.job!r}", lost_race=True)
+    if body.members < 1 or body.accelerators < 0 or body.cores < 0:
+        return Fault("a gang has at least one member and no negative needs")
+    return None
+
+
+@appliers.register(JobSubmit)
+def apply_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
+    """Create the job, waiting."""
+    agreed.jobs.put(
+        Job(
+            body.job,
+            body.team,
+            body.members,
+            body.accelerators,
+            body.cores,
+            body.memory_mb,
+            body.urgency,
+            body.declared_ms,
+            body.payload,
+            JobState.WAITING,
+            0,
+            item.offset,
+            item.record.wall_ms,
+        )
+    )
+
+
+@checkers.register(JobCancel)
+def check_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
+    """Refuse to cancel a job that has ended."""
+    return _fault_of_open_job(agreed, body.job)
+
+
+@appliers.register(JobCancel)
+def apply_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
+    """End the job; its gangs stop."""
+    _end_job(agreed, body.job, JobState.CANCELLED, body.reason, item)
+    for gang in agreed.gangs.find("job", body.job):
+        agreed.gangs.update(gang.key, state=GangState.STOPPING, reason="cancelled")
+
+
+@checkers.register(JobRefuse)
+def check_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
+    """Refuse records of an old term and of jobs that run or have ended."""
+    job = agreed.jobs.get(body.job)
+    if job is None or job.state not in WAITING_STATES:
+        return Fault(f"job {body.job} does not wait", lost_race=True)
+    return _fault_of_term(agreed, body.term)
+
+
+@appliers.register(JobRefuse)
+def apply_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
+    """End the job as refused, or as failed if it has run."""
+    state = JobState.FAILED if body.failed else JobState.REFUSED
+    _end_job(agreed, body.job, state, body.reason, item)
+
+
+@checkers.register(JobPark)
+def check_park(agreed: Agreed, body: JobPark) -> Fault | None:
+    """Refuse records of an old term and of jobs that do not wait."""
+    job = agreed.jobs.get(body.job)
+    if job is None or job.state not in WAITING_STATES:
+        return Fault(f"job {body.job} does not wait", lost_race=True)
+    return _fault_of_term(agreed, body.term)
+
+
+@appliers.register(JobPark)
+def apply_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
+    """Mark the job as parked, or as waiting again."""
+    state = JobState.PARKED if body.parked else JobState.WAITING
+    agreed.jobs.update(body.job, state=state, reason=body.reason)
+
+
+@checkers.register(GangPlace)
+def check_place(agreed: Agreed, body: GangPlace) -> Fault | None:
+    """Refuse old terms, wrong incarnations, zones out and taken accelerators."""
+    job = agreed.jobs.get(body.job)
+    if job is None or job.state is not JobState.WAITING:
+        return Fault(f"job {body.job} does not wait", lost_race=True)
+    if body.incarnation != job.incarnation + 1:
+        return Fault(f"gang {body.incarnation} is not the next", lost_race=True)
+    if len(body.placements) != job.members:
+        return Fault(f"job {body.job} has {job.members} members")
+    if fault := _fault_of_term(agreed, body.term):
+        return fault
+    return _fault_of_placements(agreed, body)
+
+
+def _fault_of_placements(agreed: Agreed, body: GangPlace) -> Fault | None:
+    for placement in body.placements:
+        worker = agreed.workers.get(placement.worker)
+        if worker is None:
+            return Fault(f"there is no worker {placement.worker}", lost_race=True)
+        zone = agreed.availability_zones.get(worker.availability_zone)
+        if zone is None or not zone.in_service:
+            return Fault(
+                f"availability zone {worker.availability_zone} is out", lost_race=True
+            )
+    return None
+
+
+@appliers.register(GangPlace)
+def apply_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
+    """Create the gang; its members are to be reserved."""
+    job = agreed.jobs.get(body.job)
+    agreed.jobs.update(
+        body.job, state=JobState.ACTIVE, incarnation=body.incarnation, reason=""
+    )
+    agreed.gangs.put(
+        Gang(
+            gang_key(body.job, body.incarnation),
+            body.job,
+            job.team,
+            body.incarnation,
+            body.term,
+            body.placements,
+            body.borrowed,
+            GangState.RESERVING,
+            body.decision,
+            item.offset,
+            item.record.wall_ms,
+        )
+    )
+
+
+@checkers.register(GangRelease)
+def check_release(agreed: Agreed, body: GangRelease) -> Fault | None:
+    """Refuse old terms, gangs that do not reserve, and zones that are out."""
+    if fault := _fault_of_term(agreed, body.term):
+        return fault
+    gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
+    if gang is None or gang.state is not GangState.RESERVING:
+        return Fault("the gang is not reserving", lost_race=True)
+    return _fault_of_placements(agreed, gang)
+
+
+@appliers.register(GangRelease)
+def apply_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
+    """Let all members start."""
+    agreed.gangs.update(
+        gang_key(body.job, body.incarnation),
+        state=GangState.RELEASED,
+        released_wall_ms=item.record.wall_ms,
+    )
+
+
+@checkers.register(GangStop)
+def check_stop(agreed: Agreed, body: GangStop) -> Fault | None:
+    """Refuse old terms and gangs that are gone or already stopping."""
+    if fault := _fault_of_term(agreed, body.term):
+        return fault
+    gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
+    if gang is None or gang.state is GangState.STOPPING:
+        return Fault("the gang is gone or stops already", lost_race=True)
+    return None
+
+
+@appliers.register(GangStop)
+def apply_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
+    """Stop all members; remember the worker that failed, if one did."""
+    key = gang_key(body.job, body.incarnation)
+    agreed.gangs.update(key, state=GangState.STOPPING, reason=body.reason)
+    job = agreed.jobs.get(body.job)
+    if body.failed_worker and body.failed_worker not in job.failed_workers:
+        failed = (*job.failed_workers, body.failed_worker)
+        agreed.jobs.update(body.job, failed_workers=failed)
+
+
+@checkers.register(GangEnd)
+def check_end(agreed: Agreed, body: GangEnd) -> Fault | None:
+    """Refuse old terms and gangs that are gone or not stopping."""
+    if fault := _fault_of_term(agreed, body.term):
+        return fault
+    gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
+    if gang is None or gang.state is not GangState.STOPPING:
+        return Fault("the gang is gone or does not stop", lost_race=True)
+    return None
+
+
+@appliers.register(GangEnd)
+def apply_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
+    """Free the gang's accelerators; an open job waits again."""
+    _end_gang(agreed, gang_key(body.job, body.incarnation))
+    job = agreed.jobs.get(body.job)
+    if job.state is JobState.ACTIVE:
+        agreed.jobs.update(body.job, state=JobState.WAITING)
+
+
+@checkers.register(GangFinish)
+def check_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
+    """Count only the first finish of a gang that was released."""
+    if fault := _fault_of_open_job(agreed, body.job):
+        return fault
+    if fault := _fault_of_gang(agreed, body.job, body.incarnation):
+        return fault
+    gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
+    if not gang.released_wall_ms:
+        return Fault("the gang was not released")
+    return None
+
+
+@appliers.register(GangFinish)
+def apply_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
+    """End the job with its result and free the accelerators."""
+    _end_job(agreed, body.job, JobState.DONE, "", item)
+    agreed.jobs.update(body.job, result=body.result)
+    _end_gang(agreed, gang_key(body.job, body.incarnation))
+
+
+def _end_job(
+    agreed: Agreed, name: str, state: JobState, reason: str, item: FoldInput
+) -> None:
+    agreed.jobs.update(
+        name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
+    )
+
+
+def _end_gang(agreed: Agreed, key: str) -> None:
+    """Free the gang's accelerators, and keep its decision for a while."""
+    agreed.ended_gangs.put(agreed.gangs.delete(key))
+    while len(agreed.ended_gangs) > ENDED_GANGS:
+        agreed.ended_gangs.delete(agreed.ended_gangs.first().key)
--- /dev/null
+++ b/kingcuppost/systems/fold/keys.py
@@ -0,0 +1,51 @@
+"""Records about the keys of non-idempotent requests."""
+
+from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.tables.agreement import KeyClaim
+from kingcuppost.tables.record import KeyClaimPut, KeyOutcome
+from kingcuppost.tables.world import Agreed
+
+__all__: list[str] = []
+
+
+@checkers.register(KeyClaimPut)
+def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Fault | None:
+    """Refuse all claims but the first."""
+    if body.key in agreed.key_claims:
+        return Fault(f"key {body.key} is claimed", lost_race=True)
+    return None
+
+
+@appliers.register(KeyClaimPut)
+def apply_key_claim(agreed: Agreed, body: KeyClaimPut, item: FoldInput) -> None:
+    """Give the key to one attempt."""
+    agreed.key_claims.put(
+        KeyClaim(
+            body.key,
+            body.attempt_id,
+            body.minion,
+            body.minion_incarnation,
+            item.offset,
+            item.record.wall_ms,
+        )
+    )
+
+
+@checkers.register(KeyOutcome)
+def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Fault | None:
+    """Refuse the outcome of an attempt that does not hold the key."""
+    claim = agreed.key_claims.get(body.key)
+    if claim is None or claim.attempt_id != body.attempt_id:
+        return Fault(f"key {body.key} is not held by {body.attempt_id}")
+    if claim.outcome:
+        return Fault(f"the outcome of key {body.key} is known", lost_race=True)
+    return None
+
+
+@appliers.register(KeyOutcome)
+def apply_key_outcome(agreed: Agreed, body: KeyOutcome, item: FoldInput) -> None:
+    """Note the outcome; a request that did not run frees its key."""
+    if body.outcome == "not_run":
+        agreed.key_claims.delete(body.key)
+        return
+    agreed.key_claims.update(body.key, outcome=body.outcome)
--- /dev/null
+++ b/kingcuppost/systems/fold/teams.py
@@ -0,0 +1,119 @@
+"""Records about teams, availability zones and settings."""
+
+import re
+
+from kingcuppost.settings import KEYS, fault_of_path
+from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.tables.fleet import AvailabilityZone
+from kingcuppost.tables.record import SettingPut, TeamPut, ZonePut
+from kingcuppost.tables.setting import Setting, setting_id
+from kingcuppost.tables.team import Shape, Team
+from kingcuppost.tables.world import Agreed
+
+__all__: list[str] = []
+
+NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+LARGEST_MEMBERS = 1_024
+LARGEST_ACCELERATORS = 64
+
+
+def _race(what: str, row_offset: int, base_offset: int) -> Fault | None:
+    if row_offset == base_offset:
+        return None
+    return Fault(
+        f"{what} was changed at offset {row_offset}, not {base_offset}", lost_race=True
+    )
+
+
+def _fault_of_shape(shape: Shape) -> str:
+    if not 1 <= shape.members <= LARGEST_MEMBERS:
+        return f"a shape has 1 to {LARGEST_MEMBERS} members, not {shape.members}"
+    if not 1 <= shape.accelerators <= LARGEST_ACCELERATORS:
+        return (
+            f"a member has 1 to {LARGEST_ACCELERATORS} accelerators, "
+            f"not {shape.accelerators}"
+        )
+    if shape.count < 1:
+        return f"a guarantee's count is at least 1, not {shape.count}"
+    return ""
+
+
+@checkers.register(TeamPut)
+def check_team(agreed: Agreed, body: TeamPut) -> Fault | None:
+    """Refuse bad names and shapes, and changes based on an older row."""
+    if not NAME.fullmatch(body.name):
+        return Fault(f"{body.name!r} is no name for a team")
+    for shape in body.guarantees:
+        if reason := _fault_of_shape(shape):
+            return Fault(reason)
+    row = agreed.teams.get(body.name)
+    return _race(f"team {body.name}", row.offset if row else 0, body.base_offset)
+
+
+@appliers.register(TeamPut)
+def apply_team(agreed: Agreed, body: TeamPut, item: FoldInput) -> None:
+    """Set the team's row."""
+    agreed.teams.put(
+        Team(
+            body.name,
+            body.guarantees,
+            body.accelerator_limit,
+            item.offset,
+            item.record.author,
+        )
+    )
+
+
+@checkers.register(ZonePut)
+def check_zone(agreed: Agreed, body: ZonePut) -> Fault | None:
+    """Refuse bad names, a change of region, and changes based on an older row."""
+    row = agreed.availability_zones.get(body.name)
+    if row is None and not body.region:
+        return Fault(f"there is no availability zone {body.name!r}", missing=True)
+    for name in (body.name, body.region):
+        if not NAME.fullmatch(name):
+            return Fault(f"{name!r} is no name for a zone or region")
+    if row is not None and row.region != body.region:
+        return Fault(f"availability zone {body.name} is in region {row.region}")
+    what = f"availability zone {body.name}"
+    return _race(what, row.offset if row else 0, body.base_offset)
+
+
+@appliers.register(ZonePut)
+def apply_zone(agreed: Agreed, body: ZonePut, item: FoldInput) -> None:
+    """Set the zone's row."""
+    agreed.availability_zones.put(
+        AvailabilityZone(
+            body.name, body.region, body.in_service, item.offset, item.record.author
+        )
+    )
+
+
+@checkers.register(SettingPut)
+def check_setting(agreed: Agreed, body: SettingPut) -> Fault | None:
+    """Refuse unknown keys and branches, wrong values, and lost races."""
+    key = KEYS.get(body.key)
+    if key is None:
+        return Fault(f"there is no setting {body.key!r}", missing=True)
+    if reason := fault_of_path(agreed, body.path):
+        return Fault(reason, missing=True)
+    if reason := key.fault_of(body.value):
+        return Fault(reason)
+    row = agreed.settings.get(setting_id(body.path, body.key))
+    what = f"{body.key} on {body.path or 'root'}"
+    return _race(what, row.offset if row else 0, body.base_offset)
+
+
+@appliers.register(SettingPut)
+def apply_setting(agreed: Agreed, body: SettingPut, item: FoldInput) -> None:
+    """Set the key on its branch; the row of an unset key keeps its offset."""
+    agreed.settings.put(
+        Setting(
+            setting_id(body.path, body.key),
+            body.path,
+            body.key,
+            body.value,
+            item.offset,
+            item.record.author,
+        )
+    )
--- /dev/null
+++ b/kingcuppost/systems/members/__init__.py
@@ -0,0 +1,33 @@
+"""Members of gangs at a sidecar."""
+
+from kingcuppost.systems.members.gangs import (
+    hear_members,
+    report_to_leaders,
+    take_leader_replies,
+    watch_gangs,
+)
+from kingcuppost.systems.members.heartbeats import (
+    send_heartbeats,
+    take_heartbeat_replies,
+)
+from kingcuppost.systems.members.tasks import (
+    follow_gangs,
+    renew_tasks,
+    start_members,
+    stop_lapsed,
+    take_worker_answers,
+)
+
+__all__ = [
+    "follow_gangs",
+    "hear_members",
+    "renew_tasks",
+    "report_to_leaders",
+    "send_heartbeats",
+    "start_members",
+    "stop_lapsed",
+    "take_heartbeat_replies",
+    "take_leader_replies",
+    "take_worker_answers",
+    "watch_gangs",
+]
--- /dev/null
+++ b/kingcuppost/systems/members/gangs.py
@@ -0,0 +1,184 @@
+"""Members and the leader of their gang keep each other's leases alive.
+
+The sidecar of member 0 leads. A member that its leader does not confirm within
+the lease stops, and a leader that misses a member confirms nobody: so no gang
+runs with part of its members for longer than the lease, without the log and
+without the scheduler.
+"""
+
+from collections import defaultdict
+
+from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.events import note
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import GangReplyArrived, GangReportArrived
+from kingcuppost.tables.job import Gang, GangState, gang_key
+from kingcuppost.tables.outbox import Reply, SendGangReports
+from kingcuppost.tables.record import GangFinish
+from kingcuppost.tables.replies import GangReply
+from kingcuppost.tables.task import GangWatch, MemberReport, MemberTask, TaskState
+from kingcuppost.tables.world import World
+
+__all__ = [
+    "hear_members",
+    "report_of",
+    "report_to_leaders",
+    "take_leader_replies",
+    "watch_gangs",
+]
+
+ALIVE_STATES = (TaskState.STARTING, TaskState.RUNNING, TaskState.FINISHED)
+REPORTS_PER_LEASE = 4
+
+
+def report_of(task: MemberTask) -> MemberReport:
+    """Return what a member says of itself."""
+    return MemberReport(
+        task.job, task.incarnation, task.member, task.state, task.result
+    )
+
+
+def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
+    pairs = []
+    for state in (*ALIVE_STATES, TaskState.FAILED):
+        for task in world.tasks.find("state", state):
+            gang = world.agreed.gangs.get(gang_key(task.job, task.incarnation))
+            if gang is not None and gang.state is GangState.RELEASED:
+                pairs.append((gang, task))
+    return pairs
+
+
+@system(Phase.ACT, roles=(Role.SIDECAR,))
+def report_to_leaders(world: World, now_ms: int) -> None:
+    """Tell leaders how members are, all members of a leader in one message."""
+    if now_ms < world.gang_report_ms:
+        return
+    pairs = _released_tasks(world)
+    if not pairs:
+        return
+    by_leader = defaultdict(list)
+    for gang, task in pairs:
+        by_leader[gang.placements[0].worker].append(report_of(task))
+    period_ms = min(_report_period_ms(world, gang) for gang, _ in pairs)
+    world.gang_report_ms = now_ms + period_ms
+    world.deadlines.add(world.gang_report_ms)
+    for leader, reports in by_leader.items():
+        _report(world, leader, tuple(reports), period_ms, now_ms)
+
+
+def _report_period_ms(world: World, gang: Gang) -> int:
+    return _lease_ms(world, gang) // REPORTS_PER_LEASE
+
+
+def _lease_ms(world: World, gang: Gang) -> int:
+    return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
+
+
+def _report(
+    world: World,
+    leader: str,
+    reports: tuple[MemberReport, ...],
+    timeout_ms: int,
+    now_ms: int,
+) -> None:
+    own = world.cfg.sidecar.worker.name
+    if leader == own:
+        reply = _hear(world, reports, now_ms)
+        world.inbox.put(GangReplyArrived(own, True, now_ms, reply.whole, reply.broken))
+        return
+    worker = world.agreed.workers.get(leader)
+    minion = world.agreed.minions.get(worker.minion) if worker else None
+    if minion is not None:
+        world.outbox.put(
+            SendGangReports(
+                leader, minion.host, minion.peer_port, own, reports, timeout_ms, now_ms
+            )
+        )
+
+
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+def hear_members(world: World, now_ms: int) -> None:
+    """Note members' reports and answer which gangs are whole."""
+    for message in world.inbox.take(GangReportArrived):
+        reply = _hear(world, message.reports, now_ms)
+        world.outbox.put(Reply(message.exchange_id, 200, reply))
+
+
+def _hear(world: World, reports: tuple[MemberReport, ...], now_ms: int) -> GangReply:
+    whole = []
+    broken = []
+    for report in reports:
+        gang = world.agreed.gangs.get(gang_key(report.job, report.incarnation))
+        if gang is None or gang.state is not GangState.RELEASED:
+            continue
+        watch = _watch_of(world, gang, now_ms)
+        _note_report(watch, report, now_ms)
+        _check_silence(world, gang, watch, now_ms)
+        (broken if watch.broken else whole).append(gang.key)
+    return GangReply(world.cfg.sidecar.worker.name, tuple(whole), tuple(broken))
+
+
+def _watch_of(world: World, gang: Gang, now_ms: int) -> GangWatch:
+    watch = world.gang_watches.get(gang.key)
+    if watch is None:
+        heard_ms = dict.fromkeys(range(len(gang.placements)), now_ms)
+        watch = GangWatch(gang.key, heard_ms, {})
+        world.gang_watches.put(watch)
+    return watch
+
+
+def _note_report(watch: GangWatch, report: MemberReport, now_ms: int) -> None:
+    if report.state is TaskState.FINISHED:
+        watch.results[report.member] = report.result
+    if report.state in ALIVE_STATES:
+        watch.heard_ms[report.member] = now_ms
+    else:
+        watch.broken = f"member {report.member} is {report.state}"
+
+
+def _check_silence(world: World, gang: Gang, watch: GangWatch, now_ms: int) -> None:
+    if watch.broken:
+        return
+    bound_ms = _lease_ms(world, gang)
+    for member, heard_ms in watch.heard_ms.items():
+        if member not in watch.results and now_ms - heard_ms >= bound_ms:
+            watch.broken = f"member {member} was silent for {bound_ms} ms"
+            note(world, "gang.broken", f"Gang broken: {watch.broken}.", job=gang.job)
+            return
+
+
+@system(Phase.DECIDE, roles=(Role.SIDECAR,))
+def watch_gangs(world: World, now_ms: int) -> None:
+    """Propose the finish of gangs whose members have all finished."""
+    for watch in world.gang_watches:
+        gang = world.agreed.gangs.get(watch.key)
+        if gang is None or gang.state is GangState.STOPPING:
+            world.gang_watches.delete(watch.key)
+        elif len(watch.results) == len(gang.placements) and not watch.broken:
+            propose(
+                world, GangFinish(gang.job, gang.incarnation, watch.results[0]), now_ms
+            )
+            watch.broken = "finished"
+
+
+@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+def take_leader_replies(world: World, now_ms: int) -> None:
+    """Prolong the leases of members whose gang is whole."""
+    for reply in world.inbox.take(GangReplyArrived):
+        if not reply.ok:
+            continue
+        for key in reply.whole:
+            _prolong(world, key, reply.sent_ms)
+
+
+def _prolong(world: World, key: str, sent_ms: int) -> None:
+    gang = world.agreed.gangs.get(key)
+    if gang is None:
+        return
+    lease_ms = sent_ms + _lease_ms(world, gang)
+    for task in world.tasks.find("job", gang.job):
+        if task.incarnation == gang.incarnation and task.lease_ms < lease_ms:
+            world.tasks.update(task.task_id, lease_ms=lease_ms)
+            world.deadlines.add(lease_ms)
--- /dev/null
+++ b/kingcuppost/systems/requests/admission.py
@@ -0,0 +1,72 @@
+"""Admission of callers' requests at an entry."""
+
+from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.events import note
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.systems.requests.answers import refuse
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import CallerRequest, ExchangeLost
+from kingcuppost.tables.request import Request, RequestState
+from kingcuppost.tables.world import World
+from kingcuppost.utils.identifiers import new_identifier
+
+__all__ = ["admit", "forget_lost"]
+
+
+@system(Phase.INTAKE, roles=(Role.ENTRY,))
+def admit(world: World, now_ms: int) -> None:
+    """Queue requests, or refuse them as not run with the reason."""
+    for message in world.inbox.take(CallerRequest):
+        reason = _fault_of(world, message)
+        if reason:
+            refuse(world, message.exchange_id, "admit", reason)
+            continue
+        request = _row_of(world, message, now_ms)
+        world.requests.put(request)
+        world.deadlines.add(request.deadline_ms)
+        note(
+            world,
+            "request.admit",
+            "Request admitted.",
+            request=request.key or request.request_id,
+            team=request.team,
+        )
+
+
+def _fault_of(world: World, message: CallerRequest) -> str:
+    if world.stopping:
+        return "the entry is leaving"
+    if message.team not in world.agreed.teams:
+        return f"there is no team {message.team!r}"
+    path = team_path(message.team, message.urgency)
+    limit = effective_value(world.agreed, "request.queue_limit", path)
+    if world.requests.count("team", message.team) >= limit:
+        return f"{limit} requests of team {message.team} are open"
+    return ""
+
+
+def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
+    path = team_path(message.team, message.urgency)
+    bound_ms = effective_value(world.agreed, "request.timeout_ms", path)
+    timeout_ms = min(message.timeout_ms or bound_ms, bound_ms)
+    return Request(
+        request_id=new_identifier(world.rng, "req"),
+        exchange_id=message.exchange_id,
+        team=message.team,
+        service=message.service,
+        body=message.body,
+        urgency=message.urgency,
+        key=f"{message.team}/{message.key}" if message.key else "",
+        state=RequestState.QUEUED,
+        created_ms=now_ms,
+        deadline_ms=now_ms + timeout_ms,
+    )
+
+
+@system(Phase.INTAKE, roles=(Role.ENTRY,))
+def forget_lost(world: World, now_ms: int) -> None:
+    """Drop idempotent requests whose caller has gone before they were sent."""
+    for message in world.inbox.take(ExchangeLost):
+        for request in world.requests.find("exchange_id", message.exchange_id):
+            if request.state is RequestState.QUEUED:
+                world.requests.delete(request.request_id)
--- /dev/null
+++ b/kingcuppost/systems/views/__init__.py
@@ -0,0 +1,9 @@
+"""Views of the tables, for operators."""
+
+from kingcuppost.systems.views import explain as _explain
+from kingcuppost.systems.views import rows as _rows
+from kingcuppost.systems.views.registry import show, views
+
+__all__ = ["show", "views"]
+
+del _explain, _rows
