--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,29 @@
+"""Run one stand-in: ``python -m standins log|worker|minion``."""
+
+import argparse
+from collections.abc import Callable
+
+from standins.log_service import LogService
+from standins.minion import Minion
+from standins.service import JsonService, serve
+from standins.worker_host import WorkerHost
+
+KINDS: dict[str, Callable[[str], JsonService]] = {
+    "log": lambda name: LogService(),
+    "worker": lambda name: WorkerHost(),
+    "minion": Minion,
+}
+
+
+def main() -> None:
+    """Serve the stand-in that the command line names."""
+    parser = argparse.ArgumentParser(prog="standins")
+    parser.add_argument("kind", choices=sorted(KINDS))
+    parser.add_argument("--name", default="minion")
+    parser.add_argument("--port", type=int, default=0)
+    args = parser.parse_args()
+    serve(KINDS[args.kind](args.name), args.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,277 @@
+"""Starting stand-ins and the system's own processes, for tests and the demo."""
+
+import json
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+__all__ = ["Deployment", "Process", "Site", "wait_until"]
+
+ROOT = Path(__file__).parent.parent
+START_DEADLINE_S = 30.0
+WAIT_DEADLINE_S = 60.0
+POLL_S = 0.02
+
+
+def wait_until(
+    condition: Callable[[], Any], what: str, deadline_s: float = WAIT_DEADLINE_S
+) -> Any:
+    """Return the first true value of a condition.
+
+    Raises
+    ------
+    TimeoutError
+        If it stays false until the deadline.
+    """
+    end = time.monotonic() + deadline_s
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise TimeoutError(f"not within {deadline_s} s: {what}")
+
+
+@dataclass
+class Process:
+    """A running process and the ports that it printed."""
+
+    name: str
+    popen: subprocess.Popen
+    ports: dict[str, int]
+    log_path: Path
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def stop(self, deadline_s: float = WAIT_DEADLINE_S) -> int:
+        """Ask for a graceful stop and return the exit code."""
+        self.send(signal.SIGTERM)
+        return self.popen.wait(deadline_s)
+
+    def log_text(self) -> str:
+        """Return what the process has written to its log."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+
+@dataclass(frozen=True)
+class Site:
+    """Names and sizes of a deployment.
+
+    Attributes
+    ----------
+    region : str
+        Name of the region.
+    zones : tuple of str
+        Availability zones.
+    workers : int
+        Number of workers, each with one minion.
+    workers_per_rack : int
+        Workers that share a rack.
+    accelerators, cores, memory_mb, slots, connections : int
+        What each worker and minion has.
+    service : str
+        Service that the minions offer.
+    """
+
+    region: str = "vidzeme"
+    zones: tuple[str, ...] = ("vid-a", "vid-b", "vid-c")
+    workers: int = 10
+    workers_per_rack: int = 3
+    accelerators: int = 8
+    cores: int = 64
+    memory_mb: int = 131_072
+    slots: int = 8
+    connections: int = 64
+    service: str = "wreath-planner"
+
+    def zone_of(self, number: int) -> str:
+        """Return the zone of a worker; racks do not span zones."""
+        rack = number // self.workers_per_rack
+        return self.zones[rack % len(self.zones)]
+
+
+@dataclass
+class Deployment:
+    """All processes of one deployment on loopback.
+
+    Use it as a context manager; leaving it ends all processes.
+    """
+
+    site: Site = field(default_factory=Site)
+    command: tuple[str, ...] = (sys.executable, "-m", "kingcuppost")
+    processes: dict[str, Process] = field(default_factory=dict)
+    log_address: str = ""
+
+    def __enter__(self) -> "Deployment":
+        self._folder = tempfile.TemporaryDirectory(prefix="kingcuppost-")
+        self.folder = Path(self._folder.name)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+        self._folder.cleanup()
+
+    def spawn(self, name: str, argv: list[str]) -> Process:
+        """Start a process and read the ports that it prints."""
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("a") as log:
+            popen = subprocess.Popen(
+                argv,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env={**os.environ, "SHIV_ROOT": str(self.folder / "shiv")},
+            )
+        ready, _, _ = select.select([popen.stdout], [], [], START_DEADLINE_S)
+        line = popen.stdout.readline() if ready else b""
+        if not line:
+            raise RuntimeError(f"{name} did not start: {log_path.read_text()}")
+        process = Process(name, popen, json.loads(line), log_path)
+        self.processes[name] = process
+        return process
+
+    def start_standin(self, kind: str, name: str, port: int = 0) -> Process:
+        """Start a stand-in."""
+        argv = [sys.executable, "-m", "standins", kind, "--name", name]
+        return self.spawn(name, [*argv, "--port", str(port)])
+
+    def start_log(self) -> Process:
+        """Start the log; processes started later follow it."""
+        process = self.start_standin("log", "log")
+        self.log_address = f"127.0.0.1:{process.ports['port']}"
+        return process
+
+    def start_entry(
+        self, name: str, zone: str = "", log_address: str = "", seed: int | None = None
+    ) -> Process:
+        """Start an entry."""
+        text = self._head("entry", name, zone or self.site.zones[0], log_address, seed)
+        text += '[entry]\ncallers = "127.0.0.1:0"\noperators = "127.0.0.1:0"\n'
+        return self._start("entry", name, text)
+
+    def start_sidecar(
+        self,
+        number: int,
+        log_address: str = "",
+        minion_address: str = "",
+        worker_address: str = "",
+        seed: int | None = None,
+    ) -> Process:
+        """Start the sidecar of a minion whose stand-ins run."""
+        name = f"minion-{number}"
+        minion = self.processes.get(f"{name}-service")
+        worker = self.processes.get(f"worker-{number}")
+        minion_address = minion_address or f"127.0.0.1:{minion.ports['port']}"
+        worker_address = worker_address or f"127.0.0.1:{worker.ports['port']}"
+        site = self.site
+        text = self._head("sidecar", name, site.zone_of(number), log_address, seed)
+        text += (
+            f'[sidecar]\nservice = "{site.service}"\nminion = "{minion_address}"\n'
+            f"slots = {site.slots}\nconnections = {site.connections}\n"
+            f'operators = "127.0.0.1:0"\n[sidecar.worker]\n'
+            f'name = "worker-{number}"\n'
+            f'rack = "rack-{number // site.workers_per_rack}"\n'
+            f'address = "{worker_address}"\ncores = {site.cores}\n'
+            f"memory_mb = {site.memory_mb}\naccelerators = {site.accelerators}\n"
+        )
+        return self._start("sidecar", name, text)
+
+    def start_minion(self, number: int, **options: Any) -> Process:
+        """Start a minion with its worker and its sidecar."""
+        self.start_standin("minion", f"minion-{number}-service")
+        self.start_standin("worker", f"worker-{number}")
+        return self.start_sidecar(number, **options)
+
+    def _head(
+        self, role: str, name: str, zone: str, log_address: str, seed: int | None
+    ) -> str:
+        seed_line = f"seed = {seed}\n" if seed is not None else ""
+        return (
+            f'role = "{role}"\nname = "{name}"\navailability_zone = "{zone}"\n'
+            f'region = "{self.site.region}"\npeers = "127.0.0.1:0"\n{seed_line}'
+            f'[log]\naddress = "{log_address or self.log_address}"\n'
+        )
+
+    def _start(self, role: str, name: str, text: str) -> Process:
+        path = self.folder / f"{name}.toml"
+        path.write_text(text, encoding="utf-8")
+        return self.spawn(name, [*self.command, role, str(path)])
+
+    def run(
+        self, *arguments: str, entry: str = "entry-0"
+    ) -> subprocess.CompletedProcess:
+        """Run an operator's command against an entry."""
+        port = self.processes[entry].ports["operators"]
+        argv = [*self.command, *arguments, "--entry", f"127.0.0.1:{port}"]
+        return self._run(argv)
+
+    def request(
+        self, *arguments: str, entry: str = "entry-0"
+    ) -> subprocess.CompletedProcess:
+        """Send a caller's request by the command line."""
+        port = self.processes[entry].ports["callers"]
+        argv = [*self.command, "request", "--callers", f"127.0.0.1:{port}"]
+        return self._run([*argv, *arguments])
+
+    def _run(self, argv: list[str]) -> subprocess.CompletedProcess:
+        return subprocess.run(
+            argv,
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            timeout=WAIT_DEADLINE_S,
+            check=False,
+            env={**os.environ, "SHIV_ROOT": str(self.folder / "shiv")},
+        )
+
+    def call(
+        self, name: str, surface: str, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any]:
+        """Send an HTTP request to a process; return status and decoded body."""
+        port = self.processes[name].ports[surface]
+        url = f"http://127.0.0.1:{port}{path}"
+        data = json.dumps(body).encode() if body is not None else None
+        request = urllib.request.Request(url, data, method=method)
+        try:
+            with urllib.request.urlopen(request, timeout=WAIT_DEADLINE_S) as response:
+                return response.status, json.loads(response.read())
+        except urllib.error.HTTPError as exc:
+            return exc.code, json.loads(exc.read())
+
+    def show(self, path: str, entry: str = "entry-0") -> Any:
+        """Return a view of an entry."""
+        return self.call(entry, "operators", "GET", path)[1]
+
+    def timeline(self) -> str:
+        """Return the merged time line of all processes that still answer."""
+        rows = []
+        for process in self.processes.values():
+            if "operators" not in process.ports or process.popen.poll() is not None:
+                continue
+            try:
+                rows.extend(self.show("/v1/events", process.name)["events"])
+            except (OSError, ValueError):
+                rows.append({"offset": 0, "wall_ms": 0, "process": process.name})
+        rows.sort(key=lambda row: (row["offset"], row["wall_ms"]))
+        return "\n".join(json.dumps(row) for row in rows)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,76 @@
+"""What the stand-ins share: a small JSON service on one port."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+__all__ = ["JsonService", "Answer", "serve"]
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A response: status and JSON body."""
+
+    status: int
+    body: Any
+
+
+Handler = Callable[[Request, Any], Answer | None]
+
+
+class JsonService(Resource):
+    """Handlers by method and path; a handler that returns None answers later."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._handlers: dict[tuple[str, str], Handler] = {}
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        """File a handler."""
+        self._handlers[method, path] = handler
+
+    def render(self, request: Request) -> int:
+        """Answer a request by its handler."""
+        key = (request.method.decode(), request.path.decode())
+        handler = self._handlers.get(key)
+        text = request.content.read()
+        if handler is None:
+            finish(request, Answer(404, {"reason": f"no {key}"}))
+            return NOT_DONE_YET
+        answer = handler(request, _parse(text))
+        if answer is not None:
+            finish(request, answer)
+        return NOT_DONE_YET
+
+
+def _parse(text: bytes) -> Any:
+    try:
+        return json.loads(text) if text else {}
+    except json.JSONDecodeError:
+        return text.decode("utf-8", "replace")
+
+
+def finish(request: Request, answer: Answer) -> None:
+    """Write a whole response, unless the other end has gone."""
+    if request.transport is None or getattr(request, "_disconnected", False):
+        return
+    body = json.dumps(answer.body).encode()
+    request.setResponseCode(answer.status)
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
+
+
+def serve(service: JsonService, port: int) -> None:
+    """Serve on loopback until a signal; print the port in one JSON line."""
+    bound = reactor.listenTCP(port, Site(service), interface="127.0.0.1", backlog=512)
+    print(json.dumps({"port": bound.getHost().port}), flush=True)
+    reactor.run()
--- /dev/null
+++ b/standins/worker_host.py
@@ -0,0 +1,148 @@
+"""Stand-in for a worker: runs tasks under leases, as its payload says.
+
+The payload is JSON: ``{"run_ms": 500, "fail": false}``.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from twisted.internet import reactor
+from twisted.web.server import Request
+
+from standins.service import Answer, JsonService
+
+__all__ = ["WorkerHost"]
+
+MS_PER_SECOND = 1_000
+OPEN_STATES = ("reserved", "running")
+
+
+@dataclass
+class Task:
+    """A task of the worker."""
+
+    task_id: str
+    accelerators: list[int]
+    payload: dict
+    state: str = "reserved"
+    result: str = ""
+    starts: int = 0
+    checkpoints: int = 0
+    timers: list = field(default_factory=list)
+    lease: object = None
+
+
+class WorkerHost(JsonService):
+    """The worker's HTTP interface."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tasks: dict[str, Task] = {}
+        self.faults = {"refuse": False, "fail_all": False, "ignore_stop": False}
+        self.add("POST", "/v1/reserve", self.reserve)
+        self.add("POST", "/v1/start", self.start)
+        self.add("POST", "/v1/renew", self.renew)
+        self.add("POST", "/v1/checkpoint", self.checkpoint)
+        self.add("POST", "/v1/stop", self.stop)
+        self.add("POST", "/v1/faults", self.set_faults)
+        self.add("GET", "/v1/history", self.history)
+
+    def set_faults(self, request: Request, body: dict) -> Answer:
+        """Change the present faults."""
+        self.faults.update(body)
+        return Answer(200, {})
+
+    def history(self, request: Request, body: dict) -> Answer:
+        """Return every task ever reserved, with how often it was started."""
+        rows = [
+            {
+                "task_id": task.task_id,
+                "state": task.state,
+                "starts": task.starts,
+                "checkpoints": task.checkpoints,
+            }
+            for task in self.tasks.values()
+        ]
+        return Answer(200, {"tasks": rows})
+
+    def reserve(self, request: Request, body: dict) -> Answer:
+        """Hold accelerators for a task under a lease."""
+        if self.faults["refuse"]:
+            return Answer(409, {"reason": "refused on order"})
+        taken = {
+            number
+            for task in self.tasks.values()
+            if task.state in OPEN_STATES
+            for number in task.accelerators
+        }
+        if taken.intersection(body["accelerators"]):
+            return Answer(409, {"reason": "accelerators are taken"})
+        payload = json.loads(body["payload"] or "{}")
+        task = Task(body["task_id"], body["accelerators"], payload)
+        self.tasks[task.task_id] = task
+        self._lease(task, body["lease_ms"])
+        return self._list()
+
+    def start(self, request: Request, body: dict) -> Answer:
+        """Start a reserved task."""
+        task = self.tasks.get(body["task_id"])
+        if task is None or task.state != "reserved":
+            return Answer(409, {"reason": "the task is not reserved"})
+        task.state = "running"
+        task.starts += 1
+        self._lease(task, body["lease_ms"])
+        run_ms = task.payload.get("run_ms", 0)
+        task.timers.append(
+            reactor.callLater(run_ms / MS_PER_SECOND, self._finish, task)
+        )
+        return self._list()
+
+    def renew(self, request: Request, body: dict) -> Answer:
+        """Renew leases and return all tasks."""
+        for task_id in body["task_ids"]:
+            task = self.tasks.get(task_id)
+            if task is not None and task.state in OPEN_STATES:
+                self._lease(task, body["lease_ms"])
+        return self._list()
+
+    def checkpoint(self, request: Request, body: dict) -> Answer:
+        """Note a checkpoint."""
+        task = self.tasks.get(body["task_id"])
+        if task is not None:
+            task.checkpoints += 1
+        return self._list()
+
+    def stop(self, request: Request, body: dict) -> Answer:
+        """Stop a task, unless told to ignore it."""
+        task = self.tasks.get(body["task_id"])
+        if task is not None and not self.faults["ignore_stop"]:
+            self._end(task, "stopped")
+        return self._list()
+
+    def _list(self) -> Answer:
+        rows = [
+            {"task_id": task.task_id, "state": task.state, "result": task.result}
+            for task in self.tasks.values()
+        ]
+        return Answer(200, {"tasks": rows})
+
+    def _lease(self, task: Task, lease_ms: int) -> None:
+        if task.lease is not None and task.lease.active():
+            task.lease.cancel()
+        task.lease = reactor.callLater(
+            lease_ms / MS_PER_SECOND, self._end, task, "stopped"
+        )
+
+    def _finish(self, task: Task) -> None:
+        failed = task.payload.get("fail") or self.faults["fail_all"]
+        if task.state == "running":
+            task.result = "" if failed else task.payload.get("result", "done")
+        self._end(task, "failed" if failed else "finished")
+
+    def _end(self, task: Task, state: str) -> None:
+        if task.state not in OPEN_STATES:
+            return
+        task.state = state
+        for timer in [*task.timers, task.lease]:
+            if timer is not None and timer.active():
+                timer.cancel()
