Flush answers before a graceful exit; prove the path with real processes

Cause: the leaving sidecar wrote its last answer and stopped the loop in the same tick, so the caller heard nothing and was told 'unknown' (test_leaving_sidecar_finishes_its_requests, red before). Ruled out: a lost reply row (the tick had handed it to the edge), a late minion answer (the stand-in had answered). Change: on a graceful exit stop listening, close connections after their buffers are written, then stop the loop. Conclusion: a written answer is not a sent one; exits wait for the buffers.

--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -4,13 +4,30 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from twisted.protocols.policies import WrappingFactory
 from twisted.web.server import Request
 
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["EdgeContext", "Sender", "drivers", "senders"]
+__all__ = ["EdgeContext", "Listener", "Sender", "drivers", "senders"]
+
+
+@dataclass(frozen=True)
+class Listener:
+    """A bound port and the factory that knows its connections.
+
+    Attributes
+    ----------
+    port : object
+        Twisted's listening port.
+    factory : WrappingFactory
+        Wraps the protocol factory of the surface.
+    """
+
+    port: Any
+    factory: WrappingFactory
 
 
 @dataclass
@@ -29,8 +46,12 @@
         Asks for a tick.
     exchanges : dict of str to Request
         Open HTTP exchanges by identifier.
+    listeners : list of Listener
+        Bound ports with their connections.
     drivers : dict of str to object
         Edge to each outside system by its kind, as the settings name it.
+    exit_code : int
+        Exit code of the process.
     """
 
     world: World
@@ -38,7 +59,9 @@
     client: JsonClient
     wake: Callable[[], None]
     exchanges: dict[str, Request] = field(default_factory=dict)
+    listeners: list[Listener] = field(default_factory=list)
     drivers: dict[str, Any] = field(default_factory=dict)
+    exit_code: int = 0
 
     def deliver(self, message: Any) -> None:
         """Put a message before the systems and ask for a tick."""
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -3,10 +3,11 @@
 from typing import Any
 
 from expression import Result
+from twisted.protocols.policies import WrappingFactory
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from kingcuppost.edges.context import EdgeContext, senders
+from kingcuppost.edges.context import EdgeContext, Listener, senders
 from kingcuppost.edges.routes import Call, find_route
 from kingcuppost.exception import Failure
 from kingcuppost.models import encode
@@ -22,6 +23,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 LARGEST_BODY_BYTES = 1_048_576
+LISTEN_BACKLOG = 512
 
 
 class _Surface(Resource):
@@ -107,7 +109,9 @@
 
 def listen(context: EdgeContext, surface: str, host: str, port: int) -> int:
     """Listen for a surface and return the port that was bound."""
+    factory = WrappingFactory(make_site(context, surface))
     bound = context.reactor.listenTCP(
-        port, make_site(context, surface), interface=host, backlog=512
+        port, factory, interface=host, backlog=LISTEN_BACKLOG
     )
+    context.listeners.append(Listener(bound, factory))
     return bound.getHost().port
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -8,6 +8,9 @@
 
 __all__ = ["install_signals"]
 
+FLUSH_CHECK_S = 0.02
+FLUSH_CHECKS = 100
+
 
 def install_signals(context: EdgeContext) -> None:
     """Turn SIGTERM and SIGINT into requests to stop."""
@@ -21,7 +24,31 @@
 
 @senders.register(ExitProcess)
 def exit_process(context: EdgeContext, row: ExitProcess) -> None:
-    """Stop the loop, with the code that the systems chose."""
-    context.drivers["exit_code"] = row.code
+    """Stop listening, let written answers leave, then stop the loop.
+
+    A process that was cut short stops the loop at once.
+    """
+    context.exit_code = row.code
+    if row.code:
+        _stop(context)
+        return
+    for listener in context.listeners:
+        listener.port.stopListening()
+        for connection in list(listener.factory.protocols):
+            connection.loseConnection()
+    _stop_when_flushed(context, FLUSH_CHECKS)
+
+
+def _stop_when_flushed(context: EdgeContext, checks_left: int) -> None:
+    open_count = sum(len(item.factory.protocols) for item in context.listeners)
+    if open_count == 0 or checks_left == 0:
+        _stop(context)
+        return
+    context.reactor.callLater(
+        FLUSH_CHECK_S, _stop_when_flushed, context, checks_left - 1
+    )
+
+
+def _stop(context: EdgeContext) -> None:
     if context.reactor.running:
         context.reactor.stop()
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -90,6 +90,7 @@
     availability_zone: NameText
     region: NameText
     peers: AddressText
+    advertised: AddressText | None = None
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     seed: int | None = None
     log: LogModel
@@ -117,6 +118,7 @@
             self._sidecar_config(),
             self.seed,
             self.log_level,
+            _address(self.advertised) if self.advertised else None,
         )
 
     def _entry_config(self) -> EntryConfig | None:
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -67,7 +67,7 @@
     _print_ports(context)
     context.reactor.callWhenRunning(context.wake)
     context.reactor.run(installSignalHandlers=False)
-    return context.drivers.get("exit_code", 0)
+    return context.exit_code
 
 
 def _print_ports(context: EdgeContext) -> None:
--- /dev/null
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -0,0 +1,96 @@
+"""Keys about the log, the scheduling lease and stopping."""
+
+from kingcuppost.settings.keys import SettingKey, declare
+
+__all__: list[str] = []
+
+declare(
+    SettingKey(
+        "log.poll_wait_ms",
+        2_000,
+        "How long a read may wait at the log for a new record.",
+        "ms",
+        least=10,
+        most=3_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.timeout_ms",
+        1_500,
+        "How long an exchange with the log may take beyond its wait.",
+        "ms",
+        least=50,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.fresh_ms",
+        1_000,
+        "How old a read at the head may be for a task to start on it.",
+        "ms",
+        least=50,
+        most=2_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.retry_ms",
+        200,
+        "Pause before a failed exchange with the log is tried again.",
+        "ms",
+        least=10,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.queue_limit",
+        1_000,
+        "Records that may wait for the log in one process.",
+        "records",
+        least=1,
+        most=100_000,
+    )
+)
+declare(
+    SettingKey(
+        "operator.timeout_ms",
+        5_000,
+        "How long an operator's change waits for its verdict.",
+        "ms",
+        least=100,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "lease.ping_ms",
+        1_000,
+        "Period at which entries ask the holder of the scheduling lease.",
+        "ms",
+        least=50,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "lease.lost_ms",
+        3_000,
+        "Silence of the holder after which another entry claims the lease.",
+        "ms",
+        least=200,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "stop.bound_ms",
+        30_000,
+        "Time within which a graceful stop is over.",
+        "ms",
+        least=100,
+        most=600_000,
+    )
+)
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -4,6 +4,7 @@
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.config import Address
 from kingcuppost.tables.fleet import MemberState
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import StopRequested
@@ -38,21 +39,29 @@
     return row is not None and row.incarnation == world.identity.incarnation
 
 
+def _peer_address(world: World) -> Address:
+    """Return where other processes of the system reach this one."""
+    bound = Address(world.cfg.peers.host, world.announcement.peer_port)
+    return world.cfg.advertised or bound
+
+
 def _entry_body(world: World) -> EntryAnnounce:
     ports = world.announcement
+    peers = _peer_address(world)
     return EntryAnnounce(
         world.identity.name,
         world.identity.availability_zone,
         world.identity.incarnation,
-        world.cfg.peers.host,
+        peers.host,
         ports.caller_port,
         ports.operator_port,
-        ports.peer_port,
+        peers.port,
     )
 
 
 def _minion_body(world: World) -> MinionAnnounce:
     cfg = world.cfg.sidecar
+    peers = _peer_address(world)
     return MinionAnnounce(
         world.identity.name,
         cfg.service,
@@ -60,8 +69,8 @@
         world.identity.availability_zone,
         cfg.worker.rack,
         world.identity.incarnation,
-        world.cfg.peers.host,
-        world.announcement.peer_port,
+        peers.host,
+        peers.port,
         cfg.slots,
         cfg.connections,
         cfg.worker.cores,
--- a/kingcuppost/tables/config.py
+++ b/kingcuppost/tables/config.py
@@ -122,6 +122,8 @@
         Seed of the random generator; None draws one.
     log_level : str
         Least level of the logs written.
+    advertised : Address or None
+        Where peers reach the process, if not at the port bound for `peers`.
     """
 
     role: Role
@@ -134,3 +136,4 @@
     sidecar: SidecarConfig | None = None
     seed: int | None = field(default=None)
     log_level: str = "INFO"
+    advertised: Address | None = None
--- /dev/null
+++ b/kingcuppost/tests/test_shape.py
@@ -0,0 +1,76 @@
+"""The shape of the code base: who may import what."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent
+MODULES = [
+    path for path in sorted(PACKAGE.rglob("*.py")) if "tests" not in path.parts[-2:]
+]
+INNER = ("tables", "systems", "settings", "utils")
+OUTER_ONLY = {"twisted", "json", "pydantic", "socket", "logging", "time", "datetime"}
+NOWHERE = {"threading", "multiprocessing", "subprocess", "concurrent", "asyncio"}
+
+
+def imported(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+def roots(path: Path) -> set[str]:
+    return {name.partition(".")[0] for name in imported(path)}
+
+
+def theme(path: Path) -> str:
+    return path.relative_to(PACKAGE).parts[0]
+
+
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
+def test_no_threads_and_no_child_processes(path: Path) -> None:
+    assert not roots(path) & NOWHERE
+    text = path.read_text()
+    assert "deferToThread" not in text
+    assert "callInThread" not in text
+
+
+@pytest.mark.parametrize(
+    "path",
+    [path for path in MODULES if theme(path) in INNER],
+    ids=lambda path: path.name,
+)
+def test_inner_layers_know_no_input_or_output(path: Path) -> None:
+    allowed = {"time"} if path.name == "clock.py" else set()
+    assert not (roots(path) & OUTER_ONLY) - allowed
+
+
+@pytest.mark.parametrize(
+    "path",
+    [path for path in MODULES if theme(path) in INNER],
+    ids=lambda path: path.name,
+)
+def test_inner_layers_do_not_import_outer_ones(path: Path) -> None:
+    outer = ("edges", "models", "programs", "cli")
+    bad = [
+        name
+        for name in imported(path)
+        if name.startswith(tuple(f"kingcuppost.{layer}" for layer in outer))
+    ]
+    assert not bad
+
+
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
+def test_only_edges_and_programs_import_twisted(path: Path) -> None:
+    if theme(path) not in ("edges", "programs"):
+        assert "twisted" not in roots(path)
+
+
+def test_modules_stay_small() -> None:
+    longest = max(MODULES, key=lambda path: len(path.read_text().splitlines()))
+    assert len(longest.read_text().splitlines()) <= 500, longest
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,8 +1,9 @@
-"""Run one stand-in: ``python -m standins log|worker|minion``."""
+"""Run one stand-in: ``python -m standins log|worker|minion|proxy``."""
 
 import argparse
 from collections.abc import Callable
 
+from standins.fault_proxy import FaultProxy
 from standins.log_service import LogService
 from standins.minion import Minion
 from standins.service import JsonService, serve
@@ -12,6 +13,7 @@
     "log": lambda name: LogService(),
     "worker": lambda name: WorkerHost(),
     "minion": Minion,
+    "proxy": lambda name: FaultProxy(),
 }
 
 
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,37 @@
+"""Fixtures for tests with real processes."""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.processes import Deployment
+
+BINARY = Path(__file__).parent.parent / "dist" / "kingcuppost"
+
+
+@pytest.fixture(scope="session")
+def command() -> tuple[str, ...]:
+    """The one binary; `scripts/check` builds it before the tests."""
+    assert BINARY.exists(), "run scripts/build first"
+    return (sys.executable, str(BINARY))
+
+
+@pytest.fixture
+def deployment(
+    command: tuple[str, ...], request: pytest.FixtureRequest
+) -> Iterator[Deployment]:
+    """A deployment that prints its time line if the test fails."""
+    with Deployment(command=command) as running:
+        yield running
+        report = getattr(request.node, "report_call", None)
+        if report is not None and report.failed:
+            print(running.timeline())
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item: pytest.Item) -> Iterator[None]:
+    outcome = yield
+    report = outcome.get_result()
+    setattr(item, f"report_{report.when}", report)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,143 @@
+"""The whole path with real processes: the binary, the stand-ins, no faults."""
+
+import json
+import threading
+
+from standins.processes import Deployment, wait_until
+
+MINIONS = 3
+REGION = "vidzeme"
+TEAM = "design"
+
+
+def prepare(deployment: Deployment, minions: int = MINIONS) -> None:
+    deployment.start_log()
+    deployment.start_entry("entry-0")
+    deployment.start_entry("entry-1")
+    deployment.start_minions(minions)
+    wait_until(
+        lambda: len(deployment.show("/v1/fleet")["minions"]) == minions,
+        "minions announced",
+    )
+    for zone in deployment.site.zones:
+        put_zone(deployment, zone)
+    body = {"operator": "ilze", "guarantees": [{"members": 2, "accelerators": 4}]}
+    status, _ = deployment.call(
+        "entry-0", "operators", "PUT", f"/v1/teams/{TEAM}", body
+    )
+    assert status == 200
+
+
+def put_zone(deployment: Deployment, zone: str) -> None:
+    body = {"operator": "ilze", "region": REGION, "in_service": True}
+    path = f"/v1/availability-zones/{zone}"
+    status, _ = deployment.call("entry-0", "operators", "PUT", path, body)
+    assert status == 200
+
+
+def ask(deployment: Deployment, entry: str, **fields: object) -> tuple[int, dict]:
+    body = {"team": TEAM, "service": deployment.site.service, **fields}
+    return deployment.call(entry, "callers", "POST", "/v1/requests", body)
+
+
+def submit(deployment: Deployment, name: str, **fields: object) -> None:
+    body = {"operator": "ilze", "name": name, "team": TEAM, **fields}
+    status, answer = deployment.call("entry-0", "operators", "POST", "/v1/jobs", body)
+    assert status == 200, answer
+
+
+def job_state(deployment: Deployment, name: str, entry: str = "entry-0") -> str:
+    return deployment.show(f"/v1/jobs/{name}", entry)["job"]["state"]
+
+
+def starts(deployment: Deployment, minions: int = MINIONS) -> dict[str, int]:
+    counts = {}
+    for number in range(minions):
+        _, answer = deployment.call(f"worker-{number}", "port", "GET", "/v1/history")
+        counts.update({row["task_id"]: row["starts"] for row in answer["tasks"]})
+    return counts
+
+
+def test_request_is_answered_through_either_entry(deployment: Deployment) -> None:
+    prepare(deployment)
+    for entry in ("entry-0", "entry-1"):
+        wait_until(
+            lambda entry=entry: ask(deployment, entry, body=entry)[0] == 200,
+            f"{entry} answers",
+        )
+        status, answer = ask(deployment, entry, body=f"quote {entry}")
+        assert status == 200
+        assert answer["outcome"] == "answered"
+        assert json.loads(answer["answer"])["echo"] == f"quote {entry}"
+
+
+def test_keyed_request_runs_once_through_two_entries(deployment: Deployment) -> None:
+    prepare(deployment)
+    order = {"body": '{"id": "order-7"}', "idempotent": False, "key": "order-7"}
+    answers = [ask(deployment, entry, **order) for entry in ("entry-0", "entry-1")]
+    assert [status for status, _ in answers] == [200, 200]
+    assert answers[0][1]["answer"] == answers[1][1]["answer"]
+    runs = 0
+    for number in range(MINIONS):
+        _, answer = deployment.call(
+            f"minion-{number}-service", "port", "GET", "/v1/runs"
+        )
+        runs += answer["runs"].get("order-7", 0)
+    assert runs == 1
+
+
+def test_gang_runs_once_and_is_explained(deployment: Deployment) -> None:
+    prepare(deployment)
+    payload = json.dumps({"run_ms": 200, "result": "plan"})
+    submit(deployment, "planning", members=2, accelerators=4, payload=payload)
+    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    shown = deployment.run("explain", "planning")
+    assert shown.returncode == 0
+    assert "job.lease_ms = 5000 from default" in shown.stdout
+    assert starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
+
+
+def test_state_is_rebuilt_after_all_processes_were_killed(
+    deployment: Deployment,
+) -> None:
+    prepare(deployment)
+    payload = json.dumps({"run_ms": 1_500, "result": "plan"})
+    submit(deployment, "planning", members=2, accelerators=8, payload=payload)
+    wait_until(
+        lambda: sum(starts(deployment).values()) == 2, "both members have started"
+    )
+    ours = ["entry-0", "entry-1", *(f"minion-{i}" for i in range(MINIONS))]
+    for name in ours:
+        deployment.processes[name].kill()
+    deployment.start_entry("entry-0")
+    deployment.start_entry("entry-1")
+    for number in range(MINIONS):
+        deployment.start_sidecar(number)
+    wait_until(lambda: "job" in deployment.show("/v1/jobs/planning"), "state is back")
+    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    assert deployment.show(f"/v1/teams/{TEAM}")["guarantees"]
+    assert deployment.show("/v1/jobs/planning", "entry-1")["job"]["result"] == "plan"
+
+
+def test_leaving_sidecar_finishes_its_requests(deployment: Deployment) -> None:
+    prepare(deployment, minions=1)
+    body = json.dumps({"run_ms": 1_000, "id": "slow"})
+    wait_until(lambda: ask(deployment, "entry-0")[0] == 200, "the minion serves")
+    argv = ["--team", TEAM, "--service", deployment.site.service, "--body", body]
+
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(deployment.request(*argv)), daemon=True
+    )
+    thread.start()
+    wait_until(
+        lambda: deployment.call("minion-0-service", "port", "GET", "/v1/runs")[1][
+            "runs"
+        ].get("slow"),
+        "the request runs",
+    )
+    assert deployment.processes["minion-0"].stop() == 0
+    thread.join()
+    assert answers[0].returncode == 0
+    status, answer = ask(deployment, "entry-0", timeout_ms=500)
+    assert (status, answer["outcome"]) == (503, "not_run")
