--- /dev/null
+++ b/examples/no_socket.py
@@ -0,0 +1,66 @@
+"""Drive the systems of an entry with no socket and a clock moved by hand.
+
+The log is a list here: appended records come back as reads. Run it with
+``python examples/no_socket.py``.
+"""
+
+from kingcuppost.programs import make_world
+from kingcuppost.systems import run_tick, systems_of
+from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import AppendDone, FoldedRecord, Propose, ReadDone
+from kingcuppost.tables.outbox import AppendRecords, ReadLog, Reply
+from kingcuppost.tables.record import Record, TeamPut
+from kingcuppost.tables.team import Shape
+from kingcuppost.tables.world import World
+from kingcuppost.utils import ManualClock
+
+NOWHERE = Address("127.0.0.1", 0)
+CFG = ProcessConfig(
+    role=Role.ENTRY,
+    name="entry-0",
+    availability_zone="vid-a",
+    region="vidzeme",
+    peers=NOWHERE,
+    log=LogConfig("none", NOWHERE),
+    entry=EntryConfig(callers=NOWHERE, operators=NOWHERE),
+    seed=1,
+)
+TICKS = 12
+TICK_MS = 10
+
+
+def answer(world: World, log: list[Record], message: object) -> None:
+    """Answer an outbox message as the log would."""
+    if isinstance(message, AppendRecords):
+        log.extend(message.records)
+        ids = tuple(record.record_id for record in message.records)
+        world.inbox.put(AppendDone(ids, ok=True))
+    elif isinstance(message, ReadLog):
+        new = enumerate(log[message.after :], message.after + 1)
+        rows = tuple(FoldedRecord(offset, record) for offset, record in new)
+        head = len(log)
+        world.inbox.put(ReadDone(message.read_id, True, rows, head, 1, head))
+    elif isinstance(message, Reply):
+        print(message.status, message.body)
+
+
+def main() -> None:
+    """Create a team, and show that the fold has it."""
+    clock = ManualClock(start_ms=1)
+    world = make_world(CFG, clock)
+    systems = systems_of(Role.ENTRY)
+    log: list[Record] = []
+    for tick in range(TICKS):
+        if tick == TICKS // 2:
+            body = TeamPut("design", (Shape(2, 4),), 0, base_offset=0)
+            world.inbox.put(Propose("exchange-1", "ilze", body))
+        run_tick(world, systems, clock.now_ms())
+        for message in world.outbox.take_all():
+            answer(world, log, message)
+        clock.advance(TICK_MS)
+    print(world.agreed.teams.get("design"))
+
+
+if __name__ == "__main__":
+    main()
