End the process when a tick fails; deliver every failed exchange

Cause: an exception in a system left the loop without its timer: the process lived on, deaf. An unforeseen exception in an exchange delivered no message, so its row waited for a deadline. Ruled out: carrying on after the fault; half-changed tables vouch for nothing. Change: log, exit code 70; exchanges turn any exception into their failure. Conclusion: the platform replaces the process, the log rebuilds its tables.

--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -1,5 +1,6 @@
 """The loop: a tick when something arrived or a deadline is due, else nothing."""
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,8 @@
 
 __all__ = ["TickLoop"]
 
+LOGGER = "kingcuppost"
+EXIT_FAULT = 70
 MS_PER_SECOND = 1_000
 LEAST_DELAY_MS = 1
 
@@ -54,14 +57,28 @@
         self._soon = None
         world = self._context.world
         self.ticks += 1
-        run_tick(world, self._systems, world.clock.now_ms())
-        for message in world.outbox.take_all():
-            senders[type(message)](self._context, message)
+        try:
+            run_tick(world, self._systems, world.clock.now_ms())
+            for message in world.outbox.take_all():
+                senders[type(message)](self._context, message)
+        except Exception:
+            self._abandon()
+            return
         self._after()
         if len(world.inbox):
             self.wake()
         self._set_timer()
 
+    def _abandon(self) -> None:
+        """Log the fault and end the process.
+
+        A tick that failed half-way leaves tables that nobody vouches for; a new
+        process rebuilds them from the log.
+        """
+        logging.getLogger(LOGGER).critical("loop: The tick failed.", exc_info=True)
+        self._context.exit_code = EXIT_FAULT
+        self._reactor.stop()
+
     def _set_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -58,6 +58,8 @@
             message = await work
         except PeerError as exc:
             message = failed(exc)
+        except Exception as exc:
+            message = failed(PeerError(repr(exc), "exchange"))
         context.deliver(message)
 
     ensureDeferred(finish())
--- /dev/null
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -0,0 +1,84 @@
+"""The loop ticks on arrivals and deadlines, and ends on a fault."""
+
+from twisted.internet.task import Clock as TwistedClock
+
+from kingcuppost.edges.context import EdgeContext
+from kingcuppost.edges.loop import EXIT_FAULT, TickLoop
+from kingcuppost.programs import make_world
+from kingcuppost.systems.registry import Phase, System
+from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.world import World
+from kingcuppost.utils import ManualClock
+
+NOWHERE = Address("127.0.0.1", 0)
+CFG = ProcessConfig(
+    Role.ENTRY,
+    "entry-0",
+    "vid-a",
+    "vidzeme",
+    NOWHERE,
+    LogConfig("none", NOWHERE),
+    EntryConfig(NOWHERE, NOWHERE),
+    seed=1,
+)
+
+
+class FakeReactor(TwistedClock):
+    stopped = False
+
+    def stop(self) -> None:
+        self.stopped = True
+
+
+class Harness:
+    def __init__(self, run: object) -> None:
+        self.clock = ManualClock(start_ms=1)
+        self.reactor = FakeReactor()
+        systems = [System("test.run", Phase.ACT, (Role.ENTRY,), run)]
+        self.loop = TickLoop(self.reactor, systems)
+        self.context = EdgeContext(
+            make_world(CFG, self.clock), self.reactor, None, self.loop.wake
+        )
+        self.loop.attach(self.context, lambda: None)
+
+    def advance(self, by_ms: int) -> None:
+        self.clock.advance(by_ms)
+        self.reactor.advance(by_ms / 1_000)
+
+
+def test_arrivals_before_a_tick_share_it() -> None:
+    harness = Harness(lambda world, now_ms: world.inbox.take(str))
+    for text in ("a", "b", "c"):
+        harness.context.deliver(text)
+    harness.advance(0)
+    assert harness.loop.ticks == 1
+    assert len(harness.context.world.inbox) == 0
+
+
+def test_nothing_runs_before_a_deadline() -> None:
+    def run(world: World, now_ms: int) -> None:
+        if now_ms < 100:
+            world.deadlines.add(100)
+
+    harness = Harness(run)
+    harness.loop.wake()
+    harness.advance(0)
+    harness.advance(50)
+    assert harness.loop.ticks == 1
+    harness.advance(60)
+    harness.advance(0)
+    assert harness.loop.ticks == 2
+    harness.advance(10_000)
+    assert harness.loop.ticks == 2
+
+
+def test_a_failed_tick_ends_the_process() -> None:
+    def run(world: World, now_ms: int) -> None:
+        raise RuntimeError("a fault in a system")
+
+    harness = Harness(run)
+    harness.loop.wake()
+    harness.advance(0)
+    assert harness.reactor.stopped
+    assert harness.context.exit_code == EXIT_FAULT
