--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -1,6 +1,7 @@
 """The platform's log over HTTP, as the repository's stand-in speaks it."""
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
+from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.peers import run
 from kingcuppost.exception import PeerError
 from kingcuppost.models import decode, encode
@@ -27,16 +28,18 @@
     def __init__(self, context: EdgeContext) -> None:
         self._context = context
         self._address = context.world.cfg.log.address
+        self._client = JsonClient(context.reactor)
 
     def read(self, row: ReadLog) -> None:
         """Read records after an offset."""
+        client = self._client_for(row.hedge)
         path = (
             f"/v1/records?after={row.after}&wait_ms={row.wait_ms}"
             f"&limit={RECORDS_PER_READ}"
         )
 
         async def work() -> ReadDone:
-            response = await self._context.client.exchange(
+            response = await client.exchange(
                 "GET", self._address, path, b"", row.timeout_ms
             )
             if response.status != STATUS_OK:
@@ -53,21 +56,32 @@
 
     def append(self, row: AppendRecords) -> None:
         """Append records; the answer only tells that a re-read is due."""
+        client = self._client_for(row.hedge)
         record_ids = tuple(record.record_id for record in row.records)
         model = AppendModel(values=[text_of(record) for record in row.records])
 
         async def work() -> AppendDone:
-            response = await self._context.client.exchange(
+            response = await client.exchange(
                 "POST", self._address, "/v1/records", encode(model), row.timeout_ms
             )
             ok = response.status == STATUS_OK
             return AppendDone(record_ids, ok, "" if ok else f"status {response.status}")
 
         def failed(exc: PeerError) -> AppendDone:
-            return AppendDone(record_ids, False, str(exc))
+            never_sent = exc.step == "connect"
+            return AppendDone(record_ids, False, str(exc), never_sent)
 
         run(self._context, work(), failed)
 
+    def _client_for(self, hedge: bool) -> JsonClient:
+        """Return the client; a new one, with no old connections, for a hedge.
+
+        Idle connections of the old one may be silent too; they close by age.
+        """
+        if hedge:
+            self._client = JsonClient(self._context.reactor)
+        return self._client
+
 
 @senders.register(ReadLog)
 def read_log(context: EdgeContext, row: ReadLog) -> None:
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -47,6 +47,7 @@
     author: str
     wall_ms: int
     body: dict
+    seen_offset: int = Field(default=0, ge=0)
 
 
 def text_of(record: Record) -> str:
@@ -64,7 +65,7 @@
         body = _body.validate_python(model.body)
     except ValidationError:
         return None
-    return Record(model.record_id, model.author, model.wall_ms, body)
+    return Record(model.record_id, model.author, model.wall_ms, body, model.seen_offset)
 
 
 def to_read_done(read_id: str, model: ReadModel) -> ReadDone:
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -219,11 +219,14 @@
 
 
 class HolderReplyModel(BorderModel):
-    """A process says that it is alive."""
+    """A process says that it is alive, and whether it follows the log."""
 
     entry: str
     incarnation: str
+    follows_log: bool
 
     def to_message(self, row: AskHolder) -> HolderAnswered:
         """Return the inbox message."""
-        return HolderAnswered(True, self.incarnation, row.sent_ms)
+        return HolderAnswered(
+            True, self.incarnation, row.sent_ms, follows_log=self.follows_log
+        )
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -17,13 +17,65 @@
 declare(
     SettingKey(
         "log.timeout_ms",
-        1_500,
+        10_000,
         "How long an exchange with the log may take beyond its wait.",
         "ms",
         least=50,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.late_ms",
+        1_000,
+        "Silence of the log, beyond a wait, after which another exchange starts on a "
+        "new connection.",
+        "ms",
+        least=50,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "log.group_ms",
+        200,
+        "How long an append under way holds later records back, to group them.",
+        "ms",
+        least=0,
         most=10_000,
     )
 )
+declare(
+    SettingKey(
+        "log.search_retry_ms",
+        1_000,
+        "Pause before the log is searched again for a whole snapshot.",
+        "ms",
+        least=10,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "snapshot.records",
+        5_000,
+        "Records behind the newest snapshot after which another is written.",
+        "records",
+        least=10,
+        most=1_000_000,
+    )
+)
+declare(
+    SettingKey(
+        "snapshot.period_ms",
+        3_600_000,
+        "Age of the newest snapshot at which another is written; keep it below a "
+        "third of the log's retention.",
+        "ms",
+        least=100,
+        most=604_800_000,
+    )
+)
 declare(
     SettingKey(
         "log.fresh_ms",
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,10 +1,10 @@
 """Agreement through the log: following, proposing, leases, announcements."""
 
 from kingcuppost.systems.agreement.announce import announce, leave
-from kingcuppost.systems.agreement.follow import (
-    fold_reads,
+from kingcuppost.systems.agreement.follow import fold_reads, issue_read
+from kingcuppost.systems.agreement.freshness import (
+    fresh_age_ms,
     is_fresh,
-    issue_read,
     want_barrier,
 )
 from kingcuppost.systems.agreement.lease import (
@@ -18,12 +18,14 @@
     send_proposals,
     take_wishes,
 )
+from kingcuppost.systems.agreement.snapshots import write_snapshots
 
 __all__ = [
     "announce",
     "answer_proposers",
     "answer_watchers",
     "fold_reads",
+    "fresh_age_ms",
     "hold_lease",
     "is_fresh",
     "is_scheduler",
@@ -33,4 +35,5 @@
     "send_proposals",
     "take_wishes",
     "want_barrier",
+    "write_snapshots",
 ]
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -1,53 +1,59 @@
 """Following the log: reads, the fold in offset order, and freshness."""
 
 from kingcuppost.settings import effective_value
+from kingcuppost.systems.agreement.freshness import (
+    fresh_age_ms,
+    is_fresh,
+    want_barrier,
+)
+from kingcuppost.systems.agreement.search import (
+    begin_search,
+    is_search_due,
+    take_search_read,
+)
+from kingcuppost.systems.agreement.snapshots import watch_part
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import Verdict
+from kingcuppost.tables.agreement import ReadUnderWay, Verdict
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["fold_reads", "is_fresh", "issue_read", "want_barrier"]
+__all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "want_barrier"]
 
-NO_READ = -1
-
-
-def is_fresh(world: World, now_ms: int) -> bool:
-    """Return whether the log was read at its head recently enough to start work."""
-    fresh_ms = world.log_view.fresh_ms
-    bound_ms = effective_value(world.agreed, "log.fresh_ms")
-    return fresh_ms >= 0 and now_ms - fresh_ms <= bound_ms
-
-
-def want_barrier(world: World, now_ms: int) -> None:
-    """Ask for a read of the head that is sent no earlier than now."""
-    view = world.log_view
-    if view.barrier_ms < 0:
-        view.barrier_ms = now_ms
+READS_UNDER_WAY = 4
 
 
 @system(Phase.FOLD)
 def fold_reads(world: World, now_ms: int) -> None:
-    """Apply what the log answered, in offset order."""
-    view = world.log_view
+    """Apply what the log answered, in offset order.
+
+    Several reads may be under way; what a second one repeats is passed over.
+    """
     for done in world.inbox.take(ReadDone):
-        if done.read_id != view.read_id:
+        read = world.log_view.reads.pop(done.read_id, None)
+        if read is None:
             continue
-        sent_ms = view.read_sent_ms
-        view.read_id = ""
-        view.read_sent_ms = NO_READ
         if not done.ok:
             _note_failed_read(world, done, now_ms)
-            continue
-        for item in done.records:
-            _fold_one(world, item)
-        view.folded_offset = max(view.folded_offset, done.end)
-        _note_head(world, done, sent_ms)
-        view.next_read_ms = now_ms
+        elif world.log_view.search is not None:
+            take_search_read(world, done, now_ms)
+        elif is_search_due(world, done):
+            begin_search(world, done, now_ms)
+        else:
+            _fold_read(world, done, read)
+            world.log_view.next_read_ms = now_ms
+
+
+def _fold_read(world: World, done: ReadDone, read: ReadUnderWay) -> None:
+    view = world.log_view
+    for item in done.records:
+        _fold_one(world, item)
+    view.folded_offset = max(view.folded_offset, done.end)
+    _note_head(world, done, read.sent_ms)
 
 
 def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
@@ -62,11 +68,13 @@
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
         return
-    view.fresh_ms = sent_ms
+    view.fresh_ms = max(view.fresh_ms, sent_ms)
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
     if not view.caught_up:
         view.caught_up = True
+        view.searched = False
+        world.snapshots.wall_ms = world.snapshots.wall_ms or world.clock.wall_ms()
         note(world, "log.follow", f"Caught up at offset {view.folded_offset}.")
 
 
@@ -76,13 +84,27 @@
         return
     view.folded_offset = item.offset
     if isinstance(item.record.body, SnapshotPart):
+        watch_part(world, item)
         return
-    fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
-    if item.record.record_id in world.proposals:
+    known = world.agreed.recent.get(item.record.record_id)
+    if known is not None:
+        verdict = Verdict(known.accepted, known.offset, known.reason)
+    else:
+        fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
         reason = fault.reason if fault else ""
-        verdict = Verdict(fault is None, item.offset, reason)
+        stale = fault is not None and fault.stale
+        verdict = Verdict(fault is None, item.offset, reason, unknown=stale)
+    if item.record.record_id in world.proposals:
         world.verdicts[item.record.record_id] = verdict
-    result = f"rejected: {fault.reason}" if fault else "applied"
+    _note_record(world, item, verdict, repeat=known is not None)
+
+
+def _note_record(
+    world: World, item: FoldedRecord, verdict: Verdict, *, repeat: bool
+) -> None:
+    result = "applied" if verdict.accepted else f"rejected: {verdict.reason}"
+    if repeat:
+        result = f"passed over, a repeat of offset {verdict.offset}"
     note(
         world,
         f"fold.{item.record.body.kind}",
@@ -94,18 +116,40 @@
 
 @system(Phase.PROPOSE)
 def issue_read(world: World, now_ms: int) -> None:
-    """Keep one read under way; cut a waiting one short for a barrier."""
+    """Keep one timely read under way.
+
+    A read that waits at the log is cut short for a barrier, and one that is late
+    is not waited for: another goes out beside it, on a new connection.
+    """
     view = world.log_view
-    barrier_due = view.barrier_ms >= 0 and view.read_sent_ms < view.barrier_ms
-    if view.read_id and not (barrier_due and view.read_waits):
+    timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
+    if timely:
+        world.deadlines.add(min(read.late_ms for read in timely))
+        return
+    if len(view.reads) >= READS_UNDER_WAY:
         return
     if now_ms < view.next_read_ms:
         world.deadlines.add(view.next_read_ms)
         return
-    waits = view.caught_up and view.barrier_ms < 0
+    _send_read(world, now_ms)
+
+
+def _is_timely(world: World, read: ReadUnderWay, now_ms: int) -> bool:
+    barrier_ms = world.log_view.barrier_ms
+    if read.waits and barrier_ms >= 0 and read.sent_ms < barrier_ms:
+        return False
+    return now_ms < read.late_ms
+
+
+def _send_read(world: World, now_ms: int) -> None:
+    view = world.log_view
+    hedge = any(now_ms >= read.late_ms for read in view.reads.values())
+    waits = view.caught_up and view.barrier_ms < 0 and not hedge
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if waits else 0
+    late_ms = now_ms + wait_ms + effective_value(world.agreed, "log.late_ms")
     timeout_ms = wait_ms + effective_value(world.agreed, "log.timeout_ms")
-    view.read_id = new_identifier(world.rng, "read")
-    view.read_sent_ms = now_ms
-    view.read_waits = waits
-    world.outbox.put(ReadLog(view.read_id, view.folded_offset, wait_ms, timeout_ms))
+    after = view.search.after if view.search else view.folded_offset
+    read_id = new_identifier(world.rng, "read")
+    view.reads[read_id] = ReadUnderWay(now_ms, late_ms, waits)
+    world.deadlines.add(late_ms)
+    world.outbox.put(ReadLog(read_id, after, wait_ms, timeout_ms, hedge))
--- /dev/null
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -0,0 +1,26 @@
+"""How fresh this process's view of the log is."""
+
+from kingcuppost.settings import effective_value
+from kingcuppost.tables.world import World
+
+__all__ = ["fresh_age_ms", "is_fresh", "want_barrier"]
+
+NEVER_MS = 2**53
+
+
+def fresh_age_ms(world: World, now_ms: int) -> int:
+    """Return how long ago a read that ended at the head was sent, in ms."""
+    fresh_ms = world.log_view.fresh_ms
+    return now_ms - fresh_ms if fresh_ms >= 0 else NEVER_MS
+
+
+def is_fresh(world: World, now_ms: int) -> bool:
+    """Return whether the log was read at its head recently enough to start work."""
+    return fresh_age_ms(world, now_ms) <= effective_value(world.agreed, "log.fresh_ms")
+
+
+def want_barrier(world: World, now_ms: int) -> None:
+    """Ask for a read of the head that is sent no earlier than now."""
+    view = world.log_view
+    if view.barrier_ms < 0:
+        view.barrier_ms = now_ms
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -9,7 +9,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AppendDone, Propose
 from kingcuppost.tables.outbox import AppendRecords, Reply
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Body, Record, SnapshotPart
 from kingcuppost.tables.replies import ChangeAccepted, ChangeRefused
 from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.world import World
@@ -23,7 +23,10 @@
 STATUS_INVALID = 422
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
-RECORDS_PER_APPEND = 256
+APPEND_WEIGHT = 256
+SNAPSHOT_PART_WEIGHT = 64
+APPENDS_UNDER_WAY = 8
+MOST_DOUBLINGS = 4
 STEP = "change"
 
 
@@ -63,6 +66,7 @@
         author or world.identity.name,
         world.clock.wall_ms(),
         body,
+        world.log_view.folded_offset,
     )
     world.proposals.put(
         Proposal(
@@ -131,9 +135,10 @@
 
 
 def _reply_of(world: World, proposal: Proposal, verdict: Verdict) -> Reply:
-    body = proposal.record.body
+    if verdict.unknown:
+        return _unknown(proposal, verdict.reason)
     if verdict.accepted:
-        name = getattr(body, "job", "") or getattr(body, "name", "")
+        name = _name_of(proposal)
         accepted = ChangeAccepted(verdict.offset, proposal.record_id, name)
         return Reply(proposal.exchange_id, STATUS_ACCEPTED, accepted)
     refusal = ChangeRefused(
@@ -142,47 +147,136 @@
     return Reply(proposal.exchange_id, STATUS_LOST_RACE, refusal)
 
 
+def _name_of(proposal: Proposal) -> str:
+    body = proposal.record.body
+    return getattr(body, "job", "") or getattr(body, "name", "")
+
+
+def _unknown(proposal: Proposal, reason: str) -> Reply:
+    """Return an answer that names the record, so that its fate can be looked up."""
+    name = _name_of(proposal)
+    what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
+    unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
+    return Reply(proposal.exchange_id, STATUS_UNKNOWN, unknown)
+
+
 def _give_up(world: World, proposal: Proposal) -> None:
-    """Answer "unknown" if the record may be in the log, else withdraw it."""
-    exchange_id = proposal.exchange_id
+    """Answer "unknown" if the record may be in the log, else withdraw it.
+
+    Either way it is not sent again, so that a later try can't meet it twice; a
+    copy that is on its way takes effect or not by its place in the log.
+    """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
-        _refuse(world, exchange_id, STATUS_NOT_RUN, "the log did not take it in time")
+        reason = "the log did not take it in time"
+        _refuse(world, proposal.exchange_id, STATUS_NOT_RUN, reason)
         return
-    reason = f"the log did not confirm record {proposal.record_id} in time"
-    unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", reason)
-    world.outbox.put(Reply(exchange_id, STATUS_UNKNOWN, unknown))
+    note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
+    world.outbox.put(_unknown(proposal, "the log did not confirm it in time"))
 
 
 @system(Phase.PROPOSE)
 def send_proposals(world: World, now_ms: int) -> None:
-    """Append what is queued, all in one message; one append at a time."""
+    """Append what is queued, in groups.
+
+    An append under way holds later records back for a short time only, so that a
+    log that is slow by seconds still takes them.
+    """
     _note_appends(world, now_ms)
-    if world.proposals.count("state", ProposalState.SENT):
-        return
-    due = [
-        row
-        for row in world.proposals.find("state", ProposalState.QUEUED)
-        if row.retry_ms <= now_ms
-    ][:RECORDS_PER_APPEND]
-    if not due:
+    _queue_late(world, now_ms)
+    due = _due_group(world, now_ms)
+    if not due or not _may_append(world, now_ms):
         return
+    hedge = any(row.appends for row in due)
     for row in due:
         appends = row.appends + 1
-        world.proposals.update(row.record_id, state=ProposalState.SENT, appends=appends)
+        late_ms = now_ms + _late_ms(world, appends)
+        world.proposals.update(
+            row.record_id, state=ProposalState.SENT, appends=appends, retry_ms=late_ms
+        )
+        world.deadlines.add(late_ms)
+    world.log_view.appends[due[0].record_id] = now_ms
+    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
+    records = tuple(row.record for row in due)
+    world.outbox.put(AppendRecords(records, timeout_ms, hedge))
+
+
+def _due_group(world: World, now_ms: int) -> list[Proposal]:
+    """Return the records of the next append, bounded in number and weight."""
+    group: list[Proposal] = []
+    weight = 0
+    for row in world.proposals.find("state", ProposalState.QUEUED):
+        if row.retry_ms > now_ms:
+            continue
+        weight += _weight_of(row.record.body)
+        if group and weight > APPEND_WEIGHT:
+            break
+        group.append(row)
+    return group
+
+
+def _weight_of(body: Body) -> int:
+    return SNAPSHOT_PART_WEIGHT if isinstance(body, SnapshotPart) else 1
+
+
+def _may_append(world: World, now_ms: int) -> bool:
+    appends = world.log_view.appends
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    world.outbox.put(AppendRecords(tuple(row.record for row in due), timeout_ms))
+    for key in [key for key, sent in appends.items() if now_ms - sent > timeout_ms]:
+        del appends[key]
+    if not appends:
+        return True
+    if len(appends) >= APPENDS_UNDER_WAY:
+        return False
+    group_ms = max(appends.values()) + effective_value(world.agreed, "log.group_ms")
+    if now_ms >= group_ms:
+        return True
+    world.deadlines.add(group_ms)
+    return False
+
+
+def _late_ms(world: World, appends: int) -> int:
+    """Return the silence after which a record is sent again; doubles each time."""
+    late_ms = effective_value(world.agreed, "log.late_ms")
+    return late_ms * 2 ** min(appends - 1, MOST_DOUBLINGS)
+
+
+def _queue_late(world: World, now_ms: int) -> None:
+    """Queue again, under the same identifiers, what the log is silent about."""
+    for row in world.proposals.find("state", ProposalState.SENT):
+        if row.retry_ms <= now_ms:
+            world.proposals.update(row.record_id, state=ProposalState.QUEUED)
+    fresh_ms = world.log_view.fresh_ms
+    for row in world.proposals.find("state", ProposalState.APPENDED):
+        if fresh_ms > row.appended_ms:
+            world.proposals.update(
+                row.record_id, state=ProposalState.QUEUED, retry_ms=now_ms
+            )
 
 
 def _note_appends(world: World, now_ms: int) -> None:
-    """Queue records again, under the same identifiers, until they are folded."""
-    retry_ms = now_ms + effective_value(world.agreed, "log.retry_ms")
+    """Wait for the fold of what the log confirmed; send the rest again."""
     for done in world.inbox.take(AppendDone):
+        world.log_view.appends.pop(done.record_ids[0], None)
         if not done.ok:
             note(world, "log.append", f"Append not confirmed: {done.reason}.")
         for record_id in done.record_ids:
-            if record_id in world.proposals:
-                world.proposals.update(
-                    record_id, state=ProposalState.QUEUED, retry_ms=retry_ms
-                )
-                world.deadlines.add(retry_ms)
+            row = world.proposals.get(record_id)
+            if row is not None:
+                _note_append(world, row, done, now_ms)
+
+
+def _note_append(world: World, row: Proposal, done: AppendDone, now_ms: int) -> None:
+    if done.ok:
+        world.proposals.update(
+            row.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
+        )
+        return
+    if row.state is ProposalState.APPENDED:
+        return
+    appends = row.appends - 1 if done.never_sent else row.appends
+    retry_ms = now_ms + effective_value(world.agreed, "log.retry_ms")
+    world.proposals.update(
+        row.record_id, state=ProposalState.QUEUED, appends=appends, retry_ms=retry_ms
+    )
+    world.deadlines.add(retry_ms)
--- /dev/null
+++ b/kingcuppost/systems/agreement/search.py
@@ -0,0 +1,115 @@
+"""Starting from the newest whole snapshot instead of from an expired offset."""
+
+from kingcuppost.settings import effective_value
+from kingcuppost.systems.events import note
+from kingcuppost.systems.fold import load_slices
+from kingcuppost.tables.agreement import LogView, SnapshotSearch, Verdict
+from kingcuppost.tables.inbox import ReadDone
+from kingcuppost.tables.record import SnapshotPart
+from kingcuppost.tables.world import World
+
+__all__ = ["begin_search", "is_search_due", "take_search_read"]
+
+LAG_RECORDS = 1_000
+SEARCH_RECORDS = 200
+
+
+def is_search_due(world: World, done: ReadDone) -> bool:
+    """Return whether the next records are gone, or too many to fold one by one."""
+    view = world.log_view
+    if _is_gap(view, done.earliest):
+        return True
+    return not view.searched and done.head - view.folded_offset > LAG_RECORDS
+
+
+def _is_gap(view: LogView, earliest: int) -> bool:
+    return view.folded_offset + 1 < earliest
+
+
+def begin_search(world: World, done: ReadDone, now_ms: int) -> None:
+    """Look for a snapshot backwards from the head.
+
+    Until one is loaded, this process does not count as caught up or fresh.
+    """
+    view = world.log_view
+    if _is_gap(view, done.earliest):
+        view.caught_up = False
+        view.fresh_ms = -1
+        text = f"Offset {view.folded_offset + 1} has expired; looking for a snapshot."
+        note(world, "log.expired", text)
+    view.reads.clear()
+    view.next_read_ms = now_ms
+    after = _window_start(done.head, done.earliest)
+    view.search = SnapshotSearch(done.head, after, done.earliest)
+
+
+def _window_start(top: int, earliest: int) -> int:
+    return max(earliest - 1, top - SEARCH_RECORDS)
+
+
+def take_search_read(world: World, done: ReadDone, now_ms: int) -> None:
+    """Keep the parts of one window, load a whole snapshot, or look further back."""
+    view = world.log_view
+    search = view.search
+    view.next_read_ms = now_ms
+    search.earliest = max(search.earliest, done.earliest)
+    _keep_parts(search, done)
+    if found := _newest_whole(search, view.folded_offset):
+        _load(world, found)
+    elif search.after > search.earliest - 1:
+        search.top = search.after
+        search.after = _window_start(search.top, search.earliest)
+    else:
+        _give_up(world, search, now_ms)
+
+
+def _keep_parts(search: SnapshotSearch, done: ReadDone) -> None:
+    for item in done.records:
+        body = item.record.body
+        if isinstance(body, SnapshotPart):
+            search.parts.setdefault(body.snapshot_id, {})[body.index] = body
+
+
+def _newest_whole(search: SnapshotSearch, folded_offset: int) -> list[SnapshotPart]:
+    """Return the parts of the best snapshot whose tail is still there."""
+    best: list[SnapshotPart] = []
+    for parts in search.parts.values():
+        part = next(iter(parts.values()))
+        usable = part.covers >= search.earliest - 1 and part.covers > folded_offset
+        newer = not best or part.covers > best[0].covers
+        if usable and newer and len(parts) == part.count:
+            best = [parts[index] for index in sorted(parts)]
+    return best
+
+
+def _load(world: World, parts: list[SnapshotPart]) -> None:
+    view = world.log_view
+    load_slices(world.agreed, [part.rows for part in parts])
+    view.folded_offset = parts[0].covers
+    view.search = None
+    view.searched = True
+    world.snapshots.covers = parts[0].covers
+    world.snapshots.wall_ms = world.clock.wall_ms()
+    _judge_proposals(world)
+    note(world, "log.snapshot", f"Started from the snapshot of {parts[0].covers}.")
+
+
+def _judge_proposals(world: World) -> None:
+    """Tell what became of own records that the snapshot already contains."""
+    for proposal in world.proposals:
+        row = world.agreed.recent.get(proposal.record_id)
+        if row is not None:
+            verdict = Verdict(row.accepted, row.offset, row.reason)
+            world.verdicts[proposal.record_id] = verdict
+
+
+def _give_up(world: World, search: SnapshotSearch, now_ms: int) -> None:
+    """Fold record by record if none is missing, else search again later."""
+    view = world.log_view
+    view.search = None
+    view.searched = True
+    if not _is_gap(view, search.earliest):
+        return
+    view.next_read_ms = now_ms + effective_value(world.agreed, "log.search_retry_ms")
+    world.deadlines.add(view.next_read_ms)
+    note(world, "log.lost", "The log holds no whole snapshot; nothing can be served.")
--- /dev/null
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -0,0 +1,132 @@
+"""A fake of the log at its seam, and entries that follow it without sockets."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from kingcuppost import systems as all_systems
+from kingcuppost.models.log import record_of, text_of
+from kingcuppost.programs import make_world
+from kingcuppost.systems.registry import run_tick
+from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import AppendDone, FoldedRecord, Propose, ReadDone
+from kingcuppost.tables.outbox import AppendRecords, AskHolder, ReadLog, Reply
+from kingcuppost.tables.record import Body, Record
+from kingcuppost.utils.clock import ManualClock
+
+RECORDS_PER_READ = 500
+HERE = Address("127.0.0.1", 1)
+
+
+@dataclass
+class FakeLog:
+    """Texts by offset, from `first` on."""
+
+    texts: list[str] = field(default_factory=list)
+    first: int = 1
+
+    @property
+    def head(self) -> int:
+        return self.first + len(self.texts) - 1
+
+    def append(self, records: tuple[Record, ...]) -> None:
+        self.texts.extend(text_of(record) for record in records)
+
+    def expire(self, through: int) -> None:
+        drop = max(0, min(through, self.head) - self.first + 1)
+        del self.texts[:drop]
+        self.first += drop
+
+    def read(self, row: ReadLog, limit: int = RECORDS_PER_READ) -> ReadDone:
+        start = max(row.after + 1, self.first)
+        texts = self.texts[start - self.first :][:limit]
+        records = []
+        for index, text in enumerate(texts):
+            records.append(FoldedRecord(start + index, record_of(text)))
+        end = records[-1].offset if records else 0
+        return ReadDone(row.read_id, True, tuple(records), self.head, self.first, end)
+
+    def kinds(self) -> list[str]:
+        return [record_of(text).body.kind for text in self.texts]
+
+
+@dataclass
+class FakeEntry:
+    """An entry whose edges are the test."""
+
+    name: str
+    log: FakeLog
+    clock: ManualClock
+    seed: int = 7
+
+    def __post_init__(self) -> None:
+        cfg = ProcessConfig(
+            Role.ENTRY,
+            self.name,
+            "vid-a",
+            "vidzeme",
+            HERE,
+            LogConfig("http", HERE),
+            EntryConfig(HERE, HERE),
+            seed=self.seed,
+        )
+        self.world = make_world(cfg, self.clock)
+        self.systems = all_systems.systems_of(Role.ENTRY)
+        self.reads: list[ReadLog] = []
+        self.appends: list[AppendRecords] = []
+        self.replies: dict[str, Reply] = {}
+        self.questions: list[AskHolder] = []
+
+    def tick(self, *messages: Any) -> None:
+        for message in messages:
+            self.world.inbox.put(message)
+        run_tick(self.world, self.systems, self.clock.now_ms())
+        for message in self.world.outbox.take_all():
+            self._sort(message)
+
+    def _sort(self, message: Any) -> None:
+        if isinstance(message, ReadLog):
+            self.reads.append(message)
+        elif isinstance(message, AppendRecords):
+            self.appends.append(message)
+        elif isinstance(message, Reply):
+            self.replies[message.exchange_id] = message
+        elif isinstance(message, AskHolder):
+            self.questions.append(message)
+
+    def answer_reads(self) -> None:
+        """Answer all reads that have something to say, or need not wait."""
+        reads, self.reads = self.reads, []
+        for row in reads:
+            if row.wait_ms and row.after >= self.log.head:
+                self.reads.append(row)
+            else:
+                self.world.inbox.put(self.log.read(row))
+        self.tick()
+
+    def answer_appends(self, *, lost: bool = False) -> None:
+        """Let all appends take effect; `lost` loses the answers."""
+        appends, self.appends = self.appends, []
+        for row in appends:
+            self.log.append(row.records)
+            ids = tuple(record.record_id for record in row.records)
+            reason = "timeout" if lost else ""
+            self.world.inbox.put(AppendDone(ids, not lost, reason))
+        self.tick()
+
+    def settle(self, rounds: int = 200) -> None:
+        """Exchange with the log until nothing moves."""
+        for _ in range(rounds):
+            self.tick()
+            self.answer_appends()
+            self.answer_reads()
+            waiting = all(row.wait_ms for row in self.reads)
+            at_head = self.world.log_view.folded_offset == self.log.head
+            if waiting and at_head and not self.appends and not self.world.proposals:
+                return
+            if not self.reads and self.world.log_view.reads:
+                self.clock.advance(50)
+        raise AssertionError("does not settle")
+
+    def wish(self, exchange_id: str, body: Body) -> None:
+        self.tick(Propose(exchange_id, "ilze", body))
--- /dev/null
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -0,0 +1,235 @@
+from dataclasses import fields
+
+import pytest
+
+from kingcuppost.models.log import record_of, text_of
+from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
+from kingcuppost.systems.fold.snapshot import TABLES
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.record import (
+    ANY_OFFSET,
+    JobSubmit,
+    Record,
+    SettingPut,
+    TeamPut,
+)
+from kingcuppost.tables.snapshot import AgreedSlice
+from kingcuppost.tables.table import Table
+from kingcuppost.tables.world import Agreed
+from kingcuppost.utils.clock import ManualClock
+
+HOUR_MS = 3_600_000
+
+
+@pytest.fixture
+def log() -> FakeLog:
+    return FakeLog()
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(1_000_000)
+
+
+def rows_of(agreed: Agreed) -> dict[str, object]:
+    tables = {name: list(getattr(agreed, name)) for name in TABLES}
+    return {**tables, "lease": agreed.lease, "floors": agreed.floors}
+
+
+def start(log: FakeLog, clock: ManualClock, name: str = "entry-0", seed: int = 1):
+    entry = FakeEntry(name, log, clock, seed)
+    entry.settle()
+    return entry
+
+
+def set_many(entry: FakeEntry, count: int) -> None:
+    for number in range(count):
+        entry.wish(f"x{number}", SettingPut("", "log.fresh_ms", 500, ANY_OFFSET))
+        entry.settle()
+
+
+def snapshot_offsets(log: FakeLog) -> list[int]:
+    kinds = log.kinds()
+    return [log.first + i for i, kind in enumerate(kinds) if kind == "snapshot_part"]
+
+
+def test_slices_hold_every_agreed_table() -> None:
+    assert {item.name for item in fields(AgreedSlice)} == {
+        item.name for item in fields(Agreed)
+    }
+    tables = {
+        name for name, value in vars(Agreed()).items() if isinstance(value, Table)
+    }
+    assert set(TABLES) == tables
+
+
+def test_holder_writes_a_snapshot_when_records_or_time_have_passed(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    entry.wish("a", SettingPut("", "snapshot.records", 10, ANY_OFFSET))
+    entry.settle()
+    assert not snapshot_offsets(log)
+    set_many(entry, 10)
+    assert snapshot_offsets(log)
+    written = len(snapshot_offsets(log))
+    clock.advance(HOUR_MS)
+    entry.settle()
+    assert len(snapshot_offsets(log)) > written
+
+
+def test_idle_holder_renews_the_snapshot_before_it_expires(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    for _ in range(3):
+        clock.advance(HOUR_MS)
+        entry.settle()
+    assert len(snapshot_offsets(log)) == 3
+
+
+def test_only_the_holder_writes(log: FakeLog, clock: ManualClock) -> None:
+    start(log, clock)
+    other = start(log, clock, "entry-1", 2)
+    clock.advance(HOUR_MS)
+    other.tick()
+    other.answer_reads()
+    assert not other.world.snapshots.draft
+    assert not other.world.snapshots.pending
+
+
+def test_new_process_starts_from_the_newest_whole_snapshot_and_the_tail(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry.settle()
+    clock.advance(HOUR_MS)
+    entry.settle()
+    set_many(entry, 3)
+    log.expire(snapshot_offsets(log)[0] - 1)
+    late = FakeEntry("entry-1", log, clock, 3)
+    late.tick()
+    for _ in range(6):
+        late.answer_reads()
+    assert late.world.log_view.caught_up
+    assert late.world.log_view.folded_offset == log.head
+    assert rows_of(late.world.agreed) == rows_of(entry.world.agreed)
+
+
+def test_expired_reader_serves_nothing_until_it_has_a_snapshot(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    stale = start(log, clock, "entry-1", 3)
+    entry.settle()
+    set_many(entry, 5)
+    log.expire(log.head - 2)
+    stale.answer_reads()
+    assert not stale.world.log_view.caught_up
+    stale.wish("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
+    assert stale.replies["w"].status == 503
+    stale.answer_reads()
+    assert stale.world.log_view.folded_offset < log.first - 1
+    clock.advance(HOUR_MS)
+    entry.settle()
+    for _ in range(20):
+        clock.advance(1_000)
+        stale.tick()
+        stale.answer_reads()
+    assert stale.world.log_view.caught_up
+    assert rows_of(stale.world.agreed) == rows_of(entry.world.agreed)
+
+
+def test_torn_snapshot_is_passed_over(log: FakeLog, clock: ManualClock) -> None:
+    entry = start(log, clock)
+    clock.advance(HOUR_MS)
+    entry.settle()
+    set_many(entry, 2)
+    whole = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
+    part = whole.body
+    torn = type(part)("snap-torn", log.head, 0, 2, AgreedSlice(lease=part.rows.lease))
+    log.append((Record("rec-torn", "entry-9", 0, torn),))
+    entry.settle()
+    log.expire(snapshot_offsets(log)[0] - 1)
+    late = FakeEntry("entry-1", log, clock, 3)
+    late.tick()
+    for _ in range(6):
+        late.answer_reads()
+    assert late.world.log_view.caught_up
+    assert rows_of(late.world.agreed) == rows_of(entry.world.agreed)
+
+
+def test_snapshot_whose_tail_has_expired_is_not_used(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    clock.advance(HOUR_MS)
+    entry.settle()
+    part = log.texts[snapshot_offsets(log)[-1] - log.first]
+    set_many(entry, 3)
+    log.expire(log.head)
+    log.texts.append(part)
+    late = FakeEntry("entry-1", log, clock, 3)
+    late.tick()
+    for _ in range(6):
+        late.answer_reads()
+    assert not late.world.log_view.caught_up
+    assert late.world.log_view.folded_offset == 0
+
+
+def test_large_snapshot_goes_in_bounded_parts_and_appends(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    teams = tuple(TeamPut(f"team-{i}", (), 0, ANY_OFFSET) for i in range(900))
+    for number, body in enumerate(teams):
+        entry.wish(f"t{number}", body)
+    entry.settle()
+    clock.advance(HOUR_MS)
+    entry.tick()
+    sizes = []
+    for _ in range(60):
+        sizes.extend(len(row.records) for row in entry.appends)
+        entry.answer_appends()
+        entry.answer_reads()
+    kinds = log.kinds()
+    assert kinds.count("snapshot_part") >= 5
+    assert max(sizes) <= 4
+    assert entry.world.snapshots.covers > 900
+    texts = [text for text in log.texts if '"snapshot_part"' in text]
+    assert max(len(text) for text in texts) < 64_000
+
+
+def test_proposer_learns_its_verdict_from_a_snapshot(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    stale = start(log, clock, "entry-1", 3)
+    stale.wish("w", TeamPut("design", (), 0, ANY_OFFSET))
+    stale.answer_appends(lost=True)
+    entry.settle()
+    clock.advance(HOUR_MS)
+    entry.settle()
+    log.expire(snapshot_offsets(log)[0] - 1)
+    stale.world.proposals.update(
+        next(iter(stale.world.proposals)).record_id, give_up_ms=0
+    )
+    for _ in range(6):
+        stale.answer_reads()
+    assert stale.replies["w"].status == 200
+
+
+def test_records_survive_the_encoding_of_a_snapshot(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry.settle()
+    job = JobSubmit("plan", "design", 2, 4, 1, 1, Urgency.OVERNIGHT, 0, "{}")
+    entry.wish("j", job)
+    entry.settle()
+    clock.advance(HOUR_MS)
+    entry.settle()
+    record = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
+    assert record_of(text_of(record)) == record
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -9,6 +9,7 @@
     checkers,
     fault_of,
 )
+from kingcuppost.systems.fold.snapshot import load_slices, slices_of
 
 __all__ = [
     "Fault",
@@ -17,6 +18,8 @@
     "apply_record",
     "checkers",
     "fault_of",
+    "load_slices",
+    "slices_of",
 ]
 
 del fleet, jobs, keys, teams
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -1,7 +1,7 @@
 """Records about jobs, gangs and the scheduling lease."""
 
 from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.agreement import SchedulingLease
+from kingcuppost.tables.claims import EndedJob, SchedulingLease
 from kingcuppost.tables.job import Gang, GangState, Job, JobState, gang_key
 from kingcuppost.tables.record import (
     GangEnd,
@@ -22,7 +22,8 @@
 FINAL_STATES = frozenset(
     {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.REFUSED}
 )
-ENDED_GANGS = 2_000
+ENDED_GANGS = 1_000
+ENDED_JOBS = 1_000
 WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
 
 
@@ -281,6 +282,13 @@
     agreed.jobs.update(
         name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
     )
+    agreed.ended_jobs.put(EndedJob(name, item.offset))
+    while len(agreed.ended_jobs) > ENDED_JOBS:
+        oldest = agreed.ended_jobs.first().name
+        if agreed.gangs.count("job", oldest):
+            return
+        agreed.ended_jobs.delete(oldest)
+        agreed.jobs.delete(oldest)
 
 
 def _end_gang(agreed: Agreed, key: str) -> None:
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -1,18 +1,27 @@
 """Records about the keys of non-idempotent requests."""
 
 from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.agreement import KeyClaim
+from kingcuppost.tables.claims import KeyClaim
 from kingcuppost.tables.record import KeyClaimPut, KeyOutcome
 from kingcuppost.tables.world import Agreed
 
 __all__: list[str] = []
 
+KEY_CLAIMS = 10_000
+
 
 @checkers.register(KeyClaimPut)
 def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Fault | None:
-    """Refuse all claims but the first."""
+    """Refuse all claims but the first, and keys that may have been forgotten.
+
+    A forgotten key was issued no later than `Floors.key_issued_ms`, so that only
+    a key issued after it is surely new. A key without an issue time counts as
+    issued at 0, and is refused once any key was forgotten.
+    """
     if body.key in agreed.key_claims:
         return Fault(f"key {body.key} is claimed", lost_race=True)
+    if body.issued_ms <= agreed.floors.key_issued_ms:
+        return Fault(f"key {body.key} is too old to tell whether it was used")
     return None
 
 
@@ -27,8 +36,14 @@
             body.minion_incarnation,
             item.offset,
             item.record.wall_ms,
+            issued_ms=body.issued_ms,
         )
     )
+    while len(agreed.key_claims) > KEY_CLAIMS:
+        forgotten = agreed.key_claims.delete(agreed.key_claims.first().key)
+        agreed.floors.key_issued_ms = max(
+            agreed.floors.key_issued_ms, forgotten.issued_ms
+        )
 
 
 @checkers.register(KeyOutcome)
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/registry.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuppost.tables.agreement import RecentRecord
+from kingcuppost.tables.claims import RecentRecord
 from kingcuppost.tables.record import Record
 from kingcuppost.tables.world import Agreed
 from kingcuppost.utils.registry import Registry
@@ -24,11 +24,14 @@
         True if another record came first; a new try may succeed.
     missing : bool
         True if the record names something that does not exist.
+    stale : bool
+        True if an earlier copy may have taken effect and been forgotten.
     """
 
     reason: str
     lost_race: bool = False
     missing: bool = False
+    stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,18 +70,25 @@
 def apply_record(agreed: Agreed, item: FoldInput) -> Fault | None:
     """Apply one record, or return why it has no effect.
 
-    A repeat of a record under the same identifier has none.
+    A repeat of a record under the same identifier has none. A record whose author
+    had folded less than the fold still remembers may be a repeat, and has none.
     """
     if item.record.record_id in agreed.recent:
         return Fault("the record is a repeat")
-    _remember(agreed, item)
+    if item.record.seen_offset < agreed.floors.recent_offset:
+        return Fault("the record is too old to tell whether it is a repeat", stale=True)
     fault = fault_of(agreed, item.record.body)
     if fault is None:
         appliers[type(item.record.body)](agreed, item.record.body, item)
+    _remember(agreed, item, fault)
     return fault
 
 
-def _remember(agreed: Agreed, item: FoldInput) -> None:
-    agreed.recent.put(RecentRecord(item.record.record_id, item.offset))
+def _remember(agreed: Agreed, item: FoldInput, fault: Fault | None) -> None:
+    reason = fault.reason if fault else ""
+    agreed.recent.put(
+        RecentRecord(item.record.record_id, item.offset, fault is None, reason)
+    )
     while len(agreed.recent) > RECENT_RECORDS:
-        agreed.recent.delete(agreed.recent.first().record_id)
+        forgotten = agreed.recent.delete(agreed.recent.first().record_id)
+        agreed.floors.recent_offset = forgotten.offset
--- /dev/null
+++ b/kingcuppost/systems/fold/snapshot.py
@@ -0,0 +1,71 @@
+"""The agreed tables as slices of bounded size, and back."""
+
+from collections.abc import Iterable, Iterator
+from copy import copy
+from dataclasses import fields
+from typing import Any
+
+from kingcuppost.tables.snapshot import AgreedSlice
+from kingcuppost.tables.table import Table
+from kingcuppost.tables.world import Agreed
+
+__all__ = ["SLICE_WEIGHT", "load_slices", "slices_of"]
+
+SLICE_WEIGHT = 200
+SINGLE_ROWS = ("lease", "floors")
+TABLES = tuple(
+    item.name for item in fields(AgreedSlice) if item.name not in SINGLE_ROWS
+)
+
+
+def slices_of(agreed: Agreed) -> list[AgreedSlice]:
+    """Return copies of all agreed rows in slices of bounded weight.
+
+    Examples
+    --------
+    >>> len(slices_of(Agreed()))
+    1
+    """
+    chunks = list(_chunks(agreed)) or [{}]
+    head = {"lease": copy(agreed.lease), "floors": copy(agreed.floors)}
+    chunks[0].update(head)
+    return [AgreedSlice(**_frozen(chunk)) for chunk in chunks]
+
+
+def _frozen(chunk: dict[str, Any]) -> dict[str, Any]:
+    return {
+        name: tuple(value) if isinstance(value, list) else value
+        for name, value in chunk.items()
+    }
+
+
+def _chunks(agreed: Agreed) -> Iterator[dict[str, Any]]:
+    chunk: dict[str, Any] = {}
+    weight = 0
+    for name in TABLES:
+        for row in getattr(agreed, name):
+            chunk.setdefault(name, []).append(copy(row))
+            weight += _weight_of(row)
+            if weight >= SLICE_WEIGHT:
+                yield chunk
+                chunk, weight = {}, 0
+    if chunk:
+        yield chunk
+
+
+def _weight_of(row: Any) -> int:
+    """Return 1 for a plain row, more for the placements of a gang."""
+    return 1 + len(getattr(row, "placements", ()))
+
+
+def load_slices(agreed: Agreed, slices: Iterable[AgreedSlice]) -> None:
+    """Replace all agreed rows by those of a whole snapshot, in their order."""
+    slices = list(slices)
+    for name in TABLES:
+        table: Table[Any] = getattr(agreed, name)
+        table.clear()
+        for part in slices:
+            for row in getattr(part, name):
+                table.put(copy(row))
+    agreed.lease = copy(slices[0].lease)
+    agreed.floors = copy(slices[0].floors)
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -1,9 +1,11 @@
 """Rows about the log: what was proposed, what was folded, who schedules."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from enum import StrEnum
 
-from kingcuppost.tables.record import Record
+from kingcuppost.tables.claims import KeyClaim, RecentRecord, SchedulingLease
+from kingcuppost.tables.record import Record, SnapshotPart
 
 __all__ = [
     "HolderWatch",
@@ -11,8 +13,11 @@
     "LogView",
     "Proposal",
     "ProposalState",
+    "ReadUnderWay",
     "RecentRecord",
     "SchedulingLease",
+    "SnapshotSearch",
+    "SnapshotWatch",
     "Verdict",
 ]
 
@@ -29,11 +34,14 @@
         Log offset of the record.
     reason : str
         Why it was rejected; empty if accepted.
+    unknown : bool
+        True if an earlier copy may have taken effect and been forgotten.
     """
 
     accepted: bool
     offset: int
     reason: str = ""
+    unknown: bool = False
 
 
 class ProposalState(StrEnum):
@@ -41,6 +49,7 @@
 
     QUEUED = "queued"
     SENT = "sent"
+    APPENDED = "appended"
 
 
 @dataclass(slots=True)
@@ -56,14 +65,16 @@
     exchange_id : str
         HTTP exchange that waits for the verdict; empty if none.
     state : ProposalState
-        Whether an append is under way.
+        Whether an append is under way or was confirmed.
     created_ms, retry_ms : int
         Time of creation; time at which to send again.
     give_up_ms : int
         Time after which the waiting exchange is told that the outcome is
         unknown; 0 for a record that is sent until it is folded.
     appends : int
-        How often it was sent to the log.
+        How many appends of it may have reached the log.
+    appended_ms : int
+        When the log confirmed an append.
     """
 
     record_id: str
@@ -74,22 +85,73 @@
     retry_ms: int
     give_up_ms: int = 0
     appends: int = 0
+    appended_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class RecentRecord:
-    """A record that was folded not long ago, so that repeats are known.
+class ReadUnderWay:
+    """A read that the log has not answered yet.
 
     Attributes
     ----------
-    record_id : str
-        Identifier of the record.
-    offset : int
-        Its log offset.
+    sent_ms : int
+        When it was sent.
+    late_ms : int
+        When another read is sent beside it, on a new connection.
+    waits : bool
+        Whether it may wait at the log for a new record.
     """
 
-    record_id: str
-    offset: int
+    sent_ms: int
+    late_ms: int
+    waits: bool
+
+
+@dataclass(slots=True)
+class SnapshotSearch:
+    """A search for the newest whole snapshot, backwards from the head.
+
+    Attributes
+    ----------
+    top : int
+        Highest offset that was not searched yet.
+    after : int
+        The read under way starts behind this offset.
+    earliest : int
+        Oldest offset that the log holds.
+    parts : dict of str to dict of int to SnapshotPart
+        Parts found, by snapshot and number.
+    """
+
+    top: int
+    after: int
+    earliest: int
+    parts: dict[str, dict[int, SnapshotPart]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class SnapshotWatch:
+    """What a process knows of the snapshots in the log, and its own draft.
+
+    Attributes
+    ----------
+    covers : int
+        Log offset that the newest whole snapshot covers; 0 without any.
+    wall_ms : int
+        Time of that snapshot; of catching up, without any.
+    seen : dict of str to set of int
+        Parts seen of snapshots that are not whole yet.
+    draft : deque of SnapshotPart
+        Parts of this process's snapshot that are not proposed yet.
+    pending : list of str
+        Records of proposed parts that are not folded yet.
+    """
+
+    covers: int = 0
+    wall_ms: int = 0
+    seen: dict[str, set[int]] = field(default_factory=dict)
+    draft: deque[SnapshotPart] = field(default_factory=deque)
+    pending: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -102,46 +164,32 @@
         Offset of the last record applied, and of the last known to exist.
     fresh_ms : int
         When the last read that ended at the head was sent; -1 before any.
-    read_sent_ms : int
-        When the read under way was sent; -1 if none is.
-    read_id : str
-        Identifier of the read under way; empty if none is.
-    read_waits : bool
-        Whether the read under way may wait at the log for a new record.
+    reads : dict of str to ReadUnderWay
+        Reads under way by identifier.
     next_read_ms : int
         Earliest time of the next read.
     barrier_ms : int
         A fresh read sent at or after this time is wanted; -1 if none is.
     caught_up : bool
-        Whether the head was reached once since the start.
+        Whether the head was reached since the start or the last gap.
+    search : SnapshotSearch or None
+        Present while a snapshot is looked for.
+    searched : bool
+        Whether a search since the last time at the head has found nothing.
+    appends : dict of str to int
+        Time of sending of each append under way, by its first record.
     """
 
     folded_offset: int = 0
     head_offset: int = 0
     fresh_ms: int = -1
-    read_sent_ms: int = -1
-    read_id: str = ""
-    read_waits: bool = False
+    reads: dict[str, ReadUnderWay] = field(default_factory=dict)
     next_read_ms: int = 0
     barrier_ms: int = -1
     caught_up: bool = False
-
-
-@dataclass(slots=True)
-class SchedulingLease:
-    """The present scheduling term.
-
-    Attributes
-    ----------
-    term : int
-        Log offset of the claim that opened it; 0 before the first.
-    holder, incarnation : str
-        Entry instance and process that hold it.
-    """
-
-    term: int = 0
-    holder: str = ""
-    incarnation: str = ""
+    search: SnapshotSearch | None = None
+    searched: bool = False
+    appends: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -164,30 +212,3 @@
     heard_ms: int = 0
     ask_ms: int = 0
     jitter: float = 0.0
-
-
-@dataclass(slots=True)
-class KeyClaim:
-    """The one right to run a non-idempotent request.
-
-    Attributes
-    ----------
-    key : str
-        ``TEAM/KEY`` of the caller.
-    attempt_id : str
-        The only attempt that may run.
-    minion, minion_incarnation : str
-        Sidecar process that may run it.
-    offset, wall_ms : int
-        Log offset and time of the claim.
-    outcome : str
-        ``"answered"``, ``"not_run"`` or empty while unknown.
-    """
-
-    key: str
-    attempt_id: str
-    minion: str
-    minion_incarnation: str
-    offset: int
-    wall_ms: int
-    outcome: str = ""
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -117,11 +117,24 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendDone:
-    """The answer to an append; it proves nothing, the fold decides."""
+    """The answer to an append; it proves nothing, the fold decides.
+
+    Attributes
+    ----------
+    record_ids : tuple of str
+        The records of the append.
+    ok : bool
+        Whether the log confirmed it.
+    reason : str
+        Why it was not confirmed.
+    never_sent : bool
+        True if no connection was made, so that nothing can be in the log.
+    """
 
     record_ids: tuple[str, ...]
     ok: bool
     reason: str = ""
+    never_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,10 +282,12 @@
 class HolderAnswered:
     """The holder's answer, or the failure of the exchange.
 
-    `sent_ms` is when the question was sent.
+    `sent_ms` is when the question was sent; `follows_log` tells whether the holder
+    has read the log at its head lately.
     """
 
     ok: bool
     incarnation: str
     sent_ms: int
     reason: str = ""
+    follows_log: bool = True
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -46,20 +46,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read records after an offset; wait at most `wait_ms` for a new one."""
+    """Read records after an offset; the log may wait `wait_ms` for one.
+
+    A `hedge` goes out on a new connection, since an earlier read is late.
+    """
 
     read_id: str
     after: int
     wait_ms: int
     timeout_ms: int
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class AppendRecords:
-    """Append records to the log, all in one message."""
+    """Append records, all or none.
+
+    A `hedge` goes out on a new connection, since an earlier append is late.
+    """
 
     records: tuple[Record, ...]
     timeout_ms: int
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -10,6 +10,7 @@
 from typing import Literal
 
 from kingcuppost.tables.job import Decision, Placement, SettingValue, Urgency
+from kingcuppost.tables.snapshot import AgreedSlice
 from kingcuppost.tables.team import Shape
 
 __all__ = [
@@ -230,12 +231,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyClaimPut:
-    """Claim the key of a non-idempotent request; the first claim wins."""
+    """Claim the key of a non-idempotent request; the first claim wins.
+
+    `issued_ms` is when the caller says that it made the key, Unix ms; 0 if it
+    does not say.
+    """
 
     key: str
     attempt_id: str
     minion: str
     minion_incarnation: str
+    issued_ms: int = 0
     kind: Literal["key_claim_put"] = "key_claim_put"
 
 
@@ -261,15 +267,15 @@
         Log offset up to which records are contained.
     index, count : int
         Number of the part from 0; how many parts there are.
-    payload : str
-        JSON text of a slice of the agreed tables.
+    rows : AgreedSlice
+        Rows of the agreed tables at that offset.
     """
 
     snapshot_id: str
     covers: int
     index: int
     count: int
-    payload: str
+    rows: AgreedSlice
     kind: Literal["snapshot_part"] = "snapshot_part"
 
 
@@ -310,9 +316,13 @@
         The author's time of proposing, Unix ms.
     body : Body
         What it says.
+    seen_offset : int
+        Log offset that the author had folded when it made the record; every copy
+        of the record lies behind it.
     """
 
     record_id: str
     author: str
     wall_ms: int
     body: Body
+    seen_offset: int = 0
--- a/kingcuppost/tables/replies.py
+++ b/kingcuppost/tables/replies.py
@@ -113,7 +113,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderReply:
-    """What a process answers when asked whether it is alive."""
+    """What a process answers when asked whether it is alive and follows the log."""
 
     entry: str
     incarnation: str
+    follows_log: bool = True
--- /dev/null
+++ b/kingcuppost/tables/snapshot.py
@@ -0,0 +1,41 @@
+"""A slice of the agreed tables, as snapshots carry it."""
+
+from dataclasses import dataclass
+
+from kingcuppost.tables.claims import (
+    EndedJob,
+    Floors,
+    KeyClaim,
+    RecentRecord,
+    SchedulingLease,
+)
+from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
+from kingcuppost.tables.job import Gang, Job
+from kingcuppost.tables.setting import Setting
+from kingcuppost.tables.team import Team
+
+__all__ = ["AgreedSlice"]
+
+
+@dataclass(frozen=True, slots=True)
+class AgreedSlice:
+    """Some rows of the agreed tables, each table in its order.
+
+    The attributes are those of `Agreed`; the first part of a snapshot also holds
+    the lease and the floors.
+    """
+
+    teams: tuple[Team, ...] = ()
+    availability_zones: tuple[AvailabilityZone, ...] = ()
+    workers: tuple[Worker, ...] = ()
+    minions: tuple[Minion, ...] = ()
+    entries: tuple[Entry, ...] = ()
+    jobs: tuple[Job, ...] = ()
+    gangs: tuple[Gang, ...] = ()
+    ended_gangs: tuple[Gang, ...] = ()
+    settings: tuple[Setting, ...] = ()
+    key_claims: tuple[KeyClaim, ...] = ()
+    recent: tuple[RecentRecord, ...] = ()
+    ended_jobs: tuple[EndedJob, ...] = ()
+    lease: SchedulingLease | None = None
+    floors: Floors | None = None
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -11,9 +11,11 @@
     Proposal,
     RecentRecord,
     SchedulingLease,
+    SnapshotWatch,
     Verdict,
 )
 from kingcuppost.tables.announcement import Announcement
+from kingcuppost.tables.claims import EndedJob, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.event import Event
@@ -68,6 +70,8 @@
     key_claims: Table[KeyClaim] = field(default_factory=lambda: Table("key"))
     recent: Table[RecentRecord] = field(default_factory=lambda: Table("record_id"))
     lease: SchedulingLease = field(default_factory=SchedulingLease)
+    ended_jobs: Table[EndedJob] = field(default_factory=lambda: Table("name"))
+    floors: Floors = field(default_factory=Floors)
 
 
 @dataclass
@@ -109,6 +113,7 @@
     rng: random.Random
     agreed: Agreed = field(default_factory=Agreed)
     log_view: LogView = field(default_factory=LogView)
+    snapshots: SnapshotWatch = field(default_factory=SnapshotWatch)
     holder_watch: HolderWatch = field(default_factory=HolderWatch)
     announcement: Announcement = field(default_factory=Announcement)
     inbox: Mailbox = field(default_factory=Mailbox)
