Keep reading and appending when the log is silent or slow by seconds

Cause: with a read lost for good, the process sent a read beside it in every tick until the lost one timed out (found by a test that then never settled). Ruled out: longer bounds for operators (5 s is the promise); a read per append (costs an exchange for each change of a quick log). Two silent reads in a row: a third is sent within 4 s. Beyond about 3.5 s of slowness, changes are answered "unknown".

--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -39,7 +39,9 @@
             continue
         if not done.ok:
             _note_failed_read(world, done, now_ms)
-        elif world.log_view.search is not None:
+            continue
+        _drop_overtaken(world, read, now_ms)
+        if world.log_view.search is not None:
             take_search_read(world, done, now_ms)
         elif is_search_due(world, done):
             begin_search(world, done, now_ms)
@@ -48,6 +50,18 @@
             world.log_view.next_read_ms = now_ms
 
 
+def _drop_overtaken(world: World, answered: ReadUnderWay, now_ms: int) -> None:
+    """Forget late reads that were sent before one that is answered.
+
+    Their connections are silent; while they counted as under way, every tick
+    would send another read beside them.
+    """
+    reads = world.log_view.reads
+    for read_id, read in list(reads.items()):
+        if read.sent_ms < answered.sent_ms and read.late_ms <= now_ms:
+            del reads[read_id]
+
+
 def _fold_read(world: World, done: ReadDone, read: ReadUnderWay) -> None:
     view = world.log_view
     for item in done.records:
@@ -135,8 +149,17 @@
 
 
 def _is_timely(world: World, read: ReadUnderWay, now_ms: int) -> bool:
-    barrier_ms = world.log_view.barrier_ms
-    if read.waits and barrier_ms >= 0 and read.sent_ms < barrier_ms:
+    """Return whether a read may be waited for.
+
+    One that waits at the log is cut short by a barrier, or by an append that was
+    sent after it and is late: the log may be slow, and the read miss the record.
+    """
+    view = world.log_view
+    if read.waits and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
+        return False
+    late_ms = effective_value(world.agreed, "log.late_ms")
+    append_ms = min(view.appends.values(), default=now_ms)
+    if read.sent_ms <= append_ms and append_ms + late_ms <= now_ms:
         return False
     return now_ms < read.late_ms
 
@@ -144,7 +167,7 @@
 def _send_read(world: World, now_ms: int) -> None:
     view = world.log_view
     hedge = any(now_ms >= read.late_ms for read in view.reads.values())
-    waits = view.caught_up and view.barrier_ms < 0 and not hedge
+    waits = view.caught_up and view.barrier_ms < 0 and not view.reads
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if waits else 0
     late_ms = now_ms + wait_ms + effective_value(world.agreed, "log.late_ms")
     timeout_ms = wait_ms + effective_value(world.agreed, "log.timeout_ms")
--- /dev/null
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -0,0 +1,157 @@
+import pytest
+
+from kingcuppost.systems.agreement import is_fresh, want_barrier
+from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
+from kingcuppost.tables.inbox import Propose, ReadDone
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.record import ANY_OFFSET, JobSubmit, SettingPut, TeamPut
+from kingcuppost.utils.clock import ManualClock
+
+POLL_MS = 2_000
+LATE_MS = 1_000
+IN_FORCE_MS = 5_000
+
+
+@pytest.fixture
+def log() -> FakeLog:
+    return FakeLog()
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def entry(log: FakeLog, clock: ManualClock) -> FakeEntry:
+    entry = FakeEntry("entry-0", log, clock)
+    entry.settle()
+    return entry
+
+
+def test_waiting_read_is_cut_short_for_a_barrier(
+    entry: FakeEntry, clock: ManualClock
+) -> None:
+    clock.advance(1_500)
+    entry.tick()
+    assert [row.wait_ms for row in entry.reads] == [POLL_MS]
+    assert not is_fresh(entry.world, clock.now_ms())
+    want_barrier(entry.world, clock.now_ms())
+    entry.tick()
+    assert [row.wait_ms for row in entry.reads] == [POLL_MS, 0]
+    entry.answer_reads()
+    assert is_fresh(entry.world, clock.now_ms())
+    assert entry.world.log_view.barrier_ms < 0
+    assert [row.wait_ms for row in entry.reads] == [POLL_MS]
+
+
+def test_read_sent_before_the_barrier_does_not_meet_it(
+    entry: FakeEntry, clock: ManualClock
+) -> None:
+    waiting = entry.reads.pop()
+    clock.advance(1_500)
+    want_barrier(entry.world, clock.now_ms())
+    entry.tick(entry.log.read(waiting))
+    assert entry.world.log_view.barrier_ms >= 0
+    entry.answer_reads()
+    assert entry.world.log_view.barrier_ms < 0
+
+
+def test_silent_read_gives_way_to_a_new_connection_in_time(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    other = FakeEntry("entry-1", log, clock, 9)
+    other.settle()
+    entry.settle()
+    entry.reads.clear()
+    other.wish("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
+    other.settle()
+    accepted_ms = clock.now_ms()
+    while entry.world.log_view.folded_offset < log.head:
+        clock.advance(100)
+        entry.tick()
+        hedges = [row for row in entry.reads if row.hedge]
+        if hedges:
+            assert hedges[0].wait_ms == 0
+            entry.tick(log.read(hedges[0]))
+    assert clock.now_ms() - accepted_ms <= POLL_MS + LATE_MS < IN_FORCE_MS
+
+
+def test_two_silent_reads_in_a_row_stay_within_the_bound(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    start_ms = clock.now_ms()
+    sent: list[object] = list(entry.reads)
+    while len(sent) < 3:
+        clock.advance(100)
+        entry.reads.clear()
+        entry.tick()
+        sent.extend(entry.reads)
+    assert clock.now_ms() - start_ms <= POLL_MS + 2 * LATE_MS < IN_FORCE_MS
+
+
+def test_silent_read_does_not_make_the_process_read_without_pause(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    entry.reads.clear()
+    clock.advance(POLL_MS + LATE_MS)
+    entry.tick()
+    entry.answer_reads()
+    assert [row.wait_ms for row in entry.reads] == [POLL_MS]
+    for _ in range(5):
+        entry.answer_reads()
+    assert len(entry.reads) == 1
+
+
+def test_reads_under_way_are_bounded_in_an_outage(
+    entry: FakeEntry, clock: ManualClock
+) -> None:
+    for _ in range(100):
+        clock.advance(100)
+        entry.tick()
+    assert len(entry.world.log_view.reads) <= 4
+
+
+def test_answers_out_of_order_fold_each_record_once(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    first = entry.reads.pop()
+    clock.advance(POLL_MS + LATE_MS)
+    entry.tick()
+    second = entry.reads.pop()
+    entry.wish("w", TeamPut("design", (), 0, ANY_OFFSET))
+    log.append(entry.appends.pop().records)
+    older = log.read(first)
+    entry.tick(log.read(second))
+    folded = entry.world.log_view.folded_offset
+    entry.tick(older)
+    assert entry.world.log_view.folded_offset == folded == log.head
+    assert entry.replies["w"].status == 200
+
+
+def test_failed_reads_are_tried_again_after_a_pause(
+    entry: FakeEntry, clock: ManualClock
+) -> None:
+    row = entry.reads.pop()
+    entry.tick(ReadDone(row.read_id, False, reason="refused"))
+    assert entry.reads == []
+    clock.advance(200)
+    entry.tick()
+    assert len(entry.reads) == 1
+
+
+def test_process_that_cannot_show_freshness_places_nothing(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry.settle()
+    job = JobSubmit("plan", "design", 1, 0, 1, 1, Urgency.INTERACTIVE, 0, "{}")
+    entry.tick(Propose("j", "ilze", job))
+    entry.answer_appends()
+    waiting = [row for row in entry.reads if row.wait_ms][0]
+    entry.reads.clear()
+    clock.advance(1_500)
+    entry.tick(log.read(waiting))
+    kinds = {row.record.body.kind for row in entry.world.proposals}
+    assert "gang_place" not in kinds
+    assert entry.world.log_view.barrier_ms >= 0
--- /dev/null
+++ b/kingcuppost/systems/agreement/tests/test_lease.py
@@ -0,0 +1,145 @@
+import pytest
+
+from kingcuppost.models.log import record_of
+from kingcuppost.systems.agreement import is_scheduler
+from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
+from kingcuppost.tables.inbox import HolderAnswered, HolderAsked
+from kingcuppost.tables.record import LeaseClaim
+from kingcuppost.utils.clock import ManualClock
+
+LOST_MS = 3_000
+LONGEST_MS = 4_500
+STEP_MS = 250
+
+
+@pytest.fixture
+def log() -> FakeLog:
+    return FakeLog()
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(1_000_000)
+
+
+@pytest.fixture
+def pair(log: FakeLog, clock: ManualClock) -> tuple[FakeEntry, FakeEntry]:
+    holder = FakeEntry("entry-0", log, clock, 1)
+    holder.settle()
+    other = FakeEntry("entry-1", log, clock, 2)
+    other.settle()
+    holder.settle()
+    assert is_scheduler(holder.world)
+    return holder, other
+
+
+def answer_questions(asker: FakeEntry, holder: FakeEntry) -> None:
+    """Carry the asker's questions to the holder and its answers back."""
+    questions, asker.questions = asker.questions, []
+    for row in questions:
+        holder.tick(HolderAsked("ask", asker.name))
+        body = holder.replies.pop("ask").body
+        asker.tick(
+            HolderAnswered(
+                True, body.incarnation, row.sent_ms, follows_log=body.follows_log
+            )
+        )
+
+
+def advance(entry: FakeEntry, clock: ManualClock, step_ms: int = STEP_MS) -> None:
+    """Let time pass while an entry follows the log."""
+    clock.advance(step_ms)
+    entry.tick()
+    entry.answer_appends()
+    for row in list(entry.reads):
+        entry.reads.remove(row)
+        entry.tick(entry.log.read(row))
+
+
+def test_holder_that_answers_and_follows_keeps_the_lease(pair, clock) -> None:
+    holder, other = pair
+    for _ in range(40):
+        advance(other, clock)
+        advance(holder, clock, 0)
+        answer_questions(other, holder)
+    assert is_scheduler(holder.world)
+
+
+def test_silent_holder_loses_the_lease_in_bounded_time(pair, clock) -> None:
+    holder, other = pair
+    start_ms = clock.now_ms()
+    while not is_scheduler(other.world):
+        advance(other, clock)
+        assert clock.now_ms() - start_ms <= LONGEST_MS + 2 * STEP_MS
+    assert clock.now_ms() - start_ms >= LOST_MS
+
+
+def test_holder_cut_from_the_log_loses_the_lease_though_it_answers(pair, clock) -> None:
+    holder, other = pair
+    start_ms = clock.now_ms()
+    while not is_scheduler(other.world):
+        advance(other, clock)
+        holder.tick()
+        answer_questions(other, holder)
+        assert clock.now_ms() - start_ms <= 3 * LONGEST_MS
+
+
+def test_lease_stays_while_nobody_follows_a_slow_log(pair, clock, log) -> None:
+    holder, other = pair
+    head = log.head
+    for _ in range(80):
+        clock.advance(STEP_MS)
+        other.tick()
+        holder.tick()
+        answer_questions(other, holder)
+    kinds = [row.record.body.kind for row in other.world.proposals]
+    assert "lease_claim" not in kinds
+    assert log.head == head
+
+
+def test_rival_claims_open_one_term(log, clock) -> None:
+    holder = FakeEntry("entry-0", log, clock, 1)
+    holder.settle()
+    rivals = [FakeEntry(f"entry-{i}", log, clock, i + 1) for i in (1, 2)]
+    for rival in rivals:
+        rival.settle()
+    base = holder.world.agreed.lease.term
+    for _ in range(24):
+        clock.advance(STEP_MS)
+        for rival in rivals:
+            rival.tick()
+    for rival in rivals:
+        rival.answer_appends()
+    for rival in rivals:
+        rival.settle()
+    records = [record_of(text) for text in log.texts]
+    claims = {row.record_id for row in records if row.body.kind == "lease_claim"}
+    assert len(claims) == 3
+    leases = [rival.world.agreed.lease for rival in rivals]
+    assert leases[0] == leases[1]
+    assert leases[0].term > base
+    assert sum(is_scheduler(rival.world) for rival in rivals) == 1
+
+
+def test_paused_holder_wakes_and_its_old_term_does_nothing(pair, clock, log) -> None:
+    holder, other = pair
+    while not is_scheduler(other.world):
+        advance(other, clock)
+    term = other.world.agreed.lease.term
+    assert is_scheduler(holder.world)
+    holder.tick()
+    holder.answer_appends()
+    holder.settle()
+    assert not is_scheduler(holder.world)
+    assert holder.world.agreed.lease.term == term
+    claims = [row for row in holder.world.proposals]
+    assert not [row for row in claims if isinstance(row.record.body, LeaseClaim)]
+
+
+def test_restarted_holder_is_replaced_without_waiting(pair, clock, log) -> None:
+    holder, other = pair
+    again = FakeEntry("entry-0", log, clock, 99)
+    again.settle()
+    other.settle()
+    lease = other.world.agreed.lease
+    assert lease.incarnation != holder.world.identity.incarnation
--- /dev/null
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -0,0 +1,130 @@
+import pytest
+
+from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
+from kingcuppost.tables.job import Decision, JobState, Placement, Urgency
+from kingcuppost.tables.record import (
+    GangEnd,
+    GangPlace,
+    JobCancel,
+    JobSubmit,
+    KeyClaimPut,
+    KeyOutcome,
+    LeaseClaim,
+    MinionAnnounce,
+    Record,
+    SettingPut,
+    TeamPut,
+    ZonePut,
+)
+from kingcuppost.tables.world import Agreed
+
+
+class Folder:
+    """Folds bodies at rising offsets."""
+
+    def __init__(self) -> None:
+        self.agreed = Agreed()
+        self.offset = 0
+
+    def fold(self, body: object, record_id: str = "", seen: int | None = None):
+        self.offset += 1
+        seen = self.offset - 1 if seen is None else seen
+        record = Record(record_id or f"rec-{self.offset}", "ilze", 0, body, seen)
+        return apply_record(self.agreed, FoldInput(self.offset, record))
+
+
+@pytest.fixture
+def folder() -> Folder:
+    folder = Folder()
+    folder.fold(TeamPut("design", (), 0, 0))
+    return folder
+
+
+def submit(name: str) -> JobSubmit:
+    return JobSubmit(name, "design", 1, 1, 1, 1, Urgency.OVERNIGHT, 0, "{}")
+
+
+def claim(key: str, issued_ms: int) -> KeyClaimPut:
+    return KeyClaimPut(key, f"att-{key}", "minion-0", "inc-0", issued_ms)
+
+
+def test_ended_jobs_are_bounded_and_the_oldest_go(folder, monkeypatch) -> None:
+    monkeypatch.setattr(jobs, "ENDED_JOBS", 3)
+    for name in "abcde":
+        assert folder.fold(submit(name)) is None
+        assert folder.fold(JobCancel(name, "test")) is None
+    folder.fold(submit("f"))
+    assert [job.name for job in folder.agreed.jobs] == ["c", "d", "e", "f"]
+
+
+def test_ended_job_stays_while_its_gang_holds_accelerators(folder, monkeypatch) -> None:
+    monkeypatch.setattr(jobs, "ENDED_JOBS", 1)
+    folder.fold(ZonePut("vid-a", "vidzeme", True, 0))
+    folder.fold(
+        MinionAnnounce(
+            "minion-0", "s", "w-0", "vid-a", "r", "i", "127.0.0.1", 1, 8, 64, 1, 1, 8
+        )
+    )
+    folder.fold(LeaseClaim("entry-0", "inc-0", 0))
+    term = folder.agreed.lease.term
+    folder.fold(submit("held"))
+    place = GangPlace(
+        term, "held", 1, (Placement("w-0", (0,)),), False, Decision("p", 0)
+    )
+    assert folder.fold(place) is None
+    folder.fold(JobCancel("held", "test"))
+    for name in "ab":
+        folder.fold(submit(name))
+        folder.fold(JobCancel(name, "test"))
+    assert "held" in folder.agreed.jobs
+    assert folder.fold(GangEnd(term, "held", 1)) is None
+    folder.fold(submit("c"))
+    folder.fold(JobCancel("c", "test"))
+    assert [job.name for job in folder.agreed.jobs] == ["c"]
+    assert folder.agreed.jobs.get("c").state is JobState.CANCELLED
+
+
+def test_forgotten_key_is_refused_not_run_again(folder, monkeypatch) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
+    for number, key in enumerate("abc"):
+        assert folder.fold(claim(key, 100 + number)) is None
+    assert "a" not in folder.agreed.key_claims
+    fault = folder.fold(claim("a", 100))
+    assert "too old" in fault.reason
+    assert folder.fold(claim("d", 200)) is None
+
+
+def test_key_without_issue_time_is_refused_once_keys_were_forgotten(
+    folder, monkeypatch
+) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
+    for key in "abc":
+        assert folder.fold(claim(key, 0)) is None
+    assert folder.fold(claim("a", 0)) is not None
+    assert folder.fold(claim("new", 0)) is not None
+    assert folder.fold(claim("new", 1)) is None
+
+
+def test_key_freed_by_not_run_may_be_claimed_again(folder) -> None:
+    folder.fold(claim("a", 5))
+    assert folder.fold(KeyOutcome("a", "att-a", "not_run")) is None
+    assert folder.fold(claim("a", 5)) is None
+
+
+def test_repeat_beyond_memory_is_refused_and_called_stale(folder, monkeypatch) -> None:
+    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    seen = folder.offset
+    assert folder.fold(submit("a"), "rec-a", seen) is None
+    for number in range(6):
+        folder.fold(SettingPut("", "no.such", number, 0))
+    fault = folder.fold(submit("a"), "rec-a", seen)
+    assert fault.stale
+
+
+def test_record_made_before_the_memory_begins_is_refused(folder, monkeypatch) -> None:
+    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    seen = folder.offset
+    for number in range(8):
+        folder.fold(SettingPut("", "no.such", number, 0))
+    assert folder.fold(submit("a"), "rec-late", seen).stale
+    assert folder.fold(submit("a"), "rec-now") is None
