Check the fold by a model of the whole log

Ruled out: comparing entries with each other alone (all may be wrong alike); a plain fold of every record that ever was in the log is the reference. At equal offsets folds are equal; settings do not go back; offsets rise; a term has one holder; old terms have no effect; accepted and not run are true.

--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -58,7 +58,7 @@
 declare(
     SettingKey(
         "snapshot.records",
-        5_000,
+        20_000,
         "Records behind the newest snapshot after which another is written.",
         "records",
         least=10,
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -14,6 +14,7 @@
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
+    has_room,
     propose,
     send_proposals,
     take_wishes,
@@ -26,6 +27,7 @@
     "answer_watchers",
     "fold_reads",
     "fresh_age_ms",
+    "has_room",
     "hold_lease",
     "is_fresh",
     "is_scheduler",
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -15,7 +15,13 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["answer_proposers", "propose", "send_proposals", "take_wishes"]
+__all__ = [
+    "answer_proposers",
+    "has_room",
+    "propose",
+    "send_proposals",
+    "take_wishes",
+]
 
 STATUS_ACCEPTED = 200
 STATUS_MISSING = 404
@@ -84,10 +90,15 @@
     return record.record_id
 
 
+def has_room(world: World) -> bool:
+    """Return whether one more record that somebody asks for may be queued."""
+    limit = effective_value(world.agreed, "log.queue_limit")
+    return len(world.proposals) < limit
+
+
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
 def take_wishes(world: World, now_ms: int) -> None:
     """Check what operators and callers want appended, and queue it."""
-    limit = effective_value(world.agreed, "log.queue_limit")
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
     for wish in world.inbox.take(Propose):
         body = complete(world, wish.body)
@@ -96,8 +107,8 @@
             _refuse(world, wish.exchange_id, STATUS_NOT_RUN, "the log is not read yet")
         elif fault is not None:
             _refuse(world, wish.exchange_id, _status_of(fault), fault.reason)
-        elif len(world.proposals) >= limit:
-            reason = f"{limit} records wait for the log"
+        elif not has_room(world):
+            reason = f"{len(world.proposals)} records wait for the log"
             _refuse(world, wish.exchange_id, STATUS_NOT_RUN, reason)
         else:
             propose(
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -1,5 +1,6 @@
 """A fake of the log at its seam, and entries that follow it without sockets."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -114,6 +115,15 @@
             self.world.inbox.put(AppendDone(ids, not lost, reason))
         self.tick()
 
+    def answer_appends_with(self, append: Callable[[tuple[Record, ...]], None]) -> None:
+        """Let all appends take effect by a function of the test."""
+        appends, self.appends = self.appends, []
+        for row in appends:
+            append(row.records)
+            ids = tuple(record.record_id for record in row.records)
+            self.world.inbox.put(AppendDone(ids, True))
+        self.tick()
+
     def settle(self, rounds: int = 200) -> None:
         """Exchange with the log until nothing moves."""
         for _ in range(rounds):
--- /dev/null
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -0,0 +1,274 @@
+"""Model check: entries over one log, against a plain fold of its whole history."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from kingcuppost.models.log import record_of, text_of
+from kingcuppost.systems.agreement import search
+from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
+from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
+from kingcuppost.systems.fold import snapshot as fold_snapshot
+from kingcuppost.tables.inbox import AppendDone
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.record import (
+    ANY_OFFSET,
+    JobCancel,
+    JobPark,
+    JobSubmit,
+    KeyClaimPut,
+    Record,
+    SettingPut,
+    SnapshotPart,
+    TeamPut,
+    ZonePut,
+)
+from kingcuppost.tables.request import Outcome
+from kingcuppost.tables.world import Agreed
+from kingcuppost.utils.clock import ManualClock
+
+ENTRIES = 3
+SNAPSHOT_RECORDS = 10
+HISTORY_START = 1
+
+
+def digest(agreed: Agreed) -> str:
+    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLES}
+    return repr((tables, agreed.lease, agreed.floors))
+
+
+@dataclass
+class Reference:
+    """A fold of every record that was ever in the log."""
+
+    agreed: Agreed = field(default_factory=Agreed)
+    offset: int = 0
+    digests: dict[int, str] = field(default_factory=dict)
+    accepted: dict[str, int] = field(default_factory=dict)
+    holders: dict[int, str] = field(default_factory=dict)
+    parts: dict[str, set[int]] = field(default_factory=dict)
+    covers: int = 0
+
+    def __post_init__(self) -> None:
+        self.digests[0] = digest(self.agreed)
+
+    def fold(self, record: Record) -> None:
+        self.offset += 1
+        if isinstance(record.body, SnapshotPart):
+            self._note_part(record.body)
+        else:
+            self._apply(record)
+        self.digests[self.offset] = digest(self.agreed)
+
+    def _note_part(self, part: SnapshotPart) -> None:
+        seen = self.parts.setdefault(part.snapshot_id, set())
+        seen.add(part.index)
+        if len(seen) == part.count:
+            self.covers = max(self.covers, part.covers)
+
+    def _apply(self, record: Record) -> None:
+        before = digest_of_work(self.agreed)
+        term = getattr(record.body, "term", self.agreed.lease.term)
+        old_term = term != self.agreed.lease.term
+        fault = apply_record(self.agreed, FoldInput(self.offset, record))
+        if old_term:
+            assert fault is not None
+            assert digest_of_work(self.agreed) == before
+        if fault is None:
+            assert record.record_id not in self.accepted
+            self.accepted[record.record_id] = self.offset
+        lease = self.agreed.lease
+        holder = self.holders.setdefault(lease.term, lease.incarnation)
+        assert holder == lease.incarnation
+
+
+def digest_of_work(agreed: Agreed) -> str:
+    return repr((list(agreed.jobs), list(agreed.gangs), agreed.lease))
+
+
+class LogMachine(RuleBasedStateMachine):
+    """Interleaves wishes, losses, repeats, terms, snapshots, retention, restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(fold_snapshot, "SLICE_WEIGHT", 4)
+        self.patch.setattr(registry, "RECENT_RECORDS", 12)
+        self.patch.setattr(search, "LAG_RECORDS", 15)
+        self.patch.setattr(search, "SEARCH_RECORDS", 6)
+        self.patch.setattr(jobs, "ENDED_JOBS", 2)
+        self.patch.setattr(keys, "KEY_CLAIMS", 2)
+        self.log = FakeLog()
+        self.clock = ManualClock(1_000_000)
+        self.reference = Reference()
+        self.rng = random.Random(5)
+        self.seed = 0
+        self.wishes = 0
+        self.delayed: list[tuple[Record, ...]] = []
+        self.settings: dict[str, int] = {}
+        self.records: dict[str, str] = {}
+        self.entries = [self._new_entry(number) for number in range(ENTRIES)]
+        self.folded = [0] * ENTRIES
+        body = SettingPut("", "snapshot.records", SNAPSHOT_RECORDS, 0)
+        self._append((Record("rec-first", "test", 0, body),))
+        for entry in self.entries:
+            entry.tick()
+            entry.answer_reads()
+
+    def _new_entry(self, number: int) -> FakeEntry:
+        self.seed += 1
+        entry = FakeEntry(f"entry-{number}", self.log, self.clock, self.seed)
+        entry.tick()
+        return entry
+
+    def _append(self, records: tuple[Record, ...]) -> None:
+        self.log.append(records)
+        for record in records:
+            self.reference.fold(record_of(text_of(record)))
+
+    def _wish(self, number: int, body: object) -> None:
+        self.wishes += 1
+        exchange_id = f"wish-{self.wishes}"
+        entry = self.entries[number]
+        entry.wish(exchange_id, body)
+        for row in entry.world.proposals:
+            if row.exchange_id == exchange_id:
+                self.records[exchange_id] = row.record_id
+
+    numbers = st.integers(0, ENTRIES - 1)
+
+    @rule(number=numbers, value=st.integers(100, 1_900))
+    def set_key(self, number: int, value: int) -> None:
+        self._wish(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
+
+    @rule(number=numbers, name=st.sampled_from("ab"))
+    def put_team(self, number: int, name: str) -> None:
+        self._wish(number, TeamPut(name, (), 0, ANY_OFFSET))
+
+    @rule(number=numbers, in_service=st.booleans())
+    def put_zone(self, number: int, in_service: bool) -> None:
+        self._wish(number, ZonePut("vid-a", "vidzeme", in_service, ANY_OFFSET))
+
+    @rule(number=numbers, name=st.sampled_from("pqrs"))
+    def submit(self, number: int, name: str) -> None:
+        body = JobSubmit(name, "a", 1, 0, 1, 1, Urgency.OVERNIGHT, 0, "{}")
+        self._wish(number, body)
+
+    @rule(number=numbers, name=st.sampled_from("pqrs"))
+    def cancel(self, number: int, name: str) -> None:
+        self._wish(number, JobCancel(name, "test"))
+
+    @rule(number=numbers, key=st.sampled_from("klm"), issued=st.integers(0, 9))
+    def claim_key(self, number: int, key: str, issued: int) -> None:
+        self._wish(number, KeyClaimPut(key, f"att-{self.wishes}", "m", "i", issued))
+
+    @rule(back=st.integers(0, 2), name=st.sampled_from("pqrs"))
+    def write_in_some_term(self, back: int, name: str) -> None:
+        terms = sorted(self.reference.holders)[-3:]
+        term = terms[max(0, len(terms) - 1 - back)]
+        self.wishes += 1
+        body = JobPark(term, name, True, "test")
+        seen = self.reference.offset
+        self._append((Record(f"park-{self.wishes}", "test", 0, body, seen),))
+
+    @rule(
+        number=numbers, fate=st.sampled_from(["ok", "ok", "lost", "dropped", "later"])
+    )
+    def answer_append(self, number: int, fate: str) -> None:
+        entry = self.entries[number]
+        if not entry.appends:
+            return
+        row = entry.appends.pop(0)
+        ids = tuple(record.record_id for record in row.records)
+        if fate in ("ok", "lost"):
+            self._append(row.records)
+        if fate == "later":
+            self.delayed.append(row.records)
+        else:
+            entry.tick(AppendDone(ids, fate == "ok", fate))
+
+    @rule(again=st.booleans())
+    def deliver_delayed(self, again: bool) -> None:
+        if self.delayed:
+            records = self.delayed[0] if again else self.delayed.pop(0)
+            self._append(records)
+
+    @rule(number=numbers, newest=st.booleans())
+    def answer_read(self, number: int, newest: bool) -> None:
+        entry = self.entries[number]
+        if entry.reads:
+            row = entry.reads.pop(-1 if newest else 0)
+            entry.tick(self.log.read(row, limit=7))
+
+    @rule(number=numbers)
+    def follow(self, number: int) -> None:
+        for _ in range(4):
+            self.entries[number].answer_appends_with(self._append)
+            self.entries[number].answer_reads()
+
+    @rule(by_ms=st.sampled_from([50, 250, 1_200, 4_000]))
+    def advance(self, by_ms: int) -> None:
+        self.clock.advance(by_ms)
+        for entry in self.entries:
+            entry.tick()
+
+    @rule(number=numbers)
+    def restart(self, number: int) -> None:
+        self.delayed.extend(row.records for row in self.entries[number].appends)
+        self.entries[number] = self._new_entry(number)
+        self.folded[number] = 0
+
+    @rule()
+    def expire_what_a_snapshot_covers(self) -> None:
+        self.log.expire(self.reference.covers)
+
+    @invariant()
+    def folds_at_one_offset_are_equal(self) -> None:
+        for entry in self.entries:
+            offset = entry.world.log_view.folded_offset
+            assert digest(entry.world.agreed) == self.reference.digests[offset]
+
+    @invariant()
+    def offsets_are_monotone(self) -> None:
+        for number, entry in enumerate(self.entries):
+            offset = entry.world.log_view.folded_offset
+            assert offset >= self.folded[number]
+            self.folded[number] = offset
+
+    @invariant()
+    def settings_never_go_back(self) -> None:
+        for row in self.reference.agreed.settings:
+            assert row.offset >= self.settings.get(row.setting_id, 0)
+            self.settings[row.setting_id] = row.offset
+        assert set(self.settings) == {
+            row.setting_id for row in self.reference.agreed.settings
+        }
+
+    @invariant()
+    def answers_are_true(self) -> None:
+        for entry in self.entries:
+            for exchange_id, reply in entry.replies.items():
+                record_id = self.records.get(exchange_id)
+                offset = self.reference.accepted.get(record_id)
+                if reply.status == 200:
+                    assert offset == reply.body.offset
+                elif reply.body.outcome is Outcome.NOT_RUN:
+                    assert offset is None
+
+    def teardown(self) -> None:
+        self.patch.undo()
+
+
+TestLog = LogMachine.TestCase
+TestLog.settings = settings(
+    max_examples=60,
+    stateful_step_count=80,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
--- a/kingcuppost/systems/agreement/tests/test_propose.py
+++ b/kingcuppost/systems/agreement/tests/test_propose.py
@@ -1,6 +1,7 @@
 import pytest
 
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
+from kingcuppost.systems.fold import load_slices, registry, slices_of
 from kingcuppost.tables.agreement import ProposalState
 from kingcuppost.tables.inbox import AppendDone, Propose
 from kingcuppost.tables.record import ANY_OFFSET, SettingPut, TeamPut
@@ -218,3 +219,26 @@
     entry = FakeEntry("entry-0", log, clock)
     entry.tick(Propose("w", "ilze", team("design")))
     assert outcome(entry, "w") == (503, "not_run")
+
+
+def test_change_that_was_perhaps_forgotten_is_answered_unknown(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock, monkeypatch
+) -> None:
+    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    other = FakeEntry("entry-1", log, clock, 9)
+    other.settle()
+    entry.settle()
+    entry.wish("w", team("design"))
+    entry.answer_appends(lost=True)
+    entry.reads.clear()
+    for number in range(6):
+        other.wish(f"x{number}", team(f"team-{number}"))
+        other.settle()
+    load_slices(entry.world.agreed, slices_of(other.world.agreed))
+    entry.world.log_view.folded_offset = log.head
+    entry.tick()
+    clock.advance(1_000)
+    entry.tick()
+    entry.settle()
+    assert outcome(entry, "w") == (504, "unknown")
+    assert "design" in entry.world.agreed.teams
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -1,6 +1,13 @@
 import pytest
 
-from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
+from kingcuppost.systems.fold import (
+    FoldInput,
+    apply_record,
+    jobs,
+    keys,
+    registry,
+    slices_of,
+)
 from kingcuppost.tables.job import Decision, JobState, Placement, Urgency
 from kingcuppost.tables.record import (
     GangEnd,
@@ -128,3 +135,12 @@
         folder.fold(SettingPut("", "no.such", number, 0))
     assert folder.fold(submit("a"), "rec-late", seen).stale
     assert folder.fold(submit("a"), "rec-now") is None
+
+
+def test_slices_are_copies_that_later_records_do_not_change(folder) -> None:
+    slices = slices_of(folder.agreed)
+    folder.fold(submit("a"))
+    before = slices_of(folder.agreed)
+    folder.fold(JobCancel("a", "test"))
+    assert slices[0].jobs == ()
+    assert before[0].jobs[0].state is JobState.WAITING
