--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -16,7 +16,7 @@
 __all__ = ["JsonClient", "Response", "is_never_sent"]
 
 MS_PER_SECOND = 1_000
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
 IDLE_CONNECTIONS_PER_PEER = 8
 IDLE_CONNECTION_TIMEOUT_S = 10
 
@@ -72,9 +72,21 @@
         pass
 
 
+@dataclass(frozen=True)
+class _Peer:
+    """The connections to one peer."""
+
+    pool: HTTPConnectionPool
+    agent: Agent
+
+
 class JsonClient:
     """Client that keeps a few idle connections to each peer.
 
+    An exchange that fails after its connection was made takes the peer's idle
+    connections with it: what made one silent may have made all of them silent, so
+    that the next exchange opens a connection of its own.
+
     Parameters
     ----------
     reactor : object
@@ -83,14 +95,25 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        pool = HTTPConnectionPool(reactor)
-        pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
-        pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-        pool.retryAutomatically = False
-        self._pool = pool
-        self._agent = Agent.usingEndpointFactory(
-            reactor, _IpEndpoints(reactor), pool=pool
-        )
+        self._peers: dict[Address, _Peer] = {}
+
+    def _peer(self, address: Address) -> _Peer:
+        if address not in self._peers:
+            pool = HTTPConnectionPool(self._reactor)
+            pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
+            pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
+            pool.retryAutomatically = False
+            agent = Agent.usingEndpointFactory(
+                self._reactor, _IpEndpoints(self._reactor), pool=pool
+            )
+            self._peers[address] = _Peer(pool, agent)
+        return self._peers[address]
+
+    def _distrust(self, address: Address) -> None:
+        """Close the idle connections to a peer, and use none made before."""
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.pool.closeCachedConnections()
 
     async def exchange(
         self,
@@ -125,6 +148,8 @@
             return await pending
         except Exception as exc:
             step = "connect" if is_never_sent(exc) else "exchange"
+            if step == "exchange":
+                self._distrust(address)
             reason = str(exc) or type(exc).__name__
             raise PeerError(reason, step, str(address)) from exc
 
@@ -134,14 +159,15 @@
         url = f"http://{address}{path}".encode("ascii")
         headers = Headers({b"Content-Type": [b"application/json"]} if body else {})
         producer = _BytesProducer(body) if body else None
-        response = await self._agent.request(
+        response = await self._peer(address).agent.request(
             method.encode("ascii"), url, headers, producer
         )
         return Response(response.code, await readBody(response))
 
     async def close(self) -> None:
         """Close idle connections."""
-        await self._pool.closeCachedConnections()
+        for peer in self._peers.values():
+            await peer.pool.closeCachedConnections()
 
 
 def is_never_sent(exc: BaseException) -> bool:
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -8,6 +8,11 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from kingcuppost.edges.context import EdgeContext, Listener, senders
+from kingcuppost.edges.http_limits import (
+    IDLE_TIMEOUT_S,
+    BoundedChannel,
+    BoundedRequest,
+)
 from kingcuppost.edges.routes import Call, find_route
 from kingcuppost.exception import Failure
 from kingcuppost.models import encode
@@ -21,8 +26,6 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-STATUS_TOO_LARGE = 413
-LARGEST_BODY_BYTES = 1_048_576
 LISTEN_BACKLOG = 512
 
 
@@ -39,13 +42,11 @@
     def render(self, request: Request) -> int | bytes:
         """Turn a request into an inbox message, or refuse it at once."""
         path = request.path.decode("ascii", "replace")
-        found = find_route(self._surface, request.method.decode("ascii"), path)
+        method = request.method.decode("ascii", "replace")
+        found = find_route(self._surface, method, path)
         if found is None:
             return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
-        body = request.content.read(LARGEST_BODY_BYTES + 1)
-        if len(body) > LARGEST_BODY_BYTES:
-            reason = f"the body is larger than {LARGEST_BODY_BYTES} bytes"
-            return _refuse(request, STATUS_TOO_LARGE, reason)
+        body = request.content.read()
         route, names = found
         if route.direct is not None:
             return route.direct(self._context, request)
@@ -102,7 +103,12 @@
 
 def make_site(context: EdgeContext, surface: str) -> Site:
     """Return the protocol factory of a surface."""
-    site = Site(_Surface(context, surface))
+    site = Site(
+        _Surface(context, surface),
+        requestFactory=BoundedRequest,
+        timeout=IDLE_TIMEOUT_S,
+    )
+    site.protocol = BoundedChannel
     site.displayTracebacks = False
     return site
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -97,7 +97,7 @@
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
         reply = await post(
-            context, address, "/peer/attempts", model, ServedModel, row.timeout_ms
+            context, address, "/peer/attempts", model, ServedModel, row.silence_ms
         )
         return reply.to_message(row)
 
@@ -144,7 +144,7 @@
     async def work() -> HeartbeatDone:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
-        await post(
+        reply = await post(
             context,
             address,
             "/peer/heartbeats",
@@ -152,7 +152,7 @@
             HeartbeatReplyModel,
             row.timeout_ms,
         )
-        return HeartbeatDone(row.entry, True)
+        return HeartbeatDone(row.entry, True, "", reply.folded_offset)
 
     run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
 
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -74,6 +74,8 @@
     keyed: bool
     urgency: Urgency
     timeout_ms: int = Field(ge=0)
+    claim_offset: int = Field(default=0, ge=0)
+    hold_ms: int = Field(default=0, ge=0)
 
     @classmethod
     def from_row(cls, row: SendAttempt) -> "AttemptModel":
@@ -86,6 +88,8 @@
             keyed=row.keyed,
             urgency=row.urgency,
             timeout_ms=max(row.timeout_ms, 0),
+            claim_offset=row.claim_offset,
+            hold_ms=row.hold_ms,
         )
 
     def to_message(self, exchange_id: str) -> AttemptArrived:
@@ -99,6 +103,8 @@
             self.keyed,
             self.urgency,
             self.timeout_ms,
+            self.claim_offset,
+            self.hold_ms,
         )
 
 
@@ -113,6 +119,7 @@
     leaving: bool
     service_ms: float
     reason: str = ""
+    running: bool = False
 
     def to_message(self, row: SendAttempt) -> AttemptDone:
         """Return the inbox message; a crossed answer counts as none."""
@@ -131,6 +138,7 @@
             self.leaving,
             self.service_ms,
             reason=self.reason,
+            running=self.running,
         )
 
 
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -7,11 +7,31 @@
 declare(
     SettingKey(
         "heartbeat.period_ms",
-        1_000,
+        10_000,
         "Period of a sidecar's heartbeats.",
         "ms",
         least=50,
-        most=30_000,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "heartbeat.retry_ms",
+        200,
+        "Pause before members' reports that were not confirmed are sent again.",
+        "ms",
+        least=10,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "heartbeat.full_ms",
+        60_000,
+        "Period at which a sidecar reports all its members again.",
+        "ms",
+        least=1_000,
+        most=600_000,
     )
 )
 declare(
@@ -54,3 +74,92 @@
         most=10,
     )
 )
+declare(
+    SettingKey(
+        "request.silence_ms",
+        1_000,
+        "How long an exchange with a sidecar may hear nothing; the bound doubles "
+        "while the sidecar says that the attempt still runs.",
+        "ms",
+        least=100,
+        most=10_000,
+    )
+)
+declare(
+    SettingKey(
+        "request.claim_timeout_ms",
+        3_000,
+        "How long a non-idempotent request waits for the log to confirm its claim.",
+        "ms",
+        least=100,
+        most=60_000,
+    )
+)
+declare(
+    SettingKey(
+        "request.retry_share",
+        0.1,
+        "Retries that each request adds to its team's budget.",
+        "retries",
+        least=0,
+        most=1,
+    )
+)
+declare(
+    SettingKey(
+        "request.retry_burst",
+        10.0,
+        "Most retries that a team's budget holds.",
+        "retries",
+        least=0,
+        most=1_000,
+    )
+)
+declare(
+    SettingKey(
+        "request.routing",
+        "two_choices",
+        "How a minion is chosen among those with a free slot.",
+        choices=("two_choices", "random", "round_robin"),
+    )
+)
+declare(
+    SettingKey(
+        "serve.memory_attempts",
+        4_096,
+        "Finished attempts whose outcome a sidecar remembers.",
+        "attempts",
+        least=16,
+        most=100_000,
+    )
+)
+declare(
+    SettingKey(
+        "serve.memory_mb",
+        32,
+        "Answers that a sidecar remembers.",
+        "MB",
+        least=1,
+        most=128,
+    )
+)
+declare(
+    SettingKey(
+        "serve.memory_ms",
+        600_000,
+        "How long a sidecar remembers a finished attempt.",
+        "ms",
+        least=1_000,
+        most=86_400_000,
+    )
+)
+declare(
+    SettingKey(
+        "stop.announce_ms",
+        2_000,
+        "How long an idle process that stops waits for the log to take its leave.",
+        "ms",
+        least=0,
+        most=60_000,
+    )
+)
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -95,7 +95,7 @@
     if now_ms >= world.announcement.stop_ms:
         note(world, "stop.cut", "The bound of the graceful stop is over.")
         world.outbox.put(ExitProcess(EXIT_CUT))
-    elif _idle(world) and _left(world):
+    elif _idle(world) and (_left(world) or _waited(world, now_ms)):
         world.outbox.put(ExitProcess(EXIT_STOPPED))
 
 
@@ -116,8 +116,17 @@
     return open_work == 0
 
 
+def _waited(world: World, now_ms: int) -> bool:
+    """Return whether the log had its time to take the leave."""
+    bound_ms = effective_value(world.agreed, "stop.bound_ms")
+    announce_ms = effective_value(world.agreed, "stop.announce_ms")
+    until_ms = world.announcement.stop_ms - bound_ms + announce_ms
+    world.deadlines.add(until_ms)
+    return now_ms >= until_ms
+
+
 def _left(world: World) -> bool:
-    """Return whether the leave is folded, or can't be since the log is silent."""
+    """Return whether the leave is folded."""
     if world.announcement.leave_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -4,6 +4,8 @@
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import refuse
+from kingcuppost.systems.requests.expiry import watch
+from kingcuppost.systems.requests.retries import deposit
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import CallerRequest, ExchangeLost
 from kingcuppost.tables.request import Request, RequestState
@@ -12,18 +14,23 @@
 
 __all__ = ["admit", "forget_lost"]
 
+RETRY_AFTER_MS = 1_000
+
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
 def admit(world: World, now_ms: int) -> None:
     """Queue requests, or refuse them as not run with the reason."""
     for message in world.inbox.take(CallerRequest):
-        reason = _fault_of(world, message)
+        reason = _fault_of(world, message, now_ms)
         if reason:
             refuse(world, message.exchange_id, "admit", reason)
             continue
         request = _row_of(world, message, now_ms)
         world.requests.put(request)
-        world.deadlines.add(request.deadline_ms)
+        watch(world, request)
+        deposit(world, request.team)
+        if request.state is RequestState.QUEUED:
+            world.waiting.push(request)
         note(
             world,
             "request.admit",
@@ -33,7 +40,7 @@
         )
 
 
-def _fault_of(world: World, message: CallerRequest) -> str:
+def _fault_of(world: World, message: CallerRequest, now_ms: int) -> str:
     if world.stopping:
         return "the entry is leaving"
     if message.team not in world.agreed.teams:
@@ -41,14 +48,36 @@
     path = team_path(message.team, message.urgency)
     limit = effective_value(world.agreed, "request.queue_limit", path)
     if world.requests.count("team", message.team) >= limit:
-        return f"{limit} requests of team {message.team} are open"
+        return (
+            f"{limit} requests of team {message.team} are open; "
+            f"retry after {RETRY_AFTER_MS} ms"
+        )
+    if message.key and not _is_claimed(world, message) and _is_silent(world, now_ms):
+        return "the log is silent, so that no key can be claimed"
     return ""
 
 
+def _is_claimed(world: World, message: CallerRequest) -> bool:
+    return bool(message.key) and _key_of(message) in world.agreed.key_claims
+
+
+def _key_of(message: CallerRequest) -> str:
+    return f"{message.team}/{message.key}" if message.key else ""
+
+
+def _is_silent(world: World, now_ms: int) -> bool:
+    """Return whether the log has answered no read for longer than a read takes."""
+    wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
+    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
+    return now_ms - world.log_view.fresh_ms > wait_ms + timeout_ms
+
+
 def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
     path = team_path(message.team, message.urgency)
     bound_ms = effective_value(world.agreed, "request.timeout_ms", path)
     timeout_ms = min(message.timeout_ms or bound_ms, bound_ms)
+    claimed = _is_claimed(world, message)
+    state = RequestState.CLAIMING if claimed else RequestState.QUEUED
     return Request(
         request_id=new_identifier(world.rng, "req"),
         exchange_id=message.exchange_id,
@@ -56,17 +85,21 @@
         service=message.service,
         body=message.body,
         urgency=message.urgency,
-        key=f"{message.team}/{message.key}" if message.key else "",
-        state=RequestState.QUEUED,
+        key=_key_of(message),
+        state=state,
         created_ms=now_ms,
         deadline_ms=now_ms + timeout_ms,
     )
 
 
-@system(Phase.INTAKE, roles=(Role.ENTRY,))
+@system(Phase.INTAKE)
 def forget_lost(world: World, now_ms: int) -> None:
-    """Drop idempotent requests whose caller has gone before they were sent."""
+    """Drop requests whose caller has gone before they were sent.
+
+    A sidecar goes on with what it took: the entry may ask again.
+    """
     for message in world.inbox.take(ExchangeLost):
         for request in world.requests.find("exchange_id", message.exchange_id):
             if request.state is RequestState.QUEUED:
+                world.waiting.remove(request)
                 world.requests.delete(request.request_id)
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -1,9 +1,12 @@
 """Answers to callers, and what follows from an attempt's outcome."""
 
-from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
+from kingcuppost.systems.requests.health import note_answer, note_failure
+from kingcuppost.systems.requests.pools import refresh_pool
+from kingcuppost.systems.requests.retries import take_retry
+from kingcuppost.systems.requests.sending import may_repeat, repeat_later, waiting_for
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptDone
 from kingcuppost.tables.outbox import Reply
@@ -12,7 +15,7 @@
 from kingcuppost.tables.request import Attempt, Outcome, Request, RequestState
 from kingcuppost.tables.world import World
 
-__all__ = ["STATUS_OF", "close_request", "expire", "refuse", "take_answers"]
+__all__ = ["STATUS_OF", "close_request", "refuse", "take_answers"]
 
 STATUS_OF = {Outcome.ANSWERED: 200, Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
 
@@ -35,7 +38,13 @@
     step: str = "",
     reason: str = "",
 ) -> None:
-    """Answer the caller and forget the request; later answers are dropped."""
+    """Answer the caller and forget the request; later answers are dropped.
+
+    "Not run" becomes "unknown" if an earlier attempt may have run.
+    """
+    if outcome is Outcome.NOT_RUN and request.may_have_run:
+        outcome = Outcome.UNKNOWN
+    world.waiting.remove(request)
     world.requests.delete(request.request_id)
     reply = RequestReply(
         outcome, answer, request.attempts, minion, step, minion, reason
@@ -55,81 +64,61 @@
 def take_answers(world: World, now_ms: int) -> None:
     """Match answers with attempts; crossed and late ones fit no row."""
     for done in world.inbox.take(AttemptDone):
-        attempt = world.attempts.delete(done.attempt_id)
+        attempt = world.attempts.get(done.attempt_id)
         if attempt is None:
             continue
-        _note_health(world, attempt, done, now_ms)
-        request = world.requests.get(attempt.request_id)
-        if request is not None:
-            _conclude(world, request, done, now_ms)
+        answered = done.free_slots >= 0
+        if answered:
+            note_answer(world, done, now_ms)
+        else:
+            note_failure(world, attempt, now_ms)
+        if (done.running or not answered) and may_repeat(world, attempt, done):
+            repeat_later(world, attempt, done, now_ms)
+            continue
+        _end(world, attempt, done, now_ms)
 
 
-def _note_health(
-    world: World, attempt: Attempt, done: AttemptDone, now_ms: int
-) -> None:
-    row = world.health.get(attempt.minion)
-    if row is None:
-        return
-    outstanding = max(0, row.outstanding - 1)
-    if done.free_slots < 0:
-        world.health.update(
-            attempt.minion, outstanding=outstanding, failures=row.failures + 1
-        )
-        return
-    world.health.update(
-        attempt.minion,
-        incarnation=done.incarnation,
-        heard_ms=now_ms,
-        free_slots=done.free_slots,
-        leaving=done.leaving,
-        service_ms=done.service_ms or row.service_ms,
-        outstanding=outstanding,
-        failures=0,
-    )
+def _end(world: World, attempt: Attempt, done: AttemptDone, now_ms: int) -> None:
+    requests = waiting_for(world, attempt)
+    outcome = _outcome_of(attempt, done)
+    world.attempts.delete(attempt.attempt_id)
+    refresh_pool(world, attempt.minion, now_ms)
+    if attempt.key and outcome is not Outcome.UNKNOWN:
+        propose(world, KeyOutcome(attempt.key, attempt.attempt_id, outcome), now_ms)
+    for request in requests:
+        _conclude(world, request, done, outcome)
+
+
+def _outcome_of(attempt: Attempt, done: AttemptDone) -> Outcome:
+    """Return the outcome that is proved.
+
+    A failed connection proves "not run" for an attempt that was never sent
+    before. For a claimed key it proves nothing, since another entry may have
+    sent the same attempt: only the sidecar frees a key.
+    """
+    if not done.never_sent:
+        return done.outcome
+    never_sent = attempt.repeats == 0 and not attempt.key
+    return Outcome.NOT_RUN if never_sent else Outcome.UNKNOWN
 
 
-def _conclude(world: World, request: Request, done: AttemptDone, now_ms: int) -> None:
-    outcome = Outcome.NOT_RUN if done.never_sent else done.outcome
+def _conclude(
+    world: World, request: Request, done: AttemptDone, outcome: Outcome
+) -> None:
     if outcome is Outcome.ANSWERED:
-        _note_outcome(world, request, done, "answered", now_ms)
         close_request(
             world, request, outcome, answer=done.body, minion=done.minion, step="serve"
         )
         return
-    if outcome is Outcome.NOT_RUN:
-        _note_outcome(world, request, done, "not_run", now_ms)
-    if _may_retry(world, request, outcome):
+    may_have_run = request.may_have_run or outcome is Outcome.UNKNOWN
+    world.requests.update(request.request_id, may_have_run=may_have_run)
+    if take_retry(world, request):
         tried = (*request.tried, done.minion)
         world.requests.update(
             request.request_id, state=RequestState.QUEUED, tried=tried
         )
+        world.waiting.push(request)
         return
     close_request(
         world, request, outcome, minion=done.minion, step="serve", reason=done.reason
     )
-
-
-def _may_retry(world: World, request: Request, outcome: Outcome) -> bool:
-    if request.key:
-        return False
-    path = team_path(request.team, request.urgency)
-    return request.attempts < effective_value(world.agreed, "request.attempts", path)
-
-
-def _note_outcome(
-    world: World, request: Request, done: AttemptDone, outcome: str, now_ms: int
-) -> None:
-    if request.key:
-        propose(world, KeyOutcome(request.key, done.attempt_id, outcome), now_ms)
-
-
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
-def expire(world: World, now_ms: int) -> None:
-    """Answer requests whose deadline has passed."""
-    for request in world.requests:
-        if request.deadline_ms > now_ms:
-            continue
-        sent = request.attempts > 0
-        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
-        reason = "the deadline has passed"
-        close_request(world, request, outcome, step=request.state, reason=reason)
--- /dev/null
+++ b/kingcuppost/systems/requests/claims.py
@@ -0,0 +1,78 @@
+"""Claims of keys, so that a non-idempotent request runs at most once.
+
+The first claim of a key in the log names one attempt and one sidecar process. All
+entries send that attempt to that process only, and the process runs it once.
+"""
+
+from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.fold import fault_of
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.systems.requests.answers import close_request
+from kingcuppost.systems.requests.sending import send
+from kingcuppost.tables.fleet import Minion
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.record import KeyClaimPut
+from kingcuppost.tables.request import Outcome, Request, RequestState
+from kingcuppost.tables.world import World
+from kingcuppost.utils.identifiers import new_identifier
+
+__all__ = ["claim", "take_claims", "withdraw_claim"]
+
+
+def claim(world: World, request: Request, minion: Minion, now_ms: int) -> None:
+    """Follow the claim of a request's key, or propose one."""
+    if request.key in world.agreed.key_claims:
+        _follow_claim(world, request, now_ms)
+        return
+    attempt_id = new_identifier(world.rng, "att")
+    body = KeyClaimPut(request.key, attempt_id, minion.name, minion.incarnation)
+    fault = fault_of(world.agreed, body)
+    if fault is not None:
+        close_request(
+            world, request, Outcome.NOT_RUN, step="claim", reason=fault.reason
+        )
+        return
+    claim_id = propose(world, body, now_ms)
+    world.requests.update(
+        request.request_id, state=RequestState.CLAIMING, claim_id=claim_id
+    )
+
+
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+def take_claims(world: World, now_ms: int) -> None:
+    """Send requests whose key is claimed, by this entry or by another."""
+    for request in world.requests.find("state", RequestState.CLAIMING):
+        if request.key in world.agreed.key_claims:
+            _follow_claim(world, request, now_ms)
+        elif request.claim_id not in world.proposals:
+            world.requests.update(request.request_id, state=RequestState.QUEUED)
+            world.waiting.push(request)
+
+
+def withdraw_claim(world: World, request: Request) -> bool:
+    """Stop proposing a request's claim; return whether it may be in the log."""
+    proposal = world.proposals.delete(request.claim_id)
+    return proposal is None or proposal.appends > 0
+
+
+def _follow_claim(world: World, request: Request, now_ms: int) -> None:
+    """Send the one attempt that holds the key to the one process it names.
+
+    The sidecar runs it once and gives the same answer to every repeat.
+    """
+    row = world.agreed.key_claims.get(request.key)
+    minion = world.agreed.minions.get(row.minion)
+    if minion is None or minion.incarnation != row.minion_incarnation:
+        reason = "the process that was to run it has gone"
+        if row.outcome == "answered":
+            reason = "it has run, and the process that held the answer has gone"
+        close_request(
+            world,
+            request,
+            Outcome.UNKNOWN,
+            minion=row.minion,
+            step="claim",
+            reason=reason,
+        )
+        return
+    send(world, request, minion, row.attempt_id, row.offset, now_ms)
--- /dev/null
+++ b/kingcuppost/systems/requests/retries.py
@@ -0,0 +1,32 @@
+"""The budget that bounds a team's retries at an entry."""
+
+from kingcuppost.settings import effective_value, team_path
+from kingcuppost.tables.request import Request, RetryBudget
+from kingcuppost.tables.world import World
+
+__all__ = ["deposit", "take_retry"]
+
+
+def deposit(world: World, team: str) -> None:
+    """Add a request's share of a retry to its team's budget."""
+    burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
+    share = effective_value(world.agreed, "request.retry_share", team_path(team))
+    row = world.retry_budgets.get(team)
+    if row is None:
+        world.retry_budgets.put(RetryBudget(team, burst))
+        return
+    world.retry_budgets.update(team, tokens=min(row.tokens + share, burst))
+
+
+def take_retry(world: World, request: Request) -> bool:
+    """Return whether an idempotent request may be sent once more, and pay for it."""
+    if request.key:
+        return False
+    path = team_path(request.team, request.urgency)
+    if request.attempts >= effective_value(world.agreed, "request.attempts", path):
+        return False
+    row = world.retry_budgets.get(request.team)
+    if row is None or row.tokens < 1:
+        return False
+    world.retry_budgets.update(request.team, tokens=row.tokens - 1)
+    return True
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -1,15 +1,29 @@
 """Serving attempts at a sidecar: slots, repeats, and the hand-over."""
 
+from collections import Counter
+
 from kingcuppost.systems.registry import Phase, system
+from kingcuppost.systems.requests.memory import is_forgotten, remember
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptArrived, MinionAnswered
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.outbox import HandOver, Reply
 from kingcuppost.tables.replies import ServedReply
-from kingcuppost.tables.request import Outcome, ServedAttempt, ServedState
+from kingcuppost.tables.request import (
+    HeldExchange,
+    Outcome,
+    ServedAttempt,
+    ServedState,
+)
 from kingcuppost.tables.world import World
 
-__all__ = ["accept_attempts", "free_slots", "hand_over", "take_minion_answers"]
+__all__ = [
+    "accept_attempts",
+    "answer_held",
+    "free_slots",
+    "hand_over",
+    "take_minion_answers",
+]
 
 OUTCOME_OF = {
     ServedState.ANSWERED: Outcome.ANSWERED,
@@ -24,30 +38,41 @@
     return world.cfg.sidecar.slots - world.served.count("state", ServedState.RUNNING)
 
 
+def _open_count(world: World) -> int:
+    states = (ServedState.WAITING, ServedState.RUNNING)
+    return sum(world.served.count("state", state) for state in states)
+
+
 @system(Phase.INTAKE, roles=(Role.SIDECAR,))
 def accept_attempts(world: World, now_ms: int) -> None:
-    """Queue new attempts; answer repeats from memory; refuse foreign ones."""
+    """Queue new attempts; answer repeats from memory; refuse foreign ones.
+
+    A process answers "not run" only for attempts that are meant for itself.
+    """
     for message in world.inbox.take(AttemptArrived):
         known = world.served.get(message.attempt_id)
         if message.incarnation != world.identity.incarnation:
-            _answer(world, message, Outcome.UNKNOWN, "another process was meant")
+            _answer_unknown(world, message, "another process was meant")
         elif known is not None:
-            _join(world, known, message)
-        elif world.stopping:
-            _answer(world, message, Outcome.NOT_RUN, "the minion is leaving")
+            _join(world, known, message, now_ms)
+        elif is_forgotten(world, message.claim_offset):
+            _answer_unknown(world, message, "the claim is older than the memory")
         else:
-            _queue(world, message, now_ms)
+            _take(world, message, now_ms)
 
 
-def _answer(
-    world: World, message: AttemptArrived, outcome: Outcome, reason: str
-) -> None:
-    reply = _reply_of(world, message.attempt_id, outcome, "", reason)
+def _answer_unknown(world: World, message: AttemptArrived, reason: str) -> None:
+    reply = _reply_of(world, message.attempt_id, Outcome.UNKNOWN, "", reason)
     world.outbox.put(Reply(message.exchange_id, 200, reply))
 
 
 def _reply_of(
-    world: World, attempt_id: str, outcome: Outcome, body: str, reason: str = ""
+    world: World,
+    attempt_id: str,
+    outcome: Outcome,
+    body: str = "",
+    reason: str = "",
+    running: bool = False,
 ) -> ServedReply:
     return ServedReply(
         attempt_id,
@@ -58,36 +83,56 @@
         world.stopping,
         world.service_ms,
         reason,
+        running,
     )
 
 
-def _join(world: World, known: ServedAttempt, message: AttemptArrived) -> None:
-    if known.state in OUTCOME_OF:
-        reply = _reply_of(
-            world, known.attempt_id, OUTCOME_OF[known.state], known.answer
-        )
-        world.outbox.put(Reply(message.exchange_id, 200, reply))
+def _join(
+    world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
+) -> None:
+    if known.state not in OUTCOME_OF:
+        _hold(world, message, now_ms)
         return
-    waiting = (*known.exchange_ids, message.exchange_id)
-    world.served.update(known.attempt_id, exchange_ids=waiting)
+    reply = _reply_of(world, known.attempt_id, OUTCOME_OF[known.state], known.answer)
+    world.outbox.put(Reply(message.exchange_id, 200, reply))
+
 
+def _hold(world: World, message: AttemptArrived, now_ms: int) -> None:
+    world.held.put(HeldExchange(message.exchange_id, message.attempt_id))
+    if message.hold_ms:
+        world.hold_agenda.put(now_ms + message.hold_ms, message.exchange_id)
+        world.deadlines.add(now_ms + message.hold_ms)
 
-def _queue(world: World, message: AttemptArrived, now_ms: int) -> None:
+
+def _take(world: World, message: AttemptArrived, now_ms: int) -> None:
     row = ServedAttempt(
         message.attempt_id,
         message.team,
-        (message.exchange_id,),
         message.body,
         message.keyed,
         message.urgency,
         ServedState.WAITING,
         now_ms,
         now_ms + message.timeout_ms,
+        claim_offset=message.claim_offset,
     )
+    refusal = _refusal(world)
     world.served.put(row)
+    _hold(world, message, now_ms)
+    if refusal:
+        _finish(world, row, ServedState.NOT_RUN, now_ms, reason=refusal)
+        return
     world.deadlines.add(row.deadline_ms)
 
 
+def _refusal(world: World) -> str:
+    if world.stopping:
+        return "the minion is leaving"
+    if _open_count(world) >= world.cfg.sidecar.connections:
+        return f"{world.cfg.sidecar.connections} attempts are open at the minion"
+    return ""
+
+
 @system(Phase.INTAKE, roles=(Role.SIDECAR,))
 def take_minion_answers(world: World, now_ms: int) -> None:
     """Give whole answers to the exchanges that wait for them."""
@@ -118,31 +163,53 @@
     answer: str = "",
     reason: str = "",
 ) -> None:
-    waiting = row.exchange_ids
-    world.served.update(
-        row.attempt_id,
-        state=state,
-        finished_ms=now_ms,
-        answer=answer,
-        exchange_ids=(),
-    )
-    for exchange_id in waiting:
+    world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
+    for held in world.held.find("attempt_id", row.attempt_id):
+        world.held.delete(held.exchange_id)
         reply = _reply_of(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
-        world.outbox.put(Reply(exchange_id, 200, reply))
+        world.outbox.put(Reply(held.exchange_id, 200, reply))
+    remember(world, row, now_ms)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,))
 def hand_over(world: World, now_ms: int) -> None:
-    """Drop attempts that are too late; give the rest a slot each."""
-    waiting = world.served.find("state", ServedState.WAITING)
-    for row in waiting:
+    """Drop attempts that are too late; give the rest a slot each.
+
+    Interactive attempts go first, then those of the team that runs least.
+    """
+    waiting = []
+    for row in world.served.find("state", ServedState.WAITING):
         if row.deadline_ms <= now_ms:
             reason = "the deadline passed before a slot was free"
             _finish(world, row, ServedState.NOT_RUN, now_ms, reason=reason)
-    waiting = [row for row in waiting if row.state is ServedState.WAITING]
-    waiting.sort(key=lambda row: (row.urgency != Urgency.INTERACTIVE, row.received_ms))
-    for row in waiting[: free_slots(world)]:
-        world.served.update(
-            row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms
-        )
-        world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
+        else:
+            waiting.append(row)
+    if not waiting:
+        return
+    running = Counter(
+        row.team for row in world.served.find("state", ServedState.RUNNING)
+    )
+    for _ in range(min(free_slots(world), len(waiting))):
+        row = min(waiting, key=lambda row: _turn(row, running))
+        waiting.remove(row)
+        running[row.team] += 1
+        _start(world, row, now_ms)
+
+
+def _turn(row: ServedAttempt, running: Counter[str]) -> tuple[bool, int, int]:
+    return row.urgency != Urgency.INTERACTIVE, running[row.team], row.received_ms
+
+
+def _start(world: World, row: ServedAttempt, now_ms: int) -> None:
+    world.served.update(row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms)
+    world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
+
+
+@system(Phase.ACT, roles=(Role.SIDECAR,))
+def answer_held(world: World, now_ms: int) -> None:
+    """Tell entries whose hold time is over that their attempt still runs."""
+    for exchange_id in world.hold_agenda.take_due(now_ms):
+        held = world.held.delete(exchange_id)
+        if held is not None:
+            reply = _reply_of(world, held.attempt_id, Outcome.UNKNOWN, running=True)
+            world.outbox.put(Reply(exchange_id, 200, reply))
--- /dev/null
+++ b/kingcuppost/systems/requests/tests/driver.py
@@ -0,0 +1,365 @@
+"""Entries and sidecars driven with no socket, on a clock moved by hand."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from kingcuppost.programs import make_world
+from kingcuppost.systems import run_tick, systems_of
+from kingcuppost.tables.config import (
+    Address,
+    EntryConfig,
+    LogConfig,
+    ProcessConfig,
+    SidecarConfig,
+    WorkerConfig,
+)
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import (
+    AppendDone,
+    AttemptArrived,
+    AttemptDone,
+    CallerRequest,
+    ExchangeLost,
+    FoldedRecord,
+    HeartbeatArrived,
+    HeartbeatDone,
+    HolderAnswered,
+    HolderAsked,
+    MinionAnswered,
+    ReadDone,
+)
+from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.outbox import (
+    AppendRecords,
+    AskHolder,
+    HandOver,
+    ReadLog,
+    Reply,
+    SendAttempt,
+    SendHeartbeat,
+)
+from kingcuppost.tables.record import Record, TeamPut, ZonePut
+from kingcuppost.tables.replies import RequestReply
+from kingcuppost.tables.request import Outcome
+from kingcuppost.tables.world import World
+from kingcuppost.utils import ManualClock
+
+NOWHERE = Address("127.0.0.1", 0)
+LATENCY_MS = 1
+SERVICE = "planner"
+ZONE = "vid-a"
+
+
+class Driver:
+    """Worlds whose messages reach each other after a latency, unless faulted.
+
+    Attributes
+    ----------
+    runs : Counter
+        How often each body was handed over to a minion.
+    answers : dict of str to RequestReply
+        Replies to callers by exchange.
+    lose_answers, cut : set of str
+        Sidecars whose answers are lost, and that can't be reached.
+    log_up : bool
+        Whether the log takes and gives records.
+    """
+
+    def __init__(self, run_ms: dict[str, int], entries: int = 2, slots: int = 8):
+        self.clock = ManualClock(start_ms=1_000)
+        self.rng = random.Random(7)
+        self.run_ms = run_ms
+        self.slots = slots
+        self.log: list[Record] = []
+        self.log_up = True
+        self.worlds: dict[str, World] = {}
+        self.systems: dict[str, list] = {}
+        self.runs: Counter[str] = Counter()
+        self.running: Counter[str] = Counter()
+        self.most_running: Counter[str] = Counter()
+        self.answers: dict[str, RequestReply] = {}
+        self.answered_ms: dict[str, int] = {}
+        self.lose_answers: set[str] = set()
+        self.cut: set[str] = set()
+        self.sent: list[SendAttempt | SendHeartbeat] = []
+        self._numbers = itertools.count(1)
+        self._later: list[tuple[int, int, Callable[[], None]]] = []
+        self._open: dict[str, Callable[[Reply], None]] = {}
+        for number in range(entries):
+            self.start(f"entry-{number}")
+        for name in run_ms:
+            self.start(name)
+        self.propose(ZonePut(ZONE, "vidzeme", True, 0))
+        self.propose(TeamPut("design", (), 0, 0))
+        self.propose(TeamPut("shop", (), 0, 0))
+
+    def propose(self, body: object) -> None:
+        """Put a record into the log."""
+        number = next(self._numbers)
+        self.log.append(Record(f"rec-{number}", "test", 0, body))
+
+    def start(self, name: str) -> World:
+        """Start a process anew."""
+        role = Role.ENTRY if name.startswith("entry") else Role.SIDECAR
+        sidecar = None
+        if role is Role.SIDECAR:
+            worker = WorkerConfig("none", f"w-{name}", "r", NOWHERE, 8, 1024, 8)
+            sidecar = SidecarConfig(SERVICE, NOWHERE, self.slots, 64, worker, NOWHERE)
+        cfg = ProcessConfig(
+            role=role,
+            name=name,
+            availability_zone=ZONE,
+            region="vidzeme",
+            peers=NOWHERE,
+            log=LogConfig("none", NOWHERE),
+            entry=EntryConfig(NOWHERE, NOWHERE) if role is Role.ENTRY else None,
+            sidecar=sidecar,
+            seed=next(self._numbers),
+        )
+        self.worlds[name] = make_world(cfg, self.clock)
+        self.systems[name] = systems_of(role)
+        return self.worlds[name]
+
+    def ask(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
+        """Send a caller's request; return its exchange."""
+        exchange = f"call-{next(self._numbers)}"
+        message = CallerRequest(
+            exchange,
+            fields.get("team", "design"),
+            SERVICE,
+            body,
+            fields.get("urgency", Urgency.INTERACTIVE),
+            key,
+            fields.get("timeout_ms", 0),
+        )
+        self.worlds[entry].inbox.put(message)
+        return exchange
+
+    def advance(self, ms: int) -> None:
+        """Let everything happen that is due within a time."""
+        end = self.clock.now_ms() + ms
+        while True:
+            self._tick_all()
+            next_ms = self._next_ms()
+            if next_ms is None or next_ms > end:
+                break
+            self.clock.advance(max(next_ms - self.clock.now_ms(), 0))
+            while self._later and self._later[0][0] <= self.clock.now_ms():
+                heapq.heappop(self._later)[2]()
+        self.clock.advance(max(end - self.clock.now_ms(), 0))
+        self._tick_all()
+
+    def outcome(self, exchange: str) -> Outcome | None:
+        """Return what the caller was told, or None."""
+        reply = self.answers.get(exchange)
+        return reply.outcome if reply else None
+
+    def _next_ms(self) -> int | None:
+        times = [world.deadlines.next_ms() for world in self.worlds.values()]
+        if self._later:
+            times.append(self._later[0][0])
+        return min((at for at in times if at is not None), default=None)
+
+    def _tick_all(self) -> None:
+        now_ms = self.clock.now_ms()
+        for name, world in list(self.worlds.items()):
+            due = world.deadlines.next_ms()
+            started = world.event_count or len(world.inbox)
+            if len(world.inbox) or (due is not None and due <= now_ms) or not started:
+                while True:
+                    run_tick(world, self.systems[name], now_ms)
+                    for message in world.outbox.take_all():
+                        self._carry(name, message)
+                    if not len(world.inbox):
+                        break
+
+    def after(self, ms: int, run: Callable[[], None]) -> None:
+        """Do something later."""
+        at_ms = self.clock.now_ms() + ms
+        heapq.heappush(self._later, (at_ms, next(self._numbers), run))
+
+    def deliver(self, world: World, message: object, ms: int = LATENCY_MS) -> None:
+        """Put a message before a process unless it was killed meanwhile."""
+        name = world.identity.name
+
+        def put() -> None:
+            if self.worlds.get(name) is world:
+                world.inbox.put(message)
+
+        self.after(ms, put)
+
+    def _carry(self, name: str, message: object) -> None:
+        world = self.worlds[name]
+        if isinstance(message, AppendRecords):
+            self._append(world, message)
+        elif isinstance(message, ReadLog):
+            self._read(world, message)
+        elif isinstance(message, SendAttempt):
+            self._attempt(world, message)
+        elif isinstance(message, SendHeartbeat):
+            self._heartbeat(world, message)
+        elif isinstance(message, AskHolder):
+            self._ask_holder(world, message)
+        elif isinstance(message, HandOver):
+            self._run(world, message)
+        elif isinstance(message, Reply):
+            self._reply(message)
+
+    def _append(self, world: World, message: AppendRecords) -> None:
+        if self.log_up:
+            self.log.extend(message.records)
+        ids = tuple(record.record_id for record in message.records)
+        self.deliver(world, AppendDone(ids, self.log_up))
+
+    def _read(self, world: World, message: ReadLog) -> None:
+        def answer() -> None:
+            new = enumerate(self.log[message.after :], message.after + 1)
+            rows = tuple(FoldedRecord(offset, record) for offset, record in new)
+            head = len(self.log)
+            up = self.log_up
+            done = ReadDone(message.read_id, up, rows if up else (), head, 1, head)
+            self.deliver(world, done)
+
+        self.after(20 if message.after >= len(self.log) else 0, answer)
+
+    def _attempt(self, world: World, message: SendAttempt) -> None:
+        self.sent.append(message)
+
+        def fail(never_sent: bool) -> AttemptDone:
+            return AttemptDone(
+                message.attempt_id,
+                message.minion,
+                "",
+                Outcome.UNKNOWN,
+                never_sent=never_sent,
+                reason="no answer",
+            )
+
+        sidecar = self.worlds.get(message.minion)
+        if sidecar is None or message.minion in self.cut:
+            self.deliver(world, fail(never_sent=True))
+            return
+
+        def answer(reply: Reply) -> object:
+            body = reply.body
+            return AttemptDone(
+                message.attempt_id,
+                message.minion,
+                body.incarnation,
+                body.outcome,
+                body.body,
+                body.free_slots,
+                body.leaving,
+                body.service_ms,
+                reason=body.reason,
+                running=body.running,
+            )
+
+        arrived = AttemptArrived(
+            "",
+            message.attempt_id,
+            message.incarnation,
+            message.team,
+            message.body,
+            message.keyed,
+            message.urgency,
+            message.timeout_ms,
+            message.claim_offset,
+            message.hold_ms,
+        )
+        self._exchange(
+            world, sidecar, arrived, answer, fail(never_sent=False), message.silence_ms
+        )
+
+    def _heartbeat(self, world: World, message: SendHeartbeat) -> None:
+        self.sent.append(message)
+        failed = HeartbeatDone(message.entry, False, "no answer")
+        entry = self.worlds.get(message.entry)
+        if entry is None or message.entry in self.cut:
+            self.deliver(world, failed)
+            return
+        arrived = HeartbeatArrived(
+            "",
+            message.minion,
+            message.incarnation,
+            message.free_slots,
+            message.leaving,
+            message.service_ms,
+            message.reports,
+        )
+        self._exchange(
+            world,
+            entry,
+            arrived,
+            lambda reply: HeartbeatDone(
+                message.entry, True, "", reply.body.folded_offset
+            ),
+            failed,
+            message.timeout_ms,
+        )
+
+    def _ask_holder(self, world: World, message: AskHolder) -> None:
+        failed = HolderAnswered(False, "", message.sent_ms, "no answer")
+        holder = self.worlds.get(message.entry)
+        if holder is None or message.entry in self.cut:
+            self.deliver(world, failed)
+            return
+        asked = HolderAsked("", world.identity.name)
+
+        def answer(reply: Reply) -> HolderAnswered:
+            return HolderAnswered(True, reply.body.incarnation, message.sent_ms)
+
+        self._exchange(world, holder, asked, answer, failed, message.timeout_ms)
+
+    def _exchange(
+        self,
+        sender: World,
+        receiver: World,
+        arrived: object,
+        answer: Callable[[Reply], object],
+        failed: object,
+        timeout_ms: int,
+    ) -> None:
+        """Carry a request and its answer, whichever comes first: answer, timeout."""
+        exchange = f"exc-{next(self._numbers)}"
+        fields = {name: getattr(arrived, name) for name in arrived.__slots__}
+        self.deliver(receiver, type(arrived)(**{**fields, "exchange_id": exchange}))
+
+        def reply(message: Reply) -> None:
+            if {receiver.identity.name, sender.identity.name} & self.lose_answers:
+                return
+            self._open.pop(exchange)
+            self.deliver(sender, answer(message))
+
+        def expire() -> None:
+            if self._open.pop(exchange, None) is not None:
+                self.deliver(sender, failed, 0)
+                self.deliver(receiver, ExchangeLost(exchange), 0)
+
+        self._open[exchange] = reply
+        self.after(timeout_ms, expire)
+
+    def _run(self, world: World, message: HandOver) -> None:
+        name = world.identity.name
+        self.runs[message.body] += 1
+        self.running[name] += 1
+        self.most_running[name] = max(self.most_running[name], self.running[name])
+        run_ms = self.run_ms[name]
+        took_ms = int(self.rng.uniform(0.5, 1.5) * run_ms)
+
+        def done() -> None:
+            self.running[name] -= 1
+            body = f"{name} {message.body}"
+            self.deliver(world, MinionAnswered(message.attempt_id, True, body), 0)
+
+        self.after(took_ms, done)
+
+    def _reply(self, message: Reply) -> None:
+        if message.exchange_id in self._open:
+            self._open[message.exchange_id](message)
+        elif isinstance(message.body, RequestReply):
+            self.answers[message.exchange_id] = message.body
+            self.answered_ms[message.exchange_id] = self.clock.now_ms()
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -136,6 +136,8 @@
     keyed: bool
     urgency: Urgency
     timeout_ms: int
+    claim_offset: int = 0
+    hold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +164,8 @@
         True if no connection was made, so that nothing can have run.
     reason : str
         Why there is no answer.
+    running : bool
+        Whether the sidecar has not finished the attempt yet.
     """
 
     attempt_id: str
@@ -174,6 +178,7 @@
     service_ms: float = 0.0
     never_sent: bool = False
     reason: str = ""
+    running: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +212,7 @@
     entry: str
     ok: bool
     reason: str = ""
+    folded_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -64,7 +64,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Send an attempt to a sidecar."""
+    """Send an attempt to a sidecar.
+
+    The attempt is of use for `timeout_ms`. The sidecar answers within `hold_ms`,
+    if only that it still runs; an exchange silent for `silence_ms` is abandoned.
+    """
 
     attempt_id: str
     minion: str
@@ -76,6 +80,9 @@
     keyed: bool
     urgency: Urgency
     timeout_ms: int
+    claim_offset: int = 0
+    hold_ms: int = 0
+    silence_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/kingcuppost/tables/pools.py
@@ -0,0 +1,79 @@
+"""The minions that may get another attempt, by service."""
+
+import random
+
+__all__ = ["MinionPool", "ServicePools"]
+
+
+class MinionPool:
+    """Names of minions, with draws at random that cost the same at any size.
+
+    Examples
+    --------
+    >>> pool = MinionPool()
+    >>> pool.add("minion-0")
+    >>> pool.draw(random.Random(1))
+    'minion-0'
+    """
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._places: dict[str, int] = {}
+        self._turn = 0
+
+    def __len__(self) -> int:
+        return len(self._names)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._places
+
+    def add(self, name: str) -> None:
+        """Add a minion unless it is there."""
+        if name not in self._places:
+            self._places[name] = len(self._names)
+            self._names.append(name)
+
+    def discard(self, name: str) -> None:
+        """Remove a minion; the last one takes its place."""
+        place = self._places.pop(name, None)
+        if place is None:
+            return
+        last = self._names.pop()
+        if last != name:
+            self._names[place] = last
+            self._places[last] = place
+
+    def draw(self, rng: random.Random) -> str:
+        """Return a minion at random; the pool is not empty."""
+        return self._names[rng.randrange(len(self._names))]
+
+    def next_in_turn(self) -> str:
+        """Return the minions one after another; the pool is not empty."""
+        self._turn += 1
+        return self._names[self._turn % len(self._names)]
+
+
+class ServicePools:
+    """One pool for each service."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, MinionPool] = {}
+        self._service_of: dict[str, str] = {}
+
+    def pool(self, service: str) -> MinionPool:
+        """Return the pool of a service; an empty one if none is known."""
+        return self._pools.get(service) or MinionPool()
+
+    def add(self, name: str, service: str) -> None:
+        """Put a minion into the pool of its service and out of any other."""
+        if self._service_of.get(name, service) != service:
+            self.discard(name)
+        self._service_of[name] = service
+        self._pools.setdefault(service, MinionPool()).add(name)
+
+    def discard(self, name: str) -> None:
+        """Take a minion out of its pool."""
+        service = self._service_of.pop(name, None)
+        if service is None:
+            return
+        self._pools[service].discard(name)
--- a/kingcuppost/tables/replies.py
+++ b/kingcuppost/tables/replies.py
@@ -81,7 +81,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServedReply:
-    """What a sidecar tells the entry that sent an attempt."""
+    """What a sidecar tells the entry that sent an attempt.
+
+    `running` says that the attempt has no outcome yet.
+    """
 
     attempt_id: str
     incarnation: str
@@ -91,6 +94,7 @@
     leaving: bool
     service_ms: float
     reason: str = ""
+    running: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -8,9 +8,11 @@
 __all__ = [
     "Attempt",
     "Health",
+    "HeldExchange",
     "Outcome",
     "Request",
     "RequestState",
+    "RetryBudget",
     "ServedAttempt",
     "ServedState",
 ]
@@ -56,6 +58,10 @@
         Attempts sent so far.
     tried : tuple of str
         Minions that refused or failed an attempt.
+    may_have_run : bool
+        Whether an attempt ended with an unknown outcome.
+    claim_id : str
+        Record that claims the key; empty before it is proposed.
     """
 
     request_id: str
@@ -70,6 +76,24 @@
     deadline_ms: int
     attempts: int = 0
     tried: tuple[str, ...] = ()
+    may_have_run: bool = False
+    claim_id: str = ""
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """What a team may still spend on retries at one entry.
+
+    Attributes
+    ----------
+    team : str
+        The team.
+    tokens : float
+        Retries left; each request adds a share of one.
+    """
+
+    team: str
+    tokens: float
 
 
 @dataclass(slots=True)
@@ -83,7 +107,15 @@
     minion, incarnation : str
         Sidecar process that it is meant for.
     sent_ms, deadline_ms : int
-        When it was sent; when its answer is of no use.
+        When it was first sent; when its answer is of no use.
+    key : str
+        ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
+    repeats : int
+        How often it was sent again, on another connection.
+    failures : int
+        Exchanges that failed since the last one that was answered.
+    claim_offset : int
+        Log offset of the claim of its key; 0 for an idempotent request.
     """
 
     attempt_id: str
@@ -92,6 +124,10 @@
     incarnation: str
     sent_ms: int
     deadline_ms: int
+    key: str = ""
+    repeats: int = 0
+    failures: int = 0
+    claim_offset: int = 0
 
 
 @dataclass(slots=True)
@@ -110,10 +146,10 @@
         Whether it said that it is leaving.
     service_ms : float
         Smoothed service time, in ms.
-    outstanding : int
-        Attempts that this entry has under way there.
     failures : int
         Exchanges that failed since the last that succeeded.
+    pause_ms : int
+        Until when it gets no attempts, since it failed several.
     """
 
     minion: str
@@ -122,8 +158,22 @@
     free_slots: int
     leaving: bool
     service_ms: float
-    outstanding: int = 0
     failures: int = 0
+    pause_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldExchange:
+    """An exchange in which an entry waits for an attempt's outcome.
+
+    Attributes
+    ----------
+    exchange_id, attempt_id : str
+        The HTTP exchange and the attempt.
+    """
+
+    exchange_id: str
+    attempt_id: str
 
 
 class ServedState(StrEnum):
@@ -144,8 +194,6 @@
     ----------
     attempt_id, team : str
         Identifiers.
-    exchange_ids : tuple of str
-        HTTP exchanges that wait for the outcome.
     body : str
         What the minion is given.
     keyed : bool
@@ -160,11 +208,12 @@
         Hand-over to the minion and end; 0 before.
     answer : str
         The minion's whole answer; empty before.
+    claim_offset : int
+        Log offset of the claim of its key; 0 for an idempotent request.
     """
 
     attempt_id: str
     team: str
-    exchange_ids: tuple[str, ...]
     body: str
     keyed: bool
     urgency: Urgency
@@ -174,3 +223,4 @@
     started_ms: int = 0
     finished_ms: int = 0
     answer: str = ""
+    claim_offset: int = 0
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from kingcuppost.tables.agenda import Agenda
 from kingcuppost.tables.agreement import (
     HolderWatch,
     KeyClaim,
@@ -17,11 +18,21 @@
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.event import Event
+from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
+from kingcuppost.tables.heartbeat import Beat, BeatView, ServedMemory
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, GangState, Job
 from kingcuppost.tables.mailbox import Mailbox
-from kingcuppost.tables.request import Attempt, Health, Request, ServedAttempt
+from kingcuppost.tables.pools import ServicePools
+from kingcuppost.tables.request import (
+    Attempt,
+    Health,
+    HeldExchange,
+    Request,
+    RetryBudget,
+    ServedAttempt,
+)
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
 from kingcuppost.tables.task import GangWatch, MemberTask, Reservation
@@ -42,7 +53,7 @@
 
     teams: Table[Team] = field(default_factory=lambda: Table("name"))
     availability_zones: Table[AvailabilityZone] = field(
-        default_factory=lambda: Table("name", watchers=("zones",))
+        default_factory=lambda: Table("name", watchers=("zones", "routing"))
     )
     workers: Table[Worker] = field(
         default_factory=lambda: Table(
@@ -50,7 +61,9 @@
         )
     )
     minions: Table[Minion] = field(
-        default_factory=lambda: Table("name", ("service", "worker"), ("health",))
+        default_factory=lambda: Table(
+            "name", ("service", "worker"), ("health", "routing")
+        )
     )
     entries: Table[Entry] = field(default_factory=lambda: Table("name"))
     jobs: Table[Job] = field(
@@ -87,6 +100,13 @@
         The only source of randomness.
     agreed : Agreed
         The fold of the log.
+    waiting : FairQueue
+        Queued requests at an entry.
+    request_agenda, repeat_agenda, pause_agenda, hold_agenda : Agenda
+        When requests expire, attempts are sent again, minions that failed are
+        tried again, and waiting entries are told that an attempt still runs.
+    pools : ServicePools
+        Minions that may get another attempt from this entry.
     verdicts : dict of str to Verdict
         What the last fold made of records that this process proposed.
     gang_stages : dict of str to tuple
@@ -119,8 +139,16 @@
     )
     verdicts: dict[str, Verdict] = field(default_factory=dict)
     requests: Table[Request] = field(
-        default_factory=lambda: Table("request_id", ("state", "exchange_id", "team"))
+        default_factory=lambda: Table(
+            "request_id", ("state", "exchange_id", "team", "key")
+        )
     )
+    waiting: FairQueue = field(default_factory=FairQueue)
+    request_agenda: Agenda = field(default_factory=Agenda)
+    repeat_agenda: Agenda = field(default_factory=Agenda)
+    pause_agenda: Agenda = field(default_factory=Agenda)
+    pools: ServicePools = field(default_factory=ServicePools)
+    retry_budgets: Table[RetryBudget] = field(default_factory=lambda: Table("team"))
     attempts: Table[Attempt] = field(
         default_factory=lambda: Table("attempt_id", ("request_id", "minion"))
     )
@@ -128,6 +156,13 @@
     served: Table[ServedAttempt] = field(
         default_factory=lambda: Table("attempt_id", ("state",))
     )
+    held: Table[HeldExchange] = field(
+        default_factory=lambda: Table("exchange_id", ("attempt_id",))
+    )
+    hold_agenda: Agenda = field(default_factory=Agenda)
+    served_memory: ServedMemory = field(default_factory=ServedMemory)
+    beats: Table[Beat] = field(default_factory=lambda: Table("entry"))
+    beat_view: BeatView = field(default_factory=BeatView)
     tasks: Table[MemberTask] = field(
         default_factory=lambda: Table("task_id", ("state", "job"))
     )
