Hold members to leases that a late message or a pause can't stretch

Cause: reading the sidecar's part against the bounds showed that a reservation was held at the worker for the whole job lease, so that a start order late in flight could take effect 6 s after its view; that all tasks were renewed with the least remaining lease; that a task whose start was under way was renewed; that a stop counted once it was answered, also if the task ran on; that a listing stopped a task during its checkpoint; that a failed start was taken as not run; that a takeover after a restart gave a new lease unproved; that a new leader's process called a gang whole before it had heard all members; that past gangs were reserved again while the log was replayed; that rows of ended members stayed for good; and that the isolation bound was not kept.

Ruled out: a start that carries its own expiry (needs a clock shared with the worker); a sequence number in renewals (not the worker's interface).

Change: reservations have their own short lease, renewed on a fresh view only and cut so that view age plus lease stay below 3 s; a start waits for the renewal under way; a renewal without answer gives the reservation up. Each running task is renewed with its own lease, after its leader's confirmation only. The lease is split in halves, silence at the leader and confirmation, so that partial run time is within the lease. Stops are repeated until the worker shows the task ended. Members are forgotten with their gang. A sidecar without log and entries stops its members. The worker stand-in tells when tasks started and ended.

Conclusion: a start can't follow its view by more than log.fresh_ms plus the reservation lease, whatever is delayed, paused or lost between.

--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -79,7 +79,7 @@
 @senders.register(RenewTasks)
 def renew_tasks(context: EdgeContext, row: RenewTasks) -> None:
     """Renew leases and ask for all tasks."""
-    model = RenewModel(task_ids=list(row.task_ids), lease_ms=row.lease_ms)
+    model = RenewModel.from_row(row)
     context.drivers["worker"].order("renew", "", model, row.timeout_ms)
 
 
--- a/kingcuppost/models/worker.py
+++ b/kingcuppost/models/worker.py
@@ -4,10 +4,17 @@
 
 from kingcuppost.models.base import BorderModel
 from kingcuppost.tables.inbox import WorkerTask
-from kingcuppost.tables.outbox import ReserveTask
+from kingcuppost.tables.outbox import RenewTasks, ReserveTask
 from kingcuppost.tables.task import TaskState
 
-__all__ = ["RenewModel", "ReserveModel", "StartModel", "TaskListModel", "TaskModel"]
+__all__ = [
+    "LeaseModel",
+    "RenewModel",
+    "ReserveModel",
+    "StartModel",
+    "TaskListModel",
+    "TaskModel",
+]
 
 
 class ReserveModel(BorderModel):
@@ -40,11 +47,26 @@
     lease_ms: int = 0
 
 
+class LeaseModel(BorderModel):
+    """How much longer the worker may hold a task, in ms."""
+
+    task_id: str
+    lease_ms: int
+
+
 class RenewModel(BorderModel):
     """Renew leases and ask for all tasks."""
 
-    task_ids: list[str]
-    lease_ms: int
+    leases: list[LeaseModel]
+
+    @classmethod
+    def from_row(cls, row: RenewTasks) -> "RenewModel":
+        """Return the model of an outbox message."""
+        leases = [
+            LeaseModel(task_id=item.task_id, lease_ms=item.lease_ms)
+            for item in row.leases
+        ]
+        return cls(leases=leases)
 
 
 class TaskModel(BaseModel):
--- a/kingcuppost/settings/catalog/jobs.py
+++ b/kingcuppost/settings/catalog/jobs.py
@@ -31,6 +31,27 @@
         most=10_000,
     )
 )
+declare(
+    SettingKey(
+        "job.reservation_ms",
+        1_500,
+        "How long a worker holds a reservation without renewal, cut so that with "
+        "log.fresh_ms no start is later than 3 s after its view.",
+        "ms",
+        least=100,
+        most=2_500,
+    )
+)
+declare(
+    SettingKey(
+        "job.lost_ms",
+        30_000,
+        "Silence of a member after which its gang is stopped if no other runs.",
+        "ms",
+        least=500,
+        most=3_600_000,
+    )
+)
 declare(
     SettingKey(
         "job.reserve_timeout_ms",
--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -10,21 +10,23 @@
     send_heartbeats,
     take_heartbeat_replies,
 )
-from kingcuppost.systems.members.tasks import (
-    follow_gangs,
-    renew_tasks,
-    start_members,
+from kingcuppost.systems.members.renewals import renew_tasks, take_worker_answers
+from kingcuppost.systems.members.stopping import (
+    forget_members,
+    stop_isolated,
     stop_lapsed,
-    take_worker_answers,
 )
+from kingcuppost.systems.members.tasks import follow_gangs, start_members
 
 __all__ = [
     "follow_gangs",
+    "forget_members",
     "hear_members",
     "renew_tasks",
     "report_to_leaders",
     "send_heartbeats",
     "start_members",
+    "stop_isolated",
     "stop_lapsed",
     "take_heartbeat_replies",
     "take_leader_replies",
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -1,16 +1,17 @@
 """Members and the leader of their gang keep each other's leases alive.
 
-The sidecar of member 0 leads. A member that its leader does not confirm within
-the lease stops, and a leader that misses a member confirms nobody: so no gang
-runs with part of its members for longer than the lease, without the log and
-without the scheduler.
+The sidecar of member 0 leads. It confirms the gang only while it has heard every
+member run or finish within half of the lease, and a confirmation lasts for half
+of the lease from when the member reported. So no gang runs with part of its
+members for longer than the lease, without the log and without the scheduler.
 """
 
 from collections import defaultdict
 
-from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
+from kingcuppost.systems.members.orders import confirm_ms, gang_of
+from kingcuppost.systems.members.stopping import stop_task
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import GangReplyArrived, GangReportArrived
@@ -29,8 +30,9 @@
     "watch_gangs",
 ]
 
-ALIVE_STATES = (TaskState.STARTING, TaskState.RUNNING, TaskState.FINISHED)
-REPORTS_PER_LEASE = 4
+ALIVE_STATES = (TaskState.RUNNING, TaskState.FINISHED)
+BROKEN_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
+REPORTS_PER_CONFIRM = 3
 
 
 def report_of(task: MemberTask) -> MemberReport:
@@ -42,9 +44,9 @@
 
 def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
     pairs = []
-    for state in (*ALIVE_STATES, TaskState.FAILED):
+    for state in (*ALIVE_STATES, *BROKEN_STATES):
         for task in world.tasks.find("state", state):
-            gang = world.agreed.gangs.get(gang_key(task.job, task.incarnation))
+            gang = gang_of(world, task)
             if gang is not None and gang.state is GangState.RELEASED:
                 pairs.append((gang, task))
     return pairs
@@ -69,11 +71,7 @@
 
 
 def _report_period_ms(world: World, gang: Gang) -> int:
-    return _lease_ms(world, gang) // REPORTS_PER_LEASE
-
-
-def _lease_ms(world: World, gang: Gang) -> int:
-    return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
+    return confirm_ms(world, gang) // REPORTS_PER_CONFIRM
 
 
 def _report(
@@ -107,24 +105,28 @@
 
 
 def _hear(world: World, reports: tuple[MemberReport, ...], now_ms: int) -> GangReply:
-    whole = []
-    broken = []
+    gangs = {}
     for report in reports:
         gang = world.agreed.gangs.get(gang_key(report.job, report.incarnation))
-        if gang is None or gang.state is not GangState.RELEASED:
-            continue
-        watch = _watch_of(world, gang, now_ms)
-        _note_report(watch, report, now_ms)
+        if gang is not None and gang.state is GangState.RELEASED:
+            gangs[gang.key] = gang
+            _note_report(_watch_of(world, gang, now_ms), report, now_ms)
+    whole = []
+    broken = []
+    for gang in gangs.values():
+        watch = world.gang_watches.get(gang.key)
         _check_silence(world, gang, watch, now_ms)
-        (broken if watch.broken else whole).append(gang.key)
+        if watch.broken:
+            broken.append(gang.key)
+        elif len(watch.heard_ms) == len(gang.placements):
+            whole.append(gang.key)
     return GangReply(world.cfg.sidecar.worker.name, tuple(whole), tuple(broken))
 
 
 def _watch_of(world: World, gang: Gang, now_ms: int) -> GangWatch:
     watch = world.gang_watches.get(gang.key)
     if watch is None:
-        heard_ms = dict.fromkeys(range(len(gang.placements)), now_ms)
-        watch = GangWatch(gang.key, heard_ms, {})
+        watch = GangWatch(gang.key, now_ms, {}, {})
         world.gang_watches.put(watch)
     return watch
 
@@ -141,8 +143,9 @@
 def _check_silence(world: World, gang: Gang, watch: GangWatch, now_ms: int) -> None:
     if watch.broken:
         return
-    bound_ms = _lease_ms(world, gang)
-    for member, heard_ms in watch.heard_ms.items():
+    bound_ms = confirm_ms(world, gang)
+    for member in range(len(gang.placements)):
+        heard_ms = watch.heard_ms.get(member, watch.since_ms)
         if member not in watch.results and now_ms - heard_ms >= bound_ms:
             watch.broken = f"member {member} was silent for {bound_ms} ms"
             note(world, "gang.broken", f"Gang broken: {watch.broken}.", job=gang.job)
@@ -156,29 +159,36 @@
         gang = world.agreed.gangs.get(watch.key)
         if gang is None or gang.state is GangState.STOPPING:
             world.gang_watches.delete(watch.key)
-        elif len(watch.results) == len(gang.placements) and not watch.broken:
-            propose(
-                world, GangFinish(gang.job, gang.incarnation, watch.results[0]), now_ms
-            )
-            watch.broken = "finished"
+        elif len(watch.results) == len(gang.placements) and not watch.finish_id:
+            body = GangFinish(gang.job, gang.incarnation, watch.results[0])
+            watch.finish_id = propose(world, body, now_ms)
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,))
 def take_leader_replies(world: World, now_ms: int) -> None:
-    """Prolong the leases of members whose gang is whole."""
+    """Prolong members whose gang is whole, stop those whose gang is broken."""
     for reply in world.inbox.take(GangReplyArrived):
-        if not reply.ok:
-            continue
         for key in reply.whole:
             _prolong(world, key, reply.sent_ms)
+        for key in reply.broken:
+            for task in _running_tasks(world, key):
+                stop_task(world, task, now_ms)
+
+
+def _running_tasks(world: World, key: str) -> list[MemberTask]:
+    return [
+        task
+        for task in world.tasks.find("state", TaskState.RUNNING)
+        if gang_key(task.job, task.incarnation) == key
+    ]
 
 
 def _prolong(world: World, key: str, sent_ms: int) -> None:
     gang = world.agreed.gangs.get(key)
     if gang is None:
         return
-    lease_ms = sent_ms + _lease_ms(world, gang)
-    for task in world.tasks.find("job", gang.job):
-        if task.incarnation == gang.incarnation and task.lease_ms < lease_ms:
-            world.tasks.update(task.task_id, lease_ms=lease_ms)
-            world.deadlines.add(lease_ms)
+    lease_ms = sent_ms + confirm_ms(world, gang)
+    for task in _running_tasks(world, key):
+        prolonged_ms = max(task.lease_ms, lease_ms)
+        world.tasks.update(task.task_id, lease_ms=prolonged_ms, confirmed=True)
+        world.deadlines.add(prolonged_ms)
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -22,6 +22,7 @@
     "SendHeartbeat",
     "StartTask",
     "StopTask",
+    "TaskLease",
 ]
 
 
@@ -139,11 +140,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RenewTasks:
-    """Renew leases and ask how all tasks of the worker are."""
+class TaskLease:
+    """How much longer the worker may hold a task, in ms from the order's arrival."""
 
-    task_ids: tuple[str, ...]
+    task_id: str
     lease_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewTasks:
+    """Renew each task's lease and ask how all tasks of the worker are."""
+
+    leases: tuple[TaskLease, ...]
     timeout_ms: int
 
 
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["GangWatch", "MemberReport", "MemberTask", "Reservation", "TaskState"]
+__all__ = [
+    "GangWatch",
+    "MemberReport",
+    "MemberTask",
+    "Renewal",
+    "Reservation",
+    "TaskState",
+]
 
 
 class TaskState(StrEnum):
@@ -40,6 +47,10 @@
         The state that the scheduler and the leader were last told.
     result : str
         What the finished member returned.
+    stop_ms : int
+        From when on a stopping member is ordered to stop, in ms.
+    confirmed : bool
+        False for a task taken over until its leader has confirmed it.
     """
 
     task_id: str
@@ -50,6 +61,24 @@
     lease_ms: int
     reported: str = ""
     result: str = ""
+    stop_ms: int = 0
+    confirmed: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """A renewal of the worker's leases that is under way.
+
+    Attributes
+    ----------
+    sent_ms : int
+        When it was sent; reservations count from there.
+    task_ids : frozenset of str
+        Tasks that it renews.
+    """
+
+    sent_ms: int
+    task_ids: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,18 +112,24 @@
     ----------
     key : str
         ``gang_key(job, incarnation)``.
+    since_ms : int
+        When this process began to watch the gang.
     heard_ms : dict of int to int
         When each member was last heard running or finished.
     results : dict of int to str
         Results of finished members.
     broken : str
         Why the gang is not whole; empty while it is.
+    finish_id : str
+        Record that was proposed once all had finished; empty before.
     """
 
     key: str
+    since_ms: int
     heard_ms: dict[int, int]
     results: dict[int, str]
     broken: str = ""
+    finish_id: str = ""
 
 
 @dataclass(slots=True)
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -24,7 +24,7 @@
 from kingcuppost.tables.request import Attempt, Health, Request, ServedAttempt
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangWatch, MemberTask, Reservation
+from kingcuppost.tables.task import GangWatch, MemberTask, Renewal, Reservation
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -101,6 +101,8 @@
         When a sidecar last heard an entry.
     stopping : bool
         Whether a graceful stop is under way.
+    renewal : Renewal or None
+        The renewal of the worker's leases that is under way.
     """
 
     cfg: ProcessConfig
@@ -145,3 +147,4 @@
     beat_ms: int = 0
     entry_heard_ms: int = 0
     stopping: bool = False
+    renewal: Renewal | None = None
--- a/standins/worker_host.py
+++ b/standins/worker_host.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import time
 from dataclasses import dataclass, field
 
 from twisted.internet import reactor
@@ -14,9 +15,15 @@
 __all__ = ["WorkerHost"]
 
 MS_PER_SECOND = 1_000
+NS_PER_MS = 1_000_000
 OPEN_STATES = ("reserved", "running")
 
 
+def wall_ms() -> int:
+    """Return Unix time in ms."""
+    return time.time_ns() // NS_PER_MS
+
+
 @dataclass
 class Task:
     """A task of the worker."""
@@ -28,6 +35,8 @@
     result: str = ""
     starts: int = 0
     checkpoints: int = 0
+    started_wall_ms: int = 0
+    ended_wall_ms: int = 0
     timers: list = field(default_factory=list)
     lease: object = None
 
@@ -53,13 +62,15 @@
         return Answer(200, {})
 
     def history(self, request: Request, body: dict) -> Answer:
-        """Return every task ever reserved, with how often it was started."""
+        """Return every task ever reserved: how often it was started, and when."""
         rows = [
             {
                 "task_id": task.task_id,
                 "state": task.state,
                 "starts": task.starts,
                 "checkpoints": task.checkpoints,
+                "started_wall_ms": task.started_wall_ms,
+                "ended_wall_ms": task.ended_wall_ms,
             }
             for task in self.tasks.values()
         ]
@@ -90,6 +101,7 @@
             return Answer(409, {"reason": "the task is not reserved"})
         task.state = "running"
         task.starts += 1
+        task.started_wall_ms = wall_ms()
         self._lease(task, body["lease_ms"])
         run_ms = task.payload.get("run_ms", 0)
         task.timers.append(
@@ -99,10 +111,10 @@
 
     def renew(self, request: Request, body: dict) -> Answer:
         """Renew leases and return all tasks."""
-        for task_id in body["task_ids"]:
-            task = self.tasks.get(task_id)
+        for lease in body["leases"]:
+            task = self.tasks.get(lease["task_id"])
             if task is not None and task.state in OPEN_STATES:
-                self._lease(task, body["lease_ms"])
+                self._lease(task, lease["lease_ms"])
         return self._list()
 
     def checkpoint(self, request: Request, body: dict) -> Answer:
@@ -143,6 +155,7 @@
         if task.state not in OPEN_STATES:
             return
         task.state = state
+        task.ended_wall_ms = wall_ms()
         for timer in [*task.timers, task.lease]:
             if timer is not None and timer.active():
                 timer.cancel()
