Look only at gangs that changed; end a gang only when its members have lapsed

Cause: the scheduler went over every gang in every tick. It also counted a member that had finished as proof that the others lapse, though its leader goes on to confirm them; it counted the leases from the stop, also when the first word of a stopped member came much later; a late report could bring a stopped member back; a new holder kept bounds and reports of its own earlier term; rows of ended gangs stayed; a gang of which nothing was heard, or whose last member was lost, was never stopped.

Ruled out: stopping a gang on the silence of one member while another is heard running, since the scheduler may be the one that is cut off; its leader knows.

Change: gangs are looked at when their row or a member's state changes and when a bound is over (rows of due times). Only a member that failed or stopped shortens the wait, from when it was first reported. A member that is over stays over. A term begins with all gangs, no old times, and the reports that came since the former term ended. Silence of all stops a gang after job.isolation_ms, of the last one that had not finished after job.lost_ms.

--- /dev/null
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -0,0 +1,303 @@
+"""The scheduler's part in a gang's life, without sockets."""
+
+import pytest
+
+from kingcuppost.systems.tests.worlds import (
+    START_MS,
+    Bench,
+    FakeLog,
+    entry_bench,
+    place,
+    release,
+    site_log,
+)
+from kingcuppost.tables.record import (
+    EntryAnnounce,
+    GangEnd,
+    GangRelease,
+    GangStop,
+    JobCancel,
+    LeaseClaim,
+    SettingPut,
+)
+from kingcuppost.tables.task import MemberReport, TaskState
+from kingcuppost.utils import ManualClock
+
+WORKERS = ("worker-0", "worker-1")
+LEASE_MS = 5_000
+GRACE_MS = 3_000
+ISOLATION_MS = 300_000
+LOST_MS = 30_000
+DRIFT_MS = 500
+RESERVE_BOUND_MS = 5_000
+
+
+@pytest.fixture
+def log() -> FakeLog:
+    log = site_log()
+    log.add(SettingPut("", "job.placement_policy", "first_fit", 0))
+    return log
+
+
+@pytest.fixture
+def bench(log: FakeLog) -> Bench:
+    """The entry that holds the scheduling lease."""
+    bench = entry_bench(log, ManualClock(START_MS))
+    bench.settle()
+    claim(bench)
+    return bench
+
+
+def claim(bench: Bench) -> None:
+    """Make a process the holder of a new term."""
+    who = bench.world.identity
+    bench.log.add(
+        EntryAnnounce(
+            who.name, who.availability_zone, who.incarnation, "127.0.0.1", 1, 2, 3
+        )
+    )
+    bench.settle()
+    base_term = bench.world.agreed.lease.term
+    bench.log.add(LeaseClaim(who.name, who.incarnation, base_term))
+    bench.settle()
+
+
+def tell(bench: Bench, member: int, state: TaskState, job: str = "a") -> None:
+    incarnation = bench.world.agreed.jobs.get(job).incarnation
+    bench.world.inbox.put(MemberReport(job, incarnation, member, state))
+    bench.settle()
+
+
+def tell_both(bench: Bench, state: TaskState) -> None:
+    tell(bench, 0, state)
+    tell(bench, 1, state)
+
+
+def start(bench: Bench) -> None:
+    """Bring a gang of two so far that it runs."""
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell_both(bench, TaskState.RESERVED)
+    tell_both(bench, TaskState.RUNNING)
+
+
+def stops(bench: Bench) -> list[GangStop]:
+    return bench.log.bodies(GangStop)
+
+
+def ends(bench: Bench) -> list[GangEnd]:
+    return bench.log.bodies(GangEnd)
+
+
+def ms_until_end(bench: Bench, most_ms: int) -> int:
+    begin_ms = bench.now_ms
+    while not ends(bench) and bench.now_ms - begin_ms < most_ms:
+        bench.run(50)
+    assert ends(bench)
+    return bench.now_ms - begin_ms
+
+
+def test_gang_is_released_once_all_members_are_reserved(bench: Bench) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell(bench, 0, TaskState.RESERVED)
+    assert not bench.log.bodies(GangRelease)
+    tell(bench, 1, TaskState.RESERVED)
+    bench.run(2_000)
+    assert len(bench.log.bodies(GangRelease)) == 1
+
+
+@pytest.mark.parametrize(
+    "state", [TaskState.REFUSED, TaskState.FAILED, TaskState.STOPPED]
+)
+def test_refusal_before_the_release_stops_all(bench: Bench, state: TaskState) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell(bench, 0, state)
+    tell(bench, 1, TaskState.RESERVED)
+    bench.run(2_000)
+    assert not bench.log.bodies(GangRelease)
+    assert len(stops(bench)) == 1
+
+
+def test_member_that_never_reserves_stops_the_gang(bench: Bench) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell(bench, 0, TaskState.RESERVED)
+    bench.run(RESERVE_BOUND_MS - 100)
+    assert not stops(bench)
+    bench.run(200)
+    assert len(stops(bench)) == 1
+
+
+def test_late_report_does_not_bring_a_member_back(bench: Bench) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    bench.log.up = False
+    tell(bench, 0, TaskState.STOPPED)
+    tell_both(bench, TaskState.RESERVED)
+    bench.log.up = True
+    bench.run(2_000)
+    assert not bench.log.bodies(GangRelease)
+
+
+def test_gang_ends_when_all_members_are_over(bench: Bench) -> None:
+    start(bench)
+    tell(bench, 1, TaskState.STOPPED)
+    assert [row.reason for row in stops(bench)] == ["member 1 is stopped"]
+    assert not ends(bench)
+    tell(bench, 0, TaskState.STOPPED)
+    assert len(ends(bench)) == 1
+
+
+def test_failed_member_names_its_worker(bench: Bench) -> None:
+    start(bench)
+    tell(bench, 1, TaskState.FAILED)
+    assert [row.failed_worker for row in stops(bench)] == ["worker-1"]
+
+
+def test_gang_with_a_stopped_member_ends_after_the_leases(bench: Bench) -> None:
+    start(bench)
+    tell(bench, 1, TaskState.STOPPED)
+    waited_ms = ms_until_end(bench, 60_000)
+    bound_ms = 2 * LEASE_MS + GRACE_MS + DRIFT_MS
+    assert bound_ms <= waited_ms <= bound_ms + 100
+
+
+def test_finished_member_is_no_proof_that_the_others_lapse(bench: Bench) -> None:
+    start(bench)
+    tell(bench, 1, TaskState.FINISHED)
+    bench.log.add(JobCancel("a", "enough"))
+    bench.run(60_000)
+    assert not ends(bench)
+    ms_until_end(bench, ISOLATION_MS)
+
+
+def test_leases_count_from_the_word_that_a_member_is_over(bench: Bench) -> None:
+    start(bench)
+    bench.log.add(JobCancel("a", "enough"))
+    bench.run(100_000)
+    tell(bench, 1, TaskState.STOPPED)
+    assert not ends(bench)
+    assert ms_until_end(bench, 60_000) >= 2 * LEASE_MS
+
+
+def test_gang_that_was_never_released_ends_after_its_reservations(
+    bench: Bench,
+) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    bench.log.add(JobCancel("a", "enough"))
+    assert ms_until_end(bench, 60_000) <= 3_000
+
+
+def test_silent_gang_is_stopped_after_the_isolation_bound(bench: Bench) -> None:
+    start(bench)
+    bench.run(ISOLATION_MS - 1_000)
+    assert not stops(bench)
+    bench.run(2 * LOST_MS)
+    assert len(stops(bench)) == 1
+
+
+def test_gang_that_a_member_reports_running_is_left_alone(bench: Bench) -> None:
+    start(bench)
+    for _ in range(4):
+        bench.run(LOST_MS // 2)
+        tell(bench, 0, TaskState.RUNNING)
+    assert not stops(bench)
+
+
+def test_lost_last_member_stops_the_gang(bench: Bench) -> None:
+    start(bench)
+    tell(bench, 0, TaskState.FINISHED)
+    for _ in range(20):
+        bench.run(LOST_MS // 8)
+        tell(bench, 0, TaskState.FINISHED)
+    assert len(stops(bench)) == 1
+
+
+def test_new_holder_counts_bounds_from_its_own_first_sight(
+    bench: Bench, log: FakeLog
+) -> None:
+    start(bench)
+    tell(bench, 1, TaskState.STOPPED)
+    bench.run(2 * LEASE_MS)
+    rival = entry_bench(log, bench.clock, 1)
+    rival.settle()
+    claim(rival)
+    rival.run(2 * LEASE_MS)
+    assert not ends(rival)
+    tell(rival, 0, TaskState.STOPPED)
+    tell(rival, 1, TaskState.STOPPED)
+    assert len(ends(rival)) == 1
+
+
+def test_old_holder_that_wakes_changes_nothing(bench: Bench, log: FakeLog) -> None:
+    place(log, "a", WORKERS)
+    bench.settle()
+    rival = entry_bench(log, bench.clock, 1)
+    rival.settle()
+    claim(rival)
+    log.add(JobCancel("a", "enough"))
+    tell_both(bench, TaskState.RESERVED)
+    bench.run(5_000)
+    releases = bench.log.bodies(GangRelease)
+    assert len(releases) <= 1
+    assert bench.world.agreed.gangs.get("a/1").released_wall_ms == 0
+
+
+def test_reports_that_precede_the_claim_are_kept(bench: Bench, log: FakeLog) -> None:
+    place(log, "a", WORKERS)
+    rival = entry_bench(log, bench.clock, 1)
+    rival.settle()
+    tell_both(rival, TaskState.RESERVED)
+    claim(rival)
+    rival.run(100)
+    assert len(log.bodies(GangRelease)) == 1
+
+
+def test_ended_gangs_leave_nothing_behind(bench: Bench) -> None:
+    start(bench)
+    bench.log.add(JobCancel("a", "enough"))
+    bench.settle()
+    tell_both(bench, TaskState.STOPPED)
+    bench.run(2_000)
+    world = bench.world
+    assert "a/1" not in world.gang_stages
+    assert not world.reservations.find("key", "a/1")
+
+
+def test_cancellation_wave_ends_every_gang(bench: Bench) -> None:
+    names = [f"job-{number}" for number in range(200)]
+    for name in names:
+        place(bench.log, name, WORKERS)
+    bench.settle()
+    bench.log.add(*(JobCancel(name, "wave") for name in names))
+    bench.settle()
+    for name in names:
+        for member in range(2):
+            bench.world.inbox.put(MemberReport(name, 1, member, TaskState.STOPPED))
+    bench.settle()
+    bench.run(3_000)
+    assert len(ends(bench)) == len(names)
+    assert len(bench.world.agreed.gangs) == 0
+
+
+def test_quiet_tick_looks_at_no_gang(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for number in range(50):
+        name = f"job-{number}"
+        place(bench.log, name, WORKERS)
+        release(bench.log, name)
+    bench.settle()
+    looked = []
+    monkeypatch.setattr(
+        "kingcuppost.systems.jobs.gangs._advance",
+        lambda world, gang, now_ms: looked.append(gang.key),
+    )
+    bench.run(2_000)
+    assert looked == []
+    bench.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
+    bench.settle()
+    assert looked == ["job-7/1"]
--- /dev/null
+++ b/kingcuppost/systems/leases.py
@@ -0,0 +1,37 @@
+"""Bounds that members of gangs are held to, from the settings."""
+
+from kingcuppost.settings import effective_value, team_path
+from kingcuppost.tables.job import Gang
+from kingcuppost.tables.world import World
+
+__all__ = ["confirm_ms", "lease_ms", "reservation_ms"]
+
+START_BOUND_MS = 3_000
+START_MARGIN_MS = 250
+CONFIRMS_PER_LEASE = 2
+
+
+def lease_ms(world: World, gang: Gang) -> int:
+    """Return how long members may run after the gang was last whole, in ms."""
+    return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
+
+
+def confirm_ms(world: World, gang: Gang) -> int:
+    """Return how long one confirmation by the leader lasts, in ms.
+
+    The leader hears a member for the last time up to this long before it calls
+    the gang broken, and its last confirmation lasts this long: together the lease.
+    """
+    return lease_ms(world, gang) // CONFIRMS_PER_LEASE
+
+
+def reservation_ms(world: World) -> int:
+    """Return how long the worker holds a reservation without a renewal, in ms.
+
+    A start order that is late in flight takes effect only while the reservation
+    holds. So a start follows the view that it rests on by no more than the age of
+    that view and this time, which together stay below `START_BOUND_MS`.
+    """
+    wanted_ms = effective_value(world.agreed, "job.reservation_ms")
+    fresh_ms = effective_value(world.agreed, "log.fresh_ms")
+    return min(wanted_ms, START_BOUND_MS - START_MARGIN_MS - fresh_ms)
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -10,7 +10,8 @@
 
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
-from kingcuppost.systems.members.orders import confirm_ms, gang_of
+from kingcuppost.systems.leases import confirm_ms
+from kingcuppost.systems.members.orders import gang_of
 from kingcuppost.systems.members.stopping import stop_task
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -3,6 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
 from kingcuppost.systems.events import note
+from kingcuppost.systems.leases import confirm_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -11,10 +12,8 @@
     ORDER_RESERVE,
     ORDER_START,
     ORDER_STOP,
-    confirm_ms,
     gang_of,
     order_timeout_ms,
-    reservation_ms,
     zone_in_service,
 )
 from kingcuppost.systems.members.stopping import order_stop, stop_task
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -2,11 +2,10 @@
 
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
 from kingcuppost.systems.events import note
+from kingcuppost.systems.leases import lease_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     gang_of,
-    lease_ms,
     order_timeout_ms,
-    reservation_ms,
     task_id_of,
     zone_in_service,
 )
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kingcuppost.systems.members.orders import reservation_ms
+from kingcuppost.systems.leases import reservation_ms
 from kingcuppost.systems.tests.worlds import (
     START_MS,
     Bench,
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -146,9 +146,12 @@
         State last reported.
     heard_ms : int
         When it was last reported.
+    since_ms : int
+        When this state was first reported.
     """
 
     member_id: str
     key: str
     state: TaskState
     heard_ms: int
+    since_ms: int
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -16,6 +16,7 @@
 from kingcuppost.tables.announcement import Announcement
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
+from kingcuppost.tables.due import DueKeys
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
 from kingcuppost.tables.identity import Identity
@@ -58,7 +59,9 @@
     )
     gangs: Table[Gang] = field(
         default_factory=lambda: Table(
-            "key", ("state", "team", "job"), ("occupancy", "members", "placement")
+            "key",
+            ("state", "team", "job"),
+            ("occupancy", "members", "placement", "advance"),
         )
     )
     ended_gangs: Table[Gang] = field(default_factory=lambda: Table("key", ("job",)))
@@ -103,6 +106,10 @@
         Whether a graceful stop is under way.
     renewal : Renewal or None
         The renewal of the worker's leases that is under way.
+    gang_due : DueKeys
+        When the scheduler looks at each gang again.
+    advance_term : int
+        Scheduling term in which gangs were last looked at.
     """
 
     cfg: ProcessConfig
@@ -148,3 +155,5 @@
     entry_heard_ms: int = 0
     stopping: bool = False
     renewal: Renewal | None = None
+    gang_due: DueKeys = field(default_factory=DueKeys)
+    advance_term: int = 0
