--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -19,6 +19,7 @@
 from kingcuppost.tables.claims import EndedJob, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
+from kingcuppost.tables.due import DueKeys
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
@@ -37,7 +38,7 @@
 )
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangWatch, MemberTask, Reservation
+from kingcuppost.tables.task import GangWatch, MemberTask, Renewal, Reservation
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -73,7 +74,9 @@
     )
     gangs: Table[Gang] = field(
         default_factory=lambda: Table(
-            "key", ("state", "team", "job"), ("occupancy", "members", "placement")
+            "key",
+            ("state", "team", "job"),
+            ("occupancy", "members", "placement", "advance"),
         )
     )
     ended_gangs: Table[Gang] = field(default_factory=lambda: Table("key", ("job",)))
@@ -125,6 +128,12 @@
         When a sidecar last heard an entry.
     stopping : bool
         Whether a graceful stop is under way.
+    renewal : Renewal or None
+        The renewal of the worker's leases that is under way.
+    gang_due : DueKeys
+        When the scheduler looks at each gang again.
+    advance_term : int
+        Scheduling term in which gangs were last looked at.
     """
 
     cfg: ProcessConfig
@@ -185,3 +194,6 @@
     beat_ms: int = 0
     entry_heard_ms: int = 0
     stopping: bool = False
+    renewal: Renewal | None = None
+    gang_due: DueKeys = field(default_factory=DueKeys)
+    advance_term: int = 0
