Tell a silent log from a slow one; call a forgotten key unknown

Admission held keys open for `log.timeout_ms`, which now bounds one exchange (10 s), not silence. The fake log of the sidecars' tests kept one read only, and dropped a waiting one when a barrier read went out beside it. Besides, a key that the fold may have forgotten was refused as "not run", though it may have run. Ruled out: one bound for both (a log slow by seconds would count as silent, or a silent one be waited for too long). Change: `log.silent_ms` and `is_following`, shared by admission and the scheduling lease; the fake answers every read under way; a stale claim is answered "unknown".

--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -35,6 +35,16 @@
         most=10_000,
     )
 )
+declare(
+    SettingKey(
+        "log.silent_ms",
+        1_500,
+        "Silence of the log, beyond a wait, after which it counts as silent.",
+        "ms",
+        least=50,
+        most=60_000,
+    )
+)
 declare(
     SettingKey(
         "log.group_ms",
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -4,6 +4,7 @@
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
 from kingcuppost.systems.agreement.freshness import (
     fresh_age_ms,
+    is_following,
     is_fresh,
     want_barrier,
 )
@@ -29,6 +30,7 @@
     "fresh_age_ms",
     "has_room",
     "hold_lease",
+    "is_following",
     "is_fresh",
     "is_scheduler",
     "issue_read",
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -3,7 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.world import World
 
-__all__ = ["fresh_age_ms", "is_fresh", "want_barrier"]
+__all__ = ["fresh_age_ms", "is_following", "is_fresh", "want_barrier"]
 
 NEVER_MS = 2**53
 
@@ -19,6 +19,17 @@
     return fresh_age_ms(world, now_ms) <= effective_value(world.agreed, "log.fresh_ms")
 
 
+def is_following(world: World, now_ms: int) -> bool:
+    """Return whether the log has answered a read at its head within a poll.
+
+    This is weaker than `is_fresh`: a process that follows may not start work, but
+    its log is not silent.
+    """
+    wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
+    silent_ms = effective_value(world.agreed, "log.silent_ms")
+    return fresh_age_ms(world, now_ms) <= wait_ms + silent_ms
+
+
 def want_barrier(world: World, now_ms: int) -> None:
     """Ask for a read of the head that is sent no earlier than now."""
     view = world.log_view
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -1,7 +1,7 @@
 """The scheduling lease: who may place gangs."""
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.agreement.freshness import fresh_age_ms
+from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
@@ -17,7 +17,6 @@
 
 JITTER_SHARE = 0.5
 STATUS_OK = 200
-READS_MISSED = 2
 
 
 def is_scheduler(world: World) -> bool:
@@ -69,19 +68,12 @@
     for answer in world.inbox.take(HolderAnswered):
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
             continue
-        if answer.follows_log or not _follows_log(world, now_ms):
+        if answer.follows_log or not is_following(world, now_ms):
             world.holder_watch.heard_ms = max(
                 world.holder_watch.heard_ms, answer.sent_ms
             )
 
 
-def _follows_log(world: World, now_ms: int) -> bool:
-    """Return whether the log was read at its head within a poll and its bound."""
-    wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
-    late_ms = effective_value(world.agreed, "log.late_ms")
-    return fresh_age_ms(world, now_ms) <= wait_ms + READS_MISSED * late_ms
-
-
 def _claim(world: World, now_ms: int) -> None:
     for proposal in world.proposals:
         if isinstance(proposal.record.body, LeaseClaim):
@@ -106,7 +98,7 @@
 @system(Phase.REPORT, roles=(Role.ENTRY,))
 def answer_watchers(world: World, now_ms: int) -> None:
     """Tell other entries that this process is alive, and whether it follows."""
-    follows = _follows_log(world, now_ms)
+    follows = is_following(world, now_ms)
     reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
     for question in world.inbox.take(HolderAsked):
         world.outbox.put(Reply(question.exchange_id, STATUS_OK, reply))
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -21,7 +21,7 @@
     if body.key in agreed.key_claims:
         return Fault(f"key {body.key} is claimed", lost_race=True)
     if body.issued_ms <= agreed.floors.key_issued_ms:
-        return Fault(f"key {body.key} is too old to tell whether it was used")
+        return Fault(f"key {body.key} is too old to tell if it was used", stale=True)
     return None
 
 
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -98,6 +98,7 @@
     assert "a" not in folder.agreed.key_claims
     fault = folder.fold(claim("a", 100))
     assert "too old" in fault.reason
+    assert fault.stale
     assert folder.fold(claim("d", 200)) is None
 
 
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -1,6 +1,7 @@
 """Admission of callers' requests at an entry."""
 
 from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import refuse
@@ -52,7 +53,11 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
-    if message.key and not _is_claimed(world, message) and _is_silent(world, now_ms):
+    if (
+        message.key
+        and not _is_claimed(world, message)
+        and not is_following(world, now_ms)
+    ):
         return "the log is silent, so that no key can be claimed"
     return ""
 
@@ -65,13 +70,6 @@
     return f"{message.team}/{message.key}" if message.key else ""
 
 
-def _is_silent(world: World, now_ms: int) -> bool:
-    """Return whether the log has answered no read for longer than a read takes."""
-    wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
-    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    return now_ms - world.log_view.fresh_ms > wait_ms + timeout_ms
-
-
 def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
     path = team_path(message.team, message.urgency)
     bound_ms = effective_value(world.agreed, "request.timeout_ms", path)
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -28,9 +28,8 @@
     body = KeyClaimPut(request.key, attempt_id, minion.name, minion.incarnation)
     fault = fault_of(world.agreed, body)
     if fault is not None:
-        close_request(
-            world, request, Outcome.NOT_RUN, step="claim", reason=fault.reason
-        )
+        outcome = Outcome.UNKNOWN if fault.stale else Outcome.NOT_RUN
+        close_request(world, request, outcome, step="claim", reason=fault.reason)
         return
     claim_id = propose(world, body, now_ms)
     world.requests.update(
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -1,5 +1,6 @@
 """A non-idempotent request runs at most once."""
 
+from kingcuppost.systems.fold import keys
 from kingcuppost.systems.requests.tests.driver import Driver
 from kingcuppost.tables.inbox import AttemptArrived
 from kingcuppost.tables.job import Urgency
@@ -166,3 +167,15 @@
     sent = [item for item in driver.sent if isinstance(item, SendAttempt)]
     assert len(sent) == 1
     assert [driver.outcome(call) for call in calls] == [Outcome.ANSWERED] * 3
+
+
+def test_forgotten_key_is_never_told_not_run(monkeypatch) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    driver = started()
+    outcomes = []
+    for key in ("k1", "k2", "k1"):
+        asked = driver.ask("entry-0", f"charge-{key}", key)
+        driver.advance(1_000)
+        outcomes.append(driver.outcome(asked))
+    assert outcomes == [Outcome.ANSWERED, Outcome.ANSWERED, Outcome.UNKNOWN]
+    assert driver.runs["charge-k1"] == 1
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/worlds.py
@@ -150,7 +150,7 @@
         self.held: tuple[type, ...] = ()
         self.kept: list[Any] = []
         self.sent: list[Any] = []
-        self._read: ReadLog | None = None
+        self._reads: list[ReadLog] = []
 
     @property
     def now_ms(self) -> int:
@@ -163,7 +163,7 @@
             run_tick(self.world, systems_of(self.world.identity.role), self.now_ms)
             for message in self.world.outbox.take_all():
                 self._dispatch(message)
-            self._answer_read()
+            self._answer_reads()
             if not len(self.world.inbox):
                 return
         raise AssertionError("the process does not come to rest")
@@ -186,7 +186,7 @@
     def _dispatch(self, message: Any) -> None:
         self.sent.append(message)
         if isinstance(message, ReadLog):
-            self._read = message
+            self._reads.append(message)
         elif isinstance(message, AppendRecords):
             if self.log.up:
                 self.log.records.extend(message.records)
@@ -197,12 +197,18 @@
         elif isinstance(message, WORKER_ORDERS):
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
-    def _answer_read(self) -> None:
-        read = self._read
+    def _answer_reads(self) -> None:
+        """Answer every read under way, but those that wait for a new record."""
+        reads, self._reads = self._reads, []
+        for read in reads:
+            head = len(self.log.records)
+            if self.log.up and read.wait_ms and read.after >= head:
+                self._reads.append(read)
+            else:
+                self._answer_read(read)
+
+    def _answer_read(self, read: ReadLog) -> None:
         head = len(self.log.records)
-        if read is None or (self.log.up and read.wait_ms and read.after >= head):
-            return
-        self._read = None
         if not self.log.up:
             self.world.inbox.put(ReadDone(read.read_id, False, reason="down"))
             return
