--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -25,6 +25,7 @@
 __all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "want_barrier"]
 
 READS_UNDER_WAY = 4
+MOST_DOUBLINGS = 3
 
 
 @system(Phase.FOLD)
@@ -40,6 +41,7 @@
         if not done.ok:
             _note_failed_read(world, done, now_ms)
             continue
+        world.log_view.failed_reads = 0
         _drop_overtaken(world, read, now_ms)
         if world.log_view.search is not None:
             take_search_read(world, done, now_ms)
@@ -71,9 +73,16 @@
 
 
 def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
+    """Pause before the next read, longer and at random while the log is down.
+
+    Processes that lost the log together must not come back to it together.
+    """
+    view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
-    world.log_view.next_read_ms = now_ms + retry_ms
-    world.deadlines.add(world.log_view.next_read_ms)
+    retry_ms *= 2 ** min(view.failed_reads, MOST_DOUBLINGS)
+    view.failed_reads += 1
+    view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
+    world.deadlines.add(view.next_read_ms)
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
--- a/kingcuppost/systems/agreement/search.py
+++ b/kingcuppost/systems/agreement/search.py
@@ -89,7 +89,6 @@
     view.search = None
     view.searched = True
     world.snapshots.covers = parts[0].covers
-    world.snapshots.wall_ms = world.clock.wall_ms()
     _judge_proposals(world)
     note(world, "log.snapshot", f"Started from the snapshot of {parts[0].covers}.")
 
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -140,6 +140,20 @@
     assert len(entry.reads) == 1
 
 
+def test_processes_come_back_to_the_log_apart(log: FakeLog, clock: ManualClock) -> None:
+    pauses = []
+    for seed in range(20):
+        entry = FakeEntry(f"entry-{seed}", log, clock, seed)
+        for _ in range(6):
+            entry.tick(*[ReadDone(row.read_id, False) for row in entry.reads])
+            entry.reads.clear()
+            pauses.append(entry.world.log_view.next_read_ms - clock.now_ms())
+            clock.advance(2_000)
+            entry.tick()
+    assert max(pauses) <= 1_600
+    assert len({pause for pause in pauses if pause > 800}) > 10
+
+
 def test_process_that_cannot_show_freshness_places_nothing(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -88,6 +88,21 @@
     assert len(snapshot_offsets(log)) == 3
 
 
+def test_restart_of_the_holder_does_not_put_the_next_snapshot_off(
+    log: FakeLog, clock: ManualClock
+) -> None:
+    entry = start(log, clock)
+    clock.advance(HOUR_MS)
+    entry.settle()
+    log.expire(snapshot_offsets(log)[0] - 1)
+    clock.advance(HOUR_MS // 2)
+    again = start(log, clock, seed=9)
+    written = len(snapshot_offsets(log))
+    clock.advance(HOUR_MS // 2)
+    again.settle()
+    assert len(snapshot_offsets(log)) > written
+
+
 def test_only_the_holder_writes(log: FakeLog, clock: ManualClock) -> None:
     start(log, clock)
     other = start(log, clock, "entry-1", 2)
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -168,6 +168,8 @@
         Reads under way by identifier.
     next_read_ms : int
         Earliest time of the next read.
+    failed_reads : int
+        Reads that failed since the last one that did not.
     barrier_ms : int
         A fresh read sent at or after this time is wanted; -1 if none is.
     caught_up : bool
@@ -185,6 +187,7 @@
     fresh_ms: int = -1
     reads: dict[str, ReadUnderWay] = field(default_factory=dict)
     next_read_ms: int = 0
+    failed_reads: int = 0
     barrier_ms: int = -1
     caught_up: bool = False
     search: SnapshotSearch | None = None
