Merge the time line by cause, explain requests, and test the command line

Cause: the time line sorted by log offset and wall clock, asked only the processes that the operator named, and knew nothing of messages between processes; a skew of minutes put an answer before its request. There was no explanation for a request, and no way to see the fleet or a process's state from the command line.

Ruled out: correcting clocks by estimates (a wrong estimate reorders as well); one order by offset alone (a process that lags serves a request that a later offset caused).

Change: events name the message or record that they send or follow; the merge keeps sequences, messages and records in order and lets offset and clock decide among the rest. Claims of keys carry the decision with its settings, so that any entry explains a request after a restart. `fleet` and `status` are new.

Conclusion: order rests on causes that the processes state; clocks only break ties.

--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -14,12 +14,14 @@
     parse_address,
     print_failure,
 )
+from kingcuppost.exception import Failure
 from kingcuppost.programs.command import Exchange, exchange_all
 from kingcuppost.tables.request import Outcome
 
 __all__ = ["print_answer", "send", "send_to"]
 
 STATUS_OK = 200
+STEP_CONNECT = "connect"
 STATUS_INVALID = (400, 404, 409, 422)
 
 
@@ -63,15 +65,28 @@
     text = json.dumps(body).encode("utf-8") if body is not None else b""
     result = exchange_all([Exchange(method, path, parse_address(address), text)])[0]
     if result.is_error():
-        return print_failure(result.error)
+        return _print_silence(result.error, method)
     return print_answer(result.ok.status, result.ok.body, as_json, show)
 
 
+def _print_silence(failure: Failure, method: str) -> int:
+    """Print why there is no answer; a change that was sent may have been made."""
+    code = print_failure(failure)
+    if method == "GET" or failure.step == STEP_CONNECT:
+        return code
+    print("kingcuppost: the outcome is unknown", file=sys.stderr)
+    return EXIT_UNKNOWN
+
+
 def print_answer(
     status: int, text: bytes, as_json: bool, show: Callable[[Any], str] | None
 ) -> int:
     """Print an answer and return the exit code that fits its status."""
-    answer = json.loads(text)
+    try:
+        answer = json.loads(text)
+    except ValueError:
+        print(f"kingcuppost: status {status} without JSON", file=sys.stderr)
+        return EXIT_UNKNOWN
     if as_json:
         print(json.dumps(answer))
     elif status == STATUS_OK:
--- /dev/null
+++ b/kingcuppost/cli/explain.py
@@ -0,0 +1,92 @@
+"""Commands that show why something ran as it did."""
+
+import argparse
+from typing import Any
+from urllib.parse import quote
+
+from kingcuppost.cli.client import send
+from kingcuppost.cli.jobs import show_jobs, show_members
+from kingcuppost.cli.registry import add_operator_options, command
+
+__all__: list[str] = []
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    job = actions.add_parser("job", help="settings, decisions and outcome of a job")
+    job.add_argument("name", help="name of the job")
+    request = actions.add_parser("request", help="the same for a request")
+    request.add_argument("name", metavar="TEAM/KEY", help="team and key of the request")
+    for action in (job, request):
+        add_operator_options(action)
+
+
+@command("explain", "Show what a job or request ran under, and why.", _add_options)
+def run_explain(args: argparse.Namespace) -> int:
+    """Show settings, decisions, refused alternatives and the outcome."""
+    name = quote(args.name, safe="")
+    if args.action == "job":
+        return send(args, "GET", f"/v1/jobs/{name}/explain", show=show_job_explanation)
+    path = f"/v1/requests/explain?key={name}"
+    return send(args, "GET", path, show=show_request_explanation)
+
+
+def show_job_explanation(answer: Any) -> str:
+    """Return a job with its gangs and their decisions, for people."""
+    job = answer["job"]
+    lines = [show_jobs({"rows": [job]})]
+    lines.append(f"submitted at offset {job['submitted_offset']}")
+    if job["result"]:
+        lines.append(f"result, kept in the log: {job['result']}")
+    if not answer["gangs"]:
+        lines.append("no gang was placed for it")
+    for gang in answer["gangs"]:
+        borrowed = ", borrowed" if gang["borrowed"] else ""
+        lines.append(
+            f"gang {gang['key']}, placed at offset {gang['placed_offset']} in term "
+            f"{gang['term']}{borrowed}"
+        )
+        lines.extend(show_members(gang))
+        lines.extend(_show_decision(gang["decision"]))
+        if gang["reason"]:
+            lines.append(f"  stopped: {gang['reason']}")
+    return "\n".join(lines)
+
+
+def show_request_explanation(answer: Any) -> str:
+    """Return a request with its claim and outcome, for people."""
+    lines = [f"request {answer['key']}: {answer['outcome']}"]
+    lines.append(f"known by {answer['known_by']}")
+    claim = answer["claim"]
+    if claim is not None:
+        lines.append(
+            f"claimed at offset {claim['offset']} by attempt {claim['attempt_id']} "
+            f"for {claim['minion']}, process {claim['minion_incarnation']}"
+        )
+        if claim["decision"] is not None:
+            lines.extend(_show_decision(claim["decision"]))
+    else:
+        lines.append("settings that hold now:")
+        lines.extend(_show_values(answer["settings_now"]))
+    for event in answer["events"]:
+        lines.append(f"  {event['process']} {event['step']}: {event['text']}")
+    return "\n".join(lines)
+
+
+def _show_decision(decision: Any) -> list[str]:
+    lines = [
+        f"  by policy {decision['policy']}, settings up to offset "
+        f"{decision['settings_offset']}:"
+    ]
+    lines.extend(_show_values(decision["values"]))
+    for item in decision["refused"]:
+        lines.append(f"  not on {item['place']}: {item['reason']}")
+    return lines
+
+
+def _show_values(values: list[Any]) -> list[str]:
+    return [
+        f"  {row['key']} = {row['value']} from {row['path']}, "
+        f"offset {row['offset']}, {row['operator'] or 'no operator'}"
+        for row in values
+    ]
--- /dev/null
+++ b/kingcuppost/cli/fleet.py
@@ -0,0 +1,80 @@
+"""Commands that show the fleet and how far a process is."""
+
+import argparse
+from typing import Any
+
+from kingcuppost.cli.client import send
+from kingcuppost.cli.registry import add_operator_options, command
+from kingcuppost.cli.tables import format_table
+
+__all__: list[str] = []
+
+NEVER_FRESH = -1
+
+
+@command("fleet", "Show entries, minions and workers.", add_operator_options)
+def run_fleet(args: argparse.Namespace) -> int:
+    """Show every process and worker that the log knows."""
+    return send(args, "GET", "/v1/fleet", show=show_fleet)
+
+
+def show_fleet(answer: Any) -> str:
+    """Return tables of entries, minions and workers, for people."""
+    tables = (
+        format_table(
+            ["ENTRY", "ZONE", "STATE", "HOST", "CALLERS", "OPERATORS", "OFFSET"],
+            [_entry_row(row) for row in answer["entries"]],
+        ),
+        format_table(
+            ["MINION", "SERVICE", "ZONE", "WORKER", "STATE", "SLOTS", "OPERATORS"],
+            [_minion_row(row) for row in answer["minions"]],
+        ),
+        format_table(
+            ["WORKER", "ZONE", "RACK", "CORES", "MEMORY MB", "ACCELERATORS"],
+            [_worker_row(row) for row in answer["workers"]],
+        ),
+    )
+    return "\n\n".join(tables)
+
+
+def _entry_row(row: Any) -> list[object]:
+    names = ("name", "availability_zone", "state", "host", "caller_port")
+    return [*(row[name] for name in names), row["operator_port"], row["offset"]]
+
+
+def _minion_row(row: Any) -> list[object]:
+    names = ("name", "service", "availability_zone", "worker", "state", "slots")
+    address = f"{row['host']}:{row['operator_port']}"
+    return [*(row[name] for name in names), address]
+
+
+def _worker_row(row: Any) -> list[object]:
+    names = ("name", "availability_zone", "rack", "cores", "memory_mb")
+    return [*(row[name] for name in names), row["accelerators"]]
+
+
+@command("status", "Show how far a process has followed the log.", add_operator_options)
+def run_status(args: argparse.Namespace) -> int:
+    """Show the offsets, the scheduling lease and the open work of a process."""
+    return send(args, "GET", "/v1/status", show=show_status)
+
+
+def show_status(answer: Any) -> str:
+    """Return the state of a process, one fact a line."""
+    identity = answer["identity"]
+    lease = answer["lease"]
+    age_ms = answer["fresh_age_ms"]
+    fresh = "never read at its head" if age_ms == NEVER_FRESH else f"{age_ms} ms ago"
+    return "\n".join(
+        [
+            f"process: {identity['role']} {identity['name']}, incarnation "
+            f"{identity['incarnation']}, in {identity['availability_zone']}",
+            f"log: folded {answer['folded_offset']} of {answer['head_offset']}, "
+            f"last read at its head: {fresh}",
+            f"scheduling lease: term {lease['term']}, held by "
+            f"{lease['holder'] or 'nobody'}",
+            f"open: {answer['requests']} requests, {answer['attempts']} attempts, "
+            f"{answer['proposals']} records",
+            f"stopping: {'yes' if answer['stopping'] else 'no'}",
+        ]
+    )
--- a/kingcuppost/cli/jobs.py
+++ b/kingcuppost/cli/jobs.py
@@ -8,7 +8,7 @@
 from kingcuppost.cli.registry import add_operator_options, command
 from kingcuppost.cli.tables import format_table
 
-__all__: list[str] = []
+__all__ = ["show_jobs", "show_members"]
 
 DEFAULT_CALLERS = "127.0.0.1:7300"
 JOB_FIELDS = (
@@ -58,10 +58,11 @@
         return send(args, "POST", f"{path}/cancel", {"operator": args.operator})
     if args.name:
         return send(args, "GET", path, show=_show_job)
-    return send(args, "GET", "/v1/jobs", show=_show_jobs)
+    return send(args, "GET", "/v1/jobs", show=show_jobs)
 
 
-def _show_jobs(answer: Any) -> str:
+def show_jobs(answer: Any) -> str:
+    """Return a table of jobs."""
     rows = [
         [
             row["name"],
@@ -80,16 +81,17 @@
 
 
 def _show_job(answer: Any) -> str:
-    lines = [_show_jobs({"rows": [answer["job"]]})]
+    lines = [show_jobs({"rows": [answer["job"]]})]
     if answer["job"]["result"]:
         lines.append(f"result: {answer['job']['result']}")
     for gang in answer["gangs"]:
         lines.append(f"gang {gang['key']}: {gang['state']}")
-        lines.extend(_show_members(gang))
+        lines.extend(show_members(gang))
     return "\n".join(lines)
 
 
-def _show_members(gang: Any) -> list[str]:
+def show_members(gang: Any) -> list[str]:
+    """Return a line for each member of a gang."""
     return [
         f"  member {i} on {item['worker']}, accelerators {item['accelerators']}"
         for i, item in enumerate(gang["placements"])
@@ -122,35 +124,3 @@
         "timeout_ms": args.timeout_ms,
     }
     return send_to(args.callers, args.json, "POST", "/v1/requests", body, None)
-
-
-def _add_explain_options(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("job", help="name of the job")
-    add_operator_options(parser)
-
-
-@command("explain", "Show the settings and decisions of a job.", _add_explain_options)
-def run_explain(args: argparse.Namespace) -> int:
-    """Show what a job ran under."""
-    path = f"/v1/jobs/{quote(args.job, safe='')}/explain"
-    return send(args, "GET", path, show=_show_explanation)
-
-
-def _show_explanation(answer: Any) -> str:
-    lines = [_show_jobs({"rows": [answer["job"]]})]
-    for gang in answer["gangs"]:
-        decision = gang["decision"]
-        lines.append(
-            f"gang {gang['key']}, placed at offset {gang['placed_offset']} in term "
-            f"{gang['term']} by policy {decision['policy']}, settings up to offset "
-            f"{decision['settings_offset']}"
-        )
-        lines.extend(_show_members(gang))
-        for value in decision["values"]:
-            lines.append(
-                f"  {value['key']} = {value['value']} from {value['path']}, "
-                f"offset {value['offset']}, {value['operator'] or 'no operator'}"
-            )
-        for item in decision["refused"]:
-            lines.append(f"  not on {item['place']}: {item['reason']}")
-    return "\n".join(lines)
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -1,6 +1,7 @@
 """The registry of commands and what they share."""
 
 import argparse
+import os
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -71,7 +72,11 @@
         default=DEFAULT_ADDRESS,
         help=f"operators' address of an entry, IP:PORT (default {DEFAULT_ADDRESS})",
     )
-    parser.add_argument("--operator", default="operator", help="who makes the change")
+    parser.add_argument(
+        "--operator",
+        default=os.environ.get("USER") or "operator",
+        help="who makes the change (default: the user who is logged in)",
+    )
     parser.add_argument("--json", action="store_true", help="print JSON")
 
 
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -76,6 +76,7 @@
         cfg.worker.cores,
         cfg.worker.memory_mb,
         cfg.worker.accelerators,
+        world.announcement.operator_port,
     )
 
 
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -3,6 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
+from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import Verdict
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
@@ -82,14 +83,7 @@
         reason = fault.reason if fault else ""
         verdict = Verdict(fault is None, item.offset, reason)
         world.verdicts[item.record.record_id] = verdict
-    result = f"rejected: {fault.reason}" if fault else "applied"
-    note(
-        world,
-        f"fold.{item.record.body.kind}",
-        f"Record of {item.record.author} {result}.",
-        job=getattr(item.record.body, "job", ""),
-        offset=item.offset,
-    )
+    note_record(world, item.record, item.offset, fault.reason if fault else "")
 
 
 @system(Phase.PROPOSE)
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -4,6 +4,7 @@
 from kingcuppost.systems.agreement.wishes import complete
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import Fault, fault_of
+from kingcuppost.systems.record_events import note_proposal
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import Proposal, ProposalState, Verdict
 from kingcuppost.tables.identity import Role
@@ -77,6 +78,7 @@
     )
     if give_up_ms:
         world.deadlines.add(give_up_ms)
+    note_proposal(world, record)
     return record.record_id
 
 
@@ -113,6 +115,7 @@
 
 
 def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
+    note(world, "change.refuse", f"Change not made: {reason}.")
     refusal = ChangeRefused(Outcome.NOT_RUN, STEP, world.identity.name, reason)
     world.outbox.put(Reply(exchange_id, status, refusal))
 
--- a/kingcuppost/systems/events.py
+++ b/kingcuppost/systems/events.py
@@ -3,7 +3,18 @@
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.world import World
 
-__all__ = ["note"]
+__all__ = ["answer_id", "note"]
+
+
+def answer_id(attempt_id: str) -> str:
+    """Return the identifier of the answer to an attempt, for the time line.
+
+    Examples
+    --------
+    >>> answer_id("att-1")
+    'att-1/answer'
+    """
+    return f"{attempt_id}/answer"
 
 
 def note(
@@ -17,6 +28,8 @@
     team: str = "",
     availability_zone: str = "",
     offset: int = 0,
+    sends: str = "",
+    receives: str = "",
 ) -> None:
     """Add an event to the process's part of the time line.
 
@@ -33,6 +46,8 @@
         What it concerns.
     offset : int
         Log offset concerned; the folded offset if 0.
+    sends, receives : str
+        Message or record that leaves with the event, or that it follows from.
     """
     world.event_count += 1
     world.events.append(
@@ -49,5 +64,7 @@
             team,
             availability_zone,
             offset or world.log_view.folded_offset,
+            sends,
+            receives,
         )
     )
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -57,6 +57,7 @@
             body.connections,
             MemberState.SERVING,
             item.offset,
+            body.operator_port,
         )
     )
     agreed.workers.put(
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -27,6 +27,7 @@
             body.minion_incarnation,
             item.offset,
             item.record.wall_ms,
+            decision=body.decision,
         )
     )
 
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -2,7 +2,7 @@
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.agreement.propose import propose
-from kingcuppost.systems.events import note
+from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptDone
@@ -60,6 +60,15 @@
             continue
         _note_health(world, attempt, done, now_ms)
         request = world.requests.get(attempt.request_id)
+        note(
+            world,
+            "request.answer",
+            f"Attempt {done.attempt_id} is {done.outcome}.",
+            peer=attempt.minion,
+            request=(request and request.key) or attempt.request_id,
+            team=request.team if request else "",
+            receives=answer_id(done.attempt_id),
+        )
         if request is not None:
             _conclude(world, request, done, now_ms)
 
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -4,6 +4,7 @@
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
+from kingcuppost.systems.requests.decision import decision_of
 from kingcuppost.tables.fleet import MemberState, Minion
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import HeartbeatArrived
@@ -90,7 +91,10 @@
         _follow_claim(world, request, now_ms)
         return
     attempt_id = new_identifier(world.rng, "att")
-    body = KeyClaimPut(request.key, attempt_id, minion.name, minion.incarnation)
+    decision = decision_of(world, request, minion)
+    body = KeyClaimPut(
+        request.key, attempt_id, minion.name, minion.incarnation, decision
+    )
     propose(world, body, now_ms)
     world.requests.update(request.request_id, state=RequestState.CLAIMING)
 
@@ -159,6 +163,7 @@
         peer=minion.name,
         request=request.key or request.request_id,
         team=request.team,
+        sends=attempt_id,
     )
 
 
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -1,5 +1,6 @@
 """Serving attempts at a sidecar: slots, repeats, and the hand-over."""
 
+from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptArrived, MinionAnswered
@@ -86,6 +87,13 @@
     )
     world.served.put(row)
     world.deadlines.add(row.deadline_ms)
+    note(
+        world,
+        "serve.receive",
+        f"Attempt {row.attempt_id} received.",
+        team=row.team,
+        receives=row.attempt_id,
+    )
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,))
@@ -119,6 +127,13 @@
     reason: str = "",
 ) -> None:
     waiting = row.exchange_ids
+    note(
+        world,
+        "serve.close",
+        f"Attempt {row.attempt_id} {state}{': ' + reason if reason else ''}.",
+        team=row.team,
+        sends=answer_id(row.attempt_id),
+    )
     world.served.update(
         row.attempt_id,
         state=state,
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -1,12 +1,18 @@
-"""What a job ran under: settings, decisions, alternatives."""
+"""What a job or request ran under: settings, decisions, alternatives, outcome."""
 
 from dataclasses import dataclass
 
+from kingcuppost.settings import effective, team_path
+from kingcuppost.systems.requests.decision import request_keys
 from kingcuppost.systems.views.registry import views
-from kingcuppost.tables.job import Gang, Job
+from kingcuppost.tables.agreement import KeyClaim
+from kingcuppost.tables.event import Event
+from kingcuppost.tables.fleet import MemberState, Minion
+from kingcuppost.tables.job import EffectiveValue, Gang, Job
+from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.world import World
 
-__all__ = ["JobExplanation"]
+__all__ = ["JobExplanation", "RequestExplanation"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +23,34 @@
     gangs: tuple[Gang, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RequestExplanation:
+    """A request with its claim in the log, its outcome and who knows that.
+
+    Attributes
+    ----------
+    key : str
+        ``TEAM/KEY``, or the identifier of an idempotent request.
+    claim : KeyClaim or None
+        The one right to run it, with the decision; None if nobody holds it.
+    outcome : str
+        ``"answered"``, ``"unknown"``, or ``"not_claimed"``.
+    known_by : str
+        Who can tell the outcome.
+    settings_now : tuple of EffectiveValue
+        Values that hold for the team's requests at present.
+    events : tuple of Event
+        What the process that answers remembers of the request.
+    """
+
+    key: str
+    claim: KeyClaim | None
+    outcome: str
+    known_by: str
+    settings_now: tuple[EffectiveValue, ...]
+    events: tuple[Event, ...]
+
+
 @views.register("explain_job")
 def explain_job(world: World, argument: str) -> JobExplanation | None:
     """Return what a job ran under; ended gangs are kept for this."""
@@ -26,3 +60,42 @@
     ended = tuple(world.agreed.ended_gangs.find("job", argument))
     running = tuple(world.agreed.gangs.find("job", argument))
     return JobExplanation(job, ended + running)
+
+
+@views.register("explain_request")
+def explain_request(world: World, argument: str) -> RequestExplanation | None:
+    """Return what became of a request, from the log and this process's events."""
+    claim = world.agreed.key_claims.get(argument)
+    events = tuple(event for event in world.events if event.request == argument)
+    team = argument.partition("/")[0]
+    if claim is None and not events and team not in world.agreed.teams:
+        return None
+    path = team_path(team) if team in world.agreed.teams else ""
+    values = tuple(effective(world.agreed, path, key) for key in request_keys())
+    if claim is None:
+        known_by = "the log: nobody may run it, or its claim is past the retention"
+        return RequestExplanation(
+            argument, None, "not_claimed", known_by, values, events
+        )
+    known_by = _known_by(world, claim)
+    outcome = claim.outcome or Outcome.UNKNOWN
+    return RequestExplanation(argument, claim, outcome, known_by, values, events)
+
+
+def _known_by(world: World, claim: KeyClaim) -> str:
+    minion = world.agreed.minions.get(claim.minion)
+    alive = _is_claimed(minion, claim)
+    if claim.outcome:
+        holder = f"; sidecar of {claim.minion} has the answer" if alive else ""
+        return f"the log{holder}"
+    if alive:
+        return f"sidecar of {claim.minion}, process {claim.minion_incarnation}"
+    return f"nobody: process {claim.minion_incarnation} of {claim.minion} has gone"
+
+
+def _is_claimed(minion: Minion | None, claim: KeyClaim) -> bool:
+    return (
+        minion is not None
+        and minion.incarnation == claim.minion_incarnation
+        and minion.state is MemberState.SERVING
+    )
--- /dev/null
+++ b/kingcuppost/systems/views/tests/test_merge.py
@@ -0,0 +1,128 @@
+"""The merged time line keeps cause before effect under skewed clocks."""
+
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kingcuppost.systems.views.merge import merge_events
+from kingcuppost.tables.event import Event
+
+MINUTES_MS = 600_000
+PROCESSES = ("entry-0", "entry-1", "minion-0", "minion-1")
+
+
+class Run:
+    """A made-up run: processes that fold a log, and messages between them."""
+
+    def __init__(self, rng: random.Random, skews: list[int]) -> None:
+        self.rng = rng
+        self.skews = dict(zip(PROCESSES, skews, strict=True))
+        self.log: list[str] = []
+        self.folded = dict.fromkeys(PROCESSES, 0)
+        self.events: list[Event] = []
+        self.messages: list[str] = []
+        self.clock_ms = MINUTES_MS
+
+    def note(self, process: str, step: str, **links: str) -> None:
+        self.clock_ms += self.rng.randrange(3)
+        sequence = sum(event.process == process for event in self.events) + 1
+        self.events.append(
+            Event(
+                self.clock_ms + self.skews[process],
+                process,
+                "inc",
+                sequence,
+                step,
+                "",
+                offset=self.folded[process],
+                **links,
+            )
+        )
+
+    def step(self) -> None:
+        process = self.rng.choice(PROCESSES)
+        self.rng.choice((self.propose, self.fold, self.send, self.receive))(process)
+
+    def propose(self, process: str) -> None:
+        record = f"rec-{len(self.log)}"
+        self.note(process, "propose.x", sends=record)
+        self.log.append(record)
+
+    def fold(self, process: str) -> None:
+        if self.folded[process] < len(self.log):
+            self.folded[process] += 1
+            record = self.log[self.folded[process] - 1]
+            self.note(process, "fold.x", receives=record)
+
+    def send(self, process: str) -> None:
+        message = f"msg-{len(self.events)}"
+        self.note(process, "request.send", sends=message)
+        self.messages.append(message)
+
+    def receive(self, process: str) -> None:
+        if self.messages:
+            message = self.messages.pop(self.rng.randrange(len(self.messages)))
+            self.note(process, "serve.receive", receives=message)
+
+
+skew = st.integers(-MINUTES_MS, MINUTES_MS)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(st.integers(0, 2**32), st.lists(skew, min_size=4, max_size=4))
+def test_skewed_clocks_reorder_no_cause_and_effect(seed: int, skews: list[int]) -> None:
+    rng = random.Random(seed)
+    run = Run(rng, skews)
+    for _ in range(80):
+        run.step()
+    shuffled = rng.sample(run.events, len(run.events))
+    merged = merge_events(shuffled)
+    assert sorted(merged, key=id) == sorted(run.events, key=id)
+    check_sequences(merged)
+    check_links(merged)
+    check_records(merged)
+
+
+def check_sequences(merged: list[Event]) -> None:
+    for process in PROCESSES:
+        numbers = [event.sequence for event in merged if event.process == process]
+        assert numbers == sorted(numbers)
+
+
+def check_links(merged: list[Event]) -> None:
+    sent = set()
+    for event in merged:
+        assert not event.receives or event.receives in sent
+        sent.add(event.sends)
+
+
+def check_records(merged: list[Event]) -> None:
+    """No event goes before the proposal of a record that it has seen."""
+    proposed = [event.sends for event in merged if event.step == "propose.x"]
+    place = {event.sends: number for number, event in enumerate(merged)}
+    folds = {e.offset: e.receives for e in merged if e.step == "fold.x"}
+    assert set(folds.values()) <= set(proposed)
+    for number, event in enumerate(merged):
+        for offset, record in folds.items():
+            if offset <= event.offset:
+                assert place[record] < number
+
+
+def test_offset_goes_before_clock() -> None:
+    early = Event(9_000, "entry-0", "a", 1, "fold.x", "", offset=4)
+    late = Event(1_000, "entry-1", "b", 1, "fold.x", "", offset=5)
+    assert merge_events([late, early]) == [early, late]
+
+
+def test_clock_decides_among_equals() -> None:
+    first = Event(1_000, "entry-1", "b", 1, "x", "", offset=4)
+    second = Event(2_000, "entry-0", "a", 1, "x", "", offset=4)
+    assert merge_events([second, first]) == [first, second]
+
+
+def test_contradicting_events_are_kept() -> None:
+    one = Event(1_000, "entry-0", "a", 1, "x", "", sends="m", receives="n")
+    two = replace(one, process="entry-1", sends="n", receives="m")
+    assert len(merge_events([one, two])) == 2
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from kingcuppost.tables.job import Decision
 from kingcuppost.tables.record import Record
 
 __all__ = [
@@ -182,6 +183,8 @@
         Log offset and time of the claim.
     outcome : str
         ``"answered"``, ``"not_run"`` or empty while unknown.
+    decision : Decision or None
+        Why the request went there; None if the claim does not tell.
     """
 
     key: str
@@ -191,3 +194,4 @@
     offset: int
     wall_ms: int
     outcome: str = ""
+    decision: Decision | None = None
--- a/kingcuppost/tables/event.py
+++ b/kingcuppost/tables/event.py
@@ -25,6 +25,10 @@
         What it concerns; empty where nothing applies.
     offset : int
         Log offset folded or concerned at the time.
+    sends : str
+        Identifier of the message or record that leaves with the event.
+    receives : str
+        Identifier of the message or record that the event follows from.
     """
 
     wall_ms: int
@@ -39,3 +43,5 @@
     team: str = ""
     availability_zone: str = ""
     offset: int = 0
+    sends: str = ""
+    receives: str = ""
--- a/kingcuppost/tables/fleet.py
+++ b/kingcuppost/tables/fleet.py
@@ -81,6 +81,8 @@
         Whether new work is welcome.
     offset : int
         Log offset of the record that set the row.
+    operator_port : int
+        Port of the sidecar for operators; 0 if it did not tell.
     """
 
     name: str
@@ -94,6 +96,7 @@
     connections: int
     state: MemberState
     offset: int
+    operator_port: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -104,6 +104,7 @@
     cores: int
     memory_mb: int
     accelerators: int
+    operator_port: int = 0
     kind: Literal["minion_announce"] = "minion_announce"
 
 
@@ -236,6 +237,7 @@
     attempt_id: str
     minion: str
     minion_incarnation: str
+    decision: Decision | None = None
     kind: Literal["key_claim_put"] = "key_claim_put"
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -45,7 +45,7 @@
         "the gang has finished",
     )
     command(deployment, "job", "show", "planning")
-    command(deployment, "explain", "planning")
+    command(deployment, "explain", "job", "planning")
 
 
 def main() -> int:
@@ -65,6 +65,7 @@
         order = [*options, "--body", '{"id": "order-7"}', "--key", "order-7"]
         print(deployment.request(*order).stdout)
         print(deployment.request(*order, entry="entry-1").stdout)
+        command(deployment, "explain", "request", "design/order-7")
         step("A gang of 2 members with 4 accelerators each")
         run_gang(deployment)
         step("A zone is taken out, and back in")
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,85 @@
+"""What operators see of running processes: time line and explanations."""
+
+import json
+
+from standins.processes import Deployment, wait_until
+from tests.test_path import TEAM, ask, job_state, prepare, submit
+
+
+def timeline(deployment: Deployment, *filters: str) -> tuple[list[dict], str]:
+    done = deployment.run("timeline", "--json", *filters)
+    assert done.returncode == 0, done.stderr
+    return [json.loads(line) for line in done.stdout.splitlines()], done.stderr
+
+
+def test_timeline_merges_all_processes_and_names_silent_ones(
+    deployment: Deployment,
+) -> None:
+    prepare(deployment, minions=2)
+    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o"}
+    assert ask(deployment, "entry-0", **order)[0] == 200
+    payload = json.dumps({"run_ms": 100, "result": "plan"})
+    submit(deployment, "planning", members=2, accelerators=4, payload=payload)
+    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    rows, errors = timeline(deployment)
+    assert errors == ""
+    names = {row["process"] for row in rows}
+    assert names == {"entry-0", "entry-1", "minion-0", "minion-1"}
+    steps = [row["step"] for row in rows if row["job"] == "planning"]
+    assert steps.index("propose.gang_release") < steps.index("member.start")
+    assert steps.index("member.start") < steps.index("fold.gang_finish")
+    sent = {row["sends"]: number for number, row in enumerate(rows) if row["sends"]}
+    for number, row in enumerate(rows):
+        assert sent.get(row["receives"], -1) < number
+    rows, _ = timeline(deployment, "--request", f"{TEAM}/o")
+    assert {"request.admit", "request.send"} <= {row["step"] for row in rows}
+    deployment.processes["minion-1"].kill()
+    port = deployment.processes["minion-1"].ports["operators"]
+    _, errors = timeline(deployment)
+    assert f"127.0.0.1:{port}" in errors
+
+
+def test_request_is_explained_by_any_entry_after_a_restart(
+    deployment: Deployment,
+) -> None:
+    prepare(deployment, minions=2)
+    done = deployment.run(
+        "settings", "set", "request.attempts", "2", "--path", f"teams/{TEAM}"
+    )
+    assert done.returncode == 0
+    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o"}
+    assert ask(deployment, "entry-0", **order)[0] == 200
+    for name in ("entry-0", "entry-1"):
+        deployment.processes[name].kill()
+        deployment.start_entry(name)
+    for name in ("entry-0", "entry-1"):
+        wait_until(
+            lambda name=name: (
+                deployment.show("/v1/jobs", name).get("rows") is not None
+                and deployment.show("/v1/status", name)["fresh_age_ms"] >= 0
+            ),
+            "state is back",
+        )
+        shown = deployment.run("explain", "request", f"{TEAM}/o", entry=name)
+        assert shown.returncode == 0, shown.stderr
+        assert "answered" in shown.stdout
+        assert f"request.attempts = 2 from teams/{TEAM}" in shown.stdout
+
+
+def test_wrong_change_is_one_line_and_changes_nothing(deployment: Deployment) -> None:
+    prepare(deployment, minions=1)
+    offset = deployment.show("/v1/status")["folded_offset"]
+    for argv in (
+        ("team", "put", "Bad Name!", "--guarantee", "2x4"),
+        ("team", "put", "design", "--guarantee", "0x4"),
+        ("availability-zone", "out", "nowhere"),
+        ("settings", "set", "job.lease_ms", "soon"),
+        ("settings", "set", "job.no_such_key", "1"),
+        ("settings", "set", "job.lease_ms", "4000", "--path", "teams/nobody"),
+        ("job", "submit", "--team", "nobody"),
+        ("job", "show", "nothing"),
+    ):
+        done = deployment.run(*argv)
+        assert done.returncode == 2, (argv, done.stdout, done.stderr)
+        assert len(done.stderr.splitlines()) == 1, done.stderr
+    assert deployment.show("/v1/status")["folded_offset"] == offset
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -91,7 +91,7 @@
     payload = json.dumps({"run_ms": 200, "result": "plan"})
     submit(deployment, "planning", members=2, accelerators=4, payload=payload)
     wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
-    shown = deployment.run("explain", "planning")
+    shown = deployment.run("explain", "job", "planning")
     assert shown.returncode == 0
     assert "job.lease_ms = 5000 from default" in shown.stdout
     assert starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
