--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -5,7 +5,15 @@
 from collections.abc import Sequence
 
 from kingcuppost import __version__
-from kingcuppost.cli import changes, explain, fleet, jobs, processes, timeline
+from kingcuppost.cli import (
+    changes,
+    explain,
+    fleet,
+    jobs,
+    processes,
+    reference,
+    timeline,
+)
 from kingcuppost.cli.registry import EXIT_INVALID, commands
 from kingcuppost.exception import InvalidInputError
 
@@ -42,4 +50,4 @@
         return EXIT_INVALID
 
 
-del changes, explain, fleet, jobs, processes, timeline
+del changes, explain, fleet, jobs, processes, reference, timeline
--- /dev/null
+++ b/kingcuppost/cli/reference.py
@@ -0,0 +1,137 @@
+"""The command that prints reference tables for the pages of the documentation."""
+
+import argparse
+from collections.abc import Callable
+from typing import Any
+
+from pydantic import BaseModel
+
+from kingcuppost.cli.registry import EXIT_OK, command
+from kingcuppost.edges.routes import routes
+from kingcuppost.models.files import FileModel
+from kingcuppost.settings import KEYS
+from kingcuppost.settings.keys import SettingKey
+from kingcuppost.systems.views.metrics import metrics
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["references"]
+
+references: Registry[str, Callable[[], str]] = Registry("reference")
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("topic", choices=sorted(references))
+
+
+@command("reference", "Print a reference table in Markdown.", _add_options)
+def run_reference(args: argparse.Namespace) -> int:
+    """Print one reference table."""
+    print(references[args.topic]())
+    return EXIT_OK
+
+
+def _table(titles: list[str], rows: list[list[str]]) -> str:
+    lines = [titles, ["---"] * len(titles), *rows]
+    return "\n".join(f"| {' | '.join(line)} |" for line in lines)
+
+
+@references.register("settings")
+def settings_reference() -> str:
+    """Return the keys of the settings tree."""
+    rows = [
+        [
+            f"`{key.name}`",
+            f"`{key.default}`",
+            key.unit or "-",
+            _bounds_of(key),
+            key.text,
+        ]
+        for _, key in sorted(KEYS.items())
+    ]
+    return _table(["key", "default", "unit", "allowed", "meaning"], rows)
+
+
+def _bounds_of(key: SettingKey) -> str:
+    if key.choices:
+        return ", ".join(f"`{choice}`" for choice in key.choices)
+    if key.least is None and key.most is None:
+        return type(key.default).__name__
+    least = "" if key.least is None else f"{key.least:.10g}"
+    most = "" if key.most is None else f"{key.most:.10g}"
+    return f"{least} to {most}"
+
+
+@references.register("files")
+def files_reference() -> str:
+    """Return the keys of a process's settings file."""
+    rows: list[list[str]] = []
+    _add_fields(rows, FileModel, "")
+    return _table(["key", "type", "default"], rows)
+
+
+def _add_fields(rows: list[list[str]], model: type[BaseModel], prefix: str) -> None:
+    schema = model.model_json_schema()
+    for name, field in model.model_fields.items():
+        nested = _model_in(field.annotation)
+        if nested is not None:
+            _add_fields(rows, nested, f"{prefix}{name}.")
+            continue
+        default = "required" if field.is_required() else f"`{field.default}`"
+        kind = _kind_of(schema, schema["properties"][name])
+        rows.append([f"`{prefix}{name}`", kind, default])
+
+
+def _model_in(annotation: Any) -> type[BaseModel] | None:
+    for kind in (annotation, *getattr(annotation, "__args__", ())):
+        if isinstance(kind, type) and issubclass(kind, BaseModel):
+            return kind
+    return None
+
+
+def _kind_of(schema: dict[str, Any], part: dict[str, Any]) -> str:
+    """Return the type of a field with its bounds, in words."""
+    if "$ref" in part:
+        part = schema["$defs"][part["$ref"].rpartition("/")[2]]
+    if "anyOf" in part:
+        part = part["anyOf"][0]
+    if "enum" in part:
+        return ", ".join(f"`{value}`" for value in part["enum"])
+    text = part["type"]
+    if "pattern" in part:
+        text += f" matching `{part['pattern']}`"
+    if "minimum" in part:
+        text += f", at least {part['minimum']}"
+    if "maximum" in part:
+        text += f", at most {part['maximum']}"
+    return text
+
+
+@references.register("metrics")
+def metrics_reference() -> str:
+    """Return the metrics of a process."""
+    rows = [
+        [
+            f"`{metric.name}`",
+            str(metric.kind),
+            ", ".join(metric.labels) or "-",
+            metric.text,
+        ]
+        for metric in sorted(metrics.values(), key=lambda metric: metric.name)
+    ]
+    return _table(["metric", "kind", "labels", "meaning"], rows)
+
+
+@references.register("routes")
+def routes_reference() -> str:
+    """Return the routes of all surfaces."""
+    rows = [
+        [item.surface, f"`{item.method}`", f"`{item.path}`", _text_of(item.parse)]
+        for item, _ in sorted(
+            routes, key=lambda pair: (pair[0].surface, pair[0].path, pair[0].method)
+        )
+    ]
+    return _table(["surface", "method", "path", "what it does"], rows)
+
+
+def _text_of(function: Callable) -> str:
+    return (function.__doc__ or "").strip().partition("\n")[0]
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -1,6 +1,7 @@
 """The loop: a tick when something arrived or a deadline is due, else nothing."""
 
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -58,8 +59,12 @@
         world = self._context.world
         self.ticks += 1
         try:
+            started_s = time.perf_counter()
             run_tick(world, self._systems, world.clock.now_ms())
+            took_s = time.perf_counter() - started_s
+            world.tally.observe("tick", took_s * MS_PER_SECOND)
             for message in world.outbox.take_all():
+                world.tally.add("messages_sent", type(message).__name__)
                 senders[type(message)](self._context, message)
         except Exception:
             self._abandon()
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -2,22 +2,35 @@
 
 import logging
 import sys
+from itertools import accumulate
 from typing import Any
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import GaugeMetricFamily
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from pythonjsonlogger.json import JsonFormatter
 from twisted.web.server import Request
 
 from kingcuppost.edges.context import EdgeContext
 from kingcuppost.edges.routes import route
 from kingcuppost.systems.agreement.follow import is_fresh
+from kingcuppost.systems.views.metrics import (
+    Metric,
+    MetricKind,
+    metrics,
+    read_durations,
+    read_samples,
+)
 from kingcuppost.tables.event import Event
+from kingcuppost.tables.metrics import DURATION_BOUNDS_MS
 from kingcuppost.tables.world import World
 
 __all__ = ["EventLog", "WorldCollector", "configure_logs"]
 
-STATUS_OK = 200
+MS_PER_SECOND = 1_000
 STATUS_UNAVAILABLE = 503
 OPERATORS = "operators"
 
@@ -30,26 +43,39 @@
 
     def collect(self) -> Any:
         """Yield the metric families."""
-        world = self._world
-        view = world.log_view
-        gauges = {
-            "folded_offset": ("Log offset applied last.", view.folded_offset),
-            "log_head_offset": ("Newest known log offset.", view.head_offset),
-            "log_fresh_age_ms": (
-                "Age of the last read at the head, in ms; -1 before any.",
-                world.clock.now_ms() - view.fresh_ms if view.fresh_ms >= 0 else -1,
-            ),
-            "scheduling_term": ("Present scheduling term.", world.agreed.lease.term),
-            "open_requests": ("Requests held open.", len(world.requests)),
-            "open_attempts": ("Attempts under way.", len(world.attempts)),
-            "open_proposals": ("Records waiting for the log.", len(world.proposals)),
-            "tasks": ("Members known at this sidecar.", len(world.tasks)),
-            "jobs": ("Jobs known.", len(world.agreed.jobs)),
-            "gangs": ("Gangs that hold accelerators.", len(world.agreed.gangs)),
-            "events": ("Events since the start.", world.event_count),
-        }
-        for name, (text, value) in gauges.items():
-            yield GaugeMetricFamily(f"kingcuppost_{name}", text, value=value)
+        for name, metric in metrics.items():
+            yield FAMILIES[metric.kind](self._world, name, metric)
+
+
+def _gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
+    family = GaugeMetricFamily(metric.name, metric.text, labels=metric.labels)
+    for labels, value in read_samples(world, name):
+        family.add_metric(labels, value)
+    return family
+
+
+def _counter_family(world: World, name: str, metric: Metric) -> CounterMetricFamily:
+    family = CounterMetricFamily(metric.name, metric.text, labels=metric.labels)
+    for labels, value in read_samples(world, name):
+        family.add_metric(labels, value)
+    return family
+
+
+def _histogram_family(world: World, name: str, metric: Metric) -> Any:
+    family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
+    for labels, row in read_durations(world, name):
+        below = accumulate(row.buckets)
+        bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
+        buckets = list(zip(bounds, below, strict=True))
+        family.add_metric(labels, buckets, row.sum_ms / MS_PER_SECOND)
+    return family
+
+
+FAMILIES = {
+    MetricKind.GAUGE: _gauge_family,
+    MetricKind.COUNTER: _counter_family,
+    MetricKind.HISTOGRAM: _histogram_family,
+}
 
 
 @route(OPERATORS, "GET", "/metrics", direct=True)
@@ -57,6 +83,7 @@
     """Serve the metrics of the process."""
     registry = CollectorRegistry()
     registry.register(WorldCollector(context.world))
+    ProcessCollector(registry=registry)
     request.setHeader(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
     return generate_latest(registry)
 
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -24,6 +24,7 @@
     HeartbeatModel,
     HolderModel,
 )
+from kingcuppost.systems.views import views
 from kingcuppost.tables.inbox import Propose, ShowView
 
 __all__ = ["Call", "Route", "find_route", "route", "routes"]
@@ -175,11 +176,13 @@
 def _show(path: str, view: str, parameter: str = "") -> None:
     """Serve a view under a path; its argument is part of the path or query."""
 
-    @route(OPERATORS, "GET", path)
     def show(call: Call) -> Result[Any, Failure]:
         argument = call.names.get(parameter) or call.query.get(parameter, "")
         return Ok(ShowView(call.exchange_id, view, argument))
 
+    show.__doc__ = views[view].__doc__
+    route(OPERATORS, "GET", path)(show)
+
 
 _show("/v1/teams", "teams")
 _show("/v1/teams/{name}", "team", "name")
@@ -198,11 +201,13 @@
 def _from_peer(path: str, model: type) -> None:
     """Serve messages of the system's other processes."""
 
-    @route(PEERS, "POST", path)
     def receive(call: Call) -> Result[Any, Failure]:
         parsed = decode(model, call.body, call.peer)
         return parsed.map(lambda item: item.to_message(call.exchange_id))
 
+    receive.__doc__ = model.__doc__
+    route(PEERS, "POST", path)(receive)
+
 
 _from_peer("/peer/attempts", AttemptModel)
 _from_peer("/peer/heartbeats", HeartbeatModel)
--- /dev/null
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -0,0 +1,120 @@
+"""Whatever stands in a body, a route answers with a message or a clear refusal."""
+
+import json
+import re
+from dataclasses import is_dataclass
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kingcuppost.edges.routes import Call, Route, find_route, routes
+from kingcuppost.programs import make_world
+from kingcuppost.systems import run_tick, systems_of
+from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.inbox import Propose
+from kingcuppost.tables.outbox import AppendRecords, Reply
+
+NOWHERE = Address("127.0.0.1", 0)
+PARSED = [item for item, _ in routes if item.direct is None]
+WITH_BODY = [item for item in PARSED if item.method != "GET"]
+FIELDS = sorted(
+    {
+        *("operator", "name", "team", "members", "accelerators", "cores", "memory_mb"),
+        *("urgency", "declared_ms", "payload", "guarantees", "accelerator_limit"),
+        *("base_offset", "region", "in_service", "path", "key", "value", "service"),
+        *("body", "idempotent", "timeout_ms", "attempt_id", "incarnation", "reports"),
+        *("minion", "free_slots", "leaving", "reason", "count", "job", "state"),
+    }
+)
+scalars = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.text(max_size=80)
+    | st.sampled_from(["design", "interactive", "job.lease_ms", "running", "teams/x"])
+)
+values = st.recursive(
+    scalars,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.sampled_from(FIELDS), inner, max_size=6)
+    ),
+    max_leaves=12,
+)
+bodies = st.binary(max_size=200) | st.builds(
+    lambda value: json.dumps(value).encode(),
+    st.dictionaries(st.sampled_from(FIELDS), values, max_size=14) | values,
+)
+
+
+def call_of(item: Route, name: str, body: bytes) -> Call:
+    names = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
+    return Call("exc-1", names, {"path": name, "key": name}, body, "127.0.0.1:1")
+
+
+@pytest.mark.parametrize("item", PARSED, ids=lambda item: f"{item.method} {item.path}")
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(name=st.text(max_size=80), body=bodies)
+def test_parser_gives_a_message_or_a_reason(
+    item: Route, name: str, body: bytes
+) -> None:
+    parsed = item.parse(call_of(item, name, body))
+    if parsed.is_ok():
+        assert is_dataclass(parsed.ok)
+    else:
+        assert parsed.error.reason
+        assert "\n" not in parsed.error.reason
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    surface=st.sampled_from(["callers", "operators", "peers"]),
+    method=st.sampled_from(["GET", "PUT", "POST", "DELETE", ""]),
+    path=st.text(max_size=60),
+)
+def test_any_path_is_found_or_not(surface: str, method: str, path: str) -> None:
+    found = find_route(surface, method, path)
+    assert found is None or found[0].surface == surface
+
+
+@pytest.mark.parametrize(
+    "item", WITH_BODY, ids=lambda item: f"{item.method} {item.path}"
+)
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(name=st.text(min_size=1, max_size=80), body=bodies)
+def test_systems_survive_what_the_border_lets_through(
+    item: Route, name: str, body: bytes
+) -> None:
+    """A tick over any message that passed changes no agreed table by itself."""
+    parsed = item.parse(call_of(item, name, body))
+    if parsed.is_error():
+        return
+    log = LogConfig("http", NOWHERE)
+    entry = EntryConfig(NOWHERE, NOWHERE)
+    cfg = ProcessConfig(Role.ENTRY, "e", "vid-a", "v", NOWHERE, log, entry, seed=1)
+    world = make_world(cfg)
+    world.log_view.caught_up = True
+    if type(parsed.ok).__name__ in ENTRY_MESSAGES:
+        world.inbox.put(parsed.ok)
+    run_tick(world, systems_of(Role.ENTRY), 1_000)
+    assert len(world.agreed.teams) == len(world.agreed.settings) == 0
+    if isinstance(parsed.ok, Propose):
+        sent = list(world.outbox.take_all())
+        kinds = {type(message) for message in sent}
+        assert kinds & {Reply, AppendRecords}
+
+
+ENTRY_MESSAGES = {"Propose", "CallerRequest", "HeartbeatArrived", "HolderAsked"}
+
+
+@pytest.mark.parametrize(
+    "value", [10**400, float("inf"), float("nan"), 2**63, -(2**63) - 1, "\ud800"]
+)
+def test_extreme_setting_values_are_refused(value: object) -> None:
+    route, names = find_route("operators", "PUT", "/v1/settings")
+    body = json.dumps({"operator": "x", "key": "job.lease_ms", "value": value})
+    parsed = route.parse(Call("exc-1", names, {}, body.encode(), "p"))
+    assert parsed.is_error()
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -18,7 +18,7 @@
 class BorderModel(BaseModel):
     """A message from or to the outside; unknown fields are refused."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 def decode(model: type[Model], text: bytes, peer: str) -> Result[Model, Failure]:
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -10,13 +10,15 @@
 
 __all__ = ["AppendModel", "ReadModel", "record_of", "to_read_done"]
 
-_body = TypeAdapter(Annotated[Body, Field(discriminator="kind")])
+_body = TypeAdapter(
+    Annotated[Body, Field(discriminator="kind")], config=ConfigDict(defer_build=True)
+)
 
 
 class StoredModel(BaseModel):
     """A record with its offset; the value is text that the log does not read."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", defer_build=True)
 
     offset: int = Field(ge=1)
     value: str
@@ -25,7 +27,7 @@
 class ReadModel(BaseModel):
     """The answer to a read."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", defer_build=True)
 
     records: list[StoredModel]
     head: int = Field(ge=0)
@@ -41,7 +43,7 @@
 class RecordModel(BaseModel):
     """The text of a record."""
 
-    model_config = ConfigDict(extra="ignore")
+    model_config = ConfigDict(extra="ignore", defer_build=True)
 
     record_id: str
     author: str
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -1,5 +1,7 @@
 """Messages of operators to the administration API."""
 
+from typing import Annotated
+
 from pydantic import Field
 
 from kingcuppost.models.base import BorderModel
@@ -32,6 +34,14 @@
 MOST_CORES = 4_096
 MOST_MEMORY_MB = 16_777_216
 LONGEST_RUN_MS = 31_536_000_000
+LONGEST_SETTING = 256
+LARGEST_NUMBER = 2**53
+
+WholeNumber = Annotated[int, Field(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER)]
+RealNumber = Annotated[
+    float, Field(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER, allow_inf_nan=False)
+]
+SettingText = Annotated[str, Field(max_length=LONGEST_SETTING)]
 
 
 class OperatorModel(BorderModel):
@@ -92,7 +102,7 @@
 
     path: str = Field(default="", max_length=256)
     key: str = Field(min_length=1, max_length=128)
-    value: bool | int | float | str | None
+    value: bool | WholeNumber | RealNumber | SettingText | None
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
     def to_body(self) -> SettingPut:
--- a/kingcuppost/systems/events.py
+++ b/kingcuppost/systems/events.py
@@ -50,6 +50,7 @@
         Message or record that leaves with the event, or that it follows from.
     """
     world.event_count += 1
+    world.tally.add("events", step)
     world.events.append(
         Event(
             world.clock.wall_ms(),
--- a/kingcuppost/systems/record_events.py
+++ b/kingcuppost/systems/record_events.py
@@ -67,6 +67,7 @@
     fault : str
         Why it has no effect; empty if it was applied.
     """
+    _tally_record(world, record, fault)
     result = f"rejected, {fault}" if fault else "applied"
     note(
         world,
@@ -76,3 +77,15 @@
         receives=record.record_id,
         **subjects_of(record),
     )
+
+
+def _tally_record(world: World, record: Record, fault: str) -> None:
+    """Count a record; of a change, also how long it took to be in force here.
+
+    Records from before the start are left out, and clocks that differ count as 0.
+    """
+    world.tally.add("records_folded", "rejected" if fault else "applied")
+    is_config = isinstance(record.body, SettingPut | TeamPut | ZonePut)
+    if is_config and not fault and world.log_view.caught_up:
+        took_ms = max(0, world.clock.wall_ms() - record.wall_ms)
+        world.tally.observe("config_apply", took_ms)
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -49,6 +49,9 @@
         request=request.key or request.request_id,
         team=request.team,
     )
+    took_ms = world.clock.now_ms() - request.created_ms
+    world.tally.add("requests", request.team, outcome)
+    world.tally.observe("request", took_ms, request.team, outcome)
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -21,6 +21,7 @@
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, GangState, Job
 from kingcuppost.tables.mailbox import Mailbox
+from kingcuppost.tables.metrics import Tally
 from kingcuppost.tables.request import Attempt, Health, Request, ServedAttempt
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
@@ -101,6 +102,8 @@
         When a sidecar last heard an entry.
     stopping : bool
         Whether a graceful stop is under way.
+    tally : Tally
+        Counts and durations for the metrics.
     """
 
     cfg: ProcessConfig
@@ -138,6 +141,7 @@
     gang_stages: dict[str, tuple[GangState, int]] = field(default_factory=dict)
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=EVENTS_KEPT))
     event_count: int = 0
+    tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
     renew_ms: int = 0
     adopted: bool = False
--- /dev/null
+++ b/standins/tests/test_pages.py
@@ -0,0 +1,36 @@
+"""The pages in docs/ match the code."""
+
+from pathlib import Path
+
+import pytest
+
+from kingcuppost.cli.reference import references
+from kingcuppost.edges.routes import routes
+from standins.pages import DOCS, renewed
+
+PAGES = sorted(DOCS.glob("*.md"))
+HOME = {
+    "settings": "SETTINGS.md",
+    "files": "SETTINGS.md",
+    "metrics": "METRICS.md",
+    "routes": "API.md",
+}
+
+
+@pytest.mark.parametrize("path", PAGES, ids=lambda path: path.name)
+def test_tables_are_fresh(path: Path) -> None:
+    text = path.read_text(encoding="utf-8")
+    assert renewed(text) == text, "run scripts/reference"
+
+
+@pytest.mark.parametrize("topic", list(references))
+def test_each_table_stands_on_its_page(topic: str) -> None:
+    page = (DOCS / HOME[topic]).read_text(encoding="utf-8")
+    assert references[topic]() in page
+
+
+def test_every_route_is_on_the_page_with_its_purpose() -> None:
+    page = (DOCS / "API.md").read_text(encoding="utf-8")
+    for item, _ in routes:
+        assert f"| `{item.method}` | `{item.path}` |" in page
+        assert item.parse.__doc__
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,7 +1,12 @@
 """What operators see of running processes: time line and explanations."""
 
 import json
+import random
+import re
+import urllib.error
+import urllib.request
 
+from kingcuppost.edges.routes import routes
 from standins.processes import Deployment, wait_until
 from tests.test_path import TEAM, ask, job_state, prepare, submit
 
@@ -83,3 +88,47 @@
         assert done.returncode == 2, (argv, done.stdout, done.stderr)
         assert len(done.stderr.splitlines()) == 1, done.stderr
     assert deployment.show("/v1/status")["folded_offset"] == offset
+
+
+def send_raw(port: int, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}", body, method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=60) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as exc:
+        return exc.code, exc.read()
+
+
+def bad_bodies(rng: random.Random) -> list[bytes]:
+    noise = rng.randbytes(rng.randrange(1, 60))
+    wrong = {"operator": rng.choice([1, None, "", "x" * 99]), "value": [noise.hex()]}
+    return [
+        noise,
+        b"",
+        b"[" * 2_000,
+        b'{"operator": "x", "in_service": "perhaps"}',
+        b'{"operator": "x", "key": "job.lease_ms", "value": NaN}',
+        b'{"operator": "x", "key": "job.lease_ms", "value": 1e999}',
+        b'{"operator": "x", "key": "job.lease_ms", "value": ' + b"9" * 400 + b"}",
+        json.dumps(wrong).encode(),
+    ]
+
+
+def test_bad_input_is_refused_and_changes_nothing(deployment: Deployment) -> None:
+    prepare(deployment, minions=1)
+    entry = deployment.processes["entry-0"]
+    offset = deployment.show("/v1/status")["folded_offset"]
+    rng = random.Random(6)
+    for item, _ in routes:
+        if item.method == "GET":
+            continue
+        path = re.sub(r"\{\w+\}", "%00x%F0", item.path)
+        for body in bad_bodies(rng):
+            port = entry.ports[item.surface]
+            status, answer = send_raw(port, item.method, path, body)
+            assert 400 <= status < 500, (item, body, status, answer)
+            assert json.loads(answer)["outcome"] == "not_run"
+    assert entry.popen.poll() is None
+    assert deployment.show("/v1/status")["folded_offset"] == offset
