--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -8,6 +8,7 @@
 from kingcuppost.systems.fold import fault_of
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
+from kingcuppost.systems.requests.decision import decision_of
 from kingcuppost.systems.requests.sending import send
 from kingcuppost.tables.fleet import Minion
 from kingcuppost.tables.identity import Role
@@ -25,7 +26,13 @@
         _follow_claim(world, request, now_ms)
         return
     attempt_id = new_identifier(world.rng, "att")
-    body = KeyClaimPut(request.key, attempt_id, minion.name, minion.incarnation)
+    body = KeyClaimPut(
+        request.key,
+        attempt_id,
+        minion.name,
+        minion.incarnation,
+        decision=decision_of(world, request, minion),
+    )
     fault = fault_of(world.agreed, body)
     if fault is not None:
         close_request(
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -105,6 +105,7 @@
     cores: int
     memory_mb: int
     accelerators: int
+    operator_port: int = 0
     kind: Literal["minion_announce"] = "minion_announce"
 
 
@@ -242,6 +243,7 @@
     minion: str
     minion_incarnation: str
     issued_ms: int = 0
+    decision: Decision | None = None
     kind: Literal["key_claim_put"] = "key_claim_put"
 
 
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -27,6 +27,7 @@
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, GangState, Job
 from kingcuppost.tables.mailbox import Mailbox
+from kingcuppost.tables.metrics import Tally
 from kingcuppost.tables.pools import ServicePools
 from kingcuppost.tables.request import (
     Attempt,
@@ -134,6 +135,8 @@
         When the scheduler looks at each gang again.
     advance_term : int
         Scheduling term in which gangs were last looked at.
+    tally : Tally
+        Counts and durations for the metrics.
     """
 
     cfg: ProcessConfig
@@ -187,6 +190,7 @@
     gang_stages: dict[str, tuple[GangState, int]] = field(default_factory=dict)
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=EVENTS_KEPT))
     event_count: int = 0
+    tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
     renew_ms: int = 0
     adopted: bool = False
