--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -14,8 +14,10 @@
 from kingcuppost.systems.agreement.snapshots import watch_part
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
+from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import ReadUnderWay, Verdict
+from kingcuppost.tables.claims import RecentRecord
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
@@ -119,22 +121,13 @@
         verdict = Verdict(fault is None, item.offset, reason, unknown=stale)
     if item.record.record_id in world.proposals:
         world.verdicts[item.record.record_id] = verdict
-    _note_record(world, item, verdict, repeat=known is not None)
-
-
-def _note_record(
-    world: World, item: FoldedRecord, verdict: Verdict, *, repeat: bool
-) -> None:
-    result = "applied" if verdict.accepted else f"rejected: {verdict.reason}"
-    if repeat:
-        result = f"passed over, a repeat of offset {verdict.offset}"
-    note(
-        world,
-        f"fold.{item.record.body.kind}",
-        f"Record of {item.record.author} {result}.",
-        job=getattr(item.record.body, "job", ""),
-        offset=item.offset,
-    )
+    note_record(world, item.record, item.offset, _fault_text(verdict, known))
+
+
+def _fault_text(verdict: Verdict, known: RecentRecord | None) -> str:
+    if known is not None:
+        return f"a repeat of offset {known.offset}"
+    return "" if verdict.accepted else verdict.reason
 
 
 @system(Phase.PROPOSE)
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -16,6 +16,7 @@
 __all__ = ["admit", "forget_lost"]
 
 RETRY_AFTER_MS = 1_000
+CLOCK_SKEW_MS = 60_000
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
@@ -53,6 +54,8 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
+    if message.key_issued_ms > world.clock.wall_ms() + CLOCK_SKEW_MS:
+        return "the key was made in the future"
     if (
         message.key
         and not _is_claimed(world, message)
@@ -87,6 +90,7 @@
         state=state,
         created_ms=now_ms,
         deadline_ms=now_ms + timeout_ms,
+        key_issued_ms=message.key_issued_ms,
     )
 
 
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -1,7 +1,7 @@
 """Answers to callers, and what follows from an attempt's outcome."""
 
 from kingcuppost.systems.agreement.propose import propose
-from kingcuppost.systems.events import note
+from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.health import note_answer, note_failure
 from kingcuppost.systems.requests.pools import refresh_pool
@@ -58,6 +58,9 @@
         request=request.key or request.request_id,
         team=request.team,
     )
+    took_ms = world.clock.now_ms() - request.created_ms
+    world.tally.add("requests", request.team, outcome)
+    world.tally.observe("request", took_ms, request.team, outcome)
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
@@ -75,6 +78,14 @@
         if (done.running or not answered) and may_repeat(world, attempt, done):
             repeat_later(world, attempt, done, now_ms)
             continue
+        note(
+            world,
+            "request.answer",
+            f"Attempt {done.attempt_id} is {done.outcome}.",
+            peer=attempt.minion,
+            request=attempt.key or attempt.request_id,
+            receives=answer_id(done.attempt_id),
+        )
         _end(world, attempt, done, now_ms)
 
 
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -60,6 +60,7 @@
         peer=minion.name,
         request=request.key or request.request_id,
         team=request.team,
+        sends=attempt.attempt_id,
     )
 
 
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.memory import is_forgotten, remember
 from kingcuppost.tables.identity import Role
@@ -123,6 +124,13 @@
         _finish(world, row, ServedState.NOT_RUN, now_ms, reason=refusal)
         return
     world.deadlines.add(row.deadline_ms)
+    note(
+        world,
+        "serve.receive",
+        f"Attempt {row.attempt_id} received.",
+        team=row.team,
+        receives=row.attempt_id,
+    )
 
 
 def _refusal(world: World) -> str:
@@ -163,6 +171,13 @@
     answer: str = "",
     reason: str = "",
 ) -> None:
+    note(
+        world,
+        "serve.close",
+        f"Attempt {row.attempt_id} {state}{': ' + reason if reason else ''}.",
+        team=row.team,
+        sends=answer_id(row.attempt_id),
+    )
     world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
     for held in world.held.find("attempt_id", row.attempt_id):
         world.held.delete(held.exchange_id)
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -179,3 +179,26 @@
         outcomes.append(driver.outcome(asked))
     assert outcomes == [Outcome.ANSWERED, Outcome.ANSWERED, Outcome.UNKNOWN]
     assert driver.runs["charge-k1"] == 1
+
+
+def test_key_with_an_issue_time_is_taken_after_others_were_forgotten(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    driver = started()
+    outcomes = []
+    for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
+        asked = driver.ask("entry-0", f"charge-{key}", key, key_issued_ms=issued_ms)
+        driver.advance(1_000)
+        outcomes.append(driver.outcome(asked))
+    answered = Outcome.ANSWERED
+    assert outcomes == [answered, answered, Outcome.UNKNOWN, answered]
+    assert driver.runs["charge-k1"] == 1
+
+
+def test_key_from_the_future_is_refused_as_not_run() -> None:
+    driver = started()
+    asked = driver.ask("entry-0", "charge", "k", key_issued_ms=2**52)
+    driver.advance(1_000)
+    assert driver.outcome(asked) is Outcome.NOT_RUN
+    assert driver.runs["charge"] == 0
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/worlds.py
@@ -198,20 +198,20 @@
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
     def _answer_reads(self) -> None:
-        """Answer every read under way, but those that wait for a new record."""
+        """Answer the reads that need not wait at the log any more."""
         reads, self._reads = self._reads, []
         for read in reads:
-            head = len(self.log.records)
-            if self.log.up and read.wait_ms and read.after >= head:
+            waits = read.wait_ms and read.after >= len(self.log.records)
+            if self.log.up and waits:
                 self._reads.append(read)
             else:
                 self._answer_read(read)
 
     def _answer_read(self, read: ReadLog) -> None:
-        head = len(self.log.records)
         if not self.log.up:
             self.world.inbox.put(ReadDone(read.read_id, False, reason="down"))
             return
+        head = len(self.log.records)
         rows = tuple(
             FoldedRecord(offset + 1, self.log.records[offset])
             for offset in range(read.after, head)
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -41,6 +41,7 @@
     urgency: Urgency
     key: str
     timeout_ms: int
+    key_issued_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
