Keep the decisions of the newest 200 keys only

Ruled out: no decision in the claim (explain of a request needs it); fewer claims (a shorter memory of keys). Change: the fold drops the decision of a claim once 200 newer ones stand.

--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -1,13 +1,14 @@
 """Records about the keys of non-idempotent requests."""
 
 from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.claims import KeyClaim
+from kingcuppost.tables.claims import ExplainedKey, KeyClaim
 from kingcuppost.tables.record import KeyClaimPut, KeyOutcome
 from kingcuppost.tables.world import Agreed
 
 __all__: list[str] = []
 
 KEY_CLAIMS = 10_000
+EXPLAINED_KEYS = 200
 
 
 @checkers.register(KeyClaimPut)
@@ -40,6 +41,11 @@
             decision=body.decision,
         )
     )
+    _forget_claims(agreed)
+    _forget_decisions(agreed, body.key)
+
+
+def _forget_claims(agreed: Agreed) -> None:
     while len(agreed.key_claims) > KEY_CLAIMS:
         forgotten = agreed.key_claims.delete(agreed.key_claims.first().key)
         agreed.floors.key_issued_ms = max(
@@ -47,6 +53,17 @@
         )
 
 
+def _forget_decisions(agreed: Agreed, newest: str) -> None:
+    """Keep the decisions of the newest keys only; they outweigh the claims."""
+    agreed.explained_keys.delete(newest)
+    agreed.explained_keys.put(ExplainedKey(newest))
+    while len(agreed.explained_keys) > EXPLAINED_KEYS:
+        key = agreed.explained_keys.first().key
+        agreed.explained_keys.delete(key)
+        if key in agreed.key_claims:
+            agreed.key_claims.update(key, decision=None)
+
+
 @checkers.register(KeyOutcome)
 def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Fault | None:
     """Refuse the outcome of an attempt that does not hold the key."""
--- a/kingcuppost/systems/fold/snapshot.py
+++ b/kingcuppost/systems/fold/snapshot.py
@@ -54,8 +54,12 @@
 
 
 def _weight_of(row: Any) -> int:
-    """Return 1 for a plain row, more for the placements of a gang."""
-    return 1 + len(getattr(row, "placements", ()))
+    """Return 1 for a plain row, more for placements and for a decision."""
+    weight = 1 + len(getattr(row, "placements", ()))
+    decision = getattr(row, "decision", None)
+    if decision is not None:
+        weight += len(decision.values) + len(decision.refused)
+    return weight
 
 
 def load_slices(agreed: Agreed, slices: Iterable[AgreedSlice]) -> None:
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from kingcuppost.systems.fold import (
@@ -145,3 +147,12 @@
     folder.fold(JobCancel("a", "test"))
     assert slices[0].jobs == ()
     assert before[0].jobs[0].state is JobState.WAITING
+
+
+def test_only_the_newest_keys_keep_their_decision(folder, monkeypatch) -> None:
+    monkeypatch.setattr(keys, "EXPLAINED_KEYS", 2)
+    for number, key in enumerate("abc"):
+        body = replace(claim(key, number), decision=Decision("p", 0))
+        assert folder.fold(body) is None
+    kept = [row.key for row in folder.agreed.key_claims if row.decision]
+    assert kept == ["b", "c"]
--- a/kingcuppost/tables/claims.py
+++ b/kingcuppost/tables/claims.py
@@ -4,7 +4,14 @@
 
 from kingcuppost.tables.job import Decision
 
-__all__ = ["EndedJob", "Floors", "KeyClaim", "RecentRecord", "SchedulingLease"]
+__all__ = [
+    "EndedJob",
+    "ExplainedKey",
+    "Floors",
+    "KeyClaim",
+    "RecentRecord",
+    "SchedulingLease",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +72,8 @@
     issued_ms : int
         When the caller says that it made the key, Unix ms; 0 if not said.
     decision : Decision or None
-        Why the request went there; None if the claim does not tell.
+        Why the request went there; None if the claim does not tell, or is not
+        among the newest.
     """
 
     key: str
@@ -95,6 +103,19 @@
     offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExplainedKey:
+    """A claimed key whose decision is still kept, in the order of claiming.
+
+    Attributes
+    ----------
+    key : str
+        ``TEAM/KEY`` of the caller.
+    """
+
+    key: str
+
+
 @dataclass(slots=True)
 class Floors:
     """Bounds below which the fold has forgotten, and therefore refuses.
--- a/kingcuppost/tables/snapshot.py
+++ b/kingcuppost/tables/snapshot.py
@@ -4,6 +4,7 @@
 
 from kingcuppost.tables.claims import (
     EndedJob,
+    ExplainedKey,
     Floors,
     KeyClaim,
     RecentRecord,
@@ -37,5 +38,6 @@
     key_claims: tuple[KeyClaim, ...] = ()
     recent: tuple[RecentRecord, ...] = ()
     ended_jobs: tuple[EndedJob, ...] = ()
+    explained_keys: tuple[ExplainedKey, ...] = ()
     lease: SchedulingLease | None = None
     floors: Floors | None = None
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -16,7 +16,7 @@
     Verdict,
 )
 from kingcuppost.tables.announcement import Announcement
-from kingcuppost.tables.claims import EndedJob, Floors
+from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.due import DueKeys
@@ -88,6 +88,7 @@
     recent: Table[RecentRecord] = field(default_factory=lambda: Table("record_id"))
     lease: SchedulingLease = field(default_factory=SchedulingLease)
     ended_jobs: Table[EndedJob] = field(default_factory=lambda: Table("name"))
+    explained_keys: Table[ExplainedKey] = field(default_factory=lambda: Table("key"))
     floors: Floors = field(default_factory=Floors)
 
 
