Judge a silent log by its last answer, not by the age of the view

In an idle system the age of the view runs from 2 s to 4 s, since it counts from the sending of a read that waits 2 s; the bound was 3.5 s. The asker took itself for cut off once in each read, and counted the holder's answer. By the same bound, keyed requests were refused for part of each read, and `/readyz` said "not fresh" most of the time. Ruled out: a longer bound (a dead log would be noticed after 6 s). Change: `heard_ms`, when a read at the head was last answered, is the measure of `is_following`; lease, admission and `/readyz` share it.

--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -16,7 +16,7 @@
 
 from kingcuppost.edges.context import EdgeContext
 from kingcuppost.edges.routes import route
-from kingcuppost.systems.agreement.follow import is_fresh
+from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.views.metrics import (
     Metric,
     MetricKind,
@@ -99,8 +99,8 @@
     """Say whether the process has followed the log and welcomes work."""
     world = context.world
     if world.log_view.caught_up and not world.stopping:
-        fresh = is_fresh(world, world.clock.now_ms())
-        return b"ready\n" if fresh else b"ready, log not fresh\n"
+        follows = is_following(world, world.clock.now_ms())
+        return b"ready\n" if follows else b"ready, log not fresh\n"
     request.setResponseCode(STATUS_UNAVAILABLE)
     return b"not ready\n"
 
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -50,7 +50,7 @@
         elif is_search_due(world, done):
             begin_search(world, done, now_ms)
         else:
-            _fold_read(world, done, read)
+            _fold_read(world, done, read, now_ms)
             world.log_view.next_read_ms = now_ms
 
 
@@ -66,12 +66,12 @@
             del reads[read_id]
 
 
-def _fold_read(world: World, done: ReadDone, read: ReadUnderWay) -> None:
+def _fold_read(world: World, done: ReadDone, read: ReadUnderWay, now_ms: int) -> None:
     view = world.log_view
     for item in done.records:
         _fold_one(world, item)
     view.folded_offset = max(view.folded_offset, done.end)
-    _note_head(world, done, read.sent_ms)
+    _note_head(world, done, read.sent_ms, now_ms)
 
 
 def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
@@ -88,12 +88,13 @@
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
-def _note_head(world: World, done: ReadDone, sent_ms: int) -> None:
+def _note_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
     view = world.log_view
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
         return
     view.fresh_ms = max(view.fresh_ms, sent_ms)
+    view.heard_ms = now_ms
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
     if not view.caught_up:
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -20,14 +20,16 @@
 
 
 def is_following(world: World, now_ms: int) -> bool:
-    """Return whether the log has answered a read at its head within a poll.
+    """Return whether the log answered a read at its head within a poll.
 
     This is weaker than `is_fresh`: a process that follows may not start work, but
-    its log is not silent.
+    its log is not silent. The age of the view itself is no measure: in an idle
+    system it grows to twice the wait of a read.
     """
+    heard_ms = world.log_view.heard_ms
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
     silent_ms = effective_value(world.agreed, "log.silent_ms")
-    return fresh_age_ms(world, now_ms) <= wait_ms + silent_ms
+    return heard_ms >= 0 and now_ms - heard_ms <= wait_ms + silent_ms
 
 
 def want_barrier(world: World, now_ms: int) -> None:
--- a/kingcuppost/systems/agreement/search.py
+++ b/kingcuppost/systems/agreement/search.py
@@ -35,6 +35,7 @@
     if _is_gap(view, done.earliest):
         view.caught_up = False
         view.fresh_ms = -1
+        view.heard_ms = -1
         text = f"Offset {view.folded_offset + 1} has expired; looking for a snapshot."
         note(world, "log.expired", text)
     view.reads.clear()
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -1,6 +1,6 @@
 import pytest
 
-from kingcuppost.systems.agreement import is_fresh, want_barrier
+from kingcuppost.systems.agreement import is_following, is_fresh, want_barrier
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.tables.inbox import Propose, ReadDone
 from kingcuppost.tables.job import Urgency
@@ -169,3 +169,25 @@
     kinds = {row.record.body.kind for row in entry.world.proposals}
     assert "gang_place" not in kinds
     assert entry.world.log_view.barrier_ms >= 0
+
+
+def test_idle_process_follows_the_log_all_the_time(
+    entry: FakeEntry, log: FakeLog, clock: ManualClock
+) -> None:
+    for _ in range(100):
+        clock.advance(100)
+        for row, read in zip(
+            list(entry.reads), list(entry.world.log_view.reads.values()), strict=True
+        ):
+            if clock.now_ms() >= read.sent_ms + row.wait_ms:
+                entry.reads.remove(row)
+                entry.tick(log.read(row))
+        assert is_following(entry.world, clock.now_ms())
+
+
+def test_process_without_answers_does_not_follow(
+    entry: FakeEntry, clock: ManualClock
+) -> None:
+    clock.advance(POLL_MS + 1_600)
+    entry.tick()
+    assert not is_following(entry.world, clock.now_ms())
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -164,6 +164,8 @@
         Offset of the last record applied, and of the last known to exist.
     fresh_ms : int
         When the last read that ended at the head was sent; -1 before any.
+    heard_ms : int
+        When such a read was last answered; -1 before any.
     reads : dict of str to ReadUnderWay
         Reads under way by identifier.
     next_read_ms : int
@@ -185,6 +187,7 @@
     folded_offset: int = 0
     head_offset: int = 0
     fresh_ms: int = -1
+    heard_ms: int = -1
     reads: dict[str, ReadUnderWay] = field(default_factory=dict)
     next_read_ms: int = 0
     failed_reads: int = 0
