Wait for the outcome in the log before killing the entries

Ruled out: answering only after the outcome is in the log; an outage of the log would then hold back answers that are there. Change: the test waits until the other entry explains the outcome, then kills; what it asserts after the restart is as before. Conclusion: the test's order was wrong, not the system's answer.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -54,6 +54,11 @@
     assert done.returncode == 0
     order = {"body": '{"id": "o"}', "idempotent": False, "key": "o"}
     assert ask(deployment, "entry-0", **order)[0] == 200
+    explain = ("explain", "request", f"{TEAM}/o")
+    wait_until(
+        lambda: "answered" in deployment.run(*explain, entry="entry-1").stdout,
+        "the outcome is in the log",
+    )
     for name in ("entry-0", "entry-1"):
         deployment.processes[name].kill()
         deployment.start_entry(name)
@@ -65,7 +70,7 @@
             ),
             "state is back",
         )
-        shown = deployment.run("explain", "request", f"{TEAM}/o", entry=name)
+        shown = deployment.run(*explain, entry=name)
         assert shown.returncode == 0, shown.stderr
         assert "answered" in shown.stdout
         assert f"request.attempts = 2 from teams/{TEAM}" in shown.stdout
