Write events as log lines, and set the loop's timer before

Cause: found by the log outage test: every tick with an event ended in a KeyError, since the logging library keeps the field name 'process'. The timer was set after the log lines, so that a process slept until somebody spoke to it: a request whose deadline passed was answered after 60 s, when the next exchange woke the entry.

Ruled out: a clock that steps (none seen in 25 s of samples), a stopped log.

Change: the process's name goes under 'instance'; the timer is set first. Keys carry their time of issue into the claim, refused if it lies ahead of the entry's clock by more than 60 s, since a forgotten one would refuse all keys up to it. The bound for a silent log follows log.late_ms.

--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -64,10 +64,10 @@
         except Exception:
             self._abandon()
             return
-        self._after()
         if len(world.inbox):
             self.wake()
         self._set_timer()
+        self._after()
 
     def _abandon(self) -> None:
         """Log the fault and end the process.
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -113,5 +113,8 @@
 
 
 def _fields_of(event: Event) -> dict[str, str | int]:
-    names = (name for name in Event.__slots__ if name != "text")
-    return {name: getattr(event, name) for name in names if getattr(event, name) != ""}
+    """Return an event's fields; `process` is a name that the library keeps."""
+    names = (name for name in Event.__slots__ if name not in ("text", "process"))
+    fields = {name: getattr(event, name) for name in names}
+    fields["instance"] = event.process
+    return {name: value for name, value in fields.items() if value != ""}
--- /dev/null
+++ b/kingcuppost/edges/tests/test_observe.py
@@ -0,0 +1,35 @@
+"""Events become log lines, each with a fixed prefix."""
+
+import json
+
+import pytest
+
+from kingcuppost.edges import EventLog, configure_logs
+from kingcuppost.programs import make_world
+from kingcuppost.systems.events import note
+from kingcuppost.tables.config import Address, LogConfig, ProcessConfig
+from kingcuppost.tables.identity import Role
+
+NOWHERE = Address("127.0.0.1", 0)
+
+
+def test_event_is_written_as_one_json_line(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    cfg = ProcessConfig(
+        role=Role.ENTRY,
+        name="entry-0",
+        availability_zone="vid-a",
+        region="vidzeme",
+        peers=NOWHERE,
+        log=LogConfig("none", NOWHERE),
+        seed=1,
+    )
+    world = make_world(cfg)
+    events = EventLog(world, configure_logs(world, "INFO"))
+    note(world, "request.admit", "Request admitted.", team="design")
+    events.flush()
+    line = json.loads(capsys.readouterr().err)
+    assert line["message"] == "request: Request admitted."
+    assert line["instance"] == "entry-0"
+    assert line["team"] == "design"
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -29,6 +29,10 @@
         False for a request that runs at most once; it carries a key.
     key : str
         Names a non-idempotent request among those of its team.
+    issued_ms : int
+        When the caller made the key, Unix ms; the same in every retry. Keys made
+        before the oldest that is remembered are refused, as are keys without a
+        time once any was forgotten.
     timeout_ms : int
         Time within which the answer is of use, in ms; 0 for the team's setting.
     """
@@ -39,6 +43,7 @@
     urgency: Urgency = Urgency.INTERACTIVE
     idempotent: bool = True
     key: str = Field(default="", max_length=LONGEST_KEY)
+    issued_ms: int = Field(default=0, ge=0)
     timeout_ms: int = Field(default=0, ge=0, le=LONGEST_TIMEOUT_MS)
 
     def fault(self) -> str:
@@ -59,4 +64,5 @@
             self.urgency,
             self.key,
             self.timeout_ms,
+            self.issued_ms,
         )
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -15,6 +15,7 @@
 __all__ = ["admit", "forget_lost"]
 
 RETRY_AFTER_MS = 1_000
+ISSUED_AHEAD_MS = 60_000
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
@@ -52,6 +53,8 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
+    if message.issued_ms > world.clock.wall_ms() + ISSUED_AHEAD_MS:
+        return "the key's time of issue lies in the future"
     if message.key and not _is_claimed(world, message) and _is_silent(world, now_ms):
         return "the log is silent, so that no key can be claimed"
     return ""
@@ -68,8 +71,8 @@
 def _is_silent(world: World, now_ms: int) -> bool:
     """Return whether the log has answered no read for longer than a read takes."""
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
-    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    return now_ms - world.log_view.fresh_ms > wait_ms + timeout_ms
+    late_ms = effective_value(world.agreed, "log.late_ms")
+    return now_ms - world.log_view.fresh_ms > wait_ms + late_ms
 
 
 def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
@@ -89,6 +92,7 @@
         state=state,
         created_ms=now_ms,
         deadline_ms=now_ms + timeout_ms,
+        issued_ms=message.issued_ms,
     )
 
 
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -25,7 +25,13 @@
         _follow_claim(world, request, now_ms)
         return
     attempt_id = new_identifier(world.rng, "att")
-    body = KeyClaimPut(request.key, attempt_id, minion.name, minion.incarnation)
+    body = KeyClaimPut(
+        request.key,
+        attempt_id,
+        minion.name,
+        minion.incarnation,
+        issued_ms=request.issued_ms,
+    )
     fault = fault_of(world.agreed, body)
     if fault is not None:
         close_request(
--- a/kingcuppost/systems/requests/tests/driver.py
+++ b/kingcuppost/systems/requests/tests/driver.py
@@ -134,6 +134,7 @@
             fields.get("urgency", Urgency.INTERACTIVE),
             key,
             fields.get("timeout_ms", 0),
+            fields.get("issued_ms", 0),
         )
         self.worlds[entry].inbox.put(message)
         return exchange
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -166,3 +166,14 @@
     sent = [item for item in driver.sent if isinstance(item, SendAttempt)]
     assert len(sent) == 1
     assert [driver.outcome(call) for call in calls] == [Outcome.ANSWERED] * 3
+
+
+def test_time_of_issue_reaches_the_claim_and_may_not_lie_ahead() -> None:
+    driver = started({"m-0": 50})
+    call = driver.ask("entry-0", "charge", "k", issued_ms=7)
+    ahead = driver.ask("entry-0", "later", "k2", issued_ms=10**9)
+    driver.advance(500)
+    assert driver.outcome(call) is Outcome.ANSWERED
+    assert driver.worlds["entry-1"].agreed.key_claims.get("design/k").issued_ms == 7
+    assert driver.outcome(ahead) is Outcome.NOT_RUN
+    assert driver.runs["later"] == 0
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -32,7 +32,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A caller's request; `timeout_ms` counts from its arrival."""
+    """A caller's request.
+
+    `timeout_ms` counts from its arrival; `issued_ms` is when the caller made the
+    key, Unix ms, 0 if not said.
+    """
 
     exchange_id: str
     team: str
@@ -41,6 +45,7 @@
     urgency: Urgency
     key: str
     timeout_ms: int
+    issued_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -62,6 +62,8 @@
         Whether an attempt ended with an unknown outcome.
     claim_id : str
         Record that claims the key; empty before it is proposed.
+    issued_ms : int
+        When the caller made the key, Unix ms; 0 if not said.
     """
 
     request_id: str
@@ -78,6 +80,7 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     claim_id: str = ""
+    issued_ms: int = 0
 
 
 @dataclass(slots=True)
