--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -32,6 +32,7 @@
         minion.name,
         minion.incarnation,
         decision=decision_of(world, request, minion),
+        issued_ms=request.issued_ms,
     )
     fault = fault_of(world.agreed, body)
     if fault is not None:
