Count bytes over TCP, and read what a process uses

Cause: the budget of 5 KB a second could not be checked; system calls on sockets are not counted in /proc/PID/io.

Ruled out: capturing packets (needs rights that instances do not give); adding up body sizes (headers are the larger part).

Change: wrappers of the library's policies count bytes at listeners and client endpoints; `standins.usage` reads them with processor time and memory.

--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -10,8 +10,10 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from kingcuppost.edges.traffic import CountedEndpoint
 from kingcuppost.exception import PeerError
 from kingcuppost.tables.config import Address
+from kingcuppost.tables.metrics import Tally
 
 __all__ = ["JsonClient", "Response", "is_never_sent"]
 
@@ -41,13 +43,15 @@
 class _IpEndpoints:
     """Endpoints by IP number, without any resolver."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, tally: Tally) -> None:
         self._reactor = reactor
+        self._tally = tally
 
     def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
         host = uri.host.decode("ascii")
         kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return kind(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+        endpoint = kind(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+        return CountedEndpoint(endpoint, self._tally)
 
 
 @implementer(IBodyProducer)
@@ -79,17 +83,20 @@
     ----------
     reactor : object
         Twisted's reactor.
+    tally : Tally, optional
+        Where bytes are counted.
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, tally: Tally | None = None) -> None:
         self._reactor = reactor
+        self._tally = tally or Tally()
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
         pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
         pool.retryAutomatically = False
         self._pool = pool
         self._agent = Agent.usingEndpointFactory(
-            reactor, _IpEndpoints(reactor), pool=pool
+            reactor, _IpEndpoints(reactor, self._tally), pool=pool
         )
 
     async def exchange(
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -3,12 +3,12 @@
 from typing import Any
 
 from expression import Result
-from twisted.protocols.policies import WrappingFactory
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from kingcuppost.edges.context import EdgeContext, Listener, senders
 from kingcuppost.edges.routes import Call, find_route
+from kingcuppost.edges.traffic import CountedFactory
 from kingcuppost.exception import Failure
 from kingcuppost.models import encode
 from kingcuppost.tables.inbox import ExchangeLost
@@ -109,7 +109,7 @@
 
 def listen(context: EdgeContext, surface: str, host: str, port: int) -> int:
     """Listen for a surface and return the port that was bound."""
-    factory = WrappingFactory(make_site(context, surface))
+    factory = CountedFactory(make_site(context, surface), context.world.tally)
     bound = context.reactor.listenTCP(
         port, factory, interface=host, backlog=LISTEN_BACKLOG
     )
--- /dev/null
+++ b/kingcuppost/edges/traffic.py
@@ -0,0 +1,72 @@
+"""Counting the bytes that a process sends and receives over TCP."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
+from zope.interface import implementer
+
+from kingcuppost.tables.metrics import Tally
+
+__all__ = ["CountedEndpoint", "CountedFactory"]
+
+METRIC = "bytes"
+
+
+class _CountedProtocol(ProtocolWrapper):
+    """Adds what passes to the tally of its factory."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.factory.tally.add(METRIC, "received", amount=len(data))
+        super().dataReceived(data)
+
+    def write(self, data: bytes) -> None:
+        self.factory.tally.add(METRIC, "sent", amount=len(data))
+        super().write(data)
+
+    def writeSequence(self, data: Iterable[bytes]) -> None:  # noqa: N802
+        parts = list(data)
+        self.factory.tally.add(METRIC, "sent", amount=sum(map(len, parts)))
+        super().writeSequence(parts)
+
+
+class CountedFactory(WrappingFactory):
+    """Wraps a protocol factory and counts the bytes of its connections.
+
+    Parameters
+    ----------
+    wrapped : object
+        The protocol factory.
+    tally : Tally
+        Where bytes are counted.
+    """
+
+    protocol = _CountedProtocol
+    noisy = False
+
+    def __init__(self, wrapped: Any, tally: Tally) -> None:
+        super().__init__(wrapped)
+        self.tally = tally
+
+
+@implementer(IStreamClientEndpoint)
+class CountedEndpoint:
+    """Wraps a client endpoint and counts the bytes of its connections.
+
+    Parameters
+    ----------
+    endpoint : object
+        The endpoint.
+    tally : Tally
+        Where bytes are counted.
+    """
+
+    def __init__(self, endpoint: Any, tally: Tally) -> None:
+        self._endpoint = endpoint
+        self._tally = tally
+
+    def connect(self, protocolFactory: Any) -> Any:  # noqa: N803
+        """Connect, and give the protocol that was asked for."""
+        pending = self._endpoint.connect(CountedFactory(protocolFactory, self._tally))
+        return pending.addCallback(lambda wrapper: wrapper.wrappedProtocol)
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -54,7 +54,7 @@
     """Return the edges of a process, with its loop attached."""
     world = make_world(cfg)
     loop = TickLoop(reactor, systems_of(cfg.role))
-    context = EdgeContext(world, reactor, JsonClient(reactor), loop.wake)
+    context = EdgeContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
     context.drivers["log"] = drivers["log", cfg.log.driver](context)
     events = EventLog(world, configure_logs(world, cfg.log_level))
     loop.attach(context, events.flush)
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -103,6 +103,7 @@
 
 counter("requests", "Callers' requests that were closed.", "team", "outcome")
 histogram("request", "Time from arrival to outcome of a request.", "team", "outcome")
+counter("bytes", "Bytes over TCP, headers included.", "direction")
 counter("messages_sent", "Messages to peers, log and worker.", "kind")
 
 counter("records_folded", "Records of the log that were applied or rejected.", "result")
--- /dev/null
+++ b/standins/usage.py
@@ -0,0 +1,91 @@
+"""What a process has used so far, from /proc and from its own metrics."""
+
+import os
+import urllib.request
+from dataclasses import dataclass
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from standins.processes import Process
+
+__all__ = ["Usage", "read_usage"]
+
+KB_PER_MB = 1_024
+STAT_UTIME = 11
+STAT_STIME = 12
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Amounts used since the start of a process.
+
+    Attributes
+    ----------
+    processor_s : float
+        Processor time, in seconds.
+    memory_mb : float
+        Resident memory, in MB.
+    bytes_total : float
+        Bytes sent and received over TCP.
+    messages : float
+        Messages sent to peers, log and worker, and answers to them.
+    appends : float
+        Appends sent to the log.
+    folded : float
+        Log offset applied last.
+    """
+
+    processor_s: float
+    memory_mb: float
+    bytes_total: float
+    messages: float
+    appends: float
+    folded: float
+
+    def since(self, before: "Usage") -> "Usage":
+        """Return what was used after `before`; memory is the growth."""
+        pairs = zip(vars(self).items(), vars(before).values(), strict=True)
+        return Usage(**{name: now - then for (name, now), then in pairs})
+
+
+def _processor_s(pid: int) -> float:
+    text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[STAT_UTIME]) + int(fields[STAT_STIME])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _memory_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / KB_PER_MB
+    return 0.0
+
+
+def _metrics(process: Process) -> dict[str, float]:
+    """Return counters and gauges, summed over labels but for message kinds."""
+    url = f"http://127.0.0.1:{process.ports['operators']}/metrics"
+    with urllib.request.urlopen(url, timeout=60) as response:
+        text = response.read().decode()
+    sums: dict[str, float] = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            name = f"{sample.name}:{sample.labels.get('kind', '')}"
+            sums[name] = sums.get(name, 0.0) + sample.value
+            sums[sample.name] = sums.get(sample.name, 0.0) + sample.value
+    return sums
+
+
+def read_usage(process: Process) -> Usage:
+    """Return what a process of the system has used so far."""
+    shown = _metrics(process)
+    sent = "kingcuppost_messages_sent_total"
+    return Usage(
+        _processor_s(process.popen.pid),
+        _memory_mb(process.popen.pid),
+        shown.get("kingcuppost_bytes_total", 0.0),
+        shown.get(sent, 0.0),
+        shown.get(f"{sent}:AppendRecords", 0.0),
+        shown.get("kingcuppost_log_folded_offset", 0.0),
+    )
