--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -1,5 +1,6 @@
 """A non-idempotent request runs at most once."""
 
+from kingcuppost.systems.fold import keys
 from kingcuppost.systems.requests.tests.driver import Driver
 from kingcuppost.tables.inbox import AttemptArrived
 from kingcuppost.tables.job import Urgency
@@ -177,3 +178,38 @@
     assert driver.worlds["entry-1"].agreed.key_claims.get("design/k").issued_ms == 7
     assert driver.outcome(ahead) is Outcome.NOT_RUN
     assert driver.runs["later"] == 0
+
+
+def test_forgotten_key_is_never_told_not_run(monkeypatch) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    driver = started()
+    outcomes = []
+    for key in ("k1", "k2", "k1"):
+        asked = driver.ask("entry-0", f"charge-{key}", key)
+        driver.advance(1_000)
+        outcomes.append(driver.outcome(asked))
+    assert outcomes == [Outcome.ANSWERED, Outcome.ANSWERED, Outcome.UNKNOWN]
+    assert driver.runs["charge-k1"] == 1
+
+
+def test_key_with_an_issue_time_is_taken_after_others_were_forgotten(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    driver = started()
+    outcomes = []
+    for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
+        asked = driver.ask("entry-0", f"charge-{key}", key, issued_ms=issued_ms)
+        driver.advance(1_000)
+        outcomes.append(driver.outcome(asked))
+    answered = Outcome.ANSWERED
+    assert outcomes == [answered, answered, Outcome.UNKNOWN, answered]
+    assert driver.runs["charge-k1"] == 1
+
+
+def test_key_from_the_future_is_refused_as_not_run() -> None:
+    driver = started()
+    asked = driver.ask("entry-0", "charge", "k", issued_ms=2**52)
+    driver.advance(1_000)
+    assert driver.outcome(asked) is Outcome.NOT_RUN
+    assert driver.runs["charge"] == 0
