--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -37,6 +37,7 @@
             item.offset,
             item.record.wall_ms,
             issued_ms=body.issued_ms,
+            decision=body.decision,
         )
     )
     while len(agreed.key_claims) > KEY_CLAIMS:
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -4,7 +4,7 @@
 from kingcuppost.tables.job import Gang
 from kingcuppost.tables.world import World
 
-__all__ = ["confirm_ms", "lease_ms", "reservation_ms"]
+__all__ = ["confirm_ms", "grace_ms", "lease_ms", "reservation_ms"]
 
 START_BOUND_MS = 3_000
 START_MARGIN_MS = 250
@@ -25,6 +25,19 @@
     return lease_ms(world, gang) // CONFIRMS_PER_LEASE
 
 
+def grace_ms(world: World, gang: Gang | None) -> int:
+    """Return the time that members get for a checkpoint before they are stopped.
+
+    The stop's own time counts if it names one, else the setting of the team.
+    """
+    if gang is None:
+        return effective_value(world.agreed, "job.checkpoint_grace_ms")
+    if gang.grace_ms >= 0:
+        return gang.grace_ms
+    path = team_path(gang.team)
+    return effective_value(world.agreed, "job.checkpoint_grace_ms", path)
+
+
 def reservation_ms(world: World) -> int:
     """Return how long the worker holds a reservation without a renewal, in ms.
 
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -69,7 +69,7 @@
 
 
 def _is_silent(world: World, now_ms: int) -> bool:
-    """Return whether the log has answered no read for longer than a read takes."""
+    """Return whether the log has answered no read for longer than one may take."""
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
     late_ms = effective_value(world.agreed, "log.late_ms")
     return now_ms - world.log_view.fresh_ms > wait_ms + late_ms
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -8,6 +8,7 @@
 from kingcuppost.systems.fold import fault_of
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
+from kingcuppost.systems.requests.decision import decision_of
 from kingcuppost.systems.requests.sending import send
 from kingcuppost.tables.fleet import Minion
 from kingcuppost.tables.identity import Role
@@ -30,6 +31,7 @@
         attempt_id,
         minion.name,
         minion.incarnation,
+        decision=decision_of(world, request, minion),
         issued_ms=request.issued_ms,
     )
     fault = fault_of(world.agreed, body)
--- a/kingcuppost/tables/claims.py
+++ b/kingcuppost/tables/claims.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from kingcuppost.tables.job import Decision
+
 __all__ = ["EndedJob", "Floors", "KeyClaim", "RecentRecord", "SchedulingLease"]
 
 
@@ -62,6 +64,8 @@
         ``"answered"``, ``"not_run"`` or empty while unknown.
     issued_ms : int
         When the caller says that it made the key, Unix ms; 0 if not said.
+    decision : Decision or None
+        Why the request went there; None if the claim does not tell.
     """
 
     key: str
@@ -72,6 +76,7 @@
     wall_ms: int
     outcome: str = ""
     issued_ms: int = 0
+    decision: Decision | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -105,6 +105,7 @@
     cores: int
     memory_mb: int
     accelerators: int
+    operator_port: int = 0
     kind: Literal["minion_announce"] = "minion_announce"
 
 
@@ -199,13 +200,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GangStop:
-    """Stop all members; the job waits again unless it was cancelled."""
+    """Stop all members; the job waits again unless it was cancelled.
+
+    A grace of -1 ms leaves the time for a checkpoint to the settings.
+    """
 
     term: int
     job: str
     incarnation: int
     reason: str
     failed_worker: str = ""
+    grace_ms: int = -1
     kind: Literal["gang_stop"] = "gang_stop"
 
 
@@ -242,6 +247,7 @@
     minion: str
     minion_incarnation: str
     issued_ms: int = 0
+    decision: Decision | None = None
     kind: Literal["key_claim_put"] = "key_claim_put"
 
 
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from kingcuppost.tables.announcement import Announcement
+from kingcuppost.tables.capacity import Capacity
 from kingcuppost.tables.claims import EndedJob, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
@@ -27,6 +28,7 @@
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, GangState, Job
 from kingcuppost.tables.mailbox import Mailbox
+from kingcuppost.tables.metrics import Tally
 from kingcuppost.tables.pools import ServicePools
 from kingcuppost.tables.request import (
     Attempt,
@@ -54,18 +56,22 @@
     Only the fold writes them.
     """
 
-    teams: Table[Team] = field(default_factory=lambda: Table("name"))
+    teams: Table[Team] = field(
+        default_factory=lambda: Table("name", watchers=("occupancy",))
+    )
     availability_zones: Table[AvailabilityZone] = field(
-        default_factory=lambda: Table("name", watchers=("zones", "routing"))
+        default_factory=lambda: Table(
+            "name", watchers=("zones", "routing", "occupancy")
+        )
     )
     workers: Table[Worker] = field(
         default_factory=lambda: Table(
-            "name", ("availability_zone", "rack"), watchers=("fleet",)
+            "name", ("availability_zone", "rack"), watchers=("fleet", "occupancy")
         )
     )
     minions: Table[Minion] = field(
         default_factory=lambda: Table(
-            "name", ("service", "worker"), ("health", "routing")
+            "name", ("service", "worker"), ("health", "routing", "occupancy")
         )
     )
     entries: Table[Entry] = field(default_factory=lambda: Table("name"))
@@ -134,6 +140,10 @@
         When the scheduler looks at each gang again.
     advance_term : int
         Scheduling term in which gangs were last looked at.
+    tally : Tally
+        Counts and durations for the metrics.
+    capacity : Capacity
+        What an entry knows of free accelerators, shares and the queue.
     """
 
     cfg: ProcessConfig
@@ -187,6 +197,7 @@
     gang_stages: dict[str, tuple[GangState, int]] = field(default_factory=dict)
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=EVENTS_KEPT))
     event_count: int = 0
+    tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
     renew_ms: int = 0
     adopted: bool = False
@@ -197,3 +208,4 @@
     renewal: Renewal | None = None
     gang_due: DueKeys = field(default_factory=DueKeys)
     advance_term: int = 0
+    capacity: Capacity = field(default_factory=Capacity)
