Measure capacity slopes by role with real processes

Cause: no figure said what a worker, task, job or change costs each role.

Ruled out: figures from one size (they mix what stands with what grows).

Change: python -m standins.capacity measures slopes at two sizes and for events, and prints them with what they come to.

--- /dev/null
+++ b/standins/capacity.py
@@ -0,0 +1,490 @@
+"""Measuring what each role costs, with real processes on loopback.
+
+``python -m standins.capacity`` starts a log, two entries and up to 16 minions,
+measures the slopes of processor time, bytes, memory and appends, and prints them and
+what they come to at two sizes as Markdown. It takes a few minutes and at most 60
+processes. Run it on a quiet machine.
+"""
+
+import json
+import resource
+import statistics
+import sys
+import time
+from dataclasses import dataclass, field
+
+from standins.processes import Deployment, Site, wait_until
+from standins.slopes import (
+    BUDGET,
+    DESIGN,
+    PERCENT,
+    ROLES,
+    TODAY,
+    Rates,
+    Slope,
+    breaking_factor,
+    markdown,
+    predicted,
+    rates_of,
+)
+from standins.usage import Usage, read_usage
+
+__all__ = ["Bench", "main"]
+
+MINIONS_SMALL = 4
+MINIONS_LARGE = 16
+IDLE_WINDOW_S = 15.0
+TEAMS = 40
+POLL_S = 0.5
+CHANGES = 100
+REQUESTS = 200
+JOBS = 40
+TASKS_PER_MINION = 6
+LONG_RUN_MS = 600_000
+MS_PER_SECOND = 1_000
+KB_PER_MB = 1_024
+TEAM = "team-0"
+FINAL = ("done", "failed", "cancelled", "refused")
+Sample = dict[str, Usage]
+
+
+@dataclass
+class Bench:
+    """A running deployment with what was measured so far."""
+
+    deployment: Deployment
+    minions: int = 0
+    idle: dict[str, Rates] = field(default_factory=dict)
+    base: dict[str, Rates] = field(default_factory=dict)
+    slopes: list[Slope] = field(default_factory=list)
+    bursts: list[list[object]] = field(default_factory=list)
+
+    def add_minions(self, count: int) -> None:
+        """Start more minions and wait until all are announced."""
+        first = self.minions
+        self.minions += count
+        for number in range(first, self.minions):
+            self.deployment.start_host(number)
+        for number in range(first, self.minions):
+            self.deployment.start_sidecar(number)
+        self.wait_for_fleet()
+
+    def wait_for_fleet(self) -> None:
+        """Wait until the present process of every sidecar is announced."""
+        ports = {
+            f"minion-{number}": self.deployment.processes[f"minion-{number}"].ports
+            for number in range(self.minions)
+        }
+
+        def announced() -> bool:
+            rows = self.deployment.show("/v1/fleet")["minions"]
+            known = {row["name"]: row["peer_port"] for row in rows}
+            return all(known.get(name) == ports[name]["peers"] for name in ports)
+
+        wait_until(announced, "all sidecars announced")
+
+    def sample(self) -> Sample:
+        """Return the use of each role; sidecars on average."""
+        holder = self.deployment.show("/v1/status")["lease"]["holder"]
+        entries = {"entry-0", "entry-1"}
+        other = min(entries - {holder})
+        sidecars = [
+            read_usage(self.deployment.processes[f"minion-{number}"])
+            for number in range(self.minions)
+        ]
+        return {
+            "entry": read_usage(self.deployment.processes[other]),
+            "holder": read_usage(self.deployment.processes[holder]),
+            "sidecar": _mean(sidecars),
+        }
+
+    def quiet_sample(self) -> Sample:
+        """Return a sample that has the cost of the next one in it already.
+
+        A sample is itself work for the process; the difference to the next one
+        then leaves that work out.
+        """
+        first = self.sample()
+        second = self.sample()
+        return {
+            role: second[role].plus(second[role].since(first[role])) for role in ROLES
+        }
+
+    def watch(self, seconds: float) -> tuple[dict[str, Rates], dict[str, float]]:
+        """Return rates and messages a second over an undisturbed while."""
+        before = self.quiet_sample()
+        started_s = time.monotonic()
+        time.sleep(seconds)
+        took_s = time.monotonic() - started_s
+        after = self.sample()
+        use = {role: after[role].since(before[role]) for role in ROLES}
+        rates = {role: rates_of(use[role], took_s) for role in ROLES}
+        return rates, {role: use[role].messages / took_s for role in ROLES}
+
+    def cost(self, driver: str, count: int, how: str, work) -> float:
+        """Add the slope of an event: what `work` used beyond idling, for one."""
+        before = self.quiet_sample()
+        started_s = time.monotonic()
+        work()
+        took_s = time.monotonic() - started_s
+        after = self.sample()
+        by_role = {}
+        messages = {}
+        for role in ROLES:
+            use = after[role].since(before[role])
+            idle = self.idle[role]
+            spent = rates_of(use, 1.0).plus(idle, -took_s)
+            by_role[role] = Rates(
+                max(spent.processor, 0.0) / count,
+                max(spent.kb_a_second, 0.0) / count,
+                use.memory_mb / count,
+                max(spent.appends, 0.0) / count,
+            )
+            messages[role] = use.messages / count
+        self.slopes.append(Slope(driver, by_role, messages, f"{how}, {took_s:.1f} s"))
+        return took_s
+
+    def put(self, path: str, /, **body: object) -> None:
+        """Make a change as an operator."""
+        body = {"operator": "bench", **body}
+        status, answer = self.deployment.call("entry-0", "operators", "PUT", path, body)
+        if status != 200:
+            raise RuntimeError(f"{path} was refused: {answer}")
+
+    def submit(self, name: str, run_ms: int) -> None:
+        """Submit a job of one member with one accelerator."""
+        payload = json.dumps({"run_ms": run_ms, "result": "ok"})
+        body = {"operator": "bench", "name": name, "team": TEAM, "accelerators": 1}
+        status, answer = self.deployment.call(
+            "entry-0", "operators", "POST", "/v1/jobs", {**body, "payload": payload}
+        )
+        if status != 200:
+            raise RuntimeError(f"job {name} was refused: {answer}")
+
+    def states(self) -> dict[str, str]:
+        """Return the state of each job."""
+        time.sleep(POLL_S)
+        rows = self.deployment.show("/v1/jobs")["rows"]
+        return {row["name"]: row["state"] for row in rows}
+
+
+def _mean(rows: list[Usage]) -> Usage:
+    names = vars(rows[0])
+    return Usage(
+        **{name: statistics.fmean(getattr(row, name) for row in rows) for name in names}
+    )
+
+
+def measure_workers(bench: Bench) -> None:
+    """Measure idling at two sizes: what stands, and what each worker adds."""
+    bench.add_minions(MINIONS_SMALL)
+    small, small_messages = bench.watch(IDLE_WINDOW_S)
+    small_memory = {role: use.memory_mb for role, use in bench.sample().items()}
+    bench.add_minions(MINIONS_LARGE - MINIONS_SMALL)
+    time.sleep(3)
+    bench.idle, messages = bench.watch(IDLE_WINDOW_S)
+    large_memory = {role: use.memory_mb for role, use in bench.sample().items()}
+    added = MINIONS_LARGE - MINIONS_SMALL
+    by_role = {}
+    for role in ROLES:
+        grown = bench.idle[role].plus(small[role], -1.0)
+        grown_mb = large_memory[role] - small_memory[role]
+        slope = Rates(
+            max(grown.processor, 0.0) / added,
+            max(grown.kb_a_second, 0.0) / added,
+            max(grown_mb, 0.0) / added,
+            max(grown.appends, 0.0) / added,
+        )
+        by_role[role] = slope
+        flat = Rates(
+            bench.idle[role].processor,
+            bench.idle[role].kb_a_second,
+            large_memory[role],
+            bench.idle[role].appends,
+        )
+        bench.base[role] = flat.plus(slope, -MINIONS_LARGE)
+    per_worker = {
+        role: (messages[role] - small_messages[role]) / added for role in ROLES
+    }
+    how = f"idle at {MINIONS_SMALL} and at {MINIONS_LARGE} workers, {IDLE_WINDOW_S} s"
+    bench.slopes.append(Slope("worker", by_role, per_worker, how))
+
+
+def measure_changes(bench: Bench) -> None:
+    """Measure teams and changes of configuration."""
+
+    def put_teams() -> None:
+        for number in range(TEAMS):
+            shapes = [{"members": 1, "accelerators": 1}]
+            bench.put(f"/v1/teams/team-{number}", guarantees=shapes)
+
+    def change() -> None:
+        for number in range(CHANGES):
+            bench.put(
+                "/v1/settings",
+                key="request.timeout_ms",
+                value=10_000 + number,
+                path=f"teams/team-{number % TEAMS}",
+            )
+
+    bench.cost("team", TEAMS, f"{TEAMS} teams put", put_teams)
+    bench.cost("configuration change", CHANGES, f"{CHANGES} keys set", change)
+
+
+def measure_requests(bench: Bench) -> None:
+    """Measure requests, half of them by each entry."""
+    body = {"team": TEAM, "service": bench.deployment.site.service}
+    latencies_ms = []
+
+    def ask() -> None:
+        for number in range(REQUESTS):
+            entry = f"entry-{number % 2}"
+            started_s = time.monotonic()
+            bench.deployment.call(entry, "callers", "POST", "/v1/requests", body)
+            latencies_ms.append((time.monotonic() - started_s) * MS_PER_SECOND)
+
+    bench.cost("request", REQUESTS, f"{REQUESTS} requests by two entries", ask)
+    p50 = statistics.median(latencies_ms)
+    bench.bursts.append(["request, one at a time", REQUESTS, f"p50 {p50:.1f} ms", "-"])
+
+
+def measure_jobs(bench: Bench) -> None:
+    """Measure whole jobs, from submission to result."""
+
+    def run() -> None:
+        names = [f"short-{number}" for number in range(JOBS)]
+        for name in names:
+            bench.submit(name, 50)
+        wait_until(
+            lambda: all(bench.states().get(name) in FINAL for name in names),
+            "all short jobs ended",
+            180,
+        )
+
+    took_s = bench.cost("job", JOBS, f"{JOBS} jobs of one member", run)
+    bench.bursts.append(["jobs submitted at once", JOBS, f"{took_s:.1f} s", "-"])
+
+
+def measure_tasks(bench: Bench) -> None:
+    """Measure running tasks, then cancel all of them at once."""
+    count = TASKS_PER_MINION * bench.minions
+    names = [f"long-{number}" for number in range(count)]
+    before_mb = {role: use.memory_mb for role, use in bench.sample().items()}
+    for name in names:
+        bench.submit(name, LONG_RUN_MS)
+
+    def released() -> bool:
+        return list(bench.states().values()).count("active") >= count
+
+    wait_until(released, "all long jobs placed", 180)
+    time.sleep(5)
+    after_mb = {role: use.memory_mb for role, use in bench.sample().items()}
+    rates, messages = bench.watch(IDLE_WINDOW_S)
+    by_role = {}
+    for role in ROLES:
+        held = TASKS_PER_MINION if role == "sidecar" else count
+        grown = rates[role].plus(bench.idle[role], -1.0)
+        standing_mb = after_mb[role] - before_mb[role]
+        by_role[role] = Rates(
+            max(grown.processor, 0.0) / held,
+            max(grown.kb_a_second, 0.0) / held,
+            max(standing_mb, 0.0) / held,
+            max(grown.appends, 0.0) / held,
+        )
+    how = f"{count} tasks running, {IDLE_WINDOW_S} s; messages a second of all"
+    bench.slopes.append(Slope("running task", by_role, messages, how))
+    _cancel(bench, names)
+
+
+def _cancel(bench: Bench, names: list[str]) -> None:
+    started_s = time.monotonic()
+    before = bench.sample()["holder"]
+    for name in names:
+        bench.deployment.call(
+            "entry-0",
+            "operators",
+            "POST",
+            f"/v1/jobs/{name}/cancel",
+            {"operator": "bench"},
+        )
+    wait_until(
+        lambda: all(bench.states()[name] in FINAL for name in names),
+        "all long jobs cancelled",
+        180,
+    )
+    took_s = time.monotonic() - started_s
+    use = bench.sample()["holder"].since(before)
+    bench.bursts.append(
+        [
+            "cancellation wave",
+            len(names),
+            f"{took_s:.1f} s",
+            f"{use.processor_s / len(names) * MS_PER_SECOND:.1f} ms each at the holder",
+        ]
+    )
+
+
+def measure_restarts(bench: Bench) -> None:
+    """Measure the restart of a whole zone's sidecars at once."""
+    zone = bench.deployment.site.zones[0]
+    numbers = [
+        number
+        for number in range(bench.minions)
+        if bench.deployment.site.zone_of(number) == zone
+    ]
+
+    def restart() -> None:
+        for number in numbers:
+            bench.deployment.processes[f"minion-{number}"].kill()
+        for number in numbers:
+            bench.deployment.start_sidecar(number)
+        bench.wait_for_fleet()
+
+    before = len(bench.slopes)
+    took_s = bench.cost("restart", len(numbers), f"{len(numbers)} sidecars", restart)
+    bench.slopes[before] = _without_sidecars(bench.slopes[before])
+    bench.bursts.append(["zone restarted", len(numbers), f"{took_s:.1f} s", "-"])
+
+
+def _without_sidecars(slope: Slope) -> Slope:
+    """Leave out the mean of sidecars, of which some have started anew."""
+    by_role = {**slope.by_role, "sidecar": Rates(0.0, 0.0, 0.0)}
+    return Slope(slope.driver, by_role, {**slope.messages, "sidecar": 0.0}, slope.how)
+
+
+def measure_start(bench: Bench) -> None:
+    """Measure a new entry that reads the log from its snapshot or start."""
+    head = bench.deployment.show("/v1/status")["head_offset"]
+    started_s = time.monotonic()
+    process = bench.deployment.start_entry("entry-2")
+
+    def caught_up() -> bool:
+        return bench.deployment.show("/v1/status", "entry-2")["folded_offset"] >= head
+
+    wait_until(caught_up, "the new entry has caught up")
+    took_s = time.monotonic() - started_s
+    use = read_usage(process)
+    text = f"{use.processor_s:.2f} s of processor, {use.memory_mb:.0f} MB"
+    bench.bursts.append(
+        ["entry started on a log", f"{head} records", f"{took_s:.1f} s", text]
+    )
+
+
+def measure_command(bench: Bench) -> None:
+    """Measure an operator's command."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    started_s = time.monotonic()
+    bench.deployment.run("status")
+    took_s = time.monotonic() - started_s
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent_s = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+    text = f"{spent_s:.2f} s of processor, {after.ru_maxrss / KB_PER_MB:.0f} MB at most"
+    bench.bursts.append(["operator command", 1, f"{took_s:.1f} s", text])
+
+
+def print_slopes(bench: Bench) -> None:
+    """Print what was measured."""
+    rows = []
+    for slope in bench.slopes:
+        for role in ROLES:
+            use = slope.by_role[role]
+            rows.append(
+                [
+                    slope.driver,
+                    role,
+                    f"{use.processor * MS_PER_SECOND:.3f}",
+                    f"{use.kb_a_second:.3f}",
+                    f"{use.memory_mb * KB_PER_MB:.1f}",
+                    f"{slope.messages[role]:.3f}",
+                    f"{use.appends:.3f}",
+                    slope.how,
+                ]
+            )
+    titles = ["for one more", "role", "processor ms", "KB", "memory KB"]
+    print(markdown([*titles, "messages", "appends", "measured as"], rows))
+
+
+def print_sizes(bench: Bench) -> None:
+    """Print what the slopes come to, against the budget."""
+    rows = []
+    for size in (TODAY, DESIGN):
+        for role in ROLES:
+            base = bench.base[role]
+            full = predicted(base, bench.slopes, size, role)
+            first, factor = breaking_factor(base, full)
+            rows.append(
+                [
+                    size.name,
+                    role,
+                    f"{full.processor * PERCENT:.2f}",
+                    f"{full.kb_a_second:.2f}",
+                    f"{full.memory_mb:.0f}",
+                    f"{full.appends:.4f}",
+                    f"{first} at {factor:.2f} times this size",
+                ]
+            )
+    budget = [f"{BUDGET.processor * PERCENT:.1f}", f"{BUDGET.kb_a_second:.0f}"]
+    rows.append(["budget", "-", *budget, f"{BUDGET.memory_mb:.0f}", "-", "-"])
+    titles = ["size", "role", "core %", "KB/s", "memory MB", "appends/s"]
+    print(markdown([*titles, "breaks first"], rows))
+
+
+def print_base(bench: Bench) -> None:
+    """Print what a process costs before any driver."""
+    rows = [
+        [
+            role,
+            f"{bench.base[role].processor * PERCENT:.2f}",
+            f"{bench.base[role].kb_a_second:.2f}",
+            f"{bench.base[role].memory_mb:.0f}",
+            f"{bench.idle[role].processor * PERCENT:.2f}",
+        ]
+        for role in ROLES
+    ]
+    titles = ["role", "core %", "KB/s", "memory MB"]
+    print(markdown([*titles, f"core % idle at {MINIONS_LARGE} workers"], rows))
+
+
+MEASUREMENTS = (
+    measure_workers,
+    measure_changes,
+    measure_requests,
+    measure_jobs,
+    measure_tasks,
+    measure_restarts,
+    measure_start,
+    measure_command,
+)
+
+
+def main() -> int:
+    """Measure everything and print the tables."""
+    with Deployment(site=Site()) as deployment:
+        deployment.start_log()
+        deployment.start_entry("entry-0", "vid-a")
+        deployment.start_entry("entry-1", "vid-b")
+        bench = Bench(deployment)
+        wait_until(
+            lambda: deployment.show("/v1/status")["lease"]["holder"], "a scheduler"
+        )
+        for zone in deployment.site.zones:
+            region = deployment.site.region
+            path = f"/v1/availability-zones/{zone}"
+            bench.put(path, region=region, in_service=True)
+        for measure in MEASUREMENTS:
+            print(f"{measure.__name__} ...", file=sys.stderr, flush=True)
+            measure(bench)
+    print("### Slopes\n")
+    print_slopes(bench)
+    print("\n### Before any driver\n")
+    print_base(bench)
+    print("\n### Sizes\n")
+    print_sizes(bench)
+    print("\n### Bursts\n")
+    titles = ["burst", "count", "until it is over", "cost"]
+    print(markdown(titles, bench.bursts))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/slopes.py
@@ -0,0 +1,153 @@
+"""Slopes of use by role, and what they come to at a given size."""
+
+from dataclasses import dataclass
+
+from standins.usage import Usage
+
+__all__ = [
+    "BUDGET",
+    "DESIGN",
+    "ROLES",
+    "TODAY",
+    "Rates",
+    "Size",
+    "Slope",
+    "breaking_factor",
+    "markdown",
+    "predicted",
+]
+
+SECONDS_PER_DAY = 86_400
+KB = 1_000
+MS_PER_SECOND = 1_000
+PERCENT = 100
+ROLES = ("entry", "holder", "sidecar")
+
+
+@dataclass(frozen=True)
+class Size:
+    """Size of a deployment.
+
+    Attributes
+    ----------
+    name : str
+        What it is called in tables.
+    workers, tasks, teams : int
+        Counts.
+    jobs_a_day, changes_a_day, restarts_a_day : float
+        Events of a day.
+    """
+
+    name: str
+    workers: int
+    tasks: int
+    teams: int
+    jobs_a_day: float
+    changes_a_day: float
+    restarts_a_day: float
+
+    def amounts(self, role: str) -> dict[str, float]:
+        """Return how much of each driver a process of a role meets.
+
+        Events are per second. A sidecar runs the tasks of its own worker.
+        """
+        tasks = self.tasks / self.workers if role == "sidecar" else self.tasks
+        return {
+            "worker": self.workers,
+            "running task": tasks,
+            "team": self.teams,
+            "job": self.jobs_a_day / SECONDS_PER_DAY,
+            "configuration change": self.changes_a_day / SECONDS_PER_DAY,
+            "restart": self.restarts_a_day / SECONDS_PER_DAY,
+        }
+
+
+DESIGN = Size("design size", 540, 9_400, 120, 360, 1_600, 35)
+TODAY = Size("today", 10, 80, 4, 40, 100, 4)
+
+
+@dataclass(frozen=True)
+class Rates:
+    """Use of one process: a share of a core, KB a second, MB, appends a second."""
+
+    processor: float
+    kb_a_second: float
+    memory_mb: float
+    appends: float = 0.0
+
+    def plus(self, other: "Rates", times: float = 1.0) -> "Rates":
+        """Return the sum with a multiple of another."""
+        pairs = zip(vars(self).items(), vars(other).values(), strict=True)
+        return Rates(**{name: mine + times * yours for (name, mine), yours in pairs})
+
+
+BUDGET = Rates(0.033, 5.0, 256.0)
+
+
+@dataclass(frozen=True)
+class Slope:
+    """Use for one more of a driver, by role.
+
+    Attributes
+    ----------
+    driver : str
+        Such as ``"worker"`` or ``"job"``.
+    by_role : dict of str to Rates
+        For a driver that stands: rates. For an event: seconds of processor, KB,
+        MB and appends for one.
+    messages : dict of str to float
+        Messages a second, or for one event.
+    how : str
+        What was measured.
+    """
+
+    driver: str
+    by_role: dict[str, Rates]
+    messages: dict[str, float]
+    how: str
+
+
+def rates_of(use: Usage, seconds: float) -> Rates:
+    """Return use over a while as rates; memory stays an amount."""
+    return Rates(
+        use.processor_s / seconds,
+        use.bytes_total / KB / seconds,
+        use.memory_mb,
+        use.appends / seconds,
+    )
+
+
+def predicted(base: Rates, slopes: list[Slope], size: Size, role: str) -> Rates:
+    """Return the use of one process of a role at a size.
+
+    Memory grows with what stands; that of events is bounded by what the tables
+    keep, and is left out.
+    """
+    total = base
+    amounts = size.amounts(role)
+    for slope in slopes:
+        if slope.driver in amounts:
+            rates = slope.by_role[role]
+            if slope.driver in ("job", "configuration change", "restart"):
+                rates = Rates(rates.processor, rates.kb_a_second, 0.0, rates.appends)
+            if slope.driver == "team":
+                rates = Rates(0.0, 0.0, rates.memory_mb)
+            total = total.plus(rates, amounts[slope.driver])
+    return total
+
+
+def breaking_factor(base: Rates, full: Rates) -> tuple[str, float]:
+    """Return which budget ends first, and at which multiple of the size."""
+    factors = {}
+    for name in ("processor", "kb_a_second", "memory_mb"):
+        grown = getattr(full, name) - getattr(base, name)
+        room = getattr(BUDGET, name) - getattr(base, name)
+        factors[name] = max(room, 0.0) / grown if grown > 0 else float("inf")
+    name = min(factors, key=factors.get)
+    return name, factors[name]
+
+
+def markdown(titles: list[str], rows: list[list[object]]) -> str:
+    """Return a Markdown table."""
+    lines = [titles, ["---"] * len(titles), *rows]
+    return "\n".join(f"| {' | '.join(str(cell) for cell in line)} |" for line in lines)
--- /dev/null
+++ b/standins/tests/test_slopes.py
@@ -0,0 +1,57 @@
+"""Slopes come to what the arithmetic says."""
+
+import pytest
+
+from standins.slopes import (
+    BUDGET,
+    ROLES,
+    Rates,
+    Size,
+    Slope,
+    breaking_factor,
+    predicted,
+    rates_of,
+)
+from standins.usage import Usage
+
+SIZE = Size("test", 100, 1_000, 10, 86_400, 0, 0)
+
+
+def slope(driver: str, rates: Rates) -> Slope:
+    return Slope(driver, dict.fromkeys(ROLES, rates), dict.fromkeys(ROLES, 0.0), "")
+
+
+def test_size_is_base_plus_slopes() -> None:
+    base = Rates(0.01, 1.0, 50.0)
+    slopes = [
+        slope("worker", Rates(0.0001, 0.01, 0.1)),
+        slope("job", Rates(0.005, 2.0, 99.0, 1.5)),
+    ]
+    full = predicted(base, slopes, SIZE, "entry")
+    assert full.processor == pytest.approx(0.01 + 0.01 + 0.005)
+    assert full.kb_a_second == pytest.approx(1 + 1 + 2)
+    assert full.memory_mb == pytest.approx(60)
+    assert full.appends == pytest.approx(1.5)
+
+
+def test_sidecar_runs_the_tasks_of_its_worker() -> None:
+    slopes = [slope("running task", Rates(0.001, 0.0, 1.0))]
+    zero = Rates(0.0, 0.0, 0.0)
+    assert predicted(zero, slopes, SIZE, "sidecar").processor == pytest.approx(0.01)
+    assert predicted(zero, slopes, SIZE, "holder").processor == pytest.approx(1.0)
+
+
+def test_first_budget_to_end_is_named() -> None:
+    base = Rates(0.0, 0.0, 56.0)
+    full = Rates(BUDGET.processor / 2, BUDGET.kb_a_second * 4, 66.0)
+    assert breaking_factor(base, full) == ("kb_a_second", 0.25)
+
+
+def test_use_becomes_rates() -> None:
+    use = Usage(0.5, 3.0, 10_000, 7, 5, 9)
+    assert rates_of(use, 5.0) == Rates(0.1, 2.0, 3.0, 1.0)
+
+
+def test_memory_and_offset_are_no_sums() -> None:
+    use = Usage(0.5, 3.0, 10_000, 7, 5, 9)
+    assert use.plus(use) == Usage(1.0, 3.0, 20_000, 14, 10, 9)
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -43,6 +43,13 @@
     appends: float
     folded: float
 
+    def plus(self, other: "Usage") -> "Usage":
+        """Return the sum, but for memory and the folded offset."""
+        pairs = zip(vars(self).items(), vars(other).values(), strict=True)
+        total = {name: mine + yours for (name, mine), yours in pairs}
+        total.update(memory_mb=self.memory_mb, folded=self.folded)
+        return Usage(**total)
+
     def since(self, before: "Usage") -> "Usage":
         """Return what was used after `before`; memory is the growth."""
         pairs = zip(vars(self).items(), vars(before).values(), strict=True)
