--- a/kingcuppost/systems/views/tests/test_explain.py
+++ b/kingcuppost/systems/views/tests/test_explain.py
@@ -87,7 +87,7 @@
     )
     minion = world.agreed.minions.get("minion-1")
     decision = decision_of(world, request, minion)
-    fold(world, KeyClaimPut(KEY, "att-1", "minion-1", "inc-1", decision))
+    fold(world, KeyClaimPut(KEY, "att-1", "minion-1", "inc-1", decision=decision))
 
 
 def test_values_are_those_of_the_claim_though_changed_later(world: World) -> None:
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -22,6 +22,7 @@
     "SendHeartbeat",
     "StartTask",
     "StopTask",
+    "TaskLease",
 ]
 
 
@@ -46,25 +47,37 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read records after an offset; wait at most `wait_ms` for a new one."""
+    """Read records after an offset; the log may wait `wait_ms` for one.
+
+    A `hedge` goes out on a new connection, since an earlier read is late.
+    """
 
     read_id: str
     after: int
     wait_ms: int
     timeout_ms: int
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class AppendRecords:
-    """Append records to the log, all in one message."""
+    """Append records, all or none.
+
+    A `hedge` goes out on a new connection, since an earlier append is late.
+    """
 
     records: tuple[Record, ...]
     timeout_ms: int
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Send an attempt to a sidecar."""
+    """Send an attempt to a sidecar.
+
+    The attempt is of use for `timeout_ms`. The sidecar answers within `hold_ms`,
+    if only that it still runs; an exchange silent for `silence_ms` is abandoned.
+    """
 
     attempt_id: str
     minion: str
@@ -76,6 +89,9 @@
     keyed: bool
     urgency: Urgency
     timeout_ms: int
+    claim_offset: int = 0
+    hold_ms: int = 0
+    silence_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,11 +155,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RenewTasks:
-    """Renew leases and ask how all tasks of the worker are."""
+class TaskLease:
+    """How much longer the worker may hold a task, in ms from the order's arrival."""
 
-    task_ids: tuple[str, ...]
+    task_id: str
     lease_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewTasks:
+    """Renew each task's lease and ask how all tasks of the worker are."""
+
+    leases: tuple[TaskLease, ...]
     timeout_ms: int
 
 
