--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -3,7 +3,8 @@
 ``python -m standins.capacity`` starts a log, two entries and up to 16 minions,
 measures the slopes of processor time, bytes, memory and appends, and prints them and
 what they come to at two sizes as Markdown. It takes a few minutes and at most 60
-processes. Run it on a quiet machine.
+processes. Run it on a quiet machine; with ``--write`` the tables go into
+docs/CAPACITY.md as well.
 """
 
 import json
@@ -13,6 +14,7 @@
 import time
 from dataclasses import dataclass, field
 
+from standins.pages import DOCS, replaced
 from standins.processes import Deployment, Site, wait_until
 from standins.slopes import (
     BUDGET,
@@ -382,8 +384,8 @@
     bench.bursts.append(["operator command", 1, f"{took_s:.1f} s", text])
 
 
-def print_slopes(bench: Bench) -> None:
-    """Print what was measured."""
+def slope_table(bench: Bench) -> str:
+    """Return what was measured."""
     rows = []
     for slope in bench.slopes:
         for role in ROLES:
@@ -401,11 +403,11 @@
                 ]
             )
     titles = ["for one more", "role", "processor ms", "KB", "memory KB"]
-    print(markdown([*titles, "messages", "appends", "measured as"], rows))
+    return markdown([*titles, "messages", "appends", "measured as"], rows)
 
 
-def print_sizes(bench: Bench) -> None:
-    """Print what the slopes come to, against the budget."""
+def size_table(bench: Bench) -> str:
+    """Return what the slopes come to, against the budget."""
     rows = []
     for size in (TODAY, DESIGN):
         for role in ROLES:
@@ -426,11 +428,11 @@
     budget = [f"{BUDGET.processor * PERCENT:.1f}", f"{BUDGET.kb_a_second:.0f}"]
     rows.append(["budget", "-", *budget, f"{BUDGET.memory_mb:.0f}", "-", "-"])
     titles = ["size", "role", "core %", "KB/s", "memory MB", "appends/s"]
-    print(markdown([*titles, "breaks first"], rows))
+    return markdown([*titles, "breaks first"], rows)
 
 
-def print_base(bench: Bench) -> None:
-    """Print what a process costs before any driver."""
+def base_table(bench: Bench) -> str:
+    """Return what a process costs before any driver."""
     rows = [
         [
             role,
@@ -442,7 +444,7 @@
         for role in ROLES
     ]
     titles = ["role", "core %", "KB/s", "memory MB"]
-    print(markdown([*titles, f"core % idle at {MINIONS_LARGE} workers"], rows))
+    return markdown([*titles, f"core % idle at {MINIONS_LARGE} workers"], rows)
 
 
 MEASUREMENTS = (
@@ -474,17 +476,26 @@
         for measure in MEASUREMENTS:
             print(f"{measure.__name__} ...", file=sys.stderr, flush=True)
             measure(bench)
-    print("### Slopes\n")
-    print_slopes(bench)
-    print("\n### Before any driver\n")
-    print_base(bench)
-    print("\n### Sizes\n")
-    print_sizes(bench)
-    print("\n### Bursts\n")
-    titles = ["burst", "count", "until it is over", "cost"]
-    print(markdown(titles, bench.bursts))
+    report = report_of(bench)
+    print(report)
+    if "--write" in sys.argv[1:]:
+        page = DOCS / "CAPACITY.md"
+        text = page.read_text(encoding="utf-8")
+        page.write_text(replaced(text, "capacity", report), encoding="utf-8")
     return 0
 
 
+def report_of(bench: Bench) -> str:
+    """Return all tables under their headings."""
+    bursts = ["burst", "count", "until it is over", "cost"]
+    parts = {
+        "Slopes": slope_table(bench),
+        "Before any driver": base_table(bench),
+        "Sizes": size_table(bench),
+        "Bursts": markdown(bursts, bench.bursts),
+    }
+    return "\n\n".join(f"### {title}\n\n{body}" for title, body in parts.items())
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/standins/pages.py
+++ b/standins/pages.py
@@ -10,7 +10,7 @@
 
 from kingcuppost.cli.reference import references
 
-__all__ = ["main", "renewed"]
+__all__ = ["DOCS", "main", "renewed", "replaced"]
 
 DOCS = Path(__file__).parent.parent / "docs"
 BLOCK = re.compile(r"(<!-- reference (\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
@@ -30,6 +30,20 @@
     )
 
 
+def replaced(text: str, name: str, body: str) -> str:
+    r"""Return a page's text with the block of this name made anew.
+
+    Examples
+    --------
+    >>> replaced("a\n<!-- block x -->\nb\n<!-- end -->\nc", "x", "new")
+    'a\n<!-- block x -->\nnew\n<!-- end -->\nc'
+    """
+    start = f"<!-- block {name} -->\n"
+    head, _, rest = text.partition(start)
+    _, _, tail = rest.partition("<!-- end -->")
+    return f"{head}{start}{body}\n<!-- end -->{tail}"
+
+
 def main() -> int:
     """Rewrite the tables of all pages."""
     for path in sorted(DOCS.glob("*.md")):
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -21,6 +21,7 @@
 KB = 1_000
 MS_PER_SECOND = 1_000
 PERCENT = 100
+MEASURED_ENTRIES = 2
 ROLES = ("entry", "holder", "sidecar")
 
 
@@ -32,7 +33,7 @@
     ----------
     name : str
         What it is called in tables.
-    workers, tasks, teams : int
+    workers, tasks, teams, entries : int
         Counts.
     jobs_a_day, changes_a_day, restarts_a_day : float
         Events of a day.
@@ -45,15 +46,18 @@
     jobs_a_day: float
     changes_a_day: float
     restarts_a_day: float
+    entries: int = MEASURED_ENTRIES
 
     def amounts(self, role: str) -> dict[str, float]:
         """Return how much of each driver a process of a role meets.
 
-        Events are per second. A sidecar runs the tasks of its own worker.
+        Events are per second. A sidecar runs the tasks of its own worker, and
+        each worker's sidecar beats at one of the entries.
         """
+        homes = 1.0 if role == "sidecar" else MEASURED_ENTRIES / self.entries
         tasks = self.tasks / self.workers if role == "sidecar" else self.tasks
         return {
-            "worker": self.workers,
+            "worker": self.workers * homes,
             "running task": tasks,
             "team": self.teams,
             "job": self.jobs_a_day / SECONDS_PER_DAY,
@@ -62,7 +66,7 @@
         }
 
 
-DESIGN = Size("design size", 540, 9_400, 120, 360, 1_600, 35)
+DESIGN = Size("design size", 540, 9_400, 120, 360, 1_600, 35, entries=4)
 TODAY = Size("today", 10, 80, 4, 40, 100, 4)
 
 
