Let no member outlive its worker in its leader's eyes

Cause: a test with real processes killed the worker of a running leader; after 60 s the gang still held its places. The sidecar went on to report the member as running, since only the worker's answers change a member's row, and the worker gave none. A gang of one was never given up for the same reason. Another run placed a gang 30 times a second on a dead worker: the gang ended as soon as all members were over.

Ruled out: a third share of the lease for the worker's silence (shorter bounds for the other two shares).

Change: a report says how long ago the worker showed the member running, and the leader counts from there. A stopping member whose worker is silent counts as stopped once the worker must have ended it by the lease. A gang with a refused member ends after the reservation lease, since the order to reserve may yet arrive.

Before: gang not over within 60 s.

Conclusion: the death of a worker ends its gang within the lease, like that of a sidecar. That a placement takes the dead worker again is left to the placement.

--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -43,11 +43,17 @@
     member: int
     state: TaskState
     result: str = ""
+    age_ms: int = Field(default=0, ge=0)
 
     def to_row(self) -> MemberReport:
         """Return the row."""
         return MemberReport(
-            self.job, self.incarnation, self.member, self.state, self.result
+            self.job,
+            self.incarnation,
+            self.member,
+            self.state,
+            self.result,
+            self.age_ms,
         )
 
 
@@ -59,6 +65,7 @@
             member=row.member,
             state=row.state,
             result=row.result,
+            age_ms=row.age_ms,
         )
         for row in rows
     ]
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -144,10 +144,16 @@
 
 
 def _advance_stopping(world: World, gang: Gang, since_ms: int, now_ms: int) -> None:
+    """End a gang once nothing of it can run or hold its worker any more.
+
+    An order to reserve that the worker did not answer may yet arrive, and would
+    be in the way of the next gang until it lapses.
+    """
     states = [row.state for row in members_of(world, gang.key)]
     over = sum(state in OVER_STATES for state in states)
+    all_over = over == len(gang.placements) and TaskState.REFUSED not in states
     end_ms = lapsed_ms(world, gang, since_ms)
-    if over == len(gang.placements) or now_ms >= end_ms:
+    if all_over or now_ms >= end_ms:
         body = GangEnd(world.agreed.lease.term, gang.job, gang.incarnation)
         _propose(world, gang, body, now_ms)
         return
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -120,6 +120,17 @@
     assert len(stops(bench)) == 1
 
 
+def test_gang_with_a_refused_member_ends_after_its_reservations(
+    bench: Bench,
+) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell(bench, 0, TaskState.REFUSED)
+    tell(bench, 1, TaskState.STOPPED)
+    assert not ends(bench)
+    assert 1_500 <= ms_until_end(bench, 60_000) <= 3_000
+
+
 def test_member_that_never_reserves_stops_the_gang(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -13,6 +13,7 @@
 from kingcuppost.systems.members.renewals import renew_tasks, take_worker_answers
 from kingcuppost.systems.members.stopping import (
     forget_members,
+    give_up_silent,
     stop_isolated,
     stop_lapsed,
 )
@@ -21,6 +22,7 @@
 __all__ = [
     "follow_gangs",
     "forget_members",
+    "give_up_silent",
     "hear_members",
     "renew_tasks",
     "report_to_leaders",
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -7,6 +7,7 @@
 """
 
 from collections import defaultdict
+from dataclasses import replace
 
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
@@ -63,7 +64,8 @@
         return
     by_leader = defaultdict(list)
     for gang, task in pairs:
-        by_leader[gang.placements[0].worker].append(report_of(task))
+        report = _aged_report(world, task, now_ms)
+        by_leader[gang.placements[0].worker].append(report)
     period_ms = min(_report_period_ms(world, gang) for gang, _ in pairs)
     world.gang_report_ms = now_ms + period_ms
     world.deadlines.add(world.gang_report_ms)
@@ -71,6 +73,14 @@
         _report(world, leader, tuple(reports), period_ms, now_ms)
 
 
+def _aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
+    """Return a report that a running member can't outlive its worker by."""
+    report = report_of(task)
+    if task.state is not TaskState.RUNNING:
+        return report
+    return replace(report, age_ms=max(now_ms - world.worker_heard_ms, 0))
+
+
 def _report_period_ms(world: World, gang: Gang) -> int:
     return confirm_ms(world, gang) // REPORTS_PER_CONFIRM
 
@@ -136,7 +146,7 @@
     if report.state is TaskState.FINISHED:
         watch.results[report.member] = report.result
     if report.state in ALIVE_STATES:
-        watch.heard_ms[report.member] = now_ms
+        watch.heard_ms[report.member] = now_ms - report.age_ms
     else:
         watch.broken = f"member {report.member} is {report.state}"
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -3,7 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import confirm_ms, reservation_ms
+from kingcuppost.systems.leases import confirm_ms, lease_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -132,7 +132,10 @@
 
 def _take_start(world: World, task: MemberTask, done: WorkerDone, now_ms: int) -> None:
     """Note that the member runs; stop one whose start may have taken effect."""
-    if done.ok:
+    gang = gang_of(world, task)
+    if done.ok and gang is not None:
+        sent_ms = task.lease_ms - lease_ms(world, gang)
+        world.worker_heard_ms = max(world.worker_heard_ms, sent_ms)
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     else:
         stop_task(world, task, now_ms)
@@ -154,6 +157,7 @@
     if not done.ok:
         _give_up_reservations(world, renewal, now_ms)
         return
+    world.worker_heard_ms = max(world.worker_heard_ms, renewal.sent_ms)
     states = {item.task_id: item for item in done.tasks}
     for item in done.tasks:
         task = world.tasks.get(item.task_id)
@@ -178,12 +182,12 @@
 
 
 def _prolong_reservations(world: World, renewal: Renewal) -> None:
-    lease_ms = renewal.sent_ms + reservation_ms(world)
+    until_ms = renewal.sent_ms + reservation_ms(world)
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
         if task is not None and task.state is TaskState.RESERVED:
-            world.tasks.update(task_id, lease_ms=lease_ms)
-            world.deadlines.add(lease_ms)
+            world.tasks.update(task_id, lease_ms=until_ms)
+            world.deadlines.add(until_ms)
 
 
 def _note_lost(world: World, task: MemberTask) -> None:
@@ -221,9 +225,9 @@
         stop_task(world, task, now_ms)
         return
     if not ended:
-        lease_ms = now_ms + confirm_ms(world, gang)
-        world.tasks.update(task.task_id, lease_ms=lease_ms)
-        world.deadlines.add(lease_ms)
+        until_ms = now_ms + confirm_ms(world, gang)
+        world.tasks.update(task.task_id, lease_ms=until_ms)
+        world.deadlines.add(until_ms)
     note(world, "member.adopt", "Took over a member.", job=task.job)
 
 
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -2,6 +2,7 @@
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
+from kingcuppost.systems.leases import lease_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -15,7 +16,16 @@
 from kingcuppost.tables.task import MemberTask, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["forget_members", "order_stop", "stop_isolated", "stop_lapsed", "stop_task"]
+__all__ = [
+    "forget_members",
+    "give_up_silent",
+    "order_stop",
+    "stop_isolated",
+    "stop_lapsed",
+    "stop_task",
+]
+
+CLOCK_DRIFT_MARGIN_MS = 500
 
 
 def stop_task(world: World, task: MemberTask, now_ms: int) -> None:
@@ -49,6 +59,30 @@
                 stop_task(world, task, now_ms)
 
 
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+def give_up_silent(world: World, now_ms: int) -> None:
+    """Take stopping members as stopped once their silent worker has ended them.
+
+    A stopping member is renewed no more, so that the worker ends it when its lease
+    runs out, plus what the last renewal was late.
+    """
+    for task in world.tasks.find("state", TaskState.STOPPING):
+        ended_ms = _ended_by_worker_ms(world, task)
+        if now_ms < ended_ms:
+            world.deadlines.add(ended_ms)
+        elif world.worker_heard_ms <= task.lease_ms:
+            world.tasks.update(task.task_id, state=TaskState.STOPPED)
+            note(world, "member.silent", "The worker is silent.", job=task.job)
+
+
+def _ended_by_worker_ms(world: World, task: MemberTask) -> int:
+    gang = gang_of(world, task)
+    bound_ms = order_timeout_ms(world) + CLOCK_DRIFT_MARGIN_MS
+    if not task.confirmed and gang is not None:
+        bound_ms += lease_ms(world, gang)
+    return task.lease_ms + bound_ms
+
+
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
 def stop_isolated(world: World, now_ms: int) -> None:
     """Stop all members once neither log nor entry was heard for the bound.
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -258,6 +258,42 @@
     assert bench.task("a/1/0").state is TaskState.STOPPED
 
 
+def silence_worker(bench: Bench) -> None:
+    bench.held = (RenewTasks, StopTask, CheckpointTask)
+
+
+def lose_kept_orders(bench: Bench, for_ms: int) -> None:
+    """Let time pass while the worker's link loses every order."""
+    for _ in range(for_ms // 500):
+        bench.run(500)
+        kept, bench.kept = bench.kept, []
+        for order in kept:
+            name = {RenewTasks: "renew", StopTask: "stop"}.get(type(order))
+            task_id = getattr(order, "task_id", "")
+            failed = WorkerDone(name or "checkpoint", task_id, False, reason="silent")
+            bench.world.inbox.put(failed)
+
+
+def test_member_of_a_dead_worker_is_not_reported_alive(bench: Bench) -> None:
+    task_id = run_alone(bench)
+    bench.run(2_000)
+    silence_worker(bench)
+    lose_kept_orders(bench, 12_000)
+    assert bench.task(task_id).state is TaskState.STOPPED
+
+
+def test_gang_whose_leaders_worker_died_is_called_broken(bench: Bench) -> None:
+    lead(bench)
+    for _ in range(4):
+        tell_leader(bench, report(1, TaskState.RUNNING))
+        bench.run(500)
+    silence_worker(bench)
+    for _ in range(CONFIRM_MS // 500 + 1):
+        tell_leader(bench, report(1, TaskState.RUNNING))
+        lose_kept_orders(bench, 500)
+    assert bench.world.gang_watches.get("a/1").broken
+
+
 def test_member_lost_before_its_release_is_told(bench: Bench) -> None:
     place(bench.log, "a", (OWN, OTHER))
     bench.settle()
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -95,6 +95,8 @@
         Stage of the member.
     result : str
         What a finished member returned.
+    age_ms : int
+        How long ago the worker was last asked and showed it running.
     """
 
     job: str
@@ -102,6 +104,7 @@
     member: int
     state: TaskState
     result: str = ""
+    age_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -106,6 +106,8 @@
         Whether a graceful stop is under way.
     renewal : Renewal or None
         The renewal of the worker's leases that is under way.
+    worker_heard_ms : int
+        When the order that the worker last answered was sent.
     gang_due : DueKeys
         When the scheduler looks at each gang again.
     advance_term : int
@@ -155,5 +157,6 @@
     entry_heard_ms: int = 0
     stopping: bool = False
     renewal: Renewal | None = None
+    worker_heard_ms: int = 0
     gang_due: DueKeys = field(default_factory=DueKeys)
     advance_term: int = 0
