--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -30,9 +30,10 @@
         False for a request that runs at most once; it carries a key.
     key : str
         Names a non-idempotent request among those of its team.
-    key_issued_ms : int
-        When the caller made the key, Unix ms; 0 if not said. A key without it is
-        refused once the system has forgotten any key.
+    issued_ms : int
+        When the caller made the key, Unix ms; the same in every retry. Keys made
+        before the oldest that is remembered are refused, as are keys without a
+        time once any was forgotten.
     timeout_ms : int
         Time within which the answer is of use, in ms; 0 for the team's setting.
     """
@@ -43,7 +44,7 @@
     urgency: Urgency = Urgency.INTERACTIVE
     idempotent: bool = True
     key: str = Field(default="", max_length=LONGEST_KEY)
-    key_issued_ms: int = Field(default=0, ge=0, le=LATEST_MS)
+    issued_ms: int = Field(default=0, ge=0, le=LATEST_MS)
     timeout_ms: int = Field(default=0, ge=0, le=LONGEST_TIMEOUT_MS)
 
     def fault(self) -> str:
@@ -64,5 +65,5 @@
             self.urgency,
             self.key,
             self.timeout_ms,
-            self.key_issued_ms,
+            self.issued_ms,
         )
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -15,7 +15,7 @@
 def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Fault | None:
     """Refuse all claims but the first, and keys that may have been forgotten.
 
-    A forgotten key was issued no later than `Floors.key_issued_ms`, so that only
+    A forgotten key was issued no later than `Floors.issued_ms`, so that only
     a key issued after it is surely new. A key without an issue time counts as
     issued at 0, and is refused once any key was forgotten.
     """
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -54,7 +54,7 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
-    if message.key_issued_ms > world.clock.wall_ms() + CLOCK_SKEW_MS:
+    if message.issued_ms > world.clock.wall_ms() + CLOCK_SKEW_MS:
         return "the key was made in the future"
     if (
         message.key
@@ -90,7 +90,7 @@
         state=state,
         created_ms=now_ms,
         deadline_ms=now_ms + timeout_ms,
-        key_issued_ms=message.key_issued_ms,
+        issued_ms=message.issued_ms,
     )
 
 
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -31,7 +31,7 @@
         attempt_id,
         minion.name,
         minion.incarnation,
-        issued_ms=request.key_issued_ms,
+        issued_ms=request.issued_ms,
         decision=decision_of(world, request, minion),
     )
     fault = fault_of(world.agreed, body)
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -169,6 +169,17 @@
     assert [driver.outcome(call) for call in calls] == [Outcome.ANSWERED] * 3
 
 
+def test_time_of_issue_reaches_the_claim_and_may_not_lie_ahead() -> None:
+    driver = started({"m-0": 50})
+    call = driver.ask("entry-0", "charge", "k", issued_ms=7)
+    ahead = driver.ask("entry-0", "later", "k2", issued_ms=10**9)
+    driver.advance(500)
+    assert driver.outcome(call) is Outcome.ANSWERED
+    assert driver.worlds["entry-1"].agreed.key_claims.get("design/k").issued_ms == 7
+    assert driver.outcome(ahead) is Outcome.NOT_RUN
+    assert driver.runs["later"] == 0
+
+
 def test_forgotten_key_is_never_told_not_run(monkeypatch) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
     driver = started()
@@ -188,7 +199,7 @@
     driver = started()
     outcomes = []
     for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
-        asked = driver.ask("entry-0", f"charge-{key}", key, key_issued_ms=issued_ms)
+        asked = driver.ask("entry-0", f"charge-{key}", key, issued_ms=issued_ms)
         driver.advance(1_000)
         outcomes.append(driver.outcome(asked))
     answered = Outcome.ANSWERED
@@ -198,7 +209,7 @@
 
 def test_key_from_the_future_is_refused_as_not_run() -> None:
     driver = started()
-    asked = driver.ask("entry-0", "charge", "k", key_issued_ms=2**52)
+    asked = driver.ask("entry-0", "charge", "k", issued_ms=2**52)
     driver.advance(1_000)
     assert driver.outcome(asked) is Outcome.NOT_RUN
     assert driver.runs["charge"] == 0
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -62,7 +62,7 @@
         Whether an attempt ended with an unknown outcome.
     claim_id : str
         Record that claims the key; empty before it is proposed.
-    key_issued_ms : int
+    issued_ms : int
         When the caller made the key, Unix ms; 0 if not said.
     """
 
@@ -80,7 +80,7 @@
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     claim_id: str = ""
-    key_issued_ms: int = 0
+    issued_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from kingcuppost.tables.announcement import Announcement
+from kingcuppost.tables.capacity import Capacity
 from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
@@ -55,18 +56,22 @@
     Only the fold writes them.
     """
 
-    teams: Table[Team] = field(default_factory=lambda: Table("name"))
+    teams: Table[Team] = field(
+        default_factory=lambda: Table("name", watchers=("occupancy",))
+    )
     availability_zones: Table[AvailabilityZone] = field(
-        default_factory=lambda: Table("name", watchers=("zones", "routing"))
+        default_factory=lambda: Table(
+            "name", watchers=("zones", "routing", "occupancy")
+        )
     )
     workers: Table[Worker] = field(
         default_factory=lambda: Table(
-            "name", ("availability_zone", "rack"), watchers=("fleet",)
+            "name", ("availability_zone", "rack"), watchers=("fleet", "occupancy")
         )
     )
     minions: Table[Minion] = field(
         default_factory=lambda: Table(
-            "name", ("service", "worker"), ("health", "routing")
+            "name", ("service", "worker"), ("health", "routing", "occupancy")
         )
     )
     entries: Table[Entry] = field(default_factory=lambda: Table("name"))
@@ -132,12 +137,16 @@
         Whether a graceful stop is under way.
     renewal : Renewal or None
         The renewal of the worker's leases that is under way.
+    worker_heard_ms : int
+        When the order that the worker last answered was sent.
     gang_due : DueKeys
         When the scheduler looks at each gang again.
     advance_term : int
         Scheduling term in which gangs were last looked at.
     tally : Tally
         Counts and durations for the metrics.
+    capacity : Capacity
+        What an entry knows of free accelerators, shares and the queue.
     """
 
     cfg: ProcessConfig
@@ -200,5 +209,7 @@
     entry_heard_ms: int = 0
     stopping: bool = False
     renewal: Renewal | None = None
+    worker_heard_ms: int = 0
     gang_due: DueKeys = field(default_factory=DueKeys)
     advance_term: int = 0
+    capacity: Capacity = field(default_factory=Capacity)
