--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -25,6 +25,7 @@
     TeamPut,
     ZonePut,
 )
+from kingcuppost.tables.table import Table
 from kingcuppost.tables.world import Agreed
 
 
@@ -53,6 +54,12 @@
     return JobSubmit(name, "design", 1, 1, 1, 1, Urgency.OVERNIGHT, 0, "{}")
 
 
+def minion(name: str, worker: str) -> MinionAnnounce:
+    return MinionAnnounce(
+        name, "s", worker, "vid-a", "r", "i", "127.0.0.1", 1, 8, 64, 1, 1, 8
+    )
+
+
 def claim(key: str, issued_ms: int) -> KeyClaimPut:
     return KeyClaimPut(key, f"att-{key}", "minion-0", "inc-0", issued_ms)
 
@@ -69,11 +76,7 @@
 def test_ended_job_stays_while_its_gang_holds_accelerators(folder, monkeypatch) -> None:
     monkeypatch.setattr(jobs, "ENDED_JOBS", 1)
     folder.fold(ZonePut("vid-a", "vidzeme", True, 0))
-    folder.fold(
-        MinionAnnounce(
-            "minion-0", "s", "w-0", "vid-a", "r", "i", "127.0.0.1", 1, 8, 64, 1, 1, 8
-        )
-    )
+    folder.fold(minion("minion-0", "w-0"))
     folder.fold(LeaseClaim("entry-0", "inc-0", 0))
     term = folder.agreed.lease.term
     folder.fold(submit("held"))
@@ -156,3 +159,22 @@
         assert folder.fold(body) is None
     kept = [row.key for row in folder.agreed.key_claims if row.decision]
     assert kept == ["b", "c"]
+
+
+def test_fold_of_a_record_walks_no_table(folder, monkeypatch) -> None:
+    def walk(table: Table) -> None:
+        raise AssertionError("a fold walks a whole table")
+
+    monkeypatch.setattr(Table, "__iter__", walk)
+    bodies = [
+        ZonePut("vid-a", "vidzeme", True, 0),
+        SettingPut("teams/design", "log.fresh_ms", 500, 0),
+        minion("minion-0", "w-0"),
+        LeaseClaim("entry-0", "inc-0", 0),
+        submit("a"),
+        JobCancel("a", "test"),
+        claim("k", 5),
+        KeyOutcome("k", "att-k", "answered"),
+        TeamPut("other", (), 0, 0),
+    ]
+    assert [folder.fold(body) for body in bodies] == [None] * len(bodies)
