Refuse or park what can't run, set bad workers aside, leave zones that stay out

Cause: an impossible job waited for ever; a worker that fails everything got the next job each time; a zone taken out kept its gangs for ever. Ruled out: judging from within the pass over the queue (a job was placed in the tick that refused it, so it failed on a fourth worker: the order of the systems is now intake, judging, placement), and counting a worker that is set aside against the job (then the bad worker condemns good jobs). Failed on the way: alike jobs were skipped for one that avoids a worker; keeps were made on workers set aside. Both have a test.

--- a/bench/lists.py
+++ b/bench/lists.py
@@ -235,7 +235,8 @@
     )
     for item in filler:
         object.__setattr__(item, "job", f"filler-{item.job}")
-    sizes = [(1, 4), (1, 8), (2, 8), (4, 4), (8, 8), (16, 2), (32, 4), (64, 2), (64, 4)]
+    sizes = [(1, 4), (1, 8)] * 3 + [(2, 8)] * 2
+    sizes += [(4, 4), (8, 8), (16, 2), (32, 2), (64, 2)]
     deployment.arrivals = (
         filler
         + _arrivals(
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -231,9 +231,10 @@
         key, state=GangState.STOPPING, reason=body.reason, grace_ms=body.grace_ms
     )
     job = agreed.jobs.get(body.job)
-    if body.failed_worker and body.failed_worker not in job.failed_workers:
-        failed = (*job.failed_workers, body.failed_worker)
-        agreed.jobs.update(body.job, failed_workers=failed)
+    if not body.failed_worker:
+        return
+    failed = tuple(dict.fromkeys((*job.failed_workers, body.failed_worker)))
+    agreed.jobs.update(body.job, failed_workers=failed, failures=job.failures + 1)
 
 
 @checkers.register(GangEnd)
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -1,5 +1,6 @@
 """Baselines to compare with: first fit, and backfilling without guarantees."""
 
+from kingcuppost.systems.jobs.cells import slots_in
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
 from kingcuppost.systems.jobs.keeps import drop_keep, is_ready
 from kingcuppost.tables.capacity import WorkerCapacity
@@ -33,7 +34,15 @@
     """Place by first fit; `opened` masks of kept accelerators may be used too."""
     placements: list[Placement] = []
     refused = []
-    rows = [row for row in world.capacity.workers if row.usable]
+    wanted = job.members * job.accelerators
+    if not opened and slots_in(world.capacity.free_blocks, 0) < wanted:
+        reason = f"fewer than {wanted} accelerators are free"
+        return Choice(None, refused=(RefusedAlternative("all workers", reason),))
+    rows = [
+        row
+        for row in world.capacity.workers
+        if row.usable and row.accelerators >= job.accelerators
+    ]
     rows.sort(key=lambda row: (row.availability_zone, row.rack, row.name))
     for row in rows:
         wanted = job.members - len(placements)
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -28,6 +28,8 @@
         Keys of gangs that are stopped for the job.
     keep : Keep or None
         Place that is kept for it meanwhile.
+    lacks_place : bool
+        Whether it waits for a place, not for something else.
     """
 
     placements: tuple[Placement, ...] | None
@@ -35,6 +37,7 @@
     refused: tuple[RefusedAlternative, ...] = ()
     stops: frozenset[str] = frozenset()
     keep: Keep | None = None
+    lacks_place: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/kingcuppost/systems/jobs/faults.py
@@ -0,0 +1,82 @@
+"""Workers that fail everything they start are set aside and probed."""
+
+from kingcuppost.settings import effective_value
+from kingcuppost.systems.events import note
+from kingcuppost.systems.jobs.occupancy import refresh_worker
+from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.capacity import Capacity, WorkerFaults
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.job import Job, JobState, gang_key
+from kingcuppost.tables.world import World
+
+__all__ = ["follow_faults"]
+
+STEP = "worker.aside"
+
+
+@system(Phase.DECIDE, roles=(Role.ENTRY,))
+def follow_faults(world: World, now_ms: int) -> None:
+    """Count distinct failed jobs by worker; set workers aside, and probe them."""
+    for name in world.agreed.jobs.take_changes("faults"):
+        job = world.agreed.jobs.get(name)
+        if job is not None:
+            _follow_job(world, job, now_ms)
+    for row in world.capacity.faults:
+        if row.aside:
+            _probe_when_due(world, row, now_ms)
+
+
+def _follow_job(world: World, job: Job, now_ms: int) -> None:
+    seen = world.capacity.failures_seen
+    for worker in job.failed_workers[seen.get(job.name, 0) :]:
+        _count(world, worker, job.name, now_ms)
+    if job.failed_workers:
+        seen[job.name] = len(job.failed_workers)
+    if job.state is JobState.DONE:
+        seen.pop(job.name, None)
+        _clear(world, job)
+
+
+def _count(world: World, worker: str, job: str, now_ms: int) -> None:
+    row = world.capacity.faults.get(worker) or WorkerFaults(worker)
+    row.jobs.add(job)
+    world.capacity.faults.put(row)
+    limit = effective_value(world.agreed, "worker.failed_job_limit")
+    if len(row.jobs) < limit:
+        return
+    row.aside = True
+    row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
+    world.deadlines.add(row.probe_ms)
+    _set_probing(world.capacity, worker, False)
+    text = f"The worker is set aside after {len(row.jobs)} failed jobs."
+    note(world, STEP, text, peer=worker, job=job)
+
+
+def _probe_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
+    worker = world.capacity.workers.get(row.worker)
+    if worker is None or worker.probing:
+        return
+    if now_ms < row.probe_ms:
+        world.deadlines.add(row.probe_ms)
+        return
+    _set_probing(world.capacity, row.worker, True)
+    world.capacity.due = True
+    note(world, STEP, "The worker may run one job as a probe.", peer=row.worker)
+
+
+def _clear(world: World, job: Job) -> None:
+    """Trust the workers again on which a job has finished."""
+    gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
+    for placement in gang.placements if gang is not None else ():
+        row = world.capacity.faults.delete(placement.worker)
+        if row is not None and row.aside:
+            _set_probing(world.capacity, placement.worker, False)
+            world.capacity.due = True
+            note(world, STEP, "The worker is in use again.", peer=placement.worker)
+
+
+def _set_probing(capacity: Capacity, worker: str, probing: bool) -> None:
+    row = capacity.workers.get(worker)
+    if row is not None:
+        row.probing = probing
+        refresh_worker(capacity, row)
--- a/kingcuppost/systems/jobs/keeps.py
+++ b/kingcuppost/systems/jobs/keeps.py
@@ -190,6 +190,8 @@
     cell_class = class_of(job.accelerators)
     dated = []
     for row in world.capacity.workers:
+        if row.name in job.failed_workers:
+            continue
         if row.usable and row.accelerators >= job.accelerators:
             dated.extend(_dated_blocks(world, row, cell_class))
     chosen = nsmallest(job.members, dated)
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -16,7 +16,7 @@
 )
 from kingcuppost.tables.fleet import MemberState, Worker
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.job import Job, Placement
+from kingcuppost.tables.job import Job, JobState, Placement
 from kingcuppost.tables.team import Team
 from kingcuppost.tables.world import World
 
@@ -47,10 +47,19 @@
     changed |= _follow_teams(world)
     if changed:
         world.capacity.fleet_changed_ms = now_ms
+        _judge_all_anew(world)
     if _follow_gangs(world) or changed:
         world.capacity.due = True
 
 
+def _judge_all_anew(world: World) -> None:
+    """Let every waiting and parked job be judged against the changed fleet."""
+    world.capacity.holdable.clear()
+    for state in (JobState.WAITING, JobState.PARKED):
+        for job in world.agreed.jobs.find("state", state):
+            world.capacity.unjudged[job.name] = None
+
+
 def _start_over(world: World) -> None:
     """Forget everything; the new tables report all of their rows as changed."""
     world.capacity = Capacity(source=world.agreed)
@@ -84,10 +93,10 @@
         row = _new_row(worker, holds)
         capacity.workers.put(row)
         refresh_worker(capacity, row)
-    usable = _is_usable(world, worker)
-    if usable == row.usable:
+    in_service = _is_in_service(world, worker)
+    if in_service == row.in_service:
         return False
-    row.usable = usable
+    row.in_service = in_service
     refresh_worker(capacity, row)
     return True
 
@@ -105,15 +114,12 @@
     )
 
 
-def _is_usable(world: World, worker: Worker) -> bool:
+def _is_in_service(world: World, worker: Worker) -> bool:
     zone = world.agreed.availability_zones.get(worker.availability_zone)
     if zone is None or not zone.in_service:
         return False
     minion = world.agreed.minions.get(worker.minion)
-    if minion is not None and minion.state is MemberState.LEAVING:
-        return False
-    faults = world.capacity.faults.get(worker.name)
-    return faults is None or not faults.aside
+    return minion is None or minion.state is not MemberState.LEAVING
 
 
 def _follow_teams(world: World) -> bool:
@@ -259,25 +265,36 @@
     free = row.whole & ~(busy | kept)
     unbound = row.whole & ~bound
     free_cores = row.cores - cores
+    usable = _may_start(capacity, row)
     _uncount(capacity, row)
     capacity.workers.update(
         row.name,
+        usable=usable,
         busy=busy,
         kept=kept,
         bound=bound,
         pinned=pinned,
         free_cores=free_cores,
         free_memory_mb=row.memory_mb - memory_mb,
-        room=_largest(free) if row.usable else UNUSABLE_ROOM,
-        bind_room=_largest(unbound) if row.usable else UNUSABLE_ROOM,
-        core_room=_core_room(row, free_cores) if row.usable else UNUSABLE_CORES,
-        free_blocks=count_blocks(free if row.usable else 0),
-        unbound_blocks=count_blocks(unbound if row.usable else 0),
+        room=_largest(free) if usable else UNUSABLE_ROOM,
+        bind_room=_largest(unbound) if usable else UNUSABLE_ROOM,
+        core_room=_core_room(row, free_cores) if usable else UNUSABLE_CORES,
+        free_blocks=count_blocks(free if usable else 0),
+        unbound_blocks=count_blocks(unbound if usable else 0),
     )
     add_counts(capacity.free_blocks, row.free_blocks)
     add_counts(capacity.unbound_blocks, row.unbound_blocks)
 
 
+def _may_start(capacity: Capacity, row: WorkerCapacity) -> bool:
+    """Return whether new work may go to a worker, a single probe included."""
+    faults = capacity.faults.get(row.name)
+    aside = faults is not None and faults.aside
+    if not row.in_service or (aside and not row.probing):
+        return False
+    return not (row.probing and row.holds)
+
+
 def _uncount(capacity: Capacity, row: WorkerCapacity) -> None:
     add_counts(capacity.free_blocks, row.free_blocks, -1)
     add_counts(capacity.unbound_blocks, row.unbound_blocks, -1)
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -6,6 +6,8 @@
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
+from kingcuppost.systems.jobs.intake import POLICY_KEY
+from kingcuppost.systems.jobs.judging import judged_jobs
 from kingcuppost.systems.jobs.keeps import (
     drop_keep,
     drop_stale_keeps,
@@ -14,7 +16,6 @@
     wake_for_keep,
 )
 from kingcuppost.systems.jobs.occupancy import drop_hold, hold_of, put_hold
-from kingcuppost.systems.jobs.queue import follow_jobs
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import (
@@ -31,19 +32,15 @@
 __all__ = ["place_jobs", "stop_gang"]
 
 REFUSALS_KEPT = 8
-POLICY_KEY = "job.placement_policy"
 DECISION_KEYS = ("job.lease_ms", "job.reserve_timeout_ms")
 
-Signature = tuple[str, Urgency, int, int, int, int, int]
+Signature = tuple[str, Urgency, int, int, int, int, int, tuple[str, ...]]
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,))
 def place_jobs(world: World, now_ms: int) -> None:
     """Place waiting jobs after a change, one batch at a time, on a fresh view."""
     capacity = world.capacity
-    policy_name = str(effective_value(world.agreed, POLICY_KEY))
-    policy = policies[policy_name]
-    follow_jobs(world, policy_name, policy.rank)
     if not is_scheduler(world) or world.stopping:
         return
     if capacity.pass_ms and now_ms >= capacity.pass_ms:
@@ -58,7 +55,7 @@
         want_barrier(world, now_ms)
         return
     _begin_pass(world)
-    _pass(world, policy, now_ms)
+    _pass(world, policies[capacity.queue_policy], now_ms)
 
 
 def _batch_under_way(world: World) -> bool:
@@ -83,8 +80,11 @@
     tries = {urgency: 0 for urgency in Urgency}
     failed: set[Signature] = set()
     may_keep = policy.keeps
+    judged = judged_jobs(world)
     for entry in list(world.capacity.queue):
         job = world.agreed.jobs.get(entry.job)
+        if job.name in judged:
+            continue
         if tries[job.urgency] >= depth:
             if job.urgency is Urgency.OVERNIGHT:
                 break
@@ -100,7 +100,7 @@
         failed.add(signature)
         if policy.strict:
             break
-        if may_keep and choice.keep is None:
+        if may_keep and choice.keep is None and choice.lacks_place:
             since_ms = kept.since_ms if kept is not None else now_ms
             may_keep = not _keep_first(world, job, since_ms, now_ms)
         elif choice.keep is not None and not choice.keep.guaranteed:
@@ -116,6 +116,7 @@
         job.cores,
         job.memory_mb,
         job.declared_ms.bit_length(),
+        job.failed_workers,
     )
 
 
--- a/kingcuppost/systems/jobs/queue.py
+++ b/kingcuppost/systems/jobs/queue.py
@@ -45,6 +45,8 @@
     _remove(capacity, name)
     if job is None:
         return
+    if job.state in (JobState.WAITING, JobState.PARKED):
+        capacity.unjudged[name] = None
     if job.state is JobState.WAITING:
         entry = QueueEntry(rank(world, job), name)
         capacity.ranks[name] = entry
--- a/kingcuppost/systems/jobs/search.py
+++ b/kingcuppost/systems/jobs/search.py
@@ -40,6 +40,7 @@
 CANDIDATES_PER_MEMBER = 4
 GROUPS_TRIED = 4
 CORE_BITS = 32
+NOBODY: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,14 +87,23 @@
     victims: frozenset[str] = frozenset()
 
 
-def find_free(capacity: Capacity, job: Job) -> Plan | None:
+def find_free(
+    capacity: Capacity, job: Job, avoid: frozenset[str] = NOBODY
+) -> Plan | None:
     """Return free places for a borrower, the tightest that hold it."""
     if not job.accelerators:
-        return _pick(_core_candidates(capacity, job), job)
+        return _pick(_passing(_core_candidates(capacity, job), avoid), job)
     cell_class = class_of(job.accelerators)
     if slots_in(capacity.free_blocks, cell_class) < job.members:
         return None
-    return _pick(_free_candidates(capacity, job, cell_class), job)
+    return _pick(_passing(_free_candidates(capacity, job, cell_class), avoid), job)
+
+
+def _passing(
+    candidates: Iterator[Candidate], avoid: frozenset[str]
+) -> Iterator[Candidate]:
+    """Pass over workers that are to be avoided."""
+    return (item for item in candidates if item.worker.name not in avoid)
 
 
 def _free_candidates(
@@ -107,11 +117,14 @@
                 yield Candidate(row, block)
 
 
-def find_kept(capacity: Capacity, keep: Keep, job: Job) -> Plan | None:
+def find_kept(
+    capacity: Capacity, keep: Keep, job: Job, avoid: frozenset[str] = NOBODY
+) -> Plan | None:
     """Return places for a borrower among those kept for another job."""
     if not job.accelerators:
         return None
-    return _pick(_kept_candidates(capacity, keep, class_of(job.accelerators)), job)
+    candidates = _kept_candidates(capacity, keep, class_of(job.accelerators))
+    return _pick(_passing(candidates, avoid), job)
 
 
 def _kept_candidates(
@@ -222,7 +235,9 @@
     return sum(item.cost for item in group[: job.members])
 
 
-def find_guaranteed(world: World, job: Job) -> Plan | None:
+def find_guaranteed(
+    world: World, job: Job, avoid: frozenset[str] = NOBODY
+) -> Plan | None:
     """Return places within the team's guarantee, with the borrowers to stop.
 
     Only cells whose use leaves all other guarantees covered are taken.
@@ -235,7 +250,7 @@
     if not _may_fit(share, job, cell_class):
         return None
     candidates = _guaranteed_candidates(world, share, job, cell_class)
-    found = _take_until_free(candidates, job)
+    found = _take_until_free(_passing(candidates, avoid), job)
     chosen = _choose(found, job, lambda group: _walk(capacity, share, job, group))
     if chosen is None:
         return None
@@ -398,13 +413,15 @@
     return Plan(_placements(chosen, job), victims)
 
 
-def find_borrowed(world: World, job: Job) -> Plan | None:
+def find_borrowed(
+    world: World, job: Job, avoid: frozenset[str] = NOBODY
+) -> Plan | None:
     """Return places that interactive work takes from overnight borrowers."""
     if not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
     candidates = _borrowed_candidates(world, job, cell_class)
-    found = _take_until_free(candidates, job)
+    found = _take_until_free(_passing(candidates, avoid), job)
     chosen = _choose(found, job, lambda group: group[: job.members])
     if chosen is None:
         return None
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -52,6 +52,10 @@
     Within the guarantee borrowers are stopped for it, the least work first.
     Interactive work beyond it may stop overnight borrowers.
     """
+    if reason := _fault_of_limit(world, job):
+        drop_keep(world.capacity, job.name)
+        refused = (RefusedAlternative(job.team, reason),)
+        return Choice(None, refused=refused, lacks_place=False)
     since_ms = now_ms
     keep = world.capacity.keeps.get(job.name)
     if keep is not None:
@@ -60,12 +64,30 @@
         if choice is not None:
             return choice
         drop_keep(world.capacity, job.name)
-    if reason := _fault_of_limit(world, job):
-        return Choice(None, refused=(RefusedAlternative(job.team, reason),))
-    plan = find_guaranteed(world, job)
+    avoid = _avoided(world, job)
+    choice = _choose_new(world, job, since_ms, now_ms, avoid)
+    if choice.placements is None and avoid and job.members > 1:
+        return _choose_new(world, job, since_ms, now_ms, frozenset())
+    return choice
+
+
+def _avoided(world: World, job: Job) -> frozenset[str]:
+    """Return workers on which the job failed and that may be good for others."""
+    faults = world.capacity.faults
+    return frozenset(
+        name
+        for name in job.failed_workers
+        if name not in faults or not faults.get(name).aside
+    )
+
+
+def _choose_new(
+    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+) -> Choice:
+    plan = find_guaranteed(world, job, avoid)
     if plan is not None:
         return _choice_of(job, plan, since_ms, now_ms, guaranteed=True)
-    return _choose_borrowed(world, job, since_ms, now_ms)
+    return _choose_borrowed(world, job, since_ms, now_ms, avoid)
 
 
 def _choose_kept(world: World, job: Job, keep: Keep, now_ms: int) -> Choice | None:
@@ -75,7 +97,9 @@
     if not still_holds(world, keep, job):
         return None
     if not keep.guaranteed:
-        plan = find_guaranteed(world, job) or find_free(world.capacity, job)
+        avoid = _avoided(world, job)
+        plan = find_guaranteed(world, job, avoid)
+        plan = plan or find_free(world.capacity, job, avoid)
         if plan is not None and not plan.victims:
             guaranteed = bool(plan.placements[0].cell)
             return Choice(plan.placements, not guaranteed)
@@ -99,20 +123,22 @@
     return Choice(None, stops=plan.victims, keep=keep)
 
 
-def _choose_borrowed(world: World, job: Job, since_ms: int, now_ms: int) -> Choice:
-    plan = find_free(world.capacity, job)
+def _choose_borrowed(
+    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+) -> Choice:
+    plan = find_free(world.capacity, job, avoid)
     if plan is not None:
         return Choice(plan.placements, borrowed=True)
     if job.urgency is Urgency.INTERACTIVE:
-        plan = find_borrowed(world, job)
+        plan = find_borrowed(world, job, avoid)
         if plan is not None:
             return _choice_of(job, plan, since_ms, now_ms, guaranteed=False)
     for keep in world.capacity.keeps:
         if not keep.guaranteed and _ends_before(world, job, keep, now_ms):
-            plan = find_kept(world.capacity, keep, job)
+            plan = find_kept(world.capacity, keep, job, avoid)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
-    if job.accelerators.bit_count() > 1:
+    if job.accelerators.bit_count() > 1 and not avoid:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
     return Choice(None, refused=(RefusedAlternative("all workers", "no free place"),))
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/capacity.py
@@ -85,8 +85,12 @@
         What it has.
     whole : int
         Mask of all its accelerators.
+    in_service : bool
+        Whether its availability zone is in service and its minion is not leaving.
     usable : bool
-        Whether tasks may start on it.
+        Whether tasks may start on it now.
+    probing : bool
+        Whether it may run one gang only, as a probe.
     busy, kept, bound, pinned : int
         Masks of accelerators: held by tasks; kept for a job to come; in guaranteed
         cells in use; held by tasks, or kept, within guarantees.
@@ -112,7 +116,9 @@
     memory_mb: int
     accelerators: int
     whole: int
+    in_service: bool = False
     usable: bool = False
+    probing: bool = False
     busy: int = 0
     kept: int = 0
     bound: int = 0
@@ -281,6 +287,14 @@
         When the next pass is due though nothing changed; 0 for never.
     fleet_changed_ms : int
         When workers, zones or teams last changed.
+    unjudged : dict of str to None
+        Jobs whose chance to ever run is to be judged, in order.
+    holdable : dict of tuple to bool
+        Whether workers could hold a job, by its needs; for one state of the fleet.
+    failures_seen : dict of str to int
+        Workers on which each open job has failed, as far as counted.
+    leave_ms : dict of str to int
+        When gangs leave each availability zone that was taken out.
     """
 
     source: object = None
@@ -303,3 +317,7 @@
     due: bool = True
     pass_ms: int = 0
     fleet_changed_ms: int = 0
+    unjudged: dict[str, None] = field(default_factory=dict)
+    holdable: dict[tuple[int, int, int, int, bool], bool] = field(default_factory=dict)
+    failures_seen: dict[str, int] = field(default_factory=dict)
+    leave_ms: dict[str, int] = field(default_factory=dict)
--- a/kingcuppost/tables/job.py
+++ b/kingcuppost/tables/job.py
@@ -159,6 +159,8 @@
         Distinct workers on which the job has failed.
     finished_wall_ms : int
         Time of the record that ended the job; 0 before.
+    failures : int
+        How often a member failed, on whatever worker.
     """
 
     name: str
@@ -178,6 +180,7 @@
     result: str = ""
     failed_workers: tuple[str, ...] = ()
     finished_wall_ms: int = 0
+    failures: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -59,7 +59,9 @@
     )
     entries: Table[Entry] = field(default_factory=lambda: Table("name"))
     jobs: Table[Job] = field(
-        default_factory=lambda: Table("name", ("state", "team"), ("placement",))
+        default_factory=lambda: Table(
+            "name", ("state", "team"), ("placement", "faults")
+        )
     )
     gangs: Table[Gang] = field(
         default_factory=lambda: Table(
