--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,93 @@
+"""Print the figures: ``python -m bench [--seeds N] [--deployment NAME]``."""
+
+import argparse
+from statistics import mean
+
+from bench.driver import Driver
+from bench.figures import Figures, measure
+from bench.lists import deployments
+from bench.ticks import tick_times
+
+POLICIES = ("first_fit", "backfill", "shapes")
+SEEDS = 5
+SCALES = (1, 10)
+MINUTE_MS = 60_000
+HEADER = (
+    "| deployment | policy | overnight mean / p50 / p99, min "
+    "| interactive mean / p50 / p99, s | urgent start p50 / p99 / max, s "
+    "| fragmentation | zone work | reclaims | lost to reclaims, acc h "
+    "| lost in all, acc h | breaks / samples | unfinished |"
+)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which a share of all values lies."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def _spread(values: list[int], unit_ms: int) -> str:
+    parts = (mean(values), percentile(values, 0.5), percentile(values, 0.99))
+    return " / ".join(f"{part / unit_ms:.1f}" for part in parts)
+
+
+def _starts(values: list[int]) -> str:
+    parts = (percentile(values, 0.5), percentile(values, 0.99), max(values))
+    return " / ".join(f"{part / 1_000:.2f}" for part in parts)
+
+
+def _row(name: str, policy: str, runs: list[Figures]) -> str:
+    overnight = [value for run in runs for value in run.overnight_ms]
+    interactive = [value for run in runs for value in run.interactive_ms]
+    urgent = [value for run in runs for value in run.urgent_start_ms]
+    zone_work = [run.zone_work for run in runs]
+    cells = (
+        name,
+        policy,
+        _spread(overnight, MINUTE_MS),
+        _spread(interactive, 1_000),
+        _starts(urgent),
+        f"{mean(run.fragmentation for run in runs):.3f}",
+        f"{mean(zone_work):.3f} (least {min(zone_work):.3f})",
+        str(sum(run.reclaims for run in runs)),
+        f"{sum(run.reclaim_lost_hours for run in runs):.1f}",
+        f"{sum(run.lost_hours for run in runs):.1f}",
+        f"{sum(run.breaks for run in runs)} / {sum(run.samples for run in runs)}",
+        str(sum(run.unfinished for run in runs)),
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def _print_ticks() -> None:
+    print("\n| scale | ticks | tick p50, ms | p99, ms | max, ms |")
+    print("| --- | --- | --- | --- | --- |")
+    for scale in SCALES:
+        times = tick_times(1, scale)
+        parts = (percentile(times, 0.5), percentile(times, 0.99), max(times))
+        figures = " | ".join(f"{part:.2f}" for part in parts)
+        print(f"| {scale} | {len(times)} | {figures} |", flush=True)
+
+
+def main() -> None:
+    """Run all policies over all lists and print the tables."""
+    parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--deployment", choices=sorted(deployments))
+    parser.add_argument("--no-ticks", action="store_true")
+    cfg = parser.parse_args()
+    names = [cfg.deployment] if cfg.deployment else list(deployments)
+    print(HEADER)
+    print("|" + " --- |" * (HEADER.count("|") - 1))
+    for name in names:
+        for policy in POLICIES:
+            runs = [
+                measure(Driver(deployments[name](seed), policy))
+                for seed in range(1, cfg.seeds + 1)
+            ]
+            print(_row(name, policy, runs), flush=True)
+    if not cfg.no_ticks:
+        _print_ticks()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,235 @@
+"""Figures of one run: times, fragmentation, zone changes, breaks, losses."""
+
+from dataclasses import dataclass, field
+
+from bench.driver import Driver, JobRun
+from bench.lists import ZoneChange
+from kingcuppost.systems.jobs.cells import blocks_in, class_of, left_over
+from kingcuppost.tables.capacity import CELL_CLASSES, WorkerCapacity
+from kingcuppost.tables.job import GangState, JobState, Urgency
+
+__all__ = ["Figures", "measure"]
+
+SECOND_MS = 1_000
+MINUTE_MS = 60 * SECOND_MS
+HOUR_MS = 60 * MINUTE_MS
+STEP_MS = MINUTE_MS
+AFTER_RETURN_MS = 30 * MINUTE_MS
+HORIZON_MS = 72 * HOUR_MS
+
+
+@dataclass(slots=True)
+class Samples:
+    """What is summed up while a run goes on, in accelerators times ms."""
+
+    free: float = 0.0
+    unusable: float = 0.0
+    window_done: float = 0.0
+    window_allowed: float = 0.0
+    breaks: int = 0
+    taken: int = 0
+    lost_before: float = 0.0
+
+
+@dataclass(slots=True)
+class Figures:
+    """Figures of one run; times in ms, work in accelerator hours."""
+
+    overnight_ms: list[int] = field(default_factory=list)
+    interactive_ms: list[int] = field(default_factory=list)
+    urgent_start_ms: list[int] = field(default_factory=list)
+    unfinished: int = 0
+    fragmentation: float = 0.0
+    zone_work: float = 0.0
+    lost_hours: float = 0.0
+    reclaim_lost_hours: float = 0.0
+    reclaims: int = 0
+    breaks: int = 0
+    samples: int = 0
+
+
+def measure(driver: Driver) -> Figures:
+    """Run a driver to its end and return its figures.
+
+    Waiting work counts until the end of the arrivals; what does not finish
+    within the horizon counts with the time until then.
+    """
+    samples = Samples()
+    last_ms = max(item.at_ms for item in driver.deployment.arrivals)
+    window = _window(driver.deployment.zone_changes)
+    for at_ms in range(STEP_MS, last_ms, STEP_MS):
+        driver.run(at_ms)
+        _sample(driver, samples, window, at_ms)
+    driver.run(HORIZON_MS)
+    return _figures(driver, samples)
+
+
+def _window(changes: list[ZoneChange]) -> tuple[int, int]:
+    return changes[0].at_ms, changes[-1].at_ms + AFTER_RETURN_MS
+
+
+def _sample(
+    driver: Driver, samples: Samples, window: tuple[int, int], at_ms: int
+) -> None:
+    capacity = driver.world.capacity
+    rows = [row for row in capacity.workers if row.accelerators]
+    largest = _largest_wanted(driver)
+    for row in rows:
+        if row.in_service:
+            free = row.whole & ~row.busy
+            samples.free += free.bit_count()
+            samples.unusable += free.bit_count() - _usable(free, largest)
+    samples.breaks += _is_broken(driver, rows)
+    samples.taken += 1
+    if window[0] <= at_ms < window[1]:
+        _sample_window(driver, samples, rows)
+
+
+def _largest_wanted(driver: Driver) -> int:
+    """Return the size of the largest waiting or guaranteed member."""
+    capacity = driver.world.capacity
+    sizes = [
+        1 << cell_class
+        for share in capacity.shares
+        for cell_class in range(CELL_CLASSES)
+        if share.unused[cell_class]
+    ]
+    waiting = driver.world.agreed.jobs.find("state", JobState.WAITING)
+    return max([1, *sizes, *(job.accelerators for job in waiting)])
+
+
+def _usable(free: int, size: int) -> int:
+    """Return how many free accelerators lie in runs of a size, aligned or not."""
+    usable = 0
+    run = 0
+    while free:
+        run = run + 1 if free & 1 else 0
+        if run == size:
+            usable += size
+            run = 0
+        free >>= 1
+    return usable
+
+
+def _is_broken(driver: Driver, rows: list[WorkerCapacity]) -> int:
+    """Return 1 if unused guarantees do not fit though the workers could hold all.
+
+    Work of the baselines is never stopped, so that only free accelerators count
+    for them, in their favour unaligned; what a team runs counts against its
+    guarantee, the largest cells first.
+    """
+    capacity = driver.world.capacity
+    wholes = _counts([row.whole for row in rows if row.in_service])
+    everything = [
+        sum(share.guaranteed[size] for share in capacity.shares)
+        for size in range(CELL_CLASSES)
+    ]
+    if left_over(wholes, everything):
+        return 0
+    if driver.policy == "shapes":
+        return int(left_over(capacity.unbound_blocks, capacity.demand) > 0)
+    return int(not _fits_unaligned(driver, rows))
+
+
+def _counts(masks: list[int]) -> list[int]:
+    counts = [0] * CELL_CLASSES
+    for mask in masks:
+        for size in reversed(range(CELL_CLASSES)):
+            for block in blocks_in(mask, size):
+                counts[size] += 1
+                mask &= ~block
+    return counts
+
+
+def _fits_unaligned(driver: Driver, rows: list[WorkerCapacity]) -> bool:
+    held: dict[str, int] = {}
+    for gang in driver.world.agreed.gangs:
+        job = driver.world.agreed.jobs.get(gang.job)
+        held[gang.team] = held.get(gang.team, 0) + job.members * job.accelerators
+    free = [row.whole & ~row.busy for row in rows if row.in_service]
+    for size in reversed(range(CELL_CLASSES)):
+        wanted = 0
+        for share in driver.world.capacity.shares:
+            used = min(held.get(share.team, 0) >> size, share.guaranteed[size])
+            held[share.team] = held.get(share.team, 0) - (used << size)
+            wanted += share.guaranteed[size] - used
+        if not _take_runs(free, 1 << size, wanted):
+            return False
+    return True
+
+
+def _take_runs(free: list[int], size: int, wanted: int) -> bool:
+    run = (1 << size) - 1
+    for index, mask in enumerate(free):
+        for start in range(mask.bit_length()):
+            if wanted and (mask >> start) & run == run:
+                mask &= ~(run << start)
+                wanted -= 1
+        free[index] = mask
+    return not wanted
+
+
+def _sample_window(
+    driver: Driver, samples: Samples, rows: list[WorkerCapacity]
+) -> None:
+    """Compare running work with what the accelerators in service allow.
+
+    What runs on in the zone that is out counts on both sides, and waiting work
+    caps what is allowed.
+    """
+    busy = 0
+    for gang in driver.world.agreed.gangs:
+        job = driver.world.agreed.jobs.get(gang.job)
+        if gang.state is GangState.RELEASED:
+            busy += job.members * job.accelerators
+    usable = sum(
+        row.accelerators if row.in_service else row.busy.bit_count() for row in rows
+    )
+    waiting = driver.world.agreed.jobs.find("state", JobState.WAITING)
+    wanted = sum(
+        job.members * job.accelerators
+        for job in waiting
+        if job.members * job.accelerators <= usable
+    )
+    if not samples.window_allowed:
+        samples.lost_before = driver.lost_ms
+    samples.window_done += busy * STEP_MS - (driver.lost_ms - samples.lost_before)
+    samples.lost_before = driver.lost_ms
+    samples.window_allowed += min(usable, busy + wanted) * STEP_MS
+
+
+def _figures(driver: Driver, samples: Samples) -> Figures:
+    figures = Figures(
+        fragmentation=samples.unusable / max(samples.free, 1),
+        zone_work=samples.window_done / max(samples.window_allowed, 1),
+        lost_hours=driver.lost_ms / HOUR_MS,
+        reclaim_lost_hours=driver.reclaim_lost_ms / HOUR_MS,
+        reclaims=driver.reclaims,
+        breaks=samples.breaks,
+        samples=samples.taken,
+    )
+    for run in driver.runs.values():
+        if run.arrival.accelerators:
+            _add(driver, figures, run)
+    return figures
+
+
+def _add(driver: Driver, figures: Figures, run: JobRun) -> None:
+    finished = run.finished_ms >= 0
+    end_ms = run.finished_ms if finished else HORIZON_MS
+    figures.unfinished += not finished
+    took_ms = end_ms - run.submitted_ms
+    if run.arrival.urgency is Urgency.OVERNIGHT:
+        figures.overnight_ms.append(took_ms)
+        return
+    figures.interactive_ms.append(took_ms)
+    started_ms = run.started_ms if run.started_ms >= 0 else HORIZON_MS
+    if _within_guarantee(driver, run):
+        figures.urgent_start_ms.append(started_ms - run.submitted_ms)
+
+
+def _within_guarantee(driver: Driver, run: JobRun) -> bool:
+    """Return whether one job alone fits its team's guarantee."""
+    share = driver.world.capacity.shares.get(run.arrival.team)
+    cell_class = class_of(run.arrival.accelerators)
+    return any(share.guaranteed[cell_class:])
--- /dev/null
+++ b/bench/ticks.py
@@ -0,0 +1,62 @@
+"""What one tick costs when one thing changed, at one and ten times the size."""
+
+import random
+from time import perf_counter
+
+from bench.driver import Driver
+from bench.lists import MINUTE_MS, Arrival, sized_deployment
+from kingcuppost.tables.job import Urgency
+
+__all__ = ["tick_times"]
+
+WARM_UP_MS = 30 * MINUTE_MS
+TICKS = 600
+MS_PER_SECOND = 1_000
+
+
+def tick_times(seed: int, scale: int) -> list[float]:
+    """Return the time of ticks with one change each, in ms.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the list.
+    scale : int
+        How many times the size to design for.
+
+    Returns
+    -------
+    list of float
+        One for each arrival or finish of a small job.
+    """
+    rng = random.Random(seed)
+    driver = Driver(sized_deployment("ticks", rng, seed, scale), "shapes")
+    driver.run(WARM_UP_MS)
+    times = []
+    for number in range(TICKS):
+        driver.submit(_small(number, rng, driver))
+        start = perf_counter()
+        driver.tick()
+        times.append((perf_counter() - start) * MS_PER_SECOND)
+        driver.run(driver.clock.now_ms() + MINUTE_MS // 6)
+    return times
+
+
+def _small(number: int, rng: random.Random, driver: Driver) -> Arrival:
+    team = rng.choice(list(driver.deployment.teams))
+    urgency = rng.choice(list(Urgency))
+    run_ms = rng.randrange(MINUTE_MS, 10 * MINUTE_MS)
+    size = rng.choice((0, 1, 2, 4))
+    return Arrival(
+        driver.clock.now_ms(),
+        f"tick-{number}",
+        team,
+        1,
+        size,
+        3,
+        500,
+        urgency,
+        run_ms,
+        run_ms,
+        200,
+    )
