--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -17,9 +17,9 @@
     answer_proposers,
     has_room,
     propose,
-    send_proposals,
     take_wishes,
 )
+from kingcuppost.systems.agreement.sending import send_proposals
 from kingcuppost.systems.agreement.snapshots import write_snapshots
 
 __all__ = [
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -8,9 +8,9 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import Proposal, ProposalState, Verdict
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AppendDone, Propose
-from kingcuppost.tables.outbox import AppendRecords, Reply
-from kingcuppost.tables.record import Body, Record, SnapshotPart
+from kingcuppost.tables.inbox import Propose
+from kingcuppost.tables.outbox import Reply
+from kingcuppost.tables.record import Body, Record
 from kingcuppost.tables.replies import ChangeAccepted, ChangeRefused
 from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.world import World
@@ -20,7 +20,6 @@
     "answer_proposers",
     "has_room",
     "propose",
-    "send_proposals",
     "take_wishes",
 ]
 
@@ -30,10 +29,6 @@
 STATUS_INVALID = 422
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 504
-APPEND_WEIGHT = 256
-SNAPSHOT_PART_WEIGHT = 64
-APPENDS_UNDER_WAY = 16
-MOST_DOUBLINGS = 4
 STEP = "change"
 
 
@@ -187,110 +182,3 @@
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
     world.outbox.put(_unknown(proposal, "the log did not confirm it in time"))
-
-
-@system(Phase.PROPOSE)
-def send_proposals(world: World, now_ms: int) -> None:
-    """Append what is queued, in groups.
-
-    An append under way holds later records back for a short time only, so that a
-    log that is slow by seconds still takes them.
-    """
-    _note_appends(world, now_ms)
-    _queue_late(world, now_ms)
-    due = _due_group(world, now_ms)
-    if not due or not _may_append(world, now_ms):
-        return
-    hedge = any(row.appends for row in due)
-    for row in due:
-        appends = row.appends + 1
-        late_ms = now_ms + _late_ms(world, appends)
-        world.proposals.update(
-            row.record_id, state=ProposalState.SENT, appends=appends, retry_ms=late_ms
-        )
-        world.deadlines.add(late_ms)
-    world.log_view.appends[due[0].record_id] = now_ms
-    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    records = tuple(row.record for row in due)
-    world.outbox.put(AppendRecords(records, timeout_ms, hedge))
-
-
-def _due_group(world: World, now_ms: int) -> list[Proposal]:
-    """Return the records of the next append, bounded in number and weight."""
-    group: list[Proposal] = []
-    weight = 0
-    for row in world.proposals.find("state", ProposalState.QUEUED):
-        if row.retry_ms > now_ms:
-            continue
-        weight += _weight_of(row.record.body)
-        if group and weight > APPEND_WEIGHT:
-            break
-        group.append(row)
-    return group
-
-
-def _weight_of(body: Body) -> int:
-    return SNAPSHOT_PART_WEIGHT if isinstance(body, SnapshotPart) else 1
-
-
-def _may_append(world: World, now_ms: int) -> bool:
-    appends = world.log_view.appends
-    timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    for key in [key for key, sent in appends.items() if now_ms - sent > timeout_ms]:
-        del appends[key]
-    if not appends:
-        return True
-    if len(appends) >= APPENDS_UNDER_WAY:
-        return False
-    group_ms = max(appends.values()) + effective_value(world.agreed, "log.group_ms")
-    if now_ms >= group_ms:
-        return True
-    world.deadlines.add(group_ms)
-    return False
-
-
-def _late_ms(world: World, appends: int) -> int:
-    """Return the silence after which a record is sent again; doubles each time."""
-    late_ms = effective_value(world.agreed, "log.late_ms")
-    return late_ms * 2 ** min(appends - 1, MOST_DOUBLINGS)
-
-
-def _queue_late(world: World, now_ms: int) -> None:
-    """Queue again, under the same identifiers, what the log is silent about."""
-    for row in world.proposals.find("state", ProposalState.SENT):
-        if row.retry_ms <= now_ms:
-            world.proposals.update(row.record_id, state=ProposalState.QUEUED)
-    fresh_ms = world.log_view.fresh_ms
-    for row in world.proposals.find("state", ProposalState.APPENDED):
-        if fresh_ms > row.appended_ms:
-            world.proposals.update(
-                row.record_id, state=ProposalState.QUEUED, retry_ms=now_ms
-            )
-
-
-def _note_appends(world: World, now_ms: int) -> None:
-    """Wait for the fold of what the log confirmed; send the rest again."""
-    for done in world.inbox.take(AppendDone):
-        world.log_view.appends.pop(done.record_ids[0], None)
-        if not done.ok:
-            note(world, "log.append", f"Append not confirmed: {done.reason}.")
-        for record_id in done.record_ids:
-            row = world.proposals.get(record_id)
-            if row is not None:
-                _note_append(world, row, done, now_ms)
-
-
-def _note_append(world: World, row: Proposal, done: AppendDone, now_ms: int) -> None:
-    if done.ok:
-        world.proposals.update(
-            row.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
-        )
-        return
-    if row.state is ProposalState.APPENDED:
-        return
-    appends = row.appends - 1 if done.never_sent else row.appends
-    retry_ms = now_ms + effective_value(world.agreed, "log.retry_ms")
-    world.proposals.update(
-        row.record_id, state=ProposalState.QUEUED, appends=appends, retry_ms=retry_ms
-    )
-    world.deadlines.add(retry_ms)
