Race two operators with silent connections and lost answers

Cause: two faults together were not tried on a change of configuration. Change: one test; open connections of one entry are frozen, the log loses two answers, two operators race.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -329,3 +329,12 @@
     )
     leases = [status_of(system, name)["lease"] for name in ENTRIES]
     assert leases[0] == leases[1]
+
+
+def test_race_with_silent_connections_and_lost_answers(system: Deployment) -> None:
+    start(system, entry_1=start_proxy(system, "proxy"))
+    system.call("proxy", "port", "POST", "/v1/freeze", {})
+    system.set_faults("log", lose_answers=2)
+    winner = race(system, 2_300)
+    assert_in_force(system, winner)
+    assert row_of(system, "entry-1") == row_of(system, "entry-0")
