Measure minions again that were slow once

Cause: seen under a load of 60 a second with 4 minions: one got nothing (0.04 s of processor against 0.65 to 0.91 s), since its first, cold measure was the slowest and two choices by service time never came back to it. Ruled out: smoothing at the entry; no sample arrives to smooth. Change: a minion with no measure of this entry within 10 s is welcome to one request. A sidecar with members beats at least four times in job.isolation_ms.

--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -28,6 +28,7 @@
 ]
 
 LAG_PAUSE_MS = 50
+BEATS_PER_ISOLATION = 4
 
 
 def home_entry(world: World) -> Entry | None:
@@ -50,11 +51,18 @@
     entry = home_entry(world)
     if entry is None or entry.name in world.beats:
         return
-    world.beat_ms = now_ms + effective_value(world.agreed, "heartbeat.period_ms")
+    world.beat_ms = now_ms + _period_ms(world)
     world.deadlines.add(world.beat_ms)
     _beat(world, entry, ())
 
 
+def _period_ms(world: World) -> int:
+    """Return the period; members need an entry heard well within their bound."""
+    period_ms = effective_value(world.agreed, "heartbeat.period_ms")
+    isolation_ms = effective_value(world.agreed, "job.isolation_ms")
+    return min(period_ms, isolation_ms // BEATS_PER_ISOLATION)
+
+
 @system(Phase.ACT, roles=(Role.SIDECAR,))
 def say_farewell(world: World, now_ms: int) -> None:
     """Tell every entry once that this sidecar is leaving."""
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -29,6 +29,7 @@
             done.free_slots,
             done.leaving,
             service_ms,
+            measured_ms=now_ms,
         )
     )
     refresh_pool(world, done.minion, now_ms)
@@ -44,7 +45,7 @@
         row = Health(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
         world.health.put(row)
     failures = row.failures + 1
-    world.health.update(attempt.minion, failures=failures)
+    world.health.update(attempt.minion, failures=failures, measured_ms=now_ms)
     if failures >= FAILURES_TO_PAUSE:
         _pause(world, attempt.minion, failures, now_ms)
     refresh_pool(world, attempt.minion, now_ms)
@@ -72,6 +73,7 @@
                 beat.free_slots,
                 beat.leaving,
                 service_ms,
+                measured_ms=row.measured_ms if row else 0,
             )
         )
         refresh_pool(world, beat.minion, now_ms)
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -3,35 +3,45 @@
 from collections.abc import Callable
 
 from kingcuppost.tables.pools import MinionPool
-from kingcuppost.tables.request import Request
+from kingcuppost.tables.request import Health, Request
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
 __all__ = ["expected_ms", "policies"]
 
-Policy = Callable[[World, Request, MinionPool], str]
+Policy = Callable[[World, Request, MinionPool, int], str]
 
 policies: Registry[str, Policy] = Registry("routing policy")
 
 DRAWS = 4
-UNHEARD_SERVICE_MS = 1.0
+STALE_MS = 10_000
+UNKNOWN_MS = float("inf")
 
 
-def expected_ms(world: World, name: str) -> float:
+def expected_ms(world: World, name: str, now_ms: int) -> float:
     """Return how long a minion would take for one more request, in ms.
 
     Measured service time, plus the wait that its present load means; what other
-    entries have under way there is taken from the free slots last told.
+    entries have under way there is taken from the free slots last told. A minion
+    with no recent measure is welcome to one request, so that it gets one.
     """
     health = world.health.get(name)
-    minion = world.agreed.minions.get(name)
     own = world.attempts.count("minion", name)
-    if health is None:
-        return UNHEARD_SERVICE_MS * (1 + own / minion.slots)
+    if own == 0 and not _is_measured(health, now_ms):
+        return 0.0
+    if health is None or not health.service_ms:
+        return UNKNOWN_MS
+    minion = world.agreed.minions.get(name)
     load = max(own, minion.slots - health.free_slots)
     waiting = max(0, load + 1 - minion.slots)
-    service_ms = health.service_ms or UNHEARD_SERVICE_MS
-    return service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
+    return health.service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
+
+
+def _is_measured(health: Health | None, now_ms: int) -> bool:
+    """Return whether an attempt of this entry ended there not long ago."""
+    if health is None or not health.measured_ms:
+        return False
+    return now_ms - health.measured_ms <= STALE_MS
 
 
 def _draw(world: World, request: Request, pool: MinionPool, other: str = "") -> str:
@@ -45,25 +55,25 @@
 
 
 @policies.register("two_choices")
-def two_choices(world: World, request: Request, pool: MinionPool) -> str:
+def two_choices(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return the better of two minions drawn at random."""
     first = _draw(world, request, pool)
     second = _draw(world, request, pool, first)
 
     def rank(name: str) -> tuple[bool, float, int]:
         own = world.attempts.count("minion", name)
-        return name in request.tried, expected_ms(world, name), own
+        return name in request.tried, expected_ms(world, name, now_ms), own
 
     return min(first, second, key=rank)
 
 
 @policies.register("random")
-def at_random(world: World, request: Request, pool: MinionPool) -> str:
+def at_random(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return a minion at random."""
     return _draw(world, request, pool)
 
 
 @policies.register("round_robin")
-def round_robin(world: World, request: Request, pool: MinionPool) -> str:
+def round_robin(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return the minions in turn."""
     return pool.next_in_turn()
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -27,7 +27,7 @@
 def _start(world: World, request: Request, now_ms: int) -> None:
     policy = policies[effective_value(world.agreed, "request.routing")]
     pool = world.pools.pool(request.service)
-    minion = world.agreed.minions.get(policy(world, request, pool))
+    minion = world.agreed.minions.get(policy(world, request, pool, now_ms))
     if request.key:
         claim(world, request, minion, now_ms)
         return
--- a/kingcuppost/systems/requests/tests/test_policies.py
+++ b/kingcuppost/systems/requests/tests/test_policies.py
@@ -59,3 +59,18 @@
     assert ours[0] < theirs[0]
     assert ours[1] < theirs[1]
     assert ours[2] <= theirs[2]
+
+
+def test_minion_measured_slow_once_is_measured_again() -> None:
+    driver = Driver({"m-0": 20, "m-1": 400}, entries=1)
+    driver.advance(SETTLE_MS)
+    for number in range(20):
+        driver.ask("entry-0", f"first {number}")
+        driver.advance(100)
+    assert driver.worlds["entry-0"].health.get("m-1").service_ms > 0
+    driver.run_ms["m-1"] = 4
+    for number in range(1_000):
+        driver.ask("entry-0", f"later {number}")
+        driver.advance(100)
+    health = driver.worlds["entry-0"].health
+    assert health.get("m-1").service_ms < health.get("m-0").service_ms
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -153,6 +153,8 @@
         Exchanges that failed since the last that succeeded.
     pause_ms : int
         Until when it gets no attempts, since it failed several.
+    measured_ms : int
+        When an attempt of this entry last ended there.
     """
 
     minion: str
@@ -163,6 +165,7 @@
     service_ms: float
     failures: int = 0
     pause_ms: int = 0
+    measured_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
