--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -4,6 +4,7 @@
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
 from kingcuppost.systems.agreement.freshness import (
     fresh_age_ms,
+    is_following,
     is_fresh,
     want_barrier,
 )
@@ -14,6 +15,7 @@
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
+    has_room,
     propose,
     send_proposals,
     take_wishes,
@@ -26,7 +28,9 @@
     "answer_watchers",
     "fold_reads",
     "fresh_age_ms",
+    "has_room",
     "hold_lease",
+    "is_following",
     "is_fresh",
     "is_scheduler",
     "issue_read",
