Refuse a key that stands for another body

Cause: read: a key used again with another body got the answer to the first body, so that a caller could take another order's answer for its own. Ruled out: the body's hash in the claim (a change of the record for a caller's mistake); telling 'not run', which would free the key. Change: sidecar and entry compare bodies and say unknown with the reason; repeats after failures wait 50 ms, doubling to 1.6 s, instead of 100 ms each.

--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -9,7 +9,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
 from kingcuppost.systems.requests.decision import decision_of
-from kingcuppost.systems.requests.sending import send
+from kingcuppost.systems.requests.sending import send, waiting_for
 from kingcuppost.tables.fleet import Minion
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.record import KeyClaimPut
@@ -82,4 +82,22 @@
             reason=reason,
         )
         return
+    if _is_for_another_body(world, request, row.attempt_id):
+        close_request(
+            world,
+            request,
+            Outcome.UNKNOWN,
+            minion=row.minion,
+            step="claim",
+            reason="the key stands for another body",
+        )
+        return
     send(world, request, minion, row.attempt_id, row.offset, now_ms)
+
+
+def _is_for_another_body(world: World, request: Request, attempt_id: str) -> bool:
+    """Return whether the attempt is under way here with a body that differs."""
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        return False
+    return any(row.body != request.body for row in waiting_for(world, attempt))
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -22,7 +22,8 @@
 LONGEST_HOLD_MS = 8_000
 MOST_DOUBLINGS = 8
 SHARE_FOR_SIDECAR = 0.95
-REPEAT_PAUSE_MS = 100
+REPEAT_PAUSE_MS = 50
+MOST_PAUSE_DOUBLINGS = 5
 FAILURES_IDEMPOTENT = 2
 
 
@@ -120,7 +121,9 @@
     world.attempts.update(
         attempt.attempt_id, repeats=attempt.repeats + 1, failures=failures
     )
-    pause_ms = REPEAT_PAUSE_MS if failures > 1 or done.never_sent else 0
+    pause_ms = 0
+    if failures > 1 or done.never_sent:
+        pause_ms = REPEAT_PAUSE_MS << min(failures, MOST_PAUSE_DOUBLINGS)
     world.repeat_agenda.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
         world.deadlines.add(now_ms + pause_ms)
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -91,6 +91,9 @@
 def _join(
     world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
 ) -> None:
+    if known.body != message.body:
+        _answer_unknown(world, message, "the key stands for another body")
+        return
     if known.state not in OUTCOME_OF:
         _hold(world, message, now_ms)
         return
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -213,3 +213,18 @@
     driver.advance(1_000)
     assert driver.outcome(asked) is Outcome.NOT_RUN
     assert driver.runs["charge"] == 0
+
+
+def test_key_used_with_another_body_never_gets_the_first_answer() -> None:
+    driver = started({"m-0": 100})
+    first = driver.ask("entry-0", "charge 5", "k")
+    driver.advance(50)
+    during = [driver.ask(name, "charge 7", "k") for name in ("entry-0", "entry-1")]
+    driver.advance(500)
+    after = driver.ask("entry-0", "charge 7", "k")
+    driver.advance(500)
+    assert driver.outcome(first) is Outcome.ANSWERED
+    others = [*during, after]
+    assert [driver.outcome(call) for call in others] == [Outcome.UNKNOWN] * 3
+    assert driver.runs["charge 5"] == 1
+    assert driver.runs["charge 7"] == 0
