--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -169,6 +169,11 @@
         rows = self.deployment.show("/v1/jobs")["rows"]
         return {row["name"]: row["state"] for row in rows}
 
+    def ended(self, names: list[str]) -> bool:
+        """Return whether all these jobs are over."""
+        states = self.states()
+        return all(states.get(name) in FINAL for name in names)
+
 
 def _mean(rows: list[Usage]) -> Usage:
     names = vars(rows[0])
@@ -258,7 +263,7 @@
         for name in names:
             bench.submit(name, 50)
         wait_until(
-            lambda: all(bench.states().get(name) in FINAL for name in names),
+            lambda: bench.ended(names),
             "all short jobs ended",
             180,
         )
@@ -310,7 +315,7 @@
             {"operator": "bench"},
         )
     wait_until(
-        lambda: all(bench.states()[name] in FINAL for name in names),
+        lambda: bench.ended(names),
         "all long jobs cancelled",
         180,
     )
