--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -1,6 +1,15 @@
+from dataclasses import replace
+
 import pytest
 
-from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
+from kingcuppost.systems.fold import (
+    FoldInput,
+    apply_record,
+    jobs,
+    keys,
+    registry,
+    slices_of,
+)
 from kingcuppost.tables.job import Decision, JobState, Placement, Urgency
 from kingcuppost.tables.record import (
     GangEnd,
@@ -91,6 +100,7 @@
     assert "a" not in folder.agreed.key_claims
     fault = folder.fold(claim("a", 100))
     assert "too old" in fault.reason
+    assert fault.stale
     assert folder.fold(claim("d", 200)) is None
 
 
@@ -128,3 +138,21 @@
         folder.fold(SettingPut("", "no.such", number, 0))
     assert folder.fold(submit("a"), "rec-late", seen).stale
     assert folder.fold(submit("a"), "rec-now") is None
+
+
+def test_slices_are_copies_that_later_records_do_not_change(folder) -> None:
+    slices = slices_of(folder.agreed)
+    folder.fold(submit("a"))
+    before = slices_of(folder.agreed)
+    folder.fold(JobCancel("a", "test"))
+    assert slices[0].jobs == ()
+    assert before[0].jobs[0].state is JobState.WAITING
+
+
+def test_only_the_newest_keys_keep_their_decision(folder, monkeypatch) -> None:
+    monkeypatch.setattr(keys, "EXPLAINED_KEYS", 2)
+    for number, key in enumerate("abc"):
+        body = replace(claim(key, number), decision=Decision("p", 0))
+        assert folder.fold(body) is None
+    kept = [row.key for row in folder.agreed.key_claims if row.decision]
+    assert kept == ["b", "c"]
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -1,6 +1,7 @@
 """Admission of callers' requests at an entry."""
 
 from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import refuse
@@ -15,7 +16,7 @@
 __all__ = ["admit", "forget_lost"]
 
 RETRY_AFTER_MS = 1_000
-ISSUED_AHEAD_MS = 60_000
+CLOCK_SKEW_MS = 60_000
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,))
@@ -53,9 +54,13 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
-    if message.issued_ms > world.clock.wall_ms() + ISSUED_AHEAD_MS:
-        return "the key's time of issue lies in the future"
-    if message.key and not _is_claimed(world, message) and _is_silent(world, now_ms):
+    if message.issued_ms > world.clock.wall_ms() + CLOCK_SKEW_MS:
+        return "the key was made in the future"
+    if (
+        message.key
+        and not _is_claimed(world, message)
+        and not is_following(world, now_ms)
+    ):
         return "the log is silent, so that no key can be claimed"
     return ""
 
@@ -68,13 +73,6 @@
     return f"{message.team}/{message.key}" if message.key else ""
 
 
-def _is_silent(world: World, now_ms: int) -> bool:
-    """Return whether the log has answered no read for longer than one may take."""
-    wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
-    late_ms = effective_value(world.agreed, "log.late_ms")
-    return now_ms - world.log_view.fresh_ms > wait_ms + late_ms
-
-
 def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
     path = team_path(message.team, message.urgency)
     bound_ms = effective_value(world.agreed, "request.timeout_ms", path)
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -17,7 +17,7 @@
 )
 from kingcuppost.tables.announcement import Announcement
 from kingcuppost.tables.capacity import Capacity
-from kingcuppost.tables.claims import EndedJob, Floors
+from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.due import DueKeys
@@ -93,6 +93,7 @@
     recent: Table[RecentRecord] = field(default_factory=lambda: Table("record_id"))
     lease: SchedulingLease = field(default_factory=SchedulingLease)
     ended_jobs: Table[EndedJob] = field(default_factory=lambda: Table("name"))
+    explained_keys: Table[ExplainedKey] = field(default_factory=lambda: Table("key"))
     floors: Floors = field(default_factory=Floors)
 
 
@@ -136,6 +137,8 @@
         Whether a graceful stop is under way.
     renewal : Renewal or None
         The renewal of the worker's leases that is under way.
+    worker_heard_ms : int
+        When the order that the worker last answered was sent.
     gang_due : DueKeys
         When the scheduler looks at each gang again.
     advance_term : int
@@ -206,6 +209,7 @@
     entry_heard_ms: int = 0
     stopping: bool = False
     renewal: Renewal | None = None
+    worker_heard_ms: int = 0
     gang_due: DueKeys = field(default_factory=DueKeys)
     advance_term: int = 0
     capacity: Capacity = field(default_factory=Capacity)
