Show uncovered guarantees and retry budgets in the metrics

Cause: operators were to be told which team's shapes are uncovered, and the only trace was an event at the scheduler.

--- a/kingcuppost/edges/tests/test_observe.py
+++ b/kingcuppost/edges/tests/test_observe.py
@@ -10,9 +10,11 @@
 from kingcuppost.programs import make_world
 from kingcuppost.systems.events import note
 from kingcuppost.systems.views.metrics import MetricKind, metrics
+from kingcuppost.tables.capacity import UncoveredGuarantee
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
 from kingcuppost.tables.fleet import AvailabilityZone
 from kingcuppost.tables.identity import Role
+from kingcuppost.tables.request import RetryBudget
 from kingcuppost.tables.world import World
 
 NOWHERE = Address("127.0.0.1", 0)
@@ -65,6 +67,15 @@
     assert shown[zones, (("zone", "vid-b"),)] == 0
 
 
+def test_uncovered_guarantees_and_retry_budgets_are_shown(world: World) -> None:
+    world.capacity.uncovered.put(UncoveredGuarantee("design", (0, 0, 1), 4))
+    world.retry_budgets.put(RetryBudget("design", 7.5))
+    shown = samples(world)
+    team = (("team", "design"),)
+    assert shown["kingcuppost_guarantee_uncovered", team] == 1
+    assert shown["kingcuppost_retry_tokens", team] == 7.5
+
+
 @pytest.mark.parametrize("metric", metrics.values(), ids=lambda metric: metric.name)
 def test_names_and_units_follow_prometheus(metric: object) -> None:
     assert re.fullmatch(r"kingcuppost_[a-z_]+", metric.name)
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -217,3 +217,17 @@
 def read_stopping(world: World) -> Iterable[Sample]:
     """Read whether the process is stopping."""
     yield (), float(world.stopping)
+
+
+@gauge("guarantee_uncovered", "1 for a team whose shapes can't all be held.", "team")
+def read_uncovered(world: World) -> Iterable[Sample]:
+    """Read uncovered guarantees; only the scheduler knows them."""
+    for row in world.capacity.uncovered:
+        yield (row.team,), 1.0
+
+
+@gauge("retry_tokens", "Retries that a team's budget still allows here.", "team")
+def read_retries(world: World) -> Iterable[Sample]:
+    """Read retry budgets."""
+    for row in world.retry_budgets:
+        yield (row.team,), row.tokens
