Explain requests by the policy and branch that routing really uses

Cause: routing became a setting, and the explanation went on naming one fixed policy; keys that are read at the root or at the team were shown as if an urgency's branch counted.

Ruled out: changing where the systems read them.

Change: the values of a decision come from the branch at which each key is read, and the policy from the key that chooses it.

--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -2,20 +2,36 @@
 
 from kingcuppost.settings import KEYS, effective, team_path
 from kingcuppost.tables.fleet import MemberState, Minion
-from kingcuppost.tables.job import Decision, RefusedAlternative
+from kingcuppost.tables.job import Decision, EffectiveValue, RefusedAlternative
 from kingcuppost.tables.request import Request
-from kingcuppost.tables.world import World
+from kingcuppost.tables.world import Agreed, World
 
-__all__ = ["decision_of", "request_keys"]
+__all__ = ["decision_of", "request_values"]
 
 REFUSALS_KEPT = 8
-POLICY = "two_choices"
+ROUTING = "request.routing"
 PREFIX = "request."
+ROOT_KEYS = frozenset({ROUTING, "request.silence_ms", "request.claim_timeout_ms"})
+TEAM_KEYS = frozenset({"request.retry_burst", "request.retry_share"})
 
 
-def request_keys() -> list[str]:
-    """Return the settings that bear on a request, by name."""
-    return sorted(name for name in KEYS if name.startswith(PREFIX))
+def request_values(
+    agreed: Agreed, team: str, urgency: str = ""
+) -> tuple[EffectiveValue, ...]:
+    """Return the values that bear on a request, by name of the key.
+
+    Each is taken from the branch at which the systems read it.
+    """
+    names = sorted(name for name in KEYS if name.startswith(PREFIX))
+    return tuple(
+        effective(agreed, _path_of(name, team, urgency), name) for name in names
+    )
+
+
+def _path_of(name: str, team: str, urgency: str) -> str:
+    if name in ROOT_KEYS or not team:
+        return ""
+    return team_path(team) if name in TEAM_KEYS else team_path(team, urgency)
 
 
 def decision_of(world: World, request: Request, chosen: Minion) -> Decision:
@@ -30,15 +46,15 @@
     chosen : Minion
         The minion that it goes to.
     """
-    path = team_path(request.team, request.urgency)
-    values = tuple(effective(world.agreed, path, key) for key in request_keys())
+    values = request_values(world.agreed, request.team, request.urgency)
+    policy = str(effective(world.agreed, "", ROUTING).value)
     refused = [
         RefusedAlternative(minion.name, reason)
         for minion in world.agreed.minions.find("service", request.service)
         if minion.name != chosen.name and (reason := _fault_of(world, request, minion))
     ]
     offset = world.log_view.folded_offset
-    return Decision(POLICY, offset, values, tuple(refused[:REFUSALS_KEPT]))
+    return Decision(policy, offset, values, tuple(refused[:REFUSALS_KEPT]))
 
 
 def _fault_of(world: World, request: Request, minion: Minion) -> str:
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from kingcuppost.settings import effective, team_path
-from kingcuppost.systems.requests.decision import request_keys
+from kingcuppost.systems.requests.decision import request_values
 from kingcuppost.systems.views.registry import views
 from kingcuppost.tables.agreement import KeyClaim
 from kingcuppost.tables.event import Event
@@ -70,8 +69,8 @@
     team = argument.partition("/")[0]
     if claim is None and not events and team not in world.agreed.teams:
         return None
-    path = team_path(team) if team in world.agreed.teams else ""
-    values = tuple(effective(world.agreed, path, key) for key in request_keys())
+    known_team = team if team in world.agreed.teams else ""
+    values = request_values(world.agreed, known_team)
     if claim is None:
         known_by = "the log: nobody may run it, or its claim is past the retention"
         return RequestExplanation(
--- a/kingcuppost/systems/views/tests/test_explain.py
+++ b/kingcuppost/systems/views/tests/test_explain.py
@@ -103,6 +103,16 @@
     assert now["request.attempts"] == 3
 
 
+def test_policy_is_the_one_that_routes(world: World) -> None:
+    """Routing is read at the root, so that a team's branch does not count."""
+    fold(world, SettingPut("", "request.routing", "random", 0))
+    fold(world, SettingPut("teams/design", "request.routing", "round_robin", 0))
+    claim(world)
+    decision = views["explain_request"](world, KEY).claim.decision
+    values = {row.key: row.value for row in decision.values}
+    assert decision.policy == values["request.routing"] == "random"
+
+
 def test_refused_alternative_is_named_with_its_reason(world: World) -> None:
     claim(world)
     (refused,) = views["explain_request"](world, KEY).claim.decision.refused
