Count a member as lost only after two full reports have been missed

Cause: tests with real processes saw a whole gang stopped with "a member was not heard for 2000 ms and no other runs". Sidecars now report a member when its state changes, and all members only once in heartbeat.full_ms; the bound counted on a report each period.

Ruled out: reporting all members each period (its cost is what the change removed).

Change: the bound on silence is job.lost_ms plus two full periods.

Before: recovery tests with real processes, 2 of 2 not done within 60 s. After: the unit test of a quiet member passes, 164 tests of kingcuppost/systems pass, and 5 of 5 tests of members lost while a gang runs pass with real processes.

Conclusion: silence is judged by the reports that are due.

--- a/kingcuppost/systems/jobs/bounds.py
+++ b/kingcuppost/systems/jobs/bounds.py
@@ -11,6 +11,7 @@
 
 LEASES_UNTIL_LAPSED = 2
 CLOCK_DRIFT_MARGIN_MS = 500
+FULL_REPORTS_MISSED = 2
 
 
 def _setting(world: World, gang: Gang, key: str) -> int:
@@ -53,7 +54,8 @@
     if any(row.state is not TaskState.FINISHED for row in heard):
         return ""
     if not heard:
-        bound_ms = _setting(world, gang, "job.isolation_ms")
+        isolation_ms = _setting(world, gang, "job.isolation_ms")
+        bound_ms = max(isolation_ms, lost_ms(world, gang))
         silent_ms = now_ms - _last_heard_ms(world, gang, since_ms)
         return f"no member heard for {bound_ms} ms" if silent_ms >= bound_ms else ""
     bound_ms = lost_ms(world, gang)
@@ -63,8 +65,13 @@
 
 
 def lost_ms(world: World, gang: Gang) -> int:
-    """Return the silence after which a member is not counted on, in ms."""
-    return _setting(world, gang, "job.lost_ms")
+    """Return the silence after which a member is not counted on, in ms.
+
+    Members are reported when their state changes, and all once in a long period;
+    two of those periods may go by without a report.
+    """
+    full_ms = effective_value(world.agreed, "heartbeat.full_ms")
+    return _setting(world, gang, "job.lost_ms") + FULL_REPORTS_MISSED * full_ms
 
 
 def lapsed_ms(world: World, gang: Gang, since_ms: int) -> int:
