--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -12,6 +12,7 @@
 LONGEST_KEY = 128
 LONGEST_BODY = 262_144
 LONGEST_TIMEOUT_MS = 600_000
+LATEST_MS = 2**53
 
 
 class RequestModel(BorderModel):
@@ -43,7 +44,7 @@
     urgency: Urgency = Urgency.INTERACTIVE
     idempotent: bool = True
     key: str = Field(default="", max_length=LONGEST_KEY)
-    issued_ms: int = Field(default=0, ge=0)
+    issued_ms: int = Field(default=0, ge=0, le=LATEST_MS)
     timeout_ms: int = Field(default=0, ge=0, le=LONGEST_TIMEOUT_MS)
 
     def fault(self) -> str:
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -35,6 +35,16 @@
         most=10_000,
     )
 )
+declare(
+    SettingKey(
+        "log.silent_ms",
+        1_500,
+        "Silence of the log, beyond a wait, after which it counts as silent.",
+        "ms",
+        least=50,
+        most=60_000,
+    )
+)
 declare(
     SettingKey(
         "log.group_ms",
@@ -58,7 +68,7 @@
 declare(
     SettingKey(
         "snapshot.records",
-        5_000,
+        20_000,
         "Records behind the newest snapshot after which another is written.",
         "records",
         least=10,
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -2,7 +2,7 @@
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import lease_ms
+from kingcuppost.systems.leases import grace_ms, lease_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -38,9 +38,9 @@
     if not running:
         order_stop(world, task, now_ms)
         return
-    grace_ms = effective_value(world.agreed, "job.checkpoint_grace_ms")
-    world.tasks.update(task.task_id, stop_ms=now_ms + grace_ms)
-    world.outbox.put(CheckpointTask(task.task_id, grace_ms))
+    bound_ms = grace_ms(world, gang_of(world, task))
+    world.tasks.update(task.task_id, stop_ms=now_ms + bound_ms)
+    world.outbox.put(CheckpointTask(task.task_id, bound_ms))
 
 
 def order_stop(world: World, task: MemberTask, now_ms: int) -> None:
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -16,7 +16,8 @@
     Verdict,
 )
 from kingcuppost.tables.announcement import Announcement
-from kingcuppost.tables.claims import EndedJob, Floors
+from kingcuppost.tables.capacity import Capacity
+from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.due import DueKeys
@@ -55,18 +56,22 @@
     Only the fold writes them.
     """
 
-    teams: Table[Team] = field(default_factory=lambda: Table("name"))
+    teams: Table[Team] = field(
+        default_factory=lambda: Table("name", watchers=("occupancy",))
+    )
     availability_zones: Table[AvailabilityZone] = field(
-        default_factory=lambda: Table("name", watchers=("zones", "routing"))
+        default_factory=lambda: Table(
+            "name", watchers=("zones", "routing", "occupancy")
+        )
     )
     workers: Table[Worker] = field(
         default_factory=lambda: Table(
-            "name", ("availability_zone", "rack"), watchers=("fleet",)
+            "name", ("availability_zone", "rack"), watchers=("fleet", "occupancy")
         )
     )
     minions: Table[Minion] = field(
         default_factory=lambda: Table(
-            "name", ("service", "worker"), ("health", "routing")
+            "name", ("service", "worker"), ("health", "routing", "occupancy")
         )
     )
     entries: Table[Entry] = field(default_factory=lambda: Table("name"))
@@ -88,6 +93,7 @@
     recent: Table[RecentRecord] = field(default_factory=lambda: Table("record_id"))
     lease: SchedulingLease = field(default_factory=SchedulingLease)
     ended_jobs: Table[EndedJob] = field(default_factory=lambda: Table("name"))
+    explained_keys: Table[ExplainedKey] = field(default_factory=lambda: Table("key"))
     floors: Floors = field(default_factory=Floors)
 
 
@@ -139,6 +145,8 @@
         Scheduling term in which gangs were last looked at.
     tally : Tally
         Counts and durations for the metrics.
+    capacity : Capacity
+        What an entry knows of free accelerators, shares and the queue.
     """
 
     cfg: ProcessConfig
@@ -204,3 +212,4 @@
     worker_heard_ms: int = 0
     gang_due: DueKeys = field(default_factory=DueKeys)
     advance_term: int = 0
+    capacity: Capacity = field(default_factory=Capacity)
