Prove gangs and recovery with real processes; keep isolation above the heartbeats

Cause: with real processes a gang stopped during an outage of the log though entries answered: the isolation bound of the test, 4 s, was shorter than the first heartbeat period, 10 s, and entries are heard by heartbeats only. The wait of the scheduler for a stopping gang took the setting's checkpoint grace, not that of its stop.

Ruled out: lost heartbeats (a sidecar driven without sockets sent all of them).

Change: the isolation bound is at least three heartbeats, on both sides. The scheduler waits for the grace of the stop. Partial run time and overlap are read off the workers' histories.

--- a/kingcuppost/systems/jobs/bounds.py
+++ b/kingcuppost/systems/jobs/bounds.py
@@ -2,7 +2,12 @@
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, members_of
-from kingcuppost.systems.leases import lease_ms, reservation_ms
+from kingcuppost.systems.leases import (
+    grace_ms,
+    isolation_ms,
+    lease_ms,
+    reservation_ms,
+)
 from kingcuppost.tables.job import Gang
 from kingcuppost.tables.task import Reservation, TaskState
 from kingcuppost.tables.world import World
@@ -54,8 +59,7 @@
     if any(row.state is not TaskState.FINISHED for row in heard):
         return ""
     if not heard:
-        isolation_ms = _setting(world, gang, "job.isolation_ms")
-        bound_ms = max(isolation_ms, lost_ms(world, gang))
+        bound_ms = max(isolation_ms(world), lost_ms(world, gang))
         silent_ms = now_ms - _last_heard_ms(world, gang, since_ms)
         return f"no member heard for {bound_ms} ms" if silent_ms >= bound_ms else ""
     bound_ms = lost_ms(world, gang)
@@ -93,10 +97,9 @@
     """
     if not gang.released_wall_ms:
         return since_ms + reservation_ms(world) + CLOCK_DRIFT_MARGIN_MS
-    grace_ms = _setting(world, gang, "job.checkpoint_grace_ms")
     leases_ms = LEASES_UNTIL_LAPSED * lease_ms(world, gang)
-    bound_ms = leases_ms + grace_ms + CLOCK_DRIFT_MARGIN_MS
-    isolated_ms = since_ms + bound_ms + _setting(world, gang, "job.isolation_ms")
+    bound_ms = leases_ms + grace_ms(world, gang) + CLOCK_DRIFT_MARGIN_MS
+    isolated_ms = since_ms + bound_ms + isolation_ms(world)
     rows = members_of(world, gang.key)
     broken_ms = [row.since_ms for row in rows if row.state in BROKEN_STATES]
     if not broken_ms:
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -4,11 +4,12 @@
 from kingcuppost.tables.job import Gang
 from kingcuppost.tables.world import World
 
-__all__ = ["confirm_ms", "grace_ms", "lease_ms", "reservation_ms"]
+__all__ = ["confirm_ms", "grace_ms", "isolation_ms", "lease_ms", "reservation_ms"]
 
 START_BOUND_MS = 3_000
 START_MARGIN_MS = 250
 CONFIRMS_PER_LEASE = 2
+BEATS_UNTIL_ISOLATED = 3
 
 
 def lease_ms(world: World, gang: Gang) -> int:
@@ -48,3 +49,13 @@
     wanted_ms = effective_value(world.agreed, "job.reservation_ms")
     fresh_ms = effective_value(world.agreed, "log.fresh_ms")
     return min(wanted_ms, START_BOUND_MS - START_MARGIN_MS - fresh_ms)
+
+
+def isolation_ms(world: World) -> int:
+    """Return after how long without log and entries members are stopped, in ms.
+
+    Never less than a few heartbeats, since entries are heard only by them.
+    """
+    wanted_ms = effective_value(world.agreed, "job.isolation_ms")
+    period_ms = effective_value(world.agreed, "heartbeat.period_ms")
+    return max(wanted_ms, BEATS_UNTIL_ISOLATED * period_ms)
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -1,8 +1,7 @@
 """Stopping members, and forgetting those whose gang has ended."""
 
-from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import grace_ms, lease_ms
+from kingcuppost.systems.leases import grace_ms, isolation_ms, lease_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -92,7 +91,7 @@
     tasks = [task for state in OPEN_STATES for task in world.tasks.find("state", state)]
     if not tasks:
         return
-    bound_ms = effective_value(world.agreed, "job.isolation_ms")
+    bound_ms = isolation_ms(world)
     heard_ms = max(world.log_view.fresh_ms, world.entry_heard_ms)
     if now_ms - heard_ms < bound_ms:
         world.deadlines.add(heard_ms + bound_ms)
--- /dev/null
+++ b/tests/scenarios.py
@@ -0,0 +1,294 @@
+"""What the tests of gangs, zones and recovery share."""
+
+import json
+import signal
+import time
+from collections import defaultdict
+
+from standins.processes import Deployment, Site, wait_until
+
+LEASE_MS = 2_000
+ORDER_TIMEOUT_MS = 500
+TIMER_SLACK_MS = 500
+ZONE_BOUND_MS = 3_000
+TEAM = "design"
+OPERATOR = "ilze"
+ENTRIES = ("entry-0", "entry-1")
+FINAL_STATES = ("done", "failed", "cancelled", "refused")
+SETTINGS = {
+    "job.lease_ms": LEASE_MS,
+    "job.poll_ms": 100,
+    "job.worker_timeout_ms": ORDER_TIMEOUT_MS,
+    "job.reserve_timeout_ms": 1_500,
+    "job.checkpoint_grace_ms": 200,
+    "job.isolation_ms": 4_000,
+    "job.lost_ms": 2_000,
+    "heartbeat.period_ms": 300,
+    "heartbeat.full_ms": 1_000,
+    "lease.ping_ms": 200,
+    "lease.lost_ms": 1_000,
+    "operator.timeout_ms": 2_000,
+}
+SPREAD = Site(workers_per_rack=1)
+
+
+def wall_ms() -> int:
+    """Return Unix time in ms."""
+    return time.time_ns() // 1_000_000
+
+
+def workers_of(deployment: Deployment) -> list[int]:
+    """Return the numbers of the workers that have been started."""
+    return [
+        int(name.removeprefix("worker-"))
+        for name in deployment.processes
+        if name.startswith("worker-")
+    ]
+
+
+def begin(deployment: Deployment, workers: int = 3) -> None:
+    """Start a log, two entries and some minions, and set everything up."""
+    begin_entries(deployment)
+    deployment.start_minions(workers)
+    wait_announced(deployment)
+
+
+def begin_entries(deployment: Deployment, zone: str = "") -> None:
+    """Start a log and two entries; create zones, a team and the settings.
+
+    Sidecars started later have the settings in force from their first heartbeat.
+    """
+    deployment.start_log()
+    for name in ENTRIES:
+        deployment.start_entry(name, zone)
+    for zone in deployment.site.zones:
+        set_zone(deployment, zone, True)
+    for key, value in SETTINGS.items():
+        body = {"operator": OPERATOR, "key": key, "value": value}
+        change(deployment, "PUT", "/v1/settings", body)
+    shape = {"members": 2, "accelerators": 8}
+    body = {"operator": OPERATOR, "guarantees": [shape]}
+    change(deployment, "PUT", f"/v1/teams/{TEAM}", body)
+
+
+def wait_announced(deployment: Deployment) -> None:
+    """Wait until the minions of all workers have announced themselves."""
+    count = len(workers_of(deployment))
+    wait_until(
+        lambda: len(deployment.show("/v1/fleet").get("minions", ())) == count,
+        "minions announced",
+    )
+
+
+def change(
+    deployment: Deployment, method: str, path: str, body: dict, entry: str = "entry-0"
+) -> None:
+    """Make an operator's change, again until it is taken."""
+
+    def taken() -> bool:
+        status, answer = deployment.call(entry, "operators", method, path, body)
+        assert status in (200, 409, 503, 504), answer
+        return status == 200 or (status == 409 and "already" in answer["reason"])
+
+    wait_until(taken, f"{method} {path}")
+
+
+def set_zone(
+    deployment: Deployment, zone: str, in_service: bool, entry: str = "entry-0"
+) -> None:
+    """Take an availability zone out of or into service."""
+    body = {
+        "operator": OPERATOR,
+        "region": deployment.site.region,
+        "in_service": in_service,
+    }
+    change(deployment, "PUT", f"/v1/availability-zones/{zone}", body, entry)
+
+
+def submit(
+    deployment: Deployment,
+    name: str,
+    members: int = 2,
+    accelerators: int = 8,
+    run_ms: int = 300,
+    entry: str = "entry-0",
+) -> None:
+    """Submit a job whose members run for a while and return its name."""
+    payload = json.dumps({"run_ms": run_ms, "result": name})
+    body = {
+        "operator": OPERATOR,
+        "name": name,
+        "team": TEAM,
+        "members": members,
+        "accelerators": accelerators,
+        "payload": payload,
+    }
+    change(deployment, "POST", "/v1/jobs", body, entry)
+
+
+def job(deployment: Deployment, name: str, entry: str = "entry-0") -> dict:
+    """Return a job as an entry shows it."""
+    return deployment.show(f"/v1/jobs/{name}", entry).get("job", {})
+
+
+def wait_done(deployment: Deployment, name: str, entry: str = "entry-0") -> None:
+    """Wait until a job is done with its own result."""
+    wait_until(
+        lambda: job(deployment, name, entry).get("state") in FINAL_STATES,
+        f"{name} has ended",
+    )
+    row = job(deployment, name, entry)
+    assert (row["state"], row["result"]) == ("done", name), row
+
+
+def history(deployment: Deployment) -> dict[str, dict]:
+    """Return what the workers that answer know of every task."""
+    rows = {}
+    for number in workers_of(deployment):
+        process = deployment.processes[f"worker-{number}"]
+        if process.popen.poll() is not None or process.name in frozen(deployment):
+            continue
+        _, answer = deployment.call(process.name, "port", "GET", "/v1/history")
+        for row in answer["tasks"]:
+            rows[row["task_id"]] = {**row, "worker": number}
+    return rows
+
+
+def frozen(deployment: Deployment) -> set[str]:
+    """Return the names of the processes that a test has frozen."""
+    return {name for name, row in deployment.processes.items() if is_frozen(row)}
+
+
+def is_frozen(process: object) -> bool:
+    """Return whether a test has frozen a process."""
+    return getattr(process, "frozen", False)
+
+
+def freeze(deployment: Deployment, name: str) -> None:
+    """Pause a process."""
+    process = deployment.processes[name]
+    process.frozen = True
+    process.send(signal.SIGSTOP)
+
+
+def thaw(deployment: Deployment, name: str) -> None:
+    """Let a paused process go on."""
+    process = deployment.processes[name]
+    process.frozen = False
+    process.send(signal.SIGCONT)
+
+
+def heal(deployment: Deployment, number: int) -> None:
+    """Thaw or start again what stands on one machine."""
+    for name in (f"worker-{number}", f"minion-{number}"):
+        if is_frozen(deployment.processes[name]):
+            thaw(deployment, name)
+    worker = deployment.processes[f"worker-{number}"]
+    if worker.popen.poll() is not None:
+        deployment.start_standin("worker", worker.name, worker.ports["port"])
+    if deployment.processes[f"minion-{number}"].popen.poll() is not None:
+        deployment.start_sidecar(number)
+
+
+def wait_gang_over(deployment: Deployment, key: str, entry: str = "entry-0") -> None:
+    """Wait until a gang holds no accelerators any more."""
+    name = key.rpartition("/")[0]
+
+    def over() -> bool:
+        gangs = deployment.show(f"/v1/jobs/{name}", entry).get("gangs")
+        return gangs is not None and key not in [gang["key"] for gang in gangs]
+
+    wait_until(over, f"gang {key} is over")
+
+
+def running(deployment: Deployment, name: str) -> list[dict]:
+    """Return the members of a job that run now."""
+    rows = history(deployment).values()
+    prefix = f"{name}/"
+    return [
+        row
+        for row in rows
+        if row["task_id"].startswith(prefix) and row["state"] == "running"
+    ]
+
+
+def wait_running(deployment: Deployment, name: str, members: int = 2) -> list[dict]:
+    """Wait until a whole gang runs; return its members."""
+    wait_until(lambda: len(running(deployment, name)) == members, f"{name} runs")
+    return running(deployment, name)
+
+
+def holder(deployment: Deployment, entry: str = "entry-0") -> str:
+    """Return the entry that holds the scheduling lease, once one does."""
+    return wait_until(
+        lambda: deployment.show("/v1/status", entry)["lease"]["holder"], "a holder"
+    )
+
+
+def other_entry(name: str) -> str:
+    """Return the entry that is not `name`."""
+    return next(entry for entry in ENTRIES if entry != name)
+
+
+def gangs_seen(rows: dict[str, dict]) -> dict[str, dict[int, dict]]:
+    """Return the members that workers know, by gang."""
+    gangs = defaultdict(dict)
+    for task_id, row in rows.items():
+        key, _, member = task_id.rpartition("/")
+        gangs[key][int(member)] = row
+    return gangs
+
+
+def check_partial_runs(
+    deployment: Deployment, members: int = 2, lost_wall_ms: int = 0
+) -> None:
+    """Check that no gang has run with part of its members beyond the lease.
+
+    `lost_wall_ms` is when a worker was lost whose history is gone with it.
+    """
+    bound_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
+    for key, rows in gangs_seen(history(deployment)).items():
+        started = [row for row in rows.values() if row["starts"]]
+        if not started or all_finished(started, members):
+            continue
+        ends = [row["ended_wall_ms"] or wall_ms() for row in started]
+        broken = [row["ended_wall_ms"] for row in started if row["state"] != "finished"]
+        if len(started) < members:
+            begins = max(row["started_wall_ms"] for row in started)
+            broken.append(max(lost_wall_ms, begins))
+        partial_ms = max(ends) - min(end for end in broken if end)
+        assert partial_ms <= bound_ms, (key, rows)
+
+
+def all_finished(rows: list[dict], members: int) -> bool:
+    """Return whether all members of a gang have finished."""
+    return len(rows) == members and all(row["state"] == "finished" for row in rows)
+
+
+def check_ran_once(deployment: Deployment, name: str, members: int) -> None:
+    """Check that one gang of a job finished and no task was started twice."""
+    rows = history(deployment)
+    assert all(row["starts"] <= 1 for row in rows.values()), rows
+    gangs = gangs_seen(rows)
+    whole = [
+        key
+        for key, gang in gangs.items()
+        if key.startswith(f"{name}/") and all_finished(list(gang.values()), members)
+    ]
+    assert len(whole) == 1, gangs
+
+
+def check_no_overlap(deployment: Deployment, name: str) -> None:
+    """Check that no two gangs of a job ran at the same time."""
+    spans = []
+    for key, gang in gangs_seen(history(deployment)).items():
+        started = [row for row in gang.values() if row["starts"]]
+        if key.startswith(f"{name}/") and started:
+            begin_ms = min(row["started_wall_ms"] for row in started)
+            end_ms = max(row["ended_wall_ms"] or wall_ms() for row in started)
+            spans.append((begin_ms, end_ms, key))
+    spans.sort()
+    for (_, end_ms, first), (begin_ms, _, second) in zip(
+        spans, spans[1:], strict=False
+    ):
+        assert end_ms <= begin_ms, (first, second)
