--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -58,6 +58,8 @@
             message = await work
         except PeerError as exc:
             message = failed(exc)
+        except Exception as exc:
+            message = failed(PeerError(repr(exc), "exchange"))
         context.deliver(message)
 
     ensureDeferred(finish())
@@ -97,7 +99,7 @@
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
         reply = await post(
-            context, address, "/peer/attempts", model, ServedModel, row.timeout_ms
+            context, address, "/peer/attempts", model, ServedModel, row.silence_ms
         )
         return reply.to_message(row)
 
@@ -144,7 +146,7 @@
     async def work() -> HeartbeatDone:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
-        await post(
+        reply = await post(
             context,
             address,
             "/peer/heartbeats",
@@ -152,7 +154,7 @@
             HeartbeatReplyModel,
             row.timeout_ms,
         )
-        return HeartbeatDone(row.entry, True)
+        return HeartbeatDone(row.entry, True, "", reply.folded_offset)
 
     run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
 
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,10 +1,11 @@
 """Agreement through the log: following, proposing, leases, announcements."""
 
 from kingcuppost.systems.agreement.announce import announce, leave
-from kingcuppost.systems.agreement.follow import (
-    fold_reads,
+from kingcuppost.systems.agreement.follow import fold_reads, issue_read
+from kingcuppost.systems.agreement.freshness import (
+    fresh_age_ms,
+    is_following,
     is_fresh,
-    issue_read,
     want_barrier,
 )
 from kingcuppost.systems.agreement.lease import (
@@ -14,17 +15,22 @@
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
+    has_room,
     propose,
     send_proposals,
     take_wishes,
 )
+from kingcuppost.systems.agreement.snapshots import write_snapshots
 
 __all__ = [
     "announce",
     "answer_proposers",
     "answer_watchers",
     "fold_reads",
+    "fresh_age_ms",
+    "has_room",
     "hold_lease",
+    "is_following",
     "is_fresh",
     "is_scheduler",
     "issue_read",
@@ -33,4 +39,5 @@
     "send_proposals",
     "take_wishes",
     "want_barrier",
+    "write_snapshots",
 ]
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -1,59 +1,90 @@
 """Following the log: reads, the fold in offset order, and freshness."""
 
 from kingcuppost.settings import effective_value
+from kingcuppost.systems.agreement.freshness import (
+    fresh_age_ms,
+    is_fresh,
+    want_barrier,
+)
+from kingcuppost.systems.agreement.search import (
+    begin_search,
+    is_search_due,
+    take_search_read,
+)
+from kingcuppost.systems.agreement.snapshots import watch_part
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
+from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import Verdict
+from kingcuppost.tables.agreement import ReadUnderWay, Verdict
+from kingcuppost.tables.claims import RecentRecord
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["fold_reads", "is_fresh", "issue_read", "want_barrier"]
+__all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "want_barrier"]
 
-NO_READ = -1
-
-
-def is_fresh(world: World, now_ms: int) -> bool:
-    """Return whether the log was read at its head recently enough to start work."""
-    fresh_ms = world.log_view.fresh_ms
-    bound_ms = effective_value(world.agreed, "log.fresh_ms")
-    return fresh_ms >= 0 and now_ms - fresh_ms <= bound_ms
-
-
-def want_barrier(world: World, now_ms: int) -> None:
-    """Ask for a read of the head that is sent no earlier than now."""
-    view = world.log_view
-    if view.barrier_ms < 0:
-        view.barrier_ms = now_ms
+READS_UNDER_WAY = 4
+MOST_DOUBLINGS = 3
 
 
 @system(Phase.FOLD)
 def fold_reads(world: World, now_ms: int) -> None:
-    """Apply what the log answered, in offset order."""
-    view = world.log_view
+    """Apply what the log answered, in offset order.
+
+    Several reads may be under way; what a second one repeats is passed over.
+    """
     for done in world.inbox.take(ReadDone):
-        if done.read_id != view.read_id:
+        read = world.log_view.reads.pop(done.read_id, None)
+        if read is None:
             continue
-        sent_ms = view.read_sent_ms
-        view.read_id = ""
-        view.read_sent_ms = NO_READ
         if not done.ok:
             _note_failed_read(world, done, now_ms)
             continue
-        for item in done.records:
-            _fold_one(world, item)
-        view.folded_offset = max(view.folded_offset, done.end)
-        _note_head(world, done, sent_ms)
-        view.next_read_ms = now_ms
+        world.log_view.failed_reads = 0
+        _drop_overtaken(world, read, now_ms)
+        if world.log_view.search is not None:
+            take_search_read(world, done, now_ms)
+        elif is_search_due(world, done):
+            begin_search(world, done, now_ms)
+        else:
+            _fold_read(world, done, read)
+            world.log_view.next_read_ms = now_ms
+
+
+def _drop_overtaken(world: World, answered: ReadUnderWay, now_ms: int) -> None:
+    """Forget late reads that were sent before one that is answered.
+
+    Their connections are silent; while they counted as under way, every tick
+    would send another read beside them.
+    """
+    reads = world.log_view.reads
+    for read_id, read in list(reads.items()):
+        if read.sent_ms < answered.sent_ms and read.late_ms <= now_ms:
+            del reads[read_id]
+
+
+def _fold_read(world: World, done: ReadDone, read: ReadUnderWay) -> None:
+    view = world.log_view
+    for item in done.records:
+        _fold_one(world, item)
+    view.folded_offset = max(view.folded_offset, done.end)
+    _note_head(world, done, read.sent_ms)
 
 
 def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
+    """Pause before the next read, longer and at random while the log is down.
+
+    Processes that lost the log together must not come back to it together.
+    """
+    view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
-    world.log_view.next_read_ms = now_ms + retry_ms
-    world.deadlines.add(world.log_view.next_read_ms)
+    retry_ms *= 2 ** min(view.failed_reads, MOST_DOUBLINGS)
+    view.failed_reads += 1
+    view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
+    world.deadlines.add(view.next_read_ms)
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
@@ -62,11 +93,13 @@
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
         return
-    view.fresh_ms = sent_ms
+    view.fresh_ms = max(view.fresh_ms, sent_ms)
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
     if not view.caught_up:
         view.caught_up = True
+        view.searched = False
+        world.snapshots.wall_ms = world.snapshots.wall_ms or world.clock.wall_ms()
         note(world, "log.follow", f"Caught up at offset {view.folded_offset}.")
 
 
@@ -76,36 +109,72 @@
         return
     view.folded_offset = item.offset
     if isinstance(item.record.body, SnapshotPart):
+        watch_part(world, item)
         return
-    fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
-    if item.record.record_id in world.proposals:
+    known = world.agreed.recent.get(item.record.record_id)
+    if known is not None:
+        verdict = Verdict(known.accepted, known.offset, known.reason)
+    else:
+        fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
         reason = fault.reason if fault else ""
-        verdict = Verdict(fault is None, item.offset, reason)
+        stale = fault is not None and fault.stale
+        verdict = Verdict(fault is None, item.offset, reason, unknown=stale)
+    if item.record.record_id in world.proposals:
         world.verdicts[item.record.record_id] = verdict
-    result = f"rejected: {fault.reason}" if fault else "applied"
-    note(
-        world,
-        f"fold.{item.record.body.kind}",
-        f"Record of {item.record.author} {result}.",
-        job=getattr(item.record.body, "job", ""),
-        offset=item.offset,
-    )
+    note_record(world, item.record, item.offset, _fault_text(verdict, known))
+
+
+def _fault_text(verdict: Verdict, known: RecentRecord | None) -> str:
+    if known is not None:
+        return f"a repeat of offset {known.offset}"
+    return "" if verdict.accepted else verdict.reason
 
 
 @system(Phase.PROPOSE)
 def issue_read(world: World, now_ms: int) -> None:
-    """Keep one read under way; cut a waiting one short for a barrier."""
+    """Keep one timely read under way.
+
+    A read that waits at the log is cut short for a barrier, and one that is late
+    is not waited for: another goes out beside it, on a new connection.
+    """
     view = world.log_view
-    barrier_due = view.barrier_ms >= 0 and view.read_sent_ms < view.barrier_ms
-    if view.read_id and not (barrier_due and view.read_waits):
+    timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
+    if timely:
+        world.deadlines.add(min(read.late_ms for read in timely))
+        return
+    if len(view.reads) >= READS_UNDER_WAY:
         return
     if now_ms < view.next_read_ms:
         world.deadlines.add(view.next_read_ms)
         return
-    waits = view.caught_up and view.barrier_ms < 0
+    _send_read(world, now_ms)
+
+
+def _is_timely(world: World, read: ReadUnderWay, now_ms: int) -> bool:
+    """Return whether a read may be waited for.
+
+    One that waits at the log is cut short by a barrier, or by an append that was
+    sent after it and is late: the log may be slow, and the read miss the record.
+    """
+    view = world.log_view
+    if read.waits and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
+        return False
+    late_ms = effective_value(world.agreed, "log.late_ms")
+    append_ms = min(view.appends.values(), default=now_ms)
+    if read.sent_ms <= append_ms and append_ms + late_ms <= now_ms:
+        return False
+    return now_ms < read.late_ms
+
+
+def _send_read(world: World, now_ms: int) -> None:
+    view = world.log_view
+    hedge = any(now_ms >= read.late_ms for read in view.reads.values())
+    waits = view.caught_up and view.barrier_ms < 0 and not view.reads
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if waits else 0
+    late_ms = now_ms + wait_ms + effective_value(world.agreed, "log.late_ms")
     timeout_ms = wait_ms + effective_value(world.agreed, "log.timeout_ms")
-    view.read_id = new_identifier(world.rng, "read")
-    view.read_sent_ms = now_ms
-    view.read_waits = waits
-    world.outbox.put(ReadLog(view.read_id, view.folded_offset, wait_ms, timeout_ms))
+    after = view.search.after if view.search else view.folded_offset
+    read_id = new_identifier(world.rng, "read")
+    view.reads[read_id] = ReadUnderWay(now_ms, late_ms, waits)
+    world.deadlines.add(late_ms)
+    world.outbox.put(ReadLog(read_id, after, wait_ms, timeout_ms, hedge))
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -1,6 +1,7 @@
 """The scheduling lease: who may place gangs."""
 
 from kingcuppost.settings import effective_value
+from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
@@ -59,9 +60,15 @@
 
 
 def _hear_holder(world: World, now_ms: int) -> None:
+    """Count the answers of a holder that is of use.
+
+    One that is cut from the log while this process follows it is of none. If
+    neither follows the log, a new holder would do no better.
+    """
     for answer in world.inbox.take(HolderAnswered):
-        lease = world.agreed.lease
-        if answer.ok and answer.incarnation == lease.incarnation:
+        if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
+            continue
+        if answer.follows_log or not is_following(world, now_ms):
             world.holder_watch.heard_ms = max(
                 world.holder_watch.heard_ms, answer.sent_ms
             )
@@ -90,7 +97,8 @@
 
 @system(Phase.REPORT, roles=(Role.ENTRY,))
 def answer_watchers(world: World, now_ms: int) -> None:
-    """Tell other entries that this process is alive."""
-    reply = HolderReply(world.identity.name, world.identity.incarnation)
+    """Tell other entries that this process is alive, and whether it follows."""
+    follows = is_following(world, now_ms)
+    reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
     for question in world.inbox.take(HolderAsked):
         world.outbox.put(Reply(question.exchange_id, STATUS_OK, reply))
--- a/kingcuppost/systems/jobs/__init__.py
+++ b/kingcuppost/systems/jobs/__init__.py
@@ -3,12 +3,13 @@
 from kingcuppost.systems.jobs.baselines import choose_first_fit
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
 from kingcuppost.systems.jobs.faults import follow_faults
-from kingcuppost.systems.jobs.gangs import advance_gangs, take_reports
+from kingcuppost.systems.jobs.gangs import advance_gangs
 from kingcuppost.systems.jobs.guarantees import is_covered, report_uncovered
 from kingcuppost.systems.jobs.intake import follow_queue
 from kingcuppost.systems.jobs.judging import judge_jobs
 from kingcuppost.systems.jobs.occupancy import track_occupancy
 from kingcuppost.systems.jobs.placement import place_jobs
+from kingcuppost.systems.jobs.reports import take_reports
 from kingcuppost.systems.jobs.shapes import choose_shapes
 from kingcuppost.systems.jobs.zones import leave_zones
 
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -32,7 +32,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A caller's request; `timeout_ms` counts from its arrival."""
+    """A caller's request.
+
+    `timeout_ms` counts from its arrival; `issued_ms` is when the caller made the
+    key, Unix ms, 0 if not said.
+    """
 
     exchange_id: str
     team: str
@@ -41,6 +45,7 @@
     urgency: Urgency
     key: str
     timeout_ms: int
+    issued_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,11 +122,24 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendDone:
-    """The answer to an append; it proves nothing, the fold decides."""
+    """The answer to an append; it proves nothing, the fold decides.
+
+    Attributes
+    ----------
+    record_ids : tuple of str
+        The records of the append.
+    ok : bool
+        Whether the log confirmed it.
+    reason : str
+        Why it was not confirmed.
+    never_sent : bool
+        True if no connection was made, so that nothing can be in the log.
+    """
 
     record_ids: tuple[str, ...]
     ok: bool
     reason: str = ""
+    never_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +154,8 @@
     keyed: bool
     urgency: Urgency
     timeout_ms: int
+    claim_offset: int = 0
+    hold_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +182,8 @@
         True if no connection was made, so that nothing can have run.
     reason : str
         Why there is no answer.
+    running : bool
+        Whether the sidecar has not finished the attempt yet.
     """
 
     attempt_id: str
@@ -174,6 +196,7 @@
     service_ms: float = 0.0
     never_sent: bool = False
     reason: str = ""
+    running: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +230,7 @@
     entry: str
     ok: bool
     reason: str = ""
+    folded_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,10 +293,12 @@
 class HolderAnswered:
     """The holder's answer, or the failure of the exchange.
 
-    `sent_ms` is when the question was sent.
+    `sent_ms` is when the question was sent; `follows_log` tells whether the holder
+    has read the log at its head lately.
     """
 
     ok: bool
     incarnation: str
     sent_ms: int
     reason: str = ""
+    follows_log: bool = True
