Ask for the time at which a key was made

Ruled out: the entry's own time as default (a late retry of a forgotten key would look new and run twice). Conclusion: callers learn of the rule on their first request.

--- a/kingcuppost/cli/jobs.py
+++ b/kingcuppost/cli/jobs.py
@@ -107,6 +107,12 @@
         "--urgency", choices=["interactive", "overnight"], default="interactive"
     )
     parser.add_argument("--key", default="", help="run at most once under this key")
+    parser.add_argument(
+        "--issued-ms",
+        type=int,
+        default=0,
+        help="when the key was made, Unix ms; the same in every retry",
+    )
     parser.add_argument("--timeout-ms", type=int, default=0)
     parser.add_argument("--json", action="store_true", help="print JSON")
 
@@ -121,6 +127,7 @@
         "urgency": args.urgency,
         "idempotent": not args.key,
         "key": args.key,
+        "issued_ms": args.issued_ms,
         "timeout_ms": args.timeout_ms,
     }
     return send_to(args.callers, args.json, "POST", "/v1/requests", body, None)
--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -78,10 +78,13 @@
         ),
         (["job", "cancel", "a/b"], "POST", "/v1/jobs/a%2Fb/cancel", {}),
         (
-            ["request", "--team", "design", "--service", "planner", "--key", "k"],
+            [
+                *("request", "--team", "design", "--service", "planner"),
+                *("--key", "k", "--issued-ms", "7"),
+            ],
             "POST",
             "/v1/requests",
-            {"idempotent": False, "key": "k"},
+            {"idempotent": False, "key": "k", "issued_ms": 7},
         ),
     ],
 )
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -31,9 +31,9 @@
     key : str
         Names a non-idempotent request among those of its team.
     issued_ms : int
-        When the caller made the key, Unix ms; the same in every retry. Keys made
-        before the oldest that is remembered are refused, as are keys without a
-        time once any was forgotten.
+        When the caller made the key, Unix ms; the same in every retry. A key that
+        is no younger than one that was forgotten is answered "unknown" and not
+        run.
     timeout_ms : int
         Time within which the answer is of use, in ms; 0 for the team's setting.
     """
@@ -51,6 +51,8 @@
         """Return why fields do not fit together; empty if they do."""
         if not self.idempotent and not self.key:
             return "key: a non-idempotent request carries a key"
+        if self.key and not self.issued_ms:
+            return "issued_ms: a key says when it was made"
         if self.idempotent and self.key:
             return "key: only a non-idempotent request carries a key"
         return ""
--- /dev/null
+++ b/kingcuppost/models/tests/test_caller.py
@@ -0,0 +1,22 @@
+"""Fields of a caller's request that have to fit together."""
+
+import pytest
+
+from kingcuppost.models.caller import RequestModel
+
+BASE = {"team": "design", "service": "planner"}
+
+
+@pytest.mark.parametrize(
+    ("fields", "fault"),
+    [
+        ({}, ""),
+        ({"idempotent": False, "key": "k", "issued_ms": 1}, ""),
+        ({"idempotent": False}, "key: a non-idempotent request carries a key"),
+        ({"key": "k", "issued_ms": 1}, "key: only a non-idempotent request"),
+        ({"idempotent": False, "key": "k"}, "issued_ms: a key says when it was made"),
+    ],
+)
+def test_faults_between_fields(fields: dict, fault: str) -> None:
+    assert RequestModel(**BASE, **fields).fault().startswith(fault)
+    assert bool(RequestModel(**BASE, **fields).fault()) == bool(fault)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,6 +3,7 @@
 import json
 import sys
 
+from kingcuppost.utils import SystemClock
 from standins.processes import Deployment, wait_until
 
 __all__ = ["main"]
@@ -63,6 +64,7 @@
         options = ["--team", "design", "--service", deployment.site.service]
         print(deployment.request(*options, "--body", "quote").stdout)
         order = [*options, "--body", '{"id": "order-7"}', "--key", "order-7"]
+        order += ["--issued-ms", str(SystemClock().wall_ms())]
         print(deployment.request(*order).stdout)
         print(deployment.request(*order, entry="entry-1").stdout)
         command(deployment, "explain", "request", "design/order-7")
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -21,7 +21,7 @@
     deployment: Deployment,
 ) -> None:
     prepare(deployment, minions=2)
-    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o"}
+    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o", "issued_ms": 1}
     assert ask(deployment, "entry-0", **order)[0] == 200
     payload = json.dumps({"run_ms": 100, "result": "plan"})
     submit(deployment, "planning", members=2, accelerators=4, payload=payload)
@@ -52,7 +52,7 @@
         "settings", "set", "request.attempts", "2", "--path", f"teams/{TEAM}"
     )
     assert done.returncode == 0
-    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o"}
+    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o", "issued_ms": 1}
     assert ask(deployment, "entry-0", **order)[0] == 200
     explain = ("explain", "request", f"{TEAM}/o")
     wait_until(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -74,6 +74,7 @@
 def test_keyed_request_runs_once_through_two_entries(deployment: Deployment) -> None:
     prepare(deployment)
     order = {"body": '{"id": "order-7"}', "idempotent": False, "key": "order-7"}
+    order["issued_ms"] = 1
     answers = [ask(deployment, entry, **order) for entry in ("entry-0", "entry-1")]
     assert [status for status, _ in answers] == [200, 200]
     assert answers[0][1]["answer"] == answers[1][1]["answer"]
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -116,7 +116,8 @@
         return {"body": json.dumps({"id": run_id, "run_ms": run_ms}), **fields}
 
     def charge(self, run_id: str, run_ms: int = 0, **fields: object) -> dict:
-        return self.order(run_id, run_ms, idempotent=False, key=run_id, **fields)
+        keyed = {"idempotent": False, "key": run_id, "issued_ms": 1, **fields}
+        return self.order(run_id, run_ms, **keyed)
 
     def runs(self, run_id: str) -> list[int]:
         """Return how often each minion ran an order."""
