Measure processor time in ns, and more tasks, for the capacity slopes

Cause: the slope of a running task at the holder was 0.007 ms from 96 tasks, which is one step of /proc/PID/stat (10 ms) over the window; times 9,400 it alone made the verdict 8.4% of a core. Ruled out: a longer window alone; the step stays. Change: /proc/PID/schedstat, 24 tasks a minion without accelerators, a window of 40 s; memory of workers is not shared out among entries; heartbeats at an entry are bounded in the arithmetic as they will be in the system.

--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -35,13 +35,13 @@
 
 MINIONS_SMALL = 4
 MINIONS_LARGE = 16
-IDLE_WINDOW_S = 15.0
+IDLE_WINDOW_S = 40.0
 TEAMS = 40
 POLL_S = 0.5
 CHANGES = 100
 REQUESTS = 200
 JOBS = 40
-TASKS_PER_MINION = 6
+TASKS_PER_MINION = 24
 LONG_RUN_MS = 600_000
 MS_PER_SECOND = 1_000
 KB_PER_MB = 1_024
@@ -154,9 +154,9 @@
             raise RuntimeError(f"{path} was refused: {answer}")
 
     def submit(self, name: str, run_ms: int) -> None:
-        """Submit a job of one member with one accelerator."""
+        """Submit a job of one member with one core and no accelerator."""
         payload = json.dumps({"run_ms": run_ms, "result": "ok"})
-        body = {"operator": "bench", "name": name, "team": TEAM, "accelerators": 1}
+        body = {"operator": "bench", "name": name, "team": TEAM}
         status, answer = self.deployment.call(
             "entry-0", "operators", "POST", "/v1/jobs", {**body, "payload": payload}
         )
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from kingcuppost.settings import KEYS
 from standins.usage import Usage
 
 __all__ = [
@@ -22,6 +23,8 @@
 MS_PER_SECOND = 1_000
 PERCENT = 100
 MEASURED_ENTRIES = 2
+BEAT_PERIOD_MS = KEYS["heartbeat.period_ms"].default
+BEAT_GAP_MS = KEYS["heartbeat.gap_ms"].default
 ROLES = ("entry", "holder", "sidecar")
 
 
@@ -51,13 +54,11 @@
     def amounts(self, role: str) -> dict[str, float]:
         """Return how much of each driver a process of a role meets.
 
-        Events are per second. A sidecar runs the tasks of its own worker, and
-        each worker's sidecar beats at one of the entries.
+        Events are per second. A sidecar runs the tasks of its own worker.
         """
-        homes = 1.0 if role == "sidecar" else MEASURED_ENTRIES / self.entries
         tasks = self.tasks / self.workers if role == "sidecar" else self.tasks
         return {
-            "worker": self.workers * homes,
+            "worker": self.workers,
             "running task": tasks,
             "team": self.teams,
             "job": self.jobs_a_day / SECONDS_PER_DAY,
@@ -66,6 +67,19 @@
         }
 
 
+    def heard_share(self, role: str) -> float:
+        """Return the heartbeats of one more worker against those when measured.
+
+        Each sidecar beats at one of the entries, and beats less often where an
+        entry is home to many.
+        """
+        if role == "sidecar":
+            return 1.0
+        homes = self.workers / self.entries
+        stretched_ms = max(BEAT_PERIOD_MS, homes * BEAT_GAP_MS)
+        return MEASURED_ENTRIES / self.entries * BEAT_PERIOD_MS / stretched_ms
+
+
 DESIGN = Size("design size", 540, 9_400, 120, 360, 1_600, 35, entries=4)
 TODAY = Size("today", 10, 80, 4, 40, 100, 4)
 
@@ -134,6 +148,13 @@
             rates = slope.by_role[role]
             if slope.driver in ("job", "configuration change", "restart"):
                 rates = Rates(rates.processor, rates.kb_a_second, 0.0, rates.appends)
+            if slope.driver == "worker":
+                share = size.heard_share(role)
+                rates = Rates(
+                    rates.processor * share,
+                    rates.kb_a_second * share,
+                    rates.memory_mb,
+                )
             if slope.driver == "team":
                 rates = Rates(0.0, 0.0, rates.memory_mb)
             total = total.plus(rates, amounts[slope.driver])
--- a/standins/tests/test_slopes.py
+++ b/standins/tests/test_slopes.py
@@ -14,7 +14,7 @@
 )
 from standins.usage import Usage
 
-SIZE = Size("test", 100, 1_000, 10, 86_400, 0, 0)
+SIZE = Size("test", 80, 800, 10, 86_400, 0, 0)
 
 
 def slope(driver: str, rates: Rates) -> Slope:
@@ -28,9 +28,9 @@
         slope("job", Rates(0.005, 2.0, 99.0, 1.5)),
     ]
     full = predicted(base, slopes, SIZE, "entry")
-    assert full.processor == pytest.approx(0.01 + 0.01 + 0.005)
-    assert full.kb_a_second == pytest.approx(1 + 1 + 2)
-    assert full.memory_mb == pytest.approx(60)
+    assert full.processor == pytest.approx(0.01 + 0.008 + 0.005)
+    assert full.kb_a_second == pytest.approx(1 + 0.8 + 2)
+    assert full.memory_mb == pytest.approx(58)
     assert full.appends == pytest.approx(1.5)
 
 
@@ -38,7 +38,17 @@
     slopes = [slope("running task", Rates(0.001, 0.0, 1.0))]
     zero = Rates(0.0, 0.0, 0.0)
     assert predicted(zero, slopes, SIZE, "sidecar").processor == pytest.approx(0.01)
-    assert predicted(zero, slopes, SIZE, "holder").processor == pytest.approx(1.0)
+    assert predicted(zero, slopes, SIZE, "holder").processor == pytest.approx(0.8)
+
+
+def test_heartbeats_at_an_entry_are_bounded() -> None:
+    zero = Rates(0.0, 0.0, 0.0)
+    slopes = [slope("worker", Rates(0.0001, 0.01, 0.1))]
+    sizes = [Size("large", workers, 0, 0, 0, 0, 0) for workers in (400, 4_000)]
+    uses = [predicted(zero, slopes, size, "entry") for size in sizes]
+    assert uses[0].processor == pytest.approx(80 * 0.0001)
+    assert uses[1].processor == pytest.approx(uses[0].processor)
+    assert uses[1].memory_mb == pytest.approx(400.0)
 
 
 def test_first_budget_to_end_is_named() -> None:
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -1,6 +1,5 @@
 """What a process has used so far, from /proc and from its own metrics."""
 
-import os
 import urllib.request
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,8 +11,7 @@
 __all__ = ["Usage", "read_usage"]
 
 KB_PER_MB = 1_024
-STAT_UTIME = 11
-STAT_STIME = 12
+NS_PER_SECOND = 1_000_000_000
 
 
 @dataclass(frozen=True)
@@ -57,10 +55,9 @@
 
 
 def _processor_s(pid: int) -> float:
-    text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
-    fields = text.rpartition(")")[2].split()
-    ticks = int(fields[STAT_UTIME]) + int(fields[STAT_STIME])
-    return ticks / os.sysconf("SC_CLK_TCK")
+    """Return the processor time of a process that has one thread, in seconds."""
+    text = Path(f"/proc/{pid}/schedstat").read_text(encoding="ascii")
+    return int(text.split()[0]) / NS_PER_SECOND
 
 
 def _memory_mb(pid: int) -> float:
