--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -116,7 +116,8 @@
         return {"body": json.dumps({"id": run_id, "run_ms": run_ms}), **fields}
 
     def charge(self, run_id: str, run_ms: int = 0, **fields: object) -> dict:
-        return self.order(run_id, run_ms, idempotent=False, key=run_id, **fields)
+        keyed = {"idempotent": False, "key": run_id, "issued_ms": 1, **fields}
+        return self.order(run_id, run_ms, **keyed)
 
     def runs(self, run_id: str) -> list[int]:
         """Return how often each minion ran an order."""
@@ -192,7 +193,7 @@
     status, answer = asked.result()
     fleet.fault("peers")
     assert (status, answer["outcome"]) == (504, "unknown")
-    status, answer = fleet.ask("entry-1", **fleet.charge("cut"))
+    status, answer = fleet.ask("entry-1", **fleet.charge("cut", 800))
     assert status == 200
     assert sum(fleet.runs("cut")) == 1
     fleet.settle()
@@ -225,7 +226,7 @@
     status, answer = asked.result()
     assert (status, answer["outcome"]) == (504, "unknown")
     fleet.settle()
-    status, answer = fleet.ask("entry-1", **fleet.charge("killed"))
+    status, answer = fleet.ask("entry-1", **fleet.charge("killed", 5_000))
     assert (status, answer["outcome"]) == (504, "unknown")
     assert sum(fleet.runs("killed")) == 1
 
