Keep cores with reclaimed accelerators; start beside a kept place; no loan that is due

A job did not see free places while its own was kept, and loans were made that were due already. Ruled out: a livelock of the fold (JobSubmit and GangFinish were refused as stale in the bench only, whose records named no seen offset; mended there). Change: a keep within a guarantee takes cores and memory; a job looks elsewhere with its own place included; nothing is lent that would be stopped now.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -148,7 +148,11 @@
         """Fold a record at once, as the log would; return whether it counted."""
         self.offset += 1
         record = Record(
-            record_id or f"bench-{self.offset}", "bench", self.clock.wall_ms(), body
+            record_id or f"bench-{self.offset}",
+            "bench",
+            self.clock.wall_ms(),
+            body,
+            seen_offset=self.offset,
         )
         fault = apply_record(self.world.agreed, FoldInput(self.offset, record))
         self.world.log_view.folded_offset = self.offset
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -19,7 +19,9 @@
     """Count distinct failed jobs by worker; set workers aside, and probe them."""
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
-        if job is not None:
+        if job is None:
+            world.capacity.failures_seen.pop(name, None)
+        else:
             _follow_job(world, job, now_ms)
     for row in world.capacity.faults:
         if row.aside:
--- a/kingcuppost/systems/jobs/keeps.py
+++ b/kingcuppost/systems/jobs/keeps.py
@@ -52,14 +52,20 @@
 
 
 def put_keep(world: World, job: Job, keep: Keep, now_ms: int) -> None:
-    """Keep a place for a job; within a guarantee this binds the cells."""
+    """Keep a place for a job; within a guarantee this binds the cells.
+
+    Then it takes cores and memory too: else a borrower that is stopped for them
+    would be placed there again at once.
+    """
     shares: dict[str, WorkerHold] = {}
     for placement in keep.placements:
         old = shares.get(placement.worker, NO_HOLD)
         cell = cell_mask(placement)
         cells = (*old.cells, cell) if cell else old.cells
         kept = old.kept | mask_of(placement)
-        shares[placement.worker] = WorkerHold(0, kept, cells)
+        cores = old.cores + job.cores if keep.guaranteed else 0
+        memory_mb = old.memory_mb + job.memory_mb if keep.guaranteed else 0
+        shares[placement.worker] = WorkerHold(0, kept, cells, cores, memory_mb)
     world.capacity.keeps.put(keep)
     put_hold(world.capacity, Hold(_key_of(job.name), job.team, 0, shares))
     wake_for_keep(world, keep, now_ms)
@@ -108,8 +114,9 @@
         row = world.capacity.workers.get(placement.worker)
         if not row.usable or row.busy & mask_of(placement):
             return False
-    for name, count in members.items():
+    for name, members_there in members.items():
         row = world.capacity.workers.get(name)
+        count = 0 if keep.guaranteed else members_there
         if row.free_cores < count * job.cores:
             return False
         if row.free_memory_mb < count * job.memory_mb:
@@ -213,8 +220,9 @@
     world: World, keep: Keep, job: Job, victims: frozenset[str]
 ) -> frozenset[str]:
     members = Counter(placement.worker for placement in keep.placements)
-    for name, count in members.items():
+    for name, members_there in members.items():
         row = world.capacity.workers.get(name)
+        count = 0 if keep.guaranteed else members_there
         more = victims_for_cores(world, row, count, job, keep.guaranteed, victims)
         victims = more if more is not None else victims
     return victims
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -8,6 +8,7 @@
     drop_keep,
     is_ready,
     overdue_gangs,
+    put_keep,
     still_holds,
     waits_for_earlier,
 )
@@ -97,15 +98,24 @@
     if not still_holds(world, keep):
         return None
     if not keep.guaranteed:
-        avoid = _avoided(world, job)
-        plan = find_guaranteed(world, job, avoid)
-        plan = plan or find_free(world.capacity, job, avoid)
-        if plan is not None and not plan.victims:
-            guaranteed = bool(plan.placements[0].cell)
-            return Choice(plan.placements, not guaranteed)
+        plan = _find_elsewhere(world, job, keep, now_ms)
+        if plan is not None:
+            return Choice(plan.placements, not plan.placements[0].cell)
     return Choice(None, stops=overdue_gangs(world, keep, job, now_ms), keep=keep)
 
 
+def _find_elsewhere(world: World, job: Job, keep: Keep, now_ms: int) -> Plan | None:
+    """Return free places, those that are kept for the job itself included."""
+    avoid = _avoided(world, job)
+    drop_keep(world.capacity, job.name)
+    plan = find_guaranteed(world, job, avoid)
+    if plan is None or plan.victims:
+        plan = find_free(world.capacity, job, avoid)
+    if plan is None:
+        put_keep(world, job, keep, now_ms)
+    return plan
+
+
 def _fault_of_limit(world: World, job: Job) -> str:
     share = world.capacity.shares.get(job.team)
     wanted = job.members * job.accelerators
@@ -154,8 +164,11 @@
     due_ms = bound_of(world, keep)
     if keep.guaranteed or now_ms >= due_ms:
         return False
+    owner = world.agreed.jobs.get(keep.job)
     if not waits_for_earlier(world, keep):
         return False
+    if overdue_gangs(world, keep, owner, now_ms):
+        return False
     if job.urgency is Urgency.INTERACTIVE:
         due_ms = min(due_ms, keep.date_ms)
         return now_ms + expected_run_ms(world.capacity, job) <= due_ms
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -133,3 +133,33 @@
         hours = (5 - number) * HOUR_MS
         submit(run, job(f"w{number}", "guest", 2, 8, run_ms=hours))
     assert len(run.world.capacity.keeps) == 1
+
+
+def test_a_job_starts_on_free_places_beside_its_kept_one() -> None:
+    """Half of the kept place and a worker freed elsewhere hold it as well."""
+    run = driver([worker(0), worker(1), worker(2)], {"guest": ()})
+    run.put_setting("job.compact_after_ms", 10 * HOUR_MS)
+    minutes = (30, 40, 20)
+    for number, run_minutes in enumerate(minutes):
+        item = job(
+            f"f{number}",
+            "guest",
+            1,
+            8,
+            run_ms=run_minutes * MINUTE_MS,
+            declared_ms=(10, 20, 60)[number] * MINUTE_MS,
+        )
+        submit(run, item)
+    submit(run, job("wide", "guest", 2, 8, run_ms=MINUTE_MS))
+    settle(run, 32 * MINUTE_MS)
+    assert run.runs["wide"].started_ms > 0
+
+
+def test_cores_that_are_reclaimed_are_not_lent_again() -> None:
+    """An older borrower took them back each time before the job had its turn."""
+    run = driver([worker(0)], TEAMS)
+    submit(run, job("cores", "guest", 60, 0, run_ms=HOUR_MS))
+    submit(run, job("own", "owner", 1, 8, run_ms=9 * HOUR_MS, cores=64))
+    settle(run, MINUTE_MS)
+    assert running(run) == {"own": False}
+    assert run.reclaims == 1
