Bound what a sidecar spends on heartbeats, polls and change sets

Ruled out: fixed longer periods (today's sizes would wait for nothing); digests of the member lists (not needed once the period stretches). Change: the heartbeat's period stretches with the sidecars of an entry (heartbeat.gap_ms), the worker's poll with its tasks, within a third of the leases it renews; job.lease_ms is 15 s by default, so that reports to leaders come every 2.5 s; a change set begins with its watcher's first question.

--- a/kingcuppost/settings/catalog/jobs.py
+++ b/kingcuppost/settings/catalog/jobs.py
@@ -15,7 +15,7 @@
 declare(
     SettingKey(
         "job.lease_ms",
-        5_000,
+        15_000,
         "How long a member may run after its gang was last known whole.",
         "ms",
         least=500,
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -4,6 +4,17 @@
 
 __all__: list[str] = []
 
+declare(
+    SettingKey(
+        "heartbeat.gap_ms",
+        250,
+        "Least mean time between the heartbeats that one entry hears; the period "
+        "stretches with the sidecars of an entry.",
+        "ms",
+        least=1,
+        most=10_000,
+    )
+)
 declare(
     SettingKey(
         "heartbeat.period_ms",
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -4,7 +4,14 @@
 from kingcuppost.tables.job import Gang
 from kingcuppost.tables.world import World
 
-__all__ = ["confirm_ms", "grace_ms", "isolation_ms", "lease_ms", "reservation_ms"]
+__all__ = [
+    "beat_period_ms",
+    "confirm_ms",
+    "grace_ms",
+    "isolation_ms",
+    "lease_ms",
+    "reservation_ms",
+]
 
 START_BOUND_MS = 3_000
 START_MARGIN_MS = 250
@@ -51,11 +58,22 @@
     return min(wanted_ms, START_BOUND_MS - START_MARGIN_MS - fresh_ms)
 
 
+def beat_period_ms(world: World) -> int:
+    """Return the period of a sidecar's heartbeats, in ms.
+
+    It stretches with the number of sidecars that one entry is home to, so that
+    the heartbeats that an entry hears in a second are bounded.
+    """
+    period_ms = effective_value(world.agreed, "heartbeat.period_ms")
+    gap_ms = effective_value(world.agreed, "heartbeat.gap_ms")
+    sidecars = len(world.agreed.minions) / max(len(world.agreed.entries), 1)
+    return max(period_ms, int(sidecars * gap_ms))
+
+
 def isolation_ms(world: World) -> int:
     """Return after how long without log and entries members are stopped, in ms.
 
     Never less than a few heartbeats, since entries are heard only by them.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
-    period_ms = effective_value(world.agreed, "heartbeat.period_ms")
-    return max(wanted_ms, BEATS_UNTIL_ISOLATED * period_ms)
+    return max(wanted_ms, BEATS_UNTIL_ISOLATED * beat_period_ms(world))
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -7,6 +7,7 @@
 """
 
 from kingcuppost.settings import effective_value
+from kingcuppost.systems.leases import beat_period_ms
 from kingcuppost.systems.members.gangs import report_of
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.serving import free_slots
@@ -58,7 +59,7 @@
 
 def _period_ms(world: World) -> int:
     """Return the period; members need an entry heard well within their bound."""
-    period_ms = effective_value(world.agreed, "heartbeat.period_ms")
+    period_ms = beat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
     return min(period_ms, isolation_ms // BEATS_PER_ISOLATION)
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -28,6 +28,7 @@
 __all__ = ["renew_tasks", "take_worker_answers"]
 
 RENEWALS_PER_LEASE = 3
+TASKS_PER_POLL = 8
 ID_NUMBERS = 2
 
 
@@ -64,11 +65,19 @@
 
 
 def _period_ms(world: World, held: list[MemberTask]) -> int:
-    bounds_ms = [reservation_ms(world)]
+    """Return the time until the next renewal, in ms.
+
+    It stretches with the tasks, so that traffic with the worker is bounded, but
+    never beyond a share of the shortest lease that is to be renewed.
+    """
+    bounds_ms = []
+    if any(task.state is not TaskState.RUNNING for task in held):
+        bounds_ms.append(reservation_ms(world))
     gangs = (gang_of(world, task) for task in held)
     bounds_ms += [confirm_ms(world, gang) for gang in gangs if gang is not None]
     poll_ms = effective_value(world.agreed, "job.poll_ms")
-    return min(poll_ms, min(bounds_ms) // RENEWALS_PER_LEASE)
+    wanted_ms = poll_ms * max(1, len(held) // TASKS_PER_POLL)
+    return min([wanted_ms, *(bound // RENEWALS_PER_LEASE for bound in bounds_ms)])
 
 
 def _leases(world: World, held: list[MemberTask], now_ms: int) -> tuple[TaskLease, ...]:
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/worlds.py
@@ -40,6 +40,7 @@
     LeaseClaim,
     MinionAnnounce,
     Record,
+    SettingPut,
     TeamPut,
     ZonePut,
 )
@@ -49,6 +50,7 @@
 HERE = Address("127.0.0.1", 0)
 ZONE = "vid-a"
 START_MS = 1_000_000
+LEASE_MS = 5_000
 STEP_MS = 10
 
 
@@ -278,6 +280,7 @@
         *(announce_minion(number) for number in range(workers)),
         EntryAnnounce("entry-9", ZONE, "inc-9", "127.0.0.1", 1, 2, 3),
         LeaseClaim("entry-9", "inc-9", 0),
+        SettingPut("", "job.lease_ms", LEASE_MS, 0),
     )
     return log
 
--- a/kingcuppost/tables/table.py
+++ b/kingcuppost/tables/table.py
@@ -12,7 +12,8 @@
     """Rows by key, kept in order of insertion.
 
     Rows are data classes. They change only through `update`, so that indexes
-    and change sets stay right.
+    and change sets stay right. A change set is kept for each watcher from its
+    first question on, so that none grows for systems that do not run.
 
     Parameters
     ----------
@@ -20,8 +21,6 @@
         Name of the attribute that identifies a row.
     indexes : tuple of str
         Attributes to look rows up by.
-    watchers : tuple of str
-        Names of systems that want to know which keys have changed.
 
     Examples
     --------
@@ -30,27 +29,24 @@
     ... class Point:
     ...     name: str
     ...     x: int
-    >>> points = Table("name", indexes=("x",), watchers=("draw",))
+    >>> points = Table("name", indexes=("x",))
     >>> points.put(Point("a", 1))
     >>> points.update("a", x=2)
     >>> [point.name for point in points.find("x", 2)]
     ['a']
     >>> points.take_changes("draw")
     ['a']
+    >>> points.take_changes("draw")
+    []
     """
 
-    def __init__(
-        self,
-        key: str,
-        indexes: tuple[str, ...] = (),
-        watchers: tuple[str, ...] = (),
-    ) -> None:
+    def __init__(self, key: str, indexes: tuple[str, ...] = ()) -> None:
         self._key = key
         self._rows: dict[Hashable, Row] = {}
         self._indexes: dict[str, dict[Hashable, dict[Hashable, None]]] = {
             name: {} for name in indexes
         }
-        self._changes: dict[str, dict[Hashable, None]] = {name: {} for name in watchers}
+        self._changes: dict[str, dict[Hashable, None]] = {}
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -125,10 +121,13 @@
         return len(self._indexes[index].get(value, ()))
 
     def take_changes(self, watcher: str) -> list[Hashable]:
-        """Return and forget the keys that changed since the watcher last asked."""
-        changes = list(self._changes[watcher])
-        self._changes[watcher].clear()
-        return changes
+        """Return the keys that changed since the watcher last asked.
+
+        A watcher that asks for the first time gets all keys.
+        """
+        changes = self._changes.get(watcher, self._rows)
+        self._changes[watcher] = {}
+        return list(changes)
 
     def clear(self) -> None:
         """Remove all rows."""
