--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -66,7 +66,6 @@
             "restart": self.restarts_a_day / SECONDS_PER_DAY,
         }
 
-
     def heard_share(self, role: str) -> float:
         """Return the heartbeats of one more worker against those when measured.
 
