Give a sidecar's and the scheduler's views of gangs rows of their own

Cause: read as a newcomer, World had ten loose fields whose owner only their names told, and a bare tuple for a gang's stage. Ruled out: fields on existing rows; they belong to no entity.

--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -10,6 +10,7 @@
 from kingcuppost.systems.jobs.bounds import lapsed_ms, lost_ms, lost_reason
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, OVER_STATES, members_of
 from kingcuppost.systems.registry import Phase, system
+from kingcuppost.tables.gang_view import GangStage
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Gang, GangState, gang_key
 from kingcuppost.tables.record import Body, GangEnd, GangRelease, GangStop
@@ -28,9 +29,9 @@
     if not is_scheduler(world):
         _forget_all(world)
         return
-    if world.advance_term != world.agreed.lease.term:
+    if world.gang_view.term != world.agreed.lease.term:
         keys = _take_over(world)
-    keys.extend(world.gang_due.take(now_ms))
+    keys.extend(world.gang_view.due.take(now_ms))
     if not keys:
         return
     pending = _pending(world)
@@ -46,23 +47,23 @@
 
 def _forget_all(world: World) -> None:
     """Drop what an earlier term of this process left, once for each term."""
-    if world.advance_term != world.agreed.lease.term:
-        world.advance_term = world.agreed.lease.term
+    if world.gang_view.term != world.agreed.lease.term:
+        world.gang_view.term = world.agreed.lease.term
         world.reservations.clear()
-        world.gang_stages.clear()
-        world.gang_due.clear()
+        world.gang_view.stages.clear()
+        world.gang_view.due.clear()
 
 
 def _take_over(world: World) -> list[str]:
     """Begin a term: all gangs are looked at, and bounds count from now."""
-    world.advance_term = world.agreed.lease.term
-    world.gang_stages.clear()
+    world.gang_view.term = world.agreed.lease.term
+    world.gang_view.stages.clear()
     return [gang.key for gang in world.agreed.gangs]
 
 
 def _forget(world: World, key: str) -> None:
-    world.gang_stages.pop(key, None)
-    world.gang_due.discard(key)
+    world.gang_view.stages.pop(key, None)
+    world.gang_view.due.discard(key)
     for row in members_of(world, key):
         world.reservations.delete(row.member_id)
 
@@ -76,7 +77,7 @@
 
 
 def _look_again(world: World, key: str, at_ms: int) -> None:
-    world.gang_due.set(key, at_ms)
+    world.gang_view.due.set(key, at_ms)
     world.deadlines.add(at_ms)
 
 
@@ -92,11 +93,11 @@
 
 def _note_stage(world: World, gang: Gang, now_ms: int) -> int:
     """Return when this process first saw the gang in its present state, in ms."""
-    seen = world.gang_stages.get(gang.key)
-    if seen is None or seen[0] != gang.state:
-        world.gang_stages[gang.key] = (gang.state, now_ms)
+    seen = world.gang_view.stages.get(gang.key)
+    if seen is None or seen.state != gang.state:
+        world.gang_view.stages[gang.key] = GangStage(gang.state, now_ms)
         return now_ms
-    return seen[1]
+    return seen.since_ms
 
 
 def _propose(world: World, gang: Gang, body: Body, now_ms: int) -> None:
--- a/kingcuppost/systems/jobs/reports.py
+++ b/kingcuppost/systems/jobs/reports.py
@@ -35,6 +35,6 @@
         if row is None or (row.state != report.state and row.state not in OVER_STATES):
             known = Reservation(member_id, key, report.state, now_ms, now_ms)
             world.reservations.put(known)
-            world.gang_due.set(key, now_ms)
+            world.gang_view.due.set(key, now_ms)
         elif now_ms - row.heard_ms >= refresh_ms:
             world.reservations.update(member_id, heard_ms=now_ms)
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -289,7 +289,7 @@
     tell_both(bench, TaskState.STOPPED)
     bench.run(2_000)
     world = bench.world
-    assert "a/1" not in world.gang_stages
+    assert "a/1" not in world.gang_view.stages
     assert not world.reservations.find("key", "a/1")
 
 
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -57,7 +57,7 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,))
 def report_to_leaders(world: World, now_ms: int) -> None:
     """Tell leaders how members are, all members of a leader in one message."""
-    if now_ms < world.gang_report_ms:
+    if now_ms < world.worker_view.report_ms:
         return
     pairs = _released_tasks(world)
     if not pairs:
@@ -67,8 +67,8 @@
         report = _aged_report(world, task, now_ms)
         by_leader[gang.placements[0].worker].append(report)
     period_ms = min(_report_period_ms(world, gang) for gang, _ in pairs)
-    world.gang_report_ms = now_ms + period_ms
-    world.deadlines.add(world.gang_report_ms)
+    world.worker_view.report_ms = now_ms + period_ms
+    world.deadlines.add(world.worker_view.report_ms)
     for leader, reports in by_leader.items():
         _report(world, leader, tuple(reports), period_ms, now_ms)
 
@@ -78,7 +78,7 @@
     report = report_of(task)
     if task.state is not TaskState.RUNNING:
         return report
-    return replace(report, age_ms=max(now_ms - world.worker_heard_ms, 0))
+    return replace(report, age_ms=max(now_ms - world.worker_view.heard_ms, 0))
 
 
 def _report_period_ms(world: World, gang: Gang) -> int:
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -47,13 +47,13 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,))
 def send_heartbeats(world: World, now_ms: int) -> None:
     """Tell the home entry how this sidecar is, once a period."""
-    if now_ms < world.beat_ms:
+    if now_ms < world.beat_view.beat_ms:
         return
     entry = home_entry(world)
     if entry is None or entry.name in world.beats:
         return
-    world.beat_ms = now_ms + _period_ms(world)
-    world.deadlines.add(world.beat_ms)
+    world.beat_view.beat_ms = now_ms + _period_ms(world)
+    world.deadlines.add(world.beat_view.beat_ms)
     _beat(world, entry, ())
 
 
@@ -132,7 +132,7 @@
         if beat is None:
             continue
         if done.ok:
-            world.entry_heard_ms = now_ms
+            world.beat_view.heard_ms = now_ms
         _note_silence(world, done, now_ms)
         if done.ok and done.folded_offset >= beat.folded_offset:
             _note_told(world, beat)
@@ -152,8 +152,11 @@
         return
     view.silent = (*others, done.entry)
     retry_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
-    if len(others) + 1 < len(world.agreed.entries) and retry_ms < world.beat_ms:
-        world.beat_ms = retry_ms
+    if (
+        len(others) + 1 < len(world.agreed.entries)
+        and retry_ms < world.beat_view.beat_ms
+    ):
+        world.beat_view.beat_ms = retry_ms
         world.deadlines.add(retry_ms)
 
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -39,18 +39,20 @@
     One renewal is under way at a time, so that none that is late in flight
     outlives what a later one said.
     """
-    if not world.log_view.caught_up or world.renewal is not None:
+    if not world.log_view.caught_up or world.worker_view.renewal is not None:
         return
-    if now_ms < world.renew_ms and not _reservation_due(world, now_ms):
+    if now_ms < world.worker_view.renew_ms and not _reservation_due(world, now_ms):
         return
     held = [row for state in HELD_STATES for row in world.tasks.find("state", state)]
     stopping = world.tasks.count("state", TaskState.STOPPING)
-    if world.adopted and not held and not stopping:
+    if world.worker_view.adopted and not held and not stopping:
         return
-    world.renew_ms = now_ms + _period_ms(world, held)
-    world.deadlines.add(world.renew_ms)
+    world.worker_view.renew_ms = now_ms + _period_ms(world, held)
+    world.deadlines.add(world.worker_view.renew_ms)
     leases = _leases(world, held, now_ms)
-    world.renewal = Renewal(now_ms, frozenset(row.task_id for row in leases))
+    world.worker_view.renewal = Renewal(
+        now_ms, frozenset(row.task_id for row in leases)
+    )
     timeout_ms = min(order_timeout_ms(world), reservation_ms(world))
     world.outbox.put(RenewTasks(leases, timeout_ms))
 
@@ -144,7 +146,7 @@
     gang = gang_of(world, task)
     if done.ok and gang is not None:
         sent_ms = task.lease_ms - lease_ms(world, gang)
-        world.worker_heard_ms = max(world.worker_heard_ms, sent_ms)
+        world.worker_view.heard_ms = max(world.worker_view.heard_ms, sent_ms)
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     else:
         stop_task(world, task, now_ms)
@@ -161,12 +163,12 @@
 
 
 def _take_renewal(world: World, done: WorkerDone, now_ms: int) -> None:
-    renewal = world.renewal or Renewal(now_ms, frozenset())
-    world.renewal = None
+    renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
+    world.worker_view.renewal = None
     if not done.ok:
         _give_up_reservations(world, renewal, now_ms)
         return
-    world.worker_heard_ms = max(world.worker_heard_ms, renewal.sent_ms)
+    world.worker_view.heard_ms = max(world.worker_view.heard_ms, renewal.sent_ms)
     states = {item.task_id: item for item in done.tasks}
     for item in done.tasks:
         task = world.tasks.get(item.task_id)
@@ -179,7 +181,7 @@
         if task_id not in states and task is not None:
             _note_lost(world, task)
     _prolong_reservations(world, renewal)
-    world.adopted = True
+    world.worker_view.adopted = True
 
 
 def _give_up_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -69,7 +69,7 @@
         ended_ms = _ended_by_worker_ms(world, task)
         if now_ms < ended_ms:
             world.deadlines.add(ended_ms)
-        elif world.worker_heard_ms <= task.lease_ms:
+        elif world.worker_view.heard_ms <= task.lease_ms:
             world.tasks.update(task.task_id, state=TaskState.STOPPED)
             note(world, "member.silent", "The worker is silent.", job=task.job)
 
@@ -92,7 +92,7 @@
     if not tasks:
         return
     bound_ms = isolation_ms(world)
-    heard_ms = max(world.log_view.fresh_ms, world.entry_heard_ms)
+    heard_ms = max(world.log_view.fresh_ms, world.beat_view.heard_ms)
     if now_ms - heard_ms < bound_ms:
         world.deadlines.add(heard_ms + bound_ms)
         return
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -27,7 +27,7 @@
     Nothing is done before the log was read to its head and the worker was asked
     for the tasks that an earlier process left.
     """
-    if not world.log_view.caught_up or not world.adopted:
+    if not world.log_view.caught_up or not world.worker_view.adopted:
         return
     for key in world.agreed.gangs.take_changes("members"):
         gang = world.agreed.gangs.get(key)
@@ -101,7 +101,10 @@
 
 def _in_renewal(world: World, task: MemberTask) -> bool:
     """Return whether a renewal under way may yet prolong the reservation."""
-    return world.renewal is not None and task.task_id in world.renewal.task_ids
+    return (
+        world.worker_view.renewal is not None
+        and task.task_id in world.worker_view.renewal.task_ids
+    )
 
 
 def _start(world: World, gang: Gang, task: MemberTask, now_ms: int) -> None:
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -482,7 +482,7 @@
     bench.log.up = False
     for _ in range(30):
         bench.run(1_000)
-        bench.world.entry_heard_ms = bench.now_ms
+        bench.world.beat_view.heard_ms = bench.now_ms
     assert bench.worker.state(task_id) is TaskState.RUNNING
 
 
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -36,8 +36,10 @@
     ----------
     holder : str
         Incarnation of the scheduling holder that members were reported to.
-    report_ms : int
-        Earliest time of the next reports.
+    beat_ms, report_ms : int
+        Earliest time of the next heartbeat and of the next reports.
+    heard_ms : int
+        When an entry last answered.
     full_ms : int
         When all members are reported again.
     farewells : tuple of str
@@ -47,7 +49,9 @@
     """
 
     holder: str = ""
+    beat_ms: int = 0
     report_ms: int = 0
+    heard_ms: int = 0
     full_ms: int = 0
     farewells: tuple[str, ...] = ()
     silent: tuple[str, ...] = ()
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -20,13 +20,13 @@
 from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
 from kingcuppost.tables.deadlines import Deadlines
-from kingcuppost.tables.due import DueKeys
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
+from kingcuppost.tables.gang_view import GangView, WorkerView
 from kingcuppost.tables.heartbeat import Beat, BeatView, ServedMemory
 from kingcuppost.tables.identity import Identity
-from kingcuppost.tables.job import Gang, GangState, Job
+from kingcuppost.tables.job import Gang, Job
 from kingcuppost.tables.mailbox import Mailbox
 from kingcuppost.tables.metrics import Tally
 from kingcuppost.tables.pools import ServicePools
@@ -40,7 +40,7 @@
 )
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangWatch, MemberTask, Renewal, Reservation
+from kingcuppost.tables.task import GangWatch, MemberTask, Reservation
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -109,26 +109,13 @@
         Minions that may get another attempt from this entry.
     verdicts : dict of str to Verdict
         What the last fold made of records that this process proposed.
-    gang_stages : dict of str to tuple
-        State of each gang and when this process first saw it, in ms.
     service_ms : float
         Smoothed service time of the minion beside a sidecar, in ms.
-    renew_ms, gang_report_ms, beat_ms : int
-        When a sidecar next renews leases, reports to leaders, sends heartbeats.
-    adopted : bool
-        Whether a sidecar knows the tasks that an earlier process left.
-    entry_heard_ms : int
-        When a sidecar last heard an entry.
+    worker_view, beat_view, gang_view : WorkerView, BeatView, GangView
+        How a sidecar's dealings with its worker and the entries go on, and the
+        scheduler's with gangs.
     stopping : bool
         Whether a graceful stop is under way.
-    renewal : Renewal or None
-        The renewal of the worker's leases that is under way.
-    worker_heard_ms : int
-        When the order that the worker last answered was sent.
-    gang_due : DueKeys
-        When the scheduler looks at each gang again.
-    advance_term : int
-        Scheduling term in which gangs were last looked at.
     tally : Tally
         Counts and durations for the metrics.
     capacity : Capacity
@@ -176,6 +163,8 @@
     served_memory: ServedMemory = field(default_factory=ServedMemory)
     beats: Table[Beat] = field(default_factory=lambda: Table("entry"))
     beat_view: BeatView = field(default_factory=BeatView)
+    worker_view: WorkerView = field(default_factory=WorkerView)
+    gang_view: GangView = field(default_factory=GangView)
     tasks: Table[MemberTask] = field(
         default_factory=lambda: Table("task_id", ("state", "job"))
     )
@@ -183,19 +172,9 @@
     reservations: Table[Reservation] = field(
         default_factory=lambda: Table("member_id", ("key",))
     )
-    gang_stages: dict[str, tuple[GangState, int]] = field(default_factory=dict)
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=EVENTS_KEPT))
     event_count: int = 0
     tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
-    renew_ms: int = 0
-    adopted: bool = False
-    gang_report_ms: int = 0
-    beat_ms: int = 0
-    entry_heard_ms: int = 0
     stopping: bool = False
-    renewal: Renewal | None = None
-    worker_heard_ms: int = 0
-    gang_due: DueKeys = field(default_factory=DueKeys)
-    advance_term: int = 0
     capacity: Capacity = field(default_factory=Capacity)
