Give no work for a pause to a worker that reserves nothing

Cause: a lost or refusing worker is empty, so the policy chose it again at once: with real processes some 30 placements a second on a refusing worker, and a dead one would draw each waiting gang into the reserve bound. Ruled out: counting a refusal as a failure of the job (jobs would be given up for a worker's fault); setting the worker aside (a probe lasts as long as its job, and one job at a time is too little for a worker that only blinked). Change: members that refuse, or are not reserved in the bound, give their worker a pause of worker.pause_ms that doubles with each; a reservation ends it. Before: no test. Conclusion: the loop is bounded; a blinking worker is back in 2 s.

--- a/kingcuppost/settings/catalog/jobs.py
+++ b/kingcuppost/settings/catalog/jobs.py
@@ -176,6 +176,17 @@
         most=100,
     )
 )
+declare(
+    SettingKey(
+        "worker.pause_ms",
+        2_000,
+        "Pause without work for a worker that refused a reservation or did not "
+        "answer it; doubles with each that follows.",
+        "ms",
+        least=100,
+        most=600_000,
+    )
+)
 declare(
     SettingKey(
         "worker.probe_ms",
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -1,4 +1,7 @@
-"""Workers that fail everything they start are set aside and probed."""
+"""Workers that fail everything they start, or that reserve nothing.
+
+The first are set aside and probed; the others are avoided for a pause that doubles.
+"""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -9,9 +12,11 @@
 from kingcuppost.tables.job import Job, JobState, gang_key
 from kingcuppost.tables.world import World
 
-__all__ = ["follow_faults"]
+__all__ = ["avoid_worker", "follow_faults", "trust_worker"]
 
 STEP = "worker.aside"
+STEP_AVOID = "worker.avoid"
+MOST_DOUBLINGS = 6
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,))
@@ -26,6 +31,60 @@
     for row in world.capacity.faults:
         if row.aside:
             _probe_when_due(world, row, now_ms)
+        if row.avoided:
+            _return_when_due(world, row, now_ms)
+
+
+def avoid_worker(world: World, worker: str, now_ms: int) -> None:
+    """Give no work to a worker for a while that reserved nothing for a gang.
+
+    A lost worker is empty, and would otherwise draw one gang after the other.
+
+    Parameters
+    ----------
+    world : World
+        Tables of the scheduler.
+    worker : str
+        Name of the worker.
+    now_ms : int
+        Monotonic time.
+    """
+    row = world.capacity.faults.get(worker) or WorkerFaults(worker)
+    pause_ms = effective_value(world.agreed, "worker.pause_ms")
+    row.return_ms = now_ms + (pause_ms << min(row.refusals, MOST_DOUBLINGS))
+    row.refusals += 1
+    row.avoided = True
+    world.capacity.faults.put(row)
+    world.deadlines.add(row.return_ms)
+    _refresh(world.capacity, worker)
+    text = f"The worker gets no work for {row.return_ms - now_ms} ms."
+    note(world, STEP_AVOID, text, peer=worker)
+
+
+def trust_worker(world: World, worker: str) -> None:
+    """Forget refusals of a worker that has reserved a member."""
+    row = world.capacity.faults.get(worker)
+    if row is None or not row.refusals:
+        return
+    row.refusals = 0
+    if row.avoided:
+        _return(world, row)
+    if not row.jobs:
+        world.capacity.faults.delete(worker)
+
+
+def _return_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
+    if now_ms < row.return_ms:
+        world.deadlines.add(row.return_ms)
+        return
+    _return(world, row)
+
+
+def _return(world: World, row: WorkerFaults) -> None:
+    row.avoided = False
+    _refresh(world.capacity, row.worker)
+    world.capacity.due = True
+    note(world, STEP_AVOID, "The worker may get work again.", peer=row.worker)
 
 
 def _follow_job(world: World, job: Job, now_ms: int) -> None:
@@ -71,12 +130,18 @@
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
         row = world.capacity.faults.delete(placement.worker)
-        if row is not None and row.aside:
+        if row is not None and (row.aside or row.avoided):
             _set_probing(world.capacity, placement.worker, False)
             world.capacity.due = True
             note(world, STEP, "The worker is in use again.", peer=placement.worker)
 
 
+def _refresh(capacity: Capacity, worker: str) -> None:
+    row = capacity.workers.get(worker)
+    if row is not None:
+        refresh_worker(capacity, row)
+
+
 def _set_probing(capacity: Capacity, worker: str, probing: bool) -> None:
     row = capacity.workers.get(worker)
     if row is not None:
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -8,13 +8,14 @@
 from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.jobs.bounds import lapsed_ms, lost_ms, lost_reason
+from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, OVER_STATES, members_of
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.gang_view import GangStage
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Gang, GangState, gang_key
 from kingcuppost.tables.record import Body, GangEnd, GangRelease, GangStop
-from kingcuppost.tables.task import TaskState
+from kingcuppost.tables.task import Reservation, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = ["advance_gangs"]
@@ -117,22 +118,39 @@
     bound_ms = effective_value(
         world.agreed, "job.reserve_timeout_ms", team_path(gang.team)
     )
-    states = [row.state for row in members_of(world, gang.key)]
+    rows = members_of(world, gang.key)
+    states = [row.state for row in rows]
     if BROKEN_STATES.intersection(states):
+        refused = {_member_of(row) for row in rows if row.state in BROKEN_STATES}
+        _avoid_workers(world, gang, refused, now_ms)
         _stop(world, gang, "a member was refused", now_ms)
     elif states.count(TaskState.RESERVED) == len(gang.placements):
+        for placement in gang.placements:
+            trust_worker(world, placement.worker)
         term = world.agreed.lease.term
         _propose(world, gang, GangRelease(term, gang.job, gang.incarnation), now_ms)
     elif now_ms - since_ms >= bound_ms:
+        reserved = {_member_of(row) for row in rows if row.state is TaskState.RESERVED}
+        silent = set(range(len(gang.placements))) - reserved
+        _avoid_workers(world, gang, silent, now_ms)
         _stop(world, gang, f"not all members reserved in {bound_ms} ms", now_ms)
     else:
         _look_again(world, gang.key, since_ms + bound_ms)
 
 
+def _member_of(row: Reservation) -> int:
+    return int(row.member_id.rpartition("/")[2])
+
+
+def _avoid_workers(world: World, gang: Gang, members: set[int], now_ms: int) -> None:
+    for worker in sorted({gang.placements[member].worker for member in members}):
+        avoid_worker(world, worker, now_ms)
+
+
 def _advance_released(world: World, gang: Gang, since_ms: int, now_ms: int) -> None:
     for row in members_of(world, gang.key):
         if row.state in BROKEN_STATES:
-            member = int(row.member_id.rpartition("/")[2])
+            member = _member_of(row)
             worker = gang.placements[member].worker
             failed = worker if row.state is TaskState.FAILED else ""
             _stop(world, gang, f"member {member} is {row.state}", now_ms, failed)
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -290,7 +290,8 @@
     """Return whether new work may go to a worker, a single probe included."""
     faults = capacity.faults.get(row.name)
     aside = faults is not None and faults.aside
-    if not row.in_service or (aside and not row.probing):
+    avoided = faults is not None and faults.avoided
+    if not row.in_service or avoided or (aside and not row.probing):
         return False
     return not (row.probing and row.holds)
 
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
 from kingcuppost.systems.tests.worlds import (
     START_MS,
     Bench,
@@ -34,6 +35,7 @@
 SILENCE_MS = LOST_MS + 2 * FULL_MS
 DRIFT_MS = 500
 RESERVE_BOUND_MS = 5_000
+PAUSE_MS = 2_000
 
 
 @pytest.fixture
@@ -328,3 +330,34 @@
     bench.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
     bench.settle()
     assert looked == ["job-7/1"]
+
+
+def test_worker_that_reserves_nothing_is_avoided_for_a_pause(bench: Bench) -> None:
+    place(bench.log, "a", WORKERS)
+    bench.settle()
+    tell(bench, 0, TaskState.RESERVED)
+    bench.run(RESERVE_BOUND_MS + 100)
+    silent, reserved = WORKERS[1], WORKERS[0]
+    faults = bench.world.capacity.faults
+    assert faults.get(silent).avoided
+    assert faults.get(reserved) is None
+    assert bench.world.capacity.workers.get(silent).room < 0
+    bench.run(PAUSE_MS)
+    assert not faults.get(silent).avoided
+    assert bench.world.capacity.workers.get(silent).room >= 0
+
+
+def test_pause_doubles_until_the_worker_reserves(bench: Bench) -> None:
+    bench.settle()
+    pauses = []
+    for _ in range(3):
+        avoid_worker(bench.world, WORKERS[0], bench.now_ms)
+        pauses.append(bench.world.capacity.faults.get(WORKERS[0]).return_ms)
+    assert [at - bench.now_ms for at in pauses] == [
+        PAUSE_MS,
+        2 * PAUSE_MS,
+        4 * PAUSE_MS,
+    ]
+    trust_worker(bench.world, WORKERS[0])
+    assert bench.world.capacity.faults.get(WORKERS[0]) is None
+    assert bench.world.capacity.workers.get(WORKERS[0]).room >= 0
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/capacity.py
@@ -242,12 +242,21 @@
         Whether the worker gets no work but probes.
     probe_ms : int
         When one job may probe it again, monotonic ms.
+    refusals : int
+        Reservations in a row that it refused or did not answer.
+    avoided : bool
+        Whether it gets no work for a pause after a refusal.
+    return_ms : int
+        When the pause is over, monotonic ms.
     """
 
     worker: str
     jobs: set[str] = field(default_factory=set)
     aside: bool = False
     probe_ms: int = 0
+    refusals: int = 0
+    avoided: bool = False
+    return_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
