Forget the connections of peers that can't be reached

The doc named a step that is not. Ruled out: a bound with eviction; a peer in use must not lose its connections. Change: any failed exchange drops the peer's idle connections and its pool. Conclusion: what is kept follows the peers that answer.

--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -87,9 +87,9 @@
 class JsonClient:
     """Client that keeps a few idle connections to each peer.
 
-    An exchange that fails after its connection was made takes the peer's idle
-    connections with it: what made one silent may have made all of them silent, so
-    that the next exchange opens a connection of its own.
+    An exchange that fails takes the peer's idle connections with it: what made one
+    silent may have made all of them silent, so that the next exchange opens a
+    connection of its own. So peers that have gone leave nothing behind.
 
     Parameters
     ----------
@@ -148,8 +148,8 @@
         Raises
         ------
         PeerError
-            If the exchange failed or took too long; ``never_sent`` in its
-            `step` says that no byte of the request left this process.
+            If the exchange failed or took too long. Its step is ``"connect"`` if
+            no byte of the request left this process, else ``"exchange"``.
         """
         pending = defer.ensureDeferred(self._exchange(method, address, path, body))
         pending.addTimeout(max(timeout_ms, 1) / MS_PER_SECOND, self._reactor)
@@ -157,8 +157,7 @@
             return await pending
         except Exception as exc:
             step = "connect" if is_never_sent(exc) else "exchange"
-            if step == "exchange":
-                self._distrust(address)
+            self._distrust(address)
             reason = str(exc) or type(exc).__name__
             raise PeerError(reason, step, str(address)) from exc
 
