Bound the full reports that the scheduling holder hears

Cause: on a quiet machine the holder still missed 5 KB a second at the size to design for (13.48): each of 9,400 tasks is reported anew once a minute, 85 bytes each. Ruled out: digests of member lists (a second form of every report); a longer fixed period (today's sizes would find a lost member late for nothing). Change: heartbeat.full_gap_ms stretches the period with the sidecars; the bound of a lost member follows it: 30 s + 2 x 432 s at 540 sidecars, as before today.

--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -4,6 +4,17 @@
 
 __all__: list[str] = []
 
+declare(
+    SettingKey(
+        "heartbeat.full_gap_ms",
+        800,
+        "Least mean time between the full reports that the scheduling holder hears; "
+        "their period stretches with the sidecars.",
+        "ms",
+        least=1,
+        most=60_000,
+    )
+)
 declare(
     SettingKey(
         "heartbeat.gap_ms",
--- a/kingcuppost/systems/jobs/bounds.py
+++ b/kingcuppost/systems/jobs/bounds.py
@@ -3,6 +3,7 @@
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, members_of
 from kingcuppost.systems.leases import (
+    full_period_ms,
     grace_ms,
     isolation_ms,
     lease_ms,
@@ -74,8 +75,8 @@
     Members are reported when their state changes, and all once in a long period;
     two of those periods may go by without a report.
     """
-    full_ms = effective_value(world.agreed, "heartbeat.full_ms")
-    return _setting(world, gang, "job.lost_ms") + FULL_REPORTS_MISSED * full_ms
+    missed_ms = FULL_REPORTS_MISSED * full_period_ms(world)
+    return _setting(world, gang, "job.lost_ms") + missed_ms
 
 
 def lapsed_ms(world: World, gang: Gang, since_ms: int) -> int:
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -7,6 +7,7 @@
 __all__ = [
     "beat_period_ms",
     "confirm_ms",
+    "full_period_ms",
     "grace_ms",
     "isolation_ms",
     "lease_ms",
@@ -70,6 +71,17 @@
     return max(period_ms, int(sidecars * gap_ms))
 
 
+def full_period_ms(world: World) -> int:
+    """Return the period in which a sidecar reports all members anew, in ms.
+
+    It stretches with the sidecars, so that the reports that the scheduling holder
+    hears in a second are bounded.
+    """
+    period_ms = effective_value(world.agreed, "heartbeat.full_ms")
+    gap_ms = effective_value(world.agreed, "heartbeat.full_gap_ms")
+    return max(period_ms, len(world.agreed.minions) * gap_ms)
+
+
 def isolation_ms(world: World) -> int:
     """Return after how long without log and entries members are stopped, in ms.
 
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -7,7 +7,7 @@
 """
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.leases import beat_period_ms
+from kingcuppost.systems.leases import beat_period_ms, full_period_ms
 from kingcuppost.systems.members.gangs import report_of
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.serving import free_slots
@@ -96,7 +96,7 @@
     if view.holder == holder and now_ms < view.full_ms:
         return
     view.holder = holder
-    view.full_ms = now_ms + effective_value(world.agreed, "heartbeat.full_ms")
+    view.full_ms = now_ms + full_period_ms(world)
     if len(world.tasks):
         world.deadlines.add(view.full_ms)
     for task in world.tasks:
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -25,6 +25,8 @@
 MEASURED_ENTRIES = 2
 BEAT_PERIOD_MS = KEYS["heartbeat.period_ms"].default
 BEAT_GAP_MS = KEYS["heartbeat.gap_ms"].default
+FULL_PERIOD_MS = KEYS["heartbeat.full_ms"].default
+FULL_GAP_MS = KEYS["heartbeat.full_gap_ms"].default
 ROLES = ("entry", "holder", "sidecar")
 
 
@@ -78,6 +80,12 @@
         stretched_ms = max(BEAT_PERIOD_MS, homes * BEAT_GAP_MS)
         return MEASURED_ENTRIES / self.entries * BEAT_PERIOD_MS / stretched_ms
 
+    def reported_share(self, role: str) -> float:
+        """Return the full reports of one more task against those when measured."""
+        if role != "holder":
+            return 1.0
+        return FULL_PERIOD_MS / max(FULL_PERIOD_MS, self.workers * FULL_GAP_MS)
+
 
 DESIGN = Size("design size", 540, 9_400, 120, 360, 1_600, 35, entries=4)
 TODAY = Size("today", 10, 80, 4, 40, 100, 4)
@@ -148,18 +156,25 @@
             if slope.driver in ("job", "configuration change", "restart"):
                 rates = Rates(rates.processor, rates.kb_a_second, 0.0, rates.appends)
             if slope.driver == "worker":
-                share = size.heard_share(role)
-                rates = Rates(
-                    rates.processor * share,
-                    rates.kb_a_second * share,
-                    rates.memory_mb,
-                )
+                rates = _shared(rates, size.heard_share(role))
+            if slope.driver == "running task":
+                rates = _shared(rates, size.reported_share(role))
             if slope.driver == "team":
                 rates = Rates(0.0, 0.0, rates.memory_mb)
             total = total.plus(rates, amounts[slope.driver])
     return total
 
 
+def _shared(rates: Rates, share: float) -> Rates:
+    """Return rates of which a share is spent; memory stays."""
+    return Rates(
+        rates.processor * share,
+        rates.kb_a_second * share,
+        rates.memory_mb,
+        rates.appends,
+    )
+
+
 def breaking_factor(base: Rates, full: Rates) -> tuple[str, float]:
     """Return which budget ends first, and at which multiple of the size."""
     factors = {}
