--- /dev/null
+++ b/kingcuppost/batch/edges/logs.py
@@ -0,0 +1,79 @@
+"""Structured logs on standard output, bounded in number and never blocking."""
+
+import logging
+import os
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+from kingcuppost.batch.tables.world import BatchWorld
+
+__all__ = ["LineLog"]
+
+MOST_LINES_PER_SECOND = 200
+MS_PER_SECOND = 1_000
+LOGGER = "kingcuppost"
+
+
+class LineLog:
+    """Writes the lines of a world after each tick.
+
+    Standard output is non-blocking: a line that does not fit is dropped and counted,
+    as are lines beyond `MOST_LINES_PER_SECOND`.
+
+    Parameters
+    ----------
+    world : BatchWorld
+        Whose lines are written.
+    """
+
+    def __init__(self, world: BatchWorld) -> None:
+        self._world = world
+        self._window_ms = 0
+        self._written = 0
+        self._dropped = 0
+        self._logger = _make_logger()
+
+    def flush(self) -> None:
+        """Write the lines since the last call."""
+        if not self._world.lines:
+            return
+        now_ms = self._world.clock.now_ms()
+        if now_ms - self._window_ms >= MS_PER_SECOND:
+            self._window_ms = now_ms
+            self._written = 0
+        for line in self._world.lines:
+            self._write(line.part, line.text, line.fields)
+        self._world.lines.clear()
+
+    def _write(self, part: str, text: str, fields: dict) -> None:
+        if self._written >= MOST_LINES_PER_SECOND:
+            self._dropped += 1
+            self._world.tally.add("lines_dropped")
+            return
+        self._written += 1
+        extra = {
+            "wall_ms": self._world.clock.wall_ms(),
+            "instance": self._world.cfg.name,
+            "incarnation": self._world.incarnation,
+            **{
+                name: str(value) if isinstance(value, str) else value
+                for name, value in fields.items()
+            },
+        }
+        if self._dropped:
+            extra["dropped_before"] = self._dropped
+            self._dropped = 0
+        self._logger.info(f"{part}: {text}", extra=extra)
+
+
+def _make_logger() -> logging.Logger:
+    os.set_blocking(sys.stdout.fileno(), False)
+    handler = logging.StreamHandler(sys.stdout)
+    handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
+    handler.handleError = lambda record: None
+    logger = logging.getLogger(LOGGER)
+    logger.handlers = [handler]
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    return logger
--- /dev/null
+++ b/kingcuppost/batch/edges/metrics.py
@@ -0,0 +1,91 @@
+"""Metrics of a process, read off its tables when they are asked for."""
+
+from collections.abc import Iterator
+from itertools import accumulate
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+
+from kingcuppost.batch.tables.job import PlanState, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.metrics import DURATION_BOUNDS_MS
+
+__all__ = ["metrics_text"]
+
+PREFIX = "kingcuppost_"
+MS_PER_SECOND = 1_000
+
+
+class _Collector:
+    """Reads a world."""
+
+    def __init__(self, world: BatchWorld) -> None:
+        self._world = world
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metric families."""
+        yield from _counters(self._world)
+        yield from _histograms(self._world)
+        yield from _gauges(self._world)
+
+
+def _counters(world: BatchWorld) -> Iterator[Metric]:
+    for name, counts in world.tally.counts.items():
+        width = max(len(labels) for labels in counts)
+        names = [f"label{index}" for index in range(width)]
+        family = CounterMetricFamily(
+            f"{PREFIX}{name}", f"Count of {name}.", labels=names
+        )
+        for labels, value in counts.items():
+            family.add_metric([str(label) for label in labels], value)
+        yield family
+
+
+def _histograms(world: BatchWorld) -> Iterator[Metric]:
+    for name, rows in world.tally.durations.items():
+        width = max(len(labels) for labels in rows)
+        names = [f"label{index}" for index in range(width)]
+        family = HistogramMetricFamily(
+            f"{PREFIX}{name}_seconds", f"Duration of {name}.", labels=names
+        )
+        for labels, row in rows.items():
+            bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
+            buckets = list(zip(bounds, accumulate(row.buckets), strict=True))
+            texts = [str(label) for label in labels]
+            family.add_metric(texts, buckets, row.sum_ms / MS_PER_SECOND)
+        yield family
+
+
+def _gauges(world: BatchWorld) -> Iterator[Metric]:
+    schedule = world.schedule
+    phases = [
+        task.phase
+        for plan in schedule.plans.values()
+        if plan.phase is not PlanState.OVER
+        for step in plan.tasks
+        for task in step
+    ]
+    configuration = world.agreed.configuration
+    values = {
+        "holds_lease": int(schedule.loaded),
+        "jobs": len(world.agreed.jobs),
+        "minions": len(schedule.minions),
+        "tasks_placed": phases.count(TaskPhase.PLACED),
+        "tasks_waiting": phases.count(TaskPhase.WAITING),
+        "configuration_version": configuration.version if configuration else -1,
+        "calls_waiting": len(world.calls),
+    }
+    for name, value in values.items():
+        yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
+
+
+def metrics_text(world: BatchWorld) -> bytes:
+    """Return all metrics in the text format."""
+    registry = CollectorRegistry()
+    registry.register(_Collector(world))
+    return generate_latest(registry)
--- /dev/null
+++ b/kingcuppost/batch/edges/peers.py
@@ -0,0 +1,95 @@
+"""Messages between sidecars and entries, and what on-call engineers fetch."""
+
+from twisted.web.server import Request
+
+from kingcuppost.batch.edges.context import (
+    BatchContext,
+    batch_senders,
+    deliver_later,
+)
+from kingcuppost.batch.edges.server import Handler, answer, open_exchange, surfaces
+from kingcuppost.batch.models.sync import (
+    decode_sync_call,
+    decode_sync_reply,
+    encode_sync_call,
+    encode_sync_reply,
+)
+from kingcuppost.batch.tables.messages import SendSync, SyncAnswered, SyncReply
+from kingcuppost.exception import PeerError
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["peer_paths"]
+
+SYNC_PATH = "/peer/sync"
+STATUS_OK = 200
+STATUS_BAD = 400
+STATUS_NOT_FOUND = 404
+
+peer_paths: Registry[str, Handler] = Registry("path for peers")
+
+
+@surfaces.register("peers")
+def serve_peer(context: BatchContext, request: Request) -> None:
+    """Serve another process of the system."""
+    path = request.path.decode("ascii", "replace")
+    if path not in peer_paths:
+        answer(request, STATUS_NOT_FOUND)
+        return
+    peer_paths[path](context, request)
+
+
+@peer_paths.register(SYNC_PATH)
+def take_sync(context: BatchContext, request: Request) -> None:
+    """Take a sidecar's report."""
+    peer = request.getClientAddress().host
+    exchange_id = open_exchange(context, request)
+    parsed = decode_sync_call(request.content.read(), exchange_id, peer)
+    if parsed.is_error():
+        context.exchanges.pop(exchange_id)
+        context.world.note("peer", "A report is unreadable.", reason=str(parsed.error))
+        answer(request, STATUS_BAD)
+        return
+    context.deliver(parsed.ok)
+
+
+@batch_senders.register(SyncReply)
+def send_sync_reply(context: BatchContext, reply: SyncReply) -> None:
+    """Answer a sidecar that still waits."""
+    request = context.exchanges.pop(reply.exchange_id, None)
+    if request is not None:
+        answer(request, STATUS_OK, encode_sync_reply(reply))
+
+
+@batch_senders.register(SendSync)
+def send_sync(context: BatchContext, message: SendSync) -> None:
+    """Send a report to an entry."""
+    deliver_later(context, _exchange(context, message))
+
+
+async def _exchange(context: BatchContext, message: SendSync) -> SyncAnswered:
+    sent_ms = context.world.clock.now_ms()
+    number, address = message.number, message.address
+    try:
+        response = await context.client.exchange(
+            "POST",
+            address,
+            SYNC_PATH,
+            encode_sync_call(message.call),
+            message.timeout_ms,
+        )
+    except PeerError as exc:
+        return SyncAnswered(number, address, sent_ms, None, str(exc))
+    if response.status != STATUS_OK:
+        return SyncAnswered(number, address, sent_ms, None, f"status {response.status}")
+    parsed = decode_sync_reply(response.body, str(address))
+    if parsed.is_error():
+        return SyncAnswered(number, address, sent_ms, None, parsed.error.reason)
+    return SyncAnswered(number, address, sent_ms, parsed.ok)
+
+
+@peer_paths.register("/metrics")
+def serve_metrics(context: BatchContext, request: Request) -> None:
+    """Serve the metrics as text."""
+    from kingcuppost.batch.edges.metrics import metrics_text
+
+    answer(request, STATUS_OK, metrics_text(context.world))
--- /dev/null
+++ b/kingcuppost/batch/edges/server.py
@@ -0,0 +1,79 @@
+"""HTTP surfaces: bounded requests to handlers that a registry holds."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from kingcuppost.batch.edges.context import BatchContext
+from kingcuppost.edges.http_limits import BoundedChannel, BoundedRequest
+from kingcuppost.tables.config import Address
+from kingcuppost.utils.identifiers import new_identifier
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["answer", "listen", "open_exchange", "surfaces"]
+
+LISTEN_BACKLOG = 512
+IDLE_TIMEOUT_S = 60
+STATUS_NOT_FOUND = 404
+
+Handler = Callable[[BatchContext, Request], Any]
+surfaces: Registry[str, Handler] = Registry("handler of surface")
+
+
+class _Surface(Resource):
+    """All paths of one surface."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, context: BatchContext, handler: Handler) -> None:
+        super().__init__()
+        self._context = context
+        self._handler = handler
+
+    def render(self, request: Request) -> int | bytes:
+        """Hand the request over; the handler answers now or later."""
+        self._handler(self._context, request)
+        return NOT_DONE_YET
+
+
+def listen(context: BatchContext, surface: str, address: Address) -> None:
+    """Serve a surface at an address."""
+    site = Site(
+        _Surface(context, surfaces[surface]),
+        requestFactory=BoundedRequest,
+        timeout=IDLE_TIMEOUT_S,
+    )
+    site.protocol = BoundedChannel
+    site.displayTracebacks = False
+    port = context.reactor.listenTCP(
+        address.port, site, interface=address.host, backlog=LISTEN_BACKLOG
+    )
+    context.ports.append(port)
+
+
+def open_exchange(context: BatchContext, request: Request) -> str:
+    """Keep a request until it is answered, and return its identifier."""
+    exchange_id = new_identifier(context.world.rng, "exc")
+    context.exchanges[exchange_id] = request
+    request.notifyFinish().addErrback(_lost, context, exchange_id)
+    return exchange_id
+
+
+def _lost(failure: Any, context: BatchContext, exchange_id: str) -> None:
+    if context.exchanges.pop(exchange_id, None) is not None:
+        context.world.tally.add("exchanges_lost")
+
+
+def answer(
+    request: Request, status: int, body: bytes = b"", retry_after_s: int = 0
+) -> None:
+    """Write a whole response."""
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", str(len(body)).encode("ascii"))
+    if retry_after_s:
+        request.setHeader(b"retry-after", str(retry_after_s).encode("ascii"))
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/kingcuppost/batch/models/records.py
@@ -0,0 +1,264 @@
+"""Records of the system's own streams: a key, and a JSON value."""
+
+from collections.abc import Callable
+from typing import Annotated, Any
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from kingcuppost.batch.tables.job import (
+    Job,
+    JobState,
+    Progress,
+    StepSpec,
+    TaskPhase,
+    TaskProgress,
+)
+from kingcuppost.batch.tables.messages import (
+    CancelRecord,
+    ClaimRecord,
+    EntryRecord,
+    JobRecord,
+    ProgressRecord,
+    Record,
+    Removed,
+    RenewRecord,
+)
+from kingcuppost.exception import Failure
+from kingcuppost.models.base import fault_text
+from kingcuppost.tables.config import Address
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["decode_record", "encode_record"]
+
+SEPARATOR = "/"
+Count = Annotated[int, Field(ge=0)]
+
+decoders: Registry[str, Callable[[str, bytes], Record]] = Registry("decoder of record")
+encoders: Registry[type, Callable[[Any], tuple[str, bytes]]] = Registry(
+    "encoder of record"
+)
+
+
+class RecordModel(BaseModel):
+    """A value in the log; fields of later versions are passed over."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
+
+    def text(self) -> bytes:
+        """Return the JSON text without fields that have their default."""
+        return self.model_dump_json(exclude_defaults=True).encode()
+
+
+class StepModel(RecordModel):
+    """A step of a job."""
+
+    count: Annotated[int, Field(ge=1)]
+    cpu_millis: Count = 0
+    memory_mb: Count = 0
+    accelerators: Count = 0
+    estimate_ms: Count = 0
+    needs: tuple[Count, ...] = ()
+    gang: bool = False
+    one_rack: bool = False
+    label: str = ""
+    rack: str = ""
+    most_per_minion: Count = 0
+    saves: bool = False
+
+
+class JobModel(RecordModel):
+    """An accepted job."""
+
+    queue: str
+    team: str
+    spec: str
+    accepted_ms: int
+    steps: tuple[StepModel, ...]
+
+
+class ProgressModel(RecordModel):
+    """State of a job and of its tasks that are not merely waiting.
+
+    A task is a row of step, index, phase, run, failures, minion, Unix time of the
+    minion's start in ms, and checkpoint.
+    """
+
+    state: JobState
+    begun: bool = False
+    tasks: tuple[tuple[Count, Count, TaskPhase, Count, Count, str, int, str], ...] = ()
+
+
+class EntryModel(RecordModel):
+    """An entry of the system."""
+
+    host: str
+    port: int
+    availability_zone: str
+    incarnation: str
+
+
+class ClaimModel(RecordModel):
+    """A claim of the scheduling lease."""
+
+    name: str
+    host: str
+    port: int
+    incarnation: str
+
+
+class RenewModel(RecordModel):
+    """A renewal of the scheduling lease, or its return."""
+
+    term: int
+    released: bool = False
+
+
+class CancelModel(RecordModel):
+    """A caller's cancelling of a job."""
+
+
+@encoders.register(JobRecord)
+def _encode_job(record: JobRecord) -> tuple[str, bytes]:
+    job = record.job
+    model = JobModel(
+        queue=job.queue,
+        team=job.team,
+        spec=job.spec,
+        accepted_ms=job.accepted_ms,
+        steps=tuple(
+            StepModel(**{name: getattr(step, name) for name in StepModel.model_fields})
+            for step in job.steps
+        ),
+    )
+    return f"job/{job.id}", model.text()
+
+
+@decoders.register("job")
+def _decode_job(rest: str, value: bytes) -> Record:
+    model = JobModel.model_validate_json(value)
+    steps = tuple(StepSpec(**step.model_dump()) for step in model.steps)
+    job = Job(rest, model.queue, model.team, model.spec, steps, model.accepted_ms, -1)
+    return JobRecord(job)
+
+
+@encoders.register(CancelRecord)
+def _encode_cancel(record: CancelRecord) -> tuple[str, bytes]:
+    return f"cancel/{record.job_id}", CancelModel().text()
+
+
+@decoders.register("cancel")
+def _decode_cancel(rest: str, value: bytes) -> Record:
+    CancelModel.model_validate_json(value)
+    return CancelRecord(rest)
+
+
+@encoders.register(ProgressRecord)
+def _encode_progress(record: ProgressRecord) -> tuple[str, bytes]:
+    progress = record.progress
+    rows = tuple(
+        (
+            task.step,
+            task.index,
+            task.phase,
+            task.run,
+            task.failures,
+            task.minion,
+            task.born_ms,
+            task.saved,
+        )
+        for task in progress.tasks
+    )
+    model = ProgressModel(state=progress.state, begun=progress.begun, tasks=rows)
+    return f"progress/{record.job_id}", model.text()
+
+
+@decoders.register("progress")
+def _decode_progress(rest: str, value: bytes) -> Record:
+    model = ProgressModel.model_validate_json(value)
+    tasks = tuple(TaskProgress(*row) for row in model.tasks)
+    return ProgressRecord(rest, Progress(model.state, model.begun, tasks))
+
+
+@encoders.register(EntryRecord)
+def _encode_entry(record: EntryRecord) -> tuple[str, bytes]:
+    model = EntryModel(
+        host=record.address.host,
+        port=record.address.port,
+        availability_zone=record.availability_zone,
+        incarnation=record.incarnation,
+    )
+    return f"entry/{record.name}", model.text()
+
+
+@decoders.register("entry")
+def _decode_entry(rest: str, value: bytes) -> Record:
+    model = EntryModel.model_validate_json(value)
+    address = Address(model.host, model.port)
+    return EntryRecord(rest, address, model.availability_zone, model.incarnation)
+
+
+@encoders.register(ClaimRecord)
+def _encode_claim(record: ClaimRecord) -> tuple[str, bytes]:
+    model = ClaimModel(
+        name=record.name,
+        host=record.address.host,
+        port=record.address.port,
+        incarnation=record.incarnation,
+    )
+    return "claim", model.text()
+
+
+@decoders.register("claim")
+def _decode_claim(rest: str, value: bytes) -> Record:
+    model = ClaimModel.model_validate_json(value)
+    return ClaimRecord(model.name, Address(model.host, model.port), model.incarnation)
+
+
+@encoders.register(RenewRecord)
+def _encode_renewal(record: RenewRecord) -> tuple[str, bytes]:
+    model = RenewModel(term=record.term, released=record.released)
+    return "renew", model.text()
+
+
+@decoders.register("renew")
+def _decode_renewal(rest: str, value: bytes) -> Record:
+    model = RenewModel.model_validate_json(value)
+    return RenewRecord(model.term, model.released)
+
+
+@encoders.register(Removed)
+def _encode_removed(record: Removed) -> tuple[str, bytes]:
+    return record.key, b""
+
+
+def encode_record(record: Record) -> tuple[str, bytes]:
+    """Return the key and the value of a record; no value removes the key.
+
+    Examples
+    --------
+    >>> encode_record(RenewRecord(7, False))
+    ('renew', b'{"term":7}')
+    """
+    return encoders[type(record)](record)
+
+
+def decode_record(key: str, value: bytes, peer: str) -> Result[Record, Failure]:
+    """Return the record that a key and a value spell, or why there is none.
+
+    Examples
+    --------
+    >>> decode_record("renew", b'{"term":7}', "log").ok
+    RenewRecord(term=7, released=False)
+    >>> decode_record("renew", b"{}", "log").error.reason
+    'renew: term: Field required'
+    """
+    if not value:
+        return Ok(Removed(key))
+    kind, _, rest = key.partition(SEPARATOR)
+    if kind not in decoders:
+        return Error(Failure(f"no record is named {key!r}", "decode", peer))
+    try:
+        return Ok(decoders[kind](rest, value))
+    except ValidationError as exc:
+        return Error(Failure(f"{key}: {fault_text(exc)}", "decode", peer))
--- /dev/null
+++ b/kingcuppost/batch/models/sync.py
@@ -0,0 +1,210 @@
+"""What a sidecar reports to the scheduler, and the orders that come back."""
+
+from typing import Annotated
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from kingcuppost.batch.tables.fleet import Room
+from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.tables.messages import (
+    EndedRun,
+    MinionReport,
+    RefusedRun,
+    RunningRun,
+    StartOrder,
+    StopOrder,
+    SyncCall,
+    SyncReply,
+)
+from kingcuppost.exception import Failure
+from kingcuppost.models.base import fault_text
+from kingcuppost.tables.config import Address
+
+__all__ = [
+    "decode_sync_call",
+    "decode_sync_reply",
+    "encode_sync_call",
+    "encode_sync_reply",
+]
+
+LONGEST_WAIT_MS = 10_000
+
+
+class PeerModel(BaseModel):
+    """A message between processes of the system, of this version or the next."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
+
+
+class MinionModel(PeerModel):
+    """A minion as its sidecar sees it."""
+
+    id: str
+    born_ms: int
+    service: str
+    availability_zone: str
+    labels: tuple[str, ...]
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    draining: bool = False
+    remaining_ms: int = 0
+    listed: bool = False
+
+
+class SyncCallModel(PeerModel):
+    """A report; runs are rows of task, run and what is known of the run."""
+
+    sidecar: str
+    incarnation: str
+    number: int
+    wait_ms: Annotated[int, Field(ge=0, le=LONGEST_WAIT_MS)]
+    minion: MinionModel | None = None
+    running: tuple[tuple[str, int, str, int], ...] = ()
+    ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
+    refused: tuple[tuple[str, int, str], ...] = ()
+
+
+class SyncReplyModel(PeerModel):
+    """Orders; starts are rows of task, run, spec and checkpoint."""
+
+    term: int
+    holder: str = ""
+    minion: str = ""
+    born_ms: int = 0
+    starts: tuple[tuple[str, int, str, str], ...] = ()
+    stops: tuple[tuple[str, int], ...] = ()
+    settled: tuple[tuple[str, int], ...] = ()
+    noted: int = 0
+    entries: tuple[str, ...] = ()
+
+
+def _minion_model(report: MinionReport) -> MinionModel:
+    return MinionModel(
+        id=report.life.minion,
+        born_ms=report.life.born_ms,
+        service=report.service,
+        availability_zone=report.availability_zone,
+        labels=report.labels,
+        cpu_millis=report.room.cpu_millis,
+        memory_mb=report.room.memory_mb,
+        accelerators=report.room.accelerators,
+        draining=report.draining,
+        remaining_ms=report.remaining_ms,
+        listed=report.listed,
+    )
+
+
+def _minion_report(model: MinionModel) -> MinionReport:
+    return MinionReport(
+        Life(model.id, model.born_ms),
+        model.service,
+        model.availability_zone,
+        model.labels,
+        Room(model.cpu_millis, model.memory_mb, model.accelerators),
+        model.draining,
+        model.remaining_ms,
+        model.listed,
+    )
+
+
+def encode_sync_call(call: SyncCall) -> bytes:
+    """Return the JSON text of a report."""
+    model = SyncCallModel(
+        sidecar=call.sidecar,
+        incarnation=call.incarnation,
+        number=call.number,
+        wait_ms=call.wait_ms,
+        minion=_minion_model(call.minion) if call.minion else None,
+        running=tuple(
+            (str(row.task), row.run, row.saved, row.percent) for row in call.running
+        ),
+        ended=tuple(
+            (row.number, str(row.task), row.run, row.how, row.saved)
+            for row in call.ended
+        ),
+        refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
+    )
+    return model.model_dump_json(exclude_defaults=True).encode()
+
+
+def decode_sync_call(
+    text: bytes, exchange_id: str, peer: str
+) -> Result[SyncCall, Failure]:
+    """Return a report, or why the text is none."""
+    try:
+        model = SyncCallModel.model_validate_json(text)
+        return Ok(_sync_call(model, exchange_id))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), "decode", peer))
+    except ValueError as exc:
+        return Error(Failure(str(exc), "decode", peer))
+
+
+def _sync_call(model: SyncCallModel, exchange_id: str) -> SyncCall:
+    name = TaskName.parse
+    return SyncCall(
+        exchange_id,
+        model.sidecar,
+        model.incarnation,
+        model.number,
+        model.wait_ms,
+        _minion_report(model.minion) if model.minion else None,
+        tuple(RunningRun(name(row[0]), *row[1:]) for row in model.running),
+        tuple(
+            EndedRun(number, name(task), run, how, saved)
+            for number, task, run, how, saved in model.ended
+        ),
+        tuple(RefusedRun(name(row[0]), *row[1:]) for row in model.refused),
+    )
+
+
+def encode_sync_reply(reply: SyncReply) -> bytes:
+    """Return the JSON text of the orders for a sidecar."""
+    life = reply.life or Life("", 0)
+    model = SyncReplyModel(
+        term=reply.term,
+        holder=str(reply.holder) if reply.holder else "",
+        minion=life.minion,
+        born_ms=life.born_ms,
+        starts=tuple(
+            (str(row.task), row.run, row.spec, row.saved) for row in reply.starts
+        ),
+        stops=tuple((str(row.task), row.run) for row in reply.stops),
+        settled=tuple((str(row.task), row.run) for row in reply.settled),
+        noted=reply.noted,
+        entries=tuple(str(address) for address in reply.entries),
+    )
+    return model.model_dump_json(exclude_defaults=True).encode()
+
+
+def decode_sync_reply(text: bytes, peer: str) -> Result[SyncReply, Failure]:
+    """Return the orders for a sidecar, or why the text holds none."""
+    try:
+        model = SyncReplyModel.model_validate_json(text)
+        return Ok(_sync_reply(model))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), "decode", peer))
+    except ValueError as exc:
+        return Error(Failure(str(exc), "decode", peer))
+
+
+def _sync_reply(model: SyncReplyModel) -> SyncReply:
+    name = TaskName.parse
+    return SyncReply(
+        "",
+        model.term,
+        _address(model.holder) if model.holder else None,
+        Life(model.minion, model.born_ms) if model.minion else None,
+        tuple(StartOrder(name(row[0]), *row[1:]) for row in model.starts),
+        tuple(StopOrder(name(row[0]), row[1]) for row in model.stops),
+        tuple(StopOrder(name(row[0]), row[1]) for row in model.settled),
+        model.noted,
+        tuple(_address(text) for text in model.entries),
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- /dev/null
+++ b/kingcuppost/batch/systems/__init__.py
@@ -0,0 +1,35 @@
+"""Systems over the world of batch jobs: the entries' part and the sidecars' part.
+
+`load_systems` imports only the modules of one role, since start-up is part of every
+recovery.
+"""
+
+from importlib import import_module
+
+from kingcuppost.batch.systems.registry import Phase, run_tick, system, systems_of
+from kingcuppost.tables.identity import Role
+
+__all__ = ["Phase", "load_systems", "run_tick", "system", "systems_of"]
+
+MODULES = {
+    Role.ENTRY: (
+        "fold",
+        "calls",
+        "lease",
+        "term",
+        "reports",
+        "lapses",
+        "decide",
+        "writing",
+        "orders",
+        "ending",
+    ),
+    Role.SIDECAR: ("host", "hosting", "syncing", "ending"),
+}
+
+
+def load_systems(role: Role) -> list:
+    """Import a role's systems and return them in the order of a tick."""
+    for name in MODULES[role]:
+        import_module(f"kingcuppost.batch.systems.{name}")
+    return systems_of(role)
--- /dev/null
+++ b/kingcuppost/batch/systems/calls.py
@@ -0,0 +1,230 @@
+"""Callers' calls: submissions, states, cancellations and counts."""
+
+import string
+
+from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.routing import find_queue, team_of
+from kingcuppost.batch.tables.fleet import Queue
+from kingcuppost.batch.tables.job import Job, JobState
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
+    CallerCall,
+    CallKind,
+    CallReply,
+    CancelRecord,
+    JobRecord,
+    Record,
+    Stream,
+    Verdict,
+)
+from kingcuppost.batch.tables.world import BatchWorld, HeldCall
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils.identifiers import new_identifier
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["end_held_calls", "serve_calls"]
+
+JOB_ID_DIGITS = 16
+RETRY_SOON_MS = 500
+RETRY_LATER_MS = 1_000
+APPEND_TIMEOUT_MS = 1_000
+ANSWER_MARGIN_MS = 200
+ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+handlers = Registry("handler of call")
+
+
+def shown_state(job: Job) -> JobState:
+    """Return the state of a job as callers may see it."""
+    if job.cancelled and job.state not in ENDED:
+        return JobState.CANCELLED
+    return job.state
+
+
+@system(Phase.INTAKE, (Role.ENTRY,))
+def serve_calls(world: BatchWorld, now_ms: int) -> None:
+    """Answer what can be answered at once; propose what must be kept."""
+    for call in world.inbox.take(CallerCall):
+        reply = _serve(world, call, now_ms)
+        if reply is not None:
+            _reply(world, call, reply, now_ms)
+
+
+def _reply(world: BatchWorld, call: CallerCall, reply: CallReply, now_ms: int) -> None:
+    took_ms = now_ms - call.received_ms
+    world.tally.add("calls", call.kind, reply.verdict)
+    world.tally.observe("call", took_ms, call.kind)
+    world.outbox.put(reply)
+    if call.kind in (CallKind.SUBMIT, CallKind.CANCEL) or reply.verdict in (
+        Verdict.NOT_RUN,
+        Verdict.UNKNOWN,
+    ):
+        configuration = world.agreed.configuration
+        world.note(
+            "call",
+            f"{call.kind} was answered.",
+            job=call.path.rpartition("/")[2],
+            verdict=reply.verdict,
+            reason=reply.reason,
+            version=configuration.version if configuration else -1,
+            took_ms=took_ms,
+        )
+
+
+def _serve(world: BatchWorld, call: CallerCall, now_ms: int) -> CallReply | None:
+    configuration = world.agreed.configuration
+    if configuration is None:
+        return _not_run(call, "no configuration yet")
+    queue = find_queue(configuration, call.host, call.path)
+    if queue is None:
+        return CallReply(call.exchange_id, Verdict.NO_QUEUE)
+    team = team_of(configuration, queue, call.key)
+    if team is None:
+        return CallReply(call.exchange_id, Verdict.NO_KEY)
+    job_id = call.path[len(queue.prefix) :]
+    if call.kind is CallKind.STATE and not job_id:
+        return _count(world, call, queue)
+    if not is_job_id(job_id):
+        return CallReply(call.exchange_id, Verdict.BAD, reason="no such identifier")
+    if call.kind is CallKind.SUBMIT:
+        return _submit(world, call, queue, team, job_id, now_ms)
+    if call.kind is CallKind.CANCEL:
+        return _cancel(world, call, job_id, now_ms)
+    return _state(world, call, job_id, now_ms)
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text can name a job.
+
+    Examples
+    --------
+    >>> is_job_id("5c0e7a21d94b36f8")
+    True
+    >>> is_job_id("5c0e7a21")
+    False
+    """
+    return len(text) == JOB_ID_DIGITS and all(char in string.hexdigits for char in text)
+
+
+def _not_run(
+    call: CallerCall, reason: str, retry_after_ms: int = RETRY_SOON_MS
+) -> CallReply:
+    return CallReply(
+        call.exchange_id, Verdict.NOT_RUN, retry_after_ms=retry_after_ms, reason=reason
+    )
+
+
+def _count(world: BatchWorld, call: CallerCall, queue: Queue) -> CallReply:
+    waiting = sum(
+        1
+        for job in world.agreed.jobs.scan("queue", queue.name)
+        if not job.begun and shown_state(job) is JobState.QUEUED
+    )
+    return CallReply(call.exchange_id, Verdict.OK, waiting=waiting)
+
+
+def _state(world: BatchWorld, call: CallerCall, job_id: str, now_ms: int) -> CallReply:
+    job = world.agreed.jobs.get(job_id)
+    if job is not None:
+        return CallReply(call.exchange_id, Verdict.OK, state=shown_state(job))
+    if is_fresh(world, Stream.JOBS, now_ms):
+        return CallReply(call.exchange_id, Verdict.NO_JOB)
+    return _not_run(call, "the log is not followed")
+
+
+def _submit(
+    world: BatchWorld,
+    call: CallerCall,
+    queue: Queue,
+    team: str,
+    job_id: str,
+    now_ms: int,
+) -> CallReply | None:
+    if job_id in world.agreed.jobs:
+        return CallReply(call.exchange_id, Verdict.OK)
+    if call.job is None:
+        return CallReply(call.exchange_id, Verdict.BAD, reason=call.fault)
+    job = Job(
+        job_id,
+        queue.name,
+        team,
+        call.job.spec,
+        call.job.steps,
+        world.clock.wall_ms(),
+        -1,
+    )
+    _hold(world, call, job_id, JobRecord(job))
+    return None
+
+
+def _cancel(
+    world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
+) -> CallReply | None:
+    job = world.agreed.jobs.get(job_id)
+    if job is None:
+        if is_fresh(world, Stream.JOBS, now_ms):
+            return CallReply(call.exchange_id, Verdict.NO_JOB)
+        return _not_run(call, "the log is not followed")
+    if shown_state(job) in ENDED:
+        return CallReply(call.exchange_id, Verdict.OK)
+    _hold(world, call, job_id, CancelRecord(job_id))
+    return None
+
+
+def _hold(world: BatchWorld, call: CallerCall, job_id: str, record: Record) -> None:
+    """Propose a record; the call is answered when its outcome is known."""
+    append = Append(
+        new_identifier(world.rng, "call"),
+        Stream.JOBS,
+        (record,),
+        timeout_ms=APPEND_TIMEOUT_MS,
+    )
+    world.calls[append.id] = HeldCall(call, job_id, append)
+    world.outbox.put(append)
+
+
+@system(Phase.INTAKE, (Role.ENTRY,))
+def end_held_calls(world: BatchWorld, now_ms: int) -> None:
+    """Answer held calls whose record is in the log, or never will be."""
+    for answer in world.inbox.take(AppendEnded):
+        held = world.calls.get(answer.id)
+        if held is None:
+            world.schedule.answers.append(answer)
+        else:
+            _end(world, held, answer, now_ms)
+    for held in list(world.calls.values()):
+        if _is_agreed(world, held):
+            _finish(world, held, CallReply(held.call.exchange_id, Verdict.OK), now_ms)
+
+
+def _is_agreed(world: BatchWorld, held: HeldCall) -> bool:
+    job = world.agreed.jobs.get(held.job_id)
+    if job is None:
+        return False
+    return held.call.kind is CallKind.SUBMIT or job.cancelled
+
+
+def _end(world: BatchWorld, held: HeldCall, answer: AppendEnded, now_ms: int) -> None:
+    exchange_id = held.call.exchange_id
+    if answer.outcome is AppendOutcome.DONE:
+        _finish(world, held, CallReply(exchange_id, Verdict.OK), now_ms)
+        return
+    held.unknown = held.unknown or answer.outcome is AppendOutcome.UNKNOWN
+    left_ms = held.call.received_ms + held.call.timeout_ms - now_ms
+    if held.unknown and left_ms > ANSWER_MARGIN_MS:
+        held.tries += 1
+        world.outbox.put(held.append)
+    elif held.unknown:
+        reply = CallReply(exchange_id, Verdict.UNKNOWN, reason=answer.reason)
+        _finish(world, held, reply, now_ms)
+    else:
+        reply = _not_run(held.call, answer.reason, RETRY_LATER_MS)
+        _finish(world, held, reply, now_ms)
+
+
+def _finish(world: BatchWorld, held: HeldCall, reply: CallReply, now_ms: int) -> None:
+    del world.calls[held.append.id]
+    _reply(world, held.call, reply, now_ms)
--- /dev/null
+++ b/kingcuppost/batch/systems/ending.py
@@ -0,0 +1,39 @@
+"""The graceful end of a process."""
+
+from kingcuppost.batch.systems.lease import release_lease
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.messages import StopAsked, StopProcess
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["end_process"]
+
+GRACE_MARGIN_MS = 1_500
+ENTRY_LINGER_MS = 2_500
+SIDECAR_LINGER_MS = 100
+
+
+@system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR))
+def end_process(world: BatchWorld, now_ms: int) -> None:
+    """Give the lease back, answer what waits, then end."""
+    if world.inbox.take(StopAsked) and not world.stopping:
+        world.stopping = True
+        world.stop_from_ms = now_ms + _linger_ms(world)
+        world.stop_by_ms = now_ms + world.cfg.bounds.grace_ms - GRACE_MARGIN_MS
+        release_lease(world)
+        world.note("process", "Stopping.", by_ms=world.stop_by_ms - now_ms)
+    if not world.stopping:
+        return
+    is_done = not world.calls and now_ms >= world.stop_from_ms
+    if is_done or now_ms >= world.stop_by_ms:
+        world.outbox.put(StopProcess())
+        return
+    due_ms = world.stop_from_ms if now_ms < world.stop_from_ms else world.stop_by_ms
+    world.deadlines.add(due_ms)
+
+
+def _linger_ms(world: BatchWorld) -> int:
+    """Return how long callers are served until the balancer has noticed."""
+    if world.cfg.role is Role.ENTRY:
+        return ENTRY_LINGER_MS
+    return SIDECAR_LINGER_MS
--- /dev/null
+++ b/kingcuppost/batch/systems/fold.py
@@ -0,0 +1,182 @@
+"""The fold: records of the streams, in offset order, to the agreed rows."""
+
+from collections.abc import Callable
+from typing import Any
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.fleet import EntryMember, HolderView
+from kingcuppost.batch.tables.messages import (
+    CancelRecord,
+    ClaimRecord,
+    ConfigRecord,
+    EntryRecord,
+    Followed,
+    JobRecord,
+    ProgressRecord,
+    Removed,
+    RenewRecord,
+    Stream,
+    ZoneRecord,
+)
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils.registry import Registry
+
+__all__ = ["fold_streams", "is_fresh"]
+
+FRESH_MS = 2_000
+GAP_MS = 1_000
+
+Applier = Callable[[BatchWorld, int, Any], None]
+appliers: Registry[type, Applier] = Registry("applier of record")
+
+
+def is_fresh(world: BatchWorld, stream: Stream, now_ms: int) -> bool:
+    """Return whether a stream was read to its end within `FRESH_MS`."""
+    fresh_ms = world.agreed.views[stream].fresh_ms
+    return fresh_ms is not None and now_ms - fresh_ms <= FRESH_MS
+
+
+@system(Phase.FOLD, (Role.ENTRY,))
+def fold_streams(world: BatchWorld, now_ms: int) -> None:
+    """Apply what was read."""
+    for batch in world.inbox.take(Followed):
+        _note_freshness(world, batch, now_ms)
+        if batch.whole:
+            _drop_missing(world, batch)
+        for offset, record in batch.records:
+            appliers[type(record)](world, offset, record)
+        view = world.agreed.views[batch.stream]
+        view.end = max(view.end, batch.end)
+
+
+def _note_freshness(world: BatchWorld, batch: Followed, now_ms: int) -> None:
+    view = world.agreed.views[batch.stream]
+    if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > GAP_MS:
+        view.regained_ms = now_ms
+        world.note("log", "A stream is followed again.", stream=batch.stream)
+    view.fresh_ms = max(view.fresh_ms or 0, batch.sent_ms)
+
+
+def _drop_missing(world: BatchWorld, batch: Followed) -> None:
+    """Forget rows whose record a whole listing no longer has."""
+    agreed = world.agreed
+    records = [record for _, record in batch.records]
+    if batch.stream is Stream.JOBS:
+        listed = {record.job.id for record in records if isinstance(record, JobRecord)}
+        for job in agreed.jobs:
+            if job.id not in listed:
+                agreed.jobs.delete(job.id)
+    elif batch.stream is Stream.MEMBERS:
+        names = {record.name for record in records if isinstance(record, EntryRecord)}
+        for entry in agreed.entries:
+            if entry.name not in names:
+                agreed.entries.delete(entry.name)
+    else:
+        zones = {
+            record.availability_zone
+            for record in records
+            if isinstance(record, ZoneRecord)
+        }
+        for zone in [zone for zone in agreed.closed_zones if zone not in zones]:
+            _open_zone(world, zone)
+
+
+@appliers.register(JobRecord)
+def _apply_job(world: BatchWorld, offset: int, record: JobRecord) -> None:
+    """Add a job; the first record of an identifier counts."""
+    if record.job.id in world.agreed.jobs:
+        return
+    record.job.offset = offset
+    world.agreed.jobs.put(record.job)
+    world.schedule.touched[record.job.id] = None
+
+
+@appliers.register(CancelRecord)
+def _apply_cancel(world: BatchWorld, offset: int, record: CancelRecord) -> None:
+    if record.job_id in world.agreed.jobs:
+        world.agreed.jobs.update(record.job_id, cancelled=True)
+        world.schedule.touched[record.job_id] = None
+
+
+@appliers.register(ProgressRecord)
+def _apply_progress(world: BatchWorld, offset: int, record: ProgressRecord) -> None:
+    job = world.agreed.jobs.get(record.job_id)
+    if job is None:
+        return
+    if job.state is not record.progress.state:
+        world.note("job", "A job changed.", job=job.id, state=record.progress.state)
+    world.agreed.jobs.update(
+        record.job_id,
+        state=record.progress.state,
+        begun=record.progress.begun,
+        progress=record.progress,
+    )
+
+
+@appliers.register(EntryRecord)
+def _apply_entry(world: BatchWorld, offset: int, record: EntryRecord) -> None:
+    member = EntryMember(
+        record.name, record.address, record.availability_zone, record.incarnation
+    )
+    world.agreed.entries.put(member)
+
+
+@appliers.register(ClaimRecord)
+def _apply_claim(world: BatchWorld, offset: int, record: ClaimRecord) -> None:
+    if offset <= world.agreed.holder.term:
+        return
+    world.agreed.holder = HolderView(
+        offset, record.name, record.incarnation, record.address, world.clock.now_ms()
+    )
+    world.note("lease", "A term began.", term=offset, holder=record.name)
+
+
+@appliers.register(RenewRecord)
+def _apply_renewal(world: BatchWorld, offset: int, record: RenewRecord) -> None:
+    holder = world.agreed.holder
+    if record.term != holder.term:
+        return
+    holder.beat_ms = world.clock.now_ms()
+    holder.released = record.released
+
+
+@appliers.register(ConfigRecord)
+def _apply_configuration(world: BatchWorld, offset: int, record: ConfigRecord) -> None:
+    """Put a configuration in force; a version never goes back."""
+    agreed = world.agreed
+    new = record.configuration
+    old = agreed.configuration
+    if old is not None and new.version <= old.version:
+        return
+    agreed.configuration = new
+    agreed.configuration_offset = offset
+    world.schedule.changed = True
+    world.note("settings", "A configuration is in force.", version=new.version)
+
+
+@appliers.register(ZoneRecord)
+def _apply_zone(world: BatchWorld, offset: int, record: ZoneRecord) -> None:
+    zone = record.availability_zone
+    if zone not in world.agreed.closed_zones:
+        world.note("settings", "A zone is out.", availability_zone=zone)
+    world.agreed.closed_zones[zone] = offset
+    world.schedule.changed = True
+
+
+def _open_zone(world: BatchWorld, zone: str) -> None:
+    if world.agreed.closed_zones.pop(zone, None) is not None:
+        world.note("settings", "A zone is back.", availability_zone=zone)
+        world.schedule.changed = True
+
+
+@appliers.register(Removed)
+def _apply_removed(world: BatchWorld, offset: int, record: Removed) -> None:
+    kind, _, rest = record.key.partition("/")
+    if kind == "zone":
+        _open_zone(world, rest)
+    elif kind == "job":
+        world.agreed.jobs.delete(rest)
+        world.schedule.touched[rest] = None
+    elif kind == "entry":
+        world.agreed.entries.delete(rest)
--- /dev/null
+++ b/kingcuppost/batch/systems/host.py
@@ -0,0 +1,299 @@
+"""What a sidecar hears: of its minion, and of the scheduler."""
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.job import Life
+from kingcuppost.batch.tables.messages import (
+    Followed,
+    MinionHeard,
+    MinionLists,
+    OrderAnswered,
+    OrderOutcome,
+    RefusedRun,
+    RunningRun,
+    StartOrder,
+    StopOrder,
+    SyncAnswered,
+    SyncReply,
+)
+from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
+from kingcuppost.tables.identity import Role
+
+__all__ = ["hear_lists", "hear_minion", "hear_orders", "hear_scheduler"]
+
+RETRY_MS = 100
+LEASE_MARGIN_MS = 100
+SIDECAR = (Role.SIDECAR,)
+
+
+@system(Phase.INTAKE, SIDECAR)
+def hear_minion(world: BatchWorld, now_ms: int) -> None:
+    """Take heartbeats in; late ones of an earlier life or moment change nothing."""
+    host = world.host
+    for heard in world.inbox.take(MinionHeard):
+        if heard.gone:
+            _minion_left(world, heard)
+            continue
+        life = heard.report.life
+        old = host.minion
+        if old is not None and life.born_ms < old.life.born_ms:
+            continue
+        if old is None or old.life != life:
+            _begin_life(world, heard)
+        elif heard.sequence <= host.sequence:
+            continue
+        host.sequence = heard.sequence
+        host.address = heard.address
+        if old is None or _is_news(heard, host):
+            host.dirty = True
+        host.minion = heard.report
+
+
+def _is_news(heard: MinionHeard, host: Host) -> bool:
+    old = host.minion
+    return old is None or old.draining != heard.report.draining
+
+
+def _begin_life(world: BatchWorld, heard: MinionHeard) -> None:
+    """Forget all of the minion's earlier life."""
+    host = world.host
+    world.host = Host(
+        term=host.term,
+        sync_number=host.sync_number,
+        syncs=host.syncs,
+        holder=host.holder,
+        entries=host.entries,
+        next_entry=host.next_entry,
+        heard_ms=host.heard_ms,
+        minion=heard.report,
+        address=heard.address,
+    )
+    host = world.host
+    world.note(
+        "minion",
+        "The minion began a life.",
+        minion=heard.report.life.minion,
+        born_ms=heard.report.life.born_ms,
+    )
+
+
+def _minion_left(world: BatchWorld, heard: MinionHeard) -> None:
+    host = world.host
+    if host.minion is None or host.minion.life.minion != heard.report.life.minion:
+        return
+    world.note("minion", "The minion left.", minion=host.minion.life.minion)
+    host.minion = None
+    host.dirty = True
+
+
+def _is_present(world: BatchWorld, life: Life) -> bool:
+    return world.host.minion is not None and world.host.minion.life == life
+
+
+@system(Phase.INTAKE, SIDECAR)
+def hear_lists(world: BatchWorld, now_ms: int) -> None:
+    """Take in what runs at the minion and what has ended there."""
+    for lists in world.inbox.take(MinionLists):
+        host = world.host
+        if not _is_present(world, lists.life):
+            continue
+        host.holding = False
+        if lists.reason:
+            _hold_failed(world, lists, now_ms)
+            continue
+        _read_clock(host, lists)
+        _take_running(world, lists, now_ms)
+        for ended in lists.ended:
+            if ended.number > host.seen and ended.number not in host.ended:
+                host.ended[ended.number] = ended
+                host.runs.pop((str(ended.task), ended.run), None)
+                host.dirty = True
+
+
+def _hold_failed(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
+    host = world.host
+    host.hold_after_ms = now_ms + RETRY_MS
+    if not host.hold_failed:
+        world.note("minion", "The minion does not answer.", reason=lists.reason)
+    host.hold_failed = True
+
+
+def _read_clock(host: Host, lists: MinionLists) -> None:
+    if host.clock_ms is None or lists.clock_ms >= host.clock_ms:
+        host.clock_ms = lists.clock_ms
+        host.clock_at_ms = lists.received_ms
+
+
+def _take_running(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
+    host = world.host
+    if host.hold_failed:
+        world.note("minion", "The minion answers.")
+    host.hold_failed = False
+    if not host.listed:
+        host.listed = True
+        host.dirty = True
+    host.running = {(str(run.task), run.run): run for run in lists.running}
+    over = {(str(end.task), end.run) for end in lists.ended}
+    for key, run in list(host.runs.items()):
+        if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
+            continue
+        if key not in host.running and key not in over and key not in _ended(host):
+            _refuse(world, run, "stopped")
+
+
+def _ended(host: Host) -> set[tuple[str, int]]:
+    return {(str(end.task), end.run) for end in host.ended.values()}
+
+
+def _refuse(world: BatchWorld, run: HostRun, reason: str) -> None:
+    """Report that a run surely never began."""
+    host = world.host
+    key = (str(run.order.task), run.order.run)
+    host.runs.pop(key, None)
+    host.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
+    host.dirty = True
+    world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
+
+
+@system(Phase.INTAKE, SIDECAR)
+def hear_orders(world: BatchWorld, now_ms: int) -> None:
+    """Take in what the minion made of starts and stops.
+
+    A start that was refused after an earlier copy went unanswered is stopped first,
+    since the copy may be carried out late.
+    """
+    for answer in world.inbox.take(OrderAnswered):
+        host = world.host
+        if not _is_present(world, answer.life):
+            continue
+        run = host.runs.get((str(answer.task), answer.run))
+        if run is None:
+            continue
+        run.asked = False
+        if answer.start:
+            _start_answered(world, run, answer, now_ms)
+        else:
+            _stop_answered(world, run, answer, now_ms)
+
+
+def _start_answered(
+    world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
+) -> None:
+    key = (str(answer.task), answer.run)
+    if answer.outcome is OrderOutcome.DONE:
+        run.started = True
+        world.host.running.setdefault(
+            key, RunningRun(answer.task, answer.run, run.order.saved, 0)
+        )
+        world.note("run", "A run began.", task=key[0], run=key[1])
+        return
+    world.note(
+        "run",
+        "A start was not taken.",
+        task=key[0],
+        run=key[1],
+        outcome=answer.outcome,
+        reason=answer.reason,
+    )
+    run.doubtful = run.doubtful or answer.outcome is OrderOutcome.UNKNOWN
+    if answer.outcome is OrderOutcome.REFUSED and run.doubtful:
+        run.stop = True
+    elif answer.outcome is OrderOutcome.REFUSED:
+        _refuse(world, run, answer.reason)
+    else:
+        run.retry_ms = now_ms + RETRY_MS
+
+
+def _stop_answered(
+    world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
+) -> None:
+    if answer.outcome is OrderOutcome.DONE:
+        run.stopped_ms = now_ms
+        return
+    run.retry_ms = now_ms + RETRY_MS
+
+
+@system(Phase.INTAKE, SIDECAR)
+def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
+    """Take in the scheduler's orders, and the lease that its answer allows."""
+    for answer in world.inbox.take(SyncAnswered):
+        host = world.host
+        host.syncs.pop(answer.number, None)
+        reply = answer.reply
+        if reply is None:
+            _ask_another(world, answer, now_ms)
+            continue
+        host.entries = reply.entries or host.entries
+        if reply.term < host.term or reply.term < 0:
+            _follow_hint(world, answer, now_ms)
+            continue
+        host.term = reply.term
+        host.holder = answer.address
+        host.heard_ms = now_ms
+        if reply.life is not None and _is_present(world, reply.life):
+            _extend_lease(world, answer)
+            _take_orders(world, reply)
+
+
+def _ask_another(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+    host = world.host
+    if host.holder == answer.address:
+        host.holder = None
+        world.note("sync", "The scheduler does not answer.", reason=answer.reason)
+    host.next_entry += 1
+    host.sync_after_ms = now_ms + RETRY_MS
+    host.dirty = True
+
+
+def _follow_hint(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+    host = world.host
+    hint = answer.reply.holder
+    host.holder = hint if hint != answer.address else None
+    if hint is None:
+        host.next_entry += 1
+    host.sync_after_ms = now_ms + RETRY_MS
+    host.dirty = True
+
+
+def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
+    """Allow the minion's work to go on for a lease from when the report was sent."""
+    host = world.host
+    if host.clock_ms is None:
+        return
+    sent_on_minion_ms = host.clock_ms + max(answer.sent_ms - host.clock_at_ms, 0)
+    until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
+    host.until_ms = max(host.until_ms or 0, until_ms)
+
+
+def _take_orders(world: BatchWorld, reply: SyncReply) -> None:
+    host = world.host
+    if reply.noted > host.seen:
+        host.seen = reply.noted
+        for number in [number for number in host.ended if number <= host.seen]:
+            del host.ended[number]
+    for row in reply.settled:
+        host.refused.pop((str(row.task), row.run), None)
+    known = _ended(host) | set(host.refused)
+    for order in reply.starts:
+        key = (str(order.task), order.run)
+        if key not in known and key not in host.running:
+            host.runs.setdefault(key, HostRun(order))
+    for stop in reply.stops:
+        _take_stop(host, stop, known)
+
+
+def _take_stop(host: Host, stop: StopOrder, known: set[tuple[str, int]]) -> None:
+    key = (str(stop.task), stop.run)
+    if key in known:
+        return
+    run = host.runs.setdefault(key, HostRun(StartOrder(stop.task, stop.run, "", "")))
+    run.stop = True
+
+
+@system(Phase.INTAKE, SIDECAR)
+def hear_members(world: BatchWorld, now_ms: int) -> None:
+    """Take in the entries that the log lists."""
+    for batch in world.inbox.take(Followed):
+        found = tuple(
+            record.address for _, record in batch.records if hasattr(record, "address")
+        )
+        world.host.entries = found or world.host.entries
--- /dev/null
+++ b/kingcuppost/batch/systems/hosting.py
@@ -0,0 +1,87 @@
+"""What a sidecar asks of its minion: lists and lease, starts and stops."""
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.messages import (
+    HoldMinion,
+    StartRun,
+    StopOrder,
+    StopRun,
+)
+from kingcuppost.batch.tables.world import BatchWorld, HostRun
+from kingcuppost.tables.identity import Role
+
+__all__ = ["ask_minion", "give_orders"]
+
+WAIT_MS = 1_000
+LEAST_LEASE_MS = 300
+
+
+@system(Phase.ACT, (Role.SIDECAR,))
+def ask_minion(world: BatchWorld, now_ms: int) -> None:
+    """Keep one question for the lists open, which also extends the lease."""
+    host = world.host
+    if host.minion is None or host.holding or not host.term:
+        return
+    if now_ms < host.hold_after_ms:
+        world.deadlines.add(host.hold_after_ms)
+        return
+    host.holding = True
+    wait_ms = WAIT_MS if host.listed and host.until_ms else 0
+    if _awaits_stop(world):
+        wait_ms = 0
+        host.hold_after_ms = now_ms + 50
+    world.outbox.put(
+        HoldMinion(
+            host.address,
+            host.minion.life,
+            host.term,
+            host.seen,
+            wait_ms,
+            host.until_ms,
+        )
+    )
+
+
+def _awaits_stop(world: BatchWorld) -> bool:
+    return any(run.stopped_ms is not None for run in world.host.runs.values())
+
+
+@system(Phase.ACT, (Role.SIDECAR,))
+def give_orders(world: BatchWorld, now_ms: int) -> None:
+    """Start and stop runs; an order without an answer goes out again."""
+    host = world.host
+    if host.minion is None:
+        return
+    for run in list(host.runs.values()):
+        if run.asked or run.stopped_ms is not None:
+            continue
+        if now_ms < run.retry_ms:
+            world.deadlines.add(run.retry_ms)
+            continue
+        if run.stop:
+            _stop(world, run)
+        elif not run.started:
+            _start(world, run, now_ms)
+
+
+def _stop(world: BatchWorld, run: HostRun) -> None:
+    host = world.host
+    run.asked = True
+    order = StopOrder(run.order.task, run.order.run)
+    world.outbox.put(StopRun(host.address, host.minion.life, host.term, order))
+
+
+def _start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
+    """Order a start, unless the lease that the scheduler allows is about to end."""
+    host = world.host
+    if host.until_ms is None or host.clock_ms is None:
+        return
+    clock_ms = host.clock_ms + now_ms - host.clock_at_ms
+    if host.until_ms - clock_ms < LEAST_LEASE_MS:
+        return
+    if host.minion.draining and not run.doubtful:
+        return
+    run.asked = True
+    world.outbox.put(
+        StartRun(host.address, host.minion.life, host.term, run.order, host.until_ms)
+    )
--- /dev/null
+++ b/kingcuppost/batch/systems/lapses.py
@@ -0,0 +1,42 @@
+"""Runs at minions that were not heard of until their leases had surely lapsed."""
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.reports import lose_life
+from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["AWAY_MS", "end_lapsed_lives", "note_absences"]
+
+AWAY_MS = 1_700
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def end_lapsed_lives(world: BatchWorld, now_ms: int) -> None:
+    """End the runs of lives whose leases have lapsed."""
+    if not is_scheduling(world):
+        return
+    schedule = world.schedule
+    for life, sure_ms in list(schedule.lives.items()):
+        if now_ms < sure_ms:
+            continue
+        lose_life(world, life, "the lease has lapsed")
+        for row in schedule.minions.find("life", life):
+            schedule.minions.delete(row.sidecar)
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def note_absences(world: BatchWorld, now_ms: int) -> None:
+    """Place nothing at minions that were not heard of for `AWAY_MS`."""
+    if not is_scheduling(world):
+        return
+    for row in world.schedule.minions:
+        due_ms = row.heard_ms + AWAY_MS
+        if row.is_away:
+            continue
+        if now_ms < due_ms:
+            world.deadlines.add(due_ms)
+            continue
+        row.is_away = True
+        world.schedule.changed = True
+        world.note("minion", "A minion is silent.", minion=row.life.minion)
--- /dev/null
+++ b/kingcuppost/batch/systems/lease.py
@@ -0,0 +1,137 @@
+"""The scheduling lease: claims and renewals among the entries.
+
+A claim is appended only where the stream of members ends as the claimer has read it,
+so that of two claimers one wins; its offset is the term. Clocks only decide when to
+try: the writes of an old term are refused by the log.
+"""
+
+from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.messages import (
+    Append,
+    ClaimRecord,
+    EntryRecord,
+    RenewRecord,
+    Stream,
+)
+from kingcuppost.batch.tables.world import BatchWorld, Schedule
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils.identifiers import new_identifier
+
+__all__ = ["announce_entry", "claim_lease", "holds_lease", "renew_lease", "step_down"]
+
+RENEW_MS = 700
+SILENCE_MS = 2_200
+JITTER_MS = 500
+CLAIM_PAUSE_MS = 400
+ANNOUNCE_PAUSE_MS = 1_000
+ANSWER_MS = 1_000
+
+
+def holds_lease(world: BatchWorld) -> bool:
+    """Return whether this process holds the newest term that it knows."""
+    return world.agreed.holder.incarnation == world.incarnation
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def announce_entry(world: BatchWorld, now_ms: int) -> None:
+    """Keep this entry's record among the members."""
+    schedule = world.schedule
+    mine = world.agreed.entries.get(world.cfg.name)
+    if mine is not None and mine.incarnation == world.incarnation:
+        return
+    if world.stopping or world.agreed.views[Stream.MEMBERS].end < 0:
+        return
+    if now_ms < schedule.announce_after_ms:
+        return
+    schedule.announce_after_ms = now_ms + ANNOUNCE_PAUSE_MS
+    world.deadlines.add(schedule.announce_after_ms)
+    cfg = world.cfg
+    record = EntryRecord(cfg.name, cfg.peers, cfg.availability_zone, world.incarnation)
+    append_id = new_identifier(world.rng, "announce")
+    world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def claim_lease(world: BatchWorld, now_ms: int) -> None:
+    """Claim the lease when nobody has renewed it for a while."""
+    schedule = world.schedule
+    if world.stopping or holds_lease(world):
+        return
+    due_ms = _claim_due_ms(world)
+    if due_ms is None or not is_fresh(world, Stream.MEMBERS, now_ms):
+        return
+    due_ms = max(due_ms, schedule.claim_after_ms)
+    if now_ms < due_ms:
+        world.deadlines.add(due_ms)
+        return
+    schedule.claim_after_ms = now_ms + CLAIM_PAUSE_MS
+    world.deadlines.add(schedule.claim_after_ms)
+    record = ClaimRecord(world.cfg.name, world.cfg.peers, world.incarnation)
+    world.note("lease", "Claiming the lease.", after=world.agreed.holder.name)
+    world.outbox.put(
+        Append(
+            new_identifier(world.rng, "claim"),
+            Stream.MEMBERS,
+            (record,),
+            at=world.agreed.views[Stream.MEMBERS].end,
+            timeout_ms=ANSWER_MS,
+        )
+    )
+
+
+def _claim_due_ms(world: BatchWorld) -> int | None:
+    """Return when the lease may be claimed; None before the members are known.
+
+    Silence counts only while this process could have read a renewal.
+    """
+    view = world.agreed.views[Stream.MEMBERS]
+    if view.end < 0:
+        return None
+    holder = world.agreed.holder
+    if holder.term < 0 or holder.released:
+        return 0
+    heard_ms = max(holder.beat_ms, view.regained_ms)
+    return heard_ms + SILENCE_MS + world.schedule.jitter_ms
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def renew_lease(world: BatchWorld, now_ms: int) -> None:
+    """Renew the lease while this process holds it; step down if it does not."""
+    schedule = world.schedule
+    if schedule.term >= 0 and schedule.term != world.agreed.holder.term:
+        step_down(world, "another entry claimed the lease")
+    if not holds_lease(world) or world.agreed.holder.released:
+        return
+    due_ms = schedule.renewed_ms + RENEW_MS
+    if now_ms >= due_ms:
+        schedule.renewed_ms = now_ms
+        due_ms = now_ms + RENEW_MS
+        _renew(world, released=False)
+    world.deadlines.add(due_ms)
+
+
+def _renew(world: BatchWorld, released: bool) -> None:
+    record = RenewRecord(world.agreed.holder.term, released)
+    append_id = new_identifier(world.rng, "renew")
+    world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
+
+
+def release_lease(world: BatchWorld) -> None:
+    """Give the lease back, so that another entry claims it at once."""
+    if holds_lease(world) and not world.agreed.holder.released:
+        world.note("lease", "Giving the lease back.", term=world.agreed.holder.term)
+        world.agreed.holder.released = True
+        _renew(world, released=True)
+
+
+def step_down(world: BatchWorld, reason: str) -> None:
+    """Forget all that only the holder of the lease may know."""
+    old = world.schedule
+    world.note("lease", "Stepping down.", term=old.term, reason=reason)
+    world.schedule = Schedule(
+        jitter_ms=old.jitter_ms,
+        claim_after_ms=old.claim_after_ms,
+        announce_after_ms=old.announce_after_ms,
+        syncs=old.syncs,
+    )
--- /dev/null
+++ b/kingcuppost/batch/systems/placement.py
@@ -0,0 +1,188 @@
+"""Where the tasks of a step fit: pure functions over free room."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from kingcuppost.batch.tables.fleet import MinionRow, Room
+from kingcuppost.batch.tables.job import StepSpec
+
+__all__ = ["Site", "Victim", "add_room", "fits", "how_many", "pick", "take_room"]
+
+
+@dataclass(slots=True)
+class Victim:
+    """Work that may be stopped for a more urgent step.
+
+    Attributes
+    ----------
+    key : tuple
+        Names the run.
+    room : Room
+        What stopping it sets free.
+    cost : float
+        Work that would be lost, in core-seconds.
+    """
+
+    key: tuple
+    room: Room
+    cost: float
+
+
+@dataclass(slots=True)
+class Site:
+    """A minion as placement sees it.
+
+    Attributes
+    ----------
+    minion : MinionRow
+        The minion.
+    free : Room
+        What is free, or will be when runs that are being stopped have ended.
+    now : Room
+        What is free at once.
+    taken : int
+        Tasks of the step at hand that are there already.
+    victims : list of Victim
+        What may be stopped, cheapest first.
+    """
+
+    minion: MinionRow
+    free: Room
+    now: Room
+    taken: int = 0
+    victims: list[Victim] = field(default_factory=list)
+
+
+def take_room(room: Room, step: StepSpec, count: int = 1) -> None:
+    """Take room for tasks of a step."""
+    room.cpu_millis -= step.cpu_millis * count
+    room.memory_mb -= step.memory_mb * count
+    room.accelerators -= step.accelerators * count
+
+
+def add_room(room: Room, other: Room) -> None:
+    """Add room that is set free."""
+    room.cpu_millis += other.cpu_millis
+    room.memory_mb += other.memory_mb
+    room.accelerators += other.accelerators
+
+
+def fits(room: Room, step: StepSpec) -> bool:
+    """Return whether one task of a step fits into room."""
+    return how_many(room, step, 1) == 1
+
+
+def how_many(room: Room, step: StepSpec, most: int) -> int:
+    """Return how many tasks of a step fit into room.
+
+    Examples
+    --------
+    >>> how_many(Room(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
+    2
+    """
+    count = most
+    for has, needs in (
+        (room.cpu_millis, step.cpu_millis),
+        (room.memory_mb, step.memory_mb),
+        (room.accelerators, step.accelerators),
+    ):
+        if needs:
+            count = min(count, has // needs)
+    return max(count, 0)
+
+
+def _most_here(site: Site, step: StepSpec, wanted: int) -> int:
+    if not step.most_per_minion:
+        return wanted
+    return min(wanted, max(step.most_per_minion - site.taken, 0))
+
+
+Rank = Callable[[Site, StepSpec], tuple]
+
+
+def pick(
+    sites: Iterable[Site], step: StepSpec, wanted: int, rank: Rank, at_once: bool = True
+) -> list[Site]:
+    """Return a site for each of as many tasks as fit, best ranks first.
+
+    Parameters
+    ----------
+    sites : iterable of Site
+        Where the tasks may go.
+    step : StepSpec
+        What each task needs.
+    wanted : int
+        How many tasks.
+    rank : callable
+        Ranks a site for a step; the smallest goes first.
+    at_once : bool
+        Whether only room that is free now counts.
+    """
+    chosen: list[Site] = []
+    for site in sorted(sites, key=lambda site: rank(site, step)):
+        left = wanted - len(chosen)
+        if not left:
+            break
+        room = site.now if at_once else site.free
+        count = how_many(room, step, _most_here(site, step, left))
+        chosen.extend([site] * count)
+    return chosen
+
+
+@dataclass(slots=True)
+class Eviction:
+    """Tasks that fit at a site once some victims are stopped."""
+
+    site: Site
+    count: int
+    cost: float
+    victims: list[Victim]
+
+
+def _next_eviction(site: Site, step: StepSpec, done: Eviction, most: int) -> Eviction:
+    """Return how the next task could fit at a site, or the same if it can't."""
+    room = replace(site.free)
+    for victim in done.victims:
+        add_room(room, victim.room)
+    victims = list(done.victims)
+    cost = done.cost
+    for victim in site.victims[len(victims) :]:
+        if how_many(room, step, most) > done.count:
+            break
+        add_room(room, victim.room)
+        victims.append(victim)
+        cost += victim.cost
+    count = how_many(room, step, most)
+    return Eviction(site, count, cost, victims) if count > done.count else done
+
+
+def evict(
+    sites: list[Site], step: StepSpec, wanted: int, rank: Rank
+) -> list[Eviction] | None:
+    """Return the cheapest evictions that make room for all tasks, or None.
+
+    Tasks go one by one to where the next one costs least; among equals to the
+    site that ranks first.
+    """
+    plans = {id(site): Eviction(site, 0, 0.0, []) for site in sites}
+    placed = 0
+    while placed < wanted:
+        best: Eviction | None = None
+        best_key: tuple | None = None
+        for site in sites:
+            done = plans[id(site)]
+            most = _most_here(site, step, done.count + wanted - placed)
+            after = _next_eviction(site, step, done, most)
+            if after.count == done.count:
+                continue
+            key = (
+                (after.cost - done.cost) / (after.count - done.count),
+                rank(site, step),
+            )
+            if best_key is None or key < best_key:
+                best, best_key = after, key
+        if best is None:
+            return None
+        placed += best.count - plans[id(best.site)].count
+        plans[id(best.site)] = best
+    return [plan for plan in plans.values() if plan.count]
--- /dev/null
+++ b/kingcuppost/batch/systems/plans.py
@@ -0,0 +1,235 @@
+"""Plans of jobs: loading them, and how runs and their ends change them."""
+
+from collections.abc import Iterator
+
+from kingcuppost.batch.tables.fleet import Queue
+from kingcuppost.batch.tables.job import (
+    Job,
+    JobState,
+    Life,
+    Plan,
+    PlanState,
+    Progress,
+    RunEnd,
+    Task,
+    TaskName,
+    TaskPhase,
+    TaskProgress,
+)
+from kingcuppost.batch.tables.world import BatchWorld
+
+__all__ = [
+    "all_tasks",
+    "apply_end",
+    "change_plan",
+    "find_task",
+    "load_plan",
+    "place_task",
+    "progress_of",
+    "stop_runs",
+    "take_up",
+]
+
+OCCURRENCE = 0
+ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+
+def all_tasks(plan: Plan) -> Iterator[Task]:
+    """Yield every task of a plan."""
+    for step in plan.tasks:
+        yield from step
+
+
+def _queue_of(world: BatchWorld, name: str) -> Queue | None:
+    configuration = world.agreed.configuration
+    if configuration is None:
+        return None
+    return next((item for item in configuration.queues if item.name == name), None)
+
+
+def load_plan(world: BatchWorld, job: Job) -> Plan:
+    """Return the plan of a job, as its newest progress record leaves it."""
+    tasks = [
+        [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(row.count)]
+        for step, row in enumerate(job.steps)
+    ]
+    plan = Plan(job, tasks)
+    adopt_queue(world, plan)
+    if job.progress is not None:
+        _load_progress(plan, job.progress)
+    if job.state in ENDED:
+        is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+        plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
+    return plan
+
+
+def adopt_queue(world: BatchWorld, plan: Plan) -> None:
+    """Take priority and attempts from the job's queue, if it still exists."""
+    queue = _queue_of(world, plan.job.queue)
+    if queue is not None:
+        plan.priority = queue.priority
+        plan.most_failures = queue.most_failures
+        plan.service = queue.service
+        plan.slack_factor = queue.slack_factor
+
+
+def _load_progress(plan: Plan, progress: Progress) -> None:
+    plan.state = progress.state
+    plan.begun = progress.begun
+    for row in progress.tasks:
+        task = plan.tasks[row.step][row.index]
+        task.phase = row.phase
+        task.run = row.run
+        task.failures = row.failures
+        task.saved = row.saved
+        if row.phase is TaskPhase.PLACED:
+            task.life = Life(row.minion, row.born_ms)
+
+
+def progress_of(plan: Plan) -> Progress:
+    """Return what the next progress record says of a plan."""
+    rows = tuple(
+        TaskProgress(
+            task.name.step,
+            task.name.index,
+            task.phase,
+            task.run,
+            task.failures,
+            task.life.minion if task.life else "",
+            task.life.born_ms if task.life else 0,
+            "" if task.phase is TaskPhase.DONE else task.saved,
+        )
+        for task in all_tasks(plan)
+        if task.run
+    )
+    return Progress(plan.state, plan.begun, rows)
+
+
+def change_plan(world: BatchWorld, plan: Plan) -> None:
+    """Note that a plan differs from its newest record."""
+    plan.version += 1
+    world.schedule.dirty[plan.job.id] = None
+    world.schedule.changed = True
+
+
+def take_up(world: BatchWorld, job_id: str, now_ms: int) -> None:
+    """Make the plan of a new job, or stop what a cancelled one runs."""
+    schedule = world.schedule
+    job = world.agreed.jobs.get(job_id)
+    plan = schedule.plans.get(job_id)
+    if job is None:
+        schedule.plans.pop(job_id, None)
+        return
+    if plan is None:
+        plan = schedule.plans[job_id] = load_plan(world, job)
+        plan.seen_ms = now_ms
+    schedule.changed = True
+    if job.cancelled and plan.phase is PlanState.OPEN:
+        end_plan(world, plan, JobState.CANCELLED)
+
+
+def end_plan(world: BatchWorld, plan: Plan, state: JobState) -> None:
+    """End a job; what still runs is stopped."""
+    plan.state = state
+    stop_runs(plan)
+    is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+    plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
+    world.note("job", "A job ends.", job=plan.job.id, state=state)
+    change_plan(world, plan)
+
+
+def stop_runs(plan: Plan, step: int | None = None) -> None:
+    """Ask for the end of all runs of a job, or of one step."""
+    for task in all_tasks(plan):
+        if task.phase is TaskPhase.PLACED and step in (None, task.name.step):
+            task.stopping = True
+
+
+def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
+    """Return a task and its plan, or None if no such task is planned."""
+    plan = world.schedule.plans.get(name.job)
+    if plan is None or name.step >= len(plan.tasks):
+        return None
+    step = plan.tasks[name.step]
+    if name.index >= len(step):
+        return None
+    return plan, step[name.index]
+
+
+def place_task(task: Task, run: int, life: Life, version: int) -> None:
+    """Give a task a run at a minion."""
+    task.phase = TaskPhase.PLACED
+    task.run = run
+    task.life = life
+    task.version = version
+    task.sent_ms = None
+    task.confirmed = False
+    task.running_since_ms = None
+    task.stopping = False
+    task.stop_sent_ms = None
+    task.saved_at_ms = None
+
+
+def apply_end(
+    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, saved: str
+) -> None:
+    """Take the sure end of a task's present run into its plan."""
+    life = task.life
+    task.phase = TaskPhase.WAITING
+    task.life = None
+    task.stopping = False
+    if saved:
+        _keep_saved(plan, task, saved)
+    if how is RunEnd.DONE:
+        _done(plan, task)
+    elif how is RunEnd.FAILED:
+        _failed(plan, task, life)
+    if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
+        stop_runs(plan, task.name.step)
+    _judge(world, plan)
+    change_plan(world, plan)
+
+
+def _keep_saved(plan: Plan, task: Task, saved: str) -> None:
+    """Keep a checkpoint; one of any member is good for the whole gang."""
+    task.saved = saved
+    if plan.job.steps[task.name.step].gang:
+        for member in plan.tasks[task.name.step]:
+            member.saved = saved
+
+
+def _done(plan: Plan, task: Task) -> None:
+    """Finish a task; one end stands for all members of a gang."""
+    task.phase = TaskPhase.DONE
+    if not plan.job.steps[task.name.step].gang:
+        return
+    for member in plan.tasks[task.name.step]:
+        member.phase = TaskPhase.DONE
+        member.life = None
+
+
+def _failed(plan: Plan, task: Task, life: Life | None) -> None:
+    """Count a failed run; a gang counts a run once, at its first member."""
+    gang = plan.job.steps[task.name.step].gang
+    members = plan.tasks[task.name.step] if gang else [task]
+    counted = members[0]
+    if gang and task.run <= counted.failed_run:
+        return
+    counted.failed_run = task.run
+    counted.failures += 1
+    if life is not None:
+        for member in members:
+            member.avoid.add(life.minion)
+
+
+def _judge(world: BatchWorld, plan: Plan) -> None:
+    """End the job if all is done or a task has failed too often."""
+    tasks = list(all_tasks(plan))
+    if plan.phase is PlanState.CLOSING:
+        if not any(task.phase is TaskPhase.PLACED for task in tasks):
+            plan.phase = PlanState.OVER
+    elif plan.phase is PlanState.OPEN:
+        if all(task.phase is TaskPhase.DONE for task in tasks):
+            end_plan(world, plan, JobState.COMPLETED)
+        elif any(task.failures >= plan.most_failures for task in tasks):
+            end_plan(world, plan, JobState.FAILED)
--- /dev/null
+++ b/kingcuppost/batch/systems/reports.py
@@ -0,0 +1,248 @@
+"""Reports of sidecars: minions, what runs at them, and how runs ended."""
+
+from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
+from kingcuppost.batch.tables.fleet import MinionRow
+from kingcuppost.batch.tables.job import (
+    Life,
+    Plan,
+    RunEnd,
+    Task,
+    TaskName,
+    TaskPhase,
+)
+from kingcuppost.batch.tables.messages import (
+    EndedRun,
+    MinionReport,
+    RefusedRun,
+    RunningRun,
+    SyncCall,
+    SyncReply,
+)
+from kingcuppost.batch.tables.world import BatchWorld, HeldSync
+from kingcuppost.tables.identity import Role
+
+__all__ = ["hear_sidecars", "take_up_jobs"]
+
+SPEED_WEIGHT = 0.5
+
+
+@system(Phase.INTAKE, (Role.ENTRY,))
+def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
+    """Plan what the log has brought since the last tick."""
+    schedule = world.schedule
+    if not is_scheduling(world):
+        return
+    for job_id in list(schedule.touched):
+        take_up(world, job_id, now_ms)
+    schedule.touched.clear()
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def hear_sidecars(world: BatchWorld, now_ms: int) -> None:
+    """Take reports in; a newer one of the same sidecar ends the wait of an older."""
+    for call in world.inbox.take(SyncCall):
+        if not is_scheduling(world) or world.stopping:
+            _send_on(world, call)
+            continue
+        older = world.schedule.syncs.pop(call.sidecar, None)
+        if older is not None:
+            world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
+        _hear(world, call, now_ms)
+        until_ms = now_ms + call.wait_ms
+        world.schedule.syncs[call.sidecar] = HeldSync(call, until_ms)
+        world.deadlines.add(until_ms)
+
+
+def _send_on(world: BatchWorld, call: SyncCall) -> None:
+    """Tell a sidecar who holds the lease."""
+    holder = world.agreed.holder
+    is_other = holder.incarnation != world.incarnation
+    address = holder.address if is_other and not holder.released else None
+    entries = tuple(entry.address for entry in world.agreed.entries)
+    world.outbox.put(SyncReply(call.exchange_id, -1, address, entries=entries))
+
+
+def _hear(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
+    schedule = world.schedule
+    schedule.reports[call.sidecar] = call
+    old = schedule.minions.get(call.sidecar)
+    if call.minion is None:
+        if old is not None:
+            world.note("minion", "A minion is gone.", minion=old.life.minion)
+            schedule.minions.delete(call.sidecar)
+            schedule.changed = True
+        return
+    if old is not None and old.life != call.minion.life:
+        if call.minion.life.born_ms < old.life.born_ms:
+            return
+        _lose_life(world, old.life, "the minion began a new life")
+        old = None
+    row = _minion_of(world, call, old, now_ms)
+    sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
+    schedule.lives[row.life] = sure_ms
+    world.deadlines.add(sure_ms)
+    if call.minion.listed:
+        _take_lists(world, call, row, now_ms)
+
+
+def _minion_of(
+    world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
+) -> MinionRow:
+    """Return the row of a reported minion, made or brought up to date."""
+    report = call.minion
+    if old is None:
+        old = _new_minion(call, report)
+        world.schedule.minions.put(old)
+        world.schedule.changed = True
+        world.note(
+            "minion",
+            "A minion is known.",
+            minion=report.life.minion,
+            sidecar=call.sidecar,
+            availability_zone=report.availability_zone,
+            rack=old.rack,
+        )
+    if old.draining != report.draining:
+        world.note("minion", "A minion drains.", minion=report.life.minion)
+        world.schedule.changed = True
+    if old.is_away:
+        world.schedule.changed = True
+    old.is_away = False
+    old.draining = report.draining
+    old.remaining_ms = report.remaining_ms
+    old.heard_ms = now_ms
+    return old
+
+
+def _new_minion(call: SyncCall, report: MinionReport) -> MinionRow:
+    rack = next((label for label in report.labels if "-" in label), "")
+    return MinionRow(
+        call.sidecar,
+        report.life,
+        report.service,
+        report.availability_zone,
+        rack,
+        frozenset(report.labels),
+        report.room,
+    )
+
+
+def _lose_life(world: BatchWorld, life: Life, reason: str) -> None:
+    """End all runs of a life that is over."""
+    schedule = world.schedule
+    schedule.lives.pop(life, None)
+    for plan in list(schedule.plans.values()):
+        for step in plan.tasks:
+            for task in step:
+                if task.phase is TaskPhase.PLACED and task.life == life:
+                    _note_end(world, task, RunEnd.LOST, reason)
+                    apply_end(world, plan, task, RunEnd.LOST, "")
+
+
+lose_life = _lose_life
+
+
+def _note_end(world: BatchWorld, task: Task, how: RunEnd, reason: str = "") -> None:
+    world.tally.add("ends", how)
+    world.note(
+        "run",
+        "A run ended.",
+        task=str(task.name),
+        run=task.run,
+        how=how,
+        minion=task.life.minion if task.life else "",
+        reason=reason,
+    )
+
+
+def _take_lists(world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int) -> None:
+    for running in call.running:
+        _see_running(world, row, running, now_ms)
+    known = world.schedule.ends.setdefault(call.sidecar, {})
+    listed = {ended.number for ended in call.ended}
+    for number in [number for number in known if number not in listed]:
+        del known[number]
+    for ended in call.ended:
+        if ended.number not in known:
+            known[ended.number] = _see_end(world, row, ended, now_ms)
+    for refused in call.refused:
+        _see_refusal(world, row, refused)
+
+
+def _present(
+    world: BatchWorld, life: Life, name: TaskName, run: int
+) -> tuple[Plan, Task] | None:
+    """Return the task whose present run is this one, or None."""
+    found = find_task(world, name)
+    if found is None:
+        return None
+    task = found[1]
+    is_present = task.phase is TaskPhase.PLACED and task.run == run
+    return found if is_present and task.life == life else None
+
+
+def _see_running(
+    world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
+) -> None:
+    found = _present(world, row.life, running.task, running.run)
+    if found is None:
+        _stop_stray(world, row, running)
+        return
+    plan, task = found
+    if task.running_since_ms is None:
+        task.running_since_ms = now_ms
+    task.confirmed = True
+    task.percent = running.percent
+    if running.saved and running.saved != task.saved:
+        task.saved = running.saved
+        task.saved_at_ms = now_ms
+
+
+def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
+    """Stop a run that is no task's present run."""
+    world.schedule.strays.setdefault(row.sidecar, {})[
+        str(running.task), running.run
+    ] = running
+    world.note(
+        "run", "A stray run is stopped.", task=str(running.task), run=running.run
+    )
+
+
+def _see_end(
+    world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
+) -> tuple[str, int]:
+    """Apply an end, and return the job and version that must be in the log."""
+    found = _present(world, row.life, ended.task, ended.run)
+    if found is None:
+        plan = world.schedule.plans.get(ended.task.job)
+        return ended.task.job, plan.version if plan else 0
+    plan, task = found
+    _learn(row, plan, task, ended, now_ms)
+    _note_end(world, task, ended.how)
+    apply_end(world, plan, task, ended.how, ended.saved)
+    return plan.job.id, plan.version
+
+
+def _learn(
+    row: MinionRow, plan: Plan, task: Task, ended: EndedRun, now_ms: int
+) -> None:
+    """Learn from an end whether the minion does its work."""
+    if ended.how is RunEnd.DONE:
+        row.failures = 0
+        row.failed_jobs.clear()
+        row.proven = True
+    elif ended.how is RunEnd.FAILED:
+        row.failures += 1
+        row.failed_jobs.add(plan.job.id)
+        row.failed_ms = now_ms
+
+
+def _see_refusal(world: BatchWorld, row: MinionRow, refused: RefusedRun) -> None:
+    found = _present(world, row.life, refused.task, refused.run)
+    if found is None:
+        return
+    plan, task = found
+    _note_end(world, task, RunEnd.REFUSED, refused.reason)
+    apply_end(world, plan, task, RunEnd.REFUSED, "")
--- /dev/null
+++ b/kingcuppost/batch/systems/routing.py
@@ -0,0 +1,34 @@
+"""Which queue a caller means, and whether its key opens it."""
+
+from kingcuppost.batch.tables.fleet import Configuration, Queue
+
+__all__ = ["find_queue", "team_of"]
+
+
+def find_queue(configuration: Configuration, host: str, path: str) -> Queue | None:
+    """Return the queue whose prefix is the longest that a path begins with.
+
+    Examples
+    --------
+    >>> queues = (Queue("a", "h", "/a/", "s"), Queue("b", "h", "/a/b/", "s"))
+    >>> cfg = Configuration(1, queues, {}, {})
+    >>> find_queue(cfg, "h", "/a/b/c").name
+    'b'
+    >>> find_queue(cfg, "other", "/a/b/c") is None
+    True
+    """
+    name = host.partition(":")[0]
+    found = [
+        queue
+        for queue in configuration.queues
+        if queue.host == name and path.startswith(queue.prefix)
+    ]
+    return max(found, key=lambda queue: len(queue.prefix), default=None)
+
+
+def team_of(configuration: Configuration, queue: Queue, key: str) -> str | None:
+    """Return the team that a key belongs to, empty on a public queue, or None."""
+    team = configuration.keys.get(key)
+    if team is None and queue.public:
+        return ""
+    return team
--- /dev/null
+++ b/kingcuppost/batch/systems/syncing.py
@@ -0,0 +1,82 @@
+"""A sidecar's reports to the holder of the scheduling lease."""
+
+from dataclasses import replace
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.messages import ListMembers, SendSync, SyncCall
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+
+__all__ = ["report"]
+
+WAIT_MS = 1_000
+TIMEOUT_MS = 1_800
+MOST_AT_ONCE = 2
+LOST_MS = 3_000
+
+
+@system(Phase.PROPOSE, (Role.SIDECAR,))
+def report(world: BatchWorld, now_ms: int) -> None:
+    """Keep one report open; send another at once when there is news."""
+    host = world.host
+    if world.stopping:
+        return
+    _list_members(world, now_ms)
+    if host.syncs and not host.dirty:
+        return
+    if len(host.syncs) >= MOST_AT_ONCE:
+        return
+    if now_ms < host.sync_after_ms:
+        world.deadlines.add(host.sync_after_ms)
+        return
+    address = host.holder or _next_entry(world)
+    if address is None:
+        return
+    host.dirty = False
+    host.sync_number += 1
+    host.syncs[host.sync_number] = now_ms
+    call = _call(world)
+    world.outbox.put(SendSync(host.sync_number, address, call, TIMEOUT_MS))
+
+
+def _next_entry(world: BatchWorld) -> Address | None:
+    known = world.host.entries or world.cfg.seeds
+    every = list(dict.fromkeys((*known, *world.cfg.seeds)))
+    if not every:
+        return None
+    return every[(world.host.next_entry + _offset(world)) % len(every)]
+
+
+def _offset(world: BatchWorld) -> int:
+    """Return where this sidecar begins in the list, so that all don't ask one entry."""
+    return sum(world.cfg.name.encode())
+
+
+def _list_members(world: BatchWorld, now_ms: int) -> None:
+    """Ask the log for the entries when none has answered for a while."""
+    host = world.host
+    due_ms = max(host.heard_ms + LOST_MS, host.list_after_ms)
+    if now_ms >= due_ms:
+        host.list_after_ms = now_ms + LOST_MS
+        world.outbox.put(ListMembers())
+        due_ms = now_ms + LOST_MS
+    world.deadlines.add(due_ms)
+
+
+def _call(world: BatchWorld) -> SyncCall:
+    host = world.host
+    minion = host.minion
+    if minion is not None:
+        minion = replace(minion, listed=host.listed)
+    return SyncCall(
+        "",
+        world.cfg.name,
+        world.incarnation,
+        host.sync_number,
+        WAIT_MS,
+        minion,
+        tuple(host.running.values()),
+        tuple(host.ended.values()),
+        tuple(host.refused.values()),
+    )
--- /dev/null
+++ b/kingcuppost/batch/systems/writing.py
@@ -0,0 +1,86 @@
+"""Writing plans into the log: one append at a time, numbered within the term."""
+
+from kingcuppost.batch.systems.lease import step_down
+from kingcuppost.batch.systems.plans import progress_of
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
+    ProgressRecord,
+    Stream,
+)
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils.identifiers import new_identifier
+
+__all__ = ["write_plans"]
+
+ANSWER_MS = 800
+MOST_JOBS = 64
+
+
+@system(Phase.PROPOSE, (Role.ENTRY,))
+def write_plans(world: BatchWorld, now_ms: int) -> None:
+    """Append the plans that have changed; send an append again until it is settled.
+
+    An append keeps its number, so that the log takes it once however often it is sent.
+    """
+    if not is_scheduling(world):
+        world.schedule.answers.clear()
+        return
+    for answer in world.schedule.answers:
+        _settle(world, answer)
+    schedule = world.schedule
+    schedule.answers.clear()
+    if schedule.loaded and schedule.in_flight is None and schedule.dirty:
+        _append(world)
+
+
+def _append(world: BatchWorld) -> None:
+    schedule = world.schedule
+    job_ids = list(schedule.dirty)[:MOST_JOBS]
+    records = []
+    versions = {}
+    for job_id in job_ids:
+        del schedule.dirty[job_id]
+        plan = schedule.plans.get(job_id)
+        if plan is not None:
+            records.append(ProgressRecord(job_id, progress_of(plan)))
+            versions[job_id] = plan.version
+    schedule.sequence += 1
+    schedule.in_flight = Append(
+        new_identifier(world.rng, "plans"),
+        Stream.JOBS,
+        tuple(records),
+        term=schedule.term,
+        sequence=schedule.sequence,
+        timeout_ms=ANSWER_MS,
+    )
+    schedule.in_flight_versions = versions
+    world.outbox.put(schedule.in_flight)
+
+
+def _settle(world: BatchWorld, answer: AppendEnded) -> None:
+    schedule = world.schedule
+    if schedule.in_flight is None or answer.id != schedule.in_flight.id:
+        return
+    if answer.outcome is AppendOutcome.DONE:
+        _commit(world)
+    elif answer.outcome is AppendOutcome.FENCED:
+        step_down(world, "a newer term writes")
+    elif answer.outcome is AppendOutcome.CONFLICT:
+        step_down(world, f"the log expects another append: {answer.reason}")
+    else:
+        world.outbox.put(schedule.in_flight)
+
+
+def _commit(world: BatchWorld) -> None:
+    schedule = world.schedule
+    for job_id, version in schedule.in_flight_versions.items():
+        plan = schedule.plans.get(job_id)
+        if plan is not None:
+            plan.committed = version
+    schedule.in_flight = None
+    schedule.in_flight_versions = {}
--- /dev/null
+++ b/kingcuppost/batch/tables/__init__.py
@@ -0,0 +1,31 @@
+"""Rows of batch jobs; no behaviour, no input or output."""
+
+from kingcuppost.batch.tables.config import Bounds, DaemonConfig
+from kingcuppost.batch.tables.job import (
+    Job,
+    JobState,
+    Plan,
+    PlanState,
+    RunEnd,
+    StepSpec,
+    Task,
+    TaskName,
+    TaskPhase,
+)
+from kingcuppost.batch.tables.world import BatchWorld, LogLine
+
+__all__ = [
+    "BatchWorld",
+    "Bounds",
+    "DaemonConfig",
+    "Job",
+    "JobState",
+    "LogLine",
+    "Plan",
+    "PlanState",
+    "RunEnd",
+    "StepSpec",
+    "Task",
+    "TaskName",
+    "TaskPhase",
+]
--- /dev/null
+++ b/kingcuppost/batch/tables/world.py
@@ -0,0 +1,250 @@
+"""All tables of one process."""
+
+import random
+from dataclasses import dataclass, field
+
+from kingcuppost.batch.tables.config import DaemonConfig
+from kingcuppost.batch.tables.fleet import (
+    Configuration,
+    EntryMember,
+    HolderView,
+    MinionRow,
+)
+from kingcuppost.batch.tables.job import Job, Life, Plan
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    CallerCall,
+    EndedRun,
+    MinionReport,
+    RefusedRun,
+    RunningRun,
+    StartOrder,
+    Stream,
+    SyncCall,
+)
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.deadlines import Deadlines
+from kingcuppost.tables.mailbox import Mailbox
+from kingcuppost.tables.metrics import Tally
+from kingcuppost.tables.table import Table
+from kingcuppost.utils.clock import Clock
+
+__all__ = [
+    "Agreed",
+    "BatchWorld",
+    "HeldCall",
+    "HeldSync",
+    "Host",
+    "HostRun",
+    "LogLine",
+    "Schedule",
+    "StreamView",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line for the log: a decision or a change of what the process believes."""
+
+    part: str
+    text: str
+    fields: dict[str, str | int | float]
+
+
+@dataclass(slots=True)
+class StreamView:
+    """How far a stream was read.
+
+    Attributes
+    ----------
+    end : int
+        Offset behind the last record that was folded; -1 before the first read.
+    fresh_ms : int or None
+        When the newest read that was answered had been sent.
+    regained_ms : int
+        When the stream was followed again after a gap.
+    """
+
+    end: int = -1
+    fresh_ms: int | None = None
+    regained_ms: int = 0
+
+
+@dataclass(slots=True)
+class Agreed:
+    """What the log says, the same in every entry that has read as far."""
+
+    jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
+    entries: Table[EntryMember] = field(default_factory=lambda: Table("name"))
+    holder: HolderView = field(default_factory=HolderView)
+    configuration: Configuration | None = None
+    configuration_offset: int = -1
+    closed_zones: dict[str, int] = field(default_factory=dict)
+    views: dict[Stream, StreamView] = field(
+        default_factory=lambda: {stream: StreamView() for stream in Stream}
+    )
+
+
+@dataclass(slots=True)
+class HeldCall:
+    """A caller's call that waits for the log."""
+
+    call: CallerCall
+    job_id: str
+    append: Append
+    tries: int = 1
+    unknown: bool = False
+
+
+@dataclass(slots=True)
+class HeldSync:
+    """A sidecar's report that waits for orders."""
+
+    call: SyncCall
+    until_ms: int
+
+
+@dataclass(slots=True)
+class Schedule:
+    """Working tables of the holder of the scheduling lease.
+
+    Attributes
+    ----------
+    term : int
+        Term that this process holds; -1 if none.
+    caught_up_at : int
+        Offset that must be folded before the first decision.
+    sequence : int
+        Number of the newest append of the term.
+    in_flight : Append or None
+        The append that waits for its answer.
+    in_flight_versions : dict of str to int
+        Versions of the plans that it carries.
+    dirty : dict of str to None
+        Jobs whose plan has changed since the last append.
+    lives : dict of Life to int
+        When the runs of a life have surely lapsed.
+    """
+
+    term: int = -1
+    jitter_ms: int = 0
+    claim_after_ms: int = 0
+    announce_after_ms: int = 0
+    fence_id: str = ""
+    opened: bool = False
+    caught_up_at: int = -1
+    loaded: bool = False
+    renewed_ms: int = 0
+    written_ms: int = 0
+    sequence: int = 0
+    in_flight: Append | None = None
+    in_flight_versions: dict[str, int] = field(default_factory=dict)
+    dirty: dict[str, None] = field(default_factory=dict)
+    plans: dict[str, Plan] = field(default_factory=dict)
+    minions: Table[MinionRow] = field(
+        default_factory=lambda: Table("sidecar", ("life",))
+    )
+    lives: dict[Life, int] = field(default_factory=dict)
+    syncs: dict[str, HeldSync] = field(default_factory=dict)
+    reports: dict[str, SyncCall] = field(default_factory=dict)
+    ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
+    strays: dict[str, dict[tuple[str, int], RunningRun]] = field(default_factory=dict)
+    touched: dict[str, None] = field(default_factory=dict)
+    answers: list[AppendEnded] = field(default_factory=list)
+    changed: bool = True
+
+
+@dataclass(slots=True)
+class HostRun:
+    """A run that the sidecar has orders for.
+
+    Attributes
+    ----------
+    asked : bool
+        Whether an order to the minion waits for its answer.
+    retry_ms : int
+        When the order may go out again.
+    started : bool
+        Whether the minion has taken the start.
+    doubtful : bool
+        Whether a copy of the start may yet be carried out.
+    stop : bool
+        Whether the run is to end.
+    stopped_ms : int or None
+        When the minion took the stop.
+    """
+
+    order: StartOrder
+    asked: bool = False
+    retry_ms: int = 0
+    started: bool = False
+    doubtful: bool = False
+    stop: bool = False
+    stopped_ms: int | None = None
+
+
+@dataclass(slots=True)
+class Host:
+    """A sidecar's view of its minion and of the scheduler.
+
+    Attributes
+    ----------
+    clock_ms, clock_at_ms : int
+        A reading of the minion's clock, and when it arrived on ours.
+    until_ms : int
+        End of the lease that the scheduler's last answer allows, on the minion's
+        clock.
+    """
+
+    address: Address | None = None
+    minion: MinionReport | None = None
+    sequence: int = -1
+    listed: bool = False
+    clock_ms: int | None = None
+    clock_at_ms: int = 0
+    until_ms: int | None = None
+    holding: bool = False
+    hold_after_ms: int = 0
+    hold_failed: bool = False
+    seen: int = 0
+    running: dict[tuple[str, int], RunningRun] = field(default_factory=dict)
+    ended: dict[int, EndedRun] = field(default_factory=dict)
+    refused: dict[tuple[str, int], RefusedRun] = field(default_factory=dict)
+    runs: dict[tuple[str, int], HostRun] = field(default_factory=dict)
+    term: int = 0
+    sync_number: int = 0
+    syncs: dict[int, int] = field(default_factory=dict)
+    sync_after_ms: int = 0
+    dirty: bool = True
+    holder: Address | None = None
+    entries: tuple[Address, ...] = ()
+    next_entry: int = 0
+    heard_ms: int = 0
+    list_after_ms: int = 0
+
+
+@dataclass
+class BatchWorld:
+    """Tables of one process; systems read and write nothing else."""
+
+    cfg: DaemonConfig
+    incarnation: str
+    clock: Clock
+    rng: random.Random
+    inbox: Mailbox = field(default_factory=Mailbox)
+    outbox: Mailbox = field(default_factory=Mailbox)
+    deadlines: Deadlines = field(default_factory=Deadlines)
+    tally: Tally = field(default_factory=Tally)
+    lines: list[LogLine] = field(default_factory=list)
+    stopping: bool = False
+    stop_from_ms: int = 0
+    stop_by_ms: int = 0
+    agreed: Agreed = field(default_factory=Agreed)
+    schedule: Schedule = field(default_factory=Schedule)
+    calls: dict[str, HeldCall] = field(default_factory=dict)
+    host: Host = field(default_factory=Host)
+
+    def note(self, part: str, text: str, **fields: str | int | float) -> None:
+        """Add a line to the log."""
+        self.lines.append(LogLine(part, text, fields))
--- a/kingcuppost/edges/__init__.py
+++ b/kingcuppost/edges/__init__.py
@@ -1,17 +1,11 @@
 """Edges: bytes to inbox messages, outbox messages to bytes.
 
-Only this package and the programs import twisted.
+Only this package, the other packages of edges and the programs import twisted.
 """
 
-from kingcuppost.edges import log, observe, peers, worker
-from kingcuppost.edges.context import EdgeContext, drivers, senders
-from kingcuppost.edges.http_client import JsonClient
-from kingcuppost.edges.http_server import listen
-from kingcuppost.edges.loop import TickLoop
-from kingcuppost.edges.observe import EventLog, configure_logs
-from kingcuppost.edges.signals import install_signals
+from kingcuppost.utils.lazy import lazy_exports
 
-__all__ = [
+__all__ = [  # noqa: F822
     "EdgeContext",
     "EventLog",
     "JsonClient",
@@ -23,4 +17,19 @@
     "senders",
 ]
 
-del log, observe, peers, worker
+__getattr__ = lazy_exports(
+    {
+        "EdgeContext": "kingcuppost.edges.context",
+        "EventLog": "kingcuppost.edges.observe",
+        "JsonClient": "kingcuppost.edges.http_client",
+        "TickLoop": "kingcuppost.edges.loop",
+        "configure_logs": "kingcuppost.edges.observe",
+        "drivers": "kingcuppost.edges.context",
+        "install_signals": "kingcuppost.edges.signals",
+        "listen": "kingcuppost.edges.http_server",
+        "senders": "kingcuppost.edges.context",
+    },
+    load_first=tuple(
+        f"kingcuppost.edges.{name}" for name in ("log", "observe", "peers", "worker")
+    ),
+)
--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -14,6 +14,11 @@
 __all__ = ["EdgeContext", "Listener", "Sender", "drivers", "senders"]
 
 
+Sender = Callable[["EdgeContext", Any], None]
+
+senders: Registry[type, Sender] = Registry("sender of message")
+
+
 @dataclass(frozen=True)
 class Listener:
     """A bound port and the factory that knows its connections.
@@ -52,6 +57,8 @@
         Edge to each outside system by its kind, as the settings name it.
     exit_code : int
         Exit code of the process.
+    senders : Registry
+        What sends each type of message.
     """
 
     world: World
@@ -62,6 +69,7 @@
     listeners: list[Listener] = field(default_factory=list)
     drivers: dict[str, Any] = field(default_factory=dict)
     exit_code: int = 0
+    senders: Registry[type, Sender] = field(default_factory=lambda: senders)
 
     def deliver(self, message: Any) -> None:
         """Put a message before the systems and ask for a tick."""
@@ -69,7 +77,4 @@
         self.wake()
 
 
-Sender = Callable[[EdgeContext, Any], None]
-
-senders: Registry[type, Sender] = Registry("sender of message")
 drivers: Registry[tuple[str, str], Callable[[EdgeContext], Any]] = Registry("driver")
--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -131,6 +131,7 @@
         path: str,
         body: bytes,
         timeout_ms: int,
+        headers: dict[str, str] | None = None,
     ) -> Response:
         """Send a request and return the whole response.
 
@@ -144,6 +145,8 @@
             JSON text; empty for none.
         timeout_ms : int
             Bound on the whole exchange, in ms.
+        headers : dict of str to str, optional
+            Further headers.
 
         Raises
         ------
@@ -151,7 +154,9 @@
             If the exchange failed or took too long. Its step is ``"connect"`` if
             no byte of the request left this process, else ``"exchange"``.
         """
-        pending = defer.ensureDeferred(self._exchange(method, address, path, body))
+        pending = defer.ensureDeferred(
+            self._exchange(method, address, path, body, headers or {})
+        )
         pending.addTimeout(max(timeout_ms, 1) / MS_PER_SECOND, self._reactor)
         try:
             return await pending
@@ -162,10 +167,17 @@
             raise PeerError(reason, step, str(address)) from exc
 
     async def _exchange(
-        self, method: str, address: Address, path: str, body: bytes
+        self,
+        method: str,
+        address: Address,
+        path: str,
+        body: bytes,
+        extra: dict[str, str],
     ) -> Response:
         url = f"http://{address}{path}".encode("ascii")
         headers = Headers({b"Content-Type": [b"application/json"]} if body else {})
+        for name, value in extra.items():
+            headers.setRawHeaders(name, [value])
         producer = _BytesProducer(body) if body else None
         response = await self._peer(address).agent.request(
             method.encode("ascii"), url, headers, producer
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from kingcuppost.edges.context import EdgeContext, senders
-from kingcuppost.systems.registry import System, run_tick
+from kingcuppost.utils.ticks import System, run_tick
 
 __all__ = ["TickLoop"]
 
@@ -30,19 +29,19 @@
     def __init__(self, reactor: Any, systems: list[System]) -> None:
         self._reactor = reactor
         self._systems = systems
-        self._context: EdgeContext | None = None
+        self._context: Any = None
         self._after: Callable[[], None] = lambda: None
         self._soon: Any = None
         self._timer: Any = None
         self.ticks = 0
 
-    def attach(self, context: EdgeContext, after: Callable[[], None]) -> None:
+    def attach(self, context: Any, after: Callable[[], None]) -> None:
         """Give the loop the context whose world it ticks.
 
         Parameters
         ----------
-        context : EdgeContext
-            The process's edges.
+        context : object
+            The process's edges, with `world`, `senders` and `exit_code`.
         after : callable
             Runs after every tick; writes the new events.
         """
@@ -65,7 +64,7 @@
             world.tally.observe("tick", took_s * MS_PER_SECOND)
             for message in world.outbox.take_all():
                 world.tally.add("messages_sent", type(message).__name__)
-                senders[type(message)](self._context, message)
+                self._context.senders[type(message)](self._context, message)
         except Exception:
             self._abandon()
             return
--- /dev/null
+++ b/kingcuppost/platform/callers.py
@@ -0,0 +1,171 @@
+"""Callers' HTTP interface and the balancer's readiness check."""
+
+import json
+from typing import Annotated
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from twisted.web.server import Request
+
+from kingcuppost.batch.edges.context import BatchContext, batch_senders
+from kingcuppost.batch.edges.server import answer, open_exchange, surfaces
+from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.messages import (
+    CallerCall,
+    CallKind,
+    CallReply,
+    Stream,
+    SubmittedJob,
+    Verdict,
+)
+from kingcuppost.models.base import fault_text
+
+__all__: list[str] = []
+
+READY_PATH = "/kingcuppost/ready"
+DEFAULT_TIMEOUT_MS = 3_000
+MS_PER_SECOND = 1_000
+BEARER = "Bearer "
+KINDS = {
+    "POST": CallKind.SUBMIT,
+    "GET": CallKind.STATE,
+    "DELETE": CallKind.CANCEL,
+}
+STATUSES = {
+    Verdict.OK: 200,
+    Verdict.BAD: 400,
+    Verdict.NO_KEY: 401,
+    Verdict.NO_QUEUE: 404,
+    Verdict.NO_JOB: 410,
+    Verdict.NOT_RUN: 503,
+    Verdict.UNKNOWN: 504,
+}
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_METHOD = 405
+STATUS_UNAVAILABLE = 503
+
+Count = Annotated[int, Field(ge=0)]
+
+
+class _StepModel(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+    count: Annotated[int, Field(ge=1)] = 1
+    # thousandths of a core
+    cpu: Count = 0
+    memory_mb: Count = Field(0, alias="memMb")
+    # accelerators
+    gpu: Count = 0
+    estimate_ms: Count = Field(0, alias="estimateMs")
+    # steps that this one waits for
+    needs: tuple[Count, ...] = Field((), alias="dependsOn")
+    gang: bool = False
+    one_rack: bool = Field(False, alias="sameRack")
+    # a label that the minion must have
+    label: str = Field("", alias="requirements")
+    # the rack where the data lies
+    rack: str = Field("", alias="affinity")
+    # most tasks of the step on one minion
+    most_per_minion: Count = Field(0, alias="antiAffinity")
+    saves: bool = Field(False, alias="checkpointing")
+
+
+class _JobModel(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+    spec: str = ""
+    steps: Annotated[tuple[_StepModel, ...], Field(min_length=1)]
+
+
+def _step(model: _StepModel) -> StepSpec:
+    return StepSpec(
+        count=model.count,
+        cpu_millis=model.cpu,
+        memory_mb=model.memory_mb,
+        accelerators=model.gpu,
+        estimate_ms=model.estimate_ms,
+        needs=model.needs,
+        gang=model.gang,
+        one_rack=model.one_rack,
+        label=model.label,
+        rack=model.rack,
+        most_per_minion=model.most_per_minion,
+        saves=model.saves,
+    )
+
+
+def _decode_job(body: bytes) -> Result[SubmittedJob, str]:
+    try:
+        model = _JobModel.model_validate_json(body)
+    except ValidationError as exc:
+        return Error(fault_text(exc))
+    for number, step in enumerate(model.steps):
+        if any(needed >= number for needed in step.needs):
+            return Error(f"steps.{number}.dependsOn: names no earlier step")
+    return Ok(SubmittedJob(model.spec, tuple(_step(step) for step in model.steps)))
+
+
+@surfaces.register("callers")
+def serve_caller(context: BatchContext, request: Request) -> None:
+    """Turn a caller's request into a call."""
+    method = request.method.decode("ascii", "replace")
+    if method not in KINDS:
+        answer(request, STATUS_METHOD)
+        return
+    kind = KINDS[method]
+    job, fault = None, ""
+    if kind is CallKind.SUBMIT:
+        parsed = _decode_job(request.content.read())
+        job = parsed.default_value(None)
+        fault = parsed.error if parsed.is_error() else ""
+    authorization = request.getHeader("authorization") or ""
+    text = request.getHeader("deadline-ms") or ""
+    context.deliver(
+        CallerCall(
+            open_exchange(context, request),
+            kind,
+            request.getHeader("host") or "",
+            request.path.decode("utf-8", "replace"),
+            authorization.removeprefix(BEARER),
+            context.world.clock.now_ms(),
+            int(text) if text.isdigit() else DEFAULT_TIMEOUT_MS,
+            job,
+            fault,
+        )
+    )
+
+
+@batch_senders.register(CallReply)
+def send_call_reply(context: BatchContext, reply: CallReply) -> None:
+    """Answer a caller that still waits."""
+    request = context.exchanges.pop(reply.exchange_id, None)
+    if request is None:
+        return
+    body: dict[str, str | int] = {}
+    if reply.state is not None:
+        body["state"] = reply.state.value
+    if reply.waiting is not None:
+        body["pending"] = reply.waiting
+    if reply.reason:
+        body["error"] = reply.reason
+    retry_after_s = -(-reply.retry_after_ms // MS_PER_SECOND)
+    if context.world.stopping:
+        request.setHeader(b"connection", b"close")
+    answer(request, STATUSES[reply.verdict], json.dumps(body).encode(), retry_after_s)
+
+
+@surfaces.register("readiness")
+def serve_readiness(context: BatchContext, request: Request) -> None:
+    """Say whether the balancer may send callers here."""
+    if request.path.decode("ascii", "replace") != READY_PATH:
+        answer(request, STATUS_NOT_FOUND)
+        return
+    world = context.world
+    now_ms = world.clock.now_ms()
+    is_ready = (
+        not world.stopping
+        and world.agreed.configuration is not None
+        and is_fresh(world, Stream.JOBS, now_ms)
+        and is_fresh(world, Stream.OPERATORS, now_ms)
+    )
+    answer(request, STATUS_OK if is_ready else STATUS_UNAVAILABLE)
--- /dev/null
+++ b/kingcuppost/platform/operators.py
@@ -0,0 +1,97 @@
+"""Operators' records: configurations and zones taken out."""
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from kingcuppost.batch.tables.fleet import Configuration, Queue, Team
+from kingcuppost.batch.tables.messages import (
+    ConfigRecord,
+    Record,
+    Removed,
+    ZoneRecord,
+)
+from kingcuppost.exception import Failure
+from kingcuppost.models.base import fault_text
+
+__all__ = ["decode_operator_record"]
+
+CONFIG_KEY = "config"
+EVACUATE = "evacuate"
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _RouteModel(_Model):
+    # a route is a queue
+    name: str
+    host: str
+    prefix: str = Field(alias="pathPrefix")
+    service: str = ""
+    priority: int = 0
+    # failed runs of one task, not attempts of a request
+    most_failures: int = Field(1, alias="maxAttempts")
+    slack_factor: float = Field(1.0, alias="slackFactor")
+    public: bool = False
+
+
+class _GuaranteedModel(_Model):
+    gpu: int = 0
+
+
+class _TenantModel(_Model):
+    name: str
+    keys: tuple[str, ...] = Field((), alias="apiKeys")
+    guaranteed: _GuaranteedModel = _GuaranteedModel()
+
+
+class _ConfigModel(_Model):
+    version: int
+    routes: tuple[_RouteModel, ...] = ()
+    tenants: tuple[_TenantModel, ...] = ()
+
+
+def _configuration(model: _ConfigModel) -> Configuration:
+    queues = tuple(
+        Queue(
+            route.name,
+            route.host,
+            route.prefix,
+            route.service,
+            route.priority,
+            route.most_failures,
+            route.slack_factor,
+            route.public,
+        )
+        for route in model.routes
+    )
+    teams = {
+        tenant.name: Team(tenant.name, frozenset(tenant.keys), tenant.guaranteed.gpu)
+        for tenant in model.tenants
+    }
+    keys = {key: tenant.name for tenant in model.tenants for key in tenant.keys}
+    return Configuration(model.version, queues, teams, keys)
+
+
+def decode_operator_record(
+    key: str, value: bytes, peer: str
+) -> Result[Record, Failure]:
+    """Return what an operator's record says, or why it can't be read.
+
+    Examples
+    --------
+    >>> decode_operator_record("evacuate/vid-a", b"{}", "op").ok
+    ZoneRecord(availability_zone='vid-a')
+    >>> decode_operator_record("evacuate/vid-a", b"", "op").ok
+    Removed(key='zone/vid-a')
+    """
+    kind, _, rest = key.partition("/")
+    if kind == EVACUATE:
+        return Ok(ZoneRecord(rest) if value else Removed(f"zone/{rest}"))
+    if key != CONFIG_KEY or not value:
+        return Error(Failure(f"{key} is not acted on", "decode", peer))
+    try:
+        return Ok(ConfigRecord(_configuration(_ConfigModel.model_validate_json(value))))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), "decode", peer))
--- /dev/null
+++ b/kingcuppost/platform/settings.py
@@ -0,0 +1,144 @@
+"""The settings file of the platform."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from expression import Error, Ok, Result
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from kingcuppost.batch.tables.config import Bounds, DaemonConfig
+from kingcuppost.exception import Failure
+from kingcuppost.models.base import fault_text
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+
+__all__ = ["PlatformConfig", "read_settings"]
+
+SETTINGS_VARIABLE = "KINGCUPPOST_SETTINGS"
+MS_PER_SECOND = 1_000
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("is no IP:PORT")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+
+
+class _Model(BaseModel):
+    """A part of the file; keys that we don't know are passed over."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _BoundsModel(_Model):
+    hold_max_ms: int = Field(10_000, alias="holdMaxMs")
+    stop_ms: int = Field(400, alias="stopMs")
+    gang_ms: int = Field(3_000, alias="gangMs")
+    grace_s: float = Field(6, alias="graceS")
+    remote_factor: float = Field(3, alias="remoteFactor")
+    restore_ms: int = Field(250, alias="restoreMs")
+    status_s: float = 120
+
+
+class _ListenModel(_Model):
+    # where consumers' connections arrive
+    frontend: AddressText | None = None
+    readiness: AddressText | None = None
+    # where minions send their heartbeats
+    control: AddressText | None = None
+
+
+class _StoreModel(_Model):
+    address: AddressText
+
+
+class _SettingsModel(_Model):
+    name: str = Field(alias="nodeName")
+    ip: str
+    zone: str
+    ports: tuple[int, int] = Field(alias="internalPorts")
+    seeds: tuple[AddressText, ...] = ()
+    listen: _ListenModel
+    bounds: _BoundsModel = _BoundsModel()
+    # the store that holds logs and operators' records
+    platform: _StoreModel
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConfig:
+    """Addresses of the platform and of what this process serves there.
+
+    Attributes
+    ----------
+    daemon : DaemonConfig
+        What the product needs to know.
+    store : Address
+        The platform's store.
+    callers, readiness, heartbeats : Address or None
+        Where callers, the balancer's checks and minions' heartbeats arrive.
+    """
+
+    daemon: DaemonConfig
+    store: Address
+    callers: Address | None
+    readiness: Address | None
+    heartbeats: Address | None
+
+
+def _address(text: str | None) -> Address | None:
+    if text is None:
+        return None
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+def _bounds(model: _BoundsModel) -> Bounds:
+    return Bounds(
+        lease_ms=model.hold_max_ms,
+        stop_ms=model.stop_ms,
+        gang_ms=model.gang_ms,
+        grace_ms=int(model.grace_s * MS_PER_SECOND),
+        remote_factor=model.remote_factor,
+        restore_ms=model.restore_ms,
+        status_ms=int(model.status_s * MS_PER_SECOND),
+    )
+
+
+def _config(model: _SettingsModel, role: Role) -> PlatformConfig:
+    port = model.ports[0]
+    # a seed names the heartbeat port of an entry; its peer port is ours
+    seeds = tuple(Address(text.rpartition(":")[0], port) for text in model.seeds)
+    daemon = DaemonConfig(
+        role,
+        model.name,
+        model.zone,
+        Address(model.ip, port),
+        seeds,
+        _bounds(model.bounds),
+    )
+    return PlatformConfig(
+        daemon,
+        _address(model.platform.address),
+        _address(model.listen.frontend),
+        _address(model.listen.readiness),
+        _address(model.listen.control),
+    )
+
+
+def read_settings(role: Role) -> Result[PlatformConfig, Failure]:
+    """Return the settings of this process, or why the file holds none."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return Ok(_config(_SettingsModel.model_validate(document), role))
+    except ValidationError as exc:
+        return Error(Failure(fault_text(exc), f"read {path}"))
+    except (OSError, ValueError) as exc:
+        return Error(Failure(str(exc), f"read {path or SETTINGS_VARIABLE}"))
--- /dev/null
+++ b/kingcuppost/platform/streams.py
@@ -0,0 +1,268 @@
+"""The product's streams as topics of the store: following and appending."""
+
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from expression import Result
+from pydantic import BaseModel, ConfigDict, ValidationError
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from kingcuppost.batch.edges.context import (
+    BatchContext,
+    batch_senders,
+    deliver_later,
+)
+from kingcuppost.batch.models.records import decode_record, encode_record
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
+    Followed,
+    JobRecord,
+    ListMembers,
+    Record,
+    Stream,
+)
+from kingcuppost.exception import Failure, PeerError
+from kingcuppost.platform.framing import frame, keyed_record, split_keyed, split_read
+from kingcuppost.platform.operators import decode_operator_record
+from kingcuppost.platform.store import StoreClient, StoreReply
+
+__all__ = ["follow"]
+
+TOPICS = {
+    Stream.JOBS: "keyed.jobs",
+    Stream.MEMBERS: "keyed.members",
+    Stream.OPERATORS: "keyed.op",
+}
+WAIT_MS = 1_000
+READ_MARGIN_MS = 700
+LIST_TIMEOUT_MS = 1_500
+PAUSE_S = 0.15
+WRITER = "scheduler"
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_GONE = 410
+STATUS_PRECONDITION = 412
+
+
+class _Item(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+    key: str
+    value: str
+    offset: int
+
+
+class _Listing(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+    items: list[_Item] = []
+    more: bool = False
+    end: int
+
+
+class _AppendReply(BaseModel):
+    """Answer to an append, or the reason why it was refused."""
+
+    model_config = ConfigDict(extra="ignore")
+    offset: int = -1
+    end: int = -1
+    reason: str = ""
+    sequence: int | None = None
+
+
+def _query(path: str, **fields: Any) -> str:
+    return f"/kingcuppost/{path}?{urlencode(fields)}"
+
+
+def _decode(
+    stream: Stream, key: str, value: bytes, peer: str
+) -> Result[Record, Failure]:
+    if stream is Stream.OPERATORS:
+        return decode_operator_record(key, value, peer)
+    return decode_record(key, value, peer)
+
+
+def _row(
+    context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
+) -> list[tuple[int, Record]]:
+    """Return the record of a key and value; none if it can't be read."""
+    parsed = _decode(stream, key, value, f"{stream} {offset}")
+    if parsed.is_error():
+        context.world.note(
+            "log", "A record is passed over.", offset=offset, reason=parsed.error.reason
+        )
+        return []
+    return [(offset, parsed.ok)]
+
+
+async def _list(context: BatchContext, store: StoreClient, stream: Stream) -> Followed:
+    """Return the newest record of each key; the first page tells where to go on."""
+    sent_ms = context.world.clock.now_ms()
+    rows: list[tuple[int, Record]] = []
+    end = None
+    after = None
+    while True:
+        fields = {"topic": TOPICS[stream], "part": 0}
+        if after is not None:
+            # the store calls the key to continue behind `dependsOn`
+            fields["dependsOn"] = after
+        path = _query("log-newest", **fields)
+        reply = await store.call("GET", path, b"", LIST_TIMEOUT_MS)
+        page = _page(reply, store)
+        end = page.end if end is None else end
+        for item in page.items:
+            value = base64.b64decode(item.value)
+            rows += _row(context, stream, item.offset, item.key, value)
+        if not page.more or not page.items:
+            break
+        after = page.items[-1].key
+    rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
+    return Followed(stream, rows, sent_ms, end, whole=True)
+
+
+def _page(reply: StoreReply, store: StoreClient) -> _Listing:
+    if reply.status != STATUS_OK:
+        raise PeerError(f"status {reply.status}", "list", str(store.address))
+    try:
+        return _Listing.model_validate_json(reply.body)
+    except ValidationError as exc:
+        raise PeerError("unreadable listing", "list", str(store.address)) from exc
+
+
+async def _read(
+    context: BatchContext, store: StoreClient, stream: Stream, position: int
+) -> Followed | None:
+    """Return the records from an offset on; None if they are no longer kept."""
+    sent_ms = context.world.clock.now_ms()
+    path = _query(
+        "log-read", topic=TOPICS[stream], part=0, waitMs=WAIT_MS, **{"from": position}
+    )
+    reply = await store.call("GET", path, b"", WAIT_MS + READ_MARGIN_MS)
+    if reply.status == STATUS_GONE:
+        return None
+    if reply.status != STATUS_OK:
+        raise PeerError(f"status {reply.status}", "read", str(store.address))
+    try:
+        end, _, contents = split_read(reply.body)
+    except ValueError as exc:
+        raise PeerError(str(exc), "read", str(store.address)) from exc
+    if end < position:
+        return None
+    rows: list[tuple[int, Record]] = []
+    for offset, content in enumerate(contents, position):
+        try:
+            key, value = split_keyed(content)
+        except ValueError as exc:
+            context.world.note(
+                "log", "A record is passed over.", offset=offset, reason=str(exc)
+            )
+            continue
+        rows += _row(context, stream, offset, key, value)
+    return Followed(stream, rows, sent_ms, position + len(contents))
+
+
+def follow(context: BatchContext, store: StoreClient, stream: Stream) -> None:
+    """Follow a stream for good: list it, then read on; list again after a gap."""
+    ensureDeferred(_follow(context, store, stream)).addErrback(_log_fault, context)
+
+
+def _log_fault(failure: Any, context: BatchContext) -> None:
+    """End the process: one that follows the log no longer serves nobody."""
+    context.world.note("log", "Following failed.", reason=failure.getTraceback())
+    context.wake()
+    context.exit_code = 70
+    context.reactor.callLater(PAUSE_S, context.reactor.stop)
+
+
+async def _follow(context: BatchContext, store: StoreClient, stream: Stream) -> None:
+    position: int | None = None
+    is_lost = False
+    while True:
+        try:
+            if position is None:
+                batch = await _list(context, store, stream)
+            else:
+                batch = await _read(context, store, stream, position)
+        except PeerError as exc:
+            if not is_lost:
+                context.world.note(
+                    "log", "A stream is not followed.", stream=stream, reason=str(exc)
+                )
+            is_lost = True
+            await _pause(context)
+            continue
+        is_lost = False
+        position = batch.end if batch is not None else None
+        if batch is not None:
+            context.deliver(batch)
+
+
+def _pause(context: BatchContext) -> Deferred:
+    done: Deferred = Deferred()
+    delay_s = PAUSE_S * (1 + context.world.rng.random())
+    context.reactor.callLater(delay_s, done.callback, None)
+    return done
+
+
+@batch_senders.register(Append)
+def send_append(context: BatchContext, message: Append) -> None:
+    """Append records to a stream."""
+    deliver_later(context, _append(context, message))
+
+
+async def _append(context: BatchContext, message: Append) -> AppendEnded:
+    fields: dict[str, Any] = {"topic": TOPICS[message.stream], "part": 0}
+    if message.at is not None:
+        fields["at"] = message.at
+    if message.term is not None:
+        fields.update(producer=WRITER, epoch=message.term, sequence=message.sequence)
+    contents = [keyed_record(*encode_record(record)) for record in message.records]
+    path = _query("log-append", **fields)
+    started_ms = context.world.clock.now_ms()
+    try:
+        reply = await context.outside.store.call(
+            "POST", path, frame(contents), message.timeout_ms
+        )
+    except PeerError as exc:
+        never = exc.step == "connect"
+        outcome = AppendOutcome.REFUSED if never else AppendOutcome.UNKNOWN
+        return AppendEnded(message.id, outcome, reason=str(exc))
+    took_ms = context.world.clock.now_ms() - started_ms
+    context.world.tally.observe("append", took_ms, message.stream)
+    return _append_ended(message, reply)
+
+
+def _append_ended(message: Append, reply: StoreReply) -> AppendEnded:
+    try:
+        body = _AppendReply.model_validate(json.loads(reply.body or b"{}"))
+    except ValueError:
+        body = _AppendReply()
+    if reply.status == STATUS_OK:
+        return AppendEnded(message.id, AppendOutcome.DONE, body.offset, body.end)
+    reason = f"status {reply.status} {body.reason}"
+    if reply.status == STATUS_CONFLICT and body.reason == "fenced":
+        outcome = AppendOutcome.FENCED
+    elif reply.status in (STATUS_CONFLICT, STATUS_PRECONDITION):
+        outcome = AppendOutcome.CONFLICT
+        reason += f" expected {body.sequence}"
+    elif reply.doubtful:
+        outcome = AppendOutcome.UNKNOWN
+    else:
+        outcome = AppendOutcome.REFUSED
+    return AppendEnded(message.id, outcome, body.offset, body.end, reason)
+
+
+@batch_senders.register(ListMembers)
+def send_list_members(context: BatchContext, message: ListMembers) -> None:
+    """Ask the store for the members, once."""
+    deliver_later(context, _list_members(context))
+
+
+async def _list_members(context: BatchContext) -> Followed | None:
+    try:
+        return await _list(context, context.outside.store, Stream.MEMBERS)
+    except PeerError as exc:
+        context.world.note("log", "The members can't be listed.", reason=str(exc))
+        return None
--- /dev/null
+++ b/kingcuppost/utils/ticks.py
@@ -0,0 +1,112 @@
+"""Registries of systems, and the tick that runs them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+__all__ = ["Phase", "System", "SystemRegistry", "run_tick"]
+
+SystemFunction = Callable[[Any, int], None]
+
+
+class Phase(IntEnum):
+    """Order of the systems in a tick."""
+
+    FOLD = 1
+    INTAKE = 2
+    MEMBERSHIP = 3
+    DECIDE = 4
+    ACT = 5
+    PROPOSE = 6
+    REPORT = 7
+
+
+@dataclass(frozen=True, slots=True)
+class System:
+    """A registered system.
+
+    Attributes
+    ----------
+    name : str
+        Module and function.
+    phase : Phase
+        When it runs in a tick.
+    roles : tuple of str
+        Processes that run it.
+    run : callable
+        The function ``run(world, now_ms)``.
+    """
+
+    name: str
+    phase: Phase
+    roles: tuple[str, ...]
+    run: SystemFunction
+
+
+class SystemRegistry:
+    """Systems over one kind of world.
+
+    Parameters
+    ----------
+    roles : tuple of str
+        Roles of a system that names none.
+
+    Examples
+    --------
+    >>> registry = SystemRegistry(("entry",))
+    >>> @registry.system(Phase.FOLD)
+    ... def fold(world, now_ms):
+    ...     world.append(now_ms)
+    >>> world = []
+    >>> [item.run(world, 5) for item in registry.systems_of("entry")]
+    [None]
+    >>> world
+    [5]
+    """
+
+    def __init__(self, roles: tuple[str, ...]) -> None:
+        self._roles = roles
+        self._systems: dict[str, System] = {}
+
+    def system(
+        self, phase: Phase, roles: tuple[str, ...] | None = None
+    ) -> Callable[[SystemFunction], SystemFunction]:
+        """Return a decorator that registers a system.
+
+        Parameters
+        ----------
+        phase : Phase
+            When it runs in a tick; within a phase, systems run by name.
+        roles : tuple of str, optional
+            Processes that run it; all if None.
+        """
+
+        def register(run: SystemFunction) -> SystemFunction:
+            name = f"{run.__module__}.{run.__name__}"
+            self._systems[name] = System(name, phase, roles or self._roles, run)
+            return run
+
+        return register
+
+    def systems_of(self, role: str) -> list[System]:
+        """Return a role's systems in the order in which a tick runs them."""
+        chosen = [item for item in self._systems.values() if role in item.roles]
+        return sorted(chosen, key=lambda item: (item.phase, item.name))
+
+
+def run_tick(world: Any, systems: list[System], now_ms: int) -> None:
+    """Run every system once.
+
+    Parameters
+    ----------
+    world : object
+        Tables of the process, with `deadlines`.
+    systems : list of System
+        What `SystemRegistry.systems_of` returned.
+    now_ms : int
+        Monotonic time of the tick.
+    """
+    world.deadlines.drop_due(now_ms)
+    for item in systems:
+        item.run(world, now_ms)
