Claim the lease after long polls too; a deployment in simulated time

Cause: a stream counted as regained after each long poll of over 1 s, so the silence of a dead holder never became long enough; a term at offset 0 was taken for none; SIGHUP ended processes (code 129). Ruled out: claims refused by the log, fold of the claim. Change: a gap is what is no longer fresh; terms begin at 1; SIGHUP reads the settings; a holder's successor of the same name claims at once. standins/batch plays entries, sidecars, minions and the log without sockets, with checks and random faults by seed; its long poll of 1.1 s fails 3 tests of the lease before the change.

--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -3,8 +3,11 @@
 import os
 import random
 import signal
+from collections.abc import Callable
 from typing import Any
 
+from expression import Result
+
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
 from kingcuppost.batch.edges.logs import LineLog
 from kingcuppost.batch.systems import load_systems
@@ -14,6 +17,7 @@
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.loop import TickLoop
+from kingcuppost.exception import Failure
 from kingcuppost.utils import Clock, SystemClock, new_identifier
 
 __all__ = ["build_batch_context", "make_batch_world", "run_batch_process"]
@@ -54,12 +58,39 @@
     return context
 
 
-def run_batch_process(context: BatchContext) -> int:
-    """Run until the process is told to stop, and return its exit code."""
+ReadConfig = Callable[[], Result[DaemonConfig, Failure]]
+
+
+def _reload(context: BatchContext, read: ReadConfig) -> None:
+    """Take changed settings; a file that can't be read changes nothing."""
+    world = context.world
+    result = read()
+    if result.is_error():
+        world.note("settings", "The settings are refused.", reason=result.error.reason)
+    else:
+        world.note("settings", "The settings are read again.")
+        world.cfg = result.ok
+    context.wake()
+
+
+def run_batch_process(context: BatchContext, read: ReadConfig) -> int:
+    """Run until the process is told to stop, and return its exit code.
+
+    Parameters
+    ----------
+    context : BatchContext
+        The process's edges.
+    read : callable
+        Reads the settings again, on SIGHUP.
+    """
 
     def stop(number: int, frame: object) -> None:
         context.reactor.callFromThread(context.deliver, StopAsked())
 
+    def reload(number: int, frame: object) -> None:
+        context.reactor.callFromThread(_reload, context, read)
+
+    signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     world = context.world
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -25,7 +25,6 @@
 __all__ = ["fold_streams", "is_fresh"]
 
 FRESH_MS = 2_000
-GAP_MS = 1_000
 
 Applier = Callable[[BatchWorld, int, Any], None]
 appliers: Registry[type, Applier] = Registry("applier of record")
@@ -52,7 +51,7 @@
 
 def _note_freshness(world: BatchWorld, batch: Followed, now_ms: int) -> None:
     view = world.agreed.views[batch.stream]
-    if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > GAP_MS:
+    if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > FRESH_MS:
         view.regained_ms = now_ms
         world.note("log", "A stream is followed again.", stream=batch.stream)
     view.fresh_ms = max(view.fresh_ms or 0, batch.sent_ms)
@@ -124,12 +123,13 @@
 
 @appliers.register(ClaimRecord)
 def _apply_claim(world: BatchWorld, offset: int, record: ClaimRecord) -> None:
-    if offset <= world.agreed.holder.term:
+    term = offset + 1
+    if term <= world.agreed.holder.term:
         return
     world.agreed.holder = HolderView(
-        offset, record.name, record.incarnation, record.address, world.clock.now_ms()
+        term, record.name, record.incarnation, record.address, world.clock.now_ms()
     )
-    world.note("lease", "A term began.", term=offset, holder=record.name)
+    world.note("lease", "A term began.", term=term, holder=record.name)
 
 
 @appliers.register(RenewRecord)
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -1,7 +1,7 @@
 """The scheduling lease: claims and renewals among the entries.
 
 A claim is appended only where the stream of members ends as the claimer has read it,
-so that of two claimers one wins; its offset is the term. Clocks only decide when to
+so that of two claimers one wins; its offset makes the term. Clocks only decide when to
 try: the writes of an old term are refused by the log.
 """
 
@@ -83,13 +83,15 @@
 def _claim_due_ms(world: BatchWorld) -> int | None:
     """Return when the lease may be claimed; None before the members are known.
 
-    Silence counts only while this process could have read a renewal.
+    Silence counts only while this process could have read a renewal. A holder of this
+    process's name was its predecessor, which is gone.
     """
     view = world.agreed.views[Stream.MEMBERS]
     if view.end < 0:
         return None
     holder = world.agreed.holder
-    if holder.term < 0 or holder.released:
+    is_predecessor = holder.name == world.cfg.name
+    if holder.term <= 0 or holder.released or is_predecessor:
         return 0
     heard_ms = max(holder.beat_ms, view.regained_ms)
     return heard_ms + SILENCE_MS + world.schedule.jitter_ms
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -160,7 +160,7 @@
     Attributes
     ----------
     term : int
-        Offset of the claim that opened the term; -1 if there is none.
+        One more than the offset of the claim that opened it; 0 if there is none.
     name, incarnation : str
         Who holds it.
     address : Address or None
@@ -171,7 +171,7 @@
         Whether the holder has given the lease back.
     """
 
-    term: int = -1
+    term: int = 0
     name: str = ""
     incarnation: str = ""
     address: Address | None = None
--- a/kingcuppost/batch/tables/messages.py
+++ b/kingcuppost/batch/tables/messages.py
@@ -101,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRecord:
-    """An entry claimed the scheduling lease; the record's offset is the term."""
+    """An entry claimed the scheduling lease; the record's offset makes the term."""
 
     name: str
     address: Address
--- a/kingcuppost/platform/__main__.py
+++ b/kingcuppost/platform/__main__.py
@@ -4,6 +4,10 @@
 import sys
 from dataclasses import dataclass
 
+from expression import Result
+
+from kingcuppost.batch.tables.config import DaemonConfig
+from kingcuppost.exception import Failure
 from kingcuppost.platform.settings import PlatformConfig, read_settings
 from kingcuppost.tables.identity import Role
 
@@ -44,7 +48,12 @@
         from kingcuppost.platform import minion  # noqa: F401
 
         listen(context, "heartbeats", cfg.heartbeats)
-    return processes.run_batch_process(context)
+    role = cfg.daemon.role
+
+    def read() -> Result[DaemonConfig, Failure]:
+        return read_settings(role).map(lambda changed: changed.daemon)
+
+    return processes.run_batch_process(context, read)
 
 
 def main(argv: list[str] | None = None) -> int:
--- /dev/null
+++ b/standins/batch/__main__.py
@@ -0,0 +1,31 @@
+"""Play days of random faults and print what they broke."""
+
+import argparse
+import sys
+
+from standins.batch.soak import play
+
+__all__ = ["main"]
+
+
+def main() -> int:
+    """Play one day a seed; return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="standins.batch", description=__doc__)
+    parser.add_argument("first", type=int, help="first seed")
+    parser.add_argument("days", type=int, nargs="?", default=1, help="how many")
+    parser.add_argument("--faults", type=int, default=6, help="faults a day")
+    args = parser.parse_args()
+    is_bad = False
+    for seed in range(args.first, args.first + args.days):
+        outcome = play(seed, args.faults)
+        is_bad = is_bad or bool(outcome.broken)
+        print(f"{seed}: {outcome.completed} of {outcome.jobs} completed", flush=True)
+        for line in outcome.broken[:5]:
+            print(f"  {line}")
+        if outcome.broken:
+            print("  " + "; ".join(outcome.happened))
+    return int(is_bad)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/batch/deployment.py
@@ -0,0 +1,623 @@
+"""Entries, sidecars, minions and the log over a seeded network, in simulated time."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Any
+
+from kingcuppost.batch.edges.processes import make_batch_world
+from kingcuppost.batch.models import (
+    decode_record,
+    decode_sync_call,
+    decode_sync_reply,
+    encode_record,
+    encode_sync_call,
+    encode_sync_reply,
+)
+from kingcuppost.batch.systems import load_systems, run_tick
+from kingcuppost.batch.tables.config import Bounds, DaemonConfig
+from kingcuppost.batch.tables.fleet import Configuration, Queue, Room, Team
+from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec, TaskName
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
+    CallerCall,
+    CallKind,
+    CallReply,
+    ConfigRecord,
+    Followed,
+    HoldMinion,
+    JobRecord,
+    ListMembers,
+    MinionHeard,
+    MinionLists,
+    MinionReport,
+    OrderAnswered,
+    OrderOutcome,
+    SendSync,
+    StartRun,
+    StopAsked,
+    StopProcess,
+    StopRun,
+    Stream,
+    SubmittedJob,
+    SyncAnswered,
+    SyncReply,
+    Verdict,
+    ZoneRecord,
+)
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils import ManualClock
+from standins.batch.checks import Checks
+from standins.batch.minions import Minion
+from standins.batch.store import Store
+
+__all__ = ["Deployment", "Process"]
+
+HOST = "desk.example"
+KEY = "key-a"
+PREFIXES = ("/urgent/", "/design/", "/batch/")
+STEP_MS = 10
+POLL_MS = 1_100
+HEARTBEAT_MS = 500
+PORT = 7000
+
+
+@dataclass
+class Process:
+    """One process of the system.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether it reaches neither log nor peers.
+    is_turned_away : bool
+        Whether the log refuses it.
+    is_frozen : bool
+        Whether it stands still.
+    """
+
+    name: str
+    zone: str
+    role: Role
+    address: Address
+    world: Any = None
+    systems: Any = None
+    life: int = 0
+    is_up: bool = False
+    is_cut: bool = False
+    is_turned_away: bool = False
+    is_frozen: bool = False
+    minion: Minion | None = None
+    followed: dict[Stream, int] | None = None
+
+
+class Deployment:
+    """A whole deployment.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the network, the processes and the faults.
+    entries, minions : int
+        How many there are.
+    """
+
+    def __init__(self, seed: int = 1, entries: int = 3, minions: int = 9) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(start_ms=1_000)
+        self.store = Store()
+        self.checks = Checks()
+        self.bounds = Bounds(lease_ms=6_000, gang_ms=3_000, stop_ms=200)
+        self.works: dict[str, list[float]] = {}
+        self.steps: dict[str, tuple[StepSpec, ...]] = {}
+        self.replies: dict[str, CallReply] = {}
+        self.log_is_down = False
+        self.lost_answers = 0.0
+        self.late_orders = 0.0
+        self.processes: dict[str, Process] = {}
+        self.minions: dict[str, Minion] = {}
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._exchanges: dict[tuple[str, int, str], Callable[[bytes], None]] = {}
+        self._ticking: set[tuple[str, int]] = set()
+        self._calls = count()
+        self._configure()
+        for index in range(entries):
+            self._add(f"entry-{index}", f"zone-{index % 3}", Role.ENTRY, index + 1)
+        for index in range(minions):
+            name = f"side-{index}"
+            process = self._add(name, f"zone-{index % 3}", Role.SIDECAR, index + 101)
+            process.minion = self._minion(index)
+        for process in self.processes.values():
+            self.start(process.name)
+
+    def _configure(self) -> None:
+        queues = tuple(
+            Queue(f"queue-{priority}", HOST, prefix, "svc", priority, 3, 2.0)
+            for priority, prefix in enumerate(PREFIXES)
+        )
+        teams = {"a": Team("a", frozenset({KEY}), 16)}
+        self.configuration = Configuration(1, queues, teams, {KEY: "a"})
+        self.closed: set[str] = set()
+
+    def _add(self, name: str, zone: str, role: Role, host: int) -> Process:
+        process = Process(name, zone, role, Address(f"10.0.0.{host}", PORT))
+        self.processes[name] = process
+        return process
+
+    def _minion(self, index: int) -> Minion:
+        minion = Minion(
+            f"m-{index}",
+            f"zone-{index % 3}",
+            f"r{index % 3}-1",
+            Room(64_000, 131_072, 8),
+            self.checks,
+            self.clock.now_ms,
+            self._work_of,
+            self.bounds.lease_ms,
+            self.bounds.gang_ms,
+            speed=0.55 if index % 4 == 0 else 1.2,
+        )
+        self.minions[minion.id] = minion
+        return minion
+
+    def _work_of(self, task: TaskName) -> tuple[StepSpec, float]:
+        return self.steps[task.job][task.step], self.works[task.job][task.step]
+
+    # processes
+
+    def start(self, name: str) -> None:
+        """Start a process anew; it knows nothing of before."""
+        process = self.processes[name]
+        process.life += 1
+        process.is_up = True
+        process.is_frozen = False
+        seeds = tuple(
+            other.address
+            for other in self.processes.values()
+            if other.role is Role.ENTRY
+        )[:3]
+        cfg = DaemonConfig(
+            process.role, name, process.zone, process.address, seeds, self.bounds
+        )
+        process.world = make_batch_world(cfg, self.clock, self.rng.getrandbits(32))
+        process.systems = load_systems(process.role)
+        process.followed = dict.fromkeys(Stream, -1)
+        self.wake(process)
+        if process.role is Role.ENTRY:
+            for stream in Stream:
+                self._follow(process, process.life, stream)
+        else:
+            self._beat(process, process.life, 1)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.processes[name].is_up = False
+
+    def stop(self, name: str) -> None:
+        """Ask a process to stop."""
+        self._deliver(self.processes[name], StopAsked())
+
+    def holder(self) -> Process | None:
+        """Return the entry that schedules, or None."""
+        for process in self.processes.values():
+            if process.role is Role.ENTRY and process.is_up:
+                if process.world.schedule.loaded:
+                    return process
+        return None
+
+    # time
+
+    def at(self, delay_ms: float, run: Callable[[], None]) -> None:
+        """Run something later."""
+        due_ms = self.clock.now_ms() + max(int(delay_ms), 0)
+        heapq.heappush(self._events, (due_ms, next(self._numbers), run))
+
+    def run_for(self, span_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self.clock.now_ms() + span_ms
+        while self.clock.now_ms() < end_ms:
+            step_end_ms = min(self.clock.now_ms() + STEP_MS, end_ms)
+            while self._events and self._events[0][0] <= step_end_ms:
+                due_ms, _, run = heapq.heappop(self._events)
+                self.clock.advance(max(due_ms - self.clock.now_ms(), 0))
+                run()
+            self.clock.advance(max(step_end_ms - self.clock.now_ms(), 0))
+            self._advance_minions()
+
+    def run_until(self, is_true: Callable[[], bool], limit_ms: int) -> bool:
+        """Let time pass until a condition holds; return whether it does."""
+        end_ms = self.clock.now_ms() + limit_ms
+        while not is_true() and self.clock.now_ms() < end_ms:
+            self.run_for(STEP_MS * 5)
+        return is_true()
+
+    def _advance_minions(self) -> None:
+        up = [minion for minion in self.minions.values() if minion.is_up]
+        for minion in up:
+            minion.advance(STEP_MS)
+        self._lead_gangs(up)
+
+    def _lead_gangs(self, up: list[Minion]) -> None:
+        """Begin gangs that are whole, break those that are not, end them together."""
+        gangs: dict[tuple, list[tuple[Minion, Any]]] = {}
+        for minion in up:
+            for run in minion.runs.values():
+                if run.step.gang:
+                    key = (run.task.job, run.task.step, run.run)
+                    gangs.setdefault(key, []).append((minion, run))
+        for members in gangs.values():
+            whole = len(members) == members[0][1].step.count
+            if whole and all(run.stop_at_ms is None for _, run in members):
+                self._lead(members)
+            else:
+                for minion, run in members:
+                    if run.is_working and run.stop_at_ms is None:
+                        minion.end(run, RunEnd.BROKEN)
+
+    def _lead(self, members: list[tuple[Minion, Any]]) -> None:
+        least_ms = min(run.done_ms for _, run in members)
+        for _, run in members:
+            run.is_working = True
+            run.done_ms = least_ms if run.done_ms - least_ms > 500 else run.done_ms
+        if all(run.done_ms >= run.work_ms for _, run in members):
+            for minion, run in members:
+                minion.end(run, RunEnd.DONE)
+
+    # ticks
+
+    def wake(self, process: Process) -> None:
+        """Ask for a tick."""
+        key = (process.name, process.life)
+        if key not in self._ticking:
+            self._ticking.add(key)
+            self.at(0, lambda: self._tick(process, key))
+
+    def _tick(self, process: Process, key: tuple[str, int]) -> None:
+        self._ticking.discard(key)
+        if not process.is_up or process.life != key[1]:
+            return
+        if process.is_frozen:
+            self.at(50, lambda: self.wake(process) if process.life == key[1] else None)
+            return
+        world = process.world
+        run_tick(world, process.systems, self.clock.now_ms())
+        for message in world.outbox.take_all():
+            self._send(process, message)
+        if len(world.inbox):
+            self.wake(process)
+        due_ms = world.deadlines.next_ms()
+        if due_ms is not None:
+            self.at(
+                max(due_ms - self.clock.now_ms(), 1), lambda: self._due(process, key)
+            )
+
+    def _due(self, process: Process, key: tuple[str, int]) -> None:
+        due_ms = process.world.deadlines.next_ms()
+        if process.life == key[1] and due_ms is not None:
+            if due_ms <= self.clock.now_ms():
+                self.wake(process)
+
+    def _deliver(self, process: Process, message: Any, life: int | None = None) -> None:
+        if process.is_up and life in (None, process.life):
+            process.world.inbox.put(message)
+            self.wake(process)
+
+    def _later(
+        self, process: Process, delay_ms: float, make: Callable[[], Any]
+    ) -> None:
+        life = process.life
+        self.at(delay_ms, lambda: self._deliver(process, make(), life))
+
+    def _delay_ms(self) -> float:
+        return 1 + self.rng.random() * 4
+
+    # messages
+
+    def _send(self, process: Process, message: Any) -> None:
+        if isinstance(message, Append):
+            self._append(process, message)
+        elif isinstance(message, SendSync):
+            self._sync(process, message)
+        elif isinstance(message, SyncReply):
+            self._answer(process, message)
+        elif isinstance(message, CallReply):
+            self.replies[message.exchange_id] = message
+        elif isinstance(message, HoldMinion):
+            self._hold(process, message)
+        elif isinstance(message, StartRun | StopRun):
+            self._order(process, message)
+        elif isinstance(message, ListMembers):
+            batch = self._listing(Stream.MEMBERS)
+            if not process.is_cut and not self.log_is_down:
+                self._later(process, 5, lambda: batch)
+        elif isinstance(message, StopProcess):
+            process.is_up = False
+
+    def _log_reaches(self, process: Process) -> bool:
+        return not (process.is_cut or process.is_turned_away or self.log_is_down)
+
+    def _append(self, process: Process, message: Append) -> None:
+        if not self._log_reaches(process):
+            answer = AppendEnded(
+                message.id, AppendOutcome.REFUSED, reason="turned away"
+            )
+            self._later(process, 20, lambda: answer)
+            return
+        lost = self.rng.random() < self.lost_answers
+        late_ms = self.rng.random() * 3_000 if lost and self.rng.random() < 0.5 else 0
+
+        def apply() -> None:
+            records = [encode_record(record) for record in message.records]
+            done = self.store.append(
+                message.stream, records, message.at, message.term, message.sequence
+            )
+            if not lost:
+                answer = AppendEnded(message.id, done.outcome, done.offset, done.end)
+                self._later(process, self._delay_ms(), lambda: answer)
+            self._tell_followers(message.stream)
+
+        self.at(late_ms + self._delay_ms(), apply)
+        if lost:
+            answer = AppendEnded(message.id, AppendOutcome.UNKNOWN, reason="lost")
+            self._later(process, message.timeout_ms, lambda: answer)
+
+    def _tell_followers(self, stream: Stream) -> None:
+        for process in self.processes.values():
+            if process.role is Role.ENTRY and process.is_up:
+                life = process.life
+                self.at(
+                    self._delay_ms(),
+                    lambda process=process, life=life: self._read(
+                        process, life, stream
+                    ),
+                )
+
+    def _follow(self, process: Process, life: int, stream: Stream) -> None:
+        """Read a stream now and then, as a long poll does."""
+        if process.life != life or not process.is_up:
+            return
+        self._read(process, life, stream)
+        self.at(POLL_MS, lambda: self._follow(process, life, stream))
+
+    def _read(self, process: Process, life: int, stream: Stream) -> None:
+        if process.life != life or not process.is_up or process.is_frozen:
+            return
+        if not self._log_reaches(process):
+            return
+        if stream is Stream.OPERATORS:
+            self._deliver(process, self._operators())
+            return
+        position = process.followed[stream]
+        records = None if position < 0 else self.store.read(stream, position)
+        if records is None:
+            batch = self._listing(stream)
+        else:
+            rows = [
+                (offset, self._decoded(key, value))
+                for offset, (key, value) in enumerate(records, position)
+            ]
+            now_ms = self.clock.now_ms()
+            batch = Followed(stream, rows, now_ms, position + len(rows))
+        process.followed[stream] = batch.end
+        self._deliver(process, batch)
+
+    def _decoded(self, key: str, value: bytes) -> Any:
+        return decode_record(key, value, "log").ok
+
+    def _listing(self, stream: Stream) -> Followed:
+        rows = [
+            (offset, self._decoded(key, value))
+            for offset, key, value in self.store.newest(stream)
+        ]
+        rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
+        end = self.store.end(stream)
+        return Followed(stream, rows, self.clock.now_ms(), end, whole=True)
+
+    def _operators(self) -> Followed:
+        rows = [(0, ConfigRecord(self.configuration))]
+        rows += [(1, ZoneRecord(zone)) for zone in sorted(self.closed)]
+        return Followed(Stream.OPERATORS, rows, self.clock.now_ms(), 2, whole=True)
+
+    def _sync(self, process: Process, message: SendSync) -> None:
+        sent_ms = self.clock.now_ms()
+        life = process.life
+        other = next(
+            (
+                item
+                for item in self.processes.values()
+                if item.address == message.address
+            ),
+            None,
+        )
+        open_exchange = [True]
+
+        def finish(reply: SyncReply | None, reason: str = "") -> None:
+            if open_exchange[0]:
+                open_exchange[0] = False
+                answered = SyncAnswered(
+                    message.number, message.address, sent_ms, reply, reason
+                )
+                self._deliver(process, answered, life)
+
+        def arrive() -> None:
+            if other is None or not other.is_up or other.is_cut or process.is_cut:
+                return
+            exchange_id = f"x{next(self._numbers)}"
+            text = encode_sync_call(message.call)
+            call = decode_sync_call(text, exchange_id, process.name).ok
+            self._exchanges[other.name, other.life, exchange_id] = answer
+            self._deliver(other, call)
+
+        def answer(text: bytes) -> None:
+            if not process.is_cut and not other.is_cut:
+                finish(decode_sync_reply(text, other.name).ok)
+
+        self.at(self._delay_ms(), arrive)
+        is_refused = other is None or not other.is_up
+        timeout_ms = 5 if is_refused else message.timeout_ms
+        self.at(timeout_ms, lambda: finish(None, "no answer"))
+
+    def _answer(self, process: Process, reply: SyncReply) -> None:
+        key = (process.name, process.life, reply.exchange_id)
+        answer = self._exchanges.pop(key, None)
+        if answer is not None:
+            text = encode_sync_reply(reply)
+            self.at(self._delay_ms(), lambda: answer(text))
+
+    # minions
+
+    def _beat(self, process: Process, life: int, number: int) -> None:
+        if process.life != life or not process.is_up:
+            return
+        minion = process.minion
+        if minion is not None and minion.is_up and not process.is_frozen:
+            report = MinionReport(
+                minion.life,
+                "svc",
+                minion.zone,
+                ("a", minion.rack),
+                replace(minion.room),
+                minion.draining,
+                0,
+                False,
+            )
+            address = Address("10.1.0.1", PORT)
+            self._deliver(process, MinionHeard(address, report, number))
+        self.at(HEARTBEAT_MS, lambda: self._beat(process, life, number + 1))
+
+    def _hold(self, process: Process, message: HoldMinion) -> None:
+        minion = process.minion
+        sent_ms = self.clock.now_ms()
+        life = process.life
+        limit_ms = sent_ms + message.wait_ms
+
+        def look(is_first: bool) -> None:
+            if process.life != life:
+                return
+            now_ms = self.clock.now_ms()
+            if not minion.is_up or minion.life != message.life:
+                lists = MinionLists(message.life, sent_ms, now_ms, reason="other life")
+                self._deliver(process, lists, life)
+                return
+            until_ms = message.until_ms if is_first else None
+            running, ended = minion.hold(message.term, message.seen, until_ms)
+            if not ended and now_ms < limit_ms:
+                self.at(20, lambda: look(False))
+                return
+            lists = MinionLists(message.life, sent_ms, now_ms, now_ms, running, ended)
+            self._later(process, 1, lambda: lists)
+
+        self.at(1, lambda: look(True))
+
+    def _order(self, process: Process, message: StartRun | StopRun) -> None:
+        minion = process.minion
+        life = process.life
+        is_start = isinstance(message, StartRun)
+        is_late = self.rng.random() < self.late_orders
+
+        def apply() -> None:
+            if not minion.is_up or minion.life != message.life:
+                return
+            order = message.order
+            if is_start:
+                reason = minion.start(
+                    message.term, order.task, order.run, order.saved, message.until_ms
+                )
+            else:
+                reason = minion.stop(message.term, order.task, order.run)
+            if not is_late:
+                outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
+                answered(outcome, reason)
+
+        def answered(outcome: OrderOutcome, reason: str) -> None:
+            order = message.order
+            answer = OrderAnswered(
+                message.life, order.task, order.run, is_start, outcome, reason
+            )
+            self._later(process, 1, lambda: answer)
+
+        if is_late:
+            self.at(2_000 + self.rng.random() * 6_000, apply)
+            self.at(
+                600, lambda: self._deliver_unknown(process, life, message, is_start)
+            )
+        else:
+            self.at(1, apply)
+
+    def _deliver_unknown(
+        self, process: Process, life: int, message: Any, is_start: bool
+    ) -> None:
+        order = message.order
+        answer = OrderAnswered(
+            message.life, order.task, order.run, is_start, OrderOutcome.UNKNOWN, "late"
+        )
+        self._deliver(process, answer, life)
+
+    # callers
+
+    def call(
+        self,
+        kind: CallKind,
+        path: str,
+        entry: str = "",
+        job: SubmittedJob | None = None,
+    ) -> str:
+        """Send a call to an entry and return the identifier of its exchange."""
+        ups = [
+            process
+            for process in self.processes.values()
+            if process.role is Role.ENTRY and process.is_up
+        ]
+        process = self.processes[entry] if entry else self.rng.choice(ups or [None])
+        exchange_id = f"call-{next(self._calls)}"
+        if process is not None:
+            now_ms = self.clock.now_ms()
+            self._deliver(
+                process,
+                CallerCall(exchange_id, kind, HOST, path, KEY, now_ms, 3_000, job),
+            )
+        return exchange_id
+
+    def submit(
+        self,
+        steps: tuple[StepSpec, ...],
+        work_ms: list[float],
+        priority: int = 1,
+        job_id: str = "",
+        entry: str = "",
+    ) -> tuple[str, str]:
+        """Hand a job in; return its identifier and that of the exchange."""
+        job_id = job_id or f"{self.rng.getrandbits(64):016x}"
+        self.steps[job_id] = steps
+        self.works[job_id] = work_ms
+        self.checks.submitted(
+            job_id,
+            [step.count for step in steps],
+            tuple(step.needs for step in steps),
+            tuple(step.gang for step in steps),
+            self.configuration.queues[priority].most_failures,
+        )
+        path = PREFIXES[priority] + job_id
+        job = SubmittedJob("work", steps)
+        return job_id, self.call(CallKind.SUBMIT, path, entry, job)
+
+    def state(self, job_id: str, priority: int = 1) -> JobState | None:
+        """Return the state that any entry shows, or None if none answers."""
+        exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
+        self.run_for(30)
+        reply = self.replies.get(exchange_id)
+        if reply is None or reply.verdict is not Verdict.OK:
+            return None
+        if reply.state is not None:
+            self.checks.shown(job_id, reply.state)
+        return reply.state
+
+    def cancel(self, job_id: str, priority: int = 1) -> str:
+        """Cancel a job and return the identifier of the exchange."""
+        return self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
--- /dev/null
+++ b/standins/batch/minions.py
@@ -0,0 +1,198 @@
+"""Minions that run tasks under a lease, alone or in gangs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from kingcuppost.batch.tables.fleet import Room
+from kingcuppost.batch.tables.job import Life, RunEnd, StepSpec, TaskName
+from kingcuppost.batch.tables.messages import EndedRun, RunningRun
+from standins.batch.checks import Checks
+
+__all__ = ["Minion", "Run"]
+
+CHECKPOINT_MS = 1_000
+STOP_MS = 200
+RESTORE_MS = 250
+
+
+@dataclass
+class Run:
+    """A run at a minion.
+
+    Attributes
+    ----------
+    done_ms : float
+        Work done, in ms at speed 1.
+    saved_ms : float
+        Work that the newest checkpoint holds.
+    stop_at_ms : int or None
+        When a stop takes effect.
+    """
+
+    task: TaskName
+    run: int
+    step: StepSpec
+    work_ms: float
+    began_ms: int
+    done_ms: float = 0.0
+    saved_ms: float = 0.0
+    stop_at_ms: int | None = None
+    is_working: bool = False
+
+
+@dataclass
+class Minion:
+    """A back end with room for tasks, seen through its calls.
+
+    Attributes
+    ----------
+    fails : bool
+        Whether it fails all that it starts.
+    hangs : bool
+        Whether its tasks stand still.
+    """
+
+    id: str
+    zone: str
+    rack: str
+    room: Room
+    checks: Checks
+    now_ms: Callable[[], int]
+    work_of: Callable[[TaskName], tuple[StepSpec, float]]
+    lease_ms: int
+    gang_ms: int
+    speed: float = 1.0
+    born_ms: int = 0
+    draining: bool = False
+    fails: bool = False
+    hangs: bool = False
+    is_up: bool = True
+    until_ms: int = 0
+    token: int = 0
+    runs: dict[tuple[TaskName, int], Run] = field(default_factory=dict)
+    over: dict[TaskName, int] = field(default_factory=dict)
+    ended: list[EndedRun] = field(default_factory=list)
+    count: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return the present life."""
+        return Life(self.id, self.born_ms)
+
+    def restart(self) -> None:
+        """Begin a new life that holds and knows nothing of before."""
+        self.born_ms = self.now_ms() + 1
+        for key in list(self.runs):
+            self.checks.lost(key[0], key[1])
+        self.runs.clear()
+        self.over.clear()
+        self.ended.clear()
+        self.count = 0
+        self.until_ms = 0
+        self.token = 0
+        self.draining = False
+
+    def _free(self) -> Room:
+        room = replace(self.room)
+        for run in self.runs.values():
+            room.cpu_millis -= run.step.cpu_millis
+            room.memory_mb -= run.step.memory_mb
+            room.accelerators -= run.step.accelerators
+        return room
+
+    def start(
+        self, token: int, task: TaskName, run: int, saved: str, until_ms: int
+    ) -> str:
+        """Begin a run; return why not, or an empty text."""
+        if token < self.token:
+            return "fence"
+        self.token = token
+        now_ms = self.now_ms()
+        if (task, run) in self.runs:
+            return ""
+        if run <= self.over.get(task, 0):
+            return "old"
+        if until_ms <= now_ms:
+            return "late"
+        self._extend(until_ms)
+        step, work_ms = self.work_of(task)
+        free = self._free()
+        if (
+            free.cpu_millis < step.cpu_millis
+            or free.memory_mb < step.memory_mb
+            or free.accelerators < step.accelerators
+        ):
+            return "room"
+        done_ms = float(saved or 0)
+        row = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
+        self.runs[task, run] = row
+        self.checks.started(self.id, task, run, saved)
+        if self.fails:
+            self.end(row, RunEnd.FAILED)
+        return ""
+
+    def stop(self, token: int, task: TaskName, run: int) -> str:
+        """Order the end of a run."""
+        if token < self.token:
+            return "fence"
+        self.over[task] = max(self.over.get(task, 0), run)
+        row = self.runs.get((task, run))
+        if row is not None and row.stop_at_ms is None:
+            row.stop_at_ms = self.now_ms() + STOP_MS
+        return ""
+
+    def _extend(self, until_ms: int) -> None:
+        longest_ms = self.now_ms() + self.lease_ms
+        self.until_ms = max(self.until_ms, min(until_ms, longest_ms))
+
+    def hold(
+        self, token: int, seen: int, until_ms: int | None
+    ) -> tuple[tuple[RunningRun, ...], tuple[EndedRun, ...]]:
+        """Extend the lease and return what runs and what has ended."""
+        self.token = max(token, self.token)
+        if until_ms is not None:
+            self._extend(until_ms)
+        self.checks.noted(self.id, [end for end in self.ended if end.number <= seen])
+        self.ended = [end for end in self.ended if end.number > seen]
+        running = tuple(
+            RunningRun(run.task, run.run, _text(run.saved_ms), 0)
+            for run in self.runs.values()
+        )
+        return running, tuple(self.ended)
+
+    def end(self, run: Run, how: RunEnd) -> None:
+        """End a run and list its end."""
+        del self.runs[run.task, run.run]
+        self.over[run.task] = max(self.over.get(run.task, 0), run.run)
+        self.count += 1
+        if how is RunEnd.STOPPED and run.step.saves:
+            run.saved_ms = run.done_ms
+        saved = _text(run.saved_ms) if run.step.saves else ""
+        self.ended.append(EndedRun(self.count, run.task, run.run, how, saved))
+        self.checks.ended(self.id, run.task, run.run, how)
+
+    def advance(self, by_ms: int) -> None:
+        """Work for some ms; gangs are led by the deployment."""
+        now_ms = self.now_ms()
+        if self.runs and now_ms >= self.until_ms:
+            for run in list(self.runs.values()):
+                self.end(run, RunEnd.LAPSED)
+        for run in list(self.runs.values()):
+            if run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
+                self.end(run, RunEnd.STOPPED)
+            elif run.step.gang and not run.is_working:
+                if now_ms - run.began_ms > self.gang_ms:
+                    self.end(run, RunEnd.ALONE)
+            elif not self.hangs:
+                self._work(run, by_ms)
+
+    def _work(self, run: Run, by_ms: int) -> None:
+        run.done_ms += by_ms * self.speed
+        if run.step.saves and run.done_ms - run.saved_ms >= CHECKPOINT_MS:
+            run.saved_ms = run.done_ms
+        if run.done_ms >= run.work_ms and not run.step.gang:
+            self.end(run, RunEnd.DONE)
+
+
+def _text(saved_ms: float) -> str:
+    return str(int(saved_ms)) if saved_ms else ""
--- /dev/null
+++ b/standins/batch/tests/test_days.py
@@ -0,0 +1,105 @@
+"""Small days without faults: jobs of all kinds are done."""
+
+from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
+from kingcuppost.batch.tables.messages import CallKind, Verdict
+from standins.batch import Deployment
+
+SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
+GANG = StepSpec(
+    3, cpu_millis=7_500, memory_mb=15_000, accelerators=2, gang=True, one_rack=True
+)
+
+
+def ready(seed: int = 1, **sizes: int) -> Deployment:
+    deployment = Deployment(seed, **sizes)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
+    deployment.run_for(2_000)
+    deployment.checks.is_calm = True
+    return deployment
+
+
+def test_a_job_of_two_steps_is_done_in_order() -> None:
+    deployment = ready()
+    second = StepSpec(2, cpu_millis=1_000, needs=(0,))
+    job_id, exchange_id = deployment.submit((SMALL, second), [2_000, 500])
+    deployment.run_for(100)
+    assert deployment.replies[exchange_id].verdict is Verdict.OK
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 10_000
+    )
+    assert not deployment.checks.broken
+
+
+def test_a_gang_runs_in_one_rack_and_ends_together() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((GANG,), [1_500], priority=0)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 10_000
+    )
+    assert deployment.checks.ends[RunEnd.DONE] == 3
+    assert not deployment.checks.broken
+
+
+def test_urgent_work_starts_on_full_minions_within_its_bound() -> None:
+    deployment = ready(minions=3)
+    for _ in range(3):
+        deployment.submit((StepSpec(8, cpu_millis=5_000, accelerators=1),), [60_000], 2)
+    deployment.run_for(1_000)
+    before = deployment.checks.starts
+    deployment.submit((GANG,), [1_500], priority=0)
+    deployment.run_for(1_800)
+    assert deployment.checks.starts >= before + 3
+    assert not deployment.checks.broken
+
+
+def test_a_cancelled_job_stops() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [60_000])
+    deployment.run_for(1_000)
+    exchange_id = deployment.cancel(job_id)
+    deployment.run_for(1_000)
+    assert deployment.replies[exchange_id].verdict is Verdict.OK
+    assert deployment.state(job_id) is JobState.CANCELLED
+    assert not any(minion.runs for minion in deployment.minions.values())
+
+
+def test_the_same_identifier_is_one_job() -> None:
+    deployment = ready()
+    job_id, first = deployment.submit((SMALL,), [500], entry="entry-0")
+    _, second = deployment.submit((SMALL,), [500], job_id=job_id, entry="entry-1")
+    deployment.run_for(5_000)
+    assert deployment.replies[first].verdict is Verdict.OK
+    assert deployment.replies[second].verdict is Verdict.OK
+    assert deployment.checks.starts == 3
+    assert not deployment.checks.broken
+
+
+def test_a_job_that_always_fails_is_shown_as_failed() -> None:
+    deployment = ready()
+    for minion in deployment.minions.values():
+        minion.fails = True
+    job_id, _ = deployment.submit((SMALL,), [500])
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.FAILED, 20_000
+    )
+    assert not deployment.checks.broken
+
+
+def test_calls_that_name_nothing_are_told_so() -> None:
+    deployment = ready()
+    unknown = deployment.call(CallKind.STATE, "/urgent/0123456789abcdef")
+    nowhere = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
+    waiting = deployment.call(CallKind.STATE, "/urgent/")
+    deployment.run_for(50)
+    assert deployment.replies[unknown].verdict is Verdict.NO_JOB
+    assert deployment.replies[nowhere].verdict is Verdict.NO_QUEUE
+    assert deployment.replies[waiting].waiting == 0
+
+
+def test_the_first_term_of_a_fresh_log_is_scheduled() -> None:
+    deployment = ready(seed=3, entries=1)
+    assert deployment.holder().world.schedule.term >= 1
+    job_id, _ = deployment.submit((SMALL,), [500])
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 5_000
+    )
--- /dev/null
+++ b/standins/batch/tests/test_lease.py
@@ -0,0 +1,59 @@
+"""The scheduling lease moves when its holder is gone, and only then."""
+
+from kingcuppost.batch.tables.job import JobState, StepSpec
+from standins.batch import Deployment
+
+SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
+
+
+def ready(seed: int = 1) -> Deployment:
+    deployment = Deployment(seed)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
+    deployment.run_for(2_000)
+    return deployment
+
+
+def test_a_dead_holder_is_followed_by_another_entry() -> None:
+    deployment = ready()
+    old = deployment.holder()
+    deployment.kill(old.name)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
+    job_id, _ = deployment.submit((SMALL,), [500])
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 10_000
+    )
+
+
+def test_work_goes_on_after_all_entries_were_killed() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [8_000])
+    deployment.run_for(1_000)
+    names = [name for name in deployment.processes if name.startswith("entry")]
+    for name in names:
+        deployment.kill(name)
+    deployment.run_for(1_000)
+    for name in names:
+        deployment.start(name)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 4_000)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 20_000
+    )
+    assert not deployment.checks.broken
+
+
+def test_a_restarted_holder_claims_at_once() -> None:
+    deployment = ready()
+    old = deployment.holder()
+    deployment.kill(old.name)
+    deployment.run_for(300)
+    deployment.start(old.name)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 1_000)
+
+
+def test_a_holder_that_leaves_gives_the_lease_back() -> None:
+    deployment = ready()
+    old = deployment.holder()
+    deployment.stop(old.name)
+    deployment.run_for(1_000)
+    assert deployment.holder() is not None
+    assert deployment.holder().name != old.name
