End jobs at the start of a term that were cancelled while nobody scheduled

Ruled out: the record of the cancelling (it was listed). Change: a term takes up each job as a running term does. The checks of the stand-in know starts after a cancelling; the test fails before.

--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -1,7 +1,7 @@
 """Opening a term: fence older writers, read up to the fence, load the plans."""
 
 from kingcuppost.batch.systems.lease import holds_lease, step_down
-from kingcuppost.batch.systems.plans import load_plan
+from kingcuppost.batch.systems.plans import all_tasks, take_up
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
     Append,
@@ -82,9 +82,8 @@
     schedule.loaded = True
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
-        plan = load_plan(world, job)
-        schedule.plans[job.id] = plan
-        for task in (task for step in plan.tasks for task in step):
+        take_up(world, job.id, now_ms)
+        for task in all_tasks(schedule.plans[job.id]):
             if task.life is not None:
                 schedule.lives[task.life] = sure_ms
     world.deadlines.add(sure_ms)
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -1,12 +1,15 @@
 """Promises, checked from what callers and minions see."""
 
 from collections import defaultdict
+from collections.abc import Callable
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import EndedRun
 
 __all__ = ["Checks"]
 
+CANCEL_MS = 3_000
+
 
 class Checks:
     """Notes what happens and keeps a line for each broken promise."""
@@ -24,6 +27,8 @@
         self.gangs: dict[str, tuple[bool, ...]] = {}
         self.most_failures: dict[str, int] = {}
         self.is_calm = False
+        self.cancelled: dict[str, int] = {}
+        self.now_ms: Callable[[], int] = lambda: 0
 
     def submitted(
         self,
@@ -51,6 +56,9 @@
         if task.job not in self.jobs:
             self.broken.append(f"UNASKED {task} run {run} at {minion}")
             return
+        cancelled_ms = self.cancelled.get(task.job)
+        if cancelled_ms is not None and self.now_ms() - cancelled_ms > CANCEL_MS:
+            self.broken.append(f"UNASKED {task} run {run} after its cancelling")
         if self.live[task]:
             self.broken.append(f"TWICE {task} run {run} beside {self.live[task]}")
         if task in self.settled:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -112,6 +112,7 @@
         self.clock = ManualClock(start_ms=1_000)
         self.store = Store()
         self.checks = Checks()
+        self.checks.now_ms = self.clock.now_ms
         self.bounds = Bounds(lease_ms=6_000, gang_ms=3_000, stop_ms=200)
         self.works: dict[str, list[float]] = {}
         self.steps: dict[str, tuple[StepSpec, ...]] = {}
@@ -126,6 +127,7 @@
         self._exchanges: dict[tuple[str, int, str], Callable[[bytes], None]] = {}
         self._ticking: set[tuple[str, int]] = set()
         self._calls = count()
+        self._cancels: dict[str, str] = {}
         self._configure()
         for index in range(entries):
             self._add(f"entry-{index}", f"zone-{index % 3}", Role.ENTRY, index + 1)
@@ -327,7 +329,7 @@
         elif isinstance(message, SyncReply):
             self._answer(process, message)
         elif isinstance(message, CallReply):
-            self.replies[message.exchange_id] = message
+            self._take_reply(message)
         elif isinstance(message, HoldMinion):
             self._hold(process, message)
         elif isinstance(message, StartRun | StopRun):
@@ -339,6 +341,12 @@
         elif isinstance(message, StopProcess):
             process.is_up = False
 
+    def _take_reply(self, reply: CallReply) -> None:
+        self.replies[reply.exchange_id] = reply
+        job_id = self._cancels.pop(reply.exchange_id, None)
+        if job_id is not None and reply.verdict is Verdict.OK:
+            self.checks.cancelled.setdefault(job_id, self.clock.now_ms())
+
     def _log_reaches(self, process: Process) -> bool:
         return not (process.is_cut or process.is_turned_away or self.log_is_down)
 
@@ -620,4 +628,6 @@
 
     def cancel(self, job_id: str, priority: int = 1) -> str:
         """Cancel a job and return the identifier of the exchange."""
-        return self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
+        exchange_id = self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
+        self._cancels[exchange_id] = job_id
+        return exchange_id
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -57,3 +57,16 @@
     deployment.run_for(1_000)
     assert deployment.holder() is not None
     assert deployment.holder().name != old.name
+
+
+def test_a_job_cancelled_while_nobody_schedules_does_not_run_again() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [60_000])
+    deployment.run_for(500)
+    deployment.kill(deployment.holder().name)
+    deployment.run_for(300)
+    deployment.cancel(job_id)
+    deployment.run_for(6_000)
+    assert deployment.holder() is not None
+    assert not any(minion.runs for minion in deployment.minions.values())
+    assert not deployment.checks.broken
