Let a holder give orders only while nobody else can have claimed the lease

A stray run's stop was sent at every report, 200 times a second. Change: authority lasts 2.0 s from the sending of the last renewal that the log took, others claim after 2.2 s; entries measure it with the clock that counts sleep; a term that was given up is not opened again; strays are paced; the cost of stopping work survives a change of term; done is done where a given-up run still waits.

--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -18,7 +18,8 @@
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.loop import TickLoop
 from kingcuppost.exception import Failure
-from kingcuppost.utils import Clock, SystemClock, new_identifier
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils import BootClock, Clock, SystemClock, new_identifier
 
 __all__ = ["build_batch_context", "make_batch_world", "run_batch_process"]
 
@@ -44,11 +45,22 @@
     if seed is None:
         seed = int.from_bytes(os.urandom(SEED_BYTES), "big")
     rng = random.Random(seed)
-    world = BatchWorld(cfg, new_identifier(rng, "inc"), clock or SystemClock(), rng)
+    if clock is None:
+        clock = _clock_of(cfg.role)
+    world = BatchWorld(cfg, new_identifier(rng, "inc"), clock, rng)
     world.schedule.jitter_ms = rng.randrange(JITTER_MS)
     return world
 
 
+def _clock_of(role: Role) -> Clock:
+    """Return a role's clock; each errs on the side of an earlier end of a lease.
+
+    An entry's authority lapses while its machine sleeps. A minion's clock may sleep
+    with its machine, so its sidecar must not count that time as passed for the minion.
+    """
+    return BootClock() if role is Role.ENTRY else SystemClock()
+
+
 def build_batch_context(cfg: DaemonConfig, reactor: Any) -> BatchContext:
     """Return the edges of a process, with its loop attached."""
     world = make_batch_world(cfg)
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -80,13 +80,15 @@
 class ProgressModel(RecordModel):
     """State of a job and of its tasks that are not merely waiting.
 
-    A task is a row of step, index, phase, run, failures, minion, Unix time of the
-    minion's start in ms, and checkpoint.
+    A task is a row of step, index, phase, run, failures, minion, Unix times of the
+    minion's start and of the run's placing in ms, and checkpoint.
     """
 
     state: JobState
     begun: bool = False
-    tasks: tuple[tuple[Count, Count, TaskPhase, Count, Count, str, int, str], ...] = ()
+    tasks: tuple[
+        tuple[Count, Count, TaskPhase, Count, Count, str, int, int, str], ...
+    ] = ()
 
 
 class EntryModel(RecordModel):
@@ -165,6 +167,7 @@
             task.failures,
             task.minion,
             task.born_ms,
+            task.placed_ms,
             task.saved,
         )
         for task in progress.tasks
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -112,6 +112,7 @@
 def _sites(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
     """Return the minions that may be given work, with what is free at each."""
     sites = {}
+    wall_ms = world.clock.wall_ms()
     for row in world.schedule.minions:
         sites[row.life] = Site(row, replace(row.room), replace(row.room))
     for plan in world.schedule.plans.values():
@@ -119,14 +120,16 @@
             continue
         for task in all_tasks(plan):
             if task.phase is TaskPhase.PLACED and task.life in sites:
-                _occupy(sites[task.life], plan, task, now_ms, covered)
+                _occupy(sites[task.life], plan, task, wall_ms, covered)
     usable = [site for site in sites.values() if _is_usable(world, site.minion, now_ms)]
     for site in usable:
         site.victims.sort(key=lambda victim: victim.cost)
     return usable
 
 
-def _occupy(site: Site, plan: Plan, task: Task, now_ms: int, covered: set[str]) -> None:
+def _occupy(
+    site: Site, plan: Plan, task: Task, wall_ms: int, covered: set[str]
+) -> None:
     step = plan.job.steps[task.name.step]
     take_room(site.now, step)
     if task.stopping:
@@ -135,7 +138,7 @@
     rank = _rank(plan, covered)
     if rank:
         site.victims.append(
-            Victim((rank, plan, task), _room_of(step), _lost_work(plan, task, now_ms))
+            Victim((rank, plan, task), _room_of(step), _lost_work(plan, task, wall_ms))
         )
 
 
@@ -144,16 +147,14 @@
     return step.cpu_millis / MILLIS + CORES_PER_ACCELERATOR * step.accelerators
 
 
-def _lost_work(plan: Plan, task: Task, now_ms: int) -> float:
+def _lost_work(plan: Plan, task: Task, wall_ms: int) -> float:
     """Return the core-seconds that stopping a run would throw away."""
     step = plan.job.steps[task.name.step]
-    if task.running_since_ms is None:
-        return 0.0
-    since_ms = task.running_since_ms
+    lost_ms = wall_ms - task.placed_ms
     if step.saves:
-        since_ms = max(since_ms, task.saved_at_ms or 0, now_ms - MS_PER_SECOND)
+        lost_ms = min(lost_ms, MS_PER_SECOND)
     members = len(plan.tasks[task.name.step]) if step.gang else 1
-    return _weight(step) * members * (now_ms - since_ms) / MS_PER_SECOND
+    return _weight(step) * members * max(lost_ms, 0) / MS_PER_SECOND
 
 
 def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
@@ -283,6 +284,7 @@
     """Give runs to as many tasks as there are chosen sites."""
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
+    wall_ms = world.clock.wall_ms()
     run = 1 + max(task.run for task in tasks)
     plan.begun = True
     plan.state = JobState.RUNNING
@@ -290,7 +292,7 @@
     world.schedule.changed = False
     for task, site in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
-        place_task(task, number, site.minion.life, plan.version)
+        place_task(task, number, site.minion.life, plan.version, wall_ms)
         take_room(site.now, unit.spec)
         take_room(site.free, unit.spec)
         site.taken += 1
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/ending.py
@@ -20,7 +20,7 @@
         world.stopping = True
         world.stop_from_ms = now_ms + _linger_ms(world)
         world.stop_by_ms = now_ms + world.cfg.bounds.grace_ms - GRACE_MARGIN_MS
-        release_lease(world)
+        release_lease(world, now_ms)
         world.note("process", "Stopping.", by_ms=world.stop_by_ms - now_ms)
     if not world.stopping:
         return
--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/host.py
@@ -21,6 +21,7 @@
 __all__ = ["hear_lists", "hear_minion", "hear_orders", "hear_scheduler"]
 
 RETRY_MS = 100
+PAUSE_MS = 250
 LEASE_MARGIN_MS = 100
 SIDECAR = (Role.SIDECAR,)
 
@@ -250,7 +251,7 @@
     host.holder = hint if hint != answer.address else None
     if hint is None:
         host.next_entry += 1
-    host.sync_after_ms = now_ms + RETRY_MS
+    host.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
     host.dirty = True
 
 
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -9,6 +9,8 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
     Append,
+    AppendEnded,
+    AppendOutcome,
     ClaimRecord,
     EntryRecord,
     RenewRecord,
@@ -18,10 +20,19 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["announce_entry", "claim_lease", "holds_lease", "renew_lease", "step_down"]
+__all__ = [
+    "announce_entry",
+    "claim_lease",
+    "has_authority",
+    "holds_lease",
+    "renew_lease",
+    "step_down",
+]
 
 RENEW_MS = 700
 SILENCE_MS = 2_200
+AUTHORITY_MS = 2_000
+RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
 ANNOUNCE_PAUSE_MS = 1_000
@@ -30,7 +41,18 @@
 
 def holds_lease(world: BatchWorld) -> bool:
     """Return whether this process holds the newest term that it knows."""
-    return world.agreed.holder.incarnation == world.incarnation
+    holder = world.agreed.holder
+    is_mine = holder.incarnation == world.incarnation
+    return is_mine and holder.term > world.schedule.given_up_term
+
+
+def has_authority(world: BatchWorld, now_ms: int) -> bool:
+    """Return whether no other entry can have opened a term yet.
+
+    Others claim after `SILENCE_MS` without a renewal, so a holder whose renewals do not
+    reach the log stops giving orders and extending leases before that.
+    """
+    return now_ms < world.schedule.authority_until_ms
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,))
@@ -67,6 +89,7 @@
         return
     schedule.claim_after_ms = now_ms + CLAIM_PAUSE_MS
     world.deadlines.add(schedule.claim_after_ms)
+    schedule.claim_sent_ms = now_ms
     record = ClaimRecord(world.cfg.name, world.cfg.peers, world.incarnation)
     world.note("lease", "Claiming the lease.", after=world.agreed.holder.name)
     world.outbox.put(
@@ -105,26 +128,42 @@
         step_down(world, "another entry claimed the lease")
     if not holds_lease(world) or world.agreed.holder.released:
         return
-    due_ms = schedule.renewed_ms + RENEW_MS
-    if now_ms >= due_ms:
-        schedule.renewed_ms = now_ms
-        due_ms = now_ms + RENEW_MS
-        _renew(world, released=False)
-    world.deadlines.add(due_ms)
+    if schedule.authority_until_ms == 0:
+        schedule.authority_until_ms = schedule.claim_sent_ms + AUTHORITY_MS
+    for answer in list(schedule.answers):
+        if answer.id in schedule.renewals:
+            schedule.answers.remove(answer)
+            _renewal_answered(world, answer, now_ms)
+    if now_ms >= schedule.renew_at_ms:
+        schedule.renew_at_ms = now_ms + RENEW_MS
+        _renew(world, now_ms, released=False)
+    world.deadlines.add(schedule.renew_at_ms)
+
+
+def _renewal_answered(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
+    schedule = world.schedule
+    sent_ms = schedule.renewals.pop(answer.id)
+    if answer.outcome is AppendOutcome.DONE:
+        until_ms = sent_ms + AUTHORITY_MS
+        schedule.authority_until_ms = max(schedule.authority_until_ms, until_ms)
+    else:
+        schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RETRY_MS)
 
 
-def _renew(world: BatchWorld, released: bool) -> None:
+def _renew(world: BatchWorld, now_ms: int, released: bool) -> None:
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
+    world.schedule.renewals[append_id] = now_ms
     world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
 
 
-def release_lease(world: BatchWorld) -> None:
+def release_lease(world: BatchWorld, now_ms: int) -> None:
     """Give the lease back, so that another entry claims it at once."""
     if holds_lease(world) and not world.agreed.holder.released:
         world.note("lease", "Giving the lease back.", term=world.agreed.holder.term)
         world.agreed.holder.released = True
-        _renew(world, released=True)
+        world.schedule.authority_until_ms = now_ms
+        _renew(world, now_ms, released=True)
 
 
 def step_down(world: BatchWorld, reason: str) -> None:
@@ -136,4 +175,5 @@
         claim_after_ms=old.claim_after_ms,
         announce_after_ms=old.announce_after_ms,
         syncs=old.syncs,
+        given_up_term=max(old.term, old.given_up_term),
     )
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/orders.py
@@ -1,5 +1,6 @@
 """Orders for sidecars: what they are to start and stop, and which ends are kept."""
 
+from kingcuppost.batch.systems.lease import has_authority
 from kingcuppost.batch.systems.plans import all_tasks
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
@@ -10,7 +11,7 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.batch.tables.world import BatchWorld, Stray
 from kingcuppost.tables.identity import Role
 
 __all__ = ["answer_sidecars"]
@@ -22,16 +23,18 @@
 def answer_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Answer the reports that have orders or whose wait is over."""
     schedule = world.schedule
-    if not is_scheduling(world) or world.stopping:
+    if not is_scheduling(world) or not has_authority(world, now_ms):
         _release_all(world)
         return
+    world.deadlines.add(schedule.authority_until_ms)
     if not schedule.syncs:
         return
     starts, stops = _collect(world, now_ms)
     for sidecar, held in list(schedule.syncs.items()):
         row = schedule.minions.get(sidecar)
         life = row.life if row else None
-        reply = _reply(world, held.call, life, starts, stops)
+        strays = _due_strays(world, sidecar, now_ms)
+        reply = _reply(world, held.call, life, starts, stops, strays)
         is_news = (
             reply.starts or reply.stops or reply.settled or _has_news(held.call, reply)
         )
@@ -40,7 +43,8 @@
         del schedule.syncs[sidecar]
         _mark_sent(starts.get(life, ()), now_ms)
         _mark_stopped(stops.get(life, ()), now_ms)
-        schedule.strays.pop(sidecar, None)
+        for stray in strays:
+            stray.sent_ms = now_ms
         world.outbox.put(reply)
 
 
@@ -56,6 +60,11 @@
     world.schedule.syncs.clear()
 
 
+def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
+    strays = world.schedule.strays.get(sidecar, {})
+    return [stray for stray in strays.values() if _is_due(stray.sent_ms, now_ms)]
+
+
 Orders = dict[Life, list[tuple[Plan, Task]]]
 
 
@@ -91,10 +100,14 @@
 
 
 def _reply(
-    world: BatchWorld, call: SyncCall, life: Life | None, starts: Orders, stops: Orders
+    world: BatchWorld,
+    call: SyncCall,
+    life: Life | None,
+    starts: Orders,
+    stops: Orders,
+    strays: list[Stray],
 ) -> SyncReply:
     schedule = world.schedule
-    strays = schedule.strays.get(call.sidecar, {})
     return SyncReply(
         call.exchange_id,
         schedule.term,
@@ -105,7 +118,7 @@
         ),
         stops=tuple(
             [StopOrder(task.name, task.run) for _, task in stops.get(life, ())]
-            + [StopOrder(run.task, run.run) for run in strays.values()]
+            + [StopOrder(stray.run.task, stray.run.run) for stray in strays]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
         noted=_noted(world, call),
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -84,6 +84,7 @@
         task.saved = row.saved
         if row.phase is TaskPhase.PLACED:
             task.life = Life(row.minion, row.born_ms)
+            task.placed_ms = row.placed_ms
 
 
 def progress_of(plan: Plan) -> Progress:
@@ -97,6 +98,7 @@
             task.failures,
             task.life.minion if task.life else "",
             task.life.born_ms if task.life else 0,
+            task.placed_ms if task.life else 0,
             "" if task.phase is TaskPhase.DONE else task.saved,
         )
         for task in all_tasks(plan)
@@ -156,11 +158,12 @@
     return plan, step[name.index]
 
 
-def place_task(task: Task, run: int, life: Life, version: int) -> None:
+def place_task(task: Task, run: int, life: Life, version: int, placed_ms: int) -> None:
     """Give a task a run at a minion."""
     task.phase = TaskPhase.PLACED
     task.run = run
     task.life = life
+    task.placed_ms = placed_ms
     task.version = version
     task.sent_ms = None
     task.confirmed = False
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -1,5 +1,6 @@
 """Reports of sidecars: minions, what runs at them, and how runs ended."""
 
+from kingcuppost.batch.systems.lease import has_authority
 from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
@@ -7,6 +8,7 @@
 from kingcuppost.batch.tables.job import (
     Life,
     Plan,
+    PlanState,
     RunEnd,
     Task,
     TaskName,
@@ -20,7 +22,7 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldSync
+from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
 __all__ = ["hear_sidecars", "take_up_jobs"]
@@ -43,7 +45,7 @@
 def hear_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Take reports in; a newer one of the same sidecar ends the wait of an older."""
     for call in world.inbox.take(SyncCall):
-        if not is_scheduling(world) or world.stopping:
+        if not is_scheduling(world) or not has_authority(world, now_ms):
             _send_on(world, call)
             continue
         older = world.schedule.syncs.pop(call.sidecar, None)
@@ -158,6 +160,10 @@
 
 
 def _take_lists(world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int) -> None:
+    strays = world.schedule.strays.get(call.sidecar, {})
+    present = {(str(running.task), running.run) for running in call.running}
+    for key in [key for key in strays if key not in present]:
+        del strays[key]
     for running in call.running:
         _see_running(world, row, running, now_ms)
     known = world.schedule.ends.setdefault(call.sidecar, {})
@@ -202,12 +208,11 @@
 
 def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
     """Stop a run that is no task's present run."""
-    world.schedule.strays.setdefault(row.sidecar, {})[
-        str(running.task), running.run
-    ] = running
-    world.note(
-        "run", "A stray run is stopped.", task=str(running.task), run=running.run
-    )
+    strays = world.schedule.strays.setdefault(row.sidecar, {})
+    key = (str(running.task), running.run)
+    if key not in strays:
+        strays[key] = Stray(running)
+        world.note("run", "A stray run is stopped.", task=key[0], run=key[1])
 
 
 def _see_end(
@@ -215,6 +220,8 @@
 ) -> tuple[str, int]:
     """Apply an end, and return the job and version that must be in the log."""
     found = _present(world, row.life, ended.task, ended.run)
+    if found is None and ended.how is RunEnd.DONE:
+        found = _done_after_all(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
@@ -225,6 +232,16 @@
     return plan.job.id, plan.version
 
 
+def _done_after_all(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
+    """Return the task of a run that was given up but is done, if it waits again."""
+    found = find_task(world, ended.task)
+    if found is None:
+        return None
+    plan, task = found
+    is_newest = task.phase is TaskPhase.WAITING and task.run == ended.run
+    return found if is_newest and plan.phase is PlanState.OPEN else None
+
+
 def _learn(
     row: MinionRow, plan: Plan, task: Task, ended: EndedRun, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -197,6 +197,7 @@
     failures: int
     minion: str
     born_ms: int
+    placed_ms: int
     saved: str
 
 
@@ -225,6 +226,8 @@
         Runs that ended as failed.
     life : Life or None
         Where its run is placed.
+    placed_ms : int
+        Unix time at which its run was placed, in ms.
     saved : str
         Newest checkpoint; empty for none.
     version : int
@@ -254,6 +257,7 @@
     run: int = 0
     failures: int = 0
     life: Life | None = None
+    placed_ms: int = 0
     saved: str = ""
     version: int = 0
     sent_ms: int | None = None
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -39,6 +39,7 @@
     "HostRun",
     "LogLine",
     "Schedule",
+    "Stray",
     "StreamView",
 ]
 
@@ -105,6 +106,20 @@
     until_ms: int
 
 
+@dataclass(slots=True)
+class Stray:
+    """A run at a minion that is no task's present run.
+
+    Attributes
+    ----------
+    sent_ms : int or None
+        When its stop was last handed to the sidecar.
+    """
+
+    run: RunningRun
+    sent_ms: int | None = None
+
+
 @dataclass(slots=True)
 class Schedule:
     """Working tables of the holder of the scheduling lease.
@@ -123,6 +138,14 @@
         Versions of the plans that it carries.
     dirty : dict of str to None
         Jobs whose plan has changed since the last append.
+    given_up_term : int
+        Newest term that this process has held and lost.
+    authority_until_ms : int
+        Until when no other entry can have opened a term.
+    renewals : dict of str to int
+        When each renewal that waits for its answer was sent.
+    strays : dict of str to dict
+        Runs that are no task's, by sidecar, task and run.
     lives : dict of Life to int
         When the runs of a life have surely lapsed.
     """
@@ -135,8 +158,11 @@
     opened: bool = False
     caught_up_at: int = -1
     loaded: bool = False
-    renewed_ms: int = 0
-    written_ms: int = 0
+    given_up_term: int = 0
+    claim_sent_ms: int = 0
+    authority_until_ms: int = 0
+    renew_at_ms: int = 0
+    renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
     in_flight: Append | None = None
     in_flight_versions: dict[str, int] = field(default_factory=dict)
@@ -149,7 +175,7 @@
     syncs: dict[str, HeldSync] = field(default_factory=dict)
     reports: dict[str, SyncCall] = field(default_factory=dict)
     ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
-    strays: dict[str, dict[tuple[str, int], RunningRun]] = field(default_factory=dict)
+    strays: dict[str, dict[tuple[str, int], Stray]] = field(default_factory=dict)
     touched: dict[str, None] = field(default_factory=dict)
     answers: list[AppendEnded] = field(default_factory=list)
     changed: bool = True
--- /dev/null
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -0,0 +1,78 @@
+"""Settings of the platform: read whole, or refused with field and reason."""
+
+from pathlib import Path
+
+import pytest
+
+from kingcuppost.platform.__main__ import main
+from kingcuppost.platform.settings import read_settings
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+
+SIDECAR = """
+nodeName = "side-a-1"
+ip = "10.1.0.20"
+zone = "zone-a"
+internalPorts = [7000, 7015]
+seeds = ["10.1.0.19:8526", "10.2.0.35:8526"]
+unknown = "kept for later"
+[listen]
+control = "10.1.0.20:8526"
+[bounds]
+holdMaxMs = 6000
+graceS = 6
+[platform]
+address = "10.200.1.7:8524"
+"""
+
+
+@pytest.fixture
+def settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    path = tmp_path / "boot.toml"
+    path.write_text(SIDECAR)
+    monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(path))
+    return path
+
+
+def test_a_whole_file_is_read(settings: Path) -> None:
+    cfg = read_settings(Role.SIDECAR).ok
+    assert cfg.store == Address("10.200.1.7", 8524)
+    assert cfg.heartbeats == Address("10.1.0.20", 8526)
+    assert cfg.daemon.bounds.lease_ms == 6_000
+    assert cfg.daemon.bounds.grace_ms == 6_000
+    assert cfg.daemon.peers == Address("10.1.0.20", 7000)
+
+
+def test_seeds_are_reached_at_the_port_for_peers(settings: Path) -> None:
+    cfg = read_settings(Role.SIDECAR).ok
+    assert cfg.daemon.seeds == (Address("10.1.0.19", 7000), Address("10.2.0.35", 7000))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ('nodeName = "side-a-1"', "", "nodeName"),
+        ('address = "10.200.1.7:8524"', 'address = "nowhere"', "platform.address"),
+        ("holdMaxMs = 6000", 'holdMaxMs = "long"', "bounds.holdMaxMs"),
+    ],
+)
+def test_a_wrong_file_is_refused_with_field_and_reason(
+    settings: Path,
+    capsys: pytest.CaptureFixture,
+    old: str,
+    new: str,
+    field: str,
+) -> None:
+    settings.write_text(SIDECAR.replace(old, new))
+    assert main(["sidecar"]) == 2
+    line = capsys.readouterr().err
+    assert field in line
+    assert line.count("\n") == 1
+
+
+def test_a_file_that_is_no_toml_is_refused(
+    settings: Path, capsys: pytest.CaptureFixture
+) -> None:
+    settings.write_text("= [")
+    assert main(["sidecar"]) == 2
+    assert str(settings) in capsys.readouterr().err
--- a/kingcuppost/tests/test_shape.py
+++ b/kingcuppost/tests/test_shape.py
@@ -10,6 +10,8 @@
     path for path in sorted(PACKAGE.rglob("*.py")) if "tests" not in path.parts[-2:]
 ]
 INNER = ("tables", "systems", "settings", "utils")
+OUTER = ("edges", "programs", "platform")
+PLATFORM_NAMES = ("kingcuppost.platform", "/kingcuppost/")
 OUTER_ONLY = {"twisted", "json", "pydantic", "socket", "logging", "time", "datetime"}
 NOWHERE = {"threading", "multiprocessing", "subprocess", "concurrent", "asyncio"}
 
@@ -29,7 +31,9 @@
 
 
 def theme(path: Path) -> str:
-    return path.relative_to(PACKAGE).parts[0]
+    """Return the layer of a module; `batch` has layers of its own."""
+    parts = path.relative_to(PACKAGE).parts
+    return parts[1] if parts[0] == "batch" and len(parts) > 2 else parts[0]
 
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
@@ -56,21 +60,38 @@
     ids=lambda path: path.name,
 )
 def test_inner_layers_do_not_import_outer_ones(path: Path) -> None:
-    outer = ("edges", "models", "programs", "cli")
-    bad = [
-        name
-        for name in imported(path)
-        if name.startswith(tuple(f"kingcuppost.{layer}" for layer in outer))
+    outer = ("edges", "models", "programs", "cli", "platform")
+    prefixes = [
+        f"kingcuppost.{package}{layer}" for layer in outer for package in ("", "batch.")
     ]
+    bad = [name for name in imported(path) if name.startswith(tuple(prefixes))]
     assert not bad
 
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
 def test_only_edges_and_programs_import_twisted(path: Path) -> None:
-    if theme(path) not in ("edges", "programs"):
+    if theme(path) not in OUTER:
         assert "twisted" not in roots(path)
 
 
+@pytest.mark.parametrize(
+    "path",
+    [path for path in MODULES if theme(path) != "platform"],
+    ids=lambda path: path.name,
+)
+def test_only_the_adapter_knows_the_platform(path: Path) -> None:
+    text = path.read_text()
+    assert not any(name in text for name in PLATFORM_NAMES)
+
+
+def test_the_adapter_stays_small() -> None:
+    def size(paths: list[Path]) -> int:
+        return sum(len(path.read_text().splitlines()) for path in paths)
+
+    adapter = [path for path in MODULES if theme(path) == "platform"]
+    assert size(adapter) * 10 <= size(MODULES)
+
+
 def test_modules_stay_small() -> None:
     longest = max(MODULES, key=lambda path: len(path.read_text().splitlines()))
     assert len(longest.read_text().splitlines()) <= 500, longest
--- a/kingcuppost/utils/clock.py
+++ b/kingcuppost/utils/clock.py
@@ -3,9 +3,10 @@
 import time
 from typing import Protocol
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 NS_PER_MS = 1_000_000
+BOOT_TIME = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -32,6 +33,18 @@
         return time.time_ns() // NS_PER_MS
 
 
+class BootClock(SystemClock):
+    """Clock of the operating system that also counts time in which it slept.
+
+    What was promised to others lapses while the machine sleeps, so a process that gives
+    promises measures them with this clock.
+    """
+
+    def now_ms(self) -> int:
+        """Return time since the machine's start in ms."""
+        return time.clock_gettime_ns(BOOT_TIME) // NS_PER_MS
+
+
 class ManualClock:
     """Clock that a test or a driver moves by hand.
 
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -208,9 +208,9 @@
     def holder(self) -> Process | None:
         """Return the entry that schedules, or None."""
         for process in self.processes.values():
-            if process.role is Role.ENTRY and process.is_up:
-                if process.world.schedule.loaded:
-                    return process
+            is_up = process.role is Role.ENTRY and process.is_up
+            if is_up and process.world.schedule.loaded:
+                return process
         return None
 
     # time
@@ -301,9 +301,9 @@
 
     def _due(self, process: Process, key: tuple[str, int]) -> None:
         due_ms = process.world.deadlines.next_ms()
-        if process.life == key[1] and due_ms is not None:
-            if due_ms <= self.clock.now_ms():
-                self.wake(process)
+        is_due = due_ms is not None and due_ms <= self.clock.now_ms()
+        if process.life == key[1] and is_due:
+            self.wake(process)
 
     def _deliver(self, process: Process, message: Any, life: int | None = None) -> None:
         if process.is_up and life in (None, process.life):
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -50,6 +50,8 @@
         Whether it fails all that it starts.
     hangs : bool
         Whether its tasks stand still.
+    lapsed : set of int
+        Ends that were listed when the lease lapsed; noting them settles nothing.
     """
 
     id: str
@@ -73,6 +75,7 @@
     over: dict[TaskName, int] = field(default_factory=dict)
     ended: list[EndedRun] = field(default_factory=list)
     count: int = 0
+    lapsed: set[int] = field(default_factory=set)
 
     @property
     def life(self) -> Life:
@@ -88,6 +91,7 @@
         self.over.clear()
         self.ended.clear()
         self.count = 0
+        self.lapsed.clear()
         self.until_ms = 0
         self.token = 0
         self.draining = False
@@ -152,7 +156,10 @@
         self.token = max(token, self.token)
         if until_ms is not None:
             self._extend(until_ms)
-        self.checks.noted(self.id, [end for end in self.ended if end.number <= seen])
+        noted = [end for end in self.ended if end.number <= seen]
+        self.checks.noted(
+            self.id, [end for end in noted if end.number not in self.lapsed]
+        )
         self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
             RunningRun(run.task, run.run, _text(run.saved_ms), 0)
@@ -174,7 +181,8 @@
     def advance(self, by_ms: int) -> None:
         """Work for some ms; gangs are led by the deployment."""
         now_ms = self.now_ms()
-        if self.runs and now_ms >= self.until_ms:
+        if now_ms >= self.until_ms:
+            self.lapsed.update(end.number for end in self.ended)
             for run in list(self.runs.values()):
                 self.end(run, RunEnd.LAPSED)
         for run in list(self.runs.values()):
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -1,4 +1,4 @@
-"""Days of random work and random faults, by seed: ``python -m standins.batch SEED...``."""
+"""Days of random work and random faults, by seed: ``python -m standins.batch 1 20``."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -281,9 +281,9 @@
     """Check that accepted jobs have ended and refused ones never ran."""
     for job_id, (exchange_id, priority) in exchanges.items():
         reply: CallReply | None = day.replies.get(exchange_id)
-        if reply is not None and reply.verdict is Verdict.NOT_RUN:
-            if any(task.job == job_id for task in day.checks.done):
-                outcome.broken.append(f"REFUSED {job_id} has run")
+        is_refused = reply is not None and reply.verdict is Verdict.NOT_RUN
+        if is_refused and any(task.job == job_id for task in day.checks.done):
+            outcome.broken.append(f"REFUSED {job_id} has run")
         if reply is None or reply.verdict is not Verdict.OK:
             continue
         outcome.jobs += 1
