Learn speeds, move runs that stand still or would be cut off, prefer fast minions

Change: speeds from the progress of runs, stalled runs go on elsewhere, work that saves leaves draining minions, urgent units take fast minions and make cheap room there first. Decisions are split into units, sites, placement and decide.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -19,6 +19,7 @@
         "term",
         "reports",
         "lapses",
+        "watch",
         "decide",
         "writing",
         "orders",
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -4,9 +4,19 @@
 from dataclasses import dataclass, field, replace
 
 from kingcuppost.batch.tables.fleet import MinionRow, Room
-from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.job import Plan, StepSpec, Task
 
-__all__ = ["Site", "Victim", "add_room", "fits", "how_many", "pick", "take_room"]
+__all__ = [
+    "Eviction",
+    "Rank",
+    "Site",
+    "Victim",
+    "add_room",
+    "evict",
+    "how_many",
+    "pick",
+    "take_room",
+]
 
 
 @dataclass(slots=True)
@@ -15,15 +25,19 @@
 
     Attributes
     ----------
-    key : tuple
-        Names the run.
+    plan, task : Plan, Task
+        The run and its job.
+    rank : int
+        How urgent it is; 0 comes first.
     room : Room
         What stopping it sets free.
     cost : float
         Work that would be lost, in core-seconds.
     """
 
-    key: tuple
+    plan: Plan
+    task: Task
+    rank: int
     room: Room
     cost: float
 
@@ -67,11 +81,6 @@
     room.accelerators += other.accelerators
 
 
-def fits(room: Room, step: StepSpec) -> bool:
-    """Return whether one task of a step fits into room."""
-    return how_many(room, step, 1) == 1
-
-
 def how_many(room: Room, step: StepSpec, most: int) -> int:
     """Return how many tasks of a step fit into room.
 
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -3,6 +3,7 @@
 from kingcuppost.batch.systems.lease import has_authority
 from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.speeds import learn_speed
 from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import (
@@ -27,8 +28,6 @@
 
 __all__ = ["hear_sidecars", "take_up_jobs"]
 
-SPEED_WEIGHT = 0.5
-
 
 @system(Phase.INTAKE, (Role.ENTRY,))
 def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
@@ -199,8 +198,12 @@
     plan, task = found
     if task.running_since_ms is None:
         task.running_since_ms = now_ms
+        task.first_percent = running.percent
+        task.moved_ms = now_ms
     task.confirmed = True
-    task.percent = running.percent
+    if running.percent != task.percent:
+        task.percent = running.percent
+        task.moved_ms = now_ms
     if running.saved and running.saved != task.saved:
         task.saved = running.saved
         task.saved_at_ms = now_ms
@@ -247,6 +250,7 @@
 ) -> None:
     """Learn from an end whether the minion does its work."""
     if ended.how is RunEnd.DONE:
+        learn_speed(row, plan, task, now_ms)
         row.failures = 0
         row.failed_jobs.clear()
         row.proven = True
--- /dev/null
+++ b/kingcuppost/batch/systems/sites.py
@@ -0,0 +1,123 @@
+"""Sites: the minions that may be given work, with what is free and what may stop."""
+
+from dataclasses import replace
+from statistics import median
+
+from kingcuppost.batch.systems.placement import Site, Victim, take_room
+from kingcuppost.batch.systems.plans import all_tasks
+from kingcuppost.batch.systems.units import Unit, rank_of, task_weight
+from kingcuppost.batch.tables.fleet import MinionRow, Room
+from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld
+
+__all__ = ["allowed_sites", "fast_sites", "sites_of"]
+
+SUSPECT_FAILURES = 2
+SUSPECT_MS = 5_000
+MS_PER_SECOND = 1_000
+SLOW_SHARE = 0.7
+
+
+def sites_of(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
+    """Return the minions that may be given work."""
+    wall_ms = world.clock.wall_ms()
+    sites = {
+        row.life: Site(row, replace(row.room), replace(row.room))
+        for row in world.schedule.minions
+    }
+    for plan in world.schedule.plans.values():
+        if plan.phase is PlanState.OVER:
+            continue
+        for task in all_tasks(plan):
+            if task.phase is TaskPhase.PLACED and task.life in sites:
+                _occupy(sites[task.life], plan, task, wall_ms, covered)
+    usable = [site for site in sites.values() if _is_usable(world, site.minion, now_ms)]
+    for site in usable:
+        site.victims.sort(key=lambda victim: victim.cost)
+    return usable
+
+
+def _occupy(
+    site: Site, plan: Plan, task: Task, wall_ms: int, covered: set[str]
+) -> None:
+    step = plan.job.steps[task.name.step]
+    take_room(site.now, step)
+    if task.stopping:
+        return
+    take_room(site.free, step)
+    rank = rank_of(plan, covered)
+    if rank:
+        room = Room(step.cpu_millis, step.memory_mb, step.accelerators)
+        cost = _lost_work(plan, task, wall_ms)
+        site.victims.append(Victim(plan, task, rank, room, cost))
+
+
+def _lost_work(plan: Plan, task: Task, wall_ms: int) -> float:
+    """Return the core-seconds that stopping a run would throw away."""
+    step = plan.job.steps[task.name.step]
+    lost_ms = max(wall_ms - task.placed_ms, 0)
+    if step.saves:
+        lost_ms = min(lost_ms, MS_PER_SECOND)
+    members = len(plan.tasks[task.name.step]) if step.gang else 1
+    return task_weight(step) * members * lost_ms / MS_PER_SECOND
+
+
+def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
+    if row.draining or row.is_away:
+        return False
+    if row.availability_zone in world.agreed.closed_zones:
+        return False
+    again_ms = _trusted_again_ms(row)
+    if now_ms < again_ms:
+        world.deadlines.add(again_ms)
+        return False
+    return True
+
+
+def _trusted_again_ms(row: MinionRow) -> int:
+    """Return when a minion that has failed or stalled may be tried again."""
+    again_ms = 0
+    if row.stalled_ms is not None:
+        again_ms = row.stalled_ms + SUSPECT_MS
+    if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
+        again_ms = max(again_ms, row.failed_ms + SUSPECT_MS)
+    return again_ms
+
+
+def allowed_sites(unit: Unit, sites: list[Site]) -> list[Site]:
+    """Return the sites at which a unit may run.
+
+    Minions on which a run of it has failed are left out, unless there is no other.
+    """
+    able = [site for site in sites if _suits(unit, site.minion)]
+    for site in able:
+        site.taken = _already_there(unit, site.minion.life)
+    avoided = {minion for task in unit.tasks for minion in task.avoid}
+    preferred = [site for site in able if site.minion.life.minion not in avoided]
+    return preferred or able
+
+
+def _suits(unit: Unit, row: MinionRow) -> bool:
+    if unit.plan.service and row.service != unit.plan.service:
+        return False
+    return not unit.spec.label or unit.spec.label in row.labels
+
+
+def _already_there(unit: Unit, life: Life) -> int:
+    tasks = unit.plan.tasks[unit.step]
+    return sum(
+        1 for task in tasks if task.phase is TaskPhase.PLACED and task.life == life
+    )
+
+
+def fast_sites(sites: list[Site]) -> list[Site]:
+    """Return the sites that are not known to be slow."""
+    known = [site.minion.speed for site in sites if site.minion.speed_weight]
+    if not known:
+        return sites
+    bound = SLOW_SHARE * median(known)
+    return [
+        site
+        for site in sites
+        if not site.minion.speed_weight or site.minion.speed >= bound
+    ]
--- /dev/null
+++ b/kingcuppost/batch/systems/watch.py
@@ -0,0 +1,83 @@
+"""Runs that stand still, and runs at minions that are about to leave."""
+
+from kingcuppost.batch.systems.plans import all_tasks, stop_runs
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.speeds import expected_left_ms, learn_speed
+from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.tables.fleet import MinionRow
+from kingcuppost.batch.tables.job import Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["watch_runs"]
+
+PERIOD_MS = 500
+STALLED_MS = 3_000
+STALLED_LONG_MS = 9_000
+SLOWEST = 20
+WHOLE = 100
+DRAIN_SLACK = 1.5
+DRAIN_SLACK_MS = 1_000
+URGENT = 0
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+def watch_runs(world: BatchWorld, now_ms: int) -> None:
+    """Look at every run twice a second, and stop those that would not end there."""
+    schedule = world.schedule
+    if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
+        return
+    schedule.watch_at_ms = now_ms + PERIOD_MS
+    rows = {row.life: row for row in schedule.minions}
+    for plan in list(schedule.plans.values()):
+        if plan.phase is not PlanState.OPEN:
+            continue
+        for task in all_tasks(plan):
+            row = rows.get(task.life)
+            if row is not None and task.confirmed and not task.stopping:
+                _watch(world, row, plan, task, now_ms)
+
+
+def _watch(
+    world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
+) -> None:
+    if task.phase is not TaskPhase.PLACED or row.is_away:
+        return
+    if row.speed_weight < 1:
+        learn_speed(row, plan, task, now_ms)
+    if row.draining and _should_leave(row, plan, task):
+        _stop(world, plan, task, "the minion drains")
+    elif _is_stalled(plan, task, now_ms):
+        row.stalled_ms = now_ms
+        task.avoid.add(row.life.minion)
+        _stop(world, plan, task, "the run stands still")
+
+
+def _stop(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
+    world.note(
+        "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
+    )
+    if plan.job.steps[task.name.step].gang:
+        stop_runs(plan, task.name.step)
+    else:
+        task.stopping = True
+
+
+def _should_leave(row: MinionRow, plan: Plan, task: Task) -> bool:
+    """Return whether a run would be cut off, or loses nothing by moving."""
+    if plan.job.steps[task.name.step].saves:
+        return True
+    limit_ms = row.remaining_ms * DRAIN_SLACK + DRAIN_SLACK_MS
+    return expected_left_ms(row, plan, task) > limit_ms
+
+
+def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
+    """Return whether a run has shown no progress for too long.
+
+    A run that would lose much by moving is given longer to go on.
+    """
+    step = plan.job.steps[task.name.step]
+    slow_ms = SLOWEST * step.estimate_ms / WHOLE
+    loses_little = step.saves or plan.priority == URGENT
+    bound_ms = STALLED_MS if loses_little else STALLED_LONG_MS
+    return now_ms - task.moved_ms > max(bound_ms, slow_ms)
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -110,8 +110,10 @@
         When its sidecar was last heard.
     speed : float
         Learned speed; 1.0 until something is known.
-    samples : int
-        Ends that the speed rests on.
+    speed_weight : float
+        How many runs the speed rests on.
+    stalled_ms : int or None
+        When a run was last found to stand still here.
     failures : int
         Failed runs since one was done.
     failed_jobs : set of str
@@ -135,7 +137,8 @@
     remaining_ms: int = 0
     heard_ms: int = 0
     speed: float = 1.0
-    samples: int = 0
+    speed_weight: float = 0.0
+    stalled_ms: int | None = None
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     failed_ms: int = 0
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -245,7 +245,11 @@
     saved_at_ms : int or None
         When a new checkpoint was last seen.
     percent : int
-        What the minion says of its progress.
+        How much of the run's work is done, as the minion says.
+    first_percent : int
+        What it said when the run was first seen.
+    moved_ms : int
+        When the percentage last changed.
     failed_run : int
         Newest run of the gang that was counted as failed; at its first member.
     avoid : set of str
@@ -267,6 +271,8 @@
     stop_sent_ms: int | None = None
     saved_at_ms: int | None = None
     percent: int = 0
+    first_percent: int = 0
+    moved_ms: int = 0
     failed_run: int = 0
     avoid: set[str] = field(default_factory=set)
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -162,6 +162,7 @@
     claim_sent_ms: int = 0
     authority_until_ms: int = 0
     renew_at_ms: int = 0
+    watch_at_ms: int = 0
     renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
     in_flight: Append | None = None
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -39,6 +39,11 @@
     stop_at_ms: int | None = None
     is_working: bool = False
 
+    @property
+    def percent(self) -> int:
+        """Return how much of the work is done."""
+        return min(int(100 * self.done_ms / self.work_ms), 99)
+
 
 @dataclass
 class Minion:
@@ -162,7 +167,7 @@
         )
         self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
-            RunningRun(run.task, run.run, _text(run.saved_ms), 0)
+            RunningRun(run.task, run.run, _text(run.saved_ms), run.percent)
             for run in self.runs.values()
         )
         return running, tuple(self.ended)
--- /dev/null
+++ b/standins/batch/tests/test_watch.py
@@ -0,0 +1,56 @@
+"""Runs that would not end where they are go on elsewhere."""
+
+from kingcuppost.batch.tables.job import JobState, StepSpec
+from standins.batch import Deployment
+
+STEP = StepSpec(2, cpu_millis=5_000, accelerators=1, estimate_ms=4_000, saves=True)
+
+
+def ready(**sizes: int) -> Deployment:
+    deployment = Deployment(5, **sizes)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
+    deployment.run_for(2_000)
+    return deployment
+
+
+def test_a_run_that_stands_still_goes_on_elsewhere() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((STEP,), [4_000])
+    deployment.run_for(1_500)
+    for minion in deployment.minions.values():
+        minion.hangs = bool(minion.runs)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 12_000
+    )
+    assert not deployment.checks.broken
+
+
+def test_work_that_saves_leaves_a_minion_that_drains() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((STEP,), [20_000])
+    deployment.run_for(2_500)
+    leaving = [minion for minion in deployment.minions.values() if minion.runs]
+    for minion in leaving:
+        minion.draining = True
+    deployment.run_for(2_500)
+    assert not any(minion.runs for minion in leaving)
+    assert sum(len(minion.runs) for minion in deployment.minions.values()) == 2
+    assert not deployment.checks.broken
+
+
+def test_urgent_work_goes_to_minions_that_proved_fast() -> None:
+    deployment = ready(minions=4)
+    for minion in deployment.minions.values():
+        minion.rack = "r1-1"
+    for _ in range(2):
+        filling = StepSpec(8, cpu_millis=5_000, accelerators=1, estimate_ms=5_000)
+        deployment.submit((filling,), [5_000], 2)
+    deployment.run_for(12_000)
+    rows = {
+        row.life.minion: row.speed for row in deployment.holder().world.schedule.minions
+    }
+    slow = [minion for minion in deployment.minions.values() if minion.speed < 1]
+    fast = [minion for minion in deployment.minions.values() if minion.speed > 1]
+    seen = [minion for minion in fast if rows[minion.id] != 1.0]
+    assert seen
+    assert all(rows[one.id] > rows[two.id] for one in seen for two in slow)
