--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -16,6 +16,7 @@
 STALLED_LONG_MS = 9_000
 SLOWEST = 20
 WHOLE = 100
+ALMOST_DONE = 99
 DRAIN_SLACK = 1.5
 DRAIN_SLACK_MS = 1_000
 URGENT = 0
@@ -74,8 +75,11 @@
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
     """Return whether a run has shown no progress for too long.
 
-    A run that would lose much by moving is given longer to go on.
+    A run that would lose much by moving is given longer to go on. A member of a gang
+    that is through with its own work waits for the others.
     """
+    if task.percent >= ALMOST_DONE:
+        return False
     step = plan.job.steps[task.name.step]
     slow_ms = SLOWEST * step.estimate_ms / WHOLE
     loses_little = step.saves or plan.priority == URGENT
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_watch.py
@@ -54,3 +54,17 @@
     seen = [minion for minion in fast if rows[minion.id] != 1.0]
     assert seen
     assert all(rows[one.id] > rows[two.id] for one in seen for two in slow)
+
+
+def test_a_member_that_is_through_waits_for_its_gang() -> None:
+    deployment = ready(minions=3)
+    for minion in deployment.minions.values():
+        minion.rack = "r1-1"
+    gang = StepSpec(
+        3, cpu_millis=40_000, accelerators=4, estimate_ms=3_000, gang=True, saves=True
+    )
+    job_id, _ = deployment.submit((gang,), [6_000], 0)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 20_000
+    )
+    assert deployment.checks.starts == 3
