Know the end of a life by its successor; keep checkpoints in the log

Cause: after all power was lost, minions came back under new identifiers and the new holder waited 10.3 s for the leases of lives that were over; checkpoints were known to the holder only. Uncovered urgent units stopped any amount of work. Change: a run's record names its sidecar, whose newer life ends the older ones; new checkpoints are appended every 2 s in one piece; without a guarantee urgent work stops at most its own work; a gang's run that is known to be done is no stray.

--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -80,14 +80,14 @@
 class ProgressModel(RecordModel):
     """State of a job and of its tasks that are not merely waiting.
 
-    A task is a row of step, index, phase, run, failures, minion, Unix times of the
-    minion's start and of the run's placing in ms, and checkpoint.
+    A task is a row of step, index, phase, run, failures, minion, Unix time of the
+    minion's start in ms, sidecar, Unix time of the run's placing in ms, and checkpoint.
     """
 
     state: JobState
     begun: bool = False
     tasks: tuple[
-        tuple[Count, Count, TaskPhase, Count, Count, str, int, int, str], ...
+        tuple[Count, Count, TaskPhase, Count, Count, str, int, str, int, str], ...
     ] = ()
 
 
@@ -167,6 +167,7 @@
             task.failures,
             task.minion,
             task.born_ms,
+            task.sidecar,
             task.placed_ms,
             task.saved,
         )
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -32,6 +32,7 @@
 
 RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
+HASTE_SHARE = 0.5
 
 
 @system(Phase.DECIDE, (Role.ENTRY,))
@@ -54,7 +55,10 @@
 
 
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
-    """Place a unit; urgent units prefer fast minions, and make room there cheaply."""
+    """Place a unit; urgent units prefer fast minions, and make room there cheaply.
+
+    Only a team's guarantee is worth more lost work than the unit's own.
+    """
     allowed = allowed_sites(unit, sites)
     if not unit.is_urgent:
         _place_unit(world, unit, _groups(unit, allowed))
@@ -62,12 +66,12 @@
     fast = _groups(unit, fast_sites(allowed))
     if _place_unit(world, unit, fast):
         return
-    if _make_room(world, unit, fast, _own_work(unit)):
+    if _make_room(world, unit, fast, HASTE_SHARE * _own_work(unit)):
         return
     every = _groups(unit, allowed)
     if _place_unit(world, unit, every):
         return
-    _make_room(world, unit, every, None)
+    _make_room(world, unit, every, None if unit.is_covered else _own_work(unit))
 
 
 def _own_work(unit: Unit) -> float:
@@ -159,7 +163,7 @@
     configuration = world.agreed.configuration
     for task, site in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
-        place_task(task, number, site.minion.life, plan.version, wall_ms)
+        place_task(task, number, site.minion, plan.version, wall_ms)
         take_room(site.now, unit.spec)
         take_room(site.free, unit.spec)
         site.taken += 1
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from kingcuppost.batch.tables.fleet import Queue
+from kingcuppost.batch.tables.fleet import MinionRow, Queue
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
@@ -84,6 +84,7 @@
         task.saved = row.saved
         if row.phase is TaskPhase.PLACED:
             task.life = Life(row.minion, row.born_ms)
+            task.sidecar = row.sidecar
             task.placed_ms = row.placed_ms
 
 
@@ -98,6 +99,7 @@
             task.failures,
             task.life.minion if task.life else "",
             task.life.born_ms if task.life else 0,
+            task.sidecar if task.life else "",
             task.placed_ms if task.life else 0,
             "" if task.phase is TaskPhase.DONE else task.saved,
         )
@@ -158,11 +160,14 @@
     return plan, step[name.index]
 
 
-def place_task(task: Task, run: int, life: Life, version: int, placed_ms: int) -> None:
+def place_task(
+    task: Task, run: int, minion: MinionRow, version: int, placed_ms: int
+) -> None:
     """Give a task a run at a minion."""
     task.phase = TaskPhase.PLACED
     task.run = run
-    task.life = life
+    task.life = minion.life
+    task.sidecar = minion.sidecar
     task.placed_ms = placed_ms
     task.version = version
     task.sent_ms = None
@@ -170,7 +175,6 @@
     task.running_since_ms = None
     task.stopping = False
     task.stop_sent_ms = None
-    task.saved_at_ms = None
 
 
 def apply_end(
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -78,8 +78,8 @@
     if old is not None and old.life != call.minion.life:
         if call.minion.life.born_ms < old.life.born_ms:
             return
-        _lose_life(world, old.life, "the minion began a new life")
         old = None
+    _lose_earlier_lives(world, call.sidecar, call.minion.life)
     row = _minion_of(world, call, old, now_ms)
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
     schedule.lives[row.life] = sure_ms
@@ -88,6 +88,15 @@
         _take_lists(world, call, row, now_ms)
 
 
+def _lose_earlier_lives(world: BatchWorld, sidecar: str, life: Life) -> None:
+    """End the runs of lives that the minion beside a sidecar had before this one."""
+    homes = world.schedule.homes
+    for earlier, home in list(homes.items()):
+        if home == sidecar and earlier.born_ms < life.born_ms:
+            _lose_life(world, earlier, "the minion began a new life")
+    homes[life] = sidecar
+
+
 def _minion_of(
     world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
 ) -> MinionRow:
@@ -134,6 +143,7 @@
     """End all runs of a life that is over."""
     schedule = world.schedule
     schedule.lives.pop(life, None)
+    schedule.homes.pop(life, None)
     for plan in list(schedule.plans.values()):
         for step in plan.tasks:
             for task in step:
@@ -192,6 +202,8 @@
     world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
     found = _present(world, row.life, running.task, running.run)
+    if found is None and _is_through(world, running):
+        return
     if found is None:
         _stop_stray(world, row, running)
         return
@@ -206,7 +218,16 @@
         task.moved_ms = now_ms
     if running.saved and running.saved != task.saved:
         task.saved = running.saved
-        task.saved_at_ms = now_ms
+        plan.has_new_saved = True
+
+
+def _is_through(world: BatchWorld, running: RunningRun) -> bool:
+    """Return whether the end of a gang's run has reached us by another member."""
+    found = find_task(world, running.task)
+    if found is None:
+        return False
+    task = found[1]
+    return task.phase is TaskPhase.DONE and task.run == running.run
 
 
 def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -86,6 +86,7 @@
         for task in all_tasks(schedule.plans[job.id]):
             if task.life is not None:
                 schedule.lives[task.life] = sure_ms
+                schedule.homes[task.life] = task.sidecar
     world.deadlines.add(sure_ms)
     schedule.touched.clear()
     schedule.changed = True
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -35,6 +35,11 @@
         """Return whether the unit may stop other work."""
         return self.plan.priority == URGENT
 
+    @property
+    def is_covered(self) -> bool:
+        """Return whether the team's guarantee covers the unit."""
+        return self.rank == 0
+
     @property
     def is_last_try(self) -> bool:
         """Return whether another failure would end the job."""
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -12,6 +12,7 @@
 __all__ = ["watch_runs"]
 
 PERIOD_MS = 500
+SAVE_PERIOD_MS = 2_000
 STALLED_MS = 3_000
 STALLED_LONG_MS = 9_000
 SLOWEST = 20
@@ -29,6 +30,9 @@
     if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
         return
     schedule.watch_at_ms = now_ms + PERIOD_MS
+    if now_ms >= schedule.save_at_ms:
+        schedule.save_at_ms = now_ms + SAVE_PERIOD_MS
+        _keep_checkpoints(world)
     rows = {row.life: row for row in schedule.minions}
     for plan in list(schedule.plans.values()):
         if plan.phase is not PlanState.OPEN:
@@ -39,6 +43,15 @@
                 _watch(world, row, plan, task, now_ms)
 
 
+def _keep_checkpoints(world: BatchWorld) -> None:
+    """Write new checkpoints into the log, where they outlive all processes."""
+    for plan in world.schedule.plans.values():
+        if plan.has_new_saved and plan.phase is PlanState.OPEN:
+            plan.has_new_saved = False
+            plan.version += 1
+            world.schedule.dirty[plan.job.id] = None
+
+
 def _watch(
     world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -197,6 +197,7 @@
     failures: int
     minion: str
     born_ms: int
+    sidecar: str
     placed_ms: int
     saved: str
 
@@ -226,6 +227,8 @@
         Runs that ended as failed.
     life : Life or None
         Where its run is placed.
+    sidecar : str
+        Sidecar of the minion where its run is placed.
     placed_ms : int
         Unix time at which its run was placed, in ms.
     saved : str
@@ -242,8 +245,6 @@
         Whether the run is to be stopped.
     stop_sent_ms : int or None
         When the stop was last handed to the sidecar.
-    saved_at_ms : int or None
-        When a new checkpoint was last seen.
     percent : int
         How much of the run's work is done, as the minion says.
     first_percent : int
@@ -261,6 +262,7 @@
     run: int = 0
     failures: int = 0
     life: Life | None = None
+    sidecar: str = ""
     placed_ms: int = 0
     saved: str = ""
     version: int = 0
@@ -269,7 +271,6 @@
     running_since_ms: int | None = None
     stopping: bool = False
     stop_sent_ms: int | None = None
-    saved_at_ms: int | None = None
     percent: int = 0
     first_percent: int = 0
     moved_ms: int = 0
@@ -313,6 +314,8 @@
         Objective in multiples of its longest chain of work.
     seen_ms : int
         When this process first planned it.
+    has_new_saved : bool
+        Whether a checkpoint is newer than its last record.
     """
 
     job: Job
@@ -327,3 +330,4 @@
     service: str = ""
     slack_factor: float = 1.0
     seen_ms: int = 0
+    has_new_saved: bool = False
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -148,6 +148,8 @@
         Runs that are no task's, by sidecar, task and run.
     lives : dict of Life to int
         When the runs of a life have surely lapsed.
+    homes : dict of Life to str
+        Sidecar beside the minion of a life.
     """
 
     term: int = -1
@@ -163,6 +165,7 @@
     authority_until_ms: int = 0
     renew_at_ms: int = 0
     watch_at_ms: int = 0
+    save_at_ms: int = 0
     renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
     in_flight: Append | None = None
@@ -173,6 +176,7 @@
         default_factory=lambda: Table("sidecar", ("life",))
     )
     lives: dict[Life, int] = field(default_factory=dict)
+    homes: dict[Life, str] = field(default_factory=dict)
     syncs: dict[str, HeldSync] = field(default_factory=dict)
     reports: dict[str, SyncCall] = field(default_factory=dict)
     ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -34,7 +34,11 @@
         Progress(
             JobState.RUNNING,
             True,
-            (TaskProgress(0, 2, TaskPhase.PLACED, 4, 1, "m-1", 7, 123, "00ff"),),
+            (
+                TaskProgress(
+                    0, 2, TaskPhase.PLACED, 4, 1, "m-1", 7, "side-1", 123, "00ff"
+                ),
+            ),
         ),
     ),
     EntryRecord("entry-0", Address("10.0.0.1", 7000), "zone-a", "inc-1"),
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -70,3 +70,40 @@
     assert deployment.holder() is not None
     assert not any(minion.runs for minion in deployment.minions.values())
     assert not deployment.checks.broken
+
+
+def test_work_of_minions_that_lost_power_goes_on_without_their_lease() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [1_500])
+    deployment.run_for(1_000)
+    for process in deployment.processes.values():
+        deployment.kill(process.name)
+        if process.minion is not None:
+            process.minion.restart()
+            process.minion.id += "-again"
+    deployment.run_for(700)
+    for name in deployment.processes:
+        deployment.start(name)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 6_000
+    )
+    assert not deployment.checks.broken
+
+
+def test_checkpoints_outlive_the_loss_of_everything() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [20_000])
+    deployment.run_for(12_000)
+    for process in deployment.processes.values():
+        deployment.kill(process.name)
+        if process.minion is not None:
+            process.minion.restart()
+    deployment.run_for(700)
+    for name in deployment.processes:
+        deployment.start(name)
+    deployment.run_for(4_000)
+    runs = [
+        run for minion in deployment.minions.values() for run in minion.runs.values()
+    ]
+    assert len(runs) == 3
+    assert all(run.done_ms > 4_000 for run in runs)
