Fill racks with overnight work, so that urgent gangs find whole ones

Change: sites of fuller racks come first for work that isn't urgent; urgent work without a guarantee stops at most twice its own work.

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -33,6 +33,7 @@
 RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
 HASTE_SHARE = 0.5
+PATIENCE_SHARE = 2.0
 
 
 @system(Phase.DECIDE, (Role.ENTRY,))
@@ -57,7 +58,7 @@
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
     """Place a unit; urgent units prefer fast minions, and make room there cheaply.
 
-    Only a team's guarantee is worth more lost work than the unit's own.
+    Only a team's guarantee is worth any amount of lost work.
     """
     allowed = allowed_sites(unit, sites)
     if not unit.is_urgent:
@@ -71,7 +72,12 @@
     every = _groups(unit, allowed)
     if _place_unit(world, unit, every):
         return
-    _make_room(world, unit, every, None if unit.is_covered else _own_work(unit))
+    _make_room(
+        world,
+        unit,
+        every,
+        None if unit.is_covered else PATIENCE_SHARE * _own_work(unit),
+    )
 
 
 def _own_work(unit: Unit) -> float:
@@ -134,8 +140,9 @@
 def _rank_site_of(unit: Unit) -> Rank:
     """Return how sites rank for a unit.
 
-    Urgent work takes proven and fast minions, other work fills up minions that are
-    nearly full. The last attempt of a task goes to a minion that has done work.
+    Urgent work takes proven and fast minions. Other work fills up racks and minions
+    that are nearly full, so that urgent gangs find whole racks. The last attempt of a
+    task goes to a minion that has done work.
     """
     last_try = unit.is_last_try
 
@@ -145,7 +152,7 @@
         doubt = row.failures + (0 if row.proven else 1 if last_try else 0)
         if unit.is_urgent:
             return (doubt, -row.speed, *fullness, row.sidecar)
-        return (doubt, *fullness, -row.speed, row.sidecar)
+        return (doubt, site.rack_free[0], *fullness, -row.speed, row.sidecar)
 
     return rank
 
@@ -167,6 +174,7 @@
         take_room(site.now, unit.spec)
         take_room(site.free, unit.spec)
         site.taken += 1
+        site.rack_free[0] -= unit.spec.accelerators
         world.note(
             "place",
             "A run is placed.",
@@ -226,7 +234,7 @@
         if not victim.task.stopping
         and (victim.rank > max(rank, 1) or (rank == 0 and victim.rank == 1))
     ]
-    return Site(site.minion, site.free, site.now, site.taken, victims)
+    return Site(site.minion, site.free, site.now, site.rack_free, site.taken, victims)
 
 
 def _stop_victims(world: BatchWorld, unit: Unit, eviction: Eviction) -> None:
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -54,6 +54,8 @@
         What is free, or will be when runs that are being stopped have ended.
     now : Room
         What is free at once.
+    rack_free : list of int
+        Accelerators that are free in the whole rack; one list for all its sites.
     taken : int
         Tasks of the step at hand that are there already.
     victims : list of Victim
@@ -63,6 +65,7 @@
     minion: MinionRow
     free: Room
     now: Room
+    rack_free: list[int]
     taken: int = 0
     victims: list[Victim] = field(default_factory=list)
 
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -22,7 +22,7 @@
     """Return the minions that may be given work."""
     wall_ms = world.clock.wall_ms()
     sites = {
-        row.life: Site(row, replace(row.room), replace(row.room))
+        row.life: Site(row, replace(row.room), replace(row.room), [0])
         for row in world.schedule.minions
     }
     for plan in world.schedule.plans.values():
@@ -32,7 +32,10 @@
             if task.phase is TaskPhase.PLACED and task.life in sites:
                 _occupy(sites[task.life], plan, task, wall_ms, covered)
     usable = [site for site in sites.values() if _is_usable(world, site.minion, now_ms)]
+    racks: dict[str, list[int]] = {}
     for site in usable:
+        site.rack_free = racks.setdefault(site.minion.rack, [0])
+        site.rack_free[0] += site.free.accelerators
         site.victims.sort(key=lambda victim: victim.cost)
     return usable
 
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -103,3 +103,13 @@
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 5_000
     )
+
+
+def test_overnight_work_leaves_whole_racks_to_urgent_gangs() -> None:
+    deployment = ready()
+    wide = StepSpec(6, cpu_millis=5_000, accelerators=1)
+    for _ in range(2):
+        deployment.submit((wide,), [60_000], 2)
+        deployment.run_for(300)
+    racks = {minion.rack for minion in deployment.minions.values() if minion.runs}
+    assert len(racks) == 1
