--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -13,6 +13,7 @@
     processes,
     reference,
     timeline,
+    trace,
 )
 from kingcuppost.cli.registry import EXIT_INVALID, commands
 from kingcuppost.exception import InvalidInputError
@@ -50,4 +51,4 @@
         return EXIT_INVALID
 
 
-del changes, explain, fleet, jobs, processes, reference, timeline
+del changes, explain, fleet, jobs, processes, reference, timeline, trace
--- /dev/null
+++ b/kingcuppost/cli/trace.py
@@ -0,0 +1,115 @@
+"""The way of one job through the logs of all processes."""
+
+import argparse
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from kingcuppost.cli.registry import EXIT_FAILED, EXIT_OK, command
+
+__all__: list[str] = []
+
+CONTEXT_PARTS = ("lease", "log", "minion", "process", "settings", "store")
+CONTEXT_MS = 1_000
+PLAIN_FIELDS = ("wall_ms", "instance", "incarnation", "message", "levelname")
+MS_PER_SECOND = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One log line.
+
+    Attributes
+    ----------
+    wall_ms : int
+        Unix time of the process that wrote it, in ms.
+    instance, message : str
+        Who wrote it, and its text, which begins with the part of the program.
+    fields : dict
+        All other fields.
+    """
+
+    wall_ms: int
+    instance: str
+    message: str
+    fields: dict
+
+    @property
+    def part(self) -> str:
+        """Return the part of the program that wrote it."""
+        return self.message.partition(":")[0]
+
+    def mentions(self, text: str) -> bool:
+        """Return whether any field begins with a text."""
+        return any(str(value).startswith(text) for value in self.fields.values())
+
+
+def _parse(texts: Iterable[str]) -> Iterator[Line]:
+    """Yield the lines that are ours; others, such as a bench's, are passed over."""
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            row = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(row, dict) and isinstance(row.get("wall_ms"), int):
+            fields = {key: row[key] for key in row if key not in PLAIN_FIELDS}
+            instance = str(row.get("instance", ""))
+            yield Line(row["wall_ms"], instance, str(row.get("message", "")), fields)
+
+
+def _read(paths: list[str]) -> Iterator[Line]:
+    for path in paths:
+        if path == "-":
+            yield from _parse(sys.stdin)
+        else:
+            with Path(path).open(encoding="utf-8", errors="replace") as file:
+                yield from _parse(file)
+
+
+def _chosen(lines: list[Line], job_id: str, with_context: bool) -> list[Line]:
+    """Return the lines of a job and, if asked for, what happened around them."""
+    own = [line for line in lines if line.mentions(job_id)]
+    if not own or not with_context:
+        return own
+    first_ms = own[0].wall_ms - CONTEXT_MS
+    last_ms = own[-1].wall_ms + CONTEXT_MS
+    return [
+        line
+        for line in lines
+        if line.mentions(job_id)
+        or (line.part in CONTEXT_PARTS and first_ms <= line.wall_ms <= last_ms)
+    ]
+
+
+def _text(line: Line, first_ms: int) -> str:
+    after_s = (line.wall_ms - first_ms) / MS_PER_SECOND
+    details = " ".join(f"{key}={value}" for key, value in line.fields.items())
+    return f"{after_s:9.3f} {line.instance:20} {line.message} {details}".rstrip()
+
+
+def _add_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("job", help="identifier of a job, or the beginning of a task")
+    parser.add_argument("logs", nargs="+", help="files of log lines; - for input")
+    parser.add_argument(
+        "--context",
+        action="store_true",
+        help="also what processes, leases, minions and settings did meanwhile",
+    )
+
+
+@command("trace", "Show one job's way through the logs of all processes.", _add_options)
+def trace_job(args: argparse.Namespace) -> int:
+    """Print the lines that mention a job, from all processes, by their time."""
+    lines = sorted(_read(args.logs), key=lambda line: line.wall_ms)
+    chosen = _chosen(lines, args.job, args.context)
+    if not chosen:
+        print(f"kingcuppost: no line mentions {args.job}", file=sys.stderr)
+        return EXIT_FAILED
+    for line in chosen:
+        print(_text(line, chosen[0].wall_ms))
+    return EXIT_OK
