Refuse at once while the log is not followed

Change: without a read in 2 s, submissions and cancellations are refused at once as not run, with when to come back. The test fails before.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -32,6 +32,7 @@
 RETRY_LATER_MS = 1_000
 APPEND_TIMEOUT_MS = 1_000
 ANSWER_MARGIN_MS = 200
+UNFOLLOWED = "the log is not followed"
 ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 handlers = Registry("handler of call")
@@ -132,7 +133,7 @@
         return CallReply(call.exchange_id, Verdict.OK, state=shown_state(job))
     if is_fresh(world, Stream.JOBS, now_ms):
         return CallReply(call.exchange_id, Verdict.NO_JOB)
-    return _not_run(call, "the log is not followed")
+    return _not_run(call, UNFOLLOWED)
 
 
 def _submit(
@@ -147,6 +148,8 @@
         return CallReply(call.exchange_id, Verdict.OK)
     if call.job is None:
         return CallReply(call.exchange_id, Verdict.BAD, reason=call.fault)
+    if not is_fresh(world, Stream.JOBS, now_ms):
+        return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
     job = Job(
         job_id,
         queue.name,
@@ -167,9 +170,11 @@
     if job is None:
         if is_fresh(world, Stream.JOBS, now_ms):
             return CallReply(call.exchange_id, Verdict.NO_JOB)
-        return _not_run(call, "the log is not followed")
+        return _not_run(call, UNFOLLOWED)
     if shown_state(job) in ENDED:
         return CallReply(call.exchange_id, Verdict.OK)
+    if not is_fresh(world, Stream.JOBS, now_ms):
+        return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
     _hold(world, call, job_id, CancelRecord(job_id))
     return None
 
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -113,3 +113,16 @@
         deployment.run_for(300)
     racks = {minion.rack for minion in deployment.minions.values() if minion.runs}
     assert len(racks) == 1
+
+
+def test_an_entry_that_is_cut_off_refuses_at_once() -> None:
+    deployment = ready()
+    deployment.processes["entry-1"].is_cut = True
+    deployment.run_for(3_500)
+    job_id, exchange_id = deployment.submit((SMALL,), [500], entry="entry-1")
+    deployment.run_for(10)
+    reply = deployment.replies[exchange_id]
+    assert reply.verdict is Verdict.NOT_RUN
+    assert reply.retry_after_ms > 0
+    deployment.run_for(1_000)
+    assert deployment.checks.starts == 0
