--- /dev/null
+++ b/standins/batch/host.py
@@ -0,0 +1,312 @@
+"""The platform over HTTP: store and minions in one process, for tests.
+
+Reads a JSON document from the file named on the command line: the port of the store,
+the configuration of the operators, and the minions with the addresses at which they
+serve and at which their sidecars take heartbeats.
+"""
+
+import base64
+import json
+import struct
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from kingcuppost.batch.tables.fleet import Room
+from kingcuppost.batch.tables.job import StepSpec, TaskName
+from kingcuppost.batch.tables.messages import AppendOutcome, Stream
+from kingcuppost.edges.http_client import JsonClient
+from kingcuppost.exception import PeerError
+from kingcuppost.tables.config import Address
+from standins.batch.checks import Checks
+from standins.batch.minions import Minion
+from standins.batch.store import Store
+
+__all__ = ["main"]
+
+STREAMS = {
+    "keyed.jobs": Stream.JOBS,
+    "keyed.members": Stream.MEMBERS,
+    "keyed.op": Stream.OPERATORS,
+}
+STATUSES = {
+    AppendOutcome.DONE: 200,
+    AppendOutcome.FENCED: 409,
+    AppendOutcome.CONFLICT: 412,
+}
+BEAT_S = 0.3
+BEAT_TIMEOUT_MS = 900
+STEP_S = 0.02
+POLL_S = 0.02
+MS_PER_SECOND = 1_000
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def _answer(request: Request, status: int, body: bytes) -> None:
+    if request._disconnected:
+        return
+    request.setResponseCode(status)
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
+
+
+def _json(request: Request, status: int, **fields: Any) -> None:
+    _answer(request, status, json.dumps(fields).encode())
+
+
+class _Paths(Resource):
+    """Serves functions by path."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, paths: dict[str, Callable[[Request], None]]) -> None:
+        super().__init__()
+        self._paths = paths
+
+    def render(self, request: Request) -> int:
+        """Hand a request to its function."""
+        serve = self._paths.get(request.path.decode())
+        if serve is None:
+            _json(request, 404)
+        else:
+            serve(request)
+        return NOT_DONE_YET
+
+
+def _field(request: Request, name: str, default: str = "") -> str:
+    return request.args.get(name.encode(), [default.encode()])[0].decode()
+
+
+def _records(body: bytes) -> list[tuple[str, bytes]]:
+    rows = []
+    position = 0
+    while position < len(body):
+        size = struct.unpack_from(">I", body, position)[0]
+        content = body[position + 4 : position + 4 + size]
+        key = content[1 : 1 + content[0]].decode()
+        rows.append((key, content[1 + content[0] :]))
+        position += 4 + size
+    return rows
+
+
+class StoreSurface:
+    """The store's calls."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def paths(self) -> dict[str, Callable[[Request], None]]:
+        """Return what is served where."""
+        return {
+            "/kingcuppost/log-append": self.append,
+            "/kingcuppost/log-read": self.read,
+            "/kingcuppost/log-newest": self.newest,
+        }
+
+    def append(self, request: Request) -> None:
+        """Append records."""
+        at = _field(request, "at")
+        epoch = _field(request, "epoch")
+        done = self._store.append(
+            STREAMS[_field(request, "topic")],
+            _records(request.content.read()),
+            int(at) if at else None,
+            int(epoch) if epoch else None,
+            int(_field(request, "sequence", "0")),
+        )
+        reason = "fenced" if done.outcome is AppendOutcome.FENCED else "seq"
+        _json(
+            request,
+            STATUSES[done.outcome],
+            offset=done.offset,
+            end=done.end,
+            reason=reason,
+        )
+
+    def read(self, request: Request) -> None:
+        """Answer with records as soon as there are any."""
+        stream = STREAMS[_field(request, "topic")]
+        start = int(_field(request, "from"))
+        limit_ms = _now_ms() + int(_field(request, "waitMs", "0"))
+        self._look(request, stream, start, limit_ms)
+
+    def _look(
+        self, request: Request, stream: Stream, start: int, limit_ms: int
+    ) -> None:
+        rows = self._store.read(stream, start)
+        if rows is None:
+            _json(request, 410, first=0)
+        elif rows or _now_ms() >= limit_ms:
+            body = struct.pack(">QQ", self._store.end(stream), 0)
+            for key, value in rows:
+                content = bytes([len(key)]) + key.encode() + value
+                body += struct.pack(">I", len(content)) + content
+            _answer(request, 200, body)
+        else:
+            reactor.callLater(POLL_S, self._look, request, stream, start, limit_ms)
+
+    def newest(self, request: Request) -> None:
+        """Answer with the newest record of each key."""
+        stream = STREAMS[_field(request, "topic")]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for offset, key, value in self._store.newest(stream)
+        ]
+        _json(request, 200, items=items, more=False, end=self._store.end(stream))
+
+
+class MinionSurface:
+    """A minion's calls, and its heartbeats."""
+
+    def __init__(self, cfg: dict, checks: Checks) -> None:
+        self._cfg = cfg
+        self._works: dict[str, list[dict]] = {}
+        self._client = JsonClient(reactor)
+        self._sequence = 0
+        self.minion = Minion(
+            cfg["id"],
+            cfg["zone"],
+            cfg["rack"],
+            Room(64_000, 131_072, 8),
+            checks,
+            _now_ms,
+            self._work_of,
+            lease_ms=6_000,
+            gang_ms=3_000,
+            born_ms=int(time.time() * MS_PER_SECOND),
+        )
+
+    def _work_of(self, task: TaskName) -> tuple[StepSpec, float]:
+        row = self._works[task.job][task.step]
+        return StepSpec(row["count"], saves=row["saves"]), row["work_ms"]
+
+    def paths(self) -> dict[str, Callable[[Request], None]]:
+        """Return what is served where."""
+        return {
+            "/kingcuppost/run-start": self.start,
+            "/kingcuppost/run-stop": self.stop,
+            "/kingcuppost/hold": self.hold,
+        }
+
+    def _reply(self, request: Request, reason: str) -> None:
+        status = 409 if reason else 200
+        _json(request, status, clockMs=_now_ms(), reason=reason)
+
+    def start(self, request: Request) -> None:
+        """Begin a run; the job's spec tells how long its tasks work."""
+        body = json.load(request.content)
+        task = TaskName.parse(body["task"])
+        self._works[task.job] = json.loads(body["spec"])
+        reason = self.minion.start(
+            body["fencingToken"],
+            task,
+            body["run"],
+            body.get("checkpoint", ""),
+            body["deadlineMs"],
+        )
+        self._reply(request, reason)
+
+    def stop(self, request: Request) -> None:
+        """End a run."""
+        body = json.load(request.content)
+        task = TaskName.parse(body["task"])
+        self._reply(request, self.minion.stop(body["fencingToken"], task, body["run"]))
+
+    def hold(self, request: Request) -> None:
+        """Answer with both lists, at once or when a run has ended."""
+        body = json.load(request.content)
+        limit_ms = _now_ms() + body.get("waitMs", 0)
+        self._look(request, body, limit_ms, body.get("deadlineMs"))
+
+    def _look(
+        self, request: Request, body: dict, limit_ms: int, until_ms: int | None
+    ) -> None:
+        running, ended = self.minion.hold(
+            body["fencingToken"], body["lastSeen"], until_ms
+        )
+        if not ended and _now_ms() < limit_ms:
+            reactor.callLater(POLL_S, self._look, request, body, limit_ms, None)
+            return
+        _json(
+            request,
+            200,
+            clockMs=_now_ms(),
+            born=self.minion.born_ms,
+            running=[[str(r.task), r.run, r.saved, r.percent, 0] for r in running],
+            finishedRuns=[
+                [e.number, str(e.task), e.run, e.how.value, e.saved] for e in ended
+            ],
+        )
+
+    async def beat(self) -> None:
+        """Send a heartbeat to the sidecar; one that fails is sent again later."""
+        self._sequence += 1
+        body = {
+            "service": "svc",
+            "address": self._cfg["address"],
+            "zone": self._cfg["zone"],
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "sequence": self._sequence,
+            "born": self.minion.born_ms,
+            "capacity": {"cpu": 64_000, "memMb": 131_072, "gpu": 8},
+            "labels": ["a", self._cfg["rack"]],
+        }
+        host, _, port = self._cfg["sidecar"].rpartition(":")
+        path = f"/kingcuppost/instances/{self.minion.id}"
+        text = json.dumps(body).encode()
+        try:
+            await self._client.exchange(
+                "PUT", Address(host, int(port)), path, text, 900
+            )
+        except PeerError as exc:
+            print(f"no heartbeat: {exc}", file=sys.stderr)
+
+
+def _listen(address: str, paths: dict[str, Callable[[Request], None]]) -> None:
+    host, _, port = address.rpartition(":")
+    reactor.listenTCP(int(port), Site(_Paths(paths)), interface=host)
+
+
+def main() -> None:
+    """Serve until the process is ended; print a line with the checks' findings."""
+    cfg = json.loads(Path(sys.argv[1]).read_text(encoding="utf-8"))
+    store, checks = Store(), Checks()
+    config = json.dumps(cfg["configuration"]).encode()
+    store.append(Stream.OPERATORS, [("config", config)])
+    _listen(cfg["store"], StoreSurface(store).paths())
+    for row in cfg["minions"]:
+        surface = MinionSurface(row, checks)
+        for job_id in cfg["jobs"]:
+            checks.submitted(job_id, [2], ((),), (False,), 3)
+        _listen(row["address"], surface.paths())
+        LoopingCall(lambda surface=surface: _start_beat(surface)).start(BEAT_S)
+        step_ms = int(STEP_S * MS_PER_SECOND)
+        LoopingCall(surface.minion.advance, step_ms).start(STEP_S)
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", lambda: print(json.dumps(checks.broken), flush=True)
+    )
+    print("ready", flush=True)
+    reactor.run()
+
+
+def _start_beat(surface: MinionSurface) -> None:
+    from twisted.internet.defer import ensureDeferred
+
+    ensureDeferred(surface.beat())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,261 @@
+"""The roles of the deploy file as real processes, built and started as deployed."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = ROOT / "deploy" / "system.toml"
+STORE = "127.0.0.90"
+JOBS = ("0123456789abcdef", "0123456789abcde0", "0123456789abcde1")
+WORK = json.dumps([{"count": 2, "saves": True, "work_ms": 800}])
+BODY = json.dumps(
+    {"spec": WORK, "steps": [{"count": 2, "cpu": 1_000, "gpu": 1, "estimateMs": 800}]}
+)
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "q",
+            "host": "desk.example",
+            "pathPrefix": "/q/",
+            "service": "svc",
+            "priority": 1,
+            "maxAttempts": 3,
+        }
+    ],
+    "tenants": [{"name": "t", "apiKeys": ["key-1"], "guaranteed": {"gpu": 8}}],
+}
+STARTED_S = 20
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "zone-a"
+internalPorts = [{peers}, {peers}]
+seeds = ["127.0.0.91:{control}", "127.0.0.92:{control}"]
+[listen]
+frontend = "{ip}:{callers}"
+readiness = "{ip}:{ready}"
+control = "{ip}:{control}"
+[bounds]
+holdMaxMs = 6000
+graceS = 6
+[platform]
+address = "{store}"
+"""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel has just given out on the first address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((STORE, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def until(is_true: Callable[[], bool], what: str, limit_s: float = STARTED_S) -> None:
+    end_s = time.monotonic() + limit_s
+    while not is_true():
+        assert time.monotonic() < end_s, what
+        time.sleep(0.05)
+
+
+class Fleet:
+    """Two entries, two sidecars, and the stand-in of store and minions."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        names = ("store", "callers", "ready", "control", "peers", "app")
+        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.roles = tomllib.loads(DEPLOY.read_text())["roles"]
+        self.ips = {
+            "entry-1": "127.0.0.91",
+            "entry-2": "127.0.0.92",
+            "side-1": "127.0.0.93",
+            "side-2": "127.0.0.94",
+        }
+        self._start_host()
+        for name in self.ips:
+            self.start(name)
+
+    def _start_host(self) -> None:
+        minions = [
+            {
+                "id": f"m-{name}",
+                "zone": "zone-a",
+                "rack": "r1-1",
+                "address": f"{ip}:{self.ports['app']}",
+                "sidecar": f"{ip}:{self.ports['control']}",
+            }
+            for name, ip in self.ips.items()
+            if name.startswith("side")
+        ]
+        document = {
+            "store": f"{STORE}:{self.ports['store']}",
+            "configuration": CONFIGURATION,
+            "minions": minions,
+            "jobs": JOBS,
+        }
+        path = self.folder / "host.json"
+        path.write_text(json.dumps(document))
+        with (self.folder / "host.log").open("w") as log:
+            self.processes["host"] = subprocess.Popen(
+                [sys.executable, "-m", "standins.batch.host", str(path)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        until(lambda: "ready" in self.log("host"), "the stand-in starts")
+
+    def log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    def start(self, name: str) -> None:
+        """Start a role by the words of the deploy file."""
+        role = self.roles["entry" if name.startswith("entry") else "sidecar"]
+        settings = self.folder / f"{name}.toml"
+        store = f"{STORE}:{self.ports['store']}"
+        values = {key: port for key, port in self.ports.items() if key != "store"}
+        settings.write_text(
+            SETTINGS.format(name=name, ip=self.ips[name], store=store, **values)
+        )
+        env = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "KINGCUPPOST_SETTINGS": str(settings),
+        }
+        words = role["run"].split()
+        with (self.folder / f"{name}.log").open("a") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *words[1:]],
+                cwd=self.folder,
+                env=env,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: str = "",
+        port: str = "callers",
+        key: str = "key-1",
+    ) -> tuple[int, dict]:
+        """Send a request to an entry; 0 if nothing answers."""
+        conn = http.client.HTTPConnection(self.ips[name], self.ports[port], timeout=5)
+        headers = {"Host": "desk.example", "Authorization": f"Bearer {key}"}
+        try:
+            conn.request(method, path, body or None, headers)
+            response = conn.getresponse()
+            text = response.read()
+        except OSError:
+            return 0, {}
+        finally:
+            conn.close()
+        return response.status, json.loads(text or b"{}")
+
+    def is_ready(self, name: str) -> bool:
+        return self.call(name, "GET", "/kingcuppost/ready", port="ready")[0] == 200
+
+    def state(self, name: str, job_id: str) -> str:
+        return self.call(name, "GET", f"/q/{job_id}")[1].get("state", "")
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(timeout=10)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    build = tomllib.loads(DEPLOY.read_text())["build"]
+    subprocess.run(build, shell=True, cwd=ROOT, check=True, capture_output=True)
+    running = Fleet(tmp_path_factory.mktemp("fleet"))
+    try:
+        until(
+            lambda: running.is_ready("entry-1") and running.is_ready("entry-2"),
+            "both entries are ready",
+        )
+        yield running
+    finally:
+        running.stop()
+
+
+def test_a_job_is_done_and_both_entries_show_it(fleet: Fleet) -> None:
+    assert fleet.call("entry-1", "POST", f"/q/{JOBS[0]}", BODY)[0] == 200
+    assert fleet.call("entry-2", "POST", f"/q/{JOBS[0]}", BODY)[0] == 200
+    for name in ("entry-1", "entry-2"):
+        until(lambda name=name: fleet.state(name, JOBS[0]) == "completed", "job done")
+
+
+def test_calls_are_told_what_is_wrong(fleet: Fleet) -> None:
+    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", BODY, key="odd")[0] == 401
+    assert fleet.call("entry-1", "GET", f"/other/{JOBS[1]}")[0] == 404
+    assert fleet.call("entry-1", "GET", "/q/fedcba9876543210")[0] == 410
+    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", "{")[0] == 400
+    assert fleet.call("entry-1", "GET", "/q/") == (200, {"pending": 0})
+
+
+def test_work_goes_on_after_the_holder_was_killed(fleet: Fleet) -> None:
+    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", BODY)[0] == 200
+    holder = next(
+        name for name in ("entry-1", "entry-2") if "The term is open" in fleet.log(name)
+    )
+    other = "entry-2" if holder == "entry-1" else "entry-1"
+    fleet.processes[holder].kill()
+    fleet.processes[holder].wait()
+    until(lambda: fleet.state(other, JOBS[1]) == "completed", "the job is done")
+    fleet.start(holder)
+    until(lambda: fleet.is_ready(holder), "the killed entry is back")
+    until(lambda: fleet.state(holder, JOBS[1]) == "completed", "it shows the job")
+
+
+def test_settings_are_read_again_and_the_end_is_graceful(fleet: Fleet) -> None:
+    process = fleet.processes["entry-2"]
+    process.send_signal(signal.SIGHUP)
+    until(
+        lambda: "The settings are read again" in fleet.log("entry-2"),
+        "the settings are read again",
+    )
+    process.terminate()
+    assert process.wait(timeout=8) == 0
+    fleet.start("entry-2")
+    until(lambda: fleet.is_ready("entry-2"), "the entry is back")
+
+
+def test_metrics_are_served(fleet: Fleet) -> None:
+    conn = http.client.HTTPConnection(fleet.ips["entry-1"], fleet.ports["peers"])
+    conn.request("GET", "/metrics")
+    text = conn.getresponse().read().decode()
+    conn.close()
+    assert "kingcuppost_jobs" in text
+    assert "kingcuppost_tick_seconds_bucket" in text
+
+
+def test_the_minions_saw_no_broken_promise(fleet: Fleet) -> None:
+    host = fleet.processes["host"]
+    host.terminate()
+    host.wait(timeout=10)
+    assert fleet.log("host").splitlines()[-1] == "[]"
