--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -21,6 +21,7 @@
         "lapses",
         "watch",
         "decide",
+        "cleaning",
         "writing",
         "orders",
         "ending",
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -14,7 +14,7 @@
     pick,
     take_room,
 )
-from kingcuppost.batch.systems.plans import change_plan, place_task
+from kingcuppost.batch.systems.plans import ask_stop, change_plan, place_task
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sites import allowed_sites, fast_sites, sites_of
 from kingcuppost.batch.systems.term import is_scheduling
@@ -24,7 +24,7 @@
     task_weight,
     units_of,
 )
-from kingcuppost.batch.tables.job import JobState, StepSpec, TaskPhase
+from kingcuppost.batch.tables.job import JobState, StepSpec
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -161,7 +161,6 @@
     """Give runs to as many tasks as there are chosen sites."""
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
-    wall_ms = world.clock.wall_ms()
     run = 1 + max(task.run for task in tasks)
     plan.begun = True
     plan.state = JobState.RUNNING
@@ -170,7 +169,7 @@
     configuration = world.agreed.configuration
     for task, site in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
-        place_task(task, number, site.minion, plan.version, wall_ms)
+        place_task(world, plan, task, number, site.minion)
         take_room(site.now, unit.spec)
         take_room(site.free, unit.spec)
         site.taken += 1
@@ -244,7 +243,7 @@
         stopped = plan.tasks[task.name.step] if step.gang else [task]
         add_room(eviction.site.free, victim.room)
         for member in stopped:
-            member.stopping = member.phase is TaskPhase.PLACED
+            ask_stop(world, plan, member)
         world.tally.add("preemptions")
         world.note(
             "preempt",
--- a/kingcuppost/batch/systems/lapses.py
+++ b/kingcuppost/batch/systems/lapses.py
@@ -9,6 +9,7 @@
 __all__ = ["AWAY_MS", "end_lapsed_lives", "note_absences"]
 
 AWAY_MS = 1_700
+PERIOD_MS = 100
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,))
@@ -28,8 +29,9 @@
 @system(Phase.MEMBERSHIP, (Role.ENTRY,))
 def note_absences(world: BatchWorld, now_ms: int) -> None:
     """Place nothing at minions that were not heard of for `AWAY_MS`."""
-    if not is_scheduling(world):
+    if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
         return
+    world.schedule.absence_at_ms = now_ms + PERIOD_MS
     for row in world.schedule.minions:
         due_ms = row.heard_ms + AWAY_MS
         if row.is_away:
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -15,6 +15,7 @@
     EntryRecord,
     RenewRecord,
     Stream,
+    SyncReply,
 )
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 from kingcuppost.tables.identity import Role
@@ -25,6 +26,8 @@
     "claim_lease",
     "has_authority",
     "holds_lease",
+    "refer",
+    "release_lease",
     "renew_lease",
     "step_down",
 ]
@@ -157,6 +160,15 @@
     world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
 
 
+def refer(world: BatchWorld, exchange_id: str) -> SyncReply:
+    """Return the answer that sends a sidecar to whoever holds the lease."""
+    holder = world.agreed.holder
+    is_other = holder.incarnation != world.incarnation and not holder.released
+    entries = tuple(entry.address for entry in world.agreed.entries)
+    address = holder.address if is_other else None
+    return SyncReply(exchange_id, -1, address, entries=entries)
+
+
 def release_lease(world: BatchWorld, now_ms: int) -> None:
     """Give the lease back, so that another entry claims it at once."""
     if holds_lease(world) and not world.agreed.holder.released:
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/orders.py
@@ -1,17 +1,16 @@
 """Orders for sidecars: what they are to start and stop, and which ends are kept."""
 
-from kingcuppost.batch.systems.lease import has_authority
-from kingcuppost.batch.systems.plans import all_tasks
+from kingcuppost.batch.systems.lease import has_authority, refer
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
-from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.job import Life, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
     StopOrder,
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, Stray
+from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
 __all__ = ["answer_sidecars"]
@@ -19,6 +18,9 @@
 AGAIN_MS = 700
 
 
+Orders = dict[Life, list[tuple[Plan, Task]]]
+
+
 @system(Phase.REPORT, (Role.ENTRY,))
 def answer_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Answer the reports that have orders or whose wait is over."""
@@ -30,73 +32,78 @@
     if not schedule.syncs:
         return
     starts, stops = _collect(world, now_ms)
-    for sidecar, held in list(schedule.syncs.items()):
-        row = schedule.minions.get(sidecar)
-        life = row.life if row else None
-        strays = _due_strays(world, sidecar, now_ms)
-        reply = _reply(world, held.call, life, starts, stops, strays)
-        is_news = (
-            reply.starts or reply.stops or reply.settled or _has_news(held.call, reply)
-        )
-        if not is_news and now_ms < held.until_ms:
-            continue
-        del schedule.syncs[sidecar]
-        _mark_sent(starts.get(life, ()), now_ms)
-        _mark_stopped(stops.get(life, ()), now_ms)
-        for stray in strays:
-            stray.sent_ms = now_ms
-        world.outbox.put(reply)
+    for held in list(schedule.syncs.values()):
+        _answer(world, held, starts, stops, now_ms)
+
+
+def _answer(
+    world: BatchWorld, held: HeldSync, starts: Orders, stops: Orders, now_ms: int
+) -> None:
+    """Answer one report if there is anything to say; most ticks say nothing."""
+    call = held.call
+    row = world.schedule.minions.get(call.sidecar)
+    life = row.life if row else None
+    strays = _due_strays(world, call.sidecar, now_ms)
+    noted = _noted(world, call) if call.ended else 0
+    has_orders = life in starts or life in stops or bool(strays)
+    if not (has_orders or noted or call.refused or now_ms >= held.until_ms):
+        return
+    del world.schedule.syncs[call.sidecar]
+    for _, task in starts.get(life, ()):
+        task.sent_ms = now_ms
+    for _, task in stops.get(life, ()):
+        task.stop_sent_ms = now_ms
+    for stray in strays:
+        stray.sent_ms = now_ms
+    world.outbox.put(_reply(world, call, life, starts, stops, strays, noted))
 
 
 def _release_all(world: BatchWorld) -> None:
     """Send waiting sidecars to the new holder."""
-    holder = world.agreed.holder
-    is_other = holder.incarnation != world.incarnation and not holder.released
-    address = holder.address if is_other else None
-    entries = tuple(entry.address for entry in world.agreed.entries)
     for held in world.schedule.syncs.values():
-        reply = SyncReply(held.call.exchange_id, -1, address, entries=entries)
-        world.outbox.put(reply)
+        world.outbox.put(refer(world, held.call.exchange_id))
     world.schedule.syncs.clear()
 
 
 def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
-    strays = world.schedule.strays.get(sidecar, {})
+    strays = world.schedule.strays.get(sidecar)
+    if not strays:
+        return []
     return [stray for stray in strays.values() if _is_due(stray.sent_ms, now_ms)]
 
 
-Orders = dict[Life, list[tuple[Plan, Task]]]
-
-
 def _collect(world: BatchWorld, now_ms: int) -> tuple[Orders, Orders]:
     """Return what is to be started and stopped, by life."""
     starts: Orders = {}
     stops: Orders = {}
-    for plan in world.schedule.plans.values():
-        if plan.phase is PlanState.OVER:
-            continue
-        for task in all_tasks(plan):
-            if task.phase is not TaskPhase.PLACED:
-                continue
-            if task.stopping:
-                if _is_due(task.stop_sent_ms, now_ms):
-                    stops.setdefault(task.life, []).append((plan, task))
-            elif _may_start(plan, task, now_ms):
-                starts.setdefault(task.life, []).append((plan, task))
-            if not task.confirmed or task.stopping:
-                world.deadlines.add(now_ms + AGAIN_MS)
+    unsettled = world.schedule.unsettled
+    for name, (plan, task) in list(unsettled.items()):
+        is_settled = task.confirmed and not task.stopping
+        if task.phase is not TaskPhase.PLACED or is_settled:
+            del unsettled[name]
+        elif task.stopping:
+            _add_due(world, stops, plan, task, task.stop_sent_ms, now_ms)
+        elif plan.committed >= task.version:
+            _add_due(world, starts, plan, task, task.sent_ms, now_ms)
     return starts, stops
 
 
-def _is_due(sent_ms: int | None, now_ms: int) -> bool:
-    return sent_ms is None or now_ms - sent_ms >= AGAIN_MS
+def _add_due(
+    world: BatchWorld,
+    orders: Orders,
+    plan: Plan,
+    task: Task,
+    sent_ms: int | None,
+    now_ms: int,
+) -> None:
+    if _is_due(sent_ms, now_ms):
+        orders.setdefault(task.life, []).append((plan, task))
+    else:
+        world.deadlines.add(sent_ms + AGAIN_MS)
 
 
-def _may_start(plan: Plan, task: Task, now_ms: int) -> bool:
-    """Return whether a run is in the log and its start is due."""
-    if task.confirmed or plan.committed < task.version:
-        return False
-    return _is_due(task.sent_ms, now_ms)
+def _is_due(sent_ms: int | None, now_ms: int) -> bool:
+    return sent_ms is None or now_ms - sent_ms >= AGAIN_MS
 
 
 def _reply(
@@ -106,6 +113,7 @@
     starts: Orders,
     stops: Orders,
     strays: list[Stray],
+    noted: int,
 ) -> SyncReply:
     schedule = world.schedule
     return SyncReply(
@@ -121,7 +129,7 @@
             + [StopOrder(stray.run.task, stray.run.run) for stray in strays]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
-        noted=_noted(world, call),
+        noted=noted,
         entries=tuple(entry.address for entry in world.agreed.entries),
     )
 
@@ -139,17 +147,3 @@
             break
         noted = ended.number
     return noted
-
-
-def _has_news(call: SyncCall, reply: SyncReply) -> bool:
-    return bool(call.ended) and reply.noted >= min(row.number for row in call.ended)
-
-
-def _mark_sent(rows: list[tuple[Plan, Task]], now_ms: int) -> None:
-    for _, task in rows:
-        task.sent_ms = now_ms
-
-
-def _mark_stopped(rows: list[tuple[Plan, Task]], now_ms: int) -> None:
-    for _, task in rows:
-        task.stop_sent_ms = now_ms
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -21,6 +21,7 @@
 __all__ = [
     "all_tasks",
     "apply_end",
+    "ask_stop",
     "change_plan",
     "find_task",
     "load_plan",
@@ -135,18 +136,25 @@
 def end_plan(world: BatchWorld, plan: Plan, state: JobState) -> None:
     """End a job; what still runs is stopped."""
     plan.state = state
-    stop_runs(plan)
+    stop_runs(world, plan)
     is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
     plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
     world.note("job", "A job ends.", job=plan.job.id, state=state)
     change_plan(world, plan)
 
 
-def stop_runs(plan: Plan, step: int | None = None) -> None:
+def ask_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
+    """Ask for the end of a task's run, if it has one."""
+    if task.phase is TaskPhase.PLACED:
+        task.stopping = True
+        world.schedule.unsettled[task.name] = (plan, task)
+
+
+def stop_runs(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
     """Ask for the end of all runs of a job, or of one step."""
     for task in all_tasks(plan):
-        if task.phase is TaskPhase.PLACED and step in (None, task.name.step):
-            task.stopping = True
+        if step in (None, task.name.step):
+            ask_stop(world, plan, task)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
@@ -161,15 +169,16 @@
 
 
 def place_task(
-    task: Task, run: int, minion: MinionRow, version: int, placed_ms: int
+    world: BatchWorld, plan: Plan, task: Task, run: int, minion: MinionRow
 ) -> None:
-    """Give a task a run at a minion."""
+    """Give a task a run at a minion; it starts once the plan is in the log."""
+    world.schedule.unsettled[task.name] = (plan, task)
     task.phase = TaskPhase.PLACED
     task.run = run
     task.life = minion.life
     task.sidecar = minion.sidecar
-    task.placed_ms = placed_ms
-    task.version = version
+    task.placed_ms = world.clock.wall_ms()
+    task.version = plan.version
     task.sent_ms = None
     task.confirmed = False
     task.running_since_ms = None
@@ -192,7 +201,7 @@
     elif how is RunEnd.FAILED:
         _failed(plan, task, life)
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
-        stop_runs(plan, task.name.step)
+        stop_runs(world, plan, task.name.step)
     _judge(world, plan)
     change_plan(world, plan)
 
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -1,6 +1,6 @@
 """Reports of sidecars: minions, what runs at them, and how runs ended."""
 
-from kingcuppost.batch.systems.lease import has_authority
+from kingcuppost.batch.systems.lease import has_authority, refer
 from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import learn_speed
@@ -45,7 +45,7 @@
     """Take reports in; a newer one of the same sidecar ends the wait of an older."""
     for call in world.inbox.take(SyncCall):
         if not is_scheduling(world) or not has_authority(world, now_ms):
-            _send_on(world, call)
+            world.outbox.put(refer(world, call.exchange_id))
             continue
         older = world.schedule.syncs.pop(call.sidecar, None)
         if older is not None:
@@ -56,15 +56,6 @@
         world.deadlines.add(until_ms)
 
 
-def _send_on(world: BatchWorld, call: SyncCall) -> None:
-    """Tell a sidecar who holds the lease."""
-    holder = world.agreed.holder
-    is_other = holder.incarnation != world.incarnation
-    address = holder.address if is_other and not holder.released else None
-    entries = tuple(entry.address for entry in world.agreed.entries)
-    world.outbox.put(SyncReply(call.exchange_id, -1, address, entries=entries))
-
-
 def _hear(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     schedule = world.schedule
     schedule.reports[call.sidecar] = call
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -83,8 +83,10 @@
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
         take_up(world, job.id, now_ms)
-        for task in all_tasks(schedule.plans[job.id]):
+        plan = schedule.plans[job.id]
+        for task in all_tasks(plan):
             if task.life is not None:
+                schedule.unsettled[task.name] = (plan, task)
                 schedule.lives[task.life] = sure_ms
                 schedule.homes[task.life] = task.sidecar
     world.deadlines.add(sure_ms)
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -1,6 +1,6 @@
 """Runs that stand still, and runs at minions that are about to leave."""
 
-from kingcuppost.batch.systems.plans import all_tasks, stop_runs
+from kingcuppost.batch.systems.plans import all_tasks, ask_stop, stop_runs
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import expected_left_ms, learn_speed
 from kingcuppost.batch.systems.term import is_scheduling
@@ -72,9 +72,9 @@
         "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
     )
     if plan.job.steps[task.name.step].gang:
-        stop_runs(plan, task.name.step)
+        stop_runs(world, plan, task.name.step)
     else:
-        task.stopping = True
+        ask_stop(world, plan, task)
 
 
 def _should_leave(row: MinionRow, plan: Plan, task: Task) -> bool:
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/writing.py
@@ -9,6 +9,7 @@
     AppendEnded,
     AppendOutcome,
     ProgressRecord,
+    Removed,
     Stream,
 )
 from kingcuppost.batch.tables.world import BatchWorld
@@ -19,6 +20,7 @@
 
 ANSWER_MS = 800
 MOST_JOBS = 64
+JOB_KEYS = ("progress", "cancel", "job")
 
 
 @system(Phase.PROPOSE, (Role.ENTRY,))
@@ -34,7 +36,8 @@
         _settle(world, answer)
     schedule = world.schedule
     schedule.answers.clear()
-    if schedule.loaded and schedule.in_flight is None and schedule.dirty:
+    has_work = schedule.dirty or schedule.removals
+    if schedule.loaded and schedule.in_flight is None and has_work:
         _append(world)
 
 
@@ -49,6 +52,7 @@
         if plan is not None:
             records.append(ProgressRecord(job_id, progress_of(plan)))
             versions[job_id] = plan.version
+    records += _removals(world)
     schedule.sequence += 1
     schedule.in_flight = Append(
         new_identifier(world.rng, "plans"),
@@ -62,6 +66,15 @@
     world.outbox.put(schedule.in_flight)
 
 
+def _removals(world: BatchWorld) -> list[Removed]:
+    """Return the removal of all records of some jobs that ended long ago."""
+    removals = world.schedule.removals
+    job_ids = list(removals)[:MOST_JOBS]
+    for job_id in job_ids:
+        del removals[job_id]
+    return [Removed(f"{kind}/{job_id}") for job_id in job_ids for kind in JOB_KEYS]
+
+
 def _settle(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if schedule.in_flight is None or answer.id != schedule.in_flight.id:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -316,6 +316,8 @@
         When this process first planned it.
     has_new_saved : bool
         Whether a checkpoint is newer than its last record.
+    over_ms : int or None
+        When this process found the job to be over.
     """
 
     job: Job
@@ -331,3 +333,4 @@
     slack_factor: float = 1.0
     seen_ms: int = 0
     has_new_saved: bool = False
+    over_ms: int | None = None
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -10,7 +10,7 @@
     HolderView,
     MinionRow,
 )
-from kingcuppost.batch.tables.job import Job, Life, Plan
+from kingcuppost.batch.tables.job import Job, Life, Plan, Task, TaskName
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
@@ -146,6 +146,10 @@
         When each renewal that waits for its answer was sent.
     strays : dict of str to dict
         Runs that are no task's, by sidecar, task and run.
+    removals : dict of str to None
+        Ended jobs whose records are to be removed.
+    unsettled : dict of TaskName to tuple of Plan and Task
+        Runs that were not seen to begin yet, or are to be stopped.
     lives : dict of Life to int
         When the runs of a life have surely lapsed.
     homes : dict of Life to str
@@ -165,6 +169,9 @@
     authority_until_ms: int = 0
     renew_at_ms: int = 0
     watch_at_ms: int = 0
+    clean_at_ms: int = 0
+    removals: dict[str, None] = field(default_factory=dict)
+    absence_at_ms: int = 0
     save_at_ms: int = 0
     renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
@@ -175,6 +182,7 @@
     minions: Table[MinionRow] = field(
         default_factory=lambda: Table("sidecar", ("life",))
     )
+    unsettled: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
     lives: dict[Life, int] = field(default_factory=dict)
     homes: dict[Life, str] = field(default_factory=dict)
     syncs: dict[str, HeldSync] = field(default_factory=dict)
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -1,7 +1,7 @@
 """Small days without faults: jobs of all kinds are done."""
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
-from kingcuppost.batch.tables.messages import CallKind, Verdict
+from kingcuppost.batch.tables.messages import CallKind, Stream, Verdict
 from standins.batch import Deployment
 
 SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
@@ -126,3 +126,19 @@
     assert reply.retry_after_ms > 0
     deployment.run_for(1_000)
     assert deployment.checks.starts == 0
+
+
+def test_jobs_that_ended_long_ago_leave_the_log() -> None:
+    deployment = ready(entries=2, minions=2)
+    job_id, _ = deployment.submit((StepSpec(1, cpu_millis=1_000),), [100])
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 5_000
+    )
+    deployment.run_for(100_000)
+    assert deployment.state(job_id) is JobState.COMPLETED
+    deployment.run_for(100_000)
+    exchange_id = deployment.call(CallKind.STATE, f"/design/{job_id}")
+    deployment.run_for(50)
+    assert deployment.replies[exchange_id].verdict is Verdict.NO_JOB
+    keys = [key for _, key, _ in deployment.store.newest(Stream.JOBS)]
+    assert not any(job_id in key for key in keys)
