Keep a queue's terms with the job; refuse what is not served; rest after refusals

Cause, by reading: a new term took priority and attempts from the configuration, so a job whose queue was gone failed at its first failed run and counted as urgent; a start that a minion refused was placed there again at once; occurrences and lasting tasks would have run as plain ones. Change: the job's record holds what its queue promised; a minion that refused rests 1 s; such jobs are refused with a reason.

--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -13,6 +13,7 @@
     StepSpec,
     TaskPhase,
     TaskProgress,
+    Terms,
 )
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
@@ -75,6 +76,10 @@
     spec: str
     accepted_ms: int
     steps: tuple[StepModel, ...]
+    service: str = ""
+    priority: int = 1
+    most_failures: int = 1
+    slack_factor: float = 1.0
 
 
 class ProgressModel(RecordModel):
@@ -128,6 +133,10 @@
         team=job.team,
         spec=job.spec,
         accepted_ms=job.accepted_ms,
+        service=job.terms.service,
+        priority=job.terms.priority,
+        most_failures=job.terms.most_failures,
+        slack_factor=job.terms.slack_factor,
         steps=tuple(
             StepModel(**{name: getattr(step, name) for name in StepModel.model_fields})
             for step in job.steps
@@ -140,8 +149,21 @@
 def _decode_job(rest: str, value: bytes) -> Record:
     model = JobModel.model_validate_json(value)
     steps = tuple(StepSpec(**step.model_dump()) for step in model.steps)
-    job = Job(rest, model.queue, model.team, model.spec, steps, model.accepted_ms, -1)
-    return JobRecord(job)
+    terms = Terms(
+        model.service, model.priority, model.most_failures, model.slack_factor
+    )
+    return JobRecord(
+        Job(
+            rest,
+            model.queue,
+            model.team,
+            model.spec,
+            steps,
+            model.accepted_ms,
+            -1,
+            terms,
+        )
+    )
 
 
 @encoders.register(CancelRecord)
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.routing import find_queue, team_of
 from kingcuppost.batch.tables.fleet import Queue
-from kingcuppost.batch.tables.job import Job, JobState
+from kingcuppost.batch.tables.job import Job, JobState, Terms
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
@@ -158,6 +158,7 @@
         call.job.steps,
         world.clock.wall_ms(),
         -1,
+        Terms(queue.service, queue.priority, queue.most_failures, queue.slack_factor),
     )
     _hold(world, call, job_id, JobRecord(job))
     return None
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from kingcuppost.batch.tables.fleet import MinionRow, Queue
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
@@ -41,21 +41,13 @@
         yield from step
 
 
-def _queue_of(world: BatchWorld, name: str) -> Queue | None:
-    configuration = world.agreed.configuration
-    if configuration is None:
-        return None
-    return next((item for item in configuration.queues if item.name == name), None)
-
-
-def load_plan(world: BatchWorld, job: Job) -> Plan:
+def load_plan(job: Job) -> Plan:
     """Return the plan of a job, as its newest progress record leaves it."""
     tasks = [
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(row.count)]
         for step, row in enumerate(job.steps)
     ]
     plan = Plan(job, tasks)
-    adopt_queue(world, plan)
     if job.progress is not None:
         _load_progress(plan, job.progress)
     if job.state in ENDED:
@@ -64,16 +56,6 @@
     return plan
 
 
-def adopt_queue(world: BatchWorld, plan: Plan) -> None:
-    """Take priority and attempts from the job's queue, if it still exists."""
-    queue = _queue_of(world, plan.job.queue)
-    if queue is not None:
-        plan.priority = queue.priority
-        plan.most_failures = queue.most_failures
-        plan.service = queue.service
-        plan.slack_factor = queue.slack_factor
-
-
 def _load_progress(plan: Plan, progress: Progress) -> None:
     plan.state = progress.state
     plan.begun = progress.begun
@@ -126,7 +108,7 @@
         schedule.plans.pop(job_id, None)
         return
     if plan is None:
-        plan = schedule.plans[job_id] = load_plan(world, job)
+        plan = schedule.plans[job_id] = load_plan(job)
         plan.seen_ms = now_ms
     schedule.changed = True
     if job.cancelled and plan.phase is PlanState.OPEN:
@@ -247,5 +229,5 @@
     elif plan.phase is PlanState.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
             end_plan(world, plan, JobState.COMPLETED)
-        elif any(task.failures >= plan.most_failures for task in tasks):
+        elif any(task.failures >= plan.job.terms.most_failures for task in tasks):
             end_plan(world, plan, JobState.FAILED)
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -28,6 +28,8 @@
 
 __all__ = ["hear_sidecars", "take_up_jobs"]
 
+REST_MS = 1_000
+
 
 @system(Phase.INTAKE, (Role.ENTRY,))
 def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
@@ -174,7 +176,7 @@
         if ended.number not in known:
             known[ended.number] = _see_end(world, row, ended, now_ms)
     for refused in call.refused:
-        _see_refusal(world, row, refused)
+        _see_refusal(world, row, refused, now_ms)
 
 
 def _present(
@@ -272,10 +274,15 @@
         row.failed_ms = now_ms
 
 
-def _see_refusal(world: BatchWorld, row: MinionRow, refused: RefusedRun) -> None:
+def _see_refusal(
+    world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
+) -> None:
+    """Take a run back that surely never began; its minion rests for a moment."""
     found = _present(world, row.life, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
+    if not task.stopping:
+        row.rests_until_ms = now_ms + REST_MS
     _note_end(world, task, RunEnd.REFUSED, refused.reason)
     apply_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -79,7 +79,7 @@
 
 def _trusted_again_ms(row: MinionRow) -> int:
     """Return when a minion that has failed or stalled may be tried again."""
-    again_ms = 0
+    again_ms = row.rests_until_ms
     if row.stalled_ms is not None:
         again_ms = row.stalled_ms + SUSPECT_MS
     if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
@@ -101,7 +101,7 @@
 
 
 def _suits(unit: Unit, row: MinionRow) -> bool:
-    if unit.plan.service and row.service != unit.plan.service:
+    if unit.plan.job.terms.service and row.service != unit.plan.job.terms.service:
         return False
     return not unit.spec.label or unit.spec.label in row.labels
 
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -33,7 +33,7 @@
     @property
     def is_urgent(self) -> bool:
         """Return whether the unit may stop other work."""
-        return self.plan.priority == URGENT
+        return self.plan.job.terms.priority == URGENT
 
     @property
     def is_covered(self) -> bool:
@@ -44,7 +44,7 @@
     def is_last_try(self) -> bool:
         """Return whether another failure would end the job."""
         return any(
-            task.failures and task.failures + 1 >= self.plan.most_failures
+            task.failures and task.failures + 1 >= self.plan.job.terms.most_failures
             for task in self.tasks
         )
 
@@ -64,7 +64,7 @@
     urgent = [
         plan
         for plan in world.schedule.plans.values()
-        if plan.priority == URGENT and plan.phase is not PlanState.OVER
+        if plan.job.terms.priority == URGENT and plan.phase is not PlanState.OVER
     ]
     for plan in sorted(urgent, key=lambda plan: plan.job.accepted_ms):
         needed = max(step.count * step.accelerators for step in plan.job.steps)
@@ -78,7 +78,7 @@
     """Return how urgent a job is; 0 comes first."""
     if plan.job.id in covered:
         return 0
-    return plan.priority + 1
+    return plan.job.terms.priority + 1
 
 
 def units_of(world: BatchWorld, covered: set[str]) -> Iterator[Unit]:
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -95,6 +95,6 @@
         return False
     step = plan.job.steps[task.name.step]
     slow_ms = SLOWEST * step.estimate_ms / WHOLE
-    loses_little = step.saves or plan.priority == URGENT
+    loses_little = step.saves or plan.job.terms.priority == URGENT
     bound_ms = STALLED_MS if loses_little else STALLED_LONG_MS
     return now_ms - task.moved_ms > max(bound_ms, slow_ms)
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -120,6 +120,8 @@
         Jobs that failed here since one was done.
     failed_ms : int
         When a run last failed here.
+    rests_until_ms : int
+        Until when it is given nothing after it refused a run.
     is_away : bool
         Whether its sidecar has been silent.
     proven : bool
@@ -142,6 +144,7 @@
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     failed_ms: int = 0
+    rests_until_ms: int = 0
     is_away: bool = False
     proven: bool = False
 
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -14,6 +14,7 @@
     "Task",
     "TaskName",
     "TaskPhase",
+    "Terms",
 ]
 
 
@@ -145,6 +146,28 @@
     saves: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the queue promised when a job was accepted.
+
+    Attributes
+    ----------
+    service : str
+        Service whose minions run the job.
+    priority : int
+        0 comes first and may stop others.
+    most_failures : int
+        Failed runs of one task after which the job has failed.
+    slack_factor : float
+        Objective in multiples of the longest chain of work.
+    """
+
+    service: str = ""
+    priority: int = 1
+    most_failures: int = 1
+    slack_factor: float = 1.0
+
+
 @dataclass(slots=True)
 class Job:
     """A job as the log tells it, the same in every entry.
@@ -163,6 +186,8 @@
         Unix time at which an entry took it, in ms.
     offset : int
         Offset of the record that submitted it.
+    terms : Terms
+        What its queue promised; they outlive the queue.
     cancelled : bool
         Whether a caller has cancelled it.
     state : JobState
@@ -180,6 +205,7 @@
     steps: tuple[StepSpec, ...]
     accepted_ms: int
     offset: int
+    terms: Terms = Terms()
     cancelled: bool = False
     state: JobState = JobState.QUEUED
     begun: bool = False
@@ -304,14 +330,6 @@
         Grows with each change.
     committed : int
         Newest version that is in the log.
-    priority : int
-        Priority of its queue; 0 comes first.
-    most_failures : int
-        Failed runs of one task after which the job has failed.
-    service : str
-        Service whose minions run it.
-    slack_factor : float
-        Objective in multiples of its longest chain of work.
     seen_ms : int
         When this process first planned it.
     has_new_saved : bool
@@ -327,10 +345,6 @@
     begun: bool = False
     version: int = 0
     committed: int = 0
-    priority: int = 0
-    most_failures: int = 1
-    service: str = ""
-    slack_factor: float = 1.0
     seen_ms: int = 0
     has_new_saved: bool = False
     over_ms: int | None = None
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -10,6 +10,7 @@
     StepSpec,
     TaskPhase,
     TaskProgress,
+    Terms,
 )
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
@@ -26,8 +27,9 @@
     StepSpec(3, 1_000, 10, 2, 500, gang=True, one_rack=True),
     StepSpec(1, needs=(0,), label="a", rack="r1-1", most_per_minion=2, saves=True),
 )
+TERMS = Terms("svc", 0, 4, 1.5)
 RECORDS = (
-    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1)),
+    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, TERMS)),
     CancelRecord("0123456789abcdef"),
     ProgressRecord(
         "0123456789abcdef",
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -69,12 +69,18 @@
     # most tasks of the step on one minion
     most_per_minion: Count = Field(0, alias="antiAffinity")
     saves: bool = Field(False, alias="checkpointing")
+    # tasks that run until their job is cancelled, or that use what others leave
+    lasts: bool = Field(False, alias="longRunning")
+    fills: bool = False
+    # how often the steps run, at given times
+    occurrences: int = Field(0, alias="repeatCount")
 
 
 class _JobModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
     spec: str = ""
     steps: Annotated[tuple[_StepModel, ...], Field(min_length=1)]
+    occurrences: int = Field(0, alias="repeatCount")
 
 
 def _step(model: _StepModel) -> StepSpec:
@@ -99,6 +105,9 @@
         model = _JobModel.model_validate_json(body)
     except ValidationError as exc:
         return Error(fault_text(exc))
+    for part in (model, *model.steps):
+        if part.occurrences or getattr(part, "lasts", False):
+            return Error("occurrences and lasting tasks are not served")
     for number, step in enumerate(model.steps):
         if any(needed >= number for needed in step.needs):
             return Error(f"steps.{number}.dependsOn: names no earlier step")
--- /dev/null
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -0,0 +1,42 @@
+"""Bodies of submissions: decoded once, or refused with a reason."""
+
+import json
+
+import pytest
+
+from kingcuppost.platform.callers import _decode_job
+
+
+def body(**fields: object) -> bytes:
+    step = {"count": 2, "cpu": 500, "memMb": 64, "gpu": 1, "estimateMs": 900}
+    return json.dumps({"spec": "text", "steps": [step | fields]}).encode()
+
+
+def test_wire_names_become_the_products() -> None:
+    text = body(
+        gang=True, sameRack=True, requirements="a", affinity="r1-1", antiAffinity=2
+    )
+    step = _decode_job(text).ok.steps[0]
+    assert (step.cpu_millis, step.memory_mb, step.accelerators) == (500, 64, 1)
+    assert step.gang
+    assert step.one_rack
+    assert (step.label, step.rack, step.most_per_minion) == ("a", "r1-1", 2)
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        (body(dependsOn=[0]), "names no earlier step"),
+        (body(count=0), "count"),
+        (body(longRunning=True), "not served"),
+        (body(repeatCount=3), "not served"),
+        (b'{"spec":"x","steps":[]}', "steps"),
+        (b"{", "JSON"),
+    ],
+)
+def test_what_cannot_be_served_is_refused_with_a_reason(
+    text: bytes, reason: str
+) -> None:
+    result = _decode_job(text)
+    assert result.is_error()
+    assert reason in result.error
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -1,5 +1,7 @@
 """The scheduling lease moves when its holder is gone, and only then."""
 
+from dataclasses import replace
+
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
 
@@ -107,3 +109,18 @@
     ]
     assert len(runs) == 3
     assert all(run.done_ms > 4_000 for run in runs)
+
+
+def test_a_job_keeps_its_terms_when_its_queue_is_gone() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [4_000], 1)
+    deployment.run_for(500)
+    failing = next(minion for minion in deployment.minions.values() if minion.runs)
+    failing.fails = True
+    queues = deployment.configuration.queues
+    kept = tuple(queue for queue in queues if queue.priority != 1)
+    deployment.configuration = replace(deployment.configuration, version=2, queues=kept)
+    deployment.run_for(1_500)
+    deployment.kill(deployment.holder().name)
+    deployment.run_for(6_000)
+    assert deployment.holder().world.schedule.plans[job_id].job.terms.most_failures == 3
