--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -26,7 +26,7 @@
 from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
-__all__ = ["hear_sidecars", "take_up_jobs"]
+__all__ = ["hear_sidecars", "lose_life", "take_up_jobs"]
 
 REST_MS = 1_000
 
@@ -86,7 +86,7 @@
     homes = world.schedule.homes
     for earlier, home in list(homes.items()):
         if home == sidecar and earlier.born_ms < life.born_ms:
-            _lose_life(world, earlier, "the minion began a new life")
+            lose_life(world, earlier, "the minion began a new life")
     homes[life] = sidecar
 
 
@@ -132,7 +132,7 @@
     )
 
 
-def _lose_life(world: BatchWorld, life: Life, reason: str) -> None:
+def lose_life(world: BatchWorld, life: Life, reason: str) -> None:
     """End all runs of a life that is over."""
     schedule = world.schedule
     schedule.lives.pop(life, None)
@@ -145,9 +145,6 @@
                     apply_end(world, plan, task, RunEnd.LOST, "")
 
 
-lose_life = _lose_life
-
-
 def _note_end(world: BatchWorld, task: Task, how: RunEnd, reason: str = "") -> None:
     world.tally.add("ends", how)
     world.note(
