Spread guaranteed gangs over racks rather than let them wait

Cause, by reading: a gang of one rack that no rack could hold beside guaranteed work of others waited without end, against the bound on reclaiming; speeds were compared to the last digit, so urgent tasks did not fill minions up. Change: guaranteed units go to any minions when no rack can be freed; speeds count in steps of a quarter. The test fails before.

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -33,6 +33,7 @@
 RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
 HASTE_SHARE = 0.5
+SPEED_STEPS = 4
 PATIENCE_SHARE = 2.0
 
 
@@ -58,7 +59,8 @@
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
     """Place a unit; urgent units prefer fast minions, and make room there cheaply.
 
-    Only a team's guarantee is worth any amount of lost work.
+    Only a team's guarantee is worth any amount of lost work, or running slowly in more
+    than one rack.
     """
     allowed = allowed_sites(unit, sites)
     if not unit.is_urgent:
@@ -72,12 +74,12 @@
     every = _groups(unit, allowed)
     if _place_unit(world, unit, every):
         return
-    _make_room(
-        world,
-        unit,
-        every,
-        None if unit.is_covered else PATIENCE_SHARE * _own_work(unit),
-    )
+    if not unit.is_covered:
+        _make_room(world, unit, every, PATIENCE_SHARE * _own_work(unit))
+        return
+    for groups in (every, [allowed]):
+        if _place_unit(world, unit, groups) or _make_room(world, unit, groups, None):
+            return
 
 
 def _own_work(unit: Unit) -> float:
@@ -151,7 +153,8 @@
         fullness = (site.free.accelerators, site.free.cpu_millis)
         doubt = row.failures + (0 if row.proven else 1 if last_try else 0)
         if unit.is_urgent:
-            return (doubt, -row.speed, *fullness, row.sidecar)
+            speed = round(row.speed * SPEED_STEPS)
+            return (doubt, -speed, *fullness, row.sidecar)
         return (doubt, site.rack_free[0], *fullness, -row.speed, row.sidecar)
 
     return rank
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -142,3 +142,18 @@
     assert deployment.replies[exchange_id].verdict is Verdict.NO_JOB
     keys = [key for _, key, _ in deployment.store.newest(Stream.JOBS)]
     assert not any(job_id in key for key in keys)
+
+
+def test_guaranteed_work_spreads_over_racks_rather_than_wait() -> None:
+    deployment = ready(minions=2)
+    for index, minion in enumerate(deployment.minions.values()):
+        minion.rack = f"r{index}-1"
+    large = StepSpec(1, cpu_millis=7_500, accelerators=6, gang=True, estimate_ms=60_000)
+    for _ in range(2):
+        deployment.submit((large,), [60_000], 0)
+        deployment.run_for(300)
+    small = StepSpec(2, cpu_millis=7_500, accelerators=2, gang=True, one_rack=True)
+    deployment.submit((small,), [1_000], 0)
+    deployment.run_for(2_700)
+    assert deployment.checks.starts == 4
+    assert not deployment.checks.broken
