Ask peers first until a probe shows that the store serves this machine again

Change: a machine that is turned away asks a peer first until a probe of its own is answered; a read goes one way and comes back at once after a silence; 1.4 s instead of 1.7 s until silence is seen.

--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -21,7 +21,9 @@
 RELAY_PATH = "/peer/store"
 RELAY_HEADER = "Kingcuppost-Call"
 TIMEOUT_HEADER = "Kingcuppost-Timeout-Ms"
-DISTRUST_MS = 1_500
+PROBE_MS = 1_000
+PROBE_TIMEOUT_MS = 500
+PROBE_PATH = "/kingcuppost/log-newest?topic=keyed.members&part=0"
 RELAY_MARGIN_MS = 300
 LONGEST_TIMEOUT_MS = 10_000
 STATUS_BAD = 400
@@ -68,27 +70,36 @@
     def __init__(self, context: BatchContext, address: Address) -> None:
         self._context = context
         self.address = address
-        self._distrusted_until_ms = 0
+        self._is_distrusted = False
+        self._probe_at_ms = 0
         self._next_peer = 0
 
     async def call(
-        self, method: str, path: str, body: bytes, timeout_ms: int
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+        most_ways: int = 2,
     ) -> StoreReply:
         """Make a call and return the answer of the first way that is served.
 
+        While the store does not serve this machine, a peer comes first, and a probe
+        finds out when the store serves it again.
+
         Raises
         ------
         PeerError
             If no way gave an answer; step ``"connect"`` if the call surely never
             reached the store.
         """
-        now_ms = self._context.world.clock.now_ms()
         ways = [None, self._peer()]
-        if now_ms < self._distrusted_until_ms:
+        if self._is_distrusted:
             ways.reverse()
+            self._probe()
         doubtful = False
         last: StoreReply | PeerError | None = None
-        for way in ways:
+        for way in ways[:most_ways]:
             try:
                 reply = await self._by(way, method, path, body, timeout_ms)
             except PeerError as exc:
@@ -129,16 +140,31 @@
         reply = StoreReply(response.status, response.body)
         if reply.turned_away:
             self._distrust(f"status {response.status}")
-        elif self._distrusted_until_ms:
-            self._distrusted_until_ms = 0
+        elif self._is_distrusted:
+            self._is_distrusted = False
             self._context.world.note("store", "The store serves this machine again.")
         return reply
 
     def _distrust(self, reason: str) -> None:
         world = self._context.world
-        if not self._distrusted_until_ms:
+        if not self._is_distrusted:
             world.note("store", "The store does not serve this machine.", reason=reason)
-        self._distrusted_until_ms = world.clock.now_ms() + DISTRUST_MS
+            self._probe_at_ms = world.clock.now_ms() + PROBE_MS
+        self._is_distrusted = True
+
+    def _probe(self) -> None:
+        """Ask the store itself for little, now and then, without waiting for it."""
+        now_ms = self._context.world.clock.now_ms()
+        if now_ms >= self._probe_at_ms:
+            self._probe_at_ms = now_ms + PROBE_MS
+            deliver_later(self._context, self._ask_little())
+
+    async def _ask_little(self) -> None:
+        try:
+            await self.direct("GET", PROBE_PATH, b"", PROBE_TIMEOUT_MS)
+        except PeerError:
+            # noted when the store began to turn this machine away
+            self._context.world.tally.add("probes_failed")
 
     def _peer(self) -> Address:
         """Return another entry, each in turn."""
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -38,9 +38,10 @@
     Stream.OPERATORS: "keyed.op",
 }
 WAIT_MS = 1_000
-READ_MARGIN_MS = 700
+READ_MARGIN_MS = 400
 LIST_TIMEOUT_MS = 1_500
 PAUSE_S = 0.15
+FIRST_PAUSE_S = 0.02
 WRITER = "scheduler"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -132,14 +133,21 @@
 
 
 async def _read(
-    context: BatchContext, store: StoreClient, stream: Stream, position: int
+    context: BatchContext,
+    store: StoreClient,
+    stream: Stream,
+    position: int,
+    wait_ms: int,
 ) -> Followed | None:
-    """Return the records from an offset on; None if they are no longer kept."""
+    """Return the records from an offset on; None if they are no longer kept.
+
+    A read goes one way only: after a silence the next one must come back soon.
+    """
     sent_ms = context.world.clock.now_ms()
     path = _query(
-        "log-read", topic=TOPICS[stream], part=0, waitMs=WAIT_MS, **{"from": position}
+        "log-read", topic=TOPICS[stream], part=0, waitMs=wait_ms, **{"from": position}
     )
-    reply = await store.call("GET", path, b"", WAIT_MS + READ_MARGIN_MS)
+    reply = await store.call("GET", path, b"", wait_ms + READ_MARGIN_MS, most_ways=1)
     if reply.status == STATUS_GONE:
         return None
     if reply.status != STATUS_OK:
@@ -184,14 +192,15 @@
             if position is None:
                 batch = await _list(context, store, stream)
             else:
-                batch = await _read(context, store, stream, position)
+                wait_ms = 0 if is_lost else WAIT_MS
+                batch = await _read(context, store, stream, position, wait_ms)
         except PeerError as exc:
             if not is_lost:
                 context.world.note(
                     "log", "A stream is not followed.", stream=stream, reason=str(exc)
                 )
+            await _pause(context, FIRST_PAUSE_S if not is_lost else PAUSE_S)
             is_lost = True
-            await _pause(context)
             continue
         is_lost = False
         position = batch.end if batch is not None else None
@@ -199,9 +208,9 @@
             context.deliver(batch)
 
 
-def _pause(context: BatchContext) -> Deferred:
+def _pause(context: BatchContext, least_s: float) -> Deferred:
     done: Deferred = Deferred()
-    delay_s = PAUSE_S * (1 + context.world.rng.random())
+    delay_s = least_s * (1 + context.world.rng.random())
     context.reactor.callLater(delay_s, done.callback, None)
     return done
 
