Move urgent tasks off very slow minions; let a unit return to minions that failed it

By reading: a gang that had failed on minions that it could not do without waited without end. Ruled out by its test: moving gangs by estimate (a gang whose estimate was half its work was restarted for nothing, 6 starts for 3).

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -16,7 +16,12 @@
 )
 from kingcuppost.batch.systems.plans import ask_stop, change_plan, place_task
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.sites import allowed_sites, fast_sites, sites_of
+from kingcuppost.batch.systems.sites import (
+    allowed_sites,
+    fast_sites,
+    sites_of,
+    without_avoided,
+)
 from kingcuppost.batch.systems.term import is_scheduling
 from kingcuppost.batch.systems.units import (
     Unit,
@@ -57,29 +62,36 @@
 
 
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
-    """Place a unit; urgent units prefer fast minions, and make room there cheaply.
+    """Place a unit away from minions that failed it, or else at any that suit."""
+    allowed = allowed_sites(unit, sites)
+    preferred = without_avoided(unit, allowed)
+    for chosen in (preferred, allowed):
+        if _serve_at(world, unit, chosen) or len(preferred) == len(allowed):
+            return
 
-    Only a team's guarantee is worth any amount of lost work, or running slowly in more
-    than one rack.
+
+def _serve_at(world: BatchWorld, unit: Unit, sites: list[Site]) -> bool:
+    """Place a unit, or make room for it; return whether it is cared for.
+
+    Urgent units prefer fast minions, and make room there if it costs little. Only a
+    team's guarantee is worth any amount of lost work, or running slowly in more than
+    one rack.
     """
-    allowed = allowed_sites(unit, sites)
+    every = _groups(unit, sites)
     if not unit.is_urgent:
-        _place_unit(world, unit, _groups(unit, allowed))
-        return
-    fast = _groups(unit, fast_sites(allowed))
+        return _place_unit(world, unit, every)
+    fast = _groups(unit, fast_sites(sites))
     if _place_unit(world, unit, fast):
-        return
+        return True
     if _make_room(world, unit, fast, HASTE_SHARE * _own_work(unit)):
-        return
-    every = _groups(unit, allowed)
+        return True
     if _place_unit(world, unit, every):
-        return
+        return True
     if not unit.is_covered:
-        _make_room(world, unit, every, PATIENCE_SHARE * _own_work(unit))
-        return
-    for groups in (every, [allowed]):
-        if _place_unit(world, unit, groups) or _make_room(world, unit, groups, None):
-            return
+        return _make_room(world, unit, every, PATIENCE_SHARE * _own_work(unit))
+    if _make_room(world, unit, every, None) or _place_unit(world, unit, [sites]):
+        return True
+    return _make_room(world, unit, [sites], None)
 
 
 def _own_work(unit: Unit) -> float:
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -10,7 +10,7 @@
 from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["allowed_sites", "fast_sites", "sites_of"]
+__all__ = ["allowed_sites", "fast_sites", "sites_of", "without_avoided"]
 
 SUSPECT_FAILURES = 2
 SUSPECT_MS = 5_000
@@ -88,16 +88,17 @@
 
 
 def allowed_sites(unit: Unit, sites: list[Site]) -> list[Site]:
-    """Return the sites at which a unit may run.
-
-    Minions on which a run of it has failed are left out, unless there is no other.
-    """
+    """Return the sites at which a unit may run."""
     able = [site for site in sites if _suits(unit, site.minion)]
     for site in able:
         site.taken = _already_there(unit, site.minion.life)
+    return able
+
+
+def without_avoided(unit: Unit, sites: list[Site]) -> list[Site]:
+    """Return the sites where no run of a unit has failed or stood still."""
     avoided = {minion for task in unit.tasks for minion in task.avoid}
-    preferred = [site for site in able if site.minion.life.minion not in avoided]
-    return preferred or able
+    return [site for site in sites if site.minion.life.minion not in avoided]
 
 
 def _suits(unit: Unit, row: MinionRow) -> bool:
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -21,6 +21,9 @@
 DRAIN_SLACK = 1.5
 DRAIN_SLACK_MS = 1_000
 URGENT = 0
+LEAST_WATCHED_MS = 2_000
+MOVE_GAIN = 2.5
+MOVE_COST_MS = 700
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,))
@@ -61,6 +64,10 @@
         learn_speed(row, plan, task, now_ms)
     if row.draining and _should_leave(row, plan, task):
         _stop(world, plan, task, "the minion drains")
+    elif _is_too_slow(row, plan, task):
+        task.was_moved = True
+        task.avoid.add(row.life.minion)
+        _stop(world, plan, task, "the minion is slow")
     elif _is_stalled(plan, task, now_ms):
         row.stalled_ms = now_ms
         task.avoid.add(row.life.minion)
@@ -85,6 +92,22 @@
     return expected_left_ms(row, plan, task) > limit_ms
 
 
+def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
+    """Return whether an urgent run would be done sooner if it began anew elsewhere.
+
+    Estimates may be off by half, so the gain must be large; a task is moved once at
+    most, since moving gains nothing where all minions are slow.
+    """
+    step = plan.job.steps[task.name.step]
+    if plan.job.terms.priority != URGENT or step.gang or task.was_moved:
+        return False
+    watched_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
+    if watched_ms < LEAST_WATCHED_MS:
+        return False
+    anew_ms = MOVE_GAIN * step.estimate_ms + MOVE_COST_MS
+    return expected_left_ms(row, plan, task) > anew_ms
+
+
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
     """Return whether a run has shown no progress for too long.
 
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -277,6 +277,8 @@
         What it said when the run was first seen.
     moved_ms : int
         When the percentage last changed.
+    was_moved : bool
+        Whether a run of it was stopped since its minion was slow.
     failed_run : int
         Newest run of the gang that was counted as failed; at its first member.
     avoid : set of str
@@ -301,6 +303,7 @@
     first_percent: int = 0
     moved_ms: int = 0
     failed_run: int = 0
+    was_moved: bool = False
     avoid: set[str] = field(default_factory=set)
 
 
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -157,3 +157,19 @@
     deployment.run_for(2_700)
     assert deployment.checks.starts == 4
     assert not deployment.checks.broken
+
+
+def test_a_gang_that_failed_on_minions_that_it_needs_runs_there_again() -> None:
+    deployment = ready(minions=2)
+    for minion in deployment.minions.values():
+        minion.rack = "r1-1"
+        minion.fails = True
+    wide = StepSpec(2, cpu_millis=40_000, accelerators=8, gang=True)
+    job_id, _ = deployment.submit((wide,), [500], 1)
+    while not deployment.checks.ends[RunEnd.FAILED]:
+        deployment.run_for(1)
+    for minion in deployment.minions.values():
+        minion.fails = False
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 12_000
+    )
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_watch.py
@@ -68,3 +68,17 @@
         lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 20_000
     )
     assert deployment.checks.starts == 3
+
+
+def test_an_urgent_run_on_a_slow_minion_begins_anew_elsewhere() -> None:
+    deployment = ready()
+    step = StepSpec(1, cpu_millis=5_000, accelerators=1, estimate_ms=4_000)
+    job_id, _ = deployment.submit((step,), [4_000], 0)
+    deployment.run_for(300)
+    slow = next(minion for minion in deployment.minions.values() if minion.runs)
+    slow.speed = 0.15
+    assert deployment.run_until(
+        lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 12_000
+    )
+    assert deployment.checks.starts == 2
+    assert not deployment.checks.broken
