Stop at the start of a term what the earlier one meant to stop

Cause, by reading: a plan that was loaded as ended, or with a gang of which some members had ended, kept its placed runs as if they should go on: they were started again or never stopped. Ruled out: the reports (they name the runs, and named runs count as confirmed). Change: a term stops the runs of ended jobs and of parted gangs as it takes them up.

--- a/kingcuppost/batch/systems/hosting.py
+++ b/kingcuppost/batch/systems/hosting.py
@@ -14,6 +14,7 @@
 
 WAIT_MS = 1_000
 LEAST_LEASE_MS = 300
+STOP_LOOK_MS = 50
 
 
 @system(Phase.ACT, (Role.SIDECAR,))
@@ -29,7 +30,7 @@
     wait_ms = WAIT_MS if host.listed and host.until_ms else 0
     if _awaits_stop(world):
         wait_ms = 0
-        host.hold_after_ms = now_ms + 50
+        host.hold_after_ms = now_ms + STOP_LOOK_MS
     world.outbox.put(
         HoldMinion(
             host.address,
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -99,7 +99,7 @@
     world.schedule.changed = True
 
 
-def take_up(world: BatchWorld, job_id: str, now_ms: int) -> None:
+def take_up(world: BatchWorld, job_id: str) -> None:
     """Make the plan of a new job, or stop what a cancelled one runs."""
     schedule = world.schedule
     job = world.agreed.jobs.get(job_id)
@@ -109,12 +109,22 @@
         return
     if plan is None:
         plan = schedule.plans[job_id] = load_plan(job)
-        plan.seen_ms = now_ms
+        _stop_leftovers(world, plan)
     schedule.changed = True
     if job.cancelled and plan.phase is PlanState.OPEN:
         end_plan(world, plan, JobState.CANCELLED)
 
 
+def _stop_leftovers(world: BatchWorld, plan: Plan) -> None:
+    """Stop what an earlier term meant to stop: ended jobs and parted gangs."""
+    if plan.phase is PlanState.CLOSING:
+        stop_runs(world, plan)
+    for index, spec in enumerate(plan.job.steps):
+        phases = {task.phase for task in plan.tasks[index]}
+        if spec.gang and TaskPhase.WAITING in phases:
+            stop_runs(world, plan, index)
+
+
 def end_plan(world: BatchWorld, plan: Plan, state: JobState) -> None:
     """End a job; what still runs is stopped."""
     plan.state = state
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -38,7 +38,7 @@
     if not is_scheduling(world):
         return
     for job_id in list(schedule.touched):
-        take_up(world, job_id, now_ms)
+        take_up(world, job_id)
     schedule.touched.clear()
 
 
@@ -60,7 +60,6 @@
 
 def _hear(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     schedule = world.schedule
-    schedule.reports[call.sidecar] = call
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -82,7 +82,7 @@
     schedule.loaded = True
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
-        take_up(world, job.id, now_ms)
+        take_up(world, job.id)
         plan = schedule.plans[job.id]
         for task in all_tasks(plan):
             if task.life is not None:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -333,8 +333,6 @@
         Grows with each change.
     committed : int
         Newest version that is in the log.
-    seen_ms : int
-        When this process first planned it.
     has_new_saved : bool
         Whether a checkpoint is newer than its last record.
     over_ms : int or None
@@ -348,6 +346,5 @@
     begun: bool = False
     version: int = 0
     committed: int = 0
-    seen_ms: int = 0
     has_new_saved: bool = False
     over_ms: int | None = None
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -186,7 +186,6 @@
     lives: dict[Life, int] = field(default_factory=dict)
     homes: dict[Life, str] = field(default_factory=dict)
     syncs: dict[str, HeldSync] = field(default_factory=dict)
-    reports: dict[str, SyncCall] = field(default_factory=dict)
     ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
     strays: dict[str, dict[tuple[str, int], Stray]] = field(default_factory=dict)
     touched: dict[str, None] = field(default_factory=dict)
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -124,3 +124,25 @@
     deployment.kill(deployment.holder().name)
     deployment.run_for(6_000)
     assert deployment.holder().world.schedule.plans[job_id].job.terms.most_failures == 3
+
+
+def test_a_new_term_stops_what_a_cancelled_job_still_runs() -> None:
+    deployment = ready()
+    job_id, _ = deployment.submit((SMALL,), [60_000])
+    deployment.run_for(500)
+    cut = [
+        process
+        for process in deployment.processes.values()
+        if process.minion is not None and process.minion.runs
+    ]
+    for process in cut:
+        process.is_cut = True
+    deployment.cancel(job_id)
+    deployment.run_for(500)
+    deployment.kill(deployment.holder().name)
+    for process in cut:
+        process.is_cut = False
+    deployment.run_for(5_000)
+    assert deployment.state(job_id) is JobState.CANCELLED
+    assert not any(minion.runs for minion in deployment.minions.values())
+    assert not deployment.checks.broken
