Renew the lease on the condition that no claim came before

Cause, by reading: renewals were appended without a condition, so a holder that could append but not read went on with authority after another entry had claimed. Change: a renewal names the end of the topic as the holder has read it. The test fails before.

--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -154,10 +154,14 @@
 
 
 def _renew(world: BatchWorld, now_ms: int, released: bool) -> None:
+    """Append a renewal, on condition that no other claim came before it."""
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
-    world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
+    at = None if released else world.agreed.views[Stream.MEMBERS].end
+    world.outbox.put(
+        Append(append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=ANSWER_MS)
+    )
 
 
 def refer(world: BatchWorld, exchange_id: str) -> SyncReply:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -79,6 +79,8 @@
         Whether the log refuses it.
     is_frozen : bool
         Whether it stands still.
+    is_deaf : bool
+        Whether its reads of the log bring nothing.
     """
 
     name: str
@@ -92,6 +94,7 @@
     is_cut: bool = False
     is_turned_away: bool = False
     is_frozen: bool = False
+    is_deaf: bool = False
     minion: Minion | None = None
     followed: dict[Stream, int] | None = None
 
@@ -394,7 +397,7 @@
     def _read(self, process: Process, life: int, stream: Stream) -> None:
         if process.life != life or not process.is_up or process.is_frozen:
             return
-        if not self._log_reaches(process):
+        if process.is_deaf or not self._log_reaches(process):
             return
         if stream is Stream.OPERATORS:
             self._deliver(process, self._operators())
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from kingcuppost.batch.systems.lease import has_authority
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
 
@@ -146,3 +147,16 @@
     assert deployment.state(job_id) is JobState.CANCELLED
     assert not any(minion.runs for minion in deployment.minions.values())
     assert not deployment.checks.broken
+
+
+def test_a_renewal_after_another_claim_gives_no_authority() -> None:
+    deployment = ready()
+    old = deployment.holder()
+    old.is_turned_away = True
+    old.is_deaf = True
+    deployment.run_for(3_500)
+    others = [item for item in deployment.processes.values() if item is not old]
+    assert any(item.world.schedule.loaded for item in others)
+    old.is_turned_away = False
+    deployment.run_for(1_500)
+    assert not has_authority(old.world, deployment.clock.now_ms())
