--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -19,6 +19,10 @@
         lambda: len(deployment.show("/v1/fleet")["minions"]) == minions,
         "minions announced",
     )
+    wait_until(
+        lambda: len(deployment.show("/v1/fleet")["entries"]) == 2,
+        "entries announced",
+    )
     for zone in deployment.site.zones:
         put_zone(deployment, zone)
     body = {"operator": "ilze", "guarantees": [{"members": 2, "accelerators": 4}]}
