Read addresses in one place; drop what nothing uses

Cause: the reading of IP:PORT stood three times in this change; a registry of handlers, a kind of call and a status were left over. Behaviour stays.

--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -16,7 +16,6 @@
 
 LISTEN_BACKLOG = 512
 IDLE_TIMEOUT_S = 60
-STATUS_NOT_FOUND = 404
 
 Handler = Callable[[BatchContext, Request], Any]
 surfaces: Registry[str, Handler] = Registry("handler of surface")
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from kingcuppost.batch.models.addresses import address_of
 from kingcuppost.batch.tables.fleet import Room
 from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
@@ -19,7 +20,6 @@
 )
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import fault_text
-from kingcuppost.tables.config import Address
 
 __all__ = [
     "decode_sync_call",
@@ -195,16 +195,11 @@
     return SyncReply(
         "",
         model.term,
-        _address(model.holder) if model.holder else None,
+        address_of(model.holder) if model.holder else None,
         Life(model.minion, model.born_ms) if model.minion else None,
         tuple(StartOrder(name(row[0]), *row[1:]) for row in model.starts),
         tuple(StopOrder(name(row[0]), row[1]) for row in model.stops),
         tuple(StopOrder(name(row[0]), row[1]) for row in model.settled),
         model.noted,
-        tuple(_address(text) for text in model.entries),
+        tuple(address_of(text) for text in model.entries),
     )
-
-
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -23,7 +23,6 @@
 from kingcuppost.batch.tables.world import BatchWorld, HeldCall
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
-from kingcuppost.utils.registry import Registry
 
 __all__ = ["end_held_calls", "serve_calls"]
 
@@ -35,8 +34,6 @@
 UNFOLLOWED = "the log is not followed"
 ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
-handlers = Registry("handler of call")
-
 
 def shown_state(job: Job) -> JobState:
     """Return the state of a job as callers may see it."""
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -20,7 +20,6 @@
     SUBMIT = "submit"
     STATE = "state"
     CANCEL = "cancel"
-    COUNT = "count"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +39,7 @@
     exchange_id : str
         Names the open exchange.
     kind : CallKind
-        What is asked for; a state without an identifier is a count.
+        What is asked for; a state without an identifier asks for a count.
     host, path, key : str
         Where it was sent, and the caller's key, empty for none.
     received_ms : int
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -11,6 +11,7 @@
     deliver_later,
 )
 from kingcuppost.batch.edges.server import answer, surfaces
+from kingcuppost.batch.models.addresses import address_of
 from kingcuppost.batch.tables.fleet import Room
 from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
@@ -80,11 +81,6 @@
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
 
 
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
-
-
 @surfaces.register("heartbeats")
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
     """Take a heartbeat or a farewell of the minion, and acknowledge it at once."""
@@ -110,7 +106,7 @@
         return MinionHeard(Address("", 0), report, 0, gone=True)
     try:
         model = _BeatModel.model_validate_json(request.content.read())
-        address = _address(model.address)
+        address = address_of(model.address)
     except ValidationError as exc:
         context.world.note(
             "minion", "A heartbeat is unreadable.", reason=fault_text(exc)
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
+from kingcuppost.batch.models.addresses import address_of
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import fault_text
@@ -93,10 +94,7 @@
 
 
 def _address(text: str | None) -> Address | None:
-    if text is None:
-        return None
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+    return None if text is None else address_of(text)
 
 
 def _bounds(model: _BoundsModel) -> Bounds:
