Keep learned speeds with the machine, over lives and terms; set estimates right

A speed was forgotten with the minion's life and with each term, and one rough estimate moved it as far as a slow machine did.

Change: a speed belongs to the sidecar's machine, is kept over lives of the minion, and a record `speeds` (every 10 s at most, beside other appends) gives it to the next holder. A run's sample is divided by what all runs of its step say of the caller's estimate. An urgent run is moved sooner once two runs of its step have told how long they really take. Ends log took_ms and estimate_ms.

--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
@@ -24,6 +25,7 @@
     Record,
     Removed,
     RenewRecord,
+    SpeedsRecord,
 )
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import fault_text
@@ -33,6 +35,7 @@
 __all__ = ["decode_record", "encode_record"]
 
 SEPARATOR = "/"
+DIGITS = 2
 Count = Annotated[int, Field(ge=0)]
 
 decoders: Registry[str, Callable[[str, bytes], Record]] = Registry("decoder of record")
@@ -121,6 +124,12 @@
     released: bool = False
 
 
+class SpeedsModel(RecordModel):
+    """Speed, and the number of runs it rests on, by the sidecar's name."""
+
+    speeds: dict[str, tuple[float, float]] = {}
+
+
 class CancelModel(RecordModel):
     """A caller's cancelling of a job."""
 
@@ -253,6 +262,21 @@
     return RenewRecord(model.term, model.released)
 
 
+@encoders.register(SpeedsRecord)
+def _encode_speeds(record: SpeedsRecord) -> tuple[str, bytes]:
+    rows = {
+        name: (round(speed.value, DIGITS), speed.weight)
+        for name, speed in record.speeds.items()
+    }
+    return "speeds", SpeedsModel(speeds=rows).text()
+
+
+@decoders.register("speeds")
+def _decode_speeds(rest: str, value: bytes) -> Record:
+    model = SpeedsModel.model_validate_json(value)
+    return SpeedsRecord({name: Speed(*row) for name, row in model.speeds.items()})
+
+
 @encoders.register(Removed)
 def _encode_removed(record: Removed) -> tuple[str, bytes]:
     return record.key, b""
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -148,7 +148,7 @@
     chosen = pick(rack, unit.spec, len(unit.tasks), _rank_site_of(unit))
     if len(chosen) < len(unit.tasks):
         return (1, 0.0, free)
-    return (0, -min(site.minion.speed for site in chosen), free)
+    return (0, -min(site.minion.pace.value for site in chosen), free)
 
 
 def _rank_site_of(unit: Unit) -> Rank:
@@ -165,9 +165,9 @@
         fullness = (site.free.accelerators, site.free.cpu_millis)
         doubt = row.failures + (0 if row.proven else 1 if last_try else 0)
         if unit.is_urgent:
-            speed = round(row.speed * SPEED_STEPS)
+            speed = round(row.pace.value * SPEED_STEPS)
             return (doubt, -speed, *fullness, row.sidecar)
-        return (doubt, site.rack_free[0], *fullness, -row.speed, row.sidecar)
+        return (doubt, site.rack_free[0], *fullness, -row.pace.value, row.sidecar)
 
     return rank
 
@@ -197,7 +197,7 @@
             minion=site.minion.life.minion,
             rack=site.minion.rack,
             rank=unit.rank,
-            speed=round(site.minion.speed, 2),
+            speed=round(site.minion.pace.value, 2),
             version=configuration.version if configuration else -1,
         )
 
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -15,6 +15,7 @@
     ProgressRecord,
     Removed,
     RenewRecord,
+    SpeedsRecord,
     Stream,
     ZoneRecord,
 )
@@ -170,6 +171,11 @@
         world.schedule.changed = True
 
 
+@appliers.register(SpeedsRecord)
+def _apply_speeds(world: BatchWorld, offset: int, record: SpeedsRecord) -> None:
+    world.agreed.speeds = record.speeds
+
+
 @appliers.register(Removed)
 def _apply_removed(world: BatchWorld, offset: int, record: Removed) -> None:
     kind, _, rest = record.key.partition("/")
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import learn_speed
 from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
-from kingcuppost.batch.tables.fleet import MinionRow
+from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
     Life,
     Plan,
@@ -96,7 +96,7 @@
     """Return the row of a reported minion, made or brought up to date."""
     report = call.minion
     if old is None:
-        old = _new_minion(call, report)
+        old = _new_minion(world, call, report)
         world.schedule.minions.put(old)
         world.schedule.changed = True
         world.note(
@@ -119,7 +119,7 @@
     return old
 
 
-def _new_minion(call: SyncCall, report: MinionReport) -> MinionRow:
+def _new_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
@@ -129,6 +129,7 @@
         rack,
         frozenset(report.labels),
         report.room,
+        pace=world.schedule.speeds.setdefault(call.sidecar, Speed()),
     )
 
 
@@ -148,7 +149,8 @@
 def _note_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
 ) -> None:
-    lost = lost_by_end(plan, task, how, world.clock.wall_ms())
+    wall_ms = world.clock.wall_ms()
+    lost = lost_by_end(plan, task, how, wall_ms)
     world.tally.add("ends", how)
     world.tally.add("lost_core_seconds", how, amount=round(lost))
     world.note(
@@ -159,6 +161,8 @@
         how=how,
         minion=task.life.minion if task.life else "",
         reason=reason,
+        took_ms=wall_ms - task.placed_ms,
+        estimate_ms=plan.job.steps[task.name.step].estimate_ms,
         lost_core_s=round(lost, 1),
     )
 
@@ -246,7 +250,7 @@
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _learn(row, plan, task, ended, now_ms)
+    _learn(world, row, plan, task, ended, now_ms)
     _note_end(world, plan, task, ended.how)
     apply_end(world, plan, task, ended.how, ended.saved)
     return plan.job.id, plan.version
@@ -263,11 +267,16 @@
 
 
 def _learn(
-    row: MinionRow, plan: Plan, task: Task, ended: EndedRun, now_ms: int
+    world: BatchWorld,
+    row: MinionRow,
+    plan: Plan,
+    task: Task,
+    ended: EndedRun,
+    now_ms: int,
 ) -> None:
     """Learn from an end whether the minion does its work."""
     if ended.how is RunEnd.DONE:
-        learn_speed(row, plan, task, now_ms)
+        learn_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
         row.proven = True
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -112,12 +112,12 @@
 
 def fast_sites(sites: list[Site]) -> list[Site]:
     """Return the sites that are not known to be slow."""
-    known = [site.minion.speed for site in sites if site.minion.speed_weight]
+    known = [site.minion.pace.value for site in sites if site.minion.pace.weight]
     if not known:
         return sites
     bound = SLOW_SHARE * median(known)
     return [
         site
         for site in sites
-        if not site.minion.speed_weight or site.minion.speed >= bound
+        if not site.minion.pace.weight or site.minion.pace.value >= bound
     ]
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -1,9 +1,12 @@
-"""How fast minions work, learned from the progress of what they run."""
+"""How fast machines work, learned from the progress of what they run."""
+
+from math import exp, log
 
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, Task
+from kingcuppost.batch.tables.job import Plan, StepPace, Task
+from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["expected_left_ms", "learn_speed"]
+__all__ = ["expected_left_ms", "fair_estimate_ms", "learn_speed"]
 
 LEAST_SAMPLE_MS = 1_500
 MOST_WEIGHT = 6.0
@@ -14,31 +17,50 @@
 LEAST_SPEED = 0.05
 
 
-def learn_speed(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> None:
-    """Take one run's progress into its minion's speed.
+def learn_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
+    """Take one run's progress into its machine's speed.
 
-    Estimates of callers are rough, so the speed is a mean over runs and over the
-    assumption that the minion is like the others.
+    A caller's estimate is rough, but the same for all tasks of a step. So a run says
+    two things: how the estimate compares with the machines' known speeds, and, once
+    that is set right by all runs of the step, how fast this machine is.
     """
-    step = plan.job.steps[task.name.step]
-    if task.running_since_ms is None or not step.estimate_ms:
+    sample = _sample(plan, task)
+    if sample is None:
         return
+    speed = row.pace
+    pace = plan.paces.setdefault(task.name.step, StepPace())
+    pace.log_sum += log(sample / max(speed.value, LEAST_SPEED))
+    pace.count += 1
+    fair = sample / exp(pace.mean_log)
+    fair = min(max(fair, SLOWEST_SAMPLE), FASTEST_SAMPLE)
+    speed.weight = min(speed.weight + 1, MOST_WEIGHT)
+    speed.value += (fair - speed.value) / (speed.weight + PRIOR_WEIGHT)
+    world.schedule.speeds_changed = True
+
+
+def _sample(plan: Plan, task: Task) -> float | None:
+    """Return a run's speed if the estimate were right, or None if it is too short."""
+    estimate_ms = plan.job.steps[task.name.step].estimate_ms
+    if task.running_since_ms is None or not estimate_ms:
+        return None
     took_ms = task.moved_ms - task.running_since_ms
     done = task.percent - task.first_percent
     if took_ms < LEAST_SAMPLE_MS or done <= 0:
-        return
-    sample = step.estimate_ms * done / WHOLE / took_ms
-    sample = min(max(sample, SLOWEST_SAMPLE), FASTEST_SAMPLE)
-    row.speed_weight = min(row.speed_weight + 1, MOST_WEIGHT)
-    row.speed += (sample - row.speed) / (row.speed_weight + PRIOR_WEIGHT)
+        return None
+    return estimate_ms * done / WHOLE / took_ms
+
+
+def fair_estimate_ms(plan: Plan, task: Task) -> float:
+    """Return how long a task takes at speed 1.0, as the step's runs have shown."""
+    pace = plan.paces.get(task.name.step, StepPace())
+    return plan.job.steps[task.name.step].estimate_ms / exp(pace.mean_log)
 
 
 def expected_left_ms(row: MinionRow, plan: Plan, task: Task) -> float:
     """Return how long a run will yet take, from its own progress if it shows any."""
-    step = plan.job.steps[task.name.step]
     left = (WHOLE - task.percent) / WHOLE
     took_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
     done = task.percent - task.first_percent
     if took_ms >= LEAST_SAMPLE_MS and done > 0:
         return left * WHOLE * took_ms / done
-    return left * step.estimate_ms / max(row.speed, LEAST_SPEED)
+    return left * fair_estimate_ms(plan, task) / max(row.pace.value, LEAST_SPEED)
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -1,5 +1,7 @@
 """Opening a term: fence older writers, read up to the fence, load the plans."""
 
+from dataclasses import replace
+
 from kingcuppost.batch.systems.lease import holds_lease, step_down
 from kingcuppost.batch.systems.plans import all_tasks, take_up
 from kingcuppost.batch.systems.registry import Phase, system
@@ -80,6 +82,9 @@
     """Make plans of all jobs; what runs anywhere may run for a lease yet."""
     schedule = world.schedule
     schedule.loaded = True
+    schedule.speeds = {
+        name: replace(speed) for name, speed in world.agreed.speeds.items()
+    }
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
         take_up(world, job.id)
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -2,7 +2,11 @@
 
 from kingcuppost.batch.systems.plans import all_tasks, ask_stop, stop_runs
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.speeds import expected_left_ms, learn_speed
+from kingcuppost.batch.systems.speeds import (
+    expected_left_ms,
+    fair_estimate_ms,
+    learn_speed,
+)
 from kingcuppost.batch.systems.term import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Plan, PlanState, Task, TaskPhase
@@ -23,6 +27,8 @@
 URGENT = 0
 LEAST_WATCHED_MS = 2_000
 MOVE_GAIN = 2.5
+SURE_GAIN = 1.4
+SURE_RUNS = 2
 MOVE_COST_MS = 700
 
 
@@ -60,8 +66,8 @@
 ) -> None:
     if task.phase is not TaskPhase.PLACED or row.is_away:
         return
-    if row.speed_weight < 1:
-        learn_speed(row, plan, task, now_ms)
+    if row.pace.weight < 1:
+        learn_speed(world, row, plan, task)
     if row.draining and _should_leave(row, plan, task):
         _stop(world, plan, task, "the minion drains")
     elif _is_too_slow(row, plan, task):
@@ -95,7 +101,8 @@
 def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
     """Return whether an urgent run would be done sooner if it began anew elsewhere.
 
-    Estimates may be off by half, so the gain must be large; a task is moved once at
+    Estimates may be off by half, so the gain must be large unless other runs of the
+    step have told how long they really take; a task is moved once at
     most, since moving gains nothing where all minions are slow.
     """
     step = plan.job.steps[task.name.step]
@@ -104,8 +111,12 @@
     watched_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
     if watched_ms < LEAST_WATCHED_MS:
         return False
-    anew_ms = MOVE_GAIN * step.estimate_ms + MOVE_COST_MS
-    return expected_left_ms(row, plan, task) > anew_ms
+    pace = plan.paces.get(task.name.step)
+    is_sure = pace is not None and pace.count >= SURE_RUNS
+    anew_ms = MOVE_GAIN * step.estimate_ms
+    if is_sure:
+        anew_ms = SURE_GAIN * fair_estimate_ms(plan, task)
+    return expected_left_ms(row, plan, task) > anew_ms + MOVE_COST_MS
 
 
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/writing.py
@@ -1,15 +1,19 @@
 """Writing plans into the log: one append at a time, numbered within the term."""
 
+from dataclasses import replace
+
 from kingcuppost.batch.systems.lease import step_down
 from kingcuppost.batch.systems.plans import progress_of
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
     AppendOutcome,
     ProgressRecord,
     Removed,
+    SpeedsRecord,
     Stream,
 )
 from kingcuppost.batch.tables.world import BatchWorld
@@ -20,6 +24,8 @@
 
 ANSWER_MS = 800
 MOST_JOBS = 64
+MOST_AWAY = 100
+SPEEDS_PERIOD_MS = 10_000
 JOB_KEYS = ("progress", "cancel", "job")
 
 
@@ -38,10 +44,10 @@
     schedule.answers.clear()
     has_work = schedule.dirty or schedule.removals
     if schedule.loaded and schedule.in_flight is None and has_work:
-        _append(world)
+        _append(world, now_ms)
 
 
-def _append(world: BatchWorld) -> None:
+def _append(world: BatchWorld, now_ms: int) -> None:
     schedule = world.schedule
     job_ids = list(schedule.dirty)[:MOST_JOBS]
     records = []
@@ -53,6 +59,7 @@
             records.append(ProgressRecord(job_id, progress_of(plan)))
             versions[job_id] = plan.version
     records += _removals(world)
+    records += _speeds(world, now_ms)
     schedule.sequence += 1
     schedule.in_flight = Append(
         new_identifier(world.rng, "plans"),
@@ -66,6 +73,27 @@
     world.outbox.put(schedule.in_flight)
 
 
+def _speeds(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
+    """Return the learned speeds of present minions, if their record is due."""
+    schedule = world.schedule
+    if not schedule.speeds_changed or now_ms < schedule.speeds_at_ms:
+        return []
+    schedule.speeds_changed = False
+    schedule.speeds_at_ms = now_ms + SPEEDS_PERIOD_MS
+    learned = {
+        row.sidecar: replace(row.pace) for row in schedule.minions if row.pace.weight
+    }
+    return [SpeedsRecord({**_elsewhere(world), **learned})]
+
+
+def _elsewhere(world: BatchWorld) -> dict[str, Speed]:
+    """Return the speeds of machines whose minions are away, as they were agreed."""
+    present = {row.sidecar for row in world.schedule.minions}
+    speeds = world.schedule.speeds
+    away = [name for name in speeds if name not in present and speeds[name].weight]
+    return {name: replace(speeds[name]) for name in away[-MOST_AWAY:]}
+
+
 def _removals(world: BatchWorld) -> list[Removed]:
     """Return the removal of all records of some jobs that ended long ago."""
     removals = world.schedule.removals
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -12,6 +12,7 @@
     "MinionRow",
     "Queue",
     "Room",
+    "Speed",
     "Team",
 ]
 
@@ -86,6 +87,22 @@
     accelerators: int = 0
 
 
+@dataclass(slots=True)
+class Speed:
+    """How fast a machine works, learned from its runs.
+
+    Attributes
+    ----------
+    value : float
+        Work done in the time that a machine of speed 1.0 takes for one unit.
+    weight : float
+        How many runs the value rests on.
+    """
+
+    value: float = 1.0
+    weight: float = 0.0
+
+
 @dataclass(slots=True)
 class MinionRow:
     """A minion as its sidecar reports it to the scheduler.
@@ -108,10 +125,8 @@
         Least time left while it drains.
     heard_ms : int
         When its sidecar was last heard.
-    speed : float
-        Learned speed; 1.0 until something is known.
-    speed_weight : float
-        How many runs the speed rests on.
+    pace : Speed
+        How fast it works; the machine keeps it over lives of the minion.
     stalled_ms : int or None
         When a run was last found to stand still here.
     failures : int
@@ -138,8 +153,7 @@
     draining: bool = False
     remaining_ms: int = 0
     heard_ms: int = 0
-    speed: float = 1.0
-    speed_weight: float = 0.0
+    pace: Speed = field(default_factory=Speed)
     stalled_ms: int | None = None
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -9,6 +9,7 @@
     "Life",
     "Plan",
     "PlanState",
+    "StepPace",
     "RunEnd",
     "StepSpec",
     "Task",
@@ -310,6 +311,27 @@
     avoid: set[str] = field(default_factory=set)
 
 
+@dataclass(slots=True)
+class StepPace:
+    """How the runs of a step compare with the caller's estimate.
+
+    Attributes
+    ----------
+    log_sum : float
+        Sum of the logarithms of estimate over time taken at speed 1.0.
+    count : int
+        Number of runs in the sum.
+    """
+
+    log_sum: float = 0.0
+    count: int = 0
+
+    @property
+    def mean_log(self) -> float:
+        """Return the mean logarithm, with one more run that fits the estimate."""
+        return self.log_sum / (self.count + 1)
+
+
 class PlanState(StrEnum):
     """Whether the scheduler still has work with a job."""
 
@@ -340,6 +362,8 @@
         Whether a checkpoint is newer than its last record.
     over_ms : int or None
         When this process found the job to be over.
+    paces : dict of int to StepPace
+        What runs have told of the estimates, by step.
     """
 
     job: Job
@@ -351,3 +375,4 @@
     committed: int = 0
     has_new_saved: bool = False
     over_ms: int | None = None
+    paces: dict[int, StepPace] = field(default_factory=dict)
--- a/kingcuppost/batch/tables/messages/__init__.py
+++ b/kingcuppost/batch/tables/messages/__init__.py
@@ -22,6 +22,7 @@
     Record,
     Removed,
     RenewRecord,
+    SpeedsRecord,
     Stream,
     ZoneRecord,
 )
@@ -73,6 +74,7 @@
     "RefusedRun",
     "Removed",
     "RenewRecord",
+    "SpeedsRecord",
     "RunningRun",
     "SendSync",
     "StartOrder",
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kingcuppost.batch.tables.fleet import Configuration
+from kingcuppost.batch.tables.fleet import Configuration, Speed
 from kingcuppost.batch.tables.job import Job, Progress
 from kingcuppost.tables.config import Address
 
@@ -22,6 +22,7 @@
     "Record",
     "Removed",
     "RenewRecord",
+    "SpeedsRecord",
     "Stream",
     "ZoneRecord",
 ]
@@ -105,6 +106,13 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class SpeedsRecord:
+    """How fast machines work, by the sidecar's name, as a holder has learned it."""
+
+    speeds: dict[str, Speed]
+
+
 Record = (
     JobRecord
     | CancelRecord
@@ -114,6 +122,7 @@
     | RenewRecord
     | ConfigRecord
     | ZoneRecord
+    | SpeedsRecord
     | Removed
 )
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -9,6 +9,7 @@
     EntryMember,
     HolderView,
     MinionRow,
+    Speed,
 )
 from kingcuppost.batch.tables.job import Job, Life, Plan, Task, TaskName
 from kingcuppost.batch.tables.messages import (
@@ -82,6 +83,7 @@
     configuration: Configuration | None = None
     configuration_offset: int = -1
     closed_zones: dict[str, int] = field(default_factory=dict)
+    speeds: dict[str, Speed] = field(default_factory=dict)
     views: dict[Stream, StreamView] = field(
         default_factory=lambda: {stream: StreamView() for stream in Stream}
     )
@@ -154,6 +156,12 @@
         When the runs of a life have surely lapsed.
     homes : dict of Life to str
         Sidecar beside the minion of a life.
+    speeds : dict of str to Speed
+        How fast machines work, by sidecar.
+    speeds_changed : bool
+        Whether they differ from their newest record.
+    speeds_at_ms : int
+        When they may be written next.
     """
 
     term: int = -1
@@ -190,6 +198,9 @@
     strays: dict[str, dict[tuple[str, int], Stray]] = field(default_factory=dict)
     touched: dict[str, None] = field(default_factory=dict)
     answers: list[AppendEnded] = field(default_factory=list)
+    speeds: dict[str, Speed] = field(default_factory=dict)
+    speeds_changed: bool = False
+    speeds_at_ms: int = 0
     changed: bool = True
 
 
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -3,6 +3,7 @@
 import pytest
 
 from kingcuppost.batch.models import decode_record, encode_record
+from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
@@ -20,6 +21,7 @@
     ProgressRecord,
     Removed,
     RenewRecord,
+    SpeedsRecord,
 )
 from kingcuppost.tables.config import Address
 
@@ -30,6 +32,7 @@
 TERMS = Terms("svc", 0, 4, 1.5)
 RECORDS = (
     JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, TERMS)),
+    SpeedsRecord({"side-1": Speed(0.55, 3.0)}),
     CancelRecord("0123456789abcdef"),
     ProgressRecord(
         "0123456789abcdef",
