Make room for a part of a step, wait for room about to be free, spare a task's attempts

Cheap victims were stopped though they left no useful room.

Change: room is made task by task, each for at most the work that the task brings; a step that is no gang takes a part. Urgent work without cover waits for runs that end within 0.6 s. A failed task waits up to 5 s for another minion that could hold it. Victims that are not needed go on.

Tests: kingcuppost/batch/tests/test_placement.py, standins/batch/tests/test_watch.py; the last two there fail without the change.

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -4,6 +4,9 @@
 steps that must not starve, and minions of which a quarter work at half the speed.
 """
 
+from dataclasses import replace
+from math import inf
+
 from kingcuppost.batch.systems.placement import (
     Eviction,
     Rank,
@@ -39,7 +42,7 @@
 MS_PER_SECOND = 1_000
 HASTE_SHARE = 0.5
 SPEED_STEPS = 4
-PATIENCE_SHARE = 2.0
+PATIENCE_SHARE = 1.0
 
 
 @system(Phase.DECIDE, (Role.ENTRY,))
@@ -62,12 +65,20 @@
 
 
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
-    """Place a unit away from minions that failed it, or else at any that suit."""
+    """Place a unit away from minions that failed it, or else at any that suit.
+
+    A minion that fails all it is given must not use up a task's attempts just since
+    the others are full, so for a while the unit waits for room at them.
+    """
     allowed = allowed_sites(unit, sites)
     preferred = without_avoided(unit, allowed)
-    for chosen in (preferred, allowed):
-        if _serve_at(world, unit, chosen) or len(preferred) == len(allowed):
-            return
+    if _serve_at(world, unit, preferred) or len(preferred) == len(allowed):
+        return
+    until_ms = max(task.avoid_until_ms for task in unit.tasks)
+    if world.clock.now_ms() < until_ms and _could_run(unit, preferred):
+        world.deadlines.add(until_ms)
+        return
+    _serve_at(world, unit, allowed)
 
 
 def _serve_at(world: BatchWorld, unit: Unit, sites: list[Site]) -> bool:
@@ -83,21 +94,43 @@
     fast = _groups(unit, fast_sites(sites))
     if _place_unit(world, unit, fast):
         return True
+    if not unit.is_covered and _await_room(unit, fast):
+        return True
     if _make_room(world, unit, fast, HASTE_SHARE * _own_work(unit)):
         return True
     if _place_unit(world, unit, every):
         return True
     if not unit.is_covered:
         return _make_room(world, unit, every, PATIENCE_SHARE * _own_work(unit))
-    if _make_room(world, unit, every, None) or _place_unit(world, unit, [sites]):
+    if _make_room(world, unit, every) or _place_unit(world, unit, [sites]):
         return True
-    return _make_room(world, unit, [sites], None)
+    return _make_room(world, unit, [sites])
 
 
 def _own_work(unit: Unit) -> float:
-    """Return the unit's own work in core-seconds, by its estimate."""
-    seconds = unit.spec.estimate_ms / MS_PER_SECOND
-    return task_weight(unit.spec) * len(unit.tasks) * seconds
+    """Return the work of one task of a unit in core-seconds, by its estimate."""
+    return task_weight(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
+
+
+def _could_run(unit: Unit, sites: list[Site]) -> bool:
+    """Return whether a unit would fit at sites if nothing else ran there."""
+    count = len(unit.tasks) if unit.spec.gang else 1
+    return any(
+        _could_hold(group, unit.spec, count) for group in _groups(unit, sites) if group
+    )
+
+
+def _await_room(unit: Unit, groups: list[list[Site]]) -> bool:
+    """Keep room that is about to be free; return whether it serves all tasks."""
+    for group in groups:
+        rank = _rank_site_of(unit)
+        chosen = pick(group, unit.spec, len(unit.tasks), rank, is_soon=True)
+        if unit.spec.gang and len(chosen) < len(unit.tasks):
+            continue
+        for site in chosen:
+            take_room(site.soon, unit.spec)
+        unit.tasks = unit.tasks[len(chosen) :]
+    return not unit.tasks
 
 
 def _place_unit(world: BatchWorld, unit: Unit, groups: list[list[Site]]) -> bool:
@@ -185,8 +218,8 @@
     for task, site in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
         place_task(world, plan, task, number, site.minion)
-        take_room(site.now, unit.spec)
-        take_room(site.free, unit.spec)
+        for room in (site.now, site.soon, site.free):
+            take_room(room, unit.spec)
         site.taken += 1
         site.rack_free[0] -= unit.spec.accelerators
         world.note(
@@ -203,40 +236,53 @@
 
 
 def _make_room(
-    world: BatchWorld, unit: Unit, groups: list[list[Site]], most_cost: float | None
+    world: BatchWorld, unit: Unit, groups: list[list[Site]], most_cost: float = inf
 ) -> bool:
     """Stop the cheapest less urgent work, and keep its room for the unit.
 
+    Room for a part of the tasks is made too, unless they are a gang.
+
+    Parameters
+    ----------
+    most_cost : float
+        Most core-seconds of work that may be lost for one task.
+
     Returns
     -------
     bool
-        Whether room was found for at most `most_cost` core-seconds of lost work.
+        Whether room was found for all tasks.
     """
-    best = _cheapest(unit, groups)
-    if best is None:
-        return False
-    cost = sum(eviction.cost for eviction in best)
-    if most_cost is not None and cost > most_cost:
-        return False
+    best = _cheapest(unit, groups, most_cost)
     for eviction in best:
         _stop_victims(world, unit, eviction)
         # a narrowed site shares its rooms with the site that it was made from
-        take_room(eviction.site.now, unit.spec, eviction.count)
-        take_room(eviction.site.free, unit.spec, eviction.count)
-    return True
+        for room in (eviction.site.now, eviction.site.soon, eviction.site.free):
+            take_room(room, unit.spec, eviction.count)
+    unit.tasks = unit.tasks[_count(best) :]
+    return not unit.tasks
 
 
-def _cheapest(unit: Unit, groups: list[list[Site]]) -> list[Eviction] | None:
-    best: list[Eviction] | None = None
-    least = 0.0
+def _count(evictions: list[Eviction]) -> int:
+    return sum(eviction.count for eviction in evictions)
+
+
+def _cheapest(unit: Unit, groups: list[list[Site]], most_cost: float) -> list[Eviction]:
+    """Return the evictions that serve the most tasks, and among those cost least."""
+    best: list[Eviction] = []
+    best_key = (0, 0.0)
+    wanted = len(unit.tasks)
+    # one member's room is of no use to a gang, so the whole gang's cost counts
+    each = inf if unit.spec.gang else most_cost
     for group in groups:
         narrowed = [_only_below(site, unit.rank) for site in group]
-        found = evict(narrowed, unit.spec, len(unit.tasks), _rank_site_of(unit))
-        if found is None:
-            continue
+        found = evict(narrowed, unit.spec, wanted, _rank_site_of(unit), each)
         cost = sum(eviction.cost for eviction in found)
-        if best is None or cost < least:
-            best, least = found, cost
+        is_partial = _count(found) < wanted
+        if unit.spec.gang and (is_partial or cost > most_cost * wanted):
+            continue
+        key = (-_count(found), cost)
+        if key < best_key:
+            best, best_key = found, key
     return best
 
 
@@ -247,8 +293,9 @@
         for victim in site.victims
         if not victim.task.stopping
         and (victim.rank > max(rank, 1) or (rank == 0 and victim.rank == 1))
+        and (rank == 0 or not victim.ends_soon)
     ]
-    return Site(site.minion, site.free, site.now, site.rack_free, site.taken, victims)
+    return replace(site, victims=victims)
 
 
 def _stop_victims(world: BatchWorld, unit: Unit, eviction: Eviction) -> None:
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from math import inf
 
 from kingcuppost.batch.tables.fleet import MinionRow, Room
 from kingcuppost.batch.tables.job import Plan, StepSpec, Task
@@ -15,6 +16,7 @@
     "evict",
     "how_many",
     "pick",
+    "sub_room",
     "take_room",
 ]
 
@@ -33,6 +35,8 @@
         What stopping it sets free.
     cost : float
         Work that would be lost, in core-seconds.
+    ends_soon : bool
+        Whether the run is about to end by itself.
     """
 
     plan: Plan
@@ -40,6 +44,7 @@
     rank: int
     room: Room
     cost: float
+    ends_soon: bool = False
 
 
 @dataclass(slots=True)
@@ -54,6 +59,8 @@
         What is free, or will be when runs that are being stopped have ended.
     now : Room
         What is free at once.
+    soon : Room
+        What is free once runs have ended that are all but done.
     rack_free : list of int
         Accelerators that are free in the whole rack; one list for all its sites.
     taken : int
@@ -65,6 +72,7 @@
     minion: MinionRow
     free: Room
     now: Room
+    soon: Room
     rack_free: list[int]
     taken: int = 0
     victims: list[Victim] = field(default_factory=list)
@@ -72,9 +80,14 @@
 
 def take_room(room: Room, step: StepSpec, count: int = 1) -> None:
     """Take room for tasks of a step."""
-    room.cpu_millis -= step.cpu_millis * count
-    room.memory_mb -= step.memory_mb * count
-    room.accelerators -= step.accelerators * count
+    sub_room(
+        room,
+        Room(
+            step.cpu_millis * count,
+            step.memory_mb * count,
+            step.accelerators * count,
+        ),
+    )
 
 
 def add_room(room: Room, other: Room) -> None:
@@ -84,6 +97,13 @@
     room.accelerators += other.accelerators
 
 
+def sub_room(room: Room, other: Room) -> None:
+    """Take room away."""
+    room.cpu_millis -= other.cpu_millis
+    room.memory_mb -= other.memory_mb
+    room.accelerators -= other.accelerators
+
+
 def how_many(room: Room, step: StepSpec, most: int) -> int:
     """Return how many tasks of a step fit into room.
 
@@ -113,7 +133,11 @@
 
 
 def pick(
-    sites: Iterable[Site], step: StepSpec, wanted: int, rank: Rank, at_once: bool = True
+    sites: Iterable[Site],
+    step: StepSpec,
+    wanted: int,
+    rank: Rank,
+    is_soon: bool = False,
 ) -> list[Site]:
     """Return a site for each of as many tasks as fit, best ranks first.
 
@@ -127,15 +151,15 @@
         How many tasks.
     rank : callable
         Ranks a site for a step; the smallest goes first.
-    at_once : bool
-        Whether only room that is free now counts.
+    is_soon : bool
+        Whether room counts that is about to be free.
     """
     chosen: list[Site] = []
     for site in sorted(sites, key=lambda site: rank(site, step)):
         left = wanted - len(chosen)
         if not left:
             break
-        room = site.now if at_once else site.free
+        room = site.soon if is_soon else site.now
         count = how_many(room, step, _most_here(site, step, left))
         chosen.extend([site] * count)
     return chosen
@@ -152,29 +176,61 @@
 
 
 def _next_eviction(site: Site, step: StepSpec, done: Eviction, most: int) -> Eviction:
-    """Return how the next task could fit at a site, or the same if it can't."""
+    """Return how one more task could fit at a site, or the same if it can't."""
+    wanted = done.count + 1
     room = replace(site.free)
-    for victim in done.victims:
-        add_room(room, victim.room)
-    victims = list(done.victims)
-    cost = done.cost
-    for victim in site.victims[len(victims) :]:
-        if how_many(room, step, most) > done.count:
+    victims: list[Victim] = []
+    for victim in site.victims:
+        if how_many(room, step, most) >= wanted:
             break
         add_room(room, victim.room)
         victims.append(victim)
-        cost += victim.cost
-    count = how_many(room, step, most)
-    return Eviction(site, count, cost, victims) if count > done.count else done
+    if how_many(room, step, most) < wanted:
+        return done
+    victims = _only_needed(room, step, wanted, victims)
+    cost = sum(victim.cost for victim in victims)
+    return Eviction(site, how_many(room, step, most), cost, victims)
+
+
+def _only_needed(
+    room: Room, step: StepSpec, wanted: int, victims: list[Victim]
+) -> list[Victim]:
+    """Return the victims without which the room would be too small."""
+    needed = []
+    for victim in reversed(victims):
+        without = replace(room)
+        sub_room(without, victim.room)
+        if how_many(without, step, wanted) >= wanted:
+            sub_room(room, victim.room)
+        else:
+            needed.append(victim)
+    return needed
 
 
 def evict(
-    sites: list[Site], step: StepSpec, wanted: int, rank: Rank
-) -> list[Eviction] | None:
-    """Return the cheapest evictions that make room for all tasks, or None.
+    sites: list[Site],
+    step: StepSpec,
+    wanted: int,
+    rank: Rank,
+    most_cost: float = inf,
+) -> list[Eviction]:
+    """Return the cheapest evictions that make room for as many tasks as possible.
 
     Tasks go one by one to where the next one costs least; among equals to the
     site that ranks first.
+
+    Parameters
+    ----------
+    sites : list of Site
+        Where the tasks may go.
+    step : StepSpec
+        What each task needs.
+    wanted : int
+        How many tasks.
+    rank : callable
+        Ranks a site for a step; the smallest goes first.
+    most_cost : float
+        Most core-seconds that may be lost for one task.
     """
     plans = {id(site): Eviction(site, 0, 0.0, []) for site in sites}
     placed = 0
@@ -193,8 +249,8 @@
             )
             if best_key is None or key < best_key:
                 best, best_key = after, key
-        if best is None:
-            return None
+        if best is None or best_key[0] > most_cost:
+            break
         placed += best.count - plans[id(best.site)].count
         plans[id(best.site)] = best
     return [plan for plan in plans.values() if plan.count]
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -32,6 +32,7 @@
 ]
 
 OCCURRENCE = 0
+AVOID_MS = 5_000
 ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
@@ -191,7 +192,7 @@
     if how is RunEnd.DONE:
         _done(plan, task)
     elif how is RunEnd.FAILED:
-        _failed(plan, task, life)
+        _failed(plan, task, life, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
         stop_runs(world, plan, task.name.step)
     _judge(world, plan)
@@ -216,7 +217,7 @@
         member.life = None
 
 
-def _failed(plan: Plan, task: Task, life: Life | None) -> None:
+def _failed(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
     """Count a failed run; a gang counts a run once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
@@ -228,6 +229,7 @@
     if life is not None:
         for member in members:
             member.avoid.add(life.minion)
+            member.avoid_until_ms = now_ms + AVOID_MS
 
 
 def _judge(world: BatchWorld, plan: Plan) -> None:
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -1,11 +1,12 @@
 """Sites: the minions that may be given work, with what is free and what may stop."""
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from statistics import median
 
 from kingcuppost.batch.systems.losses import lost_by_stop
 from kingcuppost.batch.systems.placement import Site, Victim, take_room
 from kingcuppost.batch.systems.plans import all_tasks
+from kingcuppost.batch.systems.speeds import expected_left_ms
 from kingcuppost.batch.systems.units import Unit, rank_of
 from kingcuppost.batch.tables.fleet import MinionRow, Room
 from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
@@ -16,14 +17,26 @@
 SUSPECT_FAILURES = 2
 SUSPECT_MS = 5_000
 SLOW_SHARE = 0.7
+SOON_MS = 600
+MOVING_MS = 2_500
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """What the cost of a stop depends on beside the run: now, and restoring, in ms."""
+
+    ms: int
+    wall_ms: int
+    restore_ms: int
 
 
 def sites_of(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
     """Return the minions that may be given work."""
-    wall_ms = world.clock.wall_ms()
-    restore_ms = world.cfg.bounds.restore_ms
+    now = Moment(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
     sites = {
-        row.life: Site(row, replace(row.room), replace(row.room), [0])
+        row.life: Site(
+            row, replace(row.room), replace(row.room), replace(row.room), [0]
+        )
         for row in world.schedule.minions
     }
     for plan in world.schedule.plans.values():
@@ -31,7 +44,7 @@
             continue
         for task in all_tasks(plan):
             if task.phase is TaskPhase.PLACED and task.life in sites:
-                _occupy(sites[task.life], plan, task, wall_ms, restore_ms, covered)
+                _occupy(sites[task.life], plan, task, covered, now)
     usable = [site for site in sites.values() if _is_usable(world, site.minion, now_ms)]
     racks: dict[str, list[int]] = {}
     for site in usable:
@@ -41,24 +54,31 @@
     return usable
 
 
-def _occupy(
-    site: Site,
-    plan: Plan,
-    task: Task,
-    wall_ms: int,
-    restore_ms: int,
-    covered: set[str],
-) -> None:
+def _occupy(site: Site, plan: Plan, task: Task, covered: set[str], now: Moment) -> None:
     step = plan.job.steps[task.name.step]
     take_room(site.now, step)
+    ends_soon = _ends_soon(site.minion, plan, task, now.ms)
+    if not ends_soon:
+        take_room(site.soon, step)
     if task.stopping:
         return
     take_room(site.free, step)
     rank = rank_of(plan, covered)
     if rank:
         room = Room(step.cpu_millis, step.memory_mb, step.accelerators)
-        cost = lost_by_stop(plan, task, wall_ms, restore_ms)
-        site.victims.append(Victim(plan, task, rank, room, cost))
+        cost = lost_by_stop(plan, task, now.wall_ms, now.restore_ms)
+        site.victims.append(Victim(plan, task, rank, room, cost, ends_soon))
+
+
+def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
+    """Return whether a run is about to free its room by itself.
+
+    A member of a gang that is through may wait long for the others.
+    """
+    if task.stopping or plan.job.steps[task.name.step].gang or not task.confirmed:
+        return False
+    age_ms = now_ms - task.moved_ms
+    return age_ms < MOVING_MS and expected_left_ms(row, plan, task) - age_ms < SOON_MS
 
 
 def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -286,6 +286,8 @@
         Newest run of the gang that was counted as failed; at its first member.
     avoid : set of str
         Minions on which a run of it has failed.
+    avoid_until_ms : int
+        Until when it rather waits than runs there again.
     """
 
     name: TaskName
@@ -309,6 +311,7 @@
     failed_run: int = 0
     was_moved: bool = False
     avoid: set[str] = field(default_factory=set)
+    avoid_until_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -20,7 +20,7 @@
         )
         for index, cost in enumerate(costs)
     ]
-    return Site(row, replace(free), replace(free), [0], victims=victims)
+    return Site(row, replace(free), replace(free), replace(free), [0], victims=victims)
 
 
 def by_name(found: Site, step: StepSpec) -> tuple:
@@ -63,4 +63,18 @@
 
 
 def test_nothing_is_stopped_in_vain() -> None:
-    assert evict([site("a", Room(0, 0, 0), (1.0,))], STEP, 3, by_name) is None
+    assert not evict([site("a", Room(0, 0, 0), ())], STEP, 3, by_name)
+
+
+def test_room_is_made_for_as_many_tasks_as_the_cost_allows() -> None:
+    full = site("a", Room(0, 0, 0), (1.0, 90.0))
+    found = evict([full], STEP, 2, by_name, most_cost=10.0)
+    assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
+
+
+def test_work_that_leaves_no_useful_room_goes_on() -> None:
+    small, large = Room(1_000, 1_000, 0), Room(8_000, 16_000, 2)
+    full = site("a", Room(0, 0, 0), (1.0, 2.0))
+    full.victims[0].room, full.victims[1].room = small, large
+    found = evict([full], STEP, 1, by_name)
+    assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_watch.py
@@ -1,6 +1,6 @@
 """Runs that would not end where they are go on elsewhere."""
 
-from kingcuppost.batch.tables.job import JobState, StepSpec
+from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from standins.batch import Deployment
 
 STEP = StepSpec(2, cpu_millis=5_000, accelerators=1, estimate_ms=4_000, saves=True)
@@ -83,3 +83,32 @@
     )
     assert deployment.checks.starts == 2
     assert not deployment.checks.broken
+
+
+def test_a_failed_run_waits_for_another_minion_rather_than_use_up_its_tries() -> None:
+    deployment = ready(minions=2)
+    whole = StepSpec(1, cpu_millis=64_000, accelerators=8)
+    deployment.submit((whole,), [3_000], 2)
+    deployment.run_for(200)
+    job_id, _ = deployment.submit((whole,), [500], 1)
+    bad = next(minion for minion in deployment.minions.values() if not minion.runs)
+    bad.fails = True
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 8_000
+    )
+    assert deployment.checks.ends[RunEnd.FAILED] == 1
+
+
+def test_urgent_work_waits_for_a_run_that_is_all_but_done() -> None:
+    deployment = ready(minions=1)
+    half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
+    nearly, _ = deployment.submit((half,), [3_000], 1)
+    deployment.run_for(2_600)
+    fresh, _ = deployment.submit((half,), [9_000], 2)
+    deployment.run_for(2_400)
+    wide = StepSpec(5, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
+    deployment.submit((wide,), [500], 0)
+    deployment.run_for(800)
+    assert deployment.state(nearly) is JobState.COMPLETED
+    assert deployment.state(fresh, 2) is JobState.RUNNING
+    assert deployment.checks.ends[RunEnd.STOPPED] == 1
