Learn a machine's speed from whole runs; give urgent work the fast ones, patient work the slow

Fast runs were too short to be sampled, and each sample was discounted twice, so after four jobs the slow machines stood at 0.8 beside 1.0 of the others and passed as good; a guaranteed job ran 18 s there for 7.7 s of work. Slow was measured against the median of the known, among which slow machines are over-represented.

Change: a run that is done counts whole (members of gangs by their own progress); one discount; slow is below 0.65 of the upper third. Urgent work makes room at fast minions if that loses less than 0.7 of the work that it brings, and without cover waits 0.3 of its estimate before it takes a slow one, where it would be late for sure. Work of priority 2 goes to slow minions first.

Tests: standins/batch/tests/test_speeds.py, last two (fail before).

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -40,9 +40,10 @@
 
 RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
-HASTE_SHARE = 0.5
 SPEED_STEPS = 4
-PATIENCE_SHARE = 1.0
+LOSS_SHARE = 0.7
+SLOW_AFTER_SHARE = 0.3
+PATIENT = 2
 
 
 @system(Phase.DECIDE, (Role.ENTRY,))
@@ -84,9 +85,9 @@
 def _serve_at(world: BatchWorld, unit: Unit, sites: list[Site]) -> bool:
     """Place a unit, or make room for it; return whether it is cared for.
 
-    Urgent units prefer fast minions, and make room there if it costs little. Only a
-    team's guarantee is worth any amount of lost work, or running slowly in more than
-    one rack.
+    Urgent units prefer fast minions, and make room there if that loses less work than
+    they bring. Only a team's guarantee is worth any amount of lost work, or running
+    slowly in more than one rack.
     """
     every = _groups(unit, sites)
     if not unit.is_urgent:
@@ -96,17 +97,29 @@
         return True
     if not unit.is_covered and _await_room(unit, fast):
         return True
-    if _make_room(world, unit, fast, HASTE_SHARE * _own_work(unit)):
+    most_cost = LOSS_SHARE * _own_work(unit)
+    if _make_room(world, unit, fast, most_cost):
         return True
+    if not unit.is_covered and _is_new(world, unit):
+        return False
     if _place_unit(world, unit, every):
         return True
     if not unit.is_covered:
-        return _make_room(world, unit, every, PATIENCE_SHARE * _own_work(unit))
+        return _make_room(world, unit, every, most_cost)
     if _make_room(world, unit, every) or _place_unit(world, unit, [sites]):
         return True
     return _make_room(world, unit, [sites])
 
 
+def _is_new(world: BatchWorld, unit: Unit) -> bool:
+    """Return whether a unit's job can yet wait for a fast minion.
+
+    On a slow one it would be late for sure.
+    """
+    waited_ms = world.clock.wall_ms() - unit.plan.job.accepted_ms
+    return waited_ms < SLOW_AFTER_SHARE * unit.spec.estimate_ms
+
+
 def _own_work(unit: Unit) -> float:
     """Return the work of one task of a unit in core-seconds, by its estimate."""
     return task_weight(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
@@ -188,10 +201,12 @@
     """Return how sites rank for a unit.
 
     Urgent work takes proven and fast minions. Other work fills up racks and minions
-    that are nearly full, so that urgent gangs find whole racks. The last attempt of a
-    task goes to a minion that has done work.
+    that are nearly full, so that urgent gangs find whole racks, and what has the most
+    time leaves the fast minions to others. The last attempt of a task goes to a minion
+    that has done work.
     """
     last_try = unit.is_last_try
+    is_patient = unit.plan.job.terms.priority >= PATIENT
 
     def rank(site: Site, step: StepSpec) -> tuple:
         row = site.minion
@@ -200,7 +215,15 @@
         if unit.is_urgent:
             speed = round(row.pace.value * SPEED_STEPS)
             return (doubt, -speed, *fullness, row.sidecar)
-        return (doubt, site.rack_free[0], *fullness, -row.pace.value, row.sidecar)
+        is_wasted = is_patient and not site.is_slow
+        return (
+            doubt,
+            is_wasted,
+            site.rack_free[0],
+            *fullness,
+            -row.pace.value,
+            row.sidecar,
+        )
 
     return rank
 
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -67,6 +67,8 @@
         Tasks of the step at hand that are there already.
     victims : list of Victim
         What may be stopped, cheapest first.
+    is_slow : bool
+        Whether the minion works much slower than most.
     """
 
     minion: MinionRow
@@ -76,6 +78,7 @@
     rack_free: list[int]
     taken: int = 0
     victims: list[Victim] = field(default_factory=list)
+    is_slow: bool = False
 
 
 def take_room(room: Room, step: StepSpec, count: int = 1) -> None:
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -30,6 +30,7 @@
 __all__ = ["hear_sidecars", "lose_life", "take_up_jobs"]
 
 REST_MS = 1_000
+WHOLE = 100
 
 
 @system(Phase.INTAKE, (Role.ENTRY,))
@@ -276,6 +277,10 @@
 ) -> None:
     """Learn from an end whether the minion does its work."""
     if ended.how is RunEnd.DONE:
+        if not plan.job.steps[task.name.step].gang:
+            # a member of a gang may have waited for the others
+            task.percent = WHOLE
+            task.moved_ms = now_ms
         learn_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -1,7 +1,6 @@
 """Sites: the minions that may be given work, with what is free and what may stop."""
 
 from dataclasses import dataclass, replace
-from statistics import median
 
 from kingcuppost.batch.systems.losses import lost_by_stop
 from kingcuppost.batch.systems.placement import Site, Victim, take_room
@@ -16,7 +15,9 @@
 
 SUSPECT_FAILURES = 2
 SUSPECT_MS = 5_000
-SLOW_SHARE = 0.7
+SLOW_SHARE = 0.65
+GOOD_RANK = 70
+WHOLE = 100
 SOON_MS = 600
 MOVING_MS = 2_500
 
@@ -51,6 +52,7 @@
         site.rack_free = racks.setdefault(site.minion.rack, [0])
         site.rack_free[0] += site.free.accelerators
         site.victims.sort(key=lambda victim: victim.cost)
+    _mark_slow(usable)
     return usable
 
 
@@ -132,12 +134,18 @@
 
 def fast_sites(sites: list[Site]) -> list[Site]:
     """Return the sites that are not known to be slow."""
-    known = [site.minion.pace.value for site in sites if site.minion.pace.weight]
+    return [site for site in sites if not site.is_slow]
+
+
+def _mark_slow(sites: list[Site]) -> None:
+    """Mark the sites whose minions work much slower than the good ones.
+
+    Slow minions keep their runs longer and are known sooner, so what is usual among the
+    known ones says little.
+    """
+    known = sorted(site.minion.pace.value for site in sites if site.minion.pace.weight)
     if not known:
-        return sites
-    bound = SLOW_SHARE * median(known)
-    return [
-        site
-        for site in sites
-        if not site.minion.pace.weight or site.minion.pace.value >= bound
-    ]
+        return
+    bound = SLOW_SHARE * known[len(known) * GOOD_RANK // WHOLE]
+    for site in sites:
+        site.is_slow = bool(site.minion.pace.weight) and site.minion.pace.value < bound
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -10,7 +10,7 @@
 
 LEAST_SAMPLE_MS = 1_500
 MOST_WEIGHT = 6.0
-PRIOR_WEIGHT = 1.0
+PRIOR_WEIGHT = 0.25
 SLOWEST_SAMPLE = 0.2
 FASTEST_SAMPLE = 2.0
 WHOLE = 100
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -4,7 +4,6 @@
 from standins.batch import Deployment
 from standins.batch.tests.test_days import ready
 
-SPREAD = StepSpec(9, cpu_millis=5_000, accelerators=1, most_per_minion=1)
 SLOW = {"side-0", "side-4", "side-8"}
 
 
@@ -57,3 +56,25 @@
         minion.restart()
     deployment.run_for(2_000)
     assert slowest(deployment) == SLOW
+
+
+def test_work_with_the_most_time_leaves_the_fast_minions_to_others() -> None:
+    deployment = learned(ready())
+    step = StepSpec(3, cpu_millis=60_000, accelerators=8, estimate_ms=3_000)
+    deployment.submit((step,), [9_000], 2)
+    deployment.run_for(500)
+    at = {name for name, process in deployment.processes.items() if process.minion}
+    busy = {name for name in at if deployment.processes[name].minion.runs}
+    assert busy == SLOW
+
+
+def test_urgent_work_rather_stops_others_than_run_on_slow_minions() -> None:
+    deployment = learned(ready())
+    fill = StepSpec(6, cpu_millis=60_000, accelerators=8, estimate_ms=9_000)
+    deployment.submit((fill,), [20_000], 1)
+    deployment.run_for(3_000)
+    urgent = StepSpec(1, cpu_millis=60_000, accelerators=8, estimate_ms=9_000)
+    job_id, _ = deployment.submit((urgent,), [9_000], 0)
+    assert deployment.run_until(
+        lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 9_600
+    )
