Make decisions again when their deadline comes, though nothing has changed

Cause: a deadline of the decisions (a minion that rests, urgent work that waits, a failed task that waits for another minion) woke the loop, but the system left at once unless a table had changed.

Change: the earliest such moment is kept, and the decisions are made when it comes. Test: standins/batch/tests/test_days.py, last one (failed before).

--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -20,7 +20,9 @@
 from kingcuppost.batch.systems.plans import ask_stop, change_plan, place_task
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sites import (
+    NEVER_MS,
     allowed_sites,
+    decide_again,
     fast_sites,
     sites_of,
     without_avoided,
@@ -50,9 +52,11 @@
 def decide(world: BatchWorld, now_ms: int) -> None:
     """Place what waits, and make room for what is urgent."""
     schedule = world.schedule
-    if not is_scheduling(world) or not schedule.changed:
+    is_due = schedule.changed or now_ms >= schedule.decide_at_ms
+    if not is_scheduling(world) or not is_due:
         return
     schedule.changed = False
+    schedule.decide_at_ms = NEVER_MS
     covered = covered_jobs(world)
     sites = sites_of(world, now_ms, covered)
     units = sorted(
@@ -62,7 +66,7 @@
     for unit in units:
         _serve(world, unit, sites)
         if unit.is_urgent:
-            world.deadlines.add(now_ms + RETRY_MS)
+            decide_again(world, now_ms + RETRY_MS)
 
 
 def _serve(world: BatchWorld, unit: Unit, sites: list[Site]) -> None:
@@ -77,7 +81,7 @@
         return
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
     if world.clock.now_ms() < until_ms and _could_run(unit, preferred):
-        world.deadlines.add(until_ms)
+        decide_again(world, until_ms)
         return
     _serve_at(world, unit, allowed)
 
@@ -117,7 +121,10 @@
     On a slow one it would be late for sure.
     """
     waited_ms = world.clock.wall_ms() - unit.plan.job.accepted_ms
-    return waited_ms < SLOW_AFTER_SHARE * unit.spec.estimate_ms
+    left_ms = int(SLOW_AFTER_SHARE * unit.spec.estimate_ms) - waited_ms
+    if left_ms > 0:
+        decide_again(world, world.clock.now_ms() + left_ms)
+    return left_ms > 0
 
 
 def _own_work(unit: Unit) -> float:
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -11,7 +11,16 @@
 from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["allowed_sites", "fast_sites", "sites_of", "without_avoided"]
+__all__ = [
+    "NEVER_MS",
+    "allowed_sites",
+    "decide_again",
+    "fast_sites",
+    "sites_of",
+    "without_avoided",
+]
+
+NEVER_MS = 2**62
 
 SUSPECT_FAILURES = 2
 SUSPECT_MS = 5_000
@@ -31,6 +40,13 @@
     restore_ms: int
 
 
+def decide_again(world: BatchWorld, at_ms: int) -> None:
+    """Have the decisions made again at a moment, also if nothing changes until then."""
+    schedule = world.schedule
+    schedule.decide_at_ms = min(schedule.decide_at_ms, at_ms)
+    world.deadlines.add(at_ms)
+
+
 def sites_of(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
     """Return the minions that may be given work."""
     now = Moment(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
@@ -90,7 +106,7 @@
         return False
     again_ms = _trusted_again_ms(row)
     if now_ms < again_ms:
-        world.deadlines.add(again_ms)
+        decide_again(world, again_ms)
         return False
     return True
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -162,6 +162,8 @@
         Whether they differ from their newest record.
     speeds_at_ms : int
         When they may be written next.
+    decide_at_ms : int
+        When the decisions are made again though nothing has changed.
     """
 
     term: int = -1
@@ -202,6 +204,7 @@
     speeds_changed: bool = False
     speeds_at_ms: int = 0
     changed: bool = True
+    decide_at_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -173,3 +173,17 @@
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 12_000
     )
+
+
+def test_urgent_work_is_looked_at_again_though_nothing_changes() -> None:
+    deployment = ready(minions=1)
+    fill = StepSpec(2, cpu_millis=30_000, accelerators=4, estimate_ms=60_000)
+    deployment.submit((fill,), [60_000], 1)
+    deployment.run_for(6_000)
+    refused = deployment.minions["m-0"]
+    row = next(iter(deployment.holder().world.schedule.minions))
+    row.rests_until_ms = deployment.clock.now_ms() + 1_500
+    urgent = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
+    job_id, _ = deployment.submit((urgent,), [9_000], 0)
+    deployment.run_for(2_500)
+    assert any(run.task.job == job_id for run in refused.runs.values())
