--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -258,4 +258,6 @@
     host = fleet.processes["host"]
     host.terminate()
     host.wait(timeout=10)
-    assert fleet.log("host").splitlines()[-1] == "[]"
+    # a heartbeat that the end has cut off may be logged behind the list
+    lists = [line for line in fleet.log("host").splitlines() if line.startswith("[")]
+    assert lists == ["[]"]
