--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -44,8 +44,7 @@
 MS_PER_SECOND = 1_000
 SPEED_STEPS = 4
 LOSS_SHARE = 0.7
-SLOW_AFTER_SHARE = 0.3
-PATIENT = 2
+PATIENT_PRIORITY = 2
 
 
 @system(Phase.DECIDE, (Role.ENTRY,))
@@ -104,8 +103,6 @@
     most_cost = LOSS_SHARE * _own_work(unit)
     if _make_room(world, unit, fast, most_cost):
         return True
-    if not unit.is_covered and _is_new(world, unit):
-        return False
     if _place_unit(world, unit, every):
         return True
     if not unit.is_covered:
@@ -115,18 +112,6 @@
     return _make_room(world, unit, [sites])
 
 
-def _is_new(world: BatchWorld, unit: Unit) -> bool:
-    """Return whether a unit's job can yet wait for a fast minion.
-
-    On a slow one it would be late for sure.
-    """
-    waited_ms = world.clock.wall_ms() - unit.plan.job.accepted_ms
-    left_ms = int(SLOW_AFTER_SHARE * unit.spec.estimate_ms) - waited_ms
-    if left_ms > 0:
-        decide_again(world, world.clock.now_ms() + left_ms)
-    return left_ms > 0
-
-
 def _own_work(unit: Unit) -> float:
     """Return the work of one task of a unit in core-seconds, by its estimate."""
     return task_weight(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
@@ -213,7 +198,7 @@
     that has done work.
     """
     last_try = unit.is_last_try
-    is_patient = unit.plan.job.terms.priority >= PATIENT
+    is_patient = unit.plan.job.terms.priority >= PATIENT_PRIORITY
 
     def rank(site: Site, step: StepSpec) -> tuple:
         row = site.minion
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -50,12 +50,7 @@
 def sites_of(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
     """Return the minions that may be given work."""
     now = Moment(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
-    sites = {
-        row.life: Site(
-            row, replace(row.room), replace(row.room), replace(row.room), [0]
-        )
-        for row in world.schedule.minions
-    }
+    sites = {row.life: _empty_site(row) for row in world.schedule.minions}
     for plan in world.schedule.plans.values():
         if plan.phase is PlanState.OVER:
             continue
@@ -72,6 +67,12 @@
     return usable
 
 
+def _empty_site(row: MinionRow) -> Site:
+    """Return a minion's site as if nothing ran there; each kind of room is its own."""
+    now, soon, free = (replace(row.room) for _ in range(3))
+    return Site(row, free=free, now=now, soon=soon, rack_free=[0])
+
+
 def _occupy(site: Site, plan: Plan, task: Task, covered: set[str], now: Moment) -> None:
     step = plan.job.steps[task.name.step]
     take_room(site.now, step)
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -19,6 +19,8 @@
 
     Attributes
     ----------
+    tasks : list of Task
+        What is not yet cared for; grows shorter as room is found or made.
     rank : int
         0 for urgent work within its team's guarantee, 1 for other urgent work, then
         one more than the priority.
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -20,6 +20,7 @@
 __all__ = ["run_role"]
 
 EXIT_INVALID = 2
+# parts that only one role needs are imported from here where that role is set up
 ADAPTER = "kingcuppost.platform"
 
 
