--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -1,10 +1,10 @@
 """Days of random work and random faults, by seed: ``python -m standins.batch 1 20``."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from kingcuppost.batch.tables.job import JobState, StepSpec
-from kingcuppost.batch.tables.messages import CallReply, Verdict
+from kingcuppost.batch.tables.messages import CallReply, Stream, Verdict
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.registry import Registry
 from standins.batch.deployment import Deployment, Process
@@ -90,83 +90,72 @@
     return process.name
 
 
-@faults.register("cut")
-def _cut(day: Deployment) -> str:
-    chosen = day.rng.sample(list(day.processes.values()), 3)
-    for process in chosen:
-        process.is_cut = True
+def _for_a_while(
+    day: Deployment,
+    rows: Iterable[object],
+    name: str,
+    value: bool | float,
+    for_ms: float,
+) -> None:
+    """Set an attribute of some rows, and set it back to nothing after a while."""
+    rows = list(rows)
+    calm = type(value)()
+    for row in rows:
+        setattr(row, name, value)
 
     def heal() -> None:
-        for process in chosen:
-            process.is_cut = False
+        for row in rows:
+            setattr(row, name, calm)
+
+    day.at(for_ms, heal)
 
-    day.at(2_000 + day.rng.random() * 10_000, heal)
-    return " ".join(process.name for process in chosen)
+
+def _names(processes: list[Process]) -> str:
+    return " ".join(process.name for process in processes)
+
+
+@faults.register("cut")
+def _cut(day: Deployment) -> str:
+    chosen = day.rng.sample(list(day.processes.values()), 3)
+    _for_a_while(day, chosen, "is_cut", True, 2_000 + day.rng.random() * 10_000)
+    return _names(chosen)
 
 
 @faults.register("freeze")
 def _freeze(day: Deployment) -> str:
     process = day.rng.choice(list(day.processes.values()))
-    process.is_frozen = True
-
-    def thaw() -> None:
-        process.is_frozen = False
-
-    day.at(1_000 + day.rng.random() * 6_000, thaw)
+    _for_a_while(day, [process], "is_frozen", True, 1_000 + day.rng.random() * 6_000)
     return process.name
 
 
 @faults.register("turn entries away")
 def _turn_away(day: Deployment) -> str:
     chosen = day.rng.sample(_entries(day), 1 + day.rng.randrange(2))
-    for process in chosen:
-        process.is_turned_away = True
-
-    def serve() -> None:
-        for process in chosen:
-            process.is_turned_away = False
-
-    day.at(2_000 + day.rng.random() * 7_000, serve)
-    return " ".join(process.name for process in chosen)
+    span_ms = 2_000 + day.rng.random() * 7_000
+    _for_a_while(day, chosen, "is_turned_away", True, span_ms)
+    return _names(chosen)
 
 
 @faults.register("log down")
 def _log_down(day: Deployment) -> str:
-    day.log_is_down = True
-
-    def back() -> None:
-        day.log_is_down = False
-
-    day.at(1_000 + day.rng.random() * 5_000, back)
+    _for_a_while(day, [day], "log_is_down", True, 1_000 + day.rng.random() * 5_000)
     return ""
 
 
 @faults.register("lose answers of the log")
 def _lose_answers(day: Deployment) -> str:
-    day.lost_answers = 0.3
-
-    def heal() -> None:
-        day.lost_answers = 0.0
-
-    day.at(4_000, heal)
+    _for_a_while(day, [day], "lost_answers", 0.3, 4_000)
     return ""
 
 
 @faults.register("carry orders out late")
 def _late_orders(day: Deployment) -> str:
-    day.late_orders = 0.3
-
-    def heal() -> None:
-        day.late_orders = 0.0
-
-    day.at(5_000, heal)
+    _for_a_while(day, [day], "late_orders", 0.3, 5_000)
     return ""
 
 
 @faults.register("forget history")
 def _forget(day: Deployment) -> str:
-    from kingcuppost.batch.tables.messages import Stream
-
     for stream in Stream:
         day.store.forget(stream)
     return ""
@@ -183,12 +172,7 @@
 @faults.register("minion fails all")
 def _failing(day: Deployment) -> str:
     minion = day.rng.choice(list(day.minions.values()))
-    minion.fails = True
-
-    def heal() -> None:
-        minion.fails = False
-
-    day.at(6_000, heal)
+    _for_a_while(day, [minion], "fails", True, 6_000)
     return minion.id
 
 
