Give each system of a tick a position instead of sorting by name

Cause: within a phase, systems ran sorted by `module.function`, so renaming a function or a module would move it to another place of the tick, and no test would show it.

Change: `@system(phase, roles, order=N)` states the position within the phase, unique in its registry; a position that is taken is refused at import. The positions are those that the sorting by name gave.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -42,7 +42,7 @@
     return job.state
 
 
-@system(Phase.INTAKE, (Role.ENTRY,))
+@system(Phase.INTAKE, (Role.ENTRY,), order=20)
 def serve_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer what can be answered at once; propose what must be kept."""
     for call in world.inbox.take(CallerCall):
@@ -189,7 +189,7 @@
     world.outbox.put(append)
 
 
-@system(Phase.INTAKE, (Role.ENTRY,))
+@system(Phase.INTAKE, (Role.ENTRY,), order=10)
 def end_held_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer held calls whose record is in the log, or never will be."""
     for answer in world.inbox.take(AppendEnded):
--- a/kingcuppost/batch/systems/cleaning.py
+++ b/kingcuppost/batch/systems/cleaning.py
@@ -12,7 +12,7 @@
 MARGIN_MS = 60_000
 
 
-@system(Phase.DECIDE, (Role.ENTRY,))
+@system(Phase.DECIDE, (Role.ENTRY,), order=10)
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
     """Ask for the removal of jobs whose state was kept for long enough."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -47,7 +47,7 @@
 PATIENT_PRIORITY = 2
 
 
-@system(Phase.DECIDE, (Role.ENTRY,))
+@system(Phase.DECIDE, (Role.ENTRY,), order=20)
 def decide(world: BatchWorld, now_ms: int) -> None:
     """Place what waits, and make room for what is urgent."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/ending.py
@@ -13,7 +13,7 @@
 SIDECAR_LINGER_MS = 100
 
 
-@system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR))
+@system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
 def end_process(world: BatchWorld, now_ms: int) -> None:
     """Give the lease back, answer what waits, then end."""
     if world.inbox.take(StopAsked) and not world.stopping:
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -37,7 +37,7 @@
     return fresh_ms is not None and now_ms - fresh_ms <= FRESH_MS
 
 
-@system(Phase.FOLD, (Role.ENTRY,))
+@system(Phase.FOLD, (Role.ENTRY,), order=10)
 def fold_streams(world: BatchWorld, now_ms: int) -> None:
     """Apply what was read."""
     for batch in world.inbox.take(Followed):
--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/host.py
@@ -27,7 +27,7 @@
 SIDECAR = (Role.SIDECAR,)
 
 
-@system(Phase.INTAKE, SIDECAR)
+@system(Phase.INTAKE, SIDECAR, order=50)
 def hear_minion(world: BatchWorld, now_ms: int) -> None:
     """Take heartbeats in; late ones of an earlier life or moment change nothing."""
     host = world.host
@@ -91,7 +91,7 @@
     return world.host.minion is not None and world.host.minion.life == life
 
 
-@system(Phase.INTAKE, SIDECAR)
+@system(Phase.INTAKE, SIDECAR, order=30)
 def hear_lists(world: BatchWorld, now_ms: int) -> None:
     """Take in what runs at the minion and what has ended there."""
     for lists in world.inbox.take(MinionLists):
@@ -156,7 +156,7 @@
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
-@system(Phase.INTAKE, SIDECAR)
+@system(Phase.INTAKE, SIDECAR, order=60)
 def hear_orders(world: BatchWorld, now_ms: int) -> None:
     """Take in what the minion made of starts and stops.
 
@@ -214,7 +214,7 @@
     run.retry_ms = now_ms + RETRY_MS
 
 
-@system(Phase.INTAKE, SIDECAR)
+@system(Phase.INTAKE, SIDECAR, order=70)
 def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
     """Take in the scheduler's orders, and the lease that its answer allows."""
     for answer in world.inbox.take(SyncAnswered):
@@ -297,7 +297,7 @@
     run.stop = True
 
 
-@system(Phase.INTAKE, SIDECAR)
+@system(Phase.INTAKE, SIDECAR, order=40)
 def hear_members(world: BatchWorld, now_ms: int) -> None:
     """Take in the entries that the log lists."""
     for batch in world.inbox.take(Followed):
--- a/kingcuppost/batch/systems/hosting.py
+++ b/kingcuppost/batch/systems/hosting.py
@@ -19,7 +19,7 @@
 LEAST_WAIT_MS = 50
 
 
-@system(Phase.ACT, (Role.SIDECAR,))
+@system(Phase.ACT, (Role.SIDECAR,), order=10)
 def ask_minion(world: BatchWorld, now_ms: int) -> None:
     """Keep one question for the lists open, which also extends the lease."""
     host = world.host
@@ -57,7 +57,7 @@
     return any(run.stopped_ms is not None for run in world.host.runs.values())
 
 
-@system(Phase.ACT, (Role.SIDECAR,))
+@system(Phase.ACT, (Role.SIDECAR,), order=20)
 def give_orders(world: BatchWorld, now_ms: int) -> None:
     """Start and stop runs; an order without an answer goes out again."""
     host = world.host
--- a/kingcuppost/batch/systems/lapses.py
+++ b/kingcuppost/batch/systems/lapses.py
@@ -12,7 +12,7 @@
 PERIOD_MS = 100
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
 def end_lapsed_lives(world: BatchWorld, now_ms: int) -> None:
     """End the runs of lives whose leases have lapsed."""
     if not is_scheduling(world):
@@ -26,7 +26,7 @@
             schedule.minions.delete(row.sidecar)
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
 def note_absences(world: BatchWorld, now_ms: int) -> None:
     """Place nothing at minions that were not heard of for `AWAY_MS`."""
     if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -58,7 +58,7 @@
     return now_ms < world.schedule.authority_until_ms
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=30)
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
     """Keep this entry's record among the members."""
     schedule = world.schedule
@@ -77,7 +77,7 @@
     world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
 def claim_lease(world: BatchWorld, now_ms: int) -> None:
     """Claim the lease when nobody has renewed it for a while."""
     schedule = world.schedule
@@ -123,7 +123,7 @@
     return heard_ms + SILENCE_MS + world.schedule.jitter_ms
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=50)
 def renew_lease(world: BatchWorld, now_ms: int) -> None:
     """Renew the lease while this process holds it; step down if it does not."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/orders.py
@@ -21,7 +21,7 @@
 Orders = dict[Life, list[tuple[Plan, Task]]]
 
 
-@system(Phase.REPORT, (Role.ENTRY,))
+@system(Phase.REPORT, (Role.ENTRY,), order=20)
 def answer_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Answer the reports that have orders or whose wait is over."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -33,7 +33,7 @@
 WHOLE = 100
 
 
-@system(Phase.INTAKE, (Role.ENTRY,))
+@system(Phase.INTAKE, (Role.ENTRY,), order=80)
 def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
     """Plan what the log has brought since the last tick."""
     schedule = world.schedule
@@ -44,7 +44,7 @@
     schedule.touched.clear()
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
 def hear_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Take reports in; a newer one of the same sidecar ends the wait of an older."""
     for call in world.inbox.take(SyncCall):
--- a/kingcuppost/batch/systems/syncing.py
+++ b/kingcuppost/batch/systems/syncing.py
@@ -17,7 +17,7 @@
 KNOWN_MS = 1_500
 
 
-@system(Phase.PROPOSE, (Role.SIDECAR,))
+@system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
 def report(world: BatchWorld, now_ms: int) -> None:
     """Keep one report open; send another at once when there is news."""
     host = world.host
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -32,7 +32,7 @@
     return world.schedule.loaded and holds_lease(world)
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=70)
 def open_term(world: BatchWorld, now_ms: int) -> None:
     """Take the term up once the log refuses older writers."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -32,7 +32,7 @@
 MOVE_COST_MS = 700
 
 
-@system(Phase.MEMBERSHIP, (Role.ENTRY,))
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=80)
 def watch_runs(world: BatchWorld, now_ms: int) -> None:
     """Look at every run twice a second, and stop those that would not end there."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/writing.py
@@ -29,7 +29,7 @@
 JOB_KEYS = ("progress", "cancel", "job")
 
 
-@system(Phase.PROPOSE, (Role.ENTRY,))
+@system(Phase.PROPOSE, (Role.ENTRY,), order=20)
 def write_plans(world: BatchWorld, now_ms: int) -> None:
     """Append the plans that have changed; send an append again until it is settled.
 
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -35,7 +35,7 @@
     def __init__(self, run: object) -> None:
         self.clock = ManualClock(start_ms=1)
         self.reactor = FakeReactor()
-        systems = [System("test.run", Phase.ACT, (Role.ENTRY,), run)]
+        systems = [System("test.run", Phase.ACT, 10, (Role.ENTRY,), run)]
         self.loop = TickLoop(self.reactor, systems)
         self.context = EdgeContext(
             make_world(CFG, self.clock), self.reactor, None, self.loop.wake
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -19,7 +19,7 @@
 EXIT_CUT = 1
 
 
-@system(Phase.MEMBERSHIP)
+@system(Phase.MEMBERSHIP, order=10)
 def announce(world: World, now_ms: int) -> None:
     """Keep this process announced under its present incarnation."""
     if not world.log_view.caught_up or world.stopping:
@@ -80,7 +80,7 @@
     )
 
 
-@system(Phase.REPORT)
+@system(Phase.REPORT, order=10)
 def leave(world: World, now_ms: int) -> None:
     """Say in the log that the process leaves, finish what runs, then exit.
 
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -30,7 +30,7 @@
 MOST_DOUBLINGS = 3
 
 
-@system(Phase.FOLD)
+@system(Phase.FOLD, order=10)
 def fold_reads(world: World, now_ms: int) -> None:
     """Apply what the log answered, in offset order.
 
@@ -131,7 +131,7 @@
     return "" if verdict.accepted else verdict.reason
 
 
-@system(Phase.PROPOSE)
+@system(Phase.PROPOSE, order=10)
 def issue_read(world: World, now_ms: int) -> None:
     """Keep one timely read under way.
 
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -32,7 +32,7 @@
     )
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def hold_lease(world: World, now_ms: int) -> None:
     """Ask the holder at intervals; claim the lease when it stays silent."""
     watch = world.holder_watch
@@ -95,7 +95,7 @@
     world.deadlines.add(watch.ask_ms)
 
 
-@system(Phase.REPORT, roles=(Role.ENTRY,))
+@system(Phase.REPORT, roles=(Role.ENTRY,), order=20)
 def answer_watchers(world: World, now_ms: int) -> None:
     """Tell other entries that this process is alive, and whether it follows."""
     follows = is_following(world, now_ms)
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -93,7 +93,7 @@
     return len(world.proposals) < limit
 
 
-@system(Phase.INTAKE, roles=(Role.ENTRY,))
+@system(Phase.INTAKE, roles=(Role.ENTRY,), order=10)
 def take_wishes(world: World, now_ms: int) -> None:
     """Check what operators and callers want appended, and queue it."""
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
@@ -130,7 +130,7 @@
     world.outbox.put(Reply(exchange_id, status, refusal))
 
 
-@system(Phase.MEMBERSHIP)
+@system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
     """Tell waiting exchanges what the fold made of their records."""
     for record_id, verdict in world.verdicts.items():
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -17,7 +17,7 @@
 MOST_DOUBLINGS = 4
 
 
-@system(Phase.PROPOSE)
+@system(Phase.PROPOSE, order=20)
 def send_proposals(world: World, now_ms: int) -> None:
     """Append what is queued, in groups.
 
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -36,7 +36,7 @@
         del watch.seen[next(iter(watch.seen))]
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=10)
 def write_snapshots(world: World, now_ms: int) -> None:
     """Draft a snapshot when one is due, and propose its parts a few at a time.
 
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -19,7 +19,7 @@
 MOST_DOUBLINGS = 6
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
 def follow_faults(world: World, now_ms: int) -> None:
     """Count distinct failed jobs by worker; set workers aside, and probe them."""
     for name in world.agreed.jobs.take_changes("faults"):
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -23,7 +23,7 @@
 LOOK_AGAIN_MS = 1_000
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=30)
 def advance_gangs(world: World, now_ms: int) -> None:
     """Propose the next step of every gang that is due for one."""
     keys = world.agreed.gangs.take_changes("advance")
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -27,7 +27,7 @@
     return left_over(capacity.unbound_blocks, capacity.demand) == 0
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=40)
 def report_uncovered(world: World, now_ms: int) -> None:
     """Keep a row for every team whose guarantees do not fit, and note changes."""
     capacity = world.capacity
--- a/kingcuppost/systems/jobs/intake.py
+++ b/kingcuppost/systems/jobs/intake.py
@@ -12,7 +12,7 @@
 POLICY_KEY = "job.placement_policy"
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=50)
 def follow_queue(world: World, now_ms: int) -> None:
     """Keep the queue in the order of the policy that the settings name."""
     name = str(effective_value(world.agreed, POLICY_KEY))
--- a/kingcuppost/systems/jobs/judging.py
+++ b/kingcuppost/systems/jobs/judging.py
@@ -15,7 +15,7 @@
 TRIES_PER_WORKER = 2
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
 def judge_jobs(world: World, now_ms: int) -> None:
     """Refuse, park or unpark jobs that are new or that meet a changed fleet."""
     if not is_scheduler(world) or not world.capacity.unjudged:
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -35,7 +35,7 @@
 NO_HOLD = WorkerHold()
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=40)
 def track_occupancy(world: World, now_ms: int) -> None:
     """Follow changes of workers, zones, minions, teams and gangs.
 
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -37,7 +37,7 @@
 Signature = tuple[str, Urgency, int, int, int, int, int, tuple[str, ...]]
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=70)
 def place_jobs(world: World, now_ms: int) -> None:
     """Place waiting jobs after a change, one batch at a time, on a fresh view."""
     capacity = world.capacity
--- a/kingcuppost/systems/jobs/reports.py
+++ b/kingcuppost/systems/jobs/reports.py
@@ -19,7 +19,7 @@
     return world.reservations.find("key", key)
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=50)
 def take_reports(world: World, now_ms: int) -> None:
     """Remember what sidecars say of their members.
 
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -13,7 +13,7 @@
 GRACE_KEY = "job.checkpoint_grace_ms"
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=80)
 def leave_zones(world: World, now_ms: int) -> None:
     """Stop gangs in zones that are out, those that run only after a while.
 
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -54,7 +54,7 @@
     return pairs
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=10)
 def report_to_leaders(world: World, now_ms: int) -> None:
     """Tell leaders how members are, all members of a leader in one message."""
     if now_ms < world.worker_view.report_ms:
@@ -107,7 +107,7 @@
         )
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=60)
 def hear_members(world: World, now_ms: int) -> None:
     """Note members' reports and answer which gangs are whole."""
     for message in world.inbox.take(GangReportArrived):
@@ -163,7 +163,7 @@
             return
 
 
-@system(Phase.DECIDE, roles=(Role.SIDECAR,))
+@system(Phase.DECIDE, roles=(Role.SIDECAR,), order=90)
 def watch_gangs(world: World, now_ms: int) -> None:
     """Propose the finish of gangs whose members have all finished."""
     for watch in world.gang_watches:
@@ -175,7 +175,7 @@
             watch.finish_id = propose(world, body, now_ms)
 
 
-@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+@system(Phase.INTAKE, roles=(Role.SIDECAR,), order=20)
 def take_leader_replies(world: World, now_ms: int) -> None:
     """Prolong members whose gang is whole, stop those whose gang is broken."""
     for reply in world.inbox.take(GangReplyArrived):
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -44,7 +44,7 @@
     return min(ranked, key=lambda row: row.name in silent, default=None)
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=30)
 def send_heartbeats(world: World, now_ms: int) -> None:
     """Tell the home entry how this sidecar is, once a period."""
     if now_ms < world.beat_view.beat_ms:
@@ -64,7 +64,7 @@
     return min(period_ms, isolation_ms // BEATS_PER_ISOLATION)
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=20)
 def say_farewell(world: World, now_ms: int) -> None:
     """Tell every entry once that this sidecar is leaving."""
     if not world.stopping:
@@ -76,7 +76,7 @@
             _beat(world, entry, ())
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=40)
 def send_reports(world: World, now_ms: int) -> None:
     """Report members whose state the scheduling holder does not know yet."""
     _start_over(world, now_ms)
@@ -124,7 +124,7 @@
     )
 
 
-@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+@system(Phase.INTAKE, roles=(Role.SIDECAR,), order=30)
 def take_heartbeat_replies(world: World, now_ms: int) -> None:
     """Note which entries answer, and which reports they have taken."""
     for done in world.inbox.take(HeartbeatDone):
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -32,7 +32,7 @@
 ID_NUMBERS = 2
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=50)
 def renew_tasks(world: World, now_ms: int) -> None:
     """Renew the worker's leases and ask for task states, once a period.
 
@@ -104,7 +104,7 @@
     return zone_in_service(world)
 
 
-@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+@system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
 def take_worker_answers(world: World, now_ms: int) -> None:
     """Bring the rows of members in line with what the worker says."""
     for done in world.inbox.take(WorkerDone):
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -48,7 +48,7 @@
     world.outbox.put(StopTask(task.task_id, order_timeout_ms(world)))
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=90)
 def stop_lapsed(world: World, now_ms: int) -> None:
     """Stop members whose lease has lapsed."""
     for state in HELD_STATES:
@@ -58,7 +58,7 @@
                 stop_task(world, task, now_ms)
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=70)
 def give_up_silent(world: World, now_ms: int) -> None:
     """Take stopping members as stopped once their silent worker has ended them.
 
@@ -82,7 +82,7 @@
     return task.lease_ms + bound_ms
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=80)
 def stop_isolated(world: World, now_ms: int) -> None:
     """Stop all members once neither log nor entry was heard for the bound.
 
@@ -101,7 +101,7 @@
         stop_task(world, task, now_ms)
 
 
-@system(Phase.REPORT, roles=(Role.SIDECAR,))
+@system(Phase.REPORT, roles=(Role.SIDECAR,), order=30)
 def forget_members(world: World, now_ms: int) -> None:
     """Forget members that are over once their gang has ended."""
     for state in ENDED_STATES:
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -20,7 +20,7 @@
 __all__ = ["follow_gangs", "start_members"]
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,))
+@system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=100)
 def follow_gangs(world: World, now_ms: int) -> None:
     """Reserve members of new gangs on this worker; stop those of ended ones.
 
@@ -84,7 +84,7 @@
     note(world, "member.reserve", "Reserving a member.", job=gang.job)
 
 
-@system(Phase.DECIDE, roles=(Role.SIDECAR,))
+@system(Phase.DECIDE, roles=(Role.SIDECAR,), order=100)
 def start_members(world: World, now_ms: int) -> None:
     """Start reserved members of released gangs, on a fresh view only."""
     for task in world.tasks.find("state", TaskState.RESERVED):
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -19,7 +19,7 @@
 CLOCK_SKEW_MS = 60_000
 
 
-@system(Phase.INTAKE, roles=(Role.ENTRY,))
+@system(Phase.INTAKE, roles=(Role.ENTRY,), order=50)
 def admit(world: World, now_ms: int) -> None:
     """Queue requests, or refuse them as not run with the reason."""
     for message in world.inbox.take(CallerRequest):
@@ -94,7 +94,7 @@
     )
 
 
-@system(Phase.INTAKE)
+@system(Phase.INTAKE, order=60)
 def forget_lost(world: World, now_ms: int) -> None:
     """Drop requests whose caller has gone before they were sent.
 
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -63,7 +63,7 @@
     world.tally.observe("request", took_ms, request.team, outcome)
 
 
-@system(Phase.INTAKE, roles=(Role.ENTRY,))
+@system(Phase.INTAKE, roles=(Role.ENTRY,), order=70)
 def take_answers(world: World, now_ms: int) -> None:
     """Match answers with attempts; crossed and late ones fit no row."""
     for done in world.inbox.take(AttemptDone):
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -45,7 +45,7 @@
     )
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=110)
 def take_claims(world: World, now_ms: int) -> None:
     """Send requests whose key is claimed, by this entry or by another."""
     for request in world.requests.find("state", RequestState.CLAIMING):
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -20,7 +20,7 @@
         world.request_agenda.put(claim_ms, request.request_id)
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=120)
 def expire(world: World, now_ms: int) -> None:
     """Answer requests whose deadline has passed, or whose claim takes too long."""
     for request_id in world.request_agenda.take_due(now_ms):
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -59,7 +59,7 @@
     world.deadlines.add(pause_ms)
 
 
-@system(Phase.INTAKE, roles=(Role.ENTRY,))
+@system(Phase.INTAKE, roles=(Role.ENTRY,), order=80)
 def hear_heartbeats(world: World, now_ms: int) -> None:
     """Note what sidecars tell of themselves, and answer."""
     for beat in world.inbox.take(HeartbeatArrived):
--- a/kingcuppost/systems/requests/pools.py
+++ b/kingcuppost/systems/requests/pools.py
@@ -45,7 +45,7 @@
     world.pools.add(name, minion.service)
 
 
-@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,))
+@system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=130)
 def follow_minions(world: World, now_ms: int) -> None:
     """Bring the pools in line with minions and zones that changed."""
     changed = dict.fromkeys(world.agreed.minions.take_changes("routing"))
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -13,7 +13,7 @@
 __all__ = ["route"]
 
 
-@system(Phase.DECIDE, roles=(Role.ENTRY,))
+@system(Phase.DECIDE, roles=(Role.ENTRY,), order=110)
 def route(world: World, now_ms: int) -> None:
     """Send queued requests in turn while a minion of their service is free."""
     for service in world.waiting.services():
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -129,7 +129,7 @@
         world.deadlines.add(now_ms + pause_ms)
 
 
-@system(Phase.ACT, roles=(Role.ENTRY,))
+@system(Phase.ACT, roles=(Role.ENTRY,), order=60)
 def repeat_attempts(world: World, now_ms: int) -> None:
     """Send attempts again whose time has come, to the same process only."""
     for attempt_id in world.repeat_agenda.take_due(now_ms):
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -44,7 +44,7 @@
     return sum(world.served.count("state", state) for state in states)
 
 
-@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+@system(Phase.INTAKE, roles=(Role.SIDECAR,), order=90)
 def accept_attempts(world: World, now_ms: int) -> None:
     """Queue new attempts; answer repeats from memory; refuse foreign ones.
 
@@ -144,7 +144,7 @@
     return ""
 
 
-@system(Phase.INTAKE, roles=(Role.SIDECAR,))
+@system(Phase.INTAKE, roles=(Role.SIDECAR,), order=100)
 def take_minion_answers(world: World, now_ms: int) -> None:
     """Give whole answers to the exchanges that wait for them."""
     for message in world.inbox.take(MinionAnswered):
@@ -189,7 +189,7 @@
     remember(world, row, now_ms)
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=80)
 def hand_over(world: World, now_ms: int) -> None:
     """Drop attempts that are too late; give the rest a slot each.
 
@@ -223,7 +223,7 @@
     world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
 
 
-@system(Phase.ACT, roles=(Role.SIDECAR,))
+@system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
 def answer_held(world: World, now_ms: int) -> None:
     """Tell entries whose hold time is over that their attempt still runs."""
     for exchange_id in world.hold_agenda.take_due(now_ms):
--- a/kingcuppost/systems/views/registry.py
+++ b/kingcuppost/systems/views/registry.py
@@ -22,7 +22,7 @@
 views: Registry[str, View] = Registry("view")
 
 
-@system(Phase.REPORT, roles=(Role.ENTRY, Role.SIDECAR))
+@system(Phase.REPORT, roles=(Role.ENTRY, Role.SIDECAR), order=40)
 def show(world: World, now_ms: int) -> None:
     """Answer each question from the tables as they are now."""
     for question in world.inbox.take(ShowView):
--- /dev/null
+++ b/kingcuppost/utils/tests/test_ticks.py
@@ -0,0 +1,40 @@
+"""The order of systems is given by phase and position, not by their names."""
+
+import pytest
+
+from kingcuppost.utils.ticks import Phase, SystemRegistry
+
+ROLES = ("entry", "sidecar")
+
+
+def test_position_decides_within_a_phase():
+    registry = SystemRegistry(ROLES)
+
+    @registry.system(Phase.ACT, order=20)
+    def alpha(world, now_ms):
+        pass
+
+    @registry.system(Phase.ACT, order=10)
+    def omega(world, now_ms):
+        pass
+
+    @registry.system(Phase.FOLD, order=30)
+    def zeta(world, now_ms):
+        pass
+
+    runs = [item.run for item in registry.systems_of("entry")]
+    assert runs == [zeta, omega, alpha]
+
+
+def test_two_systems_cannot_share_a_position():
+    registry = SystemRegistry(ROLES)
+
+    @registry.system(Phase.ACT, order=10)
+    def alpha(world, now_ms):
+        pass
+
+    with pytest.raises(ValueError, match="position 10"):
+
+        @registry.system(Phase.ACT, ("entry",), order=10)
+        def omega(world, now_ms):
+            pass
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -32,6 +32,8 @@
         Module and function.
     phase : Phase
         When it runs in a tick.
+    order : int
+        Position among the systems of its phase; lower runs first.
     roles : tuple of str
         Processes that run it.
     run : callable
@@ -40,6 +42,7 @@
 
     name: str
     phase: Phase
+    order: int
     roles: tuple[str, ...]
     run: SystemFunction
 
@@ -55,7 +58,7 @@
     Examples
     --------
     >>> registry = SystemRegistry(("entry",))
-    >>> @registry.system(Phase.FOLD)
+    >>> @registry.system(Phase.FOLD, order=10)
     ... def fold(world, now_ms):
     ...     world.append(now_ms)
     >>> world = []
@@ -70,29 +73,46 @@
         self._systems: dict[str, System] = {}
 
     def system(
-        self, phase: Phase, roles: tuple[str, ...] | None = None
+        self, phase: Phase, roles: tuple[str, ...] | None = None, *, order: int
     ) -> Callable[[SystemFunction], SystemFunction]:
         """Return a decorator that registers a system.
 
         Parameters
         ----------
         phase : Phase
-            When it runs in a tick; within a phase, systems run by name.
+            When it runs in a tick.
         roles : tuple of str, optional
             Processes that run it; all if None.
+        order : int
+            Position among the systems of its phase, unique in the registry; lower
+            runs first.
+
+        Raises
+        ------
+        ValueError
+            If another system of the phase has the same position.
         """
 
         def register(run: SystemFunction) -> SystemFunction:
             name = f"{run.__module__}.{run.__name__}"
-            self._systems[name] = System(name, phase, roles or self._roles, run)
+            self._check_position(name, phase, order)
+            chosen = roles or self._roles
+            self._systems[name] = System(name, phase, order, chosen, run)
             return run
 
         return register
 
+    def _check_position(self, name: str, phase: Phase, order: int) -> None:
+        for item in self._systems.values():
+            if (item.phase, item.order) == (phase, order) and item.name != name:
+                raise ValueError(
+                    f"{name}: {item.name} has position {order} of {phase!r}"
+                )
+
     def systems_of(self, role: str) -> list[System]:
         """Return a role's systems in the order in which a tick runs them."""
         chosen = [item for item in self._systems.values() if role in item.roles]
-        return sorted(chosen, key=lambda item: (item.phase, item.name))
+        return sorted(chosen, key=lambda item: (item.phase, item.order))
 
 
 def run_tick(world: Any, systems: list[System], now_ms: int) -> None:
