Store what leaves the process and check that it keeps its names

Many internal names are about to change, and nothing held the names in records, messages, settings, pages and options fast.

The tests read each text, compare the values of its row in the order of the fields, and write it back letter for letter. They find classes by unions, registries and the shape of the text, not by name.

--- /dev/null
+++ b/kingcuppost/tests/format_files.py
@@ -0,0 +1,56 @@
+"""Reading of stored formats, and rows as values without the names of their fields."""
+
+import json
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from importlib import import_module
+from inspect import getmembers, isclass
+from pathlib import Path
+from pkgutil import walk_packages
+from typing import Any
+
+import kingcuppost
+
+__all__ = ["FOLDER", "classes", "lines_of", "stored", "values_of"]
+
+FOLDER = Path(__file__).parent / "formats"
+
+
+def lines_of(name: str) -> list[str]:
+    """Return the lines of a stored format."""
+    return (FOLDER / name).read_text(encoding="utf-8").splitlines()
+
+
+def stored(name: str) -> Any:
+    """Return what the JSON of a stored format says."""
+    return json.loads((FOLDER / name).read_text(encoding="utf-8"))
+
+
+def values_of(row: Any) -> Any:
+    """Return a row as JSON lists in the order of its fields."""
+    if is_dataclass(row):
+        return [values_of(getattr(row, field.name)) for field in fields(row)]
+    if isinstance(row, dict):
+        return {str(key): values_of(value) for key, value in row.items()}
+    if isinstance(row, set | frozenset):
+        return sorted(values_of(item) for item in row)
+    if isinstance(row, list | tuple):
+        return [values_of(item) for item in row]
+    return row.value if isinstance(row, Enum) else row
+
+
+@cache
+def classes() -> tuple[type, ...]:
+    """Return the classes that the modules of the package define."""
+    found = []
+    for item in walk_packages(kingcuppost.__path__, "kingcuppost."):
+        if {"tests", "__main__"} & set(item.name.split(".")):
+            continue
+        module = import_module(item.name)
+        found += [
+            member
+            for _, member in getmembers(module, isclass)
+            if member.__module__ == item.name
+        ]
+    return tuple(found)
--- /dev/null
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -0,0 +1,99 @@
+"""Messages of peers, workers, callers and operators keep their names."""
+
+import json
+from dataclasses import fields, is_dataclass
+from typing import Any
+
+import pytest
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from kingcuppost.batch.models import sync
+from kingcuppost.edges.routes import Call, find_route, routes
+from kingcuppost.models.base import encode
+from kingcuppost.tests.format_files import classes, lines_of, values_of
+
+MODELS = lines_of("models.jsonl")
+ANSWERS = lines_of("answers.jsonl")
+ROUTE_MESSAGES = [json.loads(line) for line in lines_of("route_messages.jsonl")]
+QUERY = {"path": "branch", "key": "some-key"}
+
+
+def models() -> list[type[BaseModel]]:
+    return [
+        item for item in classes() if issubclass(item, BaseModel) and item.model_fields
+    ]
+
+
+def model_names(model: type[BaseModel]) -> set[str]:
+    return {field.alias or name for name, field in model.model_fields.items()}
+
+
+def copies(model: type[BaseModel], text: str) -> bool:
+    """Return whether a model knows all of a text and writes it back."""
+    if model_names(model) != set(json.loads(text)):
+        return False
+    try:
+        row = model.model_validate_json(text)
+    except ValidationError:
+        return False
+    return row.model_dump_json(by_alias=True) == text
+
+
+def row_of(kind: type, text: str) -> Any:
+    if {field.name for field in fields(kind)} != set(json.loads(text)):
+        return None
+    try:
+        return TypeAdapter(kind).validate_json(text)
+    except ValidationError:
+        return None
+
+
+@pytest.mark.parametrize("text", MODELS, ids=range(len(MODELS)))
+def test_a_model_reads_the_text_and_writes_it_back(text: str) -> None:
+    assert any(copies(model, text) for model in models())
+
+
+def test_each_model_has_a_stored_text() -> None:
+    missing = [
+        model.__qualname__
+        for model in models()
+        if not any(copies(model, text) for text in MODELS)
+    ]
+    assert missing == []
+
+
+@pytest.mark.parametrize("text", ANSWERS, ids=range(len(ANSWERS)))
+def test_a_row_reads_the_answer_and_writes_it_back(text: str) -> None:
+    kinds = [item for item in classes() if is_dataclass(item)]
+    rows = [row_of(kind, text) for kind in kinds]
+    assert text in [encode(row).decode() for row in rows if row is not None]
+
+
+@pytest.mark.parametrize(
+    ("surface", "method", "path", "body", "values"), ROUTE_MESSAGES
+)
+def test_a_route_reads_its_message_into_the_same_row(
+    surface: str, method: str, path: str, body: str, values: list
+) -> None:
+    route, names = find_route(surface, method, path)
+    call = Call("exchange", names, QUERY, body.encode(), "peer")
+    assert values_of(route.parse(call).ok) == values
+
+
+def test_each_route_that_reads_has_a_stored_message() -> None:
+    found = {id(find_route(*line[:3])[0]) for line in ROUTE_MESSAGES}
+    assert found == {id(item) for item, _ in routes if item.direct is None}
+
+
+def test_a_report_of_a_sidecar_reads_and_writes_alike() -> None:
+    text, values = lines_of("sync_call.jsonl")
+    call = sync.decode_sync_call(text.encode(), "exchange", "peer").ok
+    assert values_of(call) == json.loads(values)
+    assert sync.encode_sync_call(call).decode() == text
+
+
+def test_orders_for_a_sidecar_read_and_write_alike() -> None:
+    text, values = lines_of("sync_reply.jsonl")
+    reply = sync.decode_sync_reply(text.encode(), "peer").ok
+    assert values_of(reply) == json.loads(values)
+    assert sync.encode_sync_reply(reply).decode() == text
--- /dev/null
+++ b/kingcuppost/tests/test_formats_records.py
@@ -0,0 +1,69 @@
+"""Records of the logs read and write as this fixture stores them."""
+
+import json
+from dataclasses import fields
+from typing import get_args
+
+import pytest
+
+from kingcuppost.batch.models.records import decode_record, decoders, encode_record
+from kingcuppost.models.log import record_of, text_of
+from kingcuppost.platform.operators import decode_operator_record
+from kingcuppost.tables.record import Body
+from kingcuppost.tables.snapshot import AgreedSlice
+from kingcuppost.tests.format_files import lines_of, values_of
+
+RECORDS = lines_of("log_records.jsonl")
+VALUES = [json.loads(line) for line in lines_of("log_record_values.jsonl")]
+PAIRS = list(zip(RECORDS, VALUES, strict=True))
+STREAM_RECORDS = [json.loads(line) for line in lines_of("stream_records.jsonl")]
+OPERATOR_RECORDS = [json.loads(line) for line in lines_of("operator_records.jsonl")]
+
+
+@pytest.mark.parametrize("text", RECORDS, ids=range(len(RECORDS)))
+def test_a_record_is_written_as_it_was_read(text: str) -> None:
+    assert text_of(record_of(text)) == text
+
+
+@pytest.mark.parametrize(("text", "values"), PAIRS, ids=range(len(PAIRS)))
+def test_a_record_reads_into_the_same_row(text: str, values: list) -> None:
+    assert values_of(record_of(text)) == values
+
+
+def test_each_kind_of_body_is_stored() -> None:
+    kinds = {type(record_of(text).body) for text in RECORDS}
+    assert kinds == set(get_args(Body))
+
+
+def test_the_stored_slice_has_rows_of_every_table() -> None:
+    slices = [
+        getattr(body, field.name)
+        for body in (record_of(text).body for text in RECORDS)
+        for field in fields(body)
+        if isinstance(getattr(body, field.name), AgreedSlice)
+    ]
+    assert slices
+    assert all(all(values_of(item)) for item in slices)
+    assert all(None not in values_of(item) for item in slices)
+
+
+@pytest.mark.parametrize(("key", "text", "values"), STREAM_RECORDS)
+def test_a_stream_record_reads_and_writes_alike(
+    key: str, text: str, values: list
+) -> None:
+    record = decode_record(key, text.encode(), "log").ok
+    assert values_of(record) == values
+    assert encode_record(record) == (key, text.encode())
+
+
+def test_each_key_of_a_stream_is_stored() -> None:
+    stored = {key.partition("/")[0] for key, text, _ in STREAM_RECORDS if text}
+    assert stored == set(decoders)
+
+
+@pytest.mark.parametrize(("key", "text", "values"), OPERATOR_RECORDS)
+def test_an_operators_record_reads_into_the_same_row(
+    key: str, text: str, values: list
+) -> None:
+    record = decode_operator_record(key, text.encode(), "operator").ok
+    assert values_of(record) == values
