Store the orders to minions and the values of choices as well

The stored formats held names of fields, but neither the texts of the orders that a sidecar sends its minion nor most values that stand for choices, such as the states of a job.

--- /dev/null
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -0,0 +1,63 @@
+"""Orders to minions, and values that stand for choices, are written as stored."""
+
+import json
+import random
+from enum import Enum
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+
+import kingcuppost.platform.minion  # noqa: F401
+from kingcuppost.batch.edges.context import BatchContext, batch_senders
+from kingcuppost.batch.tables.job import Life, TaskName
+from kingcuppost.batch.tables.messages import (
+    HoldMinion,
+    StartOrder,
+    StartRun,
+    StopOrder,
+    StopRun,
+)
+from kingcuppost.tables.config import Address
+from kingcuppost.tests.format_files import classes, lines_of
+from kingcuppost.utils import ManualClock
+
+HERE = Address("10.0.0.1", 8000)
+LIFE = Life("minion-1", 5)
+TASK = TaskName("0123456789abcdef", 1, 2, 3)
+ORDERS = {
+    "hold": HoldMinion(HERE, LIFE, 7, 8, 9, 10),
+    "start": StartRun(HERE, LIFE, 7, StartOrder(TASK, 4, "spec", "saved"), 10),
+    "stop": StopRun(HERE, LIFE, 7, StopOrder(TASK, 4)),
+}
+STORED = [json.loads(line) for line in lines_of("minion_orders.jsonl")]
+
+
+def sent(order: Any) -> list:
+    """Return method, path, body and headers of what an order sends."""
+    calls = []
+
+    def exchange(
+        method: str, address: Address, path: str, body: bytes, wait: int, headers: dict
+    ) -> Deferred:
+        calls.append([method, path, body.decode(), headers])
+        return Deferred()
+
+    world = SimpleNamespace(clock=ManualClock(start_ms=1_000), rng=random.Random(1))
+    context = BatchContext(world, None, SimpleNamespace(exchange=exchange), list)
+    batch_senders[type(order)](context, order)
+    return calls[0]
+
+
+@pytest.mark.parametrize(("name", "stored"), STORED, ids=[row[0] for row in STORED])
+def test_an_order_is_sent_as_it_is_stored(name: str, stored: list) -> None:
+    assert sent(ORDERS[name]) == stored
+
+
+@pytest.mark.parametrize("text", lines_of("enums.jsonl"))
+def test_choices_keep_their_values(text: str) -> None:
+    found = [
+        [row.value for row in item] for item in classes() if issubclass(item, Enum)
+    ]
+    assert json.loads(text) in found
