--- a/kingcuppost/batch/edges/__init__.py
+++ b/kingcuppost/batch/edges/__init__.py
@@ -5,12 +5,12 @@
     batch_senders,
     deliver_later,
 )
-from kingcuppost.batch.edges.logs import LineLog
+from kingcuppost.batch.edges.logs import LogWriter
 from kingcuppost.batch.edges.server import listen, surfaces
 
 __all__ = [
     "BatchContext",
-    "LineLog",
+    "LogWriter",
     "batch_senders",
     "deliver_later",
     "listen",
--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -66,10 +66,10 @@
         if message is not None:
             context.deliver(message)
 
-    ensureDeferred(run()).addErrback(_log_fault, context)
+    ensureDeferred(run()).addErrback(_log_failure, context)
 
 
-def _log_fault(failure: Any, context: BatchContext) -> None:
+def _log_failure(failure: Any, context: BatchContext) -> None:
     context.world.note(
         "edge", "An exchange failed unexpectedly.", reason=repr(failure.value)
     )
--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -8,18 +8,18 @@
 
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["LineLog"]
+__all__ = ["LogWriter"]
 
-MOST_LINES_PER_SECOND = 200
+MAX_LINES_PER_SECOND = 200
 MS_PER_SECOND = 1_000
-LOGGER = "kingcuppost"
+LOGGER_NAME = "kingcuppost"
 
 
-class LineLog:
+class LogWriter:
     """Writes the lines of a world after each tick.
 
     Standard output is non-blocking: a line that does not fit is dropped and counted,
-    as are lines beyond `MOST_LINES_PER_SECOND`.
+    as are lines beyond `MAX_LINES_PER_SECOND`.
 
     Parameters
     ----------
@@ -47,7 +47,7 @@
         self._world.lines.clear()
 
     def _write(self, part: str, text: str, fields: dict) -> None:
-        if self._written >= MOST_LINES_PER_SECOND:
+        if self._written >= MAX_LINES_PER_SECOND:
             self._dropped += 1
             self._world.tally.add("lines_dropped")
             return
@@ -72,7 +72,7 @@
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
     handler.handleError = lambda record: None
-    logger = logging.getLogger(LOGGER)
+    logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [handler]
     logger.setLevel(logging.INFO)
     logger.propagate = False
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -21,7 +21,7 @@
 MS_PER_SECOND = 1_000
 
 
-class _Collector:
+class _WorldCollector:
     """Reads a world."""
 
     def __init__(self, world: BatchWorld) -> None:
@@ -87,5 +87,5 @@
 def metrics_text(world: BatchWorld) -> bytes:
     """Return all metrics in the text format."""
     registry = CollectorRegistry()
-    registry.register(_Collector(world))
+    registry.register(_WorldCollector(world))
     return generate_latest(registry)
--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -39,7 +39,7 @@
 
 
 @peer_paths.register(SYNC_PATH)
-def take_sync(context: BatchContext, request: Request) -> None:
+def receive_sync(context: BatchContext, request: Request) -> None:
     """Take a sidecar's report."""
     peer = request.getClientAddress().host
     exchange_id = open_exchange(context, request)
@@ -63,10 +63,10 @@
 @batch_senders.register(SendSync)
 def send_sync(context: BatchContext, message: SendSync) -> None:
     """Send a report to an entry."""
-    deliver_later(context, _exchange(context, message))
+    deliver_later(context, _send_report(context, message))
 
 
-async def _exchange(context: BatchContext, message: SendSync) -> SyncAnswered:
+async def _send_report(context: BatchContext, message: SendSync) -> SyncAnswered:
     sent_ms = context.world.clock.now_ms()
     number, address = message.number, message.address
     try:
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
-from kingcuppost.batch.edges.logs import LineLog
+from kingcuppost.batch.edges.logs import LogWriter
 from kingcuppost.batch.systems import load_systems
 from kingcuppost.batch.systems.lease import JITTER_MS
 from kingcuppost.batch.tables.config import DaemonConfig
@@ -24,8 +24,8 @@
 __all__ = ["build_batch_context", "make_batch_world", "run_batch_process"]
 
 SEED_BYTES = 8
-FLUSH_CHECK_S = 0.05
-FLUSH_CHECKS = 20
+FLUSH_CHECK_PERIOD_S = 0.05
+MAX_FLUSH_CHECKS = 20
 
 
 def make_batch_world(
@@ -46,13 +46,13 @@
         seed = int.from_bytes(os.urandom(SEED_BYTES), "big")
     rng = random.Random(seed)
     if clock is None:
-        clock = _clock_of(cfg.role)
+        clock = _make_clock(cfg.role)
     world = BatchWorld(cfg, new_identifier(rng, "inc"), clock, rng)
     world.schedule.jitter_ms = rng.randrange(JITTER_MS)
     return world
 
 
-def _clock_of(role: Role) -> Clock:
+def _make_clock(role: Role) -> Clock:
     """Return a role's clock; each errs on the side of an earlier end of a lease.
 
     An entry's authority lapses while its machine sleeps. A minion's clock may sleep
@@ -66,14 +66,14 @@
     world = make_batch_world(cfg)
     loop = TickLoop(reactor, load_systems(cfg.role))
     context = BatchContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
-    loop.attach(context, LineLog(world).flush)
+    loop.attach(context, LogWriter(world).flush)
     return context
 
 
-ReadConfig = Callable[[], Result[DaemonConfig, Failure]]
+ConfigReader = Callable[[], Result[DaemonConfig, Failure]]
 
 
-def _reload(context: BatchContext, read: ReadConfig) -> None:
+def _reload_settings(context: BatchContext, read: ConfigReader) -> None:
     """Take changed settings; a file that can't be read changes nothing."""
     world = context.world
     result = read()
@@ -85,7 +85,7 @@
     context.wake()
 
 
-def run_batch_process(context: BatchContext, read: ReadConfig) -> int:
+def run_batch_process(context: BatchContext, read: ConfigReader) -> int:
     """Run until the process is told to stop, and return its exit code.
 
     Parameters
@@ -100,7 +100,7 @@
         context.reactor.callFromThread(context.deliver, StopAsked())
 
     def reload(number: int, frame: object) -> None:
-        context.reactor.callFromThread(_reload, context, read)
+        context.reactor.callFromThread(_reload_settings, context, read)
 
     signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
@@ -126,16 +126,18 @@
     for port in context.ports:
         port.stopListening()
     context.ports.clear()
-    _stop_when_idle(context, FLUSH_CHECKS)
+    _stop_when_idle(context, MAX_FLUSH_CHECKS)
 
 
 def _stop_when_idle(context: BatchContext, checks_left: int) -> None:
     if not context.reactor.running:
         return
     if not context.exchanges or not checks_left:
-        context.reactor.callLater(FLUSH_CHECK_S, _stop, context)
+        context.reactor.callLater(FLUSH_CHECK_PERIOD_S, _stop, context)
         return
-    context.reactor.callLater(FLUSH_CHECK_S, _stop_when_idle, context, checks_left - 1)
+    context.reactor.callLater(
+        FLUSH_CHECK_PERIOD_S, _stop_when_idle, context, checks_left - 1
+    )
 
 
 def _stop(context: BatchContext) -> None:
--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -22,7 +22,7 @@
 surfaces: Registry[str, Handler] = Registry("handler of surface")
 
 
-class _Surface(Resource):
+class _SurfaceResource(Resource):
     """All paths of one surface."""
 
     isLeaf = True  # noqa: N815
@@ -46,7 +46,7 @@
 ) -> None:
     """Serve a surface at an address, or on a socket that listens there already."""
     site = Site(
-        _Surface(context, surfaces[surface]),
+        _SurfaceResource(context, surfaces[surface]),
         requestFactory=BoundedRequest,
         timeout=IDLE_TIMEOUT_S,
     )
@@ -64,11 +64,11 @@
     """Keep a request until it is answered, and return its identifier."""
     exchange_id = new_identifier(context.world.rng, "exc")
     context.exchanges[exchange_id] = request
-    request.notifyFinish().addErrback(_lost, context, exchange_id)
+    request.notifyFinish().addErrback(_discard_exchange, context, exchange_id)
     return exchange_id
 
 
-def _lost(failure: Any, context: BatchContext, exchange_id: str) -> None:
+def _discard_exchange(failure: Any, context: BatchContext, exchange_id: str) -> None:
     if context.exchanges.pop(exchange_id, None) is not None:
         context.world.tally.add("exchanges_lost")
 
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -34,8 +34,8 @@
 
 __all__ = ["decode_record", "encode_record"]
 
-SEPARATOR = "/"
-DIGITS = 2
+KEY_SEPARATOR = "/"
+SPEED_DIGITS = 2
 Count = Annotated[int, Field(ge=0)]
 
 decoders: Registry[str, Callable[[str, bytes], Record]] = Registry("decoder of record")
@@ -49,7 +49,7 @@
 
     model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
-    def text(self) -> bytes:
+    def to_json(self) -> bytes:
         """Return the JSON text without fields that have their default."""
         return self.model_dump_json(exclude_defaults=True).encode()
 
@@ -151,7 +151,7 @@
             for step in job.steps
         ),
     )
-    return f"job/{job.id}", model.text()
+    return f"job/{job.id}", model.to_json()
 
 
 @decoders.register("job")
@@ -177,7 +177,7 @@
 
 @encoders.register(CancelRecord)
 def _encode_cancel(record: CancelRecord) -> tuple[str, bytes]:
-    return f"cancel/{record.job_id}", CancelModel().text()
+    return f"cancel/{record.job_id}", CancelModel().to_json()
 
 
 @decoders.register("cancel")
@@ -205,7 +205,7 @@
         for task in progress.tasks
     )
     model = ProgressModel(state=progress.state, begun=progress.begun, tasks=rows)
-    return f"progress/{record.job_id}", model.text()
+    return f"progress/{record.job_id}", model.to_json()
 
 
 @decoders.register("progress")
@@ -223,7 +223,7 @@
         availability_zone=record.availability_zone,
         incarnation=record.incarnation,
     )
-    return f"entry/{record.name}", model.text()
+    return f"entry/{record.name}", model.to_json()
 
 
 @decoders.register("entry")
@@ -241,7 +241,7 @@
         port=record.address.port,
         incarnation=record.incarnation,
     )
-    return "claim", model.text()
+    return "claim", model.to_json()
 
 
 @decoders.register("claim")
@@ -253,7 +253,7 @@
 @encoders.register(RenewRecord)
 def _encode_renewal(record: RenewRecord) -> tuple[str, bytes]:
     model = RenewModel(term=record.term, released=record.released)
-    return "renew", model.text()
+    return "renew", model.to_json()
 
 
 @decoders.register("renew")
@@ -265,10 +265,10 @@
 @encoders.register(SpeedsRecord)
 def _encode_speeds(record: SpeedsRecord) -> tuple[str, bytes]:
     rows = {
-        name: (round(speed.value, DIGITS), speed.weight)
+        name: (round(speed.value, SPEED_DIGITS), speed.weight)
         for name, speed in record.speeds.items()
     }
-    return "speeds", SpeedsModel(speeds=rows).text()
+    return "speeds", SpeedsModel(speeds=rows).to_json()
 
 
 @decoders.register("speeds")
@@ -305,7 +305,7 @@
     """
     if not value:
         return Ok(Removed(key))
-    kind, _, rest = key.partition(SEPARATOR)
+    kind, _, rest = key.partition(KEY_SEPARATOR)
     if kind not in decoders:
         return Error(Failure(f"no record is named {key!r}", "decode", peer))
     try:
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -28,7 +28,7 @@
     "encode_sync_reply",
 ]
 
-LONGEST_WAIT_MS = 10_000
+MAX_WAIT_MS = 10_000
 
 
 class PeerModel(BaseModel):
@@ -59,7 +59,7 @@
     sidecar: str
     incarnation: str
     number: int
-    wait_ms: Annotated[int, Field(ge=0, le=LONGEST_WAIT_MS)]
+    wait_ms: Annotated[int, Field(ge=0, le=MAX_WAIT_MS)]
     minion: MinionModel | None = None
     running: tuple[tuple[str, int, str, int], ...] = ()
     ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
@@ -80,7 +80,7 @@
     entries: tuple[str, ...] = ()
 
 
-def _minion_model(report: MinionReport) -> MinionModel:
+def _to_minion_model(report: MinionReport) -> MinionModel:
     return MinionModel(
         id=report.life.minion,
         born_ms=report.life.born_ms,
@@ -96,7 +96,7 @@
     )
 
 
-def _minion_report(model: MinionModel) -> MinionReport:
+def _to_minion_report(model: MinionModel) -> MinionReport:
     return MinionReport(
         Life(model.id, model.born_ms),
         model.service,
@@ -116,7 +116,7 @@
         incarnation=call.incarnation,
         number=call.number,
         wait_ms=call.wait_ms,
-        minion=_minion_model(call.minion) if call.minion else None,
+        minion=_to_minion_model(call.minion) if call.minion else None,
         running=tuple(
             (str(row.task), row.run, row.saved, row.percent) for row in call.running
         ),
@@ -135,28 +135,28 @@
     """Return a report, or why the text is none."""
     try:
         model = SyncCallModel.model_validate_json(text)
-        return Ok(_sync_call(model, exchange_id))
+        return Ok(_to_sync_call(model, exchange_id))
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
 
-def _sync_call(model: SyncCallModel, exchange_id: str) -> SyncCall:
-    name = TaskName.parse
+def _to_sync_call(model: SyncCallModel, exchange_id: str) -> SyncCall:
+    parse_task_name = TaskName.parse
     return SyncCall(
         exchange_id,
         model.sidecar,
         model.incarnation,
         model.number,
         model.wait_ms,
-        _minion_report(model.minion) if model.minion else None,
-        tuple(RunningRun(name(row[0]), *row[1:]) for row in model.running),
+        _to_minion_report(model.minion) if model.minion else None,
+        tuple(RunningRun(parse_task_name(row[0]), *row[1:]) for row in model.running),
         tuple(
-            EndedRun(number, name(task), run, how, saved)
+            EndedRun(number, parse_task_name(task), run, how, saved)
             for number, task, run, how, saved in model.ended
         ),
-        tuple(RefusedRun(name(row[0]), *row[1:]) for row in model.refused),
+        tuple(RefusedRun(parse_task_name(row[0]), *row[1:]) for row in model.refused),
     )
 
 
@@ -183,23 +183,23 @@
     """Return the orders for a sidecar, or why the text holds none."""
     try:
         model = SyncReplyModel.model_validate_json(text)
-        return Ok(_sync_reply(model))
+        return Ok(_to_sync_reply(model))
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
 
-def _sync_reply(model: SyncReplyModel) -> SyncReply:
-    name = TaskName.parse
+def _to_sync_reply(model: SyncReplyModel) -> SyncReply:
+    parse_task_name = TaskName.parse
     return SyncReply(
         "",
         model.term,
         address_of(model.holder) if model.holder else None,
         Life(model.minion, model.born_ms) if model.minion else None,
-        tuple(StartOrder(name(row[0]), *row[1:]) for row in model.starts),
-        tuple(StopOrder(name(row[0]), row[1]) for row in model.stops),
-        tuple(StopOrder(name(row[0]), row[1]) for row in model.settled),
+        tuple(StartOrder(parse_task_name(row[0]), *row[1:]) for row in model.starts),
+        tuple(StopOrder(parse_task_name(row[0]), row[1]) for row in model.stops),
+        tuple(StopOrder(parse_task_name(row[0]), row[1]) for row in model.settled),
         model.noted,
         tuple(address_of(text) for text in model.entries),
     )
