--- a/kingcuppost/batch/__init__.py
+++ b/kingcuppost/batch/__init__.py
@@ -1,6 +1,7 @@
-"""Batch jobs: steps of tasks that run on minions, in a scheduler and its sidecars.
+"""Scheduler of batch jobs on minions, with a sidecar beside each minion.
 
-The package keeps to the shape of the whole code base: rows in `tables`, functions
-over them in `systems`, validated models in `models`, input and output in `edges`.
-It knows no outside system; an adapter brings the log, the minions and the callers.
+A job consists of steps, and a step of tasks. The package has the same layout as the
+whole code base: rows in `tables`, functions over them in `systems`, validated models in
+`models`, input and output in `edges`. It depends on no external system: an adapter
+connects it to the log, the minions and the callers.
 """
--- a/kingcuppost/batch/edges/__init__.py
+++ b/kingcuppost/batch/edges/__init__.py
@@ -1,4 +1,4 @@
-"""Edges of batch jobs: the processes' own HTTP interface, logs and metrics."""
+"""Edges of batch processes: HTTP between processes, logs and metrics."""
 
 from kingcuppost.batch.edges.context import (
     BatchContext,
--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -1,4 +1,4 @@
-"""What the edges of one process share."""
+"""State that the edges of one process share."""
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -20,7 +20,7 @@
 
 @dataclass
 class BatchContext:
-    """The reactor's side of one process.
+    """Reactor, connections and tables of one process.
 
     Attributes
     ----------
@@ -29,17 +29,19 @@
     reactor : object
         Twisted's reactor.
     client : JsonClient
-        Client for all outgoing exchanges.
+        Client for all outgoing HTTP requests.
     wake : callable
-        Asks for a tick.
+        Requests a tick of the systems.
     exchanges : dict of str to Request
-        Open HTTP exchanges by identifier.
+        HTTP requests that are not answered yet, by identifier.
     ports : list of object
-        Bound ports.
+        Listening ports.
     outside : object
-        What an adapter keeps; only the adapter reads it.
+        State of the adapter; nothing else reads it.
     exit_code : int
         Exit code of the process.
+    senders : Registry
+        Function that sends a message of the outbox, by the message's class.
     """
 
     world: BatchWorld
@@ -53,13 +55,13 @@
     senders: Registry[type, Sender] = field(default_factory=lambda: batch_senders)
 
     def deliver(self, message: Any) -> None:
-        """Put a message before the systems and ask for a tick."""
+        """Add a message to the inbox and request a tick."""
         self.world.inbox.put(message)
         self.wake()
 
 
 def deliver_later(context: BatchContext, work: Coroutine) -> None:
-    """Run a coroutine and deliver the message that it returns, if any."""
+    """Run a coroutine and deliver the message that it returns, unless it is None."""
 
     async def run() -> None:
         message = await work
@@ -71,6 +73,6 @@
 
 def _log_failure(failure: Any, context: BatchContext) -> None:
     context.world.note(
-        "edge", "An exchange failed unexpectedly.", reason=repr(failure.value)
+        "edge", "An HTTP exchange failed unexpectedly.", reason=repr(failure.value)
     )
     context.wake()
--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs on standard output, bounded in number and never blocking."""
+"""Structured log lines on standard output, rate-limited and non-blocking."""
 
 import logging
 import os
@@ -16,15 +16,15 @@
 
 
 class LogWriter:
-    """Writes the lines of a world after each tick.
+    """Writes the log lines of a process after each tick.
 
-    Standard output is non-blocking: a line that does not fit is dropped and counted,
-    as are lines beyond `MAX_LINES_PER_SECOND`.
+    Standard output is set to non-blocking: a line that does not fit into its buffer is
+    dropped. Lines beyond `MAX_LINES_PER_SECOND` are dropped and counted.
 
     Parameters
     ----------
     world : BatchWorld
-        Whose lines are written.
+        Tables of the process, with the lines to write.
     """
 
     def __init__(self, world: BatchWorld) -> None:
@@ -35,7 +35,7 @@
         self._logger = _make_logger()
 
     def flush(self) -> None:
-        """Write the lines since the last call."""
+        """Write the lines that were added since the last call."""
         if not self._world.lines:
             return
         now_ms = self._world.clock.now_ms()
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a process, read off its tables when they are asked for."""
+"""Metrics of a process, computed from its tables on each request."""
 
 from collections.abc import Iterator
 from itertools import accumulate
@@ -22,7 +22,7 @@
 
 
 class _WorldCollector:
-    """Reads a world."""
+    """Collector that reads the tables of one process."""
 
     def __init__(self, world: BatchWorld) -> None:
         self._world = world
@@ -81,11 +81,11 @@
         "calls_waiting": len(world.calls),
     }
     for name, value in values.items():
-        yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
+        yield GaugeMetricFamily(f"{PREFIX}{name}", f"Current {name}.", value=value)
 
 
 def metrics_text(world: BatchWorld) -> bytes:
-    """Return all metrics in the text format."""
+    """Return all metrics in the Prometheus text format."""
     registry = CollectorRegistry()
     registry.register(_WorldCollector(world))
     return generate_latest(registry)
--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -1,4 +1,4 @@
-"""Messages between sidecars and entries, and what on-call engineers fetch."""
+"""Reports of sidecars to entries, and the page of metrics."""
 
 from twisted.web.server import Request
 
@@ -30,7 +30,7 @@
 
 @surfaces.register("peers")
 def serve_peer(context: BatchContext, request: Request) -> None:
-    """Serve another process of the system."""
+    """Dispatch a request of another process by its path."""
     path = request.path.decode("ascii", "replace")
     if path not in peer_paths:
         answer(request, STATUS_NOT_FOUND)
@@ -40,13 +40,15 @@
 
 @peer_paths.register(SYNC_PATH)
 def receive_sync(context: BatchContext, request: Request) -> None:
-    """Take a sidecar's report."""
+    """Deliver a sidecar's report to the systems."""
     peer = request.getClientAddress().host
     exchange_id = open_exchange(context, request)
     parsed = decode_sync_call(request.content.read(), exchange_id, peer)
     if parsed.is_error():
         context.exchanges.pop(exchange_id)
-        context.world.note("peer", "A report is unreadable.", reason=str(parsed.error))
+        context.world.note(
+            "peer", "Rejected an invalid report.", reason=str(parsed.error)
+        )
         answer(request, STATUS_BAD)
         return
     context.deliver(parsed.ok)
@@ -54,7 +56,7 @@
 
 @batch_senders.register(SyncReply)
 def send_sync_reply(context: BatchContext, reply: SyncReply) -> None:
-    """Answer a sidecar that still waits."""
+    """Answer a sidecar's report, unless its connection is closed."""
     request = context.exchanges.pop(reply.exchange_id, None)
     if request is not None:
         answer(request, STATUS_OK, encode_sync_reply(reply))
@@ -89,7 +91,7 @@
 
 @peer_paths.register("/metrics")
 def serve_metrics(context: BatchContext, request: Request) -> None:
-    """Serve the metrics as text."""
+    """Serve the metrics in the Prometheus text format."""
     from kingcuppost.batch.edges.metrics import metrics_text
 
     answer(request, STATUS_OK, metrics_text(context.world))
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -1,4 +1,4 @@
-"""The life of a process: world, loop, signals and the end."""
+"""Start, signal handling and shutdown of a process."""
 
 import os
 import random
@@ -38,9 +38,9 @@
     cfg : DaemonConfig
         Settings of the process.
     clock : Clock, optional
-        The operating system's clock if None.
+        Clock of the process; the operating system's clock for its role if None.
     seed : int, optional
-        Seed of the world's generator; drawn from the system if None.
+        Seed of the random generator; taken from the operating system if None.
     """
     if seed is None:
         seed = int.from_bytes(os.urandom(SEED_BYTES), "big")
@@ -53,16 +53,18 @@
 
 
 def _make_clock(role: Role) -> Clock:
-    """Return a role's clock; each errs on the side of an earlier end of a lease.
+    """Return the clock of a role.
 
-    An entry's authority lapses while its machine sleeps. A minion's clock may sleep
-    with its machine, so its sidecar must not count that time as passed for the minion.
+    Where it deviates, a lease ends too early rather than too late. An entry's clock
+    advances while its machine is suspended, so its authority expires meanwhile. A
+    minion's clock may stop while its machine is suspended, so its sidecar must not
+    count that time as passed on the minion's clock.
     """
     return BootClock() if role is Role.ENTRY else SystemClock()
 
 
 def build_batch_context(cfg: DaemonConfig, reactor: Any) -> BatchContext:
-    """Return the edges of a process, with its loop attached."""
+    """Return the context of a process, with its tick loop attached."""
     world = make_batch_world(cfg)
     loop = TickLoop(reactor, load_systems(cfg.role))
     context = BatchContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
@@ -74,11 +76,11 @@
 
 
 def _reload_settings(context: BatchContext, read: ConfigReader) -> None:
-    """Take changed settings; a file that can't be read changes nothing."""
+    """Read the settings again; an invalid file leaves them unchanged."""
     world = context.world
     result = read()
     if result.is_error():
-        world.note("settings", "The settings are refused.", reason=result.error.reason)
+        world.note("settings", "The settings are invalid.", reason=result.error.reason)
     else:
         world.note("settings", "The settings are read again.")
         world.cfg = result.ok
@@ -86,14 +88,14 @@
 
 
 def run_batch_process(context: BatchContext, read: ConfigReader) -> int:
-    """Run until the process is told to stop, and return its exit code.
+    """Run until the process is requested to stop, and return its exit code.
 
     Parameters
     ----------
     context : BatchContext
-        The process's edges.
+        Context of the process.
     read : callable
-        Reads the settings again, on SIGHUP.
+        Reads the settings again on SIGHUP.
     """
 
     def stop(number: int, frame: object) -> None:
@@ -120,7 +122,7 @@
 
 @batch_senders.register(StopProcess)
 def stop_process(context: BatchContext, message: StopProcess) -> None:
-    """Stop listening, let open exchanges end, then stop the loop."""
+    """Close the listening ports, wait for open exchanges, then stop the reactor."""
     if not context.ports:
         return
     for port in context.ports:
--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -1,4 +1,4 @@
-"""HTTP surfaces: bounded requests to handlers that a registry holds."""
+"""HTTP servers of the surfaces; a registry maps each surface to its handler."""
 
 import socket
 from collections.abc import Callable
@@ -23,7 +23,7 @@
 
 
 class _SurfaceResource(Resource):
-    """All paths of one surface."""
+    """Resource that passes requests of every path to the surface's handler."""
 
     isLeaf = True  # noqa: N815
 
@@ -33,7 +33,7 @@
         self._handler = handler
 
     def render(self, request: Request) -> int | bytes:
-        """Hand the request over; the handler answers now or later."""
+        """Pass the request to the handler, which may answer later."""
         self._handler(self._context, request)
         return NOT_DONE_YET
 
@@ -44,7 +44,7 @@
     address: Address,
     listener: socket.socket | None = None,
 ) -> None:
-    """Serve a surface at an address, or on a socket that listens there already."""
+    """Serve a surface at an address, or on a socket that already listens there."""
     site = Site(
         _SurfaceResource(context, surfaces[surface]),
         requestFactory=BoundedRequest,
@@ -54,14 +54,14 @@
     site.displayTracebacks = False
     if listener is None:
         listener = listen_at(address.host, address.port)
-    # the reactor keeps a duplicate of the descriptor
+    # adoptStreamPort duplicates the descriptor, so the original is closed
     with listener:
         port = context.reactor.adoptStreamPort(listener.fileno(), socket.AF_INET, site)
     context.ports.append(port)
 
 
 def open_exchange(context: BatchContext, request: Request) -> str:
-    """Keep a request until it is answered, and return its identifier."""
+    """Register a request that is answered later, and return its identifier."""
     exchange_id = new_identifier(context.world.rng, "exc")
     context.exchanges[exchange_id] = request
     request.notifyFinish().addErrback(_discard_exchange, context, exchange_id)
@@ -76,7 +76,7 @@
 def answer(
     request: Request, status: int, body: bytes = b"", retry_after_s: int = 0
 ) -> None:
-    """Write a whole response."""
+    """Send a complete response."""
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
     request.setHeader(b"content-length", str(len(body)).encode("ascii"))
