Rename rows, fields and messages of batch jobs to terms of the field

Life is MinionIncarnation, Room is Resources, Terms is JobPolicy, Stray is OrphanRun, StepPace is EstimateError, Host is SidecarState, Verdict is CallOutcome; held calls and reports are pending ones. MinionHeard, MinionLists, StopAsked, Followed and Removed are MinionHeartbeat, HoldMinionAnswered, StopRequested, RecordsRead and RemovalRecord. Fields follow. Values, names in stored data and class names of sent messages stay.

--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -36,7 +36,7 @@
         HTTP requests that are not answered yet, by identifier.
     ports : list of object
         Listening ports.
-    outside : object
+    adapter_state : object
         State of the adapter; nothing else reads it.
     exit_code : int
         Exit code of the process.
@@ -50,7 +50,7 @@
     wake: Callable[[], None]
     exchanges: dict[str, Request] = field(default_factory=dict)
     ports: list[Any] = field(default_factory=list)
-    outside: Any = None
+    adapter_state: Any = None
     exit_code: int = 0
     senders: Registry[type, Sender] = field(default_factory=lambda: batch_senders)
 
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -13,7 +13,7 @@
 from kingcuppost.batch.systems import load_systems
 from kingcuppost.batch.systems.lease import JITTER_MS
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.messages import StopAsked, StopProcess
+from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.loop import TickLoop
@@ -99,7 +99,7 @@
     """
 
     def stop(number: int, frame: object) -> None:
-        context.reactor.callFromThread(context.deliver, StopAsked())
+        context.reactor.callFromThread(context.deliver, StopRequested())
 
     def reload(number: int, frame: object) -> None:
         context.reactor.callFromThread(_reload_settings, context, read)
--- a/kingcuppost/platform/tests/test_operators.py
+++ b/kingcuppost/platform/tests/test_operators.py
@@ -5,7 +5,7 @@
 import pytest
 
 from kingcuppost.batch.systems.routing import find_queue, team_of
-from kingcuppost.batch.tables.messages import Removed, ZoneRecord
+from kingcuppost.batch.tables.messages import RemovalRecord, ZoneRecord
 from kingcuppost.platform.operators import decode_operator_record
 
 CONFIG = {
@@ -47,7 +47,7 @@
 
 def test_zones_go_out_and_come_back() -> None:
     assert decode_operator_record("evacuate/z", b"{}", "op").ok == ZoneRecord("z")
-    assert decode_operator_record("evacuate/z", b"", "op").ok == Removed("zone/z")
+    assert decode_operator_record("evacuate/z", b"", "op").ok == RemovalRecord("zone/z")
 
 
 @pytest.mark.parametrize(
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, StepSpec, TaskName
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, StepSpec, TaskName
 from kingcuppost.batch.tables.messages import EndedRun, RunningRun
 from standins.batch.checks import Checks
 
@@ -62,7 +62,7 @@
     id: str
     zone: str
     rack: str
-    room: Room
+    resources: Resources
     checks: Checks
     now_ms: Callable[[], int]
     work_of: Callable[[TaskName], tuple[StepSpec, float]]
@@ -83,9 +83,9 @@
     lapsed: set[int] = field(default_factory=set)
 
     @property
-    def life(self) -> Life:
+    def incarnation(self) -> MinionIncarnation:
         """Return the present life."""
-        return Life(self.id, self.born_ms)
+        return MinionIncarnation(self.id, self.born_ms)
 
     def restart(self) -> None:
         """Begin a new life that holds and knows nothing of before."""
@@ -101,16 +101,16 @@
         self.token = 0
         self.draining = False
 
-    def _free(self) -> Room:
-        room = replace(self.room)
+    def _free(self) -> Resources:
+        resources = replace(self.resources)
         for run in self.runs.values():
-            room.cpu_millis -= run.step.cpu_millis
-            room.memory_mb -= run.step.memory_mb
-            room.accelerators -= run.step.accelerators
-        return room
+            resources.cpu_millis -= run.step.cpu_millis
+            resources.memory_mb -= run.step.memory_mb
+            resources.accelerators -= run.step.accelerators
+        return resources
 
     def start(
-        self, token: int, task: TaskName, run: int, saved: str, until_ms: int
+        self, token: int, task: TaskName, run: int, checkpoint: str, until_ms: int
     ) -> str:
         """Begin a run; return why not, or an empty text."""
         if token < self.token:
@@ -132,10 +132,10 @@
             or free.accelerators < step.accelerators
         ):
             return "room"
-        done_ms = float(saved or 0)
+        done_ms = float(checkpoint or 0)
         row = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
         self.runs[task, run] = row
-        self.checks.started(self.id, task, run, saved)
+        self.checks.started(self.id, task, run, checkpoint)
         if self.fails:
             self.end(row, RunEnd.FAILED)
         return ""
@@ -179,8 +179,8 @@
         self.count += 1
         if how is RunEnd.STOPPED and run.step.saves:
             run.saved_ms = run.done_ms
-        saved = _text(run.saved_ms) if run.step.saves else ""
-        self.ended.append(EndedRun(self.count, run.task, run.run, how, saved))
+        checkpoint = _text(run.saved_ms) if run.step.saves else ""
+        self.ended.append(EndedRun(self.count, run.task, run.run, how, checkpoint))
         self.checks.ended(self.id, run.task, run.run, how)
 
     def advance(self, by_ms: int) -> None:
