Reword the texts of the batch tables and models

Rows, fields and messages are described in the terms of the field; fields whose meaning stood nowhere are described as well. The reason for a key of no known record reads "unknown kind of record"; nothing matches it.

--- a/kingcuppost/batch/models/__init__.py
+++ b/kingcuppost/batch/models/__init__.py
@@ -1,4 +1,4 @@
-"""Validated models of what processes write to the log and send to each other."""
+"""Validated models of log records and of messages between processes."""
 
 from kingcuppost.batch.models.records import decode_record, encode_record
 from kingcuppost.batch.models.sync import (
--- a/kingcuppost/batch/models/addresses.py
+++ b/kingcuppost/batch/models/addresses.py
@@ -1,4 +1,4 @@
-"""Addresses as text."""
+"""Addresses in text form."""
 
 from kingcuppost.tables.config import Address
 
@@ -6,12 +6,12 @@
 
 
 def parse_address(text: str) -> Address:
-    """Return the address that a text ``IP:PORT`` names.
+    """Return the address in a text ``IP:PORT``.
 
     Raises
     ------
     ValueError
-        If the port is no number.
+        If the port is not a number.
 
     Examples
     --------
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -1,4 +1,4 @@
-"""Records of the system's own streams: a key, and a JSON value."""
+"""Encoding of the records in the system's own streams as a key and a JSON value."""
 
 from collections.abc import Callable
 from typing import Annotated, Any
@@ -45,17 +45,17 @@
 
 
 class RecordModel(BaseModel):
-    """A value in the log; fields of later versions are passed over."""
+    """Value of a record; unknown fields of later versions are ignored."""
 
     model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
     def to_json(self) -> bytes:
-        """Return the JSON text without fields that have their default."""
+        """Return the JSON text, without fields that have their default value."""
         return self.model_dump_json(exclude_defaults=True).encode()
 
 
 class StepModel(RecordModel):
-    """A step of a job."""
+    """Step of a job."""
 
     count: Annotated[int, Field(ge=1)]
     cpu_millis: Count = 0
@@ -72,7 +72,7 @@
 
 
 class JobModel(RecordModel):
-    """An accepted job."""
+    """Accepted job."""
 
     queue: str
     team: str
@@ -86,10 +86,11 @@
 
 
 class ProgressModel(RecordModel):
-    """State of a job and of its tasks that are not merely waiting.
+    """State of a job and of its tasks, without tasks that only wait.
 
     A task is a row of step, index, phase, run, failures, minion, Unix time of the
-    minion's start in ms, sidecar, Unix time of the run's placing in ms, and checkpoint.
+    minion's start in ms, sidecar, Unix time of the run's placement in ms, and
+    checkpoint.
     """
 
     state: JobState
@@ -100,7 +101,7 @@
 
 
 class EntryModel(RecordModel):
-    """An entry of the system."""
+    """Address and identity of an entry."""
 
     host: str
     port: int
@@ -109,7 +110,7 @@
 
 
 class ClaimModel(RecordModel):
-    """A claim of the scheduling lease."""
+    """Claim of the scheduling lease."""
 
     name: str
     host: str
@@ -118,20 +119,20 @@
 
 
 class RenewModel(RecordModel):
-    """A renewal of the scheduling lease, or its return."""
+    """Renewal or release of the scheduling lease."""
 
     term: int
     released: bool = False
 
 
 class SpeedsModel(RecordModel):
-    """Speed, and the number of runs it rests on, by the sidecar's name."""
+    """Speed and number of runs that it is based on, by sidecar."""
 
     speeds: dict[str, tuple[float, float]] = {}
 
 
 class CancelModel(RecordModel):
-    """A caller's cancelling of a job."""
+    """Cancellation of a job by a caller."""
 
 
 @encoders.register(JobRecord)
@@ -283,7 +284,7 @@
 
 
 def encode_record(record: Record) -> tuple[str, bytes]:
-    """Return the key and the value of a record; no value removes the key.
+    """Return the key and the value of a record; an empty value removes the key.
 
     Examples
     --------
@@ -294,7 +295,7 @@
 
 
 def decode_record(key: str, value: bytes, peer: str) -> Result[Record, Failure]:
-    """Return the record that a key and a value spell, or why there is none.
+    """Return the record of a key and a value, or why they are invalid.
 
     Examples
     --------
@@ -307,7 +308,7 @@
         return Ok(RemovalRecord(key))
     kind, _, rest = key.partition(KEY_SEPARATOR)
     if kind not in decoders:
-        return Error(Failure(f"no record is named {key!r}", "decode", peer))
+        return Error(Failure(f"unknown kind of record: {key!r}", "decode", peer))
     try:
         return Ok(decoders[kind](rest, value))
     except ValidationError as exc:
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -1,4 +1,4 @@
-"""What a sidecar reports to the scheduler, and the orders that come back."""
+"""Encoding of a sidecar's reports and of the scheduler's orders as JSON."""
 
 from typing import Annotated
 
@@ -32,13 +32,13 @@
 
 
 class PeerModel(BaseModel):
-    """A message between processes of the system, of this version or the next."""
+    """Message between processes; unknown fields of later versions are ignored."""
 
     model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
 
 class MinionModel(PeerModel):
-    """A minion as its sidecar sees it."""
+    """State of a minion, as reported by its sidecar."""
 
     id: str
     born_ms: int
@@ -54,7 +54,12 @@
 
 
 class SyncCallModel(PeerModel):
-    """A report; runs are rows of task, run and what is known of the run."""
+    """Report of a sidecar.
+
+    A present run is a row of task, run, checkpoint and percentage of work done; an
+    ended one of number, task, run, way of the end and checkpoint; a refused one of
+    task, run and reason.
+    """
 
     sidecar: str
     incarnation: str
@@ -67,7 +72,7 @@
 
 
 class SyncReplyModel(PeerModel):
-    """Orders; starts are rows of task, run, spec and checkpoint."""
+    """Orders for a sidecar; starts are rows of task, run, spec and checkpoint."""
 
     term: int
     holder: str = ""
@@ -133,7 +138,7 @@
 def decode_sync_call(
     text: bytes, exchange_id: str, peer: str
 ) -> Result[SyncCall, Failure]:
-    """Return a report, or why the text is none."""
+    """Return the report in a text, or why the text is invalid."""
     try:
         model = SyncCallModel.model_validate_json(text)
         return Ok(_to_sync_call(model, exchange_id))
@@ -181,7 +186,7 @@
 
 
 def decode_sync_reply(text: bytes, peer: str) -> Result[SyncReply, Failure]:
-    """Return the orders for a sidecar, or why the text holds none."""
+    """Return the orders in a text, or why the text is invalid."""
     try:
         model = SyncReplyModel.model_validate_json(text)
         return Ok(_to_sync_reply(model))
--- a/kingcuppost/batch/tables/__init__.py
+++ b/kingcuppost/batch/tables/__init__.py
@@ -1,4 +1,4 @@
-"""Rows of batch jobs; no behaviour, no input or output."""
+"""Rows of batch jobs, without behaviour, input or output."""
 
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.batch.tables.job import (
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -1,4 +1,4 @@
-"""Settings of a process that serves batch jobs."""
+"""Settings of a batch process."""
 
 from dataclasses import dataclass
 
@@ -10,24 +10,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Times that the deployment promises or demands.
+    """Times that the deployment guarantees or requires.
 
     Attributes
     ----------
     lease_ms : int
-        Longest lease of what runs at a minion.
+        Longest lease of the runs at a minion.
     stop_ms : int
-        Longest time that a stop of a run takes.
+        Longest time that stopping a run takes.
     gang_ms : int
-        How long a member of a gang waits for the others.
+        Time for which a member of a gang waits for the others.
     grace_ms : int
-        Time between the request to stop a process and its end by force.
+        Time between the request to stop a process and its forced end.
     remote_factor : float
-        How many times as long work takes away from its rack.
+        Factor by which work takes longer outside its rack.
     restore_ms : int
         Time that resuming from a checkpoint takes.
     status_ms : int
-        How long the state of an ended job can be asked for.
+        Time for which callers can request the state of an ended job.
     """
 
     lease_ms: int = 10_000
@@ -41,22 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonConfig:
-    """Who the process is and whom it can reach.
+    """Identity and addresses of a process, and times of its deployment.
 
     Attributes
     ----------
     role : Role
-        Kind of process.
+        Role of the process.
     name : str
         Name of the instance.
     availability_zone : str
-        Where it runs.
+        Availability zone where it runs.
     peers : Address
-        Where other processes of the system reach it.
+        Address at which other processes of the system reach it.
     seeds : tuple of Address
-        Entries that were known when the process started; may be stale.
+        Entries that were known at start; some may be gone.
     bounds : Bounds
-        Times of the deployment.
+        Times that the deployment guarantees or requires.
     """
 
     role: Role
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -1,4 +1,4 @@
-"""Queues, teams, zones, minions and the system's own processes."""
+"""Queues, teams, configuration, minions, entries and the scheduling lease."""
 
 from dataclasses import dataclass, field
 
@@ -19,22 +19,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue that callers reach by host and path.
+    """A queue, which callers address by host and path.
 
     Attributes
     ----------
     name, host, prefix : str
-        Its name, and where callers find it.
+        Its name, and the host and the path prefix that callers use.
     service : str
         Service whose minions run its tasks.
     priority : int
-        0 comes first and may stop others.
+        0 is the most urgent and may preempt others.
     most_failures : int
-        Failed runs of a task that end the job.
+        Number of failed runs of a task after which the job fails.
     slack_factor : float
-        A job's objective in multiples of its longest chain of work.
+        Target time of a job as a multiple of its critical path.
     public : bool
-        Whether callers need no key.
+        Whether calls without a key are accepted.
     """
 
     name: str
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Team:
-    """A team, its keys, and the accelerators that are its own."""
+    """A team, its keys, and its guaranteed accelerators."""
 
     name: str
     keys: frozenset[str]
@@ -58,18 +58,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """The operators' configuration, whole.
+    """The complete configuration by the operators.
 
     Attributes
     ----------
     version : int
-        Grows with each configuration.
+        Increases with each configuration.
     queues : tuple of Queue
         All queues.
     teams : dict of str to Team
         All teams by name.
     keys : dict of str to str
-        The team of each key.
+        Name of the team by key.
     """
 
     version: int
@@ -80,7 +80,7 @@
 
 @dataclass(slots=True)
 class Resources:
-    """Processors, memory and accelerators, taken or free."""
+    """An amount of processors, memory and accelerators."""
 
     cpu_millis: int = 0
     memory_mb: int = 0
@@ -89,14 +89,14 @@
 
 @dataclass(slots=True)
 class Speed:
-    """How fast a machine works, learned from its runs.
+    """Estimated speed of a machine, learned from its runs.
 
     Attributes
     ----------
     value : float
-        Work done in the time that a machine of speed 1.0 takes for one unit.
+        Amount of work per unit of time, relative to a machine of speed 1.0.
     weight : float
-        How many runs the value rests on.
+        Number of runs that the value is based on.
     """
 
     value: float = 1.0
@@ -105,42 +105,42 @@
 
 @dataclass(slots=True)
 class MinionRow:
-    """A minion as its sidecar reports it to the scheduler.
+    """A minion as the scheduler knows it from its sidecar's reports.
 
     Attributes
     ----------
     sidecar : str
-        Name of the instance beside it.
-    incarnation : Life
-        Its present life.
+        Name of the sidecar beside it.
+    incarnation : MinionIncarnation
+        Its present incarnation.
     service, availability_zone, rack : str
-        What it serves and where.
+        The service that it runs tasks of, and its location.
     labels : frozenset of str
         All its labels.
-    resources : Room
-        Its whole capacity.
+    resources : Resources
+        Its total capacity.
     draining : bool
         Whether it is about to leave.
     remaining_ms : int
-        Least time left while it drains.
+        Minimum time that is left while it drains.
     last_report_ms : int
-        When its sidecar was last heard.
+        Time of its sidecar's newest report.
     speed : Speed
-        How fast it works; the machine keeps it over lives of the minion.
+        Estimated speed of its machine; kept across incarnations of the minion.
     stalled_ms : int or None
-        When a run was last found to stand still here.
+        Time at which a run here was last found to make no progress.
     failures : int
-        Failed runs since one was done.
+        Number of failed runs since the last completed one.
     failed_jobs : set of str
-        Jobs that failed here since one was done.
+        Jobs with failed runs here since the last completed one.
     failed_ms : int
-        When a run last failed here.
+        Time of the last failed run here.
     backoff_until_ms : int
-        Until when it is given nothing after it refused a run.
+        Time until which it is assigned no runs after it refused one.
     is_unreachable : bool
-        Whether its sidecar has been silent.
+        Whether its sidecar has stopped reporting.
     has_completed_run : bool
-        Whether a run has ended as done here.
+        Whether a run has completed here.
     """
 
     sidecar: str
@@ -165,7 +165,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryMember:
-    """An entry as it announced itself in the log."""
+    """An entry, as announced by its record in the log."""
 
     name: str
     address: Address
@@ -175,20 +175,20 @@
 
 @dataclass(slots=True)
 class HolderView:
-    """What the log tells of the scheduling lease.
+    """State of the scheduling lease as it follows from the log.
 
     Attributes
     ----------
     term : int
-        One more than the offset of the claim that opened it; 0 if there is none.
+        Offset of the claim that opened the term, plus 1; 0 if there is none.
     name, incarnation : str
-        Who holds it.
+        The entry that holds the lease, and its incarnation.
     address : Address or None
-        Where sidecars reach the holder.
+        Address at which sidecars reach the holder.
     last_renewal_ms : int
-        When its last renewal was read, on this process's clock.
+        Time at which its newest renewal was read, on this process's clock.
     released : bool
-        Whether the holder has given the lease back.
+        Whether the holder has released the lease.
     """
 
     term: int = 0
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -1,26 +1,26 @@
-"""Jobs, their steps and tasks, and what the scheduler plans for them."""
+"""Jobs, their steps and tasks, and the scheduler's plans of them."""
 
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 __all__ = [
+    "EstimateError",
     "Job",
+    "JobPolicy",
     "JobState",
     "MinionIncarnation",
     "Plan",
     "PlanState",
-    "EstimateError",
     "RunEnd",
     "StepSpec",
     "Task",
     "TaskName",
     "TaskPhase",
-    "JobPolicy",
 ]
 
 
 class JobState(StrEnum):
-    """State of a job as callers see it."""
+    """State of a job that is reported to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -30,10 +30,10 @@
 
 
 class TaskPhase(StrEnum):
-    """What the scheduler has in mind for a task.
+    """Phase of a task in the scheduler's plan.
 
-    `PLACED` covers a run from its decision to its sure end: the run may not have
-    begun, or may be over without the scheduler's knowing.
+    `PLACED` lasts from the decision on a run until its end is confirmed: the run may
+    not have begun yet, or may have ended without the scheduler's knowledge.
     """
 
     WAITING = "w"
@@ -42,7 +42,7 @@
 
 
 class RunEnd(StrEnum):
-    """How a run ended."""
+    """Way in which a run ended."""
 
     DONE = "done"
     FAILED = "failed"
@@ -76,12 +76,12 @@
 
     @classmethod
     def parse(cls, text: str) -> "TaskName":
-        """Return the name that a text spells.
+        """Return the task name in a text.
 
         Raises
         ------
         ValueError
-            If the text is none.
+            If the text is not a task name.
         """
         job, occurrence, step, index = text.split(".")
         return cls(job, int(occurrence), int(step), int(index))
@@ -89,14 +89,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionIncarnation:
-    """One life of a minion, from its start to its end.
+    """An incarnation of a minion, from a start of it to its end.
 
     Attributes
     ----------
     minion : str
         Identifier of the minion.
     born_ms : int
-        Unix time of its start, in ms.
+        Unix time of the start, in ms.
     """
 
     minion: str
@@ -105,30 +105,30 @@
 
 @dataclass(frozen=True, slots=True)
 class StepSpec:
-    """What the tasks of one step need.
+    """Requirements of the tasks of one step.
 
     Attributes
     ----------
     count : int
         Number of tasks.
     cpu_millis : int
-        Thousandths of a core for each task.
+        Processor time for each task, in thousandths of a core.
     memory_mb, accelerators : int
         Memory in MB and accelerators for each task.
     estimate_ms : int
-        The caller's rough estimate of a task's time.
+        The caller's rough estimate of a task's duration.
     needs : tuple of int
-        Steps whose tasks must all be done first.
+        Steps whose tasks must all be completed first.
     gang : bool
-        Whether the tasks work only together.
+        Whether the tasks make progress only while all of them run.
     one_rack : bool
-        Whether the tasks are slow unless all run in one rack.
+        Whether the tasks are slow unless all of them run in one rack.
     label : str
         Label that a minion must have; empty for none.
     rack : str
-        Rack where the data lies; empty for none.
+        Rack that holds the data; empty for none.
     most_per_minion : int
-        Most tasks of the step on one minion; 0 for any number.
+        Maximum number of tasks of the step on one minion; 0 for no limit.
     saves : bool
         Whether the tasks checkpoint their progress.
     """
@@ -149,18 +149,18 @@
 
 @dataclass(frozen=True, slots=True)
 class JobPolicy:
-    """What the queue promised when a job was accepted.
+    """Settings of a job's queue at the time at which the job was accepted.
 
     Attributes
     ----------
     service : str
         Service whose minions run the job.
     priority : int
-        0 comes first and may stop others.
+        0 is the most urgent and may preempt others.
     most_failures : int
-        Failed runs of one task after which the job has failed.
+        Number of failed runs of one task after which the job fails.
     slack_factor : float
-        Objective in multiples of the longest chain of work.
+        Target time of the job as a multiple of its critical path.
     """
 
     service: str = ""
@@ -171,28 +171,28 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job as the log tells it, the same in every entry.
+    """A job as it follows from the log; equal in all entries.
 
     Attributes
     ----------
     id : str
         Identifier that the caller chose.
     queue, team : str
-        Queue that it came by, and the team that it belongs to.
+        Queue to which it was submitted, and team that it belongs to.
     spec : str
-        Text that is handed to every task.
+        Text that is passed to every task.
     steps : tuple of StepSpec
         Steps in order.
     accepted_ms : int
-        Unix time at which an entry took it, in ms.
+        Unix time at which an entry accepted it, in ms.
     offset : int
         Offset of the record that submitted it.
-    policy : Terms
-        What its queue promised; they outlive the queue.
+    policy : JobPolicy
+        Settings of its queue when it was accepted; kept if the queue is removed.
     cancelled : bool
         Whether a caller has cancelled it.
     state : JobState
-        Its state by the newest progress record.
+        Its state in the newest progress record.
     begun : bool
         Whether a run of a task was ever placed.
     progress : Progress or None
@@ -215,7 +215,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProgress:
-    """One task in a progress record."""
+    """Progress of one task, as a progress record stores it."""
 
     step: int
     index: int
@@ -231,7 +231,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """What a progress record says of a job."""
+    """Progress of a job, as a progress record stores it."""
 
     state: JobState
     begun: bool
@@ -247,13 +247,13 @@
     name : TaskName
         Name of the task.
     phase : TaskPhase
-        Whether it waits, has a run, or is done.
+        Whether the task waits, has a run, or is done.
     run : int
         Number of its newest run; 0 before the first.
     failures : int
-        Runs that ended as failed.
-    incarnation : Life or None
-        Where its run is placed.
+        Number of failed runs.
+    incarnation : MinionIncarnation or None
+        Minion incarnation where its run is placed.
     sidecar : str
         Sidecar of the minion where its run is placed.
     placed_ms : int
@@ -261,33 +261,33 @@
     checkpoint : str
         Newest checkpoint; empty for none.
     checkpoint_ms : int
-        Unix time at which it was first seen, in ms.
+        Unix time at which that checkpoint was first reported, in ms.
     version : int
         Version of the plan that placed the run.
     sent_ms : int or None
-        When the start was last handed to the sidecar.
+        Time at which the start was last sent to the sidecar.
     confirmed : bool
-        Whether the minion was seen to have the run.
+        Whether the minion has reported the run.
     running_since_ms : int or None
-        When the run was first seen.
+        Time at which the run was first reported.
     stopping : bool
         Whether the run is to be stopped.
     stop_sent_ms : int or None
-        When the stop was last handed to the sidecar.
+        Time at which the stop was last sent to the sidecar.
     percent : int
-        How much of the run's work is done, as the minion says.
+        Share of the run's work that is done, as reported by the minion.
     initial_percent : int
-        What it said when the run was first seen.
+        Share that was done when the run was first reported.
     percent_changed_ms : int
-        When the percentage last changed.
+        Time at which the reported share last changed.
     was_migrated : bool
-        Whether a run of it was stopped since its minion was slow.
+        Whether a run of it was stopped because its minion was slow.
     last_failed_run : int
-        Newest run of the gang that was counted as failed; at its first member.
+        Newest run of the gang that was counted as failed; set at its first member.
     avoided_minions : set of str
-        Minions on which a run of it has failed.
+        Minions where a run of it failed, made no progress or was slow.
     avoid_until_ms : int
-        Until when it rather waits than runs there again.
+        Time until which it waits rather than runs there again.
     """
 
     name: TaskName
@@ -316,12 +316,12 @@
 
 @dataclass(slots=True)
 class EstimateError:
-    """How the runs of a step compare with the caller's estimate.
+    """Deviation of a step's runs from the caller's estimate.
 
     Attributes
     ----------
     log_sum : float
-        Sum of the logarithms of estimate over time taken at speed 1.0.
+        Sum of the logarithms of the estimate divided by the duration at speed 1.0.
     count : int
         Number of runs in the sum.
     """
@@ -331,12 +331,12 @@
 
     @property
     def mean_log(self) -> float:
-        """Return the mean logarithm, with one more run that fits the estimate."""
+        """Return the mean logarithm, with one extra run that matches the estimate."""
         return self.log_sum / (self.count + 1)
 
 
 class PlanState(StrEnum):
-    """Whether the scheduler still has work with a job."""
+    """Phase of the scheduler's work on a job."""
 
     OPEN = "open"
     CLOSING = "closing"
@@ -345,28 +345,28 @@
 
 @dataclass(slots=True)
 class Plan:
-    """The scheduler's working view of a job.
+    """The scheduler's working state of a job.
 
     Attributes
     ----------
     job : Job
-        The agreed row.
+        Row of the job in the agreed state.
     tasks : list of list of Task
         Tasks by step and index.
     state : JobState
-        State that goes into the next progress record.
+        State for the next progress record.
     phase : PlanState
         `CLOSING` while runs of an ended job are stopped.
     version : int
-        Grows with each change.
+        Increases with each change.
     committed : int
-        Newest version that is in the log.
+        Newest version whose record is in the log.
     has_new_checkpoint : bool
-        Whether a checkpoint is newer than its last record.
+        Whether a checkpoint is newer than the newest record of the plan.
     over_ms : int or None
-        When this process found the job to be over.
+        Time at which this process found that the job is over.
     estimate_errors : dict of int to EstimateError
-        What runs have told of the estimates, by step.
+        Deviation of the runs from the estimates, by step.
     """
 
     job: Job
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -1,4 +1,4 @@
-"""Calls of callers, and the answers to them."""
+"""Messages of callers' calls and their answers."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -7,15 +7,15 @@
 
 __all__ = [
     "CallKind",
+    "CallOutcome",
     "CallReply",
     "CallerCall",
     "SubmittedJob",
-    "CallOutcome",
 ]
 
 
 class CallKind(StrEnum):
-    """What a caller asks for."""
+    """Kind of a caller's request."""
 
     SUBMIT = "submit"
     STATE = "state"
@@ -32,24 +32,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerCall:
-    """A caller's call.
+    """A call by a caller.
 
     Attributes
     ----------
     exchange_id : str
-        Names the open exchange.
+        Identifier of the open HTTP exchange.
     kind : CallKind
-        What is asked for; a state without an identifier asks for a count.
+        Kind of the request; a state without a job identifier requests a count.
     host, path, key : str
-        Where it was sent, and the caller's key, empty for none.
+        Host and path of the request, and the caller's key; empty for none.
     received_ms : int
-        When it was read.
+        Time at which it was received.
     timeout_ms : int
-        How long the caller waits.
+        Time for which the caller waits.
     job : SubmittedJob or None
         Body of a submission.
     body_error : str
-        Why the body could not be read; empty if it could.
+        Why the body is invalid; empty if it is valid.
     """
 
     exchange_id: str
@@ -64,7 +64,7 @@
 
 
 class CallOutcome(StrEnum):
-    """Answer to a caller."""
+    """Outcome of a caller's call."""
 
     OK = "ok"
     BAD = "bad"
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -1,4 +1,4 @@
-"""Messages between the systems and the log."""
+"""Records of the log, and messages between the systems and the log."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -15,11 +15,11 @@
     "ClaimRecord",
     "ConfigRecord",
     "EntryRecord",
-    "RecordsRead",
     "JobRecord",
     "ListMembers",
     "ProgressRecord",
     "Record",
+    "RecordsRead",
     "RemovalRecord",
     "RenewRecord",
     "SpeedsRecord",
@@ -29,7 +29,7 @@
 
 
 class Stream(StrEnum):
-    """Streams of records that the log keeps."""
+    """Streams of records in the log."""
 
     JOBS = "jobs"
     MEMBERS = "members"
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """A job that an entry accepted; its offset is filled in when it is read."""
+    """An entry accepted a job; the job's offset is set when the record is read."""
 
     job: Job
 
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProgressRecord:
-    """The scheduler's newest word on a job."""
+    """The scheduler changed the state of a job or of its tasks."""
 
     job_id: str
     progress: Progress
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRecord:
-    """An entry claimed the scheduling lease; the record's offset makes the term."""
+    """An entry claimed the scheduling lease; the record's offset defines the term."""
 
     name: str
     address: Address
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewRecord:
-    """The holder of a term renews its lease, or gives it back."""
+    """The holder of a term renewed its lease, or released it."""
 
     term: int
     released: bool
@@ -87,28 +87,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigRecord:
-    """A configuration of the operators."""
+    """The operators set a configuration."""
 
     configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
 class ZoneRecord:
-    """The operators took an availability zone out."""
+    """The operators took an availability zone out of service."""
 
     availability_zone: str
 
 
 @dataclass(frozen=True, slots=True)
 class RemovalRecord:
-    """A key whose newest record was removed."""
+    """The newest record of a key was removed."""
 
     key: str
 
 
 @dataclass(frozen=True, slots=True)
 class SpeedsRecord:
-    """How fast machines work, by the sidecar's name, as a holder has learned it."""
+    """Estimated speeds of machines by sidecar, learned by a holder of the lease."""
 
     speeds: dict[str, Speed]
 
@@ -129,20 +129,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
-    """Records of a stream, in order, or a whole listing of it.
+    """Records of a stream in order, or the newest record of each of its keys.
 
     Attributes
     ----------
     stream : Stream
-        Where they stand.
+        Stream of the records.
     records : list of tuple of int and Record
-        Offset and record.
+        Offset and record of each.
     sent_ms : int
-        When the read was sent; the records are at least as new.
+        Time at which the read was sent; the records are at least as recent.
     end : int
-        Offset behind the last record of the stream.
+        Offset after the last record of the stream.
     whole : bool
-        Whether this lists the newest record of every key.
+        Whether these are the newest records of all keys.
     """
 
     stream: Stream
@@ -154,22 +154,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Append:
-    """Records to append in one piece.
+    """Request to append records atomically.
 
     Attributes
     ----------
     id : str
-        Names the append in its answer.
+        Identifier that the answer repeats.
     stream : Stream
-        Where to.
+        Stream to append to.
     records : tuple of Record
-        What; may be empty for a writer that opens its term.
+        Records to append; may be empty for a writer that opens its term.
     at : int or None
-        Offset that the stream must end at.
+        Offset at which the stream must end, or None for any.
     term, sequence : int or None
-        Term of the writer, and the number of the append within it.
+        Term of the writer, and number of the append within the term.
     timeout_ms : int
-        How long the answer is waited for.
+        Time to wait for the answer.
     """
 
     id: str
@@ -182,7 +182,7 @@
 
 
 class AppendOutcome(StrEnum):
-    """What became of an append."""
+    """Outcome of an append."""
 
     DONE = "done"
     REFUSED = "refused"
@@ -204,4 +204,4 @@
 
 @dataclass(frozen=True, slots=True)
 class ListMembers:
-    """Ask the log for the entries, once."""
+    """Request to read the list of entries from the log once."""
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -1,4 +1,4 @@
-"""Messages between scheduler, sidecars and minions, and the end of a process."""
+"""Messages between scheduler, sidecars and minions, and for stopping a process."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -10,8 +10,8 @@
 __all__ = [
     "EndedRun",
     "HoldMinion",
-    "MinionHeartbeat",
     "HoldMinionAnswered",
+    "MinionHeartbeat",
     "MinionReport",
     "OrderAnswered",
     "OrderOutcome",
@@ -20,9 +20,9 @@
     "SendSync",
     "StartOrder",
     "StartRun",
-    "StopRequested",
     "StopOrder",
     "StopProcess",
+    "StopRequested",
     "StopRun",
     "SyncAnswered",
     "SyncCall",
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningRun:
-    """A run that a minion has."""
+    """A run that is present at a minion."""
 
     task: TaskName
     run: int
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedRun:
-    """A run that ended at a minion; `number` grows within the minion's life."""
+    """A run that ended at a minion; `number` increases within its incarnation."""
 
     number: int
     task: TaskName
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedRun:
-    """A run that surely never began: the minion refused it."""
+    """A run that the minion refused; it never began and cannot begin later."""
 
     task: TaskName
     run: int
@@ -62,12 +62,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionReport:
-    """What a sidecar says of its minion.
+    """State of a minion, as reported by its sidecar.
 
     Attributes
     ----------
     listed : bool
-        Whether the lists of runs were read in this life by this process.
+        Whether this sidecar process has read the runs of this minion incarnation.
     """
 
     incarnation: MinionIncarnation
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """A run that a minion is to begin."""
+    """Order to start a run at a minion."""
 
     task: TaskName
     run: int
@@ -107,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopOrder:
-    """A run that a minion is to end."""
+    """Order to stop a run at a minion."""
 
     task: TaskName
     run: int
@@ -120,17 +120,17 @@
     Attributes
     ----------
     exchange_id : str
-        Names the open exchange.
+        Identifier of the open HTTP exchange.
     term : int
         Term of the holder; -1 if this process does not hold the lease.
     holder : Address or None
-        Who holds it, if this process does not.
-    incarnation : Life or None
-        Life that the orders are for.
+        Address of the holder, if it is another process.
+    incarnation : MinionIncarnation or None
+        Minion incarnation that the orders are for.
     noted : int
-        Ends up to this number are in the log.
+        Number up to which the reported ends are in the log.
     entries : tuple of Address
-        All entries.
+        Addresses of all entries.
     """
 
     exchange_id: str
@@ -146,7 +146,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendSync:
-    """A sidecar's report on its way out."""
+    """Request to send a sidecar's report."""
 
     number: int
     address: Address
@@ -156,7 +156,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncAnswered:
-    """What became of a report; `reply` is None if nothing came back."""
+    """Outcome of a report; `reply` is None if there was no valid answer."""
 
     number: int
     address: Address
@@ -167,7 +167,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionHeartbeat:
-    """A heartbeat of the minion beside the sidecar."""
+    """A heartbeat of the minion beside the sidecar; `gone` if the minion has left."""
 
     address: Address
     report: MinionReport
@@ -177,12 +177,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldMinion:
-    """Ask the minion for its lists and extend its lease.
+    """Request to list the minion's runs and to extend its lease.
 
     Attributes
     ----------
+    acknowledged_end : int
+        Number up to which the reported ends are in the log.
+    wait_ms : int
+        Time for which the minion may wait for news before it answers.
     until_ms : int or None
-        End of the lease on the minion's clock; None to leave it as it is.
+        End of the lease on the minion's clock; None to leave it unchanged.
     """
 
     address: Address
@@ -195,14 +199,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldMinionAnswered:
-    """Answer to `HoldMinion`; a failure has a reason and no lists.
+    """Answer to `HoldMinion`; a failed one has a reason and no runs.
 
     Attributes
     ----------
     sent_ms, received_ms : int
-        When the question left and the answer came.
+        Times of the request and of its answer.
     clock_ms : int
-        The minion's clock when it answered.
+        Time of the answer on the minion's clock.
     """
 
     incarnation: MinionIncarnation
@@ -216,7 +220,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Begin a run at the minion beside the sidecar."""
+    """Request to start a run at the minion beside the sidecar."""
 
     address: Address
     incarnation: MinionIncarnation
@@ -227,7 +231,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """End a run at the minion beside the sidecar."""
+    """Request to stop a run at the minion beside the sidecar."""
 
     address: Address
     incarnation: MinionIncarnation
@@ -236,7 +240,7 @@
 
 
 class OrderOutcome(StrEnum):
-    """What a minion made of an order."""
+    """Outcome of an order to a minion."""
 
     DONE = "done"
     REFUSED = "refused"
@@ -258,9 +262,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process was told to stop."""
+    """The process was requested to stop."""
 
 
 @dataclass(frozen=True, slots=True)
 class StopProcess:
-    """Nothing is left to do; end the process."""
+    """Request to end the process, since no work is left."""
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -1,4 +1,4 @@
-"""All tables of one process."""
+"""World of a batch process: all its tables."""
 
 import random
 from dataclasses import dataclass, field
@@ -34,20 +34,20 @@
 __all__ = [
     "Agreed",
     "BatchWorld",
+    "LogLine",
+    "OrderedRun",
+    "OrphanRun",
     "PendingCall",
     "PendingSync",
-    "SidecarState",
-    "OrderedRun",
-    "LogLine",
     "Schedule",
-    "OrphanRun",
+    "SidecarState",
     "StreamView",
 ]
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One line for the log: a decision or a change of what the process believes."""
+    """A line of the process's log: a decision, or a change of state."""
 
     part: str
     text: str
@@ -56,16 +56,16 @@
 
 @dataclass(slots=True)
 class StreamView:
-    """How far a stream was read.
+    """Position up to which a stream has been read.
 
     Attributes
     ----------
     end : int
-        Offset behind the last record that was folded; -1 before the first read.
+        Offset after the last folded record; -1 before the first read.
     fresh_ms : int or None
-        When the newest read that was answered had been sent.
+        Time at which the newest answered read was sent.
     gap_ended_ms : int
-        When the stream was followed again after a gap.
+        Time at which reading resumed after a gap.
     """
 
     end: int = -1
@@ -75,7 +75,7 @@
 
 @dataclass(slots=True)
 class Agreed:
-    """What the log says, the same in every entry that has read as far."""
+    """State that follows from the log; equal in all entries that have read as far."""
 
     jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
     entries: Table[EntryMember] = field(default_factory=lambda: Table("name"))
@@ -91,7 +91,17 @@
 
 @dataclass(slots=True)
 class PendingCall:
-    """A caller's call that waits for the log."""
+    """A caller's call that waits until its record is in the log.
+
+    Attributes
+    ----------
+    append : Append
+        Append of the call's record.
+    attempts : int
+        How often the append was sent.
+    has_unknown_outcome : bool
+        Whether an earlier attempt may have reached the log.
+    """
 
     call: CallerCall
     job_id: str
@@ -102,7 +112,13 @@
 
 @dataclass(slots=True)
 class PendingSync:
-    """A sidecar's report that waits for orders."""
+    """A sidecar's report that is answered once there are orders.
+
+    Attributes
+    ----------
+    until_ms : int
+        Time at which it is answered even without orders.
+    """
 
     call: SyncCall
     until_ms: int
@@ -110,12 +126,12 @@
 
 @dataclass(slots=True)
 class OrphanRun:
-    """A run at a minion that is no task's present run.
+    """A run at a minion that is not the current run of any task.
 
     Attributes
     ----------
     sent_ms : int or None
-        When its stop was last handed to the sidecar.
+        Time at which its stop was last sent to the sidecar.
     """
 
     run: RunningRun
@@ -130,40 +146,52 @@
     ----------
     term : int
         Term that this process holds; -1 if none.
+    is_open : bool
+        Whether the log rejects writers of older terms.
+    is_loaded : bool
+        Whether the plans were loaded from the agreed state.
     required_offset : int
         Offset that must be folded before the first decision.
     sequence : int
-        Number of the newest append of the term.
+        Sequence number of the newest append of the term.
     in_flight : Append or None
-        The append that waits for its answer.
+        The append that is not answered yet.
     in_flight_versions : dict of str to int
-        Versions of the plans that it carries.
+        Versions of the plans in that append, by job.
     dirty : dict of str to None
-        Jobs whose plan has changed since the last append.
+        Jobs whose plans have changed since the last append.
     lost_term : int
-        Newest term that this process has held and lost.
+        Newest term that this process held and gave up.
     authority_until_ms : int
-        Until when no other entry can have opened a term.
+        Time before which no other entry can have opened a term.
     renewals : dict of str to int
-        When each renewal that waits for its answer was sent.
+        Time at which each unanswered renewal was sent.
     orphans : dict of str to dict
-        Runs that are no task's, by sidecar, task and run.
+        Runs that belong to no task, by sidecar, and by task and run.
     removals : dict of str to None
-        Ended jobs whose records are to be removed.
+        Ended jobs whose records are to be removed from the log.
     pending_runs : dict of TaskName to tuple of Plan and Task
-        Runs that were not seen to begin yet, or are to be stopped.
-    lapse_times_ms : dict of Life to int
-        When the runs of a life have surely lapsed.
-    incarnation_sidecars : dict of Life to str
-        Sidecar beside the minion of a life.
+        Runs whose start is not confirmed yet, or that are to be stopped.
+    lapse_times_ms : dict of MinionIncarnation to int
+        Time from which the lease of a minion incarnation's runs has certainly expired.
+    incarnation_sidecars : dict of MinionIncarnation to str
+        Sidecar beside the minion of an incarnation.
+    reported_ends : dict of str to dict
+        Job and plan version that record an end, by sidecar and number of the end.
+    changed_jobs : dict of str to None
+        Jobs that were added, cancelled or removed but not planned again yet.
+    append_results : list of AppendEnded
+        Answers to all appends but those of calls, until they are handled.
     speeds : dict of str to Speed
-        How fast machines work, by sidecar.
+        Estimated speeds of the machines, by sidecar.
     speeds_changed : bool
-        Whether they differ from their newest record.
+        Whether the speeds differ from their newest record.
     write_speeds_at_ms : int
-        When they may be written next.
+        Earliest time of the next record of speeds.
     decide_at_ms : int
-        When the decisions are made again though nothing has changed.
+        Time of the next decisions even if nothing has changed.
+    changed : bool
+        Whether something has changed that decisions depend on.
     """
 
     term: int = -1
@@ -209,22 +237,22 @@
 
 @dataclass(slots=True)
 class OrderedRun:
-    """A run that the sidecar has orders for.
+    """A run that the scheduler has ordered the sidecar to start or stop.
 
     Attributes
     ----------
     is_order_pending : bool
-        Whether an order to the minion waits for its answer.
+        Whether an order to the minion is not answered yet.
     retry_ms : int
-        When the order may go out again.
+        Earliest time at which the order is sent again.
     started : bool
-        Whether the minion has taken the start.
+        Whether the minion has accepted the start.
     may_still_start : bool
-        Whether a copy of the start may yet be carried out.
+        Whether a start whose outcome is unknown may still be carried out.
     stop : bool
-        Whether the run is to end.
+        Whether the run is to be stopped.
     stopped_ms : int or None
-        When the minion took the stop.
+        Time at which the minion accepted the stop.
     """
 
     order: StartOrder
@@ -238,17 +266,35 @@
 
 @dataclass(slots=True)
 class SidecarState:
-    """A sidecar's view of its minion and of the scheduler.
+    """A sidecar's state of its minion and of the scheduler.
 
     Attributes
     ----------
+    listed : bool
+        Whether the minion's runs were read in its present incarnation.
     clock_ms, clock_at_ms : int
-        A reading of the minion's clock, and when it arrived on ours.
+        A reading of the minion's clock, and the local time at which it was received.
     until_ms : int
         End of the lease that the scheduler's last answer allows, on the minion's
         clock.
+    is_hold_open : bool
+        Whether a `HoldMinion` is not answered yet.
+    hold_after_ms : int
+        Earliest time of the next `HoldMinion`.
+    hold_failed : bool
+        Whether the newest `HoldMinion` failed.
+    acknowledged_end : int
+        Number up to which the scheduler has recorded the reported ends in the log.
+    pending_syncs : dict of int to int
+        Time at which each unanswered report was sent.
     unreachable_entry, unreachable_until_ms : Address or None, int
-        An entry that did not answer, and until when it is passed over.
+        An entry that did not answer, and until when it is skipped.
+    dirty : bool
+        Whether there is news for the scheduler.
+    last_reply_ms : int
+        Time of the newest answer by the holder of the lease.
+    list_after_ms : int
+        Earliest time of the next request for the log's list of entries.
     """
 
     address: Address | None = None
@@ -282,7 +328,25 @@
 
 @dataclass
 class BatchWorld:
-    """Tables of one process; systems read and write nothing else."""
+    """Tables of one process; systems read and write nothing else.
+
+    Attributes
+    ----------
+    cfg : DaemonConfig
+        Settings of the process.
+    incarnation : str
+        Identifier of this start of the process.
+    lines : list of LogLine
+        Log lines that are not written yet.
+    stopping : bool
+        Whether the process was requested to stop.
+    earliest_stop_ms, stop_deadline_ms : int
+        Time before which it does not end, and time at which it ends in any case.
+    calls : dict of str to PendingCall
+        Calls that wait for the log, by identifier of their append.
+    sidecar : SidecarState
+        State of a sidecar; unused by an entry.
+    """
 
     cfg: DaemonConfig
     incarnation: str
@@ -302,5 +366,5 @@
     sidecar: SidecarState = field(default_factory=SidecarState)
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
-        """Add a line to the log."""
+        """Add a line to the process's log."""
         self.lines.append(LogLine(part, text, fields))
