--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/host.py
@@ -30,46 +30,46 @@
 @system(Phase.INTAKE, SIDECAR, order=50)
 def hear_minion(world: BatchWorld, now_ms: int) -> None:
     """Take heartbeats in; late ones of an earlier life or moment change nothing."""
-    sidecar = world.sidecar
+    sidecar_state = world.sidecar_state
     for heard in world.inbox.take(MinionHeartbeat):
         if heard.gone:
             _minion_left(world, heard)
             continue
         incarnation = heard.report.incarnation
-        old = sidecar.minion
+        old = sidecar_state.minion
         if old is not None and incarnation.born_ms < old.incarnation.born_ms:
             continue
         if old is None or old.incarnation != incarnation:
             _begin_life(world, heard)
-        elif heard.sequence <= sidecar.sequence:
+        elif heard.sequence <= sidecar_state.sequence:
             continue
-        sidecar.sequence = heard.sequence
-        sidecar.address = heard.address
-        if old is None or _is_news(heard, sidecar):
-            sidecar.dirty = True
-        sidecar.minion = heard.report
+        sidecar_state.sequence = heard.sequence
+        sidecar_state.address = heard.address
+        if old is None or _is_news(heard, sidecar_state):
+            sidecar_state.dirty = True
+        sidecar_state.minion = heard.report
 
 
-def _is_news(heard: MinionHeartbeat, sidecar: SidecarState) -> bool:
-    old = sidecar.minion
+def _is_news(heard: MinionHeartbeat, sidecar_state: SidecarState) -> bool:
+    old = sidecar_state.minion
     return old is None or old.draining != heard.report.draining
 
 
 def _begin_life(world: BatchWorld, heard: MinionHeartbeat) -> None:
     """Forget all of the minion's earlier life."""
-    sidecar = world.sidecar
-    world.sidecar = SidecarState(
-        term=sidecar.term,
-        sync_number=sidecar.sync_number,
-        pending_syncs=sidecar.pending_syncs,
-        holder=sidecar.holder,
-        entries=sidecar.entries,
-        next_entry=sidecar.next_entry,
-        last_reply_ms=sidecar.last_reply_ms,
+    sidecar_state = world.sidecar_state
+    world.sidecar_state = SidecarState(
+        term=sidecar_state.term,
+        sync_number=sidecar_state.sync_number,
+        pending_syncs=sidecar_state.pending_syncs,
+        holder=sidecar_state.holder,
+        entries=sidecar_state.entries,
+        next_entry=sidecar_state.next_entry,
+        last_reply_ms=sidecar_state.last_reply_ms,
         minion=heard.report,
         address=heard.address,
     )
-    sidecar = world.sidecar
+    sidecar_state = world.sidecar_state
     world.note(
         "minion",
         "The minion began a life.",
@@ -79,21 +79,23 @@
 
 
 def _minion_left(world: BatchWorld, heard: MinionHeartbeat) -> None:
-    sidecar = world.sidecar
+    sidecar_state = world.sidecar_state
     if (
-        sidecar.minion is None
-        or sidecar.minion.incarnation.minion != heard.report.incarnation.minion
+        sidecar_state.minion is None
+        or sidecar_state.minion.incarnation.minion != heard.report.incarnation.minion
     ):
         return
-    world.note("minion", "The minion left.", minion=sidecar.minion.incarnation.minion)
-    sidecar.minion = None
-    sidecar.dirty = True
+    world.note(
+        "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
+    )
+    sidecar_state.minion = None
+    sidecar_state.dirty = True
 
 
 def _is_present(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
     return (
-        world.sidecar.minion is not None
-        and world.sidecar.minion.incarnation == incarnation
+        world.sidecar_state.minion is not None
+        and world.sidecar_state.minion.incarnation == incarnation
     )
 
 
@@ -101,71 +103,71 @@
 def hear_lists(world: BatchWorld, now_ms: int) -> None:
     """Take in what runs at the minion and what has ended there."""
     for lists in world.inbox.take(HoldMinionAnswered):
-        sidecar = world.sidecar
+        sidecar_state = world.sidecar_state
         if not _is_present(world, lists.incarnation):
             continue
-        sidecar.is_hold_open = False
+        sidecar_state.is_hold_open = False
         if lists.reason:
             _hold_failed(world, lists, now_ms)
             continue
-        _read_clock(sidecar, lists)
+        _read_clock(sidecar_state, lists)
         _take_running(world, lists, now_ms)
         for ended in lists.ended:
             if (
-                ended.number > sidecar.acknowledged_end
-                and ended.number not in sidecar.ended
+                ended.number > sidecar_state.acknowledged_end
+                and ended.number not in sidecar_state.ended
             ):
-                sidecar.ended[ended.number] = ended
-                sidecar.runs.pop((str(ended.task), ended.run), None)
-                sidecar.dirty = True
+                sidecar_state.ended[ended.number] = ended
+                sidecar_state.runs.pop((str(ended.task), ended.run), None)
+                sidecar_state.dirty = True
 
 
 def _hold_failed(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
-    sidecar = world.sidecar
-    sidecar.hold_after_ms = now_ms + RETRY_MS
-    if not sidecar.hold_failed:
+    sidecar_state = world.sidecar_state
+    sidecar_state.hold_after_ms = now_ms + RETRY_MS
+    if not sidecar_state.hold_failed:
         world.note("minion", "The minion does not answer.", reason=lists.reason)
-    sidecar.hold_failed = True
+    sidecar_state.hold_failed = True
 
 
-def _read_clock(sidecar: SidecarState, lists: HoldMinionAnswered) -> None:
-    if sidecar.clock_ms is None or lists.clock_ms >= sidecar.clock_ms:
-        sidecar.clock_ms = lists.clock_ms
-        sidecar.clock_at_ms = lists.received_ms
+def _read_clock(sidecar_state: SidecarState, lists: HoldMinionAnswered) -> None:
+    if sidecar_state.clock_ms is None or lists.clock_ms >= sidecar_state.clock_ms:
+        sidecar_state.clock_ms = lists.clock_ms
+        sidecar_state.clock_at_ms = lists.received_ms
 
 
 def _take_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
-    sidecar = world.sidecar
-    if sidecar.hold_failed:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.hold_failed:
         world.note("minion", "The minion answers.")
-    sidecar.hold_failed = False
-    if not sidecar.listed:
-        sidecar.listed = True
-        sidecar.dirty = True
-    sidecar.running = {(str(run.task), run.run): run for run in lists.running}
+    sidecar_state.hold_failed = False
+    if not sidecar_state.listed:
+        sidecar_state.listed = True
+        sidecar_state.dirty = True
+    sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
     over = {(str(end.task), end.run) for end in lists.ended}
-    for key, run in list(sidecar.runs.items()):
+    for key, run in list(sidecar_state.runs.items()):
         if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
             continue
         if (
-            key not in sidecar.running
+            key not in sidecar_state.running
             and key not in over
-            and key not in _ended(sidecar)
+            and key not in _ended(sidecar_state)
         ):
             _refuse(world, run, "stopped")
 
 
-def _ended(sidecar: SidecarState) -> set[tuple[str, int]]:
-    return {(str(end.task), end.run) for end in sidecar.ended.values()}
+def _ended(sidecar_state: SidecarState) -> set[tuple[str, int]]:
+    return {(str(end.task), end.run) for end in sidecar_state.ended.values()}
 
 
 def _refuse(world: BatchWorld, run: OrderedRun, reason: str) -> None:
     """Report that a run surely never began."""
-    sidecar = world.sidecar
+    sidecar_state = world.sidecar_state
     key = (str(run.order.task), run.order.run)
-    sidecar.runs.pop(key, None)
-    sidecar.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
-    sidecar.dirty = True
+    sidecar_state.runs.pop(key, None)
+    sidecar_state.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
+    sidecar_state.dirty = True
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
@@ -177,10 +179,10 @@
     since the copy may be carried out late.
     """
     for answer in world.inbox.take(OrderAnswered):
-        sidecar = world.sidecar
+        sidecar_state = world.sidecar_state
         if not _is_present(world, answer.incarnation):
             continue
-        run = sidecar.runs.get((str(answer.task), answer.run))
+        run = sidecar_state.runs.get((str(answer.task), answer.run))
         if run is None:
             continue
         run.is_order_pending = False
@@ -196,7 +198,7 @@
     key = (str(answer.task), answer.run)
     if answer.outcome is OrderOutcome.DONE:
         run.started = True
-        world.sidecar.running.setdefault(
+        world.sidecar_state.running.setdefault(
             key, RunningRun(answer.task, answer.run, run.order.checkpoint, 0)
         )
         world.note("run", "A run began.", task=key[0], run=key[1])
@@ -231,88 +233,93 @@
 def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
     """Take in the scheduler's orders, and the lease that its answer allows."""
     for answer in world.inbox.take(SyncAnswered):
-        sidecar = world.sidecar
-        sidecar.pending_syncs.pop(answer.number, None)
+        sidecar_state = world.sidecar_state
+        sidecar_state.pending_syncs.pop(answer.number, None)
         reply = answer.reply
         if reply is None:
             _ask_another(world, answer, now_ms)
             continue
-        sidecar.entries = reply.entries or sidecar.entries
-        if reply.term < sidecar.term or reply.term < 0:
+        sidecar_state.entries = reply.entries or sidecar_state.entries
+        if reply.term < sidecar_state.term or reply.term < 0:
             _follow_hint(world, answer, now_ms)
             continue
-        sidecar.term = reply.term
-        sidecar.holder = answer.address
-        sidecar.last_reply_ms = now_ms
+        sidecar_state.term = reply.term
+        sidecar_state.holder = answer.address
+        sidecar_state.last_reply_ms = now_ms
         if reply.incarnation is not None and _is_present(world, reply.incarnation):
             _extend_lease(world, answer)
             _take_orders(world, reply)
 
 
 def _ask_another(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    sidecar = world.sidecar
-    sidecar.unreachable_entry = answer.address
-    sidecar.unreachable_until_ms = now_ms + SILENT_MS
-    if sidecar.holder == answer.address:
-        sidecar.holder = None
+    sidecar_state = world.sidecar_state
+    sidecar_state.unreachable_entry = answer.address
+    sidecar_state.unreachable_until_ms = now_ms + SILENT_MS
+    if sidecar_state.holder == answer.address:
+        sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
-    sidecar.next_entry += 1
-    sidecar.sync_after_ms = now_ms + RETRY_MS
-    sidecar.dirty = True
+    sidecar_state.next_entry += 1
+    sidecar_state.sync_after_ms = now_ms + RETRY_MS
+    sidecar_state.dirty = True
 
 
 def _follow_hint(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     """Ask the entry that is said to schedule, unless it has just not answered."""
-    sidecar = world.sidecar
+    sidecar_state = world.sidecar_state
     hint = answer.reply.holder
     is_silent = (
-        hint == sidecar.unreachable_entry and now_ms < sidecar.unreachable_until_ms
+        hint == sidecar_state.unreachable_entry
+        and now_ms < sidecar_state.unreachable_until_ms
     )
     if hint == answer.address or is_silent:
         hint = None
-    sidecar.holder = hint
+    sidecar_state.holder = hint
     if hint is None:
-        sidecar.next_entry += 1
-    sidecar.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
-    sidecar.dirty = True
+        sidecar_state.next_entry += 1
+    sidecar_state.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
+    sidecar_state.dirty = True
 
 
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
     """Allow the minion's work to go on for a lease from when the report was sent."""
-    sidecar = world.sidecar
-    if sidecar.clock_ms is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.clock_ms is None:
         return
-    sent_on_minion_ms = sidecar.clock_ms + max(answer.sent_ms - sidecar.clock_at_ms, 0)
+    sent_on_minion_ms = sidecar_state.clock_ms + max(
+        answer.sent_ms - sidecar_state.clock_at_ms, 0
+    )
     until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
-    sidecar.until_ms = max(sidecar.until_ms or 0, until_ms)
+    sidecar_state.until_ms = max(sidecar_state.until_ms or 0, until_ms)
 
 
 def _take_orders(world: BatchWorld, reply: SyncReply) -> None:
-    sidecar = world.sidecar
-    if reply.noted > sidecar.acknowledged_end:
-        sidecar.acknowledged_end = reply.noted
+    sidecar_state = world.sidecar_state
+    if reply.noted > sidecar_state.acknowledged_end:
+        sidecar_state.acknowledged_end = reply.noted
         for number in [
-            number for number in sidecar.ended if number <= sidecar.acknowledged_end
+            number
+            for number in sidecar_state.ended
+            if number <= sidecar_state.acknowledged_end
         ]:
-            del sidecar.ended[number]
+            del sidecar_state.ended[number]
     for row in reply.settled:
-        sidecar.refused.pop((str(row.task), row.run), None)
-    known = _ended(sidecar) | set(sidecar.refused)
+        sidecar_state.refused.pop((str(row.task), row.run), None)
+    known = _ended(sidecar_state) | set(sidecar_state.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
-        if key not in known and key not in sidecar.running:
-            sidecar.runs.setdefault(key, OrderedRun(order))
+        if key not in known and key not in sidecar_state.running:
+            sidecar_state.runs.setdefault(key, OrderedRun(order))
     for stop in reply.stops:
-        _take_stop(sidecar, stop, known)
+        _take_stop(sidecar_state, stop, known)
 
 
 def _take_stop(
-    sidecar: SidecarState, stop: StopOrder, known: set[tuple[str, int]]
+    sidecar_state: SidecarState, stop: StopOrder, known: set[tuple[str, int]]
 ) -> None:
     key = (str(stop.task), stop.run)
     if key in known:
         return
-    run = sidecar.runs.setdefault(
+    run = sidecar_state.runs.setdefault(
         key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
     )
     run.stop = True
@@ -325,4 +332,4 @@
         found = tuple(
             record.address for _, record in batch.records if hasattr(record, "address")
         )
-        world.sidecar.entries = found or world.sidecar.entries
+        world.sidecar_state.entries = found or world.sidecar_state.entries
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -344,7 +344,7 @@
         Time before which it does not end, and time at which it ends in any case.
     calls : dict of str to PendingCall
         Calls that wait for the log, by identifier of their append.
-    sidecar : SidecarState
+    sidecar_state : SidecarState
         State of a sidecar; unused by an entry.
     """
 
@@ -363,7 +363,7 @@
     agreed: Agreed = field(default_factory=Agreed)
     schedule: Schedule = field(default_factory=Schedule)
     calls: dict[str, PendingCall] = field(default_factory=dict)
-    sidecar: SidecarState = field(default_factory=SidecarState)
+    sidecar_state: SidecarState = field(default_factory=SidecarState)
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
         """Add a line to the process's log."""
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -170,7 +170,7 @@
         """Return another entry, each in turn."""
         world = self._context.world
         known = [entry.address for entry in world.agreed.entries]
-        known = known or list(world.sidecar.entries) or list(world.cfg.seeds)
+        known = known or list(world.sidecar_state.entries) or list(world.cfg.seeds)
         others = [address for address in known if address != world.cfg.peers]
         if not others:
             return self.address
