--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -11,7 +11,7 @@
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
 from kingcuppost.batch.edges.logs import LogWriter
 from kingcuppost.batch.systems import load_systems
-from kingcuppost.batch.systems.lease import JITTER_MS
+from kingcuppost.batch.systems.holder_election import JITTER_MS
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -3,8 +3,8 @@
 import string
 
 from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.routing import find_queue, team_of
 from kingcuppost.batch.tables.fleet import Queue
 from kingcuppost.batch.tables.job import Job, JobPolicy, JobState
 from kingcuppost.batch.tables.messages import (
@@ -79,7 +79,7 @@
     queue = find_queue(configuration, call.host, call.path)
     if queue is None:
         return CallReply(call.exchange_id, CallOutcome.NO_QUEUE)
-    team = team_of(configuration, queue, call.key)
+    team = find_team(configuration, queue, call.key)
     if team is None:
         return CallReply(call.exchange_id, CallOutcome.NO_KEY)
     job_id = call.path[len(queue.prefix) :]
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/ending.py
@@ -1,6 +1,6 @@
 """The graceful end of a process."""
 
-from kingcuppost.batch.systems.lease import release_lease
+from kingcuppost.batch.systems.holder_election import release_lease
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/orders.py
@@ -1,6 +1,6 @@
 """Orders for sidecars: what they are to start and stop, and which ends are kept."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
+from kingcuppost.batch.systems.holder_election import has_authority, refer
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
 from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -1,6 +1,6 @@
 """Reports of sidecars: minions, what runs at them, and how runs ended."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
+from kingcuppost.batch.systems.holder_election import has_authority, refer
 from kingcuppost.batch.systems.losses import lost_by_end
 from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
 from kingcuppost.batch.systems.registry import Phase, system
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import holds_lease, step_down
+from kingcuppost.batch.systems.holder_election import holds_lease, step_down
 from kingcuppost.batch.systems.plans import all_tasks, take_up
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/writing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import step_down
+from kingcuppost.batch.systems.holder_election import step_down
 from kingcuppost.batch.systems.plans import progress_of
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -23,7 +23,7 @@
     ----------
     done_ms : float
         Work done, in ms at speed 1.
-    saved_ms : float
+    checkpoint_ms : float
         Work that the newest checkpoint holds.
     stop_at_ms : int or None
         When a stop takes effect.
@@ -35,7 +35,7 @@
     work_ms: float
     began_ms: int
     done_ms: float = 0.0
-    saved_ms: float = 0.0
+    checkpoint_ms: float = 0.0
     stop_at_ms: int | None = None
     is_working: bool = False
 
@@ -167,7 +167,7 @@
         )
         self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
-            RunningRun(run.task, run.run, _text(run.saved_ms), run.percent)
+            RunningRun(run.task, run.run, _text(run.checkpoint_ms), run.percent)
             for run in self.runs.values()
         )
         return running, tuple(self.ended)
@@ -178,8 +178,8 @@
         self.over[run.task] = max(self.over.get(run.task, 0), run.run)
         self.count += 1
         if how is RunEnd.STOPPED and run.step.saves:
-            run.saved_ms = run.done_ms
-        checkpoint = _text(run.saved_ms) if run.step.saves else ""
+            run.checkpoint_ms = run.done_ms
+        checkpoint = _text(run.checkpoint_ms) if run.step.saves else ""
         self.ended.append(EndedRun(self.count, run.task, run.run, how, checkpoint))
         self.checks.ended(self.id, run.task, run.run, how)
 
@@ -201,11 +201,11 @@
 
     def _work(self, run: Run, by_ms: int) -> None:
         run.done_ms += by_ms * self.speed
-        if run.step.saves and run.done_ms - run.saved_ms >= CHECKPOINT_MS:
-            run.saved_ms = run.done_ms
+        if run.step.saves and run.done_ms - run.checkpoint_ms >= CHECKPOINT_MS:
+            run.checkpoint_ms = run.done_ms
         if run.done_ms >= run.work_ms and not run.step.gang:
             self.end(run, RunEnd.DONE)
 
 
-def _text(saved_ms: float) -> str:
-    return str(int(saved_ms)) if saved_ms else ""
+def _text(checkpoint_ms: float) -> str:
+    return str(int(checkpoint_ms)) if checkpoint_ms else ""
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import has_authority
+from kingcuppost.batch.systems.holder_election import has_authority
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
 
