--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -55,10 +55,10 @@
 def _make_clock(role: Role) -> Clock:
     """Return the clock of a role.
 
-    Where it deviates, a lease ends too early rather than too late. An entry's clock
-    advances while its machine is suspended, so its authority expires meanwhile. A
-    minion's clock may stop while its machine is suspended, so its sidecar must not
-    count that time as passed on the minion's clock.
+    Each errs towards a lease that ends too early. An entry's clock advances while its
+    machine is suspended, so that its authority expires meanwhile. A minion's clock may
+    stop while its machine is suspended, so its sidecar must not count that time as
+    passed on the minion's clock.
     """
     return BootClock() if role is Role.ENTRY else SystemClock()
 
