--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs on standard output, bounded in number and never blocking."""
+"""Structured log lines on standard output, rate-limited and non-blocking."""
 
 import logging
 import os
@@ -8,23 +8,23 @@
 
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["LineLog"]
+__all__ = ["LogWriter"]
 
-MOST_LINES_PER_SECOND = 200
+MAX_LINES_PER_SECOND = 200
 MS_PER_SECOND = 1_000
-LOGGER = "kingcuppost"
+LOGGER_NAME = "kingcuppost"
 
 
-class LineLog:
-    """Writes the lines of a world after each tick.
+class LogWriter:
+    """Writes the log lines of a process after each tick.
 
-    Standard output is non-blocking: a line that does not fit is dropped and counted,
-    as are lines beyond `MOST_LINES_PER_SECOND`.
+    Standard output is set to non-blocking: a line that does not fit into its buffer is
+    dropped. Lines beyond `MAX_LINES_PER_SECOND` are dropped and counted.
 
     Parameters
     ----------
     world : BatchWorld
-        Whose lines are written.
+        Tables of the process, with the lines to write.
     """
 
     def __init__(self, world: BatchWorld) -> None:
@@ -35,7 +35,7 @@
         self._logger = _make_logger()
 
     def flush(self) -> None:
-        """Write the lines since the last call."""
+        """Write the lines that were added since the last call."""
         if not self._world.lines:
             return
         now_ms = self._world.clock.now_ms()
@@ -47,7 +47,7 @@
         self._world.lines.clear()
 
     def _write(self, part: str, text: str, fields: dict) -> None:
-        if self._written >= MOST_LINES_PER_SECOND:
+        if self._written >= MAX_LINES_PER_SECOND:
             self._dropped += 1
             self._world.tally.add("lines_dropped")
             return
@@ -72,7 +72,7 @@
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
     handler.handleError = lambda record: None
-    logger = logging.getLogger(LOGGER)
+    logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [handler]
     logger.setLevel(logging.INFO)
     logger.propagate = False
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -1,4 +1,4 @@
-"""The life of a process: world, loop, signals and the end."""
+"""Start, signal handling and shutdown of a process."""
 
 import os
 import random
@@ -9,11 +9,11 @@
 from expression import Result
 
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
-from kingcuppost.batch.edges.logs import LineLog
+from kingcuppost.batch.edges.logs import LogWriter
 from kingcuppost.batch.systems import load_systems
-from kingcuppost.batch.systems.lease import JITTER_MS
+from kingcuppost.batch.systems.holder_election import JITTER_MS
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.messages import StopAsked, StopProcess
+from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.loop import TickLoop
@@ -24,8 +24,8 @@
 __all__ = ["build_batch_context", "make_batch_world", "run_batch_process"]
 
 SEED_BYTES = 8
-FLUSH_CHECK_S = 0.05
-FLUSH_CHECKS = 20
+FLUSH_CHECK_PERIOD_S = 0.05
+MAX_FLUSH_CHECKS = 20
 
 
 def make_batch_world(
@@ -38,69 +38,71 @@
     cfg : DaemonConfig
         Settings of the process.
     clock : Clock, optional
-        The operating system's clock if None.
+        Clock of the process; the operating system's clock for its role if None.
     seed : int, optional
-        Seed of the world's generator; drawn from the system if None.
+        Seed of the random generator; taken from the operating system if None.
     """
     if seed is None:
         seed = int.from_bytes(os.urandom(SEED_BYTES), "big")
     rng = random.Random(seed)
     if clock is None:
-        clock = _clock_of(cfg.role)
+        clock = _make_clock(cfg.role)
     world = BatchWorld(cfg, new_identifier(rng, "inc"), clock, rng)
     world.schedule.jitter_ms = rng.randrange(JITTER_MS)
     return world
 
 
-def _clock_of(role: Role) -> Clock:
-    """Return a role's clock; each errs on the side of an earlier end of a lease.
+def _make_clock(role: Role) -> Clock:
+    """Return the clock of a role.
 
-    An entry's authority lapses while its machine sleeps. A minion's clock may sleep
-    with its machine, so its sidecar must not count that time as passed for the minion.
+    Each errs towards a lease that ends too early. An entry's clock advances while its
+    machine is suspended, so that its authority expires meanwhile. A minion's clock may
+    stop while its machine is suspended, so its sidecar must not count that time as
+    passed on the minion's clock.
     """
     return BootClock() if role is Role.ENTRY else SystemClock()
 
 
 def build_batch_context(cfg: DaemonConfig, reactor: Any) -> BatchContext:
-    """Return the edges of a process, with its loop attached."""
+    """Return the context of a process, with its tick loop attached."""
     world = make_batch_world(cfg)
     loop = TickLoop(reactor, load_systems(cfg.role))
     context = BatchContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
-    loop.attach(context, LineLog(world).flush)
+    loop.attach(context, LogWriter(world).flush)
     return context
 
 
-ReadConfig = Callable[[], Result[DaemonConfig, Failure]]
+ConfigReader = Callable[[], Result[DaemonConfig, Failure]]
 
 
-def _reload(context: BatchContext, read: ReadConfig) -> None:
-    """Take changed settings; a file that can't be read changes nothing."""
+def _reload_settings(context: BatchContext, read: ConfigReader) -> None:
+    """Read the settings again; an invalid file leaves them unchanged."""
     world = context.world
     result = read()
     if result.is_error():
-        world.note("settings", "The settings are refused.", reason=result.error.reason)
+        world.note("settings", "The settings are invalid.", reason=result.error.reason)
     else:
         world.note("settings", "The settings are read again.")
         world.cfg = result.ok
     context.wake()
 
 
-def run_batch_process(context: BatchContext, read: ReadConfig) -> int:
-    """Run until the process is told to stop, and return its exit code.
+def run_batch_process(context: BatchContext, read: ConfigReader) -> int:
+    """Run until the process is requested to stop, and return its exit code.
 
     Parameters
     ----------
     context : BatchContext
-        The process's edges.
+        Context of the process.
     read : callable
-        Reads the settings again, on SIGHUP.
+        Reads the settings again on SIGHUP.
     """
 
     def stop(number: int, frame: object) -> None:
-        context.reactor.callFromThread(context.deliver, StopAsked())
+        context.reactor.callFromThread(context.deliver, StopRequested())
 
     def reload(number: int, frame: object) -> None:
-        context.reactor.callFromThread(_reload, context, read)
+        context.reactor.callFromThread(_reload_settings, context, read)
 
     signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
@@ -120,22 +122,24 @@
 
 @batch_senders.register(StopProcess)
 def stop_process(context: BatchContext, message: StopProcess) -> None:
-    """Stop listening, let open exchanges end, then stop the loop."""
+    """Close the listening ports, wait for open exchanges, then stop the reactor."""
     if not context.ports:
         return
     for port in context.ports:
         port.stopListening()
     context.ports.clear()
-    _stop_when_idle(context, FLUSH_CHECKS)
+    _stop_when_idle(context, MAX_FLUSH_CHECKS)
 
 
 def _stop_when_idle(context: BatchContext, checks_left: int) -> None:
     if not context.reactor.running:
         return
     if not context.exchanges or not checks_left:
-        context.reactor.callLater(FLUSH_CHECK_S, _stop, context)
+        context.reactor.callLater(FLUSH_CHECK_PERIOD_S, _stop, context)
         return
-    context.reactor.callLater(FLUSH_CHECK_S, _stop_when_idle, context, checks_left - 1)
+    context.reactor.callLater(
+        FLUSH_CHECK_PERIOD_S, _stop_when_idle, context, checks_left - 1
+    )
 
 
 def _stop(context: BatchContext) -> None:
--- a/kingcuppost/batch/models/addresses.py
+++ b/kingcuppost/batch/models/addresses.py
@@ -1,21 +1,21 @@
-"""Addresses as text."""
+"""Addresses in text form."""
 
 from kingcuppost.tables.config import Address
 
-__all__ = ["address_of"]
+__all__ = ["parse_address"]
 
 
-def address_of(text: str) -> Address:
-    """Return the address that a text ``IP:PORT`` names.
+def parse_address(text: str) -> Address:
+    """Return the address in a text ``IP:PORT``.
 
     Raises
     ------
     ValueError
-        If the port is no number.
+        If the port is not a number.
 
     Examples
     --------
-    >>> address_of("10.0.0.1:7000")
+    >>> parse_address("10.0.0.1:7000")
     Address(host='10.0.0.1', port=7000)
     """
     host, _, port = text.rpartition(":")
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -1,4 +1,4 @@
-"""Records of the system's own streams: a key, and a JSON value."""
+"""Encoding of the records in the system's own streams as a key and a JSON value."""
 
 from collections.abc import Callable
 from typing import Annotated, Any
@@ -9,12 +9,12 @@
 from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.job import (
     Job,
+    JobPolicy,
     JobState,
     Progress,
     StepSpec,
     TaskPhase,
     TaskProgress,
-    Terms,
 )
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
@@ -23,7 +23,7 @@
     JobRecord,
     ProgressRecord,
     Record,
-    Removed,
+    RemovalRecord,
     RenewRecord,
     SpeedsRecord,
 )
@@ -34,8 +34,8 @@
 
 __all__ = ["decode_record", "encode_record"]
 
-SEPARATOR = "/"
-DIGITS = 2
+KEY_SEPARATOR = "/"
+SPEED_DIGITS = 2
 Count = Annotated[int, Field(ge=0)]
 
 decoders: Registry[str, Callable[[str, bytes], Record]] = Registry("decoder of record")
@@ -45,17 +45,17 @@
 
 
 class RecordModel(BaseModel):
-    """A value in the log; fields of later versions are passed over."""
+    """Value of a record; unknown fields of later versions are ignored."""
 
     model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
-    def text(self) -> bytes:
-        """Return the JSON text without fields that have their default."""
+    def to_json(self) -> bytes:
+        """Return the JSON text, without fields that have their default value."""
         return self.model_dump_json(exclude_defaults=True).encode()
 
 
 class StepModel(RecordModel):
-    """A step of a job."""
+    """Step of a job."""
 
     count: Annotated[int, Field(ge=1)]
     cpu_millis: Count = 0
@@ -72,7 +72,7 @@
 
 
 class JobModel(RecordModel):
-    """An accepted job."""
+    """Accepted job."""
 
     queue: str
     team: str
@@ -86,10 +86,11 @@
 
 
 class ProgressModel(RecordModel):
-    """State of a job and of its tasks that are not merely waiting.
+    """State of a job and of its tasks, without tasks that only wait.
 
     A task is a row of step, index, phase, run, failures, minion, Unix time of the
-    minion's start in ms, sidecar, Unix time of the run's placing in ms, and checkpoint.
+    minion's start in ms, sidecar, Unix time of the run's placement in ms, and
+    checkpoint.
     """
 
     state: JobState
@@ -100,7 +101,7 @@
 
 
 class EntryModel(RecordModel):
-    """An entry of the system."""
+    """Address and identity of an entry."""
 
     host: str
     port: int
@@ -109,7 +110,7 @@
 
 
 class ClaimModel(RecordModel):
-    """A claim of the scheduling lease."""
+    """Claim of the scheduling lease."""
 
     name: str
     host: str
@@ -118,20 +119,20 @@
 
 
 class RenewModel(RecordModel):
-    """A renewal of the scheduling lease, or its return."""
+    """Renewal or release of the scheduling lease."""
 
     term: int
     released: bool = False
 
 
 class SpeedsModel(RecordModel):
-    """Speed, and the number of runs it rests on, by the sidecar's name."""
+    """Speed and number of runs that it is based on, by sidecar."""
 
     speeds: dict[str, tuple[float, float]] = {}
 
 
 class CancelModel(RecordModel):
-    """A caller's cancelling of a job."""
+    """Cancellation of a job by a caller."""
 
 
 @encoders.register(JobRecord)
@@ -142,23 +143,23 @@
         team=job.team,
         spec=job.spec,
         accepted_ms=job.accepted_ms,
-        service=job.terms.service,
-        priority=job.terms.priority,
-        most_failures=job.terms.most_failures,
-        slack_factor=job.terms.slack_factor,
+        service=job.policy.service,
+        priority=job.policy.priority,
+        most_failures=job.policy.most_failures,
+        slack_factor=job.policy.slack_factor,
         steps=tuple(
             StepModel(**{name: getattr(step, name) for name in StepModel.model_fields})
             for step in job.steps
         ),
     )
-    return f"job/{job.id}", model.text()
+    return f"job/{job.id}", model.to_json()
 
 
 @decoders.register("job")
 def _decode_job(rest: str, value: bytes) -> Record:
     model = JobModel.model_validate_json(value)
     steps = tuple(StepSpec(**step.model_dump()) for step in model.steps)
-    terms = Terms(
+    policy = JobPolicy(
         model.service, model.priority, model.most_failures, model.slack_factor
     )
     return JobRecord(
@@ -170,14 +171,14 @@
             steps,
             model.accepted_ms,
             -1,
-            terms,
+            policy,
         )
     )
 
 
 @encoders.register(CancelRecord)
 def _encode_cancel(record: CancelRecord) -> tuple[str, bytes]:
-    return f"cancel/{record.job_id}", CancelModel().text()
+    return f"cancel/{record.job_id}", CancelModel().to_json()
 
 
 @decoders.register("cancel")
@@ -200,12 +201,12 @@
             task.born_ms,
             task.sidecar,
             task.placed_ms,
-            task.saved,
+            task.checkpoint,
         )
         for task in progress.tasks
     )
     model = ProgressModel(state=progress.state, begun=progress.begun, tasks=rows)
-    return f"progress/{record.job_id}", model.text()
+    return f"progress/{record.job_id}", model.to_json()
 
 
 @decoders.register("progress")
@@ -223,7 +224,7 @@
         availability_zone=record.availability_zone,
         incarnation=record.incarnation,
     )
-    return f"entry/{record.name}", model.text()
+    return f"entry/{record.name}", model.to_json()
 
 
 @decoders.register("entry")
@@ -241,7 +242,7 @@
         port=record.address.port,
         incarnation=record.incarnation,
     )
-    return "claim", model.text()
+    return "claim", model.to_json()
 
 
 @decoders.register("claim")
@@ -253,7 +254,7 @@
 @encoders.register(RenewRecord)
 def _encode_renewal(record: RenewRecord) -> tuple[str, bytes]:
     model = RenewModel(term=record.term, released=record.released)
-    return "renew", model.text()
+    return "renew", model.to_json()
 
 
 @decoders.register("renew")
@@ -265,10 +266,10 @@
 @encoders.register(SpeedsRecord)
 def _encode_speeds(record: SpeedsRecord) -> tuple[str, bytes]:
     rows = {
-        name: (round(speed.value, DIGITS), speed.weight)
+        name: (round(speed.value, SPEED_DIGITS), speed.weight)
         for name, speed in record.speeds.items()
     }
-    return "speeds", SpeedsModel(speeds=rows).text()
+    return "speeds", SpeedsModel(speeds=rows).to_json()
 
 
 @decoders.register("speeds")
@@ -277,13 +278,13 @@
     return SpeedsRecord({name: Speed(*row) for name, row in model.speeds.items()})
 
 
-@encoders.register(Removed)
-def _encode_removed(record: Removed) -> tuple[str, bytes]:
+@encoders.register(RemovalRecord)
+def _encode_removed(record: RemovalRecord) -> tuple[str, bytes]:
     return record.key, b""
 
 
 def encode_record(record: Record) -> tuple[str, bytes]:
-    """Return the key and the value of a record; no value removes the key.
+    """Return the key and the value of a record; an empty value removes the key.
 
     Examples
     --------
@@ -294,7 +295,7 @@
 
 
 def decode_record(key: str, value: bytes, peer: str) -> Result[Record, Failure]:
-    """Return the record that a key and a value spell, or why there is none.
+    """Return the record of a key and a value, or why they are invalid.
 
     Examples
     --------
@@ -304,10 +305,10 @@
     'renew: term: Field required'
     """
     if not value:
-        return Ok(Removed(key))
-    kind, _, rest = key.partition(SEPARATOR)
+        return Ok(RemovalRecord(key))
+    kind, _, rest = key.partition(KEY_SEPARATOR)
     if kind not in decoders:
-        return Error(Failure(f"no record is named {key!r}", "decode", peer))
+        return Error(Failure(f"unknown kind of record: {key!r}", "decode", peer))
     try:
         return Ok(decoders[kind](rest, value))
     except ValidationError as exc:
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -1,13 +1,13 @@
-"""What a sidecar reports to the scheduler, and the orders that come back."""
+"""Encoding of a sidecar's reports and of the scheduler's orders as JSON."""
 
 from typing import Annotated
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from kingcuppost.batch.models.addresses import address_of
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.models.addresses import parse_address
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
     EndedRun,
     MinionReport,
@@ -28,17 +28,17 @@
     "encode_sync_reply",
 ]
 
-LONGEST_WAIT_MS = 10_000
+MAX_WAIT_MS = 10_000
 
 
 class PeerModel(BaseModel):
-    """A message between processes of the system, of this version or the next."""
+    """Message between processes; unknown fields of later versions are ignored."""
 
     model_config = ConfigDict(extra="ignore", frozen=True, defer_build=True)
 
 
 class MinionModel(PeerModel):
-    """A minion as its sidecar sees it."""
+    """State of a minion, as reported by its sidecar."""
 
     id: str
     born_ms: int
@@ -54,12 +54,17 @@
 
 
 class SyncCallModel(PeerModel):
-    """A report; runs are rows of task, run and what is known of the run."""
+    """Report of a sidecar.
+
+    A present run is a row of task, run, checkpoint and percentage of work done; an
+    ended one of number, task, run, way of the end and checkpoint; a refused one of
+    task, run and reason.
+    """
 
     sidecar: str
     incarnation: str
     number: int
-    wait_ms: Annotated[int, Field(ge=0, le=LONGEST_WAIT_MS)]
+    wait_ms: Annotated[int, Field(ge=0, le=MAX_WAIT_MS)]
     minion: MinionModel | None = None
     running: tuple[tuple[str, int, str, int], ...] = ()
     ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
@@ -67,7 +72,7 @@
 
 
 class SyncReplyModel(PeerModel):
-    """Orders; starts are rows of task, run, spec and checkpoint."""
+    """Orders for a sidecar; starts are rows of task, run, spec and checkpoint."""
 
     term: int
     holder: str = ""
@@ -80,29 +85,29 @@
     entries: tuple[str, ...] = ()
 
 
-def _minion_model(report: MinionReport) -> MinionModel:
+def _to_minion_model(report: MinionReport) -> MinionModel:
     return MinionModel(
-        id=report.life.minion,
-        born_ms=report.life.born_ms,
+        id=report.incarnation.minion,
+        born_ms=report.incarnation.born_ms,
         service=report.service,
         availability_zone=report.availability_zone,
         labels=report.labels,
-        cpu_millis=report.room.cpu_millis,
-        memory_mb=report.room.memory_mb,
-        accelerators=report.room.accelerators,
+        cpu_millis=report.resources.cpu_millis,
+        memory_mb=report.resources.memory_mb,
+        accelerators=report.resources.accelerators,
         draining=report.draining,
         remaining_ms=report.remaining_ms,
         listed=report.listed,
     )
 
 
-def _minion_report(model: MinionModel) -> MinionReport:
+def _to_minion_report(model: MinionModel) -> MinionReport:
     return MinionReport(
-        Life(model.id, model.born_ms),
+        MinionIncarnation(model.id, model.born_ms),
         model.service,
         model.availability_zone,
         model.labels,
-        Room(model.cpu_millis, model.memory_mb, model.accelerators),
+        Resources(model.cpu_millis, model.memory_mb, model.accelerators),
         model.draining,
         model.remaining_ms,
         model.listed,
@@ -116,12 +121,13 @@
         incarnation=call.incarnation,
         number=call.number,
         wait_ms=call.wait_ms,
-        minion=_minion_model(call.minion) if call.minion else None,
+        minion=_to_minion_model(call.minion) if call.minion else None,
         running=tuple(
-            (str(row.task), row.run, row.saved, row.percent) for row in call.running
+            (str(row.task), row.run, row.checkpoint, row.percent)
+            for row in call.running
         ),
         ended=tuple(
-            (row.number, str(row.task), row.run, row.how, row.saved)
+            (row.number, str(row.task), row.run, row.how, row.checkpoint)
             for row in call.ended
         ),
         refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
@@ -132,44 +138,44 @@
 def decode_sync_call(
     text: bytes, exchange_id: str, peer: str
 ) -> Result[SyncCall, Failure]:
-    """Return a report, or why the text is none."""
+    """Return the report in a text, or why the text is invalid."""
     try:
         model = SyncCallModel.model_validate_json(text)
-        return Ok(_sync_call(model, exchange_id))
+        return Ok(_to_sync_call(model, exchange_id))
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
 
-def _sync_call(model: SyncCallModel, exchange_id: str) -> SyncCall:
-    name = TaskName.parse
+def _to_sync_call(model: SyncCallModel, exchange_id: str) -> SyncCall:
+    parse_task_name = TaskName.parse
     return SyncCall(
         exchange_id,
         model.sidecar,
         model.incarnation,
         model.number,
         model.wait_ms,
-        _minion_report(model.minion) if model.minion else None,
-        tuple(RunningRun(name(row[0]), *row[1:]) for row in model.running),
+        _to_minion_report(model.minion) if model.minion else None,
+        tuple(RunningRun(parse_task_name(row[0]), *row[1:]) for row in model.running),
         tuple(
-            EndedRun(number, name(task), run, how, saved)
-            for number, task, run, how, saved in model.ended
+            EndedRun(number, parse_task_name(task), run, how, checkpoint)
+            for number, task, run, how, checkpoint in model.ended
         ),
-        tuple(RefusedRun(name(row[0]), *row[1:]) for row in model.refused),
+        tuple(RefusedRun(parse_task_name(row[0]), *row[1:]) for row in model.refused),
     )
 
 
 def encode_sync_reply(reply: SyncReply) -> bytes:
     """Return the JSON text of the orders for a sidecar."""
-    life = reply.life or Life("", 0)
+    incarnation = reply.incarnation or MinionIncarnation("", 0)
     model = SyncReplyModel(
         term=reply.term,
         holder=str(reply.holder) if reply.holder else "",
-        minion=life.minion,
-        born_ms=life.born_ms,
+        minion=incarnation.minion,
+        born_ms=incarnation.born_ms,
         starts=tuple(
-            (str(row.task), row.run, row.spec, row.saved) for row in reply.starts
+            (str(row.task), row.run, row.spec, row.checkpoint) for row in reply.starts
         ),
         stops=tuple((str(row.task), row.run) for row in reply.stops),
         settled=tuple((str(row.task), row.run) for row in reply.settled),
@@ -180,26 +186,26 @@
 
 
 def decode_sync_reply(text: bytes, peer: str) -> Result[SyncReply, Failure]:
-    """Return the orders for a sidecar, or why the text holds none."""
+    """Return the orders in a text, or why the text is invalid."""
     try:
         model = SyncReplyModel.model_validate_json(text)
-        return Ok(_sync_reply(model))
+        return Ok(_to_sync_reply(model))
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
 
-def _sync_reply(model: SyncReplyModel) -> SyncReply:
-    name = TaskName.parse
+def _to_sync_reply(model: SyncReplyModel) -> SyncReply:
+    parse_task_name = TaskName.parse
     return SyncReply(
         "",
         model.term,
-        address_of(model.holder) if model.holder else None,
-        Life(model.minion, model.born_ms) if model.minion else None,
-        tuple(StartOrder(name(row[0]), *row[1:]) for row in model.starts),
-        tuple(StopOrder(name(row[0]), row[1]) for row in model.stops),
-        tuple(StopOrder(name(row[0]), row[1]) for row in model.settled),
+        parse_address(model.holder) if model.holder else None,
+        MinionIncarnation(model.minion, model.born_ms) if model.minion else None,
+        tuple(StartOrder(parse_task_name(row[0]), *row[1:]) for row in model.starts),
+        tuple(StopOrder(parse_task_name(row[0]), row[1]) for row in model.stops),
+        tuple(StopOrder(parse_task_name(row[0]), row[1]) for row in model.settled),
         model.noted,
-        tuple(address_of(text) for text in model.entries),
+        tuple(parse_address(text) for text in model.entries),
     )
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -1,4 +1,4 @@
-"""Calls of callers, and the answers to them."""
+"""Messages of callers' calls and their answers."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -7,15 +7,15 @@
 
 __all__ = [
     "CallKind",
+    "CallOutcome",
     "CallReply",
     "CallerCall",
     "SubmittedJob",
-    "Verdict",
 ]
 
 
 class CallKind(StrEnum):
-    """What a caller asks for."""
+    """Kind of a caller's request."""
 
     SUBMIT = "submit"
     STATE = "state"
@@ -32,24 +32,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerCall:
-    """A caller's call.
+    """A call by a caller.
 
     Attributes
     ----------
     exchange_id : str
-        Names the open exchange.
+        Identifier of the open HTTP exchange.
     kind : CallKind
-        What is asked for; a state without an identifier asks for a count.
+        Kind of the request; a state without a job identifier requests a count.
     host, path, key : str
-        Where it was sent, and the caller's key, empty for none.
+        Host and path of the request, and the caller's key; empty for none.
     received_ms : int
-        When it was read.
+        Time at which it was received.
     timeout_ms : int
-        How long the caller waits.
+        Time for which the caller waits.
     job : SubmittedJob or None
         Body of a submission.
-    fault : str
-        Why the body could not be read; empty if it could.
+    body_error : str
+        Why the body is invalid; empty if it is valid.
     """
 
     exchange_id: str
@@ -60,11 +60,11 @@
     received_ms: int
     timeout_ms: int
     job: SubmittedJob | None = None
-    fault: str = ""
+    body_error: str = ""
 
 
-class Verdict(StrEnum):
-    """Answer to a caller."""
+class CallOutcome(StrEnum):
+    """Outcome of a caller's call."""
 
     OK = "ok"
     BAD = "bad"
@@ -80,7 +80,7 @@
     """Answer to a caller's call."""
 
     exchange_id: str
-    verdict: Verdict
+    verdict: CallOutcome
     state: JobState | None = None
     waiting: int | None = None
     retry_after_ms: int = 0
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -1,17 +1,17 @@
-"""Messages between scheduler, sidecars and minions, and the end of a process."""
+"""Messages between scheduler, sidecars and minions, and for stopping a process."""
 
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.tables.config import Address
 
 __all__ = [
     "EndedRun",
     "HoldMinion",
-    "MinionHeard",
-    "MinionLists",
+    "HoldMinionAnswered",
+    "MinionHeartbeat",
     "MinionReport",
     "OrderAnswered",
     "OrderOutcome",
@@ -20,9 +20,9 @@
     "SendSync",
     "StartOrder",
     "StartRun",
-    "StopAsked",
     "StopOrder",
     "StopProcess",
+    "StopRequested",
     "StopRun",
     "SyncAnswered",
     "SyncCall",
@@ -32,28 +32,28 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningRun:
-    """A run that a minion has."""
+    """A run that is present at a minion."""
 
     task: TaskName
     run: int
-    saved: str
+    checkpoint: str
     percent: int
 
 
 @dataclass(frozen=True, slots=True)
 class EndedRun:
-    """A run that ended at a minion; `number` grows within the minion's life."""
+    """A run that ended at a minion; `number` increases within its incarnation."""
 
     number: int
     task: TaskName
     run: int
     how: RunEnd
-    saved: str
+    checkpoint: str
 
 
 @dataclass(frozen=True, slots=True)
 class RefusedRun:
-    """A run that surely never began: the minion refused it."""
+    """A run that the minion refused; it never began and cannot begin later."""
 
     task: TaskName
     run: int
@@ -62,19 +62,19 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionReport:
-    """What a sidecar says of its minion.
+    """State of a minion, as reported by its sidecar.
 
     Attributes
     ----------
     listed : bool
-        Whether the lists of runs were read in this life by this process.
+        Whether this sidecar process has read the runs of this minion incarnation.
     """
 
-    life: Life
+    incarnation: MinionIncarnation
     service: str
     availability_zone: str
     labels: tuple[str, ...]
-    room: Room
+    resources: Resources
     draining: bool
     remaining_ms: int
     listed: bool
@@ -97,17 +97,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """A run that a minion is to begin."""
+    """Order to start a run at a minion."""
 
     task: TaskName
     run: int
     spec: str
-    saved: str
+    checkpoint: str
 
 
 @dataclass(frozen=True, slots=True)
 class StopOrder:
-    """A run that a minion is to end."""
+    """Order to stop a run at a minion."""
 
     task: TaskName
     run: int
@@ -120,23 +120,23 @@
     Attributes
     ----------
     exchange_id : str
-        Names the open exchange.
+        Identifier of the open HTTP exchange.
     term : int
         Term of the holder; -1 if this process does not hold the lease.
     holder : Address or None
-        Who holds it, if this process does not.
-    life : Life or None
-        Life that the orders are for.
+        Address of the holder, if it is another process.
+    incarnation : MinionIncarnation or None
+        Minion incarnation that the orders are for.
     noted : int
-        Ends up to this number are in the log.
+        Number up to which the reported ends are in the log.
     entries : tuple of Address
-        All entries.
+        Addresses of all entries.
     """
 
     exchange_id: str
     term: int
     holder: Address | None = None
-    life: Life | None = None
+    incarnation: MinionIncarnation | None = None
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[StopOrder, ...] = ()
     settled: tuple[StopOrder, ...] = ()
@@ -146,7 +146,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendSync:
-    """A sidecar's report on its way out."""
+    """Request to send a sidecar's report."""
 
     number: int
     address: Address
@@ -156,7 +156,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncAnswered:
-    """What became of a report; `reply` is None if nothing came back."""
+    """Outcome of a report; `reply` is None if there was no valid answer."""
 
     number: int
     address: Address
@@ -166,8 +166,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MinionHeard:
-    """A heartbeat of the minion beside the sidecar."""
+class MinionHeartbeat:
+    """A heartbeat of the minion beside the sidecar; `gone` if the minion has left."""
 
     address: Address
     report: MinionReport
@@ -177,35 +177,39 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldMinion:
-    """Ask the minion for its lists and extend its lease.
+    """Request to list the minion's runs and to extend its lease.
 
     Attributes
     ----------
+    acknowledged_end : int
+        Number up to which the reported ends are in the log.
+    wait_ms : int
+        Time for which the minion may wait for news before it answers.
     until_ms : int or None
-        End of the lease on the minion's clock; None to leave it as it is.
+        End of the lease on the minion's clock; None to leave it unchanged.
     """
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
-    seen: int
+    acknowledged_end: int
     wait_ms: int
     until_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
-class MinionLists:
-    """Answer to `HoldMinion`; a failure has a reason and no lists.
+class HoldMinionAnswered:
+    """Answer to `HoldMinion`; a failed one has a reason and no runs.
 
     Attributes
     ----------
     sent_ms, received_ms : int
-        When the question left and the answer came.
+        Times of the request and of its answer.
     clock_ms : int
-        The minion's clock when it answered.
+        Time of the answer on the minion's clock.
     """
 
-    life: Life
+    incarnation: MinionIncarnation
     sent_ms: int
     received_ms: int
     clock_ms: int = 0
@@ -216,10 +220,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Begin a run at the minion beside the sidecar."""
+    """Request to start a run at the minion beside the sidecar."""
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
     order: StartOrder
     until_ms: int
@@ -227,16 +231,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """End a run at the minion beside the sidecar."""
+    """Request to stop a run at the minion beside the sidecar."""
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
     order: StopOrder
 
 
 class OrderOutcome(StrEnum):
-    """What a minion made of an order."""
+    """Outcome of an order to a minion."""
 
     DONE = "done"
     REFUSED = "refused"
@@ -248,7 +252,7 @@
 class OrderAnswered:
     """Answer to `StartRun` or `StopRun`."""
 
-    life: Life
+    incarnation: MinionIncarnation
     task: TaskName
     run: int
     start: bool
@@ -257,10 +261,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopAsked:
-    """The process was told to stop."""
+class StopRequested:
+    """The process was requested to stop."""
 
 
 @dataclass(frozen=True, slots=True)
 class StopProcess:
-    """Nothing is left to do; end the process."""
+    """Request to end the process, since no work is left."""
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -1,4 +1,4 @@
-"""All tables of one process."""
+"""World of a batch process: all its tables."""
 
 import random
 from dataclasses import dataclass, field
@@ -11,7 +11,7 @@
     MinionRow,
     Speed,
 )
-from kingcuppost.batch.tables.job import Job, Life, Plan, Task, TaskName
+from kingcuppost.batch.tables.job import Job, MinionIncarnation, Plan, Task, TaskName
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
@@ -34,20 +34,20 @@
 __all__ = [
     "Agreed",
     "BatchWorld",
-    "HeldCall",
-    "HeldSync",
-    "Host",
-    "HostRun",
     "LogLine",
+    "OrderedRun",
+    "OrphanRun",
+    "PendingCall",
+    "PendingSync",
     "Schedule",
-    "Stray",
+    "SidecarState",
     "StreamView",
 ]
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One line for the log: a decision or a change of what the process believes."""
+    """A line of the process's log: a decision, or a change of state."""
 
     part: str
     text: str
@@ -56,26 +56,26 @@
 
 @dataclass(slots=True)
 class StreamView:
-    """How far a stream was read.
+    """Position up to which a stream has been read.
 
     Attributes
     ----------
     end : int
-        Offset behind the last record that was folded; -1 before the first read.
+        Offset after the last folded record; -1 before the first read.
     fresh_ms : int or None
-        When the newest read that was answered had been sent.
-    regained_ms : int
-        When the stream was followed again after a gap.
+        Time at which the newest answered read was sent.
+    gap_ended_ms : int
+        Time at which reading resumed after a gap.
     """
 
     end: int = -1
     fresh_ms: int | None = None
-    regained_ms: int = 0
+    gap_ended_ms: int = 0
 
 
 @dataclass(slots=True)
 class Agreed:
-    """What the log says, the same in every entry that has read as far."""
+    """State that follows from the log; equal in all entries that have read as far."""
 
     jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
     entries: Table[EntryMember] = field(default_factory=lambda: Table("name"))
@@ -90,32 +90,48 @@
 
 
 @dataclass(slots=True)
-class HeldCall:
-    """A caller's call that waits for the log."""
+class PendingCall:
+    """A caller's call that waits until its record is in the log.
+
+    Attributes
+    ----------
+    append : Append
+        Append of the call's record.
+    attempts : int
+        How often the append was sent.
+    has_unknown_outcome : bool
+        Whether an earlier attempt may have reached the log.
+    """
 
     call: CallerCall
     job_id: str
     append: Append
-    tries: int = 1
-    unknown: bool = False
+    attempts: int = 1
+    has_unknown_outcome: bool = False
 
 
 @dataclass(slots=True)
-class HeldSync:
-    """A sidecar's report that waits for orders."""
+class PendingSync:
+    """A sidecar's report that is answered once there are orders.
+
+    Attributes
+    ----------
+    until_ms : int
+        Time at which it is answered even without orders.
+    """
 
     call: SyncCall
     until_ms: int
 
 
 @dataclass(slots=True)
-class Stray:
-    """A run at a minion that is no task's present run.
+class OrphanRun:
+    """A run at a minion that is not the current run of any task.
 
     Attributes
     ----------
     sent_ms : int or None
-        When its stop was last handed to the sidecar.
+        Time at which its stop was last sent to the sidecar.
     """
 
     run: RunningRun
@@ -130,40 +146,52 @@
     ----------
     term : int
         Term that this process holds; -1 if none.
-    caught_up_at : int
+    is_open : bool
+        Whether the log rejects writers of older terms.
+    is_loaded : bool
+        Whether the plans were loaded from the agreed state.
+    required_offset : int
         Offset that must be folded before the first decision.
     sequence : int
-        Number of the newest append of the term.
+        Sequence number of the newest append of the term.
     in_flight : Append or None
-        The append that waits for its answer.
+        The append that is not answered yet.
     in_flight_versions : dict of str to int
-        Versions of the plans that it carries.
+        Versions of the plans in that append, by job.
     dirty : dict of str to None
-        Jobs whose plan has changed since the last append.
-    given_up_term : int
-        Newest term that this process has held and lost.
+        Jobs whose plans have changed since the last append.
+    lost_term : int
+        Newest term that this process held and gave up.
     authority_until_ms : int
-        Until when no other entry can have opened a term.
+        Time before which no other entry can have opened a term.
     renewals : dict of str to int
-        When each renewal that waits for its answer was sent.
-    strays : dict of str to dict
-        Runs that are no task's, by sidecar, task and run.
+        Time at which each unanswered renewal was sent.
+    orphans : dict of str to dict
+        Runs that belong to no task, by sidecar, and by task and run.
     removals : dict of str to None
-        Ended jobs whose records are to be removed.
-    unsettled : dict of TaskName to tuple of Plan and Task
-        Runs that were not seen to begin yet, or are to be stopped.
-    lives : dict of Life to int
-        When the runs of a life have surely lapsed.
-    homes : dict of Life to str
-        Sidecar beside the minion of a life.
+        Ended jobs whose records are to be removed from the log.
+    pending_runs : dict of TaskName to tuple of Plan and Task
+        Runs whose start is not confirmed yet, or that are to be stopped.
+    lapse_times_ms : dict of MinionIncarnation to int
+        Time from which the lease of a minion incarnation's runs has certainly expired.
+    incarnation_sidecars : dict of MinionIncarnation to str
+        Sidecar beside the minion of an incarnation.
+    reported_ends : dict of str to dict
+        Job and plan version that record an end, by sidecar and number of the end.
+    changed_jobs : dict of str to None
+        Jobs that were added, cancelled or removed but not planned again yet.
+    append_results : list of AppendEnded
+        Answers to all appends but those of calls, until they are handled.
     speeds : dict of str to Speed
-        How fast machines work, by sidecar.
+        Estimated speeds of the machines, by sidecar.
     speeds_changed : bool
-        Whether they differ from their newest record.
-    speeds_at_ms : int
-        When they may be written next.
+        Whether the speeds differ from their newest record.
+    write_speeds_at_ms : int
+        Earliest time of the next record of speeds.
     decide_at_ms : int
-        When the decisions are made again though nothing has changed.
+        Time of the next decisions even if nothing has changed.
+    changed : bool
+        Whether something has changed that decisions depend on.
     """
 
     term: int = -1
@@ -171,18 +199,18 @@
     claim_after_ms: int = 0
     announce_after_ms: int = 0
     fence_id: str = ""
-    opened: bool = False
-    caught_up_at: int = -1
-    loaded: bool = False
-    given_up_term: int = 0
+    is_open: bool = False
+    required_offset: int = -1
+    is_loaded: bool = False
+    lost_term: int = 0
     claim_sent_ms: int = 0
     authority_until_ms: int = 0
     renew_at_ms: int = 0
-    watch_at_ms: int = 0
-    clean_at_ms: int = 0
+    check_runs_at_ms: int = 0
+    prune_at_ms: int = 0
     removals: dict[str, None] = field(default_factory=dict)
-    absence_at_ms: int = 0
-    save_at_ms: int = 0
+    check_minions_at_ms: int = 0
+    write_checkpoints_at_ms: int = 0
     renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
     in_flight: Append | None = None
@@ -190,65 +218,83 @@
     dirty: dict[str, None] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     minions: Table[MinionRow] = field(
-        default_factory=lambda: Table("sidecar", ("life",))
+        default_factory=lambda: Table("sidecar", ("incarnation",))
     )
-    unsettled: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
-    lives: dict[Life, int] = field(default_factory=dict)
-    homes: dict[Life, str] = field(default_factory=dict)
-    syncs: dict[str, HeldSync] = field(default_factory=dict)
-    ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
-    strays: dict[str, dict[tuple[str, int], Stray]] = field(default_factory=dict)
-    touched: dict[str, None] = field(default_factory=dict)
-    answers: list[AppendEnded] = field(default_factory=list)
+    pending_runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
+    lapse_times_ms: dict[MinionIncarnation, int] = field(default_factory=dict)
+    incarnation_sidecars: dict[MinionIncarnation, str] = field(default_factory=dict)
+    pending_syncs: dict[str, PendingSync] = field(default_factory=dict)
+    reported_ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
+    orphans: dict[str, dict[tuple[str, int], OrphanRun]] = field(default_factory=dict)
+    changed_jobs: dict[str, None] = field(default_factory=dict)
+    append_results: list[AppendEnded] = field(default_factory=list)
     speeds: dict[str, Speed] = field(default_factory=dict)
     speeds_changed: bool = False
-    speeds_at_ms: int = 0
+    write_speeds_at_ms: int = 0
     changed: bool = True
     decide_at_ms: int = 0
 
 
 @dataclass(slots=True)
-class HostRun:
-    """A run that the sidecar has orders for.
+class OrderedRun:
+    """A run that the scheduler has ordered the sidecar to start or stop.
 
     Attributes
     ----------
-    asked : bool
-        Whether an order to the minion waits for its answer.
+    is_order_pending : bool
+        Whether an order to the minion is not answered yet.
     retry_ms : int
-        When the order may go out again.
+        Earliest time at which the order is sent again.
     started : bool
-        Whether the minion has taken the start.
-    doubtful : bool
-        Whether a copy of the start may yet be carried out.
+        Whether the minion has accepted the start.
+    may_still_start : bool
+        Whether a start whose outcome is unknown may still be carried out.
     stop : bool
-        Whether the run is to end.
+        Whether the run is to be stopped.
     stopped_ms : int or None
-        When the minion took the stop.
+        Time at which the minion accepted the stop.
     """
 
     order: StartOrder
-    asked: bool = False
+    is_order_pending: bool = False
     retry_ms: int = 0
     started: bool = False
-    doubtful: bool = False
+    may_still_start: bool = False
     stop: bool = False
     stopped_ms: int | None = None
 
 
 @dataclass(slots=True)
-class Host:
-    """A sidecar's view of its minion and of the scheduler.
+class SidecarState:
+    """A sidecar's state of its minion and of the scheduler.
 
     Attributes
     ----------
+    listed : bool
+        Whether the minion's runs were read in its present incarnation.
     clock_ms, clock_at_ms : int
-        A reading of the minion's clock, and when it arrived on ours.
+        A reading of the minion's clock, and the local time at which it was received.
     until_ms : int
         End of the lease that the scheduler's last answer allows, on the minion's
         clock.
-    silent, silent_until_ms : Address or None, int
-        An entry that did not answer, and until when it is passed over.
+    is_hold_open : bool
+        Whether a `HoldMinion` is not answered yet.
+    hold_after_ms : int
+        Earliest time of the next `HoldMinion`.
+    hold_failed : bool
+        Whether the newest `HoldMinion` failed.
+    acknowledged_end : int
+        Number up to which the scheduler has recorded the reported ends in the log.
+    pending_syncs : dict of int to int
+        Time at which each unanswered report was sent.
+    unreachable_entry, unreachable_until_ms : Address or None, int
+        An entry that did not answer, and until when it is skipped.
+    dirty : bool
+        Whether there is news for the scheduler.
+    last_reply_ms : int
+        Time of the newest answer by the holder of the lease.
+    list_after_ms : int
+        Earliest time of the next request for the log's list of entries.
     """
 
     address: Address | None = None
@@ -258,31 +304,49 @@
     clock_ms: int | None = None
     clock_at_ms: int = 0
     until_ms: int | None = None
-    holding: bool = False
+    is_hold_open: bool = False
     hold_after_ms: int = 0
     hold_failed: bool = False
-    seen: int = 0
+    acknowledged_end: int = 0
     running: dict[tuple[str, int], RunningRun] = field(default_factory=dict)
     ended: dict[int, EndedRun] = field(default_factory=dict)
     refused: dict[tuple[str, int], RefusedRun] = field(default_factory=dict)
-    runs: dict[tuple[str, int], HostRun] = field(default_factory=dict)
+    runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
     term: int = 0
     sync_number: int = 0
-    syncs: dict[int, int] = field(default_factory=dict)
+    pending_syncs: dict[int, int] = field(default_factory=dict)
     sync_after_ms: int = 0
-    silent: Address | None = None
-    silent_until_ms: int = 0
+    unreachable_entry: Address | None = None
+    unreachable_until_ms: int = 0
     dirty: bool = True
     holder: Address | None = None
     entries: tuple[Address, ...] = ()
     next_entry: int = 0
-    heard_ms: int = 0
+    last_reply_ms: int = 0
     list_after_ms: int = 0
 
 
 @dataclass
 class BatchWorld:
-    """Tables of one process; systems read and write nothing else."""
+    """Tables of one process; systems read and write nothing else.
+
+    Attributes
+    ----------
+    cfg : DaemonConfig
+        Settings of the process.
+    incarnation : str
+        Identifier of this start of the process.
+    lines : list of LogLine
+        Log lines that are not written yet.
+    stopping : bool
+        Whether the process was requested to stop.
+    earliest_stop_ms, stop_deadline_ms : int
+        Time before which it does not end, and time at which it ends in any case.
+    calls : dict of str to PendingCall
+        Calls that wait for the log, by identifier of their append.
+    sidecar_state : SidecarState
+        State of a sidecar; unused by an entry.
+    """
 
     cfg: DaemonConfig
     incarnation: str
@@ -294,13 +358,13 @@
     tally: Tally = field(default_factory=Tally)
     lines: list[LogLine] = field(default_factory=list)
     stopping: bool = False
-    stop_from_ms: int = 0
-    stop_by_ms: int = 0
+    earliest_stop_ms: int = 0
+    stop_deadline_ms: int = 0
     agreed: Agreed = field(default_factory=Agreed)
     schedule: Schedule = field(default_factory=Schedule)
-    calls: dict[str, HeldCall] = field(default_factory=dict)
-    host: Host = field(default_factory=Host)
+    calls: dict[str, PendingCall] = field(default_factory=dict)
+    sidecar_state: SidecarState = field(default_factory=SidecarState)
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
-        """Add a line to the log."""
+        """Add a line to the process's log."""
         self.lines.append(LogLine(part, text, fields))
--- a/kingcuppost/exception.py
+++ b/kingcuppost/exception.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 __all__ = [
-    "KingcuppostError",
+    "Failure",
     "InvalidInputError",
+    "KingcuppostError",
     "PeerError",
-    "Failure",
 ]
 
 
