--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -24,34 +24,36 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["end_held_calls", "serve_calls"]
+__all__ = ["end_pending_calls", "handle_calls"]
 
 JOB_ID_DIGITS = 16
 RETRY_SOON_MS = 500
 RETRY_LATER_MS = 1_000
 APPEND_TIMEOUT_MS = 1_000
 ANSWER_MARGIN_MS = 200
-UNFOLLOWED = "the log is not followed"
-ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+STREAM_STALE_REASON = "the log is not followed"
+ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
-def shown_state(job: Job) -> JobState:
+def visible_state(job: Job) -> JobState:
     """Return the state of a job as callers may see it."""
-    if job.cancelled and job.state not in ENDED:
+    if job.cancelled and job.state not in ENDED_STATES:
         return JobState.CANCELLED
     return job.state
 
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=20)
-def serve_calls(world: BatchWorld, now_ms: int) -> None:
+def handle_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer what can be answered at once; propose what must be kept."""
     for call in world.inbox.take(CallerCall):
-        reply = _serve(world, call, now_ms)
+        reply = _handle_call(world, call, now_ms)
         if reply is not None:
-            _reply(world, call, reply, now_ms)
+            _send_reply(world, call, reply, now_ms)
 
 
-def _reply(world: BatchWorld, call: CallerCall, reply: CallReply, now_ms: int) -> None:
+def _send_reply(
+    world: BatchWorld, call: CallerCall, reply: CallReply, now_ms: int
+) -> None:
     took_ms = now_ms - call.received_ms
     world.tally.add("calls", call.kind, reply.verdict)
     world.tally.observe("call", took_ms, call.kind)
@@ -72,7 +74,7 @@
         )
 
 
-def _serve(world: BatchWorld, call: CallerCall, now_ms: int) -> CallReply | None:
+def _handle_call(world: BatchWorld, call: CallerCall, now_ms: int) -> CallReply | None:
     configuration = world.agreed.configuration
     if configuration is None:
         return _not_run(call, "no configuration yet")
@@ -84,14 +86,14 @@
         return CallReply(call.exchange_id, Verdict.NO_KEY)
     job_id = call.path[len(queue.prefix) :]
     if call.kind is CallKind.STATE and not job_id:
-        return _count(world, call, queue)
+        return _count_waiting(world, call, queue)
     if not is_job_id(job_id):
         return CallReply(call.exchange_id, Verdict.BAD, reason="no such identifier")
     if call.kind is CallKind.SUBMIT:
-        return _submit(world, call, queue, team, job_id, now_ms)
+        return _submit_job(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
-        return _cancel(world, call, job_id, now_ms)
-    return _state(world, call, job_id, now_ms)
+        return _cancel_job(world, call, job_id, now_ms)
+    return _get_state(world, call, job_id, now_ms)
 
 
 def is_job_id(text: str) -> bool:
@@ -115,25 +117,27 @@
     )
 
 
-def _count(world: BatchWorld, call: CallerCall, queue: Queue) -> CallReply:
+def _count_waiting(world: BatchWorld, call: CallerCall, queue: Queue) -> CallReply:
     waiting = sum(
         1
         for job in world.agreed.jobs.scan("queue", queue.name)
-        if not job.begun and shown_state(job) is JobState.QUEUED
+        if not job.begun and visible_state(job) is JobState.QUEUED
     )
     return CallReply(call.exchange_id, Verdict.OK, waiting=waiting)
 
 
-def _state(world: BatchWorld, call: CallerCall, job_id: str, now_ms: int) -> CallReply:
+def _get_state(
+    world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
+) -> CallReply:
     job = world.agreed.jobs.get(job_id)
     if job is not None:
-        return CallReply(call.exchange_id, Verdict.OK, state=shown_state(job))
+        return CallReply(call.exchange_id, Verdict.OK, state=visible_state(job))
     if is_fresh(world, Stream.JOBS, now_ms):
         return CallReply(call.exchange_id, Verdict.NO_JOB)
-    return _not_run(call, UNFOLLOWED)
+    return _not_run(call, STREAM_STALE_REASON)
 
 
-def _submit(
+def _submit_job(
     world: BatchWorld,
     call: CallerCall,
     queue: Queue,
@@ -146,7 +150,7 @@
     if call.job is None:
         return CallReply(call.exchange_id, Verdict.BAD, reason=call.fault)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
+        return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     job = Job(
         job_id,
         queue.name,
@@ -157,27 +161,29 @@
         -1,
         Terms(queue.service, queue.priority, queue.most_failures, queue.slack_factor),
     )
-    _hold(world, call, job_id, JobRecord(job))
+    _propose_record(world, call, job_id, JobRecord(job))
     return None
 
 
-def _cancel(
+def _cancel_job(
     world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
 ) -> CallReply | None:
     job = world.agreed.jobs.get(job_id)
     if job is None:
         if is_fresh(world, Stream.JOBS, now_ms):
             return CallReply(call.exchange_id, Verdict.NO_JOB)
-        return _not_run(call, UNFOLLOWED)
-    if shown_state(job) in ENDED:
+        return _not_run(call, STREAM_STALE_REASON)
+    if visible_state(job) in ENDED_STATES:
         return CallReply(call.exchange_id, Verdict.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
-    _hold(world, call, job_id, CancelRecord(job_id))
+        return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+    _propose_record(world, call, job_id, CancelRecord(job_id))
     return None
 
 
-def _hold(world: BatchWorld, call: CallerCall, job_id: str, record: Record) -> None:
+def _propose_record(
+    world: BatchWorld, call: CallerCall, job_id: str, record: Record
+) -> None:
     """Propose a record; the call is answered when its outcome is known."""
     append = Append(
         new_identifier(world.rng, "call"),
@@ -190,44 +196,50 @@
 
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=10)
-def end_held_calls(world: BatchWorld, now_ms: int) -> None:
+def end_pending_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer held calls whose record is in the log, or never will be."""
     for answer in world.inbox.take(AppendEnded):
-        held = world.calls.get(answer.id)
-        if held is None:
+        pending = world.calls.get(answer.id)
+        if pending is None:
             world.schedule.answers.append(answer)
         else:
-            _end(world, held, answer, now_ms)
-    for held in list(world.calls.values()):
-        if _is_agreed(world, held):
-            _finish(world, held, CallReply(held.call.exchange_id, Verdict.OK), now_ms)
+            _handle_append_end(world, pending, answer, now_ms)
+    for pending in list(world.calls.values()):
+        if _is_recorded(world, pending):
+            _end_pending_call(
+                world, pending, CallReply(pending.call.exchange_id, Verdict.OK), now_ms
+            )
 
 
-def _is_agreed(world: BatchWorld, held: HeldCall) -> bool:
-    job = world.agreed.jobs.get(held.job_id)
+def _is_recorded(world: BatchWorld, pending: HeldCall) -> bool:
+    job = world.agreed.jobs.get(pending.job_id)
     if job is None:
         return False
-    return held.call.kind is CallKind.SUBMIT or job.cancelled
+    return pending.call.kind is CallKind.SUBMIT or job.cancelled
 
 
-def _end(world: BatchWorld, held: HeldCall, answer: AppendEnded, now_ms: int) -> None:
-    exchange_id = held.call.exchange_id
+def _handle_append_end(
+    world: BatchWorld, pending: HeldCall, answer: AppendEnded, now_ms: int
+) -> None:
+    exchange_id = pending.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
-        _finish(world, held, CallReply(exchange_id, Verdict.OK), now_ms)
+        _end_pending_call(world, pending, CallReply(exchange_id, Verdict.OK), now_ms)
         return
-    held.unknown = held.unknown or answer.outcome is AppendOutcome.UNKNOWN
-    left_ms = held.call.received_ms + held.call.timeout_ms - now_ms
-    if held.unknown and left_ms > ANSWER_MARGIN_MS:
-        held.tries += 1
-        world.outbox.put(held.append)
-    elif held.unknown:
+    pending.unknown = pending.unknown or answer.outcome is AppendOutcome.UNKNOWN
+    left_ms = pending.call.received_ms + pending.call.timeout_ms - now_ms
+    if pending.unknown and left_ms > ANSWER_MARGIN_MS:
+        pending.tries += 1
+        world.outbox.put(pending.append)
+    elif pending.unknown:
         reply = CallReply(exchange_id, Verdict.UNKNOWN, reason=answer.reason)
-        _finish(world, held, reply, now_ms)
+        _end_pending_call(world, pending, reply, now_ms)
     else:
-        reply = _not_run(held.call, answer.reason, RETRY_LATER_MS)
-        _finish(world, held, reply, now_ms)
+        reply = _not_run(pending.call, answer.reason, RETRY_LATER_MS)
+        _end_pending_call(world, pending, reply, now_ms)
 
 
-def _finish(world: BatchWorld, held: HeldCall, reply: CallReply, now_ms: int) -> None:
-    del world.calls[held.append.id]
-    _reply(world, held.call, reply, now_ms)
+def _end_pending_call(
+    world: BatchWorld, pending: HeldCall, reply: CallReply, now_ms: int
+) -> None:
+    del world.calls[pending.append.id]
+    _send_reply(world, pending.call, reply, now_ms)
--- /dev/null
+++ b/kingcuppost/batch/systems/candidates.py
@@ -0,0 +1,212 @@
+"""Sites: the minions that may be given work, with what is free and what may stop."""
+
+from dataclasses import dataclass, replace
+
+from kingcuppost.batch.systems.lost_work import work_lost_by_stop
+from kingcuppost.batch.systems.placement import Candidate, Victim, subtract_tasks
+from kingcuppost.batch.systems.plans import iter_tasks
+from kingcuppost.batch.systems.speeds import expected_remaining_ms
+from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
+from kingcuppost.batch.tables.fleet import MinionRow, Room
+from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld
+
+__all__ = [
+    "NEVER_MS",
+    "eligible_candidates",
+    "request_decision",
+    "fast_candidates",
+    "list_candidates",
+    "exclude_avoided",
+]
+
+NEVER_MS = 2**62
+
+SUSPECT_FAILURES = 2
+SUSPECT_MS = 5_000
+SLOW_SPEED_RATIO = 0.65
+REFERENCE_PERCENTILE = 70
+FULL_PERCENT = 100
+ENDS_SOON_MS = 600
+PROGRESS_FRESH_MS = 2_500
+
+
+@dataclass(frozen=True, slots=True)
+class StopCostContext:
+    """What the cost of a stop depends on beside the run: now, and restoring, in ms."""
+
+    now_ms: int
+    wall_ms: int
+    restore_ms: int
+
+
+def request_decision(world: BatchWorld, at_ms: int) -> None:
+    """Have the decisions made again at a moment, also if nothing changes until then."""
+    schedule = world.schedule
+    schedule.decide_at_ms = min(schedule.decide_at_ms, at_ms)
+    world.deadlines.add(at_ms)
+
+
+def list_candidates(
+    world: BatchWorld, now_ms: int, guaranteed_ids: set[str]
+) -> list[Candidate]:
+    """Return the minions that may be given work."""
+    context = StopCostContext(
+        now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms
+    )
+    candidates = {row.life: _make_idle_candidate(row) for row in world.schedule.minions}
+    for plan in world.schedule.plans.values():
+        if plan.phase is PlanState.OVER:
+            continue
+        for task in iter_tasks(plan):
+            if task.phase is TaskPhase.PLACED and task.life in candidates:
+                _add_run(candidates[task.life], plan, task, guaranteed_ids, context)
+    usable = [
+        candidate
+        for candidate in candidates.values()
+        if _is_usable(world, candidate.minion, now_ms)
+    ]
+    racks: dict[str, list[int]] = {}
+    for candidate in usable:
+        candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
+        candidate.rack_free_accelerators[0] += candidate.free_after_stops.accelerators
+        candidate.victims.sort(key=lambda victim: victim.cost)
+    _mark_slow_candidates(usable)
+    return usable
+
+
+def _make_idle_candidate(row: MinionRow) -> Candidate:
+    """Return a minion's site as if nothing ran there; each kind of room is its own."""
+    free_now, free_soon, free_after_stops = (replace(row.room) for _ in range(3))
+    return Candidate(
+        row,
+        free_after_stops=free_after_stops,
+        free_now=free_now,
+        free_soon=free_soon,
+        rack_free_accelerators=[0],
+    )
+
+
+def _add_run(
+    candidate: Candidate,
+    plan: Plan,
+    task: Task,
+    guaranteed_ids: set[str],
+    context: StopCostContext,
+) -> None:
+    step = plan.job.steps[task.name.step]
+    subtract_tasks(candidate.free_now, step)
+    ends_soon = _ends_soon(candidate.minion, plan, task, context.now_ms)
+    if not ends_soon:
+        subtract_tasks(candidate.free_soon, step)
+    if task.stopping:
+        return
+    subtract_tasks(candidate.free_after_stops, step)
+    rank = urgency_rank(plan, guaranteed_ids)
+    if rank:
+        freed = Room(step.cpu_millis, step.memory_mb, step.accelerators)
+        cost = work_lost_by_stop(plan, task, context.wall_ms, context.restore_ms)
+        candidate.victims.append(Victim(plan, task, rank, freed, cost, ends_soon))
+
+
+def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
+    """Return whether a run is about to free its room by itself.
+
+    A member of a gang that is through may wait long for the others.
+    """
+    if task.stopping or plan.job.steps[task.name.step].gang or not task.confirmed:
+        return False
+    age_ms = now_ms - task.moved_ms
+    return (
+        age_ms < PROGRESS_FRESH_MS
+        and expected_remaining_ms(row, plan, task) - age_ms < ENDS_SOON_MS
+    )
+
+
+def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
+    if row.draining or row.is_away:
+        return False
+    if row.availability_zone in world.agreed.closed_zones:
+        return False
+    paused_until_ms = _paused_until_ms(row)
+    if now_ms < paused_until_ms:
+        request_decision(world, paused_until_ms)
+        return False
+    return True
+
+
+def _paused_until_ms(row: MinionRow) -> int:
+    """Return when a minion that has failed or stalled may be tried again."""
+    paused_until_ms = row.rests_until_ms
+    if row.stalled_ms is not None:
+        paused_until_ms = row.stalled_ms + SUSPECT_MS
+    if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
+        paused_until_ms = max(paused_until_ms, row.failed_ms + SUSPECT_MS)
+    return paused_until_ms
+
+
+def eligible_candidates(
+    unit: PlacementUnit, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Return the sites at which a unit may run."""
+    eligible = [
+        candidate
+        for candidate in candidates
+        if _matches_requirements(unit, candidate.minion)
+    ]
+    for candidate in eligible:
+        candidate.step_task_count = _count_placed_tasks(unit, candidate.minion.life)
+    return eligible
+
+
+def exclude_avoided(
+    unit: PlacementUnit, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Return the sites where no run of a unit has failed or stood still."""
+    avoided = {minion for task in unit.tasks for minion in task.avoid}
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.minion.life.minion not in avoided
+    ]
+
+
+def _matches_requirements(unit: PlacementUnit, row: MinionRow) -> bool:
+    if unit.plan.job.terms.service and row.service != unit.plan.job.terms.service:
+        return False
+    return not unit.spec.label or unit.spec.label in row.labels
+
+
+def _count_placed_tasks(unit: PlacementUnit, life: Life) -> int:
+    tasks = unit.plan.tasks[unit.step]
+    return sum(
+        1 for task in tasks if task.phase is TaskPhase.PLACED and task.life == life
+    )
+
+
+def fast_candidates(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the sites that are not known to be slow."""
+    return [candidate for candidate in candidates if not candidate.is_slow]
+
+
+def _mark_slow_candidates(candidates: list[Candidate]) -> None:
+    """Mark the sites whose minions work much slower than the good ones.
+
+    Slow minions keep their runs longer and are known sooner, so what is usual among the
+    known ones says little.
+    """
+    known = sorted(
+        candidate.minion.pace.value
+        for candidate in candidates
+        if candidate.minion.pace.weight
+    )
+    if not known:
+        return
+    slow_limit = (
+        SLOW_SPEED_RATIO * known[len(known) * REFERENCE_PERCENTILE // FULL_PERCENT]
+    )
+    for candidate in candidates:
+        candidate.is_slow = (
+            bool(candidate.minion.pace.weight)
+            and candidate.minion.pace.value < slow_limit
+        )
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -41,16 +41,16 @@
 def fold_streams(world: BatchWorld, now_ms: int) -> None:
     """Apply what was read."""
     for batch in world.inbox.take(Followed):
-        _note_freshness(world, batch, now_ms)
+        _update_freshness(world, batch, now_ms)
         if batch.whole:
-            _drop_missing(world, batch)
+            _remove_unlisted(world, batch)
         for offset, record in batch.records:
             appliers[type(record)](world, offset, record)
         view = world.agreed.views[batch.stream]
         view.end = max(view.end, batch.end)
 
 
-def _note_freshness(world: BatchWorld, batch: Followed, now_ms: int) -> None:
+def _update_freshness(world: BatchWorld, batch: Followed, now_ms: int) -> None:
     view = world.agreed.views[batch.stream]
     if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > FRESH_MS:
         view.regained_ms = now_ms
@@ -58,7 +58,7 @@
     view.fresh_ms = max(view.fresh_ms or 0, batch.sent_ms)
 
 
-def _drop_missing(world: BatchWorld, batch: Followed) -> None:
+def _remove_unlisted(world: BatchWorld, batch: Followed) -> None:
     """Forget rows whose record a whole listing no longer has."""
     agreed = world.agreed
     records = [record for _, record in batch.records]
--- a/kingcuppost/batch/systems/cleaning.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -1,15 +1,15 @@
 """Removing jobs that ended so long ago that nobody asks for them any more."""
 
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.job import PlanState
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
 __all__ = ["remove_ended_jobs"]
 
-PERIOD_MS = 5_000
-MARGIN_MS = 60_000
+REMOVAL_PERIOD_MS = 5_000
+RETENTION_MARGIN_MS = 60_000
 
 
 @system(Phase.DECIDE, (Role.ENTRY,), order=10)
@@ -18,14 +18,14 @@
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.clean_at_ms:
         return
-    schedule.clean_at_ms = now_ms + PERIOD_MS
-    kept_ms = world.cfg.bounds.status_ms + MARGIN_MS
+    schedule.clean_at_ms = now_ms + REMOVAL_PERIOD_MS
+    retention_ms = world.cfg.bounds.status_ms + RETENTION_MARGIN_MS
     for job_id, plan in list(schedule.plans.items()):
         if plan.phase is not PlanState.OVER or plan.committed < plan.version:
             continue
         if plan.over_ms is None:
             plan.over_ms = now_ms
-        elif now_ms - plan.over_ms > kept_ms:
+        elif now_ms - plan.over_ms > retention_ms:
             del schedule.plans[job_id]
             schedule.dirty.pop(job_id, None)
             schedule.removals[job_id] = None
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -26,20 +26,20 @@
     "claim_lease",
     "has_authority",
     "holds_lease",
-    "refer",
+    "make_redirect",
     "release_lease",
     "renew_lease",
     "step_down",
 ]
 
-RENEW_MS = 700
-SILENCE_MS = 2_200
+RENEW_PERIOD_MS = 700
+HOLDER_TIMEOUT_MS = 2_200
 AUTHORITY_MS = 2_000
 RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
 ANNOUNCE_PAUSE_MS = 1_000
-ANSWER_MS = 1_000
+APPEND_TIMEOUT_MS = 1_000
 
 
 def holds_lease(world: BatchWorld) -> bool:
@@ -52,7 +52,8 @@
 def has_authority(world: BatchWorld, now_ms: int) -> bool:
     """Return whether no other entry can have opened a term yet.
 
-    Others claim after `SILENCE_MS` without a renewal, so a holder whose renewals do not
+    Others claim after `HOLDER_TIMEOUT_MS` without a renewal, so a holder whose renewals
+    do not
     reach the log stops giving orders and extending leases before that.
     """
     return now_ms < world.schedule.authority_until_ms
@@ -62,8 +63,8 @@
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
     """Keep this entry's record among the members."""
     schedule = world.schedule
-    mine = world.agreed.entries.get(world.cfg.name)
-    if mine is not None and mine.incarnation == world.incarnation:
+    own_record = world.agreed.entries.get(world.cfg.name)
+    if own_record is not None and own_record.incarnation == world.incarnation:
         return
     if world.stopping or world.agreed.views[Stream.MEMBERS].end < 0:
         return
@@ -74,7 +75,9 @@
     cfg = world.cfg
     record = EntryRecord(cfg.name, cfg.peers, cfg.availability_zone, world.incarnation)
     append_id = new_identifier(world.rng, "announce")
-    world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
+    world.outbox.put(
+        Append(append_id, Stream.MEMBERS, (record,), timeout_ms=APPEND_TIMEOUT_MS)
+    )
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
@@ -101,7 +104,7 @@
             Stream.MEMBERS,
             (record,),
             at=world.agreed.views[Stream.MEMBERS].end,
-            timeout_ms=ANSWER_MS,
+            timeout_ms=APPEND_TIMEOUT_MS,
         )
     )
 
@@ -119,8 +122,8 @@
     is_predecessor = holder.name == world.cfg.name
     if holder.term <= 0 or holder.released or is_predecessor:
         return 0
-    heard_ms = max(holder.beat_ms, view.regained_ms)
-    return heard_ms + SILENCE_MS + world.schedule.jitter_ms
+    last_renewal_ms = max(holder.beat_ms, view.regained_ms)
+    return last_renewal_ms + HOLDER_TIMEOUT_MS + world.schedule.jitter_ms
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=50)
@@ -136,14 +139,14 @@
     for answer in list(schedule.answers):
         if answer.id in schedule.renewals:
             schedule.answers.remove(answer)
-            _renewal_answered(world, answer, now_ms)
+            _handle_renewal_answer(world, answer, now_ms)
     if now_ms >= schedule.renew_at_ms:
-        schedule.renew_at_ms = now_ms + RENEW_MS
-        _renew(world, now_ms, released=False)
+        schedule.renew_at_ms = now_ms + RENEW_PERIOD_MS
+        _append_renewal(world, now_ms, released=False)
     world.deadlines.add(schedule.renew_at_ms)
 
 
-def _renewal_answered(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
+def _handle_renewal_answer(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
     schedule = world.schedule
     sent_ms = schedule.renewals.pop(answer.id)
     if answer.outcome is AppendOutcome.DONE:
@@ -153,18 +156,20 @@
         schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RETRY_MS)
 
 
-def _renew(world: BatchWorld, now_ms: int, released: bool) -> None:
+def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
     """Append a renewal, on condition that no other claim came before it."""
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
     at = None if released else world.agreed.views[Stream.MEMBERS].end
     world.outbox.put(
-        Append(append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=ANSWER_MS)
+        Append(
+            append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=APPEND_TIMEOUT_MS
+        )
     )
 
 
-def refer(world: BatchWorld, exchange_id: str) -> SyncReply:
+def make_redirect(world: BatchWorld, exchange_id: str) -> SyncReply:
     """Return the answer that sends a sidecar to whoever holds the lease."""
     holder = world.agreed.holder
     is_other = holder.incarnation != world.incarnation and not holder.released
@@ -179,7 +184,7 @@
         world.note("lease", "Giving the lease back.", term=world.agreed.holder.term)
         world.agreed.holder.released = True
         world.schedule.authority_until_ms = now_ms
-        _renew(world, now_ms, released=True)
+        _append_renewal(world, now_ms, released=True)
 
 
 def step_down(world: BatchWorld, reason: str) -> None:
--- a/kingcuppost/batch/systems/lapses.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -1,39 +1,39 @@
 """Runs at minions that were not heard of until their leases had surely lapsed."""
 
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.reports import lose_life
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
-__all__ = ["AWAY_MS", "end_lapsed_lives", "note_absences"]
+__all__ = ["UNREACHABLE_MS", "end_expired_incarnations", "mark_unreachable_minions"]
 
-AWAY_MS = 1_700
-PERIOD_MS = 100
+UNREACHABLE_MS = 1_700
+CHECK_PERIOD_MS = 100
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
-def end_lapsed_lives(world: BatchWorld, now_ms: int) -> None:
+def end_expired_incarnations(world: BatchWorld, now_ms: int) -> None:
     """End the runs of lives whose leases have lapsed."""
     if not is_scheduling(world):
         return
     schedule = world.schedule
-    for life, sure_ms in list(schedule.lives.items()):
-        if now_ms < sure_ms:
+    for life, expiry_ms in list(schedule.lives.items()):
+        if now_ms < expiry_ms:
             continue
-        lose_life(world, life, "the lease has lapsed")
+        end_incarnation_runs(world, life, "the lease has lapsed")
         for row in schedule.minions.find("life", life):
             schedule.minions.delete(row.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
-def note_absences(world: BatchWorld, now_ms: int) -> None:
-    """Place nothing at minions that were not heard of for `AWAY_MS`."""
+def mark_unreachable_minions(world: BatchWorld, now_ms: int) -> None:
+    """Place nothing at minions that were not heard of for `UNREACHABLE_MS`."""
     if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
         return
-    world.schedule.absence_at_ms = now_ms + PERIOD_MS
+    world.schedule.absence_at_ms = now_ms + CHECK_PERIOD_MS
     for row in world.schedule.minions:
-        due_ms = row.heard_ms + AWAY_MS
+        due_ms = row.heard_ms + UNREACHABLE_MS
         if row.is_away:
             continue
         if now_ms < due_ms:
--- a/kingcuppost/batch/systems/hosting.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -10,17 +10,17 @@
 from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
 from kingcuppost.tables.identity import Role
 
-__all__ = ["ask_minion", "give_orders"]
+__all__ = ["request_run_lists", "send_run_orders"]
 
-WAIT_MS = 1_000
-LEAST_LEASE_MS = 300
-STOP_LOOK_MS = 50
-LEASE_PARTS = 5
-LEAST_WAIT_MS = 50
+MAX_WAIT_MS = 1_000
+MIN_LEASE_MS = 300
+STOP_POLL_MS = 50
+WAITS_PER_LEASE = 5
+MIN_WAIT_MS = 50
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
-def ask_minion(world: BatchWorld, now_ms: int) -> None:
+def request_run_lists(world: BatchWorld, now_ms: int) -> None:
     """Keep one question for the lists open, which also extends the lease."""
     host = world.host
     if host.minion is None or host.holding or not host.term:
@@ -30,9 +30,9 @@
         return
     host.holding = True
     wait_ms = _wait_ms(host, now_ms)
-    if _awaits_stop(world):
+    if _is_awaiting_stop(world):
         wait_ms = 0
-        host.hold_after_ms = now_ms + STOP_LOOK_MS
+        host.hold_after_ms = now_ms + STOP_POLL_MS
     world.outbox.put(
         HoldMinion(
             host.address,
@@ -50,15 +50,15 @@
     if not host.listed or host.until_ms is None or host.clock_ms is None:
         return 0
     left_ms = host.until_ms - host.clock_ms - (now_ms - host.clock_at_ms)
-    return min(WAIT_MS, max(left_ms // LEASE_PARTS, LEAST_WAIT_MS))
+    return min(MAX_WAIT_MS, max(left_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
-def _awaits_stop(world: BatchWorld) -> bool:
+def _is_awaiting_stop(world: BatchWorld) -> bool:
     return any(run.stopped_ms is not None for run in world.host.runs.values())
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
-def give_orders(world: BatchWorld, now_ms: int) -> None:
+def send_run_orders(world: BatchWorld, now_ms: int) -> None:
     """Start and stop runs; an order without an answer goes out again."""
     host = world.host
     if host.minion is None:
@@ -70,25 +70,25 @@
             world.deadlines.add(run.retry_ms)
             continue
         if run.stop:
-            _stop(world, run)
+            _send_stop(world, run)
         elif not run.started:
-            _start(world, run, now_ms)
+            _send_start(world, run, now_ms)
 
 
-def _stop(world: BatchWorld, run: HostRun) -> None:
+def _send_stop(world: BatchWorld, run: HostRun) -> None:
     host = world.host
     run.asked = True
     order = StopOrder(run.order.task, run.order.run)
     world.outbox.put(StopRun(host.address, host.minion.life, host.term, order))
 
 
-def _start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
+def _send_start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
     """Order a start, unless the lease that the scheduler allows is about to end."""
     host = world.host
     if host.until_ms is None or host.clock_ms is None:
         return
     clock_ms = host.clock_ms + now_ms - host.clock_at_ms
-    if host.until_ms - clock_ms < LEAST_LEASE_MS:
+    if host.until_ms - clock_ms < MIN_LEASE_MS:
         return
     if host.minion.draining and not run.doubtful:
         return
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -9,15 +9,15 @@
 
 __all__ = [
     "Eviction",
-    "Rank",
-    "Site",
+    "RankFunction",
+    "Candidate",
     "Victim",
-    "add_room",
-    "evict",
-    "how_many",
-    "pick",
-    "sub_room",
-    "take_room",
+    "add_resources",
+    "plan_evictions",
+    "count_fitting_tasks",
+    "choose_candidates",
+    "subtract_resources",
+    "subtract_tasks",
 ]
 
 
@@ -31,7 +31,7 @@
         The run and its job.
     rank : int
         How urgent it is; 0 comes first.
-    room : Room
+    resources : Room
         What stopping it sets free.
     cost : float
         Work that would be lost, in core-seconds.
@@ -42,28 +42,28 @@
     plan: Plan
     task: Task
     rank: int
-    room: Room
+    resources: Room
     cost: float
     ends_soon: bool = False
 
 
 @dataclass(slots=True)
-class Site:
+class Candidate:
     """A minion as placement sees it.
 
     Attributes
     ----------
     minion : MinionRow
         The minion.
-    free : Room
+    free_after_stops : Room
         What is free, or will be when runs that are being stopped have ended.
-    now : Room
+    free_now : Room
         What is free at once.
-    soon : Room
+    free_soon : Room
         What is free once runs have ended that are all but done.
-    rack_free : list of int
+    rack_free_accelerators : list of int
         Accelerators that are free in the whole rack; one list for all its sites.
-    taken : int
+    step_task_count : int
         Tasks of the step at hand that are there already.
     victims : list of Victim
         What may be stopped, cheapest first.
@@ -72,19 +72,19 @@
     """
 
     minion: MinionRow
-    free: Room
-    now: Room
-    soon: Room
-    rack_free: list[int]
-    taken: int = 0
+    free_after_stops: Room
+    free_now: Room
+    free_soon: Room
+    rack_free_accelerators: list[int]
+    step_task_count: int = 0
     victims: list[Victim] = field(default_factory=list)
     is_slow: bool = False
 
 
-def take_room(room: Room, step: StepSpec, count: int = 1) -> None:
+def subtract_tasks(resources: Room, step: StepSpec, count: int = 1) -> None:
     """Take room for tasks of a step."""
-    sub_room(
-        room,
+    subtract_resources(
+        resources,
         Room(
             step.cpu_millis * count,
             step.memory_mb * count,
@@ -93,60 +93,60 @@
     )
 
 
-def add_room(room: Room, other: Room) -> None:
+def add_resources(resources: Room, other: Room) -> None:
     """Add room that is set free."""
-    room.cpu_millis += other.cpu_millis
-    room.memory_mb += other.memory_mb
-    room.accelerators += other.accelerators
+    resources.cpu_millis += other.cpu_millis
+    resources.memory_mb += other.memory_mb
+    resources.accelerators += other.accelerators
 
 
-def sub_room(room: Room, other: Room) -> None:
+def subtract_resources(resources: Room, other: Room) -> None:
     """Take room away."""
-    room.cpu_millis -= other.cpu_millis
-    room.memory_mb -= other.memory_mb
-    room.accelerators -= other.accelerators
+    resources.cpu_millis -= other.cpu_millis
+    resources.memory_mb -= other.memory_mb
+    resources.accelerators -= other.accelerators
 
 
-def how_many(room: Room, step: StepSpec, most: int) -> int:
+def count_fitting_tasks(resources: Room, step: StepSpec, limit: int) -> int:
     """Return how many tasks of a step fit into room.
 
     Examples
     --------
-    >>> how_many(Room(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
+    >>> count_fitting_tasks(Room(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
     2
     """
-    count = most
-    for has, needs in (
-        (room.cpu_millis, step.cpu_millis),
-        (room.memory_mb, step.memory_mb),
-        (room.accelerators, step.accelerators),
+    count = limit
+    for available, required in (
+        (resources.cpu_millis, step.cpu_millis),
+        (resources.memory_mb, step.memory_mb),
+        (resources.accelerators, step.accelerators),
     ):
-        if needs:
-            count = min(count, has // needs)
+        if required:
+            count = min(count, available // required)
     return max(count, 0)
 
 
-def _most_here(site: Site, step: StepSpec, wanted: int) -> int:
+def _limit_per_minion(candidate: Candidate, step: StepSpec, wanted: int) -> int:
     if not step.most_per_minion:
         return wanted
-    return min(wanted, max(step.most_per_minion - site.taken, 0))
+    return min(wanted, max(step.most_per_minion - candidate.step_task_count, 0))
 
 
-Rank = Callable[[Site, StepSpec], tuple]
+RankFunction = Callable[[Candidate, StepSpec], tuple]
 
 
-def pick(
-    sites: Iterable[Site],
+def choose_candidates(
+    candidates: Iterable[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: Rank,
-    is_soon: bool = False,
-) -> list[Site]:
+    rank: RankFunction,
+    use_soon_free: bool = False,
+) -> list[Candidate]:
     """Return a site for each of as many tasks as fit, best ranks first.
 
     Parameters
     ----------
-    sites : iterable of Site
+    candidates : iterable of Site
         Where the tasks may go.
     step : StepSpec
         What each task needs.
@@ -154,17 +154,19 @@
         How many tasks.
     rank : callable
         Ranks a site for a step; the smallest goes first.
-    is_soon : bool
+    use_soon_free : bool
         Whether room counts that is about to be free.
     """
-    chosen: list[Site] = []
-    for site in sorted(sites, key=lambda site: rank(site, step)):
-        left = wanted - len(chosen)
-        if not left:
+    chosen: list[Candidate] = []
+    for candidate in sorted(candidates, key=lambda candidate: rank(candidate, step)):
+        missing = wanted - len(chosen)
+        if not missing:
             break
-        room = site.soon if is_soon else site.now
-        count = how_many(room, step, _most_here(site, step, left))
-        chosen.extend([site] * count)
+        resources = candidate.free_soon if use_soon_free else candidate.free_now
+        count = count_fitting_tasks(
+            resources, step, _limit_per_minion(candidate, step, missing)
+        )
+        chosen.extend([candidate] * count)
     return chosen
 
 
@@ -172,50 +174,54 @@
 class Eviction:
     """Tasks that fit at a site once some victims are stopped."""
 
-    site: Site
+    candidate: Candidate
     count: int
     cost: float
     victims: list[Victim]
 
 
-def _next_eviction(site: Site, step: StepSpec, done: Eviction, most: int) -> Eviction:
+def _extend_eviction(
+    candidate: Candidate, step: StepSpec, current: Eviction, limit: int
+) -> Eviction:
     """Return how one more task could fit at a site, or the same if it can't."""
-    wanted = done.count + 1
-    room = replace(site.free)
+    wanted = current.count + 1
+    resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
-    for victim in site.victims:
-        if how_many(room, step, most) >= wanted:
+    for victim in candidate.victims:
+        if count_fitting_tasks(resources, step, limit) >= wanted:
             break
-        add_room(room, victim.room)
+        add_resources(resources, victim.resources)
         victims.append(victim)
-    if how_many(room, step, most) < wanted:
-        return done
-    victims = _only_needed(room, step, wanted, victims)
+    if count_fitting_tasks(resources, step, limit) < wanted:
+        return current
+    victims = _drop_unneeded_victims(resources, step, wanted, victims)
     cost = sum(victim.cost for victim in victims)
-    return Eviction(site, how_many(room, step, most), cost, victims)
+    return Eviction(
+        candidate, count_fitting_tasks(resources, step, limit), cost, victims
+    )
 
 
-def _only_needed(
-    room: Room, step: StepSpec, wanted: int, victims: list[Victim]
+def _drop_unneeded_victims(
+    resources: Room, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
     """Return the victims without which the room would be too small."""
     needed = []
     for victim in reversed(victims):
-        without = replace(room)
-        sub_room(without, victim.room)
-        if how_many(without, step, wanted) >= wanted:
-            sub_room(room, victim.room)
+        remaining = replace(resources)
+        subtract_resources(remaining, victim.resources)
+        if count_fitting_tasks(remaining, step, wanted) >= wanted:
+            subtract_resources(resources, victim.resources)
         else:
             needed.append(victim)
     return needed
 
 
-def evict(
-    sites: list[Site],
+def plan_evictions(
+    candidates: list[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: Rank,
-    most_cost: float = inf,
+    rank: RankFunction,
+    max_cost_core_s: float = inf,
 ) -> list[Eviction]:
     """Return the cheapest evictions that make room for as many tasks as possible.
 
@@ -224,7 +230,7 @@
 
     Parameters
     ----------
-    sites : list of Site
+    candidates : list of Site
         Where the tasks may go.
     step : StepSpec
         What each task needs.
@@ -232,28 +238,30 @@
         How many tasks.
     rank : callable
         Ranks a site for a step; the smallest goes first.
-    most_cost : float
+    max_cost_core_s : float
         Most core-seconds that may be lost for one task.
     """
-    plans = {id(site): Eviction(site, 0, 0.0, []) for site in sites}
+    evictions = {
+        id(candidate): Eviction(candidate, 0, 0.0, []) for candidate in candidates
+    }
     placed = 0
     while placed < wanted:
         best: Eviction | None = None
         best_key: tuple | None = None
-        for site in sites:
-            done = plans[id(site)]
-            most = _most_here(site, step, done.count + wanted - placed)
-            after = _next_eviction(site, step, done, most)
-            if after.count == done.count:
+        for candidate in candidates:
+            current = evictions[id(candidate)]
+            limit = _limit_per_minion(candidate, step, current.count + wanted - placed)
+            extended = _extend_eviction(candidate, step, current, limit)
+            if extended.count == current.count:
                 continue
             key = (
-                (after.cost - done.cost) / (after.count - done.count),
-                rank(site, step),
+                (extended.cost - current.cost) / (extended.count - current.count),
+                rank(candidate, step),
             )
             if best_key is None or key < best_key:
-                best, best_key = after, key
-        if best is None or best_key[0] > most_cost:
+                best, best_key = extended, key
+        if best is None or best_key[0] > max_cost_core_s:
             break
-        placed += best.count - plans[id(best.site)].count
-        plans[id(best.site)] = best
-    return [plan for plan in plans.values() if plan.count]
+        placed += best.count - evictions[id(best.candidate)].count
+        evictions[id(best.candidate)] = best
+    return [eviction for eviction in evictions.values() if eviction.count]
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -3,9 +3,9 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.lease import step_down
-from kingcuppost.batch.systems.plans import progress_of
+from kingcuppost.batch.systems.plans import make_progress
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.messages import (
     Append,
@@ -22,11 +22,11 @@
 
 __all__ = ["write_plans"]
 
-ANSWER_MS = 800
-MOST_JOBS = 64
-MOST_AWAY = 100
+APPEND_TIMEOUT_MS = 800
+MAX_JOBS_PER_APPEND = 64
+MAX_ABSENT_SPEEDS = 100
 SPEEDS_PERIOD_MS = 10_000
-JOB_KEYS = ("progress", "cancel", "job")
+JOB_KEY_KINDS = ("progress", "cancel", "job")
 
 
 @system(Phase.PROPOSE, (Role.ENTRY,), order=20)
@@ -39,27 +39,27 @@
         world.schedule.answers.clear()
         return
     for answer in world.schedule.answers:
-        _settle(world, answer)
+        _handle_append_end(world, answer)
     schedule = world.schedule
     schedule.answers.clear()
     has_work = schedule.dirty or schedule.removals
     if schedule.loaded and schedule.in_flight is None and has_work:
-        _append(world, now_ms)
+        _append_changes(world, now_ms)
 
 
-def _append(world: BatchWorld, now_ms: int) -> None:
+def _append_changes(world: BatchWorld, now_ms: int) -> None:
     schedule = world.schedule
-    job_ids = list(schedule.dirty)[:MOST_JOBS]
+    job_ids = list(schedule.dirty)[:MAX_JOBS_PER_APPEND]
     records = []
     versions = {}
     for job_id in job_ids:
         del schedule.dirty[job_id]
         plan = schedule.plans.get(job_id)
         if plan is not None:
-            records.append(ProgressRecord(job_id, progress_of(plan)))
+            records.append(ProgressRecord(job_id, make_progress(plan)))
             versions[job_id] = plan.version
-    records += _removals(world)
-    records += _speeds(world, now_ms)
+    records += _make_removals(world)
+    records += _make_speed_records(world, now_ms)
     schedule.sequence += 1
     schedule.in_flight = Append(
         new_identifier(world.rng, "plans"),
@@ -67,13 +67,13 @@
         tuple(records),
         term=schedule.term,
         sequence=schedule.sequence,
-        timeout_ms=ANSWER_MS,
+        timeout_ms=APPEND_TIMEOUT_MS,
     )
     schedule.in_flight_versions = versions
     world.outbox.put(schedule.in_flight)
 
 
-def _speeds(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
+def _make_speed_records(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
     """Return the learned speeds of present minions, if their record is due."""
     schedule = world.schedule
     if not schedule.speeds_changed or now_ms < schedule.speeds_at_ms:
@@ -83,32 +83,32 @@
     learned = {
         row.sidecar: replace(row.pace) for row in schedule.minions if row.pace.weight
     }
-    return [SpeedsRecord({**_elsewhere(world), **learned})]
+    return [SpeedsRecord({**_absent_speeds(world), **learned})]
 
 
-def _elsewhere(world: BatchWorld) -> dict[str, Speed]:
+def _absent_speeds(world: BatchWorld) -> dict[str, Speed]:
     """Return the speeds of machines whose minions are away, as they were agreed."""
     present = {row.sidecar for row in world.schedule.minions}
     speeds = world.schedule.speeds
-    away = [name for name in speeds if name not in present and speeds[name].weight]
-    return {name: replace(speeds[name]) for name in away[-MOST_AWAY:]}
+    absent = [name for name in speeds if name not in present and speeds[name].weight]
+    return {name: replace(speeds[name]) for name in absent[-MAX_ABSENT_SPEEDS:]}
 
 
-def _removals(world: BatchWorld) -> list[Removed]:
+def _make_removals(world: BatchWorld) -> list[Removed]:
     """Return the removal of all records of some jobs that ended long ago."""
     removals = world.schedule.removals
-    job_ids = list(removals)[:MOST_JOBS]
+    job_ids = list(removals)[:MAX_JOBS_PER_APPEND]
     for job_id in job_ids:
         del removals[job_id]
-    return [Removed(f"{kind}/{job_id}") for job_id in job_ids for kind in JOB_KEYS]
+    return [Removed(f"{kind}/{job_id}") for job_id in job_ids for kind in JOB_KEY_KINDS]
 
 
-def _settle(world: BatchWorld, answer: AppendEnded) -> None:
+def _handle_append_end(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if schedule.in_flight is None or answer.id != schedule.in_flight.id:
         return
     if answer.outcome is AppendOutcome.DONE:
-        _commit(world)
+        _mark_committed(world)
     elif answer.outcome is AppendOutcome.FENCED:
         step_down(world, "a newer term writes")
     elif answer.outcome is AppendOutcome.CONFLICT:
@@ -117,7 +117,7 @@
         world.outbox.put(schedule.in_flight)
 
 
-def _commit(world: BatchWorld) -> None:
+def _mark_committed(world: BatchWorld) -> None:
     schedule = world.schedule
     for job_id, version in schedule.in_flight_versions.items():
         plan = schedule.plans.get(job_id)
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -19,24 +19,24 @@
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
-    "all_tasks",
-    "apply_end",
-    "ask_stop",
-    "change_plan",
+    "iter_tasks",
+    "apply_run_end",
+    "request_stop",
+    "mark_plan_changed",
     "find_task",
     "load_plan",
     "place_task",
-    "progress_of",
-    "stop_runs",
-    "take_up",
+    "make_progress",
+    "request_stops",
+    "adopt_job",
 ]
 
 OCCURRENCE = 0
 AVOID_MS = 5_000
-ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
-def all_tasks(plan: Plan) -> Iterator[Task]:
+def iter_tasks(plan: Plan) -> Iterator[Task]:
     """Yield every task of a plan."""
     for step in plan.tasks:
         yield from step
@@ -51,8 +51,8 @@
     plan = Plan(job, tasks)
     if job.progress is not None:
         _load_progress(plan, job.progress)
-    if job.state in ENDED:
-        is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+    if job.state in ENDED_STATES:
+        is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
         plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
     return plan
 
@@ -72,7 +72,7 @@
             task.placed_ms = row.placed_ms
 
 
-def progress_of(plan: Plan) -> Progress:
+def make_progress(plan: Plan) -> Progress:
     """Return what the next progress record says of a plan."""
     rows = tuple(
         TaskProgress(
@@ -87,20 +87,20 @@
             task.placed_ms if task.life else 0,
             "" if task.phase is TaskPhase.DONE else task.saved,
         )
-        for task in all_tasks(plan)
+        for task in iter_tasks(plan)
         if task.run
     )
     return Progress(plan.state, plan.begun, rows)
 
 
-def change_plan(world: BatchWorld, plan: Plan) -> None:
+def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
     """Note that a plan differs from its newest record."""
     plan.version += 1
     world.schedule.dirty[plan.job.id] = None
     world.schedule.changed = True
 
 
-def take_up(world: BatchWorld, job_id: str) -> None:
+def adopt_job(world: BatchWorld, job_id: str) -> None:
     """Make the plan of a new job, or stop what a cancelled one runs."""
     schedule = world.schedule
     job = world.agreed.jobs.get(job_id)
@@ -110,44 +110,44 @@
         return
     if plan is None:
         plan = schedule.plans[job_id] = load_plan(job)
-        _stop_leftovers(world, plan)
+        _repeat_stops(world, plan)
     schedule.changed = True
     if job.cancelled and plan.phase is PlanState.OPEN:
-        end_plan(world, plan, JobState.CANCELLED)
+        end_job(world, plan, JobState.CANCELLED)
 
 
-def _stop_leftovers(world: BatchWorld, plan: Plan) -> None:
+def _repeat_stops(world: BatchWorld, plan: Plan) -> None:
     """Stop what an earlier term meant to stop: ended jobs and parted gangs."""
     if plan.phase is PlanState.CLOSING:
-        stop_runs(world, plan)
+        request_stops(world, plan)
     for index, spec in enumerate(plan.job.steps):
         phases = {task.phase for task in plan.tasks[index]}
         if spec.gang and TaskPhase.WAITING in phases:
-            stop_runs(world, plan, index)
+            request_stops(world, plan, index)
 
 
-def end_plan(world: BatchWorld, plan: Plan, state: JobState) -> None:
+def end_job(world: BatchWorld, plan: Plan, state: JobState) -> None:
     """End a job; what still runs is stopped."""
     plan.state = state
-    stop_runs(world, plan)
-    is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+    request_stops(world, plan)
+    is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
     plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
     world.note("job", "A job ends.", job=plan.job.id, state=state)
-    change_plan(world, plan)
+    mark_plan_changed(world, plan)
 
 
-def ask_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
+def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
     """Ask for the end of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
         task.stopping = True
         world.schedule.unsettled[task.name] = (plan, task)
 
 
-def stop_runs(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
+def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
     """Ask for the end of all runs of a job, or of one step."""
-    for task in all_tasks(plan):
+    for task in iter_tasks(plan):
         if step in (None, task.name.step):
-            ask_stop(world, plan, task)
+            request_stop(world, plan, task)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
@@ -179,7 +179,7 @@
     task.stop_sent_ms = None
 
 
-def apply_end(
+def apply_run_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, saved: str
 ) -> None:
     """Take the sure end of a task's present run into its plan."""
@@ -188,18 +188,18 @@
     task.life = None
     task.stopping = False
     if saved:
-        _keep_saved(plan, task, saved)
+        _store_checkpoint(plan, task, saved)
     if how is RunEnd.DONE:
-        _done(plan, task)
+        _mark_done(plan, task)
     elif how is RunEnd.FAILED:
-        _failed(plan, task, life, world.clock.now_ms())
+        _count_failure(plan, task, life, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
-        stop_runs(world, plan, task.name.step)
-    _judge(world, plan)
-    change_plan(world, plan)
+        request_stops(world, plan, task.name.step)
+    _update_job_outcome(world, plan)
+    mark_plan_changed(world, plan)
 
 
-def _keep_saved(plan: Plan, task: Task, saved: str) -> None:
+def _store_checkpoint(plan: Plan, task: Task, saved: str) -> None:
     """Keep a checkpoint; one of any member is good for the whole gang."""
     task.saved = saved
     if plan.job.steps[task.name.step].gang:
@@ -207,7 +207,7 @@
             member.saved = saved
 
 
-def _done(plan: Plan, task: Task) -> None:
+def _mark_done(plan: Plan, task: Task) -> None:
     """Finish a task; one end stands for all members of a gang."""
     task.phase = TaskPhase.DONE
     if not plan.job.steps[task.name.step].gang:
@@ -217,29 +217,29 @@
         member.life = None
 
 
-def _failed(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
+def _count_failure(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
     """Count a failed run; a gang counts a run once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
-    counted = members[0]
-    if gang and task.run <= counted.failed_run:
+    first_member = members[0]
+    if gang and task.run <= first_member.failed_run:
         return
-    counted.failed_run = task.run
-    counted.failures += 1
+    first_member.failed_run = task.run
+    first_member.failures += 1
     if life is not None:
         for member in members:
             member.avoid.add(life.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
 
 
-def _judge(world: BatchWorld, plan: Plan) -> None:
+def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
     """End the job if all is done or a task has failed too often."""
-    tasks = list(all_tasks(plan))
+    tasks = list(iter_tasks(plan))
     if plan.phase is PlanState.CLOSING:
         if not any(task.phase is TaskPhase.PLACED for task in tasks):
             plan.phase = PlanState.OVER
     elif plan.phase is PlanState.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
-            end_plan(world, plan, JobState.COMPLETED)
+            end_job(world, plan, JobState.COMPLETED)
         elif any(task.failures >= plan.job.terms.most_failures for task in tasks):
-            end_plan(world, plan, JobState.FAILED)
+            end_job(world, plan, JobState.FAILED)
--- a/kingcuppost/batch/systems/syncing.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -8,70 +8,72 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
-__all__ = ["report"]
+__all__ = ["send_report"]
 
-WAIT_MS = 1_000
-TIMEOUT_MS = 1_500
-MOST_AT_ONCE = 2
-LOST_MS = 3_000
-KNOWN_MS = 1_500
+REPLY_WAIT_MS = 1_000
+REPORT_TIMEOUT_MS = 1_500
+MAX_OPEN_REPORTS = 2
+LIST_ENTRIES_AFTER_MS = 3_000
+HOLDER_KNOWN_MS = 1_500
 
 
 @system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
-def report(world: BatchWorld, now_ms: int) -> None:
+def send_report(world: BatchWorld, now_ms: int) -> None:
     """Keep one report open; send another at once when there is news."""
     host = world.host
     if world.stopping:
         return
-    _list_members(world, now_ms)
+    _request_entries(world, now_ms)
     if host.syncs and not host.dirty:
         return
-    if len(host.syncs) >= MOST_AT_ONCE:
+    if len(host.syncs) >= MAX_OPEN_REPORTS:
         return
     if now_ms < host.sync_after_ms:
         world.deadlines.add(host.sync_after_ms)
         return
-    address = host.holder or _next_entry(world)
+    address = host.holder or _choose_entry(world)
     if address is None:
         return
     host.dirty = False
     host.sync_number += 1
     host.syncs[host.sync_number] = now_ms
-    call = _call(world, now_ms)
-    world.outbox.put(SendSync(host.sync_number, address, call, TIMEOUT_MS))
+    call = _make_report(world, now_ms)
+    world.outbox.put(SendSync(host.sync_number, address, call, REPORT_TIMEOUT_MS))
 
 
-def _next_entry(world: BatchWorld) -> Address | None:
+def _choose_entry(world: BatchWorld) -> Address | None:
     known = world.host.entries or world.cfg.seeds
-    every = list(dict.fromkeys((*known, *world.cfg.seeds)))
-    if not every:
+    all_entries = list(dict.fromkeys((*known, *world.cfg.seeds)))
+    if not all_entries:
         return None
-    return every[(world.host.next_entry + _offset(world)) % len(every)]
+    return all_entries[
+        (world.host.next_entry + _entry_offset(world)) % len(all_entries)
+    ]
 
 
-def _offset(world: BatchWorld) -> int:
+def _entry_offset(world: BatchWorld) -> int:
     """Return where this sidecar begins in the list, so that all don't ask one entry."""
     return sum(world.cfg.name.encode())
 
 
-def _list_members(world: BatchWorld, now_ms: int) -> None:
+def _request_entries(world: BatchWorld, now_ms: int) -> None:
     """Ask the log for the entries when none has answered for a while."""
     host = world.host
-    due_ms = max(host.heard_ms + LOST_MS, host.list_after_ms)
+    due_ms = max(host.heard_ms + LIST_ENTRIES_AFTER_MS, host.list_after_ms)
     if now_ms >= due_ms:
-        host.list_after_ms = now_ms + LOST_MS
+        host.list_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
         world.outbox.put(ListMembers())
-        due_ms = now_ms + LOST_MS
+        due_ms = now_ms + LIST_ENTRIES_AFTER_MS
     world.deadlines.add(due_ms)
 
 
-def _call(world: BatchWorld, now_ms: int) -> SyncCall:
+def _make_report(world: BatchWorld, now_ms: int) -> SyncCall:
     """Return what is reported; a scheduler that is new to us is to answer at once.
 
     Every answer extends the lease, so after a handover the first must not wait.
     """
     host = world.host
-    is_known = host.holder is not None and now_ms - host.heard_ms <= KNOWN_MS
+    is_known = host.holder is not None and now_ms - host.heard_ms <= HOLDER_KNOWN_MS
     minion = host.minion
     if minion is not None:
         minion = replace(minion, listed=host.listed)
@@ -80,7 +82,7 @@
         world.cfg.name,
         world.incarnation,
         host.sync_number,
-        WAIT_MS if is_known else 0,
+        REPLY_WAIT_MS if is_known else 0,
         minion,
         tuple(host.running.values()),
         tuple(host.ended.values()),
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,58 +1,58 @@
 """Runs that stand still, and runs at minions that are about to leave."""
 
-from kingcuppost.batch.systems.plans import all_tasks, ask_stop, stop_runs
+from kingcuppost.batch.systems.plans import iter_tasks, request_stop, request_stops
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import (
-    expected_left_ms,
-    fair_estimate_ms,
-    learn_speed,
+    corrected_estimate_ms,
+    expected_remaining_ms,
+    update_speed,
 )
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Plan, PlanState, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
-__all__ = ["watch_runs"]
+__all__ = ["monitor_runs"]
 
-PERIOD_MS = 500
-SAVE_PERIOD_MS = 2_000
+MONITOR_PERIOD_MS = 500
+CHECKPOINT_PERIOD_MS = 2_000
 STALLED_MS = 3_000
-STALLED_LONG_MS = 9_000
-SLOWEST = 20
-WHOLE = 100
-ALMOST_DONE = 99
-DRAIN_SLACK = 1.5
+STALLED_COSTLY_MS = 9_000
+STALLED_ESTIMATE_PERCENT = 20
+FULL_PERCENT = 100
+ALMOST_DONE_PERCENT = 99
+DRAIN_SLACK_RATIO = 1.5
 DRAIN_SLACK_MS = 1_000
-URGENT = 0
-LEAST_WATCHED_MS = 2_000
-MOVE_GAIN = 2.5
-SURE_GAIN = 1.4
-SURE_RUNS = 2
+URGENT_PRIORITY = 0
+MIN_OBSERVED_MS = 2_000
+MIN_GAIN_RATIO = 2.5
+MIN_KNOWN_GAIN_RATIO = 1.4
+MIN_KNOWN_RUNS = 2
 MOVE_COST_MS = 700
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=80)
-def watch_runs(world: BatchWorld, now_ms: int) -> None:
+def monitor_runs(world: BatchWorld, now_ms: int) -> None:
     """Look at every run twice a second, and stop those that would not end there."""
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
         return
-    schedule.watch_at_ms = now_ms + PERIOD_MS
+    schedule.watch_at_ms = now_ms + MONITOR_PERIOD_MS
     if now_ms >= schedule.save_at_ms:
-        schedule.save_at_ms = now_ms + SAVE_PERIOD_MS
-        _keep_checkpoints(world)
+        schedule.save_at_ms = now_ms + CHECKPOINT_PERIOD_MS
+        _record_checkpoints(world)
     rows = {row.life: row for row in schedule.minions}
     for plan in list(schedule.plans.values()):
         if plan.phase is not PlanState.OPEN:
             continue
-        for task in all_tasks(plan):
+        for task in iter_tasks(plan):
             row = rows.get(task.life)
             if row is not None and task.confirmed and not task.stopping:
-                _watch(world, row, plan, task, now_ms)
+                _check_run(world, row, plan, task, now_ms)
 
 
-def _keep_checkpoints(world: BatchWorld) -> None:
+def _record_checkpoints(world: BatchWorld) -> None:
     """Write new checkpoints into the log, where they outlive all processes."""
     for plan in world.schedule.plans.values():
         if plan.has_new_saved and plan.phase is PlanState.OPEN:
@@ -61,41 +61,41 @@
             world.schedule.dirty[plan.job.id] = None
 
 
-def _watch(
+def _check_run(
     world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
     if task.phase is not TaskPhase.PLACED or row.is_away:
         return
     if row.pace.weight < 1:
-        learn_speed(world, row, plan, task)
-    if row.draining and _should_leave(row, plan, task):
-        _stop(world, plan, task, "the minion drains")
+        update_speed(world, row, plan, task)
+    if row.draining and _should_leave_draining(row, plan, task):
+        _stop_run(world, plan, task, "the minion drains")
     elif _is_too_slow(row, plan, task):
         task.was_moved = True
         task.avoid.add(row.life.minion)
-        _stop(world, plan, task, "the minion is slow")
+        _stop_run(world, plan, task, "the minion is slow")
     elif _is_stalled(plan, task, now_ms):
         row.stalled_ms = now_ms
         task.avoid.add(row.life.minion)
-        _stop(world, plan, task, "the run stands still")
+        _stop_run(world, plan, task, "the run stands still")
 
 
-def _stop(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
+def _stop_run(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
     world.note(
         "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
     )
     if plan.job.steps[task.name.step].gang:
-        stop_runs(world, plan, task.name.step)
+        request_stops(world, plan, task.name.step)
     else:
-        ask_stop(world, plan, task)
+        request_stop(world, plan, task)
 
 
-def _should_leave(row: MinionRow, plan: Plan, task: Task) -> bool:
+def _should_leave_draining(row: MinionRow, plan: Plan, task: Task) -> bool:
     """Return whether a run would be cut off, or loses nothing by moving."""
     if plan.job.steps[task.name.step].saves:
         return True
-    limit_ms = row.remaining_ms * DRAIN_SLACK + DRAIN_SLACK_MS
-    return expected_left_ms(row, plan, task) > limit_ms
+    limit_ms = row.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
+    return expected_remaining_ms(row, plan, task) > limit_ms
 
 
 def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
@@ -106,17 +106,19 @@
     most, since moving gains nothing where all minions are slow.
     """
     step = plan.job.steps[task.name.step]
-    if plan.job.terms.priority != URGENT or step.gang or task.was_moved:
+    if plan.job.terms.priority != URGENT_PRIORITY or step.gang or task.was_moved:
         return False
-    watched_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
-    if watched_ms < LEAST_WATCHED_MS:
+    observed_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
+    if observed_ms < MIN_OBSERVED_MS:
         return False
-    pace = plan.paces.get(task.name.step)
-    is_sure = pace is not None and pace.count >= SURE_RUNS
-    anew_ms = MOVE_GAIN * step.estimate_ms
-    if is_sure:
-        anew_ms = SURE_GAIN * fair_estimate_ms(plan, task)
-    return expected_left_ms(row, plan, task) > anew_ms + MOVE_COST_MS
+    estimate_error = plan.paces.get(task.name.step)
+    is_duration_known = (
+        estimate_error is not None and estimate_error.count >= MIN_KNOWN_RUNS
+    )
+    restart_limit_ms = MIN_GAIN_RATIO * step.estimate_ms
+    if is_duration_known:
+        restart_limit_ms = MIN_KNOWN_GAIN_RATIO * corrected_estimate_ms(plan, task)
+    return expected_remaining_ms(row, plan, task) > restart_limit_ms + MOVE_COST_MS
 
 
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
@@ -125,10 +127,10 @@
     A run that would lose much by moving is given longer to go on. A member of a gang
     that is through with its own work waits for the others.
     """
-    if task.percent >= ALMOST_DONE:
+    if task.percent >= ALMOST_DONE_PERCENT:
         return False
     step = plan.job.steps[task.name.step]
-    slow_ms = SLOWEST * step.estimate_ms / WHOLE
-    loses_little = step.saves or plan.job.terms.priority == URGENT
-    bound_ms = STALLED_MS if loses_little else STALLED_LONG_MS
-    return now_ms - task.moved_ms > max(bound_ms, slow_ms)
+    estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
+    loses_little = step.saves or plan.job.terms.priority == URGENT_PRIORITY
+    stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
+    return now_ms - task.moved_ms > max(stall_limit_ms, estimate_limit_ms)
--- /dev/null
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -0,0 +1,380 @@
+"""What runs where: units whose turn has come, most urgent first.
+
+Answers loads in which urgent gangs meet minions that are full of overnight work, wide
+steps that must not starve, and minions of which a quarter work at half the speed.
+"""
+
+from dataclasses import replace
+from math import inf
+
+from kingcuppost.batch.systems.candidates import (
+    NEVER_MS,
+    eligible_candidates,
+    exclude_avoided,
+    fast_candidates,
+    list_candidates,
+    request_decision,
+)
+from kingcuppost.batch.systems.placement import (
+    Candidate,
+    Eviction,
+    RankFunction,
+    add_resources,
+    choose_candidates,
+    count_fitting_tasks,
+    plan_evictions,
+    subtract_tasks,
+)
+from kingcuppost.batch.systems.plans import mark_plan_changed, place_task, request_stop
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.systems.units import (
+    PlacementUnit,
+    find_guaranteed_jobs,
+    iter_units,
+    task_core_equivalents,
+)
+from kingcuppost.batch.tables.job import JobState, StepSpec
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["schedule_units"]
+
+URGENT_RETRY_MS = 1_000
+MS_PER_SECOND = 1_000
+SPEED_STEPS_PER_UNIT = 4
+MAX_LOSS_RATIO = 0.7
+MIN_DELAY_TOLERANT_PRIORITY = 2
+
+
+@system(Phase.DECIDE, (Role.ENTRY,), order=20)
+def schedule_units(world: BatchWorld, now_ms: int) -> None:
+    """Place what waits, and make room for what is urgent."""
+    schedule = world.schedule
+    is_due = schedule.changed or now_ms >= schedule.decide_at_ms
+    if not is_scheduling(world) or not is_due:
+        return
+    schedule.changed = False
+    schedule.decide_at_ms = NEVER_MS
+    guaranteed_ids = find_guaranteed_jobs(world)
+    candidates = list_candidates(world, now_ms, guaranteed_ids)
+    units = sorted(
+        iter_units(world, guaranteed_ids),
+        key=lambda unit: (unit.rank, unit.plan.job.accepted_ms),
+    )
+    for unit in units:
+        _schedule_unit(world, unit, candidates)
+        if unit.is_urgent:
+            request_decision(world, now_ms + URGENT_RETRY_MS)
+
+
+def _schedule_unit(
+    world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
+) -> None:
+    """Place a unit away from minions that failed it, or else at any that suit.
+
+    A minion that fails all it is given must not use up a task's attempts just since
+    the others are full, so for a while the unit waits for room at them.
+    """
+    allowed = eligible_candidates(unit, candidates)
+    preferred = exclude_avoided(unit, allowed)
+    if _schedule_unit_at(world, unit, preferred) or len(preferred) == len(allowed):
+        return
+    until_ms = max(task.avoid_until_ms for task in unit.tasks)
+    if world.clock.now_ms() < until_ms and _unit_fits_idle(unit, preferred):
+        request_decision(world, until_ms)
+        return
+    _schedule_unit_at(world, unit, allowed)
+
+
+def _schedule_unit_at(
+    world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
+) -> bool:
+    """Place a unit, or make room for it; return whether it is cared for.
+
+    Urgent units prefer fast minions, and make room there if that loses less work than
+    they bring. Only a team's guarantee is worth any amount of lost work, or running
+    slowly in more than one rack.
+    """
+    all_groups = _candidate_groups(unit, candidates)
+    if not unit.is_urgent:
+        return _place_unit(world, unit, all_groups)
+    fast_groups = _candidate_groups(unit, fast_candidates(candidates))
+    if _place_unit(world, unit, fast_groups):
+        return True
+    if not unit.is_guaranteed and _reserve_soon_free(unit, fast_groups):
+        return True
+    max_cost_core_s = MAX_LOSS_RATIO * _task_work_core_s(unit)
+    if _preempt_for_unit(world, unit, fast_groups, max_cost_core_s):
+        return True
+    if _place_unit(world, unit, all_groups):
+        return True
+    if not unit.is_guaranteed:
+        return _preempt_for_unit(world, unit, all_groups, max_cost_core_s)
+    if _preempt_for_unit(world, unit, all_groups) or _place_unit(
+        world, unit, [candidates]
+    ):
+        return True
+    return _preempt_for_unit(world, unit, [candidates])
+
+
+def _task_work_core_s(unit: PlacementUnit) -> float:
+    """Return the work of one task of a unit in core-seconds, by its estimate."""
+    return task_core_equivalents(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
+
+
+def _unit_fits_idle(unit: PlacementUnit, candidates: list[Candidate]) -> bool:
+    """Return whether a unit would fit at sites if nothing else ran there."""
+    count = len(unit.tasks) if unit.spec.gang else 1
+    return any(
+        _tasks_fit_idle(group, unit.spec, count)
+        for group in _candidate_groups(unit, candidates)
+        if group
+    )
+
+
+def _reserve_soon_free(unit: PlacementUnit, groups: list[list[Candidate]]) -> bool:
+    """Keep room that is about to be free; return whether it serves all tasks."""
+    for group in groups:
+        rank = _make_rank_function(unit)
+        chosen = choose_candidates(
+            group, unit.spec, len(unit.tasks), rank, use_soon_free=True
+        )
+        if unit.spec.gang and len(chosen) < len(unit.tasks):
+            continue
+        for candidate in chosen:
+            subtract_tasks(candidate.free_soon, unit.spec)
+        unit.tasks = unit.tasks[len(chosen) :]
+    return not unit.tasks
+
+
+def _place_unit(
+    world: BatchWorld, unit: PlacementUnit, groups: list[list[Candidate]]
+) -> bool:
+    """Give runs to what fits; return whether nothing of the unit waits."""
+    for group in groups:
+        chosen = choose_candidates(
+            group, unit.spec, len(unit.tasks), _make_rank_function(unit)
+        )
+        is_whole = len(chosen) == len(unit.tasks)
+        if is_whole or (chosen and not unit.spec.gang):
+            _place_tasks(world, unit, chosen)
+            if is_whole:
+                return True
+            unit.tasks = unit.tasks[len(chosen) :]
+    return False
+
+
+def _candidate_groups(
+    unit: PlacementUnit, candidates: list[Candidate]
+) -> list[list[Candidate]]:
+    """Return the sets of sites to try, each whole, the best first."""
+    spec = unit.spec
+    if spec.one_rack and spec.gang:
+        racks = _group_by_rack(candidates)
+        large_racks = [
+            rack for rack in racks if _tasks_fit_idle(rack, spec, len(unit.tasks))
+        ]
+        if large_racks:
+            return sorted(large_racks, key=lambda rack: _rack_sort_key(unit, rack))
+    if spec.rack:
+        in_rack = [
+            candidate for candidate in candidates if candidate.minion.rack == spec.rack
+        ]
+        if in_rack:
+            return [in_rack]
+    return [candidates]
+
+
+def _group_by_rack(candidates: list[Candidate]) -> list[list[Candidate]]:
+    racks: dict[str, list[Candidate]] = {}
+    for candidate in candidates:
+        racks.setdefault(candidate.minion.rack, []).append(candidate)
+    return list(racks.values())
+
+
+def _tasks_fit_idle(candidates: list[Candidate], spec: StepSpec, count: int) -> bool:
+    """Return whether sites could hold a step if nothing else ran there."""
+    return (
+        sum(
+            count_fitting_tasks(candidate.minion.room, spec, count)
+            for candidate in candidates
+        )
+        >= count
+    )
+
+
+def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
+    """Rank a rack: the fastest gang first for urgent work, else the fullest rack."""
+    free = sum(candidate.free_now.accelerators for candidate in rack)
+    if not unit.is_urgent:
+        return (free,)
+    chosen = choose_candidates(
+        rack, unit.spec, len(unit.tasks), _make_rank_function(unit)
+    )
+    if len(chosen) < len(unit.tasks):
+        return (1, 0.0, free)
+    return (0, -min(candidate.minion.pace.value for candidate in chosen), free)
+
+
+def _make_rank_function(unit: PlacementUnit) -> RankFunction:
+    """Return how sites rank for a unit.
+
+    Urgent work takes proven and fast minions. Other work fills up racks and minions
+    that are nearly full, so that urgent gangs find whole racks, and what has the most
+    time leaves the fast minions to others. The last attempt of a task goes to a minion
+    that has done work.
+    """
+    is_last_attempt = unit.is_last_attempt
+    is_delay_tolerant = unit.plan.job.terms.priority >= MIN_DELAY_TOLERANT_PRIORITY
+
+    def rank(candidate: Candidate, step: StepSpec) -> tuple:
+        row = candidate.minion
+        free_resources = (
+            candidate.free_after_stops.accelerators,
+            candidate.free_after_stops.cpu_millis,
+        )
+        risk = row.failures + (0 if row.proven else 1 if is_last_attempt else 0)
+        if unit.is_urgent:
+            speed = round(row.pace.value * SPEED_STEPS_PER_UNIT)
+            return (risk, -speed, *free_resources, row.sidecar)
+        wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
+        return (
+            risk,
+            wastes_fast_minion,
+            candidate.rack_free_accelerators[0],
+            *free_resources,
+            -row.pace.value,
+            row.sidecar,
+        )
+
+    return rank
+
+
+def _place_tasks(
+    world: BatchWorld, unit: PlacementUnit, chosen: list[Candidate]
+) -> None:
+    """Give runs to as many tasks as there are chosen sites."""
+    plan = unit.plan
+    tasks = unit.tasks[: len(chosen)]
+    run = 1 + max(task.run for task in tasks)
+    plan.begun = True
+    plan.state = JobState.RUNNING
+    mark_plan_changed(world, plan)
+    world.schedule.changed = False
+    configuration = world.agreed.configuration
+    for task, candidate in zip(tasks, chosen, strict=True):
+        number = run if unit.spec.gang else task.run + 1
+        place_task(world, plan, task, number, candidate.minion)
+        for resources in (
+            candidate.free_now,
+            candidate.free_soon,
+            candidate.free_after_stops,
+        ):
+            subtract_tasks(resources, unit.spec)
+        candidate.step_task_count += 1
+        candidate.rack_free_accelerators[0] -= unit.spec.accelerators
+        world.note(
+            "place",
+            "A run is placed.",
+            task=str(task.name),
+            run=number,
+            minion=candidate.minion.life.minion,
+            rack=candidate.minion.rack,
+            rank=unit.rank,
+            speed=round(candidate.minion.pace.value, 2),
+            version=configuration.version if configuration else -1,
+        )
+
+
+def _preempt_for_unit(
+    world: BatchWorld,
+    unit: PlacementUnit,
+    groups: list[list[Candidate]],
+    max_cost_core_s: float = inf,
+) -> bool:
+    """Stop the cheapest less urgent work, and keep its room for the unit.
+
+    Room for a part of the tasks is made too, unless they are a gang.
+
+    Parameters
+    ----------
+    max_cost_core_s : float
+        Most core-seconds of work that may be lost for one task.
+
+    Returns
+    -------
+    bool
+        Whether room was found for all tasks.
+    """
+    best = _choose_evictions(unit, groups, max_cost_core_s)
+    for eviction in best:
+        _stop_victims(world, unit, eviction)
+        # a narrowed site shares its rooms with the site that it was made from
+        for resources in (
+            eviction.candidate.free_now,
+            eviction.candidate.free_soon,
+            eviction.candidate.free_after_stops,
+        ):
+            subtract_tasks(resources, unit.spec, eviction.count)
+    unit.tasks = unit.tasks[_count_tasks(best) :]
+    return not unit.tasks
+
+
+def _count_tasks(evictions: list[Eviction]) -> int:
+    return sum(eviction.count for eviction in evictions)
+
+
+def _choose_evictions(
+    unit: PlacementUnit, groups: list[list[Candidate]], max_cost_core_s: float
+) -> list[Eviction]:
+    """Return the evictions that serve the most tasks, and among those cost least."""
+    best: list[Eviction] = []
+    best_key = (0, 0.0)
+    wanted = len(unit.tasks)
+    # one member's room is of no use to a gang, so the whole gang's cost counts
+    max_task_cost_core_s = inf if unit.spec.gang else max_cost_core_s
+    for group in groups:
+        narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
+        found = plan_evictions(
+            narrowed, unit.spec, wanted, _make_rank_function(unit), max_task_cost_core_s
+        )
+        cost = sum(eviction.cost for eviction in found)
+        is_partial = _count_tasks(found) < wanted
+        if unit.spec.gang and (is_partial or cost > max_cost_core_s * wanted):
+            continue
+        key = (-_count_tasks(found), cost)
+        if key < best_key:
+            best, best_key = found, key
+    return best
+
+
+def _keep_victims_below(candidate: Candidate, rank: int) -> Candidate:
+    """Return a site whose victims are less urgent than a rank."""
+    victims = [
+        victim
+        for victim in candidate.victims
+        if not victim.task.stopping
+        and (victim.rank > max(rank, 1) or (rank == 0 and victim.rank == 1))
+        and (rank == 0 or not victim.ends_soon)
+    ]
+    return replace(candidate, victims=victims)
+
+
+def _stop_victims(world: BatchWorld, unit: PlacementUnit, eviction: Eviction) -> None:
+    for victim in eviction.victims:
+        plan, task = victim.plan, victim.task
+        step = plan.job.steps[task.name.step]
+        stopped = plan.tasks[task.name.step] if step.gang else [task]
+        add_resources(eviction.candidate.free_after_stops, victim.resources)
+        for member in stopped:
+            request_stop(world, plan, member)
+        world.tally.add("preemptions")
+        world.note(
+            "preempt",
+            "A run makes room.",
+            task=str(task.name),
+            run=task.run,
+            lost_core_s=round(victim.cost, 1),
+            urgent=unit.plan.job.id,
+        )
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/shutdown.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
-__all__ = ["end_process"]
+__all__ = ["stop_process"]
 
 GRACE_MARGIN_MS = 1_500
 ENTRY_LINGER_MS = 2_500
@@ -14,7 +14,7 @@
 
 
 @system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
-def end_process(world: BatchWorld, now_ms: int) -> None:
+def stop_process(world: BatchWorld, now_ms: int) -> None:
     """Give the lease back, answer what waits, then end."""
     if world.inbox.take(StopAsked) and not world.stopping:
         world.stopping = True
--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -18,44 +18,49 @@
 from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
 from kingcuppost.tables.identity import Role
 
-__all__ = ["hear_lists", "hear_minion", "hear_orders", "hear_scheduler"]
+__all__ = [
+    "handle_run_lists",
+    "handle_heartbeats",
+    "handle_order_answers",
+    "handle_scheduler_replies",
+]
 
 RETRY_MS = 100
-PAUSE_MS = 250
-SILENT_MS = 2_500
+REDIRECT_PAUSE_MS = 250
+UNRESPONSIVE_MS = 2_500
 LEASE_MARGIN_MS = 100
-SIDECAR = (Role.SIDECAR,)
+SIDECAR_ROLES = (Role.SIDECAR_ROLES,)
 
 
-@system(Phase.INTAKE, SIDECAR, order=50)
-def hear_minion(world: BatchWorld, now_ms: int) -> None:
+@system(Phase.INTAKE, SIDECAR_ROLES, order=50)
+def handle_heartbeats(world: BatchWorld, now_ms: int) -> None:
     """Take heartbeats in; late ones of an earlier life or moment change nothing."""
     host = world.host
-    for heard in world.inbox.take(MinionHeard):
-        if heard.gone:
-            _minion_left(world, heard)
+    for heartbeat in world.inbox.take(MinionHeard):
+        if heartbeat.gone:
+            _remove_minion(world, heartbeat)
             continue
-        life = heard.report.life
+        life = heartbeat.report.life
         old = host.minion
         if old is not None and life.born_ms < old.life.born_ms:
             continue
         if old is None or old.life != life:
-            _begin_life(world, heard)
-        elif heard.sequence <= host.sequence:
+            _begin_incarnation(world, heartbeat)
+        elif heartbeat.sequence <= host.sequence:
             continue
-        host.sequence = heard.sequence
-        host.address = heard.address
-        if old is None or _is_news(heard, host):
+        host.sequence = heartbeat.sequence
+        host.address = heartbeat.address
+        if old is None or _is_draining_changed(heartbeat, host):
             host.dirty = True
-        host.minion = heard.report
+        host.minion = heartbeat.report
 
 
-def _is_news(heard: MinionHeard, host: Host) -> bool:
+def _is_draining_changed(heartbeat: MinionHeard, host: Host) -> bool:
     old = host.minion
-    return old is None or old.draining != heard.report.draining
+    return old is None or old.draining != heartbeat.report.draining
 
 
-def _begin_life(world: BatchWorld, heard: MinionHeard) -> None:
+def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeard) -> None:
     """Forget all of the minion's earlier life."""
     host = world.host
     world.host = Host(
@@ -66,44 +71,44 @@
         entries=host.entries,
         next_entry=host.next_entry,
         heard_ms=host.heard_ms,
-        minion=heard.report,
-        address=heard.address,
+        minion=heartbeat.report,
+        address=heartbeat.address,
     )
     host = world.host
     world.note(
         "minion",
         "The minion began a life.",
-        minion=heard.report.life.minion,
-        born_ms=heard.report.life.born_ms,
+        minion=heartbeat.report.life.minion,
+        born_ms=heartbeat.report.life.born_ms,
     )
 
 
-def _minion_left(world: BatchWorld, heard: MinionHeard) -> None:
+def _remove_minion(world: BatchWorld, heartbeat: MinionHeard) -> None:
     host = world.host
-    if host.minion is None or host.minion.life.minion != heard.report.life.minion:
+    if host.minion is None or host.minion.life.minion != heartbeat.report.life.minion:
         return
     world.note("minion", "The minion left.", minion=host.minion.life.minion)
     host.minion = None
     host.dirty = True
 
 
-def _is_present(world: BatchWorld, life: Life) -> bool:
+def _is_current_incarnation(world: BatchWorld, life: Life) -> bool:
     return world.host.minion is not None and world.host.minion.life == life
 
 
-@system(Phase.INTAKE, SIDECAR, order=30)
-def hear_lists(world: BatchWorld, now_ms: int) -> None:
+@system(Phase.INTAKE, SIDECAR_ROLES, order=30)
+def handle_run_lists(world: BatchWorld, now_ms: int) -> None:
     """Take in what runs at the minion and what has ended there."""
     for lists in world.inbox.take(MinionLists):
         host = world.host
-        if not _is_present(world, lists.life):
+        if not _is_current_incarnation(world, lists.life):
             continue
         host.holding = False
         if lists.reason:
-            _hold_failed(world, lists, now_ms)
+            _handle_lease_failure(world, lists, now_ms)
             continue
-        _read_clock(host, lists)
-        _take_running(world, lists, now_ms)
+        _update_minion_clock(host, lists)
+        _update_running(world, lists, now_ms)
         for ended in lists.ended:
             if ended.number > host.seen and ended.number not in host.ended:
                 host.ended[ended.number] = ended
@@ -111,7 +116,7 @@
                 host.dirty = True
 
 
-def _hold_failed(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
+def _handle_lease_failure(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
     host = world.host
     host.hold_after_ms = now_ms + RETRY_MS
     if not host.hold_failed:
@@ -119,13 +124,13 @@
     host.hold_failed = True
 
 
-def _read_clock(host: Host, lists: MinionLists) -> None:
+def _update_minion_clock(host: Host, lists: MinionLists) -> None:
     if host.clock_ms is None or lists.clock_ms >= host.clock_ms:
         host.clock_ms = lists.clock_ms
         host.clock_at_ms = lists.received_ms
 
 
-def _take_running(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
+def _update_running(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
     host = world.host
     if host.hold_failed:
         world.note("minion", "The minion answers.")
@@ -138,15 +143,19 @@
     for key, run in list(host.runs.items()):
         if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
             continue
-        if key not in host.running and key not in over and key not in _ended(host):
-            _refuse(world, run, "stopped")
+        if (
+            key not in host.running
+            and key not in over
+            and key not in _ended_run_keys(host)
+        ):
+            _record_refusal(world, run, "stopped")
 
 
-def _ended(host: Host) -> set[tuple[str, int]]:
+def _ended_run_keys(host: Host) -> set[tuple[str, int]]:
     return {(str(end.task), end.run) for end in host.ended.values()}
 
 
-def _refuse(world: BatchWorld, run: HostRun, reason: str) -> None:
+def _record_refusal(world: BatchWorld, run: HostRun, reason: str) -> None:
     """Report that a run surely never began."""
     host = world.host
     key = (str(run.order.task), run.order.run)
@@ -156,8 +165,8 @@
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
-@system(Phase.INTAKE, SIDECAR, order=60)
-def hear_orders(world: BatchWorld, now_ms: int) -> None:
+@system(Phase.INTAKE, SIDECAR_ROLES, order=60)
+def handle_order_answers(world: BatchWorld, now_ms: int) -> None:
     """Take in what the minion made of starts and stops.
 
     A start that was refused after an earlier copy went unanswered is stopped first,
@@ -165,19 +174,19 @@
     """
     for answer in world.inbox.take(OrderAnswered):
         host = world.host
-        if not _is_present(world, answer.life):
+        if not _is_current_incarnation(world, answer.life):
             continue
         run = host.runs.get((str(answer.task), answer.run))
         if run is None:
             continue
         run.asked = False
         if answer.start:
-            _start_answered(world, run, answer, now_ms)
+            _handle_start_answer(world, run, answer, now_ms)
         else:
-            _stop_answered(world, run, answer, now_ms)
+            _handle_stop_answer(world, run, answer, now_ms)
 
 
-def _start_answered(
+def _handle_start_answer(
     world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     key = (str(answer.task), answer.run)
@@ -200,12 +209,12 @@
     if answer.outcome is OrderOutcome.REFUSED and run.doubtful:
         run.stop = True
     elif answer.outcome is OrderOutcome.REFUSED:
-        _refuse(world, run, answer.reason)
+        _record_refusal(world, run, answer.reason)
     else:
         run.retry_ms = now_ms + RETRY_MS
 
 
-def _stop_answered(
+def _handle_stop_answer(
     world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     if answer.outcome is OrderOutcome.DONE:
@@ -214,32 +223,32 @@
     run.retry_ms = now_ms + RETRY_MS
 
 
-@system(Phase.INTAKE, SIDECAR, order=70)
-def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
+@system(Phase.INTAKE, SIDECAR_ROLES, order=70)
+def handle_scheduler_replies(world: BatchWorld, now_ms: int) -> None:
     """Take in the scheduler's orders, and the lease that its answer allows."""
     for answer in world.inbox.take(SyncAnswered):
         host = world.host
         host.syncs.pop(answer.number, None)
         reply = answer.reply
         if reply is None:
-            _ask_another(world, answer, now_ms)
+            _try_next_entry(world, answer, now_ms)
             continue
         host.entries = reply.entries or host.entries
         if reply.term < host.term or reply.term < 0:
-            _follow_hint(world, answer, now_ms)
+            _follow_redirect(world, answer, now_ms)
             continue
         host.term = reply.term
         host.holder = answer.address
         host.heard_ms = now_ms
-        if reply.life is not None and _is_present(world, reply.life):
+        if reply.life is not None and _is_current_incarnation(world, reply.life):
             _extend_lease(world, answer)
-            _take_orders(world, reply)
+            _apply_orders(world, reply)
 
 
-def _ask_another(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+def _try_next_entry(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     host = world.host
     host.silent = answer.address
-    host.silent_until_ms = now_ms + SILENT_MS
+    host.silent_until_ms = now_ms + UNRESPONSIVE_MS
     if host.holder == answer.address:
         host.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
@@ -248,17 +257,19 @@
     host.dirty = True
 
 
-def _follow_hint(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     """Ask the entry that is said to schedule, unless it has just not answered."""
     host = world.host
-    hint = answer.reply.holder
-    is_silent = hint == host.silent and now_ms < host.silent_until_ms
-    if hint == answer.address or is_silent:
-        hint = None
-    host.holder = hint
-    if hint is None:
+    redirect = answer.reply.holder
+    is_unresponsive = redirect == host.silent and now_ms < host.silent_until_ms
+    if redirect == answer.address or is_unresponsive:
+        redirect = None
+    host.holder = redirect
+    if redirect is None:
         host.next_entry += 1
-    host.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
+    host.sync_after_ms = now_ms + (
+        RETRY_MS if redirect is not None else REDIRECT_PAUSE_MS
+    )
     host.dirty = True
 
 
@@ -272,7 +283,7 @@
     host.until_ms = max(host.until_ms or 0, until_ms)
 
 
-def _take_orders(world: BatchWorld, reply: SyncReply) -> None:
+def _apply_orders(world: BatchWorld, reply: SyncReply) -> None:
     host = world.host
     if reply.noted > host.seen:
         host.seen = reply.noted
@@ -280,16 +291,16 @@
             del host.ended[number]
     for row in reply.settled:
         host.refused.pop((str(row.task), row.run), None)
-    known = _ended(host) | set(host.refused)
+    known = _ended_run_keys(host) | set(host.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
         if key not in known and key not in host.running:
             host.runs.setdefault(key, HostRun(order))
     for stop in reply.stops:
-        _take_stop(host, stop, known)
+        _apply_stop(host, stop, known)
 
 
-def _take_stop(host: Host, stop: StopOrder, known: set[tuple[str, int]]) -> None:
+def _apply_stop(host: Host, stop: StopOrder, known: set[tuple[str, int]]) -> None:
     key = (str(stop.task), stop.run)
     if key in known:
         return
@@ -297,8 +308,8 @@
     run.stop = True
 
 
-@system(Phase.INTAKE, SIDECAR, order=40)
-def hear_members(world: BatchWorld, now_ms: int) -> None:
+@system(Phase.INTAKE, SIDECAR_ROLES, order=40)
+def handle_entry_records(world: BatchWorld, now_ms: int) -> None:
     """Take in the entries that the log lists."""
     for batch in world.inbox.take(Followed):
         found = tuple(
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -1,8 +1,8 @@
 """Orders for sidecars: what they are to start and stop, and which ends are kept."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
+from kingcuppost.batch.systems.lease import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.job import Life, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
@@ -13,84 +13,90 @@
 from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
-__all__ = ["answer_sidecars"]
+__all__ = ["reply_to_sidecars"]
 
-AGAIN_MS = 700
+RESEND_MS = 700
 
 
-Orders = dict[Life, list[tuple[Plan, Task]]]
+OrdersByIncarnation = dict[Life, list[tuple[Plan, Task]]]
 
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
-def answer_sidecars(world: BatchWorld, now_ms: int) -> None:
+def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Answer the reports that have orders or whose wait is over."""
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
-        _release_all(world)
+        _redirect_all(world)
         return
     world.deadlines.add(schedule.authority_until_ms)
     if not schedule.syncs:
         return
-    starts, stops = _collect(world, now_ms)
-    for held in list(schedule.syncs.values()):
-        _answer(world, held, starts, stops, now_ms)
+    starts, stops = _collect_orders(world, now_ms)
+    for pending in list(schedule.syncs.values()):
+        _reply_to_report(world, pending, starts, stops, now_ms)
 
 
-def _answer(
-    world: BatchWorld, held: HeldSync, starts: Orders, stops: Orders, now_ms: int
+def _reply_to_report(
+    world: BatchWorld,
+    pending: HeldSync,
+    starts: OrdersByIncarnation,
+    stops: OrdersByIncarnation,
+    now_ms: int,
 ) -> None:
     """Answer one report if there is anything to say; most ticks say nothing."""
-    call = held.call
+    call = pending.call
     row = world.schedule.minions.get(call.sidecar)
     life = row.life if row else None
-    strays = _due_strays(world, call.sidecar, now_ms)
-    noted = _noted(world, call) if call.ended else 0
+    strays = _due_orphan_stops(world, call.sidecar, now_ms)
+    noted = _last_committed_end(world, call) if call.ended else 0
     has_orders = life in starts or life in stops or bool(strays)
-    if not (has_orders or noted or call.refused or now_ms >= held.until_ms):
+    if not (has_orders or noted or call.refused or now_ms >= pending.until_ms):
         return
     del world.schedule.syncs[call.sidecar]
     for _, task in starts.get(life, ()):
         task.sent_ms = now_ms
     for _, task in stops.get(life, ()):
         task.stop_sent_ms = now_ms
-    for stray in strays:
-        stray.sent_ms = now_ms
-    world.outbox.put(_reply(world, call, life, starts, stops, strays, noted))
+    for orphan in strays:
+        orphan.sent_ms = now_ms
+    world.outbox.put(_make_reply(world, call, life, starts, stops, strays, noted))
 
 
-def _release_all(world: BatchWorld) -> None:
+def _redirect_all(world: BatchWorld) -> None:
     """Send waiting sidecars to the new holder."""
-    for held in world.schedule.syncs.values():
-        world.outbox.put(refer(world, held.call.exchange_id))
+    for pending in world.schedule.syncs.values():
+        world.outbox.put(make_redirect(world, pending.call.exchange_id))
     world.schedule.syncs.clear()
 
 
-def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
+def _due_orphan_stops(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
     strays = world.schedule.strays.get(sidecar)
     if not strays:
         return []
-    return [stray for stray in strays.values() if _is_due(stray.sent_ms, now_ms)]
+    return [orphan for orphan in strays.values() if _is_due(orphan.sent_ms, now_ms)]
 
 
-def _collect(world: BatchWorld, now_ms: int) -> tuple[Orders, Orders]:
+def _collect_orders(
+    world: BatchWorld, now_ms: int
+) -> tuple[OrdersByIncarnation, OrdersByIncarnation]:
     """Return what is to be started and stopped, by life."""
-    starts: Orders = {}
-    stops: Orders = {}
+    starts: OrdersByIncarnation = {}
+    stops: OrdersByIncarnation = {}
     unsettled = world.schedule.unsettled
     for name, (plan, task) in list(unsettled.items()):
         is_settled = task.confirmed and not task.stopping
         if task.phase is not TaskPhase.PLACED or is_settled:
             del unsettled[name]
         elif task.stopping:
-            _add_due(world, stops, plan, task, task.stop_sent_ms, now_ms)
+            _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
         elif plan.committed >= task.version:
-            _add_due(world, starts, plan, task, task.sent_ms, now_ms)
+            _add_due_order(world, starts, plan, task, task.sent_ms, now_ms)
     return starts, stops
 
 
-def _add_due(
+def _add_due_order(
     world: BatchWorld,
-    orders: Orders,
+    orders: OrdersByIncarnation,
     plan: Plan,
     task: Task,
     sent_ms: int | None,
@@ -99,19 +105,19 @@
     if _is_due(sent_ms, now_ms):
         orders.setdefault(task.life, []).append((plan, task))
     else:
-        world.deadlines.add(sent_ms + AGAIN_MS)
+        world.deadlines.add(sent_ms + RESEND_MS)
 
 
 def _is_due(sent_ms: int | None, now_ms: int) -> bool:
-    return sent_ms is None or now_ms - sent_ms >= AGAIN_MS
+    return sent_ms is None or now_ms - sent_ms >= RESEND_MS
 
 
-def _reply(
+def _make_reply(
     world: BatchWorld,
     call: SyncCall,
     life: Life | None,
-    starts: Orders,
-    stops: Orders,
+    starts: OrdersByIncarnation,
+    stops: OrdersByIncarnation,
     strays: list[Stray],
     noted: int,
 ) -> SyncReply:
@@ -126,7 +132,7 @@
         ),
         stops=tuple(
             [StopOrder(task.name, task.run) for _, task in stops.get(life, ())]
-            + [StopOrder(stray.run.task, stray.run.run) for stray in strays]
+            + [StopOrder(orphan.run.task, orphan.run.run) for orphan in strays]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
         noted=noted,
@@ -134,7 +140,7 @@
     )
 
 
-def _noted(world: BatchWorld, call: SyncCall) -> int:
+def _last_committed_end(world: BatchWorld, call: SyncCall) -> int:
     """Return up to which number the reported ends are in the log."""
     known = world.schedule.ends.get(call.sidecar, {})
     noted = 0
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -1,11 +1,11 @@
 """Reports of sidecars: minions, what runs at them, and how runs ended."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
-from kingcuppost.batch.systems.losses import lost_by_end
-from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
+from kingcuppost.batch.systems.lease import has_authority, make_redirect
+from kingcuppost.batch.systems.lost_work import work_lost_by_end
+from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.speeds import learn_speed
-from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
+from kingcuppost.batch.systems.speeds import update_speed
+from kingcuppost.batch.systems.term_opening import certain_expiry_ms, is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
     Life,
@@ -27,40 +27,40 @@
 from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
-__all__ = ["hear_sidecars", "lose_life", "take_up_jobs"]
+__all__ = ["handle_sidecar_reports", "end_incarnation_runs", "adopt_jobs"]
 
-REST_MS = 1_000
-WHOLE = 100
+REFUSAL_PAUSE_MS = 1_000
+FULL_PERCENT = 100
 
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=80)
-def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
+def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
     """Plan what the log has brought since the last tick."""
     schedule = world.schedule
     if not is_scheduling(world):
         return
     for job_id in list(schedule.touched):
-        take_up(world, job_id)
+        adopt_job(world, job_id)
     schedule.touched.clear()
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
-def hear_sidecars(world: BatchWorld, now_ms: int) -> None:
+def handle_sidecar_reports(world: BatchWorld, now_ms: int) -> None:
     """Take reports in; a newer one of the same sidecar ends the wait of an older."""
     for call in world.inbox.take(SyncCall):
         if not is_scheduling(world) or not has_authority(world, now_ms):
-            world.outbox.put(refer(world, call.exchange_id))
+            world.outbox.put(make_redirect(world, call.exchange_id))
             continue
         older = world.schedule.syncs.pop(call.sidecar, None)
         if older is not None:
             world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
-        _hear(world, call, now_ms)
+        _handle_report(world, call, now_ms)
         until_ms = now_ms + call.wait_ms
         world.schedule.syncs[call.sidecar] = HeldSync(call, until_ms)
         world.deadlines.add(until_ms)
 
 
-def _hear(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
+def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
@@ -73,31 +73,31 @@
         if call.minion.life.born_ms < old.life.born_ms:
             return
         old = None
-    _lose_earlier_lives(world, call.sidecar, call.minion.life)
-    row = _minion_of(world, call, old, now_ms)
-    sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
-    schedule.lives[row.life] = sure_ms
-    world.deadlines.add(sure_ms)
+    _end_earlier_incarnations(world, call.sidecar, call.minion.life)
+    row = _update_minion(world, call, old, now_ms)
+    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
+    schedule.lives[row.life] = expiry_ms
+    world.deadlines.add(expiry_ms)
     if call.minion.listed:
-        _take_lists(world, call, row, now_ms)
+        _handle_run_lists(world, call, row, now_ms)
 
 
-def _lose_earlier_lives(world: BatchWorld, sidecar: str, life: Life) -> None:
+def _end_earlier_incarnations(world: BatchWorld, sidecar: str, life: Life) -> None:
     """End the runs of lives that the minion beside a sidecar had before this one."""
     homes = world.schedule.homes
-    for earlier, home in list(homes.items()):
-        if home == sidecar and earlier.born_ms < life.born_ms:
-            lose_life(world, earlier, "the minion began a new life")
+    for earlier, earlier_sidecar in list(homes.items()):
+        if earlier_sidecar == sidecar and earlier.born_ms < life.born_ms:
+            end_incarnation_runs(world, earlier, "the minion began a new life")
     homes[life] = sidecar
 
 
-def _minion_of(
+def _update_minion(
     world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
 ) -> MinionRow:
     """Return the row of a reported minion, made or brought up to date."""
     report = call.minion
     if old is None:
-        old = _new_minion(world, call, report)
+        old = _make_minion(world, call, report)
         world.schedule.minions.put(old)
         world.schedule.changed = True
         world.note(
@@ -120,7 +120,7 @@
     return old
 
 
-def _new_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
+def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
@@ -134,7 +134,7 @@
     )
 
 
-def lose_life(world: BatchWorld, life: Life, reason: str) -> None:
+def end_incarnation_runs(world: BatchWorld, life: Life, reason: str) -> None:
     """End all runs of a life that is over."""
     schedule = world.schedule
     schedule.lives.pop(life, None)
@@ -143,15 +143,15 @@
         for step in plan.tasks:
             for task in step:
                 if task.phase is TaskPhase.PLACED and task.life == life:
-                    _note_end(world, plan, task, RunEnd.LOST, reason)
-                    apply_end(world, plan, task, RunEnd.LOST, "")
+                    _record_run_end(world, plan, task, RunEnd.LOST, reason)
+                    apply_run_end(world, plan, task, RunEnd.LOST, "")
 
 
-def _note_end(
+def _record_run_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
 ) -> None:
     wall_ms = world.clock.wall_ms()
-    lost = lost_by_end(plan, task, how, wall_ms)
+    lost = work_lost_by_end(plan, task, how, wall_ms)
     world.tally.add("ends", how)
     world.tally.add("lost_core_seconds", how, amount=round(lost))
     world.note(
@@ -168,25 +168,27 @@
     )
 
 
-def _take_lists(world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int) -> None:
+def _handle_run_lists(
+    world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int
+) -> None:
     strays = world.schedule.strays.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
     for key in [key for key in strays if key not in present]:
         del strays[key]
     for running in call.running:
-        _see_running(world, row, running, now_ms)
+        _handle_running_run(world, row, running, now_ms)
     known = world.schedule.ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in known if number not in listed]:
         del known[number]
     for ended in call.ended:
         if ended.number not in known:
-            known[ended.number] = _see_end(world, row, ended, now_ms)
+            known[ended.number] = _handle_run_end(world, row, ended, now_ms)
     for refused in call.refused:
-        _see_refusal(world, row, refused, now_ms)
+        _handle_refused_run(world, row, refused, now_ms)
 
 
-def _present(
+def _find_current_run(
     world: BatchWorld, life: Life, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
     """Return the task whose present run is this one, or None."""
@@ -198,14 +200,14 @@
     return found if is_present and task.life == life else None
 
 
-def _see_running(
+def _handle_running_run(
     world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _present(world, row.life, running.task, running.run)
-    if found is None and _is_through(world, running):
+    found = _find_current_run(world, row.life, running.task, running.run)
+    if found is None and _has_ended_elsewhere(world, running):
         return
     if found is None:
-        _stop_stray(world, row, running)
+        _stop_orphan_run(world, row, running)
         return
     plan, task = found
     if task.running_since_ms is None:
@@ -222,7 +224,7 @@
         plan.has_new_saved = True
 
 
-def _is_through(world: BatchWorld, running: RunningRun) -> bool:
+def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
     """Return whether the end of a gang's run has reached us by another member."""
     found = find_task(world, running.task)
     if found is None:
@@ -231,7 +233,7 @@
     return task.phase is TaskPhase.DONE and task.run == running.run
 
 
-def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
+def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
     """Stop a run that is no task's present run."""
     strays = world.schedule.strays.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
@@ -240,24 +242,24 @@
         world.note("run", "A stray run is stopped.", task=key[0], run=key[1])
 
 
-def _see_end(
+def _handle_run_end(
     world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
     """Apply an end, and return the job and version that must be in the log."""
-    found = _present(world, row.life, ended.task, ended.run)
+    found = _find_current_run(world, row.life, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
-        found = _done_after_all(world, ended)
+        found = _find_abandoned_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _learn(world, row, plan, task, ended, now_ms)
-    _note_end(world, plan, task, ended.how)
-    apply_end(world, plan, task, ended.how, ended.saved)
+    _update_reliability(world, row, plan, task, ended, now_ms)
+    _record_run_end(world, plan, task, ended.how)
+    apply_run_end(world, plan, task, ended.how, ended.saved)
     return plan.job.id, plan.version
 
 
-def _done_after_all(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
+def _find_abandoned_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
     """Return the task of a run that was given up but is done, if it waits again."""
     found = find_task(world, ended.task)
     if found is None:
@@ -267,7 +269,7 @@
     return found if is_newest and plan.phase is PlanState.OPEN else None
 
 
-def _learn(
+def _update_reliability(
     world: BatchWorld,
     row: MinionRow,
     plan: Plan,
@@ -279,9 +281,9 @@
     if ended.how is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
             # a member of a gang may have waited for the others
-            task.percent = WHOLE
+            task.percent = FULL_PERCENT
             task.moved_ms = now_ms
-        learn_speed(world, row, plan, task)
+        update_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
         row.proven = True
@@ -291,15 +293,15 @@
         row.failed_ms = now_ms
 
 
-def _see_refusal(
+def _handle_refused_run(
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
     """Take a run back that surely never began; its minion rests for a moment."""
-    found = _present(world, row.life, refused.task, refused.run)
+    found = _find_current_run(world, row.life, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.rests_until_ms = now_ms + REST_MS
-    _note_end(world, plan, task, RunEnd.REFUSED, refused.reason)
-    apply_end(world, plan, task, RunEnd.REFUSED, "")
+        row.rests_until_ms = now_ms + REFUSAL_PAUSE_MS
+    _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
+    apply_run_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -6,61 +6,65 @@
 from kingcuppost.batch.tables.job import Plan, StepPace, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["expected_left_ms", "fair_estimate_ms", "learn_speed"]
+__all__ = ["expected_remaining_ms", "corrected_estimate_ms", "update_speed"]
 
-LEAST_SAMPLE_MS = 1_500
-MOST_WEIGHT = 6.0
-PRIOR_WEIGHT = 0.25
-SLOWEST_SAMPLE = 0.2
-FASTEST_SAMPLE = 2.0
-WHOLE = 100
-LEAST_SPEED = 0.05
+MIN_SAMPLE_MS = 1_500
+MAX_WEIGHT_RUNS = 6.0
+PRIOR_WEIGHT_RUNS = 0.25
+MIN_SAMPLE_SPEED = 0.2
+MAX_SAMPLE_SPEED = 2.0
+FULL_PERCENT = 100
+MIN_SPEED = 0.05
 
 
-def learn_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
+def update_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
     """Take one run's progress into its machine's speed.
 
     A caller's estimate is rough, but the same for all tasks of a step. So a run says
     two things: how the estimate compares with the machines' known speeds, and, once
     that is set right by all runs of the step, how fast this machine is.
     """
-    sample = _sample(plan, task)
+    sample = _measure_speed(plan, task)
     if sample is None:
         return
     speed = row.pace
-    pace = plan.paces.setdefault(task.name.step, StepPace())
-    pace.log_sum += log(sample / max(speed.value, LEAST_SPEED))
-    pace.count += 1
-    fair = sample / exp(pace.mean_log)
-    fair = min(max(fair, SLOWEST_SAMPLE), FASTEST_SAMPLE)
-    speed.weight = min(speed.weight + 1, MOST_WEIGHT)
-    speed.value += (fair - speed.value) / (speed.weight + PRIOR_WEIGHT)
+    estimate_error = plan.paces.setdefault(task.name.step, StepPace())
+    estimate_error.log_sum += log(sample / max(speed.value, MIN_SPEED))
+    estimate_error.count += 1
+    corrected = sample / exp(estimate_error.mean_log)
+    corrected = min(max(corrected, MIN_SAMPLE_SPEED), MAX_SAMPLE_SPEED)
+    speed.weight = min(speed.weight + 1, MAX_WEIGHT_RUNS)
+    speed.value += (corrected - speed.value) / (speed.weight + PRIOR_WEIGHT_RUNS)
     world.schedule.speeds_changed = True
 
 
-def _sample(plan: Plan, task: Task) -> float | None:
+def _measure_speed(plan: Plan, task: Task) -> float | None:
     """Return a run's speed if the estimate were right, or None if it is too short."""
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
     took_ms = task.moved_ms - task.running_since_ms
-    done = task.percent - task.first_percent
-    if took_ms < LEAST_SAMPLE_MS or done <= 0:
+    done_percent = task.percent - task.first_percent
+    if took_ms < MIN_SAMPLE_MS or done_percent <= 0:
         return None
-    return estimate_ms * done / WHOLE / took_ms
+    return estimate_ms * done_percent / FULL_PERCENT / took_ms
 
 
-def fair_estimate_ms(plan: Plan, task: Task) -> float:
+def corrected_estimate_ms(plan: Plan, task: Task) -> float:
     """Return how long a task takes at speed 1.0, as the step's runs have shown."""
-    pace = plan.paces.get(task.name.step, StepPace())
-    return plan.job.steps[task.name.step].estimate_ms / exp(pace.mean_log)
+    estimate_error = plan.paces.get(task.name.step, StepPace())
+    return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
-def expected_left_ms(row: MinionRow, plan: Plan, task: Task) -> float:
+def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
     """Return how long a run will yet take, from its own progress if it shows any."""
-    left = (WHOLE - task.percent) / WHOLE
+    remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
     took_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
-    done = task.percent - task.first_percent
-    if took_ms >= LEAST_SAMPLE_MS and done > 0:
-        return left * WHOLE * took_ms / done
-    return left * fair_estimate_ms(plan, task) / max(row.pace.value, LEAST_SPEED)
+    done_percent = task.percent - task.first_percent
+    if took_ms >= MIN_SAMPLE_MS and done_percent > 0:
+        return remaining_ratio * FULL_PERCENT * took_ms / done_percent
+    return (
+        remaining_ratio
+        * corrected_estimate_ms(plan, task)
+        / max(row.pace.value, MIN_SPEED)
+    )
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.lease import holds_lease, step_down
-from kingcuppost.batch.systems.plans import all_tasks, take_up
+from kingcuppost.batch.systems.plans import adopt_job, iter_tasks
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
     Append,
@@ -15,16 +15,16 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["is_scheduling", "open_term", "sure_lapse_ms"]
+__all__ = ["is_scheduling", "open_term", "certain_expiry_ms"]
 
-ANSWER_MS = 800
-LAPSE_MARGIN_MS = 400
-CLOCK_DRIFT = 1.03
+APPEND_TIMEOUT_MS = 800
+EXPIRY_MARGIN_MS = 400
+MAX_CLOCK_DRIFT_RATIO = 1.03
 
 
-def sure_lapse_ms(lease_ms: int) -> int:
+def certain_expiry_ms(lease_ms: int) -> int:
     """Return after how long a lease has lapsed on any minion's clock, in ms."""
-    return int(lease_ms * CLOCK_DRIFT) + LAPSE_MARGIN_MS
+    return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
 
 def is_scheduling(world: BatchWorld) -> bool:
@@ -43,11 +43,11 @@
         _send_fence(world)
     for answer in [row for row in schedule.answers if row.id == schedule.fence_id]:
         schedule.answers.remove(answer)
-        _fence_answered(world, answer)
+        _handle_fence_answer(world, answer)
     schedule = world.schedule
     is_caught_up = world.agreed.views[Stream.JOBS].end >= schedule.caught_up_at
     if schedule.opened and not schedule.loaded and is_caught_up:
-        _load(world, now_ms)
+        _load_plans(world, now_ms)
 
 
 def _send_fence(world: BatchWorld) -> None:
@@ -61,12 +61,12 @@
             (),
             term=schedule.term,
             sequence=0,
-            timeout_ms=ANSWER_MS,
+            timeout_ms=APPEND_TIMEOUT_MS,
         )
     )
 
 
-def _fence_answered(world: BatchWorld, answer: AppendEnded) -> None:
+def _handle_fence_answer(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if answer.outcome is AppendOutcome.DONE:
         schedule.opened = True
@@ -78,23 +78,23 @@
         _send_fence(world)
 
 
-def _load(world: BatchWorld, now_ms: int) -> None:
+def _load_plans(world: BatchWorld, now_ms: int) -> None:
     """Make plans of all jobs; what runs anywhere may run for a lease yet."""
     schedule = world.schedule
     schedule.loaded = True
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
-    sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
+    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
-        take_up(world, job.id)
+        adopt_job(world, job.id)
         plan = schedule.plans[job.id]
-        for task in all_tasks(plan):
+        for task in iter_tasks(plan):
             if task.life is not None:
                 schedule.unsettled[task.name] = (plan, task)
-                schedule.lives[task.life] = sure_ms
+                schedule.lives[task.life] = expiry_ms
                 schedule.homes[task.life] = task.sidecar
-    world.deadlines.add(sure_ms)
+    world.deadlines.add(expiry_ms)
     schedule.touched.clear()
     schedule.changed = True
     world.note(
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -6,15 +6,22 @@
 from kingcuppost.batch.tables.job import Plan, PlanState, StepSpec, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["URGENT", "Unit", "covered_jobs", "rank_of", "task_weight", "units_of"]
-
-URGENT = 0
-MILLIS = 1_000
+__all__ = [
+    "URGENT_PRIORITY",
+    "PlacementUnit",
+    "find_guaranteed_jobs",
+    "urgency_rank",
+    "task_core_equivalents",
+    "iter_units",
+]
+
+URGENT_PRIORITY = 0
+MILLIS_PER_CORE = 1_000
 CORES_PER_ACCELERATOR = 8
 
 
 @dataclass(slots=True)
-class Unit:
+class PlacementUnit:
     """Tasks that are placed together: a gang, or what waits of a step.
 
     Attributes
@@ -35,15 +42,15 @@
     @property
     def is_urgent(self) -> bool:
         """Return whether the unit may stop other work."""
-        return self.plan.job.terms.priority == URGENT
+        return self.plan.job.terms.priority == URGENT_PRIORITY
 
     @property
-    def is_covered(self) -> bool:
+    def is_guaranteed(self) -> bool:
         """Return whether the team's guarantee covers the unit."""
         return self.rank == 0
 
     @property
-    def is_last_try(self) -> bool:
+    def is_last_attempt(self) -> bool:
         """Return whether another failure would end the job."""
         return any(
             task.failures and task.failures + 1 >= self.plan.job.terms.most_failures
@@ -51,64 +58,65 @@
         )
 
 
-def task_weight(step: StepSpec) -> float:
+def task_core_equivalents(step: StepSpec) -> float:
     """Return how many cores a task counts as."""
-    return step.cpu_millis / MILLIS + CORES_PER_ACCELERATOR * step.accelerators
+    return step.cpu_millis / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * step.accelerators
 
 
-def covered_jobs(world: BatchWorld) -> set[str]:
+def find_guaranteed_jobs(world: BatchWorld) -> set[str]:
     """Return the urgent jobs that their team's guarantee covers, oldest first."""
     configuration = world.agreed.configuration
     if configuration is None:
         return set()
-    left = {team.name: team.guaranteed for team in configuration.teams.values()}
-    covered = set()
+    unclaimed = {team.name: team.guaranteed for team in configuration.teams.values()}
+    guaranteed_ids = set()
     urgent = [
         plan
         for plan in world.schedule.plans.values()
-        if plan.job.terms.priority == URGENT and plan.phase is not PlanState.OVER
+        if plan.job.terms.priority == URGENT_PRIORITY
+        and plan.phase is not PlanState.OVER
     ]
     for plan in sorted(urgent, key=lambda plan: plan.job.accepted_ms):
         needed = max(step.count * step.accelerators for step in plan.job.steps)
-        if left.get(plan.job.team, 0) >= needed:
-            left[plan.job.team] -= needed
-            covered.add(plan.job.id)
-    return covered
+        if unclaimed.get(plan.job.team, 0) >= needed:
+            unclaimed[plan.job.team] -= needed
+            guaranteed_ids.add(plan.job.id)
+    return guaranteed_ids
 
 
-def rank_of(plan: Plan, covered: set[str]) -> int:
+def urgency_rank(plan: Plan, guaranteed_ids: set[str]) -> int:
     """Return how urgent a job is; 0 comes first."""
-    if plan.job.id in covered:
+    if plan.job.id in guaranteed_ids:
         return 0
     return plan.job.terms.priority + 1
 
 
-def units_of(world: BatchWorld, covered: set[str]) -> Iterator[Unit]:
+def iter_units(world: BatchWorld, guaranteed_ids: set[str]) -> Iterator[PlacementUnit]:
     """Yield the units of all jobs, in no order."""
     for plan in world.schedule.plans.values():
         if plan.phase is PlanState.OPEN:
-            yield from _units_of_job(plan, rank_of(plan, covered))
+            yield from _iter_job_units(plan, urgency_rank(plan, guaranteed_ids))
 
 
-def _units_of_job(plan: Plan, rank: int) -> Iterator[Unit]:
+def _iter_job_units(plan: Plan, rank: int) -> Iterator[PlacementUnit]:
     for index, spec in enumerate(plan.job.steps):
         tasks = plan.tasks[index]
         waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
-        if not waiting or not _is_ready(plan, spec):
+        if not waiting or not _is_unblocked(plan, spec):
             continue
         if spec.gang:
             if len(waiting) == len(tasks):
-                yield Unit(plan, index, spec, waiting, rank)
+                yield PlacementUnit(plan, index, spec, waiting, rank)
             continue
-        fresh = [task for task in waiting if not task.avoid]
-        if fresh:
-            yield Unit(plan, index, spec, fresh, rank)
+        unrestricted = [task for task in waiting if not task.avoid]
+        if unrestricted:
+            yield PlacementUnit(plan, index, spec, unrestricted, rank)
         for task in waiting:
             if task.avoid:
-                yield Unit(plan, index, spec, [task], rank)
+                yield PlacementUnit(plan, index, spec, [task], rank)
 
 
-def _is_ready(plan: Plan, spec: StepSpec) -> bool:
+def _is_unblocked(plan: Plan, spec: StepSpec) -> bool:
     """Return whether all steps that a step needs are done."""
     return all(
         task.phase is TaskPhase.DONE
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -2,16 +2,24 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.placement import Site, Victim, evict, how_many, pick
+from kingcuppost.batch.systems.placement import (
+    Candidate,
+    Victim,
+    choose_candidates,
+    count_fitting_tasks,
+    plan_evictions,
+)
 from kingcuppost.batch.tables.fleet import MinionRow, Room
 from kingcuppost.batch.tables.job import Job, Life, Plan, StepSpec, Task, TaskName
 
-WHOLE = Room(64_000, 131_072, 8)
+MINION_CAPACITY = Room(64_000, 131_072, 8)
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
 
 
-def site(name: str, free: Room, costs: tuple[float, ...] = ()) -> Site:
-    row = MinionRow(name, Life(name, 1), "svc", "z", "r1", frozenset(), replace(WHOLE))
+def candidate(name: str, free: Room, costs: tuple[float, ...] = ()) -> Candidate:
+    row = MinionRow(
+        name, Life(name, 1), "svc", "z", "r1", frozenset(), replace(MINION_CAPACITY)
+    )
     job = Job("0123456789abcdef", "q", "t", "", (STEP,), 0, 0)
     plan = Plan(job, [[]])
     victims = [
@@ -20,61 +28,76 @@
         )
         for index, cost in enumerate(costs)
     ]
-    return Site(row, replace(free), replace(free), replace(free), [0], victims=victims)
+    return Candidate(
+        row, replace(free), replace(free), replace(free), [0], victims=victims
+    )
 
 
-def by_name(found: Site, step: StepSpec) -> tuple:
+def by_name(found: Candidate, step: StepSpec) -> tuple:
     return (found.minion.sidecar,)
 
 
 def test_the_scarcest_kind_of_room_decides() -> None:
-    assert how_many(Room(64_000, 131_072, 8), STEP, 9) == 4
-    assert how_many(Room(16_000, 131_072, 8), STEP, 9) == 2
-    assert how_many(Room(64_000, 15_000, 8), STEP, 9) == 1
-    assert how_many(Room(-1, 0, 0), STEP, 9) == 0
+    assert count_fitting_tasks(Room(64_000, 131_072, 8), STEP, 9) == 4
+    assert count_fitting_tasks(Room(16_000, 131_072, 8), STEP, 9) == 2
+    assert count_fitting_tasks(Room(64_000, 15_000, 8), STEP, 9) == 1
+    assert count_fitting_tasks(Room(-1, 0, 0), STEP, 9) == 0
 
 
 def test_tasks_spread_over_sites_in_order_of_rank() -> None:
-    sites = [site("b", WHOLE), site("a", Room(64_000, 131_072, 2))]
-    chosen = pick(sites, STEP, 3, by_name)
+    candidates = [
+        candidate("b", MINION_CAPACITY),
+        candidate("a", Room(64_000, 131_072, 2)),
+    ]
+    chosen = choose_candidates(candidates, STEP, 3, by_name)
     assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
 
 
 def test_at_most_so_many_tasks_of_a_step_go_to_a_site() -> None:
     apart = replace(STEP, most_per_minion=1)
-    chosen = pick([site("a", WHOLE), site("b", WHOLE)], apart, 3, by_name)
+    chosen = choose_candidates(
+        [candidate("a", MINION_CAPACITY), candidate("b", MINION_CAPACITY)],
+        apart,
+        3,
+        by_name,
+    )
     assert len(chosen) == 2
 
 
 def test_the_cheapest_work_is_stopped() -> None:
     none = Room(0, 0, 0)
-    dear = site("a", none, (50.0, 60.0, 70.0))
-    cheap = site("b", none, (1.0, 2.0, 3.0))
-    found = evict([dear, cheap], STEP, 2, by_name)
-    assert [eviction.site.minion.sidecar for eviction in found] == ["b"]
+    costly = candidate("a", none, (50.0, 60.0, 70.0))
+    cheap = candidate("b", none, (1.0, 2.0, 3.0))
+    found = plan_evictions([costly, cheap], STEP, 2, by_name)
+    assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
     assert found[0].cost == 3.0
     assert len(found[0].victims) == 2
 
 
 def test_free_room_costs_nothing() -> None:
-    found = evict([site("a", WHOLE, (5.0,)), site("b", WHOLE)], STEP, 3, by_name)
+    found = plan_evictions(
+        [candidate("a", MINION_CAPACITY, (5.0,)), candidate("b", MINION_CAPACITY)],
+        STEP,
+        3,
+        by_name,
+    )
     assert sum(eviction.cost for eviction in found) == 0
     assert not any(eviction.victims for eviction in found)
 
 
 def test_nothing_is_stopped_in_vain() -> None:
-    assert not evict([site("a", Room(0, 0, 0), ())], STEP, 3, by_name)
+    assert not plan_evictions([candidate("a", Room(0, 0, 0), ())], STEP, 3, by_name)
 
 
 def test_room_is_made_for_as_many_tasks_as_the_cost_allows() -> None:
-    full = site("a", Room(0, 0, 0), (1.0, 90.0))
-    found = evict([full], STEP, 2, by_name, most_cost=10.0)
+    full = candidate("a", Room(0, 0, 0), (1.0, 90.0))
+    found = plan_evictions([full], STEP, 2, by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
 def test_work_that_leaves_no_useful_room_goes_on() -> None:
     small, large = Room(1_000, 1_000, 0), Room(8_000, 16_000, 2)
-    full = site("a", Room(0, 0, 0), (1.0, 2.0))
-    full.victims[0].room, full.victims[1].room = small, large
-    found = evict([full], STEP, 1, by_name)
+    full = candidate("a", Room(0, 0, 0), (1.0, 2.0))
+    full.victims[0].resources, full.victims[1].resources = small, large
+    found = plan_evictions([full], STEP, 1, by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -3,7 +3,12 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
-from kingcuppost.batch.systems.plans import all_tasks, apply_end, progress_of, take_up
+from kingcuppost.batch.systems.plans import (
+    adopt_job,
+    apply_run_end,
+    iter_tasks,
+    make_progress,
+)
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import (
     Job,
@@ -33,7 +38,7 @@
     return make_batch_world(cfg, ManualClock(start_ms=1_000), seed=1)
 
 
-def planned(
+def adopt_with_progress(
     world: BatchWorld,
     spec: StepSpec,
     phases: str,
@@ -48,59 +53,63 @@
     job = Job(JOB, "q", "t", "", (spec,), 0, 0, terms, False, state, True)
     job.progress = Progress(state, True, rows)
     world.agreed.jobs.put(job)
-    take_up(world, JOB)
+    adopt_job(world, JOB)
     return world.schedule.plans[JOB]
 
 
 def test_members_of_a_parted_gang_are_stopped(world: BatchWorld) -> None:
-    plan = planned(world, GANG, "pww")
+    plan = adopt_with_progress(world, GANG, "pww")
     assert plan.tasks[0][0].stopping
 
 
 def test_a_whole_gang_and_single_tasks_run_on(world: BatchWorld) -> None:
-    assert not any(task.stopping for task in all_tasks(planned(world, GANG, "ppp")))
+    assert not any(
+        task.stopping for task in iter_tasks(adopt_with_progress(world, GANG, "ppp"))
+    )
     world.schedule.plans.clear()
-    assert not any(task.stopping for task in all_tasks(planned(world, WIDE, "pwd")))
+    assert not any(
+        task.stopping for task in iter_tasks(adopt_with_progress(world, WIDE, "pwd"))
+    )
 
 
 def test_runs_of_an_ended_job_are_stopped(world: BatchWorld) -> None:
-    plan = planned(world, WIDE, "ppd", JobState.CANCELLED)
+    plan = adopt_with_progress(world, WIDE, "ppd", JobState.CANCELLED)
     assert plan.phase is PlanState.CLOSING
-    assert [task.stopping for task in all_tasks(plan)] == [True, True, False]
+    assert [task.stopping for task in iter_tasks(plan)] == [True, True, False]
 
 
 def test_one_end_stands_for_a_gang(world: BatchWorld) -> None:
-    plan = planned(world, GANG, "ppp")
-    apply_end(world, plan, plan.tasks[0][1], RunEnd.DONE, "")
+    plan = adopt_with_progress(world, GANG, "ppp")
+    apply_run_end(world, plan, plan.tasks[0][1], RunEnd.DONE, "")
     assert plan.state is JobState.COMPLETED
 
 
 def test_a_gangs_run_fails_once(world: BatchWorld) -> None:
-    plan = planned(world, GANG, "ppp")
+    plan = adopt_with_progress(world, GANG, "ppp")
     for task in plan.tasks[0][:2]:
-        apply_end(world, plan, task, RunEnd.FAILED, "")
+        apply_run_end(world, plan, task, RunEnd.FAILED, "")
     assert plan.tasks[0][0].failures == 1
     assert plan.state is JobState.RUNNING
 
 
 def test_only_failed_ends_count_as_attempts(world: BatchWorld) -> None:
-    plan = planned(world, WIDE, "pdd")
+    plan = adopt_with_progress(world, WIDE, "pdd")
     task = plan.tasks[0][0]
     for how in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.REFUSED):
         task.phase = TaskPhase.PLACED
-        apply_end(world, plan, task, how, "")
+        apply_run_end(world, plan, task, how, "")
     assert task.failures == 0
     for _ in range(2):
         task.phase = TaskPhase.PLACED
-        apply_end(world, plan, task, RunEnd.FAILED, "")
+        apply_run_end(world, plan, task, RunEnd.FAILED, "")
     assert plan.state is JobState.FAILED
 
 
 def test_a_record_gives_the_same_plan_again(world: BatchWorld) -> None:
-    plan = planned(world, WIDE, "pwd")
+    plan = adopt_with_progress(world, WIDE, "pwd")
     plan.tasks[0][1].saved = "00ff"
     job = plan.job
-    job.progress = progress_of(plan)
+    job.progress = make_progress(plan)
     world.schedule.plans.clear()
-    take_up(world, JOB)
-    assert progress_of(world.schedule.plans[JOB]) == job.progress
+    adopt_job(world, JOB)
+    assert make_progress(world.schedule.plans[JOB]) == job.progress
--- a/standins/batch/tests/test_handover.py
+++ b/standins/batch/tests/test_handover.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kingcuppost.batch.tables.job import RunEnd, StepSpec
-from standins.batch.tests.test_days import ready
+from standins.batch.tests.test_jobs import make_ready_deployment
 
 LONG = StepSpec(9, cpu_millis=30_000, accelerators=4)
 SEEDS = range(1, 9)
@@ -11,7 +11,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_run_lapses_when_the_holder_is_cut_off(seed: int) -> None:
-    deployment = ready(seed)
+    deployment = make_ready_deployment(seed)
     deployment.submit((LONG,), [60_000])
     deployment.run_for(1_000 + 130 * seed)
     holder = deployment.holder()
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_jobs.py
@@ -10,7 +10,7 @@
 )
 
 
-def ready(seed: int = 1, **sizes: int) -> Deployment:
+def make_ready_deployment(seed: int = 1, **sizes: int) -> Deployment:
     deployment = Deployment(seed, **sizes)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
     deployment.run_for(2_000)
@@ -19,7 +19,7 @@
 
 
 def test_a_job_of_two_steps_is_done_in_order() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     second = StepSpec(2, cpu_millis=1_000, needs=(0,))
     job_id, exchange_id = deployment.submit((SMALL, second), [2_000, 500])
     deployment.run_for(100)
@@ -31,7 +31,7 @@
 
 
 def test_a_gang_runs_in_one_rack_and_ends_together() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((GANG,), [1_500], priority=0)
     assert deployment.run_until(
         lambda: deployment.state(job_id, 0) is JobState.COMPLETED, 10_000
@@ -41,7 +41,7 @@
 
 
 def test_urgent_work_starts_on_full_minions_within_its_bound() -> None:
-    deployment = ready(minions=3)
+    deployment = make_ready_deployment(minions=3)
     for _ in range(3):
         deployment.submit((StepSpec(8, cpu_millis=5_000, accelerators=1),), [60_000], 2)
     deployment.run_for(1_000)
@@ -53,7 +53,7 @@
 
 
 def test_a_cancelled_job_stops() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(1_000)
     exchange_id = deployment.cancel(job_id)
@@ -64,7 +64,7 @@
 
 
 def test_the_same_identifier_is_one_job() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, first = deployment.submit((SMALL,), [500], entry="entry-0")
     _, second = deployment.submit((SMALL,), [500], job_id=job_id, entry="entry-1")
     deployment.run_for(5_000)
@@ -75,7 +75,7 @@
 
 
 def test_a_job_that_always_fails_is_shown_as_failed() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     for minion in deployment.minions.values():
         minion.fails = True
     job_id, _ = deployment.submit((SMALL,), [500])
@@ -86,7 +86,7 @@
 
 
 def test_calls_that_name_nothing_are_told_so() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     unknown = deployment.call(CallKind.STATE, "/urgent/0123456789abcdef")
     nowhere = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
     waiting = deployment.call(CallKind.STATE, "/urgent/")
@@ -97,7 +97,7 @@
 
 
 def test_the_first_term_of_a_fresh_log_is_scheduled() -> None:
-    deployment = ready(seed=3, entries=1)
+    deployment = make_ready_deployment(seed=3, entries=1)
     assert deployment.holder().world.schedule.term >= 1
     job_id, _ = deployment.submit((SMALL,), [500])
     assert deployment.run_until(
@@ -106,7 +106,7 @@
 
 
 def test_overnight_work_leaves_whole_racks_to_urgent_gangs() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     wide = StepSpec(6, cpu_millis=5_000, accelerators=1)
     for _ in range(2):
         deployment.submit((wide,), [60_000], 2)
@@ -116,7 +116,7 @@
 
 
 def test_an_entry_that_is_cut_off_refuses_at_once() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     deployment.processes["entry-1"].is_cut = True
     deployment.run_for(3_500)
     job_id, exchange_id = deployment.submit((SMALL,), [500], entry="entry-1")
@@ -129,7 +129,7 @@
 
 
 def test_jobs_that_ended_long_ago_leave_the_log() -> None:
-    deployment = ready(entries=2, minions=2)
+    deployment = make_ready_deployment(entries=2, minions=2)
     job_id, _ = deployment.submit((StepSpec(1, cpu_millis=1_000),), [100])
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 5_000
@@ -145,7 +145,7 @@
 
 
 def test_guaranteed_work_spreads_over_racks_rather_than_wait() -> None:
-    deployment = ready(minions=2)
+    deployment = make_ready_deployment(minions=2)
     for index, minion in enumerate(deployment.minions.values()):
         minion.rack = f"r{index}-1"
     large = StepSpec(1, cpu_millis=7_500, accelerators=6, gang=True, estimate_ms=60_000)
@@ -160,7 +160,7 @@
 
 
 def test_a_gang_that_failed_on_minions_that_it_needs_runs_there_again() -> None:
-    deployment = ready(minions=2)
+    deployment = make_ready_deployment(minions=2)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
         minion.fails = True
@@ -176,7 +176,7 @@
 
 
 def test_urgent_work_is_looked_at_again_though_nothing_changes() -> None:
-    deployment = ready(minions=1)
+    deployment = make_ready_deployment(minions=1)
     fill = StepSpec(2, cpu_millis=30_000, accelerators=4, estimate_ms=60_000)
     deployment.submit((fill,), [60_000], 1)
     deployment.run_for(6_000)
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -6,7 +6,7 @@
 STEP = StepSpec(2, cpu_millis=5_000, accelerators=1, estimate_ms=4_000, saves=True)
 
 
-def ready(**sizes: int) -> Deployment:
+def make_ready_deployment(**sizes: int) -> Deployment:
     deployment = Deployment(5, **sizes)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
     deployment.run_for(2_000)
@@ -14,7 +14,7 @@
 
 
 def test_a_run_that_stands_still_goes_on_elsewhere() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [4_000])
     deployment.run_for(1_500)
     for minion in deployment.minions.values():
@@ -26,7 +26,7 @@
 
 
 def test_work_that_saves_leaves_a_minion_that_drains() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [20_000])
     deployment.run_for(2_500)
     leaving = [minion for minion in deployment.minions.values() if minion.runs]
@@ -39,7 +39,7 @@
 
 
 def test_urgent_work_goes_to_minions_that_proved_fast() -> None:
-    deployment = ready(minions=4)
+    deployment = make_ready_deployment(minions=4)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
     for _ in range(2):
@@ -58,7 +58,7 @@
 
 
 def test_a_member_that_is_through_waits_for_its_gang() -> None:
-    deployment = ready(minions=3)
+    deployment = make_ready_deployment(minions=3)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
     gang = StepSpec(
@@ -72,7 +72,7 @@
 
 
 def test_an_urgent_run_on_a_slow_minion_begins_anew_elsewhere() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     step = StepSpec(1, cpu_millis=5_000, accelerators=1, estimate_ms=4_000)
     job_id, _ = deployment.submit((step,), [4_000], 0)
     deployment.run_for(300)
@@ -86,7 +86,7 @@
 
 
 def test_a_failed_run_waits_for_another_minion_rather_than_use_up_its_tries() -> None:
-    deployment = ready(minions=2)
+    deployment = make_ready_deployment(minions=2)
     whole = StepSpec(1, cpu_millis=64_000, accelerators=8)
     deployment.submit((whole,), [2_000], 2)
     deployment.run_for(200)
@@ -100,7 +100,7 @@
 
 
 def test_urgent_work_waits_for_a_run_that_is_all_but_done() -> None:
-    deployment = ready(minions=1)
+    deployment = make_ready_deployment(minions=1)
     half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
     nearly, _ = deployment.submit((half,), [3_000], 1)
     deployment.run_for(2_600)
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_scheduling_lease.py
@@ -9,7 +9,7 @@
 SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
 
 
-def ready(seed: int = 1) -> Deployment:
+def make_ready_deployment(seed: int = 1) -> Deployment:
     deployment = Deployment(seed)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
     deployment.run_for(2_000)
@@ -17,7 +17,7 @@
 
 
 def test_a_dead_holder_is_followed_by_another_entry() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
@@ -28,7 +28,7 @@
 
 
 def test_work_goes_on_after_all_entries_were_killed() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [8_000])
     deployment.run_for(1_000)
     names = [name for name in deployment.processes if name.startswith("entry")]
@@ -45,7 +45,7 @@
 
 
 def test_a_restarted_holder_claims_at_once() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
     deployment.run_for(300)
@@ -54,7 +54,7 @@
 
 
 def test_a_holder_that_leaves_gives_the_lease_back() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.stop(old.name)
     deployment.run_for(1_000)
@@ -63,7 +63,7 @@
 
 
 def test_a_job_cancelled_while_nobody_schedules_does_not_run_again() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
     deployment.kill(deployment.holder().name)
@@ -76,7 +76,7 @@
 
 
 def test_work_of_minions_that_lost_power_goes_on_without_their_lease() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [1_500])
     deployment.run_for(1_000)
     for process in deployment.processes.values():
@@ -94,7 +94,7 @@
 
 
 def test_checkpoints_outlive_the_loss_of_everything() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [20_000])
     deployment.run_for(12_000)
     for process in deployment.processes.values():
@@ -113,7 +113,7 @@
 
 
 def test_a_job_keeps_its_terms_when_its_queue_is_gone() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [4_000], 1)
     deployment.run_for(500)
     failing = next(minion for minion in deployment.minions.values() if minion.runs)
@@ -128,7 +128,7 @@
 
 
 def test_a_new_term_stops_what_a_cancelled_job_still_runs() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
     cut = [
@@ -150,7 +150,7 @@
 
 
 def test_a_renewal_after_another_claim_gives_no_authority() -> None:
-    deployment = ready()
+    deployment = make_ready_deployment()
     old = deployment.holder()
     old.is_turned_away = True
     old.is_deaf = True
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -2,15 +2,17 @@
 
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
-from standins.batch.tests.test_days import ready
+from standins.batch.tests.test_jobs import make_ready_deployment
 
-SLOW = {"side-0", "side-4", "side-8"}
+SLOW_SIDECARS = {"side-0", "side-4", "side-8"}
 
 
-def learned(deployment: Deployment, rough: float = 1.0, jobs: int = 2) -> Deployment:
+def run_calibration_jobs(
+    deployment: Deployment, estimate_factor: float = 1.0, jobs: int = 2
+) -> Deployment:
     """Run tasks on every minion, of which some are slow, with rough estimates."""
     for number in range(jobs):
-        factor = rough if number % 2 else 1 / rough
+        factor = estimate_factor if number % 2 else 1 / estimate_factor
         step = StepSpec(
             9,
             cpu_millis=5_000,
@@ -25,51 +27,51 @@
     return deployment
 
 
-def slowest(deployment: Deployment) -> set[str]:
+def slowest_sidecars(deployment: Deployment) -> set[str]:
     for process in deployment.processes.values():
         if process.is_up and process.world.schedule.loaded:
             rows = sorted(
                 process.world.schedule.minions, key=lambda row: row.pace.value
             )
-            return {row.sidecar for row in rows[: len(SLOW)]}
+            return {row.sidecar for row in rows[: len(SLOW_SIDECARS)]}
     return set()
 
 
 def test_slow_machines_are_told_apart_though_estimates_are_rough() -> None:
-    deployment = learned(ready(), rough=1.6)
-    assert slowest(deployment) == SLOW
+    deployment = run_calibration_jobs(make_ready_deployment(), estimate_factor=1.6)
+    assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
 def test_a_new_holder_knows_the_speeds() -> None:
-    deployment = learned(ready())
+    deployment = run_calibration_jobs(make_ready_deployment())
     holder = deployment.holder()
     deployment.run_for(12_000)
-    learned(deployment, jobs=1)
+    run_calibration_jobs(deployment, jobs=1)
     deployment.kill(holder.name)
     deployment.run_for(5_000)
-    assert slowest(deployment) == SLOW
+    assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
 def test_a_new_life_of_a_minion_keeps_its_machine_s_speed() -> None:
-    deployment = learned(ready())
+    deployment = run_calibration_jobs(make_ready_deployment())
     for minion in deployment.minions.values():
         minion.restart()
     deployment.run_for(2_000)
-    assert slowest(deployment) == SLOW
+    assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
 def test_work_with_the_most_time_leaves_the_fast_minions_to_others() -> None:
-    deployment = learned(ready())
+    deployment = run_calibration_jobs(make_ready_deployment())
     step = StepSpec(3, cpu_millis=60_000, accelerators=8, estimate_ms=3_000)
     deployment.submit((step,), [9_000], 2)
     deployment.run_for(500)
     at = {name for name, process in deployment.processes.items() if process.minion}
     busy = {name for name in at if deployment.processes[name].minion.runs}
-    assert busy == SLOW
+    assert busy == SLOW_SIDECARS
 
 
 def test_urgent_work_rather_stops_others_than_run_on_slow_minions() -> None:
-    deployment = learned(ready())
+    deployment = run_calibration_jobs(make_ready_deployment())
     fill = StepSpec(6, cpu_millis=60_000, accelerators=8, estimate_ms=9_000)
     deployment.submit((fill,), [20_000], 1)
     deployment.run_for(3_000)
