--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -14,10 +14,10 @@
 __all__ = [
     "NEVER_MS",
     "eligible_candidates",
-    "request_decision",
+    "exclude_avoided",
     "fast_candidates",
     "list_candidates",
-    "exclude_avoided",
+    "request_decision",
 ]
 
 NEVER_MS = 2**62
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -8,14 +8,14 @@
 from kingcuppost.batch.tables.job import Plan, StepSpec, Task
 
 __all__ = [
+    "Candidate",
     "Eviction",
     "RankFunction",
-    "Candidate",
     "Victim",
     "add_resources",
-    "plan_evictions",
-    "count_fitting_tasks",
     "choose_candidates",
+    "count_fitting_tasks",
+    "plan_evictions",
     "subtract_resources",
     "subtract_tasks",
 ]
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -19,16 +19,16 @@
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
-    "iter_tasks",
+    "adopt_job",
     "apply_run_end",
-    "request_stop",
-    "mark_plan_changed",
     "find_task",
+    "iter_tasks",
     "load_plan",
-    "place_task",
     "make_progress",
+    "mark_plan_changed",
+    "place_task",
+    "request_stop",
     "request_stops",
-    "adopt_job",
 ]
 
 OCCURRENCE = 0
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -19,9 +19,9 @@
 from kingcuppost.tables.identity import Role
 
 __all__ = [
-    "handle_run_lists",
     "handle_heartbeats",
     "handle_order_answers",
+    "handle_run_lists",
     "handle_scheduler_replies",
 ]
 
@@ -29,7 +29,7 @@
 REDIRECT_PAUSE_MS = 250
 UNRESPONSIVE_MS = 2_500
 LEASE_MARGIN_MS = 100
-SIDECAR_ROLES = (Role.SIDECAR_ROLES,)
+SIDECAR_ROLES = (Role.SIDECAR,)
 
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=50)
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -27,7 +27,7 @@
 from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
 from kingcuppost.tables.identity import Role
 
-__all__ = ["handle_sidecar_reports", "end_incarnation_runs", "adopt_jobs"]
+__all__ = ["adopt_jobs", "end_incarnation_runs", "handle_sidecar_reports"]
 
 REFUSAL_PAUSE_MS = 1_000
 FULL_PERCENT = 100
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.tables.job import Plan, StepPace, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["expected_remaining_ms", "corrected_estimate_ms", "update_speed"]
+__all__ = ["corrected_estimate_ms", "expected_remaining_ms", "update_speed"]
 
 MIN_SAMPLE_MS = 1_500
 MAX_WEIGHT_RUNS = 6.0
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -15,7 +15,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["is_scheduling", "open_term", "certain_expiry_ms"]
+__all__ = ["certain_expiry_ms", "is_scheduling", "open_term"]
 
 APPEND_TIMEOUT_MS = 800
 EXPIRY_MARGIN_MS = 400
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -10,9 +10,9 @@
     "URGENT_PRIORITY",
     "PlacementUnit",
     "find_guaranteed_jobs",
-    "urgency_rank",
-    "task_core_equivalents",
     "iter_units",
+    "task_core_equivalents",
+    "urgency_rank",
 ]
 
 URGENT_PRIORITY = 0
