--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -1,6 +1,6 @@
-"""Systems over the world of batch jobs: the entries' part and the sidecars' part.
+"""Systems over the world of batch jobs, for entries and for sidecars.
 
-`load_systems` imports only the modules of one role, since start-up is part of every
+`load_systems` imports only the modules of one role: start-up time is part of every
 recovery.
 """
 
@@ -31,7 +31,7 @@
 
 
 def load_systems(role: Role) -> list:
-    """Import a role's systems and return them in the order of a tick."""
+    """Import the systems of a role and return them in the order of a tick."""
     for name in MODULES[role]:
         import_module(f"kingcuppost.batch.systems.{name}")
     return systems_of(role)
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -1,4 +1,4 @@
-"""Callers' calls: submissions, states, cancellations and counts."""
+"""Handling of callers' calls: submissions, states, cancellations and counts."""
 
 import string
 
@@ -36,7 +36,7 @@
 
 
 def visible_state(job: Job) -> JobState:
-    """Return the state of a job as callers may see it."""
+    """Return the state of a job as shown to callers."""
     if job.cancelled and job.state not in ENDED_STATES:
         return JobState.CANCELLED
     return job.state
@@ -44,7 +44,7 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=20)
 def handle_calls(world: BatchWorld, now_ms: int) -> None:
-    """Answer what can be answered at once; propose what must be kept."""
+    """Answer calls that need no append; propose the records of the others."""
     for call in world.inbox.take(CallerCall):
         reply = _handle_call(world, call, now_ms)
         if reply is not None:
@@ -97,7 +97,7 @@
 
 
 def is_job_id(text: str) -> bool:
-    """Return whether a text can name a job.
+    """Return whether a text is a valid job identifier.
 
     Examples
     --------
@@ -184,7 +184,7 @@
 def _propose_record(
     world: BatchWorld, call: CallerCall, job_id: str, record: Record
 ) -> None:
-    """Propose a record; the call is answered when its outcome is known."""
+    """Append a record and keep the call pending until the outcome is known."""
     append = Append(
         new_identifier(world.rng, "call"),
         Stream.JOBS,
@@ -197,7 +197,7 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=10)
 def end_pending_calls(world: BatchWorld, now_ms: int) -> None:
-    """Answer held calls whose record is in the log, or never will be."""
+    """Answer pending calls whose append has ended or whose record has been read."""
     for answer in world.inbox.take(AppendEnded):
         pending = world.calls.get(answer.id)
         if pending is None:
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -1,4 +1,4 @@
-"""Sites: the minions that may be given work, with what is free and what may stop."""
+"""Candidates for placement: usable minions with free capacity and possible victims."""
 
 from dataclasses import dataclass, replace
 
@@ -22,9 +22,9 @@
 
 NEVER_MS = 2**62
 
-SUSPECT_FAILURES = 2
+SUSPECT_FAILURES = 2  # of different jobs, so that the minion is the likely cause
 SUSPECT_MS = 5_000
-SLOW_SPEED_RATIO = 0.65
+SLOW_SPEED_RATIO = 0.65  # of the speed at `REFERENCE_PERCENTILE`
 REFERENCE_PERCENTILE = 70
 FULL_PERCENT = 100
 ENDS_SOON_MS = 600
@@ -33,7 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StopCostContext:
-    """What the cost of a stop depends on beside the run: now, and restoring, in ms."""
+    """Inputs to the cost of stopping a run that are the same for all runs.
+
+    Attributes
+    ----------
+    now_ms, wall_ms : int
+        Current time by the monotonic clock and as Unix time.
+    restore_ms : int
+        Time that resuming from a checkpoint takes.
+    """
 
     now_ms: int
     wall_ms: int
@@ -41,7 +49,7 @@
 
 
 def request_decision(world: BatchWorld, at_ms: int) -> None:
-    """Have the decisions made again at a moment, also if nothing changes until then."""
+    """Schedule another decision at `at_ms`, even if nothing changes until then."""
     schedule = world.schedule
     schedule.decide_at_ms = min(schedule.decide_at_ms, at_ms)
     world.deadlines.add(at_ms)
@@ -50,7 +58,7 @@
 def list_candidates(
     world: BatchWorld, now_ms: int, guaranteed_ids: set[str]
 ) -> list[Candidate]:
-    """Return the minions that may be given work."""
+    """Return the minions that may be given tasks."""
     context = StopCostContext(
         now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms
     )
@@ -76,7 +84,7 @@
 
 
 def _make_idle_candidate(row: MinionRow) -> Candidate:
-    """Return a minion's site as if nothing ran there; each kind of room is its own."""
+    """Return a minion as an idle candidate, with separate copies of its capacity."""
     free_now, free_soon, free_after_stops = (replace(row.room) for _ in range(3))
     return Candidate(
         row,
@@ -110,9 +118,10 @@
 
 
 def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
-    """Return whether a run is about to free its room by itself.
+    """Return whether a run is expected to end by itself soon.
 
-    A member of a gang that is through may wait long for the others.
+    Gangs are excluded: a member that has finished its own work may wait long for the
+    others.
     """
     if task.stopping or plan.job.steps[task.name.step].gang or not task.confirmed:
         return False
@@ -136,7 +145,7 @@
 
 
 def _paused_until_ms(row: MinionRow) -> int:
-    """Return when a minion that has failed or stalled may be tried again."""
+    """Return when a minion that refused, failed or stalled a run may be used again."""
     paused_until_ms = row.rests_until_ms
     if row.stalled_ms is not None:
         paused_until_ms = row.stalled_ms + SUSPECT_MS
@@ -148,7 +157,7 @@
 def eligible_candidates(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
-    """Return the sites at which a unit may run."""
+    """Return the candidates whose service and labels suit a unit."""
     eligible = [
         candidate
         for candidate in candidates
@@ -162,7 +171,7 @@
 def exclude_avoided(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
-    """Return the sites where no run of a unit has failed or stood still."""
+    """Return the candidates where no run of a unit has failed, stalled or been slow."""
     avoided = {minion for task in unit.tasks for minion in task.avoid}
     return [
         candidate
@@ -185,15 +194,15 @@
 
 
 def fast_candidates(candidates: list[Candidate]) -> list[Candidate]:
-    """Return the sites that are not known to be slow."""
+    """Return the candidates that are not known to be slow."""
     return [candidate for candidate in candidates if not candidate.is_slow]
 
 
 def _mark_slow_candidates(candidates: list[Candidate]) -> None:
-    """Mark the sites whose minions work much slower than the good ones.
+    """Mark the candidates that work much slower than the fast ones.
 
-    Slow minions keep their runs longer and are known sooner, so what is usual among the
-    known ones says little.
+    The reference is a high percentile rather than the median: slow minions keep their
+    runs longer, so their speeds are known sooner and are overrepresented.
     """
     known = sorted(
         candidate.minion.pace.value
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -1,4 +1,4 @@
-"""The fold: records of the streams, in offset order, to the agreed rows."""
+"""The fold: applies the records of the streams, in offset order, to agreed rows."""
 
 from collections.abc import Callable
 from typing import Any
@@ -39,7 +39,7 @@
 
 @system(Phase.FOLD, (Role.ENTRY,), order=10)
 def fold_streams(world: BatchWorld, now_ms: int) -> None:
-    """Apply what was read."""
+    """Apply the records that were read."""
     for batch in world.inbox.take(Followed):
         _update_freshness(world, batch, now_ms)
         if batch.whole:
@@ -59,7 +59,7 @@
 
 
 def _remove_unlisted(world: BatchWorld, batch: Followed) -> None:
-    """Forget rows whose record a whole listing no longer has."""
+    """Remove the rows that are missing in a complete listing of a stream."""
     agreed = world.agreed
     records = [record for _, record in batch.records]
     if batch.stream is Stream.JOBS:
@@ -84,7 +84,7 @@
 
 @appliers.register(JobRecord)
 def _apply_job(world: BatchWorld, offset: int, record: JobRecord) -> None:
-    """Add a job; the first record of an identifier counts."""
+    """Add a job; later records of the same identifier are ignored."""
     if record.job.id in world.agreed.jobs:
         return
     record.job.offset = offset
@@ -105,7 +105,12 @@
     if job is None:
         return
     if job.state is not record.progress.state:
-        world.note("job", "A job changed.", job=job.id, state=record.progress.state)
+        world.note(
+            "job",
+            "The state of a job changed.",
+            job=job.id,
+            state=record.progress.state,
+        )
     world.agreed.jobs.update(
         record.job_id,
         state=record.progress.state,
@@ -144,7 +149,7 @@
 
 @appliers.register(ConfigRecord)
 def _apply_configuration(world: BatchWorld, offset: int, record: ConfigRecord) -> None:
-    """Put a configuration in force; a version never goes back."""
+    """Apply a configuration if its version is newer than the current one."""
     agreed = world.agreed
     new = record.configuration
     old = agreed.configuration
@@ -160,14 +165,14 @@
 def _apply_zone(world: BatchWorld, offset: int, record: ZoneRecord) -> None:
     zone = record.availability_zone
     if zone not in world.agreed.closed_zones:
-        world.note("settings", "A zone is out.", availability_zone=zone)
+        world.note("settings", "A zone is closed.", availability_zone=zone)
     world.agreed.closed_zones[zone] = offset
     world.schedule.changed = True
 
 
 def _open_zone(world: BatchWorld, zone: str) -> None:
     if world.agreed.closed_zones.pop(zone, None) is not None:
-        world.note("settings", "A zone is back.", availability_zone=zone)
+        world.note("settings", "A zone is open again.", availability_zone=zone)
         world.schedule.changed = True
 
 
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -1,4 +1,4 @@
-"""Removing jobs that ended so long ago that nobody asks for them any more."""
+"""Removal of ended jobs after their retention period."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -14,7 +14,7 @@
 
 @system(Phase.DECIDE, (Role.ENTRY,), order=10)
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Ask for the removal of jobs whose state was kept for long enough."""
+    """Mark the jobs whose retention period is over for removal from the log."""
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.clean_at_ms:
         return
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/lease.py
@@ -1,8 +1,9 @@
-"""The scheduling lease: claims and renewals among the entries.
+"""The scheduling lease: claims, renewals and release by the entries.
 
-A claim is appended only where the stream of members ends as the claimer has read it,
-so that of two claimers one wins; its offset makes the term. Clocks only decide when to
-try: the writes of an old term are refused by the log.
+A claim is a conditional append at the end of the members stream as the claimer has
+read it, so only one of several concurrent claims succeeds. Its offset determines the
+term. Clocks decide only when an entry tries to claim; safety rests on the log, which
+rejects the writes of older terms.
 """
 
 from kingcuppost.batch.systems.fold import is_fresh
@@ -43,25 +44,24 @@
 
 
 def holds_lease(world: BatchWorld) -> bool:
-    """Return whether this process holds the newest term that it knows."""
+    """Return whether this process holds the newest term that it has read."""
     holder = world.agreed.holder
     is_mine = holder.incarnation == world.incarnation
     return is_mine and holder.term > world.schedule.given_up_term
 
 
 def has_authority(world: BatchWorld, now_ms: int) -> bool:
-    """Return whether no other entry can have opened a term yet.
+    """Return whether it is certain that no other entry has opened a term yet.
 
-    Others claim after `HOLDER_TIMEOUT_MS` without a renewal, so a holder whose renewals
-    do not
-    reach the log stops giving orders and extending leases before that.
+    Others claim after `HOLDER_TIMEOUT_MS` without a renewal. A holder whose renewals do
+    not reach the log stops giving orders and extending minion leases before that.
     """
     return now_ms < world.schedule.authority_until_ms
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=30)
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
-    """Keep this entry's record among the members."""
+    """Append this entry's record to the members stream if it is missing or outdated."""
     schedule = world.schedule
     own_record = world.agreed.entries.get(world.cfg.name)
     if own_record is not None and own_record.incarnation == world.incarnation:
@@ -82,7 +82,7 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
 def claim_lease(world: BatchWorld, now_ms: int) -> None:
-    """Claim the lease when nobody has renewed it for a while."""
+    """Claim the lease if its holder has not renewed it for `HOLDER_TIMEOUT_MS`."""
     schedule = world.schedule
     if world.stopping or holds_lease(world):
         return
@@ -112,8 +112,9 @@
 def _claim_due_ms(world: BatchWorld) -> int | None:
     """Return when the lease may be claimed; None before the members are known.
 
-    Silence counts only while this process could have read a renewal. A holder of this
-    process's name was its predecessor, which is gone.
+    Time without a renewal counts only while this process was able to read renewals. A
+    holder with the name of this process is its previous incarnation, which has ended,
+    so its lease may be claimed at once.
     """
     view = world.agreed.views[Stream.MEMBERS]
     if view.end < 0:
@@ -157,7 +158,7 @@
 
 
 def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
-    """Append a renewal, on condition that no other claim came before it."""
+    """Append a renewal; unless it releases, only if no claim has come before it."""
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
@@ -170,7 +171,7 @@
 
 
 def make_redirect(world: BatchWorld, exchange_id: str) -> SyncReply:
-    """Return the answer that sends a sidecar to whoever holds the lease."""
+    """Return the reply that redirects a sidecar to the holder of the lease."""
     holder = world.agreed.holder
     is_other = holder.incarnation != world.incarnation and not holder.released
     entries = tuple(entry.address for entry in world.agreed.entries)
@@ -179,16 +180,16 @@
 
 
 def release_lease(world: BatchWorld, now_ms: int) -> None:
-    """Give the lease back, so that another entry claims it at once."""
+    """Release the lease, so that another entry can claim it at once."""
     if holds_lease(world) and not world.agreed.holder.released:
-        world.note("lease", "Giving the lease back.", term=world.agreed.holder.term)
+        world.note("lease", "Releasing the lease.", term=world.agreed.holder.term)
         world.agreed.holder.released = True
         world.schedule.authority_until_ms = now_ms
         _append_renewal(world, now_ms, released=True)
 
 
 def step_down(world: BatchWorld, reason: str) -> None:
-    """Forget all that only the holder of the lease may know."""
+    """Reset the state that belongs to the holder of the lease."""
     old = world.schedule
     world.note("lease", "Stepping down.", term=old.term, reason=reason)
     world.schedule = Schedule(
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -1,4 +1,4 @@
-"""Runs at minions that were not heard of until their leases had surely lapsed."""
+"""Expiry of minion leases: ends the runs of minions that are unreachable for long."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
@@ -14,21 +14,21 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
 def end_expired_incarnations(world: BatchWorld, now_ms: int) -> None:
-    """End the runs of lives whose leases have lapsed."""
+    """End the runs of minion incarnations whose leases have certainly expired."""
     if not is_scheduling(world):
         return
     schedule = world.schedule
     for life, expiry_ms in list(schedule.lives.items()):
         if now_ms < expiry_ms:
             continue
-        end_incarnation_runs(world, life, "the lease has lapsed")
+        end_incarnation_runs(world, life, "the minion lease has expired")
         for row in schedule.minions.find("life", life):
             schedule.minions.delete(row.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
 def mark_unreachable_minions(world: BatchWorld, now_ms: int) -> None:
-    """Place nothing at minions that were not heard of for `UNREACHABLE_MS`."""
+    """Exclude minions from placement after `UNREACHABLE_MS` without a report."""
     if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
         return
     world.schedule.absence_at_ms = now_ms + CHECK_PERIOD_MS
@@ -41,4 +41,4 @@
             continue
         row.is_away = True
         world.schedule.changed = True
-        world.note("minion", "A minion is silent.", minion=row.life.minion)
+        world.note("minion", "A minion is unreachable.", minion=row.life.minion)
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -1,4 +1,4 @@
-"""How much work the end of a run throws away, in core-seconds."""
+"""Work that is lost when a run ends, in core-seconds."""
 
 from kingcuppost.batch.systems.units import task_core_equivalents
 from kingcuppost.batch.tables.job import Plan, RunEnd, Task
@@ -9,10 +9,10 @@
 
 
 def work_lost_by_stop(plan: Plan, task: Task, wall_ms: int, restore_ms: int) -> float:
-    """Return what stopping a run loses, with the other members of its gang.
+    """Return the work lost by stopping a run together with its gang.
 
-    A task that checkpoints does so once more when it is stopped: it loses no more
-    than the time that resuming takes.
+    A task that saves checkpoints does so once more when it is stopped, so it loses at
+    most the time that resuming takes.
 
     Parameters
     ----------
@@ -21,9 +21,9 @@
     task : Task
         The task whose run would be stopped.
     wall_ms : int
-        Unix time, in ms.
+        Current Unix time.
     restore_ms : int
-        Time that resuming from a checkpoint takes, in ms.
+        Time that resuming from a checkpoint takes.
     """
     step = plan.job.steps[task.name.step]
     lost_ms = max(wall_ms - task.placed_ms, 0)
@@ -34,7 +34,7 @@
 
 
 def work_lost_by_end(plan: Plan, task: Task, how: RunEnd, wall_ms: int) -> float:
-    """Return what one run has lost by the way that it ended."""
+    """Return the work that a run has lost by its end."""
     step = plan.job.steps[task.name.step]
     if how is RunEnd.DONE or (how is RunEnd.STOPPED and step.saves):
         return 0.0
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -1,4 +1,4 @@
-"""What a sidecar asks of its minion: lists and lease, starts and stops."""
+"""Requests of a sidecar to its minion: run lists with the lease, starts and stops."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -21,7 +21,7 @@
 
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
 def request_run_lists(world: BatchWorld, now_ms: int) -> None:
-    """Keep one question for the lists open, which also extends the lease."""
+    """Keep one request for the run lists open; it also extends the minion lease."""
     host = world.host
     if host.minion is None or host.holding or not host.term:
         return
@@ -46,7 +46,11 @@
 
 
 def _wait_ms(host: Host, now_ms: int) -> int:
-    """Return how long the minion may wait with its lists; shorter as its lease ends."""
+    """Return how long the minion may delay its answer while its lists do not change.
+
+    The wait is a part of the time left of the lease, so that a lease that is about to
+    end is renewed in time.
+    """
     if not host.listed or host.until_ms is None or host.clock_ms is None:
         return 0
     left_ms = host.until_ms - host.clock_ms - (now_ms - host.clock_at_ms)
@@ -59,7 +63,7 @@
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
 def send_run_orders(world: BatchWorld, now_ms: int) -> None:
-    """Start and stop runs; an order without an answer goes out again."""
+    """Send starts and stops to the minion; resend those without a clear answer."""
     host = world.host
     if host.minion is None:
         return
@@ -83,7 +87,7 @@
 
 
 def _send_start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
-    """Order a start, unless the lease that the scheduler allows is about to end."""
+    """Send a start, unless the minion lease is about to end or the minion drains."""
     host = world.host
     if host.until_ms is None or host.clock_ms is None:
         return
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -1,4 +1,4 @@
-"""Where the tasks of a step fit: pure functions over free room."""
+"""Pure functions that fit the tasks of a step into free capacity."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -23,20 +23,20 @@
 
 @dataclass(slots=True)
 class Victim:
-    """Work that may be stopped for a more urgent step.
+    """A run that may be preempted by a more urgent step.
 
     Attributes
     ----------
     plan, task : Plan, Task
-        The run and its job.
+        The task that runs, and the plan of its job.
     rank : int
-        How urgent it is; 0 comes first.
+        Urgency of the job; 0 is the most urgent.
     resources : Room
-        What stopping it sets free.
+        Capacity that stopping the run releases.
     cost : float
-        Work that would be lost, in core-seconds.
+        Work that stopping the run loses, in core-seconds.
     ends_soon : bool
-        Whether the run is about to end by itself.
+        Whether the run is expected to end by itself soon.
     """
 
     plan: Plan
@@ -49,24 +49,25 @@
 
 @dataclass(slots=True)
 class Candidate:
-    """A minion as placement sees it.
+    """A minion that may be given tasks, with its capacity during one decision.
 
     Attributes
     ----------
     minion : MinionRow
         The minion.
     free_after_stops : Room
-        What is free, or will be when runs that are being stopped have ended.
+        Capacity that is free once the runs that are being stopped have ended.
     free_now : Room
-        What is free at once.
+        Capacity that is free at once.
     free_soon : Room
-        What is free once runs have ended that are all but done.
+        Capacity that is free once the runs that end soon have ended.
     rack_free_accelerators : list of int
-        Accelerators that are free in the whole rack; one list for all its sites.
+        Free accelerators of the whole rack in a list of one element, which all
+        candidates of the rack share.
     step_task_count : int
-        Tasks of the step at hand that are there already.
+        Placed tasks of the step that is being placed.
     victims : list of Victim
-        What may be stopped, cheapest first.
+        Runs that may be preempted, cheapest first.
     is_slow : bool
         Whether the minion works much slower than most.
     """
@@ -82,7 +83,7 @@
 
 
 def subtract_tasks(resources: Room, step: StepSpec, count: int = 1) -> None:
-    """Take room for tasks of a step."""
+    """Subtract the demand of some tasks of a step."""
     subtract_resources(
         resources,
         Room(
@@ -94,21 +95,21 @@
 
 
 def add_resources(resources: Room, other: Room) -> None:
-    """Add room that is set free."""
+    """Add released capacity."""
     resources.cpu_millis += other.cpu_millis
     resources.memory_mb += other.memory_mb
     resources.accelerators += other.accelerators
 
 
 def subtract_resources(resources: Room, other: Room) -> None:
-    """Take room away."""
+    """Subtract used capacity."""
     resources.cpu_millis -= other.cpu_millis
     resources.memory_mb -= other.memory_mb
     resources.accelerators -= other.accelerators
 
 
 def count_fitting_tasks(resources: Room, step: StepSpec, limit: int) -> int:
-    """Return how many tasks of a step fit into room.
+    """Return how many tasks of a step fit, at most `limit`.
 
     Examples
     --------
@@ -142,20 +143,20 @@
     rank: RankFunction,
     use_soon_free: bool = False,
 ) -> list[Candidate]:
-    """Return a site for each of as many tasks as fit, best ranks first.
+    """Return one candidate for each task that fits, best ranks first.
 
     Parameters
     ----------
-    candidates : iterable of Site
-        Where the tasks may go.
+    candidates : iterable of Candidate
+        Minions that may be given the tasks.
     step : StepSpec
-        What each task needs.
+        Demand of each task.
     wanted : int
-        How many tasks.
+        Number of tasks.
     rank : callable
-        Ranks a site for a step; the smallest goes first.
+        Returns the sort key of a candidate for a step; the smallest comes first.
     use_soon_free : bool
-        Whether room counts that is about to be free.
+        Whether capacity that is about to be released counts as free.
     """
     chosen: list[Candidate] = []
     for candidate in sorted(candidates, key=lambda candidate: rank(candidate, step)):
@@ -172,7 +173,7 @@
 
 @dataclass(slots=True)
 class Eviction:
-    """Tasks that fit at a site once some victims are stopped."""
+    """Tasks that fit on a candidate once some victims are stopped."""
 
     candidate: Candidate
     count: int
@@ -183,7 +184,7 @@
 def _extend_eviction(
     candidate: Candidate, step: StepSpec, current: Eviction, limit: int
 ) -> Eviction:
-    """Return how one more task could fit at a site, or the same if it can't."""
+    """Return the eviction for one more task, or the current one if none fits."""
     wanted = current.count + 1
     resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
@@ -204,7 +205,7 @@
 def _drop_unneeded_victims(
     resources: Room, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
-    """Return the victims without which the room would be too small."""
+    """Return the victims without which the capacity would not suffice."""
     needed = []
     for victim in reversed(victims):
         remaining = replace(resources)
@@ -223,23 +224,23 @@
     rank: RankFunction,
     max_cost_core_s: float = inf,
 ) -> list[Eviction]:
-    """Return the cheapest evictions that make room for as many tasks as possible.
+    """Return the cheapest evictions that release capacity for the most tasks.
 
-    Tasks go one by one to where the next one costs least; among equals to the
-    site that ranks first.
+    Greedy: each next task goes to the candidate where it costs least, among equals to
+    the one that ranks first.
 
     Parameters
     ----------
-    candidates : list of Site
-        Where the tasks may go.
+    candidates : list of Candidate
+        Minions that may be given the tasks.
     step : StepSpec
-        What each task needs.
+        Demand of each task.
     wanted : int
-        How many tasks.
+        Number of tasks.
     rank : callable
-        Ranks a site for a step; the smallest goes first.
+        Returns the sort key of a candidate for a step; the smallest comes first.
     max_cost_core_s : float
-        Most core-seconds that may be lost for one task.
+        Maximum work that may be lost for one task, in core-seconds.
     """
     evictions = {
         id(candidate): Eviction(candidate, 0, 0.0, []) for candidate in candidates
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -1,4 +1,4 @@
-"""Writing plans into the log: one append at a time, numbered within the term."""
+"""Writing of plans to the log: one append at a time, numbered within the term."""
 
 from dataclasses import replace
 
@@ -31,9 +31,9 @@
 
 @system(Phase.PROPOSE, (Role.ENTRY,), order=20)
 def write_plans(world: BatchWorld, now_ms: int) -> None:
-    """Append the plans that have changed; send an append again until it is settled.
+    """Append the changed plans; resend an append until its outcome is known.
 
-    An append keeps its number, so that the log takes it once however often it is sent.
+    A resent append keeps its sequence number, so that the log applies it only once.
     """
     if not is_scheduling(world):
         world.schedule.answers.clear()
@@ -74,7 +74,7 @@
 
 
 def _make_speed_records(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
-    """Return the learned speeds of present minions, if their record is due."""
+    """Return a record of all known speeds if one is due, else nothing."""
     schedule = world.schedule
     if not schedule.speeds_changed or now_ms < schedule.speeds_at_ms:
         return []
@@ -87,7 +87,7 @@
 
 
 def _absent_speeds(world: BatchWorld) -> dict[str, Speed]:
-    """Return the speeds of machines whose minions are away, as they were agreed."""
+    """Return the last known speeds of machines whose minions are absent."""
     present = {row.sidecar for row in world.schedule.minions}
     speeds = world.schedule.speeds
     absent = [name for name in speeds if name not in present and speeds[name].weight]
@@ -95,7 +95,7 @@
 
 
 def _make_removals(world: BatchWorld) -> list[Removed]:
-    """Return the removal of all records of some jobs that ended long ago."""
+    """Return the removals of all records of the jobs that are to be removed."""
     removals = world.schedule.removals
     job_ids = list(removals)[:MAX_JOBS_PER_APPEND]
     for job_id in job_ids:
@@ -110,7 +110,7 @@
     if answer.outcome is AppendOutcome.DONE:
         _mark_committed(world)
     elif answer.outcome is AppendOutcome.FENCED:
-        step_down(world, "a newer term writes")
+        step_down(world, "a newer term has written")
     elif answer.outcome is AppendOutcome.CONFLICT:
         step_down(world, f"the log expects another append: {answer.reason}")
     else:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -1,4 +1,4 @@
-"""Plans of jobs: loading them, and how runs and their ends change them."""
+"""Plans of jobs: loading them from the log and applying placements and run ends."""
 
 from collections.abc import Iterator
 
@@ -43,7 +43,7 @@
 
 
 def load_plan(job: Job) -> Plan:
-    """Return the plan of a job, as its newest progress record leaves it."""
+    """Return the plan of a job in the state of its newest progress record."""
     tasks = [
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(row.count)]
         for step, row in enumerate(job.steps)
@@ -73,7 +73,7 @@
 
 
 def make_progress(plan: Plan) -> Progress:
-    """Return what the next progress record says of a plan."""
+    """Return the content of the next progress record of a plan."""
     rows = tuple(
         TaskProgress(
             task.name.step,
@@ -94,14 +94,14 @@
 
 
 def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
-    """Note that a plan differs from its newest record."""
+    """Mark a plan as different from its newest record."""
     plan.version += 1
     world.schedule.dirty[plan.job.id] = None
     world.schedule.changed = True
 
 
 def adopt_job(world: BatchWorld, job_id: str) -> None:
-    """Make the plan of a new job, or stop what a cancelled one runs."""
+    """Create the plan of a new job, cancel a cancelled one or drop a removed one."""
     schedule = world.schedule
     job = world.agreed.jobs.get(job_id)
     plan = schedule.plans.get(job_id)
@@ -117,7 +117,10 @@
 
 
 def _repeat_stops(world: BatchWorld, plan: Plan) -> None:
-    """Stop what an earlier term meant to stop: ended jobs and parted gangs."""
+    """Request again the stops that an earlier term may not have completed.
+
+    These are the runs of ended jobs and of gangs of which some members wait again.
+    """
     if plan.phase is PlanState.CLOSING:
         request_stops(world, plan)
     for index, spec in enumerate(plan.job.steps):
@@ -127,7 +130,7 @@
 
 
 def end_job(world: BatchWorld, plan: Plan, state: JobState) -> None:
-    """End a job; what still runs is stopped."""
+    """End a job and request the stop of its runs."""
     plan.state = state
     request_stops(world, plan)
     is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
@@ -137,21 +140,21 @@
 
 
 def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
-    """Ask for the end of a task's run, if it has one."""
+    """Request the stop of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
         task.stopping = True
         world.schedule.unsettled[task.name] = (plan, task)
 
 
 def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
-    """Ask for the end of all runs of a job, or of one step."""
+    """Request the stop of all runs of a job, or of one step."""
     for task in iter_tasks(plan):
         if step in (None, task.name.step):
             request_stop(world, plan, task)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
-    """Return a task and its plan, or None if no such task is planned."""
+    """Return a task and its plan, or None if there is no such task."""
     plan = world.schedule.plans.get(name.job)
     if plan is None or name.step >= len(plan.tasks):
         return None
@@ -164,7 +167,7 @@
 def place_task(
     world: BatchWorld, plan: Plan, task: Task, run: int, minion: MinionRow
 ) -> None:
-    """Give a task a run at a minion; it starts once the plan is in the log."""
+    """Assign a task to a minion; its run starts once the plan is in the log."""
     world.schedule.unsettled[task.name] = (plan, task)
     task.phase = TaskPhase.PLACED
     task.run = run
@@ -182,7 +185,7 @@
 def apply_run_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, saved: str
 ) -> None:
-    """Take the sure end of a task's present run into its plan."""
+    """Apply the confirmed end of a task's current run to its plan."""
     life = task.life
     task.phase = TaskPhase.WAITING
     task.life = None
@@ -200,7 +203,7 @@
 
 
 def _store_checkpoint(plan: Plan, task: Task, saved: str) -> None:
-    """Keep a checkpoint; one of any member is good for the whole gang."""
+    """Store a checkpoint; that of any member serves the whole gang."""
     task.saved = saved
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
@@ -208,7 +211,7 @@
 
 
 def _mark_done(plan: Plan, task: Task) -> None:
-    """Finish a task; one end stands for all members of a gang."""
+    """Mark a task as done, with all members if it belongs to a gang."""
     task.phase = TaskPhase.DONE
     if not plan.job.steps[task.name.step].gang:
         return
@@ -218,7 +221,7 @@
 
 
 def _count_failure(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
-    """Count a failed run; a gang counts a run once, at its first member."""
+    """Count a failed run; that of a gang counts once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
     first_member = members[0]
@@ -233,7 +236,7 @@
 
 
 def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
-    """End the job if all is done or a task has failed too often."""
+    """End the job once all tasks are done or one has failed too often."""
     tasks = list(iter_tasks(plan))
     if plan.phase is PlanState.CLOSING:
         if not any(task.phase is TaskPhase.PLACED for task in tasks):
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -1,4 +1,4 @@
-"""A sidecar's reports to the holder of the scheduling lease."""
+"""Sending of a sidecar's reports to the holder of the scheduling lease."""
 
 from dataclasses import replace
 
@@ -19,7 +19,7 @@
 
 @system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
 def send_report(world: BatchWorld, now_ms: int) -> None:
-    """Keep one report open; send another at once when there is news."""
+    """Keep one report pending; send another at once when the state has changed."""
     host = world.host
     if world.stopping:
         return
@@ -52,12 +52,12 @@
 
 
 def _entry_offset(world: BatchWorld) -> int:
-    """Return where this sidecar begins in the list, so that all don't ask one entry."""
+    """Return this sidecar's start in the list of entries; spreads the sidecars."""
     return sum(world.cfg.name.encode())
 
 
 def _request_entries(world: BatchWorld, now_ms: int) -> None:
-    """Ask the log for the entries when none has answered for a while."""
+    """Request the entries from the log if none has answered for a while."""
     host = world.host
     due_ms = max(host.heard_ms + LIST_ENTRIES_AFTER_MS, host.list_after_ms)
     if now_ms >= due_ms:
@@ -68,9 +68,10 @@
 
 
 def _make_report(world: BatchWorld, now_ms: int) -> SyncCall:
-    """Return what is reported; a scheduler that is new to us is to answer at once.
+    """Return the report; a scheduler that has not answered yet must reply at once.
 
-    Every answer extends the lease, so after a handover the first must not wait.
+    Every reply extends the minion lease, so after a handover the first reply must not
+    be delayed.
     """
     host = world.host
     is_known = host.holder is not None and now_ms - host.heard_ms <= HOLDER_KNOWN_MS
--- a/kingcuppost/batch/systems/routing.py
+++ b/kingcuppost/batch/systems/routing.py
@@ -1,4 +1,4 @@
-"""Which queue a caller means, and whether its key opens it."""
+"""Lookup of the queue that a call addresses and of the team of its key."""
 
 from kingcuppost.batch.tables.fleet import Configuration, Queue
 
@@ -6,7 +6,7 @@
 
 
 def find_queue(configuration: Configuration, host: str, path: str) -> Queue | None:
-    """Return the queue whose prefix is the longest that a path begins with.
+    """Return the queue of a host with the longest prefix that matches a path.
 
     Examples
     --------
@@ -27,7 +27,10 @@
 
 
 def team_of(configuration: Configuration, queue: Queue, key: str) -> str | None:
-    """Return the team that a key belongs to, empty on a public queue, or None."""
+    """Return the team of a key, or None if the key is unknown.
+
+    On public queues an unknown key yields an empty team.
+    """
     team = configuration.keys.get(key)
     if team is None and queue.public:
         return ""
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,4 +1,4 @@
-"""Runs that stand still, and runs at minions that are about to leave."""
+"""Monitoring of runs: stops those that are stalled, slow or on draining minions."""
 
 from kingcuppost.batch.systems.plans import iter_tasks, request_stop, request_stops
 from kingcuppost.batch.systems.registry import Phase, system
@@ -18,7 +18,7 @@
 MONITOR_PERIOD_MS = 500
 CHECKPOINT_PERIOD_MS = 2_000
 STALLED_MS = 3_000
-STALLED_COSTLY_MS = 9_000
+STALLED_COSTLY_MS = 9_000  # for runs that would lose much work
 STALLED_ESTIMATE_PERCENT = 20
 FULL_PERCENT = 100
 ALMOST_DONE_PERCENT = 99
@@ -26,15 +26,15 @@
 DRAIN_SLACK_MS = 1_000
 URGENT_PRIORITY = 0
 MIN_OBSERVED_MS = 2_000
-MIN_GAIN_RATIO = 2.5
-MIN_KNOWN_GAIN_RATIO = 1.4
+MIN_GAIN_RATIO = 2.5  # estimates may be off by half
+MIN_KNOWN_GAIN_RATIO = 1.4  # once other runs have corrected the estimate
 MIN_KNOWN_RUNS = 2
 MOVE_COST_MS = 700
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=80)
 def monitor_runs(world: BatchWorld, now_ms: int) -> None:
-    """Look at every run twice a second, and stop those that would not end there."""
+    """Check all runs every `MONITOR_PERIOD_MS` and stop those that should move."""
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
         return
@@ -53,7 +53,7 @@
 
 
 def _record_checkpoints(world: BatchWorld) -> None:
-    """Write new checkpoints into the log, where they outlive all processes."""
+    """Mark new checkpoints for the log, where they outlive all processes."""
     for plan in world.schedule.plans.values():
         if plan.has_new_saved and plan.phase is PlanState.OPEN:
             plan.has_new_saved = False
@@ -69,7 +69,7 @@
     if row.pace.weight < 1:
         update_speed(world, row, plan, task)
     if row.draining and _should_leave_draining(row, plan, task):
-        _stop_run(world, plan, task, "the minion drains")
+        _stop_run(world, plan, task, "the minion is draining")
     elif _is_too_slow(row, plan, task):
         task.was_moved = True
         task.avoid.add(row.life.minion)
@@ -77,7 +77,7 @@
     elif _is_stalled(plan, task, now_ms):
         row.stalled_ms = now_ms
         task.avoid.add(row.life.minion)
-        _stop_run(world, plan, task, "the run stands still")
+        _stop_run(world, plan, task, "the run is stalled")
 
 
 def _stop_run(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
@@ -91,7 +91,7 @@
 
 
 def _should_leave_draining(row: MinionRow, plan: Plan, task: Task) -> bool:
-    """Return whether a run would be cut off, or loses nothing by moving."""
+    """Return whether a run would be cut off or loses nothing by moving."""
     if plan.job.steps[task.name.step].saves:
         return True
     limit_ms = row.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
@@ -99,11 +99,11 @@
 
 
 def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
-    """Return whether an urgent run would be done sooner if it began anew elsewhere.
+    """Return whether an urgent run would end sooner if restarted on another minion.
 
     Estimates may be off by half, so the gain must be large unless other runs of the
-    step have told how long they really take; a task is moved once at
-    most, since moving gains nothing where all minions are slow.
+    step have shown the actual duration. A task is moved at most once, since moving
+    gains nothing if all minions are slow.
     """
     step = plan.job.steps[task.name.step]
     if plan.job.terms.priority != URGENT_PRIORITY or step.gang or task.was_moved:
@@ -122,10 +122,11 @@
 
 
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
-    """Return whether a run has shown no progress for too long.
+    """Return whether a run has made no progress for too long.
 
-    A run that would lose much by moving is given longer to go on. A member of a gang
-    that is through with its own work waits for the others.
+    The limit is longer for runs that would lose much work. Runs that are almost done do
+    not count as stalled: a gang member that has finished its own work waits for the
+    others.
     """
     if task.percent >= ALMOST_DONE_PERCENT:
         return False
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -1,7 +1,7 @@
-"""What runs where: units whose turn has come, most urgent first.
+"""Placement and preemption: assigns ready placement units to minions by urgency.
 
-Answers loads in which urgent gangs meet minions that are full of overnight work, wide
-steps that must not starve, and minions of which a quarter work at half the speed.
+Designed for loads in which urgent gangs arrive while all minions run overnight work,
+wide steps must not starve, and a quarter of the minions work at half the speed.
 """
 
 from dataclasses import replace
@@ -42,14 +42,14 @@
 
 URGENT_RETRY_MS = 1_000
 MS_PER_SECOND = 1_000
-SPEED_STEPS_PER_UNIT = 4
-MAX_LOSS_RATIO = 0.7
+SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
+MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
 MIN_DELAY_TOLERANT_PRIORITY = 2
 
 
 @system(Phase.DECIDE, (Role.ENTRY,), order=20)
 def schedule_units(world: BatchWorld, now_ms: int) -> None:
-    """Place what waits, and make room for what is urgent."""
+    """Place waiting tasks and preempt other runs for urgent ones."""
     schedule = world.schedule
     is_due = schedule.changed or now_ms >= schedule.decide_at_ms
     if not is_scheduling(world) or not is_due:
@@ -71,10 +71,11 @@
 def _schedule_unit(
     world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
 ) -> None:
-    """Place a unit away from minions that failed it, or else at any that suit.
+    """Place a unit on minions where it has not failed, or else on any eligible one.
 
-    A minion that fails all it is given must not use up a task's attempts just since
-    the others are full, so for a while the unit waits for room at them.
+    A faulty minion must not use up the attempts of a task only because the other
+    minions are full. The unit therefore waits for the others until its
+    `avoid_until_ms` has passed.
     """
     allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
@@ -90,11 +91,11 @@
 def _schedule_unit_at(
     world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
 ) -> bool:
-    """Place a unit, or make room for it; return whether it is cared for.
+    """Place a unit or preempt runs for it; return whether no task is left over.
 
-    Urgent units prefer fast minions, and make room there if that loses less work than
-    they bring. Only a team's guarantee is worth any amount of lost work, or running
-    slowly in more than one rack.
+    Urgent units prefer fast minions. They preempt runs there if the lost work is below
+    `MAX_LOSS_RATIO` of their own. Only units within their team's guarantee may
+    preempt at any cost, or spread over several racks, where they run slowly.
     """
     all_groups = _candidate_groups(unit, candidates)
     if not unit.is_urgent:
@@ -119,12 +120,12 @@
 
 
 def _task_work_core_s(unit: PlacementUnit) -> float:
-    """Return the work of one task of a unit in core-seconds, by its estimate."""
+    """Return the estimated work of one task of a unit, in core-seconds."""
     return task_core_equivalents(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
 
 
 def _unit_fits_idle(unit: PlacementUnit, candidates: list[Candidate]) -> bool:
-    """Return whether a unit would fit at sites if nothing else ran there."""
+    """Return whether a unit would fit on the candidates if they were idle."""
     count = len(unit.tasks) if unit.spec.gang else 1
     return any(
         _tasks_fit_idle(group, unit.spec, count)
@@ -134,7 +135,13 @@
 
 
 def _reserve_soon_free(unit: PlacementUnit, groups: list[list[Candidate]]) -> bool:
-    """Keep room that is about to be free; return whether it serves all tasks."""
+    """Reserve capacity that is about to be released for the tasks of a unit.
+
+    Returns
+    -------
+    bool
+        Whether the capacity suffices for all tasks.
+    """
     for group in groups:
         rank = _make_rank_function(unit)
         chosen = choose_candidates(
@@ -151,7 +158,7 @@
 def _place_unit(
     world: BatchWorld, unit: PlacementUnit, groups: list[list[Candidate]]
 ) -> bool:
-    """Give runs to what fits; return whether nothing of the unit waits."""
+    """Place the tasks that fit; return whether no task of the unit still waits."""
     for group in groups:
         chosen = choose_candidates(
             group, unit.spec, len(unit.tasks), _make_rank_function(unit)
@@ -168,7 +175,7 @@
 def _candidate_groups(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[list[Candidate]]:
-    """Return the sets of sites to try, each whole, the best first."""
+    """Return the groups of candidates to try one after another, best first."""
     spec = unit.spec
     if spec.one_rack and spec.gang:
         racks = _group_by_rack(candidates)
@@ -194,7 +201,7 @@
 
 
 def _tasks_fit_idle(candidates: list[Candidate], spec: StepSpec, count: int) -> bool:
-    """Return whether sites could hold a step if nothing else ran there."""
+    """Return whether the tasks would fit on the candidates if they were idle."""
     return (
         sum(
             count_fitting_tasks(candidate.minion.room, spec, count)
@@ -205,7 +212,11 @@
 
 
 def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
-    """Rank a rack: the fastest gang first for urgent work, else the fullest rack."""
+    """Return the sort key of a rack.
+
+    For urgent units the rack with the fastest minions comes first, for others the
+    fullest.
+    """
     free = sum(candidate.free_now.accelerators for candidate in rack)
     if not unit.is_urgent:
         return (free,)
@@ -218,12 +229,12 @@
 
 
 def _make_rank_function(unit: PlacementUnit) -> RankFunction:
-    """Return how sites rank for a unit.
+    """Return the function that ranks candidates for a unit.
 
-    Urgent work takes proven and fast minions. Other work fills up racks and minions
-    that are nearly full, so that urgent gangs find whole racks, and what has the most
-    time leaves the fast minions to others. The last attempt of a task goes to a minion
-    that has done work.
+    Urgent units prefer reliable and fast minions. Other units fill up racks and minions
+    that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
+    units prefer slow minions. The last attempt of a task prefers a minion that has
+    completed a run before.
     """
     is_last_attempt = unit.is_last_attempt
     is_delay_tolerant = unit.plan.job.terms.priority >= MIN_DELAY_TOLERANT_PRIORITY
@@ -254,7 +265,7 @@
 def _place_tasks(
     world: BatchWorld, unit: PlacementUnit, chosen: list[Candidate]
 ) -> None:
-    """Give runs to as many tasks as there are chosen sites."""
+    """Place one task of a unit on each chosen candidate."""
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
     run = 1 + max(task.run for task in tasks)
@@ -293,24 +304,24 @@
     groups: list[list[Candidate]],
     max_cost_core_s: float = inf,
 ) -> bool:
-    """Stop the cheapest less urgent work, and keep its room for the unit.
+    """Preempt the cheapest less urgent runs and reserve their capacity for the unit.
 
-    Room for a part of the tasks is made too, unless they are a gang.
+    Preempts also for some of the tasks only, unless the unit is a gang.
 
     Parameters
     ----------
     max_cost_core_s : float
-        Most core-seconds of work that may be lost for one task.
+        Maximum work that may be lost for one task, in core-seconds.
 
     Returns
     -------
     bool
-        Whether room was found for all tasks.
+        Whether the capacity suffices for all tasks.
     """
     best = _choose_evictions(unit, groups, max_cost_core_s)
     for eviction in best:
         _stop_victims(world, unit, eviction)
-        # a narrowed site shares its rooms with the site that it was made from
+        # the copy with fewer victims shares these objects with the original candidate
         for resources in (
             eviction.candidate.free_now,
             eviction.candidate.free_soon,
@@ -328,11 +339,11 @@
 def _choose_evictions(
     unit: PlacementUnit, groups: list[list[Candidate]], max_cost_core_s: float
 ) -> list[Eviction]:
-    """Return the evictions that serve the most tasks, and among those cost least."""
+    """Return the evictions that fit the most tasks, at the lowest cost among equals."""
     best: list[Eviction] = []
     best_key = (0, 0.0)
     wanted = len(unit.tasks)
-    # one member's room is of no use to a gang, so the whole gang's cost counts
+    # a gang needs all its members, so only the total cost is limited
     max_task_cost_core_s = inf if unit.spec.gang else max_cost_core_s
     for group in groups:
         narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
@@ -350,7 +361,10 @@
 
 
 def _keep_victims_below(candidate: Candidate, rank: int) -> Candidate:
-    """Return a site whose victims are less urgent than a rank."""
+    """Return a copy of a candidate with only the victims that a rank may preempt.
+
+    Victims are less urgent than the rank. Only rank 0 may preempt runs that end soon.
+    """
     victims = [
         victim
         for victim in candidate.victims
@@ -372,7 +386,7 @@
         world.tally.add("preemptions")
         world.note(
             "preempt",
-            "A run makes room.",
+            "A run is preempted.",
             task=str(task.name),
             run=task.run,
             lost_core_s=round(victim.cost, 1),
--- a/kingcuppost/batch/systems/shutdown.py
+++ b/kingcuppost/batch/systems/shutdown.py
@@ -1,4 +1,4 @@
-"""The graceful end of a process."""
+"""Graceful shutdown of a process."""
 
 from kingcuppost.batch.systems.lease import release_lease
 from kingcuppost.batch.systems.registry import Phase, system
@@ -15,7 +15,7 @@
 
 @system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
 def stop_process(world: BatchWorld, now_ms: int) -> None:
-    """Give the lease back, answer what waits, then end."""
+    """Release the lease, answer pending calls, then stop the process."""
     if world.inbox.take(StopAsked) and not world.stopping:
         world.stopping = True
         world.stop_from_ms = now_ms + _linger_ms(world)
@@ -33,7 +33,7 @@
 
 
 def _linger_ms(world: BatchWorld) -> int:
-    """Return how long callers are served until the balancer has noticed."""
+    """Return how long to keep serving until the load balancer sends calls elsewhere."""
     if world.cfg.role is Role.ENTRY:
         return ENTRY_LINGER_MS
     return SIDECAR_LINGER_MS
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -1,4 +1,4 @@
-"""What a sidecar hears: of its minion, and of the scheduler."""
+"""Handling of messages that a sidecar receives from its minion and the scheduler."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.job import Life
@@ -34,7 +34,7 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=50)
 def handle_heartbeats(world: BatchWorld, now_ms: int) -> None:
-    """Take heartbeats in; late ones of an earlier life or moment change nothing."""
+    """Handle heartbeats; ignore those of an earlier incarnation or sequence number."""
     host = world.host
     for heartbeat in world.inbox.take(MinionHeard):
         if heartbeat.gone:
@@ -61,7 +61,7 @@
 
 
 def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeard) -> None:
-    """Forget all of the minion's earlier life."""
+    """Reset the state of the minion, but not that of the scheduler."""
     host = world.host
     world.host = Host(
         term=host.term,
@@ -77,7 +77,7 @@
     host = world.host
     world.note(
         "minion",
-        "The minion began a life.",
+        "The minion has a new incarnation.",
         minion=heartbeat.report.life.minion,
         born_ms=heartbeat.report.life.born_ms,
     )
@@ -98,7 +98,7 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=30)
 def handle_run_lists(world: BatchWorld, now_ms: int) -> None:
-    """Take in what runs at the minion and what has ended there."""
+    """Handle the minion's lists of running and ended runs."""
     for lists in world.inbox.take(MinionLists):
         host = world.host
         if not _is_current_incarnation(world, lists.life):
@@ -156,7 +156,7 @@
 
 
 def _record_refusal(world: BatchWorld, run: HostRun, reason: str) -> None:
-    """Report that a run surely never began."""
+    """Record for the next report that a run certainly never began."""
     host = world.host
     key = (str(run.order.task), run.order.run)
     host.runs.pop(key, None)
@@ -167,10 +167,10 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=60)
 def handle_order_answers(world: BatchWorld, now_ms: int) -> None:
-    """Take in what the minion made of starts and stops.
+    """Handle the minion's answers to starts and stops.
 
-    A start that was refused after an earlier copy went unanswered is stopped first,
-    since the copy may be carried out late.
+    If a start is refused after an earlier copy went unanswered, the run is stopped
+    before it is reported as refused, since the copy may still be carried out.
     """
     for answer in world.inbox.take(OrderAnswered):
         host = world.host
@@ -199,7 +199,7 @@
         return
     world.note(
         "run",
-        "A start was not taken.",
+        "The minion did not accept a start.",
         task=key[0],
         run=key[1],
         outcome=answer.outcome,
@@ -225,7 +225,7 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=70)
 def handle_scheduler_replies(world: BatchWorld, now_ms: int) -> None:
-    """Take in the scheduler's orders, and the lease that its answer allows."""
+    """Handle the scheduler's replies: orders, minion lease and redirects."""
     for answer in world.inbox.take(SyncAnswered):
         host = world.host
         host.syncs.pop(answer.number, None)
@@ -258,7 +258,11 @@
 
 
 def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    """Ask the entry that is said to schedule, unless it has just not answered."""
+    """Send the next report to the entry that a reply names as holder.
+
+    Without such a name, or if that entry has just failed to answer, the next entry of
+    the list is tried.
+    """
     host = world.host
     redirect = answer.reply.holder
     is_unresponsive = redirect == host.silent and now_ms < host.silent_until_ms
@@ -274,7 +278,7 @@
 
 
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
-    """Allow the minion's work to go on for a lease from when the report was sent."""
+    """Extend the minion lease, counted from the time at which the report was sent."""
     host = world.host
     if host.clock_ms is None:
         return
@@ -310,7 +314,7 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=40)
 def handle_entry_records(world: BatchWorld, now_ms: int) -> None:
-    """Take in the entries that the log lists."""
+    """Update the addresses of the entries from the log."""
     for batch in world.inbox.take(Followed):
         found = tuple(
             record.address for _, record in batch.records if hasattr(record, "address")
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -1,4 +1,4 @@
-"""Orders for sidecars: what they are to start and stop, and which ends are kept."""
+"""Replies to sidecars' reports: runs to start and stop, and committed run ends."""
 
 from kingcuppost.batch.systems.lease import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
@@ -23,7 +23,7 @@
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
 def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Answer the reports that have orders or whose wait is over."""
+    """Answer the pending reports that have orders or whose wait is over."""
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
         _redirect_all(world)
@@ -43,7 +43,7 @@
     stops: OrdersByIncarnation,
     now_ms: int,
 ) -> None:
-    """Answer one report if there is anything to say; most ticks say nothing."""
+    """Answer a pending report if it has orders or results, or if its wait is over."""
     call = pending.call
     row = world.schedule.minions.get(call.sidecar)
     life = row.life if row else None
@@ -63,7 +63,7 @@
 
 
 def _redirect_all(world: BatchWorld) -> None:
-    """Send waiting sidecars to the new holder."""
+    """Redirect all waiting sidecars to the holder of the lease."""
     for pending in world.schedule.syncs.values():
         world.outbox.put(make_redirect(world, pending.call.exchange_id))
     world.schedule.syncs.clear()
@@ -79,7 +79,7 @@
 def _collect_orders(
     world: BatchWorld, now_ms: int
 ) -> tuple[OrdersByIncarnation, OrdersByIncarnation]:
-    """Return what is to be started and stopped, by life."""
+    """Return the runs to start and to stop, by minion incarnation."""
     starts: OrdersByIncarnation = {}
     stops: OrdersByIncarnation = {}
     unsettled = world.schedule.unsettled
@@ -141,7 +141,7 @@
 
 
 def _last_committed_end(world: BatchWorld, call: SyncCall) -> int:
-    """Return up to which number the reported ends are in the log."""
+    """Return the number up to which all reported ends are in the log; 0 if none."""
     known = world.schedule.ends.get(call.sidecar, {})
     noted = 0
     for ended in sorted(call.ended, key=lambda row: row.number):
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -1,4 +1,4 @@
-"""Reports of sidecars: minions, what runs at them, and how runs ended."""
+"""Handling of sidecars' reports: minions, their runs, and how runs ended."""
 
 from kingcuppost.batch.systems.lease import has_authority, make_redirect
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
@@ -35,7 +35,7 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=80)
 def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Plan what the log has brought since the last tick."""
+    """Update the plans of jobs that log records have touched since the last tick."""
     schedule = world.schedule
     if not is_scheduling(world):
         return
@@ -46,7 +46,7 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
 def handle_sidecar_reports(world: BatchWorld, now_ms: int) -> None:
-    """Take reports in; a newer one of the same sidecar ends the wait of an older."""
+    """Handle reports; a newer report of a sidecar ends the wait of its older one."""
     for call in world.inbox.take(SyncCall):
         if not is_scheduling(world) or not has_authority(world, now_ms):
             world.outbox.put(make_redirect(world, call.exchange_id))
@@ -65,7 +65,7 @@
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
-            world.note("minion", "A minion is gone.", minion=old.life.minion)
+            world.note("minion", "A minion has left.", minion=old.life.minion)
             schedule.minions.delete(call.sidecar)
             schedule.changed = True
         return
@@ -83,18 +83,18 @@
 
 
 def _end_earlier_incarnations(world: BatchWorld, sidecar: str, life: Life) -> None:
-    """End the runs of lives that the minion beside a sidecar had before this one."""
+    """End the runs of earlier incarnations of the minion beside a sidecar."""
     homes = world.schedule.homes
     for earlier, earlier_sidecar in list(homes.items()):
         if earlier_sidecar == sidecar and earlier.born_ms < life.born_ms:
-            end_incarnation_runs(world, earlier, "the minion began a new life")
+            end_incarnation_runs(world, earlier, "the minion has a new incarnation")
     homes[life] = sidecar
 
 
 def _update_minion(
     world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
 ) -> MinionRow:
-    """Return the row of a reported minion, made or brought up to date."""
+    """Create or update the row of a reported minion, and return it."""
     report = call.minion
     if old is None:
         old = _make_minion(world, call, report)
@@ -102,14 +102,18 @@
         world.schedule.changed = True
         world.note(
             "minion",
-            "A minion is known.",
+            "A minion was added.",
             minion=report.life.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
             rack=old.rack,
         )
     if old.draining != report.draining:
-        world.note("minion", "A minion drains.", minion=report.life.minion)
+        world.note(
+            "minion",
+            "The draining state of a minion changed.",
+            minion=report.life.minion,
+        )
         world.schedule.changed = True
     if old.is_away:
         world.schedule.changed = True
@@ -135,7 +139,7 @@
 
 
 def end_incarnation_runs(world: BatchWorld, life: Life, reason: str) -> None:
-    """End all runs of a life that is over."""
+    """End all runs of a minion incarnation that is over."""
     schedule = world.schedule
     schedule.lives.pop(life, None)
     schedule.homes.pop(life, None)
@@ -191,7 +195,7 @@
 def _find_current_run(
     world: BatchWorld, life: Life, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
-    """Return the task whose present run is this one, or None."""
+    """Return the task whose current run this is, or None."""
     found = find_task(world, name)
     if found is None:
         return None
@@ -225,7 +229,7 @@
 
 
 def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
-    """Return whether the end of a gang's run has reached us by another member."""
+    """Return whether another member has already reported the end of the gang's run."""
     found = find_task(world, running.task)
     if found is None:
         return False
@@ -234,18 +238,25 @@
 
 
 def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
-    """Stop a run that is no task's present run."""
+    """Record a run that is not the current run of any task, to be stopped."""
     strays = world.schedule.strays.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
     if key not in strays:
         strays[key] = Stray(running)
-        world.note("run", "A stray run is stopped.", task=key[0], run=key[1])
+        world.note("run", "An orphan run is stopped.", task=key[0], run=key[1])
 
 
 def _handle_run_end(
     world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
-    """Apply an end, and return the job and version that must be in the log."""
+    """Apply the end of a run.
+
+    Returns
+    -------
+    tuple of str and int
+        Job and version of its plan that must be in the log before the sidecar may
+        forget the end.
+    """
     found = _find_current_run(world, row.life, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
         found = _find_abandoned_run(world, ended)
@@ -260,7 +271,7 @@
 
 
 def _find_abandoned_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
-    """Return the task of a run that was given up but is done, if it waits again."""
+    """Return the waiting task of a run that counted as lost but is done, or None."""
     found = find_task(world, ended.task)
     if found is None:
         return None
@@ -277,10 +288,10 @@
     ended: EndedRun,
     now_ms: int,
 ) -> None:
-    """Learn from an end whether the minion does its work."""
+    """Update a minion's speed and reliability from the end of a run."""
     if ended.how is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
-            # a member of a gang may have waited for the others
+            # a gang member may have waited for the others
             task.percent = FULL_PERCENT
             task.moved_ms = now_ms
         update_speed(world, row, plan, task)
@@ -296,7 +307,7 @@
 def _handle_refused_run(
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
-    """Take a run back that surely never began; its minion rests for a moment."""
+    """Withdraw a run that never began, and pause placement at its minion."""
     found = _find_current_run(world, row.life, refused.task, refused.run)
     if found is None:
         return
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -1,4 +1,4 @@
-"""How fast machines work, learned from the progress of what they run."""
+"""Estimation of the speeds of machines from the progress of their runs."""
 
 from math import exp, log
 
@@ -18,11 +18,12 @@
 
 
 def update_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
-    """Take one run's progress into its machine's speed.
+    """Update the speed of a machine from the progress of one run.
 
-    A caller's estimate is rough, but the same for all tasks of a step. So a run says
-    two things: how the estimate compares with the machines' known speeds, and, once
-    that is set right by all runs of the step, how fast this machine is.
+    A caller's estimate is rough, but the same for all tasks of a step. The measured
+    speed of each run, relative to the known speed of its machine, therefore yields the
+    error of the estimate. Corrected by the mean error over all runs of the step, it
+    yields the speed of the machine.
     """
     sample = _measure_speed(plan, task)
     if sample is None:
@@ -39,7 +40,7 @@
 
 
 def _measure_speed(plan: Plan, task: Task) -> float | None:
-    """Return a run's speed if the estimate were right, or None if it is too short."""
+    """Return a run's speed by the caller's estimate, or None if it is too short."""
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
@@ -51,13 +52,13 @@
 
 
 def corrected_estimate_ms(plan: Plan, task: Task) -> float:
-    """Return how long a task takes at speed 1.0, as the step's runs have shown."""
+    """Return the duration of a task at speed 1.0, corrected by the runs of its step."""
     estimate_error = plan.paces.get(task.name.step, StepPace())
     return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
 def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
-    """Return how long a run will yet take, from its own progress if it shows any."""
+    """Return the remaining duration of a run, from its own progress if known."""
     remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
     took_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
     done_percent = task.percent - task.first_percent
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -1,4 +1,4 @@
-"""Opening a term: fence older writers, read up to the fence, load the plans."""
+"""Opening of a term: fence older writers, read up to the fence, load the plans."""
 
 from dataclasses import replace
 
@@ -23,18 +23,18 @@
 
 
 def certain_expiry_ms(lease_ms: int) -> int:
-    """Return after how long a lease has lapsed on any minion's clock, in ms."""
+    """Return the time after which a minion lease has expired by any clock, in ms."""
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
 
 def is_scheduling(world: BatchWorld) -> bool:
-    """Return whether this process may decide: its term is open and loaded."""
+    """Return whether this process may schedule: its term is open and loaded."""
     return world.schedule.loaded and holds_lease(world)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=70)
 def open_term(world: BatchWorld, now_ms: int) -> None:
-    """Take the term up once the log refuses older writers."""
+    """Open the term once the log rejects older writers and is read up to the fence."""
     schedule = world.schedule
     if not holds_lease(world):
         return
@@ -51,7 +51,7 @@
 
 
 def _send_fence(world: BatchWorld) -> None:
-    """Append nothing under the new term: from then on the log refuses older ones."""
+    """Append an empty batch under the new term; the log then rejects older terms."""
     schedule = world.schedule
     schedule.fence_id = new_identifier(world.rng, "fence")
     world.outbox.put(
@@ -73,13 +73,13 @@
         schedule.caught_up_at = answer.end
         schedule.sequence = 0
     elif answer.outcome is AppendOutcome.FENCED:
-        step_down(world, "a newer term writes")
+        step_down(world, "a newer term has written")
     else:
         _send_fence(world)
 
 
 def _load_plans(world: BatchWorld, now_ms: int) -> None:
-    """Make plans of all jobs; what runs anywhere may run for a lease yet."""
+    """Load the plans of all jobs; placed runs may last until their leases expire."""
     schedule = world.schedule
     schedule.loaded = True
     schedule.speeds = {
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -1,4 +1,4 @@
-"""Units: tasks whose turn has come, and how urgent they are."""
+"""Placement units: groups of ready tasks, ranked by urgency."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -22,15 +22,15 @@
 
 @dataclass(slots=True)
 class PlacementUnit:
-    """Tasks that are placed together: a gang, or what waits of a step.
+    """Tasks that are placed together: a gang, or the waiting tasks of a step.
 
     Attributes
     ----------
     tasks : list of Task
-        What is not yet cared for; grows shorter as room is found or made.
+        Tasks without capacity so far; shrinks during the decision.
     rank : int
-        0 for urgent work within its team's guarantee, 1 for other urgent work, then
-        one more than the priority.
+        0 for urgent work within its team's guarantee, else one more than the
+        priority, so 1 for other urgent work.
     """
 
     plan: Plan
@@ -41,7 +41,7 @@
 
     @property
     def is_urgent(self) -> bool:
-        """Return whether the unit may stop other work."""
+        """Return whether the unit may preempt other runs."""
         return self.plan.job.terms.priority == URGENT_PRIORITY
 
     @property
@@ -59,12 +59,12 @@
 
 
 def task_core_equivalents(step: StepSpec) -> float:
-    """Return how many cores a task counts as."""
+    """Return the weight of a task as a number of cores, accelerators included."""
     return step.cpu_millis / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * step.accelerators
 
 
 def find_guaranteed_jobs(world: BatchWorld) -> set[str]:
-    """Return the urgent jobs that their team's guarantee covers, oldest first."""
+    """Return the urgent jobs that fit their team's guarantee, the oldest jobs first."""
     configuration = world.agreed.configuration
     if configuration is None:
         return set()
@@ -85,14 +85,14 @@
 
 
 def urgency_rank(plan: Plan, guaranteed_ids: set[str]) -> int:
-    """Return how urgent a job is; 0 comes first."""
+    """Return the urgency of a job; 0 is the most urgent."""
     if plan.job.id in guaranteed_ids:
         return 0
     return plan.job.terms.priority + 1
 
 
 def iter_units(world: BatchWorld, guaranteed_ids: set[str]) -> Iterator[PlacementUnit]:
-    """Yield the units of all jobs, in no order."""
+    """Yield the placement units of all open jobs, in no particular order."""
     for plan in world.schedule.plans.values():
         if plan.phase is PlanState.OPEN:
             yield from _iter_job_units(plan, urgency_rank(plan, guaranteed_ids))
@@ -117,7 +117,7 @@
 
 
 def _is_unblocked(plan: Plan, spec: StepSpec) -> bool:
-    """Return whether all steps that a step needs are done."""
+    """Return whether all steps that a step depends on are done."""
     return all(
         task.phase is TaskPhase.DONE
         for needed in spec.needs
