--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -1,4 +1,4 @@
-"""The fold: records in order to rows; what is read twice changes nothing."""
+"""Tests of the fold: records of the streams become agreed rows."""
 
 import pytest
 
@@ -53,19 +53,19 @@
     return JobRecord(Job(JOB, "q", "t", spec, (StepSpec(1),), 0, -1))
 
 
-def test_the_first_record_of_a_job_counts(world: BatchWorld) -> None:
+def test_later_records_of_a_job_are_ignored(world: BatchWorld) -> None:
     fold_records(world, Stream.JOBS, job("one"), job("two"))
     assert world.agreed.jobs.get(JOB).spec == "one"
     assert world.agreed.jobs.get(JOB).offset == 0
 
 
-def test_a_whole_listing_drops_what_it_does_not_name(world: BatchWorld) -> None:
+def test_complete_listing_removes_missing_rows(world: BatchWorld) -> None:
     fold_records(world, Stream.JOBS, job())
     fold_records(world, Stream.JOBS, first=9, whole=True)
     assert len(world.agreed.jobs) == 0
 
 
-def test_progress_and_cancelling_are_kept(world: BatchWorld) -> None:
+def test_progress_and_cancellation_are_applied(world: BatchWorld) -> None:
     progress = Progress(JobState.RUNNING, True, ())
     fold_records(
         world, Stream.JOBS, job(), ProgressRecord(JOB, progress), CancelRecord(JOB)
@@ -74,7 +74,7 @@
     assert (row.state, row.begun, row.cancelled) == (JobState.RUNNING, True, True)
 
 
-def test_a_configuration_never_goes_back(world: BatchWorld) -> None:
+def test_older_configuration_is_ignored(world: BatchWorld) -> None:
     for version in (3, 2):
         fold_records(
             world, Stream.OPERATORS, ConfigRecord(Configuration(version, (), {}, {}))
@@ -82,7 +82,7 @@
     assert world.agreed.configuration.version == 3
 
 
-def test_zones_go_out_and_come_back(world: BatchWorld) -> None:
+def test_zones_are_closed_and_reopened(world: BatchWorld) -> None:
     fold_records(world, Stream.OPERATORS, ZoneRecord("a"), ZoneRecord("b"))
     fold_records(world, Stream.OPERATORS, Removed("zone/a"), first=2)
     assert set(world.agreed.closed_zones) == {"b"}
@@ -102,7 +102,7 @@
     assert (holder.term, holder.name, holder.released) == (2, "entry-1", False)
 
 
-def test_a_stream_stays_fresh_for_a_while_only(world: BatchWorld) -> None:
+def test_stream_freshness_expires(world: BatchWorld) -> None:
     assert not is_fresh(world, Stream.JOBS, 1_000)
     fold_records(world, Stream.JOBS)
     assert is_fresh(world, Stream.JOBS, 3_000)
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Where tasks fit, and what is stopped for them."""
+"""Tests of placement: which candidates fit, and which victims are evicted."""
 
 from dataclasses import replace
 
@@ -37,14 +37,14 @@
     return (found.minion.sidecar,)
 
 
-def test_the_scarcest_kind_of_room_decides() -> None:
+def test_scarcest_resource_limits_task_count() -> None:
     assert count_fitting_tasks(Room(64_000, 131_072, 8), STEP, 9) == 4
     assert count_fitting_tasks(Room(16_000, 131_072, 8), STEP, 9) == 2
     assert count_fitting_tasks(Room(64_000, 15_000, 8), STEP, 9) == 1
     assert count_fitting_tasks(Room(-1, 0, 0), STEP, 9) == 0
 
 
-def test_tasks_spread_over_sites_in_order_of_rank() -> None:
+def test_tasks_fill_candidates_in_order_of_rank() -> None:
     candidates = [
         candidate("b", MINION_CAPACITY),
         candidate("a", Room(64_000, 131_072, 2)),
@@ -53,7 +53,7 @@
     assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
 
 
-def test_at_most_so_many_tasks_of_a_step_go_to_a_site() -> None:
+def test_limit_of_tasks_per_minion_is_respected() -> None:
     apart = replace(STEP, most_per_minion=1)
     chosen = choose_candidates(
         [candidate("a", MINION_CAPACITY), candidate("b", MINION_CAPACITY)],
@@ -64,17 +64,17 @@
     assert len(chosen) == 2
 
 
-def test_the_cheapest_work_is_stopped() -> None:
-    none = Room(0, 0, 0)
-    costly = candidate("a", none, (50.0, 60.0, 70.0))
-    cheap = candidate("b", none, (1.0, 2.0, 3.0))
+def test_cheapest_victims_are_evicted() -> None:
+    no_capacity = Room(0, 0, 0)
+    costly = candidate("a", no_capacity, (50.0, 60.0, 70.0))
+    cheap = candidate("b", no_capacity, (1.0, 2.0, 3.0))
     found = plan_evictions([costly, cheap], STEP, 2, by_name)
     assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
     assert found[0].cost == 3.0
     assert len(found[0].victims) == 2
 
 
-def test_free_room_costs_nothing() -> None:
+def test_free_capacity_costs_nothing() -> None:
     found = plan_evictions(
         [candidate("a", MINION_CAPACITY, (5.0,)), candidate("b", MINION_CAPACITY)],
         STEP,
@@ -89,13 +89,13 @@
     assert not plan_evictions([candidate("a", Room(0, 0, 0), ())], STEP, 3, by_name)
 
 
-def test_room_is_made_for_as_many_tasks_as_the_cost_allows() -> None:
+def test_maximum_cost_limits_number_of_evictions() -> None:
     full = candidate("a", Room(0, 0, 0), (1.0, 90.0))
     found = plan_evictions([full], STEP, 2, by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
-def test_work_that_leaves_no_useful_room_goes_on() -> None:
+def test_victims_that_release_too_little_are_spared() -> None:
     small, large = Room(1_000, 1_000, 0), Room(8_000, 16_000, 2)
     full = candidate("a", Room(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -1,4 +1,4 @@
-"""Plans: what a new term makes of progress records, and what ends change."""
+"""Tests of plans: loading from progress records, and effects of run ends."""
 
 import pytest
 
@@ -44,7 +44,7 @@
     phases: str,
     state: JobState = JobState.RUNNING,
 ) -> Plan:
-    """Take a job up whose record gives its tasks these phases."""
+    """Adopt a job whose progress record gives its tasks these phases."""
     rows = tuple(
         TaskProgress(0, index, TaskPhase(phase), 1, 0, "m", 1, "side", 0, "")
         for index, phase in enumerate(phases)
@@ -57,12 +57,12 @@
     return world.schedule.plans[JOB]
 
 
-def test_members_of_a_parted_gang_are_stopped(world: BatchWorld) -> None:
+def test_placed_members_of_incomplete_gang_are_stopped(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, GANG, "pww")
     assert plan.tasks[0][0].stopping
 
 
-def test_a_whole_gang_and_single_tasks_run_on(world: BatchWorld) -> None:
+def test_complete_gang_and_independent_tasks_keep_running(world: BatchWorld) -> None:
     assert not any(
         task.stopping for task in iter_tasks(adopt_with_progress(world, GANG, "ppp"))
     )
@@ -78,13 +78,13 @@
     assert [task.stopping for task in iter_tasks(plan)] == [True, True, False]
 
 
-def test_one_end_stands_for_a_gang(world: BatchWorld) -> None:
+def test_end_of_one_member_completes_the_gang(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, GANG, "ppp")
     apply_run_end(world, plan, plan.tasks[0][1], RunEnd.DONE, "")
     assert plan.state is JobState.COMPLETED
 
 
-def test_a_gangs_run_fails_once(world: BatchWorld) -> None:
+def test_failed_run_of_a_gang_counts_once(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, GANG, "ppp")
     for task in plan.tasks[0][:2]:
         apply_run_end(world, plan, task, RunEnd.FAILED, "")
@@ -105,7 +105,7 @@
     assert plan.state is JobState.FAILED
 
 
-def test_a_record_gives_the_same_plan_again(world: BatchWorld) -> None:
+def test_plan_survives_its_progress_record(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, WIDE, "pwd")
     plan.tasks[0][1].saved = "00ff"
     job = plan.job
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -1,4 +1,4 @@
-"""Records keep all that a new holder of the lease needs."""
+"""Tests of the encoding of records, from which a new holder restores its state."""
 
 import pytest
 
@@ -54,13 +54,13 @@
 
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
-def test_a_record_survives_its_text(record: object) -> None:
+def test_record_round_trip(record: object) -> None:
     key, value = encode_record(record)
     assert decode_record(key, value, "log").ok == record
 
 
 @pytest.mark.parametrize("value", [b"[]", b"{", b'{"state":"odd"}', b"\xff"])
-def test_an_unreadable_value_is_a_failure(value: bytes) -> None:
+def test_unreadable_value_is_an_error(value: bytes) -> None:
     result = decode_record("progress/0123456789abcdef", value, "log 7")
     assert result.is_error()
     assert result.error.peer == "log 7"
--- a/kingcuppost/platform/tests/test_operators.py
+++ b/kingcuppost/platform/tests/test_operators.py
@@ -45,7 +45,7 @@
     assert team_of(record.configuration, queue, "") == ""
 
 
-def test_zones_go_out_and_come_back() -> None:
+def test_zones_are_closed_and_reopened() -> None:
     assert decode_operator_record("evacuate/z", b"{}", "op").ok == ZoneRecord("z")
     assert decode_operator_record("evacuate/z", b"", "op").ok == Removed("zone/z")
 
--- a/standins/batch/tests/test_handover.py
+++ b/standins/batch/tests/test_handover.py
@@ -1,4 +1,4 @@
-"""What runs outlives the loss of the entry that schedules."""
+"""Tests that runs survive the loss of the scheduling entry."""
 
 import pytest
 
@@ -10,7 +10,7 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_no_run_lapses_when_the_holder_is_cut_off(seed: int) -> None:
+def test_no_run_expires_when_the_holder_is_cut_off(seed: int) -> None:
     deployment = make_ready_deployment(seed)
     deployment.submit((LONG,), [60_000])
     deployment.run_for(1_000 + 130 * seed)
--- a/standins/batch/tests/test_jobs.py
+++ b/standins/batch/tests/test_jobs.py
@@ -1,4 +1,4 @@
-"""Small days without faults: jobs of all kinds are done."""
+"""Tests of the life cycle of jobs in a small deployment, mostly without faults."""
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from kingcuppost.batch.tables.messages import CallKind, Stream, Verdict
@@ -18,7 +18,7 @@
     return deployment
 
 
-def test_a_job_of_two_steps_is_done_in_order() -> None:
+def test_dependent_steps_run_in_order() -> None:
     deployment = make_ready_deployment()
     second = StepSpec(2, cpu_millis=1_000, needs=(0,))
     job_id, exchange_id = deployment.submit((SMALL, second), [2_000, 500])
@@ -30,7 +30,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_gang_runs_in_one_rack_and_ends_together() -> None:
+def test_gang_runs_in_one_rack_and_ends_together() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((GANG,), [1_500], priority=0)
     assert deployment.run_until(
@@ -40,7 +40,7 @@
     assert not deployment.checks.broken
 
 
-def test_urgent_work_starts_on_full_minions_within_its_bound() -> None:
+def test_urgent_gang_starts_on_full_minions_within_1800_ms() -> None:
     deployment = make_ready_deployment(minions=3)
     for _ in range(3):
         deployment.submit((StepSpec(8, cpu_millis=5_000, accelerators=1),), [60_000], 2)
@@ -52,7 +52,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_cancelled_job_stops() -> None:
+def test_cancelled_job_stops() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(1_000)
@@ -63,7 +63,7 @@
     assert not any(minion.runs for minion in deployment.minions.values())
 
 
-def test_the_same_identifier_is_one_job() -> None:
+def test_submissions_with_the_same_identifier_create_one_job() -> None:
     deployment = make_ready_deployment()
     job_id, first = deployment.submit((SMALL,), [500], entry="entry-0")
     _, second = deployment.submit((SMALL,), [500], job_id=job_id, entry="entry-1")
@@ -74,7 +74,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_job_that_always_fails_is_shown_as_failed() -> None:
+def test_job_with_failing_tasks_ends_as_failed() -> None:
     deployment = make_ready_deployment()
     for minion in deployment.minions.values():
         minion.fails = True
@@ -85,18 +85,18 @@
     assert not deployment.checks.broken
 
 
-def test_calls_that_name_nothing_are_told_so() -> None:
+def test_calls_for_unknown_jobs_and_queues_are_rejected() -> None:
     deployment = make_ready_deployment()
-    unknown = deployment.call(CallKind.STATE, "/urgent/0123456789abcdef")
-    nowhere = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
+    unknown_job = deployment.call(CallKind.STATE, "/urgent/0123456789abcdef")
+    unknown_queue = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
     waiting = deployment.call(CallKind.STATE, "/urgent/")
     deployment.run_for(50)
-    assert deployment.replies[unknown].verdict is Verdict.NO_JOB
-    assert deployment.replies[nowhere].verdict is Verdict.NO_QUEUE
+    assert deployment.replies[unknown_job].verdict is Verdict.NO_JOB
+    assert deployment.replies[unknown_queue].verdict is Verdict.NO_QUEUE
     assert deployment.replies[waiting].waiting == 0
 
 
-def test_the_first_term_of_a_fresh_log_is_scheduled() -> None:
+def test_first_term_of_an_empty_log_schedules() -> None:
     deployment = make_ready_deployment(seed=3, entries=1)
     assert deployment.holder().world.schedule.term >= 1
     job_id, _ = deployment.submit((SMALL,), [500])
@@ -105,7 +105,7 @@
     )
 
 
-def test_overnight_work_leaves_whole_racks_to_urgent_gangs() -> None:
+def test_overnight_work_leaves_whole_racks_free() -> None:
     deployment = make_ready_deployment()
     wide = StepSpec(6, cpu_millis=5_000, accelerators=1)
     for _ in range(2):
@@ -115,7 +115,7 @@
     assert len(racks) == 1
 
 
-def test_an_entry_that_is_cut_off_refuses_at_once() -> None:
+def test_entry_without_the_log_rejects_jobs_at_once() -> None:
     deployment = make_ready_deployment()
     deployment.processes["entry-1"].is_cut = True
     deployment.run_for(3_500)
@@ -128,7 +128,7 @@
     assert deployment.checks.starts == 0
 
 
-def test_jobs_that_ended_long_ago_leave_the_log() -> None:
+def test_ended_jobs_are_removed_after_retention() -> None:
     deployment = make_ready_deployment(entries=2, minions=2)
     job_id, _ = deployment.submit((StepSpec(1, cpu_millis=1_000),), [100])
     assert deployment.run_until(
@@ -144,7 +144,7 @@
     assert not any(job_id in key for key in keys)
 
 
-def test_guaranteed_work_spreads_over_racks_rather_than_wait() -> None:
+def test_guaranteed_gang_spreads_over_racks_instead_of_waiting() -> None:
     deployment = make_ready_deployment(minions=2)
     for index, minion in enumerate(deployment.minions.values()):
         minion.rack = f"r{index}-1"
@@ -159,7 +159,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_gang_that_failed_on_minions_that_it_needs_runs_there_again() -> None:
+def test_gang_retries_on_failed_minions_if_it_needs_them() -> None:
     deployment = make_ready_deployment(minions=2)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
@@ -175,7 +175,7 @@
     )
 
 
-def test_urgent_work_is_looked_at_again_though_nothing_changes() -> None:
+def test_urgent_job_is_scheduled_again_without_a_change() -> None:
     deployment = make_ready_deployment(minions=1)
     fill = StepSpec(2, cpu_millis=30_000, accelerators=4, estimate_ms=60_000)
     deployment.submit((fill,), [60_000], 1)
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -1,4 +1,4 @@
-"""Runs that would not end where they are go on elsewhere."""
+"""Tests of the run monitor: runs that should move, and runs that should not."""
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from standins.batch import Deployment
@@ -13,7 +13,7 @@
     return deployment
 
 
-def test_a_run_that_stands_still_goes_on_elsewhere() -> None:
+def test_stalled_run_is_moved() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [4_000])
     deployment.run_for(1_500)
@@ -25,7 +25,7 @@
     assert not deployment.checks.broken
 
 
-def test_work_that_saves_leaves_a_minion_that_drains() -> None:
+def test_checkpointing_run_leaves_a_draining_minion() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [20_000])
     deployment.run_for(2_500)
@@ -38,7 +38,7 @@
     assert not deployment.checks.broken
 
 
-def test_urgent_work_goes_to_minions_that_proved_fast() -> None:
+def test_learned_speeds_separate_fast_from_slow_minions() -> None:
     deployment = make_ready_deployment(minions=4)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
@@ -57,7 +57,7 @@
     assert all(rows[one.id] > rows[two.id] for one in seen for two in slow)
 
 
-def test_a_member_that_is_through_waits_for_its_gang() -> None:
+def test_gang_member_that_waits_for_others_is_not_stalled() -> None:
     deployment = make_ready_deployment(minions=3)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
@@ -71,7 +71,7 @@
     assert deployment.checks.starts == 3
 
 
-def test_an_urgent_run_on_a_slow_minion_begins_anew_elsewhere() -> None:
+def test_urgent_run_on_a_slow_minion_restarts_elsewhere() -> None:
     deployment = make_ready_deployment()
     step = StepSpec(1, cpu_millis=5_000, accelerators=1, estimate_ms=4_000)
     job_id, _ = deployment.submit((step,), [4_000], 0)
@@ -85,7 +85,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_failed_run_waits_for_another_minion_rather_than_use_up_its_tries() -> None:
+def test_failed_task_waits_for_another_minion() -> None:
     deployment = make_ready_deployment(minions=2)
     whole = StepSpec(1, cpu_millis=64_000, accelerators=8)
     deployment.submit((whole,), [2_000], 2)
@@ -99,7 +99,7 @@
     assert deployment.checks.ends[RunEnd.FAILED] == 1
 
 
-def test_urgent_work_waits_for_a_run_that_is_all_but_done() -> None:
+def test_urgent_work_waits_for_a_run_that_ends_soon() -> None:
     deployment = make_ready_deployment(minions=1)
     half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
     nearly, _ = deployment.submit((half,), [3_000], 1)
--- a/standins/batch/tests/test_scheduling_lease.py
+++ b/standins/batch/tests/test_scheduling_lease.py
@@ -1,4 +1,4 @@
-"""The scheduling lease moves when its holder is gone, and only then."""
+"""Tests that the scheduling lease moves if and only if its holder is lost."""
 
 from dataclasses import replace
 
@@ -16,7 +16,7 @@
     return deployment
 
 
-def test_a_dead_holder_is_followed_by_another_entry() -> None:
+def test_another_entry_replaces_a_dead_holder() -> None:
     deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
@@ -27,7 +27,7 @@
     )
 
 
-def test_work_goes_on_after_all_entries_were_killed() -> None:
+def test_jobs_complete_after_all_entries_were_killed() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [8_000])
     deployment.run_for(1_000)
@@ -44,7 +44,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_restarted_holder_claims_at_once() -> None:
+def test_restarted_holder_claims_at_once() -> None:
     deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
@@ -53,7 +53,7 @@
     assert deployment.run_until(lambda: deployment.holder() is not None, 1_000)
 
 
-def test_a_holder_that_leaves_gives_the_lease_back() -> None:
+def test_stopping_holder_releases_the_lease() -> None:
     deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.stop(old.name)
@@ -62,7 +62,7 @@
     assert deployment.holder().name != old.name
 
 
-def test_a_job_cancelled_while_nobody_schedules_does_not_run_again() -> None:
+def test_job_cancelled_without_a_holder_does_not_run_again() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
@@ -75,7 +75,7 @@
     assert not deployment.checks.broken
 
 
-def test_work_of_minions_that_lost_power_goes_on_without_their_lease() -> None:
+def test_tasks_of_restarted_minions_do_not_wait_for_lease_expiry() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [1_500])
     deployment.run_for(1_000)
@@ -93,7 +93,7 @@
     assert not deployment.checks.broken
 
 
-def test_checkpoints_outlive_the_loss_of_everything() -> None:
+def test_checkpoints_survive_a_restart_of_everything() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [20_000])
     deployment.run_for(12_000)
@@ -112,7 +112,7 @@
     assert all(run.done_ms > 4_000 for run in runs)
 
 
-def test_a_job_keeps_its_terms_when_its_queue_is_gone() -> None:
+def test_job_keeps_its_terms_when_its_queue_is_removed() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [4_000], 1)
     deployment.run_for(500)
@@ -127,21 +127,21 @@
     assert deployment.holder().world.schedule.plans[job_id].job.terms.most_failures == 3
 
 
-def test_a_new_term_stops_what_a_cancelled_job_still_runs() -> None:
+def test_new_term_stops_runs_of_a_cancelled_job() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
-    cut = [
+    cut_off = [
         process
         for process in deployment.processes.values()
         if process.minion is not None and process.minion.runs
     ]
-    for process in cut:
+    for process in cut_off:
         process.is_cut = True
     deployment.cancel(job_id)
     deployment.run_for(500)
     deployment.kill(deployment.holder().name)
-    for process in cut:
+    for process in cut_off:
         process.is_cut = False
     deployment.run_for(5_000)
     assert deployment.state(job_id) is JobState.CANCELLED
@@ -149,7 +149,7 @@
     assert not deployment.checks.broken
 
 
-def test_a_renewal_after_another_claim_gives_no_authority() -> None:
+def test_renewal_after_another_claim_gives_no_authority() -> None:
     deployment = make_ready_deployment()
     old = deployment.holder()
     old.is_turned_away = True
--- a/standins/batch/tests/test_soak.py
+++ b/standins/batch/tests/test_soak.py
@@ -1,20 +1,20 @@
-"""Days of random faults by seed; those that ever broke a promise stay."""
+"""Tests with random faults by seed; seeds that found a fault are kept."""
 
 import pytest
 
 from standins.batch.soak import play
 
-# seed, faults a day, and what it broke
-FOUND = [
-    pytest.param(2010, 12, id="a holder without renewals went on giving orders"),
-    pytest.param(1001, 12, id="an end that was noted after the lease had lapsed"),
-    pytest.param(1036, 12, id="the same, with zones out"),
+# seed, faults a day, and the fault that the seed found
+REGRESSION_DAYS = [
+    pytest.param(2010, 12, id="a holder without renewals kept giving orders"),
+    pytest.param(1001, 12, id="a run end was recorded after the lease had expired"),
+    pytest.param(1036, 12, id="a run end was recorded late, with zones closed"),
 ]
-FRESH = [pytest.param(seed, 6, id=f"seed {seed}") for seed in (1, 2, 3, 4)]
+OTHER_DAYS = [pytest.param(seed, 6, id=f"seed {seed}") for seed in (1, 2, 3, 4)]
 
 
-@pytest.mark.parametrize(("seed", "faults"), FOUND + FRESH)
-def test_a_day_of_faults_breaks_no_promise(seed: int, faults: int) -> None:
+@pytest.mark.parametrize(("seed", "faults"), REGRESSION_DAYS + OTHER_DAYS)
+def test_day_of_faults_violates_no_guarantee(seed: int, faults: int) -> None:
     outcome = play(seed, faults)
     assert outcome.jobs
     assert not outcome.broken, outcome.happened
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -1,4 +1,4 @@
-"""What is known of machines' speeds outlives minions and holders."""
+"""Tests that learned speeds are right and survive new minions and holders."""
 
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
@@ -10,7 +10,7 @@
 def run_calibration_jobs(
     deployment: Deployment, estimate_factor: float = 1.0, jobs: int = 2
 ) -> Deployment:
-    """Run tasks on every minion, of which some are slow, with rough estimates."""
+    """Run jobs on all minions with estimates that are wrong by a factor."""
     for number in range(jobs):
         factor = estimate_factor if number % 2 else 1 / estimate_factor
         step = StepSpec(
@@ -37,12 +37,12 @@
     return set()
 
 
-def test_slow_machines_are_told_apart_though_estimates_are_rough() -> None:
+def test_slow_machines_are_found_despite_wrong_estimates() -> None:
     deployment = run_calibration_jobs(make_ready_deployment(), estimate_factor=1.6)
     assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
-def test_a_new_holder_knows_the_speeds() -> None:
+def test_new_holder_knows_the_speeds() -> None:
     deployment = run_calibration_jobs(make_ready_deployment())
     holder = deployment.holder()
     deployment.run_for(12_000)
@@ -52,7 +52,7 @@
     assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
-def test_a_new_life_of_a_minion_keeps_its_machine_s_speed() -> None:
+def test_restarted_minion_keeps_the_speed_of_its_machine() -> None:
     deployment = run_calibration_jobs(make_ready_deployment())
     for minion in deployment.minions.values():
         minion.restart()
@@ -60,7 +60,7 @@
     assert slowest_sidecars(deployment) == SLOW_SIDECARS
 
 
-def test_work_with_the_most_time_leaves_the_fast_minions_to_others() -> None:
+def test_delay_tolerant_work_leaves_fast_minions_free() -> None:
     deployment = run_calibration_jobs(make_ready_deployment())
     step = StepSpec(3, cpu_millis=60_000, accelerators=8, estimate_ms=3_000)
     deployment.submit((step,), [9_000], 2)
@@ -70,7 +70,7 @@
     assert busy == SLOW_SIDECARS
 
 
-def test_urgent_work_rather_stops_others_than_run_on_slow_minions() -> None:
+def test_urgent_work_preempts_rather_than_runs_on_slow_minions() -> None:
     deployment = run_calibration_jobs(make_ready_deployment())
     fill = StepSpec(6, cpu_millis=60_000, accelerators=8, estimate_ms=9_000)
     deployment.submit((fill,), [20_000], 1)
