--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -15,7 +15,7 @@
     Role.ENTRY: (
         "fold",
         "calls",
-        "lease",
+        "holder_election",
         "term_opening",
         "sidecar_reports",
         "lease_expiry",
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -3,24 +3,24 @@
 import string
 
 from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.routing import find_queue, team_of
 from kingcuppost.batch.tables.fleet import Queue
-from kingcuppost.batch.tables.job import Job, JobState, Terms
+from kingcuppost.batch.tables.job import Job, JobPolicy, JobState
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
     AppendOutcome,
     CallerCall,
     CallKind,
+    CallOutcome,
     CallReply,
     CancelRecord,
     JobRecord,
     Record,
     Stream,
-    Verdict,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldCall
+from kingcuppost.batch.tables.world import BatchWorld, PendingCall
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
@@ -59,8 +59,8 @@
     world.tally.observe("call", took_ms, call.kind)
     world.outbox.put(reply)
     if call.kind in (CallKind.SUBMIT, CallKind.CANCEL) or reply.verdict in (
-        Verdict.NOT_RUN,
-        Verdict.UNKNOWN,
+        CallOutcome.NOT_RUN,
+        CallOutcome.UNKNOWN,
     ):
         configuration = world.agreed.configuration
         world.note(
@@ -80,15 +80,17 @@
         return _not_run(call, "no configuration yet")
     queue = find_queue(configuration, call.host, call.path)
     if queue is None:
-        return CallReply(call.exchange_id, Verdict.NO_QUEUE)
-    team = team_of(configuration, queue, call.key)
+        return CallReply(call.exchange_id, CallOutcome.NO_QUEUE)
+    team = find_team(configuration, queue, call.key)
     if team is None:
-        return CallReply(call.exchange_id, Verdict.NO_KEY)
+        return CallReply(call.exchange_id, CallOutcome.NO_KEY)
     job_id = call.path[len(queue.prefix) :]
     if call.kind is CallKind.STATE and not job_id:
         return _count_waiting(world, call, queue)
     if not is_job_id(job_id):
-        return CallReply(call.exchange_id, Verdict.BAD, reason="invalid job identifier")
+        return CallReply(
+            call.exchange_id, CallOutcome.BAD, reason="invalid job identifier"
+        )
     if call.kind is CallKind.SUBMIT:
         return _submit_job(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
@@ -113,7 +115,10 @@
     call: CallerCall, reason: str, retry_after_ms: int = RETRY_SOON_MS
 ) -> CallReply:
     return CallReply(
-        call.exchange_id, Verdict.NOT_RUN, retry_after_ms=retry_after_ms, reason=reason
+        call.exchange_id,
+        CallOutcome.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+        reason=reason,
     )
 
 
@@ -123,7 +128,7 @@
         for job in world.agreed.jobs.scan("queue", queue.name)
         if not job.begun and visible_state(job) is JobState.QUEUED
     )
-    return CallReply(call.exchange_id, Verdict.OK, waiting=waiting)
+    return CallReply(call.exchange_id, CallOutcome.OK, waiting=waiting)
 
 
 def _get_state(
@@ -131,9 +136,9 @@
 ) -> CallReply:
     job = world.agreed.jobs.get(job_id)
     if job is not None:
-        return CallReply(call.exchange_id, Verdict.OK, state=visible_state(job))
+        return CallReply(call.exchange_id, CallOutcome.OK, state=visible_state(job))
     if is_fresh(world, Stream.JOBS, now_ms):
-        return CallReply(call.exchange_id, Verdict.NO_JOB)
+        return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     return _not_run(call, STREAM_STALE_REASON)
 
 
@@ -146,9 +151,9 @@
     now_ms: int,
 ) -> CallReply | None:
     if job_id in world.agreed.jobs:
-        return CallReply(call.exchange_id, Verdict.OK)
+        return CallReply(call.exchange_id, CallOutcome.OK)
     if call.job is None:
-        return CallReply(call.exchange_id, Verdict.BAD, reason=call.fault)
+        return CallReply(call.exchange_id, CallOutcome.BAD, reason=call.body_error)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     job = Job(
@@ -159,7 +164,9 @@
         call.job.steps,
         world.clock.wall_ms(),
         -1,
-        Terms(queue.service, queue.priority, queue.most_failures, queue.slack_factor),
+        JobPolicy(
+            queue.service, queue.priority, queue.most_failures, queue.slack_factor
+        ),
     )
     _propose_record(world, call, job_id, JobRecord(job))
     return None
@@ -171,10 +178,10 @@
     job = world.agreed.jobs.get(job_id)
     if job is None:
         if is_fresh(world, Stream.JOBS, now_ms):
-            return CallReply(call.exchange_id, Verdict.NO_JOB)
+            return CallReply(call.exchange_id, CallOutcome.NO_JOB)
         return _not_run(call, STREAM_STALE_REASON)
     if visible_state(job) in ENDED_STATES:
-        return CallReply(call.exchange_id, Verdict.OK)
+        return CallReply(call.exchange_id, CallOutcome.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     _propose_record(world, call, job_id, CancelRecord(job_id))
@@ -191,7 +198,7 @@
         (record,),
         timeout_ms=APPEND_TIMEOUT_MS,
     )
-    world.calls[append.id] = HeldCall(call, job_id, append)
+    world.calls[append.id] = PendingCall(call, job_id, append)
     world.outbox.put(append)
 
 
@@ -201,17 +208,20 @@
     for answer in world.inbox.take(AppendEnded):
         pending = world.calls.get(answer.id)
         if pending is None:
-            world.schedule.answers.append(answer)
+            world.schedule.append_results.append(answer)
         else:
             _handle_append_end(world, pending, answer, now_ms)
     for pending in list(world.calls.values()):
         if _is_recorded(world, pending):
             _end_pending_call(
-                world, pending, CallReply(pending.call.exchange_id, Verdict.OK), now_ms
+                world,
+                pending,
+                CallReply(pending.call.exchange_id, CallOutcome.OK),
+                now_ms,
             )
 
 
-def _is_recorded(world: BatchWorld, pending: HeldCall) -> bool:
+def _is_recorded(world: BatchWorld, pending: PendingCall) -> bool:
     job = world.agreed.jobs.get(pending.job_id)
     if job is None:
         return False
@@ -219,19 +229,23 @@
 
 
 def _handle_append_end(
-    world: BatchWorld, pending: HeldCall, answer: AppendEnded, now_ms: int
+    world: BatchWorld, pending: PendingCall, answer: AppendEnded, now_ms: int
 ) -> None:
     exchange_id = pending.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
-        _end_pending_call(world, pending, CallReply(exchange_id, Verdict.OK), now_ms)
+        _end_pending_call(
+            world, pending, CallReply(exchange_id, CallOutcome.OK), now_ms
+        )
         return
-    pending.unknown = pending.unknown or answer.outcome is AppendOutcome.UNKNOWN
+    pending.has_unknown_outcome = (
+        pending.has_unknown_outcome or answer.outcome is AppendOutcome.UNKNOWN
+    )
     left_ms = pending.call.received_ms + pending.call.timeout_ms - now_ms
-    if pending.unknown and left_ms > ANSWER_MARGIN_MS:
-        pending.tries += 1
+    if pending.has_unknown_outcome and left_ms > ANSWER_MARGIN_MS:
+        pending.attempts += 1
         world.outbox.put(pending.append)
-    elif pending.unknown:
-        reply = CallReply(exchange_id, Verdict.UNKNOWN, reason=answer.reason)
+    elif pending.has_unknown_outcome:
+        reply = CallReply(exchange_id, CallOutcome.UNKNOWN, reason=answer.reason)
         _end_pending_call(world, pending, reply, now_ms)
     else:
         reply = _not_run(pending.call, answer.reason, RETRY_LATER_MS)
@@ -239,7 +253,7 @@
 
 
 def _end_pending_call(
-    world: BatchWorld, pending: HeldCall, reply: CallReply, now_ms: int
+    world: BatchWorld, pending: PendingCall, reply: CallReply, now_ms: int
 ) -> None:
     del world.calls[pending.append.id]
     _send_reply(world, pending.call, reply, now_ms)
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -7,8 +7,14 @@
 from kingcuppost.batch.systems.plans import iter_tasks
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
 from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
-from kingcuppost.batch.tables.fleet import MinionRow, Room
-from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.job import (
+    MinionIncarnation,
+    Plan,
+    PlanState,
+    Task,
+    TaskPhase,
+)
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
@@ -62,13 +68,17 @@
     context = StopCostContext(
         now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms
     )
-    candidates = {row.life: _make_idle_candidate(row) for row in world.schedule.minions}
+    candidates = {
+        row.incarnation: _make_idle_candidate(row) for row in world.schedule.minions
+    }
     for plan in world.schedule.plans.values():
         if plan.phase is PlanState.OVER:
             continue
         for task in iter_tasks(plan):
-            if task.phase is TaskPhase.PLACED and task.life in candidates:
-                _add_run(candidates[task.life], plan, task, guaranteed_ids, context)
+            if task.phase is TaskPhase.PLACED and task.incarnation in candidates:
+                _add_run(
+                    candidates[task.incarnation], plan, task, guaranteed_ids, context
+                )
     usable = [
         candidate
         for candidate in candidates.values()
@@ -85,7 +95,7 @@
 
 def _make_idle_candidate(row: MinionRow) -> Candidate:
     """Return a minion as an idle candidate, with separate copies of its capacity."""
-    free_now, free_soon, free_after_stops = (replace(row.room) for _ in range(3))
+    free_now, free_soon, free_after_stops = (replace(row.resources) for _ in range(3))
     return Candidate(
         row,
         free_after_stops=free_after_stops,
@@ -112,7 +122,7 @@
     subtract_tasks(candidate.free_after_stops, step)
     rank = urgency_rank(plan, guaranteed_ids)
     if rank:
-        freed = Room(step.cpu_millis, step.memory_mb, step.accelerators)
+        freed = Resources(step.cpu_millis, step.memory_mb, step.accelerators)
         cost = work_lost_by_stop(plan, task, context.wall_ms, context.restore_ms)
         candidate.victims.append(Victim(plan, task, rank, freed, cost, ends_soon))
 
@@ -125,7 +135,7 @@
     """
     if task.stopping or plan.job.steps[task.name.step].gang or not task.confirmed:
         return False
-    age_ms = now_ms - task.moved_ms
+    age_ms = now_ms - task.percent_changed_ms
     return (
         age_ms < PROGRESS_FRESH_MS
         and expected_remaining_ms(row, plan, task) - age_ms < ENDS_SOON_MS
@@ -133,7 +143,7 @@
 
 
 def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
-    if row.draining or row.is_away:
+    if row.draining or row.is_unreachable:
         return False
     if row.availability_zone in world.agreed.closed_zones:
         return False
@@ -146,7 +156,7 @@
 
 def _paused_until_ms(row: MinionRow) -> int:
     """Return when a minion that refused, failed or stalled a run may be used again."""
-    paused_until_ms = row.rests_until_ms
+    paused_until_ms = row.backoff_until_ms
     if row.stalled_ms is not None:
         paused_until_ms = row.stalled_ms + SUSPECT_MS
     if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
@@ -164,7 +174,9 @@
         if _matches_requirements(unit, candidate.minion)
     ]
     for candidate in eligible:
-        candidate.step_task_count = _count_placed_tasks(unit, candidate.minion.life)
+        candidate.step_task_count = _count_placed_tasks(
+            unit, candidate.minion.incarnation
+        )
     return eligible
 
 
@@ -172,24 +184,26 @@
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
     """Return the candidates where no run of a unit has failed, stalled or been slow."""
-    avoided = {minion for task in unit.tasks for minion in task.avoid}
+    avoided = {minion for task in unit.tasks for minion in task.avoided_minions}
     return [
         candidate
         for candidate in candidates
-        if candidate.minion.life.minion not in avoided
+        if candidate.minion.incarnation.minion not in avoided
     ]
 
 
 def _matches_requirements(unit: PlacementUnit, row: MinionRow) -> bool:
-    if unit.plan.job.terms.service and row.service != unit.plan.job.terms.service:
+    if unit.plan.job.policy.service and row.service != unit.plan.job.policy.service:
         return False
     return not unit.spec.label or unit.spec.label in row.labels
 
 
-def _count_placed_tasks(unit: PlacementUnit, life: Life) -> int:
+def _count_placed_tasks(unit: PlacementUnit, incarnation: MinionIncarnation) -> int:
     tasks = unit.plan.tasks[unit.step]
     return sum(
-        1 for task in tasks if task.phase is TaskPhase.PLACED and task.life == life
+        1
+        for task in tasks
+        if task.phase is TaskPhase.PLACED and task.incarnation == incarnation
     )
 
 
@@ -205,9 +219,9 @@
     runs longer, so their speeds are known sooner and are overrepresented.
     """
     known = sorted(
-        candidate.minion.pace.value
+        candidate.minion.speed.value
         for candidate in candidates
-        if candidate.minion.pace.weight
+        if candidate.minion.speed.weight
     )
     if not known:
         return
@@ -216,6 +230,6 @@
     )
     for candidate in candidates:
         candidate.is_slow = (
-            bool(candidate.minion.pace.weight)
-            and candidate.minion.pace.value < slow_limit
+            bool(candidate.minion.speed.weight)
+            and candidate.minion.speed.value < slow_limit
         )
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -16,9 +16,9 @@
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
     """Mark the jobs whose retention period is over for removal from the log."""
     schedule = world.schedule
-    if not is_scheduling(world) or now_ms < schedule.clean_at_ms:
+    if not is_scheduling(world) or now_ms < schedule.prune_at_ms:
         return
-    schedule.clean_at_ms = now_ms + REMOVAL_PERIOD_MS
+    schedule.prune_at_ms = now_ms + REMOVAL_PERIOD_MS
     retention_ms = world.cfg.bounds.status_ms + RETENTION_MARGIN_MS
     for job_id, plan in list(schedule.plans.items()):
         if plan.phase is not PlanState.OVER or plan.committed < plan.version:
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -18,27 +18,27 @@
     if not is_scheduling(world):
         return
     schedule = world.schedule
-    for life, expiry_ms in list(schedule.lives.items()):
+    for incarnation, expiry_ms in list(schedule.lapse_times_ms.items()):
         if now_ms < expiry_ms:
             continue
-        end_incarnation_runs(world, life, "the minion lease has expired")
-        for row in schedule.minions.find("life", life):
+        end_incarnation_runs(world, incarnation, "the minion lease has expired")
+        for row in schedule.minions.find("incarnation", incarnation):
             schedule.minions.delete(row.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
 def mark_unreachable_minions(world: BatchWorld, now_ms: int) -> None:
     """Exclude minions from placement after `UNREACHABLE_MS` without a report."""
-    if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
+    if not is_scheduling(world) or now_ms < world.schedule.check_minions_at_ms:
         return
-    world.schedule.absence_at_ms = now_ms + CHECK_PERIOD_MS
+    world.schedule.check_minions_at_ms = now_ms + CHECK_PERIOD_MS
     for row in world.schedule.minions:
-        due_ms = row.heard_ms + UNREACHABLE_MS
-        if row.is_away:
+        due_ms = row.last_report_ms + UNREACHABLE_MS
+        if row.is_unreachable:
             continue
         if now_ms < due_ms:
             world.deadlines.add(due_ms)
             continue
-        row.is_away = True
+        row.is_unreachable = True
         world.schedule.changed = True
-        world.note("minion", "A minion is unreachable.", minion=row.life.minion)
+        world.note("minion", "A minion is unreachable.", minion=row.incarnation.minion)
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -7,7 +7,7 @@
     StopOrder,
     StopRun,
 )
-from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
+from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
 __all__ = ["request_run_lists", "send_run_orders"]
@@ -22,53 +22,65 @@
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
 def request_run_lists(world: BatchWorld, now_ms: int) -> None:
     """Keep one request for the run lists open; it also extends the minion lease."""
-    host = world.host
-    if host.minion is None or host.holding or not host.term:
+    sidecar_state = world.sidecar_state
+    if (
+        sidecar_state.minion is None
+        or sidecar_state.is_hold_open
+        or not sidecar_state.term
+    ):
         return
-    if now_ms < host.hold_after_ms:
-        world.deadlines.add(host.hold_after_ms)
+    if now_ms < sidecar_state.hold_after_ms:
+        world.deadlines.add(sidecar_state.hold_after_ms)
         return
-    host.holding = True
-    wait_ms = _wait_ms(host, now_ms)
+    sidecar_state.is_hold_open = True
+    wait_ms = _wait_ms(sidecar_state, now_ms)
     if _is_awaiting_stop(world):
         wait_ms = 0
-        host.hold_after_ms = now_ms + STOP_POLL_MS
+        sidecar_state.hold_after_ms = now_ms + STOP_POLL_MS
     world.outbox.put(
         HoldMinion(
-            host.address,
-            host.minion.life,
-            host.term,
-            host.seen,
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            sidecar_state.acknowledged_end,
             wait_ms,
-            host.until_ms,
+            sidecar_state.until_ms,
         )
     )
 
 
-def _wait_ms(host: Host, now_ms: int) -> int:
+def _wait_ms(sidecar_state: SidecarState, now_ms: int) -> int:
     """Return how long the minion may delay its answer while its lists do not change.
 
     The wait is a part of the time left of the lease, so that a lease that is about to
     end is renewed in time.
     """
-    if not host.listed or host.until_ms is None or host.clock_ms is None:
+    if (
+        not sidecar_state.listed
+        or sidecar_state.until_ms is None
+        or sidecar_state.clock_ms is None
+    ):
         return 0
-    left_ms = host.until_ms - host.clock_ms - (now_ms - host.clock_at_ms)
+    left_ms = (
+        sidecar_state.until_ms
+        - sidecar_state.clock_ms
+        - (now_ms - sidecar_state.clock_at_ms)
+    )
     return min(MAX_WAIT_MS, max(left_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
-    return any(run.stopped_ms is not None for run in world.host.runs.values())
+    return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
 def send_run_orders(world: BatchWorld, now_ms: int) -> None:
     """Send starts and stops to the minion; resend those without a clear answer."""
-    host = world.host
-    if host.minion is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.minion is None:
         return
-    for run in list(host.runs.values()):
-        if run.asked or run.stopped_ms is not None:
+    for run in list(sidecar_state.runs.values()):
+        if run.is_order_pending or run.stopped_ms is not None:
             continue
         if now_ms < run.retry_ms:
             world.deadlines.add(run.retry_ms)
@@ -79,24 +91,37 @@
             _send_start(world, run, now_ms)
 
 
-def _send_stop(world: BatchWorld, run: HostRun) -> None:
-    host = world.host
-    run.asked = True
+def _send_stop(world: BatchWorld, run: OrderedRun) -> None:
+    sidecar_state = world.sidecar_state
+    run.is_order_pending = True
     order = StopOrder(run.order.task, run.order.run)
-    world.outbox.put(StopRun(host.address, host.minion.life, host.term, order))
+    world.outbox.put(
+        StopRun(
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            order,
+        )
+    )
 
 
-def _send_start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
+def _send_start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
     """Send a start, unless the minion lease is about to end or the minion drains."""
-    host = world.host
-    if host.until_ms is None or host.clock_ms is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.until_ms is None or sidecar_state.clock_ms is None:
         return
-    clock_ms = host.clock_ms + now_ms - host.clock_at_ms
-    if host.until_ms - clock_ms < MIN_LEASE_MS:
+    clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
+    if sidecar_state.until_ms - clock_ms < MIN_LEASE_MS:
         return
-    if host.minion.draining and not run.doubtful:
+    if sidecar_state.minion.draining and not run.may_still_start:
         return
-    run.asked = True
+    run.is_order_pending = True
     world.outbox.put(
-        StartRun(host.address, host.minion.life, host.term, run.order, host.until_ms)
+        StartRun(
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            run.order,
+            sidecar_state.until_ms,
+        )
     )
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from kingcuppost.batch.tables.fleet import MinionRow, Room
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
 from kingcuppost.batch.tables.job import Plan, StepSpec, Task
 
 __all__ = [
@@ -42,7 +42,7 @@
     plan: Plan
     task: Task
     rank: int
-    resources: Room
+    resources: Resources
     cost: float
     ends_soon: bool = False
 
@@ -73,20 +73,20 @@
     """
 
     minion: MinionRow
-    free_after_stops: Room
-    free_now: Room
-    free_soon: Room
+    free_after_stops: Resources
+    free_now: Resources
+    free_soon: Resources
     rack_free_accelerators: list[int]
     step_task_count: int = 0
     victims: list[Victim] = field(default_factory=list)
     is_slow: bool = False
 
 
-def subtract_tasks(resources: Room, step: StepSpec, count: int = 1) -> None:
+def subtract_tasks(resources: Resources, step: StepSpec, count: int = 1) -> None:
     """Subtract the demand of some tasks of a step."""
     subtract_resources(
         resources,
-        Room(
+        Resources(
             step.cpu_millis * count,
             step.memory_mb * count,
             step.accelerators * count,
@@ -94,26 +94,27 @@
     )
 
 
-def add_resources(resources: Room, other: Room) -> None:
+def add_resources(resources: Resources, other: Resources) -> None:
     """Add released capacity."""
     resources.cpu_millis += other.cpu_millis
     resources.memory_mb += other.memory_mb
     resources.accelerators += other.accelerators
 
 
-def subtract_resources(resources: Room, other: Room) -> None:
+def subtract_resources(resources: Resources, other: Resources) -> None:
     """Subtract used capacity."""
     resources.cpu_millis -= other.cpu_millis
     resources.memory_mb -= other.memory_mb
     resources.accelerators -= other.accelerators
 
 
-def count_fitting_tasks(resources: Room, step: StepSpec, limit: int) -> int:
+def count_fitting_tasks(resources: Resources, step: StepSpec, limit: int) -> int:
     """Return how many tasks of a step fit, at most `limit`.
 
     Examples
     --------
-    >>> count_fitting_tasks(Room(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
+    >>> free = Resources(64_000, 100, 8)
+    >>> count_fitting_tasks(free, StepSpec(4, cpu_millis=26_000), 9)
     2
     """
     count = limit
@@ -203,7 +204,7 @@
 
 
 def _drop_unneeded_victims(
-    resources: Room, step: StepSpec, wanted: int, victims: list[Victim]
+    resources: Resources, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
     """Return the victims without which the capacity would not suffice."""
     needed = []
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
-    Life,
+    MinionIncarnation,
     Plan,
     PlanState,
     Progress,
@@ -65,9 +65,9 @@
         task.phase = row.phase
         task.run = row.run
         task.failures = row.failures
-        task.saved = row.saved
+        task.checkpoint = row.checkpoint
         if row.phase is TaskPhase.PLACED:
-            task.life = Life(row.minion, row.born_ms)
+            task.incarnation = MinionIncarnation(row.minion, row.born_ms)
             task.sidecar = row.sidecar
             task.placed_ms = row.placed_ms
 
@@ -81,11 +81,11 @@
             task.phase,
             task.run,
             task.failures,
-            task.life.minion if task.life else "",
-            task.life.born_ms if task.life else 0,
-            task.sidecar if task.life else "",
-            task.placed_ms if task.life else 0,
-            "" if task.phase is TaskPhase.DONE else task.saved,
+            task.incarnation.minion if task.incarnation else "",
+            task.incarnation.born_ms if task.incarnation else 0,
+            task.sidecar if task.incarnation else "",
+            task.placed_ms if task.incarnation else 0,
+            "" if task.phase is TaskPhase.DONE else task.checkpoint,
         )
         for task in iter_tasks(plan)
         if task.run
@@ -143,7 +143,7 @@
     """Request the stop of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
         task.stopping = True
-        world.schedule.unsettled[task.name] = (plan, task)
+        world.schedule.pending_runs[task.name] = (plan, task)
 
 
 def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
@@ -168,10 +168,10 @@
     world: BatchWorld, plan: Plan, task: Task, run: int, minion: MinionRow
 ) -> None:
     """Assign a task to a minion; its run starts once the plan is in the log."""
-    world.schedule.unsettled[task.name] = (plan, task)
+    world.schedule.pending_runs[task.name] = (plan, task)
     task.phase = TaskPhase.PLACED
     task.run = run
-    task.life = minion.life
+    task.incarnation = minion.incarnation
     task.sidecar = minion.sidecar
     task.placed_ms = world.clock.wall_ms()
     task.version = plan.version
@@ -183,31 +183,31 @@
 
 
 def apply_run_end(
-    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, saved: str
+    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, checkpoint: str
 ) -> None:
     """Apply the confirmed end of a task's current run to its plan."""
-    life = task.life
+    incarnation = task.incarnation
     task.phase = TaskPhase.WAITING
-    task.life = None
+    task.incarnation = None
     task.stopping = False
-    if saved:
-        _store_checkpoint(plan, task, saved)
+    if checkpoint:
+        _store_checkpoint(plan, task, checkpoint)
     if how is RunEnd.DONE:
         _mark_done(plan, task)
     elif how is RunEnd.FAILED:
-        _count_failure(plan, task, life, world.clock.now_ms())
+        _count_failure(plan, task, incarnation, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
         request_stops(world, plan, task.name.step)
     _update_job_outcome(world, plan)
     mark_plan_changed(world, plan)
 
 
-def _store_checkpoint(plan: Plan, task: Task, saved: str) -> None:
+def _store_checkpoint(plan: Plan, task: Task, checkpoint: str) -> None:
     """Store a checkpoint; that of any member serves the whole gang."""
-    task.saved = saved
+    task.checkpoint = checkpoint
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
-            member.saved = saved
+            member.checkpoint = checkpoint
 
 
 def _mark_done(plan: Plan, task: Task) -> None:
@@ -217,21 +217,23 @@
         return
     for member in plan.tasks[task.name.step]:
         member.phase = TaskPhase.DONE
-        member.life = None
+        member.incarnation = None
 
 
-def _count_failure(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
+def _count_failure(
+    plan: Plan, task: Task, incarnation: MinionIncarnation | None, now_ms: int
+) -> None:
     """Count a failed run; that of a gang counts once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
     first_member = members[0]
-    if gang and task.run <= first_member.failed_run:
+    if gang and task.run <= first_member.last_failed_run:
         return
-    first_member.failed_run = task.run
+    first_member.last_failed_run = task.run
     first_member.failures += 1
-    if life is not None:
+    if incarnation is not None:
         for member in members:
-            member.avoid.add(life.minion)
+            member.avoided_minions.add(incarnation.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
 
 
@@ -244,5 +246,5 @@
     elif plan.phase is PlanState.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
             end_job(world, plan, JobState.COMPLETED)
-        elif any(task.failures >= plan.job.terms.most_failures for task in tasks):
+        elif any(task.failures >= plan.job.policy.most_failures for task in tasks):
             end_job(world, plan, JobState.FAILED)
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -20,34 +20,36 @@
 @system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
 def send_report(world: BatchWorld, now_ms: int) -> None:
     """Keep one report pending; send another at once when the state has changed."""
-    host = world.host
+    sidecar_state = world.sidecar_state
     if world.stopping:
         return
     _request_entries(world, now_ms)
-    if host.syncs and not host.dirty:
+    if sidecar_state.pending_syncs and not sidecar_state.dirty:
         return
-    if len(host.syncs) >= MAX_OPEN_REPORTS:
+    if len(sidecar_state.pending_syncs) >= MAX_OPEN_REPORTS:
         return
-    if now_ms < host.sync_after_ms:
-        world.deadlines.add(host.sync_after_ms)
+    if now_ms < sidecar_state.sync_after_ms:
+        world.deadlines.add(sidecar_state.sync_after_ms)
         return
-    address = host.holder or _choose_entry(world)
+    address = sidecar_state.holder or _choose_entry(world)
     if address is None:
         return
-    host.dirty = False
-    host.sync_number += 1
-    host.syncs[host.sync_number] = now_ms
+    sidecar_state.dirty = False
+    sidecar_state.sync_number += 1
+    sidecar_state.pending_syncs[sidecar_state.sync_number] = now_ms
     call = _make_report(world, now_ms)
-    world.outbox.put(SendSync(host.sync_number, address, call, REPORT_TIMEOUT_MS))
+    world.outbox.put(
+        SendSync(sidecar_state.sync_number, address, call, REPORT_TIMEOUT_MS)
+    )
 
 
 def _choose_entry(world: BatchWorld) -> Address | None:
-    known = world.host.entries or world.cfg.seeds
+    known = world.sidecar_state.entries or world.cfg.seeds
     all_entries = list(dict.fromkeys((*known, *world.cfg.seeds)))
     if not all_entries:
         return None
     return all_entries[
-        (world.host.next_entry + _entry_offset(world)) % len(all_entries)
+        (world.sidecar_state.next_entry + _entry_offset(world)) % len(all_entries)
     ]
 
 
@@ -58,10 +60,12 @@
 
 def _request_entries(world: BatchWorld, now_ms: int) -> None:
     """Request the entries from the log if none has answered for a while."""
-    host = world.host
-    due_ms = max(host.heard_ms + LIST_ENTRIES_AFTER_MS, host.list_after_ms)
+    sidecar_state = world.sidecar_state
+    due_ms = max(
+        sidecar_state.last_reply_ms + LIST_ENTRIES_AFTER_MS, sidecar_state.list_after_ms
+    )
     if now_ms >= due_ms:
-        host.list_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
+        sidecar_state.list_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
         world.outbox.put(ListMembers())
         due_ms = now_ms + LIST_ENTRIES_AFTER_MS
     world.deadlines.add(due_ms)
@@ -73,19 +77,22 @@
     Every reply extends the minion lease, so after a handover the first reply must not
     be delayed.
     """
-    host = world.host
-    is_known = host.holder is not None and now_ms - host.heard_ms <= HOLDER_KNOWN_MS
-    minion = host.minion
+    sidecar_state = world.sidecar_state
+    is_known = (
+        sidecar_state.holder is not None
+        and now_ms - sidecar_state.last_reply_ms <= HOLDER_KNOWN_MS
+    )
+    minion = sidecar_state.minion
     if minion is not None:
-        minion = replace(minion, listed=host.listed)
+        minion = replace(minion, listed=sidecar_state.listed)
     return SyncCall(
         "",
         world.cfg.name,
         world.incarnation,
-        host.sync_number,
+        sidecar_state.sync_number,
         REPLY_WAIT_MS if is_known else 0,
         minion,
-        tuple(host.running.values()),
-        tuple(host.ended.values()),
-        tuple(host.refused.values()),
+        tuple(sidecar_state.running.values()),
+        tuple(sidecar_state.ended.values()),
+        tuple(sidecar_state.refused.values()),
     )
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -36,18 +36,18 @@
 def monitor_runs(world: BatchWorld, now_ms: int) -> None:
     """Check all runs every `MONITOR_PERIOD_MS` and stop those that should move."""
     schedule = world.schedule
-    if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
+    if not is_scheduling(world) or now_ms < schedule.check_runs_at_ms:
         return
-    schedule.watch_at_ms = now_ms + MONITOR_PERIOD_MS
-    if now_ms >= schedule.save_at_ms:
-        schedule.save_at_ms = now_ms + CHECKPOINT_PERIOD_MS
+    schedule.check_runs_at_ms = now_ms + MONITOR_PERIOD_MS
+    if now_ms >= schedule.write_checkpoints_at_ms:
+        schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
         _record_checkpoints(world)
-    rows = {row.life: row for row in schedule.minions}
+    rows = {row.incarnation: row for row in schedule.minions}
     for plan in list(schedule.plans.values()):
         if plan.phase is not PlanState.OPEN:
             continue
         for task in iter_tasks(plan):
-            row = rows.get(task.life)
+            row = rows.get(task.incarnation)
             if row is not None and task.confirmed and not task.stopping:
                 _check_run(world, row, plan, task, now_ms)
 
@@ -55,8 +55,8 @@
 def _record_checkpoints(world: BatchWorld) -> None:
     """Mark new checkpoints for the log, where they outlive all processes."""
     for plan in world.schedule.plans.values():
-        if plan.has_new_saved and plan.phase is PlanState.OPEN:
-            plan.has_new_saved = False
+        if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
+            plan.has_new_checkpoint = False
             plan.version += 1
             world.schedule.dirty[plan.job.id] = None
 
@@ -64,19 +64,19 @@
 def _check_run(
     world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
-    if task.phase is not TaskPhase.PLACED or row.is_away:
+    if task.phase is not TaskPhase.PLACED or row.is_unreachable:
         return
-    if row.pace.weight < 1:
+    if row.speed.weight < 1:
         update_speed(world, row, plan, task)
     if row.draining and _should_leave_draining(row, plan, task):
         _stop_run(world, plan, task, "the minion is draining")
     elif _is_too_slow(row, plan, task):
-        task.was_moved = True
-        task.avoid.add(row.life.minion)
+        task.was_migrated = True
+        task.avoided_minions.add(row.incarnation.minion)
         _stop_run(world, plan, task, "the minion is slow")
     elif _is_stalled(plan, task, now_ms):
         row.stalled_ms = now_ms
-        task.avoid.add(row.life.minion)
+        task.avoided_minions.add(row.incarnation.minion)
         _stop_run(world, plan, task, "the run is stalled")
 
 
@@ -106,12 +106,14 @@
     gains nothing if all minions are slow.
     """
     step = plan.job.steps[task.name.step]
-    if plan.job.terms.priority != URGENT_PRIORITY or step.gang or task.was_moved:
+    if plan.job.policy.priority != URGENT_PRIORITY or step.gang or task.was_migrated:
         return False
-    observed_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
+    observed_ms = task.percent_changed_ms - (
+        task.running_since_ms or task.percent_changed_ms
+    )
     if observed_ms < MIN_OBSERVED_MS:
         return False
-    estimate_error = plan.paces.get(task.name.step)
+    estimate_error = plan.estimate_errors.get(task.name.step)
     is_duration_known = (
         estimate_error is not None and estimate_error.count >= MIN_KNOWN_RUNS
     )
@@ -132,6 +134,6 @@
         return False
     step = plan.job.steps[task.name.step]
     estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
-    loses_little = step.saves or plan.job.terms.priority == URGENT_PRIORITY
+    loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
     stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
-    return now_ms - task.moved_ms > max(stall_limit_ms, estimate_limit_ms)
+    return now_ms - task.percent_changed_ms > max(stall_limit_ms, estimate_limit_ms)
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -204,7 +204,7 @@
     """Return whether the tasks would fit on the candidates if they were idle."""
     return (
         sum(
-            count_fitting_tasks(candidate.minion.room, spec, count)
+            count_fitting_tasks(candidate.minion.resources, spec, count)
             for candidate in candidates
         )
         >= count
@@ -225,7 +225,7 @@
     )
     if len(chosen) < len(unit.tasks):
         return (1, 0.0, free)
-    return (0, -min(candidate.minion.pace.value for candidate in chosen), free)
+    return (0, -min(candidate.minion.speed.value for candidate in chosen), free)
 
 
 def _make_rank_function(unit: PlacementUnit) -> RankFunction:
@@ -237,7 +237,7 @@
     completed a run before.
     """
     is_last_attempt = unit.is_last_attempt
-    is_delay_tolerant = unit.plan.job.terms.priority >= MIN_DELAY_TOLERANT_PRIORITY
+    is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
 
     def rank(candidate: Candidate, step: StepSpec) -> tuple:
         row = candidate.minion
@@ -245,9 +245,11 @@
             candidate.free_after_stops.accelerators,
             candidate.free_after_stops.cpu_millis,
         )
-        risk = row.failures + (0 if row.proven else 1 if is_last_attempt else 0)
+        risk = row.failures + (
+            0 if row.has_completed_run else 1 if is_last_attempt else 0
+        )
         if unit.is_urgent:
-            speed = round(row.pace.value * SPEED_STEPS_PER_UNIT)
+            speed = round(row.speed.value * SPEED_STEPS_PER_UNIT)
             return (risk, -speed, *free_resources, row.sidecar)
         wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
         return (
@@ -255,7 +257,7 @@
             wastes_fast_minion,
             candidate.rack_free_accelerators[0],
             *free_resources,
-            -row.pace.value,
+            -row.speed.value,
             row.sidecar,
         )
 
@@ -290,10 +292,10 @@
             "A run is placed.",
             task=str(task.name),
             run=number,
-            minion=candidate.minion.life.minion,
+            minion=candidate.minion.incarnation.minion,
             rack=candidate.minion.rack,
             rank=unit.rank,
-            speed=round(candidate.minion.pace.value, 2),
+            speed=round(candidate.minion.speed.value, 2),
             version=configuration.version if configuration else -1,
         )
 
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -1,16 +1,16 @@
 """Replies to sidecars' reports: runs to start and stop, and committed run ends."""
 
-from kingcuppost.batch.systems.lease import has_authority, make_redirect
+from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.tables.job import Life, Plan, Task, TaskPhase
+from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
     StopOrder,
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
+from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
 __all__ = ["reply_to_sidecars"]
@@ -18,7 +18,7 @@
 RESEND_MS = 700
 
 
-OrdersByIncarnation = dict[Life, list[tuple[Plan, Task]]]
+OrdersByIncarnation = dict[MinionIncarnation, list[tuple[Plan, Task]]]
 
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
@@ -29,16 +29,16 @@
         _redirect_all(world)
         return
     world.deadlines.add(schedule.authority_until_ms)
-    if not schedule.syncs:
+    if not schedule.pending_syncs:
         return
     starts, stops = _collect_orders(world, now_ms)
-    for pending in list(schedule.syncs.values()):
+    for pending in list(schedule.pending_syncs.values()):
         _reply_to_report(world, pending, starts, stops, now_ms)
 
 
 def _reply_to_report(
     world: BatchWorld,
-    pending: HeldSync,
+    pending: PendingSync,
     starts: OrdersByIncarnation,
     stops: OrdersByIncarnation,
     now_ms: int,
@@ -46,34 +46,36 @@
     """Answer a pending report if it has orders or results, or if its wait is over."""
     call = pending.call
     row = world.schedule.minions.get(call.sidecar)
-    life = row.life if row else None
-    strays = _due_orphan_stops(world, call.sidecar, now_ms)
+    incarnation = row.incarnation if row else None
+    orphans = _due_orphan_stops(world, call.sidecar, now_ms)
     noted = _last_committed_end(world, call) if call.ended else 0
-    has_orders = life in starts or life in stops or bool(strays)
+    has_orders = incarnation in starts or incarnation in stops or bool(orphans)
     if not (has_orders or noted or call.refused or now_ms >= pending.until_ms):
         return
-    del world.schedule.syncs[call.sidecar]
-    for _, task in starts.get(life, ()):
+    del world.schedule.pending_syncs[call.sidecar]
+    for _, task in starts.get(incarnation, ()):
         task.sent_ms = now_ms
-    for _, task in stops.get(life, ()):
+    for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
-    for orphan in strays:
+    for orphan in orphans:
         orphan.sent_ms = now_ms
-    world.outbox.put(_make_reply(world, call, life, starts, stops, strays, noted))
+    world.outbox.put(
+        _make_reply(world, call, incarnation, starts, stops, orphans, noted)
+    )
 
 
 def _redirect_all(world: BatchWorld) -> None:
     """Redirect all waiting sidecars to the holder of the lease."""
-    for pending in world.schedule.syncs.values():
+    for pending in world.schedule.pending_syncs.values():
         world.outbox.put(make_redirect(world, pending.call.exchange_id))
-    world.schedule.syncs.clear()
+    world.schedule.pending_syncs.clear()
 
 
-def _due_orphan_stops(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
-    strays = world.schedule.strays.get(sidecar)
-    if not strays:
+def _due_orphan_stops(world: BatchWorld, sidecar: str, now_ms: int) -> list[OrphanRun]:
+    orphans = world.schedule.orphans.get(sidecar)
+    if not orphans:
         return []
-    return [orphan for orphan in strays.values() if _is_due(orphan.sent_ms, now_ms)]
+    return [orphan for orphan in orphans.values() if _is_due(orphan.sent_ms, now_ms)]
 
 
 def _collect_orders(
@@ -82,11 +84,11 @@
     """Return the runs to start and to stop, by minion incarnation."""
     starts: OrdersByIncarnation = {}
     stops: OrdersByIncarnation = {}
-    unsettled = world.schedule.unsettled
-    for name, (plan, task) in list(unsettled.items()):
+    pending_runs = world.schedule.pending_runs
+    for name, (plan, task) in list(pending_runs.items()):
         is_settled = task.confirmed and not task.stopping
         if task.phase is not TaskPhase.PLACED or is_settled:
-            del unsettled[name]
+            del pending_runs[name]
         elif task.stopping:
             _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
         elif plan.committed >= task.version:
@@ -103,7 +105,7 @@
     now_ms: int,
 ) -> None:
     if _is_due(sent_ms, now_ms):
-        orders.setdefault(task.life, []).append((plan, task))
+        orders.setdefault(task.incarnation, []).append((plan, task))
     else:
         world.deadlines.add(sent_ms + RESEND_MS)
 
@@ -115,24 +117,24 @@
 def _make_reply(
     world: BatchWorld,
     call: SyncCall,
-    life: Life | None,
+    incarnation: MinionIncarnation | None,
     starts: OrdersByIncarnation,
     stops: OrdersByIncarnation,
-    strays: list[Stray],
+    orphans: list[OrphanRun],
     noted: int,
 ) -> SyncReply:
     schedule = world.schedule
     return SyncReply(
         call.exchange_id,
         schedule.term,
-        life=life,
+        incarnation=incarnation,
         starts=tuple(
-            StartOrder(task.name, task.run, plan.job.spec, task.saved)
-            for plan, task in starts.get(life, ())
+            StartOrder(task.name, task.run, plan.job.spec, task.checkpoint)
+            for plan, task in starts.get(incarnation, ())
         ),
         stops=tuple(
-            [StopOrder(task.name, task.run) for _, task in stops.get(life, ())]
-            + [StopOrder(orphan.run.task, orphan.run.run) for orphan in strays]
+            [StopOrder(task.name, task.run) for _, task in stops.get(incarnation, ())]
+            + [StopOrder(orphan.run.task, orphan.run.run) for orphan in orphans]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
         noted=noted,
@@ -142,7 +144,7 @@
 
 def _last_committed_end(world: BatchWorld, call: SyncCall) -> int:
     """Return the number up to which all reported ends are in the log; 0 if none."""
-    known = world.schedule.ends.get(call.sidecar, {})
+    known = world.schedule.reported_ends.get(call.sidecar, {})
     noted = 0
     for ended in sorted(call.ended, key=lambda row: row.number):
         if ended.number not in known:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -1,6 +1,6 @@
 """Handling of sidecars' reports: minions, their runs, and how runs ended."""
 
-from kingcuppost.batch.systems.lease import has_authority, make_redirect
+from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
 from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
@@ -8,7 +8,7 @@
 from kingcuppost.batch.systems.term_opening import certain_expiry_ms, is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
-    Life,
+    MinionIncarnation,
     Plan,
     PlanState,
     RunEnd,
@@ -24,7 +24,7 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
+from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
 __all__ = ["adopt_jobs", "end_incarnation_runs", "handle_sidecar_reports"]
@@ -39,9 +39,9 @@
     schedule = world.schedule
     if not is_scheduling(world):
         return
-    for job_id in list(schedule.touched):
+    for job_id in list(schedule.changed_jobs):
         adopt_job(world, job_id)
-    schedule.touched.clear()
+    schedule.changed_jobs.clear()
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
@@ -51,12 +51,12 @@
         if not is_scheduling(world) or not has_authority(world, now_ms):
             world.outbox.put(make_redirect(world, call.exchange_id))
             continue
-        older = world.schedule.syncs.pop(call.sidecar, None)
+        older = world.schedule.pending_syncs.pop(call.sidecar, None)
         if older is not None:
             world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
         _handle_report(world, call, now_ms)
         until_ms = now_ms + call.wait_ms
-        world.schedule.syncs[call.sidecar] = HeldSync(call, until_ms)
+        world.schedule.pending_syncs[call.sidecar] = PendingSync(call, until_ms)
         world.deadlines.add(until_ms)
 
 
@@ -65,30 +65,32 @@
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
-            world.note("minion", "A minion has left.", minion=old.life.minion)
+            world.note("minion", "A minion has left.", minion=old.incarnation.minion)
             schedule.minions.delete(call.sidecar)
             schedule.changed = True
         return
-    if old is not None and old.life != call.minion.life:
-        if call.minion.life.born_ms < old.life.born_ms:
+    if old is not None and old.incarnation != call.minion.incarnation:
+        if call.minion.incarnation.born_ms < old.incarnation.born_ms:
             return
         old = None
-    _end_earlier_incarnations(world, call.sidecar, call.minion.life)
+    _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
     row = _update_minion(world, call, old, now_ms)
     expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
-    schedule.lives[row.life] = expiry_ms
+    schedule.lapse_times_ms[row.incarnation] = expiry_ms
     world.deadlines.add(expiry_ms)
     if call.minion.listed:
         _handle_run_lists(world, call, row, now_ms)
 
 
-def _end_earlier_incarnations(world: BatchWorld, sidecar: str, life: Life) -> None:
+def _end_earlier_incarnations(
+    world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
+) -> None:
     """End the runs of earlier incarnations of the minion beside a sidecar."""
-    homes = world.schedule.homes
-    for earlier, earlier_sidecar in list(homes.items()):
-        if earlier_sidecar == sidecar and earlier.born_ms < life.born_ms:
+    incarnation_sidecars = world.schedule.incarnation_sidecars
+    for earlier, earlier_sidecar in list(incarnation_sidecars.items()):
+        if earlier_sidecar == sidecar and earlier.born_ms < incarnation.born_ms:
             end_incarnation_runs(world, earlier, "the minion has a new incarnation")
-    homes[life] = sidecar
+    incarnation_sidecars[incarnation] = sidecar
 
 
 def _update_minion(
@@ -103,7 +105,7 @@
         world.note(
             "minion",
             "A minion was added.",
-            minion=report.life.minion,
+            minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
             rack=old.rack,
@@ -112,15 +114,15 @@
         world.note(
             "minion",
             "The draining state of a minion changed.",
-            minion=report.life.minion,
+            minion=report.incarnation.minion,
         )
         world.schedule.changed = True
-    if old.is_away:
+    if old.is_unreachable:
         world.schedule.changed = True
-    old.is_away = False
+    old.is_unreachable = False
     old.draining = report.draining
     old.remaining_ms = report.remaining_ms
-    old.heard_ms = now_ms
+    old.last_report_ms = now_ms
     return old
 
 
@@ -128,25 +130,27 @@
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
-        report.life,
+        report.incarnation,
         report.service,
         report.availability_zone,
         rack,
         frozenset(report.labels),
-        report.room,
-        pace=world.schedule.speeds.setdefault(call.sidecar, Speed()),
+        report.resources,
+        speed=world.schedule.speeds.setdefault(call.sidecar, Speed()),
     )
 
 
-def end_incarnation_runs(world: BatchWorld, life: Life, reason: str) -> None:
+def end_incarnation_runs(
+    world: BatchWorld, incarnation: MinionIncarnation, reason: str
+) -> None:
     """End all runs of a minion incarnation that is over."""
     schedule = world.schedule
-    schedule.lives.pop(life, None)
-    schedule.homes.pop(life, None)
+    schedule.lapse_times_ms.pop(incarnation, None)
+    schedule.incarnation_sidecars.pop(incarnation, None)
     for plan in list(schedule.plans.values()):
         for step in plan.tasks:
             for task in step:
-                if task.phase is TaskPhase.PLACED and task.life == life:
+                if task.phase is TaskPhase.PLACED and task.incarnation == incarnation:
                     _record_run_end(world, plan, task, RunEnd.LOST, reason)
                     apply_run_end(world, plan, task, RunEnd.LOST, "")
 
@@ -164,7 +168,7 @@
         task=str(task.name),
         run=task.run,
         how=how,
-        minion=task.life.minion if task.life else "",
+        minion=task.incarnation.minion if task.incarnation else "",
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
         estimate_ms=plan.job.steps[task.name.step].estimate_ms,
@@ -175,13 +179,13 @@
 def _handle_run_lists(
     world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int
 ) -> None:
-    strays = world.schedule.strays.get(call.sidecar, {})
+    orphans = world.schedule.orphans.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
-    for key in [key for key in strays if key not in present]:
-        del strays[key]
+    for key in [key for key in orphans if key not in present]:
+        del orphans[key]
     for running in call.running:
         _handle_running_run(world, row, running, now_ms)
-    known = world.schedule.ends.setdefault(call.sidecar, {})
+    known = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in known if number not in listed]:
         del known[number]
@@ -193,7 +197,7 @@
 
 
 def _find_current_run(
-    world: BatchWorld, life: Life, name: TaskName, run: int
+    world: BatchWorld, incarnation: MinionIncarnation, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
     """Return the task whose current run this is, or None."""
     found = find_task(world, name)
@@ -201,13 +205,13 @@
         return None
     task = found[1]
     is_present = task.phase is TaskPhase.PLACED and task.run == run
-    return found if is_present and task.life == life else None
+    return found if is_present and task.incarnation == incarnation else None
 
 
 def _handle_running_run(
     world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _find_current_run(world, row.life, running.task, running.run)
+    found = _find_current_run(world, row.incarnation, running.task, running.run)
     if found is None and _has_ended_elsewhere(world, running):
         return
     if found is None:
@@ -216,16 +220,16 @@
     plan, task = found
     if task.running_since_ms is None:
         task.running_since_ms = now_ms
-        task.first_percent = running.percent
-        task.moved_ms = now_ms
+        task.initial_percent = running.percent
+        task.percent_changed_ms = now_ms
     task.confirmed = True
     if running.percent != task.percent:
         task.percent = running.percent
-        task.moved_ms = now_ms
-    if running.saved and running.saved != task.saved:
-        task.saved = running.saved
-        task.saved_ms = world.clock.wall_ms()
-        plan.has_new_saved = True
+        task.percent_changed_ms = now_ms
+    if running.checkpoint and running.checkpoint != task.checkpoint:
+        task.checkpoint = running.checkpoint
+        task.checkpoint_ms = world.clock.wall_ms()
+        plan.has_new_checkpoint = True
 
 
 def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
@@ -239,10 +243,10 @@
 
 def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
     """Record a run that is not the current run of any task, to be stopped."""
-    strays = world.schedule.strays.setdefault(row.sidecar, {})
+    orphans = world.schedule.orphans.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
-    if key not in strays:
-        strays[key] = Stray(running)
+    if key not in orphans:
+        orphans[key] = OrphanRun(running)
         world.note("run", "An orphan run is stopped.", task=key[0], run=key[1])
 
 
@@ -257,7 +261,7 @@
         Job and version of its plan that must be in the log before the sidecar may
         forget the end.
     """
-    found = _find_current_run(world, row.life, ended.task, ended.run)
+    found = _find_current_run(world, row.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
         found = _find_abandoned_run(world, ended)
     if found is None:
@@ -266,7 +270,7 @@
     plan, task = found
     _update_reliability(world, row, plan, task, ended, now_ms)
     _record_run_end(world, plan, task, ended.how)
-    apply_run_end(world, plan, task, ended.how, ended.saved)
+    apply_run_end(world, plan, task, ended.how, ended.checkpoint)
     return plan.job.id, plan.version
 
 
@@ -293,11 +297,11 @@
         if not plan.job.steps[task.name.step].gang:
             # a gang member may have waited for the others
             task.percent = FULL_PERCENT
-            task.moved_ms = now_ms
+            task.percent_changed_ms = now_ms
         update_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
-        row.proven = True
+        row.has_completed_run = True
     elif ended.how is RunEnd.FAILED:
         row.failures += 1
         row.failed_jobs.add(plan.job.id)
@@ -308,11 +312,11 @@
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
     """Withdraw a run that never began, and pause placement at its minion."""
-    found = _find_current_run(world, row.life, refused.task, refused.run)
+    found = _find_current_run(world, row.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.rests_until_ms = now_ms + REFUSAL_PAUSE_MS
+        row.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
     _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
     apply_run_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -3,7 +3,7 @@
 from math import exp, log
 
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, StepPace, Task
+from kingcuppost.batch.tables.job import EstimateError, Plan, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["corrected_estimate_ms", "expected_remaining_ms", "update_speed"]
@@ -28,8 +28,8 @@
     sample = _measure_speed(plan, task)
     if sample is None:
         return
-    speed = row.pace
-    estimate_error = plan.paces.setdefault(task.name.step, StepPace())
+    speed = row.speed
+    estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
     estimate_error.log_sum += log(sample / max(speed.value, MIN_SPEED))
     estimate_error.count += 1
     corrected = sample / exp(estimate_error.mean_log)
@@ -44,8 +44,8 @@
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
-    took_ms = task.moved_ms - task.running_since_ms
-    done_percent = task.percent - task.first_percent
+    took_ms = task.percent_changed_ms - task.running_since_ms
+    done_percent = task.percent - task.initial_percent
     if took_ms < MIN_SAMPLE_MS or done_percent <= 0:
         return None
     return estimate_ms * done_percent / FULL_PERCENT / took_ms
@@ -53,19 +53,21 @@
 
 def corrected_estimate_ms(plan: Plan, task: Task) -> float:
     """Return the duration of a task at speed 1.0, corrected by the runs of its step."""
-    estimate_error = plan.paces.get(task.name.step, StepPace())
+    estimate_error = plan.estimate_errors.get(task.name.step, EstimateError())
     return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
 def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
     """Return the remaining duration of a run, from its own progress if known."""
     remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
-    took_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
-    done_percent = task.percent - task.first_percent
+    took_ms = task.percent_changed_ms - (
+        task.running_since_ms or task.percent_changed_ms
+    )
+    done_percent = task.percent - task.initial_percent
     if took_ms >= MIN_SAMPLE_MS and done_percent > 0:
         return remaining_ratio * FULL_PERCENT * took_ms / done_percent
     return (
         remaining_ratio
         * corrected_estimate_ms(plan, task)
-        / max(row.pace.value, MIN_SPEED)
+        / max(row.speed.value, MIN_SPEED)
     )
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -42,7 +42,7 @@
     @property
     def is_urgent(self) -> bool:
         """Return whether the unit may preempt other runs."""
-        return self.plan.job.terms.priority == URGENT_PRIORITY
+        return self.plan.job.policy.priority == URGENT_PRIORITY
 
     @property
     def is_guaranteed(self) -> bool:
@@ -53,7 +53,7 @@
     def is_last_attempt(self) -> bool:
         """Return whether another failure would end the job."""
         return any(
-            task.failures and task.failures + 1 >= self.plan.job.terms.most_failures
+            task.failures and task.failures + 1 >= self.plan.job.policy.most_failures
             for task in self.tasks
         )
 
@@ -73,7 +73,7 @@
     urgent = [
         plan
         for plan in world.schedule.plans.values()
-        if plan.job.terms.priority == URGENT_PRIORITY
+        if plan.job.policy.priority == URGENT_PRIORITY
         and plan.phase is not PlanState.OVER
     ]
     for plan in sorted(urgent, key=lambda plan: plan.job.accepted_ms):
@@ -88,7 +88,7 @@
     """Return the urgency of a job; 0 is the most urgent."""
     if plan.job.id in guaranteed_ids:
         return 0
-    return plan.job.terms.priority + 1
+    return plan.job.policy.priority + 1
 
 
 def iter_units(world: BatchWorld, guaranteed_ids: set[str]) -> Iterator[PlacementUnit]:
@@ -108,11 +108,11 @@
             if len(waiting) == len(tasks):
                 yield PlacementUnit(plan, index, spec, waiting, rank)
             continue
-        unrestricted = [task for task in waiting if not task.avoid]
+        unrestricted = [task for task in waiting if not task.avoided_minions]
         if unrestricted:
             yield PlacementUnit(plan, index, spec, unrestricted, rank)
         for task in waiting:
-            if task.avoid:
+            if task.avoided_minions:
                 yield PlacementUnit(plan, index, spec, [task], rank)
 
 
--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -11,11 +11,11 @@
     CancelRecord,
     ClaimRecord,
     ConfigRecord,
-    Followed,
     JobRecord,
     ProgressRecord,
     Record,
-    Removed,
+    RecordsRead,
+    RemovalRecord,
     RenewRecord,
     Stream,
     ZoneRecord,
@@ -45,7 +45,7 @@
     now_ms = world.clock.now_ms()
     rows = list(enumerate(records, first))
     end = first + len(records)
-    world.inbox.put(Followed(stream, rows, now_ms, end, whole))
+    world.inbox.put(RecordsRead(stream, rows, now_ms, end, whole))
     fold_streams(world, now_ms)
 
 
@@ -84,7 +84,7 @@
 
 def test_zones_are_closed_and_reopened(world: BatchWorld) -> None:
     fold_records(world, Stream.OPERATORS, ZoneRecord("a"), ZoneRecord("b"))
-    fold_records(world, Stream.OPERATORS, Removed("zone/a"), first=2)
+    fold_records(world, Stream.OPERATORS, RemovalRecord("zone/a"), first=2)
     assert set(world.agreed.closed_zones) == {"b"}
     fold_records(world, Stream.OPERATORS, first=3, whole=True)
     assert not world.agreed.closed_zones
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -9,22 +9,39 @@
     count_fitting_tasks,
     plan_evictions,
 )
-from kingcuppost.batch.tables.fleet import MinionRow, Room
-from kingcuppost.batch.tables.job import Job, Life, Plan, StepSpec, Task, TaskName
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.job import (
+    Job,
+    MinionIncarnation,
+    Plan,
+    StepSpec,
+    Task,
+    TaskName,
+)
 
-MINION_CAPACITY = Room(64_000, 131_072, 8)
+MINION_CAPACITY = Resources(64_000, 131_072, 8)
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
 
 
-def candidate(name: str, free: Room, costs: tuple[float, ...] = ()) -> Candidate:
+def candidate(name: str, free: Resources, costs: tuple[float, ...] = ()) -> Candidate:
     row = MinionRow(
-        name, Life(name, 1), "svc", "z", "r1", frozenset(), replace(MINION_CAPACITY)
+        name,
+        MinionIncarnation(name, 1),
+        "svc",
+        "z",
+        "r1",
+        frozenset(),
+        replace(MINION_CAPACITY),
     )
     job = Job("0123456789abcdef", "q", "t", "", (STEP,), 0, 0)
     plan = Plan(job, [[]])
     victims = [
         Victim(
-            plan, Task(TaskName(job.id, 0, 0, index)), 3, Room(8_000, 16_000, 2), cost
+            plan,
+            Task(TaskName(job.id, 0, 0, index)),
+            3,
+            Resources(8_000, 16_000, 2),
+            cost,
         )
         for index, cost in enumerate(costs)
     ]
@@ -38,16 +55,16 @@
 
 
 def test_scarcest_resource_limits_task_count() -> None:
-    assert count_fitting_tasks(Room(64_000, 131_072, 8), STEP, 9) == 4
-    assert count_fitting_tasks(Room(16_000, 131_072, 8), STEP, 9) == 2
-    assert count_fitting_tasks(Room(64_000, 15_000, 8), STEP, 9) == 1
-    assert count_fitting_tasks(Room(-1, 0, 0), STEP, 9) == 0
+    assert count_fitting_tasks(Resources(64_000, 131_072, 8), STEP, 9) == 4
+    assert count_fitting_tasks(Resources(16_000, 131_072, 8), STEP, 9) == 2
+    assert count_fitting_tasks(Resources(64_000, 15_000, 8), STEP, 9) == 1
+    assert count_fitting_tasks(Resources(-1, 0, 0), STEP, 9) == 0
 
 
 def test_tasks_fill_candidates_in_order_of_rank() -> None:
     candidates = [
         candidate("b", MINION_CAPACITY),
-        candidate("a", Room(64_000, 131_072, 2)),
+        candidate("a", Resources(64_000, 131_072, 2)),
     ]
     chosen = choose_candidates(candidates, STEP, 3, by_name)
     assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
@@ -65,7 +82,7 @@
 
 
 def test_cheapest_victims_are_evicted() -> None:
-    no_capacity = Room(0, 0, 0)
+    no_capacity = Resources(0, 0, 0)
     costly = candidate("a", no_capacity, (50.0, 60.0, 70.0))
     cheap = candidate("b", no_capacity, (1.0, 2.0, 3.0))
     found = plan_evictions([costly, cheap], STEP, 2, by_name)
@@ -86,18 +103,20 @@
 
 
 def test_nothing_is_stopped_in_vain() -> None:
-    assert not plan_evictions([candidate("a", Room(0, 0, 0), ())], STEP, 3, by_name)
+    assert not plan_evictions(
+        [candidate("a", Resources(0, 0, 0), ())], STEP, 3, by_name
+    )
 
 
 def test_maximum_cost_limits_number_of_evictions() -> None:
-    full = candidate("a", Room(0, 0, 0), (1.0, 90.0))
+    full = candidate("a", Resources(0, 0, 0), (1.0, 90.0))
     found = plan_evictions([full], STEP, 2, by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
 def test_victims_that_release_too_little_are_spared() -> None:
-    small, large = Room(1_000, 1_000, 0), Room(8_000, 16_000, 2)
-    full = candidate("a", Room(0, 0, 0), (1.0, 2.0))
+    small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
+    full = candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
     found = plan_evictions([full], STEP, 1, by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -12,6 +12,7 @@
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import (
     Job,
+    JobPolicy,
     JobState,
     Plan,
     PlanState,
@@ -20,7 +21,6 @@
     StepSpec,
     TaskPhase,
     TaskProgress,
-    Terms,
 )
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
@@ -49,8 +49,8 @@
         TaskProgress(0, index, TaskPhase(phase), 1, 0, "m", 1, "side", 0, "")
         for index, phase in enumerate(phases)
     )
-    terms = Terms("svc", 1, 2)
-    job = Job(JOB, "q", "t", "", (spec,), 0, 0, terms, False, state, True)
+    policy = JobPolicy("svc", 1, 2)
+    job = Job(JOB, "q", "t", "", (spec,), 0, 0, policy, False, state, True)
     job.progress = Progress(state, True, rows)
     world.agreed.jobs.put(job)
     adopt_job(world, JOB)
@@ -107,7 +107,7 @@
 
 def test_plan_survives_its_progress_record(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, WIDE, "pwd")
-    plan.tasks[0][1].saved = "00ff"
+    plan.tasks[0][1].checkpoint = "00ff"
     job = plan.job
     job.progress = make_progress(plan)
     world.schedule.plans.clear()
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -29,9 +29,9 @@
 
 def slowest_sidecars(deployment: Deployment) -> set[str]:
     for process in deployment.processes.values():
-        if process.is_up and process.world.schedule.loaded:
+        if process.is_up and process.world.schedule.is_loaded:
             rows = sorted(
-                process.world.schedule.minions, key=lambda row: row.pace.value
+                process.world.schedule.minions, key=lambda row: row.speed.value
             )
             return {row.sidecar for row in rows[: len(SLOW_SIDECARS)]}
     return set()
