--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -31,7 +31,7 @@
         The task that runs, and the plan of its job.
     rank : int
         Urgency of the job; 0 is the most urgent.
-    resources : Room
+    resources : Resources
         Capacity that stopping the run releases.
     cost : float
         Work that stopping the run loses, in core-seconds.
@@ -55,11 +55,11 @@
     ----------
     minion : MinionRow
         The minion.
-    free_after_stops : Room
+    free_after_stops : Resources
         Capacity that is free once the runs that are being stopped have ended.
-    free_now : Room
+    free_now : Resources
         Capacity that is free at once.
-    free_soon : Room
+    free_soon : Resources
         Capacity that is free once the runs that end soon have ended.
     rack_free_accelerators : list of int
         Free accelerators of the whole rack in a list of one element, which all
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -27,7 +27,7 @@
 
 RETRY_MS = 100
 REDIRECT_PAUSE_MS = 250
-UNRESPONSIVE_MS = 2_500
+UNREACHABLE_MS = 2_500
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
 
@@ -157,13 +157,13 @@
         sidecar_state.listed = True
         sidecar_state.dirty = True
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
-    over = {(str(end.task), end.run) for end in lists.ended}
+    listed_ended_keys = {(str(end.task), end.run) for end in lists.ended}
     for key, run in list(sidecar_state.runs.items()):
         if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
             continue
         if (
             key not in sidecar_state.running
-            and key not in over
+            and key not in listed_ended_keys
             and key not in _ended_run_keys(sidecar_state)
         ):
             _record_refusal(world, run, "stopped")
@@ -268,7 +268,7 @@
 def _try_next_entry(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     sidecar_state = world.sidecar_state
     sidecar_state.unreachable_entry = answer.address
-    sidecar_state.unreachable_until_ms = now_ms + UNRESPONSIVE_MS
+    sidecar_state.unreachable_until_ms = now_ms + UNREACHABLE_MS
     if sidecar_state.holder == answer.address:
         sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
@@ -285,11 +285,11 @@
     """
     sidecar_state = world.sidecar_state
     redirect = answer.reply.holder
-    is_unresponsive = (
+    is_unreachable = (
         redirect == sidecar_state.unreachable_entry
         and now_ms < sidecar_state.unreachable_until_ms
     )
-    if redirect == answer.address or is_unresponsive:
+    if redirect == answer.address or is_unreachable:
         redirect = None
     sidecar_state.holder = redirect
     if redirect is None:
@@ -324,20 +324,20 @@
             del sidecar_state.ended[number]
     for row in reply.settled:
         sidecar_state.refused.pop((str(row.task), row.run), None)
-    known = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
+    reported_keys = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
-        if key not in known and key not in sidecar_state.running:
+        if key not in reported_keys and key not in sidecar_state.running:
             sidecar_state.runs.setdefault(key, OrderedRun(order))
     for stop in reply.stops:
-        _apply_stop(sidecar_state, stop, known)
+        _apply_stop(sidecar_state, stop, reported_keys)
 
 
 def _apply_stop(
-    sidecar_state: SidecarState, stop: StopOrder, known: set[tuple[str, int]]
+    sidecar_state: SidecarState, stop: StopOrder, reported_keys: set[tuple[str, int]]
 ) -> None:
     key = (str(stop.task), stop.run)
-    if key in known:
+    if key in reported_keys:
         return
     run = sidecar_state.runs.setdefault(
         key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -94,13 +94,13 @@
 
 
 def _update_minion(
-    world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
+    world: BatchWorld, call: SyncCall, row: MinionRow | None, now_ms: int
 ) -> MinionRow:
     """Create or update the row of a reported minion, and return it."""
     report = call.minion
-    if old is None:
-        old = _make_minion(world, call, report)
-        world.schedule.minions.put(old)
+    if row is None:
+        row = _make_minion(world, call, report)
+        world.schedule.minions.put(row)
         world.schedule.changed = True
         world.note(
             "minion",
@@ -108,22 +108,22 @@
             minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
-            rack=old.rack,
+            rack=row.rack,
         )
-    if old.draining != report.draining:
+    if row.draining != report.draining:
         world.note(
             "minion",
             "The draining state of a minion changed.",
             minion=report.incarnation.minion,
         )
         world.schedule.changed = True
-    if old.is_unreachable:
+    if row.is_unreachable:
         world.schedule.changed = True
-    old.is_unreachable = False
-    old.draining = report.draining
-    old.remaining_ms = report.remaining_ms
-    old.last_report_ms = now_ms
-    return old
+    row.is_unreachable = False
+    row.draining = report.draining
+    row.remaining_ms = report.remaining_ms
+    row.last_report_ms = now_ms
+    return row
 
 
 def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
@@ -204,8 +204,8 @@
     if found is None:
         return None
     task = found[1]
-    is_present = task.phase is TaskPhase.PLACED and task.run == run
-    return found if is_present and task.incarnation == incarnation else None
+    is_current = task.phase is TaskPhase.PLACED and task.run == run
+    return found if is_current and task.incarnation == incarnation else None
 
 
 def _handle_running_run(
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -64,7 +64,10 @@
 
 
 def find_guaranteed_jobs(world: BatchWorld) -> set[str]:
-    """Return the urgent jobs that fit their team's guarantee, the oldest jobs first."""
+    """Return the identifiers of urgent jobs that fit their team's guarantee.
+
+    Older jobs take precedence.
+    """
     configuration = world.agreed.configuration
     if configuration is None:
         return set()
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -29,9 +29,9 @@
     StepSpec(3, 1_000, 10, 2, 500, gang=True, one_rack=True),
     StepSpec(1, needs=(0,), label="a", rack="r1-1", most_per_minion=2, saves=True),
 )
-TERMS = JobPolicy("svc", 0, 4, 1.5)
+POLICY = JobPolicy("svc", 0, 4, 1.5)
 RECORDS = (
-    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, TERMS)),
+    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, POLICY)),
     SpeedsRecord({"side-1": Speed(0.55, 3.0)}),
     CancelRecord("0123456789abcdef"),
     ProgressRecord(
--- a/standins/batch/tests/test_holder_election.py
+++ b/standins/batch/tests/test_holder_election.py
@@ -112,7 +112,7 @@
     assert all(run.done_ms > 4_000 for run in runs)
 
 
-def test_job_keeps_its_terms_when_its_queue_is_removed() -> None:
+def test_job_keeps_its_policy_when_its_queue_is_removed() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [4_000], 1)
     deployment.run_for(500)
