--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -1,8 +1,9 @@
-"""The scheduling lease: claims and renewals among the entries.
+"""The scheduling lease: claims, renewals and release by the entries.
 
-A claim is appended only where the stream of members ends as the claimer has read it,
-so that of two claimers one wins; its offset makes the term. Clocks only decide when to
-try: the writes of an old term are refused by the log.
+A claim is a conditional append at the end of the members stream as the claimer has
+read it, so only one of several concurrent claims succeeds. Its offset determines the
+term. Clocks decide only when an entry tries to claim; safety rests on the log, which
+rejects the writes of older terms.
 """
 
 from kingcuppost.batch.systems.fold import is_fresh
@@ -26,44 +27,44 @@
     "claim_lease",
     "has_authority",
     "holds_lease",
-    "refer",
+    "make_redirect",
     "release_lease",
     "renew_lease",
     "step_down",
 ]
 
-RENEW_MS = 700
-SILENCE_MS = 2_200
+RENEW_PERIOD_MS = 700
+HOLDER_TIMEOUT_MS = 2_200
 AUTHORITY_MS = 2_000
 RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
 ANNOUNCE_PAUSE_MS = 1_000
-ANSWER_MS = 1_000
+APPEND_TIMEOUT_MS = 1_000
 
 
 def holds_lease(world: BatchWorld) -> bool:
-    """Return whether this process holds the newest term that it knows."""
+    """Return whether this process holds the newest term that it has read."""
     holder = world.agreed.holder
     is_mine = holder.incarnation == world.incarnation
     return is_mine and holder.term > world.schedule.lost_term
 
 
 def has_authority(world: BatchWorld, now_ms: int) -> bool:
-    """Return whether no other entry can have opened a term yet.
+    """Return whether it is certain that no other entry has opened a term yet.
 
-    Others claim after `SILENCE_MS` without a renewal, so a holder whose renewals do not
-    reach the log stops giving orders and extending leases before that.
+    Others claim after `HOLDER_TIMEOUT_MS` without a renewal. A holder whose renewals do
+    not reach the log stops giving orders and extending minion leases before that.
     """
     return now_ms < world.schedule.authority_until_ms
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=30)
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
-    """Keep this entry's record among the members."""
+    """Append this entry's record to the members stream if it is missing or outdated."""
     schedule = world.schedule
-    mine = world.agreed.entries.get(world.cfg.name)
-    if mine is not None and mine.incarnation == world.incarnation:
+    own_record = world.agreed.entries.get(world.cfg.name)
+    if own_record is not None and own_record.incarnation == world.incarnation:
         return
     if world.stopping or world.agreed.views[Stream.MEMBERS].end < 0:
         return
@@ -74,12 +75,14 @@
     cfg = world.cfg
     record = EntryRecord(cfg.name, cfg.peers, cfg.availability_zone, world.incarnation)
     append_id = new_identifier(world.rng, "announce")
-    world.outbox.put(Append(append_id, Stream.MEMBERS, (record,), timeout_ms=ANSWER_MS))
+    world.outbox.put(
+        Append(append_id, Stream.MEMBERS, (record,), timeout_ms=APPEND_TIMEOUT_MS)
+    )
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
 def claim_lease(world: BatchWorld, now_ms: int) -> None:
-    """Claim the lease when nobody has renewed it for a while."""
+    """Claim the lease if its holder has not renewed it for `HOLDER_TIMEOUT_MS`."""
     schedule = world.schedule
     if world.stopping or holds_lease(world):
         return
@@ -101,7 +104,7 @@
             Stream.MEMBERS,
             (record,),
             at=world.agreed.views[Stream.MEMBERS].end,
-            timeout_ms=ANSWER_MS,
+            timeout_ms=APPEND_TIMEOUT_MS,
         )
     )
 
@@ -109,8 +112,9 @@
 def _claim_due_ms(world: BatchWorld) -> int | None:
     """Return when the lease may be claimed; None before the members are known.
 
-    Silence counts only while this process could have read a renewal. A holder of this
-    process's name was its predecessor, which is gone.
+    Time without a renewal counts only while this process was able to read renewals. A
+    holder with the name of this process is its previous incarnation, which has ended,
+    so its lease may be claimed at once.
     """
     view = world.agreed.views[Stream.MEMBERS]
     if view.end < 0:
@@ -119,8 +123,8 @@
     is_predecessor = holder.name == world.cfg.name
     if holder.term <= 0 or holder.released or is_predecessor:
         return 0
-    heard_ms = max(holder.last_renewal_ms, view.gap_ended_ms)
-    return heard_ms + SILENCE_MS + world.schedule.jitter_ms
+    last_renewal_ms = max(holder.last_renewal_ms, view.gap_ended_ms)
+    return last_renewal_ms + HOLDER_TIMEOUT_MS + world.schedule.jitter_ms
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=50)
@@ -136,14 +140,14 @@
     for answer in list(schedule.append_results):
         if answer.id in schedule.renewals:
             schedule.append_results.remove(answer)
-            _renewal_answered(world, answer, now_ms)
+            _handle_renewal_answer(world, answer, now_ms)
     if now_ms >= schedule.renew_at_ms:
-        schedule.renew_at_ms = now_ms + RENEW_MS
-        _renew(world, now_ms, released=False)
+        schedule.renew_at_ms = now_ms + RENEW_PERIOD_MS
+        _append_renewal(world, now_ms, released=False)
     world.deadlines.add(schedule.renew_at_ms)
 
 
-def _renewal_answered(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
+def _handle_renewal_answer(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
     schedule = world.schedule
     sent_ms = schedule.renewals.pop(answer.id)
     if answer.outcome is AppendOutcome.DONE:
@@ -153,19 +157,21 @@
         schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RETRY_MS)
 
 
-def _renew(world: BatchWorld, now_ms: int, released: bool) -> None:
-    """Append a renewal, on condition that no other claim came before it."""
+def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
+    """Append a renewal; unless it releases, only if no claim has come before it."""
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
     at = None if released else world.agreed.views[Stream.MEMBERS].end
     world.outbox.put(
-        Append(append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=ANSWER_MS)
+        Append(
+            append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=APPEND_TIMEOUT_MS
+        )
     )
 
 
-def refer(world: BatchWorld, exchange_id: str) -> SyncReply:
-    """Return the answer that sends a sidecar to whoever holds the lease."""
+def make_redirect(world: BatchWorld, exchange_id: str) -> SyncReply:
+    """Return the reply that redirects a sidecar to the holder of the lease."""
     holder = world.agreed.holder
     is_other = holder.incarnation != world.incarnation and not holder.released
     entries = tuple(entry.address for entry in world.agreed.entries)
@@ -174,16 +180,16 @@
 
 
 def release_lease(world: BatchWorld, now_ms: int) -> None:
-    """Give the lease back, so that another entry claims it at once."""
+    """Release the lease, so that another entry can claim it at once."""
     if holds_lease(world) and not world.agreed.holder.released:
-        world.note("lease", "Giving the lease back.", term=world.agreed.holder.term)
+        world.note("lease", "Releasing the lease.", term=world.agreed.holder.term)
         world.agreed.holder.released = True
         world.schedule.authority_until_ms = now_ms
-        _renew(world, now_ms, released=True)
+        _append_renewal(world, now_ms, released=True)
 
 
 def step_down(world: BatchWorld, reason: str) -> None:
-    """Forget all that only the holder of the lease may know."""
+    """Reset the state that belongs to the holder of the lease."""
     old = world.schedule
     world.note("lease", "Stepping down.", term=old.term, reason=reason)
     world.schedule = Schedule(
--- /dev/null
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -0,0 +1,44 @@
+"""Expiry of minion leases: ends the runs of minions that are unreachable for long."""
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
+from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["UNREACHABLE_MS", "end_expired_incarnations", "mark_unreachable_minions"]
+
+UNREACHABLE_MS = 1_700
+CHECK_PERIOD_MS = 100
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
+def end_expired_incarnations(world: BatchWorld, now_ms: int) -> None:
+    """End the runs of minion incarnations whose leases have certainly expired."""
+    if not is_scheduling(world):
+        return
+    schedule = world.schedule
+    for incarnation, expiry_ms in list(schedule.expiry_times_ms.items()):
+        if now_ms < expiry_ms:
+            continue
+        end_incarnation_runs(world, incarnation, "the minion lease has expired")
+        for row in schedule.minions.find("incarnation", incarnation):
+            schedule.minions.delete(row.sidecar)
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
+def mark_unreachable_minions(world: BatchWorld, now_ms: int) -> None:
+    """Exclude minions from placement after `UNREACHABLE_MS` without a report."""
+    if not is_scheduling(world) or now_ms < world.schedule.check_minions_at_ms:
+        return
+    world.schedule.check_minions_at_ms = now_ms + CHECK_PERIOD_MS
+    for row in world.schedule.minions:
+        due_ms = row.last_report_ms + UNREACHABLE_MS
+        if row.is_unreachable:
+            continue
+        if now_ms < due_ms:
+            world.deadlines.add(due_ms)
+            continue
+        row.is_unreachable = True
+        world.schedule.changed = True
+        world.note("minion", "A minion is unreachable.", minion=row.incarnation.minion)
--- a/kingcuppost/batch/systems/hosting.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -1,4 +1,4 @@
-"""What a sidecar asks of its minion: lists and lease, starts and stops."""
+"""Requests of a sidecar to its minion: run lists with the lease, starts and stops."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -10,18 +10,18 @@
 from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
-__all__ = ["ask_minion", "give_orders"]
+__all__ = ["request_run_lists", "send_run_orders"]
 
-WAIT_MS = 1_000
-LEAST_LEASE_MS = 300
-STOP_LOOK_MS = 50
-LEASE_PARTS = 5
-LEAST_WAIT_MS = 50
+MAX_WAIT_MS = 1_000
+MIN_LEASE_MS = 300
+STOP_POLL_MS = 50
+WAITS_PER_LEASE = 5
+MIN_WAIT_MS = 50
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
-def ask_minion(world: BatchWorld, now_ms: int) -> None:
-    """Keep one question for the lists open, which also extends the lease."""
+def request_run_lists(world: BatchWorld, now_ms: int) -> None:
+    """Keep one request for the run lists open; it also extends the minion lease."""
     sidecar_state = world.sidecar_state
     if (
         sidecar_state.minion is None
@@ -34,9 +34,9 @@
         return
     sidecar_state.is_hold_open = True
     wait_ms = _wait_ms(sidecar_state, now_ms)
-    if _awaits_stop(world):
+    if _is_awaiting_stop(world):
         wait_ms = 0
-        sidecar_state.hold_after_ms = now_ms + STOP_LOOK_MS
+        sidecar_state.hold_after_ms = now_ms + STOP_POLL_MS
     world.outbox.put(
         HoldMinion(
             sidecar_state.address,
@@ -50,7 +50,11 @@
 
 
 def _wait_ms(sidecar_state: SidecarState, now_ms: int) -> int:
-    """Return how long the minion may wait with its lists; shorter as its lease ends."""
+    """Return how long the minion may delay its answer while its lists do not change.
+
+    The wait is a part of the time left of the lease, so that a lease that is about to
+    end is renewed in time.
+    """
     if (
         not sidecar_state.listed
         or sidecar_state.until_ms is None
@@ -62,16 +66,16 @@
         - sidecar_state.clock_ms
         - (now_ms - sidecar_state.clock_at_ms)
     )
-    return min(WAIT_MS, max(left_ms // LEASE_PARTS, LEAST_WAIT_MS))
+    return min(MAX_WAIT_MS, max(left_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
-def _awaits_stop(world: BatchWorld) -> bool:
+def _is_awaiting_stop(world: BatchWorld) -> bool:
     return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
-def give_orders(world: BatchWorld, now_ms: int) -> None:
-    """Start and stop runs; an order without an answer goes out again."""
+def send_run_orders(world: BatchWorld, now_ms: int) -> None:
+    """Send starts and stops to the minion; resend those without a clear answer."""
     sidecar_state = world.sidecar_state
     if sidecar_state.minion is None:
         return
@@ -82,12 +86,12 @@
             world.deadlines.add(run.retry_ms)
             continue
         if run.stop:
-            _stop(world, run)
+            _send_stop(world, run)
         elif not run.started:
-            _start(world, run, now_ms)
+            _send_start(world, run, now_ms)
 
 
-def _stop(world: BatchWorld, run: OrderedRun) -> None:
+def _send_stop(world: BatchWorld, run: OrderedRun) -> None:
     sidecar_state = world.sidecar_state
     run.is_order_pending = True
     order = StopOrder(run.order.task, run.order.run)
@@ -101,13 +105,13 @@
     )
 
 
-def _start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
-    """Order a start, unless the lease that the scheduler allows is about to end."""
+def _send_start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
+    """Send a start, unless the minion lease is about to end or the minion drains."""
     sidecar_state = world.sidecar_state
     if sidecar_state.until_ms is None or sidecar_state.clock_ms is None:
         return
     clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
-    if sidecar_state.until_ms - clock_ms < LEAST_LEASE_MS:
+    if sidecar_state.until_ms - clock_ms < MIN_LEASE_MS:
         return
     if sidecar_state.minion.draining and not run.may_still_start:
         return
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -1,4 +1,4 @@
-"""Where the tasks of a step fit: pure functions over free room."""
+"""Pure functions that fit the tasks of a step into free capacity."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -8,35 +8,35 @@
 from kingcuppost.batch.tables.job import Plan, StepSpec, Task
 
 __all__ = [
+    "Candidate",
     "Eviction",
-    "Rank",
-    "Site",
+    "RankFunction",
     "Victim",
-    "add_room",
-    "evict",
-    "how_many",
-    "pick",
-    "sub_room",
-    "take_room",
+    "add_resources",
+    "choose_candidates",
+    "count_fitting_tasks",
+    "plan_evictions",
+    "subtract_resources",
+    "subtract_tasks",
 ]
 
 
 @dataclass(slots=True)
 class Victim:
-    """Work that may be stopped for a more urgent step.
+    """A run that may be preempted by a more urgent step.
 
     Attributes
     ----------
     plan, task : Plan, Task
-        The run and its job.
+        The task that runs, and the plan of its job.
     rank : int
-        How urgent it is; 0 comes first.
-    resources : Room
-        What stopping it sets free.
+        Urgency of the job; 0 is the most urgent.
+    resources : Resources
+        Capacity that stopping the run releases.
     cost : float
-        Work that would be lost, in core-seconds.
+        Work that stopping the run loses, in core-seconds.
     ends_soon : bool
-        Whether the run is about to end by itself.
+        Whether the run is expected to end by itself soon.
     """
 
     plan: Plan
@@ -48,42 +48,43 @@
 
 
 @dataclass(slots=True)
-class Site:
-    """A minion as placement sees it.
+class Candidate:
+    """A minion that may be given tasks, with its capacity during one decision.
 
     Attributes
     ----------
     minion : MinionRow
         The minion.
-    free : Room
-        What is free, or will be when runs that are being stopped have ended.
-    now : Room
-        What is free at once.
-    soon : Room
-        What is free once runs have ended that are all but done.
-    rack_free : list of int
-        Accelerators that are free in the whole rack; one list for all its sites.
-    taken : int
-        Tasks of the step at hand that are there already.
+    free_after_stops : Resources
+        Capacity that is free once the runs that are being stopped have ended.
+    free_now : Resources
+        Capacity that is free at once.
+    free_soon : Resources
+        Capacity that is free once the runs that end soon have ended.
+    rack_free_accelerators : list of int
+        Free accelerators of the whole rack in a list of one element, which all
+        candidates of the rack share.
+    step_task_count : int
+        Placed tasks of the step that is being placed.
     victims : list of Victim
-        What may be stopped, cheapest first.
+        Runs that may be preempted, cheapest first.
     is_slow : bool
         Whether the minion works much slower than most.
     """
 
     minion: MinionRow
-    free: Resources
-    now: Resources
-    soon: Resources
-    rack_free: list[int]
-    taken: int = 0
+    free_after_stops: Resources
+    free_now: Resources
+    free_soon: Resources
+    rack_free_accelerators: list[int]
+    step_task_count: int = 0
     victims: list[Victim] = field(default_factory=list)
     is_slow: bool = False
 
 
-def take_room(resources: Resources, step: StepSpec, count: int = 1) -> None:
-    """Take room for tasks of a step."""
-    sub_room(
+def subtract_tasks(resources: Resources, step: StepSpec, count: int = 1) -> None:
+    """Subtract the demand of some tasks of a step."""
+    subtract_resources(
         resources,
         Resources(
             step.cpu_millis * count,
@@ -93,167 +94,176 @@
     )
 
 
-def add_room(resources: Resources, other: Resources) -> None:
-    """Add room that is set free."""
+def add_resources(resources: Resources, other: Resources) -> None:
+    """Add released capacity."""
     resources.cpu_millis += other.cpu_millis
     resources.memory_mb += other.memory_mb
     resources.accelerators += other.accelerators
 
 
-def sub_room(resources: Resources, other: Resources) -> None:
-    """Take room away."""
+def subtract_resources(resources: Resources, other: Resources) -> None:
+    """Subtract used capacity."""
     resources.cpu_millis -= other.cpu_millis
     resources.memory_mb -= other.memory_mb
     resources.accelerators -= other.accelerators
 
 
-def how_many(resources: Resources, step: StepSpec, most: int) -> int:
-    """Return how many tasks of a step fit into room.
+def count_fitting_tasks(resources: Resources, step: StepSpec, limit: int) -> int:
+    """Return how many tasks of a step fit, at most `limit`.
 
     Examples
     --------
-    >>> how_many(Resources(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
+    >>> free = Resources(64_000, 100, 8)
+    >>> count_fitting_tasks(free, StepSpec(4, cpu_millis=26_000), 9)
     2
     """
-    count = most
-    for has, needs in (
+    count = limit
+    for available, required in (
         (resources.cpu_millis, step.cpu_millis),
         (resources.memory_mb, step.memory_mb),
         (resources.accelerators, step.accelerators),
     ):
-        if needs:
-            count = min(count, has // needs)
+        if required:
+            count = min(count, available // required)
     return max(count, 0)
 
 
-def _most_here(site: Site, step: StepSpec, wanted: int) -> int:
+def _limit_per_minion(candidate: Candidate, step: StepSpec, wanted: int) -> int:
     if not step.most_per_minion:
         return wanted
-    return min(wanted, max(step.most_per_minion - site.taken, 0))
+    return min(wanted, max(step.most_per_minion - candidate.step_task_count, 0))
 
 
-Rank = Callable[[Site, StepSpec], tuple]
+RankFunction = Callable[[Candidate, StepSpec], tuple]
 
 
-def pick(
-    sites: Iterable[Site],
+def choose_candidates(
+    candidates: Iterable[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: Rank,
-    is_soon: bool = False,
-) -> list[Site]:
-    """Return a site for each of as many tasks as fit, best ranks first.
+    rank: RankFunction,
+    use_soon_free: bool = False,
+) -> list[Candidate]:
+    """Return one candidate for each task that fits, best ranks first.
 
     Parameters
     ----------
-    sites : iterable of Site
-        Where the tasks may go.
+    candidates : iterable of Candidate
+        Minions that may be given the tasks.
     step : StepSpec
-        What each task needs.
+        Demand of each task.
     wanted : int
-        How many tasks.
+        Number of tasks.
     rank : callable
-        Ranks a site for a step; the smallest goes first.
-    is_soon : bool
-        Whether room counts that is about to be free.
+        Returns the sort key of a candidate for a step; the smallest comes first.
+    use_soon_free : bool
+        Whether capacity that is about to be released counts as free.
     """
-    chosen: list[Site] = []
-    for site in sorted(sites, key=lambda site: rank(site, step)):
-        left = wanted - len(chosen)
-        if not left:
+    chosen: list[Candidate] = []
+    for candidate in sorted(candidates, key=lambda candidate: rank(candidate, step)):
+        missing = wanted - len(chosen)
+        if not missing:
             break
-        resources = site.soon if is_soon else site.now
-        count = how_many(resources, step, _most_here(site, step, left))
-        chosen.extend([site] * count)
+        resources = candidate.free_soon if use_soon_free else candidate.free_now
+        count = count_fitting_tasks(
+            resources, step, _limit_per_minion(candidate, step, missing)
+        )
+        chosen.extend([candidate] * count)
     return chosen
 
 
 @dataclass(slots=True)
 class Eviction:
-    """Tasks that fit at a site once some victims are stopped."""
+    """Tasks that fit on a candidate once some victims are stopped."""
 
-    site: Site
+    candidate: Candidate
     count: int
     cost: float
     victims: list[Victim]
 
 
-def _next_eviction(site: Site, step: StepSpec, done: Eviction, most: int) -> Eviction:
-    """Return how one more task could fit at a site, or the same if it can't."""
-    wanted = done.count + 1
-    resources = replace(site.free)
+def _extend_eviction(
+    candidate: Candidate, step: StepSpec, current: Eviction, limit: int
+) -> Eviction:
+    """Return the eviction for one more task, or the current one if none fits."""
+    wanted = current.count + 1
+    resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
-    for victim in site.victims:
-        if how_many(resources, step, most) >= wanted:
+    for victim in candidate.victims:
+        if count_fitting_tasks(resources, step, limit) >= wanted:
             break
-        add_room(resources, victim.resources)
+        add_resources(resources, victim.resources)
         victims.append(victim)
-    if how_many(resources, step, most) < wanted:
-        return done
-    victims = _only_needed(resources, step, wanted, victims)
+    if count_fitting_tasks(resources, step, limit) < wanted:
+        return current
+    victims = _drop_unneeded_victims(resources, step, wanted, victims)
     cost = sum(victim.cost for victim in victims)
-    return Eviction(site, how_many(resources, step, most), cost, victims)
+    return Eviction(
+        candidate, count_fitting_tasks(resources, step, limit), cost, victims
+    )
 
 
-def _only_needed(
+def _drop_unneeded_victims(
     resources: Resources, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
-    """Return the victims without which the room would be too small."""
+    """Return the victims without which the capacity would not suffice."""
     needed = []
     for victim in reversed(victims):
-        without = replace(resources)
-        sub_room(without, victim.resources)
-        if how_many(without, step, wanted) >= wanted:
-            sub_room(resources, victim.resources)
+        remaining = replace(resources)
+        subtract_resources(remaining, victim.resources)
+        if count_fitting_tasks(remaining, step, wanted) >= wanted:
+            subtract_resources(resources, victim.resources)
         else:
             needed.append(victim)
     return needed
 
 
-def evict(
-    sites: list[Site],
+def plan_evictions(
+    candidates: list[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: Rank,
-    most_cost: float = inf,
+    rank: RankFunction,
+    max_cost_core_s: float = inf,
 ) -> list[Eviction]:
-    """Return the cheapest evictions that make room for as many tasks as possible.
+    """Return the cheapest evictions that release capacity for the most tasks.
 
-    Tasks go one by one to where the next one costs least; among equals to the
-    site that ranks first.
+    Greedy: each next task goes to the candidate where it costs least, among equals to
+    the one that ranks first.
 
     Parameters
     ----------
-    sites : list of Site
-        Where the tasks may go.
+    candidates : list of Candidate
+        Minions that may be given the tasks.
     step : StepSpec
-        What each task needs.
+        Demand of each task.
     wanted : int
-        How many tasks.
+        Number of tasks.
     rank : callable
-        Ranks a site for a step; the smallest goes first.
-    most_cost : float
-        Most core-seconds that may be lost for one task.
+        Returns the sort key of a candidate for a step; the smallest comes first.
+    max_cost_core_s : float
+        Maximum work that may be lost for one task, in core-seconds.
     """
-    plans = {id(site): Eviction(site, 0, 0.0, []) for site in sites}
+    evictions = {
+        id(candidate): Eviction(candidate, 0, 0.0, []) for candidate in candidates
+    }
     placed = 0
     while placed < wanted:
         best: Eviction | None = None
         best_key: tuple | None = None
-        for site in sites:
-            done = plans[id(site)]
-            most = _most_here(site, step, done.count + wanted - placed)
-            after = _next_eviction(site, step, done, most)
-            if after.count == done.count:
+        for candidate in candidates:
+            current = evictions[id(candidate)]
+            limit = _limit_per_minion(candidate, step, current.count + wanted - placed)
+            extended = _extend_eviction(candidate, step, current, limit)
+            if extended.count == current.count:
                 continue
             key = (
-                (after.cost - done.cost) / (after.count - done.count),
-                rank(site, step),
+                (extended.cost - current.cost) / (extended.count - current.count),
+                rank(candidate, step),
             )
             if best_key is None or key < best_key:
-                best, best_key = after, key
-        if best is None or best_key[0] > most_cost:
+                best, best_key = extended, key
+        if best is None or best_key[0] > max_cost_core_s:
             break
-        placed += best.count - plans[id(best.site)].count
-        plans[id(best.site)] = best
-    return [plan for plan in plans.values() if plan.count]
+        placed += best.count - evictions[id(best.candidate)].count
+        evictions[id(best.candidate)] = best
+    return [eviction for eviction in evictions.values() if eviction.count]
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -1,4 +1,4 @@
-"""Plans of jobs: loading them, and how runs and their ends change them."""
+"""Plans of jobs: loading them from the log and applying placements and run ends."""
 
 from collections.abc import Iterator
 
@@ -19,31 +19,31 @@
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
-    "all_tasks",
-    "apply_end",
-    "ask_stop",
-    "change_plan",
+    "adopt_job",
+    "apply_run_end",
     "find_task",
+    "iter_tasks",
     "load_plan",
+    "make_progress",
+    "mark_plan_changed",
     "place_task",
-    "progress_of",
-    "stop_runs",
-    "take_up",
+    "request_stop",
+    "request_stops",
 ]
 
 OCCURRENCE = 0
 AVOID_MS = 5_000
-ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
-def all_tasks(plan: Plan) -> Iterator[Task]:
+def iter_tasks(plan: Plan) -> Iterator[Task]:
     """Yield every task of a plan."""
     for step in plan.tasks:
         yield from step
 
 
 def load_plan(job: Job) -> Plan:
-    """Return the plan of a job, as its newest progress record leaves it."""
+    """Return the plan of a job in the state of its newest progress record."""
     tasks = [
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(row.count)]
         for step, row in enumerate(job.steps)
@@ -51,8 +51,8 @@
     plan = Plan(job, tasks)
     if job.progress is not None:
         _load_progress(plan, job.progress)
-    if job.state in ENDED:
-        is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+    if job.state in ENDED_STATES:
+        is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
         plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
     return plan
 
@@ -72,8 +72,8 @@
             task.placed_ms = row.placed_ms
 
 
-def progress_of(plan: Plan) -> Progress:
-    """Return what the next progress record says of a plan."""
+def make_progress(plan: Plan) -> Progress:
+    """Return the content of the next progress record of a plan."""
     rows = tuple(
         TaskProgress(
             task.name.step,
@@ -87,21 +87,21 @@
             task.placed_ms if task.incarnation else 0,
             "" if task.phase is TaskPhase.DONE else task.checkpoint,
         )
-        for task in all_tasks(plan)
+        for task in iter_tasks(plan)
         if task.run
     )
     return Progress(plan.state, plan.begun, rows)
 
 
-def change_plan(world: BatchWorld, plan: Plan) -> None:
-    """Note that a plan differs from its newest record."""
+def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
+    """Mark a plan as different from its newest record."""
     plan.version += 1
     world.schedule.dirty[plan.job.id] = None
     world.schedule.changed = True
 
 
-def take_up(world: BatchWorld, job_id: str) -> None:
-    """Make the plan of a new job, or stop what a cancelled one runs."""
+def adopt_job(world: BatchWorld, job_id: str) -> None:
+    """Create the plan of a new job, cancel a cancelled one or drop a removed one."""
     schedule = world.schedule
     job = world.agreed.jobs.get(job_id)
     plan = schedule.plans.get(job_id)
@@ -110,48 +110,51 @@
         return
     if plan is None:
         plan = schedule.plans[job_id] = load_plan(job)
-        _stop_leftovers(world, plan)
+        _repeat_stops(world, plan)
     schedule.changed = True
     if job.cancelled and plan.phase is PlanState.OPEN:
-        end_plan(world, plan, JobState.CANCELLED)
+        end_job(world, plan, JobState.CANCELLED)
 
 
-def _stop_leftovers(world: BatchWorld, plan: Plan) -> None:
-    """Stop what an earlier term meant to stop: ended jobs and parted gangs."""
+def _repeat_stops(world: BatchWorld, plan: Plan) -> None:
+    """Request again the stops that an earlier term may not have completed.
+
+    These are the runs of ended jobs and of gangs of which some members wait again.
+    """
     if plan.phase is PlanState.CLOSING:
-        stop_runs(world, plan)
+        request_stops(world, plan)
     for index, spec in enumerate(plan.job.steps):
         phases = {task.phase for task in plan.tasks[index]}
         if spec.gang and TaskPhase.WAITING in phases:
-            stop_runs(world, plan, index)
+            request_stops(world, plan, index)
 
 
-def end_plan(world: BatchWorld, plan: Plan, state: JobState) -> None:
-    """End a job; what still runs is stopped."""
+def end_job(world: BatchWorld, plan: Plan, state: JobState) -> None:
+    """End a job and request the stop of its runs."""
     plan.state = state
-    stop_runs(world, plan)
-    is_running = any(task.phase is TaskPhase.PLACED for task in all_tasks(plan))
+    request_stops(world, plan)
+    is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
     plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
     world.note("job", "A job ends.", job=plan.job.id, state=state)
-    change_plan(world, plan)
+    mark_plan_changed(world, plan)
 
 
-def ask_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
-    """Ask for the end of a task's run, if it has one."""
+def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
+    """Request the stop of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
         task.stopping = True
         world.schedule.pending_runs[task.name] = (plan, task)
 
 
-def stop_runs(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
-    """Ask for the end of all runs of a job, or of one step."""
-    for task in all_tasks(plan):
+def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
+    """Request the stop of all runs of a job, or of one step."""
+    for task in iter_tasks(plan):
         if step in (None, task.name.step):
-            ask_stop(world, plan, task)
+            request_stop(world, plan, task)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
-    """Return a task and its plan, or None if no such task is planned."""
+    """Return a task and its plan, or None if there is no such task."""
     plan = world.schedule.plans.get(name.job)
     if plan is None or name.step >= len(plan.tasks):
         return None
@@ -164,7 +167,7 @@
 def place_task(
     world: BatchWorld, plan: Plan, task: Task, run: int, minion: MinionRow
 ) -> None:
-    """Give a task a run at a minion; it starts once the plan is in the log."""
+    """Assign a task to a minion; its run starts once the plan is in the log."""
     world.schedule.pending_runs[task.name] = (plan, task)
     task.phase = TaskPhase.PLACED
     task.run = run
@@ -179,36 +182,36 @@
     task.stop_sent_ms = None
 
 
-def apply_end(
+def apply_run_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, checkpoint: str
 ) -> None:
-    """Take the sure end of a task's present run into its plan."""
+    """Apply the confirmed end of a task's current run to its plan."""
     incarnation = task.incarnation
     task.phase = TaskPhase.WAITING
     task.incarnation = None
     task.stopping = False
     if checkpoint:
-        _keep_saved(plan, task, checkpoint)
+        _store_checkpoint(plan, task, checkpoint)
     if how is RunEnd.DONE:
-        _done(plan, task)
+        _mark_done(plan, task)
     elif how is RunEnd.FAILED:
-        _failed(plan, task, incarnation, world.clock.now_ms())
+        _count_failure(plan, task, incarnation, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
-        stop_runs(world, plan, task.name.step)
-    _judge(world, plan)
-    change_plan(world, plan)
+        request_stops(world, plan, task.name.step)
+    _update_job_outcome(world, plan)
+    mark_plan_changed(world, plan)
 
 
-def _keep_saved(plan: Plan, task: Task, checkpoint: str) -> None:
-    """Keep a checkpoint; one of any member is good for the whole gang."""
+def _store_checkpoint(plan: Plan, task: Task, checkpoint: str) -> None:
+    """Store a checkpoint; that of any member serves the whole gang."""
     task.checkpoint = checkpoint
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
             member.checkpoint = checkpoint
 
 
-def _done(plan: Plan, task: Task) -> None:
-    """Finish a task; one end stands for all members of a gang."""
+def _mark_done(plan: Plan, task: Task) -> None:
+    """Mark a task as done, with all members if it belongs to a gang."""
     task.phase = TaskPhase.DONE
     if not plan.job.steps[task.name.step].gang:
         return
@@ -217,31 +220,31 @@
         member.incarnation = None
 
 
-def _failed(
+def _count_failure(
     plan: Plan, task: Task, incarnation: MinionIncarnation | None, now_ms: int
 ) -> None:
-    """Count a failed run; a gang counts a run once, at its first member."""
+    """Count a failed run; that of a gang counts once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
-    counted = members[0]
-    if gang and task.run <= counted.last_failed_run:
+    first_member = members[0]
+    if gang and task.run <= first_member.last_failed_run:
         return
-    counted.last_failed_run = task.run
-    counted.failures += 1
+    first_member.last_failed_run = task.run
+    first_member.failures += 1
     if incarnation is not None:
         for member in members:
             member.avoided_minions.add(incarnation.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
 
 
-def _judge(world: BatchWorld, plan: Plan) -> None:
-    """End the job if all is done or a task has failed too often."""
-    tasks = list(all_tasks(plan))
+def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
+    """End the job once all tasks are done or one has failed too often."""
+    tasks = list(iter_tasks(plan))
     if plan.phase is PlanState.CLOSING:
         if not any(task.phase is TaskPhase.PLACED for task in tasks):
             plan.phase = PlanState.OVER
     elif plan.phase is PlanState.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
-            end_plan(world, plan, JobState.COMPLETED)
+            end_job(world, plan, JobState.COMPLETED)
         elif any(task.failures >= plan.job.policy.most_failures for task in tasks):
-            end_plan(world, plan, JobState.FAILED)
+            end_job(world, plan, JobState.FAILED)
--- /dev/null
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -0,0 +1,98 @@
+"""Sending of a sidecar's reports to the holder of the scheduling lease."""
+
+from dataclasses import replace
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.tables.messages import ListMembers, SendSync, SyncCall
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+
+__all__ = ["send_report"]
+
+REPLY_WAIT_MS = 1_000
+REPORT_TIMEOUT_MS = 1_500
+MAX_OPEN_REPORTS = 2
+LIST_ENTRIES_AFTER_MS = 3_000
+HOLDER_KNOWN_MS = 1_500
+
+
+@system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
+def send_report(world: BatchWorld, now_ms: int) -> None:
+    """Keep one report pending; send another at once when the state has changed."""
+    sidecar_state = world.sidecar_state
+    if world.stopping:
+        return
+    _request_entries(world, now_ms)
+    if sidecar_state.pending_syncs and not sidecar_state.dirty:
+        return
+    if len(sidecar_state.pending_syncs) >= MAX_OPEN_REPORTS:
+        return
+    if now_ms < sidecar_state.sync_after_ms:
+        world.deadlines.add(sidecar_state.sync_after_ms)
+        return
+    address = sidecar_state.holder or _choose_entry(world)
+    if address is None:
+        return
+    sidecar_state.dirty = False
+    sidecar_state.sync_number += 1
+    sidecar_state.pending_syncs[sidecar_state.sync_number] = now_ms
+    call = _make_report(world, now_ms)
+    world.outbox.put(
+        SendSync(sidecar_state.sync_number, address, call, REPORT_TIMEOUT_MS)
+    )
+
+
+def _choose_entry(world: BatchWorld) -> Address | None:
+    known = world.sidecar_state.entries or world.cfg.seeds
+    all_entries = list(dict.fromkeys((*known, *world.cfg.seeds)))
+    if not all_entries:
+        return None
+    return all_entries[
+        (world.sidecar_state.next_entry + _entry_offset(world)) % len(all_entries)
+    ]
+
+
+def _entry_offset(world: BatchWorld) -> int:
+    """Return this sidecar's start in the list of entries; spreads the sidecars."""
+    return sum(world.cfg.name.encode())
+
+
+def _request_entries(world: BatchWorld, now_ms: int) -> None:
+    """Request the entries from the log if none has answered for a while."""
+    sidecar_state = world.sidecar_state
+    due_ms = max(
+        sidecar_state.last_reply_ms + LIST_ENTRIES_AFTER_MS, sidecar_state.list_after_ms
+    )
+    if now_ms >= due_ms:
+        sidecar_state.list_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
+        world.outbox.put(ListMembers())
+        due_ms = now_ms + LIST_ENTRIES_AFTER_MS
+    world.deadlines.add(due_ms)
+
+
+def _make_report(world: BatchWorld, now_ms: int) -> SyncCall:
+    """Return the report; a scheduler that has not answered yet must reply at once.
+
+    Every reply extends the minion lease, so after a handover the first reply must not
+    be delayed.
+    """
+    sidecar_state = world.sidecar_state
+    is_known = (
+        sidecar_state.holder is not None
+        and now_ms - sidecar_state.last_reply_ms <= HOLDER_KNOWN_MS
+    )
+    minion = sidecar_state.minion
+    if minion is not None:
+        minion = replace(minion, listed=sidecar_state.listed)
+    return SyncCall(
+        "",
+        world.cfg.name,
+        world.incarnation,
+        sidecar_state.sync_number,
+        REPLY_WAIT_MS if is_known else 0,
+        minion,
+        tuple(sidecar_state.running.values()),
+        tuple(sidecar_state.ended.values()),
+        tuple(sidecar_state.refused.values()),
+    )
--- /dev/null
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -0,0 +1,139 @@
+"""Monitoring of runs: stops those that are stalled, slow or on draining minions."""
+
+from kingcuppost.batch.systems.plans import iter_tasks, request_stop, request_stops
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.speeds import (
+    corrected_estimate_ms,
+    expected_remaining_ms,
+    update_speed,
+)
+from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.tables.fleet import MinionRow
+from kingcuppost.batch.tables.job import Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.tables.identity import Role
+
+__all__ = ["monitor_runs"]
+
+MONITOR_PERIOD_MS = 500
+CHECKPOINT_PERIOD_MS = 2_000
+STALLED_MS = 3_000
+STALLED_COSTLY_MS = 9_000  # for runs that would lose much work
+STALLED_ESTIMATE_PERCENT = 20
+FULL_PERCENT = 100
+ALMOST_DONE_PERCENT = 99
+DRAIN_SLACK_RATIO = 1.5
+DRAIN_SLACK_MS = 1_000
+URGENT_PRIORITY = 0
+MIN_OBSERVED_MS = 2_000
+MIN_GAIN_RATIO = 2.5  # estimates may be off by half
+MIN_KNOWN_GAIN_RATIO = 1.4  # once other runs have corrected the estimate
+MIN_KNOWN_RUNS = 2
+MOVE_COST_MS = 700
+
+
+@system(Phase.MEMBERSHIP, (Role.ENTRY,), order=80)
+def monitor_runs(world: BatchWorld, now_ms: int) -> None:
+    """Check all runs every `MONITOR_PERIOD_MS` and stop those that should move."""
+    schedule = world.schedule
+    if not is_scheduling(world) or now_ms < schedule.check_runs_at_ms:
+        return
+    schedule.check_runs_at_ms = now_ms + MONITOR_PERIOD_MS
+    if now_ms >= schedule.write_checkpoints_at_ms:
+        schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
+        _record_checkpoints(world)
+    rows = {row.incarnation: row for row in schedule.minions}
+    for plan in list(schedule.plans.values()):
+        if plan.phase is not PlanState.OPEN:
+            continue
+        for task in iter_tasks(plan):
+            row = rows.get(task.incarnation)
+            if row is not None and task.confirmed and not task.stopping:
+                _check_run(world, row, plan, task, now_ms)
+
+
+def _record_checkpoints(world: BatchWorld) -> None:
+    """Mark new checkpoints for the log, where they outlive all processes."""
+    for plan in world.schedule.plans.values():
+        if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
+            plan.has_new_checkpoint = False
+            plan.version += 1
+            world.schedule.dirty[plan.job.id] = None
+
+
+def _check_run(
+    world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
+) -> None:
+    if task.phase is not TaskPhase.PLACED or row.is_unreachable:
+        return
+    if row.speed.weight < 1:
+        update_speed(world, row, plan, task)
+    if row.draining and _should_leave_draining(row, plan, task):
+        _stop_run(world, plan, task, "the minion is draining")
+    elif _is_too_slow(row, plan, task):
+        task.was_migrated = True
+        task.avoided_minions.add(row.incarnation.minion)
+        _stop_run(world, plan, task, "the minion is slow")
+    elif _is_stalled(plan, task, now_ms):
+        row.stalled_ms = now_ms
+        task.avoided_minions.add(row.incarnation.minion)
+        _stop_run(world, plan, task, "the run is stalled")
+
+
+def _stop_run(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
+    world.note(
+        "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
+    )
+    if plan.job.steps[task.name.step].gang:
+        request_stops(world, plan, task.name.step)
+    else:
+        request_stop(world, plan, task)
+
+
+def _should_leave_draining(row: MinionRow, plan: Plan, task: Task) -> bool:
+    """Return whether a run would be cut off or loses nothing by moving."""
+    if plan.job.steps[task.name.step].saves:
+        return True
+    limit_ms = row.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
+    return expected_remaining_ms(row, plan, task) > limit_ms
+
+
+def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
+    """Return whether an urgent run would end sooner if restarted on another minion.
+
+    Estimates may be off by half, so the gain must be large unless other runs of the
+    step have shown the actual duration. A task is moved at most once, since moving
+    gains nothing if all minions are slow.
+    """
+    step = plan.job.steps[task.name.step]
+    if plan.job.policy.priority != URGENT_PRIORITY or step.gang or task.was_migrated:
+        return False
+    observed_ms = task.percent_changed_ms - (
+        task.running_since_ms or task.percent_changed_ms
+    )
+    if observed_ms < MIN_OBSERVED_MS:
+        return False
+    estimate_error = plan.estimate_errors.get(task.name.step)
+    is_duration_known = (
+        estimate_error is not None and estimate_error.count >= MIN_KNOWN_RUNS
+    )
+    restart_limit_ms = MIN_GAIN_RATIO * step.estimate_ms
+    if is_duration_known:
+        restart_limit_ms = MIN_KNOWN_GAIN_RATIO * corrected_estimate_ms(plan, task)
+    return expected_remaining_ms(row, plan, task) > restart_limit_ms + MOVE_COST_MS
+
+
+def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
+    """Return whether a run has made no progress for too long.
+
+    The limit is longer for runs that would lose much work. Runs that are almost done do
+    not count as stalled: a gang member that has finished its own work waits for the
+    others.
+    """
+    if task.percent >= ALMOST_DONE_PERCENT:
+        return False
+    step = plan.job.steps[task.name.step]
+    estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
+    loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
+    stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
+    return now_ms - task.percent_changed_ms > max(stall_limit_ms, estimate_limit_ms)
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/shutdown.py
@@ -1,4 +1,4 @@
-"""The graceful end of a process."""
+"""Graceful shutdown of a process."""
 
 from kingcuppost.batch.systems.holder_election import release_lease
 from kingcuppost.batch.systems.registry import Phase, system
@@ -6,7 +6,7 @@
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
-__all__ = ["end_process"]
+__all__ = ["stop_process"]
 
 GRACE_MARGIN_MS = 1_500
 ENTRY_LINGER_MS = 2_500
@@ -14,8 +14,8 @@
 
 
 @system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
-def end_process(world: BatchWorld, now_ms: int) -> None:
-    """Give the lease back, answer what waits, then end."""
+def stop_process(world: BatchWorld, now_ms: int) -> None:
+    """Release the lease, answer pending calls, then stop the process."""
     if world.inbox.take(StopRequested) and not world.stopping:
         world.stopping = True
         world.earliest_stop_ms = now_ms + _linger_ms(world)
@@ -37,7 +37,7 @@
 
 
 def _linger_ms(world: BatchWorld) -> int:
-    """Return how long callers are served until the balancer has noticed."""
+    """Return how long to keep serving until the load balancer sends calls elsewhere."""
     if world.cfg.role is Role.ENTRY:
         return ENTRY_LINGER_MS
     return SIDECAR_LINGER_MS
--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -1,4 +1,4 @@
-"""What a sidecar hears: of its minion, and of the scheduler."""
+"""Handling of messages that a sidecar receives from its minion and the scheduler."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.job import MinionIncarnation
@@ -18,45 +18,52 @@
 from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
-__all__ = ["hear_lists", "hear_minion", "hear_orders", "hear_scheduler"]
+__all__ = [
+    "handle_heartbeats",
+    "handle_order_answers",
+    "handle_run_lists",
+    "handle_scheduler_replies",
+]
 
 RETRY_MS = 100
-PAUSE_MS = 250
-SILENT_MS = 2_500
+REDIRECT_PAUSE_MS = 250
+UNREACHABLE_MS = 2_500
 LEASE_MARGIN_MS = 100
-SIDECAR = (Role.SIDECAR,)
+SIDECAR_ROLES = (Role.SIDECAR,)
 
 
-@system(Phase.INTAKE, SIDECAR, order=50)
-def hear_minion(world: BatchWorld, now_ms: int) -> None:
-    """Take heartbeats in; late ones of an earlier life or moment change nothing."""
+@system(Phase.INTAKE, SIDECAR_ROLES, order=50)
+def handle_heartbeats(world: BatchWorld, now_ms: int) -> None:
+    """Handle heartbeats; ignore those of an earlier incarnation or sequence number."""
     sidecar_state = world.sidecar_state
-    for heard in world.inbox.take(MinionHeartbeat):
-        if heard.gone:
-            _minion_left(world, heard)
+    for heartbeat in world.inbox.take(MinionHeartbeat):
+        if heartbeat.gone:
+            _remove_minion(world, heartbeat)
             continue
-        incarnation = heard.report.incarnation
+        incarnation = heartbeat.report.incarnation
         old = sidecar_state.minion
         if old is not None and incarnation.born_ms < old.incarnation.born_ms:
             continue
         if old is None or old.incarnation != incarnation:
-            _begin_life(world, heard)
-        elif heard.sequence <= sidecar_state.sequence:
+            _begin_incarnation(world, heartbeat)
+        elif heartbeat.sequence <= sidecar_state.sequence:
             continue
-        sidecar_state.sequence = heard.sequence
-        sidecar_state.address = heard.address
-        if old is None or _is_news(heard, sidecar_state):
+        sidecar_state.sequence = heartbeat.sequence
+        sidecar_state.address = heartbeat.address
+        if old is None or _is_draining_changed(heartbeat, sidecar_state):
             sidecar_state.dirty = True
-        sidecar_state.minion = heard.report
+        sidecar_state.minion = heartbeat.report
 
 
-def _is_news(heard: MinionHeartbeat, sidecar_state: SidecarState) -> bool:
+def _is_draining_changed(
+    heartbeat: MinionHeartbeat, sidecar_state: SidecarState
+) -> bool:
     old = sidecar_state.minion
-    return old is None or old.draining != heard.report.draining
+    return old is None or old.draining != heartbeat.report.draining
 
 
-def _begin_life(world: BatchWorld, heard: MinionHeartbeat) -> None:
-    """Forget all of the minion's earlier life."""
+def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
+    """Reset the state of the minion, but not that of the scheduler."""
     sidecar_state = world.sidecar_state
     world.sidecar_state = SidecarState(
         term=sidecar_state.term,
@@ -66,23 +73,24 @@
         entries=sidecar_state.entries,
         next_entry=sidecar_state.next_entry,
         last_reply_ms=sidecar_state.last_reply_ms,
-        minion=heard.report,
-        address=heard.address,
+        minion=heartbeat.report,
+        address=heartbeat.address,
     )
     sidecar_state = world.sidecar_state
     world.note(
         "minion",
-        "The minion began a life.",
-        minion=heard.report.incarnation.minion,
-        born_ms=heard.report.incarnation.born_ms,
+        "The minion has a new incarnation.",
+        minion=heartbeat.report.incarnation.minion,
+        born_ms=heartbeat.report.incarnation.born_ms,
     )
 
 
-def _minion_left(world: BatchWorld, heard: MinionHeartbeat) -> None:
+def _remove_minion(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
     sidecar_state = world.sidecar_state
     if (
         sidecar_state.minion is None
-        or sidecar_state.minion.incarnation.minion != heard.report.incarnation.minion
+        or sidecar_state.minion.incarnation.minion
+        != heartbeat.report.incarnation.minion
     ):
         return
     world.note(
@@ -92,26 +100,26 @@
     sidecar_state.dirty = True
 
 
-def _is_present(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
+def _is_current_incarnation(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
     return (
         world.sidecar_state.minion is not None
         and world.sidecar_state.minion.incarnation == incarnation
     )
 
 
-@system(Phase.INTAKE, SIDECAR, order=30)
-def hear_lists(world: BatchWorld, now_ms: int) -> None:
-    """Take in what runs at the minion and what has ended there."""
+@system(Phase.INTAKE, SIDECAR_ROLES, order=30)
+def handle_run_lists(world: BatchWorld, now_ms: int) -> None:
+    """Handle the minion's lists of running and ended runs."""
     for lists in world.inbox.take(HoldMinionAnswered):
         sidecar_state = world.sidecar_state
-        if not _is_present(world, lists.incarnation):
+        if not _is_current_incarnation(world, lists.incarnation):
             continue
         sidecar_state.is_hold_open = False
         if lists.reason:
-            _hold_failed(world, lists, now_ms)
+            _handle_lease_failure(world, lists, now_ms)
             continue
-        _read_clock(sidecar_state, lists)
-        _take_running(world, lists, now_ms)
+        _update_minion_clock(sidecar_state, lists)
+        _update_running(world, lists, now_ms)
         for ended in lists.ended:
             if (
                 ended.number > sidecar_state.acknowledged_end
@@ -122,7 +130,9 @@
                 sidecar_state.dirty = True
 
 
-def _hold_failed(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
+def _handle_lease_failure(
+    world: BatchWorld, lists: HoldMinionAnswered, now_ms: int
+) -> None:
     sidecar_state = world.sidecar_state
     sidecar_state.hold_after_ms = now_ms + RETRY_MS
     if not sidecar_state.hold_failed:
@@ -130,13 +140,15 @@
     sidecar_state.hold_failed = True
 
 
-def _read_clock(sidecar_state: SidecarState, lists: HoldMinionAnswered) -> None:
+def _update_minion_clock(
+    sidecar_state: SidecarState, lists: HoldMinionAnswered
+) -> None:
     if sidecar_state.clock_ms is None or lists.clock_ms >= sidecar_state.clock_ms:
         sidecar_state.clock_ms = lists.clock_ms
         sidecar_state.clock_at_ms = lists.received_ms
 
 
-def _take_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
+def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
         world.note("minion", "The minion answers.")
@@ -145,24 +157,24 @@
         sidecar_state.listed = True
         sidecar_state.dirty = True
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
-    over = {(str(end.task), end.run) for end in lists.ended}
+    listed_ended_keys = {(str(end.task), end.run) for end in lists.ended}
     for key, run in list(sidecar_state.runs.items()):
         if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
             continue
         if (
             key not in sidecar_state.running
-            and key not in over
-            and key not in _ended(sidecar_state)
+            and key not in listed_ended_keys
+            and key not in _ended_run_keys(sidecar_state)
         ):
-            _refuse(world, run, "stopped")
+            _record_refusal(world, run, "stopped")
 
 
-def _ended(sidecar_state: SidecarState) -> set[tuple[str, int]]:
+def _ended_run_keys(sidecar_state: SidecarState) -> set[tuple[str, int]]:
     return {(str(end.task), end.run) for end in sidecar_state.ended.values()}
 
 
-def _refuse(world: BatchWorld, run: OrderedRun, reason: str) -> None:
-    """Report that a run surely never began."""
+def _record_refusal(world: BatchWorld, run: OrderedRun, reason: str) -> None:
+    """Record for the next report that a run certainly never began."""
     sidecar_state = world.sidecar_state
     key = (str(run.order.task), run.order.run)
     sidecar_state.runs.pop(key, None)
@@ -171,28 +183,28 @@
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
-@system(Phase.INTAKE, SIDECAR, order=60)
-def hear_orders(world: BatchWorld, now_ms: int) -> None:
-    """Take in what the minion made of starts and stops.
+@system(Phase.INTAKE, SIDECAR_ROLES, order=60)
+def handle_order_answers(world: BatchWorld, now_ms: int) -> None:
+    """Handle the minion's answers to starts and stops.
 
-    A start that was refused after an earlier copy went unanswered is stopped first,
-    since the copy may be carried out late.
+    If a start is refused after an earlier copy went unanswered, the run is stopped
+    before it is reported as refused, since the copy may still be carried out.
     """
     for answer in world.inbox.take(OrderAnswered):
         sidecar_state = world.sidecar_state
-        if not _is_present(world, answer.incarnation):
+        if not _is_current_incarnation(world, answer.incarnation):
             continue
         run = sidecar_state.runs.get((str(answer.task), answer.run))
         if run is None:
             continue
         run.is_order_pending = False
         if answer.start:
-            _start_answered(world, run, answer, now_ms)
+            _handle_start_answer(world, run, answer, now_ms)
         else:
-            _stop_answered(world, run, answer, now_ms)
+            _handle_stop_answer(world, run, answer, now_ms)
 
 
-def _start_answered(
+def _handle_start_answer(
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     key = (str(answer.task), answer.run)
@@ -205,7 +217,7 @@
         return
     world.note(
         "run",
-        "A start was not taken.",
+        "The minion did not accept a start.",
         task=key[0],
         run=key[1],
         outcome=answer.outcome,
@@ -215,12 +227,12 @@
     if answer.outcome is OrderOutcome.REFUSED and run.may_still_start:
         run.stop = True
     elif answer.outcome is OrderOutcome.REFUSED:
-        _refuse(world, run, answer.reason)
+        _record_refusal(world, run, answer.reason)
     else:
         run.retry_ms = now_ms + RETRY_MS
 
 
-def _stop_answered(
+def _handle_stop_answer(
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     if answer.outcome is OrderOutcome.DONE:
@@ -229,32 +241,34 @@
     run.retry_ms = now_ms + RETRY_MS
 
 
-@system(Phase.INTAKE, SIDECAR, order=70)
-def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
-    """Take in the scheduler's orders, and the lease that its answer allows."""
+@system(Phase.INTAKE, SIDECAR_ROLES, order=70)
+def handle_scheduler_replies(world: BatchWorld, now_ms: int) -> None:
+    """Handle the scheduler's replies: orders, minion lease and redirects."""
     for answer in world.inbox.take(SyncAnswered):
         sidecar_state = world.sidecar_state
         sidecar_state.pending_syncs.pop(answer.number, None)
         reply = answer.reply
         if reply is None:
-            _ask_another(world, answer, now_ms)
+            _try_next_entry(world, answer, now_ms)
             continue
         sidecar_state.entries = reply.entries or sidecar_state.entries
         if reply.term < sidecar_state.term or reply.term < 0:
-            _follow_hint(world, answer, now_ms)
+            _follow_redirect(world, answer, now_ms)
             continue
         sidecar_state.term = reply.term
         sidecar_state.holder = answer.address
         sidecar_state.last_reply_ms = now_ms
-        if reply.incarnation is not None and _is_present(world, reply.incarnation):
+        if reply.incarnation is not None and _is_current_incarnation(
+            world, reply.incarnation
+        ):
             _extend_lease(world, answer)
-            _take_orders(world, reply)
+            _apply_orders(world, reply)
 
 
-def _ask_another(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+def _try_next_entry(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     sidecar_state = world.sidecar_state
     sidecar_state.unreachable_entry = answer.address
-    sidecar_state.unreachable_until_ms = now_ms + SILENT_MS
+    sidecar_state.unreachable_until_ms = now_ms + UNREACHABLE_MS
     if sidecar_state.holder == answer.address:
         sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
@@ -263,25 +277,31 @@
     sidecar_state.dirty = True
 
 
-def _follow_hint(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    """Ask the entry that is said to schedule, unless it has just not answered."""
+def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+    """Send the next report to the entry that a reply names as holder.
+
+    Without such a name, or if that entry has just failed to answer, the next entry of
+    the list is tried.
+    """
     sidecar_state = world.sidecar_state
-    hint = answer.reply.holder
-    is_silent = (
-        hint == sidecar_state.unreachable_entry
+    redirect = answer.reply.holder
+    is_unreachable = (
+        redirect == sidecar_state.unreachable_entry
         and now_ms < sidecar_state.unreachable_until_ms
     )
-    if hint == answer.address or is_silent:
-        hint = None
-    sidecar_state.holder = hint
-    if hint is None:
+    if redirect == answer.address or is_unreachable:
+        redirect = None
+    sidecar_state.holder = redirect
+    if redirect is None:
         sidecar_state.next_entry += 1
-    sidecar_state.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
+    sidecar_state.sync_after_ms = now_ms + (
+        RETRY_MS if redirect is not None else REDIRECT_PAUSE_MS
+    )
     sidecar_state.dirty = True
 
 
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
-    """Allow the minion's work to go on for a lease from when the report was sent."""
+    """Extend the minion lease, counted from the time at which the report was sent."""
     sidecar_state = world.sidecar_state
     if sidecar_state.clock_ms is None:
         return
@@ -292,7 +312,7 @@
     sidecar_state.until_ms = max(sidecar_state.until_ms or 0, until_ms)
 
 
-def _take_orders(world: BatchWorld, reply: SyncReply) -> None:
+def _apply_orders(world: BatchWorld, reply: SyncReply) -> None:
     sidecar_state = world.sidecar_state
     if reply.noted > sidecar_state.acknowledged_end:
         sidecar_state.acknowledged_end = reply.noted
@@ -304,20 +324,20 @@
             del sidecar_state.ended[number]
     for row in reply.settled:
         sidecar_state.refused.pop((str(row.task), row.run), None)
-    known = _ended(sidecar_state) | set(sidecar_state.refused)
+    reported_keys = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
-        if key not in known and key not in sidecar_state.running:
+        if key not in reported_keys and key not in sidecar_state.running:
             sidecar_state.runs.setdefault(key, OrderedRun(order))
     for stop in reply.stops:
-        _take_stop(sidecar_state, stop, known)
+        _apply_stop(sidecar_state, stop, reported_keys)
 
 
-def _take_stop(
-    sidecar_state: SidecarState, stop: StopOrder, known: set[tuple[str, int]]
+def _apply_stop(
+    sidecar_state: SidecarState, stop: StopOrder, reported_keys: set[tuple[str, int]]
 ) -> None:
     key = (str(stop.task), stop.run)
-    if key in known:
+    if key in reported_keys:
         return
     run = sidecar_state.runs.setdefault(
         key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
@@ -325,9 +345,9 @@
     run.stop = True
 
 
-@system(Phase.INTAKE, SIDECAR, order=40)
-def hear_members(world: BatchWorld, now_ms: int) -> None:
-    """Take in the entries that the log lists."""
+@system(Phase.INTAKE, SIDECAR_ROLES, order=40)
+def handle_entry_records(world: BatchWorld, now_ms: int) -> None:
+    """Update the addresses of the entries from the log."""
     for batch in world.inbox.take(RecordsRead):
         found = tuple(
             record.address for _, record in batch.records if hasattr(record, "address")
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -1,8 +1,8 @@
-"""Orders for sidecars: what they are to start and stop, and which ends are kept."""
+"""Replies to sidecars' reports: runs to start and stop, and committed run ends."""
 
-from kingcuppost.batch.systems.holder_election import has_authority, refer
+from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.term import is_scheduling
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
@@ -13,84 +13,92 @@
 from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
-__all__ = ["answer_sidecars"]
+__all__ = ["reply_to_sidecars"]
 
-AGAIN_MS = 700
+RESEND_MS = 700
 
 
-Orders = dict[MinionIncarnation, list[tuple[Plan, Task]]]
+OrdersByIncarnation = dict[MinionIncarnation, list[tuple[Plan, Task]]]
 
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
-def answer_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Answer the reports that have orders or whose wait is over."""
+def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
+    """Answer the pending reports that have orders or whose wait is over."""
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
-        _release_all(world)
+        _redirect_all(world)
         return
     world.deadlines.add(schedule.authority_until_ms)
     if not schedule.pending_syncs:
         return
-    starts, stops = _collect(world, now_ms)
-    for held in list(schedule.pending_syncs.values()):
-        _answer(world, held, starts, stops, now_ms)
+    starts, stops = _collect_orders(world, now_ms)
+    for pending in list(schedule.pending_syncs.values()):
+        _reply_to_report(world, pending, starts, stops, now_ms)
 
 
-def _answer(
-    world: BatchWorld, held: PendingSync, starts: Orders, stops: Orders, now_ms: int
+def _reply_to_report(
+    world: BatchWorld,
+    pending: PendingSync,
+    starts: OrdersByIncarnation,
+    stops: OrdersByIncarnation,
+    now_ms: int,
 ) -> None:
-    """Answer one report if there is anything to say; most ticks say nothing."""
-    call = held.call
+    """Answer a pending report if it has orders or results, or if its wait is over."""
+    call = pending.call
     row = world.schedule.minions.get(call.sidecar)
     incarnation = row.incarnation if row else None
-    orphans = _due_strays(world, call.sidecar, now_ms)
-    noted = _noted(world, call) if call.ended else 0
+    orphans = _due_orphan_stops(world, call.sidecar, now_ms)
+    noted = _last_committed_end(world, call) if call.ended else 0
     has_orders = incarnation in starts or incarnation in stops or bool(orphans)
-    if not (has_orders or noted or call.refused or now_ms >= held.until_ms):
+    if not (has_orders or noted or call.refused or now_ms >= pending.until_ms):
         return
     del world.schedule.pending_syncs[call.sidecar]
     for _, task in starts.get(incarnation, ()):
         task.sent_ms = now_ms
     for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
-    for stray in orphans:
-        stray.sent_ms = now_ms
-    world.outbox.put(_reply(world, call, incarnation, starts, stops, orphans, noted))
+    for orphan in orphans:
+        orphan.sent_ms = now_ms
+    world.outbox.put(
+        _make_reply(world, call, incarnation, starts, stops, orphans, noted)
+    )
 
 
-def _release_all(world: BatchWorld) -> None:
-    """Send waiting sidecars to the new holder."""
-    for held in world.schedule.pending_syncs.values():
-        world.outbox.put(refer(world, held.call.exchange_id))
+def _redirect_all(world: BatchWorld) -> None:
+    """Redirect all waiting sidecars to the holder of the lease."""
+    for pending in world.schedule.pending_syncs.values():
+        world.outbox.put(make_redirect(world, pending.call.exchange_id))
     world.schedule.pending_syncs.clear()
 
 
-def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[OrphanRun]:
+def _due_orphan_stops(world: BatchWorld, sidecar: str, now_ms: int) -> list[OrphanRun]:
     orphans = world.schedule.orphans.get(sidecar)
     if not orphans:
         return []
-    return [stray for stray in orphans.values() if _is_due(stray.sent_ms, now_ms)]
+    return [orphan for orphan in orphans.values() if _is_due(orphan.sent_ms, now_ms)]
 
 
-def _collect(world: BatchWorld, now_ms: int) -> tuple[Orders, Orders]:
-    """Return what is to be started and stopped, by life."""
-    starts: Orders = {}
-    stops: Orders = {}
+def _collect_orders(
+    world: BatchWorld, now_ms: int
+) -> tuple[OrdersByIncarnation, OrdersByIncarnation]:
+    """Return the runs to start and to stop, by minion incarnation."""
+    starts: OrdersByIncarnation = {}
+    stops: OrdersByIncarnation = {}
     pending_runs = world.schedule.pending_runs
     for name, (plan, task) in list(pending_runs.items()):
         is_settled = task.confirmed and not task.stopping
         if task.phase is not TaskPhase.PLACED or is_settled:
             del pending_runs[name]
         elif task.stopping:
-            _add_due(world, stops, plan, task, task.stop_sent_ms, now_ms)
+            _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
         elif plan.committed >= task.version:
-            _add_due(world, starts, plan, task, task.sent_ms, now_ms)
+            _add_due_order(world, starts, plan, task, task.sent_ms, now_ms)
     return starts, stops
 
 
-def _add_due(
+def _add_due_order(
     world: BatchWorld,
-    orders: Orders,
+    orders: OrdersByIncarnation,
     plan: Plan,
     task: Task,
     sent_ms: int | None,
@@ -99,19 +107,19 @@
     if _is_due(sent_ms, now_ms):
         orders.setdefault(task.incarnation, []).append((plan, task))
     else:
-        world.deadlines.add(sent_ms + AGAIN_MS)
+        world.deadlines.add(sent_ms + RESEND_MS)
 
 
 def _is_due(sent_ms: int | None, now_ms: int) -> bool:
-    return sent_ms is None or now_ms - sent_ms >= AGAIN_MS
+    return sent_ms is None or now_ms - sent_ms >= RESEND_MS
 
 
-def _reply(
+def _make_reply(
     world: BatchWorld,
     call: SyncCall,
     incarnation: MinionIncarnation | None,
-    starts: Orders,
-    stops: Orders,
+    starts: OrdersByIncarnation,
+    stops: OrdersByIncarnation,
     orphans: list[OrphanRun],
     noted: int,
 ) -> SyncReply:
@@ -126,7 +134,7 @@
         ),
         stops=tuple(
             [StopOrder(task.name, task.run) for _, task in stops.get(incarnation, ())]
-            + [StopOrder(stray.run.task, stray.run.run) for stray in orphans]
+            + [StopOrder(orphan.run.task, orphan.run.run) for orphan in orphans]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
         noted=noted,
@@ -134,8 +142,8 @@
     )
 
 
-def _noted(world: BatchWorld, call: SyncCall) -> int:
-    """Return up to which number the reported ends are in the log."""
+def _last_committed_end(world: BatchWorld, call: SyncCall) -> int:
+    """Return the number up to which all reported ends are in the log; 0 if none."""
     known = world.schedule.reported_ends.get(call.sidecar, {})
     noted = 0
     for ended in sorted(call.ended, key=lambda row: row.number):
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -1,11 +1,11 @@
-"""Reports of sidecars: minions, what runs at them, and how runs ended."""
+"""Handling of sidecars' reports: minions, their runs, and how runs ended."""
 
-from kingcuppost.batch.systems.holder_election import has_authority, refer
-from kingcuppost.batch.systems.losses import lost_by_end
-from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
+from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
+from kingcuppost.batch.systems.lost_work import work_lost_by_end
+from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.speeds import learn_speed
-from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
+from kingcuppost.batch.systems.speeds import update_speed
+from kingcuppost.batch.systems.term_opening import certain_expiry_ms, is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
@@ -27,45 +27,45 @@
 from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
-__all__ = ["hear_sidecars", "lose_life", "take_up_jobs"]
+__all__ = ["adopt_jobs", "end_incarnation_runs", "handle_sidecar_reports"]
 
-REST_MS = 1_000
-WHOLE = 100
+REFUSAL_PAUSE_MS = 1_000
+FULL_PERCENT = 100
 
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=80)
-def take_up_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Plan what the log has brought since the last tick."""
+def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
+    """Update the plans of jobs that log records have touched since the last tick."""
     schedule = world.schedule
     if not is_scheduling(world):
         return
     for job_id in list(schedule.changed_jobs):
-        take_up(world, job_id)
+        adopt_job(world, job_id)
     schedule.changed_jobs.clear()
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
-def hear_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Take reports in; a newer one of the same sidecar ends the wait of an older."""
+def handle_sidecar_reports(world: BatchWorld, now_ms: int) -> None:
+    """Handle reports; a newer report of a sidecar ends the wait of its older one."""
     for call in world.inbox.take(SyncCall):
         if not is_scheduling(world) or not has_authority(world, now_ms):
-            world.outbox.put(refer(world, call.exchange_id))
+            world.outbox.put(make_redirect(world, call.exchange_id))
             continue
         older = world.schedule.pending_syncs.pop(call.sidecar, None)
         if older is not None:
             world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
-        _hear(world, call, now_ms)
+        _handle_report(world, call, now_ms)
         until_ms = now_ms + call.wait_ms
         world.schedule.pending_syncs[call.sidecar] = PendingSync(call, until_ms)
         world.deadlines.add(until_ms)
 
 
-def _hear(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
+def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
-            world.note("minion", "A minion is gone.", minion=old.incarnation.minion)
+            world.note("minion", "A minion has left.", minion=old.incarnation.minion)
             schedule.minions.delete(call.sidecar)
             schedule.changed = True
         return
@@ -73,56 +73,60 @@
         if call.minion.incarnation.born_ms < old.incarnation.born_ms:
             return
         old = None
-    _lose_earlier_lives(world, call.sidecar, call.minion.incarnation)
-    row = _minion_of(world, call, old, now_ms)
-    sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
-    schedule.lapse_times_ms[row.incarnation] = sure_ms
-    world.deadlines.add(sure_ms)
+    _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
+    row = _update_minion(world, call, old, now_ms)
+    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
+    schedule.expiry_times_ms[row.incarnation] = expiry_ms
+    world.deadlines.add(expiry_ms)
     if call.minion.listed:
-        _take_lists(world, call, row, now_ms)
+        _handle_run_lists(world, call, row, now_ms)
 
 
-def _lose_earlier_lives(
+def _end_earlier_incarnations(
     world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
 ) -> None:
-    """End the runs of lives that the minion beside a sidecar had before this one."""
+    """End the runs of earlier incarnations of the minion beside a sidecar."""
     incarnation_sidecars = world.schedule.incarnation_sidecars
-    for earlier, home in list(incarnation_sidecars.items()):
-        if home == sidecar and earlier.born_ms < incarnation.born_ms:
-            lose_life(world, earlier, "the minion began a new life")
+    for earlier, earlier_sidecar in list(incarnation_sidecars.items()):
+        if earlier_sidecar == sidecar and earlier.born_ms < incarnation.born_ms:
+            end_incarnation_runs(world, earlier, "the minion has a new incarnation")
     incarnation_sidecars[incarnation] = sidecar
 
 
-def _minion_of(
-    world: BatchWorld, call: SyncCall, old: MinionRow | None, now_ms: int
+def _update_minion(
+    world: BatchWorld, call: SyncCall, row: MinionRow | None, now_ms: int
 ) -> MinionRow:
-    """Return the row of a reported minion, made or brought up to date."""
+    """Create or update the row of a reported minion, and return it."""
     report = call.minion
-    if old is None:
-        old = _new_minion(world, call, report)
-        world.schedule.minions.put(old)
+    if row is None:
+        row = _make_minion(world, call, report)
+        world.schedule.minions.put(row)
         world.schedule.changed = True
         world.note(
             "minion",
-            "A minion is known.",
+            "A minion was added.",
             minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
-            rack=old.rack,
+            rack=row.rack,
+        )
+    if row.draining != report.draining:
+        world.note(
+            "minion",
+            "The draining state of a minion changed.",
+            minion=report.incarnation.minion,
         )
-    if old.draining != report.draining:
-        world.note("minion", "A minion drains.", minion=report.incarnation.minion)
         world.schedule.changed = True
-    if old.is_unreachable:
+    if row.is_unreachable:
         world.schedule.changed = True
-    old.is_unreachable = False
-    old.draining = report.draining
-    old.remaining_ms = report.remaining_ms
-    old.last_report_ms = now_ms
-    return old
+    row.is_unreachable = False
+    row.draining = report.draining
+    row.remaining_ms = report.remaining_ms
+    row.last_report_ms = now_ms
+    return row
 
 
-def _new_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
+def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
@@ -136,24 +140,26 @@
     )
 
 
-def lose_life(world: BatchWorld, incarnation: MinionIncarnation, reason: str) -> None:
-    """End all runs of a life that is over."""
+def end_incarnation_runs(
+    world: BatchWorld, incarnation: MinionIncarnation, reason: str
+) -> None:
+    """End all runs of a minion incarnation that is over."""
     schedule = world.schedule
-    schedule.lapse_times_ms.pop(incarnation, None)
+    schedule.expiry_times_ms.pop(incarnation, None)
     schedule.incarnation_sidecars.pop(incarnation, None)
     for plan in list(schedule.plans.values()):
         for step in plan.tasks:
             for task in step:
                 if task.phase is TaskPhase.PLACED and task.incarnation == incarnation:
-                    _note_end(world, plan, task, RunEnd.LOST, reason)
-                    apply_end(world, plan, task, RunEnd.LOST, "")
+                    _record_run_end(world, plan, task, RunEnd.LOST, reason)
+                    apply_run_end(world, plan, task, RunEnd.LOST, "")
 
 
-def _note_end(
+def _record_run_end(
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
 ) -> None:
     wall_ms = world.clock.wall_ms()
-    lost = lost_by_end(plan, task, how, wall_ms)
+    lost = work_lost_by_end(plan, task, how, wall_ms)
     world.tally.add("ends", how)
     world.tally.add("lost_core_seconds", how, amount=round(lost))
     world.note(
@@ -170,44 +176,46 @@
     )
 
 
-def _take_lists(world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int) -> None:
+def _handle_run_lists(
+    world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int
+) -> None:
     orphans = world.schedule.orphans.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
     for key in [key for key in orphans if key not in present]:
         del orphans[key]
     for running in call.running:
-        _see_running(world, row, running, now_ms)
+        _handle_running_run(world, row, running, now_ms)
     known = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in known if number not in listed]:
         del known[number]
     for ended in call.ended:
         if ended.number not in known:
-            known[ended.number] = _see_end(world, row, ended, now_ms)
+            known[ended.number] = _handle_run_end(world, row, ended, now_ms)
     for refused in call.refused:
-        _see_refusal(world, row, refused, now_ms)
+        _handle_refused_run(world, row, refused, now_ms)
 
 
-def _present(
+def _find_current_run(
     world: BatchWorld, incarnation: MinionIncarnation, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
-    """Return the task whose present run is this one, or None."""
+    """Return the task whose current run this is, or None."""
     found = find_task(world, name)
     if found is None:
         return None
     task = found[1]
-    is_present = task.phase is TaskPhase.PLACED and task.run == run
-    return found if is_present and task.incarnation == incarnation else None
+    is_current = task.phase is TaskPhase.PLACED and task.run == run
+    return found if is_current and task.incarnation == incarnation else None
 
 
-def _see_running(
+def _handle_running_run(
     world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _present(world, row.incarnation, running.task, running.run)
-    if found is None and _is_through(world, running):
+    found = _find_current_run(world, row.incarnation, running.task, running.run)
+    if found is None and _has_ended_elsewhere(world, running):
         return
     if found is None:
-        _stop_stray(world, row, running)
+        _stop_orphan_run(world, row, running)
         return
     plan, task = found
     if task.running_since_ms is None:
@@ -224,8 +232,8 @@
         plan.has_new_checkpoint = True
 
 
-def _is_through(world: BatchWorld, running: RunningRun) -> bool:
-    """Return whether the end of a gang's run has reached us by another member."""
+def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
+    """Return whether another member has already reported the end of the gang's run."""
     found = find_task(world, running.task)
     if found is None:
         return False
@@ -233,34 +241,41 @@
     return task.phase is TaskPhase.DONE and task.run == running.run
 
 
-def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
-    """Stop a run that is no task's present run."""
+def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
+    """Record a run that is not the current run of any task, to be stopped."""
     orphans = world.schedule.orphans.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
     if key not in orphans:
         orphans[key] = OrphanRun(running)
-        world.note("run", "A stray run is stopped.", task=key[0], run=key[1])
+        world.note("run", "An orphan run is stopped.", task=key[0], run=key[1])
 
 
-def _see_end(
+def _handle_run_end(
     world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
-    """Apply an end, and return the job and version that must be in the log."""
-    found = _present(world, row.incarnation, ended.task, ended.run)
+    """Apply the end of a run.
+
+    Returns
+    -------
+    tuple of str and int
+        Job and version of its plan that must be in the log before the sidecar may
+        forget the end.
+    """
+    found = _find_current_run(world, row.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
-        found = _done_after_all(world, ended)
+        found = _find_abandoned_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _learn(world, row, plan, task, ended, now_ms)
-    _note_end(world, plan, task, ended.how)
-    apply_end(world, plan, task, ended.how, ended.checkpoint)
+    _update_reliability(world, row, plan, task, ended, now_ms)
+    _record_run_end(world, plan, task, ended.how)
+    apply_run_end(world, plan, task, ended.how, ended.checkpoint)
     return plan.job.id, plan.version
 
 
-def _done_after_all(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
-    """Return the task of a run that was given up but is done, if it waits again."""
+def _find_abandoned_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
+    """Return the waiting task of a run that counted as lost but is done, or None."""
     found = find_task(world, ended.task)
     if found is None:
         return None
@@ -269,7 +284,7 @@
     return found if is_newest and plan.phase is PlanState.OPEN else None
 
 
-def _learn(
+def _update_reliability(
     world: BatchWorld,
     row: MinionRow,
     plan: Plan,
@@ -277,13 +292,13 @@
     ended: EndedRun,
     now_ms: int,
 ) -> None:
-    """Learn from an end whether the minion does its work."""
+    """Update a minion's speed and reliability from the end of a run."""
     if ended.how is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
-            # a member of a gang may have waited for the others
-            task.percent = WHOLE
+            # a gang member may have waited for the others
+            task.percent = FULL_PERCENT
             task.percent_changed_ms = now_ms
-        learn_speed(world, row, plan, task)
+        update_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
         row.has_completed_run = True
@@ -293,15 +308,15 @@
         row.failed_ms = now_ms
 
 
-def _see_refusal(
+def _handle_refused_run(
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
-    """Take a run back that surely never began; its minion rests for a moment."""
-    found = _present(world, row.incarnation, refused.task, refused.run)
+    """Withdraw a run that never began, and pause placement at its minion."""
+    found = _find_current_run(world, row.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.backoff_until_ms = now_ms + REST_MS
-    _note_end(world, plan, task, RunEnd.REFUSED, refused.reason)
-    apply_end(world, plan, task, RunEnd.REFUSED, "")
+        row.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
+    _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
+    apply_run_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -172,7 +172,7 @@
         Ended jobs whose records are to be removed from the log.
     pending_runs : dict of TaskName to tuple of Plan and Task
         Runs whose start is not confirmed yet, or that are to be stopped.
-    lapse_times_ms : dict of MinionIncarnation to int
+    expiry_times_ms : dict of MinionIncarnation to int
         Time from which the lease of a minion incarnation's runs has certainly expired.
     incarnation_sidecars : dict of MinionIncarnation to str
         Sidecar beside the minion of an incarnation.
@@ -221,7 +221,7 @@
         default_factory=lambda: Table("sidecar", ("incarnation",))
     )
     pending_runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
-    lapse_times_ms: dict[MinionIncarnation, int] = field(default_factory=dict)
+    expiry_times_ms: dict[MinionIncarnation, int] = field(default_factory=dict)
     incarnation_sidecars: dict[MinionIncarnation, str] = field(default_factory=dict)
     pending_syncs: dict[str, PendingSync] = field(default_factory=dict)
     reported_ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -1,4 +1,4 @@
-"""Records keep all that a new holder of the lease needs."""
+"""Tests of the encoding of records, from which a new holder restores its state."""
 
 import pytest
 
@@ -29,9 +29,9 @@
     StepSpec(3, 1_000, 10, 2, 500, gang=True, one_rack=True),
     StepSpec(1, needs=(0,), label="a", rack="r1-1", most_per_minion=2, saves=True),
 )
-TERMS = JobPolicy("svc", 0, 4, 1.5)
+POLICY = JobPolicy("svc", 0, 4, 1.5)
 RECORDS = (
-    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, TERMS)),
+    JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, POLICY)),
     SpeedsRecord({"side-1": Speed(0.55, 3.0)}),
     CancelRecord("0123456789abcdef"),
     ProgressRecord(
@@ -54,13 +54,13 @@
 
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
-def test_a_record_survives_its_text(record: object) -> None:
+def test_record_round_trip(record: object) -> None:
     key, value = encode_record(record)
     assert decode_record(key, value, "log").ok == record
 
 
 @pytest.mark.parametrize("value", [b"[]", b"{", b'{"state":"odd"}', b"\xff"])
-def test_an_unreadable_value_is_a_failure(value: bytes) -> None:
+def test_unreadable_value_is_an_error(value: bytes) -> None:
     result = decode_record("progress/0123456789abcdef", value, "log 7")
     assert result.is_error()
     assert result.error.peer == "log 7"
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_holder_election.py
@@ -1,4 +1,4 @@
-"""The scheduling lease moves when its holder is gone, and only then."""
+"""Tests that the scheduling lease moves if and only if its holder is lost."""
 
 from dataclasses import replace
 
@@ -9,15 +9,15 @@
 SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
 
 
-def ready(seed: int = 1) -> Deployment:
+def make_ready_deployment(seed: int = 1) -> Deployment:
     deployment = Deployment(seed)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
     deployment.run_for(2_000)
     return deployment
 
 
-def test_a_dead_holder_is_followed_by_another_entry() -> None:
-    deployment = ready()
+def test_another_entry_replaces_a_dead_holder() -> None:
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
@@ -27,8 +27,8 @@
     )
 
 
-def test_work_goes_on_after_all_entries_were_killed() -> None:
-    deployment = ready()
+def test_jobs_complete_after_all_entries_were_killed() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [8_000])
     deployment.run_for(1_000)
     names = [name for name in deployment.processes if name.startswith("entry")]
@@ -44,8 +44,8 @@
     assert not deployment.checks.broken
 
 
-def test_a_restarted_holder_claims_at_once() -> None:
-    deployment = ready()
+def test_restarted_holder_claims_at_once() -> None:
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.kill(old.name)
     deployment.run_for(300)
@@ -53,8 +53,8 @@
     assert deployment.run_until(lambda: deployment.holder() is not None, 1_000)
 
 
-def test_a_holder_that_leaves_gives_the_lease_back() -> None:
-    deployment = ready()
+def test_stopping_holder_releases_the_lease() -> None:
+    deployment = make_ready_deployment()
     old = deployment.holder()
     deployment.stop(old.name)
     deployment.run_for(1_000)
@@ -62,8 +62,8 @@
     assert deployment.holder().name != old.name
 
 
-def test_a_job_cancelled_while_nobody_schedules_does_not_run_again() -> None:
-    deployment = ready()
+def test_job_cancelled_without_a_holder_does_not_run_again() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
     deployment.kill(deployment.holder().name)
@@ -75,8 +75,8 @@
     assert not deployment.checks.broken
 
 
-def test_work_of_minions_that_lost_power_goes_on_without_their_lease() -> None:
-    deployment = ready()
+def test_tasks_of_restarted_minions_do_not_wait_for_lease_expiry() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [1_500])
     deployment.run_for(1_000)
     for process in deployment.processes.values():
@@ -93,8 +93,8 @@
     assert not deployment.checks.broken
 
 
-def test_checkpoints_outlive_the_loss_of_everything() -> None:
-    deployment = ready()
+def test_checkpoints_survive_a_restart_of_everything() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [20_000])
     deployment.run_for(12_000)
     for process in deployment.processes.values():
@@ -112,8 +112,8 @@
     assert all(run.done_ms > 4_000 for run in runs)
 
 
-def test_a_job_keeps_its_terms_when_its_queue_is_gone() -> None:
-    deployment = ready()
+def test_job_keeps_its_policy_when_its_queue_is_removed() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [4_000], 1)
     deployment.run_for(500)
     failing = next(minion for minion in deployment.minions.values() if minion.runs)
@@ -129,21 +129,21 @@
     )
 
 
-def test_a_new_term_stops_what_a_cancelled_job_still_runs() -> None:
-    deployment = ready()
+def test_new_term_stops_runs_of_a_cancelled_job() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [60_000])
     deployment.run_for(500)
-    cut = [
+    cut_off = [
         process
         for process in deployment.processes.values()
         if process.minion is not None and process.minion.runs
     ]
-    for process in cut:
+    for process in cut_off:
         process.is_cut = True
     deployment.cancel(job_id)
     deployment.run_for(500)
     deployment.kill(deployment.holder().name)
-    for process in cut:
+    for process in cut_off:
         process.is_cut = False
     deployment.run_for(5_000)
     assert deployment.state(job_id) is JobState.CANCELLED
@@ -151,8 +151,8 @@
     assert not deployment.checks.broken
 
 
-def test_a_renewal_after_another_claim_gives_no_authority() -> None:
-    deployment = ready()
+def test_renewal_after_another_claim_gives_no_authority() -> None:
+    deployment = make_ready_deployment()
     old = deployment.holder()
     old.is_turned_away = True
     old.is_deaf = True
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -1,4 +1,4 @@
-"""Runs that would not end where they are go on elsewhere."""
+"""Tests of the run monitor: runs that should move, and runs that should not."""
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from standins.batch import Deployment
@@ -6,15 +6,15 @@
 STEP = StepSpec(2, cpu_millis=5_000, accelerators=1, estimate_ms=4_000, saves=True)
 
 
-def ready(**sizes: int) -> Deployment:
+def make_ready_deployment(**sizes: int) -> Deployment:
     deployment = Deployment(5, **sizes)
     assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
     deployment.run_for(2_000)
     return deployment
 
 
-def test_a_run_that_stands_still_goes_on_elsewhere() -> None:
-    deployment = ready()
+def test_stalled_run_is_moved() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [4_000])
     deployment.run_for(1_500)
     for minion in deployment.minions.values():
@@ -25,8 +25,8 @@
     assert not deployment.checks.broken
 
 
-def test_work_that_saves_leaves_a_minion_that_drains() -> None:
-    deployment = ready()
+def test_checkpointing_run_leaves_a_draining_minion() -> None:
+    deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [20_000])
     deployment.run_for(2_500)
     leaving = [minion for minion in deployment.minions.values() if minion.runs]
@@ -38,8 +38,8 @@
     assert not deployment.checks.broken
 
 
-def test_urgent_work_goes_to_minions_that_proved_fast() -> None:
-    deployment = ready(minions=4)
+def test_learned_speeds_separate_fast_from_slow_minions() -> None:
+    deployment = make_ready_deployment(minions=4)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
     for _ in range(2):
@@ -57,8 +57,8 @@
     assert all(rows[one.id] > rows[two.id] for one in seen for two in slow)
 
 
-def test_a_member_that_is_through_waits_for_its_gang() -> None:
-    deployment = ready(minions=3)
+def test_gang_member_that_waits_for_others_is_not_stalled() -> None:
+    deployment = make_ready_deployment(minions=3)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
     gang = StepSpec(
@@ -71,8 +71,8 @@
     assert deployment.checks.starts == 3
 
 
-def test_an_urgent_run_on_a_slow_minion_begins_anew_elsewhere() -> None:
-    deployment = ready()
+def test_urgent_run_on_a_slow_minion_restarts_elsewhere() -> None:
+    deployment = make_ready_deployment()
     step = StepSpec(1, cpu_millis=5_000, accelerators=1, estimate_ms=4_000)
     job_id, _ = deployment.submit((step,), [4_000], 0)
     deployment.run_for(300)
@@ -85,8 +85,8 @@
     assert not deployment.checks.broken
 
 
-def test_a_failed_run_waits_for_another_minion_rather_than_use_up_its_tries() -> None:
-    deployment = ready(minions=2)
+def test_failed_task_waits_for_another_minion() -> None:
+    deployment = make_ready_deployment(minions=2)
     whole = StepSpec(1, cpu_millis=64_000, accelerators=8)
     deployment.submit((whole,), [2_000], 2)
     deployment.run_for(200)
@@ -99,8 +99,8 @@
     assert deployment.checks.ends[RunEnd.FAILED] == 1
 
 
-def test_urgent_work_waits_for_a_run_that_is_all_but_done() -> None:
-    deployment = ready(minions=1)
+def test_urgent_work_waits_for_a_run_that_ends_soon() -> None:
+    deployment = make_ready_deployment(minions=1)
     half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
     nearly, _ = deployment.submit((half,), [3_000], 1)
     deployment.run_for(2_600)
