--- /dev/null
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -0,0 +1,334 @@
+"""Keeping accelerators free for a job that can't start yet."""
+
+from collections import Counter
+from heapq import nsmallest
+
+from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.jobs.cells import accelerator_numbers, blocks_in, class_of
+from kingcuppost.systems.jobs.occupancy import (
+    accelerator_mask,
+    cell_mask,
+    drop_allocation,
+    put_allocation,
+)
+from kingcuppost.systems.jobs.reclaim import may_preempt, victims_for_cores
+from kingcuppost.systems.jobs.run_times import expected_end_ms, expected_run_ms
+from kingcuppost.tables.capacity import (
+    AdvanceReservation,
+    Allocation,
+    Capacity,
+    WorkerAllocation,
+    WorkerCapacity,
+)
+from kingcuppost.tables.job import (
+    Gang,
+    GangState,
+    Job,
+    JobState,
+    Placement,
+    Urgency,
+)
+from kingcuppost.tables.world import World
+
+__all__ = [
+    "preempt_at_ms",
+    "drop_reservation",
+    "drop_stale_reservations",
+    "can_start",
+    "plan_reservation",
+    "find_preemption_victims",
+    "put_reservation",
+    "is_still_feasible",
+    "waits_for_earlier_gang",
+    "schedule_preemption_pass",
+]
+
+NO_ALLOCATION = WorkerAllocation()
+MAX_COMPACT_RATIO = 0.5
+
+
+def _allocation_key(job: str) -> str:
+    return f"reservation:{job}"
+
+
+def put_reservation(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> None:
+    """Keep a place for a job; within a guarantee this binds the cells.
+
+    Then it takes cores and memory too: else a borrower that is stopped for them
+    would be placed there again at once.
+    """
+    by_worker: dict[str, WorkerAllocation] = {}
+    for placement in reservation.placements:
+        old = by_worker.get(placement.worker, NO_ALLOCATION)
+        cell = cell_mask(placement)
+        cells = (*old.cells, cell) if cell else old.cells
+        reserved = old.reserved | accelerator_mask(placement)
+        cores = old.cores + job.cores if reservation.guaranteed else 0
+        memory_mb = old.memory_mb + job.memory_mb if reservation.guaranteed else 0
+        by_worker[placement.worker] = WorkerAllocation(
+            0, reserved, cells, cores, memory_mb
+        )
+    world.capacity.advance_reservations.put(reservation)
+    put_allocation(
+        world.capacity, Allocation(_allocation_key(job.name), job.team, 0, by_worker)
+    )
+    schedule_preemption_pass(world, reservation, now_ms)
+
+
+def schedule_preemption_pass(
+    world: World, reservation: AdvanceReservation, now_ms: int
+) -> None:
+    """Ask for a pass over the queue when a keep may stop gangs."""
+    if reservation.guaranteed:
+        return
+    for at_ms in (compact_at_ms(world, reservation), preempt_at_ms(world, reservation)):
+        if at_ms > now_ms:
+            world.deadlines.add(at_ms)
+            _schedule_pass(world.capacity, at_ms)
+
+
+def _schedule_pass(capacity: Capacity, at_ms: int) -> None:
+    if not capacity.next_pass_ms or at_ms < capacity.next_pass_ms:
+        capacity.next_pass_ms = at_ms
+
+
+def preempt_at_ms(world: World, reservation: AdvanceReservation) -> int:
+    """Return when borrowers at the kept place are stopped, monotonic ms."""
+    job = world.agreed.jobs.get(reservation.job)
+    path = team_path(job.team, job.urgency)
+    return reservation.since_ms + effective_value(
+        world.agreed, "job.keep_bound_ms", path
+    )
+
+
+def drop_reservation(capacity: Capacity, job: str) -> None:
+    """Give a kept place up."""
+    if capacity.advance_reservations.delete(job) is not None:
+        drop_allocation(capacity, _allocation_key(job))
+
+
+def drop_stale_reservations(world: World) -> None:
+    """Give up what is kept for jobs that wait no more."""
+    for reservation in world.capacity.advance_reservations:
+        job = world.agreed.jobs.get(reservation.job)
+        if job is None or job.state is not JobState.WAITING:
+            drop_reservation(world.capacity, reservation.job)
+
+
+def can_start(world: World, reservation: AdvanceReservation, job: Job) -> bool:
+    """Return whether the job can start now at the place kept for it."""
+    members = Counter(placement.worker for placement in reservation.placements)
+    for placement in reservation.placements:
+        row = world.capacity.workers.get(placement.worker)
+        if not row.usable or row.busy & accelerator_mask(placement):
+            return False
+    for name, members_there in members.items():
+        row = world.capacity.workers.get(name)
+        count = 0 if reservation.guaranteed else members_there
+        if row.free_cores < count * job.cores:
+            return False
+        if row.free_memory_mb < count * job.memory_mb:
+            return False
+    return True
+
+
+def is_still_feasible(world: World, reservation: AdvanceReservation) -> bool:
+    """Return whether it makes sense to wait for the kept place.
+
+    It does not if a worker is out of use, or if guaranteed work has taken part of
+    the place since; a place within a guarantee only waits for borrowers.
+    """
+    for placement in reservation.placements:
+        row = world.capacity.workers.get(placement.worker)
+        if not row.usable:
+            return False
+        if (
+            not reservation.guaranteed
+            and row.pinned & accelerator_mask(placement) & ~row.busy
+        ):
+            return False
+    for gang in _blocking_gangs(world, reservation):
+        if may_preempt(world, gang, True):
+            continue
+        if reservation.guaranteed or gang.key not in reservation.earlier_gangs:
+            return False
+    return True
+
+
+def find_preemption_victims(
+    world: World, reservation: AdvanceReservation, job: Job, now_ms: int
+) -> frozenset[str]:
+    """Return the borrowers to stop so that the job starts within its bound.
+
+    Within a guarantee, and after the bound of a kept place, these are all
+    borrowers there that were submitted later. Before, they are those once nothing
+    that was there before the keep stands in the way.
+    """
+    past_bound = reservation.guaranteed or now_ms >= preempt_at_ms(world, reservation)
+    if not past_bound and waits_for_earlier_gang(world, reservation):
+        return _gangs_to_compact(world, reservation, job, now_ms)
+    found = {
+        gang.key
+        for gang in _blocking_gangs(world, reservation)
+        if _yields(world, gang, reservation)
+    }
+    if past_bound:
+        found |= _add_core_victims(world, reservation, job, frozenset(found))
+    return frozenset(found)
+
+
+def _yields(world: World, gang: Gang, reservation: AdvanceReservation) -> bool:
+    """Return whether a gang gives way; overnight work only to work that is older.
+
+    The order of submission never changes, so that no two jobs stop each other in
+    turn.
+    """
+    if not may_preempt(world, gang, reservation.guaranteed):
+        return False
+    own = world.agreed.jobs.get(reservation.job)
+    other = world.agreed.jobs.get(gang.job)
+    older = own.submitted_offset < other.submitted_offset
+    return reservation.guaranteed or own.urgency is Urgency.INTERACTIVE or older
+
+
+def _gangs_to_compact(
+    world: World, reservation: AdvanceReservation, job: Job, now_ms: int
+) -> frozenset[str]:
+    """Return all gangs in the way if they are few enough to be moved."""
+    if now_ms < compact_at_ms(world, reservation):
+        return frozenset()
+    blockers = _blocking_gangs(world, reservation)
+    if not all(may_preempt(world, gang, False) for gang in blockers):
+        return frozenset()
+    held = sum(world.capacity.allocations[gang.key].accelerators for gang in blockers)
+    if held > MAX_COMPACT_RATIO * job.members * job.accelerators:
+        return frozenset()
+    return frozenset(gang.key for gang in blockers)
+
+
+def compact_at_ms(world: World, reservation: AdvanceReservation) -> int:
+    """Return when small gangs are moved from the kept place, monotonic ms."""
+    job = world.agreed.jobs.get(reservation.job)
+    path = team_path(job.team, job.urgency)
+    return reservation.since_ms + effective_value(
+        world.agreed, "job.compact_after_ms", path
+    )
+
+
+def _blocking_gangs(world: World, reservation: AdvanceReservation) -> list[Gang]:
+    """Return the gangs that hold accelerators of a kept place."""
+    keys = sorted(_gang_keys_on(world.capacity, reservation.placements))
+    gangs = [world.agreed.gangs.get(key) for key in keys]
+    return [gang for gang in gangs if gang is not None]
+
+
+def waits_for_earlier_gang(world: World, reservation: AdvanceReservation) -> bool:
+    """Return whether a gang that was there before the keep still runs there."""
+    return bool(
+        reservation.earlier_gangs
+        & _gang_keys_on(world.capacity, reservation.placements)
+    )
+
+
+def _gang_keys_on(
+    capacity: Capacity, placements: tuple[Placement, ...]
+) -> frozenset[str]:
+    """Return the keys of all holds whose tasks use part of a place."""
+    return frozenset(
+        key
+        for placement in placements
+        for key, part in capacity.workers.get(placement.worker).allocations.items()
+        if part.busy & accelerator_mask(placement)
+    )
+
+
+def _add_core_victims(
+    world: World, reservation: AdvanceReservation, job: Job, victims: frozenset[str]
+) -> frozenset[str]:
+    members = Counter(placement.worker for placement in reservation.placements)
+    for name, members_there in members.items():
+        row = world.capacity.workers.get(name)
+        count = 0 if reservation.guaranteed else members_there
+        more = victims_for_cores(
+            world, row, count, job, reservation.guaranteed, victims
+        )
+        victims = more if more is not None else victims
+    return victims
+
+
+def plan_reservation(
+    world: World, job: Job, since_ms: int, now_ms: int
+) -> AdvanceReservation | None:
+    """Keep the places that should be free first for the first job in the queue.
+
+    Parameters
+    ----------
+    world : World
+        Tables of the process.
+    job : Job
+        The job; it needs accelerators.
+    since_ms : int
+        Since when a place has been kept for it.
+    now_ms : int
+        Monotonic time.
+
+    Returns
+    -------
+    Keep or None
+        None if there are too few places at all.
+    """
+    cell_class = class_of(job.accelerators)
+    dated = []
+    for row in world.capacity.workers:
+        if row.name in job.failed_workers:
+            continue
+        if row.usable and row.accelerators >= job.accelerators:
+            dated.extend(_blocks_with_free_time(world, row, cell_class))
+    chosen = nsmallest(job.members, dated)
+    if len(chosen) < job.members:
+        return None
+    placements = tuple(
+        Placement(name, accelerator_numbers(block, job.accelerators))
+        for _, _, name, block in chosen
+    )
+    expected_free_ms = now_ms + max(date for _, date, _, _ in chosen)
+    earlier_gangs = _gang_keys_on(world.capacity, placements)
+    return AdvanceReservation(
+        job.name, placements, False, since_ms, expected_free_ms, earlier_gangs
+    )
+
+
+def _blocks_with_free_time(
+    world: World, row: WorkerCapacity, cell_class: int
+) -> list[tuple[bool, int, str, int]]:
+    """Return whether each block is within a guarantee, and when it is free."""
+    found = []
+    ends = _expected_ends(world, row)
+    for block in blocks_in(row.whole & ~row.reserved, cell_class):
+        waits = [end for busy, end in ends if busy & block]
+        pinned = bool(block & row.pinned)
+        found.append((pinned, max(waits, default=0), row.name, block))
+    return found
+
+
+def _expected_ends(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
+    """Return masks with the time until they should be free, in ms."""
+    wall_ms = world.clock.wall_ms()
+    ends = []
+    for key, part in row.allocations.items():
+        if part.busy:
+            ends.append((part.busy, _remaining_ms(world, key, wall_ms)))
+    return ends
+
+
+def _remaining_ms(world: World, key: str, wall_ms: int) -> int:
+    """Return the time until a gang should end, one that is being placed included."""
+    gang = world.agreed.gangs.get(key)
+    job = world.agreed.jobs.get(key.rpartition("/")[0])
+    if gang is None:
+        return expected_run_ms(world.capacity, job)
+    if gang.state is GangState.STOPPING:
+        return 0
+    return expected_end_ms(world.capacity, job, gang, wall_ms) - wall_ms
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -1,21 +1,21 @@
 """Baselines to compare with: first fit, and backfilling without guarantees."""
 
-from kingcuppost.systems.jobs.cells import slots_in
+from kingcuppost.systems.jobs.advance_reservations import can_start, drop_reservation
+from kingcuppost.systems.jobs.cells import count_cells
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
-from kingcuppost.systems.jobs.keeps import drop_keep, is_ready
 from kingcuppost.tables.capacity import WorkerCapacity
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative, Urgency
 from kingcuppost.tables.world import World
 
-__all__ = ["choose_first_fit", "take_adjacent"]
+__all__ = ["choose_first_fit", "find_adjacent"]
 
 
-def take_adjacent(free: int, count: int) -> tuple[int, ...] | None:
+def find_adjacent(free: int, count: int) -> tuple[int, ...] | None:
     """Return the first run of adjacent free accelerators, or None.
 
     Examples
     --------
-    >>> take_adjacent(0b1101, 2)
+    >>> find_adjacent(0b1101, 2)
     (2, 3)
     """
     run = (1 << count) - 1
@@ -30,12 +30,12 @@
     return _first_fit(world, job, {})
 
 
-def _first_fit(world: World, job: Job, opened: dict[str, int]) -> Choice:
-    """Place by first fit; `opened` masks of kept accelerators may be used too."""
+def _first_fit(world: World, job: Job, lendable: dict[str, int]) -> Choice:
+    """Place by first fit; `lendable` masks of kept accelerators may be used too."""
     placements: list[Placement] = []
     refused = []
     wanted = job.members * job.accelerators
-    if not opened and slots_in(world.capacity.free_blocks, 0) < wanted:
+    if not lendable and count_cells(world.capacity.free_blocks, 0) < wanted:
         reason = f"fewer than {wanted} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
     rows = [
@@ -46,7 +46,7 @@
     rows.sort(key=lambda row: (row.availability_zone, row.rack, row.name))
     for row in rows:
         wanted = job.members - len(placements)
-        found = _members_on(row, job, wanted, opened.get(row.name, 0))
+        found = _place_members(row, job, wanted, lendable.get(row.name, 0))
         placements.extend(found)
         if len(found) < wanted:
             refused.append(RefusedAlternative(row.name, "no room for a member"))
@@ -55,15 +55,15 @@
     return Choice(None, refused=tuple(refused))
 
 
-def _members_on(
-    row: WorkerCapacity, job: Job, wanted: int, opened: int
+def _place_members(
+    row: WorkerCapacity, job: Job, wanted: int, lendable: int
 ) -> list[Placement]:
-    free = row.whole & ~(row.busy | (row.kept & ~opened))
+    free = row.whole & ~(row.busy | (row.reserved & ~lendable))
     cores = row.free_cores
     memory_mb = row.free_memory_mb
     found = []
     while len(found) < wanted and cores >= job.cores and memory_mb >= job.memory_mb:
-        run = take_adjacent(free, job.accelerators)
+        run = find_adjacent(free, job.accelerators)
         if run is None:
             break
         found.append(Placement(row.name, run))
@@ -75,21 +75,21 @@
 
 def _choose_backfill(world: World, job: Job, now_ms: int) -> Choice:
     """Place by first fit; use kept places for what should end before their date."""
-    keep = world.capacity.keeps.get(job.name)
-    if keep is not None and is_ready(world, keep, job):
-        return Choice(keep.placements)
-    drop_keep(world.capacity, job.name)
-    return _first_fit(world, job, _opened(world, job, now_ms))
-
-
-def _opened(world: World, job: Job, now_ms: int) -> dict[str, int]:
-    opened: dict[str, int] = {}
-    for keep in world.capacity.keeps:
-        if job.declared_ms <= keep.date_ms - now_ms:
-            for placement in keep.placements:
+    reservation = world.capacity.advance_reservations.get(job.name)
+    if reservation is not None and can_start(world, reservation, job):
+        return Choice(reservation.placements)
+    drop_reservation(world.capacity, job.name)
+    return _first_fit(world, job, _lendable_masks(world, job, now_ms))
+
+
+def _lendable_masks(world: World, job: Job, now_ms: int) -> dict[str, int]:
+    lendable: dict[str, int] = {}
+    for reservation in world.capacity.advance_reservations:
+        if job.declared_ms <= reservation.expected_free_ms - now_ms:
+            for placement in reservation.placements:
                 row = world.capacity.workers.get(placement.worker)
-                opened[row.name] = row.whole
-    return opened
+                lendable[row.name] = row.whole
+    return lendable
 
 
 def _rank_by_age(world: World, job: Job) -> tuple[int, int, int]:
@@ -101,6 +101,6 @@
 
 
 policies.register("first_fit")(
-    Policy(_rank_by_age, choose_first_fit, strict=True, keeps=False)
+    Policy(_rank_by_age, choose_first_fit, strict=True, reserves=False)
 )
 policies.register("backfill")(Policy(_rank_by_urgency, _choose_backfill))
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -15,13 +15,13 @@
     "class_of",
     "count_blocks",
     "left_over",
-    "numbers_of",
-    "slots_in",
-    "split_off",
-    "tidy_blocks",
+    "accelerator_numbers",
+    "count_cells",
+    "split_block",
+    "best_fit_blocks",
 ]
 
-MASKS_CACHED = 65_536
+MASK_CACHE_SIZE = 65_536
 
 
 def class_of(accelerators: int) -> int:
@@ -35,7 +35,7 @@
     return (accelerators - 1).bit_length()
 
 
-@lru_cache(MASKS_CACHED)
+@lru_cache(MASK_CACHE_SIZE)
 def blocks_in(mask: int, cell_class: int) -> tuple[int, ...]:
     """Return the masks of all whole aligned blocks of a class.
 
@@ -53,7 +53,7 @@
     return tuple(found)
 
 
-@lru_cache(MASKS_CACHED)
+@lru_cache(MASK_CACHE_SIZE)
 def count_blocks(mask: int) -> tuple[int, ...]:
     """Return the number of largest aligned blocks by class.
 
@@ -72,13 +72,13 @@
     return tuple(counts)
 
 
-@lru_cache(MASKS_CACHED)
-def tidy_blocks(mask: int, cell_class: int) -> tuple[int, ...]:
+@lru_cache(MASK_CACHE_SIZE)
+def best_fit_blocks(mask: int, cell_class: int) -> tuple[int, ...]:
     """Return the blocks of a class, those that spoil the least first.
 
     Examples
     --------
-    >>> [bin(block) for block in tidy_blocks(0b11110010, 0)][0]
+    >>> [bin(block) for block in best_fit_blocks(0b11110010, 0)][0]
     '0b10'
     """
     found = []
@@ -101,24 +101,24 @@
     return found
 
 
-def numbers_of(mask: int, count: int) -> tuple[int, ...]:
+def accelerator_numbers(mask: int, count: int) -> tuple[int, ...]:
     """Return the first `count` numbers of a mask of adjacent accelerators.
 
     Examples
     --------
-    >>> numbers_of(0b111100, 3)
+    >>> accelerator_numbers(0b111100, 3)
     (2, 3, 4)
     """
     start = (mask & -mask).bit_length() - 1
     return tuple(range(start, start + count))
 
 
-def slots_in(counts: Sequence[int], cell_class: int) -> int:
+def count_cells(counts: Sequence[int], cell_class: int) -> int:
     """Return how many cells of a class the counted blocks hold.
 
     Examples
     --------
-    >>> slots_in((1, 0, 2, 0, 0, 0, 0), 1)
+    >>> count_cells((1, 0, 2, 0, 0, 0, 0), 1)
     4
     """
     return sum(
@@ -150,13 +150,13 @@
     return missing
 
 
-def split_off(counts: list[int], block_class: int, cell_class: int) -> None:
+def split_block(counts: list[int], block_class: int, cell_class: int) -> None:
     """Take a cell out of a block of the same or a larger class, in place.
 
     Examples
     --------
     >>> counts = [0, 0, 0, 1, 0, 0, 0]
-    >>> split_off(counts, 3, 1)
+    >>> split_block(counts, 3, 1)
     >>> counts[:4]
     [0, 1, 1, 0]
     """
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kingcuppost.systems.jobs.queue import Rank
-from kingcuppost.tables.capacity import Keep
+from kingcuppost.systems.jobs.job_queue import Rank
+from kingcuppost.tables.capacity import AdvanceReservation
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
@@ -24,20 +24,20 @@
         Whether it runs beyond its team's guarantees.
     refused : tuple of RefusedAlternative
         What was considered and not taken.
-    stops : frozenset of str
+    victims : frozenset of str
         Keys of gangs that are stopped for the job.
-    keep : Keep or None
+    reservation : Keep or None
         Place that is kept for it meanwhile.
-    lacks_place : bool
+    lacks_capacity : bool
         Whether it waits for a place, not for something else.
     """
 
     placements: tuple[Placement, ...] | None
     borrowed: bool = False
     refused: tuple[RefusedAlternative, ...] = ()
-    stops: frozenset[str] = frozenset()
-    keep: Keep | None = None
-    lacks_place: bool = True
+    victims: frozenset[str] = frozenset()
+    reservation: AdvanceReservation | None = None
+    lacks_capacity: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,14 +52,14 @@
         Decision for one job.
     strict : bool
         Whether nothing overtakes a job that must wait.
-    keeps : bool
+    reserves : bool
         Whether a place is kept for the first job that must wait.
     """
 
     rank: Rank
     choose: Callable[[World, Job, int], Choice]
     strict: bool = False
-    keeps: bool = True
+    reserves: bool = True
 
 
 policies: Registry[str, Policy] = Registry("placement policy")
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -12,30 +12,30 @@
 from kingcuppost.tables.job import Job, JobState, gang_key
 from kingcuppost.tables.world import World
 
-__all__ = ["avoid_worker", "follow_faults", "trust_worker"]
+__all__ = ["pause_worker", "track_faults", "reset_refusals"]
 
 STEP = "worker.aside"
-STEP_AVOID = "worker.avoid"
-MOST_DOUBLINGS = 6
+STEP_PAUSE = "worker.avoid"
+MAX_DOUBLINGS = 6
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
-def follow_faults(world: World, now_ms: int) -> None:
+def track_faults(world: World, now_ms: int) -> None:
     """Count distinct failed jobs by worker; set workers aside, and probe them."""
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
         if job is None:
-            world.capacity.failures_seen.pop(name, None)
+            world.capacity.counted_failures.pop(name, None)
         else:
-            _follow_job(world, job, now_ms)
+            _track_job(world, job, now_ms)
     for row in world.capacity.faults:
-        if row.aside:
+        if row.quarantined:
             _probe_when_due(world, row, now_ms)
-        if row.avoided:
-            _return_when_due(world, row, now_ms)
+        if row.paused:
+            _resume_when_due(world, row, now_ms)
 
 
-def avoid_worker(world: World, worker: str, now_ms: int) -> None:
+def pause_worker(world: World, worker: str, now_ms: int) -> None:
     """Give no work to a worker for a while that reserved nothing for a gang.
 
     A lost worker is empty, and would otherwise draw one gang after the other.
@@ -51,61 +51,61 @@
     """
     row = world.capacity.faults.get(worker) or WorkerFaults(worker)
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
-    row.return_ms = now_ms + (pause_ms << min(row.refusals, MOST_DOUBLINGS))
+    row.resume_ms = now_ms + (pause_ms << min(row.refusals, MAX_DOUBLINGS))
     row.refusals += 1
-    row.avoided = True
+    row.paused = True
     world.capacity.faults.put(row)
-    world.deadlines.add(row.return_ms)
+    world.deadlines.add(row.resume_ms)
     _refresh(world.capacity, worker)
-    text = f"The worker gets no work for {row.return_ms - now_ms} ms."
-    note(world, STEP_AVOID, text, peer=worker)
+    text = f"The worker gets no work for {row.resume_ms - now_ms} ms."
+    note(world, STEP_PAUSE, text, peer=worker)
 
 
-def trust_worker(world: World, worker: str) -> None:
+def reset_refusals(world: World, worker: str) -> None:
     """Forget refusals of a worker that has reserved a member."""
     row = world.capacity.faults.get(worker)
     if row is None or not row.refusals:
         return
     row.refusals = 0
-    if row.avoided:
-        _return(world, row)
+    if row.paused:
+        _resume(world, row)
     if not row.jobs:
         world.capacity.faults.delete(worker)
 
 
-def _return_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
-    if now_ms < row.return_ms:
-        world.deadlines.add(row.return_ms)
+def _resume_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
+    if now_ms < row.resume_ms:
+        world.deadlines.add(row.resume_ms)
         return
-    _return(world, row)
+    _resume(world, row)
 
 
-def _return(world: World, row: WorkerFaults) -> None:
-    row.avoided = False
+def _resume(world: World, row: WorkerFaults) -> None:
+    row.paused = False
     _refresh(world.capacity, row.worker)
-    world.capacity.due = True
-    note(world, STEP_AVOID, "The worker may get work again.", peer=row.worker)
+    world.capacity.pass_due = True
+    note(world, STEP_PAUSE, "The worker may get work again.", peer=row.worker)
 
 
-def _follow_job(world: World, job: Job, now_ms: int) -> None:
-    seen = world.capacity.failures_seen
+def _track_job(world: World, job: Job, now_ms: int) -> None:
+    seen = world.capacity.counted_failures
     for worker in job.failed_workers[seen.get(job.name, 0) :]:
-        _count(world, worker, job.name, now_ms)
+        _count_failure(world, worker, job.name, now_ms)
     if job.failed_workers:
         seen[job.name] = len(job.failed_workers)
     if job.state is JobState.DONE:
         seen.pop(job.name, None)
-        _clear(world, job)
+        _clear_faults(world, job)
 
 
-def _count(world: World, worker: str, job: str, now_ms: int) -> None:
+def _count_failure(world: World, worker: str, job: str, now_ms: int) -> None:
     row = world.capacity.faults.get(worker) or WorkerFaults(worker)
     row.jobs.add(job)
     world.capacity.faults.put(row)
     limit = effective_value(world.agreed, "worker.failed_job_limit")
     if len(row.jobs) < limit:
         return
-    row.aside = True
+    row.quarantined = True
     row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
     world.deadlines.add(row.probe_ms)
     _set_probing(world.capacity, worker, False)
@@ -121,18 +121,18 @@
         world.deadlines.add(row.probe_ms)
         return
     _set_probing(world.capacity, row.worker, True)
-    world.capacity.due = True
+    world.capacity.pass_due = True
     note(world, STEP, "The worker may run one job as a probe.", peer=row.worker)
 
 
-def _clear(world: World, job: Job) -> None:
+def _clear_faults(world: World, job: Job) -> None:
     """Trust the workers again on which a job has finished."""
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
         row = world.capacity.faults.delete(placement.worker)
-        if row is not None and (row.aside or row.avoided):
+        if row is not None and (row.quarantined or row.paused):
             _set_probing(world.capacity, placement.worker, False)
-            world.capacity.due = True
+            world.capacity.pass_due = True
             note(world, STEP, "The worker is in use again.", peer=placement.worker)
 
 
--- a/kingcuppost/systems/jobs/judging.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -10,24 +10,24 @@
 from kingcuppost.tables.record import JobPark, JobRefuse
 from kingcuppost.tables.world import World
 
-__all__ = ["judge_jobs", "judged_jobs"]
+__all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-TRIES_PER_WORKER = 2
+ATTEMPTS_PER_WORKER = 2
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
-def judge_jobs(world: World, now_ms: int) -> None:
+def check_feasibility(world: World, now_ms: int) -> None:
     """Refuse, park or unpark jobs that are new or that meet a changed fleet."""
-    if not is_scheduler(world) or not world.capacity.unjudged:
+    if not is_scheduler(world) or not world.capacity.unchecked_jobs:
         return
-    under_way = judged_jobs(world)
-    for name in list(world.capacity.unjudged):
+    under_way = jobs_with_pending_change(world)
+    for name in list(world.capacity.unchecked_jobs):
         job = world.agreed.jobs.get(name)
-        if name in under_way or _judge(world, job, now_ms):
-            world.capacity.unjudged.pop(name)
+        if name in under_way or _check_job(world, job, now_ms):
+            world.capacity.unchecked_jobs.pop(name)
 
 
-def judged_jobs(world: World) -> set[str]:
+def jobs_with_pending_change(world: World) -> set[str]:
     """Return the jobs whose refusal or parking is on its way to the log."""
     return {
         row.record.body.job
@@ -36,38 +36,38 @@
     }
 
 
-def _judge(world: World, job: Job | None, now_ms: int) -> bool:
+def _check_job(world: World, job: Job | None, now_ms: int) -> bool:
     """Propose what is to become of a job; return whether it is settled."""
     if job is None or job.state not in (JobState.WAITING, JobState.PARKED):
         return True
-    if reason := _fault_of_failures(world, job):
+    if reason := _failure_reason(world, job):
         _refuse(world, job, reason, True, now_ms)
-    elif reason := _fault_of_limit(world, job):
+    elif reason := _limit_reason(world, job):
         _refuse(world, job, reason, False, now_ms)
-    elif not _could_hold(world, job, in_service_only=False):
-        return _refuse_when_settled(world, job, now_ms)
+    elif not _is_feasible(world, job, in_service_only=False):
+        return _refuse_when_stable(world, job, now_ms)
     else:
         _park(world, job, now_ms)
     return True
 
 
-def _fault_of_failures(world: World, job: Job) -> str:
+def _failure_reason(world: World, job: Job) -> str:
     """Return why a job is given up; workers that are set aside do not count."""
     good = []
     for worker in job.failed_workers:
         faults = world.capacity.faults.get(worker)
-        if faults is None or not faults.aside:
+        if faults is None or not faults.quarantined:
             good.append(worker)
     path = team_path(job.team, job.urgency)
     limit = effective_value(world.agreed, "job.failed_worker_limit", path)
     if len(good) >= limit:
         return f"the job failed on {len(good)} workers: {', '.join(good)}"
-    if good and job.failures >= TRIES_PER_WORKER * limit:
+    if good and job.failures >= ATTEMPTS_PER_WORKER * limit:
         return f"the job failed {job.failures} times"
     return ""
 
 
-def _fault_of_limit(world: World, job: Job) -> str:
+def _limit_reason(world: World, job: Job) -> str:
     share = world.capacity.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
@@ -75,10 +75,10 @@
     return f"the job needs {wanted} accelerators, its team may hold {share.limit}"
 
 
-def _could_hold(world: World, job: Job, in_service_only: bool) -> bool:
+def _is_feasible(world: World, job: Job, in_service_only: bool) -> bool:
     """Return whether the workers could hold the gang with nothing else on them."""
     key = (job.members, job.accelerators, job.cores, job.memory_mb, in_service_only)
-    known = world.capacity.holdable
+    known = world.capacity.feasibility_cache
     if key not in known:
         known[key] = _count_slots(world, job, in_service_only) >= job.members
     return known[key]
@@ -100,12 +100,12 @@
     return slots
 
 
-def _refuse_when_settled(world: World, job: Job, now_ms: int) -> bool:
+def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
     """Refuse once no worker has come or gone for a while."""
-    settle_ms = effective_value(world.agreed, "job.fleet_settle_ms")
-    settled_ms = world.capacity.fleet_changed_ms + settle_ms
-    if now_ms < settled_ms or not len(world.capacity.workers):
-        world.deadlines.add(max(settled_ms, now_ms + settle_ms))
+    stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
+    stable_at_ms = world.capacity.fleet_changed_ms + stable_for_ms
+    if now_ms < stable_at_ms or not len(world.capacity.workers):
+        world.deadlines.add(max(stable_at_ms, now_ms + stable_for_ms))
         return False
     reason = (
         f"no workers could ever hold {job.members} members with {job.accelerators} "
@@ -123,7 +123,7 @@
 
 def _park(world: World, job: Job, now_ms: int) -> None:
     """Park a job that only workers out of use could hold; unpark it after."""
-    parked = not _could_hold(world, job, in_service_only=True)
+    parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
         return
     reason = "only workers that are out of service could hold it" if parked else ""
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -31,7 +31,7 @@
 def report_uncovered(world: World, now_ms: int) -> None:
     """Keep a row for every team whose guarantees do not fit, and note changes."""
     capacity = world.capacity
-    if not capacity.due:
+    if not capacity.pass_due:
         return
     if is_covered(capacity) and not len(capacity.uncovered):
         return
@@ -59,12 +59,12 @@
             spare -= given
             missing[share.team][cell_class] = share.unused[cell_class] - given
     return [
-        _row_of(share, missing[share.team])
+        _uncovered_row(share, missing[share.team])
         for share in shares
         if any(missing[share.team])
     ]
 
 
-def _row_of(share: TeamShare, cells: list[int]) -> UncoveredGuarantee:
+def _uncovered_row(share: TeamShare, cells: list[int]) -> UncoveredGuarantee:
     accelerators = sum(count << size for size, count in enumerate(cells))
     return UncoveredGuarantee(share.team, tuple(cells), accelerators)
--- a/kingcuppost/systems/jobs/queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -3,17 +3,17 @@
 from bisect import bisect_left, insort
 from collections.abc import Callable
 
-from kingcuppost.systems.jobs.run_times import learn_run_time
+from kingcuppost.systems.jobs.run_times import record_run_time
 from kingcuppost.tables.capacity import Capacity, QueueEntry
 from kingcuppost.tables.job import Job, JobState, gang_key
 from kingcuppost.tables.world import World
 
-__all__ = ["Rank", "follow_jobs"]
+__all__ = ["Rank", "apply_job_changes"]
 
 Rank = Callable[[World, Job], tuple[int, int, int]]
 
 
-def follow_jobs(world: World, policy: str, rank: Rank) -> None:
+def apply_job_changes(world: World, policy: str, rank: Rank) -> None:
     """Take changed jobs into the queue or out of it, all in one pass.
 
     Parameters
@@ -30,39 +30,39 @@
     if capacity.queue_policy != policy:
         capacity.queue_policy = policy
         capacity.queue.clear()
-        capacity.ranks.clear()
+        capacity.queue_entries.clear()
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
-        _follow_job(world, str(name), rank)
+        _track_job(world, str(name), rank)
     if names:
-        capacity.due = True
+        capacity.pass_due = True
 
 
-def _follow_job(world: World, name: str, rank: Rank) -> None:
+def _track_job(world: World, name: str, rank: Rank) -> None:
     capacity = world.capacity
     job = world.agreed.jobs.get(name)
     _remove(capacity, name)
     if job is None:
         return
     if job.state in (JobState.WAITING, JobState.PARKED):
-        capacity.unjudged[name] = None
+        capacity.unchecked_jobs[name] = None
     if job.state is JobState.WAITING:
         entry = QueueEntry(rank(world, job), name)
-        capacity.ranks[name] = entry
+        capacity.queue_entries[name] = entry
         insort(capacity.queue, entry)
     elif job.state is JobState.DONE:
-        _learn(world, job)
+        _record_run_time(world, job)
 
 
 def _remove(capacity: Capacity, name: str) -> None:
-    entry = capacity.ranks.pop(name, None)
+    entry = capacity.queue_entries.pop(name, None)
     if entry is not None:
         del capacity.queue[bisect_left(capacity.queue, entry)]
 
 
-def _learn(world: World, job: Job) -> None:
+def _record_run_time(world: World, job: Job) -> None:
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     if gang is not None and gang.released_wall_ms:
         run_ms = job.finished_wall_ms - gang.released_wall_ms
-        learn_run_time(world.capacity, job, run_ms)
+        record_run_time(world.capacity, job, run_ms)
--- a/kingcuppost/systems/jobs/reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -7,32 +7,32 @@
 from kingcuppost.tables.task import MemberReport, Reservation, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["BROKEN_STATES", "OVER_STATES", "members_of", "take_reports"]
+__all__ = ["BROKEN_STATES", "FINAL_STATES", "gang_members", "handle_member_reports"]
 
 BROKEN_STATES = frozenset({TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED})
-OVER_STATES = BROKEN_STATES | {TaskState.FINISHED}
-REFRESHES_PER_BOUND = 4
+FINAL_STATES = BROKEN_STATES | {TaskState.FINISHED}
+REFRESHES_PER_TIMEOUT = 4
 
 
-def members_of(world: World, key: str) -> list[Reservation]:
+def gang_members(world: World, key: str) -> list[Reservation]:
     """Return what is known of a gang's members."""
     return world.reservations.find("key", key)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=50)
-def take_reports(world: World, now_ms: int) -> None:
+def handle_member_reports(world: World, now_ms: int) -> None:
     """Remember what sidecars say of their members.
 
     A member that is over stays so, also when an older report comes late.
     """
-    refresh_ms = effective_value(world.agreed, "job.lost_ms") // REFRESHES_PER_BOUND
+    refresh_ms = effective_value(world.agreed, "job.lost_ms") // REFRESHES_PER_TIMEOUT
     for report in world.inbox.take(MemberReport):
         key = gang_key(report.job, report.incarnation)
         if key not in world.agreed.gangs:
             continue
         member_id = f"{key}/{report.member}"
         row = world.reservations.get(member_id)
-        if row is None or (row.state != report.state and row.state not in OVER_STATES):
+        if row is None or (row.state != report.state and row.state not in FINAL_STATES):
             known = Reservation(member_id, key, report.state, now_ms, now_ms)
             world.reservations.put(known)
             world.gang_view.due.set(key, now_ms)
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -8,11 +8,11 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.capacity import (
     CELL_CLASSES,
+    Allocation,
     Capacity,
-    Hold,
     TeamShare,
+    WorkerAllocation,
     WorkerCapacity,
-    WorkerHold,
 )
 from kingcuppost.tables.fleet import MemberState, Worker
 from kingcuppost.tables.identity import Role
@@ -22,17 +22,17 @@
 
 __all__ = [
     "cell_mask",
-    "drop_hold",
-    "hold_of",
-    "mask_of",
-    "put_hold",
+    "drop_allocation",
+    "build_allocation",
+    "accelerator_mask",
+    "put_allocation",
     "refresh_worker",
     "track_occupancy",
 ]
 
-UNUSABLE_ROOM = -1
-UNUSABLE_CORES = (-1, 0)
-NO_HOLD = WorkerHold()
+NO_CLASS = -1
+NO_CORE_BUCKET = (-1, 0)
+NO_ALLOCATION = WorkerAllocation()
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=40)
@@ -42,30 +42,30 @@
     The cost follows the number of changed rows, not the size of the tables.
     """
     if world.capacity.source is not world.agreed:
-        _start_over(world)
-    changed = _follow_fleet(world)
-    changed |= _follow_teams(world)
+        _reset(world)
+    changed = _track_fleet(world)
+    changed |= _track_teams(world)
     if changed:
         world.capacity.fleet_changed_ms = now_ms
-        _judge_all_anew(world)
-    if _follow_gangs(world) or changed:
-        world.capacity.due = True
+        _recheck_all_jobs(world)
+    if _track_gangs(world) or changed:
+        world.capacity.pass_due = True
 
 
-def _judge_all_anew(world: World) -> None:
+def _recheck_all_jobs(world: World) -> None:
     """Let every waiting and parked job be judged against the changed fleet."""
-    world.capacity.holdable.clear()
+    world.capacity.feasibility_cache.clear()
     for state in (JobState.WAITING, JobState.PARKED):
         for job in world.agreed.jobs.find("state", state):
-            world.capacity.unjudged[job.name] = None
+            world.capacity.unchecked_jobs[job.name] = None
 
 
-def _start_over(world: World) -> None:
+def _reset(world: World) -> None:
     """Forget everything; the new tables report all of their rows as changed."""
     world.capacity = Capacity(source=world.agreed)
 
 
-def _follow_fleet(world: World) -> bool:
+def _track_fleet(world: World) -> bool:
     agreed = world.agreed
     names = set(agreed.workers.take_changes("occupancy"))
     for zone in agreed.availability_zones.take_changes("occupancy"):
@@ -79,18 +79,18 @@
     for name in sorted(names):
         worker = agreed.workers.get(name)
         if worker is not None:
-            changed |= _follow_worker(world, worker)
+            changed |= _track_worker(world, worker)
     return changed
 
 
-def _follow_worker(world: World, worker: Worker) -> bool:
+def _track_worker(world: World, worker: Worker) -> bool:
     capacity = world.capacity
     row = capacity.workers.get(worker.name)
     if row is None or row.accelerators != worker.accelerators:
-        holds = row.holds if row is not None else {}
+        allocations = row.allocations if row is not None else {}
         if row is not None:
-            _uncount(capacity, row)
-        row = _new_row(worker, holds)
+            _subtract_blocks(capacity, row)
+        row = _new_row(worker, allocations)
         capacity.workers.put(row)
         refresh_worker(capacity, row)
     in_service = _is_in_service(world, worker)
@@ -101,7 +101,9 @@
     return True
 
 
-def _new_row(worker: Worker, holds: dict[str, WorkerHold]) -> WorkerCapacity:
+def _new_row(
+    worker: Worker, allocations: dict[str, WorkerAllocation]
+) -> WorkerCapacity:
     return WorkerCapacity(
         worker.name,
         worker.availability_zone,
@@ -110,7 +112,7 @@
         worker.memory_mb,
         worker.accelerators,
         (1 << worker.accelerators) - 1,
-        holds=holds,
+        allocations=allocations,
     )
 
 
@@ -122,16 +124,16 @@
     return minion is None or minion.state is not MemberState.LEAVING
 
 
-def _follow_teams(world: World) -> bool:
+def _track_teams(world: World) -> bool:
     names = world.agreed.teams.take_changes("occupancy")
     for name in names:
         team = world.agreed.teams.get(name)
         if team is not None:
-            _follow_team(world.capacity, team)
+            _track_team(world.capacity, team)
     return bool(names)
 
 
-def _follow_team(capacity: Capacity, team: Team) -> None:
+def _track_team(capacity: Capacity, team: Team) -> None:
     guaranteed = [0] * CELL_CLASSES
     for shape in team.guarantees:
         guaranteed[class_of(shape.accelerators)] += shape.members * shape.count
@@ -158,24 +160,26 @@
     add_counts(capacity.demand, share.unused)
 
 
-def _follow_gangs(world: World) -> bool:
+def _track_gangs(world: World) -> bool:
     keys = world.agreed.gangs.take_changes("occupancy")
     changed = False
     for key in keys:
         gang = world.agreed.gangs.get(key)
-        foreseen = key in world.capacity.pending
-        world.capacity.pending.discard(key)
+        was_pending = key in world.capacity.pending_gangs
+        world.capacity.pending_gangs.discard(key)
         if gang is None:
-            drop_hold(world.capacity, str(key))
+            drop_allocation(world.capacity, str(key))
             changed = True
-        elif foreseen or key not in world.capacity.holds:
+        elif was_pending or key not in world.capacity.allocations:
             job = world.agreed.jobs.get(gang.job)
-            put_hold(world.capacity, hold_of(str(key), job, gang.placements))
+            put_allocation(
+                world.capacity, build_allocation(str(key), job, gang.placements)
+            )
             changed = True
     return changed
 
 
-def mask_of(placement: Placement) -> int:
+def accelerator_mask(placement: Placement) -> int:
     """Return the mask of a member's accelerators."""
     return sum(1 << number for number in placement.accelerators)
 
@@ -194,52 +198,54 @@
     return ((1 << placement.cell) - 1) << start
 
 
-def hold_of(key: str, job: Job, placements: tuple[Placement, ...]) -> Hold:
+def build_allocation(
+    key: str, job: Job, placements: tuple[Placement, ...]
+) -> Allocation:
     """Return what a gang's members take."""
-    shares: dict[str, WorkerHold] = {}
+    by_worker: dict[str, WorkerAllocation] = {}
     for placement in placements:
-        old = shares.get(placement.worker, NO_HOLD)
+        old = by_worker.get(placement.worker, NO_ALLOCATION)
         cell = cell_mask(placement)
-        shares[placement.worker] = WorkerHold(
-            old.busy | mask_of(placement),
+        by_worker[placement.worker] = WorkerAllocation(
+            old.busy | accelerator_mask(placement),
             0,
             (*old.cells, cell) if cell else old.cells,
             old.cores + job.cores,
             old.memory_mb + job.memory_mb,
         )
-    return Hold(key, job.team, job.accelerators * len(placements), shares)
+    return Allocation(key, job.team, job.accelerators * len(placements), by_worker)
 
 
-def put_hold(capacity: Capacity, hold: Hold) -> None:
+def put_allocation(capacity: Capacity, allocation: Allocation) -> None:
     """Take what a hold takes from its workers and its team's share."""
-    drop_hold(capacity, hold.key)
-    capacity.holds[hold.key] = hold
-    share = _share_of(capacity, hold.team)
-    share.used += hold.accelerators
-    for name, part in hold.shares.items():
+    drop_allocation(capacity, allocation.key)
+    capacity.allocations[allocation.key] = allocation
+    share = _share_of(capacity, allocation.team)
+    share.used += allocation.accelerators
+    for name, part in allocation.by_worker.items():
         for cell in part.cells:
             place = (name, cell)
             share.cells[place] = share.cells.get(place, 0) + 1
         row = capacity.workers.get(name)
         if row is not None:
-            row.holds[hold.key] = part
+            row.allocations[allocation.key] = part
             refresh_worker(capacity, row)
     _refresh_share(capacity, share)
 
 
-def drop_hold(capacity: Capacity, key: str) -> None:
+def drop_allocation(capacity: Capacity, key: str) -> None:
     """Give back what a hold took, if there is one."""
-    hold = capacity.holds.pop(key, None)
-    if hold is None:
+    allocation = capacity.allocations.pop(key, None)
+    if allocation is None:
         return
-    share = _share_of(capacity, hold.team)
-    share.used -= hold.accelerators
-    for name, part in hold.shares.items():
+    share = _share_of(capacity, allocation.team)
+    share.used -= allocation.accelerators
+    for name, part in allocation.by_worker.items():
         for cell in part.cells:
             _unbind(share, (name, cell))
         row = capacity.workers.get(name)
         if row is not None:
-            row.holds.pop(key, None)
+            row.allocations.pop(key, None)
             refresh_worker(capacity, row)
     _refresh_share(capacity, share)
 
@@ -252,33 +258,33 @@
 
 def refresh_worker(capacity: Capacity, row: WorkerCapacity) -> None:
     """Work out again what is left of one worker, and count it in the totals."""
-    busy = kept = bound = pinned = cores = memory_mb = 0
-    for part in row.holds.values():
+    busy = reserved = bound = pinned = cores = memory_mb = 0
+    for part in row.allocations.values():
         busy |= part.busy
-        kept |= part.kept
+        reserved |= part.reserved
         cores += part.cores
         memory_mb += part.memory_mb
         if part.cells:
-            pinned |= part.busy | part.kept
+            pinned |= part.busy | part.reserved
             for cell in part.cells:
                 bound |= cell
-    free = row.whole & ~(busy | kept)
+    free = row.whole & ~(busy | reserved)
     unbound = row.whole & ~bound
     free_cores = row.cores - cores
-    usable = _may_start(capacity, row)
-    _uncount(capacity, row)
+    usable = _accepts_work(capacity, row)
+    _subtract_blocks(capacity, row)
     capacity.workers.update(
         row.name,
         usable=usable,
         busy=busy,
-        kept=kept,
+        reserved=reserved,
         bound=bound,
         pinned=pinned,
         free_cores=free_cores,
         free_memory_mb=row.memory_mb - memory_mb,
-        room=_largest(free) if usable else UNUSABLE_ROOM,
-        bind_room=_largest(unbound) if usable else UNUSABLE_ROOM,
-        core_room=_core_room(row, free_cores) if usable else UNUSABLE_CORES,
+        free_class=_largest_class(free) if usable else NO_CLASS,
+        unbound_class=_largest_class(unbound) if usable else NO_CLASS,
+        core_bucket=_core_bucket(row, free_cores) if usable else NO_CORE_BUCKET,
         free_blocks=count_blocks(free if usable else 0),
         unbound_blocks=count_blocks(unbound if usable else 0),
     )
@@ -286,28 +292,28 @@
     add_counts(capacity.unbound_blocks, row.unbound_blocks)
 
 
-def _may_start(capacity: Capacity, row: WorkerCapacity) -> bool:
+def _accepts_work(capacity: Capacity, row: WorkerCapacity) -> bool:
     """Return whether new work may go to a worker, a single probe included."""
     faults = capacity.faults.get(row.name)
-    aside = faults is not None and faults.aside
-    avoided = faults is not None and faults.avoided
-    if not row.in_service or avoided or (aside and not row.probing):
+    quarantined = faults is not None and faults.quarantined
+    paused = faults is not None and faults.paused
+    if not row.in_service or paused or (quarantined and not row.probing):
         return False
-    return not (row.probing and row.holds)
+    return not (row.probing and row.allocations)
 
 
-def _uncount(capacity: Capacity, row: WorkerCapacity) -> None:
+def _subtract_blocks(capacity: Capacity, row: WorkerCapacity) -> None:
     add_counts(capacity.free_blocks, row.free_blocks, -1)
     add_counts(capacity.unbound_blocks, row.unbound_blocks, -1)
 
 
-def _largest(mask: int) -> int:
+def _largest_class(mask: int) -> int:
     counts = count_blocks(mask)
     for cell_class in reversed(range(CELL_CLASSES)):
         if counts[cell_class]:
             return cell_class
-    return UNUSABLE_ROOM
+    return NO_CLASS
 
 
-def _core_room(row: WorkerCapacity, free_cores: int) -> tuple[int, int]:
+def _core_bucket(row: WorkerCapacity, free_cores: int) -> tuple[int, int]:
     return (int(row.accelerators > 0), max(free_cores, 0).bit_length())
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -5,17 +5,21 @@
 from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
+from kingcuppost.systems.jobs.advance_reservations import (
+    drop_reservation,
+    drop_stale_reservations,
+    plan_reservation,
+    put_reservation,
+    schedule_preemption_pass,
+)
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
-from kingcuppost.systems.jobs.intake import POLICY_KEY
-from kingcuppost.systems.jobs.judging import judged_jobs
-from kingcuppost.systems.jobs.keeps import (
-    drop_keep,
-    drop_stale_keeps,
-    keep_for_first,
-    put_keep,
-    wake_for_keep,
+from kingcuppost.systems.jobs.feasibility import jobs_with_pending_change
+from kingcuppost.systems.jobs.occupancy import (
+    build_allocation,
+    drop_allocation,
+    put_allocation,
 )
-from kingcuppost.systems.jobs.occupancy import drop_hold, hold_of, put_hold
+from kingcuppost.systems.jobs.queueing import POLICY_KEY
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import (
@@ -31,7 +35,7 @@
 
 __all__ = ["place_jobs", "stop_gang"]
 
-REFUSALS_KEPT = 8
+MAX_REFUSED_ALTERNATIVES = 8
 DECISION_KEYS = ("job.lease_ms", "job.reserve_timeout_ms")
 
 Signature = tuple[str, Urgency, int, int, int, int, int, tuple[str, ...]]
@@ -43,55 +47,55 @@
     capacity = world.capacity
     if not is_scheduler(world) or world.stopping:
         return
-    if capacity.pass_ms and now_ms >= capacity.pass_ms:
-        capacity.due = True
-    if not capacity.due or _batch_under_way(world):
+    if capacity.next_pass_ms and now_ms >= capacity.next_pass_ms:
+        capacity.pass_due = True
+    if not capacity.pass_due or _has_pending_placements(world):
         return
     if not capacity.queue:
-        capacity.due = False
-        drop_stale_keeps(world)
+        capacity.pass_due = False
+        drop_stale_reservations(world)
         return
     if not is_fresh(world, now_ms):
         want_barrier(world, now_ms)
         return
     _begin_pass(world)
-    _pass(world, policies[capacity.queue_policy], now_ms)
+    _run_pass(world, policies[capacity.queue_policy], now_ms)
 
 
-def _batch_under_way(world: World) -> bool:
+def _has_pending_placements(world: World) -> bool:
     return any(isinstance(row.record.body, GangPlace) for row in world.proposals)
 
 
 def _begin_pass(world: World) -> None:
     """Forget placements that the fold rejected, and keeps of jobs that went."""
     capacity = world.capacity
-    capacity.due = False
-    capacity.pass_ms = 0
-    for key in sorted(capacity.pending):
+    capacity.pass_due = False
+    capacity.next_pass_ms = 0
+    for key in sorted(capacity.pending_gangs):
         if key not in world.agreed.gangs:
-            drop_hold(capacity, key)
-    capacity.pending.clear()
-    drop_stale_keeps(world)
+            drop_allocation(capacity, key)
+    capacity.pending_gangs.clear()
+    drop_stale_reservations(world)
 
 
-def _pass(world: World, policy: Policy, now_ms: int) -> None:
+def _run_pass(world: World, policy: Policy, now_ms: int) -> None:
     """Try jobs in order; of jobs that are alike, one failure speaks for all."""
     depth = effective_value(world.agreed, "job.queue_depth")
     tries = {urgency: 0 for urgency in Urgency}
     failed: set[Signature] = set()
-    may_keep = dict.fromkeys(Urgency, policy.keeps)
-    judged = judged_jobs(world)
+    may_reserve = dict.fromkeys(Urgency, policy.reserves)
+    changing = jobs_with_pending_change(world)
     for entry in list(world.capacity.queue):
         job = world.agreed.jobs.get(entry.job)
-        if job.name in judged:
+        if job.name in changing:
             continue
         if tries[job.urgency] >= depth:
             if job.urgency is Urgency.OVERNIGHT:
                 break
             continue
-        kept = world.capacity.keeps.get(job.name)
+        reservation = world.capacity.advance_reservations.get(job.name)
         signature = _signature(job)
-        if kept is None and signature in failed:
+        if reservation is None and signature in failed:
             continue
         tries[job.urgency] += 1
         choice = policy.choose(world, job, now_ms)
@@ -100,12 +104,16 @@
         failed.add(signature)
         if policy.strict:
             break
-        if may_keep[job.urgency] and choice.keep is None and choice.lacks_place:
-            since_ms = kept.since_ms if kept is not None else now_ms
-            kept_now = _keep_first(world, job, since_ms, now_ms)
-            may_keep[job.urgency] = not kept_now
-        elif choice.keep is not None and not choice.keep.guaranteed:
-            may_keep[job.urgency] = False
+        if (
+            may_reserve[job.urgency]
+            and choice.reservation is None
+            and choice.lacks_capacity
+        ):
+            since_ms = reservation.since_ms if reservation is not None else now_ms
+            is_reserved = _reserve_place(world, job, since_ms, now_ms)
+            may_reserve[job.urgency] = not is_reserved
+        elif choice.reservation is not None and not choice.reservation.guaranteed:
+            may_reserve[job.urgency] = False
 
 
 def _signature(job: Job) -> Signature:
@@ -121,56 +129,56 @@
     )
 
 
-def _keep_first(world: World, job: Job, since_ms: int, now_ms: int) -> bool:
+def _reserve_place(world: World, job: Job, since_ms: int, now_ms: int) -> bool:
     if not job.accelerators:
         return False
-    _drop_later_keeps(world, job)
-    keep = keep_for_first(world, job, since_ms, now_ms)
-    if keep is None:
+    _drop_later_reservations(world, job)
+    reservation = plan_reservation(world, job, since_ms, now_ms)
+    if reservation is None:
         return False
-    put_keep(world, job, keep, now_ms)
+    put_reservation(world, job, reservation, now_ms)
     note(world, "job.keep", "A place is kept.", job=job.name, team=job.team)
     return True
 
 
-def _drop_later_keeps(world: World, job: Job) -> None:
+def _drop_later_reservations(world: World, job: Job) -> None:
     """Give up places kept for jobs that come after this one, now first.
 
     One place at a time: else every arrival that goes first adds one more, and if
     the later job had its way, the first would never be kept one.
     """
-    for keep in world.capacity.keeps:
-        other = world.agreed.jobs.get(keep.job)
-        if not keep.guaranteed and other.urgency is job.urgency:
-            drop_keep(world.capacity, keep.job)
+    for reservation in world.capacity.advance_reservations:
+        other = world.agreed.jobs.get(reservation.job)
+        if not reservation.guaranteed and other.urgency is job.urgency:
+            drop_reservation(world.capacity, reservation.job)
 
 
 def _commit(world: World, job: Job, choice: Choice, now_ms: int) -> bool:
     """Carry a choice out; return whether the job was placed."""
-    for key in sorted(choice.stops):
+    for key in sorted(choice.victims):
         gang = world.agreed.gangs.get(key)
         reason = f"reclaimed for job {job.name}"
-        stop_gang(world, gang, reason, now_ms, _grace(job, choice))
+        stop_gang(world, gang, reason, now_ms, _grace_key(job, choice))
     if choice.placements is None:
-        _note_keep(world, job, choice, now_ms)
+        _store_reservation(world, job, choice, now_ms)
         return False
-    drop_keep(world.capacity, job.name)
+    drop_reservation(world.capacity, job.name)
     _propose_gang(world, job, choice, now_ms)
     return True
 
 
-def _note_keep(world: World, job: Job, choice: Choice, now_ms: int) -> None:
-    if choice.keep is None:
+def _store_reservation(world: World, job: Job, choice: Choice, now_ms: int) -> None:
+    if choice.reservation is None:
         return
-    if job.name in world.capacity.keeps:
-        wake_for_keep(world, choice.keep, now_ms)
+    if job.name in world.capacity.advance_reservations:
+        schedule_preemption_pass(world, choice.reservation, now_ms)
     else:
-        put_keep(world, job, choice.keep, now_ms)
+        put_reservation(world, job, choice.reservation, now_ms)
 
 
-def _grace(job: Job, choice: Choice) -> str:
+def _grace_key(job: Job, choice: Choice) -> str:
     """Return the setting for the grace; it is short only within a guarantee."""
-    guaranteed = choice.keep is not None and choice.keep.guaranteed
+    guaranteed = choice.reservation is not None and choice.reservation.guaranteed
     urgent = guaranteed and job.urgency is Urgency.INTERACTIVE
     return "job.urgent_grace_ms" if urgent else "job.checkpoint_grace_ms"
 
@@ -195,7 +203,7 @@
     """
     if gang is None or gang.state is GangState.STOPPING:
         return
-    if _stop_under_way(world, gang):
+    if _is_stop_pending(world, gang):
         return
     grace_ms = effective_value(world.agreed, grace_key, team_path(gang.team))
     term = world.agreed.lease.term
@@ -204,7 +212,7 @@
     note(world, "gang.reclaim", f"Gang is {reason}.", job=gang.job, team=gang.team)
 
 
-def _stop_under_way(world: World, gang: Gang) -> bool:
+def _is_stop_pending(world: World, gang: Gang) -> bool:
     for row in world.proposals:
         body = row.record.body
         if isinstance(body, GangStop) and body.job == gang.job:
@@ -220,7 +228,7 @@
         str(policy.value),
         world.log_view.folded_offset,
         (policy, *values),
-        choice.refused[:REFUSALS_KEPT],
+        choice.refused[:MAX_REFUSED_ALTERNATIVES],
     )
     incarnation = job.incarnation + 1
     body = GangPlace(
@@ -232,7 +240,7 @@
         decision,
     )
     key = gang_key(job.name, incarnation)
-    put_hold(world.capacity, hold_of(key, job, choice.placements))
-    world.capacity.pending.add(key)
+    put_allocation(world.capacity, build_allocation(key, job, choice.placements))
+    world.capacity.pending_gangs.add(key)
     propose(world, body, now_ms)
     note(world, "job.place", "Placement proposed.", job=job.name, team=job.team)
--- a/kingcuppost/systems/jobs/search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -10,15 +10,15 @@
 from itertools import islice
 
 from kingcuppost.systems.jobs.cells import (
+    accelerator_numbers,
+    best_fit_blocks,
     blocks_in,
     class_of,
+    count_cells,
     left_over,
-    numbers_of,
-    slots_in,
-    split_off,
-    tidy_blocks,
+    split_block,
 )
-from kingcuppost.systems.jobs.occupancy import mask_of
+from kingcuppost.systems.jobs.occupancy import accelerator_mask
 from kingcuppost.systems.jobs.reclaim import (
     lost_work,
     victims_for_cores,
@@ -26,21 +26,21 @@
 )
 from kingcuppost.tables.capacity import (
     CELL_CLASSES,
+    AdvanceReservation,
     Capacity,
-    Keep,
     TeamShare,
     WorkerCapacity,
 )
 from kingcuppost.tables.job import Job, Placement
 from kingcuppost.tables.world import World
 
-__all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_kept"]
+__all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_reserved"]
 
-LEAST_CANDIDATES = 256
+MIN_CANDIDATES = 256
 CANDIDATES_PER_MEMBER = 4
 GROUPS_TRIED = 4
 CORE_BITS = 32
-NOBODY: frozenset[str] = frozenset()
+NO_WORKERS: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,59 +88,62 @@
 
 
 def find_free(
-    capacity: Capacity, job: Job, avoid: frozenset[str] = NOBODY
+    capacity: Capacity, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
     """Return free places for a borrower, the tightest that hold it."""
     if not job.accelerators:
-        return _pick(_passing(_core_candidates(capacity, job), avoid), job)
+        return _pick(_exclude(_core_candidates(capacity, job), excluded), job)
     cell_class = class_of(job.accelerators)
-    if slots_in(capacity.free_blocks, cell_class) < job.members:
+    if count_cells(capacity.free_blocks, cell_class) < job.members:
         return None
-    return _pick(_passing(_free_candidates(capacity, job, cell_class), avoid), job)
+    return _pick(_exclude(_free_candidates(capacity, job, cell_class), excluded), job)
 
 
-def _passing(
-    candidates: Iterator[Candidate], avoid: frozenset[str]
+def _exclude(
+    candidates: Iterator[Candidate], excluded: frozenset[str]
 ) -> Iterator[Candidate]:
     """Pass over workers that are to be avoided."""
-    return (item for item in candidates if item.worker.name not in avoid)
+    return (item for item in candidates if item.worker.name not in excluded)
 
 
 def _free_candidates(
     capacity: Capacity, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
-    for room in range(cell_class, CELL_CLASSES):
-        for row in capacity.workers.scan("room", room):
-            free = row.whole & ~(row.busy | row.kept)
-            blocks = tidy_blocks(free, cell_class)
-            for block in blocks[: _fits(row, job)]:
+    for free_class in range(cell_class, CELL_CLASSES):
+        for row in capacity.workers.scan("free_class", free_class):
+            free = row.whole & ~(row.busy | row.reserved)
+            blocks = best_fit_blocks(free, cell_class)
+            for block in blocks[: _count_fitting(row, job)]:
                 yield Candidate(row, block)
 
 
-def find_kept(
-    capacity: Capacity, keep: Keep, job: Job, avoid: frozenset[str] = NOBODY
+def find_reserved(
+    capacity: Capacity,
+    reservation: AdvanceReservation,
+    job: Job,
+    excluded: frozenset[str] = NO_WORKERS,
 ) -> Plan | None:
     """Return places for a borrower among those kept for another job."""
     if not job.accelerators:
         return None
-    candidates = _kept_candidates(capacity, keep, class_of(job.accelerators))
-    return _pick(_passing(candidates, avoid), job)
+    candidates = _reserved_candidates(capacity, reservation, class_of(job.accelerators))
+    return _pick(_exclude(candidates, excluded), job)
 
 
-def _kept_candidates(
-    capacity: Capacity, keep: Keep, cell_class: int
+def _reserved_candidates(
+    capacity: Capacity, reservation: AdvanceReservation, cell_class: int
 ) -> Iterator[Candidate]:
     masks: dict[str, int] = defaultdict(int)
-    for placement in keep.placements:
-        masks[placement.worker] |= mask_of(placement)
+    for placement in reservation.placements:
+        masks[placement.worker] |= accelerator_mask(placement)
     for name, mask in masks.items():
         row = capacity.workers.get(name)
         if row.usable:
-            for block in tidy_blocks(mask & ~(row.busy | row.pinned), cell_class):
+            for block in best_fit_blocks(mask & ~(row.busy | row.pinned), cell_class):
                 yield Candidate(row, block)
 
 
-def _fits(row: WorkerCapacity, job: Job) -> int:
+def _count_fitting(row: WorkerCapacity, job: Job) -> int:
     """Return how many members the worker's free cores and memory hold."""
     by_cores = row.free_cores // job.cores if job.cores else job.members
     by_memory = row.free_memory_mb // job.memory_mb if job.memory_mb else job.members
@@ -151,8 +154,8 @@
     """Yield workers for members without accelerators, those without any first."""
     for kind in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BITS):
-            for row in capacity.workers.scan("core_room", (kind, bits)):
-                for _ in range(_fits(row, job)):
+            for row in capacity.workers.scan("core_bucket", (kind, bits)):
+                for _ in range(_count_fitting(row, job)):
                     yield Candidate(row, 0)
 
 
@@ -160,42 +163,44 @@
     """Choose adjacent places among candidates that cost nothing."""
     limit = 1 if job.members == 1 else _limit(job)
     found = list(islice(candidates, limit))
-    chosen = _choose(found, job, lambda group: _fitting(group, job))
+    chosen = _choose_group(found, job, lambda group: _select_fitting(group, job))
     if chosen is None:
         return None
     return Plan(_placements(chosen, job))
 
 
-def _fitting(group: list[Candidate], job: Job) -> list[Candidate]:
+def _select_fitting(group: list[Candidate], job: Job) -> list[Candidate]:
     """Return as many candidates as the workers have cores and memory for."""
     members: dict[str, int] = defaultdict(int)
     chosen = []
     for item in group:
-        if members[item.worker.name] < _fits(item.worker, job):
+        if members[item.worker.name] < _count_fitting(item.worker, job):
             members[item.worker.name] += 1
             chosen.append(item)
     return chosen[: job.members]
 
 
 def _limit(job: Job) -> int:
-    return max(LEAST_CANDIDATES, CANDIDATES_PER_MEMBER * job.members)
+    return max(MIN_CANDIDATES, CANDIDATES_PER_MEMBER * job.members)
 
 
 def _placements(chosen: list[Candidate], job: Job) -> tuple[Placement, ...]:
     return tuple(
         Placement(
             item.worker.name,
-            numbers_of(item.block, job.accelerators) if item.block else (),
+            accelerator_numbers(item.block, job.accelerators) if item.block else (),
             item.cell.bit_count(),
         )
         for item in chosen
     )
 
 
-Walk = Callable[[list[Candidate]], list[Candidate]]
+Selector = Callable[[list[Candidate]], list[Candidate]]
 
 
-def _choose(found: list[Candidate], job: Job, walk: Walk) -> list[Candidate] | None:
+def _choose_group(
+    found: list[Candidate], job: Job, select: Selector
+) -> list[Candidate] | None:
     """Return the cheapest choice; among equals one worker, rack or zone."""
     best = None
     best_cost = 0.0
@@ -206,7 +211,7 @@
         lambda item: "",
     ):
         for group in _groups(found, job, level):
-            chosen = walk(group)
+            chosen = select(group)
             if len(chosen) < job.members:
                 continue
             cost = sum(item.cost for item in chosen)
@@ -236,7 +241,7 @@
 
 
 def find_guaranteed(
-    world: World, job: Job, avoid: frozenset[str] = NOBODY
+    world: World, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
     """Return places within the team's guarantee, with the borrowers to stop.
 
@@ -250,27 +255,29 @@
     if not _may_fit(share, job, cell_class):
         return None
     candidates = _guaranteed_candidates(world, share, job, cell_class)
-    found = _take_until_free(_passing(candidates, avoid), job)
-    chosen = _choose(found, job, lambda group: _walk(capacity, share, job, group))
+    found = _collect_candidates(_exclude(candidates, excluded), job)
+    chosen = _choose_group(
+        found, job, lambda group: _select_covered(capacity, share, job, group)
+    )
     if chosen is None:
         return None
-    return _with_cores(world, chosen, job, guaranteed=True)
+    return _plan_with_cores(world, chosen, job, guaranteed=True)
 
 
 def _may_fit(share: TeamShare, job: Job, cell_class: int) -> bool:
-    whole = sum(
-        slots_in(count_of(cell), cell_class) for _, cell in share.cells
-    ) + slots_in(share.unused, cell_class)
-    return whole >= job.members
+    cells = sum(
+        count_cells(cell_counts(cell), cell_class) for _, cell in share.cells
+    ) + count_cells(share.unused, cell_class)
+    return cells >= job.members
 
 
-def count_of(cell: int) -> tuple[int, ...]:
+def cell_counts(cell: int) -> tuple[int, ...]:
     """Return the counts of one cell."""
     cell_class = class_of(cell.bit_count())
     return tuple(int(size == cell_class) for size in range(CELL_CLASSES))
 
 
-def _take_until_free(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
+def _collect_candidates(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
     found = []
     for item in islice(candidates, _limit(job)):
         if job.members == 1 and not item.cost and not item.victims:
@@ -286,27 +293,29 @@
     for name, cell in share.cells:
         row = capacity.workers.get(name)
         if row is not None and row.usable and _within_share(row, job, cell_class):
-            yield from _blocks(world, row, cell, True, job, cell_class)
+            yield from _block_candidates(world, row, cell, True, job, cell_class)
     for larger in range(cell_class, CELL_CLASSES):
         if share.unused[larger]:
-            yield from _unbound(world, job, cell_class, larger, "room")
-            yield from _unbound(world, job, cell_class, larger, "bind_room")
+            yield from _unbound_candidates(world, job, cell_class, larger, "free_class")
+            yield from _unbound_candidates(
+                world, job, cell_class, larger, "unbound_class"
+            )
 
 
-def _unbound(
+def _unbound_candidates(
     world: World, job: Job, cell_class: int, larger: int, index: str
 ) -> Iterator[Candidate]:
-    """Yield blocks of cells that no guarantee uses; by `room` only free ones."""
+    """Yield blocks of cells that no guarantee uses; by `free_class` only free ones."""
     workers = world.capacity.workers
-    for room in range(larger, CELL_CLASSES):
-        for row in workers.scan(index, room):
+    for worker_class in range(larger, CELL_CLASSES):
+        for row in workers.scan(index, worker_class):
             if not _within_share(row, job, cell_class):
                 continue
             unbound = row.whole & ~row.bound
-            if index == "room":
-                unbound &= ~(row.busy | row.kept)
-            for cell in tidy_blocks(unbound, larger):
-                yield from _blocks(world, row, cell, False, job, cell_class)
+            if index == "free_class":
+                unbound &= ~(row.busy | row.reserved)
+            for cell in best_fit_blocks(unbound, larger):
+                yield from _block_candidates(world, row, cell, False, job, cell_class)
 
 
 def _within_share(row: WorkerCapacity, job: Job, cell_class: int) -> bool:
@@ -318,7 +327,7 @@
     )
 
 
-def _blocks(
+def _block_candidates(
     world: World, row: WorkerCapacity, cell: int, bound: bool, job: Job, size: int
 ) -> Iterator[Candidate]:
     for block in blocks_in(cell, size):
@@ -333,7 +342,7 @@
     return sum(lost_work(world, world.agreed.gangs.get(key)) for key in victims)
 
 
-def _walk(
+def _select_covered(
     capacity: Capacity, share: TeamShare, job: Job, group: list[Candidate]
 ) -> list[Candidate]:
     """Take candidates in order while every guarantee stays covered."""
@@ -379,7 +388,9 @@
         unbound &= ~other
     trial_blocks = list(blocks)
     trial_demand = list(demand)
-    split_off(trial_blocks, _enclosing(unbound, item.cell, cell_class), cell_class)
+    split_block(
+        trial_blocks, _enclosing_class(unbound, item.cell, cell_class), cell_class
+    )
     trial_demand[cell_class] -= 1
     if left_over(trial_blocks, trial_demand) > missing:
         return False
@@ -389,7 +400,7 @@
     return True
 
 
-def _enclosing(unbound: int, cell: int, cell_class: int) -> int:
+def _enclosing_class(unbound: int, cell: int, cell_class: int) -> int:
     """Return the class of the largest unbound block around a cell."""
     for larger in reversed(range(cell_class, CELL_CLASSES)):
         if any(block & cell for block in blocks_in(unbound, larger)):
@@ -397,7 +408,7 @@
     return cell_class
 
 
-def _with_cores(
+def _plan_with_cores(
     world: World, chosen: list[Candidate], job: Job, guaranteed: bool
 ) -> Plan | None:
     """Add the borrowers whose cores or memory the members need."""
@@ -414,26 +425,26 @@
 
 
 def find_borrowed(
-    world: World, job: Job, avoid: frozenset[str] = NOBODY
+    world: World, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
     """Return places that interactive work takes from overnight borrowers."""
     if not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
     candidates = _borrowed_candidates(world, job, cell_class)
-    found = _take_until_free(_passing(candidates, avoid), job)
-    chosen = _choose(found, job, lambda group: group[: job.members])
+    found = _collect_candidates(_exclude(candidates, excluded), job)
+    chosen = _choose_group(found, job, lambda group: group[: job.members])
     if chosen is None:
         return None
-    return _with_cores(world, chosen, job, guaranteed=False)
+    return _plan_with_cores(world, chosen, job, guaranteed=False)
 
 
 def _borrowed_candidates(
     world: World, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
-    for room in range(CELL_CLASSES):
-        for row in world.capacity.workers.scan("bind_room", room):
-            open_to_all = row.whole & ~(row.pinned | row.kept)
+    for worker_class in range(CELL_CLASSES):
+        for row in world.capacity.workers.scan("unbound_class", worker_class):
+            open_to_all = row.whole & ~(row.pinned | row.reserved)
             for block in blocks_in(open_to_all, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -4,10 +4,10 @@
 from kingcuppost.tables.job import Gang, GangState, Job, Urgency
 from kingcuppost.tables.world import World
 
-__all__ = ["lost_work", "may_stop", "victims_for_cores", "victims_on"]
+__all__ = ["lost_work", "may_preempt", "victims_for_cores", "victims_on"]
 
 
-def may_stop(world: World, gang: Gang, guaranteed: bool) -> bool:
+def may_preempt(world: World, gang: Gang, guaranteed: bool) -> bool:
     """Return whether a job may take the place of a gang.
 
     Work within a guarantee takes that of any borrower. Interactive work beyond
@@ -39,11 +39,11 @@
 ) -> frozenset[str] | None:
     """Return the gangs that hold part of a block; None if one must not stop."""
     found = []
-    for key, part in row.holds.items():
+    for key, part in row.allocations.items():
         if not part.busy & block:
             continue
         gang = world.agreed.gangs.get(key)
-        if gang is None or not may_stop(world, gang, guaranteed):
+        if gang is None or not may_preempt(world, gang, guaranteed):
             return None
         found.append(key)
     return frozenset(found)
@@ -79,29 +79,33 @@
     frozenset of str or None
         None if even all that may stop are too few.
     """
-    parts = [row.holds[key] for key in victims if key in row.holds]
+    parts = [row.allocations[key] for key in victims if key in row.allocations]
     cores = row.free_cores + sum(part.cores for part in parts)
     memory_mb = row.free_memory_mb + sum(part.memory_mb for part in parts)
     chosen = set(victims)
-    for gang in _others(world, row, guaranteed, victims):
+    for gang in _preemptible_gangs(world, row, guaranteed, victims):
         if cores >= members * job.cores and memory_mb >= members * job.memory_mb:
             break
         chosen.add(gang.key)
-        cores += row.holds[gang.key].cores
-        memory_mb += row.holds[gang.key].memory_mb
+        cores += row.allocations[gang.key].cores
+        memory_mb += row.allocations[gang.key].memory_mb
     if cores < members * job.cores or memory_mb < members * job.memory_mb:
         return None
     return frozenset(chosen)
 
 
-def _others(
+def _preemptible_gangs(
     world: World,
     row: WorkerCapacity,
     guaranteed: bool,
     victims: frozenset[str],
 ) -> list[Gang]:
-    gangs = [world.agreed.gangs.get(key) for key in row.holds if key not in victims]
+    gangs = [
+        world.agreed.gangs.get(key) for key in row.allocations if key not in victims
+    ]
     stoppable = [
-        gang for gang in gangs if gang is not None and may_stop(world, gang, guaranteed)
+        gang
+        for gang in gangs
+        if gang is not None and may_preempt(world, gang, guaranteed)
     ]
     return sorted(stoppable, key=lambda gang: (lost_work(world, gang), gang.key))
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -5,21 +5,21 @@
 from kingcuppost.tables.capacity import Capacity, RunTimes
 from kingcuppost.tables.job import Gang, Job
 
-__all__ = ["expected_end_ms", "expected_run_ms", "learn_run_time"]
+__all__ = ["expected_end_ms", "expected_run_ms", "record_run_time"]
 
-WEIGHT = 0.2
-UNKNOWN_RUN_MS = 3_600_000
-OVERSTAY_SHARE = 0.5
+SMOOTHING_WEIGHT = 0.2
+DEFAULT_RUN_MS = 3_600_000
+OVERRUN_RATIO = 0.5
 
 
 def expected_run_ms(capacity: Capacity, job: Job) -> int:
     """Return how long a job is expected to run, in ms."""
-    seen = capacity.run_times.get(job.team)
-    if seen is None:
-        return job.declared_ms or UNKNOWN_RUN_MS
+    row = capacity.run_times.get(job.team)
+    if row is None:
+        return job.declared_ms or DEFAULT_RUN_MS
     if not job.declared_ms:
-        return int(seen.mean_ms)
-    return int(job.declared_ms * exp(seen.log_ratio))
+        return int(row.mean_ms)
+    return int(job.declared_ms * exp(row.log_ratio))
 
 
 def expected_end_ms(capacity: Capacity, job: Job, gang: Gang, wall_ms: int) -> int:
@@ -30,17 +30,17 @@
     """
     start_ms = gang.released_wall_ms or wall_ms
     end_ms = start_ms + expected_run_ms(capacity, job)
-    overstay_ms = int((wall_ms - start_ms) * (1 + OVERSTAY_SHARE))
-    return max(end_ms, start_ms + overstay_ms) if end_ms <= wall_ms else end_ms
+    overrun_ms = int((wall_ms - start_ms) * (1 + OVERRUN_RATIO))
+    return max(end_ms, start_ms + overrun_ms) if end_ms <= wall_ms else end_ms
 
 
-def learn_run_time(capacity: Capacity, job: Job, run_ms: int) -> None:
+def record_run_time(capacity: Capacity, job: Job, run_ms: int) -> None:
     """Count the run time of a finished job for its team."""
     row = capacity.run_times.get(job.team) or RunTimes(job.team)
-    weight = max(WEIGHT, 1 / (row.seen + 1))
+    weight = max(SMOOTHING_WEIGHT, 1 / (row.samples + 1))
     row.mean_ms += weight * (run_ms - row.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
         ratio = log(run_ms / job.declared_ms)
         row.log_ratio += weight * (ratio - row.log_ratio)
-    row.seen += 1
+    row.samples += 1
     capacity.run_times.put(row)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -1,26 +1,26 @@
 """The policy that honours guarantees as shapes and lends what is not used."""
 
 from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.jobs.advance_reservations import (
+    can_start,
+    drop_reservation,
+    find_preemption_victims,
+    is_still_feasible,
+    preempt_at_ms,
+    put_reservation,
+    waits_for_earlier_gang,
+)
 from kingcuppost.systems.jobs.baselines import choose_first_fit
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
-from kingcuppost.systems.jobs.keeps import (
-    bound_of,
-    drop_keep,
-    is_ready,
-    overdue_gangs,
-    put_keep,
-    still_holds,
-    waits_for_earlier,
-)
-from kingcuppost.systems.jobs.run_times import expected_run_ms
-from kingcuppost.systems.jobs.search import (
+from kingcuppost.systems.jobs.placement_search import (
     Plan,
     find_borrowed,
     find_free,
     find_guaranteed,
-    find_kept,
+    find_reserved,
 )
-from kingcuppost.tables.capacity import Keep
+from kingcuppost.systems.jobs.run_times import expected_run_ms
+from kingcuppost.tables.capacity import AdvanceReservation
 from kingcuppost.tables.job import Job, RefusedAlternative, Urgency
 from kingcuppost.tables.world import World
 
@@ -28,7 +28,7 @@
 
 INTERACTIVE_RANK = 0
 OVERNIGHT_RANK = 1
-LEAST_LOAN_MS = 60_000
+MIN_LOAN_MS = 60_000
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
@@ -53,70 +53,78 @@
     Within the guarantee borrowers are stopped for it, the least work first.
     Interactive work beyond it may stop overnight borrowers.
     """
-    if reason := _fault_of_limit(world, job):
-        drop_keep(world.capacity, job.name)
+    if reason := _limit_reason(world, job):
+        drop_reservation(world.capacity, job.name)
         refused = (RefusedAlternative(job.team, reason),)
-        return Choice(None, refused=refused, lacks_place=False)
+        return Choice(None, refused=refused, lacks_capacity=False)
     since_ms = now_ms
-    keep = world.capacity.keeps.get(job.name)
-    if keep is not None:
-        since_ms = keep.since_ms
-        choice = _choose_kept(world, job, keep, now_ms)
+    reservation = world.capacity.advance_reservations.get(job.name)
+    if reservation is not None:
+        since_ms = reservation.since_ms
+        choice = _choose_reserved(world, job, reservation, now_ms)
         if choice is not None:
             return choice
-        drop_keep(world.capacity, job.name)
-    avoid = _avoided(world, job)
-    choice = _choose_new(world, job, since_ms, now_ms, avoid)
-    if choice.placements is None and avoid and job.members > 1:
+        drop_reservation(world.capacity, job.name)
+    excluded = _excluded_workers(world, job)
+    choice = _choose_new(world, job, since_ms, now_ms, excluded)
+    if choice.placements is None and excluded and job.members > 1:
         return _choose_new(world, job, since_ms, now_ms, frozenset())
     return choice
 
 
-def _avoided(world: World, job: Job) -> frozenset[str]:
+def _excluded_workers(world: World, job: Job) -> frozenset[str]:
     """Return workers on which the job failed and that may be good for others."""
     faults = world.capacity.faults
     return frozenset(
         name
         for name in job.failed_workers
-        if name not in faults or not faults.get(name).aside
+        if name not in faults or not faults.get(name).quarantined
     )
 
 
 def _choose_new(
-    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+    world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
-    plan = find_guaranteed(world, job, avoid)
+    plan = find_guaranteed(world, job, excluded)
     if plan is not None:
         return _choice_of(job, plan, since_ms, now_ms, guaranteed=True)
-    return _choose_borrowed(world, job, since_ms, now_ms, avoid)
+    return _choose_borrowed(world, job, since_ms, now_ms, excluded)
 
 
-def _choose_kept(world: World, job: Job, keep: Keep, now_ms: int) -> Choice | None:
+def _choose_reserved(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> Choice | None:
     """Use the kept place, or wait for it; None if it can't be had any more."""
-    if is_ready(world, keep, job):
-        return Choice(keep.placements, not keep.guaranteed)
-    if not still_holds(world, keep):
+    if can_start(world, reservation, job):
+        return Choice(reservation.placements, not reservation.guaranteed)
+    if not is_still_feasible(world, reservation):
         return None
-    if not keep.guaranteed:
-        plan = _find_elsewhere(world, job, keep, now_ms)
+    if not reservation.guaranteed:
+        plan = _find_elsewhere(world, job, reservation, now_ms)
         if plan is not None:
             return Choice(plan.placements, not plan.placements[0].cell)
-    return Choice(None, stops=overdue_gangs(world, keep, job, now_ms), keep=keep)
+    return Choice(
+        None,
+        victims=find_preemption_victims(world, reservation, job, now_ms),
+        reservation=reservation,
+    )
 
 
-def _find_elsewhere(world: World, job: Job, keep: Keep, now_ms: int) -> Plan | None:
+def _find_elsewhere(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> Plan | None:
     """Return free places, those that are kept for the job itself included."""
-    avoid = _avoided(world, job)
-    drop_keep(world.capacity, job.name)
-    plan = find_guaranteed(world, job, avoid)
+    excluded = _excluded_workers(world, job)
+    drop_reservation(world.capacity, job.name)
+    plan = find_guaranteed(world, job, excluded)
     if plan is None or plan.victims:
-        plan = find_free(world.capacity, job, avoid)
+        plan = find_free(world.capacity, job, excluded)
     if plan is None:
-        put_keep(world, job, keep, now_ms)
+        put_reservation(world, job, reservation, now_ms)
     return plan
 
 
-def _fault_of_limit(world: World, job: Job) -> str:
+def _limit_reason(world: World, job: Job) -> str:
     share = world.capacity.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
@@ -129,50 +137,54 @@
 ) -> Choice:
     if not plan.victims:
         return Choice(plan.placements, not guaranteed)
-    keep = Keep(job.name, plan.placements, guaranteed, since_ms, now_ms)
-    return Choice(None, stops=plan.victims, keep=keep)
+    reservation = AdvanceReservation(
+        job.name, plan.placements, guaranteed, since_ms, now_ms
+    )
+    return Choice(None, victims=plan.victims, reservation=reservation)
 
 
 def _choose_borrowed(
-    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+    world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
-    plan = find_free(world.capacity, job, avoid)
+    plan = find_free(world.capacity, job, excluded)
     if plan is not None:
         return Choice(plan.placements, borrowed=True)
     if job.urgency is Urgency.INTERACTIVE:
-        plan = find_borrowed(world, job, avoid)
+        plan = find_borrowed(world, job, excluded)
         if plan is not None:
             return _choice_of(job, plan, since_ms, now_ms, guaranteed=False)
-    for keep in world.capacity.keeps:
-        if _may_lend(world, job, keep, now_ms):
-            plan = find_kept(world.capacity, keep, job, avoid)
+    for reservation in world.capacity.advance_reservations:
+        if _may_lend(world, job, reservation, now_ms):
+            plan = find_reserved(world.capacity, reservation, job, excluded)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
-    if job.accelerators.bit_count() > 1 and not avoid:
+    if job.accelerators.bit_count() > 1 and not excluded:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
     return Choice(None, refused=(RefusedAlternative("all workers", "no free place"),))
 
 
-def _may_lend(world: World, job: Job, keep: Keep, now_ms: int) -> bool:
+def _may_lend(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> bool:
     """Return whether a kept place may be lent to a job.
 
     It is as long as the place waits for an earlier gang; the job is stopped when
     that one has gone. Past the bound it would be stopped at once. Interactive work
     is lent a place only if it should end in time, since it can't be stopped.
     """
-    due_ms = bound_of(world, keep)
-    if keep.guaranteed or now_ms >= due_ms:
+    due_ms = preempt_at_ms(world, reservation)
+    if reservation.guaranteed or now_ms >= due_ms:
         return False
-    owner = world.agreed.jobs.get(keep.job)
-    if not waits_for_earlier(world, keep):
+    owner = world.agreed.jobs.get(reservation.job)
+    if not waits_for_earlier_gang(world, reservation):
         return False
-    if overdue_gangs(world, keep, owner, now_ms):
+    if find_preemption_victims(world, reservation, owner, now_ms):
         return False
     if job.urgency is Urgency.INTERACTIVE:
-        due_ms = min(due_ms, keep.date_ms)
+        due_ms = min(due_ms, reservation.expected_free_ms)
         return now_ms + expected_run_ms(world.capacity, job) <= due_ms
-    return now_ms + LEAST_LOAN_MS <= due_ms
+    return now_ms + MIN_LOAN_MS <= due_ms
 
 
 policies.register("shapes")(Policy(rank_by_run_time, choose_shapes))
--- a/kingcuppost/systems/jobs/tests/test_judging.py
+++ b/kingcuppost/systems/jobs/tests/test_feasibility.py
@@ -19,7 +19,7 @@
 SETTLED_MS = 15_000
 
 
-def job_row(run: Driver, name: str) -> Job:
+def get_job(run: Driver, name: str) -> Job:
     return run.world.agreed.jobs.get(name)
 
 
@@ -29,15 +29,15 @@
     submit(run, job("hungry", "a", 1, 1, cores=65))
     settle(run, SETTLED_MS)
     for name in ("wide", "deep", "hungry"):
-        assert job_row(run, name).state is JobState.REFUSED
-        assert "could ever hold" in job_row(run, name).reason
+        assert get_job(run, name).state is JobState.REFUSED
+        assert "could ever hold" in get_job(run, name).reason
 
 
 def test_nothing_is_refused_before_workers_are_known() -> None:
     run = driver([], {"a": ()})
     submit(run, job("early", "a", 1, 8))
     settle(run, MINUTE_MS)
-    assert job_row(run, "early").state is JobState.WAITING
+    assert get_job(run, "early").state is JobState.WAITING
 
 
 def test_a_job_beyond_the_limit_of_its_team_is_refused() -> None:
@@ -45,8 +45,8 @@
     team = run.world.agreed.teams.get("a")
     run.append(TeamPut("a", (), 8, team.offset))
     submit(run, job("wide", "a", 2, 8), job("one", "a", 1, 6), job("two", "a", 1, 4))
-    assert job_row(run, "wide").state is JobState.REFUSED
-    assert "may hold 8" in job_row(run, "wide").reason
+    assert get_job(run, "wide").state is JobState.REFUSED
+    assert "may hold 8" in get_job(run, "wide").reason
     assert running(run) == {"two": True} or running(run) == {"one": True}
 
 
@@ -55,8 +55,8 @@
     run.change_zone(ZoneChange(0, "b", False))
     submit(run, job("pair", "a", 2, 8))
     settle(run, SETTLED_MS)
-    assert job_row(run, "pair").state is JobState.PARKED
-    assert "out of service" in job_row(run, "pair").reason
+    assert get_job(run, "pair").state is JobState.PARKED
+    assert "out of service" in get_job(run, "pair").reason
     run.change_zone(ZoneChange(0, "b", True))
     run.tick()
     settle(run)
@@ -70,9 +70,9 @@
         submit(run, job(f"j{number}", "a", 1, 1, run_ms=MINUTE_MS))
         settle(run, 5_000)
     faults = run.world.capacity.faults.get("w0")
-    assert faults.aside
+    assert faults.quarantined
     assert len(faults.jobs) <= 8
-    assert all(job_row(run, f"j{n}").state is not JobState.FAILED for n in range(30))
+    assert all(get_job(run, f"j{n}").state is not JobState.FAILED for n in range(30))
     run.bad_workers.clear()
     submit(run, job("later", "a", 1, 8, run_ms=MINUTE_MS))
     settle(run, 2 * HOUR_MS)
@@ -80,7 +80,7 @@
         submit(run, job(f"probe{number}", "a", 1, 8, run_ms=MINUTE_MS))
     settle(run, 2 * HOUR_MS)
     assert "w0" not in run.world.capacity.faults
-    assert run.world.capacity.workers.get("w0").room == 3
+    assert run.world.capacity.workers.get("w0").free_class == 3
 
 
 def test_a_probe_is_one_job_only() -> None:
@@ -88,7 +88,7 @@
     run.bad_workers = {"w0"}
     submit(run, *(job(f"j{number}", "a", 1, 8) for number in range(3)))
     settle(run, MINUTE_MS)
-    assert run.world.capacity.faults.get("w0").aside
+    assert run.world.capacity.faults.get("w0").quarantined
     assert running(run) == {}
     submit(run, *(job(f"k{number}", "a", 1, 1) for number in range(3)))
     settle(run, 10 * MINUTE_MS - 30_000)
@@ -105,9 +105,9 @@
         settle(run, 10_000)
         submit(run, job(f"more{number}", "a", 1, 1, run_ms=MINUTE_MS))
     settle(run, HOUR_MS)
-    assert job_row(run, "bad").state is JobState.FAILED
-    assert "failed on 3 workers" in job_row(run, "bad").reason
-    assert not any(row.aside for row in run.world.capacity.faults)
+    assert get_job(run, "bad").state is JobState.FAILED
+    assert "failed on 3 workers" in get_job(run, "bad").reason
+    assert not any(row.quarantined for row in run.world.capacity.faults)
 
 
 def test_a_wave_of_cancellations_is_one_pass_and_starts_go_on() -> None:
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
+from kingcuppost.systems.jobs.faults import pause_worker, reset_refusals
 from kingcuppost.systems.tests.worlds import (
     START_MS,
     Bench,
@@ -34,7 +34,7 @@
 FULL_MS = 1_000
 SILENCE_MS = LOST_MS + 2 * FULL_MS
 DRIFT_MS = 500
-RESERVE_BOUND_MS = 5_000
+RESERVE_TIMEOUT_MS = 5_000
 PAUSE_MS = 2_000
 
 
@@ -72,23 +72,23 @@
     bench.settle()
 
 
-def tell(bench: Bench, member: int, state: TaskState, job: str = "a") -> None:
+def report_member(bench: Bench, member: int, state: TaskState, job: str = "a") -> None:
     incarnation = bench.world.agreed.jobs.get(job).incarnation
     bench.world.inbox.put(MemberReport(job, incarnation, member, state))
     bench.settle()
 
 
-def tell_both(bench: Bench, state: TaskState) -> None:
-    tell(bench, 0, state)
-    tell(bench, 1, state)
+def report_both(bench: Bench, state: TaskState) -> None:
+    report_member(bench, 0, state)
+    report_member(bench, 1, state)
 
 
 def start(bench: Bench) -> None:
     """Bring a gang of two so far that it runs."""
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell_both(bench, TaskState.RESERVED)
-    tell_both(bench, TaskState.RUNNING)
+    report_both(bench, TaskState.RESERVED)
+    report_both(bench, TaskState.RUNNING)
 
 
 def stops(bench: Bench) -> list[GangStop]:
@@ -99,9 +99,9 @@
     return bench.log.bodies(GangEnd)
 
 
-def ms_until_end(bench: Bench, most_ms: int) -> int:
+def ms_until_end(bench: Bench, max_ms: int) -> int:
     begin_ms = bench.now_ms
-    while not ends(bench) and bench.now_ms - begin_ms < most_ms:
+    while not ends(bench) and bench.now_ms - begin_ms < max_ms:
         bench.run(50)
     assert ends(bench)
     return bench.now_ms - begin_ms
@@ -110,9 +110,9 @@
 def test_gang_is_released_once_all_members_are_reserved(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
+    report_member(bench, 0, TaskState.RESERVED)
     assert not bench.log.bodies(GangRelease)
-    tell(bench, 1, TaskState.RESERVED)
+    report_member(bench, 1, TaskState.RESERVED)
     bench.run(2_000)
     assert len(bench.log.bodies(GangRelease)) == 1
 
@@ -123,8 +123,8 @@
 def test_refusal_before_the_release_stops_all(bench: Bench, state: TaskState) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell(bench, 0, state)
-    tell(bench, 1, TaskState.RESERVED)
+    report_member(bench, 0, state)
+    report_member(bench, 1, TaskState.RESERVED)
     bench.run(2_000)
     assert not bench.log.bodies(GangRelease)
     assert len(stops(bench)) == 1
@@ -135,8 +135,8 @@
 ) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell(bench, 0, TaskState.REFUSED)
-    tell(bench, 1, TaskState.STOPPED)
+    report_member(bench, 0, TaskState.REFUSED)
+    report_member(bench, 1, TaskState.STOPPED)
     assert not ends(bench)
     assert 1_500 <= ms_until_end(bench, 60_000) <= 3_000
 
@@ -144,8 +144,8 @@
 def test_member_that_never_reserves_stops_the_gang(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
-    bench.run(RESERVE_BOUND_MS - 100)
+    report_member(bench, 0, TaskState.RESERVED)
+    bench.run(RESERVE_TIMEOUT_MS - 100)
     assert not stops(bench)
     bench.run(200)
     assert len(stops(bench)) == 1
@@ -155,8 +155,8 @@
     place(bench.log, "a", WORKERS)
     bench.settle()
     bench.log.up = False
-    tell(bench, 0, TaskState.STOPPED)
-    tell_both(bench, TaskState.RESERVED)
+    report_member(bench, 0, TaskState.STOPPED)
+    report_both(bench, TaskState.RESERVED)
     bench.log.up = True
     bench.run(2_000)
     assert not bench.log.bodies(GangRelease)
@@ -164,22 +164,22 @@
 
 def test_gang_ends_when_all_members_are_over(bench: Bench) -> None:
     start(bench)
-    tell(bench, 1, TaskState.STOPPED)
+    report_member(bench, 1, TaskState.STOPPED)
     assert [row.reason for row in stops(bench)] == ["member 1 is stopped"]
     assert not ends(bench)
-    tell(bench, 0, TaskState.STOPPED)
+    report_member(bench, 0, TaskState.STOPPED)
     assert len(ends(bench)) == 1
 
 
 def test_failed_member_names_its_worker(bench: Bench) -> None:
     start(bench)
-    tell(bench, 1, TaskState.FAILED)
+    report_member(bench, 1, TaskState.FAILED)
     assert [row.failed_worker for row in stops(bench)] == ["worker-1"]
 
 
 def test_gang_with_a_stopped_member_ends_after_the_leases(bench: Bench) -> None:
     start(bench)
-    tell(bench, 1, TaskState.STOPPED)
+    report_member(bench, 1, TaskState.STOPPED)
     waited_ms = ms_until_end(bench, 60_000)
     bound_ms = 2 * LEASE_MS + GRACE_MS + DRIFT_MS
     assert bound_ms <= waited_ms <= bound_ms + 100
@@ -187,7 +187,7 @@
 
 def test_finished_member_is_no_proof_that_the_others_lapse(bench: Bench) -> None:
     start(bench)
-    tell(bench, 1, TaskState.FINISHED)
+    report_member(bench, 1, TaskState.FINISHED)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(60_000)
     assert not ends(bench)
@@ -198,7 +198,7 @@
     start(bench)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(100_000)
-    tell(bench, 1, TaskState.STOPPED)
+    report_member(bench, 1, TaskState.STOPPED)
     assert not ends(bench)
     assert ms_until_end(bench, 60_000) >= 2 * LEASE_MS
 
@@ -224,23 +224,23 @@
     start(bench)
     for _ in range(4):
         bench.run(SILENCE_MS // 2)
-        tell(bench, 0, TaskState.RUNNING)
+        report_member(bench, 0, TaskState.RUNNING)
     assert not stops(bench)
 
 
 def test_quiet_member_is_not_lost_between_two_full_reports(bench: Bench) -> None:
     start(bench)
-    tell(bench, 0, TaskState.FINISHED)
+    report_member(bench, 0, TaskState.FINISHED)
     bench.run(SILENCE_MS - 1_000)
     assert not stops(bench)
 
 
 def test_lost_last_member_stops_the_gang(bench: Bench) -> None:
     start(bench)
-    tell(bench, 0, TaskState.FINISHED)
+    report_member(bench, 0, TaskState.FINISHED)
     for _ in range(20):
         bench.run(SILENCE_MS // 8)
-        tell(bench, 0, TaskState.FINISHED)
+        report_member(bench, 0, TaskState.FINISHED)
     assert len(stops(bench)) == 1
 
 
@@ -248,15 +248,15 @@
     bench: Bench, log: FakeLog
 ) -> None:
     start(bench)
-    tell(bench, 1, TaskState.STOPPED)
+    report_member(bench, 1, TaskState.STOPPED)
     bench.run(2 * LEASE_MS)
     rival = entry_bench(log, bench.clock, 1)
     rival.settle()
     claim(rival)
     rival.run(2 * LEASE_MS)
     assert not ends(rival)
-    tell(rival, 0, TaskState.STOPPED)
-    tell(rival, 1, TaskState.STOPPED)
+    report_member(rival, 0, TaskState.STOPPED)
+    report_member(rival, 1, TaskState.STOPPED)
     assert len(ends(rival)) == 1
 
 
@@ -267,7 +267,7 @@
     rival.settle()
     claim(rival)
     log.add(JobCancel("a", "enough"))
-    tell_both(bench, TaskState.RESERVED)
+    report_both(bench, TaskState.RESERVED)
     bench.run(5_000)
     releases = bench.log.bodies(GangRelease)
     assert len(releases) <= 1
@@ -278,7 +278,7 @@
     place(log, "a", WORKERS)
     rival = entry_bench(log, bench.clock, 1)
     rival.settle()
-    tell_both(rival, TaskState.RESERVED)
+    report_both(rival, TaskState.RESERVED)
     claim(rival)
     rival.run(100)
     assert len(log.bodies(GangRelease)) == 1
@@ -288,7 +288,7 @@
     start(bench)
     bench.log.add(JobCancel("a", "enough"))
     bench.settle()
-    tell_both(bench, TaskState.STOPPED)
+    report_both(bench, TaskState.STOPPED)
     bench.run(2_000)
     world = bench.world
     assert "a/1" not in world.gang_view.stages
@@ -319,45 +319,45 @@
         place(bench.log, name, WORKERS)
         release(bench.log, name)
     bench.settle()
-    looked = []
+    checked = []
     monkeypatch.setattr(
         importlib.import_module("kingcuppost.systems.jobs.gangs"),
         "_advance",
-        lambda world, gang, now_ms: looked.append(gang.key),
+        lambda world, gang, now_ms: checked.append(gang.key),
     )
     bench.run(2_000)
-    assert looked == []
+    assert checked == []
     bench.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
     bench.settle()
-    assert looked == ["job-7/1"]
+    assert checked == ["job-7/1"]
 
 
 def test_worker_that_reserves_nothing_is_avoided_for_a_pause(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
-    bench.run(RESERVE_BOUND_MS + 100)
+    report_member(bench, 0, TaskState.RESERVED)
+    bench.run(RESERVE_TIMEOUT_MS + 100)
     silent, reserved = WORKERS[1], WORKERS[0]
     faults = bench.world.capacity.faults
-    assert faults.get(silent).avoided
+    assert faults.get(silent).paused
     assert faults.get(reserved) is None
-    assert bench.world.capacity.workers.get(silent).room < 0
+    assert bench.world.capacity.workers.get(silent).free_class < 0
     bench.run(PAUSE_MS)
-    assert not faults.get(silent).avoided
-    assert bench.world.capacity.workers.get(silent).room >= 0
+    assert not faults.get(silent).paused
+    assert bench.world.capacity.workers.get(silent).free_class >= 0
 
 
 def test_pause_doubles_until_the_worker_reserves(bench: Bench) -> None:
     bench.settle()
     pauses = []
     for _ in range(3):
-        avoid_worker(bench.world, WORKERS[0], bench.now_ms)
-        pauses.append(bench.world.capacity.faults.get(WORKERS[0]).return_ms)
+        pause_worker(bench.world, WORKERS[0], bench.now_ms)
+        pauses.append(bench.world.capacity.faults.get(WORKERS[0]).resume_ms)
     assert [at - bench.now_ms for at in pauses] == [
         PAUSE_MS,
         2 * PAUSE_MS,
         4 * PAUSE_MS,
     ]
-    trust_worker(bench.world, WORKERS[0])
+    reset_refusals(bench.world, WORKERS[0])
     assert bench.world.capacity.faults.get(WORKERS[0]) is None
-    assert bench.world.capacity.workers.get(WORKERS[0]).room >= 0
+    assert bench.world.capacity.workers.get(WORKERS[0]).free_class >= 0
--- a/kingcuppost/systems/jobs/tests/test_occupancy.py
+++ b/kingcuppost/systems/jobs/tests/test_occupancy.py
@@ -4,7 +4,11 @@
 
 from bench.driver import Driver
 from bench.lists import deployments
-from kingcuppost.systems.jobs.occupancy import hold_of, put_hold, track_occupancy
+from kingcuppost.systems.jobs.occupancy import (
+    build_allocation,
+    put_allocation,
+    track_occupancy,
+)
 from kingcuppost.tables.capacity import Capacity
 from kingcuppost.tables.world import World
 
@@ -18,11 +22,11 @@
         for row in getattr(agreed, name):
             getattr(world.agreed, name).put(row)
     track_occupancy(world, run.clock.now_ms())
-    for keep in run.world.capacity.keeps:
-        hold = run.world.capacity.holds[f"keep:{keep.job}"]
-        put_hold(world.capacity, hold)
-    for key in run.world.capacity.pending:
-        put_hold(world.capacity, run.world.capacity.holds[key])
+    for reservation in run.world.capacity.advance_reservations:
+        allocation = run.world.capacity.allocations[f"reservation:{reservation.job}"]
+        put_allocation(world.capacity, allocation)
+    for key in run.world.capacity.pending_gangs:
+        put_allocation(world.capacity, run.world.capacity.allocations[key])
     return world.capacity
 
 
@@ -48,6 +52,6 @@
     run.submit(job)
     row = run.world.agreed.jobs.get(job.job)
     before = [item.free_blocks for item in run.world.capacity.workers]
-    hold = hold_of("x/1", row, ())
-    put_hold(run.world.capacity, hold)
+    allocation = build_allocation("x/1", row, ())
+    put_allocation(run.world.capacity, allocation)
     assert before == [item.free_blocks for item in run.world.capacity.workers]
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/capacity.py
@@ -14,29 +14,29 @@
 __all__ = [
     "CELL_CLASSES",
     "Capacity",
-    "Hold",
-    "Keep",
+    "Allocation",
+    "AdvanceReservation",
     "QueueEntry",
     "RunTimes",
     "TeamShare",
     "UncoveredGuarantee",
     "WorkerCapacity",
     "WorkerFaults",
-    "WorkerHold",
+    "WorkerAllocation",
 ]
 
 CELL_CLASSES = 7
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerHold:
+class WorkerAllocation:
     """What one gang or keep takes of one worker.
 
     Attributes
     ----------
     busy : int
         Mask of the accelerators that tasks hold.
-    kept : int
+    reserved : int
         Mask of the accelerators that are kept free for a job to come.
     cells : tuple of int
         Masks of the guaranteed cells that it binds.
@@ -45,14 +45,14 @@
     """
 
     busy: int = 0
-    kept: int = 0
+    reserved: int = 0
     cells: tuple[int, ...] = ()
     cores: int = 0
     memory_mb: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Hold:
+class Allocation:
     """What one gang or keep takes of all workers.
 
     Attributes
@@ -63,14 +63,14 @@
         Team that it counts for.
     accelerators : int
         Accelerators that its tasks hold.
-    shares : dict of str to WorkerHold
+    by_worker : dict of str to WorkerAllocation
         What it takes, by worker.
     """
 
     key: str
     team: str
     accelerators: int
-    shares: dict[str, WorkerHold]
+    by_worker: dict[str, WorkerAllocation]
 
 
 @dataclass(slots=True)
@@ -91,18 +91,18 @@
         Whether tasks may start on it now.
     probing : bool
         Whether it may run one gang only, as a probe.
-    busy, kept, bound, pinned : int
+    busy, reserved, bound, pinned : int
         Masks of accelerators: held by tasks; kept for a job to come; in guaranteed
         cells in use; held by tasks, or kept, within guarantees.
     free_cores, free_memory_mb : int
         What is left.
-    holds : dict of str to WorkerHold
+    allocations : dict of str to WorkerAllocation
         What gangs and keeps take of it.
-    room : int
+    free_class : int
         Class of the largest free cell; -1 for none or an unusable worker.
-    bind_room : int
+    unbound_class : int
         The same for cells that no guarantee uses, borrowed or not.
-    core_room : tuple of int
+    core_bucket : tuple of int
         Whether it has accelerators, and the bits of the number of free cores;
         ``(-1, 0)`` for an unusable worker.
     free_blocks, unbound_blocks : tuple of int
@@ -120,15 +120,15 @@
     usable: bool = False
     probing: bool = False
     busy: int = 0
-    kept: int = 0
+    reserved: int = 0
     bound: int = 0
     pinned: int = 0
     free_cores: int = 0
     free_memory_mb: int = 0
-    holds: dict[str, WorkerHold] = field(default_factory=dict)
-    room: int = -1
-    bind_room: int = -1
-    core_room: tuple[int, int] = (-1, 0)
+    allocations: dict[str, WorkerAllocation] = field(default_factory=dict)
+    free_class: int = -1
+    unbound_class: int = -1
+    core_bucket: tuple[int, int] = (-1, 0)
     free_blocks: tuple[int, ...] = (0,) * CELL_CLASSES
     unbound_blocks: tuple[int, ...] = (0,) * CELL_CLASSES
 
@@ -179,7 +179,7 @@
 
 
 @dataclass(slots=True)
-class Keep:
+class AdvanceReservation:
     """Accelerators kept free for a job that can't start yet.
 
     Attributes
@@ -192,9 +192,9 @@
         Whether the accelerators are reclaimed within the team's guarantee.
     since_ms : int
         When the job was first kept a place, monotonic ms.
-    date_ms : int
+    expected_free_ms : int
         When all of them should be free, monotonic ms.
-    earlier : frozenset of str
+    earlier_gangs : frozenset of str
         Gangs that held some of them when they were kept.
     """
 
@@ -202,8 +202,8 @@
     placements: tuple[Placement, ...]
     guaranteed: bool
     since_ms: int
-    date_ms: int
-    earlier: frozenset[str] = frozenset()
+    expected_free_ms: int
+    earlier_gangs: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -218,14 +218,14 @@
         Smoothed natural logarithm of actual over declared run time.
     mean_ms : float
         Smoothed run time, for jobs that declare none.
-    seen : int
+    samples : int
         Finished jobs that were counted.
     """
 
     team: str
     log_ratio: float = 0.0
     mean_ms: float = 0.0
-    seen: int = 0
+    samples: int = 0
 
 
 @dataclass(slots=True)
@@ -238,25 +238,25 @@
         Name of the worker.
     jobs : set of str
         Distinct jobs that failed on it.
-    aside : bool
+    quarantined : bool
         Whether the worker gets no work but probes.
     probe_ms : int
         When one job may probe it again, monotonic ms.
     refusals : int
         Reservations in a row that it refused or did not answer.
-    avoided : bool
+    paused : bool
         Whether it gets no work for a pause after a refusal.
-    return_ms : int
+    resume_ms : int
         When the pause is over, monotonic ms.
     """
 
     worker: str
     jobs: set[str] = field(default_factory=set)
-    aside: bool = False
+    quarantined: bool = False
     probe_ms: int = 0
     refusals: int = 0
-    avoided: bool = False
-    return_ms: int = 0
+    paused: bool = False
+    resume_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -283,53 +283,59 @@
     ----------
     source : object
         The agreed tables that it follows.
-    holds : dict of str to Hold
+    allocations : dict of str to Hold
         Holds by key of gang or keep.
-    pending : set of str
+    pending_gangs : set of str
         Keys of gangs that were proposed and not folded yet.
     free_blocks, unbound_blocks, demand : list of int
         Cells by class: free; in no guarantee's use; guaranteed and unused.
-    queue, ranks : list of QueueEntry, dict of str to QueueEntry
+    queue, queue_entries : list of QueueEntry, dict of str to QueueEntry
         Waiting jobs in order; the entry of each.
     queue_policy : str
         Policy that ordered the queue.
-    due : bool
+    pass_due : bool
         Whether something changed since the last pass over the queue.
-    pass_ms : int
+    next_pass_ms : int
         When the next pass is due though nothing changed; 0 for never.
     fleet_changed_ms : int
         When workers, zones or teams last changed.
-    unjudged : dict of str to None
+    unchecked_jobs : dict of str to None
         Jobs whose chance to ever run is to be judged, in order.
-    holdable : dict of tuple to bool
+    feasibility_cache : dict of tuple to bool
         Whether workers could hold a job, by its needs; for one state of the fleet.
-    failures_seen : dict of str to int
+    counted_failures : dict of str to int
         Workers on which each open job has failed, as far as counted.
-    leave_ms : dict of str to int
+    evacuate_at_ms : dict of str to int
         When gangs leave each availability zone that was taken out.
     """
 
     source: object = None
     workers: Table[WorkerCapacity] = field(
-        default_factory=lambda: Table("name", ("room", "bind_room", "core_room"))
+        default_factory=lambda: Table(
+            "name", ("free_class", "unbound_class", "core_bucket")
+        )
     )
     shares: Table[TeamShare] = field(default_factory=lambda: Table("team"))
     uncovered: Table[UncoveredGuarantee] = field(default_factory=lambda: Table("team"))
-    keeps: Table[Keep] = field(default_factory=lambda: Table("job"))
+    advance_reservations: Table[AdvanceReservation] = field(
+        default_factory=lambda: Table("job")
+    )
     run_times: Table[RunTimes] = field(default_factory=lambda: Table("team"))
     faults: Table[WorkerFaults] = field(default_factory=lambda: Table("worker"))
-    holds: dict[str, Hold] = field(default_factory=dict)
-    pending: set[str] = field(default_factory=set)
+    allocations: dict[str, Allocation] = field(default_factory=dict)
+    pending_gangs: set[str] = field(default_factory=set)
     free_blocks: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     unbound_blocks: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     demand: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     queue: list[QueueEntry] = field(default_factory=list)
-    ranks: dict[str, QueueEntry] = field(default_factory=dict)
+    queue_entries: dict[str, QueueEntry] = field(default_factory=dict)
     queue_policy: str = ""
-    due: bool = True
-    pass_ms: int = 0
+    pass_due: bool = True
+    next_pass_ms: int = 0
     fleet_changed_ms: int = 0
-    unjudged: dict[str, None] = field(default_factory=dict)
-    holdable: dict[tuple[int, int, int, int, bool], bool] = field(default_factory=dict)
-    failures_seen: dict[str, int] = field(default_factory=dict)
-    leave_ms: dict[str, int] = field(default_factory=dict)
+    unchecked_jobs: dict[str, None] = field(default_factory=dict)
+    feasibility_cache: dict[tuple[int, int, int, int, bool], bool] = field(
+        default_factory=dict
+    )
+    counted_failures: dict[str, int] = field(default_factory=dict)
+    evacuate_at_ms: dict[str, int] = field(default_factory=dict)
