--- a/kingcuppost/tables/agenda.py
+++ b/kingcuppost/tables/agenda.py
@@ -1,4 +1,4 @@
-"""Keys by the time at which something is due for them."""
+"""A priority queue of keys by deadline."""
 
 import heapq
 
@@ -6,7 +6,10 @@
 
 
 class Agenda:
-    """A heap of keys by time in ms; who asks checks whether the key still counts.
+    """A heap of keys by deadline in ms.
+
+    Entries are never removed early: a caller of `take_due` checks whether each key
+    still applies.
 
     Examples
     --------
@@ -23,16 +26,16 @@
         self._heap: list[tuple[int, str]] = []
 
     def put(self, at_ms: int, key: str) -> None:
-        """File a key under a time."""
+        """Add a key with its deadline."""
         heapq.heappush(self._heap, (at_ms, key))
 
     def take_due(self, now_ms: int) -> list[str]:
-        """Remove and return the keys due up to and including `now_ms`."""
+        """Remove and return the keys whose deadline is `now_ms` or earlier."""
         due = []
         while self._heap and self._heap[0][0] <= now_ms:
             due.append(heapq.heappop(self._heap)[1])
         return due
 
     def next_ms(self) -> int | None:
-        """Return the earliest time, or None."""
+        """Return the earliest deadline, or None if there is none."""
         return self._heap[0][0] if self._heap else None
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/capacity.py
@@ -1,9 +1,9 @@
-"""What scheduling keeps beside the fold: capacity, shares, queue and faults.
+"""State of the scheduler beside the fold: capacity, team shares, queue and faults.
 
-All of it follows from the agreed tables and is rebuilt by a new scheduler. Sets
-of accelerators are bit masks: bit `n` stands for accelerator `n` of a worker. A
-cell is a block of accelerators, aligned on its own size, which is a power of two;
-class `k` stands for the size `2 ** k`.
+All of it is derived from the agreed tables, so that a new scheduler can rebuild it.
+Sets of accelerators are bit masks: bit `n` stands for accelerator `n` of a worker.
+A cell is a block of ``2 ** k`` accelerators whose first number is a multiple of its
+size; `k` is the class of the cell.
 """
 
 from dataclasses import dataclass, field
@@ -30,18 +30,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerAllocation:
-    """What one gang or keep takes of one worker.
+    """Resources of one worker that one gang or advance reservation uses.
 
     Attributes
     ----------
     busy : int
-        Mask of the accelerators that tasks hold.
+        Mask of the accelerators allocated to tasks.
     reserved : int
-        Mask of the accelerators that are kept free for a job to come.
+        Mask of the accelerators kept free for a waiting job.
     cells : tuple of int
-        Masks of the guaranteed cells that it binds.
+        Masks of the guaranteed cells that the accelerators are part of.
     cores, memory_mb : int
-        What its tasks take.
+        Cores and memory allocated.
     """
 
     busy: int = 0
@@ -53,18 +53,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Allocation:
-    """What one gang or keep takes of all workers.
+    """Resources of all workers that one gang or advance reservation uses.
 
     Attributes
     ----------
     key : str
-        Key of the gang, or of the keep.
+        Key of the gang or of the advance reservation.
     team : str
-        Team that it counts for.
+        Team whose share is charged.
     accelerators : int
-        Accelerators that its tasks hold.
+        Number of accelerators allocated to tasks.
     by_worker : dict of str to WorkerAllocation
-        What it takes, by worker.
+        Allocation on each worker by the worker's name.
     """
 
     key: str
@@ -75,14 +75,14 @@
 
 @dataclass(slots=True)
 class WorkerCapacity:
-    """What a worker has, and what is left of it.
+    """Capacity of a worker and the part of it that is free.
 
     Attributes
     ----------
     name, availability_zone, rack : str
-        The worker and where it stands.
+        Name and location of the worker.
     cores, memory_mb, accelerators : int
-        What it has.
+        Total capacity.
     whole : int
         Mask of all its accelerators.
     in_service : bool
@@ -90,23 +90,29 @@
     usable : bool
         Whether tasks may start on it now.
     probing : bool
-        Whether it may run one gang only, as a probe.
-    busy, reserved, bound, pinned : int
-        Masks of accelerators: held by tasks; kept for a job to come; in guaranteed
-        cells in use; held by tasks, or kept, within guarantees.
+        Whether it may run a single gang only, as a probe after failures.
+    busy : int
+        Mask of the accelerators allocated to tasks.
+    reserved : int
+        Mask of the accelerators in advance reservations.
+    bound : int
+        Mask of the guaranteed cells in use, including their idle accelerators.
+    pinned : int
+        Mask of the accelerators that are busy or reserved within a guarantee.
     free_cores, free_memory_mb : int
-        What is left.
+        Cores and memory not allocated.
     allocations : dict of str to WorkerAllocation
-        What gangs and keeps take of it.
+        Allocations on the worker by key of the gang or advance reservation.
     free_class : int
-        Class of the largest free cell; -1 for none or an unusable worker.
+        Class of the largest free cell; -1 if there is none or the worker is unusable.
     unbound_class : int
-        The same for cells that no guarantee uses, borrowed or not.
+        Class of the largest cell outside guarantees in use, whether borrowers
+        occupy it or not; -1 as above.
     core_bucket : tuple of int
-        Whether it has accelerators, and the bits of the number of free cores;
-        ``(-1, 0)`` for an unusable worker.
+        1 if the worker has accelerators, else 0, and the bit length of the number
+        of free cores; ``(-1, 0)`` for an unusable worker.
     free_blocks, unbound_blocks : tuple of int
-        Number of largest cells by class, as counted in the totals.
+        Number of maximal free and unbound cells by class, as included in the totals.
     """
 
     name: str
@@ -135,20 +141,20 @@
 
 @dataclass(slots=True)
 class TeamShare:
-    """What a team is guaranteed and what it uses.
+    """Guaranteed cells of a team and their use.
 
     Attributes
     ----------
     team : str
         Name of the team.
     guaranteed, unused : tuple of int
-        Guaranteed cells by class, and those not bound to accelerators.
+        Number of guaranteed cells by class, and of those not bound to accelerators.
     cells : dict of tuple to int
-        How many holds use each bound cell, by worker and mask.
+        Number of allocations in each bound cell, by worker and mask.
     used : int
-        Accelerators that the team's tasks hold.
+        Accelerators allocated to the team's tasks.
     limit : int
-        Most accelerators that they may hold; 0 for no limit.
+        Maximum of `used`; 0 for no limit.
     """
 
     team: str
@@ -161,16 +167,16 @@
 
 @dataclass(frozen=True, slots=True)
 class UncoveredGuarantee:
-    """Guaranteed cells of a team that could not be given now.
+    """Guaranteed cells of a team that the workers cannot provide now.
 
     Attributes
     ----------
     team : str
         Name of the team.
     cells : tuple of int
-        Cells that are missing, by class.
+        Number of missing cells by class.
     accelerators : int
-        Accelerators in them.
+        Number of accelerators in the missing cells.
     """
 
     team: str
@@ -180,22 +186,22 @@
 
 @dataclass(slots=True)
 class AdvanceReservation:
-    """Accelerators kept free for a job that can't start yet.
+    """Accelerators reserved for a job that cannot start yet.
 
     Attributes
     ----------
     job : str
         Name of the job.
     placements : tuple of Placement
-        Where it will start.
+        Where the job will start.
     guaranteed : bool
         Whether the accelerators are reclaimed within the team's guarantee.
     since_ms : int
-        When the job was first kept a place, monotonic ms.
+        When the job first got a reservation, monotonic ms.
     expected_free_ms : int
-        When all of them should be free, monotonic ms.
+        When all reserved accelerators are expected to be free, monotonic ms.
     earlier_gangs : frozenset of str
-        Gangs that held some of them when they were kept.
+        Keys of the gangs that occupied some of them when they were reserved.
     """
 
     job: str
@@ -208,7 +214,7 @@
 
 @dataclass(slots=True)
 class RunTimes:
-    """How a team's run times compare with the declared ones.
+    """Run times of a team's finished jobs, compared with the declared ones.
 
     Attributes
     ----------
@@ -219,7 +225,7 @@
     mean_ms : float
         Smoothed run time, for jobs that declare none.
     samples : int
-        Finished jobs that were counted.
+        Number of finished jobs included.
     """
 
     team: str
@@ -239,15 +245,15 @@
     jobs : set of str
         Distinct jobs that failed on it.
     quarantined : bool
-        Whether the worker gets no work but probes.
+        Whether the worker gets only probes, after failures of several jobs.
     probe_ms : int
-        When one job may probe it again, monotonic ms.
+        When the next probe may start, monotonic ms.
     refusals : int
-        Reservations in a row that it refused or did not answer.
+        Consecutive member reservations that it refused or did not answer.
     paused : bool
-        Whether it gets no work for a pause after a refusal.
+        Whether the worker gets no work for a while, after a refusal.
     resume_ms : int
-        When the pause is over, monotonic ms.
+        When the pause ends, monotonic ms.
     """
 
     worker: str
@@ -261,12 +267,12 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class QueueEntry:
-    """A waiting job's place in the queue.
+    """Position of a waiting job in the queue.
 
     Attributes
     ----------
     rank : tuple
-        Order of the policy, smallest first.
+        Sort key that the policy gives the job, smallest first.
     job : str
         Name of the job.
     """
@@ -277,36 +283,40 @@
 
 @dataclass(slots=True)
 class Capacity:
-    """Everything that scheduling keeps beside the fold.
+    """Everything that the scheduler derives from the agreed tables.
 
     Attributes
     ----------
     source : object
-        The agreed tables that it follows.
-    allocations : dict of str to Hold
-        Holds by key of gang or keep.
+        The agreed tables that this state is derived from.
+    workers, shares, uncovered, advance_reservations, run_times, faults : Table
+        Rows by worker, team or job; see the class of each row.
+    allocations : dict of str to Allocation
+        Allocations by key of the gang or advance reservation.
     pending_gangs : set of str
-        Keys of gangs that were proposed and not folded yet.
+        Keys of gangs whose placement was proposed and is not folded yet.
     free_blocks, unbound_blocks, demand : list of int
-        Cells by class: free; in no guarantee's use; guaranteed and unused.
+        Number of cells by class over all workers: free; outside guarantees in use;
+        guaranteed and unused.
     queue, queue_entries : list of QueueEntry, dict of str to QueueEntry
-        Waiting jobs in order; the entry of each.
+        Waiting jobs in order; the entry of each job by its name.
     queue_policy : str
-        Policy that ordered the queue.
+        Name of the policy that ordered the queue.
     pass_due : bool
         Whether something changed since the last pass over the queue.
     next_pass_ms : int
-        When the next pass is due though nothing changed; 0 for never.
+        When the next pass is due even if nothing changes, monotonic ms; 0 for never.
     fleet_changed_ms : int
-        When workers, zones or teams last changed.
+        When workers, zones or teams last changed, monotonic ms.
     unchecked_jobs : dict of str to None
-        Jobs whose chance to ever run is to be judged, in order.
+        Names of the jobs whose feasibility is to be checked, in order.
     feasibility_cache : dict of tuple to bool
-        Whether workers could hold a job, by its needs; for one state of the fleet.
+        Whether the workers could hold a job, by its needs; cleared when the fleet
+        changes.
     counted_failures : dict of str to int
-        Workers on which each open job has failed, as far as counted.
+        Number of each job's failed workers that are counted in `faults` already.
     evacuate_at_ms : dict of str to int
-        When gangs leave each availability zone that was taken out.
+        When running gangs are stopped in each zone out of service, monotonic ms.
     """
 
     source: object = None
--- a/kingcuppost/tables/due.py
+++ b/kingcuppost/tables/due.py
@@ -1,4 +1,4 @@
-"""Keys of rows that a system looks at again at a time."""
+"""Timers by key: when a system must process a row again."""
 
 import heapq
 
@@ -6,7 +6,7 @@
 
 
 class DueKeys:
-    """One time in ms for each key; the latest one set counts.
+    """One timer in ms for each key; setting it again replaces the previous time.
 
     Examples
     --------
@@ -28,13 +28,13 @@
         return len(self._times)
 
     def set(self, key: str, at_ms: int) -> None:
-        """Look at a key at a time, and at no other."""
+        """Set the timer of a key and replace a previous one."""
         if self._times.get(key) != at_ms:
             self._times[key] = at_ms
             heapq.heappush(self._heap, (at_ms, key))
 
     def take(self, now_ms: int) -> list[str]:
-        """Return and forget the keys that are due."""
+        """Remove and return the keys whose timer has expired."""
         keys = []
         while self._heap and self._heap[0][0] <= now_ms:
             at_ms, key = heapq.heappop(self._heap)
@@ -44,10 +44,10 @@
         return keys
 
     def discard(self, key: str) -> None:
-        """Forget a key."""
+        """Remove the timer of a key, if there is one."""
         self._times.pop(key, None)
 
     def clear(self) -> None:
-        """Forget all keys."""
+        """Remove all timers."""
         self._heap.clear()
         self._times.clear()
--- a/kingcuppost/tables/job.py
+++ b/kingcuppost/tables/job.py
@@ -20,7 +20,7 @@
 
 
 class Urgency(StrEnum):
-    """Whether somebody waits for the work."""
+    """Whether a user waits for the result."""
 
     INTERACTIVE = "interactive"
     OVERNIGHT = "overnight"
@@ -39,7 +39,7 @@
 
 
 class GangState(StrEnum):
-    """Stage of one try to run a job."""
+    """Stage of one attempt to run a job."""
 
     RESERVING = "reserving"
     RELEASED = "released"
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where one member of a gang runs.
+    """Worker and accelerators of one gang member.
 
     Attributes
     ----------
@@ -57,8 +57,8 @@
     accelerators : tuple of int
         Numbers of the worker's accelerators.
     cell : int
-        Size of the guaranteed cell that they are part of, a block aligned on its
-        own size; 0 for a borrower.
+        Size of the guaranteed cell that contains them, a block aligned on its own
+        size; 0 for a member that borrows.
     """
 
     worker: str
@@ -68,16 +68,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectiveValue:
-    """A setting's value with the branch and record that gave it.
+    """The value of a setting in effect, with the branch and record that set it.
 
     Attributes
     ----------
     key : str
         Name of the setting.
     value : str, int, float, bool or None
-        The value used.
+        The value in effect.
     path : str
-        Branch that set it; ``"default"`` if none did.
+        Branch of the settings tree that set it; ``"default"`` if none did.
     offset : int
         Log offset of the record; 0 for a default.
     operator : str
@@ -93,14 +93,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedAlternative:
-    """A place or choice that was considered and not taken.
+    """A place or choice that was considered and rejected.
 
     Attributes
     ----------
     place : str
         What was considered.
     reason : str
-        Why it was refused.
+        Why it was rejected.
     """
 
     place: str
@@ -109,18 +109,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """Why a gang was placed where it was.
+    """The basis of a placement: policy, settings and rejected alternatives.
 
     Attributes
     ----------
     policy : str
         Name of the placement policy.
     settings_offset : int
-        Log offset up to which settings had been applied.
+        Log offset up to which settings were applied.
     values : tuple of EffectiveValue
         Settings that the decision used.
     refused : tuple of RefusedAlternative
-        Alternatives that were not taken; the first few.
+        The first few alternatives that were rejected.
     """
 
     policy: str
@@ -131,20 +131,20 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job accepted from an operator or caller.
+    """A job submitted by an operator or caller.
 
     Attributes
     ----------
     name, team : str
         Identifiers.
     members, accelerators : int
-        Gang size; adjacent accelerators of one worker for each member.
+        Number of gang members; number of adjacent accelerators that each needs.
     cores, memory_mb : int
-        Needs of each member.
+        Cores and memory that each member needs.
     urgency : Urgency
-        Whether somebody waits.
+        Whether a user waits for the result.
     declared_ms : int
-        Run time that the submitter declared, in ms; 0 if unknown.
+        Run time declared by the submitter, in ms; 0 if unknown.
     payload : str
         What the members run; opaque to the scheduler.
     state : JobState
@@ -154,13 +154,13 @@
     submitted_offset, submitted_wall_ms : int
         Log offset and time of the submission.
     reason, result : str
-        Why the state is what it is; what the finished job returned.
+        Reason for the current state; result of the finished job.
     failed_workers : tuple of str
         Distinct workers on which the job has failed.
     finished_wall_ms : int
         Time of the record that ended the job; 0 before.
     failures : int
-        How often a member failed, on whatever worker.
+        Number of failures of members on any worker.
     """
 
     name: str
@@ -185,7 +185,9 @@
 
 @dataclass(slots=True)
 class Gang:
-    """One try to run a job; it holds accelerators until its row goes.
+    """One attempt to run a job.
+
+    Its accelerators stay allocated until the row is deleted.
 
     Attributes
     ----------
@@ -194,25 +196,25 @@
     job, team : str
         Identifiers.
     incarnation : int
-        Number of the try, from 1.
+        Number of the attempt, from 1.
     term : int
         Scheduling term that placed it.
     placements : tuple of Placement
-        One for each member, in order of member number.
+        One for each member, by member number.
     borrowed : bool
-        True if it runs beyond its team's guarantees.
+        Whether it runs beyond its team's guarantees.
     state : GangState
         Stage of the gang.
     decision : Decision
-        Why it stands where it does.
+        Basis of the placement.
     placed_offset, placed_wall_ms : int
         Log offset and time of the placement.
     released_wall_ms : int
         Time of the release record; 0 before.
     reason : str
-        Why it is stopping.
+        Why it is stopping; empty before.
     grace_ms : int
-        Time for a checkpoint before the stop, in ms; -1 for the setting's.
+        Time for a checkpoint before the stop, in ms; -1 for the value of the setting.
     """
 
     key: str
--- a/kingcuppost/tables/team.py
+++ b/kingcuppost/tables/team.py
@@ -1,4 +1,4 @@
-"""Teams and the shapes that they are guaranteed."""
+"""Teams and their guaranteed shapes."""
 
 from dataclasses import dataclass
 
@@ -7,16 +7,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """A number of members with adjacent accelerators each.
+    """A number of gang members and the adjacent accelerators that each has.
 
     Attributes
     ----------
     members : int
-        Workers' shares that the shape is made of.
+        Number of members.
     accelerators : int
         Adjacent accelerators of one worker for each member.
     count : int
-        How many such shapes may be held at once.
+        Number of such shapes guaranteed at the same time.
     """
 
     members: int
@@ -26,17 +26,17 @@
 
 @dataclass(slots=True)
 class Team:
-    """A team of users with guarantees.
+    """A team of users and its guarantees.
 
     Attributes
     ----------
     name : str
         Identifier of the team.
     guarantees : tuple of Shape
-        Shapes that the team can always reclaim.
+        Shapes that the team can reclaim from borrowers at any time.
     accelerator_limit : int
-        Most accelerators that the team may hold, borrowed ones included; 0 for
-        no limit.
+        Maximum number of accelerators allocated to the team, including borrowed
+        ones; 0 for no limit.
     offset : int
         Log offset of the record that set the row.
     operator : str
