--- a/kingcuppost/systems/jobs/__init__.py
+++ b/kingcuppost/systems/jobs/__init__.py
@@ -1,4 +1,4 @@
-"""Jobs: capacity, guarantees, placement, and the scheduler's part in gangs."""
+"""Scheduling of jobs: capacity, guarantees, placement and the stages of gangs."""
 
 from kingcuppost.systems.jobs.baselines import choose_first_fit
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -1,4 +1,4 @@
-"""Keeping accelerators free for a job that can't start yet."""
+"""Advance reservations: accelerators kept free for a job that cannot start yet."""
 
 from collections import Counter
 from heapq import nsmallest
@@ -54,10 +54,11 @@
 def put_reservation(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Keep a place for a job; within a guarantee this binds the cells.
+    """Store an advance reservation and allocate what it reserves.
 
-    Then it takes cores and memory too: else a borrower that is stopped for them
-    would be placed there again at once.
+    A reservation within a guarantee binds its cells. It also allocates cores and
+    memory: otherwise a borrower that was stopped for them would be placed there again
+    at once.
     """
     by_worker: dict[str, WorkerAllocation] = {}
     for placement in reservation.placements:
@@ -80,7 +81,7 @@
 def schedule_preemption_pass(
     world: World, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Ask for a pass over the queue when a keep may stop gangs."""
+    """Schedule queue passes at the times when the reservation may stop gangs."""
     if reservation.guaranteed:
         return
     for at_ms in (compact_at_ms(world, reservation), preempt_at_ms(world, reservation)):
@@ -95,7 +96,7 @@
 
 
 def preempt_at_ms(world: World, reservation: AdvanceReservation) -> int:
-    """Return when borrowers at the kept place are stopped, monotonic ms."""
+    """Return when borrowers on reserved accelerators are stopped, monotonic ms."""
     job = world.agreed.jobs.get(reservation.job)
     path = team_path(job.team, job.urgency)
     return reservation.since_ms + effective_value(
@@ -104,13 +105,13 @@
 
 
 def drop_reservation(capacity: Capacity, job: str) -> None:
-    """Give a kept place up."""
+    """Delete the reservation of a job, if there is one."""
     if capacity.advance_reservations.delete(job) is not None:
         drop_allocation(capacity, _allocation_key(job))
 
 
 def drop_stale_reservations(world: World) -> None:
-    """Give up what is kept for jobs that wait no more."""
+    """Delete the reservations of jobs that are no longer waiting."""
     for reservation in world.capacity.advance_reservations:
         job = world.agreed.jobs.get(reservation.job)
         if job is None or job.state is not JobState.WAITING:
@@ -118,7 +119,7 @@
 
 
 def can_start(world: World, reservation: AdvanceReservation, job: Job) -> bool:
-    """Return whether the job can start now at the place kept for it."""
+    """Return whether the job can start now on the accelerators reserved for it."""
     members = Counter(placement.worker for placement in reservation.placements)
     for placement in reservation.placements:
         row = world.capacity.workers.get(placement.worker)
@@ -135,10 +136,11 @@
 
 
 def is_still_feasible(world: World, reservation: AdvanceReservation) -> bool:
-    """Return whether it makes sense to wait for the kept place.
+    """Return whether the job can still be expected to start on its reservation.
 
-    It does not if a worker is out of use, or if guaranteed work has taken part of
-    the place since; a place within a guarantee only waits for borrowers.
+    It cannot if a worker is unusable, or if guaranteed work has since been placed on
+    part of the reservation. A reservation within a guarantee waits for nothing but
+    borrowers.
     """
     for placement in reservation.placements:
         row = world.capacity.workers.get(placement.worker)
@@ -160,11 +162,13 @@
 def find_preemption_victims(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return the borrowers to stop so that the job starts within its bound.
+    """Return the borrowers to stop so that the job starts within its time limit.
 
-    Within a guarantee, and after the bound of a kept place, these are all
-    borrowers there that were submitted later. Before, they are those once nothing
-    that was there before the keep stands in the way.
+    Within a guarantee these are all borrowers on the reservation. Otherwise they are
+    the borrowers that must yield, either once the time limit has passed or once no
+    gang from before the reservation runs there any more. Until then, they are all
+    gangs there if these are few enough to be moved. In the first case, and after the
+    time limit, borrowers whose cores or memory the job needs are included.
     """
     past_bound = reservation.guaranteed or now_ms >= preempt_at_ms(world, reservation)
     if not past_bound and waits_for_earlier_gang(world, reservation):
@@ -180,23 +184,28 @@
 
 
 def _yields(world: World, gang: Gang, reservation: AdvanceReservation) -> bool:
-    """Return whether a gang gives way; overnight work only to work that is older.
+    """Return whether a gang must yield to the job of a reservation.
 
-    The order of submission never changes, so that no two jobs stop each other in
-    turn.
+    To overnight work beyond its guarantee, only gangs of later submitted jobs yield.
+    The order of submission never changes, so that no two jobs preempt each other
+    alternately.
     """
     if not may_preempt(world, gang, reservation.guaranteed):
         return False
-    own = world.agreed.jobs.get(reservation.job)
-    other = world.agreed.jobs.get(gang.job)
-    older = own.submitted_offset < other.submitted_offset
-    return reservation.guaranteed or own.urgency is Urgency.INTERACTIVE or older
+    reserving_job = world.agreed.jobs.get(reservation.job)
+    other_job = world.agreed.jobs.get(gang.job)
+    is_older = reserving_job.submitted_offset < other_job.submitted_offset
+    return (
+        reservation.guaranteed
+        or reserving_job.urgency is Urgency.INTERACTIVE
+        or is_older
+    )
 
 
 def _gangs_to_compact(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return all gangs in the way if they are few enough to be moved."""
+    """Return all gangs on the reservation if they are few enough to be moved."""
     if now_ms < compact_at_ms(world, reservation):
         return frozenset()
     blockers = _blocking_gangs(world, reservation)
@@ -209,7 +218,7 @@
 
 
 def compact_at_ms(world: World, reservation: AdvanceReservation) -> int:
-    """Return when small gangs are moved from the kept place, monotonic ms."""
+    """Return when small gangs may be moved from a reservation, monotonic ms."""
     job = world.agreed.jobs.get(reservation.job)
     path = team_path(job.team, job.urgency)
     return reservation.since_ms + effective_value(
@@ -218,14 +227,14 @@
 
 
 def _blocking_gangs(world: World, reservation: AdvanceReservation) -> list[Gang]:
-    """Return the gangs that hold accelerators of a kept place."""
+    """Return the gangs that occupy accelerators of a reservation."""
     keys = sorted(_gang_keys_on(world.capacity, reservation.placements))
     gangs = [world.agreed.gangs.get(key) for key in keys]
     return [gang for gang in gangs if gang is not None]
 
 
 def waits_for_earlier_gang(world: World, reservation: AdvanceReservation) -> bool:
-    """Return whether a gang that was there before the keep still runs there."""
+    """Return whether a gang from before the reservation still occupies part of it."""
     return bool(
         reservation.earlier_gangs
         & _gang_keys_on(world.capacity, reservation.placements)
@@ -235,7 +244,7 @@
 def _gang_keys_on(
     capacity: Capacity, placements: tuple[Placement, ...]
 ) -> frozenset[str]:
-    """Return the keys of all holds whose tasks use part of a place."""
+    """Return the keys of all gangs that occupy part of the placements."""
     return frozenset(
         key
         for placement in placements
@@ -261,7 +270,9 @@
 def plan_reservation(
     world: World, job: Job, since_ms: int, now_ms: int
 ) -> AdvanceReservation | None:
-    """Keep the places that should be free first for the first job in the queue.
+    """Plan a reservation of the blocks that are expected to be free first.
+
+    Blocks outside guarantees in use are preferred.
 
     Parameters
     ----------
@@ -270,23 +281,23 @@
     job : Job
         The job; it needs accelerators.
     since_ms : int
-        Since when a place has been kept for it.
+        Since when the job has had a reservation, monotonic ms.
     now_ms : int
         Monotonic time.
 
     Returns
     -------
-    Keep or None
-        None if there are too few places at all.
+    AdvanceReservation or None
+        None if there are too few usable blocks.
     """
     cell_class = class_of(job.accelerators)
-    dated = []
+    blocks = []
     for row in world.capacity.workers:
         if row.name in job.failed_workers:
             continue
         if row.usable and row.accelerators >= job.accelerators:
-            dated.extend(_blocks_with_free_time(world, row, cell_class))
-    chosen = nsmallest(job.members, dated)
+            blocks.extend(_blocks_with_free_time(world, row, cell_class))
+    chosen = nsmallest(job.members, blocks)
     if len(chosen) < job.members:
         return None
     placements = tuple(
@@ -303,7 +314,11 @@
 def _blocks_with_free_time(
     world: World, row: WorkerCapacity, cell_class: int
 ) -> list[tuple[bool, int, str, int]]:
-    """Return whether each block is within a guarantee, and when it is free."""
+    """Return the unreserved blocks of a worker, with sort keys.
+
+    Each entry has: whether the block is in use within a guarantee, the time until it
+    is expected to be free in ms, the name of the worker and the mask of the block.
+    """
     found = []
     ends = _expected_ends(world, row)
     for block in blocks_in(row.whole & ~row.reserved, cell_class):
@@ -314,7 +329,7 @@
 
 
 def _expected_ends(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
-    """Return masks with the time until they should be free, in ms."""
+    """Return the masks in use with the time until they should be free, in ms."""
     wall_ms = world.clock.wall_ms()
     ends = []
     for key, part in row.allocations.items():
@@ -324,7 +339,10 @@
 
 
 def _remaining_ms(world: World, key: str, wall_ms: int) -> int:
-    """Return the time until a gang should end, one that is being placed included."""
+    """Return the time until a gang is expected to end, in ms.
+
+    A gang whose placement is still a proposal is expected to run its whole run time.
+    """
     gang = world.agreed.gangs.get(key)
     job = world.agreed.jobs.get(key.rpartition("/")[0])
     if gang is None:
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -1,4 +1,4 @@
-"""Baselines to compare with: first fit, and backfilling without guarantees."""
+"""Baseline policies for comparison: first fit, and backfilling without guarantees."""
 
 from kingcuppost.systems.jobs.advance_reservations import can_start, drop_reservation
 from kingcuppost.systems.jobs.cells import count_cells
@@ -11,27 +11,37 @@
 
 
 def find_adjacent(free: int, count: int) -> tuple[int, ...] | None:
-    """Return the first run of adjacent free accelerators, or None.
+    """Return the first `count` adjacent accelerators of a mask, or None.
 
     Examples
     --------
     >>> find_adjacent(0b1101, 2)
     (2, 3)
     """
-    run = (1 << count) - 1
+    adjacent = (1 << count) - 1
     for start in range(free.bit_length()):
-        if (free >> start) & run == run:
+        if (free >> start) & adjacent == adjacent:
             return tuple(range(start, start + count))
     return () if count == 0 else None
 
 
 def choose_first_fit(world: World, job: Job, now_ms: int) -> Choice:
-    """Take the first workers that hold a member each, rack by rack."""
+    """Place members on the first workers that have room for them, rack by rack."""
     return _first_fit(world, job, {})
 
 
 def _first_fit(world: World, job: Job, lendable: dict[str, int]) -> Choice:
-    """Place by first fit; `lendable` masks of kept accelerators may be used too."""
+    """Place by first fit; reserved accelerators in `lendable` may be used too.
+
+    Parameters
+    ----------
+    world : World
+        Tables of the process.
+    job : Job
+        The job.
+    lendable : dict of str to int
+        Masks of reserved accelerators that the job may use, by worker.
+    """
     placements: list[Placement] = []
     refused = []
     wanted = job.members * job.accelerators
@@ -49,7 +59,9 @@
         found = _place_members(row, job, wanted, lendable.get(row.name, 0))
         placements.extend(found)
         if len(found) < wanted:
-            refused.append(RefusedAlternative(row.name, "no room for a member"))
+            refused.append(
+                RefusedAlternative(row.name, "not enough free capacity for a member")
+            )
         else:
             return Choice(tuple(placements), refused=tuple(refused))
     return Choice(None, refused=tuple(refused))
@@ -63,18 +75,22 @@
     memory_mb = row.free_memory_mb
     found = []
     while len(found) < wanted and cores >= job.cores and memory_mb >= job.memory_mb:
-        run = find_adjacent(free, job.accelerators)
-        if run is None:
+        adjacent = find_adjacent(free, job.accelerators)
+        if adjacent is None:
             break
-        found.append(Placement(row.name, run))
-        free &= ~sum(1 << number for number in run)
+        found.append(Placement(row.name, adjacent))
+        free &= ~sum(1 << number for number in adjacent)
         cores -= job.cores
         memory_mb -= job.memory_mb
     return found
 
 
 def _choose_backfill(world: World, job: Job, now_ms: int) -> Choice:
-    """Place by first fit; use kept places for what should end before their date."""
+    """Place by first fit, also on reserved accelerators that it should free in time.
+
+    These are lent to jobs whose declared run time ends before the reservation is
+    expected to start.
+    """
     reservation = world.capacity.advance_reservations.get(job.name)
     if reservation is not None and can_start(world, reservation, job):
         return Choice(reservation.placements)
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -1,7 +1,7 @@
-"""Arithmetic on cells: aligned blocks of accelerators, and counts of them.
+"""Arithmetic on cells (aligned blocks of accelerators) and on counts of cells.
 
-Counts are sequences indexed by class; a cell of class `k` has ``2 ** k``
-accelerators and splits into two of class ``k - 1``.
+Counts are sequences indexed by class. A cell of class `k` has ``2 ** k``
+accelerators and splits into two cells of class ``k - 1``.
 """
 
 from collections.abc import Sequence
@@ -25,7 +25,7 @@
 
 
 def class_of(accelerators: int) -> int:
-    """Return the class of the smallest cell with that many accelerators.
+    """Return the class of the smallest cell that contains so many accelerators.
 
     Examples
     --------
@@ -37,7 +37,7 @@
 
 @lru_cache(MASK_CACHE_SIZE)
 def blocks_in(mask: int, cell_class: int) -> tuple[int, ...]:
-    """Return the masks of all whole aligned blocks of a class.
+    """Return the masks of all aligned blocks of a class that a mask contains.
 
     Examples
     --------
@@ -55,7 +55,7 @@
 
 @lru_cache(MASK_CACHE_SIZE)
 def count_blocks(mask: int) -> tuple[int, ...]:
-    """Return the number of largest aligned blocks by class.
+    """Return the number of maximal aligned blocks in a mask, by class.
 
     Examples
     --------
@@ -74,7 +74,7 @@
 
 @lru_cache(MASK_CACHE_SIZE)
 def best_fit_blocks(mask: int, cell_class: int) -> tuple[int, ...]:
-    """Return the blocks of a class, those that spoil the least first.
+    """Return the blocks of a class, those within the smallest maximal block first.
 
     Examples
     --------
@@ -89,20 +89,20 @@
 
 
 def _largest_blocks(mask: int, cell_class: int) -> list[int]:
-    """Return the blocks of a class that lie in no larger one."""
+    """Return the blocks of a class that are not part of a larger block."""
     found = []
     for block in blocks_in(mask, cell_class):
         start = block.bit_length() // block.bit_count() - 1
-        twin = start // 2 * 2
+        pair_start = start // 2 * 2
         parent = (1 << 2 * block.bit_count()) - 1
-        parent <<= twin * block.bit_count()
+        parent <<= pair_start * block.bit_count()
         if mask & parent != parent:
             found.append(block)
     return found
 
 
 def accelerator_numbers(mask: int, count: int) -> tuple[int, ...]:
-    """Return the first `count` numbers of a mask of adjacent accelerators.
+    """Return the first `count` accelerator numbers of a mask of adjacent ones.
 
     Examples
     --------
@@ -114,7 +114,7 @@
 
 
 def count_cells(counts: Sequence[int], cell_class: int) -> int:
-    """Return how many cells of a class the counted blocks hold.
+    """Return the number of cells of a class that the counted blocks can be split into.
 
     Examples
     --------
@@ -128,10 +128,10 @@
 
 
 def left_over(blocks: Sequence[int], demand: Sequence[int]) -> int:
-    """Return how many accelerators of `demand` do not fit into `blocks`.
+    """Return the number of accelerators in `demand` that do not fit into `blocks`.
 
-    Going from the largest class down, what is not used of one class splits
-    into two cells of the next. With aligned cells this packing is exact.
+    From the largest class down, each unused cell of a class is split into two cells
+    of the next class. This packing is exact for aligned cells.
 
     Examples
     --------
@@ -140,18 +140,18 @@
     >>> left_over((0, 0, 2, 0, 0, 0, 0), (0, 0, 0, 1, 0, 0, 0))
     8
     """
-    spare = 0
+    available = 0
     missing = 0
     for cell_class in reversed(range(CELL_CLASSES)):
-        spare = 2 * spare + blocks[cell_class] - demand[cell_class]
-        if spare < 0:
-            missing += -spare << cell_class
-            spare = 0
+        available = 2 * available + blocks[cell_class] - demand[cell_class]
+        if available < 0:
+            missing += -available << cell_class
+            available = 0
     return missing
 
 
 def split_block(counts: list[int], block_class: int, cell_class: int) -> None:
-    """Take a cell out of a block of the same or a larger class, in place.
+    """Remove a cell from a block of the same or a larger class, in place.
 
     Examples
     --------
@@ -166,6 +166,6 @@
 
 
 def add_counts(total: list[int], counts: Sequence[int], sign: int = 1) -> None:
-    """Add counts to a total in place, or take them away with sign -1."""
+    """Add counts to a total in place, or subtract them with sign -1."""
     for cell_class, count in enumerate(counts):
         total[cell_class] += sign * count
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -1,4 +1,4 @@
-"""What a policy decides, and the registry of policies."""
+"""The decisions of placement policies, and the registry of policies."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """What a policy decided for a job.
+    """The decision of a policy about one job.
 
     Attributes
     ----------
@@ -23,13 +23,13 @@
     borrowed : bool
         Whether it runs beyond its team's guarantees.
     refused : tuple of RefusedAlternative
-        What was considered and not taken.
+        Alternatives that were considered and rejected.
     victims : frozenset of str
-        Keys of gangs that are stopped for the job.
-    reservation : Keep or None
-        Place that is kept for it meanwhile.
+        Keys of the gangs to stop for the job.
+    reservation : AdvanceReservation or None
+        Reservation that the job gets, or retains, while it waits.
     lacks_capacity : bool
-        Whether it waits for a place, not for something else.
+        Whether it waits for free capacity and not for another condition.
     """
 
     placements: tuple[Placement, ...] | None
@@ -42,18 +42,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """How waiting jobs are ordered and placed.
+    """Order and placement of waiting jobs.
 
     Attributes
     ----------
     rank : callable
-        Order of the queue, smallest first.
+        Returns the sort key of a job in the queue, smallest first.
     choose : callable
-        Decision for one job.
+        Returns the decision about one job.
     strict : bool
-        Whether nothing overtakes a job that must wait.
+        Whether no job may overtake one that must wait.
     reserves : bool
-        Whether a place is kept for the first job that must wait.
+        Whether the first job that must wait gets an advance reservation.
     """
 
     rank: Rank
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -1,6 +1,7 @@
-"""Workers that fail everything they start, or that reserve nothing.
+"""Detection of workers on which jobs fail or that refuse member reservations.
 
-The first are set aside and probed; the others are avoided for a pause that doubles.
+A worker on which several jobs failed is quarantined and probed. One that refuses
+reservations gets no work for a pause that doubles with each refusal.
 """
 
 from kingcuppost.settings import effective_value
@@ -21,7 +22,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
 def track_faults(world: World, now_ms: int) -> None:
-    """Count distinct failed jobs by worker; set workers aside, and probe them."""
+    """Count the distinct failed jobs of each worker; quarantine, probe and resume."""
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
         if job is None:
@@ -36,9 +37,10 @@
 
 
 def pause_worker(world: World, worker: str, now_ms: int) -> None:
-    """Give no work to a worker for a while that reserved nothing for a gang.
+    """Exclude a worker from placement for a while after it did not reserve a member.
 
-    A lost worker is empty, and would otherwise draw one gang after the other.
+    All capacity of an unreachable worker seems to be free, so that it would otherwise
+    attract one gang after the other.
 
     Parameters
     ----------
@@ -57,12 +59,12 @@
     world.capacity.faults.put(row)
     world.deadlines.add(row.resume_ms)
     _refresh(world.capacity, worker)
-    text = f"The worker gets no work for {row.resume_ms - now_ms} ms."
+    text = f"Worker is excluded from placement for {row.resume_ms - now_ms} ms."
     note(world, STEP_PAUSE, text, peer=worker)
 
 
 def reset_refusals(world: World, worker: str) -> None:
-    """Forget refusals of a worker that has reserved a member."""
+    """Clear the refusals of a worker that has reserved a member."""
     row = world.capacity.faults.get(worker)
     if row is None or not row.refusals:
         return
@@ -84,7 +86,7 @@
     row.paused = False
     _refresh(world.capacity, row.worker)
     world.capacity.pass_due = True
-    note(world, STEP_PAUSE, "The worker may get work again.", peer=row.worker)
+    note(world, STEP_PAUSE, "Worker accepts work again after a pause.", peer=row.worker)
 
 
 def _track_job(world: World, job: Job, now_ms: int) -> None:
@@ -109,7 +111,7 @@
     row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
     world.deadlines.add(row.probe_ms)
     _set_probing(world.capacity, worker, False)
-    text = f"The worker is set aside after {len(row.jobs)} failed jobs."
+    text = f"Worker is quarantined after {len(row.jobs)} failed jobs."
     note(world, STEP, text, peer=worker, job=job)
 
 
@@ -122,18 +124,23 @@
         return
     _set_probing(world.capacity, row.worker, True)
     world.capacity.pass_due = True
-    note(world, STEP, "The worker may run one job as a probe.", peer=row.worker)
+    note(world, STEP, "Quarantined worker may run one job as a probe.", peer=row.worker)
 
 
 def _clear_faults(world: World, job: Job) -> None:
-    """Trust the workers again on which a job has finished."""
+    """Clear the faults of the workers on which a job has finished."""
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
         row = world.capacity.faults.delete(placement.worker)
         if row is not None and (row.quarantined or row.paused):
             _set_probing(world.capacity, placement.worker, False)
             world.capacity.pass_due = True
-            note(world, STEP, "The worker is in use again.", peer=placement.worker)
+            note(
+                world,
+                STEP,
+                "Worker accepts work again after a finished job.",
+                peer=placement.worker,
+            )
 
 
 def _refresh(capacity: Capacity, worker: str) -> None:
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -1,4 +1,4 @@
-"""Jobs that can never run are refused, those that can't now are parked."""
+"""Refuse jobs that can never run, and park those that cannot run at present."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.agreement.lease import is_scheduler
@@ -17,7 +17,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
 def check_feasibility(world: World, now_ms: int) -> None:
-    """Refuse, park or unpark jobs that are new or that meet a changed fleet."""
+    """Refuse, park or unpark jobs that are new, and all after a change of the fleet."""
     if not is_scheduler(world) or not world.capacity.unchecked_jobs:
         return
     under_way = jobs_with_pending_change(world)
@@ -28,7 +28,7 @@
 
 
 def jobs_with_pending_change(world: World) -> set[str]:
-    """Return the jobs whose refusal or parking is on its way to the log."""
+    """Return the names of jobs with a proposed refusal, parking or unparking."""
     return {
         row.record.body.job
         for row in world.proposals
@@ -37,7 +37,7 @@
 
 
 def _check_job(world: World, job: Job | None, now_ms: int) -> bool:
-    """Propose what is to become of a job; return whether it is settled."""
+    """Propose a state for a job; return False if it must be checked again later."""
     if job is None or job.state not in (JobState.WAITING, JobState.PARKED):
         return True
     if reason := _failure_reason(world, job):
@@ -52,17 +52,20 @@
 
 
 def _failure_reason(world: World, job: Job) -> str:
-    """Return why a job is given up; workers that are set aside do not count."""
-    good = []
+    """Return why a job is refused for its failures; empty if it is not.
+
+    Failures on quarantined workers do not count.
+    """
+    counted = []
     for worker in job.failed_workers:
         faults = world.capacity.faults.get(worker)
         if faults is None or not faults.quarantined:
-            good.append(worker)
+            counted.append(worker)
     path = team_path(job.team, job.urgency)
     limit = effective_value(world.agreed, "job.failed_worker_limit", path)
-    if len(good) >= limit:
-        return f"the job failed on {len(good)} workers: {', '.join(good)}"
-    if good and job.failures >= ATTEMPTS_PER_WORKER * limit:
+    if len(counted) >= limit:
+        return f"the job failed on {len(counted)} workers: {', '.join(counted)}"
+    if counted and job.failures >= ATTEMPTS_PER_WORKER * limit:
         return f"the job failed {job.failures} times"
     return ""
 
@@ -76,12 +79,12 @@
 
 
 def _is_feasible(world: World, job: Job, in_service_only: bool) -> bool:
-    """Return whether the workers could hold the gang with nothing else on them."""
+    """Return whether the gang would fit on the workers if nothing else ran there."""
     key = (job.members, job.accelerators, job.cores, job.memory_mb, in_service_only)
-    known = world.capacity.feasibility_cache
-    if key not in known:
-        known[key] = _count_slots(world, job, in_service_only) >= job.members
-    return known[key]
+    cache = world.capacity.feasibility_cache
+    if key not in cache:
+        cache[key] = _count_slots(world, job, in_service_only) >= job.members
+    return cache[key]
 
 
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
@@ -101,7 +104,7 @@
 
 
 def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
-    """Refuse once no worker has come or gone for a while."""
+    """Refuse a job once the fleet has not changed for a while."""
     stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
     stable_at_ms = world.capacity.fleet_changed_ms + stable_for_ms
     if now_ms < stable_at_ms or not len(world.capacity.workers):
@@ -118,16 +121,16 @@
 def _refuse(world: World, job: Job, reason: str, failed: bool, now_ms: int) -> None:
     term = world.agreed.lease.term
     propose(world, JobRefuse(term, job.name, failed, reason), now_ms)
-    note(world, "job.refuse", f"Refused: {reason}.", job=job.name, team=job.team)
+    note(world, "job.refuse", f"Job is refused: {reason}.", job=job.name, team=job.team)
 
 
 def _park(world: World, job: Job, now_ms: int) -> None:
-    """Park a job that only workers out of use could hold; unpark it after."""
+    """Park a job that only workers out of service could hold; unpark it afterwards."""
     parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
         return
     reason = "only workers that are out of service could hold it" if parked else ""
     body = JobPark(world.agreed.lease.term, job.name, parked, reason)
     propose(world, body, now_ms)
-    text = f"Parked: {reason}." if parked else "Waits again."
+    text = f"Job is parked: {reason}." if parked else "Job waits in the queue again."
     note(world, "job.park", text, job=job.name, team=job.team)
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -1,4 +1,4 @@
-"""When a gang counts as lost, and when no member of it can run any more."""
+"""Time limits after which a gang is lost, or none of its members can still run."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.member_reports import BROKEN_STATES, gang_members
@@ -36,12 +36,13 @@
 
 
 def lost_reason(world: World, gang: Gang, since_ms: int, now_ms: int) -> str:
-    """Return why a released gang can't finish any more; empty if it may.
+    """Return why a released gang can no longer finish; empty if it still may.
 
-    While a member is heard running, its leader holds the gang whole, though the
-    scheduler may be cut off from others. If all that are heard have finished, a
-    silent one is lost. If none is heard, the gang may run cut off from here for
-    as long as the isolation bound lets it.
+    While any member is reported as running, the gang's leader confirms that the gang
+    is complete, even if the scheduler cannot reach the other members. If all members
+    that report have finished, one that does not report is lost. If no member reports,
+    the gang may be partitioned from this process and can run until its isolation
+    limit.
 
     Parameters
     ----------
@@ -50,42 +51,47 @@
     gang : Gang
         A released gang.
     since_ms : int
-        When this process first saw it released.
+        When this process first observed the gang in this state, monotonic ms.
     now_ms : int
         Monotonic time.
     """
-    heard = _recently_reported(world, gang, now_ms)
-    if len(heard) == len(gang.placements):
+    recent = _recently_reported(world, gang, now_ms)
+    if len(recent) == len(gang.placements):
         return ""
-    if any(row.state is not TaskState.FINISHED for row in heard):
+    if any(row.state is not TaskState.FINISHED for row in recent):
         return ""
-    if not heard:
+    if not recent:
         timeout_ms = max(isolation_ms(world), member_timeout_ms(world, gang))
-        silent_ms = now_ms - _last_report_ms(world, gang, since_ms)
-        return f"no member heard for {timeout_ms} ms" if silent_ms >= timeout_ms else ""
+        unreported_ms = now_ms - _last_report_ms(world, gang, since_ms)
+        return (
+            f"no member reported for {timeout_ms} ms"
+            if unreported_ms >= timeout_ms
+            else ""
+        )
     timeout_ms = member_timeout_ms(world, gang)
     if now_ms - since_ms < timeout_ms:
         return ""
-    return f"a member was not heard for {timeout_ms} ms and no other runs"
+    return f"a member did not report for {timeout_ms} ms and no other is running"
 
 
 def member_timeout_ms(world: World, gang: Gang) -> int:
-    """Return the silence after which a member is not counted on, in ms.
+    """Return the time without a report after which a member is lost, in ms.
 
-    Members are reported when their state changes, and all once in a long period;
-    two of those periods may go by without a report.
+    A sidecar reports changes of state at once, and all members once in each full
+    report period. Two full reports may be missed.
     """
     missed_ms = MAX_MISSED_FULL_REPORTS * full_period_ms(world)
     return _setting(world, gang, "job.lost_ms") + missed_ms
 
 
 def stopped_by_ms(world: World, gang: Gang, since_ms: int) -> int:
-    """Return from when on no member of a stopping gang can run.
+    """Return the time from which no member of a stopping gang can still run.
 
-    A member that failed or was stopped reports to its leader no more, so that the
-    leader and then all others lapse. One that has finished breaks no gang. With no
-    such word the gang may be cut off whole, and its isolation bound ends it. A
-    gang that was never released holds reservations only.
+    A member that failed or was stopped no longer reports to the leader, so that the
+    leases of the leader and then of all other members expire. A finished member does
+    not have this effect. Without a report of such a member, the whole gang may be
+    partitioned from this process, and only its isolation limit ends it. A gang that
+    was never released has nothing but reservations at its workers.
 
     Parameters
     ----------
@@ -94,15 +100,15 @@
     gang : Gang
         A stopping gang.
     since_ms : int
-        When this process first saw it stopping.
+        When this process first observed the gang in this state, monotonic ms.
     """
     if not gang.released_wall_ms:
         return since_ms + reservation_ms(world) + CLOCK_DRIFT_MARGIN_MS
-    leases_ms = LEASES_UNTIL_STOPPED * lease_ms(world, gang)
-    timeout_ms = leases_ms + grace_ms(world, gang) + CLOCK_DRIFT_MARGIN_MS
-    isolated_ms = since_ms + timeout_ms + isolation_ms(world)
+    lease_sum_ms = LEASES_UNTIL_STOPPED * lease_ms(world, gang)
+    timeout_ms = lease_sum_ms + grace_ms(world, gang) + CLOCK_DRIFT_MARGIN_MS
+    isolation_end_ms = since_ms + timeout_ms + isolation_ms(world)
     rows = gang_members(world, gang.key)
     broken_ms = [row.since_ms for row in rows if row.state in BROKEN_STATES]
     if not broken_ms:
-        return isolated_ms
-    return min(isolated_ms, max(since_ms, min(broken_ms)) + timeout_ms)
+        return isolation_end_ms
+    return min(isolation_end_ms, max(since_ms, min(broken_ms)) + timeout_ms)
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -1,7 +1,7 @@
-"""The scheduler's part in a gang's life: release, stop, end.
+"""Stages of gangs at the scheduler: release, stop and end.
 
-A gang is looked at when its row or a member's state changes, and when a bound of
-it is over; the cost of a tick follows what changed.
+A gang is checked when its row or the state of a member changes and when one of its
+time limits expires, so that the cost of a tick depends on the number of changes only.
 """
 
 from kingcuppost.settings import effective_value, team_path
@@ -33,7 +33,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=30)
 def advance_gangs(world: World, now_ms: int) -> None:
-    """Propose the next step of every gang that is due for one."""
+    """Propose the next stage of every gang that has reached it."""
     keys = world.agreed.gangs.take_changes("advance")
     if not is_scheduler(world):
         _reset_view(world)
@@ -55,7 +55,7 @@
 
 
 def _reset_view(world: World) -> None:
-    """Drop what an earlier term of this process left, once for each term."""
+    """Clear the state of an earlier term of this process, once for each term."""
     if world.gang_view.term != world.agreed.lease.term:
         world.gang_view.term = world.agreed.lease.term
         world.reservations.clear()
@@ -64,7 +64,7 @@
 
 
 def _begin_term(world: World) -> list[str]:
-    """Begin a term: all gangs are looked at, and bounds count from now."""
+    """Begin a term: check all gangs, and count time limits from now."""
     world.gang_view.term = world.agreed.lease.term
     world.gang_view.stages.clear()
     return [gang.key for gang in world.agreed.gangs]
@@ -101,7 +101,7 @@
 
 
 def _track_stage(world: World, gang: Gang, now_ms: int) -> int:
-    """Return when this process first saw the gang in its present state, in ms."""
+    """Return when this process first observed the gang's present state, in ms."""
     seen = world.gang_view.stages.get(gang.key)
     if seen is None or seen.state != gang.state:
         world.gang_view.stages[gang.key] = GangStage(gang.state, now_ms)
@@ -129,9 +129,9 @@
     rows = gang_members(world, gang.key)
     states = [row.state for row in rows]
     if BROKEN_STATES.intersection(states):
-        refused = {_member_of(row) for row in rows if row.state in BROKEN_STATES}
-        _pause_workers(world, gang, refused, now_ms)
-        _stop(world, gang, "a member was refused", now_ms)
+        refusing = {_member_of(row) for row in rows if row.state in BROKEN_STATES}
+        _pause_workers(world, gang, refusing, now_ms)
+        _stop(world, gang, "a worker refused a member", now_ms)
     elif states.count(TaskState.RESERVED) == len(gang.placements):
         for placement in gang.placements:
             reset_refusals(world, placement.worker)
@@ -139,9 +139,11 @@
         _propose(world, gang, GangRelease(term, gang.job, gang.incarnation), now_ms)
     elif now_ms - since_ms >= timeout_ms:
         reserved = {_member_of(row) for row in rows if row.state is TaskState.RESERVED}
-        silent = set(range(len(gang.placements))) - reserved
-        _pause_workers(world, gang, silent, now_ms)
-        _stop(world, gang, f"not all members reserved in {timeout_ms} ms", now_ms)
+        unanswered = set(range(len(gang.placements))) - reserved
+        _pause_workers(world, gang, unanswered, now_ms)
+        _stop(
+            world, gang, f"not all members were reserved within {timeout_ms} ms", now_ms
+        )
     else:
         _schedule_check(world, gang.key, since_ms + timeout_ms)
 
@@ -171,16 +173,16 @@
 
 
 def _advance_stopping(world: World, gang: Gang, since_ms: int, now_ms: int) -> None:
-    """End a gang once nothing of it can run or hold its worker any more.
+    """End a gang once no member can still run or occupy its worker.
 
-    An order to reserve that the worker did not answer may yet arrive, and would
-    be in the way of the next gang until it lapses.
+    A reserve order that the worker has not answered may still arrive and would block
+    the next gang until that reservation expires.
     """
     states = [row.state for row in gang_members(world, gang.key)]
-    over = sum(state in FINAL_STATES for state in states)
-    all_over = over == len(gang.placements) and TaskState.REFUSED not in states
+    final = sum(state in FINAL_STATES for state in states)
+    all_final = final == len(gang.placements) and TaskState.REFUSED not in states
     end_ms = stopped_by_ms(world, gang, since_ms)
-    if all_over or now_ms >= end_ms:
+    if all_final or now_ms >= end_ms:
         body = GangEnd(world.agreed.lease.term, gang.job, gang.incarnation)
         _propose(world, gang, body, now_ms)
         return
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -1,4 +1,4 @@
-"""The proof that all guarantees can be met, and telling which ones can't."""
+"""Check that all guarantees can be met, and report those that cannot."""
 
 from kingcuppost.systems.events import note
 from kingcuppost.systems.jobs.cells import left_over
@@ -18,18 +18,18 @@
 
 
 def is_covered(capacity: Capacity) -> bool:
-    """Return whether all unused guaranteed cells fit at once.
+    """Return whether all unused guaranteed cells fit at the same time.
 
-    Borrowers do not count, since they can be stopped. Cells are aligned blocks,
-    so that the packing by counts is exact for them; for unaligned ones it may
-    miss a packing but never claims one that does not exist.
+    Borrowers are ignored, since they can be stopped. Packing by counts is exact for
+    aligned blocks. For unaligned ones it may miss a packing, but it never finds one
+    that does not exist.
     """
     return left_over(capacity.unbound_blocks, capacity.demand) == 0
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=40)
 def report_uncovered(world: World, now_ms: int) -> None:
-    """Keep a row for every team whose guarantees do not fit, and note changes."""
+    """Store a row for every team whose guarantees do not fit, and log changes."""
     capacity = world.capacity
     if not capacity.pass_due:
         return
@@ -39,25 +39,25 @@
     for row in capacity.uncovered:
         if row.team not in found:
             capacity.uncovered.delete(row.team)
-            note(world, STEP, "Guarantees are covered again.", team=row.team)
+            note(world, STEP, "Guarantees can be met again.", team=row.team)
     for team, row in found.items():
         if capacity.uncovered.get(team) != row:
             capacity.uncovered.put(row)
-            text = f"Guarantees lack {row.accelerators} accelerators."
+            text = f"Guarantees cannot be met: {row.accelerators} accelerators missing."
             note(world, STEP, text, team=team)
 
 
 def _uncovered(capacity: Capacity) -> list[UncoveredGuarantee]:
-    """Give cells to the teams by name, the largest class first."""
+    """Assign cells to the teams in order of name, the largest class first."""
     shares = sorted(capacity.shares, key=lambda share: share.team)
     missing = {share.team: [0] * CELL_CLASSES for share in shares}
-    spare = 0
+    available = 0
     for cell_class in reversed(range(CELL_CLASSES)):
-        spare = 2 * spare + capacity.unbound_blocks[cell_class]
+        available = 2 * available + capacity.unbound_blocks[cell_class]
         for share in shares:
-            given = min(spare, share.unused[cell_class])
-            spare -= given
-            missing[share.team][cell_class] = share.unused[cell_class] - given
+            granted = min(available, share.unused[cell_class])
+            available -= granted
+            missing[share.team][cell_class] = share.unused[cell_class] - granted
     return [
         _uncovered_row(share, missing[share.team])
         for share in shares
--- a/kingcuppost/systems/jobs/job_queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -1,4 +1,4 @@
-"""The queue of waiting jobs, kept in the order of the policy."""
+"""The queue of waiting jobs, sorted by the policy."""
 
 from bisect import bisect_left, insort
 from collections.abc import Callable
@@ -14,16 +14,16 @@
 
 
 def apply_job_changes(world: World, policy: str, rank: Rank) -> None:
-    """Take changed jobs into the queue or out of it, all in one pass.
+    """Insert changed jobs into the queue or remove them, all in one pass.
 
     Parameters
     ----------
     world : World
         Tables of the process.
     policy : str
-        Name of the policy; a change of policy orders the queue anew.
+        Name of the policy; a change of policy sorts the queue again.
     rank : callable
-        Order of the policy, smallest first.
+        Returns the sort key of a job, smallest first.
     """
     capacity = world.capacity
     names = world.agreed.jobs.take_changes("placement")
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -1,4 +1,4 @@
-"""What sidecars tell the scheduler of their members."""
+"""Reports of sidecars to the scheduler about gang members."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.registry import Phase, system
@@ -15,15 +15,15 @@
 
 
 def gang_members(world: World, key: str) -> list[Reservation]:
-    """Return what is known of a gang's members."""
+    """Return the rows of a gang's members that sidecars have reported."""
     return world.reservations.find("key", key)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=50)
 def handle_member_reports(world: World, now_ms: int) -> None:
-    """Remember what sidecars say of their members.
+    """Store the states of members that sidecars report.
 
-    A member that is over stays so, also when an older report comes late.
+    A final state stays, even if an older report arrives later.
     """
     refresh_ms = effective_value(world.agreed, "job.lost_ms") // REFRESHES_PER_TIMEOUT
     for report in world.inbox.take(MemberReport):
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -1,4 +1,4 @@
-"""Keeping capacity in step with the agreed tables, change by change."""
+"""Incremental updates of capacity from changes of the agreed tables."""
 
 from kingcuppost.systems.jobs.cells import (
     add_counts,
@@ -37,9 +37,9 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=40)
 def track_occupancy(world: World, now_ms: int) -> None:
-    """Follow changes of workers, zones, minions, teams and gangs.
+    """Apply changes of workers, zones, minions, teams and gangs to the capacity.
 
-    The cost follows the number of changed rows, not the size of the tables.
+    The cost depends on the number of changed rows, not on the size of the tables.
     """
     if world.capacity.source is not world.agreed:
         _reset(world)
@@ -53,7 +53,7 @@
 
 
 def _recheck_all_jobs(world: World) -> None:
-    """Let every waiting and parked job be judged against the changed fleet."""
+    """Mark every waiting and parked job to be checked against the changed fleet."""
     world.capacity.feasibility_cache.clear()
     for state in (JobState.WAITING, JobState.PARKED):
         for job in world.agreed.jobs.find("state", state):
@@ -61,7 +61,7 @@
 
 
 def _reset(world: World) -> None:
-    """Forget everything; the new tables report all of their rows as changed."""
+    """Start from empty state; the new tables report all of their rows as changed."""
     world.capacity = Capacity(source=world.agreed)
 
 
@@ -185,7 +185,7 @@
 
 
 def cell_mask(placement: Placement) -> int:
-    """Return the mask of the guaranteed cell that a member is part of.
+    """Return the mask of the guaranteed cell that contains a member, 0 if none.
 
     Examples
     --------
@@ -201,7 +201,7 @@
 def build_allocation(
     key: str, job: Job, placements: tuple[Placement, ...]
 ) -> Allocation:
-    """Return what a gang's members take."""
+    """Return the allocation of a gang with the given placements."""
     by_worker: dict[str, WorkerAllocation] = {}
     for placement in placements:
         old = by_worker.get(placement.worker, NO_ALLOCATION)
@@ -217,15 +217,15 @@
 
 
 def put_allocation(capacity: Capacity, allocation: Allocation) -> None:
-    """Take what a hold takes from its workers and its team's share."""
+    """Store an allocation and charge it to its workers and its team's share."""
     drop_allocation(capacity, allocation.key)
     capacity.allocations[allocation.key] = allocation
     share = _share_of(capacity, allocation.team)
     share.used += allocation.accelerators
     for name, part in allocation.by_worker.items():
         for cell in part.cells:
-            place = (name, cell)
-            share.cells[place] = share.cells.get(place, 0) + 1
+            bound_cell = (name, cell)
+            share.cells[bound_cell] = share.cells.get(bound_cell, 0) + 1
         row = capacity.workers.get(name)
         if row is not None:
             row.allocations[allocation.key] = part
@@ -234,7 +234,7 @@
 
 
 def drop_allocation(capacity: Capacity, key: str) -> None:
-    """Give back what a hold took, if there is one."""
+    """Remove an allocation, if it exists, and release what it uses."""
     allocation = capacity.allocations.pop(key, None)
     if allocation is None:
         return
@@ -250,14 +250,14 @@
     _refresh_share(capacity, share)
 
 
-def _unbind(share: TeamShare, place: tuple[str, int]) -> None:
-    share.cells[place] -= 1
-    if not share.cells[place]:
-        del share.cells[place]
+def _unbind(share: TeamShare, bound_cell: tuple[str, int]) -> None:
+    share.cells[bound_cell] -= 1
+    if not share.cells[bound_cell]:
+        del share.cells[bound_cell]
 
 
 def refresh_worker(capacity: Capacity, row: WorkerCapacity) -> None:
-    """Work out again what is left of one worker, and count it in the totals."""
+    """Recompute the free capacity of one worker and its part of the totals."""
     busy = reserved = bound = pinned = cores = memory_mb = 0
     for part in row.allocations.values():
         busy |= part.busy
@@ -293,7 +293,7 @@
 
 
 def _accepts_work(capacity: Capacity, row: WorkerCapacity) -> bool:
-    """Return whether new work may go to a worker, a single probe included."""
+    """Return whether a worker may get new work, including a single probe."""
     faults = capacity.faults.get(row.name)
     quarantined = faults is not None and faults.quarantined
     paused = faults is not None and faults.paused
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -1,4 +1,4 @@
-"""Passes over the queue of waiting jobs, by the policy that the settings name."""
+"""Passes over the queue of waiting jobs with the policy in the settings."""
 
 from kingcuppost.settings import effective, effective_value, team_path
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
@@ -43,7 +43,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=70)
 def place_jobs(world: World, now_ms: int) -> None:
-    """Place waiting jobs after a change, one batch at a time, on a fresh view."""
+    """Place waiting jobs after a change, one batch at a time, on a fresh log view."""
     capacity = world.capacity
     if not is_scheduler(world) or world.stopping:
         return
@@ -67,7 +67,7 @@
 
 
 def _begin_pass(world: World) -> None:
-    """Forget placements that the fold rejected, and keeps of jobs that went."""
+    """Drop allocations of rejected placements, and stale advance reservations."""
     capacity = world.capacity
     capacity.pass_due = False
     capacity.next_pass_ms = 0
@@ -79,17 +79,17 @@
 
 
 def _run_pass(world: World, policy: Policy, now_ms: int) -> None:
-    """Try jobs in order; of jobs that are alike, one failure speaks for all."""
+    """Try to place the jobs in order; skip a job if an equal one has failed."""
     depth = effective_value(world.agreed, "job.queue_depth")
-    tries = {urgency: 0 for urgency in Urgency}
+    attempts = {urgency: 0 for urgency in Urgency}
     failed: set[Signature] = set()
     may_reserve = dict.fromkeys(Urgency, policy.reserves)
-    changing = jobs_with_pending_change(world)
+    skipped = jobs_with_pending_change(world)
     for entry in list(world.capacity.queue):
         job = world.agreed.jobs.get(entry.job)
-        if job.name in changing:
+        if job.name in skipped:
             continue
-        if tries[job.urgency] >= depth:
+        if attempts[job.urgency] >= depth:
             if job.urgency is Urgency.OVERNIGHT:
                 break
             continue
@@ -97,7 +97,7 @@
         signature = _signature(job)
         if reservation is None and signature in failed:
             continue
-        tries[job.urgency] += 1
+        attempts[job.urgency] += 1
         choice = policy.choose(world, job, now_ms)
         if _commit(world, job, choice, now_ms):
             continue
@@ -137,15 +137,22 @@
     if reservation is None:
         return False
     put_reservation(world, job, reservation, now_ms)
-    note(world, "job.keep", "A place is kept.", job=job.name, team=job.team)
+    note(
+        world,
+        "job.keep",
+        "Accelerators are reserved in advance.",
+        job=job.name,
+        team=job.team,
+    )
     return True
 
 
 def _drop_later_reservations(world: World, job: Job) -> None:
-    """Give up places kept for jobs that come after this one, now first.
+    """Delete reservations of the same urgency, made before this job became first.
 
-    One place at a time: else every arrival that goes first adds one more, and if
-    the later job had its way, the first would never be kept one.
+    There is one reservation at a time: otherwise each job that arrives at the head of
+    the queue would add one more, and if the later job's reservation had precedence,
+    the first job would never get one.
     """
     for reservation in world.capacity.advance_reservations:
         other = world.agreed.jobs.get(reservation.job)
@@ -154,7 +161,7 @@
 
 
 def _commit(world: World, job: Job, choice: Choice, now_ms: int) -> bool:
-    """Carry a choice out; return whether the job was placed."""
+    """Propose what a choice contains; return whether the job was placed."""
     for key in sorted(choice.victims):
         gang = world.agreed.gangs.get(key)
         reason = f"reclaimed for job {job.name}"
@@ -177,7 +184,7 @@
 
 
 def _grace_key(job: Job, choice: Choice) -> str:
-    """Return the setting for the grace; it is short only within a guarantee."""
+    """Return the grace setting; a short one for interactive work in a guarantee."""
     guaranteed = choice.reservation is not None and choice.reservation.guaranteed
     urgent = guaranteed and job.urgency is Urgency.INTERACTIVE
     return "job.urgent_grace_ms" if urgent else "job.checkpoint_grace_ms"
@@ -186,20 +193,20 @@
 def stop_gang(
     world: World, gang: Gang | None, reason: str, now_ms: int, grace_key: str
 ) -> None:
-    """Propose to stop a gang, unless it stops or is to stop already.
+    """Propose to stop a gang, unless it is stopping or a stop is proposed already.
 
     Parameters
     ----------
     world : World
         Tables of the process.
     gang : Gang or None
-        The gang; nothing is done for None.
+        The gang; None does nothing.
     reason : str
-        Why, one sentence without a full stop.
+        Why it is stopped, without a full stop.
     now_ms : int
         Monotonic time.
     grace_key : str
-        Setting that gives the time for a checkpoint.
+        Name of the setting with the time for a checkpoint.
     """
     if gang is None or gang.state is GangState.STOPPING:
         return
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -1,7 +1,7 @@
-"""Finding places for the members of a gang.
+"""Search for placements of the members of a gang.
 
-Adjacency of a member's accelerators on one worker is required. That a gang stands
-on one worker, else in one rack, else in one availability zone, is preferred.
+The accelerators of a member must be adjacent on one worker. A gang on one worker is
+preferred to one in a rack, and that to one in an availability zone.
 """
 
 from collections import defaultdict
@@ -38,14 +38,14 @@
 
 MIN_CANDIDATES = 256
 CANDIDATES_PER_MEMBER = 4
-GROUPS_TRIED = 4
+MAX_GROUPS = 4
 CORE_BITS = 32
 NO_WORKERS: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A place for one member.
+    """A possible placement of one member.
 
     Attributes
     ----------
@@ -54,13 +54,13 @@
     block : int
         Mask of the accelerators; 0 for a member that needs none.
     cell : int
-        Mask of the guaranteed cell that the block is part of; 0 for a borrower.
+        Mask of the guaranteed cell that contains the block; 0 for a borrower.
     bound : bool
-        Whether the team uses the cell already.
+        Whether the cell is bound to the team already.
     victims : frozenset of str
-        Gangs that must stop first.
+        Keys of the gangs that must be stopped first.
     cost : float
-        Work that they lose, in ms of accelerators.
+        Work that they lose, in accelerator ms.
     """
 
     worker: WorkerCapacity
@@ -73,14 +73,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Places for all members of a gang.
+    """Placements of all members of a gang.
 
     Attributes
     ----------
     placements : tuple of Placement
         One for each member.
     victims : frozenset of str
-        Gangs that must stop first.
+        Keys of the gangs that must be stopped first.
     """
 
     placements: tuple[Placement, ...]
@@ -90,7 +90,7 @@
 def find_free(
     capacity: Capacity, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
-    """Return free places for a borrower, the tightest that hold it."""
+    """Return best-fit placements on free capacity for a borrower, or None."""
     if not job.accelerators:
         return _pick(_exclude(_core_candidates(capacity, job), excluded), job)
     cell_class = class_of(job.accelerators)
@@ -102,7 +102,7 @@
 def _exclude(
     candidates: Iterator[Candidate], excluded: frozenset[str]
 ) -> Iterator[Candidate]:
-    """Pass over workers that are to be avoided."""
+    """Skip the candidates on excluded workers."""
     return (item for item in candidates if item.worker.name not in excluded)
 
 
@@ -123,7 +123,7 @@
     job: Job,
     excluded: frozenset[str] = NO_WORKERS,
 ) -> Plan | None:
-    """Return places for a borrower among those kept for another job."""
+    """Return placements of a borrower within the reservation of another job."""
     if not job.accelerators:
         return None
     candidates = _reserved_candidates(capacity, reservation, class_of(job.accelerators))
@@ -144,24 +144,24 @@
 
 
 def _count_fitting(row: WorkerCapacity, job: Job) -> int:
-    """Return how many members the worker's free cores and memory hold."""
+    """Return how many members fit into the worker's free cores and memory."""
     by_cores = row.free_cores // job.cores if job.cores else job.members
     by_memory = row.free_memory_mb // job.memory_mb if job.memory_mb else job.members
     return max(min(by_cores, by_memory, job.members), 0)
 
 
 def _core_candidates(capacity: Capacity, job: Job) -> Iterator[Candidate]:
-    """Yield workers for members without accelerators, those without any first."""
-    for kind in (0, 1):
+    """Yield workers for members without accelerators; first workers without any."""
+    for has_accelerators in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BITS):
-            for row in capacity.workers.scan("core_bucket", (kind, bits)):
+            for row in capacity.workers.scan("core_bucket", (has_accelerators, bits)):
                 for _ in range(_count_fitting(row, job)):
                     yield Candidate(row, 0)
 
 
 def _pick(candidates: Iterator[Candidate], job: Job) -> Plan | None:
-    """Choose adjacent places among candidates that cost nothing."""
-    limit = 1 if job.members == 1 else _limit(job)
+    """Choose placements close to each other among candidates without victims."""
+    limit = 1 if job.members == 1 else _candidate_limit(job)
     found = list(islice(candidates, limit))
     chosen = _choose_group(found, job, lambda group: _select_fitting(group, job))
     if chosen is None:
@@ -170,7 +170,7 @@
 
 
 def _select_fitting(group: list[Candidate], job: Job) -> list[Candidate]:
-    """Return as many candidates as the workers have cores and memory for."""
+    """Return the candidates for which the workers have enough cores and memory."""
     members: dict[str, int] = defaultdict(int)
     chosen = []
     for item in group:
@@ -180,7 +180,7 @@
     return chosen[: job.members]
 
 
-def _limit(job: Job) -> int:
+def _candidate_limit(job: Job) -> int:
     return max(MIN_CANDIDATES, CANDIDATES_PER_MEMBER * job.members)
 
 
@@ -201,7 +201,7 @@
 def _choose_group(
     found: list[Candidate], job: Job, select: Selector
 ) -> list[Candidate] | None:
-    """Return the cheapest choice; among equals one worker, rack or zone."""
+    """Return the cheapest group; among equal ones that with the closest workers."""
     best = None
     best_cost = 0.0
     for level in (
@@ -225,15 +225,15 @@
 def _groups(
     found: list[Candidate], job: Job, level: Callable[[Candidate], str]
 ) -> list[list[Candidate]]:
-    """Return the groups that can hold the gang, the cheapest and tightest first."""
+    """Return the groups with enough candidates, the cheapest and smallest first."""
     groups = defaultdict(list)
     for item in found:
         groups[level(item)].append(item)
-    able = [group for group in groups.values() if len(group) >= job.members]
-    for group in able:
+    large_enough = [group for group in groups.values() if len(group) >= job.members]
+    for group in large_enough:
         group.sort(key=lambda item: item.cost)
-    able.sort(key=lambda group: (_cost_of(group, job), len(group)))
-    return able[:GROUPS_TRIED]
+    large_enough.sort(key=lambda group: (_cost_of(group, job), len(group)))
+    return large_enough[:MAX_GROUPS]
 
 
 def _cost_of(group: list[Candidate], job: Job) -> float:
@@ -243,9 +243,9 @@
 def find_guaranteed(
     world: World, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
-    """Return places within the team's guarantee, with the borrowers to stop.
+    """Return placements within the team's guarantee, with the borrowers to stop.
 
-    Only cells whose use leaves all other guarantees covered are taken.
+    Only cells whose use leaves all other guarantees covered are chosen.
     """
     capacity = world.capacity
     share = capacity.shares.get(job.team)
@@ -272,14 +272,14 @@
 
 
 def cell_counts(cell: int) -> tuple[int, ...]:
-    """Return the counts of one cell."""
+    """Return the counts by class that consist of one cell."""
     cell_class = class_of(cell.bit_count())
     return tuple(int(size == cell_class) for size in range(CELL_CLASSES))
 
 
 def _collect_candidates(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
     found = []
-    for item in islice(candidates, _limit(job)):
+    for item in islice(candidates, _candidate_limit(job)):
         if job.members == 1 and not item.cost and not item.victims:
             return [item]
         found.append(item)
@@ -305,7 +305,7 @@
 def _unbound_candidates(
     world: World, job: Job, cell_class: int, larger: int, index: str
 ) -> Iterator[Candidate]:
-    """Yield blocks of cells that no guarantee uses; by `free_class` only free ones."""
+    """Yield blocks of unbound cells; only free ones with the index ``free_class``."""
     workers = world.capacity.workers
     for worker_class in range(larger, CELL_CLASSES):
         for row in workers.scan(index, worker_class):
@@ -319,7 +319,7 @@
 
 
 def _within_share(row: WorkerCapacity, job: Job, cell_class: int) -> bool:
-    """Return whether a member needs no more than its cell's part of the worker."""
+    """Return whether a member needs at most its cell's part of cores and memory."""
     size = 1 << cell_class
     return (
         job.cores * row.accelerators <= size * row.cores
@@ -345,7 +345,7 @@
 def _select_covered(
     capacity: Capacity, share: TeamShare, job: Job, group: list[Candidate]
 ) -> list[Candidate]:
-    """Take candidates in order while every guarantee stays covered."""
+    """Select candidates in order that leave every guarantee covered."""
     blocks = list(capacity.unbound_blocks)
     demand = list(capacity.demand)
     unused = list(share.unused)
@@ -357,13 +357,13 @@
         name = item.worker.name
         if taken.get(name, 0) & item.block:
             continue
-        own = cells.setdefault(name, [])
-        if not item.bound and item.cell not in own:
-            if any(item.cell & other for other in own):
+        bound_cells = cells.setdefault(name, [])
+        if not item.bound and item.cell not in bound_cells:
+            if any(item.cell & other for other in bound_cells):
                 continue
-            if not _bind(item, own, unused, blocks, demand, missing):
+            if not _bind(item, bound_cells, unused, blocks, demand, missing):
                 continue
-            own.append(item.cell)
+            bound_cells.append(item.cell)
         taken[name] = taken.get(name, 0) | item.block
         chosen.append(item)
         if len(chosen) == job.members:
@@ -373,18 +373,21 @@
 
 def _bind(
     item: Candidate,
-    own: list[int],
+    bound_cells: list[int],
     unused: list[int],
     blocks: list[int],
     demand: list[int],
     missing: int,
 ) -> bool:
-    """Bind one more cell in the counts, unless a guarantee would lose cover."""
+    """Bind one more cell in the counts unless a guarantee would lose cover.
+
+    Returns whether the cell was bound.
+    """
     cell_class = class_of(item.cell.bit_count())
     if not unused[cell_class]:
         return False
     unbound = item.worker.whole & ~item.worker.bound
-    for other in own:
+    for other in bound_cells:
         unbound &= ~other
     trial_blocks = list(blocks)
     trial_demand = list(demand)
@@ -401,7 +404,7 @@
 
 
 def _enclosing_class(unbound: int, cell: int, cell_class: int) -> int:
-    """Return the class of the largest unbound block around a cell."""
+    """Return the class of the largest unbound block that contains a cell."""
     for larger in reversed(range(cell_class, CELL_CLASSES)):
         if any(block & cell for block in blocks_in(unbound, larger)):
             return larger
@@ -411,7 +414,7 @@
 def _plan_with_cores(
     world: World, chosen: list[Candidate], job: Job, guaranteed: bool
 ) -> Plan | None:
-    """Add the borrowers whose cores or memory the members need."""
+    """Return a plan that also stops borrowers whose cores or memory are needed."""
     members: dict[str, int] = defaultdict(int)
     rows = {item.worker.name: item.worker for item in chosen}
     victims = frozenset().union(*(item.victims for item in chosen))
@@ -427,7 +430,7 @@
 def find_borrowed(
     world: World, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
-    """Return places that interactive work takes from overnight borrowers."""
+    """Return placements that interactive work takes from overnight borrowers."""
     if not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
@@ -444,8 +447,8 @@
 ) -> Iterator[Candidate]:
     for worker_class in range(CELL_CLASSES):
         for row in world.capacity.workers.scan("unbound_class", worker_class):
-            open_to_all = row.whole & ~(row.pinned | row.reserved)
-            for block in blocks_in(open_to_all, cell_class):
+            available = row.whole & ~(row.pinned | row.reserved)
+            for block in blocks_in(available, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
                     cost = _cost(world, victims)
--- a/kingcuppost/systems/jobs/queueing.py
+++ b/kingcuppost/systems/jobs/queueing.py
@@ -1,4 +1,4 @@
-"""Taking changed jobs into the queue."""
+"""The system that updates the queue of waiting jobs."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.jobs.choice import policies
@@ -14,6 +14,6 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=50)
 def update_queue(world: World, now_ms: int) -> None:
-    """Keep the queue in the order of the policy that the settings name."""
+    """Apply job changes to the queue, ordered by the policy in the settings."""
     name = str(effective_value(world.agreed, POLICY_KEY))
     apply_job_changes(world, name, policies[name].rank)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -1,4 +1,4 @@
-"""Which borrowers are stopped so that a job gets its accelerators."""
+"""Selection of the borrowers to stop so that a job gets accelerators."""
 
 from kingcuppost.tables.capacity import WorkerCapacity
 from kingcuppost.tables.job import Gang, GangState, Job, Urgency
@@ -8,11 +8,11 @@
 
 
 def may_preempt(world: World, gang: Gang, guaranteed: bool) -> bool:
-    """Return whether a job may take the place of a gang.
+    """Return whether a job may preempt a gang, or the gang is stopping already.
 
-    Work within a guarantee takes that of any borrower. Interactive work beyond
-    its guarantee, and overnight work whose turn has come, take that of overnight
-    borrowers only, so that no two jobs ever stop each other in turn.
+    Work within a guarantee may preempt any borrower. Interactive work beyond its
+    guarantee, and overnight work whose reservation is due, may preempt overnight
+    borrowers only, so that no two jobs preempt each other alternately.
     """
     if gang.state is GangState.STOPPING:
         return True
@@ -23,9 +23,9 @@
 
 
 def lost_work(world: World, gang: Gang) -> float:
-    """Return the work at stake in a gang, in ms of accelerators.
+    """Return the work that a stop of the gang would lose, in accelerator ms.
 
-    It is 0 for a gang that stops already.
+    It is 0 for a gang that is stopping already.
     """
     if gang.state is GangState.STOPPING or not gang.released_wall_ms:
         return 0.0
@@ -37,7 +37,7 @@
 def victims_on(
     world: World, row: WorkerCapacity, block: int, guaranteed: bool
 ) -> frozenset[str] | None:
-    """Return the gangs that hold part of a block; None if one must not stop."""
+    """Return the gangs that occupy part of a block; None if one is not preemptible."""
     found = []
     for key, part in row.allocations.items():
         if not part.busy & block:
@@ -57,7 +57,7 @@
     guaranteed: bool,
     victims: frozenset[str],
 ) -> frozenset[str] | None:
-    """Return victims with those added that free enough cores and memory.
+    """Add victims until enough cores and memory of a worker are free.
 
     Parameters
     ----------
@@ -66,18 +66,18 @@
     row : WorkerCapacity
         The worker.
     members : int
-        Members of the job that are to run on it.
+        Number of members of the job to run on it.
     job : Job
         The job.
     guaranteed : bool
         Whether it runs within its team's guarantee.
     victims : frozenset of str
-        Gangs that stop anyway.
+        Keys of the gangs that are victims in any case.
 
     Returns
     -------
     frozenset of str or None
-        None if even all that may stop are too few.
+        None if all preemptible gangs together do not free enough.
     """
     parts = [row.allocations[key] for key in victims if key in row.allocations]
     cores = row.free_cores + sum(part.cores for part in parts)
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -1,4 +1,4 @@
-"""Expected run times: the declared ones, corrected by what the team's jobs took."""
+"""Expected run times: the declared ones, corrected by the team's past jobs."""
 
 from math import exp, log
 
@@ -25,8 +25,8 @@
 def expected_end_ms(capacity: Capacity, job: Job, gang: Gang, wall_ms: int) -> int:
     """Return when a gang is expected to end, Unix ms.
 
-    One that runs longer than expected is taken to run on for a share of the time
-    that it has run.
+    A gang that exceeds its expected run time is expected to run on for a fixed
+    fraction of the time that it has run so far.
     """
     start_ms = gang.released_wall_ms or wall_ms
     end_ms = start_ms + expected_run_ms(capacity, job)
@@ -35,7 +35,7 @@
 
 
 def record_run_time(capacity: Capacity, job: Job, run_ms: int) -> None:
-    """Count the run time of a finished job for its team."""
+    """Include the run time of a finished job in the averages of its team."""
     row = capacity.run_times.get(job.team) or RunTimes(job.team)
     weight = max(SMOOTHING_WEIGHT, 1 / (row.samples + 1))
     row.mean_ms += weight * (run_ms - row.mean_ms)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -1,4 +1,4 @@
-"""The policy that honours guarantees as shapes and lends what is not used."""
+"""The policy that guarantees shapes to teams and lends unused capacity."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.advance_reservations import (
@@ -32,10 +32,10 @@
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
-    """Rank interactive work first, then by age and expected run time.
+    """Rank interactive work first, then by submission time plus expected run time.
 
-    A job may be overtaken by shorter ones that come later, but only by those that
-    come within its own expected run time, and within the overtake limit.
+    A job may be overtaken by shorter jobs that arrive later, but only by those that
+    arrive within its own expected run time and within the overtake limit.
     """
     submitted_ms = job.submitted_wall_ms
     if job.urgency is Urgency.INTERACTIVE:
@@ -50,8 +50,8 @@
 def choose_shapes(world: World, job: Job, now_ms: int) -> Choice:
     """Place a job within its team's guarantee, else as a borrower.
 
-    Within the guarantee borrowers are stopped for it, the least work first.
-    Interactive work beyond it may stop overnight borrowers.
+    Within the guarantee, borrowers are stopped for the job so that the least work is
+    lost. Interactive work beyond the guarantee may stop overnight borrowers.
     """
     if reason := _limit_reason(world, job):
         drop_reservation(world.capacity, job.name)
@@ -73,7 +73,7 @@
 
 
 def _excluded_workers(world: World, job: Job) -> frozenset[str]:
-    """Return workers on which the job failed and that may be good for others."""
+    """Return the workers on which the job failed and that are not quarantined."""
     faults = world.capacity.faults
     return frozenset(
         name
@@ -94,7 +94,7 @@
 def _choose_reserved(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> Choice | None:
-    """Use the kept place, or wait for it; None if it can't be had any more."""
+    """Start on the reservation or wait for it; None if it is no longer feasible."""
     if can_start(world, reservation, job):
         return Choice(reservation.placements, not reservation.guaranteed)
     if not is_still_feasible(world, reservation):
@@ -113,7 +113,7 @@
 def _find_elsewhere(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> Plan | None:
-    """Return free places, those that are kept for the job itself included."""
+    """Return free placements, including accelerators reserved for the job itself."""
     excluded = _excluded_workers(world, job)
     drop_reservation(world.capacity, job.name)
     plan = find_guaranteed(world, job, excluded)
@@ -129,7 +129,7 @@
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
         return ""
-    return f"the team holds {share.used} of at most {share.limit} accelerators"
+    return f"the team uses {share.used} of at most {share.limit} accelerators"
 
 
 def _choice_of(
@@ -161,17 +161,20 @@
     if job.accelerators.bit_count() > 1 and not excluded:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
-    return Choice(None, refused=(RefusedAlternative("all workers", "no free place"),))
+    return Choice(
+        None, refused=(RefusedAlternative("all workers", "not enough free capacity"),)
+    )
 
 
 def _may_lend(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> bool:
-    """Return whether a kept place may be lent to a job.
+    """Return whether reserved accelerators may be lent to a job.
 
-    It is as long as the place waits for an earlier gang; the job is stopped when
-    that one has gone. Past the bound it would be stopped at once. Interactive work
-    is lent a place only if it should end in time, since it can't be stopped.
+    They may while the reservation waits for an earlier gang; once that gang has ended,
+    the borrower is stopped. After the reservation's time limit, a borrower would be
+    stopped at once. Interactive work gets a loan only if it is expected to end in
+    time, since it cannot be stopped.
     """
     due_ms = preempt_at_ms(world, reservation)
     if reservation.guaranteed or now_ms >= due_ms:
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -1,4 +1,4 @@
-"""Gangs leave an availability zone that stays out of service."""
+"""Evacuation of availability zones that stay out of service."""
 
 from kingcuppost.settings import effective_value, zone_path
 from kingcuppost.systems.agreement.lease import is_scheduler
@@ -15,10 +15,10 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=80)
 def evacuate_zones(world: World, now_ms: int) -> None:
-    """Stop gangs in zones that are out, those that run only after a while.
+    """Stop gangs in zones out of service, released ones only after a delay.
 
-    A zone that is back before then costs no work. Nothing starts there meanwhile:
-    the fold refuses placements and releases in a zone that is out.
+    If the zone returns before then, no work is lost. No gang starts there meanwhile:
+    the fold rejects placements and releases in a zone out of service.
     """
     for name in world.agreed.availability_zones.take_changes("zones"):
         _track_zone(world, str(name), now_ms)
@@ -38,16 +38,16 @@
         world.capacity.evacuate_at_ms.pop(name, None)
         return
     path = zone_path(zone.region, name)
-    keep_ms = effective_value(world.agreed, "job.zone_keep_ms", path)
-    world.capacity.evacuate_at_ms.setdefault(name, now_ms + keep_ms)
+    delay_ms = effective_value(world.agreed, "job.zone_keep_ms", path)
+    world.capacity.evacuate_at_ms.setdefault(name, now_ms + delay_ms)
 
 
-def _evacuate(world: World, name: str, running_too: bool, now_ms: int) -> None:
-    reason = f"moved, availability zone {name} is out"
+def _evacuate(world: World, name: str, with_running: bool, now_ms: int) -> None:
+    reason = f"moved because availability zone {name} is out of service"
     for worker in world.agreed.workers.find("availability_zone", name):
         row = world.capacity.workers.get(worker.name)
         for key in list(row.allocations) if row is not None else ():
             gang = world.agreed.gangs.get(key)
-            if gang is None or (gang.state is GangState.RELEASED and not running_too):
+            if gang is None or (gang.state is GangState.RELEASED and not with_running):
                 continue
             stop_gang(world, gang, reason, now_ms, GRACE_KEY)
