--- a/kingcuppost/systems/jobs/tests/support.py
+++ b/kingcuppost/systems/jobs/tests/support.py
@@ -1,4 +1,4 @@
-"""Small deployments for the tests of decisions."""
+"""Small deployments for tests of scheduling decisions."""
 
 from bench.driver import Driver
 from bench.lists import Arrival, Deployment, WorkerSpec
@@ -57,7 +57,7 @@
 
 
 def submit(run: Driver, *jobs: Arrival) -> None:
-    """Submit jobs now, and let them start if they can."""
+    """Submit jobs now and run until they could have started."""
     for item in jobs:
         run.submit(item)
     run.tick()
@@ -69,5 +69,5 @@
 
 
 def running(run: Driver) -> dict[str, bool]:
-    """Return the jobs with a gang, and whether they borrow."""
+    """Return the jobs that have a gang, and whether it borrows."""
     return {gang.job: gang.borrowed for gang in run.world.agreed.gangs}
--- a/kingcuppost/systems/jobs/tests/test_cells.py
+++ b/kingcuppost/systems/jobs/tests/test_cells.py
@@ -1,4 +1,4 @@
-"""Packing by counts agrees with trying every way to pack."""
+"""Packing by counts agrees with an exhaustive search."""
 
 from functools import cache
 
@@ -13,14 +13,14 @@
 
 
 @cache
-def packs(masks: tuple[int, ...], demands: tuple[int, ...]) -> bool:
-    """Try every place for the first demand, then the rest."""
+def can_pack(masks: tuple[int, ...], demands: tuple[int, ...]) -> bool:
+    """Try every block for the first demand, then recursively for the others."""
     if not demands:
         return True
     for index, mask in enumerate(masks):
         for block in blocks_in(mask, demands[0]):
             rest = (*masks[:index], mask & ~block, *masks[index + 1 :])
-            if packs(tuple(sorted(rest)), demands[1:]):
+            if can_pack(tuple(sorted(rest)), demands[1:]):
                 return True
     return False
 
@@ -34,4 +34,4 @@
 def test_counts_agree_with_brute_force(masks: list[int], demands: list[int]) -> None:
     blocks = [sum(column) for column in zip(*map(count_blocks, masks), strict=True)]
     fits = left_over(blocks, counts(demands)) == 0
-    assert fits == packs(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
+    assert fits == can_pack(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
--- a/kingcuppost/systems/jobs/tests/test_feasibility.py
+++ b/kingcuppost/systems/jobs/tests/test_feasibility.py
@@ -1,4 +1,4 @@
-"""Jobs that can't run are told so; bad workers and bad jobs are told apart."""
+"""Infeasible jobs are refused or parked; faulty workers and jobs are distinguished."""
 
 from bench.driver import Driver
 from bench.lists import Cancel, ZoneChange
@@ -16,18 +16,18 @@
 from kingcuppost.tables.record import TeamPut
 from kingcuppost.tables.team import Shape
 
-SETTLED_MS = 15_000
+FLEET_STABLE_MS = 15_000
 
 
 def get_job(run: Driver, name: str) -> Job:
     return run.world.agreed.jobs.get(name)
 
 
-def test_a_job_that_no_worker_could_hold_is_refused_with_the_reason() -> None:
+def test_job_that_no_worker_could_hold_is_refused_with_the_reason() -> None:
     run = driver([worker(0), worker(1)], {"a": ()})
     submit(run, job("wide", "a", 3, 8), job("deep", "a", 1, 9))
     submit(run, job("hungry", "a", 1, 1, cores=65))
-    settle(run, SETTLED_MS)
+    settle(run, FLEET_STABLE_MS)
     for name in ("wide", "deep", "hungry"):
         assert get_job(run, name).state is JobState.REFUSED
         assert "could ever hold" in get_job(run, name).reason
@@ -40,7 +40,7 @@
     assert get_job(run, "early").state is JobState.WAITING
 
 
-def test_a_job_beyond_the_limit_of_its_team_is_refused() -> None:
+def test_job_beyond_the_limit_of_its_team_is_refused() -> None:
     run = driver([worker(0), worker(1)], {"a": ()})
     team = run.world.agreed.teams.get("a")
     run.append(TeamPut("a", (), 8, team.offset))
@@ -50,11 +50,11 @@
     assert running(run) == {"two": True} or running(run) == {"one": True}
 
 
-def test_a_job_that_only_a_zone_out_could_hold_is_parked_until_it_returns() -> None:
+def test_job_that_needs_a_zone_out_of_service_is_parked_until_it_returns() -> None:
     run = driver([worker(0, zone="a"), worker(1, zone="b")], {"a": ()})
     run.change_zone(ZoneChange(0, "b", False))
     submit(run, job("pair", "a", 2, 8))
-    settle(run, SETTLED_MS)
+    settle(run, FLEET_STABLE_MS)
     assert get_job(run, "pair").state is JobState.PARKED
     assert "out of service" in get_job(run, "pair").reason
     run.change_zone(ZoneChange(0, "b", True))
@@ -63,7 +63,7 @@
     assert running(run) == {"pair": True}
 
 
-def test_a_worker_that_fails_everything_is_set_aside_and_probed() -> None:
+def test_worker_on_which_all_jobs_fail_is_quarantined_and_probed() -> None:
     run = driver([worker(0), worker(1)], {"a": (Shape(1, 1),)})
     run.bad_workers = {"w0"}
     for number in range(30):
@@ -83,7 +83,7 @@
     assert run.world.capacity.workers.get("w0").free_class == 3
 
 
-def test_a_probe_is_one_job_only() -> None:
+def test_probe_is_a_single_job() -> None:
     run = driver([worker(0)], {"a": ()})
     run.bad_workers = {"w0"}
     submit(run, *(job(f"j{number}", "a", 1, 8) for number in range(3)))
@@ -95,7 +95,7 @@
     assert len(running(run)) <= 1
 
 
-def test_a_job_that_fails_on_several_good_workers_is_stopped() -> None:
+def test_job_that_fails_on_several_healthy_workers_is_failed() -> None:
     run = driver([worker(number) for number in range(4)], {"a": ()})
     run.bad_jobs = {"bad"}
     for number in range(4):
@@ -110,7 +110,7 @@
     assert not any(row.quarantined for row in run.world.capacity.faults)
 
 
-def test_a_wave_of_cancellations_is_one_pass_and_starts_go_on() -> None:
+def test_jobs_start_during_a_wave_of_cancellations() -> None:
     run = driver([worker(number) for number in range(4)], {"a": ()})
     jobs = [job(f"j{number}", "a", 1, 2) for number in range(64)]
     submit(run, *jobs)
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -1,4 +1,4 @@
-"""The scheduler's part in a gang's life, without sockets."""
+"""Stages of gangs at the scheduler, without sockets."""
 
 import importlib
 
@@ -29,11 +29,11 @@
 WORKERS = ("worker-0", "worker-1")
 LEASE_MS = 5_000
 GRACE_MS = 3_000
-ISOLATION_MS = 300_000
+ISOLATION_LIMIT_MS = 300_000
 LOST_MS = 10_000
-FULL_MS = 1_000
-SILENCE_MS = LOST_MS + 2 * FULL_MS
-DRIFT_MS = 500
+FULL_REPORT_MS = 1_000
+MEMBER_TIMEOUT_MS = LOST_MS + 2 * FULL_REPORT_MS
+CLOCK_DRIFT_MS = 500
 RESERVE_TIMEOUT_MS = 5_000
 PAUSE_MS = 2_000
 
@@ -44,14 +44,14 @@
     log.add(
         SettingPut("", "job.placement_policy", "first_fit", 0),
         SettingPut("", "job.lost_ms", LOST_MS, 0),
-        SettingPut("", "heartbeat.full_ms", FULL_MS, 0),
+        SettingPut("", "heartbeat.full_ms", FULL_REPORT_MS, 0),
     )
     return log
 
 
 @pytest.fixture
 def bench(log: FakeLog) -> Bench:
-    """The entry that holds the scheduling lease."""
+    """Return the entry that holds the scheduling lease."""
     bench = entry_bench(log, ManualClock(START_MS))
     bench.settle()
     claim(bench)
@@ -59,7 +59,7 @@
 
 
 def claim(bench: Bench) -> None:
-    """Make a process the holder of a new term."""
+    """Let a process claim the scheduling lease for a new term."""
     who = bench.world.identity
     bench.log.add(
         EntryAnnounce(
@@ -84,7 +84,7 @@
 
 
 def start(bench: Bench) -> None:
-    """Bring a gang of two so far that it runs."""
+    """Place a gang of two members and let them start."""
     place(bench.log, "a", WORKERS)
     bench.settle()
     report_both(bench, TaskState.RESERVED)
@@ -120,7 +120,9 @@
 @pytest.mark.parametrize(
     "state", [TaskState.REFUSED, TaskState.FAILED, TaskState.STOPPED]
 )
-def test_refusal_before_the_release_stops_all(bench: Bench, state: TaskState) -> None:
+def test_broken_member_before_release_stops_the_gang(
+    bench: Bench, state: TaskState
+) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
     report_member(bench, 0, state)
@@ -130,7 +132,7 @@
     assert len(stops(bench)) == 1
 
 
-def test_gang_with_a_refused_member_ends_after_its_reservations(
+def test_gang_with_refused_member_ends_after_reservations_expire(
     bench: Bench,
 ) -> None:
     place(bench.log, "a", WORKERS)
@@ -141,7 +143,7 @@
     assert 1_500 <= ms_until_end(bench, 60_000) <= 3_000
 
 
-def test_member_that_never_reserves_stops_the_gang(bench: Bench) -> None:
+def test_reserve_timeout_stops_the_gang(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
     report_member(bench, 0, TaskState.RESERVED)
@@ -151,7 +153,7 @@
     assert len(stops(bench)) == 1
 
 
-def test_late_report_does_not_bring_a_member_back(bench: Bench) -> None:
+def test_late_report_does_not_change_a_final_state(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
     bench.log.up = False
@@ -162,7 +164,7 @@
     assert not bench.log.bodies(GangRelease)
 
 
-def test_gang_ends_when_all_members_are_over(bench: Bench) -> None:
+def test_gang_ends_when_all_members_are_final(bench: Bench) -> None:
     start(bench)
     report_member(bench, 1, TaskState.STOPPED)
     assert [row.reason for row in stops(bench)] == ["member 1 is stopped"]
@@ -171,30 +173,30 @@
     assert len(ends(bench)) == 1
 
 
-def test_failed_member_names_its_worker(bench: Bench) -> None:
+def test_stop_after_failure_names_the_worker(bench: Bench) -> None:
     start(bench)
     report_member(bench, 1, TaskState.FAILED)
     assert [row.failed_worker for row in stops(bench)] == ["worker-1"]
 
 
-def test_gang_with_a_stopped_member_ends_after_the_leases(bench: Bench) -> None:
+def test_gang_with_stopped_member_ends_after_leases_expire(bench: Bench) -> None:
     start(bench)
     report_member(bench, 1, TaskState.STOPPED)
     waited_ms = ms_until_end(bench, 60_000)
-    bound_ms = 2 * LEASE_MS + GRACE_MS + DRIFT_MS
+    bound_ms = 2 * LEASE_MS + GRACE_MS + CLOCK_DRIFT_MS
     assert bound_ms <= waited_ms <= bound_ms + 100
 
 
-def test_finished_member_is_no_proof_that_the_others_lapse(bench: Bench) -> None:
+def test_finished_member_does_not_shorten_the_wait_for_others(bench: Bench) -> None:
     start(bench)
     report_member(bench, 1, TaskState.FINISHED)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(60_000)
     assert not ends(bench)
-    ms_until_end(bench, ISOLATION_MS)
+    ms_until_end(bench, ISOLATION_LIMIT_MS)
 
 
-def test_leases_count_from_the_word_that_a_member_is_over(bench: Bench) -> None:
+def test_leases_count_from_the_report_of_a_stopped_member(bench: Bench) -> None:
     start(bench)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(100_000)
@@ -203,7 +205,7 @@
     assert ms_until_end(bench, 60_000) >= 2 * LEASE_MS
 
 
-def test_gang_that_was_never_released_ends_after_its_reservations(
+def test_unreleased_gang_ends_after_reservations_expire(
     bench: Bench,
 ) -> None:
     place(bench.log, "a", WORKERS)
@@ -212,39 +214,39 @@
     assert ms_until_end(bench, 60_000) <= 3_000
 
 
-def test_silent_gang_is_stopped_after_the_isolation_bound(bench: Bench) -> None:
+def test_unreported_gang_is_stopped_after_the_isolation_limit(bench: Bench) -> None:
     start(bench)
-    bench.run(ISOLATION_MS - 1_000)
+    bench.run(ISOLATION_LIMIT_MS - 1_000)
     assert not stops(bench)
-    bench.run(2 * SILENCE_MS)
+    bench.run(2 * MEMBER_TIMEOUT_MS)
     assert len(stops(bench)) == 1
 
 
-def test_gang_that_a_member_reports_running_is_left_alone(bench: Bench) -> None:
+def test_gang_with_one_running_member_is_not_stopped(bench: Bench) -> None:
     start(bench)
     for _ in range(4):
-        bench.run(SILENCE_MS // 2)
+        bench.run(MEMBER_TIMEOUT_MS // 2)
         report_member(bench, 0, TaskState.RUNNING)
     assert not stops(bench)
 
 
-def test_quiet_member_is_not_lost_between_two_full_reports(bench: Bench) -> None:
+def test_member_is_not_lost_between_full_reports(bench: Bench) -> None:
     start(bench)
     report_member(bench, 0, TaskState.FINISHED)
-    bench.run(SILENCE_MS - 1_000)
+    bench.run(MEMBER_TIMEOUT_MS - 1_000)
     assert not stops(bench)
 
 
-def test_lost_last_member_stops_the_gang(bench: Bench) -> None:
+def test_gang_is_stopped_when_its_only_unfinished_member_is_lost(bench: Bench) -> None:
     start(bench)
     report_member(bench, 0, TaskState.FINISHED)
     for _ in range(20):
-        bench.run(SILENCE_MS // 8)
+        bench.run(MEMBER_TIMEOUT_MS // 8)
         report_member(bench, 0, TaskState.FINISHED)
     assert len(stops(bench)) == 1
 
 
-def test_new_holder_counts_bounds_from_its_own_first_sight(
+def test_new_holder_counts_limits_from_its_own_first_observation(
     bench: Bench, log: FakeLog
 ) -> None:
     start(bench)
@@ -260,7 +262,7 @@
     assert len(ends(rival)) == 1
 
 
-def test_old_holder_that_wakes_changes_nothing(bench: Bench, log: FakeLog) -> None:
+def test_former_holder_changes_nothing(bench: Bench, log: FakeLog) -> None:
     place(log, "a", WORKERS)
     bench.settle()
     rival = entry_bench(log, bench.clock, 1)
@@ -274,7 +276,7 @@
     assert bench.world.agreed.gangs.get("a/1").released_wall_ms == 0
 
 
-def test_reports_that_precede_the_claim_are_kept(bench: Bench, log: FakeLog) -> None:
+def test_reports_before_the_claim_are_used_after_it(bench: Bench, log: FakeLog) -> None:
     place(log, "a", WORKERS)
     rival = entry_bench(log, bench.clock, 1)
     rival.settle()
@@ -284,7 +286,7 @@
     assert len(log.bodies(GangRelease)) == 1
 
 
-def test_ended_gangs_leave_nothing_behind(bench: Bench) -> None:
+def test_state_of_ended_gangs_is_removed(bench: Bench) -> None:
     start(bench)
     bench.log.add(JobCancel("a", "enough"))
     bench.settle()
@@ -311,7 +313,7 @@
     assert len(bench.world.agreed.gangs) == 0
 
 
-def test_quiet_tick_looks_at_no_gang(
+def test_tick_without_changes_checks_no_gang(
     bench: Bench, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for number in range(50):
@@ -332,19 +334,19 @@
     assert checked == ["job-7/1"]
 
 
-def test_worker_that_reserves_nothing_is_avoided_for_a_pause(bench: Bench) -> None:
+def test_worker_that_does_not_reserve_is_paused(bench: Bench) -> None:
     place(bench.log, "a", WORKERS)
     bench.settle()
     report_member(bench, 0, TaskState.RESERVED)
     bench.run(RESERVE_TIMEOUT_MS + 100)
-    silent, reserved = WORKERS[1], WORKERS[0]
+    unanswered, reserved = WORKERS[1], WORKERS[0]
     faults = bench.world.capacity.faults
-    assert faults.get(silent).paused
+    assert faults.get(unanswered).paused
     assert faults.get(reserved) is None
-    assert bench.world.capacity.workers.get(silent).free_class < 0
+    assert bench.world.capacity.workers.get(unanswered).free_class < 0
     bench.run(PAUSE_MS)
-    assert not faults.get(silent).paused
-    assert bench.world.capacity.workers.get(silent).free_class >= 0
+    assert not faults.get(unanswered).paused
+    assert bench.world.capacity.workers.get(unanswered).free_class >= 0
 
 
 def test_pause_doubles_until_the_worker_reserves(bench: Bench) -> None:
--- a/kingcuppost/systems/jobs/tests/test_guarantees.py
+++ b/kingcuppost/systems/jobs/tests/test_guarantees.py
@@ -1,4 +1,4 @@
-"""Guarantees hold as shapes after every placement, whatever happens."""
+"""Guaranteed shapes stay available after every placement."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -8,7 +8,7 @@
 from kingcuppost.systems.jobs.cells import class_of, left_over
 from kingcuppost.systems.jobs.guarantees import is_covered
 from kingcuppost.systems.jobs.tests.support import driver, job, settle, submit, worker
-from kingcuppost.systems.jobs.tests.test_cells import packs
+from kingcuppost.systems.jobs.tests.test_cells import can_pack
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.team import Shape
 
@@ -31,15 +31,15 @@
 )
 
 
-def brute_force_covers(run: Driver) -> bool:
-    """Pack all unused guaranteed cells where no guaranteed cell stands."""
+def is_covered_by_search(run: Driver) -> bool:
+    """Return whether all unused guaranteed cells can be packed outside bound cells."""
     capacity = run.world.capacity
     masks = [row.whole & ~row.bound for row in capacity.workers if row.usable]
     demands = []
     for share in capacity.shares:
         for cell_class, count in enumerate(share.unused):
             demands.extend([cell_class] * count)
-    return packs(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
+    return can_pack(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
 
 
 @settings(derandomize=True, deadline=None, max_examples=60)
@@ -50,7 +50,7 @@
 
     def check(_: Driver) -> None:
         assert is_covered(run.world.capacity)
-        assert brute_force_covers(run)
+        assert is_covered_by_search(run)
         checks.append(1)
 
     run.after_fold = check
@@ -62,8 +62,8 @@
     assert all(item.finished_ms > 0 for item in run.runs.values())
 
 
-def test_two_halves_of_one_cell_stand_in_one_block() -> None:
-    """Else ending both would leave two blocks of 4 for a guarantee of 8."""
+def test_two_halves_of_one_cell_share_one_block() -> None:
+    """Guards against two blocks of 4 that could not become a guaranteed cell of 8."""
     run = driver([worker(0), worker(1)], {"big": (Shape(1, 8),), "other": ()})
     submit(run, job("one", "big", accelerators=4))
     submit(run, job("fill", "other", accelerators=4))
@@ -73,7 +73,7 @@
     assert not gangs["two"].borrowed
 
 
-def test_a_zone_that_leaves_shows_uncovered_guarantees_by_team() -> None:
+def test_zone_out_of_service_leaves_uncovered_guarantees_by_team() -> None:
     workers = [worker(0, zone="a"), worker(1, zone="b"), worker(2, zone="b")]
     run = driver(workers, {"big": (Shape(2, 8),), "small": (Shape(1, 1),)})
     settle(run)
--- a/kingcuppost/systems/jobs/tests/test_occupancy.py
+++ b/kingcuppost/systems/jobs/tests/test_occupancy.py
@@ -1,4 +1,4 @@
-"""Capacity that follows changes equals capacity built from the tables anew."""
+"""Capacity updated by changes equals capacity rebuilt from the tables."""
 
 import pytest
 
@@ -15,7 +15,7 @@
 HOUR_MS = 3_600_000
 
 
-def built_anew(run: Driver) -> Capacity:
+def rebuild(run: Driver) -> Capacity:
     world = World(run.world.cfg, run.world.identity, run.clock, run.world.rng)
     agreed = run.world.agreed
     for name in ("availability_zones", "minions", "workers", "teams", "jobs", "gangs"):
@@ -31,21 +31,21 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_following_changes_equals_building_anew(seed: int) -> None:
+def test_incremental_updates_equal_a_rebuild(seed: int) -> None:
     run = Driver(deployments["moulerie"](seed), "shapes")
     for hours in range(1, 16, 2):
         run.run(hours * HOUR_MS)
         run.tick()
-        anew = built_anew(run)
-        own = run.world.capacity
-        assert own.free_blocks == anew.free_blocks
-        assert own.unbound_blocks == anew.unbound_blocks
-        assert own.demand == anew.demand
-        for row in own.workers:
-            assert row == anew.workers.get(row.name)
+        rebuilt = rebuild(run)
+        updated = run.world.capacity
+        assert updated.free_blocks == rebuilt.free_blocks
+        assert updated.unbound_blocks == rebuilt.unbound_blocks
+        assert updated.demand == rebuilt.demand
+        for row in updated.workers:
+            assert row == rebuilt.workers.get(row.name)
 
 
-def test_a_change_of_members_only_refreshes_their_workers() -> None:
+def test_allocation_without_members_changes_no_worker() -> None:
     run = Driver(deployments["planned"](1), "shapes")
     run.tick()
     job = run.deployment.arrivals[-1]
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -1,4 +1,4 @@
-"""Borrowers give way to guaranteed and interactive work, the least work first."""
+"""Borrowers yield to guaranteed and interactive work so that least work is lost."""
 
 from kingcuppost.systems.jobs.tests.support import (
     HOUR_MS,
@@ -14,7 +14,7 @@
 from kingcuppost.tables.team import Shape
 
 TEAMS = {"owner": (Shape(1, 8),), "guest": ()}
-URGENT_MS = 1_800
+START_LIMIT_MS = 1_800
 
 
 def test_interactive_work_within_its_guarantee_starts_in_time() -> None:
@@ -24,7 +24,7 @@
     submit(run, job("urgent", "owner", 1, 2, Urgency.INTERACTIVE))
     assert not running(run)["urgent"]
     started = run.runs["urgent"]
-    assert started.started_ms - started.submitted_ms <= URGENT_MS
+    assert started.started_ms - started.submitted_ms <= START_LIMIT_MS
 
 
 def test_overnight_work_within_its_guarantee_reclaims_too() -> None:
@@ -35,7 +35,7 @@
     assert running(run) == {"own": False}
 
 
-def test_the_youngest_and_least_work_is_lost() -> None:
+def test_borrower_with_least_lost_work_is_stopped() -> None:
     run = driver([worker(0), worker(1)], TEAMS)
     submit(run, job("old", "guest", 1, 8))
     settle(run, 10 * MINUTE_MS)
@@ -59,7 +59,7 @@
     assert running(run) == {"urgent": False}
 
 
-def test_a_stop_names_its_reason_and_its_short_grace() -> None:
+def test_stop_has_a_reason_and_a_short_grace() -> None:
     run = driver([worker(0)], TEAMS)
     submit(run, job("b0", "guest", 1, 8))
     run.submit(job("urgent", "owner", 1, 2, Urgency.INTERACTIVE))
@@ -71,8 +71,8 @@
     assert gang.grace_ms == 800
 
 
-def test_two_jobs_never_stop_each_other_in_turn() -> None:
-    """An overdue overnight job and a borrowing interactive one did so once."""
+def test_two_jobs_never_preempt_each_other_alternately() -> None:
+    """Guards against an overdue overnight job and an interactive borrower doing so."""
     run = driver([worker(0)], {"guest": (), "other": ()})
     run.put_setting("job.keep_bound_ms", 0)
     submit(run, job("wide", "guest", 1, 8, run_ms=HOUR_MS))
@@ -84,8 +84,8 @@
     assert run.reclaims <= 1
 
 
-def test_a_kept_place_is_not_lent_past_its_bound() -> None:
-    """Else the borrower would be stopped and started without end."""
+def test_reservation_is_not_lent_past_its_time_limit() -> None:
+    """Guards against a borrower that is stopped and started again without end."""
     run = driver([worker(0), worker(1)], {"guest": (), "own": (Shape(1, 8),)})
     run.put_setting("job.keep_bound_ms", MINUTE_MS)
     submit(run, job("own", "own", 1, 8, run_ms=HOUR_MS, cores=8))
@@ -97,7 +97,7 @@
     assert run.reclaims <= 8
 
 
-def test_a_kept_place_is_lent_while_it_waits_for_an_earlier_gang() -> None:
+def test_reservation_is_lent_while_it_waits_for_an_earlier_gang() -> None:
     run = driver([worker(0), worker(1)], {"guest": ()})
     run.put_setting("job.compact_after_ms", 10 * HOUR_MS)
     submit(run, job("early", "guest", 1, 8, run_ms=HOUR_MS))
@@ -112,7 +112,7 @@
     assert run.runs["loan"].tries == 2
 
 
-def test_few_borrowers_are_moved_from_a_kept_place() -> None:
+def test_few_borrowers_are_moved_from_a_reservation() -> None:
     run = driver([worker(0), worker(1), worker(2)], {"guest": ()})
     for number in range(3):
         submit(run, job(f"fill{number}", "guest", 1, 8, run_ms=MINUTE_MS))
@@ -125,8 +125,8 @@
     assert run.lost_ms == 0
 
 
-def test_only_one_place_is_kept_for_overnight_work() -> None:
-    """Else every arrival that goes first adds one more, and workers stand idle."""
+def test_overnight_work_has_only_one_reservation() -> None:
+    """Guards against one more with each arrival at the head, which idles workers."""
     run = driver([worker(0), worker(1)], {"guest": ()})
     submit(run, job("a", "guest", 1, 8), job("b", "guest", 1, 8))
     for number in range(4):
@@ -135,8 +135,8 @@
     assert len(run.world.capacity.advance_reservations) == 1
 
 
-def test_a_job_starts_on_free_places_beside_its_kept_one() -> None:
-    """Half of the kept place and a worker freed elsewhere hold it as well."""
+def test_job_starts_on_free_capacity_beside_its_reservation() -> None:
+    """Half of the reservation and a worker freed elsewhere are enough."""
     run = driver([worker(0), worker(1), worker(2)], {"guest": ()})
     run.put_setting("job.compact_after_ms", 10 * HOUR_MS)
     minutes = (30, 40, 20)
@@ -155,8 +155,8 @@
     assert run.runs["wide"].started_ms > 0
 
 
-def test_cores_that_are_reclaimed_are_not_lent_again() -> None:
-    """An older borrower took them back each time before the job had its turn."""
+def test_reclaimed_cores_are_not_lent_again() -> None:
+    """Guards against an older borrower that gets them back before the job starts."""
     run = driver([worker(0)], TEAMS)
     submit(run, job("cores", "guest", 60, 0, run_ms=HOUR_MS))
     submit(run, job("own", "owner", 1, 8, run_ms=9 * HOUR_MS, cores=64))
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -1,4 +1,4 @@
-"""Large gangs start within a bound; gangs stand together where they can."""
+"""Large gangs start within a time limit; gangs are placed close together."""
 
 import pytest
 
@@ -17,10 +17,10 @@
 STOP_AND_START_MS = 10_000
 
 
-def test_a_gang_of_64_starts_among_endless_small_jobs() -> None:
-    """Bound: its expected run time to be first, the keep's bound, one stop and start.
+def test_gang_of_64_starts_among_endless_small_jobs() -> None:
+    """Limit: its expected run time to become first, the reservation's limit, a restart.
 
-    Compacting is put off, so that the bound itself is what ends the wait.
+    Compaction is delayed, so that the time limit of the reservation ends the wait.
     """
     run = driver([worker(number) for number in range(64)], {"a": (), "b": ()})
     run.put_setting("job.overtake_limit_ms", HOUR_MS)
@@ -43,7 +43,7 @@
     assert 0 <= waited_ms <= MINUTE_MS + HOUR_MS + STOP_AND_START_MS
 
 
-def test_no_stream_of_later_jobs_goes_before_an_aged_one() -> None:
+def test_rank_of_a_waiting_job_is_within_the_overtake_limit() -> None:
     run = driver([worker(0)], {"a": ()})
     run.tick()
     submit(run, job("blocker", "a", 1, 8))
@@ -59,7 +59,7 @@
     ("members", "accelerators", "attribute"),
     [(2, 4, "name"), (3, 8, "rack"), (4, 8, "availability_zone")],
 )
-def test_a_gang_stands_as_close_as_it_can(
+def test_gang_is_placed_as_close_as_possible(
     members: int, accelerators: int, attribute: str
 ) -> None:
     workers = [worker(number, zone="ab"[number // 6]) for number in range(12)]
@@ -70,7 +70,7 @@
     assert len({getattr(row, attribute) for row in rows}) == 1
 
 
-def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+def test_gang_is_placed_whole_or_not_at_all() -> None:
     run = driver([worker(0), worker(1)], {"a": ()})
     submit(run, job("gang", "a", 3, 8))
     assert not len(run.world.agreed.gangs)
--- a/kingcuppost/systems/jobs/tests/test_zones.py
+++ b/kingcuppost/systems/jobs/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""Zones that leave and return: nothing starts there, work is not lost twice."""
+"""Zones out of service: nothing starts there, and gangs move after a delay."""
 
 from bench.lists import ZoneChange
 from kingcuppost.systems.jobs.tests.support import (
@@ -15,7 +15,7 @@
 WORKERS = [worker(0, zone="a"), worker(1, zone="b")]
 
 
-def test_gangs_run_on_when_the_zone_is_back_within_the_keep() -> None:
+def test_gangs_run_on_when_the_zone_returns_within_the_delay() -> None:
     run = driver(WORKERS, {"t": ()})
     submit(run, job("x", "t", 1, 8), job("y", "t", 1, 8))
     run.change_zone(ZoneChange(0, "b", False))
@@ -27,7 +27,7 @@
     assert [item.tries for item in run.runs.values()] == [1, 1]
 
 
-def test_gangs_are_checkpointed_and_moved_when_it_stays_out() -> None:
+def test_gangs_are_checkpointed_and_moved_when_the_zone_stays_out() -> None:
     run = driver([*WORKERS, worker(2, zone="a")], {"t": ()})
     submit(run, job("x", "t", 1, 8), job("y", "t", 1, 8))
     settle(run, 30 * MINUTE_MS)
@@ -44,7 +44,7 @@
     assert zones == {"a"}
 
 
-def test_nothing_starts_in_a_zone_that_is_out() -> None:
+def test_nothing_starts_in_a_zone_out_of_service() -> None:
     run = driver(WORKERS, {"t": ()})
     run.change_zone(ZoneChange(0, "b", False))
     submit(run, *(job(f"j{number}", "t", 1, 8) for number in range(3)))
@@ -53,7 +53,7 @@
     assert gang.placements[0].worker == "w0"
 
 
-def test_a_gang_that_was_not_released_leaves_at_once() -> None:
+def test_unreleased_gang_is_stopped_at_once() -> None:
     run = driver(WORKERS, {"t": ()})
     run.submit(job("pair", "t", 2, 8))
     run.tick()
