--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -31,16 +31,16 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
-    "preempt_at_ms",
+    "can_start",
     "drop_reservation",
     "drop_stale_reservations",
-    "can_start",
-    "plan_reservation",
     "find_preemption_victims",
-    "put_reservation",
     "is_still_feasible",
-    "waits_for_earlier_gang",
+    "plan_reservation",
+    "preempt_at_ms",
+    "put_reservation",
     "schedule_preemption_pass",
+    "waits_for_earlier_gang",
 ]
 
 NO_ALLOCATION = WorkerAllocation()
@@ -62,12 +62,12 @@
     """
     by_worker: dict[str, WorkerAllocation] = {}
     for placement in reservation.placements:
-        old = by_worker.get(placement.worker, NO_ALLOCATION)
+        previous = by_worker.get(placement.worker, NO_ALLOCATION)
         cell = cell_mask(placement)
-        cells = (*old.cells, cell) if cell else old.cells
-        reserved = old.reserved | accelerator_mask(placement)
-        cores = old.cores + job.cores if reservation.guaranteed else 0
-        memory_mb = old.memory_mb + job.memory_mb if reservation.guaranteed else 0
+        cells = (*previous.cells, cell) if cell else previous.cells
+        reserved = previous.reserved | accelerator_mask(placement)
+        cores = previous.cores + job.cores if reservation.guaranteed else 0
+        memory_mb = previous.memory_mb + job.memory_mb if reservation.guaranteed else 0
         by_worker[placement.worker] = WorkerAllocation(
             0, reserved, cells, cores, memory_mb
         )
@@ -125,9 +125,9 @@
         row = world.capacity.workers.get(placement.worker)
         if not row.usable or row.busy & accelerator_mask(placement):
             return False
-    for name, members_there in members.items():
+    for name, member_count in members.items():
         row = world.capacity.workers.get(name)
-        count = 0 if reservation.guaranteed else members_there
+        count = 0 if reservation.guaranteed else member_count
         if row.free_cores < count * job.cores:
             return False
         if row.free_memory_mb < count * job.memory_mb:
@@ -170,15 +170,17 @@
     gangs there if these are few enough to be moved. In the first case, and after the
     time limit, borrowers whose cores or memory the job needs are included.
     """
-    past_bound = reservation.guaranteed or now_ms >= preempt_at_ms(world, reservation)
-    if not past_bound and waits_for_earlier_gang(world, reservation):
+    is_past_limit = reservation.guaranteed or now_ms >= preempt_at_ms(
+        world, reservation
+    )
+    if not is_past_limit and waits_for_earlier_gang(world, reservation):
         return _gangs_to_compact(world, reservation, job, now_ms)
     found = {
         gang.key
         for gang in _blocking_gangs(world, reservation)
         if _yields(world, gang, reservation)
     }
-    if past_bound:
+    if is_past_limit:
         found |= _add_core_victims(world, reservation, job, frozenset(found))
     return frozenset(found)
 
@@ -211,8 +213,10 @@
     blockers = _blocking_gangs(world, reservation)
     if not all(may_preempt(world, gang, False) for gang in blockers):
         return frozenset()
-    held = sum(world.capacity.allocations[gang.key].accelerators for gang in blockers)
-    if held > MAX_COMPACT_RATIO * job.members * job.accelerators:
+    accelerators = sum(
+        world.capacity.allocations[gang.key].accelerators for gang in blockers
+    )
+    if accelerators > MAX_COMPACT_RATIO * job.members * job.accelerators:
         return frozenset()
     return frozenset(gang.key for gang in blockers)
 
@@ -248,8 +252,10 @@
     return frozenset(
         key
         for placement in placements
-        for key, part in capacity.workers.get(placement.worker).allocations.items()
-        if part.busy & accelerator_mask(placement)
+        for key, worker_allocation in capacity.workers.get(
+            placement.worker
+        ).allocations.items()
+        if worker_allocation.busy & accelerator_mask(placement)
     )
 
 
@@ -257,13 +263,13 @@
     world: World, reservation: AdvanceReservation, job: Job, victims: frozenset[str]
 ) -> frozenset[str]:
     members = Counter(placement.worker for placement in reservation.placements)
-    for name, members_there in members.items():
+    for name, member_count in members.items():
         row = world.capacity.workers.get(name)
-        count = 0 if reservation.guaranteed else members_there
-        more = victims_for_cores(
+        count = 0 if reservation.guaranteed else member_count
+        extended = victims_for_cores(
             world, row, count, job, reservation.guaranteed, victims
         )
-        victims = more if more is not None else victims
+        victims = extended if extended is not None else victims
     return victims
 
 
@@ -304,7 +310,7 @@
         Placement(name, accelerator_numbers(block, job.accelerators))
         for _, _, name, block in chosen
     )
-    expected_free_ms = now_ms + max(date for _, date, _, _ in chosen)
+    expected_free_ms = now_ms + max(wait_ms for _, wait_ms, _, _ in chosen)
     earlier_gangs = _gang_keys_on(world.capacity, placements)
     return AdvanceReservation(
         job.name, placements, False, since_ms, expected_free_ms, earlier_gangs
@@ -322,9 +328,9 @@
     found = []
     ends = _expected_ends(world, row)
     for block in blocks_in(row.whole & ~row.reserved, cell_class):
-        waits = [end for busy, end in ends if busy & block]
+        waits_ms = [end_ms for busy, end_ms in ends if busy & block]
         pinned = bool(block & row.pinned)
-        found.append((pinned, max(waits, default=0), row.name, block))
+        found.append((pinned, max(waits_ms, default=0), row.name, block))
     return found
 
 
@@ -332,9 +338,9 @@
     """Return the masks in use with the time until they should be free, in ms."""
     wall_ms = world.clock.wall_ms()
     ends = []
-    for key, part in row.allocations.items():
-        if part.busy:
-            ends.append((part.busy, _remaining_ms(world, key, wall_ms)))
+    for key, worker_allocation in row.allocations.items():
+        if worker_allocation.busy:
+            ends.append((worker_allocation.busy, _remaining_ms(world, key, wall_ms)))
     return ends
 
 
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -10,15 +10,15 @@
 from kingcuppost.tables.capacity import CELL_CLASSES
 
 __all__ = [
+    "accelerator_numbers",
     "add_counts",
+    "best_fit_blocks",
     "blocks_in",
     "class_of",
     "count_blocks",
-    "left_over",
-    "accelerator_numbers",
     "count_cells",
+    "left_over",
     "split_block",
-    "best_fit_blocks",
 ]
 
 MASK_CACHE_SIZE = 65_536
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -13,9 +13,9 @@
 from kingcuppost.tables.job import Job, JobState, gang_key
 from kingcuppost.tables.world import World
 
-__all__ = ["pause_worker", "track_faults", "reset_refusals"]
+__all__ = ["pause_worker", "reset_refusals", "track_faults"]
 
-STEP = "worker.aside"
+STEP_QUARANTINE = "worker.aside"
 STEP_PAUSE = "worker.avoid"
 MAX_DOUBLINGS = 6
 
@@ -90,13 +90,13 @@
 
 
 def _track_job(world: World, job: Job, now_ms: int) -> None:
-    seen = world.capacity.counted_failures
-    for worker in job.failed_workers[seen.get(job.name, 0) :]:
+    counted = world.capacity.counted_failures
+    for worker in job.failed_workers[counted.get(job.name, 0) :]:
         _count_failure(world, worker, job.name, now_ms)
     if job.failed_workers:
-        seen[job.name] = len(job.failed_workers)
+        counted[job.name] = len(job.failed_workers)
     if job.state is JobState.DONE:
-        seen.pop(job.name, None)
+        counted.pop(job.name, None)
         _clear_faults(world, job)
 
 
@@ -112,7 +112,7 @@
     world.deadlines.add(row.probe_ms)
     _set_probing(world.capacity, worker, False)
     text = f"Worker is quarantined after {len(row.jobs)} failed jobs."
-    note(world, STEP, text, peer=worker, job=job)
+    note(world, STEP_QUARANTINE, text, peer=worker, job=job)
 
 
 def _probe_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
@@ -124,7 +124,12 @@
         return
     _set_probing(world.capacity, row.worker, True)
     world.capacity.pass_due = True
-    note(world, STEP, "Quarantined worker may run one job as a probe.", peer=row.worker)
+    note(
+        world,
+        STEP_QUARANTINE,
+        "Quarantined worker may run one job as a probe.",
+        peer=row.worker,
+    )
 
 
 def _clear_faults(world: World, job: Job) -> None:
@@ -137,7 +142,7 @@
             world.capacity.pass_due = True
             note(
                 world,
-                STEP,
+                STEP_QUARANTINE,
                 "Worker accepts work again after a finished job.",
                 peer=placement.worker,
             )
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -20,10 +20,10 @@
     """Refuse, park or unpark jobs that are new, and all after a change of the fleet."""
     if not is_scheduler(world) or not world.capacity.unchecked_jobs:
         return
-    under_way = jobs_with_pending_change(world)
+    pending = jobs_with_pending_change(world)
     for name in list(world.capacity.unchecked_jobs):
         job = world.agreed.jobs.get(name)
-        if name in under_way or _check_job(world, job, now_ms):
+        if name in pending or _check_job(world, job, now_ms):
             world.capacity.unchecked_jobs.pop(name)
 
 
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -13,7 +13,7 @@
 from kingcuppost.tables.task import Reservation, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["stopped_by_ms", "member_timeout_ms", "lost_reason"]
+__all__ = ["lost_reason", "member_timeout_ms", "stopped_by_ms"]
 
 LEASES_UNTIL_STOPPED = 2
 CLOCK_DRIFT_MARGIN_MS = 500
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -102,11 +102,11 @@
 
 def _track_stage(world: World, gang: Gang, now_ms: int) -> int:
     """Return when this process first observed the gang's present state, in ms."""
-    seen = world.gang_view.stages.get(gang.key)
-    if seen is None or seen.state != gang.state:
+    stage = world.gang_view.stages.get(gang.key)
+    if stage is None or stage.state != gang.state:
         world.gang_view.stages[gang.key] = GangStage(gang.state, now_ms)
         return now_ms
-    return seen.since_ms
+    return stage.since_ms
 
 
 def _propose(world: World, gang: Gang, body: Body, now_ms: int) -> None:
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -14,7 +14,7 @@
 
 __all__ = ["is_covered", "report_uncovered"]
 
-STEP = "guarantee.cover"
+COVERAGE_STEP = "guarantee.cover"
 
 
 def is_covered(capacity: Capacity) -> bool:
@@ -39,12 +39,12 @@
     for row in capacity.uncovered:
         if row.team not in found:
             capacity.uncovered.delete(row.team)
-            note(world, STEP, "Guarantees can be met again.", team=row.team)
+            note(world, COVERAGE_STEP, "Guarantees can be met again.", team=row.team)
     for team, row in found.items():
         if capacity.uncovered.get(team) != row:
             capacity.uncovered.put(row)
             text = f"Guarantees cannot be met: {row.accelerators} accelerators missing."
-            note(world, STEP, text, team=team)
+            note(world, COVERAGE_STEP, text, team=team)
 
 
 def _uncovered(capacity: Capacity) -> list[UncoveredGuarantee]:
--- a/kingcuppost/systems/jobs/job_queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -34,15 +34,15 @@
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
-        _track_job(world, str(name), rank)
+        _update_job(world, str(name), rank)
     if names:
         capacity.pass_due = True
 
 
-def _track_job(world: World, name: str, rank: Rank) -> None:
+def _update_job(world: World, name: str, rank: Rank) -> None:
     capacity = world.capacity
     job = world.agreed.jobs.get(name)
-    _remove(capacity, name)
+    _remove_entry(capacity, name)
     if job is None:
         return
     if job.state in (JobState.WAITING, JobState.PARKED):
@@ -52,16 +52,16 @@
         capacity.queue_entries[name] = entry
         insort(capacity.queue, entry)
     elif job.state is JobState.DONE:
-        _record_run_time(world, job)
+        _record_finished_job(world, job)
 
 
-def _remove(capacity: Capacity, name: str) -> None:
+def _remove_entry(capacity: Capacity, name: str) -> None:
     entry = capacity.queue_entries.pop(name, None)
     if entry is not None:
         del capacity.queue[bisect_left(capacity.queue, entry)]
 
 
-def _record_run_time(world: World, job: Job) -> None:
+def _record_finished_job(world: World, job: Job) -> None:
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     if gang is not None and gang.released_wall_ms:
         run_ms = job.finished_wall_ms - gang.released_wall_ms
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -21,10 +21,10 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
+    "accelerator_mask",
+    "build_allocation",
     "cell_mask",
     "drop_allocation",
-    "build_allocation",
-    "accelerator_mask",
     "put_allocation",
     "refresh_worker",
     "track_occupancy",
@@ -204,14 +204,14 @@
     """Return the allocation of a gang with the given placements."""
     by_worker: dict[str, WorkerAllocation] = {}
     for placement in placements:
-        old = by_worker.get(placement.worker, NO_ALLOCATION)
+        previous = by_worker.get(placement.worker, NO_ALLOCATION)
         cell = cell_mask(placement)
         by_worker[placement.worker] = WorkerAllocation(
-            old.busy | accelerator_mask(placement),
+            previous.busy | accelerator_mask(placement),
             0,
-            (*old.cells, cell) if cell else old.cells,
-            old.cores + job.cores,
-            old.memory_mb + job.memory_mb,
+            (*previous.cells, cell) if cell else previous.cells,
+            previous.cores + job.cores,
+            previous.memory_mb + job.memory_mb,
         )
     return Allocation(key, job.team, job.accelerators * len(placements), by_worker)
 
@@ -222,13 +222,13 @@
     capacity.allocations[allocation.key] = allocation
     share = _share_of(capacity, allocation.team)
     share.used += allocation.accelerators
-    for name, part in allocation.by_worker.items():
-        for cell in part.cells:
+    for name, worker_allocation in allocation.by_worker.items():
+        for cell in worker_allocation.cells:
             bound_cell = (name, cell)
             share.cells[bound_cell] = share.cells.get(bound_cell, 0) + 1
         row = capacity.workers.get(name)
         if row is not None:
-            row.allocations[allocation.key] = part
+            row.allocations[allocation.key] = worker_allocation
             refresh_worker(capacity, row)
     _refresh_share(capacity, share)
 
@@ -240,8 +240,8 @@
         return
     share = _share_of(capacity, allocation.team)
     share.used -= allocation.accelerators
-    for name, part in allocation.by_worker.items():
-        for cell in part.cells:
+    for name, worker_allocation in allocation.by_worker.items():
+        for cell in worker_allocation.cells:
             _unbind(share, (name, cell))
         row = capacity.workers.get(name)
         if row is not None:
@@ -259,14 +259,14 @@
 def refresh_worker(capacity: Capacity, row: WorkerCapacity) -> None:
     """Recompute the free capacity of one worker and its part of the totals."""
     busy = reserved = bound = pinned = cores = memory_mb = 0
-    for part in row.allocations.values():
-        busy |= part.busy
-        reserved |= part.reserved
-        cores += part.cores
-        memory_mb += part.memory_mb
-        if part.cells:
-            pinned |= part.busy | part.reserved
-            for cell in part.cells:
+    for worker_allocation in row.allocations.values():
+        busy |= worker_allocation.busy
+        reserved |= worker_allocation.reserved
+        cores += worker_allocation.cores
+        memory_mb += worker_allocation.memory_mb
+        if worker_allocation.cells:
+            pinned |= worker_allocation.busy | worker_allocation.reserved
+            for cell in worker_allocation.cells:
                 bound |= cell
     free = row.whole & ~(busy | reserved)
     unbound = row.whole & ~bound
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -92,18 +92,22 @@
 ) -> Plan | None:
     """Return best-fit placements on free capacity for a borrower, or None."""
     if not job.accelerators:
-        return _pick(_exclude(_core_candidates(capacity, job), excluded), job)
+        return _plan_free(_exclude(_core_candidates(capacity, job), excluded), job)
     cell_class = class_of(job.accelerators)
     if count_cells(capacity.free_blocks, cell_class) < job.members:
         return None
-    return _pick(_exclude(_free_candidates(capacity, job, cell_class), excluded), job)
+    return _plan_free(
+        _exclude(_free_candidates(capacity, job, cell_class), excluded), job
+    )
 
 
 def _exclude(
     candidates: Iterator[Candidate], excluded: frozenset[str]
 ) -> Iterator[Candidate]:
     """Skip the candidates on excluded workers."""
-    return (item for item in candidates if item.worker.name not in excluded)
+    return (
+        candidate for candidate in candidates if candidate.worker.name not in excluded
+    )
 
 
 def _free_candidates(
@@ -127,7 +131,7 @@
     if not job.accelerators:
         return None
     candidates = _reserved_candidates(capacity, reservation, class_of(job.accelerators))
-    return _pick(_exclude(candidates, excluded), job)
+    return _plan_free(_exclude(candidates, excluded), job)
 
 
 def _reserved_candidates(
@@ -159,7 +163,7 @@
                     yield Candidate(row, 0)
 
 
-def _pick(candidates: Iterator[Candidate], job: Job) -> Plan | None:
+def _plan_free(candidates: Iterator[Candidate], job: Job) -> Plan | None:
     """Choose placements close to each other among candidates without victims."""
     limit = 1 if job.members == 1 else _candidate_limit(job)
     found = list(islice(candidates, limit))
@@ -173,10 +177,10 @@
     """Return the candidates for which the workers have enough cores and memory."""
     members: dict[str, int] = defaultdict(int)
     chosen = []
-    for item in group:
-        if members[item.worker.name] < _count_fitting(item.worker, job):
-            members[item.worker.name] += 1
-            chosen.append(item)
+    for candidate in group:
+        if members[candidate.worker.name] < _count_fitting(candidate.worker, job):
+            members[candidate.worker.name] += 1
+            chosen.append(candidate)
     return chosen[: job.members]
 
 
@@ -187,11 +191,13 @@
 def _placements(chosen: list[Candidate], job: Job) -> tuple[Placement, ...]:
     return tuple(
         Placement(
-            item.worker.name,
-            accelerator_numbers(item.block, job.accelerators) if item.block else (),
-            item.cell.bit_count(),
+            candidate.worker.name,
+            accelerator_numbers(candidate.block, job.accelerators)
+            if candidate.block
+            else (),
+            candidate.cell.bit_count(),
         )
-        for item in chosen
+        for candidate in chosen
     )
 
 
@@ -205,16 +211,16 @@
     best = None
     best_cost = 0.0
     for level in (
-        lambda item: item.worker.name,
-        lambda item: item.worker.rack,
-        lambda item: item.worker.availability_zone,
-        lambda item: "",
+        lambda candidate: candidate.worker.name,
+        lambda candidate: candidate.worker.rack,
+        lambda candidate: candidate.worker.availability_zone,
+        lambda candidate: "",
     ):
         for group in _groups(found, job, level):
             chosen = select(group)
             if len(chosen) < job.members:
                 continue
-            cost = sum(item.cost for item in chosen)
+            cost = sum(candidate.cost for candidate in chosen)
             if best is None or cost < best_cost:
                 best, best_cost = chosen, cost
             if best_cost == 0:
@@ -227,17 +233,17 @@
 ) -> list[list[Candidate]]:
     """Return the groups with enough candidates, the cheapest and smallest first."""
     groups = defaultdict(list)
-    for item in found:
-        groups[level(item)].append(item)
+    for candidate in found:
+        groups[level(candidate)].append(candidate)
     large_enough = [group for group in groups.values() if len(group) >= job.members]
     for group in large_enough:
-        group.sort(key=lambda item: item.cost)
-    large_enough.sort(key=lambda group: (_cost_of(group, job), len(group)))
+        group.sort(key=lambda candidate: candidate.cost)
+    large_enough.sort(key=lambda group: (_group_cost(group, job), len(group)))
     return large_enough[:MAX_GROUPS]
 
 
-def _cost_of(group: list[Candidate], job: Job) -> float:
-    return sum(item.cost for item in group[: job.members])
+def _group_cost(group: list[Candidate], job: Job) -> float:
+    return sum(candidate.cost for candidate in group[: job.members])
 
 
 def find_guaranteed(
@@ -279,10 +285,10 @@
 
 def _collect_candidates(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
     found = []
-    for item in islice(candidates, _candidate_limit(job)):
-        if job.members == 1 and not item.cost and not item.victims:
-            return [item]
-        found.append(item)
+    for candidate in islice(candidates, _candidate_limit(job)):
+        if job.members == 1 and not candidate.cost and not candidate.victims:
+            return [candidate]
+        found.append(candidate)
     return found
 
 
@@ -335,10 +341,12 @@
             continue
         victims = victims_on(world, row, block, True)
         if victims is not None:
-            yield Candidate(row, block, cell, bound, victims, _cost(world, victims))
+            yield Candidate(
+                row, block, cell, bound, victims, _lost_work(world, victims)
+            )
 
 
-def _cost(world: World, victims: frozenset[str]) -> float:
+def _lost_work(world: World, victims: frozenset[str]) -> float:
     return sum(lost_work(world, world.agreed.gangs.get(key)) for key in victims)
 
 
@@ -353,26 +361,26 @@
     taken: dict[str, int] = {}
     cells: dict[str, list[int]] = {}
     chosen = []
-    for item in group:
-        name = item.worker.name
-        if taken.get(name, 0) & item.block:
+    for candidate in group:
+        name = candidate.worker.name
+        if taken.get(name, 0) & candidate.block:
             continue
         bound_cells = cells.setdefault(name, [])
-        if not item.bound and item.cell not in bound_cells:
-            if any(item.cell & other for other in bound_cells):
+        if not candidate.bound and candidate.cell not in bound_cells:
+            if any(candidate.cell & other for other in bound_cells):
                 continue
-            if not _bind(item, bound_cells, unused, blocks, demand, missing):
+            if not _bind(candidate, bound_cells, unused, blocks, demand, missing):
                 continue
-            bound_cells.append(item.cell)
-        taken[name] = taken.get(name, 0) | item.block
-        chosen.append(item)
+            bound_cells.append(candidate.cell)
+        taken[name] = taken.get(name, 0) | candidate.block
+        chosen.append(candidate)
         if len(chosen) == job.members:
             break
     return chosen
 
 
 def _bind(
-    item: Candidate,
+    candidate: Candidate,
     bound_cells: list[int],
     unused: list[int],
     blocks: list[int],
@@ -383,16 +391,16 @@
 
     Returns whether the cell was bound.
     """
-    cell_class = class_of(item.cell.bit_count())
+    cell_class = class_of(candidate.cell.bit_count())
     if not unused[cell_class]:
         return False
-    unbound = item.worker.whole & ~item.worker.bound
+    unbound = candidate.worker.whole & ~candidate.worker.bound
     for other in bound_cells:
         unbound &= ~other
     trial_blocks = list(blocks)
     trial_demand = list(demand)
     split_block(
-        trial_blocks, _enclosing_class(unbound, item.cell, cell_class), cell_class
+        trial_blocks, _enclosing_class(unbound, candidate.cell, cell_class), cell_class
     )
     trial_demand[cell_class] -= 1
     if left_over(trial_blocks, trial_demand) > missing:
@@ -416,10 +424,10 @@
 ) -> Plan | None:
     """Return a plan that also stops borrowers whose cores or memory are needed."""
     members: dict[str, int] = defaultdict(int)
-    rows = {item.worker.name: item.worker for item in chosen}
-    victims = frozenset().union(*(item.victims for item in chosen))
-    for item in chosen:
-        members[item.worker.name] += 1
+    rows = {candidate.worker.name: candidate.worker for candidate in chosen}
+    victims = frozenset().union(*(candidate.victims for candidate in chosen))
+    for candidate in chosen:
+        members[candidate.worker.name] += 1
     for name, count in members.items():
         victims = victims_for_cores(world, rows[name], count, job, guaranteed, victims)
         if victims is None:
@@ -451,5 +459,5 @@
             for block in blocks_in(available, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
-                    cost = _cost(world, victims)
+                    cost = _lost_work(world, victims)
                     yield Candidate(row, block, victims=victims, cost=cost)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -39,8 +39,8 @@
 ) -> frozenset[str] | None:
     """Return the gangs that occupy part of a block; None if one is not preemptible."""
     found = []
-    for key, part in row.allocations.items():
-        if not part.busy & block:
+    for key, worker_allocation in row.allocations.items():
+        if not worker_allocation.busy & block:
             continue
         gang = world.agreed.gangs.get(key)
         if gang is None or not may_preempt(world, gang, guaranteed):
@@ -79,9 +79,11 @@
     frozenset of str or None
         None if all preemptible gangs together do not free enough.
     """
-    parts = [row.allocations[key] for key in victims if key in row.allocations]
-    cores = row.free_cores + sum(part.cores for part in parts)
-    memory_mb = row.free_memory_mb + sum(part.memory_mb for part in parts)
+    freed = [row.allocations[key] for key in victims if key in row.allocations]
+    cores = row.free_cores + sum(worker_allocation.cores for worker_allocation in freed)
+    memory_mb = row.free_memory_mb + sum(
+        worker_allocation.memory_mb for worker_allocation in freed
+    )
     chosen = set(victims)
     for gang in _preemptible_gangs(world, row, guaranteed, victims):
         if cores >= members * job.cores and memory_mb >= members * job.memory_mb:
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -87,7 +87,7 @@
 ) -> Choice:
     plan = find_guaranteed(world, job, excluded)
     if plan is not None:
-        return _choice_of(job, plan, since_ms, now_ms, guaranteed=True)
+        return _build_choice(job, plan, since_ms, now_ms, guaranteed=True)
     return _choose_borrowed(world, job, since_ms, now_ms, excluded)
 
 
@@ -132,7 +132,7 @@
     return f"the team uses {share.used} of at most {share.limit} accelerators"
 
 
-def _choice_of(
+def _build_choice(
     job: Job, plan: Plan, since_ms: int, now_ms: int, guaranteed: bool
 ) -> Choice:
     if not plan.victims:
@@ -152,7 +152,7 @@
     if job.urgency is Urgency.INTERACTIVE:
         plan = find_borrowed(world, job, excluded)
         if plan is not None:
-            return _choice_of(job, plan, since_ms, now_ms, guaranteed=False)
+            return _build_choice(job, plan, since_ms, now_ms, guaranteed=False)
     for reservation in world.capacity.advance_reservations:
         if _may_lend(world, job, reservation, now_ms):
             plan = find_reserved(world.capacity, reservation, job, excluded)
@@ -176,8 +176,8 @@
     stopped at once. Interactive work gets a loan only if it is expected to end in
     time, since it cannot be stopped.
     """
-    due_ms = preempt_at_ms(world, reservation)
-    if reservation.guaranteed or now_ms >= due_ms:
+    limit_ms = preempt_at_ms(world, reservation)
+    if reservation.guaranteed or now_ms >= limit_ms:
         return False
     owner = world.agreed.jobs.get(reservation.job)
     if not waits_for_earlier_gang(world, reservation):
@@ -185,9 +185,9 @@
     if find_preemption_victims(world, reservation, owner, now_ms):
         return False
     if job.urgency is Urgency.INTERACTIVE:
-        due_ms = min(due_ms, reservation.expected_free_ms)
-        return now_ms + expected_run_ms(world.capacity, job) <= due_ms
-    return now_ms + MIN_LOAN_MS <= due_ms
+        limit_ms = min(limit_ms, reservation.expected_free_ms)
+        return now_ms + expected_run_ms(world.capacity, job) <= limit_ms
+    return now_ms + MIN_LOAN_MS <= limit_ms
 
 
 policies.register("shapes")(Policy(rank_by_run_time, choose_shapes))
--- a/kingcuppost/systems/jobs/tests/test_guarantees.py
+++ b/kingcuppost/systems/jobs/tests/test_guarantees.py
@@ -62,7 +62,7 @@
     assert all(item.finished_ms > 0 for item in run.runs.values())
 
 
-def test_two_halves_of_one_cell_share_one_block() -> None:
+def test_two_halves_of_one_cell_stand_in_one_block() -> None:
     """Guards against two blocks of 4 that could not become a guaranteed cell of 8."""
     run = driver([worker(0), worker(1)], {"big": (Shape(1, 8),), "other": ()})
     submit(run, job("one", "big", accelerators=4))
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -17,7 +17,7 @@
 STOP_AND_START_MS = 10_000
 
 
-def test_gang_of_64_starts_among_endless_small_jobs() -> None:
+def test_a_gang_of_64_starts_among_endless_small_jobs() -> None:
     """Limit: its expected run time to become first, the reservation's limit, a restart.
 
     Compaction is delayed, so that the time limit of the reservation ends the wait.
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/capacity.py
@@ -13,16 +13,16 @@
 
 __all__ = [
     "CELL_CLASSES",
-    "Capacity",
-    "Allocation",
     "AdvanceReservation",
+    "Allocation",
+    "Capacity",
     "QueueEntry",
     "RunTimes",
     "TeamShare",
     "UncoveredGuarantee",
+    "WorkerAllocation",
     "WorkerCapacity",
     "WorkerFaults",
-    "WorkerAllocation",
 ]
 
 CELL_CLASSES = 7
