--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -13,13 +13,6 @@
 )
 from kingcuppost.systems.jobs.reclaim import may_preempt, victims_for_cores
 from kingcuppost.systems.jobs.run_times import expected_end_ms, expected_run_ms
-from kingcuppost.tables.capacity import (
-    AdvanceReservation,
-    Allocation,
-    Capacity,
-    WorkerAllocation,
-    WorkerCapacity,
-)
 from kingcuppost.tables.job import (
     Gang,
     GangState,
@@ -28,6 +21,13 @@
     Placement,
     Urgency,
 )
+from kingcuppost.tables.scheduling import (
+    AdvanceReservation,
+    Allocation,
+    SchedulingState,
+    WorkerAllocation,
+    WorkerCapacity,
+)
 from kingcuppost.tables.world import World
 
 __all__ = [
@@ -71,9 +71,9 @@
         by_worker[placement.worker] = WorkerAllocation(
             0, reserved, cells, cores, memory_mb
         )
-    world.capacity.advance_reservations.put(reservation)
+    world.scheduling.advance_reservations.put(reservation)
     put_allocation(
-        world.capacity, Allocation(_allocation_key(job.name), job.team, 0, by_worker)
+        world.scheduling, Allocation(_allocation_key(job.name), job.team, 0, by_worker)
     )
     schedule_preemption_pass(world, reservation, now_ms)
 
@@ -87,12 +87,12 @@
     for at_ms in (compact_at_ms(world, reservation), preempt_at_ms(world, reservation)):
         if at_ms > now_ms:
             world.deadlines.add(at_ms)
-            _schedule_pass(world.capacity, at_ms)
+            _schedule_pass(world.scheduling, at_ms)
 
 
-def _schedule_pass(capacity: Capacity, at_ms: int) -> None:
-    if not capacity.next_pass_ms or at_ms < capacity.next_pass_ms:
-        capacity.next_pass_ms = at_ms
+def _schedule_pass(scheduling: SchedulingState, at_ms: int) -> None:
+    if not scheduling.next_pass_ms or at_ms < scheduling.next_pass_ms:
+        scheduling.next_pass_ms = at_ms
 
 
 def preempt_at_ms(world: World, reservation: AdvanceReservation) -> int:
@@ -104,29 +104,29 @@
     )
 
 
-def drop_reservation(capacity: Capacity, job: str) -> None:
+def drop_reservation(scheduling: SchedulingState, job: str) -> None:
     """Delete the reservation of a job, if there is one."""
-    if capacity.advance_reservations.delete(job) is not None:
-        drop_allocation(capacity, _allocation_key(job))
+    if scheduling.advance_reservations.delete(job) is not None:
+        drop_allocation(scheduling, _allocation_key(job))
 
 
 def drop_stale_reservations(world: World) -> None:
     """Delete the reservations of jobs that are no longer waiting."""
-    for reservation in world.capacity.advance_reservations:
+    for reservation in world.scheduling.advance_reservations:
         job = world.agreed.jobs.get(reservation.job)
         if job is None or job.state is not JobState.WAITING:
-            drop_reservation(world.capacity, reservation.job)
+            drop_reservation(world.scheduling, reservation.job)
 
 
 def can_start(world: World, reservation: AdvanceReservation, job: Job) -> bool:
     """Return whether the job can start now on the accelerators reserved for it."""
     members = Counter(placement.worker for placement in reservation.placements)
     for placement in reservation.placements:
-        row = world.capacity.workers.get(placement.worker)
+        row = world.scheduling.workers.get(placement.worker)
         if not row.usable or row.busy & accelerator_mask(placement):
             return False
     for name, member_count in members.items():
-        row = world.capacity.workers.get(name)
+        row = world.scheduling.workers.get(name)
         count = 0 if reservation.guaranteed else member_count
         if row.free_cores < count * job.cores:
             return False
@@ -143,7 +143,7 @@
     borrowers.
     """
     for placement in reservation.placements:
-        row = world.capacity.workers.get(placement.worker)
+        row = world.scheduling.workers.get(placement.worker)
         if not row.usable:
             return False
         if (
@@ -214,7 +214,7 @@
     if not all(may_preempt(world, gang, False) for gang in blockers):
         return frozenset()
     accelerators = sum(
-        world.capacity.allocations[gang.key].accelerators for gang in blockers
+        world.scheduling.allocations[gang.key].accelerators for gang in blockers
     )
     if accelerators > MAX_COMPACT_RATIO * job.members * job.accelerators:
         return frozenset()
@@ -232,7 +232,7 @@
 
 def _blocking_gangs(world: World, reservation: AdvanceReservation) -> list[Gang]:
     """Return the gangs that occupy accelerators of a reservation."""
-    keys = sorted(_gang_keys_on(world.capacity, reservation.placements))
+    keys = sorted(_gang_keys_on(world.scheduling, reservation.placements))
     gangs = [world.agreed.gangs.get(key) for key in keys]
     return [gang for gang in gangs if gang is not None]
 
@@ -241,18 +241,18 @@
     """Return whether a gang from before the reservation still occupies part of it."""
     return bool(
         reservation.earlier_gangs
-        & _gang_keys_on(world.capacity, reservation.placements)
+        & _gang_keys_on(world.scheduling, reservation.placements)
     )
 
 
 def _gang_keys_on(
-    capacity: Capacity, placements: tuple[Placement, ...]
+    scheduling: SchedulingState, placements: tuple[Placement, ...]
 ) -> frozenset[str]:
     """Return the keys of all gangs that occupy part of the placements."""
     return frozenset(
         key
         for placement in placements
-        for key, worker_allocation in capacity.workers.get(
+        for key, worker_allocation in scheduling.workers.get(
             placement.worker
         ).allocations.items()
         if worker_allocation.busy & accelerator_mask(placement)
@@ -264,7 +264,7 @@
 ) -> frozenset[str]:
     members = Counter(placement.worker for placement in reservation.placements)
     for name, member_count in members.items():
-        row = world.capacity.workers.get(name)
+        row = world.scheduling.workers.get(name)
         count = 0 if reservation.guaranteed else member_count
         extended = victims_for_cores(
             world, row, count, job, reservation.guaranteed, victims
@@ -298,7 +298,7 @@
     """
     cell_class = class_of(job.accelerators)
     blocks = []
-    for row in world.capacity.workers:
+    for row in world.scheduling.workers:
         if row.name in job.failed_workers:
             continue
         if row.usable and row.accelerators >= job.accelerators:
@@ -311,7 +311,7 @@
         for _, _, name, block in chosen
     )
     expected_free_ms = now_ms + max(wait_ms for _, wait_ms, _, _ in chosen)
-    earlier_gangs = _gang_keys_on(world.capacity, placements)
+    earlier_gangs = _gang_keys_on(world.scheduling, placements)
     return AdvanceReservation(
         job.name, placements, False, since_ms, expected_free_ms, earlier_gangs
     )
@@ -327,7 +327,7 @@
     """
     found = []
     ends = _expected_ends(world, row)
-    for block in blocks_in(row.whole & ~row.reserved, cell_class):
+    for block in blocks_in(row.full_mask & ~row.reserved, cell_class):
         waits_ms = [end_ms for busy, end_ms in ends if busy & block]
         pinned = bool(block & row.pinned)
         found.append((pinned, max(waits_ms, default=0), row.name, block))
@@ -352,7 +352,7 @@
     gang = world.agreed.gangs.get(key)
     job = world.agreed.jobs.get(key.rpartition("/")[0])
     if gang is None:
-        return expected_run_ms(world.capacity, job)
+        return expected_run_ms(world.scheduling, job)
     if gang.state is GangState.STOPPING:
         return 0
-    return expected_end_ms(world.capacity, job, gang, wall_ms) - wall_ms
+    return expected_end_ms(world.scheduling, job, gang, wall_ms) - wall_ms
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -3,8 +3,8 @@
 from kingcuppost.systems.jobs.advance_reservations import can_start, drop_reservation
 from kingcuppost.systems.jobs.cells import count_cells
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
-from kingcuppost.tables.capacity import WorkerCapacity
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative, Urgency
+from kingcuppost.tables.scheduling import WorkerCapacity
 from kingcuppost.tables.world import World
 
 __all__ = ["choose_first_fit", "find_adjacent"]
@@ -45,12 +45,12 @@
     placements: list[Placement] = []
     refused = []
     wanted = job.members * job.accelerators
-    if not lendable and count_cells(world.capacity.free_blocks, 0) < wanted:
+    if not lendable and count_cells(world.scheduling.free_blocks, 0) < wanted:
         reason = f"fewer than {wanted} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
     rows = [
         row
-        for row in world.capacity.workers
+        for row in world.scheduling.workers
         if row.usable and row.accelerators >= job.accelerators
     ]
     rows.sort(key=lambda row: (row.availability_zone, row.rack, row.name))
@@ -70,7 +70,7 @@
 def _place_members(
     row: WorkerCapacity, job: Job, wanted: int, lendable: int
 ) -> list[Placement]:
-    free = row.whole & ~(row.busy | (row.reserved & ~lendable))
+    free = row.full_mask & ~(row.busy | (row.reserved & ~lendable))
     cores = row.free_cores
     memory_mb = row.free_memory_mb
     found = []
@@ -91,20 +91,20 @@
     These are lent to jobs whose declared run time ends before the reservation is
     expected to start.
     """
-    reservation = world.capacity.advance_reservations.get(job.name)
+    reservation = world.scheduling.advance_reservations.get(job.name)
     if reservation is not None and can_start(world, reservation, job):
         return Choice(reservation.placements)
-    drop_reservation(world.capacity, job.name)
+    drop_reservation(world.scheduling, job.name)
     return _first_fit(world, job, _lendable_masks(world, job, now_ms))
 
 
 def _lendable_masks(world: World, job: Job, now_ms: int) -> dict[str, int]:
     lendable: dict[str, int] = {}
-    for reservation in world.capacity.advance_reservations:
+    for reservation in world.scheduling.advance_reservations:
         if job.declared_ms <= reservation.expected_free_ms - now_ms:
             for placement in reservation.placements:
-                row = world.capacity.workers.get(placement.worker)
-                lendable[row.name] = row.whole
+                row = world.scheduling.workers.get(placement.worker)
+                lendable[row.name] = row.full_mask
     return lendable
 
 
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from functools import lru_cache
 
-from kingcuppost.tables.capacity import CELL_CLASSES
+from kingcuppost.tables.scheduling import CELL_CLASSES
 
 __all__ = [
     "accelerator_numbers",
@@ -17,7 +17,7 @@
     "class_of",
     "count_blocks",
     "count_cells",
-    "left_over",
+    "count_shortfall",
     "split_block",
 ]
 
@@ -127,7 +127,7 @@
     )
 
 
-def left_over(blocks: Sequence[int], demand: Sequence[int]) -> int:
+def count_shortfall(blocks: Sequence[int], demand: Sequence[int]) -> int:
     """Return the number of accelerators in `demand` that do not fit into `blocks`.
 
     From the largest class down, each unused cell of a class is split into two cells
@@ -135,9 +135,9 @@
 
     Examples
     --------
-    >>> left_over((0, 0, 0, 1, 0, 0, 0), (0, 0, 2, 0, 0, 0, 0))
+    >>> count_shortfall((0, 0, 0, 1, 0, 0, 0), (0, 0, 2, 0, 0, 0, 0))
     0
-    >>> left_over((0, 0, 2, 0, 0, 0, 0), (0, 0, 0, 1, 0, 0, 0))
+    >>> count_shortfall((0, 0, 2, 0, 0, 0, 0), (0, 0, 0, 1, 0, 0, 0))
     8
     """
     available = 0
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -1,8 +1,8 @@
 """Refuse jobs that can never run, and park those that cannot run at present."""
 
 from kingcuppost.settings import effective_value, team_path
-from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
@@ -18,13 +18,13 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
 def check_feasibility(world: World, now_ms: int) -> None:
     """Refuse, park or unpark jobs that are new, and all after a change of the fleet."""
-    if not is_scheduler(world) or not world.capacity.unchecked_jobs:
+    if not is_scheduler(world) or not world.scheduling.unchecked_jobs:
         return
     pending = jobs_with_pending_change(world)
-    for name in list(world.capacity.unchecked_jobs):
+    for name in list(world.scheduling.unchecked_jobs):
         job = world.agreed.jobs.get(name)
         if name in pending or _check_job(world, job, now_ms):
-            world.capacity.unchecked_jobs.pop(name)
+            world.scheduling.unchecked_jobs.pop(name)
 
 
 def jobs_with_pending_change(world: World) -> set[str]:
@@ -58,7 +58,7 @@
     """
     counted = []
     for worker in job.failed_workers:
-        faults = world.capacity.faults.get(worker)
+        faults = world.scheduling.faults.get(worker)
         if faults is None or not faults.quarantined:
             counted.append(worker)
     path = team_path(job.team, job.urgency)
@@ -71,7 +71,7 @@
 
 
 def _limit_reason(world: World, job: Job) -> str:
-    share = world.capacity.shares.get(job.team)
+    share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
         return ""
@@ -81,7 +81,7 @@
 def _is_feasible(world: World, job: Job, in_service_only: bool) -> bool:
     """Return whether the gang would fit on the workers if nothing else ran there."""
     key = (job.members, job.accelerators, job.cores, job.memory_mb, in_service_only)
-    cache = world.capacity.feasibility_cache
+    cache = world.scheduling.feasibility_cache
     if key not in cache:
         cache[key] = _count_slots(world, job, in_service_only) >= job.members
     return cache[key]
@@ -89,7 +89,7 @@
 
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
     slots = 0
-    for row in world.capacity.workers:
+    for row in world.scheduling.workers:
         if in_service_only and not row.in_service:
             continue
         needs = (
@@ -106,8 +106,8 @@
 def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
     """Refuse a job once the fleet has not changed for a while."""
     stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
-    stable_at_ms = world.capacity.fleet_changed_ms + stable_for_ms
-    if now_ms < stable_at_ms or not len(world.capacity.workers):
+    stable_at_ms = world.scheduling.fleet_changed_ms + stable_for_ms
+    if now_ms < stable_at_ms or not len(world.scheduling.workers):
         world.deadlines.add(max(stable_at_ms, now_ms + stable_for_ms))
         return False
     reason = (
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -2,8 +2,8 @@
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.member_reports import BROKEN_STATES, gang_members
-from kingcuppost.systems.leases import (
-    full_period_ms,
+from kingcuppost.systems.member_timing import (
+    full_report_period_ms,
     grace_ms,
     isolation_ms,
     lease_ms,
@@ -27,12 +27,12 @@
 def _recently_reported(world: World, gang: Gang, now_ms: int) -> list[Reservation]:
     timeout_ms = member_timeout_ms(world, gang)
     rows = gang_members(world, gang.key)
-    return [row for row in rows if now_ms - row.heard_ms < timeout_ms]
+    return [row for row in rows if now_ms - row.last_report_ms < timeout_ms]
 
 
 def _last_report_ms(world: World, gang: Gang, since_ms: int) -> int:
     rows = gang_members(world, gang.key)
-    return max(since_ms, *(row.heard_ms for row in rows), since_ms)
+    return max(since_ms, *(row.last_report_ms for row in rows), since_ms)
 
 
 def lost_reason(world: World, gang: Gang, since_ms: int, now_ms: int) -> str:
@@ -80,7 +80,7 @@
     A sidecar reports changes of state at once, and all members once in each full
     report period. Two full reports may be missed.
     """
-    missed_ms = MAX_MISSED_FULL_REPORTS * full_period_ms(world)
+    missed_ms = MAX_MISSED_FULL_REPORTS * full_report_period_ms(world)
     return _setting(world, gang, "job.lost_ms") + missed_ms
 
 
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -5,8 +5,8 @@
 """
 
 from kingcuppost.settings import effective_value, team_path
-from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.jobs.faults import pause_worker, reset_refusals
 from kingcuppost.systems.jobs.gang_liveness import (
     lost_reason,
@@ -22,7 +22,7 @@
 from kingcuppost.tables.gang_view import GangStage
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Gang, GangState, gang_key
-from kingcuppost.tables.record import Body, GangEnd, GangRelease, GangStop
+from kingcuppost.tables.record import GangEnd, GangRelease, GangStop, RecordBody
 from kingcuppost.tables.task import Reservation, TaskState
 from kingcuppost.tables.world import World
 
@@ -109,7 +109,7 @@
     return stage.since_ms
 
 
-def _propose(world: World, gang: Gang, body: Body, now_ms: int) -> None:
+def _propose(world: World, gang: Gang, body: RecordBody, now_ms: int) -> None:
     propose(world, body, now_ms)
     _schedule_check(world, gang.key, now_ms + RECHECK_MS)
 
--- a/kingcuppost/systems/jobs/job_queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from kingcuppost.systems.jobs.run_times import record_run_time
-from kingcuppost.tables.capacity import Capacity, QueueEntry
 from kingcuppost.tables.job import Job, JobState, gang_key
+from kingcuppost.tables.scheduling import QueueEntry, SchedulingState
 from kingcuppost.tables.world import World
 
 __all__ = ["Rank", "apply_job_changes"]
@@ -25,44 +25,44 @@
     rank : callable
         Returns the sort key of a job, smallest first.
     """
-    capacity = world.capacity
+    scheduling = world.scheduling
     names = world.agreed.jobs.take_changes("placement")
-    if capacity.queue_policy != policy:
-        capacity.queue_policy = policy
-        capacity.queue.clear()
-        capacity.queue_entries.clear()
+    if scheduling.queue_policy != policy:
+        scheduling.queue_policy = policy
+        scheduling.queue.clear()
+        scheduling.queue_entries.clear()
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
         _update_job(world, str(name), rank)
     if names:
-        capacity.pass_due = True
+        scheduling.pass_due = True
 
 
 def _update_job(world: World, name: str, rank: Rank) -> None:
-    capacity = world.capacity
+    scheduling = world.scheduling
     job = world.agreed.jobs.get(name)
-    _remove_entry(capacity, name)
+    _remove_entry(scheduling, name)
     if job is None:
         return
     if job.state in (JobState.WAITING, JobState.PARKED):
-        capacity.unchecked_jobs[name] = None
+        scheduling.unchecked_jobs[name] = None
     if job.state is JobState.WAITING:
         entry = QueueEntry(rank(world, job), name)
-        capacity.queue_entries[name] = entry
-        insort(capacity.queue, entry)
+        scheduling.queue_entries[name] = entry
+        insort(scheduling.queue, entry)
     elif job.state is JobState.DONE:
         _record_finished_job(world, job)
 
 
-def _remove_entry(capacity: Capacity, name: str) -> None:
-    entry = capacity.queue_entries.pop(name, None)
+def _remove_entry(scheduling: SchedulingState, name: str) -> None:
+    entry = scheduling.queue_entries.pop(name, None)
     if entry is not None:
-        del capacity.queue[bisect_left(capacity.queue, entry)]
+        del scheduling.queue[bisect_left(scheduling.queue, entry)]
 
 
 def _record_finished_job(world: World, job: Job) -> None:
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     if gang is not None and gang.released_wall_ms:
         run_ms = job.finished_wall_ms - gang.released_wall_ms
-        record_run_time(world.capacity, job, run_ms)
+        record_run_time(world.scheduling, job, run_ms)
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -6,17 +6,17 @@
     count_blocks,
 )
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.capacity import (
+from kingcuppost.tables.fleet import MemberState, Worker
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.job import Job, JobState, Placement
+from kingcuppost.tables.scheduling import (
     CELL_CLASSES,
     Allocation,
-    Capacity,
+    SchedulingState,
     TeamShare,
     WorkerAllocation,
     WorkerCapacity,
 )
-from kingcuppost.tables.fleet import MemberState, Worker
-from kingcuppost.tables.identity import Role
-from kingcuppost.tables.job import Job, JobState, Placement
 from kingcuppost.tables.team import Team
 from kingcuppost.tables.world import World
 
@@ -41,28 +41,28 @@
 
     The cost depends on the number of changed rows, not on the size of the tables.
     """
-    if world.capacity.source is not world.agreed:
+    if world.scheduling.source is not world.agreed:
         _reset(world)
     changed = _track_fleet(world)
     changed |= _track_teams(world)
     if changed:
-        world.capacity.fleet_changed_ms = now_ms
+        world.scheduling.fleet_changed_ms = now_ms
         _recheck_all_jobs(world)
     if _track_gangs(world) or changed:
-        world.capacity.pass_due = True
+        world.scheduling.pass_due = True
 
 
 def _recheck_all_jobs(world: World) -> None:
     """Mark every waiting and parked job to be checked against the changed fleet."""
-    world.capacity.feasibility_cache.clear()
+    world.scheduling.feasibility_cache.clear()
     for state in (JobState.WAITING, JobState.PARKED):
         for job in world.agreed.jobs.find("state", state):
-            world.capacity.unchecked_jobs[job.name] = None
+            world.scheduling.unchecked_jobs[job.name] = None
 
 
 def _reset(world: World) -> None:
     """Start from empty state; the new tables report all of their rows as changed."""
-    world.capacity = Capacity(source=world.agreed)
+    world.scheduling = SchedulingState(source=world.agreed)
 
 
 def _track_fleet(world: World) -> bool:
@@ -84,20 +84,20 @@
 
 
 def _track_worker(world: World, worker: Worker) -> bool:
-    capacity = world.capacity
-    row = capacity.workers.get(worker.name)
+    scheduling = world.scheduling
+    row = scheduling.workers.get(worker.name)
     if row is None or row.accelerators != worker.accelerators:
         allocations = row.allocations if row is not None else {}
         if row is not None:
-            _subtract_blocks(capacity, row)
+            _subtract_blocks(scheduling, row)
         row = _new_row(worker, allocations)
-        capacity.workers.put(row)
-        refresh_worker(capacity, row)
+        scheduling.workers.put(row)
+        refresh_worker(scheduling, row)
     in_service = _is_in_service(world, worker)
     if in_service == row.in_service:
         return False
     row.in_service = in_service
-    refresh_worker(capacity, row)
+    refresh_worker(scheduling, row)
     return True
 
 
@@ -129,35 +129,35 @@
     for name in names:
         team = world.agreed.teams.get(name)
         if team is not None:
-            _track_team(world.capacity, team)
+            _track_team(world.scheduling, team)
     return bool(names)
 
 
-def _track_team(capacity: Capacity, team: Team) -> None:
+def _track_team(scheduling: SchedulingState, team: Team) -> None:
     guaranteed = [0] * CELL_CLASSES
     for shape in team.guarantees:
         guaranteed[class_of(shape.accelerators)] += shape.members * shape.count
-    share = _share_of(capacity, team.name)
+    share = _share_of(scheduling, team.name)
     share.guaranteed = tuple(guaranteed)
     share.limit = team.accelerator_limit
-    _refresh_share(capacity, share)
+    _refresh_share(scheduling, share)
 
 
-def _share_of(capacity: Capacity, team: str) -> TeamShare:
-    share = capacity.shares.get(team)
+def _share_of(scheduling: SchedulingState, team: str) -> TeamShare:
+    share = scheduling.shares.get(team)
     if share is None:
         share = TeamShare(team)
-        capacity.shares.put(share)
+        scheduling.shares.put(share)
     return share
 
 
-def _refresh_share(capacity: Capacity, share: TeamShare) -> None:
-    add_counts(capacity.demand, share.unused, -1)
+def _refresh_share(scheduling: SchedulingState, share: TeamShare) -> None:
+    add_counts(scheduling.demand, share.unused, -1)
     unused = list(share.guaranteed)
     for _, cell in share.cells:
         unused[class_of(cell.bit_count())] -= 1
     share.unused = tuple(max(count, 0) for count in unused)
-    add_counts(capacity.demand, share.unused)
+    add_counts(scheduling.demand, share.unused)
 
 
 def _track_gangs(world: World) -> bool:
@@ -165,15 +165,15 @@
     changed = False
     for key in keys:
         gang = world.agreed.gangs.get(key)
-        was_pending = key in world.capacity.pending_gangs
-        world.capacity.pending_gangs.discard(key)
+        was_pending = key in world.scheduling.pending_gangs
+        world.scheduling.pending_gangs.discard(key)
         if gang is None:
-            drop_allocation(world.capacity, str(key))
+            drop_allocation(world.scheduling, str(key))
             changed = True
-        elif was_pending or key not in world.capacity.allocations:
+        elif was_pending or key not in world.scheduling.allocations:
             job = world.agreed.jobs.get(gang.job)
             put_allocation(
-                world.capacity, build_allocation(str(key), job, gang.placements)
+                world.scheduling, build_allocation(str(key), job, gang.placements)
             )
             changed = True
     return changed
@@ -216,38 +216,38 @@
     return Allocation(key, job.team, job.accelerators * len(placements), by_worker)
 
 
-def put_allocation(capacity: Capacity, allocation: Allocation) -> None:
+def put_allocation(scheduling: SchedulingState, allocation: Allocation) -> None:
     """Store an allocation and charge it to its workers and its team's share."""
-    drop_allocation(capacity, allocation.key)
-    capacity.allocations[allocation.key] = allocation
-    share = _share_of(capacity, allocation.team)
+    drop_allocation(scheduling, allocation.key)
+    scheduling.allocations[allocation.key] = allocation
+    share = _share_of(scheduling, allocation.team)
     share.used += allocation.accelerators
     for name, worker_allocation in allocation.by_worker.items():
         for cell in worker_allocation.cells:
             bound_cell = (name, cell)
             share.cells[bound_cell] = share.cells.get(bound_cell, 0) + 1
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None:
             row.allocations[allocation.key] = worker_allocation
-            refresh_worker(capacity, row)
-    _refresh_share(capacity, share)
+            refresh_worker(scheduling, row)
+    _refresh_share(scheduling, share)
 
 
-def drop_allocation(capacity: Capacity, key: str) -> None:
+def drop_allocation(scheduling: SchedulingState, key: str) -> None:
     """Remove an allocation, if it exists, and release what it uses."""
-    allocation = capacity.allocations.pop(key, None)
+    allocation = scheduling.allocations.pop(key, None)
     if allocation is None:
         return
-    share = _share_of(capacity, allocation.team)
+    share = _share_of(scheduling, allocation.team)
     share.used -= allocation.accelerators
     for name, worker_allocation in allocation.by_worker.items():
         for cell in worker_allocation.cells:
             _unbind(share, (name, cell))
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None:
             row.allocations.pop(key, None)
-            refresh_worker(capacity, row)
-    _refresh_share(capacity, share)
+            refresh_worker(scheduling, row)
+    _refresh_share(scheduling, share)
 
 
 def _unbind(share: TeamShare, bound_cell: tuple[str, int]) -> None:
@@ -256,7 +256,7 @@
         del share.cells[bound_cell]
 
 
-def refresh_worker(capacity: Capacity, row: WorkerCapacity) -> None:
+def refresh_worker(scheduling: SchedulingState, row: WorkerCapacity) -> None:
     """Recompute the free capacity of one worker and its part of the totals."""
     busy = reserved = bound = pinned = cores = memory_mb = 0
     for worker_allocation in row.allocations.values():
@@ -268,12 +268,12 @@
             pinned |= worker_allocation.busy | worker_allocation.reserved
             for cell in worker_allocation.cells:
                 bound |= cell
-    free = row.whole & ~(busy | reserved)
-    unbound = row.whole & ~bound
+    free = row.full_mask & ~(busy | reserved)
+    unbound = row.full_mask & ~bound
     free_cores = row.cores - cores
-    usable = _accepts_work(capacity, row)
-    _subtract_blocks(capacity, row)
-    capacity.workers.update(
+    usable = _accepts_work(scheduling, row)
+    _subtract_blocks(scheduling, row)
+    scheduling.workers.update(
         row.name,
         usable=usable,
         busy=busy,
@@ -288,13 +288,13 @@
         free_blocks=count_blocks(free if usable else 0),
         unbound_blocks=count_blocks(unbound if usable else 0),
     )
-    add_counts(capacity.free_blocks, row.free_blocks)
-    add_counts(capacity.unbound_blocks, row.unbound_blocks)
+    add_counts(scheduling.free_blocks, row.free_blocks)
+    add_counts(scheduling.unbound_blocks, row.unbound_blocks)
 
 
-def _accepts_work(capacity: Capacity, row: WorkerCapacity) -> bool:
+def _accepts_work(scheduling: SchedulingState, row: WorkerCapacity) -> bool:
     """Return whether a worker may get new work, including a single probe."""
-    faults = capacity.faults.get(row.name)
+    faults = scheduling.faults.get(row.name)
     quarantined = faults is not None and faults.quarantined
     paused = faults is not None and faults.paused
     if not row.in_service or paused or (quarantined and not row.probing):
@@ -302,9 +302,9 @@
     return not (row.probing and row.allocations)
 
 
-def _subtract_blocks(capacity: Capacity, row: WorkerCapacity) -> None:
-    add_counts(capacity.free_blocks, row.free_blocks, -1)
-    add_counts(capacity.unbound_blocks, row.unbound_blocks, -1)
+def _subtract_blocks(scheduling: SchedulingState, row: WorkerCapacity) -> None:
+    add_counts(scheduling.free_blocks, row.free_blocks, -1)
+    add_counts(scheduling.unbound_blocks, row.unbound_blocks, -1)
 
 
 def _largest_class(mask: int) -> int:
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -1,9 +1,9 @@
 """Passes over the queue of waiting jobs with the policy in the settings."""
 
 from kingcuppost.settings import effective, effective_value, team_path
-from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
-from kingcuppost.systems.agreement.lease import is_scheduler
+from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.events import note
 from kingcuppost.systems.jobs.advance_reservations import (
     drop_reservation,
@@ -44,22 +44,22 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=70)
 def place_jobs(world: World, now_ms: int) -> None:
     """Place waiting jobs after a change, one batch at a time, on a fresh log view."""
-    capacity = world.capacity
+    scheduling = world.scheduling
     if not is_scheduler(world) or world.stopping:
         return
-    if capacity.next_pass_ms and now_ms >= capacity.next_pass_ms:
-        capacity.pass_due = True
-    if not capacity.pass_due or _has_pending_placements(world):
+    if scheduling.next_pass_ms and now_ms >= scheduling.next_pass_ms:
+        scheduling.pass_due = True
+    if not scheduling.pass_due or _has_pending_placements(world):
         return
-    if not capacity.queue:
-        capacity.pass_due = False
+    if not scheduling.queue:
+        scheduling.pass_due = False
         drop_stale_reservations(world)
         return
     if not is_fresh(world, now_ms):
-        want_barrier(world, now_ms)
+        request_barrier(world, now_ms)
         return
     _begin_pass(world)
-    _run_pass(world, policies[capacity.queue_policy], now_ms)
+    _run_pass(world, policies[scheduling.queue_policy], now_ms)
 
 
 def _has_pending_placements(world: World) -> bool:
@@ -68,13 +68,13 @@
 
 def _begin_pass(world: World) -> None:
     """Drop allocations of rejected placements, and stale advance reservations."""
-    capacity = world.capacity
-    capacity.pass_due = False
-    capacity.next_pass_ms = 0
-    for key in sorted(capacity.pending_gangs):
+    scheduling = world.scheduling
+    scheduling.pass_due = False
+    scheduling.next_pass_ms = 0
+    for key in sorted(scheduling.pending_gangs):
         if key not in world.agreed.gangs:
-            drop_allocation(capacity, key)
-    capacity.pending_gangs.clear()
+            drop_allocation(scheduling, key)
+    scheduling.pending_gangs.clear()
     drop_stale_reservations(world)
 
 
@@ -85,7 +85,7 @@
     failed: set[Signature] = set()
     may_reserve = dict.fromkeys(Urgency, policy.reserves)
     skipped = jobs_with_pending_change(world)
-    for entry in list(world.capacity.queue):
+    for entry in list(world.scheduling.queue):
         job = world.agreed.jobs.get(entry.job)
         if job.name in skipped:
             continue
@@ -93,7 +93,7 @@
             if job.urgency is Urgency.OVERNIGHT:
                 break
             continue
-        reservation = world.capacity.advance_reservations.get(job.name)
+        reservation = world.scheduling.advance_reservations.get(job.name)
         signature = _signature(job)
         if reservation is None and signature in failed:
             continue
@@ -154,10 +154,10 @@
     the queue would add one more, and if the later job's reservation had precedence,
     the first job would never get one.
     """
-    for reservation in world.capacity.advance_reservations:
+    for reservation in world.scheduling.advance_reservations:
         other = world.agreed.jobs.get(reservation.job)
         if not reservation.guaranteed and other.urgency is job.urgency:
-            drop_reservation(world.capacity, reservation.job)
+            drop_reservation(world.scheduling, reservation.job)
 
 
 def _commit(world: World, job: Job, choice: Choice, now_ms: int) -> bool:
@@ -169,7 +169,7 @@
     if choice.placements is None:
         _store_reservation(world, job, choice, now_ms)
         return False
-    drop_reservation(world.capacity, job.name)
+    drop_reservation(world.scheduling, job.name)
     _propose_gang(world, job, choice, now_ms)
     return True
 
@@ -177,7 +177,7 @@
 def _store_reservation(world: World, job: Job, choice: Choice, now_ms: int) -> None:
     if choice.reservation is None:
         return
-    if job.name in world.capacity.advance_reservations:
+    if job.name in world.scheduling.advance_reservations:
         schedule_preemption_pass(world, choice.reservation, now_ms)
     else:
         put_reservation(world, job, choice.reservation, now_ms)
@@ -247,7 +247,7 @@
         decision,
     )
     key = gang_key(job.name, incarnation)
-    put_allocation(world.capacity, build_allocation(key, job, choice.placements))
-    world.capacity.pending_gangs.add(key)
+    put_allocation(world.scheduling, build_allocation(key, job, choice.placements))
+    world.scheduling.pending_gangs.add(key)
     propose(world, body, now_ms)
     note(world, "job.place", "Placement proposed.", job=job.name, team=job.team)
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -15,7 +15,7 @@
     blocks_in,
     class_of,
     count_cells,
-    left_over,
+    count_shortfall,
     split_block,
 )
 from kingcuppost.systems.jobs.occupancy import accelerator_mask
@@ -24,14 +24,14 @@
     victims_for_cores,
     victims_on,
 )
-from kingcuppost.tables.capacity import (
+from kingcuppost.tables.job import Job, Placement
+from kingcuppost.tables.scheduling import (
     CELL_CLASSES,
     AdvanceReservation,
-    Capacity,
+    SchedulingState,
     TeamShare,
     WorkerCapacity,
 )
-from kingcuppost.tables.job import Job, Placement
 from kingcuppost.tables.world import World
 
 __all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_reserved"]
@@ -88,16 +88,16 @@
 
 
 def find_free(
-    capacity: Capacity, job: Job, excluded: frozenset[str] = NO_WORKERS
+    scheduling: SchedulingState, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
     """Return best-fit placements on free capacity for a borrower, or None."""
     if not job.accelerators:
-        return _plan_free(_exclude(_core_candidates(capacity, job), excluded), job)
+        return _plan_free(_exclude(_core_candidates(scheduling, job), excluded), job)
     cell_class = class_of(job.accelerators)
-    if count_cells(capacity.free_blocks, cell_class) < job.members:
+    if count_cells(scheduling.free_blocks, cell_class) < job.members:
         return None
     return _plan_free(
-        _exclude(_free_candidates(capacity, job, cell_class), excluded), job
+        _exclude(_free_candidates(scheduling, job, cell_class), excluded), job
     )
 
 
@@ -111,18 +111,18 @@
 
 
 def _free_candidates(
-    capacity: Capacity, job: Job, cell_class: int
+    scheduling: SchedulingState, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for free_class in range(cell_class, CELL_CLASSES):
-        for row in capacity.workers.scan("free_class", free_class):
-            free = row.whole & ~(row.busy | row.reserved)
+        for row in scheduling.workers.scan("free_class", free_class):
+            free = row.full_mask & ~(row.busy | row.reserved)
             blocks = best_fit_blocks(free, cell_class)
             for block in blocks[: _count_fitting(row, job)]:
                 yield Candidate(row, block)
 
 
 def find_reserved(
-    capacity: Capacity,
+    scheduling: SchedulingState,
     reservation: AdvanceReservation,
     job: Job,
     excluded: frozenset[str] = NO_WORKERS,
@@ -130,18 +130,20 @@
     """Return placements of a borrower within the reservation of another job."""
     if not job.accelerators:
         return None
-    candidates = _reserved_candidates(capacity, reservation, class_of(job.accelerators))
+    candidates = _reserved_candidates(
+        scheduling, reservation, class_of(job.accelerators)
+    )
     return _plan_free(_exclude(candidates, excluded), job)
 
 
 def _reserved_candidates(
-    capacity: Capacity, reservation: AdvanceReservation, cell_class: int
+    scheduling: SchedulingState, reservation: AdvanceReservation, cell_class: int
 ) -> Iterator[Candidate]:
     masks: dict[str, int] = defaultdict(int)
     for placement in reservation.placements:
         masks[placement.worker] |= accelerator_mask(placement)
     for name, mask in masks.items():
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row.usable:
             for block in best_fit_blocks(mask & ~(row.busy | row.pinned), cell_class):
                 yield Candidate(row, block)
@@ -154,11 +156,11 @@
     return max(min(by_cores, by_memory, job.members), 0)
 
 
-def _core_candidates(capacity: Capacity, job: Job) -> Iterator[Candidate]:
+def _core_candidates(scheduling: SchedulingState, job: Job) -> Iterator[Candidate]:
     """Yield workers for members without accelerators; first workers without any."""
     for has_accelerators in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BITS):
-            for row in capacity.workers.scan("core_bucket", (has_accelerators, bits)):
+            for row in scheduling.workers.scan("core_bucket", (has_accelerators, bits)):
                 for _ in range(_count_fitting(row, job)):
                     yield Candidate(row, 0)
 
@@ -253,8 +255,8 @@
 
     Only cells whose use leaves all other guarantees covered are chosen.
     """
-    capacity = world.capacity
-    share = capacity.shares.get(job.team)
+    scheduling = world.scheduling
+    share = scheduling.shares.get(job.team)
     if share is None or not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
@@ -263,7 +265,7 @@
     candidates = _guaranteed_candidates(world, share, job, cell_class)
     found = _collect_candidates(_exclude(candidates, excluded), job)
     chosen = _choose_group(
-        found, job, lambda group: _select_covered(capacity, share, job, group)
+        found, job, lambda group: _select_covered(scheduling, share, job, group)
     )
     if chosen is None:
         return None
@@ -295,9 +297,9 @@
 def _guaranteed_candidates(
     world: World, share: TeamShare, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
-    capacity = world.capacity
+    scheduling = world.scheduling
     for name, cell in share.cells:
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None and row.usable and _within_share(row, job, cell_class):
             yield from _block_candidates(world, row, cell, True, job, cell_class)
     for larger in range(cell_class, CELL_CLASSES):
@@ -312,12 +314,12 @@
     world: World, job: Job, cell_class: int, larger: int, index: str
 ) -> Iterator[Candidate]:
     """Yield blocks of unbound cells; only free ones with the index ``free_class``."""
-    workers = world.capacity.workers
+    workers = world.scheduling.workers
     for worker_class in range(larger, CELL_CLASSES):
         for row in workers.scan(index, worker_class):
             if not _within_share(row, job, cell_class):
                 continue
-            unbound = row.whole & ~row.bound
+            unbound = row.full_mask & ~row.bound
             if index == "free_class":
                 unbound &= ~(row.busy | row.reserved)
             for cell in best_fit_blocks(unbound, larger):
@@ -351,13 +353,13 @@
 
 
 def _select_covered(
-    capacity: Capacity, share: TeamShare, job: Job, group: list[Candidate]
+    scheduling: SchedulingState, share: TeamShare, job: Job, group: list[Candidate]
 ) -> list[Candidate]:
     """Select candidates in order that leave every guarantee covered."""
-    blocks = list(capacity.unbound_blocks)
-    demand = list(capacity.demand)
+    blocks = list(scheduling.unbound_blocks)
+    demand = list(scheduling.demand)
     unused = list(share.unused)
-    missing = left_over(blocks, demand)
+    missing = count_shortfall(blocks, demand)
     taken: dict[str, int] = {}
     cells: dict[str, list[int]] = {}
     chosen = []
@@ -394,7 +396,7 @@
     cell_class = class_of(candidate.cell.bit_count())
     if not unused[cell_class]:
         return False
-    unbound = candidate.worker.whole & ~candidate.worker.bound
+    unbound = candidate.worker.full_mask & ~candidate.worker.bound
     for other in bound_cells:
         unbound &= ~other
     trial_blocks = list(blocks)
@@ -403,7 +405,7 @@
         trial_blocks, _enclosing_class(unbound, candidate.cell, cell_class), cell_class
     )
     trial_demand[cell_class] -= 1
-    if left_over(trial_blocks, trial_demand) > missing:
+    if count_shortfall(trial_blocks, trial_demand) > missing:
         return False
     unused[cell_class] -= 1
     blocks[:] = trial_blocks
@@ -454,8 +456,8 @@
     world: World, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for worker_class in range(CELL_CLASSES):
-        for row in world.capacity.workers.scan("unbound_class", worker_class):
-            available = row.whole & ~(row.pinned | row.reserved)
+        for row in world.scheduling.workers.scan("unbound_class", worker_class):
+            available = row.full_mask & ~(row.pinned | row.reserved)
             for block in blocks_in(available, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -2,8 +2,8 @@
 
 from math import exp, log
 
-from kingcuppost.tables.capacity import Capacity, RunTimes
 from kingcuppost.tables.job import Gang, Job
+from kingcuppost.tables.scheduling import RunTimes, SchedulingState
 
 __all__ = ["expected_end_ms", "expected_run_ms", "record_run_time"]
 
@@ -12,9 +12,9 @@
 OVERRUN_RATIO = 0.5
 
 
-def expected_run_ms(capacity: Capacity, job: Job) -> int:
+def expected_run_ms(scheduling: SchedulingState, job: Job) -> int:
     """Return how long a job is expected to run, in ms."""
-    row = capacity.run_times.get(job.team)
+    row = scheduling.run_times.get(job.team)
     if row is None:
         return job.declared_ms or DEFAULT_RUN_MS
     if not job.declared_ms:
@@ -22,25 +22,27 @@
     return int(job.declared_ms * exp(row.log_ratio))
 
 
-def expected_end_ms(capacity: Capacity, job: Job, gang: Gang, wall_ms: int) -> int:
+def expected_end_ms(
+    scheduling: SchedulingState, job: Job, gang: Gang, wall_ms: int
+) -> int:
     """Return when a gang is expected to end, Unix ms.
 
     A gang that exceeds its expected run time is expected to run on for a fixed
     fraction of the time that it has run so far.
     """
     start_ms = gang.released_wall_ms or wall_ms
-    end_ms = start_ms + expected_run_ms(capacity, job)
+    end_ms = start_ms + expected_run_ms(scheduling, job)
     overrun_ms = int((wall_ms - start_ms) * (1 + OVERRUN_RATIO))
     return max(end_ms, start_ms + overrun_ms) if end_ms <= wall_ms else end_ms
 
 
-def record_run_time(capacity: Capacity, job: Job, run_ms: int) -> None:
+def record_run_time(scheduling: SchedulingState, job: Job, run_ms: int) -> None:
     """Include the run time of a finished job in the averages of its team."""
-    row = capacity.run_times.get(job.team) or RunTimes(job.team)
+    row = scheduling.run_times.get(job.team) or RunTimes(job.team)
     weight = max(SMOOTHING_WEIGHT, 1 / (row.samples + 1))
     row.mean_ms += weight * (run_ms - row.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
         ratio = log(run_ms / job.declared_ms)
         row.log_ratio += weight * (ratio - row.log_ratio)
     row.samples += 1
-    capacity.run_times.put(row)
+    scheduling.run_times.put(row)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -20,8 +20,8 @@
     find_reserved,
 )
 from kingcuppost.systems.jobs.run_times import expected_run_ms
-from kingcuppost.tables.capacity import AdvanceReservation
 from kingcuppost.tables.job import Job, RefusedAlternative, Urgency
+from kingcuppost.tables.scheduling import AdvanceReservation
 from kingcuppost.tables.world import World
 
 __all__ = ["choose_shapes", "rank_by_run_time"]
@@ -42,7 +42,7 @@
         return (INTERACTIVE_RANK, submitted_ms, job.submitted_offset)
     path = team_path(job.team, job.urgency)
     limit_ms = effective_value(world.agreed, "job.overtake_limit_ms", path)
-    run_ms = expected_run_ms(world.capacity, job)
+    run_ms = expected_run_ms(world.scheduling, job)
     rank_ms = submitted_ms + min(run_ms, limit_ms)
     return (OVERNIGHT_RANK, rank_ms, job.submitted_offset)
 
@@ -54,17 +54,17 @@
     lost. Interactive work beyond the guarantee may stop overnight borrowers.
     """
     if reason := _limit_reason(world, job):
-        drop_reservation(world.capacity, job.name)
+        drop_reservation(world.scheduling, job.name)
         refused = (RefusedAlternative(job.team, reason),)
         return Choice(None, refused=refused, lacks_capacity=False)
     since_ms = now_ms
-    reservation = world.capacity.advance_reservations.get(job.name)
+    reservation = world.scheduling.advance_reservations.get(job.name)
     if reservation is not None:
         since_ms = reservation.since_ms
         choice = _choose_reserved(world, job, reservation, now_ms)
         if choice is not None:
             return choice
-        drop_reservation(world.capacity, job.name)
+        drop_reservation(world.scheduling, job.name)
     excluded = _excluded_workers(world, job)
     choice = _choose_new(world, job, since_ms, now_ms, excluded)
     if choice.placements is None and excluded and job.members > 1:
@@ -74,7 +74,7 @@
 
 def _excluded_workers(world: World, job: Job) -> frozenset[str]:
     """Return the workers on which the job failed and that are not quarantined."""
-    faults = world.capacity.faults
+    faults = world.scheduling.faults
     return frozenset(
         name
         for name in job.failed_workers
@@ -115,17 +115,17 @@
 ) -> Plan | None:
     """Return free placements, including accelerators reserved for the job itself."""
     excluded = _excluded_workers(world, job)
-    drop_reservation(world.capacity, job.name)
+    drop_reservation(world.scheduling, job.name)
     plan = find_guaranteed(world, job, excluded)
     if plan is None or plan.victims:
-        plan = find_free(world.capacity, job, excluded)
+        plan = find_free(world.scheduling, job, excluded)
     if plan is None:
         put_reservation(world, job, reservation, now_ms)
     return plan
 
 
 def _limit_reason(world: World, job: Job) -> str:
-    share = world.capacity.shares.get(job.team)
+    share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
         return ""
@@ -146,16 +146,16 @@
 def _choose_borrowed(
     world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
-    plan = find_free(world.capacity, job, excluded)
+    plan = find_free(world.scheduling, job, excluded)
     if plan is not None:
         return Choice(plan.placements, borrowed=True)
     if job.urgency is Urgency.INTERACTIVE:
         plan = find_borrowed(world, job, excluded)
         if plan is not None:
             return _build_choice(job, plan, since_ms, now_ms, guaranteed=False)
-    for reservation in world.capacity.advance_reservations:
+    for reservation in world.scheduling.advance_reservations:
         if _may_lend(world, job, reservation, now_ms):
-            plan = find_reserved(world.capacity, reservation, job, excluded)
+            plan = find_reserved(world.scheduling, reservation, job, excluded)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
     if job.accelerators.bit_count() > 1 and not excluded:
@@ -186,7 +186,7 @@
         return False
     if job.urgency is Urgency.INTERACTIVE:
         limit_ms = min(limit_ms, reservation.expected_free_ms)
-        return now_ms + expected_run_ms(world.capacity, job) <= limit_ms
+        return now_ms + expected_run_ms(world.scheduling, job) <= limit_ms
     return now_ms + MIN_LOAN_MS <= limit_ms
 
 
--- a/kingcuppost/systems/jobs/tests/test_feasibility.py
+++ b/kingcuppost/systems/jobs/tests/test_feasibility.py
@@ -69,7 +69,7 @@
     for number in range(30):
         submit(run, job(f"j{number}", "a", 1, 1, run_ms=MINUTE_MS))
         settle(run, 5_000)
-    faults = run.world.capacity.faults.get("w0")
+    faults = run.world.scheduling.faults.get("w0")
     assert faults.quarantined
     assert len(faults.jobs) <= 8
     assert all(get_job(run, f"j{n}").state is not JobState.FAILED for n in range(30))
@@ -79,8 +79,8 @@
     for number in range(3):
         submit(run, job(f"probe{number}", "a", 1, 8, run_ms=MINUTE_MS))
     settle(run, 2 * HOUR_MS)
-    assert "w0" not in run.world.capacity.faults
-    assert run.world.capacity.workers.get("w0").free_class == 3
+    assert "w0" not in run.world.scheduling.faults
+    assert run.world.scheduling.workers.get("w0").free_class == 3
 
 
 def test_probe_is_a_single_job() -> None:
@@ -88,7 +88,7 @@
     run.bad_workers = {"w0"}
     submit(run, *(job(f"j{number}", "a", 1, 8) for number in range(3)))
     settle(run, MINUTE_MS)
-    assert run.world.capacity.faults.get("w0").quarantined
+    assert run.world.scheduling.faults.get("w0").quarantined
     assert running(run) == {}
     submit(run, *(job(f"k{number}", "a", 1, 1) for number in range(3)))
     settle(run, 10 * MINUTE_MS - 30_000)
@@ -107,7 +107,7 @@
     settle(run, HOUR_MS)
     assert get_job(run, "bad").state is JobState.FAILED
     assert "failed on 3 workers" in get_job(run, "bad").reason
-    assert not any(row.quarantined for row in run.world.capacity.faults)
+    assert not any(row.quarantined for row in run.world.scheduling.faults)
 
 
 def test_jobs_start_during_a_wave_of_cancellations() -> None:
--- a/kingcuppost/systems/jobs/tests/test_occupancy.py
+++ b/kingcuppost/systems/jobs/tests/test_occupancy.py
@@ -9,25 +9,25 @@
     put_allocation,
     track_occupancy,
 )
-from kingcuppost.tables.capacity import Capacity
+from kingcuppost.tables.scheduling import SchedulingState
 from kingcuppost.tables.world import World
 
 HOUR_MS = 3_600_000
 
 
-def rebuild(run: Driver) -> Capacity:
+def rebuild(run: Driver) -> SchedulingState:
     world = World(run.world.cfg, run.world.identity, run.clock, run.world.rng)
     agreed = run.world.agreed
     for name in ("availability_zones", "minions", "workers", "teams", "jobs", "gangs"):
         for row in getattr(agreed, name):
             getattr(world.agreed, name).put(row)
     track_occupancy(world, run.clock.now_ms())
-    for reservation in run.world.capacity.advance_reservations:
-        allocation = run.world.capacity.allocations[f"reservation:{reservation.job}"]
-        put_allocation(world.capacity, allocation)
-    for key in run.world.capacity.pending_gangs:
-        put_allocation(world.capacity, run.world.capacity.allocations[key])
-    return world.capacity
+    for reservation in run.world.scheduling.advance_reservations:
+        allocation = run.world.scheduling.allocations[f"reservation:{reservation.job}"]
+        put_allocation(world.scheduling, allocation)
+    for key in run.world.scheduling.pending_gangs:
+        put_allocation(world.scheduling, run.world.scheduling.allocations[key])
+    return world.scheduling
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -37,7 +37,7 @@
         run.run(hours * HOUR_MS)
         run.tick()
         rebuilt = rebuild(run)
-        updated = run.world.capacity
+        updated = run.world.scheduling
         assert updated.free_blocks == rebuilt.free_blocks
         assert updated.unbound_blocks == rebuilt.unbound_blocks
         assert updated.demand == rebuilt.demand
@@ -51,7 +51,7 @@
     job = run.deployment.arrivals[-1]
     run.submit(job)
     row = run.world.agreed.jobs.get(job.job)
-    before = [item.free_blocks for item in run.world.capacity.workers]
+    before = [item.free_blocks for item in run.world.scheduling.workers]
     allocation = build_allocation("x/1", row, ())
-    put_allocation(run.world.capacity, allocation)
-    assert before == [item.free_blocks for item in run.world.capacity.workers]
+    put_allocation(run.world.scheduling, allocation)
+    assert before == [item.free_blocks for item in run.world.scheduling.workers]
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -132,7 +132,7 @@
     for number in range(4):
         hours = (5 - number) * HOUR_MS
         submit(run, job(f"w{number}", "guest", 2, 8, run_ms=hours))
-    assert len(run.world.capacity.advance_reservations) == 1
+    assert len(run.world.scheduling.advance_reservations) == 1
 
 
 def test_job_starts_on_free_capacity_beside_its_reservation() -> None:
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -50,7 +50,7 @@
     submit(run, job("large", "a", 1, 8, run_ms=HOUR_MS))
     limit_ms = effective_value(run.world.agreed, "job.overtake_limit_ms")
     settle(run, MINUTE_MS)
-    first = run.world.capacity.queue[0]
+    first = run.world.scheduling.queue[0]
     assert first.job == "large"
     assert first.rank[1] <= run.runs["large"].submitted_ms + limit_ms
 
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -1,7 +1,7 @@
 """Evacuation of availability zones that stay out of service."""
 
 from kingcuppost.settings import effective_value, zone_path
-from kingcuppost.systems.agreement.lease import is_scheduler
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.jobs.placement import stop_gang
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
@@ -24,28 +24,28 @@
         _track_zone(world, str(name), now_ms)
     if not is_scheduler(world):
         return
-    for name, evacuate_at_ms in list(world.capacity.evacuate_at_ms.items()):
+    for name, evacuate_at_ms in list(world.scheduling.evacuate_at_ms.items()):
         _evacuate(world, name, now_ms >= evacuate_at_ms, now_ms)
         if now_ms < evacuate_at_ms:
             world.deadlines.add(evacuate_at_ms)
         else:
-            del world.capacity.evacuate_at_ms[name]
+            del world.scheduling.evacuate_at_ms[name]
 
 
 def _track_zone(world: World, name: str, now_ms: int) -> None:
     zone = world.agreed.availability_zones.get(name)
     if zone is None or zone.in_service:
-        world.capacity.evacuate_at_ms.pop(name, None)
+        world.scheduling.evacuate_at_ms.pop(name, None)
         return
     path = zone_path(zone.region, name)
     delay_ms = effective_value(world.agreed, "job.zone_keep_ms", path)
-    world.capacity.evacuate_at_ms.setdefault(name, now_ms + delay_ms)
+    world.scheduling.evacuate_at_ms.setdefault(name, now_ms + delay_ms)
 
 
 def _evacuate(world: World, name: str, with_running: bool, now_ms: int) -> None:
     reason = f"moved because availability zone {name} is out of service"
     for worker in world.agreed.workers.find("availability_zone", name):
-        row = world.capacity.workers.get(worker.name)
+        row = world.scheduling.workers.get(worker.name)
         for key in list(row.allocations) if row is not None else ():
             gang = world.agreed.gangs.get(key)
             if gang is None or (gang.state is GangState.RELEASED and not with_running):
--- a/kingcuppost/tables/agenda.py
+++ b/kingcuppost/tables/deadline_queue.py
@@ -2,10 +2,10 @@
 
 import heapq
 
-__all__ = ["Agenda"]
+__all__ = ["DeadlineQueue"]
 
 
-class Agenda:
+class DeadlineQueue:
     """A heap of keys by deadline in ms.
 
     Entries are never removed early: a caller of `take_due` checks whether each key
@@ -13,7 +13,7 @@
 
     Examples
     --------
-    >>> agenda = Agenda()
+    >>> agenda = DeadlineQueue()
     >>> agenda.put(20, "b")
     >>> agenda.put(10, "a")
     >>> agenda.take_due(15)
--- a/kingcuppost/tables/due.py
+++ b/kingcuppost/tables/key_timers.py
@@ -2,15 +2,15 @@
 
 import heapq
 
-__all__ = ["DueKeys"]
+__all__ = ["KeyTimers"]
 
 
-class DueKeys:
+class KeyTimers:
     """One timer in ms for each key; setting it again replaces the previous time.
 
     Examples
     --------
-    >>> due = DueKeys()
+    >>> due = KeyTimers()
     >>> due.set("a", 30)
     >>> due.set("b", 20)
     >>> due.set("a", 10)
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/scheduling.py
@@ -15,7 +15,7 @@
     "CELL_CLASSES",
     "AdvanceReservation",
     "Allocation",
-    "Capacity",
+    "SchedulingState",
     "QueueEntry",
     "RunTimes",
     "TeamShare",
@@ -83,7 +83,7 @@
         Name and location of the worker.
     cores, memory_mb, accelerators : int
         Total capacity.
-    whole : int
+    full_mask : int
         Mask of all its accelerators.
     in_service : bool
         Whether its availability zone is in service and its minion is not leaving.
@@ -121,7 +121,7 @@
     cores: int
     memory_mb: int
     accelerators: int
-    whole: int
+    full_mask: int
     in_service: bool = False
     usable: bool = False
     probing: bool = False
@@ -282,7 +282,7 @@
 
 
 @dataclass(slots=True)
-class Capacity:
+class SchedulingState:
     """Everything that the scheduler derives from the agreed tables.
 
     Attributes
