--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -26,7 +26,7 @@
 
 
 def choose_first_fit(world: World, job: Job, now_ms: int) -> Choice:
-    """Place members on the first workers that have room for them, rack by rack."""
+    """Place members on the first workers with enough free capacity, rack by rack."""
     return _first_fit(world, job, {})
 
 
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -12,7 +12,7 @@
 
 __all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-ATTEMPTS_PER_WORKER = 2
+ATTEMPTS_PER_WORKER = 2  # the limit on failures is this times the worker limit
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -110,7 +110,7 @@
             and choice.lacks_capacity
         ):
             since_ms = reservation.since_ms if reservation is not None else now_ms
-            is_reserved = _reserve_place(world, job, since_ms, now_ms)
+            is_reserved = _reserve_accelerators(world, job, since_ms, now_ms)
             may_reserve[job.urgency] = not is_reserved
         elif choice.reservation is not None and not choice.reservation.guaranteed:
             may_reserve[job.urgency] = False
@@ -129,7 +129,7 @@
     )
 
 
-def _reserve_place(world: World, job: Job, since_ms: int, now_ms: int) -> bool:
+def _reserve_accelerators(world: World, job: Job, since_ms: int, now_ms: int) -> bool:
     if not job.accelerators:
         return False
     _drop_later_reservations(world, job)
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -189,8 +189,8 @@
     start(harness)
     report_member(harness, 1, TaskState.STOPPED)
     waited_ms = ms_until_end(harness, 60_000)
-    bound_ms = 2 * LEASE_MS + GRACE_MS + CLOCK_DRIFT_MS
-    assert bound_ms <= waited_ms <= bound_ms + 100
+    timeout_ms = 2 * LEASE_MS + GRACE_MS + CLOCK_DRIFT_MS
+    assert timeout_ms <= waited_ms <= timeout_ms + 100
 
 
 def test_finished_member_does_not_shorten_the_wait_for_others(
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -18,7 +18,9 @@
 
 
 def test_a_gang_of_64_starts_among_endless_small_jobs() -> None:
-    """Limit: its expected run time to become first, the reservation's limit, a restart.
+    """The wait is at most its expected run time, the reservation's limit and a restart.
+
+    It becomes first in the queue within its expected run time.
 
     Compaction is delayed, so that the time limit of the reservation ends the wait.
     """
--- a/kingcuppost/tables/scheduling.py
+++ b/kingcuppost/tables/scheduling.py
@@ -1,4 +1,4 @@
-"""State of the scheduler beside the fold: capacity, team shares, queue and faults.
+"""State of the scheduler outside the fold: capacity, team shares, queue and faults.
 
 All of it is derived from the agreed tables, so that a new scheduler can rebuild it.
 Sets of accelerators are bit masks: bit `n` stands for accelerator `n` of a worker.
@@ -15,9 +15,9 @@
     "CELL_CLASSES",
     "AdvanceReservation",
     "Allocation",
-    "SchedulingState",
     "QueueEntry",
     "RunTimes",
+    "SchedulingState",
     "TeamShare",
     "UncoveredGuarantee",
     "WorkerAllocation",
@@ -25,7 +25,7 @@
     "WorkerFaults",
 ]
 
-CELL_CLASSES = 7
+CELL_CLASSES = 7  # cells of 1 to 64 accelerators
 
 
 @dataclass(frozen=True, slots=True)
