--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -1,11 +1,11 @@
-"""What a policy decides, and the registry of policies."""
+"""The decisions of placement policies, and the registry of policies."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kingcuppost.systems.jobs.queue import Rank
+from kingcuppost.systems.jobs.job_queue import Rank
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative
-from kingcuppost.tables.scheduling import Keep
+from kingcuppost.tables.scheduling import AdvanceReservation
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """What a policy decided for a job.
+    """The decision of a policy about one job.
 
     Attributes
     ----------
@@ -23,43 +23,43 @@
     borrowed : bool
         Whether it runs beyond its team's guarantees.
     refused : tuple of RefusedAlternative
-        What was considered and not taken.
-    stops : frozenset of str
-        Keys of gangs that are stopped for the job.
-    keep : Keep or None
-        Place that is kept for it meanwhile.
-    lacks_place : bool
-        Whether it waits for a place, not for something else.
+        Alternatives that were considered and rejected.
+    victims : frozenset of str
+        Keys of the gangs to stop for the job.
+    reservation : AdvanceReservation or None
+        Reservation that the job gets, or retains, while it waits.
+    lacks_capacity : bool
+        Whether it waits for free capacity and not for another condition.
     """
 
     placements: tuple[Placement, ...] | None
     borrowed: bool = False
     refused: tuple[RefusedAlternative, ...] = ()
-    stops: frozenset[str] = frozenset()
-    keep: Keep | None = None
-    lacks_place: bool = True
+    victims: frozenset[str] = frozenset()
+    reservation: AdvanceReservation | None = None
+    lacks_capacity: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """How waiting jobs are ordered and placed.
+    """Order and placement of waiting jobs.
 
     Attributes
     ----------
     rank : callable
-        Order of the queue, smallest first.
+        Returns the sort key of a job in the queue, smallest first.
     choose : callable
-        Decision for one job.
+        Returns the decision about one job.
     strict : bool
-        Whether nothing overtakes a job that must wait.
-    keeps : bool
-        Whether a place is kept for the first job that must wait.
+        Whether no job may overtake one that must wait.
+    reserves : bool
+        Whether the first job that must wait gets an advance reservation.
     """
 
     rank: Rank
     choose: Callable[[World, Job, int], Choice]
     strict: bool = False
-    keeps: bool = True
+    reserves: bool = True
 
 
 policies: Registry[str, Policy] = Registry("placement policy")
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -1,6 +1,7 @@
-"""Workers that fail everything they start, or that reserve nothing.
+"""Detection of workers on which jobs fail or that refuse member reservations.
 
-The first are set aside and probed; the others are avoided for a pause that doubles.
+A worker on which several jobs failed is quarantined and probed. One that refuses
+reservations gets no work for a pause that doubles with each refusal.
 """
 
 from kingcuppost.settings import effective_value
@@ -12,33 +13,34 @@
 from kingcuppost.tables.scheduling import SchedulingState, WorkerFaults
 from kingcuppost.tables.world import World
 
-__all__ = ["avoid_worker", "follow_faults", "trust_worker"]
+__all__ = ["pause_worker", "reset_refusals", "track_faults"]
 
-STEP = "worker.aside"
-STEP_AVOID = "worker.avoid"
-MOST_DOUBLINGS = 6
+STEP_QUARANTINE = "worker.aside"
+STEP_PAUSE = "worker.avoid"
+MAX_DOUBLINGS = 6
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
-def follow_faults(world: World, now_ms: int) -> None:
-    """Count distinct failed jobs by worker; set workers aside, and probe them."""
+def track_faults(world: World, now_ms: int) -> None:
+    """Count the distinct failed jobs of each worker; quarantine, probe and resume."""
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
         if job is None:
-            world.scheduling.failures_seen.pop(name, None)
+            world.scheduling.counted_failures.pop(name, None)
         else:
-            _follow_job(world, job, now_ms)
+            _track_job(world, job, now_ms)
     for row in world.scheduling.faults:
-        if row.aside:
+        if row.quarantined:
             _probe_when_due(world, row, now_ms)
-        if row.avoided:
-            _return_when_due(world, row, now_ms)
+        if row.paused:
+            _resume_when_due(world, row, now_ms)
 
 
-def avoid_worker(world: World, worker: str, now_ms: int) -> None:
-    """Give no work to a worker for a while that reserved nothing for a gang.
+def pause_worker(world: World, worker: str, now_ms: int) -> None:
+    """Exclude a worker from placement for a while after it did not reserve a member.
 
-    A lost worker is empty, and would otherwise draw one gang after the other.
+    All capacity of an unreachable worker seems to be free, so that it would otherwise
+    attract one gang after the other.
 
     Parameters
     ----------
@@ -51,66 +53,66 @@
     """
     row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
-    row.return_ms = now_ms + (pause_ms << min(row.refusals, MOST_DOUBLINGS))
+    row.resume_ms = now_ms + (pause_ms << min(row.refusals, MAX_DOUBLINGS))
     row.refusals += 1
-    row.avoided = True
+    row.paused = True
     world.scheduling.faults.put(row)
-    world.deadlines.add(row.return_ms)
+    world.deadlines.add(row.resume_ms)
     _refresh(world.scheduling, worker)
-    text = f"The worker gets no work for {row.return_ms - now_ms} ms."
-    note(world, STEP_AVOID, text, peer=worker)
+    text = f"Worker is excluded from placement for {row.resume_ms - now_ms} ms."
+    note(world, STEP_PAUSE, text, peer=worker)
 
 
-def trust_worker(world: World, worker: str) -> None:
-    """Forget refusals of a worker that has reserved a member."""
+def reset_refusals(world: World, worker: str) -> None:
+    """Clear the refusals of a worker that has reserved a member."""
     row = world.scheduling.faults.get(worker)
     if row is None or not row.refusals:
         return
     row.refusals = 0
-    if row.avoided:
-        _return(world, row)
+    if row.paused:
+        _resume(world, row)
     if not row.jobs:
         world.scheduling.faults.delete(worker)
 
 
-def _return_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
-    if now_ms < row.return_ms:
-        world.deadlines.add(row.return_ms)
+def _resume_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
+    if now_ms < row.resume_ms:
+        world.deadlines.add(row.resume_ms)
         return
-    _return(world, row)
+    _resume(world, row)
 
 
-def _return(world: World, row: WorkerFaults) -> None:
-    row.avoided = False
+def _resume(world: World, row: WorkerFaults) -> None:
+    row.paused = False
     _refresh(world.scheduling, row.worker)
-    world.scheduling.due = True
-    note(world, STEP_AVOID, "The worker may get work again.", peer=row.worker)
+    world.scheduling.pass_due = True
+    note(world, STEP_PAUSE, "Worker accepts work again after a pause.", peer=row.worker)
 
 
-def _follow_job(world: World, job: Job, now_ms: int) -> None:
-    seen = world.scheduling.failures_seen
-    for worker in job.failed_workers[seen.get(job.name, 0) :]:
-        _count(world, worker, job.name, now_ms)
+def _track_job(world: World, job: Job, now_ms: int) -> None:
+    counted = world.scheduling.counted_failures
+    for worker in job.failed_workers[counted.get(job.name, 0) :]:
+        _count_failure(world, worker, job.name, now_ms)
     if job.failed_workers:
-        seen[job.name] = len(job.failed_workers)
+        counted[job.name] = len(job.failed_workers)
     if job.state is JobState.DONE:
-        seen.pop(job.name, None)
-        _clear(world, job)
+        counted.pop(job.name, None)
+        _clear_faults(world, job)
 
 
-def _count(world: World, worker: str, job: str, now_ms: int) -> None:
+def _count_failure(world: World, worker: str, job: str, now_ms: int) -> None:
     row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     row.jobs.add(job)
     world.scheduling.faults.put(row)
     limit = effective_value(world.agreed, "worker.failed_job_limit")
     if len(row.jobs) < limit:
         return
-    row.aside = True
+    row.quarantined = True
     row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
     world.deadlines.add(row.probe_ms)
     _set_probing(world.scheduling, worker, False)
-    text = f"The worker is set aside after {len(row.jobs)} failed jobs."
-    note(world, STEP, text, peer=worker, job=job)
+    text = f"Worker is quarantined after {len(row.jobs)} failed jobs."
+    note(world, STEP_QUARANTINE, text, peer=worker, job=job)
 
 
 def _probe_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
@@ -121,19 +123,29 @@
         world.deadlines.add(row.probe_ms)
         return
     _set_probing(world.scheduling, row.worker, True)
-    world.scheduling.due = True
-    note(world, STEP, "The worker may run one job as a probe.", peer=row.worker)
+    world.scheduling.pass_due = True
+    note(
+        world,
+        STEP_QUARANTINE,
+        "Quarantined worker may run one job as a probe.",
+        peer=row.worker,
+    )
 
 
-def _clear(world: World, job: Job) -> None:
-    """Trust the workers again on which a job has finished."""
+def _clear_faults(world: World, job: Job) -> None:
+    """Clear the faults of the workers on which a job has finished."""
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
         row = world.scheduling.faults.delete(placement.worker)
-        if row is not None and (row.aside or row.avoided):
+        if row is not None and (row.quarantined or row.paused):
             _set_probing(world.scheduling, placement.worker, False)
-            world.scheduling.due = True
-            note(world, STEP, "The worker is in use again.", peer=placement.worker)
+            world.scheduling.pass_due = True
+            note(
+                world,
+                STEP_QUARANTINE,
+                "Worker accepts work again after a finished job.",
+                peer=placement.worker,
+            )
 
 
 def _refresh(scheduling: SchedulingState, worker: str) -> None:
--- a/kingcuppost/systems/jobs/judging.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -1,4 +1,4 @@
-"""Jobs that can never run are refused, those that can't now are parked."""
+"""Refuse jobs that can never run, and park those that cannot run at present."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.agreement.propose import propose
@@ -10,25 +10,25 @@
 from kingcuppost.tables.record import JobPark, JobRefuse
 from kingcuppost.tables.world import World
 
-__all__ = ["judge_jobs", "judged_jobs"]
+__all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-TRIES_PER_WORKER = 2
+ATTEMPTS_PER_WORKER = 2  # the limit on failures is this times the worker limit
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
-def judge_jobs(world: World, now_ms: int) -> None:
-    """Refuse, park or unpark jobs that are new or that meet a changed fleet."""
-    if not is_scheduler(world) or not world.scheduling.unjudged:
+def check_feasibility(world: World, now_ms: int) -> None:
+    """Refuse, park or unpark jobs that are new, and all after a change of the fleet."""
+    if not is_scheduler(world) or not world.scheduling.unchecked_jobs:
         return
-    under_way = judged_jobs(world)
-    for name in list(world.scheduling.unjudged):
+    pending = jobs_with_pending_change(world)
+    for name in list(world.scheduling.unchecked_jobs):
         job = world.agreed.jobs.get(name)
-        if name in under_way or _judge(world, job, now_ms):
-            world.scheduling.unjudged.pop(name)
+        if name in pending or _check_job(world, job, now_ms):
+            world.scheduling.unchecked_jobs.pop(name)
 
 
-def judged_jobs(world: World) -> set[str]:
-    """Return the jobs whose refusal or parking is on its way to the log."""
+def jobs_with_pending_change(world: World) -> set[str]:
+    """Return the names of jobs with a proposed refusal, parking or unparking."""
     return {
         row.record.body.job
         for row in world.proposals
@@ -36,38 +36,41 @@
     }
 
 
-def _judge(world: World, job: Job | None, now_ms: int) -> bool:
-    """Propose what is to become of a job; return whether it is settled."""
+def _check_job(world: World, job: Job | None, now_ms: int) -> bool:
+    """Propose a state for a job; return False if it must be checked again later."""
     if job is None or job.state not in (JobState.WAITING, JobState.PARKED):
         return True
-    if reason := _fault_of_failures(world, job):
+    if reason := _failure_reason(world, job):
         _refuse(world, job, reason, True, now_ms)
-    elif reason := _fault_of_limit(world, job):
+    elif reason := _limit_reason(world, job):
         _refuse(world, job, reason, False, now_ms)
-    elif not _could_hold(world, job, in_service_only=False):
-        return _refuse_when_settled(world, job, now_ms)
+    elif not _is_feasible(world, job, in_service_only=False):
+        return _refuse_when_stable(world, job, now_ms)
     else:
         _park(world, job, now_ms)
     return True
 
 
-def _fault_of_failures(world: World, job: Job) -> str:
-    """Return why a job is given up; workers that are set aside do not count."""
-    good = []
+def _failure_reason(world: World, job: Job) -> str:
+    """Return why a job is refused for its failures; empty if it is not.
+
+    Failures on quarantined workers do not count.
+    """
+    counted = []
     for worker in job.failed_workers:
         faults = world.scheduling.faults.get(worker)
-        if faults is None or not faults.aside:
-            good.append(worker)
+        if faults is None or not faults.quarantined:
+            counted.append(worker)
     path = team_path(job.team, job.urgency)
     limit = effective_value(world.agreed, "job.failed_worker_limit", path)
-    if len(good) >= limit:
-        return f"the job failed on {len(good)} workers: {', '.join(good)}"
-    if good and job.failures >= TRIES_PER_WORKER * limit:
+    if len(counted) >= limit:
+        return f"the job failed on {len(counted)} workers: {', '.join(counted)}"
+    if counted and job.failures >= ATTEMPTS_PER_WORKER * limit:
         return f"the job failed {job.failures} times"
     return ""
 
 
-def _fault_of_limit(world: World, job: Job) -> str:
+def _limit_reason(world: World, job: Job) -> str:
     share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
@@ -75,13 +78,13 @@
     return f"the job needs {wanted} accelerators, its team may hold {share.limit}"
 
 
-def _could_hold(world: World, job: Job, in_service_only: bool) -> bool:
-    """Return whether the workers could hold the gang with nothing else on them."""
+def _is_feasible(world: World, job: Job, in_service_only: bool) -> bool:
+    """Return whether the gang would fit on the workers if nothing else ran there."""
     key = (job.members, job.accelerators, job.cores, job.memory_mb, in_service_only)
-    known = world.scheduling.holdable
-    if key not in known:
-        known[key] = _count_slots(world, job, in_service_only) >= job.members
-    return known[key]
+    cache = world.scheduling.feasibility_cache
+    if key not in cache:
+        cache[key] = _count_slots(world, job, in_service_only) >= job.members
+    return cache[key]
 
 
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
@@ -100,12 +103,12 @@
     return slots
 
 
-def _refuse_when_settled(world: World, job: Job, now_ms: int) -> bool:
-    """Refuse once no worker has come or gone for a while."""
-    settle_ms = effective_value(world.agreed, "job.fleet_settle_ms")
-    settled_ms = world.scheduling.fleet_changed_ms + settle_ms
-    if now_ms < settled_ms or not len(world.scheduling.workers):
-        world.deadlines.add(max(settled_ms, now_ms + settle_ms))
+def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
+    """Refuse a job once the fleet has not changed for a while."""
+    stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
+    stable_at_ms = world.scheduling.fleet_changed_ms + stable_for_ms
+    if now_ms < stable_at_ms or not len(world.scheduling.workers):
+        world.deadlines.add(max(stable_at_ms, now_ms + stable_for_ms))
         return False
     reason = (
         f"no workers could ever hold {job.members} members with {job.accelerators} "
@@ -118,16 +121,16 @@
 def _refuse(world: World, job: Job, reason: str, failed: bool, now_ms: int) -> None:
     term = world.agreed.lease.term
     propose(world, JobRefuse(term, job.name, failed, reason), now_ms)
-    note(world, "job.refuse", f"Refused: {reason}.", job=job.name, team=job.team)
+    note(world, "job.refuse", f"Job is refused: {reason}.", job=job.name, team=job.team)
 
 
 def _park(world: World, job: Job, now_ms: int) -> None:
-    """Park a job that only workers out of use could hold; unpark it after."""
-    parked = not _could_hold(world, job, in_service_only=True)
+    """Park a job that only workers out of service could hold; unpark it afterwards."""
+    parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
         return
     reason = "only workers that are out of service could hold it" if parked else ""
     body = JobPark(world.agreed.lease.term, job.name, parked, reason)
     propose(world, body, now_ms)
-    text = f"Parked: {reason}." if parked else "Waits again."
+    text = f"Job is parked: {reason}." if parked else "Job waits in the queue again."
     note(world, "job.park", text, job=job.name, team=job.team)
--- a/kingcuppost/systems/jobs/queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -1,68 +1,68 @@
-"""The queue of waiting jobs, kept in the order of the policy."""
+"""The queue of waiting jobs, sorted by the policy."""
 
 from bisect import bisect_left, insort
 from collections.abc import Callable
 
-from kingcuppost.systems.jobs.run_times import learn_run_time
+from kingcuppost.systems.jobs.run_times import record_run_time
 from kingcuppost.tables.job import Job, JobState, gang_key
 from kingcuppost.tables.scheduling import QueueEntry, SchedulingState
 from kingcuppost.tables.world import World
 
-__all__ = ["Rank", "follow_jobs"]
+__all__ = ["Rank", "apply_job_changes"]
 
 Rank = Callable[[World, Job], tuple[int, int, int]]
 
 
-def follow_jobs(world: World, policy: str, rank: Rank) -> None:
-    """Take changed jobs into the queue or out of it, all in one pass.
+def apply_job_changes(world: World, policy: str, rank: Rank) -> None:
+    """Insert changed jobs into the queue or remove them, all in one pass.
 
     Parameters
     ----------
     world : World
         Tables of the process.
     policy : str
-        Name of the policy; a change of policy orders the queue anew.
+        Name of the policy; a change of policy sorts the queue again.
     rank : callable
-        Order of the policy, smallest first.
+        Returns the sort key of a job, smallest first.
     """
     scheduling = world.scheduling
     names = world.agreed.jobs.take_changes("placement")
     if scheduling.queue_policy != policy:
         scheduling.queue_policy = policy
         scheduling.queue.clear()
-        scheduling.ranks.clear()
+        scheduling.queue_entries.clear()
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
-        _follow_job(world, str(name), rank)
+        _update_job(world, str(name), rank)
     if names:
-        scheduling.due = True
+        scheduling.pass_due = True
 
 
-def _follow_job(world: World, name: str, rank: Rank) -> None:
+def _update_job(world: World, name: str, rank: Rank) -> None:
     scheduling = world.scheduling
     job = world.agreed.jobs.get(name)
-    _remove(scheduling, name)
+    _remove_entry(scheduling, name)
     if job is None:
         return
     if job.state in (JobState.WAITING, JobState.PARKED):
-        scheduling.unjudged[name] = None
+        scheduling.unchecked_jobs[name] = None
     if job.state is JobState.WAITING:
         entry = QueueEntry(rank(world, job), name)
-        scheduling.ranks[name] = entry
+        scheduling.queue_entries[name] = entry
         insort(scheduling.queue, entry)
     elif job.state is JobState.DONE:
-        _learn(world, job)
+        _record_finished_job(world, job)
 
 
-def _remove(scheduling: SchedulingState, name: str) -> None:
-    entry = scheduling.ranks.pop(name, None)
+def _remove_entry(scheduling: SchedulingState, name: str) -> None:
+    entry = scheduling.queue_entries.pop(name, None)
     if entry is not None:
         del scheduling.queue[bisect_left(scheduling.queue, entry)]
 
 
-def _learn(world: World, job: Job) -> None:
+def _record_finished_job(world: World, job: Job) -> None:
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     if gang is not None and gang.released_wall_ms:
         run_ms = job.finished_wall_ms - gang.released_wall_ms
-        learn_run_time(world.scheduling, job, run_ms)
+        record_run_time(world.scheduling, job, run_ms)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -1,18 +1,18 @@
-"""Which borrowers are stopped so that a job gets its accelerators."""
+"""Selection of the borrowers to stop so that a job gets accelerators."""
 
 from kingcuppost.tables.job import Gang, GangState, Job, Urgency
 from kingcuppost.tables.scheduling import WorkerCapacity
 from kingcuppost.tables.world import World
 
-__all__ = ["lost_work", "may_stop", "victims_for_cores", "victims_on"]
+__all__ = ["lost_work", "may_preempt", "victims_for_cores", "victims_on"]
 
 
-def may_stop(world: World, gang: Gang, guaranteed: bool) -> bool:
-    """Return whether a job may take the place of a gang.
+def may_preempt(world: World, gang: Gang, guaranteed: bool) -> bool:
+    """Return whether a job may preempt a gang, or the gang is stopping already.
 
-    Work within a guarantee takes that of any borrower. Interactive work beyond
-    its guarantee, and overnight work whose turn has come, take that of overnight
-    borrowers only, so that no two jobs ever stop each other in turn.
+    Work within a guarantee may preempt any borrower. Interactive work beyond its
+    guarantee, and overnight work whose reservation is due, may preempt overnight
+    borrowers only, so that no two jobs preempt each other alternately.
     """
     if gang.state is GangState.STOPPING:
         return True
@@ -23,9 +23,9 @@
 
 
 def lost_work(world: World, gang: Gang) -> float:
-    """Return the work at stake in a gang, in ms of accelerators.
+    """Return the work that a stop of the gang would lose, in accelerator ms.
 
-    It is 0 for a gang that stops already.
+    It is 0 for a gang that is stopping already.
     """
     if gang.state is GangState.STOPPING or not gang.released_wall_ms:
         return 0.0
@@ -37,13 +37,13 @@
 def victims_on(
     world: World, row: WorkerCapacity, block: int, guaranteed: bool
 ) -> frozenset[str] | None:
-    """Return the gangs that hold part of a block; None if one must not stop."""
+    """Return the gangs that occupy part of a block; None if one is not preemptible."""
     found = []
-    for key, part in row.holds.items():
-        if not part.busy & block:
+    for key, worker_allocation in row.allocations.items():
+        if not worker_allocation.busy & block:
             continue
         gang = world.agreed.gangs.get(key)
-        if gang is None or not may_stop(world, gang, guaranteed):
+        if gang is None or not may_preempt(world, gang, guaranteed):
             return None
         found.append(key)
     return frozenset(found)
@@ -57,7 +57,7 @@
     guaranteed: bool,
     victims: frozenset[str],
 ) -> frozenset[str] | None:
-    """Return victims with those added that free enough cores and memory.
+    """Add victims until enough cores and memory of a worker are free.
 
     Parameters
     ----------
@@ -66,42 +66,48 @@
     row : WorkerCapacity
         The worker.
     members : int
-        Members of the job that are to run on it.
+        Number of members of the job to run on it.
     job : Job
         The job.
     guaranteed : bool
         Whether it runs within its team's guarantee.
     victims : frozenset of str
-        Gangs that stop anyway.
+        Keys of the gangs that are victims in any case.
 
     Returns
     -------
     frozenset of str or None
-        None if even all that may stop are too few.
+        None if all preemptible gangs together do not free enough.
     """
-    parts = [row.holds[key] for key in victims if key in row.holds]
-    cores = row.free_cores + sum(part.cores for part in parts)
-    memory_mb = row.free_memory_mb + sum(part.memory_mb for part in parts)
+    freed = [row.allocations[key] for key in victims if key in row.allocations]
+    cores = row.free_cores + sum(worker_allocation.cores for worker_allocation in freed)
+    memory_mb = row.free_memory_mb + sum(
+        worker_allocation.memory_mb for worker_allocation in freed
+    )
     chosen = set(victims)
-    for gang in _others(world, row, guaranteed, victims):
+    for gang in _preemptible_gangs(world, row, guaranteed, victims):
         if cores >= members * job.cores and memory_mb >= members * job.memory_mb:
             break
         chosen.add(gang.key)
-        cores += row.holds[gang.key].cores
-        memory_mb += row.holds[gang.key].memory_mb
+        cores += row.allocations[gang.key].cores
+        memory_mb += row.allocations[gang.key].memory_mb
     if cores < members * job.cores or memory_mb < members * job.memory_mb:
         return None
     return frozenset(chosen)
 
 
-def _others(
+def _preemptible_gangs(
     world: World,
     row: WorkerCapacity,
     guaranteed: bool,
     victims: frozenset[str],
 ) -> list[Gang]:
-    gangs = [world.agreed.gangs.get(key) for key in row.holds if key not in victims]
+    gangs = [
+        world.agreed.gangs.get(key) for key in row.allocations if key not in victims
+    ]
     stoppable = [
-        gang for gang in gangs if gang is not None and may_stop(world, gang, guaranteed)
+        gang
+        for gang in gangs
+        if gang is not None and may_preempt(world, gang, guaranteed)
     ]
     return sorted(stoppable, key=lambda gang: (lost_work(world, gang), gang.key))
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -1,41 +1,41 @@
-"""The policy that honours guarantees as shapes and lends what is not used."""
+"""The policy that guarantees shapes to teams and lends unused capacity."""
 
 from kingcuppost.settings import effective_value, team_path
+from kingcuppost.systems.jobs.advance_reservations import (
+    can_start,
+    drop_reservation,
+    find_preemption_victims,
+    is_still_feasible,
+    preempt_at_ms,
+    put_reservation,
+    waits_for_earlier_gang,
+)
 from kingcuppost.systems.jobs.baselines import choose_first_fit
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
-from kingcuppost.systems.jobs.keeps import (
-    bound_of,
-    drop_keep,
-    is_ready,
-    overdue_gangs,
-    put_keep,
-    still_holds,
-    waits_for_earlier,
-)
-from kingcuppost.systems.jobs.run_times import expected_run_ms
-from kingcuppost.systems.jobs.search import (
+from kingcuppost.systems.jobs.placement_search import (
     Plan,
     find_borrowed,
     find_free,
     find_guaranteed,
-    find_kept,
+    find_reserved,
 )
+from kingcuppost.systems.jobs.run_times import expected_run_ms
 from kingcuppost.tables.job import Job, RefusedAlternative, Urgency
-from kingcuppost.tables.scheduling import Keep
+from kingcuppost.tables.scheduling import AdvanceReservation
 from kingcuppost.tables.world import World
 
 __all__ = ["choose_shapes", "rank_by_run_time"]
 
 INTERACTIVE_RANK = 0
 OVERNIGHT_RANK = 1
-LEAST_LOAN_MS = 60_000
+MIN_LOAN_MS = 60_000
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
-    """Rank interactive work first, then by age and expected run time.
+    """Rank interactive work first, then by submission time plus expected run time.
 
-    A job may be overtaken by shorter ones that come later, but only by those that
-    come within its own expected run time, and within the overtake limit.
+    A job may be overtaken by shorter jobs that arrive later, but only by those that
+    arrive within its own expected run time and within the overtake limit.
     """
     submitted_ms = job.submitted_wall_ms
     if job.urgency is Urgency.INTERACTIVE:
@@ -50,129 +50,144 @@
 def choose_shapes(world: World, job: Job, now_ms: int) -> Choice:
     """Place a job within its team's guarantee, else as a borrower.
 
-    Within the guarantee borrowers are stopped for it, the least work first.
-    Interactive work beyond it may stop overnight borrowers.
+    Within the guarantee, borrowers are stopped for the job so that the least work is
+    lost. Interactive work beyond the guarantee may stop overnight borrowers.
     """
-    if reason := _fault_of_limit(world, job):
-        drop_keep(world.scheduling, job.name)
+    if reason := _limit_reason(world, job):
+        drop_reservation(world.scheduling, job.name)
         refused = (RefusedAlternative(job.team, reason),)
-        return Choice(None, refused=refused, lacks_place=False)
+        return Choice(None, refused=refused, lacks_capacity=False)
     since_ms = now_ms
-    keep = world.scheduling.keeps.get(job.name)
-    if keep is not None:
-        since_ms = keep.since_ms
-        choice = _choose_kept(world, job, keep, now_ms)
+    reservation = world.scheduling.advance_reservations.get(job.name)
+    if reservation is not None:
+        since_ms = reservation.since_ms
+        choice = _choose_reserved(world, job, reservation, now_ms)
         if choice is not None:
             return choice
-        drop_keep(world.scheduling, job.name)
-    avoid = _avoided(world, job)
-    choice = _choose_new(world, job, since_ms, now_ms, avoid)
-    if choice.placements is None and avoid and job.members > 1:
+        drop_reservation(world.scheduling, job.name)
+    excluded = _excluded_workers(world, job)
+    choice = _choose_new(world, job, since_ms, now_ms, excluded)
+    if choice.placements is None and excluded and job.members > 1:
         return _choose_new(world, job, since_ms, now_ms, frozenset())
     return choice
 
 
-def _avoided(world: World, job: Job) -> frozenset[str]:
-    """Return workers on which the job failed and that may be good for others."""
+def _excluded_workers(world: World, job: Job) -> frozenset[str]:
+    """Return the workers on which the job failed and that are not quarantined."""
     faults = world.scheduling.faults
     return frozenset(
         name
         for name in job.failed_workers
-        if name not in faults or not faults.get(name).aside
+        if name not in faults or not faults.get(name).quarantined
     )
 
 
 def _choose_new(
-    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+    world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
-    plan = find_guaranteed(world, job, avoid)
+    plan = find_guaranteed(world, job, excluded)
     if plan is not None:
-        return _choice_of(job, plan, since_ms, now_ms, guaranteed=True)
-    return _choose_borrowed(world, job, since_ms, now_ms, avoid)
+        return _build_choice(job, plan, since_ms, now_ms, guaranteed=True)
+    return _choose_borrowed(world, job, since_ms, now_ms, excluded)
 
 
-def _choose_kept(world: World, job: Job, keep: Keep, now_ms: int) -> Choice | None:
-    """Use the kept place, or wait for it; None if it can't be had any more."""
-    if is_ready(world, keep, job):
-        return Choice(keep.placements, not keep.guaranteed)
-    if not still_holds(world, keep):
+def _choose_reserved(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> Choice | None:
+    """Start on the reservation or wait for it; None if it is no longer feasible."""
+    if can_start(world, reservation, job):
+        return Choice(reservation.placements, not reservation.guaranteed)
+    if not is_still_feasible(world, reservation):
         return None
-    if not keep.guaranteed:
-        plan = _find_elsewhere(world, job, keep, now_ms)
+    if not reservation.guaranteed:
+        plan = _find_elsewhere(world, job, reservation, now_ms)
         if plan is not None:
             return Choice(plan.placements, not plan.placements[0].cell)
-    return Choice(None, stops=overdue_gangs(world, keep, job, now_ms), keep=keep)
+    return Choice(
+        None,
+        victims=find_preemption_victims(world, reservation, job, now_ms),
+        reservation=reservation,
+    )
 
 
-def _find_elsewhere(world: World, job: Job, keep: Keep, now_ms: int) -> Plan | None:
-    """Return free places, those that are kept for the job itself included."""
-    avoid = _avoided(world, job)
-    drop_keep(world.scheduling, job.name)
-    plan = find_guaranteed(world, job, avoid)
+def _find_elsewhere(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> Plan | None:
+    """Return free placements, including accelerators reserved for the job itself."""
+    excluded = _excluded_workers(world, job)
+    drop_reservation(world.scheduling, job.name)
+    plan = find_guaranteed(world, job, excluded)
     if plan is None or plan.victims:
-        plan = find_free(world.scheduling, job, avoid)
+        plan = find_free(world.scheduling, job, excluded)
     if plan is None:
-        put_keep(world, job, keep, now_ms)
+        put_reservation(world, job, reservation, now_ms)
     return plan
 
 
-def _fault_of_limit(world: World, job: Job) -> str:
+def _limit_reason(world: World, job: Job) -> str:
     share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
         return ""
-    return f"the team holds {share.used} of at most {share.limit} accelerators"
+    return f"the team uses {share.used} of at most {share.limit} accelerators"
 
 
-def _choice_of(
+def _build_choice(
     job: Job, plan: Plan, since_ms: int, now_ms: int, guaranteed: bool
 ) -> Choice:
     if not plan.victims:
         return Choice(plan.placements, not guaranteed)
-    keep = Keep(job.name, plan.placements, guaranteed, since_ms, now_ms)
-    return Choice(None, stops=plan.victims, keep=keep)
+    reservation = AdvanceReservation(
+        job.name, plan.placements, guaranteed, since_ms, now_ms
+    )
+    return Choice(None, victims=plan.victims, reservation=reservation)
 
 
 def _choose_borrowed(
-    world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
+    world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
-    plan = find_free(world.scheduling, job, avoid)
+    plan = find_free(world.scheduling, job, excluded)
     if plan is not None:
         return Choice(plan.placements, borrowed=True)
     if job.urgency is Urgency.INTERACTIVE:
-        plan = find_borrowed(world, job, avoid)
+        plan = find_borrowed(world, job, excluded)
         if plan is not None:
-            return _choice_of(job, plan, since_ms, now_ms, guaranteed=False)
-    for keep in world.scheduling.keeps:
-        if _may_lend(world, job, keep, now_ms):
-            plan = find_kept(world.scheduling, keep, job, avoid)
+            return _build_choice(job, plan, since_ms, now_ms, guaranteed=False)
+    for reservation in world.scheduling.advance_reservations:
+        if _may_lend(world, job, reservation, now_ms):
+            plan = find_reserved(world.scheduling, reservation, job, excluded)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
-    if job.accelerators.bit_count() > 1 and not avoid:
+    if job.accelerators.bit_count() > 1 and not excluded:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
-    return Choice(None, refused=(RefusedAlternative("all workers", "no free place"),))
+    return Choice(
+        None, refused=(RefusedAlternative("all workers", "not enough free capacity"),)
+    )
 
 
-def _may_lend(world: World, job: Job, keep: Keep, now_ms: int) -> bool:
-    """Return whether a kept place may be lent to a job.
+def _may_lend(
+    world: World, job: Job, reservation: AdvanceReservation, now_ms: int
+) -> bool:
+    """Return whether reserved accelerators may be lent to a job.
 
-    It is as long as the place waits for an earlier gang; the job is stopped when
-    that one has gone. Past the bound it would be stopped at once. Interactive work
-    is lent a place only if it should end in time, since it can't be stopped.
+    They may while the reservation waits for an earlier gang; once that gang has ended,
+    the borrower is stopped. After the reservation's time limit, a borrower would be
+    stopped at once. Interactive work gets a loan only if it is expected to end in
+    time, since it cannot be stopped.
     """
-    due_ms = bound_of(world, keep)
-    if keep.guaranteed or now_ms >= due_ms:
+    limit_ms = preempt_at_ms(world, reservation)
+    if reservation.guaranteed or now_ms >= limit_ms:
         return False
-    owner = world.agreed.jobs.get(keep.job)
-    if not waits_for_earlier(world, keep):
+    owner = world.agreed.jobs.get(reservation.job)
+    if not waits_for_earlier_gang(world, reservation):
         return False
-    if overdue_gangs(world, keep, owner, now_ms):
+    if find_preemption_victims(world, reservation, owner, now_ms):
         return False
     if job.urgency is Urgency.INTERACTIVE:
-        due_ms = min(due_ms, keep.date_ms)
-        return now_ms + expected_run_ms(world.scheduling, job) <= due_ms
-    return now_ms + LEAST_LOAN_MS <= due_ms
+        limit_ms = min(limit_ms, reservation.expected_free_ms)
+        return now_ms + expected_run_ms(world.scheduling, job) <= limit_ms
+    return now_ms + MIN_LOAN_MS <= limit_ms
 
 
 policies.register("shapes")(Policy(rank_by_run_time, choose_shapes))
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -1,10 +1,10 @@
-"""The scheduler's part in a gang's life, without sockets."""
+"""Stages of gangs at the scheduler, without sockets."""
 
 import importlib
 
 import pytest
 
-from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
+from kingcuppost.systems.jobs.faults import pause_worker, reset_refusals
 from kingcuppost.systems.tests.process_harness import (
     START_MS,
     FakeLog,
@@ -29,12 +29,12 @@
 WORKERS = ("worker-0", "worker-1")
 LEASE_MS = 5_000
 GRACE_MS = 3_000
-ISOLATION_MS = 300_000
+ISOLATION_LIMIT_MS = 300_000
 LOST_MS = 10_000
-FULL_MS = 1_000
-SILENCE_MS = LOST_MS + 2 * FULL_MS
-DRIFT_MS = 500
-RESERVE_BOUND_MS = 5_000
+FULL_REPORT_MS = 1_000
+MEMBER_TIMEOUT_MS = LOST_MS + 2 * FULL_REPORT_MS
+CLOCK_DRIFT_MS = 500
+RESERVE_TIMEOUT_MS = 5_000
 PAUSE_MS = 2_000
 
 
@@ -44,14 +44,14 @@
     log.add(
         SettingPut("", "job.placement_policy", "first_fit", 0),
         SettingPut("", "job.lost_ms", LOST_MS, 0),
-        SettingPut("", "heartbeat.full_ms", FULL_MS, 0),
+        SettingPut("", "heartbeat.full_ms", FULL_REPORT_MS, 0),
     )
     return log
 
 
 @pytest.fixture
 def harness(log: FakeLog) -> ProcessHarness:
-    """The entry that holds the scheduling lease."""
+    """Return the entry that holds the scheduling lease."""
     harness = make_entry_harness(log, ManualClock(START_MS))
     harness.settle()
     claim(harness)
@@ -59,7 +59,7 @@
 
 
 def claim(harness: ProcessHarness) -> None:
-    """Make a process the holder of a new term."""
+    """Let a process claim the scheduling lease for a new term."""
     who = harness.world.identity
     harness.log.add(
         EntryAnnounce(
@@ -72,7 +72,7 @@
     harness.settle()
 
 
-def tell(
+def report_member(
     harness: ProcessHarness, member: int, state: TaskState, job: str = "a"
 ) -> None:
     incarnation = harness.world.agreed.jobs.get(job).incarnation
@@ -80,17 +80,17 @@
     harness.settle()
 
 
-def tell_both(harness: ProcessHarness, state: TaskState) -> None:
-    tell(harness, 0, state)
-    tell(harness, 1, state)
+def report_both(harness: ProcessHarness, state: TaskState) -> None:
+    report_member(harness, 0, state)
+    report_member(harness, 1, state)
 
 
 def start(harness: ProcessHarness) -> None:
-    """Bring a gang of two so far that it runs."""
+    """Place a gang of two members and let them start."""
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell_both(harness, TaskState.RESERVED)
-    tell_both(harness, TaskState.RUNNING)
+    report_both(harness, TaskState.RESERVED)
+    report_both(harness, TaskState.RUNNING)
 
 
 def stops(harness: ProcessHarness) -> list[GangStop]:
@@ -101,9 +101,9 @@
     return harness.log.bodies(GangEnd)
 
 
-def ms_until_end(harness: ProcessHarness, most_ms: int) -> int:
+def ms_until_end(harness: ProcessHarness, max_ms: int) -> int:
     begin_ms = harness.now_ms
-    while not ends(harness) and harness.now_ms - begin_ms < most_ms:
+    while not ends(harness) and harness.now_ms - begin_ms < max_ms:
         harness.run(50)
     assert ends(harness)
     return harness.now_ms - begin_ms
@@ -114,9 +114,9 @@
 ) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell(harness, 0, TaskState.RESERVED)
+    report_member(harness, 0, TaskState.RESERVED)
     assert not harness.log.bodies(GangRelease)
-    tell(harness, 1, TaskState.RESERVED)
+    report_member(harness, 1, TaskState.RESERVED)
     harness.run(2_000)
     assert len(harness.log.bodies(GangRelease)) == 1
 
@@ -124,98 +124,98 @@
 @pytest.mark.parametrize(
     "state", [TaskState.REFUSED, TaskState.FAILED, TaskState.STOPPED]
 )
-def test_refusal_before_the_release_stops_all(
+def test_broken_member_before_release_stops_the_gang(
     harness: ProcessHarness, state: TaskState
 ) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell(harness, 0, state)
-    tell(harness, 1, TaskState.RESERVED)
+    report_member(harness, 0, state)
+    report_member(harness, 1, TaskState.RESERVED)
     harness.run(2_000)
     assert not harness.log.bodies(GangRelease)
     assert len(stops(harness)) == 1
 
 
-def test_gang_with_a_refused_member_ends_after_its_reservations(
+def test_gang_with_refused_member_ends_after_reservations_expire(
     harness: ProcessHarness,
 ) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell(harness, 0, TaskState.REFUSED)
-    tell(harness, 1, TaskState.STOPPED)
+    report_member(harness, 0, TaskState.REFUSED)
+    report_member(harness, 1, TaskState.STOPPED)
     assert not ends(harness)
     assert 1_500 <= ms_until_end(harness, 60_000) <= 3_000
 
 
-def test_member_that_never_reserves_stops_the_gang(harness: ProcessHarness) -> None:
+def test_reserve_timeout_stops_the_gang(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell(harness, 0, TaskState.RESERVED)
-    harness.run(RESERVE_BOUND_MS - 100)
+    report_member(harness, 0, TaskState.RESERVED)
+    harness.run(RESERVE_TIMEOUT_MS - 100)
     assert not stops(harness)
     harness.run(200)
     assert len(stops(harness)) == 1
 
 
-def test_late_report_does_not_bring_a_member_back(harness: ProcessHarness) -> None:
+def test_late_report_does_not_change_a_final_state(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
     harness.log.up = False
-    tell(harness, 0, TaskState.STOPPED)
-    tell_both(harness, TaskState.RESERVED)
+    report_member(harness, 0, TaskState.STOPPED)
+    report_both(harness, TaskState.RESERVED)
     harness.log.up = True
     harness.run(2_000)
     assert not harness.log.bodies(GangRelease)
 
 
-def test_gang_ends_when_all_members_are_over(harness: ProcessHarness) -> None:
+def test_gang_ends_when_all_members_are_final(harness: ProcessHarness) -> None:
     start(harness)
-    tell(harness, 1, TaskState.STOPPED)
+    report_member(harness, 1, TaskState.STOPPED)
     assert [row.reason for row in stops(harness)] == ["member 1 is stopped"]
     assert not ends(harness)
-    tell(harness, 0, TaskState.STOPPED)
+    report_member(harness, 0, TaskState.STOPPED)
     assert len(ends(harness)) == 1
 
 
-def test_failed_member_names_its_worker(harness: ProcessHarness) -> None:
+def test_stop_after_failure_names_the_worker(harness: ProcessHarness) -> None:
     start(harness)
-    tell(harness, 1, TaskState.FAILED)
+    report_member(harness, 1, TaskState.FAILED)
     assert [row.failed_worker for row in stops(harness)] == ["worker-1"]
 
 
-def test_gang_with_a_stopped_member_ends_after_the_leases(
+def test_gang_with_stopped_member_ends_after_leases_expire(
     harness: ProcessHarness,
 ) -> None:
     start(harness)
-    tell(harness, 1, TaskState.STOPPED)
+    report_member(harness, 1, TaskState.STOPPED)
     waited_ms = ms_until_end(harness, 60_000)
-    bound_ms = 2 * LEASE_MS + GRACE_MS + DRIFT_MS
-    assert bound_ms <= waited_ms <= bound_ms + 100
+    timeout_ms = 2 * LEASE_MS + GRACE_MS + CLOCK_DRIFT_MS
+    assert timeout_ms <= waited_ms <= timeout_ms + 100
 
 
-def test_finished_member_is_no_proof_that_the_others_lapse(
+def test_finished_member_does_not_shorten_the_wait_for_others(
     harness: ProcessHarness,
 ) -> None:
     start(harness)
-    tell(harness, 1, TaskState.FINISHED)
+    report_member(harness, 1, TaskState.FINISHED)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(60_000)
     assert not ends(harness)
-    ms_until_end(harness, ISOLATION_MS)
+    ms_until_end(harness, ISOLATION_LIMIT_MS)
 
 
-def test_leases_count_from_the_word_that_a_member_is_over(
+def test_leases_count_from_the_report_of_a_stopped_member(
     harness: ProcessHarness,
 ) -> None:
     start(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(100_000)
-    tell(harness, 1, TaskState.STOPPED)
+    report_member(harness, 1, TaskState.STOPPED)
     assert not ends(harness)
     assert ms_until_end(harness, 60_000) >= 2 * LEASE_MS
 
 
-def test_gang_that_was_never_released_ends_after_its_reservations(
+def test_unreleased_gang_ends_after_reservations_expire(
     harness: ProcessHarness,
 ) -> None:
     place_gang(harness.log, "a", WORKERS)
@@ -224,93 +224,89 @@
     assert ms_until_end(harness, 60_000) <= 3_000
 
 
-def test_silent_gang_is_stopped_after_the_isolation_bound(
+def test_unreported_gang_is_stopped_after_the_isolation_limit(
     harness: ProcessHarness,
 ) -> None:
     start(harness)
-    harness.run(ISOLATION_MS - 1_000)
+    harness.run(ISOLATION_LIMIT_MS - 1_000)
     assert not stops(harness)
-    harness.run(2 * SILENCE_MS)
+    harness.run(2 * MEMBER_TIMEOUT_MS)
     assert len(stops(harness)) == 1
 
 
-def test_gang_that_a_member_reports_running_is_left_alone(
-    harness: ProcessHarness,
-) -> None:
+def test_gang_with_one_running_member_is_not_stopped(harness: ProcessHarness) -> None:
     start(harness)
     for _ in range(4):
-        harness.run(SILENCE_MS // 2)
-        tell(harness, 0, TaskState.RUNNING)
+        harness.run(MEMBER_TIMEOUT_MS // 2)
+        report_member(harness, 0, TaskState.RUNNING)
     assert not stops(harness)
 
 
-def test_quiet_member_is_not_lost_between_two_full_reports(
-    harness: ProcessHarness,
-) -> None:
+def test_member_is_not_lost_between_full_reports(harness: ProcessHarness) -> None:
     start(harness)
-    tell(harness, 0, TaskState.FINISHED)
-    harness.run(SILENCE_MS - 1_000)
+    report_member(harness, 0, TaskState.FINISHED)
+    harness.run(MEMBER_TIMEOUT_MS - 1_000)
     assert not stops(harness)
 
 
-def test_lost_last_member_stops_the_gang(harness: ProcessHarness) -> None:
+def test_gang_is_stopped_when_its_only_unfinished_member_is_lost(
+    harness: ProcessHarness,
+) -> None:
     start(harness)
-    tell(harness, 0, TaskState.FINISHED)
+    report_member(harness, 0, TaskState.FINISHED)
     for _ in range(20):
-        harness.run(SILENCE_MS // 8)
-        tell(harness, 0, TaskState.FINISHED)
+        harness.run(MEMBER_TIMEOUT_MS // 8)
+        report_member(harness, 0, TaskState.FINISHED)
     assert len(stops(harness)) == 1
 
 
-def test_new_holder_counts_bounds_from_its_own_first_sight(
+def test_new_holder_counts_limits_from_its_own_first_observation(
     harness: ProcessHarness, log: FakeLog
 ) -> None:
     start(harness)
-    tell(harness, 1, TaskState.STOPPED)
+    report_member(harness, 1, TaskState.STOPPED)
     harness.run(2 * LEASE_MS)
     rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
     claim(rival)
     rival.run(2 * LEASE_MS)
     assert not ends(rival)
-    tell(rival, 0, TaskState.STOPPED)
-    tell(rival, 1, TaskState.STOPPED)
+    report_member(rival, 0, TaskState.STOPPED)
+    report_member(rival, 1, TaskState.STOPPED)
     assert len(ends(rival)) == 1
 
 
-def test_old_holder_that_wakes_changes_nothing(
-    harness: ProcessHarness, log: FakeLog
-) -> None:
+def test_former_holder_changes_nothing(harness: ProcessHarness, log: FakeLog) -> None:
     place_gang(log, "a", WORKERS)
     harness.settle()
     rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
     claim(rival)
     log.add(JobCancel("a", "enough"))
-    tell_both(harness, TaskState.RESERVED)
+    report_both(harness, TaskState.RESERVED)
     harness.run(5_000)
     releases = harness.log.bodies(GangRelease)
     assert len(releases) <= 1
     assert harness.world.agreed.gangs.get("a/1").released_wall_ms == 0
 
 
-def test_reports_that_precede_the_claim_are_kept(
+def test_reports_before_the_claim_are_used_after_it(
     harness: ProcessHarness, log: FakeLog
 ) -> None:
     place_gang(log, "a", WORKERS)
     rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
-    tell_both(rival, TaskState.RESERVED)
+    report_both(rival, TaskState.RESERVED)
     claim(rival)
     rival.run(100)
     assert len(log.bodies(GangRelease)) == 1
 
 
-def test_ended_gangs_leave_nothing_behind(harness: ProcessHarness) -> None:
+def test_state_of_ended_gangs_is_removed(harness: ProcessHarness) -> None:
     start(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.settle()
-    tell_both(harness, TaskState.STOPPED)
+    report_both(harness, TaskState.STOPPED)
     harness.run(2_000)
     world = harness.world
     assert "a/1" not in world.gang_view.stages
@@ -333,7 +329,7 @@
     assert len(harness.world.agreed.gangs) == 0
 
 
-def test_quiet_tick_looks_at_no_gang(
+def test_tick_without_changes_checks_no_gang(
     harness: ProcessHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for number in range(50):
@@ -341,47 +337,45 @@
         place_gang(harness.log, name, WORKERS)
         release_gang(harness.log, name)
     harness.settle()
-    looked = []
+    checked = []
     monkeypatch.setattr(
         importlib.import_module("kingcuppost.systems.jobs.gangs"),
         "_advance",
-        lambda world, gang, now_ms: looked.append(gang.key),
+        lambda world, gang, now_ms: checked.append(gang.key),
     )
     harness.run(2_000)
-    assert looked == []
+    assert checked == []
     harness.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
     harness.settle()
-    assert looked == ["job-7/1"]
+    assert checked == ["job-7/1"]
 
 
-def test_worker_that_reserves_nothing_is_avoided_for_a_pause(
-    harness: ProcessHarness,
-) -> None:
+def test_worker_that_does_not_reserve_is_paused(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
-    tell(harness, 0, TaskState.RESERVED)
-    harness.run(RESERVE_BOUND_MS + 100)
-    silent, reserved = WORKERS[1], WORKERS[0]
+    report_member(harness, 0, TaskState.RESERVED)
+    harness.run(RESERVE_TIMEOUT_MS + 100)
+    unanswered, reserved = WORKERS[1], WORKERS[0]
     faults = harness.world.scheduling.faults
-    assert faults.get(silent).avoided
+    assert faults.get(unanswered).paused
     assert faults.get(reserved) is None
-    assert harness.world.scheduling.workers.get(silent).room < 0
+    assert harness.world.scheduling.workers.get(unanswered).free_class < 0
     harness.run(PAUSE_MS)
-    assert not faults.get(silent).avoided
-    assert harness.world.scheduling.workers.get(silent).room >= 0
+    assert not faults.get(unanswered).paused
+    assert harness.world.scheduling.workers.get(unanswered).free_class >= 0
 
 
 def test_pause_doubles_until_the_worker_reserves(harness: ProcessHarness) -> None:
     harness.settle()
     pauses = []
     for _ in range(3):
-        avoid_worker(harness.world, WORKERS[0], harness.now_ms)
-        pauses.append(harness.world.scheduling.faults.get(WORKERS[0]).return_ms)
+        pause_worker(harness.world, WORKERS[0], harness.now_ms)
+        pauses.append(harness.world.scheduling.faults.get(WORKERS[0]).resume_ms)
     assert [at - harness.now_ms for at in pauses] == [
         PAUSE_MS,
         2 * PAUSE_MS,
         4 * PAUSE_MS,
     ]
-    trust_worker(harness.world, WORKERS[0])
+    reset_refusals(harness.world, WORKERS[0])
     assert harness.world.scheduling.faults.get(WORKERS[0]) is None
-    assert harness.world.scheduling.workers.get(WORKERS[0]).room >= 0
+    assert harness.world.scheduling.workers.get(WORKERS[0]).free_class >= 0
--- a/kingcuppost/systems/jobs/tests/test_occupancy.py
+++ b/kingcuppost/systems/jobs/tests/test_occupancy.py
@@ -1,53 +1,57 @@
-"""Capacity that follows changes equals capacity built from the tables anew."""
+"""Capacity updated by changes equals capacity rebuilt from the tables."""
 
 import pytest
 
 from bench.driver import Driver
 from bench.lists import deployments
-from kingcuppost.systems.jobs.occupancy import hold_of, put_hold, track_occupancy
+from kingcuppost.systems.jobs.occupancy import (
+    build_allocation,
+    put_allocation,
+    track_occupancy,
+)
 from kingcuppost.tables.scheduling import SchedulingState
 from kingcuppost.tables.world import World
 
 HOUR_MS = 3_600_000
 
 
-def built_anew(run: Driver) -> SchedulingState:
+def rebuild(run: Driver) -> SchedulingState:
     world = World(run.world.cfg, run.world.identity, run.clock, run.world.rng)
     agreed = run.world.agreed
     for name in ("availability_zones", "minions", "workers", "teams", "jobs", "gangs"):
         for row in getattr(agreed, name):
             getattr(world.agreed, name).put(row)
     track_occupancy(world, run.clock.now_ms())
-    for keep in run.world.scheduling.keeps:
-        hold = run.world.scheduling.holds[f"keep:{keep.job}"]
-        put_hold(world.scheduling, hold)
-    for key in run.world.scheduling.pending:
-        put_hold(world.scheduling, run.world.scheduling.holds[key])
+    for reservation in run.world.scheduling.advance_reservations:
+        allocation = run.world.scheduling.allocations[f"reservation:{reservation.job}"]
+        put_allocation(world.scheduling, allocation)
+    for key in run.world.scheduling.pending_gangs:
+        put_allocation(world.scheduling, run.world.scheduling.allocations[key])
     return world.scheduling
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_following_changes_equals_building_anew(seed: int) -> None:
+def test_incremental_updates_equal_a_rebuild(seed: int) -> None:
     run = Driver(deployments["moulerie"](seed), "shapes")
     for hours in range(1, 16, 2):
         run.run(hours * HOUR_MS)
         run.tick()
-        anew = built_anew(run)
-        own = run.world.scheduling
-        assert own.free_blocks == anew.free_blocks
-        assert own.unbound_blocks == anew.unbound_blocks
-        assert own.demand == anew.demand
-        for row in own.workers:
-            assert row == anew.workers.get(row.name)
+        rebuilt = rebuild(run)
+        updated = run.world.scheduling
+        assert updated.free_blocks == rebuilt.free_blocks
+        assert updated.unbound_blocks == rebuilt.unbound_blocks
+        assert updated.demand == rebuilt.demand
+        for row in updated.workers:
+            assert row == rebuilt.workers.get(row.name)
 
 
-def test_a_change_of_members_only_refreshes_their_workers() -> None:
+def test_allocation_without_members_changes_no_worker() -> None:
     run = Driver(deployments["planned"](1), "shapes")
     run.tick()
     job = run.deployment.arrivals[-1]
     run.submit(job)
     row = run.world.agreed.jobs.get(job.job)
     before = [item.free_blocks for item in run.world.scheduling.workers]
-    hold = hold_of("x/1", row, ())
-    put_hold(run.world.scheduling, hold)
+    allocation = build_allocation("x/1", row, ())
+    put_allocation(run.world.scheduling, allocation)
     assert before == [item.free_blocks for item in run.world.scheduling.workers]
--- a/kingcuppost/tables/scheduling.py
+++ b/kingcuppost/tables/scheduling.py
@@ -1,9 +1,9 @@
-"""What scheduling keeps beside the fold: capacity, shares, queue and faults.
+"""State of the scheduler outside the fold: capacity, team shares, queue and faults.
 
-All of it follows from the agreed tables and is rebuilt by a new scheduler. Sets
-of accelerators are bit masks: bit `n` stands for accelerator `n` of a worker. A
-cell is a block of accelerators, aligned on its own size, which is a power of two;
-class `k` stands for the size `2 ** k`.
+All of it is derived from the agreed tables, so that a new scheduler can rebuild it.
+Sets of accelerators are bit masks: bit `n` stands for accelerator `n` of a worker.
+A cell is a block of ``2 ** k`` accelerators whose first number is a multiple of its
+size; `k` is the class of the cell.
 """
 
 from dataclasses import dataclass, field
@@ -13,76 +13,76 @@
 
 __all__ = [
     "CELL_CLASSES",
-    "Hold",
-    "Keep",
+    "AdvanceReservation",
+    "Allocation",
     "QueueEntry",
     "RunTimes",
     "SchedulingState",
     "TeamShare",
     "UncoveredGuarantee",
+    "WorkerAllocation",
     "WorkerCapacity",
     "WorkerFaults",
-    "WorkerHold",
 ]
 
-CELL_CLASSES = 7
+CELL_CLASSES = 7  # cells of 1 to 64 accelerators
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerHold:
-    """What one gang or keep takes of one worker.
+class WorkerAllocation:
+    """Resources of one worker that one gang or advance reservation uses.
 
     Attributes
     ----------
     busy : int
-        Mask of the accelerators that tasks hold.
-    kept : int
-        Mask of the accelerators that are kept free for a job to come.
+        Mask of the accelerators allocated to tasks.
+    reserved : int
+        Mask of the accelerators kept free for a waiting job.
     cells : tuple of int
-        Masks of the guaranteed cells that it binds.
+        Masks of the guaranteed cells that the accelerators are part of.
     cores, memory_mb : int
-        What its tasks take.
+        Cores and memory allocated.
     """
 
     busy: int = 0
-    kept: int = 0
+    reserved: int = 0
     cells: tuple[int, ...] = ()
     cores: int = 0
     memory_mb: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Hold:
-    """What one gang or keep takes of all workers.
+class Allocation:
+    """Resources of all workers that one gang or advance reservation uses.
 
     Attributes
     ----------
     key : str
-        Key of the gang, or of the keep.
+        Key of the gang or of the advance reservation.
     team : str
-        Team that it counts for.
+        Team whose share is charged.
     accelerators : int
-        Accelerators that its tasks hold.
-    shares : dict of str to WorkerHold
-        What it takes, by worker.
+        Number of accelerators allocated to tasks.
+    by_worker : dict of str to WorkerAllocation
+        Allocation on each worker by the worker's name.
     """
 
     key: str
     team: str
     accelerators: int
-    shares: dict[str, WorkerHold]
+    by_worker: dict[str, WorkerAllocation]
 
 
 @dataclass(slots=True)
 class WorkerCapacity:
-    """What a worker has, and what is left of it.
+    """Capacity of a worker and the part of it that is free.
 
     Attributes
     ----------
     name, availability_zone, rack : str
-        The worker and where it stands.
+        Name and location of the worker.
     cores, memory_mb, accelerators : int
-        What it has.
+        Total capacity.
     full_mask : int
         Mask of all its accelerators.
     in_service : bool
@@ -90,23 +90,29 @@
     usable : bool
         Whether tasks may start on it now.
     probing : bool
-        Whether it may run one gang only, as a probe.
-    busy, kept, bound, pinned : int
-        Masks of accelerators: held by tasks; kept for a job to come; in guaranteed
-        cells in use; held by tasks, or kept, within guarantees.
+        Whether it may run a single gang only, as a probe after failures.
+    busy : int
+        Mask of the accelerators allocated to tasks.
+    reserved : int
+        Mask of the accelerators in advance reservations.
+    bound : int
+        Mask of the guaranteed cells in use, including their idle accelerators.
+    pinned : int
+        Mask of the accelerators that are busy or reserved within a guarantee.
     free_cores, free_memory_mb : int
-        What is left.
-    holds : dict of str to WorkerHold
-        What gangs and keeps take of it.
-    room : int
-        Class of the largest free cell; -1 for none or an unusable worker.
-    bind_room : int
-        The same for cells that no guarantee uses, borrowed or not.
-    core_room : tuple of int
-        Whether it has accelerators, and the bits of the number of free cores;
-        ``(-1, 0)`` for an unusable worker.
+        Cores and memory not allocated.
+    allocations : dict of str to WorkerAllocation
+        Allocations on the worker by key of the gang or advance reservation.
+    free_class : int
+        Class of the largest free cell; -1 if there is none or the worker is unusable.
+    unbound_class : int
+        Class of the largest cell outside guarantees in use, whether borrowers
+        occupy it or not; -1 as above.
+    core_bucket : tuple of int
+        1 if the worker has accelerators, else 0, and the bit length of the number
+        of free cores; ``(-1, 0)`` for an unusable worker.
     free_blocks, unbound_blocks : tuple of int
-        Number of largest cells by class, as counted in the totals.
+        Number of maximal free and unbound cells by class, as included in the totals.
     """
 
     name: str
@@ -120,35 +126,35 @@
     usable: bool = False
     probing: bool = False
     busy: int = 0
-    kept: int = 0
+    reserved: int = 0
     bound: int = 0
     pinned: int = 0
     free_cores: int = 0
     free_memory_mb: int = 0
-    holds: dict[str, WorkerHold] = field(default_factory=dict)
-    room: int = -1
-    bind_room: int = -1
-    core_room: tuple[int, int] = (-1, 0)
+    allocations: dict[str, WorkerAllocation] = field(default_factory=dict)
+    free_class: int = -1
+    unbound_class: int = -1
+    core_bucket: tuple[int, int] = (-1, 0)
     free_blocks: tuple[int, ...] = (0,) * CELL_CLASSES
     unbound_blocks: tuple[int, ...] = (0,) * CELL_CLASSES
 
 
 @dataclass(slots=True)
 class TeamShare:
-    """What a team is guaranteed and what it uses.
+    """Guaranteed cells of a team and their use.
 
     Attributes
     ----------
     team : str
         Name of the team.
     guaranteed, unused : tuple of int
-        Guaranteed cells by class, and those not bound to accelerators.
+        Number of guaranteed cells by class, and of those not bound to accelerators.
     cells : dict of tuple to int
-        How many holds use each bound cell, by worker and mask.
+        Number of allocations in each bound cell, by worker and mask.
     used : int
-        Accelerators that the team's tasks hold.
+        Accelerators allocated to the team's tasks.
     limit : int
-        Most accelerators that they may hold; 0 for no limit.
+        Maximum of `used`; 0 for no limit.
     """
 
     team: str
@@ -161,16 +167,16 @@
 
 @dataclass(frozen=True, slots=True)
 class UncoveredGuarantee:
-    """Guaranteed cells of a team that could not be given now.
+    """Guaranteed cells of a team that the workers cannot provide now.
 
     Attributes
     ----------
     team : str
         Name of the team.
     cells : tuple of int
-        Cells that are missing, by class.
+        Number of missing cells by class.
     accelerators : int
-        Accelerators in them.
+        Number of accelerators in the missing cells.
     """
 
     team: str
@@ -179,36 +185,36 @@
 
 
 @dataclass(slots=True)
-class Keep:
-    """Accelerators kept free for a job that can't start yet.
+class AdvanceReservation:
+    """Accelerators reserved for a job that cannot start yet.
 
     Attributes
     ----------
     job : str
         Name of the job.
     placements : tuple of Placement
-        Where it will start.
+        Where the job will start.
     guaranteed : bool
         Whether the accelerators are reclaimed within the team's guarantee.
     since_ms : int
-        When the job was first kept a place, monotonic ms.
-    date_ms : int
-        When all of them should be free, monotonic ms.
-    earlier : frozenset of str
-        Gangs that held some of them when they were kept.
+        When the job first got a reservation, monotonic ms.
+    expected_free_ms : int
+        When all reserved accelerators are expected to be free, monotonic ms.
+    earlier_gangs : frozenset of str
+        Keys of the gangs that occupied some of them when they were reserved.
     """
 
     job: str
     placements: tuple[Placement, ...]
     guaranteed: bool
     since_ms: int
-    date_ms: int
-    earlier: frozenset[str] = frozenset()
+    expected_free_ms: int
+    earlier_gangs: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
 class RunTimes:
-    """How a team's run times compare with the declared ones.
+    """Run times of a team's finished jobs, compared with the declared ones.
 
     Attributes
     ----------
@@ -218,14 +224,14 @@
         Smoothed natural logarithm of actual over declared run time.
     mean_ms : float
         Smoothed run time, for jobs that declare none.
-    seen : int
-        Finished jobs that were counted.
+    samples : int
+        Number of finished jobs included.
     """
 
     team: str
     log_ratio: float = 0.0
     mean_ms: float = 0.0
-    seen: int = 0
+    samples: int = 0
 
 
 @dataclass(slots=True)
@@ -238,35 +244,35 @@
         Name of the worker.
     jobs : set of str
         Distinct jobs that failed on it.
-    aside : bool
-        Whether the worker gets no work but probes.
+    quarantined : bool
+        Whether the worker gets only probes, after failures of several jobs.
     probe_ms : int
-        When one job may probe it again, monotonic ms.
+        When the next probe may start, monotonic ms.
     refusals : int
-        Reservations in a row that it refused or did not answer.
-    avoided : bool
-        Whether it gets no work for a pause after a refusal.
-    return_ms : int
-        When the pause is over, monotonic ms.
+        Consecutive member reservations that it refused or did not answer.
+    paused : bool
+        Whether the worker gets no work for a while, after a refusal.
+    resume_ms : int
+        When the pause ends, monotonic ms.
     """
 
     worker: str
     jobs: set[str] = field(default_factory=set)
-    aside: bool = False
+    quarantined: bool = False
     probe_ms: int = 0
     refusals: int = 0
-    avoided: bool = False
-    return_ms: int = 0
+    paused: bool = False
+    resume_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class QueueEntry:
-    """A waiting job's place in the queue.
+    """Position of a waiting job in the queue.
 
     Attributes
     ----------
     rank : tuple
-        Order of the policy, smallest first.
+        Sort key that the policy gives the job, smallest first.
     job : str
         Name of the job.
     """
@@ -277,59 +283,69 @@
 
 @dataclass(slots=True)
 class SchedulingState:
-    """Everything that scheduling keeps beside the fold.
+    """Everything that the scheduler derives from the agreed tables.
 
     Attributes
     ----------
     source : object
-        The agreed tables that it follows.
-    holds : dict of str to Hold
-        Holds by key of gang or keep.
-    pending : set of str
-        Keys of gangs that were proposed and not folded yet.
+        The agreed tables that this state is derived from.
+    workers, shares, uncovered, advance_reservations, run_times, faults : Table
+        Rows by worker, team or job; see the class of each row.
+    allocations : dict of str to Allocation
+        Allocations by key of the gang or advance reservation.
+    pending_gangs : set of str
+        Keys of gangs whose placement was proposed and is not folded yet.
     free_blocks, unbound_blocks, demand : list of int
-        Cells by class: free; in no guarantee's use; guaranteed and unused.
-    queue, ranks : list of QueueEntry, dict of str to QueueEntry
-        Waiting jobs in order; the entry of each.
+        Number of cells by class over all workers: free; outside guarantees in use;
+        guaranteed and unused.
+    queue, queue_entries : list of QueueEntry, dict of str to QueueEntry
+        Waiting jobs in order; the entry of each job by its name.
     queue_policy : str
-        Policy that ordered the queue.
-    due : bool
+        Name of the policy that ordered the queue.
+    pass_due : bool
         Whether something changed since the last pass over the queue.
-    pass_ms : int
-        When the next pass is due though nothing changed; 0 for never.
+    next_pass_ms : int
+        When the next pass is due even if nothing changes, monotonic ms; 0 for never.
     fleet_changed_ms : int
-        When workers, zones or teams last changed.
-    unjudged : dict of str to None
-        Jobs whose chance to ever run is to be judged, in order.
-    holdable : dict of tuple to bool
-        Whether workers could hold a job, by its needs; for one state of the fleet.
-    failures_seen : dict of str to int
-        Workers on which each open job has failed, as far as counted.
-    leave_ms : dict of str to int
-        When gangs leave each availability zone that was taken out.
+        When workers, zones or teams last changed, monotonic ms.
+    unchecked_jobs : dict of str to None
+        Names of the jobs whose feasibility is to be checked, in order.
+    feasibility_cache : dict of tuple to bool
+        Whether the workers could hold a job, by its needs; cleared when the fleet
+        changes.
+    counted_failures : dict of str to int
+        Number of each job's failed workers that are counted in `faults` already.
+    evacuate_at_ms : dict of str to int
+        When running gangs are stopped in each zone out of service, monotonic ms.
     """
 
     source: object = None
     workers: Table[WorkerCapacity] = field(
-        default_factory=lambda: Table("name", ("room", "bind_room", "core_room"))
+        default_factory=lambda: Table(
+            "name", ("free_class", "unbound_class", "core_bucket")
+        )
     )
     shares: Table[TeamShare] = field(default_factory=lambda: Table("team"))
     uncovered: Table[UncoveredGuarantee] = field(default_factory=lambda: Table("team"))
-    keeps: Table[Keep] = field(default_factory=lambda: Table("job"))
+    advance_reservations: Table[AdvanceReservation] = field(
+        default_factory=lambda: Table("job")
+    )
     run_times: Table[RunTimes] = field(default_factory=lambda: Table("team"))
     faults: Table[WorkerFaults] = field(default_factory=lambda: Table("worker"))
-    holds: dict[str, Hold] = field(default_factory=dict)
-    pending: set[str] = field(default_factory=set)
+    allocations: dict[str, Allocation] = field(default_factory=dict)
+    pending_gangs: set[str] = field(default_factory=set)
     free_blocks: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     unbound_blocks: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     demand: list[int] = field(default_factory=lambda: [0] * CELL_CLASSES)
     queue: list[QueueEntry] = field(default_factory=list)
-    ranks: dict[str, QueueEntry] = field(default_factory=dict)
+    queue_entries: dict[str, QueueEntry] = field(default_factory=dict)
     queue_policy: str = ""
-    due: bool = True
-    pass_ms: int = 0
+    pass_due: bool = True
+    next_pass_ms: int = 0
     fleet_changed_ms: int = 0
-    unjudged: dict[str, None] = field(default_factory=dict)
-    holdable: dict[tuple[int, int, int, int, bool], bool] = field(default_factory=dict)
-    failures_seen: dict[str, int] = field(default_factory=dict)
-    leave_ms: dict[str, int] = field(default_factory=dict)
+    unchecked_jobs: dict[str, None] = field(default_factory=dict)
+    feasibility_cache: dict[tuple[int, int, int, int, bool], bool] = field(
+        default_factory=dict
+    )
+    counted_failures: dict[str, int] = field(default_factory=dict)
+    evacuate_at_ms: dict[str, int] = field(default_factory=dict)
