--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -1,37 +1,37 @@
 """Members of gangs at a sidecar."""
 
 from kingcuppost.systems.members.gangs import (
-    hear_members,
+    handle_leader_replies,
+    handle_member_reports,
+    propose_gang_finishes,
     report_to_leaders,
-    take_leader_replies,
-    watch_gangs,
 )
 from kingcuppost.systems.members.heartbeats import (
+    handle_heartbeat_replies,
     send_heartbeats,
-    take_heartbeat_replies,
 )
-from kingcuppost.systems.members.renewals import renew_tasks, take_worker_answers
+from kingcuppost.systems.members.renewals import handle_worker_answers, renew_tasks
 from kingcuppost.systems.members.stopping import (
     forget_members,
-    give_up_silent,
-    stop_isolated,
-    stop_lapsed,
+    presume_stopped_members,
+    stop_isolated_members,
+    stop_lapsed_members,
 )
-from kingcuppost.systems.members.tasks import follow_gangs, start_members
+from kingcuppost.systems.members.tasks import reconcile_gangs, start_members
 
 __all__ = [
-    "follow_gangs",
+    "reconcile_gangs",
     "forget_members",
-    "give_up_silent",
-    "hear_members",
+    "presume_stopped_members",
+    "handle_member_reports",
     "renew_tasks",
     "report_to_leaders",
     "send_heartbeats",
     "start_members",
-    "stop_isolated",
-    "stop_lapsed",
-    "take_heartbeat_replies",
-    "take_leader_replies",
-    "take_worker_answers",
-    "watch_gangs",
+    "stop_isolated_members",
+    "stop_lapsed_members",
+    "handle_heartbeat_replies",
+    "handle_leader_replies",
+    "handle_worker_answers",
+    "propose_gang_finishes",
 ]
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -25,19 +25,19 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
-    "hear_members",
-    "report_of",
+    "handle_member_reports",
+    "make_report",
     "report_to_leaders",
-    "take_leader_replies",
-    "watch_gangs",
+    "handle_leader_replies",
+    "propose_gang_finishes",
 ]
 
-ALIVE_STATES = (TaskState.RUNNING, TaskState.FINISHED)
+HEALTHY_STATES = (TaskState.RUNNING, TaskState.FINISHED)
 BROKEN_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
-REPORTS_PER_CONFIRM = 3
+REPORTS_PER_CONFIRMATION = 3
 
 
-def report_of(task: MemberTask) -> MemberReport:
+def make_report(task: MemberTask) -> MemberReport:
     """Return what a member says of itself."""
     return MemberReport(
         task.job, task.incarnation, task.member, task.state, task.result
@@ -46,7 +46,7 @@
 
 def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
     pairs = []
-    for state in (*ALIVE_STATES, *BROKEN_STATES):
+    for state in (*HEALTHY_STATES, *BROKEN_STATES):
         for task in world.tasks.find("state", state):
             gang = gang_of(world, task)
             if gang is not None and gang.state is GangState.RELEASED:
@@ -57,35 +57,37 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=10)
 def report_to_leaders(world: World, now_ms: int) -> None:
     """Tell leaders how members are, all members of a leader in one message."""
-    if now_ms < world.worker_view.report_ms:
+    if now_ms < world.worker_view.next_report_ms:
         return
     pairs = _released_tasks(world)
     if not pairs:
         return
     by_leader = defaultdict(list)
     for gang, task in pairs:
-        report = _aged_report(world, task, now_ms)
+        report = _make_aged_report(world, task, now_ms)
         by_leader[gang.placements[0].worker].append(report)
     period_ms = min(_report_period_ms(world, gang) for gang, _ in pairs)
-    world.worker_view.report_ms = now_ms + period_ms
-    world.deadlines.add(world.worker_view.report_ms)
+    world.worker_view.next_report_ms = now_ms + period_ms
+    world.deadlines.add(world.worker_view.next_report_ms)
     for leader, reports in by_leader.items():
-        _report(world, leader, tuple(reports), period_ms, now_ms)
+        _send_reports(world, leader, tuple(reports), period_ms, now_ms)
 
 
-def _aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
+def _make_aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
     """Return a report that a running member can't outlive its worker by."""
-    report = report_of(task)
+    report = make_report(task)
     if task.state is not TaskState.RUNNING:
         return report
-    return replace(report, age_ms=max(now_ms - world.worker_view.heard_ms, 0))
+    return replace(
+        report, age_ms=max(now_ms - world.worker_view.last_answered_order_ms, 0)
+    )
 
 
 def _report_period_ms(world: World, gang: Gang) -> int:
-    return confirm_ms(world, gang) // REPORTS_PER_CONFIRM
+    return confirm_ms(world, gang) // REPORTS_PER_CONFIRMATION
 
 
-def _report(
+def _send_reports(
     world: World,
     leader: str,
     reports: tuple[MemberReport, ...],
@@ -94,7 +96,7 @@
 ) -> None:
     own = world.cfg.sidecar.worker.name
     if leader == own:
-        reply = _hear(world, reports, now_ms)
+        reply = _record_reports(world, reports, now_ms)
         world.inbox.put(GangReplyArrived(own, True, now_ms, reply.whole, reply.broken))
         return
     worker = world.agreed.workers.get(leader)
@@ -108,79 +110,91 @@
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=60)
-def hear_members(world: World, now_ms: int) -> None:
+def handle_member_reports(world: World, now_ms: int) -> None:
     """Note members' reports and answer which gangs are whole."""
     for message in world.inbox.take(GangReportArrived):
-        reply = _hear(world, message.reports, now_ms)
+        reply = _record_reports(world, message.reports, now_ms)
         world.outbox.put(Reply(message.exchange_id, 200, reply))
 
 
-def _hear(world: World, reports: tuple[MemberReport, ...], now_ms: int) -> GangReply:
+def _record_reports(
+    world: World, reports: tuple[MemberReport, ...], now_ms: int
+) -> GangReply:
     gangs = {}
     for report in reports:
         gang = world.agreed.gangs.get(gang_key(report.job, report.incarnation))
         if gang is not None and gang.state is GangState.RELEASED:
             gangs[gang.key] = gang
-            _note_report(_watch_of(world, gang, now_ms), report, now_ms)
+            _record_report(_ensure_monitor(world, gang, now_ms), report, now_ms)
     whole = []
     broken = []
     for gang in gangs.values():
-        watch = world.gang_watches.get(gang.key)
-        _check_silence(world, gang, watch, now_ms)
-        if watch.broken:
+        monitor = world.gang_watches.get(gang.key)
+        _check_missed_reports(world, gang, monitor, now_ms)
+        if monitor.broken_reason:
             broken.append(gang.key)
-        elif len(watch.heard_ms) == len(gang.placements):
+        elif len(monitor.heard_ms) == len(gang.placements):
             whole.append(gang.key)
     return GangReply(world.cfg.sidecar.worker.name, tuple(whole), tuple(broken))
 
 
-def _watch_of(world: World, gang: Gang, now_ms: int) -> GangWatch:
-    watch = world.gang_watches.get(gang.key)
-    if watch is None:
-        watch = GangWatch(gang.key, now_ms, {}, {})
-        world.gang_watches.put(watch)
-    return watch
+def _ensure_monitor(world: World, gang: Gang, now_ms: int) -> GangWatch:
+    monitor = world.gang_watches.get(gang.key)
+    if monitor is None:
+        monitor = GangWatch(gang.key, now_ms, {}, {})
+        world.gang_watches.put(monitor)
+    return monitor
 
 
-def _note_report(watch: GangWatch, report: MemberReport, now_ms: int) -> None:
+def _record_report(monitor: GangWatch, report: MemberReport, now_ms: int) -> None:
     if report.state is TaskState.FINISHED:
-        watch.results[report.member] = report.result
-    if report.state in ALIVE_STATES:
-        watch.heard_ms[report.member] = now_ms - report.age_ms
+        monitor.results[report.member] = report.result
+    if report.state in HEALTHY_STATES:
+        monitor.heard_ms[report.member] = now_ms - report.age_ms
     else:
-        watch.broken = f"member {report.member} is {report.state}"
+        monitor.broken_reason = f"member {report.member} is {report.state}"
 
 
-def _check_silence(world: World, gang: Gang, watch: GangWatch, now_ms: int) -> None:
-    if watch.broken:
+def _check_missed_reports(
+    world: World, gang: Gang, monitor: GangWatch, now_ms: int
+) -> None:
+    if monitor.broken_reason:
         return
-    bound_ms = confirm_ms(world, gang)
+    limit_ms = confirm_ms(world, gang)
     for member in range(len(gang.placements)):
-        heard_ms = watch.heard_ms.get(member, watch.since_ms)
-        if member not in watch.results and now_ms - heard_ms >= bound_ms:
-            watch.broken = f"member {member} was silent for {bound_ms} ms"
-            note(world, "gang.broken", f"Gang broken: {watch.broken}.", job=gang.job)
+        heard_ms = monitor.heard_ms.get(member, monitor.since_ms)
+        if member not in monitor.results and now_ms - heard_ms >= limit_ms:
+            monitor.broken_reason = f"member {member} was silent for {limit_ms} ms"
+            note(
+                world,
+                "gang.broken",
+                f"Gang broken: {monitor.broken_reason}.",
+                job=gang.job,
+            )
             return
 
 
 @system(Phase.DECIDE, roles=(Role.SIDECAR,), order=90)
-def watch_gangs(world: World, now_ms: int) -> None:
+def propose_gang_finishes(world: World, now_ms: int) -> None:
     """Propose the finish of gangs whose members have all finished."""
-    for watch in world.gang_watches:
-        gang = world.agreed.gangs.get(watch.key)
+    for monitor in world.gang_watches:
+        gang = world.agreed.gangs.get(monitor.key)
         if gang is None or gang.state is GangState.STOPPING:
-            world.gang_watches.delete(watch.key)
-        elif len(watch.results) == len(gang.placements) and not watch.finish_id:
-            body = GangFinish(gang.job, gang.incarnation, watch.results[0])
-            watch.finish_id = propose(world, body, now_ms)
+            world.gang_watches.delete(monitor.key)
+        elif (
+            len(monitor.results) == len(gang.placements)
+            and not monitor.finish_record_id
+        ):
+            body = GangFinish(gang.job, gang.incarnation, monitor.results[0])
+            monitor.finish_record_id = propose(world, body, now_ms)
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=20)
-def take_leader_replies(world: World, now_ms: int) -> None:
+def handle_leader_replies(world: World, now_ms: int) -> None:
     """Prolong members whose gang is whole, stop those whose gang is broken."""
     for reply in world.inbox.take(GangReplyArrived):
         for key in reply.whole:
-            _prolong(world, key, reply.sent_ms)
+            _extend_leases(world, key, reply.sent_ms)
         for key in reply.broken:
             for task in _running_tasks(world, key):
                 stop_task(world, task, now_ms)
@@ -194,12 +208,12 @@
     ]
 
 
-def _prolong(world: World, key: str, sent_ms: int) -> None:
+def _extend_leases(world: World, key: str, sent_ms: int) -> None:
     gang = world.agreed.gangs.get(key)
     if gang is None:
         return
-    lease_ms = sent_ms + confirm_ms(world, gang)
+    lease_expiry_ms = sent_ms + confirm_ms(world, gang)
     for task in _running_tasks(world, key):
-        prolonged_ms = max(task.lease_ms, lease_ms)
-        world.tasks.update(task.task_id, lease_ms=prolonged_ms, confirmed=True)
-        world.deadlines.add(prolonged_ms)
+        extended_ms = max(task.lease_expiry_ms, lease_expiry_ms)
+        world.tasks.update(task.task_id, lease_expiry_ms=extended_ms, confirmed=True)
+        world.deadlines.add(extended_ms)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -8,7 +8,7 @@
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.leases import beat_period_ms, full_period_ms
-from kingcuppost.systems.members.gangs import report_of
+from kingcuppost.systems.members.gangs import make_report
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.serving import free_slots
 from kingcuppost.tables.fleet import Entry, MemberState
@@ -21,18 +21,18 @@
 from kingcuppost.utils.ranking import rank_by_hash
 
 __all__ = [
-    "home_entry",
-    "say_farewell",
+    "choose_home_entry",
+    "send_leave_notices",
     "send_heartbeats",
     "send_reports",
-    "take_heartbeat_replies",
+    "handle_heartbeat_replies",
 ]
 
 LAG_PAUSE_MS = 50
-BEATS_PER_ISOLATION = 4
+HEARTBEATS_PER_ISOLATION = 4
 
 
-def home_entry(world: World) -> Entry | None:
+def choose_home_entry(world: World) -> Entry | None:
     """Return the entry that hears this sidecar's heartbeats.
 
     The first by rendezvous hashing among the serving entries; those that did not
@@ -40,74 +40,74 @@
     """
     serving = [row for row in world.agreed.entries if row.state is MemberState.SERVING]
     ranked = rank_by_hash(world.identity.name, serving, lambda row: row.name)
-    silent = world.beat_view.silent
-    return min(ranked, key=lambda row: row.name in silent, default=None)
+    unresponsive = world.beat_view.unresponsive
+    return min(ranked, key=lambda row: row.name in unresponsive, default=None)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=30)
 def send_heartbeats(world: World, now_ms: int) -> None:
     """Tell the home entry how this sidecar is, once a period."""
-    if now_ms < world.beat_view.beat_ms:
+    if now_ms < world.beat_view.next_heartbeat_ms:
         return
-    entry = home_entry(world)
+    entry = choose_home_entry(world)
     if entry is None or entry.name in world.beats:
         return
-    world.beat_view.beat_ms = now_ms + _period_ms(world)
-    world.deadlines.add(world.beat_view.beat_ms)
-    _beat(world, entry, ())
+    world.beat_view.next_heartbeat_ms = now_ms + _period_ms(world)
+    world.deadlines.add(world.beat_view.next_heartbeat_ms)
+    _send_heartbeat(world, entry, ())
 
 
 def _period_ms(world: World) -> int:
     """Return the period; members need an entry heard well within their bound."""
     period_ms = beat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
-    return min(period_ms, isolation_ms // BEATS_PER_ISOLATION)
+    return min(period_ms, isolation_ms // HEARTBEATS_PER_ISOLATION)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=20)
-def say_farewell(world: World, now_ms: int) -> None:
+def send_leave_notices(world: World, now_ms: int) -> None:
     """Tell every entry once that this sidecar is leaving."""
     if not world.stopping:
         return
     view = world.beat_view
     for entry in world.agreed.entries:
-        if entry.name not in view.farewells and entry.name not in world.beats:
-            view.farewells = (*view.farewells, entry.name)
-            _beat(world, entry, ())
+        if entry.name not in view.leave_notified and entry.name not in world.beats:
+            view.leave_notified = (*view.leave_notified, entry.name)
+            _send_heartbeat(world, entry, ())
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=40)
 def send_reports(world: World, now_ms: int) -> None:
     """Report members whose state the scheduling holder does not know yet."""
-    _start_over(world, now_ms)
+    _reset_reported_states(world, now_ms)
     view = world.beat_view
     holder = world.agreed.entries.get(world.agreed.lease.holder)
-    if holder is None or holder.name in world.beats or now_ms < view.report_ms:
+    if holder is None or holder.name in world.beats or now_ms < view.next_report_ms:
         return
-    untold = [task for task in world.tasks if task.reported != task.state]
-    if untold:
-        _beat(world, holder, tuple(untold))
+    unreported = [task for task in world.tasks if task.reported_state != task.state]
+    if unreported:
+        _send_heartbeat(world, holder, tuple(unreported))
 
 
-def _start_over(world: World, now_ms: int) -> None:
+def _reset_reported_states(world: World, now_ms: int) -> None:
     """Report all members to a new holder, and once in a long period."""
     view = world.beat_view
     holder = world.agreed.lease.incarnation
-    if view.holder == holder and now_ms < view.full_ms:
+    if view.holder == holder and now_ms < view.next_full_report_ms:
         return
     view.holder = holder
-    view.full_ms = now_ms + full_period_ms(world)
+    view.next_full_report_ms = now_ms + full_period_ms(world)
     if len(world.tasks):
-        world.deadlines.add(view.full_ms)
+        world.deadlines.add(view.next_full_report_ms)
     for task in world.tasks:
-        world.tasks.update(task.task_id, reported="")
+        world.tasks.update(task.task_id, reported_state="")
 
 
-def _beat(world: World, entry: Entry, tasks: tuple[MemberTask, ...]) -> None:
-    reports: tuple[MemberReport, ...] = tuple(report_of(task) for task in tasks)
-    told = tuple((task.task_id, task.state) for task in tasks)
+def _send_heartbeat(world: World, entry: Entry, tasks: tuple[MemberTask, ...]) -> None:
+    reports: tuple[MemberReport, ...] = tuple(make_report(task) for task in tasks)
+    reported_states = tuple((task.task_id, task.state) for task in tasks)
     offset = world.log_view.folded_offset
-    world.beats.put(Beat(entry.name, entry.incarnation, told, offset))
+    world.beats.put(Beat(entry.name, entry.incarnation, reported_states, offset))
     world.outbox.put(
         SendHeartbeat(
             entry.name,
@@ -125,49 +125,49 @@
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=30)
-def take_heartbeat_replies(world: World, now_ms: int) -> None:
+def handle_heartbeat_replies(world: World, now_ms: int) -> None:
     """Note which entries answer, and which reports they have taken."""
     for done in world.inbox.take(HeartbeatDone):
-        beat = world.beats.delete(done.entry)
-        if beat is None:
+        heartbeat = world.beats.delete(done.entry)
+        if heartbeat is None:
             continue
         if done.ok:
-            world.beat_view.heard_ms = now_ms
-        _note_silence(world, done, now_ms)
-        if done.ok and done.folded_offset >= beat.folded_offset:
-            _note_told(world, beat)
+            world.beat_view.last_reply_ms = now_ms
+        _track_unresponsive_entry(world, done, now_ms)
+        if done.ok and done.folded_offset >= heartbeat.folded_offset:
+            _record_reported_states(world, heartbeat)
         elif done.ok:
-            _report_later(world, now_ms, LAG_PAUSE_MS)
+            _delay_reports(world, now_ms, LAG_PAUSE_MS)
         else:
             pause_ms = effective_value(world.agreed, "heartbeat.retry_ms")
-            _report_later(world, now_ms, pause_ms)
+            _delay_reports(world, now_ms, pause_ms)
 
 
-def _note_silence(world: World, done: HeartbeatDone, now_ms: int) -> None:
+def _track_unresponsive_entry(world: World, done: HeartbeatDone, now_ms: int) -> None:
     """Try another home soon if this one does not answer."""
     view = world.beat_view
-    others = tuple(name for name in view.silent if name != done.entry)
+    others = tuple(name for name in view.unresponsive if name != done.entry)
     if done.ok:
-        view.silent = others
+        view.unresponsive = others
         return
-    view.silent = (*others, done.entry)
+    view.unresponsive = (*others, done.entry)
     retry_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
     if (
         len(others) + 1 < len(world.agreed.entries)
-        and retry_ms < world.beat_view.beat_ms
+        and retry_ms < world.beat_view.next_heartbeat_ms
     ):
-        world.beat_view.beat_ms = retry_ms
+        world.beat_view.next_heartbeat_ms = retry_ms
         world.deadlines.add(retry_ms)
 
 
-def _note_told(world: World, beat: Beat) -> None:
-    if beat.reported and beat.incarnation != world.agreed.lease.incarnation:
+def _record_reported_states(world: World, heartbeat: Beat) -> None:
+    if heartbeat.reported and heartbeat.incarnation != world.agreed.lease.incarnation:
         return
-    for task_id, state in beat.reported:
+    for task_id, state in heartbeat.reported:
         if task_id in world.tasks:
-            world.tasks.update(task_id, reported=state)
+            world.tasks.update(task_id, reported_state=state)
 
 
-def _report_later(world: World, now_ms: int, pause_ms: int) -> None:
-    world.beat_view.report_ms = now_ms + pause_ms
+def _delay_reports(world: World, now_ms: int, pause_ms: int) -> None:
+    world.beat_view.next_report_ms = now_ms + pause_ms
     world.deadlines.add(now_ms + pause_ms)
--- a/kingcuppost/systems/members/orders.py
+++ b/kingcuppost/systems/members/orders.py
@@ -7,7 +7,7 @@
 
 __all__ = [
     "ENDED_STATES",
-    "HELD_STATES",
+    "LEASED_STATES",
     "OPEN_STATES",
     "ORDER_CHECKPOINT",
     "ORDER_RENEW",
@@ -23,8 +23,8 @@
 ENDED_STATES = frozenset(
     {TaskState.FINISHED, TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED}
 )
-HELD_STATES = (TaskState.RESERVED, TaskState.STARTING, TaskState.RUNNING)
-OPEN_STATES = (TaskState.RESERVING, *HELD_STATES)
+LEASED_STATES = (TaskState.RESERVED, TaskState.STARTING, TaskState.RUNNING)
+OPEN_STATES = (TaskState.RESERVING, *LEASED_STATES)
 ORDER_RESERVE = "reserve"
 ORDER_START = "start"
 ORDER_CHECKPOINT = "checkpoint"
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -6,7 +6,7 @@
 from kingcuppost.systems.leases import confirm_ms, lease_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
-    HELD_STATES,
+    LEASED_STATES,
     ORDER_CHECKPOINT,
     ORDER_RENEW,
     ORDER_RESERVE,
@@ -25,11 +25,11 @@
 from kingcuppost.tables.task import MemberTask, Renewal, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["renew_tasks", "take_worker_answers"]
+__all__ = ["renew_tasks", "handle_worker_answers"]
 
 RENEWALS_PER_LEASE = 3
 TASKS_PER_POLL = 8
-ID_NUMBERS = 2
+TASK_ID_NUMBERS = 2
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=50)
@@ -41,15 +41,19 @@
     """
     if not world.log_view.caught_up or world.worker_view.renewal is not None:
         return
-    if now_ms < world.worker_view.renew_ms and not _reservation_due(world, now_ms):
+    if now_ms < world.worker_view.next_renewal_ms and not _is_reservation_due(
+        world, now_ms
+    ):
         return
-    held = [row for state in HELD_STATES for row in world.tasks.find("state", state)]
+    leased = [
+        row for state in LEASED_STATES for row in world.tasks.find("state", state)
+    ]
     stopping = world.tasks.count("state", TaskState.STOPPING)
-    if world.worker_view.adopted and not held and not stopping:
+    if world.worker_view.adopted and not leased and not stopping:
         return
-    world.worker_view.renew_ms = now_ms + _period_ms(world, held)
-    world.deadlines.add(world.worker_view.renew_ms)
-    leases = _leases(world, held, now_ms)
+    world.worker_view.next_renewal_ms = now_ms + _period_ms(world, leased)
+    world.deadlines.add(world.worker_view.next_renewal_ms)
+    leases = _leases_to_renew(world, leased, now_ms)
     world.worker_view.renewal = Renewal(
         now_ms, frozenset(row.task_id for row in leases)
     )
@@ -57,47 +61,51 @@
     world.outbox.put(RenewTasks(leases, timeout_ms))
 
 
-def _reservation_due(world: World, now_ms: int) -> bool:
+def _is_reservation_due(world: World, now_ms: int) -> bool:
     """Return whether a reservation waited for the view that is fresh now."""
-    bound_ms = reservation_ms(world)
-    left_ms = bound_ms - bound_ms // RENEWALS_PER_LEASE
+    limit_ms = reservation_ms(world)
+    left_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
     reserved = world.tasks.find("state", TaskState.RESERVED)
-    aged = any(task.lease_ms - now_ms <= left_ms for task in reserved)
-    return aged and _may_hold(world, now_ms)
+    aged = any(task.lease_expiry_ms - now_ms <= left_ms for task in reserved)
+    return aged and _can_renew_reservations(world, now_ms)
 
 
-def _period_ms(world: World, held: list[MemberTask]) -> int:
+def _period_ms(world: World, leased: list[MemberTask]) -> int:
     """Return the time until the next renewal, in ms.
 
     It stretches with the tasks, so that traffic with the worker is bounded, but
     never beyond a share of the shortest lease that is to be renewed.
     """
-    bounds_ms = []
-    if any(task.state is not TaskState.RUNNING for task in held):
-        bounds_ms.append(reservation_ms(world))
-    gangs = (gang_of(world, task) for task in held)
-    bounds_ms += [confirm_ms(world, gang) for gang in gangs if gang is not None]
+    limits_ms = []
+    if any(task.state is not TaskState.RUNNING for task in leased):
+        limits_ms.append(reservation_ms(world))
+    gangs = (gang_of(world, task) for task in leased)
+    limits_ms += [confirm_ms(world, gang) for gang in gangs if gang is not None]
     poll_ms = effective_value(world.agreed, "job.poll_ms")
-    wanted_ms = poll_ms * max(1, len(held) // TASKS_PER_POLL)
-    return min([wanted_ms, *(bound // RENEWALS_PER_LEASE for bound in bounds_ms)])
+    wanted_ms = poll_ms * max(1, len(leased) // TASKS_PER_POLL)
+    return min([wanted_ms, *(bound // RENEWALS_PER_LEASE for bound in limits_ms)])
 
 
-def _leases(world: World, held: list[MemberTask], now_ms: int) -> tuple[TaskLease, ...]:
+def _leases_to_renew(
+    world: World, leased: list[MemberTask], now_ms: int
+) -> tuple[TaskLease, ...]:
     """Return what to renew: running members as confirmed, reservations if fresh.
 
     A member whose start is under way is left out: the start order may be late,
     and must then find that the reservation has lapsed.
     """
     leases = []
-    for task in held:
+    for task in leased:
         if task.state is TaskState.RUNNING and task.confirmed:
-            leases.append(TaskLease(task.task_id, task.lease_ms - now_ms))
-        elif task.state is TaskState.RESERVED and _may_hold(world, now_ms):
+            leases.append(TaskLease(task.task_id, task.lease_expiry_ms - now_ms))
+        elif task.state is TaskState.RESERVED and _can_renew_reservations(
+            world, now_ms
+        ):
             leases.append(TaskLease(task.task_id, reservation_ms(world)))
     return tuple(leases)
 
 
-def _may_hold(world: World, now_ms: int) -> bool:
+def _can_renew_reservations(world: World, now_ms: int) -> bool:
     if not is_fresh(world, now_ms):
         want_barrier(world, now_ms)
         return False
@@ -105,54 +113,60 @@
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
-def take_worker_answers(world: World, now_ms: int) -> None:
+def handle_worker_answers(world: World, now_ms: int) -> None:
     """Bring the rows of members in line with what the worker says."""
     for done in world.inbox.take(WorkerDone):
         if done.order == ORDER_RENEW:
-            _take_renewal(world, done, now_ms)
+            _handle_renewal_result(world, done, now_ms)
             continue
         task = world.tasks.get(done.task_id)
         if task is not None:
-            _take_order(world, task, done, now_ms)
+            _handle_order_result(world, task, done, now_ms)
 
 
-def _take_order(world: World, task: MemberTask, done: WorkerDone, now_ms: int) -> None:
+def _handle_order_result(
+    world: World, task: MemberTask, done: WorkerDone, now_ms: int
+) -> None:
     if not done.ok:
         text = f"Order {done.order} failed: {done.reason}."
         note(world, "member.order", text, job=task.job)
     if done.order == ORDER_RESERVE and task.state is TaskState.RESERVING:
-        _take_reserve(world, task, done, now_ms)
+        _handle_reserve_result(world, task, done, now_ms)
     elif done.order == ORDER_START and task.state is TaskState.STARTING:
-        _take_start(world, task, done, now_ms)
+        _handle_start_result(world, task, done, now_ms)
     elif done.order == ORDER_CHECKPOINT and task.state is TaskState.STOPPING:
         order_stop(world, task, now_ms)
     elif done.order == ORDER_STOP and done.ok and task.state is TaskState.STOPPING:
-        _take_stop(world, task, done)
+        _handle_stop_result(world, task, done)
 
 
-def _take_reserve(
+def _handle_reserve_result(
     world: World, task: MemberTask, done: WorkerDone, now_ms: int
 ) -> None:
     """Note that the member is held; free what a lost answer may have reserved."""
     state = TaskState.RESERVED if done.ok else TaskState.REFUSED
     world.tasks.update(task.task_id, state=state)
-    world.deadlines.add(task.lease_ms)
+    world.deadlines.add(task.lease_expiry_ms)
     if not done.ok:
         order_stop(world, task, now_ms)
 
 
-def _take_start(world: World, task: MemberTask, done: WorkerDone, now_ms: int) -> None:
+def _handle_start_result(
+    world: World, task: MemberTask, done: WorkerDone, now_ms: int
+) -> None:
     """Note that the member runs; stop one whose start may have taken effect."""
     gang = gang_of(world, task)
     if done.ok and gang is not None:
-        sent_ms = task.lease_ms - lease_ms(world, gang)
-        world.worker_view.heard_ms = max(world.worker_view.heard_ms, sent_ms)
+        sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
+        world.worker_view.last_answered_order_ms = max(
+            world.worker_view.last_answered_order_ms, sent_ms
+        )
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     else:
         stop_task(world, task, now_ms)
 
 
-def _take_stop(world: World, task: MemberTask, done: WorkerDone) -> None:
+def _handle_stop_result(world: World, task: MemberTask, done: WorkerDone) -> None:
     """Believe a stop only if the worker no longer shows the task as open."""
     states = {item.task_id: item for item in done.tasks}
     item = states.get(task.task_id)
@@ -162,29 +176,31 @@
         world.tasks.update(task.task_id, state=item.state, result=item.result)
 
 
-def _take_renewal(world: World, done: WorkerDone, now_ms: int) -> None:
+def _handle_renewal_result(world: World, done: WorkerDone, now_ms: int) -> None:
     renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
     world.worker_view.renewal = None
     if not done.ok:
-        _give_up_reservations(world, renewal, now_ms)
+        _stop_reservations(world, renewal, now_ms)
         return
-    world.worker_view.heard_ms = max(world.worker_view.heard_ms, renewal.sent_ms)
+    world.worker_view.last_answered_order_ms = max(
+        world.worker_view.last_answered_order_ms, renewal.sent_ms
+    )
     states = {item.task_id: item for item in done.tasks}
     for item in done.tasks:
         task = world.tasks.get(item.task_id)
         if task is None:
             _adopt(world, item, now_ms)
         else:
-            _take_state(world, task, item, now_ms)
+            _apply_task_state(world, task, item, now_ms)
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
         if task_id not in states and task is not None:
-            _note_lost(world, task)
-    _prolong_reservations(world, renewal)
+            _mark_lost(world, task)
+    _extend_reservations(world, renewal)
     world.worker_view.adopted = True
 
 
-def _give_up_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
+def _stop_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
     """Stop reservations whose renewal may yet arrive at the worker."""
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
@@ -192,28 +208,30 @@
             stop_task(world, task, now_ms)
 
 
-def _prolong_reservations(world: World, renewal: Renewal) -> None:
+def _extend_reservations(world: World, renewal: Renewal) -> None:
     until_ms = renewal.sent_ms + reservation_ms(world)
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
         if task is not None and task.state is TaskState.RESERVED:
-            world.tasks.update(task_id, lease_ms=until_ms)
+            world.tasks.update(task_id, lease_expiry_ms=until_ms)
             world.deadlines.add(until_ms)
 
 
-def _note_lost(world: World, task: MemberTask) -> None:
+def _mark_lost(world: World, task: MemberTask) -> None:
     if task.state not in ENDED_STATES:
         world.tasks.update(task.task_id, state=TaskState.STOPPED)
         note(world, "member.lost", "The worker lost a member.", job=task.job)
 
 
-def _take_state(world: World, task: MemberTask, item: WorkerTask, now_ms: int) -> None:
-    known = task.state in HELD_STATES or task.state is TaskState.STOPPING
+def _apply_task_state(
+    world: World, task: MemberTask, item: WorkerTask, now_ms: int
+) -> None:
+    known = task.state in LEASED_STATES or task.state is TaskState.STOPPING
     if item.state in ENDED_STATES and known:
         world.tasks.update(task.task_id, state=item.state, result=item.result)
     elif item.state is TaskState.RUNNING and task.state is TaskState.STARTING:
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
-    elif task.state is TaskState.STOPPING and now_ms >= task.stop_ms:
+    elif task.state is TaskState.STOPPING and now_ms >= task.stop_after_ms:
         order_stop(world, task, now_ms)
 
 
@@ -223,7 +241,7 @@
     A running one is renewed only after its leader has confirmed it. A reservation
     is given up, since a start order of the earlier process may be on its way.
     """
-    task = _row_of(item, now_ms)
+    task = _make_task(item, now_ms)
     if task is None:
         return
     gang = gang_of(world, task)
@@ -237,15 +255,15 @@
         return
     if not ended:
         until_ms = now_ms + confirm_ms(world, gang)
-        world.tasks.update(task.task_id, lease_ms=until_ms)
+        world.tasks.update(task.task_id, lease_expiry_ms=until_ms)
         world.deadlines.add(until_ms)
     note(world, "member.adopt", "Took over a member.", job=task.job)
 
 
-def _row_of(item: WorkerTask, now_ms: int) -> MemberTask | None:
+def _make_task(item: WorkerTask, now_ms: int) -> MemberTask | None:
     """Return the row of a member; None for a task that is not the system's."""
     job, *numbers = item.task_id.rsplit("/", 2)
-    if len(numbers) != ID_NUMBERS or not all(text.isdecimal() for text in numbers):
+    if len(numbers) != TASK_ID_NUMBERS or not all(text.isdecimal() for text in numbers):
         return None
     incarnation, member = map(int, numbers)
     return MemberTask(
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -17,11 +17,11 @@
 from kingcuppost.tables.task import MemberTask, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["follow_gangs", "start_members"]
+__all__ = ["reconcile_gangs", "start_members"]
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=100)
-def follow_gangs(world: World, now_ms: int) -> None:
+def reconcile_gangs(world: World, now_ms: int) -> None:
     """Reserve members of new gangs on this worker; stop those of ended ones.
 
     Nothing is done before the log was read to its head and the worker was asked
@@ -34,7 +34,7 @@
         if gang is None or gang.state is GangState.STOPPING:
             _stop_gang(world, str(key), now_ms)
         else:
-            _take_up(world, gang, now_ms)
+            _reconcile_gang(world, gang, now_ms)
 
 
 def _stop_gang(world: World, key: str, now_ms: int) -> None:
@@ -44,7 +44,7 @@
             stop_task(world, task, now_ms)
 
 
-def _take_up(world: World, gang: Gang, now_ms: int) -> None:
+def _reconcile_gang(world: World, gang: Gang, now_ms: int) -> None:
     """Reserve unknown members; own to the loss of those that had been released."""
     for member, placement in enumerate(gang.placements):
         task_id = task_id_of(gang.job, gang.incarnation, member)
@@ -95,11 +95,11 @@
             stop_task(world, task, now_ms)
         elif not is_fresh(world, now_ms):
             want_barrier(world, now_ms)
-        elif not _in_renewal(world, task):
+        elif not _is_renewal_pending(world, task):
             _start(world, gang, task, now_ms)
 
 
-def _in_renewal(world: World, task: MemberTask) -> bool:
+def _is_renewal_pending(world: World, task: MemberTask) -> bool:
     """Return whether a renewal under way may yet prolong the reservation."""
     return (
         world.worker_view.renewal is not None
@@ -109,7 +109,9 @@
 
 def _start(world: World, gang: Gang, task: MemberTask, now_ms: int) -> None:
     run_ms = lease_ms(world, gang)
-    world.tasks.update(task.task_id, state=TaskState.STARTING, lease_ms=now_ms + run_ms)
+    world.tasks.update(
+        task.task_id, state=TaskState.STARTING, lease_expiry_ms=now_ms + run_ms
+    )
     world.deadlines.add(now_ms + run_ms)
     world.outbox.put(StartTask(task.task_id, run_ms, order_timeout_ms(world)))
     note(world, "member.start", "Starting a member.", job=task.job)
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -82,7 +82,7 @@
     bench.settle()
 
 
-def zone_out(log: FakeLog) -> None:
+def take_zone_out(log: FakeLog) -> None:
     log.add(ZonePut("vid-a", "vidzeme", False, 1))
 
 
@@ -118,7 +118,7 @@
     bench.settle()
     bench.run(100)
     assert bench.kept, "the start is on its way"
-    zone_out(log)
+    take_zone_out(log)
     bench.run(3_000 - fresh_ms)
     bench.deliver_kept()
     bench.settle()
@@ -144,7 +144,7 @@
     place(bench.log, "a", (OWN,))
     bench.settle()
     release(bench.log, "a")
-    zone_out(bench.log)
+    take_zone_out(bench.log)
     bench.settle()
     assert bench.worker.tasks["a/1/0"].starts == 0
     assert bench.task("a/1/0").state is TaskState.STOPPED
@@ -154,7 +154,7 @@
     place(bench.log, "a", (OWN,))
     bench.settle()
     release(bench.log, "a")
-    zone_out(bench.log)
+    take_zone_out(bench.log)
     bench.clock.advance(60_000)
     bench.settle()
     assert bench.worker.tasks["a/1/0"].starts == 0
@@ -184,9 +184,9 @@
     started_ms = bench.now_ms
     bench.run(4_000)
     confirm(bench, started_ms + 3_000)
-    assert bench.task(task_id).lease_ms == started_ms + 3_000 + CONFIRM_MS
+    assert bench.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRM_MS
     confirm(bench, started_ms + 100)
-    assert bench.task(task_id).lease_ms == started_ms + 3_000 + CONFIRM_MS
+    assert bench.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRM_MS
 
 
 def test_paused_sidecar_prolongs_nothing_by_a_stale_confirmation(
@@ -285,13 +285,13 @@
 def test_gang_whose_leaders_worker_died_is_called_broken(bench: Bench) -> None:
     lead(bench)
     for _ in range(4):
-        tell_leader(bench, report(1, TaskState.RUNNING))
+        report_to_leader(bench, report(1, TaskState.RUNNING))
         bench.run(500)
     silence_worker(bench)
     for _ in range(CONFIRM_MS // 500 + 1):
-        tell_leader(bench, report(1, TaskState.RUNNING))
+        report_to_leader(bench, report(1, TaskState.RUNNING))
         lose_kept_orders(bench, 500)
-    assert bench.world.gang_watches.get("a/1").broken
+    assert bench.world.gang_watches.get("a/1").broken_reason
 
 
 def test_member_lost_before_its_release_is_told(bench: Bench) -> None:
@@ -379,7 +379,7 @@
     return MemberReport("a", 1, member, state, result)
 
 
-def tell_leader(bench: Bench, *reports: MemberReport) -> None:
+def report_to_leader(bench: Bench, *reports: MemberReport) -> None:
     bench.world.inbox.put(GangReportArrived("x", OTHER, reports))
     bench.settle()
 
@@ -395,10 +395,10 @@
 
 def test_leader_confirms_nobody_before_all_run(bench: Bench) -> None:
     task_id = lead(bench)
-    lease_ms = bench.task(task_id).lease_ms
+    lease_expiry_ms = bench.task(task_id).lease_expiry_ms
     bench.run(CONFIRM_MS - 100)
     assert bench.worker.state(task_id) is TaskState.RUNNING
-    assert bench.task(task_id).lease_ms == lease_ms
+    assert bench.task(task_id).lease_expiry_ms == lease_expiry_ms
     bench.run(LEASE_MS - CONFIRM_MS)
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
@@ -406,7 +406,7 @@
 def test_gang_without_one_member_ends_within_the_lease(bench: Bench) -> None:
     task_id = lead(bench)
     for _ in range(20):
-        tell_leader(bench, report(1, TaskState.RUNNING))
+        report_to_leader(bench, report(1, TaskState.RUNNING))
         bench.run(500)
     silent_ms = bench.now_ms - 500
     assert bench.worker.state(task_id) is TaskState.RUNNING
@@ -417,16 +417,16 @@
 
 def test_failed_member_breaks_the_gang_at_once(bench: Bench) -> None:
     task_id = lead(bench)
-    tell_leader(bench, report(1, TaskState.RUNNING))
-    tell_leader(bench, report(1, TaskState.FAILED))
+    report_to_leader(bench, report(1, TaskState.RUNNING))
+    report_to_leader(bench, report(1, TaskState.FAILED))
     bench.run(CONFIRM_MS)
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
 def test_finish_is_proposed_once_and_again_after_a_restart(bench: Bench) -> None:
     task_id = lead(bench)
-    tell_leader(bench, report(1, TaskState.FINISHED, "one"))
-    tell_leader(bench, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(bench, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(bench, report(1, TaskState.FINISHED, "one"))
     bench.run(1_000)
     bench.log.up = False
     bench.worker.finish(task_id, "zero")
@@ -436,7 +436,7 @@
     bench.log.up = True
     again.settle()
     again.run(1_000)
-    tell_leader(again, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(again, report(1, TaskState.FINISHED, "one"))
     again.run(2_000)
     assert bench.log.bodies(GangFinish) == [GangFinish("a", 1, "zero")]
     bench.run(2_000)
@@ -482,7 +482,7 @@
     bench.log.up = False
     for _ in range(30):
         bench.run(1_000)
-        bench.world.beat_view.heard_ms = bench.now_ms
+        bench.world.beat_view.last_reply_ms = bench.now_ms
     assert bench.worker.state(task_id) is TaskState.RUNNING
 
 
--- a/kingcuppost/systems/requests/__init__.py
+++ b/kingcuppost/systems/requests/__init__.py
@@ -1,37 +1,40 @@
 """Callers' requests: admission, routing, attempts, answers, serving."""
 
-from kingcuppost.systems.requests.admission import admit, forget_lost
-from kingcuppost.systems.requests.answers import take_answers
-from kingcuppost.systems.requests.claims import take_claims
-from kingcuppost.systems.requests.expiry import expire
-from kingcuppost.systems.requests.health import hear_heartbeats
+from kingcuppost.systems.requests.admission import (
+    admit_requests,
+    drop_abandoned_requests,
+)
+from kingcuppost.systems.requests.answers import handle_attempt_outcomes
+from kingcuppost.systems.requests.claims import send_claimed_requests
+from kingcuppost.systems.requests.expiry import expire_requests
+from kingcuppost.systems.requests.health import handle_heartbeats
 from kingcuppost.systems.requests.policies import policies
-from kingcuppost.systems.requests.pools import candidates, follow_minions
-from kingcuppost.systems.requests.routing import route
-from kingcuppost.systems.requests.sending import repeat_attempts
+from kingcuppost.systems.requests.pools import eligible_minions, refresh_pools
+from kingcuppost.systems.requests.routing import route_requests
+from kingcuppost.systems.requests.sending import resend_attempts
 from kingcuppost.systems.requests.serving import (
     accept_attempts,
-    answer_held,
+    answer_pending_exchanges,
     free_slots,
-    hand_over,
-    take_minion_answers,
+    hand_over_attempts,
+    handle_minion_answers,
 )
 
 __all__ = [
     "accept_attempts",
-    "admit",
-    "answer_held",
-    "candidates",
-    "expire",
-    "follow_minions",
-    "forget_lost",
+    "admit_requests",
+    "answer_pending_exchanges",
+    "eligible_minions",
+    "expire_requests",
+    "refresh_pools",
+    "drop_abandoned_requests",
     "free_slots",
-    "hand_over",
-    "hear_heartbeats",
+    "hand_over_attempts",
+    "handle_heartbeats",
     "policies",
-    "repeat_attempts",
-    "route",
-    "take_answers",
-    "take_claims",
-    "take_minion_answers",
+    "resend_attempts",
+    "route_requests",
+    "handle_attempt_outcomes",
+    "send_claimed_requests",
+    "handle_minion_answers",
 ]
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -4,33 +4,33 @@
 from kingcuppost.systems.agreement.freshness import is_following
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.systems.requests.answers import refuse
-from kingcuppost.systems.requests.expiry import watch
-from kingcuppost.systems.requests.retries import deposit
+from kingcuppost.systems.requests.answers import refuse_request
+from kingcuppost.systems.requests.expiry import schedule_expiry
+from kingcuppost.systems.requests.retries import add_retry_share
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import CallerRequest, ExchangeLost
 from kingcuppost.tables.request import Request, RequestState
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["admit", "forget_lost"]
+__all__ = ["admit_requests", "drop_abandoned_requests"]
 
 RETRY_AFTER_MS = 1_000
-CLOCK_SKEW_MS = 60_000
+MAX_CLOCK_SKEW_MS = 60_000
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=50)
-def admit(world: World, now_ms: int) -> None:
+def admit_requests(world: World, now_ms: int) -> None:
     """Queue requests, or refuse them as not run with the reason."""
     for message in world.inbox.take(CallerRequest):
-        reason = _fault_of(world, message, now_ms)
+        reason = _refusal_reason(world, message, now_ms)
         if reason:
-            refuse(world, message.exchange_id, "admit", reason)
+            refuse_request(world, message.exchange_id, "admit", reason)
             continue
-        request = _row_of(world, message, now_ms)
+        request = _make_request(world, message, now_ms)
         world.requests.put(request)
-        watch(world, request)
-        deposit(world, request.team)
+        schedule_expiry(world, request)
+        add_retry_share(world, request.team)
         if request.state is RequestState.QUEUED:
             world.waiting.push(request)
         note(
@@ -42,7 +42,7 @@
         )
 
 
-def _fault_of(world: World, message: CallerRequest, now_ms: int) -> str:
+def _refusal_reason(world: World, message: CallerRequest, now_ms: int) -> str:
     if world.stopping:
         return "the entry is leaving"
     if message.team not in world.agreed.teams:
@@ -54,7 +54,7 @@
             f"{limit} requests of team {message.team} are open; "
             f"retry after {RETRY_AFTER_MS} ms"
         )
-    if message.issued_ms > world.clock.wall_ms() + CLOCK_SKEW_MS:
+    if message.issued_ms > world.clock.wall_ms() + MAX_CLOCK_SKEW_MS:
         return "the key was made in the future"
     if (
         message.key
@@ -73,10 +73,10 @@
     return f"{message.team}/{message.key}" if message.key else ""
 
 
-def _row_of(world: World, message: CallerRequest, now_ms: int) -> Request:
+def _make_request(world: World, message: CallerRequest, now_ms: int) -> Request:
     path = team_path(message.team, message.urgency)
-    bound_ms = effective_value(world.agreed, "request.timeout_ms", path)
-    timeout_ms = min(message.timeout_ms or bound_ms, bound_ms)
+    limit_ms = effective_value(world.agreed, "request.timeout_ms", path)
+    timeout_ms = min(message.timeout_ms or limit_ms, limit_ms)
     claimed = _is_claimed(world, message)
     state = RequestState.CLAIMING if claimed else RequestState.QUEUED
     return Request(
@@ -95,7 +95,7 @@
 
 
 @system(Phase.INTAKE, order=60)
-def forget_lost(world: World, now_ms: int) -> None:
+def drop_abandoned_requests(world: World, now_ms: int) -> None:
     """Drop requests whose caller has gone before they were sent.
 
     A sidecar goes on with what it took: the entry may ask again.
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -3,10 +3,14 @@
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.systems.requests.health import note_answer, note_failure
+from kingcuppost.systems.requests.health import record_answer, record_failure
 from kingcuppost.systems.requests.pools import refresh_pool
-from kingcuppost.systems.requests.retries import take_retry
-from kingcuppost.systems.requests.sending import may_repeat, repeat_later, waiting_for
+from kingcuppost.systems.requests.retries import spend_retry
+from kingcuppost.systems.requests.sending import (
+    can_resend,
+    requests_awaiting,
+    schedule_resend,
+)
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptDone
 from kingcuppost.tables.outbox import Reply
@@ -15,12 +19,12 @@
 from kingcuppost.tables.request import Attempt, Outcome, Request, RequestState
 from kingcuppost.tables.world import World
 
-__all__ = ["STATUS_OF", "close_request", "refuse", "take_answers"]
+__all__ = ["STATUS_OF", "close_request", "refuse_request", "handle_attempt_outcomes"]
 
 STATUS_OF = {Outcome.ANSWERED: 200, Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
 
 
-def refuse(world: World, exchange_id: str, step: str, reason: str) -> None:
+def refuse_request(world: World, exchange_id: str, step: str, reason: str) -> None:
     """Tell a caller that the request was not run."""
     reply = RequestReply(
         Outcome.NOT_RUN, step=step, peer=world.identity.name, reason=reason
@@ -64,7 +68,7 @@
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=70)
-def take_answers(world: World, now_ms: int) -> None:
+def handle_attempt_outcomes(world: World, now_ms: int) -> None:
     """Match answers with attempts; crossed and late ones fit no row."""
     for done in world.inbox.take(AttemptDone):
         attempt = world.attempts.get(done.attempt_id)
@@ -72,11 +76,11 @@
             continue
         answered = done.free_slots >= 0
         if answered:
-            note_answer(world, done, now_ms)
+            record_answer(world, done, now_ms)
         else:
-            note_failure(world, attempt, now_ms)
-        if (done.running or not answered) and may_repeat(world, attempt, done):
-            repeat_later(world, attempt, done, now_ms)
+            record_failure(world, attempt, now_ms)
+        if (done.running or not answered) and can_resend(world, attempt, done):
+            schedule_resend(world, attempt, done, now_ms)
             continue
         note(
             world,
@@ -86,18 +90,20 @@
             request=attempt.key or attempt.request_id,
             receives=answer_id(done.attempt_id),
         )
-        _end(world, attempt, done, now_ms)
+        _end_attempt(world, attempt, done, now_ms)
 
 
-def _end(world: World, attempt: Attempt, done: AttemptDone, now_ms: int) -> None:
-    requests = waiting_for(world, attempt)
+def _end_attempt(
+    world: World, attempt: Attempt, done: AttemptDone, now_ms: int
+) -> None:
+    requests = requests_awaiting(world, attempt)
     outcome = _outcome_of(attempt, done)
     world.attempts.delete(attempt.attempt_id)
     refresh_pool(world, attempt.minion, now_ms)
     if attempt.key and outcome is not Outcome.UNKNOWN:
         propose(world, KeyOutcome(attempt.key, attempt.attempt_id, outcome), now_ms)
     for request in requests:
-        _conclude(world, request, done, outcome)
+        _retry_or_close(world, request, done, outcome)
 
 
 def _outcome_of(attempt: Attempt, done: AttemptDone) -> Outcome:
@@ -109,11 +115,11 @@
     """
     if not done.never_sent:
         return done.outcome
-    never_sent = attempt.repeats == 0 and not attempt.key
+    never_sent = attempt.resends == 0 and not attempt.key
     return Outcome.NOT_RUN if never_sent else Outcome.UNKNOWN
 
 
-def _conclude(
+def _retry_or_close(
     world: World, request: Request, done: AttemptDone, outcome: Outcome
 ) -> None:
     if outcome is Outcome.ANSWERED:
@@ -123,10 +129,10 @@
         return
     may_have_run = request.may_have_run or outcome is Outcome.UNKNOWN
     world.requests.update(request.request_id, may_have_run=may_have_run)
-    if take_retry(world, request):
-        tried = (*request.tried, done.minion)
+    if spend_retry(world, request):
+        tried_minions = (*request.tried_minions, done.minion)
         world.requests.update(
-            request.request_id, state=RequestState.QUEUED, tried=tried
+            request.request_id, state=RequestState.QUEUED, tried_minions=tried_minions
         )
         world.waiting.push(request)
         return
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -9,7 +9,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
 from kingcuppost.systems.requests.decision import decision_of
-from kingcuppost.systems.requests.sending import send, waiting_for
+from kingcuppost.systems.requests.sending import requests_awaiting, send_attempt
 from kingcuppost.tables.fleet import Minion
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.record import KeyClaimPut
@@ -17,13 +17,13 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["claim", "take_claims", "withdraw_claim"]
+__all__ = ["claim_key", "send_claimed_requests", "withdraw_claim_proposal"]
 
 
-def claim(world: World, request: Request, minion: Minion, now_ms: int) -> None:
+def claim_key(world: World, request: Request, minion: Minion, now_ms: int) -> None:
     """Follow the claim of a request's key, or propose one."""
     if request.key in world.agreed.key_claims:
-        _follow_claim(world, request, now_ms)
+        _send_claimed_attempt(world, request, now_ms)
         return
     attempt_id = new_identifier(world.rng, "att")
     body = KeyClaimPut(
@@ -46,23 +46,23 @@
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=110)
-def take_claims(world: World, now_ms: int) -> None:
+def send_claimed_requests(world: World, now_ms: int) -> None:
     """Send requests whose key is claimed, by this entry or by another."""
     for request in world.requests.find("state", RequestState.CLAIMING):
         if request.key in world.agreed.key_claims:
-            _follow_claim(world, request, now_ms)
+            _send_claimed_attempt(world, request, now_ms)
         elif request.claim_id not in world.proposals:
             world.requests.update(request.request_id, state=RequestState.QUEUED)
             world.waiting.push(request)
 
 
-def withdraw_claim(world: World, request: Request) -> bool:
+def withdraw_claim_proposal(world: World, request: Request) -> bool:
     """Stop proposing a request's claim; return whether it may be in the log."""
     proposal = world.proposals.delete(request.claim_id)
     return proposal is None or proposal.appends > 0
 
 
-def _follow_claim(world: World, request: Request, now_ms: int) -> None:
+def _send_claimed_attempt(world: World, request: Request, now_ms: int) -> None:
     """Send the one attempt that holds the key to the one process it names.
 
     The sidecar runs it once and gives the same answer to every repeat.
@@ -82,7 +82,7 @@
             reason=reason,
         )
         return
-    if _is_for_another_body(world, request, row.attempt_id):
+    if _has_different_body(world, request, row.attempt_id):
         close_request(
             world,
             request,
@@ -92,12 +92,12 @@
             reason="the key stands for another body",
         )
         return
-    send(world, request, minion, row.attempt_id, row.offset, now_ms)
+    send_attempt(world, request, minion, row.attempt_id, row.offset, now_ms)
 
 
-def _is_for_another_body(world: World, request: Request, attempt_id: str) -> bool:
+def _has_different_body(world: World, request: Request, attempt_id: str) -> bool:
     """Return whether the attempt is under way here with a body that differs."""
     attempt = world.attempts.get(attempt_id)
     if attempt is None:
         return False
-    return any(row.body != request.body for row in waiting_for(world, attempt))
+    return any(row.body != request.body for row in requests_awaiting(world, attempt))
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -8,7 +8,7 @@
 
 __all__ = ["decision_of", "request_values"]
 
-REFUSALS_KEPT = 8
+MAX_REFUSALS = 8
 ROUTING = "request.routing"
 PREFIX = "request."
 ROOT_KEYS = frozenset({ROUTING, "request.silence_ms", "request.claim_timeout_ms"})
@@ -51,19 +51,20 @@
     refused = [
         RefusedAlternative(minion.name, reason)
         for minion in world.agreed.minions.find("service", request.service)
-        if minion.name != chosen.name and (reason := _fault_of(world, request, minion))
+        if minion.name != chosen.name
+        and (reason := _refusal_reason(world, request, minion))
     ]
     offset = world.log_view.folded_offset
-    return Decision(policy, offset, values, tuple(refused[:REFUSALS_KEPT]))
+    return Decision(policy, offset, values, tuple(refused[:MAX_REFUSALS]))
 
 
-def _fault_of(world: World, request: Request, minion: Minion) -> str:
+def _refusal_reason(world: World, request: Request, minion: Minion) -> str:
     zone = world.agreed.availability_zones.get(minion.availability_zone)
     if zone is None or not zone.in_service:
         return f"availability zone {minion.availability_zone} is out of service"
     if minion.state is MemberState.LEAVING:
         return "the minion is leaving"
-    if minion.name in request.tried:
+    if minion.name in request.tried_minions:
         return "the minion was tried before"
     if world.attempts.count("minion", minion.name) >= minion.slots:
         return "no slot is free"
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -3,25 +3,25 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
-from kingcuppost.systems.requests.claims import withdraw_claim
+from kingcuppost.systems.requests.claims import withdraw_claim_proposal
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.request import Outcome, Request, RequestState
 from kingcuppost.tables.world import World
 
-__all__ = ["expire", "watch"]
+__all__ = ["expire_requests", "schedule_expiry"]
 
 
-def watch(world: World, request: Request) -> None:
+def schedule_expiry(world: World, request: Request) -> None:
     """Remember when a request expires, and when its claim has to be folded."""
     world.request_agenda.put(request.deadline_ms, request.request_id)
     if request.key:
-        bound_ms = effective_value(world.agreed, "request.claim_timeout_ms")
-        claim_ms = min(request.created_ms + bound_ms, request.deadline_ms)
+        limit_ms = effective_value(world.agreed, "request.claim_timeout_ms")
+        claim_ms = min(request.created_ms + limit_ms, request.deadline_ms)
         world.request_agenda.put(claim_ms, request.request_id)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=120)
-def expire(world: World, now_ms: int) -> None:
+def expire_requests(world: World, now_ms: int) -> None:
     """Answer requests whose deadline has passed, or whose claim takes too long."""
     for request_id in world.request_agenda.take_due(now_ms):
         request = world.requests.get(request_id)
@@ -37,15 +37,15 @@
 
 
 def _close(world: World, request: Request, reason: str) -> None:
-    may_run = _may_run(world, request)
+    may_run = _may_have_run(world, request)
     outcome = Outcome.UNKNOWN if may_run else Outcome.NOT_RUN
     close_request(world, request, outcome, step=request.state, reason=reason)
 
 
-def _may_run(world: World, request: Request) -> bool:
+def _may_have_run(world: World, request: Request) -> bool:
     """Return whether the request may have run, or may still run."""
     if request.state is RequestState.SENT:
         return True
     if request.state is RequestState.CLAIMING:
-        return withdraw_claim(world, request)
+        return withdraw_claim_proposal(world, request)
     return bool(request.key) and request.key in world.agreed.key_claims
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -9,15 +9,15 @@
 from kingcuppost.tables.request import Attempt, Health
 from kingcuppost.tables.world import World
 
-__all__ = ["hear_heartbeats", "note_answer", "note_failure"]
+__all__ = ["handle_heartbeats", "record_answer", "record_failure"]
 
-FAILURES_TO_PAUSE = 3
-PAUSE_UNIT_MS = 200
-LONGEST_PAUSE_MS = 5_000
-MOST_DOUBLINGS = 5
+MIN_FAILURES_TO_PAUSE = 3
+BASE_PAUSE_MS = 200
+MAX_PAUSE_MS = 5_000
+MAX_DOUBLINGS = 5
 
 
-def note_answer(world: World, done: AttemptDone, now_ms: int) -> None:
+def record_answer(world: World, done: AttemptDone, now_ms: int) -> None:
     """Note what a sidecar told of itself with an answer."""
     row = world.health.get(done.minion)
     service_ms = done.service_ms or (row.service_ms if row else 0.0)
@@ -29,13 +29,13 @@
             done.free_slots,
             done.leaving,
             service_ms,
-            measured_ms=now_ms,
+            last_measured_ms=now_ms,
         )
     )
     refresh_pool(world, done.minion, now_ms)
 
 
-def note_failure(world: World, attempt: Attempt, now_ms: int) -> None:
+def record_failure(world: World, attempt: Attempt, now_ms: int) -> None:
     """Count a failed exchange; several in a row pause a minion for a while."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
@@ -45,43 +45,43 @@
         row = Health(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
         world.health.put(row)
     failures = row.failures + 1
-    world.health.update(attempt.minion, failures=failures, measured_ms=now_ms)
-    if failures >= FAILURES_TO_PAUSE:
+    world.health.update(attempt.minion, failures=failures, last_measured_ms=now_ms)
+    if failures >= MIN_FAILURES_TO_PAUSE:
         _pause(world, attempt.minion, failures, now_ms)
     refresh_pool(world, attempt.minion, now_ms)
 
 
 def _pause(world: World, minion: str, failures: int, now_ms: int) -> None:
-    doublings = min(failures - FAILURES_TO_PAUSE, MOST_DOUBLINGS)
-    pause_ms = now_ms + min(PAUSE_UNIT_MS << doublings, LONGEST_PAUSE_MS)
-    world.health.update(minion, pause_ms=pause_ms)
-    world.pause_agenda.put(pause_ms, minion)
-    world.deadlines.add(pause_ms)
+    doublings = min(failures - MIN_FAILURES_TO_PAUSE, MAX_DOUBLINGS)
+    paused_until_ms = now_ms + min(BASE_PAUSE_MS << doublings, MAX_PAUSE_MS)
+    world.health.update(minion, paused_until_ms=paused_until_ms)
+    world.pause_agenda.put(paused_until_ms, minion)
+    world.deadlines.add(paused_until_ms)
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=80)
-def hear_heartbeats(world: World, now_ms: int) -> None:
+def handle_heartbeats(world: World, now_ms: int) -> None:
     """Note what sidecars tell of themselves, and answer."""
-    for beat in world.inbox.take(HeartbeatArrived):
-        row = world.health.get(beat.minion)
-        service_ms = beat.service_ms or (row.service_ms if row else 0.0)
+    for heartbeat in world.inbox.take(HeartbeatArrived):
+        row = world.health.get(heartbeat.minion)
+        service_ms = heartbeat.service_ms or (row.service_ms if row else 0.0)
         world.health.put(
             Health(
-                beat.minion,
-                beat.incarnation,
+                heartbeat.minion,
+                heartbeat.incarnation,
                 now_ms,
-                beat.free_slots,
-                beat.leaving,
+                heartbeat.free_slots,
+                heartbeat.leaving,
                 service_ms,
-                measured_ms=row.measured_ms if row else 0,
+                last_measured_ms=row.last_measured_ms if row else 0,
             )
         )
-        refresh_pool(world, beat.minion, now_ms)
-        for report in beat.reports:
+        refresh_pool(world, heartbeat.minion, now_ms)
+        for report in heartbeat.reports:
             world.inbox.put(report)
         reply = HeartbeatReply(
             world.identity.name,
             world.identity.incarnation,
             world.log_view.folded_offset,
         )
-        world.outbox.put(Reply(beat.exchange_id, 200, reply))
+        world.outbox.put(Reply(heartbeat.exchange_id, 200, reply))
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -7,18 +7,18 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["expected_ms", "policies"]
+__all__ = ["expected_latency_ms", "policies"]
 
 Policy = Callable[[World, Request, MinionPool, int], str]
 
 policies: Registry[str, Policy] = Registry("routing policy")
 
-DRAWS = 4
-STALE_MS = 10_000
-UNKNOWN_MS = float("inf")
+MAX_DRAWS = 4
+MEASUREMENT_MAX_AGE_MS = 10_000
+UNKNOWN_LATENCY_MS = float("inf")
 
 
-def expected_ms(world: World, name: str, now_ms: int) -> float:
+def expected_latency_ms(world: World, name: str, now_ms: int) -> float:
     """Return how long a minion would take for one more request, in ms.
 
     Measured service time, plus the wait that its present load means; what other
@@ -27,42 +27,48 @@
     """
     health = world.health.get(name)
     own = world.attempts.count("minion", name)
-    if own == 0 and not _is_measured(health, now_ms):
+    if own == 0 and not _is_measurement_fresh(health, now_ms):
         return 0.0
     if health is None or not health.service_ms:
-        return UNKNOWN_MS
+        return UNKNOWN_LATENCY_MS
     minion = world.agreed.minions.get(name)
     load = max(own, minion.slots - health.free_slots)
     waiting = max(0, load + 1 - minion.slots)
     return health.service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
 
 
-def _is_measured(health: Health | None, now_ms: int) -> bool:
+def _is_measurement_fresh(health: Health | None, now_ms: int) -> bool:
     """Return whether an attempt of this entry ended there not long ago."""
-    if health is None or not health.measured_ms:
+    if health is None or not health.last_measured_ms:
         return False
-    return now_ms - health.measured_ms <= STALE_MS
+    return now_ms - health.last_measured_ms <= MEASUREMENT_MAX_AGE_MS
 
 
-def _draw(world: World, request: Request, pool: MinionPool, other: str = "") -> str:
+def _choose_untried(
+    world: World, request: Request, pool: MinionPool, other: str = ""
+) -> str:
     """Return a minion at random, one not tried yet if the draws find it."""
-    name = pool.draw(world.rng)
-    for _ in range(DRAWS):
-        if name not in request.tried and name != other:
+    name = pool.choose_random(world.rng)
+    for _ in range(MAX_DRAWS):
+        if name not in request.tried_minions and name != other:
             return name
-        name = pool.draw(world.rng)
+        name = pool.choose_random(world.rng)
     return name
 
 
 @policies.register("two_choices")
 def two_choices(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return the better of two minions drawn at random."""
-    first = _draw(world, request, pool)
-    second = _draw(world, request, pool, first)
+    first = _choose_untried(world, request, pool)
+    second = _choose_untried(world, request, pool, first)
 
     def rank(name: str) -> tuple[bool, float, int]:
         own = world.attempts.count("minion", name)
-        return name in request.tried, expected_ms(world, name, now_ms), own
+        return (
+            name in request.tried_minions,
+            expected_latency_ms(world, name, now_ms),
+            own,
+        )
 
     return min(first, second, key=rank)
 
@@ -70,10 +76,10 @@
 @policies.register("random")
 def at_random(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return a minion at random."""
-    return _draw(world, request, pool)
+    return _choose_untried(world, request, pool)
 
 
 @policies.register("round_robin")
 def round_robin(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
     """Return the minions in turn."""
-    return pool.next_in_turn()
+    return pool.choose_next()
--- a/kingcuppost/systems/requests/memory.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -4,43 +4,43 @@
 from kingcuppost.tables.request import ServedAttempt
 from kingcuppost.tables.world import World
 
-__all__ = ["is_forgotten", "remember"]
+__all__ = ["may_be_evicted", "cache_attempt"]
 
 BYTES_PER_MB = 1_048_576
 
 
-def remember(world: World, row: ServedAttempt, now_ms: int) -> None:
+def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
     """Keep a finished attempt for repeats, and forget the oldest beyond the bounds."""
     memory = world.served_memory
-    memory.finished.append(row.attempt_id)
+    memory.attempt_ids.append(row.attempt_id)
     memory.answer_bytes += len(row.answer)
-    while _is_over(world, now_ms):
-        _forget_oldest(world)
+    while _exceeds_limits(world, now_ms):
+        _evict_oldest(world)
 
 
-def _is_over(world: World, now_ms: int) -> bool:
+def _exceeds_limits(world: World, now_ms: int) -> bool:
     memory = world.served_memory
-    if len(memory.finished) <= 1:
+    if len(memory.attempt_ids) <= 1:
         return False
     count = effective_value(world.agreed, "serve.memory_attempts")
-    most_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
-    if len(memory.finished) > count or memory.answer_bytes > most_bytes:
+    max_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
+    if len(memory.attempt_ids) > count or memory.answer_bytes > max_bytes:
         return True
-    oldest = world.served.get(memory.finished[0])
+    oldest = world.served.get(memory.attempt_ids[0])
     age_ms = now_ms - oldest.finished_ms
     return age_ms > effective_value(world.agreed, "serve.memory_ms")
 
 
-def _forget_oldest(world: World) -> None:
+def _evict_oldest(world: World) -> None:
     memory = world.served_memory
-    row = world.served.delete(memory.finished.popleft())
+    row = world.served.delete(memory.attempt_ids.popleft())
     memory.answer_bytes -= len(row.answer)
-    memory.forgotten_offset = max(memory.forgotten_offset, row.claim_offset)
+    memory.evicted_offset = max(memory.evicted_offset, row.claim_offset)
 
 
-def is_forgotten(world: World, claim_offset: int) -> bool:
+def may_be_evicted(world: World, claim_offset: int) -> bool:
     """Return whether an unknown attempt may be one that was forgotten.
 
     Claims are compared by log offset, so that no clock decides.
     """
-    return 0 < claim_offset <= world.served_memory.forgotten_offset
+    return 0 < claim_offset <= world.served_memory.evicted_offset
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -4,10 +4,10 @@
 from kingcuppost.tables.request import Request, RetryBudget
 from kingcuppost.tables.world import World
 
-__all__ = ["deposit", "take_retry"]
+__all__ = ["add_retry_share", "spend_retry"]
 
 
-def deposit(world: World, team: str) -> None:
+def add_retry_share(world: World, team: str) -> None:
     """Add a request's share of a retry to its team's budget."""
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
@@ -18,7 +18,7 @@
     world.retry_budgets.update(team, tokens=min(row.tokens + share, burst))
 
 
-def take_retry(world: World, request: Request) -> bool:
+def spend_retry(world: World, request: Request) -> bool:
     """Return whether an idempotent request may be sent once more, and pay for it."""
     if request.key:
         return False
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -17,17 +17,23 @@
 from kingcuppost.tables.request import Attempt, Outcome, Request, RequestState
 from kingcuppost.tables.world import World
 
-__all__ = ["may_repeat", "repeat_attempts", "repeat_later", "send", "waiting_for"]
-
-LONGEST_HOLD_MS = 8_000
-MOST_DOUBLINGS = 8
-SHARE_FOR_SIDECAR = 0.95
-REPEAT_PAUSE_MS = 50
-MOST_PAUSE_DOUBLINGS = 5
-FAILURES_IDEMPOTENT = 2
-
-
-def send(
+__all__ = [
+    "can_resend",
+    "resend_attempts",
+    "schedule_resend",
+    "send_attempt",
+    "requests_awaiting",
+]
+
+MAX_HOLD_MS = 8_000
+MAX_DOUBLINGS = 8
+SIDECAR_TIMEOUT_RATIO = 0.95
+RESEND_PAUSE_MS = 50
+MAX_PAUSE_DOUBLINGS = 5
+MAX_IDEMPOTENT_FAILURES = 2
+
+
+def send_attempt(
     world: World,
     request: Request,
     minion: Minion,
@@ -53,7 +59,7 @@
     )
     world.attempts.put(attempt)
     refresh_pool(world, minion.name, now_ms)
-    _put(world, attempt, request, minion, now_ms)
+    _put_attempt(world, attempt, request, minion, now_ms)
     note(
         world,
         "request.send",
@@ -65,13 +71,11 @@
     )
 
 
-def _put(
+def _put_attempt(
     world: World, attempt: Attempt, request: Request, minion: Minion, now_ms: int
 ) -> None:
     silence_ms = effective_value(world.agreed, "request.silence_ms")
-    hold_ms = min(
-        (silence_ms // 2) << min(attempt.repeats, MOST_DOUBLINGS), LONGEST_HOLD_MS
-    )
+    hold_ms = min((silence_ms // 2) << min(attempt.resends, MAX_DOUBLINGS), MAX_HOLD_MS)
     world.outbox.put(
         SendAttempt(
             attempt.attempt_id,
@@ -83,7 +87,7 @@
             request.body,
             bool(request.key),
             request.urgency,
-            int((request.deadline_ms - now_ms) * SHARE_FOR_SIDECAR),
+            int((request.deadline_ms - now_ms) * SIDECAR_TIMEOUT_RATIO),
             attempt.claim_offset,
             hold_ms,
             min(hold_ms + silence_ms // 2, request.deadline_ms - now_ms),
@@ -91,7 +95,7 @@
     )
 
 
-def waiting_for(world: World, attempt: Attempt) -> list[Request]:
+def requests_awaiting(world: World, attempt: Attempt) -> list[Request]:
     """Return the open requests that an attempt is to answer."""
     if attempt.key:
         rows = world.requests.find("key", attempt.key)
@@ -101,52 +105,52 @@
     return [row for row in rows if row.state is RequestState.SENT]
 
 
-def may_repeat(world: World, attempt: Attempt, done: AttemptDone) -> bool:
+def can_resend(world: World, attempt: Attempt, done: AttemptDone) -> bool:
     """Return whether to ask the same process again for the same attempt."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
         return False
-    if not waiting_for(world, attempt):
+    if not requests_awaiting(world, attempt):
         return False
     if done.running or attempt.key:
         return True
-    return not done.never_sent and attempt.failures < FAILURES_IDEMPOTENT
+    return not done.never_sent and attempt.failures < MAX_IDEMPOTENT_FAILURES
 
 
-def repeat_later(
+def schedule_resend(
     world: World, attempt: Attempt, done: AttemptDone, now_ms: int
 ) -> None:
     """Plan to send an attempt again, at once unless it failed before."""
     failures = 0 if done.running else attempt.failures + 1
     world.attempts.update(
-        attempt.attempt_id, repeats=attempt.repeats + 1, failures=failures
+        attempt.attempt_id, resends=attempt.resends + 1, failures=failures
     )
     pause_ms = 0
     if failures > 1 or done.never_sent:
-        pause_ms = REPEAT_PAUSE_MS << min(failures, MOST_PAUSE_DOUBLINGS)
+        pause_ms = RESEND_PAUSE_MS << min(failures, MAX_PAUSE_DOUBLINGS)
     world.repeat_agenda.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
         world.deadlines.add(now_ms + pause_ms)
 
 
 @system(Phase.ACT, roles=(Role.ENTRY,), order=60)
-def repeat_attempts(world: World, now_ms: int) -> None:
+def resend_attempts(world: World, now_ms: int) -> None:
     """Send attempts again whose time has come, to the same process only."""
     for attempt_id in world.repeat_agenda.take_due(now_ms):
         attempt = world.attempts.get(attempt_id)
         if attempt is None:
             continue
-        requests = waiting_for(world, attempt)
+        requests = requests_awaiting(world, attempt)
         minion = world.agreed.minions.get(attempt.minion)
         gone = minion is None or minion.incarnation != attempt.incarnation
         if gone or not requests:
-            world.inbox.put(_unanswered(attempt))
+            world.inbox.put(_unknown_outcome(attempt))
             continue
         request = max(requests, key=lambda row: row.deadline_ms)
-        _put(world, attempt, request, minion, now_ms)
+        _put_attempt(world, attempt, request, minion, now_ms)
 
 
-def _unanswered(attempt: Attempt) -> AttemptDone:
+def _unknown_outcome(attempt: Attempt) -> AttemptDone:
     return AttemptDone(
         attempt.attempt_id,
         attempt.minion,
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -4,7 +4,7 @@
 
 from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.systems.requests.memory import is_forgotten, remember
+from kingcuppost.systems.requests.reply_cache import cache_attempt, may_be_evicted
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptArrived, MinionAnswered
 from kingcuppost.tables.job import Urgency
@@ -20,10 +20,10 @@
 
 __all__ = [
     "accept_attempts",
-    "answer_held",
+    "answer_pending_exchanges",
     "free_slots",
-    "hand_over",
-    "take_minion_answers",
+    "hand_over_attempts",
+    "handle_minion_answers",
 ]
 
 OUTCOME_OF = {
@@ -31,7 +31,7 @@
     ServedState.NOT_RUN: Outcome.NOT_RUN,
     ServedState.UNKNOWN: Outcome.UNKNOWN,
 }
-SMOOTHING = 0.2
+SMOOTHING_RATIO = 0.2
 
 
 def free_slots(world: World) -> int:
@@ -53,21 +53,21 @@
     for message in world.inbox.take(AttemptArrived):
         known = world.served.get(message.attempt_id)
         if message.incarnation != world.identity.incarnation:
-            _answer_unknown(world, message, "another process was meant")
+            _reply_unknown(world, message, "another process was meant")
         elif known is not None:
-            _join(world, known, message, now_ms)
-        elif is_forgotten(world, message.claim_offset):
-            _answer_unknown(world, message, "the claim is older than the memory")
+            _handle_known_attempt(world, known, message, now_ms)
+        elif may_be_evicted(world, message.claim_offset):
+            _reply_unknown(world, message, "the claim is older than the memory")
         else:
-            _take(world, message, now_ms)
+            _accept_attempt(world, message, now_ms)
 
 
-def _answer_unknown(world: World, message: AttemptArrived, reason: str) -> None:
-    reply = _reply_of(world, message.attempt_id, Outcome.UNKNOWN, "", reason)
+def _reply_unknown(world: World, message: AttemptArrived, reason: str) -> None:
+    reply = _make_reply(world, message.attempt_id, Outcome.UNKNOWN, "", reason)
     world.outbox.put(Reply(message.exchange_id, 200, reply))
 
 
-def _reply_of(
+def _make_reply(
     world: World,
     attempt_id: str,
     outcome: Outcome,
@@ -88,27 +88,27 @@
     )
 
 
-def _join(
+def _handle_known_attempt(
     world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
 ) -> None:
     if known.body != message.body:
-        _answer_unknown(world, message, "the key stands for another body")
+        _reply_unknown(world, message, "the key stands for another body")
         return
     if known.state not in OUTCOME_OF:
-        _hold(world, message, now_ms)
+        _add_pending_exchange(world, message, now_ms)
         return
-    reply = _reply_of(world, known.attempt_id, OUTCOME_OF[known.state], known.answer)
+    reply = _make_reply(world, known.attempt_id, OUTCOME_OF[known.state], known.answer)
     world.outbox.put(Reply(message.exchange_id, 200, reply))
 
 
-def _hold(world: World, message: AttemptArrived, now_ms: int) -> None:
+def _add_pending_exchange(world: World, message: AttemptArrived, now_ms: int) -> None:
     world.held.put(HeldExchange(message.exchange_id, message.attempt_id))
     if message.hold_ms:
         world.hold_agenda.put(now_ms + message.hold_ms, message.exchange_id)
         world.deadlines.add(now_ms + message.hold_ms)
 
 
-def _take(world: World, message: AttemptArrived, now_ms: int) -> None:
+def _accept_attempt(world: World, message: AttemptArrived, now_ms: int) -> None:
     row = ServedAttempt(
         message.attempt_id,
         message.team,
@@ -120,9 +120,9 @@
         now_ms + message.timeout_ms,
         claim_offset=message.claim_offset,
     )
-    refusal = _refusal(world)
+    refusal = _refusal_reason(world)
     world.served.put(row)
-    _hold(world, message, now_ms)
+    _add_pending_exchange(world, message, now_ms)
     if refusal:
         _finish(world, row, ServedState.NOT_RUN, now_ms, reason=refusal)
         return
@@ -136,7 +136,7 @@
     )
 
 
-def _refusal(world: World) -> str:
+def _refusal_reason(world: World) -> str:
     if world.stopping:
         return "the minion is leaving"
     if _open_count(world) >= world.cfg.sidecar.connections:
@@ -145,14 +145,14 @@
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=100)
-def take_minion_answers(world: World, now_ms: int) -> None:
+def handle_minion_answers(world: World, now_ms: int) -> None:
     """Give whole answers to the exchanges that wait for them."""
     for message in world.inbox.take(MinionAnswered):
         row = world.served.get(message.attempt_id)
         if row is None or row.state is not ServedState.RUNNING:
             continue
         if message.ok:
-            _smooth(world, now_ms - row.started_ms)
+            _update_service_time(world, now_ms - row.started_ms)
             _finish(world, row, ServedState.ANSWERED, now_ms, message.body)
         elif message.never_sent:
             _finish(world, row, ServedState.NOT_RUN, now_ms, reason=message.reason)
@@ -160,9 +160,9 @@
             _finish(world, row, ServedState.UNKNOWN, now_ms, reason=message.reason)
 
 
-def _smooth(world: World, took_ms: int) -> None:
+def _update_service_time(world: World, took_ms: int) -> None:
     if world.service_ms:
-        took_ms = world.service_ms + SMOOTHING * (took_ms - world.service_ms)
+        took_ms = world.service_ms + SMOOTHING_RATIO * (took_ms - world.service_ms)
     world.service_ms = float(max(took_ms, 1))
 
 
@@ -182,15 +182,15 @@
         sends=answer_id(row.attempt_id),
     )
     world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
-    for held in world.held.find("attempt_id", row.attempt_id):
-        world.held.delete(held.exchange_id)
-        reply = _reply_of(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
-        world.outbox.put(Reply(held.exchange_id, 200, reply))
-    remember(world, row, now_ms)
+    for pending in world.held.find("attempt_id", row.attempt_id):
+        world.held.delete(pending.exchange_id)
+        reply = _make_reply(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
+        world.outbox.put(Reply(pending.exchange_id, 200, reply))
+    cache_attempt(world, row, now_ms)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=80)
-def hand_over(world: World, now_ms: int) -> None:
+def hand_over_attempts(world: World, now_ms: int) -> None:
     """Drop attempts that are too late; give the rest a slot each.
 
     Interactive attempts go first, then those of the team that runs least.
@@ -208,26 +208,28 @@
         row.team for row in world.served.find("state", ServedState.RUNNING)
     )
     for _ in range(min(free_slots(world), len(waiting))):
-        row = min(waiting, key=lambda row: _turn(row, running))
+        row = min(waiting, key=lambda row: _priority_key(row, running))
         waiting.remove(row)
         running[row.team] += 1
-        _start(world, row, now_ms)
+        _start_attempt(world, row, now_ms)
 
 
-def _turn(row: ServedAttempt, running: Counter[str]) -> tuple[bool, int, int]:
+def _priority_key(row: ServedAttempt, running: Counter[str]) -> tuple[bool, int, int]:
     return row.urgency != Urgency.INTERACTIVE, running[row.team], row.received_ms
 
 
-def _start(world: World, row: ServedAttempt, now_ms: int) -> None:
+def _start_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
     world.served.update(row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms)
     world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
-def answer_held(world: World, now_ms: int) -> None:
+def answer_pending_exchanges(world: World, now_ms: int) -> None:
     """Tell entries whose hold time is over that their attempt still runs."""
     for exchange_id in world.hold_agenda.take_due(now_ms):
-        held = world.held.delete(exchange_id)
-        if held is not None:
-            reply = _reply_of(world, held.attempt_id, Outcome.UNKNOWN, running=True)
+        pending = world.held.delete(exchange_id)
+        if pending is not None:
+            reply = _make_reply(
+                world, pending.attempt_id, Outcome.UNKNOWN, running=True
+            )
             world.outbox.put(Reply(exchange_id, 200, reply))
--- a/kingcuppost/systems/requests/tests/driver.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -53,7 +53,7 @@
 ZONE = "vid-a"
 
 
-class Driver:
+class Simulation:
     """Worlds whose messages reach each other after a latency, unless faulted.
 
     Attributes
@@ -62,7 +62,7 @@
         How often each body was handed over to a minion.
     answers : dict of str to RequestReply
         Replies to callers by exchange.
-    lose_answers, cut : set of str
+    lose_answers, unreachable : set of str
         Sidecars whose answers are lost, and that can't be reached.
     log_up : bool
         Whether the log takes and gives records.
@@ -79,11 +79,11 @@
         self.systems: dict[str, list] = {}
         self.runs: Counter[str] = Counter()
         self.running: Counter[str] = Counter()
-        self.most_running: Counter[str] = Counter()
+        self.max_running: Counter[str] = Counter()
         self.answers: dict[str, RequestReply] = {}
         self.answered_ms: dict[str, int] = {}
         self.lose_answers: set[str] = set()
-        self.cut: set[str] = set()
+        self.unreachable: set[str] = set()
         self.sent: list[SendAttempt | SendHeartbeat] = []
         self._numbers = itertools.count(1)
         self._later: list[tuple[int, int, Callable[[], None]]] = []
@@ -123,7 +123,7 @@
         self.systems[name] = systems_of(role)
         return self.worlds[name]
 
-    def ask(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
+    def send_request(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
         """Send a caller's request; return its exchange."""
         exchange = f"call-{next(self._numbers)}"
         message = CallerRequest(
@@ -173,7 +173,7 @@
                 while True:
                     run_tick(world, self.systems[name], now_ms)
                     for message in world.outbox.take_all():
-                        self._carry(name, message)
+                        self._dispatch(name, message)
                     if not len(world.inbox):
                         break
 
@@ -192,7 +192,7 @@
 
         self.after(ms, put)
 
-    def _carry(self, name: str, message: object) -> None:
+    def _dispatch(self, name: str, message: object) -> None:
         world = self.worlds[name]
         if isinstance(message, AppendRecords):
             self._append(world, message)
@@ -240,7 +240,7 @@
             )
 
         sidecar = self.worlds.get(message.minion)
-        if sidecar is None or message.minion in self.cut:
+        if sidecar is None or message.minion in self.unreachable:
             self.deliver(world, fail(never_sent=True))
             return
 
@@ -279,7 +279,7 @@
         self.sent.append(message)
         failed = HeartbeatDone(message.entry, False, "no answer")
         entry = self.worlds.get(message.entry)
-        if entry is None or message.entry in self.cut:
+        if entry is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
         arrived = HeartbeatArrived(
@@ -305,7 +305,7 @@
     def _ask_holder(self, world: World, message: AskHolder) -> None:
         failed = HolderAnswered(False, "", message.sent_ms, "no answer")
         holder = self.worlds.get(message.entry)
-        if holder is None or message.entry in self.cut:
+        if holder is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
         asked = HolderAsked("", world.identity.name)
@@ -347,7 +347,7 @@
         name = world.identity.name
         self.runs[message.body] += 1
         self.running[name] += 1
-        self.most_running[name] = max(self.most_running[name], self.running[name])
+        self.max_running[name] = max(self.max_running[name], self.running[name])
         run_ms = self.run_ms[name]
         took_ms = int(self.rng.uniform(0.5, 1.5) * run_ms)
 
--- a/kingcuppost/systems/requests/tests/test_policies.py
+++ b/kingcuppost/systems/requests/tests/test_policies.py
@@ -6,7 +6,7 @@
 import pytest
 
 from kingcuppost.systems.requests import policies
-from kingcuppost.systems.requests.tests.driver import Driver
+from kingcuppost.systems.requests.tests.simulation import Simulation
 from kingcuppost.tables.record import SettingPut
 from kingcuppost.tables.request import Outcome
 
@@ -19,24 +19,24 @@
 
 
 def latencies(policy: str, seed: int) -> list[int]:
-    driver = Driver(RUN_MS, slots=SLOTS)
-    driver.propose(SettingPut("", "request.routing", policy, 0))
-    driver.advance(SETTLE_MS)
+    simulation = Simulation(RUN_MS, slots=SLOTS)
+    simulation.propose(SettingPut("", "request.routing", policy, 0))
+    simulation.advance(SETTLE_MS)
     rate_per_ms = SHARE_OF_CAPACITY * sum(SLOTS / ms for ms in RUN_MS.values())
     rng = random.Random(seed)
-    asked_ms = {}
+    sent_ms = {}
     due_ms = 0.0
     for number in range(ARRIVALS):
         due_ms += rng.expovariate(rate_per_ms)
         while due_ms >= 1:
-            driver.advance(int(due_ms))
+            simulation.advance(int(due_ms))
             due_ms -= int(due_ms)
-        call = driver.ask(f"entry-{number % 2}", f"q{number}")
-        asked_ms[call] = driver.clock.now_ms()
-    driver.advance(10_000)
-    assert all(driver.outcome(call) is Outcome.ANSWERED for call in asked_ms)
-    assert max(driver.most_running.values()) <= SLOTS
-    return sorted(driver.answered_ms[call] - at for call, at in asked_ms.items())
+        call = simulation.send_request(f"entry-{number % 2}", f"q{number}")
+        sent_ms[call] = simulation.clock.now_ms()
+    simulation.advance(10_000)
+    assert all(simulation.outcome(call) is Outcome.ANSWERED for call in sent_ms)
+    assert max(simulation.max_running.values()) <= SLOTS
+    return sorted(simulation.answered_ms[call] - at for call, at in sent_ms.items())
 
 
 @functools.cache
@@ -62,15 +62,15 @@
 
 
 def test_minion_measured_slow_once_is_measured_again() -> None:
-    driver = Driver({"m-0": 20, "m-1": 400}, entries=1)
-    driver.advance(SETTLE_MS)
+    simulation = Simulation({"m-0": 20, "m-1": 400}, entries=1)
+    simulation.advance(SETTLE_MS)
     for number in range(20):
-        driver.ask("entry-0", f"first {number}")
-        driver.advance(100)
-    assert driver.worlds["entry-0"].health.get("m-1").service_ms > 0
-    driver.run_ms["m-1"] = 4
+        simulation.send_request("entry-0", f"first {number}")
+        simulation.advance(100)
+    assert simulation.worlds["entry-0"].health.get("m-1").service_ms > 0
+    simulation.run_ms["m-1"] = 4
     for number in range(1_000):
-        driver.ask("entry-0", f"later {number}")
-        driver.advance(100)
-    health = driver.worlds["entry-0"].health
+        simulation.send_request("entry-0", f"later {number}")
+        simulation.advance(100)
+    health = simulation.worlds["entry-0"].health
     assert health.get("m-1").service_ms < health.get("m-0").service_ms
--- a/kingcuppost/systems/requests/tests/test_serving.py
+++ b/kingcuppost/systems/requests/tests/test_serving.py
@@ -1,7 +1,7 @@
 """A sidecar's slots, its refusals, and what it says of attempts not its own."""
 
 from kingcuppost.systems import run_tick
-from kingcuppost.systems.requests.tests.driver import Driver
+from kingcuppost.systems.requests.tests.simulation import Simulation
 from kingcuppost.tables.inbox import AttemptArrived
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.outbox import HandOver, Reply
@@ -11,11 +11,11 @@
 SLOTS = 8
 
 
-def arrived(driver: Driver, number: int, **fields) -> AttemptArrived:
+def arrived(simulation: Simulation, number: int, **fields) -> AttemptArrived:
     values = {
         "exchange_id": f"exc-{number}",
         "attempt_id": f"att-{number}",
-        "incarnation": driver.worlds["m-0"].identity.incarnation,
+        "incarnation": simulation.worlds["m-0"].identity.incarnation,
         "team": "design",
         "body": f"body {number}",
         "keyed": False,
@@ -26,39 +26,39 @@
     return AttemptArrived(**values)
 
 
-def tick(driver: Driver, *messages: AttemptArrived) -> list:
-    world = driver.worlds["m-0"]
+def tick(simulation: Simulation, *messages: AttemptArrived) -> list:
+    world = simulation.worlds["m-0"]
     for message in messages:
         world.inbox.put(message)
-    run_tick(world, driver.systems["m-0"], driver.clock.now_ms())
+    run_tick(world, simulation.systems["m-0"], simulation.clock.now_ms())
     return world.outbox.take_all()
 
 
 def test_attempt_for_another_incarnation_is_unknown() -> None:
-    driver = Driver({"m-0": 20})
-    sent = tick(driver, arrived(driver, 1, incarnation="inc-former"))
+    simulation = Simulation({"m-0": 20})
+    sent = tick(simulation, arrived(simulation, 1, incarnation="inc-former"))
     reply = next(item for item in sent if isinstance(item, Reply))
     assert reply.body.outcome is Outcome.UNKNOWN
     assert not any(isinstance(item, HandOver) for item in sent)
 
 
 def test_slots_and_connections_bound_what_is_open() -> None:
-    driver = Driver({"m-0": 20})
-    burst = [arrived(driver, number) for number in range(CONNECTIONS + 5)]
-    sent = tick(driver, *burst)
+    simulation = Simulation({"m-0": 20})
+    burst = [arrived(simulation, number) for number in range(CONNECTIONS + 5)]
+    sent = tick(simulation, *burst)
     refused = [item.body for item in sent if isinstance(item, Reply)]
     assert sum(isinstance(item, HandOver) for item in sent) == SLOTS
     assert [body.outcome for body in refused] == [Outcome.NOT_RUN] * 5
 
 
 def test_interactive_goes_first_and_teams_share_the_slots() -> None:
-    driver = Driver({"m-0": 20})
+    simulation = Simulation({"m-0": 20})
     burst = [
-        arrived(driver, 100, urgency=Urgency.OVERNIGHT),
-        *(arrived(driver, number) for number in range(20)),
-        arrived(driver, 200, team="shop"),
+        arrived(simulation, 100, urgency=Urgency.OVERNIGHT),
+        *(arrived(simulation, number) for number in range(20)),
+        arrived(simulation, 200, team="shop"),
     ]
-    sent = tick(driver, *burst)
+    sent = tick(simulation, *burst)
     handed = [item.attempt_id for item in sent if isinstance(item, HandOver)]
     assert "att-200" in handed
     assert "att-100" not in handed
--- a/kingcuppost/tables/fair_queue.py
+++ b/kingcuppost/tables/fair_queue.py
@@ -37,14 +37,14 @@
         for urgency in (Urgency.INTERACTIVE, Urgency.OVERNIGHT):
             lane = self._lanes.get((service, urgency))
             if lane:
-                return self._take_turn(service, urgency, lane)
+                return self._pop_next(service, urgency, lane)
         return None
 
     def services(self) -> list[str]:
         """Return the services that requests wait for."""
         return list(dict.fromkeys(service for service, _ in self._lanes))
 
-    def _take_turn(
+    def _pop_next(
         self, service: str, urgency: Urgency, lane: dict[str, dict[str, None]]
     ) -> str:
         team = next(iter(lane))
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -17,19 +17,19 @@
     ----------
     adopted : bool
         Whether the tasks that an earlier process left are known.
-    renew_ms, report_ms : int
+    next_renewal_ms, next_report_ms : int
         When leases are renewed next, and reports to leaders sent.
     renewal : Renewal or None
         The renewal that is under way.
-    heard_ms : int
+    last_answered_order_ms : int
         When the order that the worker last answered was sent.
     """
 
     adopted: bool = False
-    renew_ms: int = 0
-    report_ms: int = 0
+    next_renewal_ms: int = 0
+    next_report_ms: int = 0
     renewal: Renewal | None = None
-    heard_ms: int = 0
+    last_answered_order_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -36,25 +36,25 @@
     ----------
     holder : str
         Incarnation of the scheduling holder that members were reported to.
-    beat_ms, report_ms : int
+    next_heartbeat_ms, next_report_ms : int
         Earliest time of the next heartbeat and of the next reports.
-    heard_ms : int
+    last_reply_ms : int
         When an entry last answered.
-    full_ms : int
+    next_full_report_ms : int
         When all members are reported again.
-    farewells : tuple of str
+    leave_notified : tuple of str
         Entries that were told that the sidecar is leaving.
-    silent : tuple of str
+    unresponsive : tuple of str
         Entries that did not answer their last heartbeat.
     """
 
     holder: str = ""
-    beat_ms: int = 0
-    report_ms: int = 0
-    heard_ms: int = 0
-    full_ms: int = 0
-    farewells: tuple[str, ...] = ()
-    silent: tuple[str, ...] = ()
+    next_heartbeat_ms: int = 0
+    next_report_ms: int = 0
+    last_reply_ms: int = 0
+    next_full_report_ms: int = 0
+    leave_notified: tuple[str, ...] = ()
+    unresponsive: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -63,15 +63,15 @@
 
     Attributes
     ----------
-    finished : deque of str
+    attempt_ids : deque of str
         Identifiers of attempts, oldest first.
     answer_bytes : int
         Length of the answers held.
-    forgotten_offset : int
+    evicted_offset : int
         Largest log offset of a claim whose attempt was forgotten; an unknown
         attempt with a claim up to it may have run and is not run again.
     """
 
-    finished: deque[str] = field(default_factory=deque)
+    attempt_ids: deque[str] = field(default_factory=deque)
     answer_bytes: int = 0
-    forgotten_offset: int = 0
+    evicted_offset: int = 0
--- a/kingcuppost/tables/pools.py
+++ b/kingcuppost/tables/pools.py
@@ -12,45 +12,45 @@
     --------
     >>> pool = MinionPool()
     >>> pool.add("minion-0")
-    >>> pool.draw(random.Random(1))
+    >>> pool.choose_random(random.Random(1))
     'minion-0'
     """
 
     def __init__(self) -> None:
         self._names: list[str] = []
-        self._places: dict[str, int] = {}
-        self._turn = 0
+        self._positions: dict[str, int] = {}
+        self._cursor = 0
 
     def __len__(self) -> int:
         return len(self._names)
 
     def __contains__(self, name: object) -> bool:
-        return name in self._places
+        return name in self._positions
 
     def add(self, name: str) -> None:
         """Add a minion unless it is there."""
-        if name not in self._places:
-            self._places[name] = len(self._names)
+        if name not in self._positions:
+            self._positions[name] = len(self._names)
             self._names.append(name)
 
     def discard(self, name: str) -> None:
         """Remove a minion; the last one takes its place."""
-        place = self._places.pop(name, None)
-        if place is None:
+        position = self._positions.pop(name, None)
+        if position is None:
             return
         last = self._names.pop()
         if last != name:
-            self._names[place] = last
-            self._places[last] = place
+            self._names[position] = last
+            self._positions[last] = position
 
-    def draw(self, rng: random.Random) -> str:
+    def choose_random(self, rng: random.Random) -> str:
         """Return a minion at random; the pool is not empty."""
         return self._names[rng.randrange(len(self._names))]
 
-    def next_in_turn(self) -> str:
+    def choose_next(self) -> str:
         """Return the minions one after another; the pool is not empty."""
-        self._turn += 1
-        return self._names[self._turn % len(self._names)]
+        self._cursor += 1
+        return self._names[self._cursor % len(self._names)]
 
 
 class ServicePools:
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -56,7 +56,7 @@
         Arrival; time after which an answer is of no use.
     attempts : int
         Attempts sent so far.
-    tried : tuple of str
+    tried_minions : tuple of str
         Minions that refused or failed an attempt.
     may_have_run : bool
         Whether an attempt ended with an unknown outcome.
@@ -77,7 +77,7 @@
     created_ms: int
     deadline_ms: int
     attempts: int = 0
-    tried: tuple[str, ...] = ()
+    tried_minions: tuple[str, ...] = ()
     may_have_run: bool = False
     claim_id: str = ""
     issued_ms: int = 0
@@ -113,7 +113,7 @@
         When it was first sent; when its answer is of no use.
     key : str
         ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
-    repeats : int
+    resends : int
         How often it was sent again, on another connection.
     failures : int
         Exchanges that failed since the last one that was answered.
@@ -128,7 +128,7 @@
     sent_ms: int
     deadline_ms: int
     key: str = ""
-    repeats: int = 0
+    resends: int = 0
     failures: int = 0
     claim_offset: int = 0
 
@@ -141,7 +141,7 @@
     ----------
     minion, incarnation : str
         The minion, and the sidecar process that was heard.
-    heard_ms : int
+    last_received_ms : int
         When it was last heard.
     free_slots : int
         Free slots that it last told.
@@ -151,21 +151,21 @@
         Smoothed service time, in ms.
     failures : int
         Exchanges that failed since the last that succeeded.
-    pause_ms : int
+    paused_until_ms : int
         Until when it gets no attempts, since it failed several.
-    measured_ms : int
+    last_measured_ms : int
         When an attempt of this entry last ended there.
     """
 
     minion: str
     incarnation: str
-    heard_ms: int
+    last_received_ms: int
     free_slots: int
     leaving: bool
     service_ms: float
     failures: int = 0
-    pause_ms: int = 0
-    measured_ms: int = 0
+    paused_until_ms: int = 0
+    last_measured_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -41,13 +41,13 @@
         Number of the gang; number of the member from 0.
     state : TaskState
         Stage of the member.
-    lease_ms : int
+    lease_expiry_ms : int
         Until when the member may run unless the gang is confirmed again.
-    reported : str
+    reported_state : str
         The state that the scheduler and the leader were last told.
     result : str
         What the finished member returned.
-    stop_ms : int
+    stop_after_ms : int
         From when on a stopping member is ordered to stop, in ms.
     confirmed : bool
         False for a task taken over until its leader has confirmed it.
@@ -58,10 +58,10 @@
     incarnation: int
     member: int
     state: TaskState
-    lease_ms: int
-    reported: str = ""
+    lease_expiry_ms: int
+    reported_state: str = ""
     result: str = ""
-    stop_ms: int = 0
+    stop_after_ms: int = 0
     confirmed: bool = True
 
 
@@ -121,9 +121,9 @@
         When each member was last heard running or finished.
     results : dict of int to str
         Results of finished members.
-    broken : str
+    broken_reason : str
         Why the gang is not whole; empty while it is.
-    finish_id : str
+    finish_record_id : str
         Record that was proposed once all had finished; empty before.
     """
 
@@ -131,8 +131,8 @@
     since_ms: int
     heard_ms: dict[int, int]
     results: dict[int, str]
-    broken: str = ""
-    finish_id: str = ""
+    broken_reason: str = ""
+    finish_record_id: str = ""
 
 
 @dataclass(slots=True)
