--- a/kingcuppost/tables/claims.py
+++ b/kingcuppost/tables/claims.py
@@ -1,4 +1,4 @@
-"""Rows that only the fold writes: leases, claims, and what it remembers."""
+"""Rows that only the fold writes: scheduling lease, key claims, recent records."""
 
 from dataclasses import dataclass
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecentRecord:
-    """A record that was folded not long ago, so that repeats are known.
+    """A recently folded record, kept so that duplicates are recognized.
 
     Attributes
     ----------
@@ -38,14 +38,14 @@
 
 @dataclass(slots=True)
 class SchedulingLease:
-    """The present scheduling term.
+    """The current scheduling term and its holder.
 
     Attributes
     ----------
     term : int
-        Log offset of the claim that opened it; 0 before the first.
+        Log offset of the claim that began the term; 0 before the first.
     holder, incarnation : str
-        Entry instance and process that hold it.
+        Entry instance, and its process, that hold the lease.
     """
 
     term: int = 0
@@ -55,24 +55,24 @@
 
 @dataclass(slots=True)
 class KeyClaim:
-    """The one right to run a non-idempotent request.
+    """The exclusive right of one attempt to run a non-idempotent request.
 
     Attributes
     ----------
     key : str
         ``TEAM/KEY`` of the caller.
     attempt_id : str
-        The only attempt that may run.
+        The only attempt that may run the request.
     minion, minion_incarnation : str
-        Sidecar process that may run it.
+        Minion, and the sidecar process, that may run it.
     offset, wall_ms : int
-        Log offset and time of the claim.
+        Log offset and wall time of the claim.
     outcome : str
         ``"answered"``, ``"not_run"`` or empty while unknown.
     issued_ms : int
-        When the caller says that it made the key, Unix ms; 0 if not said.
+        When the caller created the key, Unix ms; 0 if not given.
     decision : Decision or None
-        Why the request went there; None if the claim does not tell, or is not
+        Why the minion was chosen; None if the claim does not include it, or is not
         among the newest.
     """
 
@@ -89,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedJob:
-    """A job in a final state, in the order of ending.
+    """A job in a final state; the table keeps the order in which jobs ended.
 
     Attributes
     ----------
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainedKey:
-    """A claimed key whose decision is still kept, in the order of claiming.
+    """A claimed key whose decision is still kept; in the order of the claims.
 
     Attributes
     ----------
@@ -118,15 +118,14 @@
 
 @dataclass(slots=True)
 class Floors:
-    """Bounds below which the fold has forgotten, and therefore refuses.
+    """Lower bounds below which the fold keeps no rows, and so refuses records.
 
     Attributes
     ----------
     recent_offset : int
-        Log offset of the newest record that is no longer remembered by its
-        identifier.
+        Log offset of the newest record whose identifier is no longer kept.
     key_issued_ms : int
-        Newest issue time among forgotten keys, Unix ms; -1 before any.
+        Newest issue time among the removed keys, Unix ms; -1 before any.
     """
 
     recent_offset: int = 0
--- a/kingcuppost/tables/fair_queue.py
+++ b/kingcuppost/tables/fair_queue.py
@@ -1,4 +1,4 @@
-"""Queued requests by service, urgency and team, taken in turn."""
+"""Queue of requests by service and urgency, fair between teams."""
 
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.request import Request
@@ -9,21 +9,21 @@
 class FairQueue:
     """Requests that wait for a minion.
 
-    Interactive requests go first. Within an urgency the teams take turns, so
-    that no team's burst delays another's. Every step costs the same however
-    many requests wait.
+    Interactive requests are taken first. Within an urgency the queue serves teams
+    round-robin, so that a burst of one team does not delay the others. Operations
+    on a request take constant time, however many requests wait.
     """
 
     def __init__(self) -> None:
         self._lanes: dict[tuple[str, Urgency], dict[str, dict[str, None]]] = {}
 
     def push(self, request: Request) -> None:
-        """Add a request behind those of its team."""
+        """Append a request to the queue of its team."""
         lane = self._lanes.setdefault((request.service, request.urgency), {})
         lane.setdefault(request.team, {})[request.request_id] = None
 
     def remove(self, request: Request) -> None:
-        """Forget a request; nothing happens if it does not wait."""
+        """Remove a request; do nothing if it is not queued."""
         lane = self._lanes.get((request.service, request.urgency), {})
         waiting = lane.get(request.team, {})
         waiting.pop(request.request_id, None)
@@ -33,7 +33,7 @@
             self._lanes.pop((request.service, request.urgency), None)
 
     def pop(self, service: str) -> str | None:
-        """Remove and return the identifier of the request whose turn it is."""
+        """Remove and return the next request's identifier; None if none is queued."""
         for urgency in (Urgency.INTERACTIVE, Urgency.OVERNIGHT):
             lane = self._lanes.get((service, urgency))
             if lane:
@@ -41,7 +41,7 @@
         return None
 
     def services(self) -> list[str]:
-        """Return the services that requests wait for."""
+        """Return the services with queued requests."""
         return list(dict.fromkeys(service for service, _ in self._lanes))
 
     def _pop_next(
--- a/kingcuppost/tables/fleet.py
+++ b/kingcuppost/tables/fleet.py
@@ -7,7 +7,7 @@
 
 
 class MemberState(StrEnum):
-    """What a process last said of itself in the log."""
+    """State of a process as its last record in the log gives it."""
 
     SERVING = "serving"
     LEAVING = "leaving"
@@ -15,14 +15,14 @@
 
 @dataclass(slots=True)
 class AvailabilityZone:
-    """A zone that operators take out of service and back in.
+    """An availability zone, which operators take out of service and back in.
 
     Attributes
     ----------
     name, region : str
         Identifiers.
     in_service : bool
-        False while operators keep the zone out.
+        False while the zone is taken out of service.
     offset : int
         Log offset of the record that set the row.
     operator : str
@@ -45,11 +45,11 @@
     name, availability_zone, rack : str
         Identifiers.
     cores, accelerators : int
-        Counts; accelerators are numbered from 0 in order of adjacency.
+        Number of each; accelerators are numbered from 0 in order of adjacency.
     memory_mb : int
         Memory in MB.
     minion : str
-        The minion whose sidecar acts for the worker.
+        Minion whose sidecar gives the worker its orders.
     """
 
     name: str
@@ -70,19 +70,19 @@
     name, service, worker, availability_zone : str
         Identifiers.
     incarnation : str
-        Identifier of the sidecar's present process.
+        Identifier of the sidecar's current process.
     host : str
-        IP number of the sidecar.
+        IP address of the sidecar.
     peer_port : int
-        Port of the sidecar for other processes of the system.
+        Port of the sidecar for entries and other sidecars.
     slots, connections : int
-        Requests that run at once; connections that may be open at once.
+        Maximum number of concurrent requests, and of open connections.
     state : MemberState
-        Whether new work is welcome.
+        Whether the minion accepts new work or is leaving.
     offset : int
         Log offset of the record that set the row.
     operator_port : int
-        Port of the sidecar for operators; 0 if it did not tell.
+        Port of the sidecar for operators; 0 if not announced.
     """
 
     name: str
@@ -108,13 +108,13 @@
     name, availability_zone : str
         Identifiers.
     incarnation : str
-        Identifier of the instance's present process.
+        Identifier of the instance's current process.
     host : str
-        IP number.
+        IP address of the instance.
     caller_port, operator_port, peer_port : int
-        Ports for callers, operators and other processes of the system.
+        Ports for callers, for operators, and for other entries and sidecars.
     state : MemberState
-        Whether the instance is leaving.
+        Whether the instance is serving or leaving.
     offset : int
         Log offset of the record that set the row.
     """
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -1,4 +1,4 @@
-"""How gangs are followed: by a sidecar at its worker, by the scheduler."""
+"""State of a sidecar's dealings with its worker, and of the scheduler's gangs."""
 
 from dataclasses import dataclass, field
 
@@ -11,18 +11,18 @@
 
 @dataclass(slots=True)
 class WorkerView:
-    """A sidecar's dealings with its worker.
+    """Schedule and state of a sidecar's orders to its worker.
 
     Attributes
     ----------
     adopted : bool
-        Whether the tasks that an earlier process left are known.
+        Whether the tasks of an earlier sidecar process have been adopted.
     next_renewal_ms, next_report_ms : int
-        When leases are renewed next, and reports to leaders sent.
+        Time of the next renewal of leases, and of the next reports to leaders.
     renewal : Renewal or None
-        The renewal that is under way.
+        The pending renewal; None if none is.
     last_answered_order_ms : int
-        When the order that the worker last answered was sent.
+        Send time of the newest order that the worker answered.
     """
 
     adopted: bool = False
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangStage:
-    """A state of a gang and when this process first saw it, in ms."""
+    """State of a gang, and when this process first observed it, in ms."""
 
     state: GangState
     since_ms: int
@@ -42,16 +42,16 @@
 
 @dataclass(slots=True)
 class GangView:
-    """The scheduler's view of gangs.
+    """Progress of gangs as the scheduler tracks it.
 
     Attributes
     ----------
     stages : dict of str to GangStage
         Stage of each gang by its key.
     due : DueKeys
-        When each gang is looked at again.
+        When each gang is to be checked again.
     term : int
-        Scheduling term in which gangs were last looked at.
+        Scheduling term in which gangs were last checked.
     """
 
     stages: dict[str, GangStage] = field(default_factory=dict)
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -1,4 +1,4 @@
-"""Heartbeats that a sidecar has under way, and what it remembers of attempts."""
+"""State of a sidecar's heartbeats, and its cache of finished attempts."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -10,16 +10,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """A heartbeat that waits for its answer.
+    """A heartbeat that has been sent and not answered yet.
 
     Attributes
     ----------
     entry, incarnation : str
         Entry process that it was sent to.
     reported : tuple of (str, TaskState)
-        Members that it reports, with the states told.
+        Tasks of the members in its report, with the states reported.
     folded_offset : int
-        How far this sidecar had followed the log when it was sent.
+        Log offset up to which this sidecar had folded when it was sent.
     """
 
     entry: str
@@ -30,20 +30,20 @@
 
 @dataclass(slots=True)
 class BeatView:
-    """How a sidecar's heartbeats go on.
+    """Schedule of a sidecar's heartbeats and reports, and the entries' responses.
 
     Attributes
     ----------
     holder : str
-        Incarnation of the scheduling holder that members were reported to.
+        Incarnation of the lease holder that members were reported to.
     next_heartbeat_ms, next_report_ms : int
         Earliest time of the next heartbeat and of the next reports.
     last_reply_ms : int
-        When an entry last answered.
+        When an entry last answered a heartbeat.
     next_full_report_ms : int
-        When all members are reported again.
+        When all members are next reported, changed or not.
     leave_notified : tuple of str
-        Entries that were told that the sidecar is leaving.
+        Entries that were sent the leave notice.
     unresponsive : tuple of str
         Entries that did not answer their last heartbeat.
     """
@@ -59,17 +59,17 @@
 
 @dataclass(slots=True)
 class ServedMemory:
-    """Finished attempts in the order in which a sidecar forgets them.
+    """Finished attempts whose answers a sidecar keeps for resends.
 
     Attributes
     ----------
     attempt_ids : deque of str
-        Identifiers of attempts, oldest first.
+        Identifiers in the order of eviction, oldest first.
     answer_bytes : int
-        Length of the answers held.
+        Total length of the cached answers.
     evicted_offset : int
-        Largest log offset of a claim whose attempt was forgotten; an unknown
-        attempt with a claim up to it may have run and is not run again.
+        Largest log offset of a claim whose attempt was evicted. An attempt that is
+        not cached and whose claim is not newer may have run, and is not run again.
     """
 
     attempt_ids: deque[str] = field(default_factory=deque)
--- a/kingcuppost/tables/pools.py
+++ b/kingcuppost/tables/pools.py
@@ -1,4 +1,4 @@
-"""The minions that may get another attempt, by service."""
+"""Pools of the minions that can take another attempt, one for each service."""
 
 import random
 
@@ -6,7 +6,7 @@
 
 
 class MinionPool:
-    """Names of minions, with draws at random that cost the same at any size.
+    """Set of minion names with random choice in constant time.
 
     Examples
     --------
@@ -28,13 +28,13 @@
         return name in self._positions
 
     def add(self, name: str) -> None:
-        """Add a minion unless it is there."""
+        """Add a minion unless it is in the pool already."""
         if name not in self._positions:
             self._positions[name] = len(self._names)
             self._names.append(name)
 
     def discard(self, name: str) -> None:
-        """Remove a minion; the last one takes its place."""
+        """Remove a minion by moving the last one to its position."""
         position = self._positions.pop(name, None)
         if position is None:
             return
@@ -44,35 +44,35 @@
             self._positions[last] = position
 
     def choose_random(self, rng: random.Random) -> str:
-        """Return a minion at random; the pool is not empty."""
+        """Return a random minion; the pool must not be empty."""
         return self._names[rng.randrange(len(self._names))]
 
     def choose_next(self) -> str:
-        """Return the minions one after another; the pool is not empty."""
+        """Return the next minion in round-robin order; the pool must not be empty."""
         self._cursor += 1
         return self._names[self._cursor % len(self._names)]
 
 
 class ServicePools:
-    """One pool for each service."""
+    """Pools of minions by service."""
 
     def __init__(self) -> None:
         self._pools: dict[str, MinionPool] = {}
         self._service_of: dict[str, str] = {}
 
     def pool(self, service: str) -> MinionPool:
-        """Return the pool of a service; an empty one if none is known."""
+        """Return the pool of a service; an empty one if it has no minions."""
         return self._pools.get(service) or MinionPool()
 
     def add(self, name: str, service: str) -> None:
-        """Put a minion into the pool of its service and out of any other."""
+        """Add a minion to the pool of its service and remove it from any other."""
         if self._service_of.get(name, service) != service:
             self.discard(name)
         self._service_of[name] = service
         self._pools.setdefault(service, MinionPool()).add(name)
 
     def discard(self, name: str) -> None:
-        """Take a minion out of its pool."""
+        """Remove a minion from its pool."""
         service = self._service_of.pop(name, None)
         if service is None:
             return
--- a/kingcuppost/tables/replies.py
+++ b/kingcuppost/tables/replies.py
@@ -1,4 +1,4 @@
-"""Bodies of answers to HTTP exchanges, as data classes."""
+"""Bodies of HTTP responses, as data classes."""
 
 from dataclasses import dataclass
 
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeAccepted:
-    """A change that is in the log and was read back.
+    """A change that was written to the log and read back.
 
     Attributes
     ----------
@@ -26,7 +26,7 @@
     record_id : str
         Identifier of the record.
     name : str
-        Name of what was created or changed.
+        Name of the created or changed object.
     """
 
     offset: int
@@ -36,14 +36,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeRefused:
-    """A change that was not made, or whose outcome is not known.
+    """A change that was refused, or whose outcome is unknown.
 
     Attributes
     ----------
     outcome : Outcome
-        ``not_run`` if the change has no effect, ``unknown`` if it may have.
+        ``not_run`` if the change has no effect, ``unknown`` if it may have one.
     step, peer, reason : str
-        Where and why.
+        Step and peer at which the change failed, and why.
     """
 
     outcome: Outcome
@@ -54,20 +54,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReply:
-    """What a caller is told.
+    """Response to a caller's request.
 
     Attributes
     ----------
     outcome : Outcome
         Answered, not run, or unknown.
     answer : str
-        The minion's whole answer; empty unless answered.
+        Complete answer of the minion; empty unless answered.
     attempts : int
-        Attempts that were sent.
+        Number of attempts sent.
     minion : str
-        Minion that answered, or was tried last.
+        Minion that answered, or that was tried last.
     step, peer, reason : str
-        Where and why there is no answer.
+        Step and peer at which the request ended, and why there is no answer.
     """
 
     outcome: Outcome
@@ -81,9 +81,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ServedReply:
-    """What a sidecar tells the entry that sent an attempt.
+    """Response of a sidecar to the entry that sent an attempt.
 
-    `running` says that the attempt has no outcome yet.
+    `running` is True while the attempt has no outcome yet.
     """
 
     attempt_id: str
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
-    """What an entry answers to a heartbeat."""
+    """Response of an entry to a heartbeat."""
 
     entry: str
     incarnation: str
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangReply:
-    """Gangs that are whole and gangs that are not, by key."""
+    """Response of a leader: keys of the gangs that are whole and that are broken."""
 
     worker: str
     whole: tuple[str, ...]
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderReply:
-    """What a process answers when asked whether it is alive and follows the log."""
+    """Response to a probe of whether a process is alive and follows the log."""
 
     entry: str
     incarnation: str
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -1,4 +1,4 @@
-"""Callers' requests, the attempts to serve them, and what a sidecar serves."""
+"""Rows of callers' requests at an entry and of attempts at an entry and a sidecar."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -19,7 +19,7 @@
 
 
 class Outcome(StrEnum):
-    """The three things that a caller can be told."""
+    """Outcome of a request as reported to its caller."""
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
@@ -36,34 +36,34 @@
 
 @dataclass(slots=True)
 class Request:
-    """A caller's request that an entry holds open.
+    """A caller's request that an entry has not answered yet.
 
     Attributes
     ----------
     request_id, exchange_id : str
-        Identifier; the HTTP exchange that waits for the answer.
+        Identifier of the request, and of the HTTP exchange that awaits the answer.
     team, service : str
-        Who asks, and which service is asked.
+        Team of the caller, and the requested service.
     body : str
-        What the minion is given; opaque.
+        Body for the minion; opaque.
     urgency : Urgency
-        Whether somebody waits.
+        Interactive or overnight.
     key : str
         ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
     state : RequestState
         Stage of the request.
     created_ms, deadline_ms : int
-        Arrival; time after which an answer is of no use.
+        Time of arrival, and time after which an answer is useless.
     attempts : int
-        Attempts sent so far.
+        Number of attempts sent so far.
     tried_minions : tuple of str
-        Minions that refused or failed an attempt.
+        Minions that refused an attempt or failed to answer it.
     may_have_run : bool
         Whether an attempt ended with an unknown outcome.
     claim_id : str
-        Record that claims the key; empty before it is proposed.
+        Identifier of the record that claims the key; empty before it is proposed.
     issued_ms : int
-        When the caller made the key, Unix ms; 0 if not said.
+        When the caller created the key, Unix ms; 0 if not given.
     """
 
     request_id: str
@@ -85,14 +85,14 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """What a team may still spend on retries at one entry.
+    """Token bucket that limits a team's retries at one entry.
 
     Attributes
     ----------
     team : str
-        The team.
+        Name of the team.
     tokens : float
-        Retries left; each request adds a share of one.
+        Retries left; each request adds a fraction of one.
     """
 
     team: str
@@ -101,22 +101,22 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One sending of a request to one sidecar process.
+    """One attempt to have a request run by one sidecar process.
 
     Attributes
     ----------
     attempt_id, request_id : str
         Identifiers.
     minion, incarnation : str
-        Sidecar process that it is meant for.
+        Minion, and the sidecar process that the attempt is addressed to.
     sent_ms, deadline_ms : int
-        When it was first sent; when its answer is of no use.
+        When it was first sent, and after which its answer is useless.
     key : str
         ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
     resends : int
-        How often it was sent again, on another connection.
+        How often it was sent again, each time over another connection.
     failures : int
-        Exchanges that failed since the last one that was answered.
+        Exchanges that failed since the last answered one.
     claim_offset : int
         Log offset of the claim of its key; 0 for an idempotent request.
     """
@@ -135,26 +135,26 @@
 
 @dataclass(slots=True)
 class Health:
-    """What an entry knows of a minion from live traffic and heartbeats.
+    """Health of a minion as an entry observes it in answers and heartbeats.
 
     Attributes
     ----------
     minion, incarnation : str
-        The minion, and the sidecar process that was heard.
+        Minion, and the sidecar process that reported.
     last_received_ms : int
-        When it was last heard.
+        When the sidecar's last answer or heartbeat was received.
     free_slots : int
-        Free slots that it last told.
+        Free slots that the sidecar last reported.
     leaving : bool
-        Whether it said that it is leaving.
+        Whether the sidecar reported that it is leaving.
     service_ms : float
         Smoothed service time, in ms.
     failures : int
-        Exchanges that failed since the last that succeeded.
+        Exchanges that failed since the last successful one.
     paused_until_ms : int
-        Until when it gets no attempts, since it failed several.
+        Until when it gets no attempts because several in a row failed.
     last_measured_ms : int
-        When an attempt of this entry last ended there.
+        When an attempt of this entry last ended at the minion.
     """
 
     minion: str
@@ -170,12 +170,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldExchange:
-    """An exchange in which an entry waits for an attempt's outcome.
+    """An exchange in which an entry awaits the outcome of an attempt.
 
     Attributes
     ----------
     exchange_id, attempt_id : str
-        The HTTP exchange and the attempt.
+        Identifiers of the HTTP exchange and of the attempt.
     """
 
     exchange_id: str
@@ -194,26 +194,26 @@
 
 @dataclass(slots=True)
 class ServedAttempt:
-    """An attempt as its sidecar sees it; kept a while for repeats.
+    """An attempt at its sidecar; kept after its end so that resends get the answer.
 
     Attributes
     ----------
     attempt_id, team : str
-        Identifiers.
+        Identifier of the attempt, and the caller's team.
     body : str
-        What the minion is given.
+        Body for the minion.
     keyed : bool
         True for a non-idempotent request.
     urgency : Urgency
-        Whether somebody waits.
+        Interactive or overnight.
     state : ServedState
         Stage of the attempt.
     received_ms, deadline_ms : int
-        Arrival; time after which it is not handed over any more.
+        Time of arrival, and time after which it is no longer handed over.
     started_ms, finished_ms : int
-        Hand-over to the minion and end; 0 before.
+        When it was handed over to the minion and when it ended; 0 before.
     answer : str
-        The minion's whole answer; empty before.
+        Complete answer of the minion; empty before.
     claim_offset : int
         Log offset of the claim of its key; 0 for an idempotent request.
     """
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -1,4 +1,4 @@
-"""Tasks at a sidecar, gangs as their leader sees them, and reservations."""
+"""Tasks of gang members at a sidecar, a leader's monitors, and reservations."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class MemberTask:
-    """One member of a gang at its sidecar.
+    """The task of one gang member at its sidecar.
 
     Attributes
     ----------
@@ -38,19 +38,19 @@
     job : str
         Name of the job.
     incarnation, member : int
-        Number of the gang; number of the member from 0.
+        Incarnation of the gang, and number of the member, from 0.
     state : TaskState
         Stage of the member.
     lease_expiry_ms : int
-        Until when the member may run unless the gang is confirmed again.
+        Until when the member may run unless its lease is extended.
     reported_state : str
-        The state that the scheduler and the leader were last told.
+        State that the scheduler last acknowledged; empty if it has to be reported.
     result : str
-        What the finished member returned.
+        Result of a finished member.
     stop_after_ms : int
-        From when on a stopping member is ordered to stop, in ms.
+        Time from which on stop orders for a stopping member are repeated, in ms.
     confirmed : bool
-        False for a task taken over until its leader has confirmed it.
+        False for an adopted task until the leader of its gang has confirmed it.
     """
 
     task_id: str
@@ -67,14 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Renewal:
-    """A renewal of the worker's leases that is under way.
+    """A pending renewal of leases at the worker.
 
     Attributes
     ----------
     sent_ms : int
-        When it was sent; reservations count from there.
+        When it was sent; renewed reservations last from this time.
     task_ids : frozenset of str
-        Tasks that it renews.
+        Tasks whose leases it renews.
     """
 
     sent_ms: int
@@ -83,20 +83,20 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """What a member says of itself to the scheduler and to its gang's leader.
+    """Report on a member to the scheduler and to the leader of its gang.
 
     Attributes
     ----------
     job : str
         Name of the job.
     incarnation, member : int
-        Number of the gang; number of the member.
+        Incarnation of the gang, and number of the member.
     state : TaskState
         Stage of the member.
     result : str
-        What a finished member returned.
+        Result of a finished member.
     age_ms : int
-        How long ago the worker was last asked and showed it running.
+        Age of the last order whose answer showed the worker alive, in ms.
     """
 
     job: str
@@ -109,22 +109,22 @@
 
 @dataclass(slots=True)
 class GangWatch:
-    """A gang as the sidecar of its member 0 sees it.
+    """Monitor of a gang at its leader, the sidecar of member 0.
 
     Attributes
     ----------
     key : str
         ``gang_key(job, incarnation)``.
     since_ms : int
-        When this process began to watch the gang.
+        When this process began to monitor the gang.
     heard_ms : dict of int to int
-        When each member was last heard running or finished.
+        When each member was last reported running or finished.
     results : dict of int to str
         Results of finished members.
     broken_reason : str
-        Why the gang is not whole; empty while it is.
+        Why the gang is broken; empty while it is not.
     finish_record_id : str
-        Record that was proposed once all had finished; empty before.
+        Record proposed once all members had finished; empty before.
     """
 
     key: str
@@ -137,18 +137,18 @@
 
 @dataclass(slots=True)
 class Reservation:
-    """A member as the scheduler knows it from the sidecars' reports.
+    """A gang member as its sidecar last reported it to the scheduler.
 
     Attributes
     ----------
     member_id : str
         ``JOB/INCARNATION/MEMBER``.
     key : str
-        Gang that the member belongs to.
+        Key of the gang that the member belongs to.
     state : TaskState
-        State last reported.
+        Last reported state.
     heard_ms : int
-        When it was last reported.
+        When the member was last reported.
     since_ms : int
         When this state was first reported.
     """
