--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -1,4 +1,4 @@
-"""Members of gangs at a sidecar."""
+"""Gang members at a sidecar: orders to the worker, leases, and reports."""
 
 from kingcuppost.systems.members.gangs import (
     handle_leader_replies,
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -1,9 +1,10 @@
-"""Members and the leader of their gang keep each other's leases alive.
+"""Confirmation of gangs by their leader, which extends the members' leases.
 
-The sidecar of member 0 leads. It confirms the gang only while it has heard every
-member run or finish within half of the lease, and a confirmation lasts for half
-of the lease from when the member reported. So no gang runs with part of its
-members for longer than the lease, without the log and without the scheduler.
+The sidecar of member 0 is the leader. It confirms the gang only while every member
+was reported running or finished within the last half of the lease. A confirmation
+is valid for half of the lease from the time at which the member reported. So no
+gang runs with part of its members for longer than the lease, and neither the log
+nor the scheduler is needed for that.
 """
 
 from collections import defaultdict
@@ -38,7 +39,7 @@
 
 
 def make_report(task: MemberTask) -> MemberReport:
-    """Return what a member says of itself."""
+    """Return the report on a member."""
     return MemberReport(
         task.job, task.incarnation, task.member, task.state, task.result
     )
@@ -56,7 +57,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=10)
 def report_to_leaders(world: World, now_ms: int) -> None:
-    """Tell leaders how members are, all members of a leader in one message."""
+    """Report members to their leaders, with one message for each leader."""
     if now_ms < world.worker_view.next_report_ms:
         return
     pairs = _released_tasks(world)
@@ -74,7 +75,10 @@
 
 
 def _make_aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
-    """Return a report that a running member can't outlive its worker by."""
+    """Return a report whose age is that of the worker's last answered order.
+
+    So a running member is not taken for alive longer than its worker answers.
+    """
     report = make_report(task)
     if task.state is not TaskState.RUNNING:
         return report
@@ -94,24 +98,32 @@
     timeout_ms: int,
     now_ms: int,
 ) -> None:
-    own = world.cfg.sidecar.worker.name
-    if leader == own:
+    own_worker = world.cfg.sidecar.worker.name
+    if leader == own_worker:
         reply = _record_reports(world, reports, now_ms)
-        world.inbox.put(GangReplyArrived(own, True, now_ms, reply.whole, reply.broken))
+        world.inbox.put(
+            GangReplyArrived(own_worker, True, now_ms, reply.whole, reply.broken)
+        )
         return
     worker = world.agreed.workers.get(leader)
     minion = world.agreed.minions.get(worker.minion) if worker else None
     if minion is not None:
         world.outbox.put(
             SendGangReports(
-                leader, minion.host, minion.peer_port, own, reports, timeout_ms, now_ms
+                leader,
+                minion.host,
+                minion.peer_port,
+                own_worker,
+                reports,
+                timeout_ms,
+                now_ms,
             )
         )
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=60)
 def handle_member_reports(world: World, now_ms: int) -> None:
-    """Note members' reports and answer which gangs are whole."""
+    """Record members' reports, and answer which gangs are whole or broken."""
     for message in world.inbox.take(GangReportArrived):
         reply = _record_reports(world, message.reports, now_ms)
         world.outbox.put(Reply(message.exchange_id, 200, reply))
@@ -164,7 +176,9 @@
     for member in range(len(gang.placements)):
         heard_ms = monitor.heard_ms.get(member, monitor.since_ms)
         if member not in monitor.results and now_ms - heard_ms >= limit_ms:
-            monitor.broken_reason = f"member {member} was silent for {limit_ms} ms"
+            monitor.broken_reason = (
+                f"member {member} was not reported for {limit_ms} ms"
+            )
             note(
                 world,
                 "gang.broken",
@@ -176,7 +190,10 @@
 
 @system(Phase.DECIDE, roles=(Role.SIDECAR,), order=90)
 def propose_gang_finishes(world: World, now_ms: int) -> None:
-    """Propose the finish of gangs whose members have all finished."""
+    """Propose the finish of gangs whose members have all finished.
+
+    Monitors of gangs that are stopping or have ended are deleted.
+    """
     for monitor in world.gang_watches:
         gang = world.agreed.gangs.get(monitor.key)
         if gang is None or gang.state is GangState.STOPPING:
@@ -191,7 +208,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=20)
 def handle_leader_replies(world: World, now_ms: int) -> None:
-    """Prolong members whose gang is whole, stop those whose gang is broken."""
+    """Extend the leases of members of whole gangs, and stop those of broken ones."""
     for reply in world.inbox.take(GangReplyArrived):
         for key in reply.whole:
             _extend_leases(world, key, reply.sent_ms)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -1,9 +1,10 @@
-"""Heartbeats of a sidecar: to one home entry, and reports to the scheduler.
+"""Heartbeats of a sidecar to its home entry, and its reports to the scheduler.
 
 Each sidecar has one home among the serving entries, so that a heartbeat costs one
-exchange however many entries there are. Members' reports go to the holder of the
-scheduling lease when they change; a report counts as told only once the holder has
-answered, and has followed the log as far as the sidecar had.
+exchange however many entries there are. Members are reported to the holder of the
+scheduling lease when their state changes. A report counts as delivered only once
+the holder has answered and has folded the log as far as the sidecar had when it
+sent the report.
 """
 
 from kingcuppost.settings import effective_value
@@ -33,10 +34,10 @@
 
 
 def choose_home_entry(world: World) -> Entry | None:
-    """Return the entry that hears this sidecar's heartbeats.
+    """Return the entry that receives this sidecar's heartbeats; None if none serves.
 
-    The first by rendezvous hashing among the serving entries; those that did not
-    answer last time come after the others.
+    It is the first of the serving entries by rendezvous hashing. Entries that did
+    not answer their last heartbeat come after the others.
     """
     serving = [row for row in world.agreed.entries if row.state is MemberState.SERVING]
     ranked = rank_by_hash(world.identity.name, serving, lambda row: row.name)
@@ -46,7 +47,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=30)
 def send_heartbeats(world: World, now_ms: int) -> None:
-    """Tell the home entry how this sidecar is, once a period."""
+    """Send a heartbeat to the home entry once per period."""
     if now_ms < world.beat_view.next_heartbeat_ms:
         return
     entry = choose_home_entry(world)
@@ -58,7 +59,11 @@
 
 
 def _period_ms(world: World) -> int:
-    """Return the period; members need an entry heard well within their bound."""
+    """Return the period of heartbeats, in ms.
+
+    It is at most a fraction of the isolation limit, after which members stop if no
+    entry has answered.
+    """
     period_ms = beat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
     return min(period_ms, isolation_ms // HEARTBEATS_PER_ISOLATION)
@@ -66,7 +71,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=20)
 def send_leave_notices(world: World, now_ms: int) -> None:
-    """Tell every entry once that this sidecar is leaving."""
+    """Notify every entry once that this sidecar is leaving."""
     if not world.stopping:
         return
     view = world.beat_view
@@ -78,7 +83,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=40)
 def send_reports(world: World, now_ms: int) -> None:
-    """Report members whose state the scheduling holder does not know yet."""
+    """Report members whose state the lease holder has not acknowledged yet."""
     _reset_reported_states(world, now_ms)
     view = world.beat_view
     holder = world.agreed.entries.get(world.agreed.lease.holder)
@@ -90,7 +95,7 @@
 
 
 def _reset_reported_states(world: World, now_ms: int) -> None:
-    """Report all members to a new holder, and once in a long period."""
+    """Have all members reported to a new holder, and again after a long period."""
     view = world.beat_view
     holder = world.agreed.lease.incarnation
     if view.holder == holder and now_ms < view.next_full_report_ms:
@@ -126,7 +131,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=30)
 def handle_heartbeat_replies(world: World, now_ms: int) -> None:
-    """Note which entries answer, and which reports they have taken."""
+    """Record which entries answered, and which reports they acknowledged."""
     for done in world.inbox.take(HeartbeatDone):
         heartbeat = world.beats.delete(done.entry)
         if heartbeat is None:
@@ -144,7 +149,7 @@
 
 
 def _track_unresponsive_entry(world: World, done: HeartbeatDone, now_ms: int) -> None:
-    """Try another home soon if this one does not answer."""
+    """Record whether an entry answered; if not, try another home soon."""
     view = world.beat_view
     others = tuple(name for name in view.unresponsive if name != done.entry)
     if done.ok:
--- a/kingcuppost/systems/members/orders.py
+++ b/kingcuppost/systems/members/orders.py
@@ -1,4 +1,4 @@
-"""Names of worker orders and of the states that members pass."""
+"""Names of orders to the worker, groups of task states, and look-ups for members."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.job import Gang, gang_key
@@ -44,12 +44,12 @@
 
 
 def gang_of(world: World, task: MemberTask) -> Gang | None:
-    """Return the gang that a member belongs to, unless it has ended."""
+    """Return the gang of a member; None if the gang has ended."""
     return world.agreed.gangs.get(gang_key(task.job, task.incarnation))
 
 
 def order_timeout_ms(world: World) -> int:
-    """Return how long an order to the worker may take, in ms."""
+    """Return the timeout of an order to the worker, in ms."""
     return effective_value(world.agreed, "job.worker_timeout_ms")
 
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -1,4 +1,4 @@
-"""The worker's answers: leases renewed, states taken, tasks taken over."""
+"""Renewal of leases at the worker, and the handling of the worker's answers."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
@@ -34,10 +34,10 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=50)
 def renew_tasks(world: World, now_ms: int) -> None:
-    """Renew the worker's leases and ask for task states, once a period.
+    """Renew the leases at the worker and request the states of its tasks.
 
-    One renewal is under way at a time, so that none that is late in flight
-    outlives what a later one said.
+    This happens once per period, with one pending renewal at a time, so that no
+    delayed renewal overrides a later one.
     """
     if not world.log_view.caught_up or world.worker_view.renewal is not None:
         return
@@ -62,7 +62,7 @@
 
 
 def _is_reservation_due(world: World, now_ms: int) -> bool:
-    """Return whether a reservation waited for the view that is fresh now."""
+    """Return whether a reservation is due that waited for a fresh view of the log."""
     limit_ms = reservation_ms(world)
     left_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
     reserved = world.tasks.find("state", TaskState.RESERVED)
@@ -73,8 +73,8 @@
 def _period_ms(world: World, leased: list[MemberTask]) -> int:
     """Return the time until the next renewal, in ms.
 
-    It stretches with the tasks, so that traffic with the worker is bounded, but
-    never beyond a share of the shortest lease that is to be renewed.
+    It grows with the number of tasks, to limit the traffic with the worker, but
+    never beyond a fraction of the shortest lease to be renewed.
     """
     limits_ms = []
     if any(task.state is not TaskState.RUNNING for task in leased):
@@ -89,10 +89,11 @@
 def _leases_to_renew(
     world: World, leased: list[MemberTask], now_ms: int
 ) -> tuple[TaskLease, ...]:
-    """Return what to renew: running members as confirmed, reservations if fresh.
+    """Return the leases to renew.
 
-    A member whose start is under way is left out: the start order may be late,
-    and must then find that the reservation has lapsed.
+    Running members are renewed up to their confirmed lease, and reservations if
+    the view of the log is fresh. A member whose start order is pending is left
+    out: the order may be delayed, and must then find the reservation lapsed.
     """
     leases = []
     for task in leased:
@@ -114,7 +115,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
 def handle_worker_answers(world: World, now_ms: int) -> None:
-    """Bring the rows of members in line with what the worker says."""
+    """Update members' tasks from the worker's answers."""
     for done in world.inbox.take(WorkerDone):
         if done.order == ORDER_RENEW:
             _handle_renewal_result(world, done, now_ms)
@@ -128,7 +129,7 @@
     world: World, task: MemberTask, done: WorkerDone, now_ms: int
 ) -> None:
     if not done.ok:
-        text = f"Order {done.order} failed: {done.reason}."
+        text = f"Order {done.order} to the worker failed: {done.reason}."
         note(world, "member.order", text, job=task.job)
     if done.order == ORDER_RESERVE and task.state is TaskState.RESERVING:
         _handle_reserve_result(world, task, done, now_ms)
@@ -143,7 +144,10 @@
 def _handle_reserve_result(
     world: World, task: MemberTask, done: WorkerDone, now_ms: int
 ) -> None:
-    """Note that the member is held; free what a lost answer may have reserved."""
+    """Mark the member as reserved; on failure stop it.
+
+    The worker may have made the reservation although its answer was lost.
+    """
     state = TaskState.RESERVED if done.ok else TaskState.REFUSED
     world.tasks.update(task.task_id, state=state)
     world.deadlines.add(task.lease_expiry_ms)
@@ -154,7 +158,10 @@
 def _handle_start_result(
     world: World, task: MemberTask, done: WorkerDone, now_ms: int
 ) -> None:
-    """Note that the member runs; stop one whose start may have taken effect."""
+    """Mark the member as running; on failure stop it.
+
+    The start may have taken effect although its answer was lost.
+    """
     gang = gang_of(world, task)
     if done.ok and gang is not None:
         sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
@@ -167,7 +174,7 @@
 
 
 def _handle_stop_result(world: World, task: MemberTask, done: WorkerDone) -> None:
-    """Believe a stop only if the worker no longer shows the task as open."""
+    """Mark the member as ended if the worker no longer lists its task as open."""
     states = {item.task_id: item for item in done.tasks}
     item = states.get(task.task_id)
     if item is None:
@@ -201,7 +208,7 @@
 
 
 def _stop_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
-    """Stop reservations whose renewal may yet arrive at the worker."""
+    """Stop reservations whose failed renewal may still reach the worker."""
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
         if task is not None and task.state is TaskState.RESERVED:
@@ -220,7 +227,12 @@
 def _mark_lost(world: World, task: MemberTask) -> None:
     if task.state not in ENDED_STATES:
         world.tasks.update(task.task_id, state=TaskState.STOPPED)
-        note(world, "member.lost", "The worker lost a member.", job=task.job)
+        note(
+            world,
+            "member.lost",
+            "The worker no longer has the task of a member.",
+            job=task.job,
+        )
 
 
 def _apply_task_state(
@@ -236,10 +248,10 @@
 
 
 def _adopt(world: World, item: WorkerTask, now_ms: int) -> None:
-    """Take over a task of an earlier sidecar process, or stop it.
+    """Adopt a task of an earlier sidecar process, or stop it.
 
-    A running one is renewed only after its leader has confirmed it. A reservation
-    is given up, since a start order of the earlier process may be on its way.
+    A running task is renewed only after its leader has confirmed it. A reservation
+    is stopped, since a start order of the earlier process may still arrive.
     """
     task = _make_task(item, now_ms)
     if task is None:
@@ -257,11 +269,16 @@
         until_ms = now_ms + confirm_ms(world, gang)
         world.tasks.update(task.task_id, lease_expiry_ms=until_ms)
         world.deadlines.add(until_ms)
-    note(world, "member.adopt", "Took over a member.", job=task.job)
+    note(
+        world,
+        "member.adopt",
+        "Adopted a member of an earlier sidecar process.",
+        job=task.job,
+    )
 
 
 def _make_task(item: WorkerTask, now_ms: int) -> MemberTask | None:
-    """Return the row of a member; None for a task that is not the system's."""
+    """Return the row of a listed task; None if it is not a gang member's task."""
     job, *numbers = item.task_id.rsplit("/", 2)
     if len(numbers) != TASK_ID_NUMBERS or not all(text.isdecimal() for text in numbers):
         return None
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -1,4 +1,4 @@
-"""Stopping members, and forgetting those whose gang has ended."""
+"""Stopping of members, and deletion of those whose gang has ended."""
 
 from kingcuppost.systems.events import note
 from kingcuppost.systems.leases import grace_ms, isolation_ms, lease_ms
@@ -28,7 +28,7 @@
 
 
 def stop_task(world: World, task: MemberTask, now_ms: int) -> None:
-    """Checkpoint a running member, then stop it; stop others at once."""
+    """Stop a member, a running one after a checkpoint and others at once."""
     if task.state in ENDED_STATES or task.state is TaskState.STOPPING:
         return
     running = task.state is TaskState.RUNNING
@@ -43,7 +43,7 @@
 
 
 def order_stop(world: World, task: MemberTask, now_ms: int) -> None:
-    """Order the worker to stop a member, and again until it has."""
+    """Order the worker to stop a member; the order is repeated until it is done."""
     world.tasks.update(task.task_id, stop_after_ms=now_ms)
     world.outbox.put(StopTask(task.task_id, order_timeout_ms(world)))
 
@@ -54,16 +54,21 @@
     for state in LEASED_STATES:
         for task in world.tasks.find("state", state):
             if task.lease_expiry_ms <= now_ms:
-                note(world, "member.lapse", "The lease has lapsed.", job=task.job)
+                note(
+                    world,
+                    "member.lapse",
+                    "The lease of a member has lapsed.",
+                    job=task.job,
+                )
                 stop_task(world, task, now_ms)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=70)
 def presume_stopped_members(world: World, now_ms: int) -> None:
-    """Take stopping members as stopped once their silent worker has ended them.
+    """Mark stopping members as stopped once the worker must have ended them.
 
-    A stopping member is renewed no more, so that the worker ends it when its lease
-    runs out, plus what the last renewal was late.
+    A stopping member is not renewed any more, so that the worker ends it when its
+    lease lapses, delayed at most by the latency of the last renewal.
     """
     for task in world.tasks.find("state", TaskState.STOPPING):
         ended_ms = _worker_end_ms(world, task)
@@ -71,7 +76,12 @@
             world.deadlines.add(ended_ms)
         elif world.worker_view.last_answered_order_ms <= task.lease_expiry_ms:
             world.tasks.update(task.task_id, state=TaskState.STOPPED)
-            note(world, "member.silent", "The worker is silent.", job=task.job)
+            note(
+                world,
+                "member.silent",
+                "The worker is unresponsive; a stopping member's lease has lapsed.",
+                job=task.job,
+            )
 
 
 def _worker_end_ms(world: World, task: MemberTask) -> int:
@@ -84,9 +94,9 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=80)
 def stop_isolated_members(world: World, now_ms: int) -> None:
-    """Stop all members once neither log nor entry was heard for the bound.
+    """Stop all members once neither the log nor an entry has answered for too long.
 
-    The scheduler counts on it when it hears nothing of a whole gang.
+    The scheduler relies on it when it receives no report of any member of a gang.
     """
     tasks = [task for state in OPEN_STATES for task in world.tasks.find("state", state)]
     if not tasks:
@@ -96,14 +106,18 @@
     if now_ms - last_contact_ms < limit_ms:
         world.deadlines.add(last_contact_ms + limit_ms)
         return
-    note(world, "member.isolated", f"No log and no entry for {limit_ms} ms.")
+    note(
+        world,
+        "member.isolated",
+        f"Neither the log nor an entry has answered for {limit_ms} ms.",
+    )
     for task in tasks:
         stop_task(world, task, now_ms)
 
 
 @system(Phase.REPORT, roles=(Role.SIDECAR,), order=30)
 def forget_members(world: World, now_ms: int) -> None:
-    """Forget members that are over once their gang has ended."""
+    """Delete ended members whose gang has ended."""
     for state in ENDED_STATES:
         for task in world.tasks.find("state", state):
             if gang_of(world, task) is None:
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -1,4 +1,4 @@
-"""Members at their worker: reserved when placed, started when released."""
+"""Reservation of members when their gang is placed, and start at its release."""
 
 from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
 from kingcuppost.systems.events import note
@@ -22,10 +22,10 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=100)
 def reconcile_gangs(world: World, now_ms: int) -> None:
-    """Reserve members of new gangs on this worker; stop those of ended ones.
+    """Reserve members of new gangs on this worker, and stop those of ended gangs.
 
-    Nothing is done before the log was read to its head and the worker was asked
-    for the tasks that an earlier process left.
+    This waits until the log has been read to its head and the tasks of an earlier
+    sidecar process have been adopted from the worker.
     """
     if not world.log_view.caught_up or not world.worker_view.adopted:
         return
@@ -45,7 +45,10 @@
 
 
 def _reconcile_gang(world: World, gang: Gang, now_ms: int) -> None:
-    """Reserve unknown members; own to the loss of those that had been released."""
+    """Reserve members without a task; report them stopped if they were released.
+
+    A released member without a task has been lost by the worker.
+    """
     for member, placement in enumerate(gang.placements):
         task_id = task_id_of(gang.job, gang.incarnation, member)
         if placement.worker != world.cfg.sidecar.worker.name or task_id in world.tasks:
@@ -62,7 +65,12 @@
         if gang.state is GangState.RESERVING:
             _reserve(world, gang, task, placement.accelerators)
         else:
-            note(world, "member.lost", "The worker lost a member.", job=gang.job)
+            note(
+                world,
+                "member.lost",
+                "The worker no longer has the task of a member.",
+                job=gang.job,
+            )
 
 
 def _reserve(
@@ -86,7 +94,7 @@
 
 @system(Phase.DECIDE, roles=(Role.SIDECAR,), order=100)
 def start_members(world: World, now_ms: int) -> None:
-    """Start reserved members of released gangs, on a fresh view only."""
+    """Start reserved members of released gangs if the view of the log is fresh."""
     for task in world.tasks.find("state", TaskState.RESERVED):
         gang = gang_of(world, task)
         if gang is None or gang.state is not GangState.RELEASED:
@@ -100,7 +108,7 @@
 
 
 def _is_renewal_pending(world: World, task: MemberTask) -> bool:
-    """Return whether a renewal under way may yet prolong the reservation."""
+    """Return whether a pending renewal may still extend the reservation."""
     return (
         world.worker_view.renewal is not None
         and task.task_id in world.worker_view.renewal.task_ids
--- a/kingcuppost/systems/requests/__init__.py
+++ b/kingcuppost/systems/requests/__init__.py
@@ -1,4 +1,4 @@
-"""Callers' requests: admission, routing, attempts, answers, serving."""
+"""Requests of callers: admission, routing, attempts, answers, and serving."""
 
 from kingcuppost.systems.requests.admission import (
     admit_requests,
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -21,7 +21,7 @@
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=50)
 def admit_requests(world: World, now_ms: int) -> None:
-    """Queue requests, or refuse them as not run with the reason."""
+    """Queue requests, or refuse them as not run and give the reason."""
     for message in world.inbox.take(CallerRequest):
         reason = _refusal_reason(world, message, now_ms)
         if reason:
@@ -55,13 +55,13 @@
             f"retry after {RETRY_AFTER_MS} ms"
         )
     if message.issued_ms > world.clock.wall_ms() + MAX_CLOCK_SKEW_MS:
-        return "the key was made in the future"
+        return "the issue time of the key lies in the future"
     if (
         message.key
         and not _is_claimed(world, message)
         and not is_following(world, now_ms)
     ):
-        return "the log is silent, so that no key can be claimed"
+        return "the log is unresponsive, so that no key can be claimed"
     return ""
 
 
@@ -96,9 +96,10 @@
 
 @system(Phase.INTAKE, order=60)
 def drop_abandoned_requests(world: World, now_ms: int) -> None:
-    """Drop requests whose caller has gone before they were sent.
+    """Drop queued requests whose caller has disconnected.
 
-    A sidecar goes on with what it took: the entry may ask again.
+    A request that was sent stays open. A sidecar continues with an attempt whose
+    exchange is lost, since the entry may send the attempt again.
     """
     for message in world.inbox.take(ExchangeLost):
         for request in world.requests.find("exchange_id", message.exchange_id):
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -1,4 +1,4 @@
-"""Answers to callers, and what follows from an attempt's outcome."""
+"""Answers to callers, and the handling of outcomes of attempts."""
 
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import answer_id, note
@@ -25,7 +25,7 @@
 
 
 def refuse_request(world: World, exchange_id: str, step: str, reason: str) -> None:
-    """Tell a caller that the request was not run."""
+    """Answer a caller that the request was not run."""
     reply = RequestReply(
         Outcome.NOT_RUN, step=step, peer=world.identity.name, reason=reason
     )
@@ -42,7 +42,7 @@
     step: str = "",
     reason: str = "",
 ) -> None:
-    """Answer the caller and forget the request; later answers are dropped.
+    """Answer the caller and delete the request, so that later answers are dropped.
 
     "Not run" becomes "unknown" if an earlier attempt may have run.
     """
@@ -62,14 +62,14 @@
         request=request.key or request.request_id,
         team=request.team,
     )
-    took_ms = world.clock.now_ms() - request.created_ms
+    duration_ms = world.clock.now_ms() - request.created_ms
     world.tally.add("requests", request.team, outcome)
-    world.tally.observe("request", took_ms, request.team, outcome)
+    world.tally.observe("request", duration_ms, request.team, outcome)
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=70)
 def handle_attempt_outcomes(world: World, now_ms: int) -> None:
-    """Match answers with attempts; crossed and late ones fit no row."""
+    """Match outcomes with attempts; drop late ones and those of other attempts."""
     for done in world.inbox.take(AttemptDone):
         attempt = world.attempts.get(done.attempt_id)
         if attempt is None:
@@ -107,11 +107,11 @@
 
 
 def _outcome_of(attempt: Attempt, done: AttemptDone) -> Outcome:
-    """Return the outcome that is proved.
+    """Return the outcome that is certain.
 
-    A failed connection proves "not run" for an attempt that was never sent
-    before. For a claimed key it proves nothing, since another entry may have
-    sent the same attempt: only the sidecar frees a key.
+    A failed connection proves "not run" for an attempt that was not sent before.
+    For a claimed key it proves nothing, since another entry may have sent the
+    same attempt: only the sidecar's answer frees a key.
     """
     if not done.never_sent:
         return done.outcome
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -1,7 +1,7 @@
 """Claims of keys, so that a non-idempotent request runs at most once.
 
-The first claim of a key in the log names one attempt and one sidecar process. All
-entries send that attempt to that process only, and the process runs it once.
+The first claim of a key in the log names one attempt and one sidecar process. Every
+entry sends that attempt to that process only, and the process runs it once.
 """
 
 from kingcuppost.systems.agreement.propose import propose
@@ -21,7 +21,7 @@
 
 
 def claim_key(world: World, request: Request, minion: Minion, now_ms: int) -> None:
-    """Follow the claim of a request's key, or propose one."""
+    """Send the attempt that holds the request's key, or propose a claim of the key."""
     if request.key in world.agreed.key_claims:
         _send_claimed_attempt(world, request, now_ms)
         return
@@ -47,7 +47,7 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=110)
 def send_claimed_requests(world: World, now_ms: int) -> None:
-    """Send requests whose key is claimed, by this entry or by another."""
+    """Send requests whose key has been claimed, by this entry or by another."""
     for request in world.requests.find("state", RequestState.CLAIMING):
         if request.key in world.agreed.key_claims:
             _send_claimed_attempt(world, request, now_ms)
@@ -57,22 +57,22 @@
 
 
 def withdraw_claim_proposal(world: World, request: Request) -> bool:
-    """Stop proposing a request's claim; return whether it may be in the log."""
+    """Withdraw the proposal of a claim; return whether it may be in the log."""
     proposal = world.proposals.delete(request.claim_id)
     return proposal is None or proposal.appends > 0
 
 
 def _send_claimed_attempt(world: World, request: Request, now_ms: int) -> None:
-    """Send the one attempt that holds the key to the one process it names.
+    """Send the attempt that holds the key to the process that the claim names.
 
-    The sidecar runs it once and gives the same answer to every repeat.
+    The sidecar runs it once and gives the same answer to every resend.
     """
     row = world.agreed.key_claims.get(request.key)
     minion = world.agreed.minions.get(row.minion)
     if minion is None or minion.incarnation != row.minion_incarnation:
-        reason = "the process that was to run it has gone"
+        reason = "the sidecar process that the claim names has ended"
         if row.outcome == "answered":
-            reason = "it has run, and the process that held the answer has gone"
+            reason = "it has run, and the sidecar process that had the answer has ended"
         close_request(
             world,
             request,
@@ -89,14 +89,14 @@
             Outcome.UNKNOWN,
             minion=row.minion,
             step="claim",
-            reason="the key stands for another body",
+            reason="the key was used with another body",
         )
         return
     send_attempt(world, request, minion, row.attempt_id, row.offset, now_ms)
 
 
 def _has_different_body(world: World, request: Request, attempt_id: str) -> bool:
-    """Return whether the attempt is under way here with a body that differs."""
+    """Return whether this entry has the attempt open for a different body."""
     attempt = world.attempts.get(attempt_id)
     if attempt is None:
         return False
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -1,4 +1,4 @@
-"""Why a non-idempotent request went to its minion, for its claim in the log."""
+"""Routing decisions of non-idempotent requests, recorded with their claims."""
 
 from kingcuppost.settings import KEYS, effective, team_path
 from kingcuppost.tables.fleet import MemberState, Minion
@@ -18,9 +18,9 @@
 def request_values(
     agreed: Agreed, team: str, urgency: str = ""
 ) -> tuple[EffectiveValue, ...]:
-    """Return the values that bear on a request, by name of the key.
+    """Return the settings that affect a request, ordered by name.
 
-    Each is taken from the branch at which the systems read it.
+    Each value is read at the path at which the systems read it.
     """
     names = sorted(name for name in KEYS if name.startswith(PREFIX))
     return tuple(
@@ -35,16 +35,16 @@
 
 
 def decision_of(world: World, request: Request, chosen: Minion) -> Decision:
-    """Return the settings in force and the minions that were passed over.
+    """Return the settings in force, and the minions that could not be chosen.
 
     Parameters
     ----------
     world : World
-        Tables of the entry that decides.
+        Tables of the deciding entry.
     request : Request
-        The request.
+        Request to route.
     chosen : Minion
-        The minion that it goes to.
+        Minion that the request is sent to.
     """
     values = request_values(world.agreed, request.team, request.urgency)
     policy = str(effective(world.agreed, "", ROUTING).value)
@@ -65,7 +65,7 @@
     if minion.state is MemberState.LEAVING:
         return "the minion is leaving"
     if minion.name in request.tried_minions:
-        return "the minion was tried before"
+        return "an earlier attempt at the minion failed"
     if world.attempts.count("minion", minion.name) >= minion.slots:
         return "no slot is free"
     return ""
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -1,4 +1,4 @@
-"""The end of requests whose time is over."""
+"""Expiry of requests whose deadline has passed."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.registry import Phase, system
@@ -12,7 +12,7 @@
 
 
 def schedule_expiry(world: World, request: Request) -> None:
-    """Remember when a request expires, and when its claim has to be folded."""
+    """Schedule the expiry of a request, and the time limit of its claim."""
     world.request_agenda.put(request.deadline_ms, request.request_id)
     if request.key:
         limit_ms = effective_value(world.agreed, "request.claim_timeout_ms")
@@ -22,7 +22,7 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=120)
 def expire_requests(world: World, now_ms: int) -> None:
-    """Answer requests whose deadline has passed, or whose claim takes too long."""
+    """Close requests whose deadline has passed or whose claim takes too long."""
     for request_id in world.request_agenda.take_due(now_ms):
         request = world.requests.get(request_id)
         if request is None:
@@ -43,7 +43,7 @@
 
 
 def _may_have_run(world: World, request: Request) -> bool:
-    """Return whether the request may have run, or may still run."""
+    """Return whether the request may have run or may still run."""
     if request.state is RequestState.SENT:
         return True
     if request.state is RequestState.CLAIMING:
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -1,4 +1,4 @@
-"""What an entry learns of minions from answers and heartbeats."""
+"""Health of minions as an entry observes it in answers and heartbeats."""
 
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.pools import refresh_pool
@@ -18,7 +18,7 @@
 
 
 def record_answer(world: World, done: AttemptDone, now_ms: int) -> None:
-    """Note what a sidecar told of itself with an answer."""
+    """Update a minion's health from its sidecar's answer to an attempt."""
     row = world.health.get(done.minion)
     service_ms = done.service_ms or (row.service_ms if row else 0.0)
     world.health.put(
@@ -36,7 +36,7 @@
 
 
 def record_failure(world: World, attempt: Attempt, now_ms: int) -> None:
-    """Count a failed exchange; several in a row pause a minion for a while."""
+    """Count a failed exchange, and pause the minion after several in a row."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
         return
@@ -61,7 +61,7 @@
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=80)
 def handle_heartbeats(world: World, now_ms: int) -> None:
-    """Note what sidecars tell of themselves, and answer."""
+    """Update minions' health from heartbeats, pass on reports, and answer."""
     for heartbeat in world.inbox.take(HeartbeatArrived):
         row = world.health.get(heartbeat.minion)
         service_ms = heartbeat.service_ms or (row.service_ms if row else 0.0)
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -1,4 +1,4 @@
-"""Ways to choose a minion among those with a free slot."""
+"""Routing policies: the choice of a minion among those with a free slot."""
 
 from collections.abc import Callable
 
@@ -19,26 +19,27 @@
 
 
 def expected_latency_ms(world: World, name: str, now_ms: int) -> float:
-    """Return how long a minion would take for one more request, in ms.
+    """Return the expected latency of one more request at a minion, in ms.
 
-    Measured service time, plus the wait that its present load means; what other
-    entries have under way there is taken from the free slots last told. A minion
-    with no recent measure is welcome to one request, so that it gets one.
+    It is the measured service time, prolonged by the wait behind the current load
+    and by recent failures. The load from other entries follows from the free slots
+    last reported. A minion without a recent measurement counts as 0 while this
+    entry has no attempt there, so that it gets one request to be measured by.
     """
     health = world.health.get(name)
-    own = world.attempts.count("minion", name)
-    if own == 0 and not _is_measurement_fresh(health, now_ms):
+    own_attempts = world.attempts.count("minion", name)
+    if own_attempts == 0 and not _is_measurement_fresh(health, now_ms):
         return 0.0
     if health is None or not health.service_ms:
         return UNKNOWN_LATENCY_MS
     minion = world.agreed.minions.get(name)
-    load = max(own, minion.slots - health.free_slots)
+    load = max(own_attempts, minion.slots - health.free_slots)
     waiting = max(0, load + 1 - minion.slots)
     return health.service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
 
 
 def _is_measurement_fresh(health: Health | None, now_ms: int) -> bool:
-    """Return whether an attempt of this entry ended there not long ago."""
+    """Return whether an attempt of this entry ended at the minion recently."""
     if health is None or not health.last_measured_ms:
         return False
     return now_ms - health.last_measured_ms <= MEASUREMENT_MAX_AGE_MS
@@ -47,7 +48,7 @@
 def _choose_untried(
     world: World, request: Request, pool: MinionPool, other: str = ""
 ) -> str:
-    """Return a minion at random, one not tried yet if the draws find it."""
+    """Return a random minion, if the draws find one neither tried nor `other`."""
     name = pool.choose_random(world.rng)
     for _ in range(MAX_DRAWS):
         if name not in request.tried_minions and name != other:
@@ -58,16 +59,16 @@
 
 @policies.register("two_choices")
 def two_choices(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
-    """Return the better of two minions drawn at random."""
+    """Return the better of two random minions."""
     first = _choose_untried(world, request, pool)
     second = _choose_untried(world, request, pool, first)
 
     def rank(name: str) -> tuple[bool, float, int]:
-        own = world.attempts.count("minion", name)
+        own_attempts = world.attempts.count("minion", name)
         return (
             name in request.tried_minions,
             expected_latency_ms(world, name, now_ms),
-            own,
+            own_attempts,
         )
 
     return min(first, second, key=rank)
@@ -75,11 +76,11 @@
 
 @policies.register("random")
 def at_random(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
-    """Return a minion at random."""
+    """Return a random minion."""
     return _choose_untried(world, request, pool)
 
 
 @policies.register("round_robin")
 def round_robin(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
-    """Return the minions in turn."""
+    """Return the next minion in round-robin order."""
     return pool.choose_next()
--- a/kingcuppost/systems/requests/pools.py
+++ b/kingcuppost/systems/requests/pools.py
@@ -1,4 +1,4 @@
-"""Which minions may get new work, kept up to date by what changed."""
+"""Upkeep of the pools of minions that can take new work."""
 
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.fleet import MemberState, Minion
@@ -9,12 +9,12 @@
 
 
 def count_attempts(world: World, minion: str) -> int:
-    """Return how many attempts this entry has under way at a minion."""
+    """Return the number of open attempts of this entry at a minion."""
     return world.attempts.count("minion", minion)
 
 
 def eligible_minions(world: World, service: str) -> list[Minion]:
-    """Return the minions that may get new work of a service."""
+    """Return the minions of a service that accept new work."""
     rows = world.agreed.minions.find("service", service)
     return [row for row in rows if _accepts_work(world, row)]
 
@@ -32,7 +32,7 @@
 
 
 def refresh_pool(world: World, name: str, now_ms: int) -> None:
-    """Put a minion into its pool, or take it out, as its rows say now."""
+    """Add a minion to its pool or remove it, depending on its current state."""
     minion = world.agreed.minions.get(name)
     if minion is None or not _accepts_work(world, minion):
         world.pools.discard(name)
@@ -47,7 +47,7 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=130)
 def refresh_pools(world: World, now_ms: int) -> None:
-    """Bring the pools in line with minions and zones that changed."""
+    """Refresh the pools for changed minions and zones and for ended pauses."""
     changed = dict.fromkeys(world.agreed.minions.take_changes("routing"))
     zones = set(world.agreed.availability_zones.take_changes("routing"))
     if zones:
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -1,4 +1,4 @@
-"""What a sidecar remembers of finished attempts, within bounds."""
+"""Cache of a sidecar's finished attempts, limited in count, size and age."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.request import ServedAttempt
@@ -10,7 +10,7 @@
 
 
 def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
-    """Keep a finished attempt for repeats, and forget the oldest beyond the bounds."""
+    """Cache a finished attempt for resends, and evict the oldest beyond the limits."""
     memory = world.served_memory
     memory.attempt_ids.append(row.attempt_id)
     memory.answer_bytes += len(row.answer)
@@ -39,8 +39,8 @@
 
 
 def may_be_evicted(world: World, claim_offset: int) -> bool:
-    """Return whether an unknown attempt may be one that was forgotten.
+    """Return whether an attempt that is not cached may have been evicted.
 
-    Claims are compared by log offset, so that no clock decides.
+    Claims are compared by log offset, so that the result depends on no clock.
     """
     return 0 < claim_offset <= world.served_memory.evicted_offset
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -1,4 +1,4 @@
-"""The budget that bounds a team's retries at an entry."""
+"""Retry budget that limits a team's retries at an entry."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.tables.request import Request, RetryBudget
@@ -8,7 +8,7 @@
 
 
 def add_retry_share(world: World, team: str) -> None:
-    """Add a request's share of a retry to its team's budget."""
+    """Add one request's share to the retry budget of its team."""
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
     row = world.retry_budgets.get(team)
@@ -19,7 +19,7 @@
 
 
 def spend_retry(world: World, request: Request) -> bool:
-    """Return whether an idempotent request may be sent once more, and pay for it."""
+    """Spend a retry on an idempotent request; return whether one was available."""
     if request.key:
         return False
     path = team_path(request.team, request.urgency)
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -1,4 +1,4 @@
-"""Choosing a minion for each queued request."""
+"""Routing of queued requests to minions."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.registry import Phase, system
@@ -15,7 +15,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=110)
 def route_requests(world: World, now_ms: int) -> None:
-    """Send queued requests in turn while a minion of their service is free."""
+    """Send queued requests while their service has a free minion."""
     for service in world.waiting.services():
         while len(world.pools.pool(service)):
             request_id = world.waiting.pop(service)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -1,9 +1,10 @@
-"""Sending attempts, and sending them again after silence.
+"""Sending of attempts, and resending of those that got no response.
 
-A repeat carries the same attempt id, so that the sidecar runs the attempt once and
-gives its outcome to every exchange that waits for it. Each exchange is answered
-within its hold time, if only that the attempt still runs: an exchange that hears
-nothing is abandoned, and the repeat goes over another connection.
+A resend carries the same attempt id, so that the sidecar runs the attempt once and
+gives its outcome to every exchange that waits for it. The sidecar answers each
+exchange within its hold time, even if only that the attempt is still running. An
+exchange without an answer is abandoned, and the attempt is resent over another
+connection.
 """
 
 from kingcuppost.settings import effective_value
@@ -41,7 +42,7 @@
     claim_offset: int,
     now_ms: int,
 ) -> None:
-    """Send a request, or join the attempt that is under way for its key."""
+    """Send an attempt, or join the open attempt of the request's key."""
     world.requests.update(
         request.request_id, state=RequestState.SENT, attempts=request.attempts + 1
     )
@@ -96,7 +97,7 @@
 
 
 def requests_awaiting(world: World, attempt: Attempt) -> list[Request]:
-    """Return the open requests that an attempt is to answer."""
+    """Return the open requests that wait for an attempt."""
     if attempt.key:
         rows = world.requests.find("key", attempt.key)
     else:
@@ -106,7 +107,7 @@
 
 
 def can_resend(world: World, attempt: Attempt, done: AttemptDone) -> bool:
-    """Return whether to ask the same process again for the same attempt."""
+    """Return whether the attempt can be sent to the same process again."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
         return False
@@ -120,7 +121,7 @@
 def schedule_resend(
     world: World, attempt: Attempt, done: AttemptDone, now_ms: int
 ) -> None:
-    """Plan to send an attempt again, at once unless it failed before."""
+    """Schedule a resend of an attempt, at once unless it failed repeatedly."""
     failures = 0 if done.running else attempt.failures + 1
     world.attempts.update(
         attempt.attempt_id, resends=attempt.resends + 1, failures=failures
@@ -135,15 +136,15 @@
 
 @system(Phase.ACT, roles=(Role.ENTRY,), order=60)
 def resend_attempts(world: World, now_ms: int) -> None:
-    """Send attempts again whose time has come, to the same process only."""
+    """Resend attempts that are due, to the same process only."""
     for attempt_id in world.repeat_agenda.take_due(now_ms):
         attempt = world.attempts.get(attempt_id)
         if attempt is None:
             continue
         requests = requests_awaiting(world, attempt)
         minion = world.agreed.minions.get(attempt.minion)
-        gone = minion is None or minion.incarnation != attempt.incarnation
-        if gone or not requests:
+        has_ended = minion is None or minion.incarnation != attempt.incarnation
+        if has_ended or not requests:
             world.inbox.put(_unknown_outcome(attempt))
             continue
         request = max(requests, key=lambda row: row.deadline_ms)
@@ -156,5 +157,5 @@
         attempt.minion,
         "",
         Outcome.UNKNOWN,
-        reason="the process that was to run it has gone",
+        reason="the sidecar process that was to run it has ended",
     )
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -1,4 +1,4 @@
-"""Serving attempts at a sidecar: slots, repeats, and the hand-over."""
+"""Serving of attempts at a sidecar: slots, resends, and the hand-over."""
 
 from collections import Counter
 
@@ -35,7 +35,7 @@
 
 
 def free_slots(world: World) -> int:
-    """Return how many more attempts the minion can run now."""
+    """Return the number of free slots of the minion."""
     return world.cfg.sidecar.slots - world.served.count("state", ServedState.RUNNING)
 
 
@@ -46,18 +46,24 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=90)
 def accept_attempts(world: World, now_ms: int) -> None:
-    """Queue new attempts; answer repeats from memory; refuse foreign ones.
+    """Queue new attempts, and answer resends from the cache.
 
-    A process answers "not run" only for attempts that are meant for itself.
+    A process answers "not run" only for attempts addressed to itself. An attempt
+    for another process, or one that may have been evicted from the cache, gets
+    "unknown".
     """
     for message in world.inbox.take(AttemptArrived):
         known = world.served.get(message.attempt_id)
         if message.incarnation != world.identity.incarnation:
-            _reply_unknown(world, message, "another process was meant")
+            _reply_unknown(
+                world, message, "the attempt is addressed to another sidecar process"
+            )
         elif known is not None:
             _handle_known_attempt(world, known, message, now_ms)
         elif may_be_evicted(world, message.claim_offset):
-            _reply_unknown(world, message, "the claim is older than the memory")
+            _reply_unknown(
+                world, message, "the claim is older than the cached attempts"
+            )
         else:
             _accept_attempt(world, message, now_ms)
 
@@ -92,7 +98,7 @@
     world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
 ) -> None:
     if known.body != message.body:
-        _reply_unknown(world, message, "the key stands for another body")
+        _reply_unknown(world, message, "the key was used with another body")
         return
     if known.state not in OUTCOME_OF:
         _add_pending_exchange(world, message, now_ms)
@@ -146,7 +152,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=100)
 def handle_minion_answers(world: World, now_ms: int) -> None:
-    """Give whole answers to the exchanges that wait for them."""
+    """Finish attempts that the minion answered, and answer waiting exchanges."""
     for message in world.inbox.take(MinionAnswered):
         row = world.served.get(message.attempt_id)
         if row is None or row.state is not ServedState.RUNNING:
@@ -160,10 +166,12 @@
             _finish(world, row, ServedState.UNKNOWN, now_ms, reason=message.reason)
 
 
-def _update_service_time(world: World, took_ms: int) -> None:
+def _update_service_time(world: World, duration_ms: int) -> None:
     if world.service_ms:
-        took_ms = world.service_ms + SMOOTHING_RATIO * (took_ms - world.service_ms)
-    world.service_ms = float(max(took_ms, 1))
+        duration_ms = world.service_ms + SMOOTHING_RATIO * (
+            duration_ms - world.service_ms
+        )
+    world.service_ms = float(max(duration_ms, 1))
 
 
 def _finish(
@@ -191,9 +199,9 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=80)
 def hand_over_attempts(world: World, now_ms: int) -> None:
-    """Drop attempts that are too late; give the rest a slot each.
+    """Drop attempts past their deadline, and hand over others to free slots.
 
-    Interactive attempts go first, then those of the team that runs least.
+    Interactive attempts go first, then those of the team with the fewest running.
     """
     waiting = []
     for row in world.served.find("state", ServedState.WAITING):
@@ -225,7 +233,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
 def answer_pending_exchanges(world: World, now_ms: int) -> None:
-    """Tell entries whose hold time is over that their attempt still runs."""
+    """Answer exchanges whose hold time is over that the attempt is still running."""
     for exchange_id in world.hold_agenda.take_due(now_ms):
         pending = world.held.delete(exchange_id)
         if pending is not None:
