--- a/kingcuppost/systems/members/tests/test_heartbeats.py
+++ b/kingcuppost/systems/members/tests/test_heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats go to one entry; members' reports reach the scheduler for sure."""
+"""Heartbeats go to one entry; members' reports reach the scheduler reliably."""
 
 from kingcuppost.systems.requests.tests.simulation import Simulation
 from kingcuppost.tables.outbox import SendHeartbeat
@@ -30,7 +30,7 @@
     return simulation.worlds["m-0"].agreed.lease.holder
 
 
-def test_one_exchange_a_period_however_many_entries() -> None:
+def test_one_heartbeat_per_period_with_any_number_of_entries() -> None:
     simulation = started()
     simulation.sent.clear()
     simulation.advance(5 * PERIOD_MS)
@@ -38,7 +38,7 @@
     assert len({heartbeat.entry for heartbeat in heartbeats(simulation)}) == 1
 
 
-def test_silent_home_is_replaced() -> None:
+def test_unresponsive_home_is_replaced() -> None:
     simulation = started()
     home = heartbeats(simulation)[-1].entry
     simulation.unreachable.add(home)
@@ -47,7 +47,7 @@
     assert {heartbeat.entry for heartbeat in heartbeats(simulation)} - {home}
 
 
-def test_report_lost_on_the_way_is_sent_again() -> None:
+def test_lost_report_is_sent_again() -> None:
     simulation = started()
     name = holder(simulation)
     simulation.unreachable.add(name)
@@ -70,7 +70,7 @@
     assert task.reported_state == TaskState.RESERVED
 
 
-def test_steady_members_are_not_reported_each_period() -> None:
+def test_unchanged_members_are_not_reported_each_period() -> None:
     simulation = started()
     add_task(simulation, TaskState.RUNNING)
     simulation.advance(500)
@@ -79,7 +79,7 @@
     assert sum(len(heartbeat.reports) for heartbeat in heartbeats(simulation)) <= 1
 
 
-def test_holder_behind_in_the_log_is_told_again() -> None:
+def test_report_is_sent_again_to_a_holder_behind_in_the_log() -> None:
     simulation = started()
     world = simulation.worlds["m-0"]
     world.log_view.folded_offset += 5
@@ -91,7 +91,7 @@
     assert task.reported_state == TaskState.RESERVED
 
 
-def test_new_holder_hears_of_all_members() -> None:
+def test_all_members_are_reported_to_a_new_holder() -> None:
     simulation = started()
     task = add_task(simulation)
     simulation.advance(500)
@@ -107,7 +107,7 @@
     assert holder(simulation) in notified
 
 
-def test_leaving_sidecar_tells_every_entry_once() -> None:
+def test_leaving_sidecar_notifies_every_entry_once() -> None:
     simulation = started()
     simulation.sent.clear()
     simulation.worlds["m-0"].stopping = True
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -1,4 +1,4 @@
-"""Members at one sidecar: reservations, starts, leases, stops, takeovers."""
+"""Members at one sidecar: reservations, starts, leases, stops, adoption."""
 
 import pytest
 
@@ -52,7 +52,7 @@
 
 
 def restarted(bench: Bench) -> Bench:
-    """Return a new process beside the same worker."""
+    """Return a bench with a new sidecar process at the same worker."""
     again = sidecar_bench(bench.log, bench.clock)
     again.worker = bench.worker
     again.settle()
@@ -60,7 +60,7 @@
 
 
 def run_alone(bench: Bench, job: str = "a") -> str:
-    """Start a gang of one; return its task."""
+    """Start a gang of one member; return its task."""
     place(bench.log, job, (OWN,))
     bench.settle()
     release(bench.log, job)
@@ -69,7 +69,7 @@
 
 
 def run_led_elsewhere(bench: Bench) -> str:
-    """Start member 1 of a gang whose leader is at the other worker."""
+    """Start member 1 of a gang whose leader is at the other worker; return its task."""
     place(bench.log, "a", (OTHER, OWN))
     bench.settle()
     release(bench.log, "a")
@@ -125,7 +125,7 @@
     assert bench.worker.tasks["a/1/0"].starts == 0
 
 
-def test_no_start_while_a_renewal_is_under_way(bench: Bench) -> None:
+def test_no_start_while_a_renewal_is_pending(bench: Bench) -> None:
     place(bench.log, "a", (OWN,))
     bench.settle()
     bench.held = (RenewTasks,)
@@ -140,7 +140,9 @@
     assert bench.task("a/1/0").state is TaskState.RUNNING
 
 
-def test_no_start_in_a_zone_taken_out_before_the_release(bench: Bench) -> None:
+def test_no_start_in_a_zone_taken_out_of_service_before_the_release(
+    bench: Bench,
+) -> None:
     place(bench.log, "a", (OWN,))
     bench.settle()
     release(bench.log, "a")
@@ -150,7 +152,7 @@
     assert bench.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_paused_sidecar_starts_nothing_on_its_old_view(bench: Bench) -> None:
+def test_paused_sidecar_starts_nothing_on_a_stale_view(bench: Bench) -> None:
     place(bench.log, "a", (OWN,))
     bench.settle()
     release(bench.log, "a")
@@ -160,7 +162,7 @@
     assert bench.worker.tasks["a/1/0"].starts == 0
 
 
-def test_running_member_alone_runs_on(bench: Bench) -> None:
+def test_single_running_member_keeps_running(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.run(3 * LEASE_MS)
     assert bench.worker.state(task_id) is TaskState.RUNNING
@@ -179,7 +181,7 @@
     assert bench.worker.state(alone) is TaskState.RUNNING
 
 
-def test_lease_counts_from_when_the_report_was_sent(bench: Bench) -> None:
+def test_lease_starts_when_the_report_was_sent(bench: Bench) -> None:
     task_id = run_led_elsewhere(bench)
     started_ms = bench.now_ms
     bench.run(4_000)
@@ -189,7 +191,7 @@
     assert bench.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRM_MS
 
 
-def test_paused_sidecar_prolongs_nothing_by_a_stale_confirmation(
+def test_paused_sidecar_extends_no_lease_by_a_stale_confirmation(
     bench: Bench,
 ) -> None:
     task_id = run_led_elsewhere(bench)
@@ -209,7 +211,7 @@
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_task_that_ignores_stop_loses_its_lease(bench: Bench) -> None:
+def test_lease_lapses_for_a_task_that_ignores_stop(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.worker.ignores_stop = True
     bench.run(1_000)
@@ -232,7 +234,7 @@
     assert bench.worker.state("a/1/0") is TaskState.STOPPED
 
 
-def test_stop_is_repeated_until_the_worker_obeys(bench: Bench) -> None:
+def test_stop_is_repeated_until_the_worker_stops_the_task(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.held = (StopTask,)
     bench.log.add(JobCancel("a", "enough"))
@@ -258,43 +260,45 @@
     assert bench.task("a/1/0").state is TaskState.STOPPED
 
 
-def silence_worker(bench: Bench) -> None:
+def make_worker_unresponsive(bench: Bench) -> None:
     bench.held = (RenewTasks, StopTask, CheckpointTask)
 
 
-def lose_kept_orders(bench: Bench, for_ms: int) -> None:
-    """Let time pass while the worker's link loses every order."""
+def run_with_lost_orders(bench: Bench, for_ms: int) -> None:
+    """Advance time while every order to the worker is lost."""
     for _ in range(for_ms // 500):
         bench.run(500)
         kept, bench.kept = bench.kept, []
         for order in kept:
             name = {RenewTasks: "renew", StopTask: "stop"}.get(type(order))
             task_id = getattr(order, "task_id", "")
-            failed = WorkerDone(name or "checkpoint", task_id, False, reason="silent")
+            failed = WorkerDone(
+                name or "checkpoint", task_id, False, reason="no answer"
+            )
             bench.world.inbox.put(failed)
 
 
-def test_member_of_a_dead_worker_is_not_reported_alive(bench: Bench) -> None:
+def test_member_of_a_dead_worker_is_not_reported_running(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.run(2_000)
-    silence_worker(bench)
-    lose_kept_orders(bench, 12_000)
+    make_worker_unresponsive(bench)
+    run_with_lost_orders(bench, 12_000)
     assert bench.task(task_id).state is TaskState.STOPPED
 
 
-def test_gang_whose_leaders_worker_died_is_called_broken(bench: Bench) -> None:
+def test_gang_is_broken_when_the_worker_of_its_leader_dies(bench: Bench) -> None:
     lead(bench)
     for _ in range(4):
         report_to_leader(bench, report(1, TaskState.RUNNING))
         bench.run(500)
-    silence_worker(bench)
+    make_worker_unresponsive(bench)
     for _ in range(CONFIRM_MS // 500 + 1):
         report_to_leader(bench, report(1, TaskState.RUNNING))
-        lose_kept_orders(bench, 500)
+        run_with_lost_orders(bench, 500)
     assert bench.world.gang_watches.get("a/1").broken_reason
 
 
-def test_member_lost_before_its_release_is_told(bench: Bench) -> None:
+def test_member_lost_before_its_release_is_reported_stopped(bench: Bench) -> None:
     place(bench.log, "a", (OWN, OTHER))
     bench.settle()
     del bench.worker.tasks["a/1/0"]
@@ -302,7 +306,7 @@
     assert bench.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_ended_members_are_forgotten_after_their_gang(bench: Bench) -> None:
+def test_ended_members_are_deleted_after_their_gang(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(600)
@@ -316,7 +320,7 @@
     assert len([row for row in bench.sent if isinstance(row, StopTask)]) == stops
 
 
-def test_restarted_sidecar_takes_over_a_running_member(bench: Bench) -> None:
+def test_restarted_sidecar_adopts_a_running_member(bench: Bench) -> None:
     task_id = run_alone(bench)
     again = restarted(bench)
     again.run(2 * LEASE_MS)
@@ -324,7 +328,7 @@
     assert again.worker.tasks[task_id].starts == 1
 
 
-def test_restarted_sidecar_renews_only_what_is_confirmed(bench: Bench) -> None:
+def test_restarted_sidecar_renews_only_confirmed_members(bench: Bench) -> None:
     task_id = run_led_elsewhere(bench)
     lease_ms = bench.worker.tasks[task_id].lease_ms
     again = restarted(bench)
@@ -335,7 +339,7 @@
     assert again.worker.state(task_id) is TaskState.RUNNING
 
 
-def test_restarted_sidecar_gives_a_reservation_up(bench: Bench) -> None:
+def test_restarted_sidecar_stops_a_reservation(bench: Bench) -> None:
     place(bench.log, "a", (OWN, OTHER))
     bench.settle()
     again = restarted(bench)
@@ -344,7 +348,7 @@
     assert again.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_restarted_sidecar_stops_what_has_ended_meanwhile(bench: Bench) -> None:
+def test_restarted_sidecar_stops_members_of_an_ended_gang(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.log.add(JobCancel("a", "enough"), GangEnd(term_of(bench.log), "a", 1))
     again = restarted(bench)
@@ -353,21 +357,21 @@
     assert len(again.world.tasks) == 0
 
 
-def test_restarted_sidecar_owns_to_a_lost_member(bench: Bench) -> None:
+def test_restarted_sidecar_reports_a_lost_member_stopped(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.worker.tasks.clear()
     again = restarted(bench)
     assert again.task(task_id).state is TaskState.STOPPED
 
 
-def test_foreign_tasks_are_left_alone(bench: Bench) -> None:
+def test_tasks_of_others_are_not_stopped(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.worker.tasks["other"] = bench.worker.tasks[task_id]
     bench.run(1_000)
     assert not [row for row in bench.sent if isinstance(row, StopTask)]
 
 
-def test_past_gangs_are_not_reserved_again(bench: Bench) -> None:
+def test_members_of_ended_gangs_are_not_reserved_again(bench: Bench) -> None:
     run_alone(bench)
     bench.log.add(JobCancel("a", "enough"), GangEnd(term_of(bench.log), "a", 1))
     bench.worker.tasks.clear()
@@ -385,7 +389,7 @@
 
 
 def lead(bench: Bench) -> str:
-    """Start member 0 of a gang of two here."""
+    """Start member 0 of a gang of two at this worker; return its task."""
     place(bench.log, "a", (OWN, OTHER))
     bench.settle()
     release(bench.log, "a")
@@ -393,7 +397,7 @@
     return "a/1/0"
 
 
-def test_leader_confirms_nobody_before_all_run(bench: Bench) -> None:
+def test_leader_confirms_no_member_before_all_run(bench: Bench) -> None:
     task_id = lead(bench)
     lease_expiry_ms = bench.task(task_id).lease_expiry_ms
     bench.run(CONFIRM_MS - 100)
@@ -403,16 +407,16 @@
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_gang_without_one_member_ends_within_the_lease(bench: Bench) -> None:
+def test_gang_with_a_missing_member_ends_within_the_lease(bench: Bench) -> None:
     task_id = lead(bench)
     for _ in range(20):
         report_to_leader(bench, report(1, TaskState.RUNNING))
         bench.run(500)
-    silent_ms = bench.now_ms - 500
+    last_report_ms = bench.now_ms - 500
     assert bench.worker.state(task_id) is TaskState.RUNNING
     while bench.worker.state(task_id) is TaskState.RUNNING:
         bench.run(10)
-    assert bench.now_ms - silent_ms <= LEASE_MS
+    assert bench.now_ms - last_report_ms <= LEASE_MS
 
 
 def test_failed_member_breaks_the_gang_at_once(bench: Bench) -> None:
@@ -423,7 +427,7 @@
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_finish_is_proposed_once_and_again_after_a_restart(bench: Bench) -> None:
+def test_finish_is_proposed_once_per_process(bench: Bench) -> None:
     task_id = lead(bench)
     report_to_leader(bench, report(1, TaskState.FINISHED, "one"))
     report_to_leader(bench, report(1, TaskState.FINISHED, "one"))
@@ -445,7 +449,7 @@
     assert again.world.agreed.jobs.get("a").result == "zero"
 
 
-def test_finished_member_reports_until_the_gang_is_gone(bench: Bench) -> None:
+def test_finished_member_is_reported_until_the_gang_ends(bench: Bench) -> None:
     task_id = run_led_elsewhere(bench)
     bench.worker.finish(task_id, "one")
     bench.run(20_000)
@@ -464,7 +468,7 @@
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_isolation_bound_leaves_room_for_heartbeats(bench: Bench) -> None:
+def test_isolation_limit_allows_for_heartbeats(bench: Bench) -> None:
     bench.log.add(SettingPut("", "job.isolation_ms", 1_000, 0))
     task_id = run_alone(bench)
     bench.log.up = False
@@ -474,7 +478,7 @@
     assert bench.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_members_run_on_without_the_log_while_an_entry_answers(
+def test_members_keep_running_without_the_log_while_an_entry_answers(
     bench: Bench,
 ) -> None:
     bench.log.add(SettingPut("", "job.isolation_ms", 20_000, 0))
@@ -486,7 +490,7 @@
     assert bench.worker.state(task_id) is TaskState.RUNNING
 
 
-def test_finish_waits_for_the_log_and_counts_once(bench: Bench) -> None:
+def test_finish_waits_for_the_log_and_takes_effect_once(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.log.up = False
     bench.run(2_000)
@@ -499,7 +503,7 @@
     assert bench.world.agreed.jobs.get("a").result == "plan"
 
 
-def test_stopped_gang_is_stopped_after_the_outage(bench: Bench) -> None:
+def test_gang_stopped_during_an_outage_of_the_log_stops_after_it(bench: Bench) -> None:
     task_id = run_alone(bench)
     bench.log.up = False
     bench.log.add(GangStop(term_of(bench.log), "a", 1, "reclaim"))
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -1,4 +1,4 @@
-"""Entries and sidecars driven with no socket, on a clock moved by hand."""
+"""Simulation of entries and sidecars without sockets, on a manual clock."""
 
 import heapq
 import itertools
@@ -54,18 +54,18 @@
 
 
 class Simulation:
-    """Worlds whose messages reach each other after a latency, unless faulted.
+    """Worlds that exchange messages after a latency, with faults on demand.
 
     Attributes
     ----------
     runs : Counter
-        How often each body was handed over to a minion.
+        Number of times that each body was handed over to a minion.
     answers : dict of str to RequestReply
         Replies to callers by exchange.
     lose_answers, unreachable : set of str
-        Sidecars whose answers are lost, and that can't be reached.
+        Processes whose answers are lost, and processes that can't be reached.
     log_up : bool
-        Whether the log takes and gives records.
+        Whether the log answers reads and appends.
     """
 
     def __init__(self, run_ms: dict[str, int], entries: int = 2, slots: int = 8):
@@ -97,12 +97,12 @@
         self.propose(TeamPut("shop", (), 0, 0))
 
     def propose(self, body: object) -> None:
-        """Put a record into the log."""
+        """Append a record to the log."""
         number = next(self._numbers)
         self.log.append(Record(f"rec-{number}", "test", 0, body))
 
     def start(self, name: str) -> World:
-        """Start a process anew."""
+        """Start a process, or restart it with a new incarnation."""
         role = Role.ENTRY if name.startswith("entry") else Role.SIDECAR
         sidecar = None
         if role is Role.SIDECAR:
@@ -124,7 +124,7 @@
         return self.worlds[name]
 
     def send_request(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
-        """Send a caller's request; return its exchange."""
+        """Send a caller's request to an entry; return the id of its exchange."""
         exchange = f"call-{next(self._numbers)}"
         message = CallerRequest(
             exchange,
@@ -140,7 +140,7 @@
         return exchange
 
     def advance(self, ms: int) -> None:
-        """Let everything happen that is due within a time."""
+        """Advance the clock, and run everything that is due until then."""
         end = self.clock.now_ms() + ms
         while True:
             self._tick_all()
@@ -154,7 +154,7 @@
         self._tick_all()
 
     def outcome(self, exchange: str) -> Outcome | None:
-        """Return what the caller was told, or None."""
+        """Return the outcome that the caller got, or None."""
         reply = self.answers.get(exchange)
         return reply.outcome if reply else None
 
@@ -178,12 +178,12 @@
                         break
 
     def after(self, ms: int, run: Callable[[], None]) -> None:
-        """Do something later."""
+        """Schedule a callback."""
         at_ms = self.clock.now_ms() + ms
         heapq.heappush(self._later, (at_ms, next(self._numbers), run))
 
     def deliver(self, world: World, message: object, ms: int = LATENCY_MS) -> None:
-        """Put a message before a process unless it was killed meanwhile."""
+        """Deliver a message to a process unless it is killed before."""
         name = world.identity.name
 
         def put() -> None:
@@ -324,7 +324,7 @@
         failed: object,
         timeout_ms: int,
     ) -> None:
-        """Carry a request and its answer, whichever comes first: answer, timeout."""
+        """Deliver a request, then its answer or a timeout, whichever comes first."""
         exchange = f"exc-{next(self._numbers)}"
         fields = {name: getattr(arrived, name) for name in arrived.__slots__}
         self.deliver(receiver, type(arrived)(**{**fields, "exchange_id": exchange}))
--- a/kingcuppost/systems/requests/tests/test_answers.py
+++ b/kingcuppost/systems/requests/tests/test_answers.py
@@ -1,4 +1,4 @@
-"""Outcomes told to callers are true, whatever gets lost on the way."""
+"""Outcomes reported to callers are true, whichever messages are lost."""
 
 import pytest
 
@@ -27,7 +27,7 @@
         assert simulation.answers[call].answer.endswith(body)
 
 
-def test_silent_connection_delays_and_does_not_run_twice() -> None:
+def test_unresponsive_connection_delays_but_does_not_run_twice() -> None:
     simulation = started({"m-0": 20})
     call = simulation.send_request("entry-0", "quote")
     simulation.lose_answers.add("m-0")
@@ -39,7 +39,7 @@
     assert simulation.runs["quote"] == 1
 
 
-def test_long_request_keeps_its_one_attempt() -> None:
+def test_long_request_has_a_single_attempt() -> None:
     simulation = started({"m-0": 6_000, "m-1": 6_000})
     call = simulation.send_request("entry-0", "study")
     simulation.advance(9_900)
@@ -48,14 +48,14 @@
     assert simulation.runs["study"] == 1
 
 
-def test_deadline_with_an_attempt_under_way_is_unknown() -> None:
+def test_expiry_with_an_open_attempt_is_unknown() -> None:
     simulation = started({"m-0": 5_000})
     call = simulation.send_request("entry-0", "slow", timeout_ms=1_000)
     simulation.advance(1_100)
     assert simulation.outcome(call) is Outcome.UNKNOWN
 
 
-def test_deadline_with_none_sent_is_not_run() -> None:
+def test_expiry_with_no_attempt_sent_is_not_run() -> None:
     simulation = started({"m-0": 20})
     simulation.worlds.pop("m-0")
     simulation.unreachable.add("m-0")
@@ -65,7 +65,7 @@
     assert simulation.runs["quote"] == 0
 
 
-def test_late_attempt_is_dropped_before_it_takes_a_slot() -> None:
+def test_expired_attempt_is_dropped_before_it_gets_a_slot() -> None:
     simulation = started({"m-0": 2_000}, entries=2, slots=1)
     simulation.send_request("entry-0", "first")
     simulation.advance(50)
@@ -98,7 +98,7 @@
     assert simulation.outcome(call) is Outcome.UNKNOWN
 
 
-def test_late_and_crossed_answers_are_dropped() -> None:
+def test_late_and_mismatched_answers_are_dropped() -> None:
     simulation = started({"m-0": 20})
     call = simulation.send_request("entry-0", "quote")
     simulation.advance(100)
@@ -110,7 +110,7 @@
     assert simulation.answers[call] is first
 
 
-def test_restarted_sidecar_does_not_speak_for_its_former_self() -> None:
+def test_restarted_sidecar_does_not_answer_for_its_former_process() -> None:
     simulation = started({"m-0": 1_000})
     call = simulation.send_request("entry-0", "charge", key="k", timeout_ms=5_000)
     simulation.advance(200)
@@ -122,7 +122,7 @@
 
 
 @pytest.mark.parametrize("name", ["entry-0", "m-0"])
-def test_lost_exchange_leaves_nothing_behind(name: str) -> None:
+def test_lost_exchange_leaves_an_empty_inbox(name: str) -> None:
     simulation = started({"m-0": 20})
     simulation.worlds[name].inbox.put(ExchangeLost("exc-gone"))
     simulation.advance(10)
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -50,7 +50,7 @@
 
 
 def test_unreachable_sidecar_does_not_free_the_key() -> None:
-    """Another entry may have sent the attempt that this one could not send."""
+    """Another entry may have sent the attempt that this entry could not send."""
     simulation = started({"m-0": 50})
     first = simulation.send_request("entry-0", "charge", "k")
     simulation.advance(500)
@@ -66,7 +66,7 @@
     assert simulation.runs["charge"] == 1
 
 
-def test_refused_key_is_free_and_its_late_duplicate_does_not_run() -> None:
+def test_refusal_frees_the_key_and_a_late_duplicate_does_not_run() -> None:
     simulation = started({"m-0": 50, "m-1": 50})
     for name in ("m-0", "m-1"):
         simulation.worlds[name].stopping = True
@@ -97,7 +97,7 @@
     assert simulation.runs["charge"] == 1
 
 
-def test_silent_log_refuses_in_bounded_time() -> None:
+def test_unresponsive_log_leads_to_refusal_in_limited_time() -> None:
     simulation = started()
     simulation.log_up = False
     first = simulation.send_request("entry-0", "charge-1", "k1")
@@ -114,7 +114,7 @@
     assert simulation.runs["charge-1"] + simulation.runs["charge-2"] == 0
 
 
-def test_key_claimed_before_is_never_told_not_run() -> None:
+def test_claimed_key_is_never_reported_not_run() -> None:
     simulation = started({"m-0": 50})
     first = simulation.send_request("entry-0", "charge", "k")
     simulation.advance(500)
@@ -125,7 +125,7 @@
     assert simulation.outcome(second) is Outcome.UNKNOWN
 
 
-def test_forgotten_attempt_does_not_run_again() -> None:
+def test_evicted_attempt_does_not_run_again() -> None:
     simulation = started({"m-0": 5})
     simulation.propose(SettingPut("", "serve.memory_attempts", 16, 0))
     simulation.advance(100)
@@ -141,7 +141,7 @@
     assert simulation.runs["charge"] == 1
 
 
-def test_lost_answer_is_given_again() -> None:
+def test_lost_answer_is_sent_again() -> None:
     simulation = started({"m-0": 50})
     simulation.lose_answers.add("m-0")
     call = simulation.send_request("entry-0", "charge", "k")
@@ -152,7 +152,7 @@
     assert simulation.runs["charge"] == 1
 
 
-def test_claim_by_another_entry_while_queued_is_not_told_not_run() -> None:
+def test_key_claimed_by_another_entry_while_queued_is_not_reported_not_run() -> None:
     simulation = started({"m-0": 4_000}, slots=1)
     simulation.send_request("entry-1", "busy", timeout_ms=5_000)
     simulation.advance(20)
@@ -162,7 +162,7 @@
     assert simulation.outcome(blocked) is Outcome.UNKNOWN
 
 
-def test_one_entry_sends_an_attempt_once_for_all_who_wait() -> None:
+def test_entry_sends_one_attempt_for_all_waiting_requests() -> None:
     simulation = started({"m-0": 100})
     calls = [simulation.send_request("entry-0", "charge", "k") for _ in range(3)]
     simulation.advance(1_000)
@@ -171,7 +171,7 @@
     assert [simulation.outcome(call) for call in calls] == [Outcome.ANSWERED] * 3
 
 
-def test_time_of_issue_reaches_the_claim_and_may_not_lie_ahead() -> None:
+def test_issue_time_reaches_the_claim_and_may_not_lie_in_the_future() -> None:
     simulation = started({"m-0": 50})
     call = simulation.send_request("entry-0", "charge", "k", issued_ms=7)
     ahead = simulation.send_request("entry-0", "later", "k2", issued_ms=10**9)
@@ -182,7 +182,7 @@
     assert simulation.runs["later"] == 0
 
 
-def test_forgotten_key_is_never_told_not_run(monkeypatch) -> None:
+def test_removed_key_is_never_reported_not_run(monkeypatch) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
     simulation = started()
     outcomes = []
@@ -194,7 +194,7 @@
     assert simulation.runs["charge-k1"] == 1
 
 
-def test_key_with_an_issue_time_is_taken_after_others_were_forgotten(
+def test_key_with_an_issue_time_is_accepted_after_others_were_removed(
     monkeypatch,
 ) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
@@ -211,7 +211,7 @@
     assert simulation.runs["charge-k1"] == 1
 
 
-def test_key_from_the_future_is_refused_as_not_run() -> None:
+def test_key_with_a_future_issue_time_is_refused_as_not_run() -> None:
     simulation = started()
     call = simulation.send_request("entry-0", "charge", "k", issued_ms=2**52)
     simulation.advance(1_000)
--- a/kingcuppost/systems/requests/tests/test_policies.py
+++ b/kingcuppost/systems/requests/tests/test_policies.py
@@ -1,4 +1,4 @@
-"""Routing policies on one seeded list of arrivals, minions of unequal speed."""
+"""Routing policies with seeded arrivals and minions of unequal speed."""
 
 import functools
 import random
@@ -14,15 +14,15 @@
 SLOTS = 2
 SETTLE_MS = 500
 ARRIVALS = 500
-SHARE_OF_CAPACITY = 0.6
+LOAD_RATIO = 0.6
 SEEDS = (1, 2)
 
 
-def latencies(policy: str, seed: int) -> list[int]:
+def measure_latencies(policy: str, seed: int) -> list[int]:
     simulation = Simulation(RUN_MS, slots=SLOTS)
     simulation.propose(SettingPut("", "request.routing", policy, 0))
     simulation.advance(SETTLE_MS)
-    rate_per_ms = SHARE_OF_CAPACITY * sum(SLOTS / ms for ms in RUN_MS.values())
+    rate_per_ms = LOAD_RATIO * sum(SLOTS / ms for ms in RUN_MS.values())
     rng = random.Random(seed)
     sent_ms = {}
     due_ms = 0.0
@@ -40,25 +40,32 @@
 
 
 @functools.cache
-def figures(policy: str) -> tuple[float, float, float]:
+def latency_figures(policy: str) -> tuple[float, float, float]:
     """Return mean, median and 99th percentile over all seeds, in ms."""
-    values = sorted(value for seed in SEEDS for value in latencies(policy, seed))
+    values = sorted(
+        value for seed in SEEDS for value in measure_latencies(policy, seed)
+    )
     count = len(values)
     return sum(values) / count, values[count // 2], values[int(count * 0.99)]
 
 
-def test_registry_holds_the_candidate_and_two_baselines() -> None:
+def test_registry_has_two_choices_and_two_baselines() -> None:
     assert set(policies) >= {"two_choices", "random", "round_robin"}
 
 
 @pytest.mark.parametrize("baseline", ["random", "round_robin"])
 def test_two_choices_beats_a_baseline(baseline: str) -> None:
-    ours = figures("two_choices")
-    theirs = figures(baseline)
-    print("mean, p50, p99 in ms: two_choices", ours, baseline, theirs)
-    assert ours[0] < theirs[0]
-    assert ours[1] < theirs[1]
-    assert ours[2] <= theirs[2]
+    two_choices_figures = latency_figures("two_choices")
+    baseline_figures = latency_figures(baseline)
+    print(
+        "mean, p50, p99 in ms: two_choices",
+        two_choices_figures,
+        baseline,
+        baseline_figures,
+    )
+    assert two_choices_figures[0] < baseline_figures[0]
+    assert two_choices_figures[1] < baseline_figures[1]
+    assert two_choices_figures[2] <= baseline_figures[2]
 
 
 def test_minion_measured_slow_once_is_measured_again() -> None:
--- a/kingcuppost/systems/requests/tests/test_routing.py
+++ b/kingcuppost/systems/requests/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Queues are fair, bounded, and cost the same at any length."""
+"""Queues are fair and limited in length; retries, slots, zones and pauses."""
 
 from kingcuppost.systems.requests.tests.simulation import Simulation
 from kingcuppost.tables.job import Urgency
@@ -28,7 +28,7 @@
     assert simulation.answered_ms[call] - sent_ms < 400
 
 
-def test_interactive_passes_overnight() -> None:
+def test_interactive_requests_overtake_overnight_ones() -> None:
     simulation = started({"m-0": 100}, entries=1)
     for number in range(100):
         simulation.send_request("entry-0", f"batch {number}", urgency=Urgency.OVERNIGHT)
@@ -63,7 +63,7 @@
     assert {simulation.outcome(call) for call in calls} == {Outcome.NOT_RUN}
 
 
-def test_slots_hold_with_several_entries() -> None:
+def test_slots_limit_running_attempts_with_several_entries() -> None:
     simulation = started({"m-0": 50, "m-1": 50}, entries=3)
     for number in range(300):
         simulation.send_request(f"entry-{number % 3}", f"q{number}")
@@ -72,7 +72,7 @@
     assert sum(simulation.runs.values()) == 300
 
 
-def test_zone_taken_out_and_minion_that_left_get_nothing() -> None:
+def test_zone_out_of_service_and_minion_that_left_get_no_requests() -> None:
     simulation = started({"m-0": 20})
     leave = MemberLeave("m-0", simulation.worlds["m-0"].identity.incarnation)
     simulation.propose(ZonePut("vid-a", "vidzeme", False, 1))
@@ -94,7 +94,7 @@
     assert simulation.runs["late"] == 0
 
 
-def test_minion_that_fails_is_paused_and_tried_again() -> None:
+def test_failing_minion_is_paused_and_tried_again() -> None:
     simulation = started({"m-0": 20})
     simulation.unreachable.add("m-0")
     for number in range(6):
--- a/kingcuppost/systems/requests/tests/test_serving.py
+++ b/kingcuppost/systems/requests/tests/test_serving.py
@@ -1,4 +1,4 @@
-"""A sidecar's slots, its refusals, and what it says of attempts not its own."""
+"""Slots and refusals of a sidecar, and its answers for attempts of others."""
 
 from kingcuppost.systems import run_tick
 from kingcuppost.systems.requests.tests.simulation import Simulation
@@ -42,7 +42,7 @@
     assert not any(isinstance(item, HandOver) for item in sent)
 
 
-def test_slots_and_connections_bound_what_is_open() -> None:
+def test_slots_and_connections_limit_open_attempts() -> None:
     simulation = Simulation({"m-0": 20})
     burst = [arrived(simulation, number) for number in range(CONNECTIONS + 5)]
     sent = tick(simulation, *burst)
@@ -51,7 +51,7 @@
     assert [body.outcome for body in refused] == [Outcome.NOT_RUN] * 5
 
 
-def test_interactive_goes_first_and_teams_share_the_slots() -> None:
+def test_interactive_attempts_go_first_and_teams_share_the_slots() -> None:
     simulation = Simulation({"m-0": 20})
     burst = [
         arrived(simulation, 100, urgency=Urgency.OVERNIGHT),
@@ -59,6 +59,6 @@
         arrived(simulation, 200, team="shop"),
     ]
     sent = tick(simulation, *burst)
-    handed = [item.attempt_id for item in sent if isinstance(item, HandOver)]
-    assert "att-200" in handed
-    assert "att-100" not in handed
+    handed_over = [item.attempt_id for item in sent if isinstance(item, HandOver)]
+    assert "att-200" in handed_over
+    assert "att-100" not in handed_over
