--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -20,18 +20,18 @@
 from kingcuppost.systems.members.tasks import reconcile_gangs, start_members
 
 __all__ = [
-    "reconcile_gangs",
     "forget_members",
-    "presume_stopped_members",
+    "handle_heartbeat_replies",
+    "handle_leader_replies",
     "handle_member_reports",
+    "handle_worker_answers",
+    "presume_stopped_members",
+    "propose_gang_finishes",
+    "reconcile_gangs",
     "renew_tasks",
     "report_to_leaders",
     "send_heartbeats",
     "start_members",
     "stop_isolated_members",
     "stop_lapsed_members",
-    "handle_heartbeat_replies",
-    "handle_leader_replies",
-    "handle_worker_answers",
-    "propose_gang_finishes",
 ]
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -26,11 +26,11 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
+    "handle_leader_replies",
     "handle_member_reports",
     "make_report",
-    "report_to_leaders",
-    "handle_leader_replies",
     "propose_gang_finishes",
+    "report_to_leaders",
 ]
 
 HEALTHY_STATES = (TaskState.RUNNING, TaskState.FINISHED)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -23,10 +23,10 @@
 
 __all__ = [
     "choose_home_entry",
-    "send_leave_notices",
+    "handle_heartbeat_replies",
     "send_heartbeats",
+    "send_leave_notices",
     "send_reports",
-    "handle_heartbeat_replies",
 ]
 
 LAG_PAUSE_MS = 50
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -25,7 +25,7 @@
 from kingcuppost.tables.task import MemberTask, Renewal, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["renew_tasks", "handle_worker_answers"]
+__all__ = ["handle_worker_answers", "renew_tasks"]
 
 RENEWALS_PER_LEASE = 3
 TASKS_PER_POLL = 8
@@ -83,7 +83,7 @@
     limits_ms += [confirm_ms(world, gang) for gang in gangs if gang is not None]
     poll_ms = effective_value(world.agreed, "job.poll_ms")
     wanted_ms = poll_ms * max(1, len(leased) // TASKS_PER_POLL)
-    return min([wanted_ms, *(bound // RENEWALS_PER_LEASE for bound in limits_ms)])
+    return min([wanted_ms, *(limit // RENEWALS_PER_LEASE for limit in limits_ms)])
 
 
 def _leases_to_renew(
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -17,8 +17,8 @@
 
 __all__ = [
     "forget_members",
-    "presume_stopped_members",
     "order_stop",
+    "presume_stopped_members",
     "stop_isolated_members",
     "stop_lapsed_members",
     "stop_task",
--- a/kingcuppost/systems/members/tests/test_heartbeats.py
+++ b/kingcuppost/systems/members/tests/test_heartbeats.py
@@ -8,7 +8,7 @@
 PERIOD_MS = 10_000
 
 
-def started(entries: int = 3) -> Simulation:
+def start_simulation(entries: int = 3) -> Simulation:
     simulation = Simulation({"m-0": 20}, entries=entries)
     simulation.advance(SETTLE_MS)
     return simulation
@@ -31,7 +31,7 @@
 
 
 def test_one_heartbeat_per_period_with_any_number_of_entries() -> None:
-    simulation = started()
+    simulation = start_simulation()
     simulation.sent.clear()
     simulation.advance(5 * PERIOD_MS)
     assert 4 <= len(heartbeats(simulation)) <= 6
@@ -39,7 +39,7 @@
 
 
 def test_unresponsive_home_is_replaced() -> None:
-    simulation = started()
+    simulation = start_simulation()
     home = heartbeats(simulation)[-1].entry
     simulation.unreachable.add(home)
     simulation.sent.clear()
@@ -48,7 +48,7 @@
 
 
 def test_lost_report_is_sent_again() -> None:
-    simulation = started()
+    simulation = start_simulation()
     name = holder(simulation)
     simulation.unreachable.add(name)
     task = add_task(simulation)
@@ -60,7 +60,7 @@
 
 
 def test_report_whose_answer_is_lost_is_sent_again() -> None:
-    simulation = started()
+    simulation = start_simulation()
     simulation.lose_answers.add(holder(simulation))
     task = add_task(simulation)
     simulation.advance(500)
@@ -71,7 +71,7 @@
 
 
 def test_unchanged_members_are_not_reported_each_period() -> None:
-    simulation = started()
+    simulation = start_simulation()
     add_task(simulation, TaskState.RUNNING)
     simulation.advance(500)
     simulation.sent.clear()
@@ -80,7 +80,7 @@
 
 
 def test_report_is_sent_again_to_a_holder_behind_in_the_log() -> None:
-    simulation = started()
+    simulation = start_simulation()
     world = simulation.worlds["m-0"]
     world.log_view.folded_offset += 5
     task = add_task(simulation)
@@ -92,7 +92,7 @@
 
 
 def test_all_members_are_reported_to_a_new_holder() -> None:
-    simulation = started()
+    simulation = start_simulation()
     task = add_task(simulation)
     simulation.advance(500)
     assert task.reported_state == TaskState.RESERVED
@@ -108,7 +108,7 @@
 
 
 def test_leaving_sidecar_notifies_every_entry_once() -> None:
-    simulation = started()
+    simulation = start_simulation()
     simulation.sent.clear()
     simulation.worlds["m-0"].stopping = True
     simulation.worlds["m-0"].announcement.stop_ms = 10**9
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -19,7 +19,7 @@
 from kingcuppost.tables.request import Attempt, Outcome, Request, RequestState
 from kingcuppost.tables.world import World
 
-__all__ = ["STATUS_OF", "close_request", "refuse_request", "handle_attempt_outcomes"]
+__all__ = ["STATUS_OF", "close_request", "handle_attempt_outcomes", "refuse_request"]
 
 STATUS_OF = {Outcome.ANSWERED: 200, Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 504}
 
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -14,7 +14,7 @@
 policies: Registry[str, Policy] = Registry("routing policy")
 
 MAX_DRAWS = 4
-MEASUREMENT_MAX_AGE_MS = 10_000
+MAX_MEASUREMENT_AGE_MS = 10_000
 UNKNOWN_LATENCY_MS = float("inf")
 
 
@@ -42,13 +42,13 @@
     """Return whether an attempt of this entry ended at the minion recently."""
     if health is None or not health.last_measured_ms:
         return False
-    return now_ms - health.last_measured_ms <= MEASUREMENT_MAX_AGE_MS
+    return now_ms - health.last_measured_ms <= MAX_MEASUREMENT_AGE_MS
 
 
 def _choose_untried(
     world: World, request: Request, pool: MinionPool, other: str = ""
 ) -> str:
-    """Return a random minion, if the draws find one neither tried nor `other`."""
+    """Return a random minion, preferably neither tried before nor `other`."""
     name = pool.choose_random(world.rng)
     for _ in range(MAX_DRAWS):
         if name not in request.tried_minions and name != other:
--- a/kingcuppost/systems/requests/pools.py
+++ b/kingcuppost/systems/requests/pools.py
@@ -5,7 +5,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.world import World
 
-__all__ = ["eligible_minions", "refresh_pools", "count_attempts", "refresh_pool"]
+__all__ = ["count_attempts", "eligible_minions", "refresh_pool", "refresh_pools"]
 
 
 def count_attempts(world: World, minion: str) -> int:
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -4,41 +4,41 @@
 from kingcuppost.tables.request import ServedAttempt
 from kingcuppost.tables.world import World
 
-__all__ = ["may_be_evicted", "cache_attempt"]
+__all__ = ["cache_attempt", "may_have_been_evicted"]
 
 BYTES_PER_MB = 1_048_576
 
 
 def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
     """Cache a finished attempt for resends, and evict the oldest beyond the limits."""
-    memory = world.served_memory
-    memory.attempt_ids.append(row.attempt_id)
-    memory.answer_bytes += len(row.answer)
+    cache = world.served_memory
+    cache.attempt_ids.append(row.attempt_id)
+    cache.answer_bytes += len(row.answer)
     while _exceeds_limits(world, now_ms):
         _evict_oldest(world)
 
 
 def _exceeds_limits(world: World, now_ms: int) -> bool:
-    memory = world.served_memory
-    if len(memory.attempt_ids) <= 1:
+    cache = world.served_memory
+    if len(cache.attempt_ids) <= 1:
         return False
-    count = effective_value(world.agreed, "serve.memory_attempts")
+    max_attempts = effective_value(world.agreed, "serve.memory_attempts")
     max_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
-    if len(memory.attempt_ids) > count or memory.answer_bytes > max_bytes:
+    if len(cache.attempt_ids) > max_attempts or cache.answer_bytes > max_bytes:
         return True
-    oldest = world.served.get(memory.attempt_ids[0])
+    oldest = world.served.get(cache.attempt_ids[0])
     age_ms = now_ms - oldest.finished_ms
     return age_ms > effective_value(world.agreed, "serve.memory_ms")
 
 
 def _evict_oldest(world: World) -> None:
-    memory = world.served_memory
-    row = world.served.delete(memory.attempt_ids.popleft())
-    memory.answer_bytes -= len(row.answer)
-    memory.evicted_offset = max(memory.evicted_offset, row.claim_offset)
+    cache = world.served_memory
+    row = world.served.delete(cache.attempt_ids.popleft())
+    cache.answer_bytes -= len(row.answer)
+    cache.evicted_offset = max(cache.evicted_offset, row.claim_offset)
 
 
-def may_be_evicted(world: World, claim_offset: int) -> bool:
+def may_have_been_evicted(world: World, claim_offset: int) -> bool:
     """Return whether an attempt that is not cached may have been evicted.
 
     Claims are compared by log offset, so that the result depends on no clock.
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -20,10 +20,10 @@
 
 __all__ = [
     "can_resend",
+    "requests_awaiting",
     "resend_attempts",
     "schedule_resend",
     "send_attempt",
-    "requests_awaiting",
 ]
 
 MAX_HOLD_MS = 8_000
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -4,7 +4,10 @@
 
 from kingcuppost.systems.events import answer_id, note
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.systems.requests.reply_cache import cache_attempt, may_be_evicted
+from kingcuppost.systems.requests.reply_cache import (
+    cache_attempt,
+    may_have_been_evicted,
+)
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AttemptArrived, MinionAnswered
 from kingcuppost.tables.job import Urgency
@@ -39,7 +42,7 @@
     return world.cfg.sidecar.slots - world.served.count("state", ServedState.RUNNING)
 
 
-def _open_count(world: World) -> int:
+def _count_open_attempts(world: World) -> int:
     states = (ServedState.WAITING, ServedState.RUNNING)
     return sum(world.served.count("state", state) for state in states)
 
@@ -60,7 +63,7 @@
             )
         elif known is not None:
             _handle_known_attempt(world, known, message, now_ms)
-        elif may_be_evicted(world, message.claim_offset):
+        elif may_have_been_evicted(world, message.claim_offset):
             _reply_unknown(
                 world, message, "the claim is older than the cached attempts"
             )
@@ -145,7 +148,7 @@
 def _refusal_reason(world: World) -> str:
     if world.stopping:
         return "the minion is leaving"
-    if _open_count(world) >= world.cfg.sidecar.connections:
+    if _count_open_attempts(world) >= world.cfg.sidecar.connections:
         return f"{world.cfg.sidecar.connections} attempts are open at the minion"
     return ""
 
--- a/kingcuppost/systems/requests/tests/test_answers.py
+++ b/kingcuppost/systems/requests/tests/test_answers.py
@@ -10,14 +10,14 @@
 SETTLE_MS = 500
 
 
-def started(run_ms: dict[str, int], **options) -> Simulation:
+def start_simulation(run_ms: dict[str, int], **options) -> Simulation:
     simulation = Simulation(run_ms, **options)
     simulation.advance(SETTLE_MS)
     return simulation
 
 
 def test_request_is_answered_with_its_own_answer() -> None:
-    simulation = started({"m-0": 20, "m-1": 20})
+    simulation = start_simulation({"m-0": 20, "m-1": 20})
     calls = {
         f"body {n}": simulation.send_request("entry-0", f"body {n}") for n in range(20)
     }
@@ -28,7 +28,7 @@
 
 
 def test_unresponsive_connection_delays_but_does_not_run_twice() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     call = simulation.send_request("entry-0", "quote")
     simulation.lose_answers.add("m-0")
     simulation.advance(500)
@@ -40,7 +40,7 @@
 
 
 def test_long_request_has_a_single_attempt() -> None:
-    simulation = started({"m-0": 6_000, "m-1": 6_000})
+    simulation = start_simulation({"m-0": 6_000, "m-1": 6_000})
     call = simulation.send_request("entry-0", "study")
     simulation.advance(9_900)
     assert simulation.outcome(call) is Outcome.ANSWERED
@@ -49,14 +49,14 @@
 
 
 def test_expiry_with_an_open_attempt_is_unknown() -> None:
-    simulation = started({"m-0": 5_000})
+    simulation = start_simulation({"m-0": 5_000})
     call = simulation.send_request("entry-0", "slow", timeout_ms=1_000)
     simulation.advance(1_100)
     assert simulation.outcome(call) is Outcome.UNKNOWN
 
 
 def test_expiry_with_no_attempt_sent_is_not_run() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     simulation.worlds.pop("m-0")
     simulation.unreachable.add("m-0")
     call = simulation.send_request("entry-0", "quote", timeout_ms=1_000)
@@ -66,7 +66,7 @@
 
 
 def test_expired_attempt_is_dropped_before_it_gets_a_slot() -> None:
-    simulation = started({"m-0": 2_000}, entries=2, slots=1)
+    simulation = start_simulation({"m-0": 2_000}, entries=2, slots=1)
     simulation.send_request("entry-0", "first")
     simulation.advance(50)
     call = simulation.send_request("entry-1", "second", timeout_ms=500)
@@ -77,7 +77,7 @@
 
 
 def test_not_run_after_an_unknown_attempt_is_unknown() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     simulation.lose_answers.add("m-0")
     call = simulation.send_request("entry-0", "quote", timeout_ms=5_000)
     simulation.advance(300)
@@ -88,7 +88,7 @@
 
 
 def test_refused_repeat_does_not_prove_that_nothing_ran() -> None:
-    simulation = started({"m-0": 20, "m-1": 20})
+    simulation = start_simulation({"m-0": 20, "m-1": 20})
     simulation.lose_answers.update({"m-0", "m-1"})
     call = simulation.send_request("entry-0", "quote", timeout_ms=3_000)
     simulation.advance(300)
@@ -99,7 +99,7 @@
 
 
 def test_late_and_mismatched_answers_are_dropped() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     call = simulation.send_request("entry-0", "quote")
     simulation.advance(100)
     first = simulation.answers[call]
@@ -111,7 +111,7 @@
 
 
 def test_restarted_sidecar_does_not_answer_for_its_former_process() -> None:
-    simulation = started({"m-0": 1_000})
+    simulation = start_simulation({"m-0": 1_000})
     call = simulation.send_request("entry-0", "charge", key="k", timeout_ms=5_000)
     simulation.advance(200)
     assert simulation.runs["charge"] == 1
@@ -123,14 +123,14 @@
 
 @pytest.mark.parametrize("name", ["entry-0", "m-0"])
 def test_lost_exchange_leaves_an_empty_inbox(name: str) -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     simulation.worlds[name].inbox.put(ExchangeLost("exc-gone"))
     simulation.advance(10)
     assert len(simulation.worlds[name].inbox) == 0
 
 
 def test_idempotent_request_moves_to_another_minion() -> None:
-    simulation = started({"m-0": 20, "m-1": 20})
+    simulation = start_simulation({"m-0": 20, "m-1": 20})
     simulation.unreachable.add("m-0")
     calls = [simulation.send_request("entry-0", f"q{n}") for n in range(10)]
     simulation.advance(2_000)
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -11,14 +11,14 @@
 SETTLE_MS = 500
 
 
-def started(run_ms: dict[str, int] | None = None, **options) -> Simulation:
+def start_simulation(run_ms: dict[str, int] | None = None, **options) -> Simulation:
     simulation = Simulation(run_ms or {"m-0": 50, "m-1": 50, "m-2": 50}, **options)
     simulation.advance(SETTLE_MS)
     return simulation
 
 
 def test_same_key_through_two_entries_at_once() -> None:
-    simulation = started()
+    simulation = start_simulation()
     calls = [
         simulation.send_request(name, "charge", "k") for name in ("entry-0", "entry-1")
     ]
@@ -29,7 +29,7 @@
 
 
 def test_same_key_twice_through_one_entry() -> None:
-    simulation = started()
+    simulation = start_simulation()
     calls = [simulation.send_request("entry-0", "charge", "k") for _ in range(2)]
     simulation.advance(30)
     calls.append(simulation.send_request("entry-0", "charge", "k"))
@@ -39,7 +39,7 @@
 
 
 def test_entry_killed_after_the_claim() -> None:
-    simulation = started()
+    simulation = start_simulation()
     simulation.send_request("entry-0", "charge", "k")
     simulation.advance(5)
     simulation.worlds.pop("entry-0")
@@ -51,7 +51,7 @@
 
 def test_unreachable_sidecar_does_not_free_the_key() -> None:
     """Another entry may have sent the attempt that this entry could not send."""
-    simulation = started({"m-0": 50})
+    simulation = start_simulation({"m-0": 50})
     first = simulation.send_request("entry-0", "charge", "k")
     simulation.advance(500)
     assert simulation.outcome(first) is Outcome.ANSWERED
@@ -67,7 +67,7 @@
 
 
 def test_refusal_frees_the_key_and_a_late_duplicate_does_not_run() -> None:
-    simulation = started({"m-0": 50, "m-1": 50})
+    simulation = start_simulation({"m-0": 50, "m-1": 50})
     for name in ("m-0", "m-1"):
         simulation.worlds[name].stopping = True
     first = simulation.send_request("entry-0", "charge", "k")
@@ -98,7 +98,7 @@
 
 
 def test_unresponsive_log_leads_to_refusal_in_limited_time() -> None:
-    simulation = started()
+    simulation = start_simulation()
     simulation.log_up = False
     first = simulation.send_request("entry-0", "charge-1", "k1")
     simulation.advance(3_600)
@@ -115,7 +115,7 @@
 
 
 def test_claimed_key_is_never_reported_not_run() -> None:
-    simulation = started({"m-0": 50})
+    simulation = start_simulation({"m-0": 50})
     first = simulation.send_request("entry-0", "charge", "k")
     simulation.advance(500)
     simulation.worlds.pop("m-0")
@@ -126,7 +126,7 @@
 
 
 def test_evicted_attempt_does_not_run_again() -> None:
-    simulation = started({"m-0": 5})
+    simulation = start_simulation({"m-0": 5})
     simulation.propose(SettingPut("", "serve.memory_attempts", 16, 0))
     simulation.advance(100)
     simulation.send_request("entry-0", "charge", "k")
@@ -142,7 +142,7 @@
 
 
 def test_lost_answer_is_sent_again() -> None:
-    simulation = started({"m-0": 50})
+    simulation = start_simulation({"m-0": 50})
     simulation.lose_answers.add("m-0")
     call = simulation.send_request("entry-0", "charge", "k")
     simulation.advance(800)
@@ -153,7 +153,7 @@
 
 
 def test_key_claimed_by_another_entry_while_queued_is_not_reported_not_run() -> None:
-    simulation = started({"m-0": 4_000}, slots=1)
+    simulation = start_simulation({"m-0": 4_000}, slots=1)
     simulation.send_request("entry-1", "busy", timeout_ms=5_000)
     simulation.advance(20)
     blocked = simulation.send_request("entry-1", "charge", "k", timeout_ms=1_000)
@@ -163,7 +163,7 @@
 
 
 def test_entry_sends_one_attempt_for_all_waiting_requests() -> None:
-    simulation = started({"m-0": 100})
+    simulation = start_simulation({"m-0": 100})
     calls = [simulation.send_request("entry-0", "charge", "k") for _ in range(3)]
     simulation.advance(1_000)
     sent = [item for item in simulation.sent if isinstance(item, SendAttempt)]
@@ -172,7 +172,7 @@
 
 
 def test_issue_time_reaches_the_claim_and_may_not_lie_in_the_future() -> None:
-    simulation = started({"m-0": 50})
+    simulation = start_simulation({"m-0": 50})
     call = simulation.send_request("entry-0", "charge", "k", issued_ms=7)
     ahead = simulation.send_request("entry-0", "later", "k2", issued_ms=10**9)
     simulation.advance(500)
@@ -184,7 +184,7 @@
 
 def test_removed_key_is_never_reported_not_run(monkeypatch) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
-    simulation = started()
+    simulation = start_simulation()
     outcomes = []
     for key in ("k1", "k2", "k1"):
         call = simulation.send_request("entry-0", f"charge-{key}", key)
@@ -198,7 +198,7 @@
     monkeypatch,
 ) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
-    simulation = started()
+    simulation = start_simulation()
     outcomes = []
     for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
         call = simulation.send_request(
@@ -212,7 +212,7 @@
 
 
 def test_key_with_a_future_issue_time_is_refused_as_not_run() -> None:
-    simulation = started()
+    simulation = start_simulation()
     call = simulation.send_request("entry-0", "charge", "k", issued_ms=2**52)
     simulation.advance(1_000)
     assert simulation.outcome(call) is Outcome.NOT_RUN
@@ -220,7 +220,7 @@
 
 
 def test_key_used_with_another_body_never_gets_the_first_answer() -> None:
-    simulation = started({"m-0": 100})
+    simulation = start_simulation({"m-0": 100})
     first = simulation.send_request("entry-0", "charge 5", "k")
     simulation.advance(50)
     during = [
--- a/kingcuppost/systems/requests/tests/test_routing.py
+++ b/kingcuppost/systems/requests/tests/test_routing.py
@@ -10,14 +10,14 @@
 SLOTS = 8
 
 
-def started(run_ms: dict[str, int], **options) -> Simulation:
+def start_simulation(run_ms: dict[str, int], **options) -> Simulation:
     simulation = Simulation(run_ms, **options)
     simulation.advance(SETTLE_MS)
     return simulation
 
 
 def test_burst_of_one_team_does_not_block_another() -> None:
-    simulation = started({"m-0": 100}, entries=1)
+    simulation = start_simulation({"m-0": 100}, entries=1)
     for number in range(150):
         simulation.send_request("entry-0", f"burst {number}")
     simulation.advance(5)
@@ -29,7 +29,7 @@
 
 
 def test_interactive_requests_overtake_overnight_ones() -> None:
-    simulation = started({"m-0": 100}, entries=1)
+    simulation = start_simulation({"m-0": 100}, entries=1)
     for number in range(100):
         simulation.send_request("entry-0", f"batch {number}", urgency=Urgency.OVERNIGHT)
     simulation.advance(5)
@@ -40,7 +40,7 @@
 
 
 def test_requests_beyond_the_limit_are_refused_with_the_time_to_retry() -> None:
-    simulation = started({"m-0": 1_000}, entries=1)
+    simulation = start_simulation({"m-0": 1_000}, entries=1)
     calls = [simulation.send_request("entry-0", f"q{number}") for number in range(201)]
     simulation.advance(5)
     refused = [simulation.answers[call] for call in calls if call in simulation.answers]
@@ -49,7 +49,7 @@
 
 
 def test_retries_stay_within_the_budget_of_the_team() -> None:
-    simulation = started({"m-0": 20, "m-1": 20}, entries=1)
+    simulation = start_simulation({"m-0": 20, "m-1": 20}, entries=1)
     simulation.propose(SettingPut("", "request.retry_burst", 2.0, 0))
     simulation.propose(SettingPut("", "request.retry_share", 0.0, 0))
     simulation.advance(SETTLE_MS)
@@ -64,7 +64,7 @@
 
 
 def test_slots_limit_running_attempts_with_several_entries() -> None:
-    simulation = started({"m-0": 50, "m-1": 50}, entries=3)
+    simulation = start_simulation({"m-0": 50, "m-1": 50}, entries=3)
     for number in range(300):
         simulation.send_request(f"entry-{number % 3}", f"q{number}")
     simulation.advance(9_000)
@@ -73,7 +73,7 @@
 
 
 def test_zone_out_of_service_and_minion_that_left_get_no_requests() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     leave = MemberLeave("m-0", simulation.worlds["m-0"].identity.incarnation)
     simulation.propose(ZonePut("vid-a", "vidzeme", False, 1))
     simulation.advance(100)
@@ -95,7 +95,7 @@
 
 
 def test_failing_minion_is_paused_and_tried_again() -> None:
-    simulation = started({"m-0": 20})
+    simulation = start_simulation({"m-0": 20})
     simulation.unreachable.add("m-0")
     for number in range(6):
         simulation.send_request("entry-0", f"q{number}", timeout_ms=200)
