--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -93,7 +93,7 @@
         _begin(world, now_ms)
     if not world.stopping:
         return
-    if now_ms >= world.announcement.stop_ms:
+    if now_ms >= world.announcement.stop_deadline_ms:
         note(world, "stop.cut", "The bound of the graceful stop is over.")
         world.outbox.put(ExitProcess(EXIT_CUT))
     elif _idle(world) and (_left(world) or _waited(world, now_ms)):
@@ -103,8 +103,8 @@
 def _begin(world: World, now_ms: int) -> None:
     world.stopping = True
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
-    world.announcement.stop_ms = now_ms + bound_ms
-    world.deadlines.add(world.announcement.stop_ms)
+    world.announcement.stop_deadline_ms = now_ms + bound_ms
+    world.deadlines.add(world.announcement.stop_deadline_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
     world.announcement.leave_id = propose(world, body, now_ms)
     note(world, "stop.begin", "A graceful stop begins.")
@@ -121,7 +121,7 @@
     """Return whether the log had its time to take the leave."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
-    until_ms = world.announcement.stop_ms - bound_ms + announce_ms
+    until_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
     world.deadlines.add(until_ms)
     return now_ms >= until_ms
 
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -3,15 +3,15 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.world import World
 
-__all__ = ["fresh_age_ms", "is_following", "is_fresh", "want_barrier"]
+__all__ = ["fresh_age_ms", "is_following", "is_fresh", "request_barrier"]
 
 NEVER_MS = 2**53
 
 
 def fresh_age_ms(world: World, now_ms: int) -> int:
     """Return how long ago a read that ended at the head was sent, in ms."""
-    fresh_ms = world.log_view.fresh_ms
-    return now_ms - fresh_ms if fresh_ms >= 0 else NEVER_MS
+    fresh_as_of_ms = world.log_view.fresh_as_of_ms
+    return now_ms - fresh_as_of_ms if fresh_as_of_ms >= 0 else NEVER_MS
 
 
 def is_fresh(world: World, now_ms: int) -> bool:
@@ -32,7 +32,7 @@
     return heard_ms >= 0 and now_ms - heard_ms <= wait_ms + silent_ms
 
 
-def want_barrier(world: World, now_ms: int) -> None:
+def request_barrier(world: World, now_ms: int) -> None:
     """Ask for a read of the head that is sent no earlier than now."""
     view = world.log_view
     if view.barrier_ms < 0:
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -3,14 +3,14 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.wishes import complete
 from kingcuppost.systems.events import note
-from kingcuppost.systems.fold import Fault, fault_of
+from kingcuppost.systems.fold import Rejection, check_body
 from kingcuppost.systems.record_events import note_proposal
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import Proposal, ProposalState, Verdict
+from kingcuppost.tables.agreement import FoldResult, Proposal, ProposalState
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import Propose
 from kingcuppost.tables.outbox import Reply
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.tables.replies import ChangeAccepted, ChangeRefused
 from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.world import World
@@ -34,7 +34,7 @@
 
 def propose(
     world: World,
-    body: Body,
+    body: RecordBody,
     now_ms: int,
     *,
     author: str = "",
@@ -99,11 +99,11 @@
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
     for wish in world.inbox.take(Propose):
         body = complete(world, wish.body)
-        fault = fault_of(world.agreed, body)
+        rejection = check_body(world.agreed, body)
         if not world.log_view.caught_up:
             _refuse(world, wish.exchange_id, STATUS_NOT_RUN, "the log is not read yet")
-        elif fault is not None:
-            _refuse(world, wish.exchange_id, _status_of(fault), fault.reason)
+        elif rejection is not None:
+            _refuse(world, wish.exchange_id, _status_of(rejection), rejection.reason)
         elif not has_room(world):
             reason = f"{len(world.proposals)} records wait for the log"
             _refuse(world, wish.exchange_id, STATUS_NOT_RUN, reason)
@@ -118,10 +118,10 @@
             )
 
 
-def _status_of(fault: Fault) -> int:
-    if fault.missing:
+def _status_of(rejection: Rejection) -> int:
+    if rejection.missing:
         return STATUS_MISSING
-    return STATUS_LOST_RACE if fault.lost_race else STATUS_INVALID
+    return STATUS_LOST_RACE if rejection.lost_race else STATUS_INVALID
 
 
 def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
@@ -133,25 +133,25 @@
 @system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
     """Tell waiting exchanges what the fold made of their records."""
-    for record_id, verdict in world.verdicts.items():
+    for record_id, fold_result in world.fold_results.items():
         proposal = world.proposals.delete(record_id)
         if proposal is not None and proposal.exchange_id:
-            world.outbox.put(_reply_of(world, proposal, verdict))
-    world.verdicts.clear()
+            world.outbox.put(_reply_of(world, proposal, fold_result))
+    world.fold_results.clear()
     for proposal in world.proposals:
         if proposal.exchange_id and 0 < proposal.give_up_ms <= now_ms:
             _give_up(world, proposal)
 
 
-def _reply_of(world: World, proposal: Proposal, verdict: Verdict) -> Reply:
-    if verdict.unknown:
-        return _unknown(proposal, verdict.reason)
-    if verdict.accepted:
+def _reply_of(world: World, proposal: Proposal, fold_result: FoldResult) -> Reply:
+    if fold_result.unknown:
+        return _unknown(proposal, fold_result.reason)
+    if fold_result.accepted:
         name = _name_of(proposal)
-        accepted = ChangeAccepted(verdict.offset, proposal.record_id, name)
+        accepted = ChangeAccepted(fold_result.offset, proposal.record_id, name)
         return Reply(proposal.exchange_id, STATUS_ACCEPTED, accepted)
     refusal = ChangeRefused(
-        Outcome.NOT_RUN, STEP, f"log offset {verdict.offset}", verdict.reason
+        Outcome.NOT_RUN, STEP, f"log offset {fold_result.offset}", fold_result.reason
     )
     return Reply(proposal.exchange_id, STATUS_LOST_RACE, refusal)
 
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -35,7 +35,7 @@
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def hold_lease(world: World, now_ms: int) -> None:
     """Ask the holder at intervals; claim the lease when it stays silent."""
-    watch = world.holder_watch
+    watch = world.holder_monitor
     _hear_holder(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
@@ -56,7 +56,7 @@
 def _lost_after_ms(world: World) -> int:
     """Return the bound, longer by a share that differs among processes."""
     lost_ms = effective_value(world.agreed, "lease.lost_ms")
-    return int(lost_ms * (1 + JITTER_SHARE * world.holder_watch.jitter))
+    return int(lost_ms * (1 + JITTER_SHARE * world.holder_monitor.jitter))
 
 
 def _hear_holder(world: World, now_ms: int) -> None:
@@ -69,8 +69,8 @@
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
             continue
         if answer.follows_log or not is_following(world, now_ms):
-            world.holder_watch.heard_ms = max(
-                world.holder_watch.heard_ms, answer.sent_ms
+            world.holder_monitor.heard_ms = max(
+                world.holder_monitor.heard_ms, answer.sent_ms
             )
 
 
@@ -85,7 +85,7 @@
 
 
 def _ask(world: World, holder: Entry, now_ms: int) -> None:
-    watch = world.holder_watch
+    watch = world.holder_monitor
     period_ms = effective_value(world.agreed, "lease.ping_ms")
     if now_ms >= watch.ask_ms:
         watch.ask_ms = now_ms + period_ms
--- a/kingcuppost/systems/agreement/wishes.py
+++ b/kingcuppost/systems/agreement/wishes.py
@@ -6,8 +6,8 @@
 
 from kingcuppost.tables.record import (
     ANY_OFFSET,
-    Body,
     JobSubmit,
+    RecordBody,
     SettingPut,
     TeamPut,
     ZonePut,
@@ -19,10 +19,10 @@
 
 __all__ = ["complete"]
 
-completers: Registry[type, Callable[[World, Any], Body]] = Registry("completer")
+completers: Registry[type, Callable[[World, Any], RecordBody]] = Registry("completer")
 
 
-def complete(world: World, body: Body) -> Body:
+def complete(world: World, body: RecordBody) -> RecordBody:
     """Return a body with the names and base offsets that were left out."""
     if type(body) not in completers:
         return body
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -1,7 +1,12 @@
 """Records about jobs, gangs and the scheduling lease."""
 
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.claims import EndedJob, SchedulingLease
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
+from kingcuppost.tables.agreed_rows import EndedJob, SchedulingLease
 from kingcuppost.tables.job import Gang, GangState, Job, JobState, gang_key
 from kingcuppost.tables.record import (
     GangEnd,
@@ -27,37 +32,41 @@
 WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
 
 
-def _fault_of_term(agreed: Agreed, term: int) -> Fault | None:
+def _fault_of_term(agreed: Agreed, term: int) -> Rejection | None:
     if term == agreed.lease.term:
         return None
-    return Fault(f"term {term} is over, term {agreed.lease.term} holds", lost_race=True)
+    return Rejection(
+        f"term {term} is over, term {agreed.lease.term} holds", lost_race=True
+    )
 
 
-def _fault_of_open_job(agreed: Agreed, name: str) -> Fault | None:
+def _fault_of_open_job(agreed: Agreed, name: str) -> Rejection | None:
     job = agreed.jobs.get(name)
     if job is None:
-        return Fault(f"there is no job {name!r}", missing=True)
+        return Rejection(f"there is no job {name!r}", missing=True)
     if job.state in FINAL_STATES:
-        return Fault(f"job {name} is already {job.state}", lost_race=True)
+        return Rejection(f"job {name} is already {job.state}", lost_race=True)
     return None
 
 
-def _fault_of_verdict(agreed: Agreed, name: str, term: int) -> Fault | None:
+def _fault_of_verdict(agreed: Agreed, name: str, term: int) -> Rejection | None:
     """Return why the scheduler may not refuse or park a job."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Fault(f"job {name} does not wait", lost_race=True)
+        return Rejection(f"job {name} does not wait", lost_race=True)
     return _fault_of_term(agreed, term)
 
 
-def _fault_of_gang(agreed: Agreed, job: str, incarnation: int) -> Fault | None:
+def _fault_of_gang(agreed: Agreed, job: str, incarnation: int) -> Rejection | None:
     if agreed.gangs.get(gang_key(job, incarnation)) is None:
-        return Fault(f"there is no gang {gang_key(job, incarnation)}", lost_race=True)
+        return Rejection(
+            f"there is no gang {gang_key(job, incarnation)}", lost_race=True
+        )
     return None
 
 
 @checkers.register(LeaseClaim)
-def check_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
+def check_claim(agreed: Agreed, body: LeaseClaim) -> Rejection | None:
     """Refuse a claim that is not based on the present term."""
     return _fault_of_term(agreed, body.base_term)
 
@@ -69,14 +78,14 @@
 
 
 @checkers.register(JobSubmit)
-def check_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
+def check_submit(agreed: Agreed, body: JobSubmit) -> Rejection | None:
     """Refuse unknown teams, taken names and impossible numbers."""
     if body.team not in agreed.teams:
-        return Fault(f"there is no team {body.team!r}", missing=True)
+        return Rejection(f"there is no team {body.team!r}", missing=True)
     if body.job in agreed.jobs:
-        return Fault(f"there is already a job {body.job!r}", lost_race=True)
+        return Rejection(f"there is already a job {body.job!r}", lost_race=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
-        return Fault("a gang has at least one member and no negative needs")
+        return Rejection("a gang has at least one member and no negative needs")
     return None
 
 
@@ -103,7 +112,7 @@
 
 
 @checkers.register(JobCancel)
-def check_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
+def check_cancel(agreed: Agreed, body: JobCancel) -> Rejection | None:
     """Refuse to cancel a job that has ended."""
     return _fault_of_open_job(agreed, body.job)
 
@@ -117,7 +126,7 @@
 
 
 @checkers.register(JobRefuse)
-def check_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
+def check_refuse(agreed: Agreed, body: JobRefuse) -> Rejection | None:
     """Refuse records of an old term and of jobs that run or have ended."""
     return _fault_of_verdict(agreed, body.job, body.term)
 
@@ -130,7 +139,7 @@
 
 
 @checkers.register(JobPark)
-def check_park(agreed: Agreed, body: JobPark) -> Fault | None:
+def check_park(agreed: Agreed, body: JobPark) -> Rejection | None:
     """Refuse records of an old term and of jobs that do not wait."""
     return _fault_of_verdict(agreed, body.job, body.term)
 
@@ -143,28 +152,28 @@
 
 
 @checkers.register(GangPlace)
-def check_place(agreed: Agreed, body: GangPlace) -> Fault | None:
+def check_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
     """Refuse old terms, wrong incarnations, unknown workers and zones out."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Fault(f"job {body.job} does not wait", lost_race=True)
+        return Rejection(f"job {body.job} does not wait", lost_race=True)
     if body.incarnation != job.incarnation + 1:
-        return Fault(f"gang {body.incarnation} is not the next", lost_race=True)
+        return Rejection(f"gang {body.incarnation} is not the next", lost_race=True)
     if len(body.placements) != job.members:
-        return Fault(f"job {body.job} has {job.members} members")
-    if fault := _fault_of_term(agreed, body.term):
-        return fault
+        return Rejection(f"job {body.job} has {job.members} members")
+    if rejection := _fault_of_term(agreed, body.term):
+        return rejection
     return _fault_of_placements(agreed, body)
 
 
-def _fault_of_placements(agreed: Agreed, body: GangPlace) -> Fault | None:
+def _fault_of_placements(agreed: Agreed, body: GangPlace) -> Rejection | None:
     for placement in body.placements:
         worker = agreed.workers.get(placement.worker)
         if worker is None:
-            return Fault(f"there is no worker {placement.worker}", lost_race=True)
+            return Rejection(f"there is no worker {placement.worker}", lost_race=True)
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
-            return Fault(
+            return Rejection(
                 f"availability zone {worker.availability_zone} is out", lost_race=True
             )
     return None
@@ -195,13 +204,13 @@
 
 
 @checkers.register(GangRelease)
-def check_release(agreed: Agreed, body: GangRelease) -> Fault | None:
+def check_release(agreed: Agreed, body: GangRelease) -> Rejection | None:
     """Refuse old terms, gangs that do not reserve, and zones that are out."""
-    if fault := _fault_of_term(agreed, body.term):
-        return fault
+    if rejection := _fault_of_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.RESERVING:
-        return Fault("the gang is not reserving", lost_race=True)
+        return Rejection("the gang is not reserving", lost_race=True)
     return _fault_of_placements(agreed, gang)
 
 
@@ -216,13 +225,13 @@
 
 
 @checkers.register(GangStop)
-def check_stop(agreed: Agreed, body: GangStop) -> Fault | None:
+def check_stop(agreed: Agreed, body: GangStop) -> Rejection | None:
     """Refuse old terms and gangs that are gone or already stopping."""
-    if fault := _fault_of_term(agreed, body.term):
-        return fault
+    if rejection := _fault_of_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Fault("the gang is gone or stops already", lost_race=True)
+        return Rejection("the gang is gone or stops already", lost_race=True)
     return None
 
 
@@ -241,13 +250,13 @@
 
 
 @checkers.register(GangEnd)
-def check_end(agreed: Agreed, body: GangEnd) -> Fault | None:
+def check_end(agreed: Agreed, body: GangEnd) -> Rejection | None:
     """Refuse old terms and gangs that are gone or not stopping."""
-    if fault := _fault_of_term(agreed, body.term):
-        return fault
+    if rejection := _fault_of_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Fault("the gang is gone or does not stop", lost_race=True)
+        return Rejection("the gang is gone or does not stop", lost_race=True)
     return None
 
 
@@ -261,15 +270,15 @@
 
 
 @checkers.register(GangFinish)
-def check_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
+def check_finish(agreed: Agreed, body: GangFinish) -> Rejection | None:
     """Count only the first finish of a gang that was released."""
-    if fault := _fault_of_open_job(agreed, body.job):
-        return fault
-    if fault := _fault_of_gang(agreed, body.job, body.incarnation):
-        return fault
+    if rejection := _fault_of_open_job(agreed, body.job):
+        return rejection
+    if rejection := _fault_of_gang(agreed, body.job, body.incarnation):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if not gang.released_wall_ms:
-        return Fault("the gang was not released")
+        return Rejection("the gang was not released")
     return None
 
 
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -4,16 +4,23 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuppost.tables.claims import RecentRecord
+from kingcuppost.tables.agreed_rows import RecentRecord
 from kingcuppost.tables.record import Record
 from kingcuppost.tables.world import Agreed
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["Fault", "FoldInput", "appliers", "apply_record", "checkers", "fault_of"]
+__all__ = [
+    "Rejection",
+    "FoldInput",
+    "appliers",
+    "apply_record",
+    "checkers",
+    "check_body",
+]
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Rejection:
     """Why a record has no effect.
 
     Attributes
@@ -24,14 +31,14 @@
         True if another record came first; a new try may succeed.
     missing : bool
         True if the record names something that does not exist.
-    stale : bool
+    is_possible_repeat : bool
         True if an earlier copy may have taken effect and been forgotten.
     """
 
     reason: str
     lost_race: bool = False
     missing: bool = False
-    stale: bool = False
+    is_possible_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,14 +59,14 @@
 
 RECENT_RECORDS = 2_000
 
-Checker = Callable[[Agreed, Any], Fault | None]
+Checker = Callable[[Agreed, Any], Rejection | None]
 Applier = Callable[[Agreed, Any, FoldInput], None]
 
 checkers: Registry[type, Checker] = Registry("check of record")
 appliers: Registry[type, Applier] = Registry("effect of record")
 
 
-def fault_of(agreed: Agreed, body: Any) -> Fault | None:
+def check_body(agreed: Agreed, body: Any) -> Rejection | None:
     """Return why a record body would have no effect now, or None.
 
     The fold asks this in offset order; an entry asks it before it proposes.
@@ -67,27 +74,30 @@
     return checkers[type(body)](agreed, body)
 
 
-def apply_record(agreed: Agreed, item: FoldInput) -> Fault | None:
+def apply_record(agreed: Agreed, item: FoldInput) -> Rejection | None:
     """Apply one record, or return why it has no effect.
 
     A repeat of a record under the same identifier has none. A record whose author
     had folded less than the fold still remembers may be a repeat, and has none.
     """
     if item.record.record_id in agreed.recent:
-        return Fault("the record is a repeat")
+        return Rejection("the record is a repeat")
     if item.record.seen_offset < agreed.floors.recent_offset:
-        return Fault("the record is too old to tell whether it is a repeat", stale=True)
-    fault = fault_of(agreed, item.record.body)
-    if fault is None:
+        return Rejection(
+            "the record is too old to tell whether it is a repeat",
+            is_possible_repeat=True,
+        )
+    rejection = check_body(agreed, item.record.body)
+    if rejection is None:
         appliers[type(item.record.body)](agreed, item.record.body, item)
-    _remember(agreed, item, fault)
-    return fault
+    _remember(agreed, item, rejection)
+    return rejection
 
 
-def _remember(agreed: Agreed, item: FoldInput, fault: Fault | None) -> None:
-    reason = fault.reason if fault else ""
+def _remember(agreed: Agreed, item: FoldInput, rejection: Rejection | None) -> None:
+    reason = rejection.reason if rejection else ""
     agreed.recent.put(
-        RecentRecord(item.record.record_id, item.offset, fault is None, reason)
+        RecentRecord(item.record.record_id, item.offset, rejection is None, reason)
     )
     while len(agreed.recent) > RECENT_RECORDS:
         forgotten = agreed.recent.delete(agreed.recent.first().record_id)
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -3,7 +3,12 @@
 import re
 
 from kingcuppost.settings import KEYS, fault_of_path
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
 from kingcuppost.tables.fleet import AvailabilityZone
 from kingcuppost.tables.record import SettingPut, TeamPut, ZonePut
 from kingcuppost.tables.setting import Setting, setting_id
@@ -17,10 +22,10 @@
 LARGEST_ACCELERATORS = 64
 
 
-def _race(what: str, row_offset: int, base_offset: int) -> Fault | None:
+def _race(what: str, row_offset: int, base_offset: int) -> Rejection | None:
     if row_offset == base_offset:
         return None
-    return Fault(
+    return Rejection(
         f"{what} was changed at offset {row_offset}, not {base_offset}", lost_race=True
     )
 
@@ -39,13 +44,13 @@
 
 
 @checkers.register(TeamPut)
-def check_team(agreed: Agreed, body: TeamPut) -> Fault | None:
+def check_team(agreed: Agreed, body: TeamPut) -> Rejection | None:
     """Refuse bad names and shapes, and changes based on an older row."""
     if not NAME.fullmatch(body.name):
-        return Fault(f"{body.name!r} is no name for a team")
+        return Rejection(f"{body.name!r} is no name for a team")
     for shape in body.guarantees:
         if reason := _fault_of_shape(shape):
-            return Fault(reason)
+            return Rejection(reason)
     row = agreed.teams.get(body.name)
     return _race(f"team {body.name}", row.offset if row else 0, body.base_offset)
 
@@ -65,16 +70,16 @@
 
 
 @checkers.register(ZonePut)
-def check_zone(agreed: Agreed, body: ZonePut) -> Fault | None:
+def check_zone(agreed: Agreed, body: ZonePut) -> Rejection | None:
     """Refuse bad names, a change of region, and changes based on an older row."""
     row = agreed.availability_zones.get(body.name)
     if row is None and not body.region:
-        return Fault(f"there is no availability zone {body.name!r}", missing=True)
+        return Rejection(f"there is no availability zone {body.name!r}", missing=True)
     for name in (body.name, body.region):
         if not NAME.fullmatch(name):
-            return Fault(f"{name!r} is no name for a zone or region")
+            return Rejection(f"{name!r} is no name for a zone or region")
     if row is not None and row.region != body.region:
-        return Fault(f"availability zone {body.name} is in region {row.region}")
+        return Rejection(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
     return _race(what, row.offset if row else 0, body.base_offset)
 
@@ -90,15 +95,15 @@
 
 
 @checkers.register(SettingPut)
-def check_setting(agreed: Agreed, body: SettingPut) -> Fault | None:
+def check_setting(agreed: Agreed, body: SettingPut) -> Rejection | None:
     """Refuse unknown keys and branches, wrong values, and lost races."""
     key = KEYS.get(body.key)
     if key is None:
-        return Fault(f"there is no setting {body.key!r}", missing=True)
+        return Rejection(f"there is no setting {body.key!r}", missing=True)
     if reason := fault_of_path(agreed, body.path):
-        return Fault(reason, missing=True)
+        return Rejection(reason, missing=True)
     if reason := key.fault_of(body.value):
-        return Fault(reason)
+        return Rejection(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
     what = f"{body.key} on {body.path or 'root'}"
     return _race(what, row.offset if row else 0, body.base_offset)
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/member_timing.py
@@ -5,9 +5,9 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
-    "beat_period_ms",
-    "confirm_ms",
-    "full_period_ms",
+    "heartbeat_period_ms",
+    "confirmation_ms",
+    "full_report_period_ms",
     "grace_ms",
     "isolation_ms",
     "lease_ms",
@@ -25,7 +25,7 @@
     return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
 
 
-def confirm_ms(world: World, gang: Gang) -> int:
+def confirmation_ms(world: World, gang: Gang) -> int:
     """Return how long one confirmation by the leader lasts, in ms.
 
     The leader hears a member for the last time up to this long before it calls
@@ -59,7 +59,7 @@
     return min(wanted_ms, START_BOUND_MS - START_MARGIN_MS - fresh_ms)
 
 
-def beat_period_ms(world: World) -> int:
+def heartbeat_period_ms(world: World) -> int:
     """Return the period of a sidecar's heartbeats, in ms.
 
     It stretches with the number of sidecars that one entry is home to, so that
@@ -71,7 +71,7 @@
     return max(period_ms, int(sidecars * gap_ms))
 
 
-def full_period_ms(world: World) -> int:
+def full_report_period_ms(world: World) -> int:
     """Return the period in which a sidecar reports all members anew, in ms.
 
     It stretches with the sidecars, so that the reports that the scheduling holder
@@ -88,4 +88,4 @@
     Never less than a few heartbeats, since entries are heard only by them.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
-    return max(wanted_ms, BEATS_UNTIL_ISOLATED * beat_period_ms(world))
+    return max(wanted_ms, BEATS_UNTIL_ISOLATED * heartbeat_period_ms(world))
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -12,7 +12,7 @@
 
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import confirm_ms
+from kingcuppost.systems.member_timing import confirmation_ms
 from kingcuppost.systems.members.orders import gang_of
 from kingcuppost.systems.members.stopping import stop_task
 from kingcuppost.systems.registry import Phase, system
@@ -22,7 +22,7 @@
 from kingcuppost.tables.outbox import Reply, SendGangReports
 from kingcuppost.tables.record import GangFinish
 from kingcuppost.tables.replies import GangReply
-from kingcuppost.tables.task import GangWatch, MemberReport, MemberTask, TaskState
+from kingcuppost.tables.task import GangMonitor, MemberReport, MemberTask, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = [
@@ -88,7 +88,7 @@
 
 
 def _report_period_ms(world: World, gang: Gang) -> int:
-    return confirm_ms(world, gang) // REPORTS_PER_CONFIRMATION
+    return confirmation_ms(world, gang) // REPORTS_PER_CONFIRMATION
 
 
 def _send_reports(
@@ -141,41 +141,41 @@
     whole = []
     broken = []
     for gang in gangs.values():
-        monitor = world.gang_watches.get(gang.key)
+        monitor = world.gang_monitors.get(gang.key)
         _check_missed_reports(world, gang, monitor, now_ms)
         if monitor.broken_reason:
             broken.append(gang.key)
-        elif len(monitor.heard_ms) == len(gang.placements):
+        elif len(monitor.last_report_ms) == len(gang.placements):
             whole.append(gang.key)
     return GangReply(world.cfg.sidecar.worker.name, tuple(whole), tuple(broken))
 
 
-def _ensure_monitor(world: World, gang: Gang, now_ms: int) -> GangWatch:
-    monitor = world.gang_watches.get(gang.key)
+def _ensure_monitor(world: World, gang: Gang, now_ms: int) -> GangMonitor:
+    monitor = world.gang_monitors.get(gang.key)
     if monitor is None:
-        monitor = GangWatch(gang.key, now_ms, {}, {})
-        world.gang_watches.put(monitor)
+        monitor = GangMonitor(gang.key, now_ms, {}, {})
+        world.gang_monitors.put(monitor)
     return monitor
 
 
-def _record_report(monitor: GangWatch, report: MemberReport, now_ms: int) -> None:
+def _record_report(monitor: GangMonitor, report: MemberReport, now_ms: int) -> None:
     if report.state is TaskState.FINISHED:
         monitor.results[report.member] = report.result
     if report.state in HEALTHY_STATES:
-        monitor.heard_ms[report.member] = now_ms - report.age_ms
+        monitor.last_report_ms[report.member] = now_ms - report.age_ms
     else:
         monitor.broken_reason = f"member {report.member} is {report.state}"
 
 
 def _check_missed_reports(
-    world: World, gang: Gang, monitor: GangWatch, now_ms: int
+    world: World, gang: Gang, monitor: GangMonitor, now_ms: int
 ) -> None:
     if monitor.broken_reason:
         return
-    limit_ms = confirm_ms(world, gang)
+    limit_ms = confirmation_ms(world, gang)
     for member in range(len(gang.placements)):
-        heard_ms = monitor.heard_ms.get(member, monitor.since_ms)
-        if member not in monitor.results and now_ms - heard_ms >= limit_ms:
+        last_report_ms = monitor.last_report_ms.get(member, monitor.since_ms)
+        if member not in monitor.results and now_ms - last_report_ms >= limit_ms:
             monitor.broken_reason = (
                 f"member {member} was not reported for {limit_ms} ms"
             )
@@ -194,10 +194,10 @@
 
     Monitors of gangs that are stopping or have ended are deleted.
     """
-    for monitor in world.gang_watches:
+    for monitor in world.gang_monitors:
         gang = world.agreed.gangs.get(monitor.key)
         if gang is None or gang.state is GangState.STOPPING:
-            world.gang_watches.delete(monitor.key)
+            world.gang_monitors.delete(monitor.key)
         elif (
             len(monitor.results) == len(gang.placements)
             and not monitor.finish_record_id
@@ -229,7 +229,7 @@
     gang = world.agreed.gangs.get(key)
     if gang is None:
         return
-    lease_expiry_ms = sent_ms + confirm_ms(world, gang)
+    lease_expiry_ms = sent_ms + confirmation_ms(world, gang)
     for task in _running_tasks(world, key):
         extended_ms = max(task.lease_expiry_ms, lease_expiry_ms)
         world.tasks.update(task.task_id, lease_expiry_ms=extended_ms, confirmed=True)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -8,12 +8,12 @@
 """
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.leases import beat_period_ms, full_period_ms
+from kingcuppost.systems.member_timing import full_report_period_ms, heartbeat_period_ms
 from kingcuppost.systems.members.gangs import make_report
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.serving import free_slots
 from kingcuppost.tables.fleet import Entry, MemberState
-from kingcuppost.tables.heartbeat import Beat
+from kingcuppost.tables.heartbeat import PendingHeartbeat
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import HeartbeatDone
 from kingcuppost.tables.outbox import SendHeartbeat
@@ -41,20 +41,20 @@
     """
     serving = [row for row in world.agreed.entries if row.state is MemberState.SERVING]
     ranked = rank_by_hash(world.identity.name, serving, lambda row: row.name)
-    unresponsive = world.beat_view.unresponsive
+    unresponsive = world.heartbeat_view.unresponsive
     return min(ranked, key=lambda row: row.name in unresponsive, default=None)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=30)
 def send_heartbeats(world: World, now_ms: int) -> None:
     """Send a heartbeat to the home entry once per period."""
-    if now_ms < world.beat_view.next_heartbeat_ms:
+    if now_ms < world.heartbeat_view.next_heartbeat_ms:
         return
     entry = choose_home_entry(world)
-    if entry is None or entry.name in world.beats:
+    if entry is None or entry.name in world.pending_heartbeats:
         return
-    world.beat_view.next_heartbeat_ms = now_ms + _period_ms(world)
-    world.deadlines.add(world.beat_view.next_heartbeat_ms)
+    world.heartbeat_view.next_heartbeat_ms = now_ms + _period_ms(world)
+    world.deadlines.add(world.heartbeat_view.next_heartbeat_ms)
     _send_heartbeat(world, entry, ())
 
 
@@ -64,7 +64,7 @@
     It is at most a fraction of the isolation limit, after which members stop if no
     entry has answered.
     """
-    period_ms = beat_period_ms(world)
+    period_ms = heartbeat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
     return min(period_ms, isolation_ms // HEARTBEATS_PER_ISOLATION)
 
@@ -74,9 +74,12 @@
     """Notify every entry once that this sidecar is leaving."""
     if not world.stopping:
         return
-    view = world.beat_view
+    view = world.heartbeat_view
     for entry in world.agreed.entries:
-        if entry.name not in view.leave_notified and entry.name not in world.beats:
+        if (
+            entry.name not in view.leave_notified
+            and entry.name not in world.pending_heartbeats
+        ):
             view.leave_notified = (*view.leave_notified, entry.name)
             _send_heartbeat(world, entry, ())
 
@@ -85,9 +88,13 @@
 def send_reports(world: World, now_ms: int) -> None:
     """Report members whose state the lease holder has not acknowledged yet."""
     _reset_reported_states(world, now_ms)
-    view = world.beat_view
+    view = world.heartbeat_view
     holder = world.agreed.entries.get(world.agreed.lease.holder)
-    if holder is None or holder.name in world.beats or now_ms < view.next_report_ms:
+    if (
+        holder is None
+        or holder.name in world.pending_heartbeats
+        or now_ms < view.next_report_ms
+    ):
         return
     unreported = [task for task in world.tasks if task.reported_state != task.state]
     if unreported:
@@ -96,12 +103,12 @@
 
 def _reset_reported_states(world: World, now_ms: int) -> None:
     """Have all members reported to a new holder, and again after a long period."""
-    view = world.beat_view
+    view = world.heartbeat_view
     holder = world.agreed.lease.incarnation
     if view.holder == holder and now_ms < view.next_full_report_ms:
         return
     view.holder = holder
-    view.next_full_report_ms = now_ms + full_period_ms(world)
+    view.next_full_report_ms = now_ms + full_report_period_ms(world)
     if len(world.tasks):
         world.deadlines.add(view.next_full_report_ms)
     for task in world.tasks:
@@ -112,7 +119,9 @@
     reports: tuple[MemberReport, ...] = tuple(make_report(task) for task in tasks)
     reported_states = tuple((task.task_id, task.state) for task in tasks)
     offset = world.log_view.folded_offset
-    world.beats.put(Beat(entry.name, entry.incarnation, reported_states, offset))
+    world.pending_heartbeats.put(
+        PendingHeartbeat(entry.name, entry.incarnation, reported_states, offset)
+    )
     world.outbox.put(
         SendHeartbeat(
             entry.name,
@@ -133,11 +142,11 @@
 def handle_heartbeat_replies(world: World, now_ms: int) -> None:
     """Record which entries answered, and which reports they acknowledged."""
     for done in world.inbox.take(HeartbeatDone):
-        heartbeat = world.beats.delete(done.entry)
+        heartbeat = world.pending_heartbeats.delete(done.entry)
         if heartbeat is None:
             continue
         if done.ok:
-            world.beat_view.last_reply_ms = now_ms
+            world.heartbeat_view.last_reply_ms = now_ms
         _track_unresponsive_entry(world, done, now_ms)
         if done.ok and done.folded_offset >= heartbeat.folded_offset:
             _record_reported_states(world, heartbeat)
@@ -150,7 +159,7 @@
 
 def _track_unresponsive_entry(world: World, done: HeartbeatDone, now_ms: int) -> None:
     """Record whether an entry answered; if not, try another home soon."""
-    view = world.beat_view
+    view = world.heartbeat_view
     others = tuple(name for name in view.unresponsive if name != done.entry)
     if done.ok:
         view.unresponsive = others
@@ -159,13 +168,13 @@
     retry_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
     if (
         len(others) + 1 < len(world.agreed.entries)
-        and retry_ms < world.beat_view.next_heartbeat_ms
+        and retry_ms < world.heartbeat_view.next_heartbeat_ms
     ):
-        world.beat_view.next_heartbeat_ms = retry_ms
+        world.heartbeat_view.next_heartbeat_ms = retry_ms
         world.deadlines.add(retry_ms)
 
 
-def _record_reported_states(world: World, heartbeat: Beat) -> None:
+def _record_reported_states(world: World, heartbeat: PendingHeartbeat) -> None:
     if heartbeat.reported and heartbeat.incarnation != world.agreed.lease.incarnation:
         return
     for task_id, state in heartbeat.reported:
@@ -174,5 +183,5 @@
 
 
 def _delay_reports(world: World, now_ms: int, pause_ms: int) -> None:
-    world.beat_view.next_report_ms = now_ms + pause_ms
+    world.heartbeat_view.next_report_ms = now_ms + pause_ms
     world.deadlines.add(now_ms + pause_ms)
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -1,7 +1,7 @@
 """Stopping of members, and deletion of those whose gang has ended."""
 
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import grace_ms, isolation_ms, lease_ms
+from kingcuppost.systems.member_timing import grace_ms, isolation_ms, lease_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     LEASED_STATES,
@@ -102,7 +102,9 @@
     if not tasks:
         return
     limit_ms = isolation_ms(world)
-    last_contact_ms = max(world.log_view.fresh_ms, world.beat_view.last_reply_ms)
+    last_contact_ms = max(
+        world.log_view.fresh_as_of_ms, world.heartbeat_view.last_reply_ms
+    )
     if now_ms - last_contact_ms < limit_ms:
         world.deadlines.add(last_contact_ms + limit_ms)
         return
--- a/kingcuppost/systems/members/tests/test_heartbeats.py
+++ b/kingcuppost/systems/members/tests/test_heartbeats.py
@@ -111,7 +111,7 @@
     simulation = start_simulation()
     simulation.sent.clear()
     simulation.worlds["m-0"].stopping = True
-    simulation.worlds["m-0"].announcement.stop_ms = 10**9
+    simulation.worlds["m-0"].announcement.stop_deadline_ms = 10**9
     simulation.advance(100)
     notified = [
         heartbeat.entry for heartbeat in heartbeats(simulation) if heartbeat.leaving
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -32,7 +32,7 @@
         schedule_expiry(world, request)
         add_retry_share(world, request.team)
         if request.state is RequestState.QUEUED:
-            world.waiting.push(request)
+            world.request_queue.push(request)
         note(
             world,
             "request.admit",
@@ -104,5 +104,5 @@
     for message in world.inbox.take(ExchangeLost):
         for request in world.requests.find("exchange_id", message.exchange_id):
             if request.state is RequestState.QUEUED:
-                world.waiting.remove(request)
+                world.request_queue.remove(request)
                 world.requests.delete(request.request_id)
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -48,7 +48,7 @@
     """
     if outcome is Outcome.NOT_RUN and request.may_have_run:
         outcome = Outcome.UNKNOWN
-    world.waiting.remove(request)
+    world.request_queue.remove(request)
     world.requests.delete(request.request_id)
     reply = RequestReply(
         outcome, answer, request.attempts, minion, step, minion, reason
@@ -134,7 +134,7 @@
         world.requests.update(
             request.request_id, state=RequestState.QUEUED, tried_minions=tried_minions
         )
-        world.waiting.push(request)
+        world.request_queue.push(request)
         return
     close_request(
         world, request, outcome, minion=done.minion, step="serve", reason=done.reason
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -6,7 +6,7 @@
 from kingcuppost.tables.inbox import AttemptDone, HeartbeatArrived
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.replies import HeartbeatReply
-from kingcuppost.tables.request import Attempt, Health
+from kingcuppost.tables.request import Attempt, MinionHealth
 from kingcuppost.tables.world import World
 
 __all__ = ["handle_heartbeats", "record_answer", "record_failure"]
@@ -22,7 +22,7 @@
     row = world.health.get(done.minion)
     service_ms = done.service_ms or (row.service_ms if row else 0.0)
     world.health.put(
-        Health(
+        MinionHealth(
             done.minion,
             done.incarnation,
             now_ms,
@@ -42,7 +42,7 @@
         return
     row = world.health.get(attempt.minion)
     if row is None or row.incarnation != attempt.incarnation:
-        row = Health(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
+        row = MinionHealth(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
         world.health.put(row)
     failures = row.failures + 1
     world.health.update(attempt.minion, failures=failures, last_measured_ms=now_ms)
@@ -55,7 +55,7 @@
     doublings = min(failures - MIN_FAILURES_TO_PAUSE, MAX_DOUBLINGS)
     paused_until_ms = now_ms + min(BASE_PAUSE_MS << doublings, MAX_PAUSE_MS)
     world.health.update(minion, paused_until_ms=paused_until_ms)
-    world.pause_agenda.put(paused_until_ms, minion)
+    world.pause_deadlines.put(paused_until_ms, minion)
     world.deadlines.add(paused_until_ms)
 
 
@@ -66,7 +66,7 @@
         row = world.health.get(heartbeat.minion)
         service_ms = heartbeat.service_ms or (row.service_ms if row else 0.0)
         world.health.put(
-            Health(
+            MinionHealth(
                 heartbeat.minion,
                 heartbeat.incarnation,
                 now_ms,
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from kingcuppost.tables.pools import MinionPool
-from kingcuppost.tables.request import Health, Request
+from kingcuppost.tables.request import MinionHealth, Request
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
@@ -38,7 +38,7 @@
     return health.service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
 
 
-def _is_measurement_fresh(health: Health | None, now_ms: int) -> bool:
+def _is_measurement_fresh(health: MinionHealth | None, now_ms: int) -> bool:
     """Return whether an attempt of this entry ended at the minion recently."""
     if health is None or not health.last_measured_ms:
         return False
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -11,7 +11,7 @@
 
 def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
     """Cache a finished attempt for resends, and evict the oldest beyond the limits."""
-    cache = world.served_memory
+    cache = world.reply_cache
     cache.attempt_ids.append(row.attempt_id)
     cache.answer_bytes += len(row.answer)
     while _exceeds_limits(world, now_ms):
@@ -19,7 +19,7 @@
 
 
 def _exceeds_limits(world: World, now_ms: int) -> bool:
-    cache = world.served_memory
+    cache = world.reply_cache
     if len(cache.attempt_ids) <= 1:
         return False
     max_attempts = effective_value(world.agreed, "serve.memory_attempts")
@@ -32,7 +32,7 @@
 
 
 def _evict_oldest(world: World) -> None:
-    cache = world.served_memory
+    cache = world.reply_cache
     row = world.served.delete(cache.attempt_ids.popleft())
     cache.answer_bytes -= len(row.answer)
     cache.evicted_offset = max(cache.evicted_offset, row.claim_offset)
@@ -43,4 +43,4 @@
 
     Claims are compared by log offset, so that the result depends on no clock.
     """
-    return 0 < claim_offset <= world.served_memory.evicted_offset
+    return 0 < claim_offset <= world.reply_cache.evicted_offset
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -16,9 +16,9 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=110)
 def route_requests(world: World, now_ms: int) -> None:
     """Send queued requests while their service has a free minion."""
-    for service in world.waiting.services():
+    for service in world.request_queue.services():
         while len(world.pools.pool(service)):
-            request_id = world.waiting.pop(service)
+            request_id = world.request_queue.pop(service)
             if request_id is None:
                 break
             _route_request(world, world.requests.get(request_id), now_ms)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -129,7 +129,7 @@
     pause_ms = 0
     if failures > 1 or done.never_sent:
         pause_ms = RESEND_PAUSE_MS << min(failures, MAX_PAUSE_DOUBLINGS)
-    world.repeat_agenda.put(now_ms + pause_ms, attempt.attempt_id)
+    world.resend_deadlines.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
         world.deadlines.add(now_ms + pause_ms)
 
@@ -137,7 +137,7 @@
 @system(Phase.ACT, roles=(Role.ENTRY,), order=60)
 def resend_attempts(world: World, now_ms: int) -> None:
     """Resend attempts that are due, to the same process only."""
-    for attempt_id in world.repeat_agenda.take_due(now_ms):
+    for attempt_id in world.resend_deadlines.take_due(now_ms):
         attempt = world.attempts.get(attempt_id)
         if attempt is None:
             continue
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -14,8 +14,8 @@
 from kingcuppost.tables.outbox import HandOver, Reply
 from kingcuppost.tables.replies import ServedReply
 from kingcuppost.tables.request import (
-    HeldExchange,
     Outcome,
+    PendingExchange,
     ServedAttempt,
     ServedState,
 )
@@ -111,9 +111,11 @@
 
 
 def _add_pending_exchange(world: World, message: AttemptArrived, now_ms: int) -> None:
-    world.held.put(HeldExchange(message.exchange_id, message.attempt_id))
+    world.pending_exchanges.put(
+        PendingExchange(message.exchange_id, message.attempt_id)
+    )
     if message.hold_ms:
-        world.hold_agenda.put(now_ms + message.hold_ms, message.exchange_id)
+        world.hold_deadlines.put(now_ms + message.hold_ms, message.exchange_id)
         world.deadlines.add(now_ms + message.hold_ms)
 
 
@@ -193,8 +195,8 @@
         sends=answer_id(row.attempt_id),
     )
     world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
-    for pending in world.held.find("attempt_id", row.attempt_id):
-        world.held.delete(pending.exchange_id)
+    for pending in world.pending_exchanges.find("attempt_id", row.attempt_id):
+        world.pending_exchanges.delete(pending.exchange_id)
         reply = _make_reply(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
         world.outbox.put(Reply(pending.exchange_id, 200, reply))
     cache_attempt(world, row, now_ms)
@@ -237,8 +239,8 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
 def answer_pending_exchanges(world: World, now_ms: int) -> None:
     """Answer exchanges whose hold time is over that the attempt is still running."""
-    for exchange_id in world.hold_agenda.take_due(now_ms):
-        pending = world.held.delete(exchange_id)
+    for exchange_id in world.hold_deadlines.take_due(now_ms):
+        pending = world.pending_exchanges.delete(exchange_id)
         if pending is not None:
             reply = _make_reply(
                 world, pending.attempt_id, Outcome.UNKNOWN, running=True
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -183,7 +183,7 @@
 
 
 def test_removed_key_is_never_reported_not_run(monkeypatch) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 1)
     simulation = start_simulation()
     outcomes = []
     for key in ("k1", "k2", "k1"):
@@ -197,7 +197,7 @@
 def test_key_with_an_issue_time_is_accepted_after_others_were_removed(
     monkeypatch,
 ) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 1)
     simulation = start_simulation()
     outcomes = []
     for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/process_harness.py
@@ -115,8 +115,8 @@
                     task.lease_ms = now_ms + lease.lease_ms
             return "renew", "", True
         if isinstance(order, ReserveTask):
-            held = HeldTask(TaskState.RESERVED, now_ms + order.lease_ms)
-            self.tasks[order.task_id] = held
+            withheld_types = HeldTask(TaskState.RESERVED, now_ms + order.lease_ms)
+            self.tasks[order.task_id] = withheld_types
             return "reserve", order.task_id, True
         task = self.tasks.get(order.task_id)
         if isinstance(order, StartTask):
@@ -137,11 +137,11 @@
 WORKER_ORDERS = (ReserveTask, StartTask, RenewTasks, CheckpointTask, StopTask)
 
 
-class Bench:
+class ProcessHarness:
     """One process without sockets.
 
     The log answers at once while it is up; orders to the worker are obeyed at
-    once unless `held` keeps their type back.
+    once unless `withheld_types` keeps their type back.
     """
 
     def __init__(self, cfg: ProcessConfig, log: FakeLog, clock: ManualClock) -> None:
@@ -149,8 +149,8 @@
         self.log = log
         self.world = make_world(cfg, clock)
         self.worker = FakeWorker()
-        self.held: tuple[type, ...] = ()
-        self.kept: list[Any] = []
+        self.withheld_types: tuple[type, ...] = ()
+        self.withheld: list[Any] = []
         self.sent: list[Any] = []
         self._reads: list[ReadLog] = []
 
@@ -179,10 +179,10 @@
     def task(self, task_id: str) -> MemberTask:
         return self.world.tasks.get(task_id)
 
-    def deliver_kept(self) -> None:
+    def deliver_withheld(self) -> None:
         """Let orders that were kept back arrive."""
-        kept, self.kept = self.kept, []
-        for order in kept:
+        withheld, self.withheld = self.withheld, []
+        for order in withheld:
             self.world.inbox.put(self.worker.answer(order, self.now_ms))
 
     def _dispatch(self, message: Any) -> None:
@@ -194,8 +194,8 @@
                 self.log.records.extend(message.records)
             ids = tuple(row.record_id for row in message.records)
             self.world.inbox.put(AppendDone(ids, self.log.up, "down"))
-        elif isinstance(message, self.held):
-            self.kept.append(message)
+        elif isinstance(message, self.withheld_types):
+            self.withheld.append(message)
         elif isinstance(message, WORKER_ORDERS):
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
@@ -221,7 +221,9 @@
         self.world.inbox.put(ReadDone(read.read_id, True, rows, head, 1, head))
 
 
-def sidecar_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
+def make_sidecar_harness(
+    log: FakeLog, clock: ManualClock, number: int = 0
+) -> ProcessHarness:
     """Return a sidecar beside worker `number`."""
     worker = WorkerConfig("http", f"worker-{number}", "rack-0", HERE, 64, 131_072, 8)
     sidecar = SidecarConfig("planner", HERE, 8, 64, worker, HERE)
@@ -235,10 +237,12 @@
         sidecar=sidecar,
         seed=number,
     )
-    return Bench(cfg, log, clock)
+    return ProcessHarness(cfg, log, clock)
 
 
-def entry_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
+def make_entry_harness(
+    log: FakeLog, clock: ManualClock, number: int = 0
+) -> ProcessHarness:
     """Return an entry."""
     cfg = ProcessConfig(
         Role.ENTRY,
@@ -250,10 +254,10 @@
         entry=EntryConfig(HERE, HERE),
         seed=100 + number,
     )
-    return Bench(cfg, log, clock)
+    return ProcessHarness(cfg, log, clock)
 
 
-def announce_minion(number: int) -> MinionAnnounce:
+def minion_announcement(number: int) -> MinionAnnounce:
     return MinionAnnounce(
         f"minion-{number}",
         "planner",
@@ -271,13 +275,13 @@
     )
 
 
-def site_log(workers: int = 2) -> FakeLog:
+def make_cluster_log(workers: int = 2) -> FakeLog:
     """Return a log with a zone, a team, workers, an entry and a term."""
     log = FakeLog()
     log.add(
         ZonePut(ZONE, "vidzeme", True, 0),
         TeamPut("design", (), 0, 0),
-        *(announce_minion(number) for number in range(workers)),
+        *(minion_announcement(number) for number in range(workers)),
         EntryAnnounce("entry-9", ZONE, "inc-9", "127.0.0.1", 1, 2, 3),
         LeaseClaim("entry-9", "inc-9", 0),
         SettingPut("", "job.lease_ms", LEASE_MS, 0),
@@ -295,7 +299,7 @@
     return offsets[-1]
 
 
-def place(
+def place_gang(
     log: FakeLog, job: str, workers: tuple[str, ...], incarnation: int = 1
 ) -> None:
     """Submit a job unless it is there, and place its gang."""
@@ -308,6 +312,6 @@
     log.add(GangPlace(term_of(log), job, incarnation, placements, False, decision))
 
 
-def release(log: FakeLog, job: str, incarnation: int = 1) -> None:
+def release_gang(log: FakeLog, job: str, incarnation: int = 1) -> None:
     """Release the gang of a job."""
     log.add(GangRelease(term_of(log), job, incarnation))
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from kingcuppost.tables.claims import KeyClaim, RecentRecord, SchedulingLease
+from kingcuppost.tables.agreed_rows import KeyClaim, RecentRecord, SchedulingLease
 from kingcuppost.tables.record import Record, SnapshotPart
 
 __all__ = [
-    "HolderWatch",
+    "HolderMonitor",
     "KeyClaim",
     "LogView",
     "Proposal",
@@ -17,13 +17,13 @@
     "RecentRecord",
     "SchedulingLease",
     "SnapshotSearch",
-    "SnapshotWatch",
-    "Verdict",
+    "SnapshotProgress",
+    "FoldResult",
 ]
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class FoldResult:
     """What the fold made of a record.
 
     Attributes
@@ -130,7 +130,7 @@
 
 
 @dataclass(slots=True)
-class SnapshotWatch:
+class SnapshotProgress:
     """What a process knows of the snapshots in the log, and its own draft.
 
     Attributes
@@ -162,7 +162,7 @@
     ----------
     folded_offset, head_offset : int
         Offset of the last record applied, and of the last known to exist.
-    fresh_ms : int
+    fresh_as_of_ms : int
         When the last read that ended at the head was sent; -1 before any.
     heard_ms : int
         When such a read was last answered; -1 before any.
@@ -186,7 +186,7 @@
 
     folded_offset: int = 0
     head_offset: int = 0
-    fresh_ms: int = -1
+    fresh_as_of_ms: int = -1
     heard_ms: int = -1
     reads: dict[str, ReadUnderWay] = field(default_factory=dict)
     next_read_ms: int = 0
@@ -199,7 +199,7 @@
 
 
 @dataclass(slots=True)
-class HolderWatch:
+class HolderMonitor:
     """How an entry watches the holder of the scheduling lease.
 
     Attributes
--- a/kingcuppost/tables/announcement.py
+++ b/kingcuppost/tables/announcement.py
@@ -17,7 +17,7 @@
         Announcement under way; empty if none.
     leave_id : str
         Leave record under way; empty if none.
-    stop_ms : int
+    stop_deadline_ms : int
         When a graceful stop must be over; 0 while none is under way.
     """
 
@@ -26,4 +26,4 @@
     peer_port: int = 0
     record_id: str = ""
     leave_id: str = ""
-    stop_ms: int = 0
+    stop_deadline_ms: int = 0
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -5,11 +5,11 @@
 
 from kingcuppost.tables.task import TaskState
 
-__all__ = ["Beat", "BeatView", "ServedMemory"]
+__all__ = ["PendingHeartbeat", "HeartbeatView", "ReplyCache"]
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class PendingHeartbeat:
     """A heartbeat that has been sent and not answered yet.
 
     Attributes
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class BeatView:
+class HeartbeatView:
     """Schedule of a sidecar's heartbeats and reports, and the entries' responses.
 
     Attributes
@@ -58,7 +58,7 @@
 
 
 @dataclass(slots=True)
-class ServedMemory:
+class ReplyCache:
     """Finished attempts whose answers a sidecar keeps for resends.
 
     Attributes
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 __all__ = [
-    "GangWatch",
+    "GangMonitor",
     "MemberReport",
     "MemberTask",
     "Renewal",
@@ -108,7 +108,7 @@
 
 
 @dataclass(slots=True)
-class GangWatch:
+class GangMonitor:
     """Monitor of a gang at its leader, the sidecar of member 0.
 
     Attributes
@@ -117,7 +117,7 @@
         ``gang_key(job, incarnation)``.
     since_ms : int
         When this process began to monitor the gang.
-    heard_ms : dict of int to int
+    last_report_ms : dict of int to int
         When each member was last reported running or finished.
     results : dict of int to str
         Results of finished members.
@@ -129,7 +129,7 @@
 
     key: str
     since_ms: int
-    heard_ms: dict[int, int]
+    last_report_ms: dict[int, int]
     results: dict[int, str]
     broken_reason: str = ""
     finish_record_id: str = ""
@@ -147,7 +147,7 @@
         Key of the gang that the member belongs to.
     state : TaskState
         Last reported state.
-    heard_ms : int
+    last_report_ms : int
         When the member was last reported.
     since_ms : int
         When this state was first reported.
@@ -156,5 +156,5 @@
     member_id: str
     key: str
     state: TaskState
-    heard_ms: int
+    last_report_ms: int
     since_ms: int
