--- a/kingcuppost/systems/members/orders.py
+++ b/kingcuppost/systems/members/orders.py
@@ -15,9 +15,9 @@
     "ORDER_START",
     "ORDER_STOP",
     "gang_of",
+    "is_zone_in_service",
     "order_timeout_ms",
     "task_id_of",
-    "is_zone_in_service",
 ]
 
 ENDED_STATES = frozenset(
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -36,7 +36,7 @@
 OWN = "worker-0"
 OTHER = "worker-1"
 LEASE_MS = 5_000
-CONFIRM_MS = LEASE_MS // 2
+CONFIRMATION_MS = LEASE_MS // 2
 
 
 @pytest.fixture
@@ -51,7 +51,7 @@
     return harness
 
 
-def restarted(harness: ProcessHarness) -> ProcessHarness:
+def restart_sidecar(harness: ProcessHarness) -> ProcessHarness:
     """Return a bench with a new sidecar process at the same worker."""
     again = make_sidecar_harness(harness.log, harness.clock)
     again.worker = harness.worker
@@ -119,7 +119,7 @@
     release_gang(log, "a")
     harness.settle()
     harness.run(100)
-    assert harness.withheld, "the start is on its way"
+    assert harness.withheld, "the start order is pending"
     take_zone_out(log)
     harness.run(3_000 - fresh_ms)
     harness.deliver_withheld()
@@ -188,9 +188,9 @@
     started_ms = harness.now_ms
     harness.run(4_000)
     confirm(harness, started_ms + 3_000)
-    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRM_MS
+    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRMATION_MS
     confirm(harness, started_ms + 100)
-    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRM_MS
+    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRMATION_MS
 
 
 def test_paused_sidecar_extends_no_lease_by_a_stale_confirmation(
@@ -300,7 +300,7 @@
         report_to_leader(harness, report(1, TaskState.RUNNING))
         harness.run(500)
     make_worker_unresponsive(harness)
-    for _ in range(CONFIRM_MS // 500 + 1):
+    for _ in range(CONFIRMATION_MS // 500 + 1):
         report_to_leader(harness, report(1, TaskState.RUNNING))
         run_with_lost_orders(harness, 500)
     assert harness.world.gang_monitors.get("a/1").broken_reason
@@ -332,7 +332,7 @@
 
 def test_restarted_sidecar_adopts_a_running_member(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(2 * LEASE_MS)
     assert again.worker.state(task_id) is TaskState.RUNNING
     assert again.worker.tasks[task_id].starts == 1
@@ -343,7 +343,7 @@
 ) -> None:
     task_id = run_led_elsewhere(harness)
     lease_ms = harness.worker.tasks[task_id].lease_ms
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(1_000)
     assert again.worker.tasks[task_id].lease_ms == lease_ms
     confirm(again, again.now_ms)
@@ -354,7 +354,7 @@
 def test_restarted_sidecar_stops_a_reservation(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", (OWN, OTHER))
     harness.settle()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(100)
     assert again.worker.state("a/1/0") is TaskState.STOPPED
     assert again.task("a/1/0").state is TaskState.STOPPED
@@ -365,7 +365,7 @@
 ) -> None:
     task_id = run_alone(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(600)
     assert again.worker.state(task_id) is TaskState.STOPPED
     assert len(again.world.tasks) == 0
@@ -376,7 +376,7 @@
 ) -> None:
     task_id = run_alone(harness)
     harness.worker.tasks.clear()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert again.task(task_id).state is TaskState.STOPPED
 
 
@@ -391,7 +391,7 @@
     run_alone(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
     harness.worker.tasks.clear()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert not [row for row in again.sent if isinstance(row, ReserveTask)]
 
 
@@ -416,10 +416,10 @@
 def test_leader_confirms_no_member_before_all_run(harness: ProcessHarness) -> None:
     task_id = lead(harness)
     lease_expiry_ms = harness.task(task_id).lease_expiry_ms
-    harness.run(CONFIRM_MS - 100)
+    harness.run(CONFIRMATION_MS - 100)
     assert harness.worker.state(task_id) is TaskState.RUNNING
     assert harness.task(task_id).lease_expiry_ms == lease_expiry_ms
-    harness.run(LEASE_MS - CONFIRM_MS)
+    harness.run(LEASE_MS - CONFIRMATION_MS)
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
@@ -441,7 +441,7 @@
     task_id = lead(harness)
     report_to_leader(harness, report(1, TaskState.RUNNING))
     report_to_leader(harness, report(1, TaskState.FAILED))
-    harness.run(CONFIRM_MS)
+    harness.run(CONFIRMATION_MS)
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
@@ -453,7 +453,7 @@
     harness.log.up = False
     harness.worker.finish(task_id, "zero")
     harness.run(2_000)
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert not harness.log.bodies(GangFinish)
     harness.log.up = True
     again.settle()
@@ -474,7 +474,7 @@
     harness.worker.finish(task_id, "one")
     harness.run(20_000)
     reports = [row for row in harness.sent if isinstance(row, SendGangReports)]
-    assert harness.now_ms - reports[-1].sent_ms < CONFIRM_MS
+    assert harness.now_ms - reports[-1].sent_ms < CONFIRMATION_MS
     assert reports[-1].reports == (report(1, TaskState.FINISHED, "one"),)
 
 
--- a/kingcuppost/tables/agreed_rows.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -7,8 +7,8 @@
 __all__ = [
     "EndedJob",
     "ExplainedKey",
-    "LowerBounds",
     "KeyClaim",
+    "LowerBounds",
     "RecentRecord",
     "SchedulingLease",
 ]
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -5,7 +5,7 @@
 
 from kingcuppost.tables.task import TaskState
 
-__all__ = ["PendingHeartbeat", "HeartbeatView", "ReplyCache"]
+__all__ = ["HeartbeatView", "PendingHeartbeat", "ReplyCache"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -8,8 +8,8 @@
 __all__ = [
     "Attempt",
     "MinionHealth",
-    "PendingExchange",
     "Outcome",
+    "PendingExchange",
     "Request",
     "RequestState",
     "RetryBudget",
