--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -1,4 +1,4 @@
-"""Members at their worker: reserved when placed, started when released."""
+"""Reservation of members when their gang is placed, and start at its release."""
 
 from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.events import note
@@ -17,15 +17,15 @@
 from kingcuppost.tables.task import MemberTask, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["follow_gangs", "start_members"]
+__all__ = ["reconcile_gangs", "start_members"]
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=100)
-def follow_gangs(world: World, now_ms: int) -> None:
-    """Reserve members of new gangs on this worker; stop those of ended ones.
+def reconcile_gangs(world: World, now_ms: int) -> None:
+    """Reserve members of new gangs on this worker, and stop those of ended gangs.
 
-    Nothing is done before the log was read to its head and the worker was asked
-    for the tasks that an earlier process left.
+    This waits until the log has been read to its head and the tasks of an earlier
+    sidecar process have been adopted from the worker.
     """
     if not world.log_view.caught_up or not world.worker_view.adopted:
         return
@@ -34,7 +34,7 @@
         if gang is None or gang.state is GangState.STOPPING:
             _stop_gang(world, str(key), now_ms)
         else:
-            _take_up(world, gang, now_ms)
+            _reconcile_gang(world, gang, now_ms)
 
 
 def _stop_gang(world: World, key: str, now_ms: int) -> None:
@@ -44,8 +44,11 @@
             stop_task(world, task, now_ms)
 
 
-def _take_up(world: World, gang: Gang, now_ms: int) -> None:
-    """Reserve unknown members; own to the loss of those that had been released."""
+def _reconcile_gang(world: World, gang: Gang, now_ms: int) -> None:
+    """Reserve members without a task; report them stopped if they were released.
+
+    A released member without a task has been lost by the worker.
+    """
     for member, placement in enumerate(gang.placements):
         task_id = task_id_of(gang.job, gang.incarnation, member)
         if placement.worker != world.cfg.sidecar.worker.name or task_id in world.tasks:
@@ -62,7 +65,12 @@
         if gang.state is GangState.RESERVING:
             _reserve(world, gang, task, placement.accelerators)
         else:
-            note(world, "member.lost", "The worker lost a member.", job=gang.job)
+            note(
+                world,
+                "member.lost",
+                "The worker no longer has the task of a member.",
+                job=gang.job,
+            )
 
 
 def _reserve(
@@ -86,7 +94,7 @@
 
 @system(Phase.DECIDE, roles=(Role.SIDECAR,), order=100)
 def start_members(world: World, now_ms: int) -> None:
-    """Start reserved members of released gangs, on a fresh view only."""
+    """Start reserved members of released gangs if the view of the log is fresh."""
     for task in world.tasks.find("state", TaskState.RESERVED):
         gang = gang_of(world, task)
         if gang is None or gang.state is not GangState.RELEASED:
@@ -95,12 +103,12 @@
             stop_task(world, task, now_ms)
         elif not is_fresh(world, now_ms):
             request_barrier(world, now_ms)
-        elif not _in_renewal(world, task):
+        elif not _is_renewal_pending(world, task):
             _start(world, gang, task, now_ms)
 
 
-def _in_renewal(world: World, task: MemberTask) -> bool:
-    """Return whether a renewal under way may yet prolong the reservation."""
+def _is_renewal_pending(world: World, task: MemberTask) -> bool:
+    """Return whether a pending renewal may still extend the reservation."""
     return (
         world.worker_view.renewal is not None
         and task.task_id in world.worker_view.renewal.task_ids
@@ -109,7 +117,9 @@
 
 def _start(world: World, gang: Gang, task: MemberTask, now_ms: int) -> None:
     run_ms = lease_ms(world, gang)
-    world.tasks.update(task.task_id, state=TaskState.STARTING, lease_ms=now_ms + run_ms)
+    world.tasks.update(
+        task.task_id, state=TaskState.STARTING, lease_expiry_ms=now_ms + run_ms
+    )
     world.deadlines.add(now_ms + run_ms)
     world.outbox.put(StartTask(task.task_id, run_ms, order_timeout_ms(world)))
     note(world, "member.start", "Starting a member.", job=task.job)
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -1,4 +1,4 @@
-"""Members at one sidecar: reservations, starts, leases, stops, takeovers."""
+"""Members at one sidecar: reservations, starts, leases, stops, adoption."""
 
 import pytest
 
@@ -36,7 +36,7 @@
 OWN = "worker-0"
 OTHER = "worker-1"
 LEASE_MS = 5_000
-CONFIRM_MS = LEASE_MS // 2
+CONFIRMATION_MS = LEASE_MS // 2
 
 
 @pytest.fixture
@@ -51,8 +51,8 @@
     return harness
 
 
-def restarted(harness: ProcessHarness) -> ProcessHarness:
-    """Return a new process beside the same worker."""
+def restart_sidecar(harness: ProcessHarness) -> ProcessHarness:
+    """Return a bench with a new sidecar process at the same worker."""
     again = make_sidecar_harness(harness.log, harness.clock)
     again.worker = harness.worker
     again.settle()
@@ -60,7 +60,7 @@
 
 
 def run_alone(harness: ProcessHarness, job: str = "a") -> str:
-    """Start a gang of one; return its task."""
+    """Start a gang of one member; return its task."""
     place_gang(harness.log, job, (OWN,))
     harness.settle()
     release_gang(harness.log, job)
@@ -69,7 +69,7 @@
 
 
 def run_led_elsewhere(harness: ProcessHarness) -> str:
-    """Start member 1 of a gang whose leader is at the other worker."""
+    """Start member 1 of a gang whose leader is at the other worker; return its task."""
     place_gang(harness.log, "a", (OTHER, OWN))
     harness.settle()
     release_gang(harness.log, "a")
@@ -82,7 +82,7 @@
     harness.settle()
 
 
-def zone_out(log: FakeLog) -> None:
+def take_zone_out(log: FakeLog) -> None:
     log.add(ZonePut("vid-a", "vidzeme", False, 1))
 
 
@@ -119,15 +119,15 @@
     release_gang(log, "a")
     harness.settle()
     harness.run(100)
-    assert harness.withheld, "the start is on its way"
-    zone_out(log)
+    assert harness.withheld, "the start order is pending"
+    take_zone_out(log)
     harness.run(3_000 - fresh_ms)
     harness.deliver_withheld()
     harness.settle()
     assert harness.worker.tasks["a/1/0"].starts == 0
 
 
-def test_no_start_while_a_renewal_is_under_way(harness: ProcessHarness) -> None:
+def test_no_start_while_a_renewal_is_pending(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", (OWN,))
     harness.settle()
     harness.withheld_types = (RenewTasks,)
@@ -142,29 +142,29 @@
     assert harness.task("a/1/0").state is TaskState.RUNNING
 
 
-def test_no_start_in_a_zone_taken_out_before_the_release(
+def test_no_start_in_a_zone_taken_out_of_service_before_the_release(
     harness: ProcessHarness,
 ) -> None:
     place_gang(harness.log, "a", (OWN,))
     harness.settle()
     release_gang(harness.log, "a")
-    zone_out(harness.log)
+    take_zone_out(harness.log)
     harness.settle()
     assert harness.worker.tasks["a/1/0"].starts == 0
     assert harness.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_paused_sidecar_starts_nothing_on_its_old_view(harness: ProcessHarness) -> None:
+def test_paused_sidecar_starts_nothing_on_a_stale_view(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", (OWN,))
     harness.settle()
     release_gang(harness.log, "a")
-    zone_out(harness.log)
+    take_zone_out(harness.log)
     harness.clock.advance(60_000)
     harness.settle()
     assert harness.worker.tasks["a/1/0"].starts == 0
 
 
-def test_running_member_alone_runs_on(harness: ProcessHarness) -> None:
+def test_single_running_member_keeps_running(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
     harness.run(3 * LEASE_MS)
     assert harness.worker.state(task_id) is TaskState.RUNNING
@@ -183,17 +183,17 @@
     assert harness.worker.state(alone) is TaskState.RUNNING
 
 
-def test_lease_counts_from_when_the_report_was_sent(harness: ProcessHarness) -> None:
+def test_lease_starts_when_the_report_was_sent(harness: ProcessHarness) -> None:
     task_id = run_led_elsewhere(harness)
     started_ms = harness.now_ms
     harness.run(4_000)
     confirm(harness, started_ms + 3_000)
-    assert harness.task(task_id).lease_ms == started_ms + 3_000 + CONFIRM_MS
+    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRMATION_MS
     confirm(harness, started_ms + 100)
-    assert harness.task(task_id).lease_ms == started_ms + 3_000 + CONFIRM_MS
+    assert harness.task(task_id).lease_expiry_ms == started_ms + 3_000 + CONFIRMATION_MS
 
 
-def test_paused_sidecar_prolongs_nothing_by_a_stale_confirmation(
+def test_paused_sidecar_extends_no_lease_by_a_stale_confirmation(
     harness: ProcessHarness,
 ) -> None:
     task_id = run_led_elsewhere(harness)
@@ -213,7 +213,7 @@
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_task_that_ignores_stop_loses_its_lease(harness: ProcessHarness) -> None:
+def test_lease_lapses_for_a_task_that_ignores_stop(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
     harness.worker.ignores_stop = True
     harness.run(1_000)
@@ -236,7 +236,9 @@
     assert harness.worker.state("a/1/0") is TaskState.STOPPED
 
 
-def test_stop_is_repeated_until_the_worker_obeys(harness: ProcessHarness) -> None:
+def test_stop_is_repeated_until_the_worker_stops_the_task(
+    harness: ProcessHarness,
+) -> None:
     task_id = run_alone(harness)
     harness.withheld_types = (StopTask,)
     harness.log.add(JobCancel("a", "enough"))
@@ -262,45 +264,51 @@
     assert harness.task("a/1/0").state is TaskState.STOPPED
 
 
-def silence_worker(harness: ProcessHarness) -> None:
+def make_worker_unresponsive(harness: ProcessHarness) -> None:
     harness.withheld_types = (RenewTasks, StopTask, CheckpointTask)
 
 
-def lose_kept_orders(harness: ProcessHarness, for_ms: int) -> None:
-    """Let time pass while the worker's link loses every order."""
+def run_with_lost_orders(harness: ProcessHarness, for_ms: int) -> None:
+    """Advance time while every order to the worker is lost."""
     for _ in range(for_ms // 500):
         harness.run(500)
         withheld, harness.withheld = harness.withheld, []
         for order in withheld:
             name = {RenewTasks: "renew", StopTask: "stop"}.get(type(order))
             task_id = getattr(order, "task_id", "")
-            failed = WorkerDone(name or "checkpoint", task_id, False, reason="silent")
+            failed = WorkerDone(
+                name or "checkpoint", task_id, False, reason="no answer"
+            )
             harness.world.inbox.put(failed)
 
 
-def test_member_of_a_dead_worker_is_not_reported_alive(harness: ProcessHarness) -> None:
+def test_member_of_a_dead_worker_is_not_reported_running(
+    harness: ProcessHarness,
+) -> None:
     task_id = run_alone(harness)
     harness.run(2_000)
-    silence_worker(harness)
-    lose_kept_orders(harness, 12_000)
+    make_worker_unresponsive(harness)
+    run_with_lost_orders(harness, 12_000)
     assert harness.task(task_id).state is TaskState.STOPPED
 
 
-def test_gang_whose_leaders_worker_died_is_called_broken(
+def test_gang_is_broken_when_the_worker_of_its_leader_dies(
     harness: ProcessHarness,
 ) -> None:
     lead(harness)
     for _ in range(4):
-        tell_leader(harness, report(1, TaskState.RUNNING))
+        report_to_leader(harness, report(1, TaskState.RUNNING))
         harness.run(500)
-    silence_worker(harness)
-    for _ in range(CONFIRM_MS // 500 + 1):
-        tell_leader(harness, report(1, TaskState.RUNNING))
-        lose_kept_orders(harness, 500)
-    assert harness.world.gang_monitors.get("a/1").broken
+    make_worker_unresponsive(harness)
+    for _ in range(CONFIRMATION_MS // 500 + 1):
+        report_to_leader(harness, report(1, TaskState.RUNNING))
+        run_with_lost_orders(harness, 500)
+    assert harness.world.gang_monitors.get("a/1").broken_reason
 
 
-def test_member_lost_before_its_release_is_told(harness: ProcessHarness) -> None:
+def test_member_lost_before_its_release_is_reported_stopped(
+    harness: ProcessHarness,
+) -> None:
     place_gang(harness.log, "a", (OWN, OTHER))
     harness.settle()
     del harness.worker.tasks["a/1/0"]
@@ -308,7 +316,7 @@
     assert harness.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_ended_members_are_forgotten_after_their_gang(harness: ProcessHarness) -> None:
+def test_ended_members_are_deleted_after_their_gang(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(600)
@@ -322,20 +330,20 @@
     assert len([row for row in harness.sent if isinstance(row, StopTask)]) == stops
 
 
-def test_restarted_sidecar_takes_over_a_running_member(harness: ProcessHarness) -> None:
+def test_restarted_sidecar_adopts_a_running_member(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(2 * LEASE_MS)
     assert again.worker.state(task_id) is TaskState.RUNNING
     assert again.worker.tasks[task_id].starts == 1
 
 
-def test_restarted_sidecar_renews_only_what_is_confirmed(
+def test_restarted_sidecar_renews_only_confirmed_members(
     harness: ProcessHarness,
 ) -> None:
     task_id = run_led_elsewhere(harness)
     lease_ms = harness.worker.tasks[task_id].lease_ms
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(1_000)
     assert again.worker.tasks[task_id].lease_ms == lease_ms
     confirm(again, again.now_ms)
@@ -343,45 +351,47 @@
     assert again.worker.state(task_id) is TaskState.RUNNING
 
 
-def test_restarted_sidecar_gives_a_reservation_up(harness: ProcessHarness) -> None:
+def test_restarted_sidecar_stops_a_reservation(harness: ProcessHarness) -> None:
     place_gang(harness.log, "a", (OWN, OTHER))
     harness.settle()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(100)
     assert again.worker.state("a/1/0") is TaskState.STOPPED
     assert again.task("a/1/0").state is TaskState.STOPPED
 
 
-def test_restarted_sidecar_stops_what_has_ended_meanwhile(
+def test_restarted_sidecar_stops_members_of_an_ended_gang(
     harness: ProcessHarness,
 ) -> None:
     task_id = run_alone(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     again.run(600)
     assert again.worker.state(task_id) is TaskState.STOPPED
     assert len(again.world.tasks) == 0
 
 
-def test_restarted_sidecar_owns_to_a_lost_member(harness: ProcessHarness) -> None:
+def test_restarted_sidecar_reports_a_lost_member_stopped(
+    harness: ProcessHarness,
+) -> None:
     task_id = run_alone(harness)
     harness.worker.tasks.clear()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert again.task(task_id).state is TaskState.STOPPED
 
 
-def test_foreign_tasks_are_left_alone(harness: ProcessHarness) -> None:
+def test_tasks_of_others_are_not_stopped(harness: ProcessHarness) -> None:
     task_id = run_alone(harness)
     harness.worker.tasks["other"] = harness.worker.tasks[task_id]
     harness.run(1_000)
     assert not [row for row in harness.sent if isinstance(row, StopTask)]
 
 
-def test_past_gangs_are_not_reserved_again(harness: ProcessHarness) -> None:
+def test_members_of_ended_gangs_are_not_reserved_again(harness: ProcessHarness) -> None:
     run_alone(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
     harness.worker.tasks.clear()
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert not [row for row in again.sent if isinstance(row, ReserveTask)]
 
 
@@ -389,13 +399,13 @@
     return MemberReport("a", 1, member, state, result)
 
 
-def tell_leader(harness: ProcessHarness, *reports: MemberReport) -> None:
+def report_to_leader(harness: ProcessHarness, *reports: MemberReport) -> None:
     harness.world.inbox.put(GangReportArrived("x", OTHER, reports))
     harness.settle()
 
 
 def lead(harness: ProcessHarness) -> str:
-    """Start member 0 of a gang of two here."""
+    """Start member 0 of a gang of two at this worker; return its task."""
     place_gang(harness.log, "a", (OWN, OTHER))
     harness.settle()
     release_gang(harness.log, "a")
@@ -403,52 +413,52 @@
     return "a/1/0"
 
 
-def test_leader_confirms_nobody_before_all_run(harness: ProcessHarness) -> None:
+def test_leader_confirms_no_member_before_all_run(harness: ProcessHarness) -> None:
     task_id = lead(harness)
-    lease_ms = harness.task(task_id).lease_ms
-    harness.run(CONFIRM_MS - 100)
+    lease_expiry_ms = harness.task(task_id).lease_expiry_ms
+    harness.run(CONFIRMATION_MS - 100)
     assert harness.worker.state(task_id) is TaskState.RUNNING
-    assert harness.task(task_id).lease_ms == lease_ms
-    harness.run(LEASE_MS - CONFIRM_MS)
+    assert harness.task(task_id).lease_expiry_ms == lease_expiry_ms
+    harness.run(LEASE_MS - CONFIRMATION_MS)
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_gang_without_one_member_ends_within_the_lease(harness: ProcessHarness) -> None:
+def test_gang_with_a_missing_member_ends_within_the_lease(
+    harness: ProcessHarness,
+) -> None:
     task_id = lead(harness)
     for _ in range(20):
-        tell_leader(harness, report(1, TaskState.RUNNING))
+        report_to_leader(harness, report(1, TaskState.RUNNING))
         harness.run(500)
-    silent_ms = harness.now_ms - 500
+    last_report_ms = harness.now_ms - 500
     assert harness.worker.state(task_id) is TaskState.RUNNING
     while harness.worker.state(task_id) is TaskState.RUNNING:
         harness.run(10)
-    assert harness.now_ms - silent_ms <= LEASE_MS
+    assert harness.now_ms - last_report_ms <= LEASE_MS
 
 
 def test_failed_member_breaks_the_gang_at_once(harness: ProcessHarness) -> None:
     task_id = lead(harness)
-    tell_leader(harness, report(1, TaskState.RUNNING))
-    tell_leader(harness, report(1, TaskState.FAILED))
-    harness.run(CONFIRM_MS)
+    report_to_leader(harness, report(1, TaskState.RUNNING))
+    report_to_leader(harness, report(1, TaskState.FAILED))
+    harness.run(CONFIRMATION_MS)
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_finish_is_proposed_once_and_again_after_a_restart(
-    harness: ProcessHarness,
-) -> None:
+def test_finish_is_proposed_once_per_process(harness: ProcessHarness) -> None:
     task_id = lead(harness)
-    tell_leader(harness, report(1, TaskState.FINISHED, "one"))
-    tell_leader(harness, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(harness, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(harness, report(1, TaskState.FINISHED, "one"))
     harness.run(1_000)
     harness.log.up = False
     harness.worker.finish(task_id, "zero")
     harness.run(2_000)
-    again = restarted(harness)
+    again = restart_sidecar(harness)
     assert not harness.log.bodies(GangFinish)
     harness.log.up = True
     again.settle()
     again.run(1_000)
-    tell_leader(again, report(1, TaskState.FINISHED, "one"))
+    report_to_leader(again, report(1, TaskState.FINISHED, "one"))
     again.run(2_000)
     assert harness.log.bodies(GangFinish) == [GangFinish("a", 1, "zero")]
     harness.run(2_000)
@@ -457,14 +467,14 @@
     assert again.world.agreed.jobs.get("a").result == "zero"
 
 
-def test_finished_member_reports_until_the_gang_is_gone(
+def test_finished_member_is_reported_until_the_gang_ends(
     harness: ProcessHarness,
 ) -> None:
     task_id = run_led_elsewhere(harness)
     harness.worker.finish(task_id, "one")
     harness.run(20_000)
     reports = [row for row in harness.sent if isinstance(row, SendGangReports)]
-    assert harness.now_ms - reports[-1].sent_ms < CONFIRM_MS
+    assert harness.now_ms - reports[-1].sent_ms < CONFIRMATION_MS
     assert reports[-1].reports == (report(1, TaskState.FINISHED, "one"),)
 
 
@@ -478,7 +488,7 @@
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_isolation_bound_leaves_room_for_heartbeats(harness: ProcessHarness) -> None:
+def test_isolation_limit_allows_for_heartbeats(harness: ProcessHarness) -> None:
     harness.log.add(SettingPut("", "job.isolation_ms", 1_000, 0))
     task_id = run_alone(harness)
     harness.log.up = False
@@ -488,7 +498,7 @@
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
-def test_members_run_on_without_the_log_while_an_entry_answers(
+def test_members_keep_running_without_the_log_while_an_entry_answers(
     harness: ProcessHarness,
 ) -> None:
     harness.log.add(SettingPut("", "job.isolation_ms", 20_000, 0))
@@ -496,11 +506,13 @@
     harness.log.up = False
     for _ in range(30):
         harness.run(1_000)
-        harness.world.heartbeat_view.heard_ms = harness.now_ms
+        harness.world.heartbeat_view.last_reply_ms = harness.now_ms
     assert harness.worker.state(task_id) is TaskState.RUNNING
 
 
-def test_finish_waits_for_the_log_and_counts_once(harness: ProcessHarness) -> None:
+def test_finish_waits_for_the_log_and_takes_effect_once(
+    harness: ProcessHarness,
+) -> None:
     task_id = run_alone(harness)
     harness.log.up = False
     harness.run(2_000)
@@ -513,7 +525,9 @@
     assert harness.world.agreed.jobs.get("a").result == "plan"
 
 
-def test_stopped_gang_is_stopped_after_the_outage(harness: ProcessHarness) -> None:
+def test_gang_stopped_during_an_outage_of_the_log_stops_after_it(
+    harness: ProcessHarness,
+) -> None:
     task_id = run_alone(harness)
     harness.log.up = False
     harness.log.add(GangStop(term_of(harness.log), "a", 1, "reclaim"))
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -1,14 +1,14 @@
-"""The budget that bounds a team's retries at an entry."""
+"""Retry budget that limits a team's retries at an entry."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.tables.request import Request, RetryBudget
 from kingcuppost.tables.world import World
 
-__all__ = ["deposit", "take_retry"]
+__all__ = ["add_retry_share", "spend_retry"]
 
 
-def deposit(world: World, team: str) -> None:
-    """Add a request's share of a retry to its team's budget."""
+def add_retry_share(world: World, team: str) -> None:
+    """Add one request's share to the retry budget of its team."""
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
     row = world.retry_budgets.get(team)
@@ -18,8 +18,8 @@
     world.retry_budgets.update(team, tokens=min(row.tokens + share, burst))
 
 
-def take_retry(world: World, request: Request) -> bool:
-    """Return whether an idempotent request may be sent once more, and pay for it."""
+def spend_retry(world: World, request: Request) -> bool:
+    """Spend a retry on an idempotent request; return whether one was available."""
     if request.key:
         return False
     path = team_path(request.team, request.urgency)
--- a/kingcuppost/systems/requests/tests/driver.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -1,4 +1,4 @@
-"""Entries and sidecars driven with no socket, on a clock moved by hand."""
+"""Simulation of entries and sidecars without sockets, on a manual clock."""
 
 import heapq
 import itertools
@@ -53,19 +53,19 @@
 ZONE = "vid-a"
 
 
-class Driver:
-    """Worlds whose messages reach each other after a latency, unless faulted.
+class Simulation:
+    """Worlds that exchange messages after a latency, with faults on demand.
 
     Attributes
     ----------
     runs : Counter
-        How often each body was handed over to a minion.
+        Number of times that each body was handed over to a minion.
     answers : dict of str to RequestReply
         Replies to callers by exchange.
-    lose_answers, cut : set of str
-        Sidecars whose answers are lost, and that can't be reached.
+    lose_answers, unreachable : set of str
+        Processes whose answers are lost, and processes that can't be reached.
     log_up : bool
-        Whether the log takes and gives records.
+        Whether the log answers reads and appends.
     """
 
     def __init__(self, run_ms: dict[str, int], entries: int = 2, slots: int = 8):
@@ -79,11 +79,11 @@
         self.systems: dict[str, list] = {}
         self.runs: Counter[str] = Counter()
         self.running: Counter[str] = Counter()
-        self.most_running: Counter[str] = Counter()
+        self.max_running: Counter[str] = Counter()
         self.answers: dict[str, RequestReply] = {}
         self.answered_ms: dict[str, int] = {}
         self.lose_answers: set[str] = set()
-        self.cut: set[str] = set()
+        self.unreachable: set[str] = set()
         self.sent: list[SendAttempt | SendHeartbeat] = []
         self._numbers = itertools.count(1)
         self._later: list[tuple[int, int, Callable[[], None]]] = []
@@ -97,12 +97,12 @@
         self.propose(TeamPut("shop", (), 0, 0))
 
     def propose(self, body: object) -> None:
-        """Put a record into the log."""
+        """Append a record to the log."""
         number = next(self._numbers)
         self.log.append(Record(f"rec-{number}", "test", 0, body))
 
     def start(self, name: str) -> World:
-        """Start a process anew."""
+        """Start a process, or restart it with a new incarnation."""
         role = Role.ENTRY if name.startswith("entry") else Role.SIDECAR
         sidecar = None
         if role is Role.SIDECAR:
@@ -123,8 +123,8 @@
         self.systems[name] = systems_of(role)
         return self.worlds[name]
 
-    def ask(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
-        """Send a caller's request; return its exchange."""
+    def send_request(self, entry: str, body: str = "b", key: str = "", **fields) -> str:
+        """Send a caller's request to an entry; return the id of its exchange."""
         exchange = f"call-{next(self._numbers)}"
         message = CallerRequest(
             exchange,
@@ -140,7 +140,7 @@
         return exchange
 
     def advance(self, ms: int) -> None:
-        """Let everything happen that is due within a time."""
+        """Advance the clock, and run everything that is due until then."""
         end = self.clock.now_ms() + ms
         while True:
             self._tick_all()
@@ -154,7 +154,7 @@
         self._tick_all()
 
     def outcome(self, exchange: str) -> Outcome | None:
-        """Return what the caller was told, or None."""
+        """Return the outcome that the caller got, or None."""
         reply = self.answers.get(exchange)
         return reply.outcome if reply else None
 
@@ -173,17 +173,17 @@
                 while True:
                     run_tick(world, self.systems[name], now_ms)
                     for message in world.outbox.take_all():
-                        self._carry(name, message)
+                        self._dispatch(name, message)
                     if not len(world.inbox):
                         break
 
     def after(self, ms: int, run: Callable[[], None]) -> None:
-        """Do something later."""
+        """Schedule a callback."""
         at_ms = self.clock.now_ms() + ms
         heapq.heappush(self._later, (at_ms, next(self._numbers), run))
 
     def deliver(self, world: World, message: object, ms: int = LATENCY_MS) -> None:
-        """Put a message before a process unless it was killed meanwhile."""
+        """Deliver a message to a process unless it is killed before."""
         name = world.identity.name
 
         def put() -> None:
@@ -192,7 +192,7 @@
 
         self.after(ms, put)
 
-    def _carry(self, name: str, message: object) -> None:
+    def _dispatch(self, name: str, message: object) -> None:
         world = self.worlds[name]
         if isinstance(message, AppendRecords):
             self._append(world, message)
@@ -240,7 +240,7 @@
             )
 
         sidecar = self.worlds.get(message.minion)
-        if sidecar is None or message.minion in self.cut:
+        if sidecar is None or message.minion in self.unreachable:
             self.deliver(world, fail(never_sent=True))
             return
 
@@ -279,7 +279,7 @@
         self.sent.append(message)
         failed = HeartbeatDone(message.entry, False, "no answer")
         entry = self.worlds.get(message.entry)
-        if entry is None or message.entry in self.cut:
+        if entry is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
         arrived = HeartbeatArrived(
@@ -305,7 +305,7 @@
     def _ask_holder(self, world: World, message: AskHolder) -> None:
         failed = HolderAnswered(False, "", message.sent_ms, "no answer")
         holder = self.worlds.get(message.entry)
-        if holder is None or message.entry in self.cut:
+        if holder is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
         asked = HolderAsked("", world.identity.name)
@@ -324,7 +324,7 @@
         failed: object,
         timeout_ms: int,
     ) -> None:
-        """Carry a request and its answer, whichever comes first: answer, timeout."""
+        """Deliver a request, then its answer or a timeout, whichever comes first."""
         exchange = f"exc-{next(self._numbers)}"
         fields = {name: getattr(arrived, name) for name in arrived.__slots__}
         self.deliver(receiver, type(arrived)(**{**fields, "exchange_id": exchange}))
@@ -347,7 +347,7 @@
         name = world.identity.name
         self.runs[message.body] += 1
         self.running[name] += 1
-        self.most_running[name] = max(self.most_running[name], self.running[name])
+        self.max_running[name] = max(self.max_running[name], self.running[name])
         run_ms = self.run_ms[name]
         took_ms = int(self.rng.uniform(0.5, 1.5) * run_ms)
 
