--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,6 +1,6 @@
 """Agreement through the log: following, proposing, leases, announcements."""
 
-from kingcuppost.systems.agreement.announce import announce, leave
+from kingcuppost.systems.agreement.announce import announce, stop_gracefully
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
 from kingcuppost.systems.agreement.freshness import (
     fresh_age_ms,
@@ -9,15 +9,15 @@
     want_barrier,
 )
 from kingcuppost.systems.agreement.lease import (
-    answer_watchers,
-    hold_lease,
+    answer_holder_pings,
     is_scheduler,
+    monitor_holder,
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
-    has_room,
+    handle_proposal_requests,
+    has_queue_capacity,
     propose,
-    take_wishes,
 )
 from kingcuppost.systems.agreement.sending import send_proposals
 from kingcuppost.systems.agreement.snapshots import write_snapshots
@@ -25,19 +25,19 @@
 __all__ = [
     "announce",
     "answer_proposers",
-    "answer_watchers",
+    "answer_holder_pings",
     "fold_reads",
     "fresh_age_ms",
-    "has_room",
-    "hold_lease",
+    "has_queue_capacity",
+    "monitor_holder",
     "is_following",
     "is_fresh",
     "is_scheduler",
     "issue_read",
-    "leave",
+    "stop_gracefully",
     "propose",
     "send_proposals",
-    "take_wishes",
+    "handle_proposal_requests",
     "want_barrier",
     "write_snapshots",
 ]
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -13,10 +13,10 @@
 from kingcuppost.tables.request import ServedState
 from kingcuppost.tables.world import World
 
-__all__ = ["announce", "leave"]
+__all__ = ["announce", "stop_gracefully"]
 
 EXIT_STOPPED = 0
-EXIT_CUT = 1
+EXIT_FORCED = 1
 
 
 @system(Phase.MEMBERSHIP, order=10)
@@ -26,13 +26,13 @@
         return
     if world.announcement.record_id in world.proposals:
         return
-    if _announced(world):
+    if _is_announced(world):
         return
     body = _entry_body(world) if world.cfg.entry else _minion_body(world)
     world.announcement.record_id = propose(world, body, now_ms)
 
 
-def _announced(world: World) -> bool:
+def _is_announced(world: World) -> bool:
     is_entry = world.identity.role is Role.ENTRY
     table = world.agreed.entries if is_entry else world.agreed.minions
     row = table.get(world.identity.name)
@@ -81,43 +81,45 @@
 
 
 @system(Phase.REPORT, order=10)
-def leave(world: World, now_ms: int) -> None:
+def stop_gracefully(world: World, now_ms: int) -> None:
     """Say in the log that the process leaves, finish what runs, then exit.
 
     A second request to stop, or the end of the bound, exits at once.
     """
     for _ in world.inbox.take(StopRequested):
         if world.stopping:
-            world.outbox.put(ExitProcess(EXIT_CUT))
+            world.outbox.put(ExitProcess(EXIT_FORCED))
             return
-        _begin(world, now_ms)
+        _begin_stop(world, now_ms)
     if not world.stopping:
         return
     if now_ms >= world.announcement.stop_ms:
         note(world, "stop.cut", "The bound of the graceful stop is over.")
-        world.outbox.put(ExitProcess(EXIT_CUT))
-    elif _idle(world) and (_left(world) or _waited(world, now_ms)):
+        world.outbox.put(ExitProcess(EXIT_FORCED))
+    elif _is_idle(world) and (
+        _is_leave_folded(world) or _has_leave_timed_out(world, now_ms)
+    ):
         world.outbox.put(ExitProcess(EXIT_STOPPED))
 
 
-def _begin(world: World, now_ms: int) -> None:
+def _begin_stop(world: World, now_ms: int) -> None:
     world.stopping = True
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     world.announcement.stop_ms = now_ms + bound_ms
     world.deadlines.add(world.announcement.stop_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
-    world.announcement.leave_id = propose(world, body, now_ms)
+    world.announcement.leave_record_id = propose(world, body, now_ms)
     note(world, "stop.begin", "A graceful stop begins.")
 
 
-def _idle(world: World) -> bool:
+def _is_idle(world: World) -> bool:
     open_work = len(world.requests) + len(world.attempts)
     for state in (ServedState.WAITING, ServedState.RUNNING):
         open_work += world.served.count("state", state)
     return open_work == 0
 
 
-def _waited(world: World, now_ms: int) -> bool:
+def _has_leave_timed_out(world: World, now_ms: int) -> bool:
     """Return whether the log had its time to take the leave."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
@@ -126,9 +128,9 @@
     return now_ms >= until_ms
 
 
-def _left(world: World) -> bool:
+def _is_leave_folded(world: World) -> bool:
     """Return whether the leave is folded."""
-    if world.announcement.leave_id not in world.proposals:
+    if world.announcement.leave_record_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
     table = world.agreed.entries if is_entry else world.agreed.minions
--- a/kingcuppost/systems/agreement/wishes.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -17,12 +17,12 @@
 from kingcuppost.utils.identifiers import new_identifier
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["complete"]
+__all__ = ["fill_in_defaults"]
 
 completers: Registry[type, Callable[[World, Any], Body]] = Registry("completer")
 
 
-def complete(world: World, body: Body) -> Body:
+def fill_in_defaults(world: World, body: Body) -> Body:
     """Return a body with the names and base offsets that were left out."""
     if type(body) not in completers:
         return body
@@ -36,7 +36,7 @@
 
 
 @completers.register(JobSubmit)
-def complete_job(world: World, body: JobSubmit) -> JobSubmit:
+def fill_in_job(world: World, body: JobSubmit) -> JobSubmit:
     """Name a job that has no name."""
     if body.job:
         return body
@@ -44,14 +44,14 @@
 
 
 @completers.register(TeamPut)
-def complete_team(world: World, body: TeamPut) -> TeamPut:
+def fill_in_team(world: World, body: TeamPut) -> TeamPut:
     """Take the team as this process knows it for the base of the change."""
     row = world.agreed.teams.get(body.name)
     return replace(body, base_offset=_base_of(row, body.base_offset))
 
 
 @completers.register(ZonePut)
-def complete_zone(world: World, body: ZonePut) -> ZonePut:
+def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
     """Take the zone as this process knows it for the base of the change."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
@@ -59,7 +59,7 @@
 
 
 @completers.register(SettingPut)
-def complete_setting(world: World, body: SettingPut) -> SettingPut:
+def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
     """Take the key as this process knows it for the base of the change."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
     return replace(body, base_offset=_base_of(row, body.base_offset))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -6,17 +6,17 @@
     is_fresh,
     want_barrier,
 )
-from kingcuppost.systems.agreement.search import (
+from kingcuppost.systems.agreement.snapshot_search import (
     begin_search,
+    handle_search_read,
     is_search_due,
-    take_search_read,
 )
-from kingcuppost.systems.agreement.snapshots import watch_part
+from kingcuppost.systems.agreement.snapshots import track_snapshot_part
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
 from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import ReadUnderWay, Verdict
+from kingcuppost.tables.agreement import PendingRead, Verdict
 from kingcuppost.tables.claims import RecentRecord
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
@@ -26,8 +26,8 @@
 
 __all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "want_barrier"]
 
-READS_UNDER_WAY = 4
-MOST_DOUBLINGS = 3
+MAX_PENDING_READS = 4
+MAX_DOUBLINGS = 3
 
 
 @system(Phase.FOLD, order=10)
@@ -44,9 +44,9 @@
             _note_failed_read(world, done, now_ms)
             continue
         world.log_view.failed_reads = 0
-        _drop_overtaken(world, read, now_ms)
+        _drop_superseded_reads(world, read, now_ms)
         if world.log_view.search is not None:
-            take_search_read(world, done, now_ms)
+            handle_search_read(world, done, now_ms)
         elif is_search_due(world, done):
             begin_search(world, done, now_ms)
         else:
@@ -54,7 +54,7 @@
             world.log_view.next_read_ms = now_ms
 
 
-def _drop_overtaken(world: World, answered: ReadUnderWay, now_ms: int) -> None:
+def _drop_superseded_reads(world: World, answered: PendingRead, now_ms: int) -> None:
     """Forget late reads that were sent before one that is answered.
 
     Their connections are silent; while they counted as under way, every tick
@@ -66,7 +66,7 @@
             del reads[read_id]
 
 
-def _fold_read(world: World, done: ReadDone, read: ReadUnderWay, now_ms: int) -> None:
+def _fold_read(world: World, done: ReadDone, read: PendingRead, now_ms: int) -> None:
     view = world.log_view
     for item in done.records:
         _fold_one(world, item)
@@ -81,7 +81,7 @@
     """
     view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
-    retry_ms *= 2 ** min(view.failed_reads, MOST_DOUBLINGS)
+    retry_ms *= 2 ** min(view.failed_reads, MAX_DOUBLINGS)
     view.failed_reads += 1
     view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
     world.deadlines.add(view.next_read_ms)
@@ -94,7 +94,7 @@
     if view.folded_offset < done.head:
         return
     view.fresh_ms = max(view.fresh_ms, sent_ms)
-    view.heard_ms = now_ms
+    view.last_answer_ms = now_ms
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
     if not view.caught_up:
@@ -110,7 +110,7 @@
         return
     view.folded_offset = item.offset
     if isinstance(item.record.body, SnapshotPart):
-        watch_part(world, item)
+        track_snapshot_part(world, item)
         return
     known = world.agreed.recent.get(item.record.record_id)
     if known is not None:
@@ -119,13 +119,13 @@
         fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
         reason = fault.reason if fault else ""
         stale = fault is not None and fault.stale
-        verdict = Verdict(fault is None, item.offset, reason, unknown=stale)
+        verdict = Verdict(fault is None, item.offset, reason, is_possible_repeat=stale)
     if item.record.record_id in world.proposals:
         world.verdicts[item.record.record_id] = verdict
-    note_record(world, item.record, item.offset, _fault_text(verdict, known))
+    note_record(world, item.record, item.offset, _rejection_text(verdict, known))
 
 
-def _fault_text(verdict: Verdict, known: RecentRecord | None) -> str:
+def _rejection_text(verdict: Verdict, known: RecentRecord | None) -> str:
     if known is not None:
         return f"a repeat of offset {known.offset}"
     return "" if verdict.accepted else verdict.reason
@@ -143,7 +143,7 @@
     if timely:
         world.deadlines.add(min(read.late_ms for read in timely))
         return
-    if len(view.reads) >= READS_UNDER_WAY:
+    if len(view.reads) >= MAX_PENDING_READS:
         return
     if now_ms < view.next_read_ms:
         world.deadlines.add(view.next_read_ms)
@@ -151,14 +151,14 @@
     _send_read(world, now_ms)
 
 
-def _is_timely(world: World, read: ReadUnderWay, now_ms: int) -> bool:
+def _is_timely(world: World, read: PendingRead, now_ms: int) -> bool:
     """Return whether a read may be waited for.
 
     One that waits at the log is cut short by a barrier, or by an append that was
     sent after it and is late: the log may be slow, and the read miss the record.
     """
     view = world.log_view
-    if read.waits and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
+    if read.is_long_poll and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
         return False
     late_ms = effective_value(world.agreed, "log.late_ms")
     append_ms = min(view.appends.values(), default=now_ms)
@@ -170,12 +170,12 @@
 def _send_read(world: World, now_ms: int) -> None:
     view = world.log_view
     hedge = any(now_ms >= read.late_ms for read in view.reads.values())
-    waits = view.caught_up and view.barrier_ms < 0 and not view.reads
-    wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if waits else 0
+    is_long_poll = view.caught_up and view.barrier_ms < 0 and not view.reads
+    wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if is_long_poll else 0
     late_ms = now_ms + wait_ms + effective_value(world.agreed, "log.late_ms")
     timeout_ms = wait_ms + effective_value(world.agreed, "log.timeout_ms")
     after = view.search.after if view.search else view.folded_offset
     read_id = new_identifier(world.rng, "read")
-    view.reads[read_id] = ReadUnderWay(now_ms, late_ms, waits)
+    view.reads[read_id] = PendingRead(now_ms, late_ms, is_long_poll)
     world.deadlines.add(late_ms)
     world.outbox.put(ReadLog(read_id, after, wait_ms, timeout_ms, hedge))
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -5,13 +5,13 @@
 
 __all__ = ["fresh_age_ms", "is_following", "is_fresh", "want_barrier"]
 
-NEVER_MS = 2**53
+INFINITE_AGE_MS = 2**53
 
 
 def fresh_age_ms(world: World, now_ms: int) -> int:
     """Return how long ago a read that ended at the head was sent, in ms."""
     fresh_ms = world.log_view.fresh_ms
-    return now_ms - fresh_ms if fresh_ms >= 0 else NEVER_MS
+    return now_ms - fresh_ms if fresh_ms >= 0 else INFINITE_AGE_MS
 
 
 def is_fresh(world: World, now_ms: int) -> bool:
@@ -26,10 +26,10 @@
     its log is not silent. The age of the view itself is no measure: in an idle
     system it grows to twice the wait of a read.
     """
-    heard_ms = world.log_view.heard_ms
+    last_answer_ms = world.log_view.last_answer_ms
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
     silent_ms = effective_value(world.agreed, "log.silent_ms")
-    return heard_ms >= 0 and now_ms - heard_ms <= wait_ms + silent_ms
+    return last_answer_ms >= 0 and now_ms - last_answer_ms <= wait_ms + silent_ms
 
 
 def want_barrier(world: World, now_ms: int) -> None:
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -13,9 +13,9 @@
 from kingcuppost.tables.replies import HolderReply
 from kingcuppost.tables.world import World
 
-__all__ = ["answer_watchers", "hold_lease", "is_scheduler"]
+__all__ = ["answer_holder_pings", "monitor_holder", "is_scheduler"]
 
-JITTER_SHARE = 0.5
+MAX_JITTER_RATIO = 0.5
 STATUS_OK = 200
 
 
@@ -33,33 +33,33 @@
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
-def hold_lease(world: World, now_ms: int) -> None:
+def monitor_holder(world: World, now_ms: int) -> None:
     """Ask the holder at intervals; claim the lease when it stays silent."""
-    watch = world.holder_watch
-    _hear_holder(world, now_ms)
+    monitor = world.holder_watch
+    _handle_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
-    if watch.term != world.agreed.lease.term:
-        watch.term = world.agreed.lease.term
-        watch.heard_ms = now_ms
+    if monitor.term != world.agreed.lease.term:
+        monitor.term = world.agreed.lease.term
+        monitor.last_answer_ms = now_ms
     holder = world.agreed.entries.get(world.agreed.lease.holder)
     if holder is None or holder.incarnation != world.agreed.lease.incarnation:
-        _claim(world, now_ms)
+        _claim_lease(world, now_ms)
         return
-    if now_ms - watch.heard_ms >= _lost_after_ms(world):
+    if now_ms - monitor.last_answer_ms >= _lost_after_ms(world):
         note(world, "lease.lost", "The holder is silent.", peer=holder.name)
-        _claim(world, now_ms)
+        _claim_lease(world, now_ms)
         return
-    _ask(world, holder, now_ms)
+    _ping_holder(world, holder, now_ms)
 
 
 def _lost_after_ms(world: World) -> int:
     """Return the bound, longer by a share that differs among processes."""
     lost_ms = effective_value(world.agreed, "lease.lost_ms")
-    return int(lost_ms * (1 + JITTER_SHARE * world.holder_watch.jitter))
+    return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_watch.jitter))
 
 
-def _hear_holder(world: World, now_ms: int) -> None:
+def _handle_holder_answers(world: World, now_ms: int) -> None:
     """Count the answers of a holder that is of use.
 
     One that is cut from the log while this process follows it is of none. If
@@ -69,12 +69,12 @@
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
             continue
         if answer.follows_log or not is_following(world, now_ms):
-            world.holder_watch.heard_ms = max(
-                world.holder_watch.heard_ms, answer.sent_ms
+            world.holder_watch.last_answer_ms = max(
+                world.holder_watch.last_answer_ms, answer.sent_ms
             )
 
 
-def _claim(world: World, now_ms: int) -> None:
+def _claim_lease(world: World, now_ms: int) -> None:
     for proposal in world.proposals:
         if isinstance(proposal.record.body, LeaseClaim):
             return
@@ -84,21 +84,21 @@
     propose(world, body, now_ms)
 
 
-def _ask(world: World, holder: Entry, now_ms: int) -> None:
-    watch = world.holder_watch
+def _ping_holder(world: World, holder: Entry, now_ms: int) -> None:
+    monitor = world.holder_watch
     period_ms = effective_value(world.agreed, "lease.ping_ms")
-    if now_ms >= watch.ask_ms:
-        watch.ask_ms = now_ms + period_ms
+    if now_ms >= monitor.next_ping_ms:
+        monitor.next_ping_ms = now_ms + period_ms
         world.outbox.put(
             AskHolder(holder.name, holder.host, holder.peer_port, now_ms, period_ms)
         )
-    world.deadlines.add(watch.ask_ms)
+    world.deadlines.add(monitor.next_ping_ms)
 
 
 @system(Phase.REPORT, roles=(Role.ENTRY,), order=20)
-def answer_watchers(world: World, now_ms: int) -> None:
+def answer_holder_pings(world: World, now_ms: int) -> None:
     """Tell other entries that this process is alive, and whether it follows."""
     follows = is_following(world, now_ms)
     reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
-    for question in world.inbox.take(HolderAsked):
-        world.outbox.put(Reply(question.exchange_id, STATUS_OK, reply))
+    for ping in world.inbox.take(HolderAsked):
+        world.outbox.put(Reply(ping.exchange_id, STATUS_OK, reply))
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -1,7 +1,7 @@
 """Proposing records and learning from the fold what became of them."""
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.agreement.wishes import complete
+from kingcuppost.systems.agreement.change_defaults import fill_in_defaults
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import Fault, fault_of
 from kingcuppost.systems.record_events import note_proposal
@@ -18,17 +18,17 @@
 
 __all__ = [
     "answer_proposers",
-    "has_room",
+    "has_queue_capacity",
     "propose",
-    "take_wishes",
+    "handle_proposal_requests",
 ]
 
-STATUS_ACCEPTED = 200
-STATUS_MISSING = 404
-STATUS_LOST_RACE = 409
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
 STATUS_INVALID = 422
-STATUS_NOT_RUN = 503
-STATUS_UNKNOWN = 504
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
 STEP = "change"
 
 
@@ -87,41 +87,46 @@
     return record.record_id
 
 
-def has_room(world: World) -> bool:
+def has_queue_capacity(world: World) -> bool:
     """Return whether one more record that somebody asks for may be queued."""
     limit = effective_value(world.agreed, "log.queue_limit")
     return len(world.proposals) < limit
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=10)
-def take_wishes(world: World, now_ms: int) -> None:
+def handle_proposal_requests(world: World, now_ms: int) -> None:
     """Check what operators and callers want appended, and queue it."""
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
-    for wish in world.inbox.take(Propose):
-        body = complete(world, wish.body)
+    for request in world.inbox.take(Propose):
+        body = fill_in_defaults(world, request.body)
         fault = fault_of(world.agreed, body)
         if not world.log_view.caught_up:
-            _refuse(world, wish.exchange_id, STATUS_NOT_RUN, "the log is not read yet")
+            _refuse(
+                world,
+                request.exchange_id,
+                STATUS_UNAVAILABLE,
+                "the log is not read yet",
+            )
         elif fault is not None:
-            _refuse(world, wish.exchange_id, _status_of(fault), fault.reason)
-        elif not has_room(world):
+            _refuse(world, request.exchange_id, _status_of(fault), fault.reason)
+        elif not has_queue_capacity(world):
             reason = f"{len(world.proposals)} records wait for the log"
-            _refuse(world, wish.exchange_id, STATUS_NOT_RUN, reason)
+            _refuse(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
         else:
             propose(
                 world,
                 body,
                 now_ms,
-                author=wish.author,
-                exchange_id=wish.exchange_id,
+                author=request.author,
+                exchange_id=request.exchange_id,
                 give_up_ms=now_ms + timeout_ms,
             )
 
 
 def _status_of(fault: Fault) -> int:
-    if fault.missing:
-        return STATUS_MISSING
-    return STATUS_LOST_RACE if fault.lost_race else STATUS_INVALID
+    if fault.is_not_found:
+        return STATUS_NOT_FOUND
+    return STATUS_CONFLICT if fault.is_conflict else STATUS_INVALID
 
 
 def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
@@ -144,16 +149,16 @@
 
 
 def _reply_of(world: World, proposal: Proposal, verdict: Verdict) -> Reply:
-    if verdict.unknown:
+    if verdict.is_possible_repeat:
         return _unknown(proposal, verdict.reason)
     if verdict.accepted:
         name = _name_of(proposal)
         accepted = ChangeAccepted(verdict.offset, proposal.record_id, name)
-        return Reply(proposal.exchange_id, STATUS_ACCEPTED, accepted)
+        return Reply(proposal.exchange_id, STATUS_OK, accepted)
     refusal = ChangeRefused(
         Outcome.NOT_RUN, STEP, f"log offset {verdict.offset}", verdict.reason
     )
-    return Reply(proposal.exchange_id, STATUS_LOST_RACE, refusal)
+    return Reply(proposal.exchange_id, STATUS_CONFLICT, refusal)
 
 
 def _name_of(proposal: Proposal) -> str:
@@ -166,7 +171,7 @@
     name = _name_of(proposal)
     what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
     unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
-    return Reply(proposal.exchange_id, STATUS_UNKNOWN, unknown)
+    return Reply(proposal.exchange_id, STATUS_GATEWAY_TIMEOUT, unknown)
 
 
 def _give_up(world: World, proposal: Proposal) -> None:
@@ -178,7 +183,7 @@
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
         reason = "the log did not take it in time"
-        _refuse(world, proposal.exchange_id, STATUS_NOT_RUN, reason)
+        _refuse(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
     world.outbox.put(_unknown(proposal, "the log did not confirm it in time"))
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -11,10 +11,10 @@
 
 __all__ = ["send_proposals"]
 
-APPEND_WEIGHT = 256
+MAX_APPEND_WEIGHT = 256
 SNAPSHOT_PART_WEIGHT = 64
-APPENDS_UNDER_WAY = 16
-MOST_DOUBLINGS = 4
+MAX_PENDING_APPENDS = 16
+MAX_DOUBLINGS = 4
 
 
 @system(Phase.PROPOSE, order=20)
@@ -24,8 +24,8 @@
     An append under way holds later records back for a short time only, so that a
     log that is slow by seconds still takes them.
     """
-    _note_appends(world, now_ms)
-    _queue_late(world, now_ms)
+    _handle_append_results(world, now_ms)
+    _requeue_overdue(world, now_ms)
     due = _due_group(world, now_ms)
     if not due or not _may_append(world, now_ms):
         return
@@ -51,7 +51,7 @@
         if row.retry_ms > now_ms:
             continue
         weight += _weight_of(row.record.body)
-        if group and weight > APPEND_WEIGHT:
+        if group and weight > MAX_APPEND_WEIGHT:
             break
         group.append(row)
     return group
@@ -68,7 +68,7 @@
         del appends[key]
     if not appends:
         return True
-    if len(appends) >= APPENDS_UNDER_WAY:
+    if len(appends) >= MAX_PENDING_APPENDS:
         return False
     group_ms = max(appends.values()) + effective_value(world.agreed, "log.group_ms")
     if now_ms >= group_ms:
@@ -80,10 +80,10 @@
 def _late_ms(world: World, appends: int) -> int:
     """Return the silence after which a record is sent again; doubles each time."""
     late_ms = effective_value(world.agreed, "log.late_ms")
-    return late_ms * 2 ** min(appends - 1, MOST_DOUBLINGS)
+    return late_ms * 2 ** min(appends - 1, MAX_DOUBLINGS)
 
 
-def _queue_late(world: World, now_ms: int) -> None:
+def _requeue_overdue(world: World, now_ms: int) -> None:
     """Queue again, under the same identifiers, what the log is silent about."""
     for row in world.proposals.find("state", ProposalState.SENT):
         if row.retry_ms <= now_ms:
@@ -96,7 +96,7 @@
             )
 
 
-def _note_appends(world: World, now_ms: int) -> None:
+def _handle_append_results(world: World, now_ms: int) -> None:
     """Wait for the fold of what the log confirmed; send the rest again."""
     for done in world.inbox.take(AppendDone):
         world.log_view.appends.pop(done.record_ids[0], None)
@@ -105,10 +105,12 @@
         for record_id in done.record_ids:
             row = world.proposals.get(record_id)
             if row is not None:
-                _note_append(world, row, done, now_ms)
+                _handle_append_result(world, row, done, now_ms)
 
 
-def _note_append(world: World, row: Proposal, done: AppendDone, now_ms: int) -> None:
+def _handle_append_result(
+    world: World, row: Proposal, done: AppendDone, now_ms: int
+) -> None:
     if done.ok:
         world.proposals.update(
             row.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
--- a/kingcuppost/systems/agreement/search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -8,10 +8,10 @@
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
-__all__ = ["begin_search", "is_search_due", "take_search_read"]
+__all__ = ["begin_search", "is_search_due", "handle_search_read"]
 
-LAG_RECORDS = 1_000
-SEARCH_RECORDS = 200
+MAX_LAG_RECORDS = 1_000
+SEARCH_WINDOW_RECORDS = 200
 
 
 def is_search_due(world: World, done: ReadDone) -> bool:
@@ -19,7 +19,7 @@
     view = world.log_view
     if _is_gap(view, done.earliest):
         return True
-    return not view.searched and done.head - view.folded_offset > LAG_RECORDS
+    return not view.searched and done.head - view.folded_offset > MAX_LAG_RECORDS
 
 
 def _is_gap(view: LogView, earliest: int) -> bool:
@@ -35,7 +35,7 @@
     if _is_gap(view, done.earliest):
         view.caught_up = False
         view.fresh_ms = -1
-        view.heard_ms = -1
+        view.last_answer_ms = -1
         text = f"Offset {view.folded_offset + 1} has expired; looking for a snapshot."
         note(world, "log.expired", text)
     view.reads.clear()
@@ -44,34 +44,36 @@
     view.search = SnapshotSearch(done.head, after, done.earliest)
 
 
-def _window_start(top: int, earliest: int) -> int:
-    return max(earliest - 1, top - SEARCH_RECORDS)
+def _window_start(upper_offset: int, earliest: int) -> int:
+    return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def take_search_read(world: World, done: ReadDone, now_ms: int) -> None:
+def handle_search_read(world: World, done: ReadDone, now_ms: int) -> None:
     """Keep the parts of one window, load a whole snapshot, or look further back."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
     search.earliest = max(search.earliest, done.earliest)
-    _keep_parts(search, done)
-    if found := _newest_whole(search, view.folded_offset):
+    _collect_parts(search, done)
+    if found := _newest_complete_snapshot(search, view.folded_offset):
         _load(world, found)
     elif search.after > search.earliest - 1:
-        search.top = search.after
-        search.after = _window_start(search.top, search.earliest)
+        search.upper_offset = search.after
+        search.after = _window_start(search.upper_offset, search.earliest)
     else:
         _give_up(world, search, now_ms)
 
 
-def _keep_parts(search: SnapshotSearch, done: ReadDone) -> None:
+def _collect_parts(search: SnapshotSearch, done: ReadDone) -> None:
     for item in done.records:
         body = item.record.body
         if isinstance(body, SnapshotPart):
             search.parts.setdefault(body.snapshot_id, {})[body.index] = body
 
 
-def _newest_whole(search: SnapshotSearch, folded_offset: int) -> list[SnapshotPart]:
+def _newest_complete_snapshot(
+    search: SnapshotSearch, folded_offset: int
+) -> list[SnapshotPart]:
     """Return the parts of the best snapshot whose tail is still there."""
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
@@ -90,11 +92,11 @@
     view.search = None
     view.searched = True
     world.snapshots.covers = parts[0].covers
-    _judge_proposals(world)
+    _resolve_proposals(world)
     note(world, "log.snapshot", f"Started from the snapshot of {parts[0].covers}.")
 
 
-def _judge_proposals(world: World) -> None:
+def _resolve_proposals(world: World) -> None:
     """Tell what became of own records that the snapshot already contains."""
     for proposal in world.proposals:
         row = world.agreed.recent.get(proposal.record_id)
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -13,27 +13,27 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["watch_part", "write_snapshots"]
+__all__ = ["track_snapshot_part", "write_snapshots"]
 
-PARTS_UNDER_WAY = 4
-TORN_SNAPSHOTS_KEPT = 4
+MAX_PENDING_PARTS = 4
+MAX_INCOMPLETE_SNAPSHOTS = 4
 
 
-def watch_part(world: World, item: FoldedRecord) -> None:
+def track_snapshot_part(world: World, item: FoldedRecord) -> None:
     """Note a part in the log, and its snapshot once all parts are there."""
-    watch = world.snapshots
+    progress = world.snapshots
     part = item.record.body
     if item.record.record_id in world.proposals:
         world.verdicts[item.record.record_id] = Verdict(True, item.offset)
-    seen = watch.seen.setdefault(part.snapshot_id, set())
-    seen.add(part.index)
-    if len(seen) == part.count:
-        del watch.seen[part.snapshot_id]
-        watch.covers = max(watch.covers, part.covers)
-        watch.wall_ms = max(watch.wall_ms, item.record.wall_ms)
+    seen_parts = progress.seen_parts.setdefault(part.snapshot_id, set())
+    seen_parts.add(part.index)
+    if len(seen_parts) == part.count:
+        del progress.seen_parts[part.snapshot_id]
+        progress.covers = max(progress.covers, part.covers)
+        progress.wall_ms = max(progress.wall_ms, item.record.wall_ms)
         note(world, "snapshot.whole", f"Snapshot of {part.covers}.", offset=item.offset)
-    while len(watch.seen) > TORN_SNAPSHOTS_KEPT:
-        del watch.seen[next(iter(watch.seen))]
+    while len(progress.seen_parts) > MAX_INCOMPLETE_SNAPSHOTS:
+        del progress.seen_parts[next(iter(progress.seen_parts))]
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=10)
@@ -42,15 +42,15 @@
 
     A process that loses the lease drops its draft; readers ignore torn snapshots.
     """
-    watch = world.snapshots
+    progress = world.snapshots
     if not is_scheduler(world) or not world.log_view.caught_up:
-        watch.draft.clear()
+        progress.draft.clear()
         return
-    watch.pending = [item for item in watch.pending if item in world.proposals]
-    if not watch.draft and not watch.pending and _is_due(world):
+    progress.pending = [item for item in progress.pending if item in world.proposals]
+    if not progress.draft and not progress.pending and _is_due(world):
         _draft(world)
-    while watch.draft and len(watch.pending) < PARTS_UNDER_WAY:
-        watch.pending.append(propose(world, watch.draft.popleft(), now_ms))
+    while progress.draft and len(progress.pending) < MAX_PENDING_PARTS:
+        progress.pending.append(propose(world, progress.draft.popleft(), now_ms))
 
 
 def _is_due(world: World) -> bool:
@@ -58,9 +58,9 @@
 
     An idle system writes them too, since a snapshot expires as records do.
     """
-    watch = world.snapshots
-    records = world.log_view.folded_offset - watch.covers
-    age_ms = world.clock.wall_ms() - watch.wall_ms
+    progress = world.snapshots
+    records = world.log_view.folded_offset - progress.covers
+    age_ms = world.clock.wall_ms() - progress.wall_ms
     if records >= effective_value(world.agreed, "snapshot.records"):
         return True
     return age_ms >= effective_value(world.agreed, "snapshot.period_ms")
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -16,7 +16,7 @@
 from kingcuppost.utils.clock import ManualClock
 
 RECORDS_PER_READ = 500
-HERE = Address("127.0.0.1", 1)
+LOCALHOST = Address("127.0.0.1", 1)
 
 
 @dataclass
@@ -66,9 +66,9 @@
             self.name,
             "vid-a",
             "vidzeme",
-            HERE,
-            LogConfig("http", HERE),
-            EntryConfig(HERE, HERE),
+            LOCALHOST,
+            LogConfig("http", LOCALHOST),
+            EntryConfig(LOCALHOST, LOCALHOST),
             seed=self.seed,
         )
         self.world = make_world(cfg, self.clock)
@@ -76,7 +76,7 @@
         self.reads: list[ReadLog] = []
         self.appends: list[AppendRecords] = []
         self.replies: dict[str, Reply] = {}
-        self.questions: list[AskHolder] = []
+        self.pings: list[AskHolder] = []
 
     def tick(self, *messages: Any) -> None:
         for message in messages:
@@ -93,7 +93,7 @@
         elif isinstance(message, Reply):
             self.replies[message.exchange_id] = message
         elif isinstance(message, AskHolder):
-            self.questions.append(message)
+            self.pings.append(message)
 
     def answer_reads(self) -> None:
         """Answer all reads that have something to say, or need not wait."""
@@ -138,5 +138,5 @@
                 self.clock.advance(50)
         raise AssertionError("does not settle")
 
-    def wish(self, exchange_id: str, body: Body) -> None:
+    def request_change(self, exchange_id: str, body: Body) -> None:
         self.tick(Propose(exchange_id, "ilze", body))
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -64,7 +64,7 @@
     other.settle()
     entry.settle()
     entry.reads.clear()
-    other.wish("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
+    other.request_change("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
     other.settle()
     accepted_ms = clock.now_ms()
     while entry.world.log_view.folded_offset < log.head:
@@ -119,7 +119,7 @@
     clock.advance(POLL_MS + LATE_MS)
     entry.tick()
     second = entry.reads.pop()
-    entry.wish("w", TeamPut("design", (), 0, ANY_OFFSET))
+    entry.request_change("w", TeamPut("design", (), 0, ANY_OFFSET))
     log.append(entry.appends.pop().records)
     older = log.read(first)
     entry.tick(log.read(second))
@@ -157,7 +157,7 @@
 def test_process_that_cannot_show_freshness_places_nothing(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry.request_change("t", TeamPut("design", (), 0, ANY_OFFSET))
     entry.settle()
     job = JobSubmit("plan", "design", 1, 0, 1, 1, Urgency.INTERACTIVE, 0, "{}")
     entry.tick(Propose("j", "ilze", job))
--- a/kingcuppost/systems/agreement/tests/test_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_lease.py
@@ -33,10 +33,10 @@
     return holder, other
 
 
-def answer_questions(asker: FakeEntry, holder: FakeEntry) -> None:
+def answer_pings(asker: FakeEntry, holder: FakeEntry) -> None:
     """Carry the asker's questions to the holder and its answers back."""
-    questions, asker.questions = asker.questions, []
-    for row in questions:
+    pings, asker.pings = asker.pings, []
+    for row in pings:
         holder.tick(HolderAsked("ask", asker.name))
         body = holder.replies.pop("ask").body
         asker.tick(
@@ -61,7 +61,7 @@
     for _ in range(40):
         advance(other, clock)
         advance(holder, clock, 0)
-        answer_questions(other, holder)
+        answer_pings(other, holder)
     assert is_scheduler(holder.world)
 
 
@@ -80,7 +80,7 @@
     while not is_scheduler(other.world):
         advance(other, clock)
         holder.tick()
-        answer_questions(other, holder)
+        answer_pings(other, holder)
         assert clock.now_ms() - start_ms <= 3 * LONGEST_MS
 
 
@@ -91,7 +91,7 @@
         clock.advance(STEP_MS)
         other.tick()
         holder.tick()
-        answer_questions(other, holder)
+        answer_pings(other, holder)
     kinds = [row.record.body.kind for row in other.world.proposals]
     assert "lease_claim" not in kinds
     assert log.head == head
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -9,10 +9,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from kingcuppost.models.log import record_of, text_of
-from kingcuppost.systems.agreement import search
+from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
-from kingcuppost.systems.fold import snapshot as fold_snapshot
+from kingcuppost.systems.fold import snapshot_slices as fold_snapshot
 from kingcuppost.tables.inbox import AppendDone
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import (
@@ -37,7 +37,7 @@
 
 
 def digest(agreed: Agreed) -> str:
-    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLES}
+    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLE_NAMES}
     return repr((tables, agreed.lease, agreed.floors))
 
 
@@ -71,13 +71,13 @@
             self.covers = max(self.covers, part.covers)
 
     def _apply(self, record: Record) -> None:
-        before = digest_of_work(self.agreed)
+        before = work_digest(self.agreed)
         term = getattr(record.body, "term", self.agreed.lease.term)
         old_term = term != self.agreed.lease.term
         fault = apply_record(self.agreed, FoldInput(self.offset, record))
         if old_term:
             assert fault is not None
-            assert digest_of_work(self.agreed) == before
+            assert work_digest(self.agreed) == before
         if fault is None:
             assert record.record_id not in self.accepted
             self.accepted[record.record_id] = self.offset
@@ -86,7 +86,7 @@
         assert holder == lease.incarnation
 
 
-def digest_of_work(agreed: Agreed) -> str:
+def work_digest(agreed: Agreed) -> str:
     return repr((list(agreed.jobs), list(agreed.gangs), agreed.lease))
 
 
@@ -97,17 +97,17 @@
         super().__init__()
         self.patch = pytest.MonkeyPatch()
         self.patch.setattr(fold_snapshot, "SLICE_WEIGHT", 4)
-        self.patch.setattr(registry, "RECENT_RECORDS", 12)
-        self.patch.setattr(search, "LAG_RECORDS", 15)
-        self.patch.setattr(search, "SEARCH_RECORDS", 6)
-        self.patch.setattr(jobs, "ENDED_JOBS", 2)
+        self.patch.setattr(registry, "MAX_RECENT_RECORDS", 12)
+        self.patch.setattr(snapshot_search, "MAX_LAG_RECORDS", 15)
+        self.patch.setattr(snapshot_search, "SEARCH_WINDOW_RECORDS", 6)
+        self.patch.setattr(jobs, "MAX_ENDED_JOBS", 2)
         self.patch.setattr(keys, "KEY_CLAIMS", 2)
         self.log = FakeLog()
         self.clock = ManualClock(1_000_000)
         self.reference = Reference()
         self.rng = random.Random(5)
         self.seed = 0
-        self.wishes = 0
+        self.request_count = 0
         self.delayed: list[tuple[Record, ...]] = []
         self.settings: dict[str, int] = {}
         self.records: dict[str, str] = {}
@@ -130,11 +130,11 @@
         for record in records:
             self.reference.fold(record_of(text_of(record)))
 
-    def _wish(self, number: int, body: object) -> None:
-        self.wishes += 1
-        exchange_id = f"wish-{self.wishes}"
+    def _request_change(self, number: int, body: object) -> None:
+        self.request_count += 1
+        exchange_id = f"wish-{self.request_count}"
         entry = self.entries[number]
-        entry.wish(exchange_id, body)
+        entry.request_change(exchange_id, body)
         for row in entry.world.proposals:
             if row.exchange_id == exchange_id:
                 self.records[exchange_id] = row.record_id
@@ -143,37 +143,41 @@
 
     @rule(number=numbers, value=st.integers(100, 1_900))
     def set_key(self, number: int, value: int) -> None:
-        self._wish(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
+        self._request_change(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
 
     @rule(number=numbers, name=st.sampled_from("ab"))
     def put_team(self, number: int, name: str) -> None:
-        self._wish(number, TeamPut(name, (), 0, ANY_OFFSET))
+        self._request_change(number, TeamPut(name, (), 0, ANY_OFFSET))
 
     @rule(number=numbers, in_service=st.booleans())
     def put_zone(self, number: int, in_service: bool) -> None:
-        self._wish(number, ZonePut("vid-a", "vidzeme", in_service, ANY_OFFSET))
+        self._request_change(
+            number, ZonePut("vid-a", "vidzeme", in_service, ANY_OFFSET)
+        )
 
     @rule(number=numbers, name=st.sampled_from("pqrs"))
     def submit(self, number: int, name: str) -> None:
         body = JobSubmit(name, "a", 1, 0, 1, 1, Urgency.OVERNIGHT, 0, "{}")
-        self._wish(number, body)
+        self._request_change(number, body)
 
     @rule(number=numbers, name=st.sampled_from("pqrs"))
     def cancel(self, number: int, name: str) -> None:
-        self._wish(number, JobCancel(name, "test"))
+        self._request_change(number, JobCancel(name, "test"))
 
     @rule(number=numbers, key=st.sampled_from("klm"), issued=st.integers(0, 9))
     def claim_key(self, number: int, key: str, issued: int) -> None:
-        self._wish(number, KeyClaimPut(key, f"att-{self.wishes}", "m", "i", issued))
+        self._request_change(
+            number, KeyClaimPut(key, f"att-{self.request_count}", "m", "i", issued)
+        )
 
     @rule(back=st.integers(0, 2), name=st.sampled_from("pqrs"))
     def write_in_some_term(self, back: int, name: str) -> None:
         terms = sorted(self.reference.holders)[-3:]
         term = terms[max(0, len(terms) - 1 - back)]
-        self.wishes += 1
+        self.request_count += 1
         body = JobPark(term, name, True, "test")
         seen = self.reference.offset
-        self._append((Record(f"park-{self.wishes}", "test", 0, body, seen),))
+        self._append((Record(f"park-{self.request_count}", "test", 0, body, seen),))
 
     @rule(
         number=numbers, fate=st.sampled_from(["ok", "ok", "lost", "dropped", "later"])
--- a/kingcuppost/systems/agreement/tests/test_propose.py
+++ b/kingcuppost/systems/agreement/tests/test_propose.py
@@ -46,7 +46,7 @@
 def test_repeat_in_one_read_does_not_turn_accepted_into_refused(
     entry: FakeEntry, log: FakeLog
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     row = entry.appends[0]
     log.append(row.records)
     log.append(row.records)
@@ -57,7 +57,7 @@
 def test_answer_lost_after_effect_is_learned_from_the_log(
     entry: FakeEntry, log: FakeLog
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     entry.answer_appends(lost=True)
     entry.answer_reads()
     assert entry.replies["w"].status == 200
@@ -68,7 +68,7 @@
 def test_not_run_is_said_only_if_nothing_was_sent(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     for _ in range(60):
         fail_appends(entry, never_sent=True)
         clock.advance(200)
@@ -81,7 +81,7 @@
 def test_unknown_is_said_if_it_may_be_in_the_log(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     fail_appends(entry, never_sent=False)
     clock.advance(5_000)
     entry.tick()
@@ -92,7 +92,7 @@
 def test_record_given_up_is_not_sent_again_and_a_late_copy_still_counts(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     held = entry.appends.pop(0)
     clock.advance(5_000)
     entry.tick()
@@ -110,12 +110,12 @@
 def test_second_try_after_unknown_cannot_take_effect_twice(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", SettingPut("", FRESH, 700, ANY_OFFSET))
+    entry.request_change("w", SettingPut("", FRESH, 700, ANY_OFFSET))
     held = entry.appends.pop(0)
     clock.advance(5_000)
     entry.tick()
     entry.appends.clear()
-    entry.wish("again", SettingPut("", FRESH, 800, ANY_OFFSET))
+    entry.request_change("again", SettingPut("", FRESH, 800, ANY_OFFSET))
     entry.answer_appends()
     log.append(held.records)
     entry.answer_reads()
@@ -128,10 +128,10 @@
 def test_queue_beyond_its_limit_is_refused_as_not_run(
     entry: FakeEntry, log: FakeLog
 ) -> None:
-    entry.wish("limit", SettingPut("", "log.queue_limit", 5, ANY_OFFSET))
+    entry.request_change("limit", SettingPut("", "log.queue_limit", 5, ANY_OFFSET))
     entry.settle()
     for number in range(8):
-        entry.wish(f"w{number}", team(f"team-{number}"))
+        entry.request_change(f"w{number}", team(f"team-{number}"))
     refused = [key for key, reply in entry.replies.items() if reply.status == 503]
     assert refused == ["w5", "w6", "w7"]
     entry.settle()
@@ -142,12 +142,12 @@
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     for number in range(10):
-        entry.wish(f"w{number}", team(f"team-{number}"))
+        entry.request_change(f"w{number}", team(f"team-{number}"))
     assert [len(row.records) for row in entry.appends] == [1]
     clock.advance(200)
     entry.tick()
     assert [len(row.records) for row in entry.appends] == [1, 9]
-    entry.wish("later", team("later"))
+    entry.request_change("later", team("later"))
     clock.advance(200)
     entry.tick()
     assert [len(row.records) for row in entry.appends] == [1, 9, 1]
@@ -161,7 +161,7 @@
     seen: set[int] = set()
     for number in range(150):
         if number < 20:
-            entry.wish(f"w{number}", team(f"team-{number}"))
+            entry.request_change(f"w{number}", team(f"team-{number}"))
         now_ms = clock.now_ms()
         for row in entry.appends:
             log.append(row.records)
@@ -186,7 +186,7 @@
 def test_silent_append_is_sent_again_on_a_new_connection(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     assert [row.hedge for row in entry.appends] == [False]
     first = entry.appends.pop(0)
     clock.advance(1_000)
@@ -200,7 +200,7 @@
 def test_confirmed_record_is_not_sent_again_before_a_later_read(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     entry.answer_appends()
     for _ in range(10):
         clock.advance(500)
@@ -224,15 +224,15 @@
 def test_change_that_was_perhaps_forgotten_is_answered_unknown(
     entry: FakeEntry, log: FakeLog, clock: ManualClock, monkeypatch
 ) -> None:
-    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
     other = FakeEntry("entry-1", log, clock, 9)
     other.settle()
     entry.settle()
-    entry.wish("w", team("design"))
+    entry.request_change("w", team("design"))
     entry.answer_appends(lost=True)
     entry.reads.clear()
     for number in range(6):
-        other.wish(f"x{number}", team(f"team-{number}"))
+        other.request_change(f"x{number}", team(f"team-{number}"))
         other.settle()
     load_slices(entry.world.agreed, slices_of(other.world.agreed))
     entry.world.log_view.folded_offset = log.head
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -4,7 +4,7 @@
 
 from kingcuppost.models.log import record_of, text_of
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.systems.fold.snapshot import TABLES
+from kingcuppost.systems.fold.snapshot_slices import TABLE_NAMES
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import (
     ANY_OFFSET,
@@ -32,11 +32,11 @@
 
 
 def rows_of(agreed: Agreed) -> dict[str, object]:
-    tables = {name: list(getattr(agreed, name)) for name in TABLES}
+    tables = {name: list(getattr(agreed, name)) for name in TABLE_NAMES}
     return {**tables, "lease": agreed.lease, "floors": agreed.floors}
 
 
-def start(log: FakeLog, clock: ManualClock, name: str = "entry-0", seed: int = 1):
+def start_entry(log: FakeLog, clock: ManualClock, name: str = "entry-0", seed: int = 1):
     entry = FakeEntry(name, log, clock, seed)
     entry.settle()
     return entry
@@ -44,7 +44,9 @@
 
 def set_many(entry: FakeEntry, count: int) -> None:
     for number in range(count):
-        entry.wish(f"x{number}", SettingPut("", "log.fresh_ms", 500, ANY_OFFSET))
+        entry.request_change(
+            f"x{number}", SettingPut("", "log.fresh_ms", 500, ANY_OFFSET)
+        )
         entry.settle()
 
 
@@ -60,14 +62,14 @@
     tables = {
         name for name, value in vars(Agreed()).items() if isinstance(value, Table)
     }
-    assert set(TABLES) == tables
+    assert set(TABLE_NAMES) == tables
 
 
 def test_holder_writes_a_snapshot_when_records_or_time_have_passed(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
-    entry.wish("a", SettingPut("", "snapshot.records", 10, ANY_OFFSET))
+    entry = start_entry(log, clock)
+    entry.request_change("a", SettingPut("", "snapshot.records", 10, ANY_OFFSET))
     entry.settle()
     assert not snapshot_offsets(log)
     set_many(entry, 10)
@@ -81,7 +83,7 @@
 def test_idle_holder_renews_the_snapshot_before_it_expires(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
+    entry = start_entry(log, clock)
     for _ in range(3):
         clock.advance(HOUR_MS)
         entry.settle()
@@ -91,12 +93,12 @@
 def test_restart_of_the_holder_does_not_put_the_next_snapshot_off(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
+    entry = start_entry(log, clock)
     clock.advance(HOUR_MS)
     entry.settle()
     log.expire(snapshot_offsets(log)[0] - 1)
     clock.advance(HOUR_MS // 2)
-    again = start(log, clock, seed=9)
+    again = start_entry(log, clock, seed=9)
     written = len(snapshot_offsets(log))
     clock.advance(HOUR_MS // 2)
     again.settle()
@@ -104,8 +106,8 @@
 
 
 def test_only_the_holder_writes(log: FakeLog, clock: ManualClock) -> None:
-    start(log, clock)
-    other = start(log, clock, "entry-1", 2)
+    start_entry(log, clock)
+    other = start_entry(log, clock, "entry-1", 2)
     clock.advance(HOUR_MS)
     other.tick()
     other.answer_reads()
@@ -116,8 +118,8 @@
 def test_new_process_starts_from_the_newest_whole_snapshot_and_the_tail(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
-    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry = start_entry(log, clock)
+    entry.request_change("t", TeamPut("design", (), 0, ANY_OFFSET))
     entry.settle()
     clock.advance(HOUR_MS)
     entry.settle()
@@ -135,14 +137,14 @@
 def test_expired_reader_serves_nothing_until_it_has_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
-    stale = start(log, clock, "entry-1", 3)
+    entry = start_entry(log, clock)
+    stale = start_entry(log, clock, "entry-1", 3)
     entry.settle()
     set_many(entry, 5)
     log.expire(log.head - 2)
     stale.answer_reads()
     assert not stale.world.log_view.caught_up
-    stale.wish("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
+    stale.request_change("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
     assert stale.replies["w"].status == 503
     stale.answer_reads()
     assert stale.world.log_view.folded_offset < log.first - 1
@@ -157,7 +159,7 @@
 
 
 def test_torn_snapshot_is_passed_over(log: FakeLog, clock: ManualClock) -> None:
-    entry = start(log, clock)
+    entry = start_entry(log, clock)
     clock.advance(HOUR_MS)
     entry.settle()
     set_many(entry, 2)
@@ -178,7 +180,7 @@
 def test_snapshot_whose_tail_has_expired_is_not_used(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
+    entry = start_entry(log, clock)
     clock.advance(HOUR_MS)
     entry.settle()
     part = log.texts[snapshot_offsets(log)[-1] - log.first]
@@ -196,10 +198,10 @@
 def test_large_snapshot_goes_in_bounded_parts_and_appends(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
+    entry = start_entry(log, clock)
     teams = tuple(TeamPut(f"team-{i}", (), 0, ANY_OFFSET) for i in range(900))
     for number, body in enumerate(teams):
-        entry.wish(f"t{number}", body)
+        entry.request_change(f"t{number}", body)
     entry.settle()
     clock.advance(HOUR_MS)
     entry.tick()
@@ -219,9 +221,9 @@
 def test_proposer_learns_its_verdict_from_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
-    stale = start(log, clock, "entry-1", 3)
-    stale.wish("w", TeamPut("design", (), 0, ANY_OFFSET))
+    entry = start_entry(log, clock)
+    stale = start_entry(log, clock, "entry-1", 3)
+    stale.request_change("w", TeamPut("design", (), 0, ANY_OFFSET))
     stale.answer_appends(lost=True)
     entry.settle()
     clock.advance(HOUR_MS)
@@ -238,11 +240,11 @@
 def test_records_survive_the_encoding_of_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
-    entry = start(log, clock)
-    entry.wish("t", TeamPut("design", (), 0, ANY_OFFSET))
+    entry = start_entry(log, clock)
+    entry.request_change("t", TeamPut("design", (), 0, ANY_OFFSET))
     entry.settle()
     job = JobSubmit("plan", "design", 2, 4, 1, 1, Urgency.OVERNIGHT, 0, "{}")
-    entry.wish("j", job)
+    entry.request_change("j", job)
     entry.settle()
     clock.advance(HOUR_MS)
     entry.settle()
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -9,7 +9,7 @@
     checkers,
     fault_of,
 )
-from kingcuppost.systems.fold.snapshot import load_slices, slices_of
+from kingcuppost.systems.fold.snapshot_slices import load_slices, slices_of
 
 __all__ = [
     "Fault",
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -22,44 +22,46 @@
 FINAL_STATES = frozenset(
     {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.REFUSED}
 )
-ENDED_GANGS = 1_000
-ENDED_JOBS = 1_000
+MAX_ENDED_GANGS = 1_000
+MAX_ENDED_JOBS = 1_000
 WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
 
 
-def _fault_of_term(agreed: Agreed, term: int) -> Fault | None:
+def _check_term(agreed: Agreed, term: int) -> Fault | None:
     if term == agreed.lease.term:
         return None
-    return Fault(f"term {term} is over, term {agreed.lease.term} holds", lost_race=True)
+    return Fault(
+        f"term {term} is over, term {agreed.lease.term} holds", is_conflict=True
+    )
 
 
-def _fault_of_open_job(agreed: Agreed, name: str) -> Fault | None:
+def _check_open_job(agreed: Agreed, name: str) -> Fault | None:
     job = agreed.jobs.get(name)
     if job is None:
-        return Fault(f"there is no job {name!r}", missing=True)
+        return Fault(f"there is no job {name!r}", is_not_found=True)
     if job.state in FINAL_STATES:
-        return Fault(f"job {name} is already {job.state}", lost_race=True)
+        return Fault(f"job {name} is already {job.state}", is_conflict=True)
     return None
 
 
-def _fault_of_verdict(agreed: Agreed, name: str, term: int) -> Fault | None:
+def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Fault | None:
     """Return why the scheduler may not refuse or park a job."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Fault(f"job {name} does not wait", lost_race=True)
-    return _fault_of_term(agreed, term)
+        return Fault(f"job {name} does not wait", is_conflict=True)
+    return _check_term(agreed, term)
 
 
-def _fault_of_gang(agreed: Agreed, job: str, incarnation: int) -> Fault | None:
+def _check_gang_exists(agreed: Agreed, job: str, incarnation: int) -> Fault | None:
     if agreed.gangs.get(gang_key(job, incarnation)) is None:
-        return Fault(f"there is no gang {gang_key(job, incarnation)}", lost_race=True)
+        return Fault(f"there is no gang {gang_key(job, incarnation)}", is_conflict=True)
     return None
 
 
 @checkers.register(LeaseClaim)
 def check_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
     """Refuse a claim that is not based on the present term."""
-    return _fault_of_term(agreed, body.base_term)
+    return _check_term(agreed, body.base_term)
 
 
 @appliers.register(LeaseClaim)
@@ -72,9 +74,9 @@
 def check_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
     """Refuse unknown teams, taken names and impossible numbers."""
     if body.team not in agreed.teams:
-        return Fault(f"there is no team {body.team!r}", missing=True)
+        return Fault(f"there is no team {body.team!r}", is_not_found=True)
     if body.job in agreed.jobs:
-        return Fault(f"there is already a job {body.job!r}", lost_race=True)
+        return Fault(f"there is already a job {body.job!r}", is_conflict=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
         return Fault("a gang has at least one member and no negative needs")
     return None
@@ -105,7 +107,7 @@
 @checkers.register(JobCancel)
 def check_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
     """Refuse to cancel a job that has ended."""
-    return _fault_of_open_job(agreed, body.job)
+    return _check_open_job(agreed, body.job)
 
 
 @appliers.register(JobCancel)
@@ -119,7 +121,7 @@
 @checkers.register(JobRefuse)
 def check_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
     """Refuse records of an old term and of jobs that run or have ended."""
-    return _fault_of_verdict(agreed, body.job, body.term)
+    return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobRefuse)
@@ -132,7 +134,7 @@
 @checkers.register(JobPark)
 def check_park(agreed: Agreed, body: JobPark) -> Fault | None:
     """Refuse records of an old term and of jobs that do not wait."""
-    return _fault_of_verdict(agreed, body.job, body.term)
+    return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobPark)
@@ -147,25 +149,25 @@
     """Refuse old terms, wrong incarnations, unknown workers and zones out."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Fault(f"job {body.job} does not wait", lost_race=True)
+        return Fault(f"job {body.job} does not wait", is_conflict=True)
     if body.incarnation != job.incarnation + 1:
-        return Fault(f"gang {body.incarnation} is not the next", lost_race=True)
+        return Fault(f"gang {body.incarnation} is not the next", is_conflict=True)
     if len(body.placements) != job.members:
         return Fault(f"job {body.job} has {job.members} members")
-    if fault := _fault_of_term(agreed, body.term):
+    if fault := _check_term(agreed, body.term):
         return fault
-    return _fault_of_placements(agreed, body)
+    return _check_placements(agreed, body)
 
 
-def _fault_of_placements(agreed: Agreed, body: GangPlace) -> Fault | None:
+def _check_placements(agreed: Agreed, body: GangPlace) -> Fault | None:
     for placement in body.placements:
         worker = agreed.workers.get(placement.worker)
         if worker is None:
-            return Fault(f"there is no worker {placement.worker}", lost_race=True)
+            return Fault(f"there is no worker {placement.worker}", is_conflict=True)
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
             return Fault(
-                f"availability zone {worker.availability_zone} is out", lost_race=True
+                f"availability zone {worker.availability_zone} is out", is_conflict=True
             )
     return None
 
@@ -197,12 +199,12 @@
 @checkers.register(GangRelease)
 def check_release(agreed: Agreed, body: GangRelease) -> Fault | None:
     """Refuse old terms, gangs that do not reserve, and zones that are out."""
-    if fault := _fault_of_term(agreed, body.term):
+    if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.RESERVING:
-        return Fault("the gang is not reserving", lost_race=True)
-    return _fault_of_placements(agreed, gang)
+        return Fault("the gang is not reserving", is_conflict=True)
+    return _check_placements(agreed, gang)
 
 
 @appliers.register(GangRelease)
@@ -218,11 +220,11 @@
 @checkers.register(GangStop)
 def check_stop(agreed: Agreed, body: GangStop) -> Fault | None:
     """Refuse old terms and gangs that are gone or already stopping."""
-    if fault := _fault_of_term(agreed, body.term):
+    if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Fault("the gang is gone or stops already", lost_race=True)
+        return Fault("the gang is gone or stops already", is_conflict=True)
     return None
 
 
@@ -243,11 +245,11 @@
 @checkers.register(GangEnd)
 def check_end(agreed: Agreed, body: GangEnd) -> Fault | None:
     """Refuse old terms and gangs that are gone or not stopping."""
-    if fault := _fault_of_term(agreed, body.term):
+    if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Fault("the gang is gone or does not stop", lost_race=True)
+        return Fault("the gang is gone or does not stop", is_conflict=True)
     return None
 
 
@@ -263,9 +265,9 @@
 @checkers.register(GangFinish)
 def check_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
     """Count only the first finish of a gang that was released."""
-    if fault := _fault_of_open_job(agreed, body.job):
+    if fault := _check_open_job(agreed, body.job):
         return fault
-    if fault := _fault_of_gang(agreed, body.job, body.incarnation):
+    if fault := _check_gang_exists(agreed, body.job, body.incarnation):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if not gang.released_wall_ms:
@@ -288,7 +290,7 @@
         name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
     )
     agreed.ended_jobs.put(EndedJob(name, item.offset))
-    while len(agreed.ended_jobs) > ENDED_JOBS:
+    while len(agreed.ended_jobs) > MAX_ENDED_JOBS:
         oldest = agreed.ended_jobs.first().name
         if agreed.gangs.count("job", oldest):
             return
@@ -299,5 +301,5 @@
 def _end_gang(agreed: Agreed, key: str) -> None:
     """Free the gang's accelerators, and keep its decision for a while."""
     agreed.ended_gangs.put(agreed.gangs.delete(key))
-    while len(agreed.ended_gangs) > ENDED_GANGS:
+    while len(agreed.ended_gangs) > MAX_ENDED_GANGS:
         agreed.ended_gangs.delete(agreed.ended_gangs.first().key)
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -8,7 +8,7 @@
 __all__: list[str] = []
 
 KEY_CLAIMS = 10_000
-EXPLAINED_KEYS = 200
+MAX_EXPLAINED_KEYS = 200
 
 
 @checkers.register(KeyClaimPut)
@@ -20,7 +20,7 @@
     issued at 0, and is refused once any key was forgotten.
     """
     if body.key in agreed.key_claims:
-        return Fault(f"key {body.key} is claimed", lost_race=True)
+        return Fault(f"key {body.key} is claimed", is_conflict=True)
     if body.issued_ms <= agreed.floors.key_issued_ms:
         return Fault(f"key {body.key} is too old to tell if it was used", stale=True)
     return None
@@ -57,7 +57,7 @@
     """Keep the decisions of the newest keys only; they outweigh the claims."""
     agreed.explained_keys.delete(newest)
     agreed.explained_keys.put(ExplainedKey(newest))
-    while len(agreed.explained_keys) > EXPLAINED_KEYS:
+    while len(agreed.explained_keys) > MAX_EXPLAINED_KEYS:
         key = agreed.explained_keys.first().key
         agreed.explained_keys.delete(key)
         if key in agreed.key_claims:
@@ -71,7 +71,7 @@
     if claim is None or claim.attempt_id != body.attempt_id:
         return Fault(f"key {body.key} is not held by {body.attempt_id}")
     if claim.outcome:
-        return Fault(f"the outcome of key {body.key} is known", lost_race=True)
+        return Fault(f"the outcome of key {body.key} is known", is_conflict=True)
     return None
 
 
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/registry.py
@@ -20,17 +20,17 @@
     ----------
     reason : str
         One sentence without a full stop.
-    lost_race : bool
+    is_conflict : bool
         True if another record came first; a new try may succeed.
-    missing : bool
+    is_not_found : bool
         True if the record names something that does not exist.
     stale : bool
         True if an earlier copy may have taken effect and been forgotten.
     """
 
     reason: str
-    lost_race: bool = False
-    missing: bool = False
+    is_conflict: bool = False
+    is_not_found: bool = False
     stale: bool = False
 
 
@@ -50,7 +50,7 @@
     record: Record
 
 
-RECENT_RECORDS = 2_000
+MAX_RECENT_RECORDS = 2_000
 
 Checker = Callable[[Agreed, Any], Fault | None]
 Applier = Callable[[Agreed, Any, FoldInput], None]
@@ -80,15 +80,15 @@
     fault = fault_of(agreed, item.record.body)
     if fault is None:
         appliers[type(item.record.body)](agreed, item.record.body, item)
-    _remember(agreed, item, fault)
+    _remember_record(agreed, item, fault)
     return fault
 
 
-def _remember(agreed: Agreed, item: FoldInput, fault: Fault | None) -> None:
+def _remember_record(agreed: Agreed, item: FoldInput, fault: Fault | None) -> None:
     reason = fault.reason if fault else ""
     agreed.recent.put(
         RecentRecord(item.record.record_id, item.offset, fault is None, reason)
     )
-    while len(agreed.recent) > RECENT_RECORDS:
+    while len(agreed.recent) > MAX_RECENT_RECORDS:
         forgotten = agreed.recent.delete(agreed.recent.first().record_id)
         agreed.floors.recent_offset = forgotten.offset
--- a/kingcuppost/systems/fold/snapshot.py
+++ b/kingcuppost/systems/fold/snapshot_slices.py
@@ -13,7 +13,7 @@
 
 SLICE_WEIGHT = 200
 SINGLE_ROWS = ("lease", "floors")
-TABLES = tuple(
+TABLE_NAMES = tuple(
     item.name for item in fields(AgreedSlice) if item.name not in SINGLE_ROWS
 )
 
@@ -42,7 +42,7 @@
 def _chunks(agreed: Agreed) -> Iterator[dict[str, Any]]:
     chunk: dict[str, Any] = {}
     weight = 0
-    for name in TABLES:
+    for name in TABLE_NAMES:
         for row in getattr(agreed, name):
             chunk.setdefault(name, []).append(copy(row))
             weight += _weight_of(row)
@@ -65,7 +65,7 @@
 def load_slices(agreed: Agreed, slices: Iterable[AgreedSlice]) -> None:
     """Replace all agreed rows by those of a whole snapshot, in their order."""
     slices = list(slices)
-    for name in TABLES:
+    for name in TABLE_NAMES:
         table: Table[Any] = getattr(agreed, name)
         table.clear()
         for part in slices:
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -12,25 +12,26 @@
 
 __all__: list[str] = []
 
-NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
-LARGEST_MEMBERS = 1_024
-LARGEST_ACCELERATORS = 64
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+MAX_MEMBERS = 1_024
+MAX_ACCELERATORS_PER_MEMBER = 64
 
 
-def _race(what: str, row_offset: int, base_offset: int) -> Fault | None:
+def _check_base_offset(what: str, row_offset: int, base_offset: int) -> Fault | None:
     if row_offset == base_offset:
         return None
     return Fault(
-        f"{what} was changed at offset {row_offset}, not {base_offset}", lost_race=True
+        f"{what} was changed at offset {row_offset}, not {base_offset}",
+        is_conflict=True,
     )
 
 
-def _fault_of_shape(shape: Shape) -> str:
-    if not 1 <= shape.members <= LARGEST_MEMBERS:
-        return f"a shape has 1 to {LARGEST_MEMBERS} members, not {shape.members}"
-    if not 1 <= shape.accelerators <= LARGEST_ACCELERATORS:
+def _shape_error(shape: Shape) -> str:
+    if not 1 <= shape.members <= MAX_MEMBERS:
+        return f"a shape has 1 to {MAX_MEMBERS} members, not {shape.members}"
+    if not 1 <= shape.accelerators <= MAX_ACCELERATORS_PER_MEMBER:
         return (
-            f"a member has 1 to {LARGEST_ACCELERATORS} accelerators, "
+            f"a member has 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
             f"not {shape.accelerators}"
         )
     if shape.count < 1:
@@ -41,13 +42,15 @@
 @checkers.register(TeamPut)
 def check_team(agreed: Agreed, body: TeamPut) -> Fault | None:
     """Refuse bad names and shapes, and changes based on an older row."""
-    if not NAME.fullmatch(body.name):
+    if not NAME_PATTERN.fullmatch(body.name):
         return Fault(f"{body.name!r} is no name for a team")
     for shape in body.guarantees:
-        if reason := _fault_of_shape(shape):
+        if reason := _shape_error(shape):
             return Fault(reason)
     row = agreed.teams.get(body.name)
-    return _race(f"team {body.name}", row.offset if row else 0, body.base_offset)
+    return _check_base_offset(
+        f"team {body.name}", row.offset if row else 0, body.base_offset
+    )
 
 
 @appliers.register(TeamPut)
@@ -69,14 +72,14 @@
     """Refuse bad names, a change of region, and changes based on an older row."""
     row = agreed.availability_zones.get(body.name)
     if row is None and not body.region:
-        return Fault(f"there is no availability zone {body.name!r}", missing=True)
+        return Fault(f"there is no availability zone {body.name!r}", is_not_found=True)
     for name in (body.name, body.region):
-        if not NAME.fullmatch(name):
+        if not NAME_PATTERN.fullmatch(name):
             return Fault(f"{name!r} is no name for a zone or region")
     if row is not None and row.region != body.region:
         return Fault(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
-    return _race(what, row.offset if row else 0, body.base_offset)
+    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(ZonePut)
@@ -94,14 +97,14 @@
     """Refuse unknown keys and branches, wrong values, and lost races."""
     key = KEYS.get(body.key)
     if key is None:
-        return Fault(f"there is no setting {body.key!r}", missing=True)
+        return Fault(f"there is no setting {body.key!r}", is_not_found=True)
     if reason := fault_of_path(agreed, body.path):
-        return Fault(reason, missing=True)
+        return Fault(reason, is_not_found=True)
     if reason := key.fault_of(body.value):
         return Fault(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
     what = f"{body.key} on {body.path or 'root'}"
-    return _race(what, row.offset if row else 0, body.base_offset)
+    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(SettingPut)
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -29,7 +29,7 @@
 from kingcuppost.tables.world import Agreed
 
 
-class Folder:
+class RecordFolder:
     """Folds bodies at rising offsets."""
 
     def __init__(self) -> None:
@@ -44,8 +44,8 @@
 
 
 @pytest.fixture
-def folder() -> Folder:
-    folder = Folder()
+def folder() -> RecordFolder:
+    folder = RecordFolder()
     folder.fold(TeamPut("design", (), 0, 0))
     return folder
 
@@ -65,7 +65,7 @@
 
 
 def test_ended_jobs_are_bounded_and_the_oldest_go(folder, monkeypatch) -> None:
-    monkeypatch.setattr(jobs, "ENDED_JOBS", 3)
+    monkeypatch.setattr(jobs, "MAX_ENDED_JOBS", 3)
     for name in "abcde":
         assert folder.fold(submit(name)) is None
         assert folder.fold(JobCancel(name, "test")) is None
@@ -74,7 +74,7 @@
 
 
 def test_ended_job_stays_while_its_gang_holds_accelerators(folder, monkeypatch) -> None:
-    monkeypatch.setattr(jobs, "ENDED_JOBS", 1)
+    monkeypatch.setattr(jobs, "MAX_ENDED_JOBS", 1)
     folder.fold(ZonePut("vid-a", "vidzeme", True, 0))
     folder.fold(minion("minion-0", "w-0"))
     folder.fold(LeaseClaim("entry-0", "inc-0", 0))
@@ -125,7 +125,7 @@
 
 
 def test_repeat_beyond_memory_is_refused_and_called_stale(folder, monkeypatch) -> None:
-    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     assert folder.fold(submit("a"), "rec-a", seen) is None
     for number in range(6):
@@ -135,7 +135,7 @@
 
 
 def test_record_made_before_the_memory_begins_is_refused(folder, monkeypatch) -> None:
-    monkeypatch.setattr(registry, "RECENT_RECORDS", 4)
+    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     for number in range(8):
         folder.fold(SettingPut("", "no.such", number, 0))
@@ -153,7 +153,7 @@
 
 
 def test_only_the_newest_keys_keep_their_decision(folder, monkeypatch) -> None:
-    monkeypatch.setattr(keys, "EXPLAINED_KEYS", 2)
+    monkeypatch.setattr(keys, "MAX_EXPLAINED_KEYS", 2)
     for number, key in enumerate("abc"):
         body = replace(claim(key, number), decision=Decision("p", 0))
         assert folder.fold(body) is None
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -14,10 +14,10 @@
     "reservation_ms",
 ]
 
-START_BOUND_MS = 3_000
+MAX_START_DELAY_MS = 3_000
 START_MARGIN_MS = 250
-CONFIRMS_PER_LEASE = 2
-BEATS_UNTIL_ISOLATED = 3
+CONFIRMATIONS_PER_LEASE = 2
+HEARTBEATS_UNTIL_ISOLATED = 3
 
 
 def lease_ms(world: World, gang: Gang) -> int:
@@ -31,7 +31,7 @@
     The leader hears a member for the last time up to this long before it calls
     the gang broken, and its last confirmation lasts this long: together the lease.
     """
-    return lease_ms(world, gang) // CONFIRMS_PER_LEASE
+    return lease_ms(world, gang) // CONFIRMATIONS_PER_LEASE
 
 
 def grace_ms(world: World, gang: Gang | None) -> int:
@@ -52,11 +52,11 @@
 
     A start order that is late in flight takes effect only while the reservation
     holds. So a start follows the view that it rests on by no more than the age of
-    that view and this time, which together stay below `START_BOUND_MS`.
+    that view and this time, which together stay below `MAX_START_DELAY_MS`.
     """
     wanted_ms = effective_value(world.agreed, "job.reservation_ms")
     fresh_ms = effective_value(world.agreed, "log.fresh_ms")
-    return min(wanted_ms, START_BOUND_MS - START_MARGIN_MS - fresh_ms)
+    return min(wanted_ms, MAX_START_DELAY_MS - START_MARGIN_MS - fresh_ms)
 
 
 def beat_period_ms(world: World) -> int:
@@ -88,4 +88,4 @@
     Never less than a few heartbeats, since entries are heard only by them.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
-    return max(wanted_ms, BEATS_UNTIL_ISOLATED * beat_period_ms(world))
+    return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * beat_period_ms(world))
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -113,7 +113,7 @@
     place(log, "a", (OWN,))
     bench.settle()
     bench.run(2_000)
-    bench.held = (StartTask,)
+    bench.withheld_types = (StartTask,)
     release(log, "a")
     bench.settle()
     bench.run(100)
@@ -128,13 +128,13 @@
 def test_no_start_while_a_renewal_is_under_way(bench: Bench) -> None:
     place(bench.log, "a", (OWN,))
     bench.settle()
-    bench.held = (RenewTasks,)
+    bench.withheld_types = (RenewTasks,)
     bench.run(1_000)
     assert bench.kept
     release(bench.log, "a")
     bench.settle()
     assert bench.task("a/1/0").state is TaskState.RESERVED
-    bench.held = ()
+    bench.withheld_types = ()
     bench.deliver_kept()
     bench.settle()
     assert bench.task("a/1/0").state is TaskState.RUNNING
@@ -223,7 +223,7 @@
 
 def test_stop_waits_for_the_checkpoint(bench: Bench) -> None:
     run_alone(bench)
-    bench.held = (CheckpointTask,)
+    bench.withheld_types = (CheckpointTask,)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(1_000)
     assert not [row for row in bench.sent if isinstance(row, StopTask)]
@@ -234,12 +234,12 @@
 
 def test_stop_is_repeated_until_the_worker_obeys(bench: Bench) -> None:
     task_id = run_alone(bench)
-    bench.held = (StopTask,)
+    bench.withheld_types = (StopTask,)
     bench.log.add(JobCancel("a", "enough"))
     bench.run(1_100)
     assert len(bench.kept) > 1
     assert bench.task(task_id).state is TaskState.STOPPING
-    bench.held = ()
+    bench.withheld_types = ()
     bench.run(600)
     assert bench.task(task_id).state is TaskState.STOPPED
 
@@ -247,7 +247,7 @@
 def test_lost_start_answer_stops_the_member(bench: Bench) -> None:
     place(bench.log, "a", (OWN,))
     bench.settle()
-    bench.held = (StartTask,)
+    bench.withheld_types = (StartTask,)
     release(bench.log, "a")
     bench.settle()
     order = bench.kept.pop()
@@ -259,7 +259,7 @@
 
 
 def silence_worker(bench: Bench) -> None:
-    bench.held = (RenewTasks, StopTask, CheckpointTask)
+    bench.withheld_types = (RenewTasks, StopTask, CheckpointTask)
 
 
 def lose_kept_orders(bench: Bench, for_ms: int) -> None:
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/worlds.py
@@ -47,7 +47,7 @@
 from kingcuppost.tables.task import MemberTask, TaskState
 from kingcuppost.utils import ManualClock
 
-HERE = Address("127.0.0.1", 0)
+LOCALHOST = Address("127.0.0.1", 0)
 ZONE = "vid-a"
 START_MS = 1_000_000
 LEASE_MS = 5_000
@@ -71,7 +71,7 @@
 
 
 @dataclass
-class HeldTask:
+class FakeTask:
     """A task at the fake worker."""
 
     state: TaskState
@@ -84,10 +84,10 @@
 class FakeWorker:
     """Holds tasks under leases, as a worker does."""
 
-    tasks: dict[str, HeldTask] = field(default_factory=dict)
+    tasks: dict[str, FakeTask] = field(default_factory=dict)
     ignores_stop: bool = False
 
-    def lapse(self, now_ms: int) -> None:
+    def expire_leases(self, now_ms: int) -> None:
         for task in self.tasks.values():
             if task.state not in ENDED_STATES and task.lease_ms <= now_ms:
                 task.state = TaskState.STOPPED
@@ -100,14 +100,14 @@
         self.tasks[task_id].result = result
 
     def answer(self, order: Any, now_ms: int) -> WorkerDone:
-        self.lapse(now_ms)
-        name, task_id, ok = self._obey(order, now_ms)
+        self.expire_leases(now_ms)
+        name, task_id, ok = self._carry_out(order, now_ms)
         rows = tuple(
             WorkerTask(key, task.state, task.result) for key, task in self.tasks.items()
         )
         return WorkerDone(name, task_id, ok, rows)
 
-    def _obey(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
+    def _carry_out(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
         if isinstance(order, RenewTasks):
             for lease in order.leases:
                 task = self.tasks.get(lease.task_id)
@@ -115,8 +115,8 @@
                     task.lease_ms = now_ms + lease.lease_ms
             return "renew", "", True
         if isinstance(order, ReserveTask):
-            held = HeldTask(TaskState.RESERVED, now_ms + order.lease_ms)
-            self.tasks[order.task_id] = held
+            task = FakeTask(TaskState.RESERVED, now_ms + order.lease_ms)
+            self.tasks[order.task_id] = task
             return "reserve", order.task_id, True
         task = self.tasks.get(order.task_id)
         if isinstance(order, StartTask):
@@ -141,7 +141,7 @@
     """One process without sockets.
 
     The log answers at once while it is up; orders to the worker are obeyed at
-    once unless `held` keeps their type back.
+    once unless `withheld_types` keeps their type back.
     """
 
     def __init__(self, cfg: ProcessConfig, log: FakeLog, clock: ManualClock) -> None:
@@ -149,7 +149,7 @@
         self.log = log
         self.world = make_world(cfg, clock)
         self.worker = FakeWorker()
-        self.held: tuple[type, ...] = ()
+        self.withheld_types: tuple[type, ...] = ()
         self.kept: list[Any] = []
         self.sent: list[Any] = []
         self._reads: list[ReadLog] = []
@@ -160,7 +160,7 @@
 
     def settle(self) -> None:
         """Tick until nothing more arrives at this instant."""
-        self.worker.lapse(self.now_ms)
+        self.worker.expire_leases(self.now_ms)
         for _ in range(100):
             run_tick(self.world, systems_of(self.world.identity.role), self.now_ms)
             for message in self.world.outbox.take_all():
@@ -194,7 +194,7 @@
                 self.log.records.extend(message.records)
             ids = tuple(row.record_id for row in message.records)
             self.world.inbox.put(AppendDone(ids, self.log.up, "down"))
-        elif isinstance(message, self.held):
+        elif isinstance(message, self.withheld_types):
             self.kept.append(message)
         elif isinstance(message, WORKER_ORDERS):
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
@@ -223,15 +223,17 @@
 
 def sidecar_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
     """Return a sidecar beside worker `number`."""
-    worker = WorkerConfig("http", f"worker-{number}", "rack-0", HERE, 64, 131_072, 8)
-    sidecar = SidecarConfig("planner", HERE, 8, 64, worker, HERE)
+    worker = WorkerConfig(
+        "http", f"worker-{number}", "rack-0", LOCALHOST, 64, 131_072, 8
+    )
+    sidecar = SidecarConfig("planner", LOCALHOST, 8, 64, worker, LOCALHOST)
     cfg = ProcessConfig(
         Role.SIDECAR,
         f"minion-{number}",
         ZONE,
         "vidzeme",
-        HERE,
-        LogConfig("http", HERE),
+        LOCALHOST,
+        LogConfig("http", LOCALHOST),
         sidecar=sidecar,
         seed=number,
     )
@@ -245,9 +247,9 @@
         f"entry-{number}",
         ZONE,
         "vidzeme",
-        HERE,
-        LogConfig("http", HERE),
-        entry=EntryConfig(HERE, HERE),
+        LOCALHOST,
+        LogConfig("http", LOCALHOST),
+        entry=EntryConfig(LOCALHOST, LOCALHOST),
         seed=100 + number,
     )
     return Bench(cfg, log, clock)
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -13,7 +13,7 @@
     "LogView",
     "Proposal",
     "ProposalState",
-    "ReadUnderWay",
+    "PendingRead",
     "RecentRecord",
     "SchedulingLease",
     "SnapshotSearch",
@@ -34,14 +34,14 @@
         Log offset of the record.
     reason : str
         Why it was rejected; empty if accepted.
-    unknown : bool
+    is_possible_repeat : bool
         True if an earlier copy may have taken effect and been forgotten.
     """
 
     accepted: bool
     offset: int
     reason: str = ""
-    unknown: bool = False
+    is_possible_repeat: bool = False
 
 
 class ProposalState(StrEnum):
@@ -89,7 +89,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReadUnderWay:
+class PendingRead:
     """A read that the log has not answered yet.
 
     Attributes
@@ -98,13 +98,13 @@
         When it was sent.
     late_ms : int
         When another read is sent beside it, on a new connection.
-    waits : bool
+    is_long_poll : bool
         Whether it may wait at the log for a new record.
     """
 
     sent_ms: int
     late_ms: int
-    waits: bool
+    is_long_poll: bool
 
 
 @dataclass(slots=True)
@@ -113,7 +113,7 @@
 
     Attributes
     ----------
-    top : int
+    upper_offset : int
         Highest offset that was not searched yet.
     after : int
         The read under way starts behind this offset.
@@ -123,7 +123,7 @@
         Parts found, by snapshot and number.
     """
 
-    top: int
+    upper_offset: int
     after: int
     earliest: int
     parts: dict[str, dict[int, SnapshotPart]] = field(default_factory=dict)
@@ -139,7 +139,7 @@
         Log offset that the newest whole snapshot covers; 0 without any.
     wall_ms : int
         Time of that snapshot; of catching up, without any.
-    seen : dict of str to set of int
+    seen_parts : dict of str to set of int
         Parts seen of snapshots that are not whole yet.
     draft : deque of SnapshotPart
         Parts of this process's snapshot that are not proposed yet.
@@ -149,7 +149,7 @@
 
     covers: int = 0
     wall_ms: int = 0
-    seen: dict[str, set[int]] = field(default_factory=dict)
+    seen_parts: dict[str, set[int]] = field(default_factory=dict)
     draft: deque[SnapshotPart] = field(default_factory=deque)
     pending: list[str] = field(default_factory=list)
 
@@ -164,9 +164,9 @@
         Offset of the last record applied, and of the last known to exist.
     fresh_ms : int
         When the last read that ended at the head was sent; -1 before any.
-    heard_ms : int
+    last_answer_ms : int
         When such a read was last answered; -1 before any.
-    reads : dict of str to ReadUnderWay
+    reads : dict of str to PendingRead
         Reads under way by identifier.
     next_read_ms : int
         Earliest time of the next read.
@@ -187,8 +187,8 @@
     folded_offset: int = 0
     head_offset: int = 0
     fresh_ms: int = -1
-    heard_ms: int = -1
-    reads: dict[str, ReadUnderWay] = field(default_factory=dict)
+    last_answer_ms: int = -1
+    reads: dict[str, PendingRead] = field(default_factory=dict)
     next_read_ms: int = 0
     failed_reads: int = 0
     barrier_ms: int = -1
@@ -206,15 +206,15 @@
     ----------
     term : int
         Term that is watched.
-    heard_ms : int
+    last_answer_ms : int
         When the question that the holder last answered was sent.
-    ask_ms : int
+    next_ping_ms : int
         When to ask next.
     jitter : float
         Share from 0 to 1, drawn once, that keeps claims of entries apart.
     """
 
     term: int = -1
-    heard_ms: int = 0
-    ask_ms: int = 0
+    last_answer_ms: int = 0
+    next_ping_ms: int = 0
     jitter: float = 0.0
--- a/kingcuppost/tables/announcement.py
+++ b/kingcuppost/tables/announcement.py
@@ -15,7 +15,7 @@
         Ports bound; 0 before.
     record_id : str
         Announcement under way; empty if none.
-    leave_id : str
+    leave_record_id : str
         Leave record under way; empty if none.
     stop_ms : int
         When a graceful stop must be over; 0 while none is under way.
@@ -25,5 +25,5 @@
     operator_port: int = 0
     peer_port: int = 0
     record_id: str = ""
-    leave_id: str = ""
+    leave_record_id: str = ""
     stop_ms: int = 0
