--- a/kingcuppost/systems/__init__.py
+++ b/kingcuppost/systems/__init__.py
@@ -1,4 +1,4 @@
-"""Systems: plain functions that run over the tables each tick."""
+"""Systems: functions that run over the tables in each tick."""
 
 from kingcuppost.systems import agreement, jobs, members, requests, views
 from kingcuppost.systems.registry import Phase, System, run_tick, system, systems_of
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,4 +1,4 @@
-"""Agreement through the log: following, proposing, leases, announcements."""
+"""Agreement through the log: reads, proposals, the scheduling lease, announcements."""
 
 from kingcuppost.systems.agreement.announce import announce, stop_gracefully
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -1,4 +1,4 @@
-"""Announcing this process in the log, and its graceful leave."""
+"""Announcement of this process in the log, and its graceful stop."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.propose import propose
@@ -21,7 +21,7 @@
 
 @system(Phase.MEMBERSHIP, order=10)
 def announce(world: World, now_ms: int) -> None:
-    """Keep this process announced under its present incarnation."""
+    """Propose an announcement until the log has this process's current incarnation."""
     if not world.log_view.caught_up or world.stopping:
         return
     if world.announcement.record_id in world.proposals:
@@ -40,7 +40,7 @@
 
 
 def _peer_address(world: World) -> Address:
-    """Return where other processes of the system reach this one."""
+    """Return the address at which other processes of the system reach this one."""
     bound = Address(world.cfg.peers.host, world.announcement.peer_port)
     return world.cfg.advertised or bound
 
@@ -82,9 +82,9 @@
 
 @system(Phase.REPORT, order=10)
 def stop_gracefully(world: World, now_ms: int) -> None:
-    """Say in the log that the process leaves, finish what runs, then exit.
+    """Record the leave in the log, finish the open work, then exit.
 
-    A second request to stop, or the end of the bound, exits at once.
+    A second stop request, or the end of the time limit, exits at once.
     """
     for _ in world.inbox.take(StopRequested):
         if world.stopping:
@@ -94,7 +94,7 @@
     if not world.stopping:
         return
     if now_ms >= world.announcement.stop_ms:
-        note(world, "stop.cut", "The bound of the graceful stop is over.")
+        note(world, "stop.cut", "The time limit of the graceful stop is over.")
         world.outbox.put(ExitProcess(EXIT_FORCED))
     elif _is_idle(world) and (
         _is_leave_folded(world) or _has_leave_timed_out(world, now_ms)
@@ -109,7 +109,7 @@
     world.deadlines.add(world.announcement.stop_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
     world.announcement.leave_record_id = propose(world, body, now_ms)
-    note(world, "stop.begin", "A graceful stop begins.")
+    note(world, "stop.begin", "The graceful stop begins.")
 
 
 def _is_idle(world: World) -> bool:
@@ -120,7 +120,7 @@
 
 
 def _has_leave_timed_out(world: World, now_ms: int) -> bool:
-    """Return whether the log had its time to take the leave."""
+    """Return whether the time for the log to accept the leave notice is over."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
     until_ms = world.announcement.stop_ms - bound_ms + announce_ms
@@ -129,7 +129,7 @@
 
 
 def _is_leave_folded(world: World) -> bool:
-    """Return whether the leave is folded."""
+    """Return whether this process has folded its leave notice."""
     if world.announcement.leave_record_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -1,4 +1,4 @@
-"""Completing what operators leave out of a change."""
+"""Default values for the fields that operators leave out of a change."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -23,7 +23,7 @@
 
 
 def fill_in_defaults(world: World, body: Body) -> Body:
-    """Return a body with the names and base offsets that were left out."""
+    """Return a record body with omitted names and base offsets filled in."""
     if type(body) not in completers:
         return body
     return completers[type(body)](world, body)
@@ -37,7 +37,7 @@
 
 @completers.register(JobSubmit)
 def fill_in_job(world: World, body: JobSubmit) -> JobSubmit:
-    """Name a job that has no name."""
+    """Generate a name for a job that has none."""
     if body.job:
         return body
     return replace(body, job=new_identifier(world.rng, "job"))
@@ -45,14 +45,14 @@
 
 @completers.register(TeamPut)
 def fill_in_team(world: World, body: TeamPut) -> TeamPut:
-    """Take the team as this process knows it for the base of the change."""
+    """Set the base offset from the team's row in this process's view."""
     row = world.agreed.teams.get(body.name)
     return replace(body, base_offset=_base_of(row, body.base_offset))
 
 
 @completers.register(ZonePut)
 def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
-    """Take the zone as this process knows it for the base of the change."""
+    """Set the base offset from the zone's row in this process's view."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
     return replace(body, region=region, base_offset=_base_of(row, body.base_offset))
@@ -60,6 +60,6 @@
 
 @completers.register(SettingPut)
 def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
-    """Take the key as this process knows it for the base of the change."""
+    """Set the base offset from the setting's row in this process's view."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
     return replace(body, base_offset=_base_of(row, body.base_offset))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -1,4 +1,4 @@
-"""Following the log: reads, the fold in offset order, and freshness."""
+"""Follow the log: issue reads and fold their records in offset order."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.freshness import (
@@ -32,9 +32,9 @@
 
 @system(Phase.FOLD, order=10)
 def fold_reads(world: World, now_ms: int) -> None:
-    """Apply what the log answered, in offset order.
+    """Apply the records that the log returned, in offset order.
 
-    Several reads may be under way; what a second one repeats is passed over.
+    Several reads may be pending; records that were already folded are skipped.
     """
     for done in world.inbox.take(ReadDone):
         read = world.log_view.reads.pop(done.read_id, None)
@@ -55,10 +55,10 @@
 
 
 def _drop_superseded_reads(world: World, answered: PendingRead, now_ms: int) -> None:
-    """Forget late reads that were sent before one that is answered.
+    """Drop late reads that were sent before a read that was answered.
 
-    Their connections are silent; while they counted as under way, every tick
-    would send another read beside them.
+    Their connections do not respond. If they still counted as pending, every tick
+    would issue another hedged read.
     """
     reads = world.log_view.reads
     for read_id, read in list(reads.items()):
@@ -75,9 +75,10 @@
 
 
 def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
-    """Pause before the next read, longer and at random while the log is down.
+    """Delay the next read, with exponential backoff and jitter.
 
-    Processes that lost the log together must not come back to it together.
+    The jitter keeps processes that lost the log at the same time from all
+    reconnecting at the same time.
     """
     view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
@@ -101,7 +102,11 @@
         view.caught_up = True
         view.searched = False
         world.snapshots.wall_ms = world.snapshots.wall_ms or world.clock.wall_ms()
-        note(world, "log.follow", f"Caught up at offset {view.folded_offset}.")
+        note(
+            world,
+            "log.follow",
+            f"Caught up with the log at offset {view.folded_offset}.",
+        )
 
 
 def _fold_one(world: World, item: FoldedRecord) -> None:
@@ -127,16 +132,16 @@
 
 def _rejection_text(verdict: Verdict, known: RecentRecord | None) -> str:
     if known is not None:
-        return f"a repeat of offset {known.offset}"
+        return f"repeats the record at offset {known.offset}"
     return "" if verdict.accepted else verdict.reason
 
 
 @system(Phase.PROPOSE, order=10)
 def issue_read(world: World, now_ms: int) -> None:
-    """Keep one timely read under way.
+    """Keep one read pending that is not overdue.
 
-    A read that waits at the log is cut short for a barrier, and one that is late
-    is not waited for: another goes out beside it, on a new connection.
+    A long poll does not satisfy a barrier, and an overdue read is not waited for:
+    in both cases another read is sent; for an overdue one, on a new connection.
     """
     view = world.log_view
     timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
@@ -152,10 +157,11 @@
 
 
 def _is_timely(world: World, read: PendingRead, now_ms: int) -> bool:
-    """Return whether a read may be waited for.
+    """Return whether to wait for a pending read instead of sending another.
 
-    One that waits at the log is cut short by a barrier, or by an append that was
-    sent after it and is late: the log may be slow, and the read miss the record.
+    A long poll that was sent before the barrier is not waited for. Nor is a read
+    that was sent no later than an append that is now overdue: the log may be slow,
+    and the read may miss the appended record.
     """
     view = world.log_view
     if read.is_long_poll and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -1,4 +1,4 @@
-"""How fresh this process's view of the log is."""
+"""Freshness of this process's view of the log."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.world import World
@@ -9,22 +9,25 @@
 
 
 def fresh_age_ms(world: World, now_ms: int) -> int:
-    """Return how long ago a read that ended at the head was sent, in ms."""
+    """Return the age in ms of the latest read that reached the head of the log.
+
+    The age counts from the sending of that read.
+    """
     fresh_ms = world.log_view.fresh_ms
     return now_ms - fresh_ms if fresh_ms >= 0 else INFINITE_AGE_MS
 
 
 def is_fresh(world: World, now_ms: int) -> bool:
-    """Return whether the log was read at its head recently enough to start work."""
+    """Return whether the view of the log is recent enough to start work."""
     return fresh_age_ms(world, now_ms) <= effective_value(world.agreed, "log.fresh_ms")
 
 
 def is_following(world: World, now_ms: int) -> bool:
-    """Return whether the log answered a read at its head within a poll.
+    """Return whether the log has recently answered a read that reached its head.
 
-    This is weaker than `is_fresh`: a process that follows may not start work, but
-    its log is not silent. The age of the view itself is no measure: in an idle
-    system it grows to twice the wait of a read.
+    This is weaker than `is_fresh`: the view may be too old to start work, but the
+    log responds. The age of the view is not used here, since in an idle system it
+    grows to twice the wait of a long poll.
     """
     last_answer_ms = world.log_view.last_answer_ms
     wait_ms = effective_value(world.agreed, "log.poll_wait_ms")
@@ -33,7 +36,7 @@
 
 
 def want_barrier(world: World, now_ms: int) -> None:
-    """Ask for a read of the head that is sent no earlier than now."""
+    """Request a read of the head of the log that is sent no earlier than now."""
     view = world.log_view
     if view.barrier_ms < 0:
         view.barrier_ms = now_ms
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -1,4 +1,4 @@
-"""The scheduling lease: who may place gangs."""
+"""The scheduling lease: its holder alone may place gangs."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.freshness import is_following
@@ -20,10 +20,9 @@
 
 
 def is_scheduler(world: World) -> bool:
-    """Return whether this process holds the scheduling lease, as far as it knows.
+    """Return whether this process holds the scheduling lease in its own view.
 
-    A process that is wrong about it does no harm: the fold rejects records of
-    an old term.
+    An outdated view does no harm: the fold rejects records of an old term.
     """
     lease = world.agreed.lease
     return (
@@ -34,7 +33,7 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def monitor_holder(world: World, now_ms: int) -> None:
-    """Ask the holder at intervals; claim the lease when it stays silent."""
+    """Ping the holder periodically; claim the lease when it is unresponsive."""
     monitor = world.holder_watch
     _handle_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
@@ -47,23 +46,26 @@
         _claim_lease(world, now_ms)
         return
     if now_ms - monitor.last_answer_ms >= _lost_after_ms(world):
-        note(world, "lease.lost", "The holder is silent.", peer=holder.name)
+        note(world, "lease.lost", "The holder is unresponsive.", peer=holder.name)
         _claim_lease(world, now_ms)
         return
     _ping_holder(world, holder, now_ms)
 
 
 def _lost_after_ms(world: World) -> int:
-    """Return the bound, longer by a share that differs among processes."""
+    """Return after how long without an answer the lease is claimed, in ms.
+
+    The jitter differs among processes, so that their claims do not coincide.
+    """
     lost_ms = effective_value(world.agreed, "lease.lost_ms")
     return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_watch.jitter))
 
 
 def _handle_holder_answers(world: World, now_ms: int) -> None:
-    """Count the answers of a holder that is of use.
+    """Accept answers only from a holder that can do its work.
 
-    One that is cut from the log while this process follows it is of none. If
-    neither follows the log, a new holder would do no better.
+    A holder that is cut off from the log while this process follows it counts as
+    unresponsive. If neither follows the log, a new holder would do no better.
     """
     for answer in world.inbox.take(HolderAnswered):
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
@@ -97,7 +99,7 @@
 
 @system(Phase.REPORT, roles=(Role.ENTRY,), order=20)
 def answer_holder_pings(world: World, now_ms: int) -> None:
-    """Tell other entries that this process is alive, and whether it follows."""
+    """Answer the pings of other entries; say whether this process follows the log."""
     follows = is_following(world, now_ms)
     reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
     for ping in world.inbox.take(HolderAsked):
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -1,4 +1,4 @@
-"""Proposing records and learning from the fold what became of them."""
+"""Propose records for the log, and report the result of their fold."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.change_defaults import fill_in_defaults
@@ -48,15 +48,15 @@
     world : World
         Tables of the process.
     body : Body
-        What the record says.
+        Content of the record.
     now_ms : int
-        Monotonic time.
+        Current monotonic time, in ms.
     author : str
-        Who wants it; the process itself if empty.
+        Operator or process that proposes it; this process if empty.
     exchange_id : str
-        HTTP exchange that waits for the verdict.
+        HTTP exchange that waits for the result of the fold; empty if none.
     give_up_ms : int
-        When the exchange is told that the outcome is unknown; 0 for never.
+        When the exchange is answered even without a result; 0 for never.
 
     Returns
     -------
@@ -88,14 +88,14 @@
 
 
 def has_queue_capacity(world: World) -> bool:
-    """Return whether one more record that somebody asks for may be queued."""
+    """Return whether the queue accepts one more requested record."""
     limit = effective_value(world.agreed, "log.queue_limit")
     return len(world.proposals) < limit
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=10)
 def handle_proposal_requests(world: World, now_ms: int) -> None:
-    """Check what operators and callers want appended, and queue it."""
+    """Check the records that operators and callers request, and queue them."""
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
     for request in world.inbox.take(Propose):
         body = fill_in_defaults(world, request.body)
@@ -110,7 +110,7 @@
         elif fault is not None:
             _refuse(world, request.exchange_id, _status_of(fault), fault.reason)
         elif not has_queue_capacity(world):
-            reason = f"{len(world.proposals)} records wait for the log"
+            reason = f"{len(world.proposals)} records are queued for the log"
             _refuse(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
         else:
             propose(
@@ -130,14 +130,14 @@
 
 
 def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
-    note(world, "change.refuse", f"Change not made: {reason}.")
+    note(world, "change.refuse", f"Change refused: {reason}.")
     refusal = ChangeRefused(Outcome.NOT_RUN, STEP, world.identity.name, reason)
     world.outbox.put(Reply(exchange_id, status, refusal))
 
 
 @system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
-    """Tell waiting exchanges what the fold made of their records."""
+    """Answer the exchanges whose records were folded or timed out."""
     for record_id, verdict in world.verdicts.items():
         proposal = world.proposals.delete(record_id)
         if proposal is not None and proposal.exchange_id:
@@ -167,7 +167,7 @@
 
 
 def _unknown(proposal: Proposal, reason: str) -> Reply:
-    """Return an answer that names the record, so that its fate can be looked up."""
+    """Return an answer that names the record, so that its outcome can be looked up."""
     name = _name_of(proposal)
     what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
     unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
@@ -175,14 +175,14 @@
 
 
 def _give_up(world: World, proposal: Proposal) -> None:
-    """Answer "unknown" if the record may be in the log, else withdraw it.
+    """Answer "unknown" if the record may be in the log, else "not run".
 
-    Either way it is not sent again, so that a later try can't meet it twice; a
-    copy that is on its way takes effect or not by its place in the log.
+    Either way it is not sent again, so that it cannot take effect beside a later
+    retry. A copy that is still in flight takes effect, or not, by its offset.
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
-        reason = "the log did not take it in time"
+        reason = "the log did not accept it in time"
         _refuse(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -1,4 +1,4 @@
-"""Sending queued records to the log, in groups, until the fold has them."""
+"""Append queued records to the log in groups, until they are folded."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -19,10 +19,10 @@
 
 @system(Phase.PROPOSE, order=20)
 def send_proposals(world: World, now_ms: int) -> None:
-    """Append what is queued, in groups.
+    """Append the queued records as one group.
 
-    An append under way holds later records back for a short time only, so that a
-    log that is slow by seconds still takes them.
+    A pending append delays later records for a short time only, so that a log that
+    is slow by seconds still accepts them.
     """
     _handle_append_results(world, now_ms)
     _requeue_overdue(world, now_ms)
@@ -44,7 +44,7 @@
 
 
 def _due_group(world: World, now_ms: int) -> list[Proposal]:
-    """Return the records of the next append, bounded in number and weight."""
+    """Return the records of the next append, up to the maximum weight."""
     group: list[Proposal] = []
     weight = 0
     for row in world.proposals.find("state", ProposalState.QUEUED):
@@ -78,13 +78,20 @@
 
 
 def _late_ms(world: World, appends: int) -> int:
-    """Return the silence after which a record is sent again; doubles each time."""
+    """Return the time without an answer after which a record is sent again, in ms.
+
+    It doubles with each append of the record.
+    """
     late_ms = effective_value(world.agreed, "log.late_ms")
     return late_ms * 2 ** min(appends - 1, MAX_DOUBLINGS)
 
 
 def _requeue_overdue(world: World, now_ms: int) -> None:
-    """Queue again, under the same identifiers, what the log is silent about."""
+    """Queue overdue records again, under the same identifiers.
+
+    A confirmed append is overdue once a later read has reached the head without
+    returning the record.
+    """
     for row in world.proposals.find("state", ProposalState.SENT):
         if row.retry_ms <= now_ms:
             world.proposals.update(row.record_id, state=ProposalState.QUEUED)
@@ -97,7 +104,7 @@
 
 
 def _handle_append_results(world: World, now_ms: int) -> None:
-    """Wait for the fold of what the log confirmed; send the rest again."""
+    """Mark the records of confirmed appends; queue those of failed appends again."""
     for done in world.inbox.take(AppendDone):
         world.log_view.appends.pop(done.record_ids[0], None)
         if not done.ok:
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -1,4 +1,4 @@
-"""Starting from the newest whole snapshot instead of from an expired offset."""
+"""Load the newest complete snapshot when records have expired or lag is large."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -15,7 +15,7 @@
 
 
 def is_search_due(world: World, done: ReadDone) -> bool:
-    """Return whether the next records are gone, or too many to fold one by one."""
+    """Return whether the next records have expired, or are too many to fold."""
     view = world.log_view
     if _is_gap(view, done.earliest):
         return True
@@ -27,16 +27,17 @@
 
 
 def begin_search(world: World, done: ReadDone, now_ms: int) -> None:
-    """Look for a snapshot backwards from the head.
+    """Start a search for a snapshot, backwards from the head.
 
-    Until one is loaded, this process does not count as caught up or fresh.
+    If the next record has expired, this process is neither caught up nor fresh
+    until a snapshot is loaded.
     """
     view = world.log_view
     if _is_gap(view, done.earliest):
         view.caught_up = False
         view.fresh_ms = -1
         view.last_answer_ms = -1
-        text = f"Offset {view.folded_offset + 1} has expired; looking for a snapshot."
+        text = f"Offset {view.folded_offset + 1} has expired; searching for a snapshot."
         note(world, "log.expired", text)
     view.reads.clear()
     view.next_read_ms = now_ms
@@ -49,7 +50,7 @@
 
 
 def handle_search_read(world: World, done: ReadDone, now_ms: int) -> None:
-    """Keep the parts of one window, load a whole snapshot, or look further back."""
+    """Collect the parts in one window; load a complete snapshot or search on."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
@@ -74,7 +75,10 @@
 def _newest_complete_snapshot(
     search: SnapshotSearch, folded_offset: int
 ) -> list[SnapshotPart]:
-    """Return the parts of the best snapshot whose tail is still there."""
+    """Return the parts of the newest complete snapshot that can be used.
+
+    The records behind it must not have expired, and it must be ahead of the fold.
+    """
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
         part = next(iter(parts.values()))
@@ -93,11 +97,11 @@
     view.searched = True
     world.snapshots.covers = parts[0].covers
     _resolve_proposals(world)
-    note(world, "log.snapshot", f"Started from the snapshot of {parts[0].covers}.")
+    note(world, "log.snapshot", f"Loaded the snapshot at offset {parts[0].covers}.")
 
 
 def _resolve_proposals(world: World) -> None:
-    """Tell what became of own records that the snapshot already contains."""
+    """Report the results of own proposals that the snapshot already covers."""
     for proposal in world.proposals:
         row = world.agreed.recent.get(proposal.record_id)
         if row is not None:
@@ -106,7 +110,7 @@
 
 
 def _give_up(world: World, search: SnapshotSearch, now_ms: int) -> None:
-    """Fold record by record if none is missing, else search again later."""
+    """Fold record by record if none has expired, else search again later."""
     view = world.log_view
     view.search = None
     view.searched = True
@@ -114,4 +118,8 @@
         return
     view.next_read_ms = now_ms + effective_value(world.agreed, "log.search_retry_ms")
     world.deadlines.add(view.next_read_ms)
-    note(world, "log.lost", "The log holds no whole snapshot; nothing can be served.")
+    note(
+        world,
+        "log.lost",
+        "The log has no complete snapshot; this process cannot serve.",
+    )
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -1,4 +1,4 @@
-"""Writing snapshots of the fold into the log, well before records expire."""
+"""Write snapshots of the fold into the log, well before records expire."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.lease import is_scheduler
@@ -20,7 +20,7 @@
 
 
 def track_snapshot_part(world: World, item: FoldedRecord) -> None:
-    """Note a part in the log, and its snapshot once all parts are there."""
+    """Record a part that is in the log, and its snapshot once that is complete."""
     progress = world.snapshots
     part = item.record.body
     if item.record.record_id in world.proposals:
@@ -31,7 +31,12 @@
         del progress.seen_parts[part.snapshot_id]
         progress.covers = max(progress.covers, part.covers)
         progress.wall_ms = max(progress.wall_ms, item.record.wall_ms)
-        note(world, "snapshot.whole", f"Snapshot of {part.covers}.", offset=item.offset)
+        note(
+            world,
+            "snapshot.whole",
+            f"The snapshot at offset {part.covers} is complete.",
+            offset=item.offset,
+        )
     while len(progress.seen_parts) > MAX_INCOMPLETE_SNAPSHOTS:
         del progress.seen_parts[next(iter(progress.seen_parts))]
 
@@ -40,7 +45,8 @@
 def write_snapshots(world: World, now_ms: int) -> None:
     """Draft a snapshot when one is due, and propose its parts a few at a time.
 
-    A process that loses the lease drops its draft; readers ignore torn snapshots.
+    A process that loses the scheduling lease drops its draft; readers ignore
+    incomplete snapshots.
     """
     progress = world.snapshots
     if not is_scheduler(world) or not world.log_view.caught_up:
@@ -54,9 +60,9 @@
 
 
 def _is_due(world: World) -> bool:
-    """Return whether enough records or time lie behind the newest snapshot.
+    """Return whether enough records or time have passed since the newest snapshot.
 
-    An idle system writes them too, since a snapshot expires as records do.
+    An idle system writes snapshots too, since they expire as other records do.
     """
     progress = world.snapshots
     records = world.log_view.folded_offset - progress.covers
@@ -73,4 +79,8 @@
     for index, rows in enumerate(slices):
         part = SnapshotPart(snapshot_id, covers, index, len(slices), rows)
         world.snapshots.draft.append(part)
-    note(world, "snapshot.write", f"Writing {len(slices)} parts of {covers}.")
+    note(
+        world,
+        "snapshot.write",
+        f"Writing {len(slices)} parts of the snapshot at offset {covers}.",
+    )
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -1,4 +1,4 @@
-"""A fake of the log at its seam, and entries that follow it without sockets."""
+"""A fake log behind the messages of its edge, and entries that follow it."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,7 +21,7 @@
 
 @dataclass
 class FakeLog:
-    """Texts by offset, from `first` on."""
+    """Encoded records by offset, starting at offset `first`."""
 
     texts: list[str] = field(default_factory=list)
     first: int = 1
@@ -53,7 +53,7 @@
 
 @dataclass
 class FakeEntry:
-    """An entry whose edges are the test."""
+    """An entry without edges: the test handles its messages."""
 
     name: str
     log: FakeLog
@@ -96,7 +96,7 @@
             self.pings.append(message)
 
     def answer_reads(self) -> None:
-        """Answer all reads that have something to say, or need not wait."""
+        """Answer all reads that have records to return or do not wait."""
         reads, self.reads = self.reads, []
         for row in reads:
             if row.wait_ms and row.after >= self.log.head:
@@ -106,7 +106,7 @@
         self.tick()
 
     def answer_appends(self, *, lost: bool = False) -> None:
-        """Let all appends take effect; `lost` loses the answers."""
+        """Apply all appends; if `lost`, report them as timed out."""
         appends, self.appends = self.appends, []
         for row in appends:
             self.log.append(row.records)
@@ -116,7 +116,7 @@
         self.tick()
 
     def answer_appends_with(self, append: Callable[[tuple[Record, ...]], None]) -> None:
-        """Let all appends take effect by a function of the test."""
+        """Apply all appends through a function of the test, and confirm them."""
         appends, self.appends = self.appends, []
         for row in appends:
             append(row.records)
@@ -125,7 +125,7 @@
         self.tick()
 
     def settle(self, rounds: int = 200) -> None:
-        """Exchange with the log until nothing moves."""
+        """Exchange messages with the log until there are none left."""
         for _ in range(rounds):
             self.tick()
             self.answer_appends()
@@ -136,7 +136,7 @@
                 return
             if not self.reads and self.world.log_view.reads:
                 self.clock.advance(50)
-        raise AssertionError("does not settle")
+        raise AssertionError("the entry does not settle")
 
     def request_change(self, exchange_id: str, body: Body) -> None:
         self.tick(Propose(exchange_id, "ilze", body))
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -9,7 +9,7 @@
 
 POLL_MS = 2_000
 LATE_MS = 1_000
-IN_FORCE_MS = 5_000
+MAX_APPLY_DELAY_MS = 5_000
 
 
 @pytest.fixture
@@ -29,7 +29,7 @@
     return entry
 
 
-def test_waiting_read_is_cut_short_for_a_barrier(
+def test_long_poll_is_not_waited_for_when_a_barrier_is_requested(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     clock.advance(1_500)
@@ -45,7 +45,7 @@
     assert [row.wait_ms for row in entry.reads] == [POLL_MS]
 
 
-def test_read_sent_before_the_barrier_does_not_meet_it(
+def test_read_sent_before_the_barrier_does_not_satisfy_it(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     waiting = entry.reads.pop()
@@ -57,7 +57,7 @@
     assert entry.world.log_view.barrier_ms < 0
 
 
-def test_silent_read_gives_way_to_a_new_connection_in_time(
+def test_unresponsive_read_is_hedged_on_a_new_connection_in_time(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     other = FakeEntry("entry-1", log, clock, 9)
@@ -74,10 +74,10 @@
         if hedges:
             assert hedges[0].wait_ms == 0
             entry.tick(log.read(hedges[0]))
-    assert clock.now_ms() - accepted_ms <= POLL_MS + LATE_MS < IN_FORCE_MS
+    assert clock.now_ms() - accepted_ms <= POLL_MS + LATE_MS < MAX_APPLY_DELAY_MS
 
 
-def test_two_silent_reads_in_a_row_stay_within_the_bound(
+def test_two_unresponsive_reads_in_a_row_stay_within_the_limit(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     start_ms = clock.now_ms()
@@ -87,10 +87,10 @@
         entry.reads.clear()
         entry.tick()
         sent.extend(entry.reads)
-    assert clock.now_ms() - start_ms <= POLL_MS + 2 * LATE_MS < IN_FORCE_MS
+    assert clock.now_ms() - start_ms <= POLL_MS + 2 * LATE_MS < MAX_APPLY_DELAY_MS
 
 
-def test_silent_read_does_not_make_the_process_read_without_pause(
+def test_unresponsive_read_does_not_cause_continuous_reads(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.reads.clear()
@@ -103,7 +103,7 @@
     assert len(entry.reads) == 1
 
 
-def test_reads_under_way_are_bounded_in_an_outage(
+def test_pending_reads_are_bounded_in_an_outage(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     for _ in range(100):
@@ -129,7 +129,7 @@
     assert entry.replies["w"].status == 200
 
 
-def test_failed_reads_are_tried_again_after_a_pause(
+def test_failed_reads_are_retried_after_a_delay(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     row = entry.reads.pop()
@@ -140,7 +140,9 @@
     assert len(entry.reads) == 1
 
 
-def test_processes_come_back_to_the_log_apart(log: FakeLog, clock: ManualClock) -> None:
+def test_processes_return_to_the_log_at_different_times(
+    log: FakeLog, clock: ManualClock
+) -> None:
     pauses = []
     for seed in range(20):
         entry = FakeEntry(f"entry-{seed}", log, clock, seed)
@@ -154,7 +156,7 @@
     assert len({pause for pause in pauses if pause > 800}) > 10
 
 
-def test_process_that_cannot_show_freshness_places_nothing(
+def test_process_without_a_fresh_view_places_nothing(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("t", TeamPut("design", (), 0, ANY_OFFSET))
@@ -171,7 +173,7 @@
     assert entry.world.log_view.barrier_ms >= 0
 
 
-def test_idle_process_follows_the_log_all_the_time(
+def test_idle_process_always_counts_as_following(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     for _ in range(100):
@@ -185,7 +187,7 @@
         assert is_following(entry.world, clock.now_ms())
 
 
-def test_process_without_answers_does_not_follow(
+def test_process_without_answers_does_not_count_as_following(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     clock.advance(POLL_MS + 1_600)
--- a/kingcuppost/systems/agreement/tests/test_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_lease.py
@@ -8,7 +8,7 @@
 from kingcuppost.utils.clock import ManualClock
 
 LOST_MS = 3_000
-LONGEST_MS = 4_500
+MAX_LOST_MS = 4_500
 STEP_MS = 250
 
 
@@ -34,7 +34,7 @@
 
 
 def answer_pings(asker: FakeEntry, holder: FakeEntry) -> None:
-    """Carry the asker's questions to the holder and its answers back."""
+    """Deliver the asker's pings to the holder, and its answers to the asker."""
     pings, asker.pings = asker.pings, []
     for row in pings:
         holder.tick(HolderAsked("ask", asker.name))
@@ -47,7 +47,7 @@
 
 
 def advance(entry: FakeEntry, clock: ManualClock, step_ms: int = STEP_MS) -> None:
-    """Let time pass while an entry follows the log."""
+    """Advance the clock by one step while an entry follows the log."""
     clock.advance(step_ms)
     entry.tick()
     entry.answer_appends()
@@ -65,26 +65,28 @@
     assert is_scheduler(holder.world)
 
 
-def test_silent_holder_loses_the_lease_in_bounded_time(pair, clock) -> None:
+def test_unresponsive_holder_loses_the_lease_in_bounded_time(pair, clock) -> None:
     holder, other = pair
     start_ms = clock.now_ms()
     while not is_scheduler(other.world):
         advance(other, clock)
-        assert clock.now_ms() - start_ms <= LONGEST_MS + 2 * STEP_MS
+        assert clock.now_ms() - start_ms <= MAX_LOST_MS + 2 * STEP_MS
     assert clock.now_ms() - start_ms >= LOST_MS
 
 
-def test_holder_cut_from_the_log_loses_the_lease_though_it_answers(pair, clock) -> None:
+def test_holder_cut_off_from_the_log_loses_the_lease_though_it_answers(
+    pair, clock
+) -> None:
     holder, other = pair
     start_ms = clock.now_ms()
     while not is_scheduler(other.world):
         advance(other, clock)
         holder.tick()
         answer_pings(other, holder)
-        assert clock.now_ms() - start_ms <= 3 * LONGEST_MS
+        assert clock.now_ms() - start_ms <= 3 * MAX_LOST_MS
 
 
-def test_lease_stays_while_nobody_follows_a_slow_log(pair, clock, log) -> None:
+def test_lease_is_kept_while_no_process_follows_the_log(pair, clock, log) -> None:
     holder, other = pair
     head = log.head
     for _ in range(80):
@@ -97,31 +99,31 @@
     assert log.head == head
 
 
-def test_rival_claims_open_one_term(log, clock) -> None:
+def test_concurrent_claims_open_one_term(log, clock) -> None:
     holder = FakeEntry("entry-0", log, clock, 1)
     holder.settle()
-    rivals = [FakeEntry(f"entry-{i}", log, clock, i + 1) for i in (1, 2)]
-    for rival in rivals:
-        rival.settle()
+    claimants = [FakeEntry(f"entry-{i}", log, clock, i + 1) for i in (1, 2)]
+    for claimant in claimants:
+        claimant.settle()
     base = holder.world.agreed.lease.term
     for _ in range(24):
         clock.advance(STEP_MS)
-        for rival in rivals:
-            rival.tick()
-    for rival in rivals:
-        rival.answer_appends()
-    for rival in rivals:
-        rival.settle()
+        for claimant in claimants:
+            claimant.tick()
+    for claimant in claimants:
+        claimant.answer_appends()
+    for claimant in claimants:
+        claimant.settle()
     records = [record_of(text) for text in log.texts]
     claims = {row.record_id for row in records if row.body.kind == "lease_claim"}
     assert len(claims) == 3
-    leases = [rival.world.agreed.lease for rival in rivals]
+    leases = [claimant.world.agreed.lease for claimant in claimants]
     assert leases[0] == leases[1]
     assert leases[0].term > base
-    assert sum(is_scheduler(rival.world) for rival in rivals) == 1
+    assert sum(is_scheduler(claimant.world) for claimant in claimants) == 1
 
 
-def test_paused_holder_wakes_and_its_old_term_does_nothing(pair, clock, log) -> None:
+def test_paused_holder_resumes_without_effect_in_its_old_term(pair, clock, log) -> None:
     holder, other = pair
     while not is_scheduler(other.world):
         advance(other, clock)
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -1,4 +1,4 @@
-"""Model check: entries over one log, against a plain fold of its whole history."""
+"""Model-based test: entries on one log against a fold of its whole history."""
 
 import random
 from dataclasses import dataclass, field
@@ -43,7 +43,7 @@
 
 @dataclass
 class Reference:
-    """A fold of every record that was ever in the log."""
+    """Reference model: a fold of all records that were ever in the log."""
 
     agreed: Agreed = field(default_factory=Agreed)
     offset: int = 0
@@ -91,7 +91,7 @@
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Interleaves wishes, losses, repeats, terms, snapshots, retention, restarts."""
+    """Interleave changes, lost and repeated appends, terms, snapshots and restarts."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -132,7 +132,7 @@
 
     def _request_change(self, number: int, body: object) -> None:
         self.request_count += 1
-        exchange_id = f"wish-{self.request_count}"
+        exchange_id = f"request-{self.request_count}"
         entry = self.entries[number]
         entry.request_change(exchange_id, body)
         for row in entry.world.proposals:
@@ -244,7 +244,7 @@
             self.folded[number] = offset
 
     @invariant()
-    def settings_never_go_back(self) -> None:
+    def settings_never_regress(self) -> None:
         for row in self.reference.agreed.settings:
             assert row.offset >= self.settings.get(row.setting_id, 0)
             self.settings[row.setting_id] = row.offset
@@ -253,7 +253,7 @@
         }
 
     @invariant()
-    def answers_are_true(self) -> None:
+    def answers_match_the_log(self) -> None:
         for entry in self.entries:
             for exchange_id, reply in entry.replies.items():
                 record_id = self.records.get(exchange_id)
--- a/kingcuppost/systems/agreement/tests/test_propose.py
+++ b/kingcuppost/systems/agreement/tests/test_propose.py
@@ -43,7 +43,7 @@
     return reply.status, str(reply.body.outcome)
 
 
-def test_repeat_in_one_read_does_not_turn_accepted_into_refused(
+def test_repeat_in_one_read_does_not_turn_accepted_into_rejected(
     entry: FakeEntry, log: FakeLog
 ) -> None:
     entry.request_change("w", team("design"))
@@ -54,7 +54,7 @@
     assert entry.replies["w"].status == 200
 
 
-def test_answer_lost_after_effect_is_learned_from_the_log(
+def test_result_of_an_append_whose_answer_was_lost_is_read_from_the_log(
     entry: FakeEntry, log: FakeLog
 ) -> None:
     entry.request_change("w", team("design"))
@@ -65,7 +65,7 @@
     assert log.kinds().count("team_put") == 1
 
 
-def test_not_run_is_said_only_if_nothing_was_sent(
+def test_not_run_is_answered_only_if_nothing_was_sent(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("w", team("design"))
@@ -78,7 +78,7 @@
     assert "team_put" not in log.kinds()
 
 
-def test_unknown_is_said_if_it_may_be_in_the_log(
+def test_unknown_is_answered_if_the_record_may_be_in_the_log(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("w", team("design"))
@@ -89,11 +89,11 @@
     assert "design" in entry.replies["w"].body.reason
 
 
-def test_record_given_up_is_not_sent_again_and_a_late_copy_still_counts(
+def test_abandoned_record_is_not_sent_again_and_a_late_copy_takes_effect(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("w", team("design"))
-    held = entry.appends.pop(0)
+    delayed = entry.appends.pop(0)
     clock.advance(5_000)
     entry.tick()
     assert outcome(entry, "w") == (504, "unknown")
@@ -101,23 +101,23 @@
     clock.advance(60_000)
     entry.tick()
     assert len(entry.appends) == sent
-    log.append(held.records)
+    log.append(delayed.records)
     entry.answer_reads()
     entry.settle()
     assert "design" in entry.world.agreed.teams
 
 
-def test_second_try_after_unknown_cannot_take_effect_twice(
+def test_retry_after_unknown_cannot_take_effect_twice(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("w", SettingPut("", FRESH, 700, ANY_OFFSET))
-    held = entry.appends.pop(0)
+    delayed = entry.appends.pop(0)
     clock.advance(5_000)
     entry.tick()
     entry.appends.clear()
     entry.request_change("again", SettingPut("", FRESH, 800, ANY_OFFSET))
     entry.answer_appends()
-    log.append(held.records)
+    log.append(delayed.records)
     entry.answer_reads()
     entry.settle()
     assert entry.replies["again"].status == 200
@@ -125,7 +125,7 @@
     assert row.value == 800
 
 
-def test_queue_beyond_its_limit_is_refused_as_not_run(
+def test_change_beyond_the_queue_limit_is_refused_as_not_run(
     entry: FakeEntry, log: FakeLog
 ) -> None:
     entry.request_change("limit", SettingPut("", "log.queue_limit", 5, ANY_OFFSET))
@@ -138,7 +138,7 @@
     assert [entry.replies[f"w{i}"].status for i in range(5)] == [200] * 5
 
 
-def test_records_are_grouped_and_a_slow_log_takes_several_appends(
+def test_records_are_grouped_and_a_slow_log_gets_several_appends(
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     for number in range(10):
@@ -153,7 +153,7 @@
     assert [len(row.records) for row in entry.appends] == [1, 9, 1]
 
 
-def test_log_slow_by_seconds_still_takes_every_change(
+def test_log_slow_by_seconds_still_accepts_every_change(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     delay_ms, step_ms = 3_000, 100
@@ -183,7 +183,7 @@
     assert sorted(seen) == list(sorted(seen))
 
 
-def test_silent_append_is_sent_again_on_a_new_connection(
+def test_unanswered_append_is_sent_again_on_a_new_connection(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     entry.request_change("w", team("design"))
@@ -221,7 +221,7 @@
     assert outcome(entry, "w") == (503, "not_run")
 
 
-def test_change_that_was_perhaps_forgotten_is_answered_unknown(
+def test_change_that_may_be_a_repeat_is_answered_unknown(
     entry: FakeEntry, log: FakeLog, clock: ManualClock, monkeypatch
 ) -> None:
     monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -42,7 +42,7 @@
     return entry
 
 
-def set_many(entry: FakeEntry, count: int) -> None:
+def change_settings(entry: FakeEntry, count: int) -> None:
     for number in range(count):
         entry.request_change(
             f"x{number}", SettingPut("", "log.fresh_ms", 500, ANY_OFFSET)
@@ -72,7 +72,7 @@
     entry.request_change("a", SettingPut("", "snapshot.records", 10, ANY_OFFSET))
     entry.settle()
     assert not snapshot_offsets(log)
-    set_many(entry, 10)
+    change_settings(entry, 10)
     assert snapshot_offsets(log)
     written = len(snapshot_offsets(log))
     clock.advance(HOUR_MS)
@@ -90,7 +90,7 @@
     assert len(snapshot_offsets(log)) == 3
 
 
-def test_restart_of_the_holder_does_not_put_the_next_snapshot_off(
+def test_restart_of_the_holder_does_not_delay_the_next_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
@@ -98,14 +98,14 @@
     entry.settle()
     log.expire(snapshot_offsets(log)[0] - 1)
     clock.advance(HOUR_MS // 2)
-    again = start_entry(log, clock, seed=9)
+    restarted = start_entry(log, clock, seed=9)
     written = len(snapshot_offsets(log))
     clock.advance(HOUR_MS // 2)
-    again.settle()
+    restarted.settle()
     assert len(snapshot_offsets(log)) > written
 
 
-def test_only_the_holder_writes(log: FakeLog, clock: ManualClock) -> None:
+def test_only_the_holder_writes_snapshots(log: FakeLog, clock: ManualClock) -> None:
     start_entry(log, clock)
     other = start_entry(log, clock, "entry-1", 2)
     clock.advance(HOUR_MS)
@@ -115,7 +115,7 @@
     assert not other.world.snapshots.pending
 
 
-def test_new_process_starts_from_the_newest_whole_snapshot_and_the_tail(
+def test_new_process_loads_the_newest_complete_snapshot_and_later_records(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
@@ -123,79 +123,81 @@
     entry.settle()
     clock.advance(HOUR_MS)
     entry.settle()
-    set_many(entry, 3)
+    change_settings(entry, 3)
     log.expire(snapshot_offsets(log)[0] - 1)
-    late = FakeEntry("entry-1", log, clock, 3)
-    late.tick()
+    newcomer = FakeEntry("entry-1", log, clock, 3)
+    newcomer.tick()
     for _ in range(6):
-        late.answer_reads()
-    assert late.world.log_view.caught_up
-    assert late.world.log_view.folded_offset == log.head
-    assert rows_of(late.world.agreed) == rows_of(entry.world.agreed)
+        newcomer.answer_reads()
+    assert newcomer.world.log_view.caught_up
+    assert newcomer.world.log_view.folded_offset == log.head
+    assert rows_of(newcomer.world.agreed) == rows_of(entry.world.agreed)
 
 
-def test_expired_reader_serves_nothing_until_it_has_a_snapshot(
+def test_reader_at_an_expired_offset_serves_nothing_until_it_has_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
-    stale = start_entry(log, clock, "entry-1", 3)
+    lagging = start_entry(log, clock, "entry-1", 3)
     entry.settle()
-    set_many(entry, 5)
+    change_settings(entry, 5)
     log.expire(log.head - 2)
-    stale.answer_reads()
-    assert not stale.world.log_view.caught_up
-    stale.request_change("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
-    assert stale.replies["w"].status == 503
-    stale.answer_reads()
-    assert stale.world.log_view.folded_offset < log.first - 1
+    lagging.answer_reads()
+    assert not lagging.world.log_view.caught_up
+    lagging.request_change("w", SettingPut("", "log.fresh_ms", 700, ANY_OFFSET))
+    assert lagging.replies["w"].status == 503
+    lagging.answer_reads()
+    assert lagging.world.log_view.folded_offset < log.first - 1
     clock.advance(HOUR_MS)
     entry.settle()
     for _ in range(20):
         clock.advance(1_000)
-        stale.tick()
-        stale.answer_reads()
-    assert stale.world.log_view.caught_up
-    assert rows_of(stale.world.agreed) == rows_of(entry.world.agreed)
+        lagging.tick()
+        lagging.answer_reads()
+    assert lagging.world.log_view.caught_up
+    assert rows_of(lagging.world.agreed) == rows_of(entry.world.agreed)
 
 
-def test_torn_snapshot_is_passed_over(log: FakeLog, clock: ManualClock) -> None:
+def test_incomplete_snapshot_is_skipped(log: FakeLog, clock: ManualClock) -> None:
     entry = start_entry(log, clock)
     clock.advance(HOUR_MS)
     entry.settle()
-    set_many(entry, 2)
-    whole = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
-    part = whole.body
-    torn = type(part)("snap-torn", log.head, 0, 2, AgreedSlice(lease=part.rows.lease))
-    log.append((Record("rec-torn", "entry-9", 0, torn),))
+    change_settings(entry, 2)
+    complete = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
+    part = complete.body
+    incomplete = type(part)(
+        "snap-incomplete", log.head, 0, 2, AgreedSlice(lease=part.rows.lease)
+    )
+    log.append((Record("rec-incomplete", "entry-9", 0, incomplete),))
     entry.settle()
     log.expire(snapshot_offsets(log)[0] - 1)
-    late = FakeEntry("entry-1", log, clock, 3)
-    late.tick()
+    newcomer = FakeEntry("entry-1", log, clock, 3)
+    newcomer.tick()
     for _ in range(6):
-        late.answer_reads()
-    assert late.world.log_view.caught_up
-    assert rows_of(late.world.agreed) == rows_of(entry.world.agreed)
+        newcomer.answer_reads()
+    assert newcomer.world.log_view.caught_up
+    assert rows_of(newcomer.world.agreed) == rows_of(entry.world.agreed)
 
 
-def test_snapshot_whose_tail_has_expired_is_not_used(
+def test_snapshot_whose_later_records_have_expired_is_not_used(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
     clock.advance(HOUR_MS)
     entry.settle()
     part = log.texts[snapshot_offsets(log)[-1] - log.first]
-    set_many(entry, 3)
+    change_settings(entry, 3)
     log.expire(log.head)
     log.texts.append(part)
-    late = FakeEntry("entry-1", log, clock, 3)
-    late.tick()
+    newcomer = FakeEntry("entry-1", log, clock, 3)
+    newcomer.tick()
     for _ in range(6):
-        late.answer_reads()
-    assert not late.world.log_view.caught_up
-    assert late.world.log_view.folded_offset == 0
+        newcomer.answer_reads()
+    assert not newcomer.world.log_view.caught_up
+    assert newcomer.world.log_view.folded_offset == 0
 
 
-def test_large_snapshot_goes_in_bounded_parts_and_appends(
+def test_large_snapshot_is_written_in_bounded_parts_and_appends(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
@@ -218,26 +220,26 @@
     assert max(len(text) for text in texts) < 64_000
 
 
-def test_proposer_learns_its_verdict_from_a_snapshot(
+def test_proposer_gets_its_result_from_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
-    stale = start_entry(log, clock, "entry-1", 3)
-    stale.request_change("w", TeamPut("design", (), 0, ANY_OFFSET))
-    stale.answer_appends(lost=True)
+    lagging = start_entry(log, clock, "entry-1", 3)
+    lagging.request_change("w", TeamPut("design", (), 0, ANY_OFFSET))
+    lagging.answer_appends(lost=True)
     entry.settle()
     clock.advance(HOUR_MS)
     entry.settle()
     log.expire(snapshot_offsets(log)[0] - 1)
-    stale.world.proposals.update(
-        next(iter(stale.world.proposals)).record_id, give_up_ms=0
+    lagging.world.proposals.update(
+        next(iter(lagging.world.proposals)).record_id, give_up_ms=0
     )
     for _ in range(6):
-        stale.answer_reads()
-    assert stale.replies["w"].status == 200
+        lagging.answer_reads()
+    assert lagging.replies["w"].status == 200
 
 
-def test_records_survive_the_encoding_of_a_snapshot(
+def test_snapshot_record_survives_encoding_and_decoding(
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = start_entry(log, clock)
--- a/kingcuppost/systems/events.py
+++ b/kingcuppost/systems/events.py
@@ -1,4 +1,4 @@
-"""Writing events for the time line."""
+"""Write events to the time line."""
 
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.world import World
@@ -7,7 +7,7 @@
 
 
 def answer_id(attempt_id: str) -> str:
-    """Return the identifier of the answer to an attempt, for the time line.
+    """Return the identifier by which events refer to the answer to an attempt.
 
     Examples
     --------
@@ -31,23 +31,24 @@
     sends: str = "",
     receives: str = "",
 ) -> None:
-    """Add an event to the process's part of the time line.
+    """Add an event to this process's time line, and count it.
 
     Parameters
     ----------
     world : World
         Tables of the process.
     step : str
-        What was being done, such as ``"gang.release"``; the part before the dot
-        is the prefix of the log line.
+        Step that the process took, such as ``"gang.release"``; the part before the
+        dot is the prefix of the log line.
     text : str
-        A short sentence.
+        Description in one short sentence.
     peer, request, job, team, availability_zone : str
-        What it concerns.
+        Subjects of the event; empty where none applies.
     offset : int
-        Log offset concerned; the folded offset if 0.
+        Log offset that the event concerns; the folded offset if 0.
     sends, receives : str
-        Message or record that leaves with the event, or that it follows from.
+        Identifiers of the message or record that the event sends, and of the one
+        that caused it.
     """
     world.event_count += 1
     world.tally.add("events", step)
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -1,4 +1,4 @@
-"""The fold of the log: what each record requires and does."""
+"""The fold of the log: the preconditions and effects of each kind of record."""
 
 from kingcuppost.systems.fold import fleet, jobs, keys, teams
 from kingcuppost.systems.fold.registry import (
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -10,13 +10,13 @@
 
 @checkers.register(EntryAnnounce)
 def check_entry(agreed: Agreed, body: EntryAnnounce) -> Fault | None:
-    """Accept every announcement; the newest process of a name counts."""
+    """Accept every announcement; the newest process with a name replaces the others."""
     return None
 
 
 @appliers.register(EntryAnnounce)
 def apply_entry(agreed: Agreed, body: EntryAnnounce, item: FoldInput) -> None:
-    """Set the entry's row."""
+    """Create or replace the entry's row."""
     agreed.entries.put(
         Entry(
             body.name,
@@ -34,7 +34,7 @@
 
 @checkers.register(MinionAnnounce)
 def check_minion(agreed: Agreed, body: MinionAnnounce) -> Fault | None:
-    """Refuse a worker that another minion already acts for."""
+    """Reject a worker that belongs to another minion."""
     worker = agreed.workers.get(body.worker)
     if worker is not None and worker.minion != body.name:
         return Fault(f"worker {body.worker} belongs to minion {worker.minion}")
@@ -43,7 +43,7 @@
 
 @appliers.register(MinionAnnounce)
 def apply_minion(agreed: Agreed, body: MinionAnnounce, item: FoldInput) -> None:
-    """Set the rows of the minion and of its worker."""
+    """Create or replace the rows of the minion and of its worker."""
     agreed.minions.put(
         Minion(
             body.name,
@@ -75,12 +75,12 @@
 
 @checkers.register(MemberLeave)
 def check_leave(agreed: Agreed, body: MemberLeave) -> Fault | None:
-    """Refuse the leave of a process that a newer one has replaced."""
+    """Reject the leave notice of a process that a newer one has replaced."""
     for table in (agreed.minions, agreed.entries):
         row = table.get(body.name)
         if row is not None and row.incarnation == body.incarnation:
             return None
-    return Fault(f"{body.name} {body.incarnation} is not the announced process")
+    return Fault(f"{body.name} {body.incarnation} is not the announced incarnation")
 
 
 @appliers.register(MemberLeave)
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -31,7 +31,8 @@
     if term == agreed.lease.term:
         return None
     return Fault(
-        f"term {term} is over, term {agreed.lease.term} holds", is_conflict=True
+        f"term {term} is over; the current term is {agreed.lease.term}",
+        is_conflict=True,
     )
 
 
@@ -45,10 +46,10 @@
 
 
 def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Fault | None:
-    """Return why the scheduler may not refuse or park a job."""
+    """Check that a job is waiting and that the term is current."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Fault(f"job {name} does not wait", is_conflict=True)
+        return Fault(f"job {name} is not waiting", is_conflict=True)
     return _check_term(agreed, term)
 
 
@@ -60,31 +61,31 @@
 
 @checkers.register(LeaseClaim)
 def check_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
-    """Refuse a claim that is not based on the present term."""
+    """Reject a claim that is not based on the current term."""
     return _check_term(agreed, body.base_term)
 
 
 @appliers.register(LeaseClaim)
 def apply_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
-    """Open a new term, named by the offset of its claim."""
+    """Open a new term; its number is the offset of the claim."""
     agreed.lease = SchedulingLease(item.offset, body.holder, body.incarnation)
 
 
 @checkers.register(JobSubmit)
 def check_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
-    """Refuse unknown teams, taken names and impossible numbers."""
+    """Reject unknown teams, names in use and invalid sizes."""
     if body.team not in agreed.teams:
         return Fault(f"there is no team {body.team!r}", is_not_found=True)
     if body.job in agreed.jobs:
         return Fault(f"there is already a job {body.job!r}", is_conflict=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
-        return Fault("a gang has at least one member and no negative needs")
+        return Fault("a gang needs at least one member, and no demand may be negative")
     return None
 
 
 @appliers.register(JobSubmit)
 def apply_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
-    """Create the job, waiting."""
+    """Create the job in the waiting state."""
     agreed.jobs.put(
         Job(
             body.job,
@@ -106,13 +107,13 @@
 
 @checkers.register(JobCancel)
 def check_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
-    """Refuse to cancel a job that has ended."""
+    """Reject the cancellation of a job that has ended."""
     return _check_open_job(agreed, body.job)
 
 
 @appliers.register(JobCancel)
 def apply_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
-    """End the job; its gangs stop."""
+    """End the job as cancelled, and stop its gangs."""
     _end_job(agreed, body.job, JobState.CANCELLED, body.reason, item)
     for gang in agreed.gangs.find("job", body.job):
         agreed.gangs.update(gang.key, state=GangState.STOPPING, reason="cancelled")
@@ -120,20 +121,20 @@
 
 @checkers.register(JobRefuse)
 def check_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
-    """Refuse records of an old term and of jobs that run or have ended."""
+    """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobRefuse)
 def apply_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
-    """End the job as refused, or as failed if it has run."""
+    """End the job as failed if the record says so, else as refused."""
     state = JobState.FAILED if body.failed else JobState.REFUSED
     _end_job(agreed, body.job, state, body.reason, item)
 
 
 @checkers.register(JobPark)
 def check_park(agreed: Agreed, body: JobPark) -> Fault | None:
-    """Refuse records of an old term and of jobs that do not wait."""
+    """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
@@ -146,12 +147,14 @@
 
 @checkers.register(GangPlace)
 def check_place(agreed: Agreed, body: GangPlace) -> Fault | None:
-    """Refuse old terms, wrong incarnations, unknown workers and zones out."""
+    """Reject old terms, wrong incarnations, and workers unknown or out of service."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Fault(f"job {body.job} does not wait", is_conflict=True)
+        return Fault(f"job {body.job} is not waiting", is_conflict=True)
     if body.incarnation != job.incarnation + 1:
-        return Fault(f"gang {body.incarnation} is not the next", is_conflict=True)
+        return Fault(
+            f"gang {body.incarnation} is not the next incarnation", is_conflict=True
+        )
     if len(body.placements) != job.members:
         return Fault(f"job {body.job} has {job.members} members")
     if fault := _check_term(agreed, body.term):
@@ -167,14 +170,15 @@
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
             return Fault(
-                f"availability zone {worker.availability_zone} is out", is_conflict=True
+                f"availability zone {worker.availability_zone} is out of service",
+                is_conflict=True,
             )
     return None
 
 
 @appliers.register(GangPlace)
 def apply_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
-    """Create the gang; its members are to be reserved."""
+    """Create the gang in the reserving state."""
     job = agreed.jobs.get(body.job)
     agreed.jobs.update(
         body.job, state=JobState.ACTIVE, incarnation=body.incarnation, reason=""
@@ -198,7 +202,7 @@
 
 @checkers.register(GangRelease)
 def check_release(agreed: Agreed, body: GangRelease) -> Fault | None:
-    """Refuse old terms, gangs that do not reserve, and zones that are out."""
+    """Reject old terms, gangs that are not reserving, and zones out of service."""
     if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
@@ -209,7 +213,7 @@
 
 @appliers.register(GangRelease)
 def apply_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
-    """Let all members start."""
+    """Release the gang, so that all members may start."""
     agreed.gangs.update(
         gang_key(body.job, body.incarnation),
         state=GangState.RELEASED,
@@ -219,18 +223,18 @@
 
 @checkers.register(GangStop)
 def check_stop(agreed: Agreed, body: GangStop) -> Fault | None:
-    """Refuse old terms and gangs that are gone or already stopping."""
+    """Reject old terms, and gangs that have ended or are already stopping."""
     if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Fault("the gang is gone or stops already", is_conflict=True)
+        return Fault("the gang has ended or is already stopping", is_conflict=True)
     return None
 
 
 @appliers.register(GangStop)
 def apply_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
-    """Stop all members; remember the worker that failed, if one did."""
+    """Stop all members; add the worker that failed, if any, to the job's row."""
     key = gang_key(body.job, body.incarnation)
     agreed.gangs.update(
         key, state=GangState.STOPPING, reason=body.reason, grace_ms=body.grace_ms
@@ -244,18 +248,18 @@
 
 @checkers.register(GangEnd)
 def check_end(agreed: Agreed, body: GangEnd) -> Fault | None:
-    """Refuse old terms and gangs that are gone or not stopping."""
+    """Reject old terms, and gangs that have ended or are not stopping."""
     if fault := _check_term(agreed, body.term):
         return fault
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Fault("the gang is gone or does not stop", is_conflict=True)
+        return Fault("the gang has ended or is not stopping", is_conflict=True)
     return None
 
 
 @appliers.register(GangEnd)
 def apply_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
-    """Free the gang's accelerators; an open job waits again."""
+    """Free the gang's accelerators; return an active job to the waiting state."""
     _end_gang(agreed, gang_key(body.job, body.incarnation))
     job = agreed.jobs.get(body.job)
     if job.state is JobState.ACTIVE:
@@ -264,7 +268,7 @@
 
 @checkers.register(GangFinish)
 def check_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
-    """Count only the first finish of a gang that was released."""
+    """Accept only the first finish, and only of a gang that was released."""
     if fault := _check_open_job(agreed, body.job):
         return fault
     if fault := _check_gang_exists(agreed, body.job, body.incarnation):
@@ -299,7 +303,10 @@
 
 
 def _end_gang(agreed: Agreed, key: str) -> None:
-    """Free the gang's accelerators, and keep its decision for a while."""
+    """Move the gang to the bounded table of ended gangs, which frees its accelerators.
+
+    That table keeps its decision for later explanation.
+    """
     agreed.ended_gangs.put(agreed.gangs.delete(key))
     while len(agreed.ended_gangs) > MAX_ENDED_GANGS:
         agreed.ended_gangs.delete(agreed.ended_gangs.first().key)
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -1,4 +1,4 @@
-"""Records about the keys of non-idempotent requests."""
+"""Records about the idempotency keys of non-idempotent requests."""
 
 from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
 from kingcuppost.tables.claims import ExplainedKey, KeyClaim
@@ -13,14 +13,14 @@
 
 @checkers.register(KeyClaimPut)
 def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Fault | None:
-    """Refuse all claims but the first, and keys that may have been forgotten.
+    """Reject all claims but the first, and keys whose claim may have been evicted.
 
-    A forgotten key was issued no later than `Floors.issued_ms`, so that only
-    a key issued after it is surely new. A key without an issue time counts as
-    issued at 0, and is refused once any key was forgotten.
+    An evicted key was issued no later than `Floors.key_issued_ms`, so that only
+    a key issued after that time is certain to be new. A key without an issue time
+    counts as issued at 0, and is rejected once any key was evicted.
     """
     if body.key in agreed.key_claims:
-        return Fault(f"key {body.key} is claimed", is_conflict=True)
+        return Fault(f"key {body.key} is already claimed", is_conflict=True)
     if body.issued_ms <= agreed.floors.key_issued_ms:
         return Fault(f"key {body.key} is too old to tell if it was used", stale=True)
     return None
@@ -28,7 +28,7 @@
 
 @appliers.register(KeyClaimPut)
 def apply_key_claim(agreed: Agreed, body: KeyClaimPut, item: FoldInput) -> None:
-    """Give the key to one attempt."""
+    """Claim the key for one attempt."""
     agreed.key_claims.put(
         KeyClaim(
             body.key,
@@ -54,7 +54,7 @@
 
 
 def _forget_decisions(agreed: Agreed, newest: str) -> None:
-    """Keep the decisions of the newest keys only; they outweigh the claims."""
+    """Keep only the newest keys' decisions, since they are larger than the claims."""
     agreed.explained_keys.delete(newest)
     agreed.explained_keys.put(ExplainedKey(newest))
     while len(agreed.explained_keys) > MAX_EXPLAINED_KEYS:
@@ -66,18 +66,20 @@
 
 @checkers.register(KeyOutcome)
 def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Fault | None:
-    """Refuse the outcome of an attempt that does not hold the key."""
+    """Reject the outcome of an attempt that does not hold the key."""
     claim = agreed.key_claims.get(body.key)
     if claim is None or claim.attempt_id != body.attempt_id:
         return Fault(f"key {body.key} is not held by {body.attempt_id}")
     if claim.outcome:
-        return Fault(f"the outcome of key {body.key} is known", is_conflict=True)
+        return Fault(
+            f"the outcome of key {body.key} is already known", is_conflict=True
+        )
     return None
 
 
 @appliers.register(KeyOutcome)
 def apply_key_outcome(agreed: Agreed, body: KeyOutcome, item: FoldInput) -> None:
-    """Note the outcome; a request that did not run frees its key."""
+    """Set the outcome, or release the key of a request that did not run."""
     if body.outcome == "not_run":
         agreed.key_claims.delete(body.key)
         return
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/registry.py
@@ -1,4 +1,4 @@
-"""Registries of what each kind of record requires and does."""
+"""Registries of the preconditions and effects of each kind of record."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,18 +14,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """Why a record has no effect.
+    """The reason why a record has no effect.
 
     Attributes
     ----------
     reason : str
         One sentence without a full stop.
     is_conflict : bool
-        True if another record came first; a new try may succeed.
+        Whether another record came first; a retry may succeed.
     is_not_found : bool
-        True if the record names something that does not exist.
+        Whether the record names something that does not exist.
     stale : bool
-        True if an earlier copy may have taken effect and been forgotten.
+        Whether an earlier copy may have taken effect whose identifier is no longer
+        remembered.
     """
 
     reason: str
@@ -41,7 +42,7 @@
     Attributes
     ----------
     offset : int
-        Its log offset.
+        Log offset of the record.
     record : Record
         The record.
     """
@@ -62,7 +63,7 @@
 def fault_of(agreed: Agreed, body: Any) -> Fault | None:
     """Return why a record body would have no effect now, or None.
 
-    The fold asks this in offset order; an entry asks it before it proposes.
+    The fold calls this in offset order; an entry calls it before it proposes.
     """
     return checkers[type(body)](agreed, body)
 
@@ -70,8 +71,9 @@
 def apply_record(agreed: Agreed, item: FoldInput) -> Fault | None:
     """Apply one record, or return why it has no effect.
 
-    A repeat of a record under the same identifier has none. A record whose author
-    had folded less than the fold still remembers may be a repeat, and has none.
+    A record is rejected if its identifier was already folded. It is also rejected
+    if its author had folded so little that the record may repeat one whose
+    identifier is no longer remembered.
     """
     if item.record.record_id in agreed.recent:
         return Fault("the record is a repeat")
--- a/kingcuppost/systems/fold/snapshot_slices.py
+++ b/kingcuppost/systems/fold/snapshot_slices.py
@@ -1,4 +1,4 @@
-"""The agreed tables as slices of bounded size, and back."""
+"""Convert the agreed tables to slices of bounded size, and back."""
 
 from collections.abc import Iterable, Iterator
 from copy import copy
@@ -19,7 +19,7 @@
 
 
 def slices_of(agreed: Agreed) -> list[AgreedSlice]:
-    """Return copies of all agreed rows in slices of bounded weight.
+    """Return copies of all agreed rows, in slices of bounded weight.
 
     Examples
     --------
@@ -54,7 +54,7 @@
 
 
 def _weight_of(row: Any) -> int:
-    """Return 1 for a plain row, more for placements and for a decision."""
+    """Return the weight of a row: 1, plus its placements and decision values."""
     weight = 1 + len(getattr(row, "placements", ()))
     decision = getattr(row, "decision", None)
     if decision is not None:
@@ -63,7 +63,7 @@
 
 
 def load_slices(agreed: Agreed, slices: Iterable[AgreedSlice]) -> None:
-    """Replace all agreed rows by those of a whole snapshot, in their order."""
+    """Replace all agreed rows by those of a complete snapshot, in the same order."""
     slices = list(slices)
     for name in TABLE_NAMES:
         table: Table[Any] = getattr(agreed, name)
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -21,29 +21,29 @@
     if row_offset == base_offset:
         return None
     return Fault(
-        f"{what} was changed at offset {row_offset}, not {base_offset}",
+        f"{what} was last changed at offset {row_offset}, not {base_offset}",
         is_conflict=True,
     )
 
 
 def _shape_error(shape: Shape) -> str:
     if not 1 <= shape.members <= MAX_MEMBERS:
-        return f"a shape has 1 to {MAX_MEMBERS} members, not {shape.members}"
+        return f"a shape must have 1 to {MAX_MEMBERS} members, not {shape.members}"
     if not 1 <= shape.accelerators <= MAX_ACCELERATORS_PER_MEMBER:
         return (
-            f"a member has 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
+            f"a member must have 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
             f"not {shape.accelerators}"
         )
     if shape.count < 1:
-        return f"a guarantee's count is at least 1, not {shape.count}"
+        return f"a guarantee's count must be at least 1, not {shape.count}"
     return ""
 
 
 @checkers.register(TeamPut)
 def check_team(agreed: Agreed, body: TeamPut) -> Fault | None:
-    """Refuse bad names and shapes, and changes based on an older row."""
+    """Reject invalid names and shapes, and changes based on an outdated row."""
     if not NAME_PATTERN.fullmatch(body.name):
-        return Fault(f"{body.name!r} is no name for a team")
+        return Fault(f"{body.name!r} is not a valid team name")
     for shape in body.guarantees:
         if reason := _shape_error(shape):
             return Fault(reason)
@@ -55,7 +55,7 @@
 
 @appliers.register(TeamPut)
 def apply_team(agreed: Agreed, body: TeamPut, item: FoldInput) -> None:
-    """Set the team's row."""
+    """Create or replace the team's row."""
     agreed.teams.put(
         Team(
             body.name,
@@ -69,13 +69,13 @@
 
 @checkers.register(ZonePut)
 def check_zone(agreed: Agreed, body: ZonePut) -> Fault | None:
-    """Refuse bad names, a change of region, and changes based on an older row."""
+    """Reject invalid names, changes of region, and changes based on an outdated row."""
     row = agreed.availability_zones.get(body.name)
     if row is None and not body.region:
         return Fault(f"there is no availability zone {body.name!r}", is_not_found=True)
     for name in (body.name, body.region):
         if not NAME_PATTERN.fullmatch(name):
-            return Fault(f"{name!r} is no name for a zone or region")
+            return Fault(f"{name!r} is not a valid name for a zone or region")
     if row is not None and row.region != body.region:
         return Fault(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
@@ -84,7 +84,7 @@
 
 @appliers.register(ZonePut)
 def apply_zone(agreed: Agreed, body: ZonePut, item: FoldInput) -> None:
-    """Set the zone's row."""
+    """Create or replace the zone's row."""
     agreed.availability_zones.put(
         AvailabilityZone(
             body.name, body.region, body.in_service, item.offset, item.record.author
@@ -94,7 +94,7 @@
 
 @checkers.register(SettingPut)
 def check_setting(agreed: Agreed, body: SettingPut) -> Fault | None:
-    """Refuse unknown keys and branches, wrong values, and lost races."""
+    """Reject unknown keys and branches, invalid values, and outdated base offsets."""
     key = KEYS.get(body.key)
     if key is None:
         return Fault(f"there is no setting {body.key!r}", is_not_found=True)
@@ -109,7 +109,7 @@
 
 @appliers.register(SettingPut)
 def apply_setting(agreed: Agreed, body: SettingPut, item: FoldInput) -> None:
-    """Set the key on its branch; the row of an unset key keeps its offset."""
+    """Set the key on its branch; an unset key keeps a row with its offset."""
     agreed.settings.put(
         Setting(
             setting_id(body.path, body.key),
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -30,7 +30,7 @@
 
 
 class RecordFolder:
-    """Folds bodies at rising offsets."""
+    """Fold record bodies at increasing offsets."""
 
     def __init__(self) -> None:
         self.agreed = Agreed()
@@ -64,7 +64,7 @@
     return KeyClaimPut(key, f"att-{key}", "minion-0", "inc-0", issued_ms)
 
 
-def test_ended_jobs_are_bounded_and_the_oldest_go(folder, monkeypatch) -> None:
+def test_ended_jobs_are_bounded_and_the_oldest_are_evicted(folder, monkeypatch) -> None:
     monkeypatch.setattr(jobs, "MAX_ENDED_JOBS", 3)
     for name in "abcde":
         assert folder.fold(submit(name)) is None
@@ -96,7 +96,7 @@
     assert folder.agreed.jobs.get("c").state is JobState.CANCELLED
 
 
-def test_forgotten_key_is_refused_not_run_again(folder, monkeypatch) -> None:
+def test_evicted_key_is_rejected_and_not_run_again(folder, monkeypatch) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
     for number, key in enumerate("abc"):
         assert folder.fold(claim(key, 100 + number)) is None
@@ -107,7 +107,7 @@
     assert folder.fold(claim("d", 200)) is None
 
 
-def test_key_without_issue_time_is_refused_once_keys_were_forgotten(
+def test_key_without_issue_time_is_rejected_once_keys_were_evicted(
     folder, monkeypatch
 ) -> None:
     monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
@@ -118,13 +118,15 @@
     assert folder.fold(claim("new", 1)) is None
 
 
-def test_key_freed_by_not_run_may_be_claimed_again(folder) -> None:
+def test_key_released_by_not_run_may_be_claimed_again(folder) -> None:
     folder.fold(claim("a", 5))
     assert folder.fold(KeyOutcome("a", "att-a", "not_run")) is None
     assert folder.fold(claim("a", 5)) is None
 
 
-def test_repeat_beyond_memory_is_refused_and_called_stale(folder, monkeypatch) -> None:
+def test_repeat_of_an_evicted_record_is_rejected_as_possible_repeat(
+    folder, monkeypatch
+) -> None:
     monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     assert folder.fold(submit("a"), "rec-a", seen) is None
@@ -134,7 +136,7 @@
     assert fault.stale
 
 
-def test_record_made_before_the_memory_begins_is_refused(folder, monkeypatch) -> None:
+def test_record_older_than_the_recent_records_is_rejected(folder, monkeypatch) -> None:
     monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     for number in range(8):
@@ -161,11 +163,11 @@
     assert kept == ["b", "c"]
 
 
-def test_fold_of_a_record_walks_no_table(folder, monkeypatch) -> None:
-    def walk(table: Table) -> None:
-        raise AssertionError("a fold walks a whole table")
+def test_fold_of_a_record_scans_no_table(folder, monkeypatch) -> None:
+    def scan(table: Table) -> None:
+        raise AssertionError("a fold scans a whole table")
 
-    monkeypatch.setattr(Table, "__iter__", walk)
+    monkeypatch.setattr(Table, "__iter__", scan)
     bodies = [
         ZonePut("vid-a", "vidzeme", True, 0),
         SettingPut("teams/design", "log.fresh_ms", 500, 0),
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/leases.py
@@ -1,4 +1,4 @@
-"""Bounds that members of gangs are held to, from the settings."""
+"""Leases, periods and time limits for members of gangs, from the settings."""
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.tables.job import Gang
@@ -21,23 +21,23 @@
 
 
 def lease_ms(world: World, gang: Gang) -> int:
-    """Return how long members may run after the gang was last whole, in ms."""
+    """Return how long members may run after all were last confirmed, in ms."""
     return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
 
 
 def confirm_ms(world: World, gang: Gang) -> int:
-    """Return how long one confirmation by the leader lasts, in ms.
+    """Return how long one confirmation by the leader is valid, in ms.
 
-    The leader hears a member for the last time up to this long before it calls
-    the gang broken, and its last confirmation lasts this long: together the lease.
+    The leader declares the gang broken up to this long after a member's last report,
+    and its last confirmation is valid for this long: together they are the lease.
     """
     return lease_ms(world, gang) // CONFIRMATIONS_PER_LEASE
 
 
 def grace_ms(world: World, gang: Gang | None) -> int:
-    """Return the time that members get for a checkpoint before they are stopped.
+    """Return the time for a checkpoint before members are stopped, in ms.
 
-    The stop's own time counts if it names one, else the setting of the team.
+    The time in the stop record takes precedence over the team's setting.
     """
     if gang is None:
         return effective_value(world.agreed, "job.checkpoint_grace_ms")
@@ -48,11 +48,12 @@
 
 
 def reservation_ms(world: World) -> int:
-    """Return how long the worker holds a reservation without a renewal, in ms.
+    """Return how long the worker keeps a reservation without a renewal, in ms.
 
-    A start order that is late in flight takes effect only while the reservation
-    holds. So a start follows the view that it rests on by no more than the age of
-    that view and this time, which together stay below `MAX_START_DELAY_MS`.
+    A start order that is delayed in flight takes effect only while the reservation
+    is valid. A start is therefore later than the view of the log that it is based
+    on by at most the age of that view plus this time; together they stay below
+    `MAX_START_DELAY_MS`.
     """
     wanted_ms = effective_value(world.agreed, "job.reservation_ms")
     fresh_ms = effective_value(world.agreed, "log.fresh_ms")
@@ -62,8 +63,8 @@
 def beat_period_ms(world: World) -> int:
     """Return the period of a sidecar's heartbeats, in ms.
 
-    It stretches with the number of sidecars that one entry is home to, so that
-    the heartbeats that an entry hears in a second are bounded.
+    It grows with the number of sidecars per entry, so that an entry receives a
+    bounded number of heartbeats per second.
     """
     period_ms = effective_value(world.agreed, "heartbeat.period_ms")
     gap_ms = effective_value(world.agreed, "heartbeat.gap_ms")
@@ -72,10 +73,10 @@
 
 
 def full_period_ms(world: World) -> int:
-    """Return the period in which a sidecar reports all members anew, in ms.
+    """Return the period of a sidecar's full reports of its members, in ms.
 
-    It stretches with the sidecars, so that the reports that the scheduling holder
-    hears in a second are bounded.
+    It grows with the number of sidecars, so that the holder of the scheduling lease
+    receives a bounded number of reports per second.
     """
     period_ms = effective_value(world.agreed, "heartbeat.full_ms")
     gap_ms = effective_value(world.agreed, "heartbeat.full_gap_ms")
@@ -83,9 +84,10 @@
 
 
 def isolation_ms(world: World) -> int:
-    """Return after how long without log and entries members are stopped, in ms.
+    """Return how long members may run without contact with the log or an entry.
 
-    Never less than a few heartbeats, since entries are heard only by them.
+    The time is in ms. It covers at least a few heartbeats, since these are a
+    sidecar's only contact with the entries.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
     return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * beat_period_ms(world))
--- a/kingcuppost/systems/record_events.py
+++ b/kingcuppost/systems/record_events.py
@@ -1,4 +1,4 @@
-"""Events about records: proposed by one process, folded by all."""
+"""Events about records that are proposed or folded."""
 
 from kingcuppost.systems.events import note
 from kingcuppost.tables.record import Record, SettingPut, TeamPut, ZonePut
@@ -8,7 +8,7 @@
 
 
 def subjects_of(record: Record) -> dict[str, str]:
-    """Return what a record concerns, as keyword arguments of `note`.
+    """Return the subjects of a record, as keyword arguments of `note`.
 
     Examples
     --------
@@ -32,7 +32,7 @@
 
 
 def _text_of(record: Record) -> str:
-    """Return what a record says, in a few words."""
+    """Return a short description of a record."""
     body = record.body
     if isinstance(body, SettingPut):
         return f"{body.key} = {body.value} on {body.path or 'root'}"
@@ -43,7 +43,7 @@
 
 
 def note_proposal(world: World, record: Record) -> None:
-    """Note that this process wants a record in the log."""
+    """Add an event: this process has proposed a record."""
     note(
         world,
         f"propose.{record.body.kind}",
@@ -53,8 +53,8 @@
     )
 
 
-def note_record(world: World, record: Record, offset: int, fault: str) -> None:
-    """Note that this process has folded a record.
+def note_record(world: World, record: Record, offset: int, rejection: str) -> None:
+    """Add an event: this process has folded a record.
 
     Parameters
     ----------
@@ -63,12 +63,12 @@
     record : Record
         The record.
     offset : int
-        Its log offset.
-    fault : str
-        Why it has no effect; empty if it was applied.
+        Log offset of the record.
+    rejection : str
+        Why the record has no effect; empty if it was applied.
     """
-    _tally_record(world, record, fault)
-    result = f"rejected, {fault}" if fault else "applied"
+    _tally_record(world, record, rejection)
+    result = f"rejected ({rejection})" if rejection else "applied"
     note(
         world,
         f"fold.{record.body.kind}",
@@ -79,13 +79,15 @@
     )
 
 
-def _tally_record(world: World, record: Record, fault: str) -> None:
-    """Count a record; of a change, also how long it took to be in force here.
+def _tally_record(world: World, record: Record, rejection: str) -> None:
+    """Count a record; for a configuration change, also observe its delay.
 
-    Records from before the start are left out, and clocks that differ count as 0.
+    The delay runs from the proposal to the fold in this process. Records from before
+    the process caught up are not observed; a negative delay, which a difference of
+    clocks can cause, counts as 0.
     """
-    world.tally.add("records_folded", "rejected" if fault else "applied")
+    world.tally.add("records_folded", "rejected" if rejection else "applied")
     is_config = isinstance(record.body, SettingPut | TeamPut | ZonePut)
-    if is_config and not fault and world.log_view.caught_up:
+    if is_config and not rejection and world.log_view.caught_up:
         took_ms = max(0, world.clock.wall_ms() - record.wall_ms)
         world.tally.observe("config_apply", took_ms)
--- a/kingcuppost/systems/registry.py
+++ b/kingcuppost/systems/registry.py
@@ -1,4 +1,4 @@
-"""The registry of systems over the world of services and gangs."""
+"""The registry of systems that run over the world of an entry or a sidecar."""
 
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.ticks import Phase, System, SystemRegistry, run_tick
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/worlds.py
@@ -1,4 +1,4 @@
-"""Worlds without sockets: a log, a clock and a worker moved by hand."""
+"""A process without sockets: the test drives its log, clock and worker."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -55,7 +55,7 @@
 
 
 class FakeLog:
-    """Records with offsets from 1."""
+    """A log of records at offsets from 1."""
 
     def __init__(self) -> None:
         self.records: list[Record] = []
@@ -82,7 +82,7 @@
 
 @dataclass
 class FakeWorker:
-    """Holds tasks under leases, as a worker does."""
+    """A worker that keeps tasks under leases."""
 
     tasks: dict[str, FakeTask] = field(default_factory=dict)
     ignores_stop: bool = False
@@ -140,8 +140,8 @@
 class Bench:
     """One process without sockets.
 
-    The log answers at once while it is up; orders to the worker are obeyed at
-    once unless `withheld_types` keeps their type back.
+    The log answers at once while it is up. The worker carries out orders at once,
+    except orders of `withheld_types`, which are delivered on request.
     """
 
     def __init__(self, cfg: ProcessConfig, log: FakeLog, clock: ManualClock) -> None:
@@ -159,7 +159,7 @@
         return self.clock.now_ms()
 
     def settle(self) -> None:
-        """Tick until nothing more arrives at this instant."""
+        """Tick until no more messages arrive at this time."""
         self.worker.expire_leases(self.now_ms)
         for _ in range(100):
             run_tick(self.world, systems_of(self.world.identity.role), self.now_ms)
@@ -168,10 +168,10 @@
             self._answer_reads()
             if not len(self.world.inbox):
                 return
-        raise AssertionError("the process does not come to rest")
+        raise AssertionError("the process does not settle")
 
     def run(self, for_ms: int) -> None:
-        """Let time pass in small steps."""
+        """Advance the clock in small steps, and settle after each."""
         for _ in range(for_ms // STEP_MS):
             self.clock.advance(STEP_MS)
             self.settle()
@@ -180,7 +180,7 @@
         return self.world.tasks.get(task_id)
 
     def deliver_kept(self) -> None:
-        """Let orders that were kept back arrive."""
+        """Deliver the withheld orders to the worker."""
         kept, self.kept = self.kept, []
         for order in kept:
             self.world.inbox.put(self.worker.answer(order, self.now_ms))
@@ -200,7 +200,7 @@
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
     def _answer_reads(self) -> None:
-        """Answer the reads that need not wait at the log any more."""
+        """Answer the reads that have records or do not wait; keep the others."""
         reads, self._reads = self._reads, []
         for read in reads:
             waits = read.wait_ms and read.after >= len(self.log.records)
@@ -222,7 +222,7 @@
 
 
 def sidecar_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
-    """Return a sidecar beside worker `number`."""
+    """Return a harness of the sidecar beside worker `number`."""
     worker = WorkerConfig(
         "http", f"worker-{number}", "rack-0", LOCALHOST, 64, 131_072, 8
     )
@@ -241,7 +241,7 @@
 
 
 def entry_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
-    """Return an entry."""
+    """Return a harness of entry `number`."""
     cfg = ProcessConfig(
         Role.ENTRY,
         f"entry-{number}",
@@ -274,7 +274,7 @@
 
 
 def site_log(workers: int = 2) -> FakeLog:
-    """Return a log with a zone, a team, workers, an entry and a term."""
+    """Return a log with a zone, a team, workers, an entry and a scheduling term."""
     log = FakeLog()
     log.add(
         ZonePut(ZONE, "vidzeme", True, 0),
@@ -288,7 +288,7 @@
 
 
 def term_of(log: FakeLog) -> int:
-    """Return the offset of the latest claim."""
+    """Return the scheduling term: the offset of the latest lease claim."""
     offsets = [
         offset
         for offset, row in enumerate(log.records, 1)
@@ -300,7 +300,7 @@
 def place(
     log: FakeLog, job: str, workers: tuple[str, ...], incarnation: int = 1
 ) -> None:
-    """Submit a job unless it is there, and place its gang."""
+    """Submit a job if this is its first gang, and place the gang."""
     if incarnation == 1:
         log.add(
             JobSubmit(job, "design", len(workers), 1, 1, 1, Urgency.OVERNIGHT, 0, "{}")
@@ -311,5 +311,5 @@
 
 
 def release(log: FakeLog, job: str, incarnation: int = 1) -> None:
-    """Release the gang of a job."""
+    """Release a gang of a job."""
     log.add(GangRelease(term_of(log), job, incarnation))
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -1,4 +1,4 @@
-"""Rows about the log: what was proposed, what was folded, who schedules."""
+"""State about the log: proposals, reads, snapshots and the scheduling lease."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -24,18 +24,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What the fold made of a record.
+    """Result of folding a record.
 
     Attributes
     ----------
     accepted : bool
-        Whether the record took effect.
+        Whether the record has taken effect.
     offset : int
         Log offset of the record.
     reason : str
-        Why it was rejected; empty if accepted.
+        Why the record was rejected; empty if accepted.
     is_possible_repeat : bool
-        True if an earlier copy may have taken effect and been forgotten.
+        Whether an earlier copy may have taken effect whose identifier is no longer
+        remembered.
     """
 
     accepted: bool
@@ -45,7 +46,7 @@
 
 
 class ProposalState(StrEnum):
-    """Stage of a record on its way to the log."""
+    """State of a proposal until its record is folded."""
 
     QUEUED = "queued"
     SENT = "sent"
@@ -54,27 +55,27 @@
 
 @dataclass(slots=True)
 class Proposal:
-    """A record that this process wants in the log.
+    """A record that this process proposes for the log.
 
     Attributes
     ----------
     record_id : str
         Identifier of the record.
     record : Record
-        The record itself; sent again under the same identifier.
+        The record; retries send it under the same identifier.
     exchange_id : str
-        HTTP exchange that waits for the verdict; empty if none.
+        HTTP exchange that waits for the result of the fold; empty if none.
     state : ProposalState
-        Whether an append is under way or was confirmed.
+        Whether the record is queued, was sent, or was confirmed by the log.
     created_ms, retry_ms : int
-        Time of creation; time at which to send again.
+        Time of creation; earliest time of the next append.
     give_up_ms : int
-        Time after which the waiting exchange is told that the outcome is
-        unknown; 0 for a record that is sent until it is folded.
+        Time after which the waiting exchange is answered without a result and
+        the proposal dropped; 0 for a record that is sent until it is folded.
     appends : int
-        How many appends of it may have reached the log.
+        Number of appends of the record that may have reached the log.
     appended_ms : int
-        When the log confirmed an append.
+        Time at which the log confirmed an append.
     """
 
     record_id: str
@@ -95,11 +96,11 @@
     Attributes
     ----------
     sent_ms : int
-        When it was sent.
+        Time of sending.
     late_ms : int
-        When another read is sent beside it, on a new connection.
+        Time from which the read is overdue, and another is sent on a new connection.
     is_long_poll : bool
-        Whether it may wait at the log for a new record.
+        Whether the log may delay the answer until there is a new record.
     """
 
     sent_ms: int
@@ -109,18 +110,18 @@
 
 @dataclass(slots=True)
 class SnapshotSearch:
-    """A search for the newest whole snapshot, backwards from the head.
+    """A search for the newest complete snapshot, backwards from the head.
 
     Attributes
     ----------
     upper_offset : int
         Highest offset that was not searched yet.
     after : int
-        The read under way starts behind this offset.
+        Offset after which the pending read starts.
     earliest : int
-        Oldest offset that the log holds.
+        Oldest offset that the log still has.
     parts : dict of str to dict of int to SnapshotPart
-        Parts found, by snapshot and number.
+        Parts found, by snapshot and index.
     """
 
     upper_offset: int
@@ -131,20 +132,21 @@
 
 @dataclass(slots=True)
 class SnapshotWatch:
-    """What a process knows of the snapshots in the log, and its own draft.
+    """Snapshots that this process has observed in the log, and its own draft.
 
     Attributes
     ----------
     covers : int
-        Log offset that the newest whole snapshot covers; 0 without any.
+        Log offset up to which the newest complete snapshot covers the log; 0 without
+        a snapshot.
     wall_ms : int
-        Time of that snapshot; of catching up, without any.
+        Time of that snapshot in Unix ms; without one, time of catching up.
     seen_parts : dict of str to set of int
-        Parts seen of snapshots that are not whole yet.
+        Indexes of observed parts, by incomplete snapshot.
     draft : deque of SnapshotPart
-        Parts of this process's snapshot that are not proposed yet.
+        Parts of this process's own snapshot that are not proposed yet.
     pending : list of str
-        Records of proposed parts that are not folded yet.
+        Identifiers of the records of proposed parts that are not folded yet.
     """
 
     covers: int = 0
@@ -156,32 +158,33 @@
 
 @dataclass(slots=True)
 class LogView:
-    """How far this process has followed the log.
+    """Progress of this process in following the log.
 
     Attributes
     ----------
     folded_offset, head_offset : int
-        Offset of the last record applied, and of the last known to exist.
+        Offset of the last record that was folded, and of the last known to exist.
     fresh_ms : int
-        When the last read that ended at the head was sent; -1 before any.
+        Sending time of the latest read that reached the head; -1 before any.
     last_answer_ms : int
-        When such a read was last answered; -1 before any.
+        Time at which such a read was last answered; -1 before any.
     reads : dict of str to PendingRead
-        Reads under way by identifier.
+        Pending reads by identifier.
     next_read_ms : int
         Earliest time of the next read.
     failed_reads : int
-        Reads that failed since the last one that did not.
+        Number of reads that failed since the last successful one.
     barrier_ms : int
-        A fresh read sent at or after this time is wanted; -1 if none is.
+        A read of the head sent at or after this time is required; -1 if none is.
     caught_up : bool
-        Whether the head was reached since the start or the last gap.
+        Whether the head was reached since the start or the last expired offset.
     search : SnapshotSearch or None
-        Present while a snapshot is looked for.
+        The search for a snapshot that is running; None if none is.
     searched : bool
-        Whether a search since the last time at the head has found nothing.
+        Whether a search has ended since this process last caught up, so that lag
+        alone starts no other.
     appends : dict of str to int
-        Time of sending of each append under way, by its first record.
+        Sending time of each pending append, by the identifier of its first record.
     """
 
     folded_offset: int = 0
@@ -200,18 +203,18 @@
 
 @dataclass(slots=True)
 class HolderWatch:
-    """How an entry watches the holder of the scheduling lease.
+    """State of an entry's pings of the holder of the scheduling lease.
 
     Attributes
     ----------
     term : int
-        Term that is watched.
+        Scheduling term that the other attributes belong to.
     last_answer_ms : int
-        When the question that the holder last answered was sent.
+        Sending time of the latest ping that the holder answered.
     next_ping_ms : int
-        When to ask next.
+        Earliest time of the next ping.
     jitter : float
-        Share from 0 to 1, drawn once, that keeps claims of entries apart.
+        Random number from 0 to 1, drawn once, that spreads the entries' claims.
     """
 
     term: int = -1
--- a/kingcuppost/tables/announcement.py
+++ b/kingcuppost/tables/announcement.py
@@ -1,4 +1,4 @@
-"""Where this process listens, and whether the log knows it."""
+"""State of this process's announcement in the log, and of its graceful stop."""
 
 from dataclasses import dataclass
 
@@ -7,18 +7,19 @@
 
 @dataclass(slots=True)
 class Announcement:
-    """Addresses bound by the edges, and the record that tells them.
+    """Ports bound by the edges, and records of the announcement and the leave.
 
     Attributes
     ----------
     caller_port, operator_port, peer_port : int
-        Ports bound; 0 before.
+        Bound ports; 0 before they are bound.
     record_id : str
-        Announcement under way; empty if none.
+        Identifier of the last proposed announcement; empty if none.
     leave_record_id : str
-        Leave record under way; empty if none.
+        Identifier of the proposed leave notice; empty if none.
     stop_ms : int
-        When a graceful stop must be over; 0 while none is under way.
+        Time at which the process exits even if it is not idle; 0 before a graceful
+        stop.
     """
 
     caller_port: int = 0
--- a/kingcuppost/tables/config.py
+++ b/kingcuppost/tables/config.py
@@ -1,4 +1,4 @@
-"""Settings of one process, from its checked file."""
+"""Configuration of one process, from its validated file."""
 
 from dataclasses import dataclass, field
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """An IP number and a port; port 0 lets the kernel choose when listening."""
+    """IP address and port; with port 0, the kernel chooses a port to listen on."""
 
     host: str
     port: int
@@ -27,14 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LogConfig:
-    """How the platform's log is reached.
+    """Connection to the platform's log.
 
     Attributes
     ----------
     driver : str
-        Name of the registered edge that speaks to the log.
+        Name of the registered edge that connects to the log.
     address : Address
-        Where the log listens.
+        Address at which the log listens.
     """
 
     driver: str
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryConfig:
-    """Addresses that an entry listens on."""
+    """Addresses on which an entry listens."""
 
     callers: Address
     operators: Address
@@ -56,13 +56,13 @@
     Attributes
     ----------
     driver : str
-        Name of the registered edge that speaks to the worker.
+        Name of the registered edge that connects to the worker.
     name, rack : str
-        Identifiers.
+        Names of the worker and of its rack.
     address : Address
-        Where the worker's interface listens.
+        Address at which the worker's interface listens.
     cores, memory_mb, accelerators : int
-        What the worker has.
+        Resources of the worker.
     """
 
     driver: str
@@ -83,13 +83,13 @@
     service : str
         Service that the minion offers.
     minion : Address
-        Where the minion listens.
+        Address at which the minion listens.
     slots, connections : int
-        Requests that run at once; connections that may be open at once.
+        Maximum numbers of requests in execution, and of open connections.
     worker : WorkerConfig
         The worker that the minion runs on.
     operators : Address
-        Where metrics and health are served.
+        Address on which metrics and health are served.
     """
 
     service: str
@@ -102,28 +102,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessConfig:
-    """Settings of one process, passed whole.
+    """Configuration of one process.
 
     Attributes
     ----------
     role : Role
-        Kind of process.
+        Role of the process.
     name, availability_zone, region : str
-        Who and where the process is.
+        Name and location of the process.
     peers : Address
-        Where other processes of the system reach it.
+        Address on which the process listens for other processes of the system.
     log : LogConfig
-        The platform's log.
+        Connection to the platform's log.
     entry : EntryConfig or None
         Present for an entry.
     sidecar : SidecarConfig or None
         Present for a sidecar.
     seed : int or None
-        Seed of the random generator; None draws one.
+        Seed of the random number generator; None for a random seed.
     log_level : str
-        Least level of the logs written.
+        Minimum level of log lines.
     advertised : Address or None
-        Where peers reach the process, if not at the port bound for `peers`.
+        Address at which peers reach the process, if it differs from the bound one.
     """
 
     role: Role
--- a/kingcuppost/tables/event.py
+++ b/kingcuppost/tables/event.py
@@ -1,4 +1,4 @@
-"""Events for the time line."""
+"""Events of the time line."""
 
 from dataclasses import dataclass
 
@@ -7,28 +7,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One thing that happened in one process.
+    """An event in one process.
 
     Attributes
     ----------
     wall_ms : int
-        The process's time, Unix ms.
+        Time of the process's clock, Unix ms.
     process, incarnation : str
-        Where it happened.
+        Name and incarnation of the process.
     sequence : int
         Number of the event in its process, from 1.
     step : str
-        What was being done, such as ``"gang.release"``.
+        Step that the process took, such as ``"gang.release"``.
     text : str
-        A short sentence.
+        Description in one short sentence.
     peer, request, job, team, availability_zone : str
-        What it concerns; empty where nothing applies.
+        Subjects of the event; empty where none applies.
     offset : int
-        Log offset folded or concerned at the time.
+        Log offset that the event concerns, else the folded offset at the time.
     sends : str
-        Identifier of the message or record that leaves with the event.
+        Identifier of the message or record that the event sends.
     receives : str
-        Identifier of the message or record that the event follows from.
+        Identifier of the message or record that caused the event.
     """
 
     wall_ms: int
--- a/kingcuppost/tables/identity.py
+++ b/kingcuppost/tables/identity.py
@@ -1,4 +1,4 @@
-"""Who this process is."""
+"""Identity of this process."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 
 class Role(StrEnum):
-    """Kinds of processes of the system."""
+    """Role of a process in the system."""
 
     ENTRY = "entry"
     SIDECAR = "sidecar"
@@ -21,13 +21,13 @@
     Attributes
     ----------
     role : Role
-        Kind of process.
+        Role of the process.
     name : str
-        Name of the entry, or of the minion that the sidecar stands beside.
+        Name of the entry, or of the minion beside which the sidecar runs.
     incarnation : str
-        Identifier drawn anew at every start.
+        Random identifier that differs at every start.
     availability_zone, region : str
-        Where the process runs.
+        Location of the process.
     """
 
     role: Role
--- a/kingcuppost/tables/metrics.py
+++ b/kingcuppost/tables/metrics.py
@@ -1,4 +1,4 @@
-"""Counts and durations that a process keeps for its metrics."""
+"""Counters and histograms for the metrics of a process."""
 
 from bisect import bisect_left
 from dataclasses import dataclass, field
@@ -12,12 +12,12 @@
 
 @dataclass(slots=True)
 class DurationCounts:
-    """How many durations fell below each bound.
+    """Histogram of durations.
 
     Attributes
     ----------
     buckets : list of int
-        One count for each of `DURATION_BOUNDS_MS`, and one for what is longer.
+        One count per bucket of `DURATION_BOUNDS_MS`, and one for longer durations.
     sum_ms : float
         Sum of all durations, in ms.
     """
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Counts and durations by name and label values.
+    """Counters and histograms by name and label values.
 
     Examples
     --------
@@ -48,12 +48,12 @@
     durations: dict[str, dict[Labels, DurationCounts]] = field(default_factory=dict)
 
     def add(self, name: str, *labels: str, amount: int = 1) -> None:
-        """Count something that happened."""
+        """Increase a counter."""
         counts = self.counts.setdefault(name, {})
         counts[labels] = counts.get(labels, 0) + amount
 
     def observe(self, name: str, took_ms: float, *labels: str) -> None:
-        """Count a duration in ms."""
+        """Count a duration in its histogram."""
         row = self.durations.setdefault(name, {}).setdefault(labels, DurationCounts())
         row.buckets[bisect_left(DURATION_BOUNDS_MS, took_ms)] += 1
         row.sum_ms += took_ms
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -1,9 +1,9 @@
-"""Records of the platform's log, as data classes.
+"""Records of the platform's log.
 
-Each body names its kind. A body with a `term` counts only in that scheduling
-term; a body with a `base_offset` counts only if the row that it changes was last
-set at that offset (0 for a row that must not exist yet). A wish with `ANY_OFFSET`
-is based on the row as the entry that takes it knows it.
+Each body names its kind. A body with a `term` takes effect only in that scheduling
+term. A body with a `base_offset` takes effect only if the row that it changes was
+last set at that offset (0 for a row that must not exist yet). In a proposal request,
+the entry replaces `ANY_OFFSET` by the offset of the row in its own view.
 """
 
 from dataclasses import dataclass
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ZonePut:
-    """Create an availability zone, or take it out of or into service."""
+    """Create an availability zone, or take it into or out of service."""
 
     name: str
     region: str
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingPut:
-    """Set a key on a branch; None makes the branch inherit again."""
+    """Set a key on a branch; None unsets it, so that the branch inherits the value."""
 
     path: str
     key: str
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryAnnounce:
-    """An entry instance says where it listens."""
+    """Announce an entry process and its addresses."""
 
     name: str
     availability_zone: str
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionAnnounce:
-    """A sidecar says where it listens and what its worker has."""
+    """Announce a sidecar process, its address and its worker's resources."""
 
     name: str
     service: str
@@ -111,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberLeave:
-    """An entry or sidecar process says that it is leaving."""
+    """Announce that an entry or sidecar process is leaving."""
 
     name: str
     incarnation: str
@@ -166,7 +166,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobPark:
-    """Say why a waiting job can't run now, or that it can again."""
+    """Park a waiting job that cannot run now, or return it to the waiting state."""
 
     term: int
     job: str
@@ -177,7 +177,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangPlace:
-    """Place a gang; its members are to be reserved."""
+    """Place a gang, so that its members are reserved at their workers."""
 
     term: int
     job: str
@@ -190,7 +190,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangRelease:
-    """All members are reserved; they may start."""
+    """Release a gang whose members are all reserved, so that they start."""
 
     term: int
     job: str
@@ -200,9 +200,9 @@
 
 @dataclass(frozen=True, slots=True)
 class GangStop:
-    """Stop all members; the job waits again unless it was cancelled.
+    """Stop all members of a gang; the job waits again unless it was cancelled.
 
-    A grace of -1 ms leaves the time for a checkpoint to the settings.
+    A `grace_ms` of -1 means that the settings give the time for a checkpoint.
     """
 
     term: int
@@ -216,7 +216,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangEnd:
-    """No member of the gang can run any more; its accelerators are free."""
+    """End a gang of which no member can still run, and free its accelerators."""
 
     term: int
     job: str
@@ -226,7 +226,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangFinish:
-    """All members have finished; the first such record is the job's result."""
+    """Finish a gang whose members have all finished; the first such record wins."""
 
     job: str
     incarnation: int
@@ -238,8 +238,8 @@
 class KeyClaimPut:
     """Claim the key of a non-idempotent request; the first claim wins.
 
-    `issued_ms` is when the caller says that it made the key, Unix ms; 0 if it
-    does not say.
+    `issued_ms` is the time in Unix ms at which the caller created the key, or 0 if
+    the caller does not report it.
     """
 
     key: str
@@ -253,7 +253,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyOutcome:
-    """What became of a claimed request."""
+    """Set the outcome of a request whose key was claimed."""
 
     key: str
     attempt_id: str
@@ -270,11 +270,11 @@
     snapshot_id : str
         Identifier that all parts share.
     covers : int
-        Log offset up to which records are contained.
+        Log offset up to which the snapshot covers the log.
     index, count : int
-        Number of the part from 0; how many parts there are.
+        Index of the part, from 0; number of parts.
     rows : AgreedSlice
-        Rows of the agreed tables at that offset.
+        Rows of the agreed tables as of that offset.
     """
 
     snapshot_id: str
@@ -310,21 +310,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record as it stands in the log.
+    """A record of the log.
 
     Attributes
     ----------
     record_id : str
-        Identifier; a repeat under the same identifier is ignored.
+        Identifier; repeats of it have no effect.
     author : str
-        Process or operator that proposed it.
+        Process or operator that proposed the record.
     wall_ms : int
-        The author's time of proposing, Unix ms.
+        Time of the proposal by the author's clock, Unix ms.
     body : Body
-        What it says.
+        Content of the record.
     seen_offset : int
-        Log offset that the author had folded when it made the record; every copy
-        of the record lies behind it.
+        Log offset that the author had folded when it created the record; every copy
+        of the record has a higher offset.
     """
 
     record_id: str
--- a/kingcuppost/tables/setting.py
+++ b/kingcuppost/tables/setting.py
@@ -1,4 +1,4 @@
-"""Settings that operators made, by branch and key."""
+"""Settings that operators have set, by branch and key."""
 
 from dataclasses import dataclass
 
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True)
 class Setting:
-    """One key set, or once set, on one branch.
+    """A key that is set, or was set before, on a branch.
 
     Attributes
     ----------
@@ -20,9 +20,9 @@
     key : str
         Name of the setting.
     value : str, int, float, bool or None
-        The value; None where the branch inherits again.
+        Value; None if the key was unset, so that the branch inherits it.
     offset : int
-        Log offset of the record that set the row.
+        Log offset of the record that last changed the row.
     operator : str
         Author of that record.
     """
--- a/kingcuppost/tables/snapshot.py
+++ b/kingcuppost/tables/snapshot.py
@@ -1,4 +1,4 @@
-"""A slice of the agreed tables, as snapshots carry it."""
+"""The rows that one part of a snapshot contains."""
 
 from dataclasses import dataclass
 
@@ -20,9 +20,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AgreedSlice:
-    """Some rows of the agreed tables, each table in its order.
+    """A subset of the rows of the agreed tables, each table in its order.
 
-    The attributes are those of `Agreed`; the first part of a snapshot also holds
+    The attributes are those of `Agreed`. Only the first part of a snapshot contains
     the lease and the floors.
     """
 
