--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -28,7 +28,9 @@
         return
     if _is_announced(world):
         return
-    body = _entry_body(world) if world.cfg.entry else _minion_body(world)
+    body = (
+        _entry_announcement(world) if world.cfg.entry else _minion_announcement(world)
+    )
     world.announcement.record_id = propose(world, body, now_ms)
 
 
@@ -45,7 +47,7 @@
     return world.cfg.advertised or bound
 
 
-def _entry_body(world: World) -> EntryAnnounce:
+def _entry_announcement(world: World) -> EntryAnnounce:
     ports = world.announcement
     peers = _peer_address(world)
     return EntryAnnounce(
@@ -59,7 +61,7 @@
     )
 
 
-def _minion_body(world: World) -> MinionAnnounce:
+def _minion_announcement(world: World) -> MinionAnnounce:
     cfg = world.cfg.sidecar
     peers = _peer_address(world)
     return MinionAnnounce(
--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -29,7 +29,7 @@
     return completers[type(body)](world, body)
 
 
-def _base_of(row: Any, base_offset: int) -> int:
+def _base_offset_of(row: Any, base_offset: int) -> int:
     if base_offset != ANY_OFFSET:
         return base_offset
     return row.offset if row is not None else 0
@@ -47,7 +47,7 @@
 def fill_in_team(world: World, body: TeamPut) -> TeamPut:
     """Set the base offset from the team's row in this process's view."""
     row = world.agreed.teams.get(body.name)
-    return replace(body, base_offset=_base_of(row, body.base_offset))
+    return replace(body, base_offset=_base_offset_of(row, body.base_offset))
 
 
 @completers.register(ZonePut)
@@ -55,11 +55,13 @@
     """Set the base offset from the zone's row in this process's view."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
-    return replace(body, region=region, base_offset=_base_of(row, body.base_offset))
+    return replace(
+        body, region=region, base_offset=_base_offset_of(row, body.base_offset)
+    )
 
 
 @completers.register(SettingPut)
 def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
     """Set the base offset from the setting's row in this process's view."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
-    return replace(body, base_offset=_base_of(row, body.base_offset))
+    return replace(body, base_offset=_base_offset_of(row, body.base_offset))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -41,7 +41,7 @@
         if read is None:
             continue
         if not done.ok:
-            _note_failed_read(world, done, now_ms)
+            _schedule_retry(world, done, now_ms)
             continue
         world.log_view.failed_reads = 0
         _drop_superseded_reads(world, read, now_ms)
@@ -69,12 +69,12 @@
 def _fold_read(world: World, done: ReadDone, read: PendingRead, now_ms: int) -> None:
     view = world.log_view
     for item in done.records:
-        _fold_one(world, item)
+        _fold_record(world, item)
     view.folded_offset = max(view.folded_offset, done.end)
-    _note_head(world, done, read.sent_ms, now_ms)
+    _update_head(world, done, read.sent_ms, now_ms)
 
 
-def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
+def _schedule_retry(world: World, done: ReadDone, now_ms: int) -> None:
     """Delay the next read, with exponential backoff and jitter.
 
     The jitter keeps processes that lost the log at the same time from all
@@ -89,7 +89,7 @@
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
-def _note_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
+def _update_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
     view = world.log_view
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
@@ -109,7 +109,7 @@
         )
 
 
-def _fold_one(world: World, item: FoldedRecord) -> None:
+def _fold_record(world: World, item: FoldedRecord) -> None:
     view = world.log_view
     if item.offset <= view.folded_offset:
         return
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/lease.py
@@ -45,14 +45,14 @@
     if holder is None or holder.incarnation != world.agreed.lease.incarnation:
         _claim_lease(world, now_ms)
         return
-    if now_ms - monitor.last_answer_ms >= _lost_after_ms(world):
+    if now_ms - monitor.last_answer_ms >= _holder_timeout_ms(world):
         note(world, "lease.lost", "The holder is unresponsive.", peer=holder.name)
         _claim_lease(world, now_ms)
         return
     _ping_holder(world, holder, now_ms)
 
 
-def _lost_after_ms(world: World) -> int:
+def _holder_timeout_ms(world: World) -> int:
     """Return after how long without an answer the lease is claimed, in ms.
 
     The jitter differs among processes, so that their claims do not coincide.
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -101,17 +101,17 @@
         body = fill_in_defaults(world, request.body)
         fault = fault_of(world.agreed, body)
         if not world.log_view.caught_up:
-            _refuse(
+            _refuse_change(
                 world,
                 request.exchange_id,
                 STATUS_UNAVAILABLE,
                 "the log is not read yet",
             )
         elif fault is not None:
-            _refuse(world, request.exchange_id, _status_of(fault), fault.reason)
+            _refuse_change(world, request.exchange_id, _status_of(fault), fault.reason)
         elif not has_queue_capacity(world):
             reason = f"{len(world.proposals)} records are queued for the log"
-            _refuse(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
+            _refuse_change(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
         else:
             propose(
                 world,
@@ -129,7 +129,7 @@
     return STATUS_CONFLICT if fault.is_conflict else STATUS_INVALID
 
 
-def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
+def _refuse_change(world: World, exchange_id: str, status: int, reason: str) -> None:
     note(world, "change.refuse", f"Change refused: {reason}.")
     refusal = ChangeRefused(Outcome.NOT_RUN, STEP, world.identity.name, reason)
     world.outbox.put(Reply(exchange_id, status, refusal))
@@ -145,14 +145,14 @@
     world.verdicts.clear()
     for proposal in world.proposals:
         if proposal.exchange_id and 0 < proposal.give_up_ms <= now_ms:
-            _give_up(world, proposal)
+            _abandon_proposal(world, proposal)
 
 
 def _reply_of(world: World, proposal: Proposal, verdict: Verdict) -> Reply:
     if verdict.is_possible_repeat:
-        return _unknown(proposal, verdict.reason)
+        return _unknown_reply(proposal, verdict.reason)
     if verdict.accepted:
-        name = _name_of(proposal)
+        name = _subject_name(proposal)
         accepted = ChangeAccepted(verdict.offset, proposal.record_id, name)
         return Reply(proposal.exchange_id, STATUS_OK, accepted)
     refusal = ChangeRefused(
@@ -161,20 +161,20 @@
     return Reply(proposal.exchange_id, STATUS_CONFLICT, refusal)
 
 
-def _name_of(proposal: Proposal) -> str:
+def _subject_name(proposal: Proposal) -> str:
     body = proposal.record.body
     return getattr(body, "job", "") or getattr(body, "name", "")
 
 
-def _unknown(proposal: Proposal, reason: str) -> Reply:
+def _unknown_reply(proposal: Proposal, reason: str) -> Reply:
     """Return an answer that names the record, so that its outcome can be looked up."""
-    name = _name_of(proposal)
+    name = _subject_name(proposal)
     what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
     unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
     return Reply(proposal.exchange_id, STATUS_GATEWAY_TIMEOUT, unknown)
 
 
-def _give_up(world: World, proposal: Proposal) -> None:
+def _abandon_proposal(world: World, proposal: Proposal) -> None:
     """Answer "unknown" if the record may be in the log, else "not run".
 
     Either way it is not sent again, so that it cannot take effect beside a later
@@ -183,7 +183,7 @@
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
         reason = "the log did not accept it in time"
-        _refuse(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
+        _refuse_change(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
-    world.outbox.put(_unknown(proposal, "the log did not confirm it in time"))
+    world.outbox.put(_unknown_reply(proposal, "the log did not confirm it in time"))
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -17,12 +17,12 @@
 def is_search_due(world: World, done: ReadDone) -> bool:
     """Return whether the next records have expired, or are too many to fold."""
     view = world.log_view
-    if _is_gap(view, done.earliest):
+    if _has_expired_records(view, done.earliest):
         return True
     return not view.searched and done.head - view.folded_offset > MAX_LAG_RECORDS
 
 
-def _is_gap(view: LogView, earliest: int) -> bool:
+def _has_expired_records(view: LogView, earliest: int) -> bool:
     return view.folded_offset + 1 < earliest
 
 
@@ -33,7 +33,7 @@
     until a snapshot is loaded.
     """
     view = world.log_view
-    if _is_gap(view, done.earliest):
+    if _has_expired_records(view, done.earliest):
         view.caught_up = False
         view.fresh_ms = -1
         view.last_answer_ms = -1
@@ -57,12 +57,12 @@
     search.earliest = max(search.earliest, done.earliest)
     _collect_parts(search, done)
     if found := _newest_complete_snapshot(search, view.folded_offset):
-        _load(world, found)
+        _load_snapshot(world, found)
     elif search.after > search.earliest - 1:
         search.upper_offset = search.after
         search.after = _window_start(search.upper_offset, search.earliest)
     else:
-        _give_up(world, search, now_ms)
+        _end_search(world, search, now_ms)
 
 
 def _collect_parts(search: SnapshotSearch, done: ReadDone) -> None:
@@ -89,7 +89,7 @@
     return best
 
 
-def _load(world: World, parts: list[SnapshotPart]) -> None:
+def _load_snapshot(world: World, parts: list[SnapshotPart]) -> None:
     view = world.log_view
     load_slices(world.agreed, [part.rows for part in parts])
     view.folded_offset = parts[0].covers
@@ -109,12 +109,12 @@
             world.verdicts[proposal.record_id] = verdict
 
 
-def _give_up(world: World, search: SnapshotSearch, now_ms: int) -> None:
+def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
     """Fold record by record if none has expired, else search again later."""
     view = world.log_view
     view.search = None
     view.searched = True
-    if not _is_gap(view, search.earliest):
+    if not _has_expired_records(view, search.earliest):
         return
     view.next_read_ms = now_ms + effective_value(world.agreed, "log.search_retry_ms")
     world.deadlines.add(view.next_read_ms)
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -53,13 +53,13 @@
         progress.draft.clear()
         return
     progress.pending = [item for item in progress.pending if item in world.proposals]
-    if not progress.draft and not progress.pending and _is_due(world):
-        _draft(world)
+    if not progress.draft and not progress.pending and _is_snapshot_due(world):
+        _draft_snapshot(world)
     while progress.draft and len(progress.pending) < MAX_PENDING_PARTS:
         progress.pending.append(propose(world, progress.draft.popleft(), now_ms))
 
 
-def _is_due(world: World) -> bool:
+def _is_snapshot_due(world: World) -> bool:
     """Return whether enough records or time have passed since the newest snapshot.
 
     An idle system writes snapshots too, since they expire as other records do.
@@ -72,7 +72,7 @@
     return age_ms >= effective_value(world.agreed, "snapshot.period_ms")
 
 
-def _draft(world: World) -> None:
+def _draft_snapshot(world: World) -> None:
     snapshot_id = new_identifier(world.rng, "snap")
     covers = world.log_view.folded_offset
     slices = slices_of(world.agreed)
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -59,12 +59,12 @@
     def fold(self, record: Record) -> None:
         self.offset += 1
         if isinstance(record.body, SnapshotPart):
-            self._note_part(record.body)
+            self._record_part(record.body)
         else:
             self._apply(record)
         self.digests[self.offset] = digest(self.agreed)
 
-    def _note_part(self, part: SnapshotPart) -> None:
+    def _record_part(self, part: SnapshotPart) -> None:
         seen = self.parts.setdefault(part.snapshot_id, set())
         seen.add(part.index)
         if len(seen) == part.count:
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -60,19 +60,19 @@
 
 
 @checkers.register(LeaseClaim)
-def check_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
+def check_lease_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
     """Reject a claim that is not based on the current term."""
     return _check_term(agreed, body.base_term)
 
 
 @appliers.register(LeaseClaim)
-def apply_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
+def apply_lease_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
     """Open a new term; its number is the offset of the claim."""
     agreed.lease = SchedulingLease(item.offset, body.holder, body.incarnation)
 
 
 @checkers.register(JobSubmit)
-def check_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
+def check_job_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
     """Reject unknown teams, names in use and invalid sizes."""
     if body.team not in agreed.teams:
         return Fault(f"there is no team {body.team!r}", is_not_found=True)
@@ -84,7 +84,7 @@
 
 
 @appliers.register(JobSubmit)
-def apply_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
+def apply_job_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
     """Create the job in the waiting state."""
     agreed.jobs.put(
         Job(
@@ -106,13 +106,13 @@
 
 
 @checkers.register(JobCancel)
-def check_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
+def check_job_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
     """Reject the cancellation of a job that has ended."""
     return _check_open_job(agreed, body.job)
 
 
 @appliers.register(JobCancel)
-def apply_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
+def apply_job_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
     """End the job as cancelled, and stop its gangs."""
     _end_job(agreed, body.job, JobState.CANCELLED, body.reason, item)
     for gang in agreed.gangs.find("job", body.job):
@@ -120,33 +120,33 @@
 
 
 @checkers.register(JobRefuse)
-def check_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
+def check_job_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
     """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobRefuse)
-def apply_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
+def apply_job_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
     """End the job as failed if the record says so, else as refused."""
     state = JobState.FAILED if body.failed else JobState.REFUSED
     _end_job(agreed, body.job, state, body.reason, item)
 
 
 @checkers.register(JobPark)
-def check_park(agreed: Agreed, body: JobPark) -> Fault | None:
+def check_job_park(agreed: Agreed, body: JobPark) -> Fault | None:
     """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobPark)
-def apply_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
+def apply_job_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
     """Mark the job as parked, or as waiting again."""
     state = JobState.PARKED if body.parked else JobState.WAITING
     agreed.jobs.update(body.job, state=state, reason=body.reason)
 
 
 @checkers.register(GangPlace)
-def check_place(agreed: Agreed, body: GangPlace) -> Fault | None:
+def check_gang_place(agreed: Agreed, body: GangPlace) -> Fault | None:
     """Reject old terms, wrong incarnations, and workers unknown or out of service."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
@@ -177,7 +177,7 @@
 
 
 @appliers.register(GangPlace)
-def apply_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
+def apply_gang_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
     """Create the gang in the reserving state."""
     job = agreed.jobs.get(body.job)
     agreed.jobs.update(
@@ -201,7 +201,7 @@
 
 
 @checkers.register(GangRelease)
-def check_release(agreed: Agreed, body: GangRelease) -> Fault | None:
+def check_gang_release(agreed: Agreed, body: GangRelease) -> Fault | None:
     """Reject old terms, gangs that are not reserving, and zones out of service."""
     if fault := _check_term(agreed, body.term):
         return fault
@@ -212,7 +212,7 @@
 
 
 @appliers.register(GangRelease)
-def apply_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
+def apply_gang_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
     """Release the gang, so that all members may start."""
     agreed.gangs.update(
         gang_key(body.job, body.incarnation),
@@ -222,7 +222,7 @@
 
 
 @checkers.register(GangStop)
-def check_stop(agreed: Agreed, body: GangStop) -> Fault | None:
+def check_gang_stop(agreed: Agreed, body: GangStop) -> Fault | None:
     """Reject old terms, and gangs that have ended or are already stopping."""
     if fault := _check_term(agreed, body.term):
         return fault
@@ -233,7 +233,7 @@
 
 
 @appliers.register(GangStop)
-def apply_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
+def apply_gang_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
     """Stop all members; add the worker that failed, if any, to the job's row."""
     key = gang_key(body.job, body.incarnation)
     agreed.gangs.update(
@@ -247,7 +247,7 @@
 
 
 @checkers.register(GangEnd)
-def check_end(agreed: Agreed, body: GangEnd) -> Fault | None:
+def check_gang_end(agreed: Agreed, body: GangEnd) -> Fault | None:
     """Reject old terms, and gangs that have ended or are not stopping."""
     if fault := _check_term(agreed, body.term):
         return fault
@@ -258,7 +258,7 @@
 
 
 @appliers.register(GangEnd)
-def apply_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
+def apply_gang_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
     """Free the gang's accelerators; return an active job to the waiting state."""
     _end_gang(agreed, gang_key(body.job, body.incarnation))
     job = agreed.jobs.get(body.job)
@@ -267,7 +267,7 @@
 
 
 @checkers.register(GangFinish)
-def check_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
+def check_gang_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
     """Accept only the first finish, and only of a gang that was released."""
     if fault := _check_open_job(agreed, body.job):
         return fault
@@ -280,7 +280,7 @@
 
 
 @appliers.register(GangFinish)
-def apply_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
+def apply_gang_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
     """End the job with its result and free the accelerators."""
     _end_job(agreed, body.job, JobState.DONE, "", item)
     agreed.jobs.update(body.job, result=body.result)
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -41,19 +41,19 @@
             decision=body.decision,
         )
     )
-    _forget_claims(agreed)
-    _forget_decisions(agreed, body.key)
+    _evict_claims(agreed)
+    _evict_decisions(agreed, body.key)
 
 
-def _forget_claims(agreed: Agreed) -> None:
+def _evict_claims(agreed: Agreed) -> None:
     while len(agreed.key_claims) > KEY_CLAIMS:
-        forgotten = agreed.key_claims.delete(agreed.key_claims.first().key)
+        evicted = agreed.key_claims.delete(agreed.key_claims.first().key)
         agreed.floors.key_issued_ms = max(
-            agreed.floors.key_issued_ms, forgotten.issued_ms
+            agreed.floors.key_issued_ms, evicted.issued_ms
         )
 
 
-def _forget_decisions(agreed: Agreed, newest: str) -> None:
+def _evict_decisions(agreed: Agreed, newest: str) -> None:
     """Keep only the newest keys' decisions, since they are larger than the claims."""
     agreed.explained_keys.delete(newest)
     agreed.explained_keys.put(ExplainedKey(newest))
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/registry.py
@@ -92,5 +92,5 @@
         RecentRecord(item.record.record_id, item.offset, fault is None, reason)
     )
     while len(agreed.recent) > MAX_RECENT_RECORDS:
-        forgotten = agreed.recent.delete(agreed.recent.first().record_id)
-        agreed.floors.recent_offset = forgotten.offset
+        evicted = agreed.recent.delete(agreed.recent.first().record_id)
+        agreed.floors.recent_offset = evicted.offset
--- a/kingcuppost/systems/record_events.py
+++ b/kingcuppost/systems/record_events.py
@@ -31,7 +31,7 @@
     }
 
 
-def _text_of(record: Record) -> str:
+def _description_of(record: Record) -> str:
     """Return a short description of a record."""
     body = record.body
     if isinstance(body, SettingPut):
@@ -47,7 +47,7 @@
     note(
         world,
         f"propose.{record.body.kind}",
-        f"Proposed for {record.author}: {_text_of(record)}.",
+        f"Proposed for {record.author}: {_description_of(record)}.",
         sends=record.record_id,
         **subjects_of(record),
     )
@@ -72,7 +72,7 @@
     note(
         world,
         f"fold.{record.body.kind}",
-        f"Record of {record.author} {result}: {_text_of(record)}.",
+        f"Record of {record.author} {result}: {_description_of(record)}.",
         offset=offset,
         receives=record.record_id,
         **subjects_of(record),
