--- a/bench/driver.py
+++ b/bench/driver.py
@@ -180,7 +180,7 @@
     def tick(self) -> None:
         """Run the systems once and take their proposals to the fake log."""
         now_ms = self.clock.now_ms()
-        self.world.log_view.fresh_ms = now_ms
+        self.world.log_view.fresh_as_of_ms = now_ms
         run_tick(self.world, self._systems, now_ms)
         fresh = [row for row in self.world.proposals if row.record_id not in self._sent]
         if fresh:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -4,9 +4,9 @@
 
 from bench.driver import Driver, JobRun
 from bench.lists import ZoneChange
-from kingcuppost.systems.jobs.cells import blocks_in, left_over
-from kingcuppost.tables.capacity import CELL_CLASSES, WorkerCapacity
+from kingcuppost.systems.jobs.cells import blocks_in, count_shortfall
 from kingcuppost.tables.job import GangState, JobState, Urgency
+from kingcuppost.tables.scheduling import CELL_CLASSES, WorkerCapacity
 
 __all__ = ["Figures", "measure"]
 
@@ -71,12 +71,12 @@
 def _sample(
     driver: Driver, samples: Samples, window: tuple[int, int], at_ms: int
 ) -> None:
-    capacity = driver.world.capacity
-    rows = [row for row in capacity.workers if row.accelerators]
+    scheduling = driver.world.scheduling
+    rows = [row for row in scheduling.workers if row.accelerators]
     largest = _largest_wanted(driver)
     for row in rows:
         if row.in_service:
-            free = row.whole & ~row.busy
+            free = row.full_mask & ~row.busy
             samples.free += free.bit_count()
             samples.unusable += free.bit_count() - _usable(free, largest)
     samples.breaks += _is_broken(driver, rows)
@@ -87,10 +87,10 @@
 
 def _largest_wanted(driver: Driver) -> int:
     """Return the size of the largest waiting or guaranteed member."""
-    capacity = driver.world.capacity
+    scheduling = driver.world.scheduling
     sizes = [
         1 << cell_class
-        for share in capacity.shares
+        for share in scheduling.shares
         for cell_class in range(CELL_CLASSES)
         if share.unused[cell_class]
     ]
@@ -118,16 +118,16 @@
     for them, in their favour unaligned; what a team runs counts against its
     guarantee, the largest cells first.
     """
-    capacity = driver.world.capacity
-    wholes = _counts([row.whole for row in rows if row.in_service])
+    scheduling = driver.world.scheduling
+    wholes = _counts([row.full_mask for row in rows if row.in_service])
     everything = [
-        sum(share.guaranteed[size] for share in capacity.shares)
+        sum(share.guaranteed[size] for share in scheduling.shares)
         for size in range(CELL_CLASSES)
     ]
-    if left_over(wholes, everything):
+    if count_shortfall(wholes, everything):
         return 0
     if driver.policy == "shapes":
-        return int(left_over(capacity.unbound_blocks, capacity.demand) > 0)
+        return int(count_shortfall(scheduling.unbound_blocks, scheduling.demand) > 0)
     return int(not _fits_unaligned(driver, rows))
 
 
@@ -146,10 +146,10 @@
     for gang in driver.world.agreed.gangs:
         job = driver.world.agreed.jobs.get(gang.job)
         held[gang.team] = held.get(gang.team, 0) + job.members * job.accelerators
-    free = [row.whole & ~row.busy for row in rows if row.in_service]
+    free = [row.full_mask & ~row.busy for row in rows if row.in_service]
     for size in reversed(range(CELL_CLASSES)):
         wanted = 0
-        for share in driver.world.capacity.shares:
+        for share in driver.world.scheduling.shares:
             used = min(held.get(share.team, 0) >> size, share.guaranteed[size])
             held[share.team] = held.get(share.team, 0) - (used << size)
             wanted += share.guaranteed[size] - used
--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -36,7 +36,7 @@
         Open HTTP exchanges by identifier.
     ports : list of object
         Bound ports.
-    outside : object
+    adapter_state : object
         What an adapter keeps; only the adapter reads it.
     exit_code : int
         Exit code of the process.
@@ -48,7 +48,7 @@
     wake: Callable[[], None]
     exchanges: dict[str, Request] = field(default_factory=dict)
     ports: list[Any] = field(default_factory=list)
-    outside: Any = None
+    adapter_state: Any = None
     exit_code: int = 0
     senders: Registry[type, Sender] = field(default_factory=lambda: batch_senders)
 
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -72,7 +72,7 @@
     ]
     configuration = world.agreed.configuration
     values = {
-        "holds_lease": int(schedule.loaded),
+        "holds_lease": int(schedule.is_loaded),
         "jobs": len(world.agreed.jobs),
         "minions": len(schedule.minions),
         "tasks_placed": phases.count(TaskPhase.PLACED),
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -11,9 +11,9 @@
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
 from kingcuppost.batch.edges.logs import LineLog
 from kingcuppost.batch.systems import load_systems
-from kingcuppost.batch.systems.lease import JITTER_MS
+from kingcuppost.batch.systems.holder_election import JITTER_MS
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.messages import StopAsked, StopProcess
+from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.edges.loop import TickLoop
@@ -97,7 +97,7 @@
     """
 
     def stop(number: int, frame: object) -> None:
-        context.reactor.callFromThread(context.deliver, StopAsked())
+        context.reactor.callFromThread(context.deliver, StopRequested())
 
     def reload(number: int, frame: object) -> None:
         context.reactor.callFromThread(_reload, context, read)
--- a/kingcuppost/batch/models/addresses.py
+++ b/kingcuppost/batch/models/addresses.py
@@ -2,10 +2,10 @@
 
 from kingcuppost.tables.config import Address
 
-__all__ = ["address_of"]
+__all__ = ["parse_address"]
 
 
-def address_of(text: str) -> Address:
+def parse_address(text: str) -> Address:
     """Return the address that a text ``IP:PORT`` names.
 
     Raises
@@ -15,7 +15,7 @@
 
     Examples
     --------
-    >>> address_of("10.0.0.1:7000")
+    >>> parse_address("10.0.0.1:7000")
     Address(host='10.0.0.1', port=7000)
     """
     host, _, port = text.rpartition(":")
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -9,12 +9,12 @@
 from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.job import (
     Job,
+    JobPolicy,
     JobState,
     Progress,
     StepSpec,
     TaskPhase,
     TaskProgress,
-    Terms,
 )
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
@@ -23,7 +23,7 @@
     JobRecord,
     ProgressRecord,
     Record,
-    Removed,
+    RemovalRecord,
     RenewRecord,
     SpeedsRecord,
 )
@@ -142,10 +142,10 @@
         team=job.team,
         spec=job.spec,
         accepted_ms=job.accepted_ms,
-        service=job.terms.service,
-        priority=job.terms.priority,
-        most_failures=job.terms.most_failures,
-        slack_factor=job.terms.slack_factor,
+        service=job.policy.service,
+        priority=job.policy.priority,
+        most_failures=job.policy.most_failures,
+        slack_factor=job.policy.slack_factor,
         steps=tuple(
             StepModel(**{name: getattr(step, name) for name in StepModel.model_fields})
             for step in job.steps
@@ -158,7 +158,7 @@
 def _decode_job(rest: str, value: bytes) -> Record:
     model = JobModel.model_validate_json(value)
     steps = tuple(StepSpec(**step.model_dump()) for step in model.steps)
-    terms = Terms(
+    policy = JobPolicy(
         model.service, model.priority, model.most_failures, model.slack_factor
     )
     return JobRecord(
@@ -170,7 +170,7 @@
             steps,
             model.accepted_ms,
             -1,
-            terms,
+            policy,
         )
     )
 
@@ -200,7 +200,7 @@
             task.born_ms,
             task.sidecar,
             task.placed_ms,
-            task.saved,
+            task.checkpoint,
         )
         for task in progress.tasks
     )
@@ -277,8 +277,8 @@
     return SpeedsRecord({name: Speed(*row) for name, row in model.speeds.items()})
 
 
-@encoders.register(Removed)
-def _encode_removed(record: Removed) -> tuple[str, bytes]:
+@encoders.register(RemovalRecord)
+def _encode_removed(record: RemovalRecord) -> tuple[str, bytes]:
     return record.key, b""
 
 
@@ -304,7 +304,7 @@
     'renew: term: Field required'
     """
     if not value:
-        return Ok(Removed(key))
+        return Ok(RemovalRecord(key))
     kind, _, rest = key.partition(SEPARATOR)
     if kind not in decoders:
         return Error(Failure(f"no record is named {key!r}", "decode", peer))
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -5,9 +5,9 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from kingcuppost.batch.models.addresses import address_of
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.models.addresses import parse_address
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
     EndedRun,
     MinionReport,
@@ -82,14 +82,14 @@
 
 def _minion_model(report: MinionReport) -> MinionModel:
     return MinionModel(
-        id=report.life.minion,
-        born_ms=report.life.born_ms,
+        id=report.incarnation.minion,
+        born_ms=report.incarnation.born_ms,
         service=report.service,
         availability_zone=report.availability_zone,
         labels=report.labels,
-        cpu_millis=report.room.cpu_millis,
-        memory_mb=report.room.memory_mb,
-        accelerators=report.room.accelerators,
+        cpu_millis=report.resources.cpu_millis,
+        memory_mb=report.resources.memory_mb,
+        accelerators=report.resources.accelerators,
         draining=report.draining,
         remaining_ms=report.remaining_ms,
         listed=report.listed,
@@ -98,11 +98,11 @@
 
 def _minion_report(model: MinionModel) -> MinionReport:
     return MinionReport(
-        Life(model.id, model.born_ms),
+        MinionIncarnation(model.id, model.born_ms),
         model.service,
         model.availability_zone,
         model.labels,
-        Room(model.cpu_millis, model.memory_mb, model.accelerators),
+        Resources(model.cpu_millis, model.memory_mb, model.accelerators),
         model.draining,
         model.remaining_ms,
         model.listed,
@@ -118,10 +118,11 @@
         wait_ms=call.wait_ms,
         minion=_minion_model(call.minion) if call.minion else None,
         running=tuple(
-            (str(row.task), row.run, row.saved, row.percent) for row in call.running
+            (str(row.task), row.run, row.checkpoint, row.percent)
+            for row in call.running
         ),
         ended=tuple(
-            (row.number, str(row.task), row.run, row.how, row.saved)
+            (row.number, str(row.task), row.run, row.how, row.checkpoint)
             for row in call.ended
         ),
         refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
@@ -153,8 +154,8 @@
         _minion_report(model.minion) if model.minion else None,
         tuple(RunningRun(name(row[0]), *row[1:]) for row in model.running),
         tuple(
-            EndedRun(number, name(task), run, how, saved)
-            for number, task, run, how, saved in model.ended
+            EndedRun(number, name(task), run, how, checkpoint)
+            for number, task, run, how, checkpoint in model.ended
         ),
         tuple(RefusedRun(name(row[0]), *row[1:]) for row in model.refused),
     )
@@ -162,14 +163,14 @@
 
 def encode_sync_reply(reply: SyncReply) -> bytes:
     """Return the JSON text of the orders for a sidecar."""
-    life = reply.life or Life("", 0)
+    incarnation = reply.incarnation or MinionIncarnation("", 0)
     model = SyncReplyModel(
         term=reply.term,
         holder=str(reply.holder) if reply.holder else "",
-        minion=life.minion,
-        born_ms=life.born_ms,
+        minion=incarnation.minion,
+        born_ms=incarnation.born_ms,
         starts=tuple(
-            (str(row.task), row.run, row.spec, row.saved) for row in reply.starts
+            (str(row.task), row.run, row.spec, row.checkpoint) for row in reply.starts
         ),
         stops=tuple((str(row.task), row.run) for row in reply.stops),
         settled=tuple((str(row.task), row.run) for row in reply.settled),
@@ -195,11 +196,11 @@
     return SyncReply(
         "",
         model.term,
-        address_of(model.holder) if model.holder else None,
-        Life(model.minion, model.born_ms) if model.minion else None,
+        parse_address(model.holder) if model.holder else None,
+        MinionIncarnation(model.minion, model.born_ms) if model.minion else None,
         tuple(StartOrder(name(row[0]), *row[1:]) for row in model.starts),
         tuple(StopOrder(name(row[0]), row[1]) for row in model.stops),
         tuple(StopOrder(name(row[0]), row[1]) for row in model.settled),
         model.noted,
-        tuple(address_of(text) for text in model.entries),
+        tuple(parse_address(text) for text in model.entries),
     )
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -3,24 +3,24 @@
 import string
 
 from kingcuppost.batch.systems.fold import is_fresh
+from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.routing import find_queue, team_of
 from kingcuppost.batch.tables.fleet import Queue
-from kingcuppost.batch.tables.job import Job, JobState, Terms
+from kingcuppost.batch.tables.job import Job, JobPolicy, JobState
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
     AppendOutcome,
     CallerCall,
     CallKind,
+    CallOutcome,
     CallReply,
     CancelRecord,
     JobRecord,
     Record,
     Stream,
-    Verdict,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldCall
+from kingcuppost.batch.tables.world import BatchWorld, PendingCall
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
@@ -57,8 +57,8 @@
     world.tally.observe("call", took_ms, call.kind)
     world.outbox.put(reply)
     if call.kind in (CallKind.SUBMIT, CallKind.CANCEL) or reply.verdict in (
-        Verdict.NOT_RUN,
-        Verdict.UNKNOWN,
+        CallOutcome.NOT_RUN,
+        CallOutcome.UNKNOWN,
     ):
         configuration = world.agreed.configuration
         world.note(
@@ -78,15 +78,15 @@
         return _not_run(call, "no configuration yet")
     queue = find_queue(configuration, call.host, call.path)
     if queue is None:
-        return CallReply(call.exchange_id, Verdict.NO_QUEUE)
-    team = team_of(configuration, queue, call.key)
+        return CallReply(call.exchange_id, CallOutcome.NO_QUEUE)
+    team = find_team(configuration, queue, call.key)
     if team is None:
-        return CallReply(call.exchange_id, Verdict.NO_KEY)
+        return CallReply(call.exchange_id, CallOutcome.NO_KEY)
     job_id = call.path[len(queue.prefix) :]
     if call.kind is CallKind.STATE and not job_id:
         return _count(world, call, queue)
     if not is_job_id(job_id):
-        return CallReply(call.exchange_id, Verdict.BAD, reason="no such identifier")
+        return CallReply(call.exchange_id, CallOutcome.BAD, reason="no such identifier")
     if call.kind is CallKind.SUBMIT:
         return _submit(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
@@ -111,7 +111,10 @@
     call: CallerCall, reason: str, retry_after_ms: int = RETRY_SOON_MS
 ) -> CallReply:
     return CallReply(
-        call.exchange_id, Verdict.NOT_RUN, retry_after_ms=retry_after_ms, reason=reason
+        call.exchange_id,
+        CallOutcome.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+        reason=reason,
     )
 
 
@@ -121,15 +124,15 @@
         for job in world.agreed.jobs.scan("queue", queue.name)
         if not job.begun and shown_state(job) is JobState.QUEUED
     )
-    return CallReply(call.exchange_id, Verdict.OK, waiting=waiting)
+    return CallReply(call.exchange_id, CallOutcome.OK, waiting=waiting)
 
 
 def _state(world: BatchWorld, call: CallerCall, job_id: str, now_ms: int) -> CallReply:
     job = world.agreed.jobs.get(job_id)
     if job is not None:
-        return CallReply(call.exchange_id, Verdict.OK, state=shown_state(job))
+        return CallReply(call.exchange_id, CallOutcome.OK, state=shown_state(job))
     if is_fresh(world, Stream.JOBS, now_ms):
-        return CallReply(call.exchange_id, Verdict.NO_JOB)
+        return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     return _not_run(call, UNFOLLOWED)
 
 
@@ -142,9 +145,9 @@
     now_ms: int,
 ) -> CallReply | None:
     if job_id in world.agreed.jobs:
-        return CallReply(call.exchange_id, Verdict.OK)
+        return CallReply(call.exchange_id, CallOutcome.OK)
     if call.job is None:
-        return CallReply(call.exchange_id, Verdict.BAD, reason=call.fault)
+        return CallReply(call.exchange_id, CallOutcome.BAD, reason=call.body_error)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
     job = Job(
@@ -155,7 +158,9 @@
         call.job.steps,
         world.clock.wall_ms(),
         -1,
-        Terms(queue.service, queue.priority, queue.most_failures, queue.slack_factor),
+        JobPolicy(
+            queue.service, queue.priority, queue.most_failures, queue.slack_factor
+        ),
     )
     _hold(world, call, job_id, JobRecord(job))
     return None
@@ -167,10 +172,10 @@
     job = world.agreed.jobs.get(job_id)
     if job is None:
         if is_fresh(world, Stream.JOBS, now_ms):
-            return CallReply(call.exchange_id, Verdict.NO_JOB)
+            return CallReply(call.exchange_id, CallOutcome.NO_JOB)
         return _not_run(call, UNFOLLOWED)
     if shown_state(job) in ENDED:
-        return CallReply(call.exchange_id, Verdict.OK)
+        return CallReply(call.exchange_id, CallOutcome.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _not_run(call, UNFOLLOWED, RETRY_LATER_MS)
     _hold(world, call, job_id, CancelRecord(job_id))
@@ -185,7 +190,7 @@
         (record,),
         timeout_ms=APPEND_TIMEOUT_MS,
     )
-    world.calls[append.id] = HeldCall(call, job_id, append)
+    world.calls[append.id] = PendingCall(call, job_id, append)
     world.outbox.put(append)
 
 
@@ -195,39 +200,47 @@
     for answer in world.inbox.take(AppendEnded):
         held = world.calls.get(answer.id)
         if held is None:
-            world.schedule.answers.append(answer)
+            world.schedule.append_results.append(answer)
         else:
             _end(world, held, answer, now_ms)
     for held in list(world.calls.values()):
         if _is_agreed(world, held):
-            _finish(world, held, CallReply(held.call.exchange_id, Verdict.OK), now_ms)
+            _finish(
+                world, held, CallReply(held.call.exchange_id, CallOutcome.OK), now_ms
+            )
 
 
-def _is_agreed(world: BatchWorld, held: HeldCall) -> bool:
+def _is_agreed(world: BatchWorld, held: PendingCall) -> bool:
     job = world.agreed.jobs.get(held.job_id)
     if job is None:
         return False
     return held.call.kind is CallKind.SUBMIT or job.cancelled
 
 
-def _end(world: BatchWorld, held: HeldCall, answer: AppendEnded, now_ms: int) -> None:
+def _end(
+    world: BatchWorld, held: PendingCall, answer: AppendEnded, now_ms: int
+) -> None:
     exchange_id = held.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
-        _finish(world, held, CallReply(exchange_id, Verdict.OK), now_ms)
+        _finish(world, held, CallReply(exchange_id, CallOutcome.OK), now_ms)
         return
-    held.unknown = held.unknown or answer.outcome is AppendOutcome.UNKNOWN
+    held.has_unknown_outcome = (
+        held.has_unknown_outcome or answer.outcome is AppendOutcome.UNKNOWN
+    )
     left_ms = held.call.received_ms + held.call.timeout_ms - now_ms
-    if held.unknown and left_ms > ANSWER_MARGIN_MS:
-        held.tries += 1
+    if held.has_unknown_outcome and left_ms > ANSWER_MARGIN_MS:
+        held.attempts += 1
         world.outbox.put(held.append)
-    elif held.unknown:
-        reply = CallReply(exchange_id, Verdict.UNKNOWN, reason=answer.reason)
+    elif held.has_unknown_outcome:
+        reply = CallReply(exchange_id, CallOutcome.UNKNOWN, reason=answer.reason)
         _finish(world, held, reply, now_ms)
     else:
         reply = _not_run(held.call, answer.reason, RETRY_LATER_MS)
         _finish(world, held, reply, now_ms)
 
 
-def _finish(world: BatchWorld, held: HeldCall, reply: CallReply, now_ms: int) -> None:
+def _finish(
+    world: BatchWorld, held: PendingCall, reply: CallReply, now_ms: int
+) -> None:
     del world.calls[held.append.id]
     _reply(world, held.call, reply, now_ms)
--- a/kingcuppost/batch/systems/cleaning.py
+++ b/kingcuppost/batch/systems/cleaning.py
@@ -16,9 +16,9 @@
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
     """Ask for the removal of jobs whose state was kept for long enough."""
     schedule = world.schedule
-    if not is_scheduling(world) or now_ms < schedule.clean_at_ms:
+    if not is_scheduling(world) or now_ms < schedule.prune_at_ms:
         return
-    schedule.clean_at_ms = now_ms + PERIOD_MS
+    schedule.prune_at_ms = now_ms + PERIOD_MS
     kept_ms = world.cfg.bounds.status_ms + MARGIN_MS
     for job_id, plan in list(schedule.plans.items()):
         if plan.phase is not PlanState.OVER or plan.committed < plan.version:
--- a/kingcuppost/batch/systems/decide.py
+++ b/kingcuppost/batch/systems/decide.py
@@ -175,7 +175,7 @@
 
 def _could_hold(sites: list[Site], spec: StepSpec, count: int) -> bool:
     """Return whether sites could hold a step if nothing else ran there."""
-    return sum(how_many(site.minion.room, spec, count) for site in sites) >= count
+    return sum(how_many(site.minion.resources, spec, count) for site in sites) >= count
 
 
 def _rank_rack(unit: Unit, rack: list[Site]) -> tuple:
@@ -186,7 +186,7 @@
     chosen = pick(rack, unit.spec, len(unit.tasks), _rank_site_of(unit))
     if len(chosen) < len(unit.tasks):
         return (1, 0.0, free)
-    return (0, -min(site.minion.pace.value for site in chosen), free)
+    return (0, -min(site.minion.speed.value for site in chosen), free)
 
 
 def _rank_site_of(unit: Unit) -> Rank:
@@ -198,14 +198,14 @@
     that has done work.
     """
     last_try = unit.is_last_try
-    is_patient = unit.plan.job.terms.priority >= PATIENT_PRIORITY
+    is_patient = unit.plan.job.policy.priority >= PATIENT_PRIORITY
 
     def rank(site: Site, step: StepSpec) -> tuple:
         row = site.minion
         fullness = (site.free.accelerators, site.free.cpu_millis)
-        doubt = row.failures + (0 if row.proven else 1 if last_try else 0)
+        doubt = row.failures + (0 if row.has_completed_run else 1 if last_try else 0)
         if unit.is_urgent:
-            speed = round(row.pace.value * SPEED_STEPS)
+            speed = round(row.speed.value * SPEED_STEPS)
             return (doubt, -speed, *fullness, row.sidecar)
         is_wasted = is_patient and not site.is_slow
         return (
@@ -213,7 +213,7 @@
             is_wasted,
             site.rack_free[0],
             *fullness,
-            -row.pace.value,
+            -row.speed.value,
             row.sidecar,
         )
 
@@ -233,8 +233,8 @@
     for task, site in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
         place_task(world, plan, task, number, site.minion)
-        for room in (site.now, site.soon, site.free):
-            take_room(room, unit.spec)
+        for resources in (site.now, site.soon, site.free):
+            take_room(resources, unit.spec)
         site.taken += 1
         site.rack_free[0] -= unit.spec.accelerators
         world.note(
@@ -242,10 +242,10 @@
             "A run is placed.",
             task=str(task.name),
             run=number,
-            minion=site.minion.life.minion,
+            minion=site.minion.incarnation.minion,
             rack=site.minion.rack,
             rank=unit.rank,
-            speed=round(site.minion.pace.value, 2),
+            speed=round(site.minion.speed.value, 2),
             version=configuration.version if configuration else -1,
         )
 
@@ -271,8 +271,8 @@
     for eviction in best:
         _stop_victims(world, unit, eviction)
         # a narrowed site shares its rooms with the site that it was made from
-        for room in (eviction.site.now, eviction.site.soon, eviction.site.free):
-            take_room(room, unit.spec, eviction.count)
+        for resources in (eviction.site.now, eviction.site.soon, eviction.site.free):
+            take_room(resources, unit.spec, eviction.count)
     unit.tasks = unit.tasks[_count(best) :]
     return not unit.tasks
 
@@ -318,7 +318,7 @@
         plan, task = victim.plan, victim.task
         step = plan.job.steps[task.name.step]
         stopped = plan.tasks[task.name.step] if step.gang else [task]
-        add_room(eviction.site.free, victim.room)
+        add_room(eviction.site.free, victim.resources)
         for member in stopped:
             ask_stop(world, plan, member)
         world.tally.add("preemptions")
--- a/kingcuppost/batch/systems/ending.py
+++ b/kingcuppost/batch/systems/ending.py
@@ -1,8 +1,8 @@
 """The graceful end of a process."""
 
-from kingcuppost.batch.systems.lease import release_lease
+from kingcuppost.batch.systems.holder_election import release_lease
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.tables.messages import StopAsked, StopProcess
+from kingcuppost.batch.tables.messages import StopProcess, StopRequested
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -16,19 +16,23 @@
 @system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
 def end_process(world: BatchWorld, now_ms: int) -> None:
     """Give the lease back, answer what waits, then end."""
-    if world.inbox.take(StopAsked) and not world.stopping:
+    if world.inbox.take(StopRequested) and not world.stopping:
         world.stopping = True
-        world.stop_from_ms = now_ms + _linger_ms(world)
-        world.stop_by_ms = now_ms + world.cfg.bounds.grace_ms - GRACE_MARGIN_MS
+        world.earliest_stop_ms = now_ms + _linger_ms(world)
+        world.stop_deadline_ms = now_ms + world.cfg.bounds.grace_ms - GRACE_MARGIN_MS
         release_lease(world, now_ms)
-        world.note("process", "Stopping.", by_ms=world.stop_by_ms - now_ms)
+        world.note("process", "Stopping.", by_ms=world.stop_deadline_ms - now_ms)
     if not world.stopping:
         return
-    is_done = not world.calls and now_ms >= world.stop_from_ms
-    if is_done or now_ms >= world.stop_by_ms:
+    is_done = not world.calls and now_ms >= world.earliest_stop_ms
+    if is_done or now_ms >= world.stop_deadline_ms:
         world.outbox.put(StopProcess())
         return
-    due_ms = world.stop_from_ms if now_ms < world.stop_from_ms else world.stop_by_ms
+    due_ms = (
+        world.earliest_stop_ms
+        if now_ms < world.earliest_stop_ms
+        else world.stop_deadline_ms
+    )
     world.deadlines.add(due_ms)
 
 
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -10,10 +10,10 @@
     ClaimRecord,
     ConfigRecord,
     EntryRecord,
-    Followed,
     JobRecord,
     ProgressRecord,
-    Removed,
+    RecordsRead,
+    RemovalRecord,
     RenewRecord,
     SpeedsRecord,
     Stream,
@@ -40,7 +40,7 @@
 @system(Phase.FOLD, (Role.ENTRY,), order=10)
 def fold_streams(world: BatchWorld, now_ms: int) -> None:
     """Apply what was read."""
-    for batch in world.inbox.take(Followed):
+    for batch in world.inbox.take(RecordsRead):
         _note_freshness(world, batch, now_ms)
         if batch.whole:
             _drop_missing(world, batch)
@@ -50,15 +50,15 @@
         view.end = max(view.end, batch.end)
 
 
-def _note_freshness(world: BatchWorld, batch: Followed, now_ms: int) -> None:
+def _note_freshness(world: BatchWorld, batch: RecordsRead, now_ms: int) -> None:
     view = world.agreed.views[batch.stream]
     if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > FRESH_MS:
-        view.regained_ms = now_ms
+        view.gap_ended_ms = now_ms
         world.note("log", "A stream is followed again.", stream=batch.stream)
     view.fresh_ms = max(view.fresh_ms or 0, batch.sent_ms)
 
 
-def _drop_missing(world: BatchWorld, batch: Followed) -> None:
+def _drop_missing(world: BatchWorld, batch: RecordsRead) -> None:
     """Forget rows whose record a whole listing no longer has."""
     agreed = world.agreed
     records = [record for _, record in batch.records]
@@ -89,14 +89,14 @@
         return
     record.job.offset = offset
     world.agreed.jobs.put(record.job)
-    world.schedule.touched[record.job.id] = None
+    world.schedule.changed_jobs[record.job.id] = None
 
 
 @appliers.register(CancelRecord)
 def _apply_cancel(world: BatchWorld, offset: int, record: CancelRecord) -> None:
     if record.job_id in world.agreed.jobs:
         world.agreed.jobs.update(record.job_id, cancelled=True)
-        world.schedule.touched[record.job_id] = None
+        world.schedule.changed_jobs[record.job_id] = None
 
 
 @appliers.register(ProgressRecord)
@@ -138,7 +138,7 @@
     holder = world.agreed.holder
     if record.term != holder.term:
         return
-    holder.beat_ms = world.clock.now_ms()
+    holder.last_renewal_ms = world.clock.now_ms()
     holder.released = record.released
 
 
@@ -176,13 +176,13 @@
     world.agreed.speeds = record.speeds
 
 
-@appliers.register(Removed)
-def _apply_removed(world: BatchWorld, offset: int, record: Removed) -> None:
+@appliers.register(RemovalRecord)
+def _apply_removed(world: BatchWorld, offset: int, record: RemovalRecord) -> None:
     kind, _, rest = record.key.partition("/")
     if kind == "zone":
         _open_zone(world, rest)
     elif kind == "job":
         world.agreed.jobs.delete(rest)
-        world.schedule.touched[rest] = None
+        world.schedule.changed_jobs[rest] = None
     elif kind == "entry":
         world.agreed.entries.delete(rest)
--- a/kingcuppost/batch/systems/lease.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -46,7 +46,7 @@
     """Return whether this process holds the newest term that it knows."""
     holder = world.agreed.holder
     is_mine = holder.incarnation == world.incarnation
-    return is_mine and holder.term > world.schedule.given_up_term
+    return is_mine and holder.term > world.schedule.lost_term
 
 
 def has_authority(world: BatchWorld, now_ms: int) -> bool:
@@ -119,7 +119,7 @@
     is_predecessor = holder.name == world.cfg.name
     if holder.term <= 0 or holder.released or is_predecessor:
         return 0
-    heard_ms = max(holder.beat_ms, view.regained_ms)
+    heard_ms = max(holder.last_renewal_ms, view.gap_ended_ms)
     return heard_ms + SILENCE_MS + world.schedule.jitter_ms
 
 
@@ -133,9 +133,9 @@
         return
     if schedule.authority_until_ms == 0:
         schedule.authority_until_ms = schedule.claim_sent_ms + AUTHORITY_MS
-    for answer in list(schedule.answers):
+    for answer in list(schedule.append_results):
         if answer.id in schedule.renewals:
-            schedule.answers.remove(answer)
+            schedule.append_results.remove(answer)
             _renewal_answered(world, answer, now_ms)
     if now_ms >= schedule.renew_at_ms:
         schedule.renew_at_ms = now_ms + RENEW_MS
@@ -190,6 +190,6 @@
         jitter_ms=old.jitter_ms,
         claim_after_ms=old.claim_after_ms,
         announce_after_ms=old.announce_after_ms,
-        syncs=old.syncs,
-        given_up_term=max(old.term, old.given_up_term),
+        pending_syncs=old.pending_syncs,
+        lost_term=max(old.term, old.lost_term),
     )
--- a/kingcuppost/batch/systems/host.py
+++ b/kingcuppost/batch/systems/host.py
@@ -1,13 +1,13 @@
 """What a sidecar hears: of its minion, and of the scheduler."""
 
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.tables.job import Life
+from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
-    Followed,
-    MinionHeard,
-    MinionLists,
+    HoldMinionAnswered,
+    MinionHeartbeat,
     OrderAnswered,
     OrderOutcome,
+    RecordsRead,
     RefusedRun,
     RunningRun,
     StartOrder,
@@ -15,7 +15,7 @@
     SyncAnswered,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
+from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
 __all__ = ["hear_lists", "hear_minion", "hear_orders", "hear_scheduler"]
@@ -30,129 +30,144 @@
 @system(Phase.INTAKE, SIDECAR, order=50)
 def hear_minion(world: BatchWorld, now_ms: int) -> None:
     """Take heartbeats in; late ones of an earlier life or moment change nothing."""
-    host = world.host
-    for heard in world.inbox.take(MinionHeard):
+    sidecar_state = world.sidecar_state
+    for heard in world.inbox.take(MinionHeartbeat):
         if heard.gone:
             _minion_left(world, heard)
             continue
-        life = heard.report.life
-        old = host.minion
-        if old is not None and life.born_ms < old.life.born_ms:
+        incarnation = heard.report.incarnation
+        old = sidecar_state.minion
+        if old is not None and incarnation.born_ms < old.incarnation.born_ms:
             continue
-        if old is None or old.life != life:
+        if old is None or old.incarnation != incarnation:
             _begin_life(world, heard)
-        elif heard.sequence <= host.sequence:
+        elif heard.sequence <= sidecar_state.sequence:
             continue
-        host.sequence = heard.sequence
-        host.address = heard.address
-        if old is None or _is_news(heard, host):
-            host.dirty = True
-        host.minion = heard.report
+        sidecar_state.sequence = heard.sequence
+        sidecar_state.address = heard.address
+        if old is None or _is_news(heard, sidecar_state):
+            sidecar_state.dirty = True
+        sidecar_state.minion = heard.report
 
 
-def _is_news(heard: MinionHeard, host: Host) -> bool:
-    old = host.minion
+def _is_news(heard: MinionHeartbeat, sidecar_state: SidecarState) -> bool:
+    old = sidecar_state.minion
     return old is None or old.draining != heard.report.draining
 
 
-def _begin_life(world: BatchWorld, heard: MinionHeard) -> None:
+def _begin_life(world: BatchWorld, heard: MinionHeartbeat) -> None:
     """Forget all of the minion's earlier life."""
-    host = world.host
-    world.host = Host(
-        term=host.term,
-        sync_number=host.sync_number,
-        syncs=host.syncs,
-        holder=host.holder,
-        entries=host.entries,
-        next_entry=host.next_entry,
-        heard_ms=host.heard_ms,
+    sidecar_state = world.sidecar_state
+    world.sidecar_state = SidecarState(
+        term=sidecar_state.term,
+        sync_number=sidecar_state.sync_number,
+        pending_syncs=sidecar_state.pending_syncs,
+        holder=sidecar_state.holder,
+        entries=sidecar_state.entries,
+        next_entry=sidecar_state.next_entry,
+        last_reply_ms=sidecar_state.last_reply_ms,
         minion=heard.report,
         address=heard.address,
     )
-    host = world.host
+    sidecar_state = world.sidecar_state
     world.note(
         "minion",
         "The minion began a life.",
-        minion=heard.report.life.minion,
-        born_ms=heard.report.life.born_ms,
+        minion=heard.report.incarnation.minion,
+        born_ms=heard.report.incarnation.born_ms,
     )
 
 
-def _minion_left(world: BatchWorld, heard: MinionHeard) -> None:
-    host = world.host
-    if host.minion is None or host.minion.life.minion != heard.report.life.minion:
+def _minion_left(world: BatchWorld, heard: MinionHeartbeat) -> None:
+    sidecar_state = world.sidecar_state
+    if (
+        sidecar_state.minion is None
+        or sidecar_state.minion.incarnation.minion != heard.report.incarnation.minion
+    ):
         return
-    world.note("minion", "The minion left.", minion=host.minion.life.minion)
-    host.minion = None
-    host.dirty = True
+    world.note(
+        "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
+    )
+    sidecar_state.minion = None
+    sidecar_state.dirty = True
 
 
-def _is_present(world: BatchWorld, life: Life) -> bool:
-    return world.host.minion is not None and world.host.minion.life == life
+def _is_present(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
+    return (
+        world.sidecar_state.minion is not None
+        and world.sidecar_state.minion.incarnation == incarnation
+    )
 
 
 @system(Phase.INTAKE, SIDECAR, order=30)
 def hear_lists(world: BatchWorld, now_ms: int) -> None:
     """Take in what runs at the minion and what has ended there."""
-    for lists in world.inbox.take(MinionLists):
-        host = world.host
-        if not _is_present(world, lists.life):
+    for lists in world.inbox.take(HoldMinionAnswered):
+        sidecar_state = world.sidecar_state
+        if not _is_present(world, lists.incarnation):
             continue
-        host.holding = False
+        sidecar_state.is_hold_open = False
         if lists.reason:
             _hold_failed(world, lists, now_ms)
             continue
-        _read_clock(host, lists)
+        _read_clock(sidecar_state, lists)
         _take_running(world, lists, now_ms)
         for ended in lists.ended:
-            if ended.number > host.seen and ended.number not in host.ended:
-                host.ended[ended.number] = ended
-                host.runs.pop((str(ended.task), ended.run), None)
-                host.dirty = True
-
-
-def _hold_failed(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
-    host = world.host
-    host.hold_after_ms = now_ms + RETRY_MS
-    if not host.hold_failed:
+            if (
+                ended.number > sidecar_state.acknowledged_end
+                and ended.number not in sidecar_state.ended
+            ):
+                sidecar_state.ended[ended.number] = ended
+                sidecar_state.runs.pop((str(ended.task), ended.run), None)
+                sidecar_state.dirty = True
+
+
+def _hold_failed(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
+    sidecar_state = world.sidecar_state
+    sidecar_state.hold_after_ms = now_ms + RETRY_MS
+    if not sidecar_state.hold_failed:
         world.note("minion", "The minion does not answer.", reason=lists.reason)
-    host.hold_failed = True
+    sidecar_state.hold_failed = True
 
 
-def _read_clock(host: Host, lists: MinionLists) -> None:
-    if host.clock_ms is None or lists.clock_ms >= host.clock_ms:
-        host.clock_ms = lists.clock_ms
-        host.clock_at_ms = lists.received_ms
+def _read_clock(sidecar_state: SidecarState, lists: HoldMinionAnswered) -> None:
+    if sidecar_state.clock_ms is None or lists.clock_ms >= sidecar_state.clock_ms:
+        sidecar_state.clock_ms = lists.clock_ms
+        sidecar_state.clock_at_ms = lists.received_ms
 
 
-def _take_running(world: BatchWorld, lists: MinionLists, now_ms: int) -> None:
-    host = world.host
-    if host.hold_failed:
+def _take_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.hold_failed:
         world.note("minion", "The minion answers.")
-    host.hold_failed = False
-    if not host.listed:
-        host.listed = True
-        host.dirty = True
-    host.running = {(str(run.task), run.run): run for run in lists.running}
+    sidecar_state.hold_failed = False
+    if not sidecar_state.listed:
+        sidecar_state.listed = True
+        sidecar_state.dirty = True
+    sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
     over = {(str(end.task), end.run) for end in lists.ended}
-    for key, run in list(host.runs.items()):
+    for key, run in list(sidecar_state.runs.items()):
         if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
             continue
-        if key not in host.running and key not in over and key not in _ended(host):
+        if (
+            key not in sidecar_state.running
+            and key not in over
+            and key not in _ended(sidecar_state)
+        ):
             _refuse(world, run, "stopped")
 
 
-def _ended(host: Host) -> set[tuple[str, int]]:
-    return {(str(end.task), end.run) for end in host.ended.values()}
+def _ended(sidecar_state: SidecarState) -> set[tuple[str, int]]:
+    return {(str(end.task), end.run) for end in sidecar_state.ended.values()}
 
 
-def _refuse(world: BatchWorld, run: HostRun, reason: str) -> None:
+def _refuse(world: BatchWorld, run: OrderedRun, reason: str) -> None:
     """Report that a run surely never began."""
-    host = world.host
+    sidecar_state = world.sidecar_state
     key = (str(run.order.task), run.order.run)
-    host.runs.pop(key, None)
-    host.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
-    host.dirty = True
+    sidecar_state.runs.pop(key, None)
+    sidecar_state.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
+    sidecar_state.dirty = True
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
@@ -164,13 +179,13 @@
     since the copy may be carried out late.
     """
     for answer in world.inbox.take(OrderAnswered):
-        host = world.host
-        if not _is_present(world, answer.life):
+        sidecar_state = world.sidecar_state
+        if not _is_present(world, answer.incarnation):
             continue
-        run = host.runs.get((str(answer.task), answer.run))
+        run = sidecar_state.runs.get((str(answer.task), answer.run))
         if run is None:
             continue
-        run.asked = False
+        run.is_order_pending = False
         if answer.start:
             _start_answered(world, run, answer, now_ms)
         else:
@@ -178,13 +193,13 @@
 
 
 def _start_answered(
-    world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
+    world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     key = (str(answer.task), answer.run)
     if answer.outcome is OrderOutcome.DONE:
         run.started = True
-        world.host.running.setdefault(
-            key, RunningRun(answer.task, answer.run, run.order.saved, 0)
+        world.sidecar_state.running.setdefault(
+            key, RunningRun(answer.task, answer.run, run.order.checkpoint, 0)
         )
         world.note("run", "A run began.", task=key[0], run=key[1])
         return
@@ -196,8 +211,8 @@
         outcome=answer.outcome,
         reason=answer.reason,
     )
-    run.doubtful = run.doubtful or answer.outcome is OrderOutcome.UNKNOWN
-    if answer.outcome is OrderOutcome.REFUSED and run.doubtful:
+    run.may_still_start = run.may_still_start or answer.outcome is OrderOutcome.UNKNOWN
+    if answer.outcome is OrderOutcome.REFUSED and run.may_still_start:
         run.stop = True
     elif answer.outcome is OrderOutcome.REFUSED:
         _refuse(world, run, answer.reason)
@@ -206,7 +221,7 @@
 
 
 def _stop_answered(
-    world: BatchWorld, run: HostRun, answer: OrderAnswered, now_ms: int
+    world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     if answer.outcome is OrderOutcome.DONE:
         run.stopped_ms = now_ms
@@ -218,90 +233,103 @@
 def hear_scheduler(world: BatchWorld, now_ms: int) -> None:
     """Take in the scheduler's orders, and the lease that its answer allows."""
     for answer in world.inbox.take(SyncAnswered):
-        host = world.host
-        host.syncs.pop(answer.number, None)
+        sidecar_state = world.sidecar_state
+        sidecar_state.pending_syncs.pop(answer.number, None)
         reply = answer.reply
         if reply is None:
             _ask_another(world, answer, now_ms)
             continue
-        host.entries = reply.entries or host.entries
-        if reply.term < host.term or reply.term < 0:
+        sidecar_state.entries = reply.entries or sidecar_state.entries
+        if reply.term < sidecar_state.term or reply.term < 0:
             _follow_hint(world, answer, now_ms)
             continue
-        host.term = reply.term
-        host.holder = answer.address
-        host.heard_ms = now_ms
-        if reply.life is not None and _is_present(world, reply.life):
+        sidecar_state.term = reply.term
+        sidecar_state.holder = answer.address
+        sidecar_state.last_reply_ms = now_ms
+        if reply.incarnation is not None and _is_present(world, reply.incarnation):
             _extend_lease(world, answer)
             _take_orders(world, reply)
 
 
 def _ask_another(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    host = world.host
-    host.silent = answer.address
-    host.silent_until_ms = now_ms + SILENT_MS
-    if host.holder == answer.address:
-        host.holder = None
+    sidecar_state = world.sidecar_state
+    sidecar_state.unreachable_entry = answer.address
+    sidecar_state.unreachable_until_ms = now_ms + SILENT_MS
+    if sidecar_state.holder == answer.address:
+        sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
-    host.next_entry += 1
-    host.sync_after_ms = now_ms + RETRY_MS
-    host.dirty = True
+    sidecar_state.next_entry += 1
+    sidecar_state.sync_after_ms = now_ms + RETRY_MS
+    sidecar_state.dirty = True
 
 
 def _follow_hint(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     """Ask the entry that is said to schedule, unless it has just not answered."""
-    host = world.host
+    sidecar_state = world.sidecar_state
     hint = answer.reply.holder
-    is_silent = hint == host.silent and now_ms < host.silent_until_ms
+    is_silent = (
+        hint == sidecar_state.unreachable_entry
+        and now_ms < sidecar_state.unreachable_until_ms
+    )
     if hint == answer.address or is_silent:
         hint = None
-    host.holder = hint
+    sidecar_state.holder = hint
     if hint is None:
-        host.next_entry += 1
-    host.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
-    host.dirty = True
+        sidecar_state.next_entry += 1
+    sidecar_state.sync_after_ms = now_ms + (RETRY_MS if hint is not None else PAUSE_MS)
+    sidecar_state.dirty = True
 
 
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
     """Allow the minion's work to go on for a lease from when the report was sent."""
-    host = world.host
-    if host.clock_ms is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.clock_ms is None:
         return
-    sent_on_minion_ms = host.clock_ms + max(answer.sent_ms - host.clock_at_ms, 0)
+    sent_on_minion_ms = sidecar_state.clock_ms + max(
+        answer.sent_ms - sidecar_state.clock_at_ms, 0
+    )
     until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
-    host.until_ms = max(host.until_ms or 0, until_ms)
+    sidecar_state.until_ms = max(sidecar_state.until_ms or 0, until_ms)
 
 
 def _take_orders(world: BatchWorld, reply: SyncReply) -> None:
-    host = world.host
-    if reply.noted > host.seen:
-        host.seen = reply.noted
-        for number in [number for number in host.ended if number <= host.seen]:
-            del host.ended[number]
+    sidecar_state = world.sidecar_state
+    if reply.noted > sidecar_state.acknowledged_end:
+        sidecar_state.acknowledged_end = reply.noted
+        for number in [
+            number
+            for number in sidecar_state.ended
+            if number <= sidecar_state.acknowledged_end
+        ]:
+            del sidecar_state.ended[number]
     for row in reply.settled:
-        host.refused.pop((str(row.task), row.run), None)
-    known = _ended(host) | set(host.refused)
+        sidecar_state.refused.pop((str(row.task), row.run), None)
+    known = _ended(sidecar_state) | set(sidecar_state.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
-        if key not in known and key not in host.running:
-            host.runs.setdefault(key, HostRun(order))
+        if key not in known and key not in sidecar_state.running:
+            sidecar_state.runs.setdefault(key, OrderedRun(order))
     for stop in reply.stops:
-        _take_stop(host, stop, known)
+        _take_stop(sidecar_state, stop, known)
 
 
-def _take_stop(host: Host, stop: StopOrder, known: set[tuple[str, int]]) -> None:
+def _take_stop(
+    sidecar_state: SidecarState, stop: StopOrder, known: set[tuple[str, int]]
+) -> None:
     key = (str(stop.task), stop.run)
     if key in known:
         return
-    run = host.runs.setdefault(key, HostRun(StartOrder(stop.task, stop.run, "", "")))
+    run = sidecar_state.runs.setdefault(
+        key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
+    )
     run.stop = True
 
 
 @system(Phase.INTAKE, SIDECAR, order=40)
 def hear_members(world: BatchWorld, now_ms: int) -> None:
     """Take in the entries that the log lists."""
-    for batch in world.inbox.take(Followed):
+    for batch in world.inbox.take(RecordsRead):
         found = tuple(
             record.address for _, record in batch.records if hasattr(record, "address")
         )
-        world.host.entries = found or world.host.entries
+        world.sidecar_state.entries = found or world.sidecar_state.entries
--- a/kingcuppost/batch/systems/hosting.py
+++ b/kingcuppost/batch/systems/hosting.py
@@ -7,7 +7,7 @@
     StopOrder,
     StopRun,
 )
-from kingcuppost.batch.tables.world import BatchWorld, Host, HostRun
+from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
 __all__ = ["ask_minion", "give_orders"]
@@ -22,49 +22,61 @@
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
 def ask_minion(world: BatchWorld, now_ms: int) -> None:
     """Keep one question for the lists open, which also extends the lease."""
-    host = world.host
-    if host.minion is None or host.holding or not host.term:
+    sidecar_state = world.sidecar_state
+    if (
+        sidecar_state.minion is None
+        or sidecar_state.is_hold_open
+        or not sidecar_state.term
+    ):
         return
-    if now_ms < host.hold_after_ms:
-        world.deadlines.add(host.hold_after_ms)
+    if now_ms < sidecar_state.hold_after_ms:
+        world.deadlines.add(sidecar_state.hold_after_ms)
         return
-    host.holding = True
-    wait_ms = _wait_ms(host, now_ms)
+    sidecar_state.is_hold_open = True
+    wait_ms = _wait_ms(sidecar_state, now_ms)
     if _awaits_stop(world):
         wait_ms = 0
-        host.hold_after_ms = now_ms + STOP_LOOK_MS
+        sidecar_state.hold_after_ms = now_ms + STOP_LOOK_MS
     world.outbox.put(
         HoldMinion(
-            host.address,
-            host.minion.life,
-            host.term,
-            host.seen,
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            sidecar_state.acknowledged_end,
             wait_ms,
-            host.until_ms,
+            sidecar_state.until_ms,
         )
     )
 
 
-def _wait_ms(host: Host, now_ms: int) -> int:
+def _wait_ms(sidecar_state: SidecarState, now_ms: int) -> int:
     """Return how long the minion may wait with its lists; shorter as its lease ends."""
-    if not host.listed or host.until_ms is None or host.clock_ms is None:
+    if (
+        not sidecar_state.listed
+        or sidecar_state.until_ms is None
+        or sidecar_state.clock_ms is None
+    ):
         return 0
-    left_ms = host.until_ms - host.clock_ms - (now_ms - host.clock_at_ms)
+    left_ms = (
+        sidecar_state.until_ms
+        - sidecar_state.clock_ms
+        - (now_ms - sidecar_state.clock_at_ms)
+    )
     return min(WAIT_MS, max(left_ms // LEASE_PARTS, LEAST_WAIT_MS))
 
 
 def _awaits_stop(world: BatchWorld) -> bool:
-    return any(run.stopped_ms is not None for run in world.host.runs.values())
+    return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
 def give_orders(world: BatchWorld, now_ms: int) -> None:
     """Start and stop runs; an order without an answer goes out again."""
-    host = world.host
-    if host.minion is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.minion is None:
         return
-    for run in list(host.runs.values()):
-        if run.asked or run.stopped_ms is not None:
+    for run in list(sidecar_state.runs.values()):
+        if run.is_order_pending or run.stopped_ms is not None:
             continue
         if now_ms < run.retry_ms:
             world.deadlines.add(run.retry_ms)
@@ -75,24 +87,37 @@
             _start(world, run, now_ms)
 
 
-def _stop(world: BatchWorld, run: HostRun) -> None:
-    host = world.host
-    run.asked = True
+def _stop(world: BatchWorld, run: OrderedRun) -> None:
+    sidecar_state = world.sidecar_state
+    run.is_order_pending = True
     order = StopOrder(run.order.task, run.order.run)
-    world.outbox.put(StopRun(host.address, host.minion.life, host.term, order))
+    world.outbox.put(
+        StopRun(
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            order,
+        )
+    )
 
 
-def _start(world: BatchWorld, run: HostRun, now_ms: int) -> None:
+def _start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
     """Order a start, unless the lease that the scheduler allows is about to end."""
-    host = world.host
-    if host.until_ms is None or host.clock_ms is None:
+    sidecar_state = world.sidecar_state
+    if sidecar_state.until_ms is None or sidecar_state.clock_ms is None:
         return
-    clock_ms = host.clock_ms + now_ms - host.clock_at_ms
-    if host.until_ms - clock_ms < LEAST_LEASE_MS:
+    clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
+    if sidecar_state.until_ms - clock_ms < LEAST_LEASE_MS:
         return
-    if host.minion.draining and not run.doubtful:
+    if sidecar_state.minion.draining and not run.may_still_start:
         return
-    run.asked = True
+    run.is_order_pending = True
     world.outbox.put(
-        StartRun(host.address, host.minion.life, host.term, run.order, host.until_ms)
+        StartRun(
+            sidecar_state.address,
+            sidecar_state.minion.incarnation,
+            sidecar_state.term,
+            run.order,
+            sidecar_state.until_ms,
+        )
     )
--- a/kingcuppost/batch/systems/lapses.py
+++ b/kingcuppost/batch/systems/lapses.py
@@ -18,27 +18,27 @@
     if not is_scheduling(world):
         return
     schedule = world.schedule
-    for life, sure_ms in list(schedule.lives.items()):
+    for incarnation, sure_ms in list(schedule.lapse_times_ms.items()):
         if now_ms < sure_ms:
             continue
-        lose_life(world, life, "the lease has lapsed")
-        for row in schedule.minions.find("life", life):
+        lose_life(world, incarnation, "the lease has lapsed")
+        for row in schedule.minions.find("incarnation", incarnation):
             schedule.minions.delete(row.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
 def note_absences(world: BatchWorld, now_ms: int) -> None:
     """Place nothing at minions that were not heard of for `AWAY_MS`."""
-    if not is_scheduling(world) or now_ms < world.schedule.absence_at_ms:
+    if not is_scheduling(world) or now_ms < world.schedule.check_minions_at_ms:
         return
-    world.schedule.absence_at_ms = now_ms + PERIOD_MS
+    world.schedule.check_minions_at_ms = now_ms + PERIOD_MS
     for row in world.schedule.minions:
-        due_ms = row.heard_ms + AWAY_MS
-        if row.is_away:
+        due_ms = row.last_report_ms + AWAY_MS
+        if row.is_unreachable:
             continue
         if now_ms < due_ms:
             world.deadlines.add(due_ms)
             continue
-        row.is_away = True
+        row.is_unreachable = True
         world.schedule.changed = True
-        world.note("minion", "A minion is silent.", minion=row.life.minion)
+        world.note("minion", "A minion is silent.", minion=row.incarnation.minion)
--- a/kingcuppost/batch/systems/losses.py
+++ b/kingcuppost/batch/systems/losses.py
@@ -38,5 +38,5 @@
     step = plan.job.steps[task.name.step]
     if how is RunEnd.DONE or (how is RunEnd.STOPPED and step.saves):
         return 0.0
-    since_ms = max(task.placed_ms, task.saved_ms)
+    since_ms = max(task.placed_ms, task.checkpoint_ms)
     return task_weight(step) * max(wall_ms - since_ms, 0) / MS_PER_SECOND
--- a/kingcuppost/batch/systems/orders.py
+++ b/kingcuppost/batch/systems/orders.py
@@ -1,16 +1,16 @@
 """Orders for sidecars: what they are to start and stop, and which ends are kept."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
+from kingcuppost.batch.systems.holder_election import has_authority, refer
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
-from kingcuppost.batch.tables.job import Life, Plan, Task, TaskPhase
+from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
     StopOrder,
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
+from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
 __all__ = ["answer_sidecars"]
@@ -18,7 +18,7 @@
 AGAIN_MS = 700
 
 
-Orders = dict[Life, list[tuple[Plan, Task]]]
+Orders = dict[MinionIncarnation, list[tuple[Plan, Task]]]
 
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
@@ -29,58 +29,58 @@
         _release_all(world)
         return
     world.deadlines.add(schedule.authority_until_ms)
-    if not schedule.syncs:
+    if not schedule.pending_syncs:
         return
     starts, stops = _collect(world, now_ms)
-    for held in list(schedule.syncs.values()):
+    for held in list(schedule.pending_syncs.values()):
         _answer(world, held, starts, stops, now_ms)
 
 
 def _answer(
-    world: BatchWorld, held: HeldSync, starts: Orders, stops: Orders, now_ms: int
+    world: BatchWorld, held: PendingSync, starts: Orders, stops: Orders, now_ms: int
 ) -> None:
     """Answer one report if there is anything to say; most ticks say nothing."""
     call = held.call
     row = world.schedule.minions.get(call.sidecar)
-    life = row.life if row else None
-    strays = _due_strays(world, call.sidecar, now_ms)
+    incarnation = row.incarnation if row else None
+    orphans = _due_strays(world, call.sidecar, now_ms)
     noted = _noted(world, call) if call.ended else 0
-    has_orders = life in starts or life in stops or bool(strays)
+    has_orders = incarnation in starts or incarnation in stops or bool(orphans)
     if not (has_orders or noted or call.refused or now_ms >= held.until_ms):
         return
-    del world.schedule.syncs[call.sidecar]
-    for _, task in starts.get(life, ()):
+    del world.schedule.pending_syncs[call.sidecar]
+    for _, task in starts.get(incarnation, ()):
         task.sent_ms = now_ms
-    for _, task in stops.get(life, ()):
+    for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
-    for stray in strays:
+    for stray in orphans:
         stray.sent_ms = now_ms
-    world.outbox.put(_reply(world, call, life, starts, stops, strays, noted))
+    world.outbox.put(_reply(world, call, incarnation, starts, stops, orphans, noted))
 
 
 def _release_all(world: BatchWorld) -> None:
     """Send waiting sidecars to the new holder."""
-    for held in world.schedule.syncs.values():
+    for held in world.schedule.pending_syncs.values():
         world.outbox.put(refer(world, held.call.exchange_id))
-    world.schedule.syncs.clear()
+    world.schedule.pending_syncs.clear()
 
 
-def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[Stray]:
-    strays = world.schedule.strays.get(sidecar)
-    if not strays:
+def _due_strays(world: BatchWorld, sidecar: str, now_ms: int) -> list[OrphanRun]:
+    orphans = world.schedule.orphans.get(sidecar)
+    if not orphans:
         return []
-    return [stray for stray in strays.values() if _is_due(stray.sent_ms, now_ms)]
+    return [stray for stray in orphans.values() if _is_due(stray.sent_ms, now_ms)]
 
 
 def _collect(world: BatchWorld, now_ms: int) -> tuple[Orders, Orders]:
     """Return what is to be started and stopped, by life."""
     starts: Orders = {}
     stops: Orders = {}
-    unsettled = world.schedule.unsettled
-    for name, (plan, task) in list(unsettled.items()):
+    pending_runs = world.schedule.pending_runs
+    for name, (plan, task) in list(pending_runs.items()):
         is_settled = task.confirmed and not task.stopping
         if task.phase is not TaskPhase.PLACED or is_settled:
-            del unsettled[name]
+            del pending_runs[name]
         elif task.stopping:
             _add_due(world, stops, plan, task, task.stop_sent_ms, now_ms)
         elif plan.committed >= task.version:
@@ -97,7 +97,7 @@
     now_ms: int,
 ) -> None:
     if _is_due(sent_ms, now_ms):
-        orders.setdefault(task.life, []).append((plan, task))
+        orders.setdefault(task.incarnation, []).append((plan, task))
     else:
         world.deadlines.add(sent_ms + AGAIN_MS)
 
@@ -109,24 +109,24 @@
 def _reply(
     world: BatchWorld,
     call: SyncCall,
-    life: Life | None,
+    incarnation: MinionIncarnation | None,
     starts: Orders,
     stops: Orders,
-    strays: list[Stray],
+    orphans: list[OrphanRun],
     noted: int,
 ) -> SyncReply:
     schedule = world.schedule
     return SyncReply(
         call.exchange_id,
         schedule.term,
-        life=life,
+        incarnation=incarnation,
         starts=tuple(
-            StartOrder(task.name, task.run, plan.job.spec, task.saved)
-            for plan, task in starts.get(life, ())
+            StartOrder(task.name, task.run, plan.job.spec, task.checkpoint)
+            for plan, task in starts.get(incarnation, ())
         ),
         stops=tuple(
-            [StopOrder(task.name, task.run) for _, task in stops.get(life, ())]
-            + [StopOrder(stray.run.task, stray.run.run) for stray in strays]
+            [StopOrder(task.name, task.run) for _, task in stops.get(incarnation, ())]
+            + [StopOrder(stray.run.task, stray.run.run) for stray in orphans]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
         noted=noted,
@@ -136,7 +136,7 @@
 
 def _noted(world: BatchWorld, call: SyncCall) -> int:
     """Return up to which number the reported ends are in the log."""
-    known = world.schedule.ends.get(call.sidecar, {})
+    known = world.schedule.reported_ends.get(call.sidecar, {})
     noted = 0
     for ended in sorted(call.ended, key=lambda row: row.number):
         if ended.number not in known:
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from kingcuppost.batch.tables.fleet import MinionRow, Room
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
 from kingcuppost.batch.tables.job import Plan, StepSpec, Task
 
 __all__ = [
@@ -31,7 +31,7 @@
         The run and its job.
     rank : int
         How urgent it is; 0 comes first.
-    room : Room
+    resources : Room
         What stopping it sets free.
     cost : float
         Work that would be lost, in core-seconds.
@@ -42,7 +42,7 @@
     plan: Plan
     task: Task
     rank: int
-    room: Room
+    resources: Resources
     cost: float
     ends_soon: bool = False
 
@@ -72,20 +72,20 @@
     """
 
     minion: MinionRow
-    free: Room
-    now: Room
-    soon: Room
+    free: Resources
+    now: Resources
+    soon: Resources
     rack_free: list[int]
     taken: int = 0
     victims: list[Victim] = field(default_factory=list)
     is_slow: bool = False
 
 
-def take_room(room: Room, step: StepSpec, count: int = 1) -> None:
+def take_room(resources: Resources, step: StepSpec, count: int = 1) -> None:
     """Take room for tasks of a step."""
     sub_room(
-        room,
-        Room(
+        resources,
+        Resources(
             step.cpu_millis * count,
             step.memory_mb * count,
             step.accelerators * count,
@@ -93,33 +93,33 @@
     )
 
 
-def add_room(room: Room, other: Room) -> None:
+def add_room(resources: Resources, other: Resources) -> None:
     """Add room that is set free."""
-    room.cpu_millis += other.cpu_millis
-    room.memory_mb += other.memory_mb
-    room.accelerators += other.accelerators
+    resources.cpu_millis += other.cpu_millis
+    resources.memory_mb += other.memory_mb
+    resources.accelerators += other.accelerators
 
 
-def sub_room(room: Room, other: Room) -> None:
+def sub_room(resources: Resources, other: Resources) -> None:
     """Take room away."""
-    room.cpu_millis -= other.cpu_millis
-    room.memory_mb -= other.memory_mb
-    room.accelerators -= other.accelerators
+    resources.cpu_millis -= other.cpu_millis
+    resources.memory_mb -= other.memory_mb
+    resources.accelerators -= other.accelerators
 
 
-def how_many(room: Room, step: StepSpec, most: int) -> int:
+def how_many(resources: Resources, step: StepSpec, most: int) -> int:
     """Return how many tasks of a step fit into room.
 
     Examples
     --------
-    >>> how_many(Room(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
+    >>> how_many(Resources(64_000, 100, 8), StepSpec(4, cpu_millis=26_000), 9)
     2
     """
     count = most
     for has, needs in (
-        (room.cpu_millis, step.cpu_millis),
-        (room.memory_mb, step.memory_mb),
-        (room.accelerators, step.accelerators),
+        (resources.cpu_millis, step.cpu_millis),
+        (resources.memory_mb, step.memory_mb),
+        (resources.accelerators, step.accelerators),
     ):
         if needs:
             count = min(count, has // needs)
@@ -162,8 +162,8 @@
         left = wanted - len(chosen)
         if not left:
             break
-        room = site.soon if is_soon else site.now
-        count = how_many(room, step, _most_here(site, step, left))
+        resources = site.soon if is_soon else site.now
+        count = how_many(resources, step, _most_here(site, step, left))
         chosen.extend([site] * count)
     return chosen
 
@@ -181,30 +181,30 @@
 def _next_eviction(site: Site, step: StepSpec, done: Eviction, most: int) -> Eviction:
     """Return how one more task could fit at a site, or the same if it can't."""
     wanted = done.count + 1
-    room = replace(site.free)
+    resources = replace(site.free)
     victims: list[Victim] = []
     for victim in site.victims:
-        if how_many(room, step, most) >= wanted:
+        if how_many(resources, step, most) >= wanted:
             break
-        add_room(room, victim.room)
+        add_room(resources, victim.resources)
         victims.append(victim)
-    if how_many(room, step, most) < wanted:
+    if how_many(resources, step, most) < wanted:
         return done
-    victims = _only_needed(room, step, wanted, victims)
+    victims = _only_needed(resources, step, wanted, victims)
     cost = sum(victim.cost for victim in victims)
-    return Eviction(site, how_many(room, step, most), cost, victims)
+    return Eviction(site, how_many(resources, step, most), cost, victims)
 
 
 def _only_needed(
-    room: Room, step: StepSpec, wanted: int, victims: list[Victim]
+    resources: Resources, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
     """Return the victims without which the room would be too small."""
     needed = []
     for victim in reversed(victims):
-        without = replace(room)
-        sub_room(without, victim.room)
+        without = replace(resources)
+        sub_room(without, victim.resources)
         if how_many(without, step, wanted) >= wanted:
-            sub_room(room, victim.room)
+            sub_room(resources, victim.resources)
         else:
             needed.append(victim)
     return needed
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
-    Life,
+    MinionIncarnation,
     Plan,
     PlanState,
     Progress,
@@ -65,9 +65,9 @@
         task.phase = row.phase
         task.run = row.run
         task.failures = row.failures
-        task.saved = row.saved
+        task.checkpoint = row.checkpoint
         if row.phase is TaskPhase.PLACED:
-            task.life = Life(row.minion, row.born_ms)
+            task.incarnation = MinionIncarnation(row.minion, row.born_ms)
             task.sidecar = row.sidecar
             task.placed_ms = row.placed_ms
 
@@ -81,11 +81,11 @@
             task.phase,
             task.run,
             task.failures,
-            task.life.minion if task.life else "",
-            task.life.born_ms if task.life else 0,
-            task.sidecar if task.life else "",
-            task.placed_ms if task.life else 0,
-            "" if task.phase is TaskPhase.DONE else task.saved,
+            task.incarnation.minion if task.incarnation else "",
+            task.incarnation.born_ms if task.incarnation else 0,
+            task.sidecar if task.incarnation else "",
+            task.placed_ms if task.incarnation else 0,
+            "" if task.phase is TaskPhase.DONE else task.checkpoint,
         )
         for task in all_tasks(plan)
         if task.run
@@ -140,7 +140,7 @@
     """Ask for the end of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
         task.stopping = True
-        world.schedule.unsettled[task.name] = (plan, task)
+        world.schedule.pending_runs[task.name] = (plan, task)
 
 
 def stop_runs(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
@@ -165,10 +165,10 @@
     world: BatchWorld, plan: Plan, task: Task, run: int, minion: MinionRow
 ) -> None:
     """Give a task a run at a minion; it starts once the plan is in the log."""
-    world.schedule.unsettled[task.name] = (plan, task)
+    world.schedule.pending_runs[task.name] = (plan, task)
     task.phase = TaskPhase.PLACED
     task.run = run
-    task.life = minion.life
+    task.incarnation = minion.incarnation
     task.sidecar = minion.sidecar
     task.placed_ms = world.clock.wall_ms()
     task.version = plan.version
@@ -180,31 +180,31 @@
 
 
 def apply_end(
-    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, saved: str
+    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, checkpoint: str
 ) -> None:
     """Take the sure end of a task's present run into its plan."""
-    life = task.life
+    incarnation = task.incarnation
     task.phase = TaskPhase.WAITING
-    task.life = None
+    task.incarnation = None
     task.stopping = False
-    if saved:
-        _keep_saved(plan, task, saved)
+    if checkpoint:
+        _keep_saved(plan, task, checkpoint)
     if how is RunEnd.DONE:
         _done(plan, task)
     elif how is RunEnd.FAILED:
-        _failed(plan, task, life, world.clock.now_ms())
+        _failed(plan, task, incarnation, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
         stop_runs(world, plan, task.name.step)
     _judge(world, plan)
     change_plan(world, plan)
 
 
-def _keep_saved(plan: Plan, task: Task, saved: str) -> None:
+def _keep_saved(plan: Plan, task: Task, checkpoint: str) -> None:
     """Keep a checkpoint; one of any member is good for the whole gang."""
-    task.saved = saved
+    task.checkpoint = checkpoint
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
-            member.saved = saved
+            member.checkpoint = checkpoint
 
 
 def _done(plan: Plan, task: Task) -> None:
@@ -214,21 +214,23 @@
         return
     for member in plan.tasks[task.name.step]:
         member.phase = TaskPhase.DONE
-        member.life = None
+        member.incarnation = None
 
 
-def _failed(plan: Plan, task: Task, life: Life | None, now_ms: int) -> None:
+def _failed(
+    plan: Plan, task: Task, incarnation: MinionIncarnation | None, now_ms: int
+) -> None:
     """Count a failed run; a gang counts a run once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
     counted = members[0]
-    if gang and task.run <= counted.failed_run:
+    if gang and task.run <= counted.last_failed_run:
         return
-    counted.failed_run = task.run
+    counted.last_failed_run = task.run
     counted.failures += 1
-    if life is not None:
+    if incarnation is not None:
         for member in members:
-            member.avoid.add(life.minion)
+            member.avoided_minions.add(incarnation.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
 
 
@@ -241,5 +243,5 @@
     elif plan.phase is PlanState.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
             end_plan(world, plan, JobState.COMPLETED)
-        elif any(task.failures >= plan.job.terms.most_failures for task in tasks):
+        elif any(task.failures >= plan.job.policy.most_failures for task in tasks):
             end_plan(world, plan, JobState.FAILED)
--- a/kingcuppost/batch/systems/routing.py
+++ b/kingcuppost/batch/systems/queue_lookup.py
@@ -2,7 +2,7 @@
 
 from kingcuppost.batch.tables.fleet import Configuration, Queue
 
-__all__ = ["find_queue", "team_of"]
+__all__ = ["find_queue", "find_team"]
 
 
 def find_queue(configuration: Configuration, host: str, path: str) -> Queue | None:
@@ -26,7 +26,7 @@
     return max(found, key=lambda queue: len(queue.prefix), default=None)
 
 
-def team_of(configuration: Configuration, queue: Queue, key: str) -> str | None:
+def find_team(configuration: Configuration, queue: Queue, key: str) -> str | None:
     """Return the team that a key belongs to, empty on a public queue, or None."""
     team = configuration.keys.get(key)
     if team is None and queue.public:
--- a/kingcuppost/batch/systems/reports.py
+++ b/kingcuppost/batch/systems/reports.py
@@ -1,6 +1,6 @@
 """Reports of sidecars: minions, what runs at them, and how runs ended."""
 
-from kingcuppost.batch.systems.lease import has_authority, refer
+from kingcuppost.batch.systems.holder_election import has_authority, refer
 from kingcuppost.batch.systems.losses import lost_by_end
 from kingcuppost.batch.systems.plans import apply_end, find_task, take_up
 from kingcuppost.batch.systems.registry import Phase, system
@@ -8,7 +8,7 @@
 from kingcuppost.batch.systems.term import is_scheduling, sure_lapse_ms
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
-    Life,
+    MinionIncarnation,
     Plan,
     PlanState,
     RunEnd,
@@ -24,7 +24,7 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, HeldSync, Stray
+from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
 __all__ = ["hear_sidecars", "lose_life", "take_up_jobs"]
@@ -39,9 +39,9 @@
     schedule = world.schedule
     if not is_scheduling(world):
         return
-    for job_id in list(schedule.touched):
+    for job_id in list(schedule.changed_jobs):
         take_up(world, job_id)
-    schedule.touched.clear()
+    schedule.changed_jobs.clear()
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
@@ -51,12 +51,12 @@
         if not is_scheduling(world) or not has_authority(world, now_ms):
             world.outbox.put(refer(world, call.exchange_id))
             continue
-        older = world.schedule.syncs.pop(call.sidecar, None)
+        older = world.schedule.pending_syncs.pop(call.sidecar, None)
         if older is not None:
             world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
         _hear(world, call, now_ms)
         until_ms = now_ms + call.wait_ms
-        world.schedule.syncs[call.sidecar] = HeldSync(call, until_ms)
+        world.schedule.pending_syncs[call.sidecar] = PendingSync(call, until_ms)
         world.deadlines.add(until_ms)
 
 
@@ -65,30 +65,32 @@
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
-            world.note("minion", "A minion is gone.", minion=old.life.minion)
+            world.note("minion", "A minion is gone.", minion=old.incarnation.minion)
             schedule.minions.delete(call.sidecar)
             schedule.changed = True
         return
-    if old is not None and old.life != call.minion.life:
-        if call.minion.life.born_ms < old.life.born_ms:
+    if old is not None and old.incarnation != call.minion.incarnation:
+        if call.minion.incarnation.born_ms < old.incarnation.born_ms:
             return
         old = None
-    _lose_earlier_lives(world, call.sidecar, call.minion.life)
+    _lose_earlier_lives(world, call.sidecar, call.minion.incarnation)
     row = _minion_of(world, call, old, now_ms)
     sure_ms = now_ms + sure_lapse_ms(world.cfg.bounds.lease_ms)
-    schedule.lives[row.life] = sure_ms
+    schedule.lapse_times_ms[row.incarnation] = sure_ms
     world.deadlines.add(sure_ms)
     if call.minion.listed:
         _take_lists(world, call, row, now_ms)
 
 
-def _lose_earlier_lives(world: BatchWorld, sidecar: str, life: Life) -> None:
+def _lose_earlier_lives(
+    world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
+) -> None:
     """End the runs of lives that the minion beside a sidecar had before this one."""
-    homes = world.schedule.homes
-    for earlier, home in list(homes.items()):
-        if home == sidecar and earlier.born_ms < life.born_ms:
+    incarnation_sidecars = world.schedule.incarnation_sidecars
+    for earlier, home in list(incarnation_sidecars.items()):
+        if home == sidecar and earlier.born_ms < incarnation.born_ms:
             lose_life(world, earlier, "the minion began a new life")
-    homes[life] = sidecar
+    incarnation_sidecars[incarnation] = sidecar
 
 
 def _minion_of(
@@ -103,20 +105,20 @@
         world.note(
             "minion",
             "A minion is known.",
-            minion=report.life.minion,
+            minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
             rack=old.rack,
         )
     if old.draining != report.draining:
-        world.note("minion", "A minion drains.", minion=report.life.minion)
+        world.note("minion", "A minion drains.", minion=report.incarnation.minion)
         world.schedule.changed = True
-    if old.is_away:
+    if old.is_unreachable:
         world.schedule.changed = True
-    old.is_away = False
+    old.is_unreachable = False
     old.draining = report.draining
     old.remaining_ms = report.remaining_ms
-    old.heard_ms = now_ms
+    old.last_report_ms = now_ms
     return old
 
 
@@ -124,25 +126,25 @@
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
-        report.life,
+        report.incarnation,
         report.service,
         report.availability_zone,
         rack,
         frozenset(report.labels),
-        report.room,
-        pace=world.schedule.speeds.setdefault(call.sidecar, Speed()),
+        report.resources,
+        speed=world.schedule.speeds.setdefault(call.sidecar, Speed()),
     )
 
 
-def lose_life(world: BatchWorld, life: Life, reason: str) -> None:
+def lose_life(world: BatchWorld, incarnation: MinionIncarnation, reason: str) -> None:
     """End all runs of a life that is over."""
     schedule = world.schedule
-    schedule.lives.pop(life, None)
-    schedule.homes.pop(life, None)
+    schedule.lapse_times_ms.pop(incarnation, None)
+    schedule.incarnation_sidecars.pop(incarnation, None)
     for plan in list(schedule.plans.values()):
         for step in plan.tasks:
             for task in step:
-                if task.phase is TaskPhase.PLACED and task.life == life:
+                if task.phase is TaskPhase.PLACED and task.incarnation == incarnation:
                     _note_end(world, plan, task, RunEnd.LOST, reason)
                     apply_end(world, plan, task, RunEnd.LOST, "")
 
@@ -160,7 +162,7 @@
         task=str(task.name),
         run=task.run,
         how=how,
-        minion=task.life.minion if task.life else "",
+        minion=task.incarnation.minion if task.incarnation else "",
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
         estimate_ms=plan.job.steps[task.name.step].estimate_ms,
@@ -169,13 +171,13 @@
 
 
 def _take_lists(world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int) -> None:
-    strays = world.schedule.strays.get(call.sidecar, {})
+    orphans = world.schedule.orphans.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
-    for key in [key for key in strays if key not in present]:
-        del strays[key]
+    for key in [key for key in orphans if key not in present]:
+        del orphans[key]
     for running in call.running:
         _see_running(world, row, running, now_ms)
-    known = world.schedule.ends.setdefault(call.sidecar, {})
+    known = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in known if number not in listed]:
         del known[number]
@@ -187,7 +189,7 @@
 
 
 def _present(
-    world: BatchWorld, life: Life, name: TaskName, run: int
+    world: BatchWorld, incarnation: MinionIncarnation, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
     """Return the task whose present run is this one, or None."""
     found = find_task(world, name)
@@ -195,13 +197,13 @@
         return None
     task = found[1]
     is_present = task.phase is TaskPhase.PLACED and task.run == run
-    return found if is_present and task.life == life else None
+    return found if is_present and task.incarnation == incarnation else None
 
 
 def _see_running(
     world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _present(world, row.life, running.task, running.run)
+    found = _present(world, row.incarnation, running.task, running.run)
     if found is None and _is_through(world, running):
         return
     if found is None:
@@ -210,16 +212,16 @@
     plan, task = found
     if task.running_since_ms is None:
         task.running_since_ms = now_ms
-        task.first_percent = running.percent
-        task.moved_ms = now_ms
+        task.initial_percent = running.percent
+        task.percent_changed_ms = now_ms
     task.confirmed = True
     if running.percent != task.percent:
         task.percent = running.percent
-        task.moved_ms = now_ms
-    if running.saved and running.saved != task.saved:
-        task.saved = running.saved
-        task.saved_ms = world.clock.wall_ms()
-        plan.has_new_saved = True
+        task.percent_changed_ms = now_ms
+    if running.checkpoint and running.checkpoint != task.checkpoint:
+        task.checkpoint = running.checkpoint
+        task.checkpoint_ms = world.clock.wall_ms()
+        plan.has_new_checkpoint = True
 
 
 def _is_through(world: BatchWorld, running: RunningRun) -> bool:
@@ -233,10 +235,10 @@
 
 def _stop_stray(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
     """Stop a run that is no task's present run."""
-    strays = world.schedule.strays.setdefault(row.sidecar, {})
+    orphans = world.schedule.orphans.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
-    if key not in strays:
-        strays[key] = Stray(running)
+    if key not in orphans:
+        orphans[key] = OrphanRun(running)
         world.note("run", "A stray run is stopped.", task=key[0], run=key[1])
 
 
@@ -244,7 +246,7 @@
     world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
     """Apply an end, and return the job and version that must be in the log."""
-    found = _present(world, row.life, ended.task, ended.run)
+    found = _present(world, row.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
         found = _done_after_all(world, ended)
     if found is None:
@@ -253,7 +255,7 @@
     plan, task = found
     _learn(world, row, plan, task, ended, now_ms)
     _note_end(world, plan, task, ended.how)
-    apply_end(world, plan, task, ended.how, ended.saved)
+    apply_end(world, plan, task, ended.how, ended.checkpoint)
     return plan.job.id, plan.version
 
 
@@ -280,11 +282,11 @@
         if not plan.job.steps[task.name.step].gang:
             # a member of a gang may have waited for the others
             task.percent = WHOLE
-            task.moved_ms = now_ms
+            task.percent_changed_ms = now_ms
         learn_speed(world, row, plan, task)
         row.failures = 0
         row.failed_jobs.clear()
-        row.proven = True
+        row.has_completed_run = True
     elif ended.how is RunEnd.FAILED:
         row.failures += 1
         row.failed_jobs.add(plan.job.id)
@@ -295,11 +297,11 @@
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
     """Take a run back that surely never began; its minion rests for a moment."""
-    found = _present(world, row.life, refused.task, refused.run)
+    found = _present(world, row.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.rests_until_ms = now_ms + REST_MS
+        row.backoff_until_ms = now_ms + REST_MS
     _note_end(world, plan, task, RunEnd.REFUSED, refused.reason)
     apply_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/sites.py
+++ b/kingcuppost/batch/systems/sites.py
@@ -7,8 +7,14 @@
 from kingcuppost.batch.systems.plans import all_tasks
 from kingcuppost.batch.systems.speeds import expected_left_ms
 from kingcuppost.batch.systems.units import Unit, rank_of
-from kingcuppost.batch.tables.fleet import MinionRow, Room
-from kingcuppost.batch.tables.job import Life, Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.job import (
+    MinionIncarnation,
+    Plan,
+    PlanState,
+    Task,
+    TaskPhase,
+)
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
@@ -50,13 +56,13 @@
 def sites_of(world: BatchWorld, now_ms: int, covered: set[str]) -> list[Site]:
     """Return the minions that may be given work."""
     now = Moment(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
-    sites = {row.life: _empty_site(row) for row in world.schedule.minions}
+    sites = {row.incarnation: _empty_site(row) for row in world.schedule.minions}
     for plan in world.schedule.plans.values():
         if plan.phase is PlanState.OVER:
             continue
         for task in all_tasks(plan):
-            if task.phase is TaskPhase.PLACED and task.life in sites:
-                _occupy(sites[task.life], plan, task, covered, now)
+            if task.phase is TaskPhase.PLACED and task.incarnation in sites:
+                _occupy(sites[task.incarnation], plan, task, covered, now)
     usable = [site for site in sites.values() if _is_usable(world, site.minion, now_ms)]
     racks: dict[str, list[int]] = {}
     for site in usable:
@@ -69,7 +75,7 @@
 
 def _empty_site(row: MinionRow) -> Site:
     """Return a minion's site as if nothing ran there; each kind of room is its own."""
-    now, soon, free = (replace(row.room) for _ in range(3))
+    now, soon, free = (replace(row.resources) for _ in range(3))
     return Site(row, free=free, now=now, soon=soon, rack_free=[0])
 
 
@@ -84,9 +90,9 @@
     take_room(site.free, step)
     rank = rank_of(plan, covered)
     if rank:
-        room = Room(step.cpu_millis, step.memory_mb, step.accelerators)
+        resources = Resources(step.cpu_millis, step.memory_mb, step.accelerators)
         cost = lost_by_stop(plan, task, now.wall_ms, now.restore_ms)
-        site.victims.append(Victim(plan, task, rank, room, cost, ends_soon))
+        site.victims.append(Victim(plan, task, rank, resources, cost, ends_soon))
 
 
 def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
@@ -96,12 +102,12 @@
     """
     if task.stopping or plan.job.steps[task.name.step].gang or not task.confirmed:
         return False
-    age_ms = now_ms - task.moved_ms
+    age_ms = now_ms - task.percent_changed_ms
     return age_ms < MOVING_MS and expected_left_ms(row, plan, task) - age_ms < SOON_MS
 
 
 def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
-    if row.draining or row.is_away:
+    if row.draining or row.is_unreachable:
         return False
     if row.availability_zone in world.agreed.closed_zones:
         return False
@@ -114,7 +120,7 @@
 
 def _trusted_again_ms(row: MinionRow) -> int:
     """Return when a minion that has failed or stalled may be tried again."""
-    again_ms = row.rests_until_ms
+    again_ms = row.backoff_until_ms
     if row.stalled_ms is not None:
         again_ms = row.stalled_ms + SUSPECT_MS
     if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
@@ -126,26 +132,28 @@
     """Return the sites at which a unit may run."""
     able = [site for site in sites if _suits(unit, site.minion)]
     for site in able:
-        site.taken = _already_there(unit, site.minion.life)
+        site.taken = _already_there(unit, site.minion.incarnation)
     return able
 
 
 def without_avoided(unit: Unit, sites: list[Site]) -> list[Site]:
     """Return the sites where no run of a unit has failed or stood still."""
-    avoided = {minion for task in unit.tasks for minion in task.avoid}
-    return [site for site in sites if site.minion.life.minion not in avoided]
+    avoided = {minion for task in unit.tasks for minion in task.avoided_minions}
+    return [site for site in sites if site.minion.incarnation.minion not in avoided]
 
 
 def _suits(unit: Unit, row: MinionRow) -> bool:
-    if unit.plan.job.terms.service and row.service != unit.plan.job.terms.service:
+    if unit.plan.job.policy.service and row.service != unit.plan.job.policy.service:
         return False
     return not unit.spec.label or unit.spec.label in row.labels
 
 
-def _already_there(unit: Unit, life: Life) -> int:
+def _already_there(unit: Unit, incarnation: MinionIncarnation) -> int:
     tasks = unit.plan.tasks[unit.step]
     return sum(
-        1 for task in tasks if task.phase is TaskPhase.PLACED and task.life == life
+        1
+        for task in tasks
+        if task.phase is TaskPhase.PLACED and task.incarnation == incarnation
     )
 
 
@@ -160,9 +168,13 @@
     Slow minions keep their runs longer and are known sooner, so what is usual among the
     known ones says little.
     """
-    known = sorted(site.minion.pace.value for site in sites if site.minion.pace.weight)
+    known = sorted(
+        site.minion.speed.value for site in sites if site.minion.speed.weight
+    )
     if not known:
         return
     bound = SLOW_SHARE * known[len(known) * GOOD_RANK // WHOLE]
     for site in sites:
-        site.is_slow = bool(site.minion.pace.weight) and site.minion.pace.value < bound
+        site.is_slow = (
+            bool(site.minion.speed.weight) and site.minion.speed.value < bound
+        )
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -3,7 +3,7 @@
 from math import exp, log
 
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, StepPace, Task
+from kingcuppost.batch.tables.job import EstimateError, Plan, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["expected_left_ms", "fair_estimate_ms", "learn_speed"]
@@ -27,11 +27,11 @@
     sample = _sample(plan, task)
     if sample is None:
         return
-    speed = row.pace
-    pace = plan.paces.setdefault(task.name.step, StepPace())
-    pace.log_sum += log(sample / max(speed.value, LEAST_SPEED))
-    pace.count += 1
-    fair = sample / exp(pace.mean_log)
+    speed = row.speed
+    estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
+    estimate_error.log_sum += log(sample / max(speed.value, LEAST_SPEED))
+    estimate_error.count += 1
+    fair = sample / exp(estimate_error.mean_log)
     fair = min(max(fair, SLOWEST_SAMPLE), FASTEST_SAMPLE)
     speed.weight = min(speed.weight + 1, MOST_WEIGHT)
     speed.value += (fair - speed.value) / (speed.weight + PRIOR_WEIGHT)
@@ -43,8 +43,8 @@
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
-    took_ms = task.moved_ms - task.running_since_ms
-    done = task.percent - task.first_percent
+    took_ms = task.percent_changed_ms - task.running_since_ms
+    done = task.percent - task.initial_percent
     if took_ms < LEAST_SAMPLE_MS or done <= 0:
         return None
     return estimate_ms * done / WHOLE / took_ms
@@ -52,15 +52,17 @@
 
 def fair_estimate_ms(plan: Plan, task: Task) -> float:
     """Return how long a task takes at speed 1.0, as the step's runs have shown."""
-    pace = plan.paces.get(task.name.step, StepPace())
-    return plan.job.steps[task.name.step].estimate_ms / exp(pace.mean_log)
+    estimate_error = plan.estimate_errors.get(task.name.step, EstimateError())
+    return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
 def expected_left_ms(row: MinionRow, plan: Plan, task: Task) -> float:
     """Return how long a run will yet take, from its own progress if it shows any."""
     left = (WHOLE - task.percent) / WHOLE
-    took_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
-    done = task.percent - task.first_percent
+    took_ms = task.percent_changed_ms - (
+        task.running_since_ms or task.percent_changed_ms
+    )
+    done = task.percent - task.initial_percent
     if took_ms >= LEAST_SAMPLE_MS and done > 0:
         return left * WHOLE * took_ms / done
-    return left * fair_estimate_ms(plan, task) / max(row.pace.value, LEAST_SPEED)
+    return left * fair_estimate_ms(plan, task) / max(row.speed.value, LEAST_SPEED)
--- a/kingcuppost/batch/systems/syncing.py
+++ b/kingcuppost/batch/systems/syncing.py
@@ -20,33 +20,33 @@
 @system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
 def report(world: BatchWorld, now_ms: int) -> None:
     """Keep one report open; send another at once when there is news."""
-    host = world.host
+    sidecar_state = world.sidecar_state
     if world.stopping:
         return
     _list_members(world, now_ms)
-    if host.syncs and not host.dirty:
+    if sidecar_state.pending_syncs and not sidecar_state.dirty:
         return
-    if len(host.syncs) >= MOST_AT_ONCE:
+    if len(sidecar_state.pending_syncs) >= MOST_AT_ONCE:
         return
-    if now_ms < host.sync_after_ms:
-        world.deadlines.add(host.sync_after_ms)
+    if now_ms < sidecar_state.sync_after_ms:
+        world.deadlines.add(sidecar_state.sync_after_ms)
         return
-    address = host.holder or _next_entry(world)
+    address = sidecar_state.holder or _next_entry(world)
     if address is None:
         return
-    host.dirty = False
-    host.sync_number += 1
-    host.syncs[host.sync_number] = now_ms
+    sidecar_state.dirty = False
+    sidecar_state.sync_number += 1
+    sidecar_state.pending_syncs[sidecar_state.sync_number] = now_ms
     call = _call(world, now_ms)
-    world.outbox.put(SendSync(host.sync_number, address, call, TIMEOUT_MS))
+    world.outbox.put(SendSync(sidecar_state.sync_number, address, call, TIMEOUT_MS))
 
 
 def _next_entry(world: BatchWorld) -> Address | None:
-    known = world.host.entries or world.cfg.seeds
+    known = world.sidecar_state.entries or world.cfg.seeds
     every = list(dict.fromkeys((*known, *world.cfg.seeds)))
     if not every:
         return None
-    return every[(world.host.next_entry + _offset(world)) % len(every)]
+    return every[(world.sidecar_state.next_entry + _offset(world)) % len(every)]
 
 
 def _offset(world: BatchWorld) -> int:
@@ -56,10 +56,10 @@
 
 def _list_members(world: BatchWorld, now_ms: int) -> None:
     """Ask the log for the entries when none has answered for a while."""
-    host = world.host
-    due_ms = max(host.heard_ms + LOST_MS, host.list_after_ms)
+    sidecar_state = world.sidecar_state
+    due_ms = max(sidecar_state.last_reply_ms + LOST_MS, sidecar_state.list_after_ms)
     if now_ms >= due_ms:
-        host.list_after_ms = now_ms + LOST_MS
+        sidecar_state.list_after_ms = now_ms + LOST_MS
         world.outbox.put(ListMembers())
         due_ms = now_ms + LOST_MS
     world.deadlines.add(due_ms)
@@ -70,19 +70,22 @@
 
     Every answer extends the lease, so after a handover the first must not wait.
     """
-    host = world.host
-    is_known = host.holder is not None and now_ms - host.heard_ms <= KNOWN_MS
-    minion = host.minion
+    sidecar_state = world.sidecar_state
+    is_known = (
+        sidecar_state.holder is not None
+        and now_ms - sidecar_state.last_reply_ms <= KNOWN_MS
+    )
+    minion = sidecar_state.minion
     if minion is not None:
-        minion = replace(minion, listed=host.listed)
+        minion = replace(minion, listed=sidecar_state.listed)
     return SyncCall(
         "",
         world.cfg.name,
         world.incarnation,
-        host.sync_number,
+        sidecar_state.sync_number,
         WAIT_MS if is_known else 0,
         minion,
-        tuple(host.running.values()),
-        tuple(host.ended.values()),
-        tuple(host.refused.values()),
+        tuple(sidecar_state.running.values()),
+        tuple(sidecar_state.ended.values()),
+        tuple(sidecar_state.refused.values()),
     )
--- a/kingcuppost/batch/systems/term.py
+++ b/kingcuppost/batch/systems/term.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import holds_lease, step_down
+from kingcuppost.batch.systems.holder_election import holds_lease, step_down
 from kingcuppost.batch.systems.plans import all_tasks, take_up
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -29,7 +29,7 @@
 
 def is_scheduling(world: BatchWorld) -> bool:
     """Return whether this process may decide: its term is open and loaded."""
-    return world.schedule.loaded and holds_lease(world)
+    return world.schedule.is_loaded and holds_lease(world)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=70)
@@ -41,12 +41,14 @@
     if schedule.term < 0:
         schedule.term = world.agreed.holder.term
         _send_fence(world)
-    for answer in [row for row in schedule.answers if row.id == schedule.fence_id]:
-        schedule.answers.remove(answer)
+    for answer in [
+        row for row in schedule.append_results if row.id == schedule.fence_id
+    ]:
+        schedule.append_results.remove(answer)
         _fence_answered(world, answer)
     schedule = world.schedule
-    is_caught_up = world.agreed.views[Stream.JOBS].end >= schedule.caught_up_at
-    if schedule.opened and not schedule.loaded and is_caught_up:
+    is_caught_up = world.agreed.views[Stream.JOBS].end >= schedule.required_offset
+    if schedule.is_open and not schedule.is_loaded and is_caught_up:
         _load(world, now_ms)
 
 
@@ -69,8 +71,8 @@
 def _fence_answered(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if answer.outcome is AppendOutcome.DONE:
-        schedule.opened = True
-        schedule.caught_up_at = answer.end
+        schedule.is_open = True
+        schedule.required_offset = answer.end
         schedule.sequence = 0
     elif answer.outcome is AppendOutcome.FENCED:
         step_down(world, "a newer term writes")
@@ -81,7 +83,7 @@
 def _load(world: BatchWorld, now_ms: int) -> None:
     """Make plans of all jobs; what runs anywhere may run for a lease yet."""
     schedule = world.schedule
-    schedule.loaded = True
+    schedule.is_loaded = True
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
@@ -90,12 +92,12 @@
         take_up(world, job.id)
         plan = schedule.plans[job.id]
         for task in all_tasks(plan):
-            if task.life is not None:
-                schedule.unsettled[task.name] = (plan, task)
-                schedule.lives[task.life] = sure_ms
-                schedule.homes[task.life] = task.sidecar
+            if task.incarnation is not None:
+                schedule.pending_runs[task.name] = (plan, task)
+                schedule.lapse_times_ms[task.incarnation] = sure_ms
+                schedule.incarnation_sidecars[task.incarnation] = task.sidecar
     world.deadlines.add(sure_ms)
-    schedule.touched.clear()
+    schedule.changed_jobs.clear()
     schedule.changed = True
     world.note(
         "lease", "The term is open.", term=schedule.term, jobs=len(schedule.plans)
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -35,7 +35,7 @@
     @property
     def is_urgent(self) -> bool:
         """Return whether the unit may stop other work."""
-        return self.plan.job.terms.priority == URGENT
+        return self.plan.job.policy.priority == URGENT
 
     @property
     def is_covered(self) -> bool:
@@ -46,7 +46,7 @@
     def is_last_try(self) -> bool:
         """Return whether another failure would end the job."""
         return any(
-            task.failures and task.failures + 1 >= self.plan.job.terms.most_failures
+            task.failures and task.failures + 1 >= self.plan.job.policy.most_failures
             for task in self.tasks
         )
 
@@ -66,7 +66,7 @@
     urgent = [
         plan
         for plan in world.schedule.plans.values()
-        if plan.job.terms.priority == URGENT and plan.phase is not PlanState.OVER
+        if plan.job.policy.priority == URGENT and plan.phase is not PlanState.OVER
     ]
     for plan in sorted(urgent, key=lambda plan: plan.job.accepted_ms):
         needed = max(step.count * step.accelerators for step in plan.job.steps)
@@ -80,7 +80,7 @@
     """Return how urgent a job is; 0 comes first."""
     if plan.job.id in covered:
         return 0
-    return plan.job.terms.priority + 1
+    return plan.job.policy.priority + 1
 
 
 def units_of(world: BatchWorld, covered: set[str]) -> Iterator[Unit]:
@@ -100,11 +100,11 @@
             if len(waiting) == len(tasks):
                 yield Unit(plan, index, spec, waiting, rank)
             continue
-        fresh = [task for task in waiting if not task.avoid]
+        fresh = [task for task in waiting if not task.avoided_minions]
         if fresh:
             yield Unit(plan, index, spec, fresh, rank)
         for task in waiting:
-            if task.avoid:
+            if task.avoided_minions:
                 yield Unit(plan, index, spec, [task], rank)
 
 
--- a/kingcuppost/batch/systems/watch.py
+++ b/kingcuppost/batch/systems/watch.py
@@ -36,18 +36,18 @@
 def watch_runs(world: BatchWorld, now_ms: int) -> None:
     """Look at every run twice a second, and stop those that would not end there."""
     schedule = world.schedule
-    if not is_scheduling(world) or now_ms < schedule.watch_at_ms:
+    if not is_scheduling(world) or now_ms < schedule.check_runs_at_ms:
         return
-    schedule.watch_at_ms = now_ms + PERIOD_MS
-    if now_ms >= schedule.save_at_ms:
-        schedule.save_at_ms = now_ms + SAVE_PERIOD_MS
+    schedule.check_runs_at_ms = now_ms + PERIOD_MS
+    if now_ms >= schedule.write_checkpoints_at_ms:
+        schedule.write_checkpoints_at_ms = now_ms + SAVE_PERIOD_MS
         _keep_checkpoints(world)
-    rows = {row.life: row for row in schedule.minions}
+    rows = {row.incarnation: row for row in schedule.minions}
     for plan in list(schedule.plans.values()):
         if plan.phase is not PlanState.OPEN:
             continue
         for task in all_tasks(plan):
-            row = rows.get(task.life)
+            row = rows.get(task.incarnation)
             if row is not None and task.confirmed and not task.stopping:
                 _watch(world, row, plan, task, now_ms)
 
@@ -55,8 +55,8 @@
 def _keep_checkpoints(world: BatchWorld) -> None:
     """Write new checkpoints into the log, where they outlive all processes."""
     for plan in world.schedule.plans.values():
-        if plan.has_new_saved and plan.phase is PlanState.OPEN:
-            plan.has_new_saved = False
+        if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
+            plan.has_new_checkpoint = False
             plan.version += 1
             world.schedule.dirty[plan.job.id] = None
 
@@ -64,19 +64,19 @@
 def _watch(
     world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
-    if task.phase is not TaskPhase.PLACED or row.is_away:
+    if task.phase is not TaskPhase.PLACED or row.is_unreachable:
         return
-    if row.pace.weight < 1:
+    if row.speed.weight < 1:
         learn_speed(world, row, plan, task)
     if row.draining and _should_leave(row, plan, task):
         _stop(world, plan, task, "the minion drains")
     elif _is_too_slow(row, plan, task):
-        task.was_moved = True
-        task.avoid.add(row.life.minion)
+        task.was_migrated = True
+        task.avoided_minions.add(row.incarnation.minion)
         _stop(world, plan, task, "the minion is slow")
     elif _is_stalled(plan, task, now_ms):
         row.stalled_ms = now_ms
-        task.avoid.add(row.life.minion)
+        task.avoided_minions.add(row.incarnation.minion)
         _stop(world, plan, task, "the run stands still")
 
 
@@ -106,13 +106,15 @@
     most, since moving gains nothing where all minions are slow.
     """
     step = plan.job.steps[task.name.step]
-    if plan.job.terms.priority != URGENT or step.gang or task.was_moved:
+    if plan.job.policy.priority != URGENT or step.gang or task.was_migrated:
         return False
-    watched_ms = task.moved_ms - (task.running_since_ms or task.moved_ms)
+    watched_ms = task.percent_changed_ms - (
+        task.running_since_ms or task.percent_changed_ms
+    )
     if watched_ms < LEAST_WATCHED_MS:
         return False
-    pace = plan.paces.get(task.name.step)
-    is_sure = pace is not None and pace.count >= SURE_RUNS
+    estimate_error = plan.estimate_errors.get(task.name.step)
+    is_sure = estimate_error is not None and estimate_error.count >= SURE_RUNS
     anew_ms = MOVE_GAIN * step.estimate_ms
     if is_sure:
         anew_ms = SURE_GAIN * fair_estimate_ms(plan, task)
@@ -129,6 +131,6 @@
         return False
     step = plan.job.steps[task.name.step]
     slow_ms = SLOWEST * step.estimate_ms / WHOLE
-    loses_little = step.saves or plan.job.terms.priority == URGENT
+    loses_little = step.saves or plan.job.policy.priority == URGENT
     bound_ms = STALLED_MS if loses_little else STALLED_LONG_MS
-    return now_ms - task.moved_ms > max(bound_ms, slow_ms)
+    return now_ms - task.percent_changed_ms > max(bound_ms, slow_ms)
--- a/kingcuppost/batch/systems/writing.py
+++ b/kingcuppost/batch/systems/writing.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import step_down
+from kingcuppost.batch.systems.holder_election import step_down
 from kingcuppost.batch.systems.plans import progress_of
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term import is_scheduling
@@ -12,7 +12,7 @@
     AppendEnded,
     AppendOutcome,
     ProgressRecord,
-    Removed,
+    RemovalRecord,
     SpeedsRecord,
     Stream,
 )
@@ -36,14 +36,14 @@
     An append keeps its number, so that the log takes it once however often it is sent.
     """
     if not is_scheduling(world):
-        world.schedule.answers.clear()
+        world.schedule.append_results.clear()
         return
-    for answer in world.schedule.answers:
+    for answer in world.schedule.append_results:
         _settle(world, answer)
     schedule = world.schedule
-    schedule.answers.clear()
+    schedule.append_results.clear()
     has_work = schedule.dirty or schedule.removals
-    if schedule.loaded and schedule.in_flight is None and has_work:
+    if schedule.is_loaded and schedule.in_flight is None and has_work:
         _append(world, now_ms)
 
 
@@ -76,12 +76,12 @@
 def _speeds(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
     """Return the learned speeds of present minions, if their record is due."""
     schedule = world.schedule
-    if not schedule.speeds_changed or now_ms < schedule.speeds_at_ms:
+    if not schedule.speeds_changed or now_ms < schedule.write_speeds_at_ms:
         return []
     schedule.speeds_changed = False
-    schedule.speeds_at_ms = now_ms + SPEEDS_PERIOD_MS
+    schedule.write_speeds_at_ms = now_ms + SPEEDS_PERIOD_MS
     learned = {
-        row.sidecar: replace(row.pace) for row in schedule.minions if row.pace.weight
+        row.sidecar: replace(row.speed) for row in schedule.minions if row.speed.weight
     }
     return [SpeedsRecord({**_elsewhere(world), **learned})]
 
@@ -94,13 +94,15 @@
     return {name: replace(speeds[name]) for name in away[-MOST_AWAY:]}
 
 
-def _removals(world: BatchWorld) -> list[Removed]:
+def _removals(world: BatchWorld) -> list[RemovalRecord]:
     """Return the removal of all records of some jobs that ended long ago."""
     removals = world.schedule.removals
     job_ids = list(removals)[:MOST_JOBS]
     for job_id in job_ids:
         del removals[job_id]
-    return [Removed(f"{kind}/{job_id}") for job_id in job_ids for kind in JOB_KEYS]
+    return [
+        RemovalRecord(f"{kind}/{job_id}") for job_id in job_ids for kind in JOB_KEYS
+    ]
 
 
 def _settle(world: BatchWorld, answer: AppendEnded) -> None:
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from kingcuppost.batch.tables.job import Life
+from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.tables.config import Address
 
 __all__ = [
@@ -11,7 +11,7 @@
     "HolderView",
     "MinionRow",
     "Queue",
-    "Room",
+    "Resources",
     "Speed",
     "Team",
 ]
@@ -79,7 +79,7 @@
 
 
 @dataclass(slots=True)
-class Room:
+class Resources:
     """Processors, memory and accelerators, taken or free."""
 
     cpu_millis: int = 0
@@ -111,21 +111,21 @@
     ----------
     sidecar : str
         Name of the instance beside it.
-    life : Life
+    incarnation : Life
         Its present life.
     service, availability_zone, rack : str
         What it serves and where.
     labels : frozenset of str
         All its labels.
-    room : Room
+    resources : Room
         Its whole capacity.
     draining : bool
         Whether it is about to leave.
     remaining_ms : int
         Least time left while it drains.
-    heard_ms : int
+    last_report_ms : int
         When its sidecar was last heard.
-    pace : Speed
+    speed : Speed
         How fast it works; the machine keeps it over lives of the minion.
     stalled_ms : int or None
         When a run was last found to stand still here.
@@ -135,32 +135,32 @@
         Jobs that failed here since one was done.
     failed_ms : int
         When a run last failed here.
-    rests_until_ms : int
+    backoff_until_ms : int
         Until when it is given nothing after it refused a run.
-    is_away : bool
+    is_unreachable : bool
         Whether its sidecar has been silent.
-    proven : bool
+    has_completed_run : bool
         Whether a run has ended as done here.
     """
 
     sidecar: str
-    life: Life
+    incarnation: MinionIncarnation
     service: str
     availability_zone: str
     rack: str
     labels: frozenset[str]
-    room: Room
+    resources: Resources
     draining: bool = False
     remaining_ms: int = 0
-    heard_ms: int = 0
-    pace: Speed = field(default_factory=Speed)
+    last_report_ms: int = 0
+    speed: Speed = field(default_factory=Speed)
     stalled_ms: int | None = None
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     failed_ms: int = 0
-    rests_until_ms: int = 0
-    is_away: bool = False
-    proven: bool = False
+    backoff_until_ms: int = 0
+    is_unreachable: bool = False
+    has_completed_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +185,7 @@
         Who holds it.
     address : Address or None
         Where sidecars reach the holder.
-    beat_ms : int
+    last_renewal_ms : int
         When its last renewal was read, on this process's clock.
     released : bool
         Whether the holder has given the lease back.
@@ -195,5 +195,5 @@
     name: str = ""
     incarnation: str = ""
     address: Address | None = None
-    beat_ms: int = 0
+    last_renewal_ms: int = 0
     released: bool = False
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -6,16 +6,16 @@
 __all__ = [
     "Job",
     "JobState",
-    "Life",
+    "MinionIncarnation",
     "Plan",
     "PlanState",
-    "StepPace",
+    "EstimateError",
     "RunEnd",
     "StepSpec",
     "Task",
     "TaskName",
     "TaskPhase",
-    "Terms",
+    "JobPolicy",
 ]
 
 
@@ -88,7 +88,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Life:
+class MinionIncarnation:
     """One life of a minion, from its start to its end.
 
     Attributes
@@ -148,7 +148,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class JobPolicy:
     """What the queue promised when a job was accepted.
 
     Attributes
@@ -187,7 +187,7 @@
         Unix time at which an entry took it, in ms.
     offset : int
         Offset of the record that submitted it.
-    terms : Terms
+    policy : Terms
         What its queue promised; they outlive the queue.
     cancelled : bool
         Whether a caller has cancelled it.
@@ -206,7 +206,7 @@
     steps: tuple[StepSpec, ...]
     accepted_ms: int
     offset: int
-    terms: Terms = Terms()
+    policy: JobPolicy = JobPolicy()
     cancelled: bool = False
     state: JobState = JobState.QUEUED
     begun: bool = False
@@ -226,7 +226,7 @@
     born_ms: int
     sidecar: str
     placed_ms: int
-    saved: str
+    checkpoint: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,15 +252,15 @@
         Number of its newest run; 0 before the first.
     failures : int
         Runs that ended as failed.
-    life : Life or None
+    incarnation : Life or None
         Where its run is placed.
     sidecar : str
         Sidecar of the minion where its run is placed.
     placed_ms : int
         Unix time at which its run was placed, in ms.
-    saved : str
+    checkpoint : str
         Newest checkpoint; empty for none.
-    saved_ms : int
+    checkpoint_ms : int
         Unix time at which it was first seen, in ms.
     version : int
         Version of the plan that placed the run.
@@ -276,15 +276,15 @@
         When the stop was last handed to the sidecar.
     percent : int
         How much of the run's work is done, as the minion says.
-    first_percent : int
+    initial_percent : int
         What it said when the run was first seen.
-    moved_ms : int
+    percent_changed_ms : int
         When the percentage last changed.
-    was_moved : bool
+    was_migrated : bool
         Whether a run of it was stopped since its minion was slow.
-    failed_run : int
+    last_failed_run : int
         Newest run of the gang that was counted as failed; at its first member.
-    avoid : set of str
+    avoided_minions : set of str
         Minions on which a run of it has failed.
     avoid_until_ms : int
         Until when it rather waits than runs there again.
@@ -294,11 +294,11 @@
     phase: TaskPhase = TaskPhase.WAITING
     run: int = 0
     failures: int = 0
-    life: Life | None = None
+    incarnation: MinionIncarnation | None = None
     sidecar: str = ""
     placed_ms: int = 0
-    saved: str = ""
-    saved_ms: int = 0
+    checkpoint: str = ""
+    checkpoint_ms: int = 0
     version: int = 0
     sent_ms: int | None = None
     confirmed: bool = False
@@ -306,16 +306,16 @@
     stopping: bool = False
     stop_sent_ms: int | None = None
     percent: int = 0
-    first_percent: int = 0
-    moved_ms: int = 0
-    failed_run: int = 0
-    was_moved: bool = False
-    avoid: set[str] = field(default_factory=set)
+    initial_percent: int = 0
+    percent_changed_ms: int = 0
+    last_failed_run: int = 0
+    was_migrated: bool = False
+    avoided_minions: set[str] = field(default_factory=set)
     avoid_until_ms: int = 0
 
 
 @dataclass(slots=True)
-class StepPace:
+class EstimateError:
     """How the runs of a step compare with the caller's estimate.
 
     Attributes
@@ -361,11 +361,11 @@
         Grows with each change.
     committed : int
         Newest version that is in the log.
-    has_new_saved : bool
+    has_new_checkpoint : bool
         Whether a checkpoint is newer than its last record.
     over_ms : int or None
         When this process found the job to be over.
-    paces : dict of int to StepPace
+    estimate_errors : dict of int to EstimateError
         What runs have told of the estimates, by step.
     """
 
@@ -376,6 +376,6 @@
     begun: bool = False
     version: int = 0
     committed: int = 0
-    has_new_saved: bool = False
+    has_new_checkpoint: bool = False
     over_ms: int | None = None
-    paces: dict[int, StepPace] = field(default_factory=dict)
+    estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -10,7 +10,7 @@
     "CallReply",
     "CallerCall",
     "SubmittedJob",
-    "Verdict",
+    "CallOutcome",
 ]
 
 
@@ -48,7 +48,7 @@
         How long the caller waits.
     job : SubmittedJob or None
         Body of a submission.
-    fault : str
+    body_error : str
         Why the body could not be read; empty if it could.
     """
 
@@ -60,10 +60,10 @@
     received_ms: int
     timeout_ms: int
     job: SubmittedJob | None = None
-    fault: str = ""
+    body_error: str = ""
 
 
-class Verdict(StrEnum):
+class CallOutcome(StrEnum):
     """Answer to a caller."""
 
     OK = "ok"
@@ -80,7 +80,7 @@
     """Answer to a caller's call."""
 
     exchange_id: str
-    verdict: Verdict
+    verdict: CallOutcome
     state: JobState | None = None
     waiting: int | None = None
     retry_after_ms: int = 0
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -15,12 +15,12 @@
     "ClaimRecord",
     "ConfigRecord",
     "EntryRecord",
-    "Followed",
+    "RecordsRead",
     "JobRecord",
     "ListMembers",
     "ProgressRecord",
     "Record",
-    "Removed",
+    "RemovalRecord",
     "RenewRecord",
     "SpeedsRecord",
     "Stream",
@@ -100,7 +100,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Removed:
+class RemovalRecord:
     """A key whose newest record was removed."""
 
     key: str
@@ -123,12 +123,12 @@
     | ConfigRecord
     | ZoneRecord
     | SpeedsRecord
-    | Removed
+    | RemovalRecord
 )
 
 
 @dataclass(frozen=True, slots=True)
-class Followed:
+class RecordsRead:
     """Records of a stream, in order, or a whole listing of it.
 
     Attributes
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -3,15 +3,15 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.tables.config import Address
 
 __all__ = [
     "EndedRun",
     "HoldMinion",
-    "MinionHeard",
-    "MinionLists",
+    "MinionHeartbeat",
+    "HoldMinionAnswered",
     "MinionReport",
     "OrderAnswered",
     "OrderOutcome",
@@ -20,7 +20,7 @@
     "SendSync",
     "StartOrder",
     "StartRun",
-    "StopAsked",
+    "StopRequested",
     "StopOrder",
     "StopProcess",
     "StopRun",
@@ -36,7 +36,7 @@
 
     task: TaskName
     run: int
-    saved: str
+    checkpoint: str
     percent: int
 
 
@@ -48,7 +48,7 @@
     task: TaskName
     run: int
     how: RunEnd
-    saved: str
+    checkpoint: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,11 +70,11 @@
         Whether the lists of runs were read in this life by this process.
     """
 
-    life: Life
+    incarnation: MinionIncarnation
     service: str
     availability_zone: str
     labels: tuple[str, ...]
-    room: Room
+    resources: Resources
     draining: bool
     remaining_ms: int
     listed: bool
@@ -102,7 +102,7 @@
     task: TaskName
     run: int
     spec: str
-    saved: str
+    checkpoint: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,7 +125,7 @@
         Term of the holder; -1 if this process does not hold the lease.
     holder : Address or None
         Who holds it, if this process does not.
-    life : Life or None
+    incarnation : Life or None
         Life that the orders are for.
     noted : int
         Ends up to this number are in the log.
@@ -136,7 +136,7 @@
     exchange_id: str
     term: int
     holder: Address | None = None
-    life: Life | None = None
+    incarnation: MinionIncarnation | None = None
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[StopOrder, ...] = ()
     settled: tuple[StopOrder, ...] = ()
@@ -166,7 +166,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MinionHeard:
+class MinionHeartbeat:
     """A heartbeat of the minion beside the sidecar."""
 
     address: Address
@@ -186,15 +186,15 @@
     """
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
-    seen: int
+    acknowledged_end: int
     wait_ms: int
     until_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
-class MinionLists:
+class HoldMinionAnswered:
     """Answer to `HoldMinion`; a failure has a reason and no lists.
 
     Attributes
@@ -205,7 +205,7 @@
         The minion's clock when it answered.
     """
 
-    life: Life
+    incarnation: MinionIncarnation
     sent_ms: int
     received_ms: int
     clock_ms: int = 0
@@ -219,7 +219,7 @@
     """Begin a run at the minion beside the sidecar."""
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
     order: StartOrder
     until_ms: int
@@ -230,7 +230,7 @@
     """End a run at the minion beside the sidecar."""
 
     address: Address
-    life: Life
+    incarnation: MinionIncarnation
     term: int
     order: StopOrder
 
@@ -248,7 +248,7 @@
 class OrderAnswered:
     """Answer to `StartRun` or `StopRun`."""
 
-    life: Life
+    incarnation: MinionIncarnation
     task: TaskName
     run: int
     start: bool
@@ -257,7 +257,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopAsked:
+class StopRequested:
     """The process was told to stop."""
 
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -11,7 +11,7 @@
     MinionRow,
     Speed,
 )
-from kingcuppost.batch.tables.job import Job, Life, Plan, Task, TaskName
+from kingcuppost.batch.tables.job import Job, MinionIncarnation, Plan, Task, TaskName
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
@@ -34,13 +34,13 @@
 __all__ = [
     "Agreed",
     "BatchWorld",
-    "HeldCall",
-    "HeldSync",
-    "Host",
-    "HostRun",
+    "PendingCall",
+    "PendingSync",
+    "SidecarState",
+    "OrderedRun",
     "LogLine",
     "Schedule",
-    "Stray",
+    "OrphanRun",
     "StreamView",
 ]
 
@@ -64,13 +64,13 @@
         Offset behind the last record that was folded; -1 before the first read.
     fresh_ms : int or None
         When the newest read that was answered had been sent.
-    regained_ms : int
+    gap_ended_ms : int
         When the stream was followed again after a gap.
     """
 
     end: int = -1
     fresh_ms: int | None = None
-    regained_ms: int = 0
+    gap_ended_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -90,18 +90,18 @@
 
 
 @dataclass(slots=True)
-class HeldCall:
+class PendingCall:
     """A caller's call that waits for the log."""
 
     call: CallerCall
     job_id: str
     append: Append
-    tries: int = 1
-    unknown: bool = False
+    attempts: int = 1
+    has_unknown_outcome: bool = False
 
 
 @dataclass(slots=True)
-class HeldSync:
+class PendingSync:
     """A sidecar's report that waits for orders."""
 
     call: SyncCall
@@ -109,7 +109,7 @@
 
 
 @dataclass(slots=True)
-class Stray:
+class OrphanRun:
     """A run at a minion that is no task's present run.
 
     Attributes
@@ -130,7 +130,7 @@
     ----------
     term : int
         Term that this process holds; -1 if none.
-    caught_up_at : int
+    required_offset : int
         Offset that must be folded before the first decision.
     sequence : int
         Number of the newest append of the term.
@@ -140,27 +140,27 @@
         Versions of the plans that it carries.
     dirty : dict of str to None
         Jobs whose plan has changed since the last append.
-    given_up_term : int
+    lost_term : int
         Newest term that this process has held and lost.
     authority_until_ms : int
         Until when no other entry can have opened a term.
     renewals : dict of str to int
         When each renewal that waits for its answer was sent.
-    strays : dict of str to dict
+    orphans : dict of str to dict
         Runs that are no task's, by sidecar, task and run.
     removals : dict of str to None
         Ended jobs whose records are to be removed.
-    unsettled : dict of TaskName to tuple of Plan and Task
+    pending_runs : dict of TaskName to tuple of Plan and Task
         Runs that were not seen to begin yet, or are to be stopped.
-    lives : dict of Life to int
+    lapse_times_ms : dict of Life to int
         When the runs of a life have surely lapsed.
-    homes : dict of Life to str
+    incarnation_sidecars : dict of Life to str
         Sidecar beside the minion of a life.
     speeds : dict of str to Speed
         How fast machines work, by sidecar.
     speeds_changed : bool
         Whether they differ from their newest record.
-    speeds_at_ms : int
+    write_speeds_at_ms : int
         When they may be written next.
     decide_at_ms : int
         When the decisions are made again though nothing has changed.
@@ -171,18 +171,18 @@
     claim_after_ms: int = 0
     announce_after_ms: int = 0
     fence_id: str = ""
-    opened: bool = False
-    caught_up_at: int = -1
-    loaded: bool = False
-    given_up_term: int = 0
+    is_open: bool = False
+    required_offset: int = -1
+    is_loaded: bool = False
+    lost_term: int = 0
     claim_sent_ms: int = 0
     authority_until_ms: int = 0
     renew_at_ms: int = 0
-    watch_at_ms: int = 0
-    clean_at_ms: int = 0
+    check_runs_at_ms: int = 0
+    prune_at_ms: int = 0
     removals: dict[str, None] = field(default_factory=dict)
-    absence_at_ms: int = 0
-    save_at_ms: int = 0
+    check_minions_at_ms: int = 0
+    write_checkpoints_at_ms: int = 0
     renewals: dict[str, int] = field(default_factory=dict)
     sequence: int = 0
     in_flight: Append | None = None
@@ -190,36 +190,36 @@
     dirty: dict[str, None] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     minions: Table[MinionRow] = field(
-        default_factory=lambda: Table("sidecar", ("life",))
+        default_factory=lambda: Table("sidecar", ("incarnation",))
     )
-    unsettled: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
-    lives: dict[Life, int] = field(default_factory=dict)
-    homes: dict[Life, str] = field(default_factory=dict)
-    syncs: dict[str, HeldSync] = field(default_factory=dict)
-    ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
-    strays: dict[str, dict[tuple[str, int], Stray]] = field(default_factory=dict)
-    touched: dict[str, None] = field(default_factory=dict)
-    answers: list[AppendEnded] = field(default_factory=list)
+    pending_runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
+    lapse_times_ms: dict[MinionIncarnation, int] = field(default_factory=dict)
+    incarnation_sidecars: dict[MinionIncarnation, str] = field(default_factory=dict)
+    pending_syncs: dict[str, PendingSync] = field(default_factory=dict)
+    reported_ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
+    orphans: dict[str, dict[tuple[str, int], OrphanRun]] = field(default_factory=dict)
+    changed_jobs: dict[str, None] = field(default_factory=dict)
+    append_results: list[AppendEnded] = field(default_factory=list)
     speeds: dict[str, Speed] = field(default_factory=dict)
     speeds_changed: bool = False
-    speeds_at_ms: int = 0
+    write_speeds_at_ms: int = 0
     changed: bool = True
     decide_at_ms: int = 0
 
 
 @dataclass(slots=True)
-class HostRun:
+class OrderedRun:
     """A run that the sidecar has orders for.
 
     Attributes
     ----------
-    asked : bool
+    is_order_pending : bool
         Whether an order to the minion waits for its answer.
     retry_ms : int
         When the order may go out again.
     started : bool
         Whether the minion has taken the start.
-    doubtful : bool
+    may_still_start : bool
         Whether a copy of the start may yet be carried out.
     stop : bool
         Whether the run is to end.
@@ -228,16 +228,16 @@
     """
 
     order: StartOrder
-    asked: bool = False
+    is_order_pending: bool = False
     retry_ms: int = 0
     started: bool = False
-    doubtful: bool = False
+    may_still_start: bool = False
     stop: bool = False
     stopped_ms: int | None = None
 
 
 @dataclass(slots=True)
-class Host:
+class SidecarState:
     """A sidecar's view of its minion and of the scheduler.
 
     Attributes
@@ -247,7 +247,7 @@
     until_ms : int
         End of the lease that the scheduler's last answer allows, on the minion's
         clock.
-    silent, silent_until_ms : Address or None, int
+    unreachable_entry, unreachable_until_ms : Address or None, int
         An entry that did not answer, and until when it is passed over.
     """
 
@@ -258,25 +258,25 @@
     clock_ms: int | None = None
     clock_at_ms: int = 0
     until_ms: int | None = None
-    holding: bool = False
+    is_hold_open: bool = False
     hold_after_ms: int = 0
     hold_failed: bool = False
-    seen: int = 0
+    acknowledged_end: int = 0
     running: dict[tuple[str, int], RunningRun] = field(default_factory=dict)
     ended: dict[int, EndedRun] = field(default_factory=dict)
     refused: dict[tuple[str, int], RefusedRun] = field(default_factory=dict)
-    runs: dict[tuple[str, int], HostRun] = field(default_factory=dict)
+    runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
     term: int = 0
     sync_number: int = 0
-    syncs: dict[int, int] = field(default_factory=dict)
+    pending_syncs: dict[int, int] = field(default_factory=dict)
     sync_after_ms: int = 0
-    silent: Address | None = None
-    silent_until_ms: int = 0
+    unreachable_entry: Address | None = None
+    unreachable_until_ms: int = 0
     dirty: bool = True
     holder: Address | None = None
     entries: tuple[Address, ...] = ()
     next_entry: int = 0
-    heard_ms: int = 0
+    last_reply_ms: int = 0
     list_after_ms: int = 0
 
 
@@ -294,12 +294,12 @@
     tally: Tally = field(default_factory=Tally)
     lines: list[LogLine] = field(default_factory=list)
     stopping: bool = False
-    stop_from_ms: int = 0
-    stop_by_ms: int = 0
+    earliest_stop_ms: int = 0
+    stop_deadline_ms: int = 0
     agreed: Agreed = field(default_factory=Agreed)
     schedule: Schedule = field(default_factory=Schedule)
-    calls: dict[str, HeldCall] = field(default_factory=dict)
-    host: Host = field(default_factory=Host)
+    calls: dict[str, PendingCall] = field(default_factory=dict)
+    sidecar_state: SidecarState = field(default_factory=SidecarState)
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
         """Add a line to the log."""
--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -11,11 +11,11 @@
     CancelRecord,
     ClaimRecord,
     ConfigRecord,
-    Followed,
     JobRecord,
     ProgressRecord,
     Record,
-    Removed,
+    RecordsRead,
+    RemovalRecord,
     RenewRecord,
     Stream,
     ZoneRecord,
@@ -45,7 +45,7 @@
     now_ms = world.clock.now_ms()
     rows = list(enumerate(records, first))
     end = first + len(records)
-    world.inbox.put(Followed(stream, rows, now_ms, end, whole))
+    world.inbox.put(RecordsRead(stream, rows, now_ms, end, whole))
     fold_streams(world, now_ms)
 
 
@@ -80,7 +80,7 @@
 
 def test_zones_go_out_and_come_back(world: BatchWorld) -> None:
     read(world, Stream.OPERATORS, ZoneRecord("a"), ZoneRecord("b"))
-    read(world, Stream.OPERATORS, Removed("zone/a"), first=2)
+    read(world, Stream.OPERATORS, RemovalRecord("zone/a"), first=2)
     assert set(world.agreed.closed_zones) == {"b"}
     read(world, Stream.OPERATORS, first=3, whole=True)
     assert not world.agreed.closed_zones
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -3,20 +3,33 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.placement import Site, Victim, evict, how_many, pick
-from kingcuppost.batch.tables.fleet import MinionRow, Room
-from kingcuppost.batch.tables.job import Job, Life, Plan, StepSpec, Task, TaskName
-
-WHOLE = Room(64_000, 131_072, 8)
+from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.job import (
+    Job,
+    MinionIncarnation,
+    Plan,
+    StepSpec,
+    Task,
+    TaskName,
+)
+
+WHOLE = Resources(64_000, 131_072, 8)
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
 
 
-def site(name: str, free: Room, costs: tuple[float, ...] = ()) -> Site:
-    row = MinionRow(name, Life(name, 1), "svc", "z", "r1", frozenset(), replace(WHOLE))
+def site(name: str, free: Resources, costs: tuple[float, ...] = ()) -> Site:
+    row = MinionRow(
+        name, MinionIncarnation(name, 1), "svc", "z", "r1", frozenset(), replace(WHOLE)
+    )
     job = Job("0123456789abcdef", "q", "t", "", (STEP,), 0, 0)
     plan = Plan(job, [[]])
     victims = [
         Victim(
-            plan, Task(TaskName(job.id, 0, 0, index)), 3, Room(8_000, 16_000, 2), cost
+            plan,
+            Task(TaskName(job.id, 0, 0, index)),
+            3,
+            Resources(8_000, 16_000, 2),
+            cost,
         )
         for index, cost in enumerate(costs)
     ]
@@ -28,14 +41,14 @@
 
 
 def test_the_scarcest_kind_of_room_decides() -> None:
-    assert how_many(Room(64_000, 131_072, 8), STEP, 9) == 4
-    assert how_many(Room(16_000, 131_072, 8), STEP, 9) == 2
-    assert how_many(Room(64_000, 15_000, 8), STEP, 9) == 1
-    assert how_many(Room(-1, 0, 0), STEP, 9) == 0
+    assert how_many(Resources(64_000, 131_072, 8), STEP, 9) == 4
+    assert how_many(Resources(16_000, 131_072, 8), STEP, 9) == 2
+    assert how_many(Resources(64_000, 15_000, 8), STEP, 9) == 1
+    assert how_many(Resources(-1, 0, 0), STEP, 9) == 0
 
 
 def test_tasks_spread_over_sites_in_order_of_rank() -> None:
-    sites = [site("b", WHOLE), site("a", Room(64_000, 131_072, 2))]
+    sites = [site("b", WHOLE), site("a", Resources(64_000, 131_072, 2))]
     chosen = pick(sites, STEP, 3, by_name)
     assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
 
@@ -47,7 +60,7 @@
 
 
 def test_the_cheapest_work_is_stopped() -> None:
-    none = Room(0, 0, 0)
+    none = Resources(0, 0, 0)
     dear = site("a", none, (50.0, 60.0, 70.0))
     cheap = site("b", none, (1.0, 2.0, 3.0))
     found = evict([dear, cheap], STEP, 2, by_name)
@@ -63,18 +76,18 @@
 
 
 def test_nothing_is_stopped_in_vain() -> None:
-    assert not evict([site("a", Room(0, 0, 0), ())], STEP, 3, by_name)
+    assert not evict([site("a", Resources(0, 0, 0), ())], STEP, 3, by_name)
 
 
 def test_room_is_made_for_as_many_tasks_as_the_cost_allows() -> None:
-    full = site("a", Room(0, 0, 0), (1.0, 90.0))
+    full = site("a", Resources(0, 0, 0), (1.0, 90.0))
     found = evict([full], STEP, 2, by_name, most_cost=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
 def test_work_that_leaves_no_useful_room_goes_on() -> None:
-    small, large = Room(1_000, 1_000, 0), Room(8_000, 16_000, 2)
-    full = site("a", Room(0, 0, 0), (1.0, 2.0))
-    full.victims[0].room, full.victims[1].room = small, large
+    small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
+    full = site("a", Resources(0, 0, 0), (1.0, 2.0))
+    full.victims[0].resources, full.victims[1].resources = small, large
     found = evict([full], STEP, 1, by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -7,6 +7,7 @@
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import (
     Job,
+    JobPolicy,
     JobState,
     Plan,
     PlanState,
@@ -15,7 +16,6 @@
     StepSpec,
     TaskPhase,
     TaskProgress,
-    Terms,
 )
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
@@ -44,8 +44,8 @@
         TaskProgress(0, index, TaskPhase(phase), 1, 0, "m", 1, "side", 0, "")
         for index, phase in enumerate(phases)
     )
-    terms = Terms("svc", 1, 2)
-    job = Job(JOB, "q", "t", "", (spec,), 0, 0, terms, False, state, True)
+    policy = JobPolicy("svc", 1, 2)
+    job = Job(JOB, "q", "t", "", (spec,), 0, 0, policy, False, state, True)
     job.progress = Progress(state, True, rows)
     world.agreed.jobs.put(job)
     take_up(world, JOB)
@@ -98,7 +98,7 @@
 
 def test_a_record_gives_the_same_plan_again(world: BatchWorld) -> None:
     plan = planned(world, WIDE, "pwd")
-    plan.tasks[0][1].saved = "00ff"
+    plan.tasks[0][1].checkpoint = "00ff"
     job = plan.job
     job.progress = progress_of(plan)
     world.schedule.plans.clear()
--- a/kingcuppost/batch/tests/test_records.py
+++ b/kingcuppost/batch/tests/test_records.py
@@ -6,12 +6,12 @@
 from kingcuppost.batch.tables.fleet import Speed
 from kingcuppost.batch.tables.job import (
     Job,
+    JobPolicy,
     JobState,
     Progress,
     StepSpec,
     TaskPhase,
     TaskProgress,
-    Terms,
 )
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
@@ -19,7 +19,7 @@
     EntryRecord,
     JobRecord,
     ProgressRecord,
-    Removed,
+    RemovalRecord,
     RenewRecord,
     SpeedsRecord,
 )
@@ -29,7 +29,7 @@
     StepSpec(3, 1_000, 10, 2, 500, gang=True, one_rack=True),
     StepSpec(1, needs=(0,), label="a", rack="r1-1", most_per_minion=2, saves=True),
 )
-TERMS = Terms("svc", 0, 4, 1.5)
+TERMS = JobPolicy("svc", 0, 4, 1.5)
 RECORDS = (
     JobRecord(Job("0123456789abcdef", "q", "team", "text", STEPS, 99, -1, TERMS)),
     SpeedsRecord({"side-1": Speed(0.55, 3.0)}),
@@ -49,7 +49,7 @@
     EntryRecord("entry-0", Address("10.0.0.1", 7000), "zone-a", "inc-1"),
     ClaimRecord("entry-0", Address("10.0.0.1", 7000), "inc-1"),
     RenewRecord(3, released=True),
-    Removed("job/0123456789abcdef"),
+    RemovalRecord("job/0123456789abcdef"),
 )
 
 
--- a/kingcuppost/edges/tests/test_observe.py
+++ b/kingcuppost/edges/tests/test_observe.py
@@ -10,11 +10,11 @@
 from kingcuppost.programs import make_world
 from kingcuppost.systems.events import note
 from kingcuppost.systems.views.metrics import MetricKind, metrics
-from kingcuppost.tables.capacity import UncoveredGuarantee
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
 from kingcuppost.tables.fleet import AvailabilityZone
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.request import RetryBudget
+from kingcuppost.tables.scheduling import UncoveredGuarantee
 from kingcuppost.tables.world import World
 
 NOWHERE = Address("127.0.0.1", 0)
@@ -68,7 +68,7 @@
 
 
 def test_uncovered_guarantees_and_retry_budgets_are_shown(world: World) -> None:
-    world.capacity.uncovered.put(UncoveredGuarantee("design", (0, 0, 1), 4))
+    world.scheduling.uncovered.put(UncoveredGuarantee("design", (0, 0, 1), 4))
     world.retry_budgets.put(RetryBudget("design", 7.5))
     shown = samples(world)
     team = (("team", "design"),)
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -6,12 +6,13 @@
 
 from kingcuppost.models.base import encode
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Record, RecordBody
 
 __all__ = ["AppendModel", "ReadModel", "record_of", "to_read_done"]
 
 _body = TypeAdapter(
-    Annotated[Body, Field(discriminator="kind")], config=ConfigDict(defer_build=True)
+    Annotated[RecordBody, Field(discriminator="kind")],
+    config=ConfigDict(defer_build=True),
 )
 
 
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -14,10 +14,10 @@
 from kingcuppost.batch.tables.messages import (
     CallerCall,
     CallKind,
+    CallOutcome,
     CallReply,
     Stream,
     SubmittedJob,
-    Verdict,
 )
 from kingcuppost.models.base import fault_text
 
@@ -33,13 +33,13 @@
     "DELETE": CallKind.CANCEL,
 }
 STATUSES = {
-    Verdict.OK: 200,
-    Verdict.BAD: 400,
-    Verdict.NO_KEY: 401,
-    Verdict.NO_QUEUE: 404,
-    Verdict.NO_JOB: 410,
-    Verdict.NOT_RUN: 503,
-    Verdict.UNKNOWN: 504,
+    CallOutcome.OK: 200,
+    CallOutcome.BAD: 400,
+    CallOutcome.NO_KEY: 401,
+    CallOutcome.NO_QUEUE: 404,
+    CallOutcome.NO_JOB: 410,
+    CallOutcome.NOT_RUN: 503,
+    CallOutcome.UNKNOWN: 504,
 }
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -11,14 +11,14 @@
     deliver_later,
 )
 from kingcuppost.batch.edges.server import answer, surfaces
-from kingcuppost.batch.models.addresses import address_of
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, TaskName
+from kingcuppost.batch.models.addresses import parse_address
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
     EndedRun,
     HoldMinion,
-    MinionHeard,
-    MinionLists,
+    HoldMinionAnswered,
+    MinionHeartbeat,
     MinionReport,
     OrderAnswered,
     OrderOutcome,
@@ -100,13 +100,17 @@
     answer(request, STATUS_OK, b"{}")
 
 
-def _heard(context: BatchContext, request: Request, minion: str) -> MinionHeard | None:
+def _heard(
+    context: BatchContext, request: Request, minion: str
+) -> MinionHeartbeat | None:
     if request.method == b"DELETE":
-        report = MinionReport(Life(minion, 0), "", "", (), Room(), True, 0, False)
-        return MinionHeard(Address("", 0), report, 0, gone=True)
+        report = MinionReport(
+            MinionIncarnation(minion, 0), "", "", (), Resources(), True, 0, False
+        )
+        return MinionHeartbeat(Address("", 0), report, 0, gone=True)
     try:
         model = _BeatModel.model_validate_json(request.content.read())
-        address = address_of(model.address)
+        address = parse_address(model.address)
     except ValidationError as exc:
         context.world.note(
             "minion", "A heartbeat is unreadable.", reason=fault_text(exc)
@@ -116,16 +120,16 @@
         context.world.note("minion", "A heartbeat is unreadable.", reason=str(exc))
         return None
     report = MinionReport(
-        Life(minion, model.born),
+        MinionIncarnation(minion, model.born),
         model.service,
         model.zone,
         model.labels,
-        Room(model.capacity.cpu, model.capacity.memory_mb, model.capacity.gpu),
+        Resources(model.capacity.cpu, model.capacity.memory_mb, model.capacity.gpu),
         model.state == "draining",
         model.remaining_ms,
         False,
     )
-    return MinionHeard(address, report, model.sequence)
+    return MinionHeartbeat(address, report, model.sequence)
 
 
 @batch_senders.register(HoldMinion)
@@ -134,15 +138,15 @@
     deliver_later(context, _hold(context, message))
 
 
-async def _hold(context: BatchContext, message: HoldMinion) -> MinionLists:
-    body = {"fencingToken": message.term, "lastSeen": message.seen}
+async def _hold(context: BatchContext, message: HoldMinion) -> HoldMinionAnswered:
+    body = {"fencingToken": message.term, "lastSeen": message.acknowledged_end}
     if message.wait_ms:
         body["waitMs"] = message.wait_ms
     if message.until_ms is not None:
         body["deadlineMs"] = message.until_ms
     clock = context.world.clock
     sent_ms = clock.now_ms()
-    life = message.life
+    incarnation = message.incarnation
     try:
         response = await context.client.exchange(
             "POST",
@@ -150,25 +154,31 @@
             "/kingcuppost/hold",
             json.dumps(body).encode(),
             message.wait_ms + HOLD_MARGIN_MS,
-            {INSTANCE_HEADER: life.minion},
+            {INSTANCE_HEADER: incarnation.minion},
         )
     except PeerError as exc:
-        return MinionLists(life, sent_ms, clock.now_ms(), reason=str(exc))
+        return HoldMinionAnswered(incarnation, sent_ms, clock.now_ms(), reason=str(exc))
     now_ms = clock.now_ms()
     if response.status != STATUS_OK:
         text = response.body[:100].decode("utf-8", "replace")
         reason = f"status {response.status} {text}"
-        return MinionLists(life, sent_ms, now_ms, reason=reason)
+        return HoldMinionAnswered(incarnation, sent_ms, now_ms, reason=reason)
     try:
-        return _lists(life, sent_ms, now_ms, response.body)
+        return _lists(incarnation, sent_ms, now_ms, response.body)
     except ValueError as exc:
-        return MinionLists(life, sent_ms, now_ms, reason=f"unreadable lists: {exc}")
+        return HoldMinionAnswered(
+            incarnation, sent_ms, now_ms, reason=f"unreadable lists: {exc}"
+        )
 
 
-def _lists(life: Life, sent_ms: int, now_ms: int, body: bytes) -> MinionLists:
+def _lists(
+    incarnation: MinionIncarnation, sent_ms: int, now_ms: int, body: bytes
+) -> HoldMinionAnswered:
     model = _ListsModel.model_validate_json(body)
-    if model.born and model.born != life.born_ms:
-        return MinionLists(life, sent_ms, now_ms, reason="another life answered")
+    if model.born and model.born != incarnation.born_ms:
+        return HoldMinionAnswered(
+            incarnation, sent_ms, now_ms, reason="another life answered"
+        )
     running = tuple(
         RunningRun(TaskName.parse(row[0]), int(row[1]), str(row[2]), int(row[3]))
         for row in model.running
@@ -179,7 +189,9 @@
         )
         for row in model.finished
     )
-    return MinionLists(life, sent_ms, now_ms, model.clock_ms, running, ended)
+    return HoldMinionAnswered(
+        incarnation, sent_ms, now_ms, model.clock_ms, running, ended
+    )
 
 
 @batch_senders.register(StartRun)
@@ -193,8 +205,8 @@
         "deadlineMs": message.until_ms,
         "fencingToken": message.term,
     }
-    if order.saved:
-        body["checkpoint"] = order.saved
+    if order.checkpoint:
+        body["checkpoint"] = order.checkpoint
     deliver_later(context, _order(context, message, "run-start", body))
 
 
@@ -218,7 +230,7 @@
 
     def answered(outcome: OrderOutcome, reason: str = "") -> OrderAnswered:
         return OrderAnswered(
-            message.life, order.task, order.run, is_start, outcome, reason
+            message.incarnation, order.task, order.run, is_start, outcome, reason
         )
 
     try:
@@ -228,7 +240,7 @@
             f"/kingcuppost/{name}",
             json.dumps(body).encode(),
             ORDER_TIMEOUT_MS,
-            {INSTANCE_HEADER: message.life.minion},
+            {INSTANCE_HEADER: message.incarnation.minion},
         )
     except PeerError as exc:
         never = exc.step == "connect"
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -7,7 +7,7 @@
 from kingcuppost.batch.tables.messages import (
     ConfigRecord,
     Record,
-    Removed,
+    RemovalRecord,
     ZoneRecord,
 )
 from kingcuppost.exception import Failure
@@ -84,11 +84,11 @@
     >>> decode_operator_record("evacuate/vid-a", b"{}", "op").ok
     ZoneRecord(availability_zone='vid-a')
     >>> decode_operator_record("evacuate/vid-a", b"", "op").ok
-    Removed(key='zone/vid-a')
+    RemovalRecord(key='zone/vid-a')
     """
     kind, _, rest = key.partition("/")
     if kind == EVACUATE:
-        return Ok(ZoneRecord(rest) if value else Removed(f"zone/{rest}"))
+        return Ok(ZoneRecord(rest) if value else RemovalRecord(f"zone/{rest}"))
     if key != CONFIG_KEY or not value:
         return Error(Failure(f"{key} is not acted on", "decode", peer))
     try:
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -33,7 +33,7 @@
 
 def _run(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
-    context.outside = Outside(StoreClient(context, cfg.store))
+    context.adapter_state = Outside(StoreClient(context, cfg.store))
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
     listen(context, "peers", cfg.daemon.peers)
@@ -56,7 +56,9 @@
     listen(context, "callers", cfg.callers, listener)
     listen(context, "readiness", cfg.readiness)
     for stream in Stream:
-        reactor.callWhenRunning(streams.follow, context, context.outside.store, stream)
+        reactor.callWhenRunning(
+            streams.follow, context, context.adapter_state.store, stream
+        )
 
 
 def run_role(role: Role, listener: socket.socket | None = None) -> int:
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
-from kingcuppost.batch.models.addresses import address_of
+from kingcuppost.batch.models.addresses import parse_address
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import fault_text
@@ -94,7 +94,7 @@
 
 
 def _address(text: str | None) -> Address | None:
-    return None if text is None else address_of(text)
+    return None if text is None else parse_address(text)
 
 
 def _bounds(model: _BoundsModel) -> Bounds:
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -170,7 +170,7 @@
         """Return another entry, each in turn."""
         world = self._context.world
         known = [entry.address for entry in world.agreed.entries]
-        known = known or list(world.host.entries) or list(world.cfg.seeds)
+        known = known or list(world.sidecar_state.entries) or list(world.cfg.seeds)
         others = [address for address in known if address != world.cfg.peers]
         if not others:
             return self.address
@@ -181,7 +181,7 @@
 @peer_paths.register(RELAY_PATH)
 def relay(context: BatchContext, request: Request) -> None:
     """Hand a peer's call on to the store."""
-    store = getattr(context.outside, "store", None)
+    store = getattr(context.adapter_state, "store", None)
     call = request.getHeader(RELAY_HEADER) or ""
     method, _, path = call.partition(" ")
     text = request.getHeader(TIMEOUT_HEADER) or ""
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -19,10 +19,10 @@
     Append,
     AppendEnded,
     AppendOutcome,
-    Followed,
     JobRecord,
     ListMembers,
     Record,
+    RecordsRead,
     Stream,
 )
 from kingcuppost.exception import Failure, PeerError
@@ -98,7 +98,9 @@
     return [(offset, parsed.ok)]
 
 
-async def _list(context: BatchContext, store: StoreClient, stream: Stream) -> Followed:
+async def _list(
+    context: BatchContext, store: StoreClient, stream: Stream
+) -> RecordsRead:
     """Return the newest record of each key; the first page tells where to go on."""
     sent_ms = context.world.clock.now_ms()
     rows: list[tuple[int, Record]] = []
@@ -120,7 +122,7 @@
             break
         after = page.items[-1].key
     rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
-    return Followed(stream, rows, sent_ms, end, whole=True)
+    return RecordsRead(stream, rows, sent_ms, end, whole=True)
 
 
 def _page(reply: StoreReply, store: StoreClient) -> _Listing:
@@ -138,7 +140,7 @@
     stream: Stream,
     position: int,
     wait_ms: int,
-) -> Followed | None:
+) -> RecordsRead | None:
     """Return the records from an offset on; None if they are no longer kept.
 
     A read goes one way only: after a silence the next one must come back soon.
@@ -168,7 +170,7 @@
             )
             continue
         rows += _row(context, stream, offset, key, value)
-    return Followed(stream, rows, sent_ms, position + len(contents))
+    return RecordsRead(stream, rows, sent_ms, position + len(contents))
 
 
 def follow(context: BatchContext, store: StoreClient, stream: Stream) -> None:
@@ -231,7 +233,7 @@
     path = _query("log-append", **fields)
     started_ms = context.world.clock.now_ms()
     try:
-        reply = await context.outside.store.call(
+        reply = await context.adapter_state.store.call(
             "POST", path, frame(contents), message.timeout_ms
         )
     except PeerError as exc:
@@ -269,9 +271,9 @@
     deliver_later(context, _list_members(context))
 
 
-async def _list_members(context: BatchContext) -> Followed | None:
+async def _list_members(context: BatchContext) -> RecordsRead | None:
     try:
-        return await _list(context, context.outside.store, Stream.MEMBERS)
+        return await _list(context, context.adapter_state.store, Stream.MEMBERS)
     except PeerError as exc:
         context.world.note("log", "The members can't be listed.", reason=str(exc))
         return None
--- a/kingcuppost/platform/tests/test_operators.py
+++ b/kingcuppost/platform/tests/test_operators.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from kingcuppost.batch.systems.routing import find_queue, team_of
-from kingcuppost.batch.tables.messages import Removed, ZoneRecord
+from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
+from kingcuppost.batch.tables.messages import RemovalRecord, ZoneRecord
 from kingcuppost.platform.operators import decode_operator_record
 
 CONFIG = {
@@ -35,19 +35,19 @@
     assert configuration.version == 7
     assert (queue.priority, queue.most_failures, queue.slack_factor) == (0, 4, 1.5)
     assert configuration.teams["t"].guaranteed == 16
-    assert team_of(configuration, queue, "k2") == "t"
-    assert team_of(configuration, queue, "gone") is None
+    assert find_team(configuration, queue, "k2") == "t"
+    assert find_team(configuration, queue, "gone") is None
 
 
 def test_a_public_queue_needs_no_key() -> None:
     record = decode_operator_record("config", json.dumps(CONFIG).encode(), "op").ok
     queue = find_queue(record.configuration, "a.example", "/idle/")
-    assert team_of(record.configuration, queue, "") == ""
+    assert find_team(record.configuration, queue, "") == ""
 
 
 def test_zones_go_out_and_come_back() -> None:
     assert decode_operator_record("evacuate/z", b"{}", "op").ok == ZoneRecord("z")
-    assert decode_operator_record("evacuate/z", b"", "op").ok == Removed("zone/z")
+    assert decode_operator_record("evacuate/z", b"", "op").ok == RemovalRecord("zone/z")
 
 
 @pytest.mark.parametrize(
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -46,7 +46,7 @@
         cfg.role, cfg.name, incarnation, cfg.availability_zone, cfg.region
     )
     world = World(cfg, identity, clock or SystemClock(), rng)
-    world.holder_watch.jitter = rng.random()
+    world.holder_monitor.jitter = rng.random()
     return world
 
 
--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -6,12 +6,7 @@
     fresh_age_ms,
     is_following,
     is_fresh,
-    want_barrier,
-)
-from kingcuppost.systems.agreement.lease import (
-    answer_holder_pings,
-    is_scheduler,
-    monitor_holder,
+    request_barrier,
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
@@ -19,6 +14,11 @@
     has_queue_capacity,
     propose,
 )
+from kingcuppost.systems.agreement.scheduling_lease import (
+    answer_holder_pings,
+    is_scheduler,
+    monitor_holder,
+)
 from kingcuppost.systems.agreement.sending import send_proposals
 from kingcuppost.systems.agreement.snapshots import write_snapshots
 
@@ -38,6 +38,6 @@
     "propose",
     "send_proposals",
     "handle_proposal_requests",
-    "want_barrier",
+    "request_barrier",
     "write_snapshots",
 ]
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -95,7 +95,7 @@
         _begin_stop(world, now_ms)
     if not world.stopping:
         return
-    if now_ms >= world.announcement.stop_ms:
+    if now_ms >= world.announcement.stop_deadline_ms:
         note(world, "stop.cut", "The time limit of the graceful stop is over.")
         world.outbox.put(ExitProcess(EXIT_FORCED))
     elif _is_idle(world) and (
@@ -107,8 +107,8 @@
 def _begin_stop(world: World, now_ms: int) -> None:
     world.stopping = True
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
-    world.announcement.stop_ms = now_ms + bound_ms
-    world.deadlines.add(world.announcement.stop_ms)
+    world.announcement.stop_deadline_ms = now_ms + bound_ms
+    world.deadlines.add(world.announcement.stop_deadline_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
     world.announcement.leave_record_id = propose(world, body, now_ms)
     note(world, "stop.begin", "The graceful stop begins.")
@@ -125,7 +125,7 @@
     """Return whether the time for the log to accept the leave notice is over."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
-    until_ms = world.announcement.stop_ms - bound_ms + announce_ms
+    until_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
     world.deadlines.add(until_ms)
     return now_ms >= until_ms
 
--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -6,8 +6,8 @@
 
 from kingcuppost.tables.record import (
     ANY_OFFSET,
-    Body,
     JobSubmit,
+    RecordBody,
     SettingPut,
     TeamPut,
     ZonePut,
@@ -19,10 +19,10 @@
 
 __all__ = ["fill_in_defaults"]
 
-completers: Registry[type, Callable[[World, Any], Body]] = Registry("completer")
+completers: Registry[type, Callable[[World, Any], RecordBody]] = Registry("completer")
 
 
-def fill_in_defaults(world: World, body: Body) -> Body:
+def fill_in_defaults(world: World, body: RecordBody) -> RecordBody:
     """Return a record body with omitted names and base offsets filled in."""
     if type(body) not in completers:
         return body
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -4,7 +4,7 @@
 from kingcuppost.systems.agreement.freshness import (
     fresh_age_ms,
     is_fresh,
-    want_barrier,
+    request_barrier,
 )
 from kingcuppost.systems.agreement.snapshot_search import (
     begin_search,
@@ -16,15 +16,15 @@
 from kingcuppost.systems.fold import FoldInput, apply_record
 from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import PendingRead, Verdict
-from kingcuppost.tables.claims import RecentRecord
+from kingcuppost.tables.agreed_rows import RecentRecord
+from kingcuppost.tables.agreement import FoldResult, PendingRead
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "want_barrier"]
+__all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "request_barrier"]
 
 MAX_PENDING_READS = 4
 MAX_DOUBLINGS = 3
@@ -94,7 +94,7 @@
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
         return
-    view.fresh_ms = max(view.fresh_ms, sent_ms)
+    view.fresh_as_of_ms = max(view.fresh_as_of_ms, sent_ms)
     view.last_answer_ms = now_ms
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
@@ -119,21 +119,26 @@
         return
     known = world.agreed.recent.get(item.record.record_id)
     if known is not None:
-        verdict = Verdict(known.accepted, known.offset, known.reason)
+        fold_result = FoldResult(known.accepted, known.offset, known.reason)
     else:
-        fault = apply_record(world.agreed, FoldInput(item.offset, item.record))
-        reason = fault.reason if fault else ""
-        stale = fault is not None and fault.stale
-        verdict = Verdict(fault is None, item.offset, reason, is_possible_repeat=stale)
+        rejection = apply_record(world.agreed, FoldInput(item.offset, item.record))
+        reason = rejection.reason if rejection else ""
+        is_possible_repeat = rejection is not None and rejection.is_possible_repeat
+        fold_result = FoldResult(
+            rejection is None,
+            item.offset,
+            reason,
+            is_possible_repeat=is_possible_repeat,
+        )
     if item.record.record_id in world.proposals:
-        world.verdicts[item.record.record_id] = verdict
-    note_record(world, item.record, item.offset, _rejection_text(verdict, known))
+        world.fold_results[item.record.record_id] = fold_result
+    note_record(world, item.record, item.offset, _rejection_text(fold_result, known))
 
 
-def _rejection_text(verdict: Verdict, known: RecentRecord | None) -> str:
+def _rejection_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
     if known is not None:
         return f"repeats the record at offset {known.offset}"
-    return "" if verdict.accepted else verdict.reason
+    return "" if fold_result.accepted else fold_result.reason
 
 
 @system(Phase.PROPOSE, order=10)
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -3,7 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.tables.world import World
 
-__all__ = ["fresh_age_ms", "is_following", "is_fresh", "want_barrier"]
+__all__ = ["fresh_age_ms", "is_following", "is_fresh", "request_barrier"]
 
 INFINITE_AGE_MS = 2**53
 
@@ -13,8 +13,8 @@
 
     The age counts from the sending of that read.
     """
-    fresh_ms = world.log_view.fresh_ms
-    return now_ms - fresh_ms if fresh_ms >= 0 else INFINITE_AGE_MS
+    fresh_as_of_ms = world.log_view.fresh_as_of_ms
+    return now_ms - fresh_as_of_ms if fresh_as_of_ms >= 0 else INFINITE_AGE_MS
 
 
 def is_fresh(world: World, now_ms: int) -> bool:
@@ -35,7 +35,7 @@
     return last_answer_ms >= 0 and now_ms - last_answer_ms <= wait_ms + silent_ms
 
 
-def want_barrier(world: World, now_ms: int) -> None:
+def request_barrier(world: World, now_ms: int) -> None:
     """Request a read of the head of the log that is sent no earlier than now."""
     view = world.log_view
     if view.barrier_ms < 0:
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -3,14 +3,14 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.change_defaults import fill_in_defaults
 from kingcuppost.systems.events import note
-from kingcuppost.systems.fold import Fault, fault_of
+from kingcuppost.systems.fold import Rejection, check_body
 from kingcuppost.systems.record_events import note_proposal
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import Proposal, ProposalState, Verdict
+from kingcuppost.tables.agreement import FoldResult, Proposal, ProposalState
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import Propose
 from kingcuppost.tables.outbox import Reply
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.tables.replies import ChangeAccepted, ChangeRefused
 from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.world import World
@@ -34,7 +34,7 @@
 
 def propose(
     world: World,
-    body: Body,
+    body: RecordBody,
     now_ms: int,
     *,
     author: str = "",
@@ -99,7 +99,7 @@
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
     for request in world.inbox.take(Propose):
         body = fill_in_defaults(world, request.body)
-        fault = fault_of(world.agreed, body)
+        rejection = check_body(world.agreed, body)
         if not world.log_view.caught_up:
             _refuse_change(
                 world,
@@ -107,8 +107,10 @@
                 STATUS_UNAVAILABLE,
                 "the log is not read yet",
             )
-        elif fault is not None:
-            _refuse_change(world, request.exchange_id, _status_of(fault), fault.reason)
+        elif rejection is not None:
+            _refuse_change(
+                world, request.exchange_id, _status_of(rejection), rejection.reason
+            )
         elif not has_queue_capacity(world):
             reason = f"{len(world.proposals)} records are queued for the log"
             _refuse_change(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
@@ -123,10 +125,10 @@
             )
 
 
-def _status_of(fault: Fault) -> int:
-    if fault.is_not_found:
+def _status_of(rejection: Rejection) -> int:
+    if rejection.is_not_found:
         return STATUS_NOT_FOUND
-    return STATUS_CONFLICT if fault.is_conflict else STATUS_INVALID
+    return STATUS_CONFLICT if rejection.is_conflict else STATUS_INVALID
 
 
 def _refuse_change(world: World, exchange_id: str, status: int, reason: str) -> None:
@@ -138,25 +140,25 @@
 @system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
     """Answer the exchanges whose records were folded or timed out."""
-    for record_id, verdict in world.verdicts.items():
+    for record_id, fold_result in world.fold_results.items():
         proposal = world.proposals.delete(record_id)
         if proposal is not None and proposal.exchange_id:
-            world.outbox.put(_reply_of(world, proposal, verdict))
-    world.verdicts.clear()
+            world.outbox.put(_reply_of(world, proposal, fold_result))
+    world.fold_results.clear()
     for proposal in world.proposals:
         if proposal.exchange_id and 0 < proposal.give_up_ms <= now_ms:
             _abandon_proposal(world, proposal)
 
 
-def _reply_of(world: World, proposal: Proposal, verdict: Verdict) -> Reply:
-    if verdict.is_possible_repeat:
-        return _unknown_reply(proposal, verdict.reason)
-    if verdict.accepted:
+def _reply_of(world: World, proposal: Proposal, fold_result: FoldResult) -> Reply:
+    if fold_result.is_possible_repeat:
+        return _unknown_reply(proposal, fold_result.reason)
+    if fold_result.accepted:
         name = _subject_name(proposal)
-        accepted = ChangeAccepted(verdict.offset, proposal.record_id, name)
+        accepted = ChangeAccepted(fold_result.offset, proposal.record_id, name)
         return Reply(proposal.exchange_id, STATUS_OK, accepted)
     refusal = ChangeRefused(
-        Outcome.NOT_RUN, STEP, f"log offset {verdict.offset}", verdict.reason
+        Outcome.NOT_RUN, STEP, f"log offset {fold_result.offset}", fold_result.reason
     )
     return Reply(proposal.exchange_id, STATUS_CONFLICT, refusal)
 
--- a/kingcuppost/systems/agreement/lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -34,7 +34,7 @@
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def monitor_holder(world: World, now_ms: int) -> None:
     """Ping the holder periodically; claim the lease when it is unresponsive."""
-    monitor = world.holder_watch
+    monitor = world.holder_monitor
     _handle_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
@@ -58,7 +58,7 @@
     The jitter differs among processes, so that their claims do not coincide.
     """
     lost_ms = effective_value(world.agreed, "lease.lost_ms")
-    return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_watch.jitter))
+    return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_monitor.jitter))
 
 
 def _handle_holder_answers(world: World, now_ms: int) -> None:
@@ -71,8 +71,8 @@
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
             continue
         if answer.follows_log or not is_following(world, now_ms):
-            world.holder_watch.last_answer_ms = max(
-                world.holder_watch.last_answer_ms, answer.sent_ms
+            world.holder_monitor.last_answer_ms = max(
+                world.holder_monitor.last_answer_ms, answer.sent_ms
             )
 
 
@@ -87,7 +87,7 @@
 
 
 def _ping_holder(world: World, holder: Entry, now_ms: int) -> None:
-    monitor = world.holder_watch
+    monitor = world.holder_monitor
     period_ms = effective_value(world.agreed, "lease.ping_ms")
     if now_ms >= monitor.next_ping_ms:
         monitor.next_ping_ms = now_ms + period_ms
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -6,7 +6,7 @@
 from kingcuppost.tables.agreement import Proposal, ProposalState
 from kingcuppost.tables.inbox import AppendDone
 from kingcuppost.tables.outbox import AppendRecords
-from kingcuppost.tables.record import Body, SnapshotPart
+from kingcuppost.tables.record import RecordBody, SnapshotPart
 from kingcuppost.tables.world import World
 
 __all__ = ["send_proposals"]
@@ -57,7 +57,7 @@
     return group
 
 
-def _weight_of(body: Body) -> int:
+def _weight_of(body: RecordBody) -> int:
     return SNAPSHOT_PART_WEIGHT if isinstance(body, SnapshotPart) else 1
 
 
@@ -95,9 +95,9 @@
     for row in world.proposals.find("state", ProposalState.SENT):
         if row.retry_ms <= now_ms:
             world.proposals.update(row.record_id, state=ProposalState.QUEUED)
-    fresh_ms = world.log_view.fresh_ms
+    fresh_as_of_ms = world.log_view.fresh_as_of_ms
     for row in world.proposals.find("state", ProposalState.APPENDED):
-        if fresh_ms > row.appended_ms:
+        if fresh_as_of_ms > row.appended_ms:
             world.proposals.update(
                 row.record_id, state=ProposalState.QUEUED, retry_ms=now_ms
             )
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -3,7 +3,7 @@
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import load_slices
-from kingcuppost.tables.agreement import LogView, SnapshotSearch, Verdict
+from kingcuppost.tables.agreement import FoldResult, LogView, SnapshotSearch
 from kingcuppost.tables.inbox import ReadDone
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
@@ -35,7 +35,7 @@
     view = world.log_view
     if _has_expired_records(view, done.earliest):
         view.caught_up = False
-        view.fresh_ms = -1
+        view.fresh_as_of_ms = -1
         view.last_answer_ms = -1
         text = f"Offset {view.folded_offset + 1} has expired; searching for a snapshot."
         note(world, "log.expired", text)
@@ -105,8 +105,8 @@
     for proposal in world.proposals:
         row = world.agreed.recent.get(proposal.record_id)
         if row is not None:
-            verdict = Verdict(row.accepted, row.offset, row.reason)
-            world.verdicts[proposal.record_id] = verdict
+            fold_result = FoldResult(row.accepted, row.offset, row.reason)
+            world.fold_results[proposal.record_id] = fold_result
 
 
 def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -1,12 +1,12 @@
 """Write snapshots of the fold into the log, well before records expire."""
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import slices_of
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.agreement import Verdict
+from kingcuppost.tables.agreement import FoldResult
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import FoldedRecord
 from kingcuppost.tables.record import SnapshotPart
@@ -24,7 +24,7 @@
     progress = world.snapshots
     part = item.record.body
     if item.record.record_id in world.proposals:
-        world.verdicts[item.record.record_id] = Verdict(True, item.offset)
+        world.fold_results[item.record.record_id] = FoldResult(True, item.offset)
     seen_parts = progress.seen_parts.setdefault(part.snapshot_id, set())
     seen_parts.add(part.index)
     if len(seen_parts) == part.count:
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -12,7 +12,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import AppendDone, FoldedRecord, Propose, ReadDone
 from kingcuppost.tables.outbox import AppendRecords, AskHolder, ReadLog, Reply
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.utils.clock import ManualClock
 
 RECORDS_PER_READ = 500
@@ -138,5 +138,5 @@
                 self.clock.advance(50)
         raise AssertionError("the entry does not settle")
 
-    def request_change(self, exchange_id: str, body: Body) -> None:
+    def request_change(self, exchange_id: str, body: RecordBody) -> None:
         self.tick(Propose(exchange_id, "ilze", body))
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -1,6 +1,6 @@
 import pytest
 
-from kingcuppost.systems.agreement import is_following, is_fresh, want_barrier
+from kingcuppost.systems.agreement import is_following, is_fresh, request_barrier
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.tables.inbox import Propose, ReadDone
 from kingcuppost.tables.job import Urgency
@@ -36,7 +36,7 @@
     entry.tick()
     assert [row.wait_ms for row in entry.reads] == [POLL_MS]
     assert not is_fresh(entry.world, clock.now_ms())
-    want_barrier(entry.world, clock.now_ms())
+    request_barrier(entry.world, clock.now_ms())
     entry.tick()
     assert [row.wait_ms for row in entry.reads] == [POLL_MS, 0]
     entry.answer_reads()
@@ -50,7 +50,7 @@
 ) -> None:
     waiting = entry.reads.pop()
     clock.advance(1_500)
-    want_barrier(entry.world, clock.now_ms())
+    request_barrier(entry.world, clock.now_ms())
     entry.tick(entry.log.read(waiting))
     assert entry.world.log_view.barrier_ms >= 0
     entry.answer_reads()
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -11,7 +11,7 @@
 from kingcuppost.models.log import record_of, text_of
 from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, registry
+from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, record_rules
 from kingcuppost.systems.fold import snapshot_slices as fold_snapshot
 from kingcuppost.tables.inbox import AppendDone
 from kingcuppost.tables.job import Urgency
@@ -74,11 +74,11 @@
         before = work_digest(self.agreed)
         term = getattr(record.body, "term", self.agreed.lease.term)
         old_term = term != self.agreed.lease.term
-        fault = apply_record(self.agreed, FoldInput(self.offset, record))
+        rejection = apply_record(self.agreed, FoldInput(self.offset, record))
         if old_term:
-            assert fault is not None
+            assert rejection is not None
             assert work_digest(self.agreed) == before
-        if fault is None:
+        if rejection is None:
             assert record.record_id not in self.accepted
             self.accepted[record.record_id] = self.offset
         lease = self.agreed.lease
@@ -97,11 +97,11 @@
         super().__init__()
         self.patch = pytest.MonkeyPatch()
         self.patch.setattr(fold_snapshot, "SLICE_WEIGHT", 4)
-        self.patch.setattr(registry, "MAX_RECENT_RECORDS", 12)
+        self.patch.setattr(record_rules, "MAX_RECENT_RECORDS", 12)
         self.patch.setattr(snapshot_search, "MAX_LAG_RECORDS", 15)
         self.patch.setattr(snapshot_search, "SEARCH_WINDOW_RECORDS", 6)
         self.patch.setattr(jobs, "MAX_ENDED_JOBS", 2)
-        self.patch.setattr(keys, "KEY_CLAIMS", 2)
+        self.patch.setattr(keys, "MAX_KEY_CLAIMS", 2)
         self.log = FakeLog()
         self.clock = ManualClock(1_000_000)
         self.reference = Reference()
--- a/kingcuppost/systems/agreement/tests/test_propose.py
+++ b/kingcuppost/systems/agreement/tests/test_propose.py
@@ -1,7 +1,7 @@
 import pytest
 
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.systems.fold import load_slices, registry, slices_of
+from kingcuppost.systems.fold import load_slices, record_rules, slices_of
 from kingcuppost.tables.agreement import ProposalState
 from kingcuppost.tables.inbox import AppendDone, Propose
 from kingcuppost.tables.record import ANY_OFFSET, SettingPut, TeamPut
@@ -224,7 +224,7 @@
 def test_change_that_may_be_a_repeat_is_answered_unknown(
     entry: FakeEntry, log: FakeLog, clock: ManualClock, monkeypatch
 ) -> None:
-    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
+    monkeypatch.setattr(record_rules, "MAX_RECENT_RECORDS", 4)
     other = FakeEntry("entry-1", log, clock, 9)
     other.settle()
     entry.settle()
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -1,23 +1,23 @@
 """The fold of the log: the preconditions and effects of each kind of record."""
 
 from kingcuppost.systems.fold import fleet, jobs, keys, teams
-from kingcuppost.systems.fold.registry import (
-    Fault,
+from kingcuppost.systems.fold.record_rules import (
     FoldInput,
+    Rejection,
     appliers,
     apply_record,
+    check_body,
     checkers,
-    fault_of,
 )
 from kingcuppost.systems.fold.snapshot_slices import load_slices, slices_of
 
 __all__ = [
-    "Fault",
+    "Rejection",
     "FoldInput",
     "appliers",
     "apply_record",
     "checkers",
-    "fault_of",
+    "check_body",
     "load_slices",
     "slices_of",
 ]
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -1,6 +1,11 @@
 """Records by which entries and sidecars announce themselves and leave."""
 
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
 from kingcuppost.tables.fleet import Entry, MemberState, Minion, Worker
 from kingcuppost.tables.record import EntryAnnounce, MemberLeave, MinionAnnounce
 from kingcuppost.tables.world import Agreed
@@ -9,7 +14,7 @@
 
 
 @checkers.register(EntryAnnounce)
-def check_entry(agreed: Agreed, body: EntryAnnounce) -> Fault | None:
+def check_entry(agreed: Agreed, body: EntryAnnounce) -> Rejection | None:
     """Accept every announcement; the newest process with a name replaces the others."""
     return None
 
@@ -33,11 +38,11 @@
 
 
 @checkers.register(MinionAnnounce)
-def check_minion(agreed: Agreed, body: MinionAnnounce) -> Fault | None:
+def check_minion(agreed: Agreed, body: MinionAnnounce) -> Rejection | None:
     """Reject a worker that belongs to another minion."""
     worker = agreed.workers.get(body.worker)
     if worker is not None and worker.minion != body.name:
-        return Fault(f"worker {body.worker} belongs to minion {worker.minion}")
+        return Rejection(f"worker {body.worker} belongs to minion {worker.minion}")
     return None
 
 
@@ -74,13 +79,13 @@
 
 
 @checkers.register(MemberLeave)
-def check_leave(agreed: Agreed, body: MemberLeave) -> Fault | None:
+def check_leave(agreed: Agreed, body: MemberLeave) -> Rejection | None:
     """Reject the leave notice of a process that a newer one has replaced."""
     for table in (agreed.minions, agreed.entries):
         row = table.get(body.name)
         if row is not None and row.incarnation == body.incarnation:
             return None
-    return Fault(f"{body.name} {body.incarnation} is not the announced incarnation")
+    return Rejection(f"{body.name} {body.incarnation} is not the announced incarnation")
 
 
 @appliers.register(MemberLeave)
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -1,7 +1,12 @@
 """Records about jobs, gangs and the scheduling lease."""
 
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.claims import EndedJob, SchedulingLease
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
+from kingcuppost.tables.agreed_rows import EndedJob, SchedulingLease
 from kingcuppost.tables.job import Gang, GangState, Job, JobState, gang_key
 from kingcuppost.tables.record import (
     GangEnd,
@@ -27,40 +32,42 @@
 WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
 
 
-def _check_term(agreed: Agreed, term: int) -> Fault | None:
+def _check_term(agreed: Agreed, term: int) -> Rejection | None:
     if term == agreed.lease.term:
         return None
-    return Fault(
+    return Rejection(
         f"term {term} is over; the current term is {agreed.lease.term}",
         is_conflict=True,
     )
 
 
-def _check_open_job(agreed: Agreed, name: str) -> Fault | None:
+def _check_open_job(agreed: Agreed, name: str) -> Rejection | None:
     job = agreed.jobs.get(name)
     if job is None:
-        return Fault(f"there is no job {name!r}", is_not_found=True)
+        return Rejection(f"there is no job {name!r}", is_not_found=True)
     if job.state in FINAL_STATES:
-        return Fault(f"job {name} is already {job.state}", is_conflict=True)
+        return Rejection(f"job {name} is already {job.state}", is_conflict=True)
     return None
 
 
-def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Fault | None:
+def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Rejection | None:
     """Check that a job is waiting and that the term is current."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Fault(f"job {name} is not waiting", is_conflict=True)
+        return Rejection(f"job {name} is not waiting", is_conflict=True)
     return _check_term(agreed, term)
 
 
-def _check_gang_exists(agreed: Agreed, job: str, incarnation: int) -> Fault | None:
+def _check_gang_exists(agreed: Agreed, job: str, incarnation: int) -> Rejection | None:
     if agreed.gangs.get(gang_key(job, incarnation)) is None:
-        return Fault(f"there is no gang {gang_key(job, incarnation)}", is_conflict=True)
+        return Rejection(
+            f"there is no gang {gang_key(job, incarnation)}", is_conflict=True
+        )
     return None
 
 
 @checkers.register(LeaseClaim)
-def check_lease_claim(agreed: Agreed, body: LeaseClaim) -> Fault | None:
+def check_lease_claim(agreed: Agreed, body: LeaseClaim) -> Rejection | None:
     """Reject a claim that is not based on the current term."""
     return _check_term(agreed, body.base_term)
 
@@ -72,14 +79,16 @@
 
 
 @checkers.register(JobSubmit)
-def check_job_submit(agreed: Agreed, body: JobSubmit) -> Fault | None:
+def check_job_submit(agreed: Agreed, body: JobSubmit) -> Rejection | None:
     """Reject unknown teams, names in use and invalid sizes."""
     if body.team not in agreed.teams:
-        return Fault(f"there is no team {body.team!r}", is_not_found=True)
+        return Rejection(f"there is no team {body.team!r}", is_not_found=True)
     if body.job in agreed.jobs:
-        return Fault(f"there is already a job {body.job!r}", is_conflict=True)
+        return Rejection(f"there is already a job {body.job!r}", is_conflict=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
-        return Fault("a gang needs at least one member, and no demand may be negative")
+        return Rejection(
+            "a gang needs at least one member, and no demand may be negative"
+        )
     return None
 
 
@@ -106,7 +115,7 @@
 
 
 @checkers.register(JobCancel)
-def check_job_cancel(agreed: Agreed, body: JobCancel) -> Fault | None:
+def check_job_cancel(agreed: Agreed, body: JobCancel) -> Rejection | None:
     """Reject the cancellation of a job that has ended."""
     return _check_open_job(agreed, body.job)
 
@@ -120,7 +129,7 @@
 
 
 @checkers.register(JobRefuse)
-def check_job_refuse(agreed: Agreed, body: JobRefuse) -> Fault | None:
+def check_job_refuse(agreed: Agreed, body: JobRefuse) -> Rejection | None:
     """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
@@ -133,7 +142,7 @@
 
 
 @checkers.register(JobPark)
-def check_job_park(agreed: Agreed, body: JobPark) -> Fault | None:
+def check_job_park(agreed: Agreed, body: JobPark) -> Rejection | None:
     """Reject records of an old term, and jobs that are not waiting."""
     return _check_waiting_job(agreed, body.job, body.term)
 
@@ -146,30 +155,30 @@
 
 
 @checkers.register(GangPlace)
-def check_gang_place(agreed: Agreed, body: GangPlace) -> Fault | None:
+def check_gang_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
     """Reject old terms, wrong incarnations, and workers unknown or out of service."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Fault(f"job {body.job} is not waiting", is_conflict=True)
+        return Rejection(f"job {body.job} is not waiting", is_conflict=True)
     if body.incarnation != job.incarnation + 1:
-        return Fault(
+        return Rejection(
             f"gang {body.incarnation} is not the next incarnation", is_conflict=True
         )
     if len(body.placements) != job.members:
-        return Fault(f"job {body.job} has {job.members} members")
-    if fault := _check_term(agreed, body.term):
-        return fault
+        return Rejection(f"job {body.job} has {job.members} members")
+    if rejection := _check_term(agreed, body.term):
+        return rejection
     return _check_placements(agreed, body)
 
 
-def _check_placements(agreed: Agreed, body: GangPlace) -> Fault | None:
+def _check_placements(agreed: Agreed, body: GangPlace) -> Rejection | None:
     for placement in body.placements:
         worker = agreed.workers.get(placement.worker)
         if worker is None:
-            return Fault(f"there is no worker {placement.worker}", is_conflict=True)
+            return Rejection(f"there is no worker {placement.worker}", is_conflict=True)
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
-            return Fault(
+            return Rejection(
                 f"availability zone {worker.availability_zone} is out of service",
                 is_conflict=True,
             )
@@ -201,13 +210,13 @@
 
 
 @checkers.register(GangRelease)
-def check_gang_release(agreed: Agreed, body: GangRelease) -> Fault | None:
+def check_gang_release(agreed: Agreed, body: GangRelease) -> Rejection | None:
     """Reject old terms, gangs that are not reserving, and zones out of service."""
-    if fault := _check_term(agreed, body.term):
-        return fault
+    if rejection := _check_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.RESERVING:
-        return Fault("the gang is not reserving", is_conflict=True)
+        return Rejection("the gang is not reserving", is_conflict=True)
     return _check_placements(agreed, gang)
 
 
@@ -222,13 +231,13 @@
 
 
 @checkers.register(GangStop)
-def check_gang_stop(agreed: Agreed, body: GangStop) -> Fault | None:
+def check_gang_stop(agreed: Agreed, body: GangStop) -> Rejection | None:
     """Reject old terms, and gangs that have ended or are already stopping."""
-    if fault := _check_term(agreed, body.term):
-        return fault
+    if rejection := _check_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Fault("the gang has ended or is already stopping", is_conflict=True)
+        return Rejection("the gang has ended or is already stopping", is_conflict=True)
     return None
 
 
@@ -247,13 +256,13 @@
 
 
 @checkers.register(GangEnd)
-def check_gang_end(agreed: Agreed, body: GangEnd) -> Fault | None:
+def check_gang_end(agreed: Agreed, body: GangEnd) -> Rejection | None:
     """Reject old terms, and gangs that have ended or are not stopping."""
-    if fault := _check_term(agreed, body.term):
-        return fault
+    if rejection := _check_term(agreed, body.term):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Fault("the gang has ended or is not stopping", is_conflict=True)
+        return Rejection("the gang has ended or is not stopping", is_conflict=True)
     return None
 
 
@@ -267,15 +276,15 @@
 
 
 @checkers.register(GangFinish)
-def check_gang_finish(agreed: Agreed, body: GangFinish) -> Fault | None:
+def check_gang_finish(agreed: Agreed, body: GangFinish) -> Rejection | None:
     """Accept only the first finish, and only of a gang that was released."""
-    if fault := _check_open_job(agreed, body.job):
-        return fault
-    if fault := _check_gang_exists(agreed, body.job, body.incarnation):
-        return fault
+    if rejection := _check_open_job(agreed, body.job):
+        return rejection
+    if rejection := _check_gang_exists(agreed, body.job, body.incarnation):
+        return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if not gang.released_wall_ms:
-        return Fault("the gang was not released")
+        return Rejection("the gang was not released")
     return None
 
 
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -1,28 +1,35 @@
 """Records about the idempotency keys of non-idempotent requests."""
 
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
-from kingcuppost.tables.claims import ExplainedKey, KeyClaim
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
+from kingcuppost.tables.agreed_rows import ExplainedKey, KeyClaim
 from kingcuppost.tables.record import KeyClaimPut, KeyOutcome
 from kingcuppost.tables.world import Agreed
 
 __all__: list[str] = []
 
-KEY_CLAIMS = 10_000
+MAX_KEY_CLAIMS = 10_000
 MAX_EXPLAINED_KEYS = 200
 
 
 @checkers.register(KeyClaimPut)
-def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Fault | None:
+def check_key_claim(agreed: Agreed, body: KeyClaimPut) -> Rejection | None:
     """Reject all claims but the first, and keys whose claim may have been evicted.
 
-    An evicted key was issued no later than `Floors.key_issued_ms`, so that only
+    An evicted key was issued no later than `LowerBounds.key_issued_ms`, so that only
     a key issued after that time is certain to be new. A key without an issue time
     counts as issued at 0, and is rejected once any key was evicted.
     """
     if body.key in agreed.key_claims:
-        return Fault(f"key {body.key} is already claimed", is_conflict=True)
+        return Rejection(f"key {body.key} is already claimed", is_conflict=True)
     if body.issued_ms <= agreed.floors.key_issued_ms:
-        return Fault(f"key {body.key} is too old to tell if it was used", stale=True)
+        return Rejection(
+            f"key {body.key} is too old to tell if it was used", is_possible_repeat=True
+        )
     return None
 
 
@@ -46,7 +53,7 @@
 
 
 def _evict_claims(agreed: Agreed) -> None:
-    while len(agreed.key_claims) > KEY_CLAIMS:
+    while len(agreed.key_claims) > MAX_KEY_CLAIMS:
         evicted = agreed.key_claims.delete(agreed.key_claims.first().key)
         agreed.floors.key_issued_ms = max(
             agreed.floors.key_issued_ms, evicted.issued_ms
@@ -65,13 +72,13 @@
 
 
 @checkers.register(KeyOutcome)
-def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Fault | None:
+def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Rejection | None:
     """Reject the outcome of an attempt that does not hold the key."""
     claim = agreed.key_claims.get(body.key)
     if claim is None or claim.attempt_id != body.attempt_id:
-        return Fault(f"key {body.key} is not held by {body.attempt_id}")
+        return Rejection(f"key {body.key} is not held by {body.attempt_id}")
     if claim.outcome:
-        return Fault(
+        return Rejection(
             f"the outcome of key {body.key} is already known", is_conflict=True
         )
     return None
--- a/kingcuppost/systems/fold/registry.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -4,16 +4,23 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kingcuppost.tables.claims import RecentRecord
+from kingcuppost.tables.agreed_rows import RecentRecord
 from kingcuppost.tables.record import Record
 from kingcuppost.tables.world import Agreed
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["Fault", "FoldInput", "appliers", "apply_record", "checkers", "fault_of"]
+__all__ = [
+    "Rejection",
+    "FoldInput",
+    "appliers",
+    "apply_record",
+    "checkers",
+    "check_body",
+]
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Rejection:
     """The reason why a record has no effect.
 
     Attributes
@@ -24,7 +31,7 @@
         Whether another record came first; a retry may succeed.
     is_not_found : bool
         Whether the record names something that does not exist.
-    stale : bool
+    is_possible_repeat : bool
         Whether an earlier copy may have taken effect whose identifier is no longer
         remembered.
     """
@@ -32,7 +39,7 @@
     reason: str
     is_conflict: bool = False
     is_not_found: bool = False
-    stale: bool = False
+    is_possible_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,14 +60,14 @@
 
 MAX_RECENT_RECORDS = 2_000
 
-Checker = Callable[[Agreed, Any], Fault | None]
+Checker = Callable[[Agreed, Any], Rejection | None]
 Applier = Callable[[Agreed, Any, FoldInput], None]
 
 checkers: Registry[type, Checker] = Registry("check of record")
 appliers: Registry[type, Applier] = Registry("effect of record")
 
 
-def fault_of(agreed: Agreed, body: Any) -> Fault | None:
+def check_body(agreed: Agreed, body: Any) -> Rejection | None:
     """Return why a record body would have no effect now, or None.
 
     The fold calls this in offset order; an entry calls it before it proposes.
@@ -68,7 +75,7 @@
     return checkers[type(body)](agreed, body)
 
 
-def apply_record(agreed: Agreed, item: FoldInput) -> Fault | None:
+def apply_record(agreed: Agreed, item: FoldInput) -> Rejection | None:
     """Apply one record, or return why it has no effect.
 
     A record is rejected if its identifier was already folded. It is also rejected
@@ -76,20 +83,25 @@
     identifier is no longer remembered.
     """
     if item.record.record_id in agreed.recent:
-        return Fault("the record is a repeat")
+        return Rejection("the record is a repeat")
     if item.record.seen_offset < agreed.floors.recent_offset:
-        return Fault("the record is too old to tell whether it is a repeat", stale=True)
-    fault = fault_of(agreed, item.record.body)
-    if fault is None:
+        return Rejection(
+            "the record is too old to tell whether it is a repeat",
+            is_possible_repeat=True,
+        )
+    rejection = check_body(agreed, item.record.body)
+    if rejection is None:
         appliers[type(item.record.body)](agreed, item.record.body, item)
-    _remember_record(agreed, item, fault)
-    return fault
+    _remember_record(agreed, item, rejection)
+    return rejection
 
 
-def _remember_record(agreed: Agreed, item: FoldInput, fault: Fault | None) -> None:
-    reason = fault.reason if fault else ""
+def _remember_record(
+    agreed: Agreed, item: FoldInput, rejection: Rejection | None
+) -> None:
+    reason = rejection.reason if rejection else ""
     agreed.recent.put(
-        RecentRecord(item.record.record_id, item.offset, fault is None, reason)
+        RecentRecord(item.record.record_id, item.offset, rejection is None, reason)
     )
     while len(agreed.recent) > MAX_RECENT_RECORDS:
         evicted = agreed.recent.delete(agreed.recent.first().record_id)
