--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -3,7 +3,12 @@
 import re
 
 from kingcuppost.settings import KEYS, fault_of_path
-from kingcuppost.systems.fold.registry import Fault, FoldInput, appliers, checkers
+from kingcuppost.systems.fold.record_rules import (
+    FoldInput,
+    Rejection,
+    appliers,
+    checkers,
+)
 from kingcuppost.tables.fleet import AvailabilityZone
 from kingcuppost.tables.record import SettingPut, TeamPut, ZonePut
 from kingcuppost.tables.setting import Setting, setting_id
@@ -17,10 +22,12 @@
 MAX_ACCELERATORS_PER_MEMBER = 64
 
 
-def _check_base_offset(what: str, row_offset: int, base_offset: int) -> Fault | None:
+def _check_base_offset(
+    what: str, row_offset: int, base_offset: int
+) -> Rejection | None:
     if row_offset == base_offset:
         return None
-    return Fault(
+    return Rejection(
         f"{what} was last changed at offset {row_offset}, not {base_offset}",
         is_conflict=True,
     )
@@ -40,13 +47,13 @@
 
 
 @checkers.register(TeamPut)
-def check_team(agreed: Agreed, body: TeamPut) -> Fault | None:
+def check_team(agreed: Agreed, body: TeamPut) -> Rejection | None:
     """Reject invalid names and shapes, and changes based on an outdated row."""
     if not NAME_PATTERN.fullmatch(body.name):
-        return Fault(f"{body.name!r} is not a valid team name")
+        return Rejection(f"{body.name!r} is not a valid team name")
     for shape in body.guarantees:
         if reason := _shape_error(shape):
-            return Fault(reason)
+            return Rejection(reason)
     row = agreed.teams.get(body.name)
     return _check_base_offset(
         f"team {body.name}", row.offset if row else 0, body.base_offset
@@ -68,16 +75,18 @@
 
 
 @checkers.register(ZonePut)
-def check_zone(agreed: Agreed, body: ZonePut) -> Fault | None:
+def check_zone(agreed: Agreed, body: ZonePut) -> Rejection | None:
     """Reject invalid names, changes of region, and changes based on an outdated row."""
     row = agreed.availability_zones.get(body.name)
     if row is None and not body.region:
-        return Fault(f"there is no availability zone {body.name!r}", is_not_found=True)
+        return Rejection(
+            f"there is no availability zone {body.name!r}", is_not_found=True
+        )
     for name in (body.name, body.region):
         if not NAME_PATTERN.fullmatch(name):
-            return Fault(f"{name!r} is not a valid name for a zone or region")
+            return Rejection(f"{name!r} is not a valid name for a zone or region")
     if row is not None and row.region != body.region:
-        return Fault(f"availability zone {body.name} is in region {row.region}")
+        return Rejection(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
     return _check_base_offset(what, row.offset if row else 0, body.base_offset)
 
@@ -93,15 +102,15 @@
 
 
 @checkers.register(SettingPut)
-def check_setting(agreed: Agreed, body: SettingPut) -> Fault | None:
+def check_setting(agreed: Agreed, body: SettingPut) -> Rejection | None:
     """Reject unknown keys and branches, invalid values, and outdated base offsets."""
     key = KEYS.get(body.key)
     if key is None:
-        return Fault(f"there is no setting {body.key!r}", is_not_found=True)
+        return Rejection(f"there is no setting {body.key!r}", is_not_found=True)
     if reason := fault_of_path(agreed, body.path):
-        return Fault(reason, is_not_found=True)
+        return Rejection(reason, is_not_found=True)
     if reason := key.fault_of(body.value):
-        return Fault(reason)
+        return Rejection(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
     what = f"{body.key} on {body.path or 'root'}"
     return _check_base_offset(what, row.offset if row else 0, body.base_offset)
--- a/kingcuppost/systems/fold/tests/test_bounds.py
+++ b/kingcuppost/systems/fold/tests/test_bounds.py
@@ -7,7 +7,7 @@
     apply_record,
     jobs,
     keys,
-    registry,
+    record_rules,
     slices_of,
 )
 from kingcuppost.tables.job import Decision, JobState, Placement, Urgency
@@ -97,20 +97,20 @@
 
 
 def test_evicted_key_is_rejected_and_not_run_again(folder, monkeypatch) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 2)
     for number, key in enumerate("abc"):
         assert folder.fold(claim(key, 100 + number)) is None
     assert "a" not in folder.agreed.key_claims
-    fault = folder.fold(claim("a", 100))
-    assert "too old" in fault.reason
-    assert fault.stale
+    rejection = folder.fold(claim("a", 100))
+    assert "too old" in rejection.reason
+    assert rejection.is_possible_repeat
     assert folder.fold(claim("d", 200)) is None
 
 
 def test_key_without_issue_time_is_rejected_once_keys_were_evicted(
     folder, monkeypatch
 ) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 2)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 2)
     for key in "abc":
         assert folder.fold(claim(key, 0)) is None
     assert folder.fold(claim("a", 0)) is not None
@@ -127,21 +127,21 @@
 def test_repeat_of_an_evicted_record_is_rejected_as_possible_repeat(
     folder, monkeypatch
 ) -> None:
-    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
+    monkeypatch.setattr(record_rules, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     assert folder.fold(submit("a"), "rec-a", seen) is None
     for number in range(6):
         folder.fold(SettingPut("", "no.such", number, 0))
-    fault = folder.fold(submit("a"), "rec-a", seen)
-    assert fault.stale
+    rejection = folder.fold(submit("a"), "rec-a", seen)
+    assert rejection.is_possible_repeat
 
 
 def test_record_older_than_the_recent_records_is_rejected(folder, monkeypatch) -> None:
-    monkeypatch.setattr(registry, "MAX_RECENT_RECORDS", 4)
+    monkeypatch.setattr(record_rules, "MAX_RECENT_RECORDS", 4)
     seen = folder.offset
     for number in range(8):
         folder.fold(SettingPut("", "no.such", number, 0))
-    assert folder.fold(submit("a"), "rec-late", seen).stale
+    assert folder.fold(submit("a"), "rec-late", seen).is_possible_repeat
     assert folder.fold(submit("a"), "rec-now") is None
 
 
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -3,8 +3,8 @@
 from kingcuppost.systems.jobs.cells import slots_in
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
 from kingcuppost.systems.jobs.keeps import drop_keep, is_ready
-from kingcuppost.tables.capacity import WorkerCapacity
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative, Urgency
+from kingcuppost.tables.scheduling import WorkerCapacity
 from kingcuppost.tables.world import World
 
 __all__ = ["choose_first_fit", "take_adjacent"]
@@ -35,12 +35,12 @@
     placements: list[Placement] = []
     refused = []
     wanted = job.members * job.accelerators
-    if not opened and slots_in(world.capacity.free_blocks, 0) < wanted:
+    if not opened and slots_in(world.scheduling.free_blocks, 0) < wanted:
         reason = f"fewer than {wanted} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
     rows = [
         row
-        for row in world.capacity.workers
+        for row in world.scheduling.workers
         if row.usable and row.accelerators >= job.accelerators
     ]
     rows.sort(key=lambda row: (row.availability_zone, row.rack, row.name))
@@ -58,7 +58,7 @@
 def _members_on(
     row: WorkerCapacity, job: Job, wanted: int, opened: int
 ) -> list[Placement]:
-    free = row.whole & ~(row.busy | (row.kept & ~opened))
+    free = row.full_mask & ~(row.busy | (row.kept & ~opened))
     cores = row.free_cores
     memory_mb = row.free_memory_mb
     found = []
@@ -75,20 +75,20 @@
 
 def _choose_backfill(world: World, job: Job, now_ms: int) -> Choice:
     """Place by first fit; use kept places for what should end before their date."""
-    keep = world.capacity.keeps.get(job.name)
+    keep = world.scheduling.keeps.get(job.name)
     if keep is not None and is_ready(world, keep, job):
         return Choice(keep.placements)
-    drop_keep(world.capacity, job.name)
+    drop_keep(world.scheduling, job.name)
     return _first_fit(world, job, _opened(world, job, now_ms))
 
 
 def _opened(world: World, job: Job, now_ms: int) -> dict[str, int]:
     opened: dict[str, int] = {}
-    for keep in world.capacity.keeps:
+    for keep in world.scheduling.keeps:
         if job.declared_ms <= keep.date_ms - now_ms:
             for placement in keep.placements:
-                row = world.capacity.workers.get(placement.worker)
-                opened[row.name] = row.whole
+                row = world.scheduling.workers.get(placement.worker)
+                opened[row.name] = row.full_mask
     return opened
 
 
--- a/kingcuppost/systems/jobs/bounds.py
+++ b/kingcuppost/systems/jobs/bounds.py
@@ -2,8 +2,8 @@
 
 from kingcuppost.settings import effective_value, team_path
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, members_of
-from kingcuppost.systems.leases import (
-    full_period_ms,
+from kingcuppost.systems.member_timing import (
+    full_report_period_ms,
     grace_ms,
     isolation_ms,
     lease_ms,
@@ -27,12 +27,12 @@
 def _heard_lately(world: World, gang: Gang, now_ms: int) -> list[Reservation]:
     bound_ms = lost_ms(world, gang)
     rows = members_of(world, gang.key)
-    return [row for row in rows if now_ms - row.heard_ms < bound_ms]
+    return [row for row in rows if now_ms - row.last_report_ms < bound_ms]
 
 
 def _last_heard_ms(world: World, gang: Gang, since_ms: int) -> int:
     rows = members_of(world, gang.key)
-    return max(since_ms, *(row.heard_ms for row in rows), since_ms)
+    return max(since_ms, *(row.last_report_ms for row in rows), since_ms)
 
 
 def lost_reason(world: World, gang: Gang, since_ms: int, now_ms: int) -> str:
@@ -75,7 +75,7 @@
     Members are reported when their state changes, and all once in a long period;
     two of those periods may go by without a report.
     """
-    missed_ms = FULL_REPORTS_MISSED * full_period_ms(world)
+    missed_ms = FULL_REPORTS_MISSED * full_report_period_ms(world)
     return _setting(world, gang, "job.lost_ms") + missed_ms
 
 
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -7,14 +7,14 @@
 from collections.abc import Sequence
 from functools import lru_cache
 
-from kingcuppost.tables.capacity import CELL_CLASSES
+from kingcuppost.tables.scheduling import CELL_CLASSES
 
 __all__ = [
     "add_counts",
     "blocks_in",
     "class_of",
     "count_blocks",
-    "left_over",
+    "count_shortfall",
     "numbers_of",
     "slots_in",
     "split_off",
@@ -127,7 +127,7 @@
     )
 
 
-def left_over(blocks: Sequence[int], demand: Sequence[int]) -> int:
+def count_shortfall(blocks: Sequence[int], demand: Sequence[int]) -> int:
     """Return how many accelerators of `demand` do not fit into `blocks`.
 
     Going from the largest class down, what is not used of one class splits
@@ -135,9 +135,9 @@
 
     Examples
     --------
-    >>> left_over((0, 0, 0, 1, 0, 0, 0), (0, 0, 2, 0, 0, 0, 0))
+    >>> count_shortfall((0, 0, 0, 1, 0, 0, 0), (0, 0, 2, 0, 0, 0, 0))
     0
-    >>> left_over((0, 0, 2, 0, 0, 0, 0), (0, 0, 0, 1, 0, 0, 0))
+    >>> count_shortfall((0, 0, 2, 0, 0, 0, 0), (0, 0, 0, 1, 0, 0, 0))
     8
     """
     spare = 0
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from kingcuppost.systems.jobs.queue import Rank
-from kingcuppost.tables.capacity import Keep
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative
+from kingcuppost.tables.scheduling import Keep
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -7,9 +7,9 @@
 from kingcuppost.systems.events import note
 from kingcuppost.systems.jobs.occupancy import refresh_worker
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.capacity import Capacity, WorkerFaults
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Job, JobState, gang_key
+from kingcuppost.tables.scheduling import SchedulingState, WorkerFaults
 from kingcuppost.tables.world import World
 
 __all__ = ["avoid_worker", "follow_faults", "trust_worker"]
@@ -25,10 +25,10 @@
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
         if job is None:
-            world.capacity.failures_seen.pop(name, None)
+            world.scheduling.failures_seen.pop(name, None)
         else:
             _follow_job(world, job, now_ms)
-    for row in world.capacity.faults:
+    for row in world.scheduling.faults:
         if row.aside:
             _probe_when_due(world, row, now_ms)
         if row.avoided:
@@ -49,28 +49,28 @@
     now_ms : int
         Monotonic time.
     """
-    row = world.capacity.faults.get(worker) or WorkerFaults(worker)
+    row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
     row.return_ms = now_ms + (pause_ms << min(row.refusals, MOST_DOUBLINGS))
     row.refusals += 1
     row.avoided = True
-    world.capacity.faults.put(row)
+    world.scheduling.faults.put(row)
     world.deadlines.add(row.return_ms)
-    _refresh(world.capacity, worker)
+    _refresh(world.scheduling, worker)
     text = f"The worker gets no work for {row.return_ms - now_ms} ms."
     note(world, STEP_AVOID, text, peer=worker)
 
 
 def trust_worker(world: World, worker: str) -> None:
     """Forget refusals of a worker that has reserved a member."""
-    row = world.capacity.faults.get(worker)
+    row = world.scheduling.faults.get(worker)
     if row is None or not row.refusals:
         return
     row.refusals = 0
     if row.avoided:
         _return(world, row)
     if not row.jobs:
-        world.capacity.faults.delete(worker)
+        world.scheduling.faults.delete(worker)
 
 
 def _return_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
@@ -82,13 +82,13 @@
 
 def _return(world: World, row: WorkerFaults) -> None:
     row.avoided = False
-    _refresh(world.capacity, row.worker)
-    world.capacity.due = True
+    _refresh(world.scheduling, row.worker)
+    world.scheduling.due = True
     note(world, STEP_AVOID, "The worker may get work again.", peer=row.worker)
 
 
 def _follow_job(world: World, job: Job, now_ms: int) -> None:
-    seen = world.capacity.failures_seen
+    seen = world.scheduling.failures_seen
     for worker in job.failed_workers[seen.get(job.name, 0) :]:
         _count(world, worker, job.name, now_ms)
     if job.failed_workers:
@@ -99,29 +99,29 @@
 
 
 def _count(world: World, worker: str, job: str, now_ms: int) -> None:
-    row = world.capacity.faults.get(worker) or WorkerFaults(worker)
+    row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     row.jobs.add(job)
-    world.capacity.faults.put(row)
+    world.scheduling.faults.put(row)
     limit = effective_value(world.agreed, "worker.failed_job_limit")
     if len(row.jobs) < limit:
         return
     row.aside = True
     row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
     world.deadlines.add(row.probe_ms)
-    _set_probing(world.capacity, worker, False)
+    _set_probing(world.scheduling, worker, False)
     text = f"The worker is set aside after {len(row.jobs)} failed jobs."
     note(world, STEP, text, peer=worker, job=job)
 
 
 def _probe_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
-    worker = world.capacity.workers.get(row.worker)
+    worker = world.scheduling.workers.get(row.worker)
     if worker is None or worker.probing:
         return
     if now_ms < row.probe_ms:
         world.deadlines.add(row.probe_ms)
         return
-    _set_probing(world.capacity, row.worker, True)
-    world.capacity.due = True
+    _set_probing(world.scheduling, row.worker, True)
+    world.scheduling.due = True
     note(world, STEP, "The worker may run one job as a probe.", peer=row.worker)
 
 
@@ -129,21 +129,21 @@
     """Trust the workers again on which a job has finished."""
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
-        row = world.capacity.faults.delete(placement.worker)
+        row = world.scheduling.faults.delete(placement.worker)
         if row is not None and (row.aside or row.avoided):
-            _set_probing(world.capacity, placement.worker, False)
-            world.capacity.due = True
+            _set_probing(world.scheduling, placement.worker, False)
+            world.scheduling.due = True
             note(world, STEP, "The worker is in use again.", peer=placement.worker)
 
 
-def _refresh(capacity: Capacity, worker: str) -> None:
-    row = capacity.workers.get(worker)
+def _refresh(scheduling: SchedulingState, worker: str) -> None:
+    row = scheduling.workers.get(worker)
     if row is not None:
-        refresh_worker(capacity, row)
+        refresh_worker(scheduling, row)
 
 
-def _set_probing(capacity: Capacity, worker: str, probing: bool) -> None:
-    row = capacity.workers.get(worker)
+def _set_probing(scheduling: SchedulingState, worker: str, probing: bool) -> None:
+    row = scheduling.workers.get(worker)
     if row is not None:
         row.probing = probing
-        refresh_worker(capacity, row)
+        refresh_worker(scheduling, row)
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -5,8 +5,8 @@
 """
 
 from kingcuppost.settings import effective_value, team_path
-from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.jobs.bounds import lapsed_ms, lost_ms, lost_reason
 from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
 from kingcuppost.systems.jobs.reports import BROKEN_STATES, OVER_STATES, members_of
@@ -14,7 +14,7 @@
 from kingcuppost.tables.gang_view import GangStage
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Gang, GangState, gang_key
-from kingcuppost.tables.record import Body, GangEnd, GangRelease, GangStop
+from kingcuppost.tables.record import GangEnd, GangRelease, GangStop, RecordBody
 from kingcuppost.tables.task import Reservation, TaskState
 from kingcuppost.tables.world import World
 
@@ -101,7 +101,7 @@
     return seen.since_ms
 
 
-def _propose(world: World, gang: Gang, body: Body, now_ms: int) -> None:
+def _propose(world: World, gang: Gang, body: RecordBody, now_ms: int) -> None:
     propose(world, body, now_ms)
     _look_again(world, gang.key, now_ms + LOOK_AGAIN_MS)
 
--- a/kingcuppost/systems/jobs/judging.py
+++ b/kingcuppost/systems/jobs/judging.py
@@ -1,8 +1,8 @@
 """Jobs that can never run are refused, those that can't now are parked."""
 
 from kingcuppost.settings import effective_value, team_path
-from kingcuppost.systems.agreement.lease import is_scheduler
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
@@ -18,13 +18,13 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
 def judge_jobs(world: World, now_ms: int) -> None:
     """Refuse, park or unpark jobs that are new or that meet a changed fleet."""
-    if not is_scheduler(world) or not world.capacity.unjudged:
+    if not is_scheduler(world) or not world.scheduling.unjudged:
         return
     under_way = judged_jobs(world)
-    for name in list(world.capacity.unjudged):
+    for name in list(world.scheduling.unjudged):
         job = world.agreed.jobs.get(name)
         if name in under_way or _judge(world, job, now_ms):
-            world.capacity.unjudged.pop(name)
+            world.scheduling.unjudged.pop(name)
 
 
 def judged_jobs(world: World) -> set[str]:
@@ -55,7 +55,7 @@
     """Return why a job is given up; workers that are set aside do not count."""
     good = []
     for worker in job.failed_workers:
-        faults = world.capacity.faults.get(worker)
+        faults = world.scheduling.faults.get(worker)
         if faults is None or not faults.aside:
             good.append(worker)
     path = team_path(job.team, job.urgency)
@@ -68,7 +68,7 @@
 
 
 def _fault_of_limit(world: World, job: Job) -> str:
-    share = world.capacity.shares.get(job.team)
+    share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
         return ""
@@ -78,7 +78,7 @@
 def _could_hold(world: World, job: Job, in_service_only: bool) -> bool:
     """Return whether the workers could hold the gang with nothing else on them."""
     key = (job.members, job.accelerators, job.cores, job.memory_mb, in_service_only)
-    known = world.capacity.holdable
+    known = world.scheduling.holdable
     if key not in known:
         known[key] = _count_slots(world, job, in_service_only) >= job.members
     return known[key]
@@ -86,7 +86,7 @@
 
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
     slots = 0
-    for row in world.capacity.workers:
+    for row in world.scheduling.workers:
         if in_service_only and not row.in_service:
             continue
         needs = (
@@ -103,8 +103,8 @@
 def _refuse_when_settled(world: World, job: Job, now_ms: int) -> bool:
     """Refuse once no worker has come or gone for a while."""
     settle_ms = effective_value(world.agreed, "job.fleet_settle_ms")
-    settled_ms = world.capacity.fleet_changed_ms + settle_ms
-    if now_ms < settled_ms or not len(world.capacity.workers):
+    settled_ms = world.scheduling.fleet_changed_ms + settle_ms
+    if now_ms < settled_ms or not len(world.scheduling.workers):
         world.deadlines.add(max(settled_ms, now_ms + settle_ms))
         return False
     reason = (
--- a/kingcuppost/systems/jobs/keeps.py
+++ b/kingcuppost/systems/jobs/keeps.py
@@ -13,13 +13,6 @@
 )
 from kingcuppost.systems.jobs.reclaim import may_stop, victims_for_cores
 from kingcuppost.systems.jobs.run_times import expected_end_ms, expected_run_ms
-from kingcuppost.tables.capacity import (
-    Capacity,
-    Hold,
-    Keep,
-    WorkerCapacity,
-    WorkerHold,
-)
 from kingcuppost.tables.job import (
     Gang,
     GangState,
@@ -28,6 +21,13 @@
     Placement,
     Urgency,
 )
+from kingcuppost.tables.scheduling import (
+    Hold,
+    Keep,
+    SchedulingState,
+    WorkerCapacity,
+    WorkerHold,
+)
 from kingcuppost.tables.world import World
 
 __all__ = [
@@ -66,8 +66,8 @@
         cores = old.cores + job.cores if keep.guaranteed else 0
         memory_mb = old.memory_mb + job.memory_mb if keep.guaranteed else 0
         shares[placement.worker] = WorkerHold(0, kept, cells, cores, memory_mb)
-    world.capacity.keeps.put(keep)
-    put_hold(world.capacity, Hold(_key_of(job.name), job.team, 0, shares))
+    world.scheduling.keeps.put(keep)
+    put_hold(world.scheduling, Hold(_key_of(job.name), job.team, 0, shares))
     wake_for_keep(world, keep, now_ms)
 
 
@@ -78,12 +78,12 @@
     for at_ms in (compact_at_ms(world, keep), bound_of(world, keep)):
         if at_ms > now_ms:
             world.deadlines.add(at_ms)
-            _pass_at(world.capacity, at_ms)
+            _pass_at(world.scheduling, at_ms)
 
 
-def _pass_at(capacity: Capacity, at_ms: int) -> None:
-    if not capacity.pass_ms or at_ms < capacity.pass_ms:
-        capacity.pass_ms = at_ms
+def _pass_at(scheduling: SchedulingState, at_ms: int) -> None:
+    if not scheduling.pass_ms or at_ms < scheduling.pass_ms:
+        scheduling.pass_ms = at_ms
 
 
 def bound_of(world: World, keep: Keep) -> int:
@@ -93,29 +93,29 @@
     return keep.since_ms + effective_value(world.agreed, "job.keep_bound_ms", path)
 
 
-def drop_keep(capacity: Capacity, job: str) -> None:
+def drop_keep(scheduling: SchedulingState, job: str) -> None:
     """Give a kept place up."""
-    if capacity.keeps.delete(job) is not None:
-        drop_hold(capacity, _key_of(job))
+    if scheduling.keeps.delete(job) is not None:
+        drop_hold(scheduling, _key_of(job))
 
 
 def drop_stale_keeps(world: World) -> None:
     """Give up what is kept for jobs that wait no more."""
-    for keep in world.capacity.keeps:
+    for keep in world.scheduling.keeps:
         job = world.agreed.jobs.get(keep.job)
         if job is None or job.state is not JobState.WAITING:
-            drop_keep(world.capacity, keep.job)
+            drop_keep(world.scheduling, keep.job)
 
 
 def is_ready(world: World, keep: Keep, job: Job) -> bool:
     """Return whether the job can start now at the place kept for it."""
     members = Counter(placement.worker for placement in keep.placements)
     for placement in keep.placements:
-        row = world.capacity.workers.get(placement.worker)
+        row = world.scheduling.workers.get(placement.worker)
         if not row.usable or row.busy & mask_of(placement):
             return False
     for name, members_there in members.items():
-        row = world.capacity.workers.get(name)
+        row = world.scheduling.workers.get(name)
         count = 0 if keep.guaranteed else members_there
         if row.free_cores < count * job.cores:
             return False
@@ -131,7 +131,7 @@
     the place since; a place within a guarantee only waits for borrowers.
     """
     for placement in keep.placements:
-        row = world.capacity.workers.get(placement.worker)
+        row = world.scheduling.workers.get(placement.worker)
         if not row.usable:
             return False
         if not keep.guaranteed and row.pinned & mask_of(placement) & ~row.busy:
@@ -181,7 +181,7 @@
     blockers = _blockers(world, keep)
     if not all(may_stop(world, gang, False) for gang in blockers):
         return frozenset()
-    held = sum(world.capacity.holds[gang.key].accelerators for gang in blockers)
+    held = sum(world.scheduling.holds[gang.key].accelerators for gang in blockers)
     if held > COMPACT_SHARE * job.members * job.accelerators:
         return frozenset()
     return frozenset(gang.key for gang in blockers)
@@ -196,22 +196,24 @@
 
 def _blockers(world: World, keep: Keep) -> list[Gang]:
     """Return the gangs that hold accelerators of a kept place."""
-    keys = sorted(_keys_on(world.capacity, keep.placements))
+    keys = sorted(_keys_on(world.scheduling, keep.placements))
     gangs = [world.agreed.gangs.get(key) for key in keys]
     return [gang for gang in gangs if gang is not None]
 
 
 def waits_for_earlier(world: World, keep: Keep) -> bool:
     """Return whether a gang that was there before the keep still runs there."""
-    return bool(keep.earlier & _keys_on(world.capacity, keep.placements))
+    return bool(keep.earlier & _keys_on(world.scheduling, keep.placements))
 
 
-def _keys_on(capacity: Capacity, placements: tuple[Placement, ...]) -> frozenset[str]:
+def _keys_on(
+    scheduling: SchedulingState, placements: tuple[Placement, ...]
+) -> frozenset[str]:
     """Return the keys of all holds whose tasks use part of a place."""
     return frozenset(
         key
         for placement in placements
-        for key, part in capacity.workers.get(placement.worker).holds.items()
+        for key, part in scheduling.workers.get(placement.worker).holds.items()
         if part.busy & mask_of(placement)
     )
 
@@ -221,7 +223,7 @@
 ) -> frozenset[str]:
     members = Counter(placement.worker for placement in keep.placements)
     for name, members_there in members.items():
-        row = world.capacity.workers.get(name)
+        row = world.scheduling.workers.get(name)
         count = 0 if keep.guaranteed else members_there
         more = victims_for_cores(world, row, count, job, keep.guaranteed, victims)
         victims = more if more is not None else victims
@@ -249,7 +251,7 @@
     """
     cell_class = class_of(job.accelerators)
     dated = []
-    for row in world.capacity.workers:
+    for row in world.scheduling.workers:
         if row.name in job.failed_workers:
             continue
         if row.usable and row.accelerators >= job.accelerators:
@@ -262,7 +264,7 @@
         for _, _, name, block in chosen
     )
     date_ms = now_ms + max(date for _, date, _, _ in chosen)
-    earlier = _keys_on(world.capacity, placements)
+    earlier = _keys_on(world.scheduling, placements)
     return Keep(job.name, placements, False, since_ms, date_ms, earlier)
 
 
@@ -272,7 +274,7 @@
     """Return whether each block is within a guarantee, and when it is free."""
     found = []
     ends = _ends_on(world, row)
-    for block in blocks_in(row.whole & ~row.kept, cell_class):
+    for block in blocks_in(row.full_mask & ~row.kept, cell_class):
         waits = [end for busy, end in ends if busy & block]
         pinned = bool(block & row.pinned)
         found.append((pinned, max(waits, default=0), row.name, block))
@@ -294,7 +296,7 @@
     gang = world.agreed.gangs.get(key)
     job = world.agreed.jobs.get(key.rpartition("/")[0])
     if gang is None:
-        return expected_run_ms(world.capacity, job)
+        return expected_run_ms(world.scheduling, job)
     if gang.state is GangState.STOPPING:
         return 0
-    return expected_end_ms(world.capacity, job, gang, wall_ms) - wall_ms
+    return expected_end_ms(world.scheduling, job, gang, wall_ms) - wall_ms
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -6,17 +6,17 @@
     count_blocks,
 )
 from kingcuppost.systems.registry import Phase, system
-from kingcuppost.tables.capacity import (
+from kingcuppost.tables.fleet import MemberState, Worker
+from kingcuppost.tables.identity import Role
+from kingcuppost.tables.job import Job, JobState, Placement
+from kingcuppost.tables.scheduling import (
     CELL_CLASSES,
-    Capacity,
     Hold,
+    SchedulingState,
     TeamShare,
     WorkerCapacity,
     WorkerHold,
 )
-from kingcuppost.tables.fleet import MemberState, Worker
-from kingcuppost.tables.identity import Role
-from kingcuppost.tables.job import Job, JobState, Placement
 from kingcuppost.tables.team import Team
 from kingcuppost.tables.world import World
 
@@ -41,28 +41,28 @@
 
     The cost follows the number of changed rows, not the size of the tables.
     """
-    if world.capacity.source is not world.agreed:
+    if world.scheduling.source is not world.agreed:
         _start_over(world)
     changed = _follow_fleet(world)
     changed |= _follow_teams(world)
     if changed:
-        world.capacity.fleet_changed_ms = now_ms
+        world.scheduling.fleet_changed_ms = now_ms
         _judge_all_anew(world)
     if _follow_gangs(world) or changed:
-        world.capacity.due = True
+        world.scheduling.due = True
 
 
 def _judge_all_anew(world: World) -> None:
     """Let every waiting and parked job be judged against the changed fleet."""
-    world.capacity.holdable.clear()
+    world.scheduling.holdable.clear()
     for state in (JobState.WAITING, JobState.PARKED):
         for job in world.agreed.jobs.find("state", state):
-            world.capacity.unjudged[job.name] = None
+            world.scheduling.unjudged[job.name] = None
 
 
 def _start_over(world: World) -> None:
     """Forget everything; the new tables report all of their rows as changed."""
-    world.capacity = Capacity(source=world.agreed)
+    world.scheduling = SchedulingState(source=world.agreed)
 
 
 def _follow_fleet(world: World) -> bool:
@@ -84,20 +84,20 @@
 
 
 def _follow_worker(world: World, worker: Worker) -> bool:
-    capacity = world.capacity
-    row = capacity.workers.get(worker.name)
+    scheduling = world.scheduling
+    row = scheduling.workers.get(worker.name)
     if row is None or row.accelerators != worker.accelerators:
         holds = row.holds if row is not None else {}
         if row is not None:
-            _uncount(capacity, row)
+            _uncount(scheduling, row)
         row = _new_row(worker, holds)
-        capacity.workers.put(row)
-        refresh_worker(capacity, row)
+        scheduling.workers.put(row)
+        refresh_worker(scheduling, row)
     in_service = _is_in_service(world, worker)
     if in_service == row.in_service:
         return False
     row.in_service = in_service
-    refresh_worker(capacity, row)
+    refresh_worker(scheduling, row)
     return True
 
 
@@ -127,35 +127,35 @@
     for name in names:
         team = world.agreed.teams.get(name)
         if team is not None:
-            _follow_team(world.capacity, team)
+            _follow_team(world.scheduling, team)
     return bool(names)
 
 
-def _follow_team(capacity: Capacity, team: Team) -> None:
+def _follow_team(scheduling: SchedulingState, team: Team) -> None:
     guaranteed = [0] * CELL_CLASSES
     for shape in team.guarantees:
         guaranteed[class_of(shape.accelerators)] += shape.members * shape.count
-    share = _share_of(capacity, team.name)
+    share = _share_of(scheduling, team.name)
     share.guaranteed = tuple(guaranteed)
     share.limit = team.accelerator_limit
-    _refresh_share(capacity, share)
+    _refresh_share(scheduling, share)
 
 
-def _share_of(capacity: Capacity, team: str) -> TeamShare:
-    share = capacity.shares.get(team)
+def _share_of(scheduling: SchedulingState, team: str) -> TeamShare:
+    share = scheduling.shares.get(team)
     if share is None:
         share = TeamShare(team)
-        capacity.shares.put(share)
+        scheduling.shares.put(share)
     return share
 
 
-def _refresh_share(capacity: Capacity, share: TeamShare) -> None:
-    add_counts(capacity.demand, share.unused, -1)
+def _refresh_share(scheduling: SchedulingState, share: TeamShare) -> None:
+    add_counts(scheduling.demand, share.unused, -1)
     unused = list(share.guaranteed)
     for _, cell in share.cells:
         unused[class_of(cell.bit_count())] -= 1
     share.unused = tuple(max(count, 0) for count in unused)
-    add_counts(capacity.demand, share.unused)
+    add_counts(scheduling.demand, share.unused)
 
 
 def _follow_gangs(world: World) -> bool:
@@ -163,14 +163,14 @@
     changed = False
     for key in keys:
         gang = world.agreed.gangs.get(key)
-        foreseen = key in world.capacity.pending
-        world.capacity.pending.discard(key)
+        foreseen = key in world.scheduling.pending
+        world.scheduling.pending.discard(key)
         if gang is None:
-            drop_hold(world.capacity, str(key))
+            drop_hold(world.scheduling, str(key))
             changed = True
-        elif foreseen or key not in world.capacity.holds:
+        elif foreseen or key not in world.scheduling.holds:
             job = world.agreed.jobs.get(gang.job)
-            put_hold(world.capacity, hold_of(str(key), job, gang.placements))
+            put_hold(world.scheduling, hold_of(str(key), job, gang.placements))
             changed = True
     return changed
 
@@ -210,38 +210,38 @@
     return Hold(key, job.team, job.accelerators * len(placements), shares)
 
 
-def put_hold(capacity: Capacity, hold: Hold) -> None:
+def put_hold(scheduling: SchedulingState, hold: Hold) -> None:
     """Take what a hold takes from its workers and its team's share."""
-    drop_hold(capacity, hold.key)
-    capacity.holds[hold.key] = hold
-    share = _share_of(capacity, hold.team)
+    drop_hold(scheduling, hold.key)
+    scheduling.holds[hold.key] = hold
+    share = _share_of(scheduling, hold.team)
     share.used += hold.accelerators
     for name, part in hold.shares.items():
         for cell in part.cells:
             place = (name, cell)
             share.cells[place] = share.cells.get(place, 0) + 1
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None:
             row.holds[hold.key] = part
-            refresh_worker(capacity, row)
-    _refresh_share(capacity, share)
+            refresh_worker(scheduling, row)
+    _refresh_share(scheduling, share)
 
 
-def drop_hold(capacity: Capacity, key: str) -> None:
+def drop_hold(scheduling: SchedulingState, key: str) -> None:
     """Give back what a hold took, if there is one."""
-    hold = capacity.holds.pop(key, None)
+    hold = scheduling.holds.pop(key, None)
     if hold is None:
         return
-    share = _share_of(capacity, hold.team)
+    share = _share_of(scheduling, hold.team)
     share.used -= hold.accelerators
     for name, part in hold.shares.items():
         for cell in part.cells:
             _unbind(share, (name, cell))
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None:
             row.holds.pop(key, None)
-            refresh_worker(capacity, row)
-    _refresh_share(capacity, share)
+            refresh_worker(scheduling, row)
+    _refresh_share(scheduling, share)
 
 
 def _unbind(share: TeamShare, place: tuple[str, int]) -> None:
@@ -250,7 +250,7 @@
         del share.cells[place]
 
 
-def refresh_worker(capacity: Capacity, row: WorkerCapacity) -> None:
+def refresh_worker(scheduling: SchedulingState, row: WorkerCapacity) -> None:
     """Work out again what is left of one worker, and count it in the totals."""
     busy = kept = bound = pinned = cores = memory_mb = 0
     for part in row.holds.values():
@@ -262,12 +262,12 @@
             pinned |= part.busy | part.kept
             for cell in part.cells:
                 bound |= cell
-    free = row.whole & ~(busy | kept)
-    unbound = row.whole & ~bound
+    free = row.full_mask & ~(busy | kept)
+    unbound = row.full_mask & ~bound
     free_cores = row.cores - cores
-    usable = _may_start(capacity, row)
-    _uncount(capacity, row)
-    capacity.workers.update(
+    usable = _may_start(scheduling, row)
+    _uncount(scheduling, row)
+    scheduling.workers.update(
         row.name,
         usable=usable,
         busy=busy,
@@ -282,13 +282,13 @@
         free_blocks=count_blocks(free if usable else 0),
         unbound_blocks=count_blocks(unbound if usable else 0),
     )
-    add_counts(capacity.free_blocks, row.free_blocks)
-    add_counts(capacity.unbound_blocks, row.unbound_blocks)
+    add_counts(scheduling.free_blocks, row.free_blocks)
+    add_counts(scheduling.unbound_blocks, row.unbound_blocks)
 
 
-def _may_start(capacity: Capacity, row: WorkerCapacity) -> bool:
+def _may_start(scheduling: SchedulingState, row: WorkerCapacity) -> bool:
     """Return whether new work may go to a worker, a single probe included."""
-    faults = capacity.faults.get(row.name)
+    faults = scheduling.faults.get(row.name)
     aside = faults is not None and faults.aside
     avoided = faults is not None and faults.avoided
     if not row.in_service or avoided or (aside and not row.probing):
@@ -296,9 +296,9 @@
     return not (row.probing and row.holds)
 
 
-def _uncount(capacity: Capacity, row: WorkerCapacity) -> None:
-    add_counts(capacity.free_blocks, row.free_blocks, -1)
-    add_counts(capacity.unbound_blocks, row.unbound_blocks, -1)
+def _uncount(scheduling: SchedulingState, row: WorkerCapacity) -> None:
+    add_counts(scheduling.free_blocks, row.free_blocks, -1)
+    add_counts(scheduling.unbound_blocks, row.unbound_blocks, -1)
 
 
 def _largest(mask: int) -> int:
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -1,9 +1,9 @@
 """Passes over the queue of waiting jobs, by the policy that the settings name."""
 
 from kingcuppost.settings import effective, effective_value, team_path
-from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
-from kingcuppost.systems.agreement.lease import is_scheduler
+from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.agreement.propose import propose
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.events import note
 from kingcuppost.systems.jobs.choice import Choice, Policy, policies
 from kingcuppost.systems.jobs.intake import POLICY_KEY
@@ -40,22 +40,22 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=70)
 def place_jobs(world: World, now_ms: int) -> None:
     """Place waiting jobs after a change, one batch at a time, on a fresh view."""
-    capacity = world.capacity
+    scheduling = world.scheduling
     if not is_scheduler(world) or world.stopping:
         return
-    if capacity.pass_ms and now_ms >= capacity.pass_ms:
-        capacity.due = True
-    if not capacity.due or _batch_under_way(world):
+    if scheduling.pass_ms and now_ms >= scheduling.pass_ms:
+        scheduling.due = True
+    if not scheduling.due or _batch_under_way(world):
         return
-    if not capacity.queue:
-        capacity.due = False
+    if not scheduling.queue:
+        scheduling.due = False
         drop_stale_keeps(world)
         return
     if not is_fresh(world, now_ms):
-        want_barrier(world, now_ms)
+        request_barrier(world, now_ms)
         return
     _begin_pass(world)
-    _pass(world, policies[capacity.queue_policy], now_ms)
+    _pass(world, policies[scheduling.queue_policy], now_ms)
 
 
 def _batch_under_way(world: World) -> bool:
@@ -64,13 +64,13 @@
 
 def _begin_pass(world: World) -> None:
     """Forget placements that the fold rejected, and keeps of jobs that went."""
-    capacity = world.capacity
-    capacity.due = False
-    capacity.pass_ms = 0
-    for key in sorted(capacity.pending):
+    scheduling = world.scheduling
+    scheduling.due = False
+    scheduling.pass_ms = 0
+    for key in sorted(scheduling.pending):
         if key not in world.agreed.gangs:
-            drop_hold(capacity, key)
-    capacity.pending.clear()
+            drop_hold(scheduling, key)
+    scheduling.pending.clear()
     drop_stale_keeps(world)
 
 
@@ -81,7 +81,7 @@
     failed: set[Signature] = set()
     may_keep = dict.fromkeys(Urgency, policy.keeps)
     judged = judged_jobs(world)
-    for entry in list(world.capacity.queue):
+    for entry in list(world.scheduling.queue):
         job = world.agreed.jobs.get(entry.job)
         if job.name in judged:
             continue
@@ -89,7 +89,7 @@
             if job.urgency is Urgency.OVERNIGHT:
                 break
             continue
-        kept = world.capacity.keeps.get(job.name)
+        kept = world.scheduling.keeps.get(job.name)
         signature = _signature(job)
         if kept is None and signature in failed:
             continue
@@ -139,10 +139,10 @@
     One place at a time: else every arrival that goes first adds one more, and if
     the later job had its way, the first would never be kept one.
     """
-    for keep in world.capacity.keeps:
+    for keep in world.scheduling.keeps:
         other = world.agreed.jobs.get(keep.job)
         if not keep.guaranteed and other.urgency is job.urgency:
-            drop_keep(world.capacity, keep.job)
+            drop_keep(world.scheduling, keep.job)
 
 
 def _commit(world: World, job: Job, choice: Choice, now_ms: int) -> bool:
@@ -154,7 +154,7 @@
     if choice.placements is None:
         _note_keep(world, job, choice, now_ms)
         return False
-    drop_keep(world.capacity, job.name)
+    drop_keep(world.scheduling, job.name)
     _propose_gang(world, job, choice, now_ms)
     return True
 
@@ -162,7 +162,7 @@
 def _note_keep(world: World, job: Job, choice: Choice, now_ms: int) -> None:
     if choice.keep is None:
         return
-    if job.name in world.capacity.keeps:
+    if job.name in world.scheduling.keeps:
         wake_for_keep(world, choice.keep, now_ms)
     else:
         put_keep(world, job, choice.keep, now_ms)
@@ -232,7 +232,7 @@
         decision,
     )
     key = gang_key(job.name, incarnation)
-    put_hold(world.capacity, hold_of(key, job, choice.placements))
-    world.capacity.pending.add(key)
+    put_hold(world.scheduling, hold_of(key, job, choice.placements))
+    world.scheduling.pending.add(key)
     propose(world, body, now_ms)
     note(world, "job.place", "Placement proposed.", job=job.name, team=job.team)
--- a/kingcuppost/systems/jobs/queue.py
+++ b/kingcuppost/systems/jobs/queue.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from kingcuppost.systems.jobs.run_times import learn_run_time
-from kingcuppost.tables.capacity import Capacity, QueueEntry
 from kingcuppost.tables.job import Job, JobState, gang_key
+from kingcuppost.tables.scheduling import QueueEntry, SchedulingState
 from kingcuppost.tables.world import World
 
 __all__ = ["Rank", "follow_jobs"]
@@ -25,44 +25,44 @@
     rank : callable
         Order of the policy, smallest first.
     """
-    capacity = world.capacity
+    scheduling = world.scheduling
     names = world.agreed.jobs.take_changes("placement")
-    if capacity.queue_policy != policy:
-        capacity.queue_policy = policy
-        capacity.queue.clear()
-        capacity.ranks.clear()
+    if scheduling.queue_policy != policy:
+        scheduling.queue_policy = policy
+        scheduling.queue.clear()
+        scheduling.ranks.clear()
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
         _follow_job(world, str(name), rank)
     if names:
-        capacity.due = True
+        scheduling.due = True
 
 
 def _follow_job(world: World, name: str, rank: Rank) -> None:
-    capacity = world.capacity
+    scheduling = world.scheduling
     job = world.agreed.jobs.get(name)
-    _remove(capacity, name)
+    _remove(scheduling, name)
     if job is None:
         return
     if job.state in (JobState.WAITING, JobState.PARKED):
-        capacity.unjudged[name] = None
+        scheduling.unjudged[name] = None
     if job.state is JobState.WAITING:
         entry = QueueEntry(rank(world, job), name)
-        capacity.ranks[name] = entry
-        insort(capacity.queue, entry)
+        scheduling.ranks[name] = entry
+        insort(scheduling.queue, entry)
     elif job.state is JobState.DONE:
         _learn(world, job)
 
 
-def _remove(capacity: Capacity, name: str) -> None:
-    entry = capacity.ranks.pop(name, None)
+def _remove(scheduling: SchedulingState, name: str) -> None:
+    entry = scheduling.ranks.pop(name, None)
     if entry is not None:
-        del capacity.queue[bisect_left(capacity.queue, entry)]
+        del scheduling.queue[bisect_left(scheduling.queue, entry)]
 
 
 def _learn(world: World, job: Job) -> None:
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     if gang is not None and gang.released_wall_ms:
         run_ms = job.finished_wall_ms - gang.released_wall_ms
-        learn_run_time(world.capacity, job, run_ms)
+        learn_run_time(world.scheduling, job, run_ms)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -1,7 +1,7 @@
 """Which borrowers are stopped so that a job gets its accelerators."""
 
-from kingcuppost.tables.capacity import WorkerCapacity
 from kingcuppost.tables.job import Gang, GangState, Job, Urgency
+from kingcuppost.tables.scheduling import WorkerCapacity
 from kingcuppost.tables.world import World
 
 __all__ = ["lost_work", "may_stop", "victims_for_cores", "victims_on"]
--- a/kingcuppost/systems/jobs/reports.py
+++ b/kingcuppost/systems/jobs/reports.py
@@ -36,5 +36,5 @@
             known = Reservation(member_id, key, report.state, now_ms, now_ms)
             world.reservations.put(known)
             world.gang_view.due.set(key, now_ms)
-        elif now_ms - row.heard_ms >= refresh_ms:
-            world.reservations.update(member_id, heard_ms=now_ms)
+        elif now_ms - row.last_report_ms >= refresh_ms:
+            world.reservations.update(member_id, last_report_ms=now_ms)
--- a/kingcuppost/systems/jobs/search.py
+++ b/kingcuppost/systems/jobs/search.py
@@ -12,7 +12,7 @@
 from kingcuppost.systems.jobs.cells import (
     blocks_in,
     class_of,
-    left_over,
+    count_shortfall,
     numbers_of,
     slots_in,
     split_off,
@@ -24,14 +24,14 @@
     victims_for_cores,
     victims_on,
 )
-from kingcuppost.tables.capacity import (
+from kingcuppost.tables.job import Job, Placement
+from kingcuppost.tables.scheduling import (
     CELL_CLASSES,
-    Capacity,
     Keep,
+    SchedulingState,
     TeamShare,
     WorkerCapacity,
 )
-from kingcuppost.tables.job import Job, Placement
 from kingcuppost.tables.world import World
 
 __all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_kept"]
@@ -88,15 +88,15 @@
 
 
 def find_free(
-    capacity: Capacity, job: Job, avoid: frozenset[str] = NOBODY
+    scheduling: SchedulingState, job: Job, avoid: frozenset[str] = NOBODY
 ) -> Plan | None:
     """Return free places for a borrower, the tightest that hold it."""
     if not job.accelerators:
-        return _pick(_passing(_core_candidates(capacity, job), avoid), job)
+        return _pick(_passing(_core_candidates(scheduling, job), avoid), job)
     cell_class = class_of(job.accelerators)
-    if slots_in(capacity.free_blocks, cell_class) < job.members:
+    if slots_in(scheduling.free_blocks, cell_class) < job.members:
         return None
-    return _pick(_passing(_free_candidates(capacity, job, cell_class), avoid), job)
+    return _pick(_passing(_free_candidates(scheduling, job, cell_class), avoid), job)
 
 
 def _passing(
@@ -107,34 +107,34 @@
 
 
 def _free_candidates(
-    capacity: Capacity, job: Job, cell_class: int
+    scheduling: SchedulingState, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for room in range(cell_class, CELL_CLASSES):
-        for row in capacity.workers.scan("room", room):
-            free = row.whole & ~(row.busy | row.kept)
+        for row in scheduling.workers.scan("room", room):
+            free = row.full_mask & ~(row.busy | row.kept)
             blocks = tidy_blocks(free, cell_class)
             for block in blocks[: _fits(row, job)]:
                 yield Candidate(row, block)
 
 
 def find_kept(
-    capacity: Capacity, keep: Keep, job: Job, avoid: frozenset[str] = NOBODY
+    scheduling: SchedulingState, keep: Keep, job: Job, avoid: frozenset[str] = NOBODY
 ) -> Plan | None:
     """Return places for a borrower among those kept for another job."""
     if not job.accelerators:
         return None
-    candidates = _kept_candidates(capacity, keep, class_of(job.accelerators))
+    candidates = _kept_candidates(scheduling, keep, class_of(job.accelerators))
     return _pick(_passing(candidates, avoid), job)
 
 
 def _kept_candidates(
-    capacity: Capacity, keep: Keep, cell_class: int
+    scheduling: SchedulingState, keep: Keep, cell_class: int
 ) -> Iterator[Candidate]:
     masks: dict[str, int] = defaultdict(int)
     for placement in keep.placements:
         masks[placement.worker] |= mask_of(placement)
     for name, mask in masks.items():
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row.usable:
             for block in tidy_blocks(mask & ~(row.busy | row.pinned), cell_class):
                 yield Candidate(row, block)
@@ -147,11 +147,11 @@
     return max(min(by_cores, by_memory, job.members), 0)
 
 
-def _core_candidates(capacity: Capacity, job: Job) -> Iterator[Candidate]:
+def _core_candidates(scheduling: SchedulingState, job: Job) -> Iterator[Candidate]:
     """Yield workers for members without accelerators, those without any first."""
     for kind in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BITS):
-            for row in capacity.workers.scan("core_room", (kind, bits)):
+            for row in scheduling.workers.scan("core_room", (kind, bits)):
                 for _ in range(_fits(row, job)):
                     yield Candidate(row, 0)
 
@@ -242,8 +242,8 @@
 
     Only cells whose use leaves all other guarantees covered are taken.
     """
-    capacity = world.capacity
-    share = capacity.shares.get(job.team)
+    scheduling = world.scheduling
+    share = scheduling.shares.get(job.team)
     if share is None or not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
@@ -251,17 +251,17 @@
         return None
     candidates = _guaranteed_candidates(world, share, job, cell_class)
     found = _take_until_free(_passing(candidates, avoid), job)
-    chosen = _choose(found, job, lambda group: _walk(capacity, share, job, group))
+    chosen = _choose(found, job, lambda group: _walk(scheduling, share, job, group))
     if chosen is None:
         return None
     return _with_cores(world, chosen, job, guaranteed=True)
 
 
 def _may_fit(share: TeamShare, job: Job, cell_class: int) -> bool:
-    whole = sum(
+    full_mask = sum(
         slots_in(count_of(cell), cell_class) for _, cell in share.cells
     ) + slots_in(share.unused, cell_class)
-    return whole >= job.members
+    return full_mask >= job.members
 
 
 def count_of(cell: int) -> tuple[int, ...]:
@@ -282,9 +282,9 @@
 def _guaranteed_candidates(
     world: World, share: TeamShare, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
-    capacity = world.capacity
+    scheduling = world.scheduling
     for name, cell in share.cells:
-        row = capacity.workers.get(name)
+        row = scheduling.workers.get(name)
         if row is not None and row.usable and _within_share(row, job, cell_class):
             yield from _blocks(world, row, cell, True, job, cell_class)
     for larger in range(cell_class, CELL_CLASSES):
@@ -297,12 +297,12 @@
     world: World, job: Job, cell_class: int, larger: int, index: str
 ) -> Iterator[Candidate]:
     """Yield blocks of cells that no guarantee uses; by `room` only free ones."""
-    workers = world.capacity.workers
+    workers = world.scheduling.workers
     for room in range(larger, CELL_CLASSES):
         for row in workers.scan(index, room):
             if not _within_share(row, job, cell_class):
                 continue
-            unbound = row.whole & ~row.bound
+            unbound = row.full_mask & ~row.bound
             if index == "room":
                 unbound &= ~(row.busy | row.kept)
             for cell in tidy_blocks(unbound, larger):
@@ -334,13 +334,13 @@
 
 
 def _walk(
-    capacity: Capacity, share: TeamShare, job: Job, group: list[Candidate]
+    scheduling: SchedulingState, share: TeamShare, job: Job, group: list[Candidate]
 ) -> list[Candidate]:
     """Take candidates in order while every guarantee stays covered."""
-    blocks = list(capacity.unbound_blocks)
-    demand = list(capacity.demand)
+    blocks = list(scheduling.unbound_blocks)
+    demand = list(scheduling.demand)
     unused = list(share.unused)
-    missing = left_over(blocks, demand)
+    missing = count_shortfall(blocks, demand)
     taken: dict[str, int] = {}
     cells: dict[str, list[int]] = {}
     chosen = []
@@ -374,14 +374,14 @@
     cell_class = class_of(item.cell.bit_count())
     if not unused[cell_class]:
         return False
-    unbound = item.worker.whole & ~item.worker.bound
+    unbound = item.worker.full_mask & ~item.worker.bound
     for other in own:
         unbound &= ~other
     trial_blocks = list(blocks)
     trial_demand = list(demand)
     split_off(trial_blocks, _enclosing(unbound, item.cell, cell_class), cell_class)
     trial_demand[cell_class] -= 1
-    if left_over(trial_blocks, trial_demand) > missing:
+    if count_shortfall(trial_blocks, trial_demand) > missing:
         return False
     unused[cell_class] -= 1
     blocks[:] = trial_blocks
@@ -432,8 +432,8 @@
     world: World, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for room in range(CELL_CLASSES):
-        for row in world.capacity.workers.scan("bind_room", room):
-            open_to_all = row.whole & ~(row.pinned | row.kept)
+        for row in world.scheduling.workers.scan("bind_room", room):
+            open_to_all = row.full_mask & ~(row.pinned | row.kept)
             for block in blocks_in(open_to_all, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -20,8 +20,8 @@
     find_guaranteed,
     find_kept,
 )
-from kingcuppost.tables.capacity import Keep
 from kingcuppost.tables.job import Job, RefusedAlternative, Urgency
+from kingcuppost.tables.scheduling import Keep
 from kingcuppost.tables.world import World
 
 __all__ = ["choose_shapes", "rank_by_run_time"]
@@ -42,7 +42,7 @@
         return (INTERACTIVE_RANK, submitted_ms, job.submitted_offset)
     path = team_path(job.team, job.urgency)
     limit_ms = effective_value(world.agreed, "job.overtake_limit_ms", path)
-    run_ms = expected_run_ms(world.capacity, job)
+    run_ms = expected_run_ms(world.scheduling, job)
     rank_ms = submitted_ms + min(run_ms, limit_ms)
     return (OVERNIGHT_RANK, rank_ms, job.submitted_offset)
 
@@ -54,17 +54,17 @@
     Interactive work beyond it may stop overnight borrowers.
     """
     if reason := _fault_of_limit(world, job):
-        drop_keep(world.capacity, job.name)
+        drop_keep(world.scheduling, job.name)
         refused = (RefusedAlternative(job.team, reason),)
         return Choice(None, refused=refused, lacks_place=False)
     since_ms = now_ms
-    keep = world.capacity.keeps.get(job.name)
+    keep = world.scheduling.keeps.get(job.name)
     if keep is not None:
         since_ms = keep.since_ms
         choice = _choose_kept(world, job, keep, now_ms)
         if choice is not None:
             return choice
-        drop_keep(world.capacity, job.name)
+        drop_keep(world.scheduling, job.name)
     avoid = _avoided(world, job)
     choice = _choose_new(world, job, since_ms, now_ms, avoid)
     if choice.placements is None and avoid and job.members > 1:
@@ -74,7 +74,7 @@
 
 def _avoided(world: World, job: Job) -> frozenset[str]:
     """Return workers on which the job failed and that may be good for others."""
-    faults = world.capacity.faults
+    faults = world.scheduling.faults
     return frozenset(
         name
         for name in job.failed_workers
@@ -107,17 +107,17 @@
 def _find_elsewhere(world: World, job: Job, keep: Keep, now_ms: int) -> Plan | None:
     """Return free places, those that are kept for the job itself included."""
     avoid = _avoided(world, job)
-    drop_keep(world.capacity, job.name)
+    drop_keep(world.scheduling, job.name)
     plan = find_guaranteed(world, job, avoid)
     if plan is None or plan.victims:
-        plan = find_free(world.capacity, job, avoid)
+        plan = find_free(world.scheduling, job, avoid)
     if plan is None:
         put_keep(world, job, keep, now_ms)
     return plan
 
 
 def _fault_of_limit(world: World, job: Job) -> str:
-    share = world.capacity.shares.get(job.team)
+    share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
         return ""
@@ -136,16 +136,16 @@
 def _choose_borrowed(
     world: World, job: Job, since_ms: int, now_ms: int, avoid: frozenset[str]
 ) -> Choice:
-    plan = find_free(world.capacity, job, avoid)
+    plan = find_free(world.scheduling, job, avoid)
     if plan is not None:
         return Choice(plan.placements, borrowed=True)
     if job.urgency is Urgency.INTERACTIVE:
         plan = find_borrowed(world, job, avoid)
         if plan is not None:
             return _choice_of(job, plan, since_ms, now_ms, guaranteed=False)
-    for keep in world.capacity.keeps:
+    for keep in world.scheduling.keeps:
         if _may_lend(world, job, keep, now_ms):
-            plan = find_kept(world.capacity, keep, job, avoid)
+            plan = find_kept(world.scheduling, keep, job, avoid)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
     if job.accelerators.bit_count() > 1 and not avoid:
@@ -171,7 +171,7 @@
         return False
     if job.urgency is Urgency.INTERACTIVE:
         due_ms = min(due_ms, keep.date_ms)
-        return now_ms + expected_run_ms(world.capacity, job) <= due_ms
+        return now_ms + expected_run_ms(world.scheduling, job) <= due_ms
     return now_ms + LEAST_LOAN_MS <= due_ms
 
 
--- a/kingcuppost/systems/jobs/tests/test_cells.py
+++ b/kingcuppost/systems/jobs/tests/test_cells.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kingcuppost.systems.jobs.cells import blocks_in, count_blocks, left_over
-from kingcuppost.tables.capacity import CELL_CLASSES
+from kingcuppost.systems.jobs.cells import blocks_in, count_blocks, count_shortfall
+from kingcuppost.tables.scheduling import CELL_CLASSES
 
 WORKER_MASKS = st.lists(st.integers(0, 255), min_size=1, max_size=3)
 DEMANDS = st.lists(st.integers(0, 3), max_size=6)
@@ -33,5 +33,5 @@
 @given(WORKER_MASKS, DEMANDS)
 def test_counts_agree_with_brute_force(masks: list[int], demands: list[int]) -> None:
     blocks = [sum(column) for column in zip(*map(count_blocks, masks), strict=True)]
-    fits = left_over(blocks, counts(demands)) == 0
+    fits = count_shortfall(blocks, counts(demands)) == 0
     assert fits == packs(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -5,14 +5,14 @@
 import pytest
 
 from kingcuppost.systems.jobs.faults import avoid_worker, trust_worker
-from kingcuppost.systems.tests.worlds import (
+from kingcuppost.systems.tests.process_harness import (
     START_MS,
-    Bench,
     FakeLog,
-    entry_bench,
-    place,
-    release,
-    site_log,
+    ProcessHarness,
+    make_cluster_log,
+    make_entry_harness,
+    place_gang,
+    release_gang,
 )
 from kingcuppost.tables.record import (
     EntryAnnounce,
@@ -40,7 +40,7 @@
 
 @pytest.fixture
 def log() -> FakeLog:
-    log = site_log()
+    log = make_cluster_log()
     log.add(
         SettingPut("", "job.placement_policy", "first_fit", 0),
         SettingPut("", "job.lost_ms", LOST_MS, 0),
@@ -50,207 +50,225 @@
 
 
 @pytest.fixture
-def bench(log: FakeLog) -> Bench:
+def harness(log: FakeLog) -> ProcessHarness:
     """The entry that holds the scheduling lease."""
-    bench = entry_bench(log, ManualClock(START_MS))
-    bench.settle()
-    claim(bench)
-    return bench
+    harness = make_entry_harness(log, ManualClock(START_MS))
+    harness.settle()
+    claim(harness)
+    return harness
 
 
-def claim(bench: Bench) -> None:
+def claim(harness: ProcessHarness) -> None:
     """Make a process the holder of a new term."""
-    who = bench.world.identity
-    bench.log.add(
+    who = harness.world.identity
+    harness.log.add(
         EntryAnnounce(
             who.name, who.availability_zone, who.incarnation, "127.0.0.1", 1, 2, 3
         )
     )
-    bench.settle()
-    base_term = bench.world.agreed.lease.term
-    bench.log.add(LeaseClaim(who.name, who.incarnation, base_term))
-    bench.settle()
+    harness.settle()
+    base_term = harness.world.agreed.lease.term
+    harness.log.add(LeaseClaim(who.name, who.incarnation, base_term))
+    harness.settle()
 
 
-def tell(bench: Bench, member: int, state: TaskState, job: str = "a") -> None:
-    incarnation = bench.world.agreed.jobs.get(job).incarnation
-    bench.world.inbox.put(MemberReport(job, incarnation, member, state))
-    bench.settle()
+def tell(
+    harness: ProcessHarness, member: int, state: TaskState, job: str = "a"
+) -> None:
+    incarnation = harness.world.agreed.jobs.get(job).incarnation
+    harness.world.inbox.put(MemberReport(job, incarnation, member, state))
+    harness.settle()
 
 
-def tell_both(bench: Bench, state: TaskState) -> None:
-    tell(bench, 0, state)
-    tell(bench, 1, state)
+def tell_both(harness: ProcessHarness, state: TaskState) -> None:
+    tell(harness, 0, state)
+    tell(harness, 1, state)
 
 
-def start(bench: Bench) -> None:
+def start(harness: ProcessHarness) -> None:
     """Bring a gang of two so far that it runs."""
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell_both(bench, TaskState.RESERVED)
-    tell_both(bench, TaskState.RUNNING)
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell_both(harness, TaskState.RESERVED)
+    tell_both(harness, TaskState.RUNNING)
 
 
-def stops(bench: Bench) -> list[GangStop]:
-    return bench.log.bodies(GangStop)
+def stops(harness: ProcessHarness) -> list[GangStop]:
+    return harness.log.bodies(GangStop)
 
 
-def ends(bench: Bench) -> list[GangEnd]:
-    return bench.log.bodies(GangEnd)
+def ends(harness: ProcessHarness) -> list[GangEnd]:
+    return harness.log.bodies(GangEnd)
 
 
-def ms_until_end(bench: Bench, most_ms: int) -> int:
-    begin_ms = bench.now_ms
-    while not ends(bench) and bench.now_ms - begin_ms < most_ms:
-        bench.run(50)
-    assert ends(bench)
-    return bench.now_ms - begin_ms
+def ms_until_end(harness: ProcessHarness, most_ms: int) -> int:
+    begin_ms = harness.now_ms
+    while not ends(harness) and harness.now_ms - begin_ms < most_ms:
+        harness.run(50)
+    assert ends(harness)
+    return harness.now_ms - begin_ms
 
 
-def test_gang_is_released_once_all_members_are_reserved(bench: Bench) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
-    assert not bench.log.bodies(GangRelease)
-    tell(bench, 1, TaskState.RESERVED)
-    bench.run(2_000)
-    assert len(bench.log.bodies(GangRelease)) == 1
+def test_gang_is_released_once_all_members_are_reserved(
+    harness: ProcessHarness,
+) -> None:
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell(harness, 0, TaskState.RESERVED)
+    assert not harness.log.bodies(GangRelease)
+    tell(harness, 1, TaskState.RESERVED)
+    harness.run(2_000)
+    assert len(harness.log.bodies(GangRelease)) == 1
 
 
 @pytest.mark.parametrize(
     "state", [TaskState.REFUSED, TaskState.FAILED, TaskState.STOPPED]
 )
-def test_refusal_before_the_release_stops_all(bench: Bench, state: TaskState) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell(bench, 0, state)
-    tell(bench, 1, TaskState.RESERVED)
-    bench.run(2_000)
-    assert not bench.log.bodies(GangRelease)
-    assert len(stops(bench)) == 1
+def test_refusal_before_the_release_stops_all(
+    harness: ProcessHarness, state: TaskState
+) -> None:
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell(harness, 0, state)
+    tell(harness, 1, TaskState.RESERVED)
+    harness.run(2_000)
+    assert not harness.log.bodies(GangRelease)
+    assert len(stops(harness)) == 1
 
 
 def test_gang_with_a_refused_member_ends_after_its_reservations(
-    bench: Bench,
+    harness: ProcessHarness,
 ) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell(bench, 0, TaskState.REFUSED)
-    tell(bench, 1, TaskState.STOPPED)
-    assert not ends(bench)
-    assert 1_500 <= ms_until_end(bench, 60_000) <= 3_000
-
-
-def test_member_that_never_reserves_stops_the_gang(bench: Bench) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
-    bench.run(RESERVE_BOUND_MS - 100)
-    assert not stops(bench)
-    bench.run(200)
-    assert len(stops(bench)) == 1
-
-
-def test_late_report_does_not_bring_a_member_back(bench: Bench) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    bench.log.up = False
-    tell(bench, 0, TaskState.STOPPED)
-    tell_both(bench, TaskState.RESERVED)
-    bench.log.up = True
-    bench.run(2_000)
-    assert not bench.log.bodies(GangRelease)
-
-
-def test_gang_ends_when_all_members_are_over(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 1, TaskState.STOPPED)
-    assert [row.reason for row in stops(bench)] == ["member 1 is stopped"]
-    assert not ends(bench)
-    tell(bench, 0, TaskState.STOPPED)
-    assert len(ends(bench)) == 1
-
-
-def test_failed_member_names_its_worker(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 1, TaskState.FAILED)
-    assert [row.failed_worker for row in stops(bench)] == ["worker-1"]
-
-
-def test_gang_with_a_stopped_member_ends_after_the_leases(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 1, TaskState.STOPPED)
-    waited_ms = ms_until_end(bench, 60_000)
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell(harness, 0, TaskState.REFUSED)
+    tell(harness, 1, TaskState.STOPPED)
+    assert not ends(harness)
+    assert 1_500 <= ms_until_end(harness, 60_000) <= 3_000
+
+
+def test_member_that_never_reserves_stops_the_gang(harness: ProcessHarness) -> None:
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell(harness, 0, TaskState.RESERVED)
+    harness.run(RESERVE_BOUND_MS - 100)
+    assert not stops(harness)
+    harness.run(200)
+    assert len(stops(harness)) == 1
+
+
+def test_late_report_does_not_bring_a_member_back(harness: ProcessHarness) -> None:
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    harness.log.up = False
+    tell(harness, 0, TaskState.STOPPED)
+    tell_both(harness, TaskState.RESERVED)
+    harness.log.up = True
+    harness.run(2_000)
+    assert not harness.log.bodies(GangRelease)
+
+
+def test_gang_ends_when_all_members_are_over(harness: ProcessHarness) -> None:
+    start(harness)
+    tell(harness, 1, TaskState.STOPPED)
+    assert [row.reason for row in stops(harness)] == ["member 1 is stopped"]
+    assert not ends(harness)
+    tell(harness, 0, TaskState.STOPPED)
+    assert len(ends(harness)) == 1
+
+
+def test_failed_member_names_its_worker(harness: ProcessHarness) -> None:
+    start(harness)
+    tell(harness, 1, TaskState.FAILED)
+    assert [row.failed_worker for row in stops(harness)] == ["worker-1"]
+
+
+def test_gang_with_a_stopped_member_ends_after_the_leases(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
+    tell(harness, 1, TaskState.STOPPED)
+    waited_ms = ms_until_end(harness, 60_000)
     bound_ms = 2 * LEASE_MS + GRACE_MS + DRIFT_MS
     assert bound_ms <= waited_ms <= bound_ms + 100
 
 
-def test_finished_member_is_no_proof_that_the_others_lapse(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 1, TaskState.FINISHED)
-    bench.log.add(JobCancel("a", "enough"))
-    bench.run(60_000)
-    assert not ends(bench)
-    ms_until_end(bench, ISOLATION_MS)
+def test_finished_member_is_no_proof_that_the_others_lapse(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
+    tell(harness, 1, TaskState.FINISHED)
+    harness.log.add(JobCancel("a", "enough"))
+    harness.run(60_000)
+    assert not ends(harness)
+    ms_until_end(harness, ISOLATION_MS)
 
 
-def test_leases_count_from_the_word_that_a_member_is_over(bench: Bench) -> None:
-    start(bench)
-    bench.log.add(JobCancel("a", "enough"))
-    bench.run(100_000)
-    tell(bench, 1, TaskState.STOPPED)
-    assert not ends(bench)
-    assert ms_until_end(bench, 60_000) >= 2 * LEASE_MS
+def test_leases_count_from_the_word_that_a_member_is_over(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
+    harness.log.add(JobCancel("a", "enough"))
+    harness.run(100_000)
+    tell(harness, 1, TaskState.STOPPED)
+    assert not ends(harness)
+    assert ms_until_end(harness, 60_000) >= 2 * LEASE_MS
 
 
 def test_gang_that_was_never_released_ends_after_its_reservations(
-    bench: Bench,
+    harness: ProcessHarness,
 ) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    bench.log.add(JobCancel("a", "enough"))
-    assert ms_until_end(bench, 60_000) <= 3_000
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    harness.log.add(JobCancel("a", "enough"))
+    assert ms_until_end(harness, 60_000) <= 3_000
 
 
-def test_silent_gang_is_stopped_after_the_isolation_bound(bench: Bench) -> None:
-    start(bench)
-    bench.run(ISOLATION_MS - 1_000)
-    assert not stops(bench)
-    bench.run(2 * SILENCE_MS)
-    assert len(stops(bench)) == 1
+def test_silent_gang_is_stopped_after_the_isolation_bound(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
+    harness.run(ISOLATION_MS - 1_000)
+    assert not stops(harness)
+    harness.run(2 * SILENCE_MS)
+    assert len(stops(harness)) == 1
 
 
-def test_gang_that_a_member_reports_running_is_left_alone(bench: Bench) -> None:
-    start(bench)
+def test_gang_that_a_member_reports_running_is_left_alone(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
     for _ in range(4):
-        bench.run(SILENCE_MS // 2)
-        tell(bench, 0, TaskState.RUNNING)
-    assert not stops(bench)
+        harness.run(SILENCE_MS // 2)
+        tell(harness, 0, TaskState.RUNNING)
+    assert not stops(harness)
 
 
-def test_quiet_member_is_not_lost_between_two_full_reports(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 0, TaskState.FINISHED)
-    bench.run(SILENCE_MS - 1_000)
-    assert not stops(bench)
+def test_quiet_member_is_not_lost_between_two_full_reports(
+    harness: ProcessHarness,
+) -> None:
+    start(harness)
+    tell(harness, 0, TaskState.FINISHED)
+    harness.run(SILENCE_MS - 1_000)
+    assert not stops(harness)
 
 
-def test_lost_last_member_stops_the_gang(bench: Bench) -> None:
-    start(bench)
-    tell(bench, 0, TaskState.FINISHED)
+def test_lost_last_member_stops_the_gang(harness: ProcessHarness) -> None:
+    start(harness)
+    tell(harness, 0, TaskState.FINISHED)
     for _ in range(20):
-        bench.run(SILENCE_MS // 8)
-        tell(bench, 0, TaskState.FINISHED)
-    assert len(stops(bench)) == 1
+        harness.run(SILENCE_MS // 8)
+        tell(harness, 0, TaskState.FINISHED)
+    assert len(stops(harness)) == 1
 
 
 def test_new_holder_counts_bounds_from_its_own_first_sight(
-    bench: Bench, log: FakeLog
+    harness: ProcessHarness, log: FakeLog
 ) -> None:
-    start(bench)
-    tell(bench, 1, TaskState.STOPPED)
-    bench.run(2 * LEASE_MS)
-    rival = entry_bench(log, bench.clock, 1)
+    start(harness)
+    tell(harness, 1, TaskState.STOPPED)
+    harness.run(2 * LEASE_MS)
+    rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
     claim(rival)
     rival.run(2 * LEASE_MS)
@@ -260,23 +278,27 @@
     assert len(ends(rival)) == 1
 
 
-def test_old_holder_that_wakes_changes_nothing(bench: Bench, log: FakeLog) -> None:
-    place(log, "a", WORKERS)
-    bench.settle()
-    rival = entry_bench(log, bench.clock, 1)
+def test_old_holder_that_wakes_changes_nothing(
+    harness: ProcessHarness, log: FakeLog
+) -> None:
+    place_gang(log, "a", WORKERS)
+    harness.settle()
+    rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
     claim(rival)
     log.add(JobCancel("a", "enough"))
-    tell_both(bench, TaskState.RESERVED)
-    bench.run(5_000)
-    releases = bench.log.bodies(GangRelease)
+    tell_both(harness, TaskState.RESERVED)
+    harness.run(5_000)
+    releases = harness.log.bodies(GangRelease)
     assert len(releases) <= 1
-    assert bench.world.agreed.gangs.get("a/1").released_wall_ms == 0
+    assert harness.world.agreed.gangs.get("a/1").released_wall_ms == 0
 
 
-def test_reports_that_precede_the_claim_are_kept(bench: Bench, log: FakeLog) -> None:
-    place(log, "a", WORKERS)
-    rival = entry_bench(log, bench.clock, 1)
+def test_reports_that_precede_the_claim_are_kept(
+    harness: ProcessHarness, log: FakeLog
+) -> None:
+    place_gang(log, "a", WORKERS)
+    rival = make_entry_harness(log, harness.clock, 1)
     rival.settle()
     tell_both(rival, TaskState.RESERVED)
     claim(rival)
@@ -284,80 +306,82 @@
     assert len(log.bodies(GangRelease)) == 1
 
 
-def test_ended_gangs_leave_nothing_behind(bench: Bench) -> None:
-    start(bench)
-    bench.log.add(JobCancel("a", "enough"))
-    bench.settle()
-    tell_both(bench, TaskState.STOPPED)
-    bench.run(2_000)
-    world = bench.world
+def test_ended_gangs_leave_nothing_behind(harness: ProcessHarness) -> None:
+    start(harness)
+    harness.log.add(JobCancel("a", "enough"))
+    harness.settle()
+    tell_both(harness, TaskState.STOPPED)
+    harness.run(2_000)
+    world = harness.world
     assert "a/1" not in world.gang_view.stages
     assert not world.reservations.find("key", "a/1")
 
 
-def test_cancellation_wave_ends_every_gang(bench: Bench) -> None:
+def test_cancellation_wave_ends_every_gang(harness: ProcessHarness) -> None:
     names = [f"job-{number}" for number in range(200)]
     for name in names:
-        place(bench.log, name, WORKERS)
-    bench.settle()
-    bench.log.add(*(JobCancel(name, "wave") for name in names))
-    bench.settle()
+        place_gang(harness.log, name, WORKERS)
+    harness.settle()
+    harness.log.add(*(JobCancel(name, "wave") for name in names))
+    harness.settle()
     for name in names:
         for member in range(2):
-            bench.world.inbox.put(MemberReport(name, 1, member, TaskState.STOPPED))
-    bench.settle()
-    bench.run(3_000)
-    assert len(ends(bench)) == len(names)
-    assert len(bench.world.agreed.gangs) == 0
+            harness.world.inbox.put(MemberReport(name, 1, member, TaskState.STOPPED))
+    harness.settle()
+    harness.run(3_000)
+    assert len(ends(harness)) == len(names)
+    assert len(harness.world.agreed.gangs) == 0
 
 
 def test_quiet_tick_looks_at_no_gang(
-    bench: Bench, monkeypatch: pytest.MonkeyPatch
+    harness: ProcessHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for number in range(50):
         name = f"job-{number}"
-        place(bench.log, name, WORKERS)
-        release(bench.log, name)
-    bench.settle()
+        place_gang(harness.log, name, WORKERS)
+        release_gang(harness.log, name)
+    harness.settle()
     looked = []
     monkeypatch.setattr(
         importlib.import_module("kingcuppost.systems.jobs.gangs"),
         "_advance",
         lambda world, gang, now_ms: looked.append(gang.key),
     )
-    bench.run(2_000)
+    harness.run(2_000)
     assert looked == []
-    bench.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
-    bench.settle()
+    harness.world.inbox.put(MemberReport("job-7", 1, 0, TaskState.RUNNING))
+    harness.settle()
     assert looked == ["job-7/1"]
 
 
-def test_worker_that_reserves_nothing_is_avoided_for_a_pause(bench: Bench) -> None:
-    place(bench.log, "a", WORKERS)
-    bench.settle()
-    tell(bench, 0, TaskState.RESERVED)
-    bench.run(RESERVE_BOUND_MS + 100)
+def test_worker_that_reserves_nothing_is_avoided_for_a_pause(
+    harness: ProcessHarness,
+) -> None:
+    place_gang(harness.log, "a", WORKERS)
+    harness.settle()
+    tell(harness, 0, TaskState.RESERVED)
+    harness.run(RESERVE_BOUND_MS + 100)
     silent, reserved = WORKERS[1], WORKERS[0]
-    faults = bench.world.capacity.faults
+    faults = harness.world.scheduling.faults
     assert faults.get(silent).avoided
     assert faults.get(reserved) is None
-    assert bench.world.capacity.workers.get(silent).room < 0
-    bench.run(PAUSE_MS)
+    assert harness.world.scheduling.workers.get(silent).room < 0
+    harness.run(PAUSE_MS)
     assert not faults.get(silent).avoided
-    assert bench.world.capacity.workers.get(silent).room >= 0
+    assert harness.world.scheduling.workers.get(silent).room >= 0
 
 
-def test_pause_doubles_until_the_worker_reserves(bench: Bench) -> None:
-    bench.settle()
+def test_pause_doubles_until_the_worker_reserves(harness: ProcessHarness) -> None:
+    harness.settle()
     pauses = []
     for _ in range(3):
-        avoid_worker(bench.world, WORKERS[0], bench.now_ms)
-        pauses.append(bench.world.capacity.faults.get(WORKERS[0]).return_ms)
-    assert [at - bench.now_ms for at in pauses] == [
+        avoid_worker(harness.world, WORKERS[0], harness.now_ms)
+        pauses.append(harness.world.scheduling.faults.get(WORKERS[0]).return_ms)
+    assert [at - harness.now_ms for at in pauses] == [
         PAUSE_MS,
         2 * PAUSE_MS,
         4 * PAUSE_MS,
     ]
-    trust_worker(bench.world, WORKERS[0])
-    assert bench.world.capacity.faults.get(WORKERS[0]) is None
-    assert bench.world.capacity.workers.get(WORKERS[0]).room >= 0
+    trust_worker(harness.world, WORKERS[0])
+    assert harness.world.scheduling.faults.get(WORKERS[0]) is None
+    assert harness.world.scheduling.workers.get(WORKERS[0]).room >= 0
--- a/kingcuppost/systems/jobs/tests/test_guarantees.py
+++ b/kingcuppost/systems/jobs/tests/test_guarantees.py
@@ -5,7 +5,7 @@
 
 from bench.driver import Driver
 from bench.lists import ZoneChange
-from kingcuppost.systems.jobs.cells import class_of, left_over
+from kingcuppost.systems.jobs.cells import class_of, count_shortfall
 from kingcuppost.systems.jobs.guarantees import is_covered
 from kingcuppost.systems.jobs.tests.support import driver, job, settle, submit, worker
 from kingcuppost.systems.jobs.tests.test_cells import packs
@@ -33,10 +33,10 @@
 
 def brute_force_covers(run: Driver) -> bool:
     """Pack all unused guaranteed cells where no guaranteed cell stands."""
-    capacity = run.world.capacity
-    masks = [row.whole & ~row.bound for row in capacity.workers if row.usable]
+    scheduling = run.world.scheduling
+    masks = [row.full_mask & ~row.bound for row in scheduling.workers if row.usable]
     demands = []
-    for share in capacity.shares:
+    for share in scheduling.shares:
         for cell_class, count in enumerate(share.unused):
             demands.extend([cell_class] * count)
     return packs(tuple(sorted(masks)), tuple(sorted(demands, reverse=True)))
@@ -49,7 +49,7 @@
     checks = []
 
     def check(_: Driver) -> None:
-        assert is_covered(run.world.capacity)
+        assert is_covered(run.world.scheduling)
         assert brute_force_covers(run)
         checks.append(1)
 
@@ -78,21 +78,21 @@
     run = driver(workers, {"big": (Shape(2, 8),), "small": (Shape(1, 1),)})
     settle(run)
     run.tick()
-    assert not len(run.world.capacity.uncovered)
+    assert not len(run.world.scheduling.uncovered)
     run.change_zone(ZoneChange(0, "b", False))
     run.tick()
-    row = run.world.capacity.uncovered.get("big")
+    row = run.world.scheduling.uncovered.get("big")
     assert row.accelerators == 8
-    assert run.world.capacity.uncovered.get("small").accelerators == 1
+    assert run.world.scheduling.uncovered.get("small").accelerators == 1
     assert any(event.team == "big" for event in run.world.events)
     run.change_zone(ZoneChange(0, "b", True))
     run.tick()
-    assert not len(run.world.capacity.uncovered)
+    assert not len(run.world.scheduling.uncovered)
 
 
 def test_demand_counts_unused_cells_only() -> None:
     run = driver([worker(0), worker(1)], {"big": (Shape(2, 8),)})
     submit(run, job("one", "big", accelerators=8))
-    capacity = run.world.capacity
-    assert capacity.demand[class_of(8)] == 1
-    assert left_over(capacity.unbound_blocks, capacity.demand) == 0
+    scheduling = run.world.scheduling
+    assert scheduling.demand[class_of(8)] == 1
+    assert count_shortfall(scheduling.unbound_blocks, scheduling.demand) == 0
--- a/kingcuppost/systems/jobs/tests/test_judging.py
+++ b/kingcuppost/systems/jobs/tests/test_judging.py
@@ -69,7 +69,7 @@
     for number in range(30):
         submit(run, job(f"j{number}", "a", 1, 1, run_ms=MINUTE_MS))
         settle(run, 5_000)
-    faults = run.world.capacity.faults.get("w0")
+    faults = run.world.scheduling.faults.get("w0")
     assert faults.aside
     assert len(faults.jobs) <= 8
     assert all(job_row(run, f"j{n}").state is not JobState.FAILED for n in range(30))
@@ -79,8 +79,8 @@
     for number in range(3):
         submit(run, job(f"probe{number}", "a", 1, 8, run_ms=MINUTE_MS))
     settle(run, 2 * HOUR_MS)
-    assert "w0" not in run.world.capacity.faults
-    assert run.world.capacity.workers.get("w0").room == 3
+    assert "w0" not in run.world.scheduling.faults
+    assert run.world.scheduling.workers.get("w0").room == 3
 
 
 def test_a_probe_is_one_job_only() -> None:
@@ -88,7 +88,7 @@
     run.bad_workers = {"w0"}
     submit(run, *(job(f"j{number}", "a", 1, 8) for number in range(3)))
     settle(run, MINUTE_MS)
-    assert run.world.capacity.faults.get("w0").aside
+    assert run.world.scheduling.faults.get("w0").aside
     assert running(run) == {}
     submit(run, *(job(f"k{number}", "a", 1, 1) for number in range(3)))
     settle(run, 10 * MINUTE_MS - 30_000)
@@ -107,7 +107,7 @@
     settle(run, HOUR_MS)
     assert job_row(run, "bad").state is JobState.FAILED
     assert "failed on 3 workers" in job_row(run, "bad").reason
-    assert not any(row.aside for row in run.world.capacity.faults)
+    assert not any(row.aside for row in run.world.scheduling.faults)
 
 
 def test_a_wave_of_cancellations_is_one_pass_and_starts_go_on() -> None:
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -132,7 +132,7 @@
     for number in range(4):
         hours = (5 - number) * HOUR_MS
         submit(run, job(f"w{number}", "guest", 2, 8, run_ms=hours))
-    assert len(run.world.capacity.keeps) == 1
+    assert len(run.world.scheduling.keeps) == 1
 
 
 def test_a_job_starts_on_free_places_beside_its_kept_one() -> None:
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -50,7 +50,7 @@
     submit(run, job("large", "a", 1, 8, run_ms=HOUR_MS))
     limit_ms = effective_value(run.world.agreed, "job.overtake_limit_ms")
     settle(run, MINUTE_MS)
-    first = run.world.capacity.queue[0]
+    first = run.world.scheduling.queue[0]
     assert first.job == "large"
     assert first.rank[1] <= run.runs["large"].submitted_ms + limit_ms
 
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -1,7 +1,7 @@
 """Gangs leave an availability zone that stays out of service."""
 
 from kingcuppost.settings import effective_value, zone_path
-from kingcuppost.systems.agreement.lease import is_scheduler
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.systems.jobs.placement import stop_gang
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
@@ -24,28 +24,28 @@
         _follow_zone(world, str(name), now_ms)
     if not is_scheduler(world):
         return
-    for name, leave_ms in list(world.capacity.leave_ms.items()):
+    for name, leave_ms in list(world.scheduling.leave_ms.items()):
         _leave(world, name, now_ms >= leave_ms, now_ms)
         if now_ms < leave_ms:
             world.deadlines.add(leave_ms)
         else:
-            del world.capacity.leave_ms[name]
+            del world.scheduling.leave_ms[name]
 
 
 def _follow_zone(world: World, name: str, now_ms: int) -> None:
     zone = world.agreed.availability_zones.get(name)
     if zone is None or zone.in_service:
-        world.capacity.leave_ms.pop(name, None)
+        world.scheduling.leave_ms.pop(name, None)
         return
     path = zone_path(zone.region, name)
     keep_ms = effective_value(world.agreed, "job.zone_keep_ms", path)
-    world.capacity.leave_ms.setdefault(name, now_ms + keep_ms)
+    world.scheduling.leave_ms.setdefault(name, now_ms + keep_ms)
 
 
 def _leave(world: World, name: str, running_too: bool, now_ms: int) -> None:
     reason = f"moved, availability zone {name} is out"
     for worker in world.agreed.workers.find("availability_zone", name):
-        row = world.capacity.workers.get(worker.name)
+        row = world.scheduling.workers.get(worker.name)
         for key in list(row.holds) if row is not None else ():
             gang = world.agreed.gangs.get(key)
             if gang is None or (gang.state is GangState.RELEASED and not running_too):
--- a/kingcuppost/systems/leases.py
+++ b/kingcuppost/systems/member_timing.py
@@ -5,9 +5,9 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
-    "beat_period_ms",
-    "confirm_ms",
-    "full_period_ms",
+    "heartbeat_period_ms",
+    "confirmation_ms",
+    "full_report_period_ms",
     "grace_ms",
     "isolation_ms",
     "lease_ms",
@@ -25,7 +25,7 @@
     return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
 
 
-def confirm_ms(world: World, gang: Gang) -> int:
+def confirmation_ms(world: World, gang: Gang) -> int:
     """Return how long one confirmation by the leader is valid, in ms.
 
     The leader declares the gang broken up to this long after a member's last report,
@@ -60,7 +60,7 @@
     return min(wanted_ms, MAX_START_DELAY_MS - START_MARGIN_MS - fresh_ms)
 
 
-def beat_period_ms(world: World) -> int:
+def heartbeat_period_ms(world: World) -> int:
     """Return the period of a sidecar's heartbeats, in ms.
 
     It grows with the number of sidecars per entry, so that an entry receives a
@@ -72,7 +72,7 @@
     return max(period_ms, int(sidecars * gap_ms))
 
 
-def full_period_ms(world: World) -> int:
+def full_report_period_ms(world: World) -> int:
     """Return the period of a sidecar's full reports of its members, in ms.
 
     It grows with the number of sidecars, so that the holder of the scheduling lease
@@ -90,4 +90,4 @@
     sidecar's only contact with the entries.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
-    return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * beat_period_ms(world))
+    return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * heartbeat_period_ms(world))
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -11,7 +11,7 @@
 
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import confirm_ms
+from kingcuppost.systems.member_timing import confirmation_ms
 from kingcuppost.systems.members.orders import gang_of
 from kingcuppost.systems.members.stopping import stop_task
 from kingcuppost.systems.registry import Phase, system
@@ -21,7 +21,7 @@
 from kingcuppost.tables.outbox import Reply, SendGangReports
 from kingcuppost.tables.record import GangFinish
 from kingcuppost.tables.replies import GangReply
-from kingcuppost.tables.task import GangWatch, MemberReport, MemberTask, TaskState
+from kingcuppost.tables.task import GangMonitor, MemberReport, MemberTask, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = [
@@ -82,7 +82,7 @@
 
 
 def _report_period_ms(world: World, gang: Gang) -> int:
-    return confirm_ms(world, gang) // REPORTS_PER_CONFIRM
+    return confirmation_ms(world, gang) // REPORTS_PER_CONFIRM
 
 
 def _report(
@@ -125,38 +125,38 @@
     whole = []
     broken = []
     for gang in gangs.values():
-        watch = world.gang_watches.get(gang.key)
+        watch = world.gang_monitors.get(gang.key)
         _check_silence(world, gang, watch, now_ms)
         if watch.broken:
             broken.append(gang.key)
-        elif len(watch.heard_ms) == len(gang.placements):
+        elif len(watch.last_report_ms) == len(gang.placements):
             whole.append(gang.key)
     return GangReply(world.cfg.sidecar.worker.name, tuple(whole), tuple(broken))
 
 
-def _watch_of(world: World, gang: Gang, now_ms: int) -> GangWatch:
-    watch = world.gang_watches.get(gang.key)
+def _watch_of(world: World, gang: Gang, now_ms: int) -> GangMonitor:
+    watch = world.gang_monitors.get(gang.key)
     if watch is None:
-        watch = GangWatch(gang.key, now_ms, {}, {})
-        world.gang_watches.put(watch)
+        watch = GangMonitor(gang.key, now_ms, {}, {})
+        world.gang_monitors.put(watch)
     return watch
 
 
-def _note_report(watch: GangWatch, report: MemberReport, now_ms: int) -> None:
+def _note_report(watch: GangMonitor, report: MemberReport, now_ms: int) -> None:
     if report.state is TaskState.FINISHED:
         watch.results[report.member] = report.result
     if report.state in ALIVE_STATES:
-        watch.heard_ms[report.member] = now_ms - report.age_ms
+        watch.last_report_ms[report.member] = now_ms - report.age_ms
     else:
         watch.broken = f"member {report.member} is {report.state}"
 
 
-def _check_silence(world: World, gang: Gang, watch: GangWatch, now_ms: int) -> None:
+def _check_silence(world: World, gang: Gang, watch: GangMonitor, now_ms: int) -> None:
     if watch.broken:
         return
-    bound_ms = confirm_ms(world, gang)
+    bound_ms = confirmation_ms(world, gang)
     for member in range(len(gang.placements)):
-        heard_ms = watch.heard_ms.get(member, watch.since_ms)
+        heard_ms = watch.last_report_ms.get(member, watch.since_ms)
         if member not in watch.results and now_ms - heard_ms >= bound_ms:
             watch.broken = f"member {member} was silent for {bound_ms} ms"
             note(world, "gang.broken", f"Gang broken: {watch.broken}.", job=gang.job)
@@ -166,10 +166,10 @@
 @system(Phase.DECIDE, roles=(Role.SIDECAR,), order=90)
 def watch_gangs(world: World, now_ms: int) -> None:
     """Propose the finish of gangs whose members have all finished."""
-    for watch in world.gang_watches:
+    for watch in world.gang_monitors:
         gang = world.agreed.gangs.get(watch.key)
         if gang is None or gang.state is GangState.STOPPING:
-            world.gang_watches.delete(watch.key)
+            world.gang_monitors.delete(watch.key)
         elif len(watch.results) == len(gang.placements) and not watch.finish_id:
             body = GangFinish(gang.job, gang.incarnation, watch.results[0])
             watch.finish_id = propose(world, body, now_ms)
@@ -198,7 +198,7 @@
     gang = world.agreed.gangs.get(key)
     if gang is None:
         return
-    lease_ms = sent_ms + confirm_ms(world, gang)
+    lease_ms = sent_ms + confirmation_ms(world, gang)
     for task in _running_tasks(world, key):
         prolonged_ms = max(task.lease_ms, lease_ms)
         world.tasks.update(task.task_id, lease_ms=prolonged_ms, confirmed=True)
--- a/kingcuppost/systems/members/orders.py
+++ b/kingcuppost/systems/members/orders.py
@@ -17,7 +17,7 @@
     "gang_of",
     "order_timeout_ms",
     "task_id_of",
-    "zone_in_service",
+    "is_zone_in_service",
 ]
 
 ENDED_STATES = frozenset(
@@ -53,7 +53,7 @@
     return effective_value(world.agreed, "job.worker_timeout_ms")
 
 
-def zone_in_service(world: World) -> bool:
+def is_zone_in_service(world: World) -> bool:
     """Return whether this process's availability zone is in service."""
     zone = world.agreed.availability_zones.get(world.identity.availability_zone)
     return zone is not None and zone.in_service
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -1,9 +1,9 @@
 """The worker's answers: leases renewed, states taken, tasks taken over."""
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
+from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import confirm_ms, lease_ms, reservation_ms
+from kingcuppost.systems.member_timing import confirmation_ms, lease_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -13,8 +13,8 @@
     ORDER_START,
     ORDER_STOP,
     gang_of,
+    is_zone_in_service,
     order_timeout_ms,
-    zone_in_service,
 )
 from kingcuppost.systems.members.stopping import order_stop, stop_task
 from kingcuppost.systems.registry import Phase, system
@@ -76,7 +76,7 @@
     if any(task.state is not TaskState.RUNNING for task in held):
         bounds_ms.append(reservation_ms(world))
     gangs = (gang_of(world, task) for task in held)
-    bounds_ms += [confirm_ms(world, gang) for gang in gangs if gang is not None]
+    bounds_ms += [confirmation_ms(world, gang) for gang in gangs if gang is not None]
     poll_ms = effective_value(world.agreed, "job.poll_ms")
     wanted_ms = poll_ms * max(1, len(held) // TASKS_PER_POLL)
     return min([wanted_ms, *(bound // RENEWALS_PER_LEASE for bound in bounds_ms)])
@@ -99,9 +99,9 @@
 
 def _may_hold(world: World, now_ms: int) -> bool:
     if not is_fresh(world, now_ms):
-        want_barrier(world, now_ms)
+        request_barrier(world, now_ms)
         return False
-    return zone_in_service(world)
+    return is_zone_in_service(world)
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
@@ -236,7 +236,7 @@
         stop_task(world, task, now_ms)
         return
     if not ended:
-        until_ms = now_ms + confirm_ms(world, gang)
+        until_ms = now_ms + confirmation_ms(world, gang)
         world.tasks.update(task.task_id, lease_ms=until_ms)
         world.deadlines.add(until_ms)
     note(world, "member.adopt", "Took over a member.", job=task.job)
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -1,7 +1,7 @@
 """Stopping members, and forgetting those whose gang has ended."""
 
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import grace_ms, isolation_ms, lease_ms
+from kingcuppost.systems.member_timing import grace_ms, isolation_ms, lease_ms
 from kingcuppost.systems.members.orders import (
     ENDED_STATES,
     HELD_STATES,
@@ -92,7 +92,7 @@
     if not tasks:
         return
     bound_ms = isolation_ms(world)
-    heard_ms = max(world.log_view.fresh_ms, world.beat_view.heard_ms)
+    heard_ms = max(world.log_view.fresh_as_of_ms, world.heartbeat_view.heard_ms)
     if now_ms - heard_ms < bound_ms:
         world.deadlines.add(heard_ms + bound_ms)
         return
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -1,13 +1,13 @@
 """Members at their worker: reserved when placed, started when released."""
 
-from kingcuppost.systems.agreement.follow import is_fresh, want_barrier
+from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.events import note
-from kingcuppost.systems.leases import lease_ms, reservation_ms
+from kingcuppost.systems.member_timing import lease_ms, reservation_ms
 from kingcuppost.systems.members.orders import (
     gang_of,
+    is_zone_in_service,
     order_timeout_ms,
     task_id_of,
-    zone_in_service,
 )
 from kingcuppost.systems.members.stopping import stop_task
 from kingcuppost.systems.registry import Phase, system
@@ -91,10 +91,10 @@
         gang = gang_of(world, task)
         if gang is None or gang.state is not GangState.RELEASED:
             continue
-        if not zone_in_service(world):
+        if not is_zone_in_service(world):
             stop_task(world, task, now_ms)
         elif not is_fresh(world, now_ms):
-            want_barrier(world, now_ms)
+            request_barrier(world, now_ms)
         elif not _in_renewal(world, task):
             _start(world, gang, task, now_ms)
 
--- a/kingcuppost/systems/members/tests/test_heartbeats.py
+++ b/kingcuppost/systems/members/tests/test_heartbeats.py
@@ -107,7 +107,7 @@
     driver = started()
     driver.sent.clear()
     driver.worlds["m-0"].stopping = True
-    driver.worlds["m-0"].announcement.stop_ms = 10**9
+    driver.worlds["m-0"].announcement.stop_deadline_ms = 10**9
     driver.advance(100)
     told = [beat.entry for beat in beats(driver) if beat.leaving]
     assert sorted(told) == ["entry-0", "entry-1", "entry-2"]
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -32,7 +32,7 @@
         watch(world, request)
         deposit(world, request.team)
         if request.state is RequestState.QUEUED:
-            world.waiting.push(request)
+            world.request_queue.push(request)
         note(
             world,
             "request.admit",
@@ -103,5 +103,5 @@
     for message in world.inbox.take(ExchangeLost):
         for request in world.requests.find("exchange_id", message.exchange_id):
             if request.state is RequestState.QUEUED:
-                world.waiting.remove(request)
+                world.request_queue.remove(request)
                 world.requests.delete(request.request_id)
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -44,7 +44,7 @@
     """
     if outcome is Outcome.NOT_RUN and request.may_have_run:
         outcome = Outcome.UNKNOWN
-    world.waiting.remove(request)
+    world.request_queue.remove(request)
     world.requests.delete(request.request_id)
     reply = RequestReply(
         outcome, answer, request.attempts, minion, step, minion, reason
@@ -128,7 +128,7 @@
         world.requests.update(
             request.request_id, state=RequestState.QUEUED, tried=tried
         )
-        world.waiting.push(request)
+        world.request_queue.push(request)
         return
     close_request(
         world, request, outcome, minion=done.minion, step="serve", reason=done.reason
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -5,7 +5,7 @@
 """
 
 from kingcuppost.systems.agreement.propose import propose
-from kingcuppost.systems.fold import fault_of
+from kingcuppost.systems.fold import check_body
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.answers import close_request
 from kingcuppost.systems.requests.decision import decision_of
@@ -34,10 +34,10 @@
         issued_ms=request.issued_ms,
         decision=decision_of(world, request, minion),
     )
-    fault = fault_of(world.agreed, body)
-    if fault is not None:
-        outcome = Outcome.UNKNOWN if fault.stale else Outcome.NOT_RUN
-        close_request(world, request, outcome, step="claim", reason=fault.reason)
+    rejection = check_body(world.agreed, body)
+    if rejection is not None:
+        outcome = Outcome.UNKNOWN if rejection.is_possible_repeat else Outcome.NOT_RUN
+        close_request(world, request, outcome, step="claim", reason=rejection.reason)
         return
     claim_id = propose(world, body, now_ms)
     world.requests.update(
@@ -53,7 +53,7 @@
             _follow_claim(world, request, now_ms)
         elif request.claim_id not in world.proposals:
             world.requests.update(request.request_id, state=RequestState.QUEUED)
-            world.waiting.push(request)
+            world.request_queue.push(request)
 
 
 def withdraw_claim(world: World, request: Request) -> bool:
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -13,17 +13,17 @@
 
 def watch(world: World, request: Request) -> None:
     """Remember when a request expires, and when its claim has to be folded."""
-    world.request_agenda.put(request.deadline_ms, request.request_id)
+    world.request_deadlines.put(request.deadline_ms, request.request_id)
     if request.key:
         bound_ms = effective_value(world.agreed, "request.claim_timeout_ms")
         claim_ms = min(request.created_ms + bound_ms, request.deadline_ms)
-        world.request_agenda.put(claim_ms, request.request_id)
+        world.request_deadlines.put(claim_ms, request.request_id)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=120)
 def expire(world: World, now_ms: int) -> None:
     """Answer requests whose deadline has passed, or whose claim takes too long."""
-    for request_id in world.request_agenda.take_due(now_ms):
+    for request_id in world.request_deadlines.take_due(now_ms):
         request = world.requests.get(request_id)
         if request is None:
             continue
@@ -31,7 +31,7 @@
             _close(world, request, "the deadline has passed")
         elif request.state is RequestState.CLAIMING:
             _close(world, request, "the log did not confirm the claim in time")
-    next_ms = world.request_agenda.next_ms()
+    next_ms = world.request_deadlines.next_ms()
     if next_ms is not None:
         world.deadlines.add(next_ms)
 
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -6,7 +6,7 @@
 from kingcuppost.tables.inbox import AttemptDone, HeartbeatArrived
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.replies import HeartbeatReply
-from kingcuppost.tables.request import Attempt, Health
+from kingcuppost.tables.request import Attempt, MinionHealth
 from kingcuppost.tables.world import World
 
 __all__ = ["hear_heartbeats", "note_answer", "note_failure"]
@@ -22,7 +22,7 @@
     row = world.health.get(done.minion)
     service_ms = done.service_ms or (row.service_ms if row else 0.0)
     world.health.put(
-        Health(
+        MinionHealth(
             done.minion,
             done.incarnation,
             now_ms,
@@ -42,7 +42,7 @@
         return
     row = world.health.get(attempt.minion)
     if row is None or row.incarnation != attempt.incarnation:
-        row = Health(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
+        row = MinionHealth(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
         world.health.put(row)
     failures = row.failures + 1
     world.health.update(attempt.minion, failures=failures, measured_ms=now_ms)
@@ -55,7 +55,7 @@
     doublings = min(failures - FAILURES_TO_PAUSE, MOST_DOUBLINGS)
     pause_ms = now_ms + min(PAUSE_UNIT_MS << doublings, LONGEST_PAUSE_MS)
     world.health.update(minion, pause_ms=pause_ms)
-    world.pause_agenda.put(pause_ms, minion)
+    world.pause_deadlines.put(pause_ms, minion)
     world.deadlines.add(pause_ms)
 
 
@@ -66,7 +66,7 @@
         row = world.health.get(beat.minion)
         service_ms = beat.service_ms or (row.service_ms if row else 0.0)
         world.health.put(
-            Health(
+            MinionHealth(
                 beat.minion,
                 beat.incarnation,
                 now_ms,
--- a/kingcuppost/systems/requests/memory.py
+++ b/kingcuppost/systems/requests/memory.py
@@ -11,7 +11,7 @@
 
 def remember(world: World, row: ServedAttempt, now_ms: int) -> None:
     """Keep a finished attempt for repeats, and forget the oldest beyond the bounds."""
-    memory = world.served_memory
+    memory = world.reply_cache
     memory.finished.append(row.attempt_id)
     memory.answer_bytes += len(row.answer)
     while _is_over(world, now_ms):
@@ -19,7 +19,7 @@
 
 
 def _is_over(world: World, now_ms: int) -> bool:
-    memory = world.served_memory
+    memory = world.reply_cache
     if len(memory.finished) <= 1:
         return False
     count = effective_value(world.agreed, "serve.memory_attempts")
@@ -32,7 +32,7 @@
 
 
 def _forget_oldest(world: World) -> None:
-    memory = world.served_memory
+    memory = world.reply_cache
     row = world.served.delete(memory.finished.popleft())
     memory.answer_bytes -= len(row.answer)
     memory.forgotten_offset = max(memory.forgotten_offset, row.claim_offset)
@@ -43,4 +43,4 @@
 
     Claims are compared by log offset, so that no clock decides.
     """
-    return 0 < claim_offset <= world.served_memory.forgotten_offset
+    return 0 < claim_offset <= world.reply_cache.forgotten_offset
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from kingcuppost.tables.pools import MinionPool
-from kingcuppost.tables.request import Health, Request
+from kingcuppost.tables.request import MinionHealth, Request
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
@@ -37,7 +37,7 @@
     return health.service_ms * (1 + waiting / minion.slots) * (1 + health.failures)
 
 
-def _is_measured(health: Health | None, now_ms: int) -> bool:
+def _is_measured(health: MinionHealth | None, now_ms: int) -> bool:
     """Return whether an attempt of this entry ended there not long ago."""
     if health is None or not health.measured_ms:
         return False
--- a/kingcuppost/systems/requests/pools.py
+++ b/kingcuppost/systems/requests/pools.py
@@ -54,6 +54,6 @@
         for minion in world.agreed.minions:
             if minion.availability_zone in zones:
                 changed[minion.name] = None
-    changed.update(dict.fromkeys(world.pause_agenda.take_due(now_ms)))
+    changed.update(dict.fromkeys(world.pause_deadlines.take_due(now_ms)))
     for name in changed:
         refresh_pool(world, str(name), now_ms)
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -16,9 +16,9 @@
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=110)
 def route(world: World, now_ms: int) -> None:
     """Send queued requests in turn while a minion of their service is free."""
-    for service in world.waiting.services():
+    for service in world.request_queue.services():
         while len(world.pools.pool(service)):
-            request_id = world.waiting.pop(service)
+            request_id = world.request_queue.pop(service)
             if request_id is None:
                 break
             _start(world, world.requests.get(request_id), now_ms)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -124,7 +124,7 @@
     pause_ms = 0
     if failures > 1 or done.never_sent:
         pause_ms = REPEAT_PAUSE_MS << min(failures, MOST_PAUSE_DOUBLINGS)
-    world.repeat_agenda.put(now_ms + pause_ms, attempt.attempt_id)
+    world.resend_deadlines.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
         world.deadlines.add(now_ms + pause_ms)
 
@@ -132,7 +132,7 @@
 @system(Phase.ACT, roles=(Role.ENTRY,), order=60)
 def repeat_attempts(world: World, now_ms: int) -> None:
     """Send attempts again whose time has come, to the same process only."""
-    for attempt_id in world.repeat_agenda.take_due(now_ms):
+    for attempt_id in world.resend_deadlines.take_due(now_ms):
         attempt = world.attempts.get(attempt_id)
         if attempt is None:
             continue
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -11,8 +11,8 @@
 from kingcuppost.tables.outbox import HandOver, Reply
 from kingcuppost.tables.replies import ServedReply
 from kingcuppost.tables.request import (
-    HeldExchange,
     Outcome,
+    PendingExchange,
     ServedAttempt,
     ServedState,
 )
@@ -102,9 +102,11 @@
 
 
 def _hold(world: World, message: AttemptArrived, now_ms: int) -> None:
-    world.held.put(HeldExchange(message.exchange_id, message.attempt_id))
+    world.pending_exchanges.put(
+        PendingExchange(message.exchange_id, message.attempt_id)
+    )
     if message.hold_ms:
-        world.hold_agenda.put(now_ms + message.hold_ms, message.exchange_id)
+        world.hold_deadlines.put(now_ms + message.hold_ms, message.exchange_id)
         world.deadlines.add(now_ms + message.hold_ms)
 
 
@@ -182,10 +184,10 @@
         sends=answer_id(row.attempt_id),
     )
     world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
-    for held in world.held.find("attempt_id", row.attempt_id):
-        world.held.delete(held.exchange_id)
+    for pending_exchanges in world.pending_exchanges.find("attempt_id", row.attempt_id):
+        world.pending_exchanges.delete(pending_exchanges.exchange_id)
         reply = _reply_of(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
-        world.outbox.put(Reply(held.exchange_id, 200, reply))
+        world.outbox.put(Reply(pending_exchanges.exchange_id, 200, reply))
     remember(world, row, now_ms)
 
 
@@ -226,8 +228,10 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
 def answer_held(world: World, now_ms: int) -> None:
     """Tell entries whose hold time is over that their attempt still runs."""
-    for exchange_id in world.hold_agenda.take_due(now_ms):
-        held = world.held.delete(exchange_id)
-        if held is not None:
-            reply = _reply_of(world, held.attempt_id, Outcome.UNKNOWN, running=True)
+    for exchange_id in world.hold_deadlines.take_due(now_ms):
+        pending_exchanges = world.pending_exchanges.delete(exchange_id)
+        if pending_exchanges is not None:
+            reply = _reply_of(
+                world, pending_exchanges.attempt_id, Outcome.UNKNOWN, running=True
+            )
             world.outbox.put(Reply(exchange_id, 200, reply))
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -181,7 +181,7 @@
 
 
 def test_forgotten_key_is_never_told_not_run(monkeypatch) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 1)
     driver = started()
     outcomes = []
     for key in ("k1", "k2", "k1"):
@@ -195,7 +195,7 @@
 def test_key_with_an_issue_time_is_taken_after_others_were_forgotten(
     monkeypatch,
 ) -> None:
-    monkeypatch.setattr(keys, "KEY_CLAIMS", 1)
+    monkeypatch.setattr(keys, "MAX_KEY_CLAIMS", 1)
     driver = started()
     outcomes = []
     for key, issued_ms in (("k1", 100), ("k2", 200), ("k1", 100), ("k3", 300)):
--- a/kingcuppost/systems/tests/worlds.py
+++ b/kingcuppost/systems/tests/process_harness.py
@@ -137,7 +137,7 @@
 WORKER_ORDERS = (ReserveTask, StartTask, RenewTasks, CheckpointTask, StopTask)
 
 
-class Bench:
+class ProcessHarness:
     """One process without sockets.
 
     The log answers at once while it is up. The worker carries out orders at once,
@@ -150,7 +150,7 @@
         self.world = make_world(cfg, clock)
         self.worker = FakeWorker()
         self.withheld_types: tuple[type, ...] = ()
-        self.kept: list[Any] = []
+        self.withheld: list[Any] = []
         self.sent: list[Any] = []
         self._reads: list[ReadLog] = []
 
@@ -179,10 +179,10 @@
     def task(self, task_id: str) -> MemberTask:
         return self.world.tasks.get(task_id)
 
-    def deliver_kept(self) -> None:
+    def deliver_withheld(self) -> None:
         """Deliver the withheld orders to the worker."""
-        kept, self.kept = self.kept, []
-        for order in kept:
+        withheld, self.withheld = self.withheld, []
+        for order in withheld:
             self.world.inbox.put(self.worker.answer(order, self.now_ms))
 
     def _dispatch(self, message: Any) -> None:
@@ -195,7 +195,7 @@
             ids = tuple(row.record_id for row in message.records)
             self.world.inbox.put(AppendDone(ids, self.log.up, "down"))
         elif isinstance(message, self.withheld_types):
-            self.kept.append(message)
+            self.withheld.append(message)
         elif isinstance(message, WORKER_ORDERS):
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
@@ -221,7 +221,9 @@
         self.world.inbox.put(ReadDone(read.read_id, True, rows, head, 1, head))
 
 
-def sidecar_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
+def make_sidecar_harness(
+    log: FakeLog, clock: ManualClock, number: int = 0
+) -> ProcessHarness:
     """Return a harness of the sidecar beside worker `number`."""
     worker = WorkerConfig(
         "http", f"worker-{number}", "rack-0", LOCALHOST, 64, 131_072, 8
@@ -237,10 +239,12 @@
         sidecar=sidecar,
         seed=number,
     )
-    return Bench(cfg, log, clock)
+    return ProcessHarness(cfg, log, clock)
 
 
-def entry_bench(log: FakeLog, clock: ManualClock, number: int = 0) -> Bench:
+def make_entry_harness(
+    log: FakeLog, clock: ManualClock, number: int = 0
+) -> ProcessHarness:
     """Return a harness of entry `number`."""
     cfg = ProcessConfig(
         Role.ENTRY,
@@ -252,10 +256,10 @@
         entry=EntryConfig(LOCALHOST, LOCALHOST),
         seed=100 + number,
     )
-    return Bench(cfg, log, clock)
+    return ProcessHarness(cfg, log, clock)
 
 
-def announce_minion(number: int) -> MinionAnnounce:
+def minion_announcement(number: int) -> MinionAnnounce:
     return MinionAnnounce(
         f"minion-{number}",
         "planner",
@@ -273,13 +277,13 @@
     )
 
 
-def site_log(workers: int = 2) -> FakeLog:
+def make_cluster_log(workers: int = 2) -> FakeLog:
     """Return a log with a zone, a team, workers, an entry and a scheduling term."""
     log = FakeLog()
     log.add(
         ZonePut(ZONE, "vidzeme", True, 0),
         TeamPut("design", (), 0, 0),
-        *(announce_minion(number) for number in range(workers)),
+        *(minion_announcement(number) for number in range(workers)),
         EntryAnnounce("entry-9", ZONE, "inc-9", "127.0.0.1", 1, 2, 3),
         LeaseClaim("entry-9", "inc-9", 0),
         SettingPut("", "job.lease_ms", LEASE_MS, 0),
@@ -297,7 +301,7 @@
     return offsets[-1]
 
 
-def place(
+def place_gang(
     log: FakeLog, job: str, workers: tuple[str, ...], incarnation: int = 1
 ) -> None:
     """Submit a job if this is its first gang, and place the gang."""
@@ -310,6 +314,6 @@
     log.add(GangPlace(term_of(log), job, incarnation, placements, False, decision))
 
 
-def release(log: FakeLog, job: str, incarnation: int = 1) -> None:
+def release_gang(log: FakeLog, job: str, incarnation: int = 1) -> None:
     """Release a gang of a job."""
     log.add(GangRelease(term_of(log), job, incarnation))
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kingcuppost.systems.agreement.lease import is_scheduler
+from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
 from kingcuppost.tables.fleet import MemberState
 from kingcuppost.tables.metrics import DurationCounts
 from kingcuppost.tables.world import World
@@ -127,9 +127,9 @@
 @gauge("log_fresh_age_seconds", "Age of the last read at the head; -1 before any.")
 def read_freshness(world: World) -> Iterable[Sample]:
     """Read the age of the view."""
-    fresh_ms = world.log_view.fresh_ms
-    age_ms = world.clock.now_ms() - fresh_ms
-    yield (), age_ms / MS_PER_SECOND if fresh_ms >= 0 else NEVER
+    fresh_as_of_ms = world.log_view.fresh_as_of_ms
+    age_ms = world.clock.now_ms() - fresh_as_of_ms
+    yield (), age_ms / MS_PER_SECOND if fresh_as_of_ms >= 0 else NEVER
 
 
 @gauge("scheduling_term", "Log offset of the claim that opened the present term.")
@@ -222,7 +222,7 @@
 @gauge("guarantee_uncovered", "1 for a team whose shapes can't all be held.", "team")
 def read_uncovered(world: World) -> Iterable[Sample]:
     """Read uncovered guarantees; only the scheduler knows them."""
-    for row in world.capacity.uncovered:
+    for row in world.scheduling.uncovered:
         yield (row.team,), 1.0
 
 
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -156,7 +156,7 @@
         world.identity,
         view.folded_offset,
         view.head_offset,
-        now_ms - view.fresh_ms if view.fresh_ms >= 0 else -1,
+        now_ms - view.fresh_as_of_ms if view.fresh_as_of_ms >= 0 else -1,
         world.agreed.lease,
         len(world.proposals),
         len(world.requests),
--- a/kingcuppost/tables/claims.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -7,7 +7,7 @@
 __all__ = [
     "EndedJob",
     "ExplainedKey",
-    "Floors",
+    "LowerBounds",
     "KeyClaim",
     "RecentRecord",
     "SchedulingLease",
@@ -117,7 +117,7 @@
 
 
 @dataclass(slots=True)
-class Floors:
+class LowerBounds:
     """Bounds below which the fold has forgotten, and therefore refuses.
 
     Attributes
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from kingcuppost.tables.claims import KeyClaim, RecentRecord, SchedulingLease
+from kingcuppost.tables.agreed_rows import KeyClaim, RecentRecord, SchedulingLease
 from kingcuppost.tables.record import Record, SnapshotPart
 
 __all__ = [
-    "HolderWatch",
+    "HolderMonitor",
     "KeyClaim",
     "LogView",
     "Proposal",
@@ -17,13 +17,13 @@
     "RecentRecord",
     "SchedulingLease",
     "SnapshotSearch",
-    "SnapshotWatch",
-    "Verdict",
+    "SnapshotProgress",
+    "FoldResult",
 ]
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class FoldResult:
     """Result of folding a record.
 
     Attributes
@@ -131,7 +131,7 @@
 
 
 @dataclass(slots=True)
-class SnapshotWatch:
+class SnapshotProgress:
     """Snapshots that this process has observed in the log, and its own draft.
 
     Attributes
@@ -164,7 +164,7 @@
     ----------
     folded_offset, head_offset : int
         Offset of the last record that was folded, and of the last known to exist.
-    fresh_ms : int
+    fresh_as_of_ms : int
         Sending time of the latest read that reached the head; -1 before any.
     last_answer_ms : int
         Time at which such a read was last answered; -1 before any.
@@ -189,7 +189,7 @@
 
     folded_offset: int = 0
     head_offset: int = 0
-    fresh_ms: int = -1
+    fresh_as_of_ms: int = -1
     last_answer_ms: int = -1
     reads: dict[str, PendingRead] = field(default_factory=dict)
     next_read_ms: int = 0
@@ -202,7 +202,7 @@
 
 
 @dataclass(slots=True)
-class HolderWatch:
+class HolderMonitor:
     """State of an entry's pings of the holder of the scheduling lease.
 
     Attributes
--- a/kingcuppost/tables/announcement.py
+++ b/kingcuppost/tables/announcement.py
@@ -17,7 +17,7 @@
         Identifier of the last proposed announcement; empty if none.
     leave_record_id : str
         Identifier of the proposed leave notice; empty if none.
-    stop_ms : int
+    stop_deadline_ms : int
         Time at which the process exits even if it is not idle; 0 before a graceful
         stop.
     """
@@ -27,4 +27,4 @@
     peer_port: int = 0
     record_id: str = ""
     leave_record_id: str = ""
-    stop_ms: int = 0
+    stop_deadline_ms: int = 0
--- a/kingcuppost/tables/agenda.py
+++ b/kingcuppost/tables/deadline_queue.py
@@ -2,15 +2,15 @@
 
 import heapq
 
-__all__ = ["Agenda"]
+__all__ = ["DeadlineQueue"]
 
 
-class Agenda:
+class DeadlineQueue:
     """A heap of keys by time in ms; who asks checks whether the key still counts.
 
     Examples
     --------
-    >>> agenda = Agenda()
+    >>> agenda = DeadlineQueue()
     >>> agenda.put(20, "b")
     >>> agenda.put(10, "a")
     >>> agenda.take_due(15)
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from kingcuppost.tables.due import DueKeys
 from kingcuppost.tables.job import GangState
+from kingcuppost.tables.key_timers import KeyTimers
 from kingcuppost.tables.task import Renewal
 
 __all__ = ["GangStage", "GangView", "WorkerView"]
@@ -48,12 +48,12 @@
     ----------
     stages : dict of str to GangStage
         Stage of each gang by its key.
-    due : DueKeys
+    due : KeyTimers
         When each gang is looked at again.
     term : int
         Scheduling term in which gangs were last looked at.
     """
 
     stages: dict[str, GangStage] = field(default_factory=dict)
-    due: DueKeys = field(default_factory=DueKeys)
+    due: KeyTimers = field(default_factory=KeyTimers)
     term: int = 0
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -5,11 +5,11 @@
 
 from kingcuppost.tables.task import TaskState
 
-__all__ = ["Beat", "BeatView", "ServedMemory"]
+__all__ = ["PendingHeartbeat", "HeartbeatView", "ReplyCache"]
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class PendingHeartbeat:
     """A heartbeat that waits for its answer.
 
     Attributes
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class BeatView:
+class HeartbeatView:
     """How a sidecar's heartbeats go on.
 
     Attributes
@@ -58,7 +58,7 @@
 
 
 @dataclass(slots=True)
-class ServedMemory:
+class ReplyCache:
     """Finished attempts in the order in which a sidecar forgets them.
 
     Attributes
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from kingcuppost.tables.job import Urgency
-from kingcuppost.tables.record import Body, Record
+from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.tables.request import Outcome
 from kingcuppost.tables.task import MemberReport, TaskState
 
@@ -54,7 +54,7 @@
 
     exchange_id: str
     author: str
-    body: Body
+    body: RecordBody
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/due.py
+++ b/kingcuppost/tables/key_timers.py
@@ -2,15 +2,15 @@
 
 import heapq
 
-__all__ = ["DueKeys"]
+__all__ = ["KeyTimers"]
 
 
-class DueKeys:
+class KeyTimers:
     """One time in ms for each key; the latest one set counts.
 
     Examples
     --------
-    >>> due = DueKeys()
+    >>> due = KeyTimers()
     >>> due.set("a", 30)
     >>> due.set("b", 20)
     >>> due.set("a", 10)
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -15,7 +15,7 @@
 
 __all__ = [
     "ANY_OFFSET",
-    "Body",
+    "RecordBody",
     "EntryAnnounce",
     "GangEnd",
     "GangFinish",
@@ -285,7 +285,7 @@
     kind: Literal["snapshot_part"] = "snapshot_part"
 
 
-Body = (
+RecordBody = (
     TeamPut
     | ZonePut
     | SettingPut
@@ -330,5 +330,5 @@
     record_id: str
     author: str
     wall_ms: int
-    body: Body
+    body: RecordBody
     seen_offset: int = 0
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -7,8 +7,8 @@
 
 __all__ = [
     "Attempt",
-    "Health",
-    "HeldExchange",
+    "MinionHealth",
+    "PendingExchange",
     "Outcome",
     "Request",
     "RequestState",
@@ -134,7 +134,7 @@
 
 
 @dataclass(slots=True)
-class Health:
+class MinionHealth:
     """What an entry knows of a minion from live traffic and heartbeats.
 
     Attributes
@@ -169,7 +169,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeldExchange:
+class PendingExchange:
     """An exchange in which an entry waits for an attempt's outcome.
 
     Attributes
--- a/kingcuppost/tables/capacity.py
+++ b/kingcuppost/tables/scheduling.py
@@ -13,7 +13,7 @@
 
 __all__ = [
     "CELL_CLASSES",
-    "Capacity",
+    "SchedulingState",
     "Hold",
     "Keep",
     "QueueEntry",
@@ -83,7 +83,7 @@
         The worker and where it stands.
     cores, memory_mb, accelerators : int
         What it has.
-    whole : int
+    full_mask : int
         Mask of all its accelerators.
     in_service : bool
         Whether its availability zone is in service and its minion is not leaving.
@@ -115,7 +115,7 @@
     cores: int
     memory_mb: int
     accelerators: int
-    whole: int
+    full_mask: int
     in_service: bool = False
     usable: bool = False
     probing: bool = False
@@ -276,7 +276,7 @@
 
 
 @dataclass(slots=True)
-class Capacity:
+class SchedulingState:
     """Everything that scheduling keeps beside the fold.
 
     Attributes
--- a/kingcuppost/tables/snapshot.py
+++ b/kingcuppost/tables/snapshot.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from kingcuppost.tables.claims import (
+from kingcuppost.tables.agreed_rows import (
     EndedJob,
     ExplainedKey,
-    Floors,
     KeyClaim,
+    LowerBounds,
     RecentRecord,
     SchedulingLease,
 )
@@ -40,4 +40,4 @@
     ended_jobs: tuple[EndedJob, ...] = ()
     explained_keys: tuple[ExplainedKey, ...] = ()
     lease: SchedulingLease | None = None
-    floors: Floors | None = None
+    floors: LowerBounds | None = None
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 __all__ = [
-    "GangWatch",
+    "GangMonitor",
     "MemberReport",
     "MemberTask",
     "Renewal",
@@ -108,7 +108,7 @@
 
 
 @dataclass(slots=True)
-class GangWatch:
+class GangMonitor:
     """A gang as the sidecar of its member 0 sees it.
 
     Attributes
@@ -117,7 +117,7 @@
         ``gang_key(job, incarnation)``.
     since_ms : int
         When this process began to watch the gang.
-    heard_ms : dict of int to int
+    last_report_ms : dict of int to int
         When each member was last heard running or finished.
     results : dict of int to str
         Results of finished members.
@@ -129,7 +129,7 @@
 
     key: str
     since_ms: int
-    heard_ms: dict[int, int]
+    last_report_ms: dict[int, int]
     results: dict[int, str]
     broken: str = ""
     finish_id: str = ""
@@ -147,7 +147,7 @@
         Gang that the member belongs to.
     state : TaskState
         State last reported.
-    heard_ms : int
+    last_report_ms : int
         When it was last reported.
     since_ms : int
         When this state was first reported.
@@ -156,5 +156,5 @@
     member_id: str
     key: str
     state: TaskState
-    heard_ms: int
+    last_report_ms: int
     since_ms: int
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -4,27 +4,26 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from kingcuppost.tables.agenda import Agenda
+from kingcuppost.tables.agreed_rows import EndedJob, ExplainedKey, LowerBounds
 from kingcuppost.tables.agreement import (
-    HolderWatch,
+    FoldResult,
+    HolderMonitor,
     KeyClaim,
     LogView,
     Proposal,
     RecentRecord,
     SchedulingLease,
-    SnapshotWatch,
-    Verdict,
+    SnapshotProgress,
 )
 from kingcuppost.tables.announcement import Announcement
-from kingcuppost.tables.capacity import Capacity
-from kingcuppost.tables.claims import EndedJob, ExplainedKey, Floors
 from kingcuppost.tables.config import ProcessConfig
+from kingcuppost.tables.deadline_queue import DeadlineQueue
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
 from kingcuppost.tables.gang_view import GangView, WorkerView
-from kingcuppost.tables.heartbeat import Beat, BeatView, ServedMemory
+from kingcuppost.tables.heartbeat import HeartbeatView, PendingHeartbeat, ReplyCache
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, Job
 from kingcuppost.tables.mailbox import Mailbox
@@ -32,15 +31,16 @@
 from kingcuppost.tables.pools import ServicePools
 from kingcuppost.tables.request import (
     Attempt,
-    Health,
-    HeldExchange,
+    MinionHealth,
+    PendingExchange,
     Request,
     RetryBudget,
     ServedAttempt,
 )
+from kingcuppost.tables.scheduling import SchedulingState
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangWatch, MemberTask, Reservation
+from kingcuppost.tables.task import GangMonitor, MemberTask, Reservation
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -80,7 +80,7 @@
     lease: SchedulingLease = field(default_factory=SchedulingLease)
     ended_jobs: Table[EndedJob] = field(default_factory=lambda: Table("name"))
     explained_keys: Table[ExplainedKey] = field(default_factory=lambda: Table("key"))
-    floors: Floors = field(default_factory=Floors)
+    floors: LowerBounds = field(default_factory=LowerBounds)
 
 
 @dataclass
@@ -100,25 +100,25 @@
         The only source of randomness.
     agreed : Agreed
         The fold of the log.
-    waiting : FairQueue
+    request_queue : FairQueue
         Queued requests at an entry.
-    request_agenda, repeat_agenda, pause_agenda, hold_agenda : Agenda
+    request_deadlines, resend_deadlines, pause_deadlines, hold_deadlines : Agenda
         When requests expire, attempts are sent again, minions that failed are
         tried again, and waiting entries are told that an attempt still runs.
     pools : ServicePools
         Minions that may get another attempt from this entry.
-    verdicts : dict of str to Verdict
+    fold_results : dict of str to Verdict
         What the last fold made of records that this process proposed.
     service_ms : float
         Smoothed service time of the minion beside a sidecar, in ms.
-    worker_view, beat_view, gang_view : WorkerView, BeatView, GangView
+    worker_view, heartbeat_view, gang_view : WorkerView, HeartbeatView, GangView
         How a sidecar's dealings with its worker and the entries go on, and the
         scheduler's with gangs.
     stopping : bool
         Whether a graceful stop is under way.
     tally : Tally
         Counts and durations for the metrics.
-    capacity : Capacity
+    scheduling : Capacity
         What an entry knows of free accelerators, shares and the queue.
     """
 
@@ -128,8 +128,8 @@
     rng: random.Random
     agreed: Agreed = field(default_factory=Agreed)
     log_view: LogView = field(default_factory=LogView)
-    snapshots: SnapshotWatch = field(default_factory=SnapshotWatch)
-    holder_watch: HolderWatch = field(default_factory=HolderWatch)
+    snapshots: SnapshotProgress = field(default_factory=SnapshotProgress)
+    holder_monitor: HolderMonitor = field(default_factory=HolderMonitor)
     announcement: Announcement = field(default_factory=Announcement)
     inbox: Mailbox = field(default_factory=Mailbox)
     outbox: Mailbox = field(default_factory=Mailbox)
@@ -137,38 +137,40 @@
     proposals: Table[Proposal] = field(
         default_factory=lambda: Table("record_id", ("state",))
     )
-    verdicts: dict[str, Verdict] = field(default_factory=dict)
+    fold_results: dict[str, FoldResult] = field(default_factory=dict)
     requests: Table[Request] = field(
         default_factory=lambda: Table(
             "request_id", ("state", "exchange_id", "team", "key")
         )
     )
-    waiting: FairQueue = field(default_factory=FairQueue)
-    request_agenda: Agenda = field(default_factory=Agenda)
-    repeat_agenda: Agenda = field(default_factory=Agenda)
-    pause_agenda: Agenda = field(default_factory=Agenda)
+    request_queue: FairQueue = field(default_factory=FairQueue)
+    request_deadlines: DeadlineQueue = field(default_factory=DeadlineQueue)
+    resend_deadlines: DeadlineQueue = field(default_factory=DeadlineQueue)
+    pause_deadlines: DeadlineQueue = field(default_factory=DeadlineQueue)
     pools: ServicePools = field(default_factory=ServicePools)
     retry_budgets: Table[RetryBudget] = field(default_factory=lambda: Table("team"))
     attempts: Table[Attempt] = field(
         default_factory=lambda: Table("attempt_id", ("request_id", "minion"))
     )
-    health: Table[Health] = field(default_factory=lambda: Table("minion"))
+    health: Table[MinionHealth] = field(default_factory=lambda: Table("minion"))
     served: Table[ServedAttempt] = field(
         default_factory=lambda: Table("attempt_id", ("state",))
     )
-    held: Table[HeldExchange] = field(
+    pending_exchanges: Table[PendingExchange] = field(
         default_factory=lambda: Table("exchange_id", ("attempt_id",))
     )
-    hold_agenda: Agenda = field(default_factory=Agenda)
-    served_memory: ServedMemory = field(default_factory=ServedMemory)
-    beats: Table[Beat] = field(default_factory=lambda: Table("entry"))
-    beat_view: BeatView = field(default_factory=BeatView)
+    hold_deadlines: DeadlineQueue = field(default_factory=DeadlineQueue)
+    reply_cache: ReplyCache = field(default_factory=ReplyCache)
+    pending_heartbeats: Table[PendingHeartbeat] = field(
+        default_factory=lambda: Table("entry")
+    )
+    heartbeat_view: HeartbeatView = field(default_factory=HeartbeatView)
     worker_view: WorkerView = field(default_factory=WorkerView)
     gang_view: GangView = field(default_factory=GangView)
     tasks: Table[MemberTask] = field(
         default_factory=lambda: Table("task_id", ("state", "job"))
     )
-    gang_watches: Table[GangWatch] = field(default_factory=lambda: Table("key"))
+    gang_monitors: Table[GangMonitor] = field(default_factory=lambda: Table("key"))
     reservations: Table[Reservation] = field(
         default_factory=lambda: Table("member_id", ("key",))
     )
@@ -177,4 +179,4 @@
     tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
     stopping: bool = False
-    capacity: Capacity = field(default_factory=Capacity)
+    scheduling: SchedulingState = field(default_factory=SchedulingState)
--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -11,7 +11,7 @@
 
 import kingcuppost.platform.minion  # noqa: F401
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
-from kingcuppost.batch.tables.job import Life, TaskName
+from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
     StartOrder,
@@ -24,7 +24,7 @@
 from kingcuppost.utils import ManualClock
 
 HERE = Address("10.0.0.1", 8000)
-LIFE = Life("minion-1", 5)
+LIFE = MinionIncarnation("minion-1", 5)
 TASK = TaskName("0123456789abcdef", 1, 2, 3)
 ORDERS = {
     "hold": HoldMinion(HERE, LIFE, 7, 8, 9, 10),
--- a/kingcuppost/tests/test_formats_records.py
+++ b/kingcuppost/tests/test_formats_records.py
@@ -9,7 +9,7 @@
 from kingcuppost.batch.models.records import decode_record, decoders, encode_record
 from kingcuppost.models.log import record_of, text_of
 from kingcuppost.platform.operators import decode_operator_record
-from kingcuppost.tables.record import Body
+from kingcuppost.tables.record import RecordBody
 from kingcuppost.tables.snapshot import AgreedSlice
 from kingcuppost.tests.format_files import lines_of, values_of
 
@@ -32,7 +32,7 @@
 
 def test_each_kind_of_body_is_stored() -> None:
     kinds = {type(record_of(text).body) for text in RECORDS}
-    assert kinds == set(get_args(Body))
+    assert kinds == set(get_args(RecordBody))
 
 
 def test_the_stored_slice_has_rows_of_every_table() -> None:
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -50,7 +50,7 @@
         count = self.jobs[task.job][task.step]
         return [TaskName(task.job, 0, task.step, index) for index in range(count)]
 
-    def started(self, minion: str, task: TaskName, run: int, saved: str) -> None:
+    def started(self, minion: str, task: TaskName, run: int, checkpoint: str) -> None:
         """Check a start."""
         self.starts += 1
         if task.job not in self.jobs:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -18,7 +18,7 @@
 )
 from kingcuppost.batch.systems import load_systems, run_tick
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
-from kingcuppost.batch.tables.fleet import Configuration, Queue, Room, Team
+from kingcuppost.batch.tables.fleet import Configuration, Queue, Resources, Team
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec, TaskName
 from kingcuppost.batch.tables.messages import (
     Append,
@@ -26,27 +26,27 @@
     AppendOutcome,
     CallerCall,
     CallKind,
+    CallOutcome,
     CallReply,
     ConfigRecord,
-    Followed,
     HoldMinion,
+    HoldMinionAnswered,
     JobRecord,
     ListMembers,
-    MinionHeard,
-    MinionLists,
+    MinionHeartbeat,
     MinionReport,
     OrderAnswered,
     OrderOutcome,
+    RecordsRead,
     SendSync,
     StartRun,
-    StopAsked,
     StopProcess,
+    StopRequested,
     StopRun,
     Stream,
     SubmittedJob,
     SyncAnswered,
     SyncReply,
-    Verdict,
     ZoneRecord,
 )
 from kingcuppost.tables.config import Address
@@ -89,7 +89,7 @@
     address: Address
     world: Any = None
     systems: Any = None
-    life: int = 0
+    incarnation: int = 0
     is_up: bool = False
     is_cut: bool = False
     is_turned_away: bool = False
@@ -160,7 +160,7 @@
             f"m-{index}",
             f"zone-{index % 3}",
             f"r{index % 3}-1",
-            Room(64_000, 131_072, 8),
+            Resources(64_000, 131_072, 8),
             self.checks,
             self.clock.now_ms,
             self._work_of,
@@ -179,7 +179,7 @@
     def start(self, name: str) -> None:
         """Start a process anew; it knows nothing of before."""
         process = self.processes[name]
-        process.life += 1
+        process.incarnation += 1
         process.is_up = True
         process.is_frozen = False
         seeds = tuple(
@@ -196,9 +196,9 @@
         self.wake(process)
         if process.role is Role.ENTRY:
             for stream in Stream:
-                self._follow(process, process.life, stream)
+                self._follow(process, process.incarnation, stream)
         else:
-            self._beat(process, process.life, 1)
+            self._beat(process, process.incarnation, 1)
 
     def kill(self, name: str) -> None:
         """End a process at once."""
@@ -206,13 +206,13 @@
 
     def stop(self, name: str) -> None:
         """Ask a process to stop."""
-        self._deliver(self.processes[name], StopAsked())
+        self._deliver(self.processes[name], StopRequested())
 
     def holder(self) -> Process | None:
         """Return the entry that schedules, or None."""
         for process in self.processes.values():
             is_up = process.role is Role.ENTRY and process.is_up
-            if is_up and process.world.schedule.loaded:
+            if is_up and process.world.schedule.is_loaded:
                 return process
         return None
 
@@ -276,17 +276,20 @@
 
     def wake(self, process: Process) -> None:
         """Ask for a tick."""
-        key = (process.name, process.life)
+        key = (process.name, process.incarnation)
         if key not in self._ticking:
             self._ticking.add(key)
             self.at(0, lambda: self._tick(process, key))
 
     def _tick(self, process: Process, key: tuple[str, int]) -> None:
         self._ticking.discard(key)
-        if not process.is_up or process.life != key[1]:
+        if not process.is_up or process.incarnation != key[1]:
             return
         if process.is_frozen:
-            self.at(50, lambda: self.wake(process) if process.life == key[1] else None)
+            self.at(
+                50,
+                lambda: self.wake(process) if process.incarnation == key[1] else None,
+            )
             return
         world = process.world
         run_tick(world, process.systems, self.clock.now_ms())
@@ -303,19 +306,21 @@
     def _due(self, process: Process, key: tuple[str, int]) -> None:
         due_ms = process.world.deadlines.next_ms()
         is_due = due_ms is not None and due_ms <= self.clock.now_ms()
-        if process.life == key[1] and is_due:
+        if process.incarnation == key[1] and is_due:
             self.wake(process)
 
-    def _deliver(self, process: Process, message: Any, life: int | None = None) -> None:
-        if process.is_up and life in (None, process.life):
+    def _deliver(
+        self, process: Process, message: Any, incarnation: int | None = None
+    ) -> None:
+        if process.is_up and incarnation in (None, process.incarnation):
             process.world.inbox.put(message)
             self.wake(process)
 
     def _later(
         self, process: Process, delay_ms: float, make: Callable[[], Any]
     ) -> None:
-        life = process.life
-        self.at(delay_ms, lambda: self._deliver(process, make(), life))
+        incarnation = process.incarnation
+        self.at(delay_ms, lambda: self._deliver(process, make(), incarnation))
 
     def _delay_ms(self) -> float:
         return 1 + self.rng.random() * 4
@@ -345,7 +350,7 @@
     def _take_reply(self, reply: CallReply) -> None:
         self.replies[reply.exchange_id] = reply
         job_id = self._cancels.pop(reply.exchange_id, None)
-        if job_id is not None and reply.verdict is Verdict.OK:
+        if job_id is not None and reply.verdict is CallOutcome.OK:
             self.checks.cancelled.setdefault(job_id, self.clock.now_ms())
 
     def _log_reaches(self, process: Process) -> bool:
@@ -379,23 +384,23 @@
     def _tell_followers(self, stream: Stream) -> None:
         for process in self.processes.values():
             if process.role is Role.ENTRY and process.is_up:
-                life = process.life
+                incarnation = process.incarnation
                 self.at(
                     self._delay_ms(),
-                    lambda process=process, life=life: self._read(
-                        process, life, stream
+                    lambda process=process, incarnation=incarnation: self._read(
+                        process, incarnation, stream
                     ),
                 )
 
-    def _follow(self, process: Process, life: int, stream: Stream) -> None:
+    def _follow(self, process: Process, incarnation: int, stream: Stream) -> None:
         """Read a stream now and then, as a long poll does."""
-        if process.life != life or not process.is_up:
+        if process.incarnation != incarnation or not process.is_up:
             return
-        self._read(process, life, stream)
-        self.at(POLL_MS, lambda: self._follow(process, life, stream))
+        self._read(process, incarnation, stream)
+        self.at(POLL_MS, lambda: self._follow(process, incarnation, stream))
 
-    def _read(self, process: Process, life: int, stream: Stream) -> None:
-        if process.life != life or not process.is_up or process.is_frozen:
+    def _read(self, process: Process, incarnation: int, stream: Stream) -> None:
+        if process.incarnation != incarnation or not process.is_up or process.is_frozen:
             return
         if process.is_deaf or not self._log_reaches(process):
             return
@@ -412,30 +417,30 @@
                 for offset, (key, value) in enumerate(records, position)
             ]
             now_ms = self.clock.now_ms()
-            batch = Followed(stream, rows, now_ms, position + len(rows))
+            batch = RecordsRead(stream, rows, now_ms, position + len(rows))
         process.followed[stream] = batch.end
         self._deliver(process, batch)
 
     def _decoded(self, key: str, value: bytes) -> Any:
         return decode_record(key, value, "log").ok
 
-    def _listing(self, stream: Stream) -> Followed:
+    def _listing(self, stream: Stream) -> RecordsRead:
         rows = [
             (offset, self._decoded(key, value))
             for offset, key, value in self.store.newest(stream)
         ]
         rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
         end = self.store.end(stream)
-        return Followed(stream, rows, self.clock.now_ms(), end, whole=True)
+        return RecordsRead(stream, rows, self.clock.now_ms(), end, whole=True)
 
-    def _operators(self) -> Followed:
+    def _operators(self) -> RecordsRead:
         rows = [(0, ConfigRecord(self.configuration))]
         rows += [(1, ZoneRecord(zone)) for zone in sorted(self.closed)]
-        return Followed(Stream.OPERATORS, rows, self.clock.now_ms(), 2, whole=True)
+        return RecordsRead(Stream.OPERATORS, rows, self.clock.now_ms(), 2, whole=True)
 
     def _sync(self, process: Process, message: SendSync) -> None:
         sent_ms = self.clock.now_ms()
-        life = process.life
+        incarnation = process.incarnation
         other = next(
             (
                 item
@@ -452,7 +457,7 @@
                 answered = SyncAnswered(
                     message.number, message.address, sent_ms, reply, reason
                 )
-                self._deliver(process, answered, life)
+                self._deliver(process, answered, incarnation)
 
         def arrive() -> None:
             if other is None or not other.is_up or other.is_cut or process.is_cut:
@@ -460,7 +465,7 @@
             exchange_id = f"x{next(self._numbers)}"
             text = encode_sync_call(message.call)
             call = decode_sync_call(text, exchange_id, process.name).ok
-            self._exchanges[other.name, other.life, exchange_id] = answer
+            self._exchanges[other.name, other.incarnation, exchange_id] = answer
             self._deliver(other, call)
 
         def answer(text: bytes) -> None:
@@ -473,7 +478,7 @@
         self.at(timeout_ms, lambda: finish(None, "no answer"))
 
     def _answer(self, process: Process, reply: SyncReply) -> None:
-        key = (process.name, process.life, reply.exchange_id)
+        key = (process.name, process.incarnation, reply.exchange_id)
         answer = self._exchanges.pop(key, None)
         if answer is not None:
             text = encode_sync_reply(reply)
@@ -481,62 +486,72 @@
 
     # minions
 
-    def _beat(self, process: Process, life: int, number: int) -> None:
-        if process.life != life or not process.is_up:
+    def _beat(self, process: Process, incarnation: int, number: int) -> None:
+        if process.incarnation != incarnation or not process.is_up:
             return
         minion = process.minion
         if minion is not None and minion.is_up and not process.is_frozen:
             report = MinionReport(
-                minion.life,
+                minion.incarnation,
                 "svc",
                 minion.zone,
                 ("a", minion.rack),
-                replace(minion.room),
+                replace(minion.resources),
                 minion.draining,
                 0,
                 False,
             )
             address = Address("10.1.0.1", PORT)
-            self._deliver(process, MinionHeard(address, report, number))
-        self.at(HEARTBEAT_MS, lambda: self._beat(process, life, number + 1))
+            self._deliver(process, MinionHeartbeat(address, report, number))
+        self.at(HEARTBEAT_MS, lambda: self._beat(process, incarnation, number + 1))
 
     def _hold(self, process: Process, message: HoldMinion) -> None:
         minion = process.minion
         sent_ms = self.clock.now_ms()
-        life = process.life
+        incarnation = process.incarnation
         limit_ms = sent_ms + message.wait_ms
 
         def look(is_first: bool) -> None:
-            if process.life != life:
+            if process.incarnation != incarnation:
                 return
             now_ms = self.clock.now_ms()
-            if not minion.is_up or minion.life != message.life:
-                lists = MinionLists(message.life, sent_ms, now_ms, reason="other life")
-                self._deliver(process, lists, life)
+            if not minion.is_up or minion.incarnation != message.incarnation:
+                lists = HoldMinionAnswered(
+                    message.incarnation, sent_ms, now_ms, reason="other life"
+                )
+                self._deliver(process, lists, incarnation)
                 return
             until_ms = message.until_ms if is_first else None
-            running, ended = minion.hold(message.term, message.seen, until_ms)
+            running, ended = minion.hold(
+                message.term, message.acknowledged_end, until_ms
+            )
             if not ended and now_ms < limit_ms:
                 self.at(20, lambda: look(False))
                 return
-            lists = MinionLists(message.life, sent_ms, now_ms, now_ms, running, ended)
+            lists = HoldMinionAnswered(
+                message.incarnation, sent_ms, now_ms, now_ms, running, ended
+            )
             self._later(process, 1, lambda: lists)
 
         self.at(1, lambda: look(True))
 
     def _order(self, process: Process, message: StartRun | StopRun) -> None:
         minion = process.minion
-        life = process.life
+        incarnation = process.incarnation
         is_start = isinstance(message, StartRun)
         is_late = self.rng.random() < self.late_orders
 
         def apply() -> None:
-            if not minion.is_up or minion.life != message.life:
+            if not minion.is_up or minion.incarnation != message.incarnation:
                 return
             order = message.order
             if is_start:
                 reason = minion.start(
-                    message.term, order.task, order.run, order.saved, message.until_ms
+                    message.term,
+                    order.task,
+                    order.run,
+                    order.checkpoint,
+                    message.until_ms,
                 )
             else:
                 reason = minion.stop(message.term, order.task, order.run)
@@ -547,26 +562,32 @@
         def answered(outcome: OrderOutcome, reason: str) -> None:
             order = message.order
             answer = OrderAnswered(
-                message.life, order.task, order.run, is_start, outcome, reason
+                message.incarnation, order.task, order.run, is_start, outcome, reason
             )
             self._later(process, 1, lambda: answer)
 
         if is_late:
             self.at(2_000 + self.rng.random() * 6_000, apply)
             self.at(
-                600, lambda: self._deliver_unknown(process, life, message, is_start)
+                600,
+                lambda: self._deliver_unknown(process, incarnation, message, is_start),
             )
         else:
             self.at(1, apply)
 
     def _deliver_unknown(
-        self, process: Process, life: int, message: Any, is_start: bool
+        self, process: Process, incarnation: int, message: Any, is_start: bool
     ) -> None:
         order = message.order
         answer = OrderAnswered(
-            message.life, order.task, order.run, is_start, OrderOutcome.UNKNOWN, "late"
+            message.incarnation,
+            order.task,
+            order.run,
+            is_start,
+            OrderOutcome.UNKNOWN,
+            "late",
         )
-        self._deliver(process, answer, life)
+        self._deliver(process, answer, incarnation)
 
     # callers
 
@@ -621,7 +642,7 @@
         exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
-        if reply is None or reply.verdict is not Verdict.OK:
+        if reply is None or reply.verdict is not CallOutcome.OK:
             return None
         if reply.state is not None:
             self.checks.shown(job_id, reply.state)
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -19,7 +19,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from kingcuppost.batch.tables.fleet import Room
+from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec, TaskName
 from kingcuppost.batch.tables.messages import AppendOutcome, Stream
 from kingcuppost.edges.http_client import JsonClient
@@ -178,7 +178,7 @@
             cfg["id"],
             cfg["zone"],
             cfg["rack"],
-            Room(64_000, 131_072, 8),
+            Resources(64_000, 131_072, 8),
             checks,
             _now_ms,
             self._work_of,
@@ -243,9 +243,9 @@
             200,
             clockMs=_now_ms(),
             born=self.minion.born_ms,
-            running=[[str(r.task), r.run, r.saved, r.percent, 0] for r in running],
+            running=[[str(r.task), r.run, r.checkpoint, r.percent, 0] for r in running],
             finishedRuns=[
-                [e.number, str(e.task), e.run, e.how.value, e.saved] for e in ended
+                [e.number, str(e.task), e.run, e.how.value, e.checkpoint] for e in ended
             ],
         )
 
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from kingcuppost.batch.tables.fleet import Room
-from kingcuppost.batch.tables.job import Life, RunEnd, StepSpec, TaskName
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, StepSpec, TaskName
 from kingcuppost.batch.tables.messages import EndedRun, RunningRun
 from standins.batch.checks import Checks
 
@@ -23,7 +23,7 @@
     ----------
     done_ms : float
         Work done, in ms at speed 1.
-    saved_ms : float
+    checkpoint_ms : float
         Work that the newest checkpoint holds.
     stop_at_ms : int or None
         When a stop takes effect.
@@ -35,7 +35,7 @@
     work_ms: float
     began_ms: int
     done_ms: float = 0.0
-    saved_ms: float = 0.0
+    checkpoint_ms: float = 0.0
     stop_at_ms: int | None = None
     is_working: bool = False
 
@@ -62,7 +62,7 @@
     id: str
     zone: str
     rack: str
-    room: Room
+    resources: Resources
     checks: Checks
     now_ms: Callable[[], int]
     work_of: Callable[[TaskName], tuple[StepSpec, float]]
@@ -83,9 +83,9 @@
     lapsed: set[int] = field(default_factory=set)
 
     @property
-    def life(self) -> Life:
+    def incarnation(self) -> MinionIncarnation:
         """Return the present life."""
-        return Life(self.id, self.born_ms)
+        return MinionIncarnation(self.id, self.born_ms)
 
     def restart(self) -> None:
         """Begin a new life that holds and knows nothing of before."""
@@ -101,16 +101,16 @@
         self.token = 0
         self.draining = False
 
-    def _free(self) -> Room:
-        room = replace(self.room)
+    def _free(self) -> Resources:
+        resources = replace(self.resources)
         for run in self.runs.values():
-            room.cpu_millis -= run.step.cpu_millis
-            room.memory_mb -= run.step.memory_mb
-            room.accelerators -= run.step.accelerators
-        return room
+            resources.cpu_millis -= run.step.cpu_millis
+            resources.memory_mb -= run.step.memory_mb
+            resources.accelerators -= run.step.accelerators
+        return resources
 
     def start(
-        self, token: int, task: TaskName, run: int, saved: str, until_ms: int
+        self, token: int, task: TaskName, run: int, checkpoint: str, until_ms: int
     ) -> str:
         """Begin a run; return why not, or an empty text."""
         if token < self.token:
@@ -132,10 +132,10 @@
             or free.accelerators < step.accelerators
         ):
             return "room"
-        done_ms = float(saved or 0)
+        done_ms = float(checkpoint or 0)
         row = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
         self.runs[task, run] = row
-        self.checks.started(self.id, task, run, saved)
+        self.checks.started(self.id, task, run, checkpoint)
         if self.fails:
             self.end(row, RunEnd.FAILED)
         return ""
@@ -167,7 +167,7 @@
         )
         self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
-            RunningRun(run.task, run.run, _text(run.saved_ms), run.percent)
+            RunningRun(run.task, run.run, _text(run.checkpoint_ms), run.percent)
             for run in self.runs.values()
         )
         return running, tuple(self.ended)
@@ -178,9 +178,9 @@
         self.over[run.task] = max(self.over.get(run.task, 0), run.run)
         self.count += 1
         if how is RunEnd.STOPPED and run.step.saves:
-            run.saved_ms = run.done_ms
-        saved = _text(run.saved_ms) if run.step.saves else ""
-        self.ended.append(EndedRun(self.count, run.task, run.run, how, saved))
+            run.checkpoint_ms = run.done_ms
+        checkpoint = _text(run.checkpoint_ms) if run.step.saves else ""
+        self.ended.append(EndedRun(self.count, run.task, run.run, how, checkpoint))
         self.checks.ended(self.id, run.task, run.run, how)
 
     def advance(self, by_ms: int) -> None:
@@ -201,11 +201,11 @@
 
     def _work(self, run: Run, by_ms: int) -> None:
         run.done_ms += by_ms * self.speed
-        if run.step.saves and run.done_ms - run.saved_ms >= CHECKPOINT_MS:
-            run.saved_ms = run.done_ms
+        if run.step.saves and run.done_ms - run.checkpoint_ms >= CHECKPOINT_MS:
+            run.checkpoint_ms = run.done_ms
         if run.done_ms >= run.work_ms and not run.step.gang:
             self.end(run, RunEnd.DONE)
 
 
-def _text(saved_ms: float) -> str:
-    return str(int(saved_ms)) if saved_ms else ""
+def _text(checkpoint_ms: float) -> str:
+    return str(int(checkpoint_ms)) if checkpoint_ms else ""
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from kingcuppost.batch.tables.job import JobState, StepSpec
-from kingcuppost.batch.tables.messages import CallReply, Stream, Verdict
+from kingcuppost.batch.tables.messages import CallOutcome, CallReply, Stream
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.registry import Registry
 from standins.batch.deployment import Deployment, Process
@@ -15,7 +15,7 @@
 DAY_MS = 30_000
 CALM_MS = 25_000
 ENDED = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
-DEFINITE = (Verdict.OK, Verdict.NOT_RUN)
+DEFINITE = (CallOutcome.OK, CallOutcome.NOT_RUN)
 
 Fault = Callable[[Deployment], str]
 faults: Registry[str, Fault] = Registry("fault")
@@ -182,10 +182,10 @@
     if process is None:
         return ""
     day.stop(process.name)
-    life = process.life
+    incarnation = process.incarnation
 
     def again() -> None:
-        if process.life == life:
+        if process.incarnation == incarnation:
             day.start(process.name)
 
     day.at(4_600, again)
@@ -265,10 +265,10 @@
     """Check that accepted jobs have ended and refused ones never ran."""
     for job_id, (exchange_id, priority) in exchanges.items():
         reply: CallReply | None = day.replies.get(exchange_id)
-        is_refused = reply is not None and reply.verdict is Verdict.NOT_RUN
+        is_refused = reply is not None and reply.verdict is CallOutcome.NOT_RUN
         if is_refused and any(task.job == job_id for task in day.checks.done):
             outcome.broken.append(f"REFUSED {job_id} has run")
-        if reply is None or reply.verdict is not Verdict.OK:
+        if reply is None or reply.verdict is not CallOutcome.OK:
             continue
         outcome.jobs += 1
         state = day.state(job_id, priority)
--- a/standins/batch/tests/test_days.py
+++ b/standins/batch/tests/test_days.py
@@ -1,7 +1,7 @@
 """Small days without faults: jobs of all kinds are done."""
 
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
-from kingcuppost.batch.tables.messages import CallKind, Stream, Verdict
+from kingcuppost.batch.tables.messages import CallKind, CallOutcome, Stream
 from standins.batch import Deployment
 
 SMALL = StepSpec(3, cpu_millis=5_000, memory_mb=8_000, accelerators=1, saves=True)
@@ -23,7 +23,7 @@
     second = StepSpec(2, cpu_millis=1_000, needs=(0,))
     job_id, exchange_id = deployment.submit((SMALL, second), [2_000, 500])
     deployment.run_for(100)
-    assert deployment.replies[exchange_id].verdict is Verdict.OK
+    assert deployment.replies[exchange_id].verdict is CallOutcome.OK
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 10_000
     )
@@ -58,7 +58,7 @@
     deployment.run_for(1_000)
     exchange_id = deployment.cancel(job_id)
     deployment.run_for(1_000)
-    assert deployment.replies[exchange_id].verdict is Verdict.OK
+    assert deployment.replies[exchange_id].verdict is CallOutcome.OK
     assert deployment.state(job_id) is JobState.CANCELLED
     assert not any(minion.runs for minion in deployment.minions.values())
 
@@ -68,8 +68,8 @@
     job_id, first = deployment.submit((SMALL,), [500], entry="entry-0")
     _, second = deployment.submit((SMALL,), [500], job_id=job_id, entry="entry-1")
     deployment.run_for(5_000)
-    assert deployment.replies[first].verdict is Verdict.OK
-    assert deployment.replies[second].verdict is Verdict.OK
+    assert deployment.replies[first].verdict is CallOutcome.OK
+    assert deployment.replies[second].verdict is CallOutcome.OK
     assert deployment.checks.starts == 3
     assert not deployment.checks.broken
 
@@ -91,8 +91,8 @@
     nowhere = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
     waiting = deployment.call(CallKind.STATE, "/urgent/")
     deployment.run_for(50)
-    assert deployment.replies[unknown].verdict is Verdict.NO_JOB
-    assert deployment.replies[nowhere].verdict is Verdict.NO_QUEUE
+    assert deployment.replies[unknown].verdict is CallOutcome.NO_JOB
+    assert deployment.replies[nowhere].verdict is CallOutcome.NO_QUEUE
     assert deployment.replies[waiting].waiting == 0
 
 
@@ -122,7 +122,7 @@
     job_id, exchange_id = deployment.submit((SMALL,), [500], entry="entry-1")
     deployment.run_for(10)
     reply = deployment.replies[exchange_id]
-    assert reply.verdict is Verdict.NOT_RUN
+    assert reply.verdict is CallOutcome.NOT_RUN
     assert reply.retry_after_ms > 0
     deployment.run_for(1_000)
     assert deployment.checks.starts == 0
@@ -139,7 +139,7 @@
     deployment.run_for(100_000)
     exchange_id = deployment.call(CallKind.STATE, f"/design/{job_id}")
     deployment.run_for(50)
-    assert deployment.replies[exchange_id].verdict is Verdict.NO_JOB
+    assert deployment.replies[exchange_id].verdict is CallOutcome.NO_JOB
     keys = [key for _, key, _ in deployment.store.newest(Stream.JOBS)]
     assert not any(job_id in key for key in keys)
 
@@ -182,7 +182,7 @@
     deployment.run_for(6_000)
     refused = deployment.minions["m-0"]
     row = next(iter(deployment.holder().world.schedule.minions))
-    row.rests_until_ms = deployment.clock.now_ms() + 1_500
+    row.backoff_until_ms = deployment.clock.now_ms() + 1_500
     urgent = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
     job_id, _ = deployment.submit((urgent,), [9_000], 0)
     deployment.run_for(2_500)
--- a/standins/batch/tests/test_handover.py
+++ b/standins/batch/tests/test_handover.py
@@ -18,6 +18,6 @@
     holder.is_cut = True
     deployment.run_for(9_000)
     others = [row for row in deployment.processes.values() if row is not holder]
-    assert any(row.world.schedule.loaded for row in others)
+    assert any(row.world.schedule.is_loaded for row in others)
     assert deployment.checks.ends[RunEnd.LAPSED] == 0
     assert not deployment.checks.broken
--- a/standins/batch/tests/test_lease.py
+++ b/standins/batch/tests/test_lease.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from kingcuppost.batch.systems.lease import has_authority
+from kingcuppost.batch.systems.holder_election import has_authority
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from standins.batch import Deployment
 
@@ -124,7 +124,9 @@
     deployment.run_for(1_500)
     deployment.kill(deployment.holder().name)
     deployment.run_for(6_000)
-    assert deployment.holder().world.schedule.plans[job_id].job.terms.most_failures == 3
+    assert (
+        deployment.holder().world.schedule.plans[job_id].job.policy.most_failures == 3
+    )
 
 
 def test_a_new_term_stops_what_a_cancelled_job_still_runs() -> None:
@@ -156,7 +158,7 @@
     old.is_deaf = True
     deployment.run_for(3_500)
     others = [item for item in deployment.processes.values() if item is not old]
-    assert any(item.world.schedule.loaded for item in others)
+    assert any(item.world.schedule.is_loaded for item in others)
     old.is_turned_away = False
     deployment.run_for(1_500)
     assert not has_authority(old.world, deployment.clock.now_ms())
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -27,9 +27,9 @@
 
 def slowest(deployment: Deployment) -> set[str]:
     for process in deployment.processes.values():
-        if process.is_up and process.world.schedule.loaded:
+        if process.is_up and process.world.schedule.is_loaded:
             rows = sorted(
-                process.world.schedule.minions, key=lambda row: row.pace.value
+                process.world.schedule.minions, key=lambda row: row.speed.value
             )
             return {row.sidecar for row in rows[: len(SLOW)]}
     return set()
--- a/standins/batch/tests/test_watch.py
+++ b/standins/batch/tests/test_watch.py
@@ -47,7 +47,7 @@
         deployment.submit((filling,), [5_000], 2)
     deployment.run_for(12_000)
     rows = {
-        row.life.minion: row.pace.value
+        row.incarnation.minion: row.speed.value
         for row in deployment.holder().world.schedule.minions
     }
     slow = [minion for minion in deployment.minions.values() if minion.speed < 1]
