--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -18,9 +18,9 @@
 
 __all__ = [
     "answer_proposers",
+    "handle_proposal_requests",
     "has_queue_capacity",
     "propose",
-    "handle_proposal_requests",
 ]
 
 STATUS_OK = 200
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -13,7 +13,7 @@
 from kingcuppost.tables.replies import HolderReply
 from kingcuppost.tables.world import World
 
-__all__ = ["answer_holder_pings", "monitor_holder", "is_scheduler"]
+__all__ = ["answer_holder_pings", "is_scheduler", "monitor_holder"]
 
 MAX_JITTER_RATIO = 0.5
 STATUS_OK = 200
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -8,7 +8,7 @@
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
-__all__ = ["begin_search", "is_search_due", "handle_search_read"]
+__all__ = ["begin_search", "handle_search_read", "is_search_due"]
 
 MAX_LAG_RECORDS = 1_000
 SEARCH_WINDOW_RECORDS = 200
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -12,12 +12,12 @@
 from kingcuppost.systems.fold.snapshot_slices import load_slices, slices_of
 
 __all__ = [
-    "Rejection",
     "FoldInput",
+    "Rejection",
     "appliers",
     "apply_record",
-    "checkers",
     "check_body",
+    "checkers",
     "load_slices",
     "slices_of",
 ]
--- a/kingcuppost/systems/fold/record_rules.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -10,12 +10,12 @@
 from kingcuppost.utils.registry import Registry
 
 __all__ = [
-    "Rejection",
     "FoldInput",
+    "Rejection",
     "appliers",
     "apply_record",
-    "checkers",
     "check_body",
+    "checkers",
 ]
 
 
--- a/kingcuppost/systems/member_timing.py
+++ b/kingcuppost/systems/member_timing.py
@@ -5,10 +5,10 @@
 from kingcuppost.tables.world import World
 
 __all__ = [
-    "heartbeat_period_ms",
     "confirmation_ms",
     "full_report_period_ms",
     "grace_ms",
+    "heartbeat_period_ms",
     "isolation_ms",
     "lease_ms",
     "reservation_ms",
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -8,17 +8,17 @@
 from kingcuppost.tables.record import Record, SnapshotPart
 
 __all__ = [
+    "FoldResult",
     "HolderMonitor",
     "KeyClaim",
     "LogView",
+    "PendingRead",
     "Proposal",
     "ProposalState",
-    "PendingRead",
     "RecentRecord",
     "SchedulingLease",
-    "SnapshotSearch",
     "SnapshotProgress",
-    "FoldResult",
+    "SnapshotSearch",
 ]
 
 
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -15,7 +15,6 @@
 
 __all__ = [
     "ANY_OFFSET",
-    "RecordBody",
     "EntryAnnounce",
     "GangEnd",
     "GangFinish",
@@ -32,6 +31,7 @@
     "MemberLeave",
     "MinionAnnounce",
     "Record",
+    "RecordBody",
     "SettingPut",
     "SnapshotPart",
     "TeamPut",
