--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,6 +1,6 @@
-"""Agreement through the log: following, proposing, leases, announcements."""
+"""Agreement through the log: reads, proposals, the scheduling lease, announcements."""
 
-from kingcuppost.systems.agreement.announce import announce, leave
+from kingcuppost.systems.agreement.announce import announce, stop_gracefully
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
 from kingcuppost.systems.agreement.freshness import (
     fresh_age_ms,
@@ -10,34 +10,34 @@
 )
 from kingcuppost.systems.agreement.propose import (
     answer_proposers,
-    has_room,
+    handle_proposal_requests,
+    has_queue_capacity,
     propose,
-    take_wishes,
 )
 from kingcuppost.systems.agreement.scheduling_lease import (
-    answer_watchers,
-    hold_lease,
+    answer_holder_pings,
     is_scheduler,
+    monitor_holder,
 )
 from kingcuppost.systems.agreement.sending import send_proposals
 from kingcuppost.systems.agreement.snapshots import write_snapshots
 
 __all__ = [
     "announce",
+    "answer_holder_pings",
     "answer_proposers",
-    "answer_watchers",
     "fold_reads",
     "fresh_age_ms",
-    "has_room",
-    "hold_lease",
+    "handle_proposal_requests",
+    "has_queue_capacity",
     "is_following",
     "is_fresh",
     "is_scheduler",
     "issue_read",
-    "leave",
+    "monitor_holder",
     "propose",
     "request_barrier",
     "send_proposals",
-    "take_wishes",
+    "stop_gracefully",
     "write_snapshots",
 ]
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -1,4 +1,4 @@
-"""Announcing this process in the log, and its graceful leave."""
+"""Announcement of this process in the log, and its graceful stop."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.propose import propose
@@ -13,26 +13,28 @@
 from kingcuppost.tables.request import ServedState
 from kingcuppost.tables.world import World
 
-__all__ = ["announce", "leave"]
+__all__ = ["announce", "stop_gracefully"]
 
 EXIT_STOPPED = 0
-EXIT_CUT = 1
+EXIT_FORCED = 1
 
 
 @system(Phase.MEMBERSHIP, order=10)
 def announce(world: World, now_ms: int) -> None:
-    """Keep this process announced under its present incarnation."""
+    """Propose an announcement until the log has this process's current incarnation."""
     if not world.log_view.caught_up or world.stopping:
         return
     if world.announcement.record_id in world.proposals:
         return
-    if _announced(world):
+    if _is_announced(world):
         return
-    body = _entry_body(world) if world.cfg.entry else _minion_body(world)
+    body = (
+        _entry_announcement(world) if world.cfg.entry else _minion_announcement(world)
+    )
     world.announcement.record_id = propose(world, body, now_ms)
 
 
-def _announced(world: World) -> bool:
+def _is_announced(world: World) -> bool:
     is_entry = world.identity.role is Role.ENTRY
     table = world.agreed.entries if is_entry else world.agreed.minions
     row = table.get(world.identity.name)
@@ -40,12 +42,12 @@
 
 
 def _peer_address(world: World) -> Address:
-    """Return where other processes of the system reach this one."""
+    """Return the address at which other processes of the system reach this one."""
     bound = Address(world.cfg.peers.host, world.announcement.peer_port)
     return world.cfg.advertised or bound
 
 
-def _entry_body(world: World) -> EntryAnnounce:
+def _entry_announcement(world: World) -> EntryAnnounce:
     ports = world.announcement
     peers = _peer_address(world)
     return EntryAnnounce(
@@ -59,7 +61,7 @@
     )
 
 
-def _minion_body(world: World) -> MinionAnnounce:
+def _minion_announcement(world: World) -> MinionAnnounce:
     cfg = world.cfg.sidecar
     peers = _peer_address(world)
     return MinionAnnounce(
@@ -81,44 +83,46 @@
 
 
 @system(Phase.REPORT, order=10)
-def leave(world: World, now_ms: int) -> None:
-    """Say in the log that the process leaves, finish what runs, then exit.
+def stop_gracefully(world: World, now_ms: int) -> None:
+    """Record the leave in the log, finish the open work, then exit.
 
-    A second request to stop, or the end of the bound, exits at once.
+    A second stop request, or the end of the time limit, exits at once.
     """
     for _ in world.inbox.take(StopRequested):
         if world.stopping:
-            world.outbox.put(ExitProcess(EXIT_CUT))
+            world.outbox.put(ExitProcess(EXIT_FORCED))
             return
-        _begin(world, now_ms)
+        _begin_stop(world, now_ms)
     if not world.stopping:
         return
     if now_ms >= world.announcement.stop_deadline_ms:
-        note(world, "stop.cut", "The bound of the graceful stop is over.")
-        world.outbox.put(ExitProcess(EXIT_CUT))
-    elif _idle(world) and (_left(world) or _waited(world, now_ms)):
+        note(world, "stop.cut", "The time limit of the graceful stop is over.")
+        world.outbox.put(ExitProcess(EXIT_FORCED))
+    elif _is_idle(world) and (
+        _is_leave_folded(world) or _has_leave_timed_out(world, now_ms)
+    ):
         world.outbox.put(ExitProcess(EXIT_STOPPED))
 
 
-def _begin(world: World, now_ms: int) -> None:
+def _begin_stop(world: World, now_ms: int) -> None:
     world.stopping = True
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     world.announcement.stop_deadline_ms = now_ms + bound_ms
     world.deadlines.add(world.announcement.stop_deadline_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
-    world.announcement.leave_id = propose(world, body, now_ms)
-    note(world, "stop.begin", "A graceful stop begins.")
+    world.announcement.leave_record_id = propose(world, body, now_ms)
+    note(world, "stop.begin", "The graceful stop begins.")
 
 
-def _idle(world: World) -> bool:
+def _is_idle(world: World) -> bool:
     open_work = len(world.requests) + len(world.attempts)
     for state in (ServedState.WAITING, ServedState.RUNNING):
         open_work += world.served.count("state", state)
     return open_work == 0
 
 
-def _waited(world: World, now_ms: int) -> bool:
-    """Return whether the log had its time to take the leave."""
+def _has_leave_timed_out(world: World, now_ms: int) -> bool:
+    """Return whether the time for the log to accept the leave notice is over."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
     until_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
@@ -126,9 +130,9 @@
     return now_ms >= until_ms
 
 
-def _left(world: World) -> bool:
-    """Return whether the leave is folded."""
-    if world.announcement.leave_id not in world.proposals:
+def _is_leave_folded(world: World) -> bool:
+    """Return whether this process has folded its leave notice."""
+    if world.announcement.leave_record_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
     table = world.agreed.entries if is_entry else world.agreed.minions
--- a/kingcuppost/systems/agreement/wishes.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -1,4 +1,4 @@
-"""Completing what operators leave out of a change."""
+"""Default values for the fields that operators leave out of a change."""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -17,49 +17,51 @@
 from kingcuppost.utils.identifiers import new_identifier
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["complete"]
+__all__ = ["fill_in_defaults"]
 
 completers: Registry[type, Callable[[World, Any], RecordBody]] = Registry("completer")
 
 
-def complete(world: World, body: RecordBody) -> RecordBody:
-    """Return a body with the names and base offsets that were left out."""
+def fill_in_defaults(world: World, body: RecordBody) -> RecordBody:
+    """Return a record body with omitted names and base offsets filled in."""
     if type(body) not in completers:
         return body
     return completers[type(body)](world, body)
 
 
-def _base_of(row: Any, base_offset: int) -> int:
+def _base_offset_of(row: Any, base_offset: int) -> int:
     if base_offset != ANY_OFFSET:
         return base_offset
     return row.offset if row is not None else 0
 
 
 @completers.register(JobSubmit)
-def complete_job(world: World, body: JobSubmit) -> JobSubmit:
-    """Name a job that has no name."""
+def fill_in_job(world: World, body: JobSubmit) -> JobSubmit:
+    """Generate a name for a job that has none."""
     if body.job:
         return body
     return replace(body, job=new_identifier(world.rng, "job"))
 
 
 @completers.register(TeamPut)
-def complete_team(world: World, body: TeamPut) -> TeamPut:
-    """Take the team as this process knows it for the base of the change."""
+def fill_in_team(world: World, body: TeamPut) -> TeamPut:
+    """Set the base offset from the team's row in this process's view."""
     row = world.agreed.teams.get(body.name)
-    return replace(body, base_offset=_base_of(row, body.base_offset))
+    return replace(body, base_offset=_base_offset_of(row, body.base_offset))
 
 
 @completers.register(ZonePut)
-def complete_zone(world: World, body: ZonePut) -> ZonePut:
-    """Take the zone as this process knows it for the base of the change."""
+def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
+    """Set the base offset from the zone's row in this process's view."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
-    return replace(body, region=region, base_offset=_base_of(row, body.base_offset))
+    return replace(
+        body, region=region, base_offset=_base_offset_of(row, body.base_offset)
+    )
 
 
 @completers.register(SettingPut)
-def complete_setting(world: World, body: SettingPut) -> SettingPut:
-    """Take the key as this process knows it for the base of the change."""
+def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
+    """Set the base offset from the setting's row in this process's view."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
-    return replace(body, base_offset=_base_of(row, body.base_offset))
+    return replace(body, base_offset=_base_offset_of(row, body.base_offset))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -1,4 +1,4 @@
-"""Following the log: reads, the fold in offset order, and freshness."""
+"""Follow the log: issue reads and fold their records in offset order."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.agreement.freshness import (
@@ -6,18 +6,18 @@
     is_fresh,
     request_barrier,
 )
-from kingcuppost.systems.agreement.search import (
+from kingcuppost.systems.agreement.snapshot_search import (
     begin_search,
+    handle_search_read,
     is_search_due,
-    take_search_read,
 )
-from kingcuppost.systems.agreement.snapshots import watch_part
+from kingcuppost.systems.agreement.snapshots import track_snapshot_part
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import FoldInput, apply_record
 from kingcuppost.systems.record_events import note_record
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreed_rows import RecentRecord
-from kingcuppost.tables.agreement import FoldResult, ReadUnderWay
+from kingcuppost.tables.agreement import FoldResult, PendingRead
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
@@ -26,27 +26,27 @@
 
 __all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "request_barrier"]
 
-READS_UNDER_WAY = 4
-MOST_DOUBLINGS = 3
+MAX_PENDING_READS = 4
+MAX_DOUBLINGS = 3
 
 
 @system(Phase.FOLD, order=10)
 def fold_reads(world: World, now_ms: int) -> None:
-    """Apply what the log answered, in offset order.
+    """Apply the records that the log returned, in offset order.
 
-    Several reads may be under way; what a second one repeats is passed over.
+    Several reads may be pending; records that were already folded are skipped.
     """
     for done in world.inbox.take(ReadDone):
         read = world.log_view.reads.pop(done.read_id, None)
         if read is None:
             continue
         if not done.ok:
-            _note_failed_read(world, done, now_ms)
+            _schedule_retry(world, done, now_ms)
             continue
         world.log_view.failed_reads = 0
-        _drop_overtaken(world, read, now_ms)
+        _drop_superseded_reads(world, read, now_ms)
         if world.log_view.search is not None:
-            take_search_read(world, done, now_ms)
+            handle_search_read(world, done, now_ms)
         elif is_search_due(world, done):
             begin_search(world, done, now_ms)
         else:
@@ -54,11 +54,11 @@
             world.log_view.next_read_ms = now_ms
 
 
-def _drop_overtaken(world: World, answered: ReadUnderWay, now_ms: int) -> None:
-    """Forget late reads that were sent before one that is answered.
+def _drop_superseded_reads(world: World, answered: PendingRead, now_ms: int) -> None:
+    """Drop late reads that were sent before a read that was answered.
 
-    Their connections are silent; while they counted as under way, every tick
-    would send another read beside them.
+    Their connections do not respond. If they still counted as pending, every tick
+    would issue another hedged read.
     """
     reads = world.log_view.reads
     for read_id, read in list(reads.items()):
@@ -66,51 +66,56 @@
             del reads[read_id]
 
 
-def _fold_read(world: World, done: ReadDone, read: ReadUnderWay, now_ms: int) -> None:
+def _fold_read(world: World, done: ReadDone, read: PendingRead, now_ms: int) -> None:
     view = world.log_view
     for item in done.records:
-        _fold_one(world, item)
+        _fold_record(world, item)
     view.folded_offset = max(view.folded_offset, done.end)
-    _note_head(world, done, read.sent_ms, now_ms)
+    _update_head(world, done, read.sent_ms, now_ms)
 
 
-def _note_failed_read(world: World, done: ReadDone, now_ms: int) -> None:
-    """Pause before the next read, longer and at random while the log is down.
+def _schedule_retry(world: World, done: ReadDone, now_ms: int) -> None:
+    """Delay the next read, with exponential backoff and jitter.
 
-    Processes that lost the log together must not come back to it together.
+    The jitter keeps processes that lost the log at the same time from all
+    reconnecting at the same time.
     """
     view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
-    retry_ms *= 2 ** min(view.failed_reads, MOST_DOUBLINGS)
+    retry_ms *= 2 ** min(view.failed_reads, MAX_DOUBLINGS)
     view.failed_reads += 1
     view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
     world.deadlines.add(view.next_read_ms)
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
-def _note_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
+def _update_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
     view = world.log_view
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
         return
     view.fresh_as_of_ms = max(view.fresh_as_of_ms, sent_ms)
-    view.heard_ms = now_ms
+    view.last_answer_ms = now_ms
     if view.barrier_ms >= 0 and sent_ms >= view.barrier_ms:
         view.barrier_ms = -1
     if not view.caught_up:
         view.caught_up = True
         view.searched = False
         world.snapshots.wall_ms = world.snapshots.wall_ms or world.clock.wall_ms()
-        note(world, "log.follow", f"Caught up at offset {view.folded_offset}.")
+        note(
+            world,
+            "log.follow",
+            f"Caught up with the log at offset {view.folded_offset}.",
+        )
 
 
-def _fold_one(world: World, item: FoldedRecord) -> None:
+def _fold_record(world: World, item: FoldedRecord) -> None:
     view = world.log_view
     if item.offset <= view.folded_offset:
         return
     view.folded_offset = item.offset
     if isinstance(item.record.body, SnapshotPart):
-        watch_part(world, item)
+        track_snapshot_part(world, item)
         return
     known = world.agreed.recent.get(item.record.record_id)
     if known is not None:
@@ -120,32 +125,35 @@
         reason = rejection.reason if rejection else ""
         is_possible_repeat = rejection is not None and rejection.is_possible_repeat
         fold_result = FoldResult(
-            rejection is None, item.offset, reason, unknown=is_possible_repeat
+            rejection is None,
+            item.offset,
+            reason,
+            is_possible_repeat=is_possible_repeat,
         )
     if item.record.record_id in world.proposals:
         world.fold_results[item.record.record_id] = fold_result
-    note_record(world, item.record, item.offset, _fault_text(fold_result, known))
+    note_record(world, item.record, item.offset, _rejection_text(fold_result, known))
 
 
-def _fault_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
+def _rejection_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
     if known is not None:
-        return f"a repeat of offset {known.offset}"
+        return f"repeats the record at offset {known.offset}"
     return "" if fold_result.accepted else fold_result.reason
 
 
 @system(Phase.PROPOSE, order=10)
 def issue_read(world: World, now_ms: int) -> None:
-    """Keep one timely read under way.
+    """Keep one read pending that is not overdue.
 
-    A read that waits at the log is cut short for a barrier, and one that is late
-    is not waited for: another goes out beside it, on a new connection.
+    A long poll does not satisfy a barrier, and an overdue read is not waited for:
+    in both cases another read is sent; for an overdue one, on a new connection.
     """
     view = world.log_view
     timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
     if timely:
         world.deadlines.add(min(read.late_ms for read in timely))
         return
-    if len(view.reads) >= READS_UNDER_WAY:
+    if len(view.reads) >= MAX_PENDING_READS:
         return
     if now_ms < view.next_read_ms:
         world.deadlines.add(view.next_read_ms)
@@ -153,14 +161,15 @@
     _send_read(world, now_ms)
 
 
-def _is_timely(world: World, read: ReadUnderWay, now_ms: int) -> bool:
-    """Return whether a read may be waited for.
+def _is_timely(world: World, read: PendingRead, now_ms: int) -> bool:
+    """Return whether to wait for a pending read instead of sending another.
 
-    One that waits at the log is cut short by a barrier, or by an append that was
-    sent after it and is late: the log may be slow, and the read miss the record.
+    A long poll that was sent before the barrier is not waited for. Nor is a read
+    that was sent no later than an append that is now overdue: the log may be slow,
+    and the read may miss the appended record.
     """
     view = world.log_view
-    if read.waits and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
+    if read.is_long_poll and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
         return False
     late_ms = effective_value(world.agreed, "log.late_ms")
     append_ms = min(view.appends.values(), default=now_ms)
@@ -172,12 +181,12 @@
 def _send_read(world: World, now_ms: int) -> None:
     view = world.log_view
     hedge = any(now_ms >= read.late_ms for read in view.reads.values())
-    waits = view.caught_up and view.barrier_ms < 0 and not view.reads
-    wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if waits else 0
+    is_long_poll = view.caught_up and view.barrier_ms < 0 and not view.reads
+    wait_ms = effective_value(world.agreed, "log.poll_wait_ms") if is_long_poll else 0
     late_ms = now_ms + wait_ms + effective_value(world.agreed, "log.late_ms")
     timeout_ms = wait_ms + effective_value(world.agreed, "log.timeout_ms")
     after = view.search.after if view.search else view.folded_offset
     read_id = new_identifier(world.rng, "read")
-    view.reads[read_id] = ReadUnderWay(now_ms, late_ms, waits)
+    view.reads[read_id] = PendingRead(now_ms, late_ms, is_long_poll)
     world.deadlines.add(late_ms)
     world.outbox.put(ReadLog(read_id, after, wait_ms, timeout_ms, hedge))
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -1,7 +1,7 @@
-"""Proposing records and learning from the fold what became of them."""
+"""Propose records for the log, and report the result of their fold."""
 
 from kingcuppost.settings import effective_value
-from kingcuppost.systems.agreement.wishes import complete
+from kingcuppost.systems.agreement.change_defaults import fill_in_defaults
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import Rejection, check_body
 from kingcuppost.systems.record_events import note_proposal
@@ -18,17 +18,17 @@
 
 __all__ = [
     "answer_proposers",
-    "has_room",
+    "handle_proposal_requests",
+    "has_queue_capacity",
     "propose",
-    "take_wishes",
 ]
 
-STATUS_ACCEPTED = 200
-STATUS_MISSING = 404
-STATUS_LOST_RACE = 409
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
 STATUS_INVALID = 422
-STATUS_NOT_RUN = 503
-STATUS_UNKNOWN = 504
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
 STEP = "change"
 
 
@@ -48,15 +48,15 @@
     world : World
         Tables of the process.
     body : Body
-        What the record says.
+        Content of the record.
     now_ms : int
-        Monotonic time.
+        Current monotonic time, in ms.
     author : str
-        Who wants it; the process itself if empty.
+        Operator or process that proposes it; this process if empty.
     exchange_id : str
-        HTTP exchange that waits for the verdict.
+        HTTP exchange that waits for the result of the fold; empty if none.
     give_up_ms : int
-        When the exchange is told that the outcome is unknown; 0 for never.
+        When the exchange is answered even without a result; 0 for never.
 
     Returns
     -------
@@ -87,52 +87,59 @@
     return record.record_id
 
 
-def has_room(world: World) -> bool:
-    """Return whether one more record that somebody asks for may be queued."""
+def has_queue_capacity(world: World) -> bool:
+    """Return whether the queue accepts one more requested record."""
     limit = effective_value(world.agreed, "log.queue_limit")
     return len(world.proposals) < limit
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=10)
-def take_wishes(world: World, now_ms: int) -> None:
-    """Check what operators and callers want appended, and queue it."""
+def handle_proposal_requests(world: World, now_ms: int) -> None:
+    """Check the records that operators and callers request, and queue them."""
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
-    for wish in world.inbox.take(Propose):
-        body = complete(world, wish.body)
+    for request in world.inbox.take(Propose):
+        body = fill_in_defaults(world, request.body)
         rejection = check_body(world.agreed, body)
         if not world.log_view.caught_up:
-            _refuse(world, wish.exchange_id, STATUS_NOT_RUN, "the log is not read yet")
+            _refuse_change(
+                world,
+                request.exchange_id,
+                STATUS_UNAVAILABLE,
+                "the log is not read yet",
+            )
         elif rejection is not None:
-            _refuse(world, wish.exchange_id, _status_of(rejection), rejection.reason)
-        elif not has_room(world):
-            reason = f"{len(world.proposals)} records wait for the log"
-            _refuse(world, wish.exchange_id, STATUS_NOT_RUN, reason)
+            _refuse_change(
+                world, request.exchange_id, _status_of(rejection), rejection.reason
+            )
+        elif not has_queue_capacity(world):
+            reason = f"{len(world.proposals)} records are queued for the log"
+            _refuse_change(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
         else:
             propose(
                 world,
                 body,
                 now_ms,
-                author=wish.author,
-                exchange_id=wish.exchange_id,
+                author=request.author,
+                exchange_id=request.exchange_id,
                 give_up_ms=now_ms + timeout_ms,
             )
 
 
 def _status_of(rejection: Rejection) -> int:
-    if rejection.missing:
-        return STATUS_MISSING
-    return STATUS_LOST_RACE if rejection.lost_race else STATUS_INVALID
+    if rejection.is_not_found:
+        return STATUS_NOT_FOUND
+    return STATUS_CONFLICT if rejection.is_conflict else STATUS_INVALID
 
 
-def _refuse(world: World, exchange_id: str, status: int, reason: str) -> None:
-    note(world, "change.refuse", f"Change not made: {reason}.")
+def _refuse_change(world: World, exchange_id: str, status: int, reason: str) -> None:
+    note(world, "change.refuse", f"Change refused: {reason}.")
     refusal = ChangeRefused(Outcome.NOT_RUN, STEP, world.identity.name, reason)
     world.outbox.put(Reply(exchange_id, status, refusal))
 
 
 @system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
-    """Tell waiting exchanges what the fold made of their records."""
+    """Answer the exchanges whose records were folded or timed out."""
     for record_id, fold_result in world.fold_results.items():
         proposal = world.proposals.delete(record_id)
         if proposal is not None and proposal.exchange_id:
@@ -140,45 +147,45 @@
     world.fold_results.clear()
     for proposal in world.proposals:
         if proposal.exchange_id and 0 < proposal.give_up_ms <= now_ms:
-            _give_up(world, proposal)
+            _abandon_proposal(world, proposal)
 
 
 def _reply_of(world: World, proposal: Proposal, fold_result: FoldResult) -> Reply:
-    if fold_result.unknown:
-        return _unknown(proposal, fold_result.reason)
+    if fold_result.is_possible_repeat:
+        return _unknown_reply(proposal, fold_result.reason)
     if fold_result.accepted:
-        name = _name_of(proposal)
+        name = _subject_name(proposal)
         accepted = ChangeAccepted(fold_result.offset, proposal.record_id, name)
-        return Reply(proposal.exchange_id, STATUS_ACCEPTED, accepted)
+        return Reply(proposal.exchange_id, STATUS_OK, accepted)
     refusal = ChangeRefused(
         Outcome.NOT_RUN, STEP, f"log offset {fold_result.offset}", fold_result.reason
     )
-    return Reply(proposal.exchange_id, STATUS_LOST_RACE, refusal)
+    return Reply(proposal.exchange_id, STATUS_CONFLICT, refusal)
 
 
-def _name_of(proposal: Proposal) -> str:
+def _subject_name(proposal: Proposal) -> str:
     body = proposal.record.body
     return getattr(body, "job", "") or getattr(body, "name", "")
 
 
-def _unknown(proposal: Proposal, reason: str) -> Reply:
-    """Return an answer that names the record, so that its fate can be looked up."""
-    name = _name_of(proposal)
+def _unknown_reply(proposal: Proposal, reason: str) -> Reply:
+    """Return an answer that names the record, so that its outcome can be looked up."""
+    name = _subject_name(proposal)
     what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
     unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
-    return Reply(proposal.exchange_id, STATUS_UNKNOWN, unknown)
+    return Reply(proposal.exchange_id, STATUS_GATEWAY_TIMEOUT, unknown)
 
 
-def _give_up(world: World, proposal: Proposal) -> None:
-    """Answer "unknown" if the record may be in the log, else withdraw it.
+def _abandon_proposal(world: World, proposal: Proposal) -> None:
+    """Answer "unknown" if the record may be in the log, else "not run".
 
-    Either way it is not sent again, so that a later try can't meet it twice; a
-    copy that is on its way takes effect or not by its place in the log.
+    Either way it is not sent again, so that it cannot take effect beside a later
+    retry. A copy that is still in flight takes effect, or not, by its offset.
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
-        reason = "the log did not take it in time"
-        _refuse(world, proposal.exchange_id, STATUS_NOT_RUN, reason)
+        reason = "the log did not accept it in time"
+        _refuse_change(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
-    world.outbox.put(_unknown(proposal, "the log did not confirm it in time"))
+    world.outbox.put(_unknown_reply(proposal, "the log did not confirm it in time"))
--- a/kingcuppost/systems/agreement/search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -1,4 +1,4 @@
-"""Starting from the newest whole snapshot instead of from an expired offset."""
+"""Load the newest complete snapshot when records have expired or lag is large."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -8,35 +8,36 @@
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
-__all__ = ["begin_search", "is_search_due", "take_search_read"]
+__all__ = ["begin_search", "handle_search_read", "is_search_due"]
 
-LAG_RECORDS = 1_000
-SEARCH_RECORDS = 200
+MAX_LAG_RECORDS = 1_000
+SEARCH_WINDOW_RECORDS = 200
 
 
 def is_search_due(world: World, done: ReadDone) -> bool:
-    """Return whether the next records are gone, or too many to fold one by one."""
+    """Return whether the next records have expired, or are too many to fold."""
     view = world.log_view
-    if _is_gap(view, done.earliest):
+    if _has_expired_records(view, done.earliest):
         return True
-    return not view.searched and done.head - view.folded_offset > LAG_RECORDS
+    return not view.searched and done.head - view.folded_offset > MAX_LAG_RECORDS
 
 
-def _is_gap(view: LogView, earliest: int) -> bool:
+def _has_expired_records(view: LogView, earliest: int) -> bool:
     return view.folded_offset + 1 < earliest
 
 
 def begin_search(world: World, done: ReadDone, now_ms: int) -> None:
-    """Look for a snapshot backwards from the head.
+    """Start a search for a snapshot, backwards from the head.
 
-    Until one is loaded, this process does not count as caught up or fresh.
+    If the next record has expired, this process is neither caught up nor fresh
+    until a snapshot is loaded.
     """
     view = world.log_view
-    if _is_gap(view, done.earliest):
+    if _has_expired_records(view, done.earliest):
         view.caught_up = False
         view.fresh_as_of_ms = -1
-        view.heard_ms = -1
-        text = f"Offset {view.folded_offset + 1} has expired; looking for a snapshot."
+        view.last_answer_ms = -1
+        text = f"Offset {view.folded_offset + 1} has expired; searching for a snapshot."
         note(world, "log.expired", text)
     view.reads.clear()
     view.next_read_ms = now_ms
@@ -44,35 +45,40 @@
     view.search = SnapshotSearch(done.head, after, done.earliest)
 
 
-def _window_start(top: int, earliest: int) -> int:
-    return max(earliest - 1, top - SEARCH_RECORDS)
+def _window_start(upper_offset: int, earliest: int) -> int:
+    return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def take_search_read(world: World, done: ReadDone, now_ms: int) -> None:
-    """Keep the parts of one window, load a whole snapshot, or look further back."""
+def handle_search_read(world: World, done: ReadDone, now_ms: int) -> None:
+    """Collect the parts in one window; load a complete snapshot or search on."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
     search.earliest = max(search.earliest, done.earliest)
-    _keep_parts(search, done)
-    if found := _newest_whole(search, view.folded_offset):
-        _load(world, found)
+    _collect_parts(search, done)
+    if found := _newest_complete_snapshot(search, view.folded_offset):
+        _load_snapshot(world, found)
     elif search.after > search.earliest - 1:
-        search.top = search.after
-        search.after = _window_start(search.top, search.earliest)
+        search.upper_offset = search.after
+        search.after = _window_start(search.upper_offset, search.earliest)
     else:
-        _give_up(world, search, now_ms)
+        _end_search(world, search, now_ms)
 
 
-def _keep_parts(search: SnapshotSearch, done: ReadDone) -> None:
+def _collect_parts(search: SnapshotSearch, done: ReadDone) -> None:
     for item in done.records:
         body = item.record.body
         if isinstance(body, SnapshotPart):
             search.parts.setdefault(body.snapshot_id, {})[body.index] = body
 
 
-def _newest_whole(search: SnapshotSearch, folded_offset: int) -> list[SnapshotPart]:
-    """Return the parts of the best snapshot whose tail is still there."""
+def _newest_complete_snapshot(
+    search: SnapshotSearch, folded_offset: int
+) -> list[SnapshotPart]:
+    """Return the parts of the newest complete snapshot that can be used.
+
+    The records behind it must not have expired, and it must be ahead of the fold.
+    """
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
         part = next(iter(parts.values()))
@@ -83,19 +89,19 @@
     return best
 
 
-def _load(world: World, parts: list[SnapshotPart]) -> None:
+def _load_snapshot(world: World, parts: list[SnapshotPart]) -> None:
     view = world.log_view
     load_slices(world.agreed, [part.rows for part in parts])
     view.folded_offset = parts[0].covers
     view.search = None
     view.searched = True
     world.snapshots.covers = parts[0].covers
-    _judge_proposals(world)
-    note(world, "log.snapshot", f"Started from the snapshot of {parts[0].covers}.")
+    _resolve_proposals(world)
+    note(world, "log.snapshot", f"Loaded the snapshot at offset {parts[0].covers}.")
 
 
-def _judge_proposals(world: World) -> None:
-    """Tell what became of own records that the snapshot already contains."""
+def _resolve_proposals(world: World) -> None:
+    """Report the results of own proposals that the snapshot already covers."""
     for proposal in world.proposals:
         row = world.agreed.recent.get(proposal.record_id)
         if row is not None:
@@ -103,13 +109,17 @@
             world.fold_results[proposal.record_id] = fold_result
 
 
-def _give_up(world: World, search: SnapshotSearch, now_ms: int) -> None:
-    """Fold record by record if none is missing, else search again later."""
+def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
+    """Fold record by record if none has expired, else search again later."""
     view = world.log_view
     view.search = None
     view.searched = True
-    if not _is_gap(view, search.earliest):
+    if not _has_expired_records(view, search.earliest):
         return
     view.next_read_ms = now_ms + effective_value(world.agreed, "log.search_retry_ms")
     world.deadlines.add(view.next_read_ms)
-    note(world, "log.lost", "The log holds no whole snapshot; nothing can be served.")
+    note(
+        world,
+        "log.lost",
+        "The log has no complete snapshot; this process cannot serve.",
+    )
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -1,4 +1,4 @@
-"""Model check: entries over one log, against a plain fold of its whole history."""
+"""Model-based test: entries on one log against a fold of its whole history."""
 
 import random
 from dataclasses import dataclass, field
@@ -9,10 +9,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from kingcuppost.models.log import record_of, text_of
-from kingcuppost.systems.agreement import search
+from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, record_rules
-from kingcuppost.systems.fold import snapshot as fold_snapshot
+from kingcuppost.systems.fold import snapshot_slices as fold_snapshot
 from kingcuppost.tables.inbox import AppendDone
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import (
@@ -37,13 +37,13 @@
 
 
 def digest(agreed: Agreed) -> str:
-    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLES}
+    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLE_NAMES}
     return repr((tables, agreed.lease, agreed.floors))
 
 
 @dataclass
 class Reference:
-    """A fold of every record that was ever in the log."""
+    """Reference model: a fold of all records that were ever in the log."""
 
     agreed: Agreed = field(default_factory=Agreed)
     offset: int = 0
@@ -59,25 +59,25 @@
     def fold(self, record: Record) -> None:
         self.offset += 1
         if isinstance(record.body, SnapshotPart):
-            self._note_part(record.body)
+            self._record_part(record.body)
         else:
             self._apply(record)
         self.digests[self.offset] = digest(self.agreed)
 
-    def _note_part(self, part: SnapshotPart) -> None:
+    def _record_part(self, part: SnapshotPart) -> None:
         seen = self.parts.setdefault(part.snapshot_id, set())
         seen.add(part.index)
         if len(seen) == part.count:
             self.covers = max(self.covers, part.covers)
 
     def _apply(self, record: Record) -> None:
-        before = digest_of_work(self.agreed)
+        before = work_digest(self.agreed)
         term = getattr(record.body, "term", self.agreed.lease.term)
         old_term = term != self.agreed.lease.term
         rejection = apply_record(self.agreed, FoldInput(self.offset, record))
         if old_term:
             assert rejection is not None
-            assert digest_of_work(self.agreed) == before
+            assert work_digest(self.agreed) == before
         if rejection is None:
             assert record.record_id not in self.accepted
             self.accepted[record.record_id] = self.offset
@@ -86,28 +86,28 @@
         assert holder == lease.incarnation
 
 
-def digest_of_work(agreed: Agreed) -> str:
+def work_digest(agreed: Agreed) -> str:
     return repr((list(agreed.jobs), list(agreed.gangs), agreed.lease))
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Interleaves wishes, losses, repeats, terms, snapshots, retention, restarts."""
+    """Interleave changes, lost and repeated appends, terms, snapshots and restarts."""
 
     def __init__(self) -> None:
         super().__init__()
         self.patch = pytest.MonkeyPatch()
         self.patch.setattr(fold_snapshot, "SLICE_WEIGHT", 4)
-        self.patch.setattr(record_rules, "RECENT_RECORDS", 12)
-        self.patch.setattr(search, "LAG_RECORDS", 15)
-        self.patch.setattr(search, "SEARCH_RECORDS", 6)
-        self.patch.setattr(jobs, "ENDED_JOBS", 2)
+        self.patch.setattr(record_rules, "MAX_RECENT_RECORDS", 12)
+        self.patch.setattr(snapshot_search, "MAX_LAG_RECORDS", 15)
+        self.patch.setattr(snapshot_search, "SEARCH_WINDOW_RECORDS", 6)
+        self.patch.setattr(jobs, "MAX_ENDED_JOBS", 2)
         self.patch.setattr(keys, "MAX_KEY_CLAIMS", 2)
         self.log = FakeLog()
         self.clock = ManualClock(1_000_000)
         self.reference = Reference()
         self.rng = random.Random(5)
         self.seed = 0
-        self.wishes = 0
+        self.request_count = 0
         self.delayed: list[tuple[Record, ...]] = []
         self.settings: dict[str, int] = {}
         self.records: dict[str, str] = {}
@@ -130,11 +130,11 @@
         for record in records:
             self.reference.fold(record_of(text_of(record)))
 
-    def _wish(self, number: int, body: object) -> None:
-        self.wishes += 1
-        exchange_id = f"wish-{self.wishes}"
+    def _request_change(self, number: int, body: object) -> None:
+        self.request_count += 1
+        exchange_id = f"request-{self.request_count}"
         entry = self.entries[number]
-        entry.wish(exchange_id, body)
+        entry.request_change(exchange_id, body)
         for row in entry.world.proposals:
             if row.exchange_id == exchange_id:
                 self.records[exchange_id] = row.record_id
@@ -143,37 +143,41 @@
 
     @rule(number=numbers, value=st.integers(100, 1_900))
     def set_key(self, number: int, value: int) -> None:
-        self._wish(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
+        self._request_change(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
 
     @rule(number=numbers, name=st.sampled_from("ab"))
     def put_team(self, number: int, name: str) -> None:
-        self._wish(number, TeamPut(name, (), 0, ANY_OFFSET))
+        self._request_change(number, TeamPut(name, (), 0, ANY_OFFSET))
 
     @rule(number=numbers, in_service=st.booleans())
     def put_zone(self, number: int, in_service: bool) -> None:
-        self._wish(number, ZonePut("vid-a", "vidzeme", in_service, ANY_OFFSET))
+        self._request_change(
+            number, ZonePut("vid-a", "vidzeme", in_service, ANY_OFFSET)
+        )
 
     @rule(number=numbers, name=st.sampled_from("pqrs"))
     def submit(self, number: int, name: str) -> None:
         body = JobSubmit(name, "a", 1, 0, 1, 1, Urgency.OVERNIGHT, 0, "{}")
-        self._wish(number, body)
+        self._request_change(number, body)
 
     @rule(number=numbers, name=st.sampled_from("pqrs"))
     def cancel(self, number: int, name: str) -> None:
-        self._wish(number, JobCancel(name, "test"))
+        self._request_change(number, JobCancel(name, "test"))
 
     @rule(number=numbers, key=st.sampled_from("klm"), issued=st.integers(0, 9))
     def claim_key(self, number: int, key: str, issued: int) -> None:
-        self._wish(number, KeyClaimPut(key, f"att-{self.wishes}", "m", "i", issued))
+        self._request_change(
+            number, KeyClaimPut(key, f"att-{self.request_count}", "m", "i", issued)
+        )
 
     @rule(back=st.integers(0, 2), name=st.sampled_from("pqrs"))
     def write_in_some_term(self, back: int, name: str) -> None:
         terms = sorted(self.reference.holders)[-3:]
         term = terms[max(0, len(terms) - 1 - back)]
-        self.wishes += 1
+        self.request_count += 1
         body = JobPark(term, name, True, "test")
         seen = self.reference.offset
-        self._append((Record(f"park-{self.wishes}", "test", 0, body, seen),))
+        self._append((Record(f"park-{self.request_count}", "test", 0, body, seen),))
 
     @rule(
         number=numbers, fate=st.sampled_from(["ok", "ok", "lost", "dropped", "later"])
@@ -240,7 +244,7 @@
             self.folded[number] = offset
 
     @invariant()
-    def settings_never_go_back(self) -> None:
+    def settings_never_regress(self) -> None:
         for row in self.reference.agreed.settings:
             assert row.offset >= self.settings.get(row.setting_id, 0)
             self.settings[row.setting_id] = row.offset
@@ -249,7 +253,7 @@
         }
 
     @invariant()
-    def answers_are_true(self) -> None:
+    def answers_match_the_log(self) -> None:
         for entry in self.entries:
             for exchange_id, reply in entry.replies.items():
                 record_id = self.records.get(exchange_id)
--- a/kingcuppost/systems/fold/__init__.py
+++ b/kingcuppost/systems/fold/__init__.py
@@ -1,4 +1,4 @@
-"""The fold of the log: what each record requires and does."""
+"""The fold of the log: the preconditions and effects of each kind of record."""
 
 from kingcuppost.systems.fold import fleet, jobs, keys, teams
 from kingcuppost.systems.fold.record_rules import (
@@ -9,7 +9,7 @@
     check_body,
     checkers,
 )
-from kingcuppost.systems.fold.snapshot import load_slices, slices_of
+from kingcuppost.systems.fold.snapshot_slices import load_slices, slices_of
 
 __all__ = [
     "FoldInput",
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -27,71 +27,74 @@
 FINAL_STATES = frozenset(
     {JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.REFUSED}
 )
-ENDED_GANGS = 1_000
-ENDED_JOBS = 1_000
+MAX_ENDED_GANGS = 1_000
+MAX_ENDED_JOBS = 1_000
 WAITING_STATES = frozenset({JobState.WAITING, JobState.PARKED})
 
 
-def _fault_of_term(agreed: Agreed, term: int) -> Rejection | None:
+def _check_term(agreed: Agreed, term: int) -> Rejection | None:
     if term == agreed.lease.term:
         return None
     return Rejection(
-        f"term {term} is over, term {agreed.lease.term} holds", lost_race=True
+        f"term {term} is over; the current term is {agreed.lease.term}",
+        is_conflict=True,
     )
 
 
-def _fault_of_open_job(agreed: Agreed, name: str) -> Rejection | None:
+def _check_open_job(agreed: Agreed, name: str) -> Rejection | None:
     job = agreed.jobs.get(name)
     if job is None:
-        return Rejection(f"there is no job {name!r}", missing=True)
+        return Rejection(f"there is no job {name!r}", is_not_found=True)
     if job.state in FINAL_STATES:
-        return Rejection(f"job {name} is already {job.state}", lost_race=True)
+        return Rejection(f"job {name} is already {job.state}", is_conflict=True)
     return None
 
 
-def _fault_of_verdict(agreed: Agreed, name: str, term: int) -> Rejection | None:
-    """Return why the scheduler may not refuse or park a job."""
+def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Rejection | None:
+    """Check that a job is waiting and that the term is current."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Rejection(f"job {name} does not wait", lost_race=True)
-    return _fault_of_term(agreed, term)
+        return Rejection(f"job {name} is not waiting", is_conflict=True)
+    return _check_term(agreed, term)
 
 
-def _fault_of_gang(agreed: Agreed, job: str, incarnation: int) -> Rejection | None:
+def _check_gang_exists(agreed: Agreed, job: str, incarnation: int) -> Rejection | None:
     if agreed.gangs.get(gang_key(job, incarnation)) is None:
         return Rejection(
-            f"there is no gang {gang_key(job, incarnation)}", lost_race=True
+            f"there is no gang {gang_key(job, incarnation)}", is_conflict=True
         )
     return None
 
 
 @checkers.register(LeaseClaim)
-def check_claim(agreed: Agreed, body: LeaseClaim) -> Rejection | None:
-    """Refuse a claim that is not based on the present term."""
-    return _fault_of_term(agreed, body.base_term)
+def check_lease_claim(agreed: Agreed, body: LeaseClaim) -> Rejection | None:
+    """Reject a claim that is not based on the current term."""
+    return _check_term(agreed, body.base_term)
 
 
 @appliers.register(LeaseClaim)
-def apply_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
-    """Open a new term, named by the offset of its claim."""
+def apply_lease_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
+    """Open a new term; its number is the offset of the claim."""
     agreed.lease = SchedulingLease(item.offset, body.holder, body.incarnation)
 
 
 @checkers.register(JobSubmit)
-def check_submit(agreed: Agreed, body: JobSubmit) -> Rejection | None:
-    """Refuse unknown teams, taken names and impossible numbers."""
+def check_job_submit(agreed: Agreed, body: JobSubmit) -> Rejection | None:
+    """Reject unknown teams, names in use and invalid sizes."""
     if body.team not in agreed.teams:
-        return Rejection(f"there is no team {body.team!r}", missing=True)
+        return Rejection(f"there is no team {body.team!r}", is_not_found=True)
     if body.job in agreed.jobs:
-        return Rejection(f"there is already a job {body.job!r}", lost_race=True)
+        return Rejection(f"there is already a job {body.job!r}", is_conflict=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
-        return Rejection("a gang has at least one member and no negative needs")
+        return Rejection(
+            "a gang needs at least one member, and no demand may be negative"
+        )
     return None
 
 
 @appliers.register(JobSubmit)
-def apply_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
-    """Create the job, waiting."""
+def apply_job_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
+    """Create the job in the waiting state."""
     agreed.jobs.put(
         Job(
             body.job,
@@ -112,76 +115,79 @@
 
 
 @checkers.register(JobCancel)
-def check_cancel(agreed: Agreed, body: JobCancel) -> Rejection | None:
-    """Refuse to cancel a job that has ended."""
-    return _fault_of_open_job(agreed, body.job)
+def check_job_cancel(agreed: Agreed, body: JobCancel) -> Rejection | None:
+    """Reject the cancellation of a job that has ended."""
+    return _check_open_job(agreed, body.job)
 
 
 @appliers.register(JobCancel)
-def apply_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
-    """End the job; its gangs stop."""
+def apply_job_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
+    """End the job as cancelled, and stop its gangs."""
     _end_job(agreed, body.job, JobState.CANCELLED, body.reason, item)
     for gang in agreed.gangs.find("job", body.job):
         agreed.gangs.update(gang.key, state=GangState.STOPPING, reason="cancelled")
 
 
 @checkers.register(JobRefuse)
-def check_refuse(agreed: Agreed, body: JobRefuse) -> Rejection | None:
-    """Refuse records of an old term and of jobs that run or have ended."""
-    return _fault_of_verdict(agreed, body.job, body.term)
+def check_job_refuse(agreed: Agreed, body: JobRefuse) -> Rejection | None:
+    """Reject records of an old term, and jobs that are not waiting."""
+    return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobRefuse)
-def apply_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
-    """End the job as refused, or as failed if it has run."""
+def apply_job_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
+    """End the job as failed if the record says so, else as refused."""
     state = JobState.FAILED if body.failed else JobState.REFUSED
     _end_job(agreed, body.job, state, body.reason, item)
 
 
 @checkers.register(JobPark)
-def check_park(agreed: Agreed, body: JobPark) -> Rejection | None:
-    """Refuse records of an old term and of jobs that do not wait."""
-    return _fault_of_verdict(agreed, body.job, body.term)
+def check_job_park(agreed: Agreed, body: JobPark) -> Rejection | None:
+    """Reject records of an old term, and jobs that are not waiting."""
+    return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobPark)
-def apply_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
+def apply_job_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
     """Mark the job as parked, or as waiting again."""
     state = JobState.PARKED if body.parked else JobState.WAITING
     agreed.jobs.update(body.job, state=state, reason=body.reason)
 
 
 @checkers.register(GangPlace)
-def check_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
-    """Refuse old terms, wrong incarnations, unknown workers and zones out."""
+def check_gang_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
+    """Reject old terms, wrong incarnations, and workers unknown or out of service."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Rejection(f"job {body.job} does not wait", lost_race=True)
+        return Rejection(f"job {body.job} is not waiting", is_conflict=True)
     if body.incarnation != job.incarnation + 1:
-        return Rejection(f"gang {body.incarnation} is not the next", lost_race=True)
+        return Rejection(
+            f"gang {body.incarnation} is not the next incarnation", is_conflict=True
+        )
     if len(body.placements) != job.members:
         return Rejection(f"job {body.job} has {job.members} members")
-    if rejection := _fault_of_term(agreed, body.term):
+    if rejection := _check_term(agreed, body.term):
         return rejection
-    return _fault_of_placements(agreed, body)
+    return _check_placements(agreed, body)
 
 
-def _fault_of_placements(agreed: Agreed, body: GangPlace) -> Rejection | None:
+def _check_placements(agreed: Agreed, body: GangPlace) -> Rejection | None:
     for placement in body.placements:
         worker = agreed.workers.get(placement.worker)
         if worker is None:
-            return Rejection(f"there is no worker {placement.worker}", lost_race=True)
+            return Rejection(f"there is no worker {placement.worker}", is_conflict=True)
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
             return Rejection(
-                f"availability zone {worker.availability_zone} is out", lost_race=True
+                f"availability zone {worker.availability_zone} is out of service",
+                is_conflict=True,
             )
     return None
 
 
 @appliers.register(GangPlace)
-def apply_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
-    """Create the gang; its members are to be reserved."""
+def apply_gang_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
+    """Create the gang in the reserving state."""
     job = agreed.jobs.get(body.job)
     agreed.jobs.update(
         body.job, state=JobState.ACTIVE, incarnation=body.incarnation, reason=""
@@ -204,19 +210,19 @@
 
 
 @checkers.register(GangRelease)
-def check_release(agreed: Agreed, body: GangRelease) -> Rejection | None:
-    """Refuse old terms, gangs that do not reserve, and zones that are out."""
-    if rejection := _fault_of_term(agreed, body.term):
+def check_gang_release(agreed: Agreed, body: GangRelease) -> Rejection | None:
+    """Reject old terms, gangs that are not reserving, and zones out of service."""
+    if rejection := _check_term(agreed, body.term):
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.RESERVING:
-        return Rejection("the gang is not reserving", lost_race=True)
-    return _fault_of_placements(agreed, gang)
+        return Rejection("the gang is not reserving", is_conflict=True)
+    return _check_placements(agreed, gang)
 
 
 @appliers.register(GangRelease)
-def apply_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
-    """Let all members start."""
+def apply_gang_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
+    """Release the gang, so that all members may start."""
     agreed.gangs.update(
         gang_key(body.job, body.incarnation),
         state=GangState.RELEASED,
@@ -225,19 +231,19 @@
 
 
 @checkers.register(GangStop)
-def check_stop(agreed: Agreed, body: GangStop) -> Rejection | None:
-    """Refuse old terms and gangs that are gone or already stopping."""
-    if rejection := _fault_of_term(agreed, body.term):
+def check_gang_stop(agreed: Agreed, body: GangStop) -> Rejection | None:
+    """Reject old terms, and gangs that have ended or are already stopping."""
+    if rejection := _check_term(agreed, body.term):
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Rejection("the gang is gone or stops already", lost_race=True)
+        return Rejection("the gang has ended or is already stopping", is_conflict=True)
     return None
 
 
 @appliers.register(GangStop)
-def apply_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
-    """Stop all members; remember the worker that failed, if one did."""
+def apply_gang_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
+    """Stop all members; add the worker that failed, if any, to the job's row."""
     key = gang_key(body.job, body.incarnation)
     agreed.gangs.update(
         key, state=GangState.STOPPING, reason=body.reason, grace_ms=body.grace_ms
@@ -250,19 +256,19 @@
 
 
 @checkers.register(GangEnd)
-def check_end(agreed: Agreed, body: GangEnd) -> Rejection | None:
-    """Refuse old terms and gangs that are gone or not stopping."""
-    if rejection := _fault_of_term(agreed, body.term):
+def check_gang_end(agreed: Agreed, body: GangEnd) -> Rejection | None:
+    """Reject old terms, and gangs that have ended or are not stopping."""
+    if rejection := _check_term(agreed, body.term):
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Rejection("the gang is gone or does not stop", lost_race=True)
+        return Rejection("the gang has ended or is not stopping", is_conflict=True)
     return None
 
 
 @appliers.register(GangEnd)
-def apply_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
-    """Free the gang's accelerators; an open job waits again."""
+def apply_gang_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
+    """Free the gang's accelerators; return an active job to the waiting state."""
     _end_gang(agreed, gang_key(body.job, body.incarnation))
     job = agreed.jobs.get(body.job)
     if job.state is JobState.ACTIVE:
@@ -270,11 +276,11 @@
 
 
 @checkers.register(GangFinish)
-def check_finish(agreed: Agreed, body: GangFinish) -> Rejection | None:
-    """Count only the first finish of a gang that was released."""
-    if rejection := _fault_of_open_job(agreed, body.job):
+def check_gang_finish(agreed: Agreed, body: GangFinish) -> Rejection | None:
+    """Accept only the first finish, and only of a gang that was released."""
+    if rejection := _check_open_job(agreed, body.job):
         return rejection
-    if rejection := _fault_of_gang(agreed, body.job, body.incarnation):
+    if rejection := _check_gang_exists(agreed, body.job, body.incarnation):
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if not gang.released_wall_ms:
@@ -283,7 +289,7 @@
 
 
 @appliers.register(GangFinish)
-def apply_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
+def apply_gang_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
     """End the job with its result and free the accelerators."""
     _end_job(agreed, body.job, JobState.DONE, "", item)
     agreed.jobs.update(body.job, result=body.result)
@@ -297,7 +303,7 @@
         name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
     )
     agreed.ended_jobs.put(EndedJob(name, item.offset))
-    while len(agreed.ended_jobs) > ENDED_JOBS:
+    while len(agreed.ended_jobs) > MAX_ENDED_JOBS:
         oldest = agreed.ended_jobs.first().name
         if agreed.gangs.count("job", oldest):
             return
@@ -306,7 +312,10 @@
 
 
 def _end_gang(agreed: Agreed, key: str) -> None:
-    """Free the gang's accelerators, and keep its decision for a while."""
+    """Move the gang to the bounded table of ended gangs, which frees its accelerators.
+
+    That table keeps its decision for later explanation.
+    """
     agreed.ended_gangs.put(agreed.gangs.delete(key))
-    while len(agreed.ended_gangs) > ENDED_GANGS:
+    while len(agreed.ended_gangs) > MAX_ENDED_GANGS:
         agreed.ended_gangs.delete(agreed.ended_gangs.first().key)
--- a/kingcuppost/systems/fold/record_rules.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -1,4 +1,4 @@
-"""Registries of what each kind of record requires and does."""
+"""Registries of the preconditions and effects of each kind of record."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,23 +21,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejection:
-    """Why a record has no effect.
+    """The reason why a record has no effect.
 
     Attributes
     ----------
     reason : str
         One sentence without a full stop.
-    lost_race : bool
-        True if another record came first; a new try may succeed.
-    missing : bool
-        True if the record names something that does not exist.
+    is_conflict : bool
+        Whether another record came first; a retry may succeed.
+    is_not_found : bool
+        Whether the record names something that does not exist.
     is_possible_repeat : bool
-        True if an earlier copy may have taken effect and been forgotten.
+        Whether an earlier copy may have taken effect whose identifier is no longer
+        remembered.
     """
 
     reason: str
-    lost_race: bool = False
-    missing: bool = False
+    is_conflict: bool = False
+    is_not_found: bool = False
     is_possible_repeat: bool = False
 
 
@@ -48,7 +49,7 @@
     Attributes
     ----------
     offset : int
-        Its log offset.
+        Log offset of the record.
     record : Record
         The record.
     """
@@ -57,7 +58,7 @@
     record: Record
 
 
-RECENT_RECORDS = 2_000
+MAX_RECENT_RECORDS = 2_000
 
 Checker = Callable[[Agreed, Any], Rejection | None]
 Applier = Callable[[Agreed, Any, FoldInput], None]
@@ -69,7 +70,7 @@
 def check_body(agreed: Agreed, body: Any) -> Rejection | None:
     """Return why a record body would have no effect now, or None.
 
-    The fold asks this in offset order; an entry asks it before it proposes.
+    The fold calls this in offset order; an entry calls it before it proposes.
     """
     return checkers[type(body)](agreed, body)
 
@@ -77,8 +78,9 @@
 def apply_record(agreed: Agreed, item: FoldInput) -> Rejection | None:
     """Apply one record, or return why it has no effect.
 
-    A repeat of a record under the same identifier has none. A record whose author
-    had folded less than the fold still remembers may be a repeat, and has none.
+    A record is rejected if its identifier was already folded. It is also rejected
+    if its author had folded so little that the record may repeat one whose
+    identifier is no longer remembered.
     """
     if item.record.record_id in agreed.recent:
         return Rejection("the record is a repeat")
@@ -90,15 +92,17 @@
     rejection = check_body(agreed, item.record.body)
     if rejection is None:
         appliers[type(item.record.body)](agreed, item.record.body, item)
-    _remember(agreed, item, rejection)
+    _remember_record(agreed, item, rejection)
     return rejection
 
 
-def _remember(agreed: Agreed, item: FoldInput, rejection: Rejection | None) -> None:
+def _remember_record(
+    agreed: Agreed, item: FoldInput, rejection: Rejection | None
+) -> None:
     reason = rejection.reason if rejection else ""
     agreed.recent.put(
         RecentRecord(item.record.record_id, item.offset, rejection is None, reason)
     )
-    while len(agreed.recent) > RECENT_RECORDS:
-        forgotten = agreed.recent.delete(agreed.recent.first().record_id)
-        agreed.floors.recent_offset = forgotten.offset
+    while len(agreed.recent) > MAX_RECENT_RECORDS:
+        evicted = agreed.recent.delete(agreed.recent.first().record_id)
+        agreed.floors.recent_offset = evicted.offset
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -17,47 +17,52 @@
 
 __all__: list[str] = []
 
-NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
-LARGEST_MEMBERS = 1_024
-LARGEST_ACCELERATORS = 64
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+MAX_MEMBERS = 1_024
+MAX_ACCELERATORS_PER_MEMBER = 64
 
 
-def _race(what: str, row_offset: int, base_offset: int) -> Rejection | None:
+def _check_base_offset(
+    what: str, row_offset: int, base_offset: int
+) -> Rejection | None:
     if row_offset == base_offset:
         return None
     return Rejection(
-        f"{what} was changed at offset {row_offset}, not {base_offset}", lost_race=True
+        f"{what} was last changed at offset {row_offset}, not {base_offset}",
+        is_conflict=True,
     )
 
 
-def _fault_of_shape(shape: Shape) -> str:
-    if not 1 <= shape.members <= LARGEST_MEMBERS:
-        return f"a shape has 1 to {LARGEST_MEMBERS} members, not {shape.members}"
-    if not 1 <= shape.accelerators <= LARGEST_ACCELERATORS:
+def _shape_error(shape: Shape) -> str:
+    if not 1 <= shape.members <= MAX_MEMBERS:
+        return f"a shape must have 1 to {MAX_MEMBERS} members, not {shape.members}"
+    if not 1 <= shape.accelerators <= MAX_ACCELERATORS_PER_MEMBER:
         return (
-            f"a member has 1 to {LARGEST_ACCELERATORS} accelerators, "
+            f"a member must have 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
             f"not {shape.accelerators}"
         )
     if shape.count < 1:
-        return f"a guarantee's count is at least 1, not {shape.count}"
+        return f"a guarantee's count must be at least 1, not {shape.count}"
     return ""
 
 
 @checkers.register(TeamPut)
 def check_team(agreed: Agreed, body: TeamPut) -> Rejection | None:
-    """Refuse bad names and shapes, and changes based on an older row."""
-    if not NAME.fullmatch(body.name):
-        return Rejection(f"{body.name!r} is no name for a team")
+    """Reject invalid names and shapes, and changes based on an outdated row."""
+    if not NAME_PATTERN.fullmatch(body.name):
+        return Rejection(f"{body.name!r} is not a valid team name")
     for shape in body.guarantees:
-        if reason := _fault_of_shape(shape):
+        if reason := _shape_error(shape):
             return Rejection(reason)
     row = agreed.teams.get(body.name)
-    return _race(f"team {body.name}", row.offset if row else 0, body.base_offset)
+    return _check_base_offset(
+        f"team {body.name}", row.offset if row else 0, body.base_offset
+    )
 
 
 @appliers.register(TeamPut)
 def apply_team(agreed: Agreed, body: TeamPut, item: FoldInput) -> None:
-    """Set the team's row."""
+    """Create or replace the team's row."""
     agreed.teams.put(
         Team(
             body.name,
@@ -71,22 +76,24 @@
 
 @checkers.register(ZonePut)
 def check_zone(agreed: Agreed, body: ZonePut) -> Rejection | None:
-    """Refuse bad names, a change of region, and changes based on an older row."""
+    """Reject invalid names, changes of region, and changes based on an outdated row."""
     row = agreed.availability_zones.get(body.name)
     if row is None and not body.region:
-        return Rejection(f"there is no availability zone {body.name!r}", missing=True)
+        return Rejection(
+            f"there is no availability zone {body.name!r}", is_not_found=True
+        )
     for name in (body.name, body.region):
-        if not NAME.fullmatch(name):
-            return Rejection(f"{name!r} is no name for a zone or region")
+        if not NAME_PATTERN.fullmatch(name):
+            return Rejection(f"{name!r} is not a valid name for a zone or region")
     if row is not None and row.region != body.region:
         return Rejection(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
-    return _race(what, row.offset if row else 0, body.base_offset)
+    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(ZonePut)
 def apply_zone(agreed: Agreed, body: ZonePut, item: FoldInput) -> None:
-    """Set the zone's row."""
+    """Create or replace the zone's row."""
     agreed.availability_zones.put(
         AvailabilityZone(
             body.name, body.region, body.in_service, item.offset, item.record.author
@@ -96,22 +103,22 @@
 
 @checkers.register(SettingPut)
 def check_setting(agreed: Agreed, body: SettingPut) -> Rejection | None:
-    """Refuse unknown keys and branches, wrong values, and lost races."""
+    """Reject unknown keys and branches, invalid values, and outdated base offsets."""
     key = KEYS.get(body.key)
     if key is None:
-        return Rejection(f"there is no setting {body.key!r}", missing=True)
+        return Rejection(f"there is no setting {body.key!r}", is_not_found=True)
     if reason := fault_of_path(agreed, body.path):
-        return Rejection(reason, missing=True)
+        return Rejection(reason, is_not_found=True)
     if reason := key.fault_of(body.value):
         return Rejection(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
     what = f"{body.key} on {body.path or 'root'}"
-    return _race(what, row.offset if row else 0, body.base_offset)
+    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(SettingPut)
 def apply_setting(agreed: Agreed, body: SettingPut, item: FoldInput) -> None:
-    """Set the key on its branch; the row of an unset key keeps its offset."""
+    """Set the key on its branch; an unset key keeps a row with its offset."""
     agreed.settings.put(
         Setting(
             setting_id(body.path, body.key),
--- a/kingcuppost/systems/tests/process_harness.py
+++ b/kingcuppost/systems/tests/process_harness.py
@@ -1,4 +1,4 @@
-"""Worlds without sockets: a log, a clock and a worker moved by hand."""
+"""A process without sockets: the test drives its log, clock and worker."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -47,7 +47,7 @@
 from kingcuppost.tables.task import MemberTask, TaskState
 from kingcuppost.utils import ManualClock
 
-HERE = Address("127.0.0.1", 0)
+LOCALHOST = Address("127.0.0.1", 0)
 ZONE = "vid-a"
 START_MS = 1_000_000
 LEASE_MS = 5_000
@@ -55,7 +55,7 @@
 
 
 class FakeLog:
-    """Records with offsets from 1."""
+    """A log of records at offsets from 1."""
 
     def __init__(self) -> None:
         self.records: list[Record] = []
@@ -71,7 +71,7 @@
 
 
 @dataclass
-class HeldTask:
+class FakeTask:
     """A task at the fake worker."""
 
     state: TaskState
@@ -82,12 +82,12 @@
 
 @dataclass
 class FakeWorker:
-    """Holds tasks under leases, as a worker does."""
+    """A worker that keeps tasks under leases."""
 
-    tasks: dict[str, HeldTask] = field(default_factory=dict)
+    tasks: dict[str, FakeTask] = field(default_factory=dict)
     ignores_stop: bool = False
 
-    def lapse(self, now_ms: int) -> None:
+    def expire_leases(self, now_ms: int) -> None:
         for task in self.tasks.values():
             if task.state not in ENDED_STATES and task.lease_ms <= now_ms:
                 task.state = TaskState.STOPPED
@@ -100,14 +100,14 @@
         self.tasks[task_id].result = result
 
     def answer(self, order: Any, now_ms: int) -> WorkerDone:
-        self.lapse(now_ms)
-        name, task_id, ok = self._obey(order, now_ms)
+        self.expire_leases(now_ms)
+        name, task_id, ok = self._carry_out(order, now_ms)
         rows = tuple(
             WorkerTask(key, task.state, task.result) for key, task in self.tasks.items()
         )
         return WorkerDone(name, task_id, ok, rows)
 
-    def _obey(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
+    def _carry_out(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
         if isinstance(order, RenewTasks):
             for lease in order.leases:
                 task = self.tasks.get(lease.task_id)
@@ -115,8 +115,8 @@
                     task.lease_ms = now_ms + lease.lease_ms
             return "renew", "", True
         if isinstance(order, ReserveTask):
-            withheld_types = HeldTask(TaskState.RESERVED, now_ms + order.lease_ms)
-            self.tasks[order.task_id] = withheld_types
+            task = FakeTask(TaskState.RESERVED, now_ms + order.lease_ms)
+            self.tasks[order.task_id] = task
             return "reserve", order.task_id, True
         task = self.tasks.get(order.task_id)
         if isinstance(order, StartTask):
@@ -140,8 +140,8 @@
 class ProcessHarness:
     """One process without sockets.
 
-    The log answers at once while it is up; orders to the worker are obeyed at
-    once unless `withheld_types` keeps their type back.
+    The log answers at once while it is up. The worker carries out orders at once,
+    except orders of `withheld_types`, which are delivered on request.
     """
 
     def __init__(self, cfg: ProcessConfig, log: FakeLog, clock: ManualClock) -> None:
@@ -159,8 +159,8 @@
         return self.clock.now_ms()
 
     def settle(self) -> None:
-        """Tick until nothing more arrives at this instant."""
-        self.worker.lapse(self.now_ms)
+        """Tick until no more messages arrive at this time."""
+        self.worker.expire_leases(self.now_ms)
         for _ in range(100):
             run_tick(self.world, systems_of(self.world.identity.role), self.now_ms)
             for message in self.world.outbox.take_all():
@@ -168,10 +168,10 @@
             self._answer_reads()
             if not len(self.world.inbox):
                 return
-        raise AssertionError("the process does not come to rest")
+        raise AssertionError("the process does not settle")
 
     def run(self, for_ms: int) -> None:
-        """Let time pass in small steps."""
+        """Advance the clock in small steps, and settle after each."""
         for _ in range(for_ms // STEP_MS):
             self.clock.advance(STEP_MS)
             self.settle()
@@ -180,7 +180,7 @@
         return self.world.tasks.get(task_id)
 
     def deliver_withheld(self) -> None:
-        """Let orders that were kept back arrive."""
+        """Deliver the withheld orders to the worker."""
         withheld, self.withheld = self.withheld, []
         for order in withheld:
             self.world.inbox.put(self.worker.answer(order, self.now_ms))
@@ -200,7 +200,7 @@
             self.world.inbox.put(self.worker.answer(message, self.now_ms))
 
     def _answer_reads(self) -> None:
-        """Answer the reads that need not wait at the log any more."""
+        """Answer the reads that have records or do not wait; keep the others."""
         reads, self._reads = self._reads, []
         for read in reads:
             waits = read.wait_ms and read.after >= len(self.log.records)
@@ -224,16 +224,18 @@
 def make_sidecar_harness(
     log: FakeLog, clock: ManualClock, number: int = 0
 ) -> ProcessHarness:
-    """Return a sidecar beside worker `number`."""
-    worker = WorkerConfig("http", f"worker-{number}", "rack-0", HERE, 64, 131_072, 8)
-    sidecar = SidecarConfig("planner", HERE, 8, 64, worker, HERE)
+    """Return a harness of the sidecar beside worker `number`."""
+    worker = WorkerConfig(
+        "http", f"worker-{number}", "rack-0", LOCALHOST, 64, 131_072, 8
+    )
+    sidecar = SidecarConfig("planner", LOCALHOST, 8, 64, worker, LOCALHOST)
     cfg = ProcessConfig(
         Role.SIDECAR,
         f"minion-{number}",
         ZONE,
         "vidzeme",
-        HERE,
-        LogConfig("http", HERE),
+        LOCALHOST,
+        LogConfig("http", LOCALHOST),
         sidecar=sidecar,
         seed=number,
     )
@@ -243,15 +245,15 @@
 def make_entry_harness(
     log: FakeLog, clock: ManualClock, number: int = 0
 ) -> ProcessHarness:
-    """Return an entry."""
+    """Return a harness of entry `number`."""
     cfg = ProcessConfig(
         Role.ENTRY,
         f"entry-{number}",
         ZONE,
         "vidzeme",
-        HERE,
-        LogConfig("http", HERE),
-        entry=EntryConfig(HERE, HERE),
+        LOCALHOST,
+        LogConfig("http", LOCALHOST),
+        entry=EntryConfig(LOCALHOST, LOCALHOST),
         seed=100 + number,
     )
     return ProcessHarness(cfg, log, clock)
@@ -276,7 +278,7 @@
 
 
 def make_cluster_log(workers: int = 2) -> FakeLog:
-    """Return a log with a zone, a team, workers, an entry and a term."""
+    """Return a log with a zone, a team, workers, an entry and a scheduling term."""
     log = FakeLog()
     log.add(
         ZonePut(ZONE, "vidzeme", True, 0),
@@ -290,7 +292,7 @@
 
 
 def term_of(log: FakeLog) -> int:
-    """Return the offset of the latest claim."""
+    """Return the scheduling term: the offset of the latest lease claim."""
     offsets = [
         offset
         for offset, row in enumerate(log.records, 1)
@@ -302,7 +304,7 @@
 def place_gang(
     log: FakeLog, job: str, workers: tuple[str, ...], incarnation: int = 1
 ) -> None:
-    """Submit a job unless it is there, and place its gang."""
+    """Submit a job if this is its first gang, and place the gang."""
     if incarnation == 1:
         log.add(
             JobSubmit(job, "design", len(workers), 1, 1, 1, Urgency.OVERNIGHT, 0, "{}")
@@ -313,5 +315,5 @@
 
 
 def release_gang(log: FakeLog, job: str, incarnation: int = 1) -> None:
-    """Release the gang of a job."""
+    """Release a gang of a job."""
     log.add(GangRelease(term_of(log), job, incarnation))
