--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -81,7 +81,7 @@
         "calls_waiting": len(world.calls),
     }
     for name, value in values.items():
-        yield GaugeMetricFamily(f"{PREFIX}{name}", f"Current {name}.", value=value)
+        yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
 
 
 def metrics_text(world: BatchWorld) -> bytes:
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -137,7 +137,7 @@
 
 def _rejection_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
     if known is not None:
-        return f"repeats the record at offset {known.offset}"
+        return f"a repeat of offset {known.offset}"
     return "" if fold_result.accepted else fold_result.reason
 
 
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -112,7 +112,7 @@
                 world, request.exchange_id, _status_of(rejection), rejection.reason
             )
         elif not has_queue_capacity(world):
-            reason = f"{len(world.proposals)} records are queued for the log"
+            reason = f"{len(world.proposals)} records wait for the log"
             _refuse_change(world, request.exchange_id, STATUS_UNAVAILABLE, reason)
         else:
             propose(
@@ -184,7 +184,7 @@
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
-        reason = "the log did not accept it in time"
+        reason = "the log did not take it in time"
         _refuse_change(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -85,7 +85,7 @@
         row = table.get(body.name)
         if row is not None and row.incarnation == body.incarnation:
             return None
-    return Rejection(f"{body.name} {body.incarnation} is not the announced incarnation")
+    return Rejection(f"{body.name} {body.incarnation} is not the announced process")
 
 
 @appliers.register(MemberLeave)
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -36,7 +36,7 @@
     if term == agreed.lease.term:
         return None
     return Rejection(
-        f"term {term} is over; the current term is {agreed.lease.term}",
+        f"term {term} is over, term {agreed.lease.term} holds",
         is_conflict=True,
     )
 
@@ -54,7 +54,7 @@
     """Check that a job is waiting and that the term is current."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
-        return Rejection(f"job {name} is not waiting", is_conflict=True)
+        return Rejection(f"job {name} does not wait", is_conflict=True)
     return _check_term(agreed, term)
 
 
@@ -86,9 +86,7 @@
     if body.job in agreed.jobs:
         return Rejection(f"there is already a job {body.job!r}", is_conflict=True)
     if body.members < 1 or body.accelerators < 0 or body.cores < 0:
-        return Rejection(
-            "a gang needs at least one member, and no demand may be negative"
-        )
+        return Rejection("a gang has at least one member and no negative needs")
     return None
 
 
@@ -159,11 +157,9 @@
     """Reject old terms, wrong incarnations, and workers unknown or out of service."""
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
-        return Rejection(f"job {body.job} is not waiting", is_conflict=True)
+        return Rejection(f"job {body.job} does not wait", is_conflict=True)
     if body.incarnation != job.incarnation + 1:
-        return Rejection(
-            f"gang {body.incarnation} is not the next incarnation", is_conflict=True
-        )
+        return Rejection(f"gang {body.incarnation} is not the next", is_conflict=True)
     if len(body.placements) != job.members:
         return Rejection(f"job {body.job} has {job.members} members")
     if rejection := _check_term(agreed, body.term):
@@ -179,7 +175,7 @@
         zone = agreed.availability_zones.get(worker.availability_zone)
         if zone is None or not zone.in_service:
             return Rejection(
-                f"availability zone {worker.availability_zone} is out of service",
+                f"availability zone {worker.availability_zone} is out",
                 is_conflict=True,
             )
     return None
@@ -237,7 +233,7 @@
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is GangState.STOPPING:
-        return Rejection("the gang has ended or is already stopping", is_conflict=True)
+        return Rejection("the gang is gone or stops already", is_conflict=True)
     return None
 
 
@@ -262,7 +258,7 @@
         return rejection
     gang = agreed.gangs.get(gang_key(body.job, body.incarnation))
     if gang is None or gang.state is not GangState.STOPPING:
-        return Rejection("the gang has ended or is not stopping", is_conflict=True)
+        return Rejection("the gang is gone or does not stop", is_conflict=True)
     return None
 
 
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -25,7 +25,7 @@
     counts as issued at 0, and is rejected once any key was evicted.
     """
     if body.key in agreed.key_claims:
-        return Rejection(f"key {body.key} is already claimed", is_conflict=True)
+        return Rejection(f"key {body.key} is claimed", is_conflict=True)
     if body.issued_ms <= agreed.floors.key_issued_ms:
         return Rejection(
             f"key {body.key} is too old to tell if it was used", is_possible_repeat=True
@@ -78,9 +78,7 @@
     if claim is None or claim.attempt_id != body.attempt_id:
         return Rejection(f"key {body.key} is not held by {body.attempt_id}")
     if claim.outcome:
-        return Rejection(
-            f"the outcome of key {body.key} is already known", is_conflict=True
-        )
+        return Rejection(f"the outcome of key {body.key} is known", is_conflict=True)
     return None
 
 
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -28,21 +28,21 @@
     if row_offset == base_offset:
         return None
     return Rejection(
-        f"{what} was last changed at offset {row_offset}, not {base_offset}",
+        f"{what} was changed at offset {row_offset}, not {base_offset}",
         is_conflict=True,
     )
 
 
 def _shape_error(shape: Shape) -> str:
     if not 1 <= shape.members <= MAX_MEMBERS:
-        return f"a shape must have 1 to {MAX_MEMBERS} members, not {shape.members}"
+        return f"a shape has 1 to {MAX_MEMBERS} members, not {shape.members}"
     if not 1 <= shape.accelerators <= MAX_ACCELERATORS_PER_MEMBER:
         return (
-            f"a member must have 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
+            f"a member has 1 to {MAX_ACCELERATORS_PER_MEMBER} accelerators, "
             f"not {shape.accelerators}"
         )
     if shape.count < 1:
-        return f"a guarantee's count must be at least 1, not {shape.count}"
+        return f"a guarantee's count is at least 1, not {shape.count}"
     return ""
 
 
@@ -50,7 +50,7 @@
 def check_team(agreed: Agreed, body: TeamPut) -> Rejection | None:
     """Reject invalid names and shapes, and changes based on an outdated row."""
     if not NAME_PATTERN.fullmatch(body.name):
-        return Rejection(f"{body.name!r} is not a valid team name")
+        return Rejection(f"{body.name!r} is no name for a team")
     for shape in body.guarantees:
         if reason := _shape_error(shape):
             return Rejection(reason)
@@ -84,7 +84,7 @@
         )
     for name in (body.name, body.region):
         if not NAME_PATTERN.fullmatch(name):
-            return Rejection(f"{name!r} is not a valid name for a zone or region")
+            return Rejection(f"{name!r} is no name for a zone or region")
     if row is not None and row.region != body.region:
         return Rejection(f"availability zone {body.name} is in region {row.region}")
     what = f"availability zone {body.name}"
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -59,9 +59,7 @@
         found = _place_members(row, job, wanted, lendable.get(row.name, 0))
         placements.extend(found)
         if len(found) < wanted:
-            refused.append(
-                RefusedAlternative(row.name, "not enough free capacity for a member")
-            )
+            refused.append(RefusedAlternative(row.name, "no room for a member"))
         else:
             return Choice(tuple(placements), refused=tuple(refused))
     return Choice(None, refused=tuple(refused))
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -64,14 +64,14 @@
         timeout_ms = max(isolation_ms(world), member_timeout_ms(world, gang))
         unreported_ms = now_ms - _last_report_ms(world, gang, since_ms)
         return (
-            f"no member reported for {timeout_ms} ms"
+            f"no member heard for {timeout_ms} ms"
             if unreported_ms >= timeout_ms
             else ""
         )
     timeout_ms = member_timeout_ms(world, gang)
     if now_ms - since_ms < timeout_ms:
         return ""
-    return f"a member did not report for {timeout_ms} ms and no other is running"
+    return f"a member was not heard for {timeout_ms} ms and no other runs"
 
 
 def member_timeout_ms(world: World, gang: Gang) -> int:
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -131,7 +131,7 @@
     if BROKEN_STATES.intersection(states):
         refusing = {_member_of(row) for row in rows if row.state in BROKEN_STATES}
         _pause_workers(world, gang, refusing, now_ms)
-        _stop(world, gang, "a worker refused a member", now_ms)
+        _stop(world, gang, "a member was refused", now_ms)
     elif states.count(TaskState.RESERVED) == len(gang.placements):
         for placement in gang.placements:
             reset_refusals(world, placement.worker)
@@ -141,9 +141,7 @@
         reserved = {_member_of(row) for row in rows if row.state is TaskState.RESERVED}
         unanswered = set(range(len(gang.placements))) - reserved
         _pause_workers(world, gang, unanswered, now_ms)
-        _stop(
-            world, gang, f"not all members were reserved within {timeout_ms} ms", now_ms
-        )
+        _stop(world, gang, f"not all members reserved in {timeout_ms} ms", now_ms)
     else:
         _schedule_check(world, gang.key, since_ms + timeout_ms)
 
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -129,7 +129,7 @@
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
         return ""
-    return f"the team uses {share.used} of at most {share.limit} accelerators"
+    return f"the team holds {share.used} of at most {share.limit} accelerators"
 
 
 def _build_choice(
@@ -161,9 +161,7 @@
     if job.accelerators.bit_count() > 1 and not excluded:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
-    return Choice(
-        None, refused=(RefusedAlternative("all workers", "not enough free capacity"),)
-    )
+    return Choice(None, refused=(RefusedAlternative("all workers", "no free place"),))
 
 
 def _may_lend(
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -43,7 +43,7 @@
 
 
 def _evacuate(world: World, name: str, with_running: bool, now_ms: int) -> None:
-    reason = f"moved because availability zone {name} is out of service"
+    reason = f"moved, availability zone {name} is out"
     for worker in world.agreed.workers.find("availability_zone", name):
         row = world.scheduling.workers.get(worker.name)
         for key in list(row.allocations) if row is not None else ():
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -176,9 +176,7 @@
     for member in range(len(gang.placements)):
         last_report_ms = monitor.last_report_ms.get(member, monitor.since_ms)
         if member not in monitor.results and now_ms - last_report_ms >= limit_ms:
-            monitor.broken_reason = (
-                f"member {member} was not reported for {limit_ms} ms"
-            )
+            monitor.broken_reason = f"member {member} was silent for {limit_ms} ms"
             note(
                 world,
                 "gang.broken",
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -55,13 +55,13 @@
             f"retry after {RETRY_AFTER_MS} ms"
         )
     if message.issued_ms > world.clock.wall_ms() + MAX_CLOCK_SKEW_MS:
-        return "the issue time of the key lies in the future"
+        return "the key was made in the future"
     if (
         message.key
         and not _is_claimed(world, message)
         and not is_following(world, now_ms)
     ):
-        return "the log is unresponsive, so that no key can be claimed"
+        return "the log is silent, so that no key can be claimed"
     return ""
 
 
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -70,9 +70,9 @@
     row = world.agreed.key_claims.get(request.key)
     minion = world.agreed.minions.get(row.minion)
     if minion is None or minion.incarnation != row.minion_incarnation:
-        reason = "the sidecar process that the claim names has ended"
+        reason = "the process that was to run it has gone"
         if row.outcome == "answered":
-            reason = "it has run, and the sidecar process that had the answer has ended"
+            reason = "it has run, and the process that held the answer has gone"
         close_request(
             world,
             request,
@@ -89,7 +89,7 @@
             Outcome.UNKNOWN,
             minion=row.minion,
             step="claim",
-            reason="the key was used with another body",
+            reason="the key stands for another body",
         )
         return
     send_attempt(world, request, minion, row.attempt_id, row.offset, now_ms)
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -65,7 +65,7 @@
     if minion.state is MemberState.LEAVING:
         return "the minion is leaving"
     if minion.name in request.tried_minions:
-        return "the minion was tried in an earlier attempt"
+        return "the minion was tried before"
     if world.attempts.count("minion", minion.name) >= minion.slots:
         return "no slot is free"
     return ""
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -157,5 +157,5 @@
         attempt.minion,
         "",
         Outcome.UNKNOWN,
-        reason="the sidecar process that was to run it has ended",
+        reason="the process that was to run it has gone",
     )
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -58,15 +58,11 @@
     for message in world.inbox.take(AttemptArrived):
         known = world.served.get(message.attempt_id)
         if message.incarnation != world.identity.incarnation:
-            _reply_unknown(
-                world, message, "the attempt is addressed to another sidecar process"
-            )
+            _reply_unknown(world, message, "another process was meant")
         elif known is not None:
             _handle_known_attempt(world, known, message, now_ms)
         elif may_have_been_evicted(world, message.claim_offset):
-            _reply_unknown(
-                world, message, "the claim is older than the cached attempts"
-            )
+            _reply_unknown(world, message, "the claim is older than the memory")
         else:
             _accept_attempt(world, message, now_ms)
 
@@ -101,7 +97,7 @@
     world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
 ) -> None:
     if known.body != message.body:
-        _reply_unknown(world, message, "the key was used with another body")
+        _reply_unknown(world, message, "the key stands for another body")
         return
     if known.state not in OUTCOME_OF:
         _add_pending_exchange(world, message, now_ms)
