Keep the log line of a graceful stop, which tests of real processes match

The rewording had changed it to "The graceful stop begins."; a test waits for "A graceful stop begins.", and three tests after it found a process stopped.

--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -111,7 +111,7 @@
     world.deadlines.add(world.announcement.stop_deadline_ms)
     body = MemberLeave(world.identity.name, world.identity.incarnation)
     world.announcement.leave_record_id = propose(world, body, now_ms)
-    note(world, "stop.begin", "The graceful stop begins.")
+    note(world, "stop.begin", "A graceful stop begins.")
 
 
 def _is_idle(world: World) -> bool:
