Rename the identifiers of the platform adapter

Functions are verbs with objects, flags start with is_, constants name what they limit, and the module that listens before the libraries are loaded is called early_listener.

--- a/kingcuppost/platform/__main__.py
+++ b/kingcuppost/platform/__main__.py
@@ -4,7 +4,7 @@
 import gc
 import sys
 
-from kingcuppost.platform.early import listen_early
+from kingcuppost.platform.early_listener import listen_early
 from kingcuppost.tables.identity import Role
 
 __all__ = ["main"]
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -26,13 +26,13 @@
 READY_PATH = "/kingcuppost/ready"
 DEFAULT_TIMEOUT_MS = 3_000
 MS_PER_SECOND = 1_000
-BEARER = "Bearer "
-KINDS = {
+BEARER_PREFIX = "Bearer "
+CALL_KINDS = {
     "POST": CallKind.SUBMIT,
     "GET": CallKind.STATE,
     "DELETE": CallKind.CANCEL,
 }
-STATUSES = {
+OUTCOME_STATUSES = {
     CallOutcome.OK: 200,
     CallOutcome.BAD: 400,
     CallOutcome.NO_KEY: 401,
@@ -43,23 +43,23 @@
 }
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
-STATUS_METHOD = 405
+STATUS_METHOD_NOT_ALLOWED = 405
 STATUS_UNAVAILABLE = 503
 
-Count = Annotated[int, Field(ge=0)]
+NonNegativeInt = Annotated[int, Field(ge=0)]
 
 
 class _StepModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
     count: Annotated[int, Field(ge=1)] = 1
     # thousandths of a core
-    cpu: Count = 0
-    memory_mb: Count = Field(0, alias="memMb")
+    cpu: NonNegativeInt = 0
+    memory_mb: NonNegativeInt = Field(0, alias="memMb")
     # accelerators
-    gpu: Count = 0
-    estimate_ms: Count = Field(0, alias="estimateMs")
+    gpu: NonNegativeInt = 0
+    estimate_ms: NonNegativeInt = Field(0, alias="estimateMs")
     # steps that this one waits for
-    needs: tuple[Count, ...] = Field((), alias="dependsOn")
+    needs: tuple[NonNegativeInt, ...] = Field((), alias="dependsOn")
     gang: bool = False
     one_rack: bool = Field(False, alias="sameRack")
     # a label that the minion must have
@@ -67,7 +67,7 @@
     # the rack where the data lies
     rack: str = Field("", alias="affinity")
     # most tasks of the step on one minion
-    most_per_minion: Count = Field(0, alias="antiAffinity")
+    most_per_minion: NonNegativeInt = Field(0, alias="antiAffinity")
     saves: bool = Field(False, alias="checkpointing")
     # tasks that run until their job is cancelled, or that use what others leave
     lasts: bool = Field(False, alias="longRunning")
@@ -83,7 +83,7 @@
     occurrences: int = Field(0, alias="repeatCount")
 
 
-def _step(model: _StepModel) -> StepSpec:
+def _make_step(model: _StepModel) -> StepSpec:
     return StepSpec(
         count=model.count,
         cpu_millis=model.cpu,
@@ -111,22 +111,22 @@
     for number, step in enumerate(model.steps):
         if any(needed >= number for needed in step.needs):
             return Error(f"steps.{number}.dependsOn: names no earlier step")
-    return Ok(SubmittedJob(model.spec, tuple(_step(step) for step in model.steps)))
+    return Ok(SubmittedJob(model.spec, tuple(_make_step(step) for step in model.steps)))
 
 
 @surfaces.register("callers")
 def serve_caller(context: BatchContext, request: Request) -> None:
     """Turn a caller's request into a call."""
     method = request.method.decode("ascii", "replace")
-    if method not in KINDS:
-        answer(request, STATUS_METHOD)
+    if method not in CALL_KINDS:
+        answer(request, STATUS_METHOD_NOT_ALLOWED)
         return
-    kind = KINDS[method]
-    job, fault = None, ""
+    kind = CALL_KINDS[method]
+    job, body_error = None, ""
     if kind is CallKind.SUBMIT:
         parsed = _decode_job(request.content.read())
         job = parsed.default_value(None)
-        fault = parsed.error if parsed.is_error() else ""
+        body_error = parsed.error if parsed.is_error() else ""
     authorization = request.getHeader("authorization") or ""
     text = request.getHeader("deadline-ms") or ""
     context.deliver(
@@ -135,11 +135,11 @@
             kind,
             request.getHeader("host") or "",
             request.path.decode("utf-8", "replace"),
-            authorization.removeprefix(BEARER),
+            authorization.removeprefix(BEARER_PREFIX),
             context.world.clock.now_ms(),
             int(text) if text.isdigit() else DEFAULT_TIMEOUT_MS,
             job,
-            fault,
+            body_error,
         )
     )
 
@@ -160,7 +160,12 @@
     retry_after_s = -(-reply.retry_after_ms // MS_PER_SECOND)
     if context.world.stopping:
         request.setHeader(b"connection", b"close")
-    answer(request, STATUSES[reply.verdict], json.dumps(body).encode(), retry_after_s)
+    answer(
+        request,
+        OUTCOME_STATUSES[reply.verdict],
+        json.dumps(body).encode(),
+        retry_after_s,
+    )
 
 
 @surfaces.register("readiness")
--- a/kingcuppost/platform/framing.py
+++ b/kingcuppost/platform/framing.py
@@ -3,30 +3,35 @@
 import struct
 from collections.abc import Iterator
 
-__all__ = ["frame", "keyed_record", "split_keyed", "split_read"]
+__all__ = [
+    "decode_keyed_record",
+    "decode_read_reply",
+    "encode_keyed_record",
+    "frame_records",
+]
 
-LENGTH = struct.Struct(">I")
-OFFSET = struct.Struct(">Q")
+LENGTH_FIELD = struct.Struct(">I")
+OFFSET_FIELD = struct.Struct(">Q")
 
 
-def frame(records: list[bytes]) -> bytes:
+def frame_records(records: list[bytes]) -> bytes:
     r"""Return records, each behind its length in 4 bytes.
 
     Examples
     --------
-    >>> frame([b"ab"])
+    >>> frame_records([b"ab"])
     b'\x00\x00\x00\x02ab'
     """
-    return b"".join(LENGTH.pack(len(record)) + record for record in records)
+    return b"".join(LENGTH_FIELD.pack(len(record)) + record for record in records)
 
 
-def keyed_record(key: str, value: bytes) -> bytes:
+def encode_keyed_record(key: str, value: bytes) -> bytes:
     """Return the content of a keyed record: length of the key, key, value."""
     name = key.encode()
     return bytes([len(name)]) + name + value
 
 
-def split_keyed(content: bytes) -> tuple[str, bytes]:
+def decode_keyed_record(content: bytes) -> tuple[str, bytes]:
     """Return the key and the value of a keyed record.
 
     Raises
@@ -36,7 +41,7 @@
 
     Examples
     --------
-    >>> split_keyed(keyed_record("a", b"1"))
+    >>> decode_keyed_record(encode_keyed_record("a", b"1"))
     ('a', b'1')
     """
     if not content or len(content) < 1 + content[0]:
@@ -45,7 +50,7 @@
     return content[1 : 1 + size].decode(), content[1 + size :]
 
 
-def split_read(body: bytes) -> tuple[int, int, list[bytes]]:
+def decode_read_reply(body: bytes) -> tuple[int, int, list[bytes]]:
     r"""Return end, first retained offset and records of a read.
 
     Raises
@@ -55,22 +60,23 @@
 
     Examples
     --------
-    >>> split_read(OFFSET.pack(9) + OFFSET.pack(7) + frame([b"a", b"b"]))
+    >>> offsets = OFFSET_FIELD.pack(9) + OFFSET_FIELD.pack(7)
+    >>> decode_read_reply(offsets + frame_records([b"a", b"b"]))
     (9, 7, [b'a', b'b'])
     """
-    if len(body) < 2 * OFFSET.size:
+    if len(body) < 2 * OFFSET_FIELD.size:
         raise ValueError("the answer is shorter than its two offsets")
-    end = OFFSET.unpack_from(body)[0]
-    first = OFFSET.unpack_from(body, OFFSET.size)[0]
-    return end, first, list(_records(body, 2 * OFFSET.size))
+    end = OFFSET_FIELD.unpack_from(body)[0]
+    first_offset = OFFSET_FIELD.unpack_from(body, OFFSET_FIELD.size)[0]
+    return end, first_offset, list(_iterate_records(body, 2 * OFFSET_FIELD.size))
 
 
-def _records(body: bytes, position: int) -> Iterator[bytes]:
+def _iterate_records(body: bytes, position: int) -> Iterator[bytes]:
     while position < len(body):
-        if position + LENGTH.size > len(body):
+        if position + LENGTH_FIELD.size > len(body):
             raise ValueError("a record's length is cut short")
-        size = LENGTH.unpack_from(body, position)[0]
-        position += LENGTH.size
+        size = LENGTH_FIELD.unpack_from(body, position)[0]
+        position += LENGTH_FIELD.size
         if position + size > len(body):
             raise ValueError("a record is cut short")
         yield body[position : position + size]
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -33,17 +33,17 @@
 
 __all__: list[str] = []
 
-BEATS = "/kingcuppost/instances/"
+HEARTBEAT_PATH_PREFIX = "/kingcuppost/instances/"
 INSTANCE_HEADER = "Expect-Instance"
 ORDER_TIMEOUT_MS = 600
 HOLD_MARGIN_MS = 700
 STATUS_OK = 200
-STATUS_BAD = 400
+STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
-STATUS_OTHER_LIFE = 421
+STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
-BUSY = (429, STATUS_UNAVAILABLE)
+BUSY_STATUSES = (429, STATUS_UNAVAILABLE)
 
 
 class _Model(BaseModel):
@@ -58,7 +58,7 @@
     gpu: int = 0
 
 
-class _BeatModel(_Model):
+class _HeartbeatModel(_Model):
     service: str
     address: str
     zone: str
@@ -72,7 +72,7 @@
     remaining_ms: int = Field(0, alias="remainingMs")
 
 
-class _ListsModel(_Model):
+class _HoldReplyModel(_Model):
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
     # rows of task, run, checkpoint and share of work done or paced; more may follow
@@ -85,22 +85,22 @@
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
     """Take a heartbeat or a farewell of the minion, and acknowledge it at once."""
     path = request.path.decode("utf-8", "replace")
-    if not path.startswith(BEATS):
+    if not path.startswith(HEARTBEAT_PATH_PREFIX):
         answer(request, STATUS_NOT_FOUND)
         return
     if context.world.cfg.role is not Role.SIDECAR:
         answer(request, STATUS_UNAVAILABLE)
         return
-    minion = path.removeprefix(BEATS)
-    heard = _heard(context, request, minion)
-    if heard is None:
-        answer(request, STATUS_BAD)
+    minion = path.removeprefix(HEARTBEAT_PATH_PREFIX)
+    heartbeat = _parse_heartbeat(context, request, minion)
+    if heartbeat is None:
+        answer(request, STATUS_BAD_REQUEST)
         return
-    context.deliver(heard)
+    context.deliver(heartbeat)
     answer(request, STATUS_OK, b"{}")
 
 
-def _heard(
+def _parse_heartbeat(
     context: BatchContext, request: Request, minion: str
 ) -> MinionHeartbeat | None:
     if request.method == b"DELETE":
@@ -109,7 +109,7 @@
         )
         return MinionHeartbeat(Address("", 0), report, 0, gone=True)
     try:
-        model = _BeatModel.model_validate_json(request.content.read())
+        model = _HeartbeatModel.model_validate_json(request.content.read())
         address = parse_address(model.address)
     except ValidationError as exc:
         context.world.note(
@@ -135,10 +135,12 @@
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
     """Ask the minion for its lists."""
-    deliver_later(context, _hold(context, message))
+    deliver_later(context, _request_hold(context, message))
 
 
-async def _hold(context: BatchContext, message: HoldMinion) -> HoldMinionAnswered:
+async def _request_hold(
+    context: BatchContext, message: HoldMinion
+) -> HoldMinionAnswered:
     body = {"fencingToken": message.term, "lastSeen": message.acknowledged_end}
     if message.wait_ms:
         body["waitMs"] = message.wait_ms
@@ -164,17 +166,17 @@
         reason = f"status {response.status} {text}"
         return HoldMinionAnswered(incarnation, sent_ms, now_ms, reason=reason)
     try:
-        return _lists(incarnation, sent_ms, now_ms, response.body)
+        return _parse_hold_reply(incarnation, sent_ms, now_ms, response.body)
     except ValueError as exc:
         return HoldMinionAnswered(
             incarnation, sent_ms, now_ms, reason=f"unreadable lists: {exc}"
         )
 
 
-def _lists(
+def _parse_hold_reply(
     incarnation: MinionIncarnation, sent_ms: int, now_ms: int, body: bytes
 ) -> HoldMinionAnswered:
-    model = _ListsModel.model_validate_json(body)
+    model = _HoldReplyModel.model_validate_json(body)
     if model.born and model.born != incarnation.born_ms:
         return HoldMinionAnswered(
             incarnation, sent_ms, now_ms, reason="another life answered"
@@ -207,7 +209,7 @@
     }
     if order.checkpoint:
         body["checkpoint"] = order.checkpoint
-    deliver_later(context, _order(context, message, "run-start", body))
+    deliver_later(context, _send_order(context, message, "run-start", body))
 
 
 @batch_senders.register(StopRun)
@@ -219,16 +221,16 @@
         "run": order.run,
         "fencingToken": message.term,
     }
-    deliver_later(context, _order(context, message, "run-stop", body))
+    deliver_later(context, _send_order(context, message, "run-stop", body))
 
 
-async def _order(
+async def _send_order(
     context: BatchContext, message: StartRun | StopRun, name: str, body: dict
 ) -> OrderAnswered:
     order = message.order
     is_start = isinstance(message, StartRun)
 
-    def answered(outcome: OrderOutcome, reason: str = "") -> OrderAnswered:
+    def make_answer(outcome: OrderOutcome, reason: str = "") -> OrderAnswered:
         return OrderAnswered(
             message.incarnation, order.task, order.run, is_start, outcome, reason
         )
@@ -243,12 +245,14 @@
             {INSTANCE_HEADER: message.incarnation.minion},
         )
     except PeerError as exc:
-        never = exc.step == "connect"
-        return answered(OrderOutcome.BUSY if never else OrderOutcome.UNKNOWN, str(exc))
+        is_unsent = exc.step == "connect"
+        return make_answer(
+            OrderOutcome.BUSY if is_unsent else OrderOutcome.UNKNOWN, str(exc)
+        )
     if response.status == STATUS_OK:
-        return answered(OrderOutcome.DONE)
+        return make_answer(OrderOutcome.DONE)
     text = response.body[:100].decode("utf-8", "replace")
     reason = f"status {response.status} {text}"
-    if response.status in BUSY:
-        return answered(OrderOutcome.BUSY, reason)
-    return answered(OrderOutcome.REFUSED, reason)
+    if response.status in BUSY_STATUSES:
+        return make_answer(OrderOutcome.BUSY, reason)
+    return make_answer(OrderOutcome.REFUSED, reason)
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -16,7 +16,7 @@
 __all__ = ["decode_operator_record"]
 
 CONFIG_KEY = "config"
-EVACUATE = "evacuate"
+EVACUATE_KIND = "evacuate"
 
 
 class _Model(BaseModel):
@@ -52,7 +52,7 @@
     tenants: tuple[_TenantModel, ...] = ()
 
 
-def _configuration(model: _ConfigModel) -> Configuration:
+def _make_configuration(model: _ConfigModel) -> Configuration:
     queues = tuple(
         Queue(
             route.name,
@@ -86,12 +86,14 @@
     >>> decode_operator_record("evacuate/vid-a", b"", "op").ok
     RemovalRecord(key='zone/vid-a')
     """
-    kind, _, rest = key.partition("/")
-    if kind == EVACUATE:
-        return Ok(ZoneRecord(rest) if value else RemovalRecord(f"zone/{rest}"))
+    kind, _, zone = key.partition("/")
+    if kind == EVACUATE_KIND:
+        return Ok(ZoneRecord(zone) if value else RemovalRecord(f"zone/{zone}"))
     if key != CONFIG_KEY or not value:
         return Error(Failure(f"{key} is not acted on", "decode", peer))
     try:
-        return Ok(ConfigRecord(_configuration(_ConfigModel.model_validate_json(value))))
+        return Ok(
+            ConfigRecord(_make_configuration(_ConfigModel.model_validate_json(value)))
+        )
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -19,45 +19,45 @@
 
 __all__ = ["run_role"]
 
-EXIT_INVALID = 2
+EXIT_INVALID_SETTINGS = 2
 # parts that only one role needs are imported from here where that role is set up
-ADAPTER = "kingcuppost.platform"
+ADAPTER_PACKAGE = "kingcuppost.platform"
 
 
 @dataclass(frozen=True, slots=True)
-class Outside:
+class AdapterState:
     """What the adapter keeps beside the product's edges."""
 
     store: object
 
 
-def _run(cfg: PlatformConfig, listener: socket.socket | None) -> int:
+def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
-    context.adapter_state = Outside(StoreClient(context, cfg.store))
+    context.adapter_state = AdapterState(StoreClient(context, cfg.store))
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
     listen(context, "peers", cfg.daemon.peers)
     if cfg.heartbeats is not None:
-        import_module(f"{ADAPTER}.minion")
+        import_module(f"{ADAPTER_PACKAGE}.minion")
         listen(context, "heartbeats", cfg.heartbeats)
     role = cfg.daemon.role
 
-    def read() -> Result[DaemonConfig, Failure]:
-        return read_settings(role).map(lambda changed: changed.daemon)
+    def read_daemon_config() -> Result[DaemonConfig, Failure]:
+        return read_settings(role).map(lambda platform_config: platform_config.daemon)
 
-    return processes.run_batch_process(context, read)
+    return processes.run_batch_process(context, read_daemon_config)
 
 
 def _serve_callers(
     context: BatchContext, cfg: PlatformConfig, listener: socket.socket | None
 ) -> None:
     import_module("kingcuppost.batch.edges.peers")
-    import_module(f"{ADAPTER}.callers")
+    import_module(f"{ADAPTER_PACKAGE}.callers")
     listen(context, "callers", cfg.callers, listener)
     listen(context, "readiness", cfg.readiness)
     for stream in Stream:
         reactor.callWhenRunning(
-            streams.follow, context, context.adapter_state.store, stream
+            streams.follow_stream, context, context.adapter_state.store, stream
         )
 
 
@@ -75,5 +75,5 @@
     if result.is_error():
         failure = result.error
         print(f"kingcuppost: {failure.step}: {failure.reason}", file=sys.stderr)
-        return EXIT_INVALID
-    return _run(result.ok, listener)
+        return EXIT_INVALID_SETTINGS
+    return _run_process(result.ok, listener)
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -13,7 +13,7 @@
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import fault_text
-from kingcuppost.platform.early import SETTINGS_VARIABLE
+from kingcuppost.platform.early_listener import SETTINGS_VARIABLE
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
@@ -22,14 +22,14 @@
 MS_PER_SECOND = 1_000
 
 
-def _check_address(text: str) -> str:
+def _validate_address(text: str) -> str:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
         raise ValueError("is no IP:PORT")
     return text
 
 
-AddressText = Annotated[str, AfterValidator(_check_address)]
+AddressText = Annotated[str, AfterValidator(_validate_address)]
 
 
 class _Model(BaseModel):
@@ -93,11 +93,11 @@
     heartbeats: Address | None
 
 
-def _address(text: str | None) -> Address | None:
+def _parse_optional_address(text: str | None) -> Address | None:
     return None if text is None else parse_address(text)
 
 
-def _bounds(model: _BoundsModel) -> Bounds:
+def _make_bounds(model: _BoundsModel) -> Bounds:
     return Bounds(
         lease_ms=model.hold_max_ms,
         stop_ms=model.stop_ms,
@@ -109,7 +109,7 @@
     )
 
 
-def _config(model: _SettingsModel, role: Role) -> PlatformConfig:
+def _make_config(model: _SettingsModel, role: Role) -> PlatformConfig:
     port = model.ports[0]
     # a seed names the heartbeat port of an entry; its peer port is ours
     seeds = tuple(Address(text.rpartition(":")[0], port) for text in model.seeds)
@@ -119,14 +119,14 @@
         model.zone,
         Address(model.ip, port),
         seeds,
-        _bounds(model.bounds),
+        _make_bounds(model.bounds),
     )
     return PlatformConfig(
         daemon,
-        _address(model.platform.address),
-        _address(model.listen.frontend),
-        _address(model.listen.readiness),
-        _address(model.listen.control),
+        _parse_optional_address(model.platform.address),
+        _parse_optional_address(model.listen.frontend),
+        _parse_optional_address(model.listen.readiness),
+        _parse_optional_address(model.listen.control),
     )
 
 
@@ -135,7 +135,7 @@
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        return Ok(_config(_SettingsModel.model_validate(document), role))
+        return Ok(_make_config(_SettingsModel.model_validate(document), role))
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), f"read {path}"))
     except (OSError, ValueError) as exc:
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -21,15 +21,15 @@
 RELAY_PATH = "/peer/store"
 RELAY_HEADER = "Kingcuppost-Call"
 TIMEOUT_HEADER = "Kingcuppost-Timeout-Ms"
-PROBE_MS = 1_000
+PROBE_PERIOD_MS = 1_000
 PROBE_TIMEOUT_MS = 500
 PROBE_PATH = "/kingcuppost/log-newest?topic=keyed.members&part=0"
 RELAY_MARGIN_MS = 300
-LONGEST_TIMEOUT_MS = 10_000
-STATUS_BAD = 400
+MAX_TIMEOUT_MS = 10_000
+STATUS_BAD_REQUEST = 400
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
-TURNED_AWAY = (429, STATUS_UNAVAILABLE)
+REFUSED_STATUSES = (429, STATUS_UNAVAILABLE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,18 +42,18 @@
         HTTP status.
     body : bytes
         The whole body.
-    doubtful : bool
+    may_have_run : bool
         Whether an earlier copy of the call may have been carried out.
     """
 
     status: int
     body: bytes
-    doubtful: bool = False
+    may_have_run: bool = False
 
     @property
-    def turned_away(self) -> bool:
+    def is_refused(self) -> bool:
         """Whether the store did nothing."""
-        return self.status in TURNED_AWAY
+        return self.status in REFUSED_STATUSES
 
 
 class StoreClient:
@@ -70,7 +70,7 @@
     def __init__(self, context: BatchContext, address: Address) -> None:
         self._context = context
         self.address = address
-        self._is_distrusted = False
+        self._is_unavailable = False
         self._probe_at_ms = 0
         self._next_peer = 0
 
@@ -80,7 +80,7 @@
         path: str,
         body: bytes,
         timeout_ms: int,
-        most_ways: int = 2,
+        max_routes: int = 2,
     ) -> StoreReply:
         """Make a call and return the answer of the first way that is served.
 
@@ -93,40 +93,56 @@
             If no way gave an answer; step ``"connect"`` if the call surely never
             reached the store.
         """
-        ways = [None, self._peer()]
-        if self._is_distrusted:
-            ways.reverse()
-            self._probe()
-        doubtful = False
-        last: StoreReply | PeerError | None = None
-        for way in ways[:most_ways]:
+        call_routes = [None, self._choose_peer()]
+        if self._is_unavailable:
+            call_routes.reverse()
+            self._probe_if_due()
+        may_have_run = False
+        last_result: StoreReply | PeerError | None = None
+        for relay_address in call_routes[:max_routes]:
             try:
-                reply = await self._by(way, method, path, body, timeout_ms)
+                reply = await self._call_through(
+                    relay_address, method, path, body, timeout_ms
+                )
             except PeerError as exc:
-                doubtful = doubtful or exc.step != "connect"
-                last = exc
+                may_have_run = may_have_run or exc.step != "connect"
+                last_result = exc
             else:
-                if not reply.turned_away:
+                if not reply.is_refused:
                     return reply
-                last = reply
-        if isinstance(last, StoreReply):
-            return StoreReply(last.status, last.body, doubtful)
-        raise PeerError(last.reason, "exchange" if doubtful else "connect", last.peer)
+                last_result = reply
+        if isinstance(last_result, StoreReply):
+            return StoreReply(last_result.status, last_result.body, may_have_run)
+        raise PeerError(
+            last_result.reason,
+            "exchange" if may_have_run else "connect",
+            last_result.peer,
+        )
 
-    async def _by(
-        self, way: Address | None, method: str, path: str, body: bytes, timeout_ms: int
+    async def _call_through(
+        self,
+        relay_address: Address | None,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
     ) -> StoreReply:
-        if way is None:
-            return await self.direct(method, path, body, timeout_ms)
+        if relay_address is None:
+            return await self.call_directly(method, path, body, timeout_ms)
         headers = {RELAY_HEADER: f"{method} {path}", TIMEOUT_HEADER: str(timeout_ms)}
         response = await self._context.client.exchange(
-            "POST", way, RELAY_PATH, body, timeout_ms + RELAY_MARGIN_MS, headers
+            "POST",
+            relay_address,
+            RELAY_PATH,
+            body,
+            timeout_ms + RELAY_MARGIN_MS,
+            headers,
         )
         if response.status == STATUS_BAD_GATEWAY:
-            raise PeerError("the relay has no answer", "exchange", str(way))
+            raise PeerError("the relay has no answer", "exchange", str(relay_address))
         return StoreReply(response.status, response.body)
 
-    async def direct(
+    async def call_directly(
         self, method: str, path: str, body: bytes, timeout_ms: int
     ) -> StoreReply:
         """Make a call to the store itself, and note whether this machine is served."""
@@ -135,68 +151,76 @@
                 method, self.address, path, body, timeout_ms
             )
         except PeerError as exc:
-            self._distrust(str(exc))
+            self._mark_unavailable(str(exc))
             raise
         reply = StoreReply(response.status, response.body)
-        if reply.turned_away:
-            self._distrust(f"status {response.status}")
-        elif self._is_distrusted:
-            self._is_distrusted = False
+        if reply.is_refused:
+            self._mark_unavailable(f"status {response.status}")
+        elif self._is_unavailable:
+            self._is_unavailable = False
             self._context.world.note("store", "The store serves this machine again.")
         return reply
 
-    def _distrust(self, reason: str) -> None:
+    def _mark_unavailable(self, reason: str) -> None:
         world = self._context.world
-        if not self._is_distrusted:
+        if not self._is_unavailable:
             world.note("store", "The store does not serve this machine.", reason=reason)
-            self._probe_at_ms = world.clock.now_ms() + PROBE_MS
-        self._is_distrusted = True
+            self._probe_at_ms = world.clock.now_ms() + PROBE_PERIOD_MS
+        self._is_unavailable = True
 
-    def _probe(self) -> None:
+    def _probe_if_due(self) -> None:
         """Ask the store itself for little, now and then, without waiting for it."""
         now_ms = self._context.world.clock.now_ms()
         if now_ms >= self._probe_at_ms:
-            self._probe_at_ms = now_ms + PROBE_MS
-            deliver_later(self._context, self._ask_little())
+            self._probe_at_ms = now_ms + PROBE_PERIOD_MS
+            deliver_later(self._context, self._send_probe())
 
-    async def _ask_little(self) -> None:
+    async def _send_probe(self) -> None:
         try:
-            await self.direct("GET", PROBE_PATH, b"", PROBE_TIMEOUT_MS)
+            await self.call_directly("GET", PROBE_PATH, b"", PROBE_TIMEOUT_MS)
         except PeerError:
             # noted when the store began to turn this machine away
             self._context.world.tally.add("probes_failed")
 
-    def _peer(self) -> Address:
+    def _choose_peer(self) -> Address:
         """Return another entry, each in turn."""
         world = self._context.world
-        known = [entry.address for entry in world.agreed.entries]
-        known = known or list(world.sidecar_state.entries) or list(world.cfg.seeds)
-        others = [address for address in known if address != world.cfg.peers]
-        if not others:
+        known_addresses = [entry.address for entry in world.agreed.entries]
+        known_addresses = (
+            known_addresses
+            or list(world.sidecar_state.entries)
+            or list(world.cfg.seeds)
+        )
+        other_addresses = [
+            address for address in known_addresses if address != world.cfg.peers
+        ]
+        if not other_addresses:
             return self.address
         self._next_peer += 1
-        return others[self._next_peer % len(others)]
+        return other_addresses[self._next_peer % len(other_addresses)]
 
 
 @peer_paths.register(RELAY_PATH)
-def relay(context: BatchContext, request: Request) -> None:
+def relay_call(context: BatchContext, request: Request) -> None:
     """Hand a peer's call on to the store."""
     store = getattr(context.adapter_state, "store", None)
     call = request.getHeader(RELAY_HEADER) or ""
     method, _, path = call.partition(" ")
     text = request.getHeader(TIMEOUT_HEADER) or ""
     if store is None or not path.startswith("/") or not text.isdigit():
-        answer(request, STATUS_BAD)
+        answer(request, STATUS_BAD_REQUEST)
         return
-    timeout_ms = min(int(text), LONGEST_TIMEOUT_MS)
-    gone = request.notifyFinish()
-    gone.addErrback(lambda _: None)
+    timeout_ms = min(int(text), MAX_TIMEOUT_MS)
+    disconnected = request.notifyFinish()
+    disconnected.addErrback(lambda _: None)
     context.world.tally.add("relayed")
     body = request.content.read()
-    deliver_later(context, _relay(store, request, method, path, body, timeout_ms))
+    deliver_later(
+        context, _answer_relayed_call(store, request, method, path, body, timeout_ms)
+    )
 
 
-async def _relay(
+async def _answer_relayed_call(
     store: StoreClient,
     request: Request,
     method: str,
@@ -205,9 +229,9 @@
     timeout_ms: int,
 ) -> None:
     try:
-        reply = await store.direct(method, path, body, timeout_ms)
+        reply = await store.call_directly(method, path, body, timeout_ms)
     except PeerError as exc:
-        never = exc.step == "connect"
-        reply = Response(STATUS_UNAVAILABLE if never else STATUS_BAD_GATEWAY, b"")
+        is_unsent = exc.step == "connect"
+        reply = Response(STATUS_UNAVAILABLE if is_unsent else STATUS_BAD_GATEWAY, b"")
     if not request._disconnected:
         answer(request, reply.status, reply.body)
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -26,44 +26,49 @@
     Stream,
 )
 from kingcuppost.exception import Failure, PeerError
-from kingcuppost.platform.framing import frame, keyed_record, split_keyed, split_read
+from kingcuppost.platform.framing import (
+    decode_keyed_record,
+    decode_read_reply,
+    encode_keyed_record,
+    frame_records,
+)
 from kingcuppost.platform.operators import decode_operator_record
 from kingcuppost.platform.store import StoreClient, StoreReply
 
-__all__ = ["follow"]
+__all__ = ["follow_stream"]
 
 TOPICS = {
     Stream.JOBS: "keyed.jobs",
     Stream.MEMBERS: "keyed.members",
     Stream.OPERATORS: "keyed.op",
 }
-WAIT_MS = 1_000
+READ_WAIT_MS = 1_000
 READ_MARGIN_MS = 400
 LIST_TIMEOUT_MS = 1_500
-PAUSE_S = 0.15
-FIRST_PAUSE_S = 0.02
-WRITER = "scheduler"
+RETRY_DELAY_S = 0.15
+FIRST_RETRY_DELAY_S = 0.02
+PRODUCER = "scheduler"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_GONE = 410
-STATUS_PRECONDITION = 412
+STATUS_PRECONDITION_FAILED = 412
 
 
-class _Item(BaseModel):
+class _ItemModel(BaseModel):
     model_config = ConfigDict(extra="ignore")
     key: str
     value: str
     offset: int
 
 
-class _Listing(BaseModel):
+class _ListingModel(BaseModel):
     model_config = ConfigDict(extra="ignore")
-    items: list[_Item] = []
+    items: list[_ItemModel] = []
     more: bool = False
     end: int
 
 
-class _AppendReply(BaseModel):
+class _AppendReplyModel(BaseModel):
     """Answer to an append, or the reason why it was refused."""
 
     model_config = ConfigDict(extra="ignore")
@@ -73,11 +78,11 @@
     sequence: int | None = None
 
 
-def _query(path: str, **fields: Any) -> str:
+def _make_path(path: str, **fields: Any) -> str:
     return f"/kingcuppost/{path}?{urlencode(fields)}"
 
 
-def _decode(
+def _decode_record(
     stream: Stream, key: str, value: bytes, peer: str
 ) -> Result[Record, Failure]:
     if stream is Stream.OPERATORS:
@@ -85,11 +90,11 @@
     return decode_record(key, value, peer)
 
 
-def _row(
+def _decode_row(
     context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
 ) -> list[tuple[int, Record]]:
     """Return the record of a key and value; none if it can't be read."""
-    parsed = _decode(stream, key, value, f"{stream} {offset}")
+    parsed = _decode_record(stream, key, value, f"{stream} {offset}")
     if parsed.is_error():
         context.world.note(
             "log", "A record is passed over.", offset=offset, reason=parsed.error.reason
@@ -98,43 +103,43 @@
     return [(offset, parsed.ok)]
 
 
-async def _list(
+async def _list_newest(
     context: BatchContext, store: StoreClient, stream: Stream
 ) -> RecordsRead:
     """Return the newest record of each key; the first page tells where to go on."""
     sent_ms = context.world.clock.now_ms()
     rows: list[tuple[int, Record]] = []
     end = None
-    after = None
+    last_key = None
     while True:
         fields = {"topic": TOPICS[stream], "part": 0}
-        if after is not None:
+        if last_key is not None:
             # the store calls the key to continue behind `dependsOn`
-            fields["dependsOn"] = after
-        path = _query("log-newest", **fields)
+            fields["dependsOn"] = last_key
+        path = _make_path("log-newest", **fields)
         reply = await store.call("GET", path, b"", LIST_TIMEOUT_MS)
-        page = _page(reply, store)
+        page = _parse_page(reply, store)
         end = page.end if end is None else end
         for item in page.items:
             value = base64.b64decode(item.value)
-            rows += _row(context, stream, item.offset, item.key, value)
+            rows += _decode_row(context, stream, item.offset, item.key, value)
         if not page.more or not page.items:
             break
-        after = page.items[-1].key
+        last_key = page.items[-1].key
     rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
     return RecordsRead(stream, rows, sent_ms, end, whole=True)
 
 
-def _page(reply: StoreReply, store: StoreClient) -> _Listing:
+def _parse_page(reply: StoreReply, store: StoreClient) -> _ListingModel:
     if reply.status != STATUS_OK:
         raise PeerError(f"status {reply.status}", "list", str(store.address))
     try:
-        return _Listing.model_validate_json(reply.body)
+        return _ListingModel.model_validate_json(reply.body)
     except ValidationError as exc:
         raise PeerError("unreadable listing", "list", str(store.address)) from exc
 
 
-async def _read(
+async def _read_records(
     context: BatchContext,
     store: StoreClient,
     stream: Stream,
@@ -146,16 +151,16 @@
     A read goes one way only: after a silence the next one must come back soon.
     """
     sent_ms = context.world.clock.now_ms()
-    path = _query(
+    path = _make_path(
         "log-read", topic=TOPICS[stream], part=0, waitMs=wait_ms, **{"from": position}
     )
-    reply = await store.call("GET", path, b"", wait_ms + READ_MARGIN_MS, most_ways=1)
+    reply = await store.call("GET", path, b"", wait_ms + READ_MARGIN_MS, max_routes=1)
     if reply.status == STATUS_GONE:
         return None
     if reply.status != STATUS_OK:
         raise PeerError(f"status {reply.status}", "read", str(store.address))
     try:
-        end, _, contents = split_read(reply.body)
+        end, _, contents = decode_read_reply(reply.body)
     except ValueError as exc:
         raise PeerError(str(exc), "read", str(store.address)) from exc
     if end < position:
@@ -163,56 +168,62 @@
     rows: list[tuple[int, Record]] = []
     for offset, content in enumerate(contents, position):
         try:
-            key, value = split_keyed(content)
+            key, value = decode_keyed_record(content)
         except ValueError as exc:
             context.world.note(
                 "log", "A record is passed over.", offset=offset, reason=str(exc)
             )
             continue
-        rows += _row(context, stream, offset, key, value)
+        rows += _decode_row(context, stream, offset, key, value)
     return RecordsRead(stream, rows, sent_ms, position + len(contents))
 
 
-def follow(context: BatchContext, store: StoreClient, stream: Stream) -> None:
+def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
     """Follow a stream for good: list it, then read on; list again after a gap."""
-    ensureDeferred(_follow(context, store, stream)).addErrback(_log_fault, context)
+    ensureDeferred(_follow_stream(context, store, stream)).addErrback(
+        _stop_process, context
+    )
 
 
-def _log_fault(failure: Any, context: BatchContext) -> None:
+def _stop_process(failure: Any, context: BatchContext) -> None:
     """End the process: one that follows the log no longer serves nobody."""
     context.world.note("log", "Following failed.", reason=failure.getTraceback())
     context.wake()
     context.exit_code = 70
-    context.reactor.callLater(PAUSE_S, context.reactor.stop)
+    context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
 
 
-async def _follow(context: BatchContext, store: StoreClient, stream: Stream) -> None:
+async def _follow_stream(
+    context: BatchContext, store: StoreClient, stream: Stream
+) -> None:
     position: int | None = None
-    is_lost = False
+    is_failing = False
     while True:
         try:
             if position is None:
-                batch = await _list(context, store, stream)
+                batch = await _list_newest(context, store, stream)
             else:
-                wait_ms = 0 if is_lost else WAIT_MS
-                batch = await _read(context, store, stream, position, wait_ms)
+                wait_ms = 0 if is_failing else READ_WAIT_MS
+                batch = await _read_records(context, store, stream, position, wait_ms)
         except PeerError as exc:
-            if not is_lost:
+            if not is_failing:
                 context.world.note(
                     "log", "A stream is not followed.", stream=stream, reason=str(exc)
                 )
-            await _pause(context, FIRST_PAUSE_S if not is_lost else PAUSE_S)
-            is_lost = True
+            await _sleep(
+                context, FIRST_RETRY_DELAY_S if not is_failing else RETRY_DELAY_S
+            )
+            is_failing = True
             continue
-        is_lost = False
+        is_failing = False
         position = batch.end if batch is not None else None
         if batch is not None:
             context.deliver(batch)
 
 
-def _pause(context: BatchContext, least_s: float) -> Deferred:
+def _sleep(context: BatchContext, min_delay_s: float) -> Deferred:
     done: Deferred = Deferred()
-    delay_s = least_s * (1 + context.world.rng.random())
+    delay_s = min_delay_s * (1 + context.world.rng.random())
     context.reactor.callLater(delay_s, done.callback, None)
     return done
 
@@ -220,45 +231,47 @@
 @batch_senders.register(Append)
 def send_append(context: BatchContext, message: Append) -> None:
     """Append records to a stream."""
-    deliver_later(context, _append(context, message))
+    deliver_later(context, _append_records(context, message))
 
 
-async def _append(context: BatchContext, message: Append) -> AppendEnded:
+async def _append_records(context: BatchContext, message: Append) -> AppendEnded:
     fields: dict[str, Any] = {"topic": TOPICS[message.stream], "part": 0}
     if message.at is not None:
         fields["at"] = message.at
     if message.term is not None:
-        fields.update(producer=WRITER, epoch=message.term, sequence=message.sequence)
-    contents = [keyed_record(*encode_record(record)) for record in message.records]
-    path = _query("log-append", **fields)
+        fields.update(producer=PRODUCER, epoch=message.term, sequence=message.sequence)
+    contents = [
+        encode_keyed_record(*encode_record(record)) for record in message.records
+    ]
+    path = _make_path("log-append", **fields)
     started_ms = context.world.clock.now_ms()
     try:
         reply = await context.adapter_state.store.call(
-            "POST", path, frame(contents), message.timeout_ms
+            "POST", path, frame_records(contents), message.timeout_ms
         )
     except PeerError as exc:
-        never = exc.step == "connect"
-        outcome = AppendOutcome.REFUSED if never else AppendOutcome.UNKNOWN
+        is_unsent = exc.step == "connect"
+        outcome = AppendOutcome.REFUSED if is_unsent else AppendOutcome.UNKNOWN
         return AppendEnded(message.id, outcome, reason=str(exc))
-    took_ms = context.world.clock.now_ms() - started_ms
-    context.world.tally.observe("append", took_ms, message.stream)
-    return _append_ended(message, reply)
+    duration_ms = context.world.clock.now_ms() - started_ms
+    context.world.tally.observe("append", duration_ms, message.stream)
+    return _parse_append_reply(message, reply)
 
 
-def _append_ended(message: Append, reply: StoreReply) -> AppendEnded:
+def _parse_append_reply(message: Append, reply: StoreReply) -> AppendEnded:
     try:
-        body = _AppendReply.model_validate(json.loads(reply.body or b"{}"))
+        body = _AppendReplyModel.model_validate(json.loads(reply.body or b"{}"))
     except ValueError:
-        body = _AppendReply()
+        body = _AppendReplyModel()
     if reply.status == STATUS_OK:
         return AppendEnded(message.id, AppendOutcome.DONE, body.offset, body.end)
     reason = f"status {reply.status} {body.reason}"
     if reply.status == STATUS_CONFLICT and body.reason == "fenced":
         outcome = AppendOutcome.FENCED
-    elif reply.status in (STATUS_CONFLICT, STATUS_PRECONDITION):
+    elif reply.status in (STATUS_CONFLICT, STATUS_PRECONDITION_FAILED):
         outcome = AppendOutcome.CONFLICT
         reason += f" expected {body.sequence}"
-    elif reply.doubtful:
+    elif reply.may_have_run:
         outcome = AppendOutcome.UNKNOWN
     else:
         outcome = AppendOutcome.REFUSED
@@ -268,12 +281,12 @@
 @batch_senders.register(ListMembers)
 def send_list_members(context: BatchContext, message: ListMembers) -> None:
     """Ask the store for the members, once."""
-    deliver_later(context, _list_members(context))
+    deliver_later(context, _fetch_members(context))
 
 
-async def _list_members(context: BatchContext) -> RecordsRead | None:
+async def _fetch_members(context: BatchContext) -> RecordsRead | None:
     try:
-        return await _list(context, context.adapter_state.store, Stream.MEMBERS)
+        return await _list_newest(context, context.adapter_state.store, Stream.MEMBERS)
     except PeerError as exc:
         context.world.note("log", "The members can't be listed.", reason=str(exc))
         return None
--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -7,13 +7,13 @@
 from kingcuppost.platform.callers import _decode_job
 
 
-def body(**fields: object) -> bytes:
+def make_body(**fields: object) -> bytes:
     step = {"count": 2, "cpu": 500, "memMb": 64, "gpu": 1, "estimateMs": 900}
     return json.dumps({"spec": "text", "steps": [step | fields]}).encode()
 
 
 def test_wire_names_become_the_products() -> None:
-    text = body(
+    text = make_body(
         gang=True, sameRack=True, requirements="a", affinity="r1-1", antiAffinity=2
     )
     step = _decode_job(text).ok.steps[0]
@@ -26,10 +26,10 @@
 @pytest.mark.parametrize(
     ("text", "reason"),
     [
-        (body(dependsOn=[0]), "names no earlier step"),
-        (body(count=0), "count"),
-        (body(longRunning=True), "not served"),
-        (body(repeatCount=3), "not served"),
+        (make_body(dependsOn=[0]), "names no earlier step"),
+        (make_body(count=0), "count"),
+        (make_body(longRunning=True), "not served"),
+        (make_body(repeatCount=3), "not served"),
         (b'{"spec":"x","steps":[]}', "steps"),
         (b"{", "JSON"),
     ],
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -8,12 +8,12 @@
 import pytest
 
 from kingcuppost.platform.__main__ import main
-from kingcuppost.platform.early import listen_early
+from kingcuppost.platform.early_listener import listen_early
 from kingcuppost.platform.settings import read_settings
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
-SIDECAR = """
+SIDECAR_SETTINGS = """
 nodeName = "side-a-1"
 ip = "10.1.0.20"
 zone = "zone-a"
@@ -33,7 +33,7 @@
 @pytest.fixture
 def settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     path = tmp_path / "boot.toml"
-    path.write_text(SIDECAR)
+    path.write_text(SIDECAR_SETTINGS)
     monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(path))
     return path
 
@@ -67,7 +67,7 @@
     new: str,
     field: str,
 ) -> None:
-    settings.write_text(SIDECAR.replace(old, new))
+    settings.write_text(SIDECAR_SETTINGS.replace(old, new))
     assert main(["sidecar"]) == 2
     line = capsys.readouterr().err
     assert field in line
@@ -84,12 +84,12 @@
 
 def test_callers_can_connect_before_the_libraries_are_loaded(settings: Path) -> None:
     settings.write_text(
-        SIDECAR.replace("[listen]", '[listen]\nfrontend = "127.0.0.1:0"')
+        SIDECAR_SETTINGS.replace("[listen]", '[listen]\nfrontend = "127.0.0.1:0"')
     )
     with listen_early() as listener:
         socket.create_connection(listener.getsockname()).close()
-    light = "import sys, kingcuppost.platform.__main__ as m; print(*sys.modules)"
-    loaded = subprocess.run([sys.executable, "-c", light], capture_output=True).stdout
+    script = "import sys, kingcuppost.platform.__main__ as m; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", script], capture_output=True).stdout
     assert not {b"twisted", b"pydantic", b"expression"} & set(loaded.split())
 
 
--- a/kingcuppost/platform/tests/test_store.py
+++ b/kingcuppost/platform/tests/test_store.py
@@ -13,7 +13,7 @@
 from kingcuppost.utils import ManualClock
 
 STORE = Address("10.9.0.1", 9000)
-HERE = Address("10.0.0.1", 7000)
+OWN_ADDRESS = Address("10.0.0.1", 7000)
 PEER = Address("10.0.0.2", 7000)
 
 
@@ -22,10 +22,10 @@
 
     def __init__(self) -> None:
         self.answers: dict[Address, Response | PeerError] = {}
-        self.asked: list[Address] = []
+        self.contacted: list[Address] = []
 
     async def exchange(self, method: str, address: Address, *rest: object) -> Response:
-        self.asked.append(address)
+        self.contacted.append(address)
         answer = self.answers[address]
         if isinstance(answer, PeerError):
             raise answer
@@ -34,7 +34,7 @@
 
 class FakeContext:
     def __init__(self) -> None:
-        cfg = DaemonConfig(Role.ENTRY, "entry-0", "z", HERE, (HERE, PEER))
+        cfg = DaemonConfig(Role.ENTRY, "entry-0", "z", OWN_ADDRESS, (OWN_ADDRESS, PEER))
         self.clock = ManualClock(start_ms=1_000)
         self.world = make_batch_world(cfg, self.clock, seed=1)
         self.client = FakeClient()
@@ -48,17 +48,17 @@
     return FakeContext()
 
 
-def call(store: StoreClient, most_ways: int = 2) -> StoreReply | Exception:
+def call(store: StoreClient, max_routes: int = 2) -> StoreReply | Exception:
     results: list[StoreReply | Exception] = []
-    pending = ensureDeferred(store.call("GET", "/path", b"", 100, most_ways))
-    pending.addCallbacks(results.append, lambda fault: results.append(fault.value))
+    pending = ensureDeferred(store.call("GET", "/path", b"", 100, max_routes))
+    pending.addCallbacks(results.append, lambda error: results.append(error.value))
     return results[0]
 
 
 def test_a_served_machine_asks_the_store_only(context: FakeContext) -> None:
     context.client.answers = {STORE: Response(200, b"x")}
     assert call(StoreClient(context, STORE)) == StoreReply(200, b"x")
-    assert context.client.asked == [STORE]
+    assert context.client.contacted == [STORE]
 
 
 def test_a_machine_that_is_turned_away_asks_a_peer(context: FakeContext) -> None:
@@ -66,7 +66,7 @@
     store = StoreClient(context, STORE)
     assert call(store).status == 200
     assert call(store).status == 200
-    assert context.client.asked == [STORE, PEER, PEER]
+    assert context.client.contacted == [STORE, PEER, PEER]
 
 
 def test_the_store_is_asked_again_by_a_probe(context: FakeContext) -> None:
@@ -76,28 +76,28 @@
     context.client.answers[STORE] = Response(200, b"x")
     context.clock.advance(1_000)
     call(store)
-    context.client.asked.clear()
+    context.client.contacted.clear()
     call(store)
-    assert context.client.asked == [STORE]
+    assert context.client.contacted == [STORE]
 
 
 def test_a_read_goes_one_way(context: FakeContext) -> None:
-    silent = PeerError("silent", "exchange", str(STORE))
-    context.client.answers = {STORE: silent, PEER: Response(200, b"x")}
+    timeout_error = PeerError("silent", "exchange", str(STORE))
+    context.client.answers = {STORE: timeout_error, PEER: Response(200, b"x")}
     store = StoreClient(context, STORE)
-    assert isinstance(call(store, most_ways=1), PeerError)
-    assert call(store, most_ways=1).status == 200
+    assert isinstance(call(store, max_routes=1), PeerError)
+    assert call(store, max_routes=1).status == 200
 
 
 def test_silence_leaves_a_doubt(context: FakeContext) -> None:
-    silent = PeerError("silent", "exchange", str(STORE))
-    context.client.answers = {STORE: silent, PEER: Response(503, b"")}
-    assert call(StoreClient(context, STORE)).doubtful
+    timeout_error = PeerError("silent", "exchange", str(STORE))
+    context.client.answers = {STORE: timeout_error, PEER: Response(503, b"")}
+    assert call(StoreClient(context, STORE)).may_have_run
 
 
 def test_what_never_left_is_no_doubt(context: FakeContext) -> None:
     refused = PeerError("refused", "connect", str(STORE))
     context.client.answers = {STORE: refused, PEER: refused}
-    fault = call(StoreClient(context, STORE))
-    assert isinstance(fault, PeerError)
-    assert fault.step == "connect"
+    error = call(StoreClient(context, STORE))
+    assert isinstance(error, PeerError)
+    assert error.step == "connect"
