Reword the texts of the platform adapter

Docstrings, comments, log lines, error messages and names of tests say in plain terms what the code does: calls are relayed, refused or carried out, records are skipped, and settings are invalid. Reasons that callers and peers receive keep their text.

--- a/kingcuppost/platform/__init__.py
+++ b/kingcuppost/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The adapter to the users' platform: it translates and decides nothing.
+"""Adapter to the users' platform, which translates messages and decides nothing.
 
-Wire names are decoded here, once, into rows of `kingcuppost.batch`.
+The platform's wire names are decoded only here, into rows of `kingcuppost.batch`.
 """
--- a/kingcuppost/platform/__main__.py
+++ b/kingcuppost/platform/__main__.py
@@ -11,12 +11,12 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run a role until it is told to stop, and return the exit code."""
+    """Run a role until it is requested to stop, and return the exit code."""
     parser = argparse.ArgumentParser(prog="kingcuppost.platform")
     parser.add_argument("role", choices=[role.value for role in Role])
     role = Role(parser.parse_args(argv).role)
     listener = listen_early() if role is Role.ENTRY else None
-    # what is loaded now stays for good, so collecting it only costs time
+    # imported modules are never freed, so scanning them for garbage wastes time
     gc.disable()
     from kingcuppost.platform.role import run_role
 
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -58,21 +58,21 @@
     # accelerators
     gpu: NonNegativeInt = 0
     estimate_ms: NonNegativeInt = Field(0, alias="estimateMs")
-    # steps that this one waits for
+    # indices of the steps that must be completed first
     needs: tuple[NonNegativeInt, ...] = Field((), alias="dependsOn")
     gang: bool = False
     one_rack: bool = Field(False, alias="sameRack")
-    # a label that the minion must have
+    # label that the minion must have
     label: str = Field("", alias="requirements")
-    # the rack where the data lies
+    # rack that holds the data
     rack: str = Field("", alias="affinity")
-    # most tasks of the step on one minion
+    # maximum number of tasks of the step on one minion; 0 for no limit
     most_per_minion: NonNegativeInt = Field(0, alias="antiAffinity")
     saves: bool = Field(False, alias="checkpointing")
-    # tasks that run until their job is cancelled, or that use what others leave
+    # tasks that run until their job is cancelled, or that use only spare capacity
     lasts: bool = Field(False, alias="longRunning")
     fills: bool = False
-    # how often the steps run, at given times
+    # number of times that the steps run, on a schedule
     occurrences: int = Field(0, alias="repeatCount")
 
 
@@ -116,7 +116,7 @@
 
 @surfaces.register("callers")
 def serve_caller(context: BatchContext, request: Request) -> None:
-    """Turn a caller's request into a call."""
+    """Deliver a caller's request as a call."""
     method = request.method.decode("ascii", "replace")
     if method not in CALL_KINDS:
         answer(request, STATUS_METHOD_NOT_ALLOWED)
@@ -170,7 +170,7 @@
 
 @surfaces.register("readiness")
 def serve_readiness(context: BatchContext, request: Request) -> None:
-    """Say whether the balancer may send callers here."""
+    """Report whether the balancer may send callers to this entry."""
     if request.path.decode("ascii", "replace") != READY_PATH:
         answer(request, STATUS_NOT_FOUND)
         return
--- a/kingcuppost/platform/early_listener.py
+++ b/kingcuppost/platform/early_listener.py
@@ -1,7 +1,7 @@
 """Listening for callers before the libraries are loaded.
 
-Loading them takes most of a start. A caller that connects meanwhile waits that
-fraction of a second, where a closed port would have turned it away.
+Loading them takes most of the start time. A caller that connects meanwhile waits for
+a fraction of a second, whereas a closed port would refuse the connection.
 """
 
 import os
@@ -17,10 +17,10 @@
 
 
 def listen_early() -> socket.socket | None:
-    """Return a socket at the callers' address, or None if there is no such address.
+    """Return a socket that listens at the callers' address, or None on any error.
 
-    What is wrong with the file or the address is reported by the whole reading of the
-    settings, which comes after, and by the attempt to listen again.
+    Errors in the file or the address are reported later, when all settings are
+    validated and when the server tries to listen again.
     """
     try:
         text = Path(os.environ[SETTINGS_VARIABLE]).read_text(encoding="utf-8")
--- a/kingcuppost/platform/framing.py
+++ b/kingcuppost/platform/framing.py
@@ -1,4 +1,4 @@
-"""Records of the store's logs as bytes."""
+"""Binary framing of the records in the store's logs."""
 
 import struct
 from collections.abc import Iterator
@@ -15,7 +15,7 @@
 
 
 def frame_records(records: list[bytes]) -> bytes:
-    r"""Return records, each behind its length in 4 bytes.
+    r"""Return the records, each preceded by its length in 4 bytes.
 
     Examples
     --------
@@ -26,7 +26,7 @@
 
 
 def encode_keyed_record(key: str, value: bytes) -> bytes:
-    """Return the content of a keyed record: length of the key, key, value."""
+    """Return a keyed record: length of the key in 1 byte, key, value."""
     name = key.encode()
     return bytes([len(name)]) + name + value
 
@@ -37,7 +37,7 @@
     Raises
     ------
     ValueError
-        If the content is too short or its key is no text.
+        If the content is too short or its key is not UTF-8.
 
     Examples
     --------
@@ -51,12 +51,12 @@
 
 
 def decode_read_reply(body: bytes) -> tuple[int, int, list[bytes]]:
-    r"""Return end, first retained offset and records of a read.
+    r"""Return the end offset, the first retained offset and the records of a read.
 
     Raises
     ------
     ValueError
-        If the body is cut short.
+        If the body is truncated.
 
     Examples
     --------
@@ -74,10 +74,10 @@
 def _iterate_records(body: bytes, position: int) -> Iterator[bytes]:
     while position < len(body):
         if position + LENGTH_FIELD.size > len(body):
-            raise ValueError("a record's length is cut short")
+            raise ValueError("the length of a record is truncated")
         size = LENGTH_FIELD.unpack_from(body, position)[0]
         position += LENGTH_FIELD.size
         if position + size > len(body):
-            raise ValueError("a record is cut short")
+            raise ValueError("a record is truncated")
         yield body[position : position + size]
         position += size
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -1,4 +1,4 @@
-"""The minion beside a sidecar: its heartbeats, and calls to it."""
+"""Heartbeats of the minion beside a sidecar, and requests to it."""
 
 import json
 
@@ -64,26 +64,26 @@
     zone: str
     state: str = Field(pattern="^(ready|draining)$")
     sequence: int
-    # Unix ms of the minion's start; 0 where it is not told
+    # Unix time in ms of the minion's start; 0 if it is not reported
     born: int = 0
     capacity: _CapacityModel
     labels: tuple[str, ...] = ()
-    # least time left while it drains, in ms
+    # minimum time left while it drains, in ms
     remaining_ms: int = Field(0, alias="remainingMs")
 
 
 class _HoldReplyModel(_Model):
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
-    # rows of task, run, checkpoint and share of work done or paced; more may follow
+    # rows: task, run, checkpoint, percent done or paced; more columns may follow
     running: tuple[tuple, ...] = ()
-    # rows of number, task, run, how it ended, checkpoint
+    # rows: number, task, run, kind of end, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
 
 
 @surfaces.register("heartbeats")
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
-    """Take a heartbeat or a farewell of the minion, and acknowledge it at once."""
+    """Acknowledge and deliver a heartbeat or a leave notice of the minion."""
     path = request.path.decode("utf-8", "replace")
     if not path.startswith(HEARTBEAT_PATH_PREFIX):
         answer(request, STATUS_NOT_FOUND)
@@ -112,12 +112,10 @@
         model = _HeartbeatModel.model_validate_json(request.content.read())
         address = parse_address(model.address)
     except ValidationError as exc:
-        context.world.note(
-            "minion", "A heartbeat is unreadable.", reason=fault_text(exc)
-        )
+        context.world.note("minion", "A heartbeat is invalid.", reason=fault_text(exc))
         return None
     except ValueError as exc:
-        context.world.note("minion", "A heartbeat is unreadable.", reason=str(exc))
+        context.world.note("minion", "A heartbeat is invalid.", reason=str(exc))
         return None
     report = MinionReport(
         MinionIncarnation(minion, model.born),
@@ -134,7 +132,7 @@
 
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
-    """Ask the minion for its lists."""
+    """Request the minion's lists of runs and extend its lease."""
     deliver_later(context, _request_hold(context, message))
 
 
@@ -169,7 +167,7 @@
         return _parse_hold_reply(incarnation, sent_ms, now_ms, response.body)
     except ValueError as exc:
         return HoldMinionAnswered(
-            incarnation, sent_ms, now_ms, reason=f"unreadable lists: {exc}"
+            incarnation, sent_ms, now_ms, reason=f"invalid lists of runs: {exc}"
         )
 
 
@@ -179,7 +177,10 @@
     model = _HoldReplyModel.model_validate_json(body)
     if model.born and model.born != incarnation.born_ms:
         return HoldMinionAnswered(
-            incarnation, sent_ms, now_ms, reason="another life answered"
+            incarnation,
+            sent_ms,
+            now_ms,
+            reason="another incarnation of the minion answered",
         )
     running = tuple(
         RunningRun(TaskName.parse(row[0]), int(row[1]), str(row[2]), int(row[3]))
@@ -198,7 +199,7 @@
 
 @batch_senders.register(StartRun)
 def send_start(context: BatchContext, message: StartRun) -> None:
-    """Order a start."""
+    """Send the minion an order to start a run."""
     order = message.order
     body = {
         "task": str(order.task),
@@ -214,7 +215,7 @@
 
 @batch_senders.register(StopRun)
 def send_stop(context: BatchContext, message: StopRun) -> None:
-    """Order a stop."""
+    """Send the minion an order to stop a run."""
     order = message.order
     body = {
         "task": str(order.task),
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -1,4 +1,4 @@
-"""Operators' records: configurations and zones taken out."""
+"""Decoding of operators' records: configurations and evacuated zones."""
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -24,7 +24,7 @@
 
 
 class _RouteModel(_Model):
-    # a route is a queue
+    # the platform's routes are the product's queues
     name: str
     host: str
     prefix: str = Field(alias="pathPrefix")
@@ -77,7 +77,7 @@
 def decode_operator_record(
     key: str, value: bytes, peer: str
 ) -> Result[Record, Failure]:
-    """Return what an operator's record says, or why it can't be read.
+    """Return the decoded record of an operator, or why it cannot be used.
 
     Examples
     --------
@@ -90,7 +90,7 @@
     if kind == EVACUATE_KIND:
         return Ok(ZoneRecord(zone) if value else RemovalRecord(f"zone/{zone}"))
     if key != CONFIG_KEY or not value:
-        return Error(Failure(f"{key} is not acted on", "decode", peer))
+        return Error(Failure(f"{key} is not a supported record", "decode", peer))
     try:
         return Ok(
             ConfigRecord(_make_configuration(_ConfigModel.model_validate_json(value)))
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -1,4 +1,4 @@
-"""The life of a role: settings, edges, and the product's loop."""
+"""Setup of a role: settings, edges, and the product's tick loop."""
 
 import socket
 import sys
@@ -20,13 +20,13 @@
 __all__ = ["run_role"]
 
 EXIT_INVALID_SETTINGS = 2
-# parts that only one role needs are imported from here where that role is set up
+# modules that only one role needs are imported when that role is set up
 ADAPTER_PACKAGE = "kingcuppost.platform"
 
 
 @dataclass(frozen=True, slots=True)
 class AdapterState:
-    """What the adapter keeps beside the product's edges."""
+    """State of the adapter in the context of a process."""
 
     store: object
 
@@ -62,14 +62,14 @@
 
 
 def run_role(role: Role, listener: socket.socket | None = None) -> int:
-    """Run a role until it is told to stop, and return the exit code.
+    """Run a role until it is requested to stop, and return the exit code.
 
     Parameters
     ----------
     role : Role
-        What to run.
+        Role to run.
     listener : socket, optional
-        Listens at the callers' address already.
+        Socket that already listens at the callers' address.
     """
     result = read_settings(role)
     if result.is_error():
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file of the platform."""
+"""Reading and validation of the platform's settings file."""
 
 import os
 import tomllib
@@ -25,7 +25,7 @@
 def _validate_address(text: str) -> str:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise ValueError("is no IP:PORT")
+        raise ValueError("is not IP:PORT")
     return text
 
 
@@ -33,7 +33,7 @@
 
 
 class _Model(BaseModel):
-    """A part of the file; keys that we don't know are passed over."""
+    """A section of the file; unknown keys are ignored."""
 
     model_config = ConfigDict(extra="ignore", frozen=True)
 
@@ -49,10 +49,10 @@
 
 
 class _ListenModel(_Model):
-    # where consumers' connections arrive
+    # address for callers' connections
     frontend: AddressText | None = None
     readiness: AddressText | None = None
-    # where minions send their heartbeats
+    # address for minions' heartbeats
     control: AddressText | None = None
 
 
@@ -74,16 +74,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformConfig:
-    """Addresses of the platform and of what this process serves there.
+    """Settings of a process, with its addresses on the platform.
 
     Attributes
     ----------
     daemon : DaemonConfig
-        What the product needs to know.
+        The product's own settings.
     store : Address
-        The platform's store.
+        Address of the platform's store.
     callers, readiness, heartbeats : Address or None
-        Where callers, the balancer's checks and minions' heartbeats arrive.
+        Addresses for callers, the balancer's readiness checks and minions'
+        heartbeats; None if the process does not serve them.
     """
 
     daemon: DaemonConfig
@@ -111,7 +112,7 @@
 
 def _make_config(model: _SettingsModel, role: Role) -> PlatformConfig:
     port = model.ports[0]
-    # a seed names the heartbeat port of an entry; its peer port is ours
+    # a seed has an entry's heartbeat port; all processes use the same peer port
     seeds = tuple(Address(text.rpartition(":")[0], port) for text in model.seeds)
     daemon = DaemonConfig(
         role,
@@ -131,7 +132,7 @@
 
 
 def read_settings(role: Role) -> Result[PlatformConfig, Failure]:
-    """Return the settings of this process, or why the file holds none."""
+    """Return the settings of this process, or why they cannot be read."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -1,8 +1,8 @@
-"""The client of the platform's store, with peers as a second way to it.
+"""Client of the platform's store, which can relay calls through a peer.
 
-The store may turn one machine away while it serves the others. A call that could not
-be made directly goes through an entry that is served; entries hand on calls as they
-are, and never further than once.
+The store may refuse one machine while it serves the others. A call that failed directly
+is sent to another entry, which relays it to the store unchanged. A call is relayed at
+most once.
 """
 
 from dataclasses import dataclass
@@ -34,16 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreReply:
-    """What the store answered.
+    """Answer of the store.
 
     Attributes
     ----------
     status : int
         HTTP status.
     body : bytes
-        The whole body.
+        Complete body.
     may_have_run : bool
-        Whether an earlier copy of the call may have been carried out.
+        Whether an earlier attempt of the call may have been carried out.
     """
 
     status: int
@@ -52,19 +52,19 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether the store did nothing."""
+        """Whether the store refused the call without carrying it out."""
         return self.status in REFUSED_STATUSES
 
 
 class StoreClient:
-    """Calls to the store, directly or through an entry.
+    """Makes calls to the store, directly or through another entry.
 
     Parameters
     ----------
     context : BatchContext
-        The process's edges.
+        Context of the process.
     address : Address
-        The store.
+        Address of the store.
     """
 
     def __init__(self, context: BatchContext, address: Address) -> None:
@@ -82,16 +82,17 @@
         timeout_ms: int,
         max_routes: int = 2,
     ) -> StoreReply:
-        """Make a call and return the answer of the first way that is served.
+        """Make a call and return the first answer that is not a refusal.
 
-        While the store does not serve this machine, a peer comes first, and a probe
-        finds out when the store serves it again.
+        If every route fails, the last refusal is returned or the last error raised.
+        While the store does not serve this machine, a peer is tried first, and probes
+        detect when the store serves the machine again.
 
         Raises
         ------
         PeerError
-            If no way gave an answer; step ``"connect"`` if the call surely never
-            reached the store.
+            If the last route gave no answer; the step is ``"connect"`` if the call
+            cannot have been carried out.
         """
         call_routes = [None, self._choose_peer()]
         if self._is_unavailable:
@@ -145,7 +146,7 @@
     async def call_directly(
         self, method: str, path: str, body: bytes, timeout_ms: int
     ) -> StoreReply:
-        """Make a call to the store itself, and note whether this machine is served."""
+        """Call the store without a relay, and record whether it serves this machine."""
         try:
             response = await self._context.client.exchange(
                 method, self.address, path, body, timeout_ms
@@ -169,7 +170,7 @@
         self._is_unavailable = True
 
     def _probe_if_due(self) -> None:
-        """Ask the store itself for little, now and then, without waiting for it."""
+        """Send the store a probe once per period, without waiting for the answer."""
         now_ms = self._context.world.clock.now_ms()
         if now_ms >= self._probe_at_ms:
             self._probe_at_ms = now_ms + PROBE_PERIOD_MS
@@ -179,11 +180,11 @@
         try:
             await self.call_directly("GET", PROBE_PATH, b"", PROBE_TIMEOUT_MS)
         except PeerError:
-            # noted when the store began to turn this machine away
+            # logged already when the store stopped serving this machine
             self._context.world.tally.add("probes_failed")
 
     def _choose_peer(self) -> Address:
-        """Return another entry, each in turn."""
+        """Return the other entries in turn; the store if no other is known."""
         world = self._context.world
         known_addresses = [entry.address for entry in world.agreed.entries]
         known_addresses = (
@@ -202,7 +203,7 @@
 
 @peer_paths.register(RELAY_PATH)
 def relay_call(context: BatchContext, request: Request) -> None:
-    """Hand a peer's call on to the store."""
+    """Relay a peer's call to the store."""
     store = getattr(context.adapter_state, "store", None)
     call = request.getHeader(RELAY_HEADER) or ""
     method, _, path = call.partition(" ")
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -1,4 +1,4 @@
-"""The product's streams as topics of the store: following and appending."""
+"""Reads from and appends to the product's streams, which are topics of the store."""
 
 import base64
 import json
@@ -69,7 +69,7 @@
 
 
 class _AppendReplyModel(BaseModel):
-    """Answer to an append, or the reason why it was refused."""
+    """Answer to an append, with a reason if it was refused."""
 
     model_config = ConfigDict(extra="ignore")
     offset: int = -1
@@ -93,11 +93,11 @@
 def _decode_row(
     context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
 ) -> list[tuple[int, Record]]:
-    """Return the record of a key and value; none if it can't be read."""
+    """Return offset and record of a key and value; empty if it cannot be decoded."""
     parsed = _decode_record(stream, key, value, f"{stream} {offset}")
     if parsed.is_error():
         context.world.note(
-            "log", "A record is passed over.", offset=offset, reason=parsed.error.reason
+            "log", "A record was skipped.", offset=offset, reason=parsed.error.reason
         )
         return []
     return [(offset, parsed.ok)]
@@ -106,7 +106,10 @@
 async def _list_newest(
     context: BatchContext, store: StoreClient, stream: Stream
 ) -> RecordsRead:
-    """Return the newest record of each key; the first page tells where to go on."""
+    """Return the newest record of each key.
+
+    Later reads continue at the end offset that the first page reports.
+    """
     sent_ms = context.world.clock.now_ms()
     rows: list[tuple[int, Record]] = []
     end = None
@@ -114,7 +117,7 @@
     while True:
         fields = {"topic": TOPICS[stream], "part": 0}
         if last_key is not None:
-            # the store calls the key to continue behind `dependsOn`
+            # `dependsOn` is the key after which the next page starts
             fields["dependsOn"] = last_key
         path = _make_path("log-newest", **fields)
         reply = await store.call("GET", path, b"", LIST_TIMEOUT_MS)
@@ -136,7 +139,7 @@
     try:
         return _ListingModel.model_validate_json(reply.body)
     except ValidationError as exc:
-        raise PeerError("unreadable listing", "list", str(store.address)) from exc
+        raise PeerError("invalid listing", "list", str(store.address)) from exc
 
 
 async def _read_records(
@@ -146,9 +149,9 @@
     position: int,
     wait_ms: int,
 ) -> RecordsRead | None:
-    """Return the records from an offset on; None if they are no longer kept.
+    """Return the records from an offset on; None if the stream lacks that offset.
 
-    A read goes one way only: after a silence the next one must come back soon.
+    A read uses only one route, so that the next read follows soon after a timeout.
     """
     sent_ms = context.world.clock.now_ms()
     path = _make_path(
@@ -171,7 +174,7 @@
             key, value = decode_keyed_record(content)
         except ValueError as exc:
             context.world.note(
-                "log", "A record is passed over.", offset=offset, reason=str(exc)
+                "log", "A record was skipped.", offset=offset, reason=str(exc)
             )
             continue
         rows += _decode_row(context, stream, offset, key, value)
@@ -179,15 +182,17 @@
 
 
 def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
-    """Follow a stream for good: list it, then read on; list again after a gap."""
+    """Follow a stream forever: list it, then read on; list it again after a gap."""
     ensureDeferred(_follow_stream(context, store, stream)).addErrback(
         _stop_process, context
     )
 
 
 def _stop_process(failure: Any, context: BatchContext) -> None:
-    """End the process: one that follows the log no longer serves nobody."""
-    context.world.note("log", "Following failed.", reason=failure.getTraceback())
+    """End the process, since it can serve nobody without following the log."""
+    context.world.note(
+        "log", "Following a stream failed unexpectedly.", reason=failure.getTraceback()
+    )
     context.wake()
     context.exit_code = 70
     context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
@@ -280,7 +285,7 @@
 
 @batch_senders.register(ListMembers)
 def send_list_members(context: BatchContext, message: ListMembers) -> None:
-    """Ask the store for the members, once."""
+    """Read the list of members from the store once."""
     deliver_later(context, _fetch_members(context))
 
 
@@ -288,5 +293,5 @@
     try:
         return await _list_newest(context, context.adapter_state.store, Stream.MEMBERS)
     except PeerError as exc:
-        context.world.note("log", "The members can't be listed.", reason=str(exc))
+        context.world.note("log", "The members could not be listed.", reason=str(exc))
         return None
--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""Bodies of submissions: decoded once, or refused with a reason."""
+"""Bodies of submissions are decoded, or refused with a reason."""
 
 import json
 
@@ -12,7 +12,7 @@
     return json.dumps({"spec": "text", "steps": [step | fields]}).encode()
 
 
-def test_wire_names_become_the_products() -> None:
+def test_wire_names_are_mapped_to_fields_of_a_step() -> None:
     text = make_body(
         gang=True, sameRack=True, requirements="a", affinity="r1-1", antiAffinity=2
     )
@@ -34,9 +34,7 @@
         (b"{", "JSON"),
     ],
 )
-def test_what_cannot_be_served_is_refused_with_a_reason(
-    text: bytes, reason: str
-) -> None:
+def test_an_unsupported_body_is_refused_with_a_reason(text: bytes, reason: str) -> None:
     result = _decode_job(text)
     assert result.is_error()
     assert reason in result.error
--- a/kingcuppost/platform/tests/test_operators.py
+++ b/kingcuppost/platform/tests/test_operators.py
@@ -1,4 +1,4 @@
-"""Operators' records are decoded once; odd ones are failures with a reason."""
+"""Operators' records are decoded; unsupported ones are failures with a reason."""
 
 import json
 
@@ -28,7 +28,7 @@
 }
 
 
-def test_a_configuration_is_decoded_whole() -> None:
+def test_all_fields_of_a_configuration_are_decoded() -> None:
     record = decode_operator_record("config", json.dumps(CONFIG).encode(), "op").ok
     configuration = record.configuration
     queue = find_queue(configuration, "a.example:80", "/urgent/0123456789abcdef")
@@ -45,7 +45,7 @@
     assert find_team(record.configuration, queue, "") == ""
 
 
-def test_zones_go_out_and_come_back() -> None:
+def test_evacuation_and_return_of_a_zone_are_decoded() -> None:
     assert decode_operator_record("evacuate/z", b"{}", "op").ok == ZoneRecord("z")
     assert decode_operator_record("evacuate/z", b"", "op").ok == RemovalRecord("zone/z")
 
@@ -54,7 +54,7 @@
     ("key", "value"),
     [("config", b"{}"), ("config", b"\xff"), ("wave/1", b"{}"), ("config", b"")],
 )
-def test_what_cannot_be_acted_on_is_a_failure(key: str, value: bytes) -> None:
+def test_an_unsupported_record_is_a_failure(key: str, value: bytes) -> None:
     result = decode_operator_record(key, value, "op 3")
     assert result.is_error()
     assert result.error.peer == "op 3"
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the platform: read whole, or refused with field and reason."""
+"""The platform's settings are read, or refused with the field and the reason."""
 
 import socket
 import subprocess
@@ -38,7 +38,7 @@
     return path
 
 
-def test_a_whole_file_is_read(settings: Path) -> None:
+def test_a_valid_file_is_read(settings: Path) -> None:
     cfg = read_settings(Role.SIDECAR).ok
     assert cfg.store == Address("10.200.1.7", 8524)
     assert cfg.heartbeats == Address("10.1.0.20", 8526)
@@ -47,7 +47,7 @@
     assert cfg.daemon.peers == Address("10.1.0.20", 7000)
 
 
-def test_seeds_are_reached_at_the_port_for_peers(settings: Path) -> None:
+def test_seeds_have_the_port_for_peers(settings: Path) -> None:
     cfg = read_settings(Role.SIDECAR).ok
     assert cfg.daemon.seeds == (Address("10.1.0.19", 7000), Address("10.2.0.35", 7000))
 
@@ -60,7 +60,7 @@
         ("holdMaxMs = 6000", 'holdMaxMs = "long"', "bounds.holdMaxMs"),
     ],
 )
-def test_a_wrong_file_is_refused_with_field_and_reason(
+def test_an_invalid_file_is_refused_with_field_and_reason(
     settings: Path,
     capsys: pytest.CaptureFixture,
     old: str,
@@ -74,7 +74,7 @@
     assert line.count("\n") == 1
 
 
-def test_a_file_that_is_no_toml_is_refused(
+def test_a_file_that_is_not_toml_is_refused(
     settings: Path, capsys: pytest.CaptureFixture
 ) -> None:
     settings.write_text("= [")
@@ -94,8 +94,6 @@
 
 
 @pytest.mark.parametrize("text", ["", "[listen]\n", '[listen]\nfrontend = "x"', "="])
-def test_listening_early_leaves_wrong_settings_to_their_check(
-    settings: Path, text: str
-) -> None:
+def test_listening_early_ignores_invalid_settings(settings: Path, text: str) -> None:
     settings.write_text(text)
     assert listen_early() is None
--- a/kingcuppost/platform/tests/test_store.py
+++ b/kingcuppost/platform/tests/test_store.py
@@ -18,7 +18,7 @@
 
 
 class FakeClient:
-    """Answers by address, and keeps who was asked."""
+    """Answers by address, and records the addresses that were contacted."""
 
     def __init__(self) -> None:
         self.answers: dict[Address, Response | PeerError] = {}
@@ -55,13 +55,13 @@
     return results[0]
 
 
-def test_a_served_machine_asks_the_store_only(context: FakeContext) -> None:
+def test_a_served_machine_contacts_only_the_store(context: FakeContext) -> None:
     context.client.answers = {STORE: Response(200, b"x")}
     assert call(StoreClient(context, STORE)) == StoreReply(200, b"x")
     assert context.client.contacted == [STORE]
 
 
-def test_a_machine_that_is_turned_away_asks_a_peer(context: FakeContext) -> None:
+def test_a_refused_machine_contacts_a_peer(context: FakeContext) -> None:
     context.client.answers = {STORE: Response(503, b""), PEER: Response(200, b"x")}
     store = StoreClient(context, STORE)
     assert call(store).status == 200
@@ -69,7 +69,7 @@
     assert context.client.contacted == [STORE, PEER, PEER]
 
 
-def test_the_store_is_asked_again_by_a_probe(context: FakeContext) -> None:
+def test_a_probe_detects_that_the_store_serves_again(context: FakeContext) -> None:
     context.client.answers = {STORE: Response(503, b""), PEER: Response(200, b"x")}
     store = StoreClient(context, STORE)
     call(store)
@@ -81,7 +81,7 @@
     assert context.client.contacted == [STORE]
 
 
-def test_a_read_goes_one_way(context: FakeContext) -> None:
+def test_a_call_with_one_route_makes_no_second_attempt(context: FakeContext) -> None:
     timeout_error = PeerError("silent", "exchange", str(STORE))
     context.client.answers = {STORE: timeout_error, PEER: Response(200, b"x")}
     store = StoreClient(context, STORE)
@@ -89,13 +89,13 @@
     assert call(store, max_routes=1).status == 200
 
 
-def test_silence_leaves_a_doubt(context: FakeContext) -> None:
+def test_a_timeout_leaves_the_outcome_unknown(context: FakeContext) -> None:
     timeout_error = PeerError("silent", "exchange", str(STORE))
     context.client.answers = {STORE: timeout_error, PEER: Response(503, b"")}
     assert call(StoreClient(context, STORE)).may_have_run
 
 
-def test_what_never_left_is_no_doubt(context: FakeContext) -> None:
+def test_a_refused_connection_cannot_have_run(context: FakeContext) -> None:
     refused = PeerError("refused", "connect", str(STORE))
     context.client.answers = {STORE: refused, PEER: refused}
     error = call(StoreClient(context, STORE))
