--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -1,4 +1,4 @@
-"""The minion beside a sidecar: its heartbeats, and calls to it."""
+"""Heartbeats of the minion beside a sidecar, and requests to it."""
 
 import json
 
@@ -33,17 +33,17 @@
 
 __all__: list[str] = []
 
-BEATS = "/kingcuppost/instances/"
+HEARTBEAT_PATH_PREFIX = "/kingcuppost/instances/"
 INSTANCE_HEADER = "Expect-Instance"
 ORDER_TIMEOUT_MS = 600
 HOLD_MARGIN_MS = 700
 STATUS_OK = 200
-STATUS_BAD = 400
+STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
-STATUS_OTHER_LIFE = 421
+STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
-BUSY = (429, STATUS_UNAVAILABLE)
+BUSY_STATUSES = (429, STATUS_UNAVAILABLE)
 
 
 class _Model(BaseModel):
@@ -58,49 +58,49 @@
     gpu: int = 0
 
 
-class _BeatModel(_Model):
+class _HeartbeatModel(_Model):
     service: str
     address: str
     zone: str
     state: str = Field(pattern="^(ready|draining)$")
     sequence: int
-    # Unix ms of the minion's start; 0 where it is not told
+    # Unix time in ms of the minion's start; 0 if it is not reported
     born: int = 0
     capacity: _CapacityModel
     labels: tuple[str, ...] = ()
-    # least time left while it drains, in ms
+    # minimum time left while it drains, in ms
     remaining_ms: int = Field(0, alias="remainingMs")
 
 
-class _ListsModel(_Model):
+class _HoldReplyModel(_Model):
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
-    # rows of task, run, checkpoint and share of work done or paced; more may follow
+    # rows: task, run, checkpoint, percent done or paced; more columns may follow
     running: tuple[tuple, ...] = ()
-    # rows of number, task, run, how it ended, checkpoint
+    # rows: number, task, run, kind of end, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
 
 
 @surfaces.register("heartbeats")
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
-    """Take a heartbeat or a farewell of the minion, and acknowledge it at once."""
+    """Acknowledge and deliver a heartbeat or a leave notice of the minion."""
     path = request.path.decode("utf-8", "replace")
-    if not path.startswith(BEATS):
+    if not path.startswith(HEARTBEAT_PATH_PREFIX):
         answer(request, STATUS_NOT_FOUND)
         return
     if context.world.cfg.role is not Role.SIDECAR:
         answer(request, STATUS_UNAVAILABLE)
         return
-    minion = path.removeprefix(BEATS)
-    heard = _heard(context, request, minion)
-    if heard is None:
-        answer(request, STATUS_BAD)
+    minion = path.removeprefix(HEARTBEAT_PATH_PREFIX)
+    heartbeat = _parse_heartbeat(context, request, minion)
+    if heartbeat is None:
+        answer(request, STATUS_BAD_REQUEST)
         return
-    context.deliver(heard)
+    context.deliver(heartbeat)
     answer(request, STATUS_OK, b"{}")
 
 
-def _heard(
+def _parse_heartbeat(
     context: BatchContext, request: Request, minion: str
 ) -> MinionHeartbeat | None:
     if request.method == b"DELETE":
@@ -109,15 +109,13 @@
         )
         return MinionHeartbeat(Address("", 0), report, 0, gone=True)
     try:
-        model = _BeatModel.model_validate_json(request.content.read())
+        model = _HeartbeatModel.model_validate_json(request.content.read())
         address = parse_address(model.address)
     except ValidationError as exc:
-        context.world.note(
-            "minion", "A heartbeat is unreadable.", reason=fault_text(exc)
-        )
+        context.world.note("minion", "A heartbeat is invalid.", reason=fault_text(exc))
         return None
     except ValueError as exc:
-        context.world.note("minion", "A heartbeat is unreadable.", reason=str(exc))
+        context.world.note("minion", "A heartbeat is invalid.", reason=str(exc))
         return None
     report = MinionReport(
         MinionIncarnation(minion, model.born),
@@ -134,11 +132,13 @@
 
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
-    """Ask the minion for its lists."""
-    deliver_later(context, _hold(context, message))
+    """Request the minion's lists of runs and extend its lease."""
+    deliver_later(context, _request_hold(context, message))
 
 
-async def _hold(context: BatchContext, message: HoldMinion) -> HoldMinionAnswered:
+async def _request_hold(
+    context: BatchContext, message: HoldMinion
+) -> HoldMinionAnswered:
     body = {"fencingToken": message.term, "lastSeen": message.acknowledged_end}
     if message.wait_ms:
         body["waitMs"] = message.wait_ms
@@ -164,20 +164,23 @@
         reason = f"status {response.status} {text}"
         return HoldMinionAnswered(incarnation, sent_ms, now_ms, reason=reason)
     try:
-        return _lists(incarnation, sent_ms, now_ms, response.body)
+        return _parse_hold_reply(incarnation, sent_ms, now_ms, response.body)
     except ValueError as exc:
         return HoldMinionAnswered(
-            incarnation, sent_ms, now_ms, reason=f"unreadable lists: {exc}"
+            incarnation, sent_ms, now_ms, reason=f"invalid lists of runs: {exc}"
         )
 
 
-def _lists(
+def _parse_hold_reply(
     incarnation: MinionIncarnation, sent_ms: int, now_ms: int, body: bytes
 ) -> HoldMinionAnswered:
-    model = _ListsModel.model_validate_json(body)
+    model = _HoldReplyModel.model_validate_json(body)
     if model.born and model.born != incarnation.born_ms:
         return HoldMinionAnswered(
-            incarnation, sent_ms, now_ms, reason="another life answered"
+            incarnation,
+            sent_ms,
+            now_ms,
+            reason="another incarnation of the minion answered",
         )
     running = tuple(
         RunningRun(TaskName.parse(row[0]), int(row[1]), str(row[2]), int(row[3]))
@@ -196,7 +199,7 @@
 
 @batch_senders.register(StartRun)
 def send_start(context: BatchContext, message: StartRun) -> None:
-    """Order a start."""
+    """Send the minion an order to start a run."""
     order = message.order
     body = {
         "task": str(order.task),
@@ -207,28 +210,28 @@
     }
     if order.checkpoint:
         body["checkpoint"] = order.checkpoint
-    deliver_later(context, _order(context, message, "run-start", body))
+    deliver_later(context, _send_order(context, message, "run-start", body))
 
 
 @batch_senders.register(StopRun)
 def send_stop(context: BatchContext, message: StopRun) -> None:
-    """Order a stop."""
+    """Send the minion an order to stop a run."""
     order = message.order
     body = {
         "task": str(order.task),
         "run": order.run,
         "fencingToken": message.term,
     }
-    deliver_later(context, _order(context, message, "run-stop", body))
+    deliver_later(context, _send_order(context, message, "run-stop", body))
 
 
-async def _order(
+async def _send_order(
     context: BatchContext, message: StartRun | StopRun, name: str, body: dict
 ) -> OrderAnswered:
     order = message.order
     is_start = isinstance(message, StartRun)
 
-    def answered(outcome: OrderOutcome, reason: str = "") -> OrderAnswered:
+    def make_answer(outcome: OrderOutcome, reason: str = "") -> OrderAnswered:
         return OrderAnswered(
             message.incarnation, order.task, order.run, is_start, outcome, reason
         )
@@ -243,12 +246,14 @@
             {INSTANCE_HEADER: message.incarnation.minion},
         )
     except PeerError as exc:
-        never = exc.step == "connect"
-        return answered(OrderOutcome.BUSY if never else OrderOutcome.UNKNOWN, str(exc))
+        is_unsent = exc.step == "connect"
+        return make_answer(
+            OrderOutcome.BUSY if is_unsent else OrderOutcome.UNKNOWN, str(exc)
+        )
     if response.status == STATUS_OK:
-        return answered(OrderOutcome.DONE)
+        return make_answer(OrderOutcome.DONE)
     text = response.body[:100].decode("utf-8", "replace")
     reason = f"status {response.status} {text}"
-    if response.status in BUSY:
-        return answered(OrderOutcome.BUSY, reason)
-    return answered(OrderOutcome.REFUSED, reason)
+    if response.status in BUSY_STATUSES:
+        return make_answer(OrderOutcome.BUSY, reason)
+    return make_answer(OrderOutcome.REFUSED, reason)
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -1,4 +1,4 @@
-"""Operators' records: configurations and zones taken out."""
+"""Decoding of operators' records: configurations and evacuated zones."""
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -16,7 +16,7 @@
 __all__ = ["decode_operator_record"]
 
 CONFIG_KEY = "config"
-EVACUATE = "evacuate"
+EVACUATE_KIND = "evacuate"
 
 
 class _Model(BaseModel):
@@ -24,7 +24,7 @@
 
 
 class _RouteModel(_Model):
-    # a route is a queue
+    # the platform's routes are the product's queues
     name: str
     host: str
     prefix: str = Field(alias="pathPrefix")
@@ -52,7 +52,7 @@
     tenants: tuple[_TenantModel, ...] = ()
 
 
-def _configuration(model: _ConfigModel) -> Configuration:
+def _make_configuration(model: _ConfigModel) -> Configuration:
     queues = tuple(
         Queue(
             route.name,
@@ -77,7 +77,7 @@
 def decode_operator_record(
     key: str, value: bytes, peer: str
 ) -> Result[Record, Failure]:
-    """Return what an operator's record says, or why it can't be read.
+    """Return the decoded record of an operator, or why it cannot be used.
 
     Examples
     --------
@@ -86,12 +86,14 @@
     >>> decode_operator_record("evacuate/vid-a", b"", "op").ok
     RemovalRecord(key='zone/vid-a')
     """
-    kind, _, rest = key.partition("/")
-    if kind == EVACUATE:
-        return Ok(ZoneRecord(rest) if value else RemovalRecord(f"zone/{rest}"))
+    kind, _, zone = key.partition("/")
+    if kind == EVACUATE_KIND:
+        return Ok(ZoneRecord(zone) if value else RemovalRecord(f"zone/{zone}"))
     if key != CONFIG_KEY or not value:
-        return Error(Failure(f"{key} is not acted on", "decode", peer))
+        return Error(Failure(f"{key} is not a supported record", "decode", peer))
     try:
-        return Ok(ConfigRecord(_configuration(_ConfigModel.model_validate_json(value))))
+        return Ok(
+            ConfigRecord(_make_configuration(_ConfigModel.model_validate_json(value)))
+        )
     except ValidationError as exc:
         return Error(Failure(fault_text(exc), "decode", peer))
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -1,4 +1,4 @@
-"""The life of a role: settings, edges, and the product's loop."""
+"""Setup of a role: settings, edges, and the product's tick loop."""
 
 import socket
 import sys
@@ -19,61 +19,61 @@
 
 __all__ = ["run_role"]
 
-EXIT_INVALID = 2
-# parts that only one role needs are imported from here where that role is set up
-ADAPTER = "kingcuppost.platform"
+EXIT_INVALID_SETTINGS = 2
+# modules that only one role needs are imported when that role is set up
+ADAPTER_PACKAGE = "kingcuppost.platform"
 
 
 @dataclass(frozen=True, slots=True)
-class Outside:
-    """What the adapter keeps beside the product's edges."""
+class AdapterState:
+    """State of the adapter in the context of a process."""
 
     store: object
 
 
-def _run(cfg: PlatformConfig, listener: socket.socket | None) -> int:
+def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
-    context.adapter_state = Outside(StoreClient(context, cfg.store))
+    context.adapter_state = AdapterState(StoreClient(context, cfg.store))
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
     listen(context, "peers", cfg.daemon.peers)
     if cfg.heartbeats is not None:
-        import_module(f"{ADAPTER}.minion")
+        import_module(f"{ADAPTER_PACKAGE}.minion")
         listen(context, "heartbeats", cfg.heartbeats)
     role = cfg.daemon.role
 
-    def read() -> Result[DaemonConfig, Failure]:
-        return read_settings(role).map(lambda changed: changed.daemon)
+    def read_daemon_config() -> Result[DaemonConfig, Failure]:
+        return read_settings(role).map(lambda platform_config: platform_config.daemon)
 
-    return processes.run_batch_process(context, read)
+    return processes.run_batch_process(context, read_daemon_config)
 
 
 def _serve_callers(
     context: BatchContext, cfg: PlatformConfig, listener: socket.socket | None
 ) -> None:
     import_module("kingcuppost.batch.edges.peers")
-    import_module(f"{ADAPTER}.callers")
+    import_module(f"{ADAPTER_PACKAGE}.callers")
     listen(context, "callers", cfg.callers, listener)
     listen(context, "readiness", cfg.readiness)
     for stream in Stream:
         reactor.callWhenRunning(
-            streams.follow, context, context.adapter_state.store, stream
+            streams.follow_stream, context, context.adapter_state.store, stream
         )
 
 
 def run_role(role: Role, listener: socket.socket | None = None) -> int:
-    """Run a role until it is told to stop, and return the exit code.
+    """Run a role until it is requested to stop, and return the exit code.
 
     Parameters
     ----------
     role : Role
-        What to run.
+        Role to run.
     listener : socket, optional
-        Listens at the callers' address already.
+        Socket that already listens at the callers' address.
     """
     result = read_settings(role)
     if result.is_error():
         failure = result.error
         print(f"kingcuppost: {failure.step}: {failure.reason}", file=sys.stderr)
-        return EXIT_INVALID
-    return _run(result.ok, listener)
+        return EXIT_INVALID_SETTINGS
+    return _run_process(result.ok, listener)
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the platform: read whole, or refused with field and reason."""
+"""The platform's settings are read, or refused with the field and the reason."""
 
 import socket
 import subprocess
@@ -8,12 +8,12 @@
 import pytest
 
 from kingcuppost.platform.__main__ import main
-from kingcuppost.platform.early import listen_early
+from kingcuppost.platform.early_listener import listen_early
 from kingcuppost.platform.settings import read_settings
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
-SIDECAR = """
+SIDECAR_SETTINGS = """
 nodeName = "side-a-1"
 ip = "10.1.0.20"
 zone = "zone-a"
@@ -33,12 +33,12 @@
 @pytest.fixture
 def settings(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     path = tmp_path / "boot.toml"
-    path.write_text(SIDECAR)
+    path.write_text(SIDECAR_SETTINGS)
     monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(path))
     return path
 
 
-def test_a_whole_file_is_read(settings: Path) -> None:
+def test_a_valid_file_is_read(settings: Path) -> None:
     cfg = read_settings(Role.SIDECAR).ok
     assert cfg.store == Address("10.200.1.7", 8524)
     assert cfg.heartbeats == Address("10.1.0.20", 8526)
@@ -47,7 +47,7 @@
     assert cfg.daemon.peers == Address("10.1.0.20", 7000)
 
 
-def test_seeds_are_reached_at_the_port_for_peers(settings: Path) -> None:
+def test_seeds_have_the_port_for_peers(settings: Path) -> None:
     cfg = read_settings(Role.SIDECAR).ok
     assert cfg.daemon.seeds == (Address("10.1.0.19", 7000), Address("10.2.0.35", 7000))
 
@@ -60,21 +60,21 @@
         ("holdMaxMs = 6000", 'holdMaxMs = "long"', "bounds.holdMaxMs"),
     ],
 )
-def test_a_wrong_file_is_refused_with_field_and_reason(
+def test_an_invalid_file_is_refused_with_field_and_reason(
     settings: Path,
     capsys: pytest.CaptureFixture,
     old: str,
     new: str,
     field: str,
 ) -> None:
-    settings.write_text(SIDECAR.replace(old, new))
+    settings.write_text(SIDECAR_SETTINGS.replace(old, new))
     assert main(["sidecar"]) == 2
     line = capsys.readouterr().err
     assert field in line
     assert line.count("\n") == 1
 
 
-def test_a_file_that_is_no_toml_is_refused(
+def test_a_file_that_is_not_toml_is_refused(
     settings: Path, capsys: pytest.CaptureFixture
 ) -> None:
     settings.write_text("= [")
@@ -84,18 +84,16 @@
 
 def test_callers_can_connect_before_the_libraries_are_loaded(settings: Path) -> None:
     settings.write_text(
-        SIDECAR.replace("[listen]", '[listen]\nfrontend = "127.0.0.1:0"')
+        SIDECAR_SETTINGS.replace("[listen]", '[listen]\nfrontend = "127.0.0.1:0"')
     )
     with listen_early() as listener:
         socket.create_connection(listener.getsockname()).close()
-    light = "import sys, kingcuppost.platform.__main__ as m; print(*sys.modules)"
-    loaded = subprocess.run([sys.executable, "-c", light], capture_output=True).stdout
+    script = "import sys, kingcuppost.platform.__main__ as m; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", script], capture_output=True).stdout
     assert not {b"twisted", b"pydantic", b"expression"} & set(loaded.split())
 
 
 @pytest.mark.parametrize("text", ["", "[listen]\n", '[listen]\nfrontend = "x"', "="])
-def test_listening_early_leaves_wrong_settings_to_their_check(
-    settings: Path, text: str
-) -> None:
+def test_listening_early_ignores_invalid_settings(settings: Path, text: str) -> None:
     settings.write_text(text)
     assert listen_early() is None
