--- a/kingcuppost/cli/changes.py
+++ b/kingcuppost/cli/changes.py
@@ -5,9 +5,9 @@
 from typing import Any
 from urllib.parse import quote
 
-from kingcuppost.cli.client import send
+from kingcuppost.cli.client import send_to_entry
 from kingcuppost.cli.registry import add_operator_options, command
-from kingcuppost.cli.tables import format_table
+from kingcuppost.cli.text_tables import format_table
 from kingcuppost.exception import InvalidInputError
 from kingcuppost.tables.record import ANY_OFFSET
 
@@ -79,13 +79,15 @@
             "accelerator_limit": args.accelerator_limit,
             "base_offset": args.base_offset,
         }
-        return send(args, "PUT", f"/v1/teams/{quote(args.name, safe='')}", body)
+        return send_to_entry(
+            args, "PUT", f"/v1/teams/{quote(args.name, safe='')}", body
+        )
     if args.name:
-        return send(args, "GET", f"/v1/teams/{quote(args.name, safe='')}")
-    return send(args, "GET", "/v1/teams", show=_show_teams)
+        return send_to_entry(args, "GET", f"/v1/teams/{quote(args.name, safe='')}")
+    return send_to_entry(args, "GET", "/v1/teams", format_answer=_format_teams)
 
 
-def _show_teams(answer: Any) -> str:
+def _format_teams(answer: Any) -> str:
     rows = [
         [
             row["name"],
@@ -121,20 +123,22 @@
 def run_zone(args: argparse.Namespace) -> int:
     """Create, take out, take in or show availability zones."""
     if args.action == "show":
-        return send(args, "GET", "/v1/availability-zones", show=_show_zones)
+        return send_to_entry(
+            args, "GET", "/v1/availability-zones", format_answer=_format_zones
+        )
     path = f"/v1/availability-zones/{quote(args.name, safe='')}"
     if args.action == "add":
         body = {"operator": args.operator, "region": args.region, "in_service": True}
-        return send(args, "PUT", path, body)
+        return send_to_entry(args, "PUT", path, body)
     body = {
         "operator": args.operator,
         "in_service": args.action == "in",
         "base_offset": args.base_offset,
     }
-    return send(args, "POST", f"{path}/service", body)
+    return send_to_entry(args, "POST", f"{path}/service", body)
 
 
-def _show_zones(answer: Any) -> str:
+def _format_zones(answer: Any) -> str:
     rows = [
         [
             row["name"],
@@ -168,7 +172,7 @@
     """Set, unset or show keys of the settings tree."""
     if args.action == "show":
         path = f"/v1/settings?path={quote(args.path, safe='')}"
-        return send(args, "GET", path, show=_show_branch)
+        return send_to_entry(args, "GET", path, format_answer=_format_branch)
     body = {
         "operator": args.operator,
         "path": args.path,
@@ -176,10 +180,10 @@
         "value": parse_value(args.value) if args.action == "set" else None,
         "base_offset": args.base_offset,
     }
-    return send(args, "PUT", "/v1/settings", body)
+    return send_to_entry(args, "PUT", "/v1/settings", body)
 
 
-def _show_branch(answer: Any) -> str:
+def _format_branch(answer: Any) -> str:
     rows = [
         [row["key"], row["value"], row["path"], row["offset"], row["operator"]]
         for row in answer["effective"]
--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -18,19 +18,19 @@
 from kingcuppost.programs.command import Exchange, exchange_all
 from kingcuppost.tables.request import Outcome
 
-__all__ = ["print_answer", "send", "send_to"]
+__all__ = ["print_answer", "send_request", "send_to_entry"]
 
 STATUS_OK = 200
 STEP_CONNECT = "connect"
-STATUS_INVALID = (400, 404, 409, 422)
+INVALID_STATUSES = (400, 404, 409, 422)
 
 
-def send(
+def send_to_entry(
     args: argparse.Namespace,
     method: str,
     path: str,
     body: dict[str, Any] | None = None,
-    show: Callable[[Any], str] | None = None,
+    format_answer: Callable[[Any], str] | None = None,
 ) -> int:
     """Send one request to the operators' address and print the answer.
 
@@ -42,7 +42,7 @@
         HTTP method and path with query.
     body : dict, optional
         Fields of the border model.
-    show : callable, optional
+    format_answer : callable, optional
         Makes text for people; the answer's fields, one a line, if None.
 
     Returns
@@ -50,26 +50,26 @@
     int
         Exit code.
     """
-    return send_to(args.entry, args.json, method, path, body, show)
+    return send_request(args.entry, args.json, method, path, body, format_answer)
 
 
-def send_to(
+def send_request(
     address: str,
     as_json: bool,
     method: str,
     path: str,
     body: dict[str, Any] | None,
-    show: Callable[[Any], str] | None,
+    format_answer: Callable[[Any], str] | None,
 ) -> int:
     """Send one request to an address and print the answer."""
     text = json.dumps(body).encode("utf-8") if body is not None else b""
     result = exchange_all([Exchange(method, path, parse_address(address), text)])[0]
     if result.is_error():
-        return _print_silence(result.error, method)
-    return print_answer(result.ok.status, result.ok.body, as_json, show)
+        return _print_missing_answer(result.error, method)
+    return print_answer(result.ok.status, result.ok.body, as_json, format_answer)
 
 
-def _print_silence(failure: Failure, method: str) -> int:
+def _print_missing_answer(failure: Failure, method: str) -> int:
     """Print why there is no answer; a change that was sent may have been made."""
     code = print_failure(failure)
     if method == "GET" or failure.step == STEP_CONNECT:
@@ -79,7 +79,7 @@
 
 
 def print_answer(
-    status: int, text: bytes, as_json: bool, show: Callable[[Any], str] | None
+    status: int, text: bytes, as_json: bool, format_answer: Callable[[Any], str] | None
 ) -> int:
     """Print an answer and return the exit code that fits its status."""
     try:
@@ -90,16 +90,16 @@
     if as_json:
         print(json.dumps(answer))
     elif status == STATUS_OK:
-        print((show or show_fields)(answer))
+        print((format_answer or format_fields)(answer))
     else:
         print(f"kingcuppost: {answer['outcome']}: {answer['reason']}", file=sys.stderr)
     if status == STATUS_OK:
         return EXIT_OK
-    if status in STATUS_INVALID:
+    if status in INVALID_STATUSES:
         return EXIT_INVALID
     return EXIT_UNKNOWN if answer["outcome"] == Outcome.UNKNOWN else EXIT_FAILED
 
 
-def show_fields(answer: Any) -> str:
+def format_fields(answer: Any) -> str:
     """Return an answer's fields, one a line."""
     return "\n".join(f"{name}: {value}" for name, value in answer.items())
--- a/kingcuppost/cli/explain.py
+++ b/kingcuppost/cli/explain.py
@@ -4,8 +4,8 @@
 from typing import Any
 from urllib.parse import quote
 
-from kingcuppost.cli.client import send
-from kingcuppost.cli.jobs import show_jobs, show_members
+from kingcuppost.cli.client import send_to_entry
+from kingcuppost.cli.jobs import format_jobs, format_members
 from kingcuppost.cli.registry import add_operator_options, command
 
 __all__: list[str] = []
@@ -26,15 +26,20 @@
     """Show settings, decisions, refused alternatives and the outcome."""
     name = quote(args.name, safe="")
     if args.action == "job":
-        return send(args, "GET", f"/v1/jobs/{name}/explain", show=show_job_explanation)
+        return send_to_entry(
+            args,
+            "GET",
+            f"/v1/jobs/{name}/explain",
+            format_answer=format_job_explanation,
+        )
     path = f"/v1/requests/explain?key={name}"
-    return send(args, "GET", path, show=show_request_explanation)
+    return send_to_entry(args, "GET", path, format_answer=format_request_explanation)
 
 
-def show_job_explanation(answer: Any) -> str:
+def format_job_explanation(answer: Any) -> str:
     """Return a job with its gangs and their decisions, for people."""
     job = answer["job"]
-    lines = [show_jobs({"rows": [job]})]
+    lines = [format_jobs({"rows": [job]})]
     lines.append(f"submitted at offset {job['submitted_offset']}")
     if job["result"]:
         lines.append(f"result, kept in the log: {job['result']}")
@@ -46,14 +51,14 @@
             f"gang {gang['key']}, placed at offset {gang['placed_offset']} in term "
             f"{gang['term']}{borrowed}"
         )
-        lines.extend(show_members(gang))
-        lines.extend(_show_decision(gang["decision"]))
+        lines.extend(format_members(gang))
+        lines.extend(_format_decision(gang["decision"]))
         if gang["reason"]:
             lines.append(f"  stopped: {gang['reason']}")
     return "\n".join(lines)
 
 
-def show_request_explanation(answer: Any) -> str:
+def format_request_explanation(answer: Any) -> str:
     """Return a request with its claim and outcome, for people."""
     lines = [f"request {answer['key']}: {answer['outcome']}"]
     lines.append(f"known by {answer['known_by']}")
@@ -64,27 +69,27 @@
             f"for {claim['minion']}, process {claim['minion_incarnation']}"
         )
         if claim["decision"] is not None:
-            lines.extend(_show_decision(claim["decision"]))
+            lines.extend(_format_decision(claim["decision"]))
     else:
         lines.append("settings that hold now:")
-        lines.extend(_show_values(answer["settings_now"]))
+        lines.extend(_format_values(answer["settings_now"]))
     for event in answer["events"]:
         lines.append(f"  {event['process']} {event['step']}: {event['text']}")
     return "\n".join(lines)
 
 
-def _show_decision(decision: Any) -> list[str]:
+def _format_decision(decision: Any) -> list[str]:
     lines = [
         f"  by policy {decision['policy']}, settings up to offset "
         f"{decision['settings_offset']}:"
     ]
-    lines.extend(_show_values(decision["values"]))
+    lines.extend(_format_values(decision["values"]))
     for item in decision["refused"]:
         lines.append(f"  not on {item['place']}: {item['reason']}")
     return lines
 
 
-def _show_values(values: list[Any]) -> list[str]:
+def _format_values(values: list[Any]) -> list[str]:
     return [
         f"  {row['key']} = {row['value']} from {row['path']}, "
         f"offset {row['offset']}, {row['operator'] or 'no operator'}"
--- a/kingcuppost/cli/fleet.py
+++ b/kingcuppost/cli/fleet.py
@@ -3,22 +3,22 @@
 import argparse
 from typing import Any
 
-from kingcuppost.cli.client import send
+from kingcuppost.cli.client import send_to_entry
 from kingcuppost.cli.registry import add_operator_options, command
-from kingcuppost.cli.tables import format_table
+from kingcuppost.cli.text_tables import format_table
 
 __all__: list[str] = []
 
-NEVER_FRESH = -1
+NEVER_READ_AGE_MS = -1
 
 
 @command("fleet", "Show entries, minions and workers.", add_operator_options)
 def run_fleet(args: argparse.Namespace) -> int:
     """Show every process and worker that the log knows."""
-    return send(args, "GET", "/v1/fleet", show=show_fleet)
+    return send_to_entry(args, "GET", "/v1/fleet", format_answer=format_fleet)
 
 
-def show_fleet(answer: Any) -> str:
+def format_fleet(answer: Any) -> str:
     """Return tables of entries, minions and workers, for people."""
     tables = (
         format_table(
@@ -56,15 +56,17 @@
 @command("status", "Show how far a process has followed the log.", add_operator_options)
 def run_status(args: argparse.Namespace) -> int:
     """Show the offsets, the scheduling lease and the open work of a process."""
-    return send(args, "GET", "/v1/status", show=show_status)
+    return send_to_entry(args, "GET", "/v1/status", format_answer=format_status)
 
 
-def show_status(answer: Any) -> str:
+def format_status(answer: Any) -> str:
     """Return the state of a process, one fact a line."""
     identity = answer["identity"]
     lease = answer["lease"]
     age_ms = answer["fresh_age_ms"]
-    fresh = "never read at its head" if age_ms == NEVER_FRESH else f"{age_ms} ms ago"
+    fresh = (
+        "never read at its head" if age_ms == NEVER_READ_AGE_MS else f"{age_ms} ms ago"
+    )
     return "\n".join(
         [
             f"process: {identity['role']} {identity['name']}, incarnation "
--- a/kingcuppost/cli/jobs.py
+++ b/kingcuppost/cli/jobs.py
@@ -4,13 +4,13 @@
 from typing import Any
 from urllib.parse import quote
 
-from kingcuppost.cli.client import send, send_to
+from kingcuppost.cli.client import send_request, send_to_entry
 from kingcuppost.cli.registry import add_operator_options, command
-from kingcuppost.cli.tables import format_table
+from kingcuppost.cli.text_tables import format_table
 
-__all__ = ["show_jobs", "show_members"]
+__all__ = ["format_jobs", "format_members"]
 
-DEFAULT_CALLERS = "127.0.0.1:7300"
+DEFAULT_CALLER_ADDRESS = "127.0.0.1:7300"
 JOB_FIELDS = (
     "operator",
     "name",
@@ -52,16 +52,18 @@
     """Submit, show or cancel a job."""
     if args.action == "submit":
         body = {name: getattr(args, name) for name in JOB_FIELDS}
-        return send(args, "POST", "/v1/jobs", body)
+        return send_to_entry(args, "POST", "/v1/jobs", body)
     path = f"/v1/jobs/{quote(args.name, safe='')}"
     if args.action == "cancel":
-        return send(args, "POST", f"{path}/cancel", {"operator": args.operator})
+        return send_to_entry(
+            args, "POST", f"{path}/cancel", {"operator": args.operator}
+        )
     if args.name:
-        return send(args, "GET", path, show=_show_job)
-    return send(args, "GET", "/v1/jobs", show=show_jobs)
+        return send_to_entry(args, "GET", path, format_answer=_format_job)
+    return send_to_entry(args, "GET", "/v1/jobs", format_answer=format_jobs)
 
 
-def show_jobs(answer: Any) -> str:
+def format_jobs(answer: Any) -> str:
     """Return a table of jobs."""
     rows = [
         [
@@ -80,17 +82,17 @@
     )
 
 
-def _show_job(answer: Any) -> str:
-    lines = [show_jobs({"rows": [answer["job"]]})]
+def _format_job(answer: Any) -> str:
+    lines = [format_jobs({"rows": [answer["job"]]})]
     if answer["job"]["result"]:
         lines.append(f"result: {answer['job']['result']}")
     for gang in answer["gangs"]:
         lines.append(f"gang {gang['key']}: {gang['state']}")
-        lines.extend(show_members(gang))
+        lines.extend(format_members(gang))
     return "\n".join(lines)
 
 
-def show_members(gang: Any) -> list[str]:
+def format_members(gang: Any) -> list[str]:
     """Return a line for each member of a gang."""
     return [
         f"  member {i} on {item['worker']}, accelerators {item['accelerators']}"
@@ -99,7 +101,7 @@
 
 
 def _add_request_options(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--callers", default=DEFAULT_CALLERS, help="IP:PORT")
+    parser.add_argument("--callers", default=DEFAULT_CALLER_ADDRESS, help="IP:PORT")
     parser.add_argument("--team", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--body", default="")
@@ -130,4 +132,4 @@
         "issued_ms": args.issued_ms,
         "timeout_ms": args.timeout_ms,
     }
-    return send_to(args.callers, args.json, "POST", "/v1/requests", body, None)
+    return send_request(args.callers, args.json, "POST", "/v1/requests", body, None)
--- a/kingcuppost/cli/processes.py
+++ b/kingcuppost/cli/processes.py
@@ -12,16 +12,16 @@
 __all__: list[str] = []
 
 
-def _add_file(parser: argparse.ArgumentParser) -> None:
+def _add_file_argument(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("file", help="settings file in TOML")
 
 
-def _refuse(failure: Failure) -> int:
+def _print_refusal(failure: Failure) -> int:
     print(f"kingcuppost: {failure.step}: {failure.reason}", file=sys.stderr)
     return EXIT_INVALID
 
 
-def _config_of(path: str, role: Role) -> ProcessConfig | Failure:
+def _read_config_for(path: str, role: Role) -> ProcessConfig | Failure:
     result = read_config(path)
     if result.is_error():
         return result.error
@@ -30,33 +30,33 @@
     return result.ok
 
 
-@command("entry", "Run an entry.", _add_file)
+@command("entry", "Run an entry.", _add_file_argument)
 def run_entry_command(args: argparse.Namespace) -> int:
     """Run an entry until it is told to stop."""
-    cfg = _config_of(args.file, Role.ENTRY)
+    cfg = _read_config_for(args.file, Role.ENTRY)
     if isinstance(cfg, Failure):
-        return _refuse(cfg)
+        return _print_refusal(cfg)
     from kingcuppost.programs.entry import run_entry
 
     return run_entry(cfg)
 
 
-@command("sidecar", "Run the sidecar of a minion.", _add_file)
+@command("sidecar", "Run the sidecar of a minion.", _add_file_argument)
 def run_sidecar_command(args: argparse.Namespace) -> int:
     """Run a sidecar until it is told to stop."""
-    cfg = _config_of(args.file, Role.SIDECAR)
+    cfg = _read_config_for(args.file, Role.SIDECAR)
     if isinstance(cfg, Failure):
-        return _refuse(cfg)
+        return _print_refusal(cfg)
     from kingcuppost.programs.sidecar import run_sidecar
 
     return run_sidecar(cfg)
 
 
-@command("check", "Check a settings file without running anything.", _add_file)
-def check_file(args: argparse.Namespace) -> int:
+@command("check", "Check a settings file without running anything.", _add_file_argument)
+def run_check_command(args: argparse.Namespace) -> int:
     """Say whether a settings file is sound."""
     result = read_config(args.file)
     if result.is_error():
-        return _refuse(result.error)
+        return _print_refusal(result.error)
     print(f"{args.file}: sound, {result.ok.role} {result.ok.name}")
     return EXIT_OK
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -30,7 +30,7 @@
     return EXIT_OK
 
 
-def _table(titles: list[str], rows: list[list[str]]) -> str:
+def _format_markdown_table(titles: list[str], rows: list[list[str]]) -> str:
     lines = [titles, ["---"] * len(titles), *rows]
     return "\n".join(f"| {' | '.join(line)} |" for line in lines)
 
@@ -43,15 +43,17 @@
             f"`{key.name}`",
             f"`{key.default}`",
             key.unit or "-",
-            _bounds_of(key),
+            _format_limits(key),
             key.text,
         ]
         for _, key in sorted(KEYS.items())
     ]
-    return _table(["key", "default", "unit", "allowed", "meaning"], rows)
+    return _format_markdown_table(
+        ["key", "default", "unit", "allowed", "meaning"], rows
+    )
 
 
-def _bounds_of(key: SettingKey) -> str:
+def _format_limits(key: SettingKey) -> str:
     if key.choices:
         return ", ".join(f"`{choice}`" for choice in key.choices)
     if key.least is None and key.most is None:
@@ -66,29 +68,29 @@
     """Return the keys of a process's settings file."""
     rows: list[list[str]] = []
     _add_fields(rows, FileModel, "")
-    return _table(["key", "type", "default"], rows)
+    return _format_markdown_table(["key", "type", "default"], rows)
 
 
 def _add_fields(rows: list[list[str]], model: type[BaseModel], prefix: str) -> None:
     schema = model.model_json_schema()
     for name, field in model.model_fields.items():
-        nested = _model_in(field.annotation)
+        nested = _find_nested_model(field.annotation)
         if nested is not None:
             _add_fields(rows, nested, f"{prefix}{name}.")
             continue
         default = "required" if field.is_required() else f"`{field.default}`"
-        kind = _kind_of(schema, schema["properties"][name])
+        kind = _describe_type(schema, schema["properties"][name])
         rows.append([f"`{prefix}{name}`", kind, default])
 
 
-def _model_in(annotation: Any) -> type[BaseModel] | None:
+def _find_nested_model(annotation: Any) -> type[BaseModel] | None:
     for kind in (annotation, *getattr(annotation, "__args__", ())):
         if isinstance(kind, type) and issubclass(kind, BaseModel):
             return kind
     return None
 
 
-def _kind_of(schema: dict[str, Any], part: dict[str, Any]) -> str:
+def _describe_type(schema: dict[str, Any], part: dict[str, Any]) -> str:
     """Return the type of a field with its bounds, in words."""
     if "$ref" in part:
         part = schema["$defs"][part["$ref"].rpartition("/")[2]]
@@ -118,20 +120,20 @@
         ]
         for metric in sorted(metrics.values(), key=lambda metric: metric.name)
     ]
-    return _table(["metric", "kind", "labels", "meaning"], rows)
+    return _format_markdown_table(["metric", "kind", "labels", "meaning"], rows)
 
 
 @references.register("routes")
 def routes_reference() -> str:
     """Return the routes of all surfaces."""
     rows = [
-        [item.surface, f"`{item.method}`", f"`{item.path}`", _text_of(item.parse)]
+        [item.surface, f"`{item.method}`", f"`{item.path}`", _summary_of(item.parse)]
         for item, _ in sorted(
             routes, key=lambda pair: (pair[0].surface, pair[0].path, pair[0].method)
         )
     ]
-    return _table(["surface", "method", "path", "what it does"], rows)
+    return _format_markdown_table(["surface", "method", "path", "what it does"], rows)
 
 
-def _text_of(function: Callable) -> str:
+def _summary_of(function: Callable) -> str:
     return (function.__doc__ or "").strip().partition("\n")[0]
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -26,9 +26,9 @@
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_UNKNOWN = 3
-DEFAULT_ADDRESS = "127.0.0.1:7301"
+DEFAULT_ENTRY_ADDRESS = "127.0.0.1:7301"
 
-Run = Callable[[argparse.Namespace], int]
+RunCommand = Callable[[argparse.Namespace], int]
 AddOptions = Callable[[argparse.ArgumentParser], None]
 
 
@@ -49,16 +49,18 @@
     name: str
     text: str
     add_options: AddOptions
-    run: Run
+    run: RunCommand
 
 
 commands: dict[str, Command] = {}
 
 
-def command(name: str, text: str, add_options: AddOptions) -> Callable[[Run], Run]:
+def command(
+    name: str, text: str, add_options: AddOptions
+) -> Callable[[RunCommand], RunCommand]:
     """Return a decorator that registers a command."""
 
-    def register(run: Run) -> Run:
+    def register(run: RunCommand) -> RunCommand:
         commands[name] = Command(name, text, add_options, run)
         return run
 
@@ -69,8 +71,9 @@
     """Add the options that all commands towards an entry share."""
     parser.add_argument(
         "--entry",
-        default=DEFAULT_ADDRESS,
-        help=f"operators' address of an entry, IP:PORT (default {DEFAULT_ADDRESS})",
+        default=DEFAULT_ENTRY_ADDRESS,
+        help=f"operators' address of an entry, IP:PORT (default "
+        f"{DEFAULT_ENTRY_ADDRESS})",
     )
     parser.add_argument(
         "--operator",
--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -13,21 +13,21 @@
 ACCEPTED = {"offset": 7, "record_id": "rec-1", "name": "design"}
 
 
-class Peer:
+class FakePeer:
     """Answers every exchange alike and keeps what it was asked."""
 
     def __init__(self, result: Any) -> None:
         self.result = result
-        self.asked: list[Any] = []
+        self.requested: list[Any] = []
 
     def __call__(self, exchanges: list[Any]) -> list[Any]:
-        self.asked.extend(exchanges)
+        self.requested.extend(exchanges)
         return [self.result] * len(exchanges)
 
 
 @pytest.fixture
-def peer(monkeypatch: pytest.MonkeyPatch) -> Peer:
-    fake = Peer(Ok(Response(200, json.dumps(ACCEPTED).encode())))
+def peer(monkeypatch: pytest.MonkeyPatch) -> FakePeer:
+    fake = FakePeer(Ok(Response(200, json.dumps(ACCEPTED).encode())))
     monkeypatch.setattr(client, "exchange_all", fake)
     return fake
 
@@ -89,10 +89,10 @@
     ],
 )
 def test_change_is_sent(
-    peer: Peer, argv: list[str], method: str, path: str, fields: dict[str, Any]
+    peer: FakePeer, argv: list[str], method: str, path: str, fields: dict[str, Any]
 ) -> None:
     assert main(argv) == 0
-    (exchange,) = peer.asked
+    (exchange,) = peer.requested
     assert (exchange.method, exchange.path) == (method, path)
     body = json.loads(exchange.body)
     assert {name: body[name] for name in fields} == fields
@@ -108,10 +108,10 @@
     ],
 )
 def test_wrong_option_is_refused_in_one_line(
-    peer: Peer, argv: list[str], capsys: pytest.CaptureFixture
+    peer: FakePeer, argv: list[str], capsys: pytest.CaptureFixture
 ) -> None:
     assert main(argv) == 2
-    assert peer.asked == []
+    assert peer.requested == []
     lines = capsys.readouterr().err.splitlines()
     assert len(lines) == 1
     assert lines[0].startswith("kingcuppost: ")
@@ -130,7 +130,7 @@
     ],
 )
 def test_refusal_is_one_line_and_an_exit_code(
-    peer: Peer, result: Any, code: int, capsys: pytest.CaptureFixture
+    peer: FakePeer, result: Any, code: int, capsys: pytest.CaptureFixture
 ) -> None:
     peer.result = result
     assert main(["team", "put", "design"]) == code
@@ -140,7 +140,7 @@
 
 
 def test_change_that_was_sent_without_answer_is_unknown(
-    peer: Peer, capsys: pytest.CaptureFixture
+    peer: FakePeer, capsys: pytest.CaptureFixture
 ) -> None:
     peer.result = Error(Failure("timeout", "exchange", "127.0.0.1:1"))
     assert main(["team", "put", "design"]) == 3
@@ -148,12 +148,14 @@
     assert main(["team", "show"]) == 1
 
 
-def test_answer_that_is_no_json_is_unknown(peer: Peer) -> None:
+def test_answer_that_is_no_json_is_unknown(peer: FakePeer) -> None:
     peer.result = Ok(Response(502, b"<html>"))
     assert main(["team", "put", "design"]) == 3
 
 
-def test_json_is_printed_as_it_came(peer: Peer, capsys: pytest.CaptureFixture) -> None:
+def test_json_is_printed_as_it_came(
+    peer: FakePeer, capsys: pytest.CaptureFixture
+) -> None:
     assert main(["team", "put", "design", "--json"]) == 0
     assert json.loads(capsys.readouterr().out) == ACCEPTED
 
@@ -200,7 +202,9 @@
 
 
 @pytest.mark.parametrize("name", VIEWS)
-def test_view_is_printed(name: str, peer: Peer, capsys: pytest.CaptureFixture) -> None:
+def test_view_is_printed(
+    name: str, peer: FakePeer, capsys: pytest.CaptureFixture
+) -> None:
     answer, text = VIEWS[name]
     peer.result = Ok(Response(200, json.dumps(answer).encode()))
     assert main([name]) == 0
@@ -224,7 +228,7 @@
 
 
 def test_request_explanation_names_branch_operator_and_alternative(
-    peer: Peer, capsys: pytest.CaptureFixture
+    peer: FakePeer, capsys: pytest.CaptureFixture
 ) -> None:
     answer = {
         "key": "design/order-7",
@@ -242,7 +246,7 @@
     }
     peer.result = Ok(Response(200, json.dumps(answer).encode()))
     assert main(["explain", "request", "design/order-7"]) == 0
-    (exchange,) = peer.asked
+    (exchange,) = peer.requested
     assert exchange.path == "/v1/requests/explain?key=design%2Forder-7"
     text = capsys.readouterr().out
     assert "request.attempts = 2 from teams/design, offset 4, ilze" in text
@@ -265,11 +269,11 @@
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture
 ) -> None:
     fleet = {"entries": [], "minions": [{"host": "10.0.0.9", "operator_port": 81}]}
-    asked = []
+    requested = []
 
     def exchange_then(first: Any, follow: Any) -> list[Any]:
         answer = Ok(Response(200, json.dumps(fleet).encode()))
-        asked.extend(str(item.address) for item in follow(answer))
+        requested.extend(str(item.address) for item in follow(answer))
         other = {**EVENT, "sequence": 2, "team": "sales"}
         events = Ok(Response(200, json.dumps({"events": [EVENT, other]}).encode()))
         return [answer, events, Error(Failure("refused", "connect", "10.0.0.9:81"))]
@@ -277,7 +281,7 @@
     monkeypatch.setattr(timeline, "exchange_then", exchange_then)
     assert main(["timeline", "--team", "design", "--json"]) == 0
     printed = capsys.readouterr()
-    assert asked == ["127.0.0.1:7301", "10.0.0.9:81"]
+    assert requested == ["127.0.0.1:7301", "10.0.0.9:81"]
     assert [json.loads(line)["sequence"] for line in printed.out.splitlines()] == [1]
     assert "10.0.0.9:81" in printed.err
     assert main(["timeline", "--until", "999"]) == 0
--- a/kingcuppost/cli/tests/test_timeline.py
+++ b/kingcuppost/cli/tests/test_timeline.py
@@ -1,6 +1,6 @@
 """The time line for people shows each record's folding once."""
 
-from kingcuppost.cli.timeline import join_folds
+from kingcuppost.cli.timeline import collapse_folds
 from kingcuppost.tables.event import Event
 
 
@@ -19,12 +19,12 @@
         event("minion-1", "fold.team_put", "rec-1"),
         event("entry-0", "fold.zone_put", "rec-2"),
     ]
-    joined = join_folds(events)
-    assert [(row.process, row.step) for row in joined] == [
+    collapsed = collapse_folds(events)
+    assert [(row.process, row.step) for row in collapsed] == [
         ("entry-0", "propose.team_put"),
         ("entry-0", "fold.team_put"),
         ("minion-1", "member.start"),
         ("entry-0", "fold.zone_put"),
     ]
-    assert joined[1].text == "It happened. Also by 2 more."
-    assert joined[3].text == "It happened."
+    assert collapsed[1].text == "It happened. Also by 2 more."
+    assert collapsed[3].text == "It happened."
--- a/kingcuppost/cli/tables.py
+++ b/kingcuppost/cli/text_tables.py
@@ -4,7 +4,7 @@
 
 __all__ = ["format_table"]
 
-GAP = "  "
+COLUMN_GAP = "  "
 
 
 def format_table(titles: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
@@ -20,7 +20,9 @@
     lines = [list(titles), *[[str(cell) for cell in row] for row in rows]]
     widths = [max(len(line[i]) for line in lines) for i in range(len(titles))]
     padded = [
-        GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
         for line in lines
     ]
     return "\n".join(line.rstrip() for line in padded)
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -17,7 +17,7 @@
     parse_address,
     print_failure,
 )
-from kingcuppost.cli.tables import format_table
+from kingcuppost.cli.text_tables import format_table
 from kingcuppost.exception import Failure, InvalidInputError
 from kingcuppost.models import decode
 from kingcuppost.models.events import EventListModel
@@ -26,14 +26,14 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.event import Event
 
-__all__ = ["addresses_of", "join_folds", "parse_time", "wanted"]
+__all__ = ["collapse_folds", "matches_filters", "operator_addresses", "parse_time"]
 
 EVENTS_PATH = "/v1/events"
 TIMEOUT_MS = 5_000
 MS_PER_SECOND = 1_000
 FOLD_PREFIX = "fold."
 STATUS_OK = 200
-FILTERS = {
+FILTER_HELP = {
     "job": "name of a job",
     "request": "TEAM/KEY, or the identifier that an event shows",
     "team": "name of a team",
@@ -73,7 +73,7 @@
         default=[],
         help="operators' address of one more process, IP:PORT",
     )
-    for name, text in FILTERS.items():
+    for name, text in FILTER_HELP.items():
         parser.add_argument(f"--{name}", default="", help=text)
     parser.add_argument("--since", default="0", help="Unix ms or ISO 8601")
     parser.add_argument("--until", default="", help="Unix ms or ISO 8601")
@@ -84,13 +84,13 @@
     )
 
 
-def addresses_of(fleet: dict[str, Any]) -> list[Address]:
+def operator_addresses(fleet: dict[str, Any]) -> list[Address]:
     """Return the operators' addresses of all processes that the log knows.
 
     Examples
     --------
     >>> rows = [{"host": "10.0.0.1", "operator_port": 81}]
-    >>> addresses_of({"entries": rows, "minions": []})
+    >>> operator_addresses({"entries": rows, "minions": []})
     [Address(host='10.0.0.1', port=81)]
     """
     return [
@@ -100,11 +100,13 @@
     ]
 
 
-def _follow(entry: Address, more: list[Address], answer: Result) -> list[Exchange]:
+def _event_exchanges(
+    entry: Address, extra_addresses: list[Address], answer: Result
+) -> list[Exchange]:
     """Return the questions to all processes that are known by now."""
-    addresses = [entry, *more]
+    addresses = [entry, *extra_addresses]
     if answer.is_ok() and answer.ok.status == STATUS_OK:
-        addresses += addresses_of(json.loads(answer.ok.body))
+        addresses += operator_addresses(json.loads(answer.ok.body))
     unique = list(dict.fromkeys(addresses))
     return [
         Exchange("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS) for item in unique
@@ -115,18 +117,20 @@
 def run_timeline(args: argparse.Namespace) -> int:
     """Ask an entry for the fleet, then every process for its events."""
     entry = parse_address(args.entry)
-    more = [parse_address(text) for text in args.process]
+    extra_addresses = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
     first = Exchange("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
-    answers = exchange_then(first, lambda answer: _follow(entry, more, answer))
+    answers = exchange_then(
+        first, lambda answer: _event_exchanges(entry, extra_addresses, answer)
+    )
     events = _read_events(answers)
     if events is None:
         return EXIT_FAILED
-    merged = [row for row in merge_events(events) if wanted(args, row)]
+    merged = [row for row in merge_events(events) if matches_filters(args, row)]
     if not args.json and not args.every:
-        merged = join_folds(merged)
-    _print(merged, args.json)
+        merged = collapse_folds(merged)
+    _print_events(merged, args.json)
     return EXIT_OK
 
 
@@ -136,11 +140,11 @@
     if fleet.is_error():
         print_failure(fleet.error)
     events: dict[tuple[str, str, int], Event] = {}
-    silent = 0
+    failed_count = 0
     for answer in rest:
         if answer.is_error():
             print_failure(answer.error)
-            silent += 1
+            failed_count += 1
             continue
         model = decode(EventListModel, answer.ok.body, "events")
         if model.is_error():
@@ -148,12 +152,12 @@
             continue
         for row in model.ok.events:
             events[row.process, row.incarnation, row.sequence] = row.to_row()
-    return None if silent == len(rest) else list(events.values())
+    return None if failed_count == len(rest) else list(events.values())
 
 
-def wanted(args: argparse.Namespace, event: Event) -> bool:
+def matches_filters(args: argparse.Namespace, event: Event) -> bool:
     """Return whether an event passes the filters of the command line."""
-    names = [name.replace("-", "_") for name in FILTERS]
+    names = [name.replace("-", "_") for name in FILTER_HELP]
     for name in names:
         value = getattr(args, name)
         if value and getattr(event, name) != value:
@@ -163,44 +167,44 @@
     return args.until_ms is None or event.wall_ms <= args.until_ms
 
 
-def join_folds(events: list[Event]) -> list[Event]:
+def collapse_folds(events: list[Event]) -> list[Event]:
     """Return events with the folding of each record by all processes in one row.
 
     The row stands where the first process folded the record, and tells how many
     others did.
     """
     others = Counter(event.receives for event in events if _is_fold(event))
-    joined = []
-    seen = set()
+    collapsed = []
+    seen_records = set()
     for event in events:
         if not _is_fold(event):
-            joined.append(event)
-        elif event.receives not in seen:
-            seen.add(event.receives)
-            joined.append(_with_count(event, others[event.receives] - 1))
-    return joined
+            collapsed.append(event)
+        elif event.receives not in seen_records:
+            seen_records.add(event.receives)
+            collapsed.append(_add_process_count(event, others[event.receives] - 1))
+    return collapsed
 
 
 def _is_fold(event: Event) -> bool:
     return event.step.startswith(FOLD_PREFIX) and bool(event.receives)
 
 
-def _with_count(event: Event, count: int) -> Event:
+def _add_process_count(event: Event, count: int) -> Event:
     if not count:
         return event
     return replace(event, text=f"{event.text} Also by {count} more.")
 
 
-def _print(events: list[Event], as_json: bool) -> None:
+def _print_events(events: list[Event], as_json: bool) -> None:
     if as_json:
         for event in events:
             print(json.dumps(asdict(event)))
         return
     titles = ["OFFSET", "TIME (UTC)", "PROCESS", "STEP", "SUBJECT", "WHAT HAPPENED"]
-    print(format_table(titles, [_row_of(event) for event in events]))
+    print(format_table(titles, [_format_row(event) for event in events]))
 
 
-def _row_of(event: Event) -> list[object]:
+def _format_row(event: Event) -> list[object]:
     subject = (
         event.job
         or event.request
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -13,12 +13,12 @@
 
 CONTEXT_PARTS = ("lease", "log", "minion", "process", "settings", "store")
 CONTEXT_MS = 1_000
-PLAIN_FIELDS = ("wall_ms", "instance", "incarnation", "message", "levelname")
+STANDARD_FIELDS = ("wall_ms", "instance", "incarnation", "message", "levelname")
 MS_PER_SECOND = 1_000
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class LogLine:
     """One log line.
 
     Attributes
@@ -46,7 +46,7 @@
         return any(str(value).startswith(text) for value in self.fields.values())
 
 
-def _parse(texts: Iterable[str]) -> Iterator[Line]:
+def _parse_lines(texts: Iterable[str]) -> Iterator[LogLine]:
     """Yield the lines that are ours; others, such as a bench's, are passed over."""
     for text in texts:
         start = text.find("{")
@@ -57,27 +57,29 @@
         except ValueError:
             continue
         if isinstance(row, dict) and isinstance(row.get("wall_ms"), int):
-            fields = {key: row[key] for key in row if key not in PLAIN_FIELDS}
+            fields = {key: row[key] for key in row if key not in STANDARD_FIELDS}
             instance = str(row.get("instance", ""))
-            yield Line(row["wall_ms"], instance, str(row.get("message", "")), fields)
+            yield LogLine(row["wall_ms"], instance, str(row.get("message", "")), fields)
 
 
-def _read(paths: list[str]) -> Iterator[Line]:
+def _read_logs(paths: list[str]) -> Iterator[LogLine]:
     for path in paths:
         if path == "-":
-            yield from _parse(sys.stdin)
+            yield from _parse_lines(sys.stdin)
         else:
             with Path(path).open(encoding="utf-8", errors="replace") as file:
-                yield from _parse(file)
+                yield from _parse_lines(file)
 
 
-def _chosen(lines: list[Line], job_id: str, with_context: bool) -> list[Line]:
+def _select_lines(
+    lines: list[LogLine], job_id: str, with_context: bool
+) -> list[LogLine]:
     """Return the lines of a job and, if asked for, what happened around them."""
-    own = [line for line in lines if line.mentions(job_id)]
-    if not own or not with_context:
-        return own
-    first_ms = own[0].wall_ms - CONTEXT_MS
-    last_ms = own[-1].wall_ms + CONTEXT_MS
+    job_lines = [line for line in lines if line.mentions(job_id)]
+    if not job_lines or not with_context:
+        return job_lines
+    first_ms = job_lines[0].wall_ms - CONTEXT_MS
+    last_ms = job_lines[-1].wall_ms + CONTEXT_MS
     return [
         line
         for line in lines
@@ -86,7 +88,7 @@
     ]
 
 
-def _text(line: Line, first_ms: int) -> str:
+def _format_line(line: LogLine, first_ms: int) -> str:
     after_s = (line.wall_ms - first_ms) / MS_PER_SECOND
     details = " ".join(f"{key}={value}" for key, value in line.fields.items())
     return f"{after_s:9.3f} {line.instance:20} {line.message} {details}".rstrip()
@@ -103,13 +105,13 @@
 
 
 @command("trace", "Show one job's way through the logs of all processes.", _add_options)
-def trace_job(args: argparse.Namespace) -> int:
+def run_trace(args: argparse.Namespace) -> int:
     """Print the lines that mention a job, from all processes, by their time."""
-    lines = sorted(_read(args.logs), key=lambda line: line.wall_ms)
-    chosen = _chosen(lines, args.job, args.context)
-    if not chosen:
+    lines = sorted(_read_logs(args.logs), key=lambda line: line.wall_ms)
+    selected = _select_lines(lines, args.job, args.context)
+    if not selected:
         print(f"kingcuppost: no line mentions {args.job}", file=sys.stderr)
         return EXIT_FAILED
-    for line in chosen:
-        print(_text(line, chosen[0].wall_ms))
+    for line in selected:
+        print(_format_line(line, selected[0].wall_ms))
     return EXIT_OK
--- a/kingcuppost/systems/views/__init__.py
+++ b/kingcuppost/systems/views/__init__.py
@@ -2,8 +2,8 @@
 
 from kingcuppost.systems.views import explain as _explain
 from kingcuppost.systems.views import rows as _rows
-from kingcuppost.systems.views.registry import show, views
+from kingcuppost.systems.views.registry import answer_view_requests, views
 
-__all__ = ["show", "views"]
+__all__ = ["answer_view_requests", "views"]
 
 del _explain, _rows
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -76,23 +76,25 @@
         return RequestExplanation(
             argument, None, "not_claimed", known_by, values, events
         )
-    known_by = _known_by(world, claim)
+    known_by = _find_outcome_source(world, claim)
     outcome = claim.outcome or Outcome.UNKNOWN
     return RequestExplanation(argument, claim, outcome, known_by, values, events)
 
 
-def _known_by(world: World, claim: KeyClaim) -> str:
+def _find_outcome_source(world: World, claim: KeyClaim) -> str:
     minion = world.agreed.minions.get(claim.minion)
-    alive = _is_claimed(minion, claim)
+    is_serving = _is_claim_holder_serving(minion, claim)
     if claim.outcome:
-        holder = f"; sidecar of {claim.minion} has the answer" if alive else ""
-        return f"the log{holder}"
-    if alive:
+        sidecar_text = (
+            f"; sidecar of {claim.minion} has the answer" if is_serving else ""
+        )
+        return f"the log{sidecar_text}"
+    if is_serving:
         return f"sidecar of {claim.minion}, process {claim.minion_incarnation}"
     return f"nobody: process {claim.minion_incarnation} of {claim.minion} has gone"
 
 
-def _is_claimed(minion: Minion | None, claim: KeyClaim) -> bool:
+def _is_claim_holder_serving(minion: Minion | None, claim: KeyClaim) -> bool:
     return (
         minion is not None
         and minion.incarnation == claim.minion_incarnation
--- a/kingcuppost/systems/views/merge.py
+++ b/kingcuppost/systems/views/merge.py
@@ -61,19 +61,19 @@
     ['entry-0', 'minion-0']
     """
     rows = sorted(events, key=_stream_key)
-    offsets = _rising_offsets(rows)
-    nodes = [_node_of(row, offset) for row, offset in zip(rows, offsets, strict=True)]
-    _link_sequences(nodes)
-    _link_messages(nodes)
-    _link_records(nodes, offsets)
-    return [node.event for node in _drain(nodes) if node.event is not None]
+    offsets = _reached_offsets(rows)
+    nodes = [_make_node(row, offset) for row, offset in zip(rows, offsets, strict=True)]
+    _add_sequence_edges(nodes)
+    _add_message_edges(nodes)
+    _add_record_nodes(nodes, offsets)
+    return [node.event for node in _sort_topologically(nodes) if node.event is not None]
 
 
 def _stream_key(event: Event) -> tuple[str, str, int]:
     return (event.process, event.incarnation, event.sequence)
 
 
-def _rising_offsets(rows: list[Event]) -> list[int]:
+def _reached_offsets(rows: list[Event]) -> list[int]:
     """Return the offset that each event's process had reached by then."""
     offsets = []
     last = ("", "")
@@ -86,90 +86,90 @@
     return offsets
 
 
-def _node_of(event: Event, offset: int) -> _Node:
-    is_other = 0 if event.step.startswith(FOLD_PREFIX) else 1
-    return _Node(event, (offset, is_other, event.wall_ms, *_stream_key(event)))
+def _make_node(event: Event, offset: int) -> _Node:
+    fold_rank = 0 if event.step.startswith(FOLD_PREFIX) else 1
+    return _Node(event, (offset, fold_rank, event.wall_ms, *_stream_key(event)))
 
 
-def _follow(nodes: list[_Node], first: int, second: int) -> None:
+def _add_edge(nodes: list[_Node], first: int, second: int) -> None:
     nodes[first].followers.append(second)
     nodes[second].blocked_by += 1
 
 
-def _link_sequences(nodes: list[_Node]) -> None:
-    for number in range(1, len(nodes)):
-        before = nodes[number - 1].event
-        after = nodes[number].event
+def _add_sequence_edges(nodes: list[_Node]) -> None:
+    for index in range(1, len(nodes)):
+        before = nodes[index - 1].event
+        after = nodes[index].event
         if (before.process, before.incarnation) == (after.process, after.incarnation):
-            _follow(nodes, number - 1, number)
+            _add_edge(nodes, index - 1, index)
 
 
-def _link_messages(nodes: list[_Node]) -> None:
+def _add_message_edges(nodes: list[_Node]) -> None:
     """Let what was received follow the first sending of it."""
-    senders: dict[str, int] = {}
-    for number, node in enumerate(nodes):
+    sender_indexes: dict[str, int] = {}
+    for index, node in enumerate(nodes):
         if node.event.sends:
-            senders.setdefault(node.event.sends, number)
-    for number, node in enumerate(nodes):
-        sender = senders.get(node.event.receives)
-        if sender is not None and sender != number:
-            _follow(nodes, sender, number)
+            sender_indexes.setdefault(node.event.sends, index)
+    for index, node in enumerate(nodes):
+        sender = sender_indexes.get(node.event.receives)
+        if sender is not None and sender != index:
+            _add_edge(nodes, sender, index)
 
 
-def _link_records(nodes: list[_Node], offsets: list[int]) -> None:
+def _add_record_nodes(nodes: list[_Node], offsets: list[int]) -> None:
     """Put one node for each record seen, in log order, before its readers."""
-    readers: dict[int, list[int]] = {}
-    for number, offset in enumerate(offsets):
-        readers.setdefault(offset, []).append(number)
-    senders = {
-        node.event.sends: number
-        for number, node in reversed(list(enumerate(nodes)))
+    events_at_offset: dict[int, list[int]] = {}
+    for index, offset in enumerate(offsets):
+        events_at_offset.setdefault(offset, []).append(index)
+    sender_indexes = {
+        node.event.sends: index
+        for index, node in reversed(list(enumerate(nodes)))
         if node.event.sends
     }
-    previous = -1
-    for offset in sorted(readers):
-        record = len(nodes)
+    previous_index = -1
+    for offset in sorted(events_at_offset):
+        record_index = len(nodes)
         nodes.append(_Node(None, (offset, -1, 0, "", "", 0)))
-        if previous >= 0:
-            _follow(nodes, previous, record)
-        previous = record
-        proposers = {
-            senders[nodes[number].event.receives]
-            for number in readers[offset]
-            if _folds(nodes[number].event, offset)
-            and nodes[number].event.receives in senders
+        if previous_index >= 0:
+            _add_edge(nodes, previous_index, record_index)
+        previous_index = record_index
+        proposal_indexes = {
+            sender_indexes[nodes[index].event.receives]
+            for index in events_at_offset[offset]
+            if _is_fold_at(nodes[index].event, offset)
+            and nodes[index].event.receives in sender_indexes
         }
-        for number in sorted(proposers):
-            _follow(nodes, number, record)
-        for number in readers[offset]:
-            _follow(nodes, record, number)
+        for index in sorted(proposal_indexes):
+            _add_edge(nodes, index, record_index)
+        for index in events_at_offset[offset]:
+            _add_edge(nodes, record_index, index)
 
 
-def _folds(event: Event, offset: int) -> bool:
+def _is_fold_at(event: Event, offset: int) -> bool:
     return event.step.startswith(FOLD_PREFIX) and event.offset == offset
 
 
-def _drain(nodes: list[_Node]) -> list[_Node]:
+def _sort_topologically(nodes: list[_Node]) -> list[_Node]:
     """Return the nodes in an order in which none goes before what it follows.
 
     Events that contradict one another, such as two with the same number of one
     process, are taken in order of priority rather than dropped.
     """
-    waiting = {number: node.blocked_by for number, node in enumerate(nodes)}
+    in_degrees = {index: node.blocked_by for index, node in enumerate(nodes)}
     heap = [(node.priority, n) for n, node in enumerate(nodes) if not node.blocked_by]
     heapq.heapify(heap)
     ordered = []
-    while waiting:
+    while in_degrees:
         if not heap:
-            number = min(waiting, key=lambda item: nodes[item].priority)
+            index = min(in_degrees, key=lambda item: nodes[item].priority)
         else:
-            _, number = heapq.heappop(heap)
-        if waiting.pop(number, None) is None:
+            _, index = heapq.heappop(heap)
+        if in_degrees.pop(index, None) is None:
             continue
-        ordered.append(nodes[number])
-        for follower in nodes[number].followers:
-            if follower in waiting:
-                waiting[follower] -= 1
-                if not waiting[follower]:
-                    heapq.heappush(heap, (nodes[follower].priority, follower))
+        ordered.append(nodes[index])
+        for successor in nodes[index].followers:
+            if successor in in_degrees:
+                in_degrees[successor] -= 1
+                if not in_degrees[successor]:
+                    heapq.heappush(heap, (nodes[successor].priority, successor))
     return ordered
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -18,10 +18,10 @@
 
 PREFIX = "kingcuppost_"
 MS_PER_SECOND = 1_000
-NEVER = -1.0
+NEVER_READ_AGE_S = -1.0
 
 Sample = tuple[tuple[str, ...], float]
-Read = Callable[[World], Iterable[Sample]]
+ReadSamples = Callable[[World], Iterable[Sample]]
 
 
 class MetricKind(StrEnum):
@@ -55,29 +55,29 @@
     kind: MetricKind
     text: str
     labels: tuple[str, ...] = ()
-    read: Read | None = None
+    read: ReadSamples | None = None
 
 
 metrics: dict[str, Metric] = {}
 
 
-def gauge(name: str, text: str, *labels: str) -> Callable[[Read], Read]:
+def gauge(name: str, text: str, *labels: str) -> Callable[[ReadSamples], ReadSamples]:
     """Return a decorator that declares a gauge with the function that reads it."""
 
-    def register(read: Read) -> Read:
+    def register(read: ReadSamples) -> ReadSamples:
         metrics[name] = Metric(PREFIX + name, MetricKind.GAUGE, text, labels, read)
         return read
 
     return register
 
 
-def counter(name: str, text: str, *labels: str) -> None:
+def declare_counter(name: str, text: str, *labels: str) -> None:
     """Declare a counter that systems add to in the tally."""
     full_name = f"{PREFIX}{name}_total"
     metrics[name] = Metric(full_name, MetricKind.COUNTER, text, labels)
 
 
-def histogram(name: str, text: str, *labels: str) -> None:
+def declare_histogram(name: str, text: str, *labels: str) -> None:
     """Declare durations that systems observe in the tally, in ms."""
     full_name = f"{PREFIX}{name}_seconds"
     metrics[name] = Metric(full_name, MetricKind.HISTOGRAM, text, labels)
@@ -101,45 +101,51 @@
     return list(world.tally.durations.get(name, {}).items())
 
 
-counter("requests", "Callers' requests that were closed.", "team", "outcome")
-histogram("request", "Time from arrival to outcome of a request.", "team", "outcome")
-counter("bytes", "Bytes over TCP, headers included.", "direction")
-counter("messages_sent", "Messages to peers, log and worker.", "kind")
+declare_counter("requests", "Callers' requests that were closed.", "team", "outcome")
+declare_histogram(
+    "request", "Time from arrival to outcome of a request.", "team", "outcome"
+)
+declare_counter("bytes", "Bytes over TCP, headers included.", "direction")
+declare_counter("messages_sent", "Messages to peers, log and worker.", "kind")
 
-counter("records_folded", "Records of the log that were applied or rejected.", "result")
-counter("events", "Events of the time line.", "step")
-histogram("config_apply", "Time from acceptance of a change to its effect here.")
-histogram("tick", "Time that the systems took in a tick.")
+declare_counter(
+    "records_folded", "Records of the log that were applied or rejected.", "result"
+)
+declare_counter("events", "Events of the time line.", "step")
+declare_histogram(
+    "config_apply", "Time from acceptance of a change to its effect here."
+)
+declare_histogram("tick", "Time that the systems took in a tick.")
 
 
 @gauge("log_folded_offset", "Log offset applied last.")
-def read_folded(world: World) -> Iterable[Sample]:
+def read_folded_offset(world: World) -> Iterable[Sample]:
     """Read how far the log is folded."""
     yield (), float(world.log_view.folded_offset)
 
 
 @gauge("log_head_offset", "Newest log offset that is known.")
-def read_head(world: World) -> Iterable[Sample]:
+def read_head_offset(world: World) -> Iterable[Sample]:
     """Read the head of the log."""
     yield (), float(world.log_view.head_offset)
 
 
 @gauge("log_fresh_age_seconds", "Age of the last read at the head; -1 before any.")
-def read_freshness(world: World) -> Iterable[Sample]:
+def read_view_age(world: World) -> Iterable[Sample]:
     """Read the age of the view."""
     fresh_as_of_ms = world.log_view.fresh_as_of_ms
     age_ms = world.clock.now_ms() - fresh_as_of_ms
-    yield (), age_ms / MS_PER_SECOND if fresh_as_of_ms >= 0 else NEVER
+    yield (), age_ms / MS_PER_SECOND if fresh_as_of_ms >= 0 else NEVER_READ_AGE_S
 
 
 @gauge("scheduling_term", "Log offset of the claim that opened the present term.")
-def read_term(world: World) -> Iterable[Sample]:
+def read_scheduling_term(world: World) -> Iterable[Sample]:
     """Read the scheduling term."""
     yield (), float(world.agreed.lease.term)
 
 
 @gauge("scheduler", "1 in the process that holds the scheduling lease, else 0.")
-def read_scheduler(world: World) -> Iterable[Sample]:
+def read_is_scheduler(world: World) -> Iterable[Sample]:
     """Read whether this process schedules."""
     yield (), float(is_scheduler(world))
 
@@ -168,40 +174,40 @@
 
 
 @gauge("availability_zone_in_service", "1 if the zone is in service, else 0.", "zone")
-def read_zones(world: World) -> Iterable[Sample]:
+def read_zones_in_service(world: World) -> Iterable[Sample]:
     """Read zones."""
     for row in world.agreed.availability_zones:
         yield (row.name,), float(row.in_service)
 
 
 @gauge("requests_open", "Callers' requests held open.", "state")
-def read_requests(world: World) -> Iterable[Sample]:
+def read_open_requests(world: World) -> Iterable[Sample]:
     """Read open requests by state."""
     for state, count in Counter(row.state for row in world.requests).items():
         yield (str(state),), float(count)
 
 
 @gauge("attempts_open", "Attempts under way from here.")
-def read_attempts(world: World) -> Iterable[Sample]:
+def read_open_attempts(world: World) -> Iterable[Sample]:
     """Read open attempts."""
     yield (), float(len(world.attempts))
 
 
 @gauge("attempts_served", "Attempts that a sidecar remembers.", "state")
-def read_served(world: World) -> Iterable[Sample]:
+def read_served_attempts(world: World) -> Iterable[Sample]:
     """Read attempts at a sidecar."""
     for state, count in Counter(row.state for row in world.served).items():
         yield (str(state),), float(count)
 
 
 @gauge("peer_failures", "Exchanges with minions that failed since one succeeded.")
-def read_failures(world: World) -> Iterable[Sample]:
+def read_peer_failures(world: World) -> Iterable[Sample]:
     """Read failures in a row, summed over minions."""
     yield (), float(sum(row.failures for row in world.health))
 
 
 @gauge("proposals_open", "Records of this process that are not folded yet.")
-def read_proposals(world: World) -> Iterable[Sample]:
+def read_open_proposals(world: World) -> Iterable[Sample]:
     """Read records that wait for the log."""
     yield (), float(len(world.proposals))
 
@@ -220,14 +226,14 @@
 
 
 @gauge("guarantee_uncovered", "1 for a team whose shapes can't all be held.", "team")
-def read_uncovered(world: World) -> Iterable[Sample]:
+def read_uncovered_guarantees(world: World) -> Iterable[Sample]:
     """Read uncovered guarantees; only the scheduler knows them."""
     for row in world.scheduling.uncovered:
         yield (row.team,), 1.0
 
 
 @gauge("retry_tokens", "Retries that a team's budget still allows here.", "team")
-def read_retries(world: World) -> Iterable[Sample]:
+def read_retry_tokens(world: World) -> Iterable[Sample]:
     """Read retry budgets."""
     for row in world.retry_budgets:
         yield (row.team,), row.tokens
--- a/kingcuppost/systems/views/registry.py
+++ b/kingcuppost/systems/views/registry.py
@@ -12,10 +12,10 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["show", "views"]
+__all__ = ["answer_view_requests", "views"]
 
 STATUS_OK = 200
-STATUS_MISSING = 404
+STATUS_NOT_FOUND = 404
 
 View = Callable[[World, str], Any]
 
@@ -23,13 +23,13 @@
 
 
 @system(Phase.REPORT, roles=(Role.ENTRY, Role.SIDECAR), order=40)
-def show(world: World, now_ms: int) -> None:
+def answer_view_requests(world: World, now_ms: int) -> None:
     """Answer each question from the tables as they are now."""
-    for question in world.inbox.take(ShowView):
-        body = views[question.view](world, question.argument)
+    for view_request in world.inbox.take(ShowView):
+        body = views[view_request.view](world, view_request.argument)
         status = STATUS_OK
         if body is None:
-            status = STATUS_MISSING
-            reason = f"there is no {question.view} {question.argument!r}"
+            status = STATUS_NOT_FOUND
+            reason = f"there is no {view_request.view} {view_request.argument!r}"
             body = ChangeRefused(Outcome.NOT_RUN, "show", world.identity.name, reason)
-        world.outbox.put(Reply(question.exchange_id, status, body))
+        world.outbox.put(Reply(view_request.exchange_id, status, body))
--- a/kingcuppost/systems/views/tests/test_explain.py
+++ b/kingcuppost/systems/views/tests/test_explain.py
@@ -93,14 +93,14 @@
 def test_values_are_those_of_the_claim_though_changed_later(world: World) -> None:
     claim(world)
     fold(world, SettingPut("teams/design", "request.attempts", 3, 4))
-    shown = views["explain_request"](world, KEY)
-    values = {row.key: row for row in shown.claim.decision.values}
+    explanation = views["explain_request"](world, KEY)
+    values = {row.key: row for row in explanation.claim.decision.values}
     assert values["request.attempts"].value == 2
     assert values["request.attempts"].path == "teams/design"
     assert values["request.attempts"].operator == "ilze"
-    assert shown.claim.decision.settings_offset == 6
-    now = {row.key: row.value for row in shown.settings_now}
-    assert now["request.attempts"] == 3
+    assert explanation.claim.decision.settings_offset == 6
+    current_values = {row.key: row.value for row in explanation.settings_now}
+    assert current_values["request.attempts"] == 3
 
 
 def test_policy_is_the_one_that_routes(world: World) -> None:
@@ -122,9 +122,9 @@
 
 def test_unknown_outcome_names_the_process_that_knows(world: World) -> None:
     claim(world)
-    shown = views["explain_request"](world, KEY)
-    assert shown.outcome == "unknown"
-    assert shown.known_by == "sidecar of minion-1, process inc-1"
+    explanation = views["explain_request"](world, KEY)
+    assert explanation.outcome == "unknown"
+    assert explanation.known_by == "sidecar of minion-1, process inc-1"
     fold(world, announce("minion-1", "vid-a", "inc-2"))
     assert views["explain_request"](world, KEY).known_by.startswith("nobody")
 
@@ -132,9 +132,9 @@
 def test_outcome_is_known_by_the_log(world: World) -> None:
     claim(world)
     fold(world, KeyOutcome(KEY, "att-1", "answered"))
-    shown = views["explain_request"](world, KEY)
-    assert shown.outcome == "answered"
-    assert shown.known_by.startswith("the log")
+    explanation = views["explain_request"](world, KEY)
+    assert explanation.outcome == "answered"
+    assert explanation.known_by.startswith("the log")
 
 
 def test_key_without_claim_says_so(world: World) -> None:
--- a/kingcuppost/systems/views/tests/test_merge.py
+++ b/kingcuppost/systems/views/tests/test_merge.py
@@ -9,11 +9,11 @@
 from kingcuppost.systems.views.merge import merge_events
 from kingcuppost.tables.event import Event
 
-MINUTES_MS = 600_000
+MAX_SKEW_MS = 600_000
 PROCESSES = ("entry-0", "entry-1", "minion-0", "minion-1")
 
 
-class Run:
+class SimulatedRun:
     """A made-up run: processes that fold a log, and messages between them."""
 
     def __init__(self, rng: random.Random, skews: list[int]) -> None:
@@ -23,7 +23,7 @@
         self.folded = dict.fromkeys(PROCESSES, 0)
         self.events: list[Event] = []
         self.messages: list[str] = []
-        self.clock_ms = MINUTES_MS
+        self.clock_ms = MAX_SKEW_MS
 
     def note(self, process: str, step: str, **links: str) -> None:
         self.clock_ms += self.rng.randrange(3)
@@ -67,14 +67,14 @@
             self.note(process, "serve.receive", receives=message)
 
 
-skew = st.integers(-MINUTES_MS, MINUTES_MS)
+skew = st.integers(-MAX_SKEW_MS, MAX_SKEW_MS)
 
 
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(st.integers(0, 2**32), st.lists(skew, min_size=4, max_size=4))
 def test_skewed_clocks_reorder_no_cause_and_effect(seed: int, skews: list[int]) -> None:
     rng = random.Random(seed)
-    run = Run(rng, skews)
+    run = SimulatedRun(rng, skews)
     for _ in range(80):
         run.step()
     shuffled = rng.sample(run.events, len(run.events))
