Reword the views and the command line in plain technical terms

Docstrings of views, metrics and commands, help of options and messages of invalid options say what they mean; tests are named after what they check. Verbs, options, printed layouts, names and help of metrics stay.

--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: one binary for processes and operators."""
+"""The command line, which runs processes and serves operators."""
 
 import argparse
 import sys
@@ -21,8 +21,8 @@
 __all__ = ["main"]
 
 EPILOG = (
-    "exit codes: 0 done; 1 not run, or a peer failed; 2 refused as wrong, with the "
-    "reason; 3 the outcome is not known"
+    "exit codes: 0 done; 1 not run, or a peer failed; 2 refused as invalid, with the "
+    "reason; 3 the outcome is unknown"
 )
 
 
--- a/kingcuppost/cli/changes.py
+++ b/kingcuppost/cli/changes.py
@@ -1,4 +1,4 @@
-"""Commands for teams, availability zones and settings."""
+"""Commands that change and show teams, availability zones and settings."""
 
 import argparse
 import json
@@ -17,12 +17,12 @@
 
 
 def parse_shape(text: str) -> dict[str, int]:
-    """Return a shape given as text.
+    """Return the fields of a guaranteed shape given as text.
 
     Raises
     ------
     InvalidInputError
-        If the text is no shape.
+        If the text is not a shape.
 
     Examples
     --------
@@ -33,7 +33,7 @@
     members, _, accelerators = shape.partition("x")
     numbers = (members, accelerators, count or "1")
     if not all(number.isdigit() for number in numbers):
-        raise InvalidInputError(f"{text!r} is no shape, such as 2x4", "options")
+        raise InvalidInputError(f"{text!r} is not a shape such as 2x4", "options")
     return {
         "members": int(members),
         "accelerators": int(accelerators),
@@ -42,7 +42,7 @@
 
 
 def parse_value(text: str) -> str | int | float | bool:
-    """Return a setting's value: a number, true, false, or else text.
+    """Return the value of a setting: a number, true, false, or else text.
 
     Examples
     --------
@@ -121,7 +121,7 @@
 
 @command("availability-zone", "Take zones out and in; show them.", _add_zone_options)
 def run_zone(args: argparse.Namespace) -> int:
-    """Create, take out, take in or show availability zones."""
+    """Create a zone, change whether it is in service, or show all zones."""
     if args.action == "show":
         return send_to_entry(
             args, "GET", "/v1/availability-zones", format_answer=_format_zones
@@ -157,19 +157,23 @@
     put = actions.add_parser("set", help="set a key on a branch")
     put.add_argument("key")
     put.add_argument("value")
-    unset = actions.add_parser("unset", help="inherit a key again")
+    unset = actions.add_parser(
+        "unset", help="remove a key from a branch, which then inherits its value"
+    )
     unset.add_argument("key")
     for action in (put, unset):
         action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
-    show = actions.add_parser("show", help="show the values that hold on a branch")
+    show = actions.add_parser("show", help="show the effective values of a branch")
     for action in (put, unset, show):
-        action.add_argument("--path", default="", help="branch; the root if absent")
+        action.add_argument(
+            "--path", default="", help="branch of the settings tree (default: the root)"
+        )
         add_operator_options(action)
 
 
 @command("settings", "Change and show the settings tree.", _add_settings_options)
 def run_settings(args: argparse.Namespace) -> int:
-    """Set, unset or show keys of the settings tree."""
+    """Set, unset or show keys on a branch of the settings tree."""
     if args.action == "show":
         path = f"/v1/settings?path={quote(args.path, safe='')}"
         return send_to_entry(args, "GET", path, format_answer=_format_branch)
--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -1,4 +1,4 @@
-"""Sending a command's request and printing the answer."""
+"""Sending the request of a command and printing the answer."""
 
 import argparse
 import json
@@ -32,18 +32,19 @@
     body: dict[str, Any] | None = None,
     format_answer: Callable[[Any], str] | None = None,
 ) -> int:
-    """Send one request to the operators' address and print the answer.
+    """Send one request to the operators' address of an entry and print the answer.
 
     Parameters
     ----------
     args : argparse.Namespace
         Options from `add_operator_options`.
     method, path : str
-        HTTP method and path with query.
+        HTTP method, and path with its query.
     body : dict, optional
-        Fields of the border model.
+        Fields of the request's model.
     format_answer : callable, optional
-        Makes text for people; the answer's fields, one a line, if None.
+        Returns the text to print for an answer; if None, its fields are printed, one
+        a line.
 
     Returns
     -------
@@ -70,7 +71,10 @@
 
 
 def _print_missing_answer(failure: Failure, method: str) -> int:
-    """Print why there is no answer; a change that was sent may have been made."""
+    """Print why there is no answer, and return the exit code.
+
+    A change that was sent may have been made, so that its outcome is unknown.
+    """
     code = print_failure(failure)
     if method == "GET" or failure.step == STEP_CONNECT:
         return code
@@ -81,11 +85,13 @@
 def print_answer(
     status: int, text: bytes, as_json: bool, format_answer: Callable[[Any], str] | None
 ) -> int:
-    """Print an answer and return the exit code that fits its status."""
+    """Print an answer and return the exit code for its status."""
     try:
         answer = json.loads(text)
     except ValueError:
-        print(f"kingcuppost: status {status} without JSON", file=sys.stderr)
+        print(
+            f"kingcuppost: status {status}, and the body is not JSON", file=sys.stderr
+        )
         return EXIT_UNKNOWN
     if as_json:
         print(json.dumps(answer))
--- a/kingcuppost/cli/explain.py
+++ b/kingcuppost/cli/explain.py
@@ -1,4 +1,4 @@
-"""Commands that show why something ran as it did."""
+"""The command that explains a job or a request."""
 
 import argparse
 from typing import Any
@@ -15,7 +15,9 @@
     actions = parser.add_subparsers(dest="action", required=True)
     job = actions.add_parser("job", help="settings, decisions and outcome of a job")
     job.add_argument("name", help="name of the job")
-    request = actions.add_parser("request", help="the same for a request")
+    request = actions.add_parser(
+        "request", help="settings, decision and outcome of a request"
+    )
     request.add_argument("name", metavar="TEAM/KEY", help="team and key of the request")
     for action in (job, request):
         add_operator_options(action)
@@ -23,7 +25,7 @@
 
 @command("explain", "Show what a job or request ran under, and why.", _add_options)
 def run_explain(args: argparse.Namespace) -> int:
-    """Show settings, decisions, refused alternatives and the outcome."""
+    """Show the settings, decisions, refused alternatives and outcome."""
     name = quote(args.name, safe="")
     if args.action == "job":
         return send_to_entry(
@@ -37,7 +39,7 @@
 
 
 def format_job_explanation(answer: Any) -> str:
-    """Return a job with its gangs and their decisions, for people."""
+    """Return the text for a job with its gangs and their decisions."""
     job = answer["job"]
     lines = [format_jobs({"rows": [job]})]
     lines.append(f"submitted at offset {job['submitted_offset']}")
@@ -59,7 +61,7 @@
 
 
 def format_request_explanation(answer: Any) -> str:
-    """Return a request with its claim and outcome, for people."""
+    """Return the text for a request with its claim and outcome."""
     lines = [f"request {answer['key']}: {answer['outcome']}"]
     lines.append(f"known by {answer['known_by']}")
     claim = answer["claim"]
--- a/kingcuppost/cli/fleet.py
+++ b/kingcuppost/cli/fleet.py
@@ -1,4 +1,4 @@
-"""Commands that show the fleet and how far a process is."""
+"""Commands that show the fleet and the status of a process."""
 
 import argparse
 from typing import Any
@@ -14,12 +14,12 @@
 
 @command("fleet", "Show entries, minions and workers.", add_operator_options)
 def run_fleet(args: argparse.Namespace) -> int:
-    """Show every process and worker that the log knows."""
+    """Show every process and worker that the log has recorded."""
     return send_to_entry(args, "GET", "/v1/fleet", format_answer=format_fleet)
 
 
 def format_fleet(answer: Any) -> str:
-    """Return tables of entries, minions and workers, for people."""
+    """Return text tables of entries, minions and workers."""
     tables = (
         format_table(
             ["ENTRY", "ZONE", "STATE", "HOST", "CALLERS", "OPERATORS", "OFFSET"],
@@ -60,7 +60,7 @@
 
 
 def format_status(answer: Any) -> str:
-    """Return the state of a process, one fact a line."""
+    """Return the text for the status of a process."""
     identity = answer["identity"]
     lease = answer["lease"]
     age_ms = answer["fresh_age_ms"]
--- a/kingcuppost/cli/jobs.py
+++ b/kingcuppost/cli/jobs.py
@@ -1,4 +1,4 @@
-"""Commands for jobs and callers' requests."""
+"""Commands for jobs and for callers' requests."""
 
 import argparse
 from typing import Any
@@ -64,7 +64,7 @@
 
 
 def format_jobs(answer: Any) -> str:
-    """Return a table of jobs."""
+    """Return a text table of jobs."""
     rows = [
         [
             row["name"],
@@ -113,7 +113,7 @@
         "--issued-ms",
         type=int,
         default=0,
-        help="when the key was made, Unix ms; the same in every retry",
+        help="when the key was created, Unix ms; the same in every retry",
     )
     parser.add_argument("--timeout-ms", type=int, default=0)
     parser.add_argument("--json", action="store_true", help="print JSON")
--- a/kingcuppost/cli/processes.py
+++ b/kingcuppost/cli/processes.py
@@ -32,7 +32,7 @@
 
 @command("entry", "Run an entry.", _add_file_argument)
 def run_entry_command(args: argparse.Namespace) -> int:
-    """Run an entry until it is told to stop."""
+    """Run an entry until it is stopped."""
     cfg = _read_config_for(args.file, Role.ENTRY)
     if isinstance(cfg, Failure):
         return _print_refusal(cfg)
@@ -43,7 +43,7 @@
 
 @command("sidecar", "Run the sidecar of a minion.", _add_file_argument)
 def run_sidecar_command(args: argparse.Namespace) -> int:
-    """Run a sidecar until it is told to stop."""
+    """Run a sidecar until it is stopped."""
     cfg = _read_config_for(args.file, Role.SIDECAR)
     if isinstance(cfg, Failure):
         return _print_refusal(cfg)
@@ -54,7 +54,7 @@
 
 @command("check", "Check a settings file without running anything.", _add_file_argument)
 def run_check_command(args: argparse.Namespace) -> int:
-    """Say whether a settings file is sound."""
+    """Print whether a settings file is valid."""
     result = read_config(args.file)
     if result.is_error():
         return _print_refusal(result.error)
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -1,4 +1,4 @@
-"""The command that prints reference tables for the pages of the documentation."""
+"""The command that prints reference tables for the documentation."""
 
 import argparse
 from collections.abc import Callable
@@ -37,7 +37,7 @@
 
 @references.register("settings")
 def settings_reference() -> str:
-    """Return the keys of the settings tree."""
+    """Return a table of the keys of the settings tree."""
     rows = [
         [
             f"`{key.name}`",
@@ -65,7 +65,7 @@
 
 @references.register("files")
 def files_reference() -> str:
-    """Return the keys of a process's settings file."""
+    """Return a table of the keys in the settings file of a process."""
     rows: list[list[str]] = []
     _add_fields(rows, FileModel, "")
     return _format_markdown_table(["key", "type", "default"], rows)
@@ -91,7 +91,7 @@
 
 
 def _describe_type(schema: dict[str, Any], part: dict[str, Any]) -> str:
-    """Return the type of a field with its bounds, in words."""
+    """Return the type of a field with its limits, in words."""
     if "$ref" in part:
         part = schema["$defs"][part["$ref"].rpartition("/")[2]]
     if "anyOf" in part:
@@ -110,7 +110,7 @@
 
 @references.register("metrics")
 def metrics_reference() -> str:
-    """Return the metrics of a process."""
+    """Return a table of the metrics of a process."""
     rows = [
         [
             f"`{metric.name}`",
@@ -125,7 +125,7 @@
 
 @references.register("routes")
 def routes_reference() -> str:
-    """Return the routes of all surfaces."""
+    """Return a table of the routes of all surfaces."""
     rows = [
         [item.surface, f"`{item.method}`", f"`{item.path}`", _summary_of(item.parse)]
         for item, _ in sorted(
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -1,4 +1,4 @@
-"""The registry of commands and what they share."""
+"""The registry of commands, with their shared options and exit codes."""
 
 import argparse
 import os
@@ -39,7 +39,7 @@
     Attributes
     ----------
     name, text : str
-        Its name, and what it does in one sentence.
+        Its name, and its help in one sentence.
     add_options : callable
         Adds its options to a parser.
     run : callable
@@ -68,7 +68,7 @@
 
 
 def add_operator_options(parser: argparse.ArgumentParser) -> None:
-    """Add the options that all commands towards an entry share."""
+    """Add the options shared by all commands that send requests to an entry."""
     parser.add_argument(
         "--entry",
         default=DEFAULT_ENTRY_ADDRESS,
@@ -78,7 +78,7 @@
     parser.add_argument(
         "--operator",
         default=os.environ.get("USER") or "operator",
-        help="who makes the change (default: the user who is logged in)",
+        help="name recorded with a change (default: the user who is logged in)",
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
 
@@ -89,7 +89,7 @@
     Raises
     ------
     InvalidInputError
-        If the text is none.
+        If the text is not an address.
 
     Examples
     --------
@@ -98,12 +98,12 @@
     """
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise InvalidInputError(f"{text!r} is no IP:PORT", "options")
+        raise InvalidInputError(f"{text!r} is not an address IP:PORT", "options")
     return Address(host, int(port))
 
 
 def print_failure(failure: Failure) -> int:
-    """Print why a command failed, and return the exit code."""
+    """Print the reason of a failure and return the exit code for it."""
     place = " ".join(part for part in (failure.step, failure.peer) if part)
     print(f"kingcuppost: {place}: {failure.reason}", file=sys.stderr)
     return EXIT_FAILED
--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""Commands parse their options, print answers, and end with the stated codes."""
+"""Commands parse options, print answers and return the documented exit codes."""
 
 import json
 from typing import Any
@@ -14,7 +14,7 @@
 
 
 class FakePeer:
-    """Answers every exchange alike and keeps what it was asked."""
+    """Returns the same result for every exchange and records the exchanges."""
 
     def __init__(self, result: Any) -> None:
         self.result = result
@@ -88,7 +88,7 @@
         ),
     ],
 )
-def test_change_is_sent(
+def test_change_is_sent_with_its_fields(
     peer: FakePeer, argv: list[str], method: str, path: str, fields: dict[str, Any]
 ) -> None:
     assert main(argv) == 0
@@ -107,7 +107,7 @@
         ["timeline", "--since", "yesterday"],
     ],
 )
-def test_wrong_option_is_refused_in_one_line(
+def test_invalid_option_is_refused_with_one_line(
     peer: FakePeer, argv: list[str], capsys: pytest.CaptureFixture
 ) -> None:
     assert main(argv) == 2
@@ -129,7 +129,7 @@
         (Error(Failure("refused", "connect", "127.0.0.1:1")), 1),
     ],
 )
-def test_refusal_is_one_line_and_an_exit_code(
+def test_refusal_prints_one_line_and_sets_the_exit_code(
     peer: FakePeer, result: Any, code: int, capsys: pytest.CaptureFixture
 ) -> None:
     peer.result = result
@@ -139,7 +139,7 @@
     assert len(printed.err.splitlines()) == 1
 
 
-def test_change_that_was_sent_without_answer_is_unknown(
+def test_outcome_of_unanswered_change_is_unknown(
     peer: FakePeer, capsys: pytest.CaptureFixture
 ) -> None:
     peer.result = Error(Failure("timeout", "exchange", "127.0.0.1:1"))
@@ -148,12 +148,12 @@
     assert main(["team", "show"]) == 1
 
 
-def test_answer_that_is_no_json_is_unknown(peer: FakePeer) -> None:
+def test_outcome_of_answer_without_json_is_unknown(peer: FakePeer) -> None:
     peer.result = Ok(Response(502, b"<html>"))
     assert main(["team", "put", "design"]) == 3
 
 
-def test_json_is_printed_as_it_came(
+def test_json_option_prints_the_answer_unchanged(
     peer: FakePeer, capsys: pytest.CaptureFixture
 ) -> None:
     assert main(["team", "put", "design", "--json"]) == 0
@@ -227,7 +227,7 @@
 }
 
 
-def test_request_explanation_names_branch_operator_and_alternative(
+def test_request_explanation_shows_branch_operator_and_alternative(
     peer: FakePeer, capsys: pytest.CaptureFixture
 ) -> None:
     answer = {
@@ -265,7 +265,7 @@
 }
 
 
-def test_timeline_filters_and_names_silent_processes(
+def test_timeline_filters_events_and_reports_unreachable_processes(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture
 ) -> None:
     fleet = {"entries": [], "minions": [{"host": "10.0.0.9", "operator_port": 81}]}
--- a/kingcuppost/cli/tests/test_processes.py
+++ b/kingcuppost/cli/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Settings files are refused whole, with the reason."""
+"""An invalid settings file is refused as a whole, with the reason."""
 
 from pathlib import Path
 
@@ -26,7 +26,7 @@
     return main(["check", str(path)])
 
 
-def test_sound_file_passes(tmp_path: Path) -> None:
+def test_valid_file_is_accepted(tmp_path: Path) -> None:
     assert check(tmp_path, ENTRY) == 0
 
 
@@ -40,7 +40,7 @@
         (ENTRY.replace("[log]", "[log"), "line 7"),
     ],
 )
-def test_bad_file_is_refused(
+def test_invalid_file_is_refused_with_the_reason(
     tmp_path: Path, text: str, reason: str, capsys: pytest.CaptureFixture
 ) -> None:
     assert check(tmp_path, text) == 2
--- a/kingcuppost/cli/tests/test_timeline.py
+++ b/kingcuppost/cli/tests/test_timeline.py
@@ -1,4 +1,4 @@
-"""The time line for people shows each record's folding once."""
+"""The printed time line shows the folding of each record once."""
 
 from kingcuppost.cli.timeline import collapse_folds
 from kingcuppost.tables.event import Event
@@ -10,7 +10,7 @@
     )
 
 
-def test_folds_of_one_record_are_one_row() -> None:
+def test_foldings_of_one_record_become_one_row() -> None:
     events = [
         event("entry-0", "propose.team_put"),
         event("entry-0", "fold.team_put", "rec-1"),
--- a/kingcuppost/cli/tests/test_trace.py
+++ b/kingcuppost/cli/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""The way of a job through log lines of several processes."""
+"""The trace of a job is collected from the logs of several processes."""
 
 import json
 from pathlib import Path
@@ -24,10 +24,14 @@
             [
                 line(1_000, "entry-0", "lease: A term began.", term=3),
                 "0.1 entry-0 " + line(2_000, "entry-0", "call: submit", job=JOB),
-                "a line of something else",
+                "a line of another program",
                 line(2_005, "entry-0", "place: A run is placed.", task=f"{JOB}.0.0.1"),
-                line(2_500, "entry-0", "minion: A minion is silent.", minion="m-1"),
-                line(9_000, "entry-0", "minion: A minion is silent.", minion="m-2"),
+                line(
+                    2_500, "entry-0", "minion: A minion is unreachable.", minion="m-1"
+                ),
+                line(
+                    9_000, "entry-0", "minion: A minion is unreachable.", minion="m-2"
+                ),
             ]
         )
     )
@@ -44,7 +48,7 @@
     assert words == ["entry-0", "side-1", "entry-0"]
 
 
-def test_context_shows_what_happened_meanwhile(
+def test_context_includes_other_lines_of_the_same_time(
     logs: list[str], capsys: pytest.CaptureFixture
 ) -> None:
     assert main(["trace", JOB, *logs, "--context"]) == 0
@@ -54,7 +58,7 @@
     assert "m-2" not in text
 
 
-def test_a_job_that_no_line_mentions_is_said_so(
+def test_job_without_log_lines_is_an_error(
     logs: list[str], capsys: pytest.CaptureFixture
 ) -> None:
     assert main(["trace", "fedcba9876543210", *logs]) == 1
--- a/kingcuppost/cli/text_tables.py
+++ b/kingcuppost/cli/text_tables.py
@@ -1,4 +1,4 @@
-"""Plain text tables for people."""
+"""Plain text tables for the terminal."""
 
 from collections.abc import Iterable, Sequence
 
@@ -8,7 +8,7 @@
 
 
 def format_table(titles: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
-    """Return rows in columns under their titles.
+    """Return rows as aligned columns under their titles.
 
     Examples
     --------
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -1,4 +1,4 @@
-"""The command that merges the events of all processes."""
+"""The command that shows the events of all processes as one time line."""
 
 import argparse
 import json
@@ -35,19 +35,21 @@
 STATUS_OK = 200
 FILTER_HELP = {
     "job": "name of a job",
-    "request": "TEAM/KEY, or the identifier that an event shows",
+    "request": "TEAM/KEY, or the request identifier shown by an event",
     "team": "name of a team",
     "availability-zone": "name of a zone",
 }
 
 
 def parse_time(text: str) -> int:
-    """Return a time in Unix ms, given in that form or as ISO 8601.
+    """Return a time in Unix ms, given as Unix ms or in ISO 8601.
+
+    A time without a time zone is read as UTC.
 
     Raises
     ------
     InvalidInputError
-        If the text is neither; a time without a zone is read as UTC.
+        If the text is neither.
 
     Examples
     --------
@@ -59,7 +61,9 @@
     try:
         moment = datetime.fromisoformat(text)
     except ValueError:
-        raise InvalidInputError(f"{text!r} is no time", "options") from None
+        raise InvalidInputError(
+            f"{text!r} is not a time in Unix ms or ISO 8601", "options"
+        ) from None
     if moment.tzinfo is None:
         moment = moment.replace(tzinfo=UTC)
     return round(moment.timestamp() * MS_PER_SECOND)
@@ -71,7 +75,7 @@
         "--process",
         action="append",
         default=[],
-        help="operators' address of one more process, IP:PORT",
+        help="operators' address of an additional process, IP:PORT",
     )
     for name, text in FILTER_HELP.items():
         parser.add_argument(f"--{name}", default="", help=text)
@@ -80,12 +84,12 @@
     parser.add_argument(
         "--every",
         action="store_true",
-        help="show the folding of a record once for every process",
+        help="show the folding of a record once for each process, not once in all",
     )
 
 
 def operator_addresses(fleet: dict[str, Any]) -> list[Address]:
-    """Return the operators' addresses of all processes that the log knows.
+    """Return the operators' addresses of all processes in a fleet view.
 
     Examples
     --------
@@ -103,7 +107,7 @@
 def _event_exchanges(
     entry: Address, extra_addresses: list[Address], answer: Result
 ) -> list[Exchange]:
-    """Return the questions to all processes that are known by now."""
+    """Return the requests for events, one for each known process."""
     addresses = [entry, *extra_addresses]
     if answer.is_ok() and answer.ok.status == STATUS_OK:
         addresses += operator_addresses(json.loads(answer.ok.body))
@@ -115,7 +119,7 @@
 
 @command("timeline", "Show the events of all processes in one order.", _add_options)
 def run_timeline(args: argparse.Namespace) -> int:
-    """Ask an entry for the fleet, then every process for its events."""
+    """Request the fleet from an entry, then the events from each of its processes."""
     entry = parse_address(args.entry)
     extra_addresses = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
@@ -135,7 +139,10 @@
 
 
 def _read_events(answers: Outcomes) -> list[Event] | None:
-    """Return all events; name the processes that do not answer."""
+    """Return all events, or None if no process answered.
+
+    The failure of each process that did not answer is printed.
+    """
     fleet, *rest = answers
     if fleet.is_error():
         print_failure(fleet.error)
@@ -168,10 +175,9 @@
 
 
 def collapse_folds(events: list[Event]) -> list[Event]:
-    """Return events with the folding of each record by all processes in one row.
+    """Return events with only the first folding of each record.
 
-    The row stands where the first process folded the record, and tells how many
-    others did.
+    The text of that event gives the number of other processes that folded the record.
     """
     others = Counter(event.receives for event in events if _is_fold(event))
     collapsed = []
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -1,4 +1,4 @@
-"""The way of one job through the logs of all processes."""
+"""The command that follows one job through the logs of all processes."""
 
 import argparse
 import json
@@ -24,9 +24,9 @@
     Attributes
     ----------
     wall_ms : int
-        Unix time of the process that wrote it, in ms.
+        Unix time in ms by the clock of the process that wrote it.
     instance, message : str
-        Who wrote it, and its text, which begins with the part of the program.
+        Process that wrote it, and its text, which begins with the program part.
     fields : dict
         All other fields.
     """
@@ -38,16 +38,16 @@
 
     @property
     def part(self) -> str:
-        """Return the part of the program that wrote it."""
+        """Return the part of the program that wrote the line."""
         return self.message.partition(":")[0]
 
     def mentions(self, text: str) -> bool:
-        """Return whether any field begins with a text."""
+        """Return whether the value of any field begins with a text."""
         return any(str(value).startswith(text) for value in self.fields.values())
 
 
 def _parse_lines(texts: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the lines that are ours; others, such as a bench's, are passed over."""
+    """Yield the log lines of the system; skip others, such as those of a benchmark."""
     for text in texts:
         start = text.find("{")
         if start < 0:
@@ -74,7 +74,7 @@
 def _select_lines(
     lines: list[LogLine], job_id: str, with_context: bool
 ) -> list[LogLine]:
-    """Return the lines of a job and, if asked for, what happened around them."""
+    """Return the lines of a job, optionally with those of shared parts around them."""
     job_lines = [line for line in lines if line.mentions(job_id)]
     if not job_lines or not with_context:
         return job_lines
@@ -95,18 +95,20 @@
 
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("job", help="identifier of a job, or the beginning of a task")
-    parser.add_argument("logs", nargs="+", help="files of log lines; - for input")
+    parser.add_argument(
+        "job", help="identifier of a job, or the beginning of a task identifier"
+    )
+    parser.add_argument("logs", nargs="+", help="log files; - for standard input")
     parser.add_argument(
         "--context",
         action="store_true",
-        help="also what processes, leases, minions and settings did meanwhile",
+        help="also show lines of processes, leases, minions and settings around them",
     )
 
 
 @command("trace", "Show one job's way through the logs of all processes.", _add_options)
 def run_trace(args: argparse.Namespace) -> int:
-    """Print the lines that mention a job, from all processes, by their time."""
+    """Print the log lines of all processes that mention a job, ordered by time."""
     lines = sorted(_read_logs(args.logs), key=lambda line: line.wall_ms)
     selected = _select_lines(lines, args.job, args.context)
     if not selected:
--- a/kingcuppost/systems/views/__init__.py
+++ b/kingcuppost/systems/views/__init__.py
@@ -1,4 +1,4 @@
-"""Views of the tables, for operators."""
+"""Read-only views of the tables, served to operators."""
 
 from kingcuppost.systems.views import explain as _explain
 from kingcuppost.systems.views import rows as _rows
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -1,4 +1,7 @@
-"""What a job or request ran under: settings, decisions, alternatives, outcome."""
+"""Views that explain a job or a request.
+
+They show its settings, the decisions with the refused alternatives, and its outcome.
+"""
 
 from dataclasses import dataclass
 
@@ -16,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobExplanation:
-    """A job with the gangs that were placed for it, oldest first."""
+    """A job with all gangs that were placed for it, oldest first."""
 
     job: Job
     gangs: tuple[Gang, ...]
@@ -24,22 +27,22 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestExplanation:
-    """A request with its claim in the log, its outcome and who knows that.
+    """A request with its claim in the log, its outcome and the source of the outcome.
 
     Attributes
     ----------
     key : str
         ``TEAM/KEY``, or the identifier of an idempotent request.
     claim : KeyClaim or None
-        The one right to run it, with the decision; None if nobody holds it.
+        Exclusive right to run it, with the decision; None if nobody holds it.
     outcome : str
         ``"answered"``, ``"unknown"``, or ``"not_claimed"``.
     known_by : str
-        Who can tell the outcome.
+        Where the outcome is recorded.
     settings_now : tuple of EffectiveValue
-        Values that hold for the team's requests at present.
+        Effective values for the team's requests at present.
     events : tuple of Event
-        What the process that answers remembers of the request.
+        Events of the request that the answering process still has.
     """
 
     key: str
@@ -52,7 +55,7 @@
 
 @views.register("explain_job")
 def explain_job(world: World, argument: str) -> JobExplanation | None:
-    """Return what a job ran under; ended gangs are kept for this."""
+    """Return a job with all its gangs; ended gangs are retained for this view."""
     job = world.agreed.jobs.get(argument)
     if job is None:
         return None
@@ -63,7 +66,7 @@
 
 @views.register("explain_request")
 def explain_request(world: World, argument: str) -> RequestExplanation | None:
-    """Return what became of a request, from the log and this process's events."""
+    """Return the outcome of a request from the log, and this process's events."""
     claim = world.agreed.key_claims.get(argument)
     events = tuple(event for event in world.events if event.request == argument)
     team = argument.partition("/")[0]
--- a/kingcuppost/systems/views/merge.py
+++ b/kingcuppost/systems/views/merge.py
@@ -1,10 +1,10 @@
 """Merging the events of several processes into one time line.
 
-Three rules hold whatever the clocks say: the events of one process keep their
+Three rules hold regardless of clock skew: the events of one process keep their
 sequence; an event follows the one that sent the message or record that it received;
-and records are folded in log order, so that an event seen at a log offset follows
-that record. Among the events that these rules allow next, the one with the lowest
-log offset goes first, and the earlier clock decides between equals.
+and records are folded in log order, so that an event recorded at a log offset follows
+the record at that offset. Among the events that these rules allow next, the one with
+the lowest log offset goes first, and the earlier clock time breaks ties.
 """
 
 import heapq
@@ -20,18 +20,18 @@
 
 @dataclass(slots=True)
 class _Node:
-    """An event or a log record, with the nodes that it has to follow.
+    """A node of the precedence graph: an event or a log record.
 
     Attributes
     ----------
     event : Event or None
         The event; None for a record of the log.
     priority : tuple
-        What decides among the nodes that may go next.
+        Order among the nodes without open predecessors; the lowest goes first.
     blocked_by : int
-        Nodes that have to go first and have not gone yet.
+        Number of predecessors (in-degree).
     followers : list of int
-        Nodes that wait for this one.
+        Indexes of the nodes that this one precedes.
     """
 
     event: Event | None
@@ -41,27 +41,27 @@
 
 
 def merge_events(events: Iterable[Event]) -> list[Event]:
-    """Return the events of all processes in one order of cause and effect.
+    """Return the events of all processes in one causal order.
 
     Parameters
     ----------
     events : iterable of Event
-        Events of any processes, in any order.
+        Events of several processes, in any order.
 
     Returns
     -------
     list of Event
-        The same events.
+        The same events, causes before effects.
 
     Examples
     --------
-    >>> sent = Event(9_000, "entry-0", "i", 1, "request.send", "", sends="att-1")
-    >>> heard = Event(1_000, "minion-0", "i", 1, "serve.receive", "", receives="att-1")
-    >>> [event.process for event in merge_events([heard, sent])]
+    >>> cause = Event(9_000, "entry-0", "i", 1, "request.send", "", sends="att-1")
+    >>> effect = Event(1_000, "minion-0", "i", 1, "serve.receive", "", receives="att-1")
+    >>> [event.process for event in merge_events([effect, cause])]
     ['entry-0', 'minion-0']
     """
     rows = sorted(events, key=_stream_key)
-    offsets = _reached_offsets(rows)
+    offsets = _find_reached_offsets(rows)
     nodes = [_make_node(row, offset) for row, offset in zip(rows, offsets, strict=True)]
     _add_sequence_edges(nodes)
     _add_message_edges(nodes)
@@ -73,8 +73,8 @@
     return (event.process, event.incarnation, event.sequence)
 
 
-def _reached_offsets(rows: list[Event]) -> list[int]:
-    """Return the offset that each event's process had reached by then."""
+def _find_reached_offsets(rows: list[Event]) -> list[int]:
+    """Return the highest offset that the process had reached at each event."""
     offsets = []
     last = ("", "")
     reached = 0
@@ -105,7 +105,7 @@
 
 
 def _add_message_edges(nodes: list[_Node]) -> None:
-    """Let what was received follow the first sending of it."""
+    """Put each event that received a message after the first one that sent it."""
     sender_indexes: dict[str, int] = {}
     for index, node in enumerate(nodes):
         if node.event.sends:
@@ -117,7 +117,10 @@
 
 
 def _add_record_nodes(nodes: list[_Node], offsets: list[int]) -> None:
-    """Put one node for each record seen, in log order, before its readers."""
+    """Add a node for each record, in log order.
+
+    It follows the proposal of the record and precedes the events at its offset.
+    """
     events_at_offset: dict[int, list[int]] = {}
     for index, offset in enumerate(offsets):
         events_at_offset.setdefault(offset, []).append(index)
@@ -150,10 +153,11 @@
 
 
 def _sort_topologically(nodes: list[_Node]) -> list[_Node]:
-    """Return the nodes in an order in which none goes before what it follows.
+    """Return the nodes in an order in which each follows its predecessors.
 
-    Events that contradict one another, such as two with the same number of one
-    process, are taken in order of priority rather than dropped.
+    Events that contradict one another, such as two with the same sequence number in one
+    process or two that each received what the other sent, are ordered by priority
+    rather than dropped.
     """
     in_degrees = {index: node.blocked_by for index, node in enumerate(nodes)}
     heap = [(node.priority, n) for n, node in enumerate(nodes) if not node.blocked_by]
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -1,6 +1,6 @@
-"""The metrics of a process, read off its tables when they are asked for.
+"""The metrics of a process, read from its tables when they are requested.
 
-Names and units follow the habits of Prometheus: seconds and bytes, counters that
+Names and units follow the conventions of Prometheus: seconds and bytes, counters that
 end in ``_total``, few values for each label.
 """
 
@@ -34,21 +34,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Metric:
-    """A metric with its meaning.
+    """A metric with its description.
 
     Attributes
     ----------
     name : str
-        Full name.
+        Full name, with prefix and unit.
     kind : MetricKind
         Counter, gauge or histogram.
     text : str
-        What it tells, one sentence.
+        Help text, one sentence.
     labels : tuple of str
         Names of its labels.
     read : callable or None
-        Reads the samples off the tables; None for a counter or histogram that
-        the process keeps in its tally.
+        Reads the samples from the tables; None for a counter or histogram, whose
+        values are in the tally of the process.
     """
 
     name: str
@@ -62,7 +62,7 @@
 
 
 def gauge(name: str, text: str, *labels: str) -> Callable[[ReadSamples], ReadSamples]:
-    """Return a decorator that declares a gauge with the function that reads it."""
+    """Return a decorator that registers a function as the reader of a gauge."""
 
     def register(read: ReadSamples) -> ReadSamples:
         metrics[name] = Metric(PREFIX + name, MetricKind.GAUGE, text, labels, read)
@@ -72,19 +72,19 @@
 
 
 def declare_counter(name: str, text: str, *labels: str) -> None:
-    """Declare a counter that systems add to in the tally."""
+    """Declare a counter that systems increment in the tally."""
     full_name = f"{PREFIX}{name}_total"
     metrics[name] = Metric(full_name, MetricKind.COUNTER, text, labels)
 
 
 def declare_histogram(name: str, text: str, *labels: str) -> None:
-    """Declare durations that systems observe in the tally, in ms."""
+    """Declare a histogram of durations that systems observe in the tally, in ms."""
     full_name = f"{PREFIX}{name}_seconds"
     metrics[name] = Metric(full_name, MetricKind.HISTOGRAM, text, labels)
 
 
 def read_samples(world: World, name: str) -> list[Sample]:
-    """Return the label values and values of a counter or gauge."""
+    """Return the samples of a counter or gauge, each with its label values."""
     read = metrics[name].read
     if read is not None:
         return list(read(world))
@@ -97,7 +97,7 @@
 def read_durations(
     world: World, name: str
 ) -> list[tuple[tuple[str, ...], DurationCounts]]:
-    """Return the label values and buckets of a histogram."""
+    """Return the buckets of a histogram, each with its label values."""
     return list(world.tally.durations.get(name, {}).items())
 
 
@@ -120,19 +120,19 @@
 
 @gauge("log_folded_offset", "Log offset applied last.")
 def read_folded_offset(world: World) -> Iterable[Sample]:
-    """Read how far the log is folded."""
+    """Read the offset of the record folded last."""
     yield (), float(world.log_view.folded_offset)
 
 
 @gauge("log_head_offset", "Newest log offset that is known.")
 def read_head_offset(world: World) -> Iterable[Sample]:
-    """Read the head of the log."""
+    """Read the newest known offset of the log."""
     yield (), float(world.log_view.head_offset)
 
 
 @gauge("log_fresh_age_seconds", "Age of the last read at the head; -1 before any.")
 def read_view_age(world: World) -> Iterable[Sample]:
-    """Read the age of the view."""
+    """Read the time since the log was last read at its head."""
     fresh_as_of_ms = world.log_view.fresh_as_of_ms
     age_ms = world.clock.now_ms() - fresh_as_of_ms
     yield (), age_ms / MS_PER_SECOND if fresh_as_of_ms >= 0 else NEVER_READ_AGE_S
@@ -140,26 +140,26 @@
 
 @gauge("scheduling_term", "Log offset of the claim that opened the present term.")
 def read_scheduling_term(world: World) -> Iterable[Sample]:
-    """Read the scheduling term."""
+    """Read the term of the scheduling lease."""
     yield (), float(world.agreed.lease.term)
 
 
 @gauge("scheduler", "1 in the process that holds the scheduling lease, else 0.")
 def read_is_scheduler(world: World) -> Iterable[Sample]:
-    """Read whether this process schedules."""
+    """Read whether this process holds the scheduling lease."""
     yield (), float(is_scheduler(world))
 
 
 @gauge("jobs", "Jobs known.", "state")
 def read_jobs(world: World) -> Iterable[Sample]:
-    """Read jobs by state."""
+    """Count jobs by state."""
     for state, count in Counter(row.state for row in world.agreed.jobs).items():
         yield (str(state),), float(count)
 
 
 @gauge("gangs", "Gangs that hold accelerators.", "state", "borrowed")
 def read_gangs(world: World) -> Iterable[Sample]:
-    """Read gangs by state, borrowers apart."""
+    """Count gangs by state, and by whether their capacity is borrowed."""
     gangs = Counter((row.state, row.borrowed) for row in world.agreed.gangs)
     for (state, borrowed), count in gangs.items():
         yield (str(state), "yes" if borrowed else "no"), float(count)
@@ -167,7 +167,7 @@
 
 @gauge("minions", "Minions that the log knows.", "state")
 def read_minions(world: World) -> Iterable[Sample]:
-    """Read minions by state."""
+    """Count minions by state, including states without minions."""
     minions = Counter(row.state for row in world.agreed.minions)
     for state in MemberState:
         yield (str(state),), float(minions[state])
@@ -175,65 +175,65 @@
 
 @gauge("availability_zone_in_service", "1 if the zone is in service, else 0.", "zone")
 def read_zones_in_service(world: World) -> Iterable[Sample]:
-    """Read zones."""
+    """Read whether each availability zone is in service."""
     for row in world.agreed.availability_zones:
         yield (row.name,), float(row.in_service)
 
 
 @gauge("requests_open", "Callers' requests held open.", "state")
 def read_open_requests(world: World) -> Iterable[Sample]:
-    """Read open requests by state."""
+    """Count open requests by state."""
     for state, count in Counter(row.state for row in world.requests).items():
         yield (str(state),), float(count)
 
 
 @gauge("attempts_open", "Attempts under way from here.")
 def read_open_attempts(world: World) -> Iterable[Sample]:
-    """Read open attempts."""
+    """Count the open attempts of this process."""
     yield (), float(len(world.attempts))
 
 
 @gauge("attempts_served", "Attempts that a sidecar remembers.", "state")
 def read_served_attempts(world: World) -> Iterable[Sample]:
-    """Read attempts at a sidecar."""
+    """Count the attempts in the table of a sidecar by state."""
     for state, count in Counter(row.state for row in world.served).items():
         yield (str(state),), float(count)
 
 
 @gauge("peer_failures", "Exchanges with minions that failed since one succeeded.")
 def read_peer_failures(world: World) -> Iterable[Sample]:
-    """Read failures in a row, summed over minions."""
+    """Read the consecutive failures, summed over all minions."""
     yield (), float(sum(row.failures for row in world.health))
 
 
 @gauge("proposals_open", "Records of this process that are not folded yet.")
 def read_open_proposals(world: World) -> Iterable[Sample]:
-    """Read records that wait for the log."""
+    """Count proposed records that are not folded yet."""
     yield (), float(len(world.proposals))
 
 
 @gauge("tasks", "Members of gangs at this sidecar.", "state")
 def read_tasks(world: World) -> Iterable[Sample]:
-    """Read members by state."""
+    """Count gang members at this sidecar by state."""
     for state, count in Counter(row.state for row in world.tasks).items():
         yield (str(state),), float(count)
 
 
 @gauge("stopping", "1 during a graceful stop, else 0.")
 def read_stopping(world: World) -> Iterable[Sample]:
-    """Read whether the process is stopping."""
+    """Read whether the process is in a graceful stop."""
     yield (), float(world.stopping)
 
 
 @gauge("guarantee_uncovered", "1 for a team whose shapes can't all be held.", "team")
 def read_uncovered_guarantees(world: World) -> Iterable[Sample]:
-    """Read uncovered guarantees; only the scheduler knows them."""
+    """Read the teams with uncovered guarantees; only the scheduler computes them."""
     for row in world.scheduling.uncovered:
         yield (row.team,), 1.0
 
 
 @gauge("retry_tokens", "Retries that a team's budget still allows here.", "team")
 def read_retry_tokens(world: World) -> Iterable[Sample]:
-    """Read retry budgets."""
+    """Read the tokens left in the retry budget of each team."""
     for row in world.retry_budgets:
         yield (row.team,), row.tokens
--- a/kingcuppost/systems/views/registry.py
+++ b/kingcuppost/systems/views/registry.py
@@ -1,4 +1,4 @@
-"""Answering questions about the tables by registered views."""
+"""The registry of views and the system that answers requests for them."""
 
 from collections.abc import Callable
 from typing import Any
@@ -24,7 +24,7 @@
 
 @system(Phase.REPORT, roles=(Role.ENTRY, Role.SIDECAR), order=40)
 def answer_view_requests(world: World, now_ms: int) -> None:
-    """Answer each question from the tables as they are now."""
+    """Answer each request for a view from the tables as they are in this tick."""
     for view_request in world.inbox.take(ShowView):
         body = views[view_request.view](world, view_request.argument)
         status = STATUS_OK
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -1,4 +1,4 @@
-"""Views of single rows and of whole tables."""
+"""Views of single rows, of whole tables and of the state of the process."""
 
 from dataclasses import dataclass
 
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobView:
-    """A job with the gangs that hold accelerators for it."""
+    """A job with its gangs that hold accelerators."""
 
     job: Job
     gangs: tuple[Gang, ...]
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BranchView:
-    """A branch with the keys set on it and the values that hold there."""
+    """Settings on a branch and its ancestors, with its effective values."""
 
     path: str
     settings: tuple[Setting, ...]
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
-    """Entries, minions and workers as the log knows them."""
+    """Entries, minions and workers that the log has recorded."""
 
     entries: tuple[Entry, ...]
     minions: tuple[Minion, ...]
@@ -51,22 +51,22 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusView:
-    """How far a process has followed the log, and what it has open.
+    """How far a process has read the log, and its work in progress.
 
     Attributes
     ----------
     identity : Identity
-        Who answers.
+        The process that answers.
     folded_offset, head_offset : int
-        Log offsets.
+        Log offset applied last, and the newest one known.
     fresh_age_ms : int
-        Age of the last read at the head; -1 before any.
+        Time since the last read at the head of the log; -1 before the first one.
     lease : SchedulingLease
-        The present scheduling term.
+        Holder and term of the scheduling lease.
     proposals, requests, attempts : int
-        Rows that are open.
+        Number of open rows.
     stopping : bool
-        Whether a graceful stop is under way.
+        Whether a graceful stop is in progress.
     """
 
     identity: Identity
@@ -82,14 +82,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EventList:
-    """A process's part of the time line."""
+    """Events of the time line that one process has recorded."""
 
     events: tuple[Event, ...]
 
 
 @views.register("team")
 def show_team(world: World, argument: str) -> Team | None:
-    """Return a team."""
+    """Return a team by name."""
     return world.agreed.teams.get(argument)
 
 
@@ -101,7 +101,7 @@
 
 @views.register("availability_zone")
 def show_zone(world: World, argument: str) -> AvailabilityZone | None:
-    """Return an availability zone."""
+    """Return an availability zone by name."""
     return world.agreed.availability_zones.get(argument)
 
 
@@ -113,7 +113,7 @@
 
 @views.register("job")
 def show_job(world: World, argument: str) -> JobView | None:
-    """Return a job with its gangs."""
+    """Return a job by name, with its gangs that hold accelerators."""
     job = world.agreed.jobs.get(argument)
     if job is None:
         return None
@@ -128,7 +128,7 @@
 
 @views.register("settings")
 def show_branch(world: World, argument: str) -> BranchView:
-    """Return a branch of the settings tree."""
+    """Return the settings on a branch and its ancestors, and its effective values."""
     rows = [
         row
         for branch in ancestors(argument)
@@ -149,7 +149,7 @@
 
 @views.register("status")
 def show_status(world: World, argument: str) -> StatusView:
-    """Return how far this process is."""
+    """Return the log offsets and open work of this process."""
     view = world.log_view
     now_ms = world.clock.now_ms()
     return StatusView(
@@ -167,5 +167,5 @@
 
 @views.register("events")
 def show_events(world: World, argument: str) -> EventList:
-    """Return this process's part of the time line."""
+    """Return the events that this process has recorded."""
     return EventList(tuple(world.events))
--- a/kingcuppost/systems/views/tests/test_explain.py
+++ b/kingcuppost/systems/views/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""Explanations of requests come from the log and name who knows the outcome."""
+"""Explanations of requests come from the log and name the source of the outcome."""
 
 import pytest
 
@@ -21,7 +21,7 @@
 from kingcuppost.tables.request import Request, RequestState
 from kingcuppost.tables.world import World
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 KEY = "design/order-7"
 
 
@@ -50,9 +50,9 @@
         "entry-0",
         "vid-a",
         "vidzeme",
-        NOWHERE,
-        LogConfig("http", NOWHERE),
-        EntryConfig(NOWHERE, NOWHERE),
+        UNUSED_ADDRESS,
+        LogConfig("http", UNUSED_ADDRESS),
+        EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS),
         seed=1,
     )
     world = make_world(cfg)
@@ -90,7 +90,7 @@
     fold(world, KeyClaimPut(KEY, "att-1", "minion-1", "inc-1", decision=decision))
 
 
-def test_values_are_those_of_the_claim_though_changed_later(world: World) -> None:
+def test_claim_keeps_its_settings_after_a_later_change(world: World) -> None:
     claim(world)
     fold(world, SettingPut("teams/design", "request.attempts", 3, 4))
     explanation = views["explain_request"](world, KEY)
@@ -103,8 +103,8 @@
     assert current_values["request.attempts"] == 3
 
 
-def test_policy_is_the_one_that_routes(world: World) -> None:
-    """Routing is read at the root, so that a team's branch does not count."""
+def test_policy_is_the_effective_routing_setting(world: World) -> None:
+    """The routing setting is read at the root; a team's branch has no effect on it."""
     fold(world, SettingPut("", "request.routing", "random", 0))
     fold(world, SettingPut("teams/design", "request.routing", "round_robin", 0))
     claim(world)
@@ -113,14 +113,14 @@
     assert decision.policy == values["request.routing"] == "random"
 
 
-def test_refused_alternative_is_named_with_its_reason(world: World) -> None:
+def test_refused_alternative_has_its_reason(world: World) -> None:
     claim(world)
     (refused,) = views["explain_request"](world, KEY).claim.decision.refused
     assert refused.place == "minion-2"
     assert "vid-b is out of service" in refused.reason
 
 
-def test_unknown_outcome_names_the_process_that_knows(world: World) -> None:
+def test_unknown_outcome_names_the_sidecar_of_the_claim(world: World) -> None:
     claim(world)
     explanation = views["explain_request"](world, KEY)
     assert explanation.outcome == "unknown"
@@ -129,7 +129,7 @@
     assert views["explain_request"](world, KEY).known_by.startswith("nobody")
 
 
-def test_outcome_is_known_by_the_log(world: World) -> None:
+def test_recorded_outcome_comes_from_the_log(world: World) -> None:
     claim(world)
     fold(world, KeyOutcome(KEY, "att-1", "answered"))
     explanation = views["explain_request"](world, KEY)
@@ -137,6 +137,6 @@
     assert explanation.known_by.startswith("the log")
 
 
-def test_key_without_claim_says_so(world: World) -> None:
+def test_key_without_claim_is_not_claimed(world: World) -> None:
     assert views["explain_request"](world, KEY).outcome == "not_claimed"
     assert views["explain_request"](world, "nobody/k") is None
--- a/kingcuppost/systems/views/tests/test_merge.py
+++ b/kingcuppost/systems/views/tests/test_merge.py
@@ -1,4 +1,4 @@
-"""The merged time line keeps cause before effect under skewed clocks."""
+"""The merged time line keeps causes before effects despite clock skew."""
 
 import random
 from dataclasses import replace
@@ -14,13 +14,13 @@
 
 
 class SimulatedRun:
-    """A made-up run: processes that fold a log, and messages between them."""
+    """A simulated run of processes that fold a log and exchange messages."""
 
-    def __init__(self, rng: random.Random, skews: list[int]) -> None:
+    def __init__(self, rng: random.Random, skews_ms: list[int]) -> None:
         self.rng = rng
-        self.skews = dict(zip(PROCESSES, skews, strict=True))
+        self.skews_ms = dict(zip(PROCESSES, skews_ms, strict=True))
         self.log: list[str] = []
-        self.folded = dict.fromkeys(PROCESSES, 0)
+        self.folded_offsets = dict.fromkeys(PROCESSES, 0)
         self.events: list[Event] = []
         self.messages: list[str] = []
         self.clock_ms = MAX_SKEW_MS
@@ -30,13 +30,13 @@
         sequence = sum(event.process == process for event in self.events) + 1
         self.events.append(
             Event(
-                self.clock_ms + self.skews[process],
+                self.clock_ms + self.skews_ms[process],
                 process,
                 "inc",
                 sequence,
                 step,
                 "",
-                offset=self.folded[process],
+                offset=self.folded_offsets[process],
                 **links,
             )
         )
@@ -51,9 +51,9 @@
         self.log.append(record)
 
     def fold(self, process: str) -> None:
-        if self.folded[process] < len(self.log):
-            self.folded[process] += 1
-            record = self.log[self.folded[process] - 1]
+        if self.folded_offsets[process] < len(self.log):
+            self.folded_offsets[process] += 1
+            record = self.log[self.folded_offsets[process] - 1]
             self.note(process, "fold.x", receives=record)
 
     def send(self, process: str) -> None:
@@ -67,14 +67,14 @@
             self.note(process, "serve.receive", receives=message)
 
 
-skew = st.integers(-MAX_SKEW_MS, MAX_SKEW_MS)
+skew_ms = st.integers(-MAX_SKEW_MS, MAX_SKEW_MS)
 
 
 @settings(derandomize=True, max_examples=150, deadline=None)
-@given(st.integers(0, 2**32), st.lists(skew, min_size=4, max_size=4))
-def test_skewed_clocks_reorder_no_cause_and_effect(seed: int, skews: list[int]) -> None:
+@given(st.integers(0, 2**32), st.lists(skew_ms, min_size=4, max_size=4))
+def test_clock_skew_keeps_causes_before_effects(seed: int, skews_ms: list[int]) -> None:
     rng = random.Random(seed)
-    run = SimulatedRun(rng, skews)
+    run = SimulatedRun(rng, skews_ms)
     for _ in range(80):
         run.step()
     shuffled = rng.sample(run.events, len(run.events))
@@ -99,24 +99,24 @@
 
 
 def check_records(merged: list[Event]) -> None:
-    """No event goes before the proposal of a record that it has seen."""
+    """Check that each event follows the proposals of the records folded before it."""
     proposed = [event.sends for event in merged if event.step == "propose.x"]
-    place = {event.sends: number for number, event in enumerate(merged)}
+    positions = {event.sends: number for number, event in enumerate(merged)}
     folds = {e.offset: e.receives for e in merged if e.step == "fold.x"}
     assert set(folds.values()) <= set(proposed)
     for number, event in enumerate(merged):
         for offset, record in folds.items():
             if offset <= event.offset:
-                assert place[record] < number
+                assert positions[record] < number
 
 
-def test_offset_goes_before_clock() -> None:
+def test_offset_takes_precedence_over_clock() -> None:
     early = Event(9_000, "entry-0", "a", 1, "fold.x", "", offset=4)
     late = Event(1_000, "entry-1", "b", 1, "fold.x", "", offset=5)
     assert merge_events([late, early]) == [early, late]
 
 
-def test_clock_decides_among_equals() -> None:
+def test_clock_breaks_ties_of_offset() -> None:
     first = Event(1_000, "entry-1", "b", 1, "x", "", offset=4)
     second = Event(2_000, "entry-0", "a", 1, "x", "", offset=4)
     assert merge_events([second, first]) == [first, second]
