--- a/kingcuppost/cli/changes.py
+++ b/kingcuppost/cli/changes.py
@@ -1,13 +1,13 @@
-"""Commands for teams, availability zones and settings."""
+"""Commands that change and show teams, availability zones and settings."""
 
 import argparse
 import json
 from typing import Any
 from urllib.parse import quote
 
-from kingcuppost.cli.client import send
+from kingcuppost.cli.client import send_to_entry
 from kingcuppost.cli.registry import add_operator_options, command
-from kingcuppost.cli.tables import format_table
+from kingcuppost.cli.text_tables import format_table
 from kingcuppost.exception import InvalidInputError
 from kingcuppost.tables.record import ANY_OFFSET
 
@@ -17,12 +17,12 @@
 
 
 def parse_shape(text: str) -> dict[str, int]:
-    """Return a shape given as text.
+    """Return the fields of a guaranteed shape given as text.
 
     Raises
     ------
     InvalidInputError
-        If the text is no shape.
+        If the text is not a shape.
 
     Examples
     --------
@@ -33,7 +33,7 @@
     members, _, accelerators = shape.partition("x")
     numbers = (members, accelerators, count or "1")
     if not all(number.isdigit() for number in numbers):
-        raise InvalidInputError(f"{text!r} is no shape, such as 2x4", "options")
+        raise InvalidInputError(f"{text!r} is not a shape such as 2x4", "options")
     return {
         "members": int(members),
         "accelerators": int(accelerators),
@@ -42,7 +42,7 @@
 
 
 def parse_value(text: str) -> str | int | float | bool:
-    """Return a setting's value: a number, true, false, or else text.
+    """Return the value of a setting: a number, true, false, or else text.
 
     Examples
     --------
@@ -79,13 +79,15 @@
             "accelerator_limit": args.accelerator_limit,
             "base_offset": args.base_offset,
         }
-        return send(args, "PUT", f"/v1/teams/{quote(args.name, safe='')}", body)
+        return send_to_entry(
+            args, "PUT", f"/v1/teams/{quote(args.name, safe='')}", body
+        )
     if args.name:
-        return send(args, "GET", f"/v1/teams/{quote(args.name, safe='')}")
-    return send(args, "GET", "/v1/teams", show=_show_teams)
+        return send_to_entry(args, "GET", f"/v1/teams/{quote(args.name, safe='')}")
+    return send_to_entry(args, "GET", "/v1/teams", format_answer=_format_teams)
 
 
-def _show_teams(answer: Any) -> str:
+def _format_teams(answer: Any) -> str:
     rows = [
         [
             row["name"],
@@ -119,22 +121,24 @@
 
 @command("availability-zone", "Take zones out and in; show them.", _add_zone_options)
 def run_zone(args: argparse.Namespace) -> int:
-    """Create, take out, take in or show availability zones."""
+    """Create a zone, change whether it is in service, or show all zones."""
     if args.action == "show":
-        return send(args, "GET", "/v1/availability-zones", show=_show_zones)
+        return send_to_entry(
+            args, "GET", "/v1/availability-zones", format_answer=_format_zones
+        )
     path = f"/v1/availability-zones/{quote(args.name, safe='')}"
     if args.action == "add":
         body = {"operator": args.operator, "region": args.region, "in_service": True}
-        return send(args, "PUT", path, body)
+        return send_to_entry(args, "PUT", path, body)
     body = {
         "operator": args.operator,
         "in_service": args.action == "in",
         "base_offset": args.base_offset,
     }
-    return send(args, "POST", f"{path}/service", body)
+    return send_to_entry(args, "POST", f"{path}/service", body)
 
 
-def _show_zones(answer: Any) -> str:
+def _format_zones(answer: Any) -> str:
     rows = [
         [
             row["name"],
@@ -153,22 +157,26 @@
     put = actions.add_parser("set", help="set a key on a branch")
     put.add_argument("key")
     put.add_argument("value")
-    unset = actions.add_parser("unset", help="inherit a key again")
+    unset = actions.add_parser(
+        "unset", help="remove a key from a branch, which then inherits its value"
+    )
     unset.add_argument("key")
     for action in (put, unset):
         action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
-    show = actions.add_parser("show", help="show the values that hold on a branch")
+    show = actions.add_parser("show", help="show the effective values of a branch")
     for action in (put, unset, show):
-        action.add_argument("--path", default="", help="branch; the root if absent")
+        action.add_argument(
+            "--path", default="", help="branch of the settings tree (default: the root)"
+        )
         add_operator_options(action)
 
 
 @command("settings", "Change and show the settings tree.", _add_settings_options)
 def run_settings(args: argparse.Namespace) -> int:
-    """Set, unset or show keys of the settings tree."""
+    """Set, unset or show keys on a branch of the settings tree."""
     if args.action == "show":
         path = f"/v1/settings?path={quote(args.path, safe='')}"
-        return send(args, "GET", path, show=_show_branch)
+        return send_to_entry(args, "GET", path, format_answer=_format_branch)
     body = {
         "operator": args.operator,
         "path": args.path,
@@ -176,10 +184,10 @@
         "value": parse_value(args.value) if args.action == "set" else None,
         "base_offset": args.base_offset,
     }
-    return send(args, "PUT", "/v1/settings", body)
+    return send_to_entry(args, "PUT", "/v1/settings", body)
 
 
-def _show_branch(answer: Any) -> str:
+def _format_branch(answer: Any) -> str:
     rows = [
         [row["key"], row["value"], row["path"], row["offset"], row["operator"]]
         for row in answer["effective"]
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -1,4 +1,4 @@
-"""The registry of commands and what they share."""
+"""The registry of commands, with their shared options and exit codes."""
 
 import argparse
 import os
@@ -26,9 +26,9 @@
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_UNKNOWN = 3
-DEFAULT_ADDRESS = "127.0.0.1:7301"
+DEFAULT_ENTRY_ADDRESS = "127.0.0.1:7301"
 
-Run = Callable[[argparse.Namespace], int]
+RunCommand = Callable[[argparse.Namespace], int]
 AddOptions = Callable[[argparse.ArgumentParser], None]
 
 
@@ -39,7 +39,7 @@
     Attributes
     ----------
     name, text : str
-        Its name, and what it does in one sentence.
+        Its name, and its help in one sentence.
     add_options : callable
         Adds its options to a parser.
     run : callable
@@ -49,16 +49,18 @@
     name: str
     text: str
     add_options: AddOptions
-    run: Run
+    run: RunCommand
 
 
 commands: dict[str, Command] = {}
 
 
-def command(name: str, text: str, add_options: AddOptions) -> Callable[[Run], Run]:
+def command(
+    name: str, text: str, add_options: AddOptions
+) -> Callable[[RunCommand], RunCommand]:
     """Return a decorator that registers a command."""
 
-    def register(run: Run) -> Run:
+    def register(run: RunCommand) -> RunCommand:
         commands[name] = Command(name, text, add_options, run)
         return run
 
@@ -66,16 +68,17 @@
 
 
 def add_operator_options(parser: argparse.ArgumentParser) -> None:
-    """Add the options that all commands towards an entry share."""
+    """Add the options shared by all commands that send requests to an entry."""
     parser.add_argument(
         "--entry",
-        default=DEFAULT_ADDRESS,
-        help=f"operators' address of an entry, IP:PORT (default {DEFAULT_ADDRESS})",
+        default=DEFAULT_ENTRY_ADDRESS,
+        help=f"operators' address of an entry, IP:PORT (default "
+        f"{DEFAULT_ENTRY_ADDRESS})",
     )
     parser.add_argument(
         "--operator",
         default=os.environ.get("USER") or "operator",
-        help="who makes the change (default: the user who is logged in)",
+        help="name recorded with a change (default: the user who is logged in)",
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
 
@@ -86,7 +89,7 @@
     Raises
     ------
     InvalidInputError
-        If the text is none.
+        If the text is not an address.
 
     Examples
     --------
@@ -95,12 +98,12 @@
     """
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
-        raise InvalidInputError(f"{text!r} is no IP:PORT", "options")
+        raise InvalidInputError(f"{text!r} is not an address IP:PORT", "options")
     return Address(host, int(port))
 
 
 def print_failure(failure: Failure) -> int:
-    """Print why a command failed, and return the exit code."""
+    """Print the reason of a failure and return the exit code for it."""
     place = " ".join(part for part in (failure.step, failure.peer) if part)
     print(f"kingcuppost: {place}: {failure.reason}", file=sys.stderr)
     return EXIT_FAILED
--- a/kingcuppost/cli/tables.py
+++ b/kingcuppost/cli/text_tables.py
@@ -1,14 +1,14 @@
-"""Plain text tables for people."""
+"""Plain text tables for the terminal."""
 
 from collections.abc import Iterable, Sequence
 
 __all__ = ["format_table"]
 
-GAP = "  "
+COLUMN_GAP = "  "
 
 
 def format_table(titles: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
-    """Return rows in columns under their titles.
+    """Return rows as aligned columns under their titles.
 
     Examples
     --------
@@ -20,7 +20,9 @@
     lines = [list(titles), *[[str(cell) for cell in row] for row in rows]]
     widths = [max(len(line[i]) for line in lines) for i in range(len(titles))]
     padded = [
-        GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        COLUMN_GAP.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
         for line in lines
     ]
     return "\n".join(line.rstrip() for line in padded)
