--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -28,7 +28,7 @@
     SpeedsRecord,
 )
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 from kingcuppost.tables.config import Address
 from kingcuppost.utils.registry import Registry
 
@@ -312,4 +312,4 @@
     try:
         return Ok(decoders[kind](rest, value))
     except ValidationError as exc:
-        return Error(Failure(f"{key}: {fault_text(exc)}", "decode", peer))
+        return Error(Failure(f"{key}: {format_validation_error(exc)}", "decode", peer))
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -19,7 +19,7 @@
     SyncReply,
 )
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 
 __all__ = [
     "decode_sync_call",
@@ -143,7 +143,7 @@
         model = SyncCallModel.model_validate_json(text)
         return Ok(_to_sync_call(model, exchange_id))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), "decode", peer))
+        return Error(Failure(format_validation_error(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
@@ -191,7 +191,7 @@
         model = SyncReplyModel.model_validate_json(text)
         return Ok(_to_sync_reply(model))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), "decode", peer))
+        return Error(Failure(format_validation_error(exc), "decode", peer))
     except ValueError as exc:
         return Error(Failure(str(exc), "decode", peer))
 
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -54,11 +54,11 @@
 def _bounds_of(key: SettingKey) -> str:
     if key.choices:
         return ", ".join(f"`{choice}`" for choice in key.choices)
-    if key.least is None and key.most is None:
+    if key.minimum is None and key.maximum is None:
         return type(key.default).__name__
-    least = "" if key.least is None else f"{key.least:.10g}"
-    most = "" if key.most is None else f"{key.most:.10g}"
-    return f"{least} to {most}"
+    minimum = "" if key.minimum is None else f"{key.minimum:.10g}"
+    maximum = "" if key.maximum is None else f"{key.maximum:.10g}"
+    return f"{minimum} to {maximum}"
 
 
 @references.register("files")
--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -15,7 +15,7 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.metrics import Tally
 
-__all__ = ["JsonClient", "Response", "is_never_sent"]
+__all__ = ["JsonClient", "Response", "is_connect_error"]
 
 MS_PER_SECOND = 1_000
 CONNECT_TIMEOUT_S = 0.4
@@ -40,7 +40,7 @@
 
 
 @implementer(IAgentEndpointFactory)
-class _IpEndpoints:
+class _IpEndpointFactory:
     """Endpoints by IP number, without any resolver."""
 
     def __init__(self, reactor: Any, tally: Tally) -> None:
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True)
-class _Peer:
+class _PeerConnections:
     """The connections to one peer."""
 
     pool: HTTPConnectionPool
@@ -102,25 +102,25 @@
     def __init__(self, reactor: Any, tally: Tally | None = None) -> None:
         self._reactor = reactor
         self._tally = tally or Tally()
-        self._peers: dict[Address, _Peer] = {}
+        self._connections: dict[Address, _PeerConnections] = {}
 
-    def _peer(self, address: Address) -> _Peer:
-        if address not in self._peers:
+    def _connections_to(self, address: Address) -> _PeerConnections:
+        if address not in self._connections:
             pool = HTTPConnectionPool(self._reactor)
             pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
             pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
             pool.retryAutomatically = False
             agent = Agent.usingEndpointFactory(
                 self._reactor,
-                _IpEndpoints(self._reactor, self._tally),
+                _IpEndpointFactory(self._reactor, self._tally),
                 pool=pool,
             )
-            self._peers[address] = _Peer(pool, agent)
-        return self._peers[address]
+            self._connections[address] = _PeerConnections(pool, agent)
+        return self._connections[address]
 
-    def _distrust(self, address: Address) -> None:
+    def _discard_connections(self, address: Address) -> None:
         """Close the idle connections to a peer, and use none made before."""
-        peer = self._peers.pop(address, None)
+        peer = self._connections.pop(address, None)
         if peer is not None:
             peer.pool.closeCachedConnections()
 
@@ -161,8 +161,8 @@
         try:
             return await pending
         except Exception as exc:
-            step = "connect" if is_never_sent(exc) else "exchange"
-            self._distrust(address)
+            step = "connect" if is_connect_error(exc) else "exchange"
+            self._discard_connections(address)
             reason = str(exc) or type(exc).__name__
             raise PeerError(reason, step, str(address)) from exc
 
@@ -172,24 +172,24 @@
         address: Address,
         path: str,
         body: bytes,
-        extra: dict[str, str],
+        extra_headers: dict[str, str],
     ) -> Response:
         url = f"http://{address}{path}".encode("ascii")
         headers = Headers({b"Content-Type": [b"application/json"]} if body else {})
-        for name, value in extra.items():
+        for name, value in extra_headers.items():
             headers.setRawHeaders(name, [value])
         producer = _BytesProducer(body) if body else None
-        response = await self._peer(address).agent.request(
+        response = await self._connections_to(address).agent.request(
             method.encode("ascii"), url, headers, producer
         )
         return Response(response.code, await readBody(response))
 
     async def close(self) -> None:
         """Close idle connections."""
-        for peer in self._peers.values():
+        for peer in self._connections.values():
             await peer.pool.closeCachedConnections()
 
 
-def is_never_sent(exc: BaseException) -> bool:
+def is_connect_error(exc: BaseException) -> bool:
     """Return whether an exchange failed before a connection was made."""
     return isinstance(exc, error.ConnectError)
--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -8,16 +8,16 @@
 
 __all__ = [
     "IDLE_TIMEOUT_S",
-    "LARGEST_BODY_BYTES",
+    "MAX_BODY_BYTES",
     "BoundedChannel",
     "BoundedRequest",
 ]
 
-LARGEST_BODY_BYTES = 1_048_576
+MAX_BODY_BYTES = 1_048_576
 RECEIVE_TIMEOUT_S = 5
 IDLE_TIMEOUT_S = 60
 LINGER_S = 1
-TOO_LARGE = (
+TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 413 Content Too Large\r\n"
     b"Content-Type: application/json\r\n"
     b"Connection: close\r\n"
@@ -25,71 +25,73 @@
 )
 TOO_LARGE_BODY = (
     b'{"outcome":"not_run","step":"decode","peer":"",'
-    b'"reason":"the body is larger than %d bytes"}' % LARGEST_BODY_BYTES
+    b'"reason":"the body is larger than %d bytes"}' % MAX_BODY_BYTES
 )
 
 
 class BoundedChannel(HTTPChannel):
     """A connection on which each request is received whole within a time."""
 
-    _receiving: Any = None
-    _serving = False
+    _receive_timer: Any = None
+    _is_serving = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Start the clock with the first byte of a request."""
-        if self._receiving is None and not self._serving:
-            self._receiving = self.callLater(RECEIVE_TIMEOUT_S, self._too_slow)
+        if self._receive_timer is None and not self._is_serving:
+            self._receive_timer = self.callLater(
+                RECEIVE_TIMEOUT_S, self._abort_slow_request
+            )
         super().dataReceived(data)
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Stop the clock; the request is whole."""
-        self._stop_clock()
-        self._serving = True
+        self._cancel_receive_timer()
+        self._is_serving = True
         super().allContentReceived()
 
     def requestDone(self, request: Request) -> None:  # noqa: N802
         """Welcome the next request."""
-        self._serving = False
+        self._is_serving = False
         super().requestDone(request)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Stop the clock."""
-        self._stop_clock()
+        self._cancel_receive_timer()
         super().connectionLost(reason)
 
-    def _stop_clock(self) -> None:
-        if self._receiving is not None and self._receiving.active():
-            self._receiving.cancel()
-        self._receiving = None
+    def _cancel_receive_timer(self) -> None:
+        if self._receive_timer is not None and self._receive_timer.active():
+            self._receive_timer.cancel()
+        self._receive_timer = None
 
-    def _too_slow(self) -> None:
-        self._receiving = None
+    def _abort_slow_request(self) -> None:
+        self._receive_timer = None
         self.transport.abortConnection()
 
 
 class BoundedRequest(Request):
     """A request whose body stays in memory, and below a size."""
 
-    _refused = False
+    _is_refused = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body by its declared length, before it is read."""
         self.content = BytesIO()
-        if length is not None and length > LARGEST_BODY_BYTES:
+        if length is not None and length > MAX_BODY_BYTES:
             self._refuse()
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body, or refuse the body once it is too large."""
-        if self._refused:
+        if self._is_refused:
             return
-        if self.content.tell() + len(data) > LARGEST_BODY_BYTES:
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
             self._refuse()
             return
         super().handleContentChunk(data)
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Serve the request unless it was refused."""
-        if not self._refused:
+        if not self._is_refused:
             super().requestReceived(command, path, version)
 
     def _refuse(self) -> None:
@@ -97,8 +99,8 @@
 
         A connection that is closed with unread bytes would lose the answer.
         """
-        self._refused = True
+        self._is_refused = True
         transport = self.channel.transport
-        transport.write(TOO_LARGE % (len(TOO_LARGE_BODY), TOO_LARGE_BODY))
+        transport.write(TOO_LARGE_RESPONSE % (len(TOO_LARGE_BODY), TOO_LARGE_BODY))
         transport.loseWriteConnection()
         self.channel.callLater(LINGER_S, transport.abortConnection)
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -29,7 +29,7 @@
 LISTEN_BACKLOG = 512
 
 
-class _Surface(Resource):
+class _SurfaceResource(Resource):
     """All routes of one surface, such as ``"callers"``."""
 
     isLeaf = True  # noqa: N815
@@ -47,36 +47,42 @@
         if found is None:
             return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
         body = request.content.read()
-        route, names = found
+        route, path_parameters = found
         if route.direct is not None:
             return route.direct(self._context, request)
         exchange_id = new_identifier(self._context.world.rng, "exc")
-        call = Call(exchange_id, names, _query(request), body, _peer_of(request))
-        return self._put(request, exchange_id, route.parse(call))
-
-    def _put(
+        call = Call(
+            exchange_id,
+            path_parameters,
+            _parse_query(request),
+            body,
+            _format_peer(request),
+        )
+        return self._dispatch(request, exchange_id, route.parse(call))
+
+    def _dispatch(
         self, request: Request, exchange_id: str, parsed: Result[Any, Failure]
     ) -> int | bytes:
         if parsed.is_error():
             return _refuse(request, STATUS_BAD_REQUEST, parsed.error.reason)
         self._context.exchanges[exchange_id] = request
-        request.notifyFinish().addErrback(self._lost, exchange_id)
+        request.notifyFinish().addErrback(self._drop_exchange, exchange_id)
         self._context.deliver(parsed.ok)
         return NOT_DONE_YET
 
-    def _lost(self, _: Any, exchange_id: str) -> None:
+    def _drop_exchange(self, _: Any, exchange_id: str) -> None:
         if self._context.exchanges.pop(exchange_id, None) is not None:
             self._context.deliver(ExchangeLost(exchange_id))
 
 
-def _query(request: Request) -> dict[str, str]:
+def _parse_query(request: Request) -> dict[str, str]:
     return {
         name.decode("utf-8", "replace"): values[0].decode("utf-8", "replace")
         for name, values in request.args.items()
     }
 
 
-def _peer_of(request: Request) -> str:
+def _format_peer(request: Request) -> str:
     address = request.getClientAddress()
     return f"{address.host}:{address.port}"
 
@@ -84,7 +90,9 @@
 def _refuse(request: Request, status: int, reason: str) -> bytes:
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
-    return encode(ChangeRefused(Outcome.NOT_RUN, "decode", _peer_of(request), reason))
+    return encode(
+        ChangeRefused(Outcome.NOT_RUN, "decode", _format_peer(request), reason)
+    )
 
 
 @senders.register(Reply)
@@ -104,7 +112,7 @@
 def make_site(context: EdgeContext, surface: str) -> Site:
     """Return the protocol factory of a surface."""
     site = Site(
-        _Surface(context, surface),
+        _SurfaceResource(context, surface),
         requestFactory=BoundedRequest,
         timeout=IDLE_TIMEOUT_S,
     )
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -2,10 +2,15 @@
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
 from kingcuppost.edges.http_client import JsonClient
-from kingcuppost.edges.peers import run
+from kingcuppost.edges.peers import deliver_later
 from kingcuppost.exception import PeerError
 from kingcuppost.models import decode, encode
-from kingcuppost.models.log import AppendModel, ReadModel, text_of, to_read_done
+from kingcuppost.models.log import (
+    AppendModel,
+    ReadModel,
+    encode_log_record,
+    to_read_done,
+)
 from kingcuppost.tables.inbox import AppendDone, ReadDone
 from kingcuppost.tables.outbox import AppendRecords, ReadLog
 
@@ -49,16 +54,18 @@
                 raise PeerError(parsed.error.reason, "read", "log")
             return to_read_done(row.read_id, parsed.ok)
 
-        def failed(exc: PeerError) -> ReadDone:
+        def make_failure(exc: PeerError) -> ReadDone:
             return ReadDone(row.read_id, False, reason=str(exc))
 
-        run(self._context, work(), failed)
+        deliver_later(self._context, work(), make_failure)
 
     def append(self, row: AppendRecords) -> None:
         """Append records; the answer only tells that a re-read is due."""
         client = self._client_for(row.hedge)
         record_ids = tuple(record.record_id for record in row.records)
-        model = AppendModel(values=[text_of(record) for record in row.records])
+        model = AppendModel(
+            values=[encode_log_record(record) for record in row.records]
+        )
 
         async def work() -> AppendDone:
             response = await client.exchange(
@@ -67,11 +74,11 @@
             ok = response.status == STATUS_OK
             return AppendDone(record_ids, ok, "" if ok else f"status {response.status}")
 
-        def failed(exc: PeerError) -> AppendDone:
+        def make_failure(exc: PeerError) -> AppendDone:
             never_sent = exc.step == "connect"
             return AppendDone(record_ids, False, str(exc), never_sent)
 
-        run(self._context, work(), failed)
+        deliver_later(self._context, work(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
         """Return the client; a new one, with no old connections, for a hedge.
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -9,10 +9,10 @@
 
 __all__ = ["TickLoop"]
 
-LOGGER = "kingcuppost"
-EXIT_FAULT = 70
+LOGGER_NAME = "kingcuppost"
+EXIT_SOFTWARE_ERROR = 70
 MS_PER_SECOND = 1_000
-LEAST_DELAY_MS = 1
+MIN_DELAY_MS = 1
 
 
 class TickLoop:
@@ -30,57 +30,57 @@
         self._reactor = reactor
         self._systems = systems
         self._context: Any = None
-        self._after: Callable[[], None] = lambda: None
-        self._soon: Any = None
+        self._after_tick: Callable[[], None] = lambda: None
+        self._scheduled_tick: Any = None
         self._timer: Any = None
         self.ticks = 0
 
-    def attach(self, context: Any, after: Callable[[], None]) -> None:
+    def attach(self, context: Any, after_tick: Callable[[], None]) -> None:
         """Give the loop the context whose world it ticks.
 
         Parameters
         ----------
         context : object
             The process's edges, with `world`, `senders` and `exit_code`.
-        after : callable
+        after_tick : callable
             Runs after every tick; writes the new events.
         """
         self._context = context
-        self._after = after
+        self._after_tick = after_tick
 
     def wake(self) -> None:
         """Ask for a tick; all that asks before it runs shares it."""
-        if self._soon is None:
-            self._soon = self._reactor.callLater(0, self._tick)
+        if self._scheduled_tick is None:
+            self._scheduled_tick = self._reactor.callLater(0, self._tick)
 
     def _tick(self) -> None:
-        self._soon = None
+        self._scheduled_tick = None
         world = self._context.world
         self.ticks += 1
         try:
             started_s = time.perf_counter()
             run_tick(world, self._systems, world.clock.now_ms())
-            took_s = time.perf_counter() - started_s
-            world.tally.observe("tick", took_s * MS_PER_SECOND)
+            duration_s = time.perf_counter() - started_s
+            world.tally.observe("tick", duration_s * MS_PER_SECOND)
             for message in world.outbox.take_all():
                 world.tally.add("messages_sent", type(message).__name__)
                 self._context.senders[type(message)](self._context, message)
         except Exception:
-            self._abandon()
+            self._exit_after_failure()
             return
         if len(world.inbox):
             self.wake()
         self._set_timer()
-        self._after()
+        self._after_tick()
 
-    def _abandon(self) -> None:
+    def _exit_after_failure(self) -> None:
         """Log the fault and end the process.
 
         A tick that failed half-way leaves tables that nobody vouches for; a new
         process rebuilds them from the log.
         """
-        logging.getLogger(LOGGER).critical("loop: The tick failed.", exc_info=True)
-        self._context.exit_code = EXIT_FAULT
+        logging.getLogger(LOGGER_NAME).critical("loop: The tick failed.", exc_info=True)
+        self._context.exit_code = EXIT_SOFTWARE_ERROR
         self._reactor.stop()
 
     def _set_timer(self) -> None:
@@ -90,5 +90,5 @@
         next_ms = world.deadlines.next_ms()
         if next_ms is None:
             return
-        delay_ms = max(next_ms - world.clock.now_ms(), LEAST_DELAY_MS)
+        delay_ms = max(next_ms - world.clock.now_ms(), MIN_DELAY_MS)
         self._timer = self._reactor.callLater(delay_ms / MS_PER_SECOND, self.wake)
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -44,7 +44,7 @@
     def collect(self) -> Any:
         """Yield the metric families."""
         for name, metric in metrics.items():
-            yield FAMILIES[metric.kind](self._world, name, metric)
+            yield FAMILY_BUILDERS[metric.kind](self._world, name, metric)
 
 
 def _gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
@@ -64,14 +64,14 @@
 def _histogram_family(world: World, name: str, metric: Metric) -> Any:
     family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, row in read_durations(world, name):
-        below = accumulate(row.buckets)
+        cumulative_counts = accumulate(row.buckets)
         bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
-        buckets = list(zip(bounds, below, strict=True))
+        buckets = list(zip(bounds, cumulative_counts, strict=True))
         family.add_metric(labels, buckets, row.sum_ms / MS_PER_SECOND)
     return family
 
 
-FAMILIES = {
+FAMILY_BUILDERS = {
     MetricKind.GAUGE: _gauge_family,
     MetricKind.COUNTER: _counter_family,
     MetricKind.HISTOGRAM: _histogram_family,
@@ -122,24 +122,24 @@
     def __init__(self, world: World, logger: logging.Logger) -> None:
         self._world = world
         self._logger = logger
-        self._written = 0
+        self._written_count = 0
 
     def flush(self) -> None:
         """Write the events since the last call."""
-        new = self._world.event_count - self._written
+        new = self._world.event_count - self._written_count
         if not new:
             return
-        self._written = self._world.event_count
+        self._written_count = self._world.event_count
         for event in list(self._world.events)[-new:]:
-            self._logger.info(_line_of(event), extra=_fields_of(event))
+            self._logger.info(_format_line(event), extra=_format_fields(event))
 
 
-def _line_of(event: Event) -> str:
+def _format_line(event: Event) -> str:
     prefix = event.step.partition(".")[0]
     return f"{prefix}: {event.text}"
 
 
-def _fields_of(event: Event) -> dict[str, str | int]:
+def _format_fields(event: Event) -> dict[str, str | int]:
     """Return an event's fields; `process` is a name that the library keeps."""
     names = (name for name in Event.__slots__ if name not in ("text", "process"))
     fields = {name: getattr(event, name) for name in names}
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -10,13 +10,13 @@
 from kingcuppost.models import decode, encode
 from kingcuppost.models.peer import (
     AttemptModel,
+    AttemptReplyModel,
     GangReplyModel,
     GangReportsModel,
     HeartbeatModel,
     HeartbeatReplyModel,
     HolderModel,
     HolderReplyModel,
-    ServedModel,
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.inbox import (
@@ -35,12 +35,14 @@
 )
 from kingcuppost.tables.request import Outcome
 
-__all__ = ["post", "run"]
+__all__ = ["deliver_later", "post_model"]
 
 STATUS_OK = 200
 
 
-def run(context: EdgeContext, work: Any, failed: Callable[[PeerError], Any]) -> None:
+def deliver_later(
+    context: EdgeContext, work: Any, make_failure: Callable[[PeerError], Any]
+) -> None:
     """Run a coroutine that returns an inbox message, and deliver the message.
 
     Parameters
@@ -49,7 +51,7 @@
         The process's edges.
     work : coroutine
         Returns the message; may raise `PeerError`.
-    failed : callable
+    make_failure : callable
         Makes the message for a failure.
     """
 
@@ -57,15 +59,15 @@
         try:
             message = await work
         except PeerError as exc:
-            message = failed(exc)
+            message = make_failure(exc)
         except Exception as exc:
-            message = failed(PeerError(repr(exc), "exchange"))
+            message = make_failure(PeerError(repr(exc), "exchange"))
         context.deliver(message)
 
     ensureDeferred(finish())
 
 
-async def post(
+async def post_model(
     context: EdgeContext,
     address: Address,
     path: str,
@@ -98,12 +100,12 @@
     async def work() -> AttemptDone:
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
-        reply = await post(
-            context, address, "/peer/attempts", model, ServedModel, row.silence_ms
+        reply = await post_model(
+            context, address, "/peer/attempts", model, AttemptReplyModel, row.silence_ms
         )
         return reply.to_message(row)
 
-    def failed(exc: PeerError) -> AttemptDone:
+    def make_failure(exc: PeerError) -> AttemptDone:
         return AttemptDone(
             row.attempt_id,
             row.minion,
@@ -113,7 +115,7 @@
             reason=str(exc),
         )
 
-    run(context, work(), failed)
+    deliver_later(context, work(), make_failure)
 
 
 @senders.register(HandOver)
@@ -132,11 +134,11 @@
             row.attempt_id, True, response.body.decode("utf-8", "replace")
         )
 
-    def failed(exc: PeerError) -> MinionAnswered:
+    def make_failure(exc: PeerError) -> MinionAnswered:
         never_sent = exc.step == "connect"
         return MinionAnswered(row.attempt_id, False, "", never_sent, str(exc))
 
-    run(context, work(), failed)
+    deliver_later(context, work(), make_failure)
 
 
 @senders.register(SendHeartbeat)
@@ -146,7 +148,7 @@
     async def work() -> HeartbeatDone:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
-        reply = await post(
+        reply = await post_model(
             context,
             address,
             "/peer/heartbeats",
@@ -156,7 +158,9 @@
         )
         return HeartbeatDone(row.entry, True, "", reply.folded_offset)
 
-    run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
+    deliver_later(
+        context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc))
+    )
 
 
 @senders.register(SendGangReports)
@@ -166,12 +170,12 @@
     async def work() -> GangReplyArrived:
         address = Address(row.host, row.port)
         model = GangReportsModel.from_row(row)
-        reply = await post(
+        reply = await post_model(
             context, address, "/peer/gangs", model, GangReplyModel, row.timeout_ms
         )
         return reply.to_message(row)
 
-    run(
+    deliver_later(
         context,
         work(),
         lambda exc: GangReplyArrived(row.worker, False, row.sent_ms),
@@ -185,12 +189,12 @@
     async def work() -> HolderAnswered:
         address = Address(row.host, row.port)
         model = HolderModel(entry=context.world.identity.name)
-        reply = await post(
+        reply = await post_model(
             context, address, "/peer/holder", model, HolderReplyModel, row.timeout_ms
         )
         return reply.to_message(row)
 
-    run(
+    deliver_later(
         context,
         work(),
         lambda exc: HolderAnswered(False, "", row.sent_ms, str(exc)),
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -43,7 +43,7 @@
     ----------
     exchange_id : str
         Identifier of the open exchange.
-    names : dict of str to str
+    path_parameters : dict of str to str
         Parts of the path by parameter.
     query : dict of str to str
         First value of each query parameter.
@@ -54,7 +54,7 @@
     """
 
     exchange_id: str
-    names: dict[str, str]
+    path_parameters: dict[str, str]
     query: dict[str, str]
     body: bytes
     peer: str
@@ -125,12 +125,12 @@
     parsed = decode(RequestModel, call.body, call.peer)
     if parsed.is_error():
         return parsed
-    if reason := parsed.ok.fault():
+    if reason := parsed.ok.check_fields():
         return Error(Failure(reason, "decode", call.peer))
     return Ok(parsed.ok.to_message(call.exchange_id))
 
 
-def _change(call: Call, model: type, *arguments: str) -> Result[Any, Failure]:
+def _parse_proposal(call: Call, model: type, *arguments: str) -> Result[Any, Failure]:
     parsed = decode(model, call.body, call.peer)
     return parsed.map(
         lambda item: Propose(call.exchange_id, item.operator, item.to_body(*arguments))
@@ -140,76 +140,76 @@
 @route(OPERATORS, "PUT", "/v1/teams/{name}")
 def put_team(call: Call) -> Result[Any, Failure]:
     """Create or change a team."""
-    return _change(call, TeamModel, call.names["name"])
+    return _parse_proposal(call, TeamModel, call.path_parameters["name"])
 
 
 @route(OPERATORS, "PUT", "/v1/availability-zones/{name}")
 def put_zone(call: Call) -> Result[Any, Failure]:
     """Create an availability zone, or take it out of or into service."""
-    return _change(call, ZoneModel, call.names["name"])
+    return _parse_proposal(call, ZoneModel, call.path_parameters["name"])
 
 
 @route(OPERATORS, "POST", "/v1/availability-zones/{name}/service")
 def post_service(call: Call) -> Result[Any, Failure]:
     """Take a known availability zone out of or into service."""
-    return _change(call, ServiceModel, call.names["name"])
+    return _parse_proposal(call, ServiceModel, call.path_parameters["name"])
 
 
 @route(OPERATORS, "PUT", "/v1/settings")
 def put_setting(call: Call) -> Result[Any, Failure]:
     """Set a key on a branch."""
-    return _change(call, SettingModel)
+    return _parse_proposal(call, SettingModel)
 
 
 @route(OPERATORS, "POST", "/v1/jobs")
 def post_job(call: Call) -> Result[Any, Failure]:
     """Submit a job."""
-    return _change(call, JobModel)
+    return _parse_proposal(call, JobModel)
 
 
 @route(OPERATORS, "POST", "/v1/jobs/{name}/cancel")
 def cancel_job(call: Call) -> Result[Any, Failure]:
     """Cancel a job."""
-    return _change(call, CancelModel, call.names["name"])
+    return _parse_proposal(call, CancelModel, call.path_parameters["name"])
 
 
-def _show(path: str, view: str, parameter: str = "") -> None:
+def _register_view(path: str, view: str, parameter: str = "") -> None:
     """Serve a view under a path; its argument is part of the path or query."""
 
-    def show(call: Call) -> Result[Any, Failure]:
-        argument = call.names.get(parameter) or call.query.get(parameter, "")
+    def parse_view_request(call: Call) -> Result[Any, Failure]:
+        argument = call.path_parameters.get(parameter) or call.query.get(parameter, "")
         return Ok(ShowView(call.exchange_id, view, argument))
 
-    show.__doc__ = views[view].__doc__
-    route(OPERATORS, "GET", path)(show)
+    parse_view_request.__doc__ = views[view].__doc__
+    route(OPERATORS, "GET", path)(parse_view_request)
 
 
-_show("/v1/teams", "teams")
-_show("/v1/teams/{name}", "team", "name")
-_show("/v1/availability-zones", "availability_zones")
-_show("/v1/availability-zones/{name}", "availability_zone", "name")
-_show("/v1/settings", "settings", "path")
-_show("/v1/jobs", "jobs")
-_show("/v1/jobs/{name}", "job", "name")
-_show("/v1/jobs/{name}/explain", "explain_job", "name")
-_show("/v1/requests/explain", "explain_request", "key")
-_show("/v1/fleet", "fleet")
-_show("/v1/status", "status")
-_show("/v1/events", "events")
+_register_view("/v1/teams", "teams")
+_register_view("/v1/teams/{name}", "team", "name")
+_register_view("/v1/availability-zones", "availability_zones")
+_register_view("/v1/availability-zones/{name}", "availability_zone", "name")
+_register_view("/v1/settings", "settings", "path")
+_register_view("/v1/jobs", "jobs")
+_register_view("/v1/jobs/{name}", "job", "name")
+_register_view("/v1/jobs/{name}/explain", "explain_job", "name")
+_register_view("/v1/requests/explain", "explain_request", "key")
+_register_view("/v1/fleet", "fleet")
+_register_view("/v1/status", "status")
+_register_view("/v1/events", "events")
 
 
-def _from_peer(path: str, model: type) -> None:
+def _register_peer_route(path: str, model: type) -> None:
     """Serve messages of the system's other processes."""
 
-    def receive(call: Call) -> Result[Any, Failure]:
+    def parse_peer_message(call: Call) -> Result[Any, Failure]:
         parsed = decode(model, call.body, call.peer)
         return parsed.map(lambda item: item.to_message(call.exchange_id))
 
-    receive.__doc__ = model.__doc__
-    route(PEERS, "POST", path)(receive)
+    parse_peer_message.__doc__ = model.__doc__
+    route(PEERS, "POST", path)(parse_peer_message)
 
 
-_from_peer("/peer/attempts", AttemptModel)
-_from_peer("/peer/heartbeats", HeartbeatModel)
-_from_peer("/peer/gangs", GangReportsModel)
-_from_peer("/peer/holder", HolderModel)
+_register_peer_route("/peer/attempts", AttemptModel)
+_register_peer_route("/peer/heartbeats", HeartbeatModel)
+_register_peer_route("/peer/gangs", GangReportsModel)
+_register_peer_route("/peer/holder", HolderModel)
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -8,8 +8,8 @@
 
 __all__ = ["install_signals"]
 
-FLUSH_CHECK_S = 0.02
-FLUSH_CHECKS = 100
+FLUSH_CHECK_INTERVAL_S = 0.02
+MAX_FLUSH_CHECKS = 100
 
 
 def install_signals(context: EdgeContext) -> None:
@@ -36,7 +36,7 @@
         listener.port.stopListening()
         for connection in list(listener.factory.protocols):
             connection.loseConnection()
-    _stop_when_flushed(context, FLUSH_CHECKS)
+    _stop_when_flushed(context, MAX_FLUSH_CHECKS)
 
 
 def _stop_when_flushed(context: EdgeContext, checks_left: int) -> None:
@@ -45,7 +45,7 @@
         _stop(context)
         return
     context.reactor.callLater(
-        FLUSH_CHECK_S, _stop_when_flushed, context, checks_left - 1
+        FLUSH_CHECK_INTERVAL_S, _stop_when_flushed, context, checks_left - 1
     )
 
 
--- a/kingcuppost/edges/sockets.py
+++ b/kingcuppost/edges/sockets.py
@@ -4,7 +4,7 @@
 
 __all__ = ["listen_at"]
 
-BACKLOG = 512
+LISTEN_BACKLOG = 512
 
 
 def listen_at(host: str, port: int) -> socket.socket:
@@ -33,7 +33,7 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
         listener.bind((host, port))
-        listener.listen(BACKLOG)
+        listener.listen(LISTEN_BACKLOG)
     except OSError:
         listener.close()
         raise
--- a/kingcuppost/edges/tests/test_event_log.py
+++ b/kingcuppost/edges/tests/test_event_log.py
@@ -10,7 +10,7 @@
 from kingcuppost.tables.config import Address, LogConfig, ProcessConfig
 from kingcuppost.tables.identity import Role
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 
 
 def test_event_is_written_as_one_json_line(
@@ -21,8 +21,8 @@
         name="entry-0",
         availability_zone="vid-a",
         region="vidzeme",
-        peers=NOWHERE,
-        log=LogConfig("none", NOWHERE),
+        peers=UNUSED_ADDRESS,
+        log=LogConfig("none", UNUSED_ADDRESS),
         seed=1,
     )
     world = make_world(cfg)
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -16,7 +16,7 @@
 from kingcuppost.tables.inbox import Propose
 from kingcuppost.tables.outbox import AppendRecords, Reply
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 PARSED = [item for item, _ in routes if item.direct is None]
 WITH_BODY = [item for item in PARSED if item.method != "GET"]
 FIELDS = sorted(
@@ -50,9 +50,11 @@
 )
 
 
-def call_of(item: Route, name: str, body: bytes) -> Call:
-    names = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
-    return Call("exc-1", names, {"path": name, "key": name}, body, "127.0.0.1:1")
+def make_call(item: Route, name: str, body: bytes) -> Call:
+    path_parameters = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
+    return Call(
+        "exc-1", path_parameters, {"path": name, "key": name}, body, "127.0.0.1:1"
+    )
 
 
 @pytest.mark.parametrize("item", PARSED, ids=lambda item: f"{item.method} {item.path}")
@@ -61,7 +63,7 @@
 def test_parser_gives_a_message_or_a_reason(
     item: Route, name: str, body: bytes
 ) -> None:
-    parsed = item.parse(call_of(item, name, body))
+    parsed = item.parse(make_call(item, name, body))
     if parsed.is_ok():
         assert is_dataclass(parsed.ok)
     else:
@@ -89,12 +91,14 @@
     item: Route, name: str, body: bytes
 ) -> None:
     """A tick over any message that passed changes no agreed table by itself."""
-    parsed = item.parse(call_of(item, name, body))
+    parsed = item.parse(make_call(item, name, body))
     if parsed.is_error():
         return
-    log = LogConfig("http", NOWHERE)
-    entry = EntryConfig(NOWHERE, NOWHERE)
-    cfg = ProcessConfig(Role.ENTRY, "e", "vid-a", "v", NOWHERE, log, entry, seed=1)
+    log = LogConfig("http", UNUSED_ADDRESS)
+    entry = EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS)
+    cfg = ProcessConfig(
+        Role.ENTRY, "e", "vid-a", "v", UNUSED_ADDRESS, log, entry, seed=1
+    )
     world = make_world(cfg)
     world.log_view.caught_up = True
     if type(parsed.ok).__name__ in ENTRY_MESSAGES:
@@ -114,7 +118,7 @@
     "value", [10**400, float("inf"), float("nan"), 2**63, -(2**63) - 1, "\ud800"]
 )
 def test_extreme_setting_values_are_refused(value: object) -> None:
-    route, names = find_route("operators", "PUT", "/v1/settings")
+    route, path_parameters = find_route("operators", "PUT", "/v1/settings")
     body = json.dumps({"operator": "x", "key": "job.lease_ms", "value": value})
-    parsed = route.parse(Call("exc-1", names, {}, body.encode(), "p"))
+    parsed = route.parse(Call("exc-1", path_parameters, {}, body.encode(), "p"))
     assert parsed.is_error()
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -3,7 +3,7 @@
 from twisted.internet.task import Clock as TwistedClock
 
 from kingcuppost.edges.context import EdgeContext
-from kingcuppost.edges.loop import EXIT_FAULT, TickLoop
+from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR, TickLoop
 from kingcuppost.programs import make_world
 from kingcuppost.systems.registry import Phase, System
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
@@ -11,15 +11,15 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils import ManualClock
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 CFG = ProcessConfig(
     Role.ENTRY,
     "entry-0",
     "vid-a",
     "vidzeme",
-    NOWHERE,
-    LogConfig("none", NOWHERE),
-    EntryConfig(NOWHERE, NOWHERE),
+    UNUSED_ADDRESS,
+    LogConfig("none", UNUSED_ADDRESS),
+    EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS),
     seed=1,
 )
 
@@ -81,4 +81,4 @@
     harness.loop.wake()
     harness.advance(0)
     assert harness.reactor.stopped
-    assert harness.context.exit_code == EXIT_FAULT
+    assert harness.context.exit_code == EXIT_SOFTWARE_ERROR
--- a/kingcuppost/edges/tests/test_observe.py
+++ b/kingcuppost/edges/tests/test_observe.py
@@ -17,20 +17,20 @@
 from kingcuppost.tables.scheduling import UncoveredGuarantee
 from kingcuppost.tables.world import World
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 
 
 @pytest.fixture
 def world() -> World:
-    log = LogConfig("http", NOWHERE)
-    entry = EntryConfig(NOWHERE, NOWHERE)
+    log = LogConfig("http", UNUSED_ADDRESS)
+    entry = EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS)
     cfg = ProcessConfig(
-        Role.ENTRY, "entry-0", "vid-a", "vidzeme", NOWHERE, log, entry, seed=1
+        Role.ENTRY, "entry-0", "vid-a", "vidzeme", UNUSED_ADDRESS, log, entry, seed=1
     )
     return make_world(cfg)
 
 
-def samples(world: World) -> dict[tuple[str, tuple], float]:
+def read_samples_by_label(world: World) -> dict[tuple[str, tuple], float]:
     registry = CollectorRegistry()
     registry.register(WorldCollector(world))
     text = generate_latest(registry).decode()
@@ -45,7 +45,7 @@
     world.tally.add("requests", "design", "answered")
     world.tally.observe("request", 30, "design", "answered")
     note(world, "request.close", "Request answered.")
-    shown = samples(world)
+    shown = read_samples_by_label(world)
     labels = (("outcome", "answered"), ("team", "design"))
     assert shown["kingcuppost_requests_total", labels] == 1
     assert shown["kingcuppost_request_seconds_sum", labels] == 0.03
@@ -60,7 +60,7 @@
     zone = AvailabilityZone("vid-b", "vidzeme", False, 3, "ilze")
     world.agreed.availability_zones.put(zone)
     world.log_view.folded_offset = 9
-    shown = samples(world)
+    shown = read_samples_by_label(world)
     assert shown["kingcuppost_log_folded_offset", ()] == 9
     assert shown["kingcuppost_log_fresh_age_seconds", ()] == -1
     zones = "kingcuppost_availability_zone_in_service"
@@ -70,7 +70,7 @@
 def test_uncovered_guarantees_and_retry_budgets_are_shown(world: World) -> None:
     world.scheduling.uncovered.put(UncoveredGuarantee("design", (0, 0, 1), 4))
     world.retry_budgets.put(RetryBudget("design", 7.5))
-    shown = samples(world)
+    shown = read_samples_by_label(world)
     team = (("team", "design"),)
     assert shown["kingcuppost_guarantee_uncovered", team] == 1
     assert shown["kingcuppost_retry_tokens", team] == 7.5
--- a/kingcuppost/edges/traffic.py
+++ b/kingcuppost/edges/traffic.py
@@ -11,23 +11,23 @@
 
 __all__ = ["CountedEndpoint", "CountedFactory"]
 
-METRIC = "bytes"
+METRIC_NAME = "bytes"
 
 
 class _CountedProtocol(ProtocolWrapper):
     """Adds what passes to the tally of its factory."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.factory.tally.add(METRIC, "received", amount=len(data))
+        self.factory.tally.add(METRIC_NAME, "received", amount=len(data))
         super().dataReceived(data)
 
     def write(self, data: bytes) -> None:
-        self.factory.tally.add(METRIC, "sent", amount=len(data))
+        self.factory.tally.add(METRIC_NAME, "sent", amount=len(data))
         super().write(data)
 
     def writeSequence(self, data: Iterable[bytes]) -> None:  # noqa: N802
         parts = list(data)
-        self.factory.tally.add(METRIC, "sent", amount=sum(map(len, parts)))
+        self.factory.tally.add(METRIC_NAME, "sent", amount=sum(map(len, parts)))
         super().writeSequence(parts)
 
 
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
-from kingcuppost.edges.peers import run
+from kingcuppost.edges.peers import deliver_later
 from kingcuppost.exception import PeerError
 from kingcuppost.models import decode, encode
 from kingcuppost.models.worker import (
@@ -40,7 +40,7 @@
         self._context = context
         self._address = context.world.cfg.sidecar.worker.address
 
-    def order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
+    def send_order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
         """Post an order and deliver the worker's answer."""
 
         async def work() -> WorkerDone:
@@ -56,42 +56,44 @@
             tasks = tuple(item.to_row() for item in parsed.ok.tasks)
             return WorkerDone(name, task_id, True, tasks)
 
-        def failed(exc: PeerError) -> WorkerDone:
+        def make_failure(exc: PeerError) -> WorkerDone:
             return WorkerDone(name, task_id, False, reason=str(exc))
 
-        run(self._context, work(), failed)
+        deliver_later(self._context, work(), make_failure)
 
 
 @senders.register(ReserveTask)
 def reserve_task(context: EdgeContext, row: ReserveTask) -> None:
     """Reserve resources for a member."""
     model = ReserveModel.from_row(row)
-    context.drivers["worker"].order("reserve", row.task_id, model, row.timeout_ms)
+    context.drivers["worker"].send_order("reserve", row.task_id, model, row.timeout_ms)
 
 
 @senders.register(StartTask)
 def start_task(context: EdgeContext, row: StartTask) -> None:
     """Start a reserved member."""
     model = StartModel(task_id=row.task_id, lease_ms=row.lease_ms)
-    context.drivers["worker"].order("start", row.task_id, model, row.timeout_ms)
+    context.drivers["worker"].send_order("start", row.task_id, model, row.timeout_ms)
 
 
 @senders.register(RenewTasks)
 def renew_tasks(context: EdgeContext, row: RenewTasks) -> None:
     """Renew leases and ask for all tasks."""
     model = RenewModel.from_row(row)
-    context.drivers["worker"].order("renew", "", model, row.timeout_ms)
+    context.drivers["worker"].send_order("renew", "", model, row.timeout_ms)
 
 
 @senders.register(CheckpointTask)
 def checkpoint_task(context: EdgeContext, row: CheckpointTask) -> None:
     """Ask a member to write a checkpoint."""
     model = StartModel(task_id=row.task_id)
-    context.drivers["worker"].order("checkpoint", row.task_id, model, row.timeout_ms)
+    context.drivers["worker"].send_order(
+        "checkpoint", row.task_id, model, row.timeout_ms
+    )
 
 
 @senders.register(StopTask)
 def stop_task(context: EdgeContext, row: StopTask) -> None:
     """Stop a member."""
     model = StartModel(task_id=row.task_id)
-    context.drivers["worker"].order("stop", row.task_id, model, row.timeout_ms)
+    context.drivers["worker"].send_order("stop", row.task_id, model, row.timeout_ms)
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -7,10 +7,10 @@
 
 from kingcuppost.exception import Failure
 
-__all__ = ["BorderModel", "decode", "encode", "fault_text"]
+__all__ = ["BorderModel", "decode", "encode", "format_validation_error"]
 
 Model = TypeVar("Model", bound=BaseModel)
-FAULTS_SHOWN = 3
+MAX_ERRORS_SHOWN = 3
 
 _adapters: dict[type, TypeAdapter] = {}
 
@@ -36,15 +36,15 @@
     try:
         return Ok(model.model_validate_json(text))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), "decode", peer))
+        return Error(Failure(format_validation_error(exc), "decode", peer))
 
 
-def fault_text(exc: ValidationError) -> str:
+def format_validation_error(exc: ValidationError) -> str:
     """Return the first faults of a validation in one line."""
     parts = []
-    for fault in exc.errors()[:FAULTS_SHOWN]:
-        place = ".".join(str(part) for part in fault["loc"]) or "body"
-        parts.append(f"{place}: {fault['msg']}")
+    for validation_error in exc.errors()[:MAX_ERRORS_SHOWN]:
+        location = ".".join(str(part) for part in validation_error["loc"]) or "body"
+        parts.append(f"{location}: {validation_error['msg']}")
     return "; ".join(parts)
 
 
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -8,11 +8,11 @@
 
 __all__ = ["RequestModel"]
 
-LONGEST_NAME = 63
-LONGEST_KEY = 128
-LONGEST_BODY = 262_144
-LONGEST_TIMEOUT_MS = 600_000
-LATEST_MS = 2**53
+MAX_NAME_LENGTH = 63
+MAX_KEY_LENGTH = 128
+MAX_BODY_LENGTH = 262_144
+MAX_TIMEOUT_MS = 600_000
+MAX_ISSUED_MS = 2**53
 
 
 class RequestModel(BorderModel):
@@ -38,16 +38,16 @@
         Time within which the answer is of use, in ms; 0 for the team's setting.
     """
 
-    team: str = Field(min_length=1, max_length=LONGEST_NAME)
-    service: str = Field(min_length=1, max_length=LONGEST_NAME)
-    body: str = Field(default="", max_length=LONGEST_BODY)
+    team: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    service: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    body: str = Field(default="", max_length=MAX_BODY_LENGTH)
     urgency: Urgency = Urgency.INTERACTIVE
     idempotent: bool = True
-    key: str = Field(default="", max_length=LONGEST_KEY)
-    issued_ms: int = Field(default=0, ge=0, le=LATEST_MS)
-    timeout_ms: int = Field(default=0, ge=0, le=LONGEST_TIMEOUT_MS)
+    key: str = Field(default="", max_length=MAX_KEY_LENGTH)
+    issued_ms: int = Field(default=0, ge=0, le=MAX_ISSUED_MS)
+    timeout_ms: int = Field(default=0, ge=0, le=MAX_TIMEOUT_MS)
 
-    def fault(self) -> str:
+    def check_fields(self) -> str:
         """Return why fields do not fit together; empty if they do."""
         if not self.idempotent and not self.key:
             return "key: a non-idempotent request carries a key"
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -9,7 +9,7 @@
 from pydantic import AfterValidator, Field, ValidationError
 
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import BorderModel, fault_text
+from kingcuppost.models.base import BorderModel, format_validation_error
 from kingcuppost.tables.config import (
     Address,
     EntryConfig,
@@ -22,7 +22,7 @@
 
 __all__ = ["FileModel", "read_config"]
 
-LARGEST_PORT = 65_535
+MAX_PORT = 65_535
 
 
 def _check_address(text: str) -> str:
@@ -31,7 +31,7 @@
         ip_address(host)
     except ValueError:
         raise ValueError(f"{host!r} is no IP number") from None
-    if not port.isdigit() or int(port) > LARGEST_PORT:
+    if not port.isdigit() or int(port) > MAX_PORT:
         raise ValueError(f"{port!r} is no port")
     return text
 
@@ -40,7 +40,7 @@
 NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
 
-def _address(text: str) -> Address:
+def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
 
@@ -97,7 +97,7 @@
     entry: EntryModel | None = None
     sidecar: SidecarModel | None = None
 
-    def fault(self) -> str:
+    def check_fields(self) -> str:
         """Return why the tables do not fit the role; empty if they do."""
         if (self.role is Role.ENTRY) != (self.entry is not None):
             return "entry: this table goes with role 'entry', and only with it"
@@ -112,19 +112,21 @@
             self.name,
             self.availability_zone,
             self.region,
-            _address(self.peers),
-            LogConfig(self.log.driver, _address(self.log.address)),
+            _parse_address(self.peers),
+            LogConfig(self.log.driver, _parse_address(self.log.address)),
             self._entry_config(),
             self._sidecar_config(),
             self.seed,
             self.log_level,
-            _address(self.advertised) if self.advertised else None,
+            _parse_address(self.advertised) if self.advertised else None,
         )
 
     def _entry_config(self) -> EntryConfig | None:
         if self.entry is None:
             return None
-        return EntryConfig(_address(self.entry.callers), _address(self.entry.operators))
+        return EntryConfig(
+            _parse_address(self.entry.callers), _parse_address(self.entry.operators)
+        )
 
     def _sidecar_config(self) -> SidecarConfig | None:
         if self.sidecar is None:
@@ -132,19 +134,19 @@
         worker = self.sidecar.worker
         return SidecarConfig(
             self.sidecar.service,
-            _address(self.sidecar.minion),
+            _parse_address(self.sidecar.minion),
             self.sidecar.slots,
             self.sidecar.connections,
             WorkerConfig(
                 worker.driver,
                 worker.name,
                 worker.rack,
-                _address(worker.address),
+                _parse_address(worker.address),
                 worker.cores,
                 worker.memory_mb,
                 worker.accelerators,
             ),
-            _address(self.sidecar.operators),
+            _parse_address(self.sidecar.operators),
         )
 
 
@@ -165,7 +167,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
         return Error(Failure(str(exc), step))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), step))
-    if reason := model.fault():
+        return Error(Failure(format_validation_error(exc), step))
+    if reason := model.check_fields():
         return Error(Failure(reason, step))
     return Ok(model.to_config())
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -8,7 +8,7 @@
 from kingcuppost.tables.inbox import FoldedRecord, ReadDone
 from kingcuppost.tables.record import Record, RecordBody
 
-__all__ = ["AppendModel", "ReadModel", "record_of", "to_read_done"]
+__all__ = ["AppendModel", "ReadModel", "decode_log_record", "to_read_done"]
 
 _body = TypeAdapter(
     Annotated[RecordBody, Field(discriminator="kind")],
@@ -53,12 +53,12 @@
     seen_offset: int = Field(default=0, ge=0)
 
 
-def text_of(record: Record) -> str:
+def encode_log_record(record: Record) -> str:
     """Return the text of a record as it stands in the log."""
     return encode(record).decode()
 
 
-def record_of(text: str) -> Record | None:
+def decode_log_record(text: str) -> Record | None:
     """Return the record, or None for a text that is no record of ours.
 
     Every process judges a text alike, so that all folds stay the same.
@@ -75,7 +75,7 @@
     """Return the inbox message; texts that are no records are passed over."""
     records = []
     for item in model.records:
-        record = record_of(item.value)
+        record = decode_log_record(item.value)
         if record is not None:
             records.append(FoldedRecord(item.offset, record))
     end = model.records[-1].offset if model.records else 0
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -26,42 +26,42 @@
     "ZoneModel",
 ]
 
-LONGEST_NAME = 63
-LONGEST_PAYLOAD = 65_536
-MOST_GUARANTEES = 32
-MOST_MEMBERS = 1_024
-MOST_ACCELERATORS = 64
-MOST_CORES = 4_096
-MOST_MEMORY_MB = 16_777_216
-LONGEST_RUN_MS = 31_536_000_000
-LONGEST_SETTING = 256
-LARGEST_NUMBER = 2**53
-
-WholeNumber = Annotated[int, Field(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER)]
+MAX_NAME_LENGTH = 63
+MAX_PAYLOAD_LENGTH = 65_536
+MAX_GUARANTEES = 32
+MAX_MEMBERS = 1_024
+MAX_ACCELERATORS = 64
+MAX_CORES = 4_096
+MAX_MEMORY_MB = 16_777_216
+MAX_RUN_MS = 31_536_000_000
+MAX_SETTING_LENGTH = 256
+MAX_EXACT_NUMBER = 2**53
+
+WholeNumber = Annotated[int, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER)]
 RealNumber = Annotated[
-    float, Field(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER, allow_inf_nan=False)
+    float, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER, allow_inf_nan=False)
 ]
-SettingText = Annotated[str, Field(max_length=LONGEST_SETTING)]
+SettingText = Annotated[str, Field(max_length=MAX_SETTING_LENGTH)]
 
 
 class OperatorModel(BorderModel):
     """A change that names its operator."""
 
-    operator: str = Field(min_length=1, max_length=LONGEST_NAME)
+    operator: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
 
 
 class ShapeModel(BorderModel):
     """A guaranteed shape."""
 
-    members: int = Field(ge=1, le=MOST_MEMBERS)
-    accelerators: int = Field(ge=1, le=MOST_ACCELERATORS)
-    count: int = Field(default=1, ge=1, le=MOST_MEMBERS)
+    members: int = Field(ge=1, le=MAX_MEMBERS)
+    accelerators: int = Field(ge=1, le=MAX_ACCELERATORS)
+    count: int = Field(default=1, ge=1, le=MAX_MEMBERS)
 
 
 class TeamModel(OperatorModel):
     """Create or change a team; `base_offset` 0 only creates."""
 
-    guarantees: list[ShapeModel] = Field(default=[], max_length=MOST_GUARANTEES)
+    guarantees: list[ShapeModel] = Field(default=[], max_length=MAX_GUARANTEES)
     accelerator_limit: int = Field(default=0, ge=0)
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
@@ -77,7 +77,7 @@
 class ZoneModel(OperatorModel):
     """Create an availability zone, or take it out of or into service."""
 
-    region: str = Field(min_length=1, max_length=LONGEST_NAME)
+    region: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
     in_service: bool
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
@@ -113,15 +113,15 @@
 class JobModel(OperatorModel):
     """Submit a job; the system names it if `name` is empty."""
 
-    name: str = Field(default="", max_length=LONGEST_NAME, pattern=r"^[a-z0-9_.-]*$")
-    team: str = Field(min_length=1, max_length=LONGEST_NAME)
-    members: int = Field(default=1, ge=1, le=MOST_MEMBERS)
-    accelerators: int = Field(default=0, ge=0, le=MOST_ACCELERATORS)
-    cores: int = Field(default=1, ge=0, le=MOST_CORES)
-    memory_mb: int = Field(default=0, ge=0, le=MOST_MEMORY_MB)
+    name: str = Field(default="", max_length=MAX_NAME_LENGTH, pattern=r"^[a-z0-9_.-]*$")
+    team: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
+    members: int = Field(default=1, ge=1, le=MAX_MEMBERS)
+    accelerators: int = Field(default=0, ge=0, le=MAX_ACCELERATORS)
+    cores: int = Field(default=1, ge=0, le=MAX_CORES)
+    memory_mb: int = Field(default=0, ge=0, le=MAX_MEMORY_MB)
     urgency: Urgency = Urgency.OVERNIGHT
-    declared_ms: int = Field(default=0, ge=0, le=LONGEST_RUN_MS)
-    payload: str = Field(default="", max_length=LONGEST_PAYLOAD)
+    declared_ms: int = Field(default=0, ge=0, le=MAX_RUN_MS)
+    payload: str = Field(default="", max_length=MAX_PAYLOAD_LENGTH)
 
     def to_body(self) -> JobSubmit:
         """Return the body of the record."""
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -24,6 +24,7 @@
 
 __all__ = [
     "AttemptModel",
+    "AttemptReplyModel",
     "GangReplyModel",
     "GangReportsModel",
     "HeartbeatModel",
@@ -31,7 +32,6 @@
     "HolderModel",
     "HolderReplyModel",
     "ReportModel",
-    "ServedModel",
 ]
 
 
@@ -57,7 +57,7 @@
         )
 
 
-def _reports(rows: tuple[MemberReport, ...]) -> list[ReportModel]:
+def _make_report_models(rows: tuple[MemberReport, ...]) -> list[ReportModel]:
     return [
         ReportModel(
             job=row.job,
@@ -115,7 +115,7 @@
         )
 
 
-class ServedModel(BorderModel):
+class AttemptReplyModel(BorderModel):
     """A sidecar's answer to an attempt."""
 
     attempt_id: str
@@ -168,7 +168,7 @@
             free_slots=row.free_slots,
             leaving=row.leaving,
             service_ms=row.service_ms,
-            reports=_reports(row.reports),
+            reports=_make_report_models(row.reports),
         )
 
     def to_message(self, exchange_id: str) -> HeartbeatArrived:
@@ -201,7 +201,7 @@
     @classmethod
     def from_row(cls, row: SendGangReports) -> "GangReportsModel":
         """Return the model of an outbox message."""
-        return cls(worker=row.from_worker, reports=_reports(row.reports))
+        return cls(worker=row.from_worker, reports=_make_report_models(row.reports))
 
     def to_message(self, exchange_id: str) -> GangReportArrived:
         """Return the inbox message."""
--- a/kingcuppost/models/tests/test_caller.py
+++ b/kingcuppost/models/tests/test_caller.py
@@ -8,7 +8,7 @@
 
 
 @pytest.mark.parametrize(
-    ("fields", "fault"),
+    ("fields", "reason"),
     [
         ({}, ""),
         ({"idempotent": False, "key": "k", "issued_ms": 1}, ""),
@@ -17,6 +17,6 @@
         ({"idempotent": False, "key": "k"}, "issued_ms: a key says when it was made"),
     ],
 )
-def test_faults_between_fields(fields: dict, fault: str) -> None:
-    assert RequestModel(**BASE, **fields).fault().startswith(fault)
-    assert bool(RequestModel(**BASE, **fields).fault()) == bool(fault)
+def test_faults_between_fields(fields: dict, reason: str) -> None:
+    assert RequestModel(**BASE, **fields).check_fields().startswith(reason)
+    assert bool(RequestModel(**BASE, **fields).check_fields()) == bool(reason)
--- a/kingcuppost/models/tests/test_examples.py
+++ b/kingcuppost/models/tests/test_examples.py
@@ -23,13 +23,13 @@
     assert result.ok.name == path.stem
 
 
-def configs(site: str) -> list[ProcessConfig]:
+def read_site_configs(site: str) -> list[ProcessConfig]:
     return [read_config(str(path)).ok for path in sorted((SAMPLES / site).iterdir())]
 
 
 @pytest.mark.parametrize("site", MEMORY_MB)
 def test_sample_has_the_sizes_of_the_deployment(site: str) -> None:
-    rows = configs(site)
+    rows = read_site_configs(site)
     roles = Counter(row.role for row in rows)
     assert roles == {Role.ENTRY: 3, Role.SIDECAR: 10}
     assert len({row.availability_zone for row in rows}) == 3
@@ -48,7 +48,7 @@
 def test_racks_do_not_span_zones(site: str) -> None:
     pairs = {
         (row.sidecar.worker.rack, row.availability_zone)
-        for row in configs(site)
+        for row in read_site_configs(site)
         if row.sidecar
     }
     assert len(pairs) == len({rack for rack, _ in pairs})
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -19,7 +19,7 @@
     Stream,
     SubmittedJob,
 )
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 
 __all__: list[str] = []
 
@@ -104,7 +104,7 @@
     try:
         model = _JobModel.model_validate_json(body)
     except ValidationError as exc:
-        return Error(fault_text(exc))
+        return Error(format_validation_error(exc))
     for part in (model, *model.steps):
         if part.occurrences or getattr(part, "lasts", False):
             return Error("occurrences and lasting tasks are not served")
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -27,7 +27,7 @@
     StopRun,
 )
 from kingcuppost.exception import PeerError
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
@@ -113,7 +113,7 @@
         address = parse_address(model.address)
     except ValidationError as exc:
         context.world.note(
-            "minion", "A heartbeat is unreadable.", reason=fault_text(exc)
+            "minion", "A heartbeat is unreadable.", reason=format_validation_error(exc)
         )
         return None
     except ValueError as exc:
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -11,7 +11,7 @@
     ZoneRecord,
 )
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 
 __all__ = ["decode_operator_record"]
 
@@ -94,4 +94,4 @@
     try:
         return Ok(ConfigRecord(_configuration(_ConfigModel.model_validate_json(value))))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), "decode", peer))
+        return Error(Failure(format_validation_error(exc), "decode", peer))
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -12,7 +12,7 @@
 from kingcuppost.batch.models.addresses import parse_address
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 from kingcuppost.platform.early import SETTINGS_VARIABLE
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
@@ -137,6 +137,6 @@
         document = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         return Ok(_config(_SettingsModel.model_validate(document), role))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), f"read {path}"))
+        return Error(Failure(format_validation_error(exc), f"read {path}"))
     except (OSError, ValueError) as exc:
         return Error(Failure(str(exc), f"read {path or SETTINGS_VARIABLE}"))
--- a/kingcuppost/settings/__init__.py
+++ b/kingcuppost/settings/__init__.py
@@ -3,10 +3,10 @@
 from kingcuppost.settings import catalog as _catalog
 from kingcuppost.settings.keys import KEYS, SettingKey
 from kingcuppost.settings.tree import (
-    ancestors,
-    effective,
+    check_path,
     effective_value,
-    fault_of_path,
+    list_ancestors,
+    resolve_setting,
     team_path,
     zone_path,
 )
@@ -14,10 +14,10 @@
 __all__ = [
     "KEYS",
     "SettingKey",
-    "ancestors",
-    "effective",
+    "check_path",
     "effective_value",
-    "fault_of_path",
+    "list_ancestors",
+    "resolve_setting",
     "team_path",
     "zone_path",
 ]
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -10,8 +10,8 @@
         2_000,
         "How long a read may wait at the log for a new record.",
         "ms",
-        least=10,
-        most=3_000,
+        minimum=10,
+        maximum=3_000,
     )
 )
 declare(
@@ -20,8 +20,8 @@
         10_000,
         "How long an exchange with the log may take beyond its wait.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
@@ -31,8 +31,8 @@
         "Silence of the log, beyond a wait, after which another exchange starts on a "
         "new connection.",
         "ms",
-        least=50,
-        most=10_000,
+        minimum=50,
+        maximum=10_000,
     )
 )
 declare(
@@ -41,8 +41,8 @@
         1_500,
         "Silence of the log, beyond a wait, after which it counts as silent.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
@@ -51,8 +51,8 @@
         200,
         "How long an append under way holds later records back, to group them.",
         "ms",
-        least=0,
-        most=10_000,
+        minimum=0,
+        maximum=10_000,
     )
 )
 declare(
@@ -61,8 +61,8 @@
         1_000,
         "Pause before the log is searched again for a whole snapshot.",
         "ms",
-        least=10,
-        most=60_000,
+        minimum=10,
+        maximum=60_000,
     )
 )
 declare(
@@ -71,8 +71,8 @@
         20_000,
         "Records behind the newest snapshot after which another is written.",
         "records",
-        least=10,
-        most=1_000_000,
+        minimum=10,
+        maximum=1_000_000,
     )
 )
 declare(
@@ -82,8 +82,8 @@
         "Age of the newest snapshot at which another is written; keep it below a "
         "third of the log's retention.",
         "ms",
-        least=100,
-        most=604_800_000,
+        minimum=100,
+        maximum=604_800_000,
     )
 )
 declare(
@@ -92,8 +92,8 @@
         1_000,
         "How old a read at the head may be for a task to start on it.",
         "ms",
-        least=50,
-        most=2_000,
+        minimum=50,
+        maximum=2_000,
     )
 )
 declare(
@@ -102,8 +102,8 @@
         200,
         "Pause before a failed exchange with the log is tried again.",
         "ms",
-        least=10,
-        most=10_000,
+        minimum=10,
+        maximum=10_000,
     )
 )
 declare(
@@ -112,8 +112,8 @@
         1_000,
         "Records that may wait for the log in one process.",
         "records",
-        least=1,
-        most=100_000,
+        minimum=1,
+        maximum=100_000,
     )
 )
 declare(
@@ -122,8 +122,8 @@
         5_000,
         "How long an operator's change waits for its verdict.",
         "ms",
-        least=100,
-        most=60_000,
+        minimum=100,
+        maximum=60_000,
     )
 )
 declare(
@@ -132,8 +132,8 @@
         1_000,
         "Period at which entries ask the holder of the scheduling lease.",
         "ms",
-        least=50,
-        most=10_000,
+        minimum=50,
+        maximum=10_000,
     )
 )
 declare(
@@ -142,8 +142,8 @@
         3_000,
         "Silence of the holder after which another entry claims the lease.",
         "ms",
-        least=200,
-        most=60_000,
+        minimum=200,
+        maximum=60_000,
     )
 )
 declare(
@@ -152,7 +152,7 @@
         30_000,
         "Time within which a graceful stop is over.",
         "ms",
-        least=100,
-        most=600_000,
+        minimum=100,
+        maximum=600_000,
     )
 )
--- a/kingcuppost/settings/catalog/jobs.py
+++ b/kingcuppost/settings/catalog/jobs.py
@@ -18,8 +18,8 @@
         15_000,
         "How long a member may run after its gang was last known whole.",
         "ms",
-        least=500,
-        most=60_000,
+        minimum=500,
+        maximum=60_000,
     )
 )
 declare(
@@ -28,8 +28,8 @@
         500,
         "Period at which a sidecar renews leases and asks for task states.",
         "ms",
-        least=20,
-        most=10_000,
+        minimum=20,
+        maximum=10_000,
     )
 )
 declare(
@@ -39,8 +39,8 @@
         "How long a worker holds a reservation without renewal, cut so that with "
         "log.fresh_ms no start is later than 3 s after its view.",
         "ms",
-        least=100,
-        most=2_500,
+        minimum=100,
+        maximum=2_500,
     )
 )
 declare(
@@ -49,8 +49,8 @@
         30_000,
         "Silence of a member after which its gang is stopped if no other runs.",
         "ms",
-        least=500,
-        most=3_600_000,
+        minimum=500,
+        maximum=3_600_000,
     )
 )
 declare(
@@ -59,8 +59,8 @@
         5_000,
         "Time within which all members of a gang must be reserved.",
         "ms",
-        least=200,
-        most=60_000,
+        minimum=200,
+        maximum=60_000,
     )
 )
 declare(
@@ -69,8 +69,8 @@
         3_000,
         "Time that a task gets for a checkpoint before it is stopped.",
         "ms",
-        least=0,
-        most=600_000,
+        minimum=0,
+        maximum=600_000,
     )
 )
 declare(
@@ -79,8 +79,8 @@
         300_000,
         "Time without log and entries after which a sidecar stops its tasks.",
         "ms",
-        least=1_000,
-        most=3_600_000,
+        minimum=1_000,
+        maximum=3_600_000,
     )
 )
 declare(
@@ -89,8 +89,8 @@
         2_000,
         "How long an order to the worker may take.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
@@ -99,8 +99,8 @@
         800,
         "Time for a checkpoint when interactive work needs the accelerators.",
         "ms",
-        least=0,
-        most=600_000,
+        minimum=0,
+        maximum=600_000,
     )
 )
 declare(
@@ -109,8 +109,8 @@
         64,
         "Different waiting jobs that one pass over the queue tries to place.",
         "jobs",
-        least=1,
-        most=10_000,
+        minimum=1,
+        maximum=10_000,
     )
 )
 declare(
@@ -119,8 +119,8 @@
         43_200_000,
         "Age by which the longest overnight job goes before all later ones.",
         "ms",
-        least=0,
-        most=604_800_000,
+        minimum=0,
+        maximum=604_800_000,
     )
 )
 declare(
@@ -130,8 +130,8 @@
         "How long the first job in the queue waits for a place that is kept for it "
         "before borrowers there are stopped.",
         "ms",
-        least=0,
-        most=86_400_000,
+        minimum=0,
+        maximum=86_400_000,
     )
 )
 declare(
@@ -141,8 +141,8 @@
         "How long gangs run on in an availability zone taken out, before they are "
         "checkpointed and moved.",
         "ms",
-        least=0,
-        most=3_600_000,
+        minimum=0,
+        maximum=3_600_000,
     )
 )
 declare(
@@ -152,8 +152,8 @@
         "How long the workers must be unchanged before a job is refused because "
         "none could ever hold it.",
         "ms",
-        least=0,
-        most=3_600_000,
+        minimum=0,
+        maximum=3_600_000,
     )
 )
 declare(
@@ -162,8 +162,8 @@
         3,
         "Distinct good workers on which a job may fail before it is stopped.",
         "workers",
-        least=1,
-        most=100,
+        minimum=1,
+        maximum=100,
     )
 )
 declare(
@@ -172,8 +172,8 @@
         3,
         "Distinct jobs in a row that may fail on a worker before it is set aside.",
         "jobs",
-        least=1,
-        most=100,
+        minimum=1,
+        maximum=100,
     )
 )
 declare(
@@ -183,8 +183,8 @@
         "Pause without work for a worker that refused a reservation or did not "
         "answer it; doubles with each that follows.",
         "ms",
-        least=100,
-        most=600_000,
+        minimum=100,
+        maximum=600_000,
     )
 )
 declare(
@@ -193,8 +193,8 @@
         600_000,
         "Pause after which a worker that was set aside is probed with one job.",
         "ms",
-        least=1_000,
-        most=86_400_000,
+        minimum=1_000,
+        maximum=86_400_000,
     )
 )
 declare(
@@ -204,7 +204,7 @@
         "How long a place is kept before borrowers that hold at most half of it are "
         "checkpointed and moved.",
         "ms",
-        least=0,
-        most=86_400_000,
+        minimum=0,
+        maximum=86_400_000,
     )
 )
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -11,8 +11,8 @@
         "Least mean time between the full reports that the scheduling holder hears; "
         "their period stretches with the sidecars.",
         "ms",
-        least=1,
-        most=60_000,
+        minimum=1,
+        maximum=60_000,
     )
 )
 declare(
@@ -22,8 +22,8 @@
         "Least mean time between the heartbeats that one entry hears; the period "
         "stretches with the sidecars of an entry.",
         "ms",
-        least=1,
-        most=10_000,
+        minimum=1,
+        maximum=10_000,
     )
 )
 declare(
@@ -32,8 +32,8 @@
         10_000,
         "Period of a sidecar's heartbeats.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
@@ -42,8 +42,8 @@
         200,
         "Pause before members' reports that were not confirmed are sent again.",
         "ms",
-        least=10,
-        most=10_000,
+        minimum=10,
+        maximum=10_000,
     )
 )
 declare(
@@ -52,8 +52,8 @@
         60_000,
         "Period at which a sidecar reports all its members again.",
         "ms",
-        least=1_000,
-        most=600_000,
+        minimum=1_000,
+        maximum=600_000,
     )
 )
 declare(
@@ -62,8 +62,8 @@
         1_000,
         "How long a heartbeat's exchange may take.",
         "ms",
-        least=50,
-        most=10_000,
+        minimum=50,
+        maximum=10_000,
     )
 )
 declare(
@@ -72,8 +72,8 @@
         10_000,
         "Time within which a request is answered, unless it names less.",
         "ms",
-        least=50,
-        most=600_000,
+        minimum=50,
+        maximum=600_000,
     )
 )
 declare(
@@ -82,8 +82,8 @@
         200,
         "Requests of one team that may wait at one entry.",
         "requests",
-        least=1,
-        most=100_000,
+        minimum=1,
+        maximum=100_000,
     )
 )
 declare(
@@ -92,8 +92,8 @@
         3,
         "Most attempts for one idempotent request.",
         "attempts",
-        least=1,
-        most=10,
+        minimum=1,
+        maximum=10,
     )
 )
 declare(
@@ -103,8 +103,8 @@
         "How long an exchange with a sidecar may hear nothing; the bound doubles "
         "while the sidecar says that the attempt still runs.",
         "ms",
-        least=100,
-        most=10_000,
+        minimum=100,
+        maximum=10_000,
     )
 )
 declare(
@@ -113,8 +113,8 @@
         3_000,
         "How long a non-idempotent request waits for the log to confirm its claim.",
         "ms",
-        least=100,
-        most=60_000,
+        minimum=100,
+        maximum=60_000,
     )
 )
 declare(
@@ -123,8 +123,8 @@
         0.1,
         "Retries that each request adds to its team's budget.",
         "retries",
-        least=0,
-        most=1,
+        minimum=0,
+        maximum=1,
     )
 )
 declare(
@@ -133,8 +133,8 @@
         10.0,
         "Most retries that a team's budget holds.",
         "retries",
-        least=0,
-        most=1_000,
+        minimum=0,
+        maximum=1_000,
     )
 )
 declare(
@@ -151,8 +151,8 @@
         4_096,
         "Finished attempts whose outcome a sidecar remembers.",
         "attempts",
-        least=16,
-        most=100_000,
+        minimum=16,
+        maximum=100_000,
     )
 )
 declare(
@@ -161,8 +161,8 @@
         32,
         "Answers that a sidecar remembers.",
         "MB",
-        least=1,
-        most=128,
+        minimum=1,
+        maximum=128,
     )
 )
 declare(
@@ -171,8 +171,8 @@
         600_000,
         "How long a sidecar remembers a finished attempt.",
         "ms",
-        least=1_000,
-        most=86_400_000,
+        minimum=1_000,
+        maximum=86_400_000,
     )
 )
 declare(
@@ -181,7 +181,7 @@
         2_000,
         "How long an idle process that stops waits for the log to take its leave.",
         "ms",
-        least=0,
-        most=60_000,
+        minimum=0,
+        maximum=60_000,
     )
 )
--- a/kingcuppost/settings/keys.py
+++ b/kingcuppost/settings/keys.py
@@ -21,7 +21,7 @@
         What the key does, one sentence.
     unit : str
         Unit of the value; empty if none.
-    least, most : float or None
+    minimum, maximum : float or None
         Bounds of a number, included.
     choices : tuple of str
         Allowed texts; empty for any.
@@ -31,36 +31,38 @@
     default: str | int | float | bool
     text: str
     unit: str = ""
-    least: float | None = None
-    most: float | None = None
+    minimum: float | None = None
+    maximum: float | None = None
     choices: tuple[str, ...] = ()
 
-    def fault_of(self, value: SettingValue) -> str:
+    def check_value(self, value: SettingValue) -> str:
         """Return why a value does not fit the key; empty if it does.
 
         Examples
         --------
-        >>> SettingKey("a.b_ms", 5, "An example.", "ms", least=1).fault_of(0)
+        >>> SettingKey("a.b_ms", 5, "An example.", "ms", minimum=1).check_value(0)
         'a.b_ms must be at least 1'
-        >>> SettingKey("a.b_ms", 5, "An example.").fault_of("five")
+        >>> SettingKey("a.b_ms", 5, "An example.").check_value("five")
         'a.b_ms must be int, not str'
         """
         if value is None:
             return ""
-        wanted = type(self.default)
-        if type(value) is int and wanted is float:
+        expected = type(self.default)
+        if type(value) is int and expected is float:
             value = float(value)
-        if type(value) is not wanted:
-            return f"{self.name} must be {wanted.__name__}, not {type(value).__name__}"
-        return self._fault_of_range(value)
+        if type(value) is not expected:
+            return (
+                f"{self.name} must be {expected.__name__}, not {type(value).__name__}"
+            )
+        return self._check_range(value)
 
-    def _fault_of_range(self, value: SettingValue) -> str:
+    def _check_range(self, value: SettingValue) -> str:
         if self.choices and value not in self.choices:
             return f"{self.name} must be one of {', '.join(self.choices)}"
-        if self.least is not None and value < self.least:
-            return f"{self.name} must be at least {self.least:g}"
-        if self.most is not None and value > self.most:
-            return f"{self.name} must be at most {self.most:g}"
+        if self.minimum is not None and value < self.minimum:
+            return f"{self.name} must be at least {self.minimum:g}"
+        if self.maximum is not None and value > self.maximum:
+            return f"{self.name} must be at most {self.maximum:g}"
         return ""
 
 
@@ -77,7 +79,7 @@
     """
     if key.name in KEYS:
         raise ValueError(f"setting {key.name} is declared twice")
-    if fault := key.fault_of(key.default):
-        raise ValueError(fault)
+    if reason := key.check_value(key.default):
+        raise ValueError(reason)
     KEYS[key.name] = key
     return key
--- a/kingcuppost/settings/tree.py
+++ b/kingcuppost/settings/tree.py
@@ -8,24 +8,24 @@
 from kingcuppost.tables.world import Agreed
 
 __all__ = [
-    "ancestors",
-    "effective",
+    "check_path",
     "effective_value",
-    "fault_of_path",
+    "list_ancestors",
+    "resolve_setting",
     "team_path",
     "zone_path",
 ]
 
-SEGMENT = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
+SEGMENT_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 URGENCIES = ("interactive", "overnight")
 
 
-def ancestors(path: str) -> list[str]:
+def list_ancestors(path: str) -> list[str]:
     """Return a branch and those above it, nearest first, root last.
 
     Examples
     --------
-    >>> ancestors("teams/design")
+    >>> list_ancestors("teams/design")
     ['teams/design', 'teams', '']
     """
     branches = []
@@ -35,7 +35,7 @@
     return [*branches, ""]
 
 
-def effective(agreed: Agreed, path: str, key: str) -> EffectiveValue:
+def resolve_setting(agreed: Agreed, path: str, key: str) -> EffectiveValue:
     """Return the value that holds on a branch, and what gave it.
 
     Parameters
@@ -57,7 +57,7 @@
     KeyError
         If the key is not declared.
     """
-    for branch in ancestors(path):
+    for branch in list_ancestors(path):
         row = agreed.settings.get(setting_id(branch, key))
         if row is not None and row.value is not None:
             return EffectiveValue(
@@ -68,7 +68,7 @@
 
 def effective_value(agreed: Agreed, key: str, path: str = "") -> SettingValue:
     """Return just the value that holds on a branch."""
-    return effective(agreed, path, key).value
+    return resolve_setting(agreed, path, key).value
 
 
 def team_path(team: str, urgency: str = "") -> str:
@@ -93,22 +93,22 @@
     return f"regions/{region}/{availability_zone}"
 
 
-def fault_of_path(agreed: Agreed, path: str) -> str:
+def check_path(agreed: Agreed, path: str) -> str:
     """Return why a branch can't be set; empty if it can."""
     if path == "":
         return ""
     segments = path.split("/")
     for segment in segments:
-        if not SEGMENT.fullmatch(segment):
+        if not SEGMENT_PATTERN.fullmatch(segment):
             return f"branch {path!r} has a bad part {segment!r}"
     if segments[0] == "teams":
-        return _fault_of_team_path(agreed, segments)
+        return _check_team_path(agreed, segments)
     if segments[0] == "regions":
-        return _fault_of_region_path(agreed, segments)
+        return _check_region_path(agreed, segments)
     return f"branch {path!r} starts with neither 'teams' nor 'regions'"
 
 
-def _fault_of_team_path(agreed: Agreed, segments: list[str]) -> str:
+def _check_team_path(agreed: Agreed, segments: list[str]) -> str:
     if len(segments) > 1 and segments[1] not in agreed.teams:
         return f"there is no team {segments[1]!r}"
     if len(segments) > 2 and segments[2] not in URGENCIES:
@@ -118,7 +118,7 @@
     return ""
 
 
-def _fault_of_region_path(agreed: Agreed, segments: list[str]) -> str:
+def _check_region_path(agreed: Agreed, segments: list[str]) -> str:
     zones = list(agreed.availability_zones)
     if len(segments) > 1 and segments[1] not in {zone.region for zone in zones}:
         return f"there is no region {segments[1]!r}"
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from kingcuppost import systems as all_systems
-from kingcuppost.models.log import record_of, text_of
+from kingcuppost.models.log import decode_log_record, encode_log_record
 from kingcuppost.programs import make_world
 from kingcuppost.systems.registry import run_tick
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
@@ -31,7 +31,7 @@
         return self.first + len(self.texts) - 1
 
     def append(self, records: tuple[Record, ...]) -> None:
-        self.texts.extend(text_of(record) for record in records)
+        self.texts.extend(encode_log_record(record) for record in records)
 
     def expire(self, through: int) -> None:
         drop = max(0, min(through, self.head) - self.first + 1)
@@ -43,12 +43,12 @@
         texts = self.texts[start - self.first :][:limit]
         records = []
         for index, text in enumerate(texts):
-            records.append(FoldedRecord(start + index, record_of(text)))
+            records.append(FoldedRecord(start + index, decode_log_record(text)))
         end = records[-1].offset if records else 0
         return ReadDone(row.read_id, True, tuple(records), self.head, self.first, end)
 
     def kinds(self) -> list[str]:
-        return [record_of(text).body.kind for text in self.texts]
+        return [decode_log_record(text).body.kind for text in self.texts]
 
 
 @dataclass
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from kingcuppost.models.log import record_of, text_of
+from kingcuppost.models.log import decode_log_record, encode_log_record
 from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, record_rules
@@ -128,7 +128,7 @@
     def _append(self, records: tuple[Record, ...]) -> None:
         self.log.append(records)
         for record in records:
-            self.reference.fold(record_of(text_of(record)))
+            self.reference.fold(decode_log_record(encode_log_record(record)))
 
     def _request_change(self, number: int, body: object) -> None:
         self.request_count += 1
--- a/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
@@ -1,6 +1,6 @@
 import pytest
 
-from kingcuppost.models.log import record_of
+from kingcuppost.models.log import decode_log_record
 from kingcuppost.systems.agreement import is_scheduler
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.tables.inbox import HolderAnswered, HolderAsked
@@ -114,7 +114,7 @@
         claimant.answer_appends()
     for claimant in claimants:
         claimant.settle()
-    records = [record_of(text) for text in log.texts]
+    records = [decode_log_record(text) for text in log.texts]
     claims = {row.record_id for row in records if row.body.kind == "lease_claim"}
     assert len(claims) == 3
     leases = [claimant.world.agreed.lease for claimant in claimants]
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kingcuppost.models.log import record_of, text_of
+from kingcuppost.models.log import decode_log_record, encode_log_record
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold.snapshot_slices import TABLE_NAMES
 from kingcuppost.tables.job import Urgency
@@ -163,7 +163,7 @@
     clock.advance(HOUR_MS)
     entry.settle()
     change_settings(entry, 2)
-    complete = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
+    complete = decode_log_record(log.texts[snapshot_offsets(log)[-1] - log.first])
     part = complete.body
     incomplete = type(part)(
         "snap-incomplete", log.head, 0, 2, AgreedSlice(lease=part.rows.lease)
@@ -250,5 +250,5 @@
     entry.settle()
     clock.advance(HOUR_MS)
     entry.settle()
-    record = record_of(log.texts[snapshot_offsets(log)[-1] - log.first])
-    assert record_of(text_of(record)) == record
+    record = decode_log_record(log.texts[snapshot_offsets(log)[-1] - log.first])
+    assert decode_log_record(encode_log_record(record)) == record
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -2,7 +2,7 @@
 
 import re
 
-from kingcuppost.settings import KEYS, fault_of_path
+from kingcuppost.settings import KEYS, check_path
 from kingcuppost.systems.fold.record_rules import (
     FoldInput,
     Rejection,
@@ -107,9 +107,9 @@
     key = KEYS.get(body.key)
     if key is None:
         return Rejection(f"there is no setting {body.key!r}", is_not_found=True)
-    if reason := fault_of_path(agreed, body.path):
+    if reason := check_path(agreed, body.path):
         return Rejection(reason, is_not_found=True)
-    if reason := key.fault_of(body.value):
+    if reason := key.check_value(body.value):
         return Rejection(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
     what = f"{body.key} on {body.path or 'root'}"
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -1,6 +1,6 @@
 """Passes over the queue of waiting jobs with the policy in the settings."""
 
-from kingcuppost.settings import effective, effective_value, team_path
+from kingcuppost.settings import effective_value, resolve_setting, team_path
 from kingcuppost.systems.agreement.follow import is_fresh, request_barrier
 from kingcuppost.systems.agreement.propose import propose
 from kingcuppost.systems.agreement.scheduling_lease import is_scheduler
@@ -229,8 +229,8 @@
 
 def _propose_gang(world: World, job: Job, choice: Choice, now_ms: int) -> None:
     path = team_path(job.team, job.urgency)
-    policy = effective(world.agreed, "", POLICY_KEY)
-    values = [effective(world.agreed, path, key) for key in DECISION_KEYS]
+    policy = resolve_setting(world.agreed, "", POLICY_KEY)
+    values = [resolve_setting(world.agreed, path, key) for key in DECISION_KEYS]
     decision = Decision(
         str(policy.value),
         world.log_view.folded_offset,
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -1,6 +1,6 @@
 """Routing decisions of non-idempotent requests, recorded with their claims."""
 
-from kingcuppost.settings import KEYS, effective, team_path
+from kingcuppost.settings import KEYS, resolve_setting, team_path
 from kingcuppost.tables.fleet import MemberState, Minion
 from kingcuppost.tables.job import Decision, EffectiveValue, RefusedAlternative
 from kingcuppost.tables.request import Request
@@ -24,7 +24,7 @@
     """
     names = sorted(name for name in KEYS if name.startswith(PREFIX))
     return tuple(
-        effective(agreed, _path_of(name, team, urgency), name) for name in names
+        resolve_setting(agreed, _path_of(name, team, urgency), name) for name in names
     )
 
 
@@ -47,7 +47,7 @@
         Minion that the request is sent to.
     """
     values = request_values(world.agreed, request.team, request.urgency)
-    policy = str(effective(world.agreed, "", ROUTING).value)
+    policy = str(resolve_setting(world.agreed, "", ROUTING).value)
     refused = [
         RefusedAlternative(minion.name, reason)
         for minion in world.agreed.minions.find("service", request.service)
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from kingcuppost.settings import KEYS, ancestors, effective
+from kingcuppost.settings import KEYS, list_ancestors, resolve_setting
 from kingcuppost.systems.views.registry import views
 from kingcuppost.tables.agreement import SchedulingLease
 from kingcuppost.tables.event import Event
@@ -131,10 +131,10 @@
     """Return a branch of the settings tree."""
     rows = [
         row
-        for branch in ancestors(argument)
+        for branch in list_ancestors(argument)
         for row in world.agreed.settings.find("path", branch)
     ]
-    values = tuple(effective(world.agreed, argument, key) for key in sorted(KEYS))
+    values = tuple(resolve_setting(world.agreed, argument, key) for key in sorted(KEYS))
     return BranchView(argument, tuple(rows), values)
 
 
--- a/kingcuppost/tests/test_formats_records.py
+++ b/kingcuppost/tests/test_formats_records.py
@@ -7,7 +7,7 @@
 import pytest
 
 from kingcuppost.batch.models.records import decode_record, decoders, encode_record
-from kingcuppost.models.log import record_of, text_of
+from kingcuppost.models.log import decode_log_record, encode_log_record
 from kingcuppost.platform.operators import decode_operator_record
 from kingcuppost.tables.record import RecordBody
 from kingcuppost.tables.snapshot import AgreedSlice
@@ -22,23 +22,23 @@
 
 @pytest.mark.parametrize("text", RECORDS, ids=range(len(RECORDS)))
 def test_a_record_is_written_as_it_was_read(text: str) -> None:
-    assert text_of(record_of(text)) == text
+    assert encode_log_record(decode_log_record(text)) == text
 
 
 @pytest.mark.parametrize(("text", "values"), PAIRS, ids=range(len(PAIRS)))
 def test_a_record_reads_into_the_same_row(text: str, values: list) -> None:
-    assert values_of(record_of(text)) == values
+    assert values_of(decode_log_record(text)) == values
 
 
 def test_each_kind_of_body_is_stored() -> None:
-    kinds = {type(record_of(text).body) for text in RECORDS}
+    kinds = {type(decode_log_record(text).body) for text in RECORDS}
     assert kinds == set(get_args(RecordBody))
 
 
 def test_the_stored_slice_has_rows_of_every_table() -> None:
     slices = [
         getattr(body, field.name)
-        for body in (record_of(text).body for text in RECORDS)
+        for body in (decode_log_record(text).body for text in RECORDS)
         for field in fields(body)
         if isinstance(getattr(body, field.name), AgreedSlice)
     ]
