--- a/kingcuppost/edges/__init__.py
+++ b/kingcuppost/edges/__init__.py
@@ -1,6 +1,7 @@
-"""Edges: bytes to inbox messages, outbox messages to bytes.
+"""Input and output of a process: HTTP servers, clients, the tick loop and logs.
 
-Only this package, the other packages of edges and the programs import twisted.
+Edges decode received bytes into inbox messages and encode outbox messages into bytes.
+Only this package, the other packages of edges and the programs import Twisted.
 """
 
 from kingcuppost.utils.lazy import lazy_exports
--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -1,4 +1,4 @@
-"""What every edge of one process shares."""
+"""State that the edges of one process share."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,14 +21,14 @@
 
 @dataclass(frozen=True)
 class Listener:
-    """A bound port and the factory that knows its connections.
+    """A listening port and the factory that tracks its open connections.
 
     Attributes
     ----------
     port : object
         Twisted's listening port.
     factory : WrappingFactory
-        Wraps the protocol factory of the surface.
+        Wraps the protocol factory of the surface and lists open connections.
     """
 
     port: Any
@@ -37,7 +37,7 @@
 
 @dataclass
 class EdgeContext:
-    """The reactor's side of one process.
+    """Reactor, connections and tables of one process.
 
     Attributes
     ----------
@@ -46,19 +46,20 @@
     reactor : object
         Twisted's reactor.
     client : JsonClient
-        Client for all outgoing exchanges.
+        Client for outgoing HTTP requests.
     wake : callable
-        Asks for a tick.
+        Requests a tick of the systems.
     exchanges : dict of str to Request
-        Open HTTP exchanges by identifier.
+        HTTP requests that are not answered yet, by identifier.
     listeners : list of Listener
-        Bound ports with their connections.
+        Listening ports with their connections.
     drivers : dict of str to object
-        Edge to each outside system by its kind, as the settings name it.
+        Client of each outside system (``"log"``, ``"worker"``), of the kind that the
+        settings file names.
     exit_code : int
         Exit code of the process.
     senders : Registry
-        What sends each type of message.
+        Function that sends a message of the outbox, by the message's class.
     """
 
     world: World
@@ -72,7 +73,7 @@
     senders: Registry[type, Sender] = field(default_factory=lambda: senders)
 
     def deliver(self, message: Any) -> None:
-        """Put a message before the systems and ask for a tick."""
+        """Add a message to the inbox and request a tick."""
         self.world.inbox.put(message)
         self.wake()
 
--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -1,4 +1,4 @@
-"""JSON over HTTP to peers by IP number, each exchange bounded in time."""
+"""HTTP client for JSON to peers by IP address; every exchange has a timeout."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -25,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole HTTP response.
+    """A complete HTTP response.
 
     Attributes
     ----------
     status : int
         HTTP status code.
     body : bytes
-        The whole body.
+        The complete body.
     """
 
     status: int
@@ -41,7 +41,7 @@
 
 @implementer(IAgentEndpointFactory)
 class _IpEndpointFactory:
-    """Endpoints by IP number, without any resolver."""
+    """Creates endpoints from IP addresses; names are never resolved."""
 
     def __init__(self, reactor: Any, tally: Tally) -> None:
         self._reactor = reactor
@@ -56,7 +56,7 @@
 
 @implementer(IBodyProducer)
 class _BytesProducer:
-    """A request body that is all there."""
+    """A request body that is completely in memory."""
 
     def __init__(self, body: bytes) -> None:
         self._body = body
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True)
 class _PeerConnections:
-    """The connections to one peer."""
+    """The pooled connections to one peer."""
 
     pool: HTTPConnectionPool
     agent: Agent
@@ -87,16 +87,16 @@
 class JsonClient:
     """Client that keeps a few idle connections to each peer.
 
-    An exchange that fails takes the peer's idle connections with it: what made one
-    silent may have made all of them silent, so that the next exchange opens a
-    connection of its own. So peers that have gone leave nothing behind.
+    A failed exchange discards the peer's idle connections: the cause may have broken
+    all of them, so the next exchange opens a new connection. This also removes the
+    state of peers that no longer exist.
 
     Parameters
     ----------
     reactor : object
         Twisted's reactor.
     tally : Tally, optional
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     def __init__(self, reactor: Any, tally: Tally | None = None) -> None:
@@ -119,7 +119,7 @@
         return self._connections[address]
 
     def _discard_connections(self, address: Address) -> None:
-        """Close the idle connections to a peer, and use none made before."""
+        """Close the idle connections to a peer; later exchanges open new ones."""
         peer = self._connections.pop(address, None)
         if peer is not None:
             peer.pool.closeCachedConnections()
@@ -133,26 +133,26 @@
         timeout_ms: int,
         headers: dict[str, str] | None = None,
     ) -> Response:
-        """Send a request and return the whole response.
+        """Send a request and return the complete response.
 
         Parameters
         ----------
         method, path : str
-            HTTP method and path with query.
+            HTTP method, and path with query.
         address : Address
-            IP number and port of the peer.
+            IP address and port of the peer.
         body : bytes
             JSON text; empty for none.
         timeout_ms : int
-            Bound on the whole exchange, in ms.
+            Timeout of the whole exchange, in ms.
         headers : dict of str to str, optional
-            Further headers.
+            Additional headers.
 
         Raises
         ------
         PeerError
-            If the exchange failed or took too long. Its step is ``"connect"`` if
-            no byte of the request left this process, else ``"exchange"``.
+            If the exchange failed or timed out. Its step is ``"connect"`` if no byte
+            of the request left this process, else ``"exchange"``.
         """
         pending = defer.ensureDeferred(
             self._exchange(method, address, path, body, headers or {})
@@ -185,11 +185,11 @@
         return Response(response.code, await readBody(response))
 
     async def close(self) -> None:
-        """Close idle connections."""
+        """Close the idle connections to all peers."""
         for peer in self._connections.values():
             await peer.pool.closeCachedConnections()
 
 
 def is_connect_error(exc: BaseException) -> bool:
-    """Return whether an exchange failed before a connection was made."""
+    """Return whether an exchange failed before a connection was established."""
     return isinstance(exc, error.ConnectError)
--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -1,4 +1,4 @@
-"""Bounds in size and time on what an HTTP client may send."""
+"""Limits on the size and the duration of requests from HTTP clients."""
 
 from io import BytesIO
 from typing import Any
@@ -30,13 +30,16 @@
 
 
 class BoundedChannel(HTTPChannel):
-    """A connection on which each request is received whole within a time."""
+    """A connection that is aborted if a request takes too long to arrive.
+
+    Each request must arrive completely within `RECEIVE_TIMEOUT_S`.
+    """
 
     _receive_timer: Any = None
     _is_serving = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Start the clock with the first byte of a request."""
+        """Start the timer with the first byte of a request."""
         if self._receive_timer is None and not self._is_serving:
             self._receive_timer = self.callLater(
                 RECEIVE_TIMEOUT_S, self._abort_slow_request
@@ -44,18 +47,18 @@
         super().dataReceived(data)
 
     def allContentReceived(self) -> None:  # noqa: N802
-        """Stop the clock; the request is whole."""
+        """Cancel the timer when the request has arrived completely."""
         self._cancel_receive_timer()
         self._is_serving = True
         super().allContentReceived()
 
     def requestDone(self, request: Request) -> None:  # noqa: N802
-        """Welcome the next request."""
+        """Accept the next request on the connection."""
         self._is_serving = False
         super().requestDone(request)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Stop the clock."""
+        """Cancel the timer."""
         self._cancel_receive_timer()
         super().connectionLost(reason)
 
@@ -70,18 +73,18 @@
 
 
 class BoundedRequest(Request):
-    """A request whose body stays in memory, and below a size."""
+    """A request whose body is kept in memory and limited in size."""
 
     _is_refused = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Refuse a body by its declared length, before it is read."""
+        """Refuse a body whose declared length is too large, before it is read."""
         self.content = BytesIO()
         if length is not None and length > MAX_BODY_BYTES:
             self._refuse()
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body, or refuse the body once it is too large."""
+        """Store a chunk of the body, or refuse a body that has become too large."""
         if self._is_refused:
             return
         if self.content.tell() + len(data) > MAX_BODY_BYTES:
@@ -90,14 +93,15 @@
         super().handleContentChunk(data)
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
-        """Serve the request unless it was refused."""
+        """Process the request unless it was refused."""
         if not self._is_refused:
             super().requestReceived(command, path, version)
 
     def _refuse(self) -> None:
-        """Answer, then drop what still arrives for a moment.
+        """Send the response, then discard input for `LINGER_S` before closing.
 
-        A connection that is closed with unread bytes would lose the answer.
+        Closing a socket with unread bytes resets the connection, so that the client
+        may lose the response.
         """
         self._is_refused = True
         transport = self.channel.transport
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges: requests to inbox messages, replies to responses."""
+"""HTTP server: requests become inbox messages, replies become responses."""
 
 from typing import Any
 
@@ -30,7 +30,7 @@
 
 
 class _SurfaceResource(Resource):
-    """All routes of one surface, such as ``"callers"``."""
+    """Resource that serves all routes of a surface, such as ``"callers"``."""
 
     isLeaf = True  # noqa: N815
 
@@ -40,7 +40,7 @@
         self._surface = surface
 
     def render(self, request: Request) -> int | bytes:
-        """Turn a request into an inbox message, or refuse it at once."""
+        """Deliver the request to the systems, or refuse it immediately."""
         path = request.path.decode("ascii", "replace")
         method = request.method.decode("ascii", "replace")
         found = find_route(self._surface, method, path)
@@ -97,7 +97,7 @@
 
 @senders.register(Reply)
 def send_reply(context: EdgeContext, reply: Reply) -> None:
-    """Write the whole response of an exchange that is still open."""
+    """Send the response of an exchange whose client is still connected."""
     request = context.exchanges.pop(reply.exchange_id, None)
     if request is None:
         return
@@ -110,7 +110,7 @@
 
 
 def make_site(context: EdgeContext, surface: str) -> Site:
-    """Return the protocol factory of a surface."""
+    """Return the HTTP server factory of a surface."""
     site = Site(
         _SurfaceResource(context, surface),
         requestFactory=BoundedRequest,
@@ -122,7 +122,7 @@
 
 
 def listen(context: EdgeContext, surface: str, host: str, port: int) -> int:
-    """Listen for a surface and return the port that was bound."""
+    """Start to serve a surface and return the bound port."""
     factory = CountedFactory(make_site(context, surface), context.world.tally)
     bound = context.reactor.listenTCP(
         port, factory, interface=host, backlog=LISTEN_BACKLOG
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -1,4 +1,4 @@
-"""The platform's log over HTTP, as the repository's stand-in speaks it."""
+"""Client of the shared log over HTTP, in the protocol of the repository's stand-in."""
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
 from kingcuppost.edges.http_client import JsonClient
@@ -22,12 +22,12 @@
 
 @drivers.register(("log", "http"))
 class HttpLog:
-    """Driver of the log over HTTP.
+    """Reads and appends records of the shared log over HTTP.
 
     Parameters
     ----------
     context : EdgeContext
-        The process's edges.
+        Edges of the process.
     """
 
     def __init__(self, context: EdgeContext) -> None:
@@ -60,7 +60,10 @@
         deliver_later(self._context, work(), make_failure)
 
     def append(self, row: AppendRecords) -> None:
-        """Append records; the answer only tells that a re-read is due."""
+        """Append records.
+
+        The answer only shows that another read is due; it does not confirm the records.
+        """
         client = self._client_for(row.hedge)
         record_ids = tuple(record.record_id for record in row.records)
         model = AppendModel(
@@ -81,9 +84,10 @@
         deliver_later(self._context, work(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
-        """Return the client; a new one, with no old connections, for a hedge.
+        """Return the client; a hedged exchange gets a new one without connections.
 
-        Idle connections of the old one may be silent too; they close by age.
+        Idle connections of the old client may be unresponsive too; they are closed by
+        its idle timeout.
         """
         if hedge:
             self._client = JsonClient(self._context.reactor)
@@ -92,11 +96,11 @@
 
 @senders.register(ReadLog)
 def read_log(context: EdgeContext, row: ReadLog) -> None:
-    """Read the log through the driver that the settings name."""
+    """Read the log through the configured driver."""
     context.drivers["log"].read(row)
 
 
 @senders.register(AppendRecords)
 def append_records(context: EdgeContext, row: AppendRecords) -> None:
-    """Append to the log through the driver that the settings name."""
+    """Append to the log through the configured driver."""
     context.drivers["log"].append(row)
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -1,4 +1,4 @@
-"""The loop: a tick when something arrived or a deadline is due, else nothing."""
+"""Event loop: runs a tick when a message has arrived or a deadline is due."""
 
 import logging
 import time
@@ -23,7 +23,7 @@
     reactor : object
         Twisted's reactor.
     systems : list of System
-        Systems of the role, in order.
+        Systems of the role, in the order of execution.
     """
 
     def __init__(self, reactor: Any, systems: list[System]) -> None:
@@ -36,20 +36,20 @@
         self.ticks = 0
 
     def attach(self, context: Any, after_tick: Callable[[], None]) -> None:
-        """Give the loop the context whose world it ticks.
+        """Set the context whose world the loop runs on.
 
         Parameters
         ----------
         context : object
-            The process's edges, with `world`, `senders` and `exit_code`.
+            Edges of the process, with `world`, `senders` and `exit_code`.
         after_tick : callable
-            Runs after every tick; writes the new events.
+            Called after every tick; writes the new log lines.
         """
         self._context = context
         self._after_tick = after_tick
 
     def wake(self) -> None:
-        """Ask for a tick; all that asks before it runs shares it."""
+        """Request a tick; requests made before it runs share one tick."""
         if self._scheduled_tick is None:
             self._scheduled_tick = self._reactor.callLater(0, self._tick)
 
@@ -74,9 +74,9 @@
         self._after_tick()
 
     def _exit_after_failure(self) -> None:
-        """Log the fault and end the process.
+        """Log the exception and end the process.
 
-        A tick that failed half-way leaves tables that nobody vouches for; a new
+        A tick that failed part-way may have left the tables inconsistent; a new
         process rebuilds them from the log.
         """
         logging.getLogger(LOGGER_NAME).critical("loop: The tick failed.", exc_info=True)
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -1,4 +1,4 @@
-"""Metrics, health and structured logs."""
+"""Metrics, health checks and structured logs."""
 
 import logging
 import sys
@@ -36,7 +36,7 @@
 
 
 class WorldCollector:
-    """Reads metrics off the tables when they are asked for."""
+    """Prometheus collector that reads metrics from the tables at each scrape."""
 
     def __init__(self, world: World) -> None:
         self._world = world
@@ -90,13 +90,13 @@
 
 @route(OPERATORS, "GET", "/healthz", direct=True)
 def get_health(context: EdgeContext, request: Request) -> bytes:
-    """Say that the loop runs."""
+    """Report that the event loop runs."""
     return b"ok\n"
 
 
 @route(OPERATORS, "GET", "/readyz", direct=True)
 def get_readiness(context: EdgeContext, request: Request) -> bytes:
-    """Say whether the process has followed the log and welcomes work."""
+    """Report whether the process has caught up with the log and accepts work."""
     world = context.world
     if world.log_view.caught_up and not world.stopping:
         follows = is_following(world, world.clock.now_ms())
@@ -106,7 +106,7 @@
 
 
 def configure_logs(world: World, level: str) -> logging.Logger:
-    """Return the process's logger: JSON lines on standard error."""
+    """Configure and return the process's logger: JSON lines on standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
     logger = logging.getLogger("kingcuppost")
@@ -117,7 +117,7 @@
 
 
 class EventLog:
-    """Writes new events of the world as log lines after each tick."""
+    """Writes the events that a tick added to the world as log lines."""
 
     def __init__(self, world: World, logger: logging.Logger) -> None:
         self._world = world
@@ -125,7 +125,7 @@
         self._written_count = 0
 
     def flush(self) -> None:
-        """Write the events since the last call."""
+        """Write the events that were added since the last call."""
         new = self._world.event_count - self._written_count
         if not new:
             return
@@ -140,7 +140,10 @@
 
 
 def _format_fields(event: Event) -> dict[str, str | int]:
-    """Return an event's fields; `process` is a name that the library keeps."""
+    """Return an event's non-empty fields.
+
+    `process` is written as `instance`, since the logging library reserves the name.
+    """
     names = (name for name in Event.__slots__ if name not in ("text", "process"))
     fields = {name: getattr(event, name) for name in names}
     fields["instance"] = event.process
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -1,4 +1,4 @@
-"""Exchanges with the system's other processes and with the minion."""
+"""HTTP requests to the other processes and to the minion."""
 
 from collections.abc import Callable
 from typing import Any
@@ -43,16 +43,16 @@
 def deliver_later(
     context: EdgeContext, work: Any, make_failure: Callable[[PeerError], Any]
 ) -> None:
-    """Run a coroutine that returns an inbox message, and deliver the message.
+    """Run a coroutine and deliver the inbox message that it returns.
 
     Parameters
     ----------
     context : EdgeContext
-        The process's edges.
+        Edges of the process.
     work : coroutine
         Returns the message; may raise `PeerError`.
     make_failure : callable
-        Makes the message for a failure.
+        Returns the message to deliver on a failure.
     """
 
     async def finish() -> None:
@@ -75,12 +75,12 @@
     reply: type,
     timeout_ms: int,
 ) -> Any:
-    """Post a model and return the peer's validated reply.
+    """Send a POST request and return the peer's validated reply.
 
     Raises
     ------
     PeerError
-        If the exchange failed, or the reply is not of the model `reply`.
+        If the exchange failed or the reply does not match the model `reply`.
     """
     response = await context.client.exchange(
         "POST", address, path, encode(model), timeout_ms
@@ -95,7 +95,11 @@
 
 @senders.register(SendAttempt)
 def send_attempt(context: EdgeContext, row: SendAttempt) -> None:
-    """Send an attempt; only a failed connection proves that it did not run."""
+    """Send an attempt to a sidecar.
+
+    Unless the connection could not be established, a failure leaves open whether the
+    attempt ran.
+    """
 
     async def work() -> AttemptDone:
         address = Address(row.host, row.port)
@@ -120,7 +124,7 @@
 
 @senders.register(HandOver)
 def hand_over(context: EdgeContext, row: HandOver) -> None:
-    """Give an attempt to the minion and take its whole answer."""
+    """Pass an attempt to the minion and deliver its answer."""
     address = context.world.cfg.sidecar.minion
 
     async def work() -> MinionAnswered:
@@ -165,7 +169,7 @@
 
 @senders.register(SendGangReports)
 def send_gang_reports(context: EdgeContext, row: SendGangReports) -> None:
-    """Send members' reports to the sidecar of their leader."""
+    """Send reports of gang members to the sidecar of the gang's leader."""
 
     async def work() -> GangReplyArrived:
         address = Address(row.host, row.port)
@@ -184,7 +188,7 @@
 
 @senders.register(AskHolder)
 def ask_holder(context: EdgeContext, row: AskHolder) -> None:
-    """Ask the holder of the scheduling lease whether it is alive."""
+    """Send a liveness check to the holder of the scheduling lease."""
 
     async def work() -> HolderAnswered:
         address = Address(row.host, row.port)
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -1,4 +1,4 @@
-"""Routes of all surfaces: what each method and path puts before the systems."""
+"""Routes of all surfaces: the inbox message for each method and path."""
 
 import re
 from collections.abc import Callable
@@ -37,20 +37,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """An HTTP request as a route sees it.
+    """An HTTP request, as it is passed to a route.
 
     Attributes
     ----------
     exchange_id : str
-        Identifier of the open exchange.
+        Identifier under which the exchange is answered.
     path_parameters : dict of str to str
-        Parts of the path by parameter.
+        Segments of the path by parameter name.
     query : dict of str to str
         First value of each query parameter.
     body : bytes
-        The whole body.
+        The complete body.
     peer : str
-        IP number and port of the other end.
+        IP address and port of the client.
     """
 
     exchange_id: str
@@ -65,16 +65,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """One method and path of one surface.
+    """A method and path of a surface.
 
     Attributes
     ----------
     surface, method, path : str
-        Where it is served; the path has parameters in braces.
+        Where the route is served; path parameters are in braces.
     parse : callable
-        Makes the inbox message.
+        Returns the inbox message, or why the request is refused.
     direct : callable or None
-        Answers at once, without the systems; for metrics and health.
+        Answers immediately, without the systems; used for metrics and health.
     """
 
     surface: str
@@ -90,7 +90,7 @@
 def route(
     surface: str, method: str, path: str, direct: bool = False
 ) -> Callable[[Any], Any]:
-    """Return a decorator that serves a function under a method and path."""
+    """Return a decorator that registers a function for a method and path."""
 
     def register(function: Any) -> Any:
         pattern = PARAMETER.sub(r"(?P<\1>[^/]+)", path)
@@ -110,7 +110,7 @@
 def find_route(
     surface: str, method: str, path: str
 ) -> tuple[Route, dict[str, str]] | None:
-    """Return the route of a request and the parts of its path, or None."""
+    """Return the route of a request and its path parameters, or None."""
     for item, pattern in routes:
         if item.surface == surface and item.method == method:
             match = pattern.fullmatch(path)
@@ -121,7 +121,7 @@
 
 @route(CALLERS, "POST", "/v1/requests")
 def post_request(call: Call) -> Result[Any, Failure]:
-    """Serve a caller's request."""
+    """Run a caller's request."""
     parsed = decode(RequestModel, call.body, call.peer)
     if parsed.is_error():
         return parsed
@@ -145,19 +145,19 @@
 
 @route(OPERATORS, "PUT", "/v1/availability-zones/{name}")
 def put_zone(call: Call) -> Result[Any, Failure]:
-    """Create an availability zone, or take it out of or into service."""
+    """Create an availability zone, or take it into or out of service."""
     return _parse_proposal(call, ZoneModel, call.path_parameters["name"])
 
 
 @route(OPERATORS, "POST", "/v1/availability-zones/{name}/service")
 def post_service(call: Call) -> Result[Any, Failure]:
-    """Take a known availability zone out of or into service."""
+    """Take an existing availability zone into or out of service."""
     return _parse_proposal(call, ServiceModel, call.path_parameters["name"])
 
 
 @route(OPERATORS, "PUT", "/v1/settings")
 def put_setting(call: Call) -> Result[Any, Failure]:
-    """Set a key on a branch."""
+    """Set a key on a branch of the settings tree."""
     return _parse_proposal(call, SettingModel)
 
 
@@ -174,7 +174,7 @@
 
 
 def _register_view(path: str, view: str, parameter: str = "") -> None:
-    """Serve a view under a path; its argument is part of the path or query."""
+    """Register a route for a view; its argument comes from the path or the query."""
 
     def parse_view_request(call: Call) -> Result[Any, Failure]:
         argument = call.path_parameters.get(parameter) or call.query.get(parameter, "")
@@ -199,7 +199,7 @@
 
 
 def _register_peer_route(path: str, model: type) -> None:
-    """Serve messages of the system's other processes."""
+    """Register a route for messages from other processes."""
 
     def parse_peer_message(call: Call) -> Result[Any, Failure]:
         parsed = decode(model, call.body, call.peer)
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -1,4 +1,4 @@
-"""Signals and the end of the process."""
+"""Signal handlers and orderly exit of the process."""
 
 import signal
 
@@ -13,7 +13,7 @@
 
 
 def install_signals(context: EdgeContext) -> None:
-    """Turn SIGTERM and SIGINT into requests to stop."""
+    """Deliver a request to stop on SIGTERM or SIGINT."""
 
     def handle(number: int, frame: object) -> None:
         context.reactor.callFromThread(context.deliver, StopRequested())
@@ -24,9 +24,9 @@
 
 @senders.register(ExitProcess)
 def exit_process(context: EdgeContext, row: ExitProcess) -> None:
-    """Stop listening, let written answers leave, then stop the loop.
+    """Close the ports, flush written responses, then stop the reactor.
 
-    A process that was cut short stops the loop at once.
+    A stop that was cut short (non-zero exit code) stops the reactor immediately.
     """
     context.exit_code = row.code
     if row.code:
--- a/kingcuppost/edges/sockets.py
+++ b/kingcuppost/edges/sockets.py
@@ -1,4 +1,4 @@
-"""Listening sockets that exist before the event loop does."""
+"""Listening sockets that are opened before the event loop runs."""
 
 import socket
 
@@ -8,19 +8,19 @@
 
 
 def listen_at(host: str, port: int) -> socket.socket:
-    """Return a socket that listens; the kernel takes connections in meanwhile.
+    """Return a listening socket; the kernel queues connections until they are accepted.
 
     Parameters
     ----------
     host : str
         IPv4 address.
     port : int
-        Port; 0 for one that the kernel chooses.
+        Port; 0 lets the kernel choose one.
 
     Raises
     ------
     OSError
-        If the address can't be listened at.
+        If the address can't be bound.
 
     Examples
     --------
--- a/kingcuppost/edges/tests/test_event_log.py
+++ b/kingcuppost/edges/tests/test_event_log.py
@@ -1,4 +1,4 @@
-"""Events become log lines, each with a fixed prefix."""
+"""Events are written as JSON log lines, prefixed with the part of the system."""
 
 import json
 
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Whatever stands in a body, a route answers with a message or a clear refusal."""
+"""Fuzz tests of routes: any body yields an inbox message or a refusal with a reason."""
 
 import json
 import re
@@ -60,7 +60,7 @@
 @pytest.mark.parametrize("item", PARSED, ids=lambda item: f"{item.method} {item.path}")
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(name=st.text(max_size=80), body=bodies)
-def test_parser_gives_a_message_or_a_reason(
+def test_parser_returns_a_message_or_a_reason(
     item: Route, name: str, body: bytes
 ) -> None:
     parsed = item.parse(make_call(item, name, body))
@@ -77,7 +77,9 @@
     method=st.sampled_from(["GET", "PUT", "POST", "DELETE", ""]),
     path=st.text(max_size=60),
 )
-def test_any_path_is_found_or_not(surface: str, method: str, path: str) -> None:
+def test_lookup_of_any_path_finds_a_route_of_the_surface_or_none(
+    surface: str, method: str, path: str
+) -> None:
     found = find_route(surface, method, path)
     assert found is None or found[0].surface == surface
 
@@ -87,10 +89,10 @@
 )
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(name=st.text(min_size=1, max_size=80), body=bodies)
-def test_systems_survive_what_the_border_lets_through(
+def test_systems_handle_any_message_that_passes_validation(
     item: Route, name: str, body: bytes
 ) -> None:
-    """A tick over any message that passed changes no agreed table by itself."""
+    """A tick with a validated message does not change the agreed tables directly."""
     parsed = item.parse(make_call(item, name, body))
     if parsed.is_error():
         return
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -1,4 +1,4 @@
-"""The loop ticks on arrivals and deadlines, and ends on a fault."""
+"""The loop runs ticks on arrivals and deadlines, and ends when a tick fails."""
 
 from twisted.internet.task import Clock as TwistedClock
 
@@ -47,7 +47,7 @@
         self.reactor.advance(by_ms / 1_000)
 
 
-def test_arrivals_before_a_tick_share_it() -> None:
+def test_messages_that_arrive_before_a_tick_share_it() -> None:
     harness = Harness(lambda world, now_ms: world.inbox.take(str))
     for text in ("a", "b", "c"):
         harness.context.deliver(text)
@@ -56,7 +56,7 @@
     assert len(harness.context.world.inbox) == 0
 
 
-def test_nothing_runs_before_a_deadline() -> None:
+def test_no_tick_runs_before_a_deadline() -> None:
     def run(world: World, now_ms: int) -> None:
         if now_ms < 100:
             world.deadlines.add(100)
--- a/kingcuppost/edges/tests/test_observe.py
+++ b/kingcuppost/edges/tests/test_observe.py
@@ -1,4 +1,4 @@
-"""Metrics are read off the tables in the units that Prometheus users expect."""
+"""Metrics are read from the tables, in the base units of Prometheus."""
 
 import re
 
@@ -41,7 +41,7 @@
     }
 
 
-def test_counters_and_histograms_come_from_the_tally(world: World) -> None:
+def test_counters_and_histograms_are_read_from_the_tally(world: World) -> None:
     world.tally.add("requests", "design", "answered")
     world.tally.observe("request", 30, "design", "answered")
     note(world, "request.close", "Request answered.")
@@ -56,7 +56,7 @@
     assert shown["kingcuppost_events_total", steps] == 1
 
 
-def test_gauges_are_read_off_tables(world: World) -> None:
+def test_gauges_are_read_from_the_tables(world: World) -> None:
     zone = AvailabilityZone("vid-b", "vidzeme", False, 3, "ilze")
     world.agreed.availability_zones.put(zone)
     world.log_view.folded_offset = 9
@@ -67,7 +67,7 @@
     assert shown[zones, (("zone", "vid-b"),)] == 0
 
 
-def test_uncovered_guarantees_and_retry_budgets_are_shown(world: World) -> None:
+def test_uncovered_guarantees_and_retry_budgets_are_exported(world: World) -> None:
     world.scheduling.uncovered.put(UncoveredGuarantee("design", (0, 0, 1), 4))
     world.retry_budgets.put(RetryBudget("design", 7.5))
     shown = read_samples_by_label(world)
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize("metric", metrics.values(), ids=lambda metric: metric.name)
-def test_names_and_units_follow_prometheus(metric: object) -> None:
+def test_names_and_units_follow_prometheus_conventions(metric: object) -> None:
     assert re.fullmatch(r"kingcuppost_[a-z_]+", metric.name)
     assert metric.name.endswith("_total") == (metric.kind is MetricKind.COUNTER)
     assert "_ms" not in metric.name
--- a/kingcuppost/edges/traffic.py
+++ b/kingcuppost/edges/traffic.py
@@ -1,4 +1,4 @@
-"""Counting the bytes that a process sends and receives over TCP."""
+"""Counters of the bytes that a process sends and receives over TCP."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -15,7 +15,7 @@
 
 
 class _CountedProtocol(ProtocolWrapper):
-    """Adds what passes to the tally of its factory."""
+    """Adds sent and received bytes to the tally of its factory."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.factory.tally.add(METRIC_NAME, "received", amount=len(data))
@@ -37,9 +37,9 @@
     Parameters
     ----------
     wrapped : object
-        The protocol factory.
+        The wrapped protocol factory.
     tally : Tally
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     protocol = _CountedProtocol
@@ -57,9 +57,9 @@
     Parameters
     ----------
     endpoint : object
-        The endpoint.
+        The wrapped endpoint.
     tally : Tally
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     def __init__(self, endpoint: Any, tally: Tally) -> None:
@@ -67,6 +67,6 @@
         self._tally = tally
 
     def connect(self, protocolFactory: Any) -> Any:  # noqa: N803
-        """Connect, and give the protocol that was asked for."""
+        """Connect and return the protocol that `protocolFactory` builds."""
         pending = self._endpoint.connect(CountedFactory(protocolFactory, self._tally))
         return pending.addCallback(lambda wrapper: wrapper.wrappedProtocol)
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -1,4 +1,4 @@
-"""The worker's interface over HTTP, as the repository's stand-in speaks it."""
+"""Client of the worker over HTTP, in the protocol of the repository's stand-in."""
 
 from typing import Any
 
@@ -28,12 +28,12 @@
 
 @drivers.register(("worker", "http"))
 class HttpWorker:
-    """Driver of the worker's interface over HTTP.
+    """Sends orders to the worker over HTTP.
 
     Parameters
     ----------
     context : EdgeContext
-        The process's edges.
+        Edges of the process.
     """
 
     def __init__(self, context: EdgeContext) -> None:
@@ -41,7 +41,7 @@
         self._address = context.world.cfg.sidecar.worker.address
 
     def send_order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
-        """Post an order and deliver the worker's answer."""
+        """Send an order and deliver the worker's answer."""
 
         async def work() -> WorkerDone:
             response = await self._context.client.exchange(
@@ -64,28 +64,28 @@
 
 @senders.register(ReserveTask)
 def reserve_task(context: EdgeContext, row: ReserveTask) -> None:
-    """Reserve resources for a member."""
+    """Order the worker to reserve resources for a gang member."""
     model = ReserveModel.from_row(row)
     context.drivers["worker"].send_order("reserve", row.task_id, model, row.timeout_ms)
 
 
 @senders.register(StartTask)
 def start_task(context: EdgeContext, row: StartTask) -> None:
-    """Start a reserved member."""
+    """Order the worker to start a reserved member."""
     model = StartModel(task_id=row.task_id, lease_ms=row.lease_ms)
     context.drivers["worker"].send_order("start", row.task_id, model, row.timeout_ms)
 
 
 @senders.register(RenewTasks)
 def renew_tasks(context: EdgeContext, row: RenewTasks) -> None:
-    """Renew leases and ask for all tasks."""
+    """Renew leases of tasks and request the list of all tasks."""
     model = RenewModel.from_row(row)
     context.drivers["worker"].send_order("renew", "", model, row.timeout_ms)
 
 
 @senders.register(CheckpointTask)
 def checkpoint_task(context: EdgeContext, row: CheckpointTask) -> None:
-    """Ask a member to write a checkpoint."""
+    """Order the worker to checkpoint a member."""
     model = StartModel(task_id=row.task_id)
     context.drivers["worker"].send_order(
         "checkpoint", row.task_id, model, row.timeout_ms
@@ -94,6 +94,6 @@
 
 @senders.register(StopTask)
 def stop_task(context: EdgeContext, row: StopTask) -> None:
-    """Stop a member."""
+    """Order the worker to stop a member."""
     model = StartModel(task_id=row.task_id)
     context.drivers["worker"].send_order("stop", row.task_id, model, row.timeout_ms)
--- a/kingcuppost/models/__init__.py
+++ b/kingcuppost/models/__init__.py
@@ -1,4 +1,4 @@
-"""Validated models at the border, one module for each neighbour."""
+"""Validated models at the border of the process, one module for each kind of peer."""
 
 from kingcuppost.models.base import BorderModel, decode, encode
 from kingcuppost.models.files import read_config
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -1,4 +1,4 @@
-"""The base of border models, and JSON in and out."""
+"""Base class of border models; encoding and decoding of JSON."""
 
 from typing import Any, TypeVar
 
@@ -16,13 +16,13 @@
 
 
 class BorderModel(BaseModel):
-    """A message from or to the outside; unknown fields are refused."""
+    """A message to or from another process; unknown fields are rejected."""
 
     model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 def decode(model: type[Model], text: bytes, peer: str) -> Result[Model, Failure]:
-    """Return a validated model, or why the text is none.
+    """Return a validated model, or why the text is not valid.
 
     Parameters
     ----------
@@ -31,7 +31,7 @@
     text : bytes
         JSON text.
     peer : str
-        Who sent it.
+        Sender of the text.
     """
     try:
         return Ok(model.model_validate_json(text))
@@ -40,7 +40,7 @@
 
 
 def format_validation_error(exc: ValidationError) -> str:
-    """Return the first faults of a validation in one line."""
+    """Return the first errors of a validation in one line."""
     parts = []
     for validation_error in exc.errors()[:MAX_ERRORS_SHOWN]:
         location = ".".join(str(part) for part in validation_error["loc"]) or "body"
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -21,21 +21,21 @@
     Attributes
     ----------
     team, service : str
-        Who asks, and which service is asked.
+        Team of the caller, and the service that answers.
     body : str
-        What the minion is given.
+        Input that is passed to the minion.
     urgency : Urgency
-        Whether somebody waits.
+        Whether a person waits for the answer.
     idempotent : bool
-        False for a request that runs at most once; it carries a key.
+        False for a request that must run at most once; it needs a key.
     key : str
-        Names a non-idempotent request among those of its team.
+        Identifies a non-idempotent request within its team.
     issued_ms : int
-        When the caller made the key, Unix ms; the same in every retry. A key that
-        is no younger than one that was forgotten is answered "unknown" and not
+        When the caller created the key, Unix ms; the same in every retry. A request
+        whose key is not newer than a forgotten one is answered "unknown" and does not
         run.
     timeout_ms : int
-        Time within which the answer is of use, in ms; 0 for the team's setting.
+        Time within which the answer is useful, in ms; 0 for the team's setting.
     """
 
     team: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
@@ -48,7 +48,7 @@
     timeout_ms: int = Field(default=0, ge=0, le=MAX_TIMEOUT_MS)
 
     def check_fields(self) -> str:
-        """Return why fields do not fit together; empty if they do."""
+        """Return why the fields contradict each other; empty if they do not."""
         if not self.idempotent and not self.key:
             return "key: a non-idempotent request carries a key"
         if self.key and not self.issued_ms:
--- a/kingcuppost/models/events.py
+++ b/kingcuppost/models/events.py
@@ -1,4 +1,4 @@
-"""Events of other processes, as the operators' command reads them."""
+"""Events of other processes, as the operators' command line reads them."""
 
 from pydantic import BaseModel, ConfigDict, Field
 
@@ -8,7 +8,7 @@
 
 
 class EventModel(BaseModel):
-    """One event; fields of newer processes are passed over."""
+    """An event; unknown fields of newer processes are ignored."""
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
@@ -28,12 +28,12 @@
     receives: str = ""
 
     def to_row(self) -> Event:
-        """Return the event as a data class."""
+        """Return the event's row."""
         return Event(**dict(self))
 
 
 class EventListModel(BaseModel):
-    """The events that one process remembers."""
+    """The events that a process has kept."""
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -1,4 +1,4 @@
-"""The settings file of a process, in TOML."""
+"""The settings file of a process, in TOML format."""
 
 import tomllib
 from ipaddress import ip_address
@@ -30,9 +30,9 @@
     try:
         ip_address(host)
     except ValueError:
-        raise ValueError(f"{host!r} is no IP number") from None
+        raise ValueError(f"{host!r} is not an IP address") from None
     if not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(f"{port!r} is no port")
+        raise ValueError(f"{port!r} is not a port number")
     return text
 
 
@@ -46,21 +46,21 @@
 
 
 class LogModel(BorderModel):
-    """The platform's log."""
+    """Address of the shared log."""
 
     driver: str = "http"
     address: AddressText
 
 
 class EntryModel(BorderModel):
-    """Addresses of an entry."""
+    """Addresses at which an entry listens."""
 
     callers: AddressText
     operators: AddressText
 
 
 class WorkerModel(BorderModel):
-    """The worker beside a sidecar."""
+    """The worker of a sidecar, with its resources."""
 
     driver: str = "http"
     name: NameText
@@ -72,7 +72,7 @@
 
 
 class SidecarModel(BorderModel):
-    """The minion beside a sidecar."""
+    """The minion of a sidecar."""
 
     service: NameText
     minion: AddressText
@@ -83,7 +83,7 @@
 
 
 class FileModel(BorderModel):
-    """A whole settings file."""
+    """A complete settings file."""
 
     role: Role
     name: NameText
@@ -98,15 +98,15 @@
     sidecar: SidecarModel | None = None
 
     def check_fields(self) -> str:
-        """Return why the tables do not fit the role; empty if they do."""
+        """Return why the file's tables do not match the role; empty if they do."""
         if (self.role is Role.ENTRY) != (self.entry is not None):
-            return "entry: this table goes with role 'entry', and only with it"
+            return "entry: this table is required for, and only for, role 'entry'"
         if (self.role is Role.SIDECAR) != (self.sidecar is not None):
-            return "sidecar: this table goes with role 'sidecar', and only with it"
+            return "sidecar: this table is required for, and only for, role 'sidecar'"
         return ""
 
     def to_config(self) -> ProcessConfig:
-        """Return the settings as data classes."""
+        """Return the process configuration."""
         return ProcessConfig(
             self.role,
             self.name,
@@ -151,7 +151,7 @@
 
 
 def read_config(path: str) -> Result[ProcessConfig, Failure]:
-    """Return the settings of a file, or why the file is refused whole.
+    """Return the configuration in a settings file, or why the file is rejected.
 
     Parameters
     ----------
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -1,4 +1,4 @@
-"""Messages of the platform's log, as the repository's stand-in speaks them."""
+"""Messages of the shared log, in the protocol of the repository's stand-in."""
 
 from typing import Annotated
 
@@ -17,7 +17,7 @@
 
 
 class StoredModel(BaseModel):
-    """A record with its offset; the value is text that the log does not read."""
+    """A record with its offset; its value is opaque to the log."""
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
@@ -26,7 +26,7 @@
 
 
 class ReadModel(BaseModel):
-    """The answer to a read."""
+    """The response to a read."""
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
@@ -36,13 +36,13 @@
 
 
 class AppendModel(BaseModel):
-    """An append of several records, all or none."""
+    """An atomic append of several records."""
 
     values: list[str]
 
 
 class RecordModel(BaseModel):
-    """The text of a record."""
+    """The encoded form of a record."""
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
@@ -54,14 +54,14 @@
 
 
 def encode_log_record(record: Record) -> str:
-    """Return the text of a record as it stands in the log."""
+    """Return the text of a record, as it is stored in the log."""
     return encode(record).decode()
 
 
 def decode_log_record(text: str) -> Record | None:
-    """Return the record, or None for a text that is no record of ours.
+    """Return the record in a text, or None if the text is not a valid record.
 
-    Every process judges a text alike, so that all folds stay the same.
+    The result depends on the text alone, so that the folds of all processes agree.
     """
     try:
         model = RecordModel.model_validate_json(text)
@@ -72,7 +72,7 @@
 
 
 def to_read_done(read_id: str, model: ReadModel) -> ReadDone:
-    """Return the inbox message; texts that are no records are passed over."""
+    """Return the inbox message; values that are not valid records are skipped."""
     records = []
     for item in model.records:
         record = decode_log_record(item.value)
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -45,13 +45,13 @@
 
 
 class OperatorModel(BorderModel):
-    """A change that names its operator."""
+    """Base of changes; names the operator who makes the change."""
 
     operator: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
 
 
 class ShapeModel(BorderModel):
-    """A guaranteed shape."""
+    """A guaranteed gang shape, and how many gangs of it are guaranteed."""
 
     members: int = Field(ge=1, le=MAX_MEMBERS)
     accelerators: int = Field(ge=1, le=MAX_ACCELERATORS)
@@ -59,7 +59,7 @@
 
 
 class TeamModel(OperatorModel):
-    """Create or change a team; `base_offset` 0 only creates."""
+    """Create or change a team; with `base_offset` 0, only create it."""
 
     guarantees: list[ShapeModel] = Field(default=[], max_length=MAX_GUARANTEES)
     accelerator_limit: int = Field(default=0, ge=0)
@@ -75,7 +75,7 @@
 
 
 class ZoneModel(OperatorModel):
-    """Create an availability zone, or take it out of or into service."""
+    """Create an availability zone, or take it into or out of service."""
 
     region: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
     in_service: bool
@@ -87,18 +87,18 @@
 
 
 class ServiceModel(OperatorModel):
-    """Take a known availability zone out of or into service."""
+    """Take an existing availability zone into or out of service."""
 
     in_service: bool
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
     def to_body(self, name: str) -> ZonePut:
-        """Return the body of the record; the entry adds the zone's region."""
+        """Return the body of the record; the region is left to the entry to fill in."""
         return ZonePut(name, "", self.in_service, self.base_offset)
 
 
 class SettingModel(OperatorModel):
-    """Set a key on a branch; null makes the branch inherit again."""
+    """Set a key on a branch of the settings tree; null restores inheritance."""
 
     path: str = Field(default="", max_length=256)
     key: str = Field(min_length=1, max_length=128)
@@ -111,7 +111,7 @@
 
 
 class JobModel(OperatorModel):
-    """Submit a job; the system names it if `name` is empty."""
+    """Submit a job; a name is generated if `name` is empty."""
 
     name: str = Field(default="", max_length=MAX_NAME_LENGTH, pattern=r"^[a-z0-9_.-]*$")
     team: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -1,4 +1,4 @@
-"""Messages between the system's own processes."""
+"""Messages between entries and sidecars."""
 
 from pydantic import Field
 
@@ -36,7 +36,7 @@
 
 
 class ReportModel(BorderModel):
-    """What a member says of itself."""
+    """State of a gang member, as its sidecar reports it."""
 
     job: str
     incarnation: int
@@ -116,7 +116,7 @@
 
 
 class AttemptReplyModel(BorderModel):
-    """A sidecar's answer to an attempt."""
+    """A sidecar's reply to an attempt."""
 
     attempt_id: str
     incarnation: str
@@ -129,7 +129,10 @@
     running: bool = False
 
     def to_message(self, row: SendAttempt) -> AttemptDone:
-        """Return the inbox message; a crossed answer counts as none."""
+        """Return the inbox message.
+
+        A reply to another attempt leaves the outcome unknown.
+        """
         if self.attempt_id != row.attempt_id:
             reason = "the answer belongs to another attempt"
             return AttemptDone(
@@ -185,7 +188,7 @@
 
 
 class HeartbeatReplyModel(BorderModel):
-    """An entry's answer to a heartbeat."""
+    """An entry's reply to a heartbeat."""
 
     entry: str
     incarnation: str
@@ -193,7 +196,7 @@
 
 
 class GangReportsModel(BorderModel):
-    """Members' reports to the leaders at one sidecar."""
+    """Reports of gang members to the gangs' leaders at a sidecar."""
 
     worker: str
     reports: list[ReportModel]
@@ -210,7 +213,7 @@
 
 
 class GangReplyModel(BorderModel):
-    """A leader's answer to reports."""
+    """A leader's reply to reports: keys of the whole and of the broken gangs."""
 
     worker: str
     whole: list[str]
@@ -224,7 +227,7 @@
 
 
 class HolderModel(BorderModel):
-    """An entry asks the holder of the scheduling lease."""
+    """An entry's liveness check of the holder of the scheduling lease."""
 
     entry: str
 
@@ -234,7 +237,7 @@
 
 
 class HolderReplyModel(BorderModel):
-    """A process says that it is alive, and whether it follows the log."""
+    """Reply to a liveness check: the process runs, and whether it follows the log."""
 
     entry: str
     incarnation: str
--- a/kingcuppost/models/tests/test_caller.py
+++ b/kingcuppost/models/tests/test_caller.py
@@ -1,4 +1,4 @@
-"""Fields of a caller's request that have to fit together."""
+"""Checks between the fields of a caller's request."""
 
 import pytest
 
@@ -17,6 +17,6 @@
         ({"idempotent": False, "key": "k"}, "issued_ms: a key says when it was made"),
     ],
 )
-def test_faults_between_fields(fields: dict, reason: str) -> None:
+def test_contradictory_fields_are_refused(fields: dict, reason: str) -> None:
     assert RequestModel(**BASE, **fields).check_fields().startswith(reason)
     assert bool(RequestModel(**BASE, **fields).check_fields()) == bool(reason)
--- a/kingcuppost/models/tests/test_examples.py
+++ b/kingcuppost/models/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The sample settings of both deployments are sound and have the stated sizes."""
+"""The sample settings files of both deployments are valid and have the stated sizes."""
 
 from collections import Counter
 from pathlib import Path
@@ -17,7 +17,7 @@
 @pytest.mark.parametrize(
     "path", FILES, ids=lambda path: f"{path.parent.name}-{path.stem}"
 )
-def test_sample_is_sound(path: Path) -> None:
+def test_sample_is_valid(path: Path) -> None:
     result = read_config(str(path))
     assert result.is_ok(), result
     assert result.ok.name == path.stem
--- a/kingcuppost/models/worker.py
+++ b/kingcuppost/models/worker.py
@@ -1,4 +1,4 @@
-"""Messages of the worker's interface, as the repository's stand-in speaks them."""
+"""Messages of the worker, in the protocol of the repository's stand-in."""
 
 from pydantic import BaseModel, ConfigDict
 
@@ -48,14 +48,14 @@
 
 
 class LeaseModel(BorderModel):
-    """How much longer the worker may hold a task, in ms."""
+    """The remaining time for which a task may run without renewal, in ms."""
 
     task_id: str
     lease_ms: int
 
 
 class RenewModel(BorderModel):
-    """Renew leases and ask for all tasks."""
+    """Renew leases and request the list of all tasks."""
 
     leases: list[LeaseModel]
 
--- a/kingcuppost/settings/__init__.py
+++ b/kingcuppost/settings/__init__.py
@@ -1,4 +1,4 @@
-"""The settings tree and its declared keys."""
+"""Settings that operators can change at run time: declared keys and their tree."""
 
 from kingcuppost.settings import catalog as _catalog
 from kingcuppost.settings.keys import KEYS, SettingKey
--- a/kingcuppost/settings/catalog/__init__.py
+++ b/kingcuppost/settings/catalog/__init__.py
@@ -1,4 +1,4 @@
-"""The declared keys, one module a theme."""
+"""Declarations of all keys, one module for each subject."""
 
 from kingcuppost.settings.catalog import agreement, jobs, requests
 
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -1,4 +1,4 @@
-"""Keys about the log, the scheduling lease and stopping."""
+"""Keys of the shared log, the scheduling lease and graceful stops."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
@@ -8,7 +8,7 @@
     SettingKey(
         "log.poll_wait_ms",
         2_000,
-        "How long a read may wait at the log for a new record.",
+        "How long the log may delay its answer to a read until there is a new record.",
         "ms",
         minimum=10,
         maximum=3_000,
@@ -18,7 +18,7 @@
     SettingKey(
         "log.timeout_ms",
         10_000,
-        "How long an exchange with the log may take beyond its wait.",
+        "Timeout of an exchange with the log, in addition to the read's wait.",
         "ms",
         minimum=50,
         maximum=60_000,
@@ -28,8 +28,8 @@
     SettingKey(
         "log.late_ms",
         1_000,
-        "Silence of the log, beyond a wait, after which another exchange starts on a "
-        "new connection.",
+        "Time without an answer from the log, in addition to the read's wait, after "
+        "which another exchange is started on a new connection.",
         "ms",
         minimum=50,
         maximum=10_000,
@@ -39,7 +39,8 @@
     SettingKey(
         "log.silent_ms",
         1_500,
-        "Silence of the log, beyond a wait, after which it counts as silent.",
+        "Time without an answer from the log, in addition to the read's wait, after "
+        "which the log is considered unresponsive.",
         "ms",
         minimum=50,
         maximum=60_000,
@@ -49,7 +50,7 @@
     SettingKey(
         "log.group_ms",
         200,
-        "How long an append under way holds later records back, to group them.",
+        "How long a pending append delays later records, to send them as one group.",
         "ms",
         minimum=0,
         maximum=10_000,
@@ -59,7 +60,7 @@
     SettingKey(
         "log.search_retry_ms",
         1_000,
-        "Pause before the log is searched again for a whole snapshot.",
+        "Pause before the log is searched again for a complete snapshot.",
         "ms",
         minimum=10,
         maximum=60_000,
@@ -69,7 +70,7 @@
     SettingKey(
         "snapshot.records",
         20_000,
-        "Records behind the newest snapshot after which another is written.",
+        "Records since the newest snapshot after which another is written.",
         "records",
         minimum=10,
         maximum=1_000_000,
@@ -90,7 +91,7 @@
     SettingKey(
         "log.fresh_ms",
         1_000,
-        "How old a read at the head may be for a task to start on it.",
+        "Maximum age of the read of the log's head on which a task's start is based.",
         "ms",
         minimum=50,
         maximum=2_000,
@@ -100,7 +101,7 @@
     SettingKey(
         "log.retry_ms",
         200,
-        "Pause before a failed exchange with the log is tried again.",
+        "Pause before a failed exchange with the log is retried.",
         "ms",
         minimum=10,
         maximum=10_000,
@@ -110,7 +111,7 @@
     SettingKey(
         "log.queue_limit",
         1_000,
-        "Records that may wait for the log in one process.",
+        "Maximum number of records that wait for the log in one process.",
         "records",
         minimum=1,
         maximum=100_000,
@@ -120,7 +121,7 @@
     SettingKey(
         "operator.timeout_ms",
         5_000,
-        "How long an operator's change waits for its verdict.",
+        "How long an operator's change waits for its result.",
         "ms",
         minimum=100,
         maximum=60_000,
@@ -130,7 +131,7 @@
     SettingKey(
         "lease.ping_ms",
         1_000,
-        "Period at which entries ask the holder of the scheduling lease.",
+        "Period at which entries check the holder of the scheduling lease.",
         "ms",
         minimum=50,
         maximum=10_000,
@@ -140,7 +141,8 @@
     SettingKey(
         "lease.lost_ms",
         3_000,
-        "Silence of the holder after which another entry claims the lease.",
+        "Time without an answer from the holder after which another entry claims the "
+        "scheduling lease.",
         "ms",
         minimum=200,
         maximum=60_000,
@@ -150,7 +152,7 @@
     SettingKey(
         "stop.bound_ms",
         30_000,
-        "Time within which a graceful stop is over.",
+        "Time limit of a graceful stop.",
         "ms",
         minimum=100,
         maximum=600_000,
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -1,4 +1,4 @@
-"""Keys about callers' requests and heartbeats."""
+"""Keys of callers' requests, of serving them, and of heartbeats."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
@@ -8,8 +8,8 @@
     SettingKey(
         "heartbeat.full_gap_ms",
         800,
-        "Least mean time between the full reports that the scheduling holder hears; "
-        "their period stretches with the sidecars.",
+        "Minimum mean interval between full reports at the holder of the scheduling "
+        "lease; their period grows with the number of sidecars.",
         "ms",
         minimum=1,
         maximum=60_000,
@@ -19,8 +19,8 @@
     SettingKey(
         "heartbeat.gap_ms",
         250,
-        "Least mean time between the heartbeats that one entry hears; the period "
-        "stretches with the sidecars of an entry.",
+        "Minimum mean interval between heartbeats at an entry; their period grows with "
+        "the number of sidecars per entry.",
         "ms",
         minimum=1,
         maximum=10_000,
@@ -30,7 +30,7 @@
     SettingKey(
         "heartbeat.period_ms",
         10_000,
-        "Period of a sidecar's heartbeats.",
+        "Minimum period of a sidecar's heartbeats.",
         "ms",
         minimum=50,
         maximum=60_000,
@@ -40,7 +40,7 @@
     SettingKey(
         "heartbeat.retry_ms",
         200,
-        "Pause before members' reports that were not confirmed are sent again.",
+        "Pause before unconfirmed reports of gang members are sent again.",
         "ms",
         minimum=10,
         maximum=10_000,
@@ -50,7 +50,7 @@
     SettingKey(
         "heartbeat.full_ms",
         60_000,
-        "Period at which a sidecar reports all its members again.",
+        "Minimum period at which a sidecar reports all its gang members.",
         "ms",
         minimum=1_000,
         maximum=600_000,
@@ -60,7 +60,7 @@
     SettingKey(
         "heartbeat.timeout_ms",
         1_000,
-        "How long a heartbeat's exchange may take.",
+        "Timeout of a heartbeat.",
         "ms",
         minimum=50,
         maximum=10_000,
@@ -70,7 +70,7 @@
     SettingKey(
         "request.timeout_ms",
         10_000,
-        "Time within which a request is answered, unless it names less.",
+        "Time within which a request is answered, unless it specifies a shorter one.",
         "ms",
         minimum=50,
         maximum=600_000,
@@ -80,7 +80,7 @@
     SettingKey(
         "request.queue_limit",
         200,
-        "Requests of one team that may wait at one entry.",
+        "Maximum number of requests of a team that wait at an entry.",
         "requests",
         minimum=1,
         maximum=100_000,
@@ -90,7 +90,7 @@
     SettingKey(
         "request.attempts",
         3,
-        "Most attempts for one idempotent request.",
+        "Maximum number of attempts for an idempotent request.",
         "attempts",
         minimum=1,
         maximum=10,
@@ -100,8 +100,8 @@
     SettingKey(
         "request.silence_ms",
         1_000,
-        "How long an exchange with a sidecar may hear nothing; the bound doubles "
-        "while the sidecar says that the attempt still runs.",
+        "Timeout of an exchange with a sidecar; doubles while the sidecar reports that "
+        "the attempt still runs.",
         "ms",
         minimum=100,
         maximum=10_000,
@@ -121,7 +121,7 @@
     SettingKey(
         "request.retry_share",
         0.1,
-        "Retries that each request adds to its team's budget.",
+        "Retries that each request adds to its team's retry budget.",
         "retries",
         minimum=0,
         maximum=1,
@@ -131,7 +131,7 @@
     SettingKey(
         "request.retry_burst",
         10.0,
-        "Most retries that a team's budget holds.",
+        "Maximum number of retries in a team's retry budget.",
         "retries",
         minimum=0,
         maximum=1_000,
@@ -141,7 +141,7 @@
     SettingKey(
         "request.routing",
         "two_choices",
-        "How a minion is chosen among those with a free slot.",
+        "How a minion is chosen from those with a free slot.",
         choices=("two_choices", "random", "round_robin"),
     )
 )
@@ -149,7 +149,7 @@
     SettingKey(
         "serve.memory_attempts",
         4_096,
-        "Finished attempts whose outcome a sidecar remembers.",
+        "Maximum number of finished attempts in a sidecar's reply cache.",
         "attempts",
         minimum=16,
         maximum=100_000,
@@ -159,7 +159,7 @@
     SettingKey(
         "serve.memory_mb",
         32,
-        "Answers that a sidecar remembers.",
+        "Maximum total size of the answers in a sidecar's reply cache.",
         "MB",
         minimum=1,
         maximum=128,
@@ -169,7 +169,7 @@
     SettingKey(
         "serve.memory_ms",
         600_000,
-        "How long a sidecar remembers a finished attempt.",
+        "How long a finished attempt stays in a sidecar's reply cache.",
         "ms",
         minimum=1_000,
         maximum=86_400_000,
@@ -179,7 +179,8 @@
     SettingKey(
         "stop.announce_ms",
         2_000,
-        "How long an idle process that stops waits for the log to take its leave.",
+        "How long an idle process that stops waits for the log to accept its leave "
+        "notice.",
         "ms",
         minimum=0,
         maximum=60_000,
--- a/kingcuppost/settings/keys.py
+++ b/kingcuppost/settings/keys.py
@@ -1,4 +1,4 @@
-"""Keys that operators may set, with type, default, bounds and unit."""
+"""Keys of the settings tree, with type, default, limits and unit."""
 
 from dataclasses import dataclass
 
@@ -14,17 +14,17 @@
     Attributes
     ----------
     name : str
-        Name, such as ``"job.lease_ms"``.
+        Name of the key, such as ``"job.lease_ms"``.
     default : str, int, float or bool
-        Value where no branch sets the key; its type is the key's type.
+        Value if no branch sets the key; its type is the key's type.
     text : str
-        What the key does, one sentence.
+        Description of the key in one sentence.
     unit : str
         Unit of the value; empty if none.
     minimum, maximum : float or None
-        Bounds of a number, included.
+        Inclusive limits of a number; None for no limit.
     choices : tuple of str
-        Allowed texts; empty for any.
+        Allowed strings; empty for any.
     """
 
     name: str
@@ -36,7 +36,7 @@
     choices: tuple[str, ...] = ()
 
     def check_value(self, value: SettingValue) -> str:
-        """Return why a value does not fit the key; empty if it does.
+        """Return why a value is not allowed for the key; empty if it is.
 
         Examples
         --------
@@ -70,12 +70,12 @@
 
 
 def declare(key: SettingKey) -> SettingKey:
-    """Add a key to `KEYS`.
+    """Add a key to `KEYS` and return it.
 
     Raises
     ------
     ValueError
-        If the name is taken or the default does not fit.
+        If the name is already declared or the default is not allowed.
     """
     if key.name in KEYS:
         raise ValueError(f"setting {key.name} is declared twice")
--- a/kingcuppost/settings/tree.py
+++ b/kingcuppost/settings/tree.py
@@ -21,7 +21,7 @@
 
 
 def list_ancestors(path: str) -> list[str]:
-    """Return a branch and those above it, nearest first, root last.
+    """Return a branch and its ancestors, from the branch up to the root.
 
     Examples
     --------
@@ -36,12 +36,12 @@
 
 
 def resolve_setting(agreed: Agreed, path: str, key: str) -> EffectiveValue:
-    """Return the value that holds on a branch, and what gave it.
+    """Return the effective value of a key on a branch, and where it was set.
 
     Parameters
     ----------
     agreed : Agreed
-        The fold of the log.
+        State that is folded from the log.
     path : str
         Branch; empty for the root.
     key : str
@@ -50,7 +50,7 @@
     Returns
     -------
     EffectiveValue
-        From the nearest branch that sets the key, else the default.
+        Value of the nearest branch that sets the key, else the default.
 
     Raises
     ------
@@ -67,12 +67,12 @@
 
 
 def effective_value(agreed: Agreed, key: str, path: str = "") -> SettingValue:
-    """Return just the value that holds on a branch."""
+    """Return the effective value of a key on a branch, without its origin."""
     return resolve_setting(agreed, path, key).value
 
 
 def team_path(team: str, urgency: str = "") -> str:
-    """Return the branch of a team, or of one urgency of it.
+    """Return the branch of a team, or of one urgency within the team.
 
     Examples
     --------
@@ -94,7 +94,7 @@
 
 
 def check_path(agreed: Agreed, path: str) -> str:
-    """Return why a branch can't be set; empty if it can."""
+    """Return why keys can't be set on a branch; empty if they can."""
     if path == "":
         return ""
     segments = path.split("/")
