--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -1,4 +1,4 @@
-"""JSON over HTTP to peers by IP number, each exchange bounded in time."""
+"""HTTP client for JSON to peers by IP address; every exchange has a timeout."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -15,7 +15,7 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.metrics import Tally
 
-__all__ = ["JsonClient", "Response", "is_never_sent"]
+__all__ = ["JsonClient", "Response", "is_connect_error"]
 
 MS_PER_SECOND = 1_000
 CONNECT_TIMEOUT_S = 0.4
@@ -25,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole HTTP response.
+    """A complete HTTP response.
 
     Attributes
     ----------
     status : int
         HTTP status code.
     body : bytes
-        The whole body.
+        The complete body.
     """
 
     status: int
@@ -40,8 +40,8 @@
 
 
 @implementer(IAgentEndpointFactory)
-class _IpEndpoints:
-    """Endpoints by IP number, without any resolver."""
+class _IpEndpointFactory:
+    """Creates endpoints from IP addresses; names are never resolved."""
 
     def __init__(self, reactor: Any, tally: Tally) -> None:
         self._reactor = reactor
@@ -56,7 +56,7 @@
 
 @implementer(IBodyProducer)
 class _BytesProducer:
-    """A request body that is all there."""
+    """A request body that is completely in memory."""
 
     def __init__(self, body: bytes) -> None:
         self._body = body
@@ -77,8 +77,8 @@
 
 
 @dataclass(frozen=True)
-class _Peer:
-    """The connections to one peer."""
+class _PeerConnections:
+    """The pooled connections to one peer."""
 
     pool: HTTPConnectionPool
     agent: Agent
@@ -87,40 +87,40 @@
 class JsonClient:
     """Client that keeps a few idle connections to each peer.
 
-    An exchange that fails takes the peer's idle connections with it: what made one
-    silent may have made all of them silent, so that the next exchange opens a
-    connection of its own. So peers that have gone leave nothing behind.
+    A failed exchange discards the peer's idle connections: the cause may have broken
+    all of them, so the next exchange opens a new connection. This also removes the
+    state of peers that no longer exist.
 
     Parameters
     ----------
     reactor : object
         Twisted's reactor.
     tally : Tally, optional
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     def __init__(self, reactor: Any, tally: Tally | None = None) -> None:
         self._reactor = reactor
         self._tally = tally or Tally()
-        self._peers: dict[Address, _Peer] = {}
+        self._connections: dict[Address, _PeerConnections] = {}
 
-    def _peer(self, address: Address) -> _Peer:
-        if address not in self._peers:
+    def _connections_to(self, address: Address) -> _PeerConnections:
+        if address not in self._connections:
             pool = HTTPConnectionPool(self._reactor)
             pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_PEER
             pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
             pool.retryAutomatically = False
             agent = Agent.usingEndpointFactory(
                 self._reactor,
-                _IpEndpoints(self._reactor, self._tally),
+                _IpEndpointFactory(self._reactor, self._tally),
                 pool=pool,
             )
-            self._peers[address] = _Peer(pool, agent)
-        return self._peers[address]
+            self._connections[address] = _PeerConnections(pool, agent)
+        return self._connections[address]
 
-    def _distrust(self, address: Address) -> None:
-        """Close the idle connections to a peer, and use none made before."""
-        peer = self._peers.pop(address, None)
+    def _discard_connections(self, address: Address) -> None:
+        """Close the idle connections to a peer; later exchanges open new ones."""
+        peer = self._connections.pop(address, None)
         if peer is not None:
             peer.pool.closeCachedConnections()
 
@@ -133,26 +133,26 @@
         timeout_ms: int,
         headers: dict[str, str] | None = None,
     ) -> Response:
-        """Send a request and return the whole response.
+        """Send a request and return the complete response.
 
         Parameters
         ----------
         method, path : str
-            HTTP method and path with query.
+            HTTP method, and path with query.
         address : Address
-            IP number and port of the peer.
+            IP address and port of the peer.
         body : bytes
             JSON text; empty for none.
         timeout_ms : int
-            Bound on the whole exchange, in ms.
+            Timeout of the whole exchange, in ms.
         headers : dict of str to str, optional
-            Further headers.
+            Additional headers.
 
         Raises
         ------
         PeerError
-            If the exchange failed or took too long. Its step is ``"connect"`` if
-            no byte of the request left this process, else ``"exchange"``.
+            If the exchange failed or timed out. Its step is ``"connect"`` if no byte
+            of the request left this process, else ``"exchange"``.
         """
         pending = defer.ensureDeferred(
             self._exchange(method, address, path, body, headers or {})
@@ -161,8 +161,8 @@
         try:
             return await pending
         except Exception as exc:
-            step = "connect" if is_never_sent(exc) else "exchange"
-            self._distrust(address)
+            step = "connect" if is_connect_error(exc) else "exchange"
+            self._discard_connections(address)
             reason = str(exc) or type(exc).__name__
             raise PeerError(reason, step, str(address)) from exc
 
@@ -172,24 +172,24 @@
         address: Address,
         path: str,
         body: bytes,
-        extra: dict[str, str],
+        extra_headers: dict[str, str],
     ) -> Response:
         url = f"http://{address}{path}".encode("ascii")
         headers = Headers({b"Content-Type": [b"application/json"]} if body else {})
-        for name, value in extra.items():
+        for name, value in extra_headers.items():
             headers.setRawHeaders(name, [value])
         producer = _BytesProducer(body) if body else None
-        response = await self._peer(address).agent.request(
+        response = await self._connections_to(address).agent.request(
             method.encode("ascii"), url, headers, producer
         )
         return Response(response.code, await readBody(response))
 
     async def close(self) -> None:
-        """Close idle connections."""
-        for peer in self._peers.values():
+        """Close the idle connections to all peers."""
+        for peer in self._connections.values():
             await peer.pool.closeCachedConnections()
 
 
-def is_never_sent(exc: BaseException) -> bool:
-    """Return whether an exchange failed before a connection was made."""
+def is_connect_error(exc: BaseException) -> bool:
+    """Return whether an exchange failed before a connection was established."""
     return isinstance(exc, error.ConnectError)
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges: requests to inbox messages, replies to responses."""
+"""HTTP server: requests become inbox messages, replies become responses."""
 
 from typing import Any
 
@@ -29,8 +29,8 @@
 LISTEN_BACKLOG = 512
 
 
-class _Surface(Resource):
-    """All routes of one surface, such as ``"callers"``."""
+class _SurfaceResource(Resource):
+    """Resource that serves all routes of a surface, such as ``"callers"``."""
 
     isLeaf = True  # noqa: N815
 
@@ -40,43 +40,49 @@
         self._surface = surface
 
     def render(self, request: Request) -> int | bytes:
-        """Turn a request into an inbox message, or refuse it at once."""
+        """Deliver the request to the systems, or refuse it immediately."""
         path = request.path.decode("ascii", "replace")
         method = request.method.decode("ascii", "replace")
         found = find_route(self._surface, method, path)
         if found is None:
             return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
         body = request.content.read()
-        route, names = found
+        route, path_parameters = found
         if route.direct is not None:
             return route.direct(self._context, request)
         exchange_id = new_identifier(self._context.world.rng, "exc")
-        call = Call(exchange_id, names, _query(request), body, _peer_of(request))
-        return self._put(request, exchange_id, route.parse(call))
-
-    def _put(
+        call = Call(
+            exchange_id,
+            path_parameters,
+            _parse_query(request),
+            body,
+            _format_peer(request),
+        )
+        return self._dispatch(request, exchange_id, route.parse(call))
+
+    def _dispatch(
         self, request: Request, exchange_id: str, parsed: Result[Any, Failure]
     ) -> int | bytes:
         if parsed.is_error():
             return _refuse(request, STATUS_BAD_REQUEST, parsed.error.reason)
         self._context.exchanges[exchange_id] = request
-        request.notifyFinish().addErrback(self._lost, exchange_id)
+        request.notifyFinish().addErrback(self._drop_exchange, exchange_id)
         self._context.deliver(parsed.ok)
         return NOT_DONE_YET
 
-    def _lost(self, _: Any, exchange_id: str) -> None:
+    def _drop_exchange(self, _: Any, exchange_id: str) -> None:
         if self._context.exchanges.pop(exchange_id, None) is not None:
             self._context.deliver(ExchangeLost(exchange_id))
 
 
-def _query(request: Request) -> dict[str, str]:
+def _parse_query(request: Request) -> dict[str, str]:
     return {
         name.decode("utf-8", "replace"): values[0].decode("utf-8", "replace")
         for name, values in request.args.items()
     }
 
 
-def _peer_of(request: Request) -> str:
+def _format_peer(request: Request) -> str:
     address = request.getClientAddress()
     return f"{address.host}:{address.port}"
 
@@ -84,12 +90,14 @@
 def _refuse(request: Request, status: int, reason: str) -> bytes:
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
-    return encode(ChangeRefused(Outcome.NOT_RUN, "decode", _peer_of(request), reason))
+    return encode(
+        ChangeRefused(Outcome.NOT_RUN, "decode", _format_peer(request), reason)
+    )
 
 
 @senders.register(Reply)
 def send_reply(context: EdgeContext, reply: Reply) -> None:
-    """Write the whole response of an exchange that is still open."""
+    """Send the response of an exchange whose client is still connected."""
     request = context.exchanges.pop(reply.exchange_id, None)
     if request is None:
         return
@@ -102,9 +110,9 @@
 
 
 def make_site(context: EdgeContext, surface: str) -> Site:
-    """Return the protocol factory of a surface."""
+    """Return the HTTP server factory of a surface."""
     site = Site(
-        _Surface(context, surface),
+        _SurfaceResource(context, surface),
         requestFactory=BoundedRequest,
         timeout=IDLE_TIMEOUT_S,
     )
@@ -114,7 +122,7 @@
 
 
 def listen(context: EdgeContext, surface: str, host: str, port: int) -> int:
-    """Listen for a surface and return the port that was bound."""
+    """Start to serve a surface and return the bound port."""
     factory = CountedFactory(make_site(context, surface), context.world.tally)
     bound = context.reactor.listenTCP(
         port, factory, interface=host, backlog=LISTEN_BACKLOG
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -1,4 +1,4 @@
-"""Metrics, health and structured logs."""
+"""Metrics, health checks and structured logs."""
 
 import logging
 import sys
@@ -36,7 +36,7 @@
 
 
 class WorldCollector:
-    """Reads metrics off the tables when they are asked for."""
+    """Prometheus collector that reads metrics from the tables at each scrape."""
 
     def __init__(self, world: World) -> None:
         self._world = world
@@ -44,7 +44,7 @@
     def collect(self) -> Any:
         """Yield the metric families."""
         for name, metric in metrics.items():
-            yield FAMILIES[metric.kind](self._world, name, metric)
+            yield FAMILY_BUILDERS[metric.kind](self._world, name, metric)
 
 
 def _gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
@@ -64,14 +64,14 @@
 def _histogram_family(world: World, name: str, metric: Metric) -> Any:
     family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, row in read_durations(world, name):
-        below = accumulate(row.buckets)
+        cumulative_counts = accumulate(row.buckets)
         bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
-        buckets = list(zip(bounds, below, strict=True))
+        buckets = list(zip(bounds, cumulative_counts, strict=True))
         family.add_metric(labels, buckets, row.sum_ms / MS_PER_SECOND)
     return family
 
 
-FAMILIES = {
+FAMILY_BUILDERS = {
     MetricKind.GAUGE: _gauge_family,
     MetricKind.COUNTER: _counter_family,
     MetricKind.HISTOGRAM: _histogram_family,
@@ -90,13 +90,13 @@
 
 @route(OPERATORS, "GET", "/healthz", direct=True)
 def get_health(context: EdgeContext, request: Request) -> bytes:
-    """Say that the loop runs."""
+    """Report that the event loop runs."""
     return b"ok\n"
 
 
 @route(OPERATORS, "GET", "/readyz", direct=True)
 def get_readiness(context: EdgeContext, request: Request) -> bytes:
-    """Say whether the process has followed the log and welcomes work."""
+    """Report whether the process has caught up with the log and accepts work."""
     world = context.world
     if world.log_view.caught_up and not world.stopping:
         follows = is_following(world, world.clock.now_ms())
@@ -106,7 +106,7 @@
 
 
 def configure_logs(world: World, level: str) -> logging.Logger:
-    """Return the process's logger: JSON lines on standard error."""
+    """Configure and return the process's logger: JSON lines on standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
     logger = logging.getLogger("kingcuppost")
@@ -117,30 +117,33 @@
 
 
 class EventLog:
-    """Writes new events of the world as log lines after each tick."""
+    """Writes the events that a tick added to the world as log lines."""
 
     def __init__(self, world: World, logger: logging.Logger) -> None:
         self._world = world
         self._logger = logger
-        self._written = 0
+        self._written_count = 0
 
     def flush(self) -> None:
-        """Write the events since the last call."""
-        new = self._world.event_count - self._written
+        """Write the events that were added since the last call."""
+        new = self._world.event_count - self._written_count
         if not new:
             return
-        self._written = self._world.event_count
+        self._written_count = self._world.event_count
         for event in list(self._world.events)[-new:]:
-            self._logger.info(_line_of(event), extra=_fields_of(event))
+            self._logger.info(_format_line(event), extra=_format_fields(event))
 
 
-def _line_of(event: Event) -> str:
+def _format_line(event: Event) -> str:
     prefix = event.step.partition(".")[0]
     return f"{prefix}: {event.text}"
 
 
-def _fields_of(event: Event) -> dict[str, str | int]:
-    """Return an event's fields; `process` is a name that the library keeps."""
+def _format_fields(event: Event) -> dict[str, str | int]:
+    """Return an event's non-empty fields.
+
+    `process` is written as `instance`, since the logging library reserves the name.
+    """
     names = (name for name in Event.__slots__ if name not in ("text", "process"))
     fields = {name: getattr(event, name) for name in names}
     fields["instance"] = event.process
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -1,4 +1,4 @@
-"""Exchanges with the system's other processes and with the minion."""
+"""HTTP requests to the other processes and to the minion."""
 
 from collections.abc import Callable
 from typing import Any
@@ -10,13 +10,13 @@
 from kingcuppost.models import decode, encode
 from kingcuppost.models.peer import (
     AttemptModel,
+    AttemptReplyModel,
     GangReplyModel,
     GangReportsModel,
     HeartbeatModel,
     HeartbeatReplyModel,
     HolderModel,
     HolderReplyModel,
-    ServedModel,
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.inbox import (
@@ -35,37 +35,39 @@
 )
 from kingcuppost.tables.request import Outcome
 
-__all__ = ["post", "run"]
+__all__ = ["deliver_later", "post_model"]
 
 STATUS_OK = 200
 
 
-def run(context: EdgeContext, work: Any, failed: Callable[[PeerError], Any]) -> None:
-    """Run a coroutine that returns an inbox message, and deliver the message.
+def deliver_later(
+    context: EdgeContext, work: Any, make_failure: Callable[[PeerError], Any]
+) -> None:
+    """Run a coroutine and deliver the inbox message that it returns.
 
     Parameters
     ----------
     context : EdgeContext
-        The process's edges.
+        Edges of the process.
     work : coroutine
         Returns the message; may raise `PeerError`.
-    failed : callable
-        Makes the message for a failure.
+    make_failure : callable
+        Returns the message to deliver on a failure.
     """
 
     async def finish() -> None:
         try:
             message = await work
         except PeerError as exc:
-            message = failed(exc)
+            message = make_failure(exc)
         except Exception as exc:
-            message = failed(PeerError(repr(exc), "exchange"))
+            message = make_failure(PeerError(repr(exc), "exchange"))
         context.deliver(message)
 
     ensureDeferred(finish())
 
 
-async def post(
+async def post_model(
     context: EdgeContext,
     address: Address,
     path: str,
@@ -73,12 +75,12 @@
     reply: type,
     timeout_ms: int,
 ) -> Any:
-    """Post a model and return the peer's validated reply.
+    """Send a POST request and return the peer's validated reply.
 
     Raises
     ------
     PeerError
-        If the exchange failed, or the reply is not of the model `reply`.
+        If the exchange failed or the reply does not match the model `reply`.
     """
     response = await context.client.exchange(
         "POST", address, path, encode(model), timeout_ms
@@ -93,17 +95,21 @@
 
 @senders.register(SendAttempt)
 def send_attempt(context: EdgeContext, row: SendAttempt) -> None:
-    """Send an attempt; only a failed connection proves that it did not run."""
+    """Send an attempt to a sidecar.
+
+    Unless the connection could not be established, a failure leaves open whether the
+    attempt ran.
+    """
 
     async def work() -> AttemptDone:
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
-        reply = await post(
-            context, address, "/peer/attempts", model, ServedModel, row.silence_ms
+        reply = await post_model(
+            context, address, "/peer/attempts", model, AttemptReplyModel, row.silence_ms
         )
         return reply.to_message(row)
 
-    def failed(exc: PeerError) -> AttemptDone:
+    def make_failure(exc: PeerError) -> AttemptDone:
         return AttemptDone(
             row.attempt_id,
             row.minion,
@@ -113,12 +119,12 @@
             reason=str(exc),
         )
 
-    run(context, work(), failed)
+    deliver_later(context, work(), make_failure)
 
 
 @senders.register(HandOver)
 def hand_over(context: EdgeContext, row: HandOver) -> None:
-    """Give an attempt to the minion and take its whole answer."""
+    """Pass an attempt to the minion and deliver its answer."""
     address = context.world.cfg.sidecar.minion
 
     async def work() -> MinionAnswered:
@@ -132,11 +138,11 @@
             row.attempt_id, True, response.body.decode("utf-8", "replace")
         )
 
-    def failed(exc: PeerError) -> MinionAnswered:
+    def make_failure(exc: PeerError) -> MinionAnswered:
         never_sent = exc.step == "connect"
         return MinionAnswered(row.attempt_id, False, "", never_sent, str(exc))
 
-    run(context, work(), failed)
+    deliver_later(context, work(), make_failure)
 
 
 @senders.register(SendHeartbeat)
@@ -146,7 +152,7 @@
     async def work() -> HeartbeatDone:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
-        reply = await post(
+        reply = await post_model(
             context,
             address,
             "/peer/heartbeats",
@@ -156,22 +162,24 @@
         )
         return HeartbeatDone(row.entry, True, "", reply.folded_offset)
 
-    run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
+    deliver_later(
+        context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc))
+    )
 
 
 @senders.register(SendGangReports)
 def send_gang_reports(context: EdgeContext, row: SendGangReports) -> None:
-    """Send members' reports to the sidecar of their leader."""
+    """Send reports of gang members to the sidecar of the gang's leader."""
 
     async def work() -> GangReplyArrived:
         address = Address(row.host, row.port)
         model = GangReportsModel.from_row(row)
-        reply = await post(
+        reply = await post_model(
             context, address, "/peer/gangs", model, GangReplyModel, row.timeout_ms
         )
         return reply.to_message(row)
 
-    run(
+    deliver_later(
         context,
         work(),
         lambda exc: GangReplyArrived(row.worker, False, row.sent_ms),
@@ -180,17 +188,17 @@
 
 @senders.register(AskHolder)
 def ask_holder(context: EdgeContext, row: AskHolder) -> None:
-    """Ask the holder of the scheduling lease whether it is alive."""
+    """Send a liveness check to the holder of the scheduling lease."""
 
     async def work() -> HolderAnswered:
         address = Address(row.host, row.port)
         model = HolderModel(entry=context.world.identity.name)
-        reply = await post(
+        reply = await post_model(
             context, address, "/peer/holder", model, HolderReplyModel, row.timeout_ms
         )
         return reply.to_message(row)
 
-    run(
+    deliver_later(
         context,
         work(),
         lambda exc: HolderAnswered(False, "", row.sent_ms, str(exc)),
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -1,4 +1,4 @@
-"""Signals and the end of the process."""
+"""Signal handlers and orderly exit of the process."""
 
 import signal
 
@@ -8,12 +8,12 @@
 
 __all__ = ["install_signals"]
 
-FLUSH_CHECK_S = 0.02
-FLUSH_CHECKS = 100
+FLUSH_CHECK_INTERVAL_S = 0.02
+MAX_FLUSH_CHECKS = 100
 
 
 def install_signals(context: EdgeContext) -> None:
-    """Turn SIGTERM and SIGINT into requests to stop."""
+    """Deliver a request to stop on SIGTERM or SIGINT."""
 
     def handle(number: int, frame: object) -> None:
         context.reactor.callFromThread(context.deliver, StopRequested())
@@ -24,9 +24,9 @@
 
 @senders.register(ExitProcess)
 def exit_process(context: EdgeContext, row: ExitProcess) -> None:
-    """Stop listening, let written answers leave, then stop the loop.
+    """Close the ports, flush written responses, then stop the reactor.
 
-    A process that was cut short stops the loop at once.
+    A stop that was cut short (non-zero exit code) stops the reactor immediately.
     """
     context.exit_code = row.code
     if row.code:
@@ -36,7 +36,7 @@
         listener.port.stopListening()
         for connection in list(listener.factory.protocols):
             connection.loseConnection()
-    _stop_when_flushed(context, FLUSH_CHECKS)
+    _stop_when_flushed(context, MAX_FLUSH_CHECKS)
 
 
 def _stop_when_flushed(context: EdgeContext, checks_left: int) -> None:
@@ -45,7 +45,7 @@
         _stop(context)
         return
     context.reactor.callLater(
-        FLUSH_CHECK_S, _stop_when_flushed, context, checks_left - 1
+        FLUSH_CHECK_INTERVAL_S, _stop_when_flushed, context, checks_left - 1
     )
 
 
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Whatever stands in a body, a route answers with a message or a clear refusal."""
+"""Fuzz tests of routes: any body yields an inbox message or a refusal with a reason."""
 
 import json
 import re
@@ -16,7 +16,7 @@
 from kingcuppost.tables.inbox import Propose
 from kingcuppost.tables.outbox import AppendRecords, Reply
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 PARSED = [item for item, _ in routes if item.direct is None]
 WITH_BODY = [item for item in PARSED if item.method != "GET"]
 FIELDS = sorted(
@@ -50,18 +50,20 @@
 )
 
 
-def call_of(item: Route, name: str, body: bytes) -> Call:
-    names = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
-    return Call("exc-1", names, {"path": name, "key": name}, body, "127.0.0.1:1")
+def make_call(item: Route, name: str, body: bytes) -> Call:
+    path_parameters = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
+    return Call(
+        "exc-1", path_parameters, {"path": name, "key": name}, body, "127.0.0.1:1"
+    )
 
 
 @pytest.mark.parametrize("item", PARSED, ids=lambda item: f"{item.method} {item.path}")
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(name=st.text(max_size=80), body=bodies)
-def test_parser_gives_a_message_or_a_reason(
+def test_parser_returns_a_message_or_a_reason(
     item: Route, name: str, body: bytes
 ) -> None:
-    parsed = item.parse(call_of(item, name, body))
+    parsed = item.parse(make_call(item, name, body))
     if parsed.is_ok():
         assert is_dataclass(parsed.ok)
     else:
@@ -75,7 +77,9 @@
     method=st.sampled_from(["GET", "PUT", "POST", "DELETE", ""]),
     path=st.text(max_size=60),
 )
-def test_any_path_is_found_or_not(surface: str, method: str, path: str) -> None:
+def test_lookup_of_any_path_finds_a_route_of_the_surface_or_none(
+    surface: str, method: str, path: str
+) -> None:
     found = find_route(surface, method, path)
     assert found is None or found[0].surface == surface
 
@@ -85,16 +89,18 @@
 )
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(name=st.text(min_size=1, max_size=80), body=bodies)
-def test_systems_survive_what_the_border_lets_through(
+def test_systems_handle_any_message_that_passes_validation(
     item: Route, name: str, body: bytes
 ) -> None:
-    """A tick over any message that passed changes no agreed table by itself."""
-    parsed = item.parse(call_of(item, name, body))
+    """A tick with a validated message does not change the agreed tables directly."""
+    parsed = item.parse(make_call(item, name, body))
     if parsed.is_error():
         return
-    log = LogConfig("http", NOWHERE)
-    entry = EntryConfig(NOWHERE, NOWHERE)
-    cfg = ProcessConfig(Role.ENTRY, "e", "vid-a", "v", NOWHERE, log, entry, seed=1)
+    log = LogConfig("http", UNUSED_ADDRESS)
+    entry = EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS)
+    cfg = ProcessConfig(
+        Role.ENTRY, "e", "vid-a", "v", UNUSED_ADDRESS, log, entry, seed=1
+    )
     world = make_world(cfg)
     world.log_view.caught_up = True
     if type(parsed.ok).__name__ in ENTRY_MESSAGES:
@@ -114,7 +120,7 @@
     "value", [10**400, float("inf"), float("nan"), 2**63, -(2**63) - 1, "\ud800"]
 )
 def test_extreme_setting_values_are_refused(value: object) -> None:
-    route, names = find_route("operators", "PUT", "/v1/settings")
+    route, path_parameters = find_route("operators", "PUT", "/v1/settings")
     body = json.dumps({"operator": "x", "key": "job.lease_ms", "value": value})
-    parsed = route.parse(Call("exc-1", names, {}, body.encode(), "p"))
+    parsed = route.parse(Call("exc-1", path_parameters, {}, body.encode(), "p"))
     assert parsed.is_error()
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -1,9 +1,9 @@
-"""The loop ticks on arrivals and deadlines, and ends on a fault."""
+"""The loop runs ticks on arrivals and deadlines, and ends when a tick fails."""
 
 from twisted.internet.task import Clock as TwistedClock
 
 from kingcuppost.edges.context import EdgeContext
-from kingcuppost.edges.loop import EXIT_FAULT, TickLoop
+from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR, TickLoop
 from kingcuppost.programs import make_world
 from kingcuppost.systems.registry import Phase, System
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
@@ -11,15 +11,15 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils import ManualClock
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 CFG = ProcessConfig(
     Role.ENTRY,
     "entry-0",
     "vid-a",
     "vidzeme",
-    NOWHERE,
-    LogConfig("none", NOWHERE),
-    EntryConfig(NOWHERE, NOWHERE),
+    UNUSED_ADDRESS,
+    LogConfig("none", UNUSED_ADDRESS),
+    EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS),
     seed=1,
 )
 
@@ -47,7 +47,7 @@
         self.reactor.advance(by_ms / 1_000)
 
 
-def test_arrivals_before_a_tick_share_it() -> None:
+def test_messages_that_arrive_before_a_tick_share_it() -> None:
     harness = Harness(lambda world, now_ms: world.inbox.take(str))
     for text in ("a", "b", "c"):
         harness.context.deliver(text)
@@ -56,7 +56,7 @@
     assert len(harness.context.world.inbox) == 0
 
 
-def test_nothing_runs_before_a_deadline() -> None:
+def test_no_tick_runs_before_a_deadline() -> None:
     def run(world: World, now_ms: int) -> None:
         if now_ms < 100:
             world.deadlines.add(100)
@@ -81,4 +81,4 @@
     harness.loop.wake()
     harness.advance(0)
     assert harness.reactor.stopped
-    assert harness.context.exit_code == EXIT_FAULT
+    assert harness.context.exit_code == EXIT_SOFTWARE_ERROR
--- a/kingcuppost/edges/traffic.py
+++ b/kingcuppost/edges/traffic.py
@@ -1,4 +1,4 @@
-"""Counting the bytes that a process sends and receives over TCP."""
+"""Counters of the bytes that a process sends and receives over TCP."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -11,23 +11,23 @@
 
 __all__ = ["CountedEndpoint", "CountedFactory"]
 
-METRIC = "bytes"
+METRIC_NAME = "bytes"
 
 
 class _CountedProtocol(ProtocolWrapper):
-    """Adds what passes to the tally of its factory."""
+    """Adds sent and received bytes to the tally of its factory."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.factory.tally.add(METRIC, "received", amount=len(data))
+        self.factory.tally.add(METRIC_NAME, "received", amount=len(data))
         super().dataReceived(data)
 
     def write(self, data: bytes) -> None:
-        self.factory.tally.add(METRIC, "sent", amount=len(data))
+        self.factory.tally.add(METRIC_NAME, "sent", amount=len(data))
         super().write(data)
 
     def writeSequence(self, data: Iterable[bytes]) -> None:  # noqa: N802
         parts = list(data)
-        self.factory.tally.add(METRIC, "sent", amount=sum(map(len, parts)))
+        self.factory.tally.add(METRIC_NAME, "sent", amount=sum(map(len, parts)))
         super().writeSequence(parts)
 
 
@@ -37,9 +37,9 @@
     Parameters
     ----------
     wrapped : object
-        The protocol factory.
+        The wrapped protocol factory.
     tally : Tally
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     protocol = _CountedProtocol
@@ -57,9 +57,9 @@
     Parameters
     ----------
     endpoint : object
-        The endpoint.
+        The wrapped endpoint.
     tally : Tally
-        Where bytes are counted.
+        Counts the bytes sent and received.
     """
 
     def __init__(self, endpoint: Any, tally: Tally) -> None:
@@ -67,6 +67,6 @@
         self._tally = tally
 
     def connect(self, protocolFactory: Any) -> Any:  # noqa: N803
-        """Connect, and give the protocol that was asked for."""
+        """Connect and return the protocol that `protocolFactory` builds."""
         pending = self._endpoint.connect(CountedFactory(protocolFactory, self._tally))
         return pending.addCallback(lambda wrapper: wrapper.wrappedProtocol)
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -1,4 +1,4 @@
-"""The base of border models, and JSON in and out."""
+"""Base class of border models; encoding and decoding of JSON."""
 
 from typing import Any, TypeVar
 
@@ -7,22 +7,22 @@
 
 from kingcuppost.exception import Failure
 
-__all__ = ["BorderModel", "decode", "encode", "fault_text"]
+__all__ = ["BorderModel", "decode", "encode", "format_validation_error"]
 
 Model = TypeVar("Model", bound=BaseModel)
-FAULTS_SHOWN = 3
+MAX_ERRORS_SHOWN = 3
 
 _adapters: dict[type, TypeAdapter] = {}
 
 
 class BorderModel(BaseModel):
-    """A message from or to the outside; unknown fields are refused."""
+    """A message to or from another process; unknown fields are rejected."""
 
     model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
 def decode(model: type[Model], text: bytes, peer: str) -> Result[Model, Failure]:
-    """Return a validated model, or why the text is none.
+    """Return a validated model, or why the text is not valid.
 
     Parameters
     ----------
@@ -31,20 +31,20 @@
     text : bytes
         JSON text.
     peer : str
-        Who sent it.
+        Sender of the text.
     """
     try:
         return Ok(model.model_validate_json(text))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), "decode", peer))
+        return Error(Failure(format_validation_error(exc), "decode", peer))
 
 
-def fault_text(exc: ValidationError) -> str:
-    """Return the first faults of a validation in one line."""
+def format_validation_error(exc: ValidationError) -> str:
+    """Return the first errors of a validation in one line."""
     parts = []
-    for fault in exc.errors()[:FAULTS_SHOWN]:
-        place = ".".join(str(part) for part in fault["loc"]) or "body"
-        parts.append(f"{place}: {fault['msg']}")
+    for validation_error in exc.errors()[:MAX_ERRORS_SHOWN]:
+        location = ".".join(str(part) for part in validation_error["loc"]) or "body"
+        parts.append(f"{location}: {validation_error['msg']}")
     return "; ".join(parts)
 
 
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -1,4 +1,4 @@
-"""The settings file of a process, in TOML."""
+"""The settings file of a process, in TOML format."""
 
 import tomllib
 from ipaddress import ip_address
@@ -9,7 +9,7 @@
 from pydantic import AfterValidator, Field, ValidationError
 
 from kingcuppost.exception import Failure
-from kingcuppost.models.base import BorderModel, fault_text
+from kingcuppost.models.base import BorderModel, format_validation_error
 from kingcuppost.tables.config import (
     Address,
     EntryConfig,
@@ -22,7 +22,7 @@
 
 __all__ = ["FileModel", "read_config"]
 
-LARGEST_PORT = 65_535
+MAX_PORT = 65_535
 
 
 def _check_address(text: str) -> str:
@@ -30,9 +30,9 @@
     try:
         ip_address(host)
     except ValueError:
-        raise ValueError(f"{host!r} is no IP number") from None
-    if not port.isdigit() or int(port) > LARGEST_PORT:
-        raise ValueError(f"{port!r} is no port")
+        raise ValueError(f"{host!r} is not an IP address") from None
+    if not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"{port!r} is not a port number")
     return text
 
 
@@ -40,27 +40,27 @@
 NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
 
-def _address(text: str) -> Address:
+def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
 
 
 class LogModel(BorderModel):
-    """The platform's log."""
+    """Address of the shared log."""
 
     driver: str = "http"
     address: AddressText
 
 
 class EntryModel(BorderModel):
-    """Addresses of an entry."""
+    """Addresses at which an entry listens."""
 
     callers: AddressText
     operators: AddressText
 
 
 class WorkerModel(BorderModel):
-    """The worker beside a sidecar."""
+    """The worker of a sidecar, with its resources."""
 
     driver: str = "http"
     name: NameText
@@ -72,7 +72,7 @@
 
 
 class SidecarModel(BorderModel):
-    """The minion beside a sidecar."""
+    """The minion of a sidecar."""
 
     service: NameText
     minion: AddressText
@@ -83,7 +83,7 @@
 
 
 class FileModel(BorderModel):
-    """A whole settings file."""
+    """A complete settings file."""
 
     role: Role
     name: NameText
@@ -97,34 +97,36 @@
     entry: EntryModel | None = None
     sidecar: SidecarModel | None = None
 
-    def fault(self) -> str:
-        """Return why the tables do not fit the role; empty if they do."""
+    def check_fields(self) -> str:
+        """Return why the file's tables do not match the role; empty if they do."""
         if (self.role is Role.ENTRY) != (self.entry is not None):
-            return "entry: this table goes with role 'entry', and only with it"
+            return "entry: this table is required for, and only for, role 'entry'"
         if (self.role is Role.SIDECAR) != (self.sidecar is not None):
-            return "sidecar: this table goes with role 'sidecar', and only with it"
+            return "sidecar: this table is required for, and only for, role 'sidecar'"
         return ""
 
     def to_config(self) -> ProcessConfig:
-        """Return the settings as data classes."""
+        """Return the process configuration."""
         return ProcessConfig(
             self.role,
             self.name,
             self.availability_zone,
             self.region,
-            _address(self.peers),
-            LogConfig(self.log.driver, _address(self.log.address)),
+            _parse_address(self.peers),
+            LogConfig(self.log.driver, _parse_address(self.log.address)),
             self._entry_config(),
             self._sidecar_config(),
             self.seed,
             self.log_level,
-            _address(self.advertised) if self.advertised else None,
+            _parse_address(self.advertised) if self.advertised else None,
         )
 
     def _entry_config(self) -> EntryConfig | None:
         if self.entry is None:
             return None
-        return EntryConfig(_address(self.entry.callers), _address(self.entry.operators))
+        return EntryConfig(
+            _parse_address(self.entry.callers), _parse_address(self.entry.operators)
+        )
 
     def _sidecar_config(self) -> SidecarConfig | None:
         if self.sidecar is None:
@@ -132,24 +134,24 @@
         worker = self.sidecar.worker
         return SidecarConfig(
             self.sidecar.service,
-            _address(self.sidecar.minion),
+            _parse_address(self.sidecar.minion),
             self.sidecar.slots,
             self.sidecar.connections,
             WorkerConfig(
                 worker.driver,
                 worker.name,
                 worker.rack,
-                _address(worker.address),
+                _parse_address(worker.address),
                 worker.cores,
                 worker.memory_mb,
                 worker.accelerators,
             ),
-            _address(self.sidecar.operators),
+            _parse_address(self.sidecar.operators),
         )
 
 
 def read_config(path: str) -> Result[ProcessConfig, Failure]:
-    """Return the settings of a file, or why the file is refused whole.
+    """Return the configuration in a settings file, or why the file is rejected.
 
     Parameters
     ----------
@@ -165,7 +167,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
         return Error(Failure(str(exc), step))
     except ValidationError as exc:
-        return Error(Failure(fault_text(exc), step))
-    if reason := model.fault():
+        return Error(Failure(format_validation_error(exc), step))
+    if reason := model.check_fields():
         return Error(Failure(reason, step))
     return Ok(model.to_config())
--- a/kingcuppost/models/tests/test_examples.py
+++ b/kingcuppost/models/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The sample settings of both deployments are sound and have the stated sizes."""
+"""The sample settings files of both deployments are valid and have the stated sizes."""
 
 from collections import Counter
 from pathlib import Path
@@ -17,19 +17,19 @@
 @pytest.mark.parametrize(
     "path", FILES, ids=lambda path: f"{path.parent.name}-{path.stem}"
 )
-def test_sample_is_sound(path: Path) -> None:
+def test_sample_is_valid(path: Path) -> None:
     result = read_config(str(path))
     assert result.is_ok(), result
     assert result.ok.name == path.stem
 
 
-def configs(site: str) -> list[ProcessConfig]:
+def read_site_configs(site: str) -> list[ProcessConfig]:
     return [read_config(str(path)).ok for path in sorted((SAMPLES / site).iterdir())]
 
 
 @pytest.mark.parametrize("site", MEMORY_MB)
 def test_sample_has_the_sizes_of_the_deployment(site: str) -> None:
-    rows = configs(site)
+    rows = read_site_configs(site)
     roles = Counter(row.role for row in rows)
     assert roles == {Role.ENTRY: 3, Role.SIDECAR: 10}
     assert len({row.availability_zone for row in rows}) == 3
@@ -48,7 +48,7 @@
 def test_racks_do_not_span_zones(site: str) -> None:
     pairs = {
         (row.sidecar.worker.rack, row.availability_zone)
-        for row in configs(site)
+        for row in read_site_configs(site)
         if row.sidecar
     }
     assert len(pairs) == len({rack for rack, _ in pairs})
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -27,7 +27,7 @@
     StopRun,
 )
 from kingcuppost.exception import PeerError
-from kingcuppost.models.base import fault_text
+from kingcuppost.models.base import format_validation_error
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
@@ -112,7 +112,9 @@
         model = _HeartbeatModel.model_validate_json(request.content.read())
         address = parse_address(model.address)
     except ValidationError as exc:
-        context.world.note("minion", "A heartbeat is invalid.", reason=fault_text(exc))
+        context.world.note(
+            "minion", "A heartbeat is invalid.", reason=format_validation_error(exc)
+        )
         return None
     except ValueError as exc:
         context.world.note("minion", "A heartbeat is invalid.", reason=str(exc))
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -1,4 +1,4 @@
-"""Keys about the log, the scheduling lease and stopping."""
+"""Keys of the shared log, the scheduling lease and graceful stops."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
@@ -8,71 +8,72 @@
     SettingKey(
         "log.poll_wait_ms",
         2_000,
-        "How long a read may wait at the log for a new record.",
+        "How long the log may delay its answer to a read until there is a new record.",
         "ms",
-        least=10,
-        most=3_000,
+        minimum=10,
+        maximum=3_000,
     )
 )
 declare(
     SettingKey(
         "log.timeout_ms",
         10_000,
-        "How long an exchange with the log may take beyond its wait.",
+        "Timeout of an exchange with the log, in addition to the read's wait.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
     SettingKey(
         "log.late_ms",
         1_000,
-        "Silence of the log, beyond a wait, after which another exchange starts on a "
-        "new connection.",
+        "Time without an answer from the log, in addition to the read's wait, after "
+        "which another exchange is started on a new connection.",
         "ms",
-        least=50,
-        most=10_000,
+        minimum=50,
+        maximum=10_000,
     )
 )
 declare(
     SettingKey(
         "log.silent_ms",
         1_500,
-        "Silence of the log, beyond a wait, after which it counts as silent.",
+        "Time without an answer from the log, in addition to the read's wait, after "
+        "which the log is considered unresponsive.",
         "ms",
-        least=50,
-        most=60_000,
+        minimum=50,
+        maximum=60_000,
     )
 )
 declare(
     SettingKey(
         "log.group_ms",
         200,
-        "How long an append under way holds later records back, to group them.",
+        "How long a pending append delays later records, to send them as one group.",
         "ms",
-        least=0,
-        most=10_000,
+        minimum=0,
+        maximum=10_000,
     )
 )
 declare(
     SettingKey(
         "log.search_retry_ms",
         1_000,
-        "Pause before the log is searched again for a whole snapshot.",
+        "Pause before the log is searched again for a complete snapshot.",
         "ms",
-        least=10,
-        most=60_000,
+        minimum=10,
+        maximum=60_000,
     )
 )
 declare(
     SettingKey(
         "snapshot.records",
         20_000,
-        "Records behind the newest snapshot after which another is written.",
+        "Records since the newest snapshot after which another is written.",
         "records",
-        least=10,
-        most=1_000_000,
+        minimum=10,
+        maximum=1_000_000,
     )
 )
 declare(
@@ -82,77 +83,78 @@
         "Age of the newest snapshot at which another is written; keep it below a "
         "third of the log's retention.",
         "ms",
-        least=100,
-        most=604_800_000,
+        minimum=100,
+        maximum=604_800_000,
     )
 )
 declare(
     SettingKey(
         "log.fresh_ms",
         1_000,
-        "How old a read at the head may be for a task to start on it.",
+        "Maximum age of the read of the log's head on which a task's start is based.",
         "ms",
-        least=50,
-        most=2_000,
+        minimum=50,
+        maximum=2_000,
     )
 )
 declare(
     SettingKey(
         "log.retry_ms",
         200,
-        "Pause before a failed exchange with the log is tried again.",
+        "Pause before a failed exchange with the log is retried.",
         "ms",
-        least=10,
-        most=10_000,
+        minimum=10,
+        maximum=10_000,
     )
 )
 declare(
     SettingKey(
         "log.queue_limit",
         1_000,
-        "Records that may wait for the log in one process.",
+        "Maximum number of records that wait for the log in one process.",
         "records",
-        least=1,
-        most=100_000,
+        minimum=1,
+        maximum=100_000,
     )
 )
 declare(
     SettingKey(
         "operator.timeout_ms",
         5_000,
-        "How long an operator's change waits for its verdict.",
+        "How long an operator's change waits for its result.",
         "ms",
-        least=100,
-        most=60_000,
+        minimum=100,
+        maximum=60_000,
     )
 )
 declare(
     SettingKey(
         "lease.ping_ms",
         1_000,
-        "Period at which entries ask the holder of the scheduling lease.",
+        "Period at which entries check the holder of the scheduling lease.",
         "ms",
-        least=50,
-        most=10_000,
+        minimum=50,
+        maximum=10_000,
     )
 )
 declare(
     SettingKey(
         "lease.lost_ms",
         3_000,
-        "Silence of the holder after which another entry claims the lease.",
+        "Time without an answer from the holder after which another entry claims the "
+        "scheduling lease.",
         "ms",
-        least=200,
-        most=60_000,
+        minimum=200,
+        maximum=60_000,
     )
 )
 declare(
     SettingKey(
         "stop.bound_ms",
         30_000,
-        "Time within which a graceful stop is over.",
+        "Time limit of a graceful stop.",
         "ms",
-        least=100,
-        most=600_000,
+        minimum=100,
+        maximum=600_000,
     )
 )
