--- a/examples/no_socket.py
+++ b/examples/no_socket.py
@@ -8,7 +8,12 @@
 from kingcuppost.systems import run_tick, systems_of
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AppendDone, FoldedRecord, Propose, ReadDone
+from kingcuppost.tables.inbox import (
+    AppendAnswered,
+    ProposalRequest,
+    ReadAnswered,
+    StoredRecord,
+)
 from kingcuppost.tables.outbox import AppendRecords, ReadLog, Reply
 from kingcuppost.tables.record import Record, TeamPut
 from kingcuppost.tables.team import Shape
@@ -35,12 +40,12 @@
     if isinstance(message, AppendRecords):
         log.extend(message.records)
         ids = tuple(record.record_id for record in message.records)
-        world.inbox.put(AppendDone(ids, ok=True))
+        world.inbox.put(AppendAnswered(ids, ok=True))
     elif isinstance(message, ReadLog):
         new = enumerate(log[message.after :], message.after + 1)
-        rows = tuple(FoldedRecord(offset, record) for offset, record in new)
+        rows = tuple(StoredRecord(offset, record) for offset, record in new)
         head = len(log)
-        world.inbox.put(ReadDone(message.read_id, True, rows, head, 1, head))
+        world.inbox.put(ReadAnswered(message.read_id, True, rows, head, 1, head))
     elif isinstance(message, Reply):
         print(message.status, message.body)
 
@@ -54,7 +59,7 @@
     for tick in range(TICKS):
         if tick == TICKS // 2:
             body = TeamPut("design", (Shape(2, 4),), 0, base_offset=0)
-            world.inbox.put(Propose("exchange-1", "ilze", body))
+            world.inbox.put(ProposalRequest("exchange-1", "ilze", body))
         run_tick(world, systems, clock.now_ms())
         for message in world.outbox.take_all():
             answer(world, log, message)
--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -15,7 +15,7 @@
     print_failure,
 )
 from kingcuppost.exception import Failure
-from kingcuppost.programs.command import Exchange, exchange_all
+from kingcuppost.programs.command_requests import CommandRequest, send_requests
 from kingcuppost.tables.request import Outcome
 
 __all__ = ["print_answer", "send", "send_to"]
@@ -63,7 +63,9 @@
 ) -> int:
     """Send one request to an address and print the answer."""
     text = json.dumps(body).encode("utf-8") if body is not None else b""
-    result = exchange_all([Exchange(method, path, parse_address(address), text)])[0]
+    result = send_requests(
+        [CommandRequest(method, path, parse_address(address), text)]
+    )[0]
     if result.is_error():
         return _print_silence(result.error, method)
     return print_answer(result.ok.status, result.ok.body, as_json, show)
--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -28,7 +28,7 @@
 @pytest.fixture
 def peer(monkeypatch: pytest.MonkeyPatch) -> Peer:
     fake = Peer(Ok(Response(200, json.dumps(ACCEPTED).encode())))
-    monkeypatch.setattr(client, "exchange_all", fake)
+    monkeypatch.setattr(client, "send_requests", fake)
     return fake
 
 
@@ -267,14 +267,14 @@
     fleet = {"entries": [], "minions": [{"host": "10.0.0.9", "operator_port": 81}]}
     asked = []
 
-    def exchange_then(first: Any, follow: Any) -> list[Any]:
+    def send_with_follow_ups(first: Any, follow: Any) -> list[Any]:
         answer = Ok(Response(200, json.dumps(fleet).encode()))
         asked.extend(str(item.address) for item in follow(answer))
         other = {**EVENT, "sequence": 2, "team": "sales"}
         events = Ok(Response(200, json.dumps({"events": [EVENT, other]}).encode()))
         return [answer, events, Error(Failure("refused", "connect", "10.0.0.9:81"))]
 
-    monkeypatch.setattr(timeline, "exchange_then", exchange_then)
+    monkeypatch.setattr(timeline, "send_with_follow_ups", send_with_follow_ups)
     assert main(["timeline", "--team", "design", "--json"]) == 0
     printed = capsys.readouterr()
     assert asked == ["127.0.0.1:7301", "10.0.0.9:81"]
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -21,7 +21,11 @@
 from kingcuppost.exception import Failure, InvalidInputError
 from kingcuppost.models import decode
 from kingcuppost.models.events import EventListModel
-from kingcuppost.programs.command import Exchange, Outcomes, exchange_then
+from kingcuppost.programs.command_requests import (
+    CommandRequest,
+    RequestResults,
+    send_with_follow_ups,
+)
 from kingcuppost.systems.views.merge import merge_events
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.event import Event
@@ -100,14 +104,17 @@
     ]
 
 
-def _follow(entry: Address, more: list[Address], answer: Result) -> list[Exchange]:
+def _follow(
+    entry: Address, more: list[Address], answer: Result
+) -> list[CommandRequest]:
     """Return the questions to all processes that are known by now."""
     addresses = [entry, *more]
     if answer.is_ok() and answer.ok.status == STATUS_OK:
         addresses += addresses_of(json.loads(answer.ok.body))
     unique = list(dict.fromkeys(addresses))
     return [
-        Exchange("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS) for item in unique
+        CommandRequest("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS)
+        for item in unique
     ]
 
 
@@ -118,8 +125,8 @@
     more = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
-    first = Exchange("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
-    answers = exchange_then(first, lambda answer: _follow(entry, more, answer))
+    first = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
+    answers = send_with_follow_ups(first, lambda answer: _follow(entry, more, answer))
     events = _read_events(answers)
     if events is None:
         return EXIT_FAILED
@@ -130,7 +137,7 @@
     return EXIT_OK
 
 
-def _read_events(answers: Outcomes) -> list[Event] | None:
+def _read_events(answers: RequestResults) -> list[Event] | None:
     """Return all events; name the processes that do not answer."""
     fleet, *rest = answers
     if fleet.is_error():
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -6,7 +6,7 @@
 from kingcuppost.exception import PeerError
 from kingcuppost.models import decode, encode
 from kingcuppost.models.log import AppendModel, ReadModel, text_of, to_read_done
-from kingcuppost.tables.inbox import AppendDone, ReadDone
+from kingcuppost.tables.inbox import AppendAnswered, ReadAnswered
 from kingcuppost.tables.outbox import AppendRecords, ReadLog
 
 __all__ = ["HttpLog"]
@@ -38,7 +38,7 @@
             f"&limit={RECORDS_PER_READ}"
         )
 
-        async def work() -> ReadDone:
+        async def work() -> ReadAnswered:
             response = await client.exchange(
                 "GET", self._address, path, b"", row.timeout_ms
             )
@@ -49,8 +49,8 @@
                 raise PeerError(parsed.error.reason, "read", "log")
             return to_read_done(row.read_id, parsed.ok)
 
-        def failed(exc: PeerError) -> ReadDone:
-            return ReadDone(row.read_id, False, reason=str(exc))
+        def failed(exc: PeerError) -> ReadAnswered:
+            return ReadAnswered(row.read_id, False, reason=str(exc))
 
         run(self._context, work(), failed)
 
@@ -60,16 +60,18 @@
         record_ids = tuple(record.record_id for record in row.records)
         model = AppendModel(values=[text_of(record) for record in row.records])
 
-        async def work() -> AppendDone:
+        async def work() -> AppendAnswered:
             response = await client.exchange(
                 "POST", self._address, "/v1/records", encode(model), row.timeout_ms
             )
             ok = response.status == STATUS_OK
-            return AppendDone(record_ids, ok, "" if ok else f"status {response.status}")
+            return AppendAnswered(
+                record_ids, ok, "" if ok else f"status {response.status}"
+            )
 
-        def failed(exc: PeerError) -> AppendDone:
+        def failed(exc: PeerError) -> AppendAnswered:
             never_sent = exc.step == "connect"
-            return AppendDone(record_ids, False, str(exc), never_sent)
+            return AppendAnswered(record_ids, False, str(exc), never_sent)
 
         run(self._context, work(), failed)
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -20,9 +20,9 @@
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.inbox import (
-    AttemptDone,
+    AttemptAnswered,
     GangReplyArrived,
-    HeartbeatDone,
+    HeartbeatAnswered,
     HolderAnswered,
     MinionAnswered,
 )
@@ -95,7 +95,7 @@
 def send_attempt(context: EdgeContext, row: SendAttempt) -> None:
     """Send an attempt; only a failed connection proves that it did not run."""
 
-    async def work() -> AttemptDone:
+    async def work() -> AttemptAnswered:
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
         reply = await post(
@@ -103,8 +103,8 @@
         )
         return reply.to_message(row)
 
-    def failed(exc: PeerError) -> AttemptDone:
-        return AttemptDone(
+    def failed(exc: PeerError) -> AttemptAnswered:
+        return AttemptAnswered(
             row.attempt_id,
             row.minion,
             "",
@@ -143,7 +143,7 @@
 def send_heartbeat(context: EdgeContext, row: SendHeartbeat) -> None:
     """Send a heartbeat to an entry."""
 
-    async def work() -> HeartbeatDone:
+    async def work() -> HeartbeatAnswered:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
         reply = await post(
@@ -154,9 +154,9 @@
             HeartbeatReplyModel,
             row.timeout_ms,
         )
-        return HeartbeatDone(row.entry, True, "", reply.folded_offset)
+        return HeartbeatAnswered(row.entry, True, "", reply.folded_offset)
 
-    run(context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc)))
+    run(context, work(), lambda exc: HeartbeatAnswered(row.entry, False, str(exc)))
 
 
 @senders.register(SendGangReports)
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -25,7 +25,7 @@
     HolderModel,
 )
 from kingcuppost.systems.views import views
-from kingcuppost.tables.inbox import Propose, ShowView
+from kingcuppost.tables.inbox import ProposalRequest, ViewRequest
 
 __all__ = ["Call", "Route", "find_route", "route", "routes"]
 
@@ -133,7 +133,9 @@
 def _change(call: Call, model: type, *arguments: str) -> Result[Any, Failure]:
     parsed = decode(model, call.body, call.peer)
     return parsed.map(
-        lambda item: Propose(call.exchange_id, item.operator, item.to_body(*arguments))
+        lambda item: ProposalRequest(
+            call.exchange_id, item.operator, item.to_body(*arguments)
+        )
     )
 
 
@@ -178,7 +180,7 @@
 
     def show(call: Call) -> Result[Any, Failure]:
         argument = call.names.get(parameter) or call.query.get(parameter, "")
-        return Ok(ShowView(call.exchange_id, view, argument))
+        return Ok(ViewRequest(call.exchange_id, view, argument))
 
     show.__doc__ = views[view].__doc__
     route(OPERATORS, "GET", path)(show)
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -13,7 +13,7 @@
 from kingcuppost.systems import run_tick, systems_of
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import Propose
+from kingcuppost.tables.inbox import ProposalRequest
 from kingcuppost.tables.outbox import AppendRecords, Reply
 
 NOWHERE = Address("127.0.0.1", 0)
@@ -101,13 +101,18 @@
         world.inbox.put(parsed.ok)
     run_tick(world, systems_of(Role.ENTRY), 1_000)
     assert len(world.agreed.teams) == len(world.agreed.settings) == 0
-    if isinstance(parsed.ok, Propose):
+    if isinstance(parsed.ok, ProposalRequest):
         sent = list(world.outbox.take_all())
         kinds = {type(message) for message in sent}
         assert kinds & {Reply, AppendRecords}
 
 
-ENTRY_MESSAGES = {"Propose", "CallerRequest", "HeartbeatArrived", "HolderAsked"}
+ENTRY_MESSAGES = {
+    "ProposalRequest",
+    "CallerRequest",
+    "HeartbeatArrived",
+    "HolderProbeArrived",
+}
 
 
 @pytest.mark.parametrize(
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -12,7 +12,7 @@
     StartModel,
     TaskListModel,
 )
-from kingcuppost.tables.inbox import WorkerDone
+from kingcuppost.tables.inbox import WorkerAnswered
 from kingcuppost.tables.outbox import (
     CheckpointTask,
     RenewTasks,
@@ -43,21 +43,21 @@
     def order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
         """Post an order and deliver the worker's answer."""
 
-        async def work() -> WorkerDone:
+        async def work() -> WorkerAnswered:
             response = await self._context.client.exchange(
                 "POST", self._address, f"/v1/{name}", encode(model), timeout_ms
             )
             if response.status != STATUS_OK:
                 reason = response.body.decode("utf-8", "replace")
-                return WorkerDone(name, task_id, False, reason=reason)
+                return WorkerAnswered(name, task_id, False, reason=reason)
             parsed = decode(TaskListModel, response.body, "worker")
             if parsed.is_error():
                 raise PeerError(parsed.error.reason, name, "worker")
             tasks = tuple(item.to_row() for item in parsed.ok.tasks)
-            return WorkerDone(name, task_id, True, tasks)
+            return WorkerAnswered(name, task_id, True, tasks)
 
-        def failed(exc: PeerError) -> WorkerDone:
-            return WorkerDone(name, task_id, False, reason=str(exc))
+        def failed(exc: PeerError) -> WorkerAnswered:
+            return WorkerAnswered(name, task_id, False, reason=str(exc))
 
         run(self._context, work(), failed)
 
--- a/kingcuppost/exception.py
+++ b/kingcuppost/exception.py
@@ -30,8 +30,8 @@
         self.peer = peer
 
     def __str__(self) -> str:
-        place = " ".join(part for part in (self.step, self.peer) if part)
-        return f"{place}: {self.reason}" if place else self.reason
+        origin = " ".join(part for part in (self.step, self.peer) if part)
+        return f"{origin}: {self.reason}" if origin else self.reason
 
 
 class InvalidInputError(KingcuppostError):
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from kingcuppost.models.base import encode
-from kingcuppost.tables.inbox import FoldedRecord, ReadDone
+from kingcuppost.tables.inbox import ReadAnswered, StoredRecord
 from kingcuppost.tables.record import Record, RecordBody
 
 __all__ = ["AppendModel", "ReadModel", "record_of", "to_read_done"]
@@ -71,12 +71,12 @@
     return Record(model.record_id, model.author, model.wall_ms, body, model.seen_offset)
 
 
-def to_read_done(read_id: str, model: ReadModel) -> ReadDone:
+def to_read_done(read_id: str, model: ReadModel) -> ReadAnswered:
     """Return the inbox message; texts that are no records are passed over."""
     records = []
     for item in model.records:
         record = record_of(item.value)
         if record is not None:
-            records.append(FoldedRecord(item.offset, record))
+            records.append(StoredRecord(item.offset, record))
     end = model.records[-1].offset if model.records else 0
-    return ReadDone(read_id, True, tuple(records), model.head, model.earliest, end)
+    return ReadAnswered(read_id, True, tuple(records), model.head, model.earliest, end)
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -4,13 +4,13 @@
 
 from kingcuppost.models.base import BorderModel
 from kingcuppost.tables.inbox import (
+    AttemptAnswered,
     AttemptArrived,
-    AttemptDone,
     GangReplyArrived,
     GangReportArrived,
     HeartbeatArrived,
     HolderAnswered,
-    HolderAsked,
+    HolderProbeArrived,
 )
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.outbox import (
@@ -128,14 +128,14 @@
     reason: str = ""
     running: bool = False
 
-    def to_message(self, row: SendAttempt) -> AttemptDone:
+    def to_message(self, row: SendAttempt) -> AttemptAnswered:
         """Return the inbox message; a crossed answer counts as none."""
         if self.attempt_id != row.attempt_id:
             reason = "the answer belongs to another attempt"
-            return AttemptDone(
+            return AttemptAnswered(
                 row.attempt_id, row.minion, "", Outcome.UNKNOWN, reason=reason
             )
-        return AttemptDone(
+        return AttemptAnswered(
             row.attempt_id,
             row.minion,
             self.incarnation,
@@ -228,9 +228,9 @@
 
     entry: str
 
-    def to_message(self, exchange_id: str) -> HolderAsked:
+    def to_message(self, exchange_id: str) -> HolderProbeArrived:
         """Return the inbox message."""
-        return HolderAsked(exchange_id, self.entry)
+        return HolderProbeArrived(exchange_id, self.entry)
 
 
 class HolderReplyModel(BorderModel):
--- a/kingcuppost/programs/command.py
+++ b/kingcuppost/programs/command_requests.py
@@ -12,13 +12,13 @@
 from kingcuppost.exception import Failure, PeerError
 from kingcuppost.tables.config import Address
 
-__all__ = ["Exchange", "Outcomes", "exchange_all", "exchange_then"]
+__all__ = ["CommandRequest", "RequestResults", "send_requests", "send_with_follow_ups"]
 
-EXCHANGES_AT_ONCE = 32
+MAX_CONCURRENT_REQUESTS = 32
 
 
 @dataclass(frozen=True, slots=True)
-class Exchange:
+class CommandRequest:
     """A request that a command sends.
 
     Attributes
@@ -40,31 +40,32 @@
     timeout_ms: int = 15_000
 
 
-Outcomes = list[Result[Response, Failure]]
+RequestResults = list[Result[Response, Failure]]
 
 
-def exchange_all(exchanges: list[Exchange]) -> Outcomes:
+def send_requests(requests: list[CommandRequest]) -> RequestResults:
     """Send requests side by side and return their responses in order.
 
-    Runs the reactor; a process calls this or `exchange_then` once.
+    Runs the reactor; a process calls this or `send_with_follow_ups` once.
     """
 
-    async def work(client: JsonClient) -> Outcomes:
-        return await _send(client, exchanges)
+    async def send(client: JsonClient) -> RequestResults:
+        return await _send_concurrently(client, requests)
 
-    return _run(work)
+    return _run_in_reactor(send)
 
 
-def exchange_then(
-    first: Exchange, follow: Callable[[Result[Response, Failure]], list[Exchange]]
-) -> Outcomes:
+def send_with_follow_ups(
+    first: CommandRequest,
+    make_follow_ups: Callable[[Result[Response, Failure]], list[CommandRequest]],
+) -> RequestResults:
     """Send one request, then those that its response leads to.
 
     Parameters
     ----------
     first : Exchange
         Sent first.
-    follow : callable
+    make_follow_ups : callable
         Makes the further requests from the first response.
 
     Returns
@@ -73,19 +74,19 @@
         The first response, then the further ones in order.
     """
 
-    async def work(client: JsonClient) -> Outcomes:
-        answer = await _one(client, first)
-        return [answer, *await _send(client, follow(answer))]
+    async def send(client: JsonClient) -> RequestResults:
+        response = await _send_one(client, first)
+        return [response, *await _send_concurrently(client, make_follow_ups(response))]
 
-    return _run(work)
+    return _run_in_reactor(send)
 
 
-def _run(work: Callable[[JsonClient], Any]) -> Outcomes:
-    results: Outcomes = []
+def _run_in_reactor(send: Callable[[JsonClient], Any]) -> RequestResults:
+    results: RequestResults = []
 
     async def run_and_close() -> None:
         client = JsonClient(reactor)
-        results.extend(await work(client))
+        results.extend(await send(client))
         await client.close()
 
     def start() -> None:
@@ -102,20 +103,30 @@
     return result
 
 
-async def _send(client: JsonClient, exchanges: list[Exchange]) -> Outcomes:
+async def _send_concurrently(
+    client: JsonClient, requests: list[CommandRequest]
+) -> RequestResults:
     """Send requests, a bounded number at a time."""
-    places = DeferredSemaphore(EXCHANGES_AT_ONCE)
+    semaphore = DeferredSemaphore(MAX_CONCURRENT_REQUESTS)
     pending = [
-        places.run(lambda item=item: ensureDeferred(_one(client, item)))
-        for item in exchanges
+        semaphore.run(
+            lambda request=request: ensureDeferred(_send_one(client, request))
+        )
+        for request in requests
     ]
     return await gatherResults(pending)
 
 
-async def _one(client: JsonClient, item: Exchange) -> Result[Response, Failure]:
+async def _send_one(
+    client: JsonClient, request: CommandRequest
+) -> Result[Response, Failure]:
     try:
         response = await client.exchange(
-            item.method, item.address, item.path, item.body, item.timeout_ms
+            request.method,
+            request.address,
+            request.path,
+            request.body,
+            request.timeout_ms,
         )
     except PeerError as exc:
         return Error(Failure(exc.reason, exc.step, exc.peer))
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -117,7 +117,7 @@
 def _is_idle(world: World) -> bool:
     open_work = len(world.requests) + len(world.attempts)
     for state in (ServedState.WAITING, ServedState.RUNNING):
-        open_work += world.served.count("state", state)
+        open_work += world.served_attempts.count("state", state)
     return open_work == 0
 
 
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -18,7 +18,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreed_rows import RecentRecord
 from kingcuppost.tables.agreement import FoldResult, PendingRead
-from kingcuppost.tables.inbox import FoldedRecord, ReadDone
+from kingcuppost.tables.inbox import ReadAnswered, StoredRecord
 from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
@@ -36,7 +36,7 @@
 
     Several reads may be pending; records that were already folded are skipped.
     """
-    for done in world.inbox.take(ReadDone):
+    for done in world.inbox.take(ReadAnswered):
         read = world.log_view.reads.pop(done.read_id, None)
         if read is None:
             continue
@@ -66,7 +66,9 @@
             del reads[read_id]
 
 
-def _fold_read(world: World, done: ReadDone, read: PendingRead, now_ms: int) -> None:
+def _fold_read(
+    world: World, done: ReadAnswered, read: PendingRead, now_ms: int
+) -> None:
     view = world.log_view
     for item in done.records:
         _fold_record(world, item)
@@ -74,7 +76,7 @@
     _update_head(world, done, read.sent_ms, now_ms)
 
 
-def _schedule_retry(world: World, done: ReadDone, now_ms: int) -> None:
+def _schedule_retry(world: World, done: ReadAnswered, now_ms: int) -> None:
     """Delay the next read, with exponential backoff and jitter.
 
     The jitter keeps processes that lost the log at the same time from all
@@ -89,7 +91,7 @@
     note(world, "log.read", f"Read failed: {done.reason}.")
 
 
-def _update_head(world: World, done: ReadDone, sent_ms: int, now_ms: int) -> None:
+def _update_head(world: World, done: ReadAnswered, sent_ms: int, now_ms: int) -> None:
     view = world.log_view
     view.head_offset = max(done.head, view.head_offset)
     if view.folded_offset < done.head:
@@ -101,7 +103,9 @@
     if not view.caught_up:
         view.caught_up = True
         view.searched = False
-        world.snapshots.wall_ms = world.snapshots.wall_ms or world.clock.wall_ms()
+        world.snapshot_progress.wall_ms = (
+            world.snapshot_progress.wall_ms or world.clock.wall_ms()
+        )
         note(
             world,
             "log.follow",
@@ -109,7 +113,7 @@
         )
 
 
-def _fold_record(world: World, item: FoldedRecord) -> None:
+def _fold_record(world: World, item: StoredRecord) -> None:
     view = world.log_view
     if item.offset <= view.folded_offset:
         return
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -8,7 +8,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import FoldResult, Proposal, ProposalState
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import Propose
+from kingcuppost.tables.inbox import ProposalRequest
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.tables.replies import ChangeAccepted, ChangeRefused
@@ -97,7 +97,7 @@
 def handle_proposal_requests(world: World, now_ms: int) -> None:
     """Check the records that operators and callers request, and queue them."""
     timeout_ms = effective_value(world.agreed, "operator.timeout_ms")
-    for request in world.inbox.take(Propose):
+    for request in world.inbox.take(ProposalRequest):
         body = fill_in_defaults(world, request.body)
         rejection = check_body(world.agreed, body)
         if not world.log_view.caught_up:
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -4,7 +4,7 @@
 from kingcuppost.systems.events import note
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import Proposal, ProposalState
-from kingcuppost.tables.inbox import AppendDone
+from kingcuppost.tables.inbox import AppendAnswered
 from kingcuppost.tables.outbox import AppendRecords
 from kingcuppost.tables.record import RecordBody, SnapshotPart
 from kingcuppost.tables.world import World
@@ -105,7 +105,7 @@
 
 def _handle_append_results(world: World, now_ms: int) -> None:
     """Mark the records of confirmed appends; queue those of failed appends again."""
-    for done in world.inbox.take(AppendDone):
+    for done in world.inbox.take(AppendAnswered):
         world.log_view.appends.pop(done.record_ids[0], None)
         if not done.ok:
             note(world, "log.append", f"Append not confirmed: {done.reason}.")
@@ -116,7 +116,7 @@
 
 
 def _handle_append_result(
-    world: World, row: Proposal, done: AppendDone, now_ms: int
+    world: World, row: Proposal, done: AppendAnswered, now_ms: int
 ) -> None:
     if done.ok:
         world.proposals.update(
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -4,7 +4,7 @@
 from kingcuppost.systems.events import note
 from kingcuppost.systems.fold import load_slices
 from kingcuppost.tables.agreement import FoldResult, LogView, SnapshotSearch
-from kingcuppost.tables.inbox import ReadDone
+from kingcuppost.tables.inbox import ReadAnswered
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
@@ -14,7 +14,7 @@
 SEARCH_WINDOW_RECORDS = 200
 
 
-def is_search_due(world: World, done: ReadDone) -> bool:
+def is_search_due(world: World, done: ReadAnswered) -> bool:
     """Return whether the next records have expired, or are too many to fold."""
     view = world.log_view
     if _has_expired_records(view, done.earliest):
@@ -26,7 +26,7 @@
     return view.folded_offset + 1 < earliest
 
 
-def begin_search(world: World, done: ReadDone, now_ms: int) -> None:
+def begin_search(world: World, done: ReadAnswered, now_ms: int) -> None:
     """Start a search for a snapshot, backwards from the head.
 
     If the next record has expired, this process is neither caught up nor fresh
@@ -49,7 +49,7 @@
     return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def handle_search_read(world: World, done: ReadDone, now_ms: int) -> None:
+def handle_search_read(world: World, done: ReadAnswered, now_ms: int) -> None:
     """Collect the parts in one window; load a complete snapshot or search on."""
     view = world.log_view
     search = view.search
@@ -65,7 +65,7 @@
         _end_search(world, search, now_ms)
 
 
-def _collect_parts(search: SnapshotSearch, done: ReadDone) -> None:
+def _collect_parts(search: SnapshotSearch, done: ReadAnswered) -> None:
     for item in done.records:
         body = item.record.body
         if isinstance(body, SnapshotPart):
@@ -95,7 +95,7 @@
     view.folded_offset = parts[0].covers
     view.search = None
     view.searched = True
-    world.snapshots.covers = parts[0].covers
+    world.snapshot_progress.covers = parts[0].covers
     _resolve_proposals(world)
     note(world, "log.snapshot", f"Loaded the snapshot at offset {parts[0].covers}.")
 
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -8,7 +8,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.agreement import FoldResult
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import FoldedRecord
+from kingcuppost.tables.inbox import StoredRecord
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 from kingcuppost.utils.identifiers import new_identifier
@@ -19,9 +19,9 @@
 MAX_INCOMPLETE_SNAPSHOTS = 4
 
 
-def track_snapshot_part(world: World, item: FoldedRecord) -> None:
+def track_snapshot_part(world: World, item: StoredRecord) -> None:
     """Record a part that is in the log, and its snapshot once that is complete."""
-    progress = world.snapshots
+    progress = world.snapshot_progress
     part = item.record.body
     if item.record.record_id in world.proposals:
         world.fold_results[item.record.record_id] = FoldResult(True, item.offset)
@@ -48,7 +48,7 @@
     A process that loses the scheduling lease drops its draft; readers ignore
     incomplete snapshots.
     """
-    progress = world.snapshots
+    progress = world.snapshot_progress
     if not is_scheduler(world) or not world.log_view.caught_up:
         progress.draft.clear()
         return
@@ -64,7 +64,7 @@
 
     An idle system writes snapshots too, since they expire as other records do.
     """
-    progress = world.snapshots
+    progress = world.snapshot_progress
     records = world.log_view.folded_offset - progress.covers
     age_ms = world.clock.wall_ms() - progress.wall_ms
     if records >= effective_value(world.agreed, "snapshot.records"):
@@ -78,7 +78,7 @@
     slices = slices_of(world.agreed)
     for index, rows in enumerate(slices):
         part = SnapshotPart(snapshot_id, covers, index, len(slices), rows)
-        world.snapshots.draft.append(part)
+        world.snapshot_progress.draft.append(part)
     note(
         world,
         "snapshot.write",
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -10,7 +10,12 @@
 from kingcuppost.systems.registry import run_tick
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AppendDone, FoldedRecord, Propose, ReadDone
+from kingcuppost.tables.inbox import (
+    AppendAnswered,
+    ProposalRequest,
+    ReadAnswered,
+    StoredRecord,
+)
 from kingcuppost.tables.outbox import AppendRecords, AskHolder, ReadLog, Reply
 from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.utils.clock import ManualClock
@@ -38,14 +43,16 @@
         del self.texts[:drop]
         self.first += drop
 
-    def read(self, row: ReadLog, limit: int = RECORDS_PER_READ) -> ReadDone:
+    def read(self, row: ReadLog, limit: int = RECORDS_PER_READ) -> ReadAnswered:
         start = max(row.after + 1, self.first)
         texts = self.texts[start - self.first :][:limit]
         records = []
         for index, text in enumerate(texts):
-            records.append(FoldedRecord(start + index, record_of(text)))
+            records.append(StoredRecord(start + index, record_of(text)))
         end = records[-1].offset if records else 0
-        return ReadDone(row.read_id, True, tuple(records), self.head, self.first, end)
+        return ReadAnswered(
+            row.read_id, True, tuple(records), self.head, self.first, end
+        )
 
     def kinds(self) -> list[str]:
         return [record_of(text).body.kind for text in self.texts]
@@ -112,7 +119,7 @@
             self.log.append(row.records)
             ids = tuple(record.record_id for record in row.records)
             reason = "timeout" if lost else ""
-            self.world.inbox.put(AppendDone(ids, not lost, reason))
+            self.world.inbox.put(AppendAnswered(ids, not lost, reason))
         self.tick()
 
     def answer_appends_with(self, append: Callable[[tuple[Record, ...]], None]) -> None:
@@ -121,7 +128,7 @@
         for row in appends:
             append(row.records)
             ids = tuple(record.record_id for record in row.records)
-            self.world.inbox.put(AppendDone(ids, True))
+            self.world.inbox.put(AppendAnswered(ids, True))
         self.tick()
 
     def settle(self, rounds: int = 200) -> None:
@@ -139,4 +146,4 @@
         raise AssertionError("the entry does not settle")
 
     def request_change(self, exchange_id: str, body: RecordBody) -> None:
-        self.tick(Propose(exchange_id, "ilze", body))
+        self.tick(ProposalRequest(exchange_id, "ilze", body))
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -2,7 +2,7 @@
 
 from kingcuppost.systems.agreement import is_following, is_fresh, request_barrier
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.tables.inbox import Propose, ReadDone
+from kingcuppost.tables.inbox import ProposalRequest, ReadAnswered
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import ANY_OFFSET, JobSubmit, SettingPut, TeamPut
 from kingcuppost.utils.clock import ManualClock
@@ -133,7 +133,7 @@
     entry: FakeEntry, clock: ManualClock
 ) -> None:
     row = entry.reads.pop()
-    entry.tick(ReadDone(row.read_id, False, reason="refused"))
+    entry.tick(ReadAnswered(row.read_id, False, reason="refused"))
     assert entry.reads == []
     clock.advance(200)
     entry.tick()
@@ -147,7 +147,7 @@
     for seed in range(20):
         entry = FakeEntry(f"entry-{seed}", log, clock, seed)
         for _ in range(6):
-            entry.tick(*[ReadDone(row.read_id, False) for row in entry.reads])
+            entry.tick(*[ReadAnswered(row.read_id, False) for row in entry.reads])
             entry.reads.clear()
             pauses.append(entry.world.log_view.next_read_ms - clock.now_ms())
             clock.advance(2_000)
@@ -162,7 +162,7 @@
     entry.request_change("t", TeamPut("design", (), 0, ANY_OFFSET))
     entry.settle()
     job = JobSubmit("plan", "design", 1, 0, 1, 1, Urgency.INTERACTIVE, 0, "{}")
-    entry.tick(Propose("j", "ilze", job))
+    entry.tick(ProposalRequest("j", "ilze", job))
     entry.answer_appends()
     waiting = [row for row in entry.reads if row.wait_ms][0]
     entry.reads.clear()
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -13,7 +13,7 @@
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, record_rules
 from kingcuppost.systems.fold import snapshot_slices as fold_snapshot
-from kingcuppost.tables.inbox import AppendDone
+from kingcuppost.tables.inbox import AppendAnswered
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import (
     ANY_OFFSET,
@@ -193,7 +193,7 @@
         if fate == "later":
             self.delayed.append(row.records)
         else:
-            entry.tick(AppendDone(ids, fate == "ok", fate))
+            entry.tick(AppendAnswered(ids, fate == "ok", fate))
 
     @rule(again=st.booleans())
     def deliver_delayed(self, again: bool) -> None:
--- a/kingcuppost/systems/agreement/tests/test_propose.py
+++ b/kingcuppost/systems/agreement/tests/test_propose.py
@@ -3,7 +3,7 @@
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold import load_slices, record_rules, slices_of
 from kingcuppost.tables.agreement import ProposalState
-from kingcuppost.tables.inbox import AppendDone, Propose
+from kingcuppost.tables.inbox import AppendAnswered, ProposalRequest
 from kingcuppost.tables.record import ANY_OFFSET, SettingPut, TeamPut
 from kingcuppost.utils.clock import ManualClock
 
@@ -35,7 +35,7 @@
     appends, entry.appends = entry.appends, []
     for row in appends:
         ids = tuple(record.record_id for record in row.records)
-        entry.tick(AppendDone(ids, False, "refused", never_sent))
+        entry.tick(AppendAnswered(ids, False, "refused", never_sent))
 
 
 def outcome(entry: FakeEntry, exchange_id: str) -> tuple[int, str]:
@@ -166,7 +166,7 @@
         for row in entry.appends:
             log.append(row.records)
             ids = tuple(record.record_id for record in row.records)
-            sent.append((now_ms + delay_ms, AppendDone(ids, True)))
+            sent.append((now_ms + delay_ms, AppendAnswered(ids, True)))
         entry.appends.clear()
         for row in list(entry.reads):
             if not row.wait_ms or row.after < log.head:
@@ -217,7 +217,7 @@
     log: FakeLog, clock: ManualClock
 ) -> None:
     entry = FakeEntry("entry-0", log, clock)
-    entry.tick(Propose("w", "ilze", team("design")))
+    entry.tick(ProposalRequest("w", "ilze", team("design")))
     assert outcome(entry, "w") == (503, "not_run")
 
 
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -111,8 +111,8 @@
     clock.advance(HOUR_MS)
     other.tick()
     other.answer_reads()
-    assert not other.world.snapshots.draft
-    assert not other.world.snapshots.pending
+    assert not other.world.snapshot_progress.draft
+    assert not other.world.snapshot_progress.pending
 
 
 def test_new_process_loads_the_newest_complete_snapshot_and_later_records(
@@ -215,7 +215,7 @@
     kinds = log.kinds()
     assert kinds.count("snapshot_part") >= 5
     assert max(sizes) <= 4
-    assert entry.world.snapshots.covers > 900
+    assert entry.world.snapshot_progress.covers > 900
     texts = [text for text in log.texts if '"snapshot_part"' in text]
     assert max(len(text) for text in texts) < 64_000
 
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -15,7 +15,7 @@
 from kingcuppost.tables.fleet import Entry, MemberState
 from kingcuppost.tables.heartbeat import PendingHeartbeat
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import HeartbeatDone
+from kingcuppost.tables.inbox import HeartbeatAnswered
 from kingcuppost.tables.outbox import SendHeartbeat
 from kingcuppost.tables.task import MemberReport, MemberTask
 from kingcuppost.tables.world import World
@@ -141,7 +141,7 @@
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=30)
 def handle_heartbeat_replies(world: World, now_ms: int) -> None:
     """Record which entries answered, and which reports they acknowledged."""
-    for done in world.inbox.take(HeartbeatDone):
+    for done in world.inbox.take(HeartbeatAnswered):
         heartbeat = world.pending_heartbeats.delete(done.entry)
         if heartbeat is None:
             continue
@@ -157,7 +157,9 @@
             _delay_reports(world, now_ms, pause_ms)
 
 
-def _track_unresponsive_entry(world: World, done: HeartbeatDone, now_ms: int) -> None:
+def _track_unresponsive_entry(
+    world: World, done: HeartbeatAnswered, now_ms: int
+) -> None:
     """Record whether an entry answered; if not, try another home soon."""
     view = world.heartbeat_view
     others = tuple(name for name in view.unresponsive if name != done.entry)
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -19,7 +19,7 @@
 from kingcuppost.systems.members.stopping import order_stop, stop_task
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import WorkerDone, WorkerTask
+from kingcuppost.tables.inbox import WorkerAnswered, WorkerTask
 from kingcuppost.tables.job import GangState
 from kingcuppost.tables.outbox import RenewTasks, TaskLease
 from kingcuppost.tables.task import MemberTask, Renewal, TaskState
@@ -116,7 +116,7 @@
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
 def handle_worker_answers(world: World, now_ms: int) -> None:
     """Update members' tasks from the worker's answers."""
-    for done in world.inbox.take(WorkerDone):
+    for done in world.inbox.take(WorkerAnswered):
         if done.order == ORDER_RENEW:
             _handle_renewal_result(world, done, now_ms)
             continue
@@ -126,7 +126,7 @@
 
 
 def _handle_order_result(
-    world: World, task: MemberTask, done: WorkerDone, now_ms: int
+    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
 ) -> None:
     if not done.ok:
         text = f"Order {done.order} to the worker failed: {done.reason}."
@@ -142,7 +142,7 @@
 
 
 def _handle_reserve_result(
-    world: World, task: MemberTask, done: WorkerDone, now_ms: int
+    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as reserved; on failure stop it.
 
@@ -156,7 +156,7 @@
 
 
 def _handle_start_result(
-    world: World, task: MemberTask, done: WorkerDone, now_ms: int
+    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as running; on failure stop it.
 
@@ -173,7 +173,7 @@
         stop_task(world, task, now_ms)
 
 
-def _handle_stop_result(world: World, task: MemberTask, done: WorkerDone) -> None:
+def _handle_stop_result(world: World, task: MemberTask, done: WorkerAnswered) -> None:
     """Mark the member as ended if the worker no longer lists its task as open."""
     states = {item.task_id: item for item in done.tasks}
     item = states.get(task.task_id)
@@ -183,7 +183,7 @@
         world.tasks.update(task.task_id, state=item.state, result=item.result)
 
 
-def _handle_renewal_result(world: World, done: WorkerDone, now_ms: int) -> None:
+def _handle_renewal_result(world: World, done: WorkerAnswered, now_ms: int) -> None:
     renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
     world.worker_view.renewal = None
     if not done.ok:
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -13,7 +13,7 @@
     release_gang,
     term_of,
 )
-from kingcuppost.tables.inbox import GangReplyArrived, GangReportArrived, WorkerDone
+from kingcuppost.tables.inbox import GangReplyArrived, GangReportArrived, WorkerAnswered
 from kingcuppost.tables.outbox import (
     CheckpointTask,
     RenewTasks,
@@ -258,7 +258,7 @@
     harness.settle()
     order = harness.withheld.pop()
     harness.worker.answer(order, harness.now_ms)
-    harness.world.inbox.put(WorkerDone("start", "a/1/0", False, reason="timed out"))
+    harness.world.inbox.put(WorkerAnswered("start", "a/1/0", False, reason="timed out"))
     harness.settle()
     assert harness.worker.state("a/1/0") is TaskState.STOPPED
     assert harness.task("a/1/0").state is TaskState.STOPPED
@@ -276,7 +276,7 @@
         for order in withheld:
             name = {RenewTasks: "renew", StopTask: "stop"}.get(type(order))
             task_id = getattr(order, "task_id", "")
-            failed = WorkerDone(
+            failed = WorkerAnswered(
                 name or "checkpoint", task_id, False, reason="no answer"
             )
             harness.world.inbox.put(failed)
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -12,7 +12,7 @@
     schedule_resend,
 )
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AttemptDone
+from kingcuppost.tables.inbox import AttemptAnswered
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.record import KeyOutcome
 from kingcuppost.tables.replies import RequestReply
@@ -70,7 +70,7 @@
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=70)
 def handle_attempt_outcomes(world: World, now_ms: int) -> None:
     """Match outcomes with attempts; drop late ones and those of other attempts."""
-    for done in world.inbox.take(AttemptDone):
+    for done in world.inbox.take(AttemptAnswered):
         attempt = world.attempts.get(done.attempt_id)
         if attempt is None:
             continue
@@ -94,7 +94,7 @@
 
 
 def _end_attempt(
-    world: World, attempt: Attempt, done: AttemptDone, now_ms: int
+    world: World, attempt: Attempt, done: AttemptAnswered, now_ms: int
 ) -> None:
     requests = requests_awaiting(world, attempt)
     outcome = _outcome_of(attempt, done)
@@ -106,7 +106,7 @@
         _retry_or_close(world, request, done, outcome)
 
 
-def _outcome_of(attempt: Attempt, done: AttemptDone) -> Outcome:
+def _outcome_of(attempt: Attempt, done: AttemptAnswered) -> Outcome:
     """Return the outcome that is certain.
 
     A failed connection proves "not run" for an attempt that was not sent before.
@@ -120,7 +120,7 @@
 
 
 def _retry_or_close(
-    world: World, request: Request, done: AttemptDone, outcome: Outcome
+    world: World, request: Request, done: AttemptAnswered, outcome: Outcome
 ) -> None:
     if outcome is Outcome.ANSWERED:
         close_request(
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -3,7 +3,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.systems.requests.pools import refresh_pool
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AttemptDone, HeartbeatArrived
+from kingcuppost.tables.inbox import AttemptAnswered, HeartbeatArrived
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.replies import HeartbeatReply
 from kingcuppost.tables.request import Attempt, MinionHealth
@@ -17,7 +17,7 @@
 MAX_DOUBLINGS = 5
 
 
-def record_answer(world: World, done: AttemptDone, now_ms: int) -> None:
+def record_answer(world: World, done: AttemptAnswered, now_ms: int) -> None:
     """Update a minion's health from its sidecar's answer to an attempt."""
     row = world.health.get(done.minion)
     service_ms = done.service_ms or (row.service_ms if row else 0.0)
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -26,14 +26,14 @@
     max_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
     if len(cache.attempt_ids) > max_attempts or cache.answer_bytes > max_bytes:
         return True
-    oldest = world.served.get(cache.attempt_ids[0])
+    oldest = world.served_attempts.get(cache.attempt_ids[0])
     age_ms = now_ms - oldest.finished_ms
     return age_ms > effective_value(world.agreed, "serve.memory_ms")
 
 
 def _evict_oldest(world: World) -> None:
     cache = world.reply_cache
-    row = world.served.delete(cache.attempt_ids.popleft())
+    row = world.served_attempts.delete(cache.attempt_ids.popleft())
     cache.answer_bytes -= len(row.answer)
     cache.evicted_offset = max(cache.evicted_offset, row.claim_offset)
 
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -13,7 +13,7 @@
 from kingcuppost.systems.requests.pools import refresh_pool
 from kingcuppost.tables.fleet import Minion
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import AttemptDone
+from kingcuppost.tables.inbox import AttemptAnswered
 from kingcuppost.tables.outbox import SendAttempt
 from kingcuppost.tables.request import Attempt, Outcome, Request, RequestState
 from kingcuppost.tables.world import World
@@ -106,7 +106,7 @@
     return [row for row in rows if row.state is RequestState.SENT]
 
 
-def can_resend(world: World, attempt: Attempt, done: AttemptDone) -> bool:
+def can_resend(world: World, attempt: Attempt, done: AttemptAnswered) -> bool:
     """Return whether the attempt can be sent to the same process again."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
@@ -119,7 +119,7 @@
 
 
 def schedule_resend(
-    world: World, attempt: Attempt, done: AttemptDone, now_ms: int
+    world: World, attempt: Attempt, done: AttemptAnswered, now_ms: int
 ) -> None:
     """Schedule a resend of an attempt, at once unless it failed repeatedly."""
     failures = 0 if done.running else attempt.failures + 1
@@ -151,8 +151,8 @@
         _put_attempt(world, attempt, request, minion, now_ms)
 
 
-def _unknown_outcome(attempt: Attempt) -> AttemptDone:
-    return AttemptDone(
+def _unknown_outcome(attempt: Attempt) -> AttemptAnswered:
+    return AttemptAnswered(
         attempt.attempt_id,
         attempt.minion,
         "",
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -39,12 +39,14 @@
 
 def free_slots(world: World) -> int:
     """Return the number of free slots of the minion."""
-    return world.cfg.sidecar.slots - world.served.count("state", ServedState.RUNNING)
+    return world.cfg.sidecar.slots - world.served_attempts.count(
+        "state", ServedState.RUNNING
+    )
 
 
 def _count_open_attempts(world: World) -> int:
     states = (ServedState.WAITING, ServedState.RUNNING)
-    return sum(world.served.count("state", state) for state in states)
+    return sum(world.served_attempts.count("state", state) for state in states)
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=90)
@@ -56,7 +58,7 @@
     "unknown".
     """
     for message in world.inbox.take(AttemptArrived):
-        known = world.served.get(message.attempt_id)
+        known = world.served_attempts.get(message.attempt_id)
         if message.incarnation != world.identity.incarnation:
             _reply_unknown(
                 world, message, "the attempt is addressed to another sidecar process"
@@ -132,7 +134,7 @@
         claim_offset=message.claim_offset,
     )
     refusal = _refusal_reason(world)
-    world.served.put(row)
+    world.served_attempts.put(row)
     _add_pending_exchange(world, message, now_ms)
     if refusal:
         _finish(world, row, ServedState.NOT_RUN, now_ms, reason=refusal)
@@ -159,7 +161,7 @@
 def handle_minion_answers(world: World, now_ms: int) -> None:
     """Finish attempts that the minion answered, and answer waiting exchanges."""
     for message in world.inbox.take(MinionAnswered):
-        row = world.served.get(message.attempt_id)
+        row = world.served_attempts.get(message.attempt_id)
         if row is None or row.state is not ServedState.RUNNING:
             continue
         if message.ok:
@@ -194,7 +196,9 @@
         team=row.team,
         sends=answer_id(row.attempt_id),
     )
-    world.served.update(row.attempt_id, state=state, finished_ms=now_ms, answer=answer)
+    world.served_attempts.update(
+        row.attempt_id, state=state, finished_ms=now_ms, answer=answer
+    )
     for pending in world.pending_exchanges.find("attempt_id", row.attempt_id):
         world.pending_exchanges.delete(pending.exchange_id)
         reply = _make_reply(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
@@ -209,7 +213,7 @@
     Interactive attempts go first, then those of the team with the fewest running.
     """
     waiting = []
-    for row in world.served.find("state", ServedState.WAITING):
+    for row in world.served_attempts.find("state", ServedState.WAITING):
         if row.deadline_ms <= now_ms:
             reason = "the deadline passed before a slot was free"
             _finish(world, row, ServedState.NOT_RUN, now_ms, reason=reason)
@@ -218,7 +222,7 @@
     if not waiting:
         return
     running = Counter(
-        row.team for row in world.served.find("state", ServedState.RUNNING)
+        row.team for row in world.served_attempts.find("state", ServedState.RUNNING)
     )
     for _ in range(min(free_slots(world), len(waiting))):
         row = min(waiting, key=lambda row: _priority_key(row, running))
@@ -232,7 +236,9 @@
 
 
 def _start_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
-    world.served.update(row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms)
+    world.served_attempts.update(
+        row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms
+    )
     world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
 
 
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -18,18 +18,18 @@
 )
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import (
-    AppendDone,
+    AppendAnswered,
+    AttemptAnswered,
     AttemptArrived,
-    AttemptDone,
     CallerRequest,
     ExchangeLost,
-    FoldedRecord,
+    HeartbeatAnswered,
     HeartbeatArrived,
-    HeartbeatDone,
     HolderAnswered,
-    HolderAsked,
+    HolderProbeArrived,
     MinionAnswered,
-    ReadDone,
+    ReadAnswered,
+    StoredRecord,
 )
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.outbox import (
@@ -213,15 +213,15 @@
         if self.log_up:
             self.log.extend(message.records)
         ids = tuple(record.record_id for record in message.records)
-        self.deliver(world, AppendDone(ids, self.log_up))
+        self.deliver(world, AppendAnswered(ids, self.log_up))
 
     def _read(self, world: World, message: ReadLog) -> None:
         def answer() -> None:
             new = enumerate(self.log[message.after :], message.after + 1)
-            rows = tuple(FoldedRecord(offset, record) for offset, record in new)
+            rows = tuple(StoredRecord(offset, record) for offset, record in new)
             head = len(self.log)
             up = self.log_up
-            done = ReadDone(message.read_id, up, rows if up else (), head, 1, head)
+            done = ReadAnswered(message.read_id, up, rows if up else (), head, 1, head)
             self.deliver(world, done)
 
         self.after(20 if message.after >= len(self.log) else 0, answer)
@@ -229,8 +229,8 @@
     def _attempt(self, world: World, message: SendAttempt) -> None:
         self.sent.append(message)
 
-        def fail(never_sent: bool) -> AttemptDone:
-            return AttemptDone(
+        def fail(never_sent: bool) -> AttemptAnswered:
+            return AttemptAnswered(
                 message.attempt_id,
                 message.minion,
                 "",
@@ -246,7 +246,7 @@
 
         def answer(reply: Reply) -> object:
             body = reply.body
-            return AttemptDone(
+            return AttemptAnswered(
                 message.attempt_id,
                 message.minion,
                 body.incarnation,
@@ -277,7 +277,7 @@
 
     def _heartbeat(self, world: World, message: SendHeartbeat) -> None:
         self.sent.append(message)
-        failed = HeartbeatDone(message.entry, False, "no answer")
+        failed = HeartbeatAnswered(message.entry, False, "no answer")
         entry = self.worlds.get(message.entry)
         if entry is None or message.entry in self.unreachable:
             self.deliver(world, failed)
@@ -295,7 +295,7 @@
             world,
             entry,
             arrived,
-            lambda reply: HeartbeatDone(
+            lambda reply: HeartbeatAnswered(
                 message.entry, True, "", reply.body.folded_offset
             ),
             failed,
@@ -308,7 +308,7 @@
         if holder is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
-        asked = HolderAsked("", world.identity.name)
+        asked = HolderProbeArrived("", world.identity.name)
 
         def answer(reply: Reply) -> HolderAnswered:
             return HolderAnswered(True, reply.body.incarnation, message.sent_ms)
--- a/kingcuppost/systems/requests/tests/test_answers.py
+++ b/kingcuppost/systems/requests/tests/test_answers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kingcuppost.systems.requests.tests.simulation import Simulation
-from kingcuppost.tables.inbox import AttemptDone, ExchangeLost
+from kingcuppost.tables.inbox import AttemptAnswered, ExchangeLost
 from kingcuppost.tables.outbox import SendAttempt
 from kingcuppost.tables.request import Outcome
 
@@ -104,7 +104,7 @@
     simulation.advance(100)
     first = simulation.answers[call]
     attempt = next(item for item in simulation.sent if isinstance(item, SendAttempt))
-    late = AttemptDone(attempt.attempt_id, "m-0", "x", Outcome.ANSWERED, "other", 8)
+    late = AttemptAnswered(attempt.attempt_id, "m-0", "x", Outcome.ANSWERED, "other", 8)
     simulation.worlds["entry-0"].inbox.put(late)
     simulation.advance(100)
     assert simulation.answers[call] is first
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -134,7 +134,7 @@
     for number in range(40):
         simulation.send_request("entry-0", f"other {number}")
         simulation.advance(20)
-    assert len(simulation.worlds["m-0"].served) <= 17
+    assert len(simulation.worlds["m-0"].served_attempts) <= 17
     again = simulation.send_request("entry-1", "charge", "k")
     simulation.advance(500)
     assert simulation.outcome(again) is Outcome.UNKNOWN
--- a/kingcuppost/systems/tests/process_harness.py
+++ b/kingcuppost/systems/tests/process_harness.py
@@ -16,10 +16,10 @@
 )
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.inbox import (
-    AppendDone,
-    FoldedRecord,
-    ReadDone,
-    WorkerDone,
+    AppendAnswered,
+    ReadAnswered,
+    StoredRecord,
+    WorkerAnswered,
     WorkerTask,
 )
 from kingcuppost.tables.job import Decision, Placement, Urgency
@@ -99,13 +99,13 @@
         self.tasks[task_id].state = TaskState.FINISHED
         self.tasks[task_id].result = result
 
-    def answer(self, order: Any, now_ms: int) -> WorkerDone:
+    def answer(self, order: Any, now_ms: int) -> WorkerAnswered:
         self.expire_leases(now_ms)
         name, task_id, ok = self._carry_out(order, now_ms)
         rows = tuple(
             WorkerTask(key, task.state, task.result) for key, task in self.tasks.items()
         )
-        return WorkerDone(name, task_id, ok, rows)
+        return WorkerAnswered(name, task_id, ok, rows)
 
     def _carry_out(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
         if isinstance(order, RenewTasks):
@@ -193,7 +193,7 @@
             if self.log.up:
                 self.log.records.extend(message.records)
             ids = tuple(row.record_id for row in message.records)
-            self.world.inbox.put(AppendDone(ids, self.log.up, "down"))
+            self.world.inbox.put(AppendAnswered(ids, self.log.up, "down"))
         elif isinstance(message, self.withheld_types):
             self.withheld.append(message)
         elif isinstance(message, WORKER_ORDERS):
@@ -211,14 +211,14 @@
 
     def _answer_read(self, read: ReadLog) -> None:
         if not self.log.up:
-            self.world.inbox.put(ReadDone(read.read_id, False, reason="down"))
+            self.world.inbox.put(ReadAnswered(read.read_id, False, reason="down"))
             return
         head = len(self.log.records)
         rows = tuple(
-            FoldedRecord(offset + 1, self.log.records[offset])
+            StoredRecord(offset + 1, self.log.records[offset])
             for offset in range(read.after, head)
         )
-        self.world.inbox.put(ReadDone(read.read_id, True, rows, head, 1, head))
+        self.world.inbox.put(ReadAnswered(read.read_id, True, rows, head, 1, head))
 
 
 def make_sidecar_harness(
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -190,7 +190,7 @@
 @gauge("attempts_served", "Attempts that a sidecar remembers.", "state")
 def read_served(world: World) -> Iterable[Sample]:
     """Read attempts at a sidecar."""
-    for state, count in Counter(row.state for row in world.served).items():
+    for state, count in Counter(row.state for row in world.served_attempts).items():
         yield (str(state),), float(count)
 
 
--- a/kingcuppost/systems/views/registry.py
+++ b/kingcuppost/systems/views/registry.py
@@ -5,7 +5,7 @@
 
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import ShowView
+from kingcuppost.tables.inbox import ViewRequest
 from kingcuppost.tables.outbox import Reply
 from kingcuppost.tables.replies import ChangeRefused
 from kingcuppost.tables.request import Outcome
@@ -25,7 +25,7 @@
 @system(Phase.REPORT, roles=(Role.ENTRY, Role.SIDECAR), order=40)
 def show(world: World, now_ms: int) -> None:
     """Answer each question from the tables as they are now."""
-    for question in world.inbox.take(ShowView):
+    for question in world.inbox.take(ViewRequest):
         body = views[question.view](world, question.argument)
         status = STATUS_OK
         if body is None:
--- a/kingcuppost/tables/deadlines.py
+++ b/kingcuppost/tables/deadlines.py
@@ -24,12 +24,12 @@
 
     def __init__(self) -> None:
         self._heap: list[int] = []
-        self._known: set[int] = set()
+        self._pending: set[int] = set()
 
     def add(self, at_ms: int) -> None:
         """Ask for a tick at a time."""
-        if at_ms not in self._known:
-            self._known.add(at_ms)
+        if at_ms not in self._pending:
+            self._pending.add(at_ms)
             heapq.heappush(self._heap, at_ms)
 
     def next_ms(self) -> int | None:
@@ -39,4 +39,4 @@
     def drop_due(self, now_ms: int) -> None:
         """Forget the deadlines up to and including `now_ms`."""
         while self._heap and self._heap[0] <= now_ms:
-            self._known.discard(heapq.heappop(self._heap))
+            self._pending.discard(heapq.heappop(self._heap))
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -8,24 +8,24 @@
 from kingcuppost.tables.task import MemberReport, TaskState
 
 __all__ = [
-    "AppendDone",
+    "AppendAnswered",
     "AttemptArrived",
-    "AttemptDone",
+    "AttemptAnswered",
     "CallerRequest",
     "ExchangeLost",
-    "FoldedRecord",
+    "StoredRecord",
     "GangReplyArrived",
     "GangReportArrived",
     "HeartbeatArrived",
-    "HeartbeatDone",
+    "HeartbeatAnswered",
     "HolderAnswered",
-    "HolderAsked",
+    "HolderProbeArrived",
     "MinionAnswered",
-    "Propose",
-    "ReadDone",
-    "ShowView",
+    "ProposalRequest",
+    "ReadAnswered",
+    "ViewRequest",
     "StopRequested",
-    "WorkerDone",
+    "WorkerAnswered",
     "WorkerTask",
 ]
 
@@ -49,7 +49,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Propose:
+class ProposalRequest:
     """An operator's or caller's wish to append one record."""
 
     exchange_id: str
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ShowView:
+class ViewRequest:
     """A question that a view of the tables answers.
 
     Attributes
@@ -84,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FoldedRecord:
+class StoredRecord:
     """A record with its log offset."""
 
     offset: int
@@ -92,7 +92,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReadDone:
+class ReadAnswered:
     """The answer to a read of the log.
 
     Attributes
@@ -101,7 +101,7 @@
         Identifier of the read.
     ok : bool
         False if the log failed or went silent.
-    records : tuple of FoldedRecord
+    records : tuple of StoredRecord
         Records in order of offset.
     head, earliest : int
         Offsets of the newest and the oldest record that the log holds.
@@ -113,7 +113,7 @@
 
     read_id: str
     ok: bool
-    records: tuple[FoldedRecord, ...] = ()
+    records: tuple[StoredRecord, ...] = ()
     head: int = 0
     earliest: int = 0
     end: int = 0
@@ -121,7 +121,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AppendDone:
+class AppendAnswered:
     """The answer to an append; it proves nothing, the fold decides.
 
     Attributes
@@ -159,7 +159,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptDone:
+class AttemptAnswered:
     """A sidecar's answer to an attempt, or the failure of the exchange.
 
     Attributes
@@ -224,7 +224,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeartbeatDone:
+class HeartbeatAnswered:
     """An entry's answer to a heartbeat, or the failure of the exchange."""
 
     entry: str
@@ -266,7 +266,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorkerDone:
+class WorkerAnswered:
     """The worker's answer to an order, or the failure of the exchange."""
 
     order: str
@@ -282,7 +282,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HolderAsked:
+class HolderProbeArrived:
     """Another entry asks whether this process is alive."""
 
     exchange_id: str
--- a/kingcuppost/tables/table.py
+++ b/kingcuppost/tables/table.py
@@ -78,7 +78,7 @@
             self._unindex(key)
         self._rows[key] = row
         self._index(key)
-        self._note(key)
+        self._record_change(key)
 
     def update(self, key: Hashable, **changes: Any) -> None:
         """Change attributes of a row.
@@ -93,14 +93,14 @@
         for name, value in changes.items():
             setattr(row, name, value)
         self._index(key)
-        self._note(key)
+        self._record_change(key)
 
     def delete(self, key: Hashable) -> Row | None:
         """Remove and return the row with this key; None if there is none."""
         if key not in self._rows:
             return None
         self._unindex(key)
-        self._note(key)
+        self._record_change(key)
         return self._rows.pop(key)
 
     def find(self, index: str, value: Hashable) -> list[Row]:
@@ -120,13 +120,13 @@
         """Return how many rows `find` would return."""
         return len(self._indexes[index].get(value, ()))
 
-    def take_changes(self, watcher: str) -> list[Hashable]:
+    def take_changes(self, reader: str) -> list[Hashable]:
         """Return the keys that changed since the watcher last asked.
 
         A watcher that asks for the first time gets all keys.
         """
-        changes = self._changes.get(watcher, self._rows)
-        self._changes[watcher] = {}
+        changes = self._changes.get(reader, self._rows)
+        self._changes[reader] = {}
         return list(changes)
 
     def clear(self) -> None:
@@ -147,6 +147,6 @@
             if not index[value]:
                 del index[value]
 
-    def _note(self, key: Hashable) -> None:
+    def _record_change(self, key: Hashable) -> None:
         for changes in self._changes.values():
             changes[key] = None
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -46,7 +46,7 @@
 
 __all__ = ["Agreed", "World"]
 
-EVENTS_KEPT = 4096
+MAX_EVENTS = 4096
 
 
 @dataclass
@@ -128,7 +128,7 @@
     rng: random.Random
     agreed: Agreed = field(default_factory=Agreed)
     log_view: LogView = field(default_factory=LogView)
-    snapshots: SnapshotProgress = field(default_factory=SnapshotProgress)
+    snapshot_progress: SnapshotProgress = field(default_factory=SnapshotProgress)
     holder_monitor: HolderMonitor = field(default_factory=HolderMonitor)
     announcement: Announcement = field(default_factory=Announcement)
     inbox: Mailbox = field(default_factory=Mailbox)
@@ -153,7 +153,7 @@
         default_factory=lambda: Table("attempt_id", ("request_id", "minion"))
     )
     health: Table[MinionHealth] = field(default_factory=lambda: Table("minion"))
-    served: Table[ServedAttempt] = field(
+    served_attempts: Table[ServedAttempt] = field(
         default_factory=lambda: Table("attempt_id", ("state",))
     )
     pending_exchanges: Table[PendingExchange] = field(
@@ -174,7 +174,7 @@
     reservations: Table[Reservation] = field(
         default_factory=lambda: Table("member_id", ("key",))
     )
-    events: deque[Event] = field(default_factory=lambda: deque(maxlen=EVENTS_KEPT))
+    events: deque[Event] = field(default_factory=lambda: deque(maxlen=MAX_EVENTS))
     event_count: int = 0
     tally: Tally = field(default_factory=Tally)
     service_ms: float = 0.0
--- a/kingcuppost/utils/clock.py
+++ b/kingcuppost/utils/clock.py
@@ -6,7 +6,7 @@
 __all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 NS_PER_MS = 1_000_000
-BOOT_TIME = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+BOOT_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -42,7 +42,7 @@
 
     def now_ms(self) -> int:
         """Return time since the machine's start in ms."""
-        return time.clock_gettime_ns(BOOT_TIME) // NS_PER_MS
+        return time.clock_gettime_ns(BOOT_CLOCK_ID) // NS_PER_MS
 
 
 class ManualClock:
--- a/kingcuppost/utils/lazy.py
+++ b/kingcuppost/utils/lazy.py
@@ -30,11 +30,11 @@
     3.0
     """
 
-    def get(name: str) -> Any:
+    def load_export(name: str) -> Any:
         if name not in exports:
             raise AttributeError(name)
         for module in load_first:
             import_module(module)
         return getattr(import_module(exports[name]), name)
 
-    return get
+    return load_export
--- a/kingcuppost/utils/ranking.py
+++ b/kingcuppost/utils/ranking.py
@@ -29,8 +29,8 @@
     ['entry-0', 'entry-1']
     """
 
-    def weight(item: Item) -> bytes:
+    def hash_key(item: Item) -> bytes:
         text = f"{name} {name_of(item)}".encode()
         return hashlib.blake2b(text, digest_size=8).digest()
 
-    return sorted(items, key=weight)
+    return sorted(items, key=hash_key)
--- a/kingcuppost/utils/registry.py
+++ b/kingcuppost/utils/registry.py
@@ -6,10 +6,10 @@
 __all__ = ["Registry"]
 
 Key = TypeVar("Key", bound=Hashable)
-Entry = TypeVar("Entry")
+Item = TypeVar("Item")
 
 
-class Registry(Generic[Key, Entry]):
+class Registry(Generic[Key, Item]):
     """Functions by key; each key is registered once.
 
     Parameters
@@ -29,9 +29,9 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self._entries: dict[Key, Entry] = {}
+        self._items: dict[Key, Item] = {}
 
-    def register(self, key: Key) -> Callable[[Entry], Entry]:
+    def register(self, key: Key) -> Callable[[Item], Item]:
         """Return a decorator that files a function under `key`.
 
         Raises
@@ -40,21 +40,21 @@
             If the key is taken.
         """
 
-        def file(entry: Entry) -> Entry:
-            if key in self._entries:
+        def add(item: Item) -> Item:
+            if key in self._items:
                 raise ValueError(f"{self.name} {key!r} is registered twice")
-            self._entries[key] = entry
-            return entry
+            self._items[key] = item
+            return item
 
-        return file
+        return add
 
-    def __getitem__(self, key: Key) -> Entry:
-        if key not in self._entries:
+    def __getitem__(self, key: Key) -> Item:
+        if key not in self._items:
             raise KeyError(f"no {self.name} is registered as {key!r}")
-        return self._entries[key]
+        return self._items[key]
 
     def __contains__(self, key: object) -> bool:
-        return key in self._entries
+        return key in self._items
 
     def __iter__(self) -> Iterator[Key]:
-        return iter(self._entries)
+        return iter(self._items)
