Describe messages, tables, utilities and programs in the terms of the field

The docstrings of the inbox, outbox, mailbox, tables and world say what each message and table holds, with every field of World listed under its present type. The ping of the lease holder is HolderPingArrived, as the setting and the system name it. The tests of ticks are named by what they check; what they check is unchanged.

--- a/kingcuppost/__init__.py
+++ b/kingcuppost/__init__.py
@@ -1,4 +1,4 @@
-"""Scheduler for multi-accelerator jobs held to team guarantees."""
+"""Scheduler for multi-accelerator jobs with capacity guarantees for teams."""
 
 __all__ = ["__version__"]
 
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -111,7 +111,7 @@
     "ProposalRequest",
     "CallerRequest",
     "HeartbeatArrived",
-    "HolderProbeArrived",
+    "HolderPingArrived",
 }
 
 
--- a/kingcuppost/exception.py
+++ b/kingcuppost/exception.py
@@ -1,4 +1,4 @@
-"""Errors of the package, each with the step and the peer at which it arose."""
+"""Errors of the package, each with the step that failed and the peer involved."""
 
 from dataclasses import dataclass
 
@@ -16,11 +16,11 @@
     Parameters
     ----------
     reason : str
-        What went wrong, as one sentence without a full stop.
+        Cause of the failure, as one sentence without a full stop.
     step : str
         The step that failed, such as ``"append"``.
     peer : str
-        The peer that took part, such as ``"log 127.0.0.1:7000"``; empty if none.
+        The peer involved, such as ``"log 127.0.0.1:7000"``; empty if none.
     """
 
     def __init__(self, reason: str, step: str = "", peer: str = "") -> None:
@@ -35,25 +35,25 @@
 
 
 class InvalidInputError(KingcuppostError):
-    """A message from outside that a border model refused."""
+    """A message from outside the process failed the validation by its model."""
 
 
 class PeerError(KingcuppostError):
-    """An exchange with a peer that failed or went silent."""
+    """An exchange with a peer failed or timed out."""
 
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """An expected failure, carried in the error side of a ``Result``.
+    """An expected failure, as the error value of a ``Result``.
 
     Attributes
     ----------
     reason : str
-        What went wrong, one sentence without a full stop.
+        Cause of the failure, as one sentence without a full stop.
     step : str
         The step that failed.
     peer : str
-        The peer that took part; empty if none.
+        The peer involved; empty if none.
     """
 
     reason: str
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -10,7 +10,7 @@
     GangReportArrived,
     HeartbeatArrived,
     HolderAnswered,
-    HolderProbeArrived,
+    HolderPingArrived,
 )
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.outbox import (
@@ -228,9 +228,9 @@
 
     entry: str
 
-    def to_message(self, exchange_id: str) -> HolderProbeArrived:
+    def to_message(self, exchange_id: str) -> HolderPingArrived:
         """Return the inbox message."""
-        return HolderProbeArrived(exchange_id, self.entry)
+        return HolderPingArrived(exchange_id, self.entry)
 
 
 class HolderReplyModel(BorderModel):
--- a/kingcuppost/programs/__init__.py
+++ b/kingcuppost/programs/__init__.py
@@ -1,4 +1,4 @@
-"""Programs: tables, systems and edges of each role."""
+"""Programs of the roles; each assembles the tables, systems and edges of a process."""
 
 from kingcuppost.programs.entry import run_entry
 from kingcuppost.programs.process import make_world
--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges for the operators' commands."""
+"""HTTP requests of the operators' commands."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,18 +19,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandRequest:
-    """A request that a command sends.
+    """An HTTP request of a command.
 
     Attributes
     ----------
     method, path : str
-        HTTP method and path with query.
+        HTTP method, and path with query string.
     address : Address
-        IP number and port of the process asked.
+        IP address and port of the process that answers.
     body : bytes
-        JSON text; empty for none.
+        JSON text; empty if the request has no body.
     timeout_ms : int
-        Bound on the whole exchange, in ms.
+        Timeout of the whole exchange, in ms.
     """
 
     method: str
@@ -44,9 +44,10 @@
 
 
 def send_requests(requests: list[CommandRequest]) -> RequestResults:
-    """Send requests side by side and return their responses in order.
+    """Send requests concurrently and return their results in order.
 
-    Runs the reactor; a process calls this or `send_with_follow_ups` once.
+    Runs and stops the reactor, which cannot be restarted: a process calls this or
+    `send_with_follow_ups` once.
     """
 
     async def send(client: JsonClient) -> RequestResults:
@@ -59,19 +60,21 @@
     first: CommandRequest,
     make_follow_ups: Callable[[Result[Response, Failure]], list[CommandRequest]],
 ) -> RequestResults:
-    """Send one request, then those that its response leads to.
+    """Send one request, then the requests that follow from its result.
+
+    Runs and stops the reactor, as `send_requests` does.
 
     Parameters
     ----------
     first : Exchange
-        Sent first.
+        First request.
     make_follow_ups : callable
-        Makes the further requests from the first response.
+        Returns the further requests for the result of the first.
 
     Returns
     -------
     list of Result
-        The first response, then the further ones in order.
+        Result of the first request, then those of the further ones in order.
     """
 
     async def send(client: JsonClient) -> RequestResults:
@@ -106,27 +109,21 @@
 async def _send_concurrently(
     client: JsonClient, requests: list[CommandRequest]
 ) -> RequestResults:
-    """Send requests, a bounded number at a time."""
+    """Send requests, at most `MAX_CONCURRENT_REQUESTS` at a time."""
     semaphore = DeferredSemaphore(MAX_CONCURRENT_REQUESTS)
     pending = [
-        semaphore.run(
-            lambda request=request: ensureDeferred(_send_one(client, request))
-        )
-        for request in requests
+        semaphore.run(lambda item=item: ensureDeferred(_send_one(client, item)))
+        for item in requests
     ]
     return await gatherResults(pending)
 
 
 async def _send_one(
-    client: JsonClient, request: CommandRequest
+    client: JsonClient, item: CommandRequest
 ) -> Result[Response, Failure]:
     try:
         response = await client.exchange(
-            request.method,
-            request.address,
-            request.path,
-            request.body,
-            request.timeout_ms,
+            item.method, item.address, item.path, item.body, item.timeout_ms
         )
     except PeerError as exc:
         return Error(Failure(exc.reason, exc.step, exc.peer))
--- a/kingcuppost/programs/entry.py
+++ b/kingcuppost/programs/entry.py
@@ -1,4 +1,4 @@
-"""The entry: callers' and operators' front door."""
+"""Program of an entry, which serves callers, operators and peers."""
 
 from kingcuppost.edges import listen
 from kingcuppost.programs.process import build_context, run_process
@@ -8,7 +8,7 @@
 
 
 def run_entry(cfg: ProcessConfig) -> int:
-    """Run an entry until it is told to stop.
+    """Run an entry until it is requested to stop.
 
     Parameters
     ----------
@@ -18,7 +18,7 @@
     Returns
     -------
     int
-        Exit code: 0 after a graceful stop, 1 after one that was cut short.
+        Exit code: 0 after a graceful stop, 1 after a forced one.
     """
     context = build_context(cfg)
     ports = context.world.announcement
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -1,4 +1,4 @@
-"""What an entry and a sidecar have in common: world, edges, loop."""
+"""World, edges and loop of a process, common to entries and sidecars."""
 
 import json
 import os
@@ -28,14 +28,14 @@
 
 
 def make_world(cfg: ProcessConfig, clock: Clock | None = None) -> World:
-    """Return the empty tables of a process.
+    """Return the world of a process, with empty tables.
 
     Parameters
     ----------
     cfg : ProcessConfig
         Settings of the process.
     clock : Clock, optional
-        The operating system's clock if None.
+        Clock of the process; the operating system's clock if None.
     """
     seed = cfg.seed
     if seed is None:
@@ -51,7 +51,7 @@
 
 
 def build_context(cfg: ProcessConfig, reactor: Any = default_reactor) -> EdgeContext:
-    """Return the edges of a process, with its loop attached."""
+    """Return the edge context of a new process, with its loop attached."""
     world = make_world(cfg)
     loop = TickLoop(reactor, systems_of(cfg.role))
     context = EdgeContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
@@ -62,7 +62,7 @@
 
 
 def run_process(context: EdgeContext) -> int:
-    """Run until the process is told to stop, and return its exit code."""
+    """Run the reactor until the process stops, and return the exit code."""
     install_signals(context)
     _print_ports(context)
     context.reactor.callWhenRunning(context.wake)
@@ -71,7 +71,7 @@
 
 
 def _print_ports(context: EdgeContext) -> None:
-    """Tell on standard output, in one JSON line, which ports were bound."""
+    """Print the bound ports to standard output as one line of JSON."""
     ports = context.world.announcement
     print(
         json.dumps(
--- a/kingcuppost/programs/sidecar.py
+++ b/kingcuppost/programs/sidecar.py
@@ -1,4 +1,4 @@
-"""The sidecar: one beside each minion."""
+"""Program of a sidecar; one runs beside each minion."""
 
 from kingcuppost.edges import drivers, listen
 from kingcuppost.programs.process import build_context, run_process
@@ -8,7 +8,7 @@
 
 
 def run_sidecar(cfg: ProcessConfig) -> int:
-    """Run a sidecar until it is told to stop.
+    """Run a sidecar until it is requested to stop.
 
     Parameters
     ----------
@@ -18,7 +18,7 @@
     Returns
     -------
     int
-        Exit code: 0 after a graceful stop, 1 after one that was cut short.
+        Exit code: 0 after a graceful stop, 1 after a forced one.
     """
     context = build_context(cfg)
     worker_driver = drivers["worker", cfg.sidecar.worker.driver]
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -7,7 +7,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.fleet import Entry
 from kingcuppost.tables.identity import Role
-from kingcuppost.tables.inbox import HolderAnswered, HolderProbeArrived
+from kingcuppost.tables.inbox import HolderAnswered, HolderPingArrived
 from kingcuppost.tables.outbox import AskHolder, Reply
 from kingcuppost.tables.record import LeaseClaim
 from kingcuppost.tables.replies import HolderReply
@@ -102,5 +102,5 @@
     """Answer the pings of other entries; say whether this process follows the log."""
     follows = is_following(world, now_ms)
     reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
-    for ping in world.inbox.take(HolderProbeArrived):
+    for ping in world.inbox.take(HolderPingArrived):
         world.outbox.put(Reply(ping.exchange_id, STATUS_OK, reply))
--- a/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
@@ -3,7 +3,7 @@
 from kingcuppost.models.log import record_of
 from kingcuppost.systems.agreement import is_scheduler
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.tables.inbox import HolderAnswered, HolderProbeArrived
+from kingcuppost.tables.inbox import HolderAnswered, HolderPingArrived
 from kingcuppost.tables.record import LeaseClaim
 from kingcuppost.utils.clock import ManualClock
 
@@ -37,7 +37,7 @@
     """Deliver the asker's pings to the holder, and its answers to the asker."""
     pings, asker.pings = asker.pings, []
     for row in pings:
-        holder.tick(HolderProbeArrived("ask", asker.name))
+        holder.tick(HolderPingArrived("ask", asker.name))
         body = holder.replies.pop("ask").body
         asker.tick(
             HolderAnswered(
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -26,7 +26,7 @@
     HeartbeatAnswered,
     HeartbeatArrived,
     HolderAnswered,
-    HolderProbeArrived,
+    HolderPingArrived,
     MinionAnswered,
     ReadAnswered,
     StoredRecord,
@@ -308,7 +308,7 @@
         if holder is None or message.entry in self.unreachable:
             self.deliver(world, failed)
             return
-        asked = HolderProbeArrived("", world.identity.name)
+        asked = HolderPingArrived("", world.identity.name)
 
         def answer(reply: Reply) -> HolderAnswered:
             return HolderAnswered(True, reply.body.incarnation, message.sent_ms)
--- a/kingcuppost/tables/__init__.py
+++ b/kingcuppost/tables/__init__.py
@@ -1,4 +1,4 @@
-"""Entities as rows in tables; no behaviour, no input or output."""
+"""Entities as rows in tables, without behaviour, input or output."""
 
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.mailbox import Mailbox
--- a/kingcuppost/tables/deadlines.py
+++ b/kingcuppost/tables/deadlines.py
@@ -1,4 +1,4 @@
-"""The times at which a system wants to run again."""
+"""Times at which systems need another tick."""
 
 import heapq
 
@@ -6,9 +6,9 @@
 
 
 class Deadlines:
-    """A heap of times in ms.
+    """A heap of distinct times in ms at which the loop runs a tick.
 
-    A deadline only wakes the loop; the rows tell each system what is due.
+    A deadline only wakes the loop; each system finds out from its rows what is due.
 
     Examples
     --------
@@ -27,16 +27,16 @@
         self._pending: set[int] = set()
 
     def add(self, at_ms: int) -> None:
-        """Ask for a tick at a time."""
+        """Request a tick at a time."""
         if at_ms not in self._pending:
             self._pending.add(at_ms)
             heapq.heappush(self._heap, at_ms)
 
     def next_ms(self) -> int | None:
-        """Return the earliest deadline, or None."""
+        """Return the earliest deadline, or None if there is none."""
         return self._heap[0] if self._heap else None
 
     def drop_due(self, now_ms: int) -> None:
-        """Forget the deadlines up to and including `now_ms`."""
+        """Remove the deadlines up to and including `now_ms`."""
         while self._heap and self._heap[0] <= now_ms:
             self._pending.discard(heapq.heappop(self._heap))
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -1,4 +1,4 @@
-"""Messages that edges put before the systems, as data classes."""
+"""Messages from the edges to the systems, as data classes."""
 
 from dataclasses import dataclass
 
@@ -19,7 +19,7 @@
     "HeartbeatArrived",
     "HeartbeatAnswered",
     "HolderAnswered",
-    "HolderProbeArrived",
+    "HolderPingArrived",
     "MinionAnswered",
     "ProposalRequest",
     "ReadAnswered",
@@ -34,8 +34,8 @@
 class CallerRequest:
     """A caller's request.
 
-    `timeout_ms` counts from its arrival; `issued_ms` is when the caller made the
-    key, Unix ms, 0 if not said.
+    `timeout_ms` counts from the arrival of the request; `issued_ms` is when the
+    caller created the key, Unix ms, or 0 if not given.
     """
 
     exchange_id: str
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProposalRequest:
-    """An operator's or caller's wish to append one record."""
+    """A request of an operator or caller to append one record."""
 
     exchange_id: str
     author: str
@@ -59,16 +59,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewRequest:
-    """A question that a view of the tables answers.
+    """A request for a view of the tables.
 
     Attributes
     ----------
     exchange_id : str
-        HTTP exchange that waits.
+        HTTP exchange that waits for the view.
     view : str
         Name of the registered view, such as ``"job"``.
     argument : str
-        Name of the row; empty for a list.
+        Name of the row; empty for a view of all rows.
     """
 
     exchange_id: str
@@ -78,14 +78,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeLost:
-    """The other end of an HTTP exchange has gone."""
+    """The peer closed its HTTP exchange before the answer."""
 
     exchange_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class StoredRecord:
-    """A record with its log offset."""
+    """A record that is in the log, with its offset."""
 
     offset: int
     record: Record
@@ -93,20 +93,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadAnswered:
-    """The answer to a read of the log.
+    """The log's answer to a read, or the failure of the exchange.
 
     Attributes
     ----------
     read_id : str
         Identifier of the read.
     ok : bool
-        False if the log failed or went silent.
+        False if the read failed or timed out.
     records : tuple of StoredRecord
         Records in order of offset.
     head, earliest : int
-        Offsets of the newest and the oldest record that the log holds.
+        Offsets of the newest and the oldest record in the log.
     end : int
-        Offset of the last record read, ours or not; 0 if none was read.
+        Offset of the last record read, also if it is not in `records`, such as one
+        that others wrote; 0 if none was read.
     reason : str
         Why the read failed.
     """
@@ -122,18 +123,20 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendAnswered:
-    """The answer to an append; it proves nothing, the fold decides.
+    """The log's answer to an append, or the failure of the exchange.
+
+    Whether a record is in the log and takes effect follows only from the fold.
 
     Attributes
     ----------
     record_ids : tuple of str
-        The records of the append.
+        Identifiers of the appended records.
     ok : bool
-        Whether the log confirmed it.
+        Whether the log confirmed the append.
     reason : str
         Why it was not confirmed.
     never_sent : bool
-        True if no connection was made, so that nothing can be in the log.
+        True if no connection was established, so that no record can be in the log.
     """
 
     record_ids: tuple[str, ...]
@@ -144,7 +147,23 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptArrived:
-    """An attempt that an entry sent to this sidecar."""
+    """An attempt that an entry sent to this sidecar.
+
+    Attributes
+    ----------
+    exchange_id : str
+        HTTP exchange that waits for the answer.
+    incarnation : str
+        Sidecar process that the attempt is addressed to.
+    keyed : bool
+        Whether the request is non-idempotent.
+    timeout_ms : int
+        Time for which the attempt is of use, from its arrival.
+    claim_offset : int
+        Log offset of the claim of its key; 0 if none.
+    hold_ms : int
+        Time after which an unfinished attempt is answered; 0 for no limit.
+    """
 
     exchange_id: str
     attempt_id: str
@@ -169,21 +188,21 @@
     minion, incarnation : str
         The sidecar process that answered; empty incarnation on failure.
     outcome : Outcome
-        What became of the attempt.
+        Outcome of the attempt.
     body : str
-        The minion's whole answer.
+        The complete answer of the minion.
     free_slots : int
-        Free slots that the sidecar tells; -1 on failure.
+        Free slots that the sidecar reports; -1 on failure.
     leaving : bool
         Whether the sidecar is leaving.
     service_ms : float
         The sidecar's smoothed service time, in ms.
     never_sent : bool
-        True if no connection was made, so that nothing can have run.
+        True if no connection was established, so that the attempt cannot have run.
     reason : str
         Why there is no answer.
     running : bool
-        Whether the sidecar has not finished the attempt yet.
+        Whether the attempt has not finished yet.
     """
 
     attempt_id: str
@@ -201,7 +220,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionAnswered:
-    """The minion's answer to a handed-over attempt, or its failure."""
+    """The minion's answer to an attempt, or the failure of the exchange."""
 
     attempt_id: str
     ok: bool
@@ -212,7 +231,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatArrived:
-    """A sidecar's heartbeat with its members' reports."""
+    """A sidecar's heartbeat, with reports on its gang members."""
 
     exchange_id: str
     minion: str
@@ -235,7 +254,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangReportArrived:
-    """Members' reports to the leaders at this sidecar."""
+    """Reports on gang members to the gang leaders at this sidecar."""
 
     exchange_id: str
     worker: str
@@ -244,9 +263,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GangReplyArrived:
-    """A leader's answer to reports: gangs that are whole, gangs that are not.
+    """A leader's answer to reports, or the failure of the exchange.
 
-    `sent_ms` is when the reports were sent; leases count from there.
+    `whole` and `broken` are the keys of gangs. `sent_ms` is when the reports were
+    sent; leases count from that time.
     """
 
     worker: str
@@ -258,7 +278,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerTask:
-    """A task as the worker reports it."""
+    """State of a task as the worker reports it."""
 
     task_id: str
     state: TaskState
@@ -278,12 +298,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process was asked to stop; a second one asks to stop at once."""
+    """A request to stop the process gracefully; a second one stops it at once."""
 
 
 @dataclass(frozen=True, slots=True)
-class HolderProbeArrived:
-    """Another entry asks whether this process is alive."""
+class HolderPingArrived:
+    """A ping of another entry to this process as the lease holder."""
 
     exchange_id: str
     entry: str
@@ -291,10 +311,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderAnswered:
-    """The holder's answer, or the failure of the exchange.
+    """The lease holder's answer to a ping, or the failure of the exchange.
 
-    `sent_ms` is when the question was sent; `follows_log` tells whether the holder
-    has read the log at its head lately.
+    `sent_ms` is when the ping was sent; `follows_log` is whether the holder has
+    recently read the log up to its head.
     """
 
     ok: bool
--- a/kingcuppost/tables/mailbox.py
+++ b/kingcuppost/tables/mailbox.py
@@ -1,4 +1,4 @@
-"""A mailbox of typed messages."""
+"""A mailbox of messages, grouped by type."""
 
 from collections import defaultdict
 from typing import Any, TypeVar
@@ -9,7 +9,7 @@
 
 
 class Mailbox:
-    """Messages by type, each type in order of arrival.
+    """Queues of messages, one for each message type, in order of arrival.
 
     Examples
     --------
@@ -28,15 +28,15 @@
         return sum(len(messages) for messages in self._messages.values())
 
     def put(self, message: Any) -> None:
-        """Add a message behind those of its type."""
+        """Append a message to the queue of its type."""
         self._messages[type(message)].append(message)
 
     def take(self, kind: type[Message]) -> list[Message]:
-        """Return and remove all messages of a type."""
+        """Remove and return all messages of a type."""
         return self._messages.pop(kind, [])
 
     def take_all(self) -> list[Any]:
-        """Return and remove all messages, grouped by type."""
+        """Remove and return all messages, grouped by type."""
         messages = [item for group in self._messages.values() for item in group]
         self._messages.clear()
         return messages
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -1,4 +1,4 @@
-"""Messages that systems hand to edges, as data classes."""
+"""Messages from the systems to the edges, as data classes."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -33,11 +33,11 @@
     Attributes
     ----------
     exchange_id : str
-        The exchange.
+        The exchange to answer.
     status : int
         HTTP status code.
     body : Any
-        A data class that the edge encodes.
+        Data class that the edge encodes.
     """
 
     exchange_id: str
@@ -47,9 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read records after an offset; the log may wait `wait_ms` for one.
+    """Read the records after an offset; the log may wait up to `wait_ms` for one.
 
-    A `hedge` goes out on a new connection, since an earlier read is late.
+    A `hedge` is a hedged request: since an earlier read is late, it is sent on a new
+    connection.
     """
 
     read_id: str
@@ -61,9 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendRecords:
-    """Append records, all or none.
+    """Append records to the log, all or none.
 
-    A `hedge` goes out on a new connection, since an earlier append is late.
+    A `hedge` is a hedged request: since an earlier append is late, it is sent on a new
+    connection.
     """
 
     records: tuple[Record, ...]
@@ -75,8 +77,9 @@
 class SendAttempt:
     """Send an attempt to a sidecar.
 
-    The attempt is of use for `timeout_ms`. The sidecar answers within `hold_ms`,
-    if only that it still runs; an exchange silent for `silence_ms` is abandoned.
+    The attempt is of use for `timeout_ms`. The sidecar answers within `hold_ms`, also
+    if the attempt is still running; an exchange without an answer for `silence_ms` is
+    abandoned.
     """
 
     attempt_id: str
@@ -96,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOver:
-    """Give an attempt to the minion beside this sidecar."""
+    """Send an attempt to the minion beside this sidecar."""
 
     attempt_id: str
     body: str
@@ -105,7 +108,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendHeartbeat:
-    """Tell an entry how this sidecar and its members are."""
+    """Send an entry a heartbeat with the state of this sidecar and its gang members."""
 
     entry: str
     host: str
@@ -121,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendGangReports:
-    """Tell the sidecar of a gang's leader how members are."""
+    """Report the state of gang members to the sidecar of their leader."""
 
     worker: str
     host: str
@@ -134,7 +137,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReserveTask:
-    """Reserve a worker's resources for a member, under a lease."""
+    """Reserve resources of the worker for a gang member, under a lease."""
 
     task_id: str
     cores: int
@@ -147,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Start a reserved member."""
+    """Start a gang member whose resources are reserved."""
 
     task_id: str
     lease_ms: int
@@ -156,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskLease:
-    """How much longer the worker may hold a task, in ms from the order's arrival."""
+    """Lease of a task: time in ms from the arrival of the order until it expires."""
 
     task_id: str
     lease_ms: int
@@ -164,7 +167,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RenewTasks:
-    """Renew each task's lease and ask how all tasks of the worker are."""
+    """Renew the leases of tasks, and request the state of all tasks of the worker."""
 
     leases: tuple[TaskLease, ...]
     timeout_ms: int
@@ -172,7 +175,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckpointTask:
-    """Ask a member to write a checkpoint."""
+    """Order a gang member to write a checkpoint."""
 
     task_id: str
     timeout_ms: int
@@ -180,7 +183,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopTask:
-    """Stop a member and free what it reserved."""
+    """Stop a gang member and release its reservation."""
 
     task_id: str
     timeout_ms: int
@@ -188,14 +191,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExitProcess:
-    """Stop the loop; nothing is under way any more."""
+    """Stop the loop and end the process with this exit code."""
 
     code: int
 
 
 @dataclass(frozen=True, slots=True)
 class AskHolder:
-    """Ask the holder of the scheduling lease whether it is alive."""
+    """Ping the holder of the scheduling lease."""
 
     entry: str
     host: str
--- a/kingcuppost/tables/table.py
+++ b/kingcuppost/tables/table.py
@@ -1,4 +1,4 @@
-"""A table of rows with the indexes and change sets that systems need."""
+"""A table of rows with secondary indexes and change tracking."""
 
 from collections.abc import Hashable, Iterator
 from typing import Any, Generic, TypeVar
@@ -9,18 +9,19 @@
 
 
 class Table(Generic[Row]):
-    """Rows by key, kept in order of insertion.
+    """Rows by key, in order of insertion.
 
     Rows are data classes. They change only through `update`, so that indexes
-    and change sets stay right. A change set is kept for each watcher from its
-    first question on, so that none grows for systems that do not run.
+    and change sets stay consistent. The table tracks changes for a reader only
+    from its first call of `take_changes` on, so that no change set grows for a
+    system that does not run.
 
     Parameters
     ----------
     key : str
         Name of the attribute that identifies a row.
     indexes : tuple of str
-        Attributes to look rows up by.
+        Names of the attributes by which `find`, `scan` and `count` select rows.
 
     Examples
     --------
@@ -58,7 +59,7 @@
         return key in self._rows
 
     def get(self, key: Hashable) -> Row | None:
-        """Return the row with this key, or None."""
+        """Return the row with this key, or None if there is none."""
         return self._rows.get(key)
 
     def first(self) -> Row:
@@ -72,7 +73,7 @@
         return next(iter(self._rows.values()))
 
     def put(self, row: Row) -> None:
-        """Insert a row, or replace the one with the same key."""
+        """Insert a row, or replace the row with the same key."""
         key = getattr(row, self._key)
         if key in self._rows:
             self._unindex(key)
@@ -96,7 +97,7 @@
         self._record_change(key)
 
     def delete(self, key: Hashable) -> Row | None:
-        """Remove and return the row with this key; None if there is none."""
+        """Remove and return the row with this key, or None if there is none."""
         if key not in self._rows:
             return None
         self._unindex(key)
@@ -109,21 +110,26 @@
         return [self._rows[key] for key in keys]
 
     def scan(self, index: str, value: Hashable) -> Iterator[Row]:
-        """Yield what `find` would return, for a reader that may stop early.
+        """Yield the rows that `find` returns, for a caller that may stop early.
 
-        The table must not change meanwhile.
+        The table must not change during the iteration.
         """
         for key in self._indexes[index].get(value, ()):
             yield self._rows[key]
 
     def count(self, index: str, value: Hashable) -> int:
-        """Return how many rows `find` would return."""
+        """Return the number of rows that `find` returns."""
         return len(self._indexes[index].get(value, ()))
 
     def take_changes(self, reader: str) -> list[Hashable]:
-        """Return the keys that changed since the watcher last asked.
+        """Return the keys of rows that changed since the reader's last call.
 
-        A watcher that asks for the first time gets all keys.
+        The first call of a reader returns all keys.
+
+        Parameters
+        ----------
+        reader : str
+            Name of the reader.
         """
         changes = self._changes.get(reader, self._rows)
         self._changes[reader] = {}
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -1,4 +1,4 @@
-"""All tables of one process."""
+"""World of a process: all its tables."""
 
 import random
 from collections import deque
@@ -51,9 +51,9 @@
 
 @dataclass
 class Agreed:
-    """Tables that are a fold of the log, the same in every process.
+    """State that follows from the log; equal in all processes that have read as far.
 
-    Only the fold writes them.
+    Only the fold writes these tables.
     """
 
     teams: Table[Team] = field(default_factory=lambda: Table("name"))
@@ -85,41 +85,82 @@
 
 @dataclass
 class World:
-    """Everything that the systems of one process read and write.
+    """Tables of one process; systems read and write nothing else.
 
     Attributes
     ----------
     cfg : ProcessConfig
         Settings of the process, from its file.
     identity : Identity
-        Who the process is.
+        Role, name, incarnation and location of the process.
     clock : Clock
-        Source of wall time for records and events; systems get monotonic time
+        Source of wall time for records and events; systems receive monotonic time
         as an argument.
     rng : random.Random
         The only source of randomness.
     agreed : Agreed
-        The fold of the log.
+        State that follows from the log.
+    log_view : LogView
+        Progress of this process in following the log.
+    snapshot_progress : SnapshotProgress
+        Snapshots observed in the log, and the draft of a new one.
+    holder_monitor : HolderMonitor
+        State of an entry's pings of the lease holder.
+    announcement : Announcement
+        Bound ports, and state of the announcement and of the graceful stop.
+    inbox, outbox : Mailbox
+        Messages from the edges to the systems, and from the systems to the edges.
+    deadlines : Deadlines
+        Times at which systems need another tick.
+    proposals : Table of Proposal
+        Records that this process proposes for the log.
+    fold_results : dict of str to FoldResult
+        Results of the last fold for records that this process proposed.
+    requests : Table of Request
+        Requests that an entry has not answered yet.
     request_queue : FairQueue
         Queued requests at an entry.
-    request_deadlines, resend_deadlines, pause_deadlines, hold_deadlines : Agenda
-        When requests expire, attempts are sent again, minions that failed are
-        tried again, and waiting entries are told that an attempt still runs.
+    request_deadlines, resend_deadlines : DeadlineQueue
+        When requests expire, and when attempts are sent again.
+    pause_deadlines, hold_deadlines : DeadlineQueue
+        When minions that failed are tried again, and when entries that wait for an
+        attempt are informed that it is still running.
     pools : ServicePools
-        Minions that may get another attempt from this entry.
-    fold_results : dict of str to Verdict
-        What the last fold made of records that this process proposed.
+        Minions to which this entry may send another attempt.
+    attempts : Table of Attempt
+        Attempts that an entry has sent and whose outcome is open.
+    health : Table of MinionHealth
+        Free slots, service times and failures of minions as an entry observes them.
+    served_attempts : Table of ServedAttempt
+        Attempts that a sidecar has accepted, finished ones included.
+    pending_exchanges : Table of PendingExchange
+        Entries' exchanges that wait at a sidecar for the end of an attempt.
+    reply_cache : ReplyCache
+        Finished attempts among `served_attempts`, in the order of eviction.
+    pending_heartbeats : Table of PendingHeartbeat
+        Heartbeats that entries have not answered yet.
+    heartbeat_view, worker_view : HeartbeatView, WorkerView
+        Schedules of a sidecar's heartbeats and of its orders to the worker.
+    gang_view : GangView
+        Progress of gangs as the scheduler tracks it.
+    tasks : Table of MemberTask
+        Tasks of gang members at a sidecar.
+    gang_monitors : Table of GangMonitor
+        Monitors of the gangs whose leader a sidecar is.
+    reservations : Table of Reservation
+        Gang members as their sidecars last reported them to the scheduler.
+    events : deque of Event
+        The newest events of the process.
+    event_count : int
+        Number of events since the start of the process.
+    tally : Tally
+        Counts and durations for the metrics.
     service_ms : float
         Smoothed service time of the minion beside a sidecar, in ms.
-    worker_view, heartbeat_view, gang_view : WorkerView, HeartbeatView, GangView
-        How a sidecar's dealings with its worker and the entries go on, and the
-        scheduler's with gangs.
     stopping : bool
-        Whether a graceful stop is under way.
-    tally : Tally
-        Counts and durations for the metrics.
-    scheduling : Capacity
-        What an entry knows of free accelerators, shares and the queue.
+        Whether a graceful stop has begun.
+    scheduling : SchedulingState
+        State of the scheduler outside the fold: free capacity, shares and the queue.
     """
 
     cfg: ProcessConfig
--- a/kingcuppost/utils/__init__.py
+++ b/kingcuppost/utils/__init__.py
@@ -1,4 +1,4 @@
-"""Small helpers that every layer may use."""
+"""Utilities that every layer may use."""
 
 from kingcuppost.utils.clock import BootClock, Clock, ManualClock, SystemClock
 from kingcuppost.utils.identifiers import new_identifier
--- a/kingcuppost/utils/clock.py
+++ b/kingcuppost/utils/clock.py
@@ -1,4 +1,4 @@
-"""The clock type: whole milliseconds, monotonic and wall."""
+"""Clocks that return monotonic and wall time in whole milliseconds."""
 
 import time
 from typing import Protocol
@@ -13,11 +13,11 @@
     """Source of time in whole milliseconds."""
 
     def now_ms(self) -> int:
-        """Return monotonic time, for deadlines and durations."""
+        """Return monotonic time in ms, for deadlines and durations."""
         ...
 
     def wall_ms(self) -> int:
-        """Return time since the Unix epoch, for records that people read."""
+        """Return Unix time in ms, for timestamps that people read."""
         ...
 
 
@@ -34,19 +34,19 @@
 
 
 class BootClock(SystemClock):
-    """Clock of the operating system that also counts time in which it slept.
+    """Clock of the operating system whose monotonic time includes suspension.
 
-    What was promised to others lapses while the machine sleeps, so a process that gives
-    promises measures them with this clock.
+    A lease granted to another process also expires while this machine is suspended, so
+    a process that grants leases measures them with this clock.
     """
 
     def now_ms(self) -> int:
-        """Return time since the machine's start in ms."""
+        """Return the time since the machine's boot in ms, suspension included."""
         return time.clock_gettime_ns(BOOT_CLOCK_ID) // NS_PER_MS
 
 
 class ManualClock:
-    """Clock that a test or a driver moves by hand.
+    """Clock that a test or a simulation advances explicitly.
 
     Examples
     --------
@@ -60,20 +60,20 @@
         self._now_ms = start_ms
 
     def now_ms(self) -> int:
-        """Return the time that was set, in ms."""
+        """Return the current time of this clock in ms."""
         return self._now_ms
 
     def wall_ms(self) -> int:
-        """Return the time that was set, in ms."""
+        """Return the current time of this clock in ms."""
         return self._now_ms
 
     def advance(self, by_ms: int) -> None:
-        """Move the clock forward.
+        """Advance the clock.
 
         Parameters
         ----------
         by_ms : int
-            How far, in ms; not negative.
+            Duration in ms; not negative.
 
         Raises
         ------
@@ -81,5 +81,5 @@
             If `by_ms` is negative.
         """
         if by_ms < 0:
-            raise ValueError("a clock does not move back")
+            raise ValueError("a clock cannot move backwards")
         self._now_ms += by_ms
--- a/kingcuppost/utils/identifiers.py
+++ b/kingcuppost/utils/identifiers.py
@@ -8,14 +8,14 @@
 
 
 def new_identifier(rng: random.Random, prefix: str) -> str:
-    """Return a new identifier.
+    """Return a new random identifier.
 
     Parameters
     ----------
     rng : random.Random
-        Generator of the world, seeded apart in every process.
+        Generator of the world; seeded differently in every process.
     prefix : str
-        Kind of the thing named, such as ``"attempt"``.
+        Kind of the identified object, such as ``"attempt"``.
 
     Returns
     -------
--- a/kingcuppost/utils/lazy.py
+++ b/kingcuppost/utils/lazy.py
@@ -1,6 +1,7 @@
-"""Re-exports that are imported when they are first used.
+"""Re-exported names whose modules are imported on first use.
 
-A process imports only what its role runs; start-up is part of every recovery.
+A process imports only the modules that its role runs, since the time to start adds to
+the time of every recovery.
 """
 
 from collections.abc import Callable
@@ -13,15 +14,15 @@
 def lazy_exports(
     exports: dict[str, str], load_first: tuple[str, ...] = ()
 ) -> Callable[[str], Any]:
-    """Return a module's ``__getattr__`` for names that live elsewhere.
+    """Return a module's ``__getattr__`` for names that other modules define.
 
     Parameters
     ----------
     exports : dict of str to str
-        Module that defines each name.
+        Defining module of each name.
     load_first : tuple of str
-        Modules that are imported before any of the names is given out, since they
-        fill registries.
+        Modules that are imported before the first name is returned, since their
+        decorators fill registries.
 
     Examples
     --------
--- a/kingcuppost/utils/ranking.py
+++ b/kingcuppost/utils/ranking.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: who comes first for a name, the same in every process."""
+"""Rendezvous hashing: a ranking by name that is the same in every process."""
 
 import hashlib
 from collections.abc import Callable, Iterable
@@ -12,14 +12,14 @@
 def rank_by_hash(
     name: str, items: Iterable[Item], name_of: Callable[[Item], str]
 ) -> list[Item]:
-    """Return items in the order in which they rank for a name.
+    """Return the items in their rendezvous order for a name.
 
     Parameters
     ----------
     name : str
-        Whose ranking it is.
+        Name that the items are ranked for.
     items : iterable
-        What is ranked; one that leaves moves no others.
+        Items to rank; the removal of one keeps the order of the others.
     name_of : callable
         Returns an item's name.
 
--- a/kingcuppost/utils/registry.py
+++ b/kingcuppost/utils/registry.py
@@ -1,4 +1,4 @@
-"""Registries that decorators fill, for behaviour that varies."""
+"""Registries that decorators fill, for behaviour with several variants."""
 
 from collections.abc import Callable, Hashable, Iterator
 from typing import Generic, TypeVar
@@ -10,12 +10,12 @@
 
 
 class Registry(Generic[Key, Item]):
-    """Functions by key; each key is registered once.
+    """Functions or classes by key; each key is registered once.
 
     Parameters
     ----------
     name : str
-        What the registry holds, for error texts.
+        Kind of the registered items, for error messages.
 
     Examples
     --------
@@ -32,12 +32,12 @@
         self._items: dict[Key, Item] = {}
 
     def register(self, key: Key) -> Callable[[Item], Item]:
-        """Return a decorator that files a function under `key`.
+        """Return a decorator that registers a function or class under `key`.
 
         Raises
         ------
         ValueError
-            If the key is taken.
+            If the key is registered already.
         """
 
         def add(item: Item) -> Item:
--- a/kingcuppost/utils/tests/test_ticks.py
+++ b/kingcuppost/utils/tests/test_ticks.py
@@ -1,4 +1,4 @@
-"""The order of systems is given by phase and position, not by their names."""
+"""Systems run in the order of phase and position, independent of their names."""
 
 import pytest
 
@@ -7,7 +7,7 @@
 ROLES = ("entry", "sidecar")
 
 
-def test_position_decides_within_a_phase():
+def test_systems_are_ordered_by_phase_then_position():
     registry = SystemRegistry(ROLES)
 
     @registry.system(Phase.ACT, order=20)
@@ -26,7 +26,7 @@
     assert runs == [zeta, omega, alpha]
 
 
-def test_two_systems_cannot_share_a_position():
+def test_registering_a_second_system_at_a_position_fails():
     registry = SystemRegistry(ROLES)
 
     @registry.system(Phase.ACT, order=10)
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -1,4 +1,4 @@
-"""Registries of systems, and the tick that runs them."""
+"""Registries of systems, and the tick that runs the systems in order."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,7 +11,7 @@
 
 
 class Phase(IntEnum):
-    """Order of the systems in a tick."""
+    """Phases of a tick, in the order in which they run."""
 
     FOLD = 1
     INTAKE = 2
@@ -29,13 +29,13 @@
     Attributes
     ----------
     name : str
-        Module and function.
+        Names of the module and the function.
     phase : Phase
-        When it runs in a tick.
+        Phase of the tick in which it runs.
     order : int
         Position among the systems of its phase; lower runs first.
     roles : tuple of str
-        Processes that run it.
+        Roles of the processes that run it.
     run : callable
         The function ``run(world, now_ms)``.
     """
@@ -48,12 +48,12 @@
 
 
 class SystemRegistry:
-    """Systems over one kind of world.
+    """Systems that run over one type of world.
 
     Parameters
     ----------
     roles : tuple of str
-        Roles of a system that names none.
+        Roles of a system that is registered without any.
 
     Examples
     --------
@@ -80,9 +80,9 @@
         Parameters
         ----------
         phase : Phase
-            When it runs in a tick.
+            Phase of the tick in which it runs.
         roles : tuple of str, optional
-            Processes that run it; all if None.
+            Roles of the processes that run it; all roles of the registry if None.
         order : int
             Position among the systems of its phase, unique in the registry; lower
             runs first.
@@ -110,7 +110,7 @@
                 )
 
     def systems_of(self, role: str) -> list[System]:
-        """Return a role's systems in the order in which a tick runs them."""
+        """Return the systems of a role in the order in which a tick runs them."""
         chosen = [item for item in self._systems.values() if role in item.roles]
         return sorted(chosen, key=lambda item: (item.phase, item.order))
 
@@ -121,9 +121,9 @@
     Parameters
     ----------
     world : object
-        Tables of the process, with `deadlines`.
+        World of the process; has an attribute `deadlines`.
     systems : list of System
-        What `SystemRegistry.systems_of` returned.
+        Systems in order, as `SystemRegistry.systems_of` returns them.
     now_ms : int
         Monotonic time of the tick.
     """
