--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -66,7 +66,7 @@
 
     Parameters
     ----------
-    first : Exchange
+    first : CommandRequest
         First request.
     make_follow_ups : callable
         Returns the further requests for the result of the first.
--- a/kingcuppost/utils/registry.py
+++ b/kingcuppost/utils/registry.py
@@ -10,7 +10,7 @@
 
 
 class Registry(Generic[Key, Item]):
-    """Functions or classes by key; each key is registered once.
+    """Functions, classes or values by key; each key is registered once.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
         self._items: dict[Key, Item] = {}
 
     def register(self, key: Key) -> Callable[[Item], Item]:
-        """Return a decorator that registers a function or class under `key`.
+        """Return a decorator that registers its argument under `key`.
 
         Raises
         ------
