--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -26,9 +26,9 @@
     method, path : str
         HTTP method, and path with query string.
     address : Address
-        IP address and port of the process that answers.
+        IP number and port of the process that answers.
     body : bytes
-        JSON text; empty if the request has no body.
+        JSON text; empty for none.
     timeout_ms : int
         Timeout of the whole exchange, in ms.
     """
@@ -46,8 +46,7 @@
 def send_requests(requests: list[CommandRequest]) -> RequestResults:
     """Send requests concurrently and return their results in order.
 
-    Runs and stops the reactor, which cannot be restarted: a process calls this or
-    `send_with_follow_ups` once.
+    Runs the reactor; a process calls this or `send_with_follow_ups` once.
     """
 
     async def send(client: JsonClient) -> RequestResults:
@@ -60,9 +59,7 @@
     first: CommandRequest,
     make_follow_ups: Callable[[Result[Response, Failure]], list[CommandRequest]],
 ) -> RequestResults:
-    """Send one request, then the requests that follow from its result.
-
-    Runs and stops the reactor, as `send_requests` does.
+    """Send one request, then those that follow from its result.
 
     Parameters
     ----------
