--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -28,7 +28,7 @@
 @pytest.fixture
 def peer(monkeypatch: pytest.MonkeyPatch) -> FakePeer:
     fake = FakePeer(Ok(Response(200, json.dumps(ACCEPTED).encode())))
-    monkeypatch.setattr(client, "exchange_all", fake)
+    monkeypatch.setattr(client, "send_requests", fake)
     return fake
 
 
@@ -271,14 +271,14 @@
     fleet = {"entries": [], "minions": [{"host": "10.0.0.9", "operator_port": 81}]}
     requested = []
 
-    def exchange_then(first: Any, follow: Any) -> list[Any]:
+    def send_with_follow_ups(first: Any, follow: Any) -> list[Any]:
         answer = Ok(Response(200, json.dumps(fleet).encode()))
         requested.extend(str(item.address) for item in follow(answer))
         other = {**EVENT, "sequence": 2, "team": "sales"}
         events = Ok(Response(200, json.dumps({"events": [EVENT, other]}).encode()))
         return [answer, events, Error(Failure("refused", "connect", "10.0.0.9:81"))]
 
-    monkeypatch.setattr(timeline, "exchange_then", exchange_then)
+    monkeypatch.setattr(timeline, "send_with_follow_ups", send_with_follow_ups)
     assert main(["timeline", "--team", "design", "--json"]) == 0
     printed = capsys.readouterr()
     assert requested == ["127.0.0.1:7301", "10.0.0.9:81"]
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -21,7 +21,11 @@
 from kingcuppost.exception import Failure, InvalidInputError
 from kingcuppost.models import decode
 from kingcuppost.models.events import EventListModel
-from kingcuppost.programs.command import Exchange, Outcomes, exchange_then
+from kingcuppost.programs.command_requests import (
+    CommandRequest,
+    RequestResults,
+    send_with_follow_ups,
+)
 from kingcuppost.systems.views.merge import merge_events
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.event import Event
@@ -106,14 +110,15 @@
 
 def _event_exchanges(
     entry: Address, extra_addresses: list[Address], answer: Result
-) -> list[Exchange]:
+) -> list[CommandRequest]:
     """Return the requests for events, one for each known process."""
     addresses = [entry, *extra_addresses]
     if answer.is_ok() and answer.ok.status == STATUS_OK:
         addresses += operator_addresses(json.loads(answer.ok.body))
     unique = list(dict.fromkeys(addresses))
     return [
-        Exchange("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS) for item in unique
+        CommandRequest("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS)
+        for item in unique
     ]
 
 
@@ -124,8 +129,8 @@
     extra_addresses = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
-    first = Exchange("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
-    answers = exchange_then(
+    first = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
+    answers = send_with_follow_ups(
         first, lambda answer: _event_exchanges(entry, extra_addresses, answer)
     )
     events = _read_events(answers)
@@ -138,7 +143,7 @@
     return EXIT_OK
 
 
-def _read_events(answers: Outcomes) -> list[Event] | None:
+def _read_events(answers: RequestResults) -> list[Event] | None:
     """Return all events, or None if no process answered.
 
     The failure of each process that did not answer is printed.
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -11,7 +11,7 @@
     encode_log_record,
     to_read_done,
 )
-from kingcuppost.tables.inbox import AppendDone, ReadDone
+from kingcuppost.tables.inbox import AppendAnswered, ReadAnswered
 from kingcuppost.tables.outbox import AppendRecords, ReadLog
 
 __all__ = ["HttpLog"]
@@ -43,7 +43,7 @@
             f"&limit={RECORDS_PER_READ}"
         )
 
-        async def work() -> ReadDone:
+        async def work() -> ReadAnswered:
             response = await client.exchange(
                 "GET", self._address, path, b"", row.timeout_ms
             )
@@ -54,8 +54,8 @@
                 raise PeerError(parsed.error.reason, "read", "log")
             return to_read_done(row.read_id, parsed.ok)
 
-        def make_failure(exc: PeerError) -> ReadDone:
-            return ReadDone(row.read_id, False, reason=str(exc))
+        def make_failure(exc: PeerError) -> ReadAnswered:
+            return ReadAnswered(row.read_id, False, reason=str(exc))
 
         deliver_later(self._context, work(), make_failure)
 
@@ -70,16 +70,18 @@
             values=[encode_log_record(record) for record in row.records]
         )
 
-        async def work() -> AppendDone:
+        async def work() -> AppendAnswered:
             response = await client.exchange(
                 "POST", self._address, "/v1/records", encode(model), row.timeout_ms
             )
             ok = response.status == STATUS_OK
-            return AppendDone(record_ids, ok, "" if ok else f"status {response.status}")
+            return AppendAnswered(
+                record_ids, ok, "" if ok else f"status {response.status}"
+            )
 
-        def make_failure(exc: PeerError) -> AppendDone:
+        def make_failure(exc: PeerError) -> AppendAnswered:
             never_sent = exc.step == "connect"
-            return AppendDone(record_ids, False, str(exc), never_sent)
+            return AppendAnswered(record_ids, False, str(exc), never_sent)
 
         deliver_later(self._context, work(), make_failure)
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -20,9 +20,9 @@
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.inbox import (
-    AttemptDone,
+    AttemptAnswered,
     GangReplyArrived,
-    HeartbeatDone,
+    HeartbeatAnswered,
     HolderAnswered,
     MinionAnswered,
 )
@@ -101,7 +101,7 @@
     attempt ran.
     """
 
-    async def work() -> AttemptDone:
+    async def work() -> AttemptAnswered:
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
         reply = await post_model(
@@ -109,8 +109,8 @@
         )
         return reply.to_message(row)
 
-    def make_failure(exc: PeerError) -> AttemptDone:
-        return AttemptDone(
+    def make_failure(exc: PeerError) -> AttemptAnswered:
+        return AttemptAnswered(
             row.attempt_id,
             row.minion,
             "",
@@ -149,7 +149,7 @@
 def send_heartbeat(context: EdgeContext, row: SendHeartbeat) -> None:
     """Send a heartbeat to an entry."""
 
-    async def work() -> HeartbeatDone:
+    async def work() -> HeartbeatAnswered:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
         reply = await post_model(
@@ -160,10 +160,10 @@
             HeartbeatReplyModel,
             row.timeout_ms,
         )
-        return HeartbeatDone(row.entry, True, "", reply.folded_offset)
+        return HeartbeatAnswered(row.entry, True, "", reply.folded_offset)
 
     deliver_later(
-        context, work(), lambda exc: HeartbeatDone(row.entry, False, str(exc))
+        context, work(), lambda exc: HeartbeatAnswered(row.entry, False, str(exc))
     )
 
 
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -25,7 +25,7 @@
     HolderModel,
 )
 from kingcuppost.systems.views import views
-from kingcuppost.tables.inbox import Propose, ShowView
+from kingcuppost.tables.inbox import ProposalRequest, ViewRequest
 
 __all__ = ["Call", "Route", "find_route", "route", "routes"]
 
@@ -133,7 +133,9 @@
 def _parse_proposal(call: Call, model: type, *arguments: str) -> Result[Any, Failure]:
     parsed = decode(model, call.body, call.peer)
     return parsed.map(
-        lambda item: Propose(call.exchange_id, item.operator, item.to_body(*arguments))
+        lambda item: ProposalRequest(
+            call.exchange_id, item.operator, item.to_body(*arguments)
+        )
     )
 
 
@@ -178,7 +180,7 @@
 
     def parse_view_request(call: Call) -> Result[Any, Failure]:
         argument = call.path_parameters.get(parameter) or call.query.get(parameter, "")
-        return Ok(ShowView(call.exchange_id, view, argument))
+        return Ok(ViewRequest(call.exchange_id, view, argument))
 
     parse_view_request.__doc__ = views[view].__doc__
     route(OPERATORS, "GET", path)(parse_view_request)
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -196,7 +196,7 @@
 @gauge("attempts_served", "Attempts that a sidecar remembers.", "state")
 def read_served_attempts(world: World) -> Iterable[Sample]:
     """Count the attempts in the table of a sidecar by state."""
-    for state, count in Counter(row.state for row in world.served).items():
+    for state, count in Counter(row.state for row in world.served_attempts).items():
         yield (str(state),), float(count)
 
 
