Wait for both entries before the second one is asked for a job's result

Cause: test_state_is_rebuilt_after_all_processes_were_killed waited until entry-0 showed the job as done and asked entry-1 for its result at once. In one run of the whole check entry-1 read the finish record 41 ms after entry-0 (time line of the failed run: applied at .101 and .142), so the result was still empty.

Change: the test waits for the state at both entries, which also checks that the state is back at the second one, and then compares the result as before.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -119,7 +119,11 @@
     for number in range(MINIONS):
         deployment.start_sidecar(number)
     wait_until(lambda: "job" in deployment.show("/v1/jobs/planning"), "state is back")
-    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    for entry in ("entry-0", "entry-1"):
+        wait_until(
+            lambda entry=entry: job_state(deployment, "planning", entry) == "done",
+            f"job done at {entry}",
+        )
     assert deployment.show(f"/v1/teams/{TEAM}")["guarantees"]
     assert deployment.show("/v1/jobs/planning", "entry-1")["job"]["result"] == "plan"
 
