--- a/standins/batch/__init__.py
+++ b/standins/batch/__init__.py
@@ -1,8 +1,8 @@
-"""A deployment in one process and in simulated time: log, minions, entries, sidecars.
+"""A simulated deployment in one process: log, minions, entries and sidecars.
 
-The systems of `kingcuppost.batch` run as they are; their messages travel through a
-seeded network that delays, loses and repeats them. `checks` looks at what callers and
-minions see.
+The systems of `kingcuppost.batch` run unchanged in simulated time. Their messages pass
+through a seeded network that delays, loses and repeats them. `checks` verifies the
+scheduler's guarantees from what callers and minions observe.
 """
 
 from standins.batch.deployment import Deployment
--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -9,7 +9,7 @@
 
 
 def main() -> int:
-    """Play one day a seed; return 1 if any broke a promise."""
+    """Run one day of faults per seed; return 1 if any violated a guarantee."""
     parser = argparse.ArgumentParser(prog="standins.batch", description=__doc__)
     parser.add_argument("first", type=int, help="first seed")
     parser.add_argument("days", type=int, nargs="?", default=1, help="how many")
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -1,4 +1,4 @@
-"""Promises, checked from what callers and minions see."""
+"""Checks of the scheduler's guarantees, from what callers and minions observe."""
 
 from collections import defaultdict
 from collections.abc import Callable
@@ -8,11 +8,30 @@
 
 __all__ = ["Checks"]
 
+# Starts of a job are tolerated for this long after its cancellation was accepted.
 CANCEL_GRACE_MS = 3_000
 
 
 class Checks:
-    """Notes what happens and keeps a line for each broken promise."""
+    """Records submissions, starts and ends of runs, and each violated guarantee.
+
+    Attributes
+    ----------
+    violations : list of str
+        One line for each violated guarantee.
+    live_runs : dict of TaskName to set of int
+        Runs that minions have started and not ended.
+    completed_tasks : set of TaskName
+        Tasks with a run that was done.
+    acknowledged_tasks : set of TaskName
+        Completed tasks whose end the scheduler has acknowledged.
+    task_counts : dict of str to list of int
+        Number of tasks in each step of a job.
+    expects_no_faults : bool
+        Whether a gang member that ran alone counts as a violation.
+    cancelled : dict of str to int
+        When the cancellation of a job was accepted, in ms.
+    """
 
     def __init__(self) -> None:
         self.violations: list[str] = []
@@ -38,7 +57,7 @@
         gangs: tuple[bool, ...],
         max_failures: int,
     ) -> None:
-        """Note a job that a caller has handed in."""
+        """Record a job that a caller has submitted."""
         self.task_counts[job_id] = counts
         self.needs[job_id] = needs
         self.gangs[job_id] = gangs
@@ -53,7 +72,7 @@
     def record_start(
         self, minion: str, task: TaskName, run: int, checkpoint: str
     ) -> None:
-        """Check a start."""
+        """Record the start of a run and check that it was allowed."""
         self.starts += 1
         if task.job not in self.task_counts:
             self.violations.append(f"UNASKED {task} run {run} at {minion}")
@@ -77,7 +96,7 @@
         self.live_runs[task].add(run)
 
     def record_end(self, minion: str, task: TaskName, run: int, how: RunEnd) -> None:
-        """Note an end."""
+        """Record the end of a run."""
         self.live_runs[task].discard(run)
         self.ends[how] += 1
         if how is RunEnd.DONE:
@@ -88,18 +107,18 @@
             self.violations.append(f"GANG {task} run {run} was alone at {minion}")
 
     def record_lost_run(self, task: TaskName, run: int) -> None:
-        """Note a run that went with its minion."""
+        """Record a run that was lost with its minion."""
         self.live_runs[task].discard(run)
         self.ends[RunEnd.LOST] += 1
 
     def record_acknowledged(self, minion: str, ends: list[EndedRun]) -> None:
-        """Note ends that the system has taken note of."""
+        """Record run ends that the scheduler has acknowledged."""
         for end in ends:
             if end.how is RunEnd.DONE:
                 self.acknowledged_tasks.update(self._tasks_ended_together(end.task))
 
     def check_shown_state(self, job_id: str, state: JobState) -> None:
-        """Check a state that a caller was shown."""
+        """Check a job state that was shown to a caller."""
         if state is not JobState.COMPLETED:
             return
         for step, count in enumerate(self.task_counts[job_id]):
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -1,4 +1,4 @@
-"""Entries, sidecars, minions and the log over a seeded network, in simulated time."""
+"""Simulates entries, sidecars, minions and the log over a seeded network."""
 
 import heapq
 import random
@@ -69,18 +69,20 @@
 
 @dataclass
 class Process:
-    """One process of the system.
+    """A simulated entry or sidecar.
 
     Attributes
     ----------
     is_cut_off : bool
-        Whether it reaches neither log nor peers.
+        Whether it can reach neither the log nor its peers.
     is_rejected_by_log : bool
-        Whether the log refuses it.
+        Whether the log refuses its requests.
     is_frozen : bool
-        Whether it stands still.
+        Whether it is paused and runs no ticks.
     misses_log_reads : bool
-        Whether its reads of the log bring nothing.
+        Whether its reads of the log return nothing.
+    next_offsets : dict of Stream to int
+        Offset to read next from each stream; -1 before the first read.
     """
 
     name: str
@@ -100,14 +102,23 @@
 
 
 class Deployment:
-    """A whole deployment.
+    """A simulated deployment.
 
     Parameters
     ----------
     seed : int
         Seed of the network, the processes and the faults.
     entries, minions : int
-        How many there are.
+        Number of entries, and of minions with their sidecars.
+
+    Attributes
+    ----------
+    lost_answer_ratio : float
+        Share of appends whose answer is lost.
+    late_order_ratio : float
+        Share of orders to minions that take effect late, with no answer.
+    closed_zones : set of str
+        Availability zones that operators have taken out of service.
     """
 
     def __init__(self, seed: int = 1, entries: int = 3, minions: int = 9) -> None:
@@ -181,7 +192,7 @@
     # processes
 
     def start(self, name: str) -> None:
-        """Start a process anew; it knows nothing of before."""
+        """Start or restart a process without any earlier state."""
         process = self.processes[name]
         process.incarnation += 1
         process.is_up = True
@@ -205,15 +216,15 @@
             self._send_heartbeats(process, process.incarnation, 1)
 
     def kill(self, name: str) -> None:
-        """End a process at once."""
+        """Kill a process without notice."""
         self.processes[name].is_up = False
 
     def stop(self, name: str) -> None:
-        """Ask a process to stop."""
+        """Request a graceful stop of a process."""
         self._deliver(self.processes[name], StopRequested())
 
     def holder(self) -> Process | None:
-        """Return the entry that schedules, or None."""
+        """Return the entry that holds the scheduling lease, or None."""
         for process in self.processes.values():
             is_up = process.role is Role.ENTRY and process.is_up
             if is_up and process.world.schedule.is_loaded:
@@ -223,12 +234,12 @@
     # time
 
     def at(self, delay_ms: float, run: Callable[[], None]) -> None:
-        """Run something later."""
+        """Schedule a function to run after a delay."""
         due_ms = self.clock.now_ms() + max(int(delay_ms), 0)
         heapq.heappush(self._events, (due_ms, next(self._sequence_numbers), run))
 
     def run_for(self, span_ms: int) -> None:
-        """Let time pass."""
+        """Advance simulated time by `span_ms`."""
         end_ms = self.clock.now_ms() + span_ms
         while self.clock.now_ms() < end_ms:
             step_end_ms = min(self.clock.now_ms() + STEP_MS, end_ms)
@@ -240,7 +251,7 @@
             self._advance_minions()
 
     def run_until(self, condition: Callable[[], bool], limit_ms: int) -> bool:
-        """Let time pass until a condition holds; return whether it does."""
+        """Advance time until a condition holds or the limit; return whether it holds."""
         end_ms = self.clock.now_ms() + limit_ms
         while not condition() and self.clock.now_ms() < end_ms:
             self.run_for(STEP_MS * 5)
@@ -253,7 +264,10 @@
         self._advance_gangs(running_minions)
 
     def _advance_gangs(self, running_minions: list[Minion]) -> None:
-        """Begin gangs that are whole, break those that are not, end them together."""
+        """Start complete gangs and end their members together.
+
+        A gang that works is broken when a member is missing or stopping.
+        """
         gangs: dict[tuple, list[tuple[Minion, Any]]] = {}
         for minion in running_minions:
             for run in minion.runs.values():
@@ -279,7 +293,7 @@
     # ticks
 
     def request_tick(self, process: Process) -> None:
-        """Ask for a tick."""
+        """Schedule a tick of a process unless one is scheduled already."""
         key = (process.name, process.incarnation)
         if key not in self._scheduled_ticks:
             self._scheduled_ticks.add(key)
@@ -404,7 +418,7 @@
                 )
 
     def _poll_stream(self, process: Process, incarnation: int, stream: Stream) -> None:
-        """Read a stream now and then, as a long poll does."""
+        """Read a stream periodically, as a long poll does."""
         if process.incarnation != incarnation or not process.is_up:
             return
         self._read_stream(process, incarnation, stream)
@@ -619,7 +633,10 @@
         entry: str = "",
         job: SubmittedJob | None = None,
     ) -> str:
-        """Send a call to an entry and return the identifier of its exchange."""
+        """Send a caller's call; return the identifier of the exchange.
+
+        Without an entry, one of the running entries is picked at random.
+        """
         running_entries = [
             process
             for process in self.processes.values()
@@ -647,7 +664,7 @@
         job_id: str = "",
         entry: str = "",
     ) -> tuple[str, str]:
-        """Hand a job in; return its identifier and that of the exchange."""
+        """Submit a job; return its identifier and that of the exchange."""
         job_id = job_id or f"{self.rng.getrandbits(64):016x}"
         self.steps[job_id] = steps
         self.work_ms_by_job[job_id] = work_ms
@@ -663,7 +680,7 @@
         return job_id, self.call(CallKind.SUBMIT, path, entry, job)
 
     def state(self, job_id: str, priority: int = 1) -> JobState | None:
-        """Return the state that any entry shows, or None if none answers."""
+        """Return the job state shown by a random entry, or None without an answer."""
         exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
@@ -674,7 +691,7 @@
         return reply.state
 
     def cancel(self, job_id: str, priority: int = 1) -> str:
-        """Cancel a job and return the identifier of the exchange."""
+        """Send the cancellation of a job; return the identifier of the exchange."""
         exchange_id = self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
         self._cancels[exchange_id] = job_id
         return exchange_id
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -1,8 +1,8 @@
-"""The platform over HTTP: store and minions in one process, for tests.
+"""HTTP stand-in of the platform for tests: log store and minions in one process.
 
-Reads a JSON document from the file named on the command line: the port of the store,
-the configuration of the operators, and the minions with the addresses at which they
-serve and at which their sidecars take heartbeats.
+The command line names a JSON file with the address of the store, the operators'
+configuration, the identifiers of jobs, and the minions: the address where each one
+serves and the address where its sidecar receives heartbeats.
 """
 
 import base64
@@ -66,7 +66,7 @@
 
 
 class _PathDispatcher(Resource):
-    """Serves functions by path."""
+    """Dispatches requests to handlers by path."""
 
     isLeaf = True  # noqa: N815
 
@@ -75,7 +75,7 @@
         self._handlers = paths
 
     def render(self, request: Request) -> int:
-        """Hand a request to its function."""
+        """Pass a request to the handler of its path; status 404 if there is none."""
         handler = self._handlers.get(request.path.decode())
         if handler is None:
             _send_json(request, 404)
@@ -101,13 +101,13 @@
 
 
 class StoreHandlers:
-    """The store's calls."""
+    """HTTP handlers of the log store."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
 
     def paths(self) -> dict[str, Callable[[Request], None]]:
-        """Return what is served where."""
+        """Return the handlers by path."""
         return {
             "/kingcuppost/log-append": self.append,
             "/kingcuppost/log-read": self.read,
@@ -115,7 +115,7 @@
         }
 
     def append(self, request: Request) -> None:
-        """Append records."""
+        """Append the records in the request body."""
         at = _query_field(request, "at")
         epoch = _query_field(request, "epoch")
         done = self._store.append(
@@ -135,7 +135,7 @@
         )
 
     def read(self, request: Request) -> None:
-        """Answer with records as soon as there are any."""
+        """Return records from an offset on, after waiting for one if there is none."""
         stream = STREAMS[_query_field(request, "topic")]
         start = int(_query_field(request, "from"))
         limit_ms = _now_ms() + int(_query_field(request, "waitMs", "0"))
@@ -159,7 +159,7 @@
             )
 
     def newest(self, request: Request) -> None:
-        """Answer with the newest record of each key."""
+        """Return the newest record of each key."""
         stream = STREAMS[_query_field(request, "topic")]
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
@@ -169,7 +169,7 @@
 
 
 class MinionHandlers:
-    """A minion's calls, and its heartbeats."""
+    """HTTP handlers of a minion, and its heartbeats."""
 
     def __init__(self, cfg: dict, checks: Checks) -> None:
         self._cfg = cfg
@@ -194,7 +194,7 @@
         return StepSpec(row["count"], saves=row["saves"]), row["work_ms"]
 
     def paths(self) -> dict[str, Callable[[Request], None]]:
-        """Return what is served where."""
+        """Return the handlers by path."""
         return {
             "/kingcuppost/run-start": self.start,
             "/kingcuppost/run-stop": self.stop,
@@ -206,7 +206,7 @@
         _send_json(request, status, clockMs=_now_ms(), reason=reason)
 
     def start(self, request: Request) -> None:
-        """Begin a run; the job's spec tells how long its tasks work."""
+        """Start a run; the spec of the job gives the work of its tasks."""
         body = json.load(request.content)
         task = TaskName.parse(body["task"])
         self._job_specs[task.job] = json.loads(body["spec"])
@@ -220,13 +220,13 @@
         self._reply(request, reason)
 
     def stop(self, request: Request) -> None:
-        """End a run."""
+        """Stop a run."""
         body = json.load(request.content)
         task = TaskName.parse(body["task"])
         self._reply(request, self.minion.stop(body["fencingToken"], task, body["run"]))
 
     def renew_lease(self, request: Request) -> None:
-        """Answer with both lists, at once or when a run has ended."""
+        """Renew the lease; return running and ended runs once a run ends or time is up."""
         body = json.load(request.content)
         limit_ms = _now_ms() + body.get("waitMs", 0)
         self._answer_when_ready(request, body, limit_ms, body.get("deadlineMs"))
@@ -254,7 +254,7 @@
         )
 
     async def send_heartbeat(self) -> None:
-        """Send a heartbeat to the sidecar; one that fails is sent again later."""
+        """Send a heartbeat to the sidecar; after a failure the next one follows."""
         self._sequence += 1
         body = {
             "service": "svc",
@@ -276,7 +276,7 @@
                 "PUT", Address(host, int(port)), path, text, 900
             )
         except PeerError as exc:
-            print(f"no heartbeat: {exc}", file=sys.stderr)
+            print(f"heartbeat to the sidecar failed: {exc}", file=sys.stderr)
 
 
 def _listen(address: str, paths: dict[str, Callable[[Request], None]]) -> None:
@@ -285,7 +285,7 @@
 
 
 def main() -> None:
-    """Serve until the process is ended; print a line with the checks' findings."""
+    """Serve until the process is stopped, then print the violations as JSON."""
     cfg = json.loads(Path(sys.argv[1]).read_text(encoding="utf-8"))
     store, checks = Store(), Checks()
     config = json.dumps(cfg["configuration"]).encode()
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -1,4 +1,4 @@
-"""Minions that run tasks under a lease, alone or in gangs."""
+"""Simulated minions that run single tasks and gang members under a lease."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -17,16 +17,18 @@
 
 @dataclass
 class Run:
-    """A run at a minion.
+    """A run of a task on a minion.
 
     Attributes
     ----------
     done_ms : float
         Work done, in ms at speed 1.
     checkpoint_ms : float
-        Work that the newest checkpoint holds.
+        Work covered by the newest checkpoint, in ms at speed 1.
     stop_at_ms : int or None
-        When a stop takes effect.
+        Time at which an ordered stop takes effect.
+    is_working : bool
+        Whether the whole gang of this run has started.
     """
 
     task: TaskName
@@ -41,22 +43,31 @@
 
     @property
     def percent(self) -> int:
-        """Return how much of the work is done."""
+        """Return the finished share of the work, at most 99 percent."""
         return min(int(100 * self.done_ms / self.work_ms), 99)
 
 
 @dataclass
 class Minion:
-    """A back end with room for tasks, seen through its calls.
+    """A back end that runs tasks within its resources.
 
     Attributes
     ----------
     fails_all_runs : bool
-        Whether it fails all that it starts.
+        Whether every run fails as soon as it starts.
     hangs : bool
-        Whether its tasks stand still.
+        Whether its runs make no progress.
+    until_ms : int
+        Time at which the lease expires.
+    token : int
+        Highest fencing token received; orders with a lower one are refused.
+    last_ended_run : dict of TaskName to int
+        Highest run number of each task that has ended or was told to stop.
+    ended : list of EndedRun
+        Run ends that the scheduler has not acknowledged yet.
     ends_before_lapse : set of int
-        Ends that were listed when the lease lapsed; noting them settles nothing.
+        Numbers of the ends in `ended` when the lease expired. Their acknowledgement
+        does not count as recorded by the scheduler.
     """
 
     id: str
@@ -84,11 +95,11 @@
 
     @property
     def incarnation(self) -> MinionIncarnation:
-        """Return the present life."""
+        """Return the current incarnation."""
         return MinionIncarnation(self.id, self.born_ms)
 
     def restart(self) -> None:
-        """Begin a new life that holds and knows nothing of before."""
+        """Begin a new incarnation without runs and without memory of earlier ones."""
         self.born_ms = self.now_ms() + 1
         for key in list(self.runs):
             self.checks.record_lost_run(key[0], key[1])
@@ -112,7 +123,7 @@
     def start(
         self, token: int, task: TaskName, run: int, checkpoint: str, until_ms: int
     ) -> str:
-        """Begin a run; return why not, or an empty text."""
+        """Start a run; return the reason of a refusal, or an empty text."""
         if token < self.token:
             return "fence"
         self.token = token
@@ -141,7 +152,7 @@
         return ""
 
     def stop(self, token: int, task: TaskName, run: int) -> str:
-        """Order the end of a run."""
+        """Stop a run after a delay; return the reason of a refusal, or an empty text."""
         if token < self.token:
             return "fence"
         self.last_ended_run[task] = max(self.last_ended_run.get(task, 0), run)
@@ -157,7 +168,10 @@
     def renew_lease(
         self, token: int, seen: int, until_ms: int | None
     ) -> tuple[tuple[RunningRun, ...], tuple[EndedRun, ...]]:
-        """Extend the lease and return what runs and what has ended."""
+        """Extend the lease; return the running and the ended runs.
+
+        Ends up to the number `seen` are acknowledged and dropped from the list.
+        """
         self.token = max(token, self.token)
         if until_ms is not None:
             self._extend_lease(until_ms)
@@ -175,7 +189,7 @@
         return running, tuple(self.ended)
 
     def end(self, run: Run, how: RunEnd) -> None:
-        """End a run and list its end."""
+        """End a run and add its end to the list."""
         del self.runs[run.task, run.run]
         self.last_ended_run[run.task] = max(
             self.last_ended_run.get(run.task, 0), run.run
@@ -190,7 +204,7 @@
         self.checks.record_end(self.id, run.task, run.run, how)
 
     def advance(self, by_ms: int) -> None:
-        """Work for some ms; gangs are led by the deployment."""
+        """Simulate `by_ms` of work; the deployment starts and ends gangs."""
         now_ms = self.now_ms()
         if now_ms >= self.until_ms:
             self.ends_before_lapse.update(end.number for end in self.ended)
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -1,4 +1,8 @@
-"""Days of random work and random faults, by seed: ``python -m standins.batch 1 20``."""
+"""Soak test with random jobs and random faults by seed.
+
+A day is one simulated run. ``python -m standins.batch 1 20`` runs the days of seeds 1
+to 20.
+"""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -23,16 +27,16 @@
 
 @dataclass
 class Outcome:
-    """What a day came to.
+    """Result of a day.
 
     Attributes
     ----------
     violations : list of str
-        Broken promises; none on a good day.
+        Violated guarantees; empty if the day passed.
     injected_faults : list of str
-        Faults with their times, in s.
+        Injected faults with their times, in s.
     jobs, completed : int
-        Accepted jobs, and those that were completed.
+        Number of accepted jobs, and of those that completed.
     """
 
     seed: int
@@ -101,7 +105,10 @@
     value: bool | float,
     for_ms: float,
 ) -> None:
-    """Set an attribute of some rows, and set it back to nothing after a while."""
+    """Set an attribute of some rows and reset it after `for_ms`.
+
+    The reset value is the empty value of the attribute's type: False or 0.
+    """
     rows = list(rows)
     default = type(value)()
     for row in rows:
@@ -251,7 +258,7 @@
 
 
 def run_day(seed: int, fault_count: int = 6) -> Outcome:
-    """Play a day and return what it came to."""
+    """Run a day of jobs and faults and return its result."""
     deployment = Deployment(seed)
     deployment.run_for(WARM_UP_MS)
     outcome = Outcome(seed, deployment.checks.violations)
@@ -289,7 +296,7 @@
     exchanges: dict[str, tuple[str, int]],
     cancelled: set[str],
 ) -> None:
-    """Check that accepted jobs have ended and refused ones never ran."""
+    """Check that all accepted jobs have ended and that refused jobs never ran."""
     for job_id, (exchange_id, priority) in exchanges.items():
         reply: CallReply | None = deployment.replies.get(exchange_id)
         is_refused = reply is not None and reply.verdict is CallOutcome.NOT_RUN
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -1,4 +1,4 @@
-"""A log store with keyed topics, writers with epochs, and conditional appends."""
+"""In-memory log store: keyed topics, writer epochs and conditional appends."""
 
 from dataclasses import dataclass, field
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class AppendResult:
-    """Answer to an append."""
+    """Result of an append."""
 
     outcome: AppendOutcome
     offset: int = -1
@@ -27,7 +27,7 @@
 
 
 class Store:
-    """Streams of keyed records that lose nothing they have acknowledged."""
+    """Streams of keyed records; an acknowledged append is never lost."""
 
     def __init__(self) -> None:
         self._topics = {stream: _Topic() for stream in Stream}
@@ -40,7 +40,20 @@
         epoch: int | None = None,
         sequence: int = 0,
     ) -> AppendResult:
-        """Append records all or not at all."""
+        """Append all records or none.
+
+        Parameters
+        ----------
+        stream : Stream
+            Stream to append to.
+        records : list of (str, bytes)
+            Keys and values; an empty value deletes the key.
+        expected_end : int or None
+            End offset that the stream must have, if given.
+        epoch, sequence : int
+            Fencing epoch of the writer, and number of the append within it. A
+            repeated pair gets the first result again.
+        """
         topic = self._topics[stream]
         if expected_end is not None and expected_end != len(topic.records):
             return AppendResult(AppendOutcome.CONFLICT, end=len(topic.records))
@@ -64,22 +77,22 @@
         return answer
 
     def end(self, stream: Stream) -> int:
-        """Return the offset behind the last record."""
+        """Return the offset after the last record."""
         return len(self._topics[stream].records)
 
     def drop_history(self, stream: Stream) -> None:
-        """Drop the history; the newest record of each key stays."""
+        """Drop the history but keep the newest record of each key."""
         topic = self._topics[stream]
         topic.first_offset = len(topic.records)
 
     def newest(self, stream: Stream) -> list[tuple[int, str, bytes]]:
-        """Return the newest record of each key, by offset."""
+        """Return the newest record of each key, ordered by offset."""
         topic = self._topics[stream]
         offsets = sorted(topic.newest.values())
         return [(offset, *topic.records[offset]) for offset in offsets]
 
     def read(self, stream: Stream, start: int) -> list[tuple[str, bytes]] | None:
-        """Return the records from an offset on; None if they are forgotten."""
+        """Return the records from an offset on; None if their history was dropped."""
         topic = self._topics[stream]
         if start < topic.first_offset:
             return None
