Rename more locals and reword reasons in the stand-ins and the benchmark

Names such as plus, took_s and taken become add, elapsed_s and used; the simulated deployment gives its refusals plain reasons that nothing matches. The soak test prints the same lines.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -263,13 +263,13 @@
         guaranteed = sum(
             shape.members * shape.accelerators * shape.count for shape in shapes
         )
-        taken = sum(
+        used = sum(
             job.members << class_of(job.accelerators)
             for job in self.world.agreed.jobs.find("team", item.team)
             if job.accelerators and job.state in (JobState.WAITING, JobState.ACTIVE)
         )
         largest = max((shape.accelerators for shape in shapes), default=0)
-        return size <= largest and taken + item.members * size <= guaranteed
+        return size <= largest and used + item.members * size <= guaranteed
 
     def cancel(self, item: Cancel) -> None:
         """Cancel a share of all open jobs at once."""
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -72,7 +72,7 @@
     """
     samples = Samples()
     last_ms = max(item.at_ms for item in driver.deployment.arrivals)
-    window = _window(driver.deployment.zone_changes)
+    window = _zone_change_window(driver.deployment.zone_changes)
     for at_ms in range(SAMPLE_PERIOD_MS, last_ms, SAMPLE_PERIOD_MS):
         driver.run(at_ms)
         _sample(driver, samples, window, at_ms)
@@ -80,7 +80,7 @@
     return _summarize(driver, samples)
 
 
-def _window(changes: list[ZoneChange]) -> tuple[int, int]:
+def _zone_change_window(changes: list[ZoneChange]) -> tuple[int, int]:
     return changes[0].at_ms, changes[-1].at_ms + WINDOW_AFTER_RETURN_MS
 
 
@@ -89,7 +89,7 @@
 ) -> None:
     scheduling = driver.world.scheduling
     rows = [row for row in scheduling.workers if row.accelerators]
-    largest = _largest_wanted(driver)
+    largest = _largest_wanted_size(driver)
     for row in rows:
         if row.in_service:
             free = row.full_mask & ~row.busy
@@ -101,7 +101,7 @@
         _sample_window(driver, samples, rows)
 
 
-def _largest_wanted(driver: Driver) -> int:
+def _largest_wanted_size(driver: Driver) -> int:
     """Return the size of the largest member that waits or has an unused guarantee."""
     scheduling = driver.world.scheduling
     sizes = [
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -384,7 +384,7 @@
     def _append_records(self, process: Process, message: Append) -> None:
         if not self._can_reach_log(process):
             answer = AppendEnded(
-                message.id, AppendOutcome.REFUSED, reason="turned away"
+                message.id, AppendOutcome.REFUSED, reason="rejected by the log"
             )
             self._deliver_later(process, 20, lambda: answer)
             return
@@ -393,11 +393,13 @@
 
         def apply() -> None:
             records = [encode_record(record) for record in message.records]
-            done = self.store.append(
+            result = self.store.append(
                 message.stream, records, message.at, message.term, message.sequence
             )
             if not lost:
-                answer = AppendEnded(message.id, done.outcome, done.offset, done.end)
+                answer = AppendEnded(
+                    message.id, result.outcome, result.offset, result.end
+                )
                 self._deliver_later(process, self._delay_ms(), lambda: answer)
             self._notify_entries(message.stream)
 
@@ -476,7 +478,7 @@
         )
         open_exchange = [True]
 
-        def finish(reply: SyncReply | None, reason: str = "") -> None:
+        def finish_exchange(reply: SyncReply | None, reason: str = "") -> None:
             if open_exchange[0]:
                 open_exchange[0] = False
                 answered = SyncAnswered(
@@ -500,12 +502,12 @@
 
         def answer(text: bytes) -> None:
             if not process.is_cut_off and not other.is_cut_off:
-                finish(decode_sync_reply(text, other.name).ok)
+                finish_exchange(decode_sync_reply(text, other.name).ok)
 
         self.at(self._delay_ms(), arrive)
         is_refused = other is None or not other.is_up
         timeout_ms = 5 if is_refused else message.timeout_ms
-        self.at(timeout_ms, lambda: finish(None, "no answer"))
+        self.at(timeout_ms, lambda: finish_exchange(None, "no answer"))
 
     def _answer_sync(self, process: Process, reply: SyncReply) -> None:
         key = (process.name, process.incarnation, reply.exchange_id)
@@ -550,7 +552,7 @@
             now_ms = self.clock.now_ms()
             if not minion.is_up or minion.incarnation != message.incarnation:
                 answer = HoldMinionAnswered(
-                    message.incarnation, sent_ms, now_ms, reason="other life"
+                    message.incarnation, sent_ms, now_ms, reason="other incarnation"
                 )
                 self._deliver(process, answer, incarnation)
                 return
@@ -590,9 +592,9 @@
                 reason = minion.stop(message.term, order.task, order.run)
             if not is_late:
                 outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
-                answered(outcome, reason)
+                deliver_answer(outcome, reason)
 
-        def answered(outcome: OrderOutcome, reason: str) -> None:
+        def deliver_answer(outcome: OrderOutcome, reason: str) -> None:
             order = message.order
             answer = OrderAnswered(
                 message.incarnation, order.task, order.run, is_start, outcome, reason
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -66,8 +66,8 @@
     ended : list of EndedRun
         Run ends that the scheduler has not acknowledged yet.
     ends_before_lapse : set of int
-        Numbers of the ends in `ended` when the lease expired. Their acknowledgement
-        does not count as recorded by the scheduler.
+        Numbers of the ends in `ended` when the lease expired. Their tasks may run
+        again even after the ends are acknowledged.
     """
 
     id: str
@@ -112,7 +112,7 @@
         self.token = 0
         self.draining = False
 
-    def _free(self) -> Resources:
+    def _free_resources(self) -> Resources:
         resources = replace(self.resources)
         for run in self.runs.values():
             resources.cpu_millis -= run.step.cpu_millis
@@ -136,7 +136,7 @@
             return "late"
         self._extend_lease(until_ms)
         step, work_ms = self.task_work(task)
-        free = self._free()
+        free = self._free_resources()
         if (
             free.cpu_millis < step.cpu_millis
             or free.memory_mb < step.memory_mb
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -158,7 +158,7 @@
 
 
 @faults.register("log down")
-def _log_down(deployment: Deployment) -> str:
+def _stop_log(deployment: Deployment) -> str:
     _set_temporarily(
         deployment,
         [deployment],
@@ -221,7 +221,7 @@
     return process.name
 
 
-def _random_job(
+def _make_random_job(
     deployment: Deployment,
 ) -> tuple[tuple[StepSpec, ...], list[float], int]:
     rng = deployment.rng
@@ -266,7 +266,7 @@
     cancelled: set[str] = set()
 
     def submit_job() -> None:
-        steps, work_ms, priority = _random_job(deployment)
+        steps, work_ms, priority = _make_random_job(deployment)
         job_id, exchange_id = deployment.submit(steps, work_ms, priority)
         exchanges[job_id] = (exchange_id, priority)
         if deployment.rng.random() < 0.1:
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -92,12 +92,12 @@
             for number in range(self.minions)
         }
 
-        def announced() -> bool:
+        def are_announced() -> bool:
             rows = self.deployment.show("/v1/fleet")["minions"]
             known = {row["name"]: row["peer_port"] for row in rows}
             return all(known.get(name) == ports[name]["peers"] for name in ports)
 
-        wait_until(announced, "all sidecars announced")
+        wait_until(are_announced, "all sidecars announced")
 
     def sample(self) -> Sample:
         """Return the resource use of each role; for sidecars the mean."""
@@ -111,7 +111,7 @@
         return {
             "entry": read_usage(self.deployment.processes[other]),
             "holder": read_usage(self.deployment.processes[holder]),
-            "sidecar": _mean(sidecars),
+            "sidecar": _mean_usage(sidecars),
         }
 
     def sample_with_own_cost(self) -> Sample:
@@ -123,7 +123,7 @@
         first = self.sample()
         second = self.sample()
         return {
-            role: second[role].plus(second[role].since(first[role])) for role in ROLES
+            role: second[role].add(second[role].since(first[role])) for role in ROLES
         }
 
     def measure_rates(
@@ -133,25 +133,25 @@
         before = self.sample_with_own_cost()
         started_s = time.monotonic()
         time.sleep(seconds)
-        took_s = time.monotonic() - started_s
+        elapsed_s = time.monotonic() - started_s
         after = self.sample()
         use = {role: after[role].since(before[role]) for role in ROLES}
-        rates = {role: to_rates(use[role], took_s) for role in ROLES}
-        return rates, {role: use[role].messages / took_s for role in ROLES}
+        rates = {role: to_rates(use[role], elapsed_s) for role in ROLES}
+        return rates, {role: use[role].messages / elapsed_s for role in ROLES}
 
     def measure_event(self, driver: str, count: int, method: str, work) -> float:
         """Add the slope of an event: the use of `work` beyond idling, per event."""
         before = self.sample_with_own_cost()
         started_s = time.monotonic()
         work()
-        took_s = time.monotonic() - started_s
+        elapsed_s = time.monotonic() - started_s
         after = self.sample()
         by_role = {}
         messages = {}
         for role in ROLES:
             use = after[role].since(before[role])
             idle = self.idle[role]
-            spent = to_rates(use, 1.0).plus(idle, -took_s)
+            spent = to_rates(use, 1.0).add(idle, -elapsed_s)
             by_role[role] = Rates(
                 max(spent.processor, 0.0) / count,
                 max(spent.kb_a_second, 0.0) / count,
@@ -160,9 +160,9 @@
             )
             messages[role] = use.messages / count
         self.slopes.append(
-            Slope(driver, by_role, messages, f"{method}, {took_s:.1f} s")
+            Slope(driver, by_role, messages, f"{method}, {elapsed_s:.1f} s")
         )
-        return took_s
+        return elapsed_s
 
     def put(self, path: str, /, **body: object) -> None:
         """Send a change as an operator."""
@@ -193,7 +193,7 @@
         return all(states.get(name) in END_STATES for name in names)
 
 
-def _mean(rows: list[Usage]) -> Usage:
+def _mean_usage(rows: list[Usage]) -> Usage:
     names = vars(rows[0])
     return Usage(
         **{name: statistics.fmean(getattr(row, name) for row in rows) for name in names}
@@ -212,7 +212,7 @@
     added = MINIONS_LARGE - MINIONS_SMALL
     by_role = {}
     for role in ROLES:
-        growth = measurement.idle[role].plus(small[role], -1.0)
+        growth = measurement.idle[role].add(small[role], -1.0)
         growth_mb = large_memory[role] - small_memory[role]
         slope = Rates(
             max(growth.processor, 0.0) / added,
@@ -227,7 +227,7 @@
             large_memory[role],
             measurement.idle[role].appends,
         )
-        measurement.base[role] = flat.plus(slope, -MINIONS_LARGE)
+        measurement.base[role] = flat.add(slope, -MINIONS_LARGE)
     per_worker = {
         role: (messages[role] - small_messages[role]) / added for role in ROLES
     }
@@ -294,8 +294,12 @@
             180,
         )
 
-    took_s = measurement.measure_event("job", JOBS, f"{JOBS} jobs of one member", run)
-    measurement.bursts.append(["jobs submitted at once", JOBS, f"{took_s:.1f} s", "-"])
+    elapsed_s = measurement.measure_event(
+        "job", JOBS, f"{JOBS} jobs of one member", run
+    )
+    measurement.bursts.append(
+        ["jobs submitted at once", JOBS, f"{elapsed_s:.1f} s", "-"]
+    )
 
 
 def measure_tasks(measurement: CapacityMeasurement) -> None:
@@ -316,7 +320,7 @@
     by_role = {}
     for role in ROLES:
         task_count = TASKS_PER_MINION if role == "sidecar" else count
-        growth = rates[role].plus(measurement.idle[role], -1.0)
+        growth = rates[role].add(measurement.idle[role], -1.0)
         standing_mb = after_mb[role] - before_mb[role]
         by_role[role] = Rates(
             max(growth.processor, 0.0) / task_count,
@@ -345,13 +349,13 @@
         "all long jobs cancelled",
         180,
     )
-    took_s = time.monotonic() - started_s
+    elapsed_s = time.monotonic() - started_s
     use = measurement.sample()["holder"].since(before)
     measurement.bursts.append(
         [
             "cancellation wave",
             len(names),
-            f"{took_s:.1f} s",
+            f"{elapsed_s:.1f} s",
             f"{use.processor_s / len(names) * MS_PER_SECOND:.1f} ms each at the holder",
         ]
     )
@@ -374,11 +378,13 @@
         measurement.wait_for_fleet()
 
     before = len(measurement.slopes)
-    took_s = measurement.measure_event(
+    elapsed_s = measurement.measure_event(
         "restart", len(numbers), f"{len(numbers)} sidecars", restart
     )
     measurement.slopes[before] = _without_sidecars(measurement.slopes[before])
-    measurement.bursts.append(["zone restarted", len(numbers), f"{took_s:.1f} s", "-"])
+    measurement.bursts.append(
+        ["zone restarted", len(numbers), f"{elapsed_s:.1f} s", "-"]
+    )
 
 
 def _without_sidecars(slope: Slope) -> Slope:
@@ -402,11 +408,11 @@
         )
 
     wait_until(caught_up, "the new entry has caught up")
-    took_s = time.monotonic() - started_s
+    elapsed_s = time.monotonic() - started_s
     use = read_usage(process)
     text = f"{use.processor_s:.2f} s of processor, {use.memory_mb:.0f} MB"
     measurement.bursts.append(
-        ["entry started on a log", f"{head} records", f"{took_s:.1f} s", text]
+        ["entry started on a log", f"{head} records", f"{elapsed_s:.1f} s", text]
     )
 
 
@@ -415,11 +421,11 @@
     before = resource.getrusage(resource.RUSAGE_CHILDREN)
     started_s = time.monotonic()
     measurement.deployment.run("status")
-    took_s = time.monotonic() - started_s
+    elapsed_s = time.monotonic() - started_s
     after = resource.getrusage(resource.RUSAGE_CHILDREN)
     spent_s = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
     text = f"{spent_s:.2f} s of processor, {after.ru_maxrss / KB_PER_MB:.0f} MB at most"
-    measurement.bursts.append(["operator command", 1, f"{took_s:.1f} s", text])
+    measurement.bursts.append(["operator command", 1, f"{elapsed_s:.1f} s", text])
 
 
 def slope_table(measurement: CapacityMeasurement) -> str:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -27,7 +27,7 @@
 
 
 def wait_until(
-    condition: Callable[[], Any], what: str, deadline_s: float = WAIT_DEADLINE_S
+    condition: Callable[[], Any], description: str, deadline_s: float = WAIT_DEADLINE_S
 ) -> Any:
     """Poll a condition and return its first true value.
 
@@ -42,7 +42,7 @@
         if value:
             return value
         time.sleep(POLL_PERIOD_S)
-    raise TimeoutError(f"condition not met within {deadline_s} s: {what}")
+    raise TimeoutError(f"condition not met within {deadline_s} s: {description}")
 
 
 @dataclass
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -102,7 +102,7 @@
     memory_mb: float
     appends: float = 0.0
 
-    def plus(self, other: "Rates", times: float = 1.0) -> "Rates":
+    def add(self, other: "Rates", times: float = 1.0) -> "Rates":
         """Return the sum of these rates and `times` the other ones."""
         pairs = zip(vars(self).items(), vars(other).values(), strict=True)
         return Rates(**{name: mine + times * yours for (name, mine), yours in pairs})
@@ -163,7 +163,7 @@
                 rates = _scale_rates(rates, size.report_ratio(role))
             if slope.driver == "team":
                 rates = Rates(0.0, 0.0, rates.memory_mb)
-            total = total.plus(rates, amounts[slope.driver])
+            total = total.add(rates, amounts[slope.driver])
     return total
 
 
--- a/standins/tests/test_slopes.py
+++ b/standins/tests/test_slopes.py
@@ -67,4 +67,4 @@
 
 def test_sum_keeps_memory_and_offset() -> None:
     use = Usage(0.5, 3.0, 10_000, 7, 5, 9)
-    assert use.plus(use) == Usage(1.0, 3.0, 20_000, 14, 10, 9)
+    assert use.add(use) == Usage(1.0, 3.0, 20_000, 14, 10, 9)
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -30,7 +30,7 @@
         Messages and answers sent to peers, log and worker.
     appends : float
         Appends sent to the log.
-    folded : float
+    folded_offset : float
         Offset of the last folded record.
     """
 
@@ -39,13 +39,13 @@
     bytes_total: float
     messages: float
     appends: float
-    folded: float
+    folded_offset: float
 
-    def plus(self, other: "Usage") -> "Usage":
+    def add(self, other: "Usage") -> "Usage":
         """Return the sum; memory and the folded offset stay those of this one."""
         pairs = zip(vars(self).items(), vars(other).values(), strict=True)
         total = {name: mine + yours for (name, mine), yours in pairs}
-        total.update(memory_mb=self.memory_mb, folded=self.folded)
+        total.update(memory_mb=self.memory_mb, folded_offset=self.folded_offset)
         return Usage(**total)
 
     def since(self, before: "Usage") -> "Usage":
