--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -1,12 +1,12 @@
 """Tests of the fold: records of the streams become agreed rows."""
 
 import pytest
+from kingcuppost.batch.tables.job import Job, JobState, Progress, StepSpec
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems.fold import fold_streams, is_fresh
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.fleet import Configuration
-from kingcuppost.batch.tables.job import Job, JobState, Progress, StepSpec
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
     ClaimRecord,
@@ -40,35 +40,39 @@
     stream: Stream,
     *records: Record,
     first: int = 0,
-    whole: bool = False,
+    is_complete: bool = False,
 ) -> None:
     now_ms = world.clock.now_ms()
     rows = list(enumerate(records, first))
     end = first + len(records)
-    world.inbox.put(RecordsRead(stream, rows, now_ms, end, whole))
+    world.inbox.put(RecordsRead(stream, rows, now_ms, end, is_complete))
     fold_streams(world, now_ms)
 
 
-def job(spec: str = "text") -> JobRecord:
+def make_job_record(spec: str = "text") -> JobRecord:
     return JobRecord(Job(JOB, "q", "t", spec, (StepSpec(1),), 0, -1))
 
 
 def test_later_records_of_a_job_are_ignored(world: BatchWorld) -> None:
-    fold_records(world, Stream.JOBS, job("one"), job("two"))
+    fold_records(world, Stream.JOBS, make_job_record("one"), make_job_record("two"))
     assert world.agreed.jobs.get(JOB).spec == "one"
     assert world.agreed.jobs.get(JOB).offset == 0
 
 
 def test_complete_listing_removes_missing_rows(world: BatchWorld) -> None:
-    fold_records(world, Stream.JOBS, job())
-    fold_records(world, Stream.JOBS, first=9, whole=True)
+    fold_records(world, Stream.JOBS, make_job_record())
+    fold_records(world, Stream.JOBS, first=9, is_complete=True)
     assert len(world.agreed.jobs) == 0
 
 
 def test_progress_and_cancellation_are_applied(world: BatchWorld) -> None:
     progress = Progress(JobState.RUNNING, True, ())
     fold_records(
-        world, Stream.JOBS, job(), ProgressRecord(JOB, progress), CancelRecord(JOB)
+        world,
+        Stream.JOBS,
+        make_job_record(),
+        ProgressRecord(JOB, progress),
+        CancelRecord(JOB),
     )
     row = world.agreed.jobs.get(JOB)
     assert (row.state, row.begun, row.cancelled) == (JobState.RUNNING, True, True)
@@ -86,7 +90,7 @@
     fold_records(world, Stream.OPERATORS, ZoneRecord("a"), ZoneRecord("b"))
     fold_records(world, Stream.OPERATORS, RemovalRecord("zone/a"), first=2)
     assert set(world.agreed.closed_zones) == {"b"}
-    fold_records(world, Stream.OPERATORS, first=3, whole=True)
+    fold_records(world, Stream.OPERATORS, first=3, is_complete=True)
     assert not world.agreed.closed_zones
 
 
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -71,10 +71,10 @@
 
 
 def test_limit_of_tasks_per_minion_is_respected() -> None:
-    apart = replace(STEP, most_per_minion=1)
+    one_per_minion = replace(STEP, most_per_minion=1)
     chosen = choose_candidates(
         [candidate("a", MINION_CAPACITY), candidate("b", MINION_CAPACITY)],
-        apart,
+        one_per_minion,
         3,
         by_name,
     )
@@ -102,7 +102,7 @@
     assert not any(eviction.victims for eviction in found)
 
 
-def test_nothing_is_stopped_in_vain() -> None:
+def test_nothing_is_evicted_without_benefit() -> None:
     assert not plan_evictions(
         [candidate("a", Resources(0, 0, 0), ())], STEP, 3, by_name
     )
@@ -114,7 +114,7 @@
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
-def test_victims_that_release_too_little_are_spared() -> None:
+def test_unneeded_victims_are_not_evicted() -> None:
     small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
     full = candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
--- a/kingcuppost/tests/format_files.py
+++ b/kingcuppost/tests/format_files.py
@@ -12,36 +12,42 @@
 
 import kingcuppost
 
-__all__ = ["FOLDER", "classes", "lines_of", "stored", "values_of"]
+__all__ = [
+    "FORMATS_FOLDER",
+    "list_package_classes",
+    "read_json",
+    "read_lines",
+    "to_values",
+]
 
-FOLDER = Path(__file__).parent / "formats"
+FORMATS_FOLDER = Path(__file__).parent / "formats"
 
 
-def lines_of(name: str) -> list[str]:
+def read_lines(name: str) -> list[str]:
     """Return the lines of a stored format."""
-    return (FOLDER / name).read_text(encoding="utf-8").splitlines()
+    return (FORMATS_FOLDER / name).read_text(encoding="utf-8").splitlines()
 
 
-def stored(name: str) -> Any:
+def read_json(name: str) -> Any:
     """Return what the JSON of a stored format says."""
-    return json.loads((FOLDER / name).read_text(encoding="utf-8"))
+    return json.loads((FORMATS_FOLDER / name).read_text(encoding="utf-8"))
 
 
-def values_of(row: Any) -> Any:
+def to_values(row: Any) -> Any:
     """Return a row as JSON lists in the order of its fields."""
     if is_dataclass(row):
-        return [values_of(getattr(row, field.name)) for field in fields(row)]
+        return [to_values(getattr(row, field.name)) for field in fields(row)]
     if isinstance(row, dict):
-        return {str(key): values_of(value) for key, value in row.items()}
+        return {str(key): to_values(value) for key, value in row.items()}
     if isinstance(row, set | frozenset):
-        return sorted(values_of(item) for item in row)
+        return sorted(to_values(item) for item in row)
     if isinstance(row, list | tuple):
-        return [values_of(item) for item in row]
+        return [to_values(item) for item in row]
     return row.value if isinstance(row, Enum) else row
 
 
 @cache
-def classes() -> tuple[type, ...]:
+def list_package_classes() -> tuple[type, ...]:
     """Return the classes that the modules of the package define."""
     found = []
     for item in walk_packages(kingcuppost.__path__, "kingcuppost."):
--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -10,27 +10,29 @@
 from kingcuppost.batch.models import sync
 from kingcuppost.edges.routes import Call, find_route, routes
 from kingcuppost.models.base import encode
-from kingcuppost.tests.format_files import classes, lines_of, values_of
+from kingcuppost.tests.format_files import list_package_classes, read_lines, to_values
 
-MODELS = lines_of("models.jsonl")
-ANSWERS = lines_of("answers.jsonl")
-ROUTE_MESSAGES = [json.loads(line) for line in lines_of("route_messages.jsonl")]
+MODELS = read_lines("models.jsonl")
+ANSWERS = read_lines("answers.jsonl")
+ROUTE_MESSAGES = [json.loads(line) for line in read_lines("route_messages.jsonl")]
 QUERY = {"path": "branch", "key": "some-key"}
 
 
-def models() -> list[type[BaseModel]]:
+def list_models() -> list[type[BaseModel]]:
     return [
-        item for item in classes() if issubclass(item, BaseModel) and item.model_fields
+        item
+        for item in list_package_classes()
+        if issubclass(item, BaseModel) and item.model_fields
     ]
 
 
-def model_names(model: type[BaseModel]) -> set[str]:
+def list_field_names(model: type[BaseModel]) -> set[str]:
     return {field.alias or name for name, field in model.model_fields.items()}
 
 
-def copies(model: type[BaseModel], text: str) -> bool:
+def round_trips(model: type[BaseModel], text: str) -> bool:
     """Return whether a model knows all of a text and writes it back."""
-    if model_names(model) != set(json.loads(text)):
+    if list_field_names(model) != set(json.loads(text)):
         return False
     try:
         row = model.model_validate_json(text)
@@ -39,7 +41,7 @@
     return row.model_dump_json(by_alias=True) == text
 
 
-def row_of(kind: type, text: str) -> Any:
+def parse_row(kind: type, text: str) -> Any:
     if {field.name for field in fields(kind)} != set(json.loads(text)):
         return None
     try:
@@ -50,22 +52,22 @@
 
 @pytest.mark.parametrize("text", MODELS, ids=range(len(MODELS)))
 def test_a_model_reads_the_text_and_writes_it_back(text: str) -> None:
-    assert any(copies(model, text) for model in models())
+    assert any(round_trips(model, text) for model in list_models())
 
 
 def test_each_model_has_a_stored_text() -> None:
     missing = [
         model.__qualname__
-        for model in models()
-        if not any(copies(model, text) for text in MODELS)
+        for model in list_models()
+        if not any(round_trips(model, text) for text in MODELS)
     ]
     assert missing == []
 
 
 @pytest.mark.parametrize("text", ANSWERS, ids=range(len(ANSWERS)))
 def test_a_row_reads_the_answer_and_writes_it_back(text: str) -> None:
-    kinds = [item for item in classes() if is_dataclass(item)]
-    rows = [row_of(kind, text) for kind in kinds]
+    kinds = [item for item in list_package_classes() if is_dataclass(item)]
+    rows = [parse_row(kind, text) for kind in kinds]
     assert text in [encode(row).decode() for row in rows if row is not None]
 
 
@@ -77,23 +79,23 @@
 ) -> None:
     route, names = find_route(surface, method, path)
     call = Call("exchange", names, QUERY, body.encode(), "peer")
-    assert values_of(route.parse(call).ok) == values
+    assert to_values(route.parse(call).ok) == values
 
 
-def test_each_route_that_reads_has_a_stored_message() -> None:
+def test_each_route_with_input_has_a_stored_message() -> None:
     found = {id(find_route(*line[:3])[0]) for line in ROUTE_MESSAGES}
     assert found == {id(item) for item, _ in routes if item.direct is None}
 
 
 def test_a_report_of_a_sidecar_reads_and_writes_alike() -> None:
-    text, values = lines_of("sync_call.jsonl")
+    text, values = read_lines("sync_call.jsonl")
     call = sync.decode_sync_call(text.encode(), "exchange", "peer").ok
-    assert values_of(call) == json.loads(values)
+    assert to_values(call) == json.loads(values)
     assert sync.encode_sync_call(call).decode() == text
 
 
 def test_orders_for_a_sidecar_read_and_write_alike() -> None:
-    text, values = lines_of("sync_reply.jsonl")
+    text, values = read_lines("sync_reply.jsonl")
     reply = sync.decode_sync_reply(text.encode(), "peer").ok
-    assert values_of(reply) == json.loads(values)
+    assert to_values(reply) == json.loads(values)
     assert sync.encode_sync_reply(reply).decode() == text
--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -20,21 +20,23 @@
     StopRun,
 )
 from kingcuppost.tables.config import Address
-from kingcuppost.tests.format_files import classes, lines_of
+from kingcuppost.tests.format_files import list_package_classes, read_lines
 from kingcuppost.utils import ManualClock
 
-HERE = Address("10.0.0.1", 8000)
-LIFE = MinionIncarnation("minion-1", 5)
+ADDRESS = Address("10.0.0.1", 8000)
+INCARNATION = MinionIncarnation("minion-1", 5)
 TASK = TaskName("0123456789abcdef", 1, 2, 3)
 ORDERS = {
-    "hold": HoldMinion(HERE, LIFE, 7, 8, 9, 10),
-    "start": StartRun(HERE, LIFE, 7, StartOrder(TASK, 4, "spec", "saved"), 10),
-    "stop": StopRun(HERE, LIFE, 7, StopOrder(TASK, 4)),
+    "hold": HoldMinion(ADDRESS, INCARNATION, 7, 8, 9, 10),
+    "start": StartRun(
+        ADDRESS, INCARNATION, 7, StartOrder(TASK, 4, "spec", "saved"), 10
+    ),
+    "stop": StopRun(ADDRESS, INCARNATION, 7, StopOrder(TASK, 4)),
 }
-STORED = [json.loads(line) for line in lines_of("minion_orders.jsonl")]
+STORED = [json.loads(line) for line in read_lines("minion_orders.jsonl")]
 
 
-def sent(order: Any) -> list:
+def record_sent_request(order: Any) -> list:
     """Return method, path, body and headers of what an order sends."""
     calls = []
 
@@ -52,12 +54,14 @@
 
 @pytest.mark.parametrize(("name", "stored"), STORED, ids=[row[0] for row in STORED])
 def test_an_order_is_sent_as_it_is_stored(name: str, stored: list) -> None:
-    assert sent(ORDERS[name]) == stored
+    assert record_sent_request(ORDERS[name]) == stored
 
 
-@pytest.mark.parametrize("text", lines_of("enums.jsonl"))
-def test_choices_keep_their_values(text: str) -> None:
+@pytest.mark.parametrize("text", read_lines("enums.jsonl"))
+def test_enums_keep_their_values(text: str) -> None:
     found = [
-        [row.value for row in item] for item in classes() if issubclass(item, Enum)
+        [row.value for row in item]
+        for item in list_package_classes()
+        if issubclass(item, Enum)
     ]
     assert json.loads(text) in found
--- a/kingcuppost/tests/test_formats_pages.py
+++ b/kingcuppost/tests/test_formats_pages.py
@@ -36,46 +36,53 @@
 from kingcuppost.systems.views.metrics import metrics
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.identity import Role
-from kingcuppost.tests.format_files import FOLDER, lines_of, stored, values_of
+from kingcuppost.tests.format_files import (
+    FORMATS_FOLDER,
+    read_json,
+    read_lines,
+    to_values,
+)
 
 PACKAGE = Path(__file__).parent.parent
-HEADS = re.compile(r"^# TYPE .*$", re.MULTILINE)
-KINDS = re.compile(r'^kingcuppost_messages_sent_total\{\w+="(\w+)"\}', re.MULTILINE)
+TYPE_LINES = re.compile(r"^# TYPE .*$", re.MULTILINE)
+SENT_KINDS = re.compile(
+    r'^kingcuppost_messages_sent_total\{\w+="(\w+)"\}', re.MULTILINE
+)
 
 
 @pytest.fixture
 def world() -> Any:
-    return make_world(read_config(str(FOLDER / "entry.toml")).ok)
+    return make_world(read_config(str(FORMATS_FOLDER / "entry.toml")).ok)
 
 
 @pytest.fixture
 def batch_world(monkeypatch: pytest.MonkeyPatch) -> Any:
-    monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(FOLDER / "platform.toml"))
+    monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(FORMATS_FOLDER / "platform.toml"))
     return make_batch_world(read_settings(Role.ENTRY).ok.daemon, seed=1)
 
 
 @pytest.fixture
 def restored_logger() -> Iterator[None]:
     logger = logging.getLogger("kingcuppost")
-    old = logger.handlers, logger.level, logger.propagate
+    previous = logger.handlers, logger.level, logger.propagate
     yield
-    logger.handlers, logger.propagate = old[0], old[2]
-    logger.setLevel(old[1])
+    logger.handlers, logger.propagate = previous[0], previous[2]
+    logger.setLevel(previous[1])
 
 
-def page_of(world: Any) -> str:
+def render_metrics_page(world: Any) -> str:
     registry = CollectorRegistry()
     registry.register(WorldCollector(world))
     return generate_latest(registry).decode()
 
 
-def send_all(world: Any, kinds: Iterator[type]) -> None:
+def send_each_kind(world: Any, kinds: Iterator[type]) -> None:
     """Send one message of each kind, all of them empty, in one tick."""
     reactor = Clock()
     loop = TickLoop(reactor, [])
     kinds = list(kinds)
-    nowhere = dict.fromkeys(kinds, lambda context, message: None)
-    loop.attach(SimpleNamespace(world=world, senders=nowhere), lambda: None)
+    no_op_senders = dict.fromkeys(kinds, lambda context, message: None)
+    loop.attach(SimpleNamespace(world=world, senders=no_op_senders), lambda: None)
     for kind in kinds:
         world.outbox.put(kind.__new__(kind))
     loop.wake()
@@ -83,35 +90,39 @@
 
 
 def test_the_metrics_page(world: Any) -> None:
-    assert HEADS.findall(page_of(world)) == lines_of("metrics_page.txt")
+    assert TYPE_LINES.findall(render_metrics_page(world)) == read_lines(
+        "metrics_page.txt"
+    )
 
 
 def test_the_labels_of_metrics() -> None:
     found = {}
     for metric in metrics.values():
-        name, kind, _, labels, _ = values_of(metric)
+        name, kind, _, labels, _ = to_values(metric)
         found[name] = [kind, labels]
-    assert found == stored("metrics.json")
+    assert found == read_json("metrics.json")
 
 
 def test_the_metrics_page_of_the_batch_world(batch_world: Any) -> None:
-    send_all(batch_world, iter(batch_senders))
+    send_each_kind(batch_world, iter(batch_senders))
     page = metrics_text(batch_world).decode()
-    assert HEADS.findall(page) == lines_of("batch_metrics_page.txt")
+    assert TYPE_LINES.findall(page) == read_lines("batch_metrics_page.txt")
 
 
 def test_the_kinds_of_sent_messages(world: Any) -> None:
-    send_all(world, iter(senders))
-    assert sorted(KINDS.findall(page_of(world))) == stored("message_kinds.json")
+    send_each_kind(world, iter(senders))
+    assert sorted(SENT_KINDS.findall(render_metrics_page(world))) == read_json(
+        "message_kinds.json"
+    )
 
 
 def test_the_kinds_of_sent_messages_of_the_batch_world(batch_world: Any) -> None:
-    send_all(batch_world, iter(batch_senders))
+    send_each_kind(batch_world, iter(batch_senders))
     page = metrics_text(batch_world).decode()
-    assert sorted(KINDS.findall(page)) == stored("batch_message_kinds.json")
+    assert sorted(SENT_KINDS.findall(page)) == read_json("batch_message_kinds.json")
 
 
-def first_texts(folder: Path) -> Iterator[str]:
+def iter_first_string_arguments(folder: Path) -> Iterator[str]:
     """Yield the texts that the code of a folder passes as a first argument."""
     for path in folder.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
@@ -122,15 +133,18 @@
 
 
 def test_the_counts_of_the_batch_world() -> None:
-    found = {*first_texts(PACKAGE / "batch"), *first_texts(PACKAGE / "platform")}
-    assert set(lines_of("batch_counts.txt")) <= found
+    found = {
+        *iter_first_string_arguments(PACKAGE / "batch"),
+        *iter_first_string_arguments(PACKAGE / "platform"),
+    }
+    assert set(read_lines("batch_counts.txt")) <= found
 
 
 @pytest.mark.usefixtures("restored_logger")
 def test_the_fields_of_an_event_in_a_log_line(
     world: Any, capsys: pytest.CaptureFixture
 ) -> None:
-    text, line = lines_of("event.jsonl")
+    text, line = read_lines("event.jsonl")
     log = EventLog(world, configure_logs(world, "INFO"))
     world.events.append(TypeAdapter(Event).validate_json(text))
     world.event_count += 1
@@ -140,19 +154,19 @@
 
 def test_the_routes() -> None:
     found = sorted([item.method, item.path] for item, _ in routes)
-    assert found == stored("routes.json")
+    assert found == read_json("routes.json")
 
 
 def test_the_paths_for_peers() -> None:
-    assert sorted(peer_paths) == lines_of("peer_paths.txt")
+    assert sorted(peer_paths) == read_lines("peer_paths.txt")
 
 
-def options_of(parser: argparse.ArgumentParser, verb: str) -> Iterator[list]:
+def iter_options(parser: argparse.ArgumentParser, verb: str) -> Iterator[list]:
     """Yield verb, names, choices, arity and need of each option of a parser."""
     for action in parser._actions:
         if isinstance(action, argparse._SubParsersAction):
             for name, inner in action.choices.items():
-                yield from options_of(inner, f"{verb} {name}")
+                yield from iter_options(inner, f"{verb} {name}")
             continue
         choices = [str(item) for item in action.choices or ()]
         nargs = str(action.nargs)
@@ -164,5 +178,5 @@
     for name, item in commands.items():
         parser = argparse.ArgumentParser()
         item.add_options(parser)
-        found += options_of(parser, name)
-    assert found == [json.loads(line) for line in lines_of("command_line.jsonl")]
+        found += iter_options(parser, name)
+    assert found == [json.loads(line) for line in read_lines("command_line.jsonl")]
--- a/kingcuppost/tests/test_formats_records.py
+++ b/kingcuppost/tests/test_formats_records.py
@@ -11,13 +11,13 @@
 from kingcuppost.platform.operators import decode_operator_record
 from kingcuppost.tables.record import RecordBody
 from kingcuppost.tables.snapshot import AgreedSlice
-from kingcuppost.tests.format_files import lines_of, values_of
+from kingcuppost.tests.format_files import read_lines, to_values
 
-RECORDS = lines_of("log_records.jsonl")
-VALUES = [json.loads(line) for line in lines_of("log_record_values.jsonl")]
+RECORDS = read_lines("log_records.jsonl")
+VALUES = [json.loads(line) for line in read_lines("log_record_values.jsonl")]
 PAIRS = list(zip(RECORDS, VALUES, strict=True))
-STREAM_RECORDS = [json.loads(line) for line in lines_of("stream_records.jsonl")]
-OPERATOR_RECORDS = [json.loads(line) for line in lines_of("operator_records.jsonl")]
+STREAM_RECORDS = [json.loads(line) for line in read_lines("stream_records.jsonl")]
+OPERATOR_RECORDS = [json.loads(line) for line in read_lines("operator_records.jsonl")]
 
 
 @pytest.mark.parametrize("text", RECORDS, ids=range(len(RECORDS)))
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize(("text", "values"), PAIRS, ids=range(len(PAIRS)))
 def test_a_record_reads_into_the_same_row(text: str, values: list) -> None:
-    assert values_of(record_of(text)) == values
+    assert to_values(record_of(text)) == values
 
 
 def test_each_kind_of_body_is_stored() -> None:
@@ -43,8 +43,8 @@
         if isinstance(getattr(body, field.name), AgreedSlice)
     ]
     assert slices
-    assert all(all(values_of(item)) for item in slices)
-    assert all(None not in values_of(item) for item in slices)
+    assert all(all(to_values(item)) for item in slices)
+    assert all(None not in to_values(item) for item in slices)
 
 
 @pytest.mark.parametrize(("key", "text", "values"), STREAM_RECORDS)
@@ -52,7 +52,7 @@
     key: str, text: str, values: list
 ) -> None:
     record = decode_record(key, text.encode(), "log").ok
-    assert values_of(record) == values
+    assert to_values(record) == values
     assert encode_record(record) == (key, text.encode())
 
 
@@ -66,4 +66,4 @@
     key: str, text: str, values: list
 ) -> None:
     record = decode_operator_record(key, text.encode(), "operator").ok
-    assert values_of(record) == values
+    assert to_values(record) == values
--- a/kingcuppost/tests/test_formats_settings.py
+++ b/kingcuppost/tests/test_formats_settings.py
@@ -8,26 +8,26 @@
 from kingcuppost.platform.settings import read_settings
 from kingcuppost.settings import KEYS
 from kingcuppost.tables.identity import Role
-from kingcuppost.tests.format_files import FOLDER, stored, values_of
+from kingcuppost.tests.format_files import FORMATS_FOLDER, read_json, to_values
 
-FILES = stored("settings_rows.json")
+SETTINGS_ROWS = read_json("settings_rows.json")
 ROOT = Path(__file__).parents[2]
 SAMPLES = sorted((ROOT / "examples" / "settings").rglob("*.toml"))
 
 
 @pytest.mark.parametrize("name", ["entry", "sidecar"])
 def test_a_settings_file_reads_into_the_same_row(name: str) -> None:
-    config = read_config(str(FOLDER / f"{name}.toml")).ok
-    assert values_of(config) == FILES[name]
+    config = read_config(str(FORMATS_FOLDER / f"{name}.toml")).ok
+    assert to_values(config) == SETTINGS_ROWS[name]
 
 
 @pytest.mark.parametrize("role", Role)
 def test_the_platforms_file_reads_into_the_same_row(
     role: Role, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(FOLDER / "platform.toml"))
-    row = values_of(read_settings(role).ok)
-    assert row == FILES[f"platform {role.value}"]
+    monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(FORMATS_FOLDER / "platform.toml"))
+    row = to_values(read_settings(role).ok)
+    assert row == SETTINGS_ROWS[f"platform {role.value}"]
 
 
 @pytest.mark.parametrize("path", SAMPLES, ids=lambda path: path.stem)
@@ -38,6 +38,6 @@
 def test_the_keys_of_the_settings_tree() -> None:
     keys = {}
     for name, key in KEYS.items():
-        _, default, _, *bounds = values_of(key)
+        _, default, _, *bounds = to_values(key)
         keys[name] = [type(default).__name__, default, *bounds]
-    assert keys == stored("setting_keys.json")
+    assert keys == read_json("setting_keys.json")
--- a/kingcuppost/tests/test_shape.py
+++ b/kingcuppost/tests/test_shape.py
@@ -9,14 +9,28 @@
 MODULES = [
     path for path in sorted(PACKAGE.rglob("*.py")) if "tests" not in path.parts[-2:]
 ]
-INNER = ("tables", "systems", "settings", "utils")
-OUTER = ("edges", "programs", "platform")
-PLATFORM_NAMES = ("kingcuppost.platform", "/kingcuppost/")
-OUTER_ONLY = {"twisted", "json", "pydantic", "socket", "logging", "time", "datetime"}
-NOWHERE = {"threading", "multiprocessing", "subprocess", "concurrent", "asyncio"}
-
-
-def imported(path: Path) -> set[str]:
+INNER_LAYERS = ("tables", "systems", "settings", "utils")
+TWISTED_LAYERS = ("edges", "programs", "platform")
+PLATFORM_TEXTS = ("kingcuppost.platform", "/kingcuppost/")
+INPUT_OUTPUT_MODULES = {
+    "twisted",
+    "json",
+    "pydantic",
+    "socket",
+    "logging",
+    "time",
+    "datetime",
+}
+FORBIDDEN_MODULES = {
+    "threading",
+    "multiprocessing",
+    "subprocess",
+    "concurrent",
+    "asyncio",
+}
+
+
+def list_imported_modules(path: Path) -> set[str]:
     names = set()
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.Import):
@@ -26,11 +40,11 @@
     return names
 
 
-def roots(path: Path) -> set[str]:
-    return {name.partition(".")[0] for name in imported(path)}
+def list_imported_packages(path: Path) -> set[str]:
+    return {name.partition(".")[0] for name in list_imported_modules(path)}
 
 
-def theme(path: Path) -> str:
+def layer_of(path: Path) -> str:
     """Return the layer of a module; `batch` has layers of its own."""
     parts = path.relative_to(PACKAGE).parts
     return parts[1] if parts[0] == "batch" and len(parts) > 2 else parts[0]
@@ -38,7 +52,7 @@
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
 def test_no_threads_and_no_child_processes(path: Path) -> None:
-    assert not roots(path) & NOWHERE
+    assert not list_imported_packages(path) & FORBIDDEN_MODULES
     text = path.read_text()
     assert "deferToThread" not in text
     assert "callInThread" not in text
@@ -46,17 +60,17 @@
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in MODULES if theme(path) in INNER],
+    [path for path in MODULES if layer_of(path) in INNER_LAYERS],
     ids=lambda path: path.name,
 )
-def test_inner_layers_know_no_input_or_output(path: Path) -> None:
+def test_inner_layers_do_no_input_or_output(path: Path) -> None:
     allowed = {"time"} if path.name == "clock.py" else set()
-    assert not (roots(path) & OUTER_ONLY) - allowed
+    assert not (list_imported_packages(path) & INPUT_OUTPUT_MODULES) - allowed
 
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in MODULES if theme(path) in INNER],
+    [path for path in MODULES if layer_of(path) in INNER_LAYERS],
     ids=lambda path: path.name,
 )
 def test_inner_layers_do_not_import_outer_ones(path: Path) -> None:
@@ -64,32 +78,34 @@
     prefixes = [
         f"kingcuppost.{package}{layer}" for layer in outer for package in ("", "batch.")
     ]
-    bad = [name for name in imported(path) if name.startswith(tuple(prefixes))]
-    assert not bad
+    forbidden_imports = [
+        name for name in list_imported_modules(path) if name.startswith(tuple(prefixes))
+    ]
+    assert not forbidden_imports
 
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
 def test_only_edges_and_programs_import_twisted(path: Path) -> None:
-    if theme(path) not in OUTER:
-        assert "twisted" not in roots(path)
+    if layer_of(path) not in TWISTED_LAYERS:
+        assert "twisted" not in list_imported_packages(path)
 
 
 @pytest.mark.parametrize(
     "path",
-    [path for path in MODULES if theme(path) != "platform"],
+    [path for path in MODULES if layer_of(path) != "platform"],
     ids=lambda path: path.name,
 )
-def test_only_the_adapter_knows_the_platform(path: Path) -> None:
+def test_only_the_adapter_refers_to_the_platform(path: Path) -> None:
     text = path.read_text()
-    assert not any(name in text for name in PLATFORM_NAMES)
+    assert not any(name in text for name in PLATFORM_TEXTS)
 
 
 def test_the_adapter_stays_small() -> None:
-    def size(paths: list[Path]) -> int:
+    def count_lines(paths: list[Path]) -> int:
         return sum(len(path.read_text().splitlines()) for path in paths)
 
-    adapter = [path for path in MODULES if theme(path) == "platform"]
-    assert size(adapter) * 10 <= size(MODULES)
+    adapter = [path for path in MODULES if layer_of(path) == "platform"]
+    assert count_lines(adapter) * 10 <= count_lines(MODULES)
 
 
 def test_modules_stay_small() -> None:
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -10,7 +10,7 @@
 LEASE_MS = 2_000
 ORDER_TIMEOUT_MS = 500
 TIMER_SLACK_MS = 500
-ZONE_BOUND_MS = 3_000
+ZONE_OUT_LIMIT_MS = 3_000
 TEAM = "design"
 OPERATOR = "ilze"
 ENTRIES = ("entry-0", "entry-1")
@@ -29,7 +29,7 @@
     "lease.lost_ms": 1_000,
     "operator.timeout_ms": 2_000,
 }
-SPREAD = Site(workers_per_rack=1)
+MULTI_ZONE_SITE = Site(workers_per_rack=1)
 
 
 def wall_ms() -> int:
@@ -37,7 +37,7 @@
     return time.time_ns() // 1_000_000
 
 
-def workers_of(deployment: Deployment) -> list[int]:
+def list_worker_numbers(deployment: Deployment) -> list[int]:
     """Return the numbers of the workers that have been started."""
     return [
         int(name.removeprefix("worker-"))
@@ -46,14 +46,14 @@
     ]
 
 
-def begin(deployment: Deployment, workers: int = 3) -> None:
+def start_deployment(deployment: Deployment, workers: int = 3) -> None:
     """Start a log, two entries and some minions, and set everything up."""
-    begin_entries(deployment)
+    start_log_and_entries(deployment)
     deployment.start_minions(workers)
-    wait_announced(deployment)
+    wait_for_minions(deployment)
 
 
-def begin_entries(deployment: Deployment, zone: str = "") -> None:
+def start_log_and_entries(deployment: Deployment, zone: str = "") -> None:
     """Start a log and two entries; create zones, a team and the settings.
 
     Sidecars started later have the settings in force from their first heartbeat.
@@ -65,32 +65,32 @@
         set_zone(deployment, zone, True)
     for key, value in SETTINGS.items():
         body = {"operator": OPERATOR, "key": key, "value": value}
-        change(deployment, "PUT", "/v1/settings", body)
+        apply_change(deployment, "PUT", "/v1/settings", body)
     shape = {"members": 2, "accelerators": 8}
     body = {"operator": OPERATOR, "guarantees": [shape]}
-    change(deployment, "PUT", f"/v1/teams/{TEAM}", body)
+    apply_change(deployment, "PUT", f"/v1/teams/{TEAM}", body)
 
 
-def wait_announced(deployment: Deployment) -> None:
+def wait_for_minions(deployment: Deployment) -> None:
     """Wait until the minions of all workers have announced themselves."""
-    count = len(workers_of(deployment))
+    count = len(list_worker_numbers(deployment))
     wait_until(
         lambda: len(deployment.show("/v1/fleet").get("minions", ())) == count,
         "minions announced",
     )
 
 
-def change(
+def apply_change(
     deployment: Deployment, method: str, path: str, body: dict, entry: str = "entry-0"
 ) -> None:
     """Make an operator's change, again until it is taken."""
 
-    def taken() -> bool:
+    def is_accepted() -> bool:
         status, answer = deployment.call(entry, "operators", method, path, body)
         assert status in (200, 409, 503, 504), answer
         return status == 200 or (status == 409 and "already" in answer["reason"])
 
-    wait_until(taken, f"{method} {path}")
+    wait_until(is_accepted, f"{method} {path}")
 
 
 def set_zone(
@@ -102,10 +102,10 @@
         "region": deployment.site.region,
         "in_service": in_service,
     }
-    change(deployment, "PUT", f"/v1/availability-zones/{zone}", body, entry)
+    apply_change(deployment, "PUT", f"/v1/availability-zones/{zone}", body, entry)
 
 
-def submit(
+def submit_job(
     deployment: Deployment,
     name: str,
     members: int = 2,
@@ -123,30 +123,32 @@
         "accelerators": accelerators,
         "payload": payload,
     }
-    change(deployment, "POST", "/v1/jobs", body, entry)
+    apply_change(deployment, "POST", "/v1/jobs", body, entry)
 
 
-def job(deployment: Deployment, name: str, entry: str = "entry-0") -> dict:
+def get_job(deployment: Deployment, name: str, entry: str = "entry-0") -> dict:
     """Return a job as an entry shows it."""
     return deployment.show(f"/v1/jobs/{name}", entry).get("job", {})
 
 
-def wait_done(deployment: Deployment, name: str, entry: str = "entry-0") -> None:
+def wait_until_done(deployment: Deployment, name: str, entry: str = "entry-0") -> None:
     """Wait until a job is done with its own result."""
     wait_until(
-        lambda: job(deployment, name, entry).get("state") in FINAL_STATES,
+        lambda: get_job(deployment, name, entry).get("state") in FINAL_STATES,
         f"{name} has ended",
     )
-    row = job(deployment, name, entry)
+    row = get_job(deployment, name, entry)
     assert (row["state"], row["result"]) == ("done", name), row
 
 
-def history(deployment: Deployment) -> dict[str, dict]:
+def collect_task_history(deployment: Deployment) -> dict[str, dict]:
     """Return what the workers that answer know of every task."""
     rows = {}
-    for number in workers_of(deployment):
+    for number in list_worker_numbers(deployment):
         process = deployment.processes[f"worker-{number}"]
-        if process.popen.poll() is not None or process.name in frozen(deployment):
+        if process.popen.poll() is not None or process.name in list_paused_processes(
+            deployment
+        ):
             continue
         _, answer = deployment.call(process.name, "port", "GET", "/v1/history")
         for row in answer["tasks"]:
@@ -154,35 +156,35 @@
     return rows
 
 
-def frozen(deployment: Deployment) -> set[str]:
+def list_paused_processes(deployment: Deployment) -> set[str]:
     """Return the names of the processes that a test has frozen."""
-    return {name for name, row in deployment.processes.items() if is_frozen(row)}
+    return {name for name, row in deployment.processes.items() if is_paused(row)}
 
 
-def is_frozen(process: object) -> bool:
+def is_paused(process: object) -> bool:
     """Return whether a test has frozen a process."""
-    return getattr(process, "frozen", False)
+    return getattr(process, "paused", False)
 
 
-def freeze(deployment: Deployment, name: str) -> None:
+def pause(deployment: Deployment, name: str) -> None:
     """Pause a process."""
     process = deployment.processes[name]
-    process.frozen = True
+    process.paused = True
     process.send(signal.SIGSTOP)
 
 
-def thaw(deployment: Deployment, name: str) -> None:
+def resume(deployment: Deployment, name: str) -> None:
     """Let a paused process go on."""
     process = deployment.processes[name]
-    process.frozen = False
+    process.paused = False
     process.send(signal.SIGCONT)
 
 
-def heal(deployment: Deployment, number: int) -> None:
+def restore_machine(deployment: Deployment, number: int) -> None:
     """Thaw or start again what stands on one machine."""
     for name in (f"worker-{number}", f"minion-{number}"):
-        if is_frozen(deployment.processes[name]):
-            thaw(deployment, name)
+        if is_paused(deployment.processes[name]):
+            resume(deployment, name)
     worker = deployment.processes[f"worker-{number}"]
     if worker.popen.poll() is not None:
         deployment.start_standin("worker", worker.name, worker.ports["port"])
@@ -190,20 +192,22 @@
         deployment.start_sidecar(number)
 
 
-def wait_gang_over(deployment: Deployment, key: str, entry: str = "entry-0") -> None:
+def wait_until_gang_released(
+    deployment: Deployment, key: str, entry: str = "entry-0"
+) -> None:
     """Wait until a gang holds no accelerators any more."""
     name = key.rpartition("/")[0]
 
-    def over() -> bool:
+    def is_released() -> bool:
         gangs = deployment.show(f"/v1/jobs/{name}", entry).get("gangs")
         return gangs is not None and key not in [gang["key"] for gang in gangs]
 
-    wait_until(over, f"gang {key} is over")
+    wait_until(is_released, f"gang {key} is over")
 
 
-def running(deployment: Deployment, name: str) -> list[dict]:
+def running_members(deployment: Deployment, name: str) -> list[dict]:
     """Return the members of a job that run now."""
-    rows = history(deployment).values()
+    rows = collect_task_history(deployment).values()
     prefix = f"{name}/"
     return [
         row
@@ -212,13 +216,17 @@
     ]
 
 
-def wait_running(deployment: Deployment, name: str, members: int = 2) -> list[dict]:
+def wait_until_running(
+    deployment: Deployment, name: str, members: int = 2
+) -> list[dict]:
     """Wait until a whole gang runs; return its members."""
-    wait_until(lambda: len(running(deployment, name)) == members, f"{name} runs")
-    return running(deployment, name)
+    wait_until(
+        lambda: len(running_members(deployment, name)) == members, f"{name} runs"
+    )
+    return running_members(deployment, name)
 
 
-def holder(deployment: Deployment, entry: str = "entry-0") -> str:
+def get_lease_holder(deployment: Deployment, entry: str = "entry-0") -> str:
     """Return the entry that holds the scheduling lease, once one does."""
     return wait_until(
         lambda: deployment.show("/v1/status", entry)["lease"]["holder"], "a holder"
@@ -230,7 +238,7 @@
     return next(entry for entry in ENTRIES if entry != name)
 
 
-def gangs_seen(rows: dict[str, dict]) -> dict[str, dict[int, dict]]:
+def group_members_by_gang(rows: dict[str, dict]) -> dict[str, dict[int, dict]]:
     """Return the members that workers know, by gang."""
     gangs = defaultdict(dict)
     for task_id, row in rows.items():
@@ -247,17 +255,19 @@
     `lost_wall_ms` is when a worker was lost whose history is gone with it.
     """
     bound_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
-    for key, rows in gangs_seen(history(deployment)).items():
+    for key, rows in group_members_by_gang(collect_task_history(deployment)).items():
         started = [row for row in rows.values() if row["starts"]]
         if not started or all_finished(started, members):
             continue
-        ends = [row["ended_wall_ms"] or wall_ms() for row in started]
-        broken = [row["ended_wall_ms"] for row in started if row["state"] != "finished"]
+        ends_ms = [row["ended_wall_ms"] or wall_ms() for row in started]
+        early_ends_ms = [
+            row["ended_wall_ms"] for row in started if row["state"] != "finished"
+        ]
         if len(started) < members:
-            begins = max(row["started_wall_ms"] for row in started)
-            broken.append(max(lost_wall_ms, begins))
-        broken = [end for end in broken if end]
-        partial_ms = max(ends) - min(broken, default=max(ends))
+            last_start_ms = max(row["started_wall_ms"] for row in started)
+            early_ends_ms.append(max(lost_wall_ms, last_start_ms))
+        early_ends_ms = [end for end in early_ends_ms if end]
+        partial_ms = max(ends_ms) - min(early_ends_ms, default=max(ends_ms))
         assert partial_ms <= bound_ms, (key, rows)
 
 
@@ -268,28 +278,28 @@
 
 def check_ran_once(deployment: Deployment, name: str, members: int) -> None:
     """Check that one gang of a job finished and no task was started twice."""
-    rows = history(deployment)
+    rows = collect_task_history(deployment)
     assert all(row["starts"] <= 1 for row in rows.values()), rows
-    gangs = gangs_seen(rows)
-    whole = [
+    gangs = group_members_by_gang(rows)
+    finished_gangs = [
         key
         for key, gang in gangs.items()
         if key.startswith(f"{name}/") and all_finished(list(gang.values()), members)
     ]
-    assert len(whole) == 1, gangs
+    assert len(finished_gangs) == 1, gangs
 
 
 def check_no_overlap(deployment: Deployment, name: str) -> None:
     """Check that no two gangs of a job ran at the same time."""
     spans = []
-    for key, gang in gangs_seen(history(deployment)).items():
+    for key, gang in group_members_by_gang(collect_task_history(deployment)).items():
         started = [row for row in gang.values() if row["starts"]]
         if key.startswith(f"{name}/") and started:
-            begin_ms = min(row["started_wall_ms"] for row in started)
+            start_ms = min(row["started_wall_ms"] for row in started)
             end_ms = max(row["ended_wall_ms"] or wall_ms() for row in started)
-            spans.append((begin_ms, end_ms, key))
+            spans.append((start_ms, end_ms, key))
     spans.sort()
-    for (_, end_ms, first), (begin_ms, _, second) in zip(
+    for (_, end_ms, first), (start_ms, _, second) in zip(
         spans, spans[1:], strict=False
     ):
-        assert end_ms <= begin_ms, (first, second)
+        assert end_ms <= start_ms, (first, second)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,13 +5,13 @@
 import sys
 
 from standins.processes import ROOT, Deployment, wait_until
-from tests.test_path import TEAM, ask, prepare
+from tests.test_path import TEAM, send_request, start_deployment
 
 
 def test_load_is_answered_by_both_entries(deployment: Deployment) -> None:
-    prepare(deployment)
-    wait_until(lambda: ask(deployment, "entry-0")[0] == 200, "entry-0 serves")
-    wait_until(lambda: ask(deployment, "entry-1")[0] == 200, "entry-1 serves")
+    start_deployment(deployment)
+    wait_until(lambda: send_request(deployment, "entry-0")[0] == 200, "entry-0 serves")
+    wait_until(lambda: send_request(deployment, "entry-1")[0] == 200, "entry-1 serves")
     argv = [sys.executable, "-m", "standins.load", "--rate", "40", "--seconds", "3"]
     for entry in ("entry-0", "entry-1"):
         port = deployment.processes[entry].ports["callers"]
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -8,25 +8,36 @@
 
 from kingcuppost.edges.routes import routes
 from standins.processes import Deployment, wait_until
-from tests.test_path import TEAM, ask, job_state, prepare, submit
+from tests.test_path import (
+    TEAM,
+    get_job_state,
+    send_request,
+    start_deployment,
+    submit_job,
+)
 
 
-def timeline(deployment: Deployment, *filters: str) -> tuple[list[dict], str]:
+def read_timeline(deployment: Deployment, *filters: str) -> tuple[list[dict], str]:
     done = deployment.run("timeline", "--json", *filters)
     assert done.returncode == 0, done.stderr
     return [json.loads(line) for line in done.stdout.splitlines()], done.stderr
 
 
-def test_timeline_merges_all_processes_and_names_silent_ones(
+def test_timeline_merges_all_processes_and_names_unreachable_ones(
     deployment: Deployment,
 ) -> None:
-    prepare(deployment, minions=2)
-    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o", "issued_ms": 1}
-    assert ask(deployment, "entry-0", **order)[0] == 200
+    start_deployment(deployment, minions=2)
+    keyed_request = {
+        "body": '{"id": "o"}',
+        "idempotent": False,
+        "key": "o",
+        "issued_ms": 1,
+    }
+    assert send_request(deployment, "entry-0", **keyed_request)[0] == 200
     payload = json.dumps({"run_ms": 100, "result": "plan"})
-    submit(deployment, "planning", members=2, accelerators=4, payload=payload)
-    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
-    rows, errors = timeline(deployment)
+    submit_job(deployment, "planning", members=2, accelerators=4, payload=payload)
+    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
+    rows, errors = read_timeline(deployment)
     assert errors == ""
     names = {row["process"] for row in rows}
     assert names == {"entry-0", "entry-1", "minion-0", "minion-1"}
@@ -36,27 +47,34 @@
     sent = {row["sends"]: number for number, row in enumerate(rows) if row["sends"]}
     for number, row in enumerate(rows):
         assert sent.get(row["receives"], -1) < number
-    rows, _ = timeline(deployment, "--request", f"{TEAM}/o")
+    rows, _ = read_timeline(deployment, "--request", f"{TEAM}/o")
     assert {"request.admit", "request.send"} <= {row["step"] for row in rows}
     deployment.processes["minion-1"].kill()
     port = deployment.processes["minion-1"].ports["operators"]
-    _, errors = timeline(deployment)
+    _, errors = read_timeline(deployment)
     assert f"127.0.0.1:{port}" in errors
 
 
 def test_request_is_explained_by_any_entry_after_a_restart(
     deployment: Deployment,
 ) -> None:
-    prepare(deployment, minions=2)
+    start_deployment(deployment, minions=2)
     done = deployment.run(
         "settings", "set", "request.attempts", "2", "--path", f"teams/{TEAM}"
     )
     assert done.returncode == 0
-    order = {"body": '{"id": "o"}', "idempotent": False, "key": "o", "issued_ms": 1}
-    assert ask(deployment, "entry-0", **order)[0] == 200
-    explain = ("explain", "request", f"{TEAM}/o")
+    keyed_request = {
+        "body": '{"id": "o"}',
+        "idempotent": False,
+        "key": "o",
+        "issued_ms": 1,
+    }
+    assert send_request(deployment, "entry-0", **keyed_request)[0] == 200
+    explain_arguments = ("explain", "request", f"{TEAM}/o")
     wait_until(
-        lambda: "answered" in deployment.run(*explain, entry="entry-1").stdout,
+        lambda: (
+            "answered" in deployment.run(*explain_arguments, entry="entry-1").stdout
+        ),
         "the outcome is in the log",
     )
     for name in ("entry-0", "entry-1"):
@@ -70,14 +88,16 @@
             ),
             "state is back",
         )
-        shown = deployment.run(*explain, entry=name)
-        assert shown.returncode == 0, shown.stderr
-        assert "answered" in shown.stdout
-        assert f"request.attempts = 2 from teams/{TEAM}" in shown.stdout
+        result = deployment.run(*explain_arguments, entry=name)
+        assert result.returncode == 0, result.stderr
+        assert "answered" in result.stdout
+        assert f"request.attempts = 2 from teams/{TEAM}" in result.stdout
 
 
-def test_wrong_change_is_one_line_and_changes_nothing(deployment: Deployment) -> None:
-    prepare(deployment, minions=1)
+def test_invalid_command_prints_one_line_and_changes_nothing(
+    deployment: Deployment,
+) -> None:
+    start_deployment(deployment, minions=1)
     offset = deployment.show("/v1/status")["folded_offset"]
     for argv in (
         ("team", "put", "Bad Name!", "--guarantee", "2x4"),
@@ -95,7 +115,7 @@
     assert deployment.show("/v1/status")["folded_offset"] == offset
 
 
-def send_raw(port: int, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+def send_bytes(port: int, method: str, path: str, body: bytes) -> tuple[int, bytes]:
     request = urllib.request.Request(
         f"http://127.0.0.1:{port}{path}", body, method=method
     )
@@ -106,34 +126,37 @@
         return exc.code, exc.read()
 
 
-def bad_bodies(rng: random.Random) -> list[bytes]:
-    noise = rng.randbytes(rng.randrange(1, 60))
-    wrong = {"operator": rng.choice([1, None, "", "x" * 99]), "value": [noise.hex()]}
+def make_bad_bodies(rng: random.Random) -> list[bytes]:
+    random_bytes = rng.randbytes(rng.randrange(1, 60))
+    wrong_values = {
+        "operator": rng.choice([1, None, "", "x" * 99]),
+        "value": [random_bytes.hex()],
+    }
     return [
-        noise,
+        random_bytes,
         b"",
         b"[" * 2_000,
         b'{"operator": "x", "in_service": "perhaps"}',
         b'{"operator": "x", "key": "job.lease_ms", "value": NaN}',
         b'{"operator": "x", "key": "job.lease_ms", "value": 1e999}',
         b'{"operator": "x", "key": "job.lease_ms", "value": ' + b"9" * 400 + b"}",
-        json.dumps(wrong).encode(),
+        json.dumps(wrong_values).encode(),
     ]
 
 
 def test_bad_input_is_refused_and_changes_nothing(deployment: Deployment) -> None:
-    prepare(deployment, minions=1)
+    start_deployment(deployment, minions=1)
     entry = deployment.processes["entry-0"]
     offset = deployment.show("/v1/status")["folded_offset"]
     rng = random.Random(6)
-    for item, _ in routes:
-        if item.method == "GET":
+    for route, _ in routes:
+        if route.method == "GET":
             continue
-        path = re.sub(r"\{\w+\}", "%00x%F0", item.path)
-        for body in bad_bodies(rng):
-            port = entry.ports[item.surface]
-            status, answer = send_raw(port, item.method, path, body)
-            assert 400 <= status < 500, (item, body, status, answer)
+        path = re.sub(r"\{\w+\}", "%00x%F0", route.path)
+        for body in make_bad_bodies(rng):
+            port = entry.ports[route.surface]
+            status, answer = send_bytes(port, route.method, path, body)
+            assert 400 <= status < 500, (route, body, status, answer)
             assert json.loads(answer)["outcome"] == "not_run"
     assert entry.popen.poll() is None
     assert deployment.show("/v1/status")["folded_offset"] == offset
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,7 +10,7 @@
 TEAM = "design"
 
 
-def prepare(deployment: Deployment, minions: int = MINIONS) -> None:
+def start_deployment(deployment: Deployment, minions: int = MINIONS) -> None:
     deployment.start_log()
     deployment.start_entry("entry-0")
     deployment.start_entry("entry-1")
@@ -24,7 +24,7 @@
         "entries announced",
     )
     for zone in deployment.site.zones:
-        put_zone(deployment, zone)
+        put_zone_in_service(deployment, zone)
     body = {"operator": "ilze", "guarantees": [{"members": 2, "accelerators": 4}]}
     status, _ = deployment.call(
         "entry-0", "operators", "PUT", f"/v1/teams/{TEAM}", body
@@ -32,29 +32,31 @@
     assert status == 200
 
 
-def put_zone(deployment: Deployment, zone: str) -> None:
+def put_zone_in_service(deployment: Deployment, zone: str) -> None:
     body = {"operator": "ilze", "region": REGION, "in_service": True}
     path = f"/v1/availability-zones/{zone}"
     status, _ = deployment.call("entry-0", "operators", "PUT", path, body)
     assert status == 200
 
 
-def ask(deployment: Deployment, entry: str, **fields: object) -> tuple[int, dict]:
+def send_request(
+    deployment: Deployment, entry: str, **fields: object
+) -> tuple[int, dict]:
     body = {"team": TEAM, "service": deployment.site.service, **fields}
     return deployment.call(entry, "callers", "POST", "/v1/requests", body)
 
 
-def submit(deployment: Deployment, name: str, **fields: object) -> None:
+def submit_job(deployment: Deployment, name: str, **fields: object) -> None:
     body = {"operator": "ilze", "name": name, "team": TEAM, **fields}
     status, answer = deployment.call("entry-0", "operators", "POST", "/v1/jobs", body)
     assert status == 200, answer
 
 
-def job_state(deployment: Deployment, name: str, entry: str = "entry-0") -> str:
+def get_job_state(deployment: Deployment, name: str, entry: str = "entry-0") -> str:
     return deployment.show(f"/v1/jobs/{name}", entry)["job"]["state"]
 
 
-def starts(deployment: Deployment, minions: int = MINIONS) -> dict[str, int]:
+def count_starts(deployment: Deployment, minions: int = MINIONS) -> dict[str, int]:
     counts = {}
     for number in range(minions):
         _, answer = deployment.call(f"worker-{number}", "port", "GET", "/v1/history")
@@ -63,23 +65,26 @@
 
 
 def test_request_is_answered_through_either_entry(deployment: Deployment) -> None:
-    prepare(deployment)
+    start_deployment(deployment)
     for entry in ("entry-0", "entry-1"):
         wait_until(
-            lambda entry=entry: ask(deployment, entry, body=entry)[0] == 200,
+            lambda entry=entry: send_request(deployment, entry, body=entry)[0] == 200,
             f"{entry} answers",
         )
-        status, answer = ask(deployment, entry, body=f"quote {entry}")
+        status, answer = send_request(deployment, entry, body=f"quote {entry}")
         assert status == 200
         assert answer["outcome"] == "answered"
         assert json.loads(answer["answer"])["echo"] == f"quote {entry}"
 
 
 def test_keyed_request_runs_once_through_two_entries(deployment: Deployment) -> None:
-    prepare(deployment)
-    order = {"body": '{"id": "order-7"}', "idempotent": False, "key": "order-7"}
-    order["issued_ms"] = 1
-    answers = [ask(deployment, entry, **order) for entry in ("entry-0", "entry-1")]
+    start_deployment(deployment)
+    keyed_request = {"body": '{"id": "order-7"}', "idempotent": False, "key": "order-7"}
+    keyed_request["issued_ms"] = 1
+    answers = [
+        send_request(deployment, entry, **keyed_request)
+        for entry in ("entry-0", "entry-1")
+    ]
     assert [status for status, _ in answers] == [200, 200]
     assert answers[0][1]["answer"] == answers[1][1]["answer"]
     runs = 0
@@ -92,42 +97,44 @@
 
 
 def test_gang_runs_once_and_is_explained(deployment: Deployment) -> None:
-    prepare(deployment)
+    start_deployment(deployment)
     payload = json.dumps({"run_ms": 200, "result": "plan"})
-    submit(deployment, "planning", members=2, accelerators=4, payload=payload)
-    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    submit_job(deployment, "planning", members=2, accelerators=4, payload=payload)
+    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
     shown = deployment.run("explain", "job", "planning")
     assert shown.returncode == 0
     assert "job.lease_ms = 15000 from default" in shown.stdout
-    assert starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
+    assert count_starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
 
 
 def test_state_is_rebuilt_after_all_processes_were_killed(
     deployment: Deployment,
 ) -> None:
-    prepare(deployment)
+    start_deployment(deployment)
     payload = json.dumps({"run_ms": 1_500, "result": "plan"})
-    submit(deployment, "planning", members=2, accelerators=8, payload=payload)
+    submit_job(deployment, "planning", members=2, accelerators=8, payload=payload)
     wait_until(
-        lambda: sum(starts(deployment).values()) == 2, "both members have started"
+        lambda: sum(count_starts(deployment).values()) == 2, "both members have started"
     )
-    ours = ["entry-0", "entry-1", *(f"minion-{i}" for i in range(MINIONS))]
-    for name in ours:
+    own_processes = ["entry-0", "entry-1", *(f"minion-{i}" for i in range(MINIONS))]
+    for name in own_processes:
         deployment.processes[name].kill()
     deployment.start_entry("entry-0")
     deployment.start_entry("entry-1")
     for number in range(MINIONS):
         deployment.start_sidecar(number)
     wait_until(lambda: "job" in deployment.show("/v1/jobs/planning"), "state is back")
-    wait_until(lambda: job_state(deployment, "planning") == "done", "job done")
+    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
     assert deployment.show(f"/v1/teams/{TEAM}")["guarantees"]
     assert deployment.show("/v1/jobs/planning", "entry-1")["job"]["result"] == "plan"
 
 
 def test_leaving_sidecar_finishes_its_requests(deployment: Deployment) -> None:
-    prepare(deployment, minions=1)
+    start_deployment(deployment, minions=1)
     body = json.dumps({"run_ms": 1_000, "id": "slow"})
-    wait_until(lambda: ask(deployment, "entry-0")[0] == 200, "the minion serves")
+    wait_until(
+        lambda: send_request(deployment, "entry-0")[0] == 200, "the minion serves"
+    )
     argv = ["--team", TEAM, "--service", deployment.site.service, "--body", body]
 
     answers = []
@@ -144,5 +151,5 @@
     assert deployment.processes["minion-0"].stop() == 0
     thread.join()
     assert answers[0].returncode == 0
-    status, answer = ask(deployment, "entry-0", timeout_ms=500)
+    status, answer = send_request(deployment, "entry-0", timeout_ms=500)
     assert (status, answer["outcome"]) == (503, "not_run")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,11 +16,11 @@
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = ROOT / "deploy" / "system.toml"
-STORE = "127.0.0.90"
-JOBS = ("0123456789abcdef", "0123456789abcde0", "0123456789abcde1")
-WORK = json.dumps([{"count": 2, "saves": True, "work_ms": 800}])
+STORE_IP = "127.0.0.90"
+JOB_IDS = ("0123456789abcdef", "0123456789abcde0", "0123456789abcde1")
+SPEC = json.dumps([{"count": 2, "saves": True, "work_ms": 800}])
 BODY = json.dumps(
-    {"spec": WORK, "steps": [{"count": 2, "cpu": 1_000, "gpu": 1, "estimateMs": 800}]}
+    {"spec": SPEC, "steps": [{"count": 2, "cpu": 1_000, "gpu": 1, "estimateMs": 800}]}
 )
 CONFIGURATION = {
     "version": 3,
@@ -36,8 +36,8 @@
     ],
     "tenants": [{"name": "t", "apiKeys": ["key-1"], "guaranteed": {"gpu": 8}}],
 }
-STARTED_S = 20
-SETTINGS = """
+START_TIMEOUT_S = 20
+SETTINGS_TEMPLATE = """
 nodeName = "{name}"
 ip = "{ip}"
 zone = "zone-a"
@@ -59,21 +59,23 @@
     """Return ports that the kernel has just given out on the first address."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
-        item.bind((STORE, 0))
+        item.bind((STORE_IP, 0))
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
     return ports
 
 
-def until(is_true: Callable[[], bool], what: str, limit_s: float = STARTED_S) -> None:
-    end_s = time.monotonic() + limit_s
-    while not is_true():
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S
+) -> None:
+    end_s = time.monotonic() + timeout_s
+    while not condition():
         assert time.monotonic() < end_s, what
         time.sleep(0.05)
 
 
-class Fleet:
+class PlatformDeployment:
     """Two entries, two sidecars, and the stand-in of store and minions."""
 
     def __init__(self, folder: Path) -> None:
@@ -88,11 +90,11 @@
             "side-1": "127.0.0.93",
             "side-2": "127.0.0.94",
         }
-        self._start_host()
+        self._start_stand_in()
         for name in self.ips:
             self.start(name)
 
-    def _start_host(self) -> None:
+    def _start_stand_in(self) -> None:
         minions = [
             {
                 "id": f"m-{name}",
@@ -105,10 +107,10 @@
             if name.startswith("side")
         ]
         document = {
-            "store": f"{STORE}:{self.ports['store']}",
+            "store": f"{STORE_IP}:{self.ports['store']}",
             "configuration": CONFIGURATION,
             "minions": minions,
-            "jobs": JOBS,
+            "jobs": JOB_IDS,
         }
         path = self.folder / "host.json"
         path.write_text(json.dumps(document))
@@ -119,7 +121,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        until(lambda: "ready" in self.log("host"), "the stand-in starts")
+        wait_until(lambda: "ready" in self.log("host"), "the stand-in starts")
 
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
@@ -128,20 +130,22 @@
         """Start a role by the words of the deploy file."""
         role = self.roles["entry" if name.startswith("entry") else "sidecar"]
         settings = self.folder / f"{name}.toml"
-        store = f"{STORE}:{self.ports['store']}"
+        store = f"{STORE_IP}:{self.ports['store']}"
         values = {key: port for key, port in self.ports.items() if key != "store"}
         settings.write_text(
-            SETTINGS.format(name=name, ip=self.ips[name], store=store, **values)
+            SETTINGS_TEMPLATE.format(
+                name=name, ip=self.ips[name], store=store, **values
+            )
         )
         env = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "KINGCUPPOST_SETTINGS": str(settings),
         }
-        words = role["run"].split()
+        arguments = role["run"].split()
         with (self.folder / f"{name}.log").open("a") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, *words[1:]],
+                [sys.executable, *arguments[1:]],
                 cwd=self.folder,
                 env=env,
                 stdout=log,
@@ -189,12 +193,12 @@
 
 
 @pytest.fixture(scope="module")
-def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformDeployment]:
     build = tomllib.loads(DEPLOY.read_text())["build"]
     subprocess.run(build, shell=True, cwd=ROOT, check=True, capture_output=True)
-    running = Fleet(tmp_path_factory.mktemp("fleet"))
+    running = PlatformDeployment(tmp_path_factory.mktemp("fleet"))
     try:
-        until(
+        wait_until(
             lambda: running.is_ready("entry-1") and running.is_ready("entry-2"),
             "both entries are ready",
         )
@@ -203,50 +207,60 @@
         running.stop()
 
 
-def test_a_job_is_done_and_both_entries_show_it(fleet: Fleet) -> None:
-    assert fleet.call("entry-1", "POST", f"/q/{JOBS[0]}", BODY)[0] == 200
-    assert fleet.call("entry-2", "POST", f"/q/{JOBS[0]}", BODY)[0] == 200
+def test_a_job_is_done_and_both_entries_show_it(system: PlatformDeployment) -> None:
+    assert system.call("entry-1", "POST", f"/q/{JOB_IDS[0]}", BODY)[0] == 200
+    assert system.call("entry-2", "POST", f"/q/{JOB_IDS[0]}", BODY)[0] == 200
     for name in ("entry-1", "entry-2"):
-        until(lambda name=name: fleet.state(name, JOBS[0]) == "completed", "job done")
+        wait_until(
+            lambda name=name: system.state(name, JOB_IDS[0]) == "completed", "job done"
+        )
 
 
-def test_calls_are_told_what_is_wrong(fleet: Fleet) -> None:
-    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", BODY, key="odd")[0] == 401
-    assert fleet.call("entry-1", "GET", f"/other/{JOBS[1]}")[0] == 404
-    assert fleet.call("entry-1", "GET", "/q/fedcba9876543210")[0] == 410
-    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", "{")[0] == 400
-    assert fleet.call("entry-1", "GET", "/q/") == (200, {"pending": 0})
+def test_invalid_calls_get_the_matching_status(system: PlatformDeployment) -> None:
+    assert system.call("entry-1", "POST", f"/q/{JOB_IDS[1]}", BODY, key="odd")[0] == 401
+    assert system.call("entry-1", "GET", f"/other/{JOB_IDS[1]}")[0] == 404
+    assert system.call("entry-1", "GET", "/q/fedcba9876543210")[0] == 410
+    assert system.call("entry-1", "POST", f"/q/{JOB_IDS[1]}", "{")[0] == 400
+    assert system.call("entry-1", "GET", "/q/") == (200, {"pending": 0})
 
 
-def test_work_goes_on_after_the_holder_was_killed(fleet: Fleet) -> None:
-    assert fleet.call("entry-1", "POST", f"/q/{JOBS[1]}", BODY)[0] == 200
+def test_jobs_complete_after_the_lease_holder_is_killed(
+    system: PlatformDeployment,
+) -> None:
+    assert system.call("entry-1", "POST", f"/q/{JOB_IDS[1]}", BODY)[0] == 200
     holder = next(
-        name for name in ("entry-1", "entry-2") if "The term is open" in fleet.log(name)
+        name
+        for name in ("entry-1", "entry-2")
+        if "The term is open" in system.log(name)
     )
     other = "entry-2" if holder == "entry-1" else "entry-1"
-    fleet.processes[holder].kill()
-    fleet.processes[holder].wait()
-    until(lambda: fleet.state(other, JOBS[1]) == "completed", "the job is done")
-    fleet.start(holder)
-    until(lambda: fleet.is_ready(holder), "the killed entry is back")
-    until(lambda: fleet.state(holder, JOBS[1]) == "completed", "it shows the job")
+    system.processes[holder].kill()
+    system.processes[holder].wait()
+    wait_until(
+        lambda: system.state(other, JOB_IDS[1]) == "completed", "the job is done"
+    )
+    system.start(holder)
+    wait_until(lambda: system.is_ready(holder), "the killed entry is back")
+    wait_until(
+        lambda: system.state(holder, JOB_IDS[1]) == "completed", "it shows the job"
+    )
 
 
-def test_settings_are_read_again_and_the_end_is_graceful(fleet: Fleet) -> None:
-    process = fleet.processes["entry-2"]
+def test_settings_reload_and_graceful_stop(system: PlatformDeployment) -> None:
+    process = system.processes["entry-2"]
     process.send_signal(signal.SIGHUP)
-    until(
-        lambda: "The settings are read again" in fleet.log("entry-2"),
+    wait_until(
+        lambda: "The settings are read again" in system.log("entry-2"),
         "the settings are read again",
     )
     process.terminate()
     assert process.wait(timeout=8) == 0
-    fleet.start("entry-2")
-    until(lambda: fleet.is_ready("entry-2"), "the entry is back")
+    system.start("entry-2")
+    wait_until(lambda: system.is_ready("entry-2"), "the entry is back")
 
 
-def test_metrics_are_served(fleet: Fleet) -> None:
-    conn = http.client.HTTPConnection(fleet.ips["entry-1"], fleet.ports["peers"])
+def test_metrics_are_served(system: PlatformDeployment) -> None:
+    conn = http.client.HTTPConnection(system.ips["entry-1"], system.ports["peers"])
     conn.request("GET", "/metrics")
     text = conn.getresponse().read().decode()
     conn.close()
@@ -254,10 +268,10 @@
     assert "kingcuppost_tick_seconds_bucket" in text
 
 
-def test_the_minions_saw_no_broken_promise(fleet: Fleet) -> None:
-    host = fleet.processes["host"]
+def test_minions_recorded_no_violations(system: PlatformDeployment) -> None:
+    host = system.processes["host"]
     host.terminate()
     host.wait(timeout=10)
     # a heartbeat that the end has cut off may be logged behind the list
-    lists = [line for line in fleet.log("host").splitlines() if line.startswith("[")]
+    lists = [line for line in system.log("host").splitlines() if line.startswith("[")]
     assert lists == ["[]"]
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -4,103 +4,106 @@
 
 from standins.processes import Deployment, wait_until
 from tests.scenarios import (
+    MULTI_ZONE_SITE,
     OPERATOR,
-    SPREAD,
-    ZONE_BOUND_MS,
-    begin,
-    change,
+    ZONE_OUT_LIMIT_MS,
+    apply_change,
     check_partial_runs,
     check_ran_once,
-    history,
-    holder,
+    collect_task_history,
+    get_lease_holder,
+    list_worker_numbers,
     other_entry,
     set_zone,
-    submit,
-    wait_done,
+    start_deployment,
+    submit_job,
+    wait_until_done,
     wall_ms,
-    workers_of,
 )
 
-GUEST = "guest"
-GUESTS = ("guest-0", "guest-1", "guest-2")
+BORROWER_TEAM = "guest"
+BORROWER_JOBS = ("guest-0", "guest-1", "guest-2")
 
 
-def lend_everything(deployment: Deployment, entry: str = "entry-0") -> None:
+def borrow_all_workers(deployment: Deployment, entry: str = "entry-0") -> None:
     """Let jobs of a team without guarantees take every worker."""
     body = {"operator": OPERATOR, "guarantees": []}
-    change(deployment, "PUT", f"/v1/teams/{GUEST}", body, entry)
-    for name in GUESTS:
+    apply_change(deployment, "PUT", f"/v1/teams/{BORROWER_TEAM}", body, entry)
+    for name in BORROWER_JOBS:
         body = {
             "operator": OPERATOR,
             "name": name,
-            "team": GUEST,
+            "team": BORROWER_TEAM,
             "members": 1,
             "accelerators": 8,
             "payload": json.dumps({"run_ms": 120_000, "result": name}),
         }
-        change(deployment, "POST", "/v1/jobs", body, entry)
+        apply_change(deployment, "POST", "/v1/jobs", body, entry)
     wait_until(
         lambda: (
-            sum(row["state"] == "running" for row in history(deployment).values())
-            == len(GUESTS)
+            sum(
+                row["state"] == "running"
+                for row in collect_task_history(deployment).values()
+            )
+            == len(BORROWER_JOBS)
         ),
         "all workers are borrowed",
     )
 
 
-def ignore_stops(deployment: Deployment) -> None:
-    for number in workers_of(deployment):
+def make_workers_ignore_stops(deployment: Deployment) -> None:
+    for number in list_worker_numbers(deployment):
         deployment.set_faults(f"worker-{number}", ignore_stop=True)
 
 
 def test_borrowers_that_ignore_checkpoint_and_stop(deployment: Deployment) -> None:
-    begin(deployment)
-    lend_everything(deployment)
-    ignore_stops(deployment)
-    submit(deployment, "owner")
-    wait_done(deployment, "owner")
+    start_deployment(deployment)
+    borrow_all_workers(deployment)
+    make_workers_ignore_stops(deployment)
+    submit_job(deployment, "owner")
+    wait_until_done(deployment, "owner")
     check_ran_once(deployment, "owner", 2)
-    rows = history(deployment)
-    first_tries = [rows[f"{name}/1/0"]["state"] for name in GUESTS]
-    assert sorted(first_tries) == ["running", "stopped", "stopped"]
+    rows = collect_task_history(deployment)
+    first_attempt_states = [rows[f"{name}/1/0"]["state"] for name in BORROWER_JOBS]
+    assert sorted(first_attempt_states) == ["running", "stopped", "stopped"]
 
 
 def test_scheduler_killed_half_way_through_a_reclaim(deployment: Deployment) -> None:
-    begin(deployment)
-    old = holder(deployment)
-    rival = other_entry(old)
-    lend_everything(deployment, rival)
-    ignore_stops(deployment)
-    submit(deployment, "owner", entry=rival)
+    start_deployment(deployment)
+    old_holder = get_lease_holder(deployment)
+    standby = other_entry(old_holder)
+    borrow_all_workers(deployment, standby)
+    make_workers_ignore_stops(deployment)
+    submit_job(deployment, "owner", entry=standby)
 
-    def stopping() -> bool:
+    def is_borrower_stopping() -> bool:
         gangs = [
             gang
-            for name in GUESTS
-            for gang in deployment.show(f"/v1/jobs/{name}", rival)["gangs"]
+            for name in BORROWER_JOBS
+            for gang in deployment.show(f"/v1/jobs/{name}", standby)["gangs"]
         ]
         return any(gang["state"] == "stopping" for gang in gangs)
 
-    wait_until(stopping, "a borrower is being stopped")
-    deployment.processes[old].kill()
-    wait_done(deployment, "owner", rival)
+    wait_until(is_borrower_stopping, "a borrower is being stopped")
+    deployment.processes[old_holder].kill()
+    wait_until_done(deployment, "owner", standby)
     check_ran_once(deployment, "owner", 2)
     check_partial_runs(deployment, members=1)
 
 
-def test_zone_leaves_during_a_reclaim(deployment: Deployment) -> None:
-    deployment.site = SPREAD
-    begin(deployment)
-    lend_everything(deployment)
-    ignore_stops(deployment)
-    submit(deployment, "owner")
-    set_zone(deployment, SPREAD.zone_of(2), False)
+def test_zone_taken_out_of_service_during_a_reclaim(deployment: Deployment) -> None:
+    deployment.site = MULTI_ZONE_SITE
+    start_deployment(deployment)
+    borrow_all_workers(deployment)
+    make_workers_ignore_stops(deployment)
+    submit_job(deployment, "owner")
+    set_zone(deployment, MULTI_ZONE_SITE.zone_of(2), False)
     out_ms = wall_ms()
-    wait_done(deployment, "owner")
+    wait_until_done(deployment, "owner")
     check_ran_once(deployment, "owner", 2)
-    late = [
+    late_starts = [
         row
-        for row in history(deployment).values()
-        if row["worker"] == 2 and row["started_wall_ms"] > out_ms + ZONE_BOUND_MS
+        for row in collect_task_history(deployment).values()
+        if row["worker"] == 2 and row["started_wall_ms"] > out_ms + ZONE_OUT_LIMIT_MS
     ]
-    assert late == []
+    assert late_starts == []
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -20,16 +20,16 @@
 TEAM = "design"
 MINIONS = 2
 ENTRIES = ("entry-0", "entry-1")
-SILENCE_BOUND_MS = 1_000
+UNRESPONSIVE_LIMIT_MS = 1_000
 MARGIN_MS = 2_000
-LEAVE_BOUND_S = 3
-LOAD_RATE = 25
-LOAD_SECONDS = 4
+LEAVE_LIMIT_S = 3
+LOAD_RATE_PER_S = 25
+LOAD_S = 4
 BODY_BYTES = 20_000
-STOP_TEXT = "A graceful stop begins."
+STOP_LOG_TEXT = "A graceful stop begins."
 
 
-class Fleet:
+class ProxiedDeployment:
     """The deployment and what the tests ask of it."""
 
     def __init__(self, deployment: Deployment) -> None:
@@ -41,47 +41,47 @@
         for name in ("peers", "service"):
             for number in range(MINIONS):
                 d.start_standin("proxy", f"{name}-{number}")
-        for name in ("beats-0", "beats-1", "log-proxy"):
+        for name in ("heartbeats-0", "heartbeats-1", "log-proxy"):
             d.start_standin("proxy", name)
         for number in range(MINIONS):
             d.start_host(number)
         d.start_log()
-        self.aim("log-proxy", d.processes["log"].ports["port"])
+        self.set_target("log-proxy", d.processes["log"].ports["port"])
         for number, name in enumerate(ENTRIES):
-            d.start_entry(name, advertised=self.address(f"beats-{number}"))
+            d.start_entry(name, advertised=self.address(f"heartbeats-{number}"))
         for number in range(MINIONS):
             self.start_sidecar(number)
         for number, name in enumerate(ENTRIES):
-            self.aim(f"beats-{number}", d.processes[name].ports["peers"])
-        self.prepare()
+            self.set_target(f"heartbeats-{number}", d.processes[name].ports["peers"])
+        self.configure()
 
     def start_sidecar(self, number: int) -> None:
         d = self.deployment
         service = f"minion-{number}-service"
-        self.aim(f"service-{number}", d.processes[service].ports["port"])
+        self.set_target(f"service-{number}", d.processes[service].ports["port"])
         process = d.start_sidecar(
             number,
             minion_address=self.address(f"service-{number}"),
             advertised=self.address(f"peers-{number}"),
             log_address=self.address("log-proxy"),
         )
-        self.aim(f"peers-{number}", process.ports["peers"])
+        self.set_target(f"peers-{number}", process.ports["peers"])
 
     def start_entry(self, number: int) -> None:
         name = ENTRIES[number]
-        address = self.address(f"beats-{number}")
+        address = self.address(f"heartbeats-{number}")
         process = self.deployment.start_entry(name, advertised=address)
-        self.aim(f"beats-{number}", process.ports["peers"])
-        self.settle()
+        self.set_target(f"heartbeats-{number}", process.ports["peers"])
+        self.wait_until_settled()
 
-    def prepare(self) -> None:
+    def configure(self) -> None:
         for zone in self.deployment.site.zones:
             body = {"operator": "ilze", "region": "vidzeme", "in_service": True}
             path = f"/v1/availability-zones/{zone}"
             wait_until(lambda p=path, b=body: self.put(p, b) == 200, f"{zone} is put")
         body = {"operator": "ilze", "guarantees": []}
         assert self.put(f"/v1/teams/{TEAM}", body) == 200
-        self.settle()
+        self.wait_until_settled()
 
     def put(self, path: str, body: dict) -> int:
         return self.deployment.call("entry-0", "operators", "PUT", path, body)[0]
@@ -89,37 +89,41 @@
     def address(self, proxy: str) -> str:
         return f"127.0.0.1:{self.deployment.processes[proxy].ports['proxy']}"
 
-    def aim(self, proxy: str, port: int) -> None:
+    def set_target(self, proxy: str, port: int) -> None:
         self.deployment.call(proxy, "port", "POST", "/v1/target", {"port": port})
 
-    def settle(self) -> None:
+    def wait_until_settled(self) -> None:
         """Wait until both entries know all minions and each answers."""
         for name in ENTRIES:
-            wait_until(lambda n=name: self.knows_all(n), f"{name} knows the minions")
-            wait_until(lambda n=name: self.ask(n)[0] == 200, f"{name} answers")
+            wait_until(
+                lambda n=name: self.knows_all_minions(n), f"{name} knows the minions"
+            )
+            wait_until(lambda n=name: self.send_request(n)[0] == 200, f"{name} answers")
 
-    def knows_all(self, entry: str) -> bool:
+    def knows_all_minions(self, entry: str) -> bool:
         rows = self.deployment.show("/v1/fleet", entry)["minions"]
-        shown = json.dumps(rows)
-        return len(rows) == MINIONS and "leaving" not in shown.replace(
+        rows_text = json.dumps(rows)
+        return len(rows) == MINIONS and "leaving" not in rows_text.replace(
             '"leaving": false', ""
         )
 
-    def ask(self, entry: str, **fields: object) -> tuple[int, dict]:
+    def send_request(self, entry: str, **fields: object) -> tuple[int, dict]:
         body = {"team": TEAM, "service": self.deployment.site.service, **fields}
         return self.deployment.call(entry, "callers", "POST", "/v1/requests", body)
 
-    def ask_later(self, entry: str, **fields: object) -> Future:
-        return self.pool.submit(self.ask, entry, **fields)
+    def send_request_in_thread(self, entry: str, **fields: object) -> Future:
+        return self.pool.submit(self.send_request, entry, **fields)
 
-    def order(self, run_id: str, run_ms: int = 0, **fields: object) -> dict:
+    def make_request(self, run_id: str, run_ms: int = 0, **fields: object) -> dict:
         return {"body": json.dumps({"id": run_id, "run_ms": run_ms}), **fields}
 
-    def charge(self, run_id: str, run_ms: int = 0, **fields: object) -> dict:
+    def make_keyed_request(
+        self, run_id: str, run_ms: int = 0, **fields: object
+    ) -> dict:
         keyed = {"idempotent": False, "key": run_id, "issued_ms": 1, **fields}
-        return self.order(run_id, run_ms, **keyed)
+        return self.make_request(run_id, run_ms, **keyed)
 
-    def runs(self, run_id: str) -> list[int]:
+    def count_runs(self, run_id: str) -> list[int]:
         """Return how often each minion ran an order."""
         counts = []
         for number in range(MINIONS):
@@ -128,215 +132,273 @@
             counts.append(answer["runs"].get(run_id, 0))
         return counts
 
-    def started(self, run_id: str) -> None:
-        wait_until(lambda: sum(self.runs(run_id)), f"{run_id} runs")
+    def wait_for_run(self, run_id: str) -> None:
+        wait_until(lambda: sum(self.count_runs(run_id)), f"{run_id} runs")
 
-    def fault(self, kind: str, **faults: object) -> None:
+    def set_link_faults(self, kind: str, **faults: object) -> None:
         for number in range(MINIONS):
             self.deployment.set_faults(f"{kind}-{number}", **faults)
 
-    def load(self, *entries: str, body: str = "") -> subprocess.Popen:
+    def start_load(self, *entries: str, body: str = "") -> subprocess.Popen:
         argv = [sys.executable, "-m", "standins.load", "--team", TEAM]
         argv += ["--service", self.deployment.site.service, "--body", body]
-        argv += ["--rate", str(LOAD_RATE), "--seconds", str(LOAD_SECONDS)]
+        argv += ["--rate", str(LOAD_RATE_PER_S), "--seconds", str(LOAD_S)]
         for entry in entries:
             port = self.deployment.processes[entry].ports["callers"]
             argv += ["--callers", f"127.0.0.1:{port}"]
         return subprocess.Popen(argv, stdout=subprocess.PIPE, cwd=ROOT)
 
-    def report(self, load: subprocess.Popen) -> dict:
+    def read_report(self, load: subprocess.Popen) -> dict:
         output, _ = load.communicate(timeout=60)
         return json.loads(output)
 
 
 @pytest.fixture(scope="module")
-def shared(command: tuple[str, ...]) -> Iterator[Fleet]:
+def shared_system(command: tuple[str, ...]) -> Iterator[ProxiedDeployment]:
     with Deployment(site=Site(workers=MINIONS), command=command) as deployment:
-        fleet = Fleet(deployment)
-        fleet.start()
-        yield fleet
-        fleet.pool.shutdown()
+        system = ProxiedDeployment(deployment)
+        system.start()
+        yield system
+        system.pool.shutdown()
 
 
 @pytest.fixture
-def fleet(shared: Fleet, request: pytest.FixtureRequest) -> Iterator[Fleet]:
-    yield shared
+def system(
+    shared_system: ProxiedDeployment, request: pytest.FixtureRequest
+) -> Iterator[ProxiedDeployment]:
+    yield shared_system
     report = getattr(request.node, "report_call", None)
     if report is not None and report.failed:
-        print(shared.deployment.timeline())
+        print(shared_system.deployment.timeline())
 
 
 @pytest.mark.parametrize("link", ["peers", "service"])
-def test_truncated_answer_is_never_a_200(fleet: Fleet, link: str) -> None:
-    fleet.fault(link, cut_answer_after=150)
+def test_truncated_answer_is_never_a_200(system: ProxiedDeployment, link: str) -> None:
+    system.set_link_faults(link, cut_answer_after=150)
     answers = [
-        fleet.ask(name, body="x" * BODY_BYTES, timeout_ms=1_500) for name in ENTRIES
+        system.send_request(name, body="x" * BODY_BYTES, timeout_ms=1_500)
+        for name in ENTRIES
     ]
-    fleet.fault(link)
+    system.set_link_faults(link)
     assert [status for status, _ in answers] == [504, 504]
     assert {answer["outcome"] for _, answer in answers} == {"unknown"}
-    fleet.settle()
+    system.wait_until_settled()
 
 
-def test_lost_answer_is_asked_for_again_and_runs_once(fleet: Fleet) -> None:
-    fleet.fault("peers", lose_answers=1)
-    status, answer = fleet.ask("entry-0", **fleet.charge("lost", timeout_ms=8_000))
-    fleet.fault("peers")
+def test_request_with_lost_answer_is_retried_and_runs_once(
+    system: ProxiedDeployment,
+) -> None:
+    system.set_link_faults("peers", lose_answers=1)
+    status, answer = system.send_request(
+        "entry-0", **system.make_keyed_request("lost", timeout_ms=8_000)
+    )
+    system.set_link_faults("peers")
     assert (status, answer["outcome"]) == (200, "answered")
-    assert sum(fleet.runs("lost")) == 1
+    assert sum(system.count_runs("lost")) == 1
 
 
-def test_link_cut_after_sending_is_unknown(fleet: Fleet) -> None:
-    asked = fleet.ask_later("entry-0", **fleet.charge("cut", 800, timeout_ms=2_500))
-    fleet.started("cut")
-    fleet.fault("peers", cut=True)
-    status, answer = asked.result()
-    fleet.fault("peers")
+def test_link_cut_after_sending_is_unknown(system: ProxiedDeployment) -> None:
+    pending = system.send_request_in_thread(
+        "entry-0", **system.make_keyed_request("cut", 800, timeout_ms=2_500)
+    )
+    system.wait_for_run("cut")
+    system.set_link_faults("peers", cut=True)
+    status, answer = pending.result()
+    system.set_link_faults("peers")
     assert (status, answer["outcome"]) == (504, "unknown")
-    status, answer = fleet.ask("entry-1", **fleet.charge("cut", 800))
+    status, answer = system.send_request(
+        "entry-1", **system.make_keyed_request("cut", 800)
+    )
     assert status == 200
-    assert sum(fleet.runs("cut")) == 1
-    fleet.settle()
+    assert sum(system.count_runs("cut")) == 1
+    system.wait_until_settled()
 
 
-def test_link_cut_before_sending_is_never_told_as_run(fleet: Fleet) -> None:
-    fleet.fault("peers", cut=True)
-    status, answer = fleet.ask("entry-0", **fleet.order("none", timeout_ms=600))
-    fleet.fault("peers")
+def test_link_cut_before_sending_is_never_reported_as_run(
+    system: ProxiedDeployment,
+) -> None:
+    system.set_link_faults("peers", cut=True)
+    status, answer = system.send_request(
+        "entry-0", **system.make_request("none", timeout_ms=600)
+    )
+    system.set_link_faults("peers")
     assert answer["outcome"] in ("not_run", "unknown")
     assert status == {"not_run": 503, "unknown": 504}[answer["outcome"]]
-    assert sum(fleet.runs("none")) == 0
-    fleet.settle()
+    assert sum(system.count_runs("none")) == 0
+    system.wait_until_settled()
 
 
-def test_same_key_through_two_entries_at_once(fleet: Fleet) -> None:
-    asked = [fleet.ask_later(name, **fleet.charge("both", 200)) for name in ENTRIES * 2]
-    answers = [item.result() for item in asked]
+def test_same_key_through_two_entries_at_once(system: ProxiedDeployment) -> None:
+    pending = [
+        system.send_request_in_thread(name, **system.make_keyed_request("both", 200))
+        for name in ENTRIES * 2
+    ]
+    answers = [item.result() for item in pending]
     assert [status for status, _ in answers] == [200] * 4
     assert len({answer["answer"] for _, answer in answers}) == 1
-    assert sum(fleet.runs("both")) == 1
+    assert sum(system.count_runs("both")) == 1
 
 
-def test_sidecar_killed_during_the_run_is_unknown(fleet: Fleet) -> None:
-    asked = fleet.ask_later("entry-0", **fleet.charge("killed", 5_000))
-    fleet.started("killed")
-    number = fleet.runs("killed").index(1)
-    fleet.deployment.processes[f"minion-{number}"].kill()
-    fleet.start_sidecar(number)
-    status, answer = asked.result()
+def test_sidecar_killed_during_the_run_is_unknown(system: ProxiedDeployment) -> None:
+    pending = system.send_request_in_thread(
+        "entry-0", **system.make_keyed_request("killed", 5_000)
+    )
+    system.wait_for_run("killed")
+    number = system.count_runs("killed").index(1)
+    system.deployment.processes[f"minion-{number}"].kill()
+    system.start_sidecar(number)
+    status, answer = pending.result()
     assert (status, answer["outcome"]) == (504, "unknown")
-    fleet.settle()
-    status, answer = fleet.ask("entry-1", **fleet.charge("killed", 5_000))
+    system.wait_until_settled()
+    status, answer = system.send_request(
+        "entry-1", **system.make_keyed_request("killed", 5_000)
+    )
     assert (status, answer["outcome"]) == (504, "unknown")
-    assert sum(fleet.runs("killed")) == 1
+    assert sum(system.count_runs("killed")) == 1
 
 
-def test_entry_killed_then_retried_elsewhere(fleet: Fleet) -> None:
-    asked = fleet.ask_later("entry-0", **fleet.charge("retried", 700))
-    fleet.started("retried")
-    fleet.deployment.processes["entry-0"].kill()
-    status, _ = fleet.ask("entry-1", **fleet.charge("retried", 700))
+def test_entry_killed_then_retried_elsewhere(system: ProxiedDeployment) -> None:
+    pending = system.send_request_in_thread(
+        "entry-0", **system.make_keyed_request("retried", 700)
+    )
+    system.wait_for_run("retried")
+    system.deployment.processes["entry-0"].kill()
+    status, _ = system.send_request(
+        "entry-1", **system.make_keyed_request("retried", 700)
+    )
     assert status == 200
-    assert sum(fleet.runs("retried")) == 1
-    assert asked.exception() is not None
-    fleet.start_entry(0)
+    assert sum(system.count_runs("retried")) == 1
+    assert pending.exception() is not None
+    system.start_entry(0)
 
 
-def test_log_outage_refuses_keys_and_serves_the_rest(fleet: Fleet) -> None:
-    fleet.deployment.set_faults("log", down=True)
+def test_log_outage_refuses_only_keyed_requests(system: ProxiedDeployment) -> None:
+    system.deployment.set_faults("log", down=True)
 
     def refused() -> bool:
-        _, answer = fleet.ask("entry-0", **fleet.charge("outage", timeout_ms=1_000))
+        _, answer = system.send_request(
+            "entry-0", **system.make_keyed_request("outage", timeout_ms=1_000)
+        )
         return answer["outcome"] == "not_run"
 
     wait_until(refused, "keys are refused")
-    assert fleet.ask("entry-0", **fleet.order("plain"))[0] == 200
-    assert sum(fleet.runs("outage")) == 0
-    fleet.deployment.set_faults("log")
+    assert system.send_request("entry-0", **system.make_request("plain"))[0] == 200
+    assert sum(system.count_runs("outage")) == 0
+    system.deployment.set_faults("log")
     wait_until(
-        lambda: fleet.ask("entry-0", **fleet.charge("after"))[0] == 200, "keys again"
+        lambda: (
+            system.send_request("entry-0", **system.make_keyed_request("after"))[0]
+            == 200
+        ),
+        "keys again",
     )
 
 
-def test_silent_connections_under_load(fleet: Fleet) -> None:
-    load = fleet.load(*ENTRIES, body='{"run_ms": 30, "id": "silent"}')
-    fleet.started("silent")
-    wait_until(lambda: sum(fleet.runs("silent")) > LOAD_RATE, "the load runs")
-    frozen = 0
+def test_silent_connections_under_load(system: ProxiedDeployment) -> None:
+    load = system.start_load(*ENTRIES, body='{"run_ms": 30, "id": "silent"}')
+    system.wait_for_run("silent")
+    wait_until(
+        lambda: sum(system.count_runs("silent")) > LOAD_RATE_PER_S, "the load runs"
+    )
+    frozen_connections = 0
     for number in range(MINIONS):
         path = "/v1/freeze"
-        _, answer = fleet.deployment.call(f"peers-{number}", "port", "POST", path, {})
-        frozen += answer["frozen"]
-    report = fleet.report(load)
-    assert frozen > 0
-    assert report["outcomes"] == {"answered": LOAD_RATE * LOAD_SECONDS}
-    assert report["worst_ms"] < 2 * SILENCE_BOUND_MS + MARGIN_MS
+        _, answer = system.deployment.call(f"peers-{number}", "port", "POST", path, {})
+        frozen_connections += answer["frozen"]
+    report = system.read_report(load)
+    assert frozen_connections > 0
+    assert report["outcomes"] == {"answered": LOAD_RATE_PER_S * LOAD_S}
+    assert report["worst_ms"] < 2 * UNRESPONSIVE_LIMIT_MS + MARGIN_MS
 
 
 def test_leaving_minion_gets_no_new_work_though_messages_are_lost(
-    fleet: Fleet,
+    system: ProxiedDeployment,
 ) -> None:
-    held = [fleet.ask_later(name, **fleet.order("held", 3_500)) for name in ENTRIES * 4]
-    wait_until(lambda: sum(fleet.runs("held")) == len(held), "the requests run")
-    number = max(range(MINIONS), key=fleet.runs("held").__getitem__)
-    fleet.deployment.set_faults("log-proxy", cut=True)
-    fleet.fault("beats", cut=True)
-    process = fleet.deployment.processes[f"minion-{number}"]
+    pending = [
+        system.send_request_in_thread(name, **system.make_request("held", 3_500))
+        for name in ENTRIES * 4
+    ]
+    wait_until(
+        lambda: sum(system.count_runs("held")) == len(pending), "the requests run"
+    )
+    number = max(range(MINIONS), key=system.count_runs("held").__getitem__)
+    system.deployment.set_faults("log-proxy", cut=True)
+    system.set_link_faults("heartbeats", cut=True)
+    process = system.deployment.processes[f"minion-{number}"]
     begin_stop(process)
     for name in ENTRIES * 10:
-        assert fleet.ask(name, **fleet.order("new"))[0] == 200
-    assert fleet.runs("new")[number] == 0
-    assert [item.result()[0] for item in held] == [200] * len(held)
+        assert system.send_request(name, **system.make_request("new"))[0] == 200
+    assert system.count_runs("new")[number] == 0
+    assert [item.result()[0] for item in pending] == [200] * len(pending)
     assert process.popen.wait(60) == 0
-    fleet.deployment.set_faults("log-proxy")
-    fleet.fault("beats")
-    fleet.start_sidecar(number)
-    fleet.settle()
-
-
-def test_sidecar_stops_under_load_and_cuts_nothing(fleet: Fleet) -> None:
-    load = fleet.load(*ENTRIES, body='{"run_ms": 60, "id": "stop"}')
-    wait_until(lambda: sum(fleet.runs("stop")) > LOAD_RATE, "the load runs")
-    assert fleet.deployment.processes["minion-0"].stop() == 0
-    report = fleet.report(load)
-    assert report["outcomes"] == {"answered": LOAD_RATE * LOAD_SECONDS}
-    fleet.start_sidecar(0)
-    fleet.settle()
-
-
-def test_entry_stops_during_a_log_outage_and_cuts_nothing(fleet: Fleet) -> None:
-    asked = [fleet.ask_later("entry-1", **fleet.order("slow", 1_500)) for _ in range(6)]
-    wait_until(lambda: sum(fleet.runs("slow")) == len(asked), "the requests run")
-    fleet.deployment.set_faults("log", down=True)
-    process = fleet.deployment.processes["entry-1"]
+    system.deployment.set_faults("log-proxy")
+    system.set_link_faults("heartbeats")
+    system.start_sidecar(number)
+    system.wait_until_settled()
+
+
+def test_sidecar_stopped_under_load_drops_no_requests(
+    system: ProxiedDeployment,
+) -> None:
+    load = system.start_load(*ENTRIES, body='{"run_ms": 60, "id": "stop"}')
+    wait_until(
+        lambda: sum(system.count_runs("stop")) > LOAD_RATE_PER_S, "the load runs"
+    )
+    assert system.deployment.processes["minion-0"].stop() == 0
+    report = system.read_report(load)
+    assert report["outcomes"] == {"answered": LOAD_RATE_PER_S * LOAD_S}
+    system.start_sidecar(0)
+    system.wait_until_settled()
+
+
+def test_entry_stopped_during_a_log_outage_drops_no_requests(
+    system: ProxiedDeployment,
+) -> None:
+    pending = [
+        system.send_request_in_thread("entry-1", **system.make_request("slow", 1_500))
+        for _ in range(6)
+    ]
+    wait_until(
+        lambda: sum(system.count_runs("slow")) == len(pending), "the requests run"
+    )
+    system.deployment.set_faults("log", down=True)
+    process = system.deployment.processes["entry-1"]
     process.send(signal.SIGTERM)
-    answers = [item.result() for item in asked]
-    assert [status for status, _ in answers] == [200] * len(asked)
+    answers = [item.result() for item in pending]
+    assert [status for status, _ in answers] == [200] * len(pending)
     assert process.popen.wait(20) == 0
-    fleet.deployment.set_faults("log")
-    fleet.start_entry(1)
+    system.deployment.set_faults("log")
+    system.start_entry(1)
 
 
-def test_second_stop_signal_ends_at_once(fleet: Fleet) -> None:
-    asked = fleet.ask_later("entry-1", **fleet.order("endless", 9_000))
-    fleet.started("endless")
-    process = fleet.deployment.processes["entry-1"]
+def test_second_stop_signal_ends_the_process_immediately(
+    system: ProxiedDeployment,
+) -> None:
+    pending = system.send_request_in_thread(
+        "entry-1", **system.make_request("endless", 9_000)
+    )
+    system.wait_for_run("endless")
+    process = system.deployment.processes["entry-1"]
     begin_stop(process)
     process.send(signal.SIGTERM)
     assert process.popen.wait(5) == 1
-    assert asked.exception() is not None
-    fleet.start_entry(1)
+    assert pending.exception() is not None
+    system.start_entry(1)
 
 
 def begin_stop(process: Process) -> None:
     """Send the first signal and wait until the process has taken it."""
-    before = process.log_text().count(STOP_TEXT)
+    before = process.log_text().count(STOP_LOG_TEXT)
     process.send(signal.SIGTERM)
-    wait_until(lambda: process.log_text().count(STOP_TEXT) > before, "a stop begins")
+    wait_until(
+        lambda: process.log_text().count(STOP_LOG_TEXT) > before, "a stop begins"
+    )
 
 
-def raw_exchange(fleet: Fleet, send: Callable[[socket.socket], None]) -> bytes:
-    port = fleet.deployment.processes["entry-0"].ports["callers"]
+def exchange_bytes(
+    system: ProxiedDeployment, send: Callable[[socket.socket], None]
+) -> bytes:
+    port = system.deployment.processes["entry-0"].ports["callers"]
     with socket.create_connection(("127.0.0.1", port), timeout=30) as conn:
         send(conn)
         received = b""
@@ -345,33 +407,35 @@
     return received
 
 
-def head(length: int) -> bytes:
+def make_head(length: int) -> bytes:
     lines = ("POST /v1/requests HTTP/1.1", "Host: x", f"Content-Length: {length}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def test_too_large_body_is_refused_before_it_is_read(fleet: Fleet) -> None:
-    answer = raw_exchange(fleet, lambda conn: conn.sendall(head(10**9) + b"x" * 100))
+def test_too_large_body_is_refused_before_it_is_read(system: ProxiedDeployment) -> None:
+    answer = exchange_bytes(
+        system, lambda conn: conn.sendall(make_head(10**9) + b"x" * 100)
+    )
     assert answer.startswith(b"HTTP/1.1 413 ")
     assert b"not_run" in answer
 
 
-def test_slow_sender_is_cut_off(fleet: Fleet) -> None:
+def test_slow_sender_is_disconnected(system: ProxiedDeployment) -> None:
     stop = threading.Event()
 
-    def drip(conn: socket.socket) -> None:
-        def run() -> None:
+    def send_slowly(conn: socket.socket) -> None:
+        def send_bytes() -> None:
             while not stop.wait(0.5):
                 try:
                     conn.sendall(b"x")
                 except OSError:
                     return
 
-        conn.sendall(head(1_000))
-        threading.Thread(target=run, daemon=True).start()
+        conn.sendall(make_head(1_000))
+        threading.Thread(target=send_bytes, daemon=True).start()
 
     try:
-        answer = raw_exchange(fleet, drip)
+        answer = exchange_bytes(system, send_slowly)
     except ConnectionResetError:
         answer = b""
     stop.set()
@@ -382,17 +446,17 @@
     "text",
     [b"{", b"[" * 100_000, b"\xff\xfe", b'{"team": 1}', b'{"team": "design"}', b""],
 )
-def test_bad_input_is_a_400(fleet: Fleet, text: bytes) -> None:
-    answer = raw_exchange(
-        fleet,
+def test_bad_input_is_a_400(system: ProxiedDeployment, text: bytes) -> None:
+    answer = exchange_bytes(
+        system,
         lambda conn: conn.sendall(
-            head(len(text)).replace(b"Host", b"Connection: close\r\nHost") + text
+            make_head(len(text)).replace(b"Host", b"Connection: close\r\nHost") + text
         ),
     )
     assert answer.startswith(b"HTTP/1.1 400 ")
 
 
-def test_callers_do_not_reach_the_operators_surface(fleet: Fleet) -> None:
+def test_callers_do_not_reach_the_operators_surface(system: ProxiedDeployment) -> None:
     for path in ("/v1/teams", "/v1/settings", "/peer/attempts", "/metrics"):
-        status, _ = fleet.deployment.call("entry-0", "callers", "GET", path)
+        status, _ = system.deployment.call("entry-0", "callers", "GET", path)
         assert status == 404
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -5,55 +5,57 @@
 
 from standins.processes import Deployment, wait_until
 from tests.scenarios import (
-    SPREAD,
-    ZONE_BOUND_MS,
-    begin_entries,
-    freeze,
-    holder,
+    MULTI_ZONE_SITE,
+    ZONE_OUT_LIMIT_MS,
+    get_lease_holder,
     other_entry,
+    pause,
+    resume,
     set_zone,
-    submit,
-    thaw,
-    wait_announced,
-    wait_done,
+    start_log_and_entries,
+    submit_job,
+    wait_for_minions,
+    wait_until_done,
     wall_ms,
 )
 
-ZONE = SPREAD.zone_of(0)
-JOBS = 60
-SPEED_MS = 300
+ZONE = MULTI_ZONE_SITE.zone_of(0)
+JOB_COUNT = 60
+RUN_MS = 300
 
 
-def offer_work(deployment: Deployment, entry: str = "entry-0") -> None:
+def submit_many_jobs(deployment: Deployment, entry: str = "entry-0") -> None:
     """Submit more short jobs than the workers hold, so that starts go on."""
-    for number in range(JOBS):
+    for number in range(JOB_COUNT):
         name = f"check-{number}"
-        submit(deployment, name, 1, 1, SPEED_MS, entry)
+        submit_job(deployment, name, 1, 1, RUN_MS, entry)
 
 
-def wait_started(deployment: Deployment) -> None:
-    wait_until(lambda: starts(deployment), "tasks start in the zone")
+def wait_for_first_start(deployment: Deployment) -> None:
+    wait_until(lambda: list_start_times_ms(deployment), "tasks start in the zone")
 
 
-def starts(deployment: Deployment) -> list[int]:
+def list_start_times_ms(deployment: Deployment) -> list[int]:
     """Return when tasks of the zone's worker were started, Unix ms."""
     _, answer = deployment.call("worker-0", "port", "GET", "/v1/history")
     return [row["started_wall_ms"] for row in answer["tasks"] if row["starts"]]
 
 
-def check_no_late_start(deployment: Deployment, out_ms: int) -> None:
+def check_no_late_starts(deployment: Deployment, out_ms: int) -> None:
     """Check the bound once any message on its way has long arrived."""
-    late_ms = out_ms + 2 * ZONE_BOUND_MS
+    late_ms = out_ms + 2 * ZONE_OUT_LIMIT_MS
     wait_until(lambda: wall_ms() >= late_ms, "late messages have arrived")
     assert [
-        ms - out_ms for ms in starts(deployment) if ms > out_ms + ZONE_BOUND_MS
+        ms - out_ms
+        for ms in list_start_times_ms(deployment)
+        if ms > out_ms + ZONE_OUT_LIMIT_MS
     ] == []
 
 
-def begin_with_proxies(deployment: Deployment) -> None:
+def start_with_proxies(deployment: Deployment) -> None:
     """Start three zones; the first one's log and worker links pass proxies."""
-    deployment.site = SPREAD
-    begin_entries(deployment, SPREAD.zone_of(1))
+    deployment.site = MULTI_ZONE_SITE
+    start_log_and_entries(deployment, MULTI_ZONE_SITE.zone_of(1))
     log = deployment.processes["log"]
     for number in range(3):
         deployment.start_host(number)
@@ -63,58 +65,64 @@
     deployment.start_sidecar(0, worker_address=worker_address, log_address=log_address)
     for number in (1, 2):
         deployment.start_sidecar(number)
-    wait_announced(deployment)
+    wait_for_minions(deployment)
 
 
-def take_out_during(deployment: Deployment, proxy: str, **faults: object) -> int:
+def take_zone_out_during_fault(
+    deployment: Deployment, proxy: str, **faults: object
+) -> int:
     """Take the zone out while a proxy misbehaves; return when it was out."""
-    offer_work(deployment)
-    wait_started(deployment)
+    submit_many_jobs(deployment)
+    wait_for_first_start(deployment)
     deployment.set_faults(proxy, **faults)
     set_zone(deployment, ZONE, False)
     return wall_ms()
 
 
-def test_zone_out_stops_starts_and_the_rest_finishes_elsewhere(
+def test_zone_out_of_service_gets_no_starts_and_jobs_finish_elsewhere(
     deployment: Deployment,
 ) -> None:
-    begin_with_proxies(deployment)
-    out_ms = take_out_during(deployment, "log-link")
-    check_no_late_start(deployment, out_ms)
-    wait_done(deployment, f"check-{JOBS - 1}")
+    start_with_proxies(deployment)
+    out_ms = take_zone_out_during_fault(deployment, "log-link")
+    check_no_late_starts(deployment, out_ms)
+    wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
 
 
-def test_log_cut_for_the_zones_sidecar_only(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    out_ms = take_out_during(deployment, "log-link", cut=True)
-    check_no_late_start(deployment, out_ms)
+def test_sidecar_of_the_zone_is_cut_off_from_the_log(deployment: Deployment) -> None:
+    start_with_proxies(deployment)
+    out_ms = take_zone_out_during_fault(deployment, "log-link", cut=True)
+    check_no_late_starts(deployment, out_ms)
     deployment.set_faults("log-link")
-    wait_done(deployment, f"check-{JOBS - 1}")
+    wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
 
 
-def test_log_silent_for_the_zones_sidecar_only(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    out_ms = take_out_during(deployment, "log-link", silent=True)
-    check_no_late_start(deployment, out_ms)
+def test_log_does_not_answer_the_sidecar_of_the_zone(deployment: Deployment) -> None:
+    start_with_proxies(deployment)
+    out_ms = take_zone_out_during_fault(deployment, "log-link", silent=True)
+    check_no_late_starts(deployment, out_ms)
 
 
-def test_start_orders_delayed_past_the_zone_out(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    out_ms = take_out_during(deployment, "order-link", delay_ms=ZONE_BOUND_MS + 500)
-    check_no_late_start(deployment, out_ms)
+def test_start_orders_delayed_past_the_limit(deployment: Deployment) -> None:
+    start_with_proxies(deployment)
+    out_ms = take_zone_out_during_fault(
+        deployment, "order-link", delay_ms=ZONE_OUT_LIMIT_MS + 500
+    )
+    check_no_late_starts(deployment, out_ms)
 
 
-def test_log_cut_and_start_orders_delayed_together(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    offer_work(deployment)
-    wait_started(deployment)
+def test_sidecar_cut_off_from_the_log_while_start_orders_are_delayed(
+    deployment: Deployment,
+) -> None:
+    start_with_proxies(deployment)
+    submit_many_jobs(deployment)
+    wait_for_first_start(deployment)
     deployment.set_faults("order-link", delay_ms=1_200)
     deployment.set_faults("log-link", cut=True)
     set_zone(deployment, ZONE, False)
-    check_no_late_start(deployment, wall_ms())
+    check_no_late_starts(deployment, wall_ms())
 
 
-def out_offset(deployment: Deployment) -> int:
+def find_zone_out_offset(deployment: Deployment) -> int:
     """Return the offset of the record that took the zone out; 0 if none did."""
     path = "/v1/records?after=0&wait_ms=0&limit=100000"
     _, answer = deployment.call("log", "port", "GET", path)
@@ -125,48 +133,52 @@
     return 0
 
 
-def test_log_down_right_after_the_append_took_effect(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    offer_work(deployment)
-    wait_started(deployment)
+def test_log_outage_right_after_the_append(deployment: Deployment) -> None:
+    start_with_proxies(deployment)
+    submit_many_jobs(deployment)
+    wait_for_first_start(deployment)
     deployment.set_faults("log", lose_answers=1_000)
     operator = threading.Thread(
         target=set_zone, args=(deployment, ZONE, False), daemon=True
     )
     operator.start()
-    wait_until(lambda: out_offset(deployment), "the record is in the log")
+    wait_until(lambda: find_zone_out_offset(deployment), "the record is in the log")
     deployment.set_faults("log", down=True)
     out_ms = wall_ms()
-    check_no_late_start(deployment, out_ms)
+    check_no_late_starts(deployment, out_ms)
     deployment.set_faults("log")
     operator.join()
-    wait_done(deployment, f"check-{JOBS - 1}")
-    check_no_late_start(deployment, out_ms)
-
-
-def test_paused_scheduler_wakes_after_the_zone_out(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    old = holder(deployment)
-    rival = other_entry(old)
-    offer_work(deployment, rival)
-    wait_started(deployment)
-    freeze(deployment, old)
-    set_zone(deployment, ZONE, False, rival)
+    wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
+    check_no_late_starts(deployment, out_ms)
+
+
+def test_paused_scheduler_resumes_after_zone_left_service(
+    deployment: Deployment,
+) -> None:
+    start_with_proxies(deployment)
+    old_holder = get_lease_holder(deployment)
+    standby = other_entry(old_holder)
+    submit_many_jobs(deployment, standby)
+    wait_for_first_start(deployment)
+    pause(deployment, old_holder)
+    set_zone(deployment, ZONE, False, standby)
     out_ms = wall_ms()
-    wait_until(lambda: holder(deployment, rival) == rival, "the rival schedules")
-    thaw(deployment, old)
-    check_no_late_start(deployment, out_ms)
-    wait_done(deployment, f"check-{JOBS - 1}", rival)
+    wait_until(
+        lambda: get_lease_holder(deployment, standby) == standby, "the rival schedules"
+    )
+    resume(deployment, old_holder)
+    check_no_late_starts(deployment, out_ms)
+    wait_until_done(deployment, f"check-{JOB_COUNT - 1}", standby)
 
 
-def test_paused_sidecar_wakes_after_the_zone_out(deployment: Deployment) -> None:
-    begin_with_proxies(deployment)
-    offer_work(deployment)
-    wait_started(deployment)
-    freeze(deployment, "minion-0")
+def test_paused_sidecar_resumes_after_zone_left_service(deployment: Deployment) -> None:
+    start_with_proxies(deployment)
+    submit_many_jobs(deployment)
+    wait_for_first_start(deployment)
+    pause(deployment, "minion-0")
     set_zone(deployment, ZONE, False)
     out_ms = wall_ms()
-    wait_until(lambda: wall_ms() > out_ms + ZONE_BOUND_MS, "the bound is over")
-    thaw(deployment, "minion-0")
-    check_no_late_start(deployment, out_ms)
-    wait_done(deployment, f"check-{JOBS - 1}")
+    wait_until(lambda: wall_ms() > out_ms + ZONE_OUT_LIMIT_MS, "the bound is over")
+    resume(deployment, "minion-0")
+    check_no_late_starts(deployment, out_ms)
+    wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
