Reword the texts of the process and format tests

Docstrings, the texts of wait_until and a comment in tests/, kingcuppost/tests and kingcuppost/batch/tests say in plain terms what is started, faulted and checked. Rename pause_worker, pause_sidecar, zone_out_ms, get_job_state, violation_lists, is_refused, rank_by_name and run_end.

--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -1,12 +1,12 @@
-"""Tests of the fold: records of the streams become agreed rows."""
+"""Tests of folding: records of the streams change the agreed rows."""
 
 import pytest
-from kingcuppost.batch.tables.job import Job, JobState, Progress, StepSpec
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems.fold import fold_streams, is_fresh
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.fleet import Configuration
+from kingcuppost.batch.tables.job import Job, JobState, Progress, StepSpec
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
     ClaimRecord,
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -50,7 +50,7 @@
     )
 
 
-def by_name(found: Candidate, step: StepSpec) -> tuple:
+def rank_by_name(found: Candidate, step: StepSpec) -> tuple:
     return (found.minion.sidecar,)
 
 
@@ -66,7 +66,7 @@
         candidate("b", MINION_CAPACITY),
         candidate("a", Resources(64_000, 131_072, 2)),
     ]
-    chosen = choose_candidates(candidates, STEP, 3, by_name)
+    chosen = choose_candidates(candidates, STEP, 3, rank_by_name)
     assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
 
 
@@ -76,7 +76,7 @@
         [candidate("a", MINION_CAPACITY), candidate("b", MINION_CAPACITY)],
         one_per_minion,
         3,
-        by_name,
+        rank_by_name,
     )
     assert len(chosen) == 2
 
@@ -85,7 +85,7 @@
     no_capacity = Resources(0, 0, 0)
     costly = candidate("a", no_capacity, (50.0, 60.0, 70.0))
     cheap = candidate("b", no_capacity, (1.0, 2.0, 3.0))
-    found = plan_evictions([costly, cheap], STEP, 2, by_name)
+    found = plan_evictions([costly, cheap], STEP, 2, rank_by_name)
     assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
     assert found[0].cost == 3.0
     assert len(found[0].victims) == 2
@@ -96,7 +96,7 @@
         [candidate("a", MINION_CAPACITY, (5.0,)), candidate("b", MINION_CAPACITY)],
         STEP,
         3,
-        by_name,
+        rank_by_name,
     )
     assert sum(eviction.cost for eviction in found) == 0
     assert not any(eviction.victims for eviction in found)
@@ -104,13 +104,13 @@
 
 def test_nothing_is_evicted_without_benefit() -> None:
     assert not plan_evictions(
-        [candidate("a", Resources(0, 0, 0), ())], STEP, 3, by_name
+        [candidate("a", Resources(0, 0, 0), ())], STEP, 3, rank_by_name
     )
 
 
 def test_maximum_cost_limits_number_of_evictions() -> None:
     full = candidate("a", Resources(0, 0, 0), (1.0, 90.0))
-    found = plan_evictions([full], STEP, 2, by_name, max_cost_core_s=10.0)
+    found = plan_evictions([full], STEP, 2, rank_by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
@@ -118,5 +118,5 @@
     small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
     full = candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
-    found = plan_evictions([full], STEP, 1, by_name)
+    found = plan_evictions([full], STEP, 1, rank_by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -95,9 +95,9 @@
 def test_only_failed_ends_count_as_attempts(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, WIDE, "pdd")
     task = plan.tasks[0][0]
-    for how in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.REFUSED):
+    for run_end in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.REFUSED):
         task.phase = TaskPhase.PLACED
-        apply_run_end(world, plan, task, how, "")
+        apply_run_end(world, plan, task, run_end, "")
     assert task.failures == 0
     for _ in range(2):
         task.phase = TaskPhase.PLACED
--- a/kingcuppost/tests/format_files.py
+++ b/kingcuppost/tests/format_files.py
@@ -1,4 +1,4 @@
-"""Reading of stored formats, and rows as values without the names of their fields."""
+"""Helpers that read stored formats and turn rows into values without field names."""
 
 import json
 from dataclasses import fields, is_dataclass
@@ -24,17 +24,17 @@
 
 
 def read_lines(name: str) -> list[str]:
-    """Return the lines of a stored format."""
+    """Return the lines of a file of stored formats."""
     return (FORMATS_FOLDER / name).read_text(encoding="utf-8").splitlines()
 
 
 def read_json(name: str) -> Any:
-    """Return what the JSON of a stored format says."""
+    """Return the decoded JSON of a file of stored formats."""
     return json.loads((FORMATS_FOLDER / name).read_text(encoding="utf-8"))
 
 
 def to_values(row: Any) -> Any:
-    """Return a row as JSON lists in the order of its fields."""
+    """Return a row as nested JSON lists, in the order of its fields."""
     if is_dataclass(row):
         return [to_values(getattr(row, field.name)) for field in fields(row)]
     if isinstance(row, dict):
@@ -48,7 +48,7 @@
 
 @cache
 def list_package_classes() -> tuple[type, ...]:
-    """Return the classes that the modules of the package define."""
+    """Return the classes defined in the package, except those of tests."""
     found = []
     for item in walk_packages(kingcuppost.__path__, "kingcuppost."):
         if {"tests", "__main__"} & set(item.name.split(".")):
--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -1,4 +1,4 @@
-"""Messages of peers, workers, callers and operators keep their names."""
+"""Messages of peers, workers, callers and operators keep their stored format."""
 
 import json
 from dataclasses import fields, is_dataclass
@@ -31,7 +31,7 @@
 
 
 def round_trips(model: type[BaseModel], text: str) -> bool:
-    """Return whether a model knows all of a text and writes it back."""
+    """Return whether a model has exactly the fields of a text and re-encodes it."""
     if list_field_names(model) != set(json.loads(text)):
         return False
     try:
--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -1,4 +1,4 @@
-"""Orders to minions, and values that stand for choices, are written as stored."""
+"""Orders to minions and enum values keep their stored format."""
 
 import json
 import random
@@ -37,7 +37,7 @@
 
 
 def record_sent_request(order: Any) -> list:
-    """Return method, path, body and headers of what an order sends."""
+    """Return method, path, body and headers of the request that an order sends."""
     calls = []
 
     def exchange(
--- a/kingcuppost/tests/test_formats_pages.py
+++ b/kingcuppost/tests/test_formats_pages.py
@@ -1,4 +1,4 @@
-"""Names on metrics pages, in log lines, of routes and on the command line."""
+"""Metrics, log lines, routes and the command line keep their stored names."""
 
 import argparse
 import ast
@@ -77,7 +77,7 @@
 
 
 def send_each_kind(world: Any, kinds: Iterator[type]) -> None:
-    """Send one message of each kind, all of them empty, in one tick."""
+    """Send one message of each kind, without any field set, in one tick."""
     reactor = Clock()
     loop = TickLoop(reactor, [])
     kinds = list(kinds)
@@ -123,7 +123,7 @@
 
 
 def iter_first_string_arguments(folder: Path) -> Iterator[str]:
-    """Yield the texts that the code of a folder passes as a first argument."""
+    """Yield the string constants passed as the first argument of a call."""
     for path in folder.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if isinstance(node, ast.Call) and node.args:
@@ -162,7 +162,7 @@
 
 
 def iter_options(parser: argparse.ArgumentParser, verb: str) -> Iterator[list]:
-    """Yield verb, names, choices, arity and need of each option of a parser."""
+    """Yield verb, names, choices, arity and `required` of each option of a parser."""
     for action in parser._actions:
         if isinstance(action, argparse._SubParsersAction):
             for name, inner in action.choices.items():
--- a/kingcuppost/tests/test_formats_records.py
+++ b/kingcuppost/tests/test_formats_records.py
@@ -1,4 +1,4 @@
-"""Records of the logs read and write as this fixture stores them."""
+"""Records of the logs keep their stored format."""
 
 import json
 from dataclasses import fields
--- a/kingcuppost/tests/test_formats_settings.py
+++ b/kingcuppost/tests/test_formats_settings.py
@@ -1,4 +1,4 @@
-"""Settings files and the keys of the settings tree keep their names."""
+"""Settings files and keys of the settings tree keep their stored names."""
 
 from pathlib import Path
 
--- a/kingcuppost/tests/test_shape.py
+++ b/kingcuppost/tests/test_shape.py
@@ -1,4 +1,4 @@
-"""The shape of the code base: who may import what."""
+"""Rules for the shape of the code base: allowed imports and sizes of modules."""
 
 import ast
 from pathlib import Path
@@ -45,7 +45,7 @@
 
 
 def layer_of(path: Path) -> str:
-    """Return the layer of a module; `batch` has layers of its own."""
+    """Return the layer of a module; the package `batch` has its own layers."""
     parts = path.relative_to(PACKAGE).parts
     return parts[1] if parts[0] == "batch" and len(parts) > 2 else parts[0]
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures for tests with real processes."""
+"""Fixtures for the end-to-end tests, which start real processes."""
 
 import sys
 from collections.abc import Iterator
@@ -13,7 +13,7 @@
 
 @pytest.fixture(scope="session")
 def command() -> tuple[str, ...]:
-    """The one binary; `scripts/check` builds it before the tests."""
+    """Return the command of the binary; `scripts/check` builds it before the tests."""
     assert BINARY.exists(), "run scripts/build first"
     return (sys.executable, str(BINARY))
 
@@ -22,7 +22,7 @@
 def deployment(
     command: tuple[str, ...], request: pytest.FixtureRequest
 ) -> Iterator[Deployment]:
-    """A deployment that prints its time line if the test fails."""
+    """Yield an empty deployment; print its merged event log if the test fails."""
     with Deployment(command=command) as running:
         yield running
         report = getattr(request.node, "report_call", None)
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -1,4 +1,4 @@
-"""What the tests of gangs, zones and recovery share."""
+"""Helpers shared by the tests of gangs, reclaim, recovery and zones."""
 
 import json
 import signal
@@ -33,12 +33,12 @@
 
 
 def wall_ms() -> int:
-    """Return Unix time in ms."""
+    """Return the Unix time in ms."""
     return time.time_ns() // 1_000_000
 
 
 def list_worker_numbers(deployment: Deployment) -> list[int]:
-    """Return the numbers of the workers that have been started."""
+    """Return the numbers of all workers started so far."""
     return [
         int(name.removeprefix("worker-"))
         for name in deployment.processes
@@ -47,16 +47,16 @@
 
 
 def start_deployment(deployment: Deployment, workers: int = 3) -> None:
-    """Start a log, two entries and some minions, and set everything up."""
+    """Start a log, two configured entries and some minions."""
     start_log_and_entries(deployment)
     deployment.start_minions(workers)
     wait_for_minions(deployment)
 
 
 def start_log_and_entries(deployment: Deployment, zone: str = "") -> None:
-    """Start a log and two entries; create zones, a team and the settings.
+    """Start a log and two entries, then configure zones, settings and a team.
 
-    Sidecars started later have the settings in force from their first heartbeat.
+    Sidecars that start later apply these settings from their first heartbeat.
     """
     deployment.start_log()
     for name in ENTRIES:
@@ -72,18 +72,18 @@
 
 
 def wait_for_minions(deployment: Deployment) -> None:
-    """Wait until the minions of all workers have announced themselves."""
+    """Wait until the entries list the minions of all started workers."""
     count = len(list_worker_numbers(deployment))
     wait_until(
         lambda: len(deployment.show("/v1/fleet").get("minions", ())) == count,
-        "minions announced",
+        "all minions are in the fleet view",
     )
 
 
 def apply_change(
     deployment: Deployment, method: str, path: str, body: dict, entry: str = "entry-0"
 ) -> None:
-    """Make an operator's change, again until it is taken."""
+    """Send an operator's change until it is accepted."""
 
     def is_accepted() -> bool:
         status, answer = deployment.call(entry, "operators", method, path, body)
@@ -96,7 +96,7 @@
 def set_zone(
     deployment: Deployment, zone: str, in_service: bool, entry: str = "entry-0"
 ) -> None:
-    """Take an availability zone out of or into service."""
+    """Put an availability zone into service or take it out of service."""
     body = {
         "operator": OPERATOR,
         "region": deployment.site.region,
@@ -113,7 +113,7 @@
     run_ms: int = 300,
     entry: str = "entry-0",
 ) -> None:
-    """Submit a job whose members run for a while and return its name."""
+    """Submit a job; each member runs for `run_ms` and returns the job's name."""
     payload = json.dumps({"run_ms": run_ms, "result": name})
     body = {
         "operator": OPERATOR,
@@ -127,12 +127,12 @@
 
 
 def get_job(deployment: Deployment, name: str, entry: str = "entry-0") -> dict:
-    """Return a job as an entry shows it."""
+    """Return an entry's view of a job; empty if it does not know the job."""
     return deployment.show(f"/v1/jobs/{name}", entry).get("job", {})
 
 
 def wait_until_done(deployment: Deployment, name: str, entry: str = "entry-0") -> None:
-    """Wait until a job is done with its own result."""
+    """Wait until a job ends; check that it is done and has its own result."""
     wait_until(
         lambda: get_job(deployment, name, entry).get("state") in FINAL_STATES,
         f"{name} has ended",
@@ -142,7 +142,7 @@
 
 
 def collect_task_history(deployment: Deployment) -> dict[str, dict]:
-    """Return what the workers that answer know of every task."""
+    """Return the task records of all workers that run and are not paused."""
     rows = {}
     for number in list_worker_numbers(deployment):
         process = deployment.processes[f"worker-{number}"]
@@ -157,31 +157,31 @@
 
 
 def list_paused_processes(deployment: Deployment) -> set[str]:
-    """Return the names of the processes that a test has frozen."""
+    """Return the names of the paused processes."""
     return {name for name, row in deployment.processes.items() if is_paused(row)}
 
 
 def is_paused(process: object) -> bool:
-    """Return whether a test has frozen a process."""
+    """Return whether a process is paused."""
     return getattr(process, "paused", False)
 
 
 def pause(deployment: Deployment, name: str) -> None:
-    """Pause a process."""
+    """Pause a process with SIGSTOP."""
     process = deployment.processes[name]
     process.paused = True
     process.send(signal.SIGSTOP)
 
 
 def resume(deployment: Deployment, name: str) -> None:
-    """Let a paused process go on."""
+    """Resume a paused process."""
     process = deployment.processes[name]
     process.paused = False
     process.send(signal.SIGCONT)
 
 
 def restore_machine(deployment: Deployment, number: int) -> None:
-    """Thaw or start again what stands on one machine."""
+    """Resume or restart the worker and the sidecar of one machine."""
     for name in (f"worker-{number}", f"minion-{number}"):
         if is_paused(deployment.processes[name]):
             resume(deployment, name)
@@ -195,18 +195,18 @@
 def wait_until_gang_released(
     deployment: Deployment, key: str, entry: str = "entry-0"
 ) -> None:
-    """Wait until a gang holds no accelerators any more."""
+    """Wait until a gang no longer holds accelerators."""
     name = key.rpartition("/")[0]
 
     def is_released() -> bool:
         gangs = deployment.show(f"/v1/jobs/{name}", entry).get("gangs")
         return gangs is not None and key not in [gang["key"] for gang in gangs]
 
-    wait_until(is_released, f"gang {key} is over")
+    wait_until(is_released, f"gang {key} is released")
 
 
 def running_members(deployment: Deployment, name: str) -> list[dict]:
-    """Return the members of a job that run now."""
+    """Return the task records of the running members of a job."""
     rows = collect_task_history(deployment).values()
     prefix = f"{name}/"
     return [
@@ -219,7 +219,7 @@
 def wait_until_running(
     deployment: Deployment, name: str, members: int = 2
 ) -> list[dict]:
-    """Wait until a whole gang runs; return its members."""
+    """Wait until all members of a gang run; return their task records."""
     wait_until(
         lambda: len(running_members(deployment, name)) == members, f"{name} runs"
     )
@@ -227,19 +227,20 @@
 
 
 def get_lease_holder(deployment: Deployment, entry: str = "entry-0") -> str:
-    """Return the entry that holds the scheduling lease, once one does."""
+    """Wait until an entry holds the scheduling lease; return its name."""
     return wait_until(
-        lambda: deployment.show("/v1/status", entry)["lease"]["holder"], "a holder"
+        lambda: deployment.show("/v1/status", entry)["lease"]["holder"],
+        "an entry holds the scheduling lease",
     )
 
 
 def other_entry(name: str) -> str:
-    """Return the entry that is not `name`."""
+    """Return the name of the other of the two entries."""
     return next(entry for entry in ENTRIES if entry != name)
 
 
 def group_members_by_gang(rows: dict[str, dict]) -> dict[str, dict[int, dict]]:
-    """Return the members that workers know, by gang."""
+    """Group task records by gang key and member number."""
     gangs = defaultdict(dict)
     for task_id, row in rows.items():
         key, _, member = task_id.rpartition("/")
@@ -250,9 +251,9 @@
 def check_partial_runs(
     deployment: Deployment, members: int = 2, lost_wall_ms: int = 0
 ) -> None:
-    """Check that no gang has run with part of its members beyond the lease.
+    """Check that no gang ran with only some of its members for longer than a lease.
 
-    `lost_wall_ms` is when a worker was lost whose history is gone with it.
+    `lost_wall_ms` is the time at which a worker was lost together with its history.
     """
     bound_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
     for key, rows in group_members_by_gang(collect_task_history(deployment)).items():
@@ -277,7 +278,7 @@
 
 
 def check_ran_once(deployment: Deployment, name: str, members: int) -> None:
-    """Check that one gang of a job finished and no task was started twice."""
+    """Check that exactly one gang of a job finished and no task started twice."""
     rows = collect_task_history(deployment)
     assert all(row["starts"] <= 1 for row in rows.values()), rows
     gangs = group_members_by_gang(rows)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""An accepted configuration is in force everywhere within 5 s, never reverts."""
+"""An accepted setting is in force everywhere within 5 s and never reverts."""
 
 import json
 import signal
@@ -20,16 +20,20 @@
 
 
 def start_system(deployment: Deployment, **log_addresses: str) -> None:
-    """Start the log, two entries and one minion; some reach the log by a proxy."""
+    """Start two entries and one minion; `log_addresses` may name proxies of the log."""
     for name in ENTRIES:
         address = log_addresses.get(name.replace("-", "_"), "")
         deployment.start_entry(name, log_address=address)
     deployment.start_host(0)
     deployment.start_sidecar(0, log_address=log_addresses.get("sidecar", ""))
     for name in ALL_PROCESSES:
-        wait_until(lambda name=name: is_ready(deployment, name), f"{name} ready")
+        wait_until(
+            lambda name=name: is_ready(deployment, name),
+            f"{name} has read the log to its end",
+        )
     wait_until(
-        lambda: deployment.show("/v1/fleet")["minions"], "the minion is announced"
+        lambda: deployment.show("/v1/fleet")["minions"],
+        "the minion is in the fleet view",
     )
 
 
@@ -71,7 +75,7 @@
 ) -> None:
     wait_until(
         lambda: all(get_value(deployment, name) == value for name in names),
-        f"{value} in force in {names}",
+        f"{value} is in force in {names}",
         deadline_s,
     )
 
@@ -89,7 +93,7 @@
 
 
 def find_snapshot_offset(deployment: Deployment) -> int:
-    """Return the offset that the newest whole snapshot covers; 0 without any."""
+    """Return the offset that the newest complete snapshot covers; 0 if none."""
     parts_by_snapshot: dict[str, set[int]] = {}
     covered_offset = 0
     for row in read_records(deployment):
@@ -130,7 +134,7 @@
 
 
 def race_two_changes(deployment: Deployment, first_value: int) -> int:
-    """Let two operators set the key on one base; return the winner's value."""
+    """Change the setting at both entries from one base; return the value that wins."""
     base = get_setting(deployment, "entry-0").get("offset", 0)
     futures = []
     for number, name in enumerate(ENTRIES):
@@ -235,7 +239,7 @@
     system.start_sidecar(0)
     wait_until(
         lambda: all(get_value(system, name) == 3_000 for name in ALL_PROCESSES),
-        "the change is back",
+        "all processes have restored the change",
     )
     assert get_setting(system, "entry-1")["offset"] == offset
     assert put_setting(system, "entry-1", 3_100)[0] == 200
@@ -246,7 +250,7 @@
     start_system(system)
     assert put_setting(system, "entry-0", 3_000)[0] == 200
     enable_snapshots(system)
-    wait_until(lambda: find_snapshot_offset(system), "a snapshot")
+    wait_until(lambda: find_snapshot_offset(system), "a snapshot is complete")
     row = next(
         row for row in read_records(system) if row["body"]["kind"] == "snapshot_part"
     )
@@ -256,10 +260,12 @@
     incomplete["rows"] = {**incomplete["rows"], "settings": []}
     text = json.dumps({**row, "record_id": "rec-torn", "body": incomplete})
     system.call("log", "port", "POST", "/v1/records", {"values": [text]})
-    wait_until(lambda: find_snapshot_offset(system) > 0, "a whole snapshot stands")
+    wait_until(lambda: find_snapshot_offset(system) > 0, "a complete snapshot is left")
     expire_records(system, find_snapshot_offset(system))
     system.start_entry("entry-2")
-    wait_until(lambda: get_value(system, "entry-2") == 3_000, "the new entry")
+    wait_until(
+        lambda: get_value(system, "entry-2") == 3_000, "the new entry has the setting"
+    )
 
 
 def test_paused_process_rejoins_from_a_snapshot(system: Deployment) -> None:
@@ -272,7 +278,7 @@
     assert status == 200
     wait_until(
         lambda: find_snapshot_offset(system) > answer["offset"],
-        "a snapshot of the change",
+        "a snapshot covers the change",
     )
     expire_records(system, find_snapshot_offset(system))
     system.processes["entry-1"].send(signal.SIGCONT)
@@ -294,13 +300,13 @@
     assert status == 200
     wait_until(
         lambda: find_snapshot_offset(system) > answer["offset"],
-        "a snapshot of the change",
+        "a snapshot covers the change",
     )
     expire_records(system, find_snapshot_offset(system))
     assert get_value(system, "entry-1") == 3_000
     wait_until(
         lambda: get_status(system, "entry-1")["fresh_age_ms"] > POLL_MS,
-        "the cut entry knows that its view is old",
+        "the entry without the log detects that its state is stale",
     )
     system.set_faults("proxy")
     assert_in_force(system, 3_300, ("entry-1",), deadline_s=15.0)
@@ -310,7 +316,8 @@
     proxies = [start_proxy(system, f"proxy-{number}") for number in range(2)]
     start_system(system, entry_0=proxies[0], entry_1=proxies[1])
     wait_until(
-        lambda: get_status(system, "entry-1")["lease"]["holder"], "someone holds it"
+        lambda: get_status(system, "entry-1")["lease"]["holder"],
+        "an entry holds the lease",
     )
     holder = get_status(system, "entry-1")["lease"]["holder"]
     number = ENTRIES.index(holder)
@@ -331,19 +338,20 @@
 def test_paused_holder_resumes_in_an_old_term(system: Deployment) -> None:
     start_system(system)
     wait_until(
-        lambda: get_status(system, "entry-1")["lease"]["holder"], "someone holds it"
+        lambda: get_status(system, "entry-1")["lease"]["holder"],
+        "an entry holds the lease",
     )
     holder = get_status(system, "entry-1")["lease"]["holder"]
     other = ENTRIES[1 - ENTRIES.index(holder)]
     system.processes[holder].send(signal.SIGSTOP)
     wait_until(
         lambda: get_status(system, other)["lease"]["holder"] == other,
-        "the other entry claims",
+        "the other entry holds the lease",
     )
     system.processes[holder].send(signal.SIGCONT)
     wait_until(
         lambda: get_status(system, holder)["lease"]["holder"] == other,
-        "the woken holder knows",
+        "the resumed holder knows the new term",
     )
     leases = [get_status(system, name)["lease"] for name in ENTRIES]
     assert leases[0] == leases[1]
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The examples run as the docs say."""
+"""The examples print the output that the documentation describes."""
 
 import subprocess
 import sys
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -1,4 +1,4 @@
-"""No gang runs with part of its members beyond the lease, whatever fails."""
+"""No failure lets a gang run with only some members for longer than a lease."""
 
 from collections.abc import Callable
 
@@ -34,7 +34,7 @@
     deployment.processes[f"worker-{number}"].kill()
 
 
-def freeze_worker(deployment: Deployment, number: int) -> None:
+def pause_worker(deployment: Deployment, number: int) -> None:
     pause(deployment, f"worker-{number}")
 
 
@@ -42,15 +42,15 @@
     deployment.processes[f"minion-{number}"].kill()
 
 
-def freeze_sidecar(deployment: Deployment, number: int) -> None:
+def pause_sidecar(deployment: Deployment, number: int) -> None:
     pause(deployment, f"minion-{number}")
 
 
 def start_with_proxied_worker(deployment: Deployment) -> None:
-    """Start two minions, so that a gang of two needs both.
+    """Start two minions, so that a gang of two members needs both.
 
-    Orders to worker 1 pass a proxy. A third minion's stand-ins run, but it joins
-    only when its sidecar is started.
+    Orders to worker 1 pass through a fault proxy. The stand-ins of a third minion
+    run, but it joins only after its sidecar has started.
     """
     start_log_and_entries(deployment)
     for number in range(2):
@@ -64,7 +64,7 @@
 
 
 def find_half_reserved_gang(deployment: Deployment) -> str:
-    """Return the key of a gang that only worker 0 has reserved; empty if none."""
+    """Return the key of a gang reserved at worker 0 only; empty if there is none."""
     workers_by_gang: dict[str, list[int]] = {}
     for name, row in collect_task_history(deployment).items():
         key = name.rpartition("/")[0]
@@ -79,7 +79,9 @@
     deployment.set_faults("worker-1", refuse=True)
     deployment.set_faults("worker-2", refuse=True)
     submit_job(deployment, "flow")
-    wait_until(lambda: get_job(deployment, "flow")["incarnation"] >= 3, "tried again")
+    wait_until(
+        lambda: get_job(deployment, "flow")["incarnation"] >= 3, "the job was retried"
+    )
     assert sum(row["starts"] for row in collect_task_history(deployment).values()) == 0
     deployment.set_faults("worker-1", refuse=False)
     deployment.set_faults("worker-2", refuse=False)
@@ -88,7 +90,7 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [kill_worker, freeze_sidecar], ids=lambda fault: fault.__name__
+    "fault", [kill_worker, pause_sidecar], ids=lambda fault: fault.__name__
 )
 def test_member_lost_between_reserve_and_release(
     deployment: Deployment, fault: Fault
@@ -97,7 +99,7 @@
     deployment.set_faults("link-1", delay_ms=400)
     submit_job(deployment, "flow", run_ms=1_500)
     gang = wait_until(
-        lambda: find_half_reserved_gang(deployment), "only worker 0 has reserved"
+        lambda: find_half_reserved_gang(deployment), "only worker 0 has a reservation"
     )
     lost_ms = wall_ms()
     fault(deployment, 0)
@@ -114,10 +116,10 @@
     ("fault", "member"),
     [
         (kill_worker, 0),
-        (freeze_worker, 1),
+        (pause_worker, 1),
         (kill_sidecar, 0),
-        (freeze_sidecar, 0),
-        (freeze_sidecar, 1),
+        (pause_sidecar, 0),
+        (pause_sidecar, 1),
     ],
     ids=lambda value: getattr(value, "__name__", str(value)),
 )
@@ -163,7 +165,8 @@
     deployment.set_faults("link-1", delay_ms=400)
     submit_job(deployment, "flow", entry=standby)
     wait_until(
-        lambda: "flow/1/0" in collect_task_history(deployment), "member 0 is reserved"
+        lambda: "flow/1/0" in collect_task_history(deployment),
+        "member 0 has a reservation",
     )
     pause(deployment, old_holder)
     deployment.set_faults("link-1")
@@ -182,7 +185,7 @@
     rows = wait_until_running(deployment, "flow")
     lost_ms = wall_ms()
     deployment.processes[old_holder].kill()
-    freeze_sidecar(deployment, rows[0]["worker"])
+    pause_sidecar(deployment, rows[0]["worker"])
     wait_until_gang_released(deployment, "flow/1", standby)
     restore_machine(deployment, rows[0]["worker"])
     wait_until_done(deployment, "flow", standby)
@@ -197,7 +200,9 @@
     deployment.set_faults("log", down=True)
     kill_worker(deployment, rows[0]["worker"])
     lost_ms = wall_ms()
-    wait_until(lambda: not running_members(deployment, "flow"), "the other has stopped")
+    wait_until(
+        lambda: not running_members(deployment, "flow"), "the other member has stopped"
+    )
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
     restore_machine(deployment, rows[0]["worker"])
     deployment.set_faults("log")
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,4 @@
-"""A bounded load through two entries: all requests are answered."""
+"""A steady load through two entries: all requests are answered."""
 
 import json
 import subprocess
@@ -10,8 +10,14 @@
 
 def test_load_is_answered_by_both_entries(deployment: Deployment) -> None:
     start_deployment(deployment)
-    wait_until(lambda: send_request(deployment, "entry-0")[0] == 200, "entry-0 serves")
-    wait_until(lambda: send_request(deployment, "entry-1")[0] == 200, "entry-1 serves")
+    wait_until(
+        lambda: send_request(deployment, "entry-0")[0] == 200,
+        "entry-0 answers requests",
+    )
+    wait_until(
+        lambda: send_request(deployment, "entry-1")[0] == 200,
+        "entry-1 answers requests",
+    )
     argv = [sys.executable, "-m", "standins.load", "--rate", "40", "--seconds", "3"]
     for entry in ("entry-0", "entry-1"):
         port = deployment.processes[entry].ports["callers"]
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,4 +1,4 @@
-"""What operators see of running processes: time line and explanations."""
+"""Operators' commands: time line, explanations and rejection of invalid input."""
 
 import json
 import random
@@ -36,7 +36,9 @@
     assert send_request(deployment, "entry-0", **keyed_request)[0] == 200
     payload = json.dumps({"run_ms": 100, "result": "plan"})
     submit_job(deployment, "planning", members=2, accelerators=4, payload=payload)
-    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
+    wait_until(
+        lambda: get_job_state(deployment, "planning") == "done", "the job is done"
+    )
     rows, errors = read_timeline(deployment)
     assert errors == ""
     names = {row["process"] for row in rows}
@@ -86,7 +88,7 @@
                 deployment.show("/v1/jobs", name).get("rows") is not None
                 and deployment.show("/v1/status", name)["fresh_age_ms"] >= 0
             ),
-            "state is back",
+            "the entry has restored its state",
         )
         result = deployment.run(*explain_arguments, entry=name)
         assert result.returncode == 0, result.stderr
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,4 +1,4 @@
-"""The whole path with real processes: the binary, the stand-ins, no faults."""
+"""End-to-end tests without faults: the binary with stand-ins around it."""
 
 import json
 import threading
@@ -17,11 +17,11 @@
     deployment.start_minions(minions)
     wait_until(
         lambda: len(deployment.show("/v1/fleet")["minions"]) == minions,
-        "minions announced",
+        "all minions are in the fleet view",
     )
     wait_until(
         lambda: len(deployment.show("/v1/fleet")["entries"]) == 2,
-        "entries announced",
+        "both entries are in the fleet view",
     )
     for zone in deployment.site.zones:
         put_zone_in_service(deployment, zone)
@@ -100,7 +100,9 @@
     start_deployment(deployment)
     payload = json.dumps({"run_ms": 200, "result": "plan"})
     submit_job(deployment, "planning", members=2, accelerators=4, payload=payload)
-    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
+    wait_until(
+        lambda: get_job_state(deployment, "planning") == "done", "the job is done"
+    )
     shown = deployment.run("explain", "job", "planning")
     assert shown.returncode == 0
     assert "job.lease_ms = 15000 from default" in shown.stdout
@@ -123,8 +125,13 @@
     deployment.start_entry("entry-1")
     for number in range(MINIONS):
         deployment.start_sidecar(number)
-    wait_until(lambda: "job" in deployment.show("/v1/jobs/planning"), "state is back")
-    wait_until(lambda: get_job_state(deployment, "planning") == "done", "job done")
+    wait_until(
+        lambda: "job" in deployment.show("/v1/jobs/planning"),
+        "entry-0 has restored the job",
+    )
+    wait_until(
+        lambda: get_job_state(deployment, "planning") == "done", "the job is done"
+    )
     assert deployment.show(f"/v1/teams/{TEAM}")["guarantees"]
     assert deployment.show("/v1/jobs/planning", "entry-1")["job"]["result"] == "plan"
 
@@ -133,7 +140,8 @@
     start_deployment(deployment, minions=1)
     body = json.dumps({"run_ms": 1_000, "id": "slow"})
     wait_until(
-        lambda: send_request(deployment, "entry-0")[0] == 200, "the minion serves"
+        lambda: send_request(deployment, "entry-0")[0] == 200,
+        "the minion answers requests",
     )
     argv = ["--team", TEAM, "--service", deployment.site.service, "--body", body]
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""The roles of the deploy file as real processes, built and started as deployed."""
+"""The roles of the deploy file, built and started by its commands."""
 
 import http.client
 import json
@@ -56,7 +56,7 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel has just given out on the first address."""
+    """Return ports that were free on the store's address a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
         item.bind((STORE_IP, 0))
@@ -76,7 +76,7 @@
 
 
 class PlatformDeployment:
-    """Two entries, two sidecars, and the stand-in of store and minions."""
+    """Two entries, two sidecars, and one stand-in for the store and the minions."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -121,13 +121,13 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        wait_until(lambda: "ready" in self.log("host"), "the stand-in starts")
+        wait_until(lambda: "ready" in self.log("host"), "the stand-in is ready")
 
     def log(self, name: str) -> str:
         return (self.folder / f"{name}.log").read_text()
 
     def start(self, name: str) -> None:
-        """Start a role by the words of the deploy file."""
+        """Start a role with the command of the deploy file."""
         role = self.roles["entry" if name.startswith("entry") else "sidecar"]
         settings = self.folder / f"{name}.toml"
         store = f"{STORE_IP}:{self.ports['store']}"
@@ -161,7 +161,7 @@
         port: str = "callers",
         key: str = "key-1",
     ) -> tuple[int, dict]:
-        """Send a request to an entry; 0 if nothing answers."""
+        """Send a request; the status is 0 if no answer arrives."""
         conn = http.client.HTTPConnection(self.ips[name], self.ports[port], timeout=5)
         headers = {"Host": "desk.example", "Authorization": f"Bearer {key}"}
         try:
@@ -177,7 +177,7 @@
     def is_ready(self, name: str) -> bool:
         return self.call(name, "GET", "/kingcuppost/ready", port="ready")[0] == 200
 
-    def state(self, name: str, job_id: str) -> str:
+    def get_job_state(self, name: str, job_id: str) -> str:
         return self.call(name, "GET", f"/q/{job_id}")[1].get("state", "")
 
     def stop(self) -> None:
@@ -212,7 +212,8 @@
     assert system.call("entry-2", "POST", f"/q/{JOB_IDS[0]}", BODY)[0] == 200
     for name in ("entry-1", "entry-2"):
         wait_until(
-            lambda name=name: system.state(name, JOB_IDS[0]) == "completed", "job done"
+            lambda name=name: system.get_job_state(name, JOB_IDS[0]) == "completed",
+            "the entry shows the job as completed",
         )
 
 
@@ -237,12 +238,14 @@
     system.processes[holder].kill()
     system.processes[holder].wait()
     wait_until(
-        lambda: system.state(other, JOB_IDS[1]) == "completed", "the job is done"
+        lambda: system.get_job_state(other, JOB_IDS[1]) == "completed",
+        "the other entry shows the job as completed",
     )
     system.start(holder)
-    wait_until(lambda: system.is_ready(holder), "the killed entry is back")
+    wait_until(lambda: system.is_ready(holder), "the killed entry is ready again")
     wait_until(
-        lambda: system.state(holder, JOB_IDS[1]) == "completed", "it shows the job"
+        lambda: system.get_job_state(holder, JOB_IDS[1]) == "completed",
+        "the restarted entry shows the job as completed",
     )
 
 
@@ -251,12 +254,12 @@
     process.send_signal(signal.SIGHUP)
     wait_until(
         lambda: "The settings are read again" in system.log("entry-2"),
-        "the settings are read again",
+        "the settings are reloaded",
     )
     process.terminate()
     assert process.wait(timeout=8) == 0
     system.start("entry-2")
-    wait_until(lambda: system.is_ready("entry-2"), "the entry is back")
+    wait_until(lambda: system.is_ready("entry-2"), "the restarted entry is ready")
 
 
 def test_metrics_are_served(system: PlatformDeployment) -> None:
@@ -272,6 +275,8 @@
     host = system.processes["host"]
     host.terminate()
     host.wait(timeout=10)
-    # a heartbeat that the end has cut off may be logged behind the list
-    lists = [line for line in system.log("host").splitlines() if line.startswith("[")]
-    assert lists == ["[]"]
+    # A heartbeat interrupted by the shutdown may be logged after the list.
+    violation_lists = [
+        line for line in system.log("host").splitlines() if line.startswith("[")
+    ]
+    assert violation_lists == ["[]"]
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -1,4 +1,4 @@
-"""A team's guaranteed shape comes back though others have borrowed it."""
+"""A team gets its guaranteed shape back after other teams borrowed it."""
 
 import json
 
@@ -26,7 +26,7 @@
 
 
 def borrow_all_workers(deployment: Deployment, entry: str = "entry-0") -> None:
-    """Let jobs of a team without guarantees take every worker."""
+    """Fill all workers with jobs of a team that has no guarantees."""
     body = {"operator": OPERATOR, "guarantees": []}
     apply_change(deployment, "PUT", f"/v1/teams/{BORROWER_TEAM}", body, entry)
     for name in BORROWER_JOBS:
@@ -47,7 +47,7 @@
             )
             == len(BORROWER_JOBS)
         ),
-        "all workers are borrowed",
+        "borrowers run on all workers",
     )
 
 
@@ -98,12 +98,13 @@
     make_workers_ignore_stops(deployment)
     submit_job(deployment, "owner")
     set_zone(deployment, MULTI_ZONE_SITE.zone_of(2), False)
-    out_ms = wall_ms()
+    zone_out_ms = wall_ms()
     wait_until_done(deployment, "owner")
     check_ran_once(deployment, "owner", 2)
     late_starts = [
         row
         for row in collect_task_history(deployment).values()
-        if row["worker"] == 2 and row["started_wall_ms"] > out_ms + ZONE_OUT_LIMIT_MS
+        if row["worker"] == 2
+        and row["started_wall_ms"] > zone_out_ms + ZONE_OUT_LIMIT_MS
     ]
     assert late_starts == []
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Jobs finish exactly once through kills, outages and changes of scheduler."""
+"""Jobs finish exactly once despite crashes, outages and changes of scheduler."""
 
 from standins.processes import Deployment, wait_until
 from tests.scenarios import (
@@ -30,7 +30,7 @@
 
 
 def kill_system_processes(deployment: Deployment) -> None:
-    """Kill every process of the system at once."""
+    """Kill all entries and sidecars at the same time; stand-ins keep running."""
     names = [
         *ENTRIES,
         *(f"minion-{number}" for number in list_worker_numbers(deployment)),
@@ -75,7 +75,7 @@
         lambda: all(
             row["ended_wall_ms"] for row in collect_task_history(deployment).values()
         ),
-        "the tasks are over",
+        "all tasks have ended",
     )
     deployment.set_faults("log")
     wait_until_done(deployment, "flow")
@@ -150,7 +150,7 @@
         lambda: all(
             row["ended_wall_ms"] for row in collect_task_history(deployment).values()
         ),
-        "nothing runs any more",
+        "all tasks have ended",
     )
     for name in names:
         assert get_job(deployment, name, old_holder)["state"] == "cancelled"
@@ -177,7 +177,8 @@
     for name in names:
         first_view = get_job(deployment, name)
         second_view = wait_until(
-            lambda name=name: get_job(deployment, name, "entry-1"), f"{name} is known"
+            lambda name=name: get_job(deployment, name, "entry-1"),
+            f"entry-1 knows {name}",
         )
         assert (first_view["state"], first_view["result"]) == (
             second_view["state"],
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,7 +1,8 @@
-"""Callers' requests with real processes, behind fault-injecting proxies.
+"""Callers' requests under faults of links, processes and the log.
 
-One deployment serves the whole file: two entries, two minions, a proxy before each
-sidecar and before each minion. Each test ends with all faults cleared.
+All tests share one deployment: two entries and two minions, with a fault proxy in
+front of each entry's peer port, each sidecar and each minion, and one between the
+sidecars and the log. Each test clears its faults at the end.
 """
 
 import json
@@ -30,7 +31,7 @@
 
 
 class ProxiedDeployment:
-    """The deployment and what the tests ask of it."""
+    """A deployment with fault proxies, and the actions of the tests on it."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -78,7 +79,9 @@
         for zone in self.deployment.site.zones:
             body = {"operator": "ilze", "region": "vidzeme", "in_service": True}
             path = f"/v1/availability-zones/{zone}"
-            wait_until(lambda p=path, b=body: self.put(p, b) == 200, f"{zone} is put")
+            wait_until(
+                lambda p=path, b=body: self.put(p, b) == 200, f"{zone} is in service"
+            )
         body = {"operator": "ilze", "guarantees": []}
         assert self.put(f"/v1/teams/{TEAM}", body) == 200
         self.wait_until_settled()
@@ -93,12 +96,15 @@
         self.deployment.call(proxy, "port", "POST", "/v1/target", {"port": port})
 
     def wait_until_settled(self) -> None:
-        """Wait until both entries know all minions and each answers."""
+        """Wait until both entries know all minions and answer requests."""
         for name in ENTRIES:
             wait_until(
                 lambda n=name: self.knows_all_minions(n), f"{name} knows the minions"
             )
-            wait_until(lambda n=name: self.send_request(n)[0] == 200, f"{name} answers")
+            wait_until(
+                lambda n=name: self.send_request(n)[0] == 200,
+                f"{name} answers requests",
+            )
 
     def knows_all_minions(self, entry: str) -> bool:
         rows = self.deployment.show("/v1/fleet", entry)["minions"]
@@ -124,7 +130,7 @@
         return self.make_request(run_id, run_ms, **keyed)
 
     def count_runs(self, run_id: str) -> list[int]:
-        """Return how often each minion ran an order."""
+        """Return how many times each minion ran a request."""
         counts = []
         for number in range(MINIONS):
             name = f"minion-{number}-service"
@@ -275,13 +281,13 @@
 def test_log_outage_refuses_only_keyed_requests(system: ProxiedDeployment) -> None:
     system.deployment.set_faults("log", down=True)
 
-    def refused() -> bool:
+    def is_refused() -> bool:
         _, answer = system.send_request(
             "entry-0", **system.make_keyed_request("outage", timeout_ms=1_000)
         )
         return answer["outcome"] == "not_run"
 
-    wait_until(refused, "keys are refused")
+    wait_until(is_refused, "keyed requests are refused")
     assert system.send_request("entry-0", **system.make_request("plain"))[0] == 200
     assert sum(system.count_runs("outage")) == 0
     system.deployment.set_faults("log")
@@ -290,7 +296,7 @@
             system.send_request("entry-0", **system.make_keyed_request("after"))[0]
             == 200
         ),
-        "keys again",
+        "keyed requests are answered again",
     )
 
 
@@ -387,11 +393,12 @@
 
 
 def begin_stop(process: Process) -> None:
-    """Send the first signal and wait until the process has taken it."""
+    """Send SIGTERM and wait until the process logs a graceful stop."""
     before = process.log_text().count(STOP_LOG_TEXT)
     process.send(signal.SIGTERM)
     wait_until(
-        lambda: process.log_text().count(STOP_LOG_TEXT) > before, "a stop begins"
+        lambda: process.log_text().count(STOP_LOG_TEXT) > before,
+        "the graceful stop begins",
     )
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""No task starts in a zone more than 3 s after operators have taken it out."""
+"""No task starts in a zone later than 3 s after it was taken out of service."""
 
 import json
 import threading
@@ -25,7 +25,7 @@
 
 
 def submit_many_jobs(deployment: Deployment, entry: str = "entry-0") -> None:
-    """Submit more short jobs than the workers hold, so that starts go on."""
+    """Submit more short jobs than the workers can hold, so that starts continue."""
     for number in range(JOB_COUNT):
         name = f"check-{number}"
         submit_job(deployment, name, 1, 1, RUN_MS, entry)
@@ -36,24 +36,30 @@
 
 
 def list_start_times_ms(deployment: Deployment) -> list[int]:
-    """Return when tasks of the zone's worker were started, Unix ms."""
+    """Return the start times of tasks on the zone's worker, as Unix ms."""
     _, answer = deployment.call("worker-0", "port", "GET", "/v1/history")
     return [row["started_wall_ms"] for row in answer["tasks"] if row["starts"]]
 
 
-def check_no_late_starts(deployment: Deployment, out_ms: int) -> None:
-    """Check the bound once any message on its way has long arrived."""
-    late_ms = out_ms + 2 * ZONE_OUT_LIMIT_MS
-    wait_until(lambda: wall_ms() >= late_ms, "late messages have arrived")
+def check_no_late_starts(deployment: Deployment, zone_out_ms: int) -> None:
+    """Check that no task started after the limit.
+
+    The check waits for twice the limit, so that all delayed messages have arrived.
+    """
+    late_ms = zone_out_ms + 2 * ZONE_OUT_LIMIT_MS
+    wait_until(lambda: wall_ms() >= late_ms, "delayed messages have arrived")
     assert [
-        ms - out_ms
+        ms - zone_out_ms
         for ms in list_start_times_ms(deployment)
-        if ms > out_ms + ZONE_OUT_LIMIT_MS
+        if ms > zone_out_ms + ZONE_OUT_LIMIT_MS
     ] == []
 
 
 def start_with_proxies(deployment: Deployment) -> None:
-    """Start three zones; the first one's log and worker links pass proxies."""
+    """Start one minion in each of three zones.
+
+    The first zone's sidecar reaches the log and its worker through fault proxies.
+    """
     deployment.site = MULTI_ZONE_SITE
     start_log_and_entries(deployment, MULTI_ZONE_SITE.zone_of(1))
     log = deployment.processes["log"]
@@ -71,7 +77,13 @@
 def take_zone_out_during_fault(
     deployment: Deployment, proxy: str, **faults: object
 ) -> int:
-    """Take the zone out while a proxy misbehaves; return when it was out."""
+    """Inject faults at a proxy and take the zone out of service.
+
+    Returns
+    -------
+    int
+        Unix time in ms after the change was accepted.
+    """
     submit_many_jobs(deployment)
     wait_for_first_start(deployment)
     deployment.set_faults(proxy, **faults)
@@ -83,31 +95,31 @@
     deployment: Deployment,
 ) -> None:
     start_with_proxies(deployment)
-    out_ms = take_zone_out_during_fault(deployment, "log-link")
-    check_no_late_starts(deployment, out_ms)
+    zone_out_ms = take_zone_out_during_fault(deployment, "log-link")
+    check_no_late_starts(deployment, zone_out_ms)
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
 
 
 def test_sidecar_of_the_zone_is_cut_off_from_the_log(deployment: Deployment) -> None:
     start_with_proxies(deployment)
-    out_ms = take_zone_out_during_fault(deployment, "log-link", cut=True)
-    check_no_late_starts(deployment, out_ms)
+    zone_out_ms = take_zone_out_during_fault(deployment, "log-link", cut=True)
+    check_no_late_starts(deployment, zone_out_ms)
     deployment.set_faults("log-link")
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
 
 
 def test_log_does_not_answer_the_sidecar_of_the_zone(deployment: Deployment) -> None:
     start_with_proxies(deployment)
-    out_ms = take_zone_out_during_fault(deployment, "log-link", silent=True)
-    check_no_late_starts(deployment, out_ms)
+    zone_out_ms = take_zone_out_during_fault(deployment, "log-link", silent=True)
+    check_no_late_starts(deployment, zone_out_ms)
 
 
 def test_start_orders_delayed_past_the_limit(deployment: Deployment) -> None:
     start_with_proxies(deployment)
-    out_ms = take_zone_out_during_fault(
+    zone_out_ms = take_zone_out_during_fault(
         deployment, "order-link", delay_ms=ZONE_OUT_LIMIT_MS + 500
     )
-    check_no_late_starts(deployment, out_ms)
+    check_no_late_starts(deployment, zone_out_ms)
 
 
 def test_sidecar_cut_off_from_the_log_while_start_orders_are_delayed(
@@ -123,7 +135,7 @@
 
 
 def find_zone_out_offset(deployment: Deployment) -> int:
-    """Return the offset of the record that took the zone out; 0 if none did."""
+    """Return the offset of the record that took the zone out of service; else 0."""
     path = "/v1/records?after=0&wait_ms=0&limit=100000"
     _, answer = deployment.call("log", "port", "GET", path)
     for row in answer.get("records", ()):
@@ -142,14 +154,17 @@
         target=set_zone, args=(deployment, ZONE, False), daemon=True
     )
     operator.start()
-    wait_until(lambda: find_zone_out_offset(deployment), "the record is in the log")
+    wait_until(
+        lambda: find_zone_out_offset(deployment),
+        "the log has the record that takes the zone out of service",
+    )
     deployment.set_faults("log", down=True)
-    out_ms = wall_ms()
-    check_no_late_starts(deployment, out_ms)
+    zone_out_ms = wall_ms()
+    check_no_late_starts(deployment, zone_out_ms)
     deployment.set_faults("log")
     operator.join()
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
-    check_no_late_starts(deployment, out_ms)
+    check_no_late_starts(deployment, zone_out_ms)
 
 
 def test_paused_scheduler_resumes_after_zone_left_service(
@@ -162,12 +177,13 @@
     wait_for_first_start(deployment)
     pause(deployment, old_holder)
     set_zone(deployment, ZONE, False, standby)
-    out_ms = wall_ms()
+    zone_out_ms = wall_ms()
     wait_until(
-        lambda: get_lease_holder(deployment, standby) == standby, "the rival schedules"
+        lambda: get_lease_holder(deployment, standby) == standby,
+        "the standby holds the lease",
     )
     resume(deployment, old_holder)
-    check_no_late_starts(deployment, out_ms)
+    check_no_late_starts(deployment, zone_out_ms)
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}", standby)
 
 
@@ -177,8 +193,10 @@
     wait_for_first_start(deployment)
     pause(deployment, "minion-0")
     set_zone(deployment, ZONE, False)
-    out_ms = wall_ms()
-    wait_until(lambda: wall_ms() > out_ms + ZONE_OUT_LIMIT_MS, "the bound is over")
+    zone_out_ms = wall_ms()
+    wait_until(
+        lambda: wall_ms() > zone_out_ms + ZONE_OUT_LIMIT_MS, "the limit has passed"
+    )
     resume(deployment, "minion-0")
-    check_no_late_starts(deployment, out_ms)
+    check_no_late_starts(deployment, zone_out_ms)
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
