--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -33,7 +33,7 @@
     ),
     "stop": StopRun(ADDRESS, INCARNATION, 7, StopOrder(TASK, 4)),
 }
-STORED = [json.loads(line) for line in read_lines("minion_orders.jsonl")]
+STORED_ORDERS = [json.loads(line) for line in read_lines("minion_orders.jsonl")]
 
 
 def record_sent_request(order: Any) -> list:
@@ -52,7 +52,9 @@
     return calls[0]
 
 
-@pytest.mark.parametrize(("name", "stored"), STORED, ids=[row[0] for row in STORED])
+@pytest.mark.parametrize(
+    ("name", "stored"), STORED_ORDERS, ids=[row[0] for row in STORED_ORDERS]
+)
 def test_an_order_is_sent_as_it_is_stored(name: str, stored: list) -> None:
     assert record_sent_request(ORDERS[name]) == stored
 
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -255,7 +255,7 @@
 
     `lost_wall_ms` is the time at which a worker was lost together with its history.
     """
-    bound_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
+    limit_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
     for key, rows in group_members_by_gang(collect_task_history(deployment)).items():
         started = [row for row in rows.values() if row["starts"]]
         if not started or all_finished(started, members):
@@ -269,7 +269,7 @@
             early_ends_ms.append(max(lost_wall_ms, last_start_ms))
         early_ends_ms = [end for end in early_ends_ms if end]
         partial_ms = max(ends_ms) - min(early_ends_ms, default=max(ends_ms))
-        assert partial_ms <= bound_ms, (key, rows)
+        assert partial_ms <= limit_ms, (key, rows)
 
 
 def all_finished(rows: list[dict], members: int) -> bool:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -103,9 +103,9 @@
     wait_until(
         lambda: get_job_state(deployment, "planning") == "done", "the job is done"
     )
-    shown = deployment.run("explain", "job", "planning")
-    assert shown.returncode == 0
-    assert "job.lease_ms = 15000 from default" in shown.stdout
+    result = deployment.run("explain", "job", "planning")
+    assert result.returncode == 0
+    assert "job.lease_ms = 15000 from default" in result.stdout
     assert count_starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -46,8 +46,8 @@
 
     The check waits for twice the limit, so that all delayed messages have arrived.
     """
-    late_ms = zone_out_ms + 2 * ZONE_OUT_LIMIT_MS
-    wait_until(lambda: wall_ms() >= late_ms, "delayed messages have arrived")
+    check_ms = zone_out_ms + 2 * ZONE_OUT_LIMIT_MS
+    wait_until(lambda: wall_ms() >= check_ms, "delayed messages have arrived")
     assert [
         ms - zone_out_ms
         for ms in list_start_times_ms(deployment)
