--- a/kingcuppost/tests/format_files.py
+++ b/kingcuppost/tests/format_files.py
@@ -1,4 +1,4 @@
-"""Reading of stored formats, and rows as values without the names of their fields."""
+"""Helpers that read stored formats and turn rows into values without field names."""
 
 import json
 from dataclasses import fields, is_dataclass
@@ -12,37 +12,43 @@
 
 import kingcuppost
 
-__all__ = ["FOLDER", "classes", "lines_of", "stored", "values_of"]
+__all__ = [
+    "FORMATS_FOLDER",
+    "list_package_classes",
+    "read_json",
+    "read_lines",
+    "to_values",
+]
 
-FOLDER = Path(__file__).parent / "formats"
+FORMATS_FOLDER = Path(__file__).parent / "formats"
 
 
-def lines_of(name: str) -> list[str]:
-    """Return the lines of a stored format."""
-    return (FOLDER / name).read_text(encoding="utf-8").splitlines()
+def read_lines(name: str) -> list[str]:
+    """Return the lines of a file of stored formats."""
+    return (FORMATS_FOLDER / name).read_text(encoding="utf-8").splitlines()
 
 
-def stored(name: str) -> Any:
-    """Return what the JSON of a stored format says."""
-    return json.loads((FOLDER / name).read_text(encoding="utf-8"))
+def read_json(name: str) -> Any:
+    """Return the decoded JSON of a file of stored formats."""
+    return json.loads((FORMATS_FOLDER / name).read_text(encoding="utf-8"))
 
 
-def values_of(row: Any) -> Any:
-    """Return a row as JSON lists in the order of its fields."""
+def to_values(row: Any) -> Any:
+    """Return a row as nested JSON lists, in the order of its fields."""
     if is_dataclass(row):
-        return [values_of(getattr(row, field.name)) for field in fields(row)]
+        return [to_values(getattr(row, field.name)) for field in fields(row)]
     if isinstance(row, dict):
-        return {str(key): values_of(value) for key, value in row.items()}
+        return {str(key): to_values(value) for key, value in row.items()}
     if isinstance(row, set | frozenset):
-        return sorted(values_of(item) for item in row)
+        return sorted(to_values(item) for item in row)
     if isinstance(row, list | tuple):
-        return [values_of(item) for item in row]
+        return [to_values(item) for item in row]
     return row.value if isinstance(row, Enum) else row
 
 
 @cache
-def classes() -> tuple[type, ...]:
-    """Return the classes that the modules of the package define."""
+def list_package_classes() -> tuple[type, ...]:
+    """Return the classes defined in the package, except those of tests."""
     found = []
     for item in walk_packages(kingcuppost.__path__, "kingcuppost."):
         if {"tests", "__main__"} & set(item.name.split(".")):
