--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -1,4 +1,4 @@
-"""Reports of sidecars to entries, and the page of metrics."""
+"""Reports of sidecars to entries, and the metrics endpoint."""
 
 from twisted.web.server import Request
 
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -202,7 +202,10 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=10)
 def end_pending_calls(world: BatchWorld, now_ms: int) -> None:
-    """Answer pending calls whose append has ended or whose record has been read."""
+    """Answer pending calls whose append has ended or whose record has been read.
+
+    Answers to all other appends are passed on in `append_results`.
+    """
     for answer in world.inbox.take(AppendEnded):
         pending = world.calls.get(answer.id)
         if pending is None:
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -32,7 +32,7 @@
 
 
 def is_fresh(world: BatchWorld, stream: Stream, now_ms: int) -> bool:
-    """Return whether a stream was read to its end within `FRESH_MS`."""
+    """Return whether a stream was read to its end within the last `FRESH_MS`."""
     fresh_ms = world.agreed.views[stream].fresh_ms
     return fresh_ms is not None and now_ms - fresh_ms <= FRESH_MS
 
@@ -182,7 +182,7 @@
 
 
 @appliers.register(RemovalRecord)
-def _apply_removed(world: BatchWorld, offset: int, record: RemovalRecord) -> None:
+def _apply_removal(world: BatchWorld, offset: int, record: RemovalRecord) -> None:
     kind, _, rest = record.key.partition("/")
     if kind == "zone":
         _open_zone(world, rest)
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -158,7 +158,11 @@
 
 
 def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
-    """Append a renewal; unless it releases, only if no claim has come before it."""
+    """Append a renewal or the release of the lease.
+
+    A renewal is conditional on the end of the stream, so that it fails if a claim has
+    come before it.
+    """
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -1,4 +1,7 @@
-"""Expiry of minion leases: ends the runs of minions that are unreachable for long."""
+"""Expiry of minion leases, and exclusion of unreachable minions from placement.
+
+An unreachable minion gets no new runs; its runs end only once its lease has expired.
+"""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -1,4 +1,4 @@
-"""Requests of a sidecar to its minion: run lists with the lease, starts and stops."""
+"""Requests of a sidecar to its minion: run lists and lease, starts and stops."""
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -70,6 +70,7 @@
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
+    """Return whether the end of a run is awaited whose stop the minion accepted."""
     return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
 
 
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -174,7 +174,19 @@
 
 @dataclass(slots=True)
 class Eviction:
-    """Tasks that fit on a candidate once some victims are stopped."""
+    """Tasks that fit on a candidate once some victims are stopped.
+
+    Attributes
+    ----------
+    candidate : Candidate
+        The minion.
+    count : int
+        Number of tasks that fit.
+    cost : float
+        Work that stopping the victims loses, in core-seconds.
+    victims : list of Victim
+        Runs to stop.
+    """
 
     candidate: Candidate
     count: int
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -87,7 +87,10 @@
 
 
 def _absent_speeds(world: BatchWorld) -> dict[str, Speed]:
-    """Return the last known speeds of machines whose minions are absent."""
+    """Return the last known speeds of machines whose minions are absent.
+
+    At most `MAX_ABSENT_SPEEDS` of them are kept.
+    """
     present = {row.sidecar for row in world.schedule.minions}
     speeds = world.schedule.speeds
     absent = [name for name in speeds if name not in present and speeds[name].weight]
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -31,7 +31,7 @@
     "request_stops",
 ]
 
-OCCURRENCE = 0
+OCCURRENCE = 0  # of every task, since repeated jobs are not served
 AVOID_MS = 5_000
 ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -72,7 +72,7 @@
 
 
 def _make_report(world: BatchWorld, now_ms: int) -> SyncCall:
-    """Return the report; a scheduler that has not answered yet must reply at once.
+    """Return the report; it may wait for orders only if the holder replied recently.
 
     Every reply extends the minion lease, so after a handover the first reply must not
     be delayed.
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -53,7 +53,10 @@
 
 
 def _record_checkpoints(world: BatchWorld) -> None:
-    """Mark new checkpoints for the log, where they outlive all processes."""
+    """Mark the plans with new checkpoints as changed.
+
+    In the log the checkpoints outlive all processes.
+    """
     for plan in world.schedule.plans.values():
         if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
             plan.has_new_checkpoint = False
@@ -91,7 +94,11 @@
 
 
 def _should_leave_draining(row: MinionRow, plan: Plan, task: Task) -> bool:
-    """Return whether a run would be cut off or loses nothing by moving."""
+    """Return whether a run should be stopped because its minion is draining.
+
+    It should if it would otherwise be cut off, or if it saves checkpoints and so loses
+    nothing by moving.
+    """
     if plan.job.steps[task.name.step].saves:
         return True
     limit_ms = row.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -135,7 +135,7 @@
 
 
 def _reserve_soon_free(unit: PlacementUnit, groups: list[list[Candidate]]) -> bool:
-    """Reserve capacity that is about to be released for the tasks of a unit.
+    """Reserve for the tasks of a unit the capacity that is about to be released.
 
     Returns
     -------
@@ -274,6 +274,7 @@
     plan.begun = True
     plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
+    # a placement alone is no reason for another decision
     world.schedule.changed = False
     configuration = world.agreed.configuration
     for task, candidate in zip(tasks, chosen, strict=True):
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -27,7 +27,7 @@
 
 RETRY_MS = 100
 REDIRECT_PAUSE_MS = 250
-UNREACHABLE_MS = 2_500
+UNREACHABLE_MS = 2_500  # an entry that did not answer is skipped for so long
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
 
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -40,7 +40,7 @@
 
 
 def _measure_speed(plan: Plan, task: Task) -> float | None:
-    """Return a run's speed by the caller's estimate, or None if it is too short."""
+    """Return a run's speed by the caller's estimate, or None if not known yet."""
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
@@ -52,7 +52,10 @@
 
 
 def corrected_estimate_ms(plan: Plan, task: Task) -> float:
-    """Return the duration of a task at speed 1.0, corrected by the runs of its step."""
+    """Return the estimated duration of a task at speed 1.0.
+
+    The caller's estimate is corrected by the runs of the task's step.
+    """
     estimate_error = plan.estimate_errors.get(task.name.step, EstimateError())
     return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -23,7 +23,7 @@
 
 
 def certain_expiry_ms(lease_ms: int) -> int:
-    """Return the time after which a minion lease has expired by any clock, in ms."""
+    """Return how long after a report a minion lease has expired by any clock, in ms."""
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
 
