--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -279,7 +279,7 @@
 
 
 @encoders.register(RemovalRecord)
-def _encode_removed(record: RemovalRecord) -> tuple[str, bytes]:
+def _encode_removal(record: RemovalRecord) -> tuple[str, bytes]:
     return record.key, b""
 
 
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -15,7 +15,7 @@
     Attributes
     ----------
     lease_ms : int
-        Longest lease of the runs at a minion.
+        Longest duration of a minion lease.
     stop_ms : int
         Longest time that stopping a run takes.
     gang_ms : int
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -42,7 +42,24 @@
 
 
 class RunEnd(StrEnum):
-    """Way in which a run ended."""
+    """Way in which a run ended.
+
+    Attributes
+    ----------
+    DONE, FAILED, STOPPED
+        The work was completed, failed, or was stopped by an order.
+    LAPSED
+        The lease expired at the minion.
+    BROKEN
+        Another member of the gang was missing or being stopped.
+    ALONE
+        The other members of the gang did not start within `Bounds.gang_ms`.
+    REFUSED
+        The run never began and cannot begin later.
+    LOST
+        The minion lease expired, or the incarnation was over, before any end was
+        reported.
+    """
 
     DONE = "done"
     FAILED = "failed"
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -182,7 +182,21 @@
 
 
 class AppendOutcome(StrEnum):
-    """Outcome of an append."""
+    """Outcome of an append.
+
+    Attributes
+    ----------
+    DONE
+        The records are in the log.
+    REFUSED
+        The append was certainly not carried out.
+    CONFLICT
+        The stream ends elsewhere, or the log expects another sequence number.
+    FENCED
+        A newer term has written.
+    UNKNOWN
+        The append may have been carried out.
+    """
 
     DONE = "done"
     REFUSED = "refused"
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -127,6 +127,10 @@
         Address of the holder, if it is another process.
     incarnation : MinionIncarnation or None
         Minion incarnation that the orders are for.
+    starts, stops : tuple of StartOrder, tuple of StopOrder
+        Runs to start and to stop.
+    settled : tuple of StopOrder
+        Refused runs of the report, which the sidecar need not report again.
     noted : int
         Number up to which the reported ends are in the log.
     entries : tuple of Address
@@ -240,7 +244,19 @@
 
 
 class OrderOutcome(StrEnum):
-    """Outcome of an order to a minion."""
+    """Outcome of an order to a minion.
+
+    Attributes
+    ----------
+    DONE
+        The minion accepted the order.
+    REFUSED
+        The minion refused the order.
+    BUSY
+        The order was not carried out and may be sent again.
+    UNKNOWN
+        The order may still be carried out.
+    """
 
     DONE = "done"
     REFUSED = "refused"
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -146,6 +146,10 @@
     ----------
     term : int
         Term that this process holds; -1 if none.
+    jitter_ms : int
+        Random delay of this entry's claims, so that entries do not claim together.
+    claim_sent_ms : int
+        Time at which the newest claim was sent; a new term's authority counts from it.
     is_open : bool
         Whether the log rejects writers of older terms.
     is_loaded : bool
@@ -173,7 +177,7 @@
     pending_runs : dict of TaskName to tuple of Plan and Task
         Runs whose start is not confirmed yet, or that are to be stopped.
     expiry_times_ms : dict of MinionIncarnation to int
-        Time from which the lease of a minion incarnation's runs has certainly expired.
+        Time from which the lease of a minion incarnation has certainly expired.
     incarnation_sidecars : dict of MinionIncarnation to str
         Sidecar beside the minion of an incarnation.
     reported_ends : dict of str to dict
@@ -266,7 +270,7 @@
 
 @dataclass(slots=True)
 class SidecarState:
-    """A sidecar's state of its minion and of the scheduler.
+    """What a sidecar knows of its minion and of the scheduler.
 
     Attributes
     ----------
--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -1,4 +1,7 @@
-"""Tests of folding: records of the streams change the agreed rows."""
+"""Tests of folding: records of the streams change the agreed rows.
+
+Records that are read again change nothing.
+"""
 
 import pytest
 
