--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -69,8 +69,9 @@
     # maximum number of tasks of the step on one minion; 0 for no limit
     most_per_minion: NonNegativeInt = Field(0, alias="antiAffinity")
     saves: bool = Field(False, alias="checkpointing")
-    # tasks that run until their job is cancelled, or that use only spare capacity
+    # whether the tasks run until their job is cancelled
     lasts: bool = Field(False, alias="longRunning")
+    # whether the tasks use only spare capacity
     fills: bool = False
     # number of times that the steps run, on a schedule
     occurrences: int = Field(0, alias="repeatCount")
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -184,7 +184,7 @@
             self._context.world.tally.add("probes_failed")
 
     def _choose_peer(self) -> Address:
-        """Return the other entries in turn; the store if no other is known."""
+        """Return another entry, each in turn; the store itself if none is known."""
         world = self._context.world
         known_addresses = [entry.address for entry in world.agreed.entries]
         known_addresses = (
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -129,6 +129,7 @@
         if not page.more or not page.items:
             break
         last_key = page.items[-1].key
+    # jobs come first: other records of a job are ignored until its row exists
     rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
     return RecordsRead(stream, rows, sent_ms, end, whole=True)
 
@@ -194,7 +195,7 @@
         "log", "Following a stream failed unexpectedly.", reason=failure.getTraceback()
     )
     context.wake()
-    context.exit_code = 70
+    context.exit_code = 70  # EX_SOFTWARE of sysexits.h
     context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
 
 
@@ -227,6 +228,7 @@
 
 
 def _sleep(context: BatchContext, min_delay_s: float) -> Deferred:
+    """Return a deferred that fires after a random delay, at most twice the minimum."""
     done: Deferred = Deferred()
     delay_s = min_delay_s * (1 + context.world.rng.random())
     context.reactor.callLater(delay_s, done.callback, None)
