Name units, terms and the fold's rules in comments of tables and models

The docstrings of reports, claims and gangs now state what the fold and the systems do; the platform's log, gangs and pings each have one name.

--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -108,7 +108,7 @@
     ]
 
 
-def _event_exchanges(
+def _event_requests(
     entry: Address, extra_addresses: list[Address], answer: Result
 ) -> list[CommandRequest]:
     """Return the requests for events, one for each known process."""
@@ -129,9 +129,9 @@
     extra_addresses = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
-    first = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
+    fleet_request = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
     answers = send_with_follow_ups(
-        first, lambda answer: _event_exchanges(entry, extra_addresses, answer)
+        fleet_request, lambda answer: _event_requests(entry, extra_addresses, answer)
     )
     events = _read_events(answers)
     if events is None:
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -26,7 +26,7 @@
     wall_ms : int
         Unix time in ms by the clock of the process that wrote it.
     instance, message : str
-        Process that wrote it, and its text, which begins with the program part.
+        Process that wrote it, and its text, which begins with the part of the program.
     fields : dict
         All other fields.
     """
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -1,4 +1,4 @@
-"""Client of the shared log over HTTP, in the protocol of the repository's stand-in."""
+"""HTTP client of the platform's log, in the protocol of the repository's stand-in."""
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
 from kingcuppost.edges.http_client import JsonClient
@@ -22,7 +22,7 @@
 
 @drivers.register(("log", "http"))
 class HttpLog:
-    """Reads and appends records of the shared log over HTTP.
+    """Reads and appends records of the platform's log over HTTP.
 
     Parameters
     ----------
@@ -62,7 +62,8 @@
     def append(self, row: AppendRecords) -> None:
         """Append records.
 
-        The answer only shows that another read is due; it does not confirm the records.
+        The answer only shows that another read is due; whether the records take effect
+        follows from the fold.
         """
         client = self._client_for(row.hedge)
         record_ids = tuple(record.record_id for record in row.records)
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -10,7 +10,7 @@
 __all__ = ["TickLoop"]
 
 LOGGER_NAME = "kingcuppost"
-EXIT_SOFTWARE_ERROR = 70
+EXIT_SOFTWARE_ERROR = 70  # EX_SOFTWARE of sysexits.h
 MS_PER_SECOND = 1_000
 MIN_DELAY_MS = 1
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -188,7 +188,7 @@
 
 @senders.register(AskHolder)
 def ask_holder(context: EdgeContext, row: AskHolder) -> None:
-    """Send a liveness check to the holder of the scheduling lease."""
+    """Ping the holder of the scheduling lease."""
 
     async def work() -> HolderAnswered:
         address = Address(row.host, row.port)
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """A method and path of a surface.
+    """A method and path of a surface, the set of routes that one port serves.
 
     Attributes
     ----------
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -26,7 +26,7 @@
 def exit_process(context: EdgeContext, row: ExitProcess) -> None:
     """Close the ports, flush written responses, then stop the reactor.
 
-    A stop that was cut short (non-zero exit code) stops the reactor immediately.
+    After a forced stop (non-zero exit code), the reactor is stopped immediately.
     """
     context.exit_code = row.code
     if row.code:
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -8,11 +8,11 @@
 
 __all__ = ["RequestModel"]
 
-MAX_NAME_LENGTH = 63
-MAX_KEY_LENGTH = 128
-MAX_BODY_LENGTH = 262_144
+MAX_NAME_LENGTH = 63  # characters
+MAX_KEY_LENGTH = 128  # characters
+MAX_BODY_LENGTH = 262_144  # characters
 MAX_TIMEOUT_MS = 600_000
-MAX_ISSUED_MS = 2**53
+MAX_ISSUED_MS = 2**53  # integers up to this are exact in a 64-bit float
 
 
 class RequestModel(BorderModel):
@@ -32,8 +32,8 @@
         Identifies a non-idempotent request within its team.
     issued_ms : int
         When the caller created the key, Unix ms; the same in every retry. A request
-        whose key is not newer than a forgotten one is answered "unknown" and does not
-        run.
+        whose key was not created after the newest evicted key may have run before, so
+        it is answered "unknown" and does not run.
     timeout_ms : int
         Time within which the answer is useful, in ms; 0 for the team's setting.
     """
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -46,7 +46,7 @@
 
 
 class LogModel(BorderModel):
-    """Address of the shared log."""
+    """Driver and address of the platform's log."""
 
     driver: str = "http"
     address: AddressText
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -1,4 +1,4 @@
-"""Messages of the shared log, in the protocol of the repository's stand-in."""
+"""Messages of the platform's log, in the protocol of the repository's stand-in."""
 
 from typing import Annotated
 
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -26,16 +26,16 @@
     "ZoneModel",
 ]
 
-MAX_NAME_LENGTH = 63
-MAX_PAYLOAD_LENGTH = 65_536
+MAX_NAME_LENGTH = 63  # characters
+MAX_PAYLOAD_LENGTH = 65_536  # characters
 MAX_GUARANTEES = 32
 MAX_MEMBERS = 1_024
 MAX_ACCELERATORS = 64
 MAX_CORES = 4_096
 MAX_MEMORY_MB = 16_777_216
-MAX_RUN_MS = 31_536_000_000
-MAX_SETTING_LENGTH = 256
-MAX_EXACT_NUMBER = 2**53
+MAX_RUN_MS = 31_536_000_000  # 365 days
+MAX_SETTING_LENGTH = 256  # characters
+MAX_EXACT_NUMBER = 2**53  # integers up to this are exact in a 64-bit float
 
 WholeNumber = Annotated[int, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER)]
 RealNumber = Annotated[
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -237,7 +237,7 @@
 
 
 class HolderReplyModel(BorderModel):
-    """Reply to a liveness check: the process runs, and whether it follows the log."""
+    """Reply to a ping: the process runs, and whether it follows the log."""
 
     entry: str
     incarnation: str
--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -26,7 +26,7 @@
     method, path : str
         HTTP method, and path with query string.
     address : Address
-        IP number and port of the process that answers.
+        IP address and port of the process that answers.
     body : bytes
         JSON text; empty for none.
     timeout_ms : int
--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -1,4 +1,4 @@
-"""Keys of the shared log, the scheduling lease and graceful stops."""
+"""Keys of the platform's log, the scheduling lease and graceful stops."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
--- a/kingcuppost/tables/agreed_rows.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -125,7 +125,7 @@
     recent_offset : int
         Log offset of the newest record whose identifier is no longer kept.
     key_issued_ms : int
-        Newest issue time among the removed keys, Unix ms; -1 before any.
+        Newest issue time among the evicted keys, Unix ms; -1 before any.
     """
 
     recent_offset: int = 0
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -35,8 +35,8 @@
     reason : str
         Why the record was rejected; empty if accepted.
     is_possible_repeat : bool
-        Whether an earlier copy may have taken effect whose identifier is no longer
-        remembered.
+        Whether the record was rejected because an earlier one that is no longer kept
+        may already have had its effect.
     """
 
     accepted: bool
--- a/kingcuppost/tables/deadline_queue.py
+++ b/kingcuppost/tables/deadline_queue.py
@@ -13,12 +13,12 @@
 
     Examples
     --------
-    >>> agenda = DeadlineQueue()
-    >>> agenda.put(20, "b")
-    >>> agenda.put(10, "a")
-    >>> agenda.take_due(15)
+    >>> deadlines = DeadlineQueue()
+    >>> deadlines.put(20, "b")
+    >>> deadlines.put(10, "a")
+    >>> deadlines.take_due(15)
     ['a']
-    >>> agenda.next_ms()
+    >>> deadlines.next_ms()
     20
     """
 
--- a/kingcuppost/tables/fair_queue.py
+++ b/kingcuppost/tables/fair_queue.py
@@ -15,44 +15,44 @@
     """
 
     def __init__(self) -> None:
-        self._lanes: dict[tuple[str, Urgency], dict[str, dict[str, None]]] = {}
+        self._queues: dict[tuple[str, Urgency], dict[str, dict[str, None]]] = {}
 
     def push(self, request: Request) -> None:
         """Append a request to the queue of its team."""
-        lane = self._lanes.setdefault((request.service, request.urgency), {})
-        lane.setdefault(request.team, {})[request.request_id] = None
+        team_queues = self._queues.setdefault((request.service, request.urgency), {})
+        team_queues.setdefault(request.team, {})[request.request_id] = None
 
     def remove(self, request: Request) -> None:
         """Remove a request; do nothing if it is not queued."""
-        lane = self._lanes.get((request.service, request.urgency), {})
-        waiting = lane.get(request.team, {})
+        team_queues = self._queues.get((request.service, request.urgency), {})
+        waiting = team_queues.get(request.team, {})
         waiting.pop(request.request_id, None)
         if not waiting:
-            lane.pop(request.team, None)
-        if not lane:
-            self._lanes.pop((request.service, request.urgency), None)
+            team_queues.pop(request.team, None)
+        if not team_queues:
+            self._queues.pop((request.service, request.urgency), None)
 
     def pop(self, service: str) -> str | None:
         """Remove and return the next request's identifier; None if none is queued."""
         for urgency in (Urgency.INTERACTIVE, Urgency.OVERNIGHT):
-            lane = self._lanes.get((service, urgency))
-            if lane:
-                return self._pop_next(service, urgency, lane)
+            team_queues = self._queues.get((service, urgency))
+            if team_queues:
+                return self._pop_next(service, urgency, team_queues)
         return None
 
     def services(self) -> list[str]:
         """Return the services with queued requests."""
-        return list(dict.fromkeys(service for service, _ in self._lanes))
+        return list(dict.fromkeys(service for service, _ in self._queues))
 
     def _pop_next(
-        self, service: str, urgency: Urgency, lane: dict[str, dict[str, None]]
+        self, service: str, urgency: Urgency, team_queues: dict[str, dict[str, None]]
     ) -> str:
-        team = next(iter(lane))
-        waiting = lane.pop(team)
+        team = next(iter(team_queues))
+        waiting = team_queues.pop(team)
         request_id = next(iter(waiting))
         del waiting[request_id]
         if waiting:
-            lane[team] = waiting
-        if not lane:
-            del self._lanes[service, urgency]
+            team_queues[team] = waiting
+        if not team_queues:
+            del self._queues[service, urgency]
         return request_id
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -1,4 +1,4 @@
-"""State of a sidecar's dealings with its worker, and of the scheduler's gangs."""
+"""State of a sidecar's orders to its worker, and of the scheduler's gangs."""
 
 from dataclasses import dataclass, field
 
@@ -22,7 +22,7 @@
     renewal : Renewal or None
         The pending renewal; None if none is.
     last_answered_order_ms : int
-        Send time of the newest order that the worker answered.
+        Sending time of the newest lease renewal that the worker answered.
     """
 
     adopted: bool = False
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -106,8 +106,8 @@
     head, earliest : int
         Offsets of the newest and the oldest record in the log.
     end : int
-        Offset of the last record read, also if it is not in `records`, such as one
-        that others wrote; 0 if none was read.
+        Offset of the last record read, also if it is not in `records` because its text
+        is not valid, such as that of another program; 0 if none was read.
     reason : str
         Why the read failed.
     """
@@ -158,11 +158,12 @@
     keyed : bool
         Whether the request is non-idempotent.
     timeout_ms : int
-        Time for which the attempt is of use, from its arrival.
+        Time in ms for which the attempt is of use, from its arrival.
     claim_offset : int
         Log offset of the claim of its key; 0 if none.
     hold_ms : int
-        Time after which an unfinished attempt is answered; 0 for no limit.
+        Time in ms after which the exchange is answered even if the attempt is still
+        running; 0 for no limit.
     """
 
     exchange_id: str
--- a/kingcuppost/tables/job.py
+++ b/kingcuppost/tables/job.py
@@ -39,7 +39,7 @@
 
 
 class GangState(StrEnum):
-    """Stage of one attempt to run a job."""
+    """Stage of a gang."""
 
     RESERVING = "reserving"
     RELEASED = "released"
@@ -77,7 +77,8 @@
     value : str, int, float, bool or None
         The value in effect.
     path : str
-        Branch of the settings tree that set it; ``"default"`` if none did.
+        Branch of the settings tree that set it; ``"root"`` for the root, ``"default"``
+        if no branch did.
     offset : int
         Log offset of the record; 0 for a default.
     operator : str
@@ -109,12 +110,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """The basis of a placement: policy, settings and rejected alternatives.
+    """The basis of a gang's placement, or of the choice of a minion for a request.
 
     Attributes
     ----------
     policy : str
-        Name of the placement policy.
+        Name of the policy that made the choice.
     settings_offset : int
         Log offset up to which settings were applied.
     values : tuple of EffectiveValue
@@ -185,7 +186,7 @@
 
 @dataclass(slots=True)
 class Gang:
-    """One attempt to run a job.
+    """The placed members of a job; each restart of the job creates a new gang.
 
     Its accelerators stay allocated until the row is deleted.
 
@@ -196,7 +197,7 @@
     job, team : str
         Identifiers.
     incarnation : int
-        Number of the attempt, from 1.
+        Number of the gang among those of its job, from 1.
     term : int
         Scheduling term that placed it.
     placements : tuple of Placement
--- a/kingcuppost/tables/key_timers.py
+++ b/kingcuppost/tables/key_timers.py
@@ -10,13 +10,13 @@
 
     Examples
     --------
-    >>> due = KeyTimers()
-    >>> due.set("a", 30)
-    >>> due.set("b", 20)
-    >>> due.set("a", 10)
-    >>> due.take(15)
+    >>> timers = KeyTimers()
+    >>> timers.set("a", 30)
+    >>> timers.set("b", 20)
+    >>> timers.set("a", 10)
+    >>> timers.take(15)
     ['a']
-    >>> due.take(30)
+    >>> timers.take(30)
     ['b']
     """
 
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -320,7 +320,7 @@
         Process or operator that proposed the record.
     wall_ms : int
         Time of the proposal by the author's clock, Unix ms.
-    body : Body
+    body : RecordBody
         Content of the record.
     seen_offset : int
         Log offset that the author had folded when it created the record; every copy
--- a/kingcuppost/tables/replies.py
+++ b/kingcuppost/tables/replies.py
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderReply:
-    """Response to a probe of whether a process is alive and follows the log."""
+    """Response to a ping: the process runs, and whether it follows the log."""
 
     entry: str
     incarnation: str
--- a/kingcuppost/tables/snapshot.py
+++ b/kingcuppost/tables/snapshot.py
@@ -23,7 +23,7 @@
     """A subset of the rows of the agreed tables, each table in its order.
 
     The attributes are those of `Agreed`. Only the first part of a snapshot contains
-    the lease and the floors.
+    `lease` and `floors`, which are single rows and not tables.
     """
 
     teams: tuple[Team, ...] = ()
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -48,7 +48,8 @@
     result : str
         Result of a finished member.
     stop_after_ms : int
-        Time from which on stop orders for a stopping member are repeated, in ms.
+        Time from which a stopping member is ordered to stop, repeatedly until it has
+        stopped, in ms; until then a running member may write a checkpoint.
     confirmed : bool
         False for an adopted task until the leader of its gang has confirmed it.
     """
@@ -72,7 +73,7 @@
     Attributes
     ----------
     sent_ms : int
-        When it was sent; renewed reservations last from this time.
+        When it was sent; the leases of renewed reservations count from this time.
     task_ids : frozenset of str
         Tasks whose leases it renews.
     """
@@ -96,7 +97,8 @@
     result : str
         Result of a finished member.
     age_ms : int
-        Age of the last order whose answer showed the worker alive, in ms.
+        For a running member, the time in ms since the sending of the last renewal that
+        the worker answered; else 0.
     """
 
     job: str
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -127,6 +127,8 @@
         attempt are informed that it is still running.
     pools : ServicePools
         Minions to which this entry may send another attempt.
+    retry_budgets : Table of RetryBudget
+        Retries that each team has left at this entry.
     attempts : Table of Attempt
         Attempts that an entry has sent and whose outcome is open.
     health : Table of MinionHealth
