--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -148,12 +148,12 @@
 
     The failure of each process that did not answer is printed.
     """
-    fleet, *rest = answers
+    fleet, *event_answers = answers
     if fleet.is_error():
         print_failure(fleet.error)
     events: dict[tuple[str, str, int], Event] = {}
     failed_count = 0
-    for answer in rest:
+    for answer in event_answers:
         if answer.is_error():
             print_failure(answer.error)
             failed_count += 1
@@ -164,7 +164,7 @@
             continue
         for row in model.ok.events:
             events[row.process, row.incarnation, row.sequence] = row.to_row()
-    return None if failed_count == len(rest) else list(events.values())
+    return None if failed_count == len(event_answers) else list(events.values())
 
 
 def matches_filters(args: argparse.Namespace, event: Event) -> bool:
--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -49,8 +49,10 @@
 
     def endpointForURI(self, uri: Any) -> Any:  # noqa: N802
         host = uri.host.decode("ascii")
-        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        endpoint = kind(self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S)
+        endpoint_class = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+        endpoint = endpoint_class(
+            self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S
+        )
         return CountedEndpoint(endpoint, self._tally)
 
 
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -43,7 +43,7 @@
             f"&limit={RECORDS_PER_READ}"
         )
 
-        async def work() -> ReadAnswered:
+        async def exchange() -> ReadAnswered:
             response = await client.exchange(
                 "GET", self._address, path, b"", row.timeout_ms
             )
@@ -57,7 +57,7 @@
         def make_failure(exc: PeerError) -> ReadAnswered:
             return ReadAnswered(row.read_id, False, reason=str(exc))
 
-        deliver_later(self._context, work(), make_failure)
+        deliver_later(self._context, exchange(), make_failure)
 
     def append(self, row: AppendRecords) -> None:
         """Append records.
@@ -71,7 +71,7 @@
             values=[encode_log_record(record) for record in row.records]
         )
 
-        async def work() -> AppendAnswered:
+        async def exchange() -> AppendAnswered:
             response = await client.exchange(
                 "POST", self._address, "/v1/records", encode(model), row.timeout_ms
             )
@@ -84,7 +84,7 @@
             never_sent = exc.step == "connect"
             return AppendAnswered(record_ids, False, str(exc), never_sent)
 
-        deliver_later(self._context, work(), make_failure)
+        deliver_later(self._context, exchange(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
         """Return the client; a hedged exchange gets a new one without connections.
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -126,11 +126,11 @@
 
     def flush(self) -> None:
         """Write the events that were added since the last call."""
-        new = self._world.event_count - self._written_count
-        if not new:
+        new_count = self._world.event_count - self._written_count
+        if not new_count:
             return
         self._written_count = self._world.event_count
-        for event in list(self._world.events)[-new:]:
+        for event in list(self._world.events)[-new_count:]:
             self._logger.info(_format_line(event), extra=_format_fields(event))
 
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -41,7 +41,7 @@
 
 
 def deliver_later(
-    context: EdgeContext, work: Any, make_failure: Callable[[PeerError], Any]
+    context: EdgeContext, coroutine: Any, make_failure: Callable[[PeerError], Any]
 ) -> None:
     """Run a coroutine and deliver the inbox message that it returns.
 
@@ -49,7 +49,7 @@
     ----------
     context : EdgeContext
         Edges of the process.
-    work : coroutine
+    coroutine : coroutine
         Returns the message; may raise `PeerError`.
     make_failure : callable
         Returns the message to deliver on a failure.
@@ -57,7 +57,7 @@
 
     async def finish() -> None:
         try:
-            message = await work
+            message = await coroutine
         except PeerError as exc:
             message = make_failure(exc)
         except Exception as exc:
@@ -101,7 +101,7 @@
     attempt ran.
     """
 
-    async def work() -> AttemptAnswered:
+    async def exchange() -> AttemptAnswered:
         address = Address(row.host, row.port)
         model = AttemptModel.from_row(row)
         reply = await post_model(
@@ -119,7 +119,7 @@
             reason=str(exc),
         )
 
-    deliver_later(context, work(), make_failure)
+    deliver_later(context, exchange(), make_failure)
 
 
 @senders.register(HandOver)
@@ -127,7 +127,7 @@
     """Pass an attempt to the minion and deliver its answer."""
     address = context.world.cfg.sidecar.minion
 
-    async def work() -> MinionAnswered:
+    async def exchange() -> MinionAnswered:
         response = await context.client.exchange(
             "POST", address, "/v1/run", row.body.encode("utf-8"), row.timeout_ms
         )
@@ -142,14 +142,14 @@
         never_sent = exc.step == "connect"
         return MinionAnswered(row.attempt_id, False, "", never_sent, str(exc))
 
-    deliver_later(context, work(), make_failure)
+    deliver_later(context, exchange(), make_failure)
 
 
 @senders.register(SendHeartbeat)
 def send_heartbeat(context: EdgeContext, row: SendHeartbeat) -> None:
     """Send a heartbeat to an entry."""
 
-    async def work() -> HeartbeatAnswered:
+    async def exchange() -> HeartbeatAnswered:
         address = Address(row.host, row.port)
         model = HeartbeatModel.from_row(row)
         reply = await post_model(
@@ -163,7 +163,7 @@
         return HeartbeatAnswered(row.entry, True, "", reply.folded_offset)
 
     deliver_later(
-        context, work(), lambda exc: HeartbeatAnswered(row.entry, False, str(exc))
+        context, exchange(), lambda exc: HeartbeatAnswered(row.entry, False, str(exc))
     )
 
 
@@ -171,7 +171,7 @@
 def send_gang_reports(context: EdgeContext, row: SendGangReports) -> None:
     """Send reports of gang members to the sidecar of the gang's leader."""
 
-    async def work() -> GangReplyArrived:
+    async def exchange() -> GangReplyArrived:
         address = Address(row.host, row.port)
         model = GangReportsModel.from_row(row)
         reply = await post_model(
@@ -181,7 +181,7 @@
 
     deliver_later(
         context,
-        work(),
+        exchange(),
         lambda exc: GangReplyArrived(row.worker, False, row.sent_ms),
     )
 
@@ -190,7 +190,7 @@
 def ask_holder(context: EdgeContext, row: AskHolder) -> None:
     """Ping the holder of the scheduling lease."""
 
-    async def work() -> HolderAnswered:
+    async def exchange() -> HolderAnswered:
         address = Address(row.host, row.port)
         model = HolderModel(entry=context.world.identity.name)
         reply = await post_model(
@@ -200,6 +200,6 @@
 
     deliver_later(
         context,
-        work(),
+        exchange(),
         lambda exc: HolderAnswered(False, "", row.sent_ms, str(exc)),
     )
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -43,7 +43,7 @@
     def send_order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
         """Send an order and deliver the worker's answer."""
 
-        async def work() -> WorkerAnswered:
+        async def exchange() -> WorkerAnswered:
             response = await self._context.client.exchange(
                 "POST", self._address, f"/v1/{name}", encode(model), timeout_ms
             )
@@ -59,7 +59,7 @@
         def make_failure(exc: PeerError) -> WorkerAnswered:
             return WorkerAnswered(name, task_id, False, reason=str(exc))
 
-        deliver_later(self._context, work(), make_failure)
+        deliver_later(self._context, exchange(), make_failure)
 
 
 @senders.register(ReserveTask)
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -50,7 +50,7 @@
 
 def encode(row: Any) -> bytes:
     """Return the JSON text of a data class or border model."""
-    kind = type(row)
-    if kind not in _adapters:
-        _adapters[kind] = TypeAdapter(kind)
-    return _adapters[kind].dump_json(row)
+    row_type = type(row)
+    if row_type not in _adapters:
+        _adapters[row_type] = TypeAdapter(row_type)
+    return _adapters[row_type].dump_json(row)
--- a/kingcuppost/tables/mailbox.py
+++ b/kingcuppost/tables/mailbox.py
@@ -31,9 +31,9 @@
         """Append a message to the queue of its type."""
         self._messages[type(message)].append(message)
 
-    def take(self, kind: type[Message]) -> list[Message]:
+    def take(self, message_type: type[Message]) -> list[Message]:
         """Remove and return all messages of a type."""
-        return self._messages.pop(kind, [])
+        return self._messages.pop(message_type, [])
 
     def take_all(self) -> list[Any]:
         """Remove and return all messages, grouped by type."""
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -46,7 +46,7 @@
 
 __all__ = ["Agreed", "World"]
 
-MAX_EVENTS = 4096
+MAX_EVENTS = 4096  # newest events that a process keeps for the time line
 
 
 @dataclass
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -96,8 +96,8 @@
         def register(run: SystemFunction) -> SystemFunction:
             name = f"{run.__module__}.{run.__name__}"
             self._check_position(name, phase, order)
-            chosen = roles or self._roles
-            self._systems[name] = System(name, phase, order, chosen, run)
+            system_roles = roles or self._roles
+            self._systems[name] = System(name, phase, order, system_roles, run)
             return run
 
         return register
@@ -111,8 +111,8 @@
 
     def systems_of(self, role: str) -> list[System]:
         """Return the systems of a role in the order in which a tick runs them."""
-        chosen = [item for item in self._systems.values() if role in item.roles]
-        return sorted(chosen, key=lambda item: (item.phase, item.order))
+        selected = [item for item in self._systems.values() if role in item.roles]
+        return sorted(selected, key=lambda item: (item.phase, item.order))
 
 
 def run_tick(world: Any, systems: list[System], now_ms: int) -> None:
