--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -1,4 +1,4 @@
-"""Client of the shared log over HTTP, in the protocol of the repository's stand-in."""
+"""HTTP client of the platform's log, in the protocol of the repository's stand-in."""
 
 from kingcuppost.edges.context import EdgeContext, drivers, senders
 from kingcuppost.edges.http_client import JsonClient
@@ -22,7 +22,7 @@
 
 @drivers.register(("log", "http"))
 class HttpLog:
-    """Reads and appends records of the shared log over HTTP.
+    """Reads and appends records of the platform's log over HTTP.
 
     Parameters
     ----------
@@ -43,7 +43,7 @@
             f"&limit={RECORDS_PER_READ}"
         )
 
-        async def work() -> ReadAnswered:
+        async def exchange() -> ReadAnswered:
             response = await client.exchange(
                 "GET", self._address, path, b"", row.timeout_ms
             )
@@ -57,12 +57,13 @@
         def make_failure(exc: PeerError) -> ReadAnswered:
             return ReadAnswered(row.read_id, False, reason=str(exc))
 
-        deliver_later(self._context, work(), make_failure)
+        deliver_later(self._context, exchange(), make_failure)
 
     def append(self, row: AppendRecords) -> None:
         """Append records.
 
-        The answer only shows that another read is due; it does not confirm the records.
+        The answer only shows that another read is due; whether the records take effect
+        follows from the fold.
         """
         client = self._client_for(row.hedge)
         record_ids = tuple(record.record_id for record in row.records)
@@ -70,7 +71,7 @@
             values=[encode_log_record(record) for record in row.records]
         )
 
-        async def work() -> AppendAnswered:
+        async def exchange() -> AppendAnswered:
             response = await client.exchange(
                 "POST", self._address, "/v1/records", encode(model), row.timeout_ms
             )
@@ -83,7 +84,7 @@
             never_sent = exc.step == "connect"
             return AppendAnswered(record_ids, False, str(exc), never_sent)
 
-        deliver_later(self._context, work(), make_failure)
+        deliver_later(self._context, exchange(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
         """Return the client; a hedged exchange gets a new one without connections.
