--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -284,8 +284,14 @@
     system.processes["entry-1"].send(signal.SIGCONT)
     assert_in_force(system, 3_200, ("entry-1",), deadline_s=15.0)
     assert get_setting(system, "entry-1")["offset"] == answer["offset"]
-    events = system.show("/v1/events", "entry-1")["events"]
-    assert any(event["step"] == "log.snapshot" for event in events)
+    wait_until(
+        lambda: any(
+            event["step"] == "log.snapshot"
+            for event in system.show("/v1/events", "entry-1")["events"]
+        ),
+        "entry-1 has loaded a snapshot",
+        deadline_s=15.0,
+    )
 
 
 def test_process_cut_off_from_the_log_detects_stale_state_and_rejoins(
