--- a/bench/driver.py
+++ b/bench/driver.py
@@ -39,6 +39,7 @@
 
 __all__ = ["Driver", "JobRun"]
 
+# Delays of the simulated log, sidecars and workers.
 APPEND_MS = 30
 RESERVE_MS = 120
 START_MS = 60
@@ -61,7 +62,7 @@
     started_ms : int
         Time of the first start; -1 before.
     running_since_ms : int
-        Time of the present start; -1 while the job does not run.
+        Time of the current start; -1 while the job does not run.
     finished_ms : int
         Time of the finish; -1 before.
     guaranteed : bool
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -49,7 +49,29 @@
 
 @dataclass(slots=True)
 class Figures:
-    """Figures of one run; times in ms, lost work in accelerator hours."""
+    """Figures of one run; times in ms, lost work in accelerator hours.
+
+    Attributes
+    ----------
+    overnight_ms, interactive_ms : list of int
+        Time of each job from submission to finish, by urgency.
+    urgent_start_ms : list of int
+        Time from submission to first start of each interactive job that fit its
+        team's guarantee.
+    unfinished : int
+        Jobs that had not finished at the horizon.
+    fragmentation : float
+        Share of the free accelerators that lie in gaps too small for the largest
+        wanted member.
+    zone_work : float
+        Share of the possible work that was done around the zone change.
+    lost_hours, reclaim_lost_hours : float
+        Work lost at stops without a checkpoint, and the part lost to reclaims.
+    reclaims : int
+        Running gangs stopped to reclaim capacity.
+    violations, samples : int
+        Samples in which a guarantee was violated, and all samples.
+    """
 
     overnight_ms: list[int] = field(default_factory=list)
     interactive_ms: list[int] = field(default_factory=list)
@@ -117,12 +139,12 @@
 def _count_usable(free: int, size: int) -> int:
     """Return how many free accelerators lie in blocks of a size, aligned or not."""
     usable = 0
-    run = 0
+    run_length = 0
     while free:
-        run = run + 1 if free & 1 else 0
-        if run == size:
+        run_length = run_length + 1 if free & 1 else 0
+        if run_length == size:
             usable += size
-            run = 0
+            run_length = 0
         free >>= 1
     return usable
 
@@ -178,11 +200,11 @@
 
 
 def _allocate_runs(free: list[int], size: int, wanted: int) -> bool:
-    run = (1 << size) - 1
+    pattern = (1 << size) - 1
     for index, mask in enumerate(free):
         for start in range(mask.bit_length()):
-            if wanted and (mask >> start) & run == run:
-                mask &= ~(run << start)
+            if wanted and (mask >> start) & pattern == pattern:
+                mask &= ~(pattern << start)
                 wanted -= 1
         free[index] = mask
     return not wanted
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -98,15 +98,16 @@
     count: int,
     span_ms: int,
     sizes: list[tuple[int, int]],
-    run: tuple[int, int],
+    run_range_ms: tuple[int, int],
 ) -> list[Arrival]:
+    """Draw jobs; the declared times of a team err by a factor of its own."""
     bias = {team: rng.uniform(-1.15, 1.15) for team in teams}
-    found = []
+    arrivals = []
     for number in range(count):
         team = rng.choice(teams)
         members, accelerators = rng.choice(sizes)
-        run_ms = _run_ms(rng, *run)
-        found.append(
+        run_ms = _run_ms(rng, *run_range_ms)
+        arrivals.append(
             Arrival(
                 rng.randrange(span_ms),
                 f"{urgency}-{number}",
@@ -121,7 +122,7 @@
                 rng.choice((200, 1_000, 2_500)),
             )
         )
-    return found
+    return arrivals
 
 
 def _small_deployment(
@@ -175,9 +176,9 @@
 def _add_zone_change(
     deployment: Deployment, zone: str, out_ms: int, outage_ms: int
 ) -> None:
-    power_ms = 5 * MINUTE_MS if outage_ms > 5 * MINUTE_MS else 0
+    power_off_after_ms = 5 * MINUTE_MS if outage_ms > 5 * MINUTE_MS else 0
     deployment.zone_changes = [
-        ZoneChange(out_ms, zone, False, power_ms),
+        ZoneChange(out_ms, zone, False, power_off_after_ms),
         ZoneChange(out_ms + outage_ms, zone, True),
     ]
 
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -22,11 +22,24 @@
     live_runs : dict of TaskName to set of int
         Runs that minions have started and not ended.
     completed_tasks : set of TaskName
-        Tasks with a run that was done.
+        Tasks with a run that was done; for a gang all tasks of its step.
     acknowledged_tasks : set of TaskName
-        Completed tasks whose end the scheduler has acknowledged.
+        Completed tasks whose end the scheduler has acknowledged; they must not start
+        again.
+    failure_counts : dict of TaskName to int
+        Number of failed runs of each task.
+    starts : int
+        Number of all starts.
+    ends : dict of RunEnd to int
+        Number of run ends of each kind.
     task_counts : dict of str to list of int
         Number of tasks in each step of a job.
+    needs : dict of str to tuple of tuple of int
+        For each step of a job, the steps that must be complete before it starts.
+    gangs : dict of str to tuple of bool
+        For each step of a job, whether its tasks are a gang.
+    max_failures : dict of str to int
+        Number of failed runs after which a task of the job must not start again.
     expects_no_faults : bool
         Whether a gang member that ran alone counts as a violation.
     cancelled : dict of str to int
@@ -118,7 +131,7 @@
                 self.acknowledged_tasks.update(self._tasks_ended_together(end.task))
 
     def check_shown_state(self, job_id: str, state: JobState) -> None:
-        """Check a job state that was shown to a caller."""
+        """Check that a job shown as completed has a completed run of each task."""
         if state is not JobState.COMPLETED:
             return
         for step, count in enumerate(self.task_counts[job_id]):
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -141,7 +141,7 @@
         self._exchanges: dict[tuple[str, int, str], Callable[[bytes], None]] = {}
         self._scheduled_ticks: set[tuple[str, int]] = set()
         self._call_numbers = count()
-        self._cancels: dict[str, str] = {}
+        self._cancelled_job_by_call: dict[str, str] = {}
         self._configure()
         for index in range(entries):
             self._add_process(
@@ -226,8 +226,8 @@
     def holder(self) -> Process | None:
         """Return the running entry with a loaded schedule, or None."""
         for process in self.processes.values():
-            is_up = process.role is Role.ENTRY and process.is_up
-            if is_up and process.world.schedule.is_loaded:
+            is_running_entry = process.role is Role.ENTRY and process.is_up
+            if is_running_entry and process.world.schedule.is_loaded:
                 return process
         return None
 
@@ -251,7 +251,10 @@
             self._advance_minions()
 
     def run_until(self, condition: Callable[[], bool], limit_ms: int) -> bool:
-        """Advance time until a condition holds or times out; return if it holds."""
+        """Advance time until a condition holds, for at most `limit_ms`.
+
+        Returns whether the condition holds at the end.
+        """
         end_ms = self.clock.now_ms() + limit_ms
         while not condition() and self.clock.now_ms() < end_ms:
             self.run_for(STEP_MS * 5)
@@ -372,7 +375,7 @@
 
     def _record_reply(self, reply: CallReply) -> None:
         self.replies[reply.exchange_id] = reply
-        job_id = self._cancels.pop(reply.exchange_id, None)
+        job_id = self._cancelled_job_by_call.pop(reply.exchange_id, None)
         if job_id is not None and reply.verdict is CallOutcome.OK:
             self.checks.cancelled.setdefault(job_id, self.clock.now_ms())
 
@@ -476,11 +479,11 @@
             ),
             None,
         )
-        open_exchange = [True]
+        is_open = [True]
 
         def finish_exchange(reply: SyncReply | None, reason: str = "") -> None:
-            if open_exchange[0]:
-                open_exchange[0] = False
+            if is_open[0]:
+                is_open[0] = False
                 answered = SyncAnswered(
                     message.number, message.address, sent_ms, reply, reason
                 )
@@ -637,7 +640,8 @@
     ) -> str:
         """Send a caller's call; return the identifier of the exchange.
 
-        Without an entry, one of the running entries is picked at random.
+        Without an entry, one of the running entries is picked at random; the call is
+        lost if none runs.
         """
         running_entries = [
             process
@@ -682,7 +686,7 @@
         return job_id, self.call(CallKind.SUBMIT, path, entry, job)
 
     def state(self, job_id: str, priority: int = 1) -> JobState | None:
-        """Return the job state shown by a random entry, or None without an answer."""
+        """Return the job state that a random entry shows, or None if it shows none."""
         exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
@@ -695,5 +699,5 @@
     def cancel(self, job_id: str, priority: int = 1) -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
         exchange_id = self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
-        self._cancels[exchange_id] = job_id
+        self._cancelled_job_by_call[exchange_id] = job_id
         return exchange_id
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -70,9 +70,9 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, paths: dict[str, Callable[[Request], None]]) -> None:
+    def __init__(self, handlers: dict[str, Callable[[Request], None]]) -> None:
         super().__init__()
-        self._handlers = paths
+        self._handlers = handlers
 
     def render(self, request: Request) -> int:
         """Pass a request to the handler of its path; status 404 if there is none."""
@@ -118,24 +118,27 @@
         """Append the records in the request body."""
         at = _query_field(request, "at")
         epoch = _query_field(request, "epoch")
-        done = self._store.append(
+        result = self._store.append(
             STREAMS[_query_field(request, "topic")],
             _decode_records(request.content.read()),
             int(at) if at else None,
             int(epoch) if epoch else None,
             int(_query_field(request, "sequence", "0")),
         )
-        reason = "fenced" if done.outcome is AppendOutcome.FENCED else "seq"
+        reason = "fenced" if result.outcome is AppendOutcome.FENCED else "seq"
         _send_json(
             request,
-            STATUSES[done.outcome],
-            offset=done.offset,
-            end=done.end,
+            STATUSES[result.outcome],
+            offset=result.offset,
+            end=result.end,
             reason=reason,
         )
 
     def read(self, request: Request) -> None:
-        """Return records from an offset on, after waiting for one if there is none."""
+        """Return records from an offset on; wait for one if there is none.
+
+        The status is 410 if the history at the offset was dropped.
+        """
         stream = STREAMS[_query_field(request, "topic")]
         start = int(_query_field(request, "from"))
         limit_ms = _now_ms() + int(_query_field(request, "waitMs", "0"))
@@ -254,7 +257,7 @@
         )
 
     async def send_heartbeat(self) -> None:
-        """Send a heartbeat to the sidecar; after a failure the next one follows."""
+        """Send a heartbeat to the sidecar; a lost one is not repeated."""
         self._sequence += 1
         body = {
             "service": "svc",
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -28,7 +28,7 @@
     stop_at_ms : int or None
         Time at which an ordered stop takes effect.
     is_working : bool
-        Whether the whole gang of this run has started.
+        Whether the whole gang of this run has started; False outside gangs.
     """
 
     task: TaskName
@@ -60,9 +60,9 @@
     until_ms : int
         Time at which the lease expires.
     token : int
-        Highest fencing token received; orders with a lower one are refused.
+        Highest fencing token received; starts and stops with a lower one are refused.
     last_ended_run : dict of TaskName to int
-        Highest run number of each task that has ended or was told to stop.
+        Highest run number of each task that has ended or was ordered to stop.
     ended : list of EndedRun
         Run ends that the scheduler has not acknowledged yet.
     ends_before_lapse : set of int
@@ -144,11 +144,11 @@
         ):
             return "room"
         done_ms = float(checkpoint or 0)
-        row = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
-        self.runs[task, run] = row
+        new_run = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
+        self.runs[task, run] = new_run
         self.checks.record_start(self.id, task, run, checkpoint)
         if self.fails_all_runs:
-            self.end(row, RunEnd.FAILED)
+            self.end(new_run, RunEnd.FAILED)
         return ""
 
     def stop(self, token: int, task: TaskName, run: int) -> str:
@@ -166,20 +166,21 @@
         self.until_ms = max(self.until_ms, min(until_ms, longest_ms))
 
     def renew_lease(
-        self, token: int, seen: int, until_ms: int | None
+        self, token: int, acknowledged_end: int, until_ms: int | None
     ) -> tuple[tuple[RunningRun, ...], tuple[EndedRun, ...]]:
         """Extend the lease; return the running and the ended runs.
 
-        Ends up to the number `seen` are acknowledged and dropped from the list.
+        Ends up to the number `acknowledged_end` are dropped from the list.
         """
         self.token = max(token, self.token)
         if until_ms is not None:
             self._extend_lease(until_ms)
-        noted = [end for end in self.ended if end.number <= seen]
+        acknowledged = [end for end in self.ended if end.number <= acknowledged_end]
         self.checks.record_acknowledged(
-            self.id, [end for end in noted if end.number not in self.ends_before_lapse]
+            self.id,
+            [end for end in acknowledged if end.number not in self.ends_before_lapse],
         )
-        self.ended = [end for end in self.ended if end.number > seen]
+        self.ended = [end for end in self.ended if end.number > acknowledged_end]
         running = tuple(
             RunningRun(
                 run.task, run.run, _format_checkpoint(run.checkpoint_ms), run.percent
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -50,9 +50,12 @@
             Keys and values; an empty value deletes the key.
         expected_end : int or None
             End offset that the stream must have, if given.
-        epoch, sequence : int
-            Fencing epoch of the writer, and number of the append within it. A
-            repeated pair gets the first result again.
+        epoch : int or None
+            Fencing epoch of the writer. An epoch lower than the newest one is fenced
+            off; without an epoch there is no such check.
+        sequence : int
+            Number of the append within its epoch; it must follow the previous one. A
+            repeated pair of epoch and sequence gets the first result again.
         """
         topic = self._topics[stream]
         if expected_end is not None and expected_end != len(topic.records):
@@ -71,10 +74,10 @@
             topic.records.append((key, value))
             if not value:
                 del topic.newest[key]
-        answer = AppendResult(AppendOutcome.DONE, offset, len(topic.records))
+        result = AppendResult(AppendOutcome.DONE, offset, len(topic.records))
         if epoch is not None:
-            topic.results[epoch, sequence] = answer
-        return answer
+            topic.results[epoch, sequence] = result
+        return result
 
     def end(self, stream: Stream) -> int:
         """Return the offset after the last record."""
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -221,13 +221,13 @@
             max(growth.appends, 0.0) / added,
         )
         by_role[role] = slope
-        flat = Rates(
+        idle_rates = Rates(
             measurement.idle[role].processor,
             measurement.idle[role].kb_a_second,
             large_memory[role],
             measurement.idle[role].appends,
         )
-        measurement.base[role] = flat.add(slope, -MINIONS_LARGE)
+        measurement.base[role] = idle_rates.add(slope, -MINIONS_LARGE)
     per_worker = {
         role: (messages[role] - small_messages[role]) / added for role in ROLES
     }
@@ -310,10 +310,10 @@
     for name in names:
         measurement.submit(name, LONG_RUN_MS)
 
-    def released() -> bool:
+    def are_active() -> bool:
         return list(measurement.states().values()).count("active") >= count
 
-    wait_until(released, "all long jobs placed", 180)
+    wait_until(are_active, "all long jobs placed", 180)
     time.sleep(5)
     after_mb = {role: use.memory_mb for role, use in measurement.sample().items()}
     rates, messages = measurement.measure_rates(IDLE_WINDOW_S)
@@ -321,11 +321,11 @@
     for role in ROLES:
         task_count = TASKS_PER_MINION if role == "sidecar" else count
         growth = rates[role].add(measurement.idle[role], -1.0)
-        standing_mb = after_mb[role] - before_mb[role]
+        growth_mb = after_mb[role] - before_mb[role]
         by_role[role] = Rates(
             max(growth.processor, 0.0) / task_count,
             max(growth.kb_a_second, 0.0) / task_count,
-            max(standing_mb, 0.0) / task_count,
+            max(growth_mb, 0.0) / task_count,
             max(growth.appends, 0.0) / task_count,
         )
     method = f"{count} tasks running, {IDLE_WINDOW_S} s; messages a second of all"
@@ -377,18 +377,21 @@
             measurement.deployment.start_sidecar(number)
         measurement.wait_for_fleet()
 
-    before = len(measurement.slopes)
+    slope_index = len(measurement.slopes)
     elapsed_s = measurement.measure_event(
         "restart", len(numbers), f"{len(numbers)} sidecars", restart
     )
-    measurement.slopes[before] = _without_sidecars(measurement.slopes[before])
+    measurement.slopes[slope_index] = _without_sidecars(measurement.slopes[slope_index])
     measurement.bursts.append(
         ["zone restarted", len(numbers), f"{elapsed_s:.1f} s", "-"]
     )
 
 
 def _without_sidecars(slope: Slope) -> Slope:
-    """Return the slope without sidecars, whose counters the restart has reset."""
+    """Return the slope without sidecars.
+
+    The restart has reset the counters of some, so that their mean says nothing.
+    """
     by_role = {**slope.by_role, "sidecar": Rates(0.0, 0.0, 0.0)}
     return Slope(
         slope.driver, by_role, {**slope.messages, "sidecar": 0.0}, slope.method
@@ -396,7 +399,7 @@
 
 
 def measure_start(measurement: CapacityMeasurement) -> None:
-    """Measure how long a new entry takes to catch up with the log."""
+    """Measure how long a new entry takes to read the log from its snapshot or start."""
     head = measurement.deployment.show("/v1/status")["head_offset"]
     started_s = time.monotonic()
     process = measurement.deployment.start_entry("entry-2")
--- a/standins/load.py
+++ b/standins/load.py
@@ -78,10 +78,10 @@
         """Send all requests, wait for their answers and return the report."""
         client = JsonClient(reactor)
         total = min(int(self.rate * self.seconds), MAX_REQUESTS)
-        begin = time.monotonic()
+        begin_s = time.monotonic()
         pending = []
         for number in range(total):
-            wait_s = begin + number / self.rate - time.monotonic()
+            wait_s = begin_s + number / self.rate - time.monotonic()
             await deferLater(reactor, max(wait_s, 0.0), lambda: None)
             pending.append(ensureDeferred(self._send(client, number)))
         for one in pending:
@@ -92,7 +92,7 @@
     async def _send(self, client: JsonClient, number: int) -> None:
         address = self.addresses[number % len(self.addresses)]
         body = json.dumps(self.request).encode()
-        begin = time.monotonic()
+        begin_s = time.monotonic()
         try:
             response = await client.exchange(
                 "POST", address, "/v1/requests", body, MAX_DURATION_S * MS_PER_SECOND
@@ -103,7 +103,7 @@
         outcome = json.loads(response.body)["outcome"]
         self.outcomes[outcome] += 1
         if outcome == "answered":
-            self.latencies_ms.append((time.monotonic() - begin) * MS_PER_SECOND)
+            self.latencies_ms.append((time.monotonic() - begin_s) * MS_PER_SECOND)
 
     def report(self, sent: int) -> LoadReport:
         """Return the report of the run so far."""
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -127,8 +127,8 @@
     def _answer_later(self, request: Request, answer: Answer) -> Answer | None:
         if not self.faults.delay_ms:
             return answer
-        delay = self.faults.delay_ms / MS_PER_SECOND
-        reactor.callLater(delay, send_answer, request, answer)
+        delay_s = self.faults.delay_ms / MS_PER_SECOND
+        reactor.callLater(delay_s, send_answer, request, answer)
         return None
 
     def _answer_waiters(self) -> None:
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -34,11 +34,11 @@
 
     def run(self, request: Request, body: object) -> None:
         """Count a request and answer it when its run time is over."""
-        order = body if isinstance(body, dict) else {}
-        self.runs[str(order.get("id", ""))] += 1
+        options = body if isinstance(body, dict) else {}
+        self.runs[str(options.get("id", ""))] += 1
         self.running += 1
         self.max_running = max(self.max_running, self.running)
-        run_ms = order.get("run_ms", 0)
+        run_ms = options.get("run_ms", 0)
         reactor.callLater(run_ms / MS_PER_SECOND, self._done, request, body)
 
     def _done(self, request: Request, body: object) -> None:
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -81,7 +81,10 @@
         return MEASURED_ENTRIES / self.entries * HEARTBEAT_PERIOD_MS / stretched_ms
 
     def report_ratio(self, role: str) -> float:
-        """Return the full reports per running task relative to the measured ones."""
+        """Return the full reports per running task relative to the measured ones.
+
+        The holder receives them; in a large fleet each sidecar sends them less often.
+        """
         if role != "holder":
             return 1.0
         return FULL_REPORT_PERIOD_MS / max(
@@ -167,11 +170,11 @@
     return total
 
 
-def _scale_rates(rates: Rates, share: float) -> Rates:
+def _scale_rates(rates: Rates, ratio: float) -> Rates:
     """Return rates with processor and bytes scaled; memory and appends stay."""
     return Rates(
-        rates.processor * share,
-        rates.kb_a_second * share,
+        rates.processor * ratio,
+        rates.kb_a_second * ratio,
         rates.memory_mb,
         rates.appends,
     )
--- a/standins/worker_host.py
+++ b/standins/worker_host.py
@@ -43,7 +43,14 @@
 
 
 class WorkerHost(JsonService):
-    """HTTP interface of the worker."""
+    """HTTP interface of the worker.
+
+    Attributes
+    ----------
+    faults : dict of str to bool
+        ``"refuse"`` refuses reservations, ``"fail_all"`` fails each task at the end of
+        its run time, ``"ignore_stop"`` ignores orders to stop.
+    """
 
     def __init__(self) -> None:
         super().__init__()
