--- a/standins/batch/tests/test_jobs.py
+++ b/standins/batch/tests/test_jobs.py
@@ -89,11 +89,11 @@
     deployment = make_ready_deployment()
     unknown_job = deployment.call(CallKind.STATE, "/urgent/0123456789abcdef")
     unknown_queue = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
-    waiting = deployment.call(CallKind.STATE, "/urgent/")
+    queue_length = deployment.call(CallKind.STATE, "/urgent/")
     deployment.run_for(50)
     assert deployment.replies[unknown_job].verdict is CallOutcome.NO_JOB
     assert deployment.replies[unknown_queue].verdict is CallOutcome.NO_QUEUE
-    assert deployment.replies[waiting].waiting == 0
+    assert deployment.replies[queue_length].waiting == 0
 
 
 def test_first_term_of_an_empty_log_schedules() -> None:
@@ -176,14 +176,15 @@
 
 
 def test_urgent_job_is_scheduled_again_without_a_change() -> None:
+    """The only minion is in backoff when the job arrives; no event marks its end."""
     deployment = make_ready_deployment(minions=1)
     fill = StepSpec(2, cpu_millis=30_000, accelerators=4, estimate_ms=60_000)
     deployment.submit((fill,), [60_000], 1)
     deployment.run_for(6_000)
-    refused = deployment.minions["m-0"]
+    minion = deployment.minions["m-0"]
     row = next(iter(deployment.holder().world.schedule.minions))
     row.backoff_until_ms = deployment.clock.now_ms() + 1_500
     urgent = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
     job_id, _ = deployment.submit((urgent,), [9_000], 0)
     deployment.run_for(2_500)
-    assert any(run.task.job == job_id for run in refused.runs.values())
+    assert any(run.task.job == job_id for run in minion.runs.values())
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -52,9 +52,9 @@
     }
     slow = [minion for minion in deployment.minions.values() if minion.speed < 1]
     fast = [minion for minion in deployment.minions.values() if minion.speed > 1]
-    seen = [minion for minion in fast if rows[minion.id] != 1.0]
-    assert seen
-    assert all(rows[one.id] > rows[two.id] for one in seen for two in slow)
+    measured = [minion for minion in fast if rows[minion.id] != 1.0]
+    assert measured
+    assert all(rows[one.id] > rows[two.id] for one in measured for two in slow)
 
 
 def test_gang_member_that_waits_for_others_is_not_stalled() -> None:
@@ -102,13 +102,13 @@
 def test_urgent_work_waits_for_a_run_that_ends_soon() -> None:
     deployment = make_ready_deployment(minions=1)
     half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
-    nearly, _ = deployment.submit((half,), [3_000], 1)
+    nearly_done, _ = deployment.submit((half,), [3_000], 1)
     deployment.run_for(2_600)
     fresh, _ = deployment.submit((half,), [9_000], 2)
     deployment.run_for(2_400)
     wide = StepSpec(5, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
     deployment.submit((wide,), [500], 0)
     deployment.run_for(800)
-    assert deployment.state(nearly) is JobState.COMPLETED
+    assert deployment.state(nearly_done) is JobState.COMPLETED
     assert deployment.state(fresh, 2) is JobState.RUNNING
     assert deployment.checks.ends[RunEnd.STOPPED] == 1
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -10,7 +10,7 @@
 def run_calibration_jobs(
     deployment: Deployment, estimate_factor: float = 1.0, jobs: int = 2
 ) -> Deployment:
-    """Run jobs on all minions with estimates that are wrong by a factor."""
+    """Run jobs on all minions; estimates are too short and too long by a factor."""
     for number in range(jobs):
         factor = estimate_factor if number % 2 else 1 / estimate_factor
         step = StepSpec(
@@ -65,8 +65,10 @@
     step = StepSpec(3, cpu_millis=60_000, accelerators=8, estimate_ms=3_000)
     deployment.submit((step,), [9_000], 2)
     deployment.run_for(500)
-    at = {name for name, process in deployment.processes.items() if process.minion}
-    busy = {name for name in at if deployment.processes[name].minion.runs}
+    sidecars = {
+        name for name, process in deployment.processes.items() if process.minion
+    }
+    busy = {name for name in sidecars if deployment.processes[name].minion.runs}
     assert busy == SLOW_SIDECARS
 
 
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -198,11 +198,11 @@
     """Wait until a gang no longer holds accelerators."""
     name = key.rpartition("/")[0]
 
-    def is_released() -> bool:
+    def has_ended() -> bool:
         gangs = deployment.show(f"/v1/jobs/{name}", entry).get("gangs")
         return gangs is not None and key not in [gang["key"] for gang in gangs]
 
-    wait_until(is_released, f"gang {key} is released")
+    wait_until(has_ended, f"gang {key} is released")
 
 
 def running_members(deployment: Deployment, name: str) -> list[dict]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -67,11 +67,11 @@
 
 
 def wait_until(
-    condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S
+    condition: Callable[[], bool], description: str, timeout_s: float = START_TIMEOUT_S
 ) -> None:
     end_s = time.monotonic() + timeout_s
     while not condition():
-        assert time.monotonic() < end_s, what
+        assert time.monotonic() < end_s, description
         time.sleep(0.05)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -114,6 +114,7 @@
 
 
 def test_leader_restarts_while_the_log_is_slow(deployment: Deployment) -> None:
+    """The sidecar of member 0 leads the gang."""
     start_deployment(deployment)
     submit_job(deployment, "flow", run_ms=3_000)
     rows = wait_until_running(deployment, "flow")
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -38,29 +38,35 @@
         self.pool = ThreadPoolExecutor(8)
 
     def start(self) -> None:
-        d = self.deployment
+        deployment = self.deployment
         for name in ("peers", "service"):
             for number in range(MINIONS):
-                d.start_standin("proxy", f"{name}-{number}")
+                deployment.start_standin("proxy", f"{name}-{number}")
         for name in ("heartbeats-0", "heartbeats-1", "log-proxy"):
-            d.start_standin("proxy", name)
+            deployment.start_standin("proxy", name)
         for number in range(MINIONS):
-            d.start_minion_and_worker(number)
-        d.start_log()
-        self.set_target("log-proxy", d.processes["log"].ports["port"])
+            deployment.start_minion_and_worker(number)
+        deployment.start_log()
+        self.set_target("log-proxy", deployment.processes["log"].ports["port"])
         for number, name in enumerate(ENTRIES):
-            d.start_entry(name, advertised=self.address(f"heartbeats-{number}"))
+            deployment.start_entry(
+                name, advertised=self.address(f"heartbeats-{number}")
+            )
         for number in range(MINIONS):
             self.start_sidecar(number)
         for number, name in enumerate(ENTRIES):
-            self.set_target(f"heartbeats-{number}", d.processes[name].ports["peers"])
+            self.set_target(
+                f"heartbeats-{number}", deployment.processes[name].ports["peers"]
+            )
         self.configure()
 
     def start_sidecar(self, number: int) -> None:
-        d = self.deployment
+        deployment = self.deployment
         service = f"minion-{number}-service"
-        self.set_target(f"service-{number}", d.processes[service].ports["port"])
-        process = d.start_sidecar(
+        self.set_target(
+            f"service-{number}", deployment.processes[service].ports["port"]
+        )
+        process = deployment.start_sidecar(
             number,
             minion_address=self.address(f"service-{number}"),
             advertised=self.address(f"peers-{number}"),
@@ -107,6 +113,7 @@
             )
 
     def knows_all_minions(self, entry: str) -> bool:
+        """Return whether an entry lists all minions, and none of them as leaving."""
         rows = self.deployment.show("/v1/fleet", entry)["minions"]
         rows_text = json.dumps(rows)
         return len(rows) == MINIONS and "leaving" not in rows_text.replace(
