--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -192,7 +192,7 @@
         deployment.start_sidecar(number)
 
 
-def wait_until_gang_released(
+def wait_until_gang_ended(
     deployment: Deployment, key: str, entry: str = "entry-0"
 ) -> None:
     """Wait until a gang no longer holds accelerators."""
@@ -202,7 +202,7 @@
         gangs = deployment.show(f"/v1/jobs/{name}", entry).get("gangs")
         return gangs is not None and key not in [gang["key"] for gang in gangs]
 
-    wait_until(has_ended, f"gang {key} is released")
+    wait_until(has_ended, f"gang {key} has ended")
 
 
 def running_members(deployment: Deployment, name: str) -> list[dict]:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -22,7 +22,7 @@
     submit_job,
     wait_for_minions,
     wait_until_done,
-    wait_until_gang_released,
+    wait_until_gang_ended,
     wait_until_running,
     wall_ms,
 )
@@ -105,7 +105,7 @@
     fault(deployment, 0)
     deployment.set_faults("link-1")
     deployment.start_sidecar(2)
-    wait_until_gang_released(deployment, gang)
+    wait_until_gang_ended(deployment, gang)
     restore_machine(deployment, 0)
     wait_until_done(deployment, "flow")
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
@@ -132,7 +132,7 @@
     lost_member = next(row for row in rows if row["task_id"] == f"flow/1/{member}")
     lost_ms = wall_ms()
     fault(deployment, lost_member["worker"])
-    wait_until_gang_released(deployment, "flow/1")
+    wait_until_gang_ended(deployment, "flow/1")
     restore_machine(deployment, lost_member["worker"])
     wait_until_done(deployment, "flow")
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
@@ -186,7 +186,7 @@
     lost_ms = wall_ms()
     deployment.processes[old_holder].kill()
     pause_sidecar(deployment, rows[0]["worker"])
-    wait_until_gang_released(deployment, "flow/1", standby)
+    wait_until_gang_ended(deployment, "flow/1", standby)
     restore_machine(deployment, rows[0]["worker"])
     wait_until_done(deployment, "flow", standby)
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -21,7 +21,7 @@
     start_deployment,
     submit_job,
     wait_until_done,
-    wait_until_gang_released,
+    wait_until_gang_ended,
     wait_until_running,
     wall_ms,
 )
@@ -195,7 +195,7 @@
     deployment.processes[f"worker-{row['worker']}"].kill()
     deployment.processes[f"minion-{row['worker']}"].kill()
     killed_ms = wall_ms()
-    wait_until_gang_released(deployment, "flow/1")
+    wait_until_gang_ended(deployment, "flow/1")
     restore_machine(deployment, row["worker"])
     wait_until_done(deployment, "flow")
     assert get_job(deployment, "flow")["incarnation"] > 1
