Clarify texts of placement, reservations and faults

Docstrings say what the victims of a reservation are in each case, why workers are excluded for a job, and what the limits of the search count.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -44,7 +44,7 @@
 ]
 
 NO_ALLOCATION = WorkerAllocation()
-MAX_COMPACT_RATIO = 0.5
+MAX_COMPACT_RATIO = 0.5  # of the accelerators that the job needs
 
 
 def _allocation_key(job: str) -> str:
@@ -164,11 +164,14 @@
 ) -> frozenset[str]:
     """Return the borrowers to stop so that the job starts within its time limit.
 
-    Within a guarantee these are all borrowers on the reservation. Otherwise they are
-    the borrowers that must yield, either once the time limit has passed or once no
-    gang from before the reservation runs there any more. Until then, they are all
-    gangs there if these are few enough to be moved. In the first case, and after the
-    time limit, borrowers whose cores or memory the job needs are included.
+    - Within a guarantee: all borrowers on the reservation.
+    - Beyond it, while a gang from before the reservation still runs there and the
+      time limit has not passed: all gangs there, if they are few enough to be moved
+      and `job.compact_after_ms` has passed.
+    - Beyond it, afterwards: the borrowers there that must yield to the job.
+
+    Within a guarantee and after the time limit, borrowers whose cores or memory the
+    job needs are added.
     """
     is_past_limit = reservation.guaranteed or now_ms >= preempt_at_ms(
         world, reservation
@@ -188,7 +191,8 @@
 def _yields(world: World, gang: Gang, reservation: AdvanceReservation) -> bool:
     """Return whether a gang must yield to the job of a reservation.
 
-    To overnight work beyond its guarantee, only gangs of later submitted jobs yield.
+    Only gangs of jobs that were submitted later yield to overnight work beyond its
+    guarantee.
     The order of submission never changes, so that no two jobs preempt each other
     alternately.
     """
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -11,7 +11,7 @@
 
 
 def find_adjacent(free: int, count: int) -> tuple[int, ...] | None:
-    """Return the first `count` adjacent accelerators of a mask, or None.
+    """Return the numbers of the first `count` adjacent accelerators in a mask, or None.
 
     Examples
     --------
@@ -84,9 +84,9 @@
 
 
 def _choose_backfill(world: World, job: Job, now_ms: int) -> Choice:
-    """Place by first fit, also on reserved accelerators that it should free in time.
+    """Place by first fit, also on accelerators that are reserved for later jobs.
 
-    These are lent to jobs whose declared run time ends before the reservation is
+    They are lent to a job whose declared run time ends before the reservation is
     expected to start.
     """
     reservation = world.scheduling.advance_reservations.get(job.name)
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -1,7 +1,7 @@
 """Detection of workers on which jobs fail or that refuse member reservations.
 
-A worker on which several jobs failed is quarantined and probed. One that refuses
-reservations gets no work for a pause that doubles with each refusal.
+A worker on which several jobs failed is quarantined and probed. One that
+does not reserve a member gets no work for a pause that doubles each time.
 """
 
 from kingcuppost.settings import effective_value
@@ -39,8 +39,8 @@
 def pause_worker(world: World, worker: str, now_ms: int) -> None:
     """Exclude a worker from placement for a while after it did not reserve a member.
 
-    All capacity of an unreachable worker seems to be free, so that it would otherwise
-    attract one gang after the other.
+    An unreachable worker appears to be wholly free, and would otherwise attract one
+    gang after the other.
 
     Parameters
     ----------
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -12,7 +12,7 @@
 
 __all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-ATTEMPTS_PER_WORKER = 2  # the limit on failures is this times the worker limit
+ATTEMPTS_PER_WORKER = 2  # failures per worker of `job.failed_worker_limit`
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
@@ -37,7 +37,7 @@
 
 
 def _check_job(world: World, job: Job | None, now_ms: int) -> bool:
-    """Propose a state for a job; return False if it must be checked again later."""
+    """Propose a new state if a job needs one; return False to check it again later."""
     if job is None or job.state not in (JobState.WAITING, JobState.PARKED):
         return True
     if reason := _failure_reason(world, job):
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -293,7 +293,10 @@
 
 
 def _accepts_work(scheduling: SchedulingState, row: WorkerCapacity) -> bool:
-    """Return whether a worker may get new work, including a single probe."""
+    """Return whether a worker may get new work.
+
+    A quarantined worker may only while it is probed, and only one gang at a time.
+    """
     faults = scheduling.faults.get(row.name)
     quarantined = faults is not None and faults.quarantined
     paused = faults is not None and faults.paused
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -36,10 +36,10 @@
 
 __all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_reserved"]
 
-MIN_CANDIDATES = 256
+MIN_CANDIDATES = 256  # a search stops at this many, or more for a large gang
 CANDIDATES_PER_MEMBER = 4
-MAX_GROUPS = 4
-CORE_BITS = 32
+MAX_GROUPS = 4  # groups of candidates tried at each level of closeness
+CORE_BITS = 32  # buckets of workers, by the bit length of their free cores
 NO_WORKERS: frozenset[str] = frozenset()
 
 
@@ -336,9 +336,14 @@
 
 
 def _block_candidates(
-    world: World, row: WorkerCapacity, cell: int, bound: bool, job: Job, size: int
+    world: World,
+    row: WorkerCapacity,
+    cell: int,
+    bound: bool,
+    job: Job,
+    cell_class: int,
 ) -> Iterator[Candidate]:
-    for block in blocks_in(cell, size):
+    for block in blocks_in(cell, cell_class):
         if block & row.pinned:
             continue
         victims = victims_on(world, row, block, True)
@@ -355,7 +360,10 @@
 def _select_covered(
     scheduling: SchedulingState, share: TeamShare, job: Job, group: list[Candidate]
 ) -> list[Candidate]:
-    """Select candidates in order that leave every guarantee covered."""
+    """Select in order the candidates that leave every guarantee covered.
+
+    A shortfall that exists already may stay, but does not grow.
+    """
     blocks = list(scheduling.unbound_blocks)
     demand = list(scheduling.demand)
     unused = list(share.unused)
@@ -389,9 +397,9 @@
     demand: list[int],
     missing: int,
 ) -> bool:
-    """Bind one more cell in the counts unless a guarantee would lose cover.
+    """Bind one more cell in the counts unless guarantees would lose cover.
 
-    Returns whether the cell was bound.
+    The counts are changed in place. Returns whether the cell was bound.
     """
     cell_class = class_of(candidate.cell.bit_count())
     if not unused[cell_class]:
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -73,7 +73,11 @@
 
 
 def _excluded_workers(world: World, job: Job) -> frozenset[str]:
-    """Return the workers on which the job failed and that are not quarantined."""
+    """Return the workers on which the job failed and that are not quarantined.
+
+    They may still be good for other jobs. A quarantined worker gets no work from any
+    job, except for a probe.
+    """
     faults = world.scheduling.faults
     return frozenset(
         name
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -72,7 +72,7 @@
 
 
 def test_two_jobs_never_preempt_each_other_alternately() -> None:
-    """Guards against an overdue overnight job and an interactive borrower doing so."""
+    """Guards against an overdue overnight job and an interactive borrower in a loop."""
     run = driver([worker(0)], {"guest": (), "other": ()})
     run.put_setting("job.keep_bound_ms", 0)
     submit(run, job("wide", "guest", 1, 8, run_ms=HOUR_MS))
@@ -126,7 +126,7 @@
 
 
 def test_overnight_work_has_only_one_reservation() -> None:
-    """Guards against one more with each arrival at the head, which idles workers."""
+    """Guards against one more with each new head of the queue, which idles workers."""
     run = driver([worker(0), worker(1)], {"guest": ()})
     submit(run, job("a", "guest", 1, 8), job("b", "guest", 1, 8))
     for number in range(4):
@@ -156,7 +156,7 @@
 
 
 def test_reclaimed_cores_are_not_lent_again() -> None:
-    """Guards against an older borrower that gets them back before the job starts."""
+    """Guards against an older borrower that gets the cores before the job starts."""
     run = driver([worker(0)], TEAMS)
     submit(run, job("cores", "guest", 60, 0, run_ms=HOUR_MS))
     submit(run, job("own", "owner", 1, 8, run_ms=9 * HOUR_MS, cores=64))
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -18,11 +18,11 @@
 
 
 def test_a_gang_of_64_starts_among_endless_small_jobs() -> None:
-    """The wait is at most its expected run time, the reservation's limit and a restart.
+    """The gang waits at most its expected run time plus its reservation's limit.
 
-    It becomes first in the queue within its expected run time.
-
-    Compaction is delayed, so that the time limit of the reservation ends the wait.
+    It becomes first in the queue within its expected run time. Compaction is delayed,
+    so that the time limit of the reservation ends the wait. The stop of the borrowers
+    and the start of the gang add `STOP_AND_START_MS`.
     """
     run = driver([worker(number) for number in range(64)], {"a": (), "b": ()})
     run.put_setting("job.overtake_limit_ms", HOUR_MS)
