Correct texts of the agreement and the fold

The check of a placement rejects zones out of service, not workers; defaults of a zone include its region. Names of times and durations are kept apart.

--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -52,7 +52,7 @@
 
 @completers.register(ZonePut)
 def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
-    """Set the base offset from the zone's row in this process's view."""
+    """Set region and base offset from the zone's row in this process's view."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
     return replace(
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -149,8 +149,8 @@
 def issue_read(world: World, now_ms: int) -> None:
     """Keep one read pending that is not overdue.
 
-    A long poll does not satisfy a barrier, and an overdue read is not waited for:
-    in both cases another read is sent; for an overdue one, on a new connection.
+    If the pending read is a long poll and a barrier is requested, or if the read is
+    overdue, another one is sent beside it; for an overdue read, on a new connection.
     """
     view = world.log_view
     timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -47,7 +47,7 @@
     ----------
     world : World
         Tables of the process.
-    body : Body
+    body : RecordBody
         Content of the record.
     now_ms : int
         Current monotonic time, in ms.
@@ -56,7 +56,8 @@
     exchange_id : str
         HTTP exchange that waits for the result of the fold; empty if none.
     give_up_ms : int
-        When the exchange is answered even without a result; 0 for never.
+        When the exchange is answered even without a result, monotonic ms; 0 for
+        never.
 
     Returns
     -------
@@ -179,8 +180,8 @@
 def _abandon_proposal(world: World, proposal: Proposal) -> None:
     """Answer "unknown" if the record may be in the log, else "not run".
 
-    Either way it is not sent again, so that it cannot take effect beside a later
-    retry. A copy that is still in flight takes effect, or not, by its offset.
+    Either way it is not sent again, so that a later retry cannot meet a second copy.
+    A copy that is still in flight takes effect or not, depending on its offset.
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -11,7 +11,7 @@
 
 __all__ = ["send_proposals"]
 
-MAX_APPEND_WEIGHT = 256
+MAX_APPEND_WEIGHT = 256  # a record that is no snapshot part weighs 1
 SNAPSHOT_PART_WEIGHT = 64
 MAX_PENDING_APPENDS = 16
 MAX_DOUBLINGS = 4
@@ -32,11 +32,11 @@
     hedge = any(row.appends for row in due)
     for row in due:
         appends = row.appends + 1
-        late_ms = now_ms + _late_ms(world, appends)
+        retry_ms = now_ms + _late_ms(world, appends)
         world.proposals.update(
-            row.record_id, state=ProposalState.SENT, appends=appends, retry_ms=late_ms
+            row.record_id, state=ProposalState.SENT, appends=appends, retry_ms=retry_ms
         )
-        world.deadlines.add(late_ms)
+        world.deadlines.add(retry_ms)
     world.log_view.appends[due[0].record_id] = now_ms
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
     records = tuple(row.record for row in due)
@@ -64,16 +64,20 @@
 def _may_append(world: World, now_ms: int) -> bool:
     appends = world.log_view.appends
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    for key in [key for key, sent in appends.items() if now_ms - sent > timeout_ms]:
+    for key in [
+        key for key, sent_ms in appends.items() if now_ms - sent_ms > timeout_ms
+    ]:
         del appends[key]
     if not appends:
         return True
     if len(appends) >= MAX_PENDING_APPENDS:
         return False
-    group_ms = max(appends.values()) + effective_value(world.agreed, "log.group_ms")
-    if now_ms >= group_ms:
+    next_append_ms = max(appends.values()) + effective_value(
+        world.agreed, "log.group_ms"
+    )
+    if now_ms >= next_append_ms:
         return True
-    world.deadlines.add(group_ms)
+    world.deadlines.add(next_append_ms)
     return False
 
 
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -77,7 +77,7 @@
 ) -> list[SnapshotPart]:
     """Return the parts of the newest complete snapshot that can be used.
 
-    The records behind it must not have expired, and it must be ahead of the fold.
+    The records after it must not have expired, and it must be ahead of the fold.
     """
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -154,7 +154,11 @@
 
 @checkers.register(GangPlace)
 def check_gang_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
-    """Reject old terms, wrong incarnations, and workers unknown or out of service."""
+    """Reject placements that no longer fit the tables.
+
+    These have an old term, a job that is not waiting, a wrong incarnation or number
+    of members, an unknown worker, or an availability zone out of service.
+    """
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
         return Rejection(f"job {body.job} does not wait", is_conflict=True)
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -73,7 +73,7 @@
 
 @checkers.register(KeyOutcome)
 def check_key_outcome(agreed: Agreed, body: KeyOutcome) -> Rejection | None:
-    """Reject the outcome of an attempt that does not hold the key."""
+    """Reject the outcome of an attempt without the key, and any second outcome."""
     claim = agreed.key_claims.get(body.key)
     if claim is None or claim.attempt_id != body.attempt_id:
         return Rejection(f"key {body.key} is not held by {body.attempt_id}")
