--- a/kingcuppost/systems/member_timing.py
+++ b/kingcuppost/systems/member_timing.py
@@ -84,10 +84,10 @@
 
 
 def isolation_ms(world: World) -> int:
-    """Return how long members may run without contact with the log or an entry.
+    """Return how long members may run cut off from the log and all entries, in ms.
 
-    The time is in ms. It covers at least a few heartbeats, since these are a
-    sidecar's only contact with the entries.
+    It covers at least a few heartbeats, since these are a sidecar's only contact
+    with the entries.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
     return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * heartbeat_period_ms(world))
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -77,7 +77,7 @@
 def _make_aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
     """Return a report whose age is that of the worker's last answered order.
 
-    So a running member is not taken for alive longer than its worker answers.
+    So a running member counts as alive only while its worker answers.
     """
     report = make_report(task)
     if task.state is not TaskState.RUNNING:
@@ -206,7 +206,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=20)
 def handle_leader_replies(world: World, now_ms: int) -> None:
-    """Extend the leases of members of whole gangs, and stop those of broken ones."""
+    """Extend the leases in whole gangs, and stop the running members of broken ones."""
     for reply in world.inbox.take(GangReplyArrived):
         for key in reply.whole:
             _extend_leases(world, key, reply.sent_ms)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -61,8 +61,8 @@
 def _period_ms(world: World) -> int:
     """Return the period of heartbeats, in ms.
 
-    It is at most a fraction of the isolation limit, after which members stop if no
-    entry has answered.
+    It is at most a fraction of the isolation limit, so that an entry answers
+    well within that limit.
     """
     period_ms = heartbeat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -28,7 +28,7 @@
 __all__ = ["handle_worker_answers", "renew_tasks"]
 
 RENEWALS_PER_LEASE = 3
-TASKS_PER_POLL = 8
+TASKS_PER_POLL = 8  # tasks for each `job.poll_ms` of the renewal period
 TASK_ID_NUMBERS = 2
 
 
@@ -83,7 +83,7 @@
     limits_ms += [confirmation_ms(world, gang) for gang in gangs if gang is not None]
     poll_ms = effective_value(world.agreed, "job.poll_ms")
     wanted_ms = poll_ms * max(1, len(leased) // TASKS_PER_POLL)
-    return min([wanted_ms, *(limit // RENEWALS_PER_LEASE for limit in limits_ms)])
+    return min([wanted_ms, *(limit_ms // RENEWALS_PER_LEASE for limit_ms in limits_ms)])
 
 
 def _leases_to_renew(
@@ -144,9 +144,10 @@
 def _handle_reserve_result(
     world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
 ) -> None:
-    """Mark the member as reserved; on failure stop it.
+    """Mark the member as reserved, or on failure as refused.
 
-    The worker may have made the reservation although its answer was lost.
+    A failed order is followed by a stop order, since the worker may have made the
+    reservation although its answer was lost.
     """
     state = TaskState.RESERVED if done.ok else TaskState.REFUSED
     world.tasks.update(task.task_id, state=state)
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -65,7 +65,7 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=70)
 def presume_stopped_members(world: World, now_ms: int) -> None:
-    """Mark stopping members as stopped once the worker must have ended them.
+    """Mark stopping members as stopped once their unresponsive worker has ended them.
 
     A stopping member is not renewed any more, so that the worker ends it when its
     lease lapses, delayed at most by the latency of the last renewal.
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -52,7 +52,7 @@
 
 
 def restart_sidecar(harness: ProcessHarness) -> ProcessHarness:
-    """Return a bench with a new sidecar process at the same worker."""
+    """Return a harness with a new sidecar process at the same worker."""
     again = make_sidecar_harness(harness.log, harness.clock)
     again.worker = harness.worker
     again.settle()
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -74,12 +74,12 @@
         attempt = world.attempts.get(done.attempt_id)
         if attempt is None:
             continue
-        answered = done.free_slots >= 0
-        if answered:
+        sidecar_answered = done.free_slots >= 0
+        if sidecar_answered:
             record_answer(world, done, now_ms)
         else:
             record_failure(world, attempt, now_ms)
-        if (done.running or not answered) and can_resend(world, attempt, done):
+        if (done.running or not sidecar_answered) and can_resend(world, attempt, done):
             schedule_resend(world, attempt, done, now_ms)
             continue
         note(
@@ -115,8 +115,8 @@
     """
     if not done.never_sent:
         return done.outcome
-    never_sent = attempt.resends == 0 and not attempt.key
-    return Outcome.NOT_RUN if never_sent else Outcome.UNKNOWN
+    is_only_send = attempt.resends == 0 and not attempt.key
+    return Outcome.NOT_RUN if is_only_send else Outcome.UNKNOWN
 
 
 def _retry_or_close(
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -67,32 +67,32 @@
 
     The sidecar runs it once and gives the same answer to every resend.
     """
-    row = world.agreed.key_claims.get(request.key)
-    minion = world.agreed.minions.get(row.minion)
-    if minion is None or minion.incarnation != row.minion_incarnation:
+    claim = world.agreed.key_claims.get(request.key)
+    minion = world.agreed.minions.get(claim.minion)
+    if minion is None or minion.incarnation != claim.minion_incarnation:
         reason = "the process that was to run it has gone"
-        if row.outcome == "answered":
+        if claim.outcome == "answered":
             reason = "it has run, and the process that held the answer has gone"
         close_request(
             world,
             request,
             Outcome.UNKNOWN,
-            minion=row.minion,
+            minion=claim.minion,
             step="claim",
             reason=reason,
         )
         return
-    if _has_different_body(world, request, row.attempt_id):
+    if _has_different_body(world, request, claim.attempt_id):
         close_request(
             world,
             request,
             Outcome.UNKNOWN,
-            minion=row.minion,
+            minion=claim.minion,
             step="claim",
             reason="the key stands for another body",
         )
         return
-    send_attempt(world, request, minion, row.attempt_id, row.offset, now_ms)
+    send_attempt(world, request, minion, claim.attempt_id, claim.offset, now_ms)
 
 
 def _has_different_body(world: World, request: Request, attempt_id: str) -> bool:
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -37,8 +37,8 @@
 
 
 def _close(world: World, request: Request, reason: str) -> None:
-    may_run = _may_have_run(world, request)
-    outcome = Outcome.UNKNOWN if may_run else Outcome.NOT_RUN
+    may_have_run = _may_have_run(world, request)
+    outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
     close_request(world, request, outcome, step=request.state, reason=reason)
 
 
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -8,7 +8,7 @@
 
 
 def add_retry_share(world: World, team: str) -> None:
-    """Add one request's share to the retry budget of its team."""
+    """Add the share of a retry that one request earns to its team's budget."""
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
     row = world.retry_budgets.get(team)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -121,7 +121,10 @@
 def schedule_resend(
     world: World, attempt: Attempt, done: AttemptAnswered, now_ms: int
 ) -> None:
-    """Schedule a resend of an attempt, at once unless it failed repeatedly."""
+    """Schedule a resend of an attempt.
+
+    It is sent at once, or after a pause if it failed repeatedly or was never sent.
+    """
     failures = 0 if done.running else attempt.failures + 1
     world.attempts.update(
         attempt.attempt_id, resends=attempt.resends + 1, failures=failures
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -204,7 +204,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=80)
 def hand_over_attempts(world: World, now_ms: int) -> None:
-    """Drop attempts past their deadline, and hand over others to free slots.
+    """Close attempts past their deadline, and hand over others while slots are free.
 
     Interactive attempts go first, then those of the team with the fewest running.
     """
@@ -240,7 +240,7 @@
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
 def answer_pending_exchanges(world: World, now_ms: int) -> None:
-    """Answer exchanges whose hold time is over that the attempt is still running."""
+    """Answer "still running" to exchanges whose hold time is over."""
     for exchange_id in world.hold_deadlines.take_due(now_ms):
         pending = world.pending_exchanges.delete(exchange_id)
         if pending is not None:
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -63,7 +63,8 @@
     answers : dict of str to RequestReply
         Replies to callers by exchange.
     lose_answers, unreachable : set of str
-        Processes whose answers are lost, and processes that can't be reached.
+        Processes whose answers are lost, and processes that cannot be
+        reached.
     log_up : bool
         Whether the log answers reads and appends.
     """
@@ -141,16 +142,16 @@
 
     def advance(self, ms: int) -> None:
         """Advance the clock, and run everything that is due until then."""
-        end = self.clock.now_ms() + ms
+        end_ms = self.clock.now_ms() + ms
         while True:
             self._tick_all()
             next_ms = self._next_ms()
-            if next_ms is None or next_ms > end:
+            if next_ms is None or next_ms > end_ms:
                 break
             self.clock.advance(max(next_ms - self.clock.now_ms(), 0))
             while self._later and self._later[0][0] <= self.clock.now_ms():
                 heapq.heappop(self._later)[2]()
-        self.clock.advance(max(end - self.clock.now_ms(), 0))
+        self.clock.advance(max(end_ms - self.clock.now_ms(), 0))
         self._tick_all()
 
     def outcome(self, exchange: str) -> Outcome | None:
