--- a/kingcuppost/systems/requests/tests/test_policies.py
+++ b/kingcuppost/systems/requests/tests/test_policies.py
@@ -36,7 +36,9 @@
     simulation.advance(10_000)
     assert all(simulation.outcome(call) is Outcome.ANSWERED for call in sent_ms)
     assert max(simulation.max_running.values()) <= SLOTS
-    return sorted(simulation.answered_ms[call] - at for call, at in sent_ms.items())
+    return sorted(
+        simulation.answered_ms[call] - at_ms for call, at_ms in sent_ms.items()
+    )
 
 
 @functools.cache
