State the reasons behind three time limits

The limit on start delays is the rule for zones taken out of service; the others are the least loan of a reservation and the pause for a holder behind in the log.

--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -28,7 +28,7 @@
 
 INTERACTIVE_RANK = 0
 OVERNIGHT_RANK = 1
-MIN_LOAN_MS = 60_000
+MIN_LOAN_MS = 60_000  # least time for an overnight borrower on a reservation
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
--- a/kingcuppost/systems/member_timing.py
+++ b/kingcuppost/systems/member_timing.py
@@ -53,7 +53,7 @@
     A start order that is delayed in flight takes effect only while the reservation
     is valid. A start is therefore later than the view of the log that it is based
     on by at most the age of that view plus this time; together they stay below
-    `MAX_START_DELAY_MS`.
+    `MAX_START_DELAY_MS`, after which no task may start in a zone taken out of service.
     """
     wanted_ms = effective_value(world.agreed, "job.reservation_ms")
     fresh_ms = effective_value(world.agreed, "log.fresh_ms")
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -29,7 +29,7 @@
     "send_reports",
 ]
 
-LAG_PAUSE_MS = 50
+LAG_PAUSE_MS = 50  # until the next report to a holder that is behind in the log
 HEARTBEATS_PER_ISOLATION = 4
 
 
