--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -28,7 +28,7 @@
 
 INTERACTIVE_RANK = 0
 OVERNIGHT_RANK = 1
-MIN_LOAN_MS = 60_000
+MIN_LOAN_MS = 60_000  # least time for an overnight borrower on a reservation
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
@@ -73,7 +73,11 @@
 
 
 def _excluded_workers(world: World, job: Job) -> frozenset[str]:
-    """Return the workers on which the job failed and that are not quarantined."""
+    """Return the workers on which the job failed and that are not quarantined.
+
+    They may still be good for other jobs. A quarantined worker gets no work from any
+    job, except for a probe.
+    """
     faults = world.scheduling.faults
     return frozenset(
         name
