--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -29,7 +29,7 @@
 NEVER_MS = 2**62
 
 SUSPECT_FAILURES = 2  # of different jobs, so that the minion is the likely cause
-SUSPECT_MS = 5_000
+SUSPECT_PAUSE_MS = 5_000  # pause after a stalled run or `SUSPECT_FAILURES`
 SLOW_SPEED_RATIO = 0.65  # of the speed at `REFERENCE_PERCENTILE`
 REFERENCE_PERCENTILE = 70
 FULL_PERCENT = 100
@@ -38,8 +38,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopCostContext:
-    """Inputs to the cost of stopping a run that are the same for all runs.
+class DecisionTimes:
+    """Times by which all runs are assessed in one decision.
 
     Attributes
     ----------
@@ -64,10 +64,11 @@
 def list_candidates(
     world: BatchWorld, now_ms: int, guaranteed_ids: set[str]
 ) -> list[Candidate]:
-    """Return the minions that may be given tasks."""
-    context = StopCostContext(
-        now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms
-    )
+    """Return the minions that may be given tasks, with free capacity and victims.
+
+    Requests another decision for the time at which the pause of a minion ends.
+    """
+    times = DecisionTimes(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
     candidates = {
         row.incarnation: _make_idle_candidate(row) for row in world.schedule.minions
     }
@@ -77,7 +78,7 @@
         for task in iter_tasks(plan):
             if task.phase is TaskPhase.PLACED and task.incarnation in candidates:
                 _add_run(
-                    candidates[task.incarnation], plan, task, guaranteed_ids, context
+                    candidates[task.incarnation], plan, task, guaranteed_ids, times
                 )
     usable = [
         candidate
@@ -110,11 +111,11 @@
     plan: Plan,
     task: Task,
     guaranteed_ids: set[str],
-    context: StopCostContext,
+    times: DecisionTimes,
 ) -> None:
     step = plan.job.steps[task.name.step]
     subtract_tasks(candidate.free_now, step)
-    ends_soon = _ends_soon(candidate.minion, plan, task, context.now_ms)
+    ends_soon = _ends_soon(candidate.minion, plan, task, times.now_ms)
     if not ends_soon:
         subtract_tasks(candidate.free_soon, step)
     if task.stopping:
@@ -123,7 +124,7 @@
     rank = urgency_rank(plan, guaranteed_ids)
     if rank:
         freed = Resources(step.cpu_millis, step.memory_mb, step.accelerators)
-        cost = work_lost_by_stop(plan, task, context.wall_ms, context.restore_ms)
+        cost = work_lost_by_stop(plan, task, times.wall_ms, times.restore_ms)
         candidate.victims.append(Victim(plan, task, rank, freed, cost, ends_soon))
 
 
@@ -158,16 +159,19 @@
     """Return when a minion that refused, failed or stalled a run may be used again."""
     paused_until_ms = row.backoff_until_ms
     if row.stalled_ms is not None:
-        paused_until_ms = row.stalled_ms + SUSPECT_MS
+        paused_until_ms = row.stalled_ms + SUSPECT_PAUSE_MS
     if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
-        paused_until_ms = max(paused_until_ms, row.failed_ms + SUSPECT_MS)
+        paused_until_ms = max(paused_until_ms, row.failed_ms + SUSPECT_PAUSE_MS)
     return paused_until_ms
 
 
 def eligible_candidates(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
-    """Return the candidates whose service and labels suit a unit."""
+    """Return the candidates whose service and labels suit a unit.
+
+    Sets their number of placed tasks to that of the unit's step.
+    """
     eligible = [
         candidate
         for candidate in candidates
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -1,4 +1,4 @@
-"""Pure functions that fit the tasks of a step into free capacity."""
+"""Fitting of the tasks of a step into free or preemptible capacity."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -197,7 +197,7 @@
 def _extend_eviction(
     candidate: Candidate, step: StepSpec, current: Eviction, limit: int
 ) -> Eviction:
-    """Return the eviction for one more task, or the current one if none fits."""
+    """Return an eviction for one or more further tasks, or the current one."""
     wanted = current.count + 1
     resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
@@ -218,7 +218,11 @@
 def _drop_unneeded_victims(
     resources: Resources, step: StepSpec, wanted: int, victims: list[Victim]
 ) -> list[Victim]:
-    """Return the victims without which the capacity would not suffice."""
+    """Return the victims without which the capacity would not suffice.
+
+    Tries to drop the last victims first, which cost most, and subtracts the capacity of
+    those that it drops from `resources`.
+    """
     needed = []
     for victim in reversed(victims):
         remaining = replace(resources)
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -98,7 +98,7 @@
 
 
 def _make_removals(world: BatchWorld) -> list[RemovalRecord]:
-    """Return the removals of all records of the jobs that are to be removed."""
+    """Return the removals of all records of up to `MAX_JOBS_PER_APPEND` ended jobs."""
     removals = world.schedule.removals
     job_ids = list(removals)[:MAX_JOBS_PER_APPEND]
     for job_id in job_ids:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -31,8 +31,8 @@
     "request_stops",
 ]
 
-OCCURRENCE = 0  # of every task, since repeated jobs are not served
-AVOID_MS = 5_000
+OCCURRENCE = 0  # the same for all tasks, since repeated jobs are not supported
+AVOID_MS = 5_000  # time for which a failed task waits for other minions
 ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
@@ -101,7 +101,7 @@
 
 
 def adopt_job(world: BatchWorld, job_id: str) -> None:
-    """Create the plan of a new job, cancel a cancelled one or drop a removed one."""
+    """Create, end or drop the plan of a job that was added, cancelled or removed."""
     schedule = world.schedule
     job = world.agreed.jobs.get(job_id)
     plan = schedule.plans.get(job_id)
@@ -119,7 +119,7 @@
 def _repeat_stops(world: BatchWorld, plan: Plan) -> None:
     """Request again the stops that an earlier term may not have completed.
 
-    These are the runs of ended jobs and of gangs of which some members wait again.
+    They concern the runs of ended jobs, and of gangs with waiting members.
     """
     if plan.phase is PlanState.CLOSING:
         request_stops(world, plan)
@@ -203,7 +203,7 @@
 
 
 def _store_checkpoint(plan: Plan, task: Task, checkpoint: str) -> None:
-    """Store a checkpoint; that of any member serves the whole gang."""
+    """Store a checkpoint; one of any member is valid for the whole gang."""
     task.checkpoint = checkpoint
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
@@ -223,7 +223,7 @@
 def _count_failure(
     plan: Plan, task: Task, incarnation: MinionIncarnation | None, now_ms: int
 ) -> None:
-    """Count a failed run; that of a gang counts once, at its first member."""
+    """Count a failed run; a gang counts each run once, at its first member."""
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
     first_member = members[0]
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -53,9 +53,9 @@
 
 
 def _record_checkpoints(world: BatchWorld) -> None:
-    """Mark the plans with new checkpoints as changed.
+    """Mark the plans with new checkpoints for writing to the log.
 
-    In the log the checkpoints outlive all processes.
+    Checkpoints in the log survive the loss of all processes.
     """
     for plan in world.schedule.plans.values():
         if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
@@ -133,9 +133,9 @@
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
     """Return whether a run has made no progress for too long.
 
-    The limit is longer for runs that would lose much work. Runs that are almost done do
-    not count as stalled: a gang member that has finished its own work waits for the
-    others.
+    The limit is longer for runs that would lose much work, and at least
+    `STALLED_ESTIMATE_PERCENT` of the step's estimate. Runs that are almost done do not
+    count as stalled: a gang member that has finished its own work waits for the others.
     """
     if task.percent >= ALMOST_DONE_PERCENT:
         return False
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 
 __all__ = ["schedule_units"]
 
-URGENT_RETRY_MS = 1_000
+URGENT_RETRY_MS = 1_000  # the progress of runs does not request a decision
 MS_PER_SECOND = 1_000
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -74,8 +74,9 @@
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
     A faulty minion must not use up the attempts of a task only because the other
-    minions are full. The unit therefore waits for the others until its
-    `avoid_until_ms` has passed.
+    minions are full. The unit therefore waits for the others until the
+    `avoid_until_ms` of its tasks has passed, provided that it would fit there if they
+    were idle.
     """
     allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
@@ -95,7 +96,8 @@
 
     Urgent units prefer fast minions. They preempt runs there if the lost work is below
     `MAX_LOSS_RATIO` of their own. Only units within their team's guarantee may
-    preempt at any cost, or spread over several racks, where they run slowly.
+    preempt at any cost, or spread over several racks, where they run slowly. Before
+    other urgent units preempt, they wait for capacity that is about to be released.
     """
     all_groups = _candidate_groups(unit, candidates)
     if not unit.is_urgent:
@@ -158,7 +160,7 @@
 def _place_unit(
     world: BatchWorld, unit: PlacementUnit, groups: list[list[Candidate]]
 ) -> bool:
-    """Place the tasks that fit; return whether no task of the unit still waits."""
+    """Place the tasks that fit; return whether these are all tasks of the unit."""
     for group in groups:
         chosen = choose_candidates(
             group, unit.spec, len(unit.tasks), _make_rank_function(unit)
@@ -233,8 +235,8 @@
 
     Urgent units prefer reliable and fast minions. Other units fill up racks and minions
     that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
-    units prefer slow minions. The last attempt of a task prefers a minion that has
-    completed a run before.
+    units prefer slow minions and leave the fast ones to others. The last attempt of a
+    task prefers a minion that has completed a run before.
     """
     is_last_attempt = unit.is_last_attempt
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
@@ -309,7 +311,8 @@
 ) -> bool:
     """Preempt the cheapest less urgent runs and reserve their capacity for the unit.
 
-    Preempts also for some of the tasks only, unless the unit is a gang.
+    If the capacity does not suffice for all tasks, a gang preempts nothing; other units
+    preempt for some of their tasks.
 
     Parameters
     ----------
@@ -342,11 +345,11 @@
 def _choose_evictions(
     unit: PlacementUnit, groups: list[list[Candidate]], max_cost_core_s: float
 ) -> list[Eviction]:
-    """Return the evictions that fit the most tasks, at the lowest cost among equals."""
+    """Return the evictions for the most tasks, at the lowest cost among equals."""
     best: list[Eviction] = []
     best_key = (0, 0.0)
     wanted = len(unit.tasks)
-    # a gang needs all its members, so only the total cost is limited
+    # a gang needs all its members, so only its total cost is limited
     max_task_cost_core_s = inf if unit.spec.gang else max_cost_core_s
     for group in groups:
         narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -25,17 +25,17 @@
     error of the estimate. Corrected by the mean error over all runs of the step, it
     yields the speed of the machine.
     """
-    sample = _measure_speed(plan, task)
-    if sample is None:
+    sample_speed = _measure_speed(plan, task)
+    if sample_speed is None:
         return
     speed = row.speed
     estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
-    estimate_error.log_sum += log(sample / max(speed.value, MIN_SPEED))
+    estimate_error.log_sum += log(sample_speed / max(speed.value, MIN_SPEED))
     estimate_error.count += 1
-    corrected = sample / exp(estimate_error.mean_log)
-    corrected = min(max(corrected, MIN_SAMPLE_SPEED), MAX_SAMPLE_SPEED)
+    corrected_speed = sample_speed / exp(estimate_error.mean_log)
+    corrected_speed = min(max(corrected_speed, MIN_SAMPLE_SPEED), MAX_SAMPLE_SPEED)
     speed.weight = min(speed.weight + 1, MAX_WEIGHT_RUNS)
-    speed.value += (corrected - speed.value) / (speed.weight + PRIOR_WEIGHT_RUNS)
+    speed.value += (corrected_speed - speed.value) / (speed.weight + PRIOR_WEIGHT_RUNS)
     world.schedule.speeds_changed = True
 
 
@@ -61,7 +61,11 @@
 
 
 def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
-    """Return the remaining duration of a run, from its own progress if known."""
+    """Return the remaining duration of a run.
+
+    It follows from the run's own progress if that is known, else from the corrected
+    estimate and the speed of the machine.
+    """
     remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
     took_ms = task.percent_changed_ms - (
         task.running_since_ms or task.percent_changed_ms
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -51,7 +51,7 @@
 
     @property
     def is_last_attempt(self) -> bool:
-        """Return whether another failure would end the job."""
+        """Return whether a task has failed and another failure would end the job."""
         return any(
             task.failures and task.failures + 1 >= self.plan.job.policy.most_failures
             for task in self.tasks
@@ -102,6 +102,11 @@
 
 
 def _iter_job_units(plan: Plan, rank: int) -> Iterator[PlacementUnit]:
+    """Yield the placement units of a job.
+
+    A gang is ready only once all its members wait. A task that avoids minions is a
+    unit of its own, since the others may run there.
+    """
     for index, spec in enumerate(plan.job.steps):
         tasks = plan.tasks[index]
         waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
