Describe resent appends, claims and redirects of batch entries exactly

The resending of an append of unknown outcome had no description, a claim also takes a free lease, and the log line on a stream said 'again' at the first read.

Describe them; rename RETRY_MS to RENEW_RETRY_MS, as other retries are timed in the same module.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -1,4 +1,4 @@
-"""Handling of callers' calls: submissions, states, cancellations and counts."""
+"""Handling of callers' calls: submissions, cancellations, and reads of job states."""
 
 import string
 
@@ -65,7 +65,7 @@
         configuration = world.agreed.configuration
         world.note(
             "call",
-            f"{call.kind} was answered.",
+            f"{call.kind} call was answered.",
             job=call.path.rpartition("/")[2],
             verdict=reply.verdict,
             reason=reply.reason,
@@ -204,7 +204,7 @@
 def end_pending_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer pending calls whose append has ended or whose record has been read.
 
-    Answers to all other appends are passed on in `append_results`.
+    The results of all other appends are moved to `append_results`.
     """
     for answer in world.inbox.take(AppendEnded):
         pending = world.calls.get(answer.id)
@@ -232,6 +232,12 @@
 def _handle_append_end(
     world: BatchWorld, pending: PendingCall, answer: AppendEnded, now_ms: int
 ) -> None:
+    """Answer a call according to the end of its append, or resend the append.
+
+    An append of unknown outcome is resent until it succeeds or the caller's time is
+    almost over. A later refusal is not final: an earlier attempt may still have
+    reached the log.
+    """
     exchange_id = pending.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
         _end_pending_call(
@@ -241,8 +247,8 @@
     pending.has_unknown_outcome = (
         pending.has_unknown_outcome or answer.outcome is AppendOutcome.UNKNOWN
     )
-    left_ms = pending.call.received_ms + pending.call.timeout_ms - now_ms
-    if pending.has_unknown_outcome and left_ms > ANSWER_MARGIN_MS:
+    remaining_ms = pending.call.received_ms + pending.call.timeout_ms - now_ms
+    if pending.has_unknown_outcome and remaining_ms > ANSWER_MARGIN_MS:
         pending.attempts += 1
         world.outbox.put(pending.append)
     elif pending.has_unknown_outcome:
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -1,4 +1,4 @@
-"""The fold: applies the records of the streams, in offset order, to agreed rows."""
+"""The fold: applies the records of the log's streams to the agreed state."""
 
 from collections.abc import Callable
 from typing import Any
@@ -54,12 +54,12 @@
     view = world.agreed.views[batch.stream]
     if view.fresh_ms is None or batch.sent_ms - view.fresh_ms > FRESH_MS:
         view.gap_ended_ms = now_ms
-        world.note("log", "A stream is followed again.", stream=batch.stream)
+        world.note("log", "A stream is up to date.", stream=batch.stream)
     view.fresh_ms = max(view.fresh_ms or 0, batch.sent_ms)
 
 
 def _remove_unlisted(world: BatchWorld, batch: RecordsRead) -> None:
-    """Remove the rows that are missing in a complete listing of a stream."""
+    """Remove the rows that are missing from a complete listing of a stream."""
     agreed = world.agreed
     records = [record for _, record in batch.records]
     if batch.stream is Stream.JOBS:
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -35,8 +35,8 @@
 
 RENEW_PERIOD_MS = 700
 HOLDER_TIMEOUT_MS = 2_200
-AUTHORITY_MS = 2_000
-RETRY_MS = 200
+AUTHORITY_MS = 2_000  # ends before others claim after `HOLDER_TIMEOUT_MS`
+RENEW_RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
 ANNOUNCE_PAUSE_MS = 1_000
@@ -82,7 +82,7 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
 def claim_lease(world: BatchWorld, now_ms: int) -> None:
-    """Claim the lease if its holder has not renewed it for `HOLDER_TIMEOUT_MS`."""
+    """Claim the lease if it is free or was not renewed for `HOLDER_TIMEOUT_MS`."""
     schedule = world.schedule
     if world.stopping or holds_lease(world):
         return
@@ -110,7 +110,7 @@
 
 
 def _claim_due_ms(world: BatchWorld) -> int | None:
-    """Return when the lease may be claimed; None before the members are known.
+    """Return when the lease may be claimed; None before the members were read.
 
     Time without a renewal counts only while this process was able to read renewals. A
     holder with the name of this process is its previous incarnation, which has ended,
@@ -154,14 +154,14 @@
         until_ms = sent_ms + AUTHORITY_MS
         schedule.authority_until_ms = max(schedule.authority_until_ms, until_ms)
     else:
-        schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RETRY_MS)
+        schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RENEW_RETRY_MS)
 
 
 def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
     """Append a renewal or the release of the lease.
 
-    A renewal is conditional on the end of the stream, so that it fails if a claim has
-    come before it.
+    A renewal is conditional on the end of the stream, so that it fails and gives no
+    authority if a claim has come before it.
     """
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
@@ -175,7 +175,10 @@
 
 
 def make_redirect(world: BatchWorld, exchange_id: str) -> SyncReply:
-    """Return the reply that redirects a sidecar to the holder of the lease."""
+    """Return the reply that redirects a sidecar to the holder of the lease.
+
+    Its `holder` is None if no other entry is known to hold the lease.
+    """
     holder = world.agreed.holder
     is_other = holder.incarnation != world.incarnation and not holder.released
     entries = tuple(entry.address for entry in world.agreed.entries)
@@ -193,7 +196,10 @@
 
 
 def step_down(world: BatchWorld, reason: str) -> None:
-    """Reset the state that belongs to the holder of the lease."""
+    """Reset the state that belongs to the holder of the lease.
+
+    Pending reports are kept, so that their sidecars can be redirected.
+    """
     old = world.schedule
     world.note("lease", "Stepping down.", term=old.term, reason=reason)
     world.schedule = Schedule(
--- a/kingcuppost/batch/systems/queue_lookup.py
+++ b/kingcuppost/batch/systems/queue_lookup.py
@@ -6,7 +6,7 @@
 
 
 def find_queue(configuration: Configuration, host: str, path: str) -> Queue | None:
-    """Return the queue of a host with the longest prefix that matches a path.
+    """Return the queue of a host with the longest prefix of a path, or None.
 
     Examples
     --------
@@ -27,9 +27,9 @@
 
 
 def find_team(configuration: Configuration, queue: Queue, key: str) -> str | None:
-    """Return the team of a key, or None if the key is unknown.
+    """Return the name of the team of a key, or None if the key is unknown.
 
-    On public queues an unknown key yields an empty team.
+    On a public queue an unknown key yields an empty name.
     """
     team = configuration.keys.get(key)
     if team is None and queue.public:
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -81,7 +81,7 @@
 
 
 def _load_plans(world: BatchWorld, now_ms: int) -> None:
-    """Load the plans of all jobs; placed runs may last until their leases expire."""
+    """Load the plans of all jobs; placed runs may last until minion leases expire."""
     schedule = world.schedule
     schedule.is_loaded = True
     schedule.speeds = {
