Use one name for each delay and list between sidecar and scheduler

UNREACHABLE_MS meant two delays in two modules, log lines said that a minion does not answer when it had answered with a failure, and the request for entries depends on the holder's reply, not on any entry's.

Rename the constants and locals, and reword the texts.

--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -13,7 +13,7 @@
 __all__ = ["request_run_lists", "send_run_orders"]
 
 MAX_WAIT_MS = 1_000
-MIN_LEASE_MS = 300
+MIN_START_LEASE_MS = 300
 STOP_POLL_MS = 50
 WAITS_PER_LEASE = 5
 MIN_WAIT_MS = 50
@@ -52,8 +52,8 @@
 def _wait_ms(sidecar_state: SidecarState, now_ms: int) -> int:
     """Return how long the minion may delay its answer while its lists do not change.
 
-    The wait is a part of the time left of the lease, so that a lease that is about to
-    end is renewed in time.
+    The wait is a fraction of the remaining lease, so that the lease is extended before
+    it ends.
     """
     if (
         not sidecar_state.listed
@@ -61,16 +61,16 @@
         or sidecar_state.clock_ms is None
     ):
         return 0
-    left_ms = (
+    remaining_ms = (
         sidecar_state.until_ms
         - sidecar_state.clock_ms
         - (now_ms - sidecar_state.clock_at_ms)
     )
-    return min(MAX_WAIT_MS, max(left_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
+    return min(MAX_WAIT_MS, max(remaining_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
-    """Return whether the end of a run is awaited whose stop the minion accepted."""
+    """Return whether a run has not ended yet whose stop the minion has accepted."""
     return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
 
 
@@ -107,12 +107,16 @@
 
 
 def _send_start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
-    """Send a start, unless the minion lease is about to end or the minion drains."""
+    """Send a start, unless the minion lease is about to end or the minion is draining.
+
+    A draining minion still receives a start of which an earlier copy may be carried
+    out late, so that the outcome becomes known.
+    """
     sidecar_state = world.sidecar_state
     if sidecar_state.until_ms is None or sidecar_state.clock_ms is None:
         return
     clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
-    if sidecar_state.until_ms - clock_ms < MIN_LEASE_MS:
+    if sidecar_state.until_ms - clock_ms < MIN_START_LEASE_MS:
         return
     if sidecar_state.minion.draining and not run.may_still_start:
         return
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -12,9 +12,9 @@
 
 REPLY_WAIT_MS = 1_000
 REPORT_TIMEOUT_MS = 1_500
-MAX_OPEN_REPORTS = 2
+MAX_PENDING_REPORTS = 2
 LIST_ENTRIES_AFTER_MS = 3_000
-HOLDER_KNOWN_MS = 1_500
+RECENT_REPLY_MS = 1_500
 
 
 @system(Phase.PROPOSE, (Role.SIDECAR,), order=10)
@@ -26,7 +26,7 @@
     _request_entries(world, now_ms)
     if sidecar_state.pending_syncs and not sidecar_state.dirty:
         return
-    if len(sidecar_state.pending_syncs) >= MAX_OPEN_REPORTS:
+    if len(sidecar_state.pending_syncs) >= MAX_PENDING_REPORTS:
         return
     if now_ms < sidecar_state.sync_after_ms:
         world.deadlines.add(sidecar_state.sync_after_ms)
@@ -54,12 +54,12 @@
 
 
 def _entry_offset(world: BatchWorld) -> int:
-    """Return this sidecar's start in the list of entries; spreads the sidecars."""
+    """Return the index of the first entry to try; it spreads sidecars over entries."""
     return sum(world.cfg.name.encode())
 
 
 def _request_entries(world: BatchWorld, now_ms: int) -> None:
-    """Request the entries from the log if none has answered for a while."""
+    """Request the entries from the log if the holder has not replied for a while."""
     sidecar_state = world.sidecar_state
     due_ms = max(
         sidecar_state.last_reply_ms + LIST_ENTRIES_AFTER_MS, sidecar_state.list_after_ms
@@ -72,15 +72,15 @@
 
 
 def _make_report(world: BatchWorld, now_ms: int) -> SyncCall:
-    """Return the report; it may wait for orders only if the holder replied recently.
+    """Return the report; its reply may be delayed only if the holder replied recently.
 
     Every reply extends the minion lease, so after a handover the first reply must not
     be delayed.
     """
     sidecar_state = world.sidecar_state
-    is_known = (
+    has_recent_reply = (
         sidecar_state.holder is not None
-        and now_ms - sidecar_state.last_reply_ms <= HOLDER_KNOWN_MS
+        and now_ms - sidecar_state.last_reply_ms <= RECENT_REPLY_MS
     )
     minion = sidecar_state.minion
     if minion is not None:
@@ -90,7 +90,7 @@
         world.cfg.name,
         world.incarnation,
         sidecar_state.sync_number,
-        REPLY_WAIT_MS if is_known else 0,
+        REPLY_WAIT_MS if has_recent_reply else 0,
         minion,
         tuple(sidecar_state.running.values()),
         tuple(sidecar_state.ended.values()),
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -27,7 +27,7 @@
 
 RETRY_MS = 100
 REDIRECT_PAUSE_MS = 250
-UNREACHABLE_MS = 2_500  # an entry that did not answer is skipped for so long
+SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
 
@@ -50,12 +50,12 @@
             continue
         sidecar_state.sequence = heartbeat.sequence
         sidecar_state.address = heartbeat.address
-        if old is None or _is_draining_changed(heartbeat, sidecar_state):
+        if old is None or _has_draining_changed(heartbeat, sidecar_state):
             sidecar_state.dirty = True
         sidecar_state.minion = heartbeat.report
 
 
-def _is_draining_changed(
+def _has_draining_changed(
     heartbeat: MinionHeartbeat, sidecar_state: SidecarState
 ) -> bool:
     old = sidecar_state.minion
@@ -116,7 +116,7 @@
             continue
         sidecar_state.is_hold_open = False
         if lists.reason:
-            _handle_lease_failure(world, lists, now_ms)
+            _handle_list_failure(world, lists, now_ms)
             continue
         _update_minion_clock(sidecar_state, lists)
         _update_running(world, lists, now_ms)
@@ -130,13 +130,13 @@
                 sidecar_state.dirty = True
 
 
-def _handle_lease_failure(
+def _handle_list_failure(
     world: BatchWorld, lists: HoldMinionAnswered, now_ms: int
 ) -> None:
     sidecar_state = world.sidecar_state
     sidecar_state.hold_after_ms = now_ms + RETRY_MS
     if not sidecar_state.hold_failed:
-        world.note("minion", "The minion does not answer.", reason=lists.reason)
+        world.note("minion", "A request for the run lists failed.", reason=lists.reason)
     sidecar_state.hold_failed = True
 
 
@@ -149,9 +149,10 @@
 
 
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
+    """Update the running runs; a run that is not listed after its stop never began."""
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
-        world.note("minion", "The minion answers.")
+        world.note("minion", "The run lists can be read again.")
     sidecar_state.hold_failed = False
     if not sidecar_state.listed:
         sidecar_state.listed = True
@@ -174,7 +175,7 @@
 
 
 def _record_refusal(world: BatchWorld, run: OrderedRun, reason: str) -> None:
-    """Record for the next report that a run certainly never began."""
+    """Record for the next report that a run never began and cannot begin later."""
     sidecar_state = world.sidecar_state
     key = (str(run.order.task), run.order.run)
     sidecar_state.runs.pop(key, None)
@@ -268,7 +269,7 @@
 def _try_next_entry(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
     sidecar_state = world.sidecar_state
     sidecar_state.unreachable_entry = answer.address
-    sidecar_state.unreachable_until_ms = now_ms + UNREACHABLE_MS
+    sidecar_state.unreachable_until_ms = now_ms + SKIP_ENTRY_MS
     if sidecar_state.holder == answer.address:
         sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
@@ -278,10 +279,10 @@
 
 
 def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    """Send the next report to the entry that a reply names as holder.
+    """Send the next report to the holder that a reply contains.
 
-    Without such a name, or if that entry has just failed to answer, the next entry of
-    the list is tried.
+    If it contains none, or that entry has just failed to answer, the next entry of the
+    list is tried.
     """
     sidecar_state = world.sidecar_state
     redirect = answer.reply.holder
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -23,7 +23,7 @@
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
 def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Answer the pending reports that have orders or whose wait is over."""
+    """Answer the pending reports with orders or results, or whose wait is over."""
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
         _redirect_all(world)
@@ -43,14 +43,14 @@
     stops: OrdersByIncarnation,
     now_ms: int,
 ) -> None:
-    """Answer a pending report if it has orders or results, or if its wait is over."""
+    """Answer a pending report if there are orders or results, or its wait is over."""
     call = pending.call
     row = world.schedule.minions.get(call.sidecar)
     incarnation = row.incarnation if row else None
     orphans = _due_orphan_stops(world, call.sidecar, now_ms)
-    noted = _last_committed_end(world, call) if call.ended else 0
+    committed_end = _last_committed_end(world, call) if call.ended else 0
     has_orders = incarnation in starts or incarnation in stops or bool(orphans)
-    if not (has_orders or noted or call.refused or now_ms >= pending.until_ms):
+    if not (has_orders or committed_end or call.refused or now_ms >= pending.until_ms):
         return
     del world.schedule.pending_syncs[call.sidecar]
     for _, task in starts.get(incarnation, ()):
@@ -60,7 +60,7 @@
     for orphan in orphans:
         orphan.sent_ms = now_ms
     world.outbox.put(
-        _make_reply(world, call, incarnation, starts, stops, orphans, noted)
+        _make_reply(world, call, incarnation, starts, stops, orphans, committed_end)
     )
 
 
@@ -121,7 +121,7 @@
     starts: OrdersByIncarnation,
     stops: OrdersByIncarnation,
     orphans: list[OrphanRun],
-    noted: int,
+    committed_end: int,
 ) -> SyncReply:
     schedule = world.schedule
     return SyncReply(
@@ -137,21 +137,21 @@
             + [StopOrder(orphan.run.task, orphan.run.run) for orphan in orphans]
         ),
         settled=tuple(StopOrder(run.task, run.run) for run in call.refused),
-        noted=noted,
+        noted=committed_end,
         entries=tuple(entry.address for entry in world.agreed.entries),
     )
 
 
 def _last_committed_end(world: BatchWorld, call: SyncCall) -> int:
     """Return the number up to which all reported ends are in the log; 0 if none."""
-    known = world.schedule.reported_ends.get(call.sidecar, {})
-    noted = 0
+    reported_ends = world.schedule.reported_ends.get(call.sidecar, {})
+    last_number = 0
     for ended in sorted(call.ended, key=lambda row: row.number):
-        if ended.number not in known:
+        if ended.number not in reported_ends:
             break
-        job_id, version = known[ended.number]
+        job_id, version = reported_ends[ended.number]
         plan = world.schedule.plans.get(job_id)
         if plan is not None and plan.committed < version:
             break
-        noted = ended.number
-    return noted
+        last_number = ended.number
+    return last_number
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -35,7 +35,7 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=80)
 def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Update the plans of jobs that log records have touched since the last tick."""
+    """Update the plans of jobs that log records have changed since the last tick."""
     schedule = world.schedule
     if not is_scheduling(world):
         return
@@ -127,6 +127,7 @@
 
 
 def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
+    # the first label with a hyphen is the rack, such as r1-1
     rack = next((label for label in report.labels if "-" in label), "")
     return MinionRow(
         call.sidecar,
@@ -159,9 +160,9 @@
     world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
 ) -> None:
     wall_ms = world.clock.wall_ms()
-    lost = work_lost_by_end(plan, task, how, wall_ms)
+    lost_core_s = work_lost_by_end(plan, task, how, wall_ms)
     world.tally.add("ends", how)
-    world.tally.add("lost_core_seconds", how, amount=round(lost))
+    world.tally.add("lost_core_seconds", how, amount=round(lost_core_s))
     world.note(
         "run",
         "A run ended.",
@@ -172,7 +173,7 @@
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
         estimate_ms=plan.job.steps[task.name.step].estimate_ms,
-        lost_core_s=round(lost, 1),
+        lost_core_s=round(lost_core_s, 1),
     )
 
 
@@ -185,13 +186,13 @@
         del orphans[key]
     for running in call.running:
         _handle_running_run(world, row, running, now_ms)
-    known = world.schedule.reported_ends.setdefault(call.sidecar, {})
+    reported_ends = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
-    for number in [number for number in known if number not in listed]:
-        del known[number]
+    for number in [number for number in reported_ends if number not in listed]:
+        del reported_ends[number]
     for ended in call.ended:
-        if ended.number not in known:
-            known[ended.number] = _handle_run_end(world, row, ended, now_ms)
+        if ended.number not in reported_ends:
+            reported_ends[ended.number] = _handle_run_end(world, row, ended, now_ms)
     for refused in call.refused:
         _handle_refused_run(world, row, refused, now_ms)
 
@@ -242,7 +243,7 @@
 
 
 def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
-    """Record a run that is not the current run of any task, to be stopped."""
+    """Request the stop of a run that is not the current run of any task."""
     orphans = world.schedule.orphans.setdefault(row.sidecar, {})
     key = (str(running.task), running.run)
     if key not in orphans:
@@ -263,7 +264,7 @@
     """
     found = _find_current_run(world, row.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
-        found = _find_abandoned_run(world, ended)
+        found = _find_lost_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
@@ -274,7 +275,7 @@
     return plan.job.id, plan.version
 
 
-def _find_abandoned_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
+def _find_lost_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
     """Return the waiting task of a run that counted as lost but is done, or None."""
     found = find_task(world, ended.task)
     if found is None:
@@ -311,7 +312,11 @@
 def _handle_refused_run(
     world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
-    """Withdraw a run that never began, and pause placement at its minion."""
+    """Withdraw a run that never began.
+
+    Its minion is assigned no runs for `REFUSAL_PAUSE_MS`, unless the run was to be
+    stopped anyway.
+    """
     found = _find_current_run(world, row.incarnation, refused.task, refused.run)
     if found is None:
         return
