--- a/kingcuppost/batch/tests/test_fold.py
+++ b/kingcuppost/batch/tests/test_fold.py
@@ -1,4 +1,4 @@
-"""Tests of folding: records of the streams change the agreed rows.
+"""Tests of the fold, which applies records of the streams to the agreed state.
 
 Records that are read again change nothing.
 """
@@ -42,12 +42,12 @@
     world: BatchWorld,
     stream: Stream,
     *records: Record,
-    first: int = 0,
+    first_offset: int = 0,
     is_complete: bool = False,
 ) -> None:
     now_ms = world.clock.now_ms()
-    rows = list(enumerate(records, first))
-    end = first + len(records)
+    rows = list(enumerate(records, first_offset))
+    end = first_offset + len(records)
     world.inbox.put(RecordsRead(stream, rows, now_ms, end, is_complete))
     fold_streams(world, now_ms)
 
@@ -64,7 +64,7 @@
 
 def test_complete_listing_removes_missing_rows(world: BatchWorld) -> None:
     fold_records(world, Stream.JOBS, make_job_record())
-    fold_records(world, Stream.JOBS, first=9, is_complete=True)
+    fold_records(world, Stream.JOBS, first_offset=9, is_complete=True)
     assert len(world.agreed.jobs) == 0
 
 
@@ -91,9 +91,9 @@
 
 def test_zones_are_closed_and_reopened(world: BatchWorld) -> None:
     fold_records(world, Stream.OPERATORS, ZoneRecord("a"), ZoneRecord("b"))
-    fold_records(world, Stream.OPERATORS, RemovalRecord("zone/a"), first=2)
+    fold_records(world, Stream.OPERATORS, RemovalRecord("zone/a"), first_offset=2)
     assert set(world.agreed.closed_zones) == {"b"}
-    fold_records(world, Stream.OPERATORS, first=3, is_complete=True)
+    fold_records(world, Stream.OPERATORS, first_offset=3, is_complete=True)
     assert not world.agreed.closed_zones
 
 
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -23,7 +23,9 @@
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
 
 
-def candidate(name: str, free: Resources, costs: tuple[float, ...] = ()) -> Candidate:
+def make_candidate(
+    name: str, free: Resources, costs: tuple[float, ...] = ()
+) -> Candidate:
     row = MinionRow(
         name,
         MinionIncarnation(name, 1),
@@ -50,8 +52,8 @@
     )
 
 
-def rank_by_name(found: Candidate, step: StepSpec) -> tuple:
-    return (found.minion.sidecar,)
+def rank_by_name(candidate: Candidate, step: StepSpec) -> tuple:
+    return (candidate.minion.sidecar,)
 
 
 def test_scarcest_resource_limits_task_count() -> None:
@@ -63,17 +65,17 @@
 
 def test_tasks_fill_candidates_in_order_of_rank() -> None:
     candidates = [
-        candidate("b", MINION_CAPACITY),
-        candidate("a", Resources(64_000, 131_072, 2)),
+        make_candidate("b", MINION_CAPACITY),
+        make_candidate("a", Resources(64_000, 131_072, 2)),
     ]
     chosen = choose_candidates(candidates, STEP, 3, rank_by_name)
-    assert [found.minion.sidecar for found in chosen] == ["a", "b", "b"]
+    assert [candidate.minion.sidecar for candidate in chosen] == ["a", "b", "b"]
 
 
 def test_limit_of_tasks_per_minion_is_respected() -> None:
     one_per_minion = replace(STEP, most_per_minion=1)
     chosen = choose_candidates(
-        [candidate("a", MINION_CAPACITY), candidate("b", MINION_CAPACITY)],
+        [make_candidate("a", MINION_CAPACITY), make_candidate("b", MINION_CAPACITY)],
         one_per_minion,
         3,
         rank_by_name,
@@ -83,8 +85,8 @@
 
 def test_cheapest_victims_are_evicted() -> None:
     no_capacity = Resources(0, 0, 0)
-    costly = candidate("a", no_capacity, (50.0, 60.0, 70.0))
-    cheap = candidate("b", no_capacity, (1.0, 2.0, 3.0))
+    costly = make_candidate("a", no_capacity, (50.0, 60.0, 70.0))
+    cheap = make_candidate("b", no_capacity, (1.0, 2.0, 3.0))
     found = plan_evictions([costly, cheap], STEP, 2, rank_by_name)
     assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
     assert found[0].cost == 3.0
@@ -93,7 +95,10 @@
 
 def test_free_capacity_costs_nothing() -> None:
     found = plan_evictions(
-        [candidate("a", MINION_CAPACITY, (5.0,)), candidate("b", MINION_CAPACITY)],
+        [
+            make_candidate("a", MINION_CAPACITY, (5.0,)),
+            make_candidate("b", MINION_CAPACITY),
+        ],
         STEP,
         3,
         rank_by_name,
@@ -104,19 +109,19 @@
 
 def test_nothing_is_evicted_without_benefit() -> None:
     assert not plan_evictions(
-        [candidate("a", Resources(0, 0, 0), ())], STEP, 3, rank_by_name
+        [make_candidate("a", Resources(0, 0, 0), ())], STEP, 3, rank_by_name
     )
 
 
 def test_maximum_cost_limits_number_of_evictions() -> None:
-    full = candidate("a", Resources(0, 0, 0), (1.0, 90.0))
+    full = make_candidate("a", Resources(0, 0, 0), (1.0, 90.0))
     found = plan_evictions([full], STEP, 2, rank_by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
 def test_unneeded_victims_are_not_evicted() -> None:
     small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
-    full = candidate("a", Resources(0, 0, 0), (1.0, 2.0))
+    full = make_candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
     found = plan_evictions([full], STEP, 1, rank_by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -44,7 +44,7 @@
     phases: str,
     state: JobState = JobState.RUNNING,
 ) -> Plan:
-    """Adopt a job whose progress record gives its tasks these phases."""
+    """Adopt a job whose progress record has `phases`, one letter for each task."""
     rows = tuple(
         TaskProgress(0, index, TaskPhase(phase), 1, 0, "m", 1, "side", 0, "")
         for index, phase in enumerate(phases)
--- a/standins/batch/tests/test_holder_election.py
+++ b/standins/batch/tests/test_holder_election.py
@@ -76,6 +76,7 @@
 
 
 def test_tasks_of_restarted_minions_do_not_wait_for_lease_expiry() -> None:
+    """After a loss of power the minions return with new identifiers."""
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((SMALL,), [1_500])
     deployment.run_for(1_000)
@@ -152,6 +153,7 @@
 
 
 def test_renewal_after_another_claim_gives_no_authority() -> None:
+    """The old holder can append again, but has not read the claim of another entry."""
     deployment = make_ready_deployment()
     old = deployment.holder()
     old.is_rejected_by_log = True
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -46,15 +46,15 @@
         filling = StepSpec(8, cpu_millis=5_000, accelerators=1, estimate_ms=5_000)
         deployment.submit((filling,), [5_000], 2)
     deployment.run_for(12_000)
-    rows = {
+    speeds = {
         row.incarnation.minion: row.speed.value
         for row in deployment.holder().world.schedule.minions
     }
     slow = [minion for minion in deployment.minions.values() if minion.speed < 1]
     fast = [minion for minion in deployment.minions.values() if minion.speed > 1]
-    measured = [minion for minion in fast if rows[minion.id] != 1.0]
+    measured = [minion for minion in fast if speeds[minion.id] != 1.0]
     assert measured
-    assert all(rows[one.id] > rows[two.id] for one in measured for two in slow)
+    assert all(speeds[one.id] > speeds[two.id] for one in measured for two in slow)
 
 
 def test_gang_member_that_waits_for_others_is_not_stalled() -> None:
@@ -86,13 +86,14 @@
 
 
 def test_failed_task_waits_for_another_minion() -> None:
+    """Retries on the idle but faulty minion would use up the attempts of the task."""
     deployment = make_ready_deployment(minions=2)
     whole = StepSpec(1, cpu_millis=64_000, accelerators=8)
     deployment.submit((whole,), [2_000], 2)
     deployment.run_for(200)
     job_id, _ = deployment.submit((whole,), [500], 1)
-    bad = next(minion for minion in deployment.minions.values() if not minion.runs)
-    bad.fails_all_runs = True
+    failing = next(minion for minion in deployment.minions.values() if not minion.runs)
+    failing.fails_all_runs = True
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 8_000
     )
--- a/standins/batch/tests/test_soak.py
+++ b/standins/batch/tests/test_soak.py
@@ -8,7 +8,9 @@
 REGRESSION_DAYS = [
     pytest.param(2010, 12, id="a holder without renewals kept giving orders"),
     pytest.param(1001, 12, id="a run end was recorded after the lease had expired"),
-    pytest.param(1036, 12, id="a run end was recorded late, with zones closed"),
+    pytest.param(
+        1036, 12, id="a run end was recorded after the lease, with zones closed"
+    ),
 ]
 OTHER_DAYS = [pytest.param(seed, 6, id=f"seed {seed}") for seed in (1, 2, 3, 4)]
 
--- a/standins/batch/tests/test_speeds.py
+++ b/standins/batch/tests/test_speeds.py
@@ -10,7 +10,7 @@
 def run_calibration_jobs(
     deployment: Deployment, estimate_factor: float = 1.0, jobs: int = 2
 ) -> Deployment:
-    """Run jobs on all minions; estimates are too short and too long by a factor."""
+    """Run jobs on all minions; estimates are too short and too long in turn."""
     for number in range(jobs):
         factor = estimate_factor if number % 2 else 1 / estimate_factor
         step = StepSpec(
