Describe the fields of the batch tables, messages and models more exactly

Cause: Some descriptions differed from the code: the end of a read is the offset where the next read starts, not the end of the stream; progress records leave out tasks that never had a run, not all waiting tasks; public queues also accept unknown keys; processor time was meant as capacity. Outcomes, phases and several fields had no description, and one type had two names in the models. Change: Docstrings; `Count` is `NonNegativeInt` as in the platform's models, `SPEED_DIGITS` is `SPEED_DECIMALS`, `MAX_WAIT_MS` is `MAX_REPLY_WAIT_MS`, and the decoders name the part of the key that they get.

--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -35,8 +35,8 @@
 __all__ = ["decode_record", "encode_record"]
 
 KEY_SEPARATOR = "/"
-SPEED_DIGITS = 2
-Count = Annotated[int, Field(ge=0)]
+SPEED_DECIMALS = 2
+NonNegativeInt = Annotated[int, Field(ge=0)]
 
 decoders: Registry[str, Callable[[str, bytes], Record]] = Registry("decoder of record")
 encoders: Registry[type, Callable[[Any], tuple[str, bytes]]] = Registry(
@@ -58,16 +58,16 @@
     """Step of a job."""
 
     count: Annotated[int, Field(ge=1)]
-    cpu_millis: Count = 0
-    memory_mb: Count = 0
-    accelerators: Count = 0
-    estimate_ms: Count = 0
-    needs: tuple[Count, ...] = ()
+    cpu_millis: NonNegativeInt = 0
+    memory_mb: NonNegativeInt = 0
+    accelerators: NonNegativeInt = 0
+    estimate_ms: NonNegativeInt = 0
+    needs: tuple[NonNegativeInt, ...] = ()
     gang: bool = False
     one_rack: bool = False
     label: str = ""
     rack: str = ""
-    most_per_minion: Count = 0
+    most_per_minion: NonNegativeInt = 0
     saves: bool = False
 
 
@@ -86,7 +86,7 @@
 
 
 class ProgressModel(RecordModel):
-    """State of a job and of its tasks, without tasks that only wait.
+    """State of a job and of its tasks, without tasks that never had a run.
 
     A task is a row of step, index, phase, run, failures, minion, Unix time of the
     minion's start in ms, sidecar, Unix time of the run's placement in ms, and
@@ -96,7 +96,19 @@
     state: JobState
     begun: bool = False
     tasks: tuple[
-        tuple[Count, Count, TaskPhase, Count, Count, str, int, str, int, str], ...
+        tuple[
+            NonNegativeInt,
+            NonNegativeInt,
+            TaskPhase,
+            NonNegativeInt,
+            NonNegativeInt,
+            str,
+            int,
+            str,
+            int,
+            str,
+        ],
+        ...,
     ] = ()
 
 
@@ -156,7 +168,7 @@
 
 
 @decoders.register("job")
-def _decode_job(rest: str, value: bytes) -> Record:
+def _decode_job(job_id: str, value: bytes) -> Record:
     model = JobModel.model_validate_json(value)
     steps = tuple(StepSpec(**step.model_dump()) for step in model.steps)
     policy = JobPolicy(
@@ -164,7 +176,7 @@
     )
     return JobRecord(
         Job(
-            rest,
+            job_id,
             model.queue,
             model.team,
             model.spec,
@@ -182,9 +194,9 @@
 
 
 @decoders.register("cancel")
-def _decode_cancel(rest: str, value: bytes) -> Record:
+def _decode_cancel(job_id: str, value: bytes) -> Record:
     CancelModel.model_validate_json(value)
-    return CancelRecord(rest)
+    return CancelRecord(job_id)
 
 
 @encoders.register(ProgressRecord)
@@ -210,10 +222,10 @@
 
 
 @decoders.register("progress")
-def _decode_progress(rest: str, value: bytes) -> Record:
+def _decode_progress(job_id: str, value: bytes) -> Record:
     model = ProgressModel.model_validate_json(value)
     tasks = tuple(TaskProgress(*row) for row in model.tasks)
-    return ProgressRecord(rest, Progress(model.state, model.begun, tasks))
+    return ProgressRecord(job_id, Progress(model.state, model.begun, tasks))
 
 
 @encoders.register(EntryRecord)
@@ -228,10 +240,10 @@
 
 
 @decoders.register("entry")
-def _decode_entry(rest: str, value: bytes) -> Record:
+def _decode_entry(name: str, value: bytes) -> Record:
     model = EntryModel.model_validate_json(value)
     address = Address(model.host, model.port)
-    return EntryRecord(rest, address, model.availability_zone, model.incarnation)
+    return EntryRecord(name, address, model.availability_zone, model.incarnation)
 
 
 @encoders.register(ClaimRecord)
@@ -266,7 +278,7 @@
 @encoders.register(SpeedsRecord)
 def _encode_speeds(record: SpeedsRecord) -> tuple[str, bytes]:
     rows = {
-        name: (round(speed.value, SPEED_DIGITS), speed.weight)
+        name: (round(speed.value, SPEED_DECIMALS), speed.weight)
         for name, speed in record.speeds.items()
     }
     return "speeds", SpeedsModel(speeds=rows).to_json()
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -28,7 +28,7 @@
     "encode_sync_reply",
 ]
 
-MAX_WAIT_MS = 10_000
+MAX_REPLY_WAIT_MS = 10_000
 
 
 class PeerModel(BaseModel):
@@ -56,15 +56,15 @@
 class SyncCallModel(PeerModel):
     """Report of a sidecar.
 
-    A present run is a row of task, run, checkpoint and percentage of work done; an
-    ended one of number, task, run, way of the end and checkpoint; a refused one of
-    task, run and reason.
+    Each running run is a row of task, run, checkpoint and percentage of work done; each
+    ended run a row of number, task, run, kind of end and checkpoint; each refused run a
+    row of task, run and reason.
     """
 
     sidecar: str
     incarnation: str
     number: int
-    wait_ms: Annotated[int, Field(ge=0, le=MAX_WAIT_MS)]
+    wait_ms: Annotated[int, Field(ge=0, le=MAX_REPLY_WAIT_MS)]
     minion: MinionModel | None = None
     running: tuple[tuple[str, int, str, int], ...] = ()
     ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
@@ -72,7 +72,11 @@
 
 
 class SyncReplyModel(PeerModel):
-    """Orders for a sidecar; starts are rows of task, run, spec and checkpoint."""
+    """Orders for a sidecar.
+
+    Each start is a row of task, run, spec and checkpoint; each stop and each settled
+    run is a row of task and run.
+    """
 
     term: int
     holder: str = ""
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -54,7 +54,7 @@
     peers : Address
         Address at which other processes of the system reach it.
     seeds : tuple of Address
-        Entries that were known at start; some may be gone.
+        Peer addresses of the entries in the settings; some may no longer exist.
     bounds : Bounds
         Times that the deployment guarantees or requires.
     """
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -34,7 +34,7 @@
     slack_factor : float
         Target time of a job as a multiple of its critical path.
     public : bool
-        Whether calls without a key are accepted.
+        Whether calls without a valid key are accepted.
     """
 
     name: str
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """The complete configuration by the operators.
+    """The operators' complete configuration.
 
     Attributes
     ----------
@@ -96,7 +96,7 @@
     value : float
         Amount of work per unit of time, relative to a machine of speed 1.0.
     weight : float
-        Number of runs that the value is based on.
+        Number of runs that the value is based on, up to a limit.
     """
 
     value: float = 1.0
@@ -114,7 +114,7 @@
     incarnation : MinionIncarnation
         Its present incarnation.
     service, availability_zone, rack : str
-        The service that it runs tasks of, and its location.
+        The service whose tasks it runs, and its location.
     labels : frozenset of str
         All its labels.
     resources : Resources
@@ -122,7 +122,7 @@
     draining : bool
         Whether it is about to leave.
     remaining_ms : int
-        Minimum time that is left while it drains.
+        Minimum time that is left until it leaves, while it drains.
     last_report_ms : int
         Time of its sidecar's newest report.
     speed : Speed
@@ -136,7 +136,7 @@
     failed_ms : int
         Time of the last failed run here.
     backoff_until_ms : int
-        Time until which it is assigned no runs after it refused one.
+        Time until which no runs are placed on it after it refused one.
     is_unreachable : bool
         Whether its sidecar has stopped reporting.
     has_completed_run : bool
@@ -175,14 +175,14 @@
 
 @dataclass(slots=True)
 class HolderView:
-    """State of the scheduling lease as it follows from the log.
+    """State of the scheduling lease, derived from the log.
 
     Attributes
     ----------
     term : int
         Offset of the claim that opened the term, plus 1; 0 if there is none.
     name, incarnation : str
-        The entry that holds the lease, and its incarnation.
+        The entry that holds the lease, and its incarnation; empty if there is none.
     address : Address or None
         Address at which sidecars reach the holder.
     last_renewal_ms : int
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -1,4 +1,4 @@
-"""Jobs, their steps and tasks, and the scheduler's plans of them."""
+"""Jobs, their steps and tasks, and the scheduler's plans for them."""
 
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -20,7 +20,7 @@
 
 
 class JobState(StrEnum):
-    """State of a job that is reported to callers."""
+    """State of a job, as reported to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -42,7 +42,7 @@
 
 
 class RunEnd(StrEnum):
-    """Way in which a run ended.
+    """How a run ended.
 
     Attributes
     ----------
@@ -57,8 +57,8 @@
     REFUSED
         The run never began and cannot begin later.
     LOST
-        The minion lease expired, or the incarnation was over, before any end was
-        reported.
+        The minion lease expired, or the minion's incarnation ended, before the end of
+        the run was reported.
     """
 
     DONE = "done"
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionIncarnation:
-    """An incarnation of a minion, from a start of it to its end.
+    """One incarnation of a minion, from its start to its end.
 
     Attributes
     ----------
@@ -129,13 +129,13 @@
     count : int
         Number of tasks.
     cpu_millis : int
-        Processor time for each task, in thousandths of a core.
+        Processor capacity for each task, in thousandths of a core.
     memory_mb, accelerators : int
         Memory in MB and accelerators for each task.
     estimate_ms : int
-        The caller's rough estimate of a task's duration.
+        The caller's rough estimate of a task's duration; 0 if there is none.
     needs : tuple of int
-        Steps whose tasks must all be completed first.
+        Indices of the steps whose tasks must all be completed first.
     gang : bool
         Whether the tasks make progress only while all of them run.
     one_rack : bool
@@ -166,7 +166,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobPolicy:
-    """Settings of a job's queue at the time at which the job was accepted.
+    """Settings of a job's queue when the job was accepted.
 
     Attributes
     ----------
@@ -188,7 +188,7 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job as it follows from the log; equal in all entries.
+    """A job, derived from the log and therefore the same in all entries.
 
     Attributes
     ----------
@@ -203,13 +203,13 @@
     accepted_ms : int
         Unix time at which an entry accepted it, in ms.
     offset : int
-        Offset of the record that submitted it.
+        Offset of the record that submitted it; -1 until that record is read.
     policy : JobPolicy
         Settings of its queue when it was accepted; kept if the queue is removed.
     cancelled : bool
         Whether a caller has cancelled it.
     state : JobState
-        Its state in the newest progress record.
+        Its state in the newest progress record; queued if there is none.
     begun : bool
         Whether a run of a task was ever placed.
     progress : Progress or None
@@ -232,7 +232,19 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskProgress:
-    """Progress of one task, as a progress record stores it."""
+    """Progress of one task, as a progress record stores it.
+
+    Attributes
+    ----------
+    minion, born_ms : str, int
+        Minion incarnation where the run is placed; empty and 0 if no run is placed.
+    sidecar : str
+        Sidecar of that minion; empty if no run is placed.
+    placed_ms : int
+        Unix time at which the run was placed, in ms; 0 if no run is placed.
+    checkpoint : str
+        Newest checkpoint; empty for none, and for a task that is done.
+    """
 
     step: int
     index: int
@@ -248,7 +260,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """Progress of a job, as a progress record stores it."""
+    """Progress of a job, as a progress record stores it.
+
+    Tasks that never had a run are left out.
+    """
 
     state: JobState
     begun: bool
@@ -259,6 +274,8 @@
 class Task:
     """A task in the scheduler's plan.
 
+    Times are readings of the monotonic clock, unless described as Unix times.
+
     Attributes
     ----------
     name : TaskName
@@ -292,11 +309,11 @@
     stop_sent_ms : int or None
         Time at which the stop was last sent to the sidecar.
     percent : int
-        Share of the run's work that is done, as reported by the minion.
+        Percentage of the run's work that is done, as reported by the minion.
     initial_percent : int
-        Share that was done when the run was first reported.
+        Percentage that was done when the run was first reported.
     percent_changed_ms : int
-        Time at which the reported share last changed.
+        Time at which the reported percentage last changed.
     was_migrated : bool
         Whether a run of it was stopped because its minion was slow.
     last_failed_run : int
@@ -304,7 +321,7 @@
     avoided_minions : set of str
         Minions where a run of it failed, made no progress or was slow.
     avoid_until_ms : int
-        Time until which it waits rather than runs there again.
+        Time until which it waits for other minions rather than run on one of those.
     """
 
     name: TaskName
@@ -348,12 +365,22 @@
 
     @property
     def mean_log(self) -> float:
-        """Return the mean logarithm, with one extra run that matches the estimate."""
+        """Return the mean logarithm, damped by one extra run that fits the estimate."""
         return self.log_sum / (self.count + 1)
 
 
 class PlanState(StrEnum):
-    """Phase of the scheduler's work on a job."""
+    """Phase of the scheduler's work on a job.
+
+    Attributes
+    ----------
+    OPEN
+        The job has not ended.
+    CLOSING
+        The job has ended, and its remaining runs are being stopped.
+    OVER
+        The job has ended and has no runs left.
+    """
 
     OPEN = "open"
     CLOSING = "closing"
@@ -373,7 +400,9 @@
     state : JobState
         State for the next progress record.
     phase : PlanState
-        `CLOSING` while runs of an ended job are stopped.
+        Phase of the scheduler's work on the job.
+    begun : bool
+        Whether a run of a task was ever placed.
     version : int
         Increases with each change.
     committed : int
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -32,14 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerCall:
-    """A call by a caller.
+    """A caller's request.
 
     Attributes
     ----------
     exchange_id : str
         Identifier of the open HTTP exchange.
     kind : CallKind
-        Kind of the request; a state without a job identifier requests a count.
+        Kind of the request; a `STATE` request whose path has no job identifier requests
+        the number of waiting jobs.
     host, path, key : str
         Host and path of the request, and the caller's key; empty for none.
     received_ms : int
@@ -64,7 +65,21 @@
 
 
 class CallOutcome(StrEnum):
-    """Outcome of a caller's call."""
+    """Outcome of a caller's call.
+
+    Attributes
+    ----------
+    OK
+        The call was carried out.
+    BAD
+        The request is invalid.
+    NO_KEY, NO_QUEUE, NO_JOB
+        The caller's key, the queue or the job is unknown.
+    NOT_RUN
+        The call was certainly not carried out and may be repeated.
+    UNKNOWN
+        The call may have been carried out.
+    """
 
     OK = "ok"
     BAD = "bad"
@@ -77,7 +92,23 @@
 
 @dataclass(frozen=True, slots=True)
 class CallReply:
-    """Answer to a caller's call."""
+    """Answer to a caller's call.
+
+    Attributes
+    ----------
+    exchange_id : str
+        Identifier of the open HTTP exchange.
+    verdict : CallOutcome
+        Outcome of the call.
+    state : JobState or None
+        State of the job, if it was requested.
+    waiting : int or None
+        Number of waiting jobs in the queue, if it was requested.
+    retry_after_ms : int
+        Time after which the caller should repeat the call; 0 for none.
+    reason : str
+        Why the call was not carried out; empty for none.
+    """
 
     exchange_id: str
     verdict: CallOutcome
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -140,7 +140,7 @@
     sent_ms : int
         Time at which the read was sent; the records are at least as recent.
     end : int
-        Offset after the last record of the stream.
+        Offset at which the next read starts.
     whole : bool
         Whether these are the newest records of all keys.
     """
@@ -167,7 +167,8 @@
     at : int or None
         Offset at which the stream must end, or None for any.
     term, sequence : int or None
-        Term of the writer, and number of the append within the term.
+        Term of the writer, and number of the append within the term; a term of None
+        for an append that any entry may make.
     timeout_ms : int
         Time to wait for the answer.
     """
@@ -193,7 +194,7 @@
     CONFLICT
         The stream ends elsewhere, or the log expects another sequence number.
     FENCED
-        A newer term has written.
+        The log has accepted an append of a newer term.
     UNKNOWN
         The append may have been carried out.
     """
@@ -207,7 +208,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendEnded:
-    """Answer to an append."""
+    """Answer to an append.
+
+    Attributes
+    ----------
+    offset : int
+        Offset of the first appended record; -1 if none is known.
+    end : int
+        Offset after the last record of the stream; -1 if it is not known.
+    reason : str
+        Why the append failed; empty if it was carried out.
+    """
 
     id: str
     outcome: AppendOutcome
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedRun:
-    """A run that ended at a minion; `number` increases within its incarnation."""
+    """A run that ended; `number` increases within the minion's incarnation."""
 
     number: int
     task: TaskName
@@ -82,7 +82,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncCall:
-    """A sidecar's report to the scheduler."""
+    """A sidecar's report to the scheduler.
+
+    Attributes
+    ----------
+    exchange_id : str
+        Identifier of the open HTTP exchange; empty in the sidecar.
+    incarnation : str
+        Identifier of this start of the sidecar process.
+    number : int
+        Number of the report.
+    wait_ms : int
+        Time for which the answer may be delayed while there are no orders.
+    minion : MinionReport or None
+        State of the minion; None if there is none beside the sidecar.
+    """
 
     exchange_id: str
     sidecar: str
@@ -224,7 +238,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Request to start a run at the minion beside the sidecar."""
+    """Request to start a run at the minion beside the sidecar.
+
+    Attributes
+    ----------
+    until_ms : int
+        End of the minion lease, on the minion's clock.
+    """
 
     address: Address
     incarnation: MinionIncarnation
@@ -266,7 +286,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswered:
-    """Answer to `StartRun` or `StopRun`."""
+    """Answer to `StartRun` or `StopRun`.
+
+    Attributes
+    ----------
+    start : bool
+        Whether it is the answer to `StartRun`.
+    """
 
     incarnation: MinionIncarnation
     task: TaskName
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -75,7 +75,15 @@
 
 @dataclass(slots=True)
 class Agreed:
-    """State that follows from the log; equal in all entries that have read as far."""
+    """State derived from the log.
+
+    It is the same in all entries that have read the log up to the same offsets.
+
+    Attributes
+    ----------
+    closed_zones : dict of str to int
+        Offset of the record that took an availability zone out of service, by zone.
+    """
 
     jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
     entries: Table[EntryMember] = field(default_factory=lambda: Table("name"))
@@ -140,14 +148,17 @@
 
 @dataclass(slots=True)
 class Schedule:
-    """Working tables of the holder of the scheduling lease.
+    """Scheduling state of an entry, most of it used only while it holds the lease.
 
     Attributes
     ----------
     term : int
         Term that this process holds; -1 if none.
     jitter_ms : int
-        Random delay of this entry's claims, so that entries do not claim together.
+        Random delay of this entry's claims, so that entries do not claim at the same
+        time.
+    fence_id : str
+        Identifier of the append after which the log rejects older terms.
     claim_sent_ms : int
         Time at which the newest claim was sent; a new term's authority counts from it.
     is_open : bool
@@ -169,7 +180,7 @@
     authority_until_ms : int
         Time before which no other entry can have opened a term.
     renewals : dict of str to int
-        Time at which each unanswered renewal was sent.
+        Time at which each unanswered renewal was sent, by identifier of its append.
     orphans : dict of str to dict
         Runs that belong to no task, by sidecar, and by task and run.
     removals : dict of str to None
@@ -181,11 +192,12 @@
     incarnation_sidecars : dict of MinionIncarnation to str
         Sidecar beside the minion of an incarnation.
     reported_ends : dict of str to dict
-        Job and plan version that record an end, by sidecar and number of the end.
+        Job and plan version that must be in the log before an end is acknowledged, by
+        sidecar and number of the end.
     changed_jobs : dict of str to None
         Jobs that were added, cancelled or removed but not planned again yet.
     append_results : list of AppendEnded
-        Answers to all appends but those of calls, until they are handled.
+        Answers to all appends except those of calls, until they are handled.
     speeds : dict of str to Speed
         Estimated speeds of the machines, by sidecar.
     speeds_changed : bool
@@ -270,10 +282,14 @@
 
 @dataclass(slots=True)
 class SidecarState:
-    """What a sidecar knows of its minion and of the scheduler.
+    """State of a sidecar: its minion, its runs and its contact with the scheduler.
 
     Attributes
     ----------
+    address : Address or None
+        Address at which the minion serves requests.
+    sequence : int
+        Sequence number of the minion's newest heartbeat.
     listed : bool
         Whether the minion's runs were read in its present incarnation.
     clock_ms, clock_at_ms : int
@@ -288,13 +304,20 @@
     hold_failed : bool
         Whether the newest `HoldMinion` failed.
     acknowledged_end : int
-        Number up to which the scheduler has recorded the reported ends in the log.
+        Number up to which the reported ends are in the log.
+    running, refused : dict of tuple of str and int to row
+        Runs that are present at the minion, and refused runs that the scheduler has not
+        processed yet, by task and run.
+    ended : dict of int to EndedRun
+        Ends of runs that are not yet known to be in the log, by number.
+    runs : dict of tuple of str and int to OrderedRun
+        Ordered runs that have neither ended nor been refused, by task and run.
     pending_syncs : dict of int to int
         Time at which each unanswered report was sent.
     unreachable_entry, unreachable_until_ms : Address or None, int
         An entry that did not answer, and until when it is skipped.
     dirty : bool
-        Whether there is news for the scheduler.
+        Whether a report is due even if another one is still unanswered.
     last_reply_ms : int
         Time of the newest answer by the holder of the lease.
     list_after_ms : int
