Explain limits and conventions of the batch edges and the platform adapter

Cause: The timeout of a read had no reason beside it: reads of a silent store that lasted longer left the log unfollowed for over 2 s, so submissions were refused. Readers could not tell why metrics are imported late, why a dropped log line is silent, what 502 and 503 mean between relay and peer, or what a surface is. Parameters and errors of the store client and the framing had no description. Change: Docstrings and comments. The checks for open exchanges before the reactor stops are no longer called flush checks, and three locals say what they hold.

--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -29,7 +29,7 @@
 
     def __init__(self, world: BatchWorld) -> None:
         self._world = world
-        self._window_ms = 0
+        self._window_start_ms = 0
         self._written = 0
         self._dropped = 0
         self._logger = _make_logger()
@@ -39,8 +39,8 @@
         if not self._world.lines:
             return
         now_ms = self._world.clock.now_ms()
-        if now_ms - self._window_ms >= MS_PER_SECOND:
-            self._window_ms = now_ms
+        if now_ms - self._window_start_ms >= MS_PER_SECOND:
+            self._window_start_ms = now_ms
             self._written = 0
         for line in self._world.lines:
             self._write(line.part, line.text, line.fields)
@@ -71,6 +71,7 @@
     os.set_blocking(sys.stdout.fileno(), False)
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(JsonFormatter("%(levelname)s %(message)s"))
+    # without this, a dropped line would print a traceback to standard error
     handler.handleError = lambda record: None
     logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [handler]
--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -92,6 +92,7 @@
 @peer_paths.register("/metrics")
 def serve_metrics(context: BatchContext, request: Request) -> None:
     """Serve the metrics in the Prometheus text format."""
+    # imported on the first request, since start-up time is part of every recovery
     from kingcuppost.batch.edges.metrics import metrics_text
 
     answer(request, STATUS_OK, metrics_text(context.world))
--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -24,8 +24,8 @@
 __all__ = ["build_batch_context", "make_batch_world", "run_batch_process"]
 
 SEED_BYTES = 8
-FLUSH_CHECK_PERIOD_S = 0.05
-MAX_FLUSH_CHECKS = 20
+IDLE_CHECK_PERIOD_S = 0.05
+MAX_IDLE_CHECKS = 20
 
 
 def make_batch_world(
@@ -55,10 +55,10 @@
 def _make_clock(role: Role) -> Clock:
     """Return the clock of a role.
 
-    Each errs towards a lease that ends too early. An entry's clock advances while its
-    machine is suspended, so that its authority expires meanwhile. A minion's clock may
-    stop while its machine is suspended, so its sidecar must not count that time as
-    passed on the minion's clock.
+    Each errs on the side of a lease that ends too early. An entry's clock advances
+    while its machine is suspended, so that its authority expires meanwhile. A minion's
+    clock may stop while its machine is suspended, so its sidecar must not count that
+    time as passed on the minion's clock.
     """
     return BootClock() if role is Role.ENTRY else SystemClock()
 
@@ -122,23 +122,27 @@
 
 @batch_senders.register(StopProcess)
 def stop_process(context: BatchContext, message: StopProcess) -> None:
-    """Close the listening ports, wait for open exchanges, then stop the reactor."""
+    """Close the listening ports, wait for open exchanges, then stop the reactor.
+
+    The systems send the message on every tick; only the first one has an effect. The
+    wait ends after `MAX_IDLE_CHECKS` checks even if exchanges are still open.
+    """
     if not context.ports:
         return
     for port in context.ports:
         port.stopListening()
     context.ports.clear()
-    _stop_when_idle(context, MAX_FLUSH_CHECKS)
+    _stop_when_idle(context, MAX_IDLE_CHECKS)
 
 
 def _stop_when_idle(context: BatchContext, checks_left: int) -> None:
     if not context.reactor.running:
         return
     if not context.exchanges or not checks_left:
-        context.reactor.callLater(FLUSH_CHECK_PERIOD_S, _stop, context)
+        context.reactor.callLater(IDLE_CHECK_PERIOD_S, _stop, context)
         return
     context.reactor.callLater(
-        FLUSH_CHECK_PERIOD_S, _stop_when_idle, context, checks_left - 1
+        IDLE_CHECK_PERIOD_S, _stop_when_idle, context, checks_left - 1
     )
 
 
--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -1,4 +1,8 @@
-"""HTTP servers of the surfaces; a registry maps each surface to its handler."""
+"""HTTP servers of the surfaces; a registry maps each surface to its handler.
+
+A surface is the HTTP interface for one kind of client, such as callers or peers, and
+has an address of its own.
+"""
 
 import socket
 from collections.abc import Callable
@@ -54,7 +58,7 @@
     site.displayTracebacks = False
     if listener is None:
         listener = listen_at(address.host, address.port)
-    # adoptStreamPort duplicates the descriptor, so the original is closed
+    # adoptStreamPort duplicates the descriptor, so the original must be closed
     with listener:
         port = context.reactor.adoptStreamPort(listener.fileno(), socket.AF_INET, site)
     context.ports.append(port)
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -71,7 +71,7 @@
     saves: bool = Field(False, alias="checkpointing")
     # whether the tasks run until their job is cancelled
     lasts: bool = Field(False, alias="longRunning")
-    # whether the tasks use only spare capacity
+    # whether the tasks use only spare capacity; ignored
     fills: bool = False
     # number of times that the steps run, on a schedule
     occurrences: int = Field(0, alias="repeatCount")
@@ -117,7 +117,7 @@
 
 @surfaces.register("callers")
 def serve_caller(context: BatchContext, request: Request) -> None:
-    """Deliver a caller's request as a call."""
+    """Deliver a caller's request to the systems."""
     method = request.method.decode("ascii", "replace")
     if method not in CALL_KINDS:
         answer(request, STATUS_METHOD_NOT_ALLOWED)
@@ -129,7 +129,7 @@
         job = parsed.default_value(None)
         body_error = parsed.error if parsed.is_error() else ""
     authorization = request.getHeader("authorization") or ""
-    text = request.getHeader("deadline-ms") or ""
+    timeout_text = request.getHeader("deadline-ms") or ""
     context.deliver(
         CallerCall(
             open_exchange(context, request),
@@ -138,7 +138,7 @@
             request.path.decode("utf-8", "replace"),
             authorization.removeprefix(BEARER_PREFIX),
             context.world.clock.now_ms(),
-            int(text) if text.isdigit() else DEFAULT_TIMEOUT_MS,
+            int(timeout_text) if timeout_text.isdigit() else DEFAULT_TIMEOUT_MS,
             job,
             body_error,
         )
@@ -147,7 +147,7 @@
 
 @batch_senders.register(CallReply)
 def send_call_reply(context: BatchContext, reply: CallReply) -> None:
-    """Answer a caller that still waits."""
+    """Answer a caller's request, unless its connection is closed."""
     request = context.exchanges.pop(reply.exchange_id, None)
     if request is None:
         return
@@ -158,8 +158,9 @@
         body["pending"] = reply.waiting
     if reply.reason:
         body["error"] = reply.reason
-    retry_after_s = -(-reply.retry_after_ms // MS_PER_SECOND)
+    retry_after_s = -(-reply.retry_after_ms // MS_PER_SECOND)  # rounded up
     if context.world.stopping:
+        # the port closes soon, so the caller must not reuse the connection
         request.setHeader(b"connection", b"close")
     answer(
         request,
--- a/kingcuppost/platform/framing.py
+++ b/kingcuppost/platform/framing.py
@@ -26,7 +26,13 @@
 
 
 def encode_keyed_record(key: str, value: bytes) -> bytes:
-    """Return a keyed record: length of the key in 1 byte, key, value."""
+    """Return a keyed record: length of the key in 1 byte, key, value.
+
+    Raises
+    ------
+    ValueError
+        If the key is longer than 255 bytes.
+    """
     name = key.encode()
     return bytes([len(name)]) + name + value
 
@@ -53,6 +59,8 @@
 def decode_read_reply(body: bytes) -> tuple[int, int, list[bytes]]:
     r"""Return the end offset, the first retained offset and the records of a read.
 
+    The body consists of the two offsets in 8 bytes each and the framed records.
+
     Raises
     ------
     ValueError
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -77,7 +77,7 @@
     born: int = 0
     # rows: task, run, checkpoint, percent done or paced; more columns may follow
     running: tuple[tuple, ...] = ()
-    # rows: number, task, run, kind of end, checkpoint
+    # rows: number, task, run, kind of end as in `RunEnd`, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
 
 
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -49,7 +49,7 @@
 
 
 class _ListenModel(_Model):
-    # address for callers' connections
+    # address for callers' requests
     frontend: AddressText | None = None
     readiness: AddressText | None = None
     # address for minions' heartbeats
@@ -64,6 +64,7 @@
     name: str = Field(alias="nodeName")
     ip: str
     zone: str
+    # the first is the port for other processes; the second is not used
     ports: tuple[int, int] = Field(alias="internalPorts")
     seeds: tuple[AddressText, ...] = ()
     listen: _ListenModel
@@ -112,7 +113,7 @@
 
 def _make_config(model: _SettingsModel, role: Role) -> PlatformConfig:
     port = model.ports[0]
-    # a seed has an entry's heartbeat port; all processes use the same peer port
+    # a seed is an entry's heartbeat address; all processes use the same peer port
     seeds = tuple(Address(text.rpartition(":")[0], port) for text in model.seeds)
     daemon = DaemonConfig(
         role,
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -1,6 +1,6 @@
-"""Client of the platform's store, which can relay calls through a peer.
+"""Client of the platform's store, which makes calls directly or through a peer.
 
-The store may refuse one machine while it serves the others. A call that failed directly
+The store may refuse one machine while it serves the others. A call that fails directly
 is sent to another entry, which relays it to the store unchanged. A call is relayed at
 most once.
 """
@@ -88,6 +88,17 @@
         While the store does not serve this machine, a peer is tried first, and probes
         detect when the store serves the machine again.
 
+        Parameters
+        ----------
+        method, path : str
+            HTTP method, and path with query.
+        body : bytes
+            Body of the request; empty for none.
+        timeout_ms : int
+            Timeout of each attempt, in ms; a relayed one gets `RELAY_MARGIN_MS` more.
+        max_routes : int
+            Number of routes to try; with 1 there is no second attempt.
+
         Raises
         ------
         PeerError
@@ -146,7 +157,13 @@
     async def call_directly(
         self, method: str, path: str, body: bytes, timeout_ms: int
     ) -> StoreReply:
-        """Call the store without a relay, and record whether it serves this machine."""
+        """Call the store without a relay, and record whether it serves this machine.
+
+        Raises
+        ------
+        PeerError
+            If the store gave no answer.
+        """
         try:
             response = await self._context.client.exchange(
                 method, self.address, path, body, timeout_ms
@@ -180,7 +197,7 @@
         try:
             await self.call_directly("GET", PROBE_PATH, b"", PROBE_TIMEOUT_MS)
         except PeerError:
-            # logged already when the store stopped serving this machine
+            # already logged when the store stopped serving this machine
             self._context.world.tally.add("probes_failed")
 
     def _choose_peer(self) -> Address:
@@ -207,11 +224,12 @@
     store = getattr(context.adapter_state, "store", None)
     call = request.getHeader(RELAY_HEADER) or ""
     method, _, path = call.partition(" ")
-    text = request.getHeader(TIMEOUT_HEADER) or ""
-    if store is None or not path.startswith("/") or not text.isdigit():
+    timeout_text = request.getHeader(TIMEOUT_HEADER) or ""
+    if store is None or not path.startswith("/") or not timeout_text.isdigit():
         answer(request, STATUS_BAD_REQUEST)
         return
-    timeout_ms = min(int(text), MAX_TIMEOUT_MS)
+    timeout_ms = min(int(timeout_text), MAX_TIMEOUT_MS)
+    # a peer that disconnects before the answer is no error
     disconnected = request.notifyFinish()
     disconnected.addErrback(lambda _: None)
     context.world.tally.add("relayed")
@@ -232,6 +250,7 @@
     try:
         reply = await store.call_directly(method, path, body, timeout_ms)
     except PeerError as exc:
+        # the peer takes 503 as a refusal and 502 as an unknown outcome
         is_unsent = exc.step == "connect"
         reply = Response(STATUS_UNAVAILABLE if is_unsent else STATUS_BAD_GATEWAY, b"")
     if not request._disconnected:
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -42,6 +42,9 @@
     Stream.MEMBERS: "keyed.members",
     Stream.OPERATORS: "keyed.op",
 }
+# An unanswered read times out after the sum of both, 1.4 s. This leaves time to read
+# through a peer before the stream counts as stale after 2 s (`FRESH_MS` of the fold)
+# and submissions are refused.
 READ_WAIT_MS = 1_000
 READ_MARGIN_MS = 400
 LIST_TIMEOUT_MS = 1_500
@@ -129,7 +132,7 @@
         if not page.more or not page.items:
             break
         last_key = page.items[-1].key
-    # jobs come first: other records of a job are ignored until its row exists
+    # jobs come first: the fold ignores other records of a job that has no row yet
     rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
     return RecordsRead(stream, rows, sent_ms, end, whole=True)
 
@@ -152,7 +155,8 @@
 ) -> RecordsRead | None:
     """Return the records from an offset on; None if the stream lacks that offset.
 
-    A read uses only one route, so that the next read follows soon after a timeout.
+    A read uses only one route: after a timeout the next read, which tries a peer first,
+    must follow before the stream counts as stale.
     """
     sent_ms = context.world.clock.now_ms()
     path = _make_path(
@@ -183,7 +187,10 @@
 
 
 def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
-    """Follow a stream forever: list it, then read on; list it again after a gap."""
+    """Follow a stream forever: list it, then read on; list it again after a gap.
+
+    An unexpected error ends the process.
+    """
     ensureDeferred(_follow_stream(context, store, stream)).addErrback(
         _stop_process, context
     )
@@ -196,6 +203,7 @@
     )
     context.wake()
     context.exit_code = 70  # EX_SOFTWARE of sysexits.h
+    # the delay lets the next tick write the log line
     context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
 
 
@@ -209,6 +217,7 @@
             if position is None:
                 batch = await _list_newest(context, store, stream)
             else:
+                # after a failure, an answer without waiting restores freshness at once
                 wait_ms = 0 if is_failing else READ_WAIT_MS
                 batch = await _read_records(context, store, stream, position, wait_ms)
         except PeerError as exc:
