Name answers in the agreement systems, and state their limits exactly

Cause: messages such as ReadAnswered were held in a local called done, defaults were filled in by completers, and some docstrings said less than the code does: how far apart appends are sent, which records the queue limit concerns, and by which margin a start stays below its limit.

Change: comments, docstrings and private names only.

--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -84,9 +84,9 @@
 
 @system(Phase.REPORT, order=10)
 def stop_gracefully(world: World, now_ms: int) -> None:
-    """Record the leave in the log, finish the open work, then exit.
+    """Propose the leave notice, finish the open work, then exit.
 
-    A second stop request, or the end of the time limit, exits at once.
+    A second stop request, or the end of the time limit, forces the exit at once.
     """
     for _ in world.inbox.take(StopRequested):
         if world.stopping:
@@ -122,7 +122,7 @@
 
 
 def _has_leave_timed_out(world: World, now_ms: int) -> bool:
-    """Return whether the time for the log to accept the leave notice is over."""
+    """Return whether the time to wait for the fold of the leave notice is over."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
     until_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -19,14 +19,16 @@
 
 __all__ = ["fill_in_defaults"]
 
-completers: Registry[type, Callable[[World, Any], RecordBody]] = Registry("completer")
+default_fillers: Registry[type, Callable[[World, Any], RecordBody]] = Registry(
+    "default filler"
+)
 
 
 def fill_in_defaults(world: World, body: RecordBody) -> RecordBody:
     """Return a record body with omitted names and base offsets filled in."""
-    if type(body) not in completers:
+    if type(body) not in default_fillers:
         return body
-    return completers[type(body)](world, body)
+    return default_fillers[type(body)](world, body)
 
 
 def _base_offset_of(row: Any, base_offset: int) -> int:
@@ -35,7 +37,7 @@
     return row.offset if row is not None else 0
 
 
-@completers.register(JobSubmit)
+@default_fillers.register(JobSubmit)
 def fill_in_job(world: World, body: JobSubmit) -> JobSubmit:
     """Generate a name for a job that has none."""
     if body.job:
@@ -43,14 +45,14 @@
     return replace(body, job=new_identifier(world.rng, "job"))
 
 
-@completers.register(TeamPut)
+@default_fillers.register(TeamPut)
 def fill_in_team(world: World, body: TeamPut) -> TeamPut:
     """Set the base offset from the team's row in this process's view."""
     row = world.agreed.teams.get(body.name)
     return replace(body, base_offset=_base_offset_of(row, body.base_offset))
 
 
-@completers.register(ZonePut)
+@default_fillers.register(ZonePut)
 def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
     """Set region and base offset from the zone's row in this process's view."""
     row = world.agreed.availability_zones.get(body.name)
@@ -60,7 +62,7 @@
     )
 
 
-@completers.register(SettingPut)
+@default_fillers.register(SettingPut)
 def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
     """Set the base offset from the setting's row in this process's view."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -36,29 +36,29 @@
 
     Several reads may be pending; records that were already folded are skipped.
     """
-    for done in world.inbox.take(ReadAnswered):
-        read = world.log_view.reads.pop(done.read_id, None)
+    for answer in world.inbox.take(ReadAnswered):
+        read = world.log_view.reads.pop(answer.read_id, None)
         if read is None:
             continue
-        if not done.ok:
-            _schedule_retry(world, done, now_ms)
+        if not answer.ok:
+            _schedule_retry(world, answer, now_ms)
             continue
         world.log_view.failed_reads = 0
         _drop_superseded_reads(world, read, now_ms)
         if world.log_view.search is not None:
-            handle_search_read(world, done, now_ms)
-        elif is_search_due(world, done):
-            begin_search(world, done, now_ms)
+            handle_search_read(world, answer, now_ms)
+        elif is_search_due(world, answer):
+            begin_search(world, answer, now_ms)
         else:
-            _fold_read(world, done, read, now_ms)
+            _fold_read(world, answer, read, now_ms)
             world.log_view.next_read_ms = now_ms
 
 
 def _drop_superseded_reads(world: World, answered: PendingRead, now_ms: int) -> None:
-    """Drop late reads that were sent before a read that was answered.
+    """Drop overdue reads that were sent before a read that was answered.
 
-    Their connections do not respond. If they still counted as pending, every tick
-    would issue another hedged read.
+    Their connections are unresponsive. If the reads still counted as pending, every
+    tick would issue another hedged read.
     """
     reads = world.log_view.reads
     for read_id, read in list(reads.items()):
@@ -67,16 +67,16 @@
 
 
 def _fold_read(
-    world: World, done: ReadAnswered, read: PendingRead, now_ms: int
+    world: World, answer: ReadAnswered, read: PendingRead, now_ms: int
 ) -> None:
     view = world.log_view
-    for item in done.records:
+    for item in answer.records:
         _fold_record(world, item)
-    view.folded_offset = max(view.folded_offset, done.end)
-    _update_head(world, done, read.sent_ms, now_ms)
+    view.folded_offset = max(view.folded_offset, answer.end)
+    _update_head(world, answer, read.sent_ms, now_ms)
 
 
-def _schedule_retry(world: World, done: ReadAnswered, now_ms: int) -> None:
+def _schedule_retry(world: World, answer: ReadAnswered, now_ms: int) -> None:
     """Delay the next read, with exponential backoff and jitter.
 
     The jitter keeps processes that lost the log at the same time from all
@@ -88,13 +88,13 @@
     view.failed_reads += 1
     view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
     world.deadlines.add(view.next_read_ms)
-    note(world, "log.read", f"Read failed: {done.reason}.")
+    note(world, "log.read", f"Read failed: {answer.reason}.")
 
 
-def _update_head(world: World, done: ReadAnswered, sent_ms: int, now_ms: int) -> None:
+def _update_head(world: World, answer: ReadAnswered, sent_ms: int, now_ms: int) -> None:
     view = world.log_view
-    view.head_offset = max(done.head, view.head_offset)
-    if view.folded_offset < done.head:
+    view.head_offset = max(answer.head, view.head_offset)
+    if view.folded_offset < answer.head:
         return
     view.fresh_as_of_ms = max(view.fresh_as_of_ms, sent_ms)
     view.last_answer_ms = now_ms
@@ -149,8 +149,9 @@
 def issue_read(world: World, now_ms: int) -> None:
     """Keep one read pending that is not overdue.
 
-    If the pending read is a long poll and a barrier is requested, or if the read is
-    overdue, another one is sent beside it; for an overdue read, on a new connection.
+    Another read is sent beside the pending one if that is overdue, or if it is a
+    long poll and a barrier is requested. Beside an overdue read, it is sent on a new
+    connection.
     """
     view = world.log_view
     timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
--- a/kingcuppost/systems/agreement/freshness.py
+++ b/kingcuppost/systems/agreement/freshness.py
@@ -11,7 +11,8 @@
 def fresh_age_ms(world: World, now_ms: int) -> int:
     """Return the age in ms of the latest read that reached the head of the log.
 
-    The age counts from the sending of that read.
+    The age counts from the sending of that read, since the log looked up its head no
+    earlier than that.
     """
     fresh_as_of_ms = world.log_view.fresh_as_of_ms
     return now_ms - fresh_as_of_ms if fresh_as_of_ms >= 0 else INFINITE_AGE_MS
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -29,7 +29,7 @@
 STATUS_INVALID = 422
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
-STEP = "change"
+CHANGE_STEP = "change"
 
 
 def propose(
@@ -89,7 +89,10 @@
 
 
 def has_queue_capacity(world: World) -> bool:
-    """Return whether the queue accepts one more requested record."""
+    """Return whether the queue accepts one more record that was requested.
+
+    Records that this process proposes for itself are queued regardless.
+    """
     limit = effective_value(world.agreed, "log.queue_limit")
     return len(world.proposals) < limit
 
@@ -134,13 +137,13 @@
 
 def _refuse_change(world: World, exchange_id: str, status: int, reason: str) -> None:
     note(world, "change.refuse", f"Change refused: {reason}.")
-    refusal = ChangeRefused(Outcome.NOT_RUN, STEP, world.identity.name, reason)
+    refusal = ChangeRefused(Outcome.NOT_RUN, CHANGE_STEP, world.identity.name, reason)
     world.outbox.put(Reply(exchange_id, status, refusal))
 
 
 @system(Phase.MEMBERSHIP, order=30)
 def answer_proposers(world: World, now_ms: int) -> None:
-    """Answer the exchanges whose records were folded or timed out."""
+    """Answer the exchanges whose records were folded or that have timed out."""
     for record_id, fold_result in world.fold_results.items():
         proposal = world.proposals.delete(record_id)
         if proposal is not None and proposal.exchange_id:
@@ -159,7 +162,10 @@
         accepted = ChangeAccepted(fold_result.offset, proposal.record_id, name)
         return Reply(proposal.exchange_id, STATUS_OK, accepted)
     refusal = ChangeRefused(
-        Outcome.NOT_RUN, STEP, f"log offset {fold_result.offset}", fold_result.reason
+        Outcome.NOT_RUN,
+        CHANGE_STEP,
+        f"log offset {fold_result.offset}",
+        fold_result.reason,
     )
     return Reply(proposal.exchange_id, STATUS_CONFLICT, refusal)
 
@@ -173,15 +179,16 @@
     """Return an answer that names the record, so that its outcome can be looked up."""
     name = _subject_name(proposal)
     what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
-    unknown = ChangeRefused(Outcome.UNKNOWN, STEP, "log", f"{what}: {reason}")
+    unknown = ChangeRefused(Outcome.UNKNOWN, CHANGE_STEP, "log", f"{what}: {reason}")
     return Reply(proposal.exchange_id, STATUS_GATEWAY_TIMEOUT, unknown)
 
 
 def _abandon_proposal(world: World, proposal: Proposal) -> None:
     """Answer "unknown" if the record may be in the log, else "not run".
 
-    Either way it is not sent again, so that a later retry cannot meet a second copy.
-    A copy that is still in flight takes effect or not, depending on its offset.
+    Either way it is not sent again, so that a retry of the change cannot conflict
+    with a copy sent after it. A copy that is still in flight takes effect or not,
+    depending on its offset.
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -53,7 +53,7 @@
 
 
 def _holder_timeout_ms(world: World) -> int:
-    """Return after how long without an answer the lease is claimed, in ms.
+    """Return the time without an answer after which the lease is claimed, in ms.
 
     The jitter differs among processes, so that their claims do not coincide.
     """
@@ -99,7 +99,7 @@
 
 @system(Phase.REPORT, roles=(Role.ENTRY,), order=20)
 def answer_holder_pings(world: World, now_ms: int) -> None:
-    """Answer the pings of other entries; say whether this process follows the log."""
+    """Answer other entries' pings, with whether this process follows the log."""
     follows = is_following(world, now_ms)
     reply = HolderReply(world.identity.name, world.identity.incarnation, follows)
     for ping in world.inbox.take(HolderPingArrived):
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -1,4 +1,4 @@
-"""Append queued records to the log in groups, until they are folded."""
+"""Append queued records to the log in groups, repeatedly until they are folded."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -11,8 +11,8 @@
 
 __all__ = ["send_proposals"]
 
-MAX_APPEND_WEIGHT = 256  # a record that is no snapshot part weighs 1
-SNAPSHOT_PART_WEIGHT = 64
+MAX_APPEND_WEIGHT = 256
+SNAPSHOT_PART_WEIGHT = 64  # any other record weighs 1
 MAX_PENDING_APPENDS = 16
 MAX_DOUBLINGS = 4
 
@@ -21,8 +21,8 @@
 def send_proposals(world: World, now_ms: int) -> None:
     """Append the queued records as one group.
 
-    A pending append delays later records for a short time only, so that a log that
-    is slow by seconds still accepts them.
+    Up to `MAX_PENDING_APPENDS` appends may be pending, sent at least `log.group_ms`
+    apart, so that a log that answers seconds late still accepts all records.
     """
     _handle_append_results(world, now_ms)
     _requeue_overdue(world, now_ms)
@@ -109,27 +109,27 @@
 
 def _handle_append_results(world: World, now_ms: int) -> None:
     """Mark the records of confirmed appends; queue those of failed appends again."""
-    for done in world.inbox.take(AppendAnswered):
-        world.log_view.appends.pop(done.record_ids[0], None)
-        if not done.ok:
-            note(world, "log.append", f"Append not confirmed: {done.reason}.")
-        for record_id in done.record_ids:
+    for answer in world.inbox.take(AppendAnswered):
+        world.log_view.appends.pop(answer.record_ids[0], None)
+        if not answer.ok:
+            note(world, "log.append", f"Append not confirmed: {answer.reason}.")
+        for record_id in answer.record_ids:
             row = world.proposals.get(record_id)
             if row is not None:
-                _handle_append_result(world, row, done, now_ms)
+                _handle_append_result(world, row, answer, now_ms)
 
 
 def _handle_append_result(
-    world: World, row: Proposal, done: AppendAnswered, now_ms: int
+    world: World, row: Proposal, answer: AppendAnswered, now_ms: int
 ) -> None:
-    if done.ok:
+    if answer.ok:
         world.proposals.update(
             row.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
         )
         return
     if row.state is ProposalState.APPENDED:
         return
-    appends = row.appends - 1 if done.never_sent else row.appends
+    appends = row.appends - 1 if answer.never_sent else row.appends
     retry_ms = now_ms + effective_value(world.agreed, "log.retry_ms")
     world.proposals.update(
         row.record_id, state=ProposalState.QUEUED, appends=appends, retry_ms=retry_ms
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -14,26 +14,26 @@
 SEARCH_WINDOW_RECORDS = 200
 
 
-def is_search_due(world: World, done: ReadAnswered) -> bool:
+def is_search_due(world: World, answer: ReadAnswered) -> bool:
     """Return whether the next records have expired, or are too many to fold."""
     view = world.log_view
-    if _has_expired_records(view, done.earliest):
+    if _has_expired_records(view, answer.earliest):
         return True
-    return not view.searched and done.head - view.folded_offset > MAX_LAG_RECORDS
+    return not view.searched and answer.head - view.folded_offset > MAX_LAG_RECORDS
 
 
 def _has_expired_records(view: LogView, earliest: int) -> bool:
     return view.folded_offset + 1 < earliest
 
 
-def begin_search(world: World, done: ReadAnswered, now_ms: int) -> None:
+def begin_search(world: World, answer: ReadAnswered, now_ms: int) -> None:
     """Start a search for a snapshot, backwards from the head.
 
     If the next record has expired, this process is neither caught up nor fresh
     until a snapshot is loaded.
     """
     view = world.log_view
-    if _has_expired_records(view, done.earliest):
+    if _has_expired_records(view, answer.earliest):
         view.caught_up = False
         view.fresh_as_of_ms = -1
         view.last_answer_ms = -1
@@ -41,21 +41,21 @@
         note(world, "log.expired", text)
     view.reads.clear()
     view.next_read_ms = now_ms
-    after = _window_start(done.head, done.earliest)
-    view.search = SnapshotSearch(done.head, after, done.earliest)
+    after = _window_start(answer.head, answer.earliest)
+    view.search = SnapshotSearch(answer.head, after, answer.earliest)
 
 
 def _window_start(upper_offset: int, earliest: int) -> int:
     return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def handle_search_read(world: World, done: ReadAnswered, now_ms: int) -> None:
-    """Collect the parts in one window; load a complete snapshot or search on."""
+def handle_search_read(world: World, answer: ReadAnswered, now_ms: int) -> None:
+    """Collect the parts in one window; load a complete snapshot or go on searching."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
-    search.earliest = max(search.earliest, done.earliest)
-    _collect_parts(search, done)
+    search.earliest = max(search.earliest, answer.earliest)
+    _collect_parts(search, answer)
     if found := _newest_complete_snapshot(search, view.folded_offset):
         _load_snapshot(world, found)
     elif search.after > search.earliest - 1:
@@ -65,8 +65,8 @@
         _end_search(world, search, now_ms)
 
 
-def _collect_parts(search: SnapshotSearch, done: ReadAnswered) -> None:
-    for item in done.records:
+def _collect_parts(search: SnapshotSearch, answer: ReadAnswered) -> None:
+    for item in answer.records:
         body = item.record.body
         if isinstance(body, SnapshotPart):
             search.parts.setdefault(body.snapshot_id, {})[body.index] = body
@@ -75,9 +75,10 @@
 def _newest_complete_snapshot(
     search: SnapshotSearch, folded_offset: int
 ) -> list[SnapshotPart]:
-    """Return the parts of the newest complete snapshot that can be used.
+    """Return the parts of the newest usable snapshot; empty if there is none.
 
-    The records after it must not have expired, and it must be ahead of the fold.
+    It must be complete and ahead of the fold, and the records after it must not have
+    expired.
     """
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -20,7 +20,7 @@
 
 
 def track_snapshot_part(world: World, item: StoredRecord) -> None:
-    """Record a part that is in the log, and its snapshot once that is complete."""
+    """Track a part read from the log, and its snapshot once that is complete."""
     progress = world.snapshot_progress
     part = item.record.body
     if item.record.record_id in world.proposals:
@@ -45,8 +45,8 @@
 def write_snapshots(world: World, now_ms: int) -> None:
     """Draft a snapshot when one is due, and propose its parts a few at a time.
 
-    A process that loses the scheduling lease drops its draft; readers ignore
-    incomplete snapshots.
+    Only the holder of the scheduling lease writes snapshots. A process that loses the
+    lease drops its draft; readers ignore incomplete snapshots.
     """
     progress = world.snapshot_progress
     if not is_scheduler(world) or not world.log_view.caught_up:
--- a/kingcuppost/systems/member_timing.py
+++ b/kingcuppost/systems/member_timing.py
@@ -21,15 +21,16 @@
 
 
 def lease_ms(world: World, gang: Gang) -> int:
-    """Return how long members may run after all were last confirmed, in ms."""
+    """Return how long members may run after their gang was last complete, in ms."""
     return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
 
 
 def confirmation_ms(world: World, gang: Gang) -> int:
     """Return how long one confirmation by the leader is valid, in ms.
 
-    The leader declares the gang broken up to this long after a member's last report,
-    and its last confirmation is valid for this long: together they are the lease.
+    The leader declares the gang broken at most this long after a member's last
+    report. A confirmation that it gave just before is valid for this long again, so
+    that both times together make up the lease.
     """
     return lease_ms(world, gang) // CONFIRMATIONS_PER_LEASE
 
@@ -52,8 +53,9 @@
 
     A start order that is delayed in flight takes effect only while the reservation
     is valid. A start is therefore later than the view of the log that it is based
-    on by at most the age of that view plus this time; together they stay below
-    `MAX_START_DELAY_MS`, after which no task may start in a zone taken out of service.
+    on by at most the age of that view plus this time. Together they stay
+    `START_MARGIN_MS` below `MAX_START_DELAY_MS`, after which no task may start in a
+    zone taken out of service.
     """
     wanted_ms = effective_value(world.agreed, "job.reservation_ms")
     fresh_ms = effective_value(world.agreed, "log.fresh_ms")
@@ -84,10 +86,10 @@
 
 
 def isolation_ms(world: World) -> int:
-    """Return how long members may run cut off from the log and all entries, in ms.
+    """Return how long members may run while cut off from the log and entries, in ms.
 
-    It covers at least a few heartbeats, since these are a sidecar's only contact
-    with the entries.
+    It covers at least `HEARTBEATS_UNTIL_ISOLATED` heartbeats, since these are a
+    sidecar's only contact with the entries.
     """
     wanted_ms = effective_value(world.agreed, "job.isolation_ms")
     return max(wanted_ms, HEARTBEATS_UNTIL_ISOLATED * heartbeat_period_ms(world))
--- a/kingcuppost/systems/record_events.py
+++ b/kingcuppost/systems/record_events.py
@@ -43,7 +43,7 @@
 
 
 def note_proposal(world: World, record: Record) -> None:
-    """Add an event: this process has proposed a record."""
+    """Add the event that this process has proposed a record."""
     note(
         world,
         f"propose.{record.body.kind}",
@@ -54,7 +54,7 @@
 
 
 def note_record(world: World, record: Record, offset: int, rejection: str) -> None:
-    """Add an event: this process has folded a record.
+    """Add the event that this process has folded a record.
 
     Parameters
     ----------
