Say in the fold which jobs are parked, evicted or failed

Cause: the checks of JobRefuse and JobPark accept parked jobs too, which their docstrings denied; the rule that a job with a gang is not evicted, and the reason why an unset key keeps its row, were not written down.

Change: docstrings, a comment and a local name.

Checked: ruff format and check, pytest kingcuppost/systems kingcuppost/tests passed, same structure as before.

--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -51,7 +51,7 @@
 
 
 def _check_waiting_job(agreed: Agreed, name: str, term: int) -> Rejection | None:
-    """Check that a job is waiting and that the term is current."""
+    """Check that a job is waiting or parked, and that the term is current."""
     job = agreed.jobs.get(name)
     if job is None or job.state not in WAITING_STATES:
         return Rejection(f"job {name} does not wait", is_conflict=True)
@@ -128,20 +128,23 @@
 
 @checkers.register(JobRefuse)
 def check_job_refuse(agreed: Agreed, body: JobRefuse) -> Rejection | None:
-    """Reject records of an old term, and jobs that are not waiting."""
+    """Reject records of an old term, and jobs neither waiting nor parked."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
 @appliers.register(JobRefuse)
 def apply_job_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
-    """End the job as failed if the record says so, else as refused."""
+    """End the job as failed if it failed wherever it ran, else as refused.
+
+    The scheduler has decided this; the record carries it in `failed`.
+    """
     state = JobState.FAILED if body.failed else JobState.REFUSED
     _end_job(agreed, body.job, state, body.reason, item)
 
 
 @checkers.register(JobPark)
 def check_job_park(agreed: Agreed, body: JobPark) -> Rejection | None:
-    """Reject records of an old term, and jobs that are not waiting."""
+    """Reject records of an old term, and jobs neither waiting nor parked."""
     return _check_waiting_job(agreed, body.job, body.term)
 
 
@@ -154,7 +157,7 @@
 
 @checkers.register(GangPlace)
 def check_gang_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
-    """Reject placements that no longer fit the tables.
+    """Reject placements that the tables do not allow.
 
     These have an old term, a job that is not waiting, a wrong incarnation or number
     of members, an unknown worker, or an availability zone out of service.
@@ -299,6 +302,10 @@
 def _end_job(
     agreed: Agreed, name: str, state: JobState, reason: str, item: FoldInput
 ) -> None:
+    """Set the job's final state, and evict the oldest ended jobs beyond the maximum.
+
+    A job is not evicted while it has a gang, since that still occupies accelerators.
+    """
     agreed.jobs.update(
         name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
     )
@@ -312,9 +319,9 @@
 
 
 def _end_gang(agreed: Agreed, key: str) -> None:
-    """Move the gang to the bounded table of ended gangs, which frees its accelerators.
+    """Move the gang to the bounded table of ended gangs, and so free its accelerators.
 
-    That table keeps its decision for later explanation.
+    That table keeps the gang's decision for later explanation.
     """
     agreed.ended_gangs.put(agreed.gangs.delete(key))
     while len(agreed.ended_gangs) > MAX_ENDED_GANGS:
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -61,7 +61,7 @@
 
 
 def _evict_decisions(agreed: Agreed, newest: str) -> None:
-    """Keep only the newest keys' decisions, since they are larger than the claims."""
+    """Keep only the newest keys' decisions, since decisions are larger than claims."""
     agreed.explained_keys.delete(newest)
     agreed.explained_keys.put(ExplainedKey(newest))
     while len(agreed.explained_keys) > MAX_EXPLAINED_KEYS:
--- a/kingcuppost/systems/fold/record_rules.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -79,8 +79,8 @@
     """Apply one record, or return why it has no effect.
 
     A record is rejected if its identifier was already folded. It is also rejected
-    if its author had folded so little that the record may repeat one whose
-    identifier is no longer remembered.
+    if its author had folded the log only up to an offset so old that the record may
+    repeat one whose identifier is no longer remembered.
     """
     if item.record.record_id in agreed.recent:
         return Rejection("the record is a repeat")
--- a/kingcuppost/systems/fold/snapshot_slices.py
+++ b/kingcuppost/systems/fold/snapshot_slices.py
@@ -11,7 +11,7 @@
 
 __all__ = ["SLICE_WEIGHT", "load_slices", "slices_of"]
 
-SLICE_WEIGHT = 200
+SLICE_WEIGHT = 200  # a slice ends with the row that reaches it
 SINGLE_ROWS = ("lease", "floors")
 TABLE_NAMES = tuple(
     item.name for item in fields(AgreedSlice) if item.name not in SINGLE_ROWS
@@ -27,8 +27,8 @@
     1
     """
     chunks = list(_chunks(agreed)) or [{}]
-    head = {"lease": copy(agreed.lease), "floors": copy(agreed.floors)}
-    chunks[0].update(head)
+    single_rows = {"lease": copy(agreed.lease), "floors": copy(agreed.floors)}
+    chunks[0].update(single_rows)
     return [AgreedSlice(**_frozen(chunk)) for chunk in chunks]
 
 
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -118,7 +118,10 @@
 
 @appliers.register(SettingPut)
 def apply_setting(agreed: Agreed, body: SettingPut, item: FoldInput) -> None:
-    """Set the key on its branch; an unset key keeps a row with its offset."""
+    """Set or unset the key on its branch.
+
+    An unset key keeps its row, so that later changes are checked against its offset.
+    """
     agreed.settings.put(
         Setting(
             setting_id(body.path, body.key),
