Say when a worker has ended a task, and what repeats a stop order

Cause: the time after which an unresponsive worker's members count as stopped had no reason with it, and neither had the stop of reservations after a failed renewal. The event of a broken gang spoke of a silent member, though a report may arrive that is only too old.

Change: docstrings, comments, local names, and the text of the event gang.broken.

--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -2,9 +2,9 @@
 
 The sidecar of member 0 is the leader. It confirms the gang only while every member
 was reported running or finished within the last half of the lease. A confirmation
-is valid for half of the lease from the time at which the member reported. So no
-gang runs with part of its members for longer than the lease, and neither the log
-nor the scheduler is needed for that.
+is valid for half of the lease from the sending of the reports that it answers. So no
+gang runs with part of its members for longer than the lease, and neither the log nor
+the scheduler is needed for that.
 """
 
 from collections import defaultdict
@@ -75,9 +75,9 @@
 
 
 def _make_aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
-    """Return a report whose age is that of the worker's last answered order.
+    """Return a report that is as old as the last order that the worker answered.
 
-    So a running member counts as alive only while its worker answers.
+    So a running member counts as running only while its worker answers orders.
     """
     report = make_report(task)
     if task.state is not TaskState.RUNNING:
@@ -176,7 +176,9 @@
     for member in range(len(gang.placements)):
         last_report_ms = monitor.last_report_ms.get(member, monitor.since_ms)
         if member not in monitor.results and now_ms - last_report_ms >= limit_ms:
-            monitor.broken_reason = f"member {member} was silent for {limit_ms} ms"
+            monitor.broken_reason = (
+                f"member {member} was not reported running for {limit_ms} ms"
+            )
             note(
                 world,
                 "gang.broken",
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -102,7 +102,7 @@
 
 
 def _reset_reported_states(world: World, now_ms: int) -> None:
-    """Have all members reported to a new holder, and again after a long period."""
+    """Mark all members as unreported for a new holder, and once per full period."""
     view = world.heartbeat_view
     holder = world.agreed.lease.incarnation
     if view.holder == holder and now_ms < view.next_full_report_ms:
@@ -141,16 +141,16 @@
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=30)
 def handle_heartbeat_replies(world: World, now_ms: int) -> None:
     """Record which entries answered, and which reports they acknowledged."""
-    for done in world.inbox.take(HeartbeatAnswered):
-        heartbeat = world.pending_heartbeats.delete(done.entry)
+    for answer in world.inbox.take(HeartbeatAnswered):
+        heartbeat = world.pending_heartbeats.delete(answer.entry)
         if heartbeat is None:
             continue
-        if done.ok:
+        if answer.ok:
             world.heartbeat_view.last_reply_ms = now_ms
-        _track_unresponsive_entry(world, done, now_ms)
-        if done.ok and done.folded_offset >= heartbeat.folded_offset:
+        _track_unresponsive_entry(world, answer, now_ms)
+        if answer.ok and answer.folded_offset >= heartbeat.folded_offset:
             _record_reported_states(world, heartbeat)
-        elif done.ok:
+        elif answer.ok:
             _delay_reports(world, now_ms, LAG_PAUSE_MS)
         else:
             pause_ms = effective_value(world.agreed, "heartbeat.retry_ms")
@@ -158,15 +158,15 @@
 
 
 def _track_unresponsive_entry(
-    world: World, done: HeartbeatAnswered, now_ms: int
+    world: World, answer: HeartbeatAnswered, now_ms: int
 ) -> None:
     """Record whether an entry answered; if not, try another home soon."""
     view = world.heartbeat_view
-    others = tuple(name for name in view.unresponsive if name != done.entry)
-    if done.ok:
+    others = tuple(name for name in view.unresponsive if name != answer.entry)
+    if answer.ok:
         view.unresponsive = others
         return
-    view.unresponsive = (*others, done.entry)
+    view.unresponsive = (*others, answer.entry)
     retry_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
     if (
         len(others) + 1 < len(world.agreed.entries)
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -28,8 +28,8 @@
 __all__ = ["handle_worker_answers", "renew_tasks"]
 
 RENEWALS_PER_LEASE = 3
-TASKS_PER_POLL = 8  # tasks for each `job.poll_ms` of the renewal period
-TASK_ID_NUMBERS = 2
+TASKS_PER_POLL = 8  # the renewal period is `job.poll_ms` for each group of this size
+TASK_ID_NUMBERS = 2  # the incarnation of the gang and the number of the member
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=50)
@@ -62,12 +62,15 @@
 
 
 def _is_reservation_due(world: World, now_ms: int) -> bool:
-    """Return whether a reservation is due that waited for a fresh view of the log."""
+    """Return whether a reservation is due for renewal and may be renewed.
+
+    The last renewal may have left it out, if the view of the log was not fresh then.
+    """
     limit_ms = reservation_ms(world)
-    left_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
+    due_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
     reserved = world.tasks.find("state", TaskState.RESERVED)
-    aged = any(task.lease_expiry_ms - now_ms <= left_ms for task in reserved)
-    return aged and _can_renew_reservations(world, now_ms)
+    is_due = any(task.lease_expiry_ms - now_ms <= due_ms for task in reserved)
+    return is_due and _can_renew_reservations(world, now_ms)
 
 
 def _period_ms(world: World, leased: list[MemberTask]) -> int:
@@ -116,55 +119,55 @@
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=40)
 def handle_worker_answers(world: World, now_ms: int) -> None:
     """Update members' tasks from the worker's answers."""
-    for done in world.inbox.take(WorkerAnswered):
-        if done.order == ORDER_RENEW:
-            _handle_renewal_result(world, done, now_ms)
+    for answer in world.inbox.take(WorkerAnswered):
+        if answer.order == ORDER_RENEW:
+            _handle_renewal_result(world, answer, now_ms)
             continue
-        task = world.tasks.get(done.task_id)
+        task = world.tasks.get(answer.task_id)
         if task is not None:
-            _handle_order_result(world, task, done, now_ms)
+            _handle_order_result(world, task, answer, now_ms)
 
 
 def _handle_order_result(
-    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
+    world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
-    if not done.ok:
-        text = f"Order {done.order} to the worker failed: {done.reason}."
+    if not answer.ok:
+        text = f"Order {answer.order} to the worker failed: {answer.reason}."
         note(world, "member.order", text, job=task.job)
-    if done.order == ORDER_RESERVE and task.state is TaskState.RESERVING:
-        _handle_reserve_result(world, task, done, now_ms)
-    elif done.order == ORDER_START and task.state is TaskState.STARTING:
-        _handle_start_result(world, task, done, now_ms)
-    elif done.order == ORDER_CHECKPOINT and task.state is TaskState.STOPPING:
+    if answer.order == ORDER_RESERVE and task.state is TaskState.RESERVING:
+        _handle_reserve_result(world, task, answer, now_ms)
+    elif answer.order == ORDER_START and task.state is TaskState.STARTING:
+        _handle_start_result(world, task, answer, now_ms)
+    elif answer.order == ORDER_CHECKPOINT and task.state is TaskState.STOPPING:
         order_stop(world, task, now_ms)
-    elif done.order == ORDER_STOP and done.ok and task.state is TaskState.STOPPING:
-        _handle_stop_result(world, task, done)
+    elif answer.order == ORDER_STOP and answer.ok and task.state is TaskState.STOPPING:
+        _handle_stop_result(world, task, answer)
 
 
 def _handle_reserve_result(
-    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
+    world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as reserved, or on failure as refused.
 
     A failed order is followed by a stop order, since the worker may have made the
     reservation although its answer was lost.
     """
-    state = TaskState.RESERVED if done.ok else TaskState.REFUSED
+    state = TaskState.RESERVED if answer.ok else TaskState.REFUSED
     world.tasks.update(task.task_id, state=state)
     world.deadlines.add(task.lease_expiry_ms)
-    if not done.ok:
+    if not answer.ok:
         order_stop(world, task, now_ms)
 
 
 def _handle_start_result(
-    world: World, task: MemberTask, done: WorkerAnswered, now_ms: int
+    world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as running; on failure stop it.
 
     The start may have taken effect although its answer was lost.
     """
     gang = gang_of(world, task)
-    if done.ok and gang is not None:
+    if answer.ok and gang is not None:
         sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
         world.worker_view.last_answered_order_ms = max(
             world.worker_view.last_answered_order_ms, sent_ms
@@ -174,9 +177,9 @@
         stop_task(world, task, now_ms)
 
 
-def _handle_stop_result(world: World, task: MemberTask, done: WorkerAnswered) -> None:
+def _handle_stop_result(world: World, task: MemberTask, answer: WorkerAnswered) -> None:
     """Mark the member as ended if the worker no longer lists its task as open."""
-    states = {item.task_id: item for item in done.tasks}
+    states = {item.task_id: item for item in answer.tasks}
     item = states.get(task.task_id)
     if item is None:
         world.tasks.update(task.task_id, state=TaskState.STOPPED)
@@ -184,17 +187,17 @@
         world.tasks.update(task.task_id, state=item.state, result=item.result)
 
 
-def _handle_renewal_result(world: World, done: WorkerAnswered, now_ms: int) -> None:
+def _handle_renewal_result(world: World, answer: WorkerAnswered, now_ms: int) -> None:
     renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
     world.worker_view.renewal = None
-    if not done.ok:
+    if not answer.ok:
         _stop_reservations(world, renewal, now_ms)
         return
     world.worker_view.last_answered_order_ms = max(
         world.worker_view.last_answered_order_ms, renewal.sent_ms
     )
-    states = {item.task_id: item for item in done.tasks}
-    for item in done.tasks:
+    states = {item.task_id: item for item in answer.tasks}
+    for item in answer.tasks:
         task = world.tasks.get(item.task_id)
         if task is None:
             _adopt(world, item, now_ms)
@@ -209,7 +212,10 @@
 
 
 def _stop_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
-    """Stop reservations whose failed renewal may still reach the worker."""
+    """Stop reservations whose failed renewal may still reach the worker.
+
+    The lease at the worker would then end later than this process assumes.
+    """
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
         if task is not None and task.state is TaskState.RESERVED:
@@ -239,8 +245,8 @@
 def _apply_task_state(
     world: World, task: MemberTask, item: WorkerTask, now_ms: int
 ) -> None:
-    known = task.state in LEASED_STATES or task.state is TaskState.STOPPING
-    if item.state in ENDED_STATES and known:
+    may_end = task.state in LEASED_STATES or task.state is TaskState.STOPPING
+    if item.state in ENDED_STATES and may_end:
         world.tasks.update(task.task_id, state=item.state, result=item.result)
     elif item.state is TaskState.RUNNING and task.state is TaskState.STARTING:
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -28,7 +28,7 @@
 
 
 def stop_task(world: World, task: MemberTask, now_ms: int) -> None:
-    """Stop a member, a running one after a checkpoint and others at once."""
+    """Stop a member: at once, or a running one after its checkpoint."""
     if task.state in ENDED_STATES or task.state is TaskState.STOPPING:
         return
     running = task.state is TaskState.RUNNING
@@ -43,7 +43,10 @@
 
 
 def order_stop(world: World, task: MemberTask, now_ms: int) -> None:
-    """Order the worker to stop a member; the order is repeated until it is done."""
+    """Order the worker to stop a member.
+
+    The order is repeated after each renewal that still lists the task as open.
+    """
     world.tasks.update(task.task_id, stop_after_ms=now_ms)
     world.outbox.put(StopTask(task.task_id, order_timeout_ms(world)))
 
@@ -68,7 +71,8 @@
     """Mark stopping members as stopped once their unresponsive worker has ended them.
 
     A stopping member is not renewed any more, so that the worker ends it when its
-    lease lapses, delayed at most by the latency of the last renewal.
+    lease lapses, delayed at most by the latency of the last renewal. If the worker
+    has answered an order sent after the lease expired, its answers are used instead.
     """
     for task in world.tasks.find("state", TaskState.STOPPING):
         ended_ms = _worker_end_ms(world, task)
@@ -85,6 +89,12 @@
 
 
 def _worker_end_ms(world: World, task: MemberTask) -> int:
+    """Return the time by which the worker has ended a task that is not renewed, in ms.
+
+    The last renewal may have reached the worker up to one order timeout late, and the
+    clocks drift apart. An unconfirmed task was adopted: its lease at the worker is not
+    known, and may be a whole lease.
+    """
     gang = gang_of(world, task)
     limit_ms = order_timeout_ms(world) + CLOCK_DRIFT_MARGIN_MS
     if not task.confirmed and gang is not None:
@@ -94,9 +104,9 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=80)
 def stop_isolated_members(world: World, now_ms: int) -> None:
-    """Stop all members once neither the log nor an entry has answered for too long.
+    """Stop all members once neither log nor entry has answered for the isolation limit.
 
-    The scheduler relies on it when it receives no report of any member of a gang.
+    The scheduler relies on this when it receives no report of any member of a gang.
     """
     tasks = [task for state in OPEN_STATES for task in world.tasks.find("state", state)]
     if not tasks:
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -116,10 +116,10 @@
 
 
 def _start(world: World, gang: Gang, task: MemberTask, now_ms: int) -> None:
-    run_ms = lease_ms(world, gang)
+    limit_ms = lease_ms(world, gang)
     world.tasks.update(
-        task.task_id, state=TaskState.STARTING, lease_expiry_ms=now_ms + run_ms
+        task.task_id, state=TaskState.STARTING, lease_expiry_ms=now_ms + limit_ms
     )
-    world.deadlines.add(now_ms + run_ms)
-    world.outbox.put(StartTask(task.task_id, run_ms, order_timeout_ms(world)))
+    world.deadlines.add(now_ms + limit_ms)
+    world.outbox.put(StartTask(task.task_id, limit_ms, order_timeout_ms(world)))
     note(world, "member.start", "Starting a member.", job=task.job)
