Name lease expiries, workers and gangs in the tests of members by what they are

Change: names and texts of tests and their harnesses; no check is added, removed or altered. Two tests and three rules of the model-based test have new names.

--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -1,4 +1,4 @@
-"""A fake log behind the messages of its edge, and entries that follow it."""
+"""A fake log in place of the edge to the log, and entries that follow it."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -90,9 +90,9 @@
             self.world.inbox.put(message)
         run_tick(self.world, self.systems, self.clock.now_ms())
         for message in self.world.outbox.take_all():
-            self._sort(message)
+            self._collect(message)
 
-    def _sort(self, message: Any) -> None:
+    def _collect(self, message: Any) -> None:
         if isinstance(message, ReadLog):
             self.reads.append(message)
         elif isinstance(message, AppendRecords):
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -140,7 +140,7 @@
     assert len(entry.reads) == 1
 
 
-def test_processes_return_to_the_log_at_different_times(
+def test_processes_reconnect_to_the_log_at_different_times(
     log: FakeLog, clock: ManualClock
 ) -> None:
     pauses = []
--- a/kingcuppost/systems/agreement/tests/test_model.py
+++ b/kingcuppost/systems/agreement/tests/test_model.py
@@ -11,8 +11,14 @@
 from kingcuppost.models.log import decode_log_record, encode_log_record
 from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
-from kingcuppost.systems.fold import FoldInput, apply_record, jobs, keys, record_rules
-from kingcuppost.systems.fold import snapshot_slices as fold_snapshot
+from kingcuppost.systems.fold import (
+    FoldInput,
+    apply_record,
+    jobs,
+    keys,
+    record_rules,
+    snapshot_slices,
+)
 from kingcuppost.tables.inbox import AppendAnswered
 from kingcuppost.tables.job import Urgency
 from kingcuppost.tables.record import (
@@ -37,7 +43,7 @@
 
 
 def digest(agreed: Agreed) -> str:
-    tables = {name: list(getattr(agreed, name)) for name in fold_snapshot.TABLE_NAMES}
+    tables = {name: list(getattr(agreed, name)) for name in snapshot_slices.TABLE_NAMES}
     return repr((tables, agreed.lease, agreed.floors))
 
 
@@ -71,13 +77,13 @@
             self.covers = max(self.covers, part.covers)
 
     def _apply(self, record: Record) -> None:
-        before = work_digest(self.agreed)
+        before = scheduling_digest(self.agreed)
         term = getattr(record.body, "term", self.agreed.lease.term)
         old_term = term != self.agreed.lease.term
         rejection = apply_record(self.agreed, FoldInput(self.offset, record))
         if old_term:
             assert rejection is not None
-            assert work_digest(self.agreed) == before
+            assert scheduling_digest(self.agreed) == before
         if rejection is None:
             assert record.record_id not in self.accepted
             self.accepted[record.record_id] = self.offset
@@ -86,17 +92,20 @@
         assert holder == lease.incarnation
 
 
-def work_digest(agreed: Agreed) -> str:
+def scheduling_digest(agreed: Agreed) -> str:
     return repr((list(agreed.jobs), list(agreed.gangs), agreed.lease))
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Interleave changes, lost and repeated appends, terms, snapshots and restarts."""
+    """Interleave changes, lost and repeated appends, terms, snapshots and restarts.
+
+    Records that a snapshot covers may expire at any time.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.patch = pytest.MonkeyPatch()
-        self.patch.setattr(fold_snapshot, "SLICE_WEIGHT", 4)
+        self.patch.setattr(snapshot_slices, "SLICE_WEIGHT", 4)
         self.patch.setattr(record_rules, "MAX_RECENT_RECORDS", 12)
         self.patch.setattr(snapshot_search, "MAX_LAG_RECORDS", 15)
         self.patch.setattr(snapshot_search, "SEARCH_WINDOW_RECORDS", 6)
@@ -142,7 +151,7 @@
     numbers = st.integers(0, ENTRIES - 1)
 
     @rule(number=numbers, value=st.integers(100, 1_900))
-    def set_key(self, number: int, value: int) -> None:
+    def set_setting(self, number: int, value: int) -> None:
         self._request_change(number, SettingPut("", "log.fresh_ms", value, ANY_OFFSET))
 
     @rule(number=numbers, name=st.sampled_from("ab"))
@@ -171,7 +180,7 @@
         )
 
     @rule(back=st.integers(0, 2), name=st.sampled_from("pqrs"))
-    def write_in_some_term(self, back: int, name: str) -> None:
+    def write_record_of_a_recent_term(self, back: int, name: str) -> None:
         terms = sorted(self.reference.holders)[-3:]
         term = terms[max(0, len(terms) - 1 - back)]
         self.request_count += 1
@@ -180,20 +189,21 @@
         self._append((Record(f"park-{self.request_count}", "test", 0, body, seen),))
 
     @rule(
-        number=numbers, fate=st.sampled_from(["ok", "ok", "lost", "dropped", "later"])
+        number=numbers,
+        delivery=st.sampled_from(["ok", "ok", "lost", "dropped", "later"]),
     )
-    def answer_append(self, number: int, fate: str) -> None:
+    def answer_append(self, number: int, delivery: str) -> None:
         entry = self.entries[number]
         if not entry.appends:
             return
         row = entry.appends.pop(0)
         ids = tuple(record.record_id for record in row.records)
-        if fate in ("ok", "lost"):
+        if delivery in ("ok", "lost"):
             self._append(row.records)
-        if fate == "later":
+        if delivery == "later":
             self.delayed.append(row.records)
         else:
-            entry.tick(AppendAnswered(ids, fate == "ok", fate))
+            entry.tick(AppendAnswered(ids, delivery == "ok", delivery))
 
     @rule(again=st.booleans())
     def deliver_delayed(self, again: bool) -> None:
@@ -227,7 +237,7 @@
         self.folded[number] = 0
 
     @rule()
-    def expire_what_a_snapshot_covers(self) -> None:
+    def expire_covered_records(self) -> None:
         self.log.expire(self.reference.covers)
 
     @invariant()
--- a/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
@@ -105,7 +105,7 @@
     claimants = [FakeEntry(f"entry-{i}", log, clock, i + 1) for i in (1, 2)]
     for claimant in claimants:
         claimant.settle()
-    base = holder.world.agreed.lease.term
+    base_term = holder.world.agreed.lease.term
     for _ in range(24):
         clock.advance(STEP_MS)
         for claimant in claimants:
@@ -119,7 +119,7 @@
     assert len(claims) == 3
     leases = [claimant.world.agreed.lease for claimant in claimants]
     assert leases[0] == leases[1]
-    assert leases[0].term > base
+    assert leases[0].term > base_term
     assert sum(is_scheduler(claimant.world) for claimant in claimants) == 1
 
 
@@ -134,14 +134,14 @@
     holder.settle()
     assert not is_scheduler(holder.world)
     assert holder.world.agreed.lease.term == term
-    claims = [row for row in holder.world.proposals]
-    assert not [row for row in claims if isinstance(row.record.body, LeaseClaim)]
+    proposals = [row for row in holder.world.proposals]
+    assert not [row for row in proposals if isinstance(row.record.body, LeaseClaim)]
 
 
 def test_restarted_holder_is_replaced_without_waiting(pair, clock, log) -> None:
     holder, other = pair
-    again = FakeEntry("entry-0", log, clock, 99)
-    again.settle()
+    restarted = FakeEntry("entry-0", log, clock, 99)
+    restarted.settle()
     other.settle()
     lease = other.world.agreed.lease
     assert lease.incarnation != holder.world.identity.incarnation
--- a/kingcuppost/systems/members/tests/test_tasks.py
+++ b/kingcuppost/systems/members/tests/test_tasks.py
@@ -33,8 +33,8 @@
 from kingcuppost.tables.task import MemberReport, TaskState
 from kingcuppost.utils import ManualClock
 
-OWN = "worker-0"
-OTHER = "worker-1"
+OWN_WORKER = "worker-0"
+OTHER_WORKER = "worker-1"
 LEASE_MS = 5_000
 CONFIRMATION_MS = LEASE_MS // 2
 
@@ -53,24 +53,24 @@
 
 def restart_sidecar(harness: ProcessHarness) -> ProcessHarness:
     """Return a harness with a new sidecar process at the same worker."""
-    again = make_sidecar_harness(harness.log, harness.clock)
-    again.worker = harness.worker
-    again.settle()
-    return again
+    restarted = make_sidecar_harness(harness.log, harness.clock)
+    restarted.worker = harness.worker
+    restarted.settle()
+    return restarted
 
 
-def run_alone(harness: ProcessHarness, job: str = "a") -> str:
-    """Start a gang of one member; return its task."""
-    place_gang(harness.log, job, (OWN,))
+def start_gang_of_one(harness: ProcessHarness, job: str = "a") -> str:
+    """Start a gang of one member; return its task id."""
+    place_gang(harness.log, job, (OWN_WORKER,))
     harness.settle()
     release_gang(harness.log, job)
     harness.settle()
     return f"{job}/1/0"
 
 
-def run_led_elsewhere(harness: ProcessHarness) -> str:
-    """Start member 1 of a gang whose leader is at the other worker; return its task."""
-    place_gang(harness.log, "a", (OTHER, OWN))
+def start_gang_led_elsewhere(harness: ProcessHarness) -> str:
+    """Start member 1 of a gang that is led at the other worker; return its task id."""
+    place_gang(harness.log, "a", (OTHER_WORKER, OWN_WORKER))
     harness.settle()
     release_gang(harness.log, "a")
     harness.settle()
@@ -78,7 +78,7 @@
 
 
 def confirm(harness: ProcessHarness, sent_ms: int) -> None:
-    harness.world.inbox.put(GangReplyArrived(OTHER, True, sent_ms, ("a/1",), ()))
+    harness.world.inbox.put(GangReplyArrived(OTHER_WORKER, True, sent_ms, ("a/1",), ()))
     harness.settle()
 
 
@@ -89,7 +89,7 @@
 def test_reserved_member_stays_reserved_until_its_release(
     harness: ProcessHarness,
 ) -> None:
-    place_gang(harness.log, "a", (OWN, OTHER))
+    place_gang(harness.log, "a", (OWN_WORKER, OTHER_WORKER))
     harness.settle()
     harness.run(4 * reservation_ms(harness.world))
     assert harness.task("a/1/0").state is TaskState.RESERVED
@@ -97,7 +97,7 @@
 
 
 def test_reservation_lapses_when_the_log_is_cut(harness: ProcessHarness) -> None:
-    place_gang(harness.log, "a", (OWN, OTHER))
+    place_gang(harness.log, "a", (OWN_WORKER, OTHER_WORKER))
     harness.settle()
     harness.log.up = False
     harness.run(3_000)
@@ -106,20 +106,20 @@
 
 
 @pytest.mark.parametrize("fresh_ms", [50, 1_000, 2_000])
-def test_late_start_takes_no_effect_after_the_zone_bound(
+def test_delayed_start_order_has_no_effect_after_the_zone_limit(
     log: FakeLog, fresh_ms: int
 ) -> None:
     log.add(SettingPut("", "log.fresh_ms", fresh_ms, 0))
     harness = make_sidecar_harness(log, ManualClock(START_MS))
     harness.settle()
-    place_gang(log, "a", (OWN,))
+    place_gang(log, "a", (OWN_WORKER,))
     harness.settle()
     harness.run(2_000)
     harness.withheld_types = (StartTask,)
     release_gang(log, "a")
     harness.settle()
     harness.run(100)
-    assert harness.withheld, "the start order is pending"
+    assert harness.withheld, "no start order is pending"
     take_zone_out(log)
     harness.run(3_000 - fresh_ms)
     harness.deliver_withheld()
@@ -128,7 +128,7 @@
 
 
 def test_no_start_while_a_renewal_is_pending(harness: ProcessHarness) -> None:
-    place_gang(harness.log, "a", (OWN,))
+    place_gang(harness.log, "a", (OWN_WORKER,))
     harness.settle()
     harness.withheld_types = (RenewTasks,)
     harness.run(1_000)
@@ -145,7 +145,7 @@
 def test_no_start_in_a_zone_taken_out_of_service_before_the_release(
     harness: ProcessHarness,
 ) -> None:
-    place_gang(harness.log, "a", (OWN,))
+    place_gang(harness.log, "a", (OWN_WORKER,))
     harness.settle()
     release_gang(harness.log, "a")
     take_zone_out(harness.log)
@@ -155,7 +155,7 @@
 
 
 def test_paused_sidecar_starts_nothing_on_a_stale_view(harness: ProcessHarness) -> None:
-    place_gang(harness.log, "a", (OWN,))
+    place_gang(harness.log, "a", (OWN_WORKER,))
     harness.settle()
     release_gang(harness.log, "a")
     take_zone_out(harness.log)
@@ -165,15 +165,15 @@
 
 
 def test_single_running_member_keeps_running(harness: ProcessHarness) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.run(3 * LEASE_MS)
     assert harness.worker.state(task_id) is TaskState.RUNNING
 
 
 def test_each_task_is_renewed_with_its_own_lease(harness: ProcessHarness) -> None:
-    alone = run_alone(harness, "long")
+    alone = start_gang_of_one(harness, "long")
     harness.log.add(SettingPut("", "job.checkpoint_grace_ms", 0, 0))
-    led = run_led_elsewhere(harness)
+    led = start_gang_led_elsewhere(harness)
     harness.run(LEASE_MS - 200)
     last = [row for row in harness.sent if isinstance(row, RenewTasks)][-1]
     leases = {row.task_id: row.lease_ms for row in last.leases}
@@ -184,7 +184,7 @@
 
 
 def test_lease_starts_when_the_report_was_sent(harness: ProcessHarness) -> None:
-    task_id = run_led_elsewhere(harness)
+    task_id = start_gang_led_elsewhere(harness)
     started_ms = harness.now_ms
     harness.run(4_000)
     confirm(harness, started_ms + 3_000)
@@ -196,7 +196,7 @@
 def test_paused_sidecar_extends_no_lease_by_a_stale_confirmation(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_led_elsewhere(harness)
+    task_id = start_gang_led_elsewhere(harness)
     sent_ms = harness.now_ms
     harness.clock.advance(2 * LEASE_MS)
     confirm(harness, sent_ms)
@@ -206,15 +206,15 @@
 
 
 def test_broken_gang_stops_at_once(harness: ProcessHarness) -> None:
-    task_id = run_led_elsewhere(harness)
-    reply = GangReplyArrived(OTHER, True, harness.now_ms, (), ("a/1",))
+    task_id = start_gang_led_elsewhere(harness)
+    reply = GangReplyArrived(OTHER_WORKER, True, harness.now_ms, (), ("a/1",))
     harness.world.inbox.put(reply)
     harness.settle()
     assert harness.worker.state(task_id) is TaskState.STOPPED
 
 
 def test_lease_lapses_for_a_task_that_ignores_stop(harness: ProcessHarness) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.worker.ignores_stop = True
     harness.run(1_000)
     harness.log.add(JobCancel("a", "enough"))
@@ -226,7 +226,7 @@
 
 
 def test_stop_waits_for_the_checkpoint(harness: ProcessHarness) -> None:
-    run_alone(harness)
+    start_gang_of_one(harness)
     harness.withheld_types = (CheckpointTask,)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(1_000)
@@ -239,7 +239,7 @@
 def test_stop_is_repeated_until_the_worker_stops_the_task(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.withheld_types = (StopTask,)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(1_100)
@@ -251,7 +251,7 @@
 
 
 def test_lost_start_answer_stops_the_member(harness: ProcessHarness) -> None:
-    place_gang(harness.log, "a", (OWN,))
+    place_gang(harness.log, "a", (OWN_WORKER,))
     harness.settle()
     harness.withheld_types = (StartTask,)
     release_gang(harness.log, "a")
@@ -285,7 +285,7 @@
 def test_member_of_a_dead_worker_is_not_reported_running(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.run(2_000)
     make_worker_unresponsive(harness)
     run_with_lost_orders(harness, 12_000)
@@ -295,7 +295,7 @@
 def test_gang_is_broken_when_the_worker_of_its_leader_dies(
     harness: ProcessHarness,
 ) -> None:
-    lead(harness)
+    start_gang_led_here(harness)
     for _ in range(4):
         report_to_leader(harness, report(1, TaskState.RUNNING))
         harness.run(500)
@@ -309,7 +309,7 @@
 def test_member_lost_before_its_release_is_reported_stopped(
     harness: ProcessHarness,
 ) -> None:
-    place_gang(harness.log, "a", (OWN, OTHER))
+    place_gang(harness.log, "a", (OWN_WORKER, OTHER_WORKER))
     harness.settle()
     del harness.worker.tasks["a/1/0"]
     harness.run(600)
@@ -317,7 +317,7 @@
 
 
 def test_ended_members_are_deleted_after_their_gang(harness: ProcessHarness) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(600)
     assert harness.task(task_id).state is TaskState.STOPPED
@@ -325,74 +325,74 @@
     harness.run(600)
     assert len(harness.world.tasks) == 0
     stops = len([row for row in harness.sent if isinstance(row, StopTask)])
-    run_alone(harness, "b")
+    start_gang_of_one(harness, "b")
     harness.run(2_000)
     assert len([row for row in harness.sent if isinstance(row, StopTask)]) == stops
 
 
 def test_restarted_sidecar_adopts_a_running_member(harness: ProcessHarness) -> None:
-    task_id = run_alone(harness)
-    again = restart_sidecar(harness)
-    again.run(2 * LEASE_MS)
-    assert again.worker.state(task_id) is TaskState.RUNNING
-    assert again.worker.tasks[task_id].starts == 1
+    task_id = start_gang_of_one(harness)
+    restarted = restart_sidecar(harness)
+    restarted.run(2 * LEASE_MS)
+    assert restarted.worker.state(task_id) is TaskState.RUNNING
+    assert restarted.worker.tasks[task_id].starts == 1
 
 
 def test_restarted_sidecar_renews_only_confirmed_members(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_led_elsewhere(harness)
-    lease_ms = harness.worker.tasks[task_id].lease_ms
-    again = restart_sidecar(harness)
-    again.run(1_000)
-    assert again.worker.tasks[task_id].lease_ms == lease_ms
-    confirm(again, again.now_ms)
-    again.run(600)
-    assert again.worker.state(task_id) is TaskState.RUNNING
+    task_id = start_gang_led_elsewhere(harness)
+    lease_expiry_ms = harness.worker.tasks[task_id].lease_expiry_ms
+    restarted = restart_sidecar(harness)
+    restarted.run(1_000)
+    assert restarted.worker.tasks[task_id].lease_expiry_ms == lease_expiry_ms
+    confirm(restarted, restarted.now_ms)
+    restarted.run(600)
+    assert restarted.worker.state(task_id) is TaskState.RUNNING
 
 
 def test_restarted_sidecar_stops_a_reservation(harness: ProcessHarness) -> None:
-    place_gang(harness.log, "a", (OWN, OTHER))
+    place_gang(harness.log, "a", (OWN_WORKER, OTHER_WORKER))
     harness.settle()
-    again = restart_sidecar(harness)
-    again.run(100)
-    assert again.worker.state("a/1/0") is TaskState.STOPPED
-    assert again.task("a/1/0").state is TaskState.STOPPED
+    restarted = restart_sidecar(harness)
+    restarted.run(100)
+    assert restarted.worker.state("a/1/0") is TaskState.STOPPED
+    assert restarted.task("a/1/0").state is TaskState.STOPPED
 
 
 def test_restarted_sidecar_stops_members_of_an_ended_gang(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
-    again = restart_sidecar(harness)
-    again.run(600)
-    assert again.worker.state(task_id) is TaskState.STOPPED
-    assert len(again.world.tasks) == 0
+    restarted = restart_sidecar(harness)
+    restarted.run(600)
+    assert restarted.worker.state(task_id) is TaskState.STOPPED
+    assert len(restarted.world.tasks) == 0
 
 
 def test_restarted_sidecar_reports_a_lost_member_stopped(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.worker.tasks.clear()
-    again = restart_sidecar(harness)
-    assert again.task(task_id).state is TaskState.STOPPED
+    restarted = restart_sidecar(harness)
+    assert restarted.task(task_id).state is TaskState.STOPPED
 
 
 def test_tasks_of_others_are_not_stopped(harness: ProcessHarness) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.worker.tasks["other"] = harness.worker.tasks[task_id]
     harness.run(1_000)
     assert not [row for row in harness.sent if isinstance(row, StopTask)]
 
 
 def test_members_of_ended_gangs_are_not_reserved_again(harness: ProcessHarness) -> None:
-    run_alone(harness)
+    start_gang_of_one(harness)
     harness.log.add(JobCancel("a", "enough"), GangEnd(term_of(harness.log), "a", 1))
     harness.worker.tasks.clear()
-    again = restart_sidecar(harness)
-    assert not [row for row in again.sent if isinstance(row, ReserveTask)]
+    restarted = restart_sidecar(harness)
+    assert not [row for row in restarted.sent if isinstance(row, ReserveTask)]
 
 
 def report(member: int, state: TaskState, result: str = "") -> MemberReport:
@@ -400,13 +400,13 @@
 
 
 def report_to_leader(harness: ProcessHarness, *reports: MemberReport) -> None:
-    harness.world.inbox.put(GangReportArrived("x", OTHER, reports))
+    harness.world.inbox.put(GangReportArrived("x", OTHER_WORKER, reports))
     harness.settle()
 
 
-def lead(harness: ProcessHarness) -> str:
-    """Start member 0 of a gang of two at this worker; return its task."""
-    place_gang(harness.log, "a", (OWN, OTHER))
+def start_gang_led_here(harness: ProcessHarness) -> str:
+    """Start member 0, the leader, of a gang of two; return its task id."""
+    place_gang(harness.log, "a", (OWN_WORKER, OTHER_WORKER))
     harness.settle()
     release_gang(harness.log, "a")
     harness.settle()
@@ -414,7 +414,7 @@
 
 
 def test_leader_confirms_no_member_before_all_run(harness: ProcessHarness) -> None:
-    task_id = lead(harness)
+    task_id = start_gang_led_here(harness)
     lease_expiry_ms = harness.task(task_id).lease_expiry_ms
     harness.run(CONFIRMATION_MS - 100)
     assert harness.worker.state(task_id) is TaskState.RUNNING
@@ -426,7 +426,7 @@
 def test_gang_with_a_missing_member_ends_within_the_lease(
     harness: ProcessHarness,
 ) -> None:
-    task_id = lead(harness)
+    task_id = start_gang_led_here(harness)
     for _ in range(20):
         report_to_leader(harness, report(1, TaskState.RUNNING))
         harness.run(500)
@@ -438,7 +438,7 @@
 
 
 def test_failed_member_breaks_the_gang_at_once(harness: ProcessHarness) -> None:
-    task_id = lead(harness)
+    task_id = start_gang_led_here(harness)
     report_to_leader(harness, report(1, TaskState.RUNNING))
     report_to_leader(harness, report(1, TaskState.FAILED))
     harness.run(CONFIRMATION_MS)
@@ -446,31 +446,31 @@
 
 
 def test_finish_is_proposed_once_per_process(harness: ProcessHarness) -> None:
-    task_id = lead(harness)
+    task_id = start_gang_led_here(harness)
     report_to_leader(harness, report(1, TaskState.FINISHED, "one"))
     report_to_leader(harness, report(1, TaskState.FINISHED, "one"))
     harness.run(1_000)
     harness.log.up = False
     harness.worker.finish(task_id, "zero")
     harness.run(2_000)
-    again = restart_sidecar(harness)
+    restarted = restart_sidecar(harness)
     assert not harness.log.bodies(GangFinish)
     harness.log.up = True
-    again.settle()
-    again.run(1_000)
-    report_to_leader(again, report(1, TaskState.FINISHED, "one"))
-    again.run(2_000)
+    restarted.settle()
+    restarted.run(1_000)
+    report_to_leader(restarted, report(1, TaskState.FINISHED, "one"))
+    restarted.run(2_000)
     assert harness.log.bodies(GangFinish) == [GangFinish("a", 1, "zero")]
     harness.run(2_000)
     assert len(harness.log.bodies(GangFinish)) == 2
-    again.settle()
-    assert again.world.agreed.jobs.get("a").result == "zero"
+    restarted.settle()
+    assert restarted.world.agreed.jobs.get("a").result == "zero"
 
 
 def test_finished_member_is_reported_until_the_gang_ends(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_led_elsewhere(harness)
+    task_id = start_gang_led_elsewhere(harness)
     harness.worker.finish(task_id, "one")
     harness.run(20_000)
     reports = [row for row in harness.sent if isinstance(row, SendGangReports)]
@@ -480,7 +480,7 @@
 
 def test_isolated_sidecar_stops_its_members(harness: ProcessHarness) -> None:
     harness.log.add(SettingPut("", "job.isolation_ms", 60_000, 0))
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.up = False
     harness.run(55_000)
     assert harness.worker.state(task_id) is TaskState.RUNNING
@@ -490,7 +490,7 @@
 
 def test_isolation_limit_allows_for_heartbeats(harness: ProcessHarness) -> None:
     harness.log.add(SettingPut("", "job.isolation_ms", 1_000, 0))
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.up = False
     harness.run(29_000)
     assert harness.worker.state(task_id) is TaskState.RUNNING
@@ -502,7 +502,7 @@
     harness: ProcessHarness,
 ) -> None:
     harness.log.add(SettingPut("", "job.isolation_ms", 20_000, 0))
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.up = False
     for _ in range(30):
         harness.run(1_000)
@@ -513,7 +513,7 @@
 def test_finish_waits_for_the_log_and_takes_effect_once(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.up = False
     harness.run(2_000)
     harness.worker.finish(task_id, "plan")
@@ -528,7 +528,7 @@
 def test_gang_stopped_during_an_outage_of_the_log_stops_after_it(
     harness: ProcessHarness,
 ) -> None:
-    task_id = run_alone(harness)
+    task_id = start_gang_of_one(harness)
     harness.log.up = False
     harness.log.add(GangStop(term_of(harness.log), "a", 1, "reclaim"))
     harness.run(10_000)
--- a/kingcuppost/systems/tests/process_harness.py
+++ b/kingcuppost/systems/tests/process_harness.py
@@ -1,4 +1,4 @@
-"""A process without sockets: the test drives its log, clock and worker."""
+"""A harness of a process without sockets, with a fake log, clock and worker."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -75,7 +75,7 @@
     """A task at the fake worker."""
 
     state: TaskState
-    lease_ms: int
+    lease_expiry_ms: int
     result: str = ""
     starts: int = 0
 
@@ -89,7 +89,7 @@
 
     def expire_leases(self, now_ms: int) -> None:
         for task in self.tasks.values():
-            if task.state not in ENDED_STATES and task.lease_ms <= now_ms:
+            if task.state not in ENDED_STATES and task.lease_expiry_ms <= now_ms:
                 task.state = TaskState.STOPPED
 
     def state(self, task_id: str) -> TaskState:
@@ -108,11 +108,12 @@
         return WorkerAnswered(name, task_id, ok, rows)
 
     def _carry_out(self, order: Any, now_ms: int) -> tuple[str, str, bool]:
+        """Return the name of the order, its task, and whether it was carried out."""
         if isinstance(order, RenewTasks):
             for lease in order.leases:
                 task = self.tasks.get(lease.task_id)
                 if task is not None and task.state not in ENDED_STATES:
-                    task.lease_ms = now_ms + lease.lease_ms
+                    task.lease_expiry_ms = now_ms + lease.lease_ms
             return "renew", "", True
         if isinstance(order, ReserveTask):
             task = FakeTask(TaskState.RESERVED, now_ms + order.lease_ms)
@@ -123,7 +124,7 @@
             if task is None or task.state is not TaskState.RESERVED:
                 return "start", order.task_id, False
             task.state = TaskState.RUNNING
-            task.lease_ms = now_ms + order.lease_ms
+            task.lease_expiry_ms = now_ms + order.lease_ms
             task.starts += 1
             return "start", order.task_id, True
         if isinstance(order, CheckpointTask):
