Reword comments and local names of the scheduling of jobs

Several docstrings said less or something else than the code: which gangs make an advance reservation infeasible, which are moved from one, when lost work is 0, and how many reservations there are at a time. Constants lacked a reason or unit, and a few local names named another concept than they held.

The docstrings now follow the code, and comments say why cores are not counted again within a guarantee, why first fit is tried for counts that are not powers of two, and how the mean run time starts. Module-private names were changed: among them _maximal_blocks, _busy_times, CORE_BUCKETS and MAX_FAILURES_PER_WORKER. Two tests state again in full which fault they guard against.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -44,7 +44,7 @@
 ]
 
 NO_ALLOCATION = WorkerAllocation()
-MAX_COMPACT_RATIO = 0.5  # of the accelerators that the job needs
+MAX_COMPACT_RATIO = 0.5  # highest ratio of the moved gangs' accelerators to the job's
 
 
 def _allocation_key(job: str) -> str:
@@ -54,7 +54,7 @@
 def put_reservation(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Store an advance reservation and allocate what it reserves.
+    """Store an advance reservation and allocate its accelerators.
 
     A reservation within a guarantee binds its cells. It also allocates cores and
     memory: otherwise a borrower that was stopped for them would be placed there again
@@ -84,7 +84,10 @@
     """Schedule queue passes at the times when the reservation may stop gangs."""
     if reservation.guaranteed:
         return
-    for at_ms in (compact_at_ms(world, reservation), preempt_at_ms(world, reservation)):
+    for at_ms in (
+        _compact_at_ms(world, reservation),
+        preempt_at_ms(world, reservation),
+    ):
         if at_ms > now_ms:
             world.deadlines.add(at_ms)
             _schedule_pass(world.scheduling, at_ms)
@@ -127,6 +130,7 @@
             return False
     for name, member_count in members.items():
         row = world.scheduling.workers.get(name)
+        # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
         if row.free_cores < count * job.cores:
             return False
@@ -138,9 +142,9 @@
 def is_still_feasible(world: World, reservation: AdvanceReservation) -> bool:
     """Return whether the job can still be expected to start on its reservation.
 
-    It cannot if a worker is unusable, or if guaranteed work has since been placed on
-    part of the reservation. A reservation within a guarantee waits for nothing but
-    borrowers.
+    It cannot if a worker is unusable, or if part of the accelerators has since been
+    allocated to guaranteed work or reserved for it. A reservation within a guarantee
+    can only wait for borrowers, and for gangs that are stopping already.
     """
     for placement in reservation.placements:
         row = world.scheduling.workers.get(placement.worker)
@@ -166,24 +170,22 @@
 
     - Within a guarantee: all borrowers on the reservation.
     - Beyond it, while a gang from before the reservation still runs there and the
-      time limit has not passed: all gangs there, if they are few enough to be moved
-      and `job.compact_after_ms` has passed.
+      time limit has not passed: all gangs there once `job.compact_after_ms` has
+      passed, if they are small enough to be moved.
     - Beyond it, afterwards: the borrowers there that must yield to the job.
 
-    Within a guarantee and after the time limit, borrowers whose cores or memory the
-    job needs are added.
+    Within a guarantee, and beyond it after the time limit, borrowers whose cores or
+    memory the job needs are added.
     """
-    is_past_limit = reservation.guaranteed or now_ms >= preempt_at_ms(
-        world, reservation
-    )
-    if not is_past_limit and waits_for_earlier_gang(world, reservation):
+    is_due = reservation.guaranteed or now_ms >= preempt_at_ms(world, reservation)
+    if not is_due and waits_for_earlier_gang(world, reservation):
         return _gangs_to_compact(world, reservation, job, now_ms)
     found = {
         gang.key
         for gang in _blocking_gangs(world, reservation)
         if _yields(world, gang, reservation)
     }
-    if is_past_limit:
+    if is_due:
         found |= _add_core_victims(world, reservation, job, frozenset(found))
     return frozenset(found)
 
@@ -192,9 +194,8 @@
     """Return whether a gang must yield to the job of a reservation.
 
     Only gangs of jobs that were submitted later yield to overnight work beyond its
-    guarantee.
-    The order of submission never changes, so that no two jobs preempt each other
-    alternately.
+    guarantee. The order of submission never changes, so that no two jobs preempt each
+    other alternately.
     """
     if not may_preempt(world, gang, reservation.guaranteed):
         return False
@@ -211,8 +212,11 @@
 def _gangs_to_compact(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return all gangs on the reservation if they are few enough to be moved."""
-    if now_ms < compact_at_ms(world, reservation):
+    """Return all gangs on the reservation, or none if they are not to be moved.
+
+    They are moved only if all are preemptible and small enough together.
+    """
+    if now_ms < _compact_at_ms(world, reservation):
         return frozenset()
     blockers = _blocking_gangs(world, reservation)
     if not all(may_preempt(world, gang, False) for gang in blockers):
@@ -225,7 +229,7 @@
     return frozenset(gang.key for gang in blockers)
 
 
-def compact_at_ms(world: World, reservation: AdvanceReservation) -> int:
+def _compact_at_ms(world: World, reservation: AdvanceReservation) -> int:
     """Return when small gangs may be moved from a reservation, monotonic ms."""
     job = world.agreed.jobs.get(reservation.job)
     path = team_path(job.team, job.urgency)
@@ -269,6 +273,7 @@
     members = Counter(placement.worker for placement in reservation.placements)
     for name, member_count in members.items():
         row = world.scheduling.workers.get(name)
+        # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
         extended = victims_for_cores(
             world, row, count, job, reservation.guaranteed, victims
@@ -324,34 +329,36 @@
 def _blocks_with_free_time(
     world: World, row: WorkerCapacity, cell_class: int
 ) -> list[tuple[bool, int, str, int]]:
-    """Return the unreserved blocks of a worker, with sort keys.
+    """Return the unreserved blocks of a worker as sort keys.
 
-    Each entry has: whether the block is in use within a guarantee, the time until it
-    is expected to be free in ms, the name of the worker and the mask of the block.
+    Each key has: whether the block is in use within a guarantee, the time until it is
+    expected to be free in ms, the name of the worker and the mask of the block.
     """
     found = []
-    ends = _expected_ends(world, row)
+    busy_times = _busy_times(world, row)
     for block in blocks_in(row.full_mask & ~row.reserved, cell_class):
-        waits_ms = [end_ms for busy, end_ms in ends if busy & block]
+        waits_ms = [wait_ms for busy, wait_ms in busy_times if busy & block]
         pinned = bool(block & row.pinned)
         found.append((pinned, max(waits_ms, default=0), row.name, block))
     return found
 
 
-def _expected_ends(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
-    """Return the masks in use with the time until they should be free, in ms."""
+def _busy_times(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
+    """Return each mask in use and the time until it is expected to be free, in ms."""
     wall_ms = world.clock.wall_ms()
-    ends = []
+    busy_times = []
     for key, worker_allocation in row.allocations.items():
         if worker_allocation.busy:
-            ends.append((worker_allocation.busy, _remaining_ms(world, key, wall_ms)))
-    return ends
+            busy_times.append(
+                (worker_allocation.busy, _remaining_ms(world, key, wall_ms))
+            )
+    return busy_times
 
 
 def _remaining_ms(world: World, key: str, wall_ms: int) -> int:
     """Return the time until a gang is expected to end, in ms.
 
-    A gang whose placement is still a proposal is expected to run its whole run time.
+    A gang whose placement is only proposed is expected to run its full run time.
     """
     gang = world.agreed.gangs.get(key)
     job = world.agreed.jobs.get(key.rpartition("/")[0])
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -31,22 +31,22 @@
 
 
 def _first_fit(world: World, job: Job, lendable: dict[str, int]) -> Choice:
-    """Place by first fit; reserved accelerators in `lendable` may be used too.
+    """Place by first fit, also on the reserved accelerators in `lendable`.
 
     Parameters
     ----------
     world : World
         Tables of the process.
     job : Job
-        The job.
+        Job to place.
     lendable : dict of str to int
         Masks of reserved accelerators that the job may use, by worker.
     """
     placements: list[Placement] = []
     refused = []
-    wanted = job.members * job.accelerators
-    if not lendable and count_cells(world.scheduling.free_blocks, 0) < wanted:
-        reason = f"fewer than {wanted} accelerators are free"
+    needed = job.members * job.accelerators
+    if not lendable and count_cells(world.scheduling.free_blocks, 0) < needed:
+        reason = f"fewer than {needed} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
     rows = [
         row
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -25,7 +25,7 @@
 
 
 def class_of(accelerators: int) -> int:
-    """Return the class of the smallest cell that contains so many accelerators.
+    """Return the class of the smallest cell that holds this many accelerators.
 
     Examples
     --------
@@ -82,14 +82,14 @@
     '0b10'
     """
     found = []
-    for larger in range(CELL_CLASSES):
-        for block in _largest_blocks(mask, larger):
+    for block_class in range(CELL_CLASSES):
+        for block in _maximal_blocks(mask, block_class):
             found.extend(blocks_in(block, cell_class))
     return tuple(found)
 
 
-def _largest_blocks(mask: int, cell_class: int) -> list[int]:
-    """Return the blocks of a class that are not part of a larger block."""
+def _maximal_blocks(mask: int, cell_class: int) -> list[int]:
+    """Return the maximal blocks of a class: those not part of a larger block."""
     found = []
     for block in blocks_in(mask, cell_class):
         start = block.bit_length() // block.bit_count() - 1
@@ -130,8 +130,8 @@
 def count_shortfall(blocks: Sequence[int], demand: Sequence[int]) -> int:
     """Return the number of accelerators in `demand` that do not fit into `blocks`.
 
-    From the largest class down, each unused cell of a class is split into two cells
-    of the next class. This packing is exact for aligned cells.
+    From the largest class down, each unused cell is split into two cells of the next
+    smaller class. This packing is exact for aligned cells.
 
     Examples
     --------
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -12,12 +12,13 @@
 
 __all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-ATTEMPTS_PER_WORKER = 2  # failures per worker of `job.failed_worker_limit`
+# A job is refused after so many failures per worker of `job.failed_worker_limit`.
+MAX_FAILURES_PER_WORKER = 2
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=60)
 def check_feasibility(world: World, now_ms: int) -> None:
-    """Refuse, park or unpark jobs that are new, and all after a change of the fleet."""
+    """Refuse, park or unpark new jobs, and all jobs after a change of the fleet."""
     if not is_scheduler(world) or not world.scheduling.unchecked_jobs:
         return
     pending = jobs_with_pending_change(world)
@@ -65,7 +66,7 @@
     limit = effective_value(world.agreed, "job.failed_worker_limit", path)
     if len(counted) >= limit:
         return f"the job failed on {len(counted)} workers: {', '.join(counted)}"
-    if counted and job.failures >= ATTEMPTS_PER_WORKER * limit:
+    if counted and job.failures >= MAX_FAILURES_PER_WORKER * limit:
         return f"the job failed {job.failures} times"
     return ""
 
@@ -88,6 +89,7 @@
 
 
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
+    """Return how many members would fit, counted up to the number that is needed."""
     slots = 0
     for row in world.scheduling.workers:
         if in_service_only and not row.in_service:
@@ -97,7 +99,9 @@
             (row.cores, job.cores),
             (row.memory_mb, job.memory_mb),
         )
-        slots += min((has // need for has, need in needs if need), default=job.members)
+        slots += min(
+            (total // need for total, need in needs if need), default=job.members
+        )
         if slots >= job.members:
             break
     return slots
@@ -125,7 +129,7 @@
 
 
 def _park(world: World, job: Job, now_ms: int) -> None:
-    """Park a job that only workers out of service could hold; unpark it afterwards."""
+    """Park a job that only workers out of service could hold, or unpark it."""
     parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
         return
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -38,11 +38,11 @@
 def lost_reason(world: World, gang: Gang, since_ms: int, now_ms: int) -> str:
     """Return why a released gang can no longer finish; empty if it still may.
 
-    While any member is reported as running, the gang's leader confirms that the gang
-    is complete, even if the scheduler cannot reach the other members. If all members
-    that report have finished, one that does not report is lost. If no member reports,
-    the gang may be partitioned from this process and can run until its isolation
-    limit.
+    While any member that has not finished is reported, the gang's leader confirms that
+    the gang is complete, even if the scheduler cannot reach the other members. If all
+    members that report have finished, one that does not report is lost. If no member
+    reports, the gang may be partitioned from this process and can run until its
+    isolation limit.
 
     Parameters
     ----------
@@ -85,13 +85,13 @@
 
 
 def stopped_by_ms(world: World, gang: Gang, since_ms: int) -> int:
-    """Return the time from which no member of a stopping gang can still run.
+    """Return the time from which no member of a stopping gang can run, monotonic ms.
 
     A member that failed or was stopped no longer reports to the leader, so that the
     leases of the leader and then of all other members expire. A finished member does
-    not have this effect. Without a report of such a member, the whole gang may be
-    partitioned from this process, and only its isolation limit ends it. A gang that
-    was never released has nothing but reservations at its workers.
+    not have this effect. Without a report of a failed or stopped member, the whole
+    gang may be partitioned from this process, and only its isolation limit ends it.
+    A gang that was never released has only reservations at its workers, which expire.
 
     Parameters
     ----------
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -28,7 +28,7 @@
 
 __all__ = ["advance_gangs"]
 
-RECHECK_MS = 1_000
+RECHECK_MS = 1_000  # interval of checks while a proposal about the gang is pending
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=30)
@@ -47,7 +47,7 @@
     for key in dict.fromkeys(keys):
         gang = world.agreed.gangs.get(key)
         if gang is None:
-            _forget_gang(world, key)
+            _drop_gang_state(world, key)
         elif key in pending:
             _schedule_check(world, key, now_ms + RECHECK_MS)
         else:
@@ -64,13 +64,13 @@
 
 
 def _begin_term(world: World) -> list[str]:
-    """Begin a term: check all gangs, and count time limits from now."""
+    """Return the keys of all gangs, and let their time limits count from now."""
     world.gang_view.term = world.agreed.lease.term
     world.gang_view.stages.clear()
     return [gang.key for gang in world.agreed.gangs]
 
 
-def _forget_gang(world: World, key: str) -> None:
+def _drop_gang_state(world: World, key: str) -> None:
     world.gang_view.stages.pop(key, None)
     world.gang_view.due.discard(key)
     for row in gang_members(world, key):
@@ -101,7 +101,7 @@
 
 
 def _track_stage(world: World, gang: Gang, now_ms: int) -> int:
-    """Return when this process first observed the gang's present state, in ms."""
+    """Return when this process first observed the gang's state, monotonic ms."""
     stage = world.gang_view.stages.get(gang.key)
     if stage is None or stage.state != gang.state:
         world.gang_view.stages[gang.key] = GangStage(gang.state, now_ms)
@@ -173,12 +173,13 @@
 def _advance_stopping(world: World, gang: Gang, since_ms: int, now_ms: int) -> None:
     """End a gang once no member can still run or occupy its worker.
 
-    A reserve order that the worker has not answered may still arrive and would block
-    the next gang until that reservation expires.
+    A refused member does not count as ended: its worker may not have answered the
+    reserve order, which can still arrive and would block the next gang until that
+    reservation expires.
     """
     states = [row.state for row in gang_members(world, gang.key)]
-    final = sum(state in FINAL_STATES for state in states)
-    all_final = final == len(gang.placements) and TaskState.REFUSED not in states
+    final_count = sum(state in FINAL_STATES for state in states)
+    all_final = final_count == len(gang.placements) and TaskState.REFUSED not in states
     end_ms = stopped_by_ms(world, gang, since_ms)
     if all_final or now_ms >= end_ms:
         body = GangEnd(world.agreed.lease.term, gang.job, gang.incarnation)
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -48,7 +48,11 @@
 
 
 def _uncovered(scheduling: SchedulingState) -> list[UncoveredGuarantee]:
-    """Assign cells to the teams in order of name, the largest class first."""
+    """Return the teams whose unused cells do not all fit, with the missing cells.
+
+    Cells are assigned from the largest class down, and within a class to the teams in
+    order of name.
+    """
     shares = sorted(scheduling.shares, key=lambda share: share.team)
     missing = {share.team: [0] * CELL_CLASSES for share in shares}
     available = 0
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -295,7 +295,7 @@
 def _accepts_work(scheduling: SchedulingState, row: WorkerCapacity) -> bool:
     """Return whether a worker may get new work.
 
-    A quarantined worker may only while it is probed, and only one gang at a time.
+    A quarantined worker may only while it is probed, and then one gang at a time.
     """
     faults = scheduling.faults.get(row.name)
     quarantined = faults is not None and faults.quarantined
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -43,7 +43,10 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=70)
 def place_jobs(world: World, now_ms: int) -> None:
-    """Place waiting jobs after a change, one batch at a time, on a fresh log view."""
+    """Place waiting jobs after a change, once no earlier placement is pending.
+
+    A pass over the queue needs a fresh view of the log.
+    """
     scheduling = world.scheduling
     if not is_scheduler(world) or world.stopping:
         return
@@ -79,7 +82,10 @@
 
 
 def _run_pass(world: World, policy: Policy, now_ms: int) -> None:
-    """Try to place the jobs in order; skip a job if an equal one has failed."""
+    """Try to place the jobs in order.
+
+    A job with the same signature as one that could not be placed is skipped.
+    """
     depth = effective_value(world.agreed, "job.queue_depth")
     attempts = {urgency: 0 for urgency in Urgency}
     failed: set[Signature] = set()
@@ -117,6 +123,10 @@
 
 
 def _signature(job: Job) -> Signature:
+    """Return the properties that decide whether a job can be placed.
+
+    Declared run times count as equal if their bit lengths are.
+    """
     return (
         job.team,
         job.urgency,
@@ -148,11 +158,12 @@
 
 
 def _drop_later_reservations(world: World, job: Job) -> None:
-    """Delete reservations of the same urgency, made before this job became first.
+    """Delete the reservations beyond guarantees of jobs of the same urgency.
 
-    There is one reservation at a time: otherwise each job that arrives at the head of
-    the queue would add one more, and if the later job's reservation had precedence,
-    the first job would never get one.
+    They were made before this job became first. Each urgency has one such reservation
+    at a time: otherwise each job that arrives at the head of the queue would add one
+    more, and if the later job's reservation had precedence, the first job would never
+    get one.
     """
     for reservation in world.scheduling.advance_reservations:
         other = world.agreed.jobs.get(reservation.job)
@@ -161,7 +172,10 @@
 
 
 def _commit(world: World, job: Job, choice: Choice, now_ms: int) -> bool:
-    """Propose what a choice contains; return whether the job was placed."""
+    """Propose the stops and placements of a choice.
+
+    Returns whether the job was placed.
+    """
     for key in sorted(choice.victims):
         gang = world.agreed.gangs.get(key)
         reason = f"reclaimed for job {job.name}"
@@ -193,7 +207,7 @@
 def stop_gang(
     world: World, gang: Gang | None, reason: str, now_ms: int, grace_key: str
 ) -> None:
-    """Propose to stop a gang, unless it is stopping or a stop is proposed already.
+    """Propose to stop a gang, unless it is stopping or a stop is pending.
 
     Parameters
     ----------
@@ -206,7 +220,7 @@
     now_ms : int
         Monotonic time.
     grace_key : str
-        Name of the setting with the time for a checkpoint.
+        Key of the setting that limits the time for a checkpoint.
     """
     if gang is None or gang.state is GangState.STOPPING:
         return
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -1,7 +1,7 @@
 """Search for placements of the members of a gang.
 
-The accelerators of a member must be adjacent on one worker. A gang on one worker is
-preferred to one in a rack, and that to one in an availability zone.
+The accelerators of a member must be adjacent on one worker. At equal cost, one worker
+is preferred for all members, then one rack, then one availability zone.
 """
 
 from collections import defaultdict
@@ -36,10 +36,10 @@
 
 __all__ = ["Plan", "find_borrowed", "find_free", "find_guaranteed", "find_reserved"]
 
-MIN_CANDIDATES = 256  # a search stops at this many, or more for a large gang
+MIN_CANDIDATE_LIMIT = 256  # candidates at which a search stops, for a small gang
 CANDIDATES_PER_MEMBER = 4
 MAX_GROUPS = 4  # groups of candidates tried at each level of closeness
-CORE_BITS = 32  # buckets of workers, by the bit length of their free cores
+CORE_BUCKETS = 32  # a worker's bucket is the bit length of its number of free cores
 NO_WORKERS: frozenset[str] = frozenset()
 
 
@@ -60,7 +60,7 @@
     victims : frozenset of str
         Keys of the gangs that must be stopped first.
     cost : float
-        Work that they lose, in accelerator ms.
+        Work that the victims lose, in accelerator ms.
     """
 
     worker: WorkerCapacity
@@ -157,9 +157,9 @@
 
 
 def _core_candidates(scheduling: SchedulingState, job: Job) -> Iterator[Candidate]:
-    """Yield workers for members without accelerators; first workers without any."""
+    """Yield workers for members without accelerators, those without any first."""
     for has_accelerators in (0, 1):
-        for bits in range(job.cores.bit_length(), CORE_BITS):
+        for bits in range(job.cores.bit_length(), CORE_BUCKETS):
             for row in scheduling.workers.scan("core_bucket", (has_accelerators, bits)):
                 for _ in range(_count_fitting(row, job)):
                     yield Candidate(row, 0)
@@ -187,7 +187,7 @@
 
 
 def _candidate_limit(job: Job) -> int:
-    return max(MIN_CANDIDATES, CANDIDATES_PER_MEMBER * job.members)
+    return max(MIN_CANDIDATE_LIMIT, CANDIDATES_PER_MEMBER * job.members)
 
 
 def _placements(chosen: list[Candidate], job: Job) -> tuple[Placement, ...]:
@@ -233,7 +233,10 @@
 def _groups(
     found: list[Candidate], job: Job, level: Callable[[Candidate], str]
 ) -> list[list[Candidate]]:
-    """Return the groups with enough candidates, the cheapest and smallest first."""
+    """Return groups with enough candidates: the cheapest, at equal cost the smallest.
+
+    Candidates are grouped by the value of `level`, such as the rack.
+    """
     groups = defaultdict(list)
     for candidate in found:
         groups[level(candidate)].append(candidate)
@@ -273,6 +276,7 @@
 
 
 def _may_fit(share: TeamShare, job: Job, cell_class: int) -> bool:
+    """Return whether the team has enough guaranteed cells, used or not, for the job."""
     cells = sum(
         count_cells(cell_counts(cell), cell_class) for _, cell in share.cells
     ) + count_cells(share.unused, cell_class)
@@ -280,7 +284,7 @@
 
 
 def cell_counts(cell: int) -> tuple[int, ...]:
-    """Return the counts by class that consist of one cell."""
+    """Return counts by class with a single cell."""
     cell_class = class_of(cell.bit_count())
     return tuple(int(size == cell_class) for size in range(CELL_CLASSES))
 
@@ -300,7 +304,7 @@
     scheduling = world.scheduling
     for name, cell in share.cells:
         row = scheduling.workers.get(name)
-        if row is not None and row.usable and _within_share(row, job, cell_class):
+        if row is not None and row.usable and _within_cell_share(row, job, cell_class):
             yield from _block_candidates(world, row, cell, True, job, cell_class)
     for larger in range(cell_class, CELL_CLASSES):
         if share.unused[larger]:
@@ -317,7 +321,7 @@
     workers = world.scheduling.workers
     for worker_class in range(larger, CELL_CLASSES):
         for row in workers.scan(index, worker_class):
-            if not _within_share(row, job, cell_class):
+            if not _within_cell_share(row, job, cell_class):
                 continue
             unbound = row.full_mask & ~row.bound
             if index == "free_class":
@@ -326,7 +330,7 @@
                 yield from _block_candidates(world, row, cell, False, job, cell_class)
 
 
-def _within_share(row: WorkerCapacity, job: Job, cell_class: int) -> bool:
+def _within_cell_share(row: WorkerCapacity, job: Job, cell_class: int) -> bool:
     """Return whether a member needs at most its cell's part of cores and memory."""
     size = 1 << cell_class
     return (
@@ -349,11 +353,11 @@
         victims = victims_on(world, row, block, True)
         if victims is not None:
             yield Candidate(
-                row, block, cell, bound, victims, _lost_work(world, victims)
+                row, block, cell, bound, victims, _total_lost_work(world, victims)
             )
 
 
-def _lost_work(world: World, victims: frozenset[str]) -> float:
+def _total_lost_work(world: World, victims: frozenset[str]) -> float:
     return sum(lost_work(world, world.agreed.gangs.get(key)) for key in victims)
 
 
@@ -397,7 +401,7 @@
     demand: list[int],
     missing: int,
 ) -> bool:
-    """Bind one more cell in the counts unless guarantees would lose cover.
+    """Bind one more cell in the counts unless that would increase the shortfall.
 
     The counts are changed in place. Returns whether the cell was bound.
     """
@@ -469,5 +473,5 @@
             for block in blocks_in(available, cell_class):
                 victims = victims_on(world, row, block, False)
                 if victims is not None:
-                    cost = _lost_work(world, victims)
+                    cost = _total_lost_work(world, victims)
                     yield Candidate(row, block, victims=victims, cost=cost)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -25,7 +25,7 @@
 def lost_work(world: World, gang: Gang) -> float:
     """Return the work that a stop of the gang would lose, in accelerator ms.
 
-    It is 0 for a gang that is stopping already.
+    It is 0 for a gang that is stopping already or was not released.
     """
     if gang.state is GangState.STOPPING or not gang.released_wall_ms:
         return 0.0
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -32,13 +32,14 @@
     """
     start_ms = gang.released_wall_ms or wall_ms
     end_ms = start_ms + expected_run_ms(scheduling, job)
-    overrun_ms = int((wall_ms - start_ms) * (1 + OVERRUN_RATIO))
-    return max(end_ms, start_ms + overrun_ms) if end_ms <= wall_ms else end_ms
+    extended_ms = int((wall_ms - start_ms) * (1 + OVERRUN_RATIO))
+    return max(end_ms, start_ms + extended_ms) if end_ms <= wall_ms else end_ms
 
 
 def record_run_time(scheduling: SchedulingState, job: Job, run_ms: int) -> None:
     """Include the run time of a finished job in the averages of its team."""
     row = scheduling.run_times.get(job.team) or RunTimes(job.team)
+    # A plain mean of the first jobs, then exponential smoothing.
     weight = max(SMOOTHING_WEIGHT, 1 / (row.samples + 1))
     row.mean_ms += weight * (run_ms - row.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -28,7 +28,7 @@
 
 INTERACTIVE_RANK = 0
 OVERNIGHT_RANK = 1
-MIN_LOAN_MS = 60_000  # least time for an overnight borrower on a reservation
+MIN_LOAN_MS = 60_000  # least time that an overnight borrower gets on a reservation
 
 
 def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
@@ -162,6 +162,8 @@
             plan = find_reserved(world.scheduling, reservation, job, excluded)
             if plan is not None:
                 return Choice(plan.placements, borrowed=True)
+    # First fit also finds unaligned accelerators, which helps only if their number is
+    # not a power of two. It cannot exclude workers.
     if job.accelerators.bit_count() > 1 and not excluded:
         choice = choose_first_fit(world, job, now_ms)
         return Choice(choice.placements, True, choice.refused)
@@ -181,10 +183,10 @@
     limit_ms = preempt_at_ms(world, reservation)
     if reservation.guaranteed or now_ms >= limit_ms:
         return False
-    owner = world.agreed.jobs.get(reservation.job)
+    reserving_job = world.agreed.jobs.get(reservation.job)
     if not waits_for_earlier_gang(world, reservation):
         return False
-    if find_preemption_victims(world, reservation, owner, now_ms):
+    if find_preemption_victims(world, reservation, reserving_job, now_ms):
         return False
     if job.urgency is Urgency.INTERACTIVE:
         limit_ms = min(limit_ms, reservation.expected_free_ms)
--- a/kingcuppost/systems/jobs/tests/test_guarantees.py
+++ b/kingcuppost/systems/jobs/tests/test_guarantees.py
@@ -63,7 +63,10 @@
 
 
 def test_two_halves_of_one_cell_stand_in_one_block() -> None:
-    """Guards against two blocks of 4 that could not become a guaranteed cell of 8."""
+    """Guards against halves in two blocks.
+
+    After the end of both jobs, two blocks of 4 would be left for a guarantee of 8.
+    """
     run = driver([worker(0), worker(1)], {"big": (Shape(1, 8),), "other": ()})
     submit(run, job("one", "big", accelerators=4))
     submit(run, job("fill", "other", accelerators=4))
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -1,4 +1,4 @@
-"""Borrowers yield to guaranteed and interactive work so that least work is lost."""
+"""Borrowers yield to guaranteed and interactive work, with the least work lost."""
 
 from kingcuppost.systems.jobs.tests.support import (
     HOUR_MS,
@@ -72,7 +72,7 @@
 
 
 def test_two_jobs_never_preempt_each_other_alternately() -> None:
-    """Guards against an overdue overnight job and an interactive borrower in a loop."""
+    """Guards against a loop of an overdue overnight job and an interactive borrower."""
     run = driver([worker(0)], {"guest": (), "other": ()})
     run.put_setting("job.keep_bound_ms", 0)
     submit(run, job("wide", "guest", 1, 8, run_ms=HOUR_MS))
@@ -126,7 +126,10 @@
 
 
 def test_overnight_work_has_only_one_reservation() -> None:
-    """Guards against one more with each new head of the queue, which idles workers."""
+    """Guards against one more reservation for each job that becomes first.
+
+    Workers would stay idle for all of them.
+    """
     run = driver([worker(0), worker(1)], {"guest": ()})
     submit(run, job("a", "guest", 1, 8), job("b", "guest", 1, 8))
     for number in range(4):
@@ -136,7 +139,7 @@
 
 
 def test_job_starts_on_free_capacity_beside_its_reservation() -> None:
-    """Half of the reservation and a worker freed elsewhere are enough."""
+    """Half of its reservation and a worker that is freed elsewhere are enough."""
     run = driver([worker(0), worker(1), worker(2)], {"guest": ()})
     run.put_setting("job.compact_after_ms", 10 * HOUR_MS)
     minutes = (30, 40, 20)
@@ -156,7 +159,10 @@
 
 
 def test_reclaimed_cores_are_not_lent_again() -> None:
-    """Guards against an older borrower that gets the cores before the job starts."""
+    """Guards against an older borrower that gets the cores back.
+
+    It got them each time before the job could start.
+    """
     run = driver([worker(0)], TEAMS)
     submit(run, job("cores", "guest", 60, 0, run_ms=HOUR_MS))
     submit(run, job("own", "owner", 1, 8, run_ms=9 * HOUR_MS, cores=64))
