Reword comments and local names of the handling of requests

Some docstrings and local names were vague or told only part of what the code does: which outcomes are dropped, when a claimed request is closed as unknown, at which paths settings are resolved, and which answers the test simulation loses.

They now follow the code. Constants with the same meaning have the same name as in the scheduling of jobs: SMOOTHING_WEIGHT and MAX_REFUSED_ALTERNATIVES.

--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -69,12 +69,15 @@
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=70)
 def handle_attempt_outcomes(world: World, now_ms: int) -> None:
-    """Match outcomes with attempts; drop late ones and those of other attempts."""
+    """Handle outcomes of open attempts; drop late ones and those of unknown attempts.
+
+    An attempt that can be resent stays open.
+    """
     for done in world.inbox.take(AttemptAnswered):
         attempt = world.attempts.get(done.attempt_id)
         if attempt is None:
             continue
-        sidecar_answered = done.free_slots >= 0
+        sidecar_answered = done.free_slots >= 0  # -1 after a failed exchange
         if sidecar_answered:
             record_answer(world, done, now_ms)
         else:
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -57,7 +57,7 @@
 
 
 def withdraw_claim_proposal(world: World, request: Request) -> bool:
-    """Withdraw the proposal of a claim; return whether it may be in the log."""
+    """Withdraw the proposal of a claim; return whether the claim may be in the log."""
     proposal = world.proposals.delete(request.claim_id)
     return proposal is None or proposal.appends > 0
 
@@ -65,7 +65,8 @@
 def _send_claimed_attempt(world: World, request: Request, now_ms: int) -> None:
     """Send the attempt that holds the key to the process that the claim names.
 
-    The sidecar runs it once and gives the same answer to every resend.
+    The sidecar runs it once and gives the same answer to every resend. If that process
+    has gone or the body differs, the request is closed as unknown.
     """
     claim = world.agreed.key_claims.get(request.key)
     minion = world.agreed.minions.get(claim.minion)
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -8,10 +8,10 @@
 
 __all__ = ["decision_of", "request_values"]
 
-MAX_REFUSALS = 8
-ROUTING = "request.routing"
-PREFIX = "request."
-ROOT_KEYS = frozenset({ROUTING, "request.silence_ms", "request.claim_timeout_ms"})
+MAX_REFUSED_ALTERNATIVES = 8
+ROUTING_KEY = "request.routing"
+REQUEST_PREFIX = "request."
+ROOT_KEYS = frozenset({ROUTING_KEY, "request.silence_ms", "request.claim_timeout_ms"})
 TEAM_KEYS = frozenset({"request.retry_burst", "request.retry_share"})
 
 
@@ -20,9 +20,10 @@
 ) -> tuple[EffectiveValue, ...]:
     """Return the settings that affect a request, ordered by name.
 
-    Each value is read at the path at which the systems read it.
+    Each is resolved at the path at which the systems read it: the root, the team, or
+    the team and urgency. Without a team, all are resolved at the root.
     """
-    names = sorted(name for name in KEYS if name.startswith(PREFIX))
+    names = sorted(name for name in KEYS if name.startswith(REQUEST_PREFIX))
     return tuple(
         resolve_setting(agreed, _path_of(name, team, urgency), name) for name in names
     )
@@ -35,19 +36,19 @@
 
 
 def decision_of(world: World, request: Request, chosen: Minion) -> Decision:
-    """Return the settings in force, and the minions that could not be chosen.
+    """Return the policy and settings in force, and minions that could not be chosen.
 
     Parameters
     ----------
     world : World
-        Tables of the deciding entry.
+        Tables of the entry that decides.
     request : Request
         Request to route.
     chosen : Minion
         Minion that the request is sent to.
     """
     values = request_values(world.agreed, request.team, request.urgency)
-    policy = str(resolve_setting(world.agreed, "", ROUTING).value)
+    policy = str(resolve_setting(world.agreed, "", ROUTING_KEY).value)
     refused = [
         RefusedAlternative(minion.name, reason)
         for minion in world.agreed.minions.find("service", request.service)
@@ -55,7 +56,7 @@
         and (reason := _refusal_reason(world, request, minion))
     ]
     offset = world.log_view.folded_offset
-    return Decision(policy, offset, values, tuple(refused[:MAX_REFUSALS]))
+    return Decision(policy, offset, values, tuple(refused[:MAX_REFUSED_ALTERNATIVES]))
 
 
 def _refusal_reason(world: World, request: Request, minion: Minion) -> str:
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -1,4 +1,4 @@
-"""Expiry of requests whose deadline has passed."""
+"""Expiry of requests whose deadline has passed or whose claim takes too long."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.registry import Phase, system
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -21,10 +21,10 @@
 def expected_latency_ms(world: World, name: str, now_ms: int) -> float:
     """Return the expected latency of one more request at a minion, in ms.
 
-    It is the measured service time, prolonged by the wait behind the current load
-    and by recent failures. The load from other entries follows from the free slots
-    last reported. A minion without a recent measurement counts as 0 while this
-    entry has no attempt there, so that it gets one request to be measured by.
+    It is the measured service time, increased for the wait behind the current load
+    and for failures since the last success. The load from other entries follows from
+    the free slots last reported. A minion without a recent measurement counts as 0
+    while this entry has no attempt there, so that one request goes there to measure it.
     """
     health = world.health.get(name)
     own_attempts = world.attempts.count("minion", name)
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -10,7 +10,10 @@
 
 
 def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
-    """Cache a finished attempt for resends, and evict the oldest beyond the limits."""
+    """Cache a finished attempt for resends, and evict the oldest beyond the limits.
+
+    The newest attempt stays, whatever its size.
+    """
     cache = world.reply_cache
     cache.attempt_ids.append(row.attempt_id)
     cache.answer_bytes += len(row.answer)
--- a/kingcuppost/systems/requests/routing.py
+++ b/kingcuppost/systems/requests/routing.py
@@ -15,7 +15,7 @@
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=110)
 def route_requests(world: World, now_ms: int) -> None:
-    """Send queued requests while their service has a free minion."""
+    """Send queued requests or claim their keys while their service has free minions."""
     for service in world.request_queue.services():
         while len(world.pools.pool(service)):
             request_id = world.request_queue.pop(service)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -2,7 +2,7 @@
 
 A resend carries the same attempt id, so that the sidecar runs the attempt once and
 gives its outcome to every exchange that waits for it. The sidecar answers each
-exchange within its hold time, even if only that the attempt is still running. An
+exchange within its hold time, with "still running" if the attempt has not ended. An
 exchange without an answer is abandoned, and the attempt is resent over another
 connection.
 """
@@ -27,11 +27,11 @@
 ]
 
 MAX_HOLD_MS = 8_000
-MAX_DOUBLINGS = 8
-SIDECAR_TIMEOUT_RATIO = 0.95
-RESEND_PAUSE_MS = 50
+MAX_HOLD_DOUBLINGS = 8
+SIDECAR_TIMEOUT_RATIO = 0.95  # part of the remaining time that the sidecar gets
+BASE_RESEND_PAUSE_MS = 50
 MAX_PAUSE_DOUBLINGS = 5
-MAX_IDEMPOTENT_FAILURES = 2
+MAX_IDEMPOTENT_FAILURES = 2  # failed exchanges before another minion may be tried
 
 
 def send_attempt(
@@ -60,7 +60,7 @@
     )
     world.attempts.put(attempt)
     refresh_pool(world, minion.name, now_ms)
-    _put_attempt(world, attempt, request, minion, now_ms)
+    _enqueue_attempt(world, attempt, request, minion, now_ms)
     note(
         world,
         "request.send",
@@ -72,11 +72,13 @@
     )
 
 
-def _put_attempt(
+def _enqueue_attempt(
     world: World, attempt: Attempt, request: Request, minion: Minion, now_ms: int
 ) -> None:
     silence_ms = effective_value(world.agreed, "request.silence_ms")
-    hold_ms = min((silence_ms // 2) << min(attempt.resends, MAX_DOUBLINGS), MAX_HOLD_MS)
+    hold_ms = min(
+        (silence_ms // 2) << min(attempt.resends, MAX_HOLD_DOUBLINGS), MAX_HOLD_MS
+    )
     world.outbox.put(
         SendAttempt(
             attempt.attempt_id,
@@ -131,7 +133,7 @@
     )
     pause_ms = 0
     if failures > 1 or done.never_sent:
-        pause_ms = RESEND_PAUSE_MS << min(failures, MAX_PAUSE_DOUBLINGS)
+        pause_ms = BASE_RESEND_PAUSE_MS << min(failures, MAX_PAUSE_DOUBLINGS)
     world.resend_deadlines.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
         world.deadlines.add(now_ms + pause_ms)
@@ -146,12 +148,12 @@
             continue
         requests = requests_awaiting(world, attempt)
         minion = world.agreed.minions.get(attempt.minion)
-        has_ended = minion is None or minion.incarnation != attempt.incarnation
-        if has_ended or not requests:
+        is_process_gone = minion is None or minion.incarnation != attempt.incarnation
+        if is_process_gone or not requests:
             world.inbox.put(_unknown_outcome(attempt))
             continue
         request = max(requests, key=lambda row: row.deadline_ms)
-        _put_attempt(world, attempt, request, minion, now_ms)
+        _enqueue_attempt(world, attempt, request, minion, now_ms)
 
 
 def _unknown_outcome(attempt: Attempt) -> AttemptAnswered:
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -34,7 +34,7 @@
     ServedState.NOT_RUN: Outcome.NOT_RUN,
     ServedState.UNKNOWN: Outcome.UNKNOWN,
 }
-SMOOTHING_RATIO = 0.2
+SMOOTHING_WEIGHT = 0.2
 
 
 def free_slots(world: World) -> int:
@@ -171,7 +171,7 @@
 
 def _update_service_time(world: World, duration_ms: int) -> None:
     if world.service_ms:
-        duration_ms = world.service_ms + SMOOTHING_RATIO * (
+        duration_ms = world.service_ms + SMOOTHING_WEIGHT * (
             duration_ms - world.service_ms
         )
     world.service_ms = float(max(duration_ms, 1))
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -47,14 +47,14 @@
 from kingcuppost.tables.world import World
 from kingcuppost.utils import ManualClock
 
-NOWHERE = Address("127.0.0.1", 0)
+UNUSED_ADDRESS = Address("127.0.0.1", 0)
 LATENCY_MS = 1
 SERVICE = "planner"
 ZONE = "vid-a"
 
 
 class Simulation:
-    """Worlds that exchange messages after a latency, with faults on demand.
+    """Processes whose messages arrive after a latency, with faults that tests inject.
 
     Attributes
     ----------
@@ -63,7 +63,7 @@
     answers : dict of str to RequestReply
         Replies to callers by exchange.
     lose_answers, unreachable : set of str
-        Processes whose answers are lost, and processes that cannot be
+        Processes that neither send nor receive answers, and processes that cannot be
         reached.
     log_up : bool
         Whether the log answers reads and appends.
@@ -87,8 +87,8 @@
         self.unreachable: set[str] = set()
         self.sent: list[SendAttempt | SendHeartbeat] = []
         self._numbers = itertools.count(1)
-        self._later: list[tuple[int, int, Callable[[], None]]] = []
-        self._open: dict[str, Callable[[Reply], None]] = {}
+        self._scheduled: list[tuple[int, int, Callable[[], None]]] = []
+        self._open_exchanges: dict[str, Callable[[Reply], None]] = {}
         for number in range(entries):
             self.start(f"entry-{number}")
         for name in run_ms:
@@ -107,16 +107,20 @@
         role = Role.ENTRY if name.startswith("entry") else Role.SIDECAR
         sidecar = None
         if role is Role.SIDECAR:
-            worker = WorkerConfig("none", f"w-{name}", "r", NOWHERE, 8, 1024, 8)
-            sidecar = SidecarConfig(SERVICE, NOWHERE, self.slots, 64, worker, NOWHERE)
+            worker = WorkerConfig("none", f"w-{name}", "r", UNUSED_ADDRESS, 8, 1024, 8)
+            sidecar = SidecarConfig(
+                SERVICE, UNUSED_ADDRESS, self.slots, 64, worker, UNUSED_ADDRESS
+            )
         cfg = ProcessConfig(
             role=role,
             name=name,
             availability_zone=ZONE,
             region="vidzeme",
-            peers=NOWHERE,
-            log=LogConfig("none", NOWHERE),
-            entry=EntryConfig(NOWHERE, NOWHERE) if role is Role.ENTRY else None,
+            peers=UNUSED_ADDRESS,
+            log=LogConfig("none", UNUSED_ADDRESS),
+            entry=EntryConfig(UNUSED_ADDRESS, UNUSED_ADDRESS)
+            if role is Role.ENTRY
+            else None,
             sidecar=sidecar,
             seed=next(self._numbers),
         )
@@ -149,8 +153,8 @@
             if next_ms is None or next_ms > end_ms:
                 break
             self.clock.advance(max(next_ms - self.clock.now_ms(), 0))
-            while self._later and self._later[0][0] <= self.clock.now_ms():
-                heapq.heappop(self._later)[2]()
+            while self._scheduled and self._scheduled[0][0] <= self.clock.now_ms():
+                heapq.heappop(self._scheduled)[2]()
         self.clock.advance(max(end_ms - self.clock.now_ms(), 0))
         self._tick_all()
 
@@ -161,8 +165,8 @@
 
     def _next_ms(self) -> int | None:
         times = [world.deadlines.next_ms() for world in self.worlds.values()]
-        if self._later:
-            times.append(self._later[0][0])
+        if self._scheduled:
+            times.append(self._scheduled[0][0])
         return min((at for at in times if at is not None), default=None)
 
     def _tick_all(self) -> None:
@@ -181,10 +185,10 @@
     def after(self, ms: int, run: Callable[[], None]) -> None:
         """Schedule a callback."""
         at_ms = self.clock.now_ms() + ms
-        heapq.heappush(self._later, (at_ms, next(self._numbers), run))
+        heapq.heappush(self._scheduled, (at_ms, next(self._numbers), run))
 
     def deliver(self, world: World, message: object, ms: int = LATENCY_MS) -> None:
-        """Deliver a message to a process unless it is killed before."""
+        """Deliver a message to a process unless it has been killed or restarted."""
         name = world.identity.name
 
         def put() -> None:
@@ -333,15 +337,15 @@
         def reply(message: Reply) -> None:
             if {receiver.identity.name, sender.identity.name} & self.lose_answers:
                 return
-            self._open.pop(exchange)
+            self._open_exchanges.pop(exchange)
             self.deliver(sender, answer(message))
 
         def expire() -> None:
-            if self._open.pop(exchange, None) is not None:
+            if self._open_exchanges.pop(exchange, None) is not None:
                 self.deliver(sender, failed, 0)
                 self.deliver(receiver, ExchangeLost(exchange), 0)
 
-        self._open[exchange] = reply
+        self._open_exchanges[exchange] = reply
         self.after(timeout_ms, expire)
 
     def _run(self, world: World, message: HandOver) -> None:
@@ -360,8 +364,8 @@
         self.after(took_ms, done)
 
     def _reply(self, message: Reply) -> None:
-        if message.exchange_id in self._open:
-            self._open[message.exchange_id](message)
+        if message.exchange_id in self._open_exchanges:
+            self._open_exchanges[message.exchange_id](message)
         elif isinstance(message.body, RequestReply):
             self.answers[message.exchange_id] = message.body
             self.answered_ms[message.exchange_id] = self.clock.now_ms()
--- a/kingcuppost/systems/requests/tests/test_routing.py
+++ b/kingcuppost/systems/requests/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Queues are fair and limited in length; retries, slots, zones and pauses."""
+"""Routing: fair and limited queues, limits of retries and slots, zones and pauses."""
 
 from kingcuppost.systems.requests.tests.simulation import Simulation
 from kingcuppost.tables.job import Urgency
--- a/kingcuppost/systems/requests/tests/test_serving.py
+++ b/kingcuppost/systems/requests/tests/test_serving.py
@@ -1,4 +1,4 @@
-"""Slots and refusals of a sidecar, and its answers for attempts of others."""
+"""Slots and refusals of a sidecar, and its answers to attempts for other processes."""
 
 from kingcuppost.systems import run_tick
 from kingcuppost.systems.requests.tests.simulation import Simulation
