Say truer what the job view and histograms contain

The gangs of a job view are those that have not ended; some hold no accelerators. Histograms are observed in ms but exported in seconds.

--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -60,8 +60,8 @@
     if job is None:
         return None
     ended = tuple(world.agreed.ended_gangs.find("job", argument))
-    running = tuple(world.agreed.gangs.find("job", argument))
-    return JobExplanation(job, ended + running)
+    active = tuple(world.agreed.gangs.find("job", argument))
+    return JobExplanation(job, ended + active)
 
 
 @views.register("explain_request")
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -78,7 +78,7 @@
 
 
 def declare_histogram(name: str, text: str, *labels: str) -> None:
-    """Declare a histogram of durations that systems observe in the tally, in ms."""
+    """Declare a histogram of durations, observed in ms and exported in seconds."""
     full_name = f"{PREFIX}{name}_seconds"
     metrics[name] = Metric(full_name, MetricKind.HISTOGRAM, text, labels)
 
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobView:
-    """A job with its gangs that hold accelerators."""
+    """A job with its gangs that have not ended."""
 
     job: Job
     gangs: tuple[Gang, ...]
@@ -113,7 +113,7 @@
 
 @views.register("job")
 def show_job(world: World, argument: str) -> JobView | None:
-    """Return a job by name, with its gangs that hold accelerators."""
+    """Return a job by name, with its gangs that have not ended."""
     job = world.agreed.jobs.get(argument)
     if job is None:
         return None
