Name inbox and outbox messages at the border as messages, not rows

The edges and models called an outbox message a row, although rows are what the tables keep. Their parameters are message and sent now, and from_row is from_message. to_row is to_report, to_task or to_event after what it returns. StartModel also orders checkpoints and stops, so it is TaskOrderModel; to_read_done returns a ReadAnswered, so it is to_read_answered.

--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -163,7 +163,7 @@
             print_failure(Failure(model.error.reason, "timeline"))
             continue
         for row in model.ok.events:
-            events[row.process, row.incarnation, row.sequence] = row.to_row()
+            events[row.process, row.incarnation, row.sequence] = row.to_event()
     return None if failed_count == len(event_answers) else list(events.values())
 
 
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -9,7 +9,7 @@
     AppendModel,
     ReadModel,
     encode_log_record,
-    to_read_done,
+    to_read_answered,
 )
 from kingcuppost.tables.inbox import AppendAnswered, ReadAnswered
 from kingcuppost.tables.outbox import AppendRecords, ReadLog
@@ -35,45 +35,45 @@
         self._address = context.world.cfg.log.address
         self._client = JsonClient(context.reactor)
 
-    def read(self, row: ReadLog) -> None:
+    def read(self, message: ReadLog) -> None:
         """Read records after an offset."""
-        client = self._client_for(row.hedge)
+        client = self._client_for(message.hedge)
         path = (
-            f"/v1/records?after={row.after}&wait_ms={row.wait_ms}"
+            f"/v1/records?after={message.after}&wait_ms={message.wait_ms}"
             f"&limit={RECORDS_PER_READ}"
         )
 
         async def exchange() -> ReadAnswered:
             response = await client.exchange(
-                "GET", self._address, path, b"", row.timeout_ms
+                "GET", self._address, path, b"", message.timeout_ms
             )
             if response.status != STATUS_OK:
                 raise PeerError(f"status {response.status}", "read", "log")
             parsed = decode(ReadModel, response.body, "log")
             if parsed.is_error():
                 raise PeerError(parsed.error.reason, "read", "log")
-            return to_read_done(row.read_id, parsed.ok)
+            return to_read_answered(message.read_id, parsed.ok)
 
         def make_failure(exc: PeerError) -> ReadAnswered:
-            return ReadAnswered(row.read_id, False, reason=str(exc))
+            return ReadAnswered(message.read_id, False, reason=str(exc))
 
         deliver_later(self._context, exchange(), make_failure)
 
-    def append(self, row: AppendRecords) -> None:
+    def append(self, message: AppendRecords) -> None:
         """Append records.
 
         The answer only shows that another read is due; whether the records take effect
         follows from the fold.
         """
-        client = self._client_for(row.hedge)
-        record_ids = tuple(record.record_id for record in row.records)
+        client = self._client_for(message.hedge)
+        record_ids = tuple(record.record_id for record in message.records)
         model = AppendModel(
-            values=[encode_log_record(record) for record in row.records]
+            values=[encode_log_record(record) for record in message.records]
         )
 
         async def exchange() -> AppendAnswered:
             response = await client.exchange(
-                "POST", self._address, "/v1/records", encode(model), row.timeout_ms
+                "POST", self._address, "/v1/records", encode(model), message.timeout_ms
             )
             ok = response.status == STATUS_OK
             return AppendAnswered(
@@ -98,12 +98,12 @@
 
 
 @senders.register(ReadLog)
-def read_log(context: EdgeContext, row: ReadLog) -> None:
+def read_log(context: EdgeContext, message: ReadLog) -> None:
     """Read the log through the configured driver."""
-    context.drivers["log"].read(row)
+    context.drivers["log"].read(message)
 
 
 @senders.register(AppendRecords)
-def append_records(context: EdgeContext, row: AppendRecords) -> None:
+def append_records(context: EdgeContext, message: AppendRecords) -> None:
     """Append to the log through the configured driver."""
-    context.drivers["log"].append(row)
+    context.drivers["log"].append(message)
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -94,7 +94,7 @@
 
 
 @senders.register(SendAttempt)
-def send_attempt(context: EdgeContext, row: SendAttempt) -> None:
+def send_attempt(context: EdgeContext, message: SendAttempt) -> None:
     """Send an attempt to a sidecar.
 
     Unless the connection could not be established, a failure leaves open whether the
@@ -102,17 +102,22 @@
     """
 
     async def exchange() -> AttemptAnswered:
-        address = Address(row.host, row.port)
-        model = AttemptModel.from_row(row)
+        address = Address(message.host, message.port)
+        model = AttemptModel.from_message(message)
         reply = await post_model(
-            context, address, "/peer/attempts", model, AttemptReplyModel, row.silence_ms
+            context,
+            address,
+            "/peer/attempts",
+            model,
+            AttemptReplyModel,
+            message.silence_ms,
         )
-        return reply.to_message(row)
+        return reply.to_message(message)
 
     def make_failure(exc: PeerError) -> AttemptAnswered:
         return AttemptAnswered(
-            row.attempt_id,
-            row.minion,
+            message.attempt_id,
+            message.minion,
             "",
             Outcome.UNKNOWN,
             never_sent=exc.step == "connect",
@@ -123,83 +128,90 @@
 
 
 @senders.register(HandOver)
-def hand_over(context: EdgeContext, row: HandOver) -> None:
+def hand_over(context: EdgeContext, message: HandOver) -> None:
     """Pass an attempt to the minion and deliver its answer."""
     address = context.world.cfg.sidecar.minion
 
     async def exchange() -> MinionAnswered:
         response = await context.client.exchange(
-            "POST", address, "/v1/run", row.body.encode("utf-8"), row.timeout_ms
+            "POST", address, "/v1/run", message.body.encode("utf-8"), message.timeout_ms
         )
         if response.status != STATUS_OK:
             reason = f"the minion answered with status {response.status}"
-            return MinionAnswered(row.attempt_id, False, reason=reason)
+            return MinionAnswered(message.attempt_id, False, reason=reason)
         return MinionAnswered(
-            row.attempt_id, True, response.body.decode("utf-8", "replace")
+            message.attempt_id, True, response.body.decode("utf-8", "replace")
         )
 
     def make_failure(exc: PeerError) -> MinionAnswered:
         never_sent = exc.step == "connect"
-        return MinionAnswered(row.attempt_id, False, "", never_sent, str(exc))
+        return MinionAnswered(message.attempt_id, False, "", never_sent, str(exc))
 
     deliver_later(context, exchange(), make_failure)
 
 
 @senders.register(SendHeartbeat)
-def send_heartbeat(context: EdgeContext, row: SendHeartbeat) -> None:
+def send_heartbeat(context: EdgeContext, message: SendHeartbeat) -> None:
     """Send a heartbeat to an entry."""
 
     async def exchange() -> HeartbeatAnswered:
-        address = Address(row.host, row.port)
-        model = HeartbeatModel.from_row(row)
+        address = Address(message.host, message.port)
+        model = HeartbeatModel.from_message(message)
         reply = await post_model(
             context,
             address,
             "/peer/heartbeats",
             model,
             HeartbeatReplyModel,
-            row.timeout_ms,
+            message.timeout_ms,
         )
-        return HeartbeatAnswered(row.entry, True, "", reply.folded_offset)
+        return HeartbeatAnswered(message.entry, True, "", reply.folded_offset)
 
     deliver_later(
-        context, exchange(), lambda exc: HeartbeatAnswered(row.entry, False, str(exc))
+        context,
+        exchange(),
+        lambda exc: HeartbeatAnswered(message.entry, False, str(exc)),
     )
 
 
 @senders.register(SendGangReports)
-def send_gang_reports(context: EdgeContext, row: SendGangReports) -> None:
+def send_gang_reports(context: EdgeContext, message: SendGangReports) -> None:
     """Send reports of gang members to the sidecar of the gang's leader."""
 
     async def exchange() -> GangReplyArrived:
-        address = Address(row.host, row.port)
-        model = GangReportsModel.from_row(row)
+        address = Address(message.host, message.port)
+        model = GangReportsModel.from_message(message)
         reply = await post_model(
-            context, address, "/peer/gangs", model, GangReplyModel, row.timeout_ms
+            context, address, "/peer/gangs", model, GangReplyModel, message.timeout_ms
         )
-        return reply.to_message(row)
+        return reply.to_message(message)
 
     deliver_later(
         context,
         exchange(),
-        lambda exc: GangReplyArrived(row.worker, False, row.sent_ms),
+        lambda exc: GangReplyArrived(message.worker, False, message.sent_ms),
     )
 
 
 @senders.register(AskHolder)
-def ask_holder(context: EdgeContext, row: AskHolder) -> None:
+def ask_holder(context: EdgeContext, message: AskHolder) -> None:
     """Ping the holder of the scheduling lease."""
 
     async def exchange() -> HolderAnswered:
-        address = Address(row.host, row.port)
+        address = Address(message.host, message.port)
         model = HolderModel(entry=context.world.identity.name)
         reply = await post_model(
-            context, address, "/peer/holder", model, HolderReplyModel, row.timeout_ms
+            context,
+            address,
+            "/peer/holder",
+            model,
+            HolderReplyModel,
+            message.timeout_ms,
         )
-        return reply.to_message(row)
+        return reply.to_message(message)
 
     deliver_later(
         context,
         exchange(),
-        lambda exc: HolderAnswered(False, "", row.sent_ms, str(exc)),
+        lambda exc: HolderAnswered(False, "", message.sent_ms, str(exc)),
     )
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -23,13 +23,13 @@
 
 
 @senders.register(ExitProcess)
-def exit_process(context: EdgeContext, row: ExitProcess) -> None:
+def exit_process(context: EdgeContext, message: ExitProcess) -> None:
     """Close the ports, flush written responses, then stop the reactor.
 
     After a forced stop (non-zero exit code), the reactor is stopped immediately.
     """
-    context.exit_code = row.code
-    if row.code:
+    context.exit_code = message.code
+    if message.code:
         _stop(context)
         return
     for listener in context.listeners:
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -9,8 +9,8 @@
 from kingcuppost.models.worker import (
     RenewModel,
     ReserveModel,
-    StartModel,
     TaskListModel,
+    TaskOrderModel,
 )
 from kingcuppost.tables.inbox import WorkerAnswered
 from kingcuppost.tables.outbox import (
@@ -53,7 +53,7 @@
             parsed = decode(TaskListModel, response.body, "worker")
             if parsed.is_error():
                 raise PeerError(parsed.error.reason, name, "worker")
-            tasks = tuple(item.to_row() for item in parsed.ok.tasks)
+            tasks = tuple(item.to_task() for item in parsed.ok.tasks)
             return WorkerAnswered(name, task_id, True, tasks)
 
         def make_failure(exc: PeerError) -> WorkerAnswered:
@@ -63,37 +63,43 @@
 
 
 @senders.register(ReserveTask)
-def reserve_task(context: EdgeContext, row: ReserveTask) -> None:
+def reserve_task(context: EdgeContext, message: ReserveTask) -> None:
     """Order the worker to reserve resources for a gang member."""
-    model = ReserveModel.from_row(row)
-    context.drivers["worker"].send_order("reserve", row.task_id, model, row.timeout_ms)
+    model = ReserveModel.from_message(message)
+    context.drivers["worker"].send_order(
+        "reserve", message.task_id, model, message.timeout_ms
+    )
 
 
 @senders.register(StartTask)
-def start_task(context: EdgeContext, row: StartTask) -> None:
+def start_task(context: EdgeContext, message: StartTask) -> None:
     """Order the worker to start a reserved member."""
-    model = StartModel(task_id=row.task_id, lease_ms=row.lease_ms)
-    context.drivers["worker"].send_order("start", row.task_id, model, row.timeout_ms)
+    model = TaskOrderModel(task_id=message.task_id, lease_ms=message.lease_ms)
+    context.drivers["worker"].send_order(
+        "start", message.task_id, model, message.timeout_ms
+    )
 
 
 @senders.register(RenewTasks)
-def renew_tasks(context: EdgeContext, row: RenewTasks) -> None:
+def renew_tasks(context: EdgeContext, message: RenewTasks) -> None:
     """Renew leases of tasks and request the list of all tasks."""
-    model = RenewModel.from_row(row)
-    context.drivers["worker"].send_order("renew", "", model, row.timeout_ms)
+    model = RenewModel.from_message(message)
+    context.drivers["worker"].send_order("renew", "", model, message.timeout_ms)
 
 
 @senders.register(CheckpointTask)
-def checkpoint_task(context: EdgeContext, row: CheckpointTask) -> None:
+def checkpoint_task(context: EdgeContext, message: CheckpointTask) -> None:
     """Order the worker to checkpoint a member."""
-    model = StartModel(task_id=row.task_id)
+    model = TaskOrderModel(task_id=message.task_id)
     context.drivers["worker"].send_order(
-        "checkpoint", row.task_id, model, row.timeout_ms
+        "checkpoint", message.task_id, model, message.timeout_ms
     )
 
 
 @senders.register(StopTask)
-def stop_task(context: EdgeContext, row: StopTask) -> None:
+def stop_task(context: EdgeContext, message: StopTask) -> None:
     """Order the worker to stop a member."""
-    model = StartModel(task_id=row.task_id)
-    context.drivers["worker"].send_order("stop", row.task_id, model, row.timeout_ms)
+    model = TaskOrderModel(task_id=message.task_id)
+    context.drivers["worker"].send_order(
+        "stop", message.task_id, model, message.timeout_ms
+    )
--- a/kingcuppost/models/events.py
+++ b/kingcuppost/models/events.py
@@ -27,8 +27,8 @@
     sends: str = ""
     receives: str = ""
 
-    def to_row(self) -> Event:
-        """Return the event's row."""
+    def to_event(self) -> Event:
+        """Return the event as a data class."""
         return Event(**dict(self))
 
 
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -8,7 +8,7 @@
 from kingcuppost.tables.inbox import ReadAnswered, StoredRecord
 from kingcuppost.tables.record import Record, RecordBody
 
-__all__ = ["AppendModel", "ReadModel", "decode_log_record", "to_read_done"]
+__all__ = ["AppendModel", "ReadModel", "decode_log_record", "to_read_answered"]
 
 _body = TypeAdapter(
     Annotated[RecordBody, Field(discriminator="kind")],
@@ -71,7 +71,7 @@
     return Record(model.record_id, model.author, model.wall_ms, body, model.seen_offset)
 
 
-def to_read_done(read_id: str, model: ReadModel) -> ReadAnswered:
+def to_read_answered(read_id: str, model: ReadModel) -> ReadAnswered:
     """Return the inbox message; values that are not valid records are skipped."""
     records = []
     for item in model.records:
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -45,8 +45,8 @@
     result: str = ""
     age_ms: int = Field(default=0, ge=0)
 
-    def to_row(self) -> MemberReport:
-        """Return the row."""
+    def to_report(self) -> MemberReport:
+        """Return the report as a data class."""
         return MemberReport(
             self.job,
             self.incarnation,
@@ -57,17 +57,17 @@
         )
 
 
-def _make_report_models(rows: tuple[MemberReport, ...]) -> list[ReportModel]:
+def _make_report_models(reports: tuple[MemberReport, ...]) -> list[ReportModel]:
     return [
         ReportModel(
-            job=row.job,
-            incarnation=row.incarnation,
-            member=row.member,
-            state=row.state,
-            result=row.result,
-            age_ms=row.age_ms,
+            job=report.job,
+            incarnation=report.incarnation,
+            member=report.member,
+            state=report.state,
+            result=report.result,
+            age_ms=report.age_ms,
         )
-        for row in rows
+        for report in reports
     ]
 
 
@@ -85,18 +85,18 @@
     hold_ms: int = Field(default=0, ge=0)
 
     @classmethod
-    def from_row(cls, row: SendAttempt) -> "AttemptModel":
+    def from_message(cls, message: SendAttempt) -> "AttemptModel":
         """Return the model of an outbox message."""
         return cls(
-            attempt_id=row.attempt_id,
-            incarnation=row.incarnation,
-            team=row.team,
-            body=row.body,
-            keyed=row.keyed,
-            urgency=row.urgency,
-            timeout_ms=max(row.timeout_ms, 0),
-            claim_offset=row.claim_offset,
-            hold_ms=row.hold_ms,
+            attempt_id=message.attempt_id,
+            incarnation=message.incarnation,
+            team=message.team,
+            body=message.body,
+            keyed=message.keyed,
+            urgency=message.urgency,
+            timeout_ms=max(message.timeout_ms, 0),
+            claim_offset=message.claim_offset,
+            hold_ms=message.hold_ms,
         )
 
     def to_message(self, exchange_id: str) -> AttemptArrived:
@@ -128,19 +128,19 @@
     reason: str = ""
     running: bool = False
 
-    def to_message(self, row: SendAttempt) -> AttemptAnswered:
+    def to_message(self, sent: SendAttempt) -> AttemptAnswered:
         """Return the inbox message.
 
         A reply to another attempt leaves the outcome unknown.
         """
-        if self.attempt_id != row.attempt_id:
+        if self.attempt_id != sent.attempt_id:
             reason = "the answer belongs to another attempt"
             return AttemptAnswered(
-                row.attempt_id, row.minion, "", Outcome.UNKNOWN, reason=reason
+                sent.attempt_id, sent.minion, "", Outcome.UNKNOWN, reason=reason
             )
         return AttemptAnswered(
-            row.attempt_id,
-            row.minion,
+            sent.attempt_id,
+            sent.minion,
             self.incarnation,
             self.outcome,
             self.body,
@@ -163,15 +163,15 @@
     reports: list[ReportModel]
 
     @classmethod
-    def from_row(cls, row: SendHeartbeat) -> "HeartbeatModel":
+    def from_message(cls, message: SendHeartbeat) -> "HeartbeatModel":
         """Return the model of an outbox message."""
         return cls(
-            minion=row.minion,
-            incarnation=row.incarnation,
-            free_slots=row.free_slots,
-            leaving=row.leaving,
-            service_ms=row.service_ms,
-            reports=_make_report_models(row.reports),
+            minion=message.minion,
+            incarnation=message.incarnation,
+            free_slots=message.free_slots,
+            leaving=message.leaving,
+            service_ms=message.service_ms,
+            reports=_make_report_models(message.reports),
         )
 
     def to_message(self, exchange_id: str) -> HeartbeatArrived:
@@ -183,7 +183,7 @@
             self.free_slots,
             self.leaving,
             self.service_ms,
-            tuple(item.to_row() for item in self.reports),
+            tuple(item.to_report() for item in self.reports),
         )
 
 
@@ -202,13 +202,15 @@
     reports: list[ReportModel]
 
     @classmethod
-    def from_row(cls, row: SendGangReports) -> "GangReportsModel":
+    def from_message(cls, message: SendGangReports) -> "GangReportsModel":
         """Return the model of an outbox message."""
-        return cls(worker=row.from_worker, reports=_make_report_models(row.reports))
+        return cls(
+            worker=message.from_worker, reports=_make_report_models(message.reports)
+        )
 
     def to_message(self, exchange_id: str) -> GangReportArrived:
         """Return the inbox message."""
-        reports = tuple(item.to_row() for item in self.reports)
+        reports = tuple(item.to_report() for item in self.reports)
         return GangReportArrived(exchange_id, self.worker, reports)
 
 
@@ -219,10 +221,10 @@
     whole: list[str]
     broken: list[str]
 
-    def to_message(self, row: SendGangReports) -> GangReplyArrived:
+    def to_message(self, sent: SendGangReports) -> GangReplyArrived:
         """Return the inbox message."""
         return GangReplyArrived(
-            row.worker, True, row.sent_ms, tuple(self.whole), tuple(self.broken)
+            sent.worker, True, sent.sent_ms, tuple(self.whole), tuple(self.broken)
         )
 
 
@@ -243,8 +245,8 @@
     incarnation: str
     follows_log: bool
 
-    def to_message(self, row: AskHolder) -> HolderAnswered:
+    def to_message(self, sent: AskHolder) -> HolderAnswered:
         """Return the inbox message."""
         return HolderAnswered(
-            True, self.incarnation, row.sent_ms, follows_log=self.follows_log
+            True, self.incarnation, sent.sent_ms, follows_log=self.follows_log
         )
--- a/kingcuppost/models/worker.py
+++ b/kingcuppost/models/worker.py
@@ -11,7 +11,7 @@
     "LeaseModel",
     "RenewModel",
     "ReserveModel",
-    "StartModel",
+    "TaskOrderModel",
     "TaskListModel",
     "TaskModel",
 ]
@@ -28,19 +28,19 @@
     lease_ms: int
 
     @classmethod
-    def from_row(cls, row: ReserveTask) -> "ReserveModel":
+    def from_message(cls, message: ReserveTask) -> "ReserveModel":
         """Return the model of an outbox message."""
         return cls(
-            task_id=row.task_id,
-            cores=row.cores,
-            memory_mb=row.memory_mb,
-            accelerators=list(row.accelerators),
-            payload=row.payload,
-            lease_ms=row.lease_ms,
+            task_id=message.task_id,
+            cores=message.cores,
+            memory_mb=message.memory_mb,
+            accelerators=list(message.accelerators),
+            payload=message.payload,
+            lease_ms=message.lease_ms,
         )
 
 
-class StartModel(BorderModel):
+class TaskOrderModel(BorderModel):
     """Start, checkpoint or stop a task."""
 
     task_id: str
@@ -60,11 +60,11 @@
     leases: list[LeaseModel]
 
     @classmethod
-    def from_row(cls, row: RenewTasks) -> "RenewModel":
+    def from_message(cls, message: RenewTasks) -> "RenewModel":
         """Return the model of an outbox message."""
         leases = [
             LeaseModel(task_id=item.task_id, lease_ms=item.lease_ms)
-            for item in row.leases
+            for item in message.leases
         ]
         return cls(leases=leases)
 
@@ -78,8 +78,8 @@
     state: TaskState
     result: str = ""
 
-    def to_row(self) -> WorkerTask:
-        """Return the row."""
+    def to_task(self) -> WorkerTask:
+        """Return the task as a data class."""
         return WorkerTask(self.task_id, self.state, self.result)
 
 
