Correct and complete docstrings of tables, utilities and programs

Some docstrings said less or something else than the code: the age of a member's report also counts from a confirmed start, change sets include deleted rows, programs also exit with 70, a command can run the reactor only once, and InvalidInputError is raised for options. The phases of a tick had no description. Several attributes needed a second reading, such as the counts of cells outside guarantees. The announcement in the programs is no longer called ports.

--- a/kingcuppost/exception.py
+++ b/kingcuppost/exception.py
@@ -35,7 +35,7 @@
 
 
 class InvalidInputError(KingcuppostError):
-    """A message from outside the process failed the validation by its model."""
+    """Input from outside the process, such as a command-line option, is not valid."""
 
 
 class PeerError(KingcuppostError):
--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -46,7 +46,8 @@
 def send_requests(requests: list[CommandRequest]) -> RequestResults:
     """Send requests concurrently and return their results in order.
 
-    Runs the reactor; a process calls this or `send_with_follow_ups` once.
+    Runs the reactor, which cannot be restarted: a process can call either this or
+    `send_with_follow_ups`, and only once.
     """
 
     async def send(client: JsonClient) -> RequestResults:
@@ -61,12 +62,14 @@
 ) -> RequestResults:
     """Send one request, then those that follow from its result.
 
+    Runs the reactor; see `send_requests`.
+
     Parameters
     ----------
     first : CommandRequest
-        First request.
+        Request that is sent first.
     make_follow_ups : callable
-        Returns the further requests for the result of the first.
+        Returns the further requests, given the result of the first.
 
     Returns
     -------
@@ -109,18 +112,24 @@
     """Send requests, at most `MAX_CONCURRENT_REQUESTS` at a time."""
     semaphore = DeferredSemaphore(MAX_CONCURRENT_REQUESTS)
     pending = [
-        semaphore.run(lambda item=item: ensureDeferred(_send_one(client, item)))
-        for item in requests
+        semaphore.run(
+            lambda request=request: ensureDeferred(_send_one(client, request))
+        )
+        for request in requests
     ]
     return await gatherResults(pending)
 
 
 async def _send_one(
-    client: JsonClient, item: CommandRequest
+    client: JsonClient, request: CommandRequest
 ) -> Result[Response, Failure]:
     try:
         response = await client.exchange(
-            item.method, item.address, item.path, item.body, item.timeout_ms
+            request.method,
+            request.address,
+            request.path,
+            request.body,
+            request.timeout_ms,
         )
     except PeerError as exc:
         return Error(Failure(exc.reason, exc.step, exc.peer))
--- a/kingcuppost/programs/entry.py
+++ b/kingcuppost/programs/entry.py
@@ -18,13 +18,16 @@
     Returns
     -------
     int
-        Exit code: 0 after a graceful stop, 1 after a forced one.
+        Exit code: 0 after a graceful stop, 1 after a forced one, 70 after a failed
+        tick.
     """
     context = build_context(cfg)
-    ports = context.world.announcement
+    announcement = context.world.announcement
     callers = cfg.entry.callers
     operators = cfg.entry.operators
-    ports.caller_port = listen(context, "callers", callers.host, callers.port)
-    ports.operator_port = listen(context, "operators", operators.host, operators.port)
-    ports.peer_port = listen(context, "peers", cfg.peers.host, cfg.peers.port)
+    announcement.caller_port = listen(context, "callers", callers.host, callers.port)
+    announcement.operator_port = listen(
+        context, "operators", operators.host, operators.port
+    )
+    announcement.peer_port = listen(context, "peers", cfg.peers.host, cfg.peers.port)
     return run_process(context)
--- a/kingcuppost/programs/sidecar.py
+++ b/kingcuppost/programs/sidecar.py
@@ -18,13 +18,16 @@
     Returns
     -------
     int
-        Exit code: 0 after a graceful stop, 1 after a forced one.
+        Exit code: 0 after a graceful stop, 1 after a forced one, 70 after a failed
+        tick.
     """
     context = build_context(cfg)
     worker_driver = drivers["worker", cfg.sidecar.worker.driver]
     context.drivers["worker"] = worker_driver(context)
-    ports = context.world.announcement
+    announcement = context.world.announcement
     operators = cfg.sidecar.operators
-    ports.operator_port = listen(context, "operators", operators.host, operators.port)
-    ports.peer_port = listen(context, "peers", cfg.peers.host, cfg.peers.port)
+    announcement.operator_port = listen(
+        context, "operators", operators.host, operators.port
+    )
+    announcement.peer_port = listen(context, "peers", cfg.peers.host, cfg.peers.port)
     return run_process(context)
--- a/kingcuppost/tables/agreed_rows.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -1,4 +1,4 @@
-"""Rows that only the fold writes: scheduling lease, key claims, recent records."""
+"""Rows that only the fold writes: lease, claims, recent records, lower bounds."""
 
 from dataclasses import dataclass
 
@@ -72,8 +72,8 @@
     issued_ms : int
         When the caller created the key, Unix ms; 0 if not given.
     decision : Decision or None
-        Why the minion was chosen; None if the claim does not include it, or is not
-        among the newest.
+        Why the minion was chosen; None if the claim does not include it, or if it was
+        evicted because only the newest claims keep theirs.
     """
 
     key: str
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExplainedKey:
-    """A claimed key whose decision is still kept; in the order of the claims.
+    """A claimed key whose decision is still kept; the table keeps the claims' order.
 
     Attributes
     ----------
@@ -118,7 +118,7 @@
 
 @dataclass(slots=True)
 class LowerBounds:
-    """Lower bounds below which the fold keeps no rows, and so refuses records.
+    """Lower bounds: the fold has evicted rows up to them and rejects older records.
 
     Attributes
     ----------
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -35,8 +35,8 @@
     reason : str
         Why the record was rejected; empty if accepted.
     is_possible_repeat : bool
-        Whether the record was rejected because an earlier one that is no longer kept
-        may already have had its effect.
+        Whether the record was rejected because it may repeat an earlier one whose
+        identifier is no longer kept, and which may have taken effect.
     """
 
     accepted: bool
@@ -167,7 +167,7 @@
     fresh_as_of_ms : int
         Sending time of the latest read that reached the head; -1 before any.
     last_answer_ms : int
-        Time at which such a read was last answered; -1 before any.
+        Time at which the answer to such a read last arrived; -1 before any.
     reads : dict of str to PendingRead
         Pending reads by identifier.
     next_read_ms : int
@@ -177,12 +177,13 @@
     barrier_ms : int
         A read of the head sent at or after this time is required; -1 if none is.
     caught_up : bool
-        Whether the head was reached since the start or the last expired offset.
+        Whether the head was reached since the start, or since records that this
+        process had not read last expired.
     search : SnapshotSearch or None
-        The search for a snapshot that is running; None if none is.
+        The current search for a snapshot; None outside a search.
     searched : bool
-        Whether a search has ended since this process last caught up, so that lag
-        alone starts no other.
+        Whether a search has ended since this process last caught up; then lag alone
+        starts no further search.
     appends : dict of str to int
         Sending time of each pending append, by the identifier of its first record.
     """
--- a/kingcuppost/tables/config.py
+++ b/kingcuppost/tables/config.py
@@ -85,7 +85,7 @@
     minion : Address
         Address at which the minion listens.
     slots, connections : int
-        Maximum numbers of requests in execution, and of open connections.
+        Maximum number of concurrent requests, and of open connections.
     worker : WorkerConfig
         The worker that the minion runs on.
     operators : Address
--- a/kingcuppost/tables/fair_queue.py
+++ b/kingcuppost/tables/fair_queue.py
@@ -11,7 +11,7 @@
 
     Interactive requests are taken first. Within an urgency the queue serves teams
     round-robin, so that a burst of one team does not delay the others. Operations
-    on a request take constant time, however many requests wait.
+    on a request take constant time, regardless of the number of waiting requests.
     """
 
     def __init__(self) -> None:
--- a/kingcuppost/tables/fleet.py
+++ b/kingcuppost/tables/fleet.py
@@ -7,7 +7,7 @@
 
 
 class MemberState(StrEnum):
-    """State of a process as its last record in the log gives it."""
+    """State of a process according to its last record in the log."""
 
     SERVING = "serving"
     LEAVING = "leaving"
@@ -49,7 +49,7 @@
     memory_mb : int
         Memory in MB.
     minion : str
-        Minion whose sidecar gives the worker its orders.
+        Minion whose sidecar sends the worker its orders.
     """
 
     name: str
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -20,9 +20,9 @@
     next_renewal_ms, next_report_ms : int
         Time of the next renewal of leases, and of the next reports to leaders.
     renewal : Renewal or None
-        The pending renewal; None if none is.
+        The pending renewal; None if there is none.
     last_answered_order_ms : int
-        Sending time of the newest lease renewal that the worker answered.
+        Sending time of the latest lease renewal or start that the worker confirmed.
     """
 
     adopted: bool = False
@@ -47,7 +47,7 @@
     Attributes
     ----------
     stages : dict of str to GangStage
-        Stage of each gang by its key.
+        State of each gang, by the gang's key.
     due : KeyTimers
         When each gang is to be checked again.
     term : int
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -35,13 +35,13 @@
     Attributes
     ----------
     holder : str
-        Incarnation of the lease holder that members were reported to.
+        Incarnation of the lease holder to which members were last reported.
     next_heartbeat_ms, next_report_ms : int
         Earliest time of the next heartbeat and of the next reports.
     last_reply_ms : int
         When an entry last answered a heartbeat.
     next_full_report_ms : int
-        When all members are next reported, changed or not.
+        When all members are next reported, including unchanged ones.
     leave_notified : tuple of str
         Entries that were sent the leave notice.
     unresponsive : tuple of str
--- a/kingcuppost/tables/identity.py
+++ b/kingcuppost/tables/identity.py
@@ -1,11 +1,10 @@
 """Identity of this process."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 __all__ = ["Identity", "Role"]
 
-from enum import StrEnum
-
 
 class Role(StrEnum):
     """Role of a process in the system."""
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -106,8 +106,8 @@
     head, earliest : int
         Offsets of the newest and the oldest record in the log.
     end : int
-        Offset of the last record read, also if it is not in `records` because its text
-        is not valid, such as that of another program; 0 if none was read.
+        Offset of the last record read; `records` lacks that record if its text is not
+        valid, such as that of another program. 0 if none was read.
     reason : str
         Why the read failed.
     """
@@ -158,7 +158,7 @@
     keyed : bool
         Whether the request is non-idempotent.
     timeout_ms : int
-        Time in ms for which the attempt is of use, from its arrival.
+        Time in ms from its arrival after which the attempt is of no use.
     claim_offset : int
         Log offset of the claim of its key; 0 if none.
     hold_ms : int
--- a/kingcuppost/tables/job.py
+++ b/kingcuppost/tables/job.py
@@ -57,8 +57,8 @@
     accelerators : tuple of int
         Numbers of the worker's accelerators.
     cell : int
-        Size of the guaranteed cell that contains them, a block aligned on its own
-        size; 0 for a member that borrows.
+        Number of accelerators in the guaranteed cell that contains them, a block
+        aligned on its own size; 0 for a member that borrows.
     """
 
     worker: str
@@ -99,7 +99,7 @@
     Attributes
     ----------
     place : str
-        What was considered.
+        Worker or minion that was considered, or a wider subject, such as the team.
     reason : str
         Why it was rejected.
     """
--- a/kingcuppost/tables/metrics.py
+++ b/kingcuppost/tables/metrics.py
@@ -17,7 +17,8 @@
     Attributes
     ----------
     buckets : list of int
-        One count per bucket of `DURATION_BOUNDS_MS`, and one for longer durations.
+        Counts by the inclusive upper bounds `DURATION_BOUNDS_MS`, each without those
+        of lower buckets, and one count for longer durations.
     sum_ms : float
         Sum of all durations, in ms.
     """
@@ -52,8 +53,8 @@
         counts = self.counts.setdefault(name, {})
         counts[labels] = counts.get(labels, 0) + amount
 
-    def observe(self, name: str, took_ms: float, *labels: str) -> None:
+    def observe(self, name: str, duration_ms: float, *labels: str) -> None:
         """Count a duration in its histogram."""
         row = self.durations.setdefault(name, {}).setdefault(labels, DurationCounts())
-        row.buckets[bisect_left(DURATION_BOUNDS_MS, took_ms)] += 1
-        row.sum_ms += took_ms
+        row.buckets[bisect_left(DURATION_BOUNDS_MS, duration_ms)] += 1
+        row.sum_ms += duration_ms
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -49,8 +49,8 @@
 class ReadLog:
     """Read the records after an offset; the log may wait up to `wait_ms` for one.
 
-    A `hedge` is a hedged request: since an earlier read is late, it is sent on a new
-    connection.
+    With `hedge`, this is a hedged request: an earlier read is late, so this one is sent
+    on a new connection.
     """
 
     read_id: str
@@ -64,8 +64,8 @@
 class AppendRecords:
     """Append records to the log, all or none.
 
-    A `hedge` is a hedged request: since an earlier append is late, it is sent on a new
-    connection.
+    With `hedge`, this is a hedged request: an earlier append is late, so this one is
+    sent on a new connection.
     """
 
     records: tuple[Record, ...]
@@ -77,9 +77,9 @@
 class SendAttempt:
     """Send an attempt to a sidecar.
 
-    The attempt is of use for `timeout_ms`. The sidecar answers within `hold_ms`, also
-    if the attempt is still running; an exchange without an answer for `silence_ms` is
-    abandoned.
+    The attempt is of no use after `timeout_ms`. The sidecar answers within `hold_ms`,
+    even if the attempt is still running; an exchange without an answer for
+    `silence_ms` is abandoned.
     """
 
     attempt_id: str
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -202,7 +202,7 @@
 class GangStop:
     """Stop all members of a gang; the job waits again unless it was cancelled.
 
-    A `grace_ms` of -1 means that the settings give the time for a checkpoint.
+    If `grace_ms` is -1, the settings determine the time for a checkpoint.
     """
 
     term: int
@@ -315,7 +315,7 @@
     Attributes
     ----------
     record_id : str
-        Identifier; repeats of it have no effect.
+        Identifier; further records with the same identifier have no effect.
     author : str
         Process or operator that proposed the record.
     wall_ms : int
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -53,7 +53,7 @@
     state : RequestState
         Stage of the request.
     created_ms, deadline_ms : int
-        Time of arrival, and time after which an answer is useless.
+        Time of arrival, and time after which an answer is of no use.
     attempts : int
         Number of attempts sent so far.
     tried_minions : tuple of str
@@ -110,7 +110,7 @@
     minion, incarnation : str
         Minion, and the sidecar process that the attempt is addressed to.
     sent_ms, deadline_ms : int
-        When it was first sent, and after which its answer is useless.
+        When it was first sent, and when its answer ceases to be of use.
     key : str
         ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
     resends : int
@@ -152,7 +152,7 @@
     failures : int
         Exchanges that failed since the last successful one.
     paused_until_ms : int
-        Until when it gets no attempts because several in a row failed.
+        Until when it gets no attempts, since several exchanges in a row failed.
     last_measured_ms : int
         When an attempt of this entry last ended at the minion.
     """
--- a/kingcuppost/tables/scheduling.py
+++ b/kingcuppost/tables/scheduling.py
@@ -106,13 +106,14 @@
     free_class : int
         Class of the largest free cell; -1 if there is none or the worker is unusable.
     unbound_class : int
-        Class of the largest cell outside guarantees in use, whether borrowers
-        occupy it or not; -1 as above.
+        Class of the largest cell that overlaps no guaranteed cell in use, including
+        cells that borrowers occupy; -1 as above.
     core_bucket : tuple of int
         1 if the worker has accelerators, else 0, and the bit length of the number
         of free cores; ``(-1, 0)`` for an unusable worker.
     free_blocks, unbound_blocks : tuple of int
-        Number of maximal free and unbound cells by class, as included in the totals.
+        Number of maximal cells by class, free and outside guaranteed cells in use, as
+        included in the totals of `SchedulingState`.
     """
 
     name: str
@@ -296,10 +297,10 @@
     pending_gangs : set of str
         Keys of gangs whose placement was proposed and is not folded yet.
     free_blocks, unbound_blocks, demand : list of int
-        Number of cells by class over all workers: free; outside guarantees in use;
-        guaranteed and unused.
+        Number of cells by class over all workers: free cells; cells that overlap no
+        guaranteed cell in use; guaranteed cells that are not in use.
     queue, queue_entries : list of QueueEntry, dict of str to QueueEntry
-        Waiting jobs in order; the entry of each job by its name.
+        Waiting jobs in queue order; the same entries by the name of the job.
     queue_policy : str
         Name of the policy that ordered the queue.
     pass_due : bool
@@ -316,7 +317,7 @@
     counted_failures : dict of str to int
         Number of each job's failed workers that are counted in `faults` already.
     evacuate_at_ms : dict of str to int
-        When running gangs are stopped in each zone out of service, monotonic ms.
+        By zone out of service, when its running gangs are stopped, monotonic ms.
     """
 
     source: object = None
--- a/kingcuppost/tables/table.py
+++ b/kingcuppost/tables/table.py
@@ -53,6 +53,7 @@
         return len(self._rows)
 
     def __iter__(self) -> Iterator[Row]:
+        """Iterate over a copy of the rows, so that the table may change meanwhile."""
         return iter(list(self._rows.values()))
 
     def __contains__(self, key: object) -> bool:
@@ -122,9 +123,9 @@
         return len(self._indexes[index].get(value, ()))
 
     def take_changes(self, reader: str) -> list[Hashable]:
-        """Return the keys of rows that changed since the reader's last call.
+        """Return the keys put, updated or deleted since the reader's last call.
 
-        The first call of a reader returns all keys.
+        The first call of a reader returns the keys of all rows.
 
         Parameters
         ----------
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -97,8 +97,8 @@
     result : str
         Result of a finished member.
     age_ms : int
-        For a running member, the time in ms since the sending of the last renewal that
-        the worker answered; else 0.
+        For a running member, the time in ms since the sending of the last renewal or
+        start that the worker confirmed; else 0.
     """
 
     job: str
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -46,7 +46,7 @@
 
 __all__ = ["Agreed", "World"]
 
-MAX_EVENTS = 4096  # newest events that a process keeps for the time line
+MAX_EVENTS = 4_096  # events that a process keeps for the time line
 
 
 @dataclass
@@ -123,8 +123,8 @@
     request_deadlines, resend_deadlines : DeadlineQueue
         When requests expire, and when attempts are sent again.
     pause_deadlines, hold_deadlines : DeadlineQueue
-        When minions that failed are tried again, and when entries that wait for an
-        attempt are informed that it is still running.
+        When minions that failed are tried again, and when a sidecar answers entries
+        that wait for an attempt that it is still running.
     pools : ServicePools
         Minions to which this entry may send another attempt.
     retry_budgets : Table of RetryBudget
--- a/kingcuppost/utils/clock.py
+++ b/kingcuppost/utils/clock.py
@@ -6,6 +6,7 @@
 __all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 NS_PER_MS = 1_000_000
+# Without CLOCK_BOOTTIME, the clock may stop while the machine is suspended.
 BOOT_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
--- a/kingcuppost/utils/identifiers.py
+++ b/kingcuppost/utils/identifiers.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     rng : random.Random
-        Generator of the world; seeded differently in every process.
+        Random generator of the world; every process has a different seed.
     prefix : str
         Kind of the identified object, such as ``"attempt"``.
 
--- a/kingcuppost/utils/registry.py
+++ b/kingcuppost/utils/registry.py
@@ -10,7 +10,7 @@
 
 
 class Registry(Generic[Key, Item]):
-    """Functions, classes or values by key; each key is registered once.
+    """Functions, classes or values by key; no key can be registered twice.
 
     Parameters
     ----------
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -11,7 +11,25 @@
 
 
 class Phase(IntEnum):
-    """Phases of a tick, in the order in which they run."""
+    """Phases of a tick, in the order in which they run.
+
+    Attributes
+    ----------
+    FOLD
+        Apply new records of the log to the agreed tables.
+    INTAKE
+        Handle other messages of the inbox.
+    MEMBERSHIP
+        Update what follows from the fold and from time, such as leases and expiries.
+    DECIDE
+        Decide on placements and routes.
+    ACT
+        Send orders, reports and attempts.
+    PROPOSE
+        Read the log and append proposed records.
+    REPORT
+        Answer requests for the state that results, and finish what has ended.
+    """
 
     FOLD = 1
     INTAKE = 2
@@ -125,7 +143,7 @@
     systems : list of System
         Systems in order, as `SystemRegistry.systems_of` returns them.
     now_ms : int
-        Monotonic time of the tick.
+        Monotonic time of the tick, in ms.
     """
     world.deadlines.drop_due(now_ms)
     for item in systems:
