Add reasons at the border and name results of commands consistently

The edges did not say why the shortest delay of the loop is 1 ms, why signals are delivered by the reactor, why a body is not left to the base class, nor why an exit waits for written responses. A route's parser is documented as unused for direct routes. In the time line a result of an exchange was called an answer, which in the other commands is the decoded body. The status of a process that never read the log's head repeated the phrase "read at its head".

--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -26,7 +26,7 @@
 )
 
 
-def _parser() -> argparse.ArgumentParser:
+def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="kingcuppost", epilog=EPILOG)
     parser.add_argument("--version", action="version", version=__version__)
     actions = parser.add_subparsers(dest="command", required=True)
@@ -43,7 +43,7 @@
     argv : sequence of str, optional
         Arguments; those of the process if None.
     """
-    args = _parser().parse_args(argv)
+    args = _build_parser().parse_args(argv)
     try:
         return commands[args.command].run(args)
     except InvalidInputError as exc:
--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -75,7 +75,7 @@
 def _print_missing_answer(failure: Failure, method: str) -> int:
     """Print why there is no answer, and return the exit code.
 
-    A change that was sent may have been made, so that its outcome is unknown.
+    If a change was sent, it may have been made, so its outcome is unknown.
     """
     code = print_failure(failure)
     if method == "GET" or failure.step == STEP_CONNECT:
@@ -85,11 +85,11 @@
 
 
 def print_answer(
-    status: int, text: bytes, as_json: bool, format_answer: Callable[[Any], str] | None
+    status: int, body: bytes, as_json: bool, format_answer: Callable[[Any], str] | None
 ) -> int:
     """Print an answer and return the exit code for its status."""
     try:
-        answer = json.loads(text)
+        answer = json.loads(body)
     except ValueError:
         print(
             f"kingcuppost: status {status}, and the body is not JSON", file=sys.stderr
--- a/kingcuppost/cli/fleet.py
+++ b/kingcuppost/cli/fleet.py
@@ -64,15 +64,13 @@
     identity = answer["identity"]
     lease = answer["lease"]
     age_ms = answer["fresh_age_ms"]
-    fresh = (
-        "never read at its head" if age_ms == NEVER_READ_AGE_MS else f"{age_ms} ms ago"
-    )
+    last_read = "never" if age_ms == NEVER_READ_AGE_MS else f"{age_ms} ms ago"
     return "\n".join(
         [
             f"process: {identity['role']} {identity['name']}, incarnation "
             f"{identity['incarnation']}, in {identity['availability_zone']}",
             f"log: folded {answer['folded_offset']} of {answer['head_offset']}, "
-            f"last read at its head: {fresh}",
+            f"last read at its head: {last_read}",
             f"scheduling lease: term {lease['term']}, held by "
             f"{lease['holder'] or 'nobody'}",
             f"open: {answer['requests']} requests, {answer['attempts']} attempts, "
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -79,14 +79,14 @@
             _add_fields(rows, nested, f"{prefix}{name}.")
             continue
         default = "required" if field.is_required() else f"`{field.default}`"
-        kind = _describe_type(schema, schema["properties"][name])
-        rows.append([f"`{prefix}{name}`", kind, default])
+        type_text = _describe_type(schema, schema["properties"][name])
+        rows.append([f"`{prefix}{name}`", type_text, default])
 
 
 def _find_nested_model(annotation: Any) -> type[BaseModel] | None:
-    for kind in (annotation, *getattr(annotation, "__args__", ())):
-        if isinstance(kind, type) and issubclass(kind, BaseModel):
-            return kind
+    for candidate in (annotation, *getattr(annotation, "__args__", ())):
+        if isinstance(candidate, type) and issubclass(candidate, BaseModel):
+            return candidate
     return None
 
 
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -104,6 +104,6 @@
 
 def print_failure(failure: Failure) -> int:
     """Print the reason of a failure and return the exit code for it."""
-    place = " ".join(part for part in (failure.step, failure.peer) if part)
-    print(f"kingcuppost: {place}: {failure.reason}", file=sys.stderr)
+    origin = " ".join(part for part in (failure.step, failure.peer) if part)
+    print(f"kingcuppost: {origin}: {failure.reason}", file=sys.stderr)
     return EXIT_FAILED
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -109,12 +109,12 @@
 
 
 def _event_requests(
-    entry: Address, extra_addresses: list[Address], answer: Result
+    entry: Address, extra_addresses: list[Address], fleet_result: Result
 ) -> list[CommandRequest]:
     """Return the requests for events, one for each known process."""
     addresses = [entry, *extra_addresses]
-    if answer.is_ok() and answer.ok.status == STATUS_OK:
-        addresses += operator_addresses(json.loads(answer.ok.body))
+    if fleet_result.is_ok() and fleet_result.ok.status == STATUS_OK:
+        addresses += operator_addresses(json.loads(fleet_result.ok.body))
     unique = list(dict.fromkeys(addresses))
     return [
         CommandRequest("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS)
@@ -130,10 +130,10 @@
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
     fleet_request = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
-    answers = send_with_follow_ups(
-        fleet_request, lambda answer: _event_requests(entry, extra_addresses, answer)
+    results = send_with_follow_ups(
+        fleet_request, lambda result: _event_requests(entry, extra_addresses, result)
     )
-    events = _read_events(answers)
+    events = _read_events(results)
     if events is None:
         return EXIT_FAILED
     merged = [row for row in merge_events(events) if matches_filters(args, row)]
@@ -143,28 +143,28 @@
     return EXIT_OK
 
 
-def _read_events(answers: RequestResults) -> list[Event] | None:
+def _read_events(results: RequestResults) -> list[Event] | None:
     """Return all events, or None if no process answered.
 
     The failure of each process that did not answer is printed.
     """
-    fleet, *event_answers = answers
-    if fleet.is_error():
-        print_failure(fleet.error)
+    fleet_result, *event_results = results
+    if fleet_result.is_error():
+        print_failure(fleet_result.error)
     events: dict[tuple[str, str, int], Event] = {}
     failed_count = 0
-    for answer in event_answers:
-        if answer.is_error():
-            print_failure(answer.error)
+    for result in event_results:
+        if result.is_error():
+            print_failure(result.error)
             failed_count += 1
             continue
-        model = decode(EventListModel, answer.ok.body, "events")
+        model = decode(EventListModel, result.ok.body, "events")
         if model.is_error():
             print_failure(Failure(model.error.reason, "timeline"))
             continue
         for row in model.ok.events:
             events[row.process, row.incarnation, row.sequence] = row.to_event()
-    return None if failed_count == len(event_answers) else list(events.values())
+    return None if failed_count == len(event_results) else list(events.values())
 
 
 def matches_filters(args: argparse.Namespace, event: Event) -> bool:
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -11,8 +11,9 @@
 
 __all__: list[str] = []
 
+# Parts of the program whose log lines concern all jobs.
 CONTEXT_PARTS = ("lease", "log", "minion", "process", "settings", "store")
-CONTEXT_MS = 1_000
+CONTEXT_MS = 1_000  # before the first and after the last line of the job
 STANDARD_FIELDS = ("wall_ms", "instance", "incarnation", "message", "levelname")
 MS_PER_SECOND = 1_000
 
@@ -74,7 +75,7 @@
 def _select_lines(
     lines: list[LogLine], job_id: str, with_context: bool
 ) -> list[LogLine]:
-    """Return the lines of a job, optionally with those of shared parts around them."""
+    """Return the lines of a job, optionally with those of `CONTEXT_PARTS` meanwhile."""
     job_lines = [line for line in lines if line.mentions(job_id)]
     if not job_lines or not with_context:
         return job_lines
--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -54,12 +54,12 @@
     listeners : list of Listener
         Listening ports with their connections.
     drivers : dict of str to object
-        Client of each outside system (``"log"``, ``"worker"``), of the kind that the
-        settings file names.
+        Client of each outside system (``"log"``, ``"worker"``), selected by the
+        driver that the settings file names.
     exit_code : int
         Exit code of the process.
     senders : Registry
-        Function that sends a message of the outbox, by the message's class.
+        Functions that send the messages of the outbox, by the class of the message.
     """
 
     world: World
@@ -78,4 +78,5 @@
         self.wake()
 
 
+# Constructors of the clients by system and driver, such as ("log", "http").
 drivers: Registry[tuple[str, str], Callable[[EdgeContext], Any]] = Registry("driver")
--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -78,7 +78,10 @@
     _is_refused = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Refuse a body whose declared length is too large, before it is read."""
+        """Refuse a body whose declared length is too large, before it is read.
+
+        The base class would store a body above 100 kB in a temporary file.
+        """
         self.content = BytesIO()
         if length is not None and length > MAX_BODY_BYTES:
             self._refuse()
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -40,7 +40,7 @@
         self._surface = surface
 
     def render(self, request: Request) -> int | bytes:
-        """Deliver the request to the systems, or refuse it immediately."""
+        """Deliver the request to the systems, answer it directly, or refuse it."""
         path = request.path.decode("ascii", "replace")
         method = request.method.decode("ascii", "replace")
         found = find_route(self._surface, method, path)
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -87,7 +87,7 @@
         deliver_later(self._context, exchange(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
-        """Return the client; a hedged exchange gets a new one without connections.
+        """Return the client; a hedged exchange replaces it by one without connections.
 
         Idle connections of the old client may be unresponsive too; they are closed by
         its idle timeout.
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -12,7 +12,7 @@
 LOGGER_NAME = "kingcuppost"
 EXIT_SOFTWARE_ERROR = 70  # EX_SOFTWARE of sysexits.h
 MS_PER_SECOND = 1_000
-MIN_DELAY_MS = 1
+MIN_DELAY_MS = 1  # keeps the loop from spinning on a deadline that has passed
 
 
 class TickLoop:
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -45,14 +45,16 @@
 ) -> None:
     """Run a coroutine and deliver the inbox message that it returns.
 
+    Any exception is delivered as a failure, so that the systems always get a message.
+
     Parameters
     ----------
     context : EdgeContext
         Edges of the process.
     coroutine : coroutine
-        Returns the message; may raise `PeerError`.
+        Returns the message; raises `PeerError` if the exchange fails.
     make_failure : callable
-        Returns the message to deliver on a failure.
+        Returns the message that is delivered instead after a failure.
     """
 
     async def finish() -> None:
@@ -97,8 +99,7 @@
 def send_attempt(context: EdgeContext, message: SendAttempt) -> None:
     """Send an attempt to a sidecar.
 
-    Unless the connection could not be established, a failure leaves open whether the
-    attempt ran.
+    After a failure other than that to connect, it is unknown whether the attempt ran.
     """
 
     async def exchange() -> AttemptAnswered:
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -72,7 +72,8 @@
     surface, method, path : str
         Where the route is served; path parameters are in braces.
     parse : callable
-        Returns the inbox message, or why the request is refused.
+        Returns the inbox message, or why the request is refused; not called if
+        `direct` is set.
     direct : callable or None
         Answers immediately, without the systems; used for metrics and health.
     """
@@ -90,7 +91,10 @@
 def route(
     surface: str, method: str, path: str, direct: bool = False
 ) -> Callable[[Any], Any]:
-    """Return a decorator that registers a function for a method and path."""
+    """Return a decorator that registers a function for a method and path.
+
+    The function is the route's `direct` if `direct` is true, else its `parse`.
+    """
 
     def register(function: Any) -> Any:
         pattern = PARAMETER.sub(r"(?P<\1>[^/]+)", path)
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -9,12 +9,13 @@
 __all__ = ["install_signals"]
 
 FLUSH_CHECK_INTERVAL_S = 0.02
-MAX_FLUSH_CHECKS = 100
+MAX_FLUSH_CHECKS = 100  # 2 s in total
 
 
 def install_signals(context: EdgeContext) -> None:
     """Deliver a request to stop on SIGTERM or SIGINT."""
 
+    # A signal may interrupt a tick, so the reactor delivers the message after it.
     def handle(number: int, frame: object) -> None:
         context.reactor.callFromThread(context.deliver, StopRequested())
 
@@ -26,7 +27,8 @@
 def exit_process(context: EdgeContext, message: ExitProcess) -> None:
     """Close the ports, flush written responses, then stop the reactor.
 
-    After a forced stop (non-zero exit code), the reactor is stopped immediately.
+    Responses that are written but not sent yet would be lost with the reactor. After a
+    forced stop (non-zero exit code), the reactor is stopped immediately.
     """
     context.exit_code = message.code
     if message.code:
--- a/kingcuppost/edges/traffic.py
+++ b/kingcuppost/edges/traffic.py
@@ -67,6 +67,6 @@
         self._tally = tally
 
     def connect(self, protocolFactory: Any) -> Any:  # noqa: N803
-        """Connect and return the protocol that `protocolFactory` builds."""
+        """Connect; return a deferred of the protocol that `protocolFactory` builds."""
         pending = self._endpoint.connect(CountedFactory(protocolFactory, self._tally))
         return pending.addCallback(lambda wrapper: wrapper.wrappedProtocol)
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -18,6 +18,7 @@
 class BorderModel(BaseModel):
     """A message to or from another process; unknown fields are rejected."""
 
+    # Validators are built on first use, since a process uses only those of its role.
     model_config = ConfigDict(extra="forbid", frozen=True, defer_build=True)
 
 
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -45,7 +45,7 @@
 
 
 class OperatorModel(BorderModel):
-    """Base of changes; names the operator who makes the change."""
+    """Base class of changes, with the name of the operator who makes the change."""
 
     operator: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
 
@@ -93,7 +93,7 @@
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
     def to_body(self, name: str) -> ZonePut:
-        """Return the body of the record; the region is left to the entry to fill in."""
+        """Return the body of the record; the entry fills in the region."""
         return ZonePut(name, "", self.in_service, self.base_offset)
 
 
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -131,7 +131,7 @@
     def to_message(self, sent: SendAttempt) -> AttemptAnswered:
         """Return the inbox message.
 
-        A reply to another attempt leaves the outcome unknown.
+        If the reply belongs to another attempt than `sent`, the outcome is unknown.
         """
         if self.attempt_id != sent.attempt_id:
             reason = "the answer belongs to another attempt"
