Say again what extends the lease of a gang member

The description of lease_expiry_ms no longer said that the lease of a running member is extended only when its gang is confirmed to be whole. It says so now, and what extends the lease of a reservation.

--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -42,14 +42,16 @@
     state : TaskState
         Stage of the member.
     lease_expiry_ms : int
-        Until when the member may run unless its lease is extended.
+        When the member's lease expires. Renewals at the worker extend the lease of a
+        reservation; the leader's confirmation that the gang is whole extends that of a
+        running member.
     reported_state : str
         State that the scheduler last acknowledged; empty if it has to be reported.
     result : str
         Result of a finished member.
     stop_after_ms : int
-        Time from which a stopping member is ordered to stop, repeatedly until it has
-        stopped, in ms; until then a running member may write a checkpoint.
+        Time in ms from which a stopping member is ordered to stop, repeatedly until it
+        has stopped; before that time, a running member may write a checkpoint.
     confirmed : bool
         False for an adopted task until the leader of its gang has confirmed it.
     """
