State units, periods and results in the texts of the simulated deployment

Some docstrings of standins/batch left out a unit, an outcome or an attribute, and "limit_ms" was both a duration and a point in time. The lease and gang times of a minion, the incarnation of a process, the statuses of an append and the tolerance after a cancellation are now described; the point in time is answer_by_ms, and the work between checkpoints CHECKPOINT_WORK_MS.

--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -8,7 +8,8 @@
 
 __all__ = ["Checks"]
 
-# Starts of a job are tolerated for this long after its cancellation was accepted.
+# A start within this time of an accepted cancellation is no violation: its order may
+# have been sent before.
 CANCEL_GRACE_MS = 3_000
 
 
@@ -43,7 +44,9 @@
     expects_no_faults : bool
         Whether a gang member that ran alone counts as a violation.
     cancelled : dict of str to int
-        When the cancellation of a job was accepted, in ms.
+        Time at which the cancellation of a job was accepted, in ms.
+    now_ms : callable
+        Returns the current time, in ms.
     """
 
     def __init__(self) -> None:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -81,6 +81,8 @@
         Whether it is paused and runs no ticks.
     misses_log_reads : bool
         Whether its reads of the log return nothing.
+    incarnation : int
+        Number of starts of the process.
     next_offsets : dict of Stream to int
         Offset to read next from each stream; -1 before the first read.
     """
@@ -269,7 +271,8 @@
     def _advance_gangs(self, running_minions: list[Minion]) -> None:
         """Start complete gangs and end their members together.
 
-        A gang that works is broken when a member is missing or stopping.
+        When a member of a working gang is missing or stopping, the runs of the others
+        end as broken.
         """
         gangs: dict[tuple, list[tuple[Minion, Any]]] = {}
         for minion in running_minions:
@@ -547,7 +550,7 @@
         minion = process.minion
         sent_ms = self.clock.now_ms()
         incarnation = process.incarnation
-        limit_ms = sent_ms + message.wait_ms
+        answer_by_ms = sent_ms + message.wait_ms
 
         def check_ends(is_first: bool) -> None:
             if process.incarnation != incarnation:
@@ -563,7 +566,7 @@
             running, ended = minion.renew_lease(
                 message.term, message.acknowledged_end, until_ms
             )
-            if not ended and now_ms < limit_ms:
+            if not ended and now_ms < answer_by_ms:
                 self.at(20, lambda: check_ends(False))
                 return
             answer = HoldMinionAnswered(
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -115,7 +115,11 @@
         }
 
     def append(self, request: Request) -> None:
-        """Append the records in the request body."""
+        """Append the records in the request body.
+
+        The status is 409 if the epoch is fenced off, and 412 if the end or the sequence
+        number does not match.
+        """
         at = _query_field(request, "at")
         epoch = _query_field(request, "epoch")
         result = self._store.append(
@@ -141,16 +145,16 @@
         """
         stream = STREAMS[_query_field(request, "topic")]
         start = int(_query_field(request, "from"))
-        limit_ms = _now_ms() + int(_query_field(request, "waitMs", "0"))
-        self._answer_when_ready(request, stream, start, limit_ms)
+        answer_by_ms = _now_ms() + int(_query_field(request, "waitMs", "0"))
+        self._answer_when_ready(request, stream, start, answer_by_ms)
 
     def _answer_when_ready(
-        self, request: Request, stream: Stream, start: int, limit_ms: int
+        self, request: Request, stream: Stream, start: int, answer_by_ms: int
     ) -> None:
         rows = self._store.read(stream, start)
         if rows is None:
             _send_json(request, 410, first=0)
-        elif rows or _now_ms() >= limit_ms:
+        elif rows or _now_ms() >= answer_by_ms:
             body = struct.pack(">QQ", self._store.end(stream), 0)
             for key, value in rows:
                 content = bytes([len(key)]) + key.encode() + value
@@ -158,7 +162,12 @@
             _send_response(request, 200, body)
         else:
             reactor.callLater(
-                POLL_PERIOD_S, self._answer_when_ready, request, stream, start, limit_ms
+                POLL_PERIOD_S,
+                self._answer_when_ready,
+                request,
+                stream,
+                start,
+                answer_by_ms,
             )
 
     def newest(self, request: Request) -> None:
@@ -229,20 +238,25 @@
         self._reply(request, self.minion.stop(body["fencingToken"], task, body["run"]))
 
     def renew_lease(self, request: Request) -> None:
-        """Renew the lease; list the runs when one has ended or the wait is over."""
+        """Renew the lease; answer once a run has ended or `waitMs` is over."""
         body = json.load(request.content)
-        limit_ms = _now_ms() + body.get("waitMs", 0)
-        self._answer_when_ready(request, body, limit_ms, body.get("deadlineMs"))
+        answer_by_ms = _now_ms() + body.get("waitMs", 0)
+        self._answer_when_ready(request, body, answer_by_ms, body.get("deadlineMs"))
 
     def _answer_when_ready(
-        self, request: Request, body: dict, limit_ms: int, until_ms: int | None
+        self, request: Request, body: dict, answer_by_ms: int, until_ms: int | None
     ) -> None:
         running, ended = self.minion.renew_lease(
             body["fencingToken"], body["lastSeen"], until_ms
         )
-        if not ended and _now_ms() < limit_ms:
+        if not ended and _now_ms() < answer_by_ms:
             reactor.callLater(
-                POLL_PERIOD_S, self._answer_when_ready, request, body, limit_ms, None
+                POLL_PERIOD_S,
+                self._answer_when_ready,
+                request,
+                body,
+                answer_by_ms,
+                None,
             )
             return
         _send_json(
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -10,7 +10,7 @@
 
 __all__ = ["Minion", "Run"]
 
-CHECKPOINT_MS = 1_000
+CHECKPOINT_WORK_MS = 1_000  # work between two checkpoints, in ms at speed 1
 STOP_MS = 200
 RESTORE_MS = 250
 
@@ -26,7 +26,7 @@
     checkpoint_ms : float
         Work covered by the newest checkpoint, in ms at speed 1.
     stop_at_ms : int or None
-        Time at which an ordered stop takes effect.
+        Time at which an ordered stop takes effect; None without such an order.
     is_working : bool
         Whether the whole gang of this run has started; False outside gangs.
     """
@@ -53,6 +53,12 @@
 
     Attributes
     ----------
+    lease_ms : int
+        Longest duration of the lease.
+    gang_ms : int
+        Time for which a member of a gang waits for the others.
+    speed : float
+        Work done per ms, in ms at speed 1.
     fails_all_runs : bool
         Whether every run fails as soon as it starts.
     hangs : bool
@@ -205,7 +211,10 @@
         self.checks.record_end(self.id, run.task, run.run, how)
 
     def advance(self, by_ms: int) -> None:
-        """Simulate `by_ms` of work; the deployment starts and ends gangs."""
+        """Simulate `by_ms` of work, expiry of the lease and ordered stops.
+
+        The deployment starts gangs and ends those that are done or broken.
+        """
         now_ms = self.now_ms()
         if now_ms >= self.until_ms:
             self.ends_before_lapse.update(end.number for end in self.ended)
@@ -222,7 +231,7 @@
 
     def _work(self, run: Run, by_ms: int) -> None:
         run.done_ms += by_ms * self.speed
-        if run.step.saves and run.done_ms - run.checkpoint_ms >= CHECKPOINT_MS:
+        if run.step.saves and run.done_ms - run.checkpoint_ms >= CHECKPOINT_WORK_MS:
             run.checkpoint_ms = run.done_ms
         if run.done_ms >= run.work_ms and not run.step.gang:
             self.end(run, RunEnd.DONE)
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -1,7 +1,8 @@
 """Soak test with random jobs and random faults by seed.
 
-A day is one simulated run. ``python -m standins.batch 1 20`` runs the days of seeds 1
-to 20.
+A day is one simulated run: jobs and faults arrive during `DAY_MS`, then all accepted
+jobs have `RECOVERY_MS` to end. ``python -m standins.batch 1 20`` runs the days of seeds
+1 to 20.
 """
 
 from collections.abc import Callable, Iterable
@@ -34,7 +35,7 @@
     violations : list of str
         Violated guarantees; empty if the day passed.
     injected_faults : list of str
-        Injected faults with their times, in s.
+        Injected faults with their simulated times, in s.
     jobs, completed : int
         Number of accepted jobs, and of those that completed.
     """
@@ -296,7 +297,10 @@
     exchanges: dict[str, tuple[str, int]],
     cancelled: set[str],
 ) -> None:
-    """Check that all accepted jobs have ended and that refused jobs never ran."""
+    """Check that accepted jobs have ended and that refused jobs completed no task.
+
+    Only jobs for which a caller requested it may have ended as cancelled.
+    """
     for job_id, (exchange_id, priority) in exchanges.items():
         reply: CallReply | None = deployment.replies.get(exchange_id)
         is_refused = reply is not None and reply.verdict is CallOutcome.NOT_RUN
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -49,13 +49,19 @@
         records : list of (str, bytes)
             Keys and values; an empty value deletes the key.
         expected_end : int or None
-            End offset that the stream must have, if given.
+            End offset that the stream must have, if given; it is checked first.
         epoch : int or None
             Fencing epoch of the writer. An epoch lower than the newest one is fenced
             off; without an epoch there is no such check.
         sequence : int
             Number of the append within its epoch; it must follow the previous one. A
             repeated pair of epoch and sequence gets the first result again.
+
+        Returns
+        -------
+        AppendResult
+            ``FENCED`` for an outdated epoch, ``CONFLICT`` for another end or a gap in
+            the sequence.
         """
         topic = self._topics[stream]
         if expected_end is not None and expected_end != len(topic.records):
