--- a/bench/driver.py
+++ b/bench/driver.py
@@ -65,8 +65,11 @@
         Time of the current start; -1 while the job does not run.
     finished_ms : int
         Time of the finish; -1 before.
+    attempts : int
+        Number of started gangs of the job.
     guaranteed : bool
-        Whether the job fit its team's guarantee at submission, beside the open jobs.
+        Whether the job fit its team's guarantee at submission, in addition to the
+        team's open jobs.
     """
 
     arrival: Arrival
@@ -94,9 +97,11 @@
     lost_accelerator_ms : float
         Work lost at stops without a checkpoint, in accelerators times ms.
     reclaim_lost_accelerator_ms : float
-        Part of it that was lost when capacity was reclaimed.
+        Part of `lost_accelerator_ms` that was lost when capacity was reclaimed.
     reclaims : int
-        Running gangs stopped to reclaim capacity.
+        Number of running gangs stopped to reclaim capacity.
+    offset : int
+        Offset of the last record of the simulated log.
     after_fold : callable or None
         Called with the driver after each batch of folded proposals.
     """
@@ -171,7 +176,7 @@
         self.append(SettingPut("", key, value, 0))
 
     def at(self, at_ms: int, action: Callable[[], None]) -> None:
-        """Schedule an action at a time."""
+        """Schedule an action at a time of the clock, in ms."""
         self._action_count += 1
         heapq.heappush(self._actions, (at_ms, self._action_count, action))
 
@@ -233,7 +238,7 @@
             self.after_fold(self)
 
     def run(self, until_ms: int) -> None:
-        """Run all steps that are due until a time."""
+        """Run the steps due until a time of the clock and advance the clock to it."""
         while (next_ms := self._next_ms()) is not None and next_ms <= until_ms:
             self.step()
         self.clock.advance(max(until_ms - self.clock.now_ms(), 0))
@@ -258,7 +263,7 @@
         )
 
     def _fits_guarantee(self, item: Arrival) -> bool:
-        """Return whether the job fits its team's guarantee beside the open jobs."""
+        """Return whether the job and its team's open jobs fit the team's guarantee."""
         size = 1 << class_of(item.accelerators)
         shapes = self.deployment.teams[item.team]
         guaranteed = sum(
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -30,21 +30,21 @@
     ----------
     free, unusable : float
         Free accelerators, and those among them in gaps that are too small.
-    window_done, window_allowed : float
-        Work done and possible around the zone change, in accelerators times ms.
+    window_done, window_possible : float
+        Work done and work possible around the zone change, in accelerators times ms.
     violations : int
         Samples in which a guarantee was violated.
-    last_lost_ms : float
+    last_lost_accelerator_ms : float
         Lost work of the driver at the last sample, in accelerators times ms.
     """
 
     free: float = 0.0
     unusable: float = 0.0
     window_done: float = 0.0
-    window_allowed: float = 0.0
+    window_possible: float = 0.0
     violations: int = 0
     sample_count: int = 0
-    last_lost_ms: float = 0.0
+    last_lost_accelerator_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -160,8 +160,8 @@
     scheduling = driver.world.scheduling
     full_cells = _count_cells([row.full_mask for row in rows if row.in_service])
     guaranteed_cells = [
-        sum(share.guaranteed[size] for share in scheduling.shares)
-        for size in range(CELL_CLASSES)
+        sum(share.guaranteed[cell_class] for share in scheduling.shares)
+        for cell_class in range(CELL_CLASSES)
     ]
     if count_shortfall(full_cells, guaranteed_cells):
         return 0
@@ -173,14 +173,15 @@
 def _count_cells(masks: list[int]) -> list[int]:
     counts = [0] * CELL_CLASSES
     for mask in masks:
-        for size in reversed(range(CELL_CLASSES)):
-            for block in blocks_in(mask, size):
-                counts[size] += 1
+        for cell_class in reversed(range(CELL_CLASSES)):
+            for block in blocks_in(mask, cell_class):
+                counts[cell_class] += 1
                 mask &= ~block
     return counts
 
 
 def _fits_unaligned(driver: Driver, rows: list[WorkerCapacity]) -> bool:
+    """Return whether unused guarantees fit the free accelerators, aligned or not."""
     used_by_team: dict[str, int] = {}
     for gang in driver.world.agreed.gangs:
         job = driver.world.agreed.jobs.get(gang.job)
@@ -188,18 +189,24 @@
             used_by_team.get(gang.team, 0) + job.members * job.accelerators
         )
     free = [row.full_mask & ~row.busy for row in rows if row.in_service]
-    for size in reversed(range(CELL_CLASSES)):
+    for cell_class in reversed(range(CELL_CLASSES)):
         wanted = 0
         for share in driver.world.scheduling.shares:
-            used = min(used_by_team.get(share.team, 0) >> size, share.guaranteed[size])
-            used_by_team[share.team] = used_by_team.get(share.team, 0) - (used << size)
-            wanted += share.guaranteed[size] - used
-        if not _allocate_runs(free, 1 << size, wanted):
+            used = min(
+                used_by_team.get(share.team, 0) >> cell_class,
+                share.guaranteed[cell_class],
+            )
+            used_by_team[share.team] = used_by_team.get(share.team, 0) - (
+                used << cell_class
+            )
+            wanted += share.guaranteed[cell_class] - used
+        if not _allocate_unaligned(free, 1 << cell_class, wanted):
             return False
     return True
 
 
-def _allocate_runs(free: list[int], size: int, wanted: int) -> bool:
+def _allocate_unaligned(free: list[int], size: int, wanted: int) -> bool:
+    """Allocate up to `wanted` unaligned blocks; return whether that many were free."""
     pattern = (1 << size) - 1
     for index, mask in enumerate(free):
         for start in range(mask.bit_length()):
@@ -213,7 +220,7 @@
 def _sample_window(
     driver: Driver, samples: Samples, rows: list[WorkerCapacity]
 ) -> None:
-    """Compare running work with what the accelerators in service could run.
+    """Add the work done and the work possible on the accelerators in service.
 
     Work that still runs in a zone out of service counts on both sides. The
     possible work is at most the running plus the waiting work.
@@ -232,19 +239,19 @@
         for job in waiting
         if job.members * job.accelerators <= usable
     )
-    if not samples.window_allowed:
-        samples.last_lost_ms = driver.lost_accelerator_ms
+    if not samples.window_possible:
+        samples.last_lost_accelerator_ms = driver.lost_accelerator_ms
     samples.window_done += busy * SAMPLE_PERIOD_MS - (
-        driver.lost_accelerator_ms - samples.last_lost_ms
+        driver.lost_accelerator_ms - samples.last_lost_accelerator_ms
     )
-    samples.last_lost_ms = driver.lost_accelerator_ms
-    samples.window_allowed += min(usable, busy + wanted) * SAMPLE_PERIOD_MS
+    samples.last_lost_accelerator_ms = driver.lost_accelerator_ms
+    samples.window_possible += min(usable, busy + wanted) * SAMPLE_PERIOD_MS
 
 
 def _summarize(driver: Driver, samples: Samples) -> Figures:
     figures = Figures(
         fragmentation=samples.unusable / max(samples.free, 1),
-        zone_work=samples.window_done / max(samples.window_allowed, 1),
+        zone_work=samples.window_done / max(samples.window_possible, 1),
         lost_hours=driver.lost_accelerator_ms / HOUR_MS,
         reclaim_lost_hours=driver.reclaim_lost_accelerator_ms / HOUR_MS,
         reclaims=driver.reclaims,
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -29,7 +29,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A job to submit, with its declared and its actual run time."""
+    """A job to submit, with its declared and its actual run time.
+
+    A checkpoint takes `checkpoint_ms`.
+    """
 
     at_ms: int
     job: str
@@ -84,7 +87,10 @@
 
 
 def _declared_ms(rng: random.Random, run_ms: int, bias: float) -> int:
-    """Draw a declared time of a tenth to ten times the run time."""
+    """Draw a declared time of a tenth to ten times the run time.
+
+    `bias` is the natural logarithm of the factor by which a team's declared times err.
+    """
     spread = rng.uniform(-log(DECLARED_SPREAD), log(DECLARED_SPREAD)) / 2
     factor = 2.718281828 ** (spread + bias)
     factor = min(max(factor, 1 / DECLARED_SPREAD), DECLARED_SPREAD)
@@ -100,7 +106,7 @@
     sizes: list[tuple[int, int]],
     run_range_ms: tuple[int, int],
 ) -> list[Arrival]:
-    """Draw jobs; the declared times of a team err by a factor of its own."""
+    """Draw jobs; each team's declared times are biased by a factor of its own."""
     bias = {team: rng.uniform(-1.15, 1.15) for team in teams}
     arrivals = []
     for number in range(count):
@@ -231,6 +237,12 @@
 
 
 def _add_arrivals(deployment: Deployment, rng: random.Random, scale: int) -> None:
+    """Add jobs of both urgencies, and filler jobs without accelerators.
+
+    The fillers are submitted in the first minute and run for at least 20 hours, as long
+    as jobs arrive. Their 147 times 64 members are the about 9,400 running tasks of the
+    design size.
+    """
     teams = list(deployment.teams)
     filler = _arrivals(
         rng,
