--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -41,7 +41,12 @@
     calls = []
 
     def exchange(
-        method: str, address: Address, path: str, body: bytes, wait: int, headers: dict
+        method: str,
+        address: Address,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+        headers: dict,
     ) -> Deferred:
         calls.append([method, path, body.decode(), headers])
         return Deferred()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -20,29 +20,29 @@
 
 ROOT = Path(__file__).parent.parent
 SHIV_ROOT = Path(tempfile.gettempdir()) / "kingcuppost-shiv"
-START_DEADLINE_S = 60.0
-WAIT_DEADLINE_S = 60.0
+START_TIMEOUT_S = 60.0
+WAIT_TIMEOUT_S = 60.0
 POLL_PERIOD_S = 0.02
 STATUS_OK = 200
 
 
 def wait_until(
-    condition: Callable[[], Any], description: str, deadline_s: float = WAIT_DEADLINE_S
+    condition: Callable[[], Any], description: str, timeout_s: float = WAIT_TIMEOUT_S
 ) -> Any:
     """Poll a condition and return its first true value.
 
     Raises
     ------
     TimeoutError
-        If the condition is still false after `deadline_s`.
+        If the condition is still false after `timeout_s`.
     """
-    end = time.monotonic() + deadline_s
-    while time.monotonic() < end:
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
         value = condition()
         if value:
             return value
         time.sleep(POLL_PERIOD_S)
-    raise TimeoutError(f"condition not met within {deadline_s} s: {description}")
+    raise TimeoutError(f"condition not met within {timeout_s} s: {description}")
 
 
 @dataclass
@@ -55,8 +55,14 @@
 
     @functools.cached_property
     def ports(self) -> dict[str, int]:
-        """The ports that the process prints once it listens."""
-        ready, _, _ = select.select([self.popen.stdout], [], [], START_DEADLINE_S)
+        """The ports that the process prints once it listens.
+
+        Raises
+        ------
+        RuntimeError
+            If the process ends or does not listen within `START_TIMEOUT_S`.
+        """
+        ready, _, _ = select.select([self.popen.stdout], [], [], START_TIMEOUT_S)
         line = self.popen.stdout.readline() if ready else b""
         if not line:
             raise RuntimeError(f"{self.name} did not start: {self.log_text()}")
@@ -71,13 +77,19 @@
         """Send a signal to the process."""
         self.popen.send_signal(number)
 
-    def stop(self, deadline_s: float = WAIT_DEADLINE_S) -> int:
-        """Request a graceful stop and return the exit code."""
+    def stop(self, timeout_s: float = WAIT_TIMEOUT_S) -> int:
+        """Request a graceful stop and return the exit code.
+
+        Raises
+        ------
+        subprocess.TimeoutExpired
+            If the process has not ended after `timeout_s`.
+        """
         self.send(signal.SIGTERM)
-        return self.popen.wait(deadline_s)
+        return self.popen.wait(timeout_s)
 
     def log_text(self) -> str:
-        """Return what the process has written to its log."""
+        """Return the text that the process has logged so far."""
         return self.log_path.read_text(encoding="utf-8", errors="replace")
 
 
@@ -164,7 +176,7 @@
         return self.spawn(name, [*argv, "--port", str(port)])
 
     def start_log(self) -> Process:
-        """Start the log that processes started later use."""
+        """Start the log; processes started later use it."""
         process = self.start_standin("log", "log")
         self.log_address = f"127.0.0.1:{process.ports['port']}"
         return process
@@ -177,7 +189,13 @@
         return f"127.0.0.1:{process.ports['proxy']}"
 
     def set_faults(self, name: str, **faults: Any) -> None:
-        """Replace the faults of a proxy or another stand-in."""
+        """Replace the faults of a proxy or the log, or update those of a worker.
+
+        Raises
+        ------
+        RuntimeError
+            If the stand-in refuses them.
+        """
         status, answer = self.call(name, "port", "POST", "/v1/faults", faults)
         if status != STATUS_OK:
             raise RuntimeError(f"{name} refused {faults}: {answer}")
@@ -199,7 +217,8 @@
     ) -> Process:
         """Start the sidecar of a minion.
 
-        The stand-ins of minion and worker run already, or their addresses are given.
+        The stand-ins of its minion and worker must run already, unless their addresses
+        are given.
         """
         name = f"minion-{number}"
         minion = self.processes.get(f"{name}-service")
@@ -278,7 +297,7 @@
             capture_output=True,
             text=True,
             cwd=ROOT,
-            timeout=WAIT_DEADLINE_S,
+            timeout=WAIT_TIMEOUT_S,
             check=False,
             env={**os.environ, "SHIV_ROOT": str(SHIV_ROOT)},
         )
@@ -292,13 +311,13 @@
         data = json.dumps(body).encode() if body is not None else None
         request = urllib.request.Request(url, data, method=method)
         try:
-            with urllib.request.urlopen(request, timeout=WAIT_DEADLINE_S) as response:
+            with urllib.request.urlopen(request, timeout=WAIT_TIMEOUT_S) as response:
                 return response.status, json.loads(response.read())
         except urllib.error.HTTPError as exc:
             return exc.code, json.loads(exc.read())
 
     def show(self, path: str, entry: str = "entry-0") -> Any:
-        """Return the body of a GET from an entry's operators port."""
+        """Return the answer to a GET on the operators port of an entry or sidecar."""
         return self.call(entry, "operators", "GET", path)[1]
 
     def timeline(self) -> str:
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -1,4 +1,4 @@
-"""Helpers shared by the tests of gangs, reclaim, recovery and zones."""
+"""Helpers shared by the tests of gangs, reclaims, recovery and zones."""
 
 import json
 import signal
@@ -142,7 +142,7 @@
 
 
 def collect_task_history(deployment: Deployment) -> dict[str, dict]:
-    """Return the task records of all workers that run and are not paused."""
+    """Return the task records of all running workers, except paused ones, by task."""
     rows = {}
     for number in list_worker_numbers(deployment):
         process = deployment.processes[f"worker-{number}"]
@@ -205,7 +205,7 @@
     wait_until(has_ended, f"gang {key} has ended")
 
 
-def running_members(deployment: Deployment, name: str) -> list[dict]:
+def list_running_members(deployment: Deployment, name: str) -> list[dict]:
     """Return the task records of the running members of a job."""
     rows = collect_task_history(deployment).values()
     prefix = f"{name}/"
@@ -221,9 +221,9 @@
 ) -> list[dict]:
     """Wait until all members of a gang run; return their task records."""
     wait_until(
-        lambda: len(running_members(deployment, name)) == members, f"{name} runs"
+        lambda: len(list_running_members(deployment, name)) == members, f"{name} runs"
     )
-    return running_members(deployment, name)
+    return list_running_members(deployment, name)
 
 
 def get_lease_holder(deployment: Deployment, entry: str = "entry-0") -> str:
@@ -253,7 +253,8 @@
 ) -> None:
     """Check that no gang ran with only some of its members for longer than a lease.
 
-    `lost_wall_ms` is the time at which a worker was lost together with its history.
+    `lost_wall_ms` is the Unix time, in ms, at which a worker was lost together with its
+    history; 0 if none was.
     """
     limit_ms = LEASE_MS + ORDER_TIMEOUT_MS + TIMER_SLACK_MS
     for key, rows in group_members_by_gang(collect_task_history(deployment)).items():
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,14 +13,18 @@
 IN_FORCE_TIMEOUT_S = 5.0
 SETTING_KEY = "job.reserve_timeout_ms"
 SNAPSHOT_PERIOD_MS = 300
-POLL_MS = 2_000
+LOG_POLL_WAIT_MS = 2_000  # default of log.poll_wait_ms
 ENTRIES = ("entry-0", "entry-1")
 SIDECAR = "minion-0"
 ALL_PROCESSES = (*ENTRIES, SIDECAR)
 
 
 def start_system(deployment: Deployment, **log_addresses: str) -> None:
-    """Start two entries and one minion; `log_addresses` may name proxies of the log."""
+    """Start two entries and one minion.
+
+    `log_addresses` gives the address of a log proxy by process, with the keys
+    ``entry_0``, ``entry_1`` and ``sidecar``.
+    """
     for name in ENTRIES:
         address = log_addresses.get(name.replace("-", "_"), "")
         deployment.start_entry(name, log_address=address)
@@ -71,12 +75,12 @@
     deployment: Deployment,
     value: int,
     names: tuple[str, ...] = ALL_PROCESSES,
-    deadline_s: float = IN_FORCE_TIMEOUT_S,
+    timeout_s: float = IN_FORCE_TIMEOUT_S,
 ) -> None:
     wait_until(
         lambda: all(get_value(deployment, name) == value for name in names),
         f"{value} is in force in {names}",
-        deadline_s,
+        timeout_s,
     )
 
 
@@ -173,7 +177,7 @@
     assert (status, answer["outcome"]) == (504, "unknown")
     assert_in_force(system, 2_600, ("entry-1", SIDECAR))
     system.set_faults("proxy")
-    assert_in_force(system, 2_600, deadline_s=60.0)
+    assert_in_force(system, 2_600, timeout_s=60.0)
     status, _ = put_setting(system, "entry-1", 2_700)
     assert status == 200
     assert_in_force(system, 2_700)
@@ -282,7 +286,7 @@
     )
     expire_records(system, find_snapshot_offset(system))
     system.processes["entry-1"].send(signal.SIGCONT)
-    assert_in_force(system, 3_200, ("entry-1",), deadline_s=15.0)
+    assert_in_force(system, 3_200, ("entry-1",), timeout_s=15.0)
     assert get_setting(system, "entry-1")["offset"] == answer["offset"]
     wait_until(
         lambda: any(
@@ -290,7 +294,7 @@
             for event in system.show("/v1/events", "entry-1")["events"]
         ),
         "entry-1 has loaded a snapshot",
-        deadline_s=15.0,
+        timeout_s=15.0,
     )
 
 
@@ -311,11 +315,11 @@
     expire_records(system, find_snapshot_offset(system))
     assert get_value(system, "entry-1") == 3_000
     wait_until(
-        lambda: get_status(system, "entry-1")["fresh_age_ms"] > POLL_MS,
+        lambda: get_status(system, "entry-1")["fresh_age_ms"] > LOG_POLL_WAIT_MS,
         "the entry without the log detects that its state is stale",
     )
     system.set_faults("proxy")
-    assert_in_force(system, 3_300, ("entry-1",), deadline_s=15.0)
+    assert_in_force(system, 3_300, ("entry-1",), timeout_s=15.0)
 
 
 def test_holder_cut_off_from_the_log_loses_the_lease(system: Deployment) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -12,11 +12,11 @@
     collect_task_history,
     get_job,
     get_lease_holder,
+    list_running_members,
     other_entry,
     pause,
     restore_machine,
     resume,
-    running_members,
     start_deployment,
     start_log_and_entries,
     submit_job,
@@ -70,7 +70,7 @@
         key = name.rpartition("/")[0]
         workers_by_gang.setdefault(key, []).append(row["worker"])
         if row["state"] != "reserved":
-            workers_by_gang[key].append(-1)
+            workers_by_gang[key].append(-1)  # excludes the gang from the result
     return next((key for key, numbers in workers_by_gang.items() if numbers == [0]), "")
 
 
@@ -201,7 +201,8 @@
     kill_worker(deployment, rows[0]["worker"])
     lost_ms = wall_ms()
     wait_until(
-        lambda: not running_members(deployment, "flow"), "the other member has stopped"
+        lambda: not list_running_members(deployment, "flow"),
+        "the other member has stopped",
     )
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
     restore_machine(deployment, rows[0]["worker"])
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -42,7 +42,7 @@
 
 
 def check_no_late_starts(deployment: Deployment, zone_out_ms: int) -> None:
-    """Check that no task started after the limit.
+    """Check that no task started later than the limit after `zone_out_ms`, Unix ms.
 
     The check waits for twice the limit, so that all delayed messages have arrived.
     """
@@ -135,7 +135,7 @@
 
 
 def find_zone_out_offset(deployment: Deployment) -> int:
-    """Return the offset of the record that took the zone out of service; else 0."""
+    """Return the offset of the record that took a zone out of service; 0 if none."""
     path = "/v1/records?after=0&wait_ms=0&limit=100000"
     _, answer = deployment.call("log", "port", "GET", path)
     for row in answer.get("records", ()):
