Make the texts of the stand-ins clearer and align constants with the package

The fault proxy called its connection to the client "server", after the class of Twisted. The names of the states of ended jobs follow those of the systems, and the start of the benchmark's clock no longer stands among delays. Docstrings say which thread a figure covers, what the fields of a load run are, and why a team adds memory only.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -46,7 +46,8 @@
 STOP_MS = 80
 REPORT_MS = 40
 FAIL_AFTER_MS = 5_000
-START_WALL_MS = 1_000
+
+CLOCK_START_MS = 1_000
 SEED = 7
 JOBS_PACKAGE = jobs_systems.__name__
 
@@ -108,7 +109,7 @@
 
     deployment: Deployment
     policy: str
-    clock: ManualClock = field(default_factory=lambda: ManualClock(START_WALL_MS))
+    clock: ManualClock = field(default_factory=lambda: ManualClock(CLOCK_START_MS))
     runs: dict[str, JobRun] = field(default_factory=dict)
     failing_workers: set[str] = field(default_factory=set)
     failing_jobs: set[str] = field(default_factory=set)
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -19,7 +19,7 @@
 WARM_UP_MS = 3_000
 DAY_MS = 30_000
 RECOVERY_MS = 25_000
-END_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 DEFINITE_OUTCOMES = (CallOutcome.OK, CallOutcome.NOT_RUN)
 
 Fault = Callable[[Deployment], str]
@@ -313,7 +313,7 @@
         outcome.jobs += 1
         state = deployment.state(job_id, priority)
         outcome.completed += state is JobState.COMPLETED
-        if state not in END_STATES:
+        if state not in ENDED_STATES:
             outcome.violations.append(f"LOST {job_id} is {state}")
         elif state is JobState.CANCELLED and job_id not in cancelled:
             outcome.violations.append(f"LOST {job_id} was cancelled by nobody")
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -46,7 +46,7 @@
 MS_PER_SECOND = 1_000
 KB_PER_MB = 1_024
 TEAM = "team-0"
-END_STATES = ("done", "failed", "cancelled", "refused")
+FINAL_STATES = ("done", "failed", "cancelled", "refused")
 Sample = dict[str, Usage]
 
 
@@ -190,7 +190,7 @@
     def have_ended(self, names: list[str]) -> bool:
         """Return whether all these jobs have ended."""
         states = self.states()
-        return all(states.get(name) in END_STATES for name in names)
+        return all(states.get(name) in FINAL_STATES for name in names)
 
 
 def _mean_usage(rows: list[Usage]) -> Usage:
@@ -206,7 +206,7 @@
     small, small_messages = measurement.measure_rates(IDLE_WINDOW_S)
     small_memory = {role: use.memory_mb for role, use in measurement.sample().items()}
     measurement.add_minions(MINIONS_LARGE - MINIONS_SMALL)
-    time.sleep(3)
+    time.sleep(3)  # excludes the start of the new processes
     measurement.idle, messages = measurement.measure_rates(IDLE_WINDOW_S)
     large_memory = {role: use.memory_mb for role, use in measurement.sample().items()}
     added = MINIONS_LARGE - MINIONS_SMALL
@@ -314,7 +314,7 @@
         return list(measurement.states().values()).count("active") >= count
 
     wait_until(are_active, "all long jobs placed", 180)
-    time.sleep(5)
+    time.sleep(5)  # excludes the start of the jobs
     after_mb = {role: use.memory_mb for role, use in measurement.sample().items()}
     rates, messages = measurement.measure_rates(IDLE_WINDOW_S)
     by_role = {}
@@ -388,9 +388,9 @@
 
 
 def _without_sidecars(slope: Slope) -> Slope:
-    """Return the slope without sidecars.
+    """Return the slope with the use by sidecars set to zero.
 
-    The restart has reset the counters of some, so that their mean says nothing.
+    Their mean is meaningless, as the restart has reset the counters of some of them.
     """
     by_role = {**slope.by_role, "sidecar": Rates(0.0, 0.0, 0.0)}
     return Slope(
@@ -399,7 +399,7 @@
 
 
 def measure_start(measurement: CapacityMeasurement) -> None:
-    """Measure how long a new entry takes to read the log from its snapshot or start."""
+    """Measure how long a new entry takes to read the log, from a snapshot if any."""
     head = measurement.deployment.show("/v1/status")["head_offset"]
     started_s = time.monotonic()
     process = measurement.deployment.start_entry("entry-2")
@@ -479,7 +479,7 @@
 
 
 def base_table(measurement: CapacityMeasurement) -> str:
-    """Return the table of what a process uses without any cost driver."""
+    """Return the table of the use of a process without any cost driver."""
     rows = [
         [
             role,
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -31,12 +31,12 @@
     drop_requests, drop_answers : bool
         Forward nothing from the client, or nothing from the server.
     lose_answers : int
-        Number of answers to drop, with their connections aborted. Their requests
+        Number of answers to drop; the connection of each is aborted. Their requests
         reach the server.
     cut_answer_after : int
         Close a connection after this many bytes of answers; 0 for never.
     delay_ms : int
-        Delay of all forwarded data.
+        Delay of all forwarded data, in ms.
     """
 
     cut: bool = False
@@ -60,26 +60,26 @@
 
 
 class _TargetSide(portforward.ProxyClient):
-    """Connection to the target server, which receives answers."""
+    """Connection to the target server; it receives the answers."""
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Forward answers, unless a fault prevents it."""
-        server = self.peer
-        proxy = server.factory.proxy
+        client = self.peer
+        proxy = client.factory.proxy
         faults = proxy.faults
-        if faults.silent or faults.drop_answers or server.frozen:
+        if faults.silent or faults.drop_answers or client.frozen:
             return
         if faults.lose_answers > 0:
             faults.lose_answers -= 1
-            server.abort()
+            client.abort()
             return
-        server.answered_bytes += len(data)
-        if faults.cut_answer_after and server.answered_bytes > faults.cut_answer_after:
-            surplus = server.answered_bytes - faults.cut_answer_after
-            _forward(proxy, server, data[: max(len(data) - surplus, 0)])
-            server.transport.loseConnection()
+        client.answered_bytes += len(data)
+        if faults.cut_answer_after and client.answered_bytes > faults.cut_answer_after:
+            surplus = client.answered_bytes - faults.cut_answer_after
+            _forward(proxy, client, data[: max(len(data) - surplus, 0)])
+            client.transport.loseConnection()
             return
-        _forward(proxy, server, data)
+        _forward(proxy, client, data)
 
 
 class _TargetSideFactory(portforward.ProxyClientFactory):
@@ -88,7 +88,7 @@
 
 
 class _ClientSide(portforward.ProxyServer):
-    """Connection to the client, which receives requests."""
+    """Connection to the client; it receives the requests."""
 
     clientProtocolFactory = _TargetSideFactory  # noqa: N815
     frozen = False
--- a/standins/load.py
+++ b/standins/load.py
@@ -65,7 +65,23 @@
 
 @dataclass
 class LoadRun:
-    """A load run: target addresses, request, rate and results."""
+    """A load run and its results so far.
+
+    Attributes
+    ----------
+    addresses : list of Address
+        Entries' ports for callers; they receive the requests in turn.
+    request : dict
+        Body of each request.
+    rate : float
+        Requests per second.
+    seconds : float
+        Duration of sending.
+    outcomes : Counter of str
+        Number of requests by outcome.
+    latencies_ms : list of float
+        Latencies of answered requests.
+    """
 
     addresses: list[Address]
     request: dict[str, object]
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -21,7 +21,7 @@
     down : bool
         Whether to refuse all appends and reads with status 503.
     delay_ms : int
-        Delay of each answer.
+        Delay of each answer, in ms.
     lose_answers : int
         Number of appends that take effect without an answer.
     """
@@ -47,6 +47,8 @@
 
     Attributes
     ----------
+    values : list of str
+        Values of the records, in the order of their offsets.
     first : int
         Offset of the oldest record.
     """
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -151,7 +151,8 @@
     """Return the predicted use of a process of a role at a size.
 
     Only lasting drivers add memory. The memory of events is left out, as the tables
-    keep a bounded number of them.
+    keep a bounded number of them. Of a team, only the memory counts, as its creation is
+    a single event.
     """
     total = base
     amounts = size.amounts(role)
--- a/standins/urgent.py
+++ b/standins/urgent.py
@@ -86,7 +86,7 @@
 
 
 def is_lent(deployment: Deployment) -> bool:
-    """Return whether a task runs on every worker."""
+    """Return whether all workers run tasks; each uses all accelerators of one."""
     running = [row for row in list_tasks(deployment) if row["state"] == "running"]
     return len(running) == WORKERS
 
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -49,13 +49,16 @@
         return Usage(**total)
 
     def since(self, before: "Usage") -> "Usage":
-        """Return the use since `before`; memory and offset are the growth."""
+        """Return the use since `before`; for memory and the offset, their growth."""
         pairs = zip(vars(self).items(), vars(before).values(), strict=True)
         return Usage(**{name: now - then for (name, now), then in pairs})
 
 
 def _processor_s(pid: int) -> float:
-    """Return the processor time of a single-threaded process, in seconds."""
+    """Return the processor time of a single-threaded process, in seconds.
+
+    ``/proc/PID/schedstat`` counts the main thread only.
+    """
     text = Path(f"/proc/{pid}/schedstat").read_text(encoding="ascii")
     return int(text.split()[0]) / NS_PER_SECOND
 
