Compare the filler jobs of the benchmark with the tasks of the design size

The docstring claimed that the fillers are the running tasks; their number, 147 times 64 at scale 1, is about that of the design size, 9,400.

--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -240,8 +240,8 @@
     """Add jobs of both urgencies, and filler jobs without accelerators.
 
     The fillers are submitted in the first minute and run for at least 20 hours, as long
-    as jobs arrive. Their 147 times 64 members are the about 9,400 running tasks of the
-    design size.
+    as jobs arrive. They have 147 times 64 members, about as many as the design size has
+    running tasks.
     """
     teams = list(deployment.teams)
     filler = _arrivals(
