Name fields of the batch tables after what they hold

Several names of the batch tables contradicted their types or values: the type of Plan.phase was PlanState, CallReply.verdict held a CallOutcome, Schedule.prune_at_ms timed the removal of jobs, SidecarState.until_ms did not say that it ends a lease, and BatchWorld.lines did not say that it holds log lines.

They are now PlanPhase, CallReply.outcome, remove_jobs_at_ms, lease_until_ms and log_lines. The log field verdict= and the labels of calls_total are unchanged.

--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -36,15 +36,15 @@
 
     def flush(self) -> None:
         """Write the lines that were added since the last call."""
-        if not self._world.lines:
+        if not self._world.log_lines:
             return
         now_ms = self._world.clock.now_ms()
         if now_ms - self._window_start_ms >= MS_PER_SECOND:
             self._window_start_ms = now_ms
             self._written = 0
-        for line in self._world.lines:
+        for line in self._world.log_lines:
             self._write(line.part, line.text, line.fields)
-        self._world.lines.clear()
+        self._world.log_lines.clear()
 
     def _write(self, part: str, text: str, fields: dict) -> None:
         if self._written >= MAX_LINES_PER_SECOND:
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -11,7 +11,7 @@
     Metric,
 )
 
-from kingcuppost.batch.tables.job import PlanState, TaskPhase
+from kingcuppost.batch.tables.job import PlanPhase, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.metrics import DURATION_BOUNDS_MS
 
@@ -66,7 +66,7 @@
     phases = [
         task.phase
         for plan in schedule.plans.values()
-        if plan.phase is not PlanState.OVER
+        if plan.phase is not PlanPhase.OVER
         for step in plan.tasks
         for task in step
     ]
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -55,10 +55,10 @@
     world: BatchWorld, call: CallerCall, reply: CallReply, now_ms: int
 ) -> None:
     took_ms = now_ms - call.received_ms
-    world.tally.add("calls", call.kind, reply.verdict)
+    world.tally.add("calls", call.kind, reply.outcome)
     world.tally.observe("call", took_ms, call.kind)
     world.outbox.put(reply)
-    if call.kind in (CallKind.SUBMIT, CallKind.CANCEL) or reply.verdict in (
+    if call.kind in (CallKind.SUBMIT, CallKind.CANCEL) or reply.outcome in (
         CallOutcome.NOT_RUN,
         CallOutcome.UNKNOWN,
     ):
@@ -67,7 +67,7 @@
             "call",
             f"{call.kind} call was answered.",
             job=call.path.rpartition("/")[2],
-            verdict=reply.verdict,
+            verdict=reply.outcome,
             reason=reply.reason,
             version=configuration.version if configuration else -1,
             took_ms=took_ms,
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -11,7 +11,7 @@
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
     Plan,
-    PlanState,
+    PlanPhase,
     Task,
     TaskPhase,
 )
@@ -73,7 +73,7 @@
         row.incarnation: _make_idle_candidate(row) for row in world.schedule.minions
     }
     for plan in world.schedule.plans.values():
-        if plan.phase is PlanState.OVER:
+        if plan.phase is PlanPhase.OVER:
             continue
         for task in iter_tasks(plan):
             if task.phase is TaskPhase.PLACED and task.incarnation in candidates:
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -2,7 +2,7 @@
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.tables.job import PlanState
+from kingcuppost.batch.tables.job import PlanPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -16,12 +16,12 @@
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
     """Mark the jobs whose retention period is over for removal from the log."""
     schedule = world.schedule
-    if not is_scheduling(world) or now_ms < schedule.prune_at_ms:
+    if not is_scheduling(world) or now_ms < schedule.remove_jobs_at_ms:
         return
-    schedule.prune_at_ms = now_ms + REMOVAL_PERIOD_MS
+    schedule.remove_jobs_at_ms = now_ms + REMOVAL_PERIOD_MS
     retention_ms = world.cfg.bounds.status_ms + RETENTION_MARGIN_MS
     for job_id, plan in list(schedule.plans.items()):
-        if plan.phase is not PlanState.OVER or plan.committed < plan.version:
+        if plan.phase is not PlanPhase.OVER or plan.committed < plan.version:
             continue
         if plan.over_ms is None:
             plan.over_ms = now_ms
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -44,7 +44,7 @@
             sidecar_state.term,
             sidecar_state.acknowledged_end,
             wait_ms,
-            sidecar_state.until_ms,
+            sidecar_state.lease_until_ms,
         )
     )
 
@@ -57,12 +57,12 @@
     """
     if (
         not sidecar_state.listed
-        or sidecar_state.until_ms is None
+        or sidecar_state.lease_until_ms is None
         or sidecar_state.clock_ms is None
     ):
         return 0
     remaining_ms = (
-        sidecar_state.until_ms
+        sidecar_state.lease_until_ms
         - sidecar_state.clock_ms
         - (now_ms - sidecar_state.clock_at_ms)
     )
@@ -113,10 +113,10 @@
     out late, so that the outcome becomes known.
     """
     sidecar_state = world.sidecar_state
-    if sidecar_state.until_ms is None or sidecar_state.clock_ms is None:
+    if sidecar_state.lease_until_ms is None or sidecar_state.clock_ms is None:
         return
     clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
-    if sidecar_state.until_ms - clock_ms < MIN_START_LEASE_MS:
+    if sidecar_state.lease_until_ms - clock_ms < MIN_START_LEASE_MS:
         return
     if sidecar_state.minion.draining and not run.may_still_start:
         return
@@ -127,6 +127,6 @@
             sidecar_state.minion.incarnation,
             sidecar_state.term,
             run.order,
-            sidecar_state.until_ms,
+            sidecar_state.lease_until_ms,
         )
     )
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -8,7 +8,7 @@
     JobState,
     MinionIncarnation,
     Plan,
-    PlanState,
+    PlanPhase,
     Progress,
     RunEnd,
     Task,
@@ -53,7 +53,7 @@
         _load_progress(plan, job.progress)
     if job.state in ENDED_STATES:
         is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
-        plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
+        plan.phase = PlanPhase.CLOSING if is_running else PlanPhase.OVER
     return plan
 
 
@@ -112,7 +112,7 @@
         plan = schedule.plans[job_id] = load_plan(job)
         _repeat_stops(world, plan)
     schedule.changed = True
-    if job.cancelled and plan.phase is PlanState.OPEN:
+    if job.cancelled and plan.phase is PlanPhase.OPEN:
         end_job(world, plan, JobState.CANCELLED)
 
 
@@ -121,7 +121,7 @@
 
     They concern the runs of ended jobs, and of gangs with waiting members.
     """
-    if plan.phase is PlanState.CLOSING:
+    if plan.phase is PlanPhase.CLOSING:
         request_stops(world, plan)
     for index, spec in enumerate(plan.job.steps):
         phases = {task.phase for task in plan.tasks[index]}
@@ -134,7 +134,7 @@
     plan.state = state
     request_stops(world, plan)
     is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
-    plan.phase = PlanState.CLOSING if is_running else PlanState.OVER
+    plan.phase = PlanPhase.CLOSING if is_running else PlanPhase.OVER
     world.note("job", "A job ends.", job=plan.job.id, state=state)
     mark_plan_changed(world, plan)
 
@@ -240,10 +240,10 @@
 def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
     """End the job once all tasks are done or one has failed too often."""
     tasks = list(iter_tasks(plan))
-    if plan.phase is PlanState.CLOSING:
+    if plan.phase is PlanPhase.CLOSING:
         if not any(task.phase is TaskPhase.PLACED for task in tasks):
-            plan.phase = PlanState.OVER
-    elif plan.phase is PlanState.OPEN:
+            plan.phase = PlanPhase.OVER
+    elif plan.phase is PlanPhase.OPEN:
         if all(task.phase is TaskPhase.DONE for task in tasks):
             end_job(world, plan, JobState.COMPLETED)
         elif any(task.failures >= plan.job.policy.most_failures for task in tasks):
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -9,7 +9,7 @@
 )
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, PlanState, Task, TaskPhase
+from kingcuppost.batch.tables.job import Plan, PlanPhase, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -44,7 +44,7 @@
         _record_checkpoints(world)
     rows = {row.incarnation: row for row in schedule.minions}
     for plan in list(schedule.plans.values()):
-        if plan.phase is not PlanState.OPEN:
+        if plan.phase is not PlanPhase.OPEN:
             continue
         for task in iter_tasks(plan):
             row = rows.get(task.incarnation)
@@ -58,7 +58,7 @@
     Checkpoints in the log survive the loss of all processes.
     """
     for plan in world.schedule.plans.values():
-        if plan.has_new_checkpoint and plan.phase is PlanState.OPEN:
+        if plan.has_new_checkpoint and plan.phase is PlanPhase.OPEN:
             plan.has_new_checkpoint = False
             plan.version += 1
             world.schedule.dirty[plan.job.id] = None
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -310,7 +310,7 @@
         answer.sent_ms - sidecar_state.clock_at_ms, 0
     )
     until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
-    sidecar_state.until_ms = max(sidecar_state.until_ms or 0, until_ms)
+    sidecar_state.lease_until_ms = max(sidecar_state.lease_until_ms or 0, until_ms)
 
 
 def _apply_orders(world: BatchWorld, reply: SyncReply) -> None:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -10,7 +10,7 @@
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
     Plan,
-    PlanState,
+    PlanPhase,
     RunEnd,
     Task,
     TaskName,
@@ -282,7 +282,7 @@
         return None
     plan, task = found
     is_newest = task.phase is TaskPhase.WAITING and task.run == ended.run
-    return found if is_newest and plan.phase is PlanState.OPEN else None
+    return found if is_newest and plan.phase is PlanPhase.OPEN else None
 
 
 def _update_reliability(
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from kingcuppost.batch.tables.job import Plan, PlanState, StepSpec, Task, TaskPhase
+from kingcuppost.batch.tables.job import Plan, PlanPhase, StepSpec, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
@@ -77,7 +77,7 @@
         plan
         for plan in world.schedule.plans.values()
         if plan.job.policy.priority == URGENT_PRIORITY
-        and plan.phase is not PlanState.OVER
+        and plan.phase is not PlanPhase.OVER
     ]
     for plan in sorted(urgent, key=lambda plan: plan.job.accepted_ms):
         needed = max(step.count * step.accelerators for step in plan.job.steps)
@@ -97,7 +97,7 @@
 def iter_units(world: BatchWorld, guaranteed_ids: set[str]) -> Iterator[PlacementUnit]:
     """Yield the placement units of all open jobs, in no particular order."""
     for plan in world.schedule.plans.values():
-        if plan.phase is PlanState.OPEN:
+        if plan.phase is PlanPhase.OPEN:
             yield from _iter_job_units(plan, urgency_rank(plan, guaranteed_ids))
 
 
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -10,7 +10,7 @@
     "JobState",
     "MinionIncarnation",
     "Plan",
-    "PlanState",
+    "PlanPhase",
     "RunEnd",
     "StepSpec",
     "Task",
@@ -369,7 +369,7 @@
         return self.log_sum / (self.count + 1)
 
 
-class PlanState(StrEnum):
+class PlanPhase(StrEnum):
     """Phase of the scheduler's work on a job.
 
     Attributes
@@ -399,7 +399,7 @@
         Tasks by step and index.
     state : JobState
         State for the next progress record.
-    phase : PlanState
+    phase : PlanPhase
         Phase of the scheduler's work on the job.
     begun : bool
         Whether a run of a task was ever placed.
@@ -418,7 +418,7 @@
     job: Job
     tasks: list[list[Task]]
     state: JobState = JobState.QUEUED
-    phase: PlanState = PlanState.OPEN
+    phase: PlanPhase = PlanPhase.OPEN
     begun: bool = False
     version: int = 0
     committed: int = 0
--- a/kingcuppost/batch/tables/messages/calls.py
+++ b/kingcuppost/batch/tables/messages/calls.py
@@ -98,7 +98,7 @@
     ----------
     exchange_id : str
         Identifier of the open HTTP exchange.
-    verdict : CallOutcome
+    outcome : CallOutcome
         Outcome of the call.
     state : JobState or None
         State of the job, if it was requested.
@@ -111,7 +111,7 @@
     """
 
     exchange_id: str
-    verdict: CallOutcome
+    outcome: CallOutcome
     state: JobState | None = None
     waiting: int | None = None
     retry_after_ms: int = 0
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -223,7 +223,7 @@
     authority_until_ms: int = 0
     renew_at_ms: int = 0
     check_runs_at_ms: int = 0
-    prune_at_ms: int = 0
+    remove_jobs_at_ms: int = 0
     removals: dict[str, None] = field(default_factory=dict)
     check_minions_at_ms: int = 0
     write_checkpoints_at_ms: int = 0
@@ -294,7 +294,7 @@
         Whether the minion's runs were read in its present incarnation.
     clock_ms, clock_at_ms : int
         A reading of the minion's clock, and the local time at which it was received.
-    until_ms : int
+    lease_until_ms : int
         End of the lease that the scheduler's last answer allows, on the minion's
         clock.
     is_hold_open : bool
@@ -330,7 +330,7 @@
     listed: bool = False
     clock_ms: int | None = None
     clock_at_ms: int = 0
-    until_ms: int | None = None
+    lease_until_ms: int | None = None
     is_hold_open: bool = False
     hold_after_ms: int = 0
     hold_failed: bool = False
@@ -363,7 +363,7 @@
         Settings of the process.
     incarnation : str
         Identifier of this start of the process.
-    lines : list of LogLine
+    log_lines : list of LogLine
         Log lines that are not written yet.
     stopping : bool
         Whether the process was requested to stop.
@@ -383,7 +383,7 @@
     outbox: Mailbox = field(default_factory=Mailbox)
     deadlines: Deadlines = field(default_factory=Deadlines)
     tally: Tally = field(default_factory=Tally)
-    lines: list[LogLine] = field(default_factory=list)
+    log_lines: list[LogLine] = field(default_factory=list)
     stopping: bool = False
     earliest_stop_ms: int = 0
     stop_deadline_ms: int = 0
@@ -394,4 +394,4 @@
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
         """Add a line to the process's log."""
-        self.lines.append(LogLine(part, text, fields))
+        self.log_lines.append(LogLine(part, text, fields))
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -15,7 +15,7 @@
     JobPolicy,
     JobState,
     Plan,
-    PlanState,
+    PlanPhase,
     Progress,
     RunEnd,
     StepSpec,
@@ -74,7 +74,7 @@
 
 def test_runs_of_an_ended_job_are_stopped(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, WIDE, "ppd", JobState.CANCELLED)
-    assert plan.phase is PlanState.CLOSING
+    assert plan.phase is PlanPhase.CLOSING
     assert [task.stopping for task in iter_tasks(plan)] == [True, True, False]
 
 
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -164,7 +164,7 @@
         request.setHeader(b"connection", b"close")
     answer(
         request,
-        OUTCOME_STATUSES[reply.verdict],
+        OUTCOME_STATUSES[reply.outcome],
         json.dumps(body).encode(),
         retry_after_s,
     )
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -379,7 +379,7 @@
     def _record_reply(self, reply: CallReply) -> None:
         self.replies[reply.exchange_id] = reply
         job_id = self._cancelled_job_by_call.pop(reply.exchange_id, None)
-        if job_id is not None and reply.verdict is CallOutcome.OK:
+        if job_id is not None and reply.outcome is CallOutcome.OK:
             self.checks.cancelled.setdefault(job_id, self.clock.now_ms())
 
     def _can_reach_log(self, process: Process) -> bool:
@@ -693,7 +693,7 @@
         exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
-        if reply is None or reply.verdict is not CallOutcome.OK:
+        if reply is None or reply.outcome is not CallOutcome.OK:
             return None
         if reply.state is not None:
             self.checks.check_shown_state(job_id, reply.state)
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -303,12 +303,12 @@
     """
     for job_id, (exchange_id, priority) in exchanges.items():
         reply: CallReply | None = deployment.replies.get(exchange_id)
-        is_refused = reply is not None and reply.verdict is CallOutcome.NOT_RUN
+        is_refused = reply is not None and reply.outcome is CallOutcome.NOT_RUN
         if is_refused and any(
             task.job == job_id for task in deployment.checks.completed_tasks
         ):
             outcome.violations.append(f"REFUSED {job_id} has run")
-        if reply is None or reply.verdict is not CallOutcome.OK:
+        if reply is None or reply.outcome is not CallOutcome.OK:
             continue
         outcome.jobs += 1
         state = deployment.state(job_id, priority)
--- a/standins/batch/tests/test_jobs.py
+++ b/standins/batch/tests/test_jobs.py
@@ -23,7 +23,7 @@
     second = StepSpec(2, cpu_millis=1_000, needs=(0,))
     job_id, exchange_id = deployment.submit((SMALL, second), [2_000, 500])
     deployment.run_for(100)
-    assert deployment.replies[exchange_id].verdict is CallOutcome.OK
+    assert deployment.replies[exchange_id].outcome is CallOutcome.OK
     assert deployment.run_until(
         lambda: deployment.state(job_id) is JobState.COMPLETED, 10_000
     )
@@ -58,7 +58,7 @@
     deployment.run_for(1_000)
     exchange_id = deployment.cancel(job_id)
     deployment.run_for(1_000)
-    assert deployment.replies[exchange_id].verdict is CallOutcome.OK
+    assert deployment.replies[exchange_id].outcome is CallOutcome.OK
     assert deployment.state(job_id) is JobState.CANCELLED
     assert not any(minion.runs for minion in deployment.minions.values())
 
@@ -68,8 +68,8 @@
     job_id, first = deployment.submit((SMALL,), [500], entry="entry-0")
     _, second = deployment.submit((SMALL,), [500], job_id=job_id, entry="entry-1")
     deployment.run_for(5_000)
-    assert deployment.replies[first].verdict is CallOutcome.OK
-    assert deployment.replies[second].verdict is CallOutcome.OK
+    assert deployment.replies[first].outcome is CallOutcome.OK
+    assert deployment.replies[second].outcome is CallOutcome.OK
     assert deployment.checks.starts == 3
     assert not deployment.checks.violations
 
@@ -91,8 +91,8 @@
     unknown_queue = deployment.call(CallKind.STATE, "/nowhere/0123456789abcdef")
     queue_length = deployment.call(CallKind.STATE, "/urgent/")
     deployment.run_for(50)
-    assert deployment.replies[unknown_job].verdict is CallOutcome.NO_JOB
-    assert deployment.replies[unknown_queue].verdict is CallOutcome.NO_QUEUE
+    assert deployment.replies[unknown_job].outcome is CallOutcome.NO_JOB
+    assert deployment.replies[unknown_queue].outcome is CallOutcome.NO_QUEUE
     assert deployment.replies[queue_length].waiting == 0
 
 
@@ -122,7 +122,7 @@
     job_id, exchange_id = deployment.submit((SMALL,), [500], entry="entry-1")
     deployment.run_for(10)
     reply = deployment.replies[exchange_id]
-    assert reply.verdict is CallOutcome.NOT_RUN
+    assert reply.outcome is CallOutcome.NOT_RUN
     assert reply.retry_after_ms > 0
     deployment.run_for(1_000)
     assert deployment.checks.starts == 0
@@ -139,7 +139,7 @@
     deployment.run_for(100_000)
     exchange_id = deployment.call(CallKind.STATE, f"/design/{job_id}")
     deployment.run_for(50)
-    assert deployment.replies[exchange_id].verdict is CallOutcome.NO_JOB
+    assert deployment.replies[exchange_id].outcome is CallOutcome.NO_JOB
     keys = [key for _, key, _ in deployment.store.newest(Stream.JOBS)]
     assert not any(job_id in key for key in keys)
 
