Rename members of requests, gangs, timers and peers

These names were vague or untrue: ReplyCache.answer_bytes counts characters, parameters called done hold an AttemptAnswered, KeyTimers.take removes only expired timers, HolderModel and HolderReplyModel are the ping and its reply, WorkerView.last_answered_order_ms counts confirmed orders only, and Deployment.at takes a delay.

They are now answer_chars, answer, take_due, HolderPingModel and HolderPingReplyModel, last_confirmed_order_ms and Deployment.after. The test test_two_halves_of_one_cell_stand_in_one_block is now test_two_halves_of_one_cell_share_a_block; its body is unchanged.

--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -15,8 +15,8 @@
     GangReportsModel,
     HeartbeatModel,
     HeartbeatReplyModel,
-    HolderModel,
-    HolderReplyModel,
+    HolderPingModel,
+    HolderPingReplyModel,
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.inbox import (
@@ -200,13 +200,13 @@
 
     async def exchange() -> HolderAnswered:
         address = Address(message.host, message.port)
-        model = HolderModel(entry=context.world.identity.name)
+        model = HolderPingModel(entry=context.world.identity.name)
         reply = await post_model(
             context,
             address,
             "/peer/holder",
             model,
-            HolderReplyModel,
+            HolderPingReplyModel,
             message.timeout_ms,
         )
         return reply.to_message(message)
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -22,7 +22,7 @@
     AttemptModel,
     GangReportsModel,
     HeartbeatModel,
-    HolderModel,
+    HolderPingModel,
 )
 from kingcuppost.systems.views import views
 from kingcuppost.tables.inbox import ProposalRequest, ViewRequest
@@ -218,4 +218,4 @@
 _register_peer_route("/peer/attempts", AttemptModel)
 _register_peer_route("/peer/heartbeats", HeartbeatModel)
 _register_peer_route("/peer/gangs", GangReportsModel)
-_register_peer_route("/peer/holder", HolderModel)
+_register_peer_route("/peer/holder", HolderPingModel)
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -29,8 +29,8 @@
     "GangReportsModel",
     "HeartbeatModel",
     "HeartbeatReplyModel",
-    "HolderModel",
-    "HolderReplyModel",
+    "HolderPingModel",
+    "HolderPingReplyModel",
     "ReportModel",
 ]
 
@@ -228,7 +228,7 @@
         )
 
 
-class HolderModel(BorderModel):
+class HolderPingModel(BorderModel):
     """An entry's liveness check of the holder of the scheduling lease."""
 
     entry: str
@@ -238,7 +238,7 @@
         return HolderPingArrived(exchange_id, self.entry)
 
 
-class HolderReplyModel(BorderModel):
+class HolderPingReplyModel(BorderModel):
     """Reply to a ping: the process runs, and whether it follows the log."""
 
     entry: str
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -40,7 +40,7 @@
         return
     if world.gang_view.term != world.agreed.lease.term:
         keys = _begin_term(world)
-    keys.extend(world.gang_view.due.take(now_ms))
+    keys.extend(world.gang_view.due.take_due(now_ms))
     if not keys:
         return
     pending = _pending_gangs(world)
--- a/kingcuppost/systems/jobs/tests/test_guarantees.py
+++ b/kingcuppost/systems/jobs/tests/test_guarantees.py
@@ -62,7 +62,7 @@
     assert all(item.finished_ms > 0 for item in run.runs.values())
 
 
-def test_two_halves_of_one_cell_stand_in_one_block() -> None:
+def test_two_halves_of_one_cell_share_a_block() -> None:
     """Guards against halves in two blocks.
 
     After the end of both jobs, two blocks of 4 would be left for a guarantee of 8.
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -83,7 +83,7 @@
     if task.state is not TaskState.RUNNING:
         return report
     return replace(
-        report, age_ms=max(now_ms - world.worker_view.last_answered_order_ms, 0)
+        report, age_ms=max(now_ms - world.worker_view.last_confirmed_order_ms, 0)
     )
 
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -169,8 +169,8 @@
     gang = gang_of(world, task)
     if answer.ok and gang is not None:
         sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
-        world.worker_view.last_answered_order_ms = max(
-            world.worker_view.last_answered_order_ms, sent_ms
+        world.worker_view.last_confirmed_order_ms = max(
+            world.worker_view.last_confirmed_order_ms, sent_ms
         )
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     else:
@@ -193,8 +193,8 @@
     if not answer.ok:
         _stop_reservations(world, renewal, now_ms)
         return
-    world.worker_view.last_answered_order_ms = max(
-        world.worker_view.last_answered_order_ms, renewal.sent_ms
+    world.worker_view.last_confirmed_order_ms = max(
+        world.worker_view.last_confirmed_order_ms, renewal.sent_ms
     )
     states = {item.task_id: item for item in answer.tasks}
     for item in answer.tasks:
--- a/kingcuppost/systems/requests/answers.py
+++ b/kingcuppost/systems/requests/answers.py
@@ -73,72 +73,84 @@
 
     An attempt that can be resent stays open.
     """
-    for done in world.inbox.take(AttemptAnswered):
-        attempt = world.attempts.get(done.attempt_id)
+    for answer in world.inbox.take(AttemptAnswered):
+        attempt = world.attempts.get(answer.attempt_id)
         if attempt is None:
             continue
-        sidecar_answered = done.free_slots >= 0  # -1 after a failed exchange
+        sidecar_answered = answer.free_slots >= 0  # -1 after a failed exchange
         if sidecar_answered:
-            record_answer(world, done, now_ms)
+            record_answer(world, answer, now_ms)
         else:
             record_failure(world, attempt, now_ms)
-        if (done.running or not sidecar_answered) and can_resend(world, attempt, done):
-            schedule_resend(world, attempt, done, now_ms)
+        if (answer.running or not sidecar_answered) and can_resend(
+            world, attempt, answer
+        ):
+            schedule_resend(world, attempt, answer, now_ms)
             continue
         note(
             world,
             "request.answer",
-            f"Attempt {done.attempt_id} is {done.outcome}.",
+            f"Attempt {answer.attempt_id} is {answer.outcome}.",
             peer=attempt.minion,
             request=attempt.key or attempt.request_id,
-            receives=answer_id(done.attempt_id),
+            receives=answer_id(answer.attempt_id),
         )
-        _end_attempt(world, attempt, done, now_ms)
+        _end_attempt(world, attempt, answer, now_ms)
 
 
 def _end_attempt(
-    world: World, attempt: Attempt, done: AttemptAnswered, now_ms: int
+    world: World, attempt: Attempt, answer: AttemptAnswered, now_ms: int
 ) -> None:
     requests = requests_awaiting(world, attempt)
-    outcome = _outcome_of(attempt, done)
+    outcome = _outcome_of(attempt, answer)
     world.attempts.delete(attempt.attempt_id)
     refresh_pool(world, attempt.minion, now_ms)
     if attempt.key and outcome is not Outcome.UNKNOWN:
         propose(world, KeyOutcome(attempt.key, attempt.attempt_id, outcome), now_ms)
     for request in requests:
-        _retry_or_close(world, request, done, outcome)
+        _retry_or_close(world, request, answer, outcome)
 
 
-def _outcome_of(attempt: Attempt, done: AttemptAnswered) -> Outcome:
+def _outcome_of(attempt: Attempt, answer: AttemptAnswered) -> Outcome:
     """Return the outcome that is certain.
 
     A failed connection proves "not run" for an attempt that was not sent before.
     For a claimed key it proves nothing, since another entry may have sent the
     same attempt: only the sidecar's answer frees a key.
     """
-    if not done.never_sent:
-        return done.outcome
+    if not answer.never_sent:
+        return answer.outcome
     is_only_send = attempt.resends == 0 and not attempt.key
     return Outcome.NOT_RUN if is_only_send else Outcome.UNKNOWN
 
 
 def _retry_or_close(
-    world: World, request: Request, done: AttemptAnswered, outcome: Outcome
+    world: World, request: Request, answer: AttemptAnswered, outcome: Outcome
 ) -> None:
     if outcome is Outcome.ANSWERED:
         close_request(
-            world, request, outcome, answer=done.body, minion=done.minion, step="serve"
+            world,
+            request,
+            outcome,
+            answer=answer.body,
+            minion=answer.minion,
+            step="serve",
         )
         return
     may_have_run = request.may_have_run or outcome is Outcome.UNKNOWN
     world.requests.update(request.request_id, may_have_run=may_have_run)
     if spend_retry(world, request):
-        tried_minions = (*request.tried_minions, done.minion)
+        tried_minions = (*request.tried_minions, answer.minion)
         world.requests.update(
             request.request_id, state=RequestState.QUEUED, tried_minions=tried_minions
         )
         world.request_queue.push(request)
         return
     close_request(
-        world, request, outcome, minion=done.minion, step="serve", reason=done.reason
+        world,
+        request,
+        outcome,
+        minion=answer.minion,
+        step="serve",
+        reason=answer.reason,
     )
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -17,22 +17,22 @@
 MAX_DOUBLINGS = 5
 
 
-def record_answer(world: World, done: AttemptAnswered, now_ms: int) -> None:
+def record_answer(world: World, answer: AttemptAnswered, now_ms: int) -> None:
     """Update a minion's health from its sidecar's answer to an attempt."""
-    row = world.health.get(done.minion)
-    service_ms = done.service_ms or (row.service_ms if row else 0.0)
+    row = world.health.get(answer.minion)
+    service_ms = answer.service_ms or (row.service_ms if row else 0.0)
     world.health.put(
         MinionHealth(
-            done.minion,
-            done.incarnation,
+            answer.minion,
+            answer.incarnation,
             now_ms,
-            done.free_slots,
-            done.leaving,
+            answer.free_slots,
+            answer.leaving,
             service_ms,
             last_measured_ms=now_ms,
         )
     )
-    refresh_pool(world, done.minion, now_ms)
+    refresh_pool(world, answer.minion, now_ms)
 
 
 def record_failure(world: World, attempt: Attempt, now_ms: int) -> None:
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -16,7 +16,7 @@
     """
     cache = world.reply_cache
     cache.attempt_ids.append(row.attempt_id)
-    cache.answer_bytes += len(row.answer)
+    cache.answer_chars += len(row.answer)
     while _exceeds_limits(world, now_ms):
         _evict_oldest(world)
 
@@ -27,7 +27,7 @@
         return False
     max_attempts = effective_value(world.agreed, "serve.memory_attempts")
     max_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
-    if len(cache.attempt_ids) > max_attempts or cache.answer_bytes > max_bytes:
+    if len(cache.attempt_ids) > max_attempts or cache.answer_chars > max_bytes:
         return True
     oldest = world.served_attempts.get(cache.attempt_ids[0])
     age_ms = now_ms - oldest.finished_ms
@@ -37,7 +37,7 @@
 def _evict_oldest(world: World) -> None:
     cache = world.reply_cache
     row = world.served_attempts.delete(cache.attempt_ids.popleft())
-    cache.answer_bytes -= len(row.answer)
+    cache.answer_chars -= len(row.answer)
     cache.evicted_offset = max(cache.evicted_offset, row.claim_offset)
 
 
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -108,31 +108,31 @@
     return [row for row in rows if row.state is RequestState.SENT]
 
 
-def can_resend(world: World, attempt: Attempt, done: AttemptAnswered) -> bool:
+def can_resend(world: World, attempt: Attempt, answer: AttemptAnswered) -> bool:
     """Return whether the attempt can be sent to the same process again."""
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
         return False
     if not requests_awaiting(world, attempt):
         return False
-    if done.running or attempt.key:
+    if answer.running or attempt.key:
         return True
-    return not done.never_sent and attempt.failures < MAX_IDEMPOTENT_FAILURES
+    return not answer.never_sent and attempt.failures < MAX_IDEMPOTENT_FAILURES
 
 
 def schedule_resend(
-    world: World, attempt: Attempt, done: AttemptAnswered, now_ms: int
+    world: World, attempt: Attempt, answer: AttemptAnswered, now_ms: int
 ) -> None:
     """Schedule a resend of an attempt.
 
     It is sent at once, or after a pause if it failed repeatedly or was never sent.
     """
-    failures = 0 if done.running else attempt.failures + 1
+    failures = 0 if answer.running else attempt.failures + 1
     world.attempts.update(
         attempt.attempt_id, resends=attempt.resends + 1, failures=failures
     )
     pause_ms = 0
-    if failures > 1 or done.never_sent:
+    if failures > 1 or answer.never_sent:
         pause_ms = BASE_RESEND_PAUSE_MS << min(failures, MAX_PAUSE_DOUBLINGS)
     world.resend_deadlines.put(now_ms + pause_ms, attempt.attempt_id)
     if pause_ms:
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -21,7 +21,7 @@
         Time of the next renewal of leases, and of the next reports to leaders.
     renewal : Renewal or None
         The pending renewal; None if there is none.
-    last_answered_order_ms : int
+    last_confirmed_order_ms : int
         Sending time of the latest lease renewal or start that the worker confirmed.
     """
 
@@ -29,7 +29,7 @@
     next_renewal_ms: int = 0
     next_report_ms: int = 0
     renewal: Renewal | None = None
-    last_answered_order_ms: int = 0
+    last_confirmed_order_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/tables/heartbeat.py
+++ b/kingcuppost/tables/heartbeat.py
@@ -65,13 +65,13 @@
     ----------
     attempt_ids : deque of str
         Identifiers in the order of eviction, oldest first.
-    answer_bytes : int
-        Total length of the cached answers.
+    answer_chars : int
+        Total number of characters in the cached answers.
     evicted_offset : int
         Largest log offset of a claim whose attempt was evicted. An attempt that is
         not cached and whose claim is not newer may have run, and is not run again.
     """
 
     attempt_ids: deque[str] = field(default_factory=deque)
-    answer_bytes: int = 0
+    answer_chars: int = 0
     evicted_offset: int = 0
--- a/kingcuppost/tables/key_timers.py
+++ b/kingcuppost/tables/key_timers.py
@@ -14,9 +14,9 @@
     >>> timers.set("a", 30)
     >>> timers.set("b", 20)
     >>> timers.set("a", 10)
-    >>> timers.take(15)
+    >>> timers.take_due(15)
     ['a']
-    >>> timers.take(30)
+    >>> timers.take_due(30)
     ['b']
     """
 
@@ -33,7 +33,7 @@
             self._times[key] = at_ms
             heapq.heappush(self._heap, (at_ms, key))
 
-    def take(self, now_ms: int) -> list[str]:
+    def take_due(self, now_ms: int) -> list[str]:
         """Remove and return the keys whose timer has expired."""
         keys = []
         while self._heap and self._heap[0][0] <= now_ms:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -235,7 +235,7 @@
 
     # time
 
-    def at(self, delay_ms: float, run: Callable[[], None]) -> None:
+    def after(self, delay_ms: float, run: Callable[[], None]) -> None:
         """Schedule a function to run after a delay."""
         due_ms = self.clock.now_ms() + max(int(delay_ms), 0)
         heapq.heappush(self._events, (due_ms, next(self._sequence_numbers), run))
@@ -303,14 +303,14 @@
         key = (process.name, process.incarnation)
         if key not in self._scheduled_ticks:
             self._scheduled_ticks.add(key)
-            self.at(0, lambda: self._tick(process, key))
+            self.after(0, lambda: self._tick(process, key))
 
     def _tick(self, process: Process, key: tuple[str, int]) -> None:
         self._scheduled_ticks.discard(key)
         if not process.is_up or process.incarnation != key[1]:
             return
         if process.is_frozen:
-            self.at(
+            self.after(
                 50,
                 lambda: (
                     self.request_tick(process)
@@ -327,7 +327,7 @@
             self.request_tick(process)
         due_ms = world.deadlines.next_ms()
         if due_ms is not None:
-            self.at(
+            self.after(
                 max(due_ms - self.clock.now_ms(), 1),
                 lambda: self._tick_if_due(process, key),
             )
@@ -349,7 +349,7 @@
         self, process: Process, delay_ms: float, make: Callable[[], Any]
     ) -> None:
         incarnation = process.incarnation
-        self.at(delay_ms, lambda: self._deliver(process, make(), incarnation))
+        self.after(delay_ms, lambda: self._deliver(process, make(), incarnation))
 
     def _delay_ms(self) -> float:
         return 1 + self.rng.random() * 4
@@ -409,7 +409,7 @@
                 self._deliver_later(process, self._delay_ms(), lambda: answer)
             self._notify_entries(message.stream)
 
-        self.at(late_ms + self._delay_ms(), apply)
+        self.after(late_ms + self._delay_ms(), apply)
         if lost:
             answer = AppendEnded(message.id, AppendOutcome.UNKNOWN, reason="lost")
             self._deliver_later(process, message.timeout_ms, lambda: answer)
@@ -418,7 +418,7 @@
         for process in self.processes.values():
             if process.role is Role.ENTRY and process.is_up:
                 incarnation = process.incarnation
-                self.at(
+                self.after(
                     self._delay_ms(),
                     lambda process=process, incarnation=incarnation: self._read_stream(
                         process, incarnation, stream
@@ -430,7 +430,9 @@
         if process.incarnation != incarnation or not process.is_up:
             return
         self._read_stream(process, incarnation, stream)
-        self.at(POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream))
+        self.after(
+            POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream)
+        )
 
     def _read_stream(self, process: Process, incarnation: int, stream: Stream) -> None:
         if process.incarnation != incarnation or not process.is_up or process.is_frozen:
@@ -510,17 +512,17 @@
             if not process.is_cut_off and not other.is_cut_off:
                 finish_exchange(decode_sync_reply(text, other.name).ok)
 
-        self.at(self._delay_ms(), arrive)
+        self.after(self._delay_ms(), arrive)
         is_refused = other is None or not other.is_up
         timeout_ms = 5 if is_refused else message.timeout_ms
-        self.at(timeout_ms, lambda: finish_exchange(None, "no answer"))
+        self.after(timeout_ms, lambda: finish_exchange(None, "no answer"))
 
     def _answer_sync(self, process: Process, reply: SyncReply) -> None:
         key = (process.name, process.incarnation, reply.exchange_id)
         answer = self._exchanges.pop(key, None)
         if answer is not None:
             text = encode_sync_reply(reply)
-            self.at(self._delay_ms(), lambda: answer(text))
+            self.after(self._delay_ms(), lambda: answer(text))
 
     # minions
 
@@ -541,7 +543,7 @@
             )
             address = Address("10.1.0.1", PORT)
             self._deliver(process, MinionHeartbeat(address, report, number))
-        self.at(
+        self.after(
             HEARTBEAT_PERIOD_MS,
             lambda: self._send_heartbeats(process, incarnation, number + 1),
         )
@@ -567,14 +569,14 @@
                 message.term, message.acknowledged_end, until_ms
             )
             if not ended and now_ms < answer_by_ms:
-                self.at(20, lambda: check_ends(False))
+                self.after(20, lambda: check_ends(False))
                 return
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, now_ms, running, ended
             )
             self._deliver_later(process, 1, lambda: answer)
 
-        self.at(1, lambda: check_ends(True))
+        self.after(1, lambda: check_ends(True))
 
     def _apply_order(self, process: Process, message: StartRun | StopRun) -> None:
         minion = process.minion
@@ -608,15 +610,15 @@
             self._deliver_later(process, 1, lambda: answer)
 
         if is_late:
-            self.at(2_000 + self.rng.random() * 6_000, apply)
-            self.at(
+            self.after(2_000 + self.rng.random() * 6_000, apply)
+            self.after(
                 600,
                 lambda: self._deliver_unknown_outcome(
                     process, incarnation, message, is_start
                 ),
             )
         else:
-            self.at(1, apply)
+            self.after(1, apply)
 
     def _deliver_unknown_outcome(
         self, process: Process, incarnation: int, message: Any, is_start: bool
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -59,7 +59,7 @@
 def _kill_holder(deployment: Deployment) -> str:
     holder = deployment.holder() or deployment.rng.choice(_entries(deployment))
     deployment.kill(holder.name)
-    deployment.at(
+    deployment.after(
         1_000 + deployment.rng.random() * 2_000, lambda: deployment.start(holder.name)
     )
     return holder.name
@@ -69,7 +69,7 @@
 def _kill_entries(deployment: Deployment) -> str:
     for process in _entries(deployment):
         deployment.kill(process.name)
-        deployment.at(1_000, lambda process=process: deployment.start(process.name))
+        deployment.after(1_000, lambda process=process: deployment.start(process.name))
     return ""
 
 
@@ -77,7 +77,7 @@
 def _kill_sidecar(deployment: Deployment) -> str:
     process = deployment.rng.choice(_sidecars(deployment))
     deployment.kill(process.name)
-    deployment.at(
+    deployment.after(
         500 + deployment.rng.random() * 3_000, lambda: deployment.start(process.name)
     )
     return process.name
@@ -95,7 +95,7 @@
         process.minion.restart()
         deployment.start(process.name)
 
-    deployment.at(1_000 + deployment.rng.random() * 3_000, power_on)
+    deployment.after(1_000 + deployment.rng.random() * 3_000, power_on)
     return process.name
 
 
@@ -119,7 +119,7 @@
         for row in rows:
             setattr(row, name, default)
 
-    deployment.at(for_ms, reset)
+    deployment.after(for_ms, reset)
 
 
 def _join_names(processes: list[Process]) -> str:
@@ -193,7 +193,7 @@
 def _close_zone(deployment: Deployment) -> str:
     zone = f"zone-{deployment.rng.randrange(3)}"
     deployment.closed_zones.add(zone)
-    deployment.at(6_000, lambda: deployment.closed_zones.discard(zone))
+    deployment.after(6_000, lambda: deployment.closed_zones.discard(zone))
     return zone
 
 
@@ -218,7 +218,7 @@
         if process.incarnation == incarnation:
             deployment.start(process.name)
 
-    deployment.at(4_600, restart_entry)
+    deployment.after(4_600, restart_entry)
     return process.name
 
 
@@ -272,7 +272,7 @@
         exchanges[job_id] = (exchange_id, priority)
         if deployment.rng.random() < 0.1:
             cancelled.add(job_id)
-            deployment.at(
+            deployment.after(
                 deployment.rng.random() * 5_000,
                 lambda: deployment.cancel(job_id, priority),
             )
@@ -283,9 +283,9 @@
         outcome.injected_faults.append(f"{at_s:.1f} {name} {faults[name](deployment)}")
 
     for _ in range(16):
-        deployment.at(deployment.rng.random() * DAY_MS, submit_job)
+        deployment.after(deployment.rng.random() * DAY_MS, submit_job)
     for _ in range(fault_count):
-        deployment.at(deployment.rng.random() * DAY_MS, inject_fault)
+        deployment.after(deployment.rng.random() * DAY_MS, inject_fault)
     deployment.run_for(DAY_MS + RECOVERY_MS)
     _check_jobs(deployment, outcome, exchanges, cancelled)
     return outcome
