Correct descriptions of two settings, a flag and a comment

The description of request.silence_ms said that the timeout doubles while the attempt runs; it grows with each resend, because only the hold time within it doubles, up to 8 s.

Only these texts change. The tables of docs/SETTINGS.md are written from the descriptions and need scripts/reference, which is not part of this commit.

--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -88,7 +88,7 @@
     parser.add_argument(
         "--every",
         action="store_true",
-        help="show the folding of a record once for each process, not once in all",
+        help="show the folding of a record once for each process, not only once",
     )
 
 
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -75,7 +75,7 @@
 class _HoldReplyModel(_Model):
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
-    # rows: task, run, checkpoint, percent done or paced; more columns may follow
+    # rows: task, run, checkpoint, percent; more columns may follow
     running: tuple[tuple, ...] = ()
     # rows: number, task, run, kind of end as in `RunEnd`, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
--- a/kingcuppost/settings/catalog/jobs.py
+++ b/kingcuppost/settings/catalog/jobs.py
@@ -120,8 +120,8 @@
     SettingKey(
         "job.overtake_limit_ms",
         43_200_000,
-        "Maximum time after its submission within which later jobs can still overtake "
-        "an overnight job.",
+        "Time after an overnight job's submission from which later jobs can no longer "
+        "overtake it.",
         "ms",
         minimum=0,
         maximum=604_800_000,
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -100,8 +100,8 @@
     SettingKey(
         "request.silence_ms",
         1_000,
-        "Timeout of an exchange with a sidecar; doubles while the sidecar reports that "
-        "the attempt still runs.",
+        "Timeout of an attempt's first exchange with a sidecar; it grows with each "
+        "resend, as the sidecar's hold time doubles from half this value up to 8 s.",
         "ms",
         minimum=100,
         maximum=10_000,
