Call the order of placement candidates a sort key, not a rank

Cause: "rank" meant two things in the batch scheduler, the urgency rank of a placement unit or run, and the key by which candidates are ordered; in one function both stood side by side.

Change: the second is CandidateSortKey (was RankFunction), _make_sort_key (was _make_rank_function) and sort_key for the inner function, parameters and locals; sort_key_by_name in the test, and the test of the order of filling is named test_tasks_fill_candidates_in_order_of_sort_key. Three docstrings are reworded. The urgency rank and the log field rank are untouched.

The other tests were not run.

--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -9,8 +9,8 @@
 
 __all__ = [
     "Candidate",
+    "CandidateSortKey",
     "Eviction",
-    "RankFunction",
     "Victim",
     "add_resources",
     "choose_candidates",
@@ -134,17 +134,17 @@
     return min(wanted, max(step.most_per_minion - candidate.step_task_count, 0))
 
 
-RankFunction = Callable[[Candidate, StepSpec], tuple]
+CandidateSortKey = Callable[[Candidate, StepSpec], tuple]
 
 
 def choose_candidates(
     candidates: Iterable[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: RankFunction,
+    sort_key: CandidateSortKey,
     use_soon_free: bool = False,
 ) -> list[Candidate]:
-    """Return one candidate for each task that fits, best ranks first.
+    """Return one candidate for each task that fits, smallest sort keys first.
 
     Parameters
     ----------
@@ -154,13 +154,15 @@
         Demand of each task.
     wanted : int
         Number of tasks.
-    rank : callable
+    sort_key : callable
         Returns the sort key of a candidate for a step; the smallest comes first.
     use_soon_free : bool
         Whether capacity that is about to be released counts as free.
     """
     chosen: list[Candidate] = []
-    for candidate in sorted(candidates, key=lambda candidate: rank(candidate, step)):
+    for candidate in sorted(
+        candidates, key=lambda candidate: sort_key(candidate, step)
+    ):
         missing = wanted - len(chosen)
         if not missing:
             break
@@ -238,13 +240,13 @@
     candidates: list[Candidate],
     step: StepSpec,
     wanted: int,
-    rank: RankFunction,
+    sort_key: CandidateSortKey,
     max_cost_core_s: float = inf,
 ) -> list[Eviction]:
     """Return the cheapest evictions that release capacity for the most tasks.
 
     Greedy: each next task goes to the candidate where it costs least, among equals to
-    the one that ranks first.
+    the one with the smallest sort key.
 
     Parameters
     ----------
@@ -254,7 +256,7 @@
         Demand of each task.
     wanted : int
         Number of tasks.
-    rank : callable
+    sort_key : callable
         Returns the sort key of a candidate for a step; the smallest comes first.
     max_cost_core_s : float
         Maximum work that may be lost for one task, in core-seconds.
@@ -274,7 +276,7 @@
                 continue
             key = (
                 (extended.cost - current.cost) / (extended.count - current.count),
-                rank(candidate, step),
+                sort_key(candidate, step),
             )
             if best_key is None or key < best_key:
                 best, best_key = extended, key
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -17,8 +17,8 @@
 )
 from kingcuppost.batch.systems.placement import (
     Candidate,
+    CandidateSortKey,
     Eviction,
-    RankFunction,
     add_resources,
     choose_candidates,
     count_fitting_tasks,
@@ -145,9 +145,9 @@
         Whether the capacity suffices for all tasks.
     """
     for group in groups:
-        rank = _make_rank_function(unit)
+        sort_key = _make_sort_key(unit)
         chosen = choose_candidates(
-            group, unit.spec, len(unit.tasks), rank, use_soon_free=True
+            group, unit.spec, len(unit.tasks), sort_key, use_soon_free=True
         )
         if unit.spec.gang and len(chosen) < len(unit.tasks):
             continue
@@ -163,7 +163,7 @@
     """Place the tasks that fit; return whether these are all tasks of the unit."""
     for group in groups:
         chosen = choose_candidates(
-            group, unit.spec, len(unit.tasks), _make_rank_function(unit)
+            group, unit.spec, len(unit.tasks), _make_sort_key(unit)
         )
         is_whole = len(chosen) == len(unit.tasks)
         if is_whole or (chosen and not unit.spec.gang):
@@ -222,16 +222,14 @@
     free = sum(candidate.free_now.accelerators for candidate in rack)
     if not unit.is_urgent:
         return (free,)
-    chosen = choose_candidates(
-        rack, unit.spec, len(unit.tasks), _make_rank_function(unit)
-    )
+    chosen = choose_candidates(rack, unit.spec, len(unit.tasks), _make_sort_key(unit))
     if len(chosen) < len(unit.tasks):
         return (1, 0.0, free)
     return (0, -min(candidate.minion.speed.value for candidate in chosen), free)
 
 
-def _make_rank_function(unit: PlacementUnit) -> RankFunction:
-    """Return the function that ranks candidates for a unit.
+def _make_sort_key(unit: PlacementUnit) -> CandidateSortKey:
+    """Return the function that gives the sort key of a candidate for a unit.
 
     Urgent units prefer reliable and fast minions. Other units fill up racks and minions
     that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
@@ -241,7 +239,7 @@
     is_last_attempt = unit.is_last_attempt
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
 
-    def rank(candidate: Candidate, step: StepSpec) -> tuple:
+    def sort_key(candidate: Candidate, step: StepSpec) -> tuple:
         row = candidate.minion
         free_resources = (
             candidate.free_after_stops.accelerators,
@@ -263,7 +261,7 @@
             row.sidecar,
         )
 
-    return rank
+    return sort_key
 
 
 def _place_tasks(
@@ -354,7 +352,7 @@
     for group in groups:
         narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
         found = plan_evictions(
-            narrowed, unit.spec, wanted, _make_rank_function(unit), max_task_cost_core_s
+            narrowed, unit.spec, wanted, _make_sort_key(unit), max_task_cost_core_s
         )
         cost = sum(eviction.cost for eviction in found)
         is_partial = _count_tasks(found) < wanted
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -52,7 +52,7 @@
     )
 
 
-def rank_by_name(candidate: Candidate, step: StepSpec) -> tuple:
+def sort_key_by_name(candidate: Candidate, step: StepSpec) -> tuple:
     return (candidate.minion.sidecar,)
 
 
@@ -63,12 +63,12 @@
     assert count_fitting_tasks(Resources(-1, 0, 0), STEP, 9) == 0
 
 
-def test_tasks_fill_candidates_in_order_of_rank() -> None:
+def test_tasks_fill_candidates_in_order_of_sort_key() -> None:
     candidates = [
         make_candidate("b", MINION_CAPACITY),
         make_candidate("a", Resources(64_000, 131_072, 2)),
     ]
-    chosen = choose_candidates(candidates, STEP, 3, rank_by_name)
+    chosen = choose_candidates(candidates, STEP, 3, sort_key_by_name)
     assert [candidate.minion.sidecar for candidate in chosen] == ["a", "b", "b"]
 
 
@@ -78,7 +78,7 @@
         [make_candidate("a", MINION_CAPACITY), make_candidate("b", MINION_CAPACITY)],
         one_per_minion,
         3,
-        rank_by_name,
+        sort_key_by_name,
     )
     assert len(chosen) == 2
 
@@ -87,7 +87,7 @@
     no_capacity = Resources(0, 0, 0)
     costly = make_candidate("a", no_capacity, (50.0, 60.0, 70.0))
     cheap = make_candidate("b", no_capacity, (1.0, 2.0, 3.0))
-    found = plan_evictions([costly, cheap], STEP, 2, rank_by_name)
+    found = plan_evictions([costly, cheap], STEP, 2, sort_key_by_name)
     assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
     assert found[0].cost == 3.0
     assert len(found[0].victims) == 2
@@ -101,7 +101,7 @@
         ],
         STEP,
         3,
-        rank_by_name,
+        sort_key_by_name,
     )
     assert sum(eviction.cost for eviction in found) == 0
     assert not any(eviction.victims for eviction in found)
@@ -109,13 +109,13 @@
 
 def test_nothing_is_evicted_without_benefit() -> None:
     assert not plan_evictions(
-        [make_candidate("a", Resources(0, 0, 0), ())], STEP, 3, rank_by_name
+        [make_candidate("a", Resources(0, 0, 0), ())], STEP, 3, sort_key_by_name
     )
 
 
 def test_maximum_cost_limits_number_of_evictions() -> None:
     full = make_candidate("a", Resources(0, 0, 0), (1.0, 90.0))
-    found = plan_evictions([full], STEP, 2, rank_by_name, max_cost_core_s=10.0)
+    found = plan_evictions([full], STEP, 2, sort_key_by_name, max_cost_core_s=10.0)
     assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
 
 
@@ -123,5 +123,5 @@
     small, large = Resources(1_000, 1_000, 0), Resources(8_000, 16_000, 2)
     full = make_candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
-    found = plan_evictions([full], STEP, 1, rank_by_name)
+    found = plan_evictions([full], STEP, 1, sort_key_by_name)
     assert [victim.cost for victim in found[0].victims] == [2.0]
