Name fields of the batch tables after what they hold

`stopped_ms` and `started` of an ordered run told of the minion's answer, `committed` and `version` of plans and tasks did not say of what, and `dirty`, `pending_syncs`, `sent_ms` and `runs` each stood for two things. Rename them, and the three functions of the calls that return replies.

--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -78,7 +78,7 @@
         "tasks_placed": phases.count(TaskPhase.PLACED),
         "tasks_waiting": phases.count(TaskPhase.WAITING),
         "configuration_version": configuration.version if configuration else -1,
-        "calls_waiting": len(world.calls),
+        "calls_waiting": len(world.pending_calls),
     }
     for name, value in values.items():
         yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -77,7 +77,7 @@
 def _handle_call(world: BatchWorld, call: CallerCall, now_ms: int) -> CallReply | None:
     configuration = world.agreed.configuration
     if configuration is None:
-        return _not_run(call, "no configuration yet")
+        return _make_not_run_reply(call, "no configuration yet")
     queue = find_queue(configuration, call.host, call.path)
     if queue is None:
         return CallReply(call.exchange_id, CallOutcome.NO_QUEUE)
@@ -86,14 +86,14 @@
         return CallReply(call.exchange_id, CallOutcome.NO_KEY)
     job_id = call.path[len(queue.prefix) :]
     if call.kind is CallKind.STATE and not job_id:
-        return _count_waiting(world, call, queue)
+        return _make_waiting_count_reply(world, call, queue)
     if not is_job_id(job_id):
         return CallReply(call.exchange_id, CallOutcome.BAD, reason="no such identifier")
     if call.kind is CallKind.SUBMIT:
         return _submit_job(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
         return _cancel_job(world, call, job_id, now_ms)
-    return _get_state(world, call, job_id, now_ms)
+    return _make_state_reply(world, call, job_id, now_ms)
 
 
 def is_job_id(text: str) -> bool:
@@ -109,7 +109,7 @@
     return len(text) == JOB_ID_DIGITS and all(char in string.hexdigits for char in text)
 
 
-def _not_run(
+def _make_not_run_reply(
     call: CallerCall, reason: str, retry_after_ms: int = RETRY_SOON_MS
 ) -> CallReply:
     return CallReply(
@@ -120,7 +120,9 @@
     )
 
 
-def _count_waiting(world: BatchWorld, call: CallerCall, queue: Queue) -> CallReply:
+def _make_waiting_count_reply(
+    world: BatchWorld, call: CallerCall, queue: Queue
+) -> CallReply:
     waiting = sum(
         1
         for job in world.agreed.jobs.scan("queue", queue.name)
@@ -129,7 +131,7 @@
     return CallReply(call.exchange_id, CallOutcome.OK, waiting=waiting)
 
 
-def _get_state(
+def _make_state_reply(
     world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
 ) -> CallReply:
     job = world.agreed.jobs.get(job_id)
@@ -137,7 +139,7 @@
         return CallReply(call.exchange_id, CallOutcome.OK, state=visible_state(job))
     if is_fresh(world, Stream.JOBS, now_ms):
         return CallReply(call.exchange_id, CallOutcome.NO_JOB)
-    return _not_run(call, STREAM_STALE_REASON)
+    return _make_not_run_reply(call, STREAM_STALE_REASON)
 
 
 def _submit_job(
@@ -153,7 +155,7 @@
     if call.job is None:
         return CallReply(call.exchange_id, CallOutcome.BAD, reason=call.body_error)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+        return _make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     job = Job(
         job_id,
         queue.name,
@@ -177,11 +179,11 @@
     if job is None:
         if is_fresh(world, Stream.JOBS, now_ms):
             return CallReply(call.exchange_id, CallOutcome.NO_JOB)
-        return _not_run(call, STREAM_STALE_REASON)
+        return _make_not_run_reply(call, STREAM_STALE_REASON)
     if visible_state(job) in ENDED_STATES:
         return CallReply(call.exchange_id, CallOutcome.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return _not_run(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+        return _make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     _propose_record(world, call, job_id, CancelRecord(job_id))
     return None
 
@@ -196,7 +198,7 @@
         (record,),
         timeout_ms=APPEND_TIMEOUT_MS,
     )
-    world.calls[append.id] = PendingCall(call, job_id, append)
+    world.pending_calls[append.id] = PendingCall(call, job_id, append)
     world.outbox.put(append)
 
 
@@ -207,12 +209,12 @@
     The results of all other appends are moved to `append_results`.
     """
     for answer in world.inbox.take(AppendEnded):
-        pending = world.calls.get(answer.id)
+        pending = world.pending_calls.get(answer.id)
         if pending is None:
             world.schedule.append_results.append(answer)
         else:
             _handle_append_end(world, pending, answer, now_ms)
-    for pending in list(world.calls.values()):
+    for pending in list(world.pending_calls.values()):
         if _is_recorded(world, pending):
             _end_pending_call(
                 world,
@@ -255,12 +257,12 @@
         reply = CallReply(exchange_id, CallOutcome.UNKNOWN, reason=answer.reason)
         _end_pending_call(world, pending, reply, now_ms)
     else:
-        reply = _not_run(pending.call, answer.reason, RETRY_LATER_MS)
+        reply = _make_not_run_reply(pending.call, answer.reason, RETRY_LATER_MS)
         _end_pending_call(world, pending, reply, now_ms)
 
 
 def _end_pending_call(
     world: BatchWorld, pending: PendingCall, reply: CallReply, now_ms: int
 ) -> None:
-    del world.calls[pending.append.id]
+    del world.pending_calls[pending.append.id]
     _send_reply(world, pending.call, reply, now_ms)
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -222,18 +222,19 @@
     The reference is a high percentile rather than the median: slow minions keep their
     runs longer, so their speeds are known sooner and are overrepresented.
     """
-    known = sorted(
+    known_speeds = sorted(
         candidate.minion.speed.value
         for candidate in candidates
         if candidate.minion.speed.weight
     )
-    if not known:
+    if not known_speeds:
         return
-    slow_limit = (
-        SLOW_SPEED_RATIO * known[len(known) * REFERENCE_PERCENTILE // FULL_PERCENT]
+    slow_speed_limit = (
+        SLOW_SPEED_RATIO
+        * known_speeds[len(known_speeds) * REFERENCE_PERCENTILE // FULL_PERCENT]
     )
     for candidate in candidates:
         candidate.is_slow = (
             bool(candidate.minion.speed.weight)
-            and candidate.minion.speed.value < slow_limit
+            and candidate.minion.speed.value < slow_speed_limit
         )
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -157,7 +157,7 @@
         return
     agreed.configuration = new
     agreed.configuration_offset = offset
-    world.schedule.changed = True
+    world.schedule.inputs_changed = True
     world.note("settings", "A configuration is in force.", version=new.version)
 
 
@@ -167,13 +167,13 @@
     if zone not in world.agreed.closed_zones:
         world.note("settings", "A zone is closed.", availability_zone=zone)
     world.agreed.closed_zones[zone] = offset
-    world.schedule.changed = True
+    world.schedule.inputs_changed = True
 
 
 def _open_zone(world: BatchWorld, zone: str) -> None:
     if world.agreed.closed_zones.pop(zone, None) is not None:
         world.note("settings", "A zone is open again.", availability_zone=zone)
-        world.schedule.changed = True
+        world.schedule.inputs_changed = True
 
 
 @appliers.register(SpeedsRecord)
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -21,11 +21,11 @@
     schedule.remove_jobs_at_ms = now_ms + REMOVAL_PERIOD_MS
     retention_ms = world.cfg.bounds.status_ms + RETENTION_MARGIN_MS
     for job_id, plan in list(schedule.plans.items()):
-        if plan.phase is not PlanPhase.OVER or plan.committed < plan.version:
+        if plan.phase is not PlanPhase.OVER or plan.committed_version < plan.version:
             continue
         if plan.over_ms is None:
             plan.over_ms = now_ms
         elif now_ms - plan.over_ms > retention_ms:
             del schedule.plans[job_id]
-            schedule.dirty.pop(job_id, None)
+            schedule.unwritten_jobs.pop(job_id, None)
             schedule.removals[job_id] = None
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -43,5 +43,5 @@
             world.deadlines.add(due_ms)
             continue
         row.is_unreachable = True
-        world.schedule.changed = True
+        world.schedule.inputs_changed = True
         world.note("minion", "A minion is unreachable.", minion=row.incarnation.minion)
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -58,20 +58,23 @@
     if (
         not sidecar_state.listed
         or sidecar_state.lease_until_ms is None
-        or sidecar_state.clock_ms is None
+        or sidecar_state.minion_clock_ms is None
     ):
         return 0
     remaining_ms = (
         sidecar_state.lease_until_ms
-        - sidecar_state.clock_ms
-        - (now_ms - sidecar_state.clock_at_ms)
+        - sidecar_state.minion_clock_ms
+        - (now_ms - sidecar_state.minion_clock_received_ms)
     )
     return min(MAX_WAIT_MS, max(remaining_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
     """Return whether a run has not ended yet whose stop the minion has accepted."""
-    return any(run.stopped_ms is not None for run in world.sidecar_state.runs.values())
+    return any(
+        run.stop_accepted_ms is not None
+        for run in world.sidecar_state.ordered_runs.values()
+    )
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
@@ -80,15 +83,15 @@
     sidecar_state = world.sidecar_state
     if sidecar_state.minion is None:
         return
-    for run in list(sidecar_state.runs.values()):
-        if run.is_order_pending or run.stopped_ms is not None:
+    for run in list(sidecar_state.ordered_runs.values()):
+        if run.is_order_pending or run.stop_accepted_ms is not None:
             continue
         if now_ms < run.retry_ms:
             world.deadlines.add(run.retry_ms)
             continue
-        if run.stop:
+        if run.should_stop:
             _send_stop(world, run)
-        elif not run.started:
+        elif not run.start_accepted:
             _send_start(world, run, now_ms)
 
 
@@ -113,9 +116,11 @@
     out late, so that the outcome becomes known.
     """
     sidecar_state = world.sidecar_state
-    if sidecar_state.lease_until_ms is None or sidecar_state.clock_ms is None:
+    if sidecar_state.lease_until_ms is None or sidecar_state.minion_clock_ms is None:
         return
-    clock_ms = sidecar_state.clock_ms + now_ms - sidecar_state.clock_at_ms
+    clock_ms = (
+        sidecar_state.minion_clock_ms + now_ms - sidecar_state.minion_clock_received_ms
+    )
     if sidecar_state.lease_until_ms - clock_ms < MIN_START_LEASE_MS:
         return
     if sidecar_state.minion.draining and not run.may_still_start:
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -42,18 +42,18 @@
         _handle_append_end(world, answer)
     schedule = world.schedule
     schedule.append_results.clear()
-    has_work = schedule.dirty or schedule.removals
+    has_work = schedule.unwritten_jobs or schedule.removals
     if schedule.is_loaded and schedule.in_flight is None and has_work:
         _append_changes(world, now_ms)
 
 
 def _append_changes(world: BatchWorld, now_ms: int) -> None:
     schedule = world.schedule
-    job_ids = list(schedule.dirty)[:MAX_JOBS_PER_APPEND]
+    job_ids = list(schedule.unwritten_jobs)[:MAX_JOBS_PER_APPEND]
     records = []
     versions = {}
     for job_id in job_ids:
-        del schedule.dirty[job_id]
+        del schedule.unwritten_jobs[job_id]
         plan = schedule.plans.get(job_id)
         if plan is not None:
             records.append(ProgressRecord(job_id, make_progress(plan)))
@@ -129,6 +129,6 @@
     for job_id, version in schedule.in_flight_versions.items():
         plan = schedule.plans.get(job_id)
         if plan is not None:
-            plan.committed = version
+            plan.committed_version = version
     schedule.in_flight = None
     schedule.in_flight_versions = {}
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -45,8 +45,8 @@
 def load_plan(job: Job) -> Plan:
     """Return the plan of a job in the state of its newest progress record."""
     tasks = [
-        [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(row.count)]
-        for step, row in enumerate(job.steps)
+        [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(spec.count)]
+        for step, spec in enumerate(job.steps)
     ]
     plan = Plan(job, tasks)
     if job.progress is not None:
@@ -96,8 +96,8 @@
 def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
     """Mark a plan as different from its newest record."""
     plan.version += 1
-    world.schedule.dirty[plan.job.id] = None
-    world.schedule.changed = True
+    world.schedule.unwritten_jobs[plan.job.id] = None
+    world.schedule.inputs_changed = True
 
 
 def adopt_job(world: BatchWorld, job_id: str) -> None:
@@ -111,7 +111,7 @@
     if plan is None:
         plan = schedule.plans[job_id] = load_plan(job)
         _repeat_stops(world, plan)
-    schedule.changed = True
+    schedule.inputs_changed = True
     if job.cancelled and plan.phase is PlanPhase.OPEN:
         end_job(world, plan, JobState.CANCELLED)
 
@@ -174,8 +174,8 @@
     task.incarnation = minion.incarnation
     task.sidecar = minion.sidecar
     task.placed_ms = world.clock.wall_ms()
-    task.version = plan.version
-    task.sent_ms = None
+    task.plan_version = plan.version
+    task.start_sent_ms = None
     task.confirmed = False
     task.running_since_ms = None
     task.stopping = False
--- a/kingcuppost/batch/systems/queue_lookup.py
+++ b/kingcuppost/batch/systems/queue_lookup.py
@@ -17,11 +17,11 @@
     >>> find_queue(cfg, "other", "/a/b/c") is None
     True
     """
-    name = host.partition(":")[0]
+    host_name = host.partition(":")[0]
     found = [
         queue
         for queue in configuration.queues
-        if queue.host == name and path.startswith(queue.prefix)
+        if queue.host == host_name and path.startswith(queue.prefix)
     ]
     return max(found, key=lambda queue: len(queue.prefix), default=None)
 
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -24,9 +24,9 @@
     if world.stopping:
         return
     _request_entries(world, now_ms)
-    if sidecar_state.pending_syncs and not sidecar_state.dirty:
+    if sidecar_state.unanswered_syncs and not sidecar_state.is_report_due:
         return
-    if len(sidecar_state.pending_syncs) >= MAX_PENDING_REPORTS:
+    if len(sidecar_state.unanswered_syncs) >= MAX_PENDING_REPORTS:
         return
     if now_ms < sidecar_state.sync_after_ms:
         world.deadlines.add(sidecar_state.sync_after_ms)
@@ -34,9 +34,9 @@
     address = sidecar_state.holder or _choose_entry(world)
     if address is None:
         return
-    sidecar_state.dirty = False
+    sidecar_state.is_report_due = False
     sidecar_state.sync_number += 1
-    sidecar_state.pending_syncs[sidecar_state.sync_number] = now_ms
+    sidecar_state.unanswered_syncs[sidecar_state.sync_number] = now_ms
     call = _make_report(world, now_ms)
     world.outbox.put(
         SendSync(sidecar_state.sync_number, address, call, REPORT_TIMEOUT_MS)
@@ -49,7 +49,7 @@
     if not all_entries:
         return None
     return all_entries[
-        (world.sidecar_state.next_entry + _entry_offset(world)) % len(all_entries)
+        (world.sidecar_state.next_entry_index + _entry_offset(world)) % len(all_entries)
     ]
 
 
@@ -62,10 +62,11 @@
     """Request the entries from the log if the holder has not replied for a while."""
     sidecar_state = world.sidecar_state
     due_ms = max(
-        sidecar_state.last_reply_ms + LIST_ENTRIES_AFTER_MS, sidecar_state.list_after_ms
+        sidecar_state.last_reply_ms + LIST_ENTRIES_AFTER_MS,
+        sidecar_state.list_entries_after_ms,
     )
     if now_ms >= due_ms:
-        sidecar_state.list_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
+        sidecar_state.list_entries_after_ms = now_ms + LIST_ENTRIES_AFTER_MS
         world.outbox.put(ListMembers())
         due_ms = now_ms + LIST_ENTRIES_AFTER_MS
     world.deadlines.add(due_ms)
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -61,7 +61,7 @@
         if plan.has_new_checkpoint and plan.phase is PlanPhase.OPEN:
             plan.has_new_checkpoint = False
             plan.version += 1
-            world.schedule.dirty[plan.job.id] = None
+            world.schedule.unwritten_jobs[plan.job.id] = None
 
 
 def _check_run(
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -51,10 +51,10 @@
 def schedule_units(world: BatchWorld, now_ms: int) -> None:
     """Place waiting tasks and preempt other runs for urgent ones."""
     schedule = world.schedule
-    is_due = schedule.changed or now_ms >= schedule.decide_at_ms
+    is_due = schedule.inputs_changed or now_ms >= schedule.decide_at_ms
     if not is_scheduling(world) or not is_due:
         return
-    schedule.changed = False
+    schedule.inputs_changed = False
     schedule.decide_at_ms = NEVER_MS
     guaranteed_ids = find_guaranteed_jobs(world)
     candidates = list_candidates(world, now_ms, guaranteed_ids)
@@ -275,7 +275,7 @@
     plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
     # a placement alone is no reason for another decision
-    world.schedule.changed = False
+    world.schedule.inputs_changed = False
     configuration = world.agreed.configuration
     for task, candidate in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
--- a/kingcuppost/batch/systems/shutdown.py
+++ b/kingcuppost/batch/systems/shutdown.py
@@ -24,7 +24,7 @@
         world.note("process", "Stopping.", by_ms=world.stop_deadline_ms - now_ms)
     if not world.stopping:
         return
-    is_done = not world.calls and now_ms >= world.earliest_stop_ms
+    is_done = not world.pending_calls and now_ms >= world.earliest_stop_ms
     if is_done or now_ms >= world.stop_deadline_ms:
         world.outbox.put(StopProcess())
         return
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -46,12 +46,12 @@
             continue
         if old is None or old.incarnation != incarnation:
             _begin_incarnation(world, heartbeat)
-        elif heartbeat.sequence <= sidecar_state.sequence:
+        elif heartbeat.sequence <= sidecar_state.heartbeat_sequence:
             continue
-        sidecar_state.sequence = heartbeat.sequence
+        sidecar_state.heartbeat_sequence = heartbeat.sequence
         sidecar_state.address = heartbeat.address
         if old is None or _has_draining_changed(heartbeat, sidecar_state):
-            sidecar_state.dirty = True
+            sidecar_state.is_report_due = True
         sidecar_state.minion = heartbeat.report
 
 
@@ -68,10 +68,10 @@
     world.sidecar_state = SidecarState(
         term=sidecar_state.term,
         sync_number=sidecar_state.sync_number,
-        pending_syncs=sidecar_state.pending_syncs,
+        unanswered_syncs=sidecar_state.unanswered_syncs,
         holder=sidecar_state.holder,
         entries=sidecar_state.entries,
-        next_entry=sidecar_state.next_entry,
+        next_entry_index=sidecar_state.next_entry_index,
         last_reply_ms=sidecar_state.last_reply_ms,
         minion=heartbeat.report,
         address=heartbeat.address,
@@ -97,7 +97,7 @@
         "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
     )
     sidecar_state.minion = None
-    sidecar_state.dirty = True
+    sidecar_state.is_report_due = True
 
 
 def _is_current_incarnation(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
@@ -126,8 +126,8 @@
                 and ended.number not in sidecar_state.ended
             ):
                 sidecar_state.ended[ended.number] = ended
-                sidecar_state.runs.pop((str(ended.task), ended.run), None)
-                sidecar_state.dirty = True
+                sidecar_state.ordered_runs.pop((str(ended.task), ended.run), None)
+                sidecar_state.is_report_due = True
 
 
 def _handle_list_failure(
@@ -143,9 +143,12 @@
 def _update_minion_clock(
     sidecar_state: SidecarState, lists: HoldMinionAnswered
 ) -> None:
-    if sidecar_state.clock_ms is None or lists.clock_ms >= sidecar_state.clock_ms:
-        sidecar_state.clock_ms = lists.clock_ms
-        sidecar_state.clock_at_ms = lists.received_ms
+    if (
+        sidecar_state.minion_clock_ms is None
+        or lists.clock_ms >= sidecar_state.minion_clock_ms
+    ):
+        sidecar_state.minion_clock_ms = lists.clock_ms
+        sidecar_state.minion_clock_received_ms = lists.received_ms
 
 
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
@@ -156,11 +159,11 @@
     sidecar_state.hold_failed = False
     if not sidecar_state.listed:
         sidecar_state.listed = True
-        sidecar_state.dirty = True
+        sidecar_state.is_report_due = True
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
     listed_ended_keys = {(str(end.task), end.run) for end in lists.ended}
-    for key, run in list(sidecar_state.runs.items()):
-        if run.stopped_ms is None or lists.sent_ms <= run.stopped_ms:
+    for key, run in list(sidecar_state.ordered_runs.items()):
+        if run.stop_accepted_ms is None or lists.sent_ms <= run.stop_accepted_ms:
             continue
         if (
             key not in sidecar_state.running
@@ -178,9 +181,9 @@
     """Record for the next report that a run never began and cannot begin later."""
     sidecar_state = world.sidecar_state
     key = (str(run.order.task), run.order.run)
-    sidecar_state.runs.pop(key, None)
+    sidecar_state.ordered_runs.pop(key, None)
     sidecar_state.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
-    sidecar_state.dirty = True
+    sidecar_state.is_report_due = True
     world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
 
 
@@ -195,11 +198,11 @@
         sidecar_state = world.sidecar_state
         if not _is_current_incarnation(world, answer.incarnation):
             continue
-        run = sidecar_state.runs.get((str(answer.task), answer.run))
+        run = sidecar_state.ordered_runs.get((str(answer.task), answer.run))
         if run is None:
             continue
         run.is_order_pending = False
-        if answer.start:
+        if answer.is_start:
             _handle_start_answer(world, run, answer, now_ms)
         else:
             _handle_stop_answer(world, run, answer, now_ms)
@@ -210,7 +213,7 @@
 ) -> None:
     key = (str(answer.task), answer.run)
     if answer.outcome is OrderOutcome.DONE:
-        run.started = True
+        run.start_accepted = True
         world.sidecar_state.running.setdefault(
             key, RunningRun(answer.task, answer.run, run.order.checkpoint, 0)
         )
@@ -226,7 +229,7 @@
     )
     run.may_still_start = run.may_still_start or answer.outcome is OrderOutcome.UNKNOWN
     if answer.outcome is OrderOutcome.REFUSED and run.may_still_start:
-        run.stop = True
+        run.should_stop = True
     elif answer.outcome is OrderOutcome.REFUSED:
         _record_refusal(world, run, answer.reason)
     else:
@@ -237,7 +240,7 @@
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     if answer.outcome is OrderOutcome.DONE:
-        run.stopped_ms = now_ms
+        run.stop_accepted_ms = now_ms
         return
     run.retry_ms = now_ms + RETRY_MS
 
@@ -247,7 +250,7 @@
     """Handle the scheduler's replies: orders, minion lease and redirects."""
     for answer in world.inbox.take(SyncAnswered):
         sidecar_state = world.sidecar_state
-        sidecar_state.pending_syncs.pop(answer.number, None)
+        sidecar_state.unanswered_syncs.pop(answer.number, None)
         reply = answer.reply
         if reply is None:
             _try_next_entry(world, answer, now_ms)
@@ -273,9 +276,9 @@
     if sidecar_state.holder == answer.address:
         sidecar_state.holder = None
         world.note("sync", "The scheduler does not answer.", reason=answer.reason)
-    sidecar_state.next_entry += 1
+    sidecar_state.next_entry_index += 1
     sidecar_state.sync_after_ms = now_ms + RETRY_MS
-    sidecar_state.dirty = True
+    sidecar_state.is_report_due = True
 
 
 def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
@@ -294,20 +297,20 @@
         redirect = None
     sidecar_state.holder = redirect
     if redirect is None:
-        sidecar_state.next_entry += 1
+        sidecar_state.next_entry_index += 1
     sidecar_state.sync_after_ms = now_ms + (
         RETRY_MS if redirect is not None else REDIRECT_PAUSE_MS
     )
-    sidecar_state.dirty = True
+    sidecar_state.is_report_due = True
 
 
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
     """Extend the minion lease, counted from the time at which the report was sent."""
     sidecar_state = world.sidecar_state
-    if sidecar_state.clock_ms is None:
+    if sidecar_state.minion_clock_ms is None:
         return
-    sent_on_minion_ms = sidecar_state.clock_ms + max(
-        answer.sent_ms - sidecar_state.clock_at_ms, 0
+    sent_on_minion_ms = sidecar_state.minion_clock_ms + max(
+        answer.sent_ms - sidecar_state.minion_clock_received_ms, 0
     )
     until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
     sidecar_state.lease_until_ms = max(sidecar_state.lease_until_ms or 0, until_ms)
@@ -329,7 +332,7 @@
     for order in reply.starts:
         key = (str(order.task), order.run)
         if key not in reported_keys and key not in sidecar_state.running:
-            sidecar_state.runs.setdefault(key, OrderedRun(order))
+            sidecar_state.ordered_runs.setdefault(key, OrderedRun(order))
     for stop in reply.stops:
         _apply_stop(sidecar_state, stop, reported_keys)
 
@@ -340,10 +343,10 @@
     key = (str(stop.task), stop.run)
     if key in reported_keys:
         return
-    run = sidecar_state.runs.setdefault(
+    run = sidecar_state.ordered_runs.setdefault(
         key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
     )
-    run.stop = True
+    run.should_stop = True
 
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=40)
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -54,11 +54,11 @@
         return
     del world.schedule.pending_syncs[call.sidecar]
     for _, task in starts.get(incarnation, ()):
-        task.sent_ms = now_ms
+        task.start_sent_ms = now_ms
     for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
     for orphan in orphans:
-        orphan.sent_ms = now_ms
+        orphan.stop_sent_ms = now_ms
     world.outbox.put(
         _make_reply(world, call, incarnation, starts, stops, orphans, committed_end)
     )
@@ -75,7 +75,9 @@
     orphans = world.schedule.orphans.get(sidecar)
     if not orphans:
         return []
-    return [orphan for orphan in orphans.values() if _is_due(orphan.sent_ms, now_ms)]
+    return [
+        orphan for orphan in orphans.values() if _is_due(orphan.stop_sent_ms, now_ms)
+    ]
 
 
 def _collect_orders(
@@ -91,8 +93,8 @@
             del pending_runs[name]
         elif task.stopping:
             _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
-        elif plan.committed >= task.version:
-            _add_due_order(world, starts, plan, task, task.sent_ms, now_ms)
+        elif plan.committed_version >= task.plan_version:
+            _add_due_order(world, starts, plan, task, task.start_sent_ms, now_ms)
     return starts, stops
 
 
@@ -151,7 +153,7 @@
             break
         job_id, version = reported_ends[ended.number]
         plan = world.schedule.plans.get(job_id)
-        if plan is not None and plan.committed < version:
+        if plan is not None and plan.committed_version < version:
             break
         last_number = ended.number
     return last_number
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -67,7 +67,7 @@
         if old is not None:
             world.note("minion", "A minion has left.", minion=old.incarnation.minion)
             schedule.minions.delete(call.sidecar)
-            schedule.changed = True
+            schedule.inputs_changed = True
         return
     if old is not None and old.incarnation != call.minion.incarnation:
         if call.minion.incarnation.born_ms < old.incarnation.born_ms:
@@ -101,7 +101,7 @@
     if row is None:
         row = _make_minion(world, call, report)
         world.schedule.minions.put(row)
-        world.schedule.changed = True
+        world.schedule.inputs_changed = True
         world.note(
             "minion",
             "A minion was added.",
@@ -116,9 +116,9 @@
             "The draining state of a minion changed.",
             minion=report.incarnation.minion,
         )
-        world.schedule.changed = True
+        world.schedule.inputs_changed = True
     if row.is_unreachable:
-        world.schedule.changed = True
+        world.schedule.inputs_changed = True
     row.is_unreachable = False
     row.draining = report.draining
     row.remaining_ms = report.remaining_ms
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -44,11 +44,11 @@
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
-    took_ms = task.percent_changed_ms - task.running_since_ms
+    observed_ms = task.percent_changed_ms - task.running_since_ms
     done_percent = task.percent - task.initial_percent
-    if took_ms < MIN_SAMPLE_MS or done_percent <= 0:
+    if observed_ms < MIN_SAMPLE_MS or done_percent <= 0:
         return None
-    return estimate_ms * done_percent / FULL_PERCENT / took_ms
+    return estimate_ms * done_percent / FULL_PERCENT / observed_ms
 
 
 def corrected_estimate_ms(plan: Plan, task: Task) -> float:
@@ -67,12 +67,12 @@
     estimate and the speed of the machine.
     """
     remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
-    took_ms = task.percent_changed_ms - (
+    observed_ms = task.percent_changed_ms - (
         task.running_since_ms or task.percent_changed_ms
     )
     done_percent = task.percent - task.initial_percent
-    if took_ms >= MIN_SAMPLE_MS and done_percent > 0:
-        return remaining_ratio * FULL_PERCENT * took_ms / done_percent
+    if observed_ms >= MIN_SAMPLE_MS and done_percent > 0:
+        return remaining_ratio * FULL_PERCENT * observed_ms / done_percent
     return (
         remaining_ratio
         * corrected_estimate_ms(plan, task)
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -98,7 +98,7 @@
                 schedule.incarnation_sidecars[task.incarnation] = task.sidecar
     world.deadlines.add(expiry_ms)
     schedule.changed_jobs.clear()
-    schedule.changed = True
+    schedule.inputs_changed = True
     world.note(
         "lease", "The term is open.", term=schedule.term, jobs=len(schedule.plans)
     )
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -296,9 +296,9 @@
         Newest checkpoint; empty for none.
     checkpoint_ms : int
         Unix time at which that checkpoint was first reported, in ms.
-    version : int
+    plan_version : int
         Version of the plan that placed the run.
-    sent_ms : int or None
+    start_sent_ms : int or None
         Time at which the start was last sent to the sidecar.
     confirmed : bool
         Whether the minion has reported the run.
@@ -333,8 +333,8 @@
     placed_ms: int = 0
     checkpoint: str = ""
     checkpoint_ms: int = 0
-    version: int = 0
-    sent_ms: int | None = None
+    plan_version: int = 0
+    start_sent_ms: int | None = None
     confirmed: bool = False
     running_since_ms: int | None = None
     stopping: bool = False
@@ -405,7 +405,7 @@
         Whether a run of a task was ever placed.
     version : int
         Increases with each change.
-    committed : int
+    committed_version : int
         Newest version whose record is in the log.
     has_new_checkpoint : bool
         Whether a checkpoint is newer than the newest record of the plan.
@@ -421,7 +421,7 @@
     phase: PlanPhase = PlanPhase.OPEN
     begun: bool = False
     version: int = 0
-    committed: int = 0
+    committed_version: int = 0
     has_new_checkpoint: bool = False
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -290,14 +290,14 @@
 
     Attributes
     ----------
-    start : bool
+    is_start : bool
         Whether it is the answer to `StartRun`.
     """
 
     incarnation: MinionIncarnation
     task: TaskName
     run: int
-    start: bool
+    is_start: bool
     outcome: OrderOutcome
     reason: str = ""
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -138,12 +138,12 @@
 
     Attributes
     ----------
-    sent_ms : int or None
+    stop_sent_ms : int or None
         Time at which its stop was last sent to the sidecar.
     """
 
     run: RunningRun
-    sent_ms: int | None = None
+    stop_sent_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -173,7 +173,7 @@
         The append that is not answered yet.
     in_flight_versions : dict of str to int
         Versions of the plans in that append, by job.
-    dirty : dict of str to None
+    unwritten_jobs : dict of str to None
         Jobs whose plans have changed since the last append.
     lost_term : int
         Newest term that this process held and gave up.
@@ -206,7 +206,7 @@
         Earliest time of the next record of speeds.
     decide_at_ms : int
         Time of the next decisions even if nothing has changed.
-    changed : bool
+    inputs_changed : bool
         Whether something has changed that decisions depend on.
     """
 
@@ -231,7 +231,7 @@
     sequence: int = 0
     in_flight: Append | None = None
     in_flight_versions: dict[str, int] = field(default_factory=dict)
-    dirty: dict[str, None] = field(default_factory=dict)
+    unwritten_jobs: dict[str, None] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     minions: Table[MinionRow] = field(
         default_factory=lambda: Table("sidecar", ("incarnation",))
@@ -247,7 +247,7 @@
     speeds: dict[str, Speed] = field(default_factory=dict)
     speeds_changed: bool = False
     write_speeds_at_ms: int = 0
-    changed: bool = True
+    inputs_changed: bool = True
     decide_at_ms: int = 0
 
 
@@ -261,23 +261,23 @@
         Whether an order to the minion is not answered yet.
     retry_ms : int
         Earliest time at which the order is sent again.
-    started : bool
+    start_accepted : bool
         Whether the minion has accepted the start.
     may_still_start : bool
         Whether a start whose outcome is unknown may still be carried out.
-    stop : bool
+    should_stop : bool
         Whether the run is to be stopped.
-    stopped_ms : int or None
+    stop_accepted_ms : int or None
         Time at which the minion accepted the stop.
     """
 
     order: StartOrder
     is_order_pending: bool = False
     retry_ms: int = 0
-    started: bool = False
+    start_accepted: bool = False
     may_still_start: bool = False
-    stop: bool = False
-    stopped_ms: int | None = None
+    should_stop: bool = False
+    stop_accepted_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -288,11 +288,11 @@
     ----------
     address : Address or None
         Address at which the minion serves requests.
-    sequence : int
+    heartbeat_sequence : int
         Sequence number of the minion's newest heartbeat.
     listed : bool
         Whether the minion's runs were read in its present incarnation.
-    clock_ms, clock_at_ms : int
+    minion_clock_ms, minion_clock_received_ms : int or None, int
         A reading of the minion's clock, and the local time at which it was received.
     lease_until_ms : int
         End of the lease that the scheduler's last answer allows, on the minion's
@@ -310,26 +310,26 @@
         processed yet, by task and run.
     ended : dict of int to EndedRun
         Ends of runs that are not yet known to be in the log, by number.
-    runs : dict of tuple of str and int to OrderedRun
+    ordered_runs : dict of tuple of str and int to OrderedRun
         Ordered runs that have neither ended nor been refused, by task and run.
-    pending_syncs : dict of int to int
-        Time at which each unanswered report was sent.
+    unanswered_syncs : dict of int to int
+        Time at which each unanswered report was sent, by number of the report.
     unreachable_entry, unreachable_until_ms : Address or None, int
         An entry that did not answer, and until when it is skipped.
-    dirty : bool
+    is_report_due : bool
         Whether a report is due even if another one is still unanswered.
     last_reply_ms : int
         Time of the newest answer by the holder of the lease.
-    list_after_ms : int
+    list_entries_after_ms : int
         Earliest time of the next request for the log's list of entries.
     """
 
     address: Address | None = None
     minion: MinionReport | None = None
-    sequence: int = -1
+    heartbeat_sequence: int = -1
     listed: bool = False
-    clock_ms: int | None = None
-    clock_at_ms: int = 0
+    minion_clock_ms: int | None = None
+    minion_clock_received_ms: int = 0
     lease_until_ms: int | None = None
     is_hold_open: bool = False
     hold_after_ms: int = 0
@@ -338,19 +338,19 @@
     running: dict[tuple[str, int], RunningRun] = field(default_factory=dict)
     ended: dict[int, EndedRun] = field(default_factory=dict)
     refused: dict[tuple[str, int], RefusedRun] = field(default_factory=dict)
-    runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
+    ordered_runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
     term: int = 0
     sync_number: int = 0
-    pending_syncs: dict[int, int] = field(default_factory=dict)
+    unanswered_syncs: dict[int, int] = field(default_factory=dict)
     sync_after_ms: int = 0
     unreachable_entry: Address | None = None
     unreachable_until_ms: int = 0
-    dirty: bool = True
+    is_report_due: bool = True
     holder: Address | None = None
     entries: tuple[Address, ...] = ()
-    next_entry: int = 0
+    next_entry_index: int = 0
     last_reply_ms: int = 0
-    list_after_ms: int = 0
+    list_entries_after_ms: int = 0
 
 
 @dataclass
@@ -369,7 +369,7 @@
         Whether the process was requested to stop.
     earliest_stop_ms, stop_deadline_ms : int
         Time before which it does not end, and time at which it ends in any case.
-    calls : dict of str to PendingCall
+    pending_calls : dict of str to PendingCall
         Calls that wait for the log, by identifier of their append.
     sidecar_state : SidecarState
         State of a sidecar; unused by an entry.
@@ -389,7 +389,7 @@
     stop_deadline_ms: int = 0
     agreed: Agreed = field(default_factory=Agreed)
     schedule: Schedule = field(default_factory=Schedule)
-    calls: dict[str, PendingCall] = field(default_factory=dict)
+    pending_calls: dict[str, PendingCall] = field(default_factory=dict)
     sidecar_state: SidecarState = field(default_factory=SidecarState)
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
