Say in the batch scheduler's texts what the code does

Some texts said less or something else than the code: the agreed state holds local times, an append is resent after a refusal too, a report is also answered for committed ends, and the margin before the forced end had no reason.

--- a/kingcuppost/batch/edges/logs.py
+++ b/kingcuppost/batch/edges/logs.py
@@ -19,7 +19,8 @@
     """Writes the log lines of a process after each tick.
 
     Standard output is set to non-blocking: a line that does not fit into its buffer is
-    dropped. Lines beyond `MAX_LINES_PER_SECOND` are dropped and counted.
+    dropped without being counted. Lines beyond `MAX_LINES_PER_SECOND` are dropped and
+    counted.
 
     Parameters
     ----------
@@ -56,6 +57,7 @@
             "wall_ms": self._world.clock.wall_ms(),
             "instance": self._world.cfg.name,
             "incarnation": self._world.incarnation,
+            # members of a StrEnum become plain strings
             **{
                 name: str(value) if isinstance(value, str) else value
                 for name, value in fields.items()
--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -30,7 +30,7 @@
 
 @surfaces.register("peers")
 def serve_peer(context: BatchContext, request: Request) -> None:
-    """Dispatch a request of another process by its path."""
+    """Pass a request to the handler of its path; answer 404 if there is none."""
     path = request.path.decode("ascii", "replace")
     if path not in peer_paths:
         answer(request, STATUS_NOT_FOUND)
@@ -40,7 +40,7 @@
 
 @peer_paths.register(SYNC_PATH)
 def receive_sync(context: BatchContext, request: Request) -> None:
-    """Deliver a sidecar's report to the systems."""
+    """Deliver a sidecar's report to the systems; answer 400 if it is invalid."""
     peer = request.getClientAddress().host
     exchange_id = open_exchange(context, request)
     parsed = decode_sync_call(request.content.read(), exchange_id, peer)
@@ -64,7 +64,7 @@
 
 @batch_senders.register(SendSync)
 def send_sync(context: BatchContext, message: SendSync) -> None:
-    """Send a report to an entry."""
+    """Send a report to an entry, and deliver its outcome as `SyncAnswered`."""
     deliver_later(context, _send_report(context, message))
 
 
--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -1,7 +1,7 @@
-"""HTTP servers of the surfaces; a registry maps each surface to its handler.
+"""HTTP servers of the surfaces, with limits on the size and duration of requests.
 
 A surface is the HTTP interface for one kind of client, such as callers or peers, and
-has an address of its own.
+has an address of its own. The registry `surfaces` maps each surface to its handler.
 """
 
 import socket
@@ -65,7 +65,10 @@
 
 
 def open_exchange(context: BatchContext, request: Request) -> str:
-    """Register a request that is answered later, and return its identifier."""
+    """Register a request that is answered later, and return its identifier.
+
+    If the client disconnects before the answer, the exchange is dropped and counted.
+    """
     exchange_id = new_identifier(context.world.rng, "exc")
     context.exchanges[exchange_id] = request
     request.notifyFinish().addErrback(_discard_exchange, context, exchange_id)
@@ -80,7 +83,7 @@
 def answer(
     request: Request, status: int, body: bytes = b"", retry_after_s: int = 0
 ) -> None:
-    """Send a complete response."""
+    """Send a complete JSON response; a `retry_after_s` of 0 sends no such header."""
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
     request.setHeader(b"content-length", str(len(body)).encode("ascii"))
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -309,6 +309,8 @@
 def decode_record(key: str, value: bytes, peer: str) -> Result[Record, Failure]:
     """Return the record of a key and a value, or why they are invalid.
 
+    An empty value yields the removal of the key.
+
     Examples
     --------
     >>> decode_record("renew", b'{"term":7}', "log").ok
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -39,7 +39,7 @@
 
 @system(Phase.FOLD, (Role.ENTRY,), order=10)
 def fold_streams(world: BatchWorld, now_ms: int) -> None:
-    """Apply the records that were read."""
+    """Apply the records that were read, in the order of their stream."""
     for batch in world.inbox.take(RecordsRead):
         _update_freshness(world, batch, now_ms)
         if batch.whole:
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -110,7 +110,7 @@
 
 
 def _claim_due_ms(world: BatchWorld) -> int | None:
-    """Return when the lease may be claimed; None before the members were read.
+    """Return when the lease may be claimed; None before the members stream was read.
 
     Time without a renewal counts only while this process was able to read renewals. A
     holder with the name of this process is its previous incarnation, which has ended,
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -14,7 +14,11 @@
 
 @system(Phase.DECIDE, (Role.ENTRY,), order=10)
 def remove_ended_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Mark the jobs whose retention period is over for removal from the log."""
+    """Mark the jobs whose retention period is over for removal from the log.
+
+    The period begins when this process finds that a job is over and its plan is in the
+    log. After it nobody requests the state of the job any more.
+    """
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.remove_jobs_at_ms:
         return
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -17,7 +17,10 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
 def end_expired_incarnations(world: BatchWorld, now_ms: int) -> None:
-    """End the runs of minion incarnations whose leases have certainly expired."""
+    """End the runs of minion incarnations whose leases have certainly expired.
+
+    Also removes their minions from the schedule.
+    """
     if not is_scheduling(world):
         return
     schedule = world.schedule
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -34,7 +34,11 @@
 
 
 def work_lost_by_end(plan: Plan, task: Task, how: RunEnd, wall_ms: int) -> float:
-    """Return the work that a run has lost by its end."""
+    """Return the work that a run has lost by its end, without the rest of its gang.
+
+    Nothing is lost if the work was completed, or if the run saved a checkpoint when it
+    was stopped. Otherwise the work since the newest checkpoint is lost.
+    """
     step = plan.job.steps[task.name.step]
     if how is RunEnd.DONE or (how is RunEnd.STOPPED and step.saves):
         return 0.0
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -21,7 +21,10 @@
 
 @system(Phase.ACT, (Role.SIDECAR,), order=10)
 def request_run_lists(world: BatchWorld, now_ms: int) -> None:
-    """Keep one request for the run lists open; it also extends the minion lease."""
+    """Keep one request for the run lists open; it also extends the minion lease.
+
+    While a stopped run has not ended, the lists are polled every `STOP_POLL_MS`.
+    """
     sidecar_state = world.sidecar_state
     if (
         sidecar_state.minion is None
@@ -70,7 +73,7 @@
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
-    """Return whether a run has not ended yet whose stop the minion has accepted."""
+    """Return whether the minion has accepted a stop of a run that has not ended yet."""
     return any(
         run.stop_accepted_ms is not None
         for run in world.sidecar_state.ordered_runs.values()
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -83,7 +83,7 @@
 
 
 def subtract_tasks(resources: Resources, step: StepSpec, count: int = 1) -> None:
-    """Subtract the demand of some tasks of a step."""
+    """Subtract the demand of `count` tasks of a step from `resources` in place."""
     subtract_resources(
         resources,
         Resources(
@@ -95,14 +95,14 @@
 
 
 def add_resources(resources: Resources, other: Resources) -> None:
-    """Add released capacity."""
+    """Add the released capacity `other` to `resources` in place."""
     resources.cpu_millis += other.cpu_millis
     resources.memory_mb += other.memory_mb
     resources.accelerators += other.accelerators
 
 
 def subtract_resources(resources: Resources, other: Resources) -> None:
-    """Subtract used capacity."""
+    """Subtract the used capacity `other` from `resources` in place."""
     resources.cpu_millis -= other.cpu_millis
     resources.memory_mb -= other.memory_mb
     resources.accelerators -= other.accelerators
@@ -199,7 +199,10 @@
 def _extend_eviction(
     candidate: Candidate, step: StepSpec, current: Eviction, limit: int
 ) -> Eviction:
-    """Return an eviction for one or more further tasks, or the current one."""
+    """Return an eviction for more tasks than the current one, or the current one.
+
+    Stops the cheapest victims until at least one further task fits.
+    """
     wanted = current.count + 1
     resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -31,9 +31,11 @@
 
 @system(Phase.PROPOSE, (Role.ENTRY,), order=20)
 def write_plans(world: BatchWorld, now_ms: int) -> None:
-    """Append the changed plans; resend an append until its outcome is known.
+    """Append changed plans, removals and speeds; resend an append until it is done.
 
     A resent append keeps its sequence number, so that the log applies it only once.
+    The process steps down if the log has accepted a newer term or expects another
+    append.
     """
     if not is_scheduling(world):
         world.schedule.append_results.clear()
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -238,7 +238,10 @@
 
 
 def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
-    """End the job once all tasks are done or one has failed too often."""
+    """End the job once all tasks are done or one has failed too often.
+
+    A job that has ended is over once none of its runs is left.
+    """
     tasks = list(iter_tasks(plan))
     if plan.phase is PlanPhase.CLOSING:
         if not any(task.phase is TaskPhase.PLACED for task in tasks):
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -44,6 +44,7 @@
 
 
 def _choose_entry(world: BatchWorld) -> Address | None:
+    """Return the entry to try next, or None if neither entries nor seeds are known."""
     known = world.sidecar_state.entries or world.cfg.seeds
     all_entries = list(dict.fromkeys((*known, *world.cfg.seeds)))
     if not all_entries:
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -34,7 +34,10 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=80)
 def monitor_runs(world: BatchWorld, now_ms: int) -> None:
-    """Check all runs every `MONITOR_PERIOD_MS` and stop those that should move."""
+    """Check all runs every `MONITOR_PERIOD_MS` and stop those that should move.
+
+    Also has new checkpoints written to the log every `CHECKPOINT_PERIOD_MS`.
+    """
     schedule = world.schedule
     if not is_scheduling(world) or now_ms < schedule.check_runs_at_ms:
         return
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 
 __all__ = ["schedule_units"]
 
-URGENT_RETRY_MS = 1_000  # the progress of runs does not request a decision
+URGENT_RETRY_MS = 1_000  # needed since the progress of runs requests no decision
 MS_PER_SECOND = 1_000
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
--- a/kingcuppost/batch/systems/shutdown.py
+++ b/kingcuppost/batch/systems/shutdown.py
@@ -8,14 +8,18 @@
 
 __all__ = ["stop_process"]
 
-GRACE_MARGIN_MS = 1_500
+GRACE_MARGIN_MS = 1_500  # for open exchanges to end before the process is killed
 ENTRY_LINGER_MS = 2_500
 SIDECAR_LINGER_MS = 100
 
 
 @system(Phase.REPORT, (Role.ENTRY, Role.SIDECAR), order=10)
 def stop_process(world: BatchWorld, now_ms: int) -> None:
-    """Release the lease, answer pending calls, then stop the process."""
+    """Release the lease, wait until pending calls are answered, then stop the process.
+
+    The process keeps serving for its linger time, and stops before the end of its grace
+    period even if calls are still pending.
+    """
     if world.inbox.take(StopRequested) and not world.stopping:
         world.stopping = True
         world.earliest_stop_ms = now_ms + _linger_ms(world)
@@ -37,7 +41,10 @@
 
 
 def _linger_ms(world: BatchWorld) -> int:
-    """Return how long to keep serving until the load balancer sends calls elsewhere."""
+    """Return how long the process keeps serving after the request to stop, in ms.
+
+    An entry serves until the load balancer sends calls elsewhere.
+    """
     if world.cfg.role is Role.ENTRY:
         return ENTRY_LINGER_MS
     return SIDECAR_LINGER_MS
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -152,7 +152,11 @@
 
 
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
-    """Update the running runs; a run that is not listed after its stop never began."""
+    """Update the running runs from the minion's lists.
+
+    A run that appears in no list requested after the minion accepted its stop never
+    began, and is reported as refused.
+    """
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
         world.note("minion", "The run lists can be read again.")
@@ -270,6 +274,7 @@
 
 
 def _try_next_entry(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
+    """Skip an entry that did not answer, and report to the next one."""
     sidecar_state = world.sidecar_state
     sidecar_state.unreachable_entry = answer.address
     sidecar_state.unreachable_until_ms = now_ms + SKIP_ENTRY_MS
@@ -351,7 +356,7 @@
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=40)
 def handle_entry_records(world: BatchWorld, now_ms: int) -> None:
-    """Update the addresses of the entries from the log."""
+    """Update the addresses of the entries from records of the log, if there are any."""
     for batch in world.inbox.take(RecordsRead):
         found = tuple(
             record.address for _, record in batch.records if hasattr(record, "address")
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -23,7 +23,11 @@
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
 def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Answer the pending reports with orders or results, or whose wait is over."""
+    """Answer pending reports that have orders or results, or whose wait is over.
+
+    Results are committed run ends and processed refusals. All reports are redirected
+    while this process may not give orders.
+    """
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
         _redirect_all(world)
@@ -83,7 +87,11 @@
 def _collect_orders(
     world: BatchWorld, now_ms: int
 ) -> tuple[OrdersByIncarnation, OrdersByIncarnation]:
-    """Return the runs to start and to stop, by minion incarnation."""
+    """Return the runs to start and to stop, by minion incarnation.
+
+    A start is due only once the plan that placed the run is in the log. Removes the
+    runs that need no order any more from the pending runs.
+    """
     starts: OrdersByIncarnation = {}
     stops: OrdersByIncarnation = {}
     pending_runs = world.schedule.pending_runs
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -61,6 +61,7 @@
 
 
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
+    """Update the reported minion and its runs; ignore an earlier incarnation."""
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
@@ -296,7 +297,7 @@
     """Update a minion's speed and reliability from the end of a run."""
     if ended.how is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
-            # a gang member may have waited for the others
+            # not for gangs: a member may have waited for the others after its own work
             task.percent = FULL_PERCENT
             task.percent_changed_ms = now_ms
         update_speed(world, row, plan, task)
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -23,7 +23,10 @@
 
 
 def certain_expiry_ms(lease_ms: int) -> int:
-    """Return how long after a report a minion lease has expired by any clock, in ms."""
+    """Return the time after a report by which a minion lease has expired, in ms.
+
+    It holds even if the minion's clock runs slow by `MAX_CLOCK_DRIFT_RATIO`.
+    """
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
 
@@ -81,7 +84,11 @@
 
 
 def _load_plans(world: BatchWorld, now_ms: int) -> None:
-    """Load the plans of all jobs; placed runs may last until minion leases expire."""
+    """Load the plans of all jobs from the agreed state.
+
+    The previous holder may have extended the minion leases until now, so each minion
+    with a placed run counts as expired only after another full lease.
+    """
     schedule = world.schedule
     schedule.is_loaded = True
     schedule.speeds = {
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -26,6 +26,12 @@
 
     Attributes
     ----------
+    plan : Plan
+        Plan of the job.
+    step : int
+        Index of the step in the job.
+    spec : StepSpec
+        Requirements of the step's tasks.
     tasks : list of Task
         Tasks without capacity so far; shrinks during the decision.
     rank : int
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Times that the deployment guarantees or requires.
+    """Durations and factors that the deployment guarantees or requires.
 
     Attributes
     ----------
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonConfig:
-    """Identity and addresses of a process, and times of its deployment.
+    """Identity and addresses of a process, and bounds of its deployment.
 
     Attributes
     ----------
@@ -56,7 +56,7 @@
     seeds : tuple of Address
         Peer addresses of the entries in the settings; some may no longer exist.
     bounds : Bounds
-        Times that the deployment guarantees or requires.
+        Durations and factors that the deployment guarantees or requires.
     """
 
     role: Role
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -75,6 +75,16 @@
 class TaskName:
     """Name of a task.
 
+    Attributes
+    ----------
+    job : str
+        Identifier of the job.
+    occurrence : int
+        Number of the repetition of the job; always 0, since repeated jobs are not
+        supported.
+    step, index : int
+        Index of the step in the job, and of the task in the step.
+
     Examples
     --------
     >>> str(TaskName("5c0e7a21d94b36f8", 0, 1, 17))
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -29,7 +29,17 @@
 
 
 class Stream(StrEnum):
-    """Streams of records in the log."""
+    """Streams of records in the log.
+
+    Attributes
+    ----------
+    JOBS
+        Jobs, their cancellations and progress, and speeds of machines.
+    MEMBERS
+        Entries, and claims and renewals of the scheduling lease.
+    OPERATORS
+        Configurations, and availability zones out of service.
+    """
 
     JOBS = "jobs"
     MEMBERS = "members"
@@ -165,10 +175,12 @@
     records : tuple of Record
         Records to append; may be empty for a writer that opens its term.
     at : int or None
-        Offset at which the stream must end, or None for any.
-    term, sequence : int or None
-        Term of the writer, and number of the append within the term; a term of None
-        for an append that any entry may make.
+        Offset at which the stream must end, or the log refuses the append; None if the
+        stream may end anywhere.
+    term : int or None
+        Term of the writer; None for an append that any entry may make.
+    sequence : int
+        Number of the append within the term; unused without a term.
     timeout_ms : int
         Time to wait for the answer.
     """
@@ -212,6 +224,10 @@
 
     Attributes
     ----------
+    id : str
+        Identifier of the append.
+    outcome : AppendOutcome
+        Outcome of the append.
     offset : int
         Offset of the first appended record; -1 if none is known.
     end : int
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -202,7 +202,7 @@
     acknowledged_end : int
         Number up to which the reported ends are in the log.
     wait_ms : int
-        Time for which the minion may wait for news before it answers.
+        Time for which the minion may delay its answer while its lists do not change.
     until_ms : int or None
         End of the lease on the minion's clock; None to leave it unchanged.
     """
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -47,7 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """A line of the process's log: a decision, or a change of state."""
+    """A line of the process's log: a decision, or a change of state.
+
+    Attributes
+    ----------
+    part : str
+        Part of the process that the line concerns, such as ``"lease"``.
+    text : str
+        Message as one sentence.
+    fields : dict of str to str, int or float
+        Further values by name.
+    """
 
     part: str
     text: str
@@ -77,12 +87,19 @@
 class Agreed:
     """State derived from the log.
 
-    It is the same in all entries that have read the log up to the same offsets.
+    Apart from `views` and the local time in `holder`, it is the same in all entries
+    that have read the log up to the same offsets.
 
     Attributes
     ----------
+    configuration_offset : int
+        Offset of the record of the configuration; -1 if there is none.
     closed_zones : dict of str to int
         Offset of the record that took an availability zone out of service, by zone.
+    speeds : dict of str to Speed
+        Estimated speeds of machines in the newest record of speeds, by sidecar.
+    views : dict of Stream to StreamView
+        Position up to which this process has read each stream.
     """
 
     jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
@@ -120,12 +137,12 @@
 
 @dataclass(slots=True)
 class PendingSync:
-    """A sidecar's report that is answered once there are orders.
+    """A sidecar's report whose answer is delayed until there is something to tell.
 
     Attributes
     ----------
     until_ms : int
-        Time at which it is answered even without orders.
+        Time at which it is answered in any case.
     """
 
     call: SyncCall
@@ -166,7 +183,7 @@
     is_loaded : bool
         Whether the plans were loaded from the agreed state.
     required_offset : int
-        Offset that must be folded before the first decision.
+        Offset up to which the jobs stream must be folded before the plans are loaded.
     sequence : int
         Sequence number of the newest append of the term.
     in_flight : Append or None
@@ -179,6 +196,10 @@
         Newest term that this process held and gave up.
     authority_until_ms : int
         Time before which no other entry can have opened a term.
+    plans : dict of str to Plan
+        Plans of all jobs, by job.
+    minions : Table of MinionRow
+        Minions that sidecars have reported to this process.
     renewals : dict of str to int
         Time at which each unanswered renewal was sent, by identifier of its append.
     orphans : dict of str to dict
@@ -187,6 +208,8 @@
         Ended jobs whose records are to be removed from the log.
     pending_runs : dict of TaskName to tuple of Plan and Task
         Runs whose start is not confirmed yet, or that are to be stopped.
+    pending_syncs : dict of str to PendingSync
+        Reports whose answer is delayed, by sidecar.
     expiry_times_ms : dict of MinionIncarnation to int
         Time from which the lease of a minion incarnation has certainly expired.
     incarnation_sidecars : dict of MinionIncarnation to str
@@ -298,11 +321,11 @@
         End of the lease that the scheduler's last answer allows, on the minion's
         clock.
     is_hold_open : bool
-        Whether a `HoldMinion` is not answered yet.
+        Whether a `HoldMinion` request is not answered yet.
     hold_after_ms : int
-        Earliest time of the next `HoldMinion`.
+        Earliest time of the next `HoldMinion` request.
     hold_failed : bool
-        Whether the newest `HoldMinion` failed.
+        Whether the newest `HoldMinion` request failed.
     acknowledged_end : int
         Number up to which the reported ends are in the log.
     running, refused : dict of tuple of str and int to row
@@ -312,12 +335,26 @@
         Ends of runs that are not yet known to be in the log, by number.
     ordered_runs : dict of tuple of str and int to OrderedRun
         Ordered runs that have neither ended nor been refused, by task and run.
+    term : int
+        Newest scheduling term of which the sidecar knows; 0 if none.
+    sync_number : int
+        Number of the newest report.
     unanswered_syncs : dict of int to int
         Time at which each unanswered report was sent, by number of the report.
     unreachable_entry, unreachable_until_ms : Address or None, int
         An entry that did not answer, and until when it is skipped.
+    sync_after_ms : int
+        Earliest time of the next report.
     is_report_due : bool
         Whether a report is due even if another one is still unanswered.
+    holder : Address or None
+        Entry to which reports are sent, as the likely holder of the lease; None if it
+        is unknown.
+    entries : tuple of Address
+        Newest known addresses of the entries.
+    next_entry_index : int
+        Index of the entry to try next while the holder is unknown, before the offset
+        of the sidecar is added.
     last_reply_ms : int
         Time of the newest answer by the holder of the lease.
     list_entries_after_ms : int
