Name the pause after a redirect without a holder

`REDIRECT_PAUSE_MS` applied only when a reply names no usable holder, so its name said the opposite.

--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -26,7 +26,7 @@
 ]
 
 RETRY_MS = 100
-REDIRECT_PAUSE_MS = 250
+NO_HOLDER_PAUSE_MS = 250
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
@@ -304,7 +304,7 @@
     if redirect is None:
         sidecar_state.next_entry_index += 1
     sidecar_state.sync_after_ms = now_ms + (
-        RETRY_MS if redirect is not None else REDIRECT_PAUSE_MS
+        RETRY_MS if redirect is not None else NO_HOLDER_PAUSE_MS
     )
     sidecar_state.is_report_due = True
 
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -175,7 +175,7 @@
     records : tuple of Record
         Records to append; may be empty for a writer that opens its term.
     at : int or None
-        Offset at which the stream must end, or the log refuses the append; None if the
+        Offset at which the stream must end, or the log rejects the append; None if the
         stream may end anywhere.
     term : int or None
         Term of the writer; None for an append that any entry may make.
