Give the cost of victims and evictions its unit, and name run ends

`cost` counts core-seconds, like `max_cost_core_s` beside it, and the parameter `how` holds a `RunEnd`. The keys of log lines and metrics are unchanged.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -89,7 +89,7 @@
     for candidate in usable:
         candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
         candidate.rack_free_accelerators[0] += candidate.free_after_stops.accelerators
-        candidate.victims.sort(key=lambda victim: victim.cost)
+        candidate.victims.sort(key=lambda victim: victim.cost_core_s)
     _mark_slow_candidates(usable)
     return usable
 
@@ -124,8 +124,10 @@
     rank = urgency_rank(plan, guaranteed_ids)
     if rank:
         freed = Resources(step.cpu_millis, step.memory_mb, step.accelerators)
-        cost = work_lost_by_stop(plan, task, times.wall_ms, times.restore_ms)
-        candidate.victims.append(Victim(plan, task, rank, freed, cost, ends_soon))
+        cost_core_s = work_lost_by_stop(plan, task, times.wall_ms, times.restore_ms)
+        candidate.victims.append(
+            Victim(plan, task, rank, freed, cost_core_s, ends_soon)
+        )
 
 
 def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -9,7 +9,7 @@
 
 
 def work_lost_by_stop(plan: Plan, task: Task, wall_ms: int, restore_ms: int) -> float:
-    """Return the work lost by stopping a run together with its gang.
+    """Return the core-seconds of work lost by stopping a run together with its gang.
 
     A task that saves checkpoints does so once more when it is stopped, so it loses at
     most the time that resuming takes.
@@ -33,14 +33,14 @@
     return task_core_equivalents(step) * members * lost_ms / MS_PER_SECOND
 
 
-def work_lost_by_end(plan: Plan, task: Task, how: RunEnd, wall_ms: int) -> float:
-    """Return the work that a run has lost by its end, without the rest of its gang.
+def work_lost_by_end(plan: Plan, task: Task, run_end: RunEnd, wall_ms: int) -> float:
+    """Return the core-seconds of work that a run has lost by its end, without its gang.
 
     Nothing is lost if the work was completed, or if the run saved a checkpoint when it
     was stopped. Otherwise the work since the newest checkpoint is lost.
     """
     step = plan.job.steps[task.name.step]
-    if how is RunEnd.DONE or (how is RunEnd.STOPPED and step.saves):
+    if run_end is RunEnd.DONE or (run_end is RunEnd.STOPPED and step.saves):
         return 0.0
     since_ms = max(task.placed_ms, task.checkpoint_ms)
     return task_core_equivalents(step) * max(wall_ms - since_ms, 0) / MS_PER_SECOND
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -33,7 +33,7 @@
         Urgency of the job; 0 is the most urgent.
     resources : Resources
         Capacity that stopping the run releases.
-    cost : float
+    cost_core_s : float
         Work that stopping the run loses, in core-seconds.
     ends_soon : bool
         Whether the run is expected to end by itself soon.
@@ -43,7 +43,7 @@
     task: Task
     rank: int
     resources: Resources
-    cost: float
+    cost_core_s: float
     ends_soon: bool = False
 
 
@@ -184,7 +184,7 @@
         The minion.
     count : int
         Number of tasks that fit.
-    cost : float
+    cost_core_s : float
         Work that stopping the victims loses, in core-seconds.
     victims : list of Victim
         Runs to stop.
@@ -192,7 +192,7 @@
 
     candidate: Candidate
     count: int
-    cost: float
+    cost_core_s: float
     victims: list[Victim]
 
 
@@ -214,9 +214,9 @@
     if count_fitting_tasks(resources, step, limit) < wanted:
         return current
     victims = _drop_unneeded_victims(resources, step, wanted, victims)
-    cost = sum(victim.cost for victim in victims)
+    cost_core_s = sum(victim.cost_core_s for victim in victims)
     return Eviction(
-        candidate, count_fitting_tasks(resources, step, limit), cost, victims
+        candidate, count_fitting_tasks(resources, step, limit), cost_core_s, victims
     )
 
 
@@ -278,7 +278,8 @@
             if extended.count == current.count:
                 continue
             key = (
-                (extended.cost - current.cost) / (extended.count - current.count),
+                (extended.cost_core_s - current.cost_core_s)
+                / (extended.count - current.count),
                 sort_key(candidate, step),
             )
             if best_key is None or key < best_key:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -183,7 +183,7 @@
 
 
 def apply_run_end(
-    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, checkpoint: str
+    world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, checkpoint: str
 ) -> None:
     """Apply the confirmed end of a task's current run to its plan."""
     incarnation = task.incarnation
@@ -192,11 +192,11 @@
     task.stopping = False
     if checkpoint:
         _store_checkpoint(plan, task, checkpoint)
-    if how is RunEnd.DONE:
+    if run_end is RunEnd.DONE:
         _mark_done(plan, task)
-    elif how is RunEnd.FAILED:
+    elif run_end is RunEnd.FAILED:
         _count_failure(plan, task, incarnation, world.clock.now_ms())
-    if plan.job.steps[task.name.step].gang and how is not RunEnd.DONE:
+    if plan.job.steps[task.name.step].gang and run_end is not RunEnd.DONE:
         request_stops(world, plan, task.name.step)
     _update_job_outcome(world, plan)
     mark_plan_changed(world, plan)
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -354,11 +354,11 @@
         found = plan_evictions(
             narrowed, unit.spec, wanted, _make_sort_key(unit), max_task_cost_core_s
         )
-        cost = sum(eviction.cost for eviction in found)
+        cost_core_s = sum(eviction.cost_core_s for eviction in found)
         is_partial = _count_tasks(found) < wanted
-        if unit.spec.gang and (is_partial or cost > max_cost_core_s * wanted):
+        if unit.spec.gang and (is_partial or cost_core_s > max_cost_core_s * wanted):
             continue
-        key = (-_count_tasks(found), cost)
+        key = (-_count_tasks(found), cost_core_s)
         if key < best_key:
             best, best_key = found, key
     return best
@@ -393,6 +393,6 @@
             "A run is preempted.",
             task=str(task.name),
             run=task.run,
-            lost_core_s=round(victim.cost, 1),
+            lost_core_s=round(victim.cost_core_s, 1),
             urgent=unit.plan.job.id,
         )
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -158,18 +158,18 @@
 
 
 def _record_run_end(
-    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
+    world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, reason: str = ""
 ) -> None:
     wall_ms = world.clock.wall_ms()
-    lost_core_s = work_lost_by_end(plan, task, how, wall_ms)
-    world.tally.add("ends", how)
-    world.tally.add("lost_core_seconds", how, amount=round(lost_core_s))
+    lost_core_s = work_lost_by_end(plan, task, run_end, wall_ms)
+    world.tally.add("ends", run_end)
+    world.tally.add("lost_core_seconds", run_end, amount=round(lost_core_s))
     world.note(
         "run",
         "A run ended.",
         task=str(task.name),
         run=task.run,
-        how=how,
+        how=run_end,
         minion=task.incarnation.minion if task.incarnation else "",
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -24,7 +24,7 @@
 
 
 def make_candidate(
-    name: str, free: Resources, costs: tuple[float, ...] = ()
+    name: str, free: Resources, costs_core_s: tuple[float, ...] = ()
 ) -> Candidate:
     row = MinionRow(
         name,
@@ -43,9 +43,9 @@
             Task(TaskName(job.id, 0, 0, index)),
             3,
             Resources(8_000, 16_000, 2),
-            cost,
+            cost_core_s,
         )
-        for index, cost in enumerate(costs)
+        for index, cost_core_s in enumerate(costs_core_s)
     ]
     return Candidate(
         row, replace(free), replace(free), replace(free), [0], victims=victims
@@ -89,7 +89,7 @@
     cheap = make_candidate("b", no_capacity, (1.0, 2.0, 3.0))
     found = plan_evictions([costly, cheap], STEP, 2, sort_key_by_name)
     assert [eviction.candidate.minion.sidecar for eviction in found] == ["b"]
-    assert found[0].cost == 3.0
+    assert found[0].cost_core_s == 3.0
     assert len(found[0].victims) == 2
 
 
@@ -103,7 +103,7 @@
         3,
         sort_key_by_name,
     )
-    assert sum(eviction.cost for eviction in found) == 0
+    assert sum(eviction.cost_core_s for eviction in found) == 0
     assert not any(eviction.victims for eviction in found)
 
 
@@ -116,7 +116,7 @@
 def test_maximum_cost_limits_number_of_evictions() -> None:
     full = make_candidate("a", Resources(0, 0, 0), (1.0, 90.0))
     found = plan_evictions([full], STEP, 2, sort_key_by_name, max_cost_core_s=10.0)
-    assert [(eviction.count, eviction.cost) for eviction in found] == [(1, 1.0)]
+    assert [(eviction.count, eviction.cost_core_s) for eviction in found] == [(1, 1.0)]
 
 
 def test_unneeded_victims_are_not_evicted() -> None:
@@ -124,4 +124,4 @@
     full = make_candidate("a", Resources(0, 0, 0), (1.0, 2.0))
     full.victims[0].resources, full.victims[1].resources = small, large
     found = plan_evictions([full], STEP, 1, sort_key_by_name)
-    assert [victim.cost for victim in found[0].victims] == [2.0]
+    assert [victim.cost_core_s for victim in found[0].victims] == [2.0]
