Call a minion's row a minion throughout the batch systems

The same `MinionRow` was `row` in six systems and `minion` in the candidates and in `place_task`; `row` also stood for ends, answers and settled runs.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -70,7 +70,8 @@
     """
     times = DecisionTimes(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
     candidates = {
-        row.incarnation: _make_idle_candidate(row) for row in world.schedule.minions
+        minion.incarnation: _make_idle_candidate(minion)
+        for minion in world.schedule.minions
     }
     for plan in world.schedule.plans.values():
         if plan.phase is PlanPhase.OVER:
@@ -94,11 +95,13 @@
     return usable
 
 
-def _make_idle_candidate(row: MinionRow) -> Candidate:
+def _make_idle_candidate(minion: MinionRow) -> Candidate:
     """Return a minion as an idle candidate, with separate copies of its capacity."""
-    free_now, free_soon, free_after_stops = (replace(row.resources) for _ in range(3))
+    free_now, free_soon, free_after_stops = (
+        replace(minion.resources) for _ in range(3)
+    )
     return Candidate(
-        row,
+        minion,
         free_after_stops=free_after_stops,
         free_now=free_now,
         free_soon=free_soon,
@@ -130,7 +133,7 @@
         )
 
 
-def _ends_soon(row: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
+def _ends_soon(minion: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
     """Return whether a run is expected to end by itself soon.
 
     Gangs are excluded: a member that has finished its own work may wait long for the
@@ -141,29 +144,32 @@
     age_ms = now_ms - task.percent_changed_ms
     return (
         age_ms < PROGRESS_FRESH_MS
-        and expected_remaining_ms(row, plan, task) - age_ms < ENDS_SOON_MS
+        and expected_remaining_ms(minion, plan, task) - age_ms < ENDS_SOON_MS
     )
 
 
-def _is_usable(world: BatchWorld, row: MinionRow, now_ms: int) -> bool:
-    if row.draining or row.is_unreachable:
+def _is_usable(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+    if minion.draining or minion.is_unreachable:
         return False
-    if row.availability_zone in world.agreed.closed_zones:
+    if minion.availability_zone in world.agreed.closed_zones:
         return False
-    paused_until_ms = _paused_until_ms(row)
+    paused_until_ms = _paused_until_ms(minion)
     if now_ms < paused_until_ms:
         request_decision(world, paused_until_ms)
         return False
     return True
 
 
-def _paused_until_ms(row: MinionRow) -> int:
+def _paused_until_ms(minion: MinionRow) -> int:
     """Return when a minion that refused, failed or stalled a run may be used again."""
-    paused_until_ms = row.backoff_until_ms
-    if row.stalled_ms is not None:
-        paused_until_ms = row.stalled_ms + SUSPECT_PAUSE_MS
-    if row.failures >= SUSPECT_FAILURES and len(row.failed_jobs) >= SUSPECT_FAILURES:
-        paused_until_ms = max(paused_until_ms, row.failed_ms + SUSPECT_PAUSE_MS)
+    paused_until_ms = minion.backoff_until_ms
+    if minion.stalled_ms is not None:
+        paused_until_ms = minion.stalled_ms + SUSPECT_PAUSE_MS
+    if (
+        minion.failures >= SUSPECT_FAILURES
+        and len(minion.failed_jobs) >= SUSPECT_FAILURES
+    ):
+        paused_until_ms = max(paused_until_ms, minion.failed_ms + SUSPECT_PAUSE_MS)
     return paused_until_ms
 
 
@@ -198,10 +204,10 @@
     ]
 
 
-def _matches_requirements(unit: PlacementUnit, row: MinionRow) -> bool:
-    if unit.plan.job.policy.service and row.service != unit.plan.job.policy.service:
+def _matches_requirements(unit: PlacementUnit, minion: MinionRow) -> bool:
+    if unit.plan.job.policy.service and minion.service != unit.plan.job.policy.service:
         return False
-    return not unit.spec.label or unit.spec.label in row.labels
+    return not unit.spec.label or unit.spec.label in minion.labels
 
 
 def _count_placed_tasks(unit: PlacementUnit, incarnation: MinionIncarnation) -> int:
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -28,8 +28,8 @@
         if now_ms < expiry_ms:
             continue
         end_incarnation_runs(world, incarnation, "the minion lease has expired")
-        for row in schedule.minions.find("incarnation", incarnation):
-            schedule.minions.delete(row.sidecar)
+        for minion in schedule.minions.find("incarnation", incarnation):
+            schedule.minions.delete(minion.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
@@ -38,13 +38,15 @@
     if not is_scheduling(world) or now_ms < world.schedule.check_minions_at_ms:
         return
     world.schedule.check_minions_at_ms = now_ms + CHECK_PERIOD_MS
-    for row in world.schedule.minions:
-        due_ms = row.last_report_ms + UNREACHABLE_MS
-        if row.is_unreachable:
+    for minion in world.schedule.minions:
+        due_ms = minion.last_report_ms + UNREACHABLE_MS
+        if minion.is_unreachable:
             continue
         if now_ms < due_ms:
             world.deadlines.add(due_ms)
             continue
-        row.is_unreachable = True
+        minion.is_unreachable = True
         world.schedule.inputs_changed = True
-        world.note("minion", "A minion is unreachable.", minion=row.incarnation.minion)
+        world.note(
+            "minion", "A minion is unreachable.", minion=minion.incarnation.minion
+        )
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -83,7 +83,9 @@
     schedule.speeds_changed = False
     schedule.write_speeds_at_ms = now_ms + SPEEDS_PERIOD_MS
     learned = {
-        row.sidecar: replace(row.speed) for row in schedule.minions if row.speed.weight
+        minion.sidecar: replace(minion.speed)
+        for minion in schedule.minions
+        if minion.speed.weight
     }
     return [SpeedsRecord({**_absent_speeds(world), **learned})]
 
@@ -93,7 +95,7 @@
 
     At most `MAX_ABSENT_SPEEDS` of them are kept.
     """
-    present = {row.sidecar for row in world.schedule.minions}
+    present = {minion.sidecar for minion in world.schedule.minions}
     speeds = world.schedule.speeds
     absent = [name for name in speeds if name not in present and speeds[name].weight]
     return {name: replace(speeds[name]) for name in absent[-MAX_ABSENT_SPEEDS:]}
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -45,14 +45,14 @@
     if now_ms >= schedule.write_checkpoints_at_ms:
         schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
         _record_checkpoints(world)
-    rows = {row.incarnation: row for row in schedule.minions}
+    minions_by_incarnation = {minion.incarnation: minion for minion in schedule.minions}
     for plan in list(schedule.plans.values()):
         if plan.phase is not PlanPhase.OPEN:
             continue
         for task in iter_tasks(plan):
-            row = rows.get(task.incarnation)
-            if row is not None and task.confirmed and not task.stopping:
-                _check_run(world, row, plan, task, now_ms)
+            minion = minions_by_incarnation.get(task.incarnation)
+            if minion is not None and task.confirmed and not task.stopping:
+                _check_run(world, minion, plan, task, now_ms)
 
 
 def _record_checkpoints(world: BatchWorld) -> None:
@@ -68,21 +68,21 @@
 
 
 def _check_run(
-    world: BatchWorld, row: MinionRow, plan: Plan, task: Task, now_ms: int
+    world: BatchWorld, minion: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
-    if task.phase is not TaskPhase.PLACED or row.is_unreachable:
+    if task.phase is not TaskPhase.PLACED or minion.is_unreachable:
         return
-    if row.speed.weight < 1:
-        update_speed(world, row, plan, task)
-    if row.draining and _should_leave_draining(row, plan, task):
+    if minion.speed.weight < 1:
+        update_speed(world, minion, plan, task)
+    if minion.draining and _should_leave_draining(minion, plan, task):
         _stop_run(world, plan, task, "the minion is draining")
-    elif _is_too_slow(row, plan, task):
+    elif _is_too_slow(minion, plan, task):
         task.was_migrated = True
-        task.avoided_minions.add(row.incarnation.minion)
+        task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the minion is slow")
     elif _is_stalled(plan, task, now_ms):
-        row.stalled_ms = now_ms
-        task.avoided_minions.add(row.incarnation.minion)
+        minion.stalled_ms = now_ms
+        task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the run is stalled")
 
 
@@ -96,7 +96,7 @@
         request_stop(world, plan, task)
 
 
-def _should_leave_draining(row: MinionRow, plan: Plan, task: Task) -> bool:
+def _should_leave_draining(minion: MinionRow, plan: Plan, task: Task) -> bool:
     """Return whether a run should be stopped because its minion is draining.
 
     It should if it would otherwise be cut off, or if it saves checkpoints and so loses
@@ -104,11 +104,11 @@
     """
     if plan.job.steps[task.name.step].saves:
         return True
-    limit_ms = row.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
-    return expected_remaining_ms(row, plan, task) > limit_ms
+    limit_ms = minion.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
+    return expected_remaining_ms(minion, plan, task) > limit_ms
 
 
-def _is_too_slow(row: MinionRow, plan: Plan, task: Task) -> bool:
+def _is_too_slow(minion: MinionRow, plan: Plan, task: Task) -> bool:
     """Return whether an urgent run would end sooner if restarted on another minion.
 
     Estimates may be off by half, so the gain must be large unless other runs of the
@@ -130,7 +130,7 @@
     restart_limit_ms = MIN_GAIN_RATIO * step.estimate_ms
     if is_duration_known:
         restart_limit_ms = MIN_KNOWN_GAIN_RATIO * corrected_estimate_ms(plan, task)
-    return expected_remaining_ms(row, plan, task) > restart_limit_ms + MOVE_COST_MS
+    return expected_remaining_ms(minion, plan, task) > restart_limit_ms + MOVE_COST_MS
 
 
 def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -240,25 +240,25 @@
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
 
     def sort_key(candidate: Candidate, step: StepSpec) -> tuple:
-        row = candidate.minion
+        minion = candidate.minion
         free_resources = (
             candidate.free_after_stops.accelerators,
             candidate.free_after_stops.cpu_millis,
         )
-        risk = row.failures + (
-            0 if row.has_completed_run else 1 if is_last_attempt else 0
+        risk = minion.failures + (
+            0 if minion.has_completed_run else 1 if is_last_attempt else 0
         )
         if unit.is_urgent:
-            speed = round(row.speed.value * SPEED_STEPS_PER_UNIT)
-            return (risk, -speed, *free_resources, row.sidecar)
+            speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
+            return (risk, -speed, *free_resources, minion.sidecar)
         wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
         return (
             risk,
             wastes_fast_minion,
             candidate.rack_free_accelerators[0],
             *free_resources,
-            -row.speed.value,
-            row.sidecar,
+            -minion.speed.value,
+            minion.sidecar,
         )
 
     return sort_key
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -331,8 +331,8 @@
             if number <= sidecar_state.acknowledged_end
         ]:
             del sidecar_state.ended[number]
-    for row in reply.settled:
-        sidecar_state.refused.pop((str(row.task), row.run), None)
+    for settled in reply.settled:
+        sidecar_state.refused.pop((str(settled.task), settled.run), None)
     reported_keys = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
     for order in reply.starts:
         key = (str(order.task), order.run)
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -49,8 +49,8 @@
 ) -> None:
     """Answer a pending report if there are orders or results, or its wait is over."""
     call = pending.call
-    row = world.schedule.minions.get(call.sidecar)
-    incarnation = row.incarnation if row else None
+    minion = world.schedule.minions.get(call.sidecar)
+    incarnation = minion.incarnation if minion else None
     orphans = _due_orphan_stops(world, call.sidecar, now_ms)
     committed_end = _last_committed_end(world, call) if call.ended else 0
     has_orders = incarnation in starts or incarnation in stops or bool(orphans)
@@ -156,7 +156,7 @@
     """Return the number up to which all reported ends are in the log; 0 if none."""
     reported_ends = world.schedule.reported_ends.get(call.sidecar, {})
     last_number = 0
-    for ended in sorted(call.ended, key=lambda row: row.number):
+    for ended in sorted(call.ended, key=lambda ended: ended.number):
         if ended.number not in reported_ends:
             break
         job_id, version = reported_ends[ended.number]
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -75,12 +75,12 @@
             return
         old = None
     _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
-    row = _update_minion(world, call, old, now_ms)
+    minion = _update_minion(world, call, old, now_ms)
     expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
-    schedule.expiry_times_ms[row.incarnation] = expiry_ms
+    schedule.expiry_times_ms[minion.incarnation] = expiry_ms
     world.deadlines.add(expiry_ms)
     if call.minion.listed:
-        _handle_run_lists(world, call, row, now_ms)
+        _handle_run_lists(world, call, minion, now_ms)
 
 
 def _end_earlier_incarnations(
@@ -95,13 +95,13 @@
 
 
 def _update_minion(
-    world: BatchWorld, call: SyncCall, row: MinionRow | None, now_ms: int
+    world: BatchWorld, call: SyncCall, minion: MinionRow | None, now_ms: int
 ) -> MinionRow:
     """Create or update the row of a reported minion, and return it."""
     report = call.minion
-    if row is None:
-        row = _make_minion(world, call, report)
-        world.schedule.minions.put(row)
+    if minion is None:
+        minion = _make_minion(world, call, report)
+        world.schedule.minions.put(minion)
         world.schedule.inputs_changed = True
         world.note(
             "minion",
@@ -109,22 +109,22 @@
             minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
-            rack=row.rack,
+            rack=minion.rack,
         )
-    if row.draining != report.draining:
+    if minion.draining != report.draining:
         world.note(
             "minion",
             "The draining state of a minion changed.",
             minion=report.incarnation.minion,
         )
         world.schedule.inputs_changed = True
-    if row.is_unreachable:
+    if minion.is_unreachable:
         world.schedule.inputs_changed = True
-    row.is_unreachable = False
-    row.draining = report.draining
-    row.remaining_ms = report.remaining_ms
-    row.last_report_ms = now_ms
-    return row
+    minion.is_unreachable = False
+    minion.draining = report.draining
+    minion.remaining_ms = report.remaining_ms
+    minion.last_report_ms = now_ms
+    return minion
 
 
 def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
@@ -179,23 +179,23 @@
 
 
 def _handle_run_lists(
-    world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int
+    world: BatchWorld, call: SyncCall, minion: MinionRow, now_ms: int
 ) -> None:
     orphans = world.schedule.orphans.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
     for key in [key for key in orphans if key not in present]:
         del orphans[key]
     for running in call.running:
-        _handle_running_run(world, row, running, now_ms)
+        _handle_running_run(world, minion, running, now_ms)
     reported_ends = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in reported_ends if number not in listed]:
         del reported_ends[number]
     for ended in call.ended:
         if ended.number not in reported_ends:
-            reported_ends[ended.number] = _handle_run_end(world, row, ended, now_ms)
+            reported_ends[ended.number] = _handle_run_end(world, minion, ended, now_ms)
     for refused in call.refused:
-        _handle_refused_run(world, row, refused, now_ms)
+        _handle_refused_run(world, minion, refused, now_ms)
 
 
 def _find_current_run(
@@ -211,13 +211,13 @@
 
 
 def _handle_running_run(
-    world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _find_current_run(world, row.incarnation, running.task, running.run)
+    found = _find_current_run(world, minion.incarnation, running.task, running.run)
     if found is None and _has_ended_elsewhere(world, running):
         return
     if found is None:
-        _stop_orphan_run(world, row, running)
+        _stop_orphan_run(world, minion, running)
         return
     plan, task = found
     if task.running_since_ms is None:
@@ -243,9 +243,9 @@
     return task.phase is TaskPhase.DONE and task.run == running.run
 
 
-def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
+def _stop_orphan_run(world: BatchWorld, minion: MinionRow, running: RunningRun) -> None:
     """Request the stop of a run that is not the current run of any task."""
-    orphans = world.schedule.orphans.setdefault(row.sidecar, {})
+    orphans = world.schedule.orphans.setdefault(minion.sidecar, {})
     key = (str(running.task), running.run)
     if key not in orphans:
         orphans[key] = OrphanRun(running)
@@ -253,7 +253,7 @@
 
 
 def _handle_run_end(
-    world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
     """Apply the end of a run.
 
@@ -263,14 +263,14 @@
         Job and version of its plan that must be in the log before the sidecar may
         forget the end.
     """
-    found = _find_current_run(world, row.incarnation, ended.task, ended.run)
+    found = _find_current_run(world, minion.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
         found = _find_lost_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _update_reliability(world, row, plan, task, ended, now_ms)
+    _update_reliability(world, minion, plan, task, ended, now_ms)
     _record_run_end(world, plan, task, ended.how)
     apply_run_end(world, plan, task, ended.how, ended.checkpoint)
     return plan.job.id, plan.version
@@ -288,7 +288,7 @@
 
 def _update_reliability(
     world: BatchWorld,
-    row: MinionRow,
+    minion: MinionRow,
     plan: Plan,
     task: Task,
     ended: EndedRun,
@@ -300,29 +300,29 @@
             # not for gangs: a member may have waited for the others after its own work
             task.percent = FULL_PERCENT
             task.percent_changed_ms = now_ms
-        update_speed(world, row, plan, task)
-        row.failures = 0
-        row.failed_jobs.clear()
-        row.has_completed_run = True
+        update_speed(world, minion, plan, task)
+        minion.failures = 0
+        minion.failed_jobs.clear()
+        minion.has_completed_run = True
     elif ended.how is RunEnd.FAILED:
-        row.failures += 1
-        row.failed_jobs.add(plan.job.id)
-        row.failed_ms = now_ms
+        minion.failures += 1
+        minion.failed_jobs.add(plan.job.id)
+        minion.failed_ms = now_ms
 
 
 def _handle_refused_run(
-    world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
     """Withdraw a run that never began.
 
     Its minion is assigned no runs for `REFUSAL_PAUSE_MS`, unless the run was to be
     stopped anyway.
     """
-    found = _find_current_run(world, row.incarnation, refused.task, refused.run)
+    found = _find_current_run(world, minion.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
+        minion.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
     _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
     apply_run_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -17,7 +17,7 @@
 MIN_SPEED = 0.05
 
 
-def update_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
+def update_speed(world: BatchWorld, minion: MinionRow, plan: Plan, task: Task) -> None:
     """Update the speed of a machine from the progress of one run.
 
     A caller's estimate is rough, but the same for all tasks of a step. The measured
@@ -28,7 +28,7 @@
     sample_speed = _measure_speed(plan, task)
     if sample_speed is None:
         return
-    speed = row.speed
+    speed = minion.speed
     estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
     estimate_error.log_sum += log(sample_speed / max(speed.value, MIN_SPEED))
     estimate_error.count += 1
@@ -60,7 +60,7 @@
     return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
-def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
+def expected_remaining_ms(minion: MinionRow, plan: Plan, task: Task) -> float:
     """Return the remaining duration of a run.
 
     It follows from the run's own progress if that is known, else from the corrected
@@ -76,5 +76,5 @@
     return (
         remaining_ratio
         * corrected_estimate_ms(plan, task)
-        / max(row.speed.value, MIN_SPEED)
+        / max(minion.speed.value, MIN_SPEED)
     )
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -45,7 +45,7 @@
         schedule.term = world.agreed.holder.term
         _send_fence(world)
     for answer in [
-        row for row in schedule.append_results if row.id == schedule.fence_id
+        result for result in schedule.append_results if result.id == schedule.fence_id
     ]:
         schedule.append_results.remove(answer)
         _handle_fence_answer(world, answer)
