--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -17,7 +17,10 @@
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=10)
 def end_expired_incarnations(world: BatchWorld, now_ms: int) -> None:
-    """End the runs of minion incarnations whose leases have certainly expired."""
+    """End the runs of minion incarnations whose leases have certainly expired.
+
+    Also removes their minions from the schedule.
+    """
     if not is_scheduling(world):
         return
     schedule = world.schedule
@@ -25,8 +28,8 @@
         if now_ms < expiry_ms:
             continue
         end_incarnation_runs(world, incarnation, "the minion lease has expired")
-        for row in schedule.minions.find("incarnation", incarnation):
-            schedule.minions.delete(row.sidecar)
+        for minion in schedule.minions.find("incarnation", incarnation):
+            schedule.minions.delete(minion.sidecar)
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=20)
@@ -35,13 +38,15 @@
     if not is_scheduling(world) or now_ms < world.schedule.check_minions_at_ms:
         return
     world.schedule.check_minions_at_ms = now_ms + CHECK_PERIOD_MS
-    for row in world.schedule.minions:
-        due_ms = row.last_report_ms + UNREACHABLE_MS
-        if row.is_unreachable:
+    for minion in world.schedule.minions:
+        due_ms = minion.last_report_ms + UNREACHABLE_MS
+        if minion.is_unreachable:
             continue
         if now_ms < due_ms:
             world.deadlines.add(due_ms)
             continue
-        row.is_unreachable = True
-        world.schedule.changed = True
-        world.note("minion", "A minion is unreachable.", minion=row.incarnation.minion)
+        minion.is_unreachable = True
+        world.schedule.inputs_changed = True
+        world.note(
+            "minion", "A minion is unreachable.", minion=minion.incarnation.minion
+        )
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -33,7 +33,7 @@
         Urgency of the job; 0 is the most urgent.
     resources : Resources
         Capacity that stopping the run releases.
-    cost : float
+    cost_core_s : float
         Work that stopping the run loses, in core-seconds.
     ends_soon : bool
         Whether the run is expected to end by itself soon.
@@ -43,7 +43,7 @@
     task: Task
     rank: int
     resources: Resources
-    cost: float
+    cost_core_s: float
     ends_soon: bool = False
 
 
@@ -83,7 +83,7 @@
 
 
 def subtract_tasks(resources: Resources, step: StepSpec, count: int = 1) -> None:
-    """Subtract the demand of some tasks of a step."""
+    """Subtract the demand of `count` tasks of a step from `resources` in place."""
     subtract_resources(
         resources,
         Resources(
@@ -95,14 +95,14 @@
 
 
 def add_resources(resources: Resources, other: Resources) -> None:
-    """Add released capacity."""
+    """Add the released capacity `other` to `resources` in place."""
     resources.cpu_millis += other.cpu_millis
     resources.memory_mb += other.memory_mb
     resources.accelerators += other.accelerators
 
 
 def subtract_resources(resources: Resources, other: Resources) -> None:
-    """Subtract used capacity."""
+    """Subtract the used capacity `other` from `resources` in place."""
     resources.cpu_millis -= other.cpu_millis
     resources.memory_mb -= other.memory_mb
     resources.accelerators -= other.accelerators
@@ -184,7 +184,7 @@
         The minion.
     count : int
         Number of tasks that fit.
-    cost : float
+    cost_core_s : float
         Work that stopping the victims loses, in core-seconds.
     victims : list of Victim
         Runs to stop.
@@ -192,14 +192,17 @@
 
     candidate: Candidate
     count: int
-    cost: float
+    cost_core_s: float
     victims: list[Victim]
 
 
 def _extend_eviction(
     candidate: Candidate, step: StepSpec, current: Eviction, limit: int
 ) -> Eviction:
-    """Return an eviction for one or more further tasks, or the current one."""
+    """Return an eviction for more tasks than the current one, or the current one.
+
+    Stops the cheapest victims until at least one further task fits.
+    """
     wanted = current.count + 1
     resources = replace(candidate.free_after_stops)
     victims: list[Victim] = []
@@ -211,9 +214,9 @@
     if count_fitting_tasks(resources, step, limit) < wanted:
         return current
     victims = _drop_unneeded_victims(resources, step, wanted, victims)
-    cost = sum(victim.cost for victim in victims)
+    cost_core_s = sum(victim.cost_core_s for victim in victims)
     return Eviction(
-        candidate, count_fitting_tasks(resources, step, limit), cost, victims
+        candidate, count_fitting_tasks(resources, step, limit), cost_core_s, victims
     )
 
 
@@ -275,7 +278,8 @@
             if extended.count == current.count:
                 continue
             key = (
-                (extended.cost - current.cost) / (extended.count - current.count),
+                (extended.cost_core_s - current.cost_core_s)
+                / (extended.count - current.count),
                 sort_key(candidate, step),
             )
             if best_key is None or key < best_key:
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -31,9 +31,11 @@
 
 @system(Phase.PROPOSE, (Role.ENTRY,), order=20)
 def write_plans(world: BatchWorld, now_ms: int) -> None:
-    """Append the changed plans; resend an append until its outcome is known.
+    """Append changed plans, removals and speeds; resend an append until it is done.
 
     A resent append keeps its sequence number, so that the log applies it only once.
+    The process steps down if the log has accepted a newer term or expects another
+    append.
     """
     if not is_scheduling(world):
         world.schedule.append_results.clear()
@@ -42,18 +44,18 @@
         _handle_append_end(world, answer)
     schedule = world.schedule
     schedule.append_results.clear()
-    has_work = schedule.dirty or schedule.removals
+    has_work = schedule.unwritten_jobs or schedule.removals
     if schedule.is_loaded and schedule.in_flight is None and has_work:
         _append_changes(world, now_ms)
 
 
 def _append_changes(world: BatchWorld, now_ms: int) -> None:
     schedule = world.schedule
-    job_ids = list(schedule.dirty)[:MAX_JOBS_PER_APPEND]
+    job_ids = list(schedule.unwritten_jobs)[:MAX_JOBS_PER_APPEND]
     records = []
     versions = {}
     for job_id in job_ids:
-        del schedule.dirty[job_id]
+        del schedule.unwritten_jobs[job_id]
         plan = schedule.plans.get(job_id)
         if plan is not None:
             records.append(ProgressRecord(job_id, make_progress(plan)))
@@ -81,7 +83,9 @@
     schedule.speeds_changed = False
     schedule.write_speeds_at_ms = now_ms + SPEEDS_PERIOD_MS
     learned = {
-        row.sidecar: replace(row.speed) for row in schedule.minions if row.speed.weight
+        minion.sidecar: replace(minion.speed)
+        for minion in schedule.minions
+        if minion.speed.weight
     }
     return [SpeedsRecord({**_absent_speeds(world), **learned})]
 
@@ -91,7 +95,7 @@
 
     At most `MAX_ABSENT_SPEEDS` of them are kept.
     """
-    present = {row.sidecar for row in world.schedule.minions}
+    present = {minion.sidecar for minion in world.schedule.minions}
     speeds = world.schedule.speeds
     absent = [name for name in speeds if name not in present and speeds[name].weight]
     return {name: replace(speeds[name]) for name in absent[-MAX_ABSENT_SPEEDS:]}
@@ -129,6 +133,6 @@
     for job_id, version in schedule.in_flight_versions.items():
         plan = schedule.plans.get(job_id)
         if plan is not None:
-            plan.committed = version
+            plan.committed_version = version
     schedule.in_flight = None
     schedule.in_flight_versions = {}
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 
 __all__ = ["schedule_units"]
 
-URGENT_RETRY_MS = 1_000  # the progress of runs does not request a decision
+URGENT_RETRY_MS = 1_000  # needed since the progress of runs requests no decision
 MS_PER_SECOND = 1_000
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -51,10 +51,10 @@
 def schedule_units(world: BatchWorld, now_ms: int) -> None:
     """Place waiting tasks and preempt other runs for urgent ones."""
     schedule = world.schedule
-    is_due = schedule.changed or now_ms >= schedule.decide_at_ms
+    is_due = schedule.inputs_changed or now_ms >= schedule.decide_at_ms
     if not is_scheduling(world) or not is_due:
         return
-    schedule.changed = False
+    schedule.inputs_changed = False
     schedule.decide_at_ms = NEVER_MS
     guaranteed_ids = find_guaranteed_jobs(world)
     candidates = list_candidates(world, now_ms, guaranteed_ids)
@@ -240,25 +240,25 @@
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
 
     def sort_key(candidate: Candidate, step: StepSpec) -> tuple:
-        row = candidate.minion
+        minion = candidate.minion
         free_resources = (
             candidate.free_after_stops.accelerators,
             candidate.free_after_stops.cpu_millis,
         )
-        risk = row.failures + (
-            0 if row.has_completed_run else 1 if is_last_attempt else 0
+        risk = minion.failures + (
+            0 if minion.has_completed_run else 1 if is_last_attempt else 0
         )
         if unit.is_urgent:
-            speed = round(row.speed.value * SPEED_STEPS_PER_UNIT)
-            return (risk, -speed, *free_resources, row.sidecar)
+            speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
+            return (risk, -speed, *free_resources, minion.sidecar)
         wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
         return (
             risk,
             wastes_fast_minion,
             candidate.rack_free_accelerators[0],
             *free_resources,
-            -row.speed.value,
-            row.sidecar,
+            -minion.speed.value,
+            minion.sidecar,
         )
 
     return sort_key
@@ -275,7 +275,7 @@
     plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
     # a placement alone is no reason for another decision
-    world.schedule.changed = False
+    world.schedule.inputs_changed = False
     configuration = world.agreed.configuration
     for task, candidate in zip(tasks, chosen, strict=True):
         number = run if unit.spec.gang else task.run + 1
@@ -354,11 +354,11 @@
         found = plan_evictions(
             narrowed, unit.spec, wanted, _make_sort_key(unit), max_task_cost_core_s
         )
-        cost = sum(eviction.cost for eviction in found)
+        cost_core_s = sum(eviction.cost_core_s for eviction in found)
         is_partial = _count_tasks(found) < wanted
-        if unit.spec.gang and (is_partial or cost > max_cost_core_s * wanted):
+        if unit.spec.gang and (is_partial or cost_core_s > max_cost_core_s * wanted):
             continue
-        key = (-_count_tasks(found), cost)
+        key = (-_count_tasks(found), cost_core_s)
         if key < best_key:
             best, best_key = found, key
     return best
@@ -393,6 +393,6 @@
             "A run is preempted.",
             task=str(task.name),
             run=task.run,
-            lost_core_s=round(victim.cost, 1),
+            lost_core_s=round(victim.cost_core_s, 1),
             urgent=unit.plan.job.id,
         )
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -23,7 +23,11 @@
 
 @system(Phase.REPORT, (Role.ENTRY,), order=20)
 def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
-    """Answer the pending reports with orders or results, or whose wait is over."""
+    """Answer pending reports that have orders or results, or whose wait is over.
+
+    Results are committed run ends and processed refusals. All reports are redirected
+    while this process may not give orders.
+    """
     schedule = world.schedule
     if not is_scheduling(world) or not has_authority(world, now_ms):
         _redirect_all(world)
@@ -45,8 +49,8 @@
 ) -> None:
     """Answer a pending report if there are orders or results, or its wait is over."""
     call = pending.call
-    row = world.schedule.minions.get(call.sidecar)
-    incarnation = row.incarnation if row else None
+    minion = world.schedule.minions.get(call.sidecar)
+    incarnation = minion.incarnation if minion else None
     orphans = _due_orphan_stops(world, call.sidecar, now_ms)
     committed_end = _last_committed_end(world, call) if call.ended else 0
     has_orders = incarnation in starts or incarnation in stops or bool(orphans)
@@ -54,11 +58,11 @@
         return
     del world.schedule.pending_syncs[call.sidecar]
     for _, task in starts.get(incarnation, ()):
-        task.sent_ms = now_ms
+        task.start_sent_ms = now_ms
     for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
     for orphan in orphans:
-        orphan.sent_ms = now_ms
+        orphan.stop_sent_ms = now_ms
     world.outbox.put(
         _make_reply(world, call, incarnation, starts, stops, orphans, committed_end)
     )
@@ -75,13 +79,19 @@
     orphans = world.schedule.orphans.get(sidecar)
     if not orphans:
         return []
-    return [orphan for orphan in orphans.values() if _is_due(orphan.sent_ms, now_ms)]
+    return [
+        orphan for orphan in orphans.values() if _is_due(orphan.stop_sent_ms, now_ms)
+    ]
 
 
 def _collect_orders(
     world: BatchWorld, now_ms: int
 ) -> tuple[OrdersByIncarnation, OrdersByIncarnation]:
-    """Return the runs to start and to stop, by minion incarnation."""
+    """Return the runs to start and to stop, by minion incarnation.
+
+    A start is due only once the plan that placed the run is in the log. Removes the
+    runs that need no order any more from the pending runs.
+    """
     starts: OrdersByIncarnation = {}
     stops: OrdersByIncarnation = {}
     pending_runs = world.schedule.pending_runs
@@ -91,8 +101,8 @@
             del pending_runs[name]
         elif task.stopping:
             _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
-        elif plan.committed >= task.version:
-            _add_due_order(world, starts, plan, task, task.sent_ms, now_ms)
+        elif plan.committed_version >= task.plan_version:
+            _add_due_order(world, starts, plan, task, task.start_sent_ms, now_ms)
     return starts, stops
 
 
@@ -146,12 +156,12 @@
     """Return the number up to which all reported ends are in the log; 0 if none."""
     reported_ends = world.schedule.reported_ends.get(call.sidecar, {})
     last_number = 0
-    for ended in sorted(call.ended, key=lambda row: row.number):
+    for ended in sorted(call.ended, key=lambda ended: ended.number):
         if ended.number not in reported_ends:
             break
         job_id, version = reported_ends[ended.number]
         plan = world.schedule.plans.get(job_id)
-        if plan is not None and plan.committed < version:
+        if plan is not None and plan.committed_version < version:
             break
         last_number = ended.number
     return last_number
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -61,25 +61,26 @@
 
 
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
+    """Update the reported minion and its runs; ignore an earlier incarnation."""
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
         if old is not None:
             world.note("minion", "A minion has left.", minion=old.incarnation.minion)
             schedule.minions.delete(call.sidecar)
-            schedule.changed = True
+            schedule.inputs_changed = True
         return
     if old is not None and old.incarnation != call.minion.incarnation:
         if call.minion.incarnation.born_ms < old.incarnation.born_ms:
             return
         old = None
     _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
-    row = _update_minion(world, call, old, now_ms)
+    minion = _update_minion(world, call, old, now_ms)
     expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
-    schedule.expiry_times_ms[row.incarnation] = expiry_ms
+    schedule.expiry_times_ms[minion.incarnation] = expiry_ms
     world.deadlines.add(expiry_ms)
     if call.minion.listed:
-        _handle_run_lists(world, call, row, now_ms)
+        _handle_run_lists(world, call, minion, now_ms)
 
 
 def _end_earlier_incarnations(
@@ -94,36 +95,36 @@
 
 
 def _update_minion(
-    world: BatchWorld, call: SyncCall, row: MinionRow | None, now_ms: int
+    world: BatchWorld, call: SyncCall, minion: MinionRow | None, now_ms: int
 ) -> MinionRow:
     """Create or update the row of a reported minion, and return it."""
     report = call.minion
-    if row is None:
-        row = _make_minion(world, call, report)
-        world.schedule.minions.put(row)
-        world.schedule.changed = True
+    if minion is None:
+        minion = _make_minion(world, call, report)
+        world.schedule.minions.put(minion)
+        world.schedule.inputs_changed = True
         world.note(
             "minion",
             "A minion was added.",
             minion=report.incarnation.minion,
             sidecar=call.sidecar,
             availability_zone=report.availability_zone,
-            rack=row.rack,
+            rack=minion.rack,
         )
-    if row.draining != report.draining:
+    if minion.draining != report.draining:
         world.note(
             "minion",
             "The draining state of a minion changed.",
             minion=report.incarnation.minion,
         )
-        world.schedule.changed = True
-    if row.is_unreachable:
-        world.schedule.changed = True
-    row.is_unreachable = False
-    row.draining = report.draining
-    row.remaining_ms = report.remaining_ms
-    row.last_report_ms = now_ms
-    return row
+        world.schedule.inputs_changed = True
+    if minion.is_unreachable:
+        world.schedule.inputs_changed = True
+    minion.is_unreachable = False
+    minion.draining = report.draining
+    minion.remaining_ms = report.remaining_ms
+    minion.last_report_ms = now_ms
+    return minion
 
 
 def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
@@ -157,18 +158,18 @@
 
 
 def _record_run_end(
-    world: BatchWorld, plan: Plan, task: Task, how: RunEnd, reason: str = ""
+    world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, reason: str = ""
 ) -> None:
     wall_ms = world.clock.wall_ms()
-    lost_core_s = work_lost_by_end(plan, task, how, wall_ms)
-    world.tally.add("ends", how)
-    world.tally.add("lost_core_seconds", how, amount=round(lost_core_s))
+    lost_core_s = work_lost_by_end(plan, task, run_end, wall_ms)
+    world.tally.add("ends", run_end)
+    world.tally.add("lost_core_seconds", run_end, amount=round(lost_core_s))
     world.note(
         "run",
         "A run ended.",
         task=str(task.name),
         run=task.run,
-        how=how,
+        how=run_end,
         minion=task.incarnation.minion if task.incarnation else "",
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
@@ -178,23 +179,23 @@
 
 
 def _handle_run_lists(
-    world: BatchWorld, call: SyncCall, row: MinionRow, now_ms: int
+    world: BatchWorld, call: SyncCall, minion: MinionRow, now_ms: int
 ) -> None:
     orphans = world.schedule.orphans.get(call.sidecar, {})
     present = {(str(running.task), running.run) for running in call.running}
     for key in [key for key in orphans if key not in present]:
         del orphans[key]
     for running in call.running:
-        _handle_running_run(world, row, running, now_ms)
+        _handle_running_run(world, minion, running, now_ms)
     reported_ends = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in reported_ends if number not in listed]:
         del reported_ends[number]
     for ended in call.ended:
         if ended.number not in reported_ends:
-            reported_ends[ended.number] = _handle_run_end(world, row, ended, now_ms)
+            reported_ends[ended.number] = _handle_run_end(world, minion, ended, now_ms)
     for refused in call.refused:
-        _handle_refused_run(world, row, refused, now_ms)
+        _handle_refused_run(world, minion, refused, now_ms)
 
 
 def _find_current_run(
@@ -210,13 +211,13 @@
 
 
 def _handle_running_run(
-    world: BatchWorld, row: MinionRow, running: RunningRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, running: RunningRun, now_ms: int
 ) -> None:
-    found = _find_current_run(world, row.incarnation, running.task, running.run)
+    found = _find_current_run(world, minion.incarnation, running.task, running.run)
     if found is None and _has_ended_elsewhere(world, running):
         return
     if found is None:
-        _stop_orphan_run(world, row, running)
+        _stop_orphan_run(world, minion, running)
         return
     plan, task = found
     if task.running_since_ms is None:
@@ -242,9 +243,9 @@
     return task.phase is TaskPhase.DONE and task.run == running.run
 
 
-def _stop_orphan_run(world: BatchWorld, row: MinionRow, running: RunningRun) -> None:
+def _stop_orphan_run(world: BatchWorld, minion: MinionRow, running: RunningRun) -> None:
     """Request the stop of a run that is not the current run of any task."""
-    orphans = world.schedule.orphans.setdefault(row.sidecar, {})
+    orphans = world.schedule.orphans.setdefault(minion.sidecar, {})
     key = (str(running.task), running.run)
     if key not in orphans:
         orphans[key] = OrphanRun(running)
@@ -252,7 +253,7 @@
 
 
 def _handle_run_end(
-    world: BatchWorld, row: MinionRow, ended: EndedRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, ended: EndedRun, now_ms: int
 ) -> tuple[str, int]:
     """Apply the end of a run.
 
@@ -262,14 +263,14 @@
         Job and version of its plan that must be in the log before the sidecar may
         forget the end.
     """
-    found = _find_current_run(world, row.incarnation, ended.task, ended.run)
+    found = _find_current_run(world, minion.incarnation, ended.task, ended.run)
     if found is None and ended.how is RunEnd.DONE:
         found = _find_lost_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _update_reliability(world, row, plan, task, ended, now_ms)
+    _update_reliability(world, minion, plan, task, ended, now_ms)
     _record_run_end(world, plan, task, ended.how)
     apply_run_end(world, plan, task, ended.how, ended.checkpoint)
     return plan.job.id, plan.version
@@ -287,7 +288,7 @@
 
 def _update_reliability(
     world: BatchWorld,
-    row: MinionRow,
+    minion: MinionRow,
     plan: Plan,
     task: Task,
     ended: EndedRun,
@@ -296,32 +297,32 @@
     """Update a minion's speed and reliability from the end of a run."""
     if ended.how is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
-            # a gang member may have waited for the others
+            # not for gangs: a member may have waited for the others after its own work
             task.percent = FULL_PERCENT
             task.percent_changed_ms = now_ms
-        update_speed(world, row, plan, task)
-        row.failures = 0
-        row.failed_jobs.clear()
-        row.has_completed_run = True
+        update_speed(world, minion, plan, task)
+        minion.failures = 0
+        minion.failed_jobs.clear()
+        minion.has_completed_run = True
     elif ended.how is RunEnd.FAILED:
-        row.failures += 1
-        row.failed_jobs.add(plan.job.id)
-        row.failed_ms = now_ms
+        minion.failures += 1
+        minion.failed_jobs.add(plan.job.id)
+        minion.failed_ms = now_ms
 
 
 def _handle_refused_run(
-    world: BatchWorld, row: MinionRow, refused: RefusedRun, now_ms: int
+    world: BatchWorld, minion: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
     """Withdraw a run that never began.
 
     Its minion is assigned no runs for `REFUSAL_PAUSE_MS`, unless the run was to be
     stopped anyway.
     """
-    found = _find_current_run(world, row.incarnation, refused.task, refused.run)
+    found = _find_current_run(world, minion.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
     if not task.stopping:
-        row.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
+        minion.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
     _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
     apply_run_end(world, plan, task, RunEnd.REFUSED, "")
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -17,7 +17,7 @@
 MIN_SPEED = 0.05
 
 
-def update_speed(world: BatchWorld, row: MinionRow, plan: Plan, task: Task) -> None:
+def update_speed(world: BatchWorld, minion: MinionRow, plan: Plan, task: Task) -> None:
     """Update the speed of a machine from the progress of one run.
 
     A caller's estimate is rough, but the same for all tasks of a step. The measured
@@ -28,7 +28,7 @@
     sample_speed = _measure_speed(plan, task)
     if sample_speed is None:
         return
-    speed = row.speed
+    speed = minion.speed
     estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
     estimate_error.log_sum += log(sample_speed / max(speed.value, MIN_SPEED))
     estimate_error.count += 1
@@ -44,11 +44,11 @@
     estimate_ms = plan.job.steps[task.name.step].estimate_ms
     if task.running_since_ms is None or not estimate_ms:
         return None
-    took_ms = task.percent_changed_ms - task.running_since_ms
+    observed_ms = task.percent_changed_ms - task.running_since_ms
     done_percent = task.percent - task.initial_percent
-    if took_ms < MIN_SAMPLE_MS or done_percent <= 0:
+    if observed_ms < MIN_SAMPLE_MS or done_percent <= 0:
         return None
-    return estimate_ms * done_percent / FULL_PERCENT / took_ms
+    return estimate_ms * done_percent / FULL_PERCENT / observed_ms
 
 
 def corrected_estimate_ms(plan: Plan, task: Task) -> float:
@@ -60,21 +60,21 @@
     return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
 
 
-def expected_remaining_ms(row: MinionRow, plan: Plan, task: Task) -> float:
+def expected_remaining_ms(minion: MinionRow, plan: Plan, task: Task) -> float:
     """Return the remaining duration of a run.
 
     It follows from the run's own progress if that is known, else from the corrected
     estimate and the speed of the machine.
     """
     remaining_ratio = (FULL_PERCENT - task.percent) / FULL_PERCENT
-    took_ms = task.percent_changed_ms - (
+    observed_ms = task.percent_changed_ms - (
         task.running_since_ms or task.percent_changed_ms
     )
     done_percent = task.percent - task.initial_percent
-    if took_ms >= MIN_SAMPLE_MS and done_percent > 0:
-        return remaining_ratio * FULL_PERCENT * took_ms / done_percent
+    if observed_ms >= MIN_SAMPLE_MS and done_percent > 0:
+        return remaining_ratio * FULL_PERCENT * observed_ms / done_percent
     return (
         remaining_ratio
         * corrected_estimate_ms(plan, task)
-        / max(row.speed.value, MIN_SPEED)
+        / max(minion.speed.value, MIN_SPEED)
     )
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -75,6 +75,16 @@
 class TaskName:
     """Name of a task.
 
+    Attributes
+    ----------
+    job : str
+        Identifier of the job.
+    occurrence : int
+        Number of the repetition of the job; always 0, since repeated jobs are not
+        supported.
+    step, index : int
+        Index of the step in the job, and of the task in the step.
+
     Examples
     --------
     >>> str(TaskName("5c0e7a21d94b36f8", 0, 1, 17))
@@ -296,9 +306,9 @@
         Newest checkpoint; empty for none.
     checkpoint_ms : int
         Unix time at which that checkpoint was first reported, in ms.
-    version : int
+    plan_version : int
         Version of the plan that placed the run.
-    sent_ms : int or None
+    start_sent_ms : int or None
         Time at which the start was last sent to the sidecar.
     confirmed : bool
         Whether the minion has reported the run.
@@ -333,8 +343,8 @@
     placed_ms: int = 0
     checkpoint: str = ""
     checkpoint_ms: int = 0
-    version: int = 0
-    sent_ms: int | None = None
+    plan_version: int = 0
+    start_sent_ms: int | None = None
     confirmed: bool = False
     running_since_ms: int | None = None
     stopping: bool = False
@@ -405,7 +415,7 @@
         Whether a run of a task was ever placed.
     version : int
         Increases with each change.
-    committed : int
+    committed_version : int
         Newest version whose record is in the log.
     has_new_checkpoint : bool
         Whether a checkpoint is newer than the newest record of the plan.
@@ -421,7 +431,7 @@
     phase: PlanPhase = PlanPhase.OPEN
     begun: bool = False
     version: int = 0
-    committed: int = 0
+    committed_version: int = 0
     has_new_checkpoint: bool = False
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
