Name offsets, connections and routes by what they hold

Locals such as `item`, `row`, `name`, `size` and `position` stood for long-lived, specific things, and `position` was both an offset of the log and an index into bytes. The outcome of a failed connection had two names; it is `never_sent` everywhere, like the field of the messages. The limit of relayed calls is named apart from the limit of callers' requests.

--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -33,7 +33,7 @@
         self._after_tick: Callable[[], None] = lambda: None
         self._scheduled_tick: Any = None
         self._timer: Any = None
-        self.ticks = 0
+        self.tick_count = 0
 
     def attach(self, context: Any, after_tick: Callable[[], None]) -> None:
         """Set the context whose world the loop runs on.
@@ -56,7 +56,7 @@
     def _tick(self) -> None:
         self._scheduled_tick = None
         world = self._context.world
-        self.ticks += 1
+        self.tick_count += 1
         try:
             started_s = time.perf_counter()
             run_tick(world, self._systems, world.clock.now_ms())
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -63,11 +63,11 @@
 
 def _histogram_family(world: World, name: str, metric: Metric) -> Any:
     family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
-    for labels, row in read_durations(world, name):
-        cumulative_counts = accumulate(row.buckets)
+    for labels, durations in read_durations(world, name):
+        cumulative_counts = accumulate(durations.buckets)
         bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
         buckets = list(zip(bounds, cumulative_counts, strict=True))
-        family.add_metric(labels, buckets, row.sum_ms / MS_PER_SECOND)
+        family.add_metric(labels, buckets, durations.sum_ms / MS_PER_SECOND)
     return family
 
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -74,7 +74,7 @@
     address: Address,
     path: str,
     model: Any,
-    reply: type,
+    reply_model: type,
     timeout_ms: int,
 ) -> Any:
     """Send a POST request and return the peer's validated reply.
@@ -82,14 +82,14 @@
     Raises
     ------
     PeerError
-        If the exchange failed or the reply does not match the model `reply`.
+        If the exchange failed or the reply does not match `reply_model`.
     """
     response = await context.client.exchange(
         "POST", address, path, encode(model), timeout_ms
     )
     if response.status != STATUS_OK:
         raise PeerError(f"status {response.status}", "exchange", str(address))
-    parsed = decode(reply, response.body, str(address))
+    parsed = decode(reply_model, response.body, str(address))
     if parsed.is_error():
         raise PeerError(parsed.error.reason, "decode", str(address))
     return parsed.ok
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -98,14 +98,14 @@
 
     def register(function: Any) -> Any:
         pattern = PARAMETER.sub(r"(?P<\1>[^/]+)", path)
-        item = Route(
+        new_route = Route(
             surface,
             method,
             path,
             function,
             function if direct else None,
         )
-        routes.append((item, re.compile(pattern)))
+        routes.append((new_route, re.compile(pattern)))
         return function
 
     return register
@@ -115,11 +115,11 @@
     surface: str, method: str, path: str
 ) -> tuple[Route, dict[str, str]] | None:
     """Return the route of a request and its path parameters, or None."""
-    for item, pattern in routes:
-        if item.surface == surface and item.method == method:
+    for candidate, pattern in routes:
+        if candidate.surface == surface and candidate.method == method:
             match = pattern.fullmatch(path)
             if match:
-                return item, match.groupdict()
+                return candidate, match.groupdict()
     return None
 
 
--- a/kingcuppost/edges/signals.py
+++ b/kingcuppost/edges/signals.py
@@ -16,11 +16,11 @@
     """Deliver a request to stop on SIGTERM or SIGINT."""
 
     # A signal may interrupt a tick, so the reactor delivers the message after it.
-    def handle(number: int, frame: object) -> None:
+    def request_stop(signal_number: int, frame: object) -> None:
         context.reactor.callFromThread(context.deliver, StopRequested())
 
-    signal.signal(signal.SIGTERM, handle)
-    signal.signal(signal.SIGINT, handle)
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
 
 
 @senders.register(ExitProcess)
@@ -42,8 +42,10 @@
 
 
 def _stop_when_flushed(context: EdgeContext, checks_left: int) -> None:
-    open_count = sum(len(item.factory.protocols) for item in context.listeners)
-    if open_count == 0 or checks_left == 0:
+    open_connection_count = sum(
+        len(listener.factory.protocols) for listener in context.listeners
+    )
+    if open_connection_count == 0 or checks_left == 0:
         _stop(context)
         return
     context.reactor.callLater(
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -17,8 +17,8 @@
 from kingcuppost.tables.outbox import AppendRecords, Reply
 
 UNUSED_ADDRESS = Address("127.0.0.1", 0)
-PARSED = [item for item, _ in routes if item.direct is None]
-WITH_BODY = [item for item in PARSED if item.method != "GET"]
+PARSED = [route for route, _ in routes if route.direct is None]
+WITH_BODY = [route for route in PARSED if route.method != "GET"]
 FIELDS = sorted(
     {
         *("operator", "name", "team", "members", "accelerators", "cores", "memory_mb"),
@@ -50,20 +50,22 @@
 )
 
 
-def make_call(item: Route, name: str, body: bytes) -> Call:
-    path_parameters = dict.fromkeys(re.findall(r"\{(\w+)\}", item.path), name)
+def make_call(route: Route, name: str, body: bytes) -> Call:
+    path_parameters = dict.fromkeys(re.findall(r"\{(\w+)\}", route.path), name)
     return Call(
         "exc-1", path_parameters, {"path": name, "key": name}, body, "127.0.0.1:1"
     )
 
 
-@pytest.mark.parametrize("item", PARSED, ids=lambda item: f"{item.method} {item.path}")
+@pytest.mark.parametrize(
+    "route", PARSED, ids=lambda route: f"{route.method} {route.path}"
+)
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(name=st.text(max_size=80), body=bodies)
 def test_parser_returns_a_message_or_a_reason(
-    item: Route, name: str, body: bytes
+    route: Route, name: str, body: bytes
 ) -> None:
-    parsed = item.parse(make_call(item, name, body))
+    parsed = route.parse(make_call(route, name, body))
     if parsed.is_ok():
         assert is_dataclass(parsed.ok)
     else:
@@ -85,15 +87,15 @@
 
 
 @pytest.mark.parametrize(
-    "item", WITH_BODY, ids=lambda item: f"{item.method} {item.path}"
+    "route", WITH_BODY, ids=lambda route: f"{route.method} {route.path}"
 )
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(name=st.text(min_size=1, max_size=80), body=bodies)
 def test_systems_handle_any_message_that_passes_validation(
-    item: Route, name: str, body: bytes
+    route: Route, name: str, body: bytes
 ) -> None:
     """A tick with a validated message does not change the agreed tables directly."""
-    parsed = item.parse(make_call(item, name, body))
+    parsed = route.parse(make_call(route, name, body))
     if parsed.is_error():
         return
     log = LogConfig("http", UNUSED_ADDRESS)
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -52,7 +52,7 @@
     for text in ("a", "b", "c"):
         harness.context.deliver(text)
     harness.advance(0)
-    assert harness.loop.ticks == 1
+    assert harness.loop.tick_count == 1
     assert len(harness.context.world.inbox) == 0
 
 
@@ -65,12 +65,12 @@
     harness.loop.wake()
     harness.advance(0)
     harness.advance(50)
-    assert harness.loop.ticks == 1
+    assert harness.loop.tick_count == 1
     harness.advance(60)
     harness.advance(0)
-    assert harness.loop.ticks == 2
+    assert harness.loop.tick_count == 2
     harness.advance(10_000)
-    assert harness.loop.ticks == 2
+    assert harness.loop.tick_count == 2
 
 
 def test_a_failed_tick_ends_the_process() -> None:
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -40,24 +40,24 @@
         self._context = context
         self._address = context.world.cfg.sidecar.worker.address
 
-    def send_order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
+    def send_order(self, order: str, task_id: str, model: Any, timeout_ms: int) -> None:
         """Send an order and deliver the worker's answer."""
 
         async def exchange() -> WorkerAnswered:
             response = await self._context.client.exchange(
-                "POST", self._address, f"/v1/{name}", encode(model), timeout_ms
+                "POST", self._address, f"/v1/{order}", encode(model), timeout_ms
             )
             if response.status != STATUS_OK:
                 reason = response.body.decode("utf-8", "replace")
-                return WorkerAnswered(name, task_id, False, reason=reason)
+                return WorkerAnswered(order, task_id, False, reason=reason)
             parsed = decode(TaskListModel, response.body, "worker")
             if parsed.is_error():
-                raise PeerError(parsed.error.reason, name, "worker")
+                raise PeerError(parsed.error.reason, order, "worker")
             tasks = tuple(item.to_task() for item in parsed.ok.tasks)
-            return WorkerAnswered(name, task_id, True, tasks)
+            return WorkerAnswered(order, task_id, True, tasks)
 
         def make_failure(exc: PeerError) -> WorkerAnswered:
-            return WorkerAnswered(name, task_id, False, reason=str(exc))
+            return WorkerAnswered(order, task_id, False, reason=str(exc))
 
         deliver_later(self._context, exchange(), make_failure)
 
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -49,9 +49,9 @@
     return "; ".join(parts)
 
 
-def encode(row: Any) -> bytes:
+def encode(instance: Any) -> bytes:
     """Return the JSON text of a data class or border model."""
-    row_type = type(row)
-    if row_type not in _adapters:
-        _adapters[row_type] = TypeAdapter(row_type)
-    return _adapters[row_type].dump_json(row)
+    instance_type = type(instance)
+    if instance_type not in _adapters:
+        _adapters[instance_type] = TypeAdapter(instance_type)
+    return _adapters[instance_type].dump_json(instance)
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -25,7 +25,7 @@
 MAX_PORT = 65_535
 
 
-def _check_address(text: str) -> str:
+def _validate_address(text: str) -> str:
     host, _, port = text.rpartition(":")
     try:
         ip_address(host)
@@ -36,7 +36,7 @@
     return text
 
 
-AddressText = Annotated[str, AfterValidator(_check_address)]
+AddressText = Annotated[str, AfterValidator(_validate_address)]
 NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
 
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -10,7 +10,7 @@
 
 __all__ = ["AppendModel", "ReadModel", "decode_log_record", "to_read_answered"]
 
-_body = TypeAdapter(
+_body_adapter = TypeAdapter(
     Annotated[RecordBody, Field(discriminator="kind")],
     config=ConfigDict(defer_build=True),
 )
@@ -65,7 +65,7 @@
     """
     try:
         model = RecordModel.model_validate_json(text)
-        body = _body.validate_python(model.body)
+        body = _body_adapter.validate_python(model.body)
     except ValidationError:
         return None
     return Record(model.record_id, model.author, model.wall_ms, body, model.seen_offset)
@@ -74,9 +74,9 @@
 def to_read_answered(read_id: str, model: ReadModel) -> ReadAnswered:
     """Return the inbox message; values that are not valid records are skipped."""
     records = []
-    for item in model.records:
-        record = decode_log_record(item.value)
+    for stored in model.records:
+        record = decode_log_record(stored.value)
         if record is not None:
-            records.append(StoredRecord(item.offset, record))
+            records.append(StoredRecord(stored.offset, record))
     end = model.records[-1].offset if model.records else 0
     return ReadAnswered(read_id, True, tuple(records), model.head, model.earliest, end)
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -34,14 +34,14 @@
 MAX_CORES = 4_096
 MAX_MEMORY_MB = 16_777_216  # 16 TiB
 MAX_RUN_MS = 31_536_000_000  # 365 days
-MAX_SETTING_LENGTH = 256  # characters
+MAX_SETTING_TEXT_LENGTH = 256  # characters
 MAX_EXACT_NUMBER = 2**53  # integers up to this are exact in a 64-bit float
 
 WholeNumber = Annotated[int, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER)]
 RealNumber = Annotated[
     float, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER, allow_inf_nan=False)
 ]
-SettingText = Annotated[str, Field(max_length=MAX_SETTING_LENGTH)]
+SettingText = Annotated[str, Field(max_length=MAX_SETTING_TEXT_LENGTH)]
 
 
 class OperatorModel(BorderModel):
--- a/kingcuppost/models/tests/test_examples.py
+++ b/kingcuppost/models/tests/test_examples.py
@@ -29,26 +29,28 @@
 
 @pytest.mark.parametrize("site", MEMORY_MB)
 def test_sample_has_the_sizes_of_the_deployment(site: str) -> None:
-    rows = read_site_configs(site)
-    roles = Counter(row.role for row in rows)
+    configs = read_site_configs(site)
+    roles = Counter(config.role for config in configs)
     assert roles == {Role.ENTRY: 3, Role.SIDECAR: 10}
-    assert len({row.availability_zone for row in rows}) == 3
-    assert len({row.name for row in rows}) == 13
-    workers = [row.sidecar.worker for row in rows if row.sidecar]
+    assert len({config.availability_zone for config in configs}) == 3
+    assert len({config.name for config in configs}) == 13
+    workers = [config.sidecar.worker for config in configs if config.sidecar]
     racks = Counter(worker.rack for worker in workers)
     assert max(racks.values()) == 3
     assert {worker.memory_mb for worker in workers} == {MEMORY_MB[site]}
     assert {(worker.cores, worker.accelerators) for worker in workers} == {(64, 8)}
     assert {
-        (row.sidecar.slots, row.sidecar.connections) for row in rows if row.sidecar
+        (config.sidecar.slots, config.sidecar.connections)
+        for config in configs
+        if config.sidecar
     } == {(8, 64)}
 
 
 @pytest.mark.parametrize("site", MEMORY_MB)
 def test_racks_do_not_span_zones(site: str) -> None:
     pairs = {
-        (row.sidecar.worker.rack, row.availability_zone)
-        for row in read_site_configs(site)
-        if row.sidecar
+        (config.sidecar.worker.rack, config.availability_zone)
+        for config in read_site_configs(site)
+        if config.sidecar
     }
     assert len(pairs) == len({rack for rack, _ in pairs})
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -109,9 +109,9 @@
     for part in (model, *model.steps):
         if part.occurrences or getattr(part, "lasts", False):
             return Error("occurrences and lasting tasks are not served")
-    for number, step in enumerate(model.steps):
-        if any(needed >= number for needed in step.needs):
-            return Error(f"steps.{number}.dependsOn: names no earlier step")
+    for index, step in enumerate(model.steps):
+        if any(needed >= index for needed in step.needs):
+            return Error(f"steps.{index}.dependsOn: names no earlier step")
     return Ok(SubmittedJob(model.spec, tuple(_make_step(step) for step in model.steps)))
 
 
--- a/kingcuppost/platform/framing.py
+++ b/kingcuppost/platform/framing.py
@@ -33,8 +33,8 @@
     ValueError
         If the key is longer than 255 bytes.
     """
-    name = key.encode()
-    return bytes([len(name)]) + name + value
+    key_bytes = key.encode()
+    return bytes([len(key_bytes)]) + key_bytes + value
 
 
 def decode_keyed_record(content: bytes) -> tuple[str, bytes]:
@@ -52,8 +52,8 @@
     """
     if not content or len(content) < 1 + content[0]:
         raise ValueError("the record is shorter than its key")
-    size = content[0]
-    return content[1 : 1 + size].decode(), content[1 + size :]
+    key_size = content[0]
+    return content[1 : 1 + key_size].decode(), content[1 + key_size :]
 
 
 def decode_read_reply(body: bytes) -> tuple[int, int, list[bytes]]:
@@ -74,18 +74,18 @@
     """
     if len(body) < 2 * OFFSET_FIELD.size:
         raise ValueError("the answer is shorter than its two offsets")
-    end = OFFSET_FIELD.unpack_from(body)[0]
+    end_offset = OFFSET_FIELD.unpack_from(body)[0]
     first_offset = OFFSET_FIELD.unpack_from(body, OFFSET_FIELD.size)[0]
-    return end, first_offset, list(_iterate_records(body, 2 * OFFSET_FIELD.size))
+    return end_offset, first_offset, list(_iterate_records(body, 2 * OFFSET_FIELD.size))
 
 
 def _iterate_records(body: bytes, position: int) -> Iterator[bytes]:
     while position < len(body):
         if position + LENGTH_FIELD.size > len(body):
             raise ValueError("the length of a record is truncated")
-        size = LENGTH_FIELD.unpack_from(body, position)[0]
+        record_size = LENGTH_FIELD.unpack_from(body, position)[0]
         position += LENGTH_FIELD.size
-        if position + size > len(body):
+        if position + record_size > len(body):
             raise ValueError("a record is truncated")
-        yield body[position : position + size]
-        position += size
+        yield body[position : position + record_size]
+        position += record_size
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -228,7 +228,7 @@
 
 
 async def _send_order(
-    context: BatchContext, message: StartRun | StopRun, name: str, body: dict
+    context: BatchContext, message: StartRun | StopRun, endpoint: str, body: dict
 ) -> OrderAnswered:
     order = message.order
     is_start = isinstance(message, StartRun)
@@ -242,15 +242,15 @@
         response = await context.client.exchange(
             "POST",
             message.address,
-            f"/kingcuppost/{name}",
+            f"/kingcuppost/{endpoint}",
             json.dumps(body).encode(),
             ORDER_TIMEOUT_MS,
             {INSTANCE_HEADER: message.incarnation.minion},
         )
     except PeerError as exc:
-        is_unsent = exc.step == "connect"
+        never_sent = exc.step == "connect"
         return make_answer(
-            OrderOutcome.BUSY if is_unsent else OrderOutcome.UNKNOWN, str(exc)
+            OrderOutcome.BUSY if never_sent else OrderOutcome.UNKNOWN, str(exc)
         )
     if response.status == STATUS_OK:
         return make_answer(OrderOutcome.DONE)
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -25,7 +25,7 @@
 PROBE_TIMEOUT_MS = 500
 PROBE_PATH = "/kingcuppost/log-newest?topic=keyed.members&part=0"
 RELAY_MARGIN_MS = 300
-MAX_TIMEOUT_MS = 10_000
+MAX_RELAY_TIMEOUT_MS = 10_000
 STATUS_BAD_REQUEST = 400
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -228,7 +228,7 @@
     if store is None or not path.startswith("/") or not timeout_text.isdigit():
         answer(request, STATUS_BAD_REQUEST)
         return
-    timeout_ms = min(int(timeout_text), MAX_TIMEOUT_MS)
+    timeout_ms = min(int(timeout_text), MAX_RELAY_TIMEOUT_MS)
     # a peer that disconnects before the answer is no error
     disconnected = request.notifyFinish()
     disconnected.addErrback(lambda _: None)
@@ -251,7 +251,7 @@
         reply = await store.call_directly(method, path, body, timeout_ms)
     except PeerError as exc:
         # the peer takes 503 as a refusal and 502 as an unknown outcome
-        is_unsent = exc.step == "connect"
-        reply = Response(STATUS_UNAVAILABLE if is_unsent else STATUS_BAD_GATEWAY, b"")
+        never_sent = exc.step == "connect"
+        reply = Response(STATUS_UNAVAILABLE if never_sent else STATUS_BAD_GATEWAY, b"")
     if not request._disconnected:
         answer(request, reply.status, reply.body)
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -93,7 +93,7 @@
     return decode_record(key, value, peer)
 
 
-def _decode_row(
+def _decode_or_skip(
     context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
 ) -> list[tuple[int, Record]]:
     """Return offset and record of a key and value; empty if it cannot be decoded."""
@@ -128,7 +128,7 @@
         end = page.end if end is None else end
         for item in page.items:
             value = base64.b64decode(item.value)
-            rows += _decode_row(context, stream, item.offset, item.key, value)
+            rows += _decode_or_skip(context, stream, item.offset, item.key, value)
         if not page.more or not page.items:
             break
         last_key = page.items[-1].key
@@ -150,7 +150,7 @@
     context: BatchContext,
     store: StoreClient,
     stream: Stream,
-    position: int,
+    start_offset: int,
     wait_ms: int,
 ) -> RecordsRead | None:
     """Return the records from an offset on; None if the stream lacks that offset.
@@ -160,7 +160,11 @@
     """
     sent_ms = context.world.clock.now_ms()
     path = _make_path(
-        "log-read", topic=TOPICS[stream], part=0, waitMs=wait_ms, **{"from": position}
+        "log-read",
+        topic=TOPICS[stream],
+        part=0,
+        waitMs=wait_ms,
+        **{"from": start_offset},
     )
     reply = await store.call("GET", path, b"", wait_ms + READ_MARGIN_MS, max_routes=1)
     if reply.status == STATUS_GONE:
@@ -171,10 +175,10 @@
         end, _, contents = decode_read_reply(reply.body)
     except ValueError as exc:
         raise PeerError(str(exc), "read", str(store.address)) from exc
-    if end < position:
+    if end < start_offset:
         return None
     rows: list[tuple[int, Record]] = []
-    for offset, content in enumerate(contents, position):
+    for offset, content in enumerate(contents, start_offset):
         try:
             key, value = decode_keyed_record(content)
         except ValueError as exc:
@@ -182,8 +186,8 @@
                 "log", "A record was skipped.", offset=offset, reason=str(exc)
             )
             continue
-        rows += _decode_row(context, stream, offset, key, value)
-    return RecordsRead(stream, rows, sent_ms, position + len(contents))
+        rows += _decode_or_skip(context, stream, offset, key, value)
+    return RecordsRead(stream, rows, sent_ms, start_offset + len(contents))
 
 
 def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
@@ -210,16 +214,18 @@
 async def _follow_stream(
     context: BatchContext, store: StoreClient, stream: Stream
 ) -> None:
-    position: int | None = None
+    next_offset: int | None = None
     is_failing = False
     while True:
         try:
-            if position is None:
+            if next_offset is None:
                 batch = await _list_newest(context, store, stream)
             else:
                 # after a failure, an answer without waiting restores freshness at once
                 wait_ms = 0 if is_failing else READ_WAIT_MS
-                batch = await _read_records(context, store, stream, position, wait_ms)
+                batch = await _read_records(
+                    context, store, stream, next_offset, wait_ms
+                )
         except PeerError as exc:
             if not is_failing:
                 context.world.note(
@@ -231,7 +237,7 @@
             is_failing = True
             continue
         is_failing = False
-        position = batch.end if batch is not None else None
+        next_offset = batch.end if batch is not None else None
         if batch is not None:
             context.deliver(batch)
 
@@ -266,8 +272,8 @@
             "POST", path, frame_records(contents), message.timeout_ms
         )
     except PeerError as exc:
-        is_unsent = exc.step == "connect"
-        outcome = AppendOutcome.REFUSED if is_unsent else AppendOutcome.UNKNOWN
+        never_sent = exc.step == "connect"
+        outcome = AppendOutcome.REFUSED if never_sent else AppendOutcome.UNKNOWN
         return AppendEnded(message.id, outcome, reason=str(exc))
     duration_ms = context.world.clock.now_ms() - started_ms
     context.world.tally.observe("append", duration_ms, message.stream)
--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -13,10 +13,10 @@
 
 
 def test_wire_names_are_mapped_to_fields_of_a_step() -> None:
-    text = make_body(
+    body = make_body(
         gang=True, sameRack=True, requirements="a", affinity="r1-1", antiAffinity=2
     )
-    step = _decode_job(text).ok.steps[0]
+    step = _decode_job(body).ok.steps[0]
     assert (step.cpu_millis, step.memory_mb, step.accelerators) == (500, 64, 1)
     assert step.gang
     assert step.one_rack
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "reason"),
+    ("body", "reason"),
     [
         (make_body(dependsOn=[0]), "names no earlier step"),
         (make_body(count=0), "count"),
@@ -34,7 +34,7 @@
         (b"{", "JSON"),
     ],
 )
-def test_an_unsupported_body_is_refused_with_a_reason(text: bytes, reason: str) -> None:
-    result = _decode_job(text)
+def test_an_unsupported_body_is_refused_with_a_reason(body: bytes, reason: str) -> None:
+    result = _decode_job(body)
     assert result.is_error()
     assert reason in result.error
--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -78,8 +78,8 @@
     """
 
     async def send(client: JsonClient) -> RequestResults:
-        response = await _send_one(client, first)
-        return [response, *await _send_concurrently(client, make_follow_ups(response))]
+        result = await _send_one(client, first)
+        return [result, *await _send_concurrently(client, make_follow_ups(result))]
 
     return _run_in_reactor(send)
 
