Name the limits of settings files and of operators' messages

Limits of field lengths, slots, connections and timeouts stood as literals at their fields, while those beside them had names. The exit code after an unexpected error while following a stream is the constant of the tick loop.

--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -13,8 +13,8 @@
     "BoundedRequest",
 ]
 
-MAX_BODY_BYTES = 1_048_576
-RECEIVE_TIMEOUT_S = 5
+MAX_BODY_BYTES = 1_048_576  # 1 MiB
+RECEIVE_TIMEOUT_S = 5  # from the first to the last byte of a request
 IDLE_TIMEOUT_S = 60
 LINGER_S = 1
 TOO_LARGE_RESPONSE = (
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -23,6 +23,9 @@
 __all__ = ["FileModel", "read_config"]
 
 MAX_PORT = 65_535
+MAX_ACCELERATORS = 64
+MAX_SLOTS = 1_024
+MAX_CONNECTIONS = 4_096
 
 
 def _validate_address(text: str) -> str:
@@ -68,7 +71,7 @@
     address: AddressText
     cores: int = Field(ge=1)
     memory_mb: int = Field(ge=1)
-    accelerators: int = Field(ge=0, le=64)
+    accelerators: int = Field(ge=0, le=MAX_ACCELERATORS)
 
 
 class SidecarModel(BorderModel):
@@ -76,8 +79,8 @@
 
     service: NameText
     minion: AddressText
-    slots: int = Field(ge=1, le=1_024)
-    connections: int = Field(ge=1, le=4_096)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    connections: int = Field(ge=1, le=MAX_CONNECTIONS)
     operators: AddressText
     worker: WorkerModel
 
--- a/kingcuppost/models/operator.py
+++ b/kingcuppost/models/operator.py
@@ -34,7 +34,10 @@
 MAX_CORES = 4_096
 MAX_MEMORY_MB = 16_777_216  # 16 TiB
 MAX_RUN_MS = 31_536_000_000  # 365 days
+MAX_PATH_LENGTH = 256  # characters
+MAX_KEY_LENGTH = 128  # characters
 MAX_SETTING_TEXT_LENGTH = 256  # characters
+MAX_REASON_LENGTH = 256  # characters
 MAX_EXACT_NUMBER = 2**53  # integers up to this are exact in a 64-bit float
 
 WholeNumber = Annotated[int, Field(ge=-MAX_EXACT_NUMBER, le=MAX_EXACT_NUMBER)]
@@ -100,8 +103,8 @@
 class SettingModel(OperatorModel):
     """Set a key on a branch of the settings tree; null restores inheritance."""
 
-    path: str = Field(default="", max_length=256)
-    key: str = Field(min_length=1, max_length=128)
+    path: str = Field(default="", max_length=MAX_PATH_LENGTH)
+    key: str = Field(min_length=1, max_length=MAX_KEY_LENGTH)
     value: bool | WholeNumber | RealNumber | SettingText | None
     base_offset: int = Field(default=ANY_OFFSET, ge=ANY_OFFSET)
 
@@ -141,7 +144,7 @@
 class CancelModel(OperatorModel):
     """Cancel a job."""
 
-    reason: str = Field(default="cancelled by operator", max_length=256)
+    reason: str = Field(default="cancelled by operator", max_length=MAX_REASON_LENGTH)
 
     def to_body(self, job: str) -> JobCancel:
         """Return the body of the record."""
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -36,7 +36,8 @@
 HEARTBEAT_PATH_PREFIX = "/kingcuppost/instances/"
 INSTANCE_HEADER = "Expect-Instance"
 ORDER_TIMEOUT_MS = 600
-HOLD_MARGIN_MS = 700
+HOLD_MARGIN_MS = 700  # added to the time for which the minion may wait
+MAX_REASON_BYTES = 100
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -162,7 +163,7 @@
         return HoldMinionAnswered(incarnation, sent_ms, clock.now_ms(), reason=str(exc))
     now_ms = clock.now_ms()
     if response.status != STATUS_OK:
-        text = response.body[:100].decode("utf-8", "replace")
+        text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
         reason = f"status {response.status} {text}"
         return HoldMinionAnswered(incarnation, sent_ms, now_ms, reason=reason)
     try:
@@ -254,7 +255,7 @@
         )
     if response.status == STATUS_OK:
         return make_answer(OrderOutcome.DONE)
-    text = response.body[:100].decode("utf-8", "replace")
+    text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
     reason = f"status {response.status} {text}"
     if response.status in BUSY_STATUSES:
         return make_answer(OrderOutcome.BUSY, reason)
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -25,6 +25,7 @@
     RecordsRead,
     Stream,
 )
+from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR
 from kingcuppost.exception import Failure, PeerError
 from kingcuppost.platform.framing import (
     decode_keyed_record,
@@ -206,7 +207,7 @@
         "log", "Following a stream failed unexpectedly.", reason=failure.getTraceback()
     )
     context.wake()
-    context.exit_code = 70  # EX_SOFTWARE of sysexits.h
+    context.exit_code = EXIT_SOFTWARE_ERROR
     # the delay lets the next tick write the log line
     context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
 
--- a/kingcuppost/programs/command_requests.py
+++ b/kingcuppost/programs/command_requests.py
@@ -14,6 +14,7 @@
 
 __all__ = ["CommandRequest", "RequestResults", "send_requests", "send_with_follow_ups"]
 
+DEFAULT_TIMEOUT_MS = 15_000
 MAX_CONCURRENT_REQUESTS = 32
 
 
@@ -37,7 +38,7 @@
     path: str
     address: Address
     body: bytes = b""
-    timeout_ms: int = 15_000
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
 
 
 RequestResults = list[Result[Response, Failure]]
