Say what routes, probes, hold replies and settings tables contain

The class text of the sidecar's settings named only the minion, the text of a hold request said that it always extends the lease, and the client of the edges is not used for the log. The reason why a probe reads the member list, which is that the answer is short, and that a heartbeat is acknowledged at once, are stated again.

--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -46,7 +46,8 @@
     reactor : object
         Twisted's reactor.
     client : JsonClient
-        Client for outgoing HTTP requests.
+        Client for HTTP requests to peers, the minion and the worker; the client of
+        the log has its own connections.
     wake : callable
         Requests a tick of the systems.
     exchanges : dict of str to Request
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -36,7 +36,7 @@
         self._client = JsonClient(context.reactor)
 
     def read(self, message: ReadLog) -> None:
-        """Read records after an offset."""
+        """Read records after an offset and deliver the answer."""
         client = self._client_for(message.hedge)
         path = (
             f"/v1/records?after={message.after}&wait_ms={message.wait_ms}"
@@ -60,7 +60,7 @@
         deliver_later(self._context, exchange(), make_failure)
 
     def append(self, message: AppendRecords) -> None:
-        """Append records.
+        """Append records and deliver the answer.
 
         The answer only shows that another read is due; whether the records take effect
         follows from the fold.
@@ -87,10 +87,10 @@
         deliver_later(self._context, exchange(), make_failure)
 
     def _client_for(self, hedge: bool) -> JsonClient:
-        """Return the client; a hedged exchange replaces it by one without connections.
+        """Return the client; for a hedged request, first replace it by a new client.
 
-        Idle connections of the old client may be unresponsive too; they are closed by
-        its idle timeout.
+        The idle connections of the old client may be unresponsive too. Its idle timeout
+        closes them.
         """
         if hedge:
             self._client = JsonClient(self._context.reactor)
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -24,6 +24,11 @@
         Twisted's reactor.
     systems : list of System
         Systems of the role, in the order of execution.
+
+    Attributes
+    ----------
+    tick_count : int
+        Number of ticks that were started.
     """
 
     def __init__(self, reactor: Any, systems: list[System]) -> None:
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -79,6 +79,21 @@
 ) -> Any:
     """Send a POST request and return the peer's validated reply.
 
+    Parameters
+    ----------
+    context : EdgeContext
+        Edges of the process.
+    address : Address
+        IP address and port of the peer.
+    path : str
+        Path of the request.
+    model : BorderModel
+        Body of the request.
+    reply_model : type
+        Border model of the reply.
+    timeout_ms : int
+        Timeout of the whole exchange, in ms.
+
     Raises
     ------
     PeerError
@@ -99,7 +114,8 @@
 def send_attempt(context: EdgeContext, message: SendAttempt) -> None:
     """Send an attempt to a sidecar.
 
-    After a failure other than that to connect, it is unknown whether the attempt ran.
+    If the exchange fails after the connection was established, it is unknown whether
+    the attempt ran.
     """
 
     async def exchange() -> AttemptAnswered:
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -94,7 +94,10 @@
 def test_systems_handle_any_message_that_passes_validation(
     route: Route, name: str, body: bytes
 ) -> None:
-    """A tick with a validated message does not change the agreed tables directly."""
+    """A tick with a validated message does not change the agreed tables directly.
+
+    A proposal is either answered or appended to the log.
+    """
     parsed = route.parse(make_call(route, name, body))
     if parsed.is_error():
         return
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -63,7 +63,7 @@
 
 
 class WorkerModel(BorderModel):
-    """The worker of a sidecar, with its resources."""
+    """The worker of a sidecar, with its address and resources."""
 
     driver: str = "http"
     name: NameText
@@ -75,7 +75,7 @@
 
 
 class SidecarModel(BorderModel):
-    """The minion of a sidecar."""
+    """The minion and the worker of a sidecar, and its address for operators."""
 
     service: NameText
     minion: AddressText
--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -26,7 +26,11 @@
 
 
 class ReadModel(BaseModel):
-    """The response to a read."""
+    """The response to a read.
+
+    `head` and `earliest` are the offsets of the newest and the oldest record of the
+    log.
+    """
 
     model_config = ConfigDict(extra="ignore", defer_build=True)
 
--- a/kingcuppost/models/worker.py
+++ b/kingcuppost/models/worker.py
@@ -41,14 +41,14 @@
 
 
 class TaskOrderModel(BorderModel):
-    """Start, checkpoint or stop a task."""
+    """Start, checkpoint or stop a task; only a start has a lease."""
 
     task_id: str
     lease_ms: int = 0
 
 
 class LeaseModel(BorderModel):
-    """The remaining time for which a task may run without renewal, in ms."""
+    """Lease of a task: the time for which it may run without renewal, in ms."""
 
     task_id: str
     lease_ms: int
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -68,6 +68,7 @@
     rack: str = Field("", alias="affinity")
     # maximum number of tasks of the step on one minion; 0 for no limit
     most_per_minion: NonNegativeInt = Field(0, alias="antiAffinity")
+    # whether the tasks checkpoint their progress
     saves: bool = Field(False, alias="checkpointing")
     # whether the tasks run until their job is cancelled
     lasts: bool = Field(False, alias="longRunning")
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -74,9 +74,10 @@
 
 
 class _HoldReplyModel(_Model):
+    # time of the answer on the minion's clock, in ms
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
-    # rows: task, run, checkpoint, percent; more columns may follow
+    # rows: task, run, checkpoint, percentage of work done; more columns may follow
     running: tuple[tuple, ...] = ()
     # rows: number, task, run, kind of end as in `RunEnd`, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
@@ -84,7 +85,7 @@
 
 @surfaces.register("heartbeats")
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
-    """Acknowledge and deliver a heartbeat or a leave notice of the minion."""
+    """Deliver a heartbeat or a leave notice of the minion; acknowledge it at once."""
     path = request.path.decode("utf-8", "replace")
     if not path.startswith(HEARTBEAT_PATH_PREFIX):
         answer(request, STATUS_NOT_FOUND)
@@ -135,7 +136,7 @@
 
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
-    """Request the minion's lists of runs and extend its lease."""
+    """Request the lists of the minion's runs; with `until_ms`, extend its lease."""
     deliver_later(context, _request_hold(context, message))
 
 
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -26,7 +26,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AdapterState:
-    """State of the adapter in the context of a process."""
+    """State of the adapter in the context of a process.
+
+    Attributes
+    ----------
+    store : StoreClient
+        Client of the platform's store.
+    """
 
     store: object
 
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -39,6 +39,7 @@
 
 
 class _BoundsModel(_Model):
+    # the meaning of each field is documented at `Bounds`
     hold_max_ms: int = Field(10_000, alias="holdMaxMs")
     stop_ms: int = Field(400, alias="stopMs")
     gang_ms: int = Field(3_000, alias="gangMs")
@@ -51,6 +52,7 @@
 class _ListenModel(_Model):
     # address for callers' requests
     frontend: AddressText | None = None
+    # address for the balancer's readiness checks
     readiness: AddressText | None = None
     # address for minions' heartbeats
     control: AddressText | None = None
@@ -64,7 +66,7 @@
     name: str = Field(alias="nodeName")
     ip: str
     zone: str
-    # the first is the port for other processes; the second is not used
+    # the first is the port at which peers reach the process; the second is not used
     ports: tuple[int, int] = Field(alias="internalPorts")
     seeds: tuple[AddressText, ...] = ()
     listen: _ListenModel
@@ -80,7 +82,7 @@
     Attributes
     ----------
     daemon : DaemonConfig
-        The product's own settings.
+        The settings that do not depend on the platform.
     store : Address
         Address of the platform's store.
     callers, readiness, heartbeats : Address or None
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -23,9 +23,10 @@
 TIMEOUT_HEADER = "Kingcuppost-Timeout-Ms"
 PROBE_PERIOD_MS = 1_000
 PROBE_TIMEOUT_MS = 500
+# a probe reads little: the newest record of each member
 PROBE_PATH = "/kingcuppost/log-newest?topic=keyed.members&part=0"
-RELAY_MARGIN_MS = 300
-MAX_RELAY_TIMEOUT_MS = 10_000
+RELAY_MARGIN_MS = 300  # for the exchange with the relay itself
+MAX_RELAY_TIMEOUT_MS = 10_000  # whatever timeout the peer requests
 STATUS_BAD_REQUEST = 400
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -43,7 +44,8 @@
     body : bytes
         Complete body.
     may_have_run : bool
-        Whether an earlier attempt of the call may have been carried out.
+        Whether an earlier attempt of the call, by another route, may have been
+        carried out.
     """
 
     status: int
@@ -84,9 +86,9 @@
     ) -> StoreReply:
         """Make a call and return the first answer that is not a refusal.
 
-        If every route fails, the last refusal is returned or the last error raised.
-        While the store does not serve this machine, a peer is tried first, and probes
-        detect when the store serves the machine again.
+        If every route fails, the failure of the last one counts: a refusal is returned,
+        an error is raised. While the store does not serve this machine, a peer is tried
+        first, and probes detect when the store serves the machine again.
 
         Parameters
         ----------
@@ -97,7 +99,7 @@
         timeout_ms : int
             Timeout of each attempt, in ms; a relayed one gets `RELAY_MARGIN_MS` more.
         max_routes : int
-            Number of routes to try; with 1 there is no second attempt.
+            Maximum number of routes to try; with 1 there is no second attempt.
 
         Raises
         ------
@@ -105,6 +107,7 @@
             If the last route gave no answer; the step is ``"connect"`` if the call
             cannot have been carried out.
         """
+        # None is the direct route
         call_routes = [None, self._choose_peer()]
         if self._is_unavailable:
             call_routes.reverse()
@@ -151,7 +154,9 @@
             headers,
         )
         if response.status == STATUS_BAD_GATEWAY:
-            raise PeerError("the relay has no answer", "exchange", str(relay_address))
+            raise PeerError(
+                "the relay got no answer from the store", "exchange", str(relay_address)
+            )
         return StoreReply(response.status, response.body)
 
     async def call_directly(
@@ -201,7 +206,10 @@
             self._context.world.tally.add("probes_failed")
 
     def _choose_peer(self) -> Address:
-        """Return another entry, each in turn; the store itself if none is known."""
+        """Return the address of another entry, each in turn.
+
+        It is the address of the store itself if no other entry is known.
+        """
         world = self._context.world
         known_addresses = [entry.address for entry in world.agreed.entries]
         known_addresses = (
@@ -229,7 +237,7 @@
         answer(request, STATUS_BAD_REQUEST)
         return
     timeout_ms = min(int(timeout_text), MAX_RELAY_TIMEOUT_MS)
-    # a peer that disconnects before the answer is no error
+    # a peer may disconnect before the answer; this is not an error
     disconnected = request.notifyFinish()
     disconnected.addErrback(lambda _: None)
     context.world.tally.add("relayed")
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -43,12 +43,13 @@
     Stream.MEMBERS: "keyed.members",
     Stream.OPERATORS: "keyed.op",
 }
-# An unanswered read times out after the sum of both, 1.4 s. This leaves time to read
-# through a peer before the stream counts as stale after 2 s (`FRESH_MS` of the fold)
-# and submissions are refused.
+# A read without an answer times out after READ_WAIT_MS + READ_MARGIN_MS = 1.4 s. This
+# leaves time to read through a peer before the stream counts as stale after 2 s
+# (`FRESH_MS` of the fold) and submissions are refused.
 READ_WAIT_MS = 1_000
 READ_MARGIN_MS = 400
 LIST_TIMEOUT_MS = 1_500
+# minimum delays; `_sleep` adds a random time of up to the same length
 RETRY_DELAY_S = 0.15
 FIRST_RETRY_DELAY_S = 0.02
 PRODUCER = "scheduler"
@@ -79,6 +80,7 @@
     offset: int = -1
     end: int = -1
     reason: str = ""
+    # number of the append that the store expects, if the append had another number
     sequence: int | None = None
 
 
@@ -97,7 +99,10 @@
 def _decode_or_skip(
     context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
 ) -> list[tuple[int, Record]]:
-    """Return offset and record of a key and value; empty if it cannot be decoded."""
+    """Return a list with the offset and the record of a key and a value.
+
+    If the record cannot be decoded, log this and return an empty list.
+    """
     parsed = _decode_record(stream, key, value, f"{stream} {offset}")
     if parsed.is_error():
         context.world.note(
@@ -112,7 +117,8 @@
 ) -> RecordsRead:
     """Return the newest record of each key.
 
-    Later reads continue at the end offset that the first page reports.
+    Later reads continue at the end offset that the first page reports, so that they
+    include the records that were appended during the listing.
     """
     sent_ms = context.world.clock.now_ms()
     rows: list[tuple[int, Record]] = []
@@ -156,8 +162,8 @@
 ) -> RecordsRead | None:
     """Return the records from an offset on; None if the stream lacks that offset.
 
-    A read uses only one route: after a timeout the next read, which tries a peer first,
-    must follow before the stream counts as stale.
+    A read uses only one route: after a timeout, the next read tries a peer first, and
+    it must be answered before the stream counts as stale.
     """
     sent_ms = context.world.clock.now_ms()
     path = _make_path(
@@ -222,7 +228,8 @@
             if next_offset is None:
                 batch = await _list_newest(context, store, stream)
             else:
-                # after a failure, an answer without waiting restores freshness at once
+                # after a failure, a read does not wait for new records, so that its
+                # answer restores the freshness of the stream sooner
                 wait_ms = 0 if is_failing else READ_WAIT_MS
                 batch = await _read_records(
                     context, store, stream, next_offset, wait_ms
