--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -50,11 +50,11 @@
     def check_fields(self) -> str:
         """Return why the fields contradict each other; empty if they do not."""
         if not self.idempotent and not self.key:
-            return "key: a non-idempotent request carries a key"
+            return "key: required for a non-idempotent request"
         if self.key and not self.issued_ms:
-            return "issued_ms: a key says when it was made"
+            return "issued_ms: required with a key"
         if self.idempotent and self.key:
-            return "key: only a non-idempotent request carries a key"
+            return "key: allowed only for a non-idempotent request"
         return ""
 
     def to_message(self, exchange_id: str) -> CallerRequest:
--- a/kingcuppost/platform/tests/test_store.py
+++ b/kingcuppost/platform/tests/test_store.py
@@ -82,7 +82,7 @@
 
 
 def test_a_call_with_one_route_makes_no_second_attempt(context: FakeContext) -> None:
-    timeout_error = PeerError("silent", "exchange", str(STORE))
+    timeout_error = PeerError("timed out", "exchange", str(STORE))
     context.client.answers = {STORE: timeout_error, PEER: Response(200, b"x")}
     store = StoreClient(context, STORE)
     assert isinstance(call(store, max_routes=1), PeerError)
@@ -90,7 +90,7 @@
 
 
 def test_a_timeout_leaves_the_outcome_unknown(context: FakeContext) -> None:
-    timeout_error = PeerError("silent", "exchange", str(STORE))
+    timeout_error = PeerError("timed out", "exchange", str(STORE))
     context.client.answers = {STORE: timeout_error, PEER: Response(503, b"")}
     assert call(StoreClient(context, STORE)).may_have_run
 
