Name the clients of external systems apart from the registry of drivers

`drivers` was both the registry of constructors and the clients built by them in the edge context. The clients are `external_clients`. The relay's headers, the parameters of the decoder of operators' records and the report of a lost exchange are documented.

--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -46,17 +46,17 @@
     reactor : object
         Twisted's reactor.
     client : JsonClient
-        Client for HTTP requests to peers, the minion and the worker; the client of
-        the log has its own connections.
+        Client for HTTP requests to peers, the minion and the worker; `HttpLog` has a
+        client of its own.
     wake : callable
         Requests a tick of the systems.
     exchanges : dict of str to Request
         HTTP requests that are not answered yet, by identifier.
     listeners : list of Listener
         Listening ports with their connections.
-    drivers : dict of str to object
-        Client of each outside system (``"log"``, ``"worker"``), selected by the
-        driver that the settings file names.
+    external_clients : dict of str to object
+        Client of each external system (``"log"``, ``"worker"``), built by the driver
+        that the settings file names.
     exit_code : int
         Exit code of the process.
     senders : Registry
@@ -69,7 +69,7 @@
     wake: Callable[[], None]
     exchanges: dict[str, Request] = field(default_factory=dict)
     listeners: list[Listener] = field(default_factory=list)
-    drivers: dict[str, Any] = field(default_factory=dict)
+    external_clients: dict[str, Any] = field(default_factory=dict)
     exit_code: int = 0
     senders: Registry[type, Sender] = field(default_factory=lambda: senders)
 
@@ -79,5 +79,5 @@
         self.wake()
 
 
-# Constructors of the clients by system and driver, such as ("log", "http").
+# Constructors of the external clients by system and driver, such as ("log", "http").
 drivers: Registry[tuple[str, str], Callable[[EdgeContext], Any]] = Registry("driver")
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -75,6 +75,7 @@
         return NOT_DONE_YET
 
     def _drop_exchange(self, _: Any, exchange_id: str) -> None:
+        """Report to the systems that the client disconnected before the reply."""
         if self._context.exchanges.pop(exchange_id, None) is not None:
             self._context.deliver(ExchangeLost(exchange_id))
 
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -100,10 +100,10 @@
 @senders.register(ReadLog)
 def read_log(context: EdgeContext, message: ReadLog) -> None:
     """Read the log through the configured driver."""
-    context.drivers["log"].read(message)
+    context.external_clients["log"].read(message)
 
 
 @senders.register(AppendRecords)
 def append_records(context: EdgeContext, message: AppendRecords) -> None:
     """Append to the log through the configured driver."""
-    context.drivers["log"].append(message)
+    context.external_clients["log"].append(message)
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -66,7 +66,7 @@
 def reserve_task(context: EdgeContext, message: ReserveTask) -> None:
     """Order the worker to reserve resources for a gang member."""
     model = ReserveModel.from_message(message)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "reserve", message.task_id, model, message.timeout_ms
     )
 
@@ -75,7 +75,7 @@
 def start_task(context: EdgeContext, message: StartTask) -> None:
     """Order the worker to start a reserved member."""
     model = TaskOrderModel(task_id=message.task_id, lease_ms=message.lease_ms)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "start", message.task_id, model, message.timeout_ms
     )
 
@@ -84,14 +84,16 @@
 def renew_tasks(context: EdgeContext, message: RenewTasks) -> None:
     """Renew leases of tasks and request the list of all tasks."""
     model = RenewModel.from_message(message)
-    context.drivers["worker"].send_order("renew", "", model, message.timeout_ms)
+    context.external_clients["worker"].send_order(
+        "renew", "", model, message.timeout_ms
+    )
 
 
 @senders.register(CheckpointTask)
 def checkpoint_task(context: EdgeContext, message: CheckpointTask) -> None:
     """Order the worker to checkpoint a member."""
     model = TaskOrderModel(task_id=message.task_id)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "checkpoint", message.task_id, model, message.timeout_ms
     )
 
@@ -100,6 +102,6 @@
 def stop_task(context: EdgeContext, message: StopTask) -> None:
     """Order the worker to stop a member."""
     model = TaskOrderModel(task_id=message.task_id)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "stop", message.task_id, model, message.timeout_ms
     )
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -79,6 +79,15 @@
 ) -> Result[Record, Failure]:
     """Return the decoded record of an operator, or why it cannot be used.
 
+    Parameters
+    ----------
+    key : str
+        Key of the record, such as ``"config"``.
+    value : bytes
+        JSON text; empty if the key was deleted.
+    peer : str
+        Stream and offset of the record, for the failure.
+
     Examples
     --------
     >>> decode_operator_record("evacuate/vid-a", b"{}", "op").ok
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -228,7 +228,11 @@
 
 @peer_paths.register(RELAY_PATH)
 def relay_call(context: BatchContext, request: Request) -> None:
-    """Relay a peer's call to the store."""
+    """Relay a peer's call to the store.
+
+    The method and the path of the call are in the header `RELAY_HEADER`, the timeout is
+    in `TIMEOUT_HEADER`.
+    """
     store = getattr(context.adapter_state, "store", None)
     call = request.getHeader(RELAY_HEADER) or ""
     method, _, path = call.partition(" ")
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -55,7 +55,7 @@
     world = make_world(cfg)
     loop = TickLoop(reactor, systems_of(cfg.role))
     context = EdgeContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
-    context.drivers["log"] = drivers["log", cfg.log.driver](context)
+    context.external_clients["log"] = drivers["log", cfg.log.driver](context)
     events = EventLog(world, configure_logs(world, cfg.log_level))
     loop.attach(context, events.flush)
     return context
--- a/kingcuppost/programs/sidecar.py
+++ b/kingcuppost/programs/sidecar.py
@@ -23,7 +23,7 @@
     """
     context = build_context(cfg)
     worker_driver = drivers["worker", cfg.sidecar.worker.driver]
-    context.drivers["worker"] = worker_driver(context)
+    context.external_clients["worker"] = worker_driver(context)
     announcement = context.world.announcement
     operators = cfg.sidecar.operators
     announcement.operator_port = listen(
