Name builders by their verb and the models of platform messages

Functions that build metric families and parts of the configuration were named like the results, and the base models of the platform's messages had no meaning in their name.

--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -26,7 +26,7 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-LISTEN_BACKLOG = 512
+LISTEN_BACKLOG = 512  # connections that the kernel queues until they are accepted
 
 
 class _SurfaceResource(Resource):
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -47,21 +47,23 @@
             yield FAMILY_BUILDERS[metric.kind](self._world, name, metric)
 
 
-def _gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
+def _build_gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
     family = GaugeMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, value in read_samples(world, name):
         family.add_metric(labels, value)
     return family
 
 
-def _counter_family(world: World, name: str, metric: Metric) -> CounterMetricFamily:
+def _build_counter_family(
+    world: World, name: str, metric: Metric
+) -> CounterMetricFamily:
     family = CounterMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, value in read_samples(world, name):
         family.add_metric(labels, value)
     return family
 
 
-def _histogram_family(world: World, name: str, metric: Metric) -> Any:
+def _build_histogram_family(world: World, name: str, metric: Metric) -> Any:
     family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, durations in read_durations(world, name):
         cumulative_counts = accumulate(durations.buckets)
@@ -72,9 +74,9 @@
 
 
 FAMILY_BUILDERS = {
-    MetricKind.GAUGE: _gauge_family,
-    MetricKind.COUNTER: _counter_family,
-    MetricKind.HISTOGRAM: _histogram_family,
+    MetricKind.GAUGE: _build_gauge_family,
+    MetricKind.COUNTER: _build_counter_family,
+    MetricKind.HISTOGRAM: _build_histogram_family,
 }
 
 
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -117,21 +117,21 @@
             self.region,
             _parse_address(self.peers),
             LogConfig(self.log.driver, _parse_address(self.log.address)),
-            self._entry_config(),
-            self._sidecar_config(),
+            self._make_entry_config(),
+            self._make_sidecar_config(),
             self.seed,
             self.log_level,
             _parse_address(self.advertised) if self.advertised else None,
         )
 
-    def _entry_config(self) -> EntryConfig | None:
+    def _make_entry_config(self) -> EntryConfig | None:
         if self.entry is None:
             return None
         return EntryConfig(
             _parse_address(self.entry.callers), _parse_address(self.entry.operators)
         )
 
-    def _sidecar_config(self) -> SidecarConfig | None:
+    def _make_sidecar_config(self) -> SidecarConfig | None:
         if self.sidecar is None:
             return None
         worker = self.sidecar.worker
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -47,11 +47,13 @@
 BUSY_STATUSES = (429, STATUS_UNAVAILABLE)
 
 
-class _Model(BaseModel):
+class _PlatformModel(BaseModel):
+    """A message of the minion, or a part of it; unknown fields are ignored."""
+
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
-class _CapacityModel(_Model):
+class _CapacityModel(_PlatformModel):
     # thousandths of a core
     cpu: int
     memory_mb: int = Field(alias="memMb")
@@ -59,7 +61,7 @@
     gpu: int = 0
 
 
-class _HeartbeatModel(_Model):
+class _HeartbeatModel(_PlatformModel):
     service: str
     address: str
     zone: str
@@ -73,7 +75,7 @@
     remaining_ms: int = Field(0, alias="remainingMs")
 
 
-class _HoldReplyModel(_Model):
+class _HoldReplyModel(_PlatformModel):
     # time of the answer on the minion's clock, in ms
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -19,11 +19,13 @@
 EVACUATE_KIND = "evacuate"
 
 
-class _Model(BaseModel):
+class _PlatformModel(BaseModel):
+    """An operator's record, or a part of it; unknown fields are ignored."""
+
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
-class _RouteModel(_Model):
+class _RouteModel(_PlatformModel):
     # the platform's routes are the product's queues
     name: str
     host: str
@@ -36,17 +38,17 @@
     public: bool = False
 
 
-class _GuaranteedModel(_Model):
+class _GuaranteedModel(_PlatformModel):
     gpu: int = 0
 
 
-class _TenantModel(_Model):
+class _TenantModel(_PlatformModel):
     name: str
     keys: tuple[str, ...] = Field((), alias="apiKeys")
     guaranteed: _GuaranteedModel = _GuaranteedModel()
 
 
-class _ConfigModel(_Model):
+class _ConfigModel(_PlatformModel):
     version: int
     routes: tuple[_RouteModel, ...] = ()
     tenants: tuple[_TenantModel, ...] = ()
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -84,8 +84,8 @@
     sequence: int | None = None
 
 
-def _make_path(path: str, **fields: Any) -> str:
-    return f"/kingcuppost/{path}?{urlencode(fields)}"
+def _make_path(endpoint: str, **fields: Any) -> str:
+    return f"/kingcuppost/{endpoint}?{urlencode(fields)}"
 
 
 def _decode_record(
