--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -26,7 +26,7 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
-LISTEN_BACKLOG = 512
+LISTEN_BACKLOG = 512  # connections that the kernel queues until they are accepted
 
 
 class _SurfaceResource(Resource):
@@ -45,7 +45,11 @@
         method = request.method.decode("ascii", "replace")
         found = find_route(self._surface, method, path)
         if found is None:
-            return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
+            return _refuse(
+                request,
+                STATUS_NOT_FOUND,
+                f"no route for this method and path: {path}",
+            )
         body = request.content.read()
         route, path_parameters = found
         if route.direct is not None:
@@ -71,6 +75,7 @@
         return NOT_DONE_YET
 
     def _drop_exchange(self, _: Any, exchange_id: str) -> None:
+        """Report to the systems that the client disconnected before the reply."""
         if self._context.exchanges.pop(exchange_id, None) is not None:
             self._context.deliver(ExchangeLost(exchange_id))
 
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -24,6 +24,11 @@
         Twisted's reactor.
     systems : list of System
         Systems of the role, in the order of execution.
+
+    Attributes
+    ----------
+    tick_count : int
+        Number of ticks that were started.
     """
 
     def __init__(self, reactor: Any, systems: list[System]) -> None:
@@ -33,7 +38,7 @@
         self._after_tick: Callable[[], None] = lambda: None
         self._scheduled_tick: Any = None
         self._timer: Any = None
-        self.ticks = 0
+        self.tick_count = 0
 
     def attach(self, context: Any, after_tick: Callable[[], None]) -> None:
         """Set the context whose world the loop runs on.
@@ -56,7 +61,7 @@
     def _tick(self) -> None:
         self._scheduled_tick = None
         world = self._context.world
-        self.ticks += 1
+        self.tick_count += 1
         try:
             started_s = time.perf_counter()
             run_tick(world, self._systems, world.clock.now_ms())
--- a/kingcuppost/edges/observe.py
+++ b/kingcuppost/edges/observe.py
@@ -47,34 +47,36 @@
             yield FAMILY_BUILDERS[metric.kind](self._world, name, metric)
 
 
-def _gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
+def _build_gauge_family(world: World, name: str, metric: Metric) -> GaugeMetricFamily:
     family = GaugeMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, value in read_samples(world, name):
         family.add_metric(labels, value)
     return family
 
 
-def _counter_family(world: World, name: str, metric: Metric) -> CounterMetricFamily:
+def _build_counter_family(
+    world: World, name: str, metric: Metric
+) -> CounterMetricFamily:
     family = CounterMetricFamily(metric.name, metric.text, labels=metric.labels)
     for labels, value in read_samples(world, name):
         family.add_metric(labels, value)
     return family
 
 
-def _histogram_family(world: World, name: str, metric: Metric) -> Any:
+def _build_histogram_family(world: World, name: str, metric: Metric) -> Any:
     family = HistogramMetricFamily(metric.name, metric.text, labels=metric.labels)
-    for labels, row in read_durations(world, name):
-        cumulative_counts = accumulate(row.buckets)
+    for labels, durations in read_durations(world, name):
+        cumulative_counts = accumulate(durations.buckets)
         bounds = [*(str(ms / MS_PER_SECOND) for ms in DURATION_BOUNDS_MS), "+Inf"]
         buckets = list(zip(bounds, cumulative_counts, strict=True))
-        family.add_metric(labels, buckets, row.sum_ms / MS_PER_SECOND)
+        family.add_metric(labels, buckets, durations.sum_ms / MS_PER_SECOND)
     return family
 
 
 FAMILY_BUILDERS = {
-    MetricKind.GAUGE: _gauge_family,
-    MetricKind.COUNTER: _counter_family,
-    MetricKind.HISTOGRAM: _histogram_family,
+    MetricKind.GAUGE: _build_gauge_family,
+    MetricKind.COUNTER: _build_counter_family,
+    MetricKind.HISTOGRAM: _build_histogram_family,
 }
 
 
--- a/kingcuppost/edges/peers.py
+++ b/kingcuppost/edges/peers.py
@@ -74,22 +74,37 @@
     address: Address,
     path: str,
     model: Any,
-    reply: type,
+    reply_model: type,
     timeout_ms: int,
 ) -> Any:
     """Send a POST request and return the peer's validated reply.
 
+    Parameters
+    ----------
+    context : EdgeContext
+        Edges of the process.
+    address : Address
+        IP address and port of the peer.
+    path : str
+        Path of the request.
+    model : BorderModel
+        Body of the request.
+    reply_model : type
+        Border model of the reply.
+    timeout_ms : int
+        Timeout of the whole exchange, in ms.
+
     Raises
     ------
     PeerError
-        If the exchange failed or the reply does not match the model `reply`.
+        If the exchange failed or the reply does not match `reply_model`.
     """
     response = await context.client.exchange(
         "POST", address, path, encode(model), timeout_ms
     )
     if response.status != STATUS_OK:
         raise PeerError(f"status {response.status}", "exchange", str(address))
-    parsed = decode(reply, response.body, str(address))
+    parsed = decode(reply_model, response.body, str(address))
     if parsed.is_error():
         raise PeerError(parsed.error.reason, "decode", str(address))
     return parsed.ok
@@ -99,7 +114,8 @@
 def send_attempt(context: EdgeContext, message: SendAttempt) -> None:
     """Send an attempt to a sidecar.
 
-    After a failure other than that to connect, it is unknown whether the attempt ran.
+    If the exchange fails after the connection was established, it is unknown whether
+    the attempt ran.
     """
 
     async def exchange() -> AttemptAnswered:
--- a/kingcuppost/edges/worker.py
+++ b/kingcuppost/edges/worker.py
@@ -40,24 +40,24 @@
         self._context = context
         self._address = context.world.cfg.sidecar.worker.address
 
-    def send_order(self, name: str, task_id: str, model: Any, timeout_ms: int) -> None:
+    def send_order(self, order: str, task_id: str, model: Any, timeout_ms: int) -> None:
         """Send an order and deliver the worker's answer."""
 
         async def exchange() -> WorkerAnswered:
             response = await self._context.client.exchange(
-                "POST", self._address, f"/v1/{name}", encode(model), timeout_ms
+                "POST", self._address, f"/v1/{order}", encode(model), timeout_ms
             )
             if response.status != STATUS_OK:
                 reason = response.body.decode("utf-8", "replace")
-                return WorkerAnswered(name, task_id, False, reason=reason)
+                return WorkerAnswered(order, task_id, False, reason=reason)
             parsed = decode(TaskListModel, response.body, "worker")
             if parsed.is_error():
-                raise PeerError(parsed.error.reason, name, "worker")
+                raise PeerError(parsed.error.reason, order, "worker")
             tasks = tuple(item.to_task() for item in parsed.ok.tasks)
-            return WorkerAnswered(name, task_id, True, tasks)
+            return WorkerAnswered(order, task_id, True, tasks)
 
         def make_failure(exc: PeerError) -> WorkerAnswered:
-            return WorkerAnswered(name, task_id, False, reason=str(exc))
+            return WorkerAnswered(order, task_id, False, reason=str(exc))
 
         deliver_later(self._context, exchange(), make_failure)
 
@@ -66,7 +66,7 @@
 def reserve_task(context: EdgeContext, message: ReserveTask) -> None:
     """Order the worker to reserve resources for a gang member."""
     model = ReserveModel.from_message(message)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "reserve", message.task_id, model, message.timeout_ms
     )
 
@@ -75,7 +75,7 @@
 def start_task(context: EdgeContext, message: StartTask) -> None:
     """Order the worker to start a reserved member."""
     model = TaskOrderModel(task_id=message.task_id, lease_ms=message.lease_ms)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "start", message.task_id, model, message.timeout_ms
     )
 
@@ -84,14 +84,16 @@
 def renew_tasks(context: EdgeContext, message: RenewTasks) -> None:
     """Renew leases of tasks and request the list of all tasks."""
     model = RenewModel.from_message(message)
-    context.drivers["worker"].send_order("renew", "", model, message.timeout_ms)
+    context.external_clients["worker"].send_order(
+        "renew", "", model, message.timeout_ms
+    )
 
 
 @senders.register(CheckpointTask)
 def checkpoint_task(context: EdgeContext, message: CheckpointTask) -> None:
     """Order the worker to checkpoint a member."""
     model = TaskOrderModel(task_id=message.task_id)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "checkpoint", message.task_id, model, message.timeout_ms
     )
 
@@ -100,6 +102,6 @@
 def stop_task(context: EdgeContext, message: StopTask) -> None:
     """Order the worker to stop a member."""
     model = TaskOrderModel(task_id=message.task_id)
-    context.drivers["worker"].send_order(
+    context.external_clients["worker"].send_order(
         "stop", message.task_id, model, message.timeout_ms
     )
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -23,9 +23,12 @@
 __all__ = ["FileModel", "read_config"]
 
 MAX_PORT = 65_535
+MAX_ACCELERATORS = 64
+MAX_SLOTS = 1_024
+MAX_CONNECTIONS = 4_096
 
 
-def _check_address(text: str) -> str:
+def _validate_address(text: str) -> str:
     host, _, port = text.rpartition(":")
     try:
         ip_address(host)
@@ -36,7 +39,7 @@
     return text
 
 
-AddressText = Annotated[str, AfterValidator(_check_address)]
+AddressText = Annotated[str, AfterValidator(_validate_address)]
 NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
 
 
@@ -60,7 +63,7 @@
 
 
 class WorkerModel(BorderModel):
-    """The worker of a sidecar, with its resources."""
+    """The worker of a sidecar, with its address and resources."""
 
     driver: str = "http"
     name: NameText
@@ -68,16 +71,16 @@
     address: AddressText
     cores: int = Field(ge=1)
     memory_mb: int = Field(ge=1)
-    accelerators: int = Field(ge=0, le=64)
+    accelerators: int = Field(ge=0, le=MAX_ACCELERATORS)
 
 
 class SidecarModel(BorderModel):
-    """The minion of a sidecar."""
+    """The minion and the worker of a sidecar, and its address for operators."""
 
     service: NameText
     minion: AddressText
-    slots: int = Field(ge=1, le=1_024)
-    connections: int = Field(ge=1, le=4_096)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    connections: int = Field(ge=1, le=MAX_CONNECTIONS)
     operators: AddressText
     worker: WorkerModel
 
@@ -114,21 +117,21 @@
             self.region,
             _parse_address(self.peers),
             LogConfig(self.log.driver, _parse_address(self.log.address)),
-            self._entry_config(),
-            self._sidecar_config(),
+            self._make_entry_config(),
+            self._make_sidecar_config(),
             self.seed,
             self.log_level,
             _parse_address(self.advertised) if self.advertised else None,
         )
 
-    def _entry_config(self) -> EntryConfig | None:
+    def _make_entry_config(self) -> EntryConfig | None:
         if self.entry is None:
             return None
         return EntryConfig(
             _parse_address(self.entry.callers), _parse_address(self.entry.operators)
         )
 
-    def _sidecar_config(self) -> SidecarConfig | None:
+    def _make_sidecar_config(self) -> SidecarConfig | None:
         if self.sidecar is None:
             return None
         worker = self.sidecar.worker
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -68,6 +68,7 @@
     rack: str = Field("", alias="affinity")
     # maximum number of tasks of the step on one minion; 0 for no limit
     most_per_minion: NonNegativeInt = Field(0, alias="antiAffinity")
+    # whether the tasks checkpoint their progress
     saves: bool = Field(False, alias="checkpointing")
     # whether the tasks run until their job is cancelled
     lasts: bool = Field(False, alias="longRunning")
@@ -108,10 +109,10 @@
         return Error(format_validation_error(exc))
     for part in (model, *model.steps):
         if part.occurrences or getattr(part, "lasts", False):
-            return Error("occurrences and lasting tasks are not served")
-    for number, step in enumerate(model.steps):
-        if any(needed >= number for needed in step.needs):
-            return Error(f"steps.{number}.dependsOn: names no earlier step")
+            return Error("repeatCount and longRunning are not supported")
+    for index, step in enumerate(model.steps):
+        if any(needed >= index for needed in step.needs):
+            return Error(f"steps.{index}.dependsOn: must name only earlier steps")
     return Ok(SubmittedJob(model.spec, tuple(_make_step(step) for step in model.steps)))
 
 
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -36,7 +36,8 @@
 HEARTBEAT_PATH_PREFIX = "/kingcuppost/instances/"
 INSTANCE_HEADER = "Expect-Instance"
 ORDER_TIMEOUT_MS = 600
-HOLD_MARGIN_MS = 700
+HOLD_MARGIN_MS = 700  # added to the time for which the minion may wait
+MAX_REASON_BYTES = 100
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -46,11 +47,13 @@
 BUSY_STATUSES = (429, STATUS_UNAVAILABLE)
 
 
-class _Model(BaseModel):
+class _PlatformModel(BaseModel):
+    """A message of the minion, or a part of it; unknown fields are ignored."""
+
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
-class _CapacityModel(_Model):
+class _CapacityModel(_PlatformModel):
     # thousandths of a core
     cpu: int
     memory_mb: int = Field(alias="memMb")
@@ -58,7 +61,7 @@
     gpu: int = 0
 
 
-class _HeartbeatModel(_Model):
+class _HeartbeatModel(_PlatformModel):
     service: str
     address: str
     zone: str
@@ -72,10 +75,11 @@
     remaining_ms: int = Field(0, alias="remainingMs")
 
 
-class _HoldReplyModel(_Model):
+class _HoldReplyModel(_PlatformModel):
+    # time of the answer on the minion's clock, in ms
     clock_ms: int = Field(alias="clockMs")
     born: int = 0
-    # rows: task, run, checkpoint, percent; more columns may follow
+    # rows: task, run, checkpoint, percentage of work done; more columns may follow
     running: tuple[tuple, ...] = ()
     # rows: number, task, run, kind of end as in `RunEnd`, checkpoint
     finished: tuple[tuple, ...] = Field((), alias="finishedRuns")
@@ -83,7 +87,7 @@
 
 @surfaces.register("heartbeats")
 def serve_heartbeat(context: BatchContext, request: Request) -> None:
-    """Acknowledge and deliver a heartbeat or a leave notice of the minion."""
+    """Deliver a heartbeat or a leave notice of the minion; acknowledge it at once."""
     path = request.path.decode("utf-8", "replace")
     if not path.startswith(HEARTBEAT_PATH_PREFIX):
         answer(request, STATUS_NOT_FOUND)
@@ -134,7 +138,7 @@
 
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
-    """Request the minion's lists of runs and extend its lease."""
+    """Request the lists of the minion's runs; with `until_ms`, extend its lease."""
     deliver_later(context, _request_hold(context, message))
 
 
@@ -162,7 +166,7 @@
         return HoldMinionAnswered(incarnation, sent_ms, clock.now_ms(), reason=str(exc))
     now_ms = clock.now_ms()
     if response.status != STATUS_OK:
-        text = response.body[:100].decode("utf-8", "replace")
+        text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
         reason = f"status {response.status} {text}"
         return HoldMinionAnswered(incarnation, sent_ms, now_ms, reason=reason)
     try:
@@ -228,7 +232,7 @@
 
 
 async def _send_order(
-    context: BatchContext, message: StartRun | StopRun, name: str, body: dict
+    context: BatchContext, message: StartRun | StopRun, endpoint: str, body: dict
 ) -> OrderAnswered:
     order = message.order
     is_start = isinstance(message, StartRun)
@@ -242,19 +246,19 @@
         response = await context.client.exchange(
             "POST",
             message.address,
-            f"/kingcuppost/{name}",
+            f"/kingcuppost/{endpoint}",
             json.dumps(body).encode(),
             ORDER_TIMEOUT_MS,
             {INSTANCE_HEADER: message.incarnation.minion},
         )
     except PeerError as exc:
-        is_unsent = exc.step == "connect"
+        never_sent = exc.step == "connect"
         return make_answer(
-            OrderOutcome.BUSY if is_unsent else OrderOutcome.UNKNOWN, str(exc)
+            OrderOutcome.BUSY if never_sent else OrderOutcome.UNKNOWN, str(exc)
         )
     if response.status == STATUS_OK:
         return make_answer(OrderOutcome.DONE)
-    text = response.body[:100].decode("utf-8", "replace")
+    text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
     reason = f"status {response.status} {text}"
     if response.status in BUSY_STATUSES:
         return make_answer(OrderOutcome.BUSY, reason)
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -25,6 +25,7 @@
     RecordsRead,
     Stream,
 )
+from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR
 from kingcuppost.exception import Failure, PeerError
 from kingcuppost.platform.framing import (
     decode_keyed_record,
@@ -42,12 +43,13 @@
     Stream.MEMBERS: "keyed.members",
     Stream.OPERATORS: "keyed.op",
 }
-# An unanswered read times out after the sum of both, 1.4 s. This leaves time to read
-# through a peer before the stream counts as stale after 2 s (`FRESH_MS` of the fold)
-# and submissions are refused.
+# A read without an answer times out after READ_WAIT_MS + READ_MARGIN_MS = 1.4 s. This
+# leaves time to read through a peer before the stream counts as stale after 2 s
+# (`FRESH_MS` of the fold) and submissions are refused.
 READ_WAIT_MS = 1_000
 READ_MARGIN_MS = 400
 LIST_TIMEOUT_MS = 1_500
+# minimum delays; `_sleep` adds a random time of up to the same length
 RETRY_DELAY_S = 0.15
 FIRST_RETRY_DELAY_S = 0.02
 PRODUCER = "scheduler"
@@ -78,11 +80,12 @@
     offset: int = -1
     end: int = -1
     reason: str = ""
+    # number of the append that the store expects, if the append had another number
     sequence: int | None = None
 
 
-def _make_path(path: str, **fields: Any) -> str:
-    return f"/kingcuppost/{path}?{urlencode(fields)}"
+def _make_path(endpoint: str, **fields: Any) -> str:
+    return f"/kingcuppost/{endpoint}?{urlencode(fields)}"
 
 
 def _decode_record(
@@ -93,10 +96,13 @@
     return decode_record(key, value, peer)
 
 
-def _decode_row(
+def _decode_or_skip(
     context: BatchContext, stream: Stream, offset: int, key: str, value: bytes
 ) -> list[tuple[int, Record]]:
-    """Return offset and record of a key and value; empty if it cannot be decoded."""
+    """Return a list with the offset and the record of a key and a value.
+
+    If the record cannot be decoded, log this and return an empty list.
+    """
     parsed = _decode_record(stream, key, value, f"{stream} {offset}")
     if parsed.is_error():
         context.world.note(
@@ -111,7 +117,8 @@
 ) -> RecordsRead:
     """Return the newest record of each key.
 
-    Later reads continue at the end offset that the first page reports.
+    Later reads continue at the end offset that the first page reports, so that they
+    include the records that were appended during the listing.
     """
     sent_ms = context.world.clock.now_ms()
     rows: list[tuple[int, Record]] = []
@@ -128,7 +135,7 @@
         end = page.end if end is None else end
         for item in page.items:
             value = base64.b64decode(item.value)
-            rows += _decode_row(context, stream, item.offset, item.key, value)
+            rows += _decode_or_skip(context, stream, item.offset, item.key, value)
         if not page.more or not page.items:
             break
         last_key = page.items[-1].key
@@ -150,17 +157,21 @@
     context: BatchContext,
     store: StoreClient,
     stream: Stream,
-    position: int,
+    start_offset: int,
     wait_ms: int,
 ) -> RecordsRead | None:
     """Return the records from an offset on; None if the stream lacks that offset.
 
-    A read uses only one route: after a timeout the next read, which tries a peer first,
-    must follow before the stream counts as stale.
+    A read uses only one route: after a timeout, the next read tries a peer first, and
+    it must be answered before the stream counts as stale.
     """
     sent_ms = context.world.clock.now_ms()
     path = _make_path(
-        "log-read", topic=TOPICS[stream], part=0, waitMs=wait_ms, **{"from": position}
+        "log-read",
+        topic=TOPICS[stream],
+        part=0,
+        waitMs=wait_ms,
+        **{"from": start_offset},
     )
     reply = await store.call("GET", path, b"", wait_ms + READ_MARGIN_MS, max_routes=1)
     if reply.status == STATUS_GONE:
@@ -171,10 +182,10 @@
         end, _, contents = decode_read_reply(reply.body)
     except ValueError as exc:
         raise PeerError(str(exc), "read", str(store.address)) from exc
-    if end < position:
+    if end < start_offset:
         return None
     rows: list[tuple[int, Record]] = []
-    for offset, content in enumerate(contents, position):
+    for offset, content in enumerate(contents, start_offset):
         try:
             key, value = decode_keyed_record(content)
         except ValueError as exc:
@@ -182,8 +193,8 @@
                 "log", "A record was skipped.", offset=offset, reason=str(exc)
             )
             continue
-        rows += _decode_row(context, stream, offset, key, value)
-    return RecordsRead(stream, rows, sent_ms, position + len(contents))
+        rows += _decode_or_skip(context, stream, offset, key, value)
+    return RecordsRead(stream, rows, sent_ms, start_offset + len(contents))
 
 
 def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
@@ -202,7 +213,7 @@
         "log", "Following a stream failed unexpectedly.", reason=failure.getTraceback()
     )
     context.wake()
-    context.exit_code = 70  # EX_SOFTWARE of sysexits.h
+    context.exit_code = EXIT_SOFTWARE_ERROR
     # the delay lets the next tick write the log line
     context.reactor.callLater(RETRY_DELAY_S, context.reactor.stop)
 
@@ -210,16 +221,19 @@
 async def _follow_stream(
     context: BatchContext, store: StoreClient, stream: Stream
 ) -> None:
-    position: int | None = None
+    next_offset: int | None = None
     is_failing = False
     while True:
         try:
-            if position is None:
+            if next_offset is None:
                 batch = await _list_newest(context, store, stream)
             else:
-                # after a failure, an answer without waiting restores freshness at once
+                # after a failure, a read does not wait for new records, so that its
+                # answer restores the freshness of the stream sooner
                 wait_ms = 0 if is_failing else READ_WAIT_MS
-                batch = await _read_records(context, store, stream, position, wait_ms)
+                batch = await _read_records(
+                    context, store, stream, next_offset, wait_ms
+                )
         except PeerError as exc:
             if not is_failing:
                 context.world.note(
@@ -231,7 +245,7 @@
             is_failing = True
             continue
         is_failing = False
-        position = batch.end if batch is not None else None
+        next_offset = batch.end if batch is not None else None
         if batch is not None:
             context.deliver(batch)
 
@@ -266,8 +280,8 @@
             "POST", path, frame_records(contents), message.timeout_ms
         )
     except PeerError as exc:
-        is_unsent = exc.step == "connect"
-        outcome = AppendOutcome.REFUSED if is_unsent else AppendOutcome.UNKNOWN
+        never_sent = exc.step == "connect"
+        outcome = AppendOutcome.REFUSED if never_sent else AppendOutcome.UNKNOWN
         return AppendEnded(message.id, outcome, reason=str(exc))
     duration_ms = context.world.clock.now_ms() - started_ms
     context.world.tally.observe("append", duration_ms, message.stream)
