Name the rows and the finish of attempts after what they are

Cause: in serving, the reply cache, the retry budget and the health of minions, 'row' stood for one long-lived thing each; handle_minion_answers and _handle_known_attempt did not say what they do; 'rank' was a sort key in one policy.

Change: row -> attempt, budget, health or previous; handle_minion_answers -> finish_attempts, _finish -> _finish_attempt, _handle_known_attempt -> _answer_resend, _close -> _close_expired in the expiry, rank -> sort_key in two_choices, and MAX_DOUBLINGS -> MAX_PAUSE_DOUBLINGS in health, as in sending.

--- a/kingcuppost/systems/requests/__init__.py
+++ b/kingcuppost/systems/requests/__init__.py
@@ -15,9 +15,9 @@
 from kingcuppost.systems.requests.serving import (
     accept_attempts,
     answer_pending_exchanges,
+    finish_attempts,
     free_slots,
     hand_over_attempts,
-    handle_minion_answers,
 )
 
 __all__ = [
@@ -31,7 +31,7 @@
     "hand_over_attempts",
     "handle_attempt_outcomes",
     "handle_heartbeats",
-    "handle_minion_answers",
+    "finish_attempts",
     "policies",
     "refresh_pools",
     "resend_attempts",
--- a/kingcuppost/systems/requests/expiry.py
+++ b/kingcuppost/systems/requests/expiry.py
@@ -28,15 +28,15 @@
         if request is None:
             continue
         if request.deadline_ms <= now_ms:
-            _close(world, request, "the deadline has passed")
+            _close_expired(world, request, "the deadline has passed")
         elif request.state is RequestState.CLAIMING:
-            _close(world, request, "the log did not confirm the claim in time")
+            _close_expired(world, request, "the log did not confirm the claim in time")
     next_ms = world.request_deadlines.next_ms()
     if next_ms is not None:
         world.deadlines.add(next_ms)
 
 
-def _close(world: World, request: Request, reason: str) -> None:
+def _close_expired(world: World, request: Request, reason: str) -> None:
     may_have_run = _may_have_run(world, request)
     outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
     close_request(world, request, outcome, step=request.state, reason=reason)
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -14,13 +14,13 @@
 MIN_FAILURES_TO_PAUSE = 3
 BASE_PAUSE_MS = 200
 MAX_PAUSE_MS = 5_000
-MAX_DOUBLINGS = 5
+MAX_PAUSE_DOUBLINGS = 5
 
 
 def record_answer(world: World, answer: AttemptAnswered, now_ms: int) -> None:
     """Update a minion's health from its sidecar's answer to an attempt."""
-    row = world.health.get(answer.minion)
-    service_ms = answer.service_ms or (row.service_ms if row else 0.0)
+    previous = world.health.get(answer.minion)
+    service_ms = answer.service_ms or (previous.service_ms if previous else 0.0)
     world.health.put(
         MinionHealth(
             answer.minion,
@@ -40,11 +40,13 @@
     minion = world.agreed.minions.get(attempt.minion)
     if minion is None or minion.incarnation != attempt.incarnation:
         return
-    row = world.health.get(attempt.minion)
-    if row is None or row.incarnation != attempt.incarnation:
-        row = MinionHealth(attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0)
-        world.health.put(row)
-    failures = row.failures + 1
+    health = world.health.get(attempt.minion)
+    if health is None or health.incarnation != attempt.incarnation:
+        health = MinionHealth(
+            attempt.minion, attempt.incarnation, now_ms, 0, False, 0.0
+        )
+        world.health.put(health)
+    failures = health.failures + 1
     world.health.update(attempt.minion, failures=failures, last_measured_ms=now_ms)
     if failures >= MIN_FAILURES_TO_PAUSE:
         _pause(world, attempt.minion, failures, now_ms)
@@ -52,7 +54,7 @@
 
 
 def _pause(world: World, minion: str, failures: int, now_ms: int) -> None:
-    doublings = min(failures - MIN_FAILURES_TO_PAUSE, MAX_DOUBLINGS)
+    doublings = min(failures - MIN_FAILURES_TO_PAUSE, MAX_PAUSE_DOUBLINGS)
     paused_until_ms = now_ms + min(BASE_PAUSE_MS << doublings, MAX_PAUSE_MS)
     world.health.update(minion, paused_until_ms=paused_until_ms)
     world.pause_deadlines.put(paused_until_ms, minion)
@@ -63,8 +65,8 @@
 def handle_heartbeats(world: World, now_ms: int) -> None:
     """Update minions' health from heartbeats, pass on reports, and answer."""
     for heartbeat in world.inbox.take(HeartbeatArrived):
-        row = world.health.get(heartbeat.minion)
-        service_ms = heartbeat.service_ms or (row.service_ms if row else 0.0)
+        previous = world.health.get(heartbeat.minion)
+        service_ms = heartbeat.service_ms or (previous.service_ms if previous else 0.0)
         world.health.put(
             MinionHealth(
                 heartbeat.minion,
@@ -73,7 +75,7 @@
                 heartbeat.free_slots,
                 heartbeat.leaving,
                 service_ms,
-                last_measured_ms=row.last_measured_ms if row else 0,
+                last_measured_ms=previous.last_measured_ms if previous else 0,
             )
         )
         refresh_pool(world, heartbeat.minion, now_ms)
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -63,7 +63,7 @@
     first = _choose_untried(world, request, pool)
     second = _choose_untried(world, request, pool, first)
 
-    def rank(name: str) -> tuple[bool, float, int]:
+    def sort_key(name: str) -> tuple[bool, float, int]:
         own_attempts = world.attempts.count("minion", name)
         return (
             name in request.tried_minions,
@@ -71,7 +71,7 @@
             own_attempts,
         )
 
-    return min(first, second, key=rank)
+    return min(first, second, key=sort_key)
 
 
 @policies.register("random")
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -9,14 +9,14 @@
 BYTES_PER_MB = 1_048_576
 
 
-def cache_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
+def cache_attempt(world: World, attempt: ServedAttempt, now_ms: int) -> None:
     """Cache a finished attempt for resends, and evict the oldest beyond the limits.
 
     The newest attempt stays, whatever its size.
     """
     cache = world.reply_cache
-    cache.attempt_ids.append(row.attempt_id)
-    cache.answer_chars += len(row.answer)
+    cache.attempt_ids.append(attempt.attempt_id)
+    cache.answer_chars += len(attempt.answer)
     while _exceeds_limits(world, now_ms):
         _evict_oldest(world)
 
@@ -36,9 +36,9 @@
 
 def _evict_oldest(world: World) -> None:
     cache = world.reply_cache
-    row = world.served_attempts.delete(cache.attempt_ids.popleft())
-    cache.answer_chars -= len(row.answer)
-    cache.evicted_offset = max(cache.evicted_offset, row.claim_offset)
+    attempt = world.served_attempts.delete(cache.attempt_ids.popleft())
+    cache.answer_chars -= len(attempt.answer)
+    cache.evicted_offset = max(cache.evicted_offset, attempt.claim_offset)
 
 
 def may_have_been_evicted(world: World, claim_offset: int) -> bool:
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -11,11 +11,11 @@
     """Add the share of a retry that one request earns to its team's budget."""
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
-    row = world.retry_budgets.get(team)
-    if row is None:
+    budget = world.retry_budgets.get(team)
+    if budget is None:
         world.retry_budgets.put(RetryBudget(team, burst))
         return
-    world.retry_budgets.update(team, tokens=min(row.tokens + share, burst))
+    world.retry_budgets.update(team, tokens=min(budget.tokens + share, burst))
 
 
 def spend_retry(world: World, request: Request) -> bool:
@@ -25,8 +25,8 @@
     path = team_path(request.team, request.urgency)
     if request.attempts >= effective_value(world.agreed, "request.attempts", path):
         return False
-    row = world.retry_budgets.get(request.team)
-    if row is None or row.tokens < 1:
+    budget = world.retry_budgets.get(request.team)
+    if budget is None or budget.tokens < 1:
         return False
-    world.retry_budgets.update(request.team, tokens=row.tokens - 1)
+    world.retry_budgets.update(request.team, tokens=budget.tokens - 1)
     return True
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -26,7 +26,7 @@
     "answer_pending_exchanges",
     "free_slots",
     "hand_over_attempts",
-    "handle_minion_answers",
+    "finish_attempts",
 ]
 
 OUTCOME_OF = {
@@ -62,7 +62,7 @@
         if message.incarnation != world.identity.incarnation:
             _reply_unknown(world, message, "another process was meant")
         elif known is not None:
-            _handle_known_attempt(world, known, message, now_ms)
+            _answer_resend(world, known, message, now_ms)
         elif may_have_been_evicted(world, message.claim_offset):
             _reply_unknown(world, message, "the claim is older than the memory")
         else:
@@ -95,7 +95,7 @@
     )
 
 
-def _handle_known_attempt(
+def _answer_resend(
     world: World, known: ServedAttempt, message: AttemptArrived, now_ms: int
 ) -> None:
     if known.body != message.body:
@@ -118,7 +118,7 @@
 
 
 def _accept_attempt(world: World, message: AttemptArrived, now_ms: int) -> None:
-    row = ServedAttempt(
+    attempt = ServedAttempt(
         message.attempt_id,
         message.team,
         message.body,
@@ -130,18 +130,18 @@
         claim_offset=message.claim_offset,
     )
     refusal = _refusal_reason(world)
-    world.served_attempts.put(row)
+    world.served_attempts.put(attempt)
     _add_pending_exchange(world, message, now_ms)
     if refusal:
-        _finish(world, row, ServedState.NOT_RUN, now_ms, reason=refusal)
+        _finish_attempt(world, attempt, ServedState.NOT_RUN, now_ms, reason=refusal)
         return
-    world.deadlines.add(row.deadline_ms)
+    world.deadlines.add(attempt.deadline_ms)
     note(
         world,
         "serve.receive",
-        f"Attempt {row.attempt_id} received.",
-        team=row.team,
-        receives=row.attempt_id,
+        f"Attempt {attempt.attempt_id} received.",
+        team=attempt.team,
+        receives=attempt.attempt_id,
     )
 
 
@@ -154,19 +154,23 @@
 
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=100)
-def handle_minion_answers(world: World, now_ms: int) -> None:
+def finish_attempts(world: World, now_ms: int) -> None:
     """Finish attempts that the minion answered, and answer waiting exchanges."""
     for message in world.inbox.take(MinionAnswered):
-        row = world.served_attempts.get(message.attempt_id)
-        if row is None or row.state is not ServedState.RUNNING:
+        attempt = world.served_attempts.get(message.attempt_id)
+        if attempt is None or attempt.state is not ServedState.RUNNING:
             continue
         if message.ok:
-            _update_service_time(world, now_ms - row.started_ms)
-            _finish(world, row, ServedState.ANSWERED, now_ms, message.body)
+            _update_service_time(world, now_ms - attempt.started_ms)
+            _finish_attempt(world, attempt, ServedState.ANSWERED, now_ms, message.body)
         elif message.never_sent:
-            _finish(world, row, ServedState.NOT_RUN, now_ms, reason=message.reason)
+            _finish_attempt(
+                world, attempt, ServedState.NOT_RUN, now_ms, reason=message.reason
+            )
         else:
-            _finish(world, row, ServedState.UNKNOWN, now_ms, reason=message.reason)
+            _finish_attempt(
+                world, attempt, ServedState.UNKNOWN, now_ms, reason=message.reason
+            )
 
 
 def _update_service_time(world: World, duration_ms: int) -> None:
@@ -177,9 +181,9 @@
     world.service_ms = float(max(duration_ms, 1))
 
 
-def _finish(
+def _finish_attempt(
     world: World,
-    row: ServedAttempt,
+    attempt: ServedAttempt,
     state: ServedState,
     now_ms: int,
     answer: str = "",
@@ -188,18 +192,20 @@
     note(
         world,
         "serve.close",
-        f"Attempt {row.attempt_id} {state}{': ' + reason if reason else ''}.",
-        team=row.team,
-        sends=answer_id(row.attempt_id),
+        f"Attempt {attempt.attempt_id} {state}{': ' + reason if reason else ''}.",
+        team=attempt.team,
+        sends=answer_id(attempt.attempt_id),
     )
     world.served_attempts.update(
-        row.attempt_id, state=state, finished_ms=now_ms, answer=answer
+        attempt.attempt_id, state=state, finished_ms=now_ms, answer=answer
     )
-    for pending in world.pending_exchanges.find("attempt_id", row.attempt_id):
+    for pending in world.pending_exchanges.find("attempt_id", attempt.attempt_id):
         world.pending_exchanges.delete(pending.exchange_id)
-        reply = _make_reply(world, row.attempt_id, OUTCOME_OF[state], answer, reason)
+        reply = _make_reply(
+            world, attempt.attempt_id, OUTCOME_OF[state], answer, reason
+        )
         world.outbox.put(Reply(pending.exchange_id, 200, reply))
-    cache_attempt(world, row, now_ms)
+    cache_attempt(world, attempt, now_ms)
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=80)
@@ -209,33 +215,42 @@
     Interactive attempts go first, then those of the team with the fewest running.
     """
     waiting = []
-    for row in world.served_attempts.find("state", ServedState.WAITING):
-        if row.deadline_ms <= now_ms:
+    for attempt in world.served_attempts.find("state", ServedState.WAITING):
+        if attempt.deadline_ms <= now_ms:
             reason = "the deadline passed before a slot was free"
-            _finish(world, row, ServedState.NOT_RUN, now_ms, reason=reason)
+            _finish_attempt(world, attempt, ServedState.NOT_RUN, now_ms, reason=reason)
         else:
-            waiting.append(row)
+            waiting.append(attempt)
     if not waiting:
         return
     running = Counter(
-        row.team for row in world.served_attempts.find("state", ServedState.RUNNING)
+        attempt.team
+        for attempt in world.served_attempts.find("state", ServedState.RUNNING)
     )
     for _ in range(min(free_slots(world), len(waiting))):
-        row = min(waiting, key=lambda row: _priority_key(row, running))
-        waiting.remove(row)
-        running[row.team] += 1
-        _start_attempt(world, row, now_ms)
-
-
-def _priority_key(row: ServedAttempt, running: Counter[str]) -> tuple[bool, int, int]:
-    return row.urgency != Urgency.INTERACTIVE, running[row.team], row.received_ms
+        attempt = min(waiting, key=lambda attempt: _priority_key(attempt, running))
+        waiting.remove(attempt)
+        running[attempt.team] += 1
+        _start_attempt(world, attempt, now_ms)
+
+
+def _priority_key(
+    attempt: ServedAttempt, running: Counter[str]
+) -> tuple[bool, int, int]:
+    return (
+        attempt.urgency != Urgency.INTERACTIVE,
+        running[attempt.team],
+        attempt.received_ms,
+    )
 
 
-def _start_attempt(world: World, row: ServedAttempt, now_ms: int) -> None:
+def _start_attempt(world: World, attempt: ServedAttempt, now_ms: int) -> None:
     world.served_attempts.update(
-        row.attempt_id, state=ServedState.RUNNING, started_ms=now_ms
+        attempt.attempt_id, state=ServedState.RUNNING, started_ms=now_ms
+    )
+    world.outbox.put(
+        HandOver(attempt.attempt_id, attempt.body, attempt.deadline_ms - now_ms)
     )
-    world.outbox.put(HandOver(row.attempt_id, row.body, row.deadline_ms - now_ms))
 
 
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=70)
