Name the HTTP status of replies to attempts and heartbeats

Cause: serving and health wrote the status 200 as a bare number in five places, while other modules name it STATUS_OK.

Change: STATUS_OK in both modules.

--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -11,6 +11,7 @@
 
 __all__ = ["handle_heartbeats", "record_answer", "record_failure"]
 
+STATUS_OK = 200
 MIN_FAILURES_TO_PAUSE = 3
 BASE_PAUSE_MS = 200
 MAX_PAUSE_MS = 5_000
@@ -86,4 +87,4 @@
             world.identity.incarnation,
             world.log_view.folded_offset,
         )
-        world.outbox.put(Reply(heartbeat.exchange_id, 200, reply))
+        world.outbox.put(Reply(heartbeat.exchange_id, STATUS_OK, reply))
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -29,6 +29,7 @@
     "finish_attempts",
 ]
 
+STATUS_OK = 200
 OUTCOME_OF = {
     ServedState.ANSWERED: Outcome.ANSWERED,
     ServedState.NOT_RUN: Outcome.NOT_RUN,
@@ -71,7 +72,7 @@
 
 def _reply_unknown(world: World, message: AttemptArrived, reason: str) -> None:
     reply = _make_reply(world, message.attempt_id, Outcome.UNKNOWN, "", reason)
-    world.outbox.put(Reply(message.exchange_id, 200, reply))
+    world.outbox.put(Reply(message.exchange_id, STATUS_OK, reply))
 
 
 def _make_reply(
@@ -105,7 +106,7 @@
         _add_pending_exchange(world, message, now_ms)
         return
     reply = _make_reply(world, known.attempt_id, OUTCOME_OF[known.state], known.answer)
-    world.outbox.put(Reply(message.exchange_id, 200, reply))
+    world.outbox.put(Reply(message.exchange_id, STATUS_OK, reply))
 
 
 def _add_pending_exchange(world: World, message: AttemptArrived, now_ms: int) -> None:
@@ -204,7 +205,7 @@
         reply = _make_reply(
             world, attempt.attempt_id, OUTCOME_OF[state], answer, reason
         )
-        world.outbox.put(Reply(pending.exchange_id, 200, reply))
+        world.outbox.put(Reply(pending.exchange_id, STATUS_OK, reply))
     cache_attempt(world, attempt, now_ms)
 
 
@@ -262,4 +263,4 @@
             reply = _make_reply(
                 world, pending.attempt_id, Outcome.UNKNOWN, running=True
             )
-            world.outbox.put(Reply(exchange_id, 200, reply))
+            world.outbox.put(Reply(exchange_id, STATUS_OK, reply))
