Say what the simulation of requests records and does

Cause: run_ms, running, max_running, answered_ms and sent were used by tests but not described; the methods that carry out messages were named by nouns; one test spoke of a refused repeat where a resend finds no connection; the update of a minion in the test of a late duplicate looked arbitrary.

No assertion is changed.

--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -58,15 +58,23 @@
 
     Attributes
     ----------
+    run_ms : dict of str to int
+        Mean run time of a request at each minion, in ms.
     runs : Counter
         Number of times that each body was handed over to a minion.
+    running, max_running : Counter
+        Number of requests that each minion runs now, and the maximum so far.
     answers : dict of str to RequestReply
         Replies to callers by exchange.
+    answered_ms : dict of str to int
+        Time of each reply to a caller by exchange.
+    sent : list of SendAttempt or SendHeartbeat
+        Attempts and heartbeats sent by all processes, in order.
     lose_answers, unreachable : set of str
         Processes that neither send nor receive answers, and processes that cannot be
         reached.
     log_up : bool
-        Whether the log answers reads and appends.
+        Whether the log confirms appends and returns records.
     """
 
     def __init__(self, run_ms: dict[str, int], entries: int = 2, slots: int = 8):
@@ -145,7 +153,7 @@
         return exchange
 
     def advance(self, ms: int) -> None:
-        """Advance the clock, and run everything that is due until then."""
+        """Advance the clock by `ms`, and run everything that is due meanwhile."""
         end_ms = self.clock.now_ms() + ms
         while True:
             self._tick_all()
@@ -183,12 +191,12 @@
                         break
 
     def after(self, ms: int, run: Callable[[], None]) -> None:
-        """Schedule a callback."""
+        """Schedule a callback after a delay in ms."""
         at_ms = self.clock.now_ms() + ms
         heapq.heappush(self._scheduled, (at_ms, next(self._numbers), run))
 
     def deliver(self, world: World, message: object, ms: int = LATENCY_MS) -> None:
-        """Deliver a message to a process unless it has been killed or restarted."""
+        """Deliver a message after `ms`, unless the process is killed or restarted."""
         name = world.identity.name
 
         def put() -> None:
@@ -200,27 +208,27 @@
     def _dispatch(self, name: str, message: object) -> None:
         world = self.worlds[name]
         if isinstance(message, AppendRecords):
-            self._append(world, message)
+            self._append_records(world, message)
         elif isinstance(message, ReadLog):
-            self._read(world, message)
+            self._read_log(world, message)
         elif isinstance(message, SendAttempt):
-            self._attempt(world, message)
+            self._send_attempt(world, message)
         elif isinstance(message, SendHeartbeat):
-            self._heartbeat(world, message)
+            self._send_heartbeat(world, message)
         elif isinstance(message, AskHolder):
             self._ask_holder(world, message)
         elif isinstance(message, HandOver):
-            self._run(world, message)
+            self._hand_over(world, message)
         elif isinstance(message, Reply):
-            self._reply(message)
+            self._deliver_reply(message)
 
-    def _append(self, world: World, message: AppendRecords) -> None:
+    def _append_records(self, world: World, message: AppendRecords) -> None:
         if self.log_up:
             self.log.extend(message.records)
         ids = tuple(record.record_id for record in message.records)
         self.deliver(world, AppendAnswered(ids, self.log_up))
 
-    def _read(self, world: World, message: ReadLog) -> None:
+    def _read_log(self, world: World, message: ReadLog) -> None:
         def answer() -> None:
             new = enumerate(self.log[message.after :], message.after + 1)
             rows = tuple(StoredRecord(offset, record) for offset, record in new)
@@ -231,7 +239,7 @@
 
         self.after(20 if message.after >= len(self.log) else 0, answer)
 
-    def _attempt(self, world: World, message: SendAttempt) -> None:
+    def _send_attempt(self, world: World, message: SendAttempt) -> None:
         self.sent.append(message)
 
         def fail(never_sent: bool) -> AttemptAnswered:
@@ -280,7 +288,7 @@
             world, sidecar, arrived, answer, fail(never_sent=False), message.silence_ms
         )
 
-    def _heartbeat(self, world: World, message: SendHeartbeat) -> None:
+    def _send_heartbeat(self, world: World, message: SendHeartbeat) -> None:
         self.sent.append(message)
         failed = HeartbeatAnswered(message.entry, False, "no answer")
         entry = self.worlds.get(message.entry)
@@ -348,7 +356,7 @@
         self._open_exchanges[exchange] = reply
         self.after(timeout_ms, expire)
 
-    def _run(self, world: World, message: HandOver) -> None:
+    def _hand_over(self, world: World, message: HandOver) -> None:
         name = world.identity.name
         self.runs[message.body] += 1
         self.running[name] += 1
@@ -363,7 +371,7 @@
 
         self.after(took_ms, done)
 
-    def _reply(self, message: Reply) -> None:
+    def _deliver_reply(self, message: Reply) -> None:
         if message.exchange_id in self._open_exchanges:
             self._open_exchanges[message.exchange_id](message)
         elif isinstance(message.body, RequestReply):
--- a/kingcuppost/systems/requests/tests/test_answers.py
+++ b/kingcuppost/systems/requests/tests/test_answers.py
@@ -87,7 +87,7 @@
     assert simulation.outcome(call) is Outcome.UNKNOWN
 
 
-def test_refused_repeat_does_not_prove_that_nothing_ran() -> None:
+def test_failed_resend_does_not_prove_that_nothing_ran() -> None:
     simulation = start_simulation({"m-0": 20, "m-1": 20})
     simulation.lose_answers.update({"m-0", "m-1"})
     call = simulation.send_request("entry-0", "quote", timeout_ms=3_000)
--- a/kingcuppost/systems/requests/tests/test_claims.py
+++ b/kingcuppost/systems/requests/tests/test_claims.py
@@ -78,6 +78,7 @@
         simulation.worlds[name].stopping = False
         simulation.worlds["entry-0"].health.delete(name)
         simulation.worlds["entry-1"].health.delete(name)
+    # The recorded change makes entry-1 put the minion back into its pool.
     simulation.worlds["entry-1"].agreed.minions.update(old.minion, offset=0)
     second = simulation.send_request("entry-1", "charge", "k")
     duplicate = AttemptArrived(
