Describe request.queue_limit as a limit on open requests

Cause: the description spoke of requests that wait, but admission counts all requests of the team that have no answer yet, also those that were sent.

Change: the description, and the head of the module names the leave notices too.

--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -1,4 +1,4 @@
-"""Keys of callers' requests, of serving them, and of heartbeats."""
+"""Keys of callers' requests, of serving them, of heartbeats and of leave notices."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
@@ -80,7 +80,7 @@
     SettingKey(
         "request.queue_limit",
         200,
-        "Maximum number of requests of a team that wait at an entry.",
+        "Maximum number of open requests of a team at an entry.",
         "requests",
         minimum=1,
         maximum=100_000,
