Correct and complete the docstrings of requests and tables

Cause: some texts said something else than the code does: a request whose key is being claimed survives a disconnect like one that was sent; a pause and the count of failures end with a heartbeat as well as with an answer; a measurement is any exchange that ended, also a failed one or one answered "still running"; a resend need not use another connection; a proposal given up is answered "not run" if it was never sent; the step gang.release does not exist. Others left out an effect or were half sentences.

Change: comments and docstrings only.

--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -16,7 +16,7 @@
 __all__ = ["admit_requests", "drop_abandoned_requests"]
 
 RETRY_AFTER_MS = 1_000
-MAX_CLOCK_SKEW_MS = 60_000
+MAX_CLOCK_SKEW_MS = 60_000  # by which a caller's clock may be ahead
 
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=50)
@@ -78,6 +78,7 @@
     limit_ms = effective_value(world.agreed, "request.timeout_ms", path)
     timeout_ms = min(message.timeout_ms or limit_ms, limit_ms)
     claimed = _is_claimed(world, message)
+    # A claimed key needs no routing: the claim names the minion.
     state = RequestState.CLAIMING if claimed else RequestState.QUEUED
     return Request(
         request_id=new_identifier(world.rng, "req"),
@@ -98,8 +99,9 @@
 def drop_abandoned_requests(world: World, now_ms: int) -> None:
     """Drop queued requests whose caller has disconnected.
 
-    A request that was sent stays open. A sidecar continues with an attempt whose
-    exchange is lost, since the entry may send the attempt again.
+    A request whose key is being claimed or that was sent stays open. A sidecar
+    continues with an attempt whose exchange is lost, since the entry may send the
+    attempt again.
     """
     for message in world.inbox.take(ExchangeLost):
         for request in world.requests.find("exchange_id", message.exchange_id):
--- a/kingcuppost/systems/requests/claims.py
+++ b/kingcuppost/systems/requests/claims.py
@@ -21,7 +21,11 @@
 
 
 def claim_key(world: World, request: Request, minion: Minion, now_ms: int) -> None:
-    """Send the attempt that holds the request's key, or propose a claim of the key."""
+    """Send the attempt that holds the request's key, or propose a claim of the key.
+
+    If the fold would reject the claim, the request is closed instead: as unknown if
+    an earlier claim of the key may have been evicted, else as not run.
+    """
     if request.key in world.agreed.key_claims:
         _send_claimed_attempt(world, request, now_ms)
         return
@@ -47,7 +51,10 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=110)
 def send_claimed_requests(world: World, now_ms: int) -> None:
-    """Send requests whose key has been claimed, by this entry or by another."""
+    """Send requests whose key has been claimed, by this entry or by another.
+
+    A request whose proposal ended without a claim is queued again.
+    """
     for request in world.requests.find("state", RequestState.CLAIMING):
         if request.key in world.agreed.key_claims:
             _send_claimed_attempt(world, request, now_ms)
--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -36,7 +36,10 @@
 
 
 def decision_of(world: World, request: Request, chosen: Minion) -> Decision:
-    """Return the policy and settings in force, and minions that could not be chosen.
+    """Return the decision to send a request to a minion, for its claim in the log.
+
+    It names the policy and settings in force, and the first few minions that could not
+    be chosen, each with the reason.
 
     Parameters
     ----------
--- a/kingcuppost/systems/requests/health.py
+++ b/kingcuppost/systems/requests/health.py
@@ -19,7 +19,10 @@
 
 
 def record_answer(world: World, answer: AttemptAnswered, now_ms: int) -> None:
-    """Update a minion's health from its sidecar's answer to an attempt."""
+    """Update a minion's health from its sidecar's answer to an attempt.
+
+    The answer resets the number of failures and ends a pause.
+    """
     previous = world.health.get(answer.minion)
     service_ms = answer.service_ms or (previous.service_ms if previous else 0.0)
     world.health.put(
@@ -64,7 +67,11 @@
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=80)
 def handle_heartbeats(world: World, now_ms: int) -> None:
-    """Update minions' health from heartbeats, pass on reports, and answer."""
+    """Update minions' health from heartbeats, pass on reports, and answer.
+
+    Like an answer to an attempt, a heartbeat resets the number of failures and ends a
+    pause.
+    """
     for heartbeat in world.inbox.take(HeartbeatArrived):
         previous = world.health.get(heartbeat.minion)
         service_ms = heartbeat.service_ms or (previous.service_ms if previous else 0.0)
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -22,9 +22,10 @@
     """Return the expected latency of one more request at a minion, in ms.
 
     It is the measured service time, increased for the wait behind the current load
-    and for failures since the last success. The load from other entries follows from
-    the free slots last reported. A minion without a recent measurement counts as 0
-    while this entry has no attempt there, so that one request goes there to measure it.
+    and for exchanges that failed since the last answer or heartbeat. The load from
+    other entries follows from the free slots last reported. A minion without a recent
+    measurement counts as 0 while this entry has no attempt there, so that one request
+    goes there to measure it.
     """
     health = world.health.get(name)
     own_attempts = world.attempts.count("minion", name)
@@ -39,7 +40,7 @@
 
 
 def _is_measurement_fresh(health: MinionHealth | None, now_ms: int) -> bool:
-    """Return whether an attempt of this entry ended at the minion recently."""
+    """Return whether an exchange about an attempt ended recently, even if it failed."""
     if health is None or not health.last_measured_ms:
         return False
     return now_ms - health.last_measured_ms <= MAX_MEASUREMENT_AGE_MS
@@ -59,7 +60,11 @@
 
 @policies.register("two_choices")
 def two_choices(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
-    """Return the better of two random minions."""
+    """Return the better of two random minions.
+
+    A minion not tried before is better, then the one with the lower expected latency,
+    then the one with fewer open attempts of this entry.
+    """
     first = _choose_untried(world, request, pool)
     second = _choose_untried(world, request, pool, first)
 
--- a/kingcuppost/systems/requests/reply_cache.py
+++ b/kingcuppost/systems/requests/reply_cache.py
@@ -26,6 +26,7 @@
     if len(cache.attempt_ids) <= 1:
         return False
     max_attempts = effective_value(world.agreed, "serve.memory_attempts")
+    # A character counts as one byte.
     max_bytes = effective_value(world.agreed, "serve.memory_mb") * BYTES_PER_MB
     if len(cache.attempt_ids) > max_attempts or cache.answer_chars > max_bytes:
         return True
--- a/kingcuppost/systems/requests/retries.py
+++ b/kingcuppost/systems/requests/retries.py
@@ -8,7 +8,10 @@
 
 
 def add_retry_share(world: World, team: str) -> None:
-    """Add the share of a retry that one request earns to its team's budget."""
+    """Add the share of a retry that one request earns to its team's budget.
+
+    The first request of a team creates a full budget.
+    """
     burst = effective_value(world.agreed, "request.retry_burst", team_path(team))
     share = effective_value(world.agreed, "request.retry_share", team_path(team))
     budget = world.retry_budgets.get(team)
--- a/kingcuppost/systems/requests/sending.py
+++ b/kingcuppost/systems/requests/sending.py
@@ -141,7 +141,11 @@
 
 @system(Phase.ACT, roles=(Role.ENTRY,), order=60)
 def resend_attempts(world: World, now_ms: int) -> None:
-    """Resend attempts that are due, to the same process only."""
+    """Resend attempts that are due, to the same process only.
+
+    An attempt whose process has gone, or that no request awaits any more, gets an
+    unknown outcome.
+    """
     for attempt_id in world.resend_deadlines.take_due(now_ms):
         attempt = world.attempts.get(attempt_id)
         if attempt is None:
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -35,7 +35,7 @@
     ServedState.NOT_RUN: Outcome.NOT_RUN,
     ServedState.UNKNOWN: Outcome.UNKNOWN,
 }
-SMOOTHING_WEIGHT = 0.2
+SMOOTHING_WEIGHT = 0.2  # weight of the newest service time
 
 
 def free_slots(world: World) -> int:
@@ -52,7 +52,7 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=90)
 def accept_attempts(world: World, now_ms: int) -> None:
-    """Queue new attempts, and answer resends from the cache.
+    """Queue new attempts; answer resends, or hold them while the attempt is open.
 
     A process answers "not run" only for attempts addressed to itself. An attempt
     for another process, or one that may have been evicted from the cache, gets
@@ -175,6 +175,7 @@
 
 
 def _update_service_time(world: World, duration_ms: int) -> None:
+    """Update the smoothed service time; at least 1 ms, since 0 means not measured."""
     if world.service_ms:
         duration_ms = world.service_ms + SMOOTHING_WEIGHT * (
             duration_ms - world.service_ms
--- a/kingcuppost/tables/agreed_rows.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -118,7 +118,10 @@
 
 @dataclass(slots=True)
 class LowerBounds:
-    """Lower bounds: the fold has evicted rows up to them and rejects older records.
+    """Bounds up to which the fold has evicted recent records and claimed keys.
+
+    The fold rejects a record that may repeat an evicted one, and a claim of a key that
+    is not certain to be newer than the evicted keys.
 
     Attributes
     ----------
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -70,8 +70,9 @@
     created_ms, retry_ms : int
         Time of creation; earliest time of the next append.
     give_up_ms : int
-        Time after which the waiting exchange is answered without a result and
-        the proposal dropped; 0 for a record that is sent until it is folded.
+        Time after which the proposal is dropped and the waiting exchange answered:
+        "not run" if no append can have reached the log, else "unknown"; 0 for a
+        record that is sent until it is folded.
     appends : int
         Number of appends of the record that may have reached the log.
     appended_ms : int
@@ -177,8 +178,8 @@
     barrier_ms : int
         A read of the head sent at or after this time is required; -1 if none is.
     caught_up : bool
-        Whether the head was reached since the start, or since records that this
-        process had not read last expired.
+        Whether the head was reached since the start, or since the log last dropped
+        records that this process had not read.
     search : SnapshotSearch or None
         The current search for a snapshot; None outside a search.
     searched : bool
--- a/kingcuppost/tables/config.py
+++ b/kingcuppost/tables/config.py
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerConfig:
-    """The worker beside a sidecar.
+    """Address and resources of the worker beside a sidecar.
 
     Attributes
     ----------
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SidecarConfig:
-    """The minion beside a sidecar.
+    """Minion and worker beside a sidecar, and the address for its operators.
 
     Attributes
     ----------
--- a/kingcuppost/tables/event.py
+++ b/kingcuppost/tables/event.py
@@ -18,7 +18,7 @@
     sequence : int
         Number of the event in its process, from 1.
     step : str
-        Step that the process took, such as ``"gang.release"``.
+        Step that the process took, such as ``"gang.broken"``.
     text : str
         Description in one short sentence.
     peer, request, job, team, availability_zone : str
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -106,8 +106,8 @@
     head, earliest : int
         Offsets of the newest and the oldest record in the log.
     end : int
-        Offset of the last record read; `records` lacks that record if its text is not
-        valid, such as that of another program. 0 if none was read.
+        Offset of the last record read, valid or not; 0 if none was read. `records`
+        omits records that cannot be decoded, such as those of another program.
     reason : str
         Why the read failed.
     """
@@ -245,7 +245,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatAnswered:
-    """An entry's answer to a heartbeat, or the failure of the exchange."""
+    """An entry's answer to a heartbeat, or the failure of the exchange.
+
+    `folded_offset` is the log offset up to which the entry has folded.
+    """
 
     entry: str
     ok: bool
@@ -255,7 +258,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GangReportArrived:
-    """Reports on gang members to the gang leaders at this sidecar."""
+    """Reports on gang members at `worker` to the gang leaders at this sidecar."""
 
     exchange_id: str
     worker: str
@@ -266,8 +269,8 @@
 class GangReplyArrived:
     """A leader's answer to reports, or the failure of the exchange.
 
-    `whole` and `broken` are the keys of gangs. `sent_ms` is when the reports were
-    sent; leases count from that time.
+    `worker` is the leader's worker; `whole` and `broken` are the keys of gangs.
+    `sent_ms` is when the reports were sent; leases count from that time.
     """
 
     worker: str
@@ -288,7 +291,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerAnswered:
-    """The worker's answer to an order, or the failure of the exchange."""
+    """The worker's answer to an order, or the failure of the exchange.
+
+    Attributes
+    ----------
+    order : str
+        Name of the order, such as ``"start"``.
+    task_id : str
+        Task that the order concerned; empty for a renewal, which concerns all tasks.
+    ok : bool
+        Whether the worker confirmed the order.
+    tasks : tuple of WorkerTask
+        Tasks that the worker reported in its answer.
+    reason : str
+        Why the order was not confirmed.
+    """
 
     order: str
     task_id: str
--- a/kingcuppost/tables/metrics.py
+++ b/kingcuppost/tables/metrics.py
@@ -17,8 +17,8 @@
     Attributes
     ----------
     buckets : list of int
-        Counts by the inclusive upper bounds `DURATION_BOUNDS_MS`, each without those
-        of lower buckets, and one count for longer durations.
+        Non-cumulative counts: one for each inclusive upper bound in
+        `DURATION_BOUNDS_MS`, and one for longer durations.
     sum_ms : float
         Sum of all durations, in ms.
     """
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read the records after an offset; the log may wait up to `wait_ms` for one.
+    """Read the records after an offset; the log may wait `wait_ms` for a new one.
 
     With `hedge`, this is a hedged request: an earlier read is late, so this one is sent
     on a new connection.
--- a/kingcuppost/tables/replies.py
+++ b/kingcuppost/tables/replies.py
@@ -99,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatReply:
-    """Response of an entry to a heartbeat."""
+    """Response of an entry to a heartbeat, with the log offset that it has folded."""
 
     entry: str
     incarnation: str
@@ -117,7 +117,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderReply:
-    """Response to a ping: the process runs, and whether it follows the log."""
+    """Response to a ping of the holder of the scheduling lease.
+
+    `follows_log` is whether the holder has recently read the log up to its head.
+    """
 
     entry: str
     incarnation: str
--- a/kingcuppost/tables/request.py
+++ b/kingcuppost/tables/request.py
@@ -114,7 +114,7 @@
     key : str
         ``TEAM/KEY`` of a non-idempotent request; empty for an idempotent one.
     resends : int
-        How often it was sent again, each time over another connection.
+        Number of times that it was sent again under the same identifier.
     failures : int
         Exchanges that failed since the last answered one.
     claim_offset : int
@@ -150,11 +150,12 @@
     service_ms : float
         Smoothed service time, in ms.
     failures : int
-        Exchanges that failed since the last successful one.
+        Exchanges that failed since the last answer or heartbeat.
     paused_until_ms : int
         Until when it gets no attempts, since several exchanges in a row failed.
     last_measured_ms : int
-        When an attempt of this entry last ended at the minion.
+        When an exchange of this entry about an attempt at the minion last ended, with
+        an answer or a failure; 0 before any.
     """
 
     minion: str
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -90,7 +90,7 @@
     Attributes
     ----------
     cfg : ProcessConfig
-        Settings of the process, from its file.
+        Configuration of the process, from its file.
     identity : Identity
         Role, name, incarnation and location of the process.
     clock : Clock
@@ -156,7 +156,7 @@
     event_count : int
         Number of events since the start of the process.
     tally : Tally
-        Counts and durations for the metrics.
+        Counters and histograms for the metrics.
     service_ms : float
         Smoothed service time of the minion beside a sidecar, in ms.
     stopping : bool
