Describe three settings as the code applies them

Cause: request.claim_timeout_ms counts from the arrival of the request and closes it only while a proposed claim is pending; an attempt older than serve.memory_ms leaves the reply cache only when another finishes; log.queue_limit refuses requested changes, while a process queues its own records regardless.

Change: the three descriptions.

--- a/kingcuppost/settings/catalog/agreement.py
+++ b/kingcuppost/settings/catalog/agreement.py
@@ -111,7 +111,8 @@
     SettingKey(
         "log.queue_limit",
         1_000,
-        "Maximum number of records that wait for the log in one process.",
+        "Number of records waiting for the log in one process at which changes that "
+        "operators and callers request are refused.",
         "records",
         minimum=1,
         maximum=100_000,
--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -111,7 +111,8 @@
     SettingKey(
         "request.claim_timeout_ms",
         3_000,
-        "How long a non-idempotent request waits for the log to confirm its claim.",
+        "Time after a non-idempotent request's arrival at which it is closed if its "
+        "claim was proposed and is not confirmed.",
         "ms",
         minimum=100,
         maximum=60_000,
@@ -169,7 +170,8 @@
     SettingKey(
         "serve.memory_ms",
         600_000,
-        "How long a finished attempt stays in a sidecar's reply cache.",
+        "Age of a finished attempt beyond which a sidecar evicts it from its reply "
+        "cache, once another attempt finishes.",
         "ms",
         minimum=1_000,
         maximum=86_400_000,
