Say what the time of the holder's last answer is at the start of a term

Cause: the docstring gave only the sending time of an answered ping, but the field starts at the time at which the entry first observes the term, and answers of a holder that is cut off from the log do not count.

Change: one docstring.

--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -212,7 +212,8 @@
     term : int
         Scheduling term that the other attributes belong to.
     last_answer_ms : int
-        Sending time of the latest ping that the holder answered.
+        Sending time of the latest ping of which the holder's answer counted; before
+        any in this term, the time at which this process first observed the term.
     next_ping_ms : int
         Earliest time of the next ping.
     jitter : float
