--- a/kingcuppost/settings/catalog/requests.py
+++ b/kingcuppost/settings/catalog/requests.py
@@ -1,4 +1,4 @@
-"""Keys of callers' requests, of serving them, and of heartbeats."""
+"""Keys of callers' requests, of serving them, of heartbeats and of leave notices."""
 
 from kingcuppost.settings.keys import SettingKey, declare
 
@@ -80,7 +80,7 @@
     SettingKey(
         "request.queue_limit",
         200,
-        "Maximum number of requests of a team that wait at an entry.",
+        "Maximum number of open requests of a team at an entry.",
         "requests",
         minimum=1,
         maximum=100_000,
@@ -111,7 +111,8 @@
     SettingKey(
         "request.claim_timeout_ms",
         3_000,
-        "How long a non-idempotent request waits for the log to confirm its claim.",
+        "Time after a non-idempotent request's arrival at which it is closed if its "
+        "claim was proposed and is not confirmed.",
         "ms",
         minimum=100,
         maximum=60_000,
@@ -169,7 +170,8 @@
     SettingKey(
         "serve.memory_ms",
         600_000,
-        "How long a finished attempt stays in a sidecar's reply cache.",
+        "Age of a finished attempt beyond which a sidecar evicts it from its reply "
+        "cache, once another attempt finishes.",
         "ms",
         minimum=1_000,
         maximum=86_400_000,
