Name capacities, faults and listed tasks for what they are

The word row stood for workers' capacities, faults, run times and reports alike, and BROKEN_STATES, FINAL_STATES and handle_member_reports each had a second meaning or a second name in the folders of jobs and members. Local names and private functions now say what they hold: worker or capacity, faults, listed_task, guaranteed_class. ENDED_STATES is the one name for states that no report changes; a leader's system is handle_gang_reports, after its message. The split of a task id uses TASK_ID_NUMBERS.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -125,16 +125,16 @@
     """Return whether the job can start now on the accelerators reserved for it."""
     members = Counter(placement.worker for placement in reservation.placements)
     for placement in reservation.placements:
-        row = world.scheduling.workers.get(placement.worker)
-        if not row.usable or row.busy & accelerator_mask(placement):
+        worker = world.scheduling.workers.get(placement.worker)
+        if not worker.usable or worker.busy & accelerator_mask(placement):
             return False
     for name, member_count in members.items():
-        row = world.scheduling.workers.get(name)
+        worker = world.scheduling.workers.get(name)
         # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
-        if row.free_cores < count * job.cores:
+        if worker.free_cores < count * job.cores:
             return False
-        if row.free_memory_mb < count * job.memory_mb:
+        if worker.free_memory_mb < count * job.memory_mb:
             return False
     return True
 
@@ -147,12 +147,12 @@
     can only wait for borrowers, and for gangs that are stopping already.
     """
     for placement in reservation.placements:
-        row = world.scheduling.workers.get(placement.worker)
-        if not row.usable:
+        worker = world.scheduling.workers.get(placement.worker)
+        if not worker.usable:
             return False
         if (
             not reservation.guaranteed
-            and row.pinned & accelerator_mask(placement) & ~row.busy
+            and worker.pinned & accelerator_mask(placement) & ~worker.busy
         ):
             return False
     for gang in _blocking_gangs(world, reservation):
@@ -272,11 +272,11 @@
 ) -> frozenset[str]:
     members = Counter(placement.worker for placement in reservation.placements)
     for name, member_count in members.items():
-        row = world.scheduling.workers.get(name)
+        worker = world.scheduling.workers.get(name)
         # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
         extended = victims_for_cores(
-            world, row, count, job, reservation.guaranteed, victims
+            world, worker, count, job, reservation.guaranteed, victims
         )
         victims = extended if extended is not None else victims
     return victims
@@ -307,11 +307,11 @@
     """
     cell_class = class_of(job.accelerators)
     blocks = []
-    for row in world.scheduling.workers:
-        if row.name in job.failed_workers:
+    for worker in world.scheduling.workers:
+        if worker.name in job.failed_workers:
             continue
-        if row.usable and row.accelerators >= job.accelerators:
-            blocks.extend(_blocks_with_free_time(world, row, cell_class))
+        if worker.usable and worker.accelerators >= job.accelerators:
+            blocks.extend(_blocks_with_free_time(world, worker, cell_class))
     chosen = nsmallest(job.members, blocks)
     if len(chosen) < job.members:
         return None
@@ -327,7 +327,7 @@
 
 
 def _blocks_with_free_time(
-    world: World, row: WorkerCapacity, cell_class: int
+    world: World, worker: WorkerCapacity, cell_class: int
 ) -> list[tuple[bool, int, str, int]]:
     """Return the unreserved blocks of a worker as sort keys.
 
@@ -335,19 +335,19 @@
     expected to be free in ms, the name of the worker and the mask of the block.
     """
     found = []
-    busy_times = _busy_times(world, row)
-    for block in blocks_in(row.full_mask & ~row.reserved, cell_class):
+    busy_times = _busy_times(world, worker)
+    for block in blocks_in(worker.full_mask & ~worker.reserved, cell_class):
         waits_ms = [wait_ms for busy, wait_ms in busy_times if busy & block]
-        pinned = bool(block & row.pinned)
-        found.append((pinned, max(waits_ms, default=0), row.name, block))
+        pinned = bool(block & worker.pinned)
+        found.append((pinned, max(waits_ms, default=0), worker.name, block))
     return found
 
 
-def _busy_times(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
+def _busy_times(world: World, worker: WorkerCapacity) -> list[tuple[int, int]]:
     """Return each mask in use and the time until it is expected to be free, in ms."""
     wall_ms = world.clock.wall_ms()
     busy_times = []
-    for key, worker_allocation in row.allocations.items():
+    for key, worker_allocation in worker.allocations.items():
         if worker_allocation.busy:
             busy_times.append(
                 (worker_allocation.busy, _remaining_ms(world, key, wall_ms))
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -48,35 +48,37 @@
     if not lendable and count_cells(world.scheduling.free_blocks, 0) < needed:
         reason = f"fewer than {needed} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
-    rows = [
-        row
-        for row in world.scheduling.workers
-        if row.usable and row.accelerators >= job.accelerators
+    workers = [
+        worker
+        for worker in world.scheduling.workers
+        if worker.usable and worker.accelerators >= job.accelerators
     ]
-    rows.sort(key=lambda row: (row.availability_zone, row.rack, row.name))
-    for row in rows:
+    workers.sort(
+        key=lambda worker: (worker.availability_zone, worker.rack, worker.name)
+    )
+    for worker in workers:
         wanted = job.members - len(placements)
-        found = _place_members(row, job, wanted, lendable.get(row.name, 0))
+        found = _place_members(worker, job, wanted, lendable.get(worker.name, 0))
         placements.extend(found)
         if len(found) < wanted:
-            refused.append(RefusedAlternative(row.name, "no room for a member"))
+            refused.append(RefusedAlternative(worker.name, "no room for a member"))
         else:
             return Choice(tuple(placements), refused=tuple(refused))
     return Choice(None, refused=tuple(refused))
 
 
 def _place_members(
-    row: WorkerCapacity, job: Job, wanted: int, lendable: int
+    worker: WorkerCapacity, job: Job, wanted: int, lendable: int
 ) -> list[Placement]:
-    free = row.full_mask & ~(row.busy | (row.reserved & ~lendable))
-    cores = row.free_cores
-    memory_mb = row.free_memory_mb
+    free = worker.full_mask & ~(worker.busy | (worker.reserved & ~lendable))
+    cores = worker.free_cores
+    memory_mb = worker.free_memory_mb
     found = []
     while len(found) < wanted and cores >= job.cores and memory_mb >= job.memory_mb:
         adjacent = find_adjacent(free, job.accelerators)
         if adjacent is None:
             break
-        found.append(Placement(row.name, adjacent))
+        found.append(Placement(worker.name, adjacent))
         free &= ~sum(1 << number for number in adjacent)
         cores -= job.cores
         memory_mb -= job.memory_mb
@@ -101,8 +103,8 @@
     for reservation in world.scheduling.advance_reservations:
         if job.declared_ms <= reservation.expected_free_ms - now_ms:
             for placement in reservation.placements:
-                row = world.scheduling.workers.get(placement.worker)
-                lendable[row.name] = row.full_mask
+                worker = world.scheduling.workers.get(placement.worker)
+                lendable[worker.name] = worker.full_mask
     return lendable
 
 
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -29,11 +29,11 @@
             world.scheduling.counted_failures.pop(name, None)
         else:
             _track_job(world, job, now_ms)
-    for row in world.scheduling.faults:
-        if row.quarantined:
-            _probe_when_due(world, row, now_ms)
-        if row.paused:
-            _resume_when_due(world, row, now_ms)
+    for faults in world.scheduling.faults:
+        if faults.quarantined:
+            _probe_when_due(world, faults, now_ms)
+        if faults.paused:
+            _resume_when_due(world, faults, now_ms)
 
 
 def pause_worker(world: World, worker: str, now_ms: int) -> None:
@@ -51,42 +51,47 @@
     now_ms : int
         Monotonic time.
     """
-    row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
+    faults = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
-    row.resume_ms = now_ms + (pause_ms << min(row.refusals, MAX_DOUBLINGS))
-    row.refusals += 1
-    row.paused = True
-    world.scheduling.faults.put(row)
-    world.deadlines.add(row.resume_ms)
-    _refresh(world.scheduling, worker)
-    text = f"Worker is excluded from placement for {row.resume_ms - now_ms} ms."
+    faults.resume_ms = now_ms + (pause_ms << min(faults.refusals, MAX_DOUBLINGS))
+    faults.refusals += 1
+    faults.paused = True
+    world.scheduling.faults.put(faults)
+    world.deadlines.add(faults.resume_ms)
+    _refresh_capacity(world.scheduling, worker)
+    text = f"Worker is excluded from placement for {faults.resume_ms - now_ms} ms."
     note(world, STEP_PAUSE, text, peer=worker)
 
 
 def reset_refusals(world: World, worker: str) -> None:
     """Clear the refusals of a worker that has reserved a member."""
-    row = world.scheduling.faults.get(worker)
-    if row is None or not row.refusals:
+    faults = world.scheduling.faults.get(worker)
+    if faults is None or not faults.refusals:
         return
-    row.refusals = 0
-    if row.paused:
-        _resume(world, row)
-    if not row.jobs:
+    faults.refusals = 0
+    if faults.paused:
+        _resume(world, faults)
+    if not faults.jobs:
         world.scheduling.faults.delete(worker)
 
 
-def _resume_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
-    if now_ms < row.resume_ms:
-        world.deadlines.add(row.resume_ms)
+def _resume_when_due(world: World, faults: WorkerFaults, now_ms: int) -> None:
+    if now_ms < faults.resume_ms:
+        world.deadlines.add(faults.resume_ms)
         return
-    _resume(world, row)
+    _resume(world, faults)
 
 
-def _resume(world: World, row: WorkerFaults) -> None:
-    row.paused = False
-    _refresh(world.scheduling, row.worker)
+def _resume(world: World, faults: WorkerFaults) -> None:
+    faults.paused = False
+    _refresh_capacity(world.scheduling, faults.worker)
     world.scheduling.pass_due = True
-    note(world, STEP_PAUSE, "Worker accepts work again after a pause.", peer=row.worker)
+    note(
+        world,
+        STEP_PAUSE,
+        "Worker accepts work again after a pause.",
+        peer=faults.worker,
+    )
 
 
 def _track_job(world: World, job: Job, now_ms: int) -> None:
@@ -101,34 +106,34 @@
 
 
 def _count_failure(world: World, worker: str, job: str, now_ms: int) -> None:
-    row = world.scheduling.faults.get(worker) or WorkerFaults(worker)
-    row.jobs.add(job)
-    world.scheduling.faults.put(row)
+    faults = world.scheduling.faults.get(worker) or WorkerFaults(worker)
+    faults.jobs.add(job)
+    world.scheduling.faults.put(faults)
     limit = effective_value(world.agreed, "worker.failed_job_limit")
-    if len(row.jobs) < limit:
+    if len(faults.jobs) < limit:
         return
-    row.quarantined = True
-    row.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
-    world.deadlines.add(row.probe_ms)
+    faults.quarantined = True
+    faults.probe_ms = now_ms + effective_value(world.agreed, "worker.probe_ms")
+    world.deadlines.add(faults.probe_ms)
     _set_probing(world.scheduling, worker, False)
-    text = f"Worker is quarantined after {len(row.jobs)} failed jobs."
+    text = f"Worker is quarantined after {len(faults.jobs)} failed jobs."
     note(world, STEP_QUARANTINE, text, peer=worker, job=job)
 
 
-def _probe_when_due(world: World, row: WorkerFaults, now_ms: int) -> None:
-    worker = world.scheduling.workers.get(row.worker)
-    if worker is None or worker.probing:
+def _probe_when_due(world: World, faults: WorkerFaults, now_ms: int) -> None:
+    capacity = world.scheduling.workers.get(faults.worker)
+    if capacity is None or capacity.probing:
         return
-    if now_ms < row.probe_ms:
-        world.deadlines.add(row.probe_ms)
+    if now_ms < faults.probe_ms:
+        world.deadlines.add(faults.probe_ms)
         return
-    _set_probing(world.scheduling, row.worker, True)
+    _set_probing(world.scheduling, faults.worker, True)
     world.scheduling.pass_due = True
     note(
         world,
         STEP_QUARANTINE,
         "Quarantined worker may run one job as a probe.",
-        peer=row.worker,
+        peer=faults.worker,
     )
 
 
@@ -136,8 +141,8 @@
     """Clear the faults of the workers on which a job has finished."""
     gang = world.agreed.ended_gangs.get(gang_key(job.name, job.incarnation))
     for placement in gang.placements if gang is not None else ():
-        row = world.scheduling.faults.delete(placement.worker)
-        if row is not None and (row.quarantined or row.paused):
+        faults = world.scheduling.faults.delete(placement.worker)
+        if faults is not None and (faults.quarantined or faults.paused):
             _set_probing(world.scheduling, placement.worker, False)
             world.scheduling.pass_due = True
             note(
@@ -148,14 +153,14 @@
             )
 
 
-def _refresh(scheduling: SchedulingState, worker: str) -> None:
-    row = scheduling.workers.get(worker)
-    if row is not None:
-        refresh_worker(scheduling, row)
+def _refresh_capacity(scheduling: SchedulingState, worker: str) -> None:
+    capacity = scheduling.workers.get(worker)
+    if capacity is not None:
+        refresh_worker(scheduling, capacity)
 
 
 def _set_probing(scheduling: SchedulingState, worker: str, probing: bool) -> None:
-    row = scheduling.workers.get(worker)
-    if row is not None:
-        row.probing = probing
-        refresh_worker(scheduling, row)
+    capacity = scheduling.workers.get(worker)
+    if capacity is not None:
+        capacity.probing = probing
+        refresh_worker(scheduling, capacity)
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -48,7 +48,7 @@
     elif not _is_feasible(world, job, in_service_only=False):
         return _refuse_when_stable(world, job, now_ms)
     else:
-        _park(world, job, now_ms)
+        _park_or_unpark(world, job, now_ms)
     return True
 
 
@@ -91,13 +91,13 @@
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
     """Return how many members would fit, counted up to the number that is needed."""
     slots = 0
-    for row in world.scheduling.workers:
-        if in_service_only and not row.in_service:
+    for worker in world.scheduling.workers:
+        if in_service_only and not worker.in_service:
             continue
         needs = (
-            (row.accelerators, job.accelerators),
-            (row.cores, job.cores),
-            (row.memory_mb, job.memory_mb),
+            (worker.accelerators, job.accelerators),
+            (worker.cores, job.cores),
+            (worker.memory_mb, job.memory_mb),
         )
         slots += min(
             (total // need for total, need in needs if need), default=job.members
@@ -128,7 +128,7 @@
     note(world, "job.refuse", f"Job is refused: {reason}.", job=job.name, team=job.team)
 
 
-def _park(world: World, job: Job, now_ms: int) -> None:
+def _park_or_unpark(world: World, job: Job, now_ms: int) -> None:
     """Park a job that only workers out of service could hold, or unpark it."""
     parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -15,7 +15,7 @@
 )
 from kingcuppost.systems.jobs.member_reports import (
     BROKEN_STATES,
-    FINAL_STATES,
+    ENDED_STATES,
     gang_members,
 )
 from kingcuppost.systems.registry import Phase, system
@@ -129,7 +129,7 @@
     rows = gang_members(world, gang.key)
     states = [row.state for row in rows]
     if BROKEN_STATES.intersection(states):
-        refusing = {_member_of(row) for row in rows if row.state in BROKEN_STATES}
+        refusing = {_member_number(row) for row in rows if row.state in BROKEN_STATES}
         _pause_workers(world, gang, refusing, now_ms)
         _stop(world, gang, "a member was refused", now_ms)
     elif states.count(TaskState.RESERVED) == len(gang.placements):
@@ -138,7 +138,9 @@
         term = world.agreed.lease.term
         _propose(world, gang, GangRelease(term, gang.job, gang.incarnation), now_ms)
     elif now_ms - since_ms >= timeout_ms:
-        reserved = {_member_of(row) for row in rows if row.state is TaskState.RESERVED}
+        reserved = {
+            _member_number(row) for row in rows if row.state is TaskState.RESERVED
+        }
         unanswered = set(range(len(gang.placements))) - reserved
         _pause_workers(world, gang, unanswered, now_ms)
         _stop(world, gang, f"not all members reserved in {timeout_ms} ms", now_ms)
@@ -146,7 +148,7 @@
         _schedule_check(world, gang.key, since_ms + timeout_ms)
 
 
-def _member_of(row: Reservation) -> int:
+def _member_number(row: Reservation) -> int:
     return int(row.member_id.rpartition("/")[2])
 
 
@@ -158,7 +160,7 @@
 def _advance_released(world: World, gang: Gang, since_ms: int, now_ms: int) -> None:
     for row in gang_members(world, gang.key):
         if row.state in BROKEN_STATES:
-            member = _member_of(row)
+            member = _member_number(row)
             worker = gang.placements[member].worker
             failed = worker if row.state is TaskState.FAILED else ""
             _stop(world, gang, f"member {member} is {row.state}", now_ms, failed)
@@ -178,10 +180,10 @@
     reservation expires.
     """
     states = [row.state for row in gang_members(world, gang.key)]
-    final_count = sum(state in FINAL_STATES for state in states)
-    all_final = final_count == len(gang.placements) and TaskState.REFUSED not in states
+    ended_count = sum(state in ENDED_STATES for state in states)
+    all_ended = ended_count == len(gang.placements) and TaskState.REFUSED not in states
     end_ms = stopped_by_ms(world, gang, since_ms)
-    if all_final or now_ms >= end_ms:
+    if all_ended or now_ms >= end_ms:
         body = GangEnd(world.agreed.lease.term, gang.job, gang.incarnation)
         _propose(world, gang, body, now_ms)
         return
--- a/kingcuppost/systems/jobs/guarantees.py
+++ b/kingcuppost/systems/jobs/guarantees.py
@@ -35,7 +35,7 @@
         return
     if is_covered(scheduling) and not len(scheduling.uncovered):
         return
-    found = {row.team: row for row in _uncovered(scheduling)}
+    found = {row.team: row for row in _find_uncovered(scheduling)}
     for row in scheduling.uncovered:
         if row.team not in found:
             scheduling.uncovered.delete(row.team)
@@ -47,7 +47,7 @@
             note(world, COVERAGE_STEP, text, team=team)
 
 
-def _uncovered(scheduling: SchedulingState) -> list[UncoveredGuarantee]:
+def _find_uncovered(scheduling: SchedulingState) -> list[UncoveredGuarantee]:
     """Return the teams whose unused cells do not all fit, with the missing cells.
 
     Cells are assigned from the largest class down, and within a class to the teams in
@@ -70,5 +70,5 @@
 
 
 def _uncovered_row(share: TeamShare, cells: list[int]) -> UncoveredGuarantee:
-    accelerators = sum(count << size for size, count in enumerate(cells))
+    accelerators = sum(count << cell_class for cell_class, count in enumerate(cells))
     return UncoveredGuarantee(share.team, tuple(cells), accelerators)
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -7,10 +7,10 @@
 from kingcuppost.tables.task import MemberReport, Reservation, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["BROKEN_STATES", "FINAL_STATES", "gang_members", "handle_member_reports"]
+__all__ = ["BROKEN_STATES", "ENDED_STATES", "gang_members", "handle_member_reports"]
 
 BROKEN_STATES = frozenset({TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED})
-FINAL_STATES = BROKEN_STATES | {TaskState.FINISHED}
+ENDED_STATES = BROKEN_STATES | {TaskState.FINISHED}
 REFRESHES_PER_TIMEOUT = 4
 
 
@@ -33,7 +33,7 @@
             continue
         member_id = f"{key}/{report.member}"
         row = world.reservations.get(member_id)
-        if row is None or (row.state != report.state and row.state not in FINAL_STATES):
+        if row is None or (row.state != report.state and row.state not in ENDED_STATES):
             known = Reservation(member_id, key, report.state, now_ms, now_ms)
             world.reservations.put(known)
             world.gang_view.due.set(key, now_ms)
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -85,23 +85,23 @@
 
 def _track_worker(world: World, worker: Worker) -> bool:
     scheduling = world.scheduling
-    row = scheduling.workers.get(worker.name)
-    if row is None or row.accelerators != worker.accelerators:
-        allocations = row.allocations if row is not None else {}
-        if row is not None:
-            _subtract_blocks(scheduling, row)
-        row = _new_row(worker, allocations)
-        scheduling.workers.put(row)
-        refresh_worker(scheduling, row)
+    capacity = scheduling.workers.get(worker.name)
+    if capacity is None or capacity.accelerators != worker.accelerators:
+        allocations = capacity.allocations if capacity is not None else {}
+        if capacity is not None:
+            _subtract_blocks(scheduling, capacity)
+        capacity = _new_capacity(worker, allocations)
+        scheduling.workers.put(capacity)
+        refresh_worker(scheduling, capacity)
     in_service = _is_in_service(world, worker)
-    if in_service == row.in_service:
+    if in_service == capacity.in_service:
         return False
-    row.in_service = in_service
-    refresh_worker(scheduling, row)
+    capacity.in_service = in_service
+    refresh_worker(scheduling, capacity)
     return True
 
 
-def _new_row(
+def _new_capacity(
     worker: Worker, allocations: dict[str, WorkerAllocation]
 ) -> WorkerCapacity:
     return WorkerCapacity(
@@ -226,10 +226,10 @@
         for cell in worker_allocation.cells:
             bound_cell = (name, cell)
             share.cells[bound_cell] = share.cells.get(bound_cell, 0) + 1
-        row = scheduling.workers.get(name)
-        if row is not None:
-            row.allocations[allocation.key] = worker_allocation
-            refresh_worker(scheduling, row)
+        capacity = scheduling.workers.get(name)
+        if capacity is not None:
+            capacity.allocations[allocation.key] = worker_allocation
+            refresh_worker(scheduling, capacity)
     _refresh_share(scheduling, share)
 
 
@@ -243,10 +243,10 @@
     for name, worker_allocation in allocation.by_worker.items():
         for cell in worker_allocation.cells:
             _unbind(share, (name, cell))
-        row = scheduling.workers.get(name)
-        if row is not None:
-            row.allocations.pop(key, None)
-            refresh_worker(scheduling, row)
+        capacity = scheduling.workers.get(name)
+        if capacity is not None:
+            capacity.allocations.pop(key, None)
+            refresh_worker(scheduling, capacity)
     _refresh_share(scheduling, share)
 
 
@@ -256,10 +256,10 @@
         del share.cells[bound_cell]
 
 
-def refresh_worker(scheduling: SchedulingState, row: WorkerCapacity) -> None:
+def refresh_worker(scheduling: SchedulingState, capacity: WorkerCapacity) -> None:
     """Recompute the free capacity of one worker and its part of the totals."""
     busy = reserved = bound = pinned = cores = memory_mb = 0
-    for worker_allocation in row.allocations.values():
+    for worker_allocation in capacity.allocations.values():
         busy |= worker_allocation.busy
         reserved |= worker_allocation.reserved
         cores += worker_allocation.cores
@@ -268,46 +268,46 @@
             pinned |= worker_allocation.busy | worker_allocation.reserved
             for cell in worker_allocation.cells:
                 bound |= cell
-    free = row.full_mask & ~(busy | reserved)
-    unbound = row.full_mask & ~bound
-    free_cores = row.cores - cores
-    usable = _accepts_work(scheduling, row)
-    _subtract_blocks(scheduling, row)
+    free = capacity.full_mask & ~(busy | reserved)
+    unbound = capacity.full_mask & ~bound
+    free_cores = capacity.cores - cores
+    usable = _accepts_work(scheduling, capacity)
+    _subtract_blocks(scheduling, capacity)
     scheduling.workers.update(
-        row.name,
+        capacity.name,
         usable=usable,
         busy=busy,
         reserved=reserved,
         bound=bound,
         pinned=pinned,
         free_cores=free_cores,
-        free_memory_mb=row.memory_mb - memory_mb,
+        free_memory_mb=capacity.memory_mb - memory_mb,
         free_class=_largest_class(free) if usable else NO_CLASS,
         unbound_class=_largest_class(unbound) if usable else NO_CLASS,
-        core_bucket=_core_bucket(row, free_cores) if usable else NO_CORE_BUCKET,
+        core_bucket=_core_bucket(capacity, free_cores) if usable else NO_CORE_BUCKET,
         free_blocks=count_blocks(free if usable else 0),
         unbound_blocks=count_blocks(unbound if usable else 0),
     )
-    add_counts(scheduling.free_blocks, row.free_blocks)
-    add_counts(scheduling.unbound_blocks, row.unbound_blocks)
+    add_counts(scheduling.free_blocks, capacity.free_blocks)
+    add_counts(scheduling.unbound_blocks, capacity.unbound_blocks)
 
 
-def _accepts_work(scheduling: SchedulingState, row: WorkerCapacity) -> bool:
+def _accepts_work(scheduling: SchedulingState, capacity: WorkerCapacity) -> bool:
     """Return whether a worker may get new work.
 
     A quarantined worker may only while it is probed, and then one gang at a time.
     """
-    faults = scheduling.faults.get(row.name)
+    faults = scheduling.faults.get(capacity.name)
     quarantined = faults is not None and faults.quarantined
     paused = faults is not None and faults.paused
-    if not row.in_service or paused or (quarantined and not row.probing):
+    if not capacity.in_service or paused or (quarantined and not capacity.probing):
         return False
-    return not (row.probing and row.allocations)
+    return not (capacity.probing and capacity.allocations)
 
 
-def _subtract_blocks(scheduling: SchedulingState, row: WorkerCapacity) -> None:
-    add_counts(scheduling.free_blocks, row.free_blocks, -1)
-    add_counts(scheduling.unbound_blocks, row.unbound_blocks, -1)
+def _subtract_blocks(scheduling: SchedulingState, capacity: WorkerCapacity) -> None:
+    add_counts(scheduling.free_blocks, capacity.free_blocks, -1)
+    add_counts(scheduling.unbound_blocks, capacity.unbound_blocks, -1)
 
 
 def _largest_class(mask: int) -> int:
@@ -318,5 +318,5 @@
     return NO_CLASS
 
 
-def _core_bucket(row: WorkerCapacity, free_cores: int) -> tuple[int, int]:
-    return (int(row.accelerators > 0), max(free_cores, 0).bit_length())
+def _core_bucket(capacity: WorkerCapacity, free_cores: int) -> tuple[int, int]:
+    return (int(capacity.accelerators > 0), max(free_cores, 0).bit_length())
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -88,7 +88,7 @@
     """
     depth = effective_value(world.agreed, "job.queue_depth")
     attempts = {urgency: 0 for urgency in Urgency}
-    failed: set[Signature] = set()
+    unplaceable: set[Signature] = set()
     may_reserve = dict.fromkeys(Urgency, policy.reserves)
     skipped = jobs_with_pending_change(world)
     for entry in list(world.scheduling.queue):
@@ -101,13 +101,13 @@
             continue
         reservation = world.scheduling.advance_reservations.get(job.name)
         signature = _signature(job)
-        if reservation is None and signature in failed:
+        if reservation is None and signature in unplaceable:
             continue
         attempts[job.urgency] += 1
         choice = policy.choose(world, job, now_ms)
         if _commit(world, job, choice, now_ms):
             continue
-        failed.add(signature)
+        unplaceable.add(signature)
         if policy.strict:
             break
         if (
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -114,11 +114,11 @@
     scheduling: SchedulingState, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for free_class in range(cell_class, CELL_CLASSES):
-        for row in scheduling.workers.scan("free_class", free_class):
-            free = row.full_mask & ~(row.busy | row.reserved)
+        for worker in scheduling.workers.scan("free_class", free_class):
+            free = worker.full_mask & ~(worker.busy | worker.reserved)
             blocks = best_fit_blocks(free, cell_class)
-            for block in blocks[: _count_fitting(row, job)]:
-                yield Candidate(row, block)
+            for block in blocks[: _count_fitting(worker, job)]:
+                yield Candidate(worker, block)
 
 
 def find_reserved(
@@ -143,16 +143,18 @@
     for placement in reservation.placements:
         masks[placement.worker] |= accelerator_mask(placement)
     for name, mask in masks.items():
-        row = scheduling.workers.get(name)
-        if row.usable:
-            for block in best_fit_blocks(mask & ~(row.busy | row.pinned), cell_class):
-                yield Candidate(row, block)
+        worker = scheduling.workers.get(name)
+        if worker.usable:
+            for block in best_fit_blocks(
+                mask & ~(worker.busy | worker.pinned), cell_class
+            ):
+                yield Candidate(worker, block)
 
 
-def _count_fitting(row: WorkerCapacity, job: Job) -> int:
+def _count_fitting(worker: WorkerCapacity, job: Job) -> int:
     """Return how many members fit into the worker's free cores and memory."""
-    by_cores = row.free_cores // job.cores if job.cores else job.members
-    by_memory = row.free_memory_mb // job.memory_mb if job.memory_mb else job.members
+    by_cores = worker.free_cores // job.cores if job.cores else job.members
+    by_memory = worker.free_memory_mb // job.memory_mb if job.memory_mb else job.members
     return max(min(by_cores, by_memory, job.members), 0)
 
 
@@ -160,9 +162,11 @@
     """Yield workers for members without accelerators, those without any first."""
     for has_accelerators in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BUCKETS):
-            for row in scheduling.workers.scan("core_bucket", (has_accelerators, bits)):
-                for _ in range(_count_fitting(row, job)):
-                    yield Candidate(row, 0)
+            for worker in scheduling.workers.scan(
+                "core_bucket", (has_accelerators, bits)
+            ):
+                for _ in range(_count_fitting(worker, job)):
+                    yield Candidate(worker, 0)
 
 
 def _plan_free(candidates: Iterator[Candidate], job: Job) -> Plan | None:
@@ -286,7 +290,7 @@
 def cell_counts(cell: int) -> tuple[int, ...]:
     """Return counts by class with a single cell."""
     cell_class = class_of(cell.bit_count())
-    return tuple(int(size == cell_class) for size in range(CELL_CLASSES))
+    return tuple(int(other_class == cell_class) for other_class in range(CELL_CLASSES))
 
 
 def _collect_candidates(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
@@ -303,57 +307,65 @@
 ) -> Iterator[Candidate]:
     scheduling = world.scheduling
     for name, cell in share.cells:
-        row = scheduling.workers.get(name)
-        if row is not None and row.usable and _within_cell_share(row, job, cell_class):
-            yield from _block_candidates(world, row, cell, True, job, cell_class)
-    for larger in range(cell_class, CELL_CLASSES):
-        if share.unused[larger]:
-            yield from _unbound_candidates(world, job, cell_class, larger, "free_class")
+        worker = scheduling.workers.get(name)
+        if (
+            worker is not None
+            and worker.usable
+            and _within_cell_share(worker, job, cell_class)
+        ):
+            yield from _block_candidates(world, worker, cell, True, job, cell_class)
+    for guaranteed_class in range(cell_class, CELL_CLASSES):
+        if share.unused[guaranteed_class]:
             yield from _unbound_candidates(
-                world, job, cell_class, larger, "unbound_class"
+                world, job, cell_class, guaranteed_class, "free_class"
+            )
+            yield from _unbound_candidates(
+                world, job, cell_class, guaranteed_class, "unbound_class"
             )
 
 
 def _unbound_candidates(
-    world: World, job: Job, cell_class: int, larger: int, index: str
+    world: World, job: Job, cell_class: int, guaranteed_class: int, index: str
 ) -> Iterator[Candidate]:
     """Yield blocks of unbound cells; only free ones with the index ``free_class``."""
     workers = world.scheduling.workers
-    for worker_class in range(larger, CELL_CLASSES):
-        for row in workers.scan(index, worker_class):
-            if not _within_cell_share(row, job, cell_class):
+    for worker_class in range(guaranteed_class, CELL_CLASSES):
+        for worker in workers.scan(index, worker_class):
+            if not _within_cell_share(worker, job, cell_class):
                 continue
-            unbound = row.full_mask & ~row.bound
+            unbound = worker.full_mask & ~worker.bound
             if index == "free_class":
-                unbound &= ~(row.busy | row.reserved)
-            for cell in best_fit_blocks(unbound, larger):
-                yield from _block_candidates(world, row, cell, False, job, cell_class)
+                unbound &= ~(worker.busy | worker.reserved)
+            for cell in best_fit_blocks(unbound, guaranteed_class):
+                yield from _block_candidates(
+                    world, worker, cell, False, job, cell_class
+                )
 
 
-def _within_cell_share(row: WorkerCapacity, job: Job, cell_class: int) -> bool:
+def _within_cell_share(worker: WorkerCapacity, job: Job, cell_class: int) -> bool:
     """Return whether a member needs at most its cell's part of cores and memory."""
     size = 1 << cell_class
     return (
-        job.cores * row.accelerators <= size * row.cores
-        and job.memory_mb * row.accelerators <= size * row.memory_mb
+        job.cores * worker.accelerators <= size * worker.cores
+        and job.memory_mb * worker.accelerators <= size * worker.memory_mb
     )
 
 
 def _block_candidates(
     world: World,
-    row: WorkerCapacity,
+    worker: WorkerCapacity,
     cell: int,
     bound: bool,
     job: Job,
     cell_class: int,
 ) -> Iterator[Candidate]:
     for block in blocks_in(cell, cell_class):
-        if block & row.pinned:
+        if block & worker.pinned:
             continue
-        victims = victims_on(world, row, block, True)
+        victims = victims_on(world, worker, block, True)
         if victims is not None:
             yield Candidate(
-                row, block, cell, bound, victims, _total_lost_work(world, victims)
+                worker, block, cell, bound, victims, _total_lost_work(world, victims)
             )
 
 
@@ -438,12 +450,14 @@
 ) -> Plan | None:
     """Return a plan that also stops borrowers whose cores or memory are needed."""
     members: dict[str, int] = defaultdict(int)
-    rows = {candidate.worker.name: candidate.worker for candidate in chosen}
+    workers = {candidate.worker.name: candidate.worker for candidate in chosen}
     victims = frozenset().union(*(candidate.victims for candidate in chosen))
     for candidate in chosen:
         members[candidate.worker.name] += 1
     for name, count in members.items():
-        victims = victims_for_cores(world, rows[name], count, job, guaranteed, victims)
+        victims = victims_for_cores(
+            world, workers[name], count, job, guaranteed, victims
+        )
         if victims is None:
             return None
     return Plan(_placements(chosen, job), victims)
@@ -468,10 +482,10 @@
     world: World, job: Job, cell_class: int
 ) -> Iterator[Candidate]:
     for worker_class in range(CELL_CLASSES):
-        for row in world.scheduling.workers.scan("unbound_class", worker_class):
-            available = row.full_mask & ~(row.pinned | row.reserved)
+        for worker in world.scheduling.workers.scan("unbound_class", worker_class):
+            available = worker.full_mask & ~(worker.pinned | worker.reserved)
             for block in blocks_in(available, cell_class):
-                victims = victims_on(world, row, block, False)
+                victims = victims_on(world, worker, block, False)
                 if victims is not None:
                     cost = _total_lost_work(world, victims)
-                    yield Candidate(row, block, victims=victims, cost=cost)
+                    yield Candidate(worker, block, victims=victims, cost=cost)
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -35,11 +35,11 @@
 
 
 def victims_on(
-    world: World, row: WorkerCapacity, block: int, guaranteed: bool
+    world: World, worker: WorkerCapacity, block: int, guaranteed: bool
 ) -> frozenset[str] | None:
     """Return the gangs that occupy part of a block; None if one is not preemptible."""
     found = []
-    for key, worker_allocation in row.allocations.items():
+    for key, worker_allocation in worker.allocations.items():
         if not worker_allocation.busy & block:
             continue
         gang = world.agreed.gangs.get(key)
@@ -51,7 +51,7 @@
 
 def victims_for_cores(
     world: World,
-    row: WorkerCapacity,
+    worker: WorkerCapacity,
     members: int,
     job: Job,
     guaranteed: bool,
@@ -63,7 +63,7 @@
     ----------
     world : World
         Tables of the process.
-    row : WorkerCapacity
+    worker : WorkerCapacity
         The worker.
     members : int
         Number of members of the job to run on it.
@@ -79,18 +79,20 @@
     frozenset of str or None
         None if all preemptible gangs together do not free enough.
     """
-    freed = [row.allocations[key] for key in victims if key in row.allocations]
-    cores = row.free_cores + sum(worker_allocation.cores for worker_allocation in freed)
-    memory_mb = row.free_memory_mb + sum(
+    freed = [worker.allocations[key] for key in victims if key in worker.allocations]
+    cores = worker.free_cores + sum(
+        worker_allocation.cores for worker_allocation in freed
+    )
+    memory_mb = worker.free_memory_mb + sum(
         worker_allocation.memory_mb for worker_allocation in freed
     )
     chosen = set(victims)
-    for gang in _preemptible_gangs(world, row, guaranteed, victims):
+    for gang in _preemptible_gangs(world, worker, guaranteed, victims):
         if cores >= members * job.cores and memory_mb >= members * job.memory_mb:
             break
         chosen.add(gang.key)
-        cores += row.allocations[gang.key].cores
-        memory_mb += row.allocations[gang.key].memory_mb
+        cores += worker.allocations[gang.key].cores
+        memory_mb += worker.allocations[gang.key].memory_mb
     if cores < members * job.cores or memory_mb < members * job.memory_mb:
         return None
     return frozenset(chosen)
@@ -98,16 +100,16 @@
 
 def _preemptible_gangs(
     world: World,
-    row: WorkerCapacity,
+    worker: WorkerCapacity,
     guaranteed: bool,
     victims: frozenset[str],
 ) -> list[Gang]:
     gangs = [
-        world.agreed.gangs.get(key) for key in row.allocations if key not in victims
+        world.agreed.gangs.get(key) for key in worker.allocations if key not in victims
     ]
-    stoppable = [
+    preemptible = [
         gang
         for gang in gangs
         if gang is not None and may_preempt(world, gang, guaranteed)
     ]
-    return sorted(stoppable, key=lambda gang: (lost_work(world, gang), gang.key))
+    return sorted(preemptible, key=lambda gang: (lost_work(world, gang), gang.key))
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -14,12 +14,12 @@
 
 def expected_run_ms(scheduling: SchedulingState, job: Job) -> int:
     """Return how long a job is expected to run, in ms."""
-    row = scheduling.run_times.get(job.team)
-    if row is None:
+    run_times = scheduling.run_times.get(job.team)
+    if run_times is None:
         return job.declared_ms or DEFAULT_RUN_MS
     if not job.declared_ms:
-        return int(row.mean_ms)
-    return int(job.declared_ms * exp(row.log_ratio))
+        return int(run_times.mean_ms)
+    return int(job.declared_ms * exp(run_times.log_ratio))
 
 
 def expected_end_ms(
@@ -38,12 +38,12 @@
 
 def record_run_time(scheduling: SchedulingState, job: Job, run_ms: int) -> None:
     """Include the run time of a finished job in the averages of its team."""
-    row = scheduling.run_times.get(job.team) or RunTimes(job.team)
+    run_times = scheduling.run_times.get(job.team) or RunTimes(job.team)
     # A plain mean of the first jobs, then exponential smoothing.
-    weight = max(SMOOTHING_WEIGHT, 1 / (row.samples + 1))
-    row.mean_ms += weight * (run_ms - row.mean_ms)
+    weight = max(SMOOTHING_WEIGHT, 1 / (run_times.samples + 1))
+    run_times.mean_ms += weight * (run_ms - run_times.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
         ratio = log(run_ms / job.declared_ms)
-        row.log_ratio += weight * (ratio - row.log_ratio)
-    row.samples += 1
-    scheduling.run_times.put(row)
+        run_times.log_ratio += weight * (ratio - run_times.log_ratio)
+    run_times.samples += 1
+    scheduling.run_times.put(run_times)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -66,9 +66,9 @@
             return choice
         drop_reservation(world.scheduling, job.name)
     excluded = _excluded_workers(world, job)
-    choice = _choose_new(world, job, since_ms, now_ms, excluded)
+    choice = _choose_without_reservation(world, job, since_ms, now_ms, excluded)
     if choice.placements is None and excluded and job.members > 1:
-        return _choose_new(world, job, since_ms, now_ms, frozenset())
+        return _choose_without_reservation(world, job, since_ms, now_ms, frozenset())
     return choice
 
 
@@ -86,7 +86,7 @@
     )
 
 
-def _choose_new(
+def _choose_without_reservation(
     world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
     plan = find_guaranteed(world, job, excluded)
--- a/kingcuppost/systems/jobs/zones.py
+++ b/kingcuppost/systems/jobs/zones.py
@@ -42,12 +42,14 @@
     world.scheduling.evacuate_at_ms.setdefault(name, now_ms + delay_ms)
 
 
-def _evacuate(world: World, name: str, with_running: bool, now_ms: int) -> None:
+def _evacuate(world: World, name: str, include_released: bool, now_ms: int) -> None:
     reason = f"moved, availability zone {name} is out"
     for worker in world.agreed.workers.find("availability_zone", name):
         row = world.scheduling.workers.get(worker.name)
         for key in list(row.allocations) if row is not None else ():
             gang = world.agreed.gangs.get(key)
-            if gang is None or (gang.state is GangState.RELEASED and not with_running):
+            if gang is None or (
+                gang.state is GangState.RELEASED and not include_released
+            ):
                 continue
             stop_gang(world, gang, reason, now_ms, GRACE_KEY)
--- a/kingcuppost/systems/members/__init__.py
+++ b/kingcuppost/systems/members/__init__.py
@@ -1,8 +1,8 @@
 """Gang members at a sidecar: orders to the worker, leases, and reports."""
 
 from kingcuppost.systems.members.gangs import (
+    handle_gang_reports,
     handle_leader_replies,
-    handle_member_reports,
     propose_gang_finishes,
     report_to_leaders,
 )
@@ -23,7 +23,7 @@
     "forget_members",
     "handle_heartbeat_replies",
     "handle_leader_replies",
-    "handle_member_reports",
+    "handle_gang_reports",
     "handle_worker_answers",
     "presume_stopped_members",
     "propose_gang_finishes",
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -27,14 +27,14 @@
 
 __all__ = [
     "handle_leader_replies",
-    "handle_member_reports",
+    "handle_gang_reports",
     "make_report",
     "propose_gang_finishes",
     "report_to_leaders",
 ]
 
 HEALTHY_STATES = (TaskState.RUNNING, TaskState.FINISHED)
-BROKEN_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
+UNHEALTHY_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
 REPORTS_PER_CONFIRMATION = 3
 
 
@@ -47,7 +47,7 @@
 
 def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
     pairs = []
-    for state in (*HEALTHY_STATES, *BROKEN_STATES):
+    for state in (*HEALTHY_STATES, *UNHEALTHY_STATES):
         for task in world.tasks.find("state", state):
             gang = gang_of(world, task)
             if gang is not None and gang.state is GangState.RELEASED:
@@ -122,7 +122,7 @@
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=60)
-def handle_member_reports(world: World, now_ms: int) -> None:
+def handle_gang_reports(world: World, now_ms: int) -> None:
     """Record members' reports, and answer which gangs are whole or broken."""
     for message in world.inbox.take(GangReportArrived):
         reply = _record_reports(world, message.reports, now_ms)
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -46,7 +46,7 @@
     ):
         return
     leased = [
-        row for state in LEASED_STATES for row in world.tasks.find("state", state)
+        task for state in LEASED_STATES for task in world.tasks.find("state", state)
     ]
     stopping = world.tasks.count("state", TaskState.STOPPING)
     if world.worker_view.adopted and not leased and not stopping:
@@ -55,7 +55,7 @@
     world.deadlines.add(world.worker_view.next_renewal_ms)
     leases = _leases_to_renew(world, leased, now_ms)
     world.worker_view.renewal = Renewal(
-        now_ms, frozenset(row.task_id for row in leases)
+        now_ms, frozenset(lease.task_id for lease in leases)
     )
     timeout_ms = min(order_timeout_ms(world), reservation_ms(world))
     world.outbox.put(RenewTasks(leases, timeout_ms))
@@ -121,30 +121,30 @@
     """Update members' tasks from the worker's answers."""
     for answer in world.inbox.take(WorkerAnswered):
         if answer.order == ORDER_RENEW:
-            _handle_renewal_result(world, answer, now_ms)
+            _apply_renewal_answer(world, answer, now_ms)
             continue
         task = world.tasks.get(answer.task_id)
         if task is not None:
-            _handle_order_result(world, task, answer, now_ms)
+            _apply_order_answer(world, task, answer, now_ms)
 
 
-def _handle_order_result(
+def _apply_order_answer(
     world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
     if not answer.ok:
         text = f"Order {answer.order} to the worker failed: {answer.reason}."
         note(world, "member.order", text, job=task.job)
     if answer.order == ORDER_RESERVE and task.state is TaskState.RESERVING:
-        _handle_reserve_result(world, task, answer, now_ms)
+        _apply_reserve_answer(world, task, answer, now_ms)
     elif answer.order == ORDER_START and task.state is TaskState.STARTING:
-        _handle_start_result(world, task, answer, now_ms)
+        _apply_start_answer(world, task, answer, now_ms)
     elif answer.order == ORDER_CHECKPOINT and task.state is TaskState.STOPPING:
         order_stop(world, task, now_ms)
     elif answer.order == ORDER_STOP and answer.ok and task.state is TaskState.STOPPING:
-        _handle_stop_result(world, task, answer)
+        _apply_stop_answer(world, task, answer)
 
 
-def _handle_reserve_result(
+def _apply_reserve_answer(
     world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as reserved, or on failure as refused.
@@ -159,7 +159,7 @@
         order_stop(world, task, now_ms)
 
 
-def _handle_start_result(
+def _apply_start_answer(
     world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
     """Mark the member as running; on failure stop it.
@@ -177,17 +177,19 @@
         stop_task(world, task, now_ms)
 
 
-def _handle_stop_result(world: World, task: MemberTask, answer: WorkerAnswered) -> None:
+def _apply_stop_answer(world: World, task: MemberTask, answer: WorkerAnswered) -> None:
     """Mark the member as ended if the worker no longer lists its task as open."""
-    states = {item.task_id: item for item in answer.tasks}
-    item = states.get(task.task_id)
-    if item is None:
+    listed_by_id = {listed_task.task_id: listed_task for listed_task in answer.tasks}
+    listed_task = listed_by_id.get(task.task_id)
+    if listed_task is None:
         world.tasks.update(task.task_id, state=TaskState.STOPPED)
-    elif item.state in ENDED_STATES:
-        world.tasks.update(task.task_id, state=item.state, result=item.result)
+    elif listed_task.state in ENDED_STATES:
+        world.tasks.update(
+            task.task_id, state=listed_task.state, result=listed_task.result
+        )
 
 
-def _handle_renewal_result(world: World, answer: WorkerAnswered, now_ms: int) -> None:
+def _apply_renewal_answer(world: World, answer: WorkerAnswered, now_ms: int) -> None:
     renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
     world.worker_view.renewal = None
     if not answer.ok:
@@ -196,16 +198,16 @@
     world.worker_view.last_confirmed_order_ms = max(
         world.worker_view.last_confirmed_order_ms, renewal.sent_ms
     )
-    states = {item.task_id: item for item in answer.tasks}
-    for item in answer.tasks:
-        task = world.tasks.get(item.task_id)
+    listed_by_id = {listed_task.task_id: listed_task for listed_task in answer.tasks}
+    for listed_task in answer.tasks:
+        task = world.tasks.get(listed_task.task_id)
         if task is None:
-            _adopt(world, item, now_ms)
+            _adopt(world, listed_task, now_ms)
         else:
-            _apply_task_state(world, task, item, now_ms)
+            _apply_task_state(world, task, listed_task, now_ms)
     for task_id in renewal.task_ids:
         task = world.tasks.get(task_id)
-        if task_id not in states and task is not None:
+        if task_id not in listed_by_id and task is not None:
             _mark_lost(world, task)
     _extend_reservations(world, renewal)
     world.worker_view.adopted = True
@@ -243,33 +245,35 @@
 
 
 def _apply_task_state(
-    world: World, task: MemberTask, item: WorkerTask, now_ms: int
+    world: World, task: MemberTask, listed_task: WorkerTask, now_ms: int
 ) -> None:
     may_end = task.state in LEASED_STATES or task.state is TaskState.STOPPING
-    if item.state in ENDED_STATES and may_end:
-        world.tasks.update(task.task_id, state=item.state, result=item.result)
-    elif item.state is TaskState.RUNNING and task.state is TaskState.STARTING:
+    if listed_task.state in ENDED_STATES and may_end:
+        world.tasks.update(
+            task.task_id, state=listed_task.state, result=listed_task.result
+        )
+    elif listed_task.state is TaskState.RUNNING and task.state is TaskState.STARTING:
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     elif task.state is TaskState.STOPPING and now_ms >= task.stop_after_ms:
         order_stop(world, task, now_ms)
 
 
-def _adopt(world: World, item: WorkerTask, now_ms: int) -> None:
+def _adopt(world: World, listed_task: WorkerTask, now_ms: int) -> None:
     """Adopt a task of an earlier sidecar process, or stop it.
 
     A running task is renewed only after its leader has confirmed it. A reservation
     is stopped, since a start order of the earlier process may still arrive.
     """
-    task = _make_task(item, now_ms)
+    task = _make_task(listed_task, now_ms)
     if task is None:
         return
     gang = gang_of(world, task)
-    ended = item.state in ENDED_STATES
+    ended = listed_task.state in ENDED_STATES
     if gang is None and ended:
         return
     world.tasks.put(task)
     released = gang is not None and gang.state is GangState.RELEASED
-    if not ended and not (released and item.state is TaskState.RUNNING):
+    if not ended and not (released and listed_task.state is TaskState.RUNNING):
         stop_task(world, task, now_ms)
         return
     if not ended:
@@ -284,19 +288,19 @@
     )
 
 
-def _make_task(item: WorkerTask, now_ms: int) -> MemberTask | None:
+def _make_task(listed_task: WorkerTask, now_ms: int) -> MemberTask | None:
     """Return the row of a listed task; None if it is not a gang member's task."""
-    job, *numbers = item.task_id.rsplit("/", 2)
+    job, *numbers = listed_task.task_id.rsplit("/", TASK_ID_NUMBERS)
     if len(numbers) != TASK_ID_NUMBERS or not all(text.isdecimal() for text in numbers):
         return None
     incarnation, member = map(int, numbers)
     return MemberTask(
-        item.task_id,
+        listed_task.task_id,
         job,
         incarnation,
         member,
-        item.state,
+        listed_task.state,
         now_ms,
-        result=item.result,
+        result=listed_task.result,
         confirmed=False,
     )
