State conditions, units and results in texts on jobs and members

Several docstrings left out a condition that the code has: when compaction ends, that reservations are renewed only in a zone in service, that a renewal may come early, that queue passes have a depth, that one loan makes whole workers lendable. Constants lacked their unit or their use, and functions that return None or a flag did not say so. A gang is called whole throughout, as in the messages. Two private functions named _period_ms now say which period they bound.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -81,7 +81,10 @@
 def schedule_preemption_pass(
     world: World, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Schedule queue passes at the times when the reservation may stop gangs."""
+    """Schedule queue passes for when gangs on a reservation may be stopped.
+
+    A reservation within a guarantee needs none: its borrowers are stopped at once.
+    """
     if reservation.guaranteed:
         return
     for at_ms in (
@@ -166,13 +169,14 @@
 def find_preemption_victims(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return the borrowers to stop so that the job starts within its time limit.
+    """Return the keys of the gangs to stop so that the job starts in time.
 
     - Within a guarantee: all borrowers on the reservation.
     - Beyond it, while a gang from before the reservation still runs there and the
-      time limit has not passed: all gangs there once `job.compact_after_ms` has
-      passed, if they are small enough to be moved.
-    - Beyond it, afterwards: the borrowers there that must yield to the job.
+      time limit `job.keep_bound_ms` has not passed: all gangs there once
+      `job.compact_after_ms` has passed, if they are small enough to be moved.
+    - Beyond it, once that gang has ended or the time limit has passed: the borrowers
+      there that must yield to the job.
 
     Within a guarantee, and beyond it after the time limit, borrowers whose cores or
     memory the job needs are added.
@@ -212,9 +216,10 @@
 def _gangs_to_compact(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return all gangs on the reservation, or none if they are not to be moved.
+    """Return the keys of all gangs on the reservation, or none of them.
 
-    They are moved only if all are preemptible and small enough together.
+    They are moved only if all are preemptible and, together, use at most
+    `MAX_COMPACT_RATIO` of the number of accelerators that the job needs.
     """
     if now_ms < _compact_at_ms(world, reservation):
         return frozenset()
@@ -270,6 +275,10 @@
 def _add_core_victims(
     world: World, reservation: AdvanceReservation, job: Job, victims: frozenset[str]
 ) -> frozenset[str]:
+    """Return the victims and those that free the cores and memory the job needs.
+
+    A worker whose preemptible gangs cannot free enough adds no victims.
+    """
     members = Counter(placement.worker for placement in reservation.placements)
     for name, member_count in members.items():
         worker = world.scheduling.workers.get(name)
--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -86,10 +86,10 @@
 
 
 def _choose_backfill(world: World, job: Job, now_ms: int) -> Choice:
-    """Place by first fit, also on accelerators that are reserved for later jobs.
+    """Place by first fit, also on accelerators reserved for jobs that start later.
 
-    They are lent to a job whose declared run time ends before the reservation is
-    expected to start.
+    These are lent to a job that, by its declared run time, ends before the reserving
+    job is expected to start.
     """
     reservation = world.scheduling.advance_reservations.get(job.name)
     if reservation is not None and can_start(world, reservation, job):
@@ -99,6 +99,10 @@
 
 
 def _lendable_masks(world: World, job: Job, now_ms: int) -> dict[str, int]:
+    """Return the masks of the accelerators that may be lent to a job, by worker.
+
+    One reservation that allows the loan makes all accelerators of its workers lendable.
+    """
     lendable: dict[str, int] = {}
     for reservation in world.scheduling.advance_reservations:
         if job.declared_ms <= reservation.expected_free_ms - now_ms:
--- a/kingcuppost/systems/jobs/cells.py
+++ b/kingcuppost/systems/jobs/cells.py
@@ -21,7 +21,7 @@
     "split_block",
 ]
 
-MASK_CACHE_SIZE = 65_536
+MASK_CACHE_SIZE = 65_536  # entries in the cache of each function of a mask
 
 
 def class_of(accelerators: int) -> int:
--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -17,12 +17,12 @@
 
 STEP_QUARANTINE = "worker.aside"
 STEP_PAUSE = "worker.avoid"
-MAX_DOUBLINGS = 6
+MAX_DOUBLINGS = 6  # a pause lasts at most 2**6 times `worker.pause_ms`
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
 def track_faults(world: World, now_ms: int) -> None:
-    """Count the distinct failed jobs of each worker; quarantine, probe and resume."""
+    """Count each worker's distinct failed jobs; quarantine, probe or resume workers."""
     for name in world.agreed.jobs.take_changes("faults"):
         job = world.agreed.jobs.get(name)
         if job is None:
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -12,7 +12,8 @@
 
 __all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-# A job is refused after so many failures per worker of `job.failed_worker_limit`.
+# A job also fails after this multiple of `job.failed_worker_limit` failures, if they
+# occurred on fewer distinct workers than that limit.
 MAX_FAILURES_PER_WORKER = 2
 
 
@@ -72,6 +73,7 @@
 
 
 def _limit_reason(world: World, job: Job) -> str:
+    """Return why a job alone would exceed its team's limit; empty if it would not."""
     share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
@@ -108,7 +110,10 @@
 
 
 def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
-    """Refuse a job once the fleet has not changed for a while."""
+    """Refuse a job if workers are known and the fleet has not changed for a while.
+
+    Returns whether it was refused. If not, it is checked again later.
+    """
     stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
     stable_at_ms = world.scheduling.fleet_changed_ms + stable_for_ms
     if now_ms < stable_at_ms or not len(world.scheduling.workers):
--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -38,11 +38,11 @@
 def lost_reason(world: World, gang: Gang, since_ms: int, now_ms: int) -> str:
     """Return why a released gang can no longer finish; empty if it still may.
 
-    While any member that has not finished is reported, the gang's leader confirms that
-    the gang is complete, even if the scheduler cannot reach the other members. If all
-    members that report have finished, one that does not report is lost. If no member
-    reports, the gang may be partitioned from this process and can run until its
-    isolation limit.
+    A member runs only while the gang's leader confirms that the gang is whole. One
+    reported member that has not finished is therefore enough, even if the scheduler
+    cannot reach the others. If all members that report have finished, one that does
+    not report is lost. If no member reports, the gang may be partitioned from this
+    process and can run until its isolation limit.
 
     Parameters
     ----------
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -64,7 +64,7 @@
 
 
 def _begin_term(world: World) -> list[str]:
-    """Return the keys of all gangs, and let their time limits count from now."""
+    """Restart the time limits of all gangs for a new term, and return their keys."""
     world.gang_view.term = world.agreed.lease.term
     world.gang_view.stages.clear()
     return [gang.key for gang in world.agreed.gangs]
--- a/kingcuppost/systems/jobs/job_queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -16,6 +16,9 @@
 def apply_job_changes(world: World, policy: str, rank: Rank) -> None:
     """Insert changed jobs into the queue or remove them, all in one pass.
 
+    Waiting and parked jobs are marked for a check of their feasibility. The run times
+    of finished jobs are recorded.
+
     Parameters
     ----------
     world : World
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -24,7 +24,7 @@
     """Store the states of members that sidecars report.
 
     A final state stays, even if an older report arrives later. The time of the last
-    report is updated only `REFRESHES_PER_TIMEOUT` times within `job.lost_ms`.
+    report is updated at most `REFRESHES_PER_TIMEOUT` times within `job.lost_ms`.
     """
     refresh_ms = effective_value(world.agreed, "job.lost_ms") // REFRESHES_PER_TIMEOUT
     for report in world.inbox.take(MemberReport):
--- a/kingcuppost/systems/jobs/placement.py
+++ b/kingcuppost/systems/jobs/placement.py
@@ -35,7 +35,8 @@
 
 __all__ = ["place_jobs", "stop_gang"]
 
-MAX_REFUSED_ALTERNATIVES = 8
+MAX_REFUSED_ALTERNATIVES = 8  # recorded in the decision about one job
+# Settings recorded in a decision, besides the policy.
 DECISION_KEYS = ("job.lease_ms", "job.reserve_timeout_ms")
 
 Signature = tuple[str, Urgency, int, int, int, int, int, tuple[str, ...]]
@@ -82,9 +83,10 @@
 
 
 def _run_pass(world: World, policy: Policy, now_ms: int) -> None:
-    """Try to place the jobs in order.
+    """Try to place the jobs in order, at most `job.queue_depth` of each urgency.
 
-    A job with the same signature as one that could not be placed is skipped.
+    A job without a reservation is skipped, and not counted, if it has the same
+    signature as a job that could not be placed.
     """
     depth = effective_value(world.agreed, "job.queue_depth")
     attempts = {urgency: 0 for urgency in Urgency}
@@ -158,12 +160,12 @@
 
 
 def _drop_later_reservations(world: World, job: Job) -> None:
-    """Delete the reservations beyond guarantees of jobs of the same urgency.
+    """Delete the reservations beyond guarantees that jobs of the same urgency have.
 
-    They were made before this job became first. Each urgency has one such reservation
-    at a time: otherwise each job that arrives at the head of the queue would add one
-    more, and if the later job's reservation had precedence, the first job would never
-    get one.
+    They were made before this job became first in the queue. Each urgency has one such
+    reservation at a time: otherwise each job that arrives at the head of the queue
+    would add one more. If the later job's reservation had precedence, the first job
+    would never get one.
     """
     for reservation in world.scheduling.advance_reservations:
         other = world.agreed.jobs.get(reservation.job)
@@ -198,7 +200,10 @@
 
 
 def _grace_key(job: Job, choice: Choice) -> str:
-    """Return the grace setting; a short one for interactive work in a guarantee."""
+    """Return the key of the grace setting for the gangs that a choice stops.
+
+    The grace is short for interactive work within a guarantee.
+    """
     guaranteed = choice.reservation is not None and choice.reservation.guaranteed
     urgent = guaranteed and job.urgency is Urgency.INTERACTIVE
     return "job.urgent_grace_ms" if urgent else "job.checkpoint_grace_ms"
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -1,7 +1,8 @@
 """Search for placements of the members of a gang.
 
 The accelerators of a member must be adjacent on one worker. At equal cost, one worker
-is preferred for all members, then one rack, then one availability zone.
+is preferred for all members, then one rack, then one availability zone. Workers whose
+names are in `excluded` are not used.
 """
 
 from collections import defaultdict
@@ -127,7 +128,7 @@
     job: Job,
     excluded: frozenset[str] = NO_WORKERS,
 ) -> Plan | None:
-    """Return placements of a borrower within the reservation of another job."""
+    """Return a borrower's placements within another job's reservation, or None."""
     if not job.accelerators:
         return None
     candidates = _reserved_candidates(
@@ -213,7 +214,10 @@
 def _choose_group(
     found: list[Candidate], job: Job, select: Selector
 ) -> list[Candidate] | None:
-    """Return the cheapest group; among equal ones that with the closest workers."""
+    """Return the cheapest candidates for all members; None if there are too few.
+
+    Among equally cheap ones, those on the closest workers are chosen.
+    """
     best = None
     best_cost = 0.0
     for level in (
@@ -260,7 +264,8 @@
 ) -> Plan | None:
     """Return placements within the team's guarantee, with the borrowers to stop.
 
-    Only cells whose use leaves all other guarantees covered are chosen.
+    Only cells whose use leaves all other guarantees covered are chosen. None if there
+    are too few, or if the job needs no accelerators.
     """
     scheduling = world.scheduling
     share = scheduling.shares.get(job.team)
@@ -288,12 +293,13 @@
 
 
 def cell_counts(cell: int) -> tuple[int, ...]:
-    """Return counts by class with a single cell."""
+    """Return the counts by class of a single cell, given as a mask."""
     cell_class = class_of(cell.bit_count())
     return tuple(int(other_class == cell_class) for other_class in range(CELL_CLASSES))
 
 
 def _collect_candidates(candidates: Iterator[Candidate], job: Job) -> list[Candidate]:
+    """Return the first candidates; for one member, the first without victims if any."""
     found = []
     for candidate in islice(candidates, _candidate_limit(job)):
         if job.members == 1 and not candidate.cost and not candidate.victims:
--- a/kingcuppost/systems/jobs/reclaim.py
+++ b/kingcuppost/systems/jobs/reclaim.py
@@ -37,7 +37,7 @@
 def victims_on(
     world: World, worker: WorkerCapacity, block: int, guaranteed: bool
 ) -> frozenset[str] | None:
-    """Return the gangs that occupy part of a block; None if one is not preemptible."""
+    """Return the keys of the gangs on a block; None if one is not preemptible."""
     found = []
     for key, worker_allocation in worker.allocations.items():
         if not worker_allocation.busy & block:
@@ -59,6 +59,8 @@
 ) -> frozenset[str] | None:
     """Add victims until enough cores and memory of a worker are free.
 
+    Gangs that would lose the least work are added first.
+
     Parameters
     ----------
     world : World
@@ -77,7 +79,7 @@
     Returns
     -------
     frozenset of str or None
-        None if all preemptible gangs together do not free enough.
+        Keys of all victims; None if all preemptible gangs together do not free enough.
     """
     freed = [worker.allocations[key] for key in victims if key in worker.allocations]
     cores = worker.free_cores + sum(
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -7,13 +7,17 @@
 
 __all__ = ["expected_end_ms", "expected_run_ms", "record_run_time"]
 
-SMOOTHING_WEIGHT = 0.2
-DEFAULT_RUN_MS = 3_600_000
-OVERRUN_RATIO = 0.5
+SMOOTHING_WEIGHT = 0.2  # least weight of the latest job in the averages
+DEFAULT_RUN_MS = 3_600_000  # for undeclared run times in a team without finished jobs
+OVERRUN_RATIO = 0.5  # of its run time so far, for which an overdue gang runs on
 
 
 def expected_run_ms(scheduling: SchedulingState, job: Job) -> int:
-    """Return how long a job is expected to run, in ms."""
+    """Return how long a job is expected to run, in ms.
+
+    A declared run time is scaled by the team's smoothed ratio of actual to declared
+    time. Without one, the smoothed run time of the team's jobs is used.
+    """
     run_times = scheduling.run_times.get(job.team)
     if run_times is None:
         return job.declared_ms or DEFAULT_RUN_MS
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -51,7 +51,9 @@
     """Place a job within its team's guarantee, else as a borrower.
 
     Within the guarantee, borrowers are stopped for the job so that the least work is
-    lost. Interactive work beyond the guarantee may stop overnight borrowers.
+    lost. Interactive work beyond the guarantee may stop overnight borrowers. A gang of
+    several members avoids the workers on which its job failed only if it can be placed
+    at once without them.
     """
     if reason := _limit_reason(world, job):
         drop_reservation(world.scheduling, job.name)
@@ -89,6 +91,7 @@
 def _choose_without_reservation(
     world: World, job: Job, since_ms: int, now_ms: int, excluded: frozenset[str]
 ) -> Choice:
+    """Choose placements on workers not excluded, within the guarantee or beyond it."""
     plan = find_guaranteed(world, job, excluded)
     if plan is not None:
         return _build_choice(job, plan, since_ms, now_ms, guaranteed=True)
@@ -117,7 +120,10 @@
 def _find_elsewhere(
     world: World, job: Job, reservation: AdvanceReservation, now_ms: int
 ) -> Plan | None:
-    """Return free placements, including accelerators reserved for the job itself."""
+    """Return free placements, including accelerators reserved for the job itself.
+
+    The job keeps its reservation if there are none.
+    """
     excluded = _excluded_workers(world, job)
     drop_reservation(world.scheduling, job.name)
     plan = find_guaranteed(world, job, excluded)
@@ -129,6 +135,7 @@
 
 
 def _limit_reason(world: World, job: Job) -> str:
+    """Return why the job would now exceed its team's limit; empty if it would not."""
     share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or share.used + wanted <= share.limit:
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -72,7 +72,10 @@
 
 
 def test_two_jobs_never_preempt_each_other_alternately() -> None:
-    """Guards against a loop of an overdue overnight job and an interactive borrower."""
+    """Guards against an interactive borrower and an overdue overnight job in a loop.
+
+    Each of them would stop the other again and again.
+    """
     run = driver([worker(0)], {"guest": (), "other": ()})
     run.put_setting("job.keep_bound_ms", 0)
     submit(run, job("wide", "guest", 1, 8, run_ms=HOUR_MS))
@@ -85,7 +88,10 @@
 
 
 def test_reservation_is_not_lent_past_its_time_limit() -> None:
-    """Guards against a borrower that is stopped and started again without end."""
+    """Guards against a borrower that is stopped and started again without end.
+
+    After the time limit of the reservation, each loan would be stopped at once.
+    """
     run = driver([worker(0), worker(1)], {"guest": (), "own": (Shape(1, 8),)})
     run.put_setting("job.keep_bound_ms", MINUTE_MS)
     submit(run, job("own", "own", 1, 8, run_ms=HOUR_MS, cores=8))
@@ -159,9 +165,9 @@
 
 
 def test_reclaimed_cores_are_not_lent_again() -> None:
-    """Guards against an older borrower that gets the cores back.
+    """Guards against an endless reclaim of the same cores.
 
-    It got them each time before the job could start.
+    An older borrower was placed on them again each time before the job could start.
     """
     run = driver([worker(0)], TEAMS)
     submit(run, job("cores", "guest", 60, 0, run_ms=HOUR_MS))
--- a/kingcuppost/systems/member_timing.py
+++ b/kingcuppost/systems/member_timing.py
@@ -21,7 +21,7 @@
 
 
 def lease_ms(world: World, gang: Gang) -> int:
-    """Return how long members may run after their gang was last complete, in ms."""
+    """Return how long members may run after their gang was last whole, in ms."""
     return effective_value(world.agreed, "job.lease_ms", team_path(gang.team))
 
 
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -46,6 +46,7 @@
 
 
 def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
+    """Return the members to be reported to leaders, each with its released gang."""
     pairs = []
     for state in (*HEALTHY_STATES, *UNHEALTHY_STATES):
         for task in world.tasks.find("state", state):
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -53,16 +53,16 @@
     entry = choose_home_entry(world)
     if entry is None or entry.name in world.pending_heartbeats:
         return
-    world.heartbeat_view.next_heartbeat_ms = now_ms + _period_ms(world)
+    world.heartbeat_view.next_heartbeat_ms = now_ms + _bounded_period_ms(world)
     world.deadlines.add(world.heartbeat_view.next_heartbeat_ms)
     _send_heartbeat(world, entry, ())
 
 
-def _period_ms(world: World) -> int:
+def _bounded_period_ms(world: World) -> int:
     """Return the period of heartbeats, in ms.
 
-    It is at most a fraction of the isolation limit, so that an entry answers
-    well within that limit.
+    It is at most a fraction of the isolation limit, so that several heartbeats can be
+    answered within that limit.
     """
     period_ms = heartbeat_period_ms(world)
     isolation_ms = effective_value(world.agreed, "job.isolation_ms")
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -36,8 +36,9 @@
 def renew_tasks(world: World, now_ms: int) -> None:
     """Renew the leases at the worker and request the states of its tasks.
 
-    This happens once per period, with one pending renewal at a time, so that no
-    delayed renewal overrides a later one.
+    This happens once per period, and earlier for a reservation that the last renewal
+    left out. Only one renewal is pending at a time, so that no delayed renewal
+    overrides a later one.
     """
     if not world.log_view.caught_up or world.worker_view.renewal is not None:
         return
@@ -51,7 +52,7 @@
     stopping = world.tasks.count("state", TaskState.STOPPING)
     if world.worker_view.adopted and not leased and not stopping:
         return
-    world.worker_view.next_renewal_ms = now_ms + _period_ms(world, leased)
+    world.worker_view.next_renewal_ms = now_ms + _renewal_period_ms(world, leased)
     world.deadlines.add(world.worker_view.next_renewal_ms)
     leases = _leases_to_renew(world, leased, now_ms)
     world.worker_view.renewal = Renewal(
@@ -73,7 +74,7 @@
     return is_due and _can_renew_reservations(world, now_ms)
 
 
-def _period_ms(world: World, leased: list[MemberTask]) -> int:
+def _renewal_period_ms(world: World, leased: list[MemberTask]) -> int:
     """Return the time until the next renewal, in ms.
 
     It grows with the number of tasks, to limit the traffic with the worker, but
@@ -94,9 +95,10 @@
 ) -> tuple[TaskLease, ...]:
     """Return the leases to renew.
 
-    Running members are renewed up to their confirmed lease, and reservations if
-    the view of the log is fresh. A member whose start order is pending is left
-    out: the order may be delayed, and must then find the reservation lapsed.
+    Running members are renewed up to their confirmed lease, and reservations if the
+    view of the log is fresh and the availability zone is in service. A member whose
+    start order is pending is left out: the order may be delayed, and must then find
+    the reservation lapsed.
     """
     leases = []
     for task in leased:
@@ -190,6 +192,11 @@
 
 
 def _apply_renewal_answer(world: World, answer: WorkerAnswered, now_ms: int) -> None:
+    """Adopt or update the tasks that the worker lists, and extend reservations.
+
+    Tasks that were renewed and are not listed have been lost by the worker. If the
+    renewal failed, its reservations are stopped.
+    """
     renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
     world.worker_view.renewal = None
     if not answer.ok:
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -89,7 +89,7 @@
 
 
 def _worker_end_ms(world: World, task: MemberTask) -> int:
-    """Return the time by which the worker has ended a task that is not renewed, in ms.
+    """Return when the worker has ended a task that is not renewed, monotonic ms.
 
     The last renewal may have reached the worker up to one order timeout late, and the
     clocks drift apart. An unconfirmed task was adopted: its lease at the worker is not
