--- a/kingcuppost/systems/jobs/tests/support.py
+++ b/kingcuppost/systems/jobs/tests/support.py
@@ -9,27 +9,28 @@
 HOUR_MS = 60 * MINUTE_MS
 
 
-def worker(number: int, accelerators: int = 8, zone: str = "a") -> WorkerSpec:
+def make_worker(number: int, accelerators: int = 8, zone: str = "a") -> WorkerSpec:
+    """Return a worker with 64 cores and 64,000 MB; each rack holds three workers."""
     rack = f"{zone}-{number // 3}"
     return WorkerSpec(f"w{number}", zone, rack, 64, 64_000, accelerators)
 
 
-def deployment(
+def make_deployment(
     workers: list[WorkerSpec], teams: dict[str, tuple[Shape, ...]]
 ) -> Deployment:
     zones = {spec.availability_zone: "r" for spec in workers}
     return Deployment("test", zones, workers, teams)
 
 
-def driver(
+def make_driver(
     workers: list[WorkerSpec],
     teams: dict[str, tuple[Shape, ...]],
     policy: str = "shapes",
 ) -> Driver:
-    return Driver(deployment(workers, teams), policy)
+    return Driver(make_deployment(workers, teams), policy)
 
 
-def job(
+def make_job(
     name: str,
     team: str,
     members: int = 1,
@@ -56,18 +57,18 @@
     )
 
 
-def submit(run: Driver, *jobs: Arrival) -> None:
+def submit(driver: Driver, *jobs: Arrival) -> None:
     """Submit jobs now and run until they could have started."""
     for item in jobs:
-        run.submit(item)
-    run.tick()
-    settle(run)
+        driver.submit(item)
+    driver.tick()
+    settle(driver)
 
 
-def settle(run: Driver, for_ms: int = 2_000) -> None:
-    run.run(run.clock.now_ms() + for_ms)
+def settle(driver: Driver, for_ms: int = 2_000) -> None:
+    driver.run(driver.clock.now_ms() + for_ms)
 
 
-def running(run: Driver) -> dict[str, bool]:
+def running(driver: Driver) -> dict[str, bool]:
     """Return the jobs that have a gang, and whether it borrows."""
-    return {gang.job: gang.borrowed for gang in run.world.agreed.gangs}
+    return {gang.job: gang.borrowed for gang in driver.world.agreed.gangs}
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -85,7 +85,7 @@
     report_member(harness, 1, state)
 
 
-def start(harness: ProcessHarness) -> None:
+def start_gang(harness: ProcessHarness) -> None:
     """Place a gang of two members and let them start."""
     place_gang(harness.log, "a", WORKERS)
     harness.settle()
@@ -169,7 +169,7 @@
 
 
 def test_gang_ends_when_all_members_are_final(harness: ProcessHarness) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 1, TaskState.STOPPED)
     assert [row.reason for row in stops(harness)] == ["member 1 is stopped"]
     assert not ends(harness)
@@ -178,7 +178,7 @@
 
 
 def test_stop_after_failure_names_the_worker(harness: ProcessHarness) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 1, TaskState.FAILED)
     assert [row.failed_worker for row in stops(harness)] == ["worker-1"]
 
@@ -186,7 +186,7 @@
 def test_gang_with_stopped_member_ends_after_leases_expire(
     harness: ProcessHarness,
 ) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 1, TaskState.STOPPED)
     waited_ms = ms_until_end(harness, 60_000)
     timeout_ms = 2 * LEASE_MS + GRACE_MS + CLOCK_DRIFT_MS
@@ -196,7 +196,7 @@
 def test_finished_member_does_not_shorten_the_wait_for_others(
     harness: ProcessHarness,
 ) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 1, TaskState.FINISHED)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(60_000)
@@ -207,7 +207,7 @@
 def test_leases_count_from_the_report_of_a_stopped_member(
     harness: ProcessHarness,
 ) -> None:
-    start(harness)
+    start_gang(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.run(100_000)
     report_member(harness, 1, TaskState.STOPPED)
@@ -227,7 +227,7 @@
 def test_unreported_gang_is_stopped_after_the_isolation_limit(
     harness: ProcessHarness,
 ) -> None:
-    start(harness)
+    start_gang(harness)
     harness.run(ISOLATION_LIMIT_MS - 1_000)
     assert not stops(harness)
     harness.run(2 * MEMBER_TIMEOUT_MS)
@@ -235,7 +235,7 @@
 
 
 def test_gang_with_one_running_member_is_not_stopped(harness: ProcessHarness) -> None:
-    start(harness)
+    start_gang(harness)
     for _ in range(4):
         harness.run(MEMBER_TIMEOUT_MS // 2)
         report_member(harness, 0, TaskState.RUNNING)
@@ -243,7 +243,7 @@
 
 
 def test_member_is_not_lost_between_full_reports(harness: ProcessHarness) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 0, TaskState.FINISHED)
     harness.run(MEMBER_TIMEOUT_MS - 1_000)
     assert not stops(harness)
@@ -252,7 +252,7 @@
 def test_gang_is_stopped_when_its_only_unfinished_member_is_lost(
     harness: ProcessHarness,
 ) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 0, TaskState.FINISHED)
     for _ in range(20):
         harness.run(MEMBER_TIMEOUT_MS // 8)
@@ -263,7 +263,7 @@
 def test_new_holder_counts_limits_from_its_own_first_observation(
     harness: ProcessHarness, log: FakeLog
 ) -> None:
-    start(harness)
+    start_gang(harness)
     report_member(harness, 1, TaskState.STOPPED)
     harness.run(2 * LEASE_MS)
     rival = make_entry_harness(log, harness.clock, 1)
@@ -303,7 +303,7 @@
 
 
 def test_state_of_ended_gangs_is_removed(harness: ProcessHarness) -> None:
-    start(harness)
+    start_gang(harness)
     harness.log.add(JobCancel("a", "enough"))
     harness.settle()
     report_both(harness, TaskState.STOPPED)
--- a/kingcuppost/systems/jobs/tests/test_occupancy.py
+++ b/kingcuppost/systems/jobs/tests/test_occupancy.py
@@ -15,29 +15,33 @@
 HOUR_MS = 3_600_000
 
 
-def rebuild(run: Driver) -> SchedulingState:
-    world = World(run.world.cfg, run.world.identity, run.clock, run.world.rng)
-    agreed = run.world.agreed
+def rebuild(driver: Driver) -> SchedulingState:
+    world = World(
+        driver.world.cfg, driver.world.identity, driver.clock, driver.world.rng
+    )
+    agreed = driver.world.agreed
     for name in ("availability_zones", "minions", "workers", "teams", "jobs", "gangs"):
         for row in getattr(agreed, name):
             getattr(world.agreed, name).put(row)
-    track_occupancy(world, run.clock.now_ms())
-    for reservation in run.world.scheduling.advance_reservations:
-        allocation = run.world.scheduling.allocations[f"reservation:{reservation.job}"]
+    track_occupancy(world, driver.clock.now_ms())
+    for reservation in driver.world.scheduling.advance_reservations:
+        allocation = driver.world.scheduling.allocations[
+            f"reservation:{reservation.job}"
+        ]
         put_allocation(world.scheduling, allocation)
-    for key in run.world.scheduling.pending_gangs:
-        put_allocation(world.scheduling, run.world.scheduling.allocations[key])
+    for key in driver.world.scheduling.pending_gangs:
+        put_allocation(world.scheduling, driver.world.scheduling.allocations[key])
     return world.scheduling
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_incremental_updates_equal_a_rebuild(seed: int) -> None:
-    run = Driver(deployments["moulerie"](seed), "shapes")
+    driver = Driver(deployments["moulerie"](seed), "shapes")
     for hours in range(1, 16, 2):
-        run.run(hours * HOUR_MS)
-        run.tick()
-        rebuilt = rebuild(run)
-        updated = run.world.scheduling
+        driver.run(hours * HOUR_MS)
+        driver.tick()
+        rebuilt = rebuild(driver)
+        updated = driver.world.scheduling
         assert updated.free_blocks == rebuilt.free_blocks
         assert updated.unbound_blocks == rebuilt.unbound_blocks
         assert updated.demand == rebuilt.demand
@@ -46,12 +50,12 @@
 
 
 def test_allocation_without_members_changes_no_worker() -> None:
-    run = Driver(deployments["planned"](1), "shapes")
-    run.tick()
-    job = run.deployment.arrivals[-1]
-    run.submit(job)
-    row = run.world.agreed.jobs.get(job.job)
-    before = [item.free_blocks for item in run.world.scheduling.workers]
+    driver = Driver(deployments["planned"](1), "shapes")
+    driver.tick()
+    job = driver.deployment.arrivals[-1]
+    driver.submit(job)
+    row = driver.world.agreed.jobs.get(job.job)
+    before = [item.free_blocks for item in driver.world.scheduling.workers]
     allocation = build_allocation("x/1", row, ())
-    put_allocation(run.world.scheduling, allocation)
-    assert before == [item.free_blocks for item in run.world.scheduling.workers]
+    put_allocation(driver.world.scheduling, allocation)
+    assert before == [item.free_blocks for item in driver.world.scheduling.workers]
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -6,11 +6,11 @@
 from kingcuppost.systems.jobs.tests.support import (
     HOUR_MS,
     MINUTE_MS,
-    driver,
-    job,
+    make_driver,
+    make_job,
+    make_worker,
     settle,
     submit,
-    worker,
 )
 from kingcuppost.tables.team import Shape
 
@@ -24,12 +24,14 @@
     so that the time limit of the reservation ends the wait. The stop of the borrowers
     and the start of the gang add `STOP_AND_START_MS`.
     """
-    run = driver([worker(number) for number in range(64)], {"a": (), "b": ()})
-    run.put_setting("job.overtake_limit_ms", HOUR_MS)
-    run.put_setting("job.keep_bound_ms", HOUR_MS)
-    run.put_setting("job.compact_after_ms", 10 * HOUR_MS)
+    driver = make_driver(
+        [make_worker(number) for number in range(64)], {"a": (), "b": ()}
+    )
+    driver.put_setting("job.overtake_limit_ms", HOUR_MS)
+    driver.put_setting("job.keep_bound_ms", HOUR_MS)
+    driver.put_setting("job.compact_after_ms", 10 * HOUR_MS)
     for number in range(2_400):
-        small = job(
+        small = make_job(
             f"s{number}",
             "a",
             1,
@@ -37,24 +39,24 @@
             run_ms=20 * MINUTE_MS,
             declared_ms=2 * MINUTE_MS,
         )
-        run.at(1_000 + number * 15_000, lambda small=small: run.submit(small))
-    large = job("large", "b", 64, 8, run_ms=MINUTE_MS)
-    run.at(30 * MINUTE_MS, lambda: run.submit(large))
-    run.run(10 * HOUR_MS)
-    waited_ms = run.runs["large"].started_ms - run.runs["large"].submitted_ms
+        driver.at(1_000 + number * 15_000, lambda small=small: driver.submit(small))
+    large = make_job("large", "b", 64, 8, run_ms=MINUTE_MS)
+    driver.at(30 * MINUTE_MS, lambda: driver.submit(large))
+    driver.run(10 * HOUR_MS)
+    waited_ms = driver.runs["large"].started_ms - driver.runs["large"].submitted_ms
     assert 0 <= waited_ms <= MINUTE_MS + HOUR_MS + STOP_AND_START_MS
 
 
 def test_rank_of_a_waiting_job_is_within_the_overtake_limit() -> None:
-    run = driver([worker(0)], {"a": ()})
-    run.tick()
-    submit(run, job("blocker", "a", 1, 8))
-    submit(run, job("large", "a", 1, 8, run_ms=HOUR_MS))
-    limit_ms = effective_value(run.world.agreed, "job.overtake_limit_ms")
-    settle(run, MINUTE_MS)
-    first = run.world.scheduling.queue[0]
+    driver = make_driver([make_worker(0)], {"a": ()})
+    driver.tick()
+    submit(driver, make_job("blocker", "a", 1, 8))
+    submit(driver, make_job("large", "a", 1, 8, run_ms=HOUR_MS))
+    limit_ms = effective_value(driver.world.agreed, "job.overtake_limit_ms")
+    settle(driver, MINUTE_MS)
+    first = driver.world.scheduling.queue[0]
     assert first.job == "large"
-    assert first.rank[1] <= run.runs["large"].submitted_ms + limit_ms
+    assert first.rank[1] <= driver.runs["large"].submitted_ms + limit_ms
 
 
 @pytest.mark.parametrize(
@@ -64,15 +66,15 @@
 def test_gang_is_placed_as_close_as_possible(
     members: int, accelerators: int, attribute: str
 ) -> None:
-    workers = [worker(number, zone="ab"[number // 6]) for number in range(12)]
-    run = driver(workers, {"a": (Shape(1, 1),)})
-    submit(run, job("gang", "a", members, accelerators))
-    (gang,) = run.world.agreed.gangs
-    rows = [run.world.agreed.workers.get(item.worker) for item in gang.placements]
+    workers = [make_worker(number, zone="ab"[number // 6]) for number in range(12)]
+    driver = make_driver(workers, {"a": (Shape(1, 1),)})
+    submit(driver, make_job("gang", "a", members, accelerators))
+    (gang,) = driver.world.agreed.gangs
+    rows = [driver.world.agreed.workers.get(item.worker) for item in gang.placements]
     assert len({getattr(row, attribute) for row in rows}) == 1
 
 
 def test_gang_is_placed_whole_or_not_at_all() -> None:
-    run = driver([worker(0), worker(1)], {"a": ()})
-    submit(run, job("gang", "a", 3, 8))
-    assert not len(run.world.agreed.gangs)
+    driver = make_driver([make_worker(0), make_worker(1)], {"a": ()})
+    submit(driver, make_job("gang", "a", 3, 8))
+    assert not len(driver.world.agreed.gangs)
