Correct when a leader confirms a gang

The leader counts a finished member for good and asks for recent reports of running ones only; the text asked for recent reports of both. The finish of a gang carries the result of member 0, and the start order marks the begin of the lease: both are said now.

--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -1,10 +1,10 @@
 """Confirmation of gangs by their leader, which extends the members' leases.
 
 The sidecar of member 0 is the leader. It confirms the gang only while every member
-was reported running or finished within the last half of the lease. A confirmation
-is valid for half of the lease from the sending of the reports that it answers. So no
-gang runs with part of its members for longer than the lease, and neither the log nor
-the scheduler is needed for that.
+has finished or was reported running within the past half lease. A confirmation is
+valid for half of the lease from the sending of the reports that it answers. So no gang
+runs with part of its members for longer than the lease, and neither the log nor the
+scheduler is needed for that.
 """
 
 from collections import defaultdict
@@ -193,6 +193,7 @@
 def propose_gang_finishes(world: World, now_ms: int) -> None:
     """Propose the finish of gangs whose members have all finished.
 
+    The result of member 0 becomes that of the job. A process proposes each finish once.
     Monitors of gangs that are stopping or have ended are deleted.
     """
     for monitor in world.gang_monitors:
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -68,9 +68,9 @@
     The last renewal may have left it out, if the view of the log was not fresh then.
     """
     limit_ms = reservation_ms(world)
-    due_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
+    due_remaining_ms = limit_ms - limit_ms // RENEWALS_PER_LEASE
     reserved = world.tasks.find("state", TaskState.RESERVED)
-    is_due = any(task.lease_expiry_ms - now_ms <= due_ms for task in reserved)
+    is_due = any(task.lease_expiry_ms - now_ms <= due_remaining_ms for task in reserved)
     return is_due and _can_renew_reservations(world, now_ms)
 
 
@@ -170,6 +170,7 @@
     """
     gang = gang_of(world, task)
     if answer.ok and gang is not None:
+        # The lease began when the start order was sent.
         sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
         world.worker_view.last_confirmed_order_ms = max(
             world.worker_view.last_confirmed_order_ms, sent_ms
