--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -81,7 +81,10 @@
 def schedule_preemption_pass(
     world: World, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Schedule queue passes at the times when the reservation may stop gangs."""
+    """Schedule queue passes for when gangs on a reservation may be stopped.
+
+    A reservation within a guarantee needs none: its borrowers are stopped at once.
+    """
     if reservation.guaranteed:
         return
     for at_ms in (
@@ -125,16 +128,16 @@
     """Return whether the job can start now on the accelerators reserved for it."""
     members = Counter(placement.worker for placement in reservation.placements)
     for placement in reservation.placements:
-        row = world.scheduling.workers.get(placement.worker)
-        if not row.usable or row.busy & accelerator_mask(placement):
+        worker = world.scheduling.workers.get(placement.worker)
+        if not worker.usable or worker.busy & accelerator_mask(placement):
             return False
     for name, member_count in members.items():
-        row = world.scheduling.workers.get(name)
+        worker = world.scheduling.workers.get(name)
         # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
-        if row.free_cores < count * job.cores:
+        if worker.free_cores < count * job.cores:
             return False
-        if row.free_memory_mb < count * job.memory_mb:
+        if worker.free_memory_mb < count * job.memory_mb:
             return False
     return True
 
@@ -147,12 +150,12 @@
     can only wait for borrowers, and for gangs that are stopping already.
     """
     for placement in reservation.placements:
-        row = world.scheduling.workers.get(placement.worker)
-        if not row.usable:
+        worker = world.scheduling.workers.get(placement.worker)
+        if not worker.usable:
             return False
         if (
             not reservation.guaranteed
-            and row.pinned & accelerator_mask(placement) & ~row.busy
+            and worker.pinned & accelerator_mask(placement) & ~worker.busy
         ):
             return False
     for gang in _blocking_gangs(world, reservation):
@@ -166,13 +169,14 @@
 def find_preemption_victims(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return the borrowers to stop so that the job starts within its time limit.
+    """Return the keys of the gangs to stop so that the job starts in time.
 
     - Within a guarantee: all borrowers on the reservation.
     - Beyond it, while a gang from before the reservation still runs there and the
-      time limit has not passed: all gangs there once `job.compact_after_ms` has
-      passed, if they are small enough to be moved.
-    - Beyond it, afterwards: the borrowers there that must yield to the job.
+      time limit `job.keep_bound_ms` has not passed: all gangs there once
+      `job.compact_after_ms` has passed, if they are small enough to be moved.
+    - Beyond it, once that gang has ended or the time limit has passed: the borrowers
+      there that must yield to the job.
 
     Within a guarantee, and beyond it after the time limit, borrowers whose cores or
     memory the job needs are added.
@@ -212,9 +216,10 @@
 def _gangs_to_compact(
     world: World, reservation: AdvanceReservation, job: Job, now_ms: int
 ) -> frozenset[str]:
-    """Return all gangs on the reservation, or none if they are not to be moved.
+    """Return the keys of all gangs on the reservation, or none of them.
 
-    They are moved only if all are preemptible and small enough together.
+    They are moved only if all are preemptible and, together, use at most
+    `MAX_COMPACT_RATIO` of the number of accelerators that the job needs.
     """
     if now_ms < _compact_at_ms(world, reservation):
         return frozenset()
@@ -270,13 +275,17 @@
 def _add_core_victims(
     world: World, reservation: AdvanceReservation, job: Job, victims: frozenset[str]
 ) -> frozenset[str]:
+    """Return the victims and those that free the cores and memory the job needs.
+
+    A worker whose preemptible gangs cannot free enough adds no victims.
+    """
     members = Counter(placement.worker for placement in reservation.placements)
     for name, member_count in members.items():
-        row = world.scheduling.workers.get(name)
+        worker = world.scheduling.workers.get(name)
         # Within a guarantee, the reservation has allocated cores and memory already.
         count = 0 if reservation.guaranteed else member_count
         extended = victims_for_cores(
-            world, row, count, job, reservation.guaranteed, victims
+            world, worker, count, job, reservation.guaranteed, victims
         )
         victims = extended if extended is not None else victims
     return victims
@@ -307,11 +316,11 @@
     """
     cell_class = class_of(job.accelerators)
     blocks = []
-    for row in world.scheduling.workers:
-        if row.name in job.failed_workers:
+    for worker in world.scheduling.workers:
+        if worker.name in job.failed_workers:
             continue
-        if row.usable and row.accelerators >= job.accelerators:
-            blocks.extend(_blocks_with_free_time(world, row, cell_class))
+        if worker.usable and worker.accelerators >= job.accelerators:
+            blocks.extend(_blocks_with_free_time(world, worker, cell_class))
     chosen = nsmallest(job.members, blocks)
     if len(chosen) < job.members:
         return None
@@ -327,7 +336,7 @@
 
 
 def _blocks_with_free_time(
-    world: World, row: WorkerCapacity, cell_class: int
+    world: World, worker: WorkerCapacity, cell_class: int
 ) -> list[tuple[bool, int, str, int]]:
     """Return the unreserved blocks of a worker as sort keys.
 
@@ -335,19 +344,19 @@
     expected to be free in ms, the name of the worker and the mask of the block.
     """
     found = []
-    busy_times = _busy_times(world, row)
-    for block in blocks_in(row.full_mask & ~row.reserved, cell_class):
+    busy_times = _busy_times(world, worker)
+    for block in blocks_in(worker.full_mask & ~worker.reserved, cell_class):
         waits_ms = [wait_ms for busy, wait_ms in busy_times if busy & block]
-        pinned = bool(block & row.pinned)
-        found.append((pinned, max(waits_ms, default=0), row.name, block))
+        pinned = bool(block & worker.pinned)
+        found.append((pinned, max(waits_ms, default=0), worker.name, block))
     return found
 
 
-def _busy_times(world: World, row: WorkerCapacity) -> list[tuple[int, int]]:
+def _busy_times(world: World, worker: WorkerCapacity) -> list[tuple[int, int]]:
     """Return each mask in use and the time until it is expected to be free, in ms."""
     wall_ms = world.clock.wall_ms()
     busy_times = []
-    for key, worker_allocation in row.allocations.items():
+    for key, worker_allocation in worker.allocations.items():
         if worker_allocation.busy:
             busy_times.append(
                 (worker_allocation.busy, _remaining_ms(world, key, wall_ms))
--- a/kingcuppost/systems/jobs/feasibility.py
+++ b/kingcuppost/systems/jobs/feasibility.py
@@ -12,7 +12,8 @@
 
 __all__ = ["check_feasibility", "jobs_with_pending_change"]
 
-# A job is refused after so many failures per worker of `job.failed_worker_limit`.
+# A job also fails after this multiple of `job.failed_worker_limit` failures, if they
+# occurred on fewer distinct workers than that limit.
 MAX_FAILURES_PER_WORKER = 2
 
 
@@ -48,7 +49,7 @@
     elif not _is_feasible(world, job, in_service_only=False):
         return _refuse_when_stable(world, job, now_ms)
     else:
-        _park(world, job, now_ms)
+        _park_or_unpark(world, job, now_ms)
     return True
 
 
@@ -72,6 +73,7 @@
 
 
 def _limit_reason(world: World, job: Job) -> str:
+    """Return why a job alone would exceed its team's limit; empty if it would not."""
     share = world.scheduling.shares.get(job.team)
     wanted = job.members * job.accelerators
     if share is None or not share.limit or wanted <= share.limit:
@@ -91,13 +93,13 @@
 def _count_slots(world: World, job: Job, in_service_only: bool) -> int:
     """Return how many members would fit, counted up to the number that is needed."""
     slots = 0
-    for row in world.scheduling.workers:
-        if in_service_only and not row.in_service:
+    for worker in world.scheduling.workers:
+        if in_service_only and not worker.in_service:
             continue
         needs = (
-            (row.accelerators, job.accelerators),
-            (row.cores, job.cores),
-            (row.memory_mb, job.memory_mb),
+            (worker.accelerators, job.accelerators),
+            (worker.cores, job.cores),
+            (worker.memory_mb, job.memory_mb),
         )
         slots += min(
             (total // need for total, need in needs if need), default=job.members
@@ -108,7 +110,10 @@
 
 
 def _refuse_when_stable(world: World, job: Job, now_ms: int) -> bool:
-    """Refuse a job once the fleet has not changed for a while."""
+    """Refuse a job if workers are known and the fleet has not changed for a while.
+
+    Returns whether it was refused. If not, it is checked again later.
+    """
     stable_for_ms = effective_value(world.agreed, "job.fleet_settle_ms")
     stable_at_ms = world.scheduling.fleet_changed_ms + stable_for_ms
     if now_ms < stable_at_ms or not len(world.scheduling.workers):
@@ -128,7 +133,7 @@
     note(world, "job.refuse", f"Job is refused: {reason}.", job=job.name, team=job.team)
 
 
-def _park(world: World, job: Job, now_ms: int) -> None:
+def _park_or_unpark(world: World, job: Job, now_ms: int) -> None:
     """Park a job that only workers out of service could hold, or unpark it."""
     parked = not _is_feasible(world, job, in_service_only=True)
     if parked == (job.state is JobState.PARKED):
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -7,10 +7,10 @@
 from kingcuppost.tables.task import MemberReport, Reservation, TaskState
 from kingcuppost.tables.world import World
 
-__all__ = ["BROKEN_STATES", "FINAL_STATES", "gang_members", "handle_member_reports"]
+__all__ = ["BROKEN_STATES", "ENDED_STATES", "gang_members", "handle_member_reports"]
 
 BROKEN_STATES = frozenset({TaskState.FAILED, TaskState.STOPPED, TaskState.REFUSED})
-FINAL_STATES = BROKEN_STATES | {TaskState.FINISHED}
+ENDED_STATES = BROKEN_STATES | {TaskState.FINISHED}
 REFRESHES_PER_TIMEOUT = 4
 
 
@@ -24,7 +24,7 @@
     """Store the states of members that sidecars report.
 
     A final state stays, even if an older report arrives later. The time of the last
-    report is updated only `REFRESHES_PER_TIMEOUT` times within `job.lost_ms`.
+    report is updated at most `REFRESHES_PER_TIMEOUT` times within `job.lost_ms`.
     """
     refresh_ms = effective_value(world.agreed, "job.lost_ms") // REFRESHES_PER_TIMEOUT
     for report in world.inbox.take(MemberReport):
@@ -33,7 +33,7 @@
             continue
         member_id = f"{key}/{report.member}"
         row = world.reservations.get(member_id)
-        if row is None or (row.state != report.state and row.state not in FINAL_STATES):
+        if row is None or (row.state != report.state and row.state not in ENDED_STATES):
             known = Reservation(member_id, key, report.state, now_ms, now_ms)
             world.reservations.put(known)
             world.gang_view.due.set(key, now_ms)
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -1,10 +1,10 @@
 """Confirmation of gangs by their leader, which extends the members' leases.
 
 The sidecar of member 0 is the leader. It confirms the gang only while every member
-was reported running or finished within the last half of the lease. A confirmation
-is valid for half of the lease from the sending of the reports that it answers. So no
-gang runs with part of its members for longer than the lease, and neither the log nor
-the scheduler is needed for that.
+has finished or was reported running within the past half lease. A confirmation is
+valid for half of the lease from the sending of the reports that it answers. So no gang
+runs with part of its members for longer than the lease, and neither the log nor the
+scheduler is needed for that.
 """
 
 from collections import defaultdict
@@ -27,14 +27,14 @@
 
 __all__ = [
     "handle_leader_replies",
-    "handle_member_reports",
+    "handle_gang_reports",
     "make_report",
     "propose_gang_finishes",
     "report_to_leaders",
 ]
 
 HEALTHY_STATES = (TaskState.RUNNING, TaskState.FINISHED)
-BROKEN_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
+UNHEALTHY_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
 REPORTS_PER_CONFIRMATION = 3
 
 
@@ -46,8 +46,9 @@
 
 
 def _released_tasks(world: World) -> list[tuple[Gang, MemberTask]]:
+    """Return the members to be reported to leaders, each with its released gang."""
     pairs = []
-    for state in (*HEALTHY_STATES, *BROKEN_STATES):
+    for state in (*HEALTHY_STATES, *UNHEALTHY_STATES):
         for task in world.tasks.find("state", state):
             gang = gang_of(world, task)
             if gang is not None and gang.state is GangState.RELEASED:
@@ -122,7 +123,7 @@
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.SIDECAR,), order=60)
-def handle_member_reports(world: World, now_ms: int) -> None:
+def handle_gang_reports(world: World, now_ms: int) -> None:
     """Record members' reports, and answer which gangs are whole or broken."""
     for message in world.inbox.take(GangReportArrived):
         reply = _record_reports(world, message.reports, now_ms)
@@ -192,6 +193,7 @@
 def propose_gang_finishes(world: World, now_ms: int) -> None:
     """Propose the finish of gangs whose members have all finished.
 
+    The result of member 0 becomes that of the job. A process proposes each finish once.
     Monitors of gangs that are stopping or have ended are deleted.
     """
     for monitor in world.gang_monitors:
