Name proposals, stored records and fold inputs by what they are

Cause: loop variables and parameters called row, item, key, what and argument stood for one specific thing over long scopes; three constants and two functions of the agreement shared one name or differed by one letter; the jitter of a read's retry and the size of a hash were bare numbers.

Change: rename them within their modules (stored, proposal, fold_input, subject, name, path, MAX_RETRY_DOUBLINGS, MAX_RESEND_DOUBLINGS, continue_search and the like), and give the two numbers a name.

--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -43,27 +43,27 @@
 
 def _peer_address(world: World) -> Address:
     """Return the address at which other processes of the system reach this one."""
-    bound = Address(world.cfg.peers.host, world.announcement.peer_port)
-    return world.cfg.advertised or bound
+    bound_address = Address(world.cfg.peers.host, world.announcement.peer_port)
+    return world.cfg.advertised or bound_address
 
 
 def _entry_announcement(world: World) -> EntryAnnounce:
-    ports = world.announcement
-    peers = _peer_address(world)
+    announcement = world.announcement
+    peer_address = _peer_address(world)
     return EntryAnnounce(
         world.identity.name,
         world.identity.availability_zone,
         world.identity.incarnation,
-        peers.host,
-        ports.caller_port,
-        ports.operator_port,
-        peers.port,
+        peer_address.host,
+        announcement.caller_port,
+        announcement.operator_port,
+        peer_address.port,
     )
 
 
 def _minion_announcement(world: World) -> MinionAnnounce:
     cfg = world.cfg.sidecar
-    peers = _peer_address(world)
+    peer_address = _peer_address(world)
     return MinionAnnounce(
         world.identity.name,
         cfg.service,
@@ -71,8 +71,8 @@
         world.identity.availability_zone,
         cfg.worker.rack,
         world.identity.incarnation,
-        peers.host,
-        peers.port,
+        peer_address.host,
+        peer_address.port,
         cfg.slots,
         cfg.connections,
         cfg.worker.cores,
@@ -125,9 +125,9 @@
     """Return whether the time to wait for the fold of the leave notice is over."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
-    until_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
-    world.deadlines.add(until_ms)
-    return now_ms >= until_ms
+    leave_deadline_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
+    world.deadlines.add(leave_deadline_ms)
+    return now_ms >= leave_deadline_ms
 
 
 def _is_leave_folded(world: World) -> bool:
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -8,7 +8,7 @@
 )
 from kingcuppost.systems.agreement.snapshot_search import (
     begin_search,
-    handle_search_read,
+    continue_search,
     is_search_due,
 )
 from kingcuppost.systems.agreement.snapshots import track_snapshot_part
@@ -27,7 +27,8 @@
 __all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "request_barrier"]
 
 MAX_PENDING_READS = 4
-MAX_DOUBLINGS = 3
+MAX_RETRY_DOUBLINGS = 3
+MIN_JITTER_RATIO = 0.5
 
 
 @system(Phase.FOLD, order=10)
@@ -46,7 +47,7 @@
         world.log_view.failed_reads = 0
         _drop_superseded_reads(world, read, now_ms)
         if world.log_view.search is not None:
-            handle_search_read(world, answer, now_ms)
+            continue_search(world, answer, now_ms)
         elif is_search_due(world, answer):
             begin_search(world, answer, now_ms)
         else:
@@ -70,8 +71,8 @@
     world: World, answer: ReadAnswered, read: PendingRead, now_ms: int
 ) -> None:
     view = world.log_view
-    for item in answer.records:
-        _fold_record(world, item)
+    for stored in answer.records:
+        _fold_record(world, stored)
     view.folded_offset = max(view.folded_offset, answer.end)
     _update_head(world, answer, read.sent_ms, now_ms)
 
@@ -84,9 +85,11 @@
     """
     view = world.log_view
     retry_ms = effective_value(world.agreed, "log.retry_ms")
-    retry_ms *= 2 ** min(view.failed_reads, MAX_DOUBLINGS)
+    retry_ms *= 2 ** min(view.failed_reads, MAX_RETRY_DOUBLINGS)
     view.failed_reads += 1
-    view.next_read_ms = now_ms + int(retry_ms * world.rng.uniform(0.5, 1.0))
+    view.next_read_ms = now_ms + int(
+        retry_ms * world.rng.uniform(MIN_JITTER_RATIO, 1.0)
+    )
     world.deadlines.add(view.next_read_ms)
     note(world, "log.read", f"Read failed: {answer.reason}.")
 
@@ -113,30 +116,32 @@
         )
 
 
-def _fold_record(world: World, item: StoredRecord) -> None:
+def _fold_record(world: World, stored: StoredRecord) -> None:
     view = world.log_view
-    if item.offset <= view.folded_offset:
+    if stored.offset <= view.folded_offset:
         return
-    view.folded_offset = item.offset
-    if isinstance(item.record.body, SnapshotPart):
-        track_snapshot_part(world, item)
+    view.folded_offset = stored.offset
+    if isinstance(stored.record.body, SnapshotPart):
+        track_snapshot_part(world, stored)
         return
-    known = world.agreed.recent.get(item.record.record_id)
+    known = world.agreed.recent.get(stored.record.record_id)
     if known is not None:
         fold_result = FoldResult(known.accepted, known.offset, known.reason)
     else:
-        rejection = apply_record(world.agreed, FoldInput(item.offset, item.record))
+        rejection = apply_record(world.agreed, FoldInput(stored.offset, stored.record))
         reason = rejection.reason if rejection else ""
         is_possible_repeat = rejection is not None and rejection.is_possible_repeat
         fold_result = FoldResult(
             rejection is None,
-            item.offset,
+            stored.offset,
             reason,
             is_possible_repeat=is_possible_repeat,
         )
-    if item.record.record_id in world.proposals:
-        world.fold_results[item.record.record_id] = fold_result
-    note_record(world, item.record, item.offset, _rejection_text(fold_result, known))
+    if stored.record.record_id in world.proposals:
+        world.fold_results[stored.record.record_id] = fold_result
+    note_record(
+        world, stored.record, stored.offset, _rejection_text(fold_result, known)
+    )
 
 
 def _rejection_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
@@ -154,9 +159,11 @@
     connection.
     """
     view = world.log_view
-    timely = [read for read in view.reads.values() if _is_timely(world, read, now_ms)]
-    if timely:
-        world.deadlines.add(min(read.late_ms for read in timely))
+    timely_reads = [
+        read for read in view.reads.values() if _is_timely(world, read, now_ms)
+    ]
+    if timely_reads:
+        world.deadlines.add(min(read.late_ms for read in timely_reads))
         return
     if len(view.reads) >= MAX_PENDING_READS:
         return
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -178,8 +178,8 @@
 def _unknown_reply(proposal: Proposal, reason: str) -> Reply:
     """Return an answer that names the record, so that its outcome can be looked up."""
     name = _subject_name(proposal)
-    what = f"record {proposal.record_id}" + (f" about {name}" if name else "")
-    unknown = ChangeRefused(Outcome.UNKNOWN, CHANGE_STEP, "log", f"{what}: {reason}")
+    subject = f"record {proposal.record_id}" + (f" about {name}" if name else "")
+    unknown = ChangeRefused(Outcome.UNKNOWN, CHANGE_STEP, "log", f"{subject}: {reason}")
     return Reply(proposal.exchange_id, STATUS_GATEWAY_TIMEOUT, unknown)
 
 
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -35,7 +35,7 @@
 def monitor_holder(world: World, now_ms: int) -> None:
     """Ping the holder periodically; claim the lease when it is unresponsive."""
     monitor = world.holder_monitor
-    _handle_holder_answers(world, now_ms)
+    _record_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
     if monitor.term != world.agreed.lease.term:
@@ -61,7 +61,7 @@
     return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_monitor.jitter))
 
 
-def _handle_holder_answers(world: World, now_ms: int) -> None:
+def _record_holder_answers(world: World, now_ms: int) -> None:
     """Accept answers only from a holder that can do its work.
 
     A holder that is cut off from the log while this process follows it counts as
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -14,7 +14,7 @@
 MAX_APPEND_WEIGHT = 256
 SNAPSHOT_PART_WEIGHT = 64  # any other record weighs 1
 MAX_PENDING_APPENDS = 16
-MAX_DOUBLINGS = 4
+MAX_RESEND_DOUBLINGS = 4
 
 
 @system(Phase.PROPOSE, order=20)
@@ -24,22 +24,25 @@
     Up to `MAX_PENDING_APPENDS` appends may be pending, sent at least `log.group_ms`
     apart, so that a log that answers seconds late still accepts all records.
     """
-    _handle_append_results(world, now_ms)
+    _process_append_answers(world, now_ms)
     _requeue_overdue(world, now_ms)
     due = _due_group(world, now_ms)
     if not due or not _may_append(world, now_ms):
         return
-    hedge = any(row.appends for row in due)
-    for row in due:
-        appends = row.appends + 1
-        retry_ms = now_ms + _late_ms(world, appends)
+    hedge = any(proposal.appends for proposal in due)
+    for proposal in due:
+        appends = proposal.appends + 1
+        retry_ms = now_ms + _resend_delay_ms(world, appends)
         world.proposals.update(
-            row.record_id, state=ProposalState.SENT, appends=appends, retry_ms=retry_ms
+            proposal.record_id,
+            state=ProposalState.SENT,
+            appends=appends,
+            retry_ms=retry_ms,
         )
         world.deadlines.add(retry_ms)
     world.log_view.appends[due[0].record_id] = now_ms
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    records = tuple(row.record for row in due)
+    records = tuple(proposal.record for proposal in due)
     world.outbox.put(AppendRecords(records, timeout_ms, hedge))
 
 
@@ -47,13 +50,13 @@
     """Return the records of the next append, up to the maximum weight."""
     group: list[Proposal] = []
     weight = 0
-    for row in world.proposals.find("state", ProposalState.QUEUED):
-        if row.retry_ms > now_ms:
+    for proposal in world.proposals.find("state", ProposalState.QUEUED):
+        if proposal.retry_ms > now_ms:
             continue
-        weight += _weight_of(row.record.body)
+        weight += _weight_of(proposal.record.body)
         if group and weight > MAX_APPEND_WEIGHT:
             break
-        group.append(row)
+        group.append(proposal)
     return group
 
 
@@ -64,10 +67,12 @@
 def _may_append(world: World, now_ms: int) -> bool:
     appends = world.log_view.appends
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
-    for key in [
-        key for key, sent_ms in appends.items() if now_ms - sent_ms > timeout_ms
+    for record_id in [
+        record_id
+        for record_id, sent_ms in appends.items()
+        if now_ms - sent_ms > timeout_ms
     ]:
-        del appends[key]
+        del appends[record_id]
     if not appends:
         return True
     if len(appends) >= MAX_PENDING_APPENDS:
@@ -81,13 +86,13 @@
     return False
 
 
-def _late_ms(world: World, appends: int) -> int:
+def _resend_delay_ms(world: World, appends: int) -> int:
     """Return the time without an answer after which a record is sent again, in ms.
 
     It doubles with each append of the record.
     """
     late_ms = effective_value(world.agreed, "log.late_ms")
-    return late_ms * 2 ** min(appends - 1, MAX_DOUBLINGS)
+    return late_ms * 2 ** min(appends - 1, MAX_RESEND_DOUBLINGS)
 
 
 def _requeue_overdue(world: World, now_ms: int) -> None:
@@ -96,42 +101,45 @@
     A confirmed append is overdue once a later read has reached the head without
     returning the record.
     """
-    for row in world.proposals.find("state", ProposalState.SENT):
-        if row.retry_ms <= now_ms:
-            world.proposals.update(row.record_id, state=ProposalState.QUEUED)
+    for proposal in world.proposals.find("state", ProposalState.SENT):
+        if proposal.retry_ms <= now_ms:
+            world.proposals.update(proposal.record_id, state=ProposalState.QUEUED)
     fresh_as_of_ms = world.log_view.fresh_as_of_ms
-    for row in world.proposals.find("state", ProposalState.APPENDED):
-        if fresh_as_of_ms > row.appended_ms:
+    for proposal in world.proposals.find("state", ProposalState.APPENDED):
+        if fresh_as_of_ms > proposal.appended_ms:
             world.proposals.update(
-                row.record_id, state=ProposalState.QUEUED, retry_ms=now_ms
+                proposal.record_id, state=ProposalState.QUEUED, retry_ms=now_ms
             )
 
 
-def _handle_append_results(world: World, now_ms: int) -> None:
+def _process_append_answers(world: World, now_ms: int) -> None:
     """Mark the records of confirmed appends; queue those of failed appends again."""
     for answer in world.inbox.take(AppendAnswered):
         world.log_view.appends.pop(answer.record_ids[0], None)
         if not answer.ok:
             note(world, "log.append", f"Append not confirmed: {answer.reason}.")
         for record_id in answer.record_ids:
-            row = world.proposals.get(record_id)
-            if row is not None:
-                _handle_append_result(world, row, answer, now_ms)
+            proposal = world.proposals.get(record_id)
+            if proposal is not None:
+                _update_proposal(world, proposal, answer, now_ms)
 
 
-def _handle_append_result(
-    world: World, row: Proposal, answer: AppendAnswered, now_ms: int
+def _update_proposal(
+    world: World, proposal: Proposal, answer: AppendAnswered, now_ms: int
 ) -> None:
     if answer.ok:
         world.proposals.update(
-            row.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
+            proposal.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
         )
         return
-    if row.state is ProposalState.APPENDED:
+    if proposal.state is ProposalState.APPENDED:
         return
-    appends = row.appends - 1 if answer.never_sent else row.appends
+    appends = proposal.appends - 1 if answer.never_sent else proposal.appends
     retry_ms = now_ms + effective_value(world.agreed, "log.retry_ms")
     world.proposals.update(
-        row.record_id, state=ProposalState.QUEUED, appends=appends, retry_ms=retry_ms
+        proposal.record_id,
+        state=ProposalState.QUEUED,
+        appends=appends,
+        retry_ms=retry_ms,
     )
     world.deadlines.add(retry_ms)
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -8,7 +8,7 @@
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
-__all__ = ["begin_search", "handle_search_read", "is_search_due"]
+__all__ = ["begin_search", "continue_search", "is_search_due"]
 
 MAX_LAG_RECORDS = 1_000
 SEARCH_WINDOW_RECORDS = 200
@@ -49,7 +49,7 @@
     return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def handle_search_read(world: World, answer: ReadAnswered, now_ms: int) -> None:
+def continue_search(world: World, answer: ReadAnswered, now_ms: int) -> None:
     """Collect the parts in one window; load a complete snapshot or go on searching."""
     view = world.log_view
     search = view.search
@@ -66,8 +66,8 @@
 
 
 def _collect_parts(search: SnapshotSearch, answer: ReadAnswered) -> None:
-    for item in answer.records:
-        body = item.record.body
+    for stored in answer.records:
+        body = stored.record.body
         if isinstance(body, SnapshotPart):
             search.parts.setdefault(body.snapshot_id, {})[body.index] = body
 
@@ -83,9 +83,9 @@
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
         part = next(iter(parts.values()))
-        usable = part.covers >= search.earliest - 1 and part.covers > folded_offset
-        newer = not best or part.covers > best[0].covers
-        if usable and newer and len(parts) == part.count:
+        is_usable = part.covers >= search.earliest - 1 and part.covers > folded_offset
+        is_newer = not best or part.covers > best[0].covers
+        if is_usable and is_newer and len(parts) == part.count:
             best = [parts[index] for index in sorted(parts)]
     return best
 
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -19,23 +19,23 @@
 MAX_INCOMPLETE_SNAPSHOTS = 4
 
 
-def track_snapshot_part(world: World, item: StoredRecord) -> None:
+def track_snapshot_part(world: World, stored: StoredRecord) -> None:
     """Track a part read from the log, and its snapshot once that is complete."""
     progress = world.snapshot_progress
-    part = item.record.body
-    if item.record.record_id in world.proposals:
-        world.fold_results[item.record.record_id] = FoldResult(True, item.offset)
+    part = stored.record.body
+    if stored.record.record_id in world.proposals:
+        world.fold_results[stored.record.record_id] = FoldResult(True, stored.offset)
     seen_parts = progress.seen_parts.setdefault(part.snapshot_id, set())
     seen_parts.add(part.index)
     if len(seen_parts) == part.count:
         del progress.seen_parts[part.snapshot_id]
         progress.covers = max(progress.covers, part.covers)
-        progress.wall_ms = max(progress.wall_ms, item.record.wall_ms)
+        progress.wall_ms = max(progress.wall_ms, stored.record.wall_ms)
         note(
             world,
             "snapshot.whole",
             f"The snapshot at offset {part.covers} is complete.",
-            offset=item.offset,
+            offset=stored.offset,
         )
     while len(progress.seen_parts) > MAX_INCOMPLETE_SNAPSHOTS:
         del progress.seen_parts[next(iter(progress.seen_parts))]
@@ -52,7 +52,9 @@
     if not is_scheduler(world) or not world.log_view.caught_up:
         progress.draft.clear()
         return
-    progress.pending = [item for item in progress.pending if item in world.proposals]
+    progress.pending = [
+        record_id for record_id in progress.pending if record_id in world.proposals
+    ]
     if not progress.draft and not progress.pending and _is_snapshot_due(world):
         _draft_snapshot(world)
     while progress.draft and len(progress.pending) < MAX_PENDING_PARTS:
@@ -65,9 +67,9 @@
     An idle system writes snapshots too, since they expire as other records do.
     """
     progress = world.snapshot_progress
-    records = world.log_view.folded_offset - progress.covers
+    record_count = world.log_view.folded_offset - progress.covers
     age_ms = world.clock.wall_ms() - progress.wall_ms
-    if records >= effective_value(world.agreed, "snapshot.records"):
+    if record_count >= effective_value(world.agreed, "snapshot.records"):
         return True
     return age_ms >= effective_value(world.agreed, "snapshot.period_ms")
 
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -20,7 +20,7 @@
 
 
 @appliers.register(EntryAnnounce)
-def apply_entry(agreed: Agreed, body: EntryAnnounce, item: FoldInput) -> None:
+def apply_entry(agreed: Agreed, body: EntryAnnounce, fold_input: FoldInput) -> None:
     """Create or replace the entry's row."""
     agreed.entries.put(
         Entry(
@@ -32,7 +32,7 @@
             body.operator_port,
             body.peer_port,
             MemberState.SERVING,
-            item.offset,
+            fold_input.offset,
         )
     )
 
@@ -47,7 +47,7 @@
 
 
 @appliers.register(MinionAnnounce)
-def apply_minion(agreed: Agreed, body: MinionAnnounce, item: FoldInput) -> None:
+def apply_minion(agreed: Agreed, body: MinionAnnounce, fold_input: FoldInput) -> None:
     """Create or replace the rows of the minion and of its worker."""
     agreed.minions.put(
         Minion(
@@ -61,7 +61,7 @@
             body.slots,
             body.connections,
             MemberState.SERVING,
-            item.offset,
+            fold_input.offset,
             body.operator_port,
         )
     )
@@ -89,9 +89,9 @@
 
 
 @appliers.register(MemberLeave)
-def apply_leave(agreed: Agreed, body: MemberLeave, item: FoldInput) -> None:
+def apply_leave(agreed: Agreed, body: MemberLeave, fold_input: FoldInput) -> None:
     """Mark the minion or entry as leaving."""
     for table in (agreed.minions, agreed.entries):
         row = table.get(body.name)
         if row is not None and row.incarnation == body.incarnation:
-            table.update(body.name, state=MemberState.LEAVING, offset=item.offset)
+            table.update(body.name, state=MemberState.LEAVING, offset=fold_input.offset)
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -73,9 +73,9 @@
 
 
 @appliers.register(LeaseClaim)
-def apply_lease_claim(agreed: Agreed, body: LeaseClaim, item: FoldInput) -> None:
+def apply_lease_claim(agreed: Agreed, body: LeaseClaim, fold_input: FoldInput) -> None:
     """Open a new term; its number is the offset of the claim."""
-    agreed.lease = SchedulingLease(item.offset, body.holder, body.incarnation)
+    agreed.lease = SchedulingLease(fold_input.offset, body.holder, body.incarnation)
 
 
 @checkers.register(JobSubmit)
@@ -91,7 +91,7 @@
 
 
 @appliers.register(JobSubmit)
-def apply_job_submit(agreed: Agreed, body: JobSubmit, item: FoldInput) -> None:
+def apply_job_submit(agreed: Agreed, body: JobSubmit, fold_input: FoldInput) -> None:
     """Create the job in the waiting state."""
     agreed.jobs.put(
         Job(
@@ -106,8 +106,8 @@
             body.payload,
             JobState.WAITING,
             0,
-            item.offset,
-            item.record.wall_ms,
+            fold_input.offset,
+            fold_input.record.wall_ms,
         )
     )
 
@@ -119,9 +119,9 @@
 
 
 @appliers.register(JobCancel)
-def apply_job_cancel(agreed: Agreed, body: JobCancel, item: FoldInput) -> None:
+def apply_job_cancel(agreed: Agreed, body: JobCancel, fold_input: FoldInput) -> None:
     """End the job as cancelled, and stop its gangs."""
-    _end_job(agreed, body.job, JobState.CANCELLED, body.reason, item)
+    _end_job(agreed, body.job, JobState.CANCELLED, body.reason, fold_input)
     for gang in agreed.gangs.find("job", body.job):
         agreed.gangs.update(gang.key, state=GangState.STOPPING, reason="cancelled")
 
@@ -133,13 +133,13 @@
 
 
 @appliers.register(JobRefuse)
-def apply_job_refuse(agreed: Agreed, body: JobRefuse, item: FoldInput) -> None:
+def apply_job_refuse(agreed: Agreed, body: JobRefuse, fold_input: FoldInput) -> None:
     """End the job as failed if it failed wherever it ran, else as refused.
 
     The scheduler has decided this; the record carries it in `failed`.
     """
     state = JobState.FAILED if body.failed else JobState.REFUSED
-    _end_job(agreed, body.job, state, body.reason, item)
+    _end_job(agreed, body.job, state, body.reason, fold_input)
 
 
 @checkers.register(JobPark)
@@ -149,7 +149,7 @@
 
 
 @appliers.register(JobPark)
-def apply_job_park(agreed: Agreed, body: JobPark, item: FoldInput) -> None:
+def apply_job_park(agreed: Agreed, body: JobPark, fold_input: FoldInput) -> None:
     """Mark the job as parked, or as waiting again."""
     state = JobState.PARKED if body.parked else JobState.WAITING
     agreed.jobs.update(body.job, state=state, reason=body.reason)
@@ -189,7 +189,7 @@
 
 
 @appliers.register(GangPlace)
-def apply_gang_place(agreed: Agreed, body: GangPlace, item: FoldInput) -> None:
+def apply_gang_place(agreed: Agreed, body: GangPlace, fold_input: FoldInput) -> None:
     """Create the gang in the reserving state."""
     job = agreed.jobs.get(body.job)
     agreed.jobs.update(
@@ -206,8 +206,8 @@
             body.borrowed,
             GangState.RESERVING,
             body.decision,
-            item.offset,
-            item.record.wall_ms,
+            fold_input.offset,
+            fold_input.record.wall_ms,
         )
     )
 
@@ -224,12 +224,14 @@
 
 
 @appliers.register(GangRelease)
-def apply_gang_release(agreed: Agreed, body: GangRelease, item: FoldInput) -> None:
+def apply_gang_release(
+    agreed: Agreed, body: GangRelease, fold_input: FoldInput
+) -> None:
     """Release the gang, so that all members may start."""
     agreed.gangs.update(
         gang_key(body.job, body.incarnation),
         state=GangState.RELEASED,
-        released_wall_ms=item.record.wall_ms,
+        released_wall_ms=fold_input.record.wall_ms,
     )
 
 
@@ -245,7 +247,7 @@
 
 
 @appliers.register(GangStop)
-def apply_gang_stop(agreed: Agreed, body: GangStop, item: FoldInput) -> None:
+def apply_gang_stop(agreed: Agreed, body: GangStop, fold_input: FoldInput) -> None:
     """Stop all members; add the worker that failed, if any, to the job's row."""
     key = gang_key(body.job, body.incarnation)
     agreed.gangs.update(
@@ -270,7 +272,7 @@
 
 
 @appliers.register(GangEnd)
-def apply_gang_end(agreed: Agreed, body: GangEnd, item: FoldInput) -> None:
+def apply_gang_end(agreed: Agreed, body: GangEnd, fold_input: FoldInput) -> None:
     """Free the gang's accelerators; return an active job to the waiting state."""
     _end_gang(agreed, gang_key(body.job, body.incarnation))
     job = agreed.jobs.get(body.job)
@@ -292,24 +294,24 @@
 
 
 @appliers.register(GangFinish)
-def apply_gang_finish(agreed: Agreed, body: GangFinish, item: FoldInput) -> None:
+def apply_gang_finish(agreed: Agreed, body: GangFinish, fold_input: FoldInput) -> None:
     """End the job with its result and free the accelerators."""
-    _end_job(agreed, body.job, JobState.DONE, "", item)
+    _end_job(agreed, body.job, JobState.DONE, "", fold_input)
     agreed.jobs.update(body.job, result=body.result)
     _end_gang(agreed, gang_key(body.job, body.incarnation))
 
 
 def _end_job(
-    agreed: Agreed, name: str, state: JobState, reason: str, item: FoldInput
+    agreed: Agreed, name: str, state: JobState, reason: str, fold_input: FoldInput
 ) -> None:
     """Set the job's final state, and evict the oldest ended jobs beyond the maximum.
 
     A job is not evicted while it has a gang, since that still occupies accelerators.
     """
     agreed.jobs.update(
-        name, state=state, reason=reason, finished_wall_ms=item.record.wall_ms
+        name, state=state, reason=reason, finished_wall_ms=fold_input.record.wall_ms
     )
-    agreed.ended_jobs.put(EndedJob(name, item.offset))
+    agreed.ended_jobs.put(EndedJob(name, fold_input.offset))
     while len(agreed.ended_jobs) > MAX_ENDED_JOBS:
         oldest = agreed.ended_jobs.first().name
         if agreed.gangs.count("job", oldest):
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -34,7 +34,7 @@
 
 
 @appliers.register(KeyClaimPut)
-def apply_key_claim(agreed: Agreed, body: KeyClaimPut, item: FoldInput) -> None:
+def apply_key_claim(agreed: Agreed, body: KeyClaimPut, fold_input: FoldInput) -> None:
     """Claim the key for one attempt."""
     agreed.key_claims.put(
         KeyClaim(
@@ -42,8 +42,8 @@
             body.attempt_id,
             body.minion,
             body.minion_incarnation,
-            item.offset,
-            item.record.wall_ms,
+            fold_input.offset,
+            fold_input.record.wall_ms,
             issued_ms=body.issued_ms,
             decision=body.decision,
         )
@@ -83,7 +83,7 @@
 
 
 @appliers.register(KeyOutcome)
-def apply_key_outcome(agreed: Agreed, body: KeyOutcome, item: FoldInput) -> None:
+def apply_key_outcome(agreed: Agreed, body: KeyOutcome, fold_input: FoldInput) -> None:
     """Set the outcome, or release the key of a request that did not run."""
     if body.outcome == "not_run":
         agreed.key_claims.delete(body.key)
--- a/kingcuppost/systems/fold/record_rules.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -75,33 +75,37 @@
     return checkers[type(body)](agreed, body)
 
 
-def apply_record(agreed: Agreed, item: FoldInput) -> Rejection | None:
+def apply_record(agreed: Agreed, fold_input: FoldInput) -> Rejection | None:
     """Apply one record, or return why it has no effect.
 
     A record is rejected if its identifier was already folded. It is also rejected
     if its author had folded the log only up to an offset so old that the record may
     repeat one whose identifier is no longer remembered.
     """
-    if item.record.record_id in agreed.recent:
+    if fold_input.record.record_id in agreed.recent:
         return Rejection("the record is a repeat")
-    if item.record.seen_offset < agreed.floors.recent_offset:
+    if fold_input.record.seen_offset < agreed.floors.recent_offset:
         return Rejection(
             "the record is too old to tell whether it is a repeat",
             is_possible_repeat=True,
         )
-    rejection = check_body(agreed, item.record.body)
+    rejection = check_body(agreed, fold_input.record.body)
     if rejection is None:
-        appliers[type(item.record.body)](agreed, item.record.body, item)
-    _remember_record(agreed, item, rejection)
+        appliers[type(fold_input.record.body)](
+            agreed, fold_input.record.body, fold_input
+        )
+    _remember_record(agreed, fold_input, rejection)
     return rejection
 
 
 def _remember_record(
-    agreed: Agreed, item: FoldInput, rejection: Rejection | None
+    agreed: Agreed, fold_input: FoldInput, rejection: Rejection | None
 ) -> None:
     reason = rejection.reason if rejection else ""
     agreed.recent.put(
-        RecentRecord(item.record.record_id, item.offset, rejection is None, reason)
+        RecentRecord(
+            fold_input.record.record_id, fold_input.offset, rejection is None, reason
+        )
     )
     while len(agreed.recent) > MAX_RECENT_RECORDS:
         evicted = agreed.recent.delete(agreed.recent.first().record_id)
--- a/kingcuppost/systems/fold/snapshot_slices.py
+++ b/kingcuppost/systems/fold/snapshot_slices.py
@@ -68,8 +68,8 @@
     for name in TABLE_NAMES:
         table: Table[Any] = getattr(agreed, name)
         table.clear()
-        for part in slices:
-            for row in getattr(part, name):
+        for agreed_slice in slices:
+            for row in getattr(agreed_slice, name):
                 table.put(copy(row))
     agreed.lease = copy(slices[0].lease)
     agreed.floors = copy(slices[0].floors)
--- a/kingcuppost/systems/fold/teams.py
+++ b/kingcuppost/systems/fold/teams.py
@@ -23,12 +23,12 @@
 
 
 def _check_base_offset(
-    what: str, row_offset: int, base_offset: int
+    subject: str, row_offset: int, base_offset: int
 ) -> Rejection | None:
     if row_offset == base_offset:
         return None
     return Rejection(
-        f"{what} was changed at offset {row_offset}, not {base_offset}",
+        f"{subject} was changed at offset {row_offset}, not {base_offset}",
         is_conflict=True,
     )
 
@@ -61,15 +61,15 @@
 
 
 @appliers.register(TeamPut)
-def apply_team(agreed: Agreed, body: TeamPut, item: FoldInput) -> None:
+def apply_team(agreed: Agreed, body: TeamPut, fold_input: FoldInput) -> None:
     """Create or replace the team's row."""
     agreed.teams.put(
         Team(
             body.name,
             body.guarantees,
             body.accelerator_limit,
-            item.offset,
-            item.record.author,
+            fold_input.offset,
+            fold_input.record.author,
         )
     )
 
@@ -87,16 +87,20 @@
             return Rejection(f"{name!r} is no name for a zone or region")
     if row is not None and row.region != body.region:
         return Rejection(f"availability zone {body.name} is in region {row.region}")
-    what = f"availability zone {body.name}"
-    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
+    subject = f"availability zone {body.name}"
+    return _check_base_offset(subject, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(ZonePut)
-def apply_zone(agreed: Agreed, body: ZonePut, item: FoldInput) -> None:
+def apply_zone(agreed: Agreed, body: ZonePut, fold_input: FoldInput) -> None:
     """Create or replace the zone's row."""
     agreed.availability_zones.put(
         AvailabilityZone(
-            body.name, body.region, body.in_service, item.offset, item.record.author
+            body.name,
+            body.region,
+            body.in_service,
+            fold_input.offset,
+            fold_input.record.author,
         )
     )
 
@@ -112,12 +116,12 @@
     if reason := key.check_value(body.value):
         return Rejection(reason)
     row = agreed.settings.get(setting_id(body.path, body.key))
-    what = f"{body.key} on {body.path or 'root'}"
-    return _check_base_offset(what, row.offset if row else 0, body.base_offset)
+    subject = f"{body.key} on {body.path or 'root'}"
+    return _check_base_offset(subject, row.offset if row else 0, body.base_offset)
 
 
 @appliers.register(SettingPut)
-def apply_setting(agreed: Agreed, body: SettingPut, item: FoldInput) -> None:
+def apply_setting(agreed: Agreed, body: SettingPut, fold_input: FoldInput) -> None:
     """Set or unset the key on its branch.
 
     An unset key keeps its row, so that later changes are checked against its offset.
@@ -128,7 +132,7 @@
             body.path,
             body.key,
             body.value,
-            item.offset,
-            item.record.author,
+            fold_input.offset,
+            fold_input.record.author,
         )
     )
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -54,34 +54,32 @@
 
 
 @views.register("explain_job")
-def explain_job(world: World, argument: str) -> JobExplanation | None:
+def explain_job(world: World, name: str) -> JobExplanation | None:
     """Return a job with all its gangs; ended gangs are retained for this view."""
-    job = world.agreed.jobs.get(argument)
+    job = world.agreed.jobs.get(name)
     if job is None:
         return None
-    ended = tuple(world.agreed.ended_gangs.find("job", argument))
-    active = tuple(world.agreed.gangs.find("job", argument))
+    ended = tuple(world.agreed.ended_gangs.find("job", name))
+    active = tuple(world.agreed.gangs.find("job", name))
     return JobExplanation(job, ended + active)
 
 
 @views.register("explain_request")
-def explain_request(world: World, argument: str) -> RequestExplanation | None:
+def explain_request(world: World, key: str) -> RequestExplanation | None:
     """Return the outcome of a request from the log, and this process's events."""
-    claim = world.agreed.key_claims.get(argument)
-    events = tuple(event for event in world.events if event.request == argument)
-    team = argument.partition("/")[0]
+    claim = world.agreed.key_claims.get(key)
+    events = tuple(event for event in world.events if event.request == key)
+    team = key.partition("/")[0]
     if claim is None and not events and team not in world.agreed.teams:
         return None
     known_team = team if team in world.agreed.teams else ""
     values = request_values(world.agreed, known_team)
     if claim is None:
         known_by = "the log: nobody may run it, or its claim is past the retention"
-        return RequestExplanation(
-            argument, None, "not_claimed", known_by, values, events
-        )
+        return RequestExplanation(key, None, "not_claimed", known_by, values, events)
     known_by = _find_outcome_source(world, claim)
     outcome = claim.outcome or Outcome.UNKNOWN
-    return RequestExplanation(argument, claim, outcome, known_by, values, events)
+    return RequestExplanation(key, claim, outcome, known_by, values, events)
 
 
 def _find_outcome_source(world: World, claim: KeyClaim) -> str:
--- a/kingcuppost/systems/views/merge.py
+++ b/kingcuppost/systems/views/merge.py
@@ -60,9 +60,12 @@
     >>> [event.process for event in merge_events([effect, cause])]
     ['entry-0', 'minion-0']
     """
-    rows = sorted(events, key=_stream_key)
-    offsets = _find_reached_offsets(rows)
-    nodes = [_make_node(row, offset) for row, offset in zip(rows, offsets, strict=True)]
+    ordered_events = sorted(events, key=_stream_key)
+    offsets = _find_reached_offsets(ordered_events)
+    nodes = [
+        _make_node(event, offset)
+        for event, offset in zip(ordered_events, offsets, strict=True)
+    ]
     _add_sequence_edges(nodes)
     _add_message_edges(nodes)
     _add_record_nodes(nodes, offsets)
@@ -73,15 +76,17 @@
     return (event.process, event.incarnation, event.sequence)
 
 
-def _find_reached_offsets(rows: list[Event]) -> list[int]:
+def _find_reached_offsets(events: list[Event]) -> list[int]:
     """Return the highest offset that the process had reached at each event."""
     offsets = []
-    last = ("", "")
+    previous_stream = ("", "")
     reached = 0
-    for row in rows:
-        stream = (row.process, row.incarnation)
-        reached = max(reached, row.offset) if stream == last else row.offset
-        last = stream
+    for event in events:
+        stream = (event.process, event.incarnation)
+        reached = (
+            max(reached, event.offset) if stream == previous_stream else event.offset
+        )
+        previous_stream = stream
         offsets.append(reached)
     return offsets
 
@@ -165,7 +170,7 @@
     ordered = []
     while in_degrees:
         if not heap:
-            index = min(in_degrees, key=lambda item: nodes[item].priority)
+            index = min(in_degrees, key=lambda node_index: nodes[node_index].priority)
         else:
             _, index = heapq.heappop(heap)
         if in_degrees.pop(index, None) is None:
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -88,9 +88,9 @@
 
 
 @views.register("team")
-def show_team(world: World, argument: str) -> Team | None:
+def show_team(world: World, name: str) -> Team | None:
     """Return a team by name."""
-    return world.agreed.teams.get(argument)
+    return world.agreed.teams.get(name)
 
 
 @views.register("teams")
@@ -100,9 +100,9 @@
 
 
 @views.register("availability_zone")
-def show_zone(world: World, argument: str) -> AvailabilityZone | None:
+def show_zone(world: World, name: str) -> AvailabilityZone | None:
     """Return an availability zone by name."""
-    return world.agreed.availability_zones.get(argument)
+    return world.agreed.availability_zones.get(name)
 
 
 @views.register("availability_zones")
@@ -112,12 +112,12 @@
 
 
 @views.register("job")
-def show_job(world: World, argument: str) -> JobView | None:
+def show_job(world: World, name: str) -> JobView | None:
     """Return a job by name, with its gangs that have not ended."""
-    job = world.agreed.jobs.get(argument)
+    job = world.agreed.jobs.get(name)
     if job is None:
         return None
-    return JobView(job, tuple(world.agreed.gangs.find("job", argument)))
+    return JobView(job, tuple(world.agreed.gangs.find("job", name)))
 
 
 @views.register("jobs")
@@ -127,15 +127,15 @@
 
 
 @views.register("settings")
-def show_branch(world: World, argument: str) -> BranchView:
+def show_branch(world: World, path: str) -> BranchView:
     """Return the settings on a branch and its ancestors, and its effective values."""
     rows = [
         row
-        for branch in list_ancestors(argument)
+        for branch in list_ancestors(path)
         for row in world.agreed.settings.find("path", branch)
     ]
-    values = tuple(resolve_setting(world.agreed, argument, key) for key in sorted(KEYS))
-    return BranchView(argument, tuple(rows), values)
+    values = tuple(resolve_setting(world.agreed, path, key) for key in sorted(KEYS))
+    return BranchView(path, tuple(rows), values)
 
 
 @views.register("fleet")
--- a/kingcuppost/utils/ranking.py
+++ b/kingcuppost/utils/ranking.py
@@ -7,6 +7,7 @@
 __all__ = ["rank_by_hash"]
 
 Item = TypeVar("Item")
+DIGEST_BYTES = 8
 
 
 def rank_by_hash(
@@ -31,6 +32,6 @@
 
     def hash_key(item: Item) -> bytes:
         text = f"{name} {name_of(item)}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
+        return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
 
     return sorted(items, key=hash_key)
