--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -122,7 +122,7 @@
 
 
 def _has_leave_timed_out(world: World, now_ms: int) -> bool:
-    """Return whether the time to wait for the fold of the leave notice is over."""
+    """Return whether `stop.announce_ms` has passed since the stop began."""
     bound_ms = effective_value(world.agreed, "stop.bound_ms")
     announce_ms = effective_value(world.agreed, "stop.announce_ms")
     leave_deadline_ms = world.announcement.stop_deadline_ms - bound_ms + announce_ms
@@ -131,7 +131,7 @@
 
 
 def _is_leave_folded(world: World) -> bool:
-    """Return whether this process has folded its leave notice."""
+    """Return whether the leave notice was folded, or the process is not listed."""
     if world.announcement.leave_record_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
--- a/kingcuppost/systems/agreement/change_defaults.py
+++ b/kingcuppost/systems/agreement/change_defaults.py
@@ -25,13 +25,17 @@
 
 
 def fill_in_defaults(world: World, body: RecordBody) -> RecordBody:
-    """Return a record body with omitted names and base offsets filled in."""
+    """Return a record body with omitted names and base offsets filled in.
+
+    The defaults come from this process's view of the agreed tables.
+    """
     if type(body) not in default_fillers:
         return body
     return default_fillers[type(body)](world, body)
 
 
 def _base_offset_of(row: Any, base_offset: int) -> int:
+    """Return the given base offset; if omitted, that of the row, or 0 without a row."""
     if base_offset != ANY_OFFSET:
         return base_offset
     return row.offset if row is not None else 0
@@ -47,14 +51,14 @@
 
 @default_fillers.register(TeamPut)
 def fill_in_team(world: World, body: TeamPut) -> TeamPut:
-    """Set the base offset from the team's row in this process's view."""
+    """Take an omitted base offset from the team's agreed row."""
     row = world.agreed.teams.get(body.name)
     return replace(body, base_offset=_base_offset_of(row, body.base_offset))
 
 
 @default_fillers.register(ZonePut)
 def fill_in_zone(world: World, body: ZonePut) -> ZonePut:
-    """Set region and base offset from the zone's row in this process's view."""
+    """Take an omitted region or base offset from the zone's agreed row."""
     row = world.agreed.availability_zones.get(body.name)
     region = body.region or (row.region if row is not None else "")
     return replace(
@@ -64,6 +68,6 @@
 
 @default_fillers.register(SettingPut)
 def fill_in_setting(world: World, body: SettingPut) -> SettingPut:
-    """Set the base offset from the setting's row in this process's view."""
+    """Take an omitted base offset from the setting's agreed row."""
     row = world.agreed.settings.get(setting_id(body.path, body.key))
     return replace(body, base_offset=_base_offset_of(row, body.base_offset))
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -27,7 +27,7 @@
 __all__ = ["fold_reads", "fresh_age_ms", "is_fresh", "issue_read", "request_barrier"]
 
 MAX_PENDING_READS = 4
-MAX_RETRY_DOUBLINGS = 3
+MAX_RETRY_DOUBLINGS = 3  # at most 8 times log.retry_ms
 MIN_JITTER_RATIO = 0.5
 
 
@@ -95,6 +95,11 @@
 
 
 def _update_head(world: World, answer: ReadAnswered, sent_ms: int, now_ms: int) -> None:
+    """Update the known head and, if the fold has reached it, the view's freshness.
+
+    The view is as fresh as the sending of the read, and a barrier is satisfied only by
+    a read that was sent no earlier.
+    """
     view = world.log_view
     view.head_offset = max(answer.head, view.head_offset)
     if view.folded_offset < answer.head:
@@ -117,6 +122,11 @@
 
 
 def _fold_record(world: World, stored: StoredRecord) -> None:
+    """Apply a record that is not folded yet, and keep the result for its proposer.
+
+    A repeat of a recent record has no effect; its result is that of the first copy.
+    A part of a snapshot is only tracked.
+    """
     view = world.log_view
     if stored.offset <= view.folded_offset:
         return
@@ -152,11 +162,10 @@
 
 @system(Phase.PROPOSE, order=10)
 def issue_read(world: World, now_ms: int) -> None:
-    """Keep one read pending that is not overdue.
+    """Keep one timely read pending; `_is_timely` says which reads are.
 
-    Another read is sent beside the pending one if that is overdue, or if it is a
-    long poll and a barrier is requested. Beside an overdue read, it is sent on a new
-    connection.
+    If no pending read is timely, another one is sent beside them, up to
+    `MAX_PENDING_READS` in all. Beside an overdue read, it is sent on a new connection.
     """
     view = world.log_view
     timely_reads = [
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -33,7 +33,11 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def monitor_holder(world: World, now_ms: int) -> None:
-    """Ping the holder periodically; claim the lease when it is unresponsive."""
+    """Ping the holder periodically; claim the lease when it is unresponsive.
+
+    The lease is claimed at once if it has no holder, or if another process has been
+    announced under the name of the holder.
+    """
     monitor = world.holder_monitor
     _record_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
@@ -77,6 +81,7 @@
 
 
 def _claim_lease(world: World, now_ms: int) -> None:
+    """Propose a claim based on the current term, unless one is already proposed."""
     for proposal in world.proposals:
         if isinstance(proposal.record.body, LeaseClaim):
             return
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -14,7 +14,7 @@
 MAX_APPEND_WEIGHT = 256
 SNAPSHOT_PART_WEIGHT = 64  # any other record weighs 1
 MAX_PENDING_APPENDS = 16
-MAX_RESEND_DOUBLINGS = 4
+MAX_RESEND_DOUBLINGS = 4  # at most 16 times log.late_ms
 
 
 @system(Phase.PROPOSE, order=20)
@@ -47,7 +47,7 @@
 
 
 def _due_group(world: World, now_ms: int) -> list[Proposal]:
-    """Return the records of the next append, up to the maximum weight."""
+    """Return the proposals for the next append, up to the maximum weight."""
     group: list[Proposal] = []
     weight = 0
     for proposal in world.proposals.find("state", ProposalState.QUEUED):
@@ -65,6 +65,10 @@
 
 
 def _may_append(world: World, now_ms: int) -> bool:
+    """Return whether an append may be sent now; if it is too early, set a deadline.
+
+    Appends that have timed out are dropped and no longer count as pending.
+    """
     appends = world.log_view.appends
     timeout_ms = effective_value(world.agreed, "log.timeout_ms")
     for record_id in [
@@ -127,6 +131,11 @@
 def _update_proposal(
     world: World, proposal: Proposal, answer: AppendAnswered, now_ms: int
 ) -> None:
+    """Mark the proposal as appended, or queue it again after a failed append.
+
+    A failed append does not undo an earlier confirmed one. An append that was never
+    sent does not count, since the record cannot be in the log because of it.
+    """
     if answer.ok:
         world.proposals.update(
             proposal.record_id, state=ProposalState.APPENDED, appended_ms=now_ms
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -15,7 +15,11 @@
 
 
 def is_search_due(world: World, answer: ReadAnswered) -> bool:
-    """Return whether the next records have expired, or are too many to fold."""
+    """Return whether to search for a snapshot.
+
+    A search is due if the next records have expired, or if they are too many to fold
+    one by one and no search has ended since this process last caught up.
+    """
     view = world.log_view
     if _has_expired_records(view, answer.earliest):
         return True
@@ -50,7 +54,7 @@
 
 
 def continue_search(world: World, answer: ReadAnswered, now_ms: int) -> None:
-    """Collect the parts in one window; load a complete snapshot or go on searching."""
+    """Collect the parts in one window, then load a snapshot or read the next window."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
@@ -111,7 +115,11 @@
 
 
 def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
-    """Fold record by record if none has expired, else search again later."""
+    """End a search without a snapshot.
+
+    If no record has expired, the log is folded record by record; otherwise the next
+    read, and with it a new search, is delayed.
+    """
     view = world.log_view
     view.search = None
     view.searched = True
--- a/kingcuppost/systems/fold/jobs.py
+++ b/kingcuppost/systems/fold/jobs.py
@@ -157,10 +157,11 @@
 
 @checkers.register(GangPlace)
 def check_gang_place(agreed: Agreed, body: GangPlace) -> Rejection | None:
-    """Reject placements that the tables do not allow.
+    """Reject a placement that the agreed tables do not allow.
 
-    These have an old term, a job that is not waiting, a wrong incarnation or number
-    of members, an unknown worker, or an availability zone out of service.
+    Reasons are an old term, a job that is not waiting, an incarnation that is not the
+    next one, a wrong number of members, an unknown worker, and an availability zone
+    that is out of service.
     """
     job = agreed.jobs.get(body.job)
     if job is None or job.state is not JobState.WAITING:
@@ -175,6 +176,7 @@
 
 
 def _check_placements(agreed: Agreed, body: GangPlace) -> Rejection | None:
+    """Check that each worker exists and that its zone is in service."""
     for placement in body.placements:
         worker = agreed.workers.get(placement.worker)
         if worker is None:
@@ -306,7 +308,7 @@
 ) -> None:
     """Set the job's final state, and evict the oldest ended jobs beyond the maximum.
 
-    A job is not evicted while it has a gang, since that still occupies accelerators.
+    Eviction stops at a job that still has a gang, since the gang holds accelerators.
     """
     agreed.jobs.update(
         name, state=state, reason=reason, finished_wall_ms=fold_input.record.wall_ms
--- a/kingcuppost/systems/fold/record_rules.py
+++ b/kingcuppost/systems/fold/record_rules.py
@@ -32,8 +32,8 @@
     is_not_found : bool
         Whether the record names something that does not exist.
     is_possible_repeat : bool
-        Whether an earlier copy may have taken effect whose identifier is no longer
-        remembered.
+        Whether the record may repeat one that took effect, and whose identifier is
+        no longer kept.
     """
 
     reason: str
@@ -78,9 +78,9 @@
 def apply_record(agreed: Agreed, fold_input: FoldInput) -> Rejection | None:
     """Apply one record, or return why it has no effect.
 
-    A record is rejected if its identifier was already folded. It is also rejected
-    if its author had folded the log only up to an offset so old that the record may
-    repeat one whose identifier is no longer remembered.
+    A record is rejected if its identifier is among those of the recent records. It is
+    also rejected if its author, when proposing it, had not folded the newest record
+    whose identifier was evicted: it may then repeat an evicted one.
     """
     if fold_input.record.record_id in agreed.recent:
         return Rejection("the record is a repeat")
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -20,6 +20,7 @@
 MS_PER_SECOND = 1_000
 NEVER_READ_AGE_S = -1.0
 
+# The label values, in the order of the metric's labels, and the value.
 Sample = tuple[tuple[str, ...], float]
 ReadSamples = Callable[[World], Iterable[Sample]]
 
--- a/kingcuppost/systems/views/rows.py
+++ b/kingcuppost/systems/views/rows.py
@@ -64,7 +64,7 @@
     lease : SchedulingLease
         Holder and term of the scheduling lease.
     proposals, requests, attempts : int
-        Number of open rows.
+        Number of those that are open.
     stopping : bool
         Whether a graceful stop is in progress.
     """
--- a/kingcuppost/utils/identifiers.py
+++ b/kingcuppost/utils/identifiers.py
@@ -15,7 +15,7 @@
     rng : random.Random
         Random generator of the world; every process has a different seed.
     prefix : str
-        Kind of the identified object, such as ``"attempt"``.
+        Kind of the identified object, such as ``"job"``.
 
     Returns
     -------
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -134,7 +134,7 @@
 
 
 def run_tick(world: Any, systems: list[System], now_ms: int) -> None:
-    """Run every system once.
+    """Drop the deadlines that are due, then run every system once.
 
     Parameters
     ----------
