Name reads and appends in the fake log, and a test after what it checks

Cause: the fake log called reads and appends alike 'row', and the name of a test spoke of a limit without saying which.

Change: rename the variables; the test now says that the third read goes out in time after two unresponsive ones. Its assertions are the same.

--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -43,15 +43,15 @@
         del self.texts[:drop]
         self.first += drop
 
-    def read(self, row: ReadLog, limit: int = RECORDS_PER_READ) -> ReadAnswered:
-        start = max(row.after + 1, self.first)
+    def read(self, read: ReadLog, limit: int = RECORDS_PER_READ) -> ReadAnswered:
+        start = max(read.after + 1, self.first)
         texts = self.texts[start - self.first :][:limit]
         records = []
         for index, text in enumerate(texts):
             records.append(StoredRecord(start + index, decode_log_record(text)))
         end = records[-1].offset if records else 0
         return ReadAnswered(
-            row.read_id, True, tuple(records), self.head, self.first, end
+            read.read_id, True, tuple(records), self.head, self.first, end
         )
 
     def kinds(self) -> list[str]:
@@ -105,29 +105,31 @@
     def answer_reads(self) -> None:
         """Answer all reads that have records to return or do not wait."""
         reads, self.reads = self.reads, []
-        for row in reads:
-            if row.wait_ms and row.after >= self.log.head:
-                self.reads.append(row)
+        for read in reads:
+            if read.wait_ms and read.after >= self.log.head:
+                self.reads.append(read)
             else:
-                self.world.inbox.put(self.log.read(row))
+                self.world.inbox.put(self.log.read(read))
         self.tick()
 
     def answer_appends(self, *, lost: bool = False) -> None:
         """Apply all appends; if `lost`, report them as timed out."""
         appends, self.appends = self.appends, []
-        for row in appends:
-            self.log.append(row.records)
-            ids = tuple(record.record_id for record in row.records)
+        for append in appends:
+            self.log.append(append.records)
+            ids = tuple(record.record_id for record in append.records)
             reason = "timeout" if lost else ""
             self.world.inbox.put(AppendAnswered(ids, not lost, reason))
         self.tick()
 
-    def answer_appends_with(self, append: Callable[[tuple[Record, ...]], None]) -> None:
+    def answer_appends_with(
+        self, append_records: Callable[[tuple[Record, ...]], None]
+    ) -> None:
         """Apply all appends through a function of the test, and confirm them."""
         appends, self.appends = self.appends, []
-        for row in appends:
-            append(row.records)
-            ids = tuple(record.record_id for record in row.records)
+        for append in appends:
+            append_records(append.records)
+            ids = tuple(record.record_id for record in append.records)
             self.world.inbox.put(AppendAnswered(ids, True))
         self.tick()
 
@@ -137,7 +139,7 @@
             self.tick()
             self.answer_appends()
             self.answer_reads()
-            waiting = all(row.wait_ms for row in self.reads)
+            waiting = all(read.wait_ms for read in self.reads)
             at_head = self.world.log_view.folded_offset == self.log.head
             if waiting and at_head and not self.appends and not self.world.proposals:
                 return
--- a/kingcuppost/systems/agreement/tests/test_follow.py
+++ b/kingcuppost/systems/agreement/tests/test_follow.py
@@ -77,7 +77,7 @@
     assert clock.now_ms() - accepted_ms <= POLL_MS + LATE_MS < MAX_APPLY_DELAY_MS
 
 
-def test_two_unresponsive_reads_in_a_row_stay_within_the_limit(
+def test_third_read_after_two_unresponsive_ones_is_sent_in_time(
     entry: FakeEntry, log: FakeLog, clock: ManualClock
 ) -> None:
     start_ms = clock.now_ms()
