--- a/kingcuppost/systems/agreement/__init__.py
+++ b/kingcuppost/systems/agreement/__init__.py
@@ -1,4 +1,4 @@
-"""Agreement through the log: reads, proposals, the scheduling lease, announcements."""
+"""Agreement through the log: reads, proposals, lease, snapshots, announcements."""
 
 from kingcuppost.systems.agreement.announce import announce, stop_gracefully
 from kingcuppost.systems.agreement.follow import fold_reads, issue_read
