--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -33,9 +33,13 @@
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=20)
 def monitor_holder(world: World, now_ms: int) -> None:
-    """Ping the holder periodically; claim the lease when it is unresponsive."""
+    """Ping the holder periodically; claim the lease when it is unresponsive.
+
+    The lease is claimed at once if it has no holder, or if another process has been
+    announced under the name of the holder.
+    """
     monitor = world.holder_monitor
-    _handle_holder_answers(world, now_ms)
+    _record_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
     if monitor.term != world.agreed.lease.term:
@@ -61,7 +65,7 @@
     return int(lost_ms * (1 + MAX_JITTER_RATIO * world.holder_monitor.jitter))
 
 
-def _handle_holder_answers(world: World, now_ms: int) -> None:
+def _record_holder_answers(world: World, now_ms: int) -> None:
     """Accept answers only from a holder that can do its work.
 
     A holder that is cut off from the log while this process follows it counts as
@@ -77,6 +81,7 @@
 
 
 def _claim_lease(world: World, now_ms: int) -> None:
+    """Propose a claim based on the current term, unless one is already proposed."""
     for proposal in world.proposals:
         if isinstance(proposal.record.body, LeaseClaim):
             return
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -8,14 +8,18 @@
 from kingcuppost.tables.record import SnapshotPart
 from kingcuppost.tables.world import World
 
-__all__ = ["begin_search", "handle_search_read", "is_search_due"]
+__all__ = ["begin_search", "continue_search", "is_search_due"]
 
 MAX_LAG_RECORDS = 1_000
 SEARCH_WINDOW_RECORDS = 200
 
 
 def is_search_due(world: World, answer: ReadAnswered) -> bool:
-    """Return whether the next records have expired, or are too many to fold."""
+    """Return whether to search for a snapshot.
+
+    A search is due if the next records have expired, or if they are too many to fold
+    one by one and no search has ended since this process last caught up.
+    """
     view = world.log_view
     if _has_expired_records(view, answer.earliest):
         return True
@@ -49,8 +53,8 @@
     return max(earliest - 1, upper_offset - SEARCH_WINDOW_RECORDS)
 
 
-def handle_search_read(world: World, answer: ReadAnswered, now_ms: int) -> None:
-    """Collect the parts in one window; load a complete snapshot or go on searching."""
+def continue_search(world: World, answer: ReadAnswered, now_ms: int) -> None:
+    """Collect the parts in one window, then load a snapshot or read the next window."""
     view = world.log_view
     search = view.search
     view.next_read_ms = now_ms
@@ -66,8 +70,8 @@
 
 
 def _collect_parts(search: SnapshotSearch, answer: ReadAnswered) -> None:
-    for item in answer.records:
-        body = item.record.body
+    for stored in answer.records:
+        body = stored.record.body
         if isinstance(body, SnapshotPart):
             search.parts.setdefault(body.snapshot_id, {})[body.index] = body
 
@@ -83,9 +87,9 @@
     best: list[SnapshotPart] = []
     for parts in search.parts.values():
         part = next(iter(parts.values()))
-        usable = part.covers >= search.earliest - 1 and part.covers > folded_offset
-        newer = not best or part.covers > best[0].covers
-        if usable and newer and len(parts) == part.count:
+        is_usable = part.covers >= search.earliest - 1 and part.covers > folded_offset
+        is_newer = not best or part.covers > best[0].covers
+        if is_usable and is_newer and len(parts) == part.count:
             best = [parts[index] for index in sorted(parts)]
     return best
 
@@ -111,7 +115,11 @@
 
 
 def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
-    """Fold record by record if none has expired, else search again later."""
+    """End a search without a snapshot.
+
+    If no record has expired, the log is folded record by record; otherwise the next
+    read, and with it a new search, is delayed.
+    """
     view = world.log_view
     view.search = None
     view.searched = True
