Show that a late search read makes the fold skip records

Its answer begins after a later offset and is folded as an ordinary read, so the records between the covered offset and the window are never folded.

The code is unchanged.

--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -3,9 +3,11 @@
 import pytest
 
 from kingcuppost.models.log import decode_log_record, encode_log_record
+from kingcuppost.systems.agreement import snapshot_search
 from kingcuppost.systems.agreement.tests.fake_log import FakeEntry, FakeLog
 from kingcuppost.systems.fold.snapshot_slices import TABLE_NAMES
 from kingcuppost.tables.job import Urgency
+from kingcuppost.tables.outbox import ReadLog
 from kingcuppost.tables.record import (
     ANY_OFFSET,
     JobSubmit,
@@ -19,6 +21,7 @@
 from kingcuppost.utils.clock import ManualClock
 
 HOUR_MS = 3_600_000
+LATE_MS = 1_000
 
 
 @pytest.fixture
@@ -220,6 +223,54 @@
     assert max(len(text) for text in texts) < 64_000
 
 
+def put_team_before_the_first_part(holder: FakeEntry, log: FakeLog) -> int:
+    """Append a record after a snapshot is drafted; return the offset it covers."""
+    covers = holder.world.log_view.folded_offset
+    holder.tick()
+    log.append((Record("rec-design", "test", 0, TeamPut("design", (), 0, 0)),))
+    holder.settle()
+    assert holder.world.snapshot_progress.covers == covers
+    assert "design" in holder.world.agreed.teams
+    return covers
+
+
+def hedge_search_read(entry: FakeEntry) -> tuple[ReadLog, ReadLog]:
+    """Begin a search and leave its first read unanswered until it is hedged."""
+    entry.tick()
+    entry.answer_reads()
+    entry.clock.advance(LATE_MS)
+    entry.tick()
+    first, second = entry.reads
+    entry.reads.clear()
+    assert second.hedge
+    return first, second
+
+
+# Guards against records that are skipped for ever after a search for a snapshot.
+# Two search reads are pending; the answer to the first loads a snapshot, and the
+# answer to the second, which begins after the covered offset, is folded as usual.
+def test_no_record_between_a_snapshot_and_the_search_window_is_skipped(
+    log: FakeLog, clock: ManualClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    holder = start_entry(log, clock)
+    clock.advance(HOUR_MS)
+    covers = put_team_before_the_first_part(holder, log)
+    log.expire(covers)
+    window = log.head - covers - 1
+    monkeypatch.setattr(snapshot_search, "SEARCH_WINDOW_RECORDS", window)
+    newcomer = FakeEntry("entry-1", log, clock, 3)
+    first, second = hedge_search_read(newcomer)
+    assert first.after == second.after == covers + 1
+    newcomer.tick(log.read(first))
+    assert newcomer.world.log_view.folded_offset == covers
+    newcomer.tick(log.read(second))
+    for _ in range(6):
+        newcomer.answer_reads()
+    assert newcomer.world.log_view.caught_up
+    assert newcomer.world.log_view.folded_offset == log.head
+    assert rows_of(newcomer.world.agreed) == rows_of(holder.world.agreed)
+
+
 def test_proposer_gets_its_result_from_a_snapshot(
     log: FakeLog, clock: ManualClock
 ) -> None:
