Name the bench's seeds, delays and draws

Rows that are workers or proposals, and arguments called `item`, had to be looked up at each use; the drawing functions had the names of the fields that they fill; outages, biases and periods were plain numbers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,8 +9,10 @@
 from bench.workloads import deployments
 
 POLICIES = ("first_fit", "backfill", "shapes")
-SEEDS = 5
-SCALES = (1, 10)
+SEED_COUNT = 5
+TICK_SEED = 1
+SCALES = (1, 10)  # multiples of the design size
+SECOND_MS = 1_000
 MINUTE_MS = 60_000
 HEADER = (
     "| deployment | policy | overnight mean / p50 / p99, min "
@@ -33,7 +35,7 @@
 
 def _format_start_times(values: list[int]) -> str:
     parts = (percentile(values, 0.5), percentile(values, 0.99), max(values))
-    return " / ".join(f"{part / 1_000:.2f}" for part in parts)
+    return " / ".join(f"{part / SECOND_MS:.2f}" for part in parts)
 
 
 def _format_row(name: str, policy: str, runs: list[Figures]) -> str:
@@ -45,7 +47,7 @@
         name,
         policy,
         _format_times(overnight, MINUTE_MS),
-        _format_times(interactive, 1_000),
+        _format_times(interactive, SECOND_MS),
         _format_start_times(urgent),
         f"{mean(run.fragmentation for run in runs):.3f}",
         f"{mean(zone_work):.3f} (least {min(zone_work):.3f})",
@@ -62,7 +64,7 @@
     print("\n| scale | ticks | tick p50, ms | p99, ms | max, ms |")
     print("| --- | --- | --- | --- | --- |")
     for scale in SCALES:
-        times = tick_times(1, scale)
+        times = tick_times(TICK_SEED, scale)
         parts = (percentile(times, 0.5), percentile(times, 0.99), max(times))
         figures = " | ".join(f"{part:.2f}" for part in parts)
         print(f"| {scale} | {len(times)} | {figures} |", flush=True)
@@ -71,21 +73,21 @@
 def main() -> None:
     """Run all policies on all workloads and print the tables."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
-    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--seeds", type=int, default=SEED_COUNT)
     parser.add_argument("--deployment", choices=sorted(deployments))
     parser.add_argument("--no-ticks", action="store_true")
-    cfg = parser.parse_args()
-    names = [cfg.deployment] if cfg.deployment else list(deployments)
+    args = parser.parse_args()
+    names = [args.deployment] if args.deployment else list(deployments)
     print(HEADER)
     print("|" + " --- |" * (HEADER.count("|") - 1))
     for name in names:
         for policy in POLICIES:
             runs = [
                 measure(Driver(deployments[name](seed), policy))
-                for seed in range(1, cfg.seeds + 1)
+                for seed in range(1, args.seeds + 1)
             ]
             print(_format_row(name, policy, runs), flush=True)
-    if not cfg.no_ticks:
+    if not args.no_ticks:
         _print_ticks()
 
 
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -48,7 +48,7 @@
 FAIL_AFTER_MS = 5_000
 
 CLOCK_START_MS = 1_000
-SEED = 7
+WORLD_SEED = 7
 JOBS_PACKAGE = jobs_systems.__name__
 
 
@@ -131,12 +131,12 @@
             Role.ENTRY, "entry-1", "z", "r", address, LogConfig("f", address)
         )
         identity = Identity(Role.ENTRY, "entry-1", "inc", "z", "r")
-        self.world = World(cfg, identity, self.clock, random.Random(SEED))
+        self.world = World(cfg, identity, self.clock, random.Random(WORLD_SEED))
         self._systems = [
-            item
-            for item in systems_of(Role.ENTRY)
-            if item.name.startswith(JOBS_PACKAGE)
-            and not item.name.startswith(f"{JOBS_PACKAGE}.gangs")
+            system
+            for system in systems_of(Role.ENTRY)
+            if system.name.startswith(JOBS_PACKAGE)
+            and not system.name.startswith(f"{JOBS_PACKAGE}.gangs")
         ]
         self._set_up()
 
@@ -224,17 +224,19 @@
         self.world.log_view.fresh_as_of_ms = now_ms
         run_tick(self.world, self._systems, now_ms)
         new_proposals = [
-            row for row in self.world.proposals if row.record_id not in self._sent
+            proposal
+            for proposal in self.world.proposals
+            if proposal.record_id not in self._sent
         ]
         if new_proposals:
-            self._sent.update(row.record_id for row in new_proposals)
+            self._sent.update(proposal.record_id for proposal in new_proposals)
             self.after(APPEND_MS, lambda: self._fold(new_proposals))
 
-    def _fold(self, rows: list[Any]) -> None:
-        for row in rows:
-            self.world.proposals.delete(row.record_id)
-            self._sent.discard(row.record_id)
-            self.append(row.record.body, row.record_id)
+    def _fold(self, proposals: list[Any]) -> None:
+        for proposal in proposals:
+            self.world.proposals.delete(proposal.record_id)
+            self._sent.discard(proposal.record_id)
+            self.append(proposal.record.body, proposal.record_id)
         if self.after_fold is not None:
             self.after_fold(self)
 
@@ -244,59 +246,59 @@
             self.step()
         self.clock.advance(max(until_ms - self.clock.now_ms(), 0))
 
-    def submit(self, item: Arrival) -> None:
+    def submit(self, arrival: Arrival) -> None:
         """Submit a job."""
-        run = JobRun(item, self.clock.now_ms(), item.run_ms)
-        run.guaranteed = self._fits_guarantee(item)
-        self.runs[item.job] = run
+        run = JobRun(arrival, self.clock.now_ms(), arrival.run_ms)
+        run.guaranteed = self._fits_guarantee(arrival)
+        self.runs[arrival.job] = run
         self.append(
             JobSubmit(
-                item.job,
-                item.team,
-                item.members,
-                item.accelerators,
-                item.cores,
-                item.memory_mb,
-                item.urgency,
-                item.declared_ms,
+                arrival.job,
+                arrival.team,
+                arrival.members,
+                arrival.accelerators,
+                arrival.cores,
+                arrival.memory_mb,
+                arrival.urgency,
+                arrival.declared_ms,
                 "",
             )
         )
 
-    def _fits_guarantee(self, item: Arrival) -> bool:
+    def _fits_guarantee(self, arrival: Arrival) -> bool:
         """Return whether the job and its team's open jobs fit the team's guarantee."""
-        size = 1 << class_of(item.accelerators)
-        shapes = self.deployment.teams[item.team]
+        size = 1 << class_of(arrival.accelerators)
+        shapes = self.deployment.teams[arrival.team]
         guaranteed = sum(
             shape.members * shape.accelerators * shape.count for shape in shapes
         )
         used = sum(
             job.members << class_of(job.accelerators)
-            for job in self.world.agreed.jobs.find("team", item.team)
+            for job in self.world.agreed.jobs.find("team", arrival.team)
             if job.accelerators and job.state in (JobState.WAITING, JobState.ACTIVE)
         )
         largest = max((shape.accelerators for shape in shapes), default=0)
-        return size <= largest and used + item.members * size <= guaranteed
+        return size <= largest and used + arrival.members * size <= guaranteed
 
-    def cancel(self, item: Cancel) -> None:
+    def cancel(self, cancellation: Cancel) -> None:
         """Cancel a share of all open jobs at once."""
         open_jobs = [
             job.name
             for job in self.world.agreed.jobs
             if job.state in (JobState.WAITING, JobState.ACTIVE)
         ]
-        for name in open_jobs[: int(len(open_jobs) * item.share)]:
+        for name in open_jobs[: int(len(open_jobs) * cancellation.share)]:
             self.append(JobCancel(name, "no longer wanted"))
 
-    def change_zone(self, item: ZoneChange) -> None:
+    def change_zone(self, change: ZoneChange) -> None:
         """Take a zone out of or into service; power it off later if so planned."""
-        zone = item.availability_zone
+        zone = change.availability_zone
         row = self.world.agreed.availability_zones.get(zone)
-        self.append(ZonePut(zone, row.region, item.in_service, row.offset))
-        if item.in_service:
+        self.append(ZonePut(zone, row.region, change.in_service, row.offset))
+        if change.in_service:
             self.powered_off.discard(zone)
-        elif item.power_off_after_ms:
-            self.after(item.power_off_after_ms, lambda: self._power_off(zone))
+        elif change.power_off_after_ms:
+            self.after(change.power_off_after_ms, lambda: self._power_off(zone))
 
     def _power_off(self, zone: str) -> None:
         self.powered_off.add(zone)
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -30,7 +30,7 @@
     ----------
     free, unusable : float
         Free accelerators, and those among them in gaps that are too small.
-    window_done, window_possible : float
+    window_done_accelerator_ms, window_possible_accelerator_ms : float
         Work done and work possible around the zone change, in accelerators times ms.
     violations : int
         Samples in which a guarantee was violated.
@@ -40,8 +40,8 @@
 
     free: float = 0.0
     unusable: float = 0.0
-    window_done: float = 0.0
-    window_possible: float = 0.0
+    window_done_accelerator_ms: float = 0.0
+    window_possible_accelerator_ms: float = 0.0
     violations: int = 0
     sample_count: int = 0
     last_lost_accelerator_ms: float = 0.0
@@ -110,17 +110,17 @@
     driver: Driver, samples: Samples, window: tuple[int, int], at_ms: int
 ) -> None:
     scheduling = driver.world.scheduling
-    rows = [row for row in scheduling.workers if row.accelerators]
+    workers = [worker for worker in scheduling.workers if worker.accelerators]
     largest = _largest_wanted_size(driver)
-    for row in rows:
-        if row.in_service:
-            free = row.full_mask & ~row.busy
+    for worker in workers:
+        if worker.in_service:
+            free = worker.full_mask & ~worker.busy
             samples.free += free.bit_count()
             samples.unusable += free.bit_count() - _count_usable(free, largest)
-    samples.violations += _has_violation(driver, rows)
+    samples.violations += _has_violation(driver, workers)
     samples.sample_count += 1
     if window[0] <= at_ms < window[1]:
-        _sample_window(driver, samples, rows)
+        _sample_window(driver, samples, workers)
 
 
 def _largest_wanted_size(driver: Driver) -> int:
@@ -149,7 +149,7 @@
     return usable
 
 
-def _has_violation(driver: Driver, rows: list[WorkerCapacity]) -> int:
+def _has_violation(driver: Driver, workers: list[WorkerCapacity]) -> int:
     """Return whether unused guarantees do not fit, as 1 or 0.
 
     The result is 0 if the workers in service could not hold all guarantees even
@@ -158,7 +158,9 @@
     Running work of a team counts against its guarantee, largest cells first.
     """
     scheduling = driver.world.scheduling
-    full_cells = _count_cells([row.full_mask for row in rows if row.in_service])
+    full_cells = _count_cells(
+        [worker.full_mask for worker in workers if worker.in_service]
+    )
     guaranteed_cells = [
         sum(share.guaranteed[cell_class] for share in scheduling.shares)
         for cell_class in range(CELL_CLASSES)
@@ -167,7 +169,7 @@
         return 0
     if driver.policy == "shapes":
         return int(count_shortfall(scheduling.unbound_blocks, scheduling.demand) > 0)
-    return int(not _fits_unaligned(driver, rows))
+    return int(not _fits_unaligned(driver, workers))
 
 
 def _count_cells(masks: list[int]) -> list[int]:
@@ -180,7 +182,7 @@
     return counts
 
 
-def _fits_unaligned(driver: Driver, rows: list[WorkerCapacity]) -> bool:
+def _fits_unaligned(driver: Driver, workers: list[WorkerCapacity]) -> bool:
     """Return whether unused guarantees fit the free accelerators, aligned or not."""
     used_by_team: dict[str, int] = {}
     for gang in driver.world.agreed.gangs:
@@ -188,7 +190,7 @@
         used_by_team[gang.team] = (
             used_by_team.get(gang.team, 0) + job.members * job.accelerators
         )
-    free = [row.full_mask & ~row.busy for row in rows if row.in_service]
+    free = [worker.full_mask & ~worker.busy for worker in workers if worker.in_service]
     for cell_class in reversed(range(CELL_CLASSES)):
         wanted = 0
         for share in driver.world.scheduling.shares:
@@ -218,7 +220,7 @@
 
 
 def _sample_window(
-    driver: Driver, samples: Samples, rows: list[WorkerCapacity]
+    driver: Driver, samples: Samples, workers: list[WorkerCapacity]
 ) -> None:
     """Add the work done and the work possible on the accelerators in service.
 
@@ -231,7 +233,8 @@
         if gang.state is GangState.RELEASED:
             busy += job.members * job.accelerators
     usable = sum(
-        row.accelerators if row.in_service else row.busy.bit_count() for row in rows
+        worker.accelerators if worker.in_service else worker.busy.bit_count()
+        for worker in workers
     )
     waiting = driver.world.agreed.jobs.find("state", JobState.WAITING)
     wanted = sum(
@@ -239,19 +242,22 @@
         for job in waiting
         if job.members * job.accelerators <= usable
     )
-    if not samples.window_possible:
+    if not samples.window_possible_accelerator_ms:
         samples.last_lost_accelerator_ms = driver.lost_accelerator_ms
-    samples.window_done += busy * SAMPLE_PERIOD_MS - (
+    samples.window_done_accelerator_ms += busy * SAMPLE_PERIOD_MS - (
         driver.lost_accelerator_ms - samples.last_lost_accelerator_ms
     )
     samples.last_lost_accelerator_ms = driver.lost_accelerator_ms
-    samples.window_possible += min(usable, busy + wanted) * SAMPLE_PERIOD_MS
+    samples.window_possible_accelerator_ms += (
+        min(usable, busy + wanted) * SAMPLE_PERIOD_MS
+    )
 
 
 def _summarize(driver: Driver, samples: Samples) -> Figures:
     figures = Figures(
         fragmentation=samples.unusable / max(samples.free, 1),
-        zone_work=samples.window_done / max(samples.window_possible, 1),
+        zone_work=samples.window_done_accelerator_ms
+        / max(samples.window_possible_accelerator_ms, 1),
         lost_hours=driver.lost_accelerator_ms / HOUR_MS,
         reclaim_lost_hours=driver.reclaim_lost_accelerator_ms / HOUR_MS,
         reclaims=driver.reclaims,
--- a/bench/ticks.py
+++ b/bench/ticks.py
@@ -11,6 +11,7 @@
 
 WARM_UP_MS = 30 * MINUTE_MS
 TICK_COUNT = 600
+JOB_PERIOD_MS = MINUTE_MS // 6
 MS_PER_SECOND = 1_000
 
 
@@ -38,7 +39,7 @@
         start = perf_counter()
         driver.tick()
         times.append((perf_counter() - start) * MS_PER_SECOND)
-        driver.run(driver.clock.now_ms() + MINUTE_MS // 6)
+        driver.run(driver.clock.now_ms() + JOB_PERIOD_MS)
     return times
 
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -12,7 +12,12 @@
 SECOND_MS = 1_000
 MINUTE_MS = 60 * SECOND_MS
 HOUR_MS = 60 * MINUTE_MS
-DECLARED_SPREAD = 10.0
+MAX_DECLARED_FACTOR = 10.0  # largest error of a declared run time, either way
+MAX_TEAM_BIAS = 1.15  # natural logarithm of a factor of about 3.16
+EULER_NUMBER = 2.718281828
+SHORT_OUTAGE_MS = 3 * MINUTE_MS
+LONG_OUTAGE_MS = 60 * MINUTE_MS
+POWER_OFF_DELAY_MS = 5 * MINUTE_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,23 +86,23 @@
     cancels: list[Cancel] = field(default_factory=list)
 
 
-def _run_ms(rng: random.Random, min_ms: int, max_ms: int) -> int:
+def _draw_run_ms(rng: random.Random, min_ms: int, max_ms: int) -> int:
     """Draw a run time from a log-uniform distribution."""
     return int(min_ms * (max_ms / min_ms) ** rng.random())
 
 
-def _declared_ms(rng: random.Random, run_ms: int, bias: float) -> int:
+def _draw_declared_ms(rng: random.Random, run_ms: int, bias: float) -> int:
     """Draw a declared time of a tenth to ten times the run time.
 
     `bias` is the natural logarithm of the factor by which a team's declared times err.
     """
-    spread = rng.uniform(-log(DECLARED_SPREAD), log(DECLARED_SPREAD)) / 2
-    factor = 2.718281828 ** (spread + bias)
-    factor = min(max(factor, 1 / DECLARED_SPREAD), DECLARED_SPREAD)
+    spread = rng.uniform(-log(MAX_DECLARED_FACTOR), log(MAX_DECLARED_FACTOR)) / 2
+    factor = EULER_NUMBER ** (spread + bias)
+    factor = min(max(factor, 1 / MAX_DECLARED_FACTOR), MAX_DECLARED_FACTOR)
     return max(int(run_ms * factor), SECOND_MS)
 
 
-def _arrivals(
+def _draw_arrivals(
     rng: random.Random,
     teams: list[str],
     urgency: Urgency,
@@ -107,12 +112,12 @@
     run_range_ms: tuple[int, int],
 ) -> list[Arrival]:
     """Draw jobs; each team's declared times are biased by a factor of its own."""
-    bias = {team: rng.uniform(-1.15, 1.15) for team in teams}
+    bias = {team: rng.uniform(-MAX_TEAM_BIAS, MAX_TEAM_BIAS) for team in teams}
     arrivals = []
     for number in range(count):
         team = rng.choice(teams)
         members, accelerators = rng.choice(sizes)
-        run_ms = _run_ms(rng, *run_range_ms)
+        run_ms = _draw_run_ms(rng, *run_range_ms)
         arrivals.append(
             Arrival(
                 rng.randrange(span_ms),
@@ -123,7 +128,7 @@
                 max(1, 6 * accelerators) if accelerators else 3,
                 1_000,
                 urgency,
-                _declared_ms(rng, run_ms, bias[team]),
+                _draw_declared_ms(rng, run_ms, bias[team]),
                 run_ms,
                 rng.choice((200, 1_000, 2_500)),
             )
@@ -156,7 +161,7 @@
     deployment = Deployment(name, dict.fromkeys(zones, region), workers, teams)
     span_ms = 12 * HOUR_MS
     sizes = [(1, 1), (1, 2), (2, 2), (1, 4), (1, 8), (2, 4), (2, 8), (4, 8)]
-    deployment.arrivals = _arrivals(
+    deployment.arrivals = _draw_arrivals(
         rng,
         list(teams),
         Urgency.OVERNIGHT,
@@ -164,7 +169,7 @@
         span_ms,
         sizes,
         (10 * MINUTE_MS, 4 * HOUR_MS),
-    ) + _arrivals(
+    ) + _draw_arrivals(
         rng,
         ["large", "middle", "bench", "small"],
         Urgency.INTERACTIVE,
@@ -174,7 +179,7 @@
         (10 * SECOND_MS, 2 * MINUTE_MS),
     )
     out_ms = rng.randrange(2 * HOUR_MS, 5 * HOUR_MS)
-    outage_ms = 3 * MINUTE_MS if seed % 2 else 60 * MINUTE_MS
+    outage_ms = SHORT_OUTAGE_MS if seed % 2 else LONG_OUTAGE_MS
     _add_zone_change(deployment, zones[seed % 3], out_ms, outage_ms)
     return deployment
 
@@ -182,7 +187,7 @@
 def _add_zone_change(
     deployment: Deployment, zone: str, out_ms: int, outage_ms: int
 ) -> None:
-    power_off_after_ms = 5 * MINUTE_MS if outage_ms > 5 * MINUTE_MS else 0
+    power_off_after_ms = POWER_OFF_DELAY_MS if outage_ms > POWER_OFF_DELAY_MS else 0
     deployment.zone_changes = [
         ZoneChange(out_ms, zone, False, power_off_after_ms),
         ZoneChange(out_ms + outage_ms, zone, True),
@@ -231,7 +236,7 @@
     deployment = Deployment(name, region_of, workers, teams)
     _add_arrivals(deployment, rng, scale)
     out_ms = rng.randrange(2 * HOUR_MS, 5 * HOUR_MS)
-    outage_ms = 3 * MINUTE_MS if seed % 2 else 60 * MINUTE_MS
+    outage_ms = SHORT_OUTAGE_MS if seed % 2 else LONG_OUTAGE_MS
     _add_zone_change(deployment, zones[seed % 7], out_ms, outage_ms)
     return deployment
 
@@ -244,7 +249,7 @@
     running tasks.
     """
     teams = list(deployment.teams)
-    filler = _arrivals(
+    filler = _draw_arrivals(
         rng,
         teams,
         Urgency.OVERNIGHT,
@@ -259,7 +264,7 @@
     sizes += [(4, 4), (8, 8), (16, 2), (32, 2), (64, 2)]
     deployment.arrivals = (
         filler
-        + _arrivals(
+        + _draw_arrivals(
             rng,
             teams,
             Urgency.OVERNIGHT,
@@ -268,7 +273,7 @@
             sizes,
             (HOUR_MS // 2, 6 * HOUR_MS),
         )
-        + _arrivals(
+        + _draw_arrivals(
             rng,
             teams,
             Urgency.INTERACTIVE,
