Say what the bench's samples, jobs and stops cover

The units and members of an arrival, the period in which zone work is measured and the two formats of times stood nowhere; some docstrings needed a second reading.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,11 +29,13 @@
 
 
 def _format_times(values: list[int], unit_ms: int) -> str:
+    """Return the mean and the percentiles of times in ms, as multiples of a unit."""
     parts = (mean(values), percentile(values, 0.5), percentile(values, 0.99))
     return " / ".join(f"{part / unit_ms:.1f}" for part in parts)
 
 
 def _format_start_times(values: list[int]) -> str:
+    """Return the percentiles and the maximum of times in ms, as seconds."""
     parts = (percentile(values, 0.5), percentile(values, 0.99), max(values))
     return " / ".join(f"{part / SECOND_MS:.2f}" for part in parts)
 
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -241,7 +241,7 @@
             self.after_fold(self)
 
     def run(self, until_ms: int) -> None:
-        """Run the steps due until a time of the clock and advance the clock to it."""
+        """Run all steps that are due until a time, in ms; advance the clock to it."""
         while (next_ms := self._next_ms()) is not None and next_ms <= until_ms:
             self.step()
         self.clock.advance(max(until_ms - self.clock.now_ms(), 0))
@@ -291,7 +291,7 @@
             self.append(JobCancel(name, "no longer wanted"))
 
     def change_zone(self, change: ZoneChange) -> None:
-        """Take a zone out of or into service; power it off later if so planned."""
+        """Take a zone out of or into service; schedule its power-off, if any."""
         zone = change.availability_zone
         row = self.world.agreed.availability_zones.get(zone)
         self.append(ZonePut(zone, row.region, change.in_service, row.offset))
@@ -315,7 +315,7 @@
                 )
 
     def _simulate_fleet(self, body: Any) -> None:
-        """Schedule how sidecars and workers react to a record."""
+        """Schedule the reaction of sidecars and workers to a record."""
         if isinstance(body, GangPlace):
             key = gang_key(body.job, body.incarnation)
             self.after(RESERVE_MS, lambda: self._release(key))
@@ -380,6 +380,7 @@
             self.runs[gang.job].running_since_ms = -1
 
     def _end_later(self, key: str) -> None:
+        """Stop the run of a gang; schedule the end of the gang after its checkpoint."""
         gang = self.world.agreed.gangs.get(key)
         grace_ms = max(gang.grace_ms, 0)
         run = self.runs[gang.job]
@@ -389,6 +390,7 @@
         self.after(wait_ms + STOP_MS + REPORT_MS, lambda: self._end(key))
 
     def _stop_running(self, key: str, checkpointed: bool) -> None:
+        """Stop the run of a gang; without a checkpoint its work counts as lost."""
         gang = self.world.agreed.gangs.get(key)
         run = self.runs[gang.job]
         if run.running_since_ms < 0:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -29,11 +29,14 @@
     Attributes
     ----------
     free, unusable : float
-        Free accelerators, and those among them in gaps that are too small.
+        Free accelerators, and those among them in gaps too small for the largest
+        wanted member.
     window_done_accelerator_ms, window_possible_accelerator_ms : float
         Work done and work possible around the zone change, in accelerators times ms.
     violations : int
         Samples in which a guarantee was violated.
+    sample_count : int
+        Number of samples.
     last_lost_accelerator_ms : float
         Lost work of the driver at the last sample, in accelerators times ms.
     """
@@ -103,6 +106,7 @@
 
 
 def _zone_change_window(changes: list[ZoneChange]) -> tuple[int, int]:
+    """Return begin and end, in ms, of the period in which zone work is measured."""
     return changes[0].at_ms, changes[-1].at_ms + WINDOW_AFTER_RETURN_MS
 
 
@@ -173,6 +177,7 @@
 
 
 def _count_cells(masks: list[int]) -> list[int]:
+    """Return the number of cells of each class, cut from the masks largest first."""
     counts = [0] * CELL_CLASSES
     for mask in masks:
         for cell_class in reversed(range(CELL_CLASSES)):
@@ -222,7 +227,7 @@
 def _sample_window(
     driver: Driver, samples: Samples, workers: list[WorkerCapacity]
 ) -> None:
-    """Add the work done and the work possible on the accelerators in service.
+    """Add the work done and possible in one period on the accelerators in service.
 
     Work that still runs in a zone out of service counts on both sides. The
     possible work is at most the running plus the waiting work.
--- a/bench/ticks.py
+++ b/bench/ticks.py
@@ -1,4 +1,4 @@
-"""Measures the duration of a tick after a single change."""
+"""Measures the duration of a tick that handles a single new job."""
 
 import random
 from time import perf_counter
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -34,9 +34,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A job to submit, with its declared and its actual run time.
-
-    A checkpoint takes `checkpoint_ms`.
+    """A job to submit.
+
+    Attributes
+    ----------
+    at_ms : int
+        Time of the submission.
+    members : int
+        Number of members of the gang.
+    accelerators, cores, memory_mb : int
+        Needs of each member.
+    declared_ms, run_ms : int
+        Declared and actual run time.
+    checkpoint_ms : int
+        Time that a checkpoint takes.
     """
 
     at_ms: int
@@ -67,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """A share of all open jobs cancelled at once."""
+    """Cancellation of a share of all open jobs at once."""
 
     at_ms: int
     share: float
@@ -94,7 +105,8 @@
 def _draw_declared_ms(rng: random.Random, run_ms: int, bias: float) -> int:
     """Draw a declared time of a tenth to ten times the run time.
 
-    `bias` is the natural logarithm of the factor by which a team's declared times err.
+    `bias` is the natural logarithm of the factor by which all declared times of a team
+    err; a random error of each job adds to it.
     """
     spread = rng.uniform(-log(MAX_DECLARED_FACTOR), log(MAX_DECLARED_FACTOR)) / 2
     factor = EULER_NUMBER ** (spread + bias)
@@ -111,7 +123,10 @@
     sizes: list[tuple[int, int]],
     run_range_ms: tuple[int, int],
 ) -> list[Arrival]:
-    """Draw jobs; each team's declared times are biased by a factor of its own."""
+    """Draw jobs; the declared times of each team err by a factor of its own.
+
+    `sizes` holds pairs of members and accelerators per member.
+    """
     bias = {team: rng.uniform(-MAX_TEAM_BIAS, MAX_TEAM_BIAS) for team in teams}
     arrivals = []
     for number in range(count):
@@ -187,6 +202,7 @@
 def _add_zone_change(
     deployment: Deployment, zone: str, out_ms: int, outage_ms: int
 ) -> None:
+    """Take a zone out of service for an outage; power it off in a long one."""
     power_off_after_ms = POWER_OFF_DELAY_MS if outage_ms > POWER_OFF_DELAY_MS else 0
     deployment.zone_changes = [
         ZoneChange(out_ms, zone, False, power_off_after_ms),
@@ -244,9 +260,9 @@
 def _add_arrivals(deployment: Deployment, rng: random.Random, scale: int) -> None:
     """Add jobs of both urgencies, and filler jobs without accelerators.
 
-    The fillers are submitted in the first minute and run for at least 20 hours, as long
-    as jobs arrive. They have 147 times 64 members, about as many as the design size has
-    running tasks.
+    The fillers are submitted in the first minute. They run for at least 20 hours, the
+    time in which other jobs arrive. At scale 1 they have 147 times 64 members, about as
+    many as the design size has running tasks.
     """
     teams = list(deployment.teams)
     filler = _draw_arrivals(
