Name the delays, ratios and counts of the simulated deployment

Delays, timeouts and speeds were plain numbers in the middle of the simulation; `row`, `item`, `at` and `make` told nothing about processes, targets, the expected end and the message.

--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -3,28 +3,32 @@
 import argparse
 import sys
 
-from standins.batch.soak import run_day
+from standins.batch.soak import FAULTS_PER_DAY, run_day
 
 __all__ = ["main"]
 
+MAX_SHOWN_VIOLATIONS = 5
+
 
 def main() -> int:
     """Run one day of faults per seed; return 1 if any violated a guarantee."""
     parser = argparse.ArgumentParser(prog="standins.batch", description=__doc__)
     parser.add_argument("first", type=int, help="first seed")
     parser.add_argument("days", type=int, nargs="?", default=1, help="how many")
-    parser.add_argument("--faults", type=int, default=6, help="faults a day")
+    parser.add_argument(
+        "--faults", type=int, default=FAULTS_PER_DAY, help="faults a day"
+    )
     args = parser.parse_args()
-    is_bad = False
+    has_violations = False
     for seed in range(args.first, args.first + args.days):
         outcome = run_day(seed, args.faults)
-        is_bad = is_bad or bool(outcome.violations)
+        has_violations = has_violations or bool(outcome.violations)
         print(f"{seed}: {outcome.completed} of {outcome.jobs} completed", flush=True)
-        for line in outcome.violations[:5]:
+        for line in outcome.violations[:MAX_SHOWN_VIOLATIONS]:
             print(f"  {line}")
         if outcome.violations:
             print("  " + "; ".join(outcome.injected_faults))
-    return int(is_bad)
+    return int(has_violations)
 
 
 if __name__ == "__main__":
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -59,12 +59,28 @@
 __all__ = ["Deployment", "Process"]
 
 HOST = "desk.example"
-KEY = "key-a"
-PREFIXES = ("/urgent/", "/design/", "/batch/")
+API_KEY = "key-a"
+PATH_PREFIXES = ("/urgent/", "/design/", "/batch/")
+PORT = 7000
+SLOW_SPEED = 0.55
+FAST_SPEED = 1.2
+
 STEP_MS = 10
-POLL_PERIOD_MS = 1_100
+STEPS_PER_CHECK = 5
+FROZEN_POLL_PERIOD_MS = 50
+LOG_POLL_PERIOD_MS = 1_100
 HEARTBEAT_PERIOD_MS = 500
-PORT = 7000
+END_POLL_PERIOD_MS = 20
+
+# Simulated delays and timeouts.
+LISTING_DELAY_MS = 5
+REFUSED_APPEND_MS = 20
+MAX_LATE_APPEND_MS = 3_000
+REFUSED_CONNECTION_MS = 5
+ORDER_TIMEOUT_MS = 600
+MIN_LATE_ORDER_MS = 2_000
+LATE_ORDER_SPREAD_MS = 6_000
+CALL_TIMEOUT_MS = 3_000
 
 
 @dataclass
@@ -161,10 +177,10 @@
     def _configure(self) -> None:
         queues = tuple(
             Queue(f"queue-{priority}", HOST, prefix, "svc", priority, 3, 2.0)
-            for priority, prefix in enumerate(PREFIXES)
+            for priority, prefix in enumerate(PATH_PREFIXES)
         )
-        teams = {"a": Team("a", frozenset({KEY}), 16)}
-        self.configuration = Configuration(1, queues, teams, {KEY: "a"})
+        teams = {"a": Team("a", frozenset({API_KEY}), 16)}
+        self.configuration = Configuration(1, queues, teams, {API_KEY: "a"})
         self.closed_zones: set[str] = set()
 
     def _add_process(self, name: str, zone: str, role: Role, host: int) -> Process:
@@ -183,7 +199,7 @@
             self._task_work,
             self.bounds.lease_ms,
             self.bounds.gang_ms,
-            speed=0.55 if index % 4 == 0 else 1.2,
+            speed=SLOW_SPEED if index % 4 == 0 else FAST_SPEED,
         )
         self.minions[minion.id] = minion
         return minion
@@ -259,7 +275,7 @@
         """
         end_ms = self.clock.now_ms() + limit_ms
         while not condition() and self.clock.now_ms() < end_ms:
-            self.run_for(STEP_MS * 5)
+            self.run_for(STEP_MS * STEPS_PER_CHECK)
         return condition()
 
     def _advance_minions(self) -> None:
@@ -311,7 +327,7 @@
             return
         if process.is_frozen:
             self.after(
-                50,
+                FROZEN_POLL_PERIOD_MS,
                 lambda: (
                     self.request_tick(process)
                     if process.incarnation == key[1]
@@ -346,10 +362,12 @@
             self.request_tick(process)
 
     def _deliver_later(
-        self, process: Process, delay_ms: float, make: Callable[[], Any]
+        self, process: Process, delay_ms: float, make_message: Callable[[], Any]
     ) -> None:
         incarnation = process.incarnation
-        self.after(delay_ms, lambda: self._deliver(process, make(), incarnation))
+        self.after(
+            delay_ms, lambda: self._deliver(process, make_message(), incarnation)
+        )
 
     def _delay_ms(self) -> float:
         return 1 + self.rng.random() * 4
@@ -372,7 +390,7 @@
         elif isinstance(message, ListMembers):
             batch = self._read_newest(Stream.MEMBERS)
             if not process.is_cut_off and not self.log_is_down:
-                self._deliver_later(process, 5, lambda: batch)
+                self._deliver_later(process, LISTING_DELAY_MS, lambda: batch)
         elif isinstance(message, StopProcess):
             process.is_up = False
 
@@ -392,10 +410,14 @@
             answer = AppendEnded(
                 message.id, AppendOutcome.REFUSED, reason="rejected by the log"
             )
-            self._deliver_later(process, 20, lambda: answer)
+            self._deliver_later(process, REFUSED_APPEND_MS, lambda: answer)
             return
         lost = self.rng.random() < self.lost_answer_ratio
-        late_ms = self.rng.random() * 3_000 if lost and self.rng.random() < 0.5 else 0
+        late_ms = (
+            self.rng.random() * MAX_LATE_APPEND_MS
+            if lost and self.rng.random() < 0.5
+            else 0
+        )
 
         def apply() -> None:
             records = [encode_record(record) for record in message.records]
@@ -431,7 +453,7 @@
             return
         self._read_stream(process, incarnation, stream)
         self.after(
-            POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream)
+            LOG_POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream)
         )
 
     def _read_stream(self, process: Process, incarnation: int, stream: Stream) -> None:
@@ -514,7 +536,7 @@
 
         self.after(self._delay_ms(), arrive)
         is_refused = other is None or not other.is_up
-        timeout_ms = 5 if is_refused else message.timeout_ms
+        timeout_ms = REFUSED_CONNECTION_MS if is_refused else message.timeout_ms
         self.after(timeout_ms, lambda: finish_exchange(None, "no answer"))
 
     def _answer_sync(self, process: Process, reply: SyncReply) -> None:
@@ -569,7 +591,7 @@
                 message.term, message.acknowledged_end, until_ms
             )
             if not ended and now_ms < answer_by_ms:
-                self.after(20, lambda: check_ends(False))
+                self.after(END_POLL_PERIOD_MS, lambda: check_ends(False))
                 return
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, now_ms, running, ended
@@ -610,9 +632,11 @@
             self._deliver_later(process, 1, lambda: answer)
 
         if is_late:
-            self.after(2_000 + self.rng.random() * 6_000, apply)
             self.after(
-                600,
+                MIN_LATE_ORDER_MS + self.rng.random() * LATE_ORDER_SPREAD_MS, apply
+            )
+            self.after(
+                ORDER_TIMEOUT_MS,
                 lambda: self._deliver_unknown_outcome(
                     process, incarnation, message, is_start
                 ),
@@ -663,7 +687,9 @@
             now_ms = self.clock.now_ms()
             self._deliver(
                 process,
-                CallerCall(exchange_id, kind, HOST, path, KEY, now_ms, 3_000, job),
+                CallerCall(
+                    exchange_id, kind, HOST, path, API_KEY, now_ms, CALL_TIMEOUT_MS, job
+                ),
             )
         return exchange_id
 
@@ -686,13 +712,13 @@
             tuple(step.gang for step in steps),
             self.configuration.queues[priority].most_failures,
         )
-        path = PREFIXES[priority] + job_id
+        path = PATH_PREFIXES[priority] + job_id
         job = SubmittedJob("work", steps)
         return job_id, self.call(CallKind.SUBMIT, path, entry, job)
 
     def state(self, job_id: str, priority: int = 1) -> JobState | None:
         """Return the job state that a random entry shows, or None if it shows none."""
-        exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
+        exchange_id = self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
         if reply is None or reply.outcome is not CallOutcome.OK:
@@ -703,6 +729,6 @@
 
     def cancel(self, job_id: str, priority: int = 1) -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
-        exchange_id = self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
+        exchange_id = self.call(CallKind.CANCEL, PATH_PREFIXES[priority] + job_id)
         self._cancelled_job_by_call[exchange_id] = job_id
         return exchange_id
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -120,12 +120,12 @@
         The status is 409 if the epoch is fenced off, and 412 if the end or the sequence
         number does not match.
         """
-        at = _query_field(request, "at")
+        expected_end = _query_field(request, "at")
         epoch = _query_field(request, "epoch")
         result = self._store.append(
             STREAMS[_query_field(request, "topic")],
             _decode_records(request.content.read()),
-            int(at) if at else None,
+            int(expected_end) if expected_end else None,
             int(epoch) if epoch else None,
             int(_query_field(request, "sequence", "0")),
         )
@@ -290,7 +290,7 @@
         text = json.dumps(body).encode()
         try:
             await self._client.exchange(
-                "PUT", Address(host, int(port)), path, text, 900
+                "PUT", Address(host, int(port)), path, text, HEARTBEAT_TIMEOUT_MS
             )
         except PeerError as exc:
             print(f"heartbeat to the sidecar failed: {exc}", file=sys.stderr)
@@ -308,11 +308,11 @@
     config = json.dumps(cfg["configuration"]).encode()
     store.append(Stream.OPERATORS, [("config", config)])
     _listen(cfg["store"], StoreHandlers(store).paths())
-    for row in cfg["minions"]:
-        handlers = MinionHandlers(row, checks)
+    for minion_cfg in cfg["minions"]:
+        handlers = MinionHandlers(minion_cfg, checks)
         for job_id in cfg["jobs"]:
             checks.record_job(job_id, [2], ((),), (False,), 3)
-        _listen(row["address"], handlers.paths())
+        _listen(minion_cfg["address"], handlers.paths())
         LoopingCall(lambda handlers=handlers: _start_heartbeat(handlers)).start(
             HEARTBEAT_PERIOD_S
         )
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -162,9 +162,9 @@
         if token < self.token:
             return "fence"
         self.last_ended_run[task] = max(self.last_ended_run.get(task, 0), run)
-        row = self.runs.get((task, run))
-        if row is not None and row.stop_at_ms is None:
-            row.stop_at_ms = self.now_ms() + STOP_MS
+        stopping_run = self.runs.get((task, run))
+        if stopping_run is not None and stopping_run.stop_at_ms is None:
+            stopping_run.stop_at_ms = self.now_ms() + STOP_MS
         return ""
 
     def _extend_lease(self, until_ms: int) -> None:
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -19,6 +19,9 @@
 WARM_UP_MS = 3_000
 DAY_MS = 30_000
 RECOVERY_MS = 25_000
+JOBS_PER_DAY = 16
+FAULTS_PER_DAY = 6
+CANCEL_RATIO = 0.1
 ENDED_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 DEFINITE_OUTCOMES = (CallOutcome.OK, CallOutcome.NOT_RUN)
 
@@ -101,25 +104,25 @@
 
 def _set_temporarily(
     deployment: Deployment,
-    rows: Iterable[object],
+    targets: Iterable[object],
     name: str,
     value: bool | float,
-    for_ms: float,
+    duration_ms: float,
 ) -> None:
-    """Set an attribute of some rows and reset it after `for_ms`.
+    """Set an attribute of some targets and reset it after `duration_ms`.
 
     The reset value is the empty value of the attribute's type: False or 0.
     """
-    rows = list(rows)
+    targets = list(targets)
     default = type(value)()
-    for row in rows:
-        setattr(row, name, value)
+    for target in targets:
+        setattr(target, name, value)
 
     def reset() -> None:
-        for row in rows:
-            setattr(row, name, default)
+        for target in targets:
+            setattr(target, name, default)
 
-    deployment.after(for_ms, reset)
+    deployment.after(duration_ms, reset)
 
 
 def _join_names(processes: list[Process]) -> str:
@@ -153,8 +156,8 @@
     chosen = deployment.rng.sample(
         _entries(deployment), 1 + deployment.rng.randrange(2)
     )
-    span_ms = 2_000 + deployment.rng.random() * 7_000
-    _set_temporarily(deployment, chosen, "is_rejected_by_log", True, span_ms)
+    duration_ms = 2_000 + deployment.rng.random() * 7_000
+    _set_temporarily(deployment, chosen, "is_rejected_by_log", True, duration_ms)
     return _join_names(chosen)
 
 
@@ -258,7 +261,7 @@
     return (first, second), [rng.uniform(1_000, 6_000), 1_000.0], 2
 
 
-def run_day(seed: int, fault_count: int = 6) -> Outcome:
+def run_day(seed: int, fault_count: int = FAULTS_PER_DAY) -> Outcome:
     """Run a day of jobs and faults and return its result."""
     deployment = Deployment(seed)
     deployment.run_for(WARM_UP_MS)
@@ -270,7 +273,7 @@
         steps, work_ms, priority = _make_random_job(deployment)
         job_id, exchange_id = deployment.submit(steps, work_ms, priority)
         exchanges[job_id] = (exchange_id, priority)
-        if deployment.rng.random() < 0.1:
+        if deployment.rng.random() < CANCEL_RATIO:
             cancelled.add(job_id)
             deployment.after(
                 deployment.rng.random() * 5_000,
@@ -282,7 +285,7 @@
         at_s = deployment.clock.now_ms() / 1_000
         outcome.injected_faults.append(f"{at_s:.1f} {name} {faults[name](deployment)}")
 
-    for _ in range(16):
+    for _ in range(JOBS_PER_DAY):
         deployment.after(deployment.rng.random() * DAY_MS, submit_job)
     for _ in range(fault_count):
         deployment.after(deployment.rng.random() * DAY_MS, inject_fault)
--- a/standins/batch/tests/test_handover.py
+++ b/standins/batch/tests/test_handover.py
@@ -17,7 +17,9 @@
     holder = deployment.holder()
     holder.is_cut_off = True
     deployment.run_for(9_000)
-    others = [row for row in deployment.processes.values() if row is not holder]
-    assert any(row.world.schedule.is_loaded for row in others)
+    others = [
+        process for process in deployment.processes.values() if process is not holder
+    ]
+    assert any(process.world.schedule.is_loaded for process in others)
     assert deployment.checks.ends[RunEnd.LAPSED] == 0
     assert not deployment.checks.violations
--- a/standins/batch/tests/test_holder_election.py
+++ b/standins/batch/tests/test_holder_election.py
@@ -159,8 +159,10 @@
     old.is_rejected_by_log = True
     old.misses_log_reads = True
     deployment.run_for(3_500)
-    others = [item for item in deployment.processes.values() if item is not old]
-    assert any(item.world.schedule.is_loaded for item in others)
+    others = [
+        process for process in deployment.processes.values() if process is not old
+    ]
+    assert any(process.world.schedule.is_loaded for process in others)
     old.is_rejected_by_log = False
     deployment.run_for(1_500)
     assert not has_authority(old.world, deployment.clock.now_ms())
