Say what the simulated minions refuse and what violations are named

The reasons of refused starts, the first words of violations, the unit of work and the layout of the log's records could only be learned from the code, and job records came first in a listing without a reason.

--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -1,4 +1,4 @@
-"""Play days of random faults and print what they broke."""
+"""Run days of random faults and print the violated guarantees."""
 
 import argparse
 import sys
@@ -14,9 +14,9 @@
     """Run one day of faults per seed; return 1 if any violated a guarantee."""
     parser = argparse.ArgumentParser(prog="standins.batch", description=__doc__)
     parser.add_argument("first", type=int, help="first seed")
-    parser.add_argument("days", type=int, nargs="?", default=1, help="how many")
+    parser.add_argument("days", type=int, nargs="?", default=1, help="number of days")
     parser.add_argument(
-        "--faults", type=int, default=FAULTS_PER_DAY, help="faults a day"
+        "--faults", type=int, default=FAULTS_PER_DAY, help="faults per day"
     )
     args = parser.parse_args()
     has_violations = False
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -8,8 +8,8 @@
 
 __all__ = ["Checks"]
 
-# A start within this time of an accepted cancellation is no violation: its order may
-# have been sent before.
+# A start within this time after an accepted cancellation is no violation, because the
+# scheduler may have ordered it before the cancellation.
 CANCEL_GRACE_MS = 3_000
 
 
@@ -19,7 +19,11 @@
     Attributes
     ----------
     violations : list of str
-        One line for each violated guarantee.
+        One line for each violated guarantee, which its first word names: ``UNASKED``
+        for a run that no caller has requested, ``TWICE`` for a second run of a task,
+        ``BUDGET`` for a run after too many failures, ``ORDER`` for a step that starts
+        too early, ``GANG`` for a gang member without its gang, ``MIXED`` for a job
+        shown as completed before its tasks are.
     live_runs : dict of TaskName to set of int
         Runs that minions have started and not ended.
     completed_tasks : set of TaskName
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -131,8 +131,15 @@
 
     Attributes
     ----------
+    work_ms_by_job : dict of str to list of float
+        For each job, the work of a task of each step, in ms at speed 1.
+    replies : dict of str to CallReply
+        Replies to callers, by the identifier of the exchange.
+    log_is_down : bool
+        Whether no process can reach the log.
     lost_answer_ratio : float
-        Share of appends whose answer is lost.
+        Share of appends whose answer is lost; half of these appends are late, too, by
+        up to `MAX_LATE_APPEND_MS`.
     late_order_ratio : float
         Share of orders to minions with an unknown outcome; they take effect later.
     closed_zones : set of str
@@ -205,6 +212,7 @@
         return minion
 
     def _task_work(self, task: TaskName) -> tuple[StepSpec, float]:
+        """Return the step of a task, and its work in ms at speed 1."""
         return self.steps[task.job][task.step], self.work_ms_by_job[task.job][task.step]
 
     # processes
@@ -486,6 +494,7 @@
             (offset, self._decode(key, value))
             for offset, key, value in self.store.newest(stream)
         ]
+        # An entry ignores the other records of a job that it does not know yet.
         rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
         end = self.store.end(stream)
         return RecordsRead(stream, rows, self.clock.now_ms(), end, whole=True)
@@ -667,7 +676,7 @@
         entry: str = "",
         job: SubmittedJob | None = None,
     ) -> str:
-        """Send a caller's call; return the identifier of the exchange.
+        """Send a call to an entry; return the identifier of the exchange.
 
         Without an entry, one of the running entries is picked at random; the call is
         lost if none runs.
@@ -701,7 +710,10 @@
         job_id: str = "",
         entry: str = "",
     ) -> tuple[str, str]:
-        """Submit a job; return its identifier and that of the exchange."""
+        """Submit a job; return its identifier and that of the exchange.
+
+        `work_ms` is the work of a task of each step, in ms at speed 1.
+        """
         job_id = job_id or f"{self.rng.getrandbits(64):016x}"
         self.steps[job_id] = steps
         self.work_ms_by_job[job_id] = work_ms
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -89,6 +89,11 @@
 
 
 def _decode_records(body: bytes) -> list[tuple[str, bytes]]:
+    """Return the key and value of each record.
+
+    A record is its size in 4 bytes, the size of its key in 1 byte, the key and the
+    value.
+    """
     rows = []
     position = 0
     while position < len(body):
@@ -311,6 +316,7 @@
     for minion_cfg in cfg["minions"]:
         handlers = MinionHandlers(minion_cfg, checks)
         for job_id in cfg["jobs"]:
+            # one step of 2 single tasks, each with at most 3 failed runs
             checks.record_job(job_id, [2], ((),), (False,), 3)
         _listen(minion_cfg["address"], handlers.paths())
         LoopingCall(lambda handlers=handlers: _start_heartbeat(handlers)).start(
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -21,6 +21,10 @@
 
     Attributes
     ----------
+    run : int
+        Number of the run among those of the task.
+    work_ms : float
+        Work of the task, in ms at speed 1.
     done_ms : float
         Work done, in ms at speed 1.
     checkpoint_ms : float
@@ -53,12 +57,16 @@
 
     Attributes
     ----------
+    task_work : callable
+        Returns the step of a task, and its work in ms at speed 1.
     lease_ms : int
         Longest duration of the lease.
     gang_ms : int
         Time for which a member of a gang waits for the others.
     speed : float
         Work done per ms, in ms at speed 1.
+    born_ms : int
+        Start of the current incarnation.
     fails_all_runs : bool
         Whether every run fails as soon as it starts.
     hangs : bool
@@ -129,7 +137,12 @@
     def start(
         self, token: int, task: TaskName, run: int, checkpoint: str, until_ms: int
     ) -> str:
-        """Start a run; return why it is refused, or an empty text."""
+        """Start a run; return why it is refused, or an empty text.
+
+        The reasons are ``"fence"`` for an outdated token, ``"old"`` for a run not newer
+        than the last ended one, ``"late"`` for a deadline in the past and ``"room"``
+        for a lack of resources.
+        """
         if token < self.token:
             return "fence"
         self.token = token
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -36,7 +36,9 @@
     Attributes
     ----------
     violations : list of str
-        Violated guarantees; empty if the day passed.
+        Violated guarantees; empty if the day passed. To those of `Checks` the day adds
+        ``REFUSED`` for a refused job that has run and ``LOST`` for an accepted job that
+        has not ended or was cancelled without a request.
     injected_faults : list of str
         Injected faults with their simulated times, in s.
     jobs, completed : int
@@ -109,7 +111,7 @@
     value: bool | float,
     duration_ms: float,
 ) -> None:
-    """Set an attribute of some targets and reset it after `duration_ms`.
+    """Set an attribute of all targets and reset it after `duration_ms`.
 
     The reset value is the empty value of the attribute's type: False or 0.
     """
@@ -228,6 +230,7 @@
 def _make_random_job(
     deployment: Deployment,
 ) -> tuple[tuple[StepSpec, ...], list[float], int]:
+    """Return steps, work per task of each step in ms, and priority of a job."""
     rng = deployment.rng
     kind = rng.randrange(3)
     if kind == 0:
