Name the cause in two tests of gangs

Whole racks are left free for urgent gangs, and a gang member must not count as stalled once it has finished its own work; the names of the tests had lost both.

--- a/standins/batch/tests/test_jobs.py
+++ b/standins/batch/tests/test_jobs.py
@@ -105,7 +105,7 @@
     )
 
 
-def test_overnight_work_leaves_whole_racks_free() -> None:
+def test_overnight_work_leaves_whole_racks_to_urgent_gangs() -> None:
     deployment = make_ready_deployment()
     wide = StepSpec(6, cpu_millis=5_000, accelerators=1)
     for _ in range(2):
@@ -176,7 +176,7 @@
 
 
 def test_urgent_job_is_scheduled_again_without_a_change() -> None:
-    """The only minion is in backoff at first, and no event marks the end of that."""
+    """The only minion is in backoff at first, and no event marks the end of it."""
     deployment = make_ready_deployment(minions=1)
     fill = StepSpec(2, cpu_millis=30_000, accelerators=4, estimate_ms=60_000)
     deployment.submit((fill,), [60_000], 1)
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -57,7 +57,7 @@
     assert all(speeds[one.id] > speeds[two.id] for one in measured for two in slow)
 
 
-def test_gang_member_that_waits_for_others_is_not_stalled() -> None:
+def test_gang_member_that_finished_its_work_is_not_stalled() -> None:
     deployment = make_ready_deployment(minions=3)
     for minion in deployment.minions.values():
         minion.rack = "r1-1"
