Name the counts, timeouts and teams of the measurements

TEAM and TEAMS stood side by side for a name and a count; timeouts and pauses were plain numbers; owner and guest were figures of speech for the team with the guarantee and the one that borrows (the names that are sent stay).

--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -36,13 +36,18 @@
 MINIONS_SMALL = 4
 MINIONS_LARGE = 16
 IDLE_WINDOW_S = 40.0
-TEAMS = 40
+TEAM_COUNT = 40
 POLL_PERIOD_S = 0.5
-CHANGES = 100
-REQUESTS = 200
-JOBS = 40
+CHANGE_COUNT = 100
+REQUEST_COUNT = 200
+JOB_COUNT = 40
 TASKS_PER_MINION = 24
+SHORT_RUN_MS = 50
 LONG_RUN_MS = 600_000
+MINIONS_START_S = 3
+JOBS_START_S = 5
+JOBS_TIMEOUT_S = 180
+STATUS_OK = 200
 MS_PER_SECOND = 1_000
 KB_PER_MB = 1_024
 TEAM = "team-0"
@@ -168,7 +173,7 @@
         """Send a change as an operator."""
         body = {"operator": "bench", **body}
         status, answer = self.deployment.call("entry-0", "operators", "PUT", path, body)
-        if status != 200:
+        if status != STATUS_OK:
             raise RuntimeError(f"{path} was refused: {answer}")
 
     def submit(self, name: str, run_ms: int) -> None:
@@ -178,7 +183,7 @@
         status, answer = self.deployment.call(
             "entry-0", "operators", "POST", "/v1/jobs", {**body, "payload": payload}
         )
-        if status != 200:
+        if status != STATUS_OK:
             raise RuntimeError(f"job {name} was refused: {answer}")
 
     def states(self) -> dict[str, str]:
@@ -206,7 +211,7 @@
     small, small_messages = measurement.measure_rates(IDLE_WINDOW_S)
     small_memory = {role: use.memory_mb for role, use in measurement.sample().items()}
     measurement.add_minions(MINIONS_LARGE - MINIONS_SMALL)
-    time.sleep(3)  # excludes the start of the new processes
+    time.sleep(MINIONS_START_S)  # excludes the start of the new processes
     measurement.idle, messages = measurement.measure_rates(IDLE_WINDOW_S)
     large_memory = {role: use.memory_mb for role, use in measurement.sample().items()}
     added = MINIONS_LARGE - MINIONS_SMALL
@@ -241,22 +246,22 @@
     """Measure the creation of teams and configuration changes."""
 
     def put_teams() -> None:
-        for number in range(TEAMS):
+        for number in range(TEAM_COUNT):
             shapes = [{"members": 1, "accelerators": 1}]
             measurement.put(f"/v1/teams/team-{number}", guarantees=shapes)
 
     def change() -> None:
-        for number in range(CHANGES):
+        for number in range(CHANGE_COUNT):
             measurement.put(
                 "/v1/settings",
                 key="request.timeout_ms",
                 value=10_000 + number,
-                path=f"teams/team-{number % TEAMS}",
+                path=f"teams/team-{number % TEAM_COUNT}",
             )
 
-    measurement.measure_event("team", TEAMS, f"{TEAMS} teams put", put_teams)
+    measurement.measure_event("team", TEAM_COUNT, f"{TEAM_COUNT} teams put", put_teams)
     measurement.measure_event(
-        "configuration change", CHANGES, f"{CHANGES} keys set", change
+        "configuration change", CHANGE_COUNT, f"{CHANGE_COUNT} keys set", change
     )
 
 
@@ -266,18 +271,21 @@
     latencies_ms = []
 
     def send_requests() -> None:
-        for number in range(REQUESTS):
+        for number in range(REQUEST_COUNT):
             entry = f"entry-{number % 2}"
             started_s = time.monotonic()
             measurement.deployment.call(entry, "callers", "POST", "/v1/requests", body)
             latencies_ms.append((time.monotonic() - started_s) * MS_PER_SECOND)
 
     measurement.measure_event(
-        "request", REQUESTS, f"{REQUESTS} requests by two entries", send_requests
+        "request",
+        REQUEST_COUNT,
+        f"{REQUEST_COUNT} requests by two entries",
+        send_requests,
     )
     p50 = statistics.median(latencies_ms)
     measurement.bursts.append(
-        ["request, one at a time", REQUESTS, f"p50 {p50:.1f} ms", "-"]
+        ["request, one at a time", REQUEST_COUNT, f"p50 {p50:.1f} ms", "-"]
     )
 
 
@@ -285,20 +293,20 @@
     """Measure short jobs from submission to result."""
 
     def run() -> None:
-        names = [f"short-{number}" for number in range(JOBS)]
+        names = [f"short-{number}" for number in range(JOB_COUNT)]
         for name in names:
-            measurement.submit(name, 50)
+            measurement.submit(name, SHORT_RUN_MS)
         wait_until(
             lambda: measurement.have_ended(names),
             "all short jobs ended",
-            180,
+            JOBS_TIMEOUT_S,
         )
 
     elapsed_s = measurement.measure_event(
-        "job", JOBS, f"{JOBS} jobs of one member", run
+        "job", JOB_COUNT, f"{JOB_COUNT} jobs of one member", run
     )
     measurement.bursts.append(
-        ["jobs submitted at once", JOBS, f"{elapsed_s:.1f} s", "-"]
+        ["jobs submitted at once", JOB_COUNT, f"{elapsed_s:.1f} s", "-"]
     )
 
 
@@ -313,8 +321,8 @@
     def are_active() -> bool:
         return list(measurement.states().values()).count("active") >= count
 
-    wait_until(are_active, "all long jobs placed", 180)
-    time.sleep(5)  # excludes the start of the jobs
+    wait_until(are_active, "all long jobs placed", JOBS_TIMEOUT_S)
+    time.sleep(JOBS_START_S)  # excludes the start of the jobs
     after_mb = {role: use.memory_mb for role, use in measurement.sample().items()}
     rates, messages = measurement.measure_rates(IDLE_WINDOW_S)
     by_role = {}
@@ -347,7 +355,7 @@
     wait_until(
         lambda: measurement.have_ended(names),
         "all long jobs cancelled",
-        180,
+        JOBS_TIMEOUT_S,
     )
     elapsed_s = time.monotonic() - started_s
     use = measurement.sample()["holder"].since(before)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,9 +17,9 @@
 def run_command(deployment: Deployment, *arguments: str) -> str:
     """Run an operator's command, print it and its output, and return the output."""
     print(f"$ kingcuppost {' '.join(arguments)}")
-    done = deployment.run(*arguments)
-    print(done.stdout or done.stderr, flush=True)
-    return done.stdout
+    completed = deployment.run(*arguments)
+    print(completed.stdout or completed.stderr, flush=True)
+    return completed.stdout
 
 
 def start(deployment: Deployment) -> None:
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -11,7 +11,7 @@
 from twisted.protocols import portforward
 from twisted.web.server import Request
 
-from standins.service import Answer, JsonService
+from standins.service import LISTEN_BACKLOG, Answer, JsonService
 
 __all__ = ["FaultProxy"]
 
@@ -133,7 +133,9 @@
         self.forward.protocol = _ClientSide
         self.forward.noisy = False
         self.forward.proxy = self
-        bound = reactor.listenTCP(0, self.forward, interface="127.0.0.1", backlog=512)
+        bound = reactor.listenTCP(
+            0, self.forward, interface="127.0.0.1", backlog=LISTEN_BACKLOG
+        )
         self.extra_ports = {"proxy": bound.getHost().port}
         self.add("POST", "/v1/target", self.set_target)
         self.add("POST", "/v1/faults", self.set_faults)
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -39,8 +39,8 @@
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         run_ms = options.get("run_ms", 0)
-        reactor.callLater(run_ms / MS_PER_SECOND, self._done, request, body)
+        reactor.callLater(run_ms / MS_PER_SECOND, self._finish_run, request, body)
 
-    def _done(self, request: Request, body: object) -> None:
+    def _finish_run(self, request: Request, body: object) -> None:
         self.running -= 1
         send_answer(request, Answer(200, {"minion": self.name, "echo": body}))
--- a/standins/pages.py
+++ b/standins/pages.py
@@ -13,7 +13,9 @@
 __all__ = ["DOCS", "main", "renew_tables", "replace_block"]
 
 DOCS = Path(__file__).parent.parent / "docs"
-BLOCK = re.compile(r"(<!-- reference (\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
+REFERENCE_BLOCK = re.compile(
+    r"(<!-- reference (\w+) -->\n).*?(<!-- end -->)", re.DOTALL
+)
 
 
 def renew_tables(text: str) -> str:
@@ -25,7 +27,7 @@
     >>> "kingcuppost_jobs" in renew_tables(page), "stale" in renew_tables(page)
     (True, False)
     """
-    return BLOCK.sub(
+    return REFERENCE_BLOCK.sub(
         lambda found: found[1] + references[found[2]]() + "\n" + found[3], text
     )
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -73,9 +73,9 @@
         self.popen.kill()
         self.popen.wait()
 
-    def send(self, number: signal.Signals) -> None:
+    def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process."""
-        self.popen.send_signal(number)
+        self.popen.send_signal(signal_number)
 
     def stop(self, timeout_s: float = WAIT_TIMEOUT_S) -> int:
         """Request a graceful stop and return the exit code.
--- a/standins/service.py
+++ b/standins/service.py
@@ -9,7 +9,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-__all__ = ["Answer", "JsonService", "send_answer", "serve"]
+__all__ = ["LISTEN_BACKLOG", "Answer", "JsonService", "send_answer", "serve"]
 
 
 @dataclass(frozen=True)
@@ -20,6 +20,8 @@
     body: Any
 
 
+LISTEN_BACKLOG = 512
+
 Handler = Callable[[Request, Any], Answer | None]
 
 
@@ -48,13 +50,13 @@
         if handler is None:
             send_answer(request, Answer(404, {"reason": f"no {key}"}))
             return NOT_DONE_YET
-        answer = handler(request, _parse(text))
+        answer = handler(request, _parse_body(text))
         if answer is not None:
             send_answer(request, answer)
         return NOT_DONE_YET
 
 
-def _parse(text: bytes) -> Any:
+def _parse_body(text: bytes) -> Any:
     try:
         return json.loads(text) if text else {}
     except json.JSONDecodeError:
@@ -75,7 +77,9 @@
 
 def serve(service: JsonService, port: int) -> None:
     """Serve on loopback until a signal; print the bound ports as one JSON line."""
-    bound = reactor.listenTCP(port, Site(service), interface="127.0.0.1", backlog=512)
+    bound = reactor.listenTCP(
+        port, Site(service), interface="127.0.0.1", backlog=LISTEN_BACKLOG
+    )
     ports = {"port": bound.getHost().port, **service.extra_ports}
     print(json.dumps(ports), flush=True)
     reactor.run()
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -19,7 +19,7 @@
 ]
 
 SECONDS_PER_DAY = 86_400
-KB = 1_000
+BYTES_PER_KB = 1_000
 MS_PER_SECOND = 1_000
 PERCENT = 100
 MEASURED_ENTRIES = 2
@@ -105,10 +105,10 @@
     memory_mb: float
     appends: float = 0.0
 
-    def add(self, other: "Rates", times: float = 1.0) -> "Rates":
-        """Return the sum of these rates and `times` the other ones."""
+    def add(self, other: "Rates", factor: float = 1.0) -> "Rates":
+        """Return the sum of these rates and `factor` the other ones."""
         pairs = zip(vars(self).items(), vars(other).values(), strict=True)
-        return Rates(**{name: mine + times * yours for (name, mine), yours in pairs})
+        return Rates(**{name: mine + factor * yours for (name, mine), yours in pairs})
 
 
 BUDGET = Rates(0.033, 5.0, 256.0)
@@ -141,7 +141,7 @@
     """Return the use over a period as rates; memory stays an amount."""
     return Rates(
         use.processor_s / seconds,
-        use.bytes_total / KB / seconds,
+        use.bytes_total / BYTES_PER_KB / seconds,
         use.memory_mb,
         use.appends / seconds,
     )
--- a/standins/tests/test_pages.py
+++ b/standins/tests/test_pages.py
@@ -31,6 +31,6 @@
 
 def test_every_route_is_documented() -> None:
     page = (DOCS / "API.md").read_text(encoding="utf-8")
-    for item, _ in routes:
-        assert f"| `{item.method}` | `{item.path}` |" in page
-        assert item.parse.__doc__
+    for route, _ in routes:
+        assert f"| `{route.method}` | `{route.path}` |" in page
+        assert route.parse.__doc__
--- a/standins/urgent.py
+++ b/standins/urgent.py
@@ -18,12 +18,13 @@
 
 __all__ = ["main"]
 
-WORKERS = 3
-ROUNDS = 20
-OWNER = "owner"
-GUEST = "guest"
+WORKER_COUNT = 3
+ROUND_COUNT = 20
+GUARANTEED_TEAM = "owner"
+BORROWING_TEAM = "guest"
 LONG_RUN_MS = 600_000
 SHORT_RUN_MS = 200
+FILL_TIMEOUT_S = 180
 MEMBERS = 2
 ACCELERATORS = 8
 STATUS_OK = 200
@@ -58,7 +59,7 @@
 def list_tasks(deployment: Deployment) -> list[dict]:
     """Return the history of all tasks from all workers."""
     rows: list[dict] = []
-    for number in range(WORKERS):
+    for number in range(WORKER_COUNT):
         path = "/v1/history"
         _, answer = deployment.call(f"worker-{number}", "port", "GET", path)
         rows.extend(answer["tasks"])
@@ -70,36 +71,40 @@
     deployment.start_log()
     deployment.start_entry("entry-0")
     deployment.start_entry("entry-1")
-    deployment.start_minions(WORKERS)
+    deployment.start_minions(WORKER_COUNT)
     wait_until(
-        lambda: len(deployment.show("/v1/fleet").get("minions", ())) == WORKERS,
+        lambda: len(deployment.show("/v1/fleet").get("minions", ())) == WORKER_COUNT,
         "minions announced",
     )
     for zone in deployment.site.zones:
         path = f"/v1/availability-zones/{zone}"
         put(deployment, path, region=deployment.site.region, in_service=True)
     shape = {"members": MEMBERS, "accelerators": ACCELERATORS}
-    put(deployment, f"/v1/teams/{OWNER}", guarantees=[shape])
-    put(deployment, f"/v1/teams/{GUEST}", guarantees=[])
-    for number in range(WORKERS):
-        submit(deployment, f"guest-{number}", GUEST, LONG_RUN_MS)
+    put(deployment, f"/v1/teams/{GUARANTEED_TEAM}", guarantees=[shape])
+    put(deployment, f"/v1/teams/{BORROWING_TEAM}", guarantees=[])
+    for number in range(WORKER_COUNT):
+        submit(deployment, f"guest-{number}", BORROWING_TEAM, LONG_RUN_MS)
 
 
-def is_lent(deployment: Deployment) -> bool:
+def are_workers_busy(deployment: Deployment) -> bool:
     """Return whether all workers run tasks; each uses all accelerators of one."""
     running = [row for row in list_tasks(deployment) if row["state"] == "running"]
-    return len(running) == WORKERS
+    return len(running) == WORKER_COUNT
 
 
 def measure(deployment: Deployment, number: int) -> int:
     """Run an urgent gang and return its start latency, in ms."""
-    wait_until(lambda: is_lent(deployment), "all workers are lent", 180)
+    wait_until(
+        lambda: are_workers_busy(deployment),
+        "guest jobs run on all workers",
+        FILL_TIMEOUT_S,
+    )
     name = f"urgent-{number}"
     begin_ms = SystemClock().wall_ms()
     submit(
         deployment,
         name,
-        OWNER,
+        GUARANTEED_TEAM,
         SHORT_RUN_MS,
         members=MEMBERS,
         urgency="interactive",
@@ -119,9 +124,9 @@
 def main() -> int:
     """Run all rounds and print the table."""
     parser = argparse.ArgumentParser(prog="standins.urgent")
-    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    parser.add_argument("--rounds", type=int, default=ROUND_COUNT)
     args = parser.parse_args()
-    site = Site(workers=WORKERS, workers_per_rack=WORKERS)
+    site = Site(workers=WORKER_COUNT, workers_per_rack=WORKER_COUNT)
     with Deployment(site=site) as deployment:
         prepare(deployment)
         times_ms = [measure(deployment, number) for number in range(args.rounds)]
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -12,6 +12,7 @@
 
 KB_PER_MB = 1_024
 NS_PER_SECOND = 1_000_000_000
+METRICS_TIMEOUT_S = 60
 
 
 @dataclass(frozen=True)
@@ -70,10 +71,10 @@
     return 0.0
 
 
-def _metrics(process: Process) -> dict[str, float]:
+def _read_metrics(process: Process) -> dict[str, float]:
     """Return samples summed over labels, also separately for each message kind."""
     url = f"http://127.0.0.1:{process.ports['operators']}/metrics"
-    with urllib.request.urlopen(url, timeout=60) as response:
+    with urllib.request.urlopen(url, timeout=METRICS_TIMEOUT_S) as response:
         text = response.read().decode()
     sums: dict[str, float] = {}
     for family in text_string_to_metric_families(text):
@@ -86,13 +87,13 @@
 
 def read_usage(process: Process) -> Usage:
     """Return the resource use of an entry or a sidecar since its start."""
-    shown = _metrics(process)
-    sent = "kingcuppost_messages_sent_total"
+    metrics = _read_metrics(process)
+    sent_metric = "kingcuppost_messages_sent_total"
     return Usage(
         _processor_s(process.popen.pid),
         _memory_mb(process.popen.pid),
-        shown.get("kingcuppost_bytes_total", 0.0),
-        shown.get(sent, 0.0),
-        shown.get(f"{sent}:AppendRecords", 0.0),
-        shown.get("kingcuppost_log_folded_offset", 0.0),
+        metrics.get("kingcuppost_bytes_total", 0.0),
+        metrics.get(sent_metric, 0.0),
+        metrics.get(f"{sent_metric}:AppendRecords", 0.0),
+        metrics.get("kingcuppost_log_folded_offset", 0.0),
     )
