--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -145,7 +145,24 @@
         return rates, {role: use[role].messages / elapsed_s for role in ROLES}
 
     def measure_event(self, driver: str, count: int, method: str, work) -> float:
-        """Add the slope of an event: the use of `work` beyond idling, per event."""
+        """Add the slope of an event: the use of `work` beyond idling, per event.
+
+        Parameters
+        ----------
+        driver : str
+            Name of the event in the tables.
+        count : int
+            Number of events that `work` causes.
+        method : str
+            How the slope is measured; the duration is appended.
+        work : callable
+            Causes the events and waits for their end.
+
+        Returns
+        -------
+        float
+            Duration of `work`, in s.
+        """
         before = self.sample_with_own_cost()
         started_s = time.monotonic()
         work()
@@ -170,14 +187,26 @@
         return elapsed_s
 
     def put(self, path: str, /, **body: object) -> None:
-        """Send a change as an operator."""
+        """Send a change as an operator.
+
+        Raises
+        ------
+        RuntimeError
+            If the entry refuses it.
+        """
         body = {"operator": "bench", **body}
         status, answer = self.deployment.call("entry-0", "operators", "PUT", path, body)
         if status != STATUS_OK:
             raise RuntimeError(f"{path} was refused: {answer}")
 
     def submit(self, name: str, run_ms: int) -> None:
-        """Submit a job of one member with one core and no accelerator."""
+        """Submit a job of one member with one core and no accelerator.
+
+        Raises
+        ------
+        RuntimeError
+            If the entry refuses it.
+        """
         payload = json.dumps({"run_ms": run_ms, "result": "ok"})
         body = {"operator": "bench", "name": name, "team": TEAM}
         status, answer = self.deployment.call(
@@ -342,6 +371,7 @@
 
 
 def _cancel(measurement: CapacityMeasurement, names: list[str]) -> None:
+    """Cancel jobs one after the other; measure until all have ended."""
     started_s = time.monotonic()
     before = measurement.sample()["holder"]
     for name in names:
--- a/standins/load.py
+++ b/standins/load.py
@@ -147,7 +147,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--body", default="")
     parser.add_argument("--timeout-ms", type=int, default=0)
-    parser.add_argument("--rate", type=float, default=20.0, help="requests a second")
+    parser.add_argument("--rate", type=float, default=20.0, help="requests per second")
     parser.add_argument("--seconds", type=float, default=5.0)
     args = parser.parse_args()
     request = {
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -29,7 +29,7 @@
         self.add("GET", "/v1/runs", self.show_runs)
 
     def show_runs(self, request: Request, body: object) -> Answer:
-        """Return the number of runs by identifier, and the most at the same time."""
+        """Return the runs by identifier, and the most that ran at the same time."""
         return Answer(200, {"runs": self.runs, "most_running": self.max_running})
 
     def run(self, request: Request, body: object) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -135,6 +135,15 @@
     """All processes of one deployment on loopback.
 
     As a context manager it kills all processes on exit.
+
+    Attributes
+    ----------
+    command : tuple of str
+        Command line of the system, to which a role or a command is appended.
+    processes : dict of str to Process
+        Newest process of each name.
+    log_address : str
+        Address of the log that new processes use.
     """
 
     site: Site = field(default_factory=Site)
@@ -278,7 +287,7 @@
     def run(
         self, *arguments: str, entry: str = "entry-0"
     ) -> subprocess.CompletedProcess:
-        """Run an operator's command on an entry."""
+        """Run an operator's command against an entry; return its result."""
         port = self.processes[entry].ports["operators"]
         argv = [*self.command, *arguments, "--entry", f"127.0.0.1:{port}"]
         return self._run(argv)
@@ -286,7 +295,7 @@
     def request(
         self, *arguments: str, entry: str = "entry-0"
     ) -> subprocess.CompletedProcess:
-        """Send a caller's request with the command line."""
+        """Send a caller's request by the command line; return its result."""
         port = self.processes[entry].ports["callers"]
         argv = [*self.command, "request", "--callers", f"127.0.0.1:{port}"]
         return self._run([*argv, *arguments])
--- a/standins/service.py
+++ b/standins/service.py
@@ -29,6 +29,11 @@
     """Dispatches requests by method and path.
 
     A handler that returns None sends its answer later.
+
+    Attributes
+    ----------
+    extra_ports : dict of str to int
+        Further ports that `serve` prints, by name.
     """
 
     isLeaf = True  # noqa: N815
@@ -57,6 +62,7 @@
 
 
 def _parse_body(text: bytes) -> Any:
+    """Return the value of a JSON body, {} if it is empty, its text if it is no JSON."""
     try:
         return json.loads(text) if text else {}
     except json.JSONDecodeError:
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -22,7 +22,7 @@
 BYTES_PER_KB = 1_000
 MS_PER_SECOND = 1_000
 PERCENT = 100
-MEASURED_ENTRIES = 2
+MEASURED_ENTRIES = 2  # entries of the deployment that `capacity` measures
 HEARTBEAT_PERIOD_MS = KEYS["heartbeat.period_ms"].default
 HEARTBEAT_GAP_MS = KEYS["heartbeat.gap_ms"].default
 FULL_REPORT_PERIOD_MS = KEYS["heartbeat.full_ms"].default
@@ -81,7 +81,7 @@
         return MEASURED_ENTRIES / self.entries * HEARTBEAT_PERIOD_MS / stretched_ms
 
     def report_ratio(self, role: str) -> float:
-        """Return the full reports per running task relative to the measured ones.
+        """Return the rate of full reports per task relative to the measured one.
 
         The holder receives them; in a large fleet each sidecar sends them less often.
         """
@@ -106,12 +106,12 @@
     appends: float = 0.0
 
     def add(self, other: "Rates", factor: float = 1.0) -> "Rates":
-        """Return the sum of these rates and `factor` the other ones."""
+        """Return the sum of these rates and `factor` times the other ones."""
         pairs = zip(vars(self).items(), vars(other).values(), strict=True)
         return Rates(**{name: mine + factor * yours for (name, mine), yours in pairs})
 
 
-BUDGET = Rates(0.033, 5.0, 256.0)
+BUDGET = Rates(0.033, 5.0, 256.0)  # of one process; appends have no budget
 
 
 @dataclass(frozen=True)
--- a/standins/urgent.py
+++ b/standins/urgent.py
@@ -31,7 +31,13 @@
 
 
 def put(deployment: Deployment, path: str, **fields: object) -> None:
-    """Send a change as an operator."""
+    """Send a change as an operator.
+
+    Raises
+    ------
+    RuntimeError
+        If the entry refuses it.
+    """
     body = {"operator": "measure", **fields}
     status, answer = deployment.call("entry-0", "operators", "PUT", path, body)
     if status != STATUS_OK:
@@ -41,7 +47,13 @@
 def submit(
     deployment: Deployment, name: str, team: str, run_ms: int, **fields: object
 ) -> None:
-    """Submit a job."""
+    """Submit a job.
+
+    Raises
+    ------
+    RuntimeError
+        If the entry refuses it.
+    """
     payload = json.dumps({"run_ms": run_ms, "result": name})
     body = {
         "operator": "measure",
@@ -87,7 +99,10 @@
 
 
 def are_workers_busy(deployment: Deployment) -> bool:
-    """Return whether all workers run tasks; each uses all accelerators of one."""
+    """Return whether every worker is full.
+
+    A task uses all accelerators of a worker, so a worker runs at most one.
+    """
     running = [row for row in list_tasks(deployment) if row["state"] == "running"]
     return len(running) == WORKER_COUNT
 
--- a/standins/usage.py
+++ b/standins/usage.py
@@ -65,6 +65,7 @@
 
 
 def _memory_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
     for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / KB_PER_MB
@@ -72,7 +73,10 @@
 
 
 def _read_metrics(process: Process) -> dict[str, float]:
-    """Return samples summed over labels, also separately for each message kind."""
+    """Return the sum of the samples of each metric, and of each of its kinds.
+
+    The keys are ``name`` and ``name:kind``; `kind` is the label of that name.
+    """
     url = f"http://127.0.0.1:{process.ports['operators']}/metrics"
     with urllib.request.urlopen(url, timeout=METRICS_TIMEOUT_S) as response:
         text = response.read().decode()
--- a/standins/worker_host.py
+++ b/standins/worker_host.py
@@ -27,7 +27,19 @@
 
 @dataclass
 class Task:
-    """A task that the worker has reserved, run or ended."""
+    """A task that the worker has reserved, run or ended.
+
+    Attributes
+    ----------
+    accelerators : list of int
+        Numbers of the accelerators that it occupies.
+    starts, checkpoints : int
+        Number of its starts, and of the checkpoints that it was told to write.
+    timers : list
+        Timers that end its run.
+    lease_timer : object
+        Timer that stops it when its lease expires.
+    """
 
     task_id: str
     accelerators: list[int]
@@ -160,6 +172,7 @@
         self._end(task, "failed" if failed else "finished")
 
     def _end(self, task: Task, state: str) -> None:
+        """Set the final state of an open task and cancel its timers."""
         if task.state not in OPEN_STATES:
             return
         task.state = state
