Correct what the simulated network does to messages

It delays and loses messages but repeats none, as the text said. The answer to a read and the purpose of `python -m bench` are said, and the constants stand in their former order.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Print the figures: ``python -m bench [--seeds N] [--deployment NAME]``."""
+"""Print each policy's figures: ``python -m bench [--seeds N] [--deployment NAME]``."""
 
 import argparse
 from statistics import mean
--- a/standins/batch/__init__.py
+++ b/standins/batch/__init__.py
@@ -1,8 +1,8 @@
 """A simulated deployment in one process: log, minions, entries and sidecars.
 
 The systems of `kingcuppost.batch` run unchanged in simulated time. Their messages pass
-through a seeded network that delays, loses and repeats them. `checks` verifies the
-scheduler's guarantees from what callers and minions observe.
+through a seeded network that delays them and, as a fault, loses them. `checks` verifies
+the scheduler's guarantees from what callers and minions observe.
 """
 
 from standins.batch.deployment import Deployment
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -61,7 +61,6 @@
 HOST = "desk.example"
 API_KEY = "key-a"
 PATH_PREFIXES = ("/urgent/", "/design/", "/batch/")
-PORT = 7000
 SLOW_SPEED = 0.55
 FAST_SPEED = 1.2
 
@@ -71,6 +70,7 @@
 LOG_POLL_PERIOD_MS = 1_100
 HEARTBEAT_PERIOD_MS = 500
 END_POLL_PERIOD_MS = 20
+PORT = 7000
 
 # Simulated delays and timeouts.
 LISTING_DELAY_MS = 5
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -62,7 +62,7 @@
         return self.first + len(self.values) - 1
 
     def read(self, after: int, limit: int) -> dict:
-        """Return the answer to a read."""
+        """Return the records after an offset, the head and the earliest offset."""
         start = max(after + 1, self.first)
         chosen = self.values[start - self.first :][:limit]
         rows = [{"offset": start + i, "value": text} for i, text in enumerate(chosen)]
