--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -59,13 +59,29 @@
 __all__ = ["Deployment", "Process"]
 
 HOST = "desk.example"
-KEY = "key-a"
-PREFIXES = ("/urgent/", "/design/", "/batch/")
+API_KEY = "key-a"
+PATH_PREFIXES = ("/urgent/", "/design/", "/batch/")
+SLOW_SPEED = 0.55
+FAST_SPEED = 1.2
+
 STEP_MS = 10
-POLL_PERIOD_MS = 1_100
+STEPS_PER_CHECK = 5
+FROZEN_POLL_PERIOD_MS = 50
+LOG_POLL_PERIOD_MS = 1_100
 HEARTBEAT_PERIOD_MS = 500
+END_POLL_PERIOD_MS = 20
 PORT = 7000
 
+# Simulated delays and timeouts.
+LISTING_DELAY_MS = 5
+REFUSED_APPEND_MS = 20
+MAX_LATE_APPEND_MS = 3_000
+REFUSED_CONNECTION_MS = 5
+ORDER_TIMEOUT_MS = 600
+MIN_LATE_ORDER_MS = 2_000
+LATE_ORDER_SPREAD_MS = 6_000
+CALL_TIMEOUT_MS = 3_000
+
 
 @dataclass
 class Process:
@@ -115,8 +131,15 @@
 
     Attributes
     ----------
+    work_ms_by_job : dict of str to list of float
+        For each job, the work of a task of each step, in ms at speed 1.
+    replies : dict of str to CallReply
+        Replies to callers, by the identifier of the exchange.
+    log_is_down : bool
+        Whether no process can reach the log.
     lost_answer_ratio : float
-        Share of appends whose answer is lost.
+        Share of appends whose answer is lost; half of these appends are late, too, by
+        up to `MAX_LATE_APPEND_MS`.
     late_order_ratio : float
         Share of orders to minions with an unknown outcome; they take effect later.
     closed_zones : set of str
@@ -161,10 +184,10 @@
     def _configure(self) -> None:
         queues = tuple(
             Queue(f"queue-{priority}", HOST, prefix, "svc", priority, 3, 2.0)
-            for priority, prefix in enumerate(PREFIXES)
+            for priority, prefix in enumerate(PATH_PREFIXES)
         )
-        teams = {"a": Team("a", frozenset({KEY}), 16)}
-        self.configuration = Configuration(1, queues, teams, {KEY: "a"})
+        teams = {"a": Team("a", frozenset({API_KEY}), 16)}
+        self.configuration = Configuration(1, queues, teams, {API_KEY: "a"})
         self.closed_zones: set[str] = set()
 
     def _add_process(self, name: str, zone: str, role: Role, host: int) -> Process:
@@ -183,12 +206,13 @@
             self._task_work,
             self.bounds.lease_ms,
             self.bounds.gang_ms,
-            speed=0.55 if index % 4 == 0 else 1.2,
+            speed=SLOW_SPEED if index % 4 == 0 else FAST_SPEED,
         )
         self.minions[minion.id] = minion
         return minion
 
     def _task_work(self, task: TaskName) -> tuple[StepSpec, float]:
+        """Return the step of a task, and its work in ms at speed 1."""
         return self.steps[task.job][task.step], self.work_ms_by_job[task.job][task.step]
 
     # processes
@@ -259,7 +283,7 @@
         """
         end_ms = self.clock.now_ms() + limit_ms
         while not condition() and self.clock.now_ms() < end_ms:
-            self.run_for(STEP_MS * 5)
+            self.run_for(STEP_MS * STEPS_PER_CHECK)
         return condition()
 
     def _advance_minions(self) -> None:
@@ -311,7 +335,7 @@
             return
         if process.is_frozen:
             self.after(
-                50,
+                FROZEN_POLL_PERIOD_MS,
                 lambda: (
                     self.request_tick(process)
                     if process.incarnation == key[1]
@@ -346,10 +370,12 @@
             self.request_tick(process)
 
     def _deliver_later(
-        self, process: Process, delay_ms: float, make: Callable[[], Any]
+        self, process: Process, delay_ms: float, make_message: Callable[[], Any]
     ) -> None:
         incarnation = process.incarnation
-        self.after(delay_ms, lambda: self._deliver(process, make(), incarnation))
+        self.after(
+            delay_ms, lambda: self._deliver(process, make_message(), incarnation)
+        )
 
     def _delay_ms(self) -> float:
         return 1 + self.rng.random() * 4
@@ -372,7 +398,7 @@
         elif isinstance(message, ListMembers):
             batch = self._read_newest(Stream.MEMBERS)
             if not process.is_cut_off and not self.log_is_down:
-                self._deliver_later(process, 5, lambda: batch)
+                self._deliver_later(process, LISTING_DELAY_MS, lambda: batch)
         elif isinstance(message, StopProcess):
             process.is_up = False
 
@@ -392,10 +418,14 @@
             answer = AppendEnded(
                 message.id, AppendOutcome.REFUSED, reason="rejected by the log"
             )
-            self._deliver_later(process, 20, lambda: answer)
+            self._deliver_later(process, REFUSED_APPEND_MS, lambda: answer)
             return
         lost = self.rng.random() < self.lost_answer_ratio
-        late_ms = self.rng.random() * 3_000 if lost and self.rng.random() < 0.5 else 0
+        late_ms = (
+            self.rng.random() * MAX_LATE_APPEND_MS
+            if lost and self.rng.random() < 0.5
+            else 0
+        )
 
         def apply() -> None:
             records = [encode_record(record) for record in message.records]
@@ -431,7 +461,7 @@
             return
         self._read_stream(process, incarnation, stream)
         self.after(
-            POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream)
+            LOG_POLL_PERIOD_MS, lambda: self._poll_stream(process, incarnation, stream)
         )
 
     def _read_stream(self, process: Process, incarnation: int, stream: Stream) -> None:
@@ -464,6 +494,7 @@
             (offset, self._decode(key, value))
             for offset, key, value in self.store.newest(stream)
         ]
+        # An entry ignores the other records of a job that it does not know yet.
         rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
         end = self.store.end(stream)
         return RecordsRead(stream, rows, self.clock.now_ms(), end, whole=True)
@@ -514,7 +545,7 @@
 
         self.after(self._delay_ms(), arrive)
         is_refused = other is None or not other.is_up
-        timeout_ms = 5 if is_refused else message.timeout_ms
+        timeout_ms = REFUSED_CONNECTION_MS if is_refused else message.timeout_ms
         self.after(timeout_ms, lambda: finish_exchange(None, "no answer"))
 
     def _answer_sync(self, process: Process, reply: SyncReply) -> None:
@@ -569,7 +600,7 @@
                 message.term, message.acknowledged_end, until_ms
             )
             if not ended and now_ms < answer_by_ms:
-                self.after(20, lambda: check_ends(False))
+                self.after(END_POLL_PERIOD_MS, lambda: check_ends(False))
                 return
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, now_ms, running, ended
@@ -610,9 +641,11 @@
             self._deliver_later(process, 1, lambda: answer)
 
         if is_late:
-            self.after(2_000 + self.rng.random() * 6_000, apply)
             self.after(
-                600,
+                MIN_LATE_ORDER_MS + self.rng.random() * LATE_ORDER_SPREAD_MS, apply
+            )
+            self.after(
+                ORDER_TIMEOUT_MS,
                 lambda: self._deliver_unknown_outcome(
                     process, incarnation, message, is_start
                 ),
@@ -643,7 +676,7 @@
         entry: str = "",
         job: SubmittedJob | None = None,
     ) -> str:
-        """Send a caller's call; return the identifier of the exchange.
+        """Send a call to an entry; return the identifier of the exchange.
 
         Without an entry, one of the running entries is picked at random; the call is
         lost if none runs.
@@ -663,7 +696,9 @@
             now_ms = self.clock.now_ms()
             self._deliver(
                 process,
-                CallerCall(exchange_id, kind, HOST, path, KEY, now_ms, 3_000, job),
+                CallerCall(
+                    exchange_id, kind, HOST, path, API_KEY, now_ms, CALL_TIMEOUT_MS, job
+                ),
             )
         return exchange_id
 
@@ -675,7 +710,10 @@
         job_id: str = "",
         entry: str = "",
     ) -> tuple[str, str]:
-        """Submit a job; return its identifier and that of the exchange."""
+        """Submit a job; return its identifier and that of the exchange.
+
+        `work_ms` is the work of a task of each step, in ms at speed 1.
+        """
         job_id = job_id or f"{self.rng.getrandbits(64):016x}"
         self.steps[job_id] = steps
         self.work_ms_by_job[job_id] = work_ms
@@ -686,13 +724,13 @@
             tuple(step.gang for step in steps),
             self.configuration.queues[priority].most_failures,
         )
-        path = PREFIXES[priority] + job_id
+        path = PATH_PREFIXES[priority] + job_id
         job = SubmittedJob("work", steps)
         return job_id, self.call(CallKind.SUBMIT, path, entry, job)
 
     def state(self, job_id: str, priority: int = 1) -> JobState | None:
         """Return the job state that a random entry shows, or None if it shows none."""
-        exchange_id = self.call(CallKind.STATE, PREFIXES[priority] + job_id)
+        exchange_id = self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
         if reply is None or reply.outcome is not CallOutcome.OK:
@@ -703,6 +741,6 @@
 
     def cancel(self, job_id: str, priority: int = 1) -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
-        exchange_id = self.call(CallKind.CANCEL, PREFIXES[priority] + job_id)
+        exchange_id = self.call(CallKind.CANCEL, PATH_PREFIXES[priority] + job_id)
         self._cancelled_job_by_call[exchange_id] = job_id
         return exchange_id
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -19,10 +19,10 @@
 ]
 
 SECONDS_PER_DAY = 86_400
-KB = 1_000
+BYTES_PER_KB = 1_000
 MS_PER_SECOND = 1_000
 PERCENT = 100
-MEASURED_ENTRIES = 2
+MEASURED_ENTRIES = 2  # entries of the deployment that `capacity` measures
 HEARTBEAT_PERIOD_MS = KEYS["heartbeat.period_ms"].default
 HEARTBEAT_GAP_MS = KEYS["heartbeat.gap_ms"].default
 FULL_REPORT_PERIOD_MS = KEYS["heartbeat.full_ms"].default
@@ -81,7 +81,7 @@
         return MEASURED_ENTRIES / self.entries * HEARTBEAT_PERIOD_MS / stretched_ms
 
     def report_ratio(self, role: str) -> float:
-        """Return the full reports per running task relative to the measured ones.
+        """Return the rate of full reports per task relative to the measured one.
 
         The holder receives them; in a large fleet each sidecar sends them less often.
         """
@@ -105,13 +105,13 @@
     memory_mb: float
     appends: float = 0.0
 
-    def add(self, other: "Rates", times: float = 1.0) -> "Rates":
-        """Return the sum of these rates and `times` the other ones."""
+    def add(self, other: "Rates", factor: float = 1.0) -> "Rates":
+        """Return the sum of these rates and `factor` times the other ones."""
         pairs = zip(vars(self).items(), vars(other).values(), strict=True)
-        return Rates(**{name: mine + times * yours for (name, mine), yours in pairs})
+        return Rates(**{name: mine + factor * yours for (name, mine), yours in pairs})
 
 
-BUDGET = Rates(0.033, 5.0, 256.0)
+BUDGET = Rates(0.033, 5.0, 256.0)  # of one process; appends have no budget
 
 
 @dataclass(frozen=True)
@@ -141,7 +141,7 @@
     """Return the use over a period as rates; memory stays an amount."""
     return Rates(
         use.processor_s / seconds,
-        use.bytes_total / KB / seconds,
+        use.bytes_total / BYTES_PER_KB / seconds,
         use.memory_mb,
         use.appends / seconds,
     )
