--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line, which runs processes and serves operators."""
+"""The command line: runs the processes and sends requests to an entry."""
 
 import argparse
 import sys
@@ -29,9 +29,9 @@
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="kingcuppost", epilog=EPILOG)
     parser.add_argument("--version", action="version", version=__version__)
-    actions = parser.add_subparsers(dest="command", required=True)
-    for item in commands.values():
-        item.add_options(actions.add_parser(item.name, help=item.text))
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    for command in commands.values():
+        command.add_options(subparsers.add_parser(command.name, help=command.text))
     return parser
 
 
@@ -42,6 +42,11 @@
     ----------
     argv : sequence of str, optional
         Arguments; those of the process if None.
+
+    Returns
+    -------
+    int
+        Exit code; `EPILOG` lists the meanings.
     """
     args = _build_parser().parse_args(argv)
     try:
--- a/kingcuppost/cli/changes.py
+++ b/kingcuppost/cli/changes.py
@@ -19,6 +19,8 @@
 def parse_shape(text: str) -> dict[str, int]:
     """Return the fields of a guaranteed shape given as text.
 
+    The count is 1 if the text has none.
+
     Raises
     ------
     InvalidInputError
@@ -41,13 +43,16 @@
     }
 
 
-def parse_value(text: str) -> str | int | float | bool:
-    """Return the value of a setting: a number, true, false, or else text.
+def parse_setting_value(text: str) -> str | int | float | bool:
+    """Return the value of a setting given as text.
+
+    The value is a number, true, false or a JSON string; any other text is returned
+    unchanged.
 
     Examples
     --------
-    >>> parse_value("250"), parse_value("true"), parse_value("shapes")
-    (250, True, 'shapes')
+    >>> [parse_setting_value(text) for text in ("250", "true", "shapes")]
+    [250, True, 'shapes']
     """
     try:
         value = json.loads(text)
@@ -57,21 +62,21 @@
 
 
 def _add_team_options(parser: argparse.ArgumentParser) -> None:
-    actions = parser.add_subparsers(dest="action", required=True)
-    put = actions.add_parser("put", help="create or change a team")
+    subparsers = parser.add_subparsers(dest="action", required=True)
+    put = subparsers.add_parser("put", help="create or change a team")
     put.add_argument("name")
     put.add_argument("--guarantee", action="append", default=[], help=SHAPE_HELP)
     put.add_argument("--accelerator-limit", type=int, default=0)
     put.add_argument("--base-offset", type=int, default=ANY_OFFSET)
-    show = actions.add_parser("show", help="show a team, or all")
+    show = subparsers.add_parser("show", help="show a team, or all")
     show.add_argument("name", nargs="?", default="")
-    for action in (put, show):
-        add_operator_options(action)
+    for subparser in (put, show):
+        add_operator_options(subparser)
 
 
 @command("team", "Create, change and show teams.", _add_team_options)
 def run_team(args: argparse.Namespace) -> int:
-    """Create, change or show a team."""
+    """Create, change or show a team; return the exit code."""
     if args.action == "put":
         body = {
             "operator": args.operator,
@@ -104,24 +109,34 @@
 
 
 def _add_zone_options(parser: argparse.ArgumentParser) -> None:
-    actions = parser.add_subparsers(dest="action", required=True)
+    subparsers = parser.add_subparsers(dest="action", required=True)
     for name, text in (
         ("add", "create a zone, in service"),
         ("out", "take a zone out of service"),
         ("in", "take a zone back into service"),
         ("show", "show all zones"),
     ):
-        action = actions.add_parser(name, help=text)
+        subparser = subparsers.add_parser(name, help=text)
         if name != "show":
-            action.add_argument("name")
-            action.add_argument("--region", required=name == "add", default="")
-            action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
-        add_operator_options(action)
+            subparser.add_argument("name")
+            subparser.add_argument("--region", required=name == "add", default="")
+            subparser.add_argument("--base-offset", type=int, default=ANY_OFFSET)
+        add_operator_options(subparser)
 
 
-@command("availability-zone", "Take zones out and in; show them.", _add_zone_options)
+@command(
+    "availability-zone",
+    "Create zones, take them out of service and back in, and show them.",
+    _add_zone_options,
+)
 def run_zone(args: argparse.Namespace) -> int:
-    """Create a zone, change whether it is in service, or show all zones."""
+    """Create a zone, change whether it is in service, or show all zones.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
     if args.action == "show":
         return send_to_entry(
             args, "GET", "/v1/availability-zones", format_answer=_format_zones
@@ -153,27 +168,35 @@
 
 
 def _add_settings_options(parser: argparse.ArgumentParser) -> None:
-    actions = parser.add_subparsers(dest="action", required=True)
-    put = actions.add_parser("set", help="set a key on a branch")
-    put.add_argument("key")
-    put.add_argument("value")
-    unset = actions.add_parser(
+    subparsers = parser.add_subparsers(dest="action", required=True)
+    set_parser = subparsers.add_parser("set", help="set a key on a branch")
+    set_parser.add_argument("key")
+    set_parser.add_argument("value")
+    unset_parser = subparsers.add_parser(
         "unset", help="remove a key from a branch, which then inherits its value"
     )
-    unset.add_argument("key")
-    for action in (put, unset):
-        action.add_argument("--base-offset", type=int, default=ANY_OFFSET)
-    show = actions.add_parser("show", help="show the effective values of a branch")
-    for action in (put, unset, show):
-        action.add_argument(
+    unset_parser.add_argument("key")
+    for subparser in (set_parser, unset_parser):
+        subparser.add_argument("--base-offset", type=int, default=ANY_OFFSET)
+    show_parser = subparsers.add_parser(
+        "show", help="show the effective values of a branch"
+    )
+    for subparser in (set_parser, unset_parser, show_parser):
+        subparser.add_argument(
             "--path", default="", help="branch of the settings tree (default: the root)"
         )
-        add_operator_options(action)
+        add_operator_options(subparser)
 
 
 @command("settings", "Change and show the settings tree.", _add_settings_options)
 def run_settings(args: argparse.Namespace) -> int:
-    """Set, unset or show keys on a branch of the settings tree."""
+    """Set, unset or show keys on a branch of the settings tree.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
     if args.action == "show":
         path = f"/v1/settings?path={quote(args.path, safe='')}"
         return send_to_entry(args, "GET", path, format_answer=_format_branch)
@@ -181,7 +204,7 @@
         "operator": args.operator,
         "path": args.path,
         "key": args.key,
-        "value": parse_value(args.value) if args.action == "set" else None,
+        "value": parse_setting_value(args.value) if args.action == "set" else None,
         "base_offset": args.base_offset,
     }
     return send_to_entry(args, "PUT", "/v1/settings", body)
--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -62,10 +62,14 @@
     body: dict[str, Any] | None,
     format_answer: Callable[[Any], str] | None,
 ) -> int:
-    """Send one request to an address and print the answer."""
-    text = json.dumps(body).encode("utf-8") if body is not None else b""
+    """Send one request to an address, print the answer and return the exit code.
+
+    The parameters are those of `send_to_entry`, but for the address as ``IP:PORT`` and
+    `as_json`, which prints the answer as JSON.
+    """
+    encoded_body = json.dumps(body).encode("utf-8") if body is not None else b""
     result = send_requests(
-        [CommandRequest(method, path, parse_address(address), text)]
+        [CommandRequest(method, path, parse_address(address), encoded_body)]
     )[0]
     if result.is_error():
         return _print_missing_answer(result.error, method)
@@ -77,9 +81,9 @@
 
     If a change was sent, it may have been made, so its outcome is unknown.
     """
-    code = print_failure(failure)
+    exit_code = print_failure(failure)
     if method == "GET" or failure.step == STEP_CONNECT:
-        return code
+        return exit_code
     print("kingcuppost: the outcome is unknown", file=sys.stderr)
     return EXIT_UNKNOWN
 
@@ -87,7 +91,10 @@
 def print_answer(
     status: int, body: bytes, as_json: bool, format_answer: Callable[[Any], str] | None
 ) -> int:
-    """Print an answer and return the exit code for its status."""
+    """Print an answer and return the exit code for its status.
+
+    Without `as_json`, the outcome and reason of a refusal go to standard error.
+    """
     try:
         answer = json.loads(body)
     except ValueError:
--- a/kingcuppost/cli/explain.py
+++ b/kingcuppost/cli/explain.py
@@ -12,20 +12,32 @@
 
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
-    actions = parser.add_subparsers(dest="action", required=True)
-    job = actions.add_parser("job", help="settings, decisions and outcome of a job")
+    subparsers = parser.add_subparsers(dest="action", required=True)
+    job = subparsers.add_parser("job", help="settings, decisions and outcome of a job")
     job.add_argument("name", help="name of the job")
-    request = actions.add_parser(
+    request = subparsers.add_parser(
         "request", help="settings, decision and outcome of a request"
     )
     request.add_argument("name", metavar="TEAM/KEY", help="team and key of the request")
-    for action in (job, request):
-        add_operator_options(action)
+    for subparser in (job, request):
+        add_operator_options(subparser)
 
 
-@command("explain", "Show what a job or request ran under, and why.", _add_options)
+@command(
+    "explain",
+    "Explain the outcome of a job or request by its settings and decisions.",
+    _add_options,
+)
 def run_explain(args: argparse.Namespace) -> int:
-    """Show the settings, decisions, refused alternatives and outcome."""
+    """Show the settings, decisions and outcome of a job or request.
+
+    A decision is shown with the alternatives that it refused.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
     name = quote(args.name, safe="")
     if args.action == "job":
         return send_to_entry(
@@ -46,7 +58,7 @@
     if job["result"]:
         lines.append(f"result, kept in the log: {job['result']}")
     if not answer["gangs"]:
-        lines.append("no gang was placed for it")
+        lines.append("no gang was placed for the job")
     for gang in answer["gangs"]:
         borrowed = ", borrowed" if gang["borrowed"] else ""
         lines.append(
@@ -68,13 +80,13 @@
     if claim is not None:
         lines.append(
             f"claimed at offset {claim['offset']} by attempt {claim['attempt_id']} "
-            f"for {claim['minion']}, process {claim['minion_incarnation']}"
+            f"for {claim['minion']}, incarnation {claim['minion_incarnation']}"
         )
         if claim["decision"] is not None:
             lines.extend(_format_decision(claim["decision"]))
     else:
-        lines.append("settings that hold now:")
-        lines.extend(_format_values(answer["settings_now"]))
+        lines.append("settings in force now:")
+        lines.extend(_format_setting_values(answer["settings_now"]))
     for event in answer["events"]:
         lines.append(f"  {event['process']} {event['step']}: {event['text']}")
     return "\n".join(lines)
@@ -85,13 +97,13 @@
         f"  by policy {decision['policy']}, settings up to offset "
         f"{decision['settings_offset']}:"
     ]
-    lines.extend(_format_values(decision["values"]))
-    for item in decision["refused"]:
-        lines.append(f"  not on {item['place']}: {item['reason']}")
+    lines.extend(_format_setting_values(decision["values"]))
+    for alternative in decision["refused"]:
+        lines.append(f"  not on {alternative['place']}: {alternative['reason']}")
     return lines
 
 
-def _format_values(values: list[Any]) -> list[str]:
+def _format_setting_values(values: list[Any]) -> list[str]:
     return [
         f"  {row['key']} = {row['value']} from {row['path']}, "
         f"offset {row['offset']}, {row['operator'] or 'no operator'}"
--- a/kingcuppost/cli/fleet.py
+++ b/kingcuppost/cli/fleet.py
@@ -9,12 +9,13 @@
 
 __all__: list[str] = []
 
+# `fresh_age_ms` of a process that has not yet read the log to its head.
 NEVER_READ_AGE_MS = -1
 
 
 @command("fleet", "Show entries, minions and workers.", add_operator_options)
 def run_fleet(args: argparse.Namespace) -> int:
-    """Show every process and worker that the log has recorded."""
+    """Show every process and worker recorded in the log; return the exit code."""
     return send_to_entry(args, "GET", "/v1/fleet", format_answer=format_fleet)
 
 
@@ -53,9 +54,19 @@
     return [*(row[name] for name in names), row["accelerators"]]
 
 
-@command("status", "Show how far a process has followed the log.", add_operator_options)
+@command(
+    "status",
+    "Show the log offsets, scheduling lease and open work of a process.",
+    add_operator_options,
+)
 def run_status(args: argparse.Namespace) -> int:
-    """Show the offsets, the scheduling lease and the open work of a process."""
+    """Show the log offsets, scheduling lease and open work of a process.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
     return send_to_entry(args, "GET", "/v1/status", format_answer=format_status)
 
 
--- a/kingcuppost/cli/jobs.py
+++ b/kingcuppost/cli/jobs.py
@@ -26,8 +26,8 @@
 
 
 def _add_job_options(parser: argparse.ArgumentParser) -> None:
-    actions = parser.add_subparsers(dest="action", required=True)
-    submit = actions.add_parser("submit", help="submit a job")
+    subparsers = parser.add_subparsers(dest="action", required=True)
+    submit = subparsers.add_parser("submit", help="submit a job")
     submit.add_argument("--name", default="")
     submit.add_argument("--team", required=True)
     submit.add_argument("--members", type=int, default=1)
@@ -39,17 +39,17 @@
     )
     submit.add_argument("--declared-ms", type=int, default=0)
     submit.add_argument("--payload", default="")
-    show = actions.add_parser("show", help="show a job, or all")
+    show = subparsers.add_parser("show", help="show a job, or all")
     show.add_argument("name", nargs="?", default="")
-    cancel = actions.add_parser("cancel", help="cancel a job")
+    cancel = subparsers.add_parser("cancel", help="cancel a job")
     cancel.add_argument("name")
-    for action in (submit, show, cancel):
-        add_operator_options(action)
+    for subparser in (submit, show, cancel):
+        add_operator_options(subparser)
 
 
 @command("job", "Submit, show and cancel jobs.", _add_job_options)
 def run_job(args: argparse.Namespace) -> int:
-    """Submit, show or cancel a job."""
+    """Submit, show or cancel a job; return the exit code."""
     if args.action == "submit":
         body = {name: getattr(args, name) for name in JOB_FIELDS}
         return send_to_entry(args, "POST", "/v1/jobs", body)
@@ -95,13 +95,18 @@
 def format_members(gang: Any) -> list[str]:
     """Return a line for each member of a gang."""
     return [
-        f"  member {i} on {item['worker']}, accelerators {item['accelerators']}"
-        for i, item in enumerate(gang["placements"])
+        f"  member {number} on {placement['worker']}, "
+        f"accelerators {placement['accelerators']}"
+        for number, placement in enumerate(gang["placements"])
     ]
 
 
 def _add_request_options(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--callers", default=DEFAULT_CALLER_ADDRESS, help="IP:PORT")
+    parser.add_argument(
+        "--callers",
+        default=DEFAULT_CALLER_ADDRESS,
+        help="callers' address of an entry, IP:PORT",
+    )
     parser.add_argument("--team", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--body", default="")
@@ -121,7 +126,7 @@
 
 @command("request", "Send a request to a service.", _add_request_options)
 def run_request(args: argparse.Namespace) -> int:
-    """Send a caller's request and print the outcome."""
+    """Send a caller's request, print the outcome and return the exit code."""
     body = {
         "team": args.team,
         "service": args.service,
--- a/kingcuppost/cli/processes.py
+++ b/kingcuppost/cli/processes.py
@@ -22,6 +22,7 @@
 
 
 def _read_config_for(path: str, role: Role) -> ProcessConfig | Failure:
+    """Return the configuration in a file; a failure if it is for another role."""
     result = read_config(path)
     if result.is_error():
         return result.error
@@ -32,31 +33,31 @@
 
 @command("entry", "Run an entry.", _add_file_argument)
 def run_entry_command(args: argparse.Namespace) -> int:
-    """Run an entry until it is stopped."""
-    cfg = _read_config_for(args.file, Role.ENTRY)
-    if isinstance(cfg, Failure):
-        return _print_refusal(cfg)
+    """Run an entry until it is stopped; return the exit code."""
+    config = _read_config_for(args.file, Role.ENTRY)
+    if isinstance(config, Failure):
+        return _print_refusal(config)
     from kingcuppost.programs.entry import run_entry
 
-    return run_entry(cfg)
+    return run_entry(config)
 
 
 @command("sidecar", "Run the sidecar of a minion.", _add_file_argument)
 def run_sidecar_command(args: argparse.Namespace) -> int:
-    """Run a sidecar until it is stopped."""
-    cfg = _read_config_for(args.file, Role.SIDECAR)
-    if isinstance(cfg, Failure):
-        return _print_refusal(cfg)
+    """Run a sidecar until it is stopped; return the exit code."""
+    config = _read_config_for(args.file, Role.SIDECAR)
+    if isinstance(config, Failure):
+        return _print_refusal(config)
     from kingcuppost.programs.sidecar import run_sidecar
 
-    return run_sidecar(cfg)
+    return run_sidecar(config)
 
 
 @command("check", "Check a settings file without running anything.", _add_file_argument)
 def run_check_command(args: argparse.Namespace) -> int:
-    """Print whether a settings file is valid."""
+    """Print whether a settings file is valid; return the exit code."""
     result = read_config(args.file)
     if result.is_error():
         return _print_refusal(result.error)
-    print(f"{args.file}: sound, {result.ok.role} {result.ok.name}")
+    print(f"{args.file}: valid, {result.ok.role} {result.ok.name}")
     return EXIT_OK
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -25,7 +25,7 @@
 
 @command("reference", "Print a reference table in Markdown.", _add_options)
 def run_reference(args: argparse.Namespace) -> int:
-    """Print one reference table."""
+    """Print one reference table; return the exit code."""
     print(references[args.topic]())
     return EXIT_OK
 
@@ -90,21 +90,24 @@
     return None
 
 
-def _describe_type(schema: dict[str, Any], part: dict[str, Any]) -> str:
-    """Return the type of a field with its limits, in words."""
-    if "$ref" in part:
-        part = schema["$defs"][part["$ref"].rpartition("/")[2]]
-    if "anyOf" in part:
-        part = part["anyOf"][0]
-    if "enum" in part:
-        return ", ".join(f"`{value}`" for value in part["enum"])
-    text = part["type"]
-    if "pattern" in part:
-        text += f" matching `{part['pattern']}`"
-    if "minimum" in part:
-        text += f", at least {part['minimum']}"
-    if "maximum" in part:
-        text += f", at most {part['maximum']}"
+def _describe_type(schema: dict[str, Any], field_schema: dict[str, Any]) -> str:
+    """Return the type of a field with its limits, in words.
+
+    `schema` is the JSON schema of the model, `field_schema` that of the field.
+    """
+    if "$ref" in field_schema:
+        field_schema = schema["$defs"][field_schema["$ref"].rpartition("/")[2]]
+    if "anyOf" in field_schema:
+        field_schema = field_schema["anyOf"][0]
+    if "enum" in field_schema:
+        return ", ".join(f"`{value}`" for value in field_schema["enum"])
+    text = field_schema["type"]
+    if "pattern" in field_schema:
+        text += f" matching `{field_schema['pattern']}`"
+    if "minimum" in field_schema:
+        text += f", at least {field_schema['minimum']}"
+    if "maximum" in field_schema:
+        text += f", at most {field_schema['maximum']}"
     return text
 
 
@@ -127,8 +130,13 @@
 def routes_reference() -> str:
     """Return a table of the routes of all surfaces."""
     rows = [
-        [item.surface, f"`{item.method}`", f"`{item.path}`", _summary_of(item.parse)]
-        for item, _ in sorted(
+        [
+            route.surface,
+            f"`{route.method}`",
+            f"`{route.path}`",
+            _summary_of(route.parse),
+        ]
+        for route, _ in sorted(
             routes, key=lambda pair: (pair[0].surface, pair[0].path, pair[0].method)
         )
     ]
--- a/kingcuppost/cli/registry.py
+++ b/kingcuppost/cli/registry.py
@@ -26,7 +26,7 @@
 EXIT_FAILED = 1
 EXIT_INVALID = 2
 EXIT_UNKNOWN = 3
-DEFAULT_ENTRY_ADDRESS = "127.0.0.1:7301"
+DEFAULT_OPERATOR_ADDRESS = "127.0.0.1:7301"
 
 RunCommand = Callable[[argparse.Namespace], int]
 AddOptions = Callable[[argparse.ArgumentParser], None]
@@ -58,7 +58,7 @@
 def command(
     name: str, text: str, add_options: AddOptions
 ) -> Callable[[RunCommand], RunCommand]:
-    """Return a decorator that registers a command."""
+    """Return a decorator that adds the decorated function to `commands`."""
 
     def register(run: RunCommand) -> RunCommand:
         commands[name] = Command(name, text, add_options, run)
@@ -71,14 +71,14 @@
     """Add the options shared by all commands that send requests to an entry."""
     parser.add_argument(
         "--entry",
-        default=DEFAULT_ENTRY_ADDRESS,
+        default=DEFAULT_OPERATOR_ADDRESS,
         help=f"operators' address of an entry, IP:PORT (default "
-        f"{DEFAULT_ENTRY_ADDRESS})",
+        f"{DEFAULT_OPERATOR_ADDRESS})",
     )
     parser.add_argument(
         "--operator",
         default=os.environ.get("USER") or "operator",
-        help="name recorded with a change (default: the user who is logged in)",
+        help="name recorded with a change (default: $USER, or operator if unset)",
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
 
--- a/kingcuppost/cli/timeline.py
+++ b/kingcuppost/cli/timeline.py
@@ -33,7 +33,7 @@
 __all__ = ["collapse_folds", "matches_filters", "operator_addresses", "parse_time"]
 
 EVENTS_PATH = "/v1/events"
-TIMEOUT_MS = 5_000
+REQUEST_TIMEOUT_MS = 5_000
 MS_PER_SECOND = 1_000
 FOLD_PREFIX = "fold."
 STATUS_OK = 200
@@ -83,12 +83,14 @@
     )
     for name, text in FILTER_HELP.items():
         parser.add_argument(f"--{name}", default="", help=text)
-    parser.add_argument("--since", default="0", help="Unix ms or ISO 8601")
-    parser.add_argument("--until", default="", help="Unix ms or ISO 8601")
+    parser.add_argument(
+        "--since", default="0", help="earliest time, Unix ms or ISO 8601"
+    )
+    parser.add_argument("--until", default="", help="latest time, Unix ms or ISO 8601")
     parser.add_argument(
         "--every",
         action="store_true",
-        help="show the folding of a record once for each process, not only once",
+        help="show the folding of a record by each process, not only by the first",
     )
 
 
@@ -111,25 +113,33 @@
 def _event_requests(
     entry: Address, extra_addresses: list[Address], fleet_result: Result
 ) -> list[CommandRequest]:
-    """Return the requests for events, one for each known process."""
+    """Return the requests for events, one for each known process.
+
+    Without the fleet, only the entry and the extra addresses are known.
+    """
     addresses = [entry, *extra_addresses]
     if fleet_result.is_ok() and fleet_result.ok.status == STATUS_OK:
         addresses += operator_addresses(json.loads(fleet_result.ok.body))
-    unique = list(dict.fromkeys(addresses))
+    unique_addresses = list(dict.fromkeys(addresses))
     return [
-        CommandRequest("GET", EVENTS_PATH, item, timeout_ms=TIMEOUT_MS)
-        for item in unique
+        CommandRequest("GET", EVENTS_PATH, address, timeout_ms=REQUEST_TIMEOUT_MS)
+        for address in unique_addresses
     ]
 
 
-@command("timeline", "Show the events of all processes in one order.", _add_options)
+@command("timeline", "Show the events of all processes as one time line.", _add_options)
 def run_timeline(args: argparse.Namespace) -> int:
-    """Request the fleet from an entry, then the events from each of its processes."""
+    """Print the events of all processes, merged and filtered; return the exit code.
+
+    The fleet is requested from an entry, then the events from each of its processes.
+    """
     entry = parse_address(args.entry)
     extra_addresses = [parse_address(text) for text in args.process]
     args.since_ms = parse_time(args.since)
     args.until_ms = parse_time(args.until) if args.until else None
-    fleet_request = CommandRequest("GET", "/v1/fleet", entry, timeout_ms=TIMEOUT_MS)
+    fleet_request = CommandRequest(
+        "GET", "/v1/fleet", entry, timeout_ms=REQUEST_TIMEOUT_MS
+    )
     results = send_with_follow_ups(
         fleet_request, lambda result: _event_requests(entry, extra_addresses, result)
     )
@@ -168,7 +178,10 @@
 
 
 def matches_filters(args: argparse.Namespace, event: Event) -> bool:
-    """Return whether an event passes the filters of the command line."""
+    """Return whether an event passes the filters of the command line.
+
+    `args` also holds `since_ms` and `until_ms`, the parsed times.
+    """
     names = [name.replace("-", "_") for name in FILTER_HELP]
     for name in names:
         value = getattr(args, name)
@@ -184,7 +197,7 @@
 
     The text of that event gives the number of other processes that folded the record.
     """
-    others = Counter(event.receives for event in events if _is_fold(event))
+    fold_counts = Counter(event.receives for event in events if _is_fold(event))
     collapsed = []
     seen_records = set()
     for event in events:
@@ -192,7 +205,7 @@
             collapsed.append(event)
         elif event.receives not in seen_records:
             seen_records.add(event.receives)
-            collapsed.append(_add_process_count(event, others[event.receives] - 1))
+            collapsed.append(_add_other_count(event, fold_counts[event.receives] - 1))
     return collapsed
 
 
@@ -200,10 +213,10 @@
     return event.step.startswith(FOLD_PREFIX) and bool(event.receives)
 
 
-def _add_process_count(event: Event, count: int) -> Event:
-    if not count:
+def _add_other_count(event: Event, other_count: int) -> Event:
+    if not other_count:
         return event
-    return replace(event, text=f"{event.text} Also by {count} more.")
+    return replace(event, text=f"{event.text} Also by {other_count} more.")
 
 
 def _print_events(events: list[Event], as_json: bool) -> None:
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -75,7 +75,7 @@
 def _select_lines(
     lines: list[LogLine], job_id: str, with_context: bool
 ) -> list[LogLine]:
-    """Return the lines of a job, optionally with those of `CONTEXT_PARTS` meanwhile."""
+    """Return the lines of a job, optionally with `CONTEXT_PARTS` of the same time."""
     job_lines = [line for line in lines if line.mentions(job_id)]
     if not job_lines or not with_context:
         return job_lines
@@ -90,9 +90,9 @@
 
 
 def _format_line(line: LogLine, first_ms: int) -> str:
-    after_s = (line.wall_ms - first_ms) / MS_PER_SECOND
+    elapsed_s = (line.wall_ms - first_ms) / MS_PER_SECOND
     details = " ".join(f"{key}={value}" for key, value in line.fields.items())
-    return f"{after_s:9.3f} {line.instance:20} {line.message} {details}".rstrip()
+    return f"{elapsed_s:9.3f} {line.instance:20} {line.message} {details}".rstrip()
 
 
 def _add_options(parser: argparse.ArgumentParser) -> None:
@@ -103,13 +103,20 @@
     parser.add_argument(
         "--context",
         action="store_true",
-        help="also show lines of processes, leases, minions and settings around them",
+        help="also show lines of the log, store, leases, minions, processes and "
+        "settings, from 1 s before to 1 s after those of the job",
     )
 
 
-@command("trace", "Show one job's way through the logs of all processes.", _add_options)
+@command("trace", "Show the log lines of one job from all processes.", _add_options)
 def run_trace(args: argparse.Namespace) -> int:
-    """Print the log lines of all processes that mention a job, ordered by time."""
+    """Print the log lines of all processes that mention a job, ordered by time.
+
+    Returns
+    -------
+    int
+        Exit code; `EXIT_FAILED` if no line mentions the job.
+    """
     lines = sorted(_read_logs(args.logs), key=lambda line: line.wall_ms)
     selected = _select_lines(lines, args.job, args.context)
     if not selected:
