Name the format tests after the format that they keep

test_the_routes, test_the_metrics_page and others named a subject but no claim, and a limit of the shape tests was named "stays small". The test that only edges and programs import Twisted also lets the adapter do so.

--- a/kingcuppost/cli/tests/test_commands.py
+++ b/kingcuppost/cli/tests/test_commands.py
@@ -14,15 +14,15 @@
 
 
 class FakePeer:
-    """Returns the same result for every exchange and records the exchanges."""
+    """A substitute for `send_requests` that records requests and sends nothing."""
 
     def __init__(self, result: Any) -> None:
         self.result = result
-        self.requested: list[Any] = []
+        self.requests: list[Any] = []
 
-    def __call__(self, exchanges: list[Any]) -> list[Any]:
-        self.requested.extend(exchanges)
-        return [self.result] * len(exchanges)
+    def __call__(self, requests: list[Any]) -> list[Any]:
+        self.requests.extend(requests)
+        return [self.result] * len(requests)
 
 
 @pytest.fixture
@@ -32,7 +32,7 @@
     return fake
 
 
-def refusal(status: int, outcome: str, reason: str) -> Any:
+def make_refusal(status: int, outcome: str, reason: str) -> Any:
     body = {"outcome": outcome, "step": "change", "peer": "entry-0", "reason": reason}
     return Ok(Response(status, json.dumps(body).encode()))
 
@@ -92,9 +92,9 @@
     peer: FakePeer, argv: list[str], method: str, path: str, fields: dict[str, Any]
 ) -> None:
     assert main(argv) == 0
-    (exchange,) = peer.requested
-    assert (exchange.method, exchange.path) == (method, path)
-    body = json.loads(exchange.body)
+    (request,) = peer.requests
+    assert (request.method, request.path) == (method, path)
+    body = json.loads(request.body)
     assert {name: body[name] for name in fields} == fields
 
 
@@ -111,7 +111,7 @@
     peer: FakePeer, argv: list[str], capsys: pytest.CaptureFixture
 ) -> None:
     assert main(argv) == 2
-    assert peer.requested == []
+    assert peer.requests == []
     lines = capsys.readouterr().err.splitlines()
     assert len(lines) == 1
     assert lines[0].startswith("kingcuppost: ")
@@ -120,12 +120,12 @@
 @pytest.mark.parametrize(
     ("result", "code"),
     [
-        (refusal(400, "not_run", "members: too small"), 2),
-        (refusal(404, "not_run", "there is no team"), 2),
-        (refusal(409, "not_run", "another change came first"), 2),
-        (refusal(422, "not_run", "unknown key"), 2),
-        (refusal(503, "not_run", "the log is not read yet"), 1),
-        (refusal(504, "unknown", "not confirmed"), 3),
+        (make_refusal(400, "not_run", "members: too small"), 2),
+        (make_refusal(404, "not_run", "there is no team"), 2),
+        (make_refusal(409, "not_run", "another change came first"), 2),
+        (make_refusal(422, "not_run", "unknown key"), 2),
+        (make_refusal(503, "not_run", "the log is not read yet"), 1),
+        (make_refusal(504, "unknown", "not confirmed"), 3),
         (Error(Failure("refused", "connect", "127.0.0.1:1")), 1),
     ],
 )
@@ -246,8 +246,8 @@
     }
     peer.result = Ok(Response(200, json.dumps(answer).encode()))
     assert main(["explain", "request", "design/order-7"]) == 0
-    (exchange,) = peer.requested
-    assert exchange.path == "/v1/requests/explain?key=design%2Forder-7"
+    (request,) = peer.requests
+    assert request.path == "/v1/requests/explain?key=design%2Forder-7"
     text = capsys.readouterr().out
     assert "request.attempts = 2 from teams/design, offset 4, ilze" in text
     assert "not on minion-2: no slot is free" in text
@@ -269,19 +269,21 @@
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture
 ) -> None:
     fleet = {"entries": [], "minions": [{"host": "10.0.0.9", "operator_port": 81}]}
-    requested = []
+    addresses = []
 
     def send_with_follow_ups(first: Any, follow: Any) -> list[Any]:
         answer = Ok(Response(200, json.dumps(fleet).encode()))
-        requested.extend(str(item.address) for item in follow(answer))
-        other = {**EVENT, "sequence": 2, "team": "sales"}
-        events = Ok(Response(200, json.dumps({"events": [EVENT, other]}).encode()))
+        addresses.extend(str(request.address) for request in follow(answer))
+        other_event = {**EVENT, "sequence": 2, "team": "sales"}
+        events = Ok(
+            Response(200, json.dumps({"events": [EVENT, other_event]}).encode())
+        )
         return [answer, events, Error(Failure("refused", "connect", "10.0.0.9:81"))]
 
     monkeypatch.setattr(timeline, "send_with_follow_ups", send_with_follow_ups)
     assert main(["timeline", "--team", "design", "--json"]) == 0
     printed = capsys.readouterr()
-    assert requested == ["127.0.0.1:7301", "10.0.0.9:81"]
+    assert addresses == ["127.0.0.1:7301", "10.0.0.9:81"]
     assert [json.loads(line)["sequence"] for line in printed.out.splitlines()] == [1]
     assert "10.0.0.9:81" in printed.err
     assert main(["timeline", "--until", "999"]) == 0
--- a/kingcuppost/cli/tests/test_processes.py
+++ b/kingcuppost/cli/tests/test_processes.py
@@ -6,7 +6,7 @@
 
 from kingcuppost.cli import main
 
-ENTRY = """
+ENTRY_SETTINGS = """
 role = "entry"
 name = "entry-0"
 availability_zone = "vid-a"
@@ -20,30 +20,38 @@
 """
 
 
-def check(tmp_path: Path, text: str) -> int:
+def run_check(tmp_path: Path, text: str) -> int:
     path = tmp_path / "entry.toml"
     path.write_text(text)
     return main(["check", str(path)])
 
 
 def test_valid_file_is_accepted(tmp_path: Path) -> None:
-    assert check(tmp_path, ENTRY) == 0
+    assert run_check(tmp_path, ENTRY_SETTINGS) == 0
 
 
 @pytest.mark.parametrize(
     ("text", "reason"),
     [
-        (ENTRY.replace("vid-a", "Vid A"), "availability_zone"),
-        (ENTRY + "colour = 1\n", "entry.colour"),
-        (ENTRY.replace('callers = "127.0.0.1:0"', 'callers = "localhost:0"'), "IP"),
-        (ENTRY.replace('role = "entry"', 'role = "sidecar"'), "entry: this table"),
-        (ENTRY.replace("[log]", "[log"), "line 7"),
+        (ENTRY_SETTINGS.replace("vid-a", "Vid A"), "availability_zone"),
+        (ENTRY_SETTINGS + "colour = 1\n", "entry.colour"),
+        (
+            ENTRY_SETTINGS.replace(
+                'callers = "127.0.0.1:0"', 'callers = "localhost:0"'
+            ),
+            "IP",
+        ),
+        (
+            ENTRY_SETTINGS.replace('role = "entry"', 'role = "sidecar"'),
+            "entry: this table",
+        ),
+        (ENTRY_SETTINGS.replace("[log]", "[log"), "line 7"),
     ],
 )
 def test_invalid_file_is_refused_with_the_reason(
     tmp_path: Path, text: str, reason: str, capsys: pytest.CaptureFixture
 ) -> None:
-    assert check(tmp_path, text) == 2
+    assert run_check(tmp_path, text) == 2
     assert reason in capsys.readouterr().err
 
 
--- a/kingcuppost/tests/format_files.py
+++ b/kingcuppost/tests/format_files.py
@@ -1,4 +1,7 @@
-"""Helpers that read stored formats and turn rows into values without field names."""
+"""Helpers that read stored formats and turn rows into values without field names.
+
+Without field names, a renamed field is not seen as a changed format.
+"""
 
 import json
 from dataclasses import fields, is_dataclass
@@ -34,7 +37,10 @@
 
 
 def to_values(row: Any) -> Any:
-    """Return a row as nested JSON lists, in the order of its fields."""
+    """Return a row as nested JSON lists, in the order of its fields.
+
+    Sets are sorted, and members of enums are replaced by their values.
+    """
     if is_dataclass(row):
         return [to_values(getattr(row, field.name)) for field in fields(row)]
     if isinstance(row, dict):
@@ -50,13 +56,13 @@
 def list_package_classes() -> tuple[type, ...]:
     """Return the classes defined in the package, except those of tests."""
     found = []
-    for item in walk_packages(kingcuppost.__path__, "kingcuppost."):
-        if {"tests", "__main__"} & set(item.name.split(".")):
+    for module_info in walk_packages(kingcuppost.__path__, "kingcuppost."):
+        if {"tests", "__main__"} & set(module_info.name.split(".")):
             continue
-        module = import_module(item.name)
+        module = import_module(module_info.name)
         found += [
             member
             for _, member in getmembers(module, isclass)
-            if member.__module__ == item.name
+            if member.__module__ == module_info.name
         ]
     return tuple(found)
--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -20,9 +20,9 @@
 
 def list_models() -> list[type[BaseModel]]:
     return [
-        item
-        for item in list_package_classes()
-        if issubclass(item, BaseModel) and item.model_fields
+        cls
+        for cls in list_package_classes()
+        if issubclass(cls, BaseModel) and cls.model_fields
     ]
 
 
@@ -42,6 +42,7 @@
 
 
 def parse_row(kind: type, text: str) -> Any:
+    """Return a text as a row of a data class; None if the fields or values differ."""
     if {field.name for field in fields(kind)} != set(json.loads(text)):
         return None
     try:
@@ -51,7 +52,7 @@
 
 
 @pytest.mark.parametrize("text", MODELS, ids=range(len(MODELS)))
-def test_a_model_reads_the_text_and_writes_it_back(text: str) -> None:
+def test_a_stored_message_round_trips_through_a_model(text: str) -> None:
     assert any(round_trips(model, text) for model in list_models())
 
 
@@ -65,8 +66,8 @@
 
 
 @pytest.mark.parametrize("text", ANSWERS, ids=range(len(ANSWERS)))
-def test_a_row_reads_the_answer_and_writes_it_back(text: str) -> None:
-    kinds = [item for item in list_package_classes() if is_dataclass(item)]
+def test_a_stored_answer_round_trips_through_a_row(text: str) -> None:
+    kinds = [cls for cls in list_package_classes() if is_dataclass(cls)]
     rows = [parse_row(kind, text) for kind in kinds]
     assert text in [encode(row).decode() for row in rows if row is not None]
 
@@ -84,17 +85,17 @@
 
 def test_each_route_with_input_has_a_stored_message() -> None:
     found = {id(find_route(*line[:3])[0]) for line in ROUTE_MESSAGES}
-    assert found == {id(item) for item, _ in routes if item.direct is None}
+    assert found == {id(route) for route, _ in routes if route.direct is None}
 
 
-def test_a_report_of_a_sidecar_reads_and_writes_alike() -> None:
+def test_a_sidecar_report_round_trips() -> None:
     text, values = read_lines("sync_call.jsonl")
     call = sync.decode_sync_call(text.encode(), "exchange", "peer").ok
     assert to_values(call) == json.loads(values)
     assert sync.encode_sync_call(call).decode() == text
 
 
-def test_orders_for_a_sidecar_read_and_write_alike() -> None:
+def test_orders_for_a_sidecar_round_trip() -> None:
     text, values = read_lines("sync_reply.jsonl")
     reply = sync.decode_sync_reply(text.encode(), "peer").ok
     assert to_values(reply) == json.loads(values)
--- a/kingcuppost/tests/test_formats_orders.py
+++ b/kingcuppost/tests/test_formats_orders.py
@@ -67,8 +67,8 @@
 @pytest.mark.parametrize("text", read_lines("enums.jsonl"))
 def test_enums_keep_their_values(text: str) -> None:
     found = [
-        [row.value for row in item]
-        for item in list_package_classes()
-        if issubclass(item, Enum)
+        [member.value for member in cls]
+        for cls in list_package_classes()
+        if issubclass(cls, Enum)
     ]
     assert json.loads(text) in found
--- a/kingcuppost/tests/test_formats_pages.py
+++ b/kingcuppost/tests/test_formats_pages.py
@@ -89,13 +89,13 @@
     reactor.advance(0)
 
 
-def test_the_metrics_page(world: Any) -> None:
+def test_metrics_keep_their_names_and_types(world: Any) -> None:
     assert TYPE_LINES.findall(render_metrics_page(world)) == read_lines(
         "metrics_page.txt"
     )
 
 
-def test_the_labels_of_metrics() -> None:
+def test_metrics_keep_their_kinds_and_labels() -> None:
     found = {}
     for metric in metrics.values():
         name, kind, _, labels, _ = to_values(metric)
@@ -103,20 +103,20 @@
     assert found == read_json("metrics.json")
 
 
-def test_the_metrics_page_of_the_batch_world(batch_world: Any) -> None:
+def test_batch_metrics_keep_their_names_and_types(batch_world: Any) -> None:
     send_each_kind(batch_world, iter(batch_senders))
     page = metrics_text(batch_world).decode()
     assert TYPE_LINES.findall(page) == read_lines("batch_metrics_page.txt")
 
 
-def test_the_kinds_of_sent_messages(world: Any) -> None:
+def test_sent_messages_keep_their_kind_label(world: Any) -> None:
     send_each_kind(world, iter(senders))
     assert sorted(SENT_KINDS.findall(render_metrics_page(world))) == read_json(
         "message_kinds.json"
     )
 
 
-def test_the_kinds_of_sent_messages_of_the_batch_world(batch_world: Any) -> None:
+def test_sent_batch_messages_keep_their_kind_label(batch_world: Any) -> None:
     send_each_kind(batch_world, iter(batch_senders))
     page = metrics_text(batch_world).decode()
     assert sorted(SENT_KINDS.findall(page)) == read_json("batch_message_kinds.json")
@@ -132,7 +132,7 @@
                     yield first.value
 
 
-def test_the_counts_of_the_batch_world() -> None:
+def test_batch_counters_keep_their_keys() -> None:
     found = {
         *iter_first_string_arguments(PACKAGE / "batch"),
         *iter_first_string_arguments(PACKAGE / "platform"),
@@ -141,7 +141,7 @@
 
 
 @pytest.mark.usefixtures("restored_logger")
-def test_the_fields_of_an_event_in_a_log_line(
+def test_the_log_line_of_an_event_keeps_its_fields(
     world: Any, capsys: pytest.CaptureFixture
 ) -> None:
     text, line = read_lines("event.jsonl")
@@ -152,31 +152,31 @@
     assert capsys.readouterr().err == f"{line}\n"
 
 
-def test_the_routes() -> None:
-    found = sorted([item.method, item.path] for item, _ in routes)
+def test_routes_keep_their_methods_and_paths() -> None:
+    found = sorted([route.method, route.path] for route, _ in routes)
     assert found == read_json("routes.json")
 
 
-def test_the_paths_for_peers() -> None:
+def test_paths_for_peers_are_kept() -> None:
     assert sorted(peer_paths) == read_lines("peer_paths.txt")
 
 
-def iter_options(parser: argparse.ArgumentParser, verb: str) -> Iterator[list]:
-    """Yield verb, names, choices, arity and `required` of each option of a parser."""
+def iter_options(parser: argparse.ArgumentParser, command: str) -> Iterator[list]:
+    """Yield command, names, choices, `nargs` and `required` of each option."""
     for action in parser._actions:
         if isinstance(action, argparse._SubParsersAction):
-            for name, inner in action.choices.items():
-                yield from iter_options(inner, f"{verb} {name}")
+            for name, subparser in action.choices.items():
+                yield from iter_options(subparser, f"{command} {name}")
             continue
-        choices = [str(item) for item in action.choices or ()]
+        choices = [str(choice) for choice in action.choices or ()]
         nargs = str(action.nargs)
-        yield [verb, action.option_strings, choices, nargs, action.required]
+        yield [command, action.option_strings, choices, nargs, action.required]
 
 
-def test_the_verbs_and_options_of_the_command_line() -> None:
+def test_commands_keep_their_names_and_options() -> None:
     found = []
-    for name, item in commands.items():
+    for name, command in commands.items():
         parser = argparse.ArgumentParser()
-        item.add_options(parser)
+        command.add_options(parser)
         found += iter_options(parser, name)
     assert found == [json.loads(line) for line in read_lines("command_line.jsonl")]
--- a/kingcuppost/tests/test_formats_records.py
+++ b/kingcuppost/tests/test_formats_records.py
@@ -21,16 +21,16 @@
 
 
 @pytest.mark.parametrize("text", RECORDS, ids=range(len(RECORDS)))
-def test_a_record_is_written_as_it_was_read(text: str) -> None:
+def test_a_log_record_round_trips(text: str) -> None:
     assert encode_log_record(decode_log_record(text)) == text
 
 
 @pytest.mark.parametrize(("text", "values"), PAIRS, ids=range(len(PAIRS)))
-def test_a_record_reads_into_the_same_row(text: str, values: list) -> None:
+def test_a_log_record_reads_into_the_same_row(text: str, values: list) -> None:
     assert to_values(decode_log_record(text)) == values
 
 
-def test_each_kind_of_body_is_stored() -> None:
+def test_each_kind_of_body_has_a_stored_record() -> None:
     kinds = {type(decode_log_record(text).body) for text in RECORDS}
     assert kinds == set(get_args(RecordBody))
 
@@ -43,20 +43,18 @@
         if isinstance(getattr(body, field.name), AgreedSlice)
     ]
     assert slices
-    assert all(all(to_values(item)) for item in slices)
-    assert all(None not in to_values(item) for item in slices)
+    assert all(all(to_values(stored_slice)) for stored_slice in slices)
+    assert all(None not in to_values(stored_slice) for stored_slice in slices)
 
 
 @pytest.mark.parametrize(("key", "text", "values"), STREAM_RECORDS)
-def test_a_stream_record_reads_and_writes_alike(
-    key: str, text: str, values: list
-) -> None:
+def test_a_stream_record_round_trips(key: str, text: str, values: list) -> None:
     record = decode_record(key, text.encode(), "log").ok
     assert to_values(record) == values
     assert encode_record(record) == (key, text.encode())
 
 
-def test_each_key_of_a_stream_is_stored() -> None:
+def test_each_key_of_a_stream_has_a_stored_record() -> None:
     stored = {key.partition("/")[0] for key, text, _ in STREAM_RECORDS if text}
     assert stored == set(decoders)
 
--- a/kingcuppost/tests/test_formats_settings.py
+++ b/kingcuppost/tests/test_formats_settings.py
@@ -12,7 +12,7 @@
 
 SETTINGS_ROWS = read_json("settings_rows.json")
 ROOT = Path(__file__).parents[2]
-SAMPLES = sorted((ROOT / "examples" / "settings").rglob("*.toml"))
+EXAMPLE_FILES = sorted((ROOT / "examples" / "settings").rglob("*.toml"))
 
 
 @pytest.mark.parametrize("name", ["entry", "sidecar"])
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize("role", Role)
-def test_the_platforms_file_reads_into_the_same_row(
+def test_the_settings_file_of_the_platform_reads_into_the_same_row(
     role: Role, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setenv("KINGCUPPOST_SETTINGS", str(FORMATS_FOLDER / "platform.toml"))
@@ -30,14 +30,14 @@
     assert row == SETTINGS_ROWS[f"platform {role.value}"]
 
 
-@pytest.mark.parametrize("path", SAMPLES, ids=lambda path: path.stem)
-def test_the_sample_files_are_read(path: Path) -> None:
+@pytest.mark.parametrize("path", EXAMPLE_FILES, ids=lambda path: path.stem)
+def test_an_example_file_is_valid(path: Path) -> None:
     assert read_config(str(path)).is_ok()
 
 
-def test_the_keys_of_the_settings_tree() -> None:
+def test_setting_keys_keep_their_names_types_and_limits() -> None:
     keys = {}
     for name, key in KEYS.items():
-        _, default, _, *bounds = to_values(key)
-        keys[name] = [type(default).__name__, default, *bounds]
+        _, default, _, *limits = to_values(key)
+        keys[name] = [type(default).__name__, default, *limits]
     assert keys == read_json("setting_keys.json")
--- a/kingcuppost/tests/test_shape.py
+++ b/kingcuppost/tests/test_shape.py
@@ -11,7 +11,7 @@
 ]
 INNER_LAYERS = ("tables", "systems", "settings", "utils")
 TWISTED_LAYERS = ("edges", "programs", "platform")
-PLATFORM_TEXTS = ("kingcuppost.platform", "/kingcuppost/")
+PLATFORM_REFERENCES = ("kingcuppost.platform", "/kingcuppost/")
 INPUT_OUTPUT_MODULES = {
     "twisted",
     "json",
@@ -85,7 +85,7 @@
 
 
 @pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
-def test_only_edges_and_programs_import_twisted(path: Path) -> None:
+def test_only_edges_programs_and_the_adapter_import_twisted(path: Path) -> None:
     if layer_of(path) not in TWISTED_LAYERS:
         assert "twisted" not in list_imported_packages(path)
 
@@ -97,10 +97,10 @@
 )
 def test_only_the_adapter_refers_to_the_platform(path: Path) -> None:
     text = path.read_text()
-    assert not any(name in text for name in PLATFORM_TEXTS)
+    assert not any(reference in text for reference in PLATFORM_REFERENCES)
 
 
-def test_the_adapter_stays_small() -> None:
+def test_the_adapter_has_at_most_a_tenth_of_the_lines() -> None:
     def count_lines(paths: list[Path]) -> int:
         return sum(len(path.read_text().splitlines()) for path in paths)
 
@@ -108,6 +108,6 @@
     assert count_lines(adapter) * 10 <= count_lines(MODULES)
 
 
-def test_modules_stay_small() -> None:
+def test_modules_have_at_most_500_lines() -> None:
     longest = max(MODULES, key=lambda path: len(path.read_text().splitlines()))
     assert len(longest.read_text().splitlines()) <= 500, longest
