Say in the process tests what a fault or limit stands for

Say so, and rename locals that were called item, row, other, done or document. test_lost_worker_of_a_single_member_job and test_paused_holder_resumes_in_an_old_term now name the result they check. Every assertion, timeout and fault is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,14 +8,14 @@
 
 from standins.processes import Deployment
 
-BINARY = Path(__file__).parent.parent / "dist" / "kingcuppost"
+EXECUTABLE = Path(__file__).parent.parent / "dist" / "kingcuppost"
 
 
 @pytest.fixture(scope="session")
 def command() -> tuple[str, ...]:
-    """Return the command of the binary; `scripts/check` builds it before the tests."""
-    assert BINARY.exists(), "run scripts/build first"
-    return (sys.executable, str(BINARY))
+    """Return the command that runs the executable; `scripts/check` builds it first."""
+    assert EXECUTABLE.exists(), "run scripts/build first"
+    return (sys.executable, str(EXECUTABLE))
 
 
 @pytest.fixture
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -15,6 +15,7 @@
 OPERATOR = "ilze"
 ENTRIES = ("entry-0", "entry-1")
 FINAL_STATES = ("done", "failed", "cancelled", "refused")
+# Shorter than the defaults, so that timeouts expire during a test.
 SETTINGS = {
     "job.lease_ms": LEASE_MS,
     "job.poll_ms": 100,
@@ -83,11 +84,12 @@
 def apply_change(
     deployment: Deployment, method: str, path: str, body: dict, entry: str = "entry-0"
 ) -> None:
-    """Send an operator's change until it is accepted."""
+    """Send an operator's change repeatedly until it is accepted."""
 
     def is_accepted() -> bool:
         status, answer = deployment.call(entry, "operators", method, path, body)
         assert status in (200, 409, 503, 504), answer
+        # After a try that was accepted but not confirmed, the next one is a conflict.
         return status == 200 or (status == 409 and "already" in answer["reason"])
 
     wait_until(is_accepted, f"{method} {path}")
@@ -158,7 +160,9 @@
 
 def list_paused_processes(deployment: Deployment) -> set[str]:
     """Return the names of the paused processes."""
-    return {name for name, row in deployment.processes.items() if is_paused(row)}
+    return {
+        name for name, process in deployment.processes.items() if is_paused(process)
+    }
 
 
 def is_paused(process: object) -> bool:
@@ -240,7 +244,7 @@
 
 
 def group_members_by_gang(rows: dict[str, dict]) -> dict[str, dict[int, dict]]:
-    """Group task records by gang key and member number."""
+    """Return task records by gang key and member number."""
     gangs = defaultdict(dict)
     for task_id, row in rows.items():
         key, _, member = task_id.rpartition("/")
@@ -253,6 +257,7 @@
 ) -> None:
     """Check that no gang ran with only some of its members for longer than a lease.
 
+    The limit also allows for the timeout of an order to a worker and for late timers.
     `lost_wall_ms` is the Unix time, in ms, at which a worker was lost together with its
     history; 0 if none was.
     """
@@ -265,6 +270,7 @@
         early_ends_ms = [
             row["ended_wall_ms"] for row in started if row["state"] != "finished"
         ]
+        # The other members never started, or their records were lost with a worker.
         if len(started) < members:
             last_start_ms = max(row["started_wall_ms"] for row in started)
             early_ends_ms.append(max(lost_wall_ms, last_start_ms))
@@ -293,15 +299,15 @@
 
 def check_no_overlap(deployment: Deployment, name: str) -> None:
     """Check that no two gangs of a job ran at the same time."""
-    spans = []
+    run_spans = []
     for key, gang in group_members_by_gang(collect_task_history(deployment)).items():
         started = [row for row in gang.values() if row["starts"]]
         if key.startswith(f"{name}/") and started:
             start_ms = min(row["started_wall_ms"] for row in started)
             end_ms = max(row["ended_wall_ms"] or wall_ms() for row in started)
-            spans.append((start_ms, end_ms, key))
-    spans.sort()
-    for (_, end_ms, first), (start_ms, _, second) in zip(
-        spans, spans[1:], strict=False
+            run_spans.append((start_ms, end_ms, key))
+    run_spans.sort()
+    for (_, end_ms, first_key), (start_ms, _, second_key) in zip(
+        run_spans, run_spans[1:], strict=False
     ):
-        assert end_ms <= start_ms, (first, second)
+        assert end_ms <= start_ms, (first_key, second_key)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -32,7 +32,7 @@
     deployment.start_sidecar(0, log_address=log_addresses.get("sidecar", ""))
     for name in ALL_PROCESSES:
         wait_until(
-            lambda name=name: is_ready(deployment, name),
+            lambda name=name: has_folded_to_head(deployment, name),
             f"{name} has read the log to its end",
         )
     wait_until(
@@ -50,7 +50,7 @@
     return deployment.show("/v1/status", name)
 
 
-def is_ready(deployment: Deployment, name: str) -> bool:
+def has_folded_to_head(deployment: Deployment, name: str) -> bool:
     status = get_status(deployment, name)
     return 0 < status["head_offset"] <= status["folded_offset"]
 
@@ -67,7 +67,7 @@
     return next((row for row in rows if row["key"] == SETTING_KEY), {"value": None})
 
 
-def get_value(deployment: Deployment, name: str) -> int | None:
+def get_setting_value(deployment: Deployment, name: str) -> int | None:
     return get_setting(deployment, name)["value"]
 
 
@@ -78,7 +78,7 @@
     timeout_s: float = IN_FORCE_TIMEOUT_S,
 ) -> None:
     wait_until(
-        lambda: all(get_value(deployment, name) == value for name in names),
+        lambda: all(get_setting_value(deployment, name) == value for name in names),
         f"{value} is in force in {names}",
         timeout_s,
     )
@@ -242,7 +242,7 @@
         system.start_entry(name)
     system.start_sidecar(0)
     wait_until(
-        lambda: all(get_value(system, name) == 3_000 for name in ALL_PROCESSES),
+        lambda: all(get_setting_value(system, name) == 3_000 for name in ALL_PROCESSES),
         "all processes have restored the change",
     )
     assert get_setting(system, "entry-1")["offset"] == offset
@@ -251,24 +251,29 @@
 
 
 def test_incomplete_snapshot_is_not_used(system: Deployment) -> None:
+    """The incomplete snapshot covers the whole log but lacks the setting.
+
+    An entry that used it would lose the setting.
+    """
     start_system(system)
     assert put_setting(system, "entry-0", 3_000)[0] == 200
     enable_snapshots(system)
     wait_until(lambda: find_snapshot_offset(system), "a snapshot is complete")
-    row = next(
+    part = next(
         row for row in read_records(system) if row["body"]["kind"] == "snapshot_part"
     )
-    row.pop("offset")
-    incomplete = {**row["body"], "snapshot_id": "torn", "count": 2, "index": 0}
+    part.pop("offset")
+    incomplete = {**part["body"], "snapshot_id": "torn", "count": 2, "index": 0}
     incomplete["covers"] = read_records(system)[-1]["offset"]
     incomplete["rows"] = {**incomplete["rows"], "settings": []}
-    text = json.dumps({**row, "record_id": "rec-torn", "body": incomplete})
+    text = json.dumps({**part, "record_id": "rec-torn", "body": incomplete})
     system.call("log", "port", "POST", "/v1/records", {"values": [text]})
     wait_until(lambda: find_snapshot_offset(system) > 0, "a complete snapshot is left")
     expire_records(system, find_snapshot_offset(system))
     system.start_entry("entry-2")
     wait_until(
-        lambda: get_value(system, "entry-2") == 3_000, "the new entry has the setting"
+        lambda: get_setting_value(system, "entry-2") == 3_000,
+        "the new entry has the setting",
     )
 
 
@@ -313,7 +318,7 @@
         "a snapshot covers the change",
     )
     expire_records(system, find_snapshot_offset(system))
-    assert get_value(system, "entry-1") == 3_000
+    assert get_setting_value(system, "entry-1") == 3_000
     wait_until(
         lambda: get_status(system, "entry-1")["fresh_age_ms"] > LOG_POLL_WAIT_MS,
         "the entry without the log detects that its state is stale",
@@ -331,36 +336,36 @@
     )
     holder = get_status(system, "entry-1")["lease"]["holder"]
     number = ENTRIES.index(holder)
-    other = ENTRIES[1 - number]
+    standby = ENTRIES[1 - number]
     system.set_faults(f"proxy-{number}", cut=True)
     wait_until(
-        lambda: get_status(system, other)["lease"]["holder"] == other,
-        "the other entry holds the lease",
+        lambda: get_status(system, standby)["lease"]["holder"] == standby,
+        "the standby holds the lease",
     )
     assert get_status(system, holder)["lease"]["holder"] == holder
     system.set_faults(f"proxy-{number}")
     wait_until(
-        lambda: get_status(system, holder)["lease"]["holder"] == other,
+        lambda: get_status(system, holder)["lease"]["holder"] == standby,
         "the old holder knows the new term",
     )
 
 
-def test_paused_holder_resumes_in_an_old_term(system: Deployment) -> None:
+def test_holder_paused_through_its_term_adopts_the_new_term(system: Deployment) -> None:
     start_system(system)
     wait_until(
         lambda: get_status(system, "entry-1")["lease"]["holder"],
         "an entry holds the lease",
     )
     holder = get_status(system, "entry-1")["lease"]["holder"]
-    other = ENTRIES[1 - ENTRIES.index(holder)]
+    standby = ENTRIES[1 - ENTRIES.index(holder)]
     system.processes[holder].send(signal.SIGSTOP)
     wait_until(
-        lambda: get_status(system, other)["lease"]["holder"] == other,
-        "the other entry holds the lease",
+        lambda: get_status(system, standby)["lease"]["holder"] == standby,
+        "the standby holds the lease",
     )
     system.processes[holder].send(signal.SIGCONT)
     wait_until(
-        lambda: get_status(system, holder)["lease"]["holder"] == other,
+        lambda: get_status(system, holder)["lease"]["holder"] == standby,
         "the resumed holder knows the new term",
     )
     leases = [get_status(system, name)["lease"] for name in ENTRIES]
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -66,8 +66,8 @@
 def find_half_reserved_gang(deployment: Deployment) -> str:
     """Return the key of a gang reserved at worker 0 only; empty if there is none."""
     workers_by_gang: dict[str, list[int]] = {}
-    for name, row in collect_task_history(deployment).items():
-        key = name.rpartition("/")[0]
+    for task_id, row in collect_task_history(deployment).items():
+        key = task_id.rpartition("/")[0]
         workers_by_gang.setdefault(key, []).append(row["worker"])
         if row["state"] != "reserved":
             workers_by_gang[key].append(-1)  # excludes the gang from the result
@@ -98,14 +98,14 @@
     start_with_proxied_worker(deployment)
     deployment.set_faults("link-1", delay_ms=400)
     submit_job(deployment, "flow", run_ms=1_500)
-    gang = wait_until(
+    gang_key = wait_until(
         lambda: find_half_reserved_gang(deployment), "only worker 0 has a reservation"
     )
     lost_ms = wall_ms()
     fault(deployment, 0)
     deployment.set_faults("link-1")
     deployment.start_sidecar(2)
-    wait_until_gang_ended(deployment, gang)
+    wait_until_gang_ended(deployment, gang_key)
     restore_machine(deployment, 0)
     wait_until_done(deployment, "flow")
     check_partial_runs(deployment, lost_wall_ms=lost_ms)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -24,6 +24,8 @@
         argv += ["--callers", f"127.0.0.1:{port}"]
     argv += ["--team", TEAM, "--service", deployment.site.service]
     argv += ["--body", json.dumps({"run_ms": 20})]
-    done = subprocess.run(argv, capture_output=True, text=True, cwd=ROOT, check=True)
-    report = json.loads(done.stdout)
+    completed = subprocess.run(
+        argv, capture_output=True, text=True, cwd=ROOT, check=True
+    )
+    report = json.loads(completed.stdout)
     assert report["outcomes"] == {"answered": 120}
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -18,15 +18,18 @@
 
 
 def read_timeline(deployment: Deployment, *filters: str) -> tuple[list[dict], str]:
-    done = deployment.run("timeline", "--json", *filters)
-    assert done.returncode == 0, done.stderr
-    return [json.loads(line) for line in done.stdout.splitlines()], done.stderr
+    """Return the events and the standard error of the command `timeline`."""
+    completed = deployment.run("timeline", "--json", *filters)
+    assert completed.returncode == 0, completed.stderr
+    return [
+        json.loads(line) for line in completed.stdout.splitlines()
+    ], completed.stderr
 
 
 def test_timeline_merges_all_processes_and_names_unreachable_ones(
     deployment: Deployment,
 ) -> None:
-    start_deployment(deployment, minions=2)
+    start_deployment(deployment, minion_count=2)
     keyed_request = {
         "body": '{"id": "o"}',
         "idempotent": False,
@@ -46,9 +49,11 @@
     steps = [row["step"] for row in rows if row["job"] == "planning"]
     assert steps.index("propose.gang_release") < steps.index("member.start")
     assert steps.index("member.start") < steps.index("fold.gang_finish")
-    sent = {row["sends"]: number for number, row in enumerate(rows) if row["sends"]}
-    for number, row in enumerate(rows):
-        assert sent.get(row["receives"], -1) < number
+    send_positions = {
+        row["sends"]: position for position, row in enumerate(rows) if row["sends"]
+    }
+    for position, row in enumerate(rows):
+        assert send_positions.get(row["receives"], -1) < position
     rows, _ = read_timeline(deployment, "--request", f"{TEAM}/o")
     assert {"request.admit", "request.send"} <= {row["step"] for row in rows}
     deployment.processes["minion-1"].kill()
@@ -60,11 +65,11 @@
 def test_request_is_explained_by_any_entry_after_a_restart(
     deployment: Deployment,
 ) -> None:
-    start_deployment(deployment, minions=2)
-    done = deployment.run(
+    start_deployment(deployment, minion_count=2)
+    completed = deployment.run(
         "settings", "set", "request.attempts", "2", "--path", f"teams/{TEAM}"
     )
-    assert done.returncode == 0
+    assert completed.returncode == 0
     keyed_request = {
         "body": '{"id": "o"}',
         "idempotent": False,
@@ -90,16 +95,16 @@
             ),
             "the entry has restored its state",
         )
-        result = deployment.run(*explain_arguments, entry=name)
-        assert result.returncode == 0, result.stderr
-        assert "answered" in result.stdout
-        assert f"request.attempts = 2 from teams/{TEAM}" in result.stdout
+        completed = deployment.run(*explain_arguments, entry=name)
+        assert completed.returncode == 0, completed.stderr
+        assert "answered" in completed.stdout
+        assert f"request.attempts = 2 from teams/{TEAM}" in completed.stdout
 
 
 def test_invalid_command_prints_one_line_and_changes_nothing(
     deployment: Deployment,
 ) -> None:
-    start_deployment(deployment, minions=1)
+    start_deployment(deployment, minion_count=1)
     offset = deployment.show("/v1/status")["folded_offset"]
     for argv in (
         ("team", "put", "Bad Name!", "--guarantee", "2x4"),
@@ -111,9 +116,9 @@
         ("job", "submit", "--team", "nobody"),
         ("job", "show", "nothing"),
     ):
-        done = deployment.run(*argv)
-        assert done.returncode == 2, (argv, done.stdout, done.stderr)
-        assert len(done.stderr.splitlines()) == 1, done.stderr
+        completed = deployment.run(*argv)
+        assert completed.returncode == 2, (argv, completed.stdout, completed.stderr)
+        assert len(completed.stderr.splitlines()) == 1, completed.stderr
     assert deployment.show("/v1/status")["folded_offset"] == offset
 
 
@@ -147,7 +152,7 @@
 
 
 def test_bad_input_is_refused_and_changes_nothing(deployment: Deployment) -> None:
-    start_deployment(deployment, minions=1)
+    start_deployment(deployment, minion_count=1)
     entry = deployment.processes["entry-0"]
     offset = deployment.show("/v1/status")["folded_offset"]
     rng = random.Random(6)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,22 +1,22 @@
-"""End-to-end tests without faults: the binary with stand-ins around it."""
+"""End-to-end tests without faults: the executable with stand-ins around it."""
 
 import json
 import threading
 
 from standins.processes import Deployment, wait_until
 
-MINIONS = 3
+MINION_COUNT = 3
 REGION = "vidzeme"
 TEAM = "design"
 
 
-def start_deployment(deployment: Deployment, minions: int = MINIONS) -> None:
+def start_deployment(deployment: Deployment, minion_count: int = MINION_COUNT) -> None:
     deployment.start_log()
     deployment.start_entry("entry-0")
     deployment.start_entry("entry-1")
-    deployment.start_minions(minions)
+    deployment.start_minions(minion_count)
     wait_until(
-        lambda: len(deployment.show("/v1/fleet")["minions"]) == minions,
+        lambda: len(deployment.show("/v1/fleet")["minions"]) == minion_count,
         "all minions are in the fleet view",
     )
     wait_until(
@@ -56,9 +56,12 @@
     return deployment.show(f"/v1/jobs/{name}", entry)["job"]["state"]
 
 
-def count_starts(deployment: Deployment, minions: int = MINIONS) -> dict[str, int]:
+def count_starts(
+    deployment: Deployment, minion_count: int = MINION_COUNT
+) -> dict[str, int]:
+    """Return how many times each task was started, by task identifier."""
     counts = {}
-    for number in range(minions):
+    for number in range(minion_count):
         _, answer = deployment.call(f"worker-{number}", "port", "GET", "/v1/history")
         counts.update({row["task_id"]: row["starts"] for row in answer["tasks"]})
     return counts
@@ -88,7 +91,7 @@
     assert [status for status, _ in answers] == [200, 200]
     assert answers[0][1]["answer"] == answers[1][1]["answer"]
     runs = 0
-    for number in range(MINIONS):
+    for number in range(MINION_COUNT):
         _, answer = deployment.call(
             f"minion-{number}-service", "port", "GET", "/v1/runs"
         )
@@ -103,9 +106,9 @@
     wait_until(
         lambda: get_job_state(deployment, "planning") == "done", "the job is done"
     )
-    result = deployment.run("explain", "job", "planning")
-    assert result.returncode == 0
-    assert "job.lease_ms = 15000 from default" in result.stdout
+    completed = deployment.run("explain", "job", "planning")
+    assert completed.returncode == 0
+    assert "job.lease_ms = 15000 from default" in completed.stdout
     assert count_starts(deployment) == {"planning/1/0": 1, "planning/1/1": 1}
 
 
@@ -118,12 +121,16 @@
     wait_until(
         lambda: sum(count_starts(deployment).values()) == 2, "both members have started"
     )
-    own_processes = ["entry-0", "entry-1", *(f"minion-{i}" for i in range(MINIONS))]
-    for name in own_processes:
+    system_processes = [
+        "entry-0",
+        "entry-1",
+        *(f"minion-{i}" for i in range(MINION_COUNT)),
+    ]
+    for name in system_processes:
         deployment.processes[name].kill()
     deployment.start_entry("entry-0")
     deployment.start_entry("entry-1")
-    for number in range(MINIONS):
+    for number in range(MINION_COUNT):
         deployment.start_sidecar(number)
     wait_until(
         lambda: "job" in deployment.show("/v1/jobs/planning"),
@@ -142,7 +149,7 @@
 
 
 def test_leaving_sidecar_finishes_its_requests(deployment: Deployment) -> None:
-    start_deployment(deployment, minions=1)
+    start_deployment(deployment, minion_count=1)
     body = json.dumps({"run_ms": 1_000, "id": "slow"})
     wait_until(
         lambda: send_request(deployment, "entry-0")[0] == 200,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-DEPLOY = ROOT / "deploy" / "system.toml"
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 STORE_IP = "127.0.0.90"
 JOB_IDS = ("0123456789abcdef", "0123456789abcde0", "0123456789abcde1")
 SPEC = json.dumps([{"count": 2, "saves": True, "work_ms": 800}])
@@ -58,11 +58,11 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that were free on the store's address a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((STORE_IP, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    for sock in sockets:
+        sock.bind((STORE_IP, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
     return ports
 
 
@@ -83,7 +83,7 @@
         names = ("store", "callers", "ready", "control", "peers", "app")
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.processes: dict[str, subprocess.Popen] = {}
-        self.roles = tomllib.loads(DEPLOY.read_text())["roles"]
+        self.roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"]
         self.ips = {
             "entry-1": "127.0.0.91",
             "entry-2": "127.0.0.92",
@@ -106,14 +106,14 @@
             for name, ip in self.ips.items()
             if name.startswith("side")
         ]
-        document = {
+        host_config = {
             "store": f"{STORE_IP}:{self.ports['store']}",
             "configuration": CONFIGURATION,
             "minions": minions,
             "jobs": JOB_IDS,
         }
         path = self.folder / "host.json"
-        path.write_text(json.dumps(document))
+        path.write_text(json.dumps(host_config))
         with (self.folder / "host.log").open("w") as log:
             self.processes["host"] = subprocess.Popen(
                 [sys.executable, "-m", "standins.batch.host", str(path)],
@@ -129,10 +129,10 @@
     def start(self, name: str) -> None:
         """Start a role with the command of the deploy file."""
         role = self.roles["entry" if name.startswith("entry") else "sidecar"]
-        settings = self.folder / f"{name}.toml"
+        settings_path = self.folder / f"{name}.toml"
         store = f"{STORE_IP}:{self.ports['store']}"
         values = {key: port for key, port in self.ports.items() if key != "store"}
-        settings.write_text(
+        settings_path.write_text(
             SETTINGS_TEMPLATE.format(
                 name=name, ip=self.ips[name], store=store, **values
             )
@@ -140,12 +140,12 @@
         env = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(ROOT / "target" / "deps"),
-            "KINGCUPPOST_SETTINGS": str(settings),
+            "KINGCUPPOST_SETTINGS": str(settings_path),
         }
-        arguments = role["run"].split()
+        argv = role["run"].split()
         with (self.folder / f"{name}.log").open("a") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, *arguments[1:]],
+                [sys.executable, *argv[1:]],
                 cwd=self.folder,
                 env=env,
                 stdout=log,
@@ -194,7 +194,7 @@
 
 @pytest.fixture(scope="module")
 def system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformDeployment]:
-    build = tomllib.loads(DEPLOY.read_text())["build"]
+    build = tomllib.loads(DEPLOY_FILE.read_text())["build"]
     subprocess.run(build, shell=True, cwd=ROOT, check=True, capture_output=True)
     running = PlatformDeployment(tmp_path_factory.mktemp("fleet"))
     try:
@@ -234,12 +234,12 @@
         for name in ("entry-1", "entry-2")
         if "The term is open" in system.log(name)
     )
-    other = "entry-2" if holder == "entry-1" else "entry-1"
+    standby = "entry-2" if holder == "entry-1" else "entry-1"
     system.processes[holder].kill()
     system.processes[holder].wait()
     wait_until(
-        lambda: system.get_job_state(other, JOB_IDS[1]) == "completed",
-        "the other entry shows the job as completed",
+        lambda: system.get_job_state(standby, JOB_IDS[1]) == "completed",
+        "the standby shows the job as completed",
     )
     system.start(holder)
     wait_until(lambda: system.is_ready(holder), "the killed entry is ready again")
@@ -275,7 +275,8 @@
     host = system.processes["host"]
     host.terminate()
     host.wait(timeout=10)
-    # A heartbeat interrupted by the shutdown may be logged after the list.
+    # The list need not be the last line: a heartbeat interrupted by the shutdown may
+    # be logged after it.
     violation_lists = [
         line for line in system.log("host").splitlines() if line.startswith("[")
     ]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -137,6 +137,7 @@
     standby = other_entry(old_holder)
     for name in names:
         submit_job(deployment, name, 1, 4, 60_000, standby)
+    # Each of the 3 workers has 8 accelerators, enough for 2 jobs.
     wait_until(
         lambda: len(collect_task_history(deployment)) >= 6, "the workers are full"
     )
@@ -188,7 +189,9 @@
         assert first_view["result"] == (name if first_view["state"] == "done" else "")
 
 
-def test_lost_worker_of_a_single_member_job(deployment: Deployment) -> None:
+def test_job_of_one_member_is_placed_again_after_its_worker_is_lost(
+    deployment: Deployment,
+) -> None:
     start_deployment(deployment)
     submit_job(deployment, "flow", members=1, run_ms=2_000)
     row = wait_until_running(deployment, "flow", 1)[0]
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -19,9 +19,9 @@
 from standins.processes import ROOT, Deployment, Process, Site, wait_until
 
 TEAM = "design"
-MINIONS = 2
+MINION_COUNT = 2
 ENTRIES = ("entry-0", "entry-1")
-UNRESPONSIVE_LIMIT_MS = 1_000
+REQUEST_SILENCE_MS = 1_000  # default of request.silence_ms
 MARGIN_MS = 2_000
 LEAVE_LIMIT_S = 3
 LOAD_RATE_PER_S = 25
@@ -40,19 +40,19 @@
     def start(self) -> None:
         deployment = self.deployment
         for name in ("peers", "service"):
-            for number in range(MINIONS):
+            for number in range(MINION_COUNT):
                 deployment.start_standin("proxy", f"{name}-{number}")
         for name in ("heartbeats-0", "heartbeats-1", "log-proxy"):
             deployment.start_standin("proxy", name)
-        for number in range(MINIONS):
+        for number in range(MINION_COUNT):
             deployment.start_minion_and_worker(number)
         deployment.start_log()
         self.set_target("log-proxy", deployment.processes["log"].ports["port"])
         for number, name in enumerate(ENTRIES):
             deployment.start_entry(
-                name, advertised=self.address(f"heartbeats-{number}")
+                name, advertised=self.proxy_address(f"heartbeats-{number}")
             )
-        for number in range(MINIONS):
+        for number in range(MINION_COUNT):
             self.start_sidecar(number)
         for number, name in enumerate(ENTRIES):
             self.set_target(
@@ -68,15 +68,15 @@
         )
         process = deployment.start_sidecar(
             number,
-            minion_address=self.address(f"service-{number}"),
-            advertised=self.address(f"peers-{number}"),
-            log_address=self.address("log-proxy"),
+            minion_address=self.proxy_address(f"service-{number}"),
+            advertised=self.proxy_address(f"peers-{number}"),
+            log_address=self.proxy_address("log-proxy"),
         )
         self.set_target(f"peers-{number}", process.ports["peers"])
 
     def start_entry(self, number: int) -> None:
         name = ENTRIES[number]
-        address = self.address(f"heartbeats-{number}")
+        address = self.proxy_address(f"heartbeats-{number}")
         process = self.deployment.start_entry(name, advertised=address)
         self.set_target(f"heartbeats-{number}", process.ports["peers"])
         self.wait_until_settled()
@@ -95,7 +95,7 @@
     def put(self, path: str, body: dict) -> int:
         return self.deployment.call("entry-0", "operators", "PUT", path, body)[0]
 
-    def address(self, proxy: str) -> str:
+    def proxy_address(self, proxy: str) -> str:
         return f"127.0.0.1:{self.deployment.processes[proxy].ports['proxy']}"
 
     def set_target(self, proxy: str, port: int) -> None:
@@ -116,7 +116,7 @@
         """Return whether an entry lists all minions, and none of them as leaving."""
         rows = self.deployment.show("/v1/fleet", entry)["minions"]
         rows_text = json.dumps(rows)
-        return len(rows) == MINIONS and "leaving" not in rows_text.replace(
+        return len(rows) == MINION_COUNT and "leaving" not in rows_text.replace(
             '"leaving": false', ""
         )
 
@@ -139,7 +139,7 @@
     def count_runs(self, run_id: str) -> list[int]:
         """Return how many times each minion ran a request."""
         counts = []
-        for number in range(MINIONS):
+        for number in range(MINION_COUNT):
             name = f"minion-{number}-service"
             _, answer = self.deployment.call(name, "port", "GET", "/v1/runs")
             counts.append(answer["runs"].get(run_id, 0))
@@ -149,7 +149,7 @@
         wait_until(lambda: sum(self.count_runs(run_id)), f"{run_id} runs")
 
     def set_link_faults(self, kind: str, **faults: object) -> None:
-        for number in range(MINIONS):
+        for number in range(MINION_COUNT):
             self.deployment.set_faults(f"{kind}-{number}", **faults)
 
     def start_load(self, *entries: str, body: str = "") -> subprocess.Popen:
@@ -168,7 +168,7 @@
 
 @pytest.fixture(scope="module")
 def shared_system(command: tuple[str, ...]) -> Iterator[ProxiedDeployment]:
-    with Deployment(site=Site(workers=MINIONS), command=command) as deployment:
+    with Deployment(site=Site(workers=MINION_COUNT), command=command) as deployment:
         system = ProxiedDeployment(deployment)
         system.start()
         yield system
@@ -246,7 +246,7 @@
         system.send_request_in_thread(name, **system.make_keyed_request("both", 200))
         for name in ENTRIES * 2
     ]
-    answers = [item.result() for item in pending]
+    answers = [future.result() for future in pending]
     assert [status for status, _ in answers] == [200] * 4
     assert len({answer["answer"] for _, answer in answers}) == 1
     assert sum(system.count_runs("both")) == 1
@@ -314,14 +314,14 @@
         lambda: sum(system.count_runs("silent")) > LOAD_RATE_PER_S, "the load runs"
     )
     frozen_connections = 0
-    for number in range(MINIONS):
+    for number in range(MINION_COUNT):
         path = "/v1/freeze"
         _, answer = system.deployment.call(f"peers-{number}", "port", "POST", path, {})
         frozen_connections += answer["frozen"]
     report = system.read_report(load)
     assert frozen_connections > 0
     assert report["outcomes"] == {"answered": LOAD_RATE_PER_S * LOAD_S}
-    assert report["worst_ms"] < 2 * UNRESPONSIVE_LIMIT_MS + MARGIN_MS
+    assert report["worst_ms"] < 2 * REQUEST_SILENCE_MS + MARGIN_MS
 
 
 def test_leaving_minion_gets_no_new_work_though_messages_are_lost(
@@ -334,7 +334,7 @@
     wait_until(
         lambda: sum(system.count_runs("held")) == len(pending), "the requests run"
     )
-    number = max(range(MINIONS), key=system.count_runs("held").__getitem__)
+    number = max(range(MINION_COUNT), key=system.count_runs("held").__getitem__)
     system.deployment.set_faults("log-proxy", cut=True)
     system.set_link_faults("heartbeats", cut=True)
     process = system.deployment.processes[f"minion-{number}"]
@@ -342,7 +342,7 @@
     for name in ENTRIES * 10:
         assert system.send_request(name, **system.make_request("new"))[0] == 200
     assert system.count_runs("new")[number] == 0
-    assert [item.result()[0] for item in pending] == [200] * len(pending)
+    assert [future.result()[0] for future in pending] == [200] * len(pending)
     assert process.popen.wait(60) == 0
     system.deployment.set_faults("log-proxy")
     system.set_link_faults("heartbeats")
@@ -377,7 +377,7 @@
     system.deployment.set_faults("log", down=True)
     process = system.deployment.processes["entry-1"]
     process.send(signal.SIGTERM)
-    answers = [item.result() for item in pending]
+    answers = [future.result() for future in pending]
     assert [status for status, _ in answers] == [200] * len(pending)
     assert process.popen.wait(20) == 0
     system.deployment.set_faults("log")
@@ -401,10 +401,10 @@
 
 def begin_stop(process: Process) -> None:
     """Send SIGTERM and wait until the process logs a graceful stop."""
-    before = process.log_text().count(STOP_LOG_TEXT)
+    earlier_count = process.log_text().count(STOP_LOG_TEXT)
     process.send(signal.SIGTERM)
     wait_until(
-        lambda: process.log_text().count(STOP_LOG_TEXT) > before,
+        lambda: process.log_text().count(STOP_LOG_TEXT) > earlier_count,
         "the graceful stop begins",
     )
 
@@ -412,6 +412,7 @@
 def exchange_bytes(
     system: ProxiedDeployment, send: Callable[[socket.socket], None]
 ) -> bytes:
+    """Return all bytes that entry-0 sends before it closes the connection."""
     port = system.deployment.processes["entry-0"].ports["callers"]
     with socket.create_connection(("127.0.0.1", port), timeout=30) as conn:
         send(conn)
@@ -421,14 +422,14 @@
     return received
 
 
-def make_head(length: int) -> bytes:
-    lines = ("POST /v1/requests HTTP/1.1", "Host: x", f"Content-Length: {length}")
+def make_request_head(length_bytes: int) -> bytes:
+    lines = ("POST /v1/requests HTTP/1.1", "Host: x", f"Content-Length: {length_bytes}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
 def test_too_large_body_is_refused_before_it_is_read(system: ProxiedDeployment) -> None:
     answer = exchange_bytes(
-        system, lambda conn: conn.sendall(make_head(10**9) + b"x" * 100)
+        system, lambda conn: conn.sendall(make_request_head(10**9) + b"x" * 100)
     )
     assert answer.startswith(b"HTTP/1.1 413 ")
     assert b"not_run" in answer
@@ -445,7 +446,7 @@
                 except OSError:
                     return
 
-        conn.sendall(make_head(1_000))
+        conn.sendall(make_request_head(1_000))
         threading.Thread(target=send_bytes, daemon=True).start()
 
     try:
@@ -464,7 +465,8 @@
     answer = exchange_bytes(
         system,
         lambda conn: conn.sendall(
-            make_head(len(text)).replace(b"Host", b"Connection: close\r\nHost") + text
+            make_request_head(len(text)).replace(b"Host", b"Connection: close\r\nHost")
+            + text
         ),
     )
     assert answer.startswith(b"HTTP/1.1 400 ")
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -49,9 +49,9 @@
     check_ms = zone_out_ms + 2 * ZONE_OUT_LIMIT_MS
     wait_until(lambda: wall_ms() >= check_ms, "delayed messages have arrived")
     assert [
-        ms - zone_out_ms
-        for ms in list_start_times_ms(deployment)
-        if ms > zone_out_ms + ZONE_OUT_LIMIT_MS
+        start_ms - zone_out_ms
+        for start_ms in list_start_times_ms(deployment)
+        if start_ms > zone_out_ms + ZONE_OUT_LIMIT_MS
     ] == []
 
 
@@ -150,10 +150,10 @@
     submit_many_jobs(deployment)
     wait_for_first_start(deployment)
     deployment.set_faults("log", lose_answers=1_000)
-    operator = threading.Thread(
+    change_thread = threading.Thread(
         target=set_zone, args=(deployment, ZONE, False), daemon=True
     )
-    operator.start()
+    change_thread.start()
     wait_until(
         lambda: find_zone_out_offset(deployment),
         "the log has the record that takes the zone out of service",
@@ -162,7 +162,7 @@
     zone_out_ms = wall_ms()
     check_no_late_starts(deployment, zone_out_ms)
     deployment.set_faults("log")
-    operator.join()
+    change_thread.join()
     wait_until_done(deployment, f"check-{JOB_COUNT - 1}")
     check_no_late_starts(deployment, zone_out_ms)
 
