Say why a failed connection leaves no unknown outcome

The step "connect" was compared without a reason, and one entry of the docstring of LogLine described two fields. Add the reason and describe each field by itself.

--- a/kingcuppost/cli/client.py
+++ b/kingcuppost/cli/client.py
@@ -21,7 +21,7 @@
 __all__ = ["print_answer", "send_request", "send_to_entry"]
 
 STATUS_OK = 200
-STEP_CONNECT = "connect"
+STEP_CONNECT = "connect"  # a failure at this step means that nothing was sent
 INVALID_STATUSES = (400, 404, 409, 422)
 
 
--- a/kingcuppost/cli/trace.py
+++ b/kingcuppost/cli/trace.py
@@ -26,8 +26,10 @@
     ----------
     wall_ms : int
         Unix time in ms by the clock of the process that wrote it.
-    instance, message : str
-        Process that wrote it, and its text, which begins with the part of the program.
+    instance : str
+        Name of the process that wrote the line.
+    message : str
+        Text of the line, which begins with the part of the program and a colon.
     fields : dict
         All other fields.
     """
