Name the reported status of a gang member after what it is

The class Reservation holds the state that a sidecar last reported for a gang member, in any stage, and was easily taken for an AdvanceReservation. It is MemberStatus now, and the table World.reservations is member_statuses. The rows are neither stored nor encoded. A test reads the table under its new name.

--- a/kingcuppost/systems/jobs/gang_liveness.py
+++ b/kingcuppost/systems/jobs/gang_liveness.py
@@ -10,7 +10,7 @@
     reservation_ms,
 )
 from kingcuppost.tables.job import Gang
-from kingcuppost.tables.task import Reservation, TaskState
+from kingcuppost.tables.task import MemberStatus, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = ["lost_reason", "member_timeout_ms", "stopped_by_ms"]
@@ -24,7 +24,7 @@
     return effective_value(world.agreed, key, team_path(gang.team))
 
 
-def _recently_reported(world: World, gang: Gang, now_ms: int) -> list[Reservation]:
+def _recently_reported(world: World, gang: Gang, now_ms: int) -> list[MemberStatus]:
     timeout_ms = member_timeout_ms(world, gang)
     rows = gang_members(world, gang.key)
     return [row for row in rows if now_ms - row.last_report_ms < timeout_ms]
--- a/kingcuppost/systems/jobs/gangs.py
+++ b/kingcuppost/systems/jobs/gangs.py
@@ -23,7 +23,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import Gang, GangState, gang_key
 from kingcuppost.tables.record import GangEnd, GangRelease, GangStop, RecordBody
-from kingcuppost.tables.task import Reservation, TaskState
+from kingcuppost.tables.task import MemberStatus, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = ["advance_gangs"]
@@ -58,7 +58,7 @@
     """Clear the state of an earlier term of this process, once for each term."""
     if world.gang_view.term != world.agreed.lease.term:
         world.gang_view.term = world.agreed.lease.term
-        world.reservations.clear()
+        world.member_statuses.clear()
         world.gang_view.stages.clear()
         world.gang_view.due.clear()
 
@@ -74,7 +74,7 @@
     world.gang_view.stages.pop(key, None)
     world.gang_view.due.discard(key)
     for row in gang_members(world, key):
-        world.reservations.delete(row.member_id)
+        world.member_statuses.delete(row.member_id)
 
 
 def _pending_gangs(world: World) -> set[str]:
@@ -148,7 +148,7 @@
         _schedule_check(world, gang.key, since_ms + timeout_ms)
 
 
-def _member_number(row: Reservation) -> int:
+def _member_number(row: MemberStatus) -> int:
     return int(row.member_id.rpartition("/")[2])
 
 
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -4,7 +4,7 @@
 from kingcuppost.systems.registry import Phase, system
 from kingcuppost.tables.identity import Role
 from kingcuppost.tables.job import gang_key
-from kingcuppost.tables.task import MemberReport, Reservation, TaskState
+from kingcuppost.tables.task import MemberReport, MemberStatus, TaskState
 from kingcuppost.tables.world import World
 
 __all__ = ["BROKEN_STATES", "ENDED_STATES", "gang_members", "handle_member_reports"]
@@ -14,9 +14,9 @@
 REFRESHES_PER_TIMEOUT = 4
 
 
-def gang_members(world: World, key: str) -> list[Reservation]:
+def gang_members(world: World, key: str) -> list[MemberStatus]:
     """Return the rows of a gang's members that sidecars have reported."""
-    return world.reservations.find("key", key)
+    return world.member_statuses.find("key", key)
 
 
 @system(Phase.MEMBERSHIP, roles=(Role.ENTRY,), order=50)
@@ -32,10 +32,10 @@
         if key not in world.agreed.gangs:
             continue
         member_id = f"{key}/{report.member}"
-        row = world.reservations.get(member_id)
+        row = world.member_statuses.get(member_id)
         if row is None or (row.state != report.state and row.state not in ENDED_STATES):
-            known = Reservation(member_id, key, report.state, now_ms, now_ms)
-            world.reservations.put(known)
+            known = MemberStatus(member_id, key, report.state, now_ms, now_ms)
+            world.member_statuses.put(known)
             world.gang_view.due.set(key, now_ms)
         elif now_ms - row.last_report_ms >= refresh_ms:
-            world.reservations.update(member_id, last_report_ms=now_ms)
+            world.member_statuses.update(member_id, last_report_ms=now_ms)
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -310,7 +310,7 @@
     harness.run(2_000)
     world = harness.world
     assert "a/1" not in world.gang_view.stages
-    assert not world.reservations.find("key", "a/1")
+    assert not world.member_statuses.find("key", "a/1")
 
 
 def test_cancellation_wave_ends_every_gang(harness: ProcessHarness) -> None:
--- a/kingcuppost/tables/task.py
+++ b/kingcuppost/tables/task.py
@@ -1,4 +1,4 @@
-"""Tasks of gang members at a sidecar, a leader's monitors, and reservations."""
+"""Tasks of gang members at a sidecar, a leader's monitors, and states of members."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -6,9 +6,9 @@
 __all__ = [
     "GangMonitor",
     "MemberReport",
+    "MemberStatus",
     "MemberTask",
     "Renewal",
-    "Reservation",
     "TaskState",
 ]
 
@@ -140,7 +140,7 @@
 
 
 @dataclass(slots=True)
-class Reservation:
+class MemberStatus:
     """A gang member as its sidecar last reported it to the scheduler.
 
     Attributes
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -40,7 +40,7 @@
 from kingcuppost.tables.scheduling import SchedulingState
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangMonitor, MemberTask, Reservation
+from kingcuppost.tables.task import GangMonitor, MemberStatus, MemberTask
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -149,7 +149,7 @@
         Tasks of gang members at a sidecar.
     gang_monitors : Table of GangMonitor
         Monitors of the gangs whose leader a sidecar is.
-    reservations : Table of Reservation
+    member_statuses : Table of MemberStatus
         Gang members as their sidecars last reported them to the scheduler.
     events : deque of Event
         The newest events of the process.
@@ -214,7 +214,7 @@
         default_factory=lambda: Table("task_id", ("state", "job"))
     )
     gang_monitors: Table[GangMonitor] = field(default_factory=lambda: Table("key"))
-    reservations: Table[Reservation] = field(
+    member_statuses: Table[MemberStatus] = field(
         default_factory=lambda: Table("member_id", ("key",))
     )
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=MAX_EVENTS))
