Name attributes of the log's state after what they hold

HolderMonitor.last_answer_ms held the sending time of a ping, SnapshotProgress.covers an offset, and LogView.searched a flag that is set when a search ends. They are last_answered_ping_ms, covered_offset and search_ended now. SnapshotPart.covers is stored in the log, and LogView.last_answer_ms is the time of an answer: both stay. A test reads covered_offset under its new name.

--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -110,7 +110,7 @@
         view.barrier_ms = -1
     if not view.caught_up:
         view.caught_up = True
-        view.searched = False
+        view.search_ended = False
         world.snapshot_progress.wall_ms = (
             world.snapshot_progress.wall_ms or world.clock.wall_ms()
         )
--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -44,12 +44,12 @@
         return
     if monitor.term != world.agreed.lease.term:
         monitor.term = world.agreed.lease.term
-        monitor.last_answer_ms = now_ms
+        monitor.last_answered_ping_ms = now_ms
     holder = world.agreed.entries.get(world.agreed.lease.holder)
     if holder is None or holder.incarnation != world.agreed.lease.incarnation:
         _claim_lease(world, now_ms)
         return
-    if now_ms - monitor.last_answer_ms >= _holder_timeout_ms(world):
+    if now_ms - monitor.last_answered_ping_ms >= _holder_timeout_ms(world):
         note(world, "lease.lost", "The holder is unresponsive.", peer=holder.name)
         _claim_lease(world, now_ms)
         return
@@ -75,8 +75,8 @@
         if not answer.ok or answer.incarnation != world.agreed.lease.incarnation:
             continue
         if answer.follows_log or not is_following(world, now_ms):
-            world.holder_monitor.last_answer_ms = max(
-                world.holder_monitor.last_answer_ms, answer.sent_ms
+            world.holder_monitor.last_answered_ping_ms = max(
+                world.holder_monitor.last_answered_ping_ms, answer.sent_ms
             )
 
 
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -23,7 +23,7 @@
     view = world.log_view
     if _has_expired_records(view, answer.earliest):
         return True
-    return not view.searched and answer.head - view.folded_offset > MAX_LAG_RECORDS
+    return not view.search_ended and answer.head - view.folded_offset > MAX_LAG_RECORDS
 
 
 def _has_expired_records(view: LogView, earliest: int) -> bool:
@@ -99,8 +99,8 @@
     load_slices(world.agreed, [part.rows for part in parts])
     view.folded_offset = parts[0].covers
     view.search = None
-    view.searched = True
-    world.snapshot_progress.covers = parts[0].covers
+    view.search_ended = True
+    world.snapshot_progress.covered_offset = parts[0].covers
     _resolve_proposals(world)
     note(world, "log.snapshot", f"Loaded the snapshot at offset {parts[0].covers}.")
 
@@ -122,7 +122,7 @@
     """
     view = world.log_view
     view.search = None
-    view.searched = True
+    view.search_ended = True
     if not _has_expired_records(view, search.earliest):
         return
     view.next_read_ms = now_ms + effective_value(world.agreed, "log.search_retry_ms")
--- a/kingcuppost/systems/agreement/snapshots.py
+++ b/kingcuppost/systems/agreement/snapshots.py
@@ -29,7 +29,7 @@
     seen_parts.add(part.index)
     if len(seen_parts) == part.count:
         del progress.seen_parts[part.snapshot_id]
-        progress.covers = max(progress.covers, part.covers)
+        progress.covered_offset = max(progress.covered_offset, part.covers)
         progress.wall_ms = max(progress.wall_ms, stored.record.wall_ms)
         note(
             world,
@@ -67,7 +67,7 @@
     An idle system writes snapshots too, since they expire as other records do.
     """
     progress = world.snapshot_progress
-    record_count = world.log_view.folded_offset - progress.covers
+    record_count = world.log_view.folded_offset - progress.covered_offset
     age_ms = world.clock.wall_ms() - progress.wall_ms
     if record_count >= effective_value(world.agreed, "snapshot.records"):
         return True
--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -215,7 +215,7 @@
     kinds = log.kinds()
     assert kinds.count("snapshot_part") >= 5
     assert max(sizes) <= 4
-    assert entry.world.snapshot_progress.covers > 900
+    assert entry.world.snapshot_progress.covered_offset > 900
     texts = [text for text in log.texts if '"snapshot_part"' in text]
     assert max(len(text) for text in texts) < 64_000
 
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -137,7 +137,7 @@
 
     Attributes
     ----------
-    covers : int
+    covered_offset : int
         Log offset up to which the newest complete snapshot covers the log; 0 without
         a snapshot.
     wall_ms : int
@@ -150,7 +150,7 @@
         Identifiers of the records of proposed parts that are not folded yet.
     """
 
-    covers: int = 0
+    covered_offset: int = 0
     wall_ms: int = 0
     seen_parts: dict[str, set[int]] = field(default_factory=dict)
     draft: deque[SnapshotPart] = field(default_factory=deque)
@@ -182,7 +182,7 @@
         records that this process had not read.
     search : SnapshotSearch or None
         The current search for a snapshot; None outside a search.
-    searched : bool
+    search_ended : bool
         Whether a search has ended since this process last caught up; then lag alone
         starts no further search.
     appends : dict of str to int
@@ -199,7 +199,7 @@
     barrier_ms: int = -1
     caught_up: bool = False
     search: SnapshotSearch | None = None
-    searched: bool = False
+    search_ended: bool = False
     appends: dict[str, int] = field(default_factory=dict)
 
 
@@ -211,7 +211,7 @@
     ----------
     term : int
         Scheduling term that the other attributes belong to.
-    last_answer_ms : int
+    last_answered_ping_ms : int
         Sending time of the latest ping of which the holder's answer counted; before
         any in this term, the time at which this process first observed the term.
     next_ping_ms : int
@@ -221,6 +221,6 @@
     """
 
     term: int = -1
-    last_answer_ms: int = 0
+    last_answered_ping_ms: int = 0
     next_ping_ms: int = 0
     jitter: float = 0.0
