Call the end of a read an offset

ReadAnswered.end is the offset of the last record read. It is end_offset now, as are the local names that fill it. The log's answer on the wire has no such field.

--- a/kingcuppost/models/log.py
+++ b/kingcuppost/models/log.py
@@ -82,5 +82,7 @@
         record = decode_log_record(stored.value)
         if record is not None:
             records.append(StoredRecord(stored.offset, record))
-    end = model.records[-1].offset if model.records else 0
-    return ReadAnswered(read_id, True, tuple(records), model.head, model.earliest, end)
+    end_offset = model.records[-1].offset if model.records else 0
+    return ReadAnswered(
+        read_id, True, tuple(records), model.head, model.earliest, end_offset
+    )
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -73,7 +73,7 @@
     view = world.log_view
     for stored in answer.records:
         _fold_record(world, stored)
-    view.folded_offset = max(view.folded_offset, answer.end)
+    view.folded_offset = max(view.folded_offset, answer.end_offset)
     _update_head(world, answer, read.sent_ms, now_ms)
 
 
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -49,9 +49,9 @@
         records = []
         for index, text in enumerate(texts):
             records.append(StoredRecord(start + index, decode_log_record(text)))
-        end = records[-1].offset if records else 0
+        end_offset = records[-1].offset if records else 0
         return ReadAnswered(
-            read.read_id, True, tuple(records), self.head, self.first, end
+            read.read_id, True, tuple(records), self.head, self.first, end_offset
         )
 
     def kinds(self) -> list[str]:
--- a/kingcuppost/tables/inbox.py
+++ b/kingcuppost/tables/inbox.py
@@ -105,7 +105,7 @@
         Records in order of offset.
     head, earliest : int
         Offsets of the newest and the oldest record in the log.
-    end : int
+    end_offset : int
         Offset of the last record read, valid or not; 0 if none was read. `records`
         omits records that cannot be decoded, such as those of another program.
     reason : str
@@ -117,7 +117,7 @@
     records: tuple[StoredRecord, ...] = ()
     head: int = 0
     earliest: int = 0
-    end: int = 0
+    end_offset: int = 0
     reason: str = ""
 
 
