Call the sort key of a waiting job a sort key

The key by which a policy sorts waiting jobs was called rank, as is the urgency of a batch unit, and the number of finished jobs behind the learned run times was called samples. The type Rank is SortKey, Policy.rank and QueueEntry.rank are sort_key, the functions that return the key are sort_key_by_run_time, _sort_key_by_age and _sort_key_by_urgency, and the first element of the key is INTERACTIVE_SORT_GROUP or OVERNIGHT_SORT_GROUP; RunTimes.samples is sample_count. None of them is stored or encoded; ranks of batch units and in log lines stay. A test has the word in its name and reads the attribute under its new name.

--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -112,15 +112,15 @@
     return lendable
 
 
-def _rank_by_age(world: World, job: Job) -> tuple[int, int, int]:
+def _sort_key_by_age(world: World, job: Job) -> tuple[int, int, int]:
     return (0, 0, job.submitted_offset)
 
 
-def _rank_by_urgency(world: World, job: Job) -> tuple[int, int, int]:
+def _sort_key_by_urgency(world: World, job: Job) -> tuple[int, int, int]:
     return (int(job.urgency is not Urgency.INTERACTIVE), 0, job.submitted_offset)
 
 
 policies.register("first_fit")(
-    Policy(_rank_by_age, choose_first_fit, strict=True, reserves=False)
+    Policy(_sort_key_by_age, choose_first_fit, strict=True, reserves=False)
 )
-policies.register("backfill")(Policy(_rank_by_urgency, _choose_backfill))
+policies.register("backfill")(Policy(_sort_key_by_urgency, _choose_backfill))
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kingcuppost.systems.jobs.job_queue import Rank
+from kingcuppost.systems.jobs.job_queue import SortKey
 from kingcuppost.tables.job import Job, Placement, RefusedAlternative
 from kingcuppost.tables.scheduling import AdvanceReservation
 from kingcuppost.tables.world import World
@@ -46,7 +46,7 @@
 
     Attributes
     ----------
-    rank : callable
+    sort_key : callable
         Returns the sort key of a job in the queue, smallest first.
     choose : callable
         Returns the decision about one job.
@@ -56,7 +56,7 @@
         Whether the first job that must wait gets an advance reservation.
     """
 
-    rank: Rank
+    sort_key: SortKey
     choose: Callable[[World, Job, int], Choice]
     strict: bool = False
     reserves: bool = True
--- a/kingcuppost/systems/jobs/job_queue.py
+++ b/kingcuppost/systems/jobs/job_queue.py
@@ -8,12 +8,12 @@
 from kingcuppost.tables.scheduling import QueueEntry, SchedulingState
 from kingcuppost.tables.world import World
 
-__all__ = ["Rank", "apply_job_changes"]
+__all__ = ["SortKey", "apply_job_changes"]
 
-Rank = Callable[[World, Job], tuple[int, int, int]]
+SortKey = Callable[[World, Job], tuple[int, int, int]]
 
 
-def apply_job_changes(world: World, policy: str, rank: Rank) -> None:
+def apply_job_changes(world: World, policy: str, sort_key: SortKey) -> None:
     """Insert changed jobs into the queue or remove them, all in one pass.
 
     Waiting and parked jobs are marked for a check of their feasibility. The run times
@@ -25,7 +25,7 @@
         Tables of the process.
     policy : str
         Name of the policy; a change of policy sorts the queue again.
-    rank : callable
+    sort_key : callable
         Returns the sort key of a job, smallest first.
     """
     scheduling = world.scheduling
@@ -37,12 +37,12 @@
         waiting = world.agreed.jobs.find("state", JobState.WAITING)
         names = [*names, *(job.name for job in waiting)]
     for name in dict.fromkeys(names):
-        _update_job(world, str(name), rank)
+        _update_job(world, str(name), sort_key)
     if names:
         scheduling.pass_due = True
 
 
-def _update_job(world: World, name: str, rank: Rank) -> None:
+def _update_job(world: World, name: str, sort_key: SortKey) -> None:
     scheduling = world.scheduling
     job = world.agreed.jobs.get(name)
     _remove_entry(scheduling, name)
@@ -51,7 +51,7 @@
     if job.state in (JobState.WAITING, JobState.PARKED):
         scheduling.unchecked_jobs[name] = None
     if job.state is JobState.WAITING:
-        entry = QueueEntry(rank(world, job), name)
+        entry = QueueEntry(sort_key(world, job), name)
         scheduling.queue_entries[name] = entry
         insort(scheduling.queue, entry)
     elif job.state is JobState.DONE:
--- a/kingcuppost/systems/jobs/queueing.py
+++ b/kingcuppost/systems/jobs/queueing.py
@@ -16,4 +16,4 @@
 def update_queue(world: World, now_ms: int) -> None:
     """Apply job changes to the queue, ordered by the policy in the settings."""
     name = str(effective_value(world.agreed, POLICY_KEY))
-    apply_job_changes(world, name, policies[name].rank)
+    apply_job_changes(world, name, policies[name].sort_key)
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -44,10 +44,10 @@
     """Include the run time of a finished job in the averages of its team."""
     run_times = scheduling.run_times.get(job.team) or RunTimes(job.team)
     # A plain mean of the first jobs, then exponential smoothing.
-    weight = max(SMOOTHING_WEIGHT, 1 / (run_times.samples + 1))
+    weight = max(SMOOTHING_WEIGHT, 1 / (run_times.sample_count + 1))
     run_times.mean_ms += weight * (run_ms - run_times.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
         ratio = log(run_ms / job.declared_ms)
         run_times.log_ratio += weight * (ratio - run_times.log_ratio)
-    run_times.samples += 1
+    run_times.sample_count += 1
     scheduling.run_times.put(run_times)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -24,27 +24,27 @@
 from kingcuppost.tables.scheduling import AdvanceReservation
 from kingcuppost.tables.world import World
 
-__all__ = ["choose_shapes", "rank_by_run_time"]
+__all__ = ["choose_shapes", "sort_key_by_run_time"]
 
-INTERACTIVE_RANK = 0
-OVERNIGHT_RANK = 1
+INTERACTIVE_SORT_GROUP = 0  # first element of the sort key
+OVERNIGHT_SORT_GROUP = 1
 MIN_LOAN_MS = 60_000  # least time that an overnight borrower gets on a reservation
 
 
-def rank_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
-    """Rank interactive work first, then by submission time plus expected run time.
+def sort_key_by_run_time(world: World, job: Job) -> tuple[int, int, int]:
+    """Return a key: interactive first, then submission time plus expected run time.
 
     A job may be overtaken by shorter jobs that arrive later, but only by those that
     arrive within its own expected run time and within the overtake limit.
     """
     submitted_ms = job.submitted_wall_ms
     if job.urgency is Urgency.INTERACTIVE:
-        return (INTERACTIVE_RANK, submitted_ms, job.submitted_offset)
+        return (INTERACTIVE_SORT_GROUP, submitted_ms, job.submitted_offset)
     path = team_path(job.team, job.urgency)
     limit_ms = effective_value(world.agreed, "job.overtake_limit_ms", path)
     run_ms = expected_run_ms(world.scheduling, job)
-    rank_ms = submitted_ms + min(run_ms, limit_ms)
-    return (OVERNIGHT_RANK, rank_ms, job.submitted_offset)
+    sort_time_ms = submitted_ms + min(run_ms, limit_ms)
+    return (OVERNIGHT_SORT_GROUP, sort_time_ms, job.submitted_offset)
 
 
 def choose_shapes(world: World, job: Job, now_ms: int) -> Choice:
@@ -201,4 +201,4 @@
     return now_ms + MIN_LOAN_MS <= limit_ms
 
 
-policies.register("shapes")(Policy(rank_by_run_time, choose_shapes))
+policies.register("shapes")(Policy(sort_key_by_run_time, choose_shapes))
--- a/kingcuppost/systems/jobs/tests/test_starvation.py
+++ b/kingcuppost/systems/jobs/tests/test_starvation.py
@@ -47,7 +47,7 @@
     assert 0 <= waited_ms <= MINUTE_MS + HOUR_MS + STOP_AND_START_MS
 
 
-def test_rank_of_a_waiting_job_is_within_the_overtake_limit() -> None:
+def test_sort_key_of_a_waiting_job_is_within_the_overtake_limit() -> None:
     driver = make_driver([make_worker(0)], {"a": ()})
     driver.tick()
     submit(driver, make_job("blocker", "a", 1, 8))
@@ -56,7 +56,7 @@
     settle(driver, MINUTE_MS)
     first = driver.world.scheduling.queue[0]
     assert first.job == "large"
-    assert first.rank[1] <= driver.runs["large"].submitted_ms + limit_ms
+    assert first.sort_key[1] <= driver.runs["large"].submitted_ms + limit_ms
 
 
 @pytest.mark.parametrize(
--- a/kingcuppost/tables/scheduling.py
+++ b/kingcuppost/tables/scheduling.py
@@ -225,14 +225,14 @@
         Smoothed natural logarithm of actual over declared run time.
     mean_ms : float
         Smoothed run time, for jobs that declare none.
-    samples : int
+    sample_count : int
         Number of finished jobs included.
     """
 
     team: str
     log_ratio: float = 0.0
     mean_ms: float = 0.0
-    samples: int = 0
+    sample_count: int = 0
 
 
 @dataclass(slots=True)
@@ -272,13 +272,13 @@
 
     Attributes
     ----------
-    rank : tuple
-        Sort key that the policy gives the job, smallest first.
+    sort_key : tuple
+        Key that the policy gives the job, smallest first.
     job : str
         Name of the job.
     """
 
-    rank: tuple[int, int, int]
+    sort_key: tuple[int, int, int]
     job: str
 
 
