Call the description of a setting a description

SettingKey.text was vague: it is the description of the key that the reference page prints. It is description now; all keys are declared by position, and the printed page stays the same.

--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -44,7 +44,7 @@
             f"`{key.default}`",
             key.unit or "-",
             _format_limits(key),
-            key.text,
+            key.description,
         ]
         for _, key in sorted(KEYS.items())
     ]
--- a/kingcuppost/settings/keys.py
+++ b/kingcuppost/settings/keys.py
@@ -17,7 +17,7 @@
         Name of the key, such as ``"job.lease_ms"``.
     default : str, int, float or bool
         Value if no branch sets the key; its type is the key's type.
-    text : str
+    description : str
         Description of the key in one sentence.
     unit : str
         Unit of the value; empty if none.
@@ -29,7 +29,7 @@
 
     name: str
     default: str | int | float | bool
-    text: str
+    description: str
     unit: str = ""
     minimum: float | None = None
     maximum: float | None = None
