Name the settings of a request after what they are

request_values returned the settings that affect a request, not values of the request. It is resolve_request_settings now.

--- a/kingcuppost/systems/requests/decision.py
+++ b/kingcuppost/systems/requests/decision.py
@@ -6,7 +6,7 @@
 from kingcuppost.tables.request import Request
 from kingcuppost.tables.world import Agreed, World
 
-__all__ = ["decision_of", "request_values"]
+__all__ = ["decision_of", "resolve_request_settings"]
 
 MAX_REFUSED_ALTERNATIVES = 8
 ROUTING_KEY = "request.routing"
@@ -15,7 +15,7 @@
 TEAM_KEYS = frozenset({"request.retry_burst", "request.retry_share"})
 
 
-def request_values(
+def resolve_request_settings(
     agreed: Agreed, team: str, urgency: str = ""
 ) -> tuple[EffectiveValue, ...]:
     """Return the settings that affect a request, ordered by name.
@@ -50,7 +50,7 @@
     chosen : Minion
         Minion that the request is sent to.
     """
-    values = request_values(world.agreed, request.team, request.urgency)
+    values = resolve_request_settings(world.agreed, request.team, request.urgency)
     policy = str(resolve_setting(world.agreed, "", ROUTING_KEY).value)
     refused = [
         RefusedAlternative(minion.name, reason)
--- a/kingcuppost/systems/views/explain.py
+++ b/kingcuppost/systems/views/explain.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from kingcuppost.systems.requests.decision import request_values
+from kingcuppost.systems.requests.decision import resolve_request_settings
 from kingcuppost.systems.views.registry import views
 from kingcuppost.tables.agreement import KeyClaim
 from kingcuppost.tables.event import Event
@@ -73,7 +73,7 @@
     if claim is None and not events and team not in world.agreed.teams:
         return None
     known_team = team if team in world.agreed.teams else ""
-    values = request_values(world.agreed, known_team)
+    values = resolve_request_settings(world.agreed, known_team)
     if claim is None:
         known_by = "the log: nobody may run it, or its claim is past the retention"
         return RequestExplanation(key, None, "not_claimed", known_by, values, events)
