Name fields of the batch messages after what they hold

Several fields of messages between the systems and the edges needed their documentation to be understood. EndedRun.how is run_end, HoldMinion.until_ms and StartRun.until_ms are lease_until_ms, MinionHeartbeat.gone is has_left, Append.at is required_end, and RecordsRead.whole is is_complete. The messages are written by position or field by field, so all names in JSON text, log lines and queries stay: deadlineMs, how, at.

--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -131,7 +131,7 @@
             for row in call.running
         ),
         ended=tuple(
-            (row.number, str(row.task), row.run, row.how, row.checkpoint)
+            (row.number, str(row.task), row.run, row.run_end, row.checkpoint)
             for row in call.ended
         ),
         refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
@@ -163,8 +163,8 @@
         _to_minion_report(model.minion) if model.minion else None,
         tuple(RunningRun(parse_task_name(row[0]), *row[1:]) for row in model.running),
         tuple(
-            EndedRun(number, parse_task_name(task), run, how, checkpoint)
-            for number, task, run, how, checkpoint in model.ended
+            EndedRun(number, parse_task_name(task), run, run_end, checkpoint)
+            for number, task, run, run_end, checkpoint in model.ended
         ),
         tuple(RefusedRun(parse_task_name(row[0]), *row[1:]) for row in model.refused),
     )
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -42,7 +42,7 @@
     """Apply the records that were read, in the order of their stream."""
     for batch in world.inbox.take(RecordsRead):
         _update_freshness(world, batch, now_ms)
-        if batch.whole:
+        if batch.is_complete:
             _remove_unlisted(world, batch)
         for offset, record in batch.records:
             appliers[type(record)](world, offset, record)
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -103,7 +103,7 @@
             new_identifier(world.rng, "claim"),
             Stream.MEMBERS,
             (record,),
-            at=world.agreed.views[Stream.MEMBERS].end,
+            required_end=world.agreed.views[Stream.MEMBERS].end,
             timeout_ms=APPEND_TIMEOUT_MS,
         )
     )
@@ -166,10 +166,14 @@
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
     world.schedule.renewals[append_id] = now_ms
-    at = None if released else world.agreed.views[Stream.MEMBERS].end
+    required_end = None if released else world.agreed.views[Stream.MEMBERS].end
     world.outbox.put(
         Append(
-            append_id, Stream.MEMBERS, (record,), at=at, timeout_ms=APPEND_TIMEOUT_MS
+            append_id,
+            Stream.MEMBERS,
+            (record,),
+            required_end=required_end,
+            timeout_ms=APPEND_TIMEOUT_MS,
         )
     )
 
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -37,7 +37,7 @@
     """Handle heartbeats; ignore those of an earlier incarnation or sequence number."""
     sidecar_state = world.sidecar_state
     for heartbeat in world.inbox.take(MinionHeartbeat):
-        if heartbeat.gone:
+        if heartbeat.has_left:
             _remove_minion(world, heartbeat)
             continue
         incarnation = heartbeat.report.incarnation
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -264,15 +264,15 @@
         forget the end.
     """
     found = _find_current_run(world, minion.incarnation, ended.task, ended.run)
-    if found is None and ended.how is RunEnd.DONE:
+    if found is None and ended.run_end is RunEnd.DONE:
         found = _find_lost_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
     _update_reliability(world, minion, plan, task, ended, now_ms)
-    _record_run_end(world, plan, task, ended.how)
-    apply_run_end(world, plan, task, ended.how, ended.checkpoint)
+    _record_run_end(world, plan, task, ended.run_end)
+    apply_run_end(world, plan, task, ended.run_end, ended.checkpoint)
     return plan.job.id, plan.version
 
 
@@ -295,7 +295,7 @@
     now_ms: int,
 ) -> None:
     """Update a minion's speed and reliability from the end of a run."""
-    if ended.how is RunEnd.DONE:
+    if ended.run_end is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
             # not for gangs: a member may have waited for the others after its own work
             task.percent = FULL_PERCENT
@@ -304,7 +304,7 @@
         minion.failures = 0
         minion.failed_jobs.clear()
         minion.has_completed_run = True
-    elif ended.how is RunEnd.FAILED:
+    elif ended.run_end is RunEnd.FAILED:
         minion.failures += 1
         minion.failed_jobs.add(plan.job.id)
         minion.failed_ms = now_ms
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -151,7 +151,7 @@
         Time at which the read was sent; the records are at least as recent.
     end : int
         Offset at which the next read starts.
-    whole : bool
+    is_complete : bool
         Whether these are the newest records of all keys.
     """
 
@@ -159,7 +159,7 @@
     records: list[tuple[int, Record]]
     sent_ms: int
     end: int
-    whole: bool = False
+    is_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +174,7 @@
         Stream to append to.
     records : tuple of Record
         Records to append; may be empty for a writer that opens its term.
-    at : int or None
+    required_end : int or None
         Offset at which the stream must end, or the log rejects the append; None if the
         stream may end anywhere.
     term : int or None
@@ -188,7 +188,7 @@
     id: str
     stream: Stream
     records: tuple[Record, ...]
-    at: int | None = None
+    required_end: int | None = None
     term: int | None = None
     sequence: int = 0
     timeout_ms: int = 1_000
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -47,7 +47,7 @@
     number: int
     task: TaskName
     run: int
-    how: RunEnd
+    run_end: RunEnd
     checkpoint: str
 
 
@@ -185,12 +185,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionHeartbeat:
-    """A heartbeat of the minion beside the sidecar; `gone` if the minion has left."""
+    """A heartbeat of the minion beside the sidecar; `has_left` if the minion left."""
 
     address: Address
     report: MinionReport
     sequence: int
-    gone: bool = False
+    has_left: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +203,7 @@
         Number up to which the reported ends are in the log.
     wait_ms : int
         Time for which the minion may delay its answer while its lists do not change.
-    until_ms : int or None
+    lease_until_ms : int or None
         End of the lease on the minion's clock; None to leave it unchanged.
     """
 
@@ -212,7 +212,7 @@
     term: int
     acknowledged_end: int
     wait_ms: int
-    until_ms: int | None
+    lease_until_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +242,7 @@
 
     Attributes
     ----------
-    until_ms : int
+    lease_until_ms : int
         End of the minion lease, on the minion's clock.
     """
 
@@ -250,7 +250,7 @@
     incarnation: MinionIncarnation
     term: int
     order: StartOrder
-    until_ms: int
+    lease_until_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -111,7 +111,7 @@
         report = MinionReport(
             MinionIncarnation(minion, 0), "", "", (), Resources(), True, 0, False
         )
-        return MinionHeartbeat(Address("", 0), report, 0, gone=True)
+        return MinionHeartbeat(Address("", 0), report, 0, has_left=True)
     try:
         model = _HeartbeatModel.model_validate_json(request.content.read())
         address = parse_address(model.address)
@@ -138,7 +138,7 @@
 
 @batch_senders.register(HoldMinion)
 def send_hold(context: BatchContext, message: HoldMinion) -> None:
-    """Request the lists of the minion's runs; with `until_ms`, extend its lease."""
+    """Request the minion's lists of runs; with `lease_until_ms`, extend its lease."""
     deliver_later(context, _request_hold(context, message))
 
 
@@ -148,8 +148,8 @@
     body = {"fencingToken": message.term, "lastSeen": message.acknowledged_end}
     if message.wait_ms:
         body["waitMs"] = message.wait_ms
-    if message.until_ms is not None:
-        body["deadlineMs"] = message.until_ms
+    if message.lease_until_ms is not None:
+        body["deadlineMs"] = message.lease_until_ms
     clock = context.world.clock
     sent_ms = clock.now_ms()
     incarnation = message.incarnation
@@ -211,7 +211,7 @@
         "task": str(order.task),
         "run": order.run,
         "spec": order.spec,
-        "deadlineMs": message.until_ms,
+        "deadlineMs": message.lease_until_ms,
         "fencingToken": message.term,
     }
     if order.checkpoint:
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -141,7 +141,7 @@
         last_key = page.items[-1].key
     # jobs come first: the fold ignores other records of a job that has no row yet
     rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
-    return RecordsRead(stream, rows, sent_ms, end, whole=True)
+    return RecordsRead(stream, rows, sent_ms, end, is_complete=True)
 
 
 def _parse_page(reply: StoreReply, store: StoreClient) -> _ListingModel:
@@ -266,8 +266,8 @@
 
 async def _append_records(context: BatchContext, message: Append) -> AppendEnded:
     fields: dict[str, Any] = {"topic": TOPICS[message.stream], "part": 0}
-    if message.at is not None:
-        fields["at"] = message.at
+    if message.required_end is not None:
+        fields["at"] = message.required_end
     if message.term is not None:
         fields.update(producer=PRODUCER, epoch=message.term, sequence=message.sequence)
     contents = [
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -130,7 +130,7 @@
     def record_acknowledged(self, minion: str, ends: list[EndedRun]) -> None:
         """Record run ends that the scheduler has acknowledged."""
         for end in ends:
-            if end.how is RunEnd.DONE:
+            if end.run_end is RunEnd.DONE:
                 self.acknowledged_tasks.update(self._tasks_ended_together(end.task))
 
     def check_shown_state(self, job_id: str, state: JobState) -> None:
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -400,7 +400,11 @@
         def apply() -> None:
             records = [encode_record(record) for record in message.records]
             result = self.store.append(
-                message.stream, records, message.at, message.term, message.sequence
+                message.stream,
+                records,
+                message.required_end,
+                message.term,
+                message.sequence,
             )
             if not lost:
                 answer = AppendEnded(
@@ -466,12 +470,14 @@
         ]
         rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
         end = self.store.end(stream)
-        return RecordsRead(stream, rows, self.clock.now_ms(), end, whole=True)
+        return RecordsRead(stream, rows, self.clock.now_ms(), end, is_complete=True)
 
     def _read_operator_stream(self) -> RecordsRead:
         rows = [(0, ConfigRecord(self.configuration))]
         rows += [(1, ZoneRecord(zone)) for zone in sorted(self.closed_zones)]
-        return RecordsRead(Stream.OPERATORS, rows, self.clock.now_ms(), 2, whole=True)
+        return RecordsRead(
+            Stream.OPERATORS, rows, self.clock.now_ms(), 2, is_complete=True
+        )
 
     def _send_sync(self, process: Process, message: SendSync) -> None:
         sent_ms = self.clock.now_ms()
@@ -564,7 +570,7 @@
                 )
                 self._deliver(process, answer, incarnation)
                 return
-            until_ms = message.until_ms if is_first else None
+            until_ms = message.lease_until_ms if is_first else None
             running, ended = minion.renew_lease(
                 message.term, message.acknowledged_end, until_ms
             )
@@ -594,7 +600,7 @@
                     order.task,
                     order.run,
                     order.checkpoint,
-                    message.until_ms,
+                    message.lease_until_ms,
                 )
             else:
                 reason = minion.stop(message.term, order.task, order.run)
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -266,7 +266,8 @@
             born=self.minion.born_ms,
             running=[[str(r.task), r.run, r.checkpoint, r.percent, 0] for r in running],
             finishedRuns=[
-                [e.number, str(e.task), e.run, e.how.value, e.checkpoint] for e in ended
+                [e.number, str(e.task), e.run, e.run_end.value, e.checkpoint]
+                for e in ended
             ],
         )
 
