Name a border check, a limit, a coroutine and a route's input

find_field_error returns an error text, which check_fields did not say. MAX_RECORDS_PER_READ is a limit; the fake log repeats it. The parameter work of deliver_later takes a coroutine. The class Call is an HTTP request as a route gets it: RouteRequest, with parameters named request. Tests use the new names and check the same.

--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -60,11 +60,11 @@
         self.wake()
 
 
-def deliver_later(context: BatchContext, work: Coroutine) -> None:
+def deliver_later(context: BatchContext, coroutine: Coroutine) -> None:
     """Run a coroutine and deliver the message that it returns, unless it is None."""
 
     async def run() -> None:
-        message = await work
+        message = await coroutine
         if message is not None:
             context.deliver(message)
 
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -12,7 +12,7 @@
     BoundedChannel,
     BoundedRequest,
 )
-from kingcuppost.edges.routes import Call, find_route
+from kingcuppost.edges.routes import RouteRequest, find_route
 from kingcuppost.edges.traffic import CountedFactory
 from kingcuppost.exception import Failure
 from kingcuppost.models import encode
@@ -55,14 +55,14 @@
         if route.direct is not None:
             return route.direct(self._context, request)
         exchange_id = new_identifier(self._context.world.rng, "exc")
-        call = Call(
+        route_request = RouteRequest(
             exchange_id,
             path_parameters,
             _parse_query(request),
             body,
             _format_peer(request),
         )
-        return self._dispatch(request, exchange_id, route.parse(call))
+        return self._dispatch(request, exchange_id, route.parse(route_request))
 
     def _dispatch(
         self, request: Request, exchange_id: str, parsed: Result[Any, Failure]
--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -17,7 +17,7 @@
 __all__ = ["HttpLog"]
 
 STATUS_OK = 200
-RECORDS_PER_READ = 500
+MAX_RECORDS_PER_READ = 500
 
 
 @drivers.register(("log", "http"))
@@ -40,7 +40,7 @@
         client = self._client_for(message.hedge)
         path = (
             f"/v1/records?after={message.after}&wait_ms={message.wait_ms}"
-            f"&limit={RECORDS_PER_READ}"
+            f"&limit={MAX_RECORDS_PER_READ}"
         )
 
         async def exchange() -> ReadAnswered:
--- a/kingcuppost/edges/routes.py
+++ b/kingcuppost/edges/routes.py
@@ -27,7 +27,7 @@
 from kingcuppost.systems.views import views
 from kingcuppost.tables.inbox import ProposalRequest, ViewRequest
 
-__all__ = ["Call", "Route", "find_route", "route", "routes"]
+__all__ = ["Route", "RouteRequest", "find_route", "route", "routes"]
 
 PARAMETER = re.compile(r"\{(\w+)\}")
 CALLERS = "callers"
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class RouteRequest:
     """An HTTP request, as it is passed to a route.
 
     Attributes
@@ -60,7 +60,7 @@
     peer: str
 
 
-Parser = Callable[[Call], Result[Any, Failure]]
+Parser = Callable[[RouteRequest], Result[Any, Failure]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,67 +124,71 @@
 
 
 @route(CALLERS, "POST", "/v1/requests")
-def post_request(call: Call) -> Result[Any, Failure]:
+def post_request(request: RouteRequest) -> Result[Any, Failure]:
     """Run a caller's request."""
-    parsed = decode(RequestModel, call.body, call.peer)
+    parsed = decode(RequestModel, request.body, request.peer)
     if parsed.is_error():
         return parsed
-    if reason := parsed.ok.check_fields():
-        return Error(Failure(reason, "decode", call.peer))
-    return Ok(parsed.ok.to_message(call.exchange_id))
+    if reason := parsed.ok.find_field_error():
+        return Error(Failure(reason, "decode", request.peer))
+    return Ok(parsed.ok.to_message(request.exchange_id))
 
 
-def _parse_proposal(call: Call, model: type, *arguments: str) -> Result[Any, Failure]:
-    parsed = decode(model, call.body, call.peer)
+def _parse_proposal(
+    request: RouteRequest, model: type, *arguments: str
+) -> Result[Any, Failure]:
+    parsed = decode(model, request.body, request.peer)
     return parsed.map(
         lambda item: ProposalRequest(
-            call.exchange_id, item.operator, item.to_body(*arguments)
+            request.exchange_id, item.operator, item.to_body(*arguments)
         )
     )
 
 
 @route(OPERATORS, "PUT", "/v1/teams/{name}")
-def put_team(call: Call) -> Result[Any, Failure]:
+def put_team(request: RouteRequest) -> Result[Any, Failure]:
     """Create or change a team."""
-    return _parse_proposal(call, TeamModel, call.path_parameters["name"])
+    return _parse_proposal(request, TeamModel, request.path_parameters["name"])
 
 
 @route(OPERATORS, "PUT", "/v1/availability-zones/{name}")
-def put_zone(call: Call) -> Result[Any, Failure]:
+def put_zone(request: RouteRequest) -> Result[Any, Failure]:
     """Create an availability zone, or take it into or out of service."""
-    return _parse_proposal(call, ZoneModel, call.path_parameters["name"])
+    return _parse_proposal(request, ZoneModel, request.path_parameters["name"])
 
 
 @route(OPERATORS, "POST", "/v1/availability-zones/{name}/service")
-def post_service(call: Call) -> Result[Any, Failure]:
+def post_service(request: RouteRequest) -> Result[Any, Failure]:
     """Take an existing availability zone into or out of service."""
-    return _parse_proposal(call, ServiceModel, call.path_parameters["name"])
+    return _parse_proposal(request, ServiceModel, request.path_parameters["name"])
 
 
 @route(OPERATORS, "PUT", "/v1/settings")
-def put_setting(call: Call) -> Result[Any, Failure]:
+def put_setting(request: RouteRequest) -> Result[Any, Failure]:
     """Set a key on a branch of the settings tree."""
-    return _parse_proposal(call, SettingModel)
+    return _parse_proposal(request, SettingModel)
 
 
 @route(OPERATORS, "POST", "/v1/jobs")
-def post_job(call: Call) -> Result[Any, Failure]:
+def post_job(request: RouteRequest) -> Result[Any, Failure]:
     """Submit a job."""
-    return _parse_proposal(call, JobModel)
+    return _parse_proposal(request, JobModel)
 
 
 @route(OPERATORS, "POST", "/v1/jobs/{name}/cancel")
-def cancel_job(call: Call) -> Result[Any, Failure]:
+def cancel_job(request: RouteRequest) -> Result[Any, Failure]:
     """Cancel a job."""
-    return _parse_proposal(call, CancelModel, call.path_parameters["name"])
+    return _parse_proposal(request, CancelModel, request.path_parameters["name"])
 
 
 def _register_view(path: str, view: str, parameter: str = "") -> None:
     """Register a route for a view; its argument comes from the path or the query."""
 
-    def parse_view_request(call: Call) -> Result[Any, Failure]:
-        argument = call.path_parameters.get(parameter) or call.query.get(parameter, "")
-        return Ok(ViewRequest(call.exchange_id, view, argument))
+    def parse_view_request(request: RouteRequest) -> Result[Any, Failure]:
+        argument = request.path_parameters.get(parameter) or request.query.get(
+            parameter, ""
+        )
+        return Ok(ViewRequest(request.exchange_id, view, argument))
 
     parse_view_request.__doc__ = views[view].__doc__
     route(OPERATORS, "GET", path)(parse_view_request)
@@ -207,9 +211,9 @@
 def _register_peer_route(path: str, model: type) -> None:
     """Register a route for messages from other processes."""
 
-    def parse_peer_message(call: Call) -> Result[Any, Failure]:
-        parsed = decode(model, call.body, call.peer)
-        return parsed.map(lambda item: item.to_message(call.exchange_id))
+    def parse_peer_message(request: RouteRequest) -> Result[Any, Failure]:
+        parsed = decode(model, request.body, request.peer)
+        return parsed.map(lambda item: item.to_message(request.exchange_id))
 
     parse_peer_message.__doc__ = model.__doc__
     route(PEERS, "POST", path)(parse_peer_message)
--- a/kingcuppost/edges/tests/test_fuzz.py
+++ b/kingcuppost/edges/tests/test_fuzz.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kingcuppost.edges.routes import Call, Route, find_route, routes
+from kingcuppost.edges.routes import Route, RouteRequest, find_route, routes
 from kingcuppost.programs import make_world
 from kingcuppost.systems import run_tick, systems_of
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
@@ -50,9 +50,9 @@
 )
 
 
-def make_call(route: Route, name: str, body: bytes) -> Call:
+def make_route_request(route: Route, name: str, body: bytes) -> RouteRequest:
     path_parameters = dict.fromkeys(re.findall(r"\{(\w+)\}", route.path), name)
-    return Call(
+    return RouteRequest(
         "exc-1", path_parameters, {"path": name, "key": name}, body, "127.0.0.1:1"
     )
 
@@ -65,7 +65,7 @@
 def test_parser_returns_a_message_or_a_reason(
     route: Route, name: str, body: bytes
 ) -> None:
-    parsed = route.parse(make_call(route, name, body))
+    parsed = route.parse(make_route_request(route, name, body))
     if parsed.is_ok():
         assert is_dataclass(parsed.ok)
     else:
@@ -98,7 +98,7 @@
 
     A proposal is either answered or appended to the log.
     """
-    parsed = route.parse(make_call(route, name, body))
+    parsed = route.parse(make_route_request(route, name, body))
     if parsed.is_error():
         return
     log = LogConfig("http", UNUSED_ADDRESS)
@@ -132,5 +132,5 @@
 def test_extreme_setting_values_are_refused(value: object) -> None:
     route, path_parameters = find_route("operators", "PUT", "/v1/settings")
     body = json.dumps({"operator": "x", "key": "job.lease_ms", "value": value})
-    parsed = route.parse(Call("exc-1", path_parameters, {}, body.encode(), "p"))
+    parsed = route.parse(RouteRequest("exc-1", path_parameters, {}, body.encode(), "p"))
     assert parsed.is_error()
--- a/kingcuppost/models/caller.py
+++ b/kingcuppost/models/caller.py
@@ -47,7 +47,7 @@
     issued_ms: int = Field(default=0, ge=0, le=MAX_ISSUED_MS)
     timeout_ms: int = Field(default=0, ge=0, le=MAX_TIMEOUT_MS)
 
-    def check_fields(self) -> str:
+    def find_field_error(self) -> str:
         """Return why the fields contradict each other; empty if they do not."""
         if not self.idempotent and not self.key:
             return "key: required for a non-idempotent request"
--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -100,7 +100,7 @@
     entry: EntryModel | None = None
     sidecar: SidecarModel | None = None
 
-    def check_fields(self) -> str:
+    def find_field_error(self) -> str:
         """Return why the file's tables do not match the role; empty if they do."""
         if (self.role is Role.ENTRY) != (self.entry is not None):
             return "entry: this table is required for, and only for, role 'entry'"
@@ -171,6 +171,6 @@
         return Error(Failure(str(exc), step))
     except ValidationError as exc:
         return Error(Failure(format_validation_error(exc), step))
-    if reason := model.check_fields():
+    if reason := model.find_field_error():
         return Error(Failure(reason, step))
     return Ok(model.to_config())
--- a/kingcuppost/models/tests/test_caller.py
+++ b/kingcuppost/models/tests/test_caller.py
@@ -21,5 +21,5 @@
     ],
 )
 def test_contradictory_fields_are_refused(fields: dict, reason: str) -> None:
-    assert RequestModel(**BASE, **fields).check_fields().startswith(reason)
-    assert bool(RequestModel(**BASE, **fields).check_fields()) == bool(reason)
+    assert RequestModel(**BASE, **fields).find_field_error().startswith(reason)
+    assert bool(RequestModel(**BASE, **fields).find_field_error()) == bool(reason)
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -20,7 +20,7 @@
 from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.utils.clock import ManualClock
 
-RECORDS_PER_READ = 500
+MAX_RECORDS_PER_READ = 500
 LOCALHOST = Address("127.0.0.1", 1)
 
 
@@ -43,7 +43,7 @@
         del self.texts[:drop]
         self.first += drop
 
-    def read(self, read: ReadLog, limit: int = RECORDS_PER_READ) -> ReadAnswered:
+    def read(self, read: ReadLog, limit: int = MAX_RECORDS_PER_READ) -> ReadAnswered:
         start = max(read.after + 1, self.first)
         texts = self.texts[start - self.first :][:limit]
         records = []
--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -8,7 +8,7 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 
 from kingcuppost.batch.models import sync
-from kingcuppost.edges.routes import Call, find_route, routes
+from kingcuppost.edges.routes import RouteRequest, find_route, routes
 from kingcuppost.models.base import encode
 from kingcuppost.tests.format_files import list_package_classes, read_lines, to_values
 
@@ -78,8 +78,8 @@
     surface: str, method: str, path: str, body: str, values: list
 ) -> None:
     route, names = find_route(surface, method, path)
-    call = Call("exchange", names, QUERY, body.encode(), "peer")
-    assert to_values(route.parse(call).ok) == values
+    request = RouteRequest("exchange", names, QUERY, body.encode(), "peer")
+    assert to_values(route.parse(request).ok) == values
 
 
 def test_each_route_with_input_has_a_stored_message() -> None:
