Say in a class name that the view is of orders to a worker

WorkerView holds the schedule and state of a sidecar's orders to its worker, not a view of the worker, nor one of the operators' views. It is WorkerOrderView, and the world's attribute worker_order_view.

--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -59,7 +59,7 @@
 @system(Phase.ACT, roles=(Role.SIDECAR,), order=10)
 def report_to_leaders(world: World, now_ms: int) -> None:
     """Report members to their leaders, with one message for each leader."""
-    if now_ms < world.worker_view.next_report_ms:
+    if now_ms < world.worker_order_view.next_report_ms:
         return
     pairs = _released_tasks(world)
     if not pairs:
@@ -69,8 +69,8 @@
         report = _make_aged_report(world, task, now_ms)
         by_leader[gang.placements[0].worker].append(report)
     period_ms = min(_report_period_ms(world, gang) for gang, _ in pairs)
-    world.worker_view.next_report_ms = now_ms + period_ms
-    world.deadlines.add(world.worker_view.next_report_ms)
+    world.worker_order_view.next_report_ms = now_ms + period_ms
+    world.deadlines.add(world.worker_order_view.next_report_ms)
     for leader, reports in by_leader.items():
         _send_reports(world, leader, tuple(reports), period_ms, now_ms)
 
@@ -84,7 +84,7 @@
     if task.state is not TaskState.RUNNING:
         return report
     return replace(
-        report, age_ms=max(now_ms - world.worker_view.last_confirmed_order_ms, 0)
+        report, age_ms=max(now_ms - world.worker_order_view.last_confirmed_order_ms, 0)
     )
 
 
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -40,9 +40,9 @@
     left out. Only one renewal is pending at a time, so that no delayed renewal
     overrides a later one.
     """
-    if not world.log_view.caught_up or world.worker_view.renewal is not None:
+    if not world.log_view.caught_up or world.worker_order_view.renewal is not None:
         return
-    if now_ms < world.worker_view.next_renewal_ms and not _is_reservation_due(
+    if now_ms < world.worker_order_view.next_renewal_ms and not _is_reservation_due(
         world, now_ms
     ):
         return
@@ -50,12 +50,12 @@
         task for state in LEASED_STATES for task in world.tasks.find("state", state)
     ]
     stopping = world.tasks.count("state", TaskState.STOPPING)
-    if world.worker_view.adopted and not leased and not stopping:
+    if world.worker_order_view.adopted and not leased and not stopping:
         return
-    world.worker_view.next_renewal_ms = now_ms + _renewal_period_ms(world, leased)
-    world.deadlines.add(world.worker_view.next_renewal_ms)
+    world.worker_order_view.next_renewal_ms = now_ms + _renewal_period_ms(world, leased)
+    world.deadlines.add(world.worker_order_view.next_renewal_ms)
     leases = _leases_to_renew(world, leased, now_ms)
-    world.worker_view.renewal = Renewal(
+    world.worker_order_view.renewal = Renewal(
         now_ms, frozenset(lease.task_id for lease in leases)
     )
     timeout_ms = min(order_timeout_ms(world), reservation_ms(world))
@@ -172,8 +172,8 @@
     if answer.ok and gang is not None:
         # The lease began when the start order was sent.
         sent_ms = task.lease_expiry_ms - lease_ms(world, gang)
-        world.worker_view.last_confirmed_order_ms = max(
-            world.worker_view.last_confirmed_order_ms, sent_ms
+        world.worker_order_view.last_confirmed_order_ms = max(
+            world.worker_order_view.last_confirmed_order_ms, sent_ms
         )
         world.tasks.update(task.task_id, state=TaskState.RUNNING)
     else:
@@ -198,13 +198,13 @@
     Tasks that were renewed and are not listed have been lost by the worker. If the
     renewal failed, its reservations are stopped.
     """
-    renewal = world.worker_view.renewal or Renewal(now_ms, frozenset())
-    world.worker_view.renewal = None
+    renewal = world.worker_order_view.renewal or Renewal(now_ms, frozenset())
+    world.worker_order_view.renewal = None
     if not answer.ok:
         _stop_reservations(world, renewal, now_ms)
         return
-    world.worker_view.last_confirmed_order_ms = max(
-        world.worker_view.last_confirmed_order_ms, renewal.sent_ms
+    world.worker_order_view.last_confirmed_order_ms = max(
+        world.worker_order_view.last_confirmed_order_ms, renewal.sent_ms
     )
     listed_by_id = {listed_task.task_id: listed_task for listed_task in answer.tasks}
     for listed_task in answer.tasks:
@@ -218,7 +218,7 @@
         if task_id not in listed_by_id and task is not None:
             _mark_lost(world, task)
     _extend_reservations(world, renewal)
-    world.worker_view.adopted = True
+    world.worker_order_view.adopted = True
 
 
 def _stop_reservations(world: World, renewal: Renewal, now_ms: int) -> None:
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -78,7 +78,7 @@
         ended_ms = _worker_end_ms(world, task)
         if now_ms < ended_ms:
             world.deadlines.add(ended_ms)
-        elif world.worker_view.last_confirmed_order_ms <= task.lease_expiry_ms:
+        elif world.worker_order_view.last_confirmed_order_ms <= task.lease_expiry_ms:
             world.tasks.update(task.task_id, state=TaskState.STOPPED)
             note(
                 world,
--- a/kingcuppost/systems/members/tasks.py
+++ b/kingcuppost/systems/members/tasks.py
@@ -27,7 +27,7 @@
     This waits until the log has been read to its head and the tasks of an earlier
     sidecar process have been adopted from the worker.
     """
-    if not world.log_view.caught_up or not world.worker_view.adopted:
+    if not world.log_view.caught_up or not world.worker_order_view.adopted:
         return
     for key in world.agreed.gangs.take_changes("members"):
         gang = world.agreed.gangs.get(key)
@@ -110,8 +110,8 @@
 def _is_renewal_pending(world: World, task: MemberTask) -> bool:
     """Return whether a pending renewal may still extend the reservation."""
     return (
-        world.worker_view.renewal is not None
-        and task.task_id in world.worker_view.renewal.task_ids
+        world.worker_order_view.renewal is not None
+        and task.task_id in world.worker_order_view.renewal.task_ids
     )
 
 
--- a/kingcuppost/tables/gang_view.py
+++ b/kingcuppost/tables/gang_view.py
@@ -6,11 +6,11 @@
 from kingcuppost.tables.key_timers import KeyTimers
 from kingcuppost.tables.task import Renewal
 
-__all__ = ["GangStage", "GangView", "WorkerView"]
+__all__ = ["GangStage", "GangView", "WorkerOrderView"]
 
 
 @dataclass(slots=True)
-class WorkerView:
+class WorkerOrderView:
     """Schedule and state of a sidecar's orders to its worker.
 
     Attributes
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -22,7 +22,7 @@
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
-from kingcuppost.tables.gang_view import GangView, WorkerView
+from kingcuppost.tables.gang_view import GangView, WorkerOrderView
 from kingcuppost.tables.heartbeat import HeartbeatView, PendingHeartbeat, ReplyCache
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, Job
@@ -141,7 +141,7 @@
         Finished attempts among `served_attempts`, in the order of eviction.
     pending_heartbeats : Table of PendingHeartbeat
         Heartbeats that entries have not answered yet.
-    heartbeat_view, worker_view : HeartbeatView, WorkerView
+    heartbeat_view, worker_order_view : HeartbeatView, WorkerOrderView
         Schedules of a sidecar's heartbeats and of its orders to the worker.
     gang_view : GangView
         Progress of gangs as the scheduler tracks it.
@@ -208,7 +208,7 @@
         default_factory=lambda: Table("entry")
     )
     heartbeat_view: HeartbeatView = field(default_factory=HeartbeatView)
-    worker_view: WorkerView = field(default_factory=WorkerView)
+    worker_order_view: WorkerOrderView = field(default_factory=WorkerOrderView)
     gang_view: GangView = field(default_factory=GangView)
     tasks: Table[MemberTask] = field(
         default_factory=lambda: Table("task_id", ("state", "job"))
