Name masks of cells as masks

Candidate.cell and WorkerAllocation.cells hold masks of accelerators, while Placement.cell, which is stored and stays, holds the size of a cell. They are cell_mask and cell_masks now.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -64,12 +64,12 @@
     for placement in reservation.placements:
         previous = by_worker.get(placement.worker, NO_ALLOCATION)
         cell = cell_mask(placement)
-        cells = (*previous.cells, cell) if cell else previous.cells
+        cell_masks = (*previous.cell_masks, cell) if cell else previous.cell_masks
         reserved = previous.reserved | accelerator_mask(placement)
         cores = previous.cores + job.cores if reservation.guaranteed else 0
         memory_mb = previous.memory_mb + job.memory_mb if reservation.guaranteed else 0
         by_worker[placement.worker] = WorkerAllocation(
-            0, reserved, cells, cores, memory_mb
+            0, reserved, cell_masks, cores, memory_mb
         )
     world.scheduling.advance_reservations.put(reservation)
     put_allocation(
--- a/kingcuppost/systems/jobs/occupancy.py
+++ b/kingcuppost/systems/jobs/occupancy.py
@@ -209,7 +209,7 @@
         by_worker[placement.worker] = WorkerAllocation(
             previous.busy | accelerator_mask(placement),
             0,
-            (*previous.cells, cell) if cell else previous.cells,
+            (*previous.cell_masks, cell) if cell else previous.cell_masks,
             previous.cores + job.cores,
             previous.memory_mb + job.memory_mb,
         )
@@ -223,7 +223,7 @@
     share = _share_of(scheduling, allocation.team)
     share.used += allocation.accelerators
     for name, worker_allocation in allocation.by_worker.items():
-        for cell in worker_allocation.cells:
+        for cell in worker_allocation.cell_masks:
             bound_cell = (name, cell)
             share.cells[bound_cell] = share.cells.get(bound_cell, 0) + 1
         capacity = scheduling.workers.get(name)
@@ -241,7 +241,7 @@
     share = _share_of(scheduling, allocation.team)
     share.used -= allocation.accelerators
     for name, worker_allocation in allocation.by_worker.items():
-        for cell in worker_allocation.cells:
+        for cell in worker_allocation.cell_masks:
             _unbind(share, (name, cell))
         capacity = scheduling.workers.get(name)
         if capacity is not None:
@@ -264,9 +264,9 @@
         reserved |= worker_allocation.reserved
         cores += worker_allocation.cores
         memory_mb += worker_allocation.memory_mb
-        if worker_allocation.cells:
+        if worker_allocation.cell_masks:
             pinned |= worker_allocation.busy | worker_allocation.reserved
-            for cell in worker_allocation.cells:
+            for cell in worker_allocation.cell_masks:
                 bound |= cell
     free = capacity.full_mask & ~(busy | reserved)
     unbound = capacity.full_mask & ~bound
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -54,7 +54,7 @@
         The worker.
     block : int
         Mask of the accelerators; 0 for a member that needs none.
-    cell : int
+    cell_mask : int
         Mask of the guaranteed cell that contains the block; 0 for a borrower.
     bound : bool
         Whether the cell is bound to the team already.
@@ -66,7 +66,7 @@
 
     worker: WorkerCapacity
     block: int
-    cell: int = 0
+    cell_mask: int = 0
     bound: bool = True
     victims: frozenset[str] = frozenset()
     cost: float = 0.0
@@ -202,7 +202,7 @@
             accelerator_numbers(candidate.block, job.accelerators)
             if candidate.block
             else (),
-            candidate.cell.bit_count(),
+            candidate.cell_mask.bit_count(),
         )
         for candidate in chosen
     )
@@ -398,12 +398,12 @@
         if taken.get(name, 0) & candidate.block:
             continue
         bound_cells = cells.setdefault(name, [])
-        if not candidate.bound and candidate.cell not in bound_cells:
-            if any(candidate.cell & other for other in bound_cells):
+        if not candidate.bound and candidate.cell_mask not in bound_cells:
+            if any(candidate.cell_mask & other for other in bound_cells):
                 continue
             if not _bind(candidate, bound_cells, unused, blocks, demand, missing):
                 continue
-            bound_cells.append(candidate.cell)
+            bound_cells.append(candidate.cell_mask)
         taken[name] = taken.get(name, 0) | candidate.block
         chosen.append(candidate)
         if len(chosen) == job.members:
@@ -423,7 +423,7 @@
 
     The counts are changed in place. Returns whether the cell was bound.
     """
-    cell_class = class_of(candidate.cell.bit_count())
+    cell_class = class_of(candidate.cell_mask.bit_count())
     if not unused[cell_class]:
         return False
     unbound = candidate.worker.full_mask & ~candidate.worker.bound
@@ -432,7 +432,9 @@
     trial_blocks = list(blocks)
     trial_demand = list(demand)
     split_block(
-        trial_blocks, _enclosing_class(unbound, candidate.cell, cell_class), cell_class
+        trial_blocks,
+        _enclosing_class(unbound, candidate.cell_mask, cell_class),
+        cell_class,
     )
     trial_demand[cell_class] -= 1
     if count_shortfall(trial_blocks, trial_demand) > missing:
--- a/kingcuppost/tables/scheduling.py
+++ b/kingcuppost/tables/scheduling.py
@@ -38,7 +38,7 @@
         Mask of the accelerators allocated to tasks.
     reserved : int
         Mask of the accelerators kept free for a waiting job.
-    cells : tuple of int
+    cell_masks : tuple of int
         Masks of the guaranteed cells that the accelerators are part of.
     cores, memory_mb : int
         Cores and memory allocated.
@@ -46,7 +46,7 @@
 
     busy: int = 0
     reserved: int = 0
-    cells: tuple[int, ...] = ()
+    cell_masks: tuple[int, ...] = ()
     cores: int = 0
     memory_mb: int = 0
 
