Correct two texts about offsets and steps

settings_offset was described as the offset up to which settings were applied. Both places that make a Decision store the folded offset of the deciding process, so the last folded record may be of any kind. The example step gang.release does not exist; the example is gang.broken.

--- a/kingcuppost/systems/events.py
+++ b/kingcuppost/systems/events.py
@@ -38,7 +38,7 @@
     world : World
         Tables of the process.
     step : str
-        Step that the process took, such as ``"gang.release"``; the part before the
+        Step that the process took, such as ``"gang.broken"``; the part before the
         dot is the prefix of the log line.
     text : str
         Description in one short sentence.
--- a/kingcuppost/tables/job.py
+++ b/kingcuppost/tables/job.py
@@ -117,7 +117,8 @@
     policy : str
         Name of the policy that made the choice.
     settings_offset : int
-        Log offset up to which settings were applied.
+        Offset of the last log record of any kind that the deciding process had
+        folded; the settings are those in force after it.
     values : tuple of EffectiveValue
         Settings that the decision used.
     refused : tuple of RefusedAlternative
