--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -88,9 +88,7 @@
     if call.kind is CallKind.STATE and not job_id:
         return _make_waiting_count_reply(world, call, queue)
     if not is_job_id(job_id):
-        return CallReply(
-            call.exchange_id, CallOutcome.BAD, reason="invalid job identifier"
-        )
+        return CallReply(call.exchange_id, CallOutcome.BAD, reason="no such identifier")
     if call.kind is CallKind.SUBMIT:
         return _submit_job(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -45,11 +45,7 @@
         method = request.method.decode("ascii", "replace")
         found = find_route(self._surface, method, path)
         if found is None:
-            return _refuse(
-                request,
-                STATUS_NOT_FOUND,
-                f"no route for this method and path: {path}",
-            )
+            return _refuse(request, STATUS_NOT_FOUND, f"there is no {path}")
         body = request.content.read()
         route, path_parameters = found
         if route.direct is not None:
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -109,10 +109,10 @@
         return Error(format_validation_error(exc))
     for part in (model, *model.steps):
         if part.occurrences or getattr(part, "lasts", False):
-            return Error("repeatCount and longRunning are not supported")
+            return Error("occurrences and lasting tasks are not served")
     for index, step in enumerate(model.steps):
         if any(needed >= index for needed in step.needs):
-            return Error(f"steps.{index}.dependsOn: must name only earlier steps")
+            return Error(f"steps.{index}.dependsOn: names no earlier step")
     return Ok(SubmittedJob(model.spec, tuple(_make_step(step) for step in model.steps)))
 
 
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -154,9 +154,7 @@
             headers,
         )
         if response.status == STATUS_BAD_GATEWAY:
-            raise PeerError(
-                "the relay got no answer from the store", "exchange", str(relay_address)
-            )
+            raise PeerError("the relay has no answer", "exchange", str(relay_address))
         return StoreReply(response.status, response.body)
 
     async def call_directly(
--- a/kingcuppost/systems/agreement/propose.py
+++ b/kingcuppost/systems/agreement/propose.py
@@ -192,7 +192,7 @@
     """
     world.proposals.delete(proposal.record_id)
     if proposal.appends == 0:
-        reason = "the log did not accept the record in time"
+        reason = "the log did not take it in time"
         _refuse_change(world, proposal.exchange_id, STATUS_UNAVAILABLE, reason)
         return
     note(world, "log.unknown", f"Record {proposal.record_id} was not confirmed.")
