Name a limit of pauses, and the status of an answer

MAX_DOUBLINGS did not say what doubles: it is MAX_PAUSE_DOUBLINGS. The leader's answer to reports had the bare status 200, which has a name elsewhere: it is STATUS_OK here too.

--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -17,7 +17,7 @@
 
 STEP_QUARANTINE = "worker.aside"
 STEP_PAUSE = "worker.avoid"
-MAX_DOUBLINGS = 6  # a pause lasts at most 2**6 times `worker.pause_ms`
+MAX_PAUSE_DOUBLINGS = 6  # a pause lasts at most 2**6 times `worker.pause_ms`
 
 
 @system(Phase.DECIDE, roles=(Role.ENTRY,), order=20)
@@ -53,7 +53,7 @@
     """
     faults = world.scheduling.faults.get(worker) or WorkerFaults(worker)
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
-    faults.resume_ms = now_ms + (pause_ms << min(faults.refusals, MAX_DOUBLINGS))
+    faults.resume_ms = now_ms + (pause_ms << min(faults.refusals, MAX_PAUSE_DOUBLINGS))
     faults.refusals += 1
     faults.paused = True
     world.scheduling.faults.put(faults)
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -33,6 +33,7 @@
     "report_to_leaders",
 ]
 
+STATUS_OK = 200
 HEALTHY_STATES = (TaskState.RUNNING, TaskState.FINISHED)
 UNHEALTHY_STATES = (TaskState.FAILED, TaskState.STOPPING, TaskState.STOPPED)
 REPORTS_PER_CONFIRMATION = 3
@@ -127,7 +128,7 @@
     """Record members' reports, and answer which gangs are whole or broken."""
     for message in world.inbox.take(GangReportArrived):
         reply = _record_reports(world, message.reports, now_ms)
-        world.outbox.put(Reply(message.exchange_id, 200, reply))
+        world.outbox.put(Reply(message.exchange_id, STATUS_OK, reply))
 
 
 def _record_reports(
