--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -73,7 +73,7 @@
     view = world.log_view
     for stored in answer.records:
         _fold_record(world, stored)
-    view.folded_offset = max(view.folded_offset, answer.end)
+    view.folded_offset = max(view.folded_offset, answer.end_offset)
     _update_head(world, answer, read.sent_ms, now_ms)
 
 
@@ -110,7 +110,7 @@
         view.barrier_ms = -1
     if not view.caught_up:
         view.caught_up = True
-        view.searched = False
+        view.search_ended = False
         world.snapshot_progress.wall_ms = (
             world.snapshot_progress.wall_ms or world.clock.wall_ms()
         )
--- a/kingcuppost/systems/agreement/tests/fake_log.py
+++ b/kingcuppost/systems/agreement/tests/fake_log.py
@@ -20,7 +20,7 @@
 from kingcuppost.tables.record import Record, RecordBody
 from kingcuppost.utils.clock import ManualClock
 
-RECORDS_PER_READ = 500
+MAX_RECORDS_PER_READ = 500
 LOCALHOST = Address("127.0.0.1", 1)
 
 
@@ -43,15 +43,15 @@
         del self.texts[:drop]
         self.first += drop
 
-    def read(self, read: ReadLog, limit: int = RECORDS_PER_READ) -> ReadAnswered:
+    def read(self, read: ReadLog, limit: int = MAX_RECORDS_PER_READ) -> ReadAnswered:
         start = max(read.after + 1, self.first)
         texts = self.texts[start - self.first :][:limit]
         records = []
         for index, text in enumerate(texts):
             records.append(StoredRecord(start + index, decode_log_record(text)))
-        end = records[-1].offset if records else 0
+        end_offset = records[-1].offset if records else 0
         return ReadAnswered(
-            read.read_id, True, tuple(records), self.head, self.first, end
+            read.read_id, True, tuple(records), self.head, self.first, end_offset
         )
 
     def kinds(self) -> list[str]:
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -22,7 +22,7 @@
 from kingcuppost.tables.event import Event
 from kingcuppost.tables.fair_queue import FairQueue
 from kingcuppost.tables.fleet import AvailabilityZone, Entry, Minion, Worker
-from kingcuppost.tables.gang_view import GangView, WorkerView
+from kingcuppost.tables.gang_view import GangView, WorkerOrderView
 from kingcuppost.tables.heartbeat import HeartbeatView, PendingHeartbeat, ReplyCache
 from kingcuppost.tables.identity import Identity
 from kingcuppost.tables.job import Gang, Job
@@ -40,7 +40,7 @@
 from kingcuppost.tables.scheduling import SchedulingState
 from kingcuppost.tables.setting import Setting
 from kingcuppost.tables.table import Table
-from kingcuppost.tables.task import GangMonitor, MemberTask, Reservation
+from kingcuppost.tables.task import GangMonitor, MemberStatus, MemberTask
 from kingcuppost.tables.team import Team
 from kingcuppost.utils.clock import Clock
 
@@ -141,7 +141,7 @@
         Finished attempts among `served_attempts`, in the order of eviction.
     pending_heartbeats : Table of PendingHeartbeat
         Heartbeats that entries have not answered yet.
-    heartbeat_view, worker_view : HeartbeatView, WorkerView
+    heartbeat_view, worker_order_view : HeartbeatView, WorkerOrderView
         Schedules of a sidecar's heartbeats and of its orders to the worker.
     gang_view : GangView
         Progress of gangs as the scheduler tracks it.
@@ -149,7 +149,7 @@
         Tasks of gang members at a sidecar.
     gang_monitors : Table of GangMonitor
         Monitors of the gangs whose leader a sidecar is.
-    reservations : Table of Reservation
+    member_statuses : Table of MemberStatus
         Gang members as their sidecars last reported them to the scheduler.
     events : deque of Event
         The newest events of the process.
@@ -208,13 +208,13 @@
         default_factory=lambda: Table("entry")
     )
     heartbeat_view: HeartbeatView = field(default_factory=HeartbeatView)
-    worker_view: WorkerView = field(default_factory=WorkerView)
+    worker_order_view: WorkerOrderView = field(default_factory=WorkerOrderView)
     gang_view: GangView = field(default_factory=GangView)
     tasks: Table[MemberTask] = field(
         default_factory=lambda: Table("task_id", ("state", "job"))
     )
     gang_monitors: Table[GangMonitor] = field(default_factory=lambda: Table("key"))
-    reservations: Table[Reservation] = field(
+    member_statuses: Table[MemberStatus] = field(
         default_factory=lambda: Table("member_id", ("key",))
     )
     events: deque[Event] = field(default_factory=lambda: deque(maxlen=MAX_EVENTS))
