--- a/kingcuppost/systems/agreement/tests/test_snapshots.py
+++ b/kingcuppost/systems/agreement/tests/test_snapshots.py
@@ -229,7 +229,7 @@
     holder.tick()
     log.append((Record("rec-design", "test", 0, TeamPut("design", (), 0, 0)),))
     holder.settle()
-    assert holder.world.snapshot_progress.covers == covers
+    assert holder.world.snapshot_progress.covered_offset == covers
     assert "design" in holder.world.agreed.teams
     return covers
 
