Name the first copy of a record, the oldest append and a histogram

`known`, `append_ms`, `newest` and `row` did not say which record, append, key or histogram they hold. Local names and parameters only.

--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -134,9 +134,11 @@
     if isinstance(stored.record.body, SnapshotPart):
         track_snapshot_part(world, stored)
         return
-    known = world.agreed.recent.get(stored.record.record_id)
-    if known is not None:
-        fold_result = FoldResult(known.accepted, known.offset, known.reason)
+    first_copy = world.agreed.recent.get(stored.record.record_id)
+    if first_copy is not None:
+        fold_result = FoldResult(
+            first_copy.accepted, first_copy.offset, first_copy.reason
+        )
     else:
         rejection = apply_record(world.agreed, FoldInput(stored.offset, stored.record))
         reason = rejection.reason if rejection else ""
@@ -150,13 +152,13 @@
     if stored.record.record_id in world.proposals:
         world.fold_results[stored.record.record_id] = fold_result
     note_record(
-        world, stored.record, stored.offset, _rejection_text(fold_result, known)
+        world, stored.record, stored.offset, _rejection_text(fold_result, first_copy)
     )
 
 
-def _rejection_text(fold_result: FoldResult, known: RecentRecord | None) -> str:
-    if known is not None:
-        return f"a repeat of offset {known.offset}"
+def _rejection_text(fold_result: FoldResult, first_copy: RecentRecord | None) -> str:
+    if first_copy is not None:
+        return f"a repeat of offset {first_copy.offset}"
     return "" if fold_result.accepted else fold_result.reason
 
 
@@ -193,8 +195,8 @@
     if read.is_long_poll and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
         return False
     late_ms = effective_value(world.agreed, "log.late_ms")
-    append_ms = min(view.appends.values(), default=now_ms)
-    if read.sent_ms <= append_ms and append_ms + late_ms <= now_ms:
+    oldest_append_ms = min(view.appends.values(), default=now_ms)
+    if read.sent_ms <= oldest_append_ms and oldest_append_ms + late_ms <= now_ms:
         return False
     return now_ms < read.late_ms
 
--- a/kingcuppost/systems/fold/keys.py
+++ b/kingcuppost/systems/fold/keys.py
@@ -60,10 +60,10 @@
         )
 
 
-def _evict_decisions(agreed: Agreed, newest: str) -> None:
+def _evict_decisions(agreed: Agreed, newest_key: str) -> None:
     """Keep only the newest keys' decisions, since decisions are larger than claims."""
-    agreed.explained_keys.delete(newest)
-    agreed.explained_keys.put(ExplainedKey(newest))
+    agreed.explained_keys.delete(newest_key)
+    agreed.explained_keys.put(ExplainedKey(newest_key))
     while len(agreed.explained_keys) > MAX_EXPLAINED_KEYS:
         key = agreed.explained_keys.first().key
         agreed.explained_keys.delete(key)
--- a/kingcuppost/tables/metrics.py
+++ b/kingcuppost/tables/metrics.py
@@ -55,6 +55,8 @@
 
     def observe(self, name: str, duration_ms: float, *labels: str) -> None:
         """Count a duration in its histogram."""
-        row = self.durations.setdefault(name, {}).setdefault(labels, DurationCounts())
-        row.buckets[bisect_left(DURATION_BOUNDS_MS, duration_ms)] += 1
-        row.sum_ms += duration_ms
+        histogram = self.durations.setdefault(name, {}).setdefault(
+            labels, DurationCounts()
+        )
+        histogram.buckets[bisect_left(DURATION_BOUNDS_MS, duration_ms)] += 1
+        histogram.sum_ms += duration_ms
