Correct texts of the log, the fold and the tables that the code contradicts

A claim never has the outcome "not_run", since the fold deletes it; appends keep their distance only while one is pending; a hedged append also follows a failed one, not only a late one; no read is scheduled by the answer to an append; a search ends the wait for freshness only at the head; the merge puts folds before other events of one offset. A few unclear summaries are reworded.

--- a/kingcuppost/edges/log.py
+++ b/kingcuppost/edges/log.py
@@ -62,8 +62,7 @@
     def append(self, message: AppendRecords) -> None:
         """Append records and deliver the answer.
 
-        The answer only shows that another read is due; whether the records take effect
-        follows from the fold.
+        Whether the records take effect follows only from the fold, not from the answer.
         """
         client = self._client_for(message.hedge)
         record_ids = tuple(record.record_id for record in message.records)
--- a/kingcuppost/systems/agreement/announce.py
+++ b/kingcuppost/systems/agreement/announce.py
@@ -131,7 +131,10 @@
 
 
 def _is_leave_folded(world: World) -> bool:
-    """Return whether the leave notice was folded, or the process is not listed."""
+    """Return whether the leave notice need not be waited for.
+
+    It is folded or no longer proposed, or the agreed tables do not have the process.
+    """
     if world.announcement.leave_record_id not in world.proposals:
         return True
     is_entry = world.identity.role is Role.ENTRY
--- a/kingcuppost/systems/agreement/follow.py
+++ b/kingcuppost/systems/agreement/follow.py
@@ -187,9 +187,9 @@
 def _is_timely(world: World, read: PendingRead, now_ms: int) -> bool:
     """Return whether to wait for a pending read instead of sending another.
 
-    A long poll that was sent before the barrier is not waited for. Nor is a read
-    that was sent no later than an append that is now overdue: the log may be slow,
-    and the read may miss the appended record.
+    An overdue read is not waited for, nor a long poll that was sent before the barrier.
+    Nor is a read that was sent no later than an append that is now overdue: the log
+    may be slow, and the read may miss the appended record.
     """
     view = world.log_view
     if read.is_long_poll and view.barrier_ms >= 0 and read.sent_ms < view.barrier_ms:
--- a/kingcuppost/systems/agreement/sending.py
+++ b/kingcuppost/systems/agreement/sending.py
@@ -1,4 +1,4 @@
-"""Append queued records to the log in groups, repeatedly until they are folded."""
+"""Append queued records to the log in groups; resend them until they are folded."""
 
 from kingcuppost.settings import effective_value
 from kingcuppost.systems.events import note
@@ -21,8 +21,9 @@
 def send_proposals(world: World, now_ms: int) -> None:
     """Append the queued records as one group.
 
-    Up to `MAX_PENDING_APPENDS` appends may be pending, sent at least `log.group_ms`
-    apart, so that a log that answers seconds late still accepts all records.
+    Up to `MAX_PENDING_APPENDS` appends may be pending, so that a log that answers
+    seconds late still accepts all records. While any is pending, the next is sent at
+    least `log.group_ms` after the latest.
     """
     _process_append_answers(world, now_ms)
     _requeue_overdue(world, now_ms)
--- a/kingcuppost/systems/agreement/snapshot_search.py
+++ b/kingcuppost/systems/agreement/snapshot_search.py
@@ -34,7 +34,7 @@
     """Start a search for a snapshot, backwards from the head.
 
     If the next record has expired, this process is neither caught up nor fresh
-    until a snapshot is loaded.
+    until it has loaded a snapshot and read up to the head again.
     """
     view = world.log_view
     if _has_expired_records(view, answer.earliest):
@@ -117,8 +117,8 @@
 def _end_search(world: World, search: SnapshotSearch, now_ms: int) -> None:
     """End a search without a snapshot.
 
-    If no record has expired, the log is folded record by record; otherwise the next
-    read, and with it a new search, is delayed.
+    If no record that is still to be folded has expired, the log is folded record by
+    record; otherwise the next read, and with it a new search, is delayed.
     """
     view = world.log_view
     view.search = None
--- a/kingcuppost/systems/fold/fleet.py
+++ b/kingcuppost/systems/fold/fleet.py
@@ -39,7 +39,7 @@
 
 @checkers.register(MinionAnnounce)
 def check_minion(agreed: Agreed, body: MinionAnnounce) -> Rejection | None:
-    """Reject a worker that belongs to another minion."""
+    """Reject an announcement whose worker belongs to another minion."""
     worker = agreed.workers.get(body.worker)
     if worker is not None and worker.minion != body.name:
         return Rejection(f"worker {body.worker} belongs to minion {worker.minion}")
--- a/kingcuppost/systems/views/merge.py
+++ b/kingcuppost/systems/views/merge.py
@@ -4,7 +4,8 @@
 sequence; an event follows the one that sent the message or record that it received;
 and records are folded in log order, so that an event recorded at a log offset follows
 the record at that offset. Among the events that these rules allow next, the one with
-the lowest log offset goes first, and the earlier clock time breaks ties.
+the lowest log offset goes first; at one offset, folds go before other events, and the
+earlier clock time breaks ties.
 """
 
 import heapq
--- a/kingcuppost/tables/agreed_rows.py
+++ b/kingcuppost/tables/agreed_rows.py
@@ -68,7 +68,8 @@
     offset, wall_ms : int
         Log offset and wall time of the claim.
     outcome : str
-        ``"answered"``, ``"not_run"`` or empty while unknown.
+        ``"answered"``, or empty while unknown; the claim of a request that did not
+        run is deleted.
     issued_ms : int
         When the caller created the key, Unix ms; 0 if not given.
     decision : Decision or None
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -212,8 +212,8 @@
     term : int
         Scheduling term that the other attributes belong to.
     last_answered_ping_ms : int
-        Sending time of the latest ping of which the holder's answer counted; before
-        any in this term, the time at which this process first observed the term.
+        Sending time of the latest ping whose answer from the holder was accepted;
+        before any in this term, the time at which this process first observed the term.
     next_ping_ms : int
         Earliest time of the next ping.
     jitter : float
--- a/kingcuppost/tables/outbox.py
+++ b/kingcuppost/tables/outbox.py
@@ -64,8 +64,8 @@
 class AppendRecords:
     """Append records to the log, all or none.
 
-    With `hedge`, this is a hedged request: an earlier append is late, so this one is
-    sent on a new connection.
+    With `hedge`, this is a hedged request: one of the records was sent before and is
+    not folded yet, so this append is sent on a new connection.
     """
 
     records: tuple[Record, ...]
--- a/kingcuppost/tables/record.py
+++ b/kingcuppost/tables/record.py
@@ -130,7 +130,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSubmit:
-    """Accept a job."""
+    """Create a job in the waiting state."""
 
     job: str
     team: str
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -51,7 +51,7 @@
 
 @dataclass
 class Agreed:
-    """State that follows from the log; equal in all processes that have read as far.
+    """State that follows from the log; equal in processes with the same folded offset.
 
     Only the fold writes these tables.
     """
