Make texts of batch systems and the platform say what the code does

Several texts left out a case or named the wrong thing: a redirect that names its sender, the order of racks for urgent units, term -1 of a holder without authority, the removal of a minion that has left, a lease end that may be None. Others had a pronoun without a noun or lacked the unit of a time. They are corrected; no name and no message changes.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -44,7 +44,7 @@
     Attributes
     ----------
     now_ms, wall_ms : int
-        Current time by the monotonic clock and as Unix time.
+        Current time by the monotonic clock, and as Unix time in ms.
     restore_ms : int
         Time that resuming from a checkpoint takes.
     """
@@ -116,6 +116,10 @@
     guaranteed_ids: set[str],
     times: DecisionTimes,
 ) -> None:
+    """Subtract a run from the free capacity of its minion, and add it to the victims.
+
+    Runs of rank 0 and runs that are being stopped are not victims.
+    """
     step = plan.job.steps[task.name.step]
     subtract_tasks(candidate.free_now, step)
     ends_soon = _ends_soon(candidate.minion, plan, task, times.now_ms)
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -35,7 +35,7 @@
 
 RENEW_PERIOD_MS = 700
 HOLDER_TIMEOUT_MS = 2_200
-AUTHORITY_MS = 2_000  # ends before others claim after `HOLDER_TIMEOUT_MS`
+AUTHORITY_MS = 2_000  # below `HOLDER_TIMEOUT_MS`: ends before others claim
 RENEW_RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -21,7 +21,7 @@
     task : Task
         The task whose run would be stopped.
     wall_ms : int
-        Current Unix time.
+        Current Unix time, in ms.
     restore_ms : int
         Time that resuming from a checkpoint takes.
     """
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -82,7 +82,7 @@
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
 def send_run_orders(world: BatchWorld, now_ms: int) -> None:
-    """Send starts and stops to the minion; resend those without a clear answer."""
+    """Send starts and stops to the minion; resend those without a final answer."""
     sidecar_state = world.sidecar_state
     if sidecar_state.minion is None:
         return
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class Victim:
-    """A run that may be preempted by a more urgent step.
+    """A run that may be preempted for a more urgent placement unit.
 
     Attributes
     ----------
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -76,7 +76,7 @@
 
 
 def _make_speed_records(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
-    """Return a record of all known speeds if one is due, else nothing."""
+    """Return a list with the record of all known speeds if it is due, else empty."""
     schedule = world.schedule
     if not schedule.speeds_changed or now_ms < schedule.write_speeds_at_ms:
         return []
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 
 __all__ = ["schedule_units"]
 
-URGENT_RETRY_MS = 1_000  # needed since the progress of runs requests no decision
+URGENT_RETRY_MS = 1_000  # the progress of runs alone triggers no decision
 MS_PER_SECOND = 1_000
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -74,9 +74,9 @@
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
     A faulty minion must not use up the attempts of a task only because the other
-    minions are full. The unit therefore waits for the others until the
-    `avoid_until_ms` of its tasks has passed, provided that it would fit there if they
-    were idle.
+    minions are full. The unit therefore waits for the other minions until the
+    `avoid_until_ms` of its tasks has passed, provided that it would fit on them if
+    they were idle.
     """
     allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
@@ -216,8 +216,9 @@
 def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
     """Return the sort key of a rack.
 
-    For urgent units the rack with the fastest minions comes first, for others the
-    fullest.
+    For urgent units, racks where all tasks fit at once come first, ordered by the
+    speed of the slowest minion that the unit would use. For other units the fullest
+    rack comes first.
     """
     free = sum(candidate.free_now.accelerators for candidate in rack)
     if not unit.is_urgent:
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -63,7 +63,10 @@
 
 
 def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
-    """Reset the state of the minion, but not that of the scheduler."""
+    """Reset the state of the minion and its runs.
+
+    The state of the contact with the scheduler is kept.
+    """
     sidecar_state = world.sidecar_state
     world.sidecar_state = SidecarState(
         term=sidecar_state.term,
@@ -154,8 +157,8 @@
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
     """Update the running runs from the minion's lists.
 
-    A run that appears in no list requested after the minion accepted its stop never
-    began, and is reported as refused.
+    A run that is missing from lists that were requested after the minion accepted its
+    stop never began, and is reported as refused.
     """
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
@@ -287,10 +290,10 @@
 
 
 def _follow_redirect(world: BatchWorld, answer: SyncAnswered, now_ms: int) -> None:
-    """Send the next report to the holder that a reply contains.
+    """Send the next report to the holder that a reply names.
 
-    If it contains none, or that entry has just failed to answer, the next entry of the
-    list is tried.
+    If the reply names no holder, its own sender, or an entry that has just failed to
+    answer, the next entry of the list is tried.
     """
     sidecar_state = world.sidecar_state
     redirect = answer.reply.holder
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -61,7 +61,11 @@
 
 
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
-    """Update the reported minion and its runs; ignore an earlier incarnation."""
+    """Update a reported minion and its runs, or remove a minion that has left.
+
+    The runs of a minion that has left end once its lease has expired. Reports of an
+    earlier incarnation are ignored.
+    """
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
@@ -86,7 +90,10 @@
 def _end_earlier_incarnations(
     world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
 ) -> None:
-    """End the runs of earlier incarnations of the minion beside a sidecar."""
+    """End the runs of earlier incarnations of the minion beside a sidecar.
+
+    Also records the sidecar of the present incarnation.
+    """
     incarnation_sidecars = world.schedule.incarnation_sidecars
     for earlier, earlier_sidecar in list(incarnation_sidecars.items()):
         if earlier_sidecar == sidecar and earlier.born_ms < incarnation.born_ms:
@@ -201,7 +208,7 @@
 def _find_current_run(
     world: BatchWorld, incarnation: MinionIncarnation, name: TaskName, run: int
 ) -> tuple[Plan, Task] | None:
-    """Return the task whose current run this is, or None."""
+    """Return the task whose current run this is, with its plan, or None."""
     found = find_task(world, name)
     if found is None:
         return None
@@ -235,7 +242,7 @@
 
 
 def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
-    """Return whether another member has already reported the end of the gang's run."""
+    """Return whether another member has already reported the gang's run as done."""
     found = find_task(world, running.task)
     if found is None:
         return False
@@ -277,7 +284,10 @@
 
 
 def _find_lost_run(world: BatchWorld, ended: EndedRun) -> tuple[Plan, Task] | None:
-    """Return the waiting task of a run that counted as lost but is done, or None."""
+    """Return the waiting task of a run that counted as lost but is done, or None.
+
+    The task is returned with its plan.
+    """
     found = find_task(world, ended.task)
     if found is None:
         return None
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -14,7 +14,7 @@
 MIN_SAMPLE_SPEED = 0.2
 MAX_SAMPLE_SPEED = 2.0
 FULL_PERCENT = 100
-MIN_SPEED = 0.05
+MIN_SPEED = 0.05  # smallest speed that is used as a divisor
 
 
 def update_speed(world: BatchWorld, minion: MinionRow, plan: Plan, task: Task) -> None:
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -25,7 +25,8 @@
 def certain_expiry_ms(lease_ms: int) -> int:
     """Return the time after a report by which a minion lease has expired, in ms.
 
-    It holds even if the minion's clock runs slow by `MAX_CLOCK_DRIFT_RATIO`.
+    The lease has expired by then even if the minion's clock is slower than this
+    process's clock by the factor `MAX_CLOCK_DRIFT_RATIO`.
     """
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class PlacementUnit:
-    """Tasks that are placed together: a gang, or the waiting tasks of a step.
+    """Tasks that are scheduled together: a gang, or waiting tasks of a step.
 
     Attributes
     ----------
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -146,7 +146,7 @@
     stream : Stream
         Stream of the records.
     records : list of tuple of int and Record
-        Offset and record of each.
+        Records with their offsets.
     sent_ms : int
         Time at which the read was sent; the records are at least as recent.
     end : int
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -136,7 +136,7 @@
     exchange_id : str
         Identifier of the open HTTP exchange.
     term : int
-        Term of the holder; -1 if this process does not hold the lease.
+        Term of the holder; -1 if the sender of the reply may not give orders.
     holder : Address or None
         Address of the holder, if it is another process.
     incarnation : MinionIncarnation or None
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -137,7 +137,7 @@
 
 @dataclass(slots=True)
 class PendingSync:
-    """A sidecar's report whose answer is delayed until there is something to tell.
+    """A sidecar's report whose answer is delayed until there are orders or results.
 
     Attributes
     ----------
@@ -218,7 +218,7 @@
         Job and plan version that must be in the log before an end is acknowledged, by
         sidecar and number of the end.
     changed_jobs : dict of str to None
-        Jobs that were added, cancelled or removed but not planned again yet.
+        Jobs that were added, cancelled or removed, whose plans are not updated yet.
     append_results : list of AppendEnded
         Answers to all appends except those of calls, until they are handled.
     speeds : dict of str to Speed
@@ -228,7 +228,7 @@
     write_speeds_at_ms : int
         Earliest time of the next record of speeds.
     decide_at_ms : int
-        Time of the next decisions even if nothing has changed.
+        Time of the next decision even if nothing has changed.
     inputs_changed : bool
         Whether something has changed that decisions depend on.
     """
@@ -317,9 +317,9 @@
         Whether the minion's runs were read in its present incarnation.
     minion_clock_ms, minion_clock_received_ms : int or None, int
         A reading of the minion's clock, and the local time at which it was received.
-    lease_until_ms : int
-        End of the lease that the scheduler's last answer allows, on the minion's
-        clock.
+    lease_until_ms : int or None
+        End of the minion lease as the scheduler's answers allow it, on the minion's
+        clock; None before the first extension.
     is_hold_open : bool
         Whether a `HoldMinion` request is not answered yet.
     hold_after_ms : int
@@ -328,7 +328,7 @@
         Whether the newest `HoldMinion` request failed.
     acknowledged_end : int
         Number up to which the reported ends are in the log.
-    running, refused : dict of tuple of str and int to row
+    running, refused : dict of tuple of str and int to RunningRun or RefusedRun
         Runs that are present at the minion, and refused runs that the scheduler has not
         processed yet, by task and run.
     ended : dict of int to EndedRun
@@ -405,7 +405,8 @@
     stopping : bool
         Whether the process was requested to stop.
     earliest_stop_ms, stop_deadline_ms : int
-        Time before which it does not end, and time at which it ends in any case.
+        Time before which the process does not end, and time at which it ends in any
+        case.
     pending_calls : dict of str to PendingCall
         Calls that wait for the log, by identifier of their append.
     sidecar_state : SidecarState
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -39,6 +39,7 @@
 
 
 class _GuaranteedModel(_PlatformModel):
+    # accelerators
     gpu: int = 0
 
 
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -54,7 +54,7 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether the store refused the call without carrying it out."""
+        """Return whether the store refused the call without carrying it out."""
         return self.status in REFUSED_STATUSES
 
 
@@ -204,7 +204,7 @@
             self._context.world.tally.add("probes_failed")
 
     def _choose_peer(self) -> Address:
-        """Return the address of another entry, each in turn.
+        """Return the address of another entry, chosen in rotation.
 
         It is the address of the store itself if no other entry is known.
         """
