Give vague local names of batch systems and streams the usual terms

Answers to appends were handled under two names, append_end and answer; a run's number was called number, and records of a stream were called rows, a word that stands for rows of tables. is_settled meant something else than the reply's field settled.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -213,7 +213,7 @@
         if pending is None:
             world.schedule.append_results.append(answer)
         else:
-            _handle_append_end(world, pending, answer, now_ms)
+            _handle_append_answer(world, pending, answer, now_ms)
     for pending in list(world.pending_calls.values()):
         if _is_recorded(world, pending):
             _end_pending_call(
@@ -231,7 +231,7 @@
     return pending.call.kind is CallKind.SUBMIT or job.cancelled
 
 
-def _handle_append_end(
+def _handle_append_answer(
     world: BatchWorld, pending: PendingCall, answer: AppendEnded, now_ms: int
 ) -> None:
     """Answer a call according to the end of its append, or resend the append.
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -184,9 +184,9 @@
     Its `holder` is None if no other entry is known to hold the lease.
     """
     holder = world.agreed.holder
-    is_other = holder.incarnation != world.incarnation and not holder.released
+    is_held_by_other = holder.incarnation != world.incarnation and not holder.released
     entries = tuple(entry.address for entry in world.agreed.entries)
-    address = holder.address if is_other else None
+    address = holder.address if is_held_by_other else None
     return SyncReply(exchange_id, -1, address, entries=entries)
 
 
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -41,11 +41,11 @@
         world.schedule.append_results.clear()
         return
     for answer in world.schedule.append_results:
-        _handle_append_end(world, answer)
+        _handle_append_answer(world, answer)
     schedule = world.schedule
     schedule.append_results.clear()
-    has_work = schedule.unwritten_jobs or schedule.removals
-    if schedule.is_loaded and schedule.in_flight is None and has_work:
+    has_changes = schedule.unwritten_jobs or schedule.removals
+    if schedule.is_loaded and schedule.in_flight is None and has_changes:
         _append_changes(world, now_ms)
 
 
@@ -114,7 +114,7 @@
     ]
 
 
-def _handle_append_end(world: BatchWorld, answer: AppendEnded) -> None:
+def _handle_append_answer(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if schedule.in_flight is None or answer.id != schedule.in_flight.id:
         return
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -271,7 +271,7 @@
     """Place one task of a unit on each chosen candidate."""
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
-    run = 1 + max(task.run for task in tasks)
+    gang_run = 1 + max(task.run for task in tasks)
     plan.begun = True
     plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
@@ -279,8 +279,8 @@
     world.schedule.inputs_changed = False
     configuration = world.agreed.configuration
     for task, candidate in zip(tasks, chosen, strict=True):
-        number = run if unit.spec.gang else task.run + 1
-        place_task(world, plan, task, number, candidate.minion)
+        run = gang_run if unit.spec.gang else task.run + 1
+        place_task(world, plan, task, run, candidate.minion)
         for resources in (
             candidate.free_now,
             candidate.free_soon,
@@ -293,7 +293,7 @@
             "place",
             "A run is placed.",
             task=str(task.name),
-            run=number,
+            run=run,
             minion=candidate.minion.incarnation.minion,
             rack=candidate.minion.rack,
             rank=unit.rank,
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -96,8 +96,8 @@
     stops: OrdersByIncarnation = {}
     pending_runs = world.schedule.pending_runs
     for name, (plan, task) in list(pending_runs.items()):
-        is_settled = task.confirmed and not task.stopping
-        if task.phase is not TaskPhase.PLACED or is_settled:
+        needs_no_order = task.confirmed and not task.stopping
+        if task.phase is not TaskPhase.PLACED or needs_no_order:
             del pending_runs[name]
         elif task.stopping:
             _add_due_order(world, stops, plan, task, task.stop_sent_ms, now_ms)
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -46,7 +46,7 @@
         schedule.term = world.agreed.holder.term
         _send_fence(world)
     for answer in [
-        result for result in schedule.append_results if result.id == schedule.fence_id
+        answer for answer in schedule.append_results if answer.id == schedule.fence_id
     ]:
         schedule.append_results.remove(answer)
         _handle_fence_answer(world, answer)
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -121,7 +121,7 @@
     include the records that were appended during the listing.
     """
     sent_ms = context.world.clock.now_ms()
-    rows: list[tuple[int, Record]] = []
+    records: list[tuple[int, Record]] = []
     end = None
     last_key = None
     while True:
@@ -135,13 +135,13 @@
         end = page.end if end is None else end
         for item in page.items:
             value = base64.b64decode(item.value)
-            rows += _decode_or_skip(context, stream, item.offset, item.key, value)
+            records += _decode_or_skip(context, stream, item.offset, item.key, value)
         if not page.more or not page.items:
             break
         last_key = page.items[-1].key
     # jobs come first: the fold ignores other records of a job that has no row yet
-    rows.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
-    return RecordsRead(stream, rows, sent_ms, end, is_complete=True)
+    records.sort(key=lambda row: (not isinstance(row[1], JobRecord), row[0]))
+    return RecordsRead(stream, records, sent_ms, end, is_complete=True)
 
 
 def _parse_page(reply: StoreReply, store: StoreClient) -> _ListingModel:
@@ -184,7 +184,7 @@
         raise PeerError(str(exc), "read", str(store.address)) from exc
     if end < start_offset:
         return None
-    rows: list[tuple[int, Record]] = []
+    records: list[tuple[int, Record]] = []
     for offset, content in enumerate(contents, start_offset):
         try:
             key, value = decode_keyed_record(content)
@@ -193,8 +193,8 @@
                 "log", "A record was skipped.", offset=offset, reason=str(exc)
             )
             continue
-        rows += _decode_or_skip(context, stream, offset, key, value)
-    return RecordsRead(stream, rows, sent_ms, start_offset + len(contents))
+        records += _decode_or_skip(context, stream, offset, key, value)
+    return RecordsRead(stream, records, sent_ms, start_offset + len(contents))
 
 
 def follow_stream(context: BatchContext, store: StoreClient, stream: Stream) -> None:
