Say when a lease may be claimed at once and which rack comes first

The text on claims left out free and released leases; the text on racks did not say which of several fitting racks an urgent unit tries first; the runs of a minion that has left can also end before its lease does.

--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -112,9 +112,9 @@
 def _claim_due_ms(world: BatchWorld) -> int | None:
     """Return when the lease may be claimed; None before the members stream was read.
 
-    Time without a renewal counts only while this process was able to read renewals. A
-    holder with the name of this process is its previous incarnation, which has ended,
-    so its lease may be claimed at once.
+    A lease that is free or was released may be claimed at once, and so may one whose
+    holder has the name of this process: it is a previous incarnation, which has ended.
+    Time without a renewal counts only while this process was able to read renewals.
     """
     view = world.agreed.views[Stream.MEMBERS]
     if view.end < 0:
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -216,9 +216,9 @@
 def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
     """Return the sort key of a rack.
 
-    For urgent units, racks where all tasks fit at once come first, ordered by the
-    speed of the slowest minion that the unit would use. For other units the fullest
-    rack comes first.
+    For urgent units, racks where all tasks fit at once come first, and of these the one
+    whose slowest chosen minion is fastest. Other racks follow, the fullest first. For
+    other units the fullest rack comes first.
     """
     free = sum(candidate.free_now.accelerators for candidate in rack)
     if not unit.is_urgent:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -63,8 +63,8 @@
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     """Update a reported minion and its runs, or remove a minion that has left.
 
-    The runs of a minion that has left end once its lease has expired. Reports of an
-    earlier incarnation are ignored.
+    The runs of a minion that has left end at the latest when its lease expires. Reports
+    of an earlier incarnation are ignored.
     """
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
