--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -35,7 +35,7 @@
 
 RENEW_PERIOD_MS = 700
 HOLDER_TIMEOUT_MS = 2_200
-AUTHORITY_MS = 2_000  # ends before others claim after `HOLDER_TIMEOUT_MS`
+AUTHORITY_MS = 2_000  # below `HOLDER_TIMEOUT_MS`: ends before others claim
 RENEW_RETRY_MS = 200
 JITTER_MS = 500
 CLAIM_PAUSE_MS = 400
@@ -112,9 +112,9 @@
 def _claim_due_ms(world: BatchWorld) -> int | None:
     """Return when the lease may be claimed; None before the members stream was read.
 
-    Time without a renewal counts only while this process was able to read renewals. A
-    holder with the name of this process is its previous incarnation, which has ended,
-    so its lease may be claimed at once.
+    A lease that is free or was released may be claimed at once, and so may one whose
+    holder has the name of this process: it is a previous incarnation, which has ended.
+    Time without a renewal counts only while this process was able to read renewals.
     """
     view = world.agreed.views[Stream.MEMBERS]
     if view.end < 0:
@@ -184,9 +184,9 @@
     Its `holder` is None if no other entry is known to hold the lease.
     """
     holder = world.agreed.holder
-    is_other = holder.incarnation != world.incarnation and not holder.released
+    is_held_by_other = holder.incarnation != world.incarnation and not holder.released
     entries = tuple(entry.address for entry in world.agreed.entries)
-    address = holder.address if is_other else None
+    address = holder.address if is_held_by_other else None
     return SyncReply(exchange_id, -1, address, entries=entries)
 
 
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -41,11 +41,11 @@
         world.schedule.append_results.clear()
         return
     for answer in world.schedule.append_results:
-        _handle_append_end(world, answer)
+        _handle_append_answer(world, answer)
     schedule = world.schedule
     schedule.append_results.clear()
-    has_work = schedule.unwritten_jobs or schedule.removals
-    if schedule.is_loaded and schedule.in_flight is None and has_work:
+    has_changes = schedule.unwritten_jobs or schedule.removals
+    if schedule.is_loaded and schedule.in_flight is None and has_changes:
         _append_changes(world, now_ms)
 
 
@@ -76,7 +76,7 @@
 
 
 def _make_speed_records(world: BatchWorld, now_ms: int) -> list[SpeedsRecord]:
-    """Return a record of all known speeds if one is due, else nothing."""
+    """Return a list with the record of all known speeds if it is due, else empty."""
     schedule = world.schedule
     if not schedule.speeds_changed or now_ms < schedule.write_speeds_at_ms:
         return []
@@ -114,7 +114,7 @@
     ]
 
 
-def _handle_append_end(world: BatchWorld, answer: AppendEnded) -> None:
+def _handle_append_answer(world: BatchWorld, answer: AppendEnded) -> None:
     schedule = world.schedule
     if schedule.in_flight is None or answer.id != schedule.in_flight.id:
         return
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 
 __all__ = ["schedule_units"]
 
-URGENT_RETRY_MS = 1_000  # needed since the progress of runs requests no decision
+URGENT_RETRY_MS = 1_000  # the progress of runs alone triggers no decision
 MS_PER_SECOND = 1_000
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -74,9 +74,9 @@
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
     A faulty minion must not use up the attempts of a task only because the other
-    minions are full. The unit therefore waits for the others until the
-    `avoid_until_ms` of its tasks has passed, provided that it would fit there if they
-    were idle.
+    minions are full. The unit therefore waits for the other minions until the
+    `avoid_until_ms` of its tasks has passed, provided that it would fit on them if
+    they were idle.
     """
     allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
@@ -216,8 +216,9 @@
 def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
     """Return the sort key of a rack.
 
-    For urgent units the rack with the fastest minions comes first, for others the
-    fullest.
+    For urgent units, racks where all tasks fit at once come first, and of these the one
+    whose slowest chosen minion is fastest. Other racks follow, the fullest first. For
+    other units the fullest rack comes first.
     """
     free = sum(candidate.free_now.accelerators for candidate in rack)
     if not unit.is_urgent:
@@ -270,7 +271,7 @@
     """Place one task of a unit on each chosen candidate."""
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
-    run = 1 + max(task.run for task in tasks)
+    gang_run = 1 + max(task.run for task in tasks)
     plan.begun = True
     plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
@@ -278,8 +279,8 @@
     world.schedule.inputs_changed = False
     configuration = world.agreed.configuration
     for task, candidate in zip(tasks, chosen, strict=True):
-        number = run if unit.spec.gang else task.run + 1
-        place_task(world, plan, task, number, candidate.minion)
+        run = gang_run if unit.spec.gang else task.run + 1
+        place_task(world, plan, task, run, candidate.minion)
         for resources in (
             candidate.free_now,
             candidate.free_soon,
@@ -292,7 +293,7 @@
             "place",
             "A run is placed.",
             task=str(task.name),
-            run=number,
+            run=run,
             minion=candidate.minion.incarnation.minion,
             rack=candidate.minion.rack,
             rank=unit.rank,
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -25,7 +25,8 @@
 def certain_expiry_ms(lease_ms: int) -> int:
     """Return the time after a report by which a minion lease has expired, in ms.
 
-    It holds even if the minion's clock runs slow by `MAX_CLOCK_DRIFT_RATIO`.
+    The lease has expired by then even if the minion's clock is slower than this
+    process's clock by the factor `MAX_CLOCK_DRIFT_RATIO`.
     """
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
@@ -45,7 +46,7 @@
         schedule.term = world.agreed.holder.term
         _send_fence(world)
     for answer in [
-        result for result in schedule.append_results if result.id == schedule.fence_id
+        answer for answer in schedule.append_results if answer.id == schedule.fence_id
     ]:
         schedule.append_results.remove(answer)
         _handle_fence_answer(world, answer)
