Name masks, times and ratios in jobs and members for what they hold

One name, lendable, stood for a mask and for the masks of all workers; retry_ms was a point in time beside durations with the same ending; holder was an incarnation in one function and an entry in the next; ratio was its logarithm; known was the new status of a member. The comment on OVERRUN_RATIO now starts with what the ratio is a part of.

--- a/kingcuppost/systems/jobs/baselines.py
+++ b/kingcuppost/systems/jobs/baselines.py
@@ -30,8 +30,8 @@
     return _first_fit(world, job, {})
 
 
-def _first_fit(world: World, job: Job, lendable: dict[str, int]) -> Choice:
-    """Place by first fit, also on the reserved accelerators in `lendable`.
+def _first_fit(world: World, job: Job, lendable_masks: dict[str, int]) -> Choice:
+    """Place by first fit, also on the reserved accelerators in `lendable_masks`.
 
     Parameters
     ----------
@@ -39,13 +39,13 @@
         Tables of the process.
     job : Job
         Job to place.
-    lendable : dict of str to int
+    lendable_masks : dict of str to int
         Masks of reserved accelerators that the job may use, by worker.
     """
     placements: list[Placement] = []
     refused = []
     needed = job.members * job.accelerators
-    if not lendable and count_cells(world.scheduling.free_blocks, 0) < needed:
+    if not lendable_masks and count_cells(world.scheduling.free_blocks, 0) < needed:
         reason = f"fewer than {needed} accelerators are free"
         return Choice(None, refused=(RefusedAlternative("all workers", reason),))
     workers = [
@@ -58,7 +58,7 @@
     )
     for worker in workers:
         wanted = job.members - len(placements)
-        found = _place_members(worker, job, wanted, lendable.get(worker.name, 0))
+        found = _place_members(worker, job, wanted, lendable_masks.get(worker.name, 0))
         placements.extend(found)
         if len(found) < wanted:
             refused.append(RefusedAlternative(worker.name, "no room for a member"))
@@ -68,9 +68,9 @@
 
 
 def _place_members(
-    worker: WorkerCapacity, job: Job, wanted: int, lendable: int
+    worker: WorkerCapacity, job: Job, wanted: int, lendable_mask: int
 ) -> list[Placement]:
-    free = worker.full_mask & ~(worker.busy | (worker.reserved & ~lendable))
+    free = worker.full_mask & ~(worker.busy | (worker.reserved & ~lendable_mask))
     cores = worker.free_cores
     memory_mb = worker.free_memory_mb
     found = []
@@ -103,13 +103,13 @@
 
     One reservation that allows the loan makes all accelerators of its workers lendable.
     """
-    lendable: dict[str, int] = {}
+    lendable_masks: dict[str, int] = {}
     for reservation in world.scheduling.advance_reservations:
         if job.declared_ms <= reservation.expected_free_ms - now_ms:
             for placement in reservation.placements:
                 worker = world.scheduling.workers.get(placement.worker)
-                lendable[worker.name] = worker.full_mask
-    return lendable
+                lendable_masks[worker.name] = worker.full_mask
+    return lendable_masks
 
 
 def _sort_key_by_age(world: World, job: Job) -> tuple[int, int, int]:
--- a/kingcuppost/systems/jobs/member_reports.py
+++ b/kingcuppost/systems/jobs/member_reports.py
@@ -34,8 +34,8 @@
         member_id = f"{key}/{report.member}"
         row = world.member_statuses.get(member_id)
         if row is None or (row.state != report.state and row.state not in ENDED_STATES):
-            known = MemberStatus(member_id, key, report.state, now_ms, now_ms)
-            world.member_statuses.put(known)
+            status = MemberStatus(member_id, key, report.state, now_ms, now_ms)
+            world.member_statuses.put(status)
             world.gang_view.due.set(key, now_ms)
         elif now_ms - row.last_report_ms >= refresh_ms:
             world.member_statuses.update(member_id, last_report_ms=now_ms)
--- a/kingcuppost/systems/jobs/run_times.py
+++ b/kingcuppost/systems/jobs/run_times.py
@@ -9,7 +9,8 @@
 
 SMOOTHING_WEIGHT = 0.2  # least weight of the latest job in the averages
 DEFAULT_RUN_MS = 3_600_000  # for undeclared run times in a team without finished jobs
-OVERRUN_RATIO = 0.5  # of its run time so far, for which an overdue gang runs on
+# Part of its run time so far for which an overdue gang is expected to run on.
+OVERRUN_RATIO = 0.5
 
 
 def expected_run_ms(scheduling: SchedulingState, job: Job) -> int:
@@ -47,7 +48,7 @@
     weight = max(SMOOTHING_WEIGHT, 1 / (run_times.sample_count + 1))
     run_times.mean_ms += weight * (run_ms - run_times.mean_ms)
     if job.declared_ms > 0 and run_ms > 0:
-        ratio = log(run_ms / job.declared_ms)
-        run_times.log_ratio += weight * (ratio - run_times.log_ratio)
+        log_ratio = log(run_ms / job.declared_ms)
+        run_times.log_ratio += weight * (log_ratio - run_times.log_ratio)
     run_times.sample_count += 1
     scheduling.run_times.put(run_times)
--- a/kingcuppost/systems/members/heartbeats.py
+++ b/kingcuppost/systems/members/heartbeats.py
@@ -104,10 +104,10 @@
 def _reset_reported_states(world: World, now_ms: int) -> None:
     """Mark all members as unreported for a new holder, and once per full period."""
     view = world.heartbeat_view
-    holder = world.agreed.lease.incarnation
-    if view.holder == holder and now_ms < view.next_full_report_ms:
+    holder_incarnation = world.agreed.lease.incarnation
+    if view.holder == holder_incarnation and now_ms < view.next_full_report_ms:
         return
-    view.holder = holder
+    view.holder = holder_incarnation
     view.next_full_report_ms = now_ms + full_report_period_ms(world)
     if len(world.tasks):
         world.deadlines.add(view.next_full_report_ms)
@@ -167,13 +167,13 @@
         view.unresponsive = others
         return
     view.unresponsive = (*others, answer.entry)
-    retry_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
+    retry_at_ms = now_ms + effective_value(world.agreed, "heartbeat.retry_ms")
     if (
         len(others) + 1 < len(world.agreed.entries)
-        and retry_ms < world.heartbeat_view.next_heartbeat_ms
+        and retry_at_ms < world.heartbeat_view.next_heartbeat_ms
     ):
-        world.heartbeat_view.next_heartbeat_ms = retry_ms
-        world.deadlines.add(retry_ms)
+        world.heartbeat_view.next_heartbeat_ms = retry_at_ms
+        world.deadlines.add(retry_at_ms)
 
 
 def _record_reported_states(world: World, heartbeat: PendingHeartbeat) -> None:
