Correct summaries of jobs, members and requests that missed a case

The systems that admit requests and accept attempts also refuse them; a start is also undone if the gang has ended; find_borrowed may return None; the random policy prefers minions not tried before. Other sentences are reworded: the choice of borrowers to stop, the unit of the renewal period, pronouns without a noun.

--- a/kingcuppost/systems/jobs/advance_reservations.py
+++ b/kingcuppost/systems/jobs/advance_reservations.py
@@ -81,7 +81,7 @@
 def schedule_preemption_pass(
     world: World, reservation: AdvanceReservation, now_ms: int
 ) -> None:
-    """Schedule queue passes for when gangs on a reservation may be stopped.
+    """Schedule queue passes at the times when gangs on a reservation may be stopped.
 
     A reservation within a guarantee needs none: its borrowers are stopped at once.
     """
--- a/kingcuppost/systems/jobs/choice.py
+++ b/kingcuppost/systems/jobs/choice.py
@@ -21,7 +21,7 @@
     placements : tuple of Placement or None
         One for each member; None if the job must wait.
     borrowed : bool
-        Whether it runs beyond its team's guarantees.
+        Whether the job runs beyond its team's guarantees.
     refused : tuple of RefusedAlternative
         Alternatives that were considered and rejected.
     victims : frozenset of str
@@ -29,7 +29,7 @@
     reservation : AdvanceReservation or None
         Reservation that the job gets, or retains, while it waits.
     lacks_capacity : bool
-        Whether it waits for free capacity and not for another condition.
+        Whether the job waits for free capacity and not for another condition.
     """
 
     placements: tuple[Placement, ...] | None
--- a/kingcuppost/systems/jobs/placement_search.py
+++ b/kingcuppost/systems/jobs/placement_search.py
@@ -160,7 +160,7 @@
 
 
 def _core_candidates(scheduling: SchedulingState, job: Job) -> Iterator[Candidate]:
-    """Yield workers for members without accelerators, those without any first."""
+    """Yield candidates without accelerators, on workers that have none first."""
     for has_accelerators in (0, 1):
         for bits in range(job.cores.bit_length(), CORE_BUCKETS):
             for worker in scheduling.workers.scan(
@@ -474,7 +474,7 @@
 def find_borrowed(
     world: World, job: Job, excluded: frozenset[str] = NO_WORKERS
 ) -> Plan | None:
-    """Return placements that interactive work takes from overnight borrowers."""
+    """Return placements that stop overnight borrowers for interactive work, or None."""
     if not job.accelerators:
         return None
     cell_class = class_of(job.accelerators)
--- a/kingcuppost/systems/jobs/shapes.py
+++ b/kingcuppost/systems/jobs/shapes.py
@@ -48,12 +48,12 @@
 
 
 def choose_shapes(world: World, job: Job, now_ms: int) -> Choice:
-    """Place a job within its team's guarantee, else as a borrower.
+    """Place a job within its team's guarantee, or otherwise as a borrower.
 
-    Within the guarantee, borrowers are stopped for the job so that the least work is
-    lost. Interactive work beyond the guarantee may stop overnight borrowers. A gang of
-    several members avoids the workers on which its job failed only if it can be placed
-    at once without them.
+    Within the guarantee, the borrowers whose stop loses the least work are stopped for
+    the job. Interactive work beyond the guarantee may stop overnight borrowers. A gang
+    of several members avoids the workers on which its job failed only if it can be
+    placed at once without them.
     """
     if reason := _limit_reason(world, job):
         drop_reservation(world.scheduling, job.name)
--- a/kingcuppost/systems/members/gangs.py
+++ b/kingcuppost/systems/members/gangs.py
@@ -2,9 +2,9 @@
 
 The sidecar of member 0 is the leader. It confirms the gang only while every member
 has finished or was reported running within the past half lease. A confirmation is
-valid for half of the lease from the sending of the reports that it answers. So no gang
-runs with part of its members for longer than the lease, and neither the log nor the
-scheduler is needed for that.
+valid for half of the lease from the sending of the reports that it answers. Therefore
+no gang runs with part of its members for longer than the lease, and neither the log
+nor the scheduler is needed to ensure this.
 """
 
 from collections import defaultdict
@@ -79,7 +79,7 @@
 def _make_aged_report(world: World, task: MemberTask, now_ms: int) -> MemberReport:
     """Return a report that is as old as the last order that the worker answered.
 
-    So a running member counts as running only while its worker answers orders.
+    A running member therefore counts as running only while its worker answers orders.
     """
     report = make_report(task)
     if task.state is not TaskState.RUNNING:
--- a/kingcuppost/systems/members/renewals.py
+++ b/kingcuppost/systems/members/renewals.py
@@ -28,7 +28,7 @@
 __all__ = ["handle_worker_answers", "renew_tasks"]
 
 RENEWALS_PER_LEASE = 3
-TASKS_PER_POLL = 8  # the renewal period is `job.poll_ms` for each group of this size
+TASKS_PER_POLL = 8  # the renewal period is one `job.poll_ms` per this many tasks
 TASK_ID_NUMBERS = 2  # the incarnation of the gang and the number of the member
 
 
@@ -164,9 +164,9 @@
 def _apply_start_answer(
     world: World, task: MemberTask, answer: WorkerAnswered, now_ms: int
 ) -> None:
-    """Mark the member as running; on failure stop it.
+    """Mark the member as running; stop it on failure or if its gang has ended.
 
-    The start may have taken effect although its answer was lost.
+    A failed start may have taken effect although its answer was lost.
     """
     gang = gang_of(world, task)
     if answer.ok and gang is not None:
--- a/kingcuppost/systems/members/stopping.py
+++ b/kingcuppost/systems/members/stopping.py
@@ -28,7 +28,7 @@
 
 
 def stop_task(world: World, task: MemberTask, now_ms: int) -> None:
-    """Stop a member: at once, or a running one after its checkpoint."""
+    """Stop a member at once, or after its checkpoint if it is running."""
     if task.state in ENDED_STATES or task.state is TaskState.STOPPING:
         return
     running = task.state is TaskState.RUNNING
--- a/kingcuppost/systems/requests/admission.py
+++ b/kingcuppost/systems/requests/admission.py
@@ -21,7 +21,7 @@
 
 @system(Phase.INTAKE, roles=(Role.ENTRY,), order=50)
 def admit_requests(world: World, now_ms: int) -> None:
-    """Queue requests, or refuse them as not run and give the reason."""
+    """Admit requests, or refuse them as not run and give the reason."""
     for message in world.inbox.take(CallerRequest):
         reason = _refusal_reason(world, message, now_ms)
         if reason:
--- a/kingcuppost/systems/requests/policies.py
+++ b/kingcuppost/systems/requests/policies.py
@@ -23,9 +23,9 @@
 
     It is the measured service time, increased for the wait behind the current load
     and for exchanges that failed since the last answer or heartbeat. The load from
-    other entries follows from the free slots last reported. A minion without a recent
-    measurement counts as 0 while this entry has no attempt there, so that one request
-    goes there to measure it.
+    other entries follows from the free slots last reported. The latency of a minion
+    without a recent measurement counts as 0 while this entry has no attempt there, so
+    that one request goes there to measure it.
     """
     health = world.health.get(name)
     own_attempts = world.attempts.count("minion", name)
@@ -81,7 +81,7 @@
 
 @policies.register("random")
 def at_random(world: World, request: Request, pool: MinionPool, now_ms: int) -> str:
-    """Return a random minion."""
+    """Return a random minion, preferably one not tried before."""
     return _choose_untried(world, request, pool)
 
 
--- a/kingcuppost/systems/requests/serving.py
+++ b/kingcuppost/systems/requests/serving.py
@@ -52,11 +52,11 @@
 
 @system(Phase.INTAKE, roles=(Role.SIDECAR,), order=90)
 def accept_attempts(world: World, now_ms: int) -> None:
-    """Queue new attempts; answer resends, or hold them while the attempt is open.
+    """Queue or refuse new attempts, and answer resends or hold them.
 
-    A process answers "not run" only for attempts addressed to itself. An attempt
-    for another process, or one that may have been evicted from the cache, gets
-    "unknown".
+    A resend is held while its attempt is open. A process answers "not run" only for
+    attempts addressed to itself. An attempt for another process, or one that may have
+    been evicted from the cache, gets "unknown".
     """
     for message in world.inbox.take(AttemptArrived):
         known = world.served_attempts.get(message.attempt_id)
