Name times and offsets in tests for what they hold

hours and pauses held ms of a run and times of resumption; out was the offset of a zone's record. can_pack says what it returns, and the simulation says the unit of answered_ms. The assertions are the same.

--- a/kingcuppost/systems/jobs/tests/test_cells.py
+++ b/kingcuppost/systems/jobs/tests/test_cells.py
@@ -14,7 +14,10 @@
 
 @cache
 def can_pack(masks: tuple[int, ...], demands: tuple[int, ...]) -> bool:
-    """Try every block for the first demand, then recursively for the others."""
+    """Return whether the masks have disjoint blocks of all demanded classes.
+
+    Every block is tried for the first demand, then recursively for the others.
+    """
     if not demands:
         return True
     for index, mask in enumerate(masks):
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -367,11 +367,13 @@
 
 def test_pause_doubles_until_the_worker_reserves(harness: ProcessHarness) -> None:
     harness.settle()
-    pauses = []
+    resume_times_ms = []
     for _ in range(3):
         pause_worker(harness.world, WORKERS[0], harness.now_ms)
-        pauses.append(harness.world.scheduling.faults.get(WORKERS[0]).resume_ms)
-    assert [at - harness.now_ms for at in pauses] == [
+        resume_times_ms.append(
+            harness.world.scheduling.faults.get(WORKERS[0]).resume_ms
+        )
+    assert [at_ms - harness.now_ms for at_ms in resume_times_ms] == [
         PAUSE_MS,
         2 * PAUSE_MS,
         4 * PAUSE_MS,
--- a/kingcuppost/systems/jobs/tests/test_reclaim.py
+++ b/kingcuppost/systems/jobs/tests/test_reclaim.py
@@ -143,8 +143,8 @@
     driver = make_driver([make_worker(0), make_worker(1)], {"guest": ()})
     submit(driver, make_job("a", "guest", 1, 8), make_job("b", "guest", 1, 8))
     for number in range(4):
-        hours = (5 - number) * HOUR_MS
-        submit(driver, make_job(f"w{number}", "guest", 2, 8, run_ms=hours))
+        run_ms = (5 - number) * HOUR_MS
+        submit(driver, make_job(f"w{number}", "guest", 2, 8, run_ms=run_ms))
     assert len(driver.world.scheduling.advance_reservations) == 1
 
 
--- a/kingcuppost/systems/requests/tests/simulation.py
+++ b/kingcuppost/systems/requests/tests/simulation.py
@@ -65,9 +65,9 @@
     running, max_running : Counter
         Number of requests that each minion runs now, and the maximum so far.
     answers : dict of str to RequestReply
-        Replies to callers by exchange.
+        Replies to callers, by exchange.
     answered_ms : dict of str to int
-        Time of each reply to a caller by exchange.
+        Time of each reply to a caller, by exchange, in ms.
     sent : list of SendAttempt or SendHeartbeat
         Attempts and heartbeats sent by all processes, in order.
     lose_answers, unreachable : set of str
--- a/kingcuppost/systems/requests/tests/test_routing.py
+++ b/kingcuppost/systems/requests/tests/test_routing.py
@@ -80,8 +80,10 @@
     call = simulation.send_request("entry-0", "quote", timeout_ms=300)
     simulation.advance(400)
     assert simulation.outcome(call) is Outcome.NOT_RUN
-    out = simulation.worlds["entry-0"].agreed.availability_zones.get("vid-a").offset
-    simulation.propose(ZonePut("vid-a", "vidzeme", True, out))
+    zone_offset = (
+        simulation.worlds["entry-0"].agreed.availability_zones.get("vid-a").offset
+    )
+    simulation.propose(ZonePut("vid-a", "vidzeme", True, zone_offset))
     simulation.advance(100)
     call = simulation.send_request("entry-0", "quote")
     simulation.advance(200)
