Record the expiry of a lapsed lease as the end of its task

test_member_lost_while_the_gang_runs[pause_worker-1] failed once in a whole run of scripts/check, in check_no_overlap with flow/1 and flow/2. Cause, in ms of that run: flow/1 started at 2404 and its second worker was paused at once; its sidecar saw the lease lapsed at 5405; gang_end was folded from 5412; flow/2 started at 5437. The test resumes the worker as soon as it sees the end of flow/1. The stand-in of the worker stamped the end of the task when its lease timer ran, and in a paused process that is after the resume: whether it came before the start of flow/2 was chance. The lease had lapsed long before.

The stand-in now keeps the Unix time at which a lease expires and records it as the end of a task that its lease timer ends. Stop orders, finishes and failures are stamped as before. Tests, checks and bounds are unchanged. One thing that the record no longer shows: how late the lease timer of a worker ran.

--- a/standins/worker_host.py
+++ b/standins/worker_host.py
@@ -39,6 +39,8 @@
         Timers that end its run.
     lease_timer : object
         Timer that stops it when its lease expires.
+    lease_expiry_wall_ms : int
+        Unix time, in ms, at which its lease expires.
     """
 
     task_id: str
@@ -52,6 +54,7 @@
     ended_wall_ms: int = 0
     timers: list = field(default_factory=list)
     lease_timer: object = None
+    lease_expiry_wall_ms: int = 0
 
 
 class WorkerHost(JsonService):
@@ -148,7 +151,7 @@
         """Stop a task, unless the fault `ignore_stop` is set."""
         task = self.tasks.get(body["task_id"])
         if task is not None and not self.faults["ignore_stop"]:
-            self._end(task, "stopped")
+            self._end(task, "stopped", wall_ms())
         return self._list_tasks()
 
     def _list_tasks(self) -> Answer:
@@ -161,22 +164,30 @@
     def _extend_lease(self, task: Task, lease_ms: int) -> None:
         if task.lease_timer is not None and task.lease_timer.active():
             task.lease_timer.cancel()
+        task.lease_expiry_wall_ms = wall_ms() + lease_ms
         task.lease_timer = reactor.callLater(
-            lease_ms / MS_PER_SECOND, self._end, task, "stopped"
+            lease_ms / MS_PER_SECOND, self._expire, task
         )
 
+    def _expire(self, task: Task) -> None:
+        """Stop a task as of the end of its lease, also if the timer runs late.
+
+        The timer of a paused process runs only after the process is resumed.
+        """
+        self._end(task, "stopped", task.lease_expiry_wall_ms)
+
     def _finish(self, task: Task) -> None:
         failed = task.payload.get("fail") or self.faults["fail_all"]
         if task.state == "running":
             task.result = "" if failed else task.payload.get("result", "done")
-        self._end(task, "failed" if failed else "finished")
+        self._end(task, "failed" if failed else "finished", wall_ms())
 
-    def _end(self, task: Task, state: str) -> None:
-        """Set the final state of an open task and cancel its timers."""
+    def _end(self, task: Task, state: str, ended_wall_ms: int) -> None:
+        """Set the final state and end of an open task and cancel its timers."""
         if task.state not in OPEN_STATES:
             return
         task.state = state
-        task.ended_wall_ms = wall_ms()
+        task.ended_wall_ms = ended_wall_ms
         for timer in [*task.timers, task.lease_timer]:
             if timer is not None and timer.active():
                 timer.cancel()
