Call the configuration of a process cfg in the commands and the example again

Cause: `cli/processes.py` and the example were the only places that said `config` and `CONFIG` for what all other code calls `cfg`. Change: the names are taken back.

--- a/examples/no_socket.py
+++ b/examples/no_socket.py
@@ -21,7 +21,7 @@
 from kingcuppost.utils import ManualClock
 
 UNUSED_ADDRESS = Address("127.0.0.1", 0)
-CONFIG = ProcessConfig(
+CFG = ProcessConfig(
     role=Role.ENTRY,
     name="entry-0",
     availability_zone="vid-a",
@@ -53,7 +53,7 @@
 def main() -> None:
     """Create a team and print it from the folded state."""
     clock = ManualClock(start_ms=1)
-    world = make_world(CONFIG, clock)
+    world = make_world(CFG, clock)
     systems = systems_of(Role.ENTRY)
     log: list[Record] = []
     for tick in range(TICK_COUNT):
--- a/kingcuppost/cli/processes.py
+++ b/kingcuppost/cli/processes.py
@@ -34,23 +34,23 @@
 @command("entry", "Run an entry.", _add_file_argument)
 def run_entry_command(args: argparse.Namespace) -> int:
     """Run an entry until it is stopped; return the exit code."""
-    config = _read_config_for(args.file, Role.ENTRY)
-    if isinstance(config, Failure):
-        return _print_refusal(config)
+    cfg = _read_config_for(args.file, Role.ENTRY)
+    if isinstance(cfg, Failure):
+        return _print_refusal(cfg)
     from kingcuppost.programs.entry import run_entry
 
-    return run_entry(config)
+    return run_entry(cfg)
 
 
 @command("sidecar", "Run the sidecar of a minion.", _add_file_argument)
 def run_sidecar_command(args: argparse.Namespace) -> int:
     """Run a sidecar until it is stopped; return the exit code."""
-    config = _read_config_for(args.file, Role.SIDECAR)
-    if isinstance(config, Failure):
-        return _print_refusal(config)
+    cfg = _read_config_for(args.file, Role.SIDECAR)
+    if isinstance(cfg, Failure):
+        return _print_refusal(cfg)
     from kingcuppost.programs.sidecar import run_sidecar
 
-    return run_sidecar(config)
+    return run_sidecar(cfg)
 
 
 @command("check", "Check a settings file without running anything.", _add_file_argument)
