--- /dev/null
+++ b/bench/holder.py
@@ -0,0 +1,203 @@
+"""The holder of the scheduling lease with a fleet of reporting sidecars, no socket.
+
+The fleet may have any size, and the caller chooses what changes, so that the work of a
+tick can be compared between sizes.
+"""
+
+from dataclasses import replace
+
+from kingcuppost.batch.edges.processes import make_batch_world
+from kingcuppost.batch.systems import load_systems, run_tick
+from kingcuppost.batch.systems.holder_election import has_authority
+from kingcuppost.batch.tables.config import DaemonConfig
+from kingcuppost.batch.tables.fleet import (
+    Configuration,
+    HolderView,
+    Queue,
+    Resources,
+    Team,
+)
+from kingcuppost.batch.tables.job import (
+    Job,
+    JobPolicy,
+    MinionIncarnation,
+    RunEnd,
+    StepSpec,
+    TaskName,
+)
+from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
+    EndedRun,
+    JobRecord,
+    MinionReport,
+    RecordsRead,
+    RunningRun,
+    Stream,
+    SyncCall,
+    SyncReply,
+)
+from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
+from kingcuppost.utils import ManualClock
+
+__all__ = ["MINION_CAPACITY", "Holder"]
+
+MINION_CAPACITY = Resources(64_000, 262_144, 8)
+MINIONS_PER_RACK = 12
+ZONES = 5
+REPORT_WAIT_MS = 1_000
+AUTHORITY_MS = 10**9  # the lease is not what is measured
+
+
+class Holder:
+    """The holder and its sidecars, which carry out every order at once.
+
+    Parameters
+    ----------
+    minions : int
+        Number of minions, each with a sidecar.
+
+    Attributes
+    ----------
+    running : dict of str to dict
+        Runs that each sidecar reports, by task and run.
+    waiting : dict of str to str
+        Identifier of the unanswered report of each sidecar.
+    """
+
+    def __init__(self, minions: int) -> None:
+        cfg = DaemonConfig(Role.ENTRY, "entry-0", "zone-0", Address("10.0.0.1", 7000))
+        self.clock = ManualClock(start_ms=100_000)
+        self.world = make_batch_world(cfg, self.clock, seed=1)
+        self.systems = load_systems(Role.ENTRY)
+        self.running: dict[str, dict[tuple[TaskName, int], RunningRun]] = {}
+        self.waiting: dict[str, str] = {}
+        self._numbers = dict.fromkeys(range(minions), 0)
+        self._end_numbers: dict[str, int] = {}
+        self._job_count = 0
+        self._hold_lease()
+        for index in range(minions):
+            self.running[self._sidecar(index)] = {}
+            self.report(index)
+        self.tick()
+
+    def _hold_lease(self) -> None:
+        world = self.world
+        queues = tuple(
+            Queue(f"queue-{priority}", "host", f"/{priority}/", "svc", priority)
+            for priority in range(3)
+        )
+        world.agreed.configuration = Configuration(
+            1, queues, {"a": Team("a", frozenset({"key"}))}, {"key": "a"}
+        )
+        world.agreed.holder = HolderView(
+            1, world.cfg.name, world.incarnation, world.cfg.peers
+        )
+        schedule = world.schedule
+        schedule.term = 1
+        schedule.is_open = schedule.is_loaded = True
+        schedule.authority_until_ms = self.clock.now_ms() + AUTHORITY_MS
+        schedule.renew_at_ms = schedule.authority_until_ms
+
+    @staticmethod
+    def _sidecar(index: int) -> str:
+        return f"side-{index}"
+
+    def submit(self, steps: tuple[StepSpec, ...], priority: int = 2) -> str:
+        """Put a job into the log, as if an entry had accepted it; return its name."""
+        self._job_count += 1
+        job_id = f"{self._job_count:016x}"
+        job = Job(
+            job_id,
+            f"queue-{priority}",
+            "a",
+            "work",
+            steps,
+            self.clock.wall_ms(),
+            -1,
+            JobPolicy("svc", priority, 3, 2.0),
+        )
+        offset = self._job_count
+        rows = [(offset, JobRecord(job))]
+        read = RecordsRead(Stream.JOBS, rows, self.clock.now_ms(), offset + 1)
+        self.world.inbox.put(read)
+        return job_id
+
+    def report(self, index: int, ended: tuple[tuple[TaskName, int], ...] = ()) -> None:
+        """Send the report of a sidecar, with the runs in `ended` as done."""
+        sidecar = self._sidecar(index)
+        rows = []
+        for key in ended:
+            del self.running[sidecar][key]
+            self._end_numbers[sidecar] = self._end_numbers.get(sidecar, 0) + 1
+            rows.append(EndedRun(self._end_numbers[sidecar], *key, RunEnd.DONE, ""))
+        self._numbers[index] += 1
+        exchange_id = f"{sidecar}/{self._numbers[index]}"
+        self.waiting[sidecar] = exchange_id
+        self.world.inbox.put(
+            SyncCall(
+                exchange_id,
+                sidecar,
+                "inc",
+                self._numbers[index],
+                REPORT_WAIT_MS,
+                self._minion_report(index),
+                tuple(self.running[sidecar].values()),
+                tuple(rows),
+                (),
+            )
+        )
+
+    @staticmethod
+    def _minion_report(index: int) -> MinionReport:
+        zone = f"zone-{index % ZONES}"
+        rack = f"r{index % ZONES}-{index // ZONES // MINIONS_PER_RACK}"
+        return MinionReport(
+            MinionIncarnation(f"minion-{index}", 1),
+            "svc",
+            zone,
+            ("a", rack),
+            replace(MINION_CAPACITY),
+            draining=False,
+            remaining_ms=0,
+            listed=True,
+        )
+
+    def tick(self) -> None:
+        """Run a tick, and answer what the holder sends."""
+        now_ms = self.clock.now_ms()
+        for view in self.world.agreed.views.values():
+            view.fresh_ms = now_ms
+        run_tick(self.world, self.systems, now_ms)
+        assert has_authority(self.world, now_ms)
+        for message in self.world.outbox.take_all():
+            self._answer(message)
+        self.world.log_lines.clear()
+
+    def _answer(self, message: object) -> None:
+        if isinstance(message, Append):
+            self.world.inbox.put(AppendEnded(message.id, AppendOutcome.DONE))
+        elif isinstance(message, SyncReply):
+            self._carry_out(message)
+
+    def _carry_out(self, reply: SyncReply) -> None:
+        sidecar = reply.exchange_id.partition("/")[0]
+        if self.waiting.get(sidecar) != reply.exchange_id:
+            return
+        del self.waiting[sidecar]
+        for start in reply.starts:
+            key = (start.task, start.run)
+            self.running[sidecar][key] = RunningRun(*key, "", 0)
+        for stop in reply.stops:
+            self.running[sidecar].pop((stop.task, stop.run), None)
+
+    def settle(self, rounds: int = 4) -> None:
+        """Let every sidecar report until all placed runs are confirmed."""
+        for _ in range(rounds):
+            for index in self._numbers:
+                self.report(index)
+            self.tick()
+            self.tick()
+            self.clock.advance(10)
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -1,33 +1,36 @@
 """Candidates for placement: usable minions with free capacity and possible victims."""
 
-from dataclasses import dataclass, replace
+from collections import Counter
+from dataclasses import dataclass
 
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
-from kingcuppost.batch.systems.placement import Candidate, Victim, subtract_tasks
-from kingcuppost.batch.systems.plans import iter_tasks
+from kingcuppost.batch.systems.placement import (
+    Candidate,
+    Victim,
+    add_resources,
+    copy_resources,
+    subtract_resources,
+    subtract_tasks,
+)
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
+from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
-from kingcuppost.batch.tables.job import (
-    MinionIncarnation,
-    Plan,
-    PlanPhase,
-    Task,
-    TaskPhase,
-)
-from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.batch.tables.job import Plan, Task, TaskPhase
+from kingcuppost.batch.tables.world import BatchWorld, Schedule
 
 __all__ = [
-    "NEVER_MS",
+    "DecisionInputs",
     "eligible_candidates",
     "exclude_avoided",
     "fast_candidates",
+    "find_soon_free",
+    "find_victims",
     "list_candidates",
+    "make_decision_inputs",
     "request_decision",
 ]
 
-NEVER_MS = 2**62
-
 SUSPECT_FAILURES = 2  # of different jobs, so that the minion is the likely cause
 SUSPECT_PAUSE_MS = 5_000  # pause after a stalled run or `SUSPECT_FAILURES`
 SLOW_SPEED_RATIO = 0.65  # of the speed at `REFERENCE_PERCENTILE`
@@ -38,8 +41,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DecisionTimes:
-    """Times by which all runs are assessed in one decision.
+class DecisionInputs:
+    """What all runs are assessed by in one decision.
 
     Attributes
     ----------
@@ -47,11 +50,14 @@
         Current time by the monotonic clock, and as Unix time in ms.
     restore_ms : int
         Time that resuming from a checkpoint takes.
+    guaranteed_ids : set of str
+        Urgent jobs that fit their team's guarantee.
     """
 
     now_ms: int
     wall_ms: int
     restore_ms: int
+    guaranteed_ids: set[str]
 
 
 def request_decision(world: BatchWorld, at_ms: int) -> None:
@@ -61,80 +67,91 @@
     world.deadlines.add(at_ms)
 
 
-def list_candidates(
+def make_decision_inputs(
     world: BatchWorld, now_ms: int, guaranteed_ids: set[str]
-) -> list[Candidate]:
-    """Return the minions that may be given tasks, with free capacity and victims.
+) -> DecisionInputs:
+    """Return what the runs are assessed by in a decision at `now_ms`."""
+    restore_ms = world.cfg.bounds.restore_ms
+    return DecisionInputs(now_ms, world.clock.wall_ms(), restore_ms, guaranteed_ids)
+
+
+def list_candidates(world: BatchWorld, now_ms: int) -> list[Candidate]:
+    """Return the minions that may be given tasks, with their free capacity.
 
     Requests another decision for the time at which the pause of a minion ends.
     """
-    times = DecisionTimes(now_ms, world.clock.wall_ms(), world.cfg.bounds.restore_ms)
-    candidates = {
-        minion.incarnation: _make_idle_candidate(minion)
-        for minion in world.schedule.minions
-    }
-    for plan in world.schedule.plans.values():
-        if plan.phase is PlanPhase.OVER:
-            continue
-        for task in iter_tasks(plan):
-            if task.phase is TaskPhase.PLACED and task.incarnation in candidates:
-                _add_run(
-                    candidates[task.incarnation], plan, task, guaranteed_ids, times
-                )
     usable = [
-        candidate
-        for candidate in candidates.values()
-        if _is_usable(world, candidate.minion, now_ms)
+        _make_candidate(world.schedule, minion)
+        for minion in world.schedule.minions
+        if _is_usable(world, minion, now_ms)
     ]
     racks: dict[str, list[int]] = {}
     for candidate in usable:
         candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
         candidate.rack_free_accelerators[0] += candidate.free_after_stops.accelerators
-        candidate.victims.sort(key=lambda victim: victim.cost_core_s)
     _mark_slow_candidates(usable)
     return usable
 
 
-def _make_idle_candidate(minion: MinionRow) -> Candidate:
-    """Return a minion as an idle candidate, with separate copies of its capacity."""
-    free_now, free_soon, free_after_stops = (
-        replace(minion.resources) for _ in range(3)
-    )
-    return Candidate(
-        minion,
-        free_after_stops=free_after_stops,
-        free_now=free_now,
-        free_soon=free_soon,
-        rack_free_accelerators=[0],
-    )
+def _make_candidate(schedule: Schedule, minion: MinionRow) -> Candidate:
+    """Return a minion as a candidate, with separate copies of its capacity."""
+    free_now = copy_resources(minion.resources)
+    free_after_stops = copy_resources(minion.resources)
+    load = schedule.loads.get(minion.incarnation)
+    if load is not None:
+        subtract_resources(free_now, load.used)
+        subtract_resources(free_after_stops, load.used)
+        add_resources(free_after_stops, load.stopping)
+    return Candidate(minion, free_after_stops, free_now, rack_free_accelerators=[0])
 
 
-def _add_run(
-    candidate: Candidate,
-    plan: Plan,
-    task: Task,
-    guaranteed_ids: set[str],
-    times: DecisionTimes,
-) -> None:
-    """Subtract a run from the free capacity of its minion, and add it to the victims.
+def find_victims(
+    schedule: Schedule, inputs: DecisionInputs, candidate: Candidate
+) -> list[Victim]:
+    """Return the runs of a candidate that may be preempted, cheapest first.
 
-    Runs of rank 0 and runs that are being stopped are not victims.
+    Runs of rank 0 and runs that are being stopped are not victims. The candidate keeps
+    the list for the rest of the decision.
     """
+    if candidate.victims is None:
+        runs = placed_runs(schedule, candidate.minion.incarnation)
+        victims = [
+            _make_victim(inputs, candidate.minion, plan, task)
+            for plan, task in runs
+            if not task.stopping and urgency_rank(plan, inputs.guaranteed_ids)
+        ]
+        candidate.victims = sorted(victims, key=lambda victim: victim.cost_core_s)
+    return candidate.victims
+
+
+def _make_victim(
+    inputs: DecisionInputs, minion: MinionRow, plan: Plan, task: Task
+) -> Victim:
     step = plan.job.steps[task.name.step]
-    subtract_tasks(candidate.free_now, step)
-    ends_soon = _ends_soon(candidate.minion, plan, task, times.now_ms)
-    if not ends_soon:
-        subtract_tasks(candidate.free_soon, step)
-    if task.stopping:
-        return
-    subtract_tasks(candidate.free_after_stops, step)
-    rank = urgency_rank(plan, guaranteed_ids)
-    if rank:
-        freed = Resources(step.cpu_millis, step.memory_mb, step.accelerators)
-        cost_core_s = work_lost_by_stop(plan, task, times.wall_ms, times.restore_ms)
-        candidate.victims.append(
-            Victim(plan, task, rank, freed, cost_core_s, ends_soon)
-        )
+    return Victim(
+        plan,
+        task,
+        urgency_rank(plan, inputs.guaranteed_ids),
+        Resources(step.cpu_millis, step.memory_mb, step.accelerators),
+        work_lost_by_stop(plan, task, inputs.wall_ms, inputs.restore_ms),
+        _ends_soon(minion, plan, task, inputs.now_ms),
+    )
+
+
+def find_soon_free(
+    schedule: Schedule, inputs: DecisionInputs, candidate: Candidate
+) -> Resources:
+    """Return the capacity of a candidate once the runs that end soon have ended.
+
+    The candidate keeps it, so that what is reserved there stays reserved for the rest
+    of the decision.
+    """
+    if candidate.free_soon is None:
+        candidate.free_soon = copy_resources(candidate.free_now)
+        for plan, task in placed_runs(schedule, candidate.minion.incarnation):
+            if _ends_soon(candidate.minion, plan, task, inputs.now_ms):
+                subtract_tasks(candidate.free_soon, plan.job.steps[task.name.step], -1)
+    return candidate.free_soon
 
 
 def _ends_soon(minion: MinionRow, plan: Plan, task: Task, now_ms: int) -> bool:
@@ -184,15 +201,18 @@
 
     Sets their number of placed tasks to that of the unit's step.
     """
+    placed_counts = Counter(
+        task.incarnation
+        for task in unit.plan.tasks[unit.step]
+        if task.phase is TaskPhase.PLACED
+    )
     eligible = [
         candidate
         for candidate in candidates
         if _matches_requirements(unit, candidate.minion)
     ]
     for candidate in eligible:
-        candidate.step_task_count = _count_placed_tasks(
-            unit, candidate.minion.incarnation
-        )
+        candidate.step_task_count = placed_counts[candidate.minion.incarnation]
     return eligible
 
 
@@ -214,15 +234,6 @@
     return not unit.spec.label or unit.spec.label in minion.labels
 
 
-def _count_placed_tasks(unit: PlacementUnit, incarnation: MinionIncarnation) -> int:
-    tasks = unit.plan.tasks[unit.step]
-    return sum(
-        1
-        for task in tasks
-        if task.phase is TaskPhase.PLACED and task.incarnation == incarnation
-    )
-
-
 def fast_candidates(candidates: list[Candidate]) -> list[Candidate]:
     """Return the candidates that are not known to be slow."""
     return [candidate for candidate in candidates if not candidate.is_slow]
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -1,6 +1,7 @@
 """Removal of ended jobs after their retention period."""
 
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.task_phases import remove_plan
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.job import PlanPhase
 from kingcuppost.batch.tables.world import BatchWorld
@@ -30,6 +31,6 @@
         if plan.over_ms is None:
             plan.over_ms = now_ms
         elif now_ms - plan.over_ms > retention_ms:
-            del schedule.plans[job_id]
+            remove_plan(schedule, job_id)
             schedule.unwritten_jobs.pop(job_id, None)
             schedule.removals[job_id] = None
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -3,6 +3,7 @@
 An unreachable minion gets no new runs; its runs end only once its lease has expired.
 """
 
+from kingcuppost.batch.systems.minion_leases import take_expired_leases
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -24,9 +25,7 @@
     if not is_scheduling(world):
         return
     schedule = world.schedule
-    for incarnation, expiry_ms in list(schedule.expiry_times_ms.items()):
-        if now_ms < expiry_ms:
-            continue
+    for incarnation in take_expired_leases(schedule, now_ms):
         end_incarnation_runs(world, incarnation, "the minion lease has expired")
         for minion in schedule.minions.find("incarnation", incarnation):
             schedule.minions.delete(minion.sidecar)
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -1,7 +1,8 @@
 """Fitting of the tasks of a step into free or preemptible capacity."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from math import inf
 
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
@@ -14,6 +15,7 @@
     "Victim",
     "add_resources",
     "choose_candidates",
+    "copy_resources",
     "count_fitting_tasks",
     "plan_evictions",
     "subtract_resources",
@@ -59,15 +61,16 @@
         Capacity that is free once the runs that are being stopped have ended.
     free_now : Resources
         Capacity that is free at once.
-    free_soon : Resources
-        Capacity that is free once the runs that end soon have ended.
+    free_soon : Resources or None
+        Capacity that is free once the runs that end soon have ended; None until it is
+        needed.
     rack_free_accelerators : list of int
         Free accelerators of the whole rack in a list of one element, which all
         candidates of the rack share.
     step_task_count : int
         Placed tasks of the step that is being placed.
-    victims : list of Victim
-        Runs that may be preempted, cheapest first.
+    victims : list of Victim or None
+        Runs that may be preempted, cheapest first; None until they are needed.
     is_slow : bool
         Whether the minion works much slower than most.
     """
@@ -75,12 +78,23 @@
     minion: MinionRow
     free_after_stops: Resources
     free_now: Resources
-    free_soon: Resources
-    rack_free_accelerators: list[int]
+    free_soon: Resources | None = None
+    rack_free_accelerators: list[int] = field(default_factory=lambda: [0])
     step_task_count: int = 0
-    victims: list[Victim] = field(default_factory=list)
+    victims: list[Victim] | None = None
     is_slow: bool = False
 
+    def reserve(self, step: StepSpec, count: int = 1) -> None:
+        """Subtract the demand of `count` tasks of a step from the free capacity."""
+        for resources in (self.free_now, self.free_soon, self.free_after_stops):
+            if resources is not None:
+                subtract_tasks(resources, step, count)
+
+
+def copy_resources(resources: Resources) -> Resources:
+    """Return a copy of `resources`."""
+    return Resources(resources.cpu_millis, resources.memory_mb, resources.accelerators)
+
 
 def subtract_tasks(resources: Resources, step: StepSpec, count: int = 1) -> None:
     """Subtract the demand of `count` tasks of a step from `resources` in place."""
@@ -159,18 +173,20 @@
     use_soon_free : bool
         Whether capacity that is about to be released counts as free.
     """
+    fitting = []
+    for candidate in candidates:
+        resources = candidate.free_soon if use_soon_free else candidate.free_now
+        limit = _limit_per_minion(candidate, step, wanted)
+        count = count_fitting_tasks(resources, step, limit)
+        if count:
+            fitting.append((sort_key(candidate, step), candidate, count))
+    fitting.sort(key=lambda row: row[0])
     chosen: list[Candidate] = []
-    for candidate in sorted(
-        candidates, key=lambda candidate: sort_key(candidate, step)
-    ):
+    for _, candidate, count in fitting:
         missing = wanted - len(chosen)
         if not missing:
             break
-        resources = candidate.free_soon if use_soon_free else candidate.free_now
-        count = count_fitting_tasks(
-            resources, step, _limit_per_minion(candidate, step, missing)
-        )
-        chosen.extend([candidate] * count)
+        chosen.extend([candidate] * min(count, missing))
     return chosen
 
 
@@ -204,7 +220,7 @@
     Stops the cheapest victims until at least one further task fits.
     """
     wanted = current.count + 1
-    resources = replace(candidate.free_after_stops)
+    resources = copy_resources(candidate.free_after_stops)
     victims: list[Victim] = []
     for victim in candidate.victims:
         if count_fitting_tasks(resources, step, limit) >= wanted:
@@ -230,7 +246,7 @@
     """
     needed = []
     for victim in reversed(victims):
-        remaining = replace(resources)
+        remaining = copy_resources(resources)
         subtract_resources(remaining, victim.resources)
         if count_fitting_tasks(remaining, step, wanted) >= wanted:
             subtract_resources(resources, victim.resources)
@@ -264,28 +280,32 @@
     max_cost_core_s : float
         Maximum work that may be lost for one task, in core-seconds.
     """
-    evictions = {
-        id(candidate): Eviction(candidate, 0, 0.0, []) for candidate in candidates
-    }
-    placed = 0
-    while placed < wanted:
-        best: Eviction | None = None
-        best_key: tuple | None = None
-        for candidate in candidates:
-            current = evictions[id(candidate)]
-            limit = _limit_per_minion(candidate, step, current.count + wanted - placed)
-            extended = _extend_eviction(candidate, step, current, limit)
-            if extended.count == current.count:
-                continue
-            key = (
-                (extended.cost_core_s - current.cost_core_s)
-                / (extended.count - current.count),
-                sort_key(candidate, step),
-            )
-            if best_key is None or key < best_key:
-                best, best_key = extended, key
-        if best is None or best_key[0] > max_cost_core_s:
-            break
-        placed += best.count - evictions[id(best.candidate)].count
-        evictions[id(best.candidate)] = best
-    return [eviction for eviction in evictions.values() if eviction.count]
+    evictions = [Eviction(candidate, 0, 0.0, []) for candidate in candidates]
+    extensions: list[tuple[float, tuple, int, Eviction]] = []
+
+    def push_extension(index: int, missing: int) -> None:
+        current = evictions[index]
+        candidate = current.candidate
+        limit = _limit_per_minion(candidate, step, current.count + missing)
+        extended = _extend_eviction(candidate, step, current, limit)
+        added = extended.count - current.count
+        if added:
+            cost_core_s = (extended.cost_core_s - current.cost_core_s) / added
+            row = (cost_core_s, sort_key(candidate, step), index, extended)
+            heappush(extensions, row)
+
+    for index in range(len(evictions)):
+        push_extension(index, wanted)
+    missing = wanted
+    while missing and extensions:
+        cost_core_s, _, index, extended = heappop(extensions)
+        added = extended.count - evictions[index].count
+        if added <= missing:
+            if cost_core_s > max_cost_core_s:
+                break
+            evictions[index] = extended
+            missing -= added
+        # one for more tasks than are missing costs more for each of the missing ones
+        if missing:
+            push_extension(index, missing)
+    return [eviction for eviction in evictions if eviction.count]
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -2,6 +2,12 @@
 
 from collections.abc import Iterator
 
+from kingcuppost.batch.systems.task_phases import (
+    add_plan,
+    change_phase,
+    mark_stopping,
+    remove_plan,
+)
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import (
     ENDED_STATES,
@@ -17,7 +23,7 @@
     TaskPhase,
     TaskProgress,
 )
-from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.batch.tables.world import BatchWorld, Schedule
 
 __all__ = [
     "adopt_job",
@@ -48,20 +54,26 @@
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(spec.count)]
         for step, spec in enumerate(job.steps)
     ]
+    if job.progress is not None:
+        _load_tasks(tasks, job.progress)
     plan = Plan(job, tasks)
     if job.progress is not None:
-        _load_progress(plan, job.progress)
+        plan.state = job.progress.state
+        plan.begun = job.progress.begun
     if job.state in ENDED_STATES:
-        is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
-        plan.phase = PlanPhase.CLOSING if is_running else PlanPhase.OVER
+        plan.phase = _phase_after_end(plan)
     return plan
 
 
-def _load_progress(plan: Plan, progress: Progress) -> None:
-    plan.state = progress.state
-    plan.begun = progress.begun
+def _phase_after_end(plan: Plan) -> PlanPhase:
+    """Return the phase of the plan of a job that has ended."""
+    is_running = plan.phase_counts[TaskPhase.PLACED] > 0
+    return PlanPhase.CLOSING if is_running else PlanPhase.OVER
+
+
+def _load_tasks(tasks: list[list[Task]], progress: Progress) -> None:
     for row in progress.tasks:
-        task = plan.tasks[row.step][row.index]
+        task = tasks[row.step][row.index]
         task.phase = row.phase
         task.run = row.run
         task.failures = row.failures
@@ -106,10 +118,11 @@
     job = world.agreed.jobs.get(job_id)
     plan = schedule.plans.get(job_id)
     if job is None:
-        schedule.plans.pop(job_id, None)
+        remove_plan(schedule, job_id)
         return
     if plan is None:
-        plan = schedule.plans[job_id] = load_plan(job)
+        plan = load_plan(job)
+        add_plan(schedule, plan)
         _repeat_stops(world, plan)
     schedule.inputs_changed = True
     if job.cancelled and plan.phase is PlanPhase.OPEN:
@@ -133,8 +146,7 @@
     """End a job and request the stop of its runs."""
     plan.state = state
     request_stops(world, plan)
-    is_running = any(task.phase is TaskPhase.PLACED for task in iter_tasks(plan))
-    plan.phase = PlanPhase.CLOSING if is_running else PlanPhase.OVER
+    plan.phase = _phase_after_end(plan)
     world.note("job", "A job ends.", job=plan.job.id, state=state)
     mark_plan_changed(world, plan)
 
@@ -142,7 +154,7 @@
 def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
     """Request the stop of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
-        task.stopping = True
+        mark_stopping(world.schedule, plan, task)
         world.schedule.pending_runs[task.name] = (plan, task)
 
 
@@ -169,16 +181,14 @@
 ) -> None:
     """Assign a task to a minion; its run starts once the plan is in the log."""
     world.schedule.pending_runs[task.name] = (plan, task)
-    task.phase = TaskPhase.PLACED
+    change_phase(world.schedule, plan, task, TaskPhase.PLACED, minion.incarnation)
     task.run = run
-    task.incarnation = minion.incarnation
     task.sidecar = minion.sidecar
     task.placed_ms = world.clock.wall_ms()
     task.plan_version = plan.version
     task.start_sent_ms = None
     task.confirmed = False
     task.running_since_ms = None
-    task.stopping = False
     task.stop_sent_ms = None
 
 
@@ -187,13 +197,11 @@
 ) -> None:
     """Apply the confirmed end of a task's current run to its plan."""
     incarnation = task.incarnation
-    task.phase = TaskPhase.WAITING
-    task.incarnation = None
-    task.stopping = False
+    change_phase(world.schedule, plan, task, TaskPhase.WAITING)
     if checkpoint:
         _store_checkpoint(plan, task, checkpoint)
     if run_end is RunEnd.DONE:
-        _mark_done(plan, task)
+        _mark_done(world.schedule, plan, task)
     elif run_end is RunEnd.FAILED:
         _count_failure(plan, task, incarnation, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and run_end is not RunEnd.DONE:
@@ -210,14 +218,11 @@
             member.checkpoint = checkpoint
 
 
-def _mark_done(plan: Plan, task: Task) -> None:
+def _mark_done(schedule: Schedule, plan: Plan, task: Task) -> None:
     """Mark a task as done, with all members if it belongs to a gang."""
-    task.phase = TaskPhase.DONE
-    if not plan.job.steps[task.name.step].gang:
-        return
-    for member in plan.tasks[task.name.step]:
-        member.phase = TaskPhase.DONE
-        member.incarnation = None
+    is_gang = plan.job.steps[task.name.step].gang
+    for member in plan.tasks[task.name.step] if is_gang else [task]:
+        change_phase(schedule, plan, member, TaskPhase.DONE)
 
 
 def _count_failure(
@@ -242,12 +247,13 @@
 
     A job that has ended is over once none of its runs is left.
     """
-    tasks = list(iter_tasks(plan))
     if plan.phase is PlanPhase.CLOSING:
-        if not any(task.phase is TaskPhase.PLACED for task in tasks):
-            plan.phase = PlanPhase.OVER
+        plan.phase = _phase_after_end(plan)
     elif plan.phase is PlanPhase.OPEN:
-        if all(task.phase is TaskPhase.DONE for task in tasks):
+        counts = plan.phase_counts
+        if not counts[TaskPhase.WAITING] and not counts[TaskPhase.PLACED]:
             end_job(world, plan, JobState.COMPLETED)
-        elif any(task.failures >= plan.job.policy.most_failures for task in tasks):
+        elif any(
+            task.failures >= plan.job.policy.most_failures for task in iter_tasks(plan)
+        ):
             end_job(world, plan, JobState.FAILED)
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,15 +1,16 @@
 """Monitoring of runs: stops those that are stalled, slow or on draining minions."""
 
-from kingcuppost.batch.systems.plans import iter_tasks, request_stop, request_stops
+from kingcuppost.batch.systems.plans import request_stop, request_stops
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import (
     corrected_estimate_ms,
     expected_remaining_ms,
     update_speed,
 )
+from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, PlanPhase, Task, TaskPhase
+from kingcuppost.batch.tables.job import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -45,13 +46,10 @@
     if now_ms >= schedule.write_checkpoints_at_ms:
         schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
         _record_checkpoints(world)
-    minions_by_incarnation = {minion.incarnation: minion for minion in schedule.minions}
-    for plan in list(schedule.plans.values()):
-        if plan.phase is not PlanPhase.OPEN:
-            continue
-        for task in iter_tasks(plan):
-            minion = minions_by_incarnation.get(task.incarnation)
-            if minion is not None and task.confirmed and not task.stopping:
+    for minion in schedule.minions:
+        for plan, task in placed_runs(schedule, minion.incarnation):
+            is_checked = task.confirmed and not task.stopping
+            if is_checked and plan.phase is PlanPhase.OPEN:
                 _check_run(world, minion, plan, task, now_ms)
 
 
@@ -70,7 +68,7 @@
 def _check_run(
     world: BatchWorld, minion: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
-    if task.phase is not TaskPhase.PLACED or minion.is_unreachable:
+    if minion.is_unreachable:
         return
     if minion.speed.weight < 1:
         update_speed(world, minion, plan, task)
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -8,11 +8,14 @@
 from math import inf
 
 from kingcuppost.batch.systems.candidates import (
-    NEVER_MS,
+    DecisionInputs,
     eligible_candidates,
     exclude_avoided,
     fast_candidates,
+    find_soon_free,
+    find_victims,
     list_candidates,
+    make_decision_inputs,
     request_decision,
 )
 from kingcuppost.batch.systems.freshness import (
@@ -40,8 +43,9 @@
 )
 from kingcuppost.batch.tables.job import JobState, StepSpec
 from kingcuppost.batch.tables.messages import Stream
-from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.batch.tables.world import BatchWorld, Schedule
 from kingcuppost.tables.identity import Role
+from kingcuppost.utils.clock import NEVER_MS
 
 __all__ = ["schedule_units"]
 
@@ -66,13 +70,14 @@
     schedule.inputs_changed = False
     schedule.decide_at_ms = NEVER_MS
     guaranteed_ids = find_guaranteed_jobs(world)
-    candidates = list_candidates(world, now_ms, guaranteed_ids)
+    inputs = make_decision_inputs(world, now_ms, guaranteed_ids)
+    candidates = list_candidates(world, now_ms)
     units = sorted(
         iter_units(world, guaranteed_ids),
         key=lambda unit: (unit.rank, unit.plan.job.accepted_ms),
     )
     for unit in units:
-        _schedule_unit(world, unit, candidates)
+        _schedule_unit(world, inputs, unit, candidates)
         if unit.is_urgent:
             request_decision(world, now_ms + URGENT_RETRY_MS)
 
@@ -92,7 +97,10 @@
 
 
 def _schedule_unit(
-    world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
+    world: BatchWorld,
+    inputs: DecisionInputs,
+    unit: PlacementUnit,
+    candidates: list[Candidate],
 ) -> None:
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
@@ -103,17 +111,22 @@
     """
     allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
-    if _schedule_unit_at(world, unit, preferred) or len(preferred) == len(allowed):
+    if _schedule_unit_at(world, inputs, unit, preferred):
+        return
+    if len(preferred) == len(allowed):
         return
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
     if world.clock.now_ms() < until_ms and _unit_fits_idle(unit, preferred):
         request_decision(world, until_ms)
         return
-    _schedule_unit_at(world, unit, allowed)
+    _schedule_unit_at(world, inputs, unit, allowed)
 
 
 def _schedule_unit_at(
-    world: BatchWorld, unit: PlacementUnit, candidates: list[Candidate]
+    world: BatchWorld,
+    inputs: DecisionInputs,
+    unit: PlacementUnit,
+    candidates: list[Candidate],
 ) -> bool:
     """Place a unit or preempt runs for it; return whether no task is left over.
 
@@ -128,20 +141,22 @@
     fast_groups = _candidate_groups(unit, fast_candidates(candidates))
     if _place_unit(world, unit, fast_groups):
         return True
-    if not unit.is_guaranteed and _reserve_soon_free(unit, fast_groups):
+    if not unit.is_guaranteed and _reserve_soon_free(
+        world.schedule, inputs, unit, fast_groups
+    ):
         return True
     max_cost_core_s = MAX_LOSS_RATIO * _task_work_core_s(unit)
-    if _preempt_for_unit(world, unit, fast_groups, max_cost_core_s):
+    if _preempt_for_unit(world, inputs, unit, fast_groups, max_cost_core_s):
         return True
     if _place_unit(world, unit, all_groups):
         return True
     if not unit.is_guaranteed:
-        return _preempt_for_unit(world, unit, all_groups, max_cost_core_s)
-    if _preempt_for_unit(world, unit, all_groups) or _place_unit(
+        return _preempt_for_unit(world, inputs, unit, all_groups, max_cost_core_s)
+    if _preempt_for_unit(world, inputs, unit, all_groups) or _place_unit(
         world, unit, [candidates]
     ):
         return True
-    return _preempt_for_unit(world, unit, [candidates])
+    return _preempt_for_unit(world, inputs, unit, [candidates])
 
 
 def _task_work_core_s(unit: PlacementUnit) -> float:
@@ -159,7 +174,12 @@
     )
 
 
-def _reserve_soon_free(unit: PlacementUnit, groups: list[list[Candidate]]) -> bool:
+def _reserve_soon_free(
+    schedule: Schedule,
+    inputs: DecisionInputs,
+    unit: PlacementUnit,
+    groups: list[list[Candidate]],
+) -> bool:
     """Reserve for the tasks of a unit the capacity that is about to be released.
 
     Returns
@@ -168,6 +188,8 @@
         Whether the capacity suffices for all tasks.
     """
     for group in groups:
+        for candidate in group:
+            find_soon_free(schedule, inputs, candidate)
         sort_key = _make_sort_key(unit)
         chosen = choose_candidates(
             group, unit.spec, len(unit.tasks), sort_key, use_soon_free=True
@@ -304,12 +326,7 @@
     for task, candidate in zip(tasks, chosen, strict=True):
         run = gang_run if unit.spec.gang else task.run + 1
         place_task(world, plan, task, run, candidate.minion)
-        for resources in (
-            candidate.free_now,
-            candidate.free_soon,
-            candidate.free_after_stops,
-        ):
-            subtract_tasks(resources, unit.spec)
+        candidate.reserve(unit.spec)
         candidate.step_task_count += 1
         candidate.rack_free_accelerators[0] -= unit.spec.accelerators
         world.note(
@@ -327,6 +344,7 @@
 
 def _preempt_for_unit(
     world: BatchWorld,
+    inputs: DecisionInputs,
     unit: PlacementUnit,
     groups: list[list[Candidate]],
     max_cost_core_s: float = inf,
@@ -346,16 +364,11 @@
     bool
         Whether the capacity suffices for all tasks.
     """
-    best = _choose_evictions(unit, groups, max_cost_core_s)
+    best = _choose_evictions(world.schedule, inputs, unit, groups, max_cost_core_s)
     for eviction in best:
         _stop_victims(world, unit, eviction)
         # the copy with fewer victims shares these objects with the original candidate
-        for resources in (
-            eviction.candidate.free_now,
-            eviction.candidate.free_soon,
-            eviction.candidate.free_after_stops,
-        ):
-            subtract_tasks(resources, unit.spec, eviction.count)
+        eviction.candidate.reserve(unit.spec, eviction.count)
     unit.tasks = unit.tasks[_count_tasks(best) :]
     return not unit.tasks
 
@@ -365,7 +378,11 @@
 
 
 def _choose_evictions(
-    unit: PlacementUnit, groups: list[list[Candidate]], max_cost_core_s: float
+    schedule: Schedule,
+    inputs: DecisionInputs,
+    unit: PlacementUnit,
+    groups: list[list[Candidate]],
+    max_cost_core_s: float,
 ) -> list[Eviction]:
     """Return the evictions for the most tasks, at the lowest cost among equals."""
     best: list[Eviction] = []
@@ -374,6 +391,8 @@
     # a gang needs all its members, so only its total cost is limited
     max_task_cost_core_s = inf if unit.spec.gang else max_cost_core_s
     for group in groups:
+        for candidate in group:
+            find_victims(schedule, inputs, candidate)
         narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
         found = plan_evictions(
             narrowed, unit.spec, wanted, _make_sort_key(unit), max_task_cost_core_s
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -1,5 +1,7 @@
 """Replies to sidecars' reports: runs to start and stop, and committed run ends."""
 
+from heapq import heappop
+
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -11,7 +13,12 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
+from kingcuppost.batch.tables.world import (
+    BatchWorld,
+    OrphanRun,
+    PendingSync,
+    Schedule,
+)
 from kingcuppost.tables.identity import Role
 
 __all__ = ["reply_to_sidecars"]
@@ -37,8 +44,29 @@
     if not schedule.pending_syncs:
         return
     starts, stops = _collect_orders(world, now_ms)
-    for pending in list(schedule.pending_syncs.values()):
-        _reply_to_report(world, pending, starts, stops, now_ms)
+    for sidecar in _sidecars_to_answer(schedule, [*starts, *stops], now_ms):
+        pending = schedule.pending_syncs.get(sidecar)
+        if pending is not None:
+            _reply_to_report(world, pending, starts, stops, now_ms)
+
+
+def _sidecars_to_answer(
+    schedule: Schedule, ordered: list[MinionIncarnation], now_ms: int
+) -> list[str]:
+    """Return the sidecars whose reports may be answered now, without repetition.
+
+    All others wait: most reports of a large deployment have neither orders nor results
+    at any one time, so a tick does not look at them.
+    """
+    sidecars = dict.fromkeys(schedule.reported_results)
+    for incarnation in ordered:
+        for minion in schedule.minions.find("incarnation", incarnation):
+            sidecars[minion.sidecar] = None
+    sidecars |= dict.fromkeys(schedule.orphans)
+    while schedule.sync_ends and schedule.sync_ends[0][0] <= now_ms:
+        _, sidecar = heappop(schedule.sync_ends)
+        sidecars[sidecar] = None
+    return list(sidecars)
 
 
 def _reply_to_report(
@@ -58,6 +86,7 @@
     if not (has_orders or committed_end or call.refused or now_ms >= pending.until_ms):
         return
     del world.schedule.pending_syncs[call.sidecar]
+    world.schedule.reported_results.pop(call.sidecar, None)
     for _, task in starts.get(incarnation, ()):
         task.start_sent_ms = now_ms
     for _, task in stops.get(incarnation, ()):
@@ -74,6 +103,8 @@
     for pending in world.schedule.pending_syncs.values():
         world.outbox.put(make_redirect(world, pending.call.exchange_id))
     world.schedule.pending_syncs.clear()
+    world.schedule.reported_results.clear()
+    world.schedule.sync_ends.clear()
 
 
 def _due_orphan_stops(world: BatchWorld, sidecar: str, now_ms: int) -> list[OrphanRun]:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -1,11 +1,15 @@
 """Handling of sidecars' reports: minions, their runs, and how runs ended."""
 
+from heapq import heappush
+
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
+from kingcuppost.batch.systems.minion_leases import extend_lease
 from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import update_speed
-from kingcuppost.batch.systems.term_opening import certain_expiry_ms, is_scheduling
+from kingcuppost.batch.systems.task_phases import placed_runs
+from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
@@ -55,9 +59,18 @@
         if older is not None:
             world.outbox.put(SyncReply(older.call.exchange_id, world.schedule.term))
         _handle_report(world, call, now_ms)
-        until_ms = now_ms + call.wait_ms
-        world.schedule.pending_syncs[call.sidecar] = PendingSync(call, until_ms)
-        world.deadlines.add(until_ms)
+        _add_pending_sync(world, call, now_ms + call.wait_ms)
+
+
+def _add_pending_sync(world: BatchWorld, call: SyncCall, until_ms: int) -> None:
+    """Let a report wait until there is an answer, but not after `until_ms`."""
+    schedule = world.schedule
+    schedule.pending_syncs[call.sidecar] = PendingSync(call, until_ms)
+    heappush(schedule.sync_ends, (until_ms, call.sidecar))
+    schedule.reported_results.pop(call.sidecar, None)
+    if call.ended or call.refused:
+        schedule.reported_results[call.sidecar] = None
+    world.deadlines.add(until_ms)
 
 
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
@@ -80,9 +93,7 @@
         old = None
     _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
     minion = _update_minion(world, call, old, now_ms)
-    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
-    schedule.expiry_times_ms[minion.incarnation] = expiry_ms
-    world.deadlines.add(expiry_ms)
+    extend_lease(world, minion.incarnation, call.sidecar, now_ms)
     if call.minion.listed:
         _handle_run_lists(world, call, minion, now_ms)
 
@@ -90,15 +101,12 @@
 def _end_earlier_incarnations(
     world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
 ) -> None:
-    """End the runs of earlier incarnations of the minion beside a sidecar.
-
-    Also records the sidecar of the present incarnation.
-    """
-    incarnation_sidecars = world.schedule.incarnation_sidecars
-    for earlier, earlier_sidecar in list(incarnation_sidecars.items()):
-        if earlier_sidecar == sidecar and earlier.born_ms < incarnation.born_ms:
-            end_incarnation_runs(world, earlier, "the minion has a new incarnation")
-    incarnation_sidecars[incarnation] = sidecar
+    """End the runs of earlier incarnations of the minion beside a sidecar."""
+    for lease in world.schedule.leases.find("sidecar", sidecar):
+        if lease.incarnation.born_ms < incarnation.born_ms:
+            end_incarnation_runs(
+                world, lease.incarnation, "the minion has a new incarnation"
+            )
 
 
 def _update_minion(
@@ -154,14 +162,10 @@
 ) -> None:
     """End all runs of a minion incarnation that is over."""
     schedule = world.schedule
-    schedule.expiry_times_ms.pop(incarnation, None)
-    schedule.incarnation_sidecars.pop(incarnation, None)
-    for plan in list(schedule.plans.values()):
-        for step in plan.tasks:
-            for task in step:
-                if task.phase is TaskPhase.PLACED and task.incarnation == incarnation:
-                    _record_run_end(world, plan, task, RunEnd.LOST, reason)
-                    apply_run_end(world, plan, task, RunEnd.LOST, "")
+    schedule.leases.delete(incarnation)
+    for plan, task in placed_runs(schedule, incarnation):
+        _record_run_end(world, plan, task, RunEnd.LOST, reason)
+        apply_run_end(world, plan, task, RunEnd.LOST, "")
 
 
 def _record_run_end(
@@ -192,6 +196,8 @@
     present = {(str(running.task), running.run) for running in call.running}
     for key in [key for key in orphans if key not in present]:
         del orphans[key]
+    if not orphans:
+        world.schedule.orphans.pop(call.sidecar, None)
     for running in call.running:
         _handle_running_run(world, minion, running, now_ms)
     reported_ends = world.schedule.reported_ends.setdefault(call.sidecar, {})
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.holder_election import holds_lease, step_down
+from kingcuppost.batch.systems.minion_leases import extend_lease
 from kingcuppost.batch.systems.plans import adopt_job, iter_tasks
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -15,20 +16,9 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
-__all__ = ["certain_expiry_ms", "is_scheduling", "open_term"]
+__all__ = ["is_scheduling", "open_term"]
 
 APPEND_TIMEOUT_MS = 800
-EXPIRY_MARGIN_MS = 400
-MAX_CLOCK_DRIFT_RATIO = 1.03
-
-
-def certain_expiry_ms(lease_ms: int) -> int:
-    """Return the time after a report by which a minion lease has expired, in ms.
-
-    The lease has expired by then even if the minion's clock is slower than this
-    process's clock by the factor `MAX_CLOCK_DRIFT_RATIO`.
-    """
-    return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
 
 
 def is_scheduling(world: BatchWorld) -> bool:
@@ -95,16 +85,13 @@
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
-    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
     for job in world.agreed.jobs:
         adopt_job(world, job.id)
         plan = schedule.plans[job.id]
         for task in iter_tasks(plan):
             if task.incarnation is not None:
                 schedule.pending_runs[task.name] = (plan, task)
-                schedule.expiry_times_ms[task.incarnation] = expiry_ms
-                schedule.incarnation_sidecars[task.incarnation] = task.sidecar
-    world.deadlines.add(expiry_ms)
+                extend_lease(world, task.incarnation, task.sidecar, now_ms)
     schedule.changed_jobs.clear()
     schedule.inputs_changed = True
     world.note(
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -2,13 +2,15 @@
 
 from dataclasses import dataclass, field
 
-from kingcuppost.batch.tables.job import MinionIncarnation
+from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskName
 from kingcuppost.tables.config import Address
 
 __all__ = [
     "Configuration",
     "EntryMember",
     "HolderView",
+    "MinionLease",
+    "MinionLoad",
     "MinionRow",
     "Queue",
     "Resources",
@@ -87,6 +89,42 @@
     accelerators: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class MinionLease:
+    """The lease of a minion incarnation.
+
+    Attributes
+    ----------
+    sidecar : str
+        Sidecar beside the minion.
+    expiry_ms : int
+        Time from which the lease has certainly expired.
+    """
+
+    incarnation: MinionIncarnation
+    sidecar: str
+    expiry_ms: int
+
+
+@dataclass(slots=True)
+class MinionLoad:
+    """The runs that are placed at a minion incarnation, and what they occupy.
+
+    Attributes
+    ----------
+    runs : dict of TaskName to tuple of Plan and Task
+        The runs by task.
+    used : Resources
+        Capacity that the runs occupy.
+    stopping : Resources
+        The part of `used` that runs occupy which are to be stopped.
+    """
+
+    runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
+    used: Resources = field(default_factory=Resources)
+    stopping: Resources = field(default_factory=Resources)
+
+
 @dataclass(slots=True)
 class Speed:
     """Estimated speed of a machine, learned from its runs.
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -414,6 +414,8 @@
         Row of the job in the agreed state.
     tasks : list of list of Task
         Tasks by step and index.
+    phase_counts : dict of TaskPhase to int
+        Number of tasks in each phase; `task_phases` keeps it up to date.
     state : JobState
         State for the next progress record.
     phase : PlanPhase
@@ -434,6 +436,7 @@
 
     job: Job
     tasks: list[list[Task]]
+    phase_counts: dict[TaskPhase, int] = field(init=False)
     state: JobState = JobState.QUEUED
     phase: PlanPhase = PlanPhase.OPEN
     begun: bool = False
@@ -442,3 +445,9 @@
     has_new_checkpoint: bool = False
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.phase_counts = dict.fromkeys(TaskPhase, 0)
+        for step in self.tasks:
+            for task in step:
+                self.phase_counts[task.phase] += 1
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -8,6 +8,8 @@
     Configuration,
     EntryMember,
     HolderView,
+    MinionLease,
+    MinionLoad,
     MinionRow,
     Speed,
 )
@@ -29,7 +31,7 @@
 from kingcuppost.tables.mailbox import Mailbox
 from kingcuppost.tables.metrics import Tally
 from kingcuppost.tables.table import Table
-from kingcuppost.utils.clock import Clock
+from kingcuppost.utils.clock import NEVER_MS, Clock
 
 __all__ = [
     "Agreed",
@@ -198,6 +200,8 @@
         Time before which no other entry can have opened a term.
     plans : dict of str to Plan
         Plans of all jobs, by job.
+    loads : dict of MinionIncarnation to MinionLoad
+        Placed runs by minion incarnation, kept up to date by `task_phases`.
     minions : Table of MinionRow
         Minions that sidecars have reported to this process.
     renewals : dict of str to int
@@ -210,10 +214,15 @@
         Runs whose start is not confirmed yet, or that are to be stopped.
     pending_syncs : dict of str to PendingSync
         Reports whose answer is delayed, by sidecar.
-    expiry_times_ms : dict of MinionIncarnation to int
-        Time from which the lease of a minion incarnation has certainly expired.
-    incarnation_sidecars : dict of MinionIncarnation to str
-        Sidecar beside the minion of an incarnation.
+    sync_ends : list of tuple of int and str
+        Heap of the times at which delayed reports are answered in any case, with their
+        sidecars; also holds those of reports that were answered before.
+    reported_results : dict of str to None
+        Sidecars whose delayed report has ended or refused runs.
+    leases : Table of MinionLease
+        Leases of all minion incarnations that may hold runs.
+    next_expiry_ms : int
+        Time before which none of these leases expires.
     reported_ends : dict of str to dict
         Job and plan version that must be in the log before an end is acknowledged, by
         sidecar and number of the end.
@@ -258,13 +267,18 @@
     in_flight_versions: dict[str, int] = field(default_factory=dict)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
+    loads: dict[MinionIncarnation, MinionLoad] = field(default_factory=dict)
     minions: Table[MinionRow] = field(
         default_factory=lambda: Table("sidecar", ("incarnation",))
     )
     pending_runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
-    expiry_times_ms: dict[MinionIncarnation, int] = field(default_factory=dict)
-    incarnation_sidecars: dict[MinionIncarnation, str] = field(default_factory=dict)
+    leases: Table[MinionLease] = field(
+        default_factory=lambda: Table("incarnation", ("sidecar",))
+    )
+    next_expiry_ms: int = NEVER_MS
     pending_syncs: dict[str, PendingSync] = field(default_factory=dict)
+    sync_ends: list[tuple[int, str]] = field(default_factory=list)
+    reported_results: dict[str, None] = field(default_factory=dict)
     reported_ends: dict[str, dict[int, tuple[str, int]]] = field(default_factory=dict)
     orphans: dict[str, dict[tuple[str, int], OrphanRun]] = field(default_factory=dict)
     changed_jobs: dict[str, None] = field(default_factory=dict)
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -2,9 +2,14 @@
 
 from dataclasses import replace
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from kingcuppost.batch.systems.placement import (
     Candidate,
+    Eviction,
     Victim,
+    _extend_eviction,
     choose_candidates,
     count_fitting_tasks,
     plan_evictions,
@@ -125,3 +130,45 @@
     full.victims[0].resources, full.victims[1].resources = small, large
     found = plan_evictions([full], STEP, 1, sort_key_by_name)
     assert [victim.cost_core_s for victim in found[0].victims] == [2.0]
+
+
+def plan_evictions_exhaustively(
+    candidates: list[Candidate], wanted: int, max_cost_core_s: float
+) -> list[Eviction]:
+    """Plan like `plan_evictions`, but compare all candidates for each next task."""
+    evictions = [Eviction(candidate, 0, 0.0, []) for candidate in candidates]
+    while (missing := wanted - sum(eviction.count for eviction in evictions)) > 0:
+        rows = []
+        for index, current in enumerate(evictions):
+            limit = current.count + missing
+            extended = _extend_eviction(current.candidate, STEP, current, limit)
+            added = extended.count - current.count
+            if added:
+                cost_core_s = (extended.cost_core_s - current.cost_core_s) / added
+                rows.append((cost_core_s, index, extended))
+        if not rows or min(rows)[0] > max_cost_core_s:
+            break
+        _, index, extended = min(rows, key=lambda row: row[:2])
+        evictions[index] = extended
+    return [eviction for eviction in evictions if eviction.count]
+
+
+@given(
+    free=st.lists(st.integers(0, 8), min_size=1, max_size=6),
+    costs=st.lists(st.lists(st.integers(1, 9), max_size=5), min_size=6, max_size=6),
+    wanted=st.integers(1, 20),
+    max_cost_core_s=st.integers(1, 20),
+)
+def test_evictions_are_those_of_an_exhaustive_search(
+    free: list[int], costs: list[list[int]], wanted: int, max_cost_core_s: int
+) -> None:
+    candidates = [
+        make_candidate(
+            str(index),
+            Resources(8_000 * accelerators, 16_000 * accelerators, accelerators),
+            tuple(sorted(map(float, costs[index]))),
+        )
+        for index, accelerators in enumerate(free)
+    ]
+    found = plan_evictions(candidates, STEP, wanted, sort_key_by_name, max_cost_core_s)
+    assert found == plan_evictions_exhaustively(candidates, wanted, max_cost_core_s)
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -9,11 +9,13 @@
     iter_tasks,
     make_progress,
 )
+from kingcuppost.batch.systems.task_phases import change_phase
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import (
     Job,
     JobPolicy,
     JobState,
+    MinionIncarnation,
     Plan,
     PlanPhase,
     Progress,
@@ -30,6 +32,7 @@
 JOB = "0123456789abcdef"
 GANG = StepSpec(3, gang=True)
 WIDE = StepSpec(3)
+INCARNATION = MinionIncarnation("m", 1)
 
 
 @pytest.fixture
@@ -96,11 +99,11 @@
     plan = adopt_with_progress(world, WIDE, "pdd")
     task = plan.tasks[0][0]
     for run_end in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.REFUSED):
-        task.phase = TaskPhase.PLACED
+        change_phase(world.schedule, plan, task, TaskPhase.PLACED, INCARNATION)
         apply_run_end(world, plan, task, run_end, "")
     assert task.failures == 0
     for _ in range(2):
-        task.phase = TaskPhase.PLACED
+        change_phase(world.schedule, plan, task, TaskPhase.PLACED, INCARNATION)
         apply_run_end(world, plan, task, RunEnd.FAILED, "")
     assert plan.state is JobState.FAILED
 
--- a/kingcuppost/utils/clock.py
+++ b/kingcuppost/utils/clock.py
@@ -3,8 +3,9 @@
 import time
 from typing import Protocol
 
-__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
+__all__ = ["NEVER_MS", "BootClock", "Clock", "ManualClock", "SystemClock"]
 
+NEVER_MS = 2**62  # later than any reading of a clock
 NS_PER_MS = 1_000_000
 # Without CLOCK_BOOTTIME, the clock may stop while the machine is suspended.
 BOOT_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
