Keep capacity that is being released for the unit that it is released for

A decision reserves released capacity only for itself; the next one begins with the older unit.

Ruled out: a lost order or a late end (stopped within 0.25 s), another rank (both 1).

Change: a task remembers where runs are stopped for it, until they must have ended. Other units of its rank and of less urgent ranks leave that capacity; what is free and is not needed afterwards can be used. More urgent ranks are scheduled before. The decision is one object now, and scheduling.py is split: order of candidates, preemption, reservations.

Result: bench/tests/test_preemption.py fails without it (the older unit is placed).

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -24,11 +24,13 @@
     RunEnd,
     StepSpec,
     TaskName,
+    TaskPhase,
 )
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
     AppendOutcome,
+    CancelRecord,
     EndedRun,
     JobRecord,
     MinionReport,
@@ -63,6 +65,8 @@
     ----------
     running : dict of str to dict
         Runs that each sidecar reports, by task and run.
+    stopped : dict of str to list
+        Task and run of the stops that each sidecar has not reported yet.
     waiting : dict of str to str
         Identifier of the unanswered report of each sidecar.
     """
@@ -73,10 +77,12 @@
         self.world = make_batch_world(cfg, self.clock, seed=1)
         self.systems = load_systems(Role.ENTRY)
         self.running: dict[str, dict[tuple[TaskName, int], RunningRun]] = {}
+        self.stopped: dict[str, list[tuple[TaskName, int]]] = {}
         self.waiting: dict[str, str] = {}
         self._numbers = dict.fromkeys(range(minions), 0)
         self._end_numbers: dict[str, int] = {}
         self._job_count = 0
+        self._offset = 1
         self._hold_lease()
         for index in range(minions):
             self.running[self._sidecar(index)] = {}
@@ -119,11 +125,20 @@
             -1,
             JobPolicy("svc", priority, 3, 2.0),
         )
-        offset = self._job_count
-        rows = [(offset, JobRecord(job))]
+        self._log(JobRecord(job))
+        return job_id
+
+    def cancel(self, job_id: str) -> None:
+        """Put the cancellation of a job into the log."""
+        self._log(CancelRecord(job_id))
+
+    def _log(self, record: JobRecord | CancelRecord) -> None:
+        """Let the holder read a record of the jobs stream."""
+        offset = self._offset
+        self._offset += 1
+        rows = [(offset, record)]
         read = RecordsRead(Stream.JOBS, rows, self.clock.now_ms(), offset + 1)
         self.world.inbox.put(read)
-        return job_id
 
     def report(self, index: int, ended: tuple[tuple[TaskName, int], ...] = ()) -> None:
         """Send the report of a sidecar, with the runs in `ended` as done."""
@@ -131,8 +146,9 @@
         rows = []
         for key in ended:
             del self.running[sidecar][key]
-            self._end_numbers[sidecar] = self._end_numbers.get(sidecar, 0) + 1
-            rows.append(EndedRun(self._end_numbers[sidecar], *key, RunEnd.DONE, ""))
+            rows.append(self._end_run(sidecar, key, RunEnd.DONE))
+        for key in self.stopped.pop(sidecar, ()):
+            rows.append(self._end_run(sidecar, key, RunEnd.STOPPED))
         self._numbers[index] += 1
         exchange_id = f"{sidecar}/{self._numbers[index]}"
         self.waiting[sidecar] = exchange_id
@@ -150,6 +166,12 @@
             )
         )
 
+    def _end_run(
+        self, sidecar: str, key: tuple[TaskName, int], run_end: RunEnd
+    ) -> EndedRun:
+        number = self._end_numbers[sidecar] = self._end_numbers.get(sidecar, 0) + 1
+        return EndedRun(number, *key, run_end, "")
+
     @staticmethod
     def _minion_report(index: int) -> MinionReport:
         zone = f"zone-{index % ZONES}"
@@ -191,7 +213,14 @@
             key = (start.task, start.run)
             self.running[sidecar][key] = RunningRun(*key, "", 0)
         for stop in reply.stops:
-            self.running[sidecar].pop((stop.task, stop.run), None)
+            key = (stop.task, stop.run)
+            if self.running[sidecar].pop(key, None) is not None:
+                self.stopped.setdefault(sidecar, []).append(key)
+
+    def placed(self, job_id: str) -> int:
+        """Return how many tasks of a job have a run at present."""
+        plan = self.world.schedule.plans[job_id]
+        return plan.phase_counts[TaskPhase.PLACED]
 
     def settle(self, rounds: int = 4) -> None:
         """Let every sidecar report until all placed runs are confirmed."""
--- /dev/null
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -0,0 +1,110 @@
+"""Groups and order in which a placement unit tries its candidates.
+
+Designed for loads in which urgent gangs need whole racks that overnight work must leave
+free, and a quarter of the minions work at half the speed.
+"""
+
+from kingcuppost.batch.systems.placement import (
+    Candidate,
+    CandidateSortKey,
+    choose_candidates,
+    count_fitting_tasks,
+)
+from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.job import StepSpec
+
+__all__ = ["candidate_groups", "make_sort_key", "tasks_fit_idle"]
+
+SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
+MIN_DELAY_TOLERANT_PRIORITY = 2
+
+
+def candidate_groups(
+    unit: PlacementUnit, candidates: list[Candidate]
+) -> list[list[Candidate]]:
+    """Return the groups of candidates to try one after another, best first."""
+    spec = unit.spec
+    if spec.one_rack and spec.gang:
+        racks = _group_by_rack(candidates)
+        large_racks = [
+            rack for rack in racks if tasks_fit_idle(rack, spec, len(unit.tasks))
+        ]
+        if large_racks:
+            return sorted(large_racks, key=lambda rack: _rack_sort_key(unit, rack))
+    if spec.rack:
+        in_rack = [
+            candidate for candidate in candidates if candidate.minion.rack == spec.rack
+        ]
+        if in_rack:
+            return [in_rack]
+    return [candidates]
+
+
+def _group_by_rack(candidates: list[Candidate]) -> list[list[Candidate]]:
+    racks: dict[str, list[Candidate]] = {}
+    for candidate in candidates:
+        racks.setdefault(candidate.minion.rack, []).append(candidate)
+    return list(racks.values())
+
+
+def tasks_fit_idle(candidates: list[Candidate], spec: StepSpec, count: int) -> bool:
+    """Return whether the tasks would fit on the candidates if they were idle."""
+    return (
+        sum(
+            count_fitting_tasks(candidate.minion.resources, spec, count)
+            for candidate in candidates
+        )
+        >= count
+    )
+
+
+def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
+    """Return the sort key of a rack.
+
+    For urgent units, racks where all tasks fit at once come first, and of these the one
+    whose slowest chosen minion is fastest. Other racks follow, the fullest first. For
+    other units the fullest rack comes first.
+    """
+    free = sum(candidate.free_now.accelerators for candidate in rack)
+    if not unit.is_urgent:
+        return (free,)
+    chosen = choose_candidates(rack, unit.spec, len(unit.tasks), make_sort_key(unit))
+    if len(chosen) < len(unit.tasks):
+        return (1, 0.0, free)
+    return (0, -min(candidate.minion.speed.value for candidate in chosen), free)
+
+
+def make_sort_key(unit: PlacementUnit) -> CandidateSortKey:
+    """Return the function that gives the sort key of a candidate for a unit.
+
+    Urgent units prefer reliable and fast minions. Other units fill up racks and minions
+    that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
+    units prefer slow minions and leave the fast ones to others. The last attempt of a
+    task prefers a minion that has completed a run before.
+    """
+    is_last_attempt = unit.is_last_attempt
+    is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
+
+    def sort_key(candidate: Candidate, step: StepSpec) -> tuple:
+        minion = candidate.minion
+        free_resources = (
+            candidate.free_after_stops.accelerators,
+            candidate.free_after_stops.cpu_millis,
+        )
+        risk = minion.failures + (
+            0 if minion.has_completed_run else 1 if is_last_attempt else 0
+        )
+        if unit.is_urgent:
+            speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
+            return (risk, -speed, *free_resources, minion.sidecar)
+        wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
+        return (
+            risk,
+            wastes_fast_minion,
+            candidate.rack_free_accelerators[0],
+            *free_resources,
+            -minion.speed.value,
+            minion.sidecar,
+        )
+
+    return sort_key
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -20,14 +20,13 @@
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 
 __all__ = [
-    "DecisionInputs",
+    "Decision",
     "eligible_candidates",
     "exclude_avoided",
     "fast_candidates",
     "find_soon_free",
     "find_victims",
     "list_candidates",
-    "make_decision_inputs",
     "request_decision",
 ]
 
@@ -41,22 +40,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DecisionInputs:
-    """What all runs are assessed by in one decision.
+class Decision:
+    """One decision on all waiting units, and what it assesses all runs by.
 
     Attributes
     ----------
+    world : BatchWorld
+        Tables of the process.
     now_ms, wall_ms : int
-        Current time by the monotonic clock, and as Unix time in ms.
-    restore_ms : int
-        Time that resuming from a checkpoint takes.
+        Time of the decision by the monotonic clock, and as Unix time in ms.
     guaranteed_ids : set of str
         Urgent jobs that fit their team's guarantee.
     """
 
+    world: BatchWorld
     now_ms: int
     wall_ms: int
-    restore_ms: int
     guaranteed_ids: set[str]
 
 
@@ -67,23 +66,16 @@
     world.deadlines.add(at_ms)
 
 
-def make_decision_inputs(
-    world: BatchWorld, now_ms: int, guaranteed_ids: set[str]
-) -> DecisionInputs:
-    """Return what the runs are assessed by in a decision at `now_ms`."""
-    restore_ms = world.cfg.bounds.restore_ms
-    return DecisionInputs(now_ms, world.clock.wall_ms(), restore_ms, guaranteed_ids)
-
-
-def list_candidates(world: BatchWorld, now_ms: int) -> list[Candidate]:
+def list_candidates(decision: Decision) -> list[Candidate]:
     """Return the minions that may be given tasks, with their free capacity.
 
     Requests another decision for the time at which the pause of a minion ends.
     """
+    world = decision.world
     usable = [
         _make_candidate(world.schedule, minion)
         for minion in world.schedule.minions
-        if _is_usable(world, minion, now_ms)
+        if _is_usable(world, minion, decision.now_ms)
     ]
     racks: dict[str, list[int]] = {}
     for candidate in usable:
@@ -105,42 +97,39 @@
     return Candidate(minion, free_after_stops, free_now, rack_free_accelerators=[0])
 
 
-def find_victims(
-    schedule: Schedule, inputs: DecisionInputs, candidate: Candidate
-) -> list[Victim]:
+def find_victims(decision: Decision, candidate: Candidate) -> list[Victim]:
     """Return the runs of a candidate that may be preempted, cheapest first.
 
     Runs of rank 0 and runs that are being stopped are not victims. The candidate keeps
     the list for the rest of the decision.
     """
     if candidate.victims is None:
-        runs = placed_runs(schedule, candidate.minion.incarnation)
+        schedule = decision.world.schedule
         victims = [
-            _make_victim(inputs, candidate.minion, plan, task)
-            for plan, task in runs
-            if not task.stopping and urgency_rank(plan, inputs.guaranteed_ids)
+            _make_victim(decision, candidate.minion, plan, task)
+            for plan, task in placed_runs(schedule, candidate.minion.incarnation)
+            if not task.stopping and urgency_rank(plan, decision.guaranteed_ids)
         ]
         candidate.victims = sorted(victims, key=lambda victim: victim.cost_core_s)
     return candidate.victims
 
 
 def _make_victim(
-    inputs: DecisionInputs, minion: MinionRow, plan: Plan, task: Task
+    decision: Decision, minion: MinionRow, plan: Plan, task: Task
 ) -> Victim:
+    restore_ms = decision.world.cfg.bounds.restore_ms
     step = plan.job.steps[task.name.step]
     return Victim(
         plan,
         task,
-        urgency_rank(plan, inputs.guaranteed_ids),
+        urgency_rank(plan, decision.guaranteed_ids),
         Resources(step.cpu_millis, step.memory_mb, step.accelerators),
-        work_lost_by_stop(plan, task, inputs.wall_ms, inputs.restore_ms),
-        _ends_soon(minion, plan, task, inputs.now_ms),
+        work_lost_by_stop(plan, task, decision.wall_ms, restore_ms),
+        _ends_soon(minion, plan, task, decision.now_ms),
     )
 
 
-def find_soon_free(
-    schedule: Schedule, inputs: DecisionInputs, candidate: Candidate
-) -> Resources:
+def find_soon_free(decision: Decision, candidate: Candidate) -> Resources:
     """Return the capacity of a candidate once the runs that end soon have ended.
 
     The candidate keeps it, so that what is reserved there stays reserved for the rest
@@ -148,8 +137,9 @@
     """
     if candidate.free_soon is None:
         candidate.free_soon = copy_resources(candidate.free_now)
-        for plan, task in placed_runs(schedule, candidate.minion.incarnation):
-            if _ends_soon(candidate.minion, plan, task, inputs.now_ms):
+        minion = candidate.minion
+        for plan, task in placed_runs(decision.world.schedule, minion.incarnation):
+            if _ends_soon(minion, plan, task, decision.now_ms):
                 subtract_tasks(candidate.free_soon, plan.job.steps[task.name.step], -1)
     return candidate.free_soon
 
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -339,6 +339,10 @@
         Minions where a run of it failed, made no progress or was slow.
     avoid_until_ms : int
         Time until which it waits for other minions rather than run on one of those.
+    reserved_incarnation : MinionIncarnation or None
+        Minion incarnation where runs are stopped to make room for it.
+    reserved_until_ms : int
+        Time until which that room is kept for it.
     """
 
     name: TaskName
@@ -363,6 +367,8 @@
     was_migrated: bool = False
     avoided_minions: set[str] = field(default_factory=set)
     avoid_until_ms: int = 0
+    reserved_incarnation: MinionIncarnation | None = None
+    reserved_until_ms: int = 0
 
 
 @dataclass(slots=True)
