Schedule first what can still be in time; wait for a new term's minions

Two causes, one commit as they share the lines of schedule_units.

Cause: units of one rank went by arrival. Jobs whose result is of no use any more went on preempting. Change: timeliness from the queue's slack factor, the estimates and the waves of wide steps; a registry of orders, by deadline (new default) and by arrival; what is too late preempts nothing unless guaranteed, and is overtaken for a minute at most.

Change: a new term places once no minion was added for 100 ms, at most 400 ms after its opening.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -50,6 +50,7 @@
 MINIONS_PER_RACK = 12
 ZONES = 5
 REPORT_WAIT_MS = 1_000
+FLEET_SETTLE_MS = 1_000  # more than a new term waits for minions
 AUTHORITY_MS = 10**9  # the lease is not what is measured
 
 
@@ -79,15 +80,15 @@
         self.running: dict[str, dict[tuple[TaskName, int], RunningRun]] = {}
         self.stopped: dict[str, list[tuple[TaskName, int]]] = {}
         self.waiting: dict[str, str] = {}
-        self._numbers = dict.fromkeys(range(minions), 0)
+        self._numbers: dict[int, int] = {}
         self._end_numbers: dict[str, int] = {}
         self._job_count = 0
         self._offset = 1
         self._hold_lease()
         for index in range(minions):
-            self.running[self._sidecar(index)] = {}
-            self.report(index)
+            self.add_minion(index)
         self.tick()
+        self.clock.advance(FLEET_SETTLE_MS)
 
     def _hold_lease(self) -> None:
         world = self.world
@@ -111,8 +112,16 @@
     def _sidecar(index: int) -> str:
         return f"side-{index}"
 
-    def submit(self, steps: tuple[StepSpec, ...], priority: int = 2) -> str:
-        """Put a job into the log, as if an entry had accepted it; return its name."""
+    def add_minion(self, index: int) -> None:
+        """Add a minion, whose sidecar reports for the first time."""
+        self._numbers[index] = 0
+        self.running[self._sidecar(index)] = {}
+        self.report(index)
+
+    def submit(
+        self, steps: tuple[StepSpec, ...], priority: int = 2, waited_ms: int = 0
+    ) -> str:
+        """Put a job into the log, accepted `waited_ms` ago; return its identifier."""
         self._job_count += 1
         job_id = f"{self._job_count:016x}"
         job = Job(
@@ -121,7 +130,7 @@
             "a",
             "work",
             steps,
-            self.clock.wall_ms(),
+            self.clock.wall_ms() - waited_ms,
             -1,
             JobPolicy("svc", priority, 3, 2.0),
         )
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -127,7 +127,8 @@
     )
     restart_limit_ms = MIN_GAIN_RATIO * step.estimate_ms
     if is_duration_known:
-        restart_limit_ms = MIN_KNOWN_GAIN_RATIO * corrected_estimate_ms(plan, task)
+        expected_ms = corrected_estimate_ms(plan, task.name.step)
+        restart_limit_ms = MIN_KNOWN_GAIN_RATIO * expected_ms
     return expected_remaining_ms(minion, plan, task) > restart_limit_ms + MOVE_COST_MS
 
 
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -31,6 +31,7 @@
 )
 from kingcuppost.batch.systems.plans import mark_plan_changed, place_task
 from kingcuppost.batch.systems.preemption import preempt_for_unit
+from kingcuppost.batch.systems.queue_order import queue_orders
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.reservations import hold_reserved, release_reserved
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -50,6 +51,8 @@
 
 URGENT_RETRY_MS = 1_000  # the progress of runs alone triggers no decision
 MS_PER_SECOND = 1_000
+FLEET_QUIET_MS = 100  # without a new minion
+MAX_FLEET_SETTLE_MS = 400  # from the begin of a term
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
 
 
@@ -64,14 +67,17 @@
     is_due = schedule.inputs_changed or now_ms >= schedule.decide_at_ms
     if not is_scheduling(world) or not is_due or _is_paused(world, now_ms):
         return
+    if _is_fleet_settling(world, now_ms):
+        return
     schedule.inputs_changed = False
     schedule.decide_at_ms = NEVER_MS
     decision = Decision(
         world, now_ms, world.clock.wall_ms(), find_guaranteed_jobs(world)
     )
+    order_key = queue_orders[world.cfg.queue_order]
     units = sorted(
         iter_units(world, decision.guaranteed_ids),
-        key=lambda unit: (unit.rank, unit.plan.job.accepted_ms),
+        key=lambda unit: (unit.rank, *order_key(unit, decision.wall_ms)),
     )
     if not units:
         return
@@ -113,6 +119,23 @@
     return is_paused
 
 
+def _is_fleet_settling(world: BatchWorld, now_ms: int) -> bool:
+    """Return whether a new term should wait for more minions to be reported.
+
+    Sidecars find a new holder one after another. A decision between the first few
+    minions would place urgent work on slow ones, though most of the fleet is idle.
+    """
+    schedule = world.schedule
+    settled_ms = min(
+        schedule.minion_added_ms + FLEET_QUIET_MS,
+        schedule.loaded_ms + MAX_FLEET_SETTLE_MS,
+    )
+    if now_ms >= settled_ms:
+        return False
+    world.deadlines.add(settled_ms)
+    return True
+
+
 def _schedule_unit(
     decision: Decision,
     unit: PlacementUnit,
@@ -145,13 +168,14 @@
 ) -> bool:
     """Place a unit or preempt runs for it; return whether no task is left over.
 
-    Urgent units prefer fast minions. They preempt runs there if the lost work is below
+    Urgent units prefer fast minions. While their job can still be of use to its caller,
+    they preempt runs there if the lost work is below
     `MAX_LOSS_RATIO` of their own. Only units within their team's guarantee may
     preempt at any cost, or spread over several racks, where they run slowly. Before
     other urgent units preempt, they wait for capacity that is about to be released.
     """
     all_groups = candidate_groups(unit, candidates)
-    if not unit.is_urgent:
+    if not unit.may_preempt:
         return _place_unit(decision.world, unit, all_groups)
     fast_groups = candidate_groups(unit, fast_candidates(candidates))
     if _place_unit(decision.world, unit, fast_groups):
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -117,6 +117,7 @@
     if minion is None:
         minion = _make_minion(world, call, report)
         world.schedule.minions.put(minion)
+        world.schedule.minion_added_ms = now_ms
         world.schedule.inputs_changed = True
         world.note(
             "minion",
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -51,13 +51,13 @@
     return estimate_ms * done_percent / FULL_PERCENT / observed_ms
 
 
-def corrected_estimate_ms(plan: Plan, task: Task) -> float:
-    """Return the estimated duration of a task at speed 1.0.
+def corrected_estimate_ms(plan: Plan, step: int) -> float:
+    """Return the estimated duration of a task of a step at speed 1.0.
 
-    The caller's estimate is corrected by the runs of the task's step.
+    The caller's estimate is corrected by the runs of the step.
     """
-    estimate_error = plan.estimate_errors.get(task.name.step, EstimateError())
-    return plan.job.steps[task.name.step].estimate_ms / exp(estimate_error.mean_log)
+    estimate_error = plan.estimate_errors.get(step, EstimateError())
+    return plan.job.steps[step].estimate_ms / exp(estimate_error.mean_log)
 
 
 def expected_remaining_ms(minion: MinionRow, plan: Plan, task: Task) -> float:
@@ -75,6 +75,6 @@
         return remaining_ratio * FULL_PERCENT * observed_ms / done_percent
     return (
         remaining_ratio
-        * corrected_estimate_ms(plan, task)
+        * corrected_estimate_ms(plan, task.name.step)
         / max(minion.speed.value, MIN_SPEED)
     )
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -82,6 +82,7 @@
     """
     schedule = world.schedule
     schedule.is_loaded = True
+    schedule.loaded_ms = schedule.minion_added_ms = now_ms
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -3,6 +3,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from kingcuppost.batch.systems.placement import add_resources
+from kingcuppost.batch.systems.timeliness import (
+    Timeliness,
+    assess_timeliness,
+    target_end_ms,
+)
+from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import Plan, PlanPhase, StepSpec, Task, TaskPhase
 from kingcuppost.batch.tables.world import BatchWorld
 
@@ -37,6 +44,10 @@
     rank : int
         0 for urgent work within its team's guarantee, else one more than the
         priority, so 1 for other urgent work.
+    timeliness : Timeliness
+        What the job can still reach if the tasks start now.
+    target_end_ms : float
+        Unix time by which the job should end, in ms.
     """
 
     plan: Plan
@@ -44,12 +55,23 @@
     spec: StepSpec
     tasks: list[Task]
     rank: int
+    timeliness: Timeliness = Timeliness.IN_TIME
+    target_end_ms: float = 0.0
 
     @property
     def is_urgent(self) -> bool:
-        """Return whether the unit may preempt other runs."""
+        """Return whether the unit prefers fast minions to nearly full ones."""
         return self.plan.job.policy.priority == URGENT_PRIORITY
 
+    @property
+    def may_preempt(self) -> bool:
+        """Return whether the unit may preempt other runs.
+
+        A job whose result is of no use any more may not, unless it is guaranteed.
+        """
+        is_of_use = self.timeliness is not Timeliness.TOO_LATE
+        return self.is_urgent and (self.is_guaranteed or is_of_use)
+
     @property
     def is_guaranteed(self) -> bool:
         """Return whether the team's guarantee covers the unit."""
@@ -102,9 +124,28 @@
 
 def iter_units(world: BatchWorld, guaranteed_ids: set[str]) -> Iterator[PlacementUnit]:
     """Yield the placement units of all open jobs, in no particular order."""
+    capacities: dict[str, Resources] = {}
+    wall_ms = world.clock.wall_ms()
     for plan in world.schedule.plans.values():
-        if plan.phase is PlanPhase.OPEN:
-            yield from _iter_job_units(plan, urgency_rank(plan, guaranteed_ids))
+        if plan.phase is not PlanPhase.OPEN or not plan.phase_counts[TaskPhase.WAITING]:
+            continue
+        service = plan.job.policy.service
+        if service not in capacities:
+            capacities[service] = _service_capacity(world, service)
+        capacity = capacities[service]
+        for unit in _iter_job_units(plan, urgency_rank(plan, guaranteed_ids)):
+            unit.timeliness = assess_timeliness(plan, unit.step, capacity, wall_ms)
+            unit.target_end_ms = target_end_ms(plan, capacity)
+            yield unit
+
+
+def _service_capacity(world: BatchWorld, service: str) -> Resources:
+    """Return the capacity of all minions of a service, or of all if it is empty."""
+    total = Resources()
+    for minion in world.schedule.minions:
+        if service in ("", minion.service):
+            add_resources(total, minion.resources)
+    return total
 
 
 def _iter_job_units(plan: Plan, rank: int) -> Iterator[PlacementUnit]:
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -184,6 +184,8 @@
         Whether the log rejects writers of older terms.
     is_loaded : bool
         Whether the plans were loaded from the agreed state.
+    loaded_ms, minion_added_ms : int
+        Time at which they were loaded, and time at which a minion was last added.
     required_offset : int
         Offset up to which the jobs stream must be folded before the plans are loaded.
     sequence : int
@@ -252,6 +254,8 @@
     is_open: bool = False
     required_offset: int = -1
     is_loaded: bool = False
+    loaded_ms: int = 0
+    minion_added_ms: int = 0
     lost_term: int = 0
     claim_sent_ms: int = 0
     authority_until_ms: int = 0
