Try to restart urgent gangs that a slow minion holds back

Ruled out: waiting, preemption.

Change: once all members are measured, a gang that would miss its target restarts without its slow minions if known fast ones have room.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -20,6 +20,7 @@
         "sidecar_reports",
         "lease_expiry",
         "run_monitor",
+        "slow_gangs",
         "scheduling",
         "job_removal",
         "plan_writing",
