--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -20,7 +20,6 @@
         "sidecar_reports",
         "lease_expiry",
         "run_monitor",
-        "slow_gangs",
         "scheduling",
         "job_removal",
         "plan_writing",
--- a/kingcuppost/batch/systems/timeliness.py
+++ b/kingcuppost/batch/systems/timeliness.py
@@ -7,13 +7,11 @@
 from enum import IntEnum
 from math import ceil
 
-from kingcuppost.batch.systems.placement import add_resources
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
 from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import Plan, StepSpec
-from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["Timeliness", "assess_timeliness", "service_capacity", "target_end_ms"]
+__all__ = ["Timeliness", "assess_timeliness", "target_end_ms"]
 
 LATE_FACTOR = 3  # a result that takes this multiple of its target is of no use
 WAVE_SHARE = 4  # one wave of a step uses at most this fraction of a service
@@ -37,15 +35,6 @@
     TOO_LATE = 2
 
 
-def service_capacity(world: BatchWorld, service: str) -> Resources:
-    """Return the capacity of all minions of a service, or of all if it is empty."""
-    total = Resources()
-    for minion in world.schedule.minions:
-        if service in ("", minion.service):
-            add_resources(total, minion.resources)
-    return total
-
-
 def _count_waves(step: StepSpec, capacity: Resources) -> int:
     """Return in how many waves the tasks of a step run."""
     if step.gang:
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from kingcuppost.batch.systems.placement import add_resources
 from kingcuppost.batch.systems.timeliness import (
     Timeliness,
     assess_timeliness,
-    service_capacity,
     target_end_ms,
 )
 from kingcuppost.batch.tables.fleet import Resources
@@ -131,7 +131,7 @@
             continue
         service = plan.job.policy.service
         if service not in capacities:
-            capacities[service] = service_capacity(world, service)
+            capacities[service] = _service_capacity(world, service)
         capacity = capacities[service]
         for unit in _iter_job_units(plan, urgency_rank(plan, guaranteed_ids)):
             unit.timeliness = assess_timeliness(plan, unit.step, capacity, wall_ms)
@@ -139,6 +139,15 @@
             yield unit
 
 
+def _service_capacity(world: BatchWorld, service: str) -> Resources:
+    """Return the capacity of all minions of a service, or of all if it is empty."""
+    total = Resources()
+    for minion in world.schedule.minions:
+        if service in ("", minion.service):
+            add_resources(total, minion.resources)
+    return total
+
+
 def _iter_job_units(plan: Plan, rank: int) -> Iterator[PlacementUnit]:
     """Yield the placement units of a job.
 
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -261,7 +261,6 @@
     authority_until_ms: int = 0
     renew_at_ms: int = 0
     check_runs_at_ms: int = 0
-    check_gangs_at_ms: int = 0
     remove_jobs_at_ms: int = 0
     removals: dict[str, None] = field(default_factory=dict)
     check_minions_at_ms: int = 0
