--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,10 +1,14 @@
-"""Print each policy's figures: ``python -m bench [--seeds N] [--deployment NAME]``."""
+"""Print each policy's figures: ``python -m bench [--seeds N] [--deployment NAME]``.
+
+``python -m bench --holder`` prints the tick times of the holder at several sizes.
+"""
 
 import argparse
 from statistics import mean
 
 from bench.driver import Driver
 from bench.figures import Figures, measure
+from bench.holder_ticks import SIZES, measure_holder
 from bench.ticks import tick_times
 from bench.workloads import deployments
 
@@ -72,13 +76,34 @@
         print(f"| {scale} | {len(times)} | {figures} |", flush=True)
 
 
+def _print_holder() -> None:
+    print("\n| minions | report p50, ms | p99, ms | decision p50, ms | p99, ms |")
+    print("| --- | --- | --- | --- | --- |")
+    for minions in SIZES:
+        times = measure_holder(minions)
+        parts = (
+            times.report_p50,
+            times.report_p99,
+            times.decision_p50,
+            times.decision_p99,
+        )
+        figures = " | ".join(f"{part:.2f}" for part in parts)
+        print(f"| {minions} | {figures} |", flush=True)
+
+
 def main() -> None:
     """Run all policies on all workloads and print the tables."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
     parser.add_argument("--seeds", type=int, default=SEED_COUNT)
     parser.add_argument("--deployment", choices=sorted(deployments))
     parser.add_argument("--no-ticks", action="store_true")
+    parser.add_argument(
+        "--holder", action="store_true", help="only the holder's ticks at each size"
+    )
     args = parser.parse_args()
+    if args.holder:
+        _print_holder()
+        return
     names = [args.deployment] if args.deployment else list(deployments)
     print(HEADER)
     print("|" + " --- |" * (HEADER.count("|") - 1))
