--- a/bench/tests/test_burst.py
+++ b/bench/tests/test_burst.py
@@ -1,7 +1,5 @@
 """What callers get under a burst of urgent work, with each order of the queue."""
 
-from dataclasses import replace
-
 import pytest
 
 from bench.holder import Holder
@@ -21,7 +19,7 @@
     2 s, so from the third on not all can be in time.
     """
     holder = Holder(1)
-    holder.world.cfg = replace(holder.world.cfg, queue_order=queue_order)
+    holder.world.queue_order = queue_order
     submitted: dict[str, int] = {}
     took_ms: dict[str, int] = {}
     started: dict[str, int] = {}
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -74,7 +74,7 @@
     decision = Decision(
         world, now_ms, world.clock.wall_ms(), find_guaranteed_jobs(world)
     )
-    order_key = queue_orders[world.cfg.queue_order]
+    order_key = queue_orders[world.queue_order]
     units = sorted(
         iter_units(world, decision.guaranteed_ids),
         key=lambda unit: (unit.rank, *order_key(unit, decision.wall_ms)),
@@ -168,11 +168,11 @@
 ) -> bool:
     """Place a unit or preempt runs for it; return whether no task is left over.
 
-    Urgent units prefer fast minions. While their job can still be of use to its caller,
-    they preempt runs there if the lost work is below
-    `MAX_LOSS_RATIO` of their own. Only units within their team's guarantee may
-    preempt at any cost, or spread over several racks, where they run slowly. Before
-    other urgent units preempt, they wait for capacity that is about to be released.
+    Urgent units prefer fast minions. As long as their job's result is of use, they
+    preempt runs there if the lost work is below `MAX_LOSS_RATIO` of their own. Only
+    units within their team's guarantee may preempt at any cost, or spread over several
+    racks, where they run slowly. Before other urgent units preempt, they wait for
+    capacity that is about to be released.
     """
     all_groups = candidate_groups(unit, candidates)
     if not unit.may_preempt:
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -60,8 +60,6 @@
         Peer addresses of the entries in the settings; some may no longer exist.
     bounds : Bounds
         Durations and factors that the deployment guarantees or requires.
-    queue_order : str
-        Name of the order in which waiting work of one rank is scheduled.
     """
 
     role: Role
@@ -70,4 +68,3 @@
     peers: Address
     seeds: tuple[Address, ...] = ()
     bounds: Bounds = Bounds()
-    queue_order: str = "deadline"
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -435,6 +435,8 @@
         Calls that wait for the log, by identifier of their append.
     sidecar_state : SidecarState
         State of a sidecar; unused by an entry.
+    queue_order : str
+        Name of the order in which waiting work of one rank is scheduled.
     """
 
     cfg: DaemonConfig
@@ -453,6 +455,7 @@
     schedule: Schedule = field(default_factory=Schedule)
     pending_calls: dict[str, PendingCall] = field(default_factory=dict)
     sidecar_state: SidecarState = field(default_factory=SidecarState)
+    queue_order: str = "deadline"
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
         """Add a line to the process's log."""
