--- a/kingcuppost/batch/systems/preemption.py
+++ b/kingcuppost/batch/systems/preemption.py
@@ -1,7 +1,8 @@
 """Preemption: stops less urgent runs to release capacity for a placement unit.
 
-Designed for loads in which urgent work arrives while all minions run other work. What a
-unit may cost others is limited, so that no more work is lost than the unit brings.
+Designed for loads in which urgent work arrives while all minions run other work. What
+most units may cost others is limited, so that less work is lost than they bring; work
+within its team's guarantee may cost any amount.
 """
 
 from dataclasses import replace
@@ -48,10 +49,8 @@
         _stop_victims(decision, unit, eviction)
         # the copy with fewer victims shares these objects with the original candidate
         eviction.candidate.reserve(unit.spec, eviction.count)
-        tasks, unit.tasks = (
-            unit.tasks[: eviction.count],
-            unit.tasks[eviction.count :],
-        )
+        tasks = unit.tasks[: eviction.count]
+        unit.tasks = unit.tasks[eviction.count :]
         reserve_for_tasks(decision, tasks, eviction.candidate.minion)
     return not unit.tasks
 
