--- a/bench/tests/test_holder.py
+++ b/bench/tests/test_holder.py
@@ -1,4 +1,4 @@
-"""The work of the holder in a tick, counted in calls of functions."""
+"""The work of the holder in a tick, counted in lines of Python."""
 
 import sys
 from collections.abc import Callable
@@ -12,7 +12,6 @@
 
 FEW_MINIONS, MANY_MINIONS = 60, 600
 MAX_GROWTH = 1.3
-SMALL = StepSpec(1, cpu_millis=5_600, memory_mb=23_000, accelerators=1)
 WIDE = StepSpec(200, cpu_millis=5_600, memory_mb=23_000, accelerators=1)
 
 
@@ -60,7 +59,7 @@
 
 
 def lines_of_order(holder: Holder) -> int:
-    """Count the lines of a tick that has one order to send, and no report to read."""
+    """Count the lines of a tick that has one order to send."""
     plan = next(iter(holder.world.schedule.plans.values()))
     task = plan.tasks[0][0]
     task.confirmed = False
--- a/bench/tests/test_term.py
+++ b/bench/tests/test_term.py
@@ -1,4 +1,4 @@
-"""Decisions at the begin of a term, when not all minions have been reported yet."""
+"""Decisions at the start of a term, when not all minions have been reported yet."""
 
 from bench.holder import Holder
 from kingcuppost.batch.tables.fleet import Speed
