--- a/review/common/checks.py
+++ b/review/common/checks.py
@@ -2,7 +2,7 @@
 
 from harness import Deployment
 
-__all__ = ["overlaps", "works_at"]
+__all__ = ["overlaps", "repeats", "works_at"]
 
 
 def _spans(
@@ -46,3 +46,28 @@
                     f" {other_who} at the same time, for {common_s:.3f} s"
                 )
     return found
+
+
+def repeats(deployment: Deployment, job: str) -> list[str]:
+    """Return the starts after a run that was done, if its end was noted then or later.
+
+    Nothing lapses in the cases that use this check.
+    """
+    noted = {
+        (row["task"], row["run"]): row["at"]
+        for row in deployment.rows
+        if row["event"] == "noted"
+    }
+    found = []
+    for done in deployment.ends(job):
+        noted_at = noted.get((done["task"], done["run"]))
+        if done["how"] != "done" or noted_at is None:
+            continue
+        for start in deployment.starts(job):
+            if start["task"] == done["task"] and done["at"] < start["at"] <= noted_at:
+                found.append(
+                    f"TWICE: {done['task']} run {done['run']} was done on"
+                    f" {done['who']} before run {start['run']} began on {start['who']},"
+                    " and was noted after that"
+                )
+    return found
