--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 
 
 async def send_foreign_heartbeat(deployment: Deployment, index: int) -> None:
-    """Send the sidecar of a minion a heartbeat that names an unknown service."""
+    """Send a sidecar a heartbeat that names an unknown service, from its machine."""
     report = {
         "service": "other-service",
         "address": f"{deployment.sides[index]}:{deployment.base + 6}",
@@ -36,10 +36,9 @@
         "PUT",
         "/kingcuppost/instances/i-0f0e0d0c",
         json.dumps(report).encode(),
+        source=deployment.sides[index],
     )
-    deployment.note(
-        "writer", "PUT a heartbeat to side", side=index, status=reply.status
-    )
+    deployment.note("writer", "PUT a heartbeat", body=report, status=reply.status)
 
 
 async def play(deployment: Deployment, trouble: bool) -> list[str]:
--- a/review/trials/wide_job/case.py
+++ b/review/trials/wide_job/case.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "common"))
 
 from checks import works_at  # noqa: E402
 from harness import Deployment, run_case  # noqa: E402
@@ -35,7 +35,7 @@
     now = time.time()
     return [
         f"LOST: {WAIT_S} s after its acceptance job {job} is not completed, and nothing"
-        f" of it has run for the last {IDLE_S} s; all minions are idle"
+        f" of it has run for the last {IDLE_S} s"
         for job in jobs
         if not await deployment.is_completed(job)
         and not any(works_at(deployment, job, now - ago) for ago in range(IDLE_S + 1))
