End the runs of a minion that is lost beside a live sidecar

Cause: the sidecar went on reporting its dead minion as last heard of, and the holder extended the minion's lease with every report.

Ruled out: expiry itself (works when the sidecar is lost with the minion) and the monitor of stalled runs (its stop cannot be answered by a dead minion).

Change: run_end_rule states what ends a run and what extends a lease. A report says whether the sidecar has received a list of the minion within 2 s; only the answer to such a report extends the lease, on both sides. Other reports exclude the minion from placement. Reports of earlier versions lack the field and extend as before, so a new holder does not count a lease as expired that an old sidecar extends. The stored formats of the report gain the field; the stored line without it is still read.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -194,6 +194,7 @@
             draining=False,
             remaining_ms=0,
             listed=True,
+            in_contact=True,
         )
 
     def tick(self) -> None:
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -51,6 +51,8 @@
     draining: bool = False
     remaining_ms: int = 0
     listed: bool = False
+    # earlier versions extend the lease by each report
+    in_contact: bool = True
 
 
 class SyncCallModel(PeerModel):
@@ -104,6 +106,7 @@
         draining=report.draining,
         remaining_ms=report.remaining_ms,
         listed=report.listed,
+        in_contact=report.in_contact,
     )
 
 
@@ -117,6 +120,7 @@
         model.draining,
         model.remaining_ms,
         model.listed,
+        model.in_contact,
     )
 
 
--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -3,7 +3,10 @@
 An unreachable minion gets no new runs; its runs end only once its lease has expired.
 """
 
-from kingcuppost.batch.systems.minion_leases import take_expired_leases
+from kingcuppost.batch.systems.minion_leases import (
+    mark_unreachable,
+    take_expired_leases,
+)
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -44,8 +47,4 @@
         if now_ms < due_ms:
             world.deadlines.add(due_ms)
             continue
-        minion.is_unreachable = True
-        world.schedule.inputs_changed = True
-        world.note(
-            "minion", "A minion is unreachable.", minion=minion.incarnation.minion
-        )
+        mark_unreachable(world, minion, "its sidecar does not report")
--- a/kingcuppost/batch/systems/minion_leases.py
+++ b/kingcuppost/batch/systems/minion_leases.py
@@ -4,24 +4,13 @@
 lease as expired only when that is certain on any clock.
 """
 
-from kingcuppost.batch.tables.fleet import MinionLease
+from kingcuppost.batch.systems.run_end_rule import certain_expiry_ms
+from kingcuppost.batch.tables.fleet import MinionLease, MinionRow
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 from kingcuppost.utils.clock import NEVER_MS
 
-__all__ = ["certain_expiry_ms", "extend_lease", "take_expired_leases"]
-
-EXPIRY_MARGIN_MS = 400
-MAX_CLOCK_DRIFT_RATIO = 1.03
-
-
-def certain_expiry_ms(lease_ms: int) -> int:
-    """Return the time after a report by which a minion lease has expired, in ms.
-
-    The lease has expired by then even if the minion's clock is slower than this
-    process's clock by the factor `MAX_CLOCK_DRIFT_RATIO`.
-    """
-    return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
+__all__ = ["extend_lease", "mark_unreachable", "take_expired_leases"]
 
 
 def extend_lease(
@@ -51,3 +40,17 @@
         default=NEVER_MS,
     )
     return [lease.incarnation for lease in expired]
+
+
+def mark_unreachable(world: BatchWorld, minion: MinionRow, reason: str) -> None:
+    """Exclude a minion from placement until a report in contact with it comes."""
+    if minion.is_unreachable:
+        return
+    minion.is_unreachable = True
+    world.schedule.inputs_changed = True
+    world.note(
+        "minion",
+        "A minion is unreachable.",
+        minion=minion.incarnation.minion,
+        reason=reason,
+    )
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -3,6 +3,11 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.run_end_rule import (
+    CONTACT_MS,
+    extends_lease,
+    is_in_contact,
+)
 from kingcuppost.batch.tables.messages import ListMembers, SendSync, SyncCall
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
@@ -24,6 +29,7 @@
     if world.stopping:
         return
     _request_entries(world, now_ms)
+    _watch_contact(world, now_ms)
     if sidecar_state.unanswered_syncs and not sidecar_state.is_report_due:
         return
     if len(sidecar_state.unanswered_syncs) >= MAX_PENDING_REPORTS:
@@ -36,13 +42,37 @@
         return
     sidecar_state.is_report_due = False
     sidecar_state.sync_number += 1
-    sidecar_state.unanswered_syncs[sidecar_state.sync_number] = now_ms
     call = _make_report(world, now_ms)
+    sidecar_state.unanswered_syncs[sidecar_state.sync_number] = extends_lease(
+        call.minion
+    )
     world.outbox.put(
         SendSync(sidecar_state.sync_number, address, call, REPORT_TIMEOUT_MS)
     )
 
 
+def _watch_contact(world: BatchWorld, now_ms: int) -> None:
+    """Make a report due if contact with the minion was lost or is back."""
+    sidecar_state = world.sidecar_state
+    contact_ms = sidecar_state.contact_ms
+    if sidecar_state.minion is None or contact_ms is None:
+        return
+    in_contact = is_in_contact(contact_ms, now_ms)
+    if in_contact:
+        world.deadlines.add(contact_ms + CONTACT_MS + 1)
+    if in_contact == sidecar_state.was_in_contact:
+        return
+    sidecar_state.was_in_contact = in_contact
+    sidecar_state.is_report_due = True
+    world.note(
+        "minion",
+        "Contact with the minion changed.",
+        minion=sidecar_state.minion.incarnation.minion,
+        in_contact=in_contact,
+        age_ms=now_ms - contact_ms,
+    )
+
+
 def _choose_entry(world: BatchWorld) -> Address | None:
     """Return the entry to try next, or None if neither entries nor seeds are known."""
     known = world.sidecar_state.entries or world.cfg.seeds
@@ -86,7 +116,11 @@
     )
     minion = sidecar_state.minion
     if minion is not None:
-        minion = replace(minion, listed=sidecar_state.listed)
+        minion = replace(
+            minion,
+            listed=sidecar_state.listed,
+            in_contact=is_in_contact(sidecar_state.contact_ms, now_ms),
+        )
     return SyncCall(
         "",
         world.cfg.name,
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -123,6 +123,7 @@
         if lists.reason:
             _handle_list_failure(world, lists, now_ms)
             continue
+        sidecar_state.contact_ms = lists.received_ms
         _update_minion_clock(sidecar_state, lists)
         _update_running(world, lists, now_ms)
         for ended in lists.ended:
@@ -259,7 +260,7 @@
     """Handle the scheduler's replies: orders, minion lease and redirects."""
     for answer in world.inbox.take(SyncAnswered):
         sidecar_state = world.sidecar_state
-        sidecar_state.unanswered_syncs.pop(answer.number, None)
+        may_extend = sidecar_state.unanswered_syncs.pop(answer.number, False)
         reply = answer.reply
         if reply is None:
             _try_next_entry(world, answer, now_ms)
@@ -274,7 +275,8 @@
         if reply.incarnation is not None and _is_current_incarnation(
             world, reply.incarnation
         ):
-            _extend_lease(world, answer)
+            if may_extend:
+                _extend_lease(world, answer)
             _apply_orders(world, reply)
 
 
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -4,9 +4,10 @@
 
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
-from kingcuppost.batch.systems.minion_leases import extend_lease
+from kingcuppost.batch.systems.minion_leases import extend_lease, mark_unreachable
 from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.speeds import update_speed
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -91,13 +92,34 @@
         if call.minion.incarnation.born_ms < old.incarnation.born_ms:
             return
         old = None
-    _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
-    minion = _update_minion(world, call, old, now_ms)
-    extend_lease(world, minion.incarnation, call.sidecar, now_ms)
-    if call.minion.listed:
+    if extends_lease(call.minion):
+        _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
+        minion = _update_minion(world, call, old, now_ms)
+        extend_lease(world, minion.incarnation, call.sidecar, now_ms)
+    else:
+        minion = _find_silent_minion(world, call, old)
+    if minion is not None and call.minion.listed:
         _handle_run_lists(world, call, minion, now_ms)
 
 
+def _find_silent_minion(
+    world: BatchWorld, call: SyncCall, minion: MinionRow | None
+) -> MinionRow | None:
+    """Return the row of a minion with which its sidecar is not in contact, or None.
+
+    It gets no new runs. A row is created only while the minion may have a lease, for
+    the ends that the sidecar has read before.
+    """
+    schedule = world.schedule
+    if minion is None:
+        if schedule.leases.get(call.minion.incarnation) is None:
+            return None
+        minion = _make_minion(world, call, call.minion)
+        schedule.minions.put(minion)
+    mark_unreachable(world, minion, "its sidecar has lost contact with it")
+    return minion
+
+
 def _end_earlier_incarnations(
     world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
 ) -> None:
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -162,7 +162,7 @@
     remaining_ms : int
         Minimum time that is left until it leaves, while it drains.
     last_report_ms : int
-        Time of its sidecar's newest report.
+        Time of its sidecar's newest report that was in contact with it.
     speed : Speed
         Estimated speed of its machine; kept across incarnations of the minion.
     stalled_ms : int or None
@@ -176,7 +176,7 @@
     backoff_until_ms : int
         Time until which no runs are placed on it after it refused one.
     is_unreachable : bool
-        Whether its sidecar has stopped reporting.
+        Whether its sidecar has stopped reporting or has lost contact with it.
     has_completed_run : bool
         Whether a run has completed here.
     """
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -68,6 +68,9 @@
     ----------
     listed : bool
         Whether this sidecar process has read the runs of this minion incarnation.
+    in_contact : bool
+        Whether the minion has answered the sidecar of late, so that the answer to the
+        report extends its lease.
     """
 
     incarnation: MinionIncarnation
@@ -78,6 +81,7 @@
     draining: bool
     remaining_ms: int
     listed: bool
+    in_contact: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -336,6 +336,10 @@
         Sequence number of the minion's newest heartbeat.
     listed : bool
         Whether the minion's runs were read in its present incarnation.
+    contact_ms : int or None
+        Time at which its newest list of runs was received; None before the first.
+    was_in_contact : bool
+        Whether the newest report said that the sidecar is in contact with the minion.
     minion_clock_ms, minion_clock_received_ms : int or None, int
         A reading of the minion's clock, and the local time at which it was received.
     lease_until_ms : int or None
@@ -360,8 +364,9 @@
         Newest scheduling term of which the sidecar knows; 0 if none.
     sync_number : int
         Number of the newest report.
-    unanswered_syncs : dict of int to int
-        Time at which each unanswered report was sent, by number of the report.
+    unanswered_syncs : dict of int to bool
+        Whether the answer to each unanswered report extends the minion lease, by number
+        of the report.
     unreachable_entry, unreachable_until_ms : Address or None, int
         An entry that did not answer, and until when it is skipped.
     sync_after_ms : int
@@ -388,6 +393,8 @@
     minion: MinionReport | None = None
     heartbeat_sequence: int = -1
     listed: bool = False
+    contact_ms: int | None = None
+    was_in_contact: bool = False
     minion_clock_ms: int | None = None
     minion_clock_received_ms: int = 0
     lease_until_ms: int | None = None
@@ -401,7 +408,7 @@
     ordered_runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
     term: int = 0
     sync_number: int = 0
-    unanswered_syncs: dict[int, int] = field(default_factory=dict)
+    unanswered_syncs: dict[int, bool] = field(default_factory=dict)
     sync_after_ms: int = 0
     unreachable_entry: Address | None = None
     unreachable_until_ms: int = 0
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -117,7 +117,7 @@
 ) -> MinionHeartbeat | None:
     if request.method == b"DELETE":
         report = MinionReport(
-            MinionIncarnation(minion, 0), "", "", (), Resources(), True, 0, False
+            MinionIncarnation(minion, 0), "", "", (), Resources(), True, 0, False, False
         )
         return MinionHeartbeat(Address("", 0), report, 0, has_left=True)
     try:
@@ -142,7 +142,8 @@
         Resources(model.capacity.cpu, model.capacity.memory_mb, model.capacity.gpu),
         model.state == "draining",
         model.remaining_ms,
-        False,
+        listed=False,
+        in_contact=False,
     )
     return MinionHeartbeat(address, report, model.sequence)
 
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -16,6 +16,7 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from standins.batch.deployment import Deployment, senders, starters
+from standins.batch.minions import Minion
 from standins.batch.process import Process
 
 __all__: list[str] = []
@@ -25,6 +26,7 @@
 HEARTBEAT_PERIOD_MS = 500
 END_POLL_PERIOD_MS = 20
 ORDER_TIMEOUT_MS = 600
+HOLD_MARGIN_MS = 700  # added to the time for which the minion may wait
 MIN_LATE_ORDER_MS = 2_000
 LATE_ORDER_SPREAD_MS = 6_000
 
@@ -41,7 +43,7 @@
     if process.incarnation != incarnation or not process.is_up:
         return
     minion = process.minion
-    if minion is not None and minion.is_up and not process.is_frozen:
+    if minion is not None and minion.answers and not process.is_frozen:
         report = MinionReport(
             minion.incarnation,
             "svc",
@@ -50,7 +52,8 @@
             replace(minion.resources),
             minion.draining,
             0,
-            False,
+            listed=False,
+            in_contact=False,
         )
         deployment.deliver(process, MinionHeartbeat(MINION_ADDRESS, report, number))
     deployment.after(
@@ -71,6 +74,15 @@
         if process.incarnation != incarnation:
             return
         now_ms = deployment.clock.now_ms()
+        if minion.is_frozen and now_ms < answer_by_ms + HOLD_MARGIN_MS:
+            deployment.after(END_POLL_PERIOD_MS, lambda: check_ends(is_first))
+            return
+        if minion.is_frozen:
+            answer = HoldMinionAnswered(
+                message.incarnation, sent_ms, now_ms, reason="timeout"
+            )
+            deployment.deliver(process, answer, incarnation)
+            return
         if not minion.is_up or minion.incarnation != message.incarnation:
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, reason="other incarnation"
@@ -92,6 +104,16 @@
     deployment.after(1, lambda: check_ends(True))
 
 
+def _carry_out(minion: Minion, message: StartRun | StopRun) -> str:
+    """Let a minion carry out an order; return why it refuses, or an empty text."""
+    order = message.order
+    if isinstance(message, StopRun):
+        return minion.stop(message.term, order.task, order.run)
+    return minion.start(
+        message.term, order.task, order.run, order.checkpoint, message.lease_until_ms
+    )
+
+
 @senders.register(StartRun)
 @senders.register(StopRun)
 def apply_order(
@@ -103,21 +125,19 @@
     is_start = isinstance(message, StartRun)
     is_late = deployment.rng.random() < deployment.late_order_ratio
 
-    def apply() -> None:
-        if not minion.is_up or minion.incarnation != message.incarnation:
+    def apply(is_answered: bool = not is_late) -> None:
+        if minion.is_frozen:
+            # the call waits at the minion until it goes on
+            deployment.after(END_POLL_PERIOD_MS, lambda: apply(False))
             return
-        order = message.order
-        if is_start:
-            reason = minion.start(
-                message.term,
-                order.task,
-                order.run,
-                order.checkpoint,
-                message.lease_until_ms,
-            )
-        else:
-            reason = minion.stop(message.term, order.task, order.run)
-        if not is_late:
+        if not minion.is_up:
+            if is_answered:
+                deliver_answer(OrderOutcome.BUSY, "connection refused")
+            return
+        if minion.incarnation != message.incarnation:
+            return
+        reason = _carry_out(minion, message)
+        if is_answered:
             outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
             deliver_answer(outcome, reason)
 
@@ -128,16 +148,17 @@
         )
         deployment.deliver_later(process, 1, lambda: answer)
 
-    if is_late:
-        deployment.after(
-            MIN_LATE_ORDER_MS + deployment.rng.random() * LATE_ORDER_SPREAD_MS, apply
-        )
+    if minion.is_frozen or is_late:
         deployment.after(
             ORDER_TIMEOUT_MS,
             lambda: _deliver_unknown_outcome(
                 deployment, process, incarnation, message, is_start
             ),
         )
+    if is_late:
+        deployment.after(
+            MIN_LATE_ORDER_MS + deployment.rng.random() * LATE_ORDER_SPREAD_MS, apply
+        )
     else:
         deployment.after(1, apply)
 
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -70,6 +70,8 @@
         Whether every run fails as soon as it starts.
     hangs : bool
         Whether its runs make no progress.
+    is_frozen : bool
+        Whether it does nothing and answers nothing; its lease runs on.
     until_ms : int
         Time at which the lease expires.
     token : int
@@ -98,6 +100,7 @@
     fails_all_runs: bool = False
     hangs: bool = False
     is_up: bool = True
+    is_frozen: bool = False
     until_ms: int = 0
     token: int = 0
     runs: dict[tuple[TaskName, int], Run] = field(default_factory=dict)
@@ -111,9 +114,23 @@
         """Return the current incarnation."""
         return MinionIncarnation(self.id, self.born_ms)
 
+    @property
+    def answers(self) -> bool:
+        """Return whether it answers calls at present."""
+        return self.is_up and not self.is_frozen
+
+    def crash(self) -> None:
+        """End without a word; all runs end with it."""
+        self.is_up = False
+        self._forget_all()
+
     def restart(self) -> None:
         """Begin a new incarnation without runs and without memory of earlier ones."""
+        self.is_up = True
         self.born_ms = self.now_ms() + 1
+        self._forget_all()
+
+    def _forget_all(self) -> None:
         for key in list(self.runs):
             self.checks.record_lost_run(key[0], key[1])
         self.runs.clear()
@@ -232,6 +249,8 @@
             self.ends_before_lapse.update(end.number for end in self.ended)
             for run in list(self.runs.values()):
                 self.end(run, RunEnd.LAPSED)
+        if self.is_frozen:
+            return
         for run in list(self.runs.values()):
             if run.stop_at_ms is not None and now_ms >= run.stop_at_ms:
                 self.end(run, RunEnd.STOPPED)
--- a/standins/batch/soak.py
+++ b/standins/batch/soak.py
@@ -91,11 +91,9 @@
 def _power_off(deployment: Deployment) -> str:
     process = deployment.rng.choice(_sidecars(deployment))
     deployment.kill(process.name)
-    process.minion.is_up = False
-    process.minion.restart()
+    process.minion.crash()
 
     def power_on() -> None:
-        process.minion.is_up = True
         process.minion.restart()
         deployment.start(process.name)
 
