Believe another incarnation of a minion only once it has answered

Cause: any well-formed heartbeat with a later start replaced the minion, whatever its identifier, address and service, and the holder ended the runs of the replaced incarnation at once.

Ruled out: a lease that expired (the runs were ended within one report), and the check of starts in the future (the foreign start is not ahead of the clock).

Change: run_end_rule tells the sources of a heartbeat apart. It must fit the address and service in the settings; one incarnation keeps both; another incarnation is asked for its lists and believed once it has answered. A leave notice takes the minion out of placement, and has its effect when a call fails. sidecar_inbox is split, heartbeats have a module. The settings gain app and service, so the stored formats of the platform's settings do.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -26,7 +26,13 @@
         "sidecar_replies",
         "shutdown",
     ),
-    Role.SIDECAR: ("sidecar_inbox", "minion_requests", "report_sending", "shutdown"),
+    Role.SIDECAR: (
+        "sidecar_heartbeats",
+        "sidecar_inbox",
+        "minion_requests",
+        "report_sending",
+        "shutdown",
+    ),
 }
 
 
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -12,17 +12,27 @@
 that calls reach the minion, and names the incarnation that answers. Heartbeats and
 answers to orders are no contact.
 
+A message about the minion that the minion does not confirm is no evidence either. A
+heartbeat may be late, or come from another writer; `heartbeat_source` tells what a
+sidecar makes of it. Another incarnation is believed once it has answered a call itself.
+
 Both sides use `extends_lease` on the same report: the holder when it receives it, the
 sidecar when it is answered. So the holder never takes a lease for expired that the
 sidecar may have extended.
 """
 
-from kingcuppost.batch.tables.messages import MinionReport
+from enum import StrEnum
+
+from kingcuppost.batch.tables.config import DaemonConfig
+from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
+from kingcuppost.batch.tables.world import SidecarState
 
 __all__ = [
     "CONTACT_MS",
+    "HeartbeatSource",
     "certain_expiry_ms",
     "extends_lease",
+    "heartbeat_source",
     "is_in_contact",
 ]
 
@@ -57,3 +67,61 @@
     process's clock by the factor `MAX_CLOCK_DRIFT_RATIO`.
     """
     return int(lease_ms * MAX_CLOCK_DRIFT_RATIO) + EXPIRY_MARGIN_MS
+
+
+class HeartbeatSource(StrEnum):
+    """Whose heartbeat a sidecar has received.
+
+    Attributes
+    ----------
+    KNOWN
+        That of the incarnation that the sidecar knows.
+    FIRST
+        That of an incarnation beside which no other has answered a call.
+    SUCCESSOR
+        That of another incarnation, if it answers a call.
+    OTHER_WRITER
+        That of a process which is not the minion on this machine.
+    """
+
+    KNOWN = "known"
+    FIRST = "first"
+    SUCCESSOR = "successor"
+    OTHER_WRITER = "other writer"
+
+
+def heartbeat_source(
+    cfg: DaemonConfig,
+    sidecar_state: SidecarState,
+    heartbeat: MinionHeartbeat,
+    now_ms: int,
+) -> HeartbeatSource:
+    """Return whose heartbeat a sidecar has received.
+
+    One incarnation has one address and one service. While a minion may have a lease, no
+    other process beside the sidecar can be its successor but one at its address, where
+    only one of the two can listen.
+    """
+    known = sidecar_state.minion
+    if not _fits_settings(cfg, heartbeat):
+        return HeartbeatSource.OTHER_WRITER
+    if known is None:
+        return HeartbeatSource.FIRST
+    is_known = known.incarnation == heartbeat.report.incarnation
+    is_moved = sidecar_state.address != heartbeat.address
+    if is_known and not is_moved and known.service == heartbeat.report.service:
+        return HeartbeatSource.KNOWN
+    if sidecar_state.contact_ms is None:
+        return HeartbeatSource.FIRST
+    lease_may_last_ms = CONTACT_MS + certain_expiry_ms(cfg.bounds.lease_ms)
+    may_have_lease = now_ms - sidecar_state.contact_ms < lease_may_last_ms
+    if is_known or (is_moved and may_have_lease):
+        return HeartbeatSource.OTHER_WRITER
+    return HeartbeatSource.SUCCESSOR
+
+
+def _fits_settings(cfg: DaemonConfig, heartbeat: MinionHeartbeat) -> bool:
+    """Return whether a heartbeat names the minion that the settings name, if any."""
+    is_address = cfg.minion_address in (None, heartbeat.address)
+    is_service = cfg.minion_service in ("", heartbeat.report.service)
+    return is_address and is_service
--- /dev/null
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -0,0 +1,164 @@
+"""Heartbeats and leave notices that a sidecar receives, and whom it believes.
+
+Which incarnation runs beside the sidecar is known from the minion's own answers: a
+heartbeat of another incarnation, or a notice that the minion leaves, only makes the
+sidecar ask.
+"""
+
+from dataclasses import replace
+
+from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.run_end_rule import HeartbeatSource, heartbeat_source
+from kingcuppost.batch.tables.messages import (
+    HoldMinion,
+    HoldMinionAnswered,
+    MinionHeartbeat,
+)
+from kingcuppost.batch.tables.world import BatchWorld, SidecarState
+from kingcuppost.tables.identity import Role
+
+__all__ = ["ask_successor", "confirm_successor", "handle_heartbeats", "remove_minion"]
+
+SIDECAR_ROLES = (Role.SIDECAR,)
+
+
+@system(Phase.INTAKE, SIDECAR_ROLES, order=50)
+def handle_heartbeats(world: BatchWorld, now_ms: int) -> None:
+    """Handle heartbeats and leave notices of the minion and of other writers."""
+    for heartbeat in world.inbox.take(MinionHeartbeat):
+        if heartbeat.has_left:
+            _handle_leave_notice(world, heartbeat)
+            continue
+        source = heartbeat_source(world.cfg, world.sidecar_state, heartbeat, now_ms)
+        if source is HeartbeatSource.OTHER_WRITER:
+            _ignore_heartbeat(world, heartbeat)
+        elif source is HeartbeatSource.SUCCESSOR:
+            _add_successor(world, heartbeat)
+        elif source is HeartbeatSource.FIRST:
+            _begin_incarnation(world, heartbeat)
+        else:
+            _update_minion(world.sidecar_state, heartbeat)
+
+
+def _ignore_heartbeat(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
+    world.tally.add("heartbeats_ignored")
+    world.note(
+        "minion",
+        "A heartbeat of another writer is ignored.",
+        minion=heartbeat.report.incarnation.minion,
+        born_ms=heartbeat.report.incarnation.born_ms,
+        service=heartbeat.report.service,
+        address=str(heartbeat.address),
+    )
+
+
+def _update_minion(sidecar_state: SidecarState, heartbeat: MinionHeartbeat) -> None:
+    """Update the state of the minion, unless the heartbeat is an outdated one."""
+    if heartbeat.sequence <= sidecar_state.heartbeat_sequence:
+        return
+    sidecar_state.heartbeat_sequence = heartbeat.sequence
+    sidecar_state.has_leave_notice = False
+    if sidecar_state.minion.draining != heartbeat.report.draining:
+        sidecar_state.is_report_due = True
+    sidecar_state.minion = heartbeat.report
+
+
+def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
+    """Reset the state of the minion and its runs.
+
+    The state of the contact with the scheduler is kept.
+    """
+    sidecar_state = world.sidecar_state
+    world.sidecar_state = SidecarState(
+        term=sidecar_state.term,
+        sync_number=sidecar_state.sync_number,
+        unanswered_syncs=sidecar_state.unanswered_syncs,
+        holder=sidecar_state.holder,
+        entries=sidecar_state.entries,
+        entries_end=sidecar_state.entries_end,
+        next_entry_index=sidecar_state.next_entry_index,
+        last_reply_ms=sidecar_state.last_reply_ms,
+        minion=heartbeat.report,
+        address=heartbeat.address,
+        heartbeat_sequence=heartbeat.sequence,
+    )
+    world.note(
+        "minion",
+        "The minion has a new incarnation.",
+        minion=heartbeat.report.incarnation.minion,
+        born_ms=heartbeat.report.incarnation.born_ms,
+    )
+
+
+def _add_successor(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
+    """Keep the heartbeat of another incarnation until that has answered a call."""
+    sidecar_state = world.sidecar_state
+    if sidecar_state.is_successor_asked:
+        return
+    sidecar_state.successor = heartbeat
+
+
+@system(Phase.ACT, SIDECAR_ROLES, order=15)
+def ask_successor(world: BatchWorld, now_ms: int) -> None:
+    """Ask a possible successor of the minion for its lists, without a lease."""
+    sidecar_state = world.sidecar_state
+    successor = sidecar_state.successor
+    if successor is None or sidecar_state.is_successor_asked:
+        return
+    sidecar_state.is_successor_asked = True
+    world.outbox.put(
+        HoldMinion(
+            successor.address,
+            successor.report.incarnation,
+            sidecar_state.term,
+            acknowledged_end=0,
+            wait_ms=0,
+            lease_until_ms=None,
+        )
+    )
+
+
+def confirm_successor(world: BatchWorld, lists: HoldMinionAnswered) -> None:
+    """Begin the incarnation of a successor if these lists are its answer.
+
+    A successor that does not answer is dropped; the next heartbeat names it again.
+    """
+    sidecar_state = world.sidecar_state
+    successor = sidecar_state.successor
+    if successor is None or successor.report.incarnation != lists.incarnation:
+        return
+    sidecar_state.successor = None
+    sidecar_state.is_successor_asked = False
+    if lists.reason:
+        _ignore_heartbeat(world, successor)
+    else:
+        _begin_incarnation(world, successor)
+
+
+def _handle_leave_notice(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
+    """Send nothing new to a minion that leaves; it has left once a call fails.
+
+    The notice may be late, of an earlier incarnation or of another writer: the minion's
+    next heartbeat takes it back.
+    """
+    sidecar_state = world.sidecar_state
+    minion = sidecar_state.minion
+    if minion is None or minion.incarnation.minion != (
+        heartbeat.report.incarnation.minion
+    ):
+        return
+    world.note("minion", "The minion is leaving.", minion=minion.incarnation.minion)
+    sidecar_state.has_leave_notice = True
+    sidecar_state.minion = replace(minion, draining=True)
+    sidecar_state.is_report_due = True
+
+
+def remove_minion(world: BatchWorld) -> None:
+    """Remove a minion that has left."""
+    sidecar_state = world.sidecar_state
+    world.note(
+        "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
+    )
+    sidecar_state.minion = None
+    sidecar_state.has_leave_notice = False
+    sidecar_state.is_report_due = True
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -1,10 +1,13 @@
 """Handling of messages that a sidecar receives from its minion and the scheduler."""
 
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.sidecar_heartbeats import (
+    confirm_successor,
+    remove_minion,
+)
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
     HoldMinionAnswered,
-    MinionHeartbeat,
     OrderAnswered,
     OrderOutcome,
     RecordsRead,
@@ -20,7 +23,6 @@
 from kingcuppost.tables.identity import Role
 
 __all__ = [
-    "handle_heartbeats",
     "handle_order_answers",
     "handle_run_lists",
     "handle_scheduler_replies",
@@ -33,78 +35,6 @@
 SIDECAR_ROLES = (Role.SIDECAR,)
 
 
-@system(Phase.INTAKE, SIDECAR_ROLES, order=50)
-def handle_heartbeats(world: BatchWorld, now_ms: int) -> None:
-    """Handle heartbeats; ignore those of an earlier incarnation or sequence number."""
-    sidecar_state = world.sidecar_state
-    for heartbeat in world.inbox.take(MinionHeartbeat):
-        if heartbeat.has_left:
-            _remove_minion(world, heartbeat)
-            continue
-        incarnation = heartbeat.report.incarnation
-        old = sidecar_state.minion
-        if old is not None and incarnation.born_ms < old.incarnation.born_ms:
-            continue
-        if old is None or old.incarnation != incarnation:
-            _begin_incarnation(world, heartbeat)
-        elif heartbeat.sequence <= sidecar_state.heartbeat_sequence:
-            continue
-        sidecar_state.heartbeat_sequence = heartbeat.sequence
-        sidecar_state.address = heartbeat.address
-        if old is None or _has_draining_changed(heartbeat, sidecar_state):
-            sidecar_state.is_report_due = True
-        sidecar_state.minion = heartbeat.report
-
-
-def _has_draining_changed(
-    heartbeat: MinionHeartbeat, sidecar_state: SidecarState
-) -> bool:
-    old = sidecar_state.minion
-    return old is None or old.draining != heartbeat.report.draining
-
-
-def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
-    """Reset the state of the minion and its runs.
-
-    The state of the contact with the scheduler is kept.
-    """
-    sidecar_state = world.sidecar_state
-    world.sidecar_state = SidecarState(
-        term=sidecar_state.term,
-        sync_number=sidecar_state.sync_number,
-        unanswered_syncs=sidecar_state.unanswered_syncs,
-        holder=sidecar_state.holder,
-        entries=sidecar_state.entries,
-        entries_end=sidecar_state.entries_end,
-        next_entry_index=sidecar_state.next_entry_index,
-        last_reply_ms=sidecar_state.last_reply_ms,
-        minion=heartbeat.report,
-        address=heartbeat.address,
-    )
-    sidecar_state = world.sidecar_state
-    world.note(
-        "minion",
-        "The minion has a new incarnation.",
-        minion=heartbeat.report.incarnation.minion,
-        born_ms=heartbeat.report.incarnation.born_ms,
-    )
-
-
-def _remove_minion(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
-    sidecar_state = world.sidecar_state
-    if (
-        sidecar_state.minion is None
-        or sidecar_state.minion.incarnation.minion
-        != heartbeat.report.incarnation.minion
-    ):
-        return
-    world.note(
-        "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
-    )
-    sidecar_state.minion = None
-    sidecar_state.is_report_due = True
-
-
 def _is_current_incarnation(world: BatchWorld, incarnation: MinionIncarnation) -> bool:
     return (
         world.sidecar_state.minion is not None
@@ -116,6 +46,7 @@
 def handle_run_lists(world: BatchWorld, now_ms: int) -> None:
     """Handle the minion's lists of running and ended runs."""
     for lists in world.inbox.take(HoldMinionAnswered):
+        confirm_successor(world, lists)
         sidecar_state = world.sidecar_state
         if not _is_current_incarnation(world, lists.incarnation):
             continue
@@ -144,6 +75,8 @@
     if not sidecar_state.hold_failed:
         world.note("minion", "A request for the run lists failed.", reason=lists.reason)
     sidecar_state.hold_failed = True
+    if sidecar_state.has_leave_notice:
+        remove_minion(world)
 
 
 def _update_minion_clock(
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -60,6 +60,10 @@
         Peer addresses of the entries in the settings; some may no longer exist.
     bounds : Bounds
         Durations and factors that the deployment guarantees or requires.
+    minion_address : Address or None
+        Address of the minion beside a sidecar; None if the settings do not name it.
+    minion_service : str
+        Service of that minion; empty if the settings do not name it.
     """
 
     role: Role
@@ -68,3 +72,5 @@
     peers: Address
     seeds: tuple[Address, ...] = ()
     bounds: Bounds = Bounds()
+    minion_address: Address | None = None
+    minion_service: str = ""
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -19,6 +19,7 @@
     AppendEnded,
     CallerCall,
     EndedRun,
+    MinionHeartbeat,
     MinionReport,
     RefusedRun,
     RunningRun,
@@ -351,6 +352,12 @@
         Earliest time of the next `HoldMinion` request.
     hold_failed : bool
         Whether the newest `HoldMinion` request failed.
+    has_leave_notice : bool
+        Whether the minion is said to leave, so that it has left once a call fails.
+    successor : MinionHeartbeat or None
+        Heartbeat of another incarnation, which has not answered a call yet.
+    is_successor_asked : bool
+        Whether the call to it is not answered yet.
     acknowledged_end : int
         Number up to which the reported ends are in the log.
     running, refused : dict of tuple of str and int to RunningRun or RefusedRun
@@ -401,6 +408,9 @@
     is_hold_open: bool = False
     hold_after_ms: int = 0
     hold_failed: bool = False
+    has_leave_notice: bool = False
+    successor: MinionHeartbeat | None = None
+    is_successor_asked: bool = False
     acknowledged_end: int = 0
     running: dict[tuple[str, int], RunningRun] = field(default_factory=dict)
     ended: dict[int, EndedRun] = field(default_factory=dict)
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -60,6 +60,9 @@
     # the first is the port at which peers reach the process; the second is not used
     ports: tuple[int, int] = Field(alias="internalPorts")
     seeds: tuple[AddressText, ...] = ()
+    # address and service of the minion on this machine, if there is one
+    app: AddressText | None = None
+    service: str = ""
     listen: _ListenModel
     bounds: _BoundsModel = _BoundsModel()
     # the store that holds logs and operators' records
@@ -116,6 +119,8 @@
         Address(model.ip, port),
         seeds,
         _make_bounds(model.bounds),
+        _parse_optional_address(model.app),
+        model.service,
     )
     return PlatformConfig(
         daemon,
