Stop a run at the next incarnation of its minion before it is placed again

Cause: orders name a minion by its identifier, so the next incarnation carried out a start that the sidecar repeated for the earlier one; and the holder took the runs of the earlier one for ended as soon as the next one was reported.

Ruled out: a late order (each copy was refused or answered at once), an early expiry.

Change: starts wait after a failed request for the lists until one succeeds, and that request names no end and no lease. An answer to an order that names another start says nothing. Runs of an earlier incarnation under the same identifier continue if the next one lists them, or are stopped there before they count as lost; under another identifier they have ended. Ends of two incarnations with the same number are told apart. Recording of ends moves from sidecar_reports to run_ends.

The stand-in carries out orders for an earlier incarnation, as its minions would, and its clock starts anew: it dropped them, which hid the fault.

--- a/kingcuppost/batch/systems/lease_expiry.py
+++ b/kingcuppost/batch/systems/lease_expiry.py
@@ -8,7 +8,7 @@
     take_expired_leases,
 )
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.sidecar_reports import end_incarnation_runs
+from kingcuppost.batch.systems.run_ends import end_incarnation_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -40,14 +40,16 @@
     if _is_awaiting_stop(world):
         wait_ms = 0
         sidecar_state.hold_after_ms = now_ms + STOP_POLL_MS
+    # after a failure another incarnation may answer, with its own ends and clock
+    is_confirmed = not sidecar_state.hold_failed
     world.outbox.put(
         HoldMinion(
             sidecar_state.address,
             sidecar_state.minion.incarnation,
             sidecar_state.term,
-            sidecar_state.acknowledged_end,
-            wait_ms,
-            sidecar_state.lease_until_ms,
+            sidecar_state.acknowledged_end if is_confirmed else 0,
+            wait_ms if is_confirmed else 0,
+            sidecar_state.lease_until_ms if is_confirmed else None,
         )
     )
 
@@ -73,11 +75,8 @@
 
 
 def _is_awaiting_stop(world: BatchWorld) -> bool:
-    """Return whether the minion has accepted a stop of a run that has not ended yet."""
-    return any(
-        run.stop_accepted_ms is not None
-        for run in world.sidecar_state.ordered_runs.values()
-    )
+    """Return whether a run is to be stopped that has not ended yet."""
+    return any(run.should_stop for run in world.sidecar_state.ordered_runs.values())
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
@@ -116,10 +115,13 @@
     """Send a start, unless the minion lease is about to end or the minion is draining.
 
     A draining minion still receives a start of which an earlier copy may be carried
-    out late, so that the outcome becomes known.
+    out late, so that the outcome becomes known. After a failed request for the lists,
+    starts wait for one that succeeds: another incarnation may listen there, and would
+    carry them out.
     """
     sidecar_state = world.sidecar_state
-    if sidecar_state.lease_until_ms is None or sidecar_state.minion_clock_ms is None:
+    has_lease = sidecar_state.lease_until_ms is not None
+    if not has_lease or sidecar_state.hold_failed:
         return
     clock_ms = (
         sidecar_state.minion_clock_ms + now_ms - sidecar_state.minion_clock_received_ms
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -190,6 +190,7 @@
     task.confirmed = False
     task.running_since_ms = None
     task.stop_sent_ms = None
+    task.was_lost = False
     task.reserved_incarnation = None
 
 
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -5,6 +5,9 @@
 - The minion lists its end.
 - The minion has refused it, and no copy of its start can be carried out any more.
 - The lease of the minion incarnation has certainly expired on the minion's clock.
+- Another incarnation has answered in its place, and no copy of the run's start can be
+  carried out there. An order names the minion's identifier only, so an incarnation with
+  the same identifier may carry out what was meant for an earlier one.
 
 While the lease may last, silence is no evidence. The lease is extended only while the
 sidecar is in contact with the minion: a minion that is lost for good beside a live
@@ -24,16 +27,26 @@
 from enum import StrEnum
 
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
-from kingcuppost.batch.tables.world import SidecarState
+from kingcuppost.batch.tables.job import MinionIncarnation
+from kingcuppost.batch.tables.messages import (
+    HoldMinionAnswered,
+    MinionHeartbeat,
+    MinionReport,
+)
+from kingcuppost.batch.tables.world import OrderedRun, SidecarState
 
 __all__ = [
     "CONTACT_MS",
     "HeartbeatSource",
+    "RunFate",
     "certain_expiry_ms",
     "extends_lease",
+    "fate_after_restart",
     "heartbeat_source",
+    "is_absence_final",
     "is_in_contact",
+    "is_refusal_final",
+    "may_reach_successor",
 ]
 
 CONTACT_MS = 2_000  # more than a request for the lists takes with its timeout
@@ -125,3 +138,57 @@
     is_address = cfg.minion_address in (None, heartbeat.address)
     is_service = cfg.minion_service in ("", heartbeat.report.service)
     return is_address and is_service
+
+
+class RunFate(StrEnum):
+    """What becomes of a placed run when another incarnation of the minion answers.
+
+    Attributes
+    ----------
+    ENDED
+        It has ended with its incarnation.
+    CONTINUES
+        It runs in the new incarnation.
+    MUST_STOP
+        It has ended with its incarnation, but a copy of its start may still be carried
+        out in the new one. It counts as ended once that one has accepted a stop.
+    """
+
+    ENDED = "ended"
+    CONTINUES = "continues"
+    MUST_STOP = "must stop"
+
+
+def fate_after_restart(
+    earlier: MinionIncarnation, present: MinionIncarnation, is_listed: bool
+) -> RunFate:
+    """Return what becomes of a run that was placed at an earlier incarnation.
+
+    Parameters
+    ----------
+    earlier, present : MinionIncarnation
+        Incarnation where the run was placed, and the one that answers now.
+    is_listed : bool
+        Whether the present incarnation lists the run as running.
+    """
+    if earlier.minion != present.minion:
+        return RunFate.ENDED
+    return RunFate.CONTINUES if is_listed else RunFate.MUST_STOP
+
+
+def may_reach_successor(run: OrderedRun) -> bool:
+    """Return whether a start of a run may be carried out after a restart."""
+    return run.may_still_start or run.is_order_pending
+
+
+def is_refusal_final(run: OrderedRun) -> bool:
+    """Return whether a refusal of a start is the end of the run."""
+    return not run.may_still_start
+
+
+def is_absence_final(run: OrderedRun, lists: HoldMinionAnswered) -> bool:
+    """Return whether a run that is missing from lists can't begin any more.
+
+    After it has accepted a stop, a minion refuses the start of the run.
+    """
+    return run.stop_accepted_ms is not None and lists.sent_ms > run.stop_accepted_ms
--- /dev/null
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -0,0 +1,94 @@
+"""Ends of runs that no minion reports: of expired and of earlier incarnations."""
+
+from kingcuppost.batch.systems.lost_work import work_lost_by_end
+from kingcuppost.batch.systems.plans import apply_run_end, request_stop, request_stops
+from kingcuppost.batch.systems.run_end_rule import RunFate, fate_after_restart
+from kingcuppost.batch.systems.task_phases import move_run, placed_runs
+from kingcuppost.batch.tables.job import MinionIncarnation, Plan, RunEnd, Task
+from kingcuppost.batch.tables.messages import SyncCall
+from kingcuppost.batch.tables.world import BatchWorld
+
+__all__ = [
+    "NEW_INCARNATION",
+    "end_incarnation_runs",
+    "record_run_end",
+    "settle_earlier_incarnations",
+]
+
+NEW_INCARNATION = "the minion has a new incarnation"
+
+
+def record_run_end(
+    world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, reason: str = ""
+) -> None:
+    """Count and log the end of a run, before it is applied to the plan."""
+    wall_ms = world.clock.wall_ms()
+    lost_core_s = work_lost_by_end(plan, task, run_end, wall_ms)
+    world.tally.add("ends", run_end)
+    world.tally.add("lost_core_seconds", run_end, amount=round(lost_core_s))
+    world.note(
+        "run",
+        "A run ended.",
+        task=str(task.name),
+        run=task.run,
+        how=run_end,
+        minion=task.incarnation.minion if task.incarnation else "",
+        reason=reason,
+        took_ms=wall_ms - task.placed_ms,
+        estimate_ms=plan.job.steps[task.name.step].estimate_ms,
+        lost_core_s=round(lost_core_s, 1),
+    )
+
+
+def end_incarnation_runs(
+    world: BatchWorld, incarnation: MinionIncarnation, reason: str
+) -> None:
+    """End all runs of a minion incarnation that is over."""
+    schedule = world.schedule
+    schedule.leases.delete(incarnation)
+    for plan, task in placed_runs(schedule, incarnation):
+        record_run_end(world, plan, task, RunEnd.LOST, reason)
+        apply_run_end(world, plan, task, RunEnd.LOST, "")
+
+
+def settle_earlier_incarnations(world: BatchWorld, call: SyncCall) -> None:
+    """Decide on the runs of earlier incarnations of a minion that has answered."""
+    present = call.minion.incarnation
+    listed = {(str(running.task), running.run) for running in call.running}
+    for lease in world.schedule.leases.find("sidecar", call.sidecar):
+        earlier = lease.incarnation
+        if earlier.born_ms >= present.born_ms:
+            continue
+        for plan, task in placed_runs(world.schedule, earlier):
+            is_listed = (str(task.name), task.run) in listed
+            fate = fate_after_restart(earlier, present, is_listed)
+            if fate is not RunFate.ENDED:
+                _move_run(world, plan, task, present, fate)
+        # what has not moved has ended
+        end_incarnation_runs(world, earlier, NEW_INCARNATION)
+
+
+def _move_run(
+    world: BatchWorld,
+    plan: Plan,
+    task: Task,
+    present: MinionIncarnation,
+    fate: RunFate,
+) -> None:
+    """Place a run at the present incarnation, where it continues or is stopped."""
+    move_run(world.schedule, plan, task, present)
+    world.note(
+        "run",
+        "The minion of a run has a new incarnation.",
+        task=str(task.name),
+        run=task.run,
+        minion=present.minion,
+        fate=fate,
+    )
+    if fate is RunFate.CONTINUES:
+        return
+    task.was_lost = True
+    if plan.job.steps[task.name.step].gang:
+        request_stops(world, plan, task.name.step)
+    else:
+        request_stop(world, plan, task)
--- a/kingcuppost/batch/systems/sidecar_heartbeats.py
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -8,13 +8,17 @@
 from dataclasses import replace
 
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.run_end_rule import HeartbeatSource, heartbeat_source
+from kingcuppost.batch.systems.run_end_rule import (
+    HeartbeatSource,
+    heartbeat_source,
+    may_reach_successor,
+)
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
     HoldMinionAnswered,
     MinionHeartbeat,
 )
-from kingcuppost.batch.tables.world import BatchWorld, SidecarState
+from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.identity import Role
 
 __all__ = ["ask_successor", "confirm_successor", "handle_heartbeats", "remove_minion"]
@@ -131,8 +135,28 @@
     sidecar_state.is_successor_asked = False
     if lists.reason:
         _ignore_heartbeat(world, successor)
-    else:
-        _begin_incarnation(world, successor)
+        return
+    unresolved = _unresolved_starts(sidecar_state, lists)
+    _begin_incarnation(world, successor)
+    world.sidecar_state.ordered_runs = unresolved
+
+
+def _unresolved_starts(
+    sidecar_state: SidecarState, lists: HoldMinionAnswered
+) -> dict[tuple[str, int], OrderedRun]:
+    """Return the runs that a successor is to stop before it can begin them.
+
+    They are those whose start an earlier incarnation under the same identifier was sent
+    without an answer, unless the successor works on them already.
+    """
+    if sidecar_state.minion.incarnation.minion != lists.incarnation.minion:
+        return {}
+    running = {(str(run.task), run.run) for run in lists.running}
+    return {
+        key: OrderedRun(run.order, should_stop=True)
+        for key, run in sidecar_state.ordered_runs.items()
+        if may_reach_successor(run) and key not in running
+    }
 
 
 def _handle_leave_notice(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -1,6 +1,7 @@
 """Handling of messages that a sidecar receives from its minion and the scheduler."""
 
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.run_end_rule import is_absence_final, is_refusal_final
 from kingcuppost.batch.systems.sidecar_heartbeats import (
     confirm_successor,
     remove_minion,
@@ -106,10 +107,9 @@
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
     listed_ended_keys = {(str(end.task), end.run) for end in lists.ended}
     for key, run in list(sidecar_state.ordered_runs.items()):
-        if run.stop_accepted_ms is None or lists.sent_ms <= run.stop_accepted_ms:
-            continue
         if (
-            key not in sidecar_state.running
+            is_absence_final(run, lists)
+            and key not in sidecar_state.running
             and key not in listed_ended_keys
             and key not in _ended_run_keys(sidecar_state)
         ):
@@ -171,12 +171,12 @@
         reason=answer.reason,
     )
     run.may_still_start = run.may_still_start or answer.outcome is OrderOutcome.UNKNOWN
-    if answer.outcome is OrderOutcome.REFUSED and run.may_still_start:
-        run.should_stop = True
-    elif answer.outcome is OrderOutcome.REFUSED:
+    if answer.outcome is not OrderOutcome.REFUSED:
+        run.retry_ms = now_ms + RETRY_MS
+    elif is_refusal_final(run):
         _record_refusal(world, run, answer.reason)
     else:
-        run.retry_ms = now_ms + RETRY_MS
+        run.should_stop = True
 
 
 def _handle_stop_answer(
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -3,13 +3,16 @@
 from heapq import heappush
 
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
-from kingcuppost.batch.systems.lost_work import work_lost_by_end
 from kingcuppost.batch.systems.minion_leases import extend_lease, mark_unreachable
 from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
+from kingcuppost.batch.systems.run_ends import (
+    NEW_INCARNATION,
+    record_run_end,
+    settle_earlier_incarnations,
+)
 from kingcuppost.batch.systems.speeds import update_speed
-from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
@@ -32,7 +35,7 @@
 from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
-__all__ = ["adopt_jobs", "end_incarnation_runs", "handle_sidecar_reports"]
+__all__ = ["adopt_jobs", "handle_sidecar_reports"]
 
 REFUSAL_PAUSE_MS = 1_000
 FULL_PERCENT = 100
@@ -93,7 +96,7 @@
             return
         old = None
     if extends_lease(call.minion):
-        _end_earlier_incarnations(world, call.sidecar, call.minion.incarnation)
+        settle_earlier_incarnations(world, call)
         minion = _update_minion(world, call, old, now_ms)
         extend_lease(world, minion.incarnation, call.sidecar, now_ms)
     else:
@@ -114,31 +117,18 @@
     if minion is None:
         if schedule.leases.get(call.minion.incarnation) is None:
             return None
-        minion = _make_minion(world, call, call.minion)
-        schedule.minions.put(minion)
+        minion = _add_minion(world, call)
     mark_unreachable(world, minion, "its sidecar has lost contact with it")
     return minion
 
 
-def _end_earlier_incarnations(
-    world: BatchWorld, sidecar: str, incarnation: MinionIncarnation
-) -> None:
-    """End the runs of earlier incarnations of the minion beside a sidecar."""
-    for lease in world.schedule.leases.find("sidecar", sidecar):
-        if lease.incarnation.born_ms < incarnation.born_ms:
-            end_incarnation_runs(
-                world, lease.incarnation, "the minion has a new incarnation"
-            )
-
-
 def _update_minion(
     world: BatchWorld, call: SyncCall, minion: MinionRow | None, now_ms: int
 ) -> MinionRow:
     """Create or update the row of a reported minion, and return it."""
     report = call.minion
     if minion is None:
-        minion = _make_minion(world, call, report)
-        world.schedule.minions.put(minion)
+        minion = _add_minion(world, call)
         world.schedule.minion_added_ms = now_ms
         world.schedule.inputs_changed = True
         world.note(
@@ -165,6 +155,19 @@
     return minion
 
 
+def _add_minion(world: BatchWorld, call: SyncCall) -> MinionRow:
+    """Add the row of a reported minion.
+
+    Every incarnation numbers its ends from 1, so those of an earlier one are forgotten.
+    """
+    schedule = world.schedule
+    schedule.reported_ends.pop(call.sidecar, None)
+    schedule.orphans.pop(call.sidecar, None)
+    minion = _make_minion(world, call, call.minion)
+    schedule.minions.put(minion)
+    return minion
+
+
 def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
     # the first label with a hyphen is the rack, such as r1-1
     rack = next((label for label in report.labels if "-" in label), "")
@@ -180,38 +183,6 @@
     )
 
 
-def end_incarnation_runs(
-    world: BatchWorld, incarnation: MinionIncarnation, reason: str
-) -> None:
-    """End all runs of a minion incarnation that is over."""
-    schedule = world.schedule
-    schedule.leases.delete(incarnation)
-    for plan, task in placed_runs(schedule, incarnation):
-        _record_run_end(world, plan, task, RunEnd.LOST, reason)
-        apply_run_end(world, plan, task, RunEnd.LOST, "")
-
-
-def _record_run_end(
-    world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, reason: str = ""
-) -> None:
-    wall_ms = world.clock.wall_ms()
-    lost_core_s = work_lost_by_end(plan, task, run_end, wall_ms)
-    world.tally.add("ends", run_end)
-    world.tally.add("lost_core_seconds", run_end, amount=round(lost_core_s))
-    world.note(
-        "run",
-        "A run ended.",
-        task=str(task.name),
-        run=task.run,
-        how=run_end,
-        minion=task.incarnation.minion if task.incarnation else "",
-        reason=reason,
-        took_ms=wall_ms - task.placed_ms,
-        estimate_ms=plan.job.steps[task.name.step].estimate_ms,
-        lost_core_s=round(lost_core_s, 1),
-    )
-
-
 def _handle_run_lists(
     world: BatchWorld, call: SyncCall, minion: MinionRow, now_ms: int
 ) -> None:
@@ -307,7 +278,7 @@
         return ended.task.job, plan.version if plan else 0
     plan, task = found
     _update_reliability(world, minion, plan, task, ended, now_ms)
-    _record_run_end(world, plan, task, ended.run_end)
+    record_run_end(world, plan, task, ended.run_end)
     apply_run_end(world, plan, task, ended.run_end, ended.checkpoint)
     return plan.job.id, plan.version
 
@@ -352,7 +323,7 @@
 def _handle_refused_run(
     world: BatchWorld, minion: MinionRow, refused: RefusedRun, now_ms: int
 ) -> None:
-    """Withdraw a run that never began.
+    """Withdraw a run that never began, or that was lost with an earlier incarnation.
 
     Its minion is assigned no runs for `REFUSAL_PAUSE_MS`, unless the run was to be
     stopped anyway.
@@ -363,5 +334,8 @@
     plan, task = found
     if not task.stopping:
         minion.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
-    _record_run_end(world, plan, task, RunEnd.REFUSED, refused.reason)
-    apply_run_end(world, plan, task, RunEnd.REFUSED, "")
+    run_end, reason = RunEnd.REFUSED, refused.reason
+    if task.was_lost:
+        run_end, reason = RunEnd.LOST, NEW_INCARNATION
+    record_run_end(world, plan, task, run_end, reason)
+    apply_run_end(world, plan, task, run_end, "")
--- a/kingcuppost/batch/systems/task_phases.py
+++ b/kingcuppost/batch/systems/task_phases.py
@@ -19,6 +19,7 @@
     "add_plan",
     "change_phase",
     "mark_stopping",
+    "move_run",
     "placed_runs",
     "remove_plan",
 ]
@@ -72,6 +73,17 @@
     _add_demand(load.stopping, plan.job.steps[task.name.step], 1)
 
 
+def move_run(
+    schedule: Schedule, plan: Plan, task: Task, incarnation: MinionIncarnation
+) -> None:
+    """Place a run at another incarnation; one that is to be stopped remains so."""
+    is_stopping = task.stopping
+    change_phase(schedule, plan, task, TaskPhase.PLACED, incarnation)
+    if is_stopping:
+        mark_stopping(schedule, plan, task)
+    task.stop_sent_ms = None
+
+
 def placed_runs(
     schedule: Schedule, incarnation: MinionIncarnation
 ) -> list[tuple[Plan, Task]]:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -325,6 +325,9 @@
         Whether the run is to be stopped.
     stop_sent_ms : int or None
         Time at which the stop was last sent to the sidecar.
+    was_lost : bool
+        Whether the run was lost with an earlier incarnation of its minion, where it is
+        stopped so that no copy of its start is carried out any more.
     percent : int
         Percentage of the run's work that is done, as reported by the minion.
     initial_percent : int
@@ -360,6 +363,7 @@
     running_since_ms: int | None = None
     stopping: bool = False
     stop_sent_ms: int | None = None
+    was_lost: bool = False
     percent: int = 0
     initial_percent: int = 0
     percent_changed_ms: int = 0
--- a/kingcuppost/platform/minion.py
+++ b/kingcuppost/platform/minion.py
@@ -87,6 +87,10 @@
     finished: tuple[Any, ...] = Field((), alias="finishedRuns")
 
 
+class _OrderReplyModel(_PlatformModel):
+    born: Amount = 0
+
+
 # task, run, checkpoint, percentage of work done; more columns may follow
 _RunningRow = TypeAdapter(tuple[str, Amount, str, int])
 # number, task, run, kind of end, checkpoint
@@ -293,6 +297,10 @@
         return make_answer(
             OrderOutcome.BUSY if never_sent else OrderOutcome.UNKNOWN, str(exc)
         )
+    if _is_from_other(message.incarnation, response.body):
+        return make_answer(
+            OrderOutcome.UNKNOWN, "another incarnation of the minion answered"
+        )
     if response.status == STATUS_OK:
         return make_answer(OrderOutcome.DONE)
     text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
@@ -300,3 +308,15 @@
     if response.status in BUSY_STATUSES:
         return make_answer(OrderOutcome.BUSY, reason)
     return make_answer(OrderOutcome.REFUSED, reason)
+
+
+def _is_from_other(incarnation: MinionIncarnation, body: bytes) -> bool:
+    """Return whether an answer to an order names another start of the minion.
+
+    Answers without a start, or without a body that can be read, are not taken for one.
+    """
+    try:
+        born_ms = _OrderReplyModel.model_validate_json(body).born
+    except ValidationError:
+        return False
+    return born_ms not in (0, incarnation.born_ms)
--- a/kingcuppost/platform/tests/test_minion.py
+++ b/kingcuppost/platform/tests/test_minion.py
@@ -9,10 +9,21 @@
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.job import MinionIncarnation
-from kingcuppost.batch.tables.messages import HoldMinion, HoldMinionAnswered
+from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
+from kingcuppost.batch.tables.messages import (
+    HoldMinion,
+    HoldMinionAnswered,
+    OrderAnswered,
+    OrderOutcome,
+    StartOrder,
+    StartRun,
+)
 from kingcuppost.edges.http_client import Response
-from kingcuppost.platform.minion import _parse_heartbeat, _request_hold
+from kingcuppost.platform.minion import (
+    _parse_heartbeat,
+    _request_hold,
+    send_start,
+)
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils import ManualClock
@@ -135,3 +146,34 @@
     context: SimpleNamespace, body: bytes
 ) -> None:
     assert request_hold(context, body).reason
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "expected"),
+    [
+        (200, {"clockMs": 5}, OrderOutcome.DONE),
+        (200, {"clockMs": 5, "born": WALL_MS}, OrderOutcome.DONE),
+        (200, {"clockMs": 5, "born": WALL_MS + 1}, OrderOutcome.UNKNOWN),
+        (409, {"clockMs": 5, "reason": "room"}, OrderOutcome.REFUSED),
+        (409, {"reason": "room", "born": WALL_MS + 1}, OrderOutcome.UNKNOWN),
+        (503, "overloaded", OrderOutcome.BUSY),
+    ],
+)
+def test_an_answer_of_the_next_incarnation_says_nothing_about_a_start(
+    context: SimpleNamespace, status: int, body: object, expected: OrderOutcome
+) -> None:
+    async def exchange(*args: object) -> Response:
+        return Response(status, json.dumps(body).encode())
+
+    context.client = SimpleNamespace(exchange=exchange)
+    message = StartRun(
+        Address("10.0.0.2", 8080),
+        MinionIncarnation("m-0", WALL_MS),
+        1,
+        StartOrder(TaskName.parse(TASK), 1, "spec", ""),
+        9_000,
+    )
+    answers: list[OrderAnswered] = []
+    context.deliver = answers.append
+    send_start(context, message)
+    assert [answer.outcome for answer in answers] == [expected]
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -220,7 +220,7 @@
 
     def _reply(self, request: Request, reason: str) -> None:
         status = 409 if reason else 200
-        _send_json(request, status, clockMs=_now_ms(), reason=reason)
+        _send_json(request, status, clockMs=self.minion.clock_ms(), reason=reason)
 
     def start(self, request: Request) -> None:
         """Start a run; the spec of the job gives the work of its tasks."""
@@ -267,7 +267,7 @@
         _send_json(
             request,
             200,
-            clockMs=_now_ms(),
+            clockMs=self.minion.clock_ms(),
             born=self.minion.born_ms,
             running=[[str(r.task), r.run, r.checkpoint, r.percent, 0] for r in running],
             finishedRuns=[
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -1,7 +1,6 @@
 """Heartbeats of simulated minions, and the requests of their sidecars."""
 
 from dataclasses import replace
-from typing import Any
 
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
@@ -43,7 +42,7 @@
     if process.incarnation != incarnation or not process.is_up:
         return
     minion = process.minion
-    if minion is not None and minion.answers and not process.is_frozen:
+    if _sends_heartbeats(deployment, process):
         report = MinionReport(
             minion.incarnation,
             "svc",
@@ -62,6 +61,13 @@
     )
 
 
+def _sends_heartbeats(deployment: Deployment, process: Process) -> bool:
+    minion = process.minion
+    if minion is None or not minion.answers or process.is_frozen:
+        return False
+    return deployment.clock.now_ms() >= minion.heartbeats_from_ms
+
+
 @senders.register(HoldMinion)
 def renew_lease(deployment: Deployment, process: Process, message: HoldMinion) -> None:
     """Extend the lease of a sidecar's minion, and answer with its lists of runs."""
@@ -83,21 +89,29 @@
             )
             deployment.deliver(process, answer, incarnation)
             return
+        running, ended = (), ()
+        if minion.is_up and minion.id == message.incarnation.minion:
+            # an earlier incarnation under this identifier may have been meant
+            until_ms = message.lease_until_ms if is_first else None
+            running, ended = minion.renew_lease(
+                message.term, message.acknowledged_end, until_ms
+            )
         if not minion.is_up or minion.incarnation != message.incarnation:
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, reason="other incarnation"
             )
             deployment.deliver(process, answer, incarnation)
             return
-        until_ms = message.lease_until_ms if is_first else None
-        running, ended = minion.renew_lease(
-            message.term, message.acknowledged_end, until_ms
-        )
         if not ended and now_ms < answer_by_ms:
             deployment.after(END_POLL_PERIOD_MS, lambda: check_ends(False))
             return
         answer = HoldMinionAnswered(
-            message.incarnation, sent_ms, now_ms, now_ms, running, ended
+            message.incarnation,
+            sent_ms,
+            now_ms,
+            minion.clock_ms(),
+            running,
+            ended,
         )
         deployment.deliver_later(process, 1, lambda: answer)
 
@@ -119,64 +133,65 @@
 def apply_order(
     deployment: Deployment, process: Process, message: StartRun | StopRun
 ) -> None:
-    """Carry out a start or a stop at a sidecar's minion, perhaps late."""
-    minion = process.minion
-    incarnation = process.incarnation
-    is_start = isinstance(message, StartRun)
+    """Carry out a start or a stop at a sidecar's minion, perhaps late.
+
+    A late order, and one that waits at a frozen minion, has an unknown outcome.
+    """
     is_late = deployment.rng.random() < deployment.late_order_ratio
+    if not is_late and not process.minion.is_frozen:
+        deployment.after(1, lambda: _answer_order(deployment, process, message))
+        return
+    delay_ms = MIN_LATE_ORDER_MS + deployment.rng.random() * LATE_ORDER_SPREAD_MS
+    deployment.after(
+        delay_ms if is_late else 1,
+        lambda: _apply_when_thawed(deployment, process.minion, message),
+    )
+    _deliver_answer(
+        deployment, process, message, OrderOutcome.UNKNOWN, "late", ORDER_TIMEOUT_MS
+    )
 
-    def apply(is_answered: bool = not is_late) -> None:
-        if minion.is_frozen:
-            # the call waits at the minion until it goes on
-            deployment.after(END_POLL_PERIOD_MS, lambda: apply(False))
-            return
-        if not minion.is_up:
-            if is_answered:
-                deliver_answer(OrderOutcome.BUSY, "connection refused")
-            return
-        if minion.incarnation != message.incarnation:
-            return
-        reason = _carry_out(minion, message)
-        if is_answered:
-            outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
-            deliver_answer(outcome, reason)
-
-    def deliver_answer(outcome: OrderOutcome, reason: str) -> None:
-        order = message.order
-        answer = OrderAnswered(
-            message.incarnation, order.task, order.run, is_start, outcome, reason
-        )
-        deployment.deliver_later(process, 1, lambda: answer)
 
-    if minion.is_frozen or is_late:
-        deployment.after(
-            ORDER_TIMEOUT_MS,
-            lambda: _deliver_unknown_outcome(
-                deployment, process, incarnation, message, is_start
-            ),
-        )
-    if is_late:
+def _apply_when_thawed(
+    deployment: Deployment, minion: Minion, message: StartRun | StopRun
+) -> None:
+    if minion.is_frozen:
         deployment.after(
-            MIN_LATE_ORDER_MS + deployment.rng.random() * LATE_ORDER_SPREAD_MS, apply
+            END_POLL_PERIOD_MS,
+            lambda: _apply_when_thawed(deployment, minion, message),
         )
+    elif minion.is_up and minion.id == message.incarnation.minion:
+        _carry_out(minion, message)
+
+
+def _answer_order(
+    deployment: Deployment, process: Process, message: StartRun | StopRun
+) -> None:
+    """Carry an order out at a minion that answers; answer for one that does not."""
+    minion = process.minion
+    if not minion.is_up:
+        outcome, reason = OrderOutcome.BUSY, "connection refused"
+    elif minion.id != message.incarnation.minion:
+        outcome, reason = OrderOutcome.REFUSED, "other minion"
     else:
-        deployment.after(1, apply)
+        reason = _carry_out(minion, message)
+        outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
+    _deliver_answer(deployment, process, message, outcome, reason)
 
 
-def _deliver_unknown_outcome(
+def _deliver_answer(
     deployment: Deployment,
     process: Process,
-    incarnation: int,
-    message: Any,
-    is_start: bool,
+    message: StartRun | StopRun,
+    outcome: OrderOutcome,
+    reason: str,
+    delay_ms: int = 1,
 ) -> None:
-    order = message.order
     answer = OrderAnswered(
         message.incarnation,
-        order.task,
-        order.run,
-        is_start,
-        OrderOutcome.UNKNOWN,
-        "late",
+        message.order.task,
+        message.order.run,
+        isinstance(message, StartRun),
+        outcome,
+        reason,
     )
-    deployment.deliver(process, answer, incarnation)
+    deployment.deliver_later(process, delay_ms, lambda: answer)
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -72,8 +72,12 @@
         Whether its runs make no progress.
     is_frozen : bool
         Whether it does nothing and answers nothing; its lease runs on.
+    heartbeats_from_ms : int
+        Time of its first heartbeat; it takes calls before that.
+    clock_started_ms : int
+        Time at which its clock was 0; it starts anew with each incarnation.
     until_ms : int
-        Time at which the lease expires.
+        Time on its clock at which the lease expires.
     token : int
         Highest fencing token received; starts and stops with a lower one are refused.
     last_ended_run : dict of TaskName to int
@@ -101,6 +105,8 @@
     hangs: bool = False
     is_up: bool = True
     is_frozen: bool = False
+    heartbeats_from_ms: int = 0
+    clock_started_ms: int = 0
     until_ms: int = 0
     token: int = 0
     runs: dict[tuple[TaskName, int], Run] = field(default_factory=dict)
@@ -124,10 +130,13 @@
         self.is_up = False
         self._forget_all()
 
-    def restart(self) -> None:
+    def restart(self, heartbeats_after_ms: int = 0) -> None:
         """Begin a new incarnation without runs and without memory of earlier ones."""
         self.is_up = True
+        self.is_frozen = False
         self.born_ms = self.now_ms() + 1
+        self.clock_started_ms = self.now_ms()
+        self.heartbeats_from_ms = self.now_ms() + heartbeats_after_ms
         self._forget_all()
 
     def _forget_all(self) -> None:
@@ -142,6 +151,10 @@
         self.token = 0
         self.draining = False
 
+    def clock_ms(self) -> int:
+        """Return the time on its clock."""
+        return self.now_ms() - self.clock_started_ms
+
     def _free_resources(self) -> Resources:
         resources = replace(self.resources)
         for run in self.runs.values():
@@ -162,12 +175,11 @@
         if token < self.token:
             return "fence"
         self.token = token
-        now_ms = self.now_ms()
         if (task, run) in self.runs:
             return ""
         if run <= self.last_ended_run.get(task, 0):
             return "old"
-        if until_ms <= now_ms:
+        if until_ms <= self.clock_ms():
             return "late"
         self._extend_lease(until_ms)
         step, work_ms = self.task_work(task)
@@ -179,7 +191,7 @@
         ):
             return "room"
         done_ms = float(checkpoint or 0)
-        new_run = Run(task, run, step, work_ms, now_ms, done_ms, done_ms)
+        new_run = Run(task, run, step, work_ms, self.now_ms(), done_ms, done_ms)
         self.runs[task, run] = new_run
         self.checks.record_start(self.id, task, run, checkpoint)
         if self.fails_all_runs:
@@ -197,7 +209,7 @@
         return ""
 
     def _extend_lease(self, until_ms: int) -> None:
-        longest_ms = self.now_ms() + self.lease_ms
+        longest_ms = self.clock_ms() + self.lease_ms
         self.until_ms = max(self.until_ms, min(until_ms, longest_ms))
 
     def renew_lease(
@@ -245,7 +257,7 @@
         The deployment starts gangs and ends those that are done or broken.
         """
         now_ms = self.now_ms()
-        if now_ms >= self.until_ms:
+        if self.clock_ms() >= self.until_ms:
             self.ends_before_lapse.update(end.number for end in self.ended)
             for run in list(self.runs.values()):
                 self.end(run, RunEnd.LAPSED)
