--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -18,10 +18,13 @@
     parser.add_argument(
         "--faults", type=int, default=FAULTS_PER_DAY, help="faults per day"
     )
+    parser.add_argument(
+        "--minion-faults", type=int, default=0, help="faults of single minions per day"
+    )
     args = parser.parse_args()
     has_violations = False
     for seed in range(args.first, args.first + args.days):
-        outcome = run_day(seed, args.faults)
+        outcome = run_day(seed, args.faults, args.minion_faults)
         has_violations = has_violations or bool(outcome.violations)
         print(f"{seed}: {outcome.completed} of {outcome.jobs} completed", flush=True)
         for line in outcome.violations[:MAX_SHOWN_VIOLATIONS]:
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -42,7 +42,7 @@
     if process.incarnation != incarnation or not process.is_up:
         return
     minion = process.minion
-    if _sends_heartbeats(deployment, process):
+    if minion is not None and minion.sends_heartbeats and not process.is_frozen:
         report = MinionReport(
             minion.incarnation,
             "svc",
@@ -61,13 +61,6 @@
     )
 
 
-def _sends_heartbeats(deployment: Deployment, process: Process) -> bool:
-    minion = process.minion
-    if minion is None or not minion.answers or process.is_frozen:
-        return False
-    return deployment.clock.now_ms() >= minion.heartbeats_from_ms
-
-
 @senders.register(HoldMinion)
 def renew_lease(deployment: Deployment, process: Process, message: HoldMinion) -> None:
     """Extend the lease of a sidecar's minion, and answer with its lists of runs."""
@@ -80,10 +73,10 @@
         if process.incarnation != incarnation:
             return
         now_ms = deployment.clock.now_ms()
-        if minion.is_frozen and now_ms < answer_by_ms + HOLD_MARGIN_MS:
+        if not minion.receives_calls and now_ms < answer_by_ms + HOLD_MARGIN_MS:
             deployment.after(END_POLL_PERIOD_MS, lambda: check_ends(is_first))
             return
-        if minion.is_frozen:
+        if not minion.receives_calls:
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, reason="timeout"
             )
@@ -135,29 +128,29 @@
 ) -> None:
     """Carry out a start or a stop at a sidecar's minion, perhaps late.
 
-    A late order, and one that waits at a frozen minion, has an unknown outcome.
+    A late order, and one that waits for its minion, has an unknown outcome.
     """
     is_late = deployment.rng.random() < deployment.late_order_ratio
-    if not is_late and not process.minion.is_frozen:
+    if not is_late and process.minion.receives_calls:
         deployment.after(1, lambda: _answer_order(deployment, process, message))
         return
     delay_ms = MIN_LATE_ORDER_MS + deployment.rng.random() * LATE_ORDER_SPREAD_MS
     deployment.after(
         delay_ms if is_late else 1,
-        lambda: _apply_when_thawed(deployment, process.minion, message),
+        lambda: _apply_when_received(deployment, process.minion, message),
     )
     _deliver_answer(
         deployment, process, message, OrderOutcome.UNKNOWN, "late", ORDER_TIMEOUT_MS
     )
 
 
-def _apply_when_thawed(
+def _apply_when_received(
     deployment: Deployment, minion: Minion, message: StartRun | StopRun
 ) -> None:
-    if minion.is_frozen:
+    if not minion.receives_calls:
         deployment.after(
             END_POLL_PERIOD_MS,
-            lambda: _apply_when_thawed(deployment, minion, message),
+            lambda: _apply_when_received(deployment, minion, message),
         )
     elif minion.is_up and minion.id == message.incarnation.minion:
         _carry_out(minion, message)
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -72,6 +72,10 @@
         Whether its runs make no progress.
     is_frozen : bool
         Whether it does nothing and answers nothing; its lease runs on.
+    is_deaf : bool
+        Whether it works but receives no calls.
+    is_mute : bool
+        Whether it works but sends no heartbeats.
     heartbeats_from_ms : int
         Time of its first heartbeat; it takes calls before that.
     clock_started_ms : int
@@ -105,6 +109,8 @@
     hangs: bool = False
     is_up: bool = True
     is_frozen: bool = False
+    is_deaf: bool = False
+    is_mute: bool = False
     heartbeats_from_ms: int = 0
     clock_started_ms: int = 0
     until_ms: int = 0
@@ -121,17 +127,28 @@
         return MinionIncarnation(self.id, self.born_ms)
 
     @property
-    def answers(self) -> bool:
-        """Return whether it answers calls at present."""
-        return self.is_up and not self.is_frozen
+    def receives_calls(self) -> bool:
+        """Return whether calls reach it; those to a minion that is down are refused."""
+        return not (self.is_frozen or self.is_deaf)
+
+    @property
+    def sends_heartbeats(self) -> bool:
+        """Return whether it sends heartbeats at present."""
+        is_silent = self.is_frozen or self.is_mute
+        has_begun = self.now_ms() >= self.heartbeats_from_ms
+        return self.is_up and not is_silent and has_begun
 
     def crash(self) -> None:
         """End without a word; all runs end with it."""
         self.is_up = False
         self._forget_all()
 
-    def restart(self, heartbeats_after_ms: int = 0) -> None:
-        """Begin a new incarnation without runs and without memory of earlier ones."""
+    def restart(self, heartbeats_after_ms: int = 0, minion_id: str = "") -> None:
+        """Begin a new incarnation without runs and without memory of earlier ones.
+
+        It keeps its identifier unless another one is given.
+        """
+        self.id = minion_id or self.id
         self.is_up = True
         self.is_frozen = False
         self.born_ms = self.now_ms() + 1
