Stop what was ordered under an expired lease before the lease is extended again

Cause: a sidecar kept an order to start until the minion had accepted or refused it.

Ruled out: late copies of the start (refused, their deadline had passed) and an extension during the silence.

Change: an order to start is void once the lease under which it was given has expired. What is left of the lease is computed in one place, minion_clock.

--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -1,5 +1,6 @@
 """Requests of a sidecar to its minion: run lists and lease, starts and stops."""
 
+from kingcuppost.batch.systems.minion_clock import remaining_lease_ms
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
@@ -60,17 +61,9 @@
     The wait is a fraction of the remaining lease, so that the lease is extended before
     it ends.
     """
-    if (
-        not sidecar_state.listed
-        or sidecar_state.lease_until_ms is None
-        or sidecar_state.minion_clock_ms is None
-    ):
+    remaining_ms = remaining_lease_ms(sidecar_state, now_ms)
+    if not sidecar_state.listed or remaining_ms is None:
         return 0
-    remaining_ms = (
-        sidecar_state.lease_until_ms
-        - sidecar_state.minion_clock_ms
-        - (now_ms - sidecar_state.minion_clock_received_ms)
-    )
     return min(MAX_WAIT_MS, max(remaining_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
@@ -120,13 +113,10 @@
     carry them out.
     """
     sidecar_state = world.sidecar_state
-    has_lease = sidecar_state.lease_until_ms is not None
-    if not has_lease or sidecar_state.hold_failed:
+    remaining_ms = remaining_lease_ms(sidecar_state, now_ms)
+    if remaining_ms is None or remaining_ms < MIN_START_LEASE_MS:
         return
-    clock_ms = (
-        sidecar_state.minion_clock_ms + now_ms - sidecar_state.minion_clock_received_ms
-    )
-    if sidecar_state.lease_until_ms - clock_ms < MIN_START_LEASE_MS:
+    if sidecar_state.hold_failed:
         return
     if sidecar_state.minion.draining and not run.may_still_start:
         return
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -1,5 +1,6 @@
 """Handling of messages that a sidecar receives from its minion and the scheduler."""
 
+from kingcuppost.batch.systems.minion_clock import minion_time_ms, remaining_lease_ms
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import is_absence_final, is_refusal_final
 from kingcuppost.batch.systems.sidecar_heartbeats import (
@@ -209,6 +210,7 @@
             world, reply.incarnation
         ):
             if may_extend:
+                _withdraw_starts_of_expired_lease(sidecar_state, now_ms)
                 _extend_lease(world, answer)
             _apply_orders(world, reply)
 
@@ -259,14 +261,26 @@
     sidecar_state.is_report_due = True
 
 
+def _withdraw_starts_of_expired_lease(sidecar_state: SidecarState, now_ms: int) -> None:
+    """Stop what was ordered under a lease that has expired, and has not been accepted.
+
+    The holder may have given these runs up. A stop also keeps unanswered copies of
+    their starts from being carried out.
+    """
+    remaining_ms = remaining_lease_ms(sidecar_state, now_ms)
+    if remaining_ms is None or remaining_ms > 0:
+        return
+    for run in sidecar_state.ordered_runs.values():
+        if not run.start_accepted:
+            run.should_stop = True
+
+
 def _extend_lease(world: BatchWorld, answer: SyncAnswered) -> None:
     """Extend the minion lease, counted from the time at which the report was sent."""
     sidecar_state = world.sidecar_state
-    if sidecar_state.minion_clock_ms is None:
+    sent_on_minion_ms = minion_time_ms(sidecar_state, answer.sent_ms)
+    if sent_on_minion_ms is None:
         return
-    sent_on_minion_ms = sidecar_state.minion_clock_ms + max(
-        answer.sent_ms - sidecar_state.minion_clock_received_ms, 0
-    )
     until_ms = sent_on_minion_ms + world.cfg.bounds.lease_ms - LEASE_MARGIN_MS
     sidecar_state.lease_until_ms = max(sidecar_state.lease_until_ms or 0, until_ms)
 
--- a/standins/batch/tests/test_fault_orders.py
+++ b/standins/batch/tests/test_fault_orders.py
@@ -16,3 +16,34 @@
 ) -> None:
     """A run counted as ended too early runs twice; one given up too late is lost."""
     assert play_faults(names) == []
+
+
+# orders and the pause between two faults, by what they found
+REGRESSION_ORDERS = [
+    pytest.param(
+        ("freeze for longer than the lease", "heartbeats are lost", "late orders"),
+        50,
+        id="a start was repeated after the lease of its order had expired",
+    ),
+    pytest.param(
+        (
+            "heartbeats are lost",
+            "loss of the holder",
+            "freeze for longer than the lease",
+        ),
+        1_500,
+        id="the same beside a lost holder",
+    ),
+    pytest.param(
+        ("leave notice of another writer",) * 2 + ("calls do not reach it",),
+        50,
+        id="the same at a minion that calls do not reach",
+    ),
+]
+
+
+@pytest.mark.parametrize(("names", "gap_ms"), REGRESSION_ORDERS)
+def test_an_order_of_faults_that_once_failed(
+    names: tuple[str, ...], gap_ms: int
+) -> None:
+    assert play_faults(names, gap_ms) == []
