Take a start only from a reply that extends the lease for it

Cause: a sidecar that was restarted while calls did not reach its minion got starts in the reply to a report that extends no lease.

Ruled out: the order that is void by its expired lease (this sidecar had none yet).

Change: the sidecar ignores starts in such a reply, and the holder sends none.

--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -15,9 +15,9 @@
 that calls reach the minion, and names the incarnation that answers. Heartbeats and
 answers to orders are no contact.
 
-An order to start is void once the lease under which it was given has expired: the
-holder may have given the run up, and placed it elsewhere, before the lease is extended
-again.
+An order to start comes with the reply that extends the lease for it, and is void once
+that lease has expired: the holder may have given the run up, and placed it elsewhere,
+before the lease is extended again.
 
 A message about the minion that the minion does not confirm is no evidence either. A
 heartbeat may be late, or come from another writer; `heartbeat_source` tells what a
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -212,7 +212,7 @@
             if may_extend:
                 _withdraw_starts_of_expired_lease(sidecar_state, now_ms)
                 _extend_lease(world, answer)
-            _apply_orders(world, reply)
+            _apply_orders(world, reply, may_start=may_extend)
 
 
 def _update_entries(
@@ -285,7 +285,8 @@
     sidecar_state.lease_until_ms = max(sidecar_state.lease_until_ms or 0, until_ms)
 
 
-def _apply_orders(world: BatchWorld, reply: SyncReply) -> None:
+def _apply_orders(world: BatchWorld, reply: SyncReply, may_start: bool) -> None:
+    """Apply the orders of a reply; starts only if it extends the lease for them."""
     sidecar_state = world.sidecar_state
     if reply.noted > sidecar_state.acknowledged_end:
         sidecar_state.acknowledged_end = reply.noted
@@ -298,7 +299,7 @@
     for settled in reply.settled:
         sidecar_state.refused.pop((str(settled.task), settled.run), None)
     reported_keys = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
-    for order in reply.starts:
+    for order in reply.starts if may_start else ():
         key = (str(order.task), order.run)
         if key not in reported_keys and key not in sidecar_state.running:
             sidecar_state.ordered_runs.setdefault(key, OrderedRun(order))
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -4,6 +4,7 @@
 
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
 from kingcuppost.batch.tables.messages import (
@@ -80,6 +81,8 @@
     call = pending.call
     minion = world.schedule.minions.get(call.sidecar)
     incarnation = minion.incarnation if minion else None
+    if not extends_lease(call.minion):
+        starts = {}
     orphans = _due_orphan_stops(world, call.sidecar, now_ms)
     committed_end = _last_committed_end(world, call) if call.ended else 0
     has_orders = incarnation in starts or incarnation in stops or bool(orphans)
--- a/standins/batch/tests/test_fault_orders.py
+++ b/standins/batch/tests/test_fault_orders.py
@@ -9,7 +9,9 @@
 
 
 @pytest.mark.parametrize(
-    "names", product(minion_faults, repeat=2), ids=lambda names: ", then ".join(names)
+    "names",
+    list(product(minion_faults, repeat=2)),
+    ids=lambda names: ", then ".join(names),
 )
 def test_an_order_of_faults_loses_no_run_and_repeats_none(
     names: tuple[str, str],
@@ -39,6 +41,36 @@
         50,
         id="the same at a minion that calls do not reach",
     ),
+    pytest.param(
+        (
+            "restart of its sidecar",
+            "heartbeat of another minion",
+            "calls do not reach it",
+            "freeze shortly",
+        ),
+        50,
+        id="a sidecar took a start without a lease, from before its first contact",
+    ),
+    pytest.param(
+        (
+            "restart of its sidecar",
+            "calls do not reach it",
+            "freeze shortly",
+            "restart of its sidecar",
+        ),
+        3_000,
+        id="the same, with the sidecar restarted twice",
+    ),
+    pytest.param(
+        (
+            "heartbeats are lost",
+            "calls do not reach it",
+            "leave notice of another writer",
+            "restart of its sidecar",
+        ),
+        3_000,
+        id="the same, with a leave notice before",
+    ),
 ]
 
 
