Keep a leave notice from changing placement; a successor may outlive the known minion

A successor that answers after the known minion has been removed ended the sidecar's tick with an error. A leave notice of another writer marked the minion as draining, so that the holder would have stopped its runs. A sidecar went on asking a minion that is lost ten times a second.

Ruled out: the same error in the other users of the known minion, which check for none.

Change: no known minion, no orders to carry over; a leave notice only makes the next failed call final; without contact the lists are asked for every 500 ms. In the stand-in an order that waits at a silent minion ends with its incarnation, as its connection would; late orders of the network still reach the next one.

--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -53,19 +53,21 @@
 
 def settle_earlier_incarnations(world: BatchWorld, call: SyncCall) -> None:
     """Decide on the runs of earlier incarnations of a minion that has answered."""
-    present = call.minion.incarnation
-    listed = {(str(running.task), running.run) for running in call.running}
     for lease in world.schedule.leases.find("sidecar", call.sidecar):
-        earlier = lease.incarnation
-        if earlier.born_ms >= present.born_ms:
-            continue
-        for plan, task in placed_runs(world.schedule, earlier):
-            is_listed = (str(task.name), task.run) in listed
-            fate = fate_after_restart(earlier, present, is_listed)
-            if fate is not RunFate.ENDED:
-                _move_run(world, plan, task, present, fate)
-        # what has not moved has ended
-        end_incarnation_runs(world, earlier, NEW_INCARNATION)
+        if lease.incarnation.born_ms < call.minion.incarnation.born_ms:
+            _settle_runs(world, call, lease.incarnation)
+
+
+def _settle_runs(world: BatchWorld, call: SyncCall, earlier: MinionIncarnation) -> None:
+    """Move the runs of an earlier incarnation that have not ended; end the others."""
+    present = call.minion.incarnation
+    listed = {(running.task, running.run) for running in call.running}
+    for plan, task in placed_runs(world.schedule, earlier):
+        is_listed = (task.name, task.run) in listed
+        fate = fate_after_restart(earlier, present, is_listed)
+        if fate is not RunFate.ENDED:
+            _move_run(world, plan, task, present, fate)
+    end_incarnation_runs(world, earlier, NEW_INCARNATION)
 
 
 def _move_run(
--- a/kingcuppost/batch/systems/sidecar_heartbeats.py
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -5,8 +5,6 @@
 sidecar ask.
 """
 
-from dataclasses import replace
-
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import (
     HeartbeatSource,
@@ -149,7 +147,8 @@
     They are those whose start an earlier incarnation under the same identifier was sent
     without an answer, unless the successor works on them already.
     """
-    if sidecar_state.minion.incarnation.minion != lists.incarnation.minion:
+    known = sidecar_state.minion
+    if known is None or known.incarnation.minion != lists.incarnation.minion:
         return {}
     running = {(str(run.task), run.run) for run in lists.running}
     return {
@@ -160,21 +159,18 @@
 
 
 def _handle_leave_notice(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
-    """Send nothing new to a minion that leaves; it has left once a call fails.
+    """Keep a leave notice; the minion has left once a call to it fails.
 
     The notice may be late, of an earlier incarnation or of another writer: the minion's
     next heartbeat takes it back.
     """
     sidecar_state = world.sidecar_state
-    minion = sidecar_state.minion
-    if minion is None or minion.incarnation.minion != (
-        heartbeat.report.incarnation.minion
-    ):
+    known = sidecar_state.minion
+    left = heartbeat.report.incarnation.minion
+    if known is None or known.incarnation.minion != left:
         return
-    world.note("minion", "The minion is leaving.", minion=minion.incarnation.minion)
+    world.note("minion", "The minion is said to leave.", minion=left)
     sidecar_state.has_leave_notice = True
-    sidecar_state.minion = replace(minion, draining=True)
-    sidecar_state.is_report_due = True
 
 
 def remove_minion(world: BatchWorld) -> None:
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -2,7 +2,11 @@
 
 from kingcuppost.batch.systems.minion_clock import minion_time_ms, remaining_lease_ms
 from kingcuppost.batch.systems.registry import Phase, system
-from kingcuppost.batch.systems.run_end_rule import is_absence_final, is_refusal_final
+from kingcuppost.batch.systems.run_end_rule import (
+    is_absence_final,
+    is_in_contact,
+    is_refusal_final,
+)
 from kingcuppost.batch.systems.sidecar_heartbeats import (
     confirm_successor,
     remove_minion,
@@ -31,6 +35,7 @@
 ]
 
 RETRY_MS = 100
+LOST_RETRY_MS = 500  # while there is no contact with the minion
 NO_HOLDER_PAUSE_MS = 250
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
@@ -73,7 +78,9 @@
     world: BatchWorld, lists: HoldMinionAnswered, now_ms: int
 ) -> None:
     sidecar_state = world.sidecar_state
-    sidecar_state.hold_after_ms = now_ms + RETRY_MS
+    in_contact = is_in_contact(sidecar_state.contact_ms, now_ms)
+    retry_ms = RETRY_MS if in_contact else LOST_RETRY_MS
+    sidecar_state.hold_after_ms = now_ms + retry_ms
     if not sidecar_state.hold_failed:
         world.note("minion", "A request for the run lists failed.", reason=lists.reason)
     sidecar_state.hold_failed = True
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
     HoldMinionAnswered,
@@ -145,12 +146,22 @@
 
 
 def _apply_when_received(
-    deployment: Deployment, minion: Minion, message: StartRun | StopRun
+    deployment: Deployment,
+    minion: Minion,
+    message: StartRun | StopRun,
+    incarnation: MinionIncarnation | None = None,
 ) -> None:
+    """Carry out an order once the minion receives calls.
+
+    An order that has arrived at an incarnation, and waits there, ends with it.
+    """
+    if incarnation not in (None, minion.incarnation):
+        return
     if not minion.receives_calls:
+        arrived_at = minion.incarnation
         deployment.after(
             END_POLL_PERIOD_MS,
-            lambda: _apply_when_received(deployment, minion, message),
+            lambda: _apply_when_received(deployment, minion, message, arrived_at),
         )
     elif minion.is_up and minion.id == message.incarnation.minion:
         _carry_out(minion, message)
