List a late start that reaches a minion's next incarnation

Seen in one of 300 random orders of faults: a copy of a start that is 4 s late arrives after the run was done and noted, at an incarnation that has begun 0.2 s before and has not sent a heartbeat. Orders carry the minion's identifier only, so it is carried out (TWICE, a start after the end was taken note of).

Tried and taken back: remember unanswered starts for 15 s and stop them at the successor. The copy came before the sidecar knew of the successor, so it changed nothing here.

--- a/standins/batch/tests/test_fault_orders.py
+++ b/standins/batch/tests/test_fault_orders.py
@@ -71,6 +71,11 @@
         3_000,
         id="the same, with a leave notice before",
     ),
+    pytest.param(
+        ("late orders", "restart"),
+        5_000,
+        id="a late start reaches the next incarnation before its first heartbeat",
+    ),
 ]
 
 
