--- a/standins/batch/minion_faults.py
+++ b/standins/batch/minion_faults.py
@@ -78,13 +78,15 @@
 
 
 @minion_faults.register("calls do not reach it")
-def _make_deaf(deployment: Deployment, process: Process) -> None:
-    set_temporarily(deployment, [process.minion], "is_deaf", True, LONG_SILENCE_MS)
+def _lose_calls(deployment: Deployment, process: Process) -> None:
+    set_temporarily(deployment, [process.minion], "loses_calls", True, LONG_SILENCE_MS)
 
 
 @minion_faults.register("heartbeats are lost")
-def _make_mute(deployment: Deployment, process: Process) -> None:
-    set_temporarily(deployment, [process.minion], "is_mute", True, LONG_SILENCE_MS)
+def _lose_heartbeats(deployment: Deployment, process: Process) -> None:
+    set_temporarily(
+        deployment, [process.minion], "loses_heartbeats", True, LONG_SILENCE_MS
+    )
 
 
 @minion_faults.register("heartbeat of another minion")
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -72,10 +72,10 @@
         Whether its runs make no progress.
     is_frozen : bool
         Whether it does nothing and answers nothing; its lease runs on.
-    is_deaf : bool
-        Whether it works but receives no calls.
-    is_mute : bool
-        Whether it works but sends no heartbeats.
+    loses_calls : bool
+        Whether calls do not reach it while it works.
+    loses_heartbeats : bool
+        Whether its heartbeats are lost while it works.
     heartbeats_from_ms : int
         Time of its first heartbeat; it takes calls before that.
     clock_started_ms : int
@@ -109,8 +109,8 @@
     hangs: bool = False
     is_up: bool = True
     is_frozen: bool = False
-    is_deaf: bool = False
-    is_mute: bool = False
+    loses_calls: bool = False
+    loses_heartbeats: bool = False
     heartbeats_from_ms: int = 0
     clock_started_ms: int = 0
     until_ms: int = 0
@@ -129,12 +129,12 @@
     @property
     def receives_calls(self) -> bool:
         """Return whether calls reach it; those to a minion that is down are refused."""
-        return not (self.is_frozen or self.is_deaf)
+        return not (self.is_frozen or self.loses_calls)
 
     @property
     def sends_heartbeats(self) -> bool:
         """Return whether it sends heartbeats at present."""
-        is_silent = self.is_frozen or self.is_mute
+        is_silent = self.is_frozen or self.loses_heartbeats
         has_begun = self.now_ms() >= self.heartbeats_from_ms
         return self.is_up and not is_silent and has_begun
 
