--- a/kingcuppost/batch/tests/test_sidecar_heartbeats.py
+++ b/kingcuppost/batch/tests/test_sidecar_heartbeats.py
@@ -1,4 +1,4 @@
-"""Orders of heartbeats, leave notices and answers at a sidecar."""
+"""Orders of heartbeats, leave notices, lists and replies at a sidecar."""
 
 import pytest
 
@@ -7,13 +7,19 @@
     ask_successor,
     handle_heartbeats,
 )
-from kingcuppost.batch.systems.sidecar_inbox import handle_run_lists
+from kingcuppost.batch.systems.sidecar_inbox import (
+    LEASE_MARGIN_MS,
+    handle_run_lists,
+    handle_scheduler_replies,
+)
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
     HoldMinionAnswered,
     MinionHeartbeat,
+    SyncAnswered,
+    SyncReply,
 )
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.batch.tests.test_run_end_rule import make_heartbeat
@@ -71,3 +77,24 @@
     assert world.sidecar_state.minion is None
     receive(world, HoldMinionAnswered(NEXT, 995, 1_000))
     assert world.sidecar_state.minion.incarnation == NEXT
+
+
+@pytest.mark.parametrize("read_after_ms", [-500, 0, 300, 900])
+def test_a_lease_counts_from_the_sending_of_the_report_that_was_answered(
+    world: BatchWorld, read_after_ms: int
+) -> None:
+    """A clock reading newer than the report let the lease outlast the holder's view."""
+    clock_ahead_ms = 70_000
+    sent_ms = 2_000
+    read_ms = sent_ms + read_after_ms
+    lists = HoldMinionAnswered(FIRST, read_ms, read_ms, read_ms + clock_ahead_ms)
+    receive(world, lists)
+    world.sidecar_state.unanswered_syncs[1] = True
+    world.clock.advance(2_000)
+    reply = SyncReply("", 3, incarnation=FIRST)
+    world.inbox.put(SyncAnswered(1, Address("10.0.0.1", 7000), sent_ms, reply))
+    handle_scheduler_replies(world, world.clock.now_ms())
+    latest_ms = sent_ms + clock_ahead_ms + world.cfg.bounds.lease_ms
+    assert (
+        latest_ms - LEASE_MARGIN_MS <= world.sidecar_state.lease_until_ms <= latest_ms
+    )
