--- a/standins/batch/tests/test_soak.py
+++ b/standins/batch/tests/test_soak.py
@@ -12,6 +12,11 @@
         1036, 12, id="a run end was recorded after the lease, with zones closed"
     ),
 ]
+# seeds of days with faults of single minions, which found the same fault
+MINION_FAULT_DAYS = [
+    pytest.param(seed, id=f"a start was repeated after the lease of its order, {seed}")
+    for seed in (20018, 20044, 20048, 20073)
+]
 OTHER_DAYS = [pytest.param(seed, 6, id=f"seed {seed}") for seed in (1, 2, 3, 4)]
 
 
@@ -20,3 +25,10 @@
     outcome = run_day(seed, faults)
     assert outcome.jobs
     assert not outcome.violations, outcome.injected_faults
+
+
+@pytest.mark.parametrize("seed", MINION_FAULT_DAYS)
+def test_day_of_minion_faults_violates_no_guarantee(seed: int) -> None:
+    outcome = run_day(seed, fault_count=6, minion_fault_count=4)
+    assert outcome.jobs
+    assert not outcome.violations, outcome.injected_faults
