Say why ready work waits: a log line, and the longest wait by reason

After each decision the holder now keeps a row for each ready step with waiting tasks: the reason, since when, and since when the free capacity would have held it. What waits for 2 s is logged, at most five lines a second, longest room first; so are starts and stops without a result. The metric longest_wait_ms has the longest wait by reason.

No decision changes.

--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -12,6 +12,7 @@
 )
 
 from kingcuppost.batch.systems.freshness import view_age_ms
+from kingcuppost.batch.systems.wait_ages import longest_waits_ms
 from kingcuppost.batch.tables.job import PlanPhase, TaskPhase
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.batch.tables.world import BatchWorld
@@ -85,6 +86,7 @@
     for name, value in values.items():
         yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
     yield _view_ages(world)
+    yield _longest_waits(world)
 
 
 def _view_ages(world: BatchWorld) -> Metric:
@@ -99,6 +101,17 @@
     return family
 
 
+def _longest_waits(world: BatchWorld) -> Metric:
+    family = GaugeMetricFamily(
+        f"{PREFIX}longest_wait_ms",
+        "Longest present wait of work that is ready; 0 beside the holder of the lease.",
+        labels=["reason"],
+    )
+    for reason, longest_ms in longest_waits_ms(world).items():
+        family.add_metric([reason], longest_ms)
+    return family
+
+
 def metrics_text(world: BatchWorld) -> bytes:
     """Return all metrics in the Prometheus text format."""
     registry = CollectorRegistry()
--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -21,6 +21,7 @@
         "lease_expiry",
         "run_monitor",
         "scheduling",
+        "waits",
         "job_removal",
         "plan_writing",
         "sidecar_replies",
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -17,6 +17,8 @@
     "choose_candidates",
     "copy_resources",
     "count_fitting_tasks",
+    "count_free_tasks",
+    "limit_per_minion",
     "plan_evictions",
     "subtract_resources",
     "subtract_tasks",
@@ -142,12 +144,29 @@
     return max(count, 0)
 
 
-def _limit_per_minion(candidate: Candidate, step: StepSpec, wanted: int) -> int:
+def limit_per_minion(candidate: Candidate, step: StepSpec, wanted: int) -> int:
+    """Return how many of `wanted` further tasks a step's limit per minion allows."""
     if not step.most_per_minion:
         return wanted
     return min(wanted, max(step.most_per_minion - candidate.step_task_count, 0))
 
 
+def count_free_tasks(
+    candidates: Iterable[Candidate], step: StepSpec, limit: int
+) -> int:
+    """Return how many tasks of a step the free capacity of candidates holds.
+
+    The count ends once it has reached `limit`.
+    """
+    count = 0
+    for candidate in candidates:
+        allowed = limit_per_minion(candidate, step, limit - count)
+        count += count_fitting_tasks(candidate.free_now, step, allowed)
+        if count >= limit:
+            break
+    return count
+
+
 CandidateSortKey = Callable[[Candidate, StepSpec], tuple]
 
 
@@ -176,7 +195,7 @@
     fitting = []
     for candidate in candidates:
         resources = candidate.free_soon if use_soon_free else candidate.free_now
-        limit = _limit_per_minion(candidate, step, wanted)
+        limit = limit_per_minion(candidate, step, wanted)
         count = count_fitting_tasks(resources, step, limit)
         if count:
             fitting.append((sort_key(candidate, step), candidate, count))
@@ -286,7 +305,7 @@
     def push_extension(index: int, missing: int) -> None:
         current = evictions[index]
         candidate = current.candidate
-        limit = _limit_per_minion(candidate, step, current.count + missing)
+        limit = limit_per_minion(candidate, step, current.count + missing)
         extended = _extend_eviction(candidate, step, current, limit)
         added = extended.count - current.count
         if added:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -154,6 +154,8 @@
 def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
     """Request the stop of a task's run, if it has one."""
     if task.phase is TaskPhase.PLACED:
+        if not task.stopping:
+            task.stop_requested_ms = world.clock.now_ms()
         mark_stopping(world.schedule, plan, task)
         world.schedule.pending_runs[task.name] = (plan, task)
 
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -41,6 +41,7 @@
     iter_units,
     task_core_equivalents,
 )
+from kingcuppost.batch.systems.waits import forget_ended_waits, note_wait
 from kingcuppost.batch.tables.job import JobState
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.batch.tables.world import BatchWorld
@@ -79,11 +80,10 @@
         iter_units(world, decision.guaranteed_ids),
         key=lambda unit: (unit.rank, *order_key(unit, decision.wall_ms)),
     )
-    if not units:
-        return
-    candidates = list_candidates(decision)
+    candidates = list_candidates(decision) if units else []
     for _, rank_units in groupby(units, key=lambda unit: unit.rank):
         _schedule_rank(decision, list(rank_units), candidates)
+    forget_ended_waits(world, now_ms)
 
 
 def _schedule_rank(
@@ -100,7 +100,10 @@
     reservations = [hold_reserved(decision, unit, by_incarnation) for unit in units]
     for unit, held in zip(units, reservations, strict=True):
         release_reserved(unit, held)
-        _schedule_unit(decision, unit, candidates)
+        tasks = unit.tasks
+        eligible = eligible_candidates(unit, candidates)
+        _schedule_unit(decision, unit, eligible)
+        note_wait(decision, unit, tasks, eligible)
         if unit.is_urgent:
             request_decision(decision.world, decision.now_ms + URGENT_RETRY_MS)
 
@@ -139,7 +142,7 @@
 def _schedule_unit(
     decision: Decision,
     unit: PlacementUnit,
-    candidates: list[Candidate],
+    allowed: list[Candidate],
 ) -> None:
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
@@ -148,7 +151,6 @@
     `avoid_until_ms` of its tasks has passed, provided that it would fit on them if
     they were idle.
     """
-    allowed = eligible_candidates(unit, candidates)
     preferred = exclude_avoided(unit, allowed)
     if _schedule_unit_at(decision, unit, preferred):
         return
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -323,6 +323,8 @@
         Time at which the run was first reported.
     stopping : bool
         Whether the run is to be stopped.
+    stop_requested_ms : int
+        Time at which the stop was first requested, while the run is to be stopped.
     stop_sent_ms : int or None
         Time at which the stop was last sent to the sidecar.
     was_lost : bool
@@ -362,6 +364,7 @@
     confirmed: bool = False
     running_since_ms: int | None = None
     stopping: bool = False
+    stop_requested_ms: int = 0
     stop_sent_ms: int | None = None
     was_lost: bool = False
     percent: int = 0
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -27,6 +27,7 @@
     Stream,
     SyncCall,
 )
+from kingcuppost.batch.tables.waiting import Wait
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.mailbox import Mailbox
@@ -243,6 +244,10 @@
         Time of the next decision even if nothing has changed.
     is_placement_paused : bool
         Whether nothing is placed since the operators' records may be outdated.
+    waits : Table of Wait
+        Ready steps with tasks that the newest decision did not place.
+    check_waits_at_ms : int
+        Time at which long waits are next logged.
     inputs_changed : bool
         Whether something has changed that decisions depend on.
     """
@@ -294,6 +299,8 @@
     inputs_changed: bool = True
     decide_at_ms: int = 0
     is_placement_paused: bool = False
+    waits: Table[Wait] = field(default_factory=lambda: Table("step"))
+    check_waits_at_ms: int = 0
 
 
 @dataclass(slots=True)
