Bound the wait for a preferred rack, and for minions without failed runs

Callers saw a job accepted, its turn come, most room free, and nothing of it running (LOST). Cause: a preference counted as a requirement. A gang that prefers one rack was offered only racks that would hold it if they were idle, whatever ran there, and without regard to its limit per minion; a step with data in a rack only that rack. One long task in each rack, or a limit that no rack fits, and the work waits for ever.

The rule when a preference ends now stands in one place (patience.py): work waits only if the expected release of a rack and the wait so far cost less than running elsewhere, and at most 2 s while capacity is plentiful. The time counts from the first decision in which free capacity would have held the work. Racks count as large enough within the limit per minion.

--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -8,36 +8,36 @@
     Candidate,
     CandidateSortKey,
     choose_candidates,
-    count_fitting_tasks,
+    fits_idle,
 )
 from kingcuppost.batch.systems.units import PlacementUnit
 from kingcuppost.batch.tables.job import StepSpec
 
-__all__ = ["candidate_groups", "make_sort_key", "tasks_fit_idle"]
+__all__ = ["make_sort_key", "preferred_groups"]
 
 SPEED_STEPS_PER_UNIT = 4  # speeds within one step count as equal
 MIN_DELAY_TOLERANT_PRIORITY = 2
 
 
-def candidate_groups(
+def preferred_groups(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[list[Candidate]]:
-    """Return the groups of candidates to try one after another, best first."""
+    """Return the racks where a unit runs fast, best first; empty without a preference.
+
+    Racks that would not hold it if they were idle are left out.
+    """
     spec = unit.spec
     if spec.one_rack and spec.gang:
-        racks = _group_by_rack(candidates)
-        large_racks = [
-            rack for rack in racks if tasks_fit_idle(rack, spec, len(unit.tasks))
-        ]
-        if large_racks:
-            return sorted(large_racks, key=lambda rack: _rack_sort_key(unit, rack))
+        racks = [rack for rack in _group_by_rack(candidates) if fits_idle(spec, rack)]
+        if racks:
+            return sorted(racks, key=lambda rack: _rack_sort_key(unit, rack))
     if spec.rack:
         in_rack = [
             candidate for candidate in candidates if candidate.minion.rack == spec.rack
         ]
-        if in_rack:
+        if fits_idle(spec, in_rack):
             return [in_rack]
-    return [candidates]
+    return []
 
 
 def _group_by_rack(candidates: list[Candidate]) -> list[list[Candidate]]:
@@ -47,17 +47,6 @@
     return list(racks.values())
 
 
-def tasks_fit_idle(candidates: list[Candidate], spec: StepSpec, count: int) -> bool:
-    """Return whether the tasks would fit on the candidates if they were idle."""
-    return (
-        sum(
-            count_fitting_tasks(candidate.minion.resources, spec, count)
-            for candidate in candidates
-        )
-        >= count
-    )
-
-
 def _rack_sort_key(unit: PlacementUnit, rack: list[Candidate]) -> tuple:
     """Return the sort key of a rack.
 
--- /dev/null
+++ b/kingcuppost/batch/systems/patience.py
@@ -0,0 +1,114 @@
+"""How long a unit waits for the minions that it prefers while others have room.
+
+A preference only saves time: one rack for a gang, the rack of the data, and minions
+where no run of the unit has failed. Services, labels and limits per minion are
+requirements, which never end.
+
+As in delay scheduling (Zaharia et al., EuroSys 2010), the wait for a preference is
+bounded. It lasts no longer than it can pay, and only a short time while capacity is
+plentiful, since work that runs elsewhere then takes nothing from others. It counts from
+the first decision in which the free capacity would have held the unit, and not anew
+when the fleet changes.
+"""
+
+from math import ceil
+
+from kingcuppost.batch.systems.candidates import Decision, request_decision
+from kingcuppost.batch.systems.placement import Candidate, add_resources, fits_now
+from kingcuppost.batch.systems.release_times import expected_release_ms
+from kingcuppost.batch.systems.speeds import corrected_estimate_ms
+from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.waiting import StepName
+
+__all__ = ["waits_for_other_minions", "waits_for_rack"]
+
+PLENTIFUL_WAIT_MS = 2_000  # well below the 3 s after which callers count work as lost
+PLENTIFUL_TIMES = 2
+MIN_FREE_RATIO = 0.5  # of the processors or of the accelerators
+
+
+def waits_for_rack(
+    decision: Decision,
+    unit: PlacementUnit,
+    groups: list[list[Candidate]],
+    candidates: list[Candidate],
+) -> bool:
+    """Return whether a unit waits for a rack where it runs fast.
+
+    Requests another decision for the time at which the wait ends.
+
+    Parameters
+    ----------
+    groups : list of list of Candidate
+        The minions of each rack where it runs fast.
+    candidates : list of Candidate
+        All minions where it may run.
+    """
+    if not fits_now(unit.spec, candidates):
+        return False
+    waited_ms = decision.now_ms - _room_since_ms(decision, unit)
+    gain_ms = _gain_ms(decision, unit)
+    limit_ms = gain_ms
+    if _is_plentiful(unit, candidates):
+        limit_ms = min(gain_ms, PLENTIFUL_WAIT_MS)
+    if waited_ms >= limit_ms:
+        return False
+    release_ms = min(expected_release_ms(decision, unit, group) for group in groups)
+    if waited_ms + release_ms > gain_ms:
+        return False
+    request_decision(decision.world, decision.now_ms + ceil(limit_ms - waited_ms))
+    return True
+
+
+def _gain_ms(decision: Decision, unit: PlacementUnit) -> float:
+    """Return the time that a unit saves in a rack where it runs fast, in ms."""
+    estimate_ms = corrected_estimate_ms(unit.plan, unit.step)
+    if not estimate_ms:
+        return PLENTIFUL_WAIT_MS
+    return (decision.world.cfg.bounds.remote_factor - 1) * estimate_ms
+
+
+def waits_for_other_minions(
+    decision: Decision, unit: PlacementUnit, candidates: list[Candidate]
+) -> bool:
+    """Return whether a unit waits for minions where no run of it has failed.
+
+    Requests another decision for the time at which the wait ends.
+
+    Parameters
+    ----------
+    candidates : list of Candidate
+        All minions where it may run.
+    """
+    until_ms = max(task.avoid_until_ms for task in unit.tasks)
+    if _is_plentiful(unit, candidates):
+        plentiful_until_ms = _room_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
+        until_ms = min(until_ms, plentiful_until_ms)
+    if decision.now_ms >= until_ms:
+        return False
+    request_decision(decision.world, until_ms)
+    return True
+
+
+def _room_since_ms(decision: Decision, unit: PlacementUnit) -> int:
+    """Return since when the free capacity would have held a unit that fits now."""
+    wait = decision.world.schedule.waits.get(StepName(unit.plan.job.id, unit.step))
+    if wait is None or wait.room_since_ms is None:
+        return decision.now_ms
+    return wait.room_since_ms
+
+
+def _is_plentiful(unit: PlacementUnit, candidates: list[Candidate]) -> bool:
+    """Return whether the candidates hold a unit several times, and work little."""
+    if not fits_now(unit.spec, candidates, PLENTIFUL_TIMES):
+        return False
+    total, free = Resources(), Resources()
+    for candidate in candidates:
+        add_resources(total, candidate.minion.resources)
+        add_resources(free, candidate.free_now)
+    free_ratio = max(
+        free.cpu_millis / max(total.cpu_millis, 1),
+        free.accelerators / max(total.accelerators, 1),
+    )
+    return free_ratio > MIN_FREE_RATIO
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -17,7 +17,8 @@
     "choose_candidates",
     "copy_resources",
     "count_fitting_tasks",
-    "count_free_tasks",
+    "fits_idle",
+    "fits_now",
     "limit_per_minion",
     "plan_evictions",
     "subtract_resources",
@@ -151,20 +152,35 @@
     return min(wanted, max(step.most_per_minion - candidate.step_task_count, 0))
 
 
-def count_free_tasks(
-    candidates: Iterable[Candidate], step: StepSpec, limit: int
-) -> int:
-    """Return how many tasks of a step the free capacity of candidates holds.
+def fits_now(step: StepSpec, candidates: Iterable[Candidate], times: int = 1) -> bool:
+    """Return whether the free capacity of candidates holds a step `times` times.
 
-    The count ends once it has reached `limit`.
+    For a gang it must hold all members, for other steps one task.
     """
+    needed = times * (step.count if step.gang else 1)
+    return _hold_tasks(needed, step, candidates, lambda item: item.free_now)
+
+
+def fits_idle(step: StepSpec, candidates: Iterable[Candidate]) -> bool:
+    """Return whether candidates would hold a step if no other step ran there."""
+    needed = step.count if step.gang else 1
+    return _hold_tasks(needed, step, candidates, lambda item: item.minion.resources)
+
+
+def _hold_tasks(
+    needed: int,
+    step: StepSpec,
+    candidates: Iterable[Candidate],
+    capacity: Callable[[Candidate], Resources],
+) -> bool:
+    """Return whether at least `needed` tasks of a step fit on the candidates."""
     count = 0
     for candidate in candidates:
-        allowed = limit_per_minion(candidate, step, limit - count)
-        count += count_fitting_tasks(candidate.free_now, step, allowed)
-        if count >= limit:
-            break
-    return count
+        allowed = limit_per_minion(candidate, step, needed - count)
+        count += count_fitting_tasks(capacity(candidate), step, allowed)
+        if count >= needed:
+            return True
+    return False
 
 
 CandidateSortKey = Callable[[Candidate, StepSpec], tuple]
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -5,11 +5,11 @@
 """
 
 from itertools import groupby
+from math import inf
 
 from kingcuppost.batch.systems.candidate_order import (
-    candidate_groups,
     make_sort_key,
-    tasks_fit_idle,
+    preferred_groups,
 )
 from kingcuppost.batch.systems.candidates import (
     Decision,
@@ -24,9 +24,14 @@
     is_configuration_current,
     view_age_ms,
 )
+from kingcuppost.batch.systems.patience import (
+    waits_for_other_minions,
+    waits_for_rack,
+)
 from kingcuppost.batch.systems.placement import (
     Candidate,
     choose_candidates,
+    fits_idle,
     subtract_tasks,
 )
 from kingcuppost.batch.systems.plans import mark_plan_changed, place_task
@@ -142,44 +147,65 @@
 def _schedule_unit(
     decision: Decision,
     unit: PlacementUnit,
-    allowed: list[Candidate],
+    eligible: list[Candidate],
 ) -> None:
     """Place a unit on minions where it has not failed, or else on any eligible one.
 
     A faulty minion must not use up the attempts of a task only because the other
-    minions are full. The unit therefore waits for the other minions until the
-    `avoid_until_ms` of its tasks has passed, provided that it would fit on them if
-    they were idle.
+    minions are full. The unit therefore waits for the other minions for a while,
+    provided that it would fit on them if they were idle.
     """
-    preferred = exclude_avoided(unit, allowed)
-    if _schedule_unit_at(decision, unit, preferred):
-        return
-    if len(preferred) == len(allowed):
+    preferred = exclude_avoided(unit, eligible)
+    if _schedule_unit_at(decision, unit, preferred) or len(preferred) == len(eligible):
         return
-    until_ms = max(task.avoid_until_ms for task in unit.tasks)
-    if decision.now_ms < until_ms and _unit_fits_idle(unit, preferred):
-        request_decision(decision.world, until_ms)
+    if fits_idle(unit.spec, preferred) and waits_for_other_minions(
+        decision, unit, eligible
+    ):
         return
-    _schedule_unit_at(decision, unit, allowed)
+    _schedule_unit_at(decision, unit, eligible)
 
 
 def _schedule_unit_at(
+    decision: Decision, unit: PlacementUnit, candidates: list[Candidate]
+) -> bool:
+    """Place a unit in racks where it runs fast, or in any once that wait is over.
+
+    Preempts runs if it may. Units within their team's guarantee do not wait for a rack.
+
+    Returns
+    -------
+    bool
+        Whether no task is left over.
+    """
+    groups = preferred_groups(unit, candidates)
+    if _schedule_in_groups(decision, unit, candidates, groups or [candidates]):
+        return True
+    if not groups:
+        return False
+    if not unit.is_guaranteed and waits_for_rack(decision, unit, groups, candidates):
+        return False
+    if _place_unit(decision.world, unit, [candidates]):
+        return True
+    return unit.is_guaranteed and preempt_for_unit(decision, unit, [candidates])
+
+
+def _schedule_in_groups(
     decision: Decision,
     unit: PlacementUnit,
     candidates: list[Candidate],
+    groups: list[list[Candidate]],
 ) -> bool:
     """Place a unit or preempt runs for it; return whether no task is left over.
 
     Urgent units prefer fast minions. As long as their job's result is of use, they
     preempt runs there if the lost work is below `MAX_LOSS_RATIO` of their own. Only
-    units within their team's guarantee may preempt at any cost, or spread over several
-    racks, where they run slowly. Before other urgent units preempt, they wait for
-    capacity that is about to be released.
+    units within their team's guarantee may preempt at any cost. Before other urgent
+    units preempt, they wait for capacity that is about to be released.
     """
-    all_groups = candidate_groups(unit, candidates)
     if not unit.may_preempt:
-        return _place_unit(decision.world, unit, all_groups)
-    fast_groups = candidate_groups(unit, fast_candidates(candidates))
+        return _place_unit(decision.world, unit, groups)
+    fast = fast_candidates(candidates)
+    fast_groups = preferred_groups(unit, fast) or [fast]
     if _place_unit(decision.world, unit, fast_groups):
         return True
     if not unit.is_guaranteed and _reserve_soon_free(decision, unit, fast_groups):
@@ -187,15 +213,11 @@
     max_cost_core_s = MAX_LOSS_RATIO * _task_work_core_s(unit)
     if preempt_for_unit(decision, unit, fast_groups, max_cost_core_s):
         return True
-    if _place_unit(decision.world, unit, all_groups):
+    if _place_unit(decision.world, unit, groups):
         return True
-    if not unit.is_guaranteed:
-        return preempt_for_unit(decision, unit, all_groups, max_cost_core_s)
-    if preempt_for_unit(decision, unit, all_groups) or _place_unit(
-        decision.world, unit, [candidates]
-    ):
-        return True
-    return preempt_for_unit(decision, unit, [candidates])
+    if unit.is_guaranteed:
+        max_cost_core_s = inf
+    return preempt_for_unit(decision, unit, groups, max_cost_core_s)
 
 
 def _task_work_core_s(unit: PlacementUnit) -> float:
@@ -203,16 +225,6 @@
     return task_core_equivalents(unit.spec) * unit.spec.estimate_ms / MS_PER_SECOND
 
 
-def _unit_fits_idle(unit: PlacementUnit, candidates: list[Candidate]) -> bool:
-    """Return whether a unit would fit on the candidates if they were idle."""
-    count = len(unit.tasks) if unit.spec.gang else 1
-    return any(
-        tasks_fit_idle(group, unit.spec, count)
-        for group in candidate_groups(unit, candidates)
-        if group
-    )
-
-
 def _reserve_soon_free(
     decision: Decision, unit: PlacementUnit, groups: list[list[Candidate]]
 ) -> bool:
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -10,7 +10,7 @@
     Decision,
     exclude_avoided,
 )
-from kingcuppost.batch.systems.placement import Candidate, count_free_tasks
+from kingcuppost.batch.systems.placement import Candidate, fits_now
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.systems.units import PlacementUnit
@@ -21,7 +21,6 @@
 from kingcuppost.tables.identity import Role
 
 __all__ = [
-    "fits_now",
     "forget_ended_waits",
     "log_long_waits",
     "note_wait",
@@ -32,15 +31,6 @@
 MAX_LINES_PER_CHECK = 5
 
 
-def fits_now(unit: PlacementUnit, candidates: list[Candidate], times: int = 1) -> bool:
-    """Return whether the free capacity of candidates holds a unit `times` times.
-
-    For a gang it must hold all members, for other units one task.
-    """
-    needed = times * (unit.spec.count if unit.spec.gang else 1)
-    return count_free_tasks(candidates, unit.spec, needed) >= needed
-
-
 def note_wait(
     decision: Decision,
     unit: PlacementUnit,
@@ -91,9 +81,9 @@
         return WaitReason.PREEMPTION, False
     if not eligible:
         return WaitReason.NO_MINION, False
-    if not fits_now(unit, eligible):
+    if not fits_now(unit.spec, eligible):
         return WaitReason.NO_ROOM, False
-    if fits_now(unit, exclude_avoided(unit, eligible)):
+    if fits_now(unit.spec, exclude_avoided(unit, eligible)):
         return WaitReason.LOCALITY, True
     return WaitReason.FAILED_MINIONS, True
 
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -12,6 +12,8 @@
     _extend_eviction,
     choose_candidates,
     count_fitting_tasks,
+    fits_idle,
+    fits_now,
     plan_evictions,
 )
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
@@ -88,6 +90,21 @@
     assert len(chosen) == 2
 
 
+def test_idle_minions_hold_a_gang_only_within_its_limit_per_minion() -> None:
+    gang = replace(STEP, count=3, gang=True)
+    two = [make_candidate(name, Resources(0, 0, 0)) for name in ("a", "b")]
+    assert fits_idle(gang, two)
+    assert not fits_idle(replace(gang, most_per_minion=1), two)
+
+
+def test_free_capacity_must_hold_all_members_of_a_gang_each_time() -> None:
+    gang = replace(STEP, count=2, gang=True)
+    one = [make_candidate("a", MINION_CAPACITY)]
+    assert fits_now(gang, one, times=2)
+    assert not fits_now(gang, one, times=3)
+    assert fits_now(replace(gang, gang=False), one, times=3)
+
+
 def test_cheapest_victims_are_evicted() -> None:
     no_capacity = Resources(0, 0, 0)
     costly = make_candidate("a", no_capacity, (50.0, 60.0, 70.0))
