Split the adapter to the minion by what it speaks

Each now has a module; minion.py imports them, so that a role loads the same. No behaviour changes; platform tests and stored formats pass.

--- a/kingcuppost/platform/tests/test_minion.py
+++ b/kingcuppost/platform/tests/test_minion.py
@@ -19,11 +19,9 @@
     StartRun,
 )
 from kingcuppost.edges.http_client import Response
-from kingcuppost.platform.minion import (
-    _parse_heartbeat,
-    _request_hold,
-    send_start,
-)
+from kingcuppost.platform.minion_heartbeats import _parse_heartbeat
+from kingcuppost.platform.minion_lists import _request_hold
+from kingcuppost.platform.minion_orders import send_start
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils import ManualClock
