Answer for an unknown job only from a view that is as new as the call

Cause: an entry answered from a view that may be two seconds old; the record of a job that was just accepted, also by this entry, was not in it yet. Such a call now waits until the jobs stream was read to where it ended when the call came; a read is sent for it at once, beside the one that waits for records. Before the caller's time is over it is told to come back. A view that is known to be old is still refused at once.

Ruled out: the append (the acceptance was acknowledged by the store), and the fold (the record is applied in the tick that reads it).

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -21,6 +21,7 @@
     CallReply,
     CancelRecord,
     JobRecord,
+    ReadStream,
     Record,
     Stream,
 )
@@ -57,7 +58,8 @@
 @system(Phase.INTAKE, (Role.ENTRY,), order=20)
 def handle_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer calls that need no append; propose the records of the others."""
-    for call in world.inbox.take(CallerCall):
+    lookups, world.lookups = world.lookups, []
+    for call in [*lookups, *world.inbox.take(CallerCall)]:
         reply = _handle_call(world, call, now_ms)
         if reply is not None:
             _send_reply(world, call, reply, now_ms)
@@ -159,9 +161,29 @@
     job = world.agreed.jobs.get(job_id)
     if job is not None:
         return CallReply(call.exchange_id, CallOutcome.OK, state=visible_state(job))
-    if is_fresh(world, Stream.JOBS, now_ms):
+    return _answer_unknown_job(world, call, now_ms)
+
+
+def _answer_unknown_job(
+    world: BatchWorld, call: CallerCall, now_ms: int
+) -> CallReply | None:
+    """Answer a call for an unknown job, or let it wait for the jobs stream.
+
+    That there is no such job is certain only once the stream was read to where it ended
+    when the call came: the job may just have been accepted, also by another entry.
+    """
+    fresh_ms = world.agreed.views[Stream.JOBS].fresh_ms
+    if fresh_ms is not None and fresh_ms >= call.received_ms:
         return CallReply(call.exchange_id, CallOutcome.NO_JOB)
-    return _make_not_run_reply(call, STREAM_STALE_REASON)
+    answer_by_ms = call.received_ms + call.timeout_ms - ANSWER_MARGIN_MS
+    if not is_fresh(world, Stream.JOBS, now_ms) or now_ms >= answer_by_ms:
+        return _make_not_run_reply(call, STREAM_STALE_REASON)
+    world.lookups.append(call)
+    world.deadlines.add(answer_by_ms)
+    if world.lookup_read_ms < call.received_ms:
+        world.lookup_read_ms = now_ms
+        world.outbox.put(ReadStream(Stream.JOBS))
+    return None
 
 
 def _submit_job(
@@ -199,9 +221,7 @@
 ) -> CallReply | None:
     job = world.agreed.jobs.get(job_id)
     if job is None:
-        if is_fresh(world, Stream.JOBS, now_ms):
-            return CallReply(call.exchange_id, CallOutcome.NO_JOB)
-        return _make_not_run_reply(call, STREAM_STALE_REASON)
+        return _answer_unknown_job(world, call, now_ms)
     if visible_state(job) in ENDED_STATES:
         return CallReply(call.exchange_id, CallOutcome.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -19,6 +19,7 @@
     "ListMembers",
     "ProgressRecord",
     "Record",
+    "ReadStream",
     "RecordsRead",
     "RemovalRecord",
     "RenewRecord",
@@ -246,6 +247,13 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadStream:
+    """Request to read a stream to its present end at once, beside following it."""
+
+    stream: Stream
+
+
 @dataclass(frozen=True, slots=True)
 class ListMembers:
     """Request to read the list of entries from the log once."""
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -457,6 +457,11 @@
         case.
     pending_calls : dict of str to PendingCall
         Calls that wait for the log, by identifier of their append.
+    lookups : list of CallerCall
+        Calls that concern an unknown job, until the jobs stream was read to where it
+        ended when they came.
+    lookup_read_ms : int
+        Time at which the newest read for such calls was requested.
     sidecar_state : SidecarState
         State of a sidecar; unused by an entry.
     queue_order : str
@@ -478,6 +483,8 @@
     agreed: Agreed = field(default_factory=Agreed)
     schedule: Schedule = field(default_factory=Schedule)
     pending_calls: dict[str, PendingCall] = field(default_factory=dict)
+    lookups: list[CallerCall] = field(default_factory=list)
+    lookup_read_ms: int = -1
     sidecar_state: SidecarState = field(default_factory=SidecarState)
     queue_order: str = "deadline"
 
--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -12,6 +12,7 @@
     CallKind,
     CallOutcome,
     CallReply,
+    ReadStream,
     Stream,
     SubmittedJob,
 )
@@ -78,3 +79,35 @@
     assert answer(world, CallKind.STATE, "/q/").waiting == 1
     world.agreed.views[Stream.JOBS].fresh_ms -= 2_001
     assert answer(world, CallKind.STATE, "/q/").outcome is CallOutcome.NOT_RUN
+
+
+@pytest.mark.parametrize("kind", [CallKind.STATE, CallKind.CANCEL])
+def test_that_a_job_is_unknown_is_certain_only_after_a_later_read(
+    world: BatchWorld, kind: CallKind
+) -> None:
+    path = "/q/fedcba9876543210"
+    world.clock.advance(100)
+    assert answer(world, kind, path) is None
+    assert world.outbox.take(ReadStream) == [ReadStream(Stream.JOBS)]
+    handle_calls(world, world.clock.now_ms())
+    assert world.outbox.take(ReadStream) == []
+    world.agreed.views[Stream.JOBS].fresh_ms = world.clock.now_ms()
+    handle_calls(world, world.clock.now_ms())
+    assert [reply.outcome for reply in world.outbox.take(CallReply)] == [
+        CallOutcome.NO_JOB
+    ]
+
+
+def test_a_call_for_an_unknown_job_is_answered_before_its_time_is_over(
+    world: BatchWorld,
+) -> None:
+    world.agreed.views[Stream.JOBS].fresh_ms += 1_000
+    world.clock.advance(1_001)
+    assert answer(world, CallKind.STATE, "/q/fedcba9876543210") is None
+    due_ms = world.deadlines.next_ms()
+    assert due_ms < world.clock.now_ms() + 3_000
+    world.clock.advance(due_ms - world.clock.now_ms())
+    handle_calls(world, due_ms)
+    assert [reply.outcome for reply in world.outbox.take(CallReply)] == [
+        CallOutcome.NOT_RUN
+    ]
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -2,7 +2,6 @@
 
 import socket
 import sys
-from dataclasses import dataclass
 from importlib import import_module
 
 from expression import Result
@@ -13,6 +12,7 @@
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.exception import Failure
 from kingcuppost.platform import streams
+from kingcuppost.platform.adapter_state import AdapterState
 from kingcuppost.platform.settings import PlatformConfig, read_settings
 from kingcuppost.platform.store import StoreClient
 from kingcuppost.tables.identity import Role
@@ -24,19 +24,6 @@
 ADAPTER_PACKAGE = "kingcuppost.platform"
 
 
-@dataclass(frozen=True, slots=True)
-class AdapterState:
-    """State of the adapter in the context of a process.
-
-    Attributes
-    ----------
-    store : StoreClient
-        Client of the platform's store.
-    """
-
-    store: object
-
-
 def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
     context.adapter_state = AdapterState(StoreClient(context, cfg.store))
--- a/kingcuppost/platform/streams.py
+++ b/kingcuppost/platform/streams.py
@@ -11,7 +11,12 @@
     deliver_later,
 )
 from kingcuppost.batch.systems.freshness import view_age_ms
-from kingcuppost.batch.tables.messages import ListMembers, RecordsRead, Stream
+from kingcuppost.batch.tables.messages import (
+    ListMembers,
+    ReadStream,
+    RecordsRead,
+    Stream,
+)
 from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR
 from kingcuppost.exception import PeerError
 from kingcuppost.platform.reads import list_newest, read_records
@@ -55,8 +60,10 @@
     context: BatchContext, store: StoreClient, stream: Stream
 ) -> None:
     position: _Position | None = None
+    positions = context.adapter_state.positions
     failures = _ReadFailures(context, stream)
     while True:
+        positions[stream] = position
         try:
             if position is None:
                 batch, position = await _list_stream(context, store, stream)
@@ -158,6 +165,32 @@
     return done
 
 
+@batch_senders.register(ReadStream)
+def send_read_stream(context: BatchContext, message: ReadStream) -> None:
+    """Read a stream once from where it is followed, without a wait for records."""
+    deliver_later(context, _read_to_end(context, message.stream))
+
+
+async def _read_to_end(context: BatchContext, stream: Stream) -> RecordsRead | None:
+    """Return the records up to the end of a stream; None if they can't be read now.
+
+    While the stream is being listed, the listing gives the same.
+    """
+    position = context.adapter_state.positions.get(stream)
+    if position is None:
+        return None
+    store = context.adapter_state.store
+    try:
+        return await read_records(
+            context, store, stream, position.offset, 0, position.ahead
+        )
+    except PeerError as exc:
+        context.world.note(
+            "log", "A stream could not be read at once.", stream=stream, reason=str(exc)
+        )
+        return None
+
+
 @batch_senders.register(ListMembers)
 def send_list_members(context: BatchContext, message: ListMembers) -> None:
     """Read the list of members from the store once."""
--- a/kingcuppost/platform/tests/simulated_store.py
+++ b/kingcuppost/platform/tests/simulated_store.py
@@ -17,7 +17,9 @@
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.edges.http_client import JsonClient
+from kingcuppost.platform.adapter_state import AdapterState
 from kingcuppost.platform.framing import encode_keyed_record, frame_records
+from kingcuppost.platform.store import StoreClient
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils import ManualClock
@@ -103,6 +105,7 @@
         self.world = make_batch_world(cfg, self.clock, seed=1)
         client = JsonClient(self.reactor, self.world.tally)
         self.context = BatchContext(self.world, self.reactor, client, lambda: None)
+        self.context.adapter_state = AdapterState(StoreClient(self.context, STORE))
 
     def append(self, stream: Stream, key: str, value: bytes) -> None:
         """Append a record to the store."""
--- a/kingcuppost/platform/tests/test_streams.py
+++ b/kingcuppost/platform/tests/test_streams.py
@@ -2,10 +2,10 @@
 
 import json
 
-from kingcuppost.batch.tables.messages import Stream
-from kingcuppost.platform.store import StoreClient
+from kingcuppost.batch.edges.context import batch_senders
+from kingcuppost.batch.tables.messages import ReadStream, Stream
 from kingcuppost.platform.streams import follow_stream
-from kingcuppost.platform.tests.simulated_store import STORE, SimulatedEntry
+from kingcuppost.platform.tests.simulated_store import SimulatedEntry
 
 APPLY_MS = 2_000
 ROUTE_COUNT = 48
@@ -27,7 +27,7 @@
 
 
 def follow(entry: SimulatedEntry, *streams: Stream) -> None:
-    client = StoreClient(entry.context, STORE)
+    client = entry.context.adapter_state.store
     for stream in streams:
         follow_stream(entry.context, client, stream)
 
@@ -87,3 +87,13 @@
     entry.is_cut = False
     entry.run(APPLY_MS)
     assert len(entry.world.agreed.jobs) == 60
+
+
+def test_a_stream_is_read_at_once_beside_a_read_that_waits() -> None:
+    entry = SimulatedEntry()
+    follow(entry, Stream.JOBS)
+    entry.run(100)
+    sent_ms = entry.clock.now_ms()
+    batch_senders[ReadStream](entry.context, ReadStream(Stream.JOBS))
+    entry.run(50)
+    assert entry.world.agreed.views[Stream.JOBS].fresh_ms == sent_ms
--- a/standins/batch/log_messages.py
+++ b/standins/batch/log_messages.py
@@ -10,6 +10,7 @@
     ConfigRecord,
     JobRecord,
     ListMembers,
+    ReadStream,
     RecordsRead,
     Stream,
     ZoneRecord,
@@ -44,6 +45,16 @@
         deployment.deliver_later(process, LISTING_DELAY_MS, lambda: batch)
 
 
+@senders.register(ReadStream)
+def read_stream(deployment: Deployment, process: Process, message: ReadStream) -> None:
+    """Read a stream to its end, beside the reads that follow it."""
+    incarnation = process.incarnation
+    deployment.after(
+        deployment.delay_ms(),
+        lambda: _read_stream(deployment, process, incarnation, message.stream),
+    )
+
+
 def _can_reach_log(deployment: Deployment, process: Process) -> bool:
     return not (
         process.is_cut_off or process.is_rejected_by_log or deployment.log_is_down
--- a/standins/batch/tests/test_slow_log.py
+++ b/standins/batch/tests/test_slow_log.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kingcuppost.batch.tables.job import JobState, StepSpec
-from kingcuppost.batch.tables.messages import CallOutcome
+from kingcuppost.batch.tables.messages import CallKind, CallOutcome
 from standins.batch import Deployment
 from standins.batch.tests.test_jobs import make_ready_deployment
 
@@ -36,3 +36,19 @@
     assert CallOutcome.NO_JOB not in outcomes
     states = {deployment.state(job_id) for job_id, _ in cancels}
     assert states == {JobState.CANCELLED}
+
+
+@pytest.mark.parametrize("entry", ["entry-0", "entry-1"], ids=["same", "other"])
+def test_a_job_is_known_right_after_its_acceptance(entry: str) -> None:
+    """Its state was answered as for an unknown job."""
+    deployment = make_ready_deployment()
+    deployment.log_delay_ms = LOG_DELAY_MS
+    deployment.run_for(1_000)
+    states = []
+    for _ in range(8):
+        job_id = submit_and_wait(deployment)
+        states.append(deployment.call(CallKind.STATE, f"/design/{job_id}", entry))
+        deployment.run_for(100)
+    deployment.run_for(CALL_MS)
+    outcomes = {deployment.replies[exchange_id].outcome for exchange_id in states}
+    assert outcomes == {CallOutcome.OK}
