Count a job as begun once a minion has begun a run of it

Cause: a job counted as begun, and as running, when a run of it was placed. It counts now when a minion has listed a run or its end. Queue order, refusals, the order of preemption and the trace do not use this state; the count and the shown state do.

--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -32,6 +32,7 @@
     "iter_tasks",
     "load_plan",
     "make_progress",
+    "mark_begun",
     "mark_plan_changed",
     "place_task",
     "request_stop",
@@ -112,6 +113,17 @@
     world.schedule.inputs_changed = True
 
 
+def mark_begun(world: BatchWorld, plan: Plan) -> None:
+    """Note that a minion has begun a run of a job; no decision depends on it."""
+    if plan.begun:
+        return
+    plan.begun = True
+    if plan.phase is PlanPhase.OPEN:
+        plan.state = JobState.RUNNING
+    plan.version += 1
+    world.schedule.unwritten_jobs[plan.job.id] = None
+
+
 def adopt_job(world: BatchWorld, job_id: str) -> None:
     """Create, end or drop the plan of a job that was added, cancelled or removed."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -47,7 +47,6 @@
     task_core_equivalents,
 )
 from kingcuppost.batch.systems.waits import forget_ended_waits, note_wait
-from kingcuppost.batch.tables.job import JobState
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
@@ -274,8 +273,6 @@
     plan = unit.plan
     tasks = unit.tasks[: len(chosen)]
     gang_run = 1 + max(task.run for task in tasks)
-    plan.begun = True
-    plan.state = JobState.RUNNING
     mark_plan_changed(world, plan)
     # a placement alone is no reason for another decision
     world.schedule.inputs_changed = False
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -4,7 +4,12 @@
 
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.minion_leases import extend_lease, mark_unreachable
-from kingcuppost.batch.systems.plans import adopt_job, apply_run_end, find_task
+from kingcuppost.batch.systems.plans import (
+    adopt_job,
+    apply_run_end,
+    find_task,
+    mark_begun,
+)
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.run_ends import (
@@ -227,6 +232,7 @@
         _stop_orphan_run(world, minion, running)
         return
     plan, task = found
+    mark_begun(world, plan)
     if task.running_since_ms is None:
         task.running_since_ms = now_ms
         task.initial_percent = running.percent
@@ -278,6 +284,7 @@
         return ended.task.job, plan.version if plan else 0
     plan, task = found
     _update_reliability(world, minion, plan, task, ended, now_ms)
+    mark_begun(world, plan)
     record_run_end(world, plan, task, ended.run_end)
     apply_run_end(world, plan, task, ended.run_end, ended.checkpoint)
     return plan.job.id, plan.version
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -228,7 +228,7 @@
     state : JobState
         Its state in the newest progress record; queued if there is none.
     begun : bool
-        Whether a run of a task was ever placed.
+        Whether a minion has begun a run of a task.
     progress : Progress or None
         The newest progress record.
     """
@@ -434,7 +434,7 @@
     phase : PlanPhase
         Phase of the scheduler's work on the job.
     begun : bool
-        Whether a run of a task was ever placed.
+        Whether a minion has begun a run of a task.
     version : int
         Increases with each change.
     committed_version : int
