Answer for another team's job as for an unknown one

Any key that was valid for some queue read and cancelled any job, also through another queue. A job is its team's: state and cancel with another team's key are answered as for a job that does not exist, and its identifier can't be submitted again by another team. A public queue asks for no key, so its jobs stay open to its callers.

Before: the new tests of both calls through both queues fail.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -114,8 +114,8 @@
     if call.kind is CallKind.SUBMIT:
         return _submit_job(world, call, queue, team, job_id, now_ms)
     if call.kind is CallKind.CANCEL:
-        return _cancel_job(world, call, job_id, now_ms)
-    return _make_state_reply(world, call, job_id, now_ms)
+        return _cancel_job(world, call, queue, team, job_id, now_ms)
+    return _make_state_reply(world, call, queue, team, job_id, now_ms)
 
 
 def is_job_id(text: str) -> bool:
@@ -156,9 +156,16 @@
 
 
 def _make_state_reply(
-    world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
-) -> CallReply:
+    world: BatchWorld,
+    call: CallerCall,
+    queue: Queue,
+    team: str,
+    job_id: str,
+    now_ms: int,
+) -> CallReply | None:
     job = world.agreed.jobs.get(job_id)
+    if job is not None and not _may_access(job, queue, team):
+        return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     if job is not None:
         return CallReply(call.exchange_id, CallOutcome.OK, state=visible_state(job))
     return _answer_unknown_job(world, call, now_ms)
@@ -194,10 +201,12 @@
     job_id: str,
     now_ms: int,
 ) -> CallReply | None:
-    if job_id in world.agreed.jobs:
+    known = world.agreed.jobs.get(job_id)
+    if known is not None and _may_access(known, queue, team):
         return CallReply(call.exchange_id, CallOutcome.OK)
-    if call.job is None:
-        return CallReply(call.exchange_id, CallOutcome.BAD, reason=call.body_error)
+    reason = _refusal_for_good(call, known)
+    if reason:
+        return CallReply(call.exchange_id, CallOutcome.BAD, reason=reason)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
     job = Job(
@@ -216,10 +225,34 @@
     return None
 
 
+def _refusal_for_good(call: CallerCall, known: Job | None) -> str:
+    """Return why a submission can never be accepted; empty if it may be."""
+    if known is not None:
+        return "the identifier is in use"
+    if call.job is None:
+        return call.body_error
+    return ""
+
+
+def _may_access(job: Job, queue: Queue, team: str) -> bool:
+    """Return whether callers of a team may read or cancel a job through a queue.
+
+    A public queue asks for no key, so its own jobs are open to all of its callers.
+    """
+    return job.team == team or (queue.public and job.queue == queue.name)
+
+
 def _cancel_job(
-    world: BatchWorld, call: CallerCall, job_id: str, now_ms: int
+    world: BatchWorld,
+    call: CallerCall,
+    queue: Queue,
+    team: str,
+    job_id: str,
+    now_ms: int,
 ) -> CallReply | None:
     job = world.agreed.jobs.get(job_id)
+    if job is not None and not _may_access(job, queue, team):
+        return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     if job is None:
         return _answer_unknown_job(world, call, now_ms)
     if visible_state(job) in ENDED_STATES:
--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -111,3 +111,30 @@
     assert [reply.outcome for reply in world.outbox.take(CallReply)] == [
         CallOutcome.NOT_RUN
     ]
+
+
+@pytest.mark.parametrize("kind", [CallKind.STATE, CallKind.CANCEL])
+@pytest.mark.parametrize("path", ["/q/", "/other/"])
+def test_a_job_of_another_team_is_answered_as_an_unknown_one(
+    world: BatchWorld, kind: CallKind, path: str
+) -> None:
+    other = Queue("other", "h", "/other/", "svc")
+    keys = {"key": "t", "foreign": "u"}
+    world.agreed.configuration = Configuration(4, (QUEUE, other), {}, keys)
+    assert answer(world, kind, path + JOB, "foreign").outcome is CallOutcome.NO_JOB
+    reply = answer(world, kind, path + JOB, "key")
+    assert reply is None or reply.outcome is not CallOutcome.NO_JOB
+
+
+def test_the_identifier_of_another_teams_job_is_refused(world: BatchWorld) -> None:
+    keys = {"key": "t", "foreign": "u"}
+    world.agreed.configuration = Configuration(4, (QUEUE,), {}, keys)
+    path = f"/q/{JOB}"
+    assert answer(world, CallKind.SUBMIT, path, "foreign").outcome is CallOutcome.BAD
+    assert answer(world, CallKind.SUBMIT, path, "key").outcome is CallOutcome.OK
+
+
+def test_a_public_queue_shows_its_jobs_to_all_its_callers(world: BatchWorld) -> None:
+    public = Queue("q", "h", "/q/", "svc", public=True)
+    world.agreed.configuration = Configuration(4, (public,), {}, {"key": "t"})
+    assert answer(world, CallKind.STATE, f"/q/{JOB}", "").outcome is CallOutcome.OK
