Refuse jobs on queues with advice

They were accepted and never ran: which minions may run them is not asked for. Such a submission is refused with the reason until advice is supported. The operators' record may name advice for a queue; records without are read as before (both stand in the stored formats).

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -38,6 +38,7 @@
 ANSWER_MARGIN_MS = 200
 STREAM_STALE_REASON = "the log is not followed"
 CONFIGURATION_STALE_REASON = "the configuration may be outdated"
+ADVICE_REASON = "queues with advice are not supported"
 LOGGED_KINDS = (CallKind.SUBMIT, CallKind.CANCEL)
 # answers that a caller may complain about, or that rest on the configuration alone
 LOGGED_OUTCOMES = (
@@ -204,7 +205,7 @@
     known = world.agreed.jobs.get(job_id)
     if known is not None and _may_access(known, queue, team):
         return CallReply(call.exchange_id, CallOutcome.OK)
-    reason = _refusal_for_good(call, known)
+    reason = _refusal_for_good(call, queue, known)
     if reason:
         return CallReply(call.exchange_id, CallOutcome.BAD, reason=reason)
     if not is_fresh(world, Stream.JOBS, now_ms):
@@ -225,13 +226,13 @@
     return None
 
 
-def _refusal_for_good(call: CallerCall, known: Job | None) -> str:
+def _refusal_for_good(call: CallerCall, queue: Queue, known: Job | None) -> str:
     """Return why a submission can never be accepted; empty if it may be."""
     if known is not None:
         return "the identifier is in use"
     if call.job is None:
         return call.body_error
-    return ""
+    return ADVICE_REASON if queue.needs_advice else ""
 
 
 def _may_access(job: Job, queue: Queue, team: str) -> bool:
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -37,6 +37,9 @@
         Target time of a job as a multiple of its critical path.
     public : bool
         Whether calls without a valid key are accepted.
+    needs_advice : bool
+        Whether its jobs may run only where a service of the operators allows it, which
+        is not supported.
     """
 
     name: str
@@ -47,6 +50,7 @@
     most_failures: int = 1
     slack_factor: float = 1.0
     public: bool = False
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -1,5 +1,7 @@
 """Decoding of operators' records: configurations and evacuated zones."""
 
+from typing import Any
+
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -36,6 +38,7 @@
     most_failures: int = Field(1, alias="maxAttempts")
     slack_factor: float = Field(1.0, alias="slackFactor")
     public: bool = False
+    advice: Any = None
 
 
 class _GuaranteedModel(_PlatformModel):
@@ -66,6 +69,7 @@
             route.most_failures,
             route.slack_factor,
             route.public,
+            bool(route.advice),
         )
         for route in model.routes
     )
