Date the progress of a run by when its minion listed it

Urgent work stopped a run that was 0.5 s from its end, where it should have waited for it, depending on the moment at which its minion was last asked for its lists.

Cause: the decision extrapolates a run's newest progress to the present. It took the time at which the sidecar's report arrived for the time of the progress. The lists come up to 1 s before the report (a request for them waits up to 1 s, longer or shorter with the remaining lease, and the next report up to 1 s), so a run counted as up to 1 s further from its end than it was; ENDS_SOON_MS is 600. Traced in simulated time: 72 percent, read at 7.40 s, counted as of 7.77 s, so that an end in 465 ms was expected in 761 ms.

Ruled out: the estimate of the speed (with the right times it gives 464 ms), the transport (some ms), the percentage being a whole number (30 ms).

Change: a report says how old the lists are. Times of progress are those of the reading, not before the placement, as a run whose start was accepted since is reported with them. Whether a run makes no progress is measured between readings, so that it does not seem stalled earlier than before because its readings count as older. Sidecars of earlier versions send no age and count as before. The stored formats gain the field; the stored line without it is still read.

--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -71,6 +71,7 @@
     running: tuple[tuple[str, int, str, int], ...] = ()
     ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
     refused: tuple[tuple[str, int, str], ...] = ()
+    lists_age_ms: Annotated[int, Field(ge=0)] = 0
 
 
 class SyncReplyModel(PeerModel):
@@ -141,6 +142,7 @@
             for row in call.ended
         ),
         refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
+        lists_age_ms=call.lists_age_ms,
     )
     return model.model_dump_json(exclude_defaults=True).encode()
 
@@ -173,6 +175,7 @@
             for number, task, run, run_end, checkpoint in model.ended
         ),
         tuple(RefusedRun(parse_task_name(row[0]), *row[1:]) for row in model.refused),
+        model.lists_age_ms,
     )
 
 
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -154,7 +154,7 @@
         return False
     age_ms = now_ms - task.percent_changed_ms
     return (
-        age_ms < PROGRESS_FRESH_MS
+        task.percent_unchanged_ms < PROGRESS_FRESH_MS
         and expected_remaining_ms(minion, plan, task) - age_ms < ENDS_SOON_MS
     )
 
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -9,7 +9,7 @@
     is_in_contact,
 )
 from kingcuppost.batch.tables.messages import ListMembers, SendSync, SyncCall
-from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.batch.tables.world import BatchWorld, SidecarState
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
@@ -131,4 +131,12 @@
         tuple(sidecar_state.running.values()),
         tuple(sidecar_state.ended.values()),
         tuple(sidecar_state.refused.values()),
+        _lists_age_ms(sidecar_state, now_ms),
     )
+
+
+def _lists_age_ms(sidecar_state: SidecarState, now_ms: int) -> int:
+    """Return the time since the minion's newest lists were read; 0 before the first."""
+    if sidecar_state.contact_ms is None:
+        return 0
+    return max(now_ms - sidecar_state.contact_ms, 0)
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -78,7 +78,7 @@
         task.was_migrated = True
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the minion is slow")
-    elif _is_stalled(plan, task, now_ms):
+    elif _is_stalled(plan, task):
         minion.stalled_ms = now_ms
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the run is stalled")
@@ -132,7 +132,7 @@
     return expected_remaining_ms(minion, plan, task) > restart_limit_ms + MOVE_COST_MS
 
 
-def _is_stalled(plan: Plan, task: Task, now_ms: int) -> bool:
+def _is_stalled(plan: Plan, task: Task) -> bool:
     """Return whether a run has made no progress for too long.
 
     The limit is longer for runs that would lose much work, and at least
@@ -145,4 +145,4 @@
     estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
     loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
     stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
-    return now_ms - task.percent_changed_ms > max(stall_limit_ms, estimate_limit_ms)
+    return task.percent_unchanged_ms > max(stall_limit_ms, estimate_limit_ms)
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -193,7 +193,7 @@
     if not orphans:
         world.schedule.orphans.pop(call.sidecar, None)
     for running in call.running:
-        _handle_running_run(world, minion, running, now_ms)
+        _handle_running_run(world, minion, running, call.lists_age_ms, now_ms)
     reported_ends = world.schedule.reported_ends.setdefault(call.sidecar, {})
     listed = {ended.number for ended in call.ended}
     for number in [number for number in reported_ends if number not in listed]:
@@ -218,8 +218,16 @@
 
 
 def _handle_running_run(
-    world: BatchWorld, minion: MinionRow, running: RunningRun, now_ms: int
+    world: BatchWorld,
+    minion: MinionRow,
+    running: RunningRun,
+    age_ms: int,
+    now_ms: int,
 ) -> None:
+    """Update the task of a reported run, or stop the run if it is no task's.
+
+    The minion listed the run `age_ms` ago, or has accepted its start since then.
+    """
     found = _find_current_run(world, minion.incarnation, running.task, running.run)
     if found is None and _has_ended_elsewhere(world, running):
         return
@@ -227,14 +235,17 @@
         _stop_orphan_run(world, minion, running)
         return
     plan, task = found
+    placed_ago_ms = max(world.clock.wall_ms() - task.placed_ms, 0)
+    read_ms = now_ms - min(age_ms, placed_ago_ms)
     if task.running_since_ms is None:
-        task.running_since_ms = now_ms
+        task.running_since_ms = read_ms
         task.initial_percent = running.percent
-        task.percent_changed_ms = now_ms
+        task.percent_changed_ms = read_ms
     task.confirmed = True
+    task.percent_read_ms = read_ms
     if running.percent != task.percent:
         task.percent = running.percent
-        task.percent_changed_ms = now_ms
+        task.percent_changed_ms = read_ms
     if running.checkpoint and running.checkpoint != task.checkpoint:
         task.checkpoint = running.checkpoint
         task.checkpoint_ms = world.clock.wall_ms()
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -320,7 +320,7 @@
     confirmed : bool
         Whether the minion has reported the run.
     running_since_ms : int or None
-        Time at which the run was first reported.
+        Time at which the first reported percentage was read.
     stopping : bool
         Whether the run is to be stopped.
     stop_requested_ms : int
@@ -335,7 +335,9 @@
     initial_percent : int
         Percentage that was done when the run was first reported.
     percent_changed_ms : int
-        Time at which the reported percentage last changed.
+        Time at which the reported percentage was read first.
+    percent_read_ms : int
+        Time at which it was read last.
     was_migrated : bool
         Whether a run of it was stopped because its minion was slow.
     last_failed_run : int
@@ -370,6 +372,7 @@
     percent: int = 0
     initial_percent: int = 0
     percent_changed_ms: int = 0
+    percent_read_ms: int = 0
     last_failed_run: int = 0
     was_migrated: bool = False
     avoided_minions: set[str] = field(default_factory=set)
@@ -377,6 +380,11 @@
     reserved_incarnation: MinionIncarnation | None = None
     reserved_until_ms: int = 0
 
+    @property
+    def percent_unchanged_ms(self) -> int:
+        """Return how long the percentage had not changed when it was read last."""
+        return self.percent_read_ms - self.percent_changed_ms
+
 
 @dataclass(slots=True)
 class EstimateError:
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -100,6 +100,8 @@
         Time for which the answer may be delayed while there are no orders.
     minion : MinionReport or None
         State of the minion; None if there is none beside the sidecar.
+    lists_age_ms : int
+        Time since the minion listed its runs, when the report was sent.
     """
 
     exchange_id: str
@@ -111,6 +113,7 @@
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
     refused: tuple[RefusedRun, ...]
+    lists_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -1,5 +1,7 @@
 """Tests of the run monitor: runs that should move, and runs that should not."""
 
+import pytest
+
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from standins.batch import Deployment
 
@@ -113,3 +115,22 @@
     assert deployment.state(nearly_done) is JobState.COMPLETED
     assert deployment.state(fresh, 2) is JobState.RUNNING
     assert deployment.checks.ends[RunEnd.STOPPED] == 1
+
+
+@pytest.mark.parametrize("phase_ms", range(0, 1_000, 100))
+def test_a_run_that_ends_soon_is_awaited_however_old_its_lists_are(
+    phase_ms: int,
+) -> None:
+    """Progress counted as read when it was reported, up to 1 s too late."""
+    deployment = make_ready_deployment(minions=1)
+    deployment.run_for(phase_ms)
+    half = StepSpec(1, cpu_millis=30_000, accelerators=4, estimate_ms=3_000)
+    nearly_done, _ = deployment.submit((half,), [3_000], 1)
+    deployment.run_for(2_600)
+    deployment.submit((half,), [9_000], 2)
+    deployment.run_for(2_400)
+    wide = StepSpec(5, cpu_millis=30_000, accelerators=4, estimate_ms=9_000)
+    deployment.submit((wide,), [500], 0)
+    deployment.run_for(800)
+    assert deployment.state(nearly_done) is JobState.COMPLETED
+    assert deployment.checks.ends[RunEnd.STOPPED] == 1
