Count a minion lease from the sending of the report, not from a later clock reading

Cause: the sidecar took a report that was sent before the newest reading of the minion's clock for sent with it, so a lease was up to 1 s too long, more than the holder allows.

Ruled out: the rule of contact (kept throughout) and a second holder (one term).

Change: the time on the minion's clock may lie before the reading.

--- a/kingcuppost/batch/systems/minion_clock.py
+++ b/kingcuppost/batch/systems/minion_clock.py
@@ -8,12 +8,12 @@
 def minion_time_ms(sidecar_state: SidecarState, at_ms: int) -> int | None:
     """Return the time on the minion's clock at a time on the sidecar's clock.
 
-    Returns None before the minion's clock has been read. A time before the newest
-    reading counts as the time of that reading.
+    Returns None before the minion's clock has been read. The time may lie before the
+    newest reading, as that of a report which is answered after it.
     """
     if sidecar_state.minion_clock_ms is None:
         return None
-    since_ms = max(at_ms - sidecar_state.minion_clock_received_ms, 0)
+    since_ms = at_ms - sidecar_state.minion_clock_received_ms
     return sidecar_state.minion_clock_ms + since_ms
 
 
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -24,9 +24,9 @@
 sidecar makes of it. Another incarnation is believed once it has answered a call itself.
 
 Both sides use `extends_lease` on the same report: the holder when it receives it, the
-sidecar when it is answered. The holder's allowance covers clocks that differ in rate;
-it does not cover a report that was sent long before the newest reading of the minion's
-clock, as `minion_time_ms` takes it for sent with that reading.
+sidecar when it is answered. The sidecar counts the lease from the sending of the
+report, the holder from its receipt, which is later. The holder's allowance covers
+clocks that differ in rate.
 """
 
 from enum import StrEnum
