--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 
+from standins.batch.room_days import run_room_day
 from standins.batch.soak import FAULTS_PER_DAY, run_day
 
 __all__ = ["main"]
@@ -21,10 +22,19 @@
     parser.add_argument(
         "--minion-faults", type=int, default=0, help="faults of single minions per day"
     )
+    parser.add_argument(
+        "--room",
+        action="store_true",
+        help="random jobs on fleets that change, instead of faults: "
+        "is work left while room is free?",
+    )
     args = parser.parse_args()
     has_violations = False
     for seed in range(args.first, args.first + args.days):
-        outcome = run_day(seed, args.faults, args.minion_faults)
+        if args.room:
+            outcome = run_room_day(seed)
+        else:
+            outcome = run_day(seed, args.faults, args.minion_faults)
         has_violations = has_violations or bool(outcome.violations)
         print(f"{seed}: {outcome.completed} of {outcome.jobs} completed", flush=True)
         for line in outcome.violations[:MAX_SHOWN_VIOLATIONS]:
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -35,6 +35,8 @@
         Number of failed runs of each task.
     starts : int
         Number of all starts.
+    last_start_ms : dict of str to int
+        Time of the newest start of a run of each job, in ms.
     ends : dict of RunEnd to int
         Number of run ends of each kind.
     task_counts : dict of str to list of int
@@ -60,6 +62,7 @@
         self.acknowledged_tasks: set[TaskName] = set()
         self.failure_counts: dict[TaskName, int] = defaultdict(int)
         self.starts = 0
+        self.last_start_ms: dict[str, int] = {}
         self.ends: dict[RunEnd, int] = defaultdict(int)
         self.task_counts: dict[str, list[int]] = {}
         self.needs: dict[str, tuple[tuple[int, ...], ...]] = {}
@@ -94,6 +97,7 @@
     ) -> None:
         """Record the start of a run and check that it was allowed."""
         self.starts += 1
+        self.last_start_ms[task.job] = self.now_ms()
         if task.job not in self.task_counts:
             self.violations.append(f"UNASKED {task} run {run} at {minion}")
             return
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -9,7 +9,7 @@
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems import load_systems, run_tick
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
-from kingcuppost.batch.tables.fleet import Configuration, Queue, Resources, Team
+from kingcuppost.batch.tables.fleet import Configuration, Queue, Team
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec, TaskName
 from kingcuppost.batch.tables.messages import (
     CallerCall,
@@ -26,6 +26,7 @@
 from kingcuppost.utils import ManualClock
 from kingcuppost.utils.registry import Registry
 from standins.batch.checks import Checks
+from standins.batch.fleets import MinionSpec, make_default_fleet
 from standins.batch.minions import Minion
 from standins.batch.process import Process
 from standins.batch.store import Store
@@ -34,9 +35,9 @@
 
 HOST = "desk.example"
 API_KEY = "key-a"
+GUARANTEES = {"a": 16, "b": 8, "c": 0}  # accelerators by team
 PATH_PREFIXES = ("/urgent/", "/design/", "/batch/")
-SLOW_SPEED = 0.55
-FAST_SPEED = 1.2
+FIRST_SIDECAR_HOST = 101
 
 STEP_MS = 10
 STEPS_PER_CHECK = 5
@@ -60,6 +61,8 @@
         Seed of the network, the processes and the faults.
     entries, minions : int
         Number of entries, and of minions with their sidecars.
+    fleet : tuple of MinionSpec
+        The minions; if empty, `minions` like ones in one rack of each zone.
 
     Attributes
     ----------
@@ -85,7 +88,13 @@
         Job that a call cancels, by the identifier of the exchange.
     """
 
-    def __init__(self, seed: int = 1, entries: int = 3, minions: int = 9) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        entries: int = 3,
+        minions: int = 9,
+        fleet: tuple[MinionSpec, ...] = (),
+    ) -> None:
         self.rng = random.Random(seed)
         self.clock = ManualClock(start_ms=1_000)
         self.store = Store()
@@ -112,12 +121,8 @@
             self._add_process(
                 f"entry-{index}", f"zone-{index % 3}", Role.ENTRY, index + 1
             )
-        for index in range(minions):
-            name = f"side-{index}"
-            process = self._add_process(
-                name, f"zone-{index % 3}", Role.SIDECAR, index + 101
-            )
-            process.minion = self._add_minion(index)
+        for spec in fleet or make_default_fleet(minions):
+            self._add_sidecar(spec)
         for process in self.processes.values():
             self.start(process.name)
 
@@ -126,8 +131,12 @@
             Queue(f"queue-{priority}", HOST, prefix, "svc", priority, 3, 2.0)
             for priority, prefix in enumerate(PATH_PREFIXES)
         )
-        teams = {"a": Team("a", frozenset({API_KEY}), 16)}
-        self.configuration = Configuration(1, queues, teams, {API_KEY: "a"})
+        teams = {
+            name: Team(name, frozenset({f"key-{name}"}), guaranteed)
+            for name, guaranteed in GUARANTEES.items()
+        }
+        keys = {f"key-{name}": name for name in teams}
+        self.configuration = Configuration(1, queues, teams, keys)
         self.closed_zones: set[str] = set()
         self.operator_end = 0
 
@@ -136,21 +145,33 @@
         self.processes[name] = process
         return process
 
-    def _add_minion(self, index: int) -> Minion:
-        minion = Minion(
-            f"m-{index}",
-            f"zone-{index % 3}",
-            f"r{index % 3}-1",
-            Resources(64_000, 131_072, 8),
+    def _add_sidecar(self, spec: MinionSpec) -> Process:
+        """Add a machine: a minion and the sidecar beside it, not started yet."""
+        index = len(self.minions)
+        host = FIRST_SIDECAR_HOST + index
+        process = self._add_process(f"side-{index}", spec.zone, Role.SIDECAR, host)
+        process.minion = Minion(
+            spec.id,
+            spec.zone,
+            spec.rack,
+            spec.resources,
             self.checks,
             self.clock.now_ms,
             self._task_work,
             self.bounds.lease_ms,
             self.bounds.gang_ms,
-            speed=SLOW_SPEED if index % 4 == 0 else FAST_SPEED,
+            speed=spec.speed,
+            kind=spec.kind,
         )
-        self.minions[minion.id] = minion
-        return minion
+        self.minions[spec.id] = process.minion
+        return process
+
+    def add_machine(self, spec: MinionSpec) -> None:
+        """Add a machine, and start its sidecar."""
+        process = self._add_sidecar(spec)
+        process.minion.clock_started_ms = self.clock.now_ms()
+        process.minion.born_ms = self.clock.now_ms()
+        self.start(process.name)
 
     def _task_work(self, task: TaskName) -> tuple[StepSpec, float]:
         """Return the step of a task, and its work in ms at speed 1."""
@@ -327,6 +348,7 @@
         path: str,
         entry: str = "",
         job: SubmittedJob | None = None,
+        api_key: str = API_KEY,
     ) -> str:
         """Send a call to an entry; return the identifier of the exchange.
 
@@ -349,7 +371,7 @@
             self.deliver(
                 process,
                 CallerCall(
-                    exchange_id, kind, HOST, path, API_KEY, now_ms, CALL_TIMEOUT_MS, job
+                    exchange_id, kind, HOST, path, api_key, now_ms, CALL_TIMEOUT_MS, job
                 ),
             )
         return exchange_id
@@ -361,6 +383,7 @@
         priority: int = 1,
         job_id: str = "",
         entry: str = "",
+        api_key: str = API_KEY,
     ) -> tuple[str, str]:
         """Submit a job; return its identifier and that of the exchange.
 
@@ -378,11 +401,11 @@
         )
         path = PATH_PREFIXES[priority] + job_id
         job = SubmittedJob("work", steps)
-        return job_id, self.call(CallKind.SUBMIT, path, entry, job)
+        return job_id, self.call(CallKind.SUBMIT, path, entry, job, api_key)
 
     def state(self, job_id: str, priority: int = 1) -> JobState | None:
         """Return the job state that a random entry shows, or None if it shows none."""
-        exchange_id = self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
+        exchange_id = self.ask_state(job_id, priority)
         self.run_for(30)
         reply = self.replies.get(exchange_id)
         if reply is None or reply.outcome is not CallOutcome.OK:
@@ -391,6 +414,10 @@
             self.checks.check_shown_state(job_id, reply.state)
         return reply.state
 
+    def ask_state(self, job_id: str, priority: int = 1) -> str:
+        """Request a job's state; return the identifier of the exchange."""
+        return self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
+
     def cancel(self, job_id: str, priority: int = 1, entry: str = "") -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
         path = PATH_PREFIXES[priority] + job_id
--- /dev/null
+++ b/standins/batch/fleet_changes.py
@@ -0,0 +1,185 @@
+"""Lasting changes of the fleet: minions that are lost, leave, return or are added."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
+from kingcuppost.tables.config import Address
+from kingcuppost.utils.registry import Registry
+from standins.batch.deployment import Deployment
+from standins.batch.fleets import make_random_minion
+from standins.batch.process import Process
+
+__all__ = ["fleet_changes"]
+
+FleetChange = Callable[[Deployment], str]
+fleet_changes: Registry[str, FleetChange] = Registry("change of the fleet")
+
+DOWN_MS = 3_000
+DRAIN_MS = 2_500
+LOSS_GAP_MS = 1_000
+MAX_LOST_TOGETHER = 3
+MIN_MINIONS = 4
+NEW_RACK_MINIONS = (1, 2, 4)
+
+
+def _machines(deployment: Deployment) -> list[Process]:
+    """Return the machines whose minion and sidecar are up."""
+    return [
+        item
+        for item in deployment.processes.values()
+        if item.minion is not None and item.is_up and item.minion.is_up
+    ]
+
+
+def _pick(deployment: Deployment) -> list[Process]:
+    """Return one machine at random; none if the fleet must not shrink further."""
+    machines = _machines(deployment)
+    if len(machines) <= MIN_MINIONS:
+        return []
+    return [deployment.rng.choice(machines)]
+
+
+def _join_names(machines: list[Process]) -> str:
+    return " ".join(item.minion.id for item in machines)
+
+
+def _lose(deployment: Deployment, machine: Process) -> None:
+    machine.minion.crash()
+    deployment.kill(machine.name)
+
+
+@fleet_changes.register("machine lost for good")
+def _lose_machine(deployment: Deployment) -> str:
+    lost = _pick(deployment)
+    for machine in lost:
+        _lose(deployment, machine)
+    return _join_names(lost)
+
+
+@fleet_changes.register("minion lost for good beside its sidecar")
+def _lose_minion(deployment: Deployment) -> str:
+    lost = _pick(deployment)
+    for machine in lost:
+        machine.minion.crash()
+    return _join_names(lost)
+
+
+@fleet_changes.register("machines of one rack lost for good, one after another")
+def _lose_in_rack(deployment: Deployment) -> str:
+    spare = max(len(_machines(deployment)) - MIN_MINIONS, 0)
+    racks = {item.minion.rack for item in _machines(deployment)}
+    rack = deployment.rng.choice(sorted(racks))
+    in_rack = [item for item in _machines(deployment) if item.minion.rack == rack]
+    lost = in_rack[: min(spare, deployment.rng.randint(1, MAX_LOST_TOGETHER))]
+    for index, machine in enumerate(lost):
+        deployment.after(
+            LOSS_GAP_MS * index, lambda machine=machine: _lose(deployment, machine)
+        )
+    return _join_names(lost)
+
+
+@fleet_changes.register("minion silent for good")
+def _silence(deployment: Deployment) -> str:
+    silent = _pick(deployment)
+    for machine in silent:
+        machine.minion.is_frozen = True
+    return _join_names(silent)
+
+
+@fleet_changes.register("calls do not reach it for good")
+def _lose_calls(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.minion.loses_calls = True
+    return _join_names(chosen)
+
+
+@fleet_changes.register("machine cut off for good")
+def _cut_off(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.is_cut_off = True
+    return _join_names(chosen)
+
+
+@fleet_changes.register("return under another identifier")
+def _replace(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        minion = machine.minion
+        minion.crash()
+        new_id = f"m-new-{next(deployment.sequence_numbers)}"
+        deployment.after(
+            DOWN_MS, lambda minion=minion, new_id=new_id: minion.restart(0, new_id)
+        )
+    return _join_names(chosen)
+
+
+@fleet_changes.register("return under the same identifier")
+def _restart(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.minion.crash()
+        deployment.after(DOWN_MS, machine.minion.restart)
+    return _join_names(chosen)
+
+
+@fleet_changes.register("drain and leave")
+def _drain(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.minion.draining = True
+        deployment.after(DRAIN_MS, lambda machine=machine: _leave(deployment, machine))
+    return _join_names(chosen)
+
+
+def _leave(deployment: Deployment, machine: Process) -> None:
+    """End a minion with a notice; its sidecar stays."""
+    minion = machine.minion
+    minion.crash()
+    report = MinionReport(
+        minion.incarnation,
+        "svc",
+        minion.zone,
+        (minion.kind, minion.rack),
+        replace(minion.resources),
+        True,
+        0,
+        listed=False,
+        in_contact=False,
+    )
+    notice = MinionHeartbeat(Address("", 0), report, 0, has_left=True)
+    deployment.deliver(machine, notice)
+
+
+@fleet_changes.register("drain, then stay")
+def _drain_and_stay(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.minion.draining = True
+        deployment.after(
+            DRAIN_MS,
+            lambda minion=machine.minion: setattr(minion, "draining", False),
+        )
+    return _join_names(chosen)
+
+
+@fleet_changes.register("empty rack added")
+def _add_rack(deployment: Deployment) -> str:
+    number = next(deployment.sequence_numbers)
+    count = deployment.rng.choice(NEW_RACK_MINIONS)
+    names = [f"m-added-{number}-{index}" for index in range(count)]
+    for name in names:
+        deployment.add_machine(make_random_minion(deployment.rng, name, number))
+    return " ".join(names)
+
+
+@fleet_changes.register("zone closed for good")
+def _close_zone(deployment: Deployment) -> str:
+    zones = sorted({item.minion.zone for item in _machines(deployment)})
+    if deployment.closed_zones or len(zones) == 1:
+        return ""
+    zone = deployment.rng.choice(zones)
+    deployment.closed_zones.add(zone)
+    return zone
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -48,7 +48,7 @@
             minion.incarnation,
             "svc",
             minion.zone,
-            ("a", minion.rack),
+            (minion.kind, minion.rack),
             replace(minion.resources),
             minion.draining,
             0,
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -64,6 +64,8 @@
         Time for which a member of a gang waits for the others.
     speed : float
         Work done per ms, in ms at speed 1.
+    kind : str
+        Label that steps may require.
     born_ms : int
         Start of the current incarnation.
     fails_all_runs : bool
@@ -103,6 +105,7 @@
     lease_ms: int
     gang_ms: int
     speed: float = 1.0
+    kind: str = "a"
     born_ms: int = 0
     draining: bool = False
     fails_all_runs: bool = False
--- /dev/null
+++ b/standins/batch/room_check.py
@@ -0,0 +1,242 @@
+"""Checks that no accepted job is left while room is free, as its callers measure it.
+
+A job is left if for `LEFT_MS` nothing of it runs although it has not ended, the turn
+of one of its steps has come, the minions have room for that step twice over, and less
+than half of the capacity is in use. It is judged by what callers are answered and what
+minions run, and only in calm stretches: each fault and each change of the fleet takes a
+while to be noticed. Preferences of racks are no reason to wait.
+"""
+
+from dataclasses import dataclass
+
+from kingcuppost.batch.systems.run_end_rule import certain_expiry_ms
+from kingcuppost.batch.tables.job import ENDED_STATES, JobState, StepSpec, TaskName
+from kingcuppost.batch.tables.messages import CallOutcome
+from kingcuppost.tables.identity import Role
+from standins.batch.deployment import Deployment
+from standins.batch.minions import Minion
+from standins.batch.room import busy_ratio, holds_step
+
+__all__ = ["RoomCheck"]
+
+LEFT_MS = 3_000
+ROOM_TIMES = 2
+MAX_BUSY_RATIO = 0.5
+PERIOD_MS = 100
+ASK_PERIOD_MS = 1_000
+# added to the time after which a lease has certainly expired: until the contact is
+# lost, another holder is found, and a placed run is started
+CALM_MARGIN_MS = 4_000
+
+
+@dataclass(slots=True)
+class WatchedJob:
+    """A submitted job, and what its caller knows of it.
+
+    Attributes
+    ----------
+    exchange_id, state_exchange_id : str
+        Exchanges of its submission, and of the newest request for its state.
+    asked_ms, answered_ms : int
+        Times of that request, and of the newest answer, in ms.
+    could_run_since_ms : int or None
+        Time since which nothing of it runs though it could; None if something does.
+    is_reported : bool
+        Whether its violation is reported.
+    """
+
+    id: str
+    priority: int
+    exchange_id: str
+    state_exchange_id: str = ""
+    asked_ms: int = 0
+    answered_ms: int = 0
+    state: JobState | None = None
+    could_run_since_ms: int | None = None
+    is_reported: bool = False
+
+
+class RoomCheck:
+    """Watches the jobs of a deployment, and adds ``LOST`` to its violations.
+
+    Attributes
+    ----------
+    jobs : dict of str to WatchedJob
+        The watched jobs.
+    calm_since_ms : int
+        Time since which nothing is disturbed and the fleet is the same.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self.jobs: dict[str, WatchedJob] = {}
+        self._cancelled: set[str] = set()
+        self._condition: tuple = ()
+        self.calm_since_ms = deployment.clock.now_ms()
+        self._calm_ms = certain_expiry_ms(deployment.bounds.lease_ms) + CALM_MARGIN_MS
+        self._observe()
+
+    def watch(self, job_id: str, priority: int, exchange_id: str) -> None:
+        """Watch a job that was just submitted."""
+        self.jobs[job_id] = WatchedJob(job_id, priority, exchange_id)
+
+    def forget(self, job_id: str) -> None:
+        """Watch a job no longer, since it is about to be cancelled."""
+        self._cancelled.add(job_id)
+
+    @property
+    def is_calm(self) -> bool:
+        """Return whether there was no disturbance for long enough."""
+        return self._deployment.clock.now_ms() - self.calm_since_ms >= self._calm_ms
+
+    def open_jobs(self) -> list[WatchedJob]:
+        """Return the accepted jobs that no caller knows as ended or has cancelled."""
+        return [
+            job
+            for job in self.jobs.values()
+            if self._is_accepted(job)
+            and job.state not in ENDED_STATES
+            and job.id not in self._cancelled
+        ]
+
+    def _is_accepted(self, job: WatchedJob) -> bool:
+        reply = self._deployment.replies.get(job.exchange_id)
+        return reply is not None and reply.outcome is CallOutcome.OK
+
+    def _observe(self) -> None:
+        self._note_disturbances()
+        open_jobs = self.open_jobs()
+        for job in open_jobs:
+            self._ask(job)
+        working = self._working_jobs()
+        minions = self._usable_minions()
+        is_free = busy_ratio(self._minions_up()) < MAX_BUSY_RATIO
+        for job in open_jobs:
+            could_run = (
+                is_free and job.id not in working and self._has_room(job, minions)
+            )
+            self._judge(job, could_run)
+        self._deployment.after(PERIOD_MS, self._observe)
+
+    # disturbances
+
+    def _note_disturbances(self) -> None:
+        condition = self._current_condition()
+        if condition != self._condition or self._is_core_disturbed():
+            self.calm_since_ms = self._deployment.clock.now_ms()
+        self._condition = condition
+
+    def _current_condition(self) -> tuple:
+        """Return the condition of all processes and minions; a change is a fault."""
+        deployment = self._deployment
+        processes = tuple(
+            (item.incarnation, item.is_up, item.is_frozen, item.is_cut_off)
+            for item in deployment.processes.values()
+        )
+        minions = tuple(
+            (
+                item.incarnation,
+                item.is_up,
+                item.draining,
+                item.receives_calls,
+                item.loses_heartbeats,
+                item.fails_all_runs,
+                item.hangs,
+            )
+            for item in deployment.minions.values()
+        )
+        return processes, minions, frozenset(deployment.closed_zones)
+
+    def _is_core_disturbed(self) -> bool:
+        """Return whether the log, the orders or an entry are disturbed."""
+        deployment = self._deployment
+        entries = [
+            item for item in deployment.processes.values() if item.role is Role.ENTRY
+        ]
+        return (
+            deployment.log_is_down
+            or deployment.log_delay_ms > 0
+            or deployment.lost_answer_ratio > 0
+            or deployment.late_order_ratio > 0
+            or any(
+                not item.is_up
+                or item.is_cut_off
+                or item.is_frozen
+                or item.is_rejected_by_log
+                for item in entries
+            )
+        )
+
+    # what callers and minions see
+
+    def _ask(self, job: WatchedJob) -> None:
+        """Take the answer on a job's state, and ask for it again."""
+        now_ms = self._deployment.clock.now_ms()
+        reply = self._deployment.replies.pop(job.state_exchange_id, None)
+        if reply is not None and reply.outcome is CallOutcome.OK:
+            job.state = reply.state
+            job.answered_ms = now_ms
+        if now_ms - job.asked_ms >= ASK_PERIOD_MS:
+            job.asked_ms = now_ms
+            job.state_exchange_id = self._deployment.ask_state(job.id, job.priority)
+
+    def _minions_up(self) -> list[Minion]:
+        return [item for item in self._deployment.minions.values() if item.is_up]
+
+    def _usable_minions(self) -> list[Minion]:
+        """Return the minions that their sidecars reach and that may be given work."""
+        deployment = self._deployment
+        return [
+            item.minion
+            for item in deployment.processes.values()
+            if item.minion is not None
+            and item.is_up
+            and not (item.is_frozen or item.is_cut_off)
+            and item.minion.receives_calls
+            and item.minion.sends_heartbeats
+            and not item.minion.draining
+            and item.minion.zone not in deployment.closed_zones
+        ]
+
+    def _working_jobs(self) -> set[str]:
+        return {
+            run.task.job for item in self._minions_up() for run in item.runs.values()
+        }
+
+    # judgement
+
+    def _has_room(self, job: WatchedJob, minions: list[Minion]) -> bool:
+        """Return whether one of a job's steps could run twice over."""
+        steps = self._deployment.steps[job.id]
+        open_steps = [
+            step for index, step in enumerate(steps) if not self._is_done(job, index)
+        ]
+        # if all ends are known, the job should be shown as ended
+        return any(
+            self._is_due(job, step) and holds_step(step, minions, ROOM_TIMES)
+            for step in open_steps or steps
+        )
+
+    def _is_due(self, job: WatchedJob, step: StepSpec) -> bool:
+        return all(self._is_done(job, needed) for needed in step.needs)
+
+    def _is_done(self, job: WatchedJob, step: int) -> bool:
+        count = self._deployment.steps[job.id][step].count
+        completed = self._deployment.checks.completed_tasks
+        return all(
+            TaskName(job.id, 0, step, index) in completed for index in range(count)
+        )
+
+    def _judge(self, job: WatchedJob, could_run: bool) -> None:
+        now_ms = self._deployment.clock.now_ms()
+        started_ms = self._deployment.checks.last_start_ms.get(job.id, 0)
+        if not could_run or not self.is_calm:
+            job.could_run_since_ms = None
+            return
+        since_ms = max(job.could_run_since_ms or now_ms, started_ms)
+        job.could_run_since_ms = since_ms
+        if now_ms - since_ms >= LEFT_MS and not job.is_reported:
+            job.is_reported = True
+            self._deployment.checks.violations.append(
+                f"LOST {job.id} could run since {since_ms} and does not"
+            )
