Judge by the whole service whether capacity is scarce

Callers saw a step with a label wait for the rack of its data while most of the service was idle: up to twice its estimate, where 2 s are the limit while capacity is plentiful. Cause: plentiful was judged by the minions that may run the unit. With a rare label, a closed zone or a draining minion half of these few are soon in use. Now all minions of the service count, as in what callers were promised.

Ruled out: the wait's begin (the row of the wait has had room from its first decision on), the expected release (the rack would be free within the gain).

--- a/kingcuppost/batch/systems/patience.py
+++ b/kingcuppost/batch/systems/patience.py
@@ -17,9 +17,10 @@
 from kingcuppost.batch.systems.placement import Candidate, add_resources, fits_now
 from kingcuppost.batch.systems.release_times import expected_release_ms
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
-from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.systems.units import PlacementUnit, service_capacity
 from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.waiting import StepName
+from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["waits_for_other_minions", "waits_for_rack"]
 
@@ -50,7 +51,7 @@
     waited_ms = decision.now_ms - _room_since_ms(decision, unit)
     gain_ms = _gain_ms(decision, unit)
     limit_ms = gain_ms
-    if _is_plentiful(unit, candidates):
+    if _is_plentiful(decision, unit, candidates):
         limit_ms = min(gain_ms, PLENTIFUL_WAIT_MS)
     if waited_ms >= limit_ms:
         return False
@@ -82,7 +83,7 @@
         All minions where it may run.
     """
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
-    if _is_plentiful(unit, candidates):
+    if _is_plentiful(decision, unit, candidates):
         plentiful_until_ms = _room_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
         until_ms = min(until_ms, plentiful_until_ms)
     if decision.now_ms >= until_ms:
@@ -99,16 +100,32 @@
     return wait.room_since_ms
 
 
-def _is_plentiful(unit: PlacementUnit, candidates: list[Candidate]) -> bool:
-    """Return whether the candidates hold a unit several times, and work little."""
+def _is_plentiful(
+    decision: Decision, unit: PlacementUnit, candidates: list[Candidate]
+) -> bool:
+    """Return whether the candidates hold a unit several times, and its service is idle.
+
+    All minions of the service count, also those that may not run the unit.
+    """
     if not fits_now(unit.spec, candidates, PLENTIFUL_TIMES):
         return False
-    total, free = Resources(), Resources()
-    for candidate in candidates:
-        add_resources(total, candidate.minion.resources)
-        add_resources(free, candidate.free_now)
-    free_ratio = max(
-        free.cpu_millis / max(total.cpu_millis, 1),
-        free.accelerators / max(total.accelerators, 1),
-    )
-    return free_ratio > MIN_FREE_RATIO
+    return _free_ratio(decision.world, unit.plan.job.policy.service) > MIN_FREE_RATIO
+
+
+def _free_ratio(world: BatchWorld, service: str) -> float:
+    """Return the free share of a service's processors or accelerators; the larger."""
+    total = service_capacity(world, service)
+    used = Resources()
+    for minion in world.schedule.minions:
+        load = world.schedule.loads.get(minion.incarnation)
+        if load is not None and service in ("", minion.service):
+            add_resources(used, load.used)
+    used_ratios = [
+        used_amount / total_amount
+        for used_amount, total_amount in (
+            (used.cpu_millis, total.cpu_millis),
+            (used.accelerators, total.accelerators),
+        )
+        if total_amount
+    ]
+    return 1 - min(used_ratios, default=0.0)
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -18,6 +18,7 @@
     "PlacementUnit",
     "find_guaranteed_jobs",
     "iter_units",
+    "service_capacity",
     "task_core_equivalents",
     "urgency_rank",
 ]
@@ -131,7 +132,7 @@
             continue
         service = plan.job.policy.service
         if service not in capacities:
-            capacities[service] = _service_capacity(world, service)
+            capacities[service] = service_capacity(world, service)
         capacity = capacities[service]
         for unit in _iter_job_units(plan, urgency_rank(plan, guaranteed_ids)):
             unit.timeliness = assess_timeliness(plan, unit.step, capacity, wall_ms)
@@ -139,7 +140,7 @@
             yield unit
 
 
-def _service_capacity(world: BatchWorld, service: str) -> Resources:
+def service_capacity(world: BatchWorld, service: str) -> Resources:
     """Return the capacity of all minions of a service, or of all if it is empty."""
     total = Resources()
     for minion in world.schedule.minions:
--- a/standins/batch/tests/test_preferences.py
+++ b/standins/batch/tests/test_preferences.py
@@ -4,6 +4,7 @@
 
 from kingcuppost.batch.tables.job import StepSpec
 from standins.batch import Deployment
+from standins.batch.fleets import MinionSpec
 from standins.batch.tests.test_jobs import make_ready_deployment
 
 LONG_MS = 120_000
@@ -123,6 +124,23 @@
     assert len(set(racks_of(deployment, job_id))) == 1
 
 
+@pytest.mark.parametrize("priority", PRIORITIES)
+def test_a_step_starts_though_most_minions_with_its_label_are_busy(
+    priority: int,
+) -> None:
+    """Whether capacity is scarce was judged by the minions of its label alone."""
+    labelled = [MinionSpec(f"m-{i}", "zone-0", "r0-1", kind="b") for i in range(3)]
+    others = [MinionSpec(f"m-{i}", "zone-1", "r1-1", kind="b") for i in range(3, 5)]
+    rest = [MinionSpec(f"m-{i}", "zone-2", "r2-1") for i in range(5, 16)]
+    deployment = Deployment(1, fleet=(*labelled, *others, *rest))
+    deployment.run_for(3_000)
+    for _ in range(3):
+        occupy(deployment, "r0-1", WHOLE, 7_000)
+    step = StepSpec(1, accelerators=8, label="b", rack="r0-1", estimate_ms=4_000)
+    job_id, _ = deployment.submit((step,), [4_000], priority)
+    assert starts_within(deployment, job_id, 1, LOST_MS)
+
+
 def test_a_gang_waits_longer_for_a_rack_while_capacity_is_scarce() -> None:
     deployment = make_racks(2)
     for minion in deployment.minions.values():
