--- a/standins/batch/room.py
+++ b/standins/batch/room.py
@@ -68,10 +68,10 @@
     That of the processors or of the accelerators, whichever is smaller: capacity is
     wasted if either lies idle.
     """
-    total_cpu_millis = sum(minion.resources.cpu_millis for minion in minions)
-    total_accelerators = sum(minion.resources.accelerators for minion in minions)
-    used = [_used(minion) for minion in minions]
-    return min(
-        sum(item.cpu_millis for item in used) / max(total_cpu_millis, 1),
-        sum(item.accelerators for item in used) / max(total_accelerators, 1),
-    )
+    ratios = []
+    for name in ("cpu_millis", "accelerators"):
+        total = sum(getattr(minion.resources, name) for minion in minions)
+        used = sum(getattr(_used(minion), name) for minion in minions)
+        if total:
+            ratios.append(used / total)
+    return min(ratios, default=0.0)
