--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -36,7 +36,7 @@
     starts : int
         Number of all starts.
     last_start_ms : dict of str to int
-        Time of the newest start of a run of each job, in ms.
+        Time of the newest start of a single task of each job, in ms.
     ends : dict of RunEnd to int
         Number of run ends of each kind.
     task_counts : dict of str to list of int
@@ -97,10 +97,11 @@
     ) -> None:
         """Record the start of a run and check that it was allowed."""
         self.starts += 1
-        self.last_start_ms[task.job] = self.now_ms()
         if task.job not in self.task_counts:
             self.violations.append(f"UNASKED {task} run {run} at {minion}")
             return
+        if not self.gangs[task.job][task.step]:
+            self.last_start_ms[task.job] = self.now_ms()
         cancelled_ms = self.cancelled.get(task.job)
         if cancelled_ms is not None and self.now_ms() - cancelled_ms > CANCEL_GRACE_MS:
             self.violations.append(f"UNASKED {task} run {run} after its cancelling")
--- a/standins/batch/fleet_changes.py
+++ b/standins/batch/fleet_changes.py
@@ -7,7 +7,7 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.utils.registry import Registry
 from standins.batch.deployment import Deployment
-from standins.batch.fleets import make_random_minion
+from standins.batch.fleets import KIND, RARE_KIND, make_random_minion
 from standins.batch.process import Process
 
 __all__ = ["fleet_changes"]
@@ -125,6 +125,51 @@
     return _join_names(chosen)
 
 
+@fleet_changes.register("return as another kind in another rack")
+def _return_elsewhere(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    racks = sorted({item.minion.rack for item in _machines(deployment)})
+    for machine in chosen:
+        minion = machine.minion
+        minion.crash()
+        minion.kind = RARE_KIND if minion.kind == KIND else KIND
+        minion.rack = deployment.rng.choice(racks)
+        new_id = f"m-new-{next(deployment.sequence_numbers)}"
+        deployment.after(
+            DOWN_MS, lambda minion=minion, new_id=new_id: minion.restart(0, new_id)
+        )
+    return _join_names(chosen)
+
+
+@fleet_changes.register("power lost everywhere, some machines stay off")
+def _lose_power(deployment: Deployment) -> str:
+    machines = _machines(deployment)
+    spare = max(len(machines) - MIN_MINIONS, 0)
+    off = machines[: deployment.rng.randint(0, min(spare, MAX_LOST_TOGETHER))]
+    for process in list(deployment.processes.values()):
+        was_up = process.is_up
+        deployment.kill(process.name)
+        is_minion_up = process.minion is not None and process.minion.is_up
+        if is_minion_up:
+            process.minion.crash()
+        if was_up and process not in off:
+            deployment.after(
+                DOWN_MS,
+                lambda process=process, is_minion_up=is_minion_up: _power_on(
+                    deployment, process, is_minion_up
+                ),
+            )
+    return _join_names(off)
+
+
+def _power_on(deployment: Deployment, process: Process, with_minion: bool) -> None:
+    if process.is_up:
+        return
+    if with_minion and not process.minion.is_up:
+        process.minion.restart()
+    deployment.start(process.name)
+
+
 @fleet_changes.register("drain and leave")
 def _drain(deployment: Deployment) -> str:
     chosen = _pick(deployment)
--- a/standins/batch/fleets.py
+++ b/standins/batch/fleets.py
@@ -6,6 +6,9 @@
 from kingcuppost.batch.tables.fleet import Resources
 
 __all__ = [
+    "KIND",
+    "RARE_KIND",
+    "WHOLE",
     "MinionSpec",
     "make_default_fleet",
     "make_random_fleet",
