Withdraw runs that are placed and do not begin, or vanish

Callers saw an accepted job of which nothing ran while most minions were idle: a task that was placed at a minion which answers its lists, and refuses or ignores orders, stayed placed there for ever, also once the minion drained. A gang with a member there was placed on such minions again and again, and its other members ended as alone.

Cause: only runs that a minion had confirmed were monitored. A start that was answered as busy, or not at all, was repeated without a limit; one that was accepted counted as running whatever later lists said; a draining minion got neither the start again nor a stop.

Ruled out: giving a start back after a time alone. A copy without an answer may be carried out seconds later, beside the run that is placed next. Ending the contact with such a minion would be safe, but ends all other runs there and takes a lease's length.

Change: the sidecar withdraws a start that is not accepted within a quarter of gang_ms, or that lists requested after its acceptance lack, or at a draining minion. It is given back at once if it was never sent or only ever answered as busy, and stopped otherwise. Starts carry a deadline of half of gang_ms in place of the lease's end, so that copies are void soon: if stops get no answer either, the run is given back once lists lack it that were requested after each deadline had passed on the minion's clock. The requests for the lists extend the lease as before. A sidecar that was restarted stops before it gives back, while copies of starts by the earlier process may be valid. A reply to a report from before a refusal does not start the run again. The holder stops runs that reports lack, lets their tasks avoid the minion, and leaves it out of placement for 1 s, 2 s and 4 s as that repeats.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -30,6 +30,7 @@
     Role.SIDECAR: (
         "sidecar_heartbeats",
         "sidecar_inbox",
+        "start_withdrawal",
         "minion_requests",
         "report_sending",
         "shutdown",
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -1,7 +1,11 @@
 """Requests of a sidecar to its minion: run lists and lease, starts and stops."""
 
-from kingcuppost.batch.systems.minion_clock import remaining_lease_ms
+from kingcuppost.batch.systems.minion_clock import (
+    minion_time_ms,
+    remaining_lease_ms,
+)
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.start_limits import start_validity_ms
 from kingcuppost.batch.tables.messages import (
     HoldMinion,
     StartRun,
@@ -86,7 +90,7 @@
             continue
         if run.should_stop:
             _send_stop(world, run)
-        elif not run.start_accepted:
+        elif run.start_accepted_ms is None:
             _send_start(world, run, now_ms)
 
 
@@ -107,19 +111,23 @@
 def _send_start(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
     """Send a start, unless the minion lease is about to end or the minion is draining.
 
-    A draining minion still receives a start of which an earlier copy may be carried
-    out late, so that the outcome becomes known. After a failed request for the lists,
-    starts wait for one that succeeds: another incarnation may listen there, and would
-    carry them out.
+    After a failed request for the lists, starts wait for one that succeeds: another
+    incarnation may listen there, and would carry them out.
+
+    The start is valid for less than the lease, so that a late copy is void early; the
+    requests for the lists extend the lease.
     """
     sidecar_state = world.sidecar_state
     remaining_ms = remaining_lease_ms(sidecar_state, now_ms)
     if remaining_ms is None or remaining_ms < MIN_START_LEASE_MS:
         return
-    if sidecar_state.hold_failed:
-        return
-    if sidecar_state.minion.draining and not run.may_still_start:
+    if sidecar_state.hold_failed or sidecar_state.minion.draining:
         return
+    valid_until_ms = minion_time_ms(sidecar_state, now_ms) + start_validity_ms(
+        world.cfg.bounds
+    )
+    deadline_ms = min(sidecar_state.lease_until_ms, valid_until_ms)
+    run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
     run.is_order_pending = True
     world.outbox.put(
         StartRun(
@@ -127,6 +135,6 @@
             sidecar_state.minion.incarnation,
             sidecar_state.term,
             run.order,
-            sidecar_state.lease_until_ms,
+            deadline_ms,
         )
     )
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -189,6 +189,7 @@
     task.placed_ms = world.clock.wall_ms()
     task.plan_version = plan.version
     task.start_sent_ms = None
+    task.reported_ms = None
     task.confirmed = False
     task.running_since_ms = None
     task.stop_sent_ms = None
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -3,7 +3,12 @@
 A run counts as ended only on one of these:
 
 - The minion lists its end.
-- The minion has refused it, and no copy of its start can be carried out any more.
+- The minion has refused it, and no copy of its start can be carried out any more. A
+  start that was answered as busy, and never otherwise, has not been carried out. The
+  same holds for one that was never sent.
+- The minion does not list it, and no copy of its start can be carried out any more:
+  either the minion accepted a stop before these lists were requested, or it answers no
+  stop, and the deadline of each copy had passed on the minion's clock by then.
 - The lease of the minion incarnation has certainly expired on the minion's clock.
 - Another incarnation has answered in its place, and no copy of the run's start can be
   carried out there. An order names the minion's identifier only, so an incarnation with
@@ -17,7 +22,12 @@
 
 An order to start comes with the reply that extends the lease for it, and is void once
 that lease has expired: the holder may have given the run up, and placed it elsewhere,
-before the lease is extended again.
+before the lease is extended again. Each copy of a start has a deadline, which is much
+shorter than the lease, so that a copy that is carried out late is bounded in time.
+
+A sidecar that was restarted does not know what an earlier process has sent. For as long
+as such copies may be valid, a refusal ends no run; the run is stopped first. The same
+holds for a run that it was ordered to stop, and not to start.
 
 A message about the minion that the minion does not confirm is no evidence either. A
 heartbeat may be late, or come from another writer; `heartbeat_source` tells what a
@@ -31,6 +41,7 @@
 
 from enum import StrEnum
 
+from kingcuppost.batch.systems.start_limits import start_validity_ms
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
@@ -51,6 +62,8 @@
     "is_absence_final",
     "is_in_contact",
     "is_refusal_final",
+    "is_void_at",
+    "may_be_started_by_earlier",
     "may_reach_successor",
 ]
 
@@ -191,9 +204,34 @@
     return not run.may_still_start
 
 
-def is_absence_final(run: OrderedRun, lists: HoldMinionAnswered) -> bool:
+def may_be_started_by_earlier(
+    cfg: DaemonConfig, process_started_ms: int, now_ms: int
+) -> bool:
+    """Return whether a start by an earlier process of a sidecar may be carried out."""
+    validity_ms = certain_expiry_ms(start_validity_ms(cfg.bounds))
+    return now_ms < process_started_ms + validity_ms
+
+
+def is_absence_final(
+    run: OrderedRun, lists: HoldMinionAnswered, clock_before_ms: int | None
+) -> bool:
     """Return whether a run that is missing from lists can't begin any more.
 
-    After it has accepted a stop, a minion refuses the start of the run.
+    After it has accepted a stop, a minion refuses the start of the run. It also refuses
+    a start whose deadline has passed; that counts only if it answers no stop.
+
+    Parameters
+    ----------
+    clock_before_ms : int or None
+        Time on the minion's clock that was read before the lists were requested.
     """
-    return run.stop_accepted_ms is not None and lists.sent_ms > run.stop_accepted_ms
+    if run.stop_accepted_ms is not None:
+        return lists.sent_ms > run.stop_accepted_ms
+    return run.is_stop_unanswered and is_void_at(run, clock_before_ms)
+
+
+def is_void_at(run: OrderedRun, clock_ms: int | None) -> bool:
+    """Return whether all copies of a start are void at a time on the minion's clock."""
+    if clock_ms is None or run.start_deadline_ms is None:
+        return False
+    return clock_ms > run.start_deadline_ms
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,4 +1,4 @@
-"""Monitoring of runs: stops those that are stalled, slow or on draining minions."""
+"""Monitoring of runs: stops those that are stalled, slow, unlisted or to be moved."""
 
 from kingcuppost.batch.systems.plans import request_stop, request_stops
 from kingcuppost.batch.systems.registry import Phase, system
@@ -9,6 +9,10 @@
 )
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.systems.unstarted_runs import (
+    is_unlisted,
+    withdraw_unlisted_run,
+)
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld
@@ -48,8 +52,11 @@
         _record_checkpoints(world)
     for minion in schedule.minions:
         for plan, task in placed_runs(schedule, minion.incarnation):
-            is_checked = task.confirmed and not task.stopping
-            if is_checked and plan.phase is PlanPhase.OPEN:
+            if task.stopping or plan.phase is not PlanPhase.OPEN:
+                continue
+            if is_unlisted(world, minion, task):
+                withdraw_unlisted_run(world, minion, plan, task, now_ms)
+            elif task.confirmed:
                 _check_run(world, minion, plan, task, now_ms)
 
 
--- a/kingcuppost/batch/systems/sidecar_heartbeats.py
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -152,7 +152,9 @@
         return {}
     running = {(str(run.task), run.run) for run in lists.running}
     return {
-        key: OrderedRun(run.order, should_stop=True)
+        key: OrderedRun(
+            run.order, lists.received_ms, may_still_start=True, should_stop=True
+        )
         for key, run in sidecar_state.ordered_runs.items()
         if may_reach_successor(run) and key not in running
     }
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -6,23 +6,28 @@
     is_absence_final,
     is_in_contact,
     is_refusal_final,
+    may_be_started_by_earlier,
 )
 from kingcuppost.batch.systems.sidecar_heartbeats import (
     confirm_successor,
     remove_minion,
 )
+from kingcuppost.batch.systems.start_limits import start_validity_ms
+from kingcuppost.batch.systems.start_withdrawal import (
+    STOPPED,
+    record_refusal,
+    withdraw_start,
+)
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
     HoldMinionAnswered,
     OrderAnswered,
     OrderOutcome,
     RecordsRead,
-    RefusedRun,
     RunningRun,
     StartOrder,
     StopOrder,
     SyncAnswered,
-    SyncReply,
 )
 from kingcuppost.batch.tables.world import BatchWorld, OrderedRun, SidecarState
 from kingcuppost.tables.config import Address
@@ -39,6 +44,7 @@
 NO_HOLDER_PAUSE_MS = 250
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
+NOT_LISTED = "the minion does not list the run"
 SIDECAR_ROLES = (Role.SIDECAR,)
 
 
@@ -62,8 +68,8 @@
             _handle_list_failure(world, lists, now_ms)
             continue
         sidecar_state.contact_ms = lists.received_ms
-        _update_minion_clock(sidecar_state, lists)
         _update_running(world, lists, now_ms)
+        _update_minion_clock(sidecar_state, lists)
         for ended in lists.ended:
             if (
                 ended.number > sidecar_state.acknowledged_end
@@ -102,8 +108,8 @@
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
     """Update the running runs from the minion's lists.
 
-    A run that is missing from lists that were requested after the minion accepted its
-    stop never began, and is reported as refused.
+    A run that is missing from lists has not begun, or has been lost without an end,
+    unless its start was accepted after the lists were requested.
     """
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
@@ -112,30 +118,46 @@
     if not sidecar_state.listed:
         sidecar_state.listed = True
         sidecar_state.is_report_due = True
+    earlier = sidecar_state.running
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
-    listed_ended_keys = {(str(end.task), end.run) for end in lists.ended}
+    known_keys = (
+        sidecar_state.running.keys()
+        | {(str(end.task), end.run) for end in lists.ended}
+        | _ended_run_keys(sidecar_state)
+    )
     for key, run in list(sidecar_state.ordered_runs.items()):
-        if (
-            is_absence_final(run, lists)
-            and key not in sidecar_state.running
-            and key not in listed_ended_keys
-            and key not in _ended_run_keys(sidecar_state)
-        ):
-            _record_refusal(world, run, "stopped")
+        if key not in known_keys:
+            _handle_absence(world, run, lists, earlier.get(key))
 
 
-def _ended_run_keys(sidecar_state: SidecarState) -> set[tuple[str, int]]:
-    return {(str(end.task), end.run) for end in sidecar_state.ended.values()}
-
+def _handle_absence(
+    world: BatchWorld,
+    run: OrderedRun,
+    lists: HoldMinionAnswered,
+    earlier: RunningRun | None,
+) -> None:
+    """Withdraw an ordered run that lists lack, or keep it if they may be too old.
 
-def _record_refusal(world: BatchWorld, run: OrderedRun, reason: str) -> None:
-    """Record for the next report that a run never began and cannot begin later."""
+    Parameters
+    ----------
+    earlier : RunningRun or None
+        The run as it was known before, if it was taken for running.
+    """
     sidecar_state = world.sidecar_state
-    key = (str(run.order.task), run.order.run)
-    sidecar_state.ordered_runs.pop(key, None)
-    sidecar_state.refused[key] = RefusedRun(run.order.task, run.order.run, reason)
-    sidecar_state.is_report_due = True
-    world.note("run", "A run was refused.", task=key[0], run=key[1], reason=reason)
+    if is_absence_final(run, lists, sidecar_state.minion_clock_ms):
+        record_refusal(world, run, run.stop_reason or STOPPED)
+    elif run.start_accepted_ms is None:
+        return
+    elif lists.sent_ms > run.start_accepted_ms:
+        run.may_still_start = True
+        withdraw_start(world, run, NOT_LISTED, lists.received_ms)
+    elif earlier is not None:
+        key = (str(run.order.task), run.order.run)
+        sidecar_state.running[key] = earlier
+
+
+def _ended_run_keys(sidecar_state: SidecarState) -> set[tuple[str, int]]:
+    return {(str(end.task), end.run) for end in sidecar_state.ended.values()}
 
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=60)
@@ -164,7 +186,7 @@
 ) -> None:
     key = (str(answer.task), answer.run)
     if answer.outcome is OrderOutcome.DONE:
-        run.start_accepted = True
+        run.start_accepted_ms = now_ms
         world.sidecar_state.running.setdefault(
             key, RunningRun(answer.task, answer.run, run.order.checkpoint, 0)
         )
@@ -182,7 +204,7 @@
     if answer.outcome is not OrderOutcome.REFUSED:
         run.retry_ms = now_ms + RETRY_MS
     elif is_refusal_final(run):
-        _record_refusal(world, run, answer.reason)
+        record_refusal(world, run, answer.reason)
     else:
         run.should_stop = True
 
@@ -193,6 +215,7 @@
     if answer.outcome is OrderOutcome.DONE:
         run.stop_accepted_ms = now_ms
         return
+    run.is_stop_unanswered = True
     run.retry_ms = now_ms + RETRY_MS
 
 
@@ -219,7 +242,18 @@
             if may_extend:
                 _withdraw_starts_of_expired_lease(sidecar_state, now_ms)
                 _extend_lease(world, answer)
-            _apply_orders(world, reply, may_start=may_extend)
+            _apply_orders(world, answer, may_extend, now_ms)
+    _forget_refusals(world.sidecar_state)
+
+
+def _forget_refusals(sidecar_state: SidecarState) -> None:
+    """Forget the refused runs that no answer to a report may order to start again."""
+    oldest_sync = min(
+        sidecar_state.unanswered_syncs, default=sidecar_state.sync_number + 1
+    )
+    refused_at_sync = sidecar_state.refused_at_sync
+    for key in [key for key in refused_at_sync if refused_at_sync[key] < oldest_sync]:
+        del refused_at_sync[key]
 
 
 def _update_entries(
@@ -278,7 +312,7 @@
     if remaining_ms is None or remaining_ms > 0:
         return
     for run in sidecar_state.ordered_runs.values():
-        if not run.start_accepted:
+        if run.start_accepted_ms is None:
             run.should_stop = True
 
 
@@ -292,9 +326,12 @@
     sidecar_state.lease_until_ms = max(sidecar_state.lease_until_ms or 0, until_ms)
 
 
-def _apply_orders(world: BatchWorld, reply: SyncReply, may_start: bool) -> None:
+def _apply_orders(
+    world: BatchWorld, answer: SyncAnswered, may_start: bool, now_ms: int
+) -> None:
     """Apply the orders of a reply; starts only if it extends the lease for them."""
     sidecar_state = world.sidecar_state
+    reply = answer.reply
     if reply.noted > sidecar_state.acknowledged_end:
         sidecar_state.acknowledged_end = reply.noted
         for number in [
@@ -306,22 +343,42 @@
     for settled in reply.settled:
         sidecar_state.refused.pop((str(settled.task), settled.run), None)
     reported_keys = _ended_run_keys(sidecar_state) | set(sidecar_state.refused)
+    # an answer to a report from before the refusal may still order the start
+    unstartable_keys = reported_keys | set(sidecar_state.refused_at_sync)
     for order in reply.starts if may_start else ():
         key = (str(order.task), order.run)
-        if key not in reported_keys and key not in sidecar_state.running:
-            sidecar_state.ordered_runs.setdefault(key, OrderedRun(order))
+        if key not in unstartable_keys and key not in sidecar_state.running:
+            sidecar_state.ordered_runs.setdefault(
+                key, _make_ordered_run(world, order, now_ms)
+            )
     for stop in reply.stops:
-        _apply_stop(sidecar_state, stop, reported_keys)
+        _apply_stop(sidecar_state, stop, reported_keys, now_ms)
+
+
+def _make_ordered_run(world: BatchWorld, order: StartOrder, now_ms: int) -> OrderedRun:
+    """Return a run to start; an earlier process of the sidecar may have started it."""
+    run = OrderedRun(order, now_ms)
+    if may_be_started_by_earlier(world.cfg, world.started_ms, now_ms):
+        run.may_still_start = True
+        clock_ms = minion_time_ms(world.sidecar_state, now_ms)
+        if clock_ms is not None:
+            run.start_deadline_ms = clock_ms + start_validity_ms(world.cfg.bounds)
+    return run
 
 
 def _apply_stop(
-    sidecar_state: SidecarState, stop: StopOrder, reported_keys: set[tuple[str, int]]
+    sidecar_state: SidecarState,
+    stop: StopOrder,
+    reported_keys: set[tuple[str, int]],
+    now_ms: int,
 ) -> None:
+    """Stop a run; one that is not known here may have been started before."""
     key = (str(stop.task), stop.run)
     if key in reported_keys:
         return
+    order = StartOrder(stop.task, stop.run, "", "")
     run = sidecar_state.ordered_runs.setdefault(
-        key, OrderedRun(StartOrder(stop.task, stop.run, "", ""))
+        key, OrderedRun(order, now_ms, may_still_start=True)
     )
     run.should_stop = True
 
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -92,6 +92,8 @@
     world.schedule.reported_results.pop(call.sidecar, None)
     for _, task in starts.get(incarnation, ()):
         task.start_sent_ms = now_ms
+        if task.reported_ms is None:
+            task.reported_ms = now_ms
     for _, task in stops.get(incarnation, ()):
         task.stop_sent_ms = now_ms
     for orphan in orphans:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -14,6 +14,7 @@
 )
 from kingcuppost.batch.systems.speeds import update_speed
 from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.systems.unstarted_runs import avoid_after_refusal
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
@@ -37,7 +38,6 @@
 
 __all__ = ["adopt_jobs", "handle_sidecar_reports"]
 
-REFUSAL_PAUSE_MS = 1_000
 FULL_PERCENT = 100
 
 
@@ -102,6 +102,8 @@
     else:
         minion = _find_silent_minion(world, call, old)
     if minion is not None and call.minion.listed:
+        if extends_lease(call.minion):
+            minion.listed_ms = now_ms
         _handle_run_lists(world, call, minion, now_ms)
 
 
@@ -232,6 +234,7 @@
         task.initial_percent = running.percent
         task.percent_changed_ms = now_ms
     task.confirmed = True
+    task.reported_ms = now_ms
     if running.percent != task.percent:
         task.percent = running.percent
         task.percent_changed_ms = now_ms
@@ -305,6 +308,7 @@
     now_ms: int,
 ) -> None:
     """Update a minion's speed and reliability from the end of a run."""
+    minion.unstarted_runs = 0
     if ended.run_end is RunEnd.DONE:
         if not plan.job.steps[task.name.step].gang:
             # not for gangs: a member may have waited for the others after its own work
@@ -325,15 +329,13 @@
 ) -> None:
     """Withdraw a run that never began, or that was lost with an earlier incarnation.
 
-    Its minion is assigned no runs for `REFUSAL_PAUSE_MS`, unless the run was to be
-    stopped anyway.
+    Its minion is left out for a while, unless the run was to be stopped anyway.
     """
     found = _find_current_run(world, minion.incarnation, refused.task, refused.run)
     if found is None:
         return
     plan, task = found
-    if not task.stopping:
-        minion.backoff_until_ms = now_ms + REFUSAL_PAUSE_MS
+    avoid_after_refusal(world, minion, plan, task, refused.reason, now_ms)
     run_end, reason = RunEnd.REFUSED, refused.reason
     if task.was_lost:
         run_end, reason = RunEnd.LOST, NEW_INCARNATION
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -173,8 +173,13 @@
         Jobs with failed runs here since the last completed one.
     failed_ms : int
         Time of the last failed run here.
+    listed_ms : int
+        Time of the newest report of its runs that was in contact with it.
+    unstarted_runs : int
+        Number of times that runs did not begin here since one last ended.
     backoff_until_ms : int
-        Time until which no runs are placed on it after it refused one.
+        Time until which no runs are placed on it after it refused one or one did not
+        begin.
     is_unreachable : bool
         Whether its sidecar has stopped reporting or has lost contact with it.
     has_completed_run : bool
@@ -196,6 +201,8 @@
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     failed_ms: int = 0
+    listed_ms: int = 0
+    unstarted_runs: int = 0
     backoff_until_ms: int = 0
     is_unreachable: bool = False
     has_completed_run: bool = False
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -317,6 +317,9 @@
         Version of the plan that placed the run.
     start_sent_ms : int or None
         Time at which the start was last sent to the sidecar.
+    reported_ms : int or None
+        Time of the newest report of the run; before the first, time at which its start
+        was first sent; None before that.
     confirmed : bool
         Whether the minion has reported the run.
     running_since_ms : int or None
@@ -341,7 +344,7 @@
     last_failed_run : int
         Newest run of the gang that was counted as failed; set at its first member.
     avoided_minions : set of str
-        Minions where a run of it failed, made no progress or was slow.
+        Minions where a run of it failed, did not begin, made no progress or was slow.
     avoid_until_ms : int
         Time until which it waits for other minions rather than run on one of those.
     reserved_incarnation : MinionIncarnation or None
@@ -361,6 +364,7 @@
     checkpoint_ms: int = 0
     plan_version: int = 0
     start_sent_ms: int | None = None
+    reported_ms: int | None = None
     confirmed: bool = False
     running_since_ms: int | None = None
     stopping: bool = False
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -252,15 +252,16 @@
 
     Attributes
     ----------
-    lease_until_ms : int
-        End of the minion lease, on the minion's clock.
+    deadline_ms : int
+        Time on the minion's clock after which it does not carry out the start, and
+        until which it extends its lease at least.
     """
 
     address: Address
     incarnation: MinionIncarnation
     term: int
     order: StartOrder
-    lease_until_ms: int
+    deadline_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -23,24 +23,37 @@
     ----------
     is_order_pending : bool
         Whether an order to the minion is not answered yet.
+    ordered_ms : int
+        Time at which the sidecar received the order.
     retry_ms : int
         Earliest time at which the order is sent again.
-    start_accepted : bool
-        Whether the minion has accepted the start.
+    start_accepted_ms : int or None
+        Time at which the minion accepted the start.
     may_still_start : bool
         Whether a start whose outcome is unknown may still be carried out.
+    start_deadline_ms : int or None
+        Time on the minion's clock after which no copy of the start that was sent so far
+        is carried out; None if it is unknown.
     should_stop : bool
         Whether the run is to be stopped.
+    stop_reason : str
+        Why the sidecar itself withdrew the start; empty if it did not.
+    is_stop_unanswered : bool
+        Whether a stop was sent that the minion has not accepted.
     stop_accepted_ms : int or None
         Time at which the minion accepted the stop.
     """
 
     order: StartOrder
+    ordered_ms: int
     is_order_pending: bool = False
     retry_ms: int = 0
-    start_accepted: bool = False
+    start_accepted_ms: int | None = None
     may_still_start: bool = False
+    start_deadline_ms: int | None = None
     should_stop: bool = False
+    stop_reason: str = ""
+    is_stop_unanswered: bool = False
     stop_accepted_ms: int | None = None
 
 
@@ -86,6 +99,9 @@
         Ends of runs that are not yet known to be in the log, by number.
     ordered_runs : dict of tuple of str and int to OrderedRun
         Ordered runs that have neither ended nor been refused, by task and run.
+    refused_at_sync : dict of tuple of str and int to int
+        Number of the newest report at the time when a run was refused, by task and run,
+        while an answer to that report or an earlier one may still order its start.
     term : int
         Newest scheduling term of which the sidecar knows; 0 if none.
     sync_number : int
@@ -135,6 +151,7 @@
     ended: dict[int, EndedRun] = field(default_factory=dict)
     refused: dict[tuple[str, int], RefusedRun] = field(default_factory=dict)
     ordered_runs: dict[tuple[str, int], OrderedRun] = field(default_factory=dict)
+    refused_at_sync: dict[tuple[str, int], int] = field(default_factory=dict)
     term: int = 0
     sync_number: int = 0
     unanswered_syncs: dict[int, bool] = field(default_factory=dict)
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -308,6 +308,8 @@
         Settings of the process.
     incarnation : str
         Identifier of this start of the process.
+    started_ms : int
+        Time at which the process started.
     log_lines : list of LogLine
         Log lines that are not written yet.
     stopping : bool
@@ -340,6 +342,10 @@
     pending_calls: dict[str, PendingCall] = field(default_factory=dict)
     sidecar_state: SidecarState = field(default_factory=SidecarState)
     queue_order: str = "deadline"
+    started_ms: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.started_ms = self.clock.now_ms()
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
         """Add a line to the process's log."""
--- a/kingcuppost/platform/minion_orders.py
+++ b/kingcuppost/platform/minion_orders.py
@@ -43,7 +43,7 @@
         "task": str(order.task),
         "run": order.run,
         "spec": order.spec,
-        "deadlineMs": message.lease_until_ms,
+        "deadlineMs": message.deadline_ms,
         "fencingToken": message.term,
     }
     if order.checkpoint:
--- a/standins/batch/minion_faults.py
+++ b/standins/batch/minion_faults.py
@@ -21,6 +21,7 @@
 SHORT_SILENCE_MS = 2_500
 LONG_SILENCE_MS = 9_000
 LATE_ORDERS_MS = 1_500
+SICK_MS = 12_000
 OTHER_ADDRESS = Address("10.1.0.9", 7001)
 HIGH_SEQUENCE = 10**9
 
@@ -126,6 +127,38 @@
     set_temporarily(deployment, [deployment], "late_order_ratio", 0.5, LATE_ORDERS_MS)
 
 
+@minion_faults.register("starts are answered as busy")
+def _answer_starts_as_busy(deployment: Deployment, process: Process) -> None:
+    set_temporarily(deployment, [process.minion], "is_busy_for_starts", True, SICK_MS)
+
+
+@minion_faults.register("starts and stops are answered as busy")
+def _answer_orders_as_busy(deployment: Deployment, process: Process) -> None:
+    for name in ("is_busy_for_starts", "is_busy_for_stops"):
+        set_temporarily(deployment, [process.minion], name, True, SICK_MS)
+
+
+@minion_faults.register("starts get no answer")
+def _ignore_starts(deployment: Deployment, process: Process) -> None:
+    set_temporarily(deployment, [process.minion], "ignores_starts", True, SICK_MS)
+
+
+@minion_faults.register("starts and stops get no answer")
+def _ignore_orders(deployment: Deployment, process: Process) -> None:
+    for name in ("ignores_starts", "ignores_stops"):
+        set_temporarily(deployment, [process.minion], name, True, SICK_MS)
+
+
+@minion_faults.register("starts are accepted and lost")
+def _swallow_starts(deployment: Deployment, process: Process) -> None:
+    set_temporarily(deployment, [process.minion], "swallows_starts", True, SICK_MS)
+
+
+@minion_faults.register("its runs are lost without an end")
+def _lose_runs(deployment: Deployment, process: Process) -> None:
+    process.minion.lose_runs()
+
+
 @minion_faults.register("restart of its sidecar")
 def _restart_sidecar(deployment: Deployment, process: Process) -> None:
     deployment.kill(process.name)
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -112,13 +112,29 @@
     deployment.after(1, lambda: check_ends(True))
 
 
+def _is_busy(minion: Minion, message: StartRun | StopRun) -> bool:
+    """Return whether a minion answers an order as busy."""
+    if isinstance(message, StopRun):
+        return minion.is_busy_for_stops
+    return minion.is_busy_for_starts
+
+
+def _is_ignored(minion: Minion, message: StartRun | StopRun) -> bool:
+    """Return whether a minion neither carries out nor answers an order."""
+    if isinstance(message, StopRun):
+        return minion.ignores_stops
+    return minion.ignores_starts
+
+
 def _carry_out(minion: Minion, message: StartRun | StopRun) -> str:
     """Let a minion carry out an order; return why it refuses, or an empty text."""
     order = message.order
+    if isinstance(message, StartRun) and minion.swallows_starts:
+        return ""
     if isinstance(message, StopRun):
         return minion.stop(message.term, order.task, order.run)
     return minion.start(
-        message.term, order.task, order.run, order.checkpoint, message.lease_until_ms
+        message.term, order.task, order.run, order.checkpoint, message.deadline_ms
     )
 
 
@@ -163,7 +179,10 @@
             END_POLL_PERIOD_MS,
             lambda: _apply_when_received(deployment, minion, message, arrived_at),
         )
-    elif minion.is_up and minion.id == message.incarnation.minion:
+        return
+    if _is_busy(minion, message) or _is_ignored(minion, message):
+        return
+    if minion.is_up and minion.id == message.incarnation.minion:
         _carry_out(minion, message)
 
 
@@ -172,10 +191,22 @@
 ) -> None:
     """Carry an order out at a minion that answers; answer for one that does not."""
     minion = process.minion
+    if minion.is_up and _is_ignored(minion, message):
+        _deliver_answer(
+            deployment,
+            process,
+            message,
+            OrderOutcome.UNKNOWN,
+            "timeout",
+            ORDER_TIMEOUT_MS,
+        )
+        return
     if not minion.is_up:
         outcome, reason = OrderOutcome.BUSY, "connection refused"
     elif minion.id != message.incarnation.minion:
         outcome, reason = OrderOutcome.REFUSED, "other minion"
+    elif _is_busy(minion, message):
+        outcome, reason = OrderOutcome.BUSY, "status 503"
     else:
         reason = _carry_out(minion, message)
         outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -76,6 +76,12 @@
         Whether calls do not reach it while it works.
     loses_heartbeats : bool
         Whether its heartbeats are lost while it works.
+    is_busy_for_starts, is_busy_for_stops : bool
+        Whether it answers starts, or stops, as busy and does nothing.
+    ignores_starts, ignores_stops : bool
+        Whether starts, or stops, get no answer and are not carried out.
+    swallows_starts : bool
+        Whether it accepts starts and does nothing.
     heartbeats_from_ms : int
         Time of its first heartbeat; it takes calls before that.
     clock_started_ms : int
@@ -111,6 +117,11 @@
     is_frozen: bool = False
     loses_calls: bool = False
     loses_heartbeats: bool = False
+    is_busy_for_starts: bool = False
+    is_busy_for_stops: bool = False
+    ignores_starts: bool = False
+    ignores_stops: bool = False
+    swallows_starts: bool = False
     heartbeats_from_ms: int = 0
     clock_started_ms: int = 0
     until_ms: int = 0
@@ -157,9 +168,7 @@
         self._forget_all()
 
     def _forget_all(self) -> None:
-        for key in list(self.runs):
-            self.checks.record_lost_run(key[0], key[1])
-        self.runs.clear()
+        self.lose_runs()
         self.last_ended_run.clear()
         self.ended.clear()
         self.last_end_number = 0
@@ -168,6 +177,12 @@
         self.token = 0
         self.draining = False
 
+    def lose_runs(self) -> None:
+        """Forget all runs without an end."""
+        for key in list(self.runs):
+            self.checks.record_lost_run(key[0], key[1])
+        self.runs.clear()
+
     def clock_ms(self) -> int:
         """Return the time on its clock."""
         return self.now_ms() - self.clock_started_ms
