Send a stop again if its run is still listed after it was accepted

Callers would see a cancelled job's run go on, or a run that is to move stay, after a stop that the minion had accepted and not carried out: nothing sent it again.

Change: a stop whose run is still listed twice stop_ms after the acceptance is sent again. The time of the first acceptance stays, as the lists after it count.

--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -78,12 +78,16 @@
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
 def send_run_orders(world: BatchWorld, now_ms: int) -> None:
-    """Send starts and stops to the minion; resend those without a final answer."""
+    """Send starts and stops to the minion; resend those without a final answer.
+
+    A stop is also sent again if the run is still listed long after it was accepted.
+    """
     sidecar_state = world.sidecar_state
     if sidecar_state.minion is None:
         return
-    for run in list(sidecar_state.ordered_runs.values()):
-        if run.is_order_pending or run.stop_accepted_ms is not None:
+    for key, run in list(sidecar_state.ordered_runs.items()):
+        is_stopped = run.stop_accepted_ms is not None
+        if run.is_order_pending or (is_stopped and key not in sidecar_state.running):
             continue
         if now_ms < run.retry_ms:
             world.deadlines.add(run.retry_ms)
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -44,6 +44,7 @@
 NO_HOLDER_PAUSE_MS = 250
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
+STOP_REPEAT_FACTOR = 2  # of the longest time that a stop takes
 NOT_LISTED = "the minion does not list the run"
 SIDECAR_ROLES = (Role.SIDECAR,)
 
@@ -212,11 +213,13 @@
 def _handle_stop_answer(
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
-    if answer.outcome is OrderOutcome.DONE:
-        run.stop_accepted_ms = now_ms
+    if answer.outcome is not OrderOutcome.DONE:
+        run.is_stop_unanswered = True
+        run.retry_ms = now_ms + RETRY_MS
         return
-    run.is_stop_unanswered = True
-    run.retry_ms = now_ms + RETRY_MS
+    if run.stop_accepted_ms is None:
+        run.stop_accepted_ms = now_ms
+    run.retry_ms = now_ms + STOP_REPEAT_FACTOR * world.cfg.bounds.stop_ms
 
 
 @system(Phase.INTAKE, SIDECAR_ROLES, order=70)
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -126,10 +126,17 @@
     return minion.ignores_starts
 
 
+def _is_swallowed(minion: Minion, message: StartRun | StopRun) -> bool:
+    """Return whether a minion accepts an order and does nothing."""
+    if isinstance(message, StopRun):
+        return minion.swallows_stops
+    return minion.swallows_starts
+
+
 def _carry_out(minion: Minion, message: StartRun | StopRun) -> str:
     """Let a minion carry out an order; return why it refuses, or an empty text."""
     order = message.order
-    if isinstance(message, StartRun) and minion.swallows_starts:
+    if _is_swallowed(minion, message):
         return ""
     if isinstance(message, StopRun):
         return minion.stop(message.term, order.task, order.run)
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -80,8 +80,8 @@
         Whether it answers starts, or stops, as busy and does nothing.
     ignores_starts, ignores_stops : bool
         Whether starts, or stops, get no answer and are not carried out.
-    swallows_starts : bool
-        Whether it accepts starts and does nothing.
+    swallows_starts, swallows_stops : bool
+        Whether it accepts starts, or stops, and does nothing.
     heartbeats_from_ms : int
         Time of its first heartbeat; it takes calls before that.
     clock_started_ms : int
@@ -122,6 +122,7 @@
     ignores_starts: bool = False
     ignores_stops: bool = False
     swallows_starts: bool = False
+    swallows_stops: bool = False
     heartbeats_from_ms: int = 0
     clock_started_ms: int = 0
     until_ms: int = 0
