--- a/standins/batch/tests/test_unconfirmed_stops.py
+++ b/standins/batch/tests/test_unconfirmed_stops.py
@@ -42,3 +42,13 @@
         setattr(minion, name, False)
     assert deployment.run_until(lambda: count_running(deployment, job_id) == 0, 3_000)
     assert not deployment.checks.violations
+
+
+@pytest.mark.parametrize("name", SICKNESSES)
+def test_a_run_whose_stops_fail_ends_with_a_lease(name: str) -> None:
+    """The lease is extended for a minion that carries out no stop."""
+    deployment, job_id, _ = cancel_at_sick_minions(name)
+    limit_ms = 2 * deployment.bounds.lease_ms
+    assert deployment.run_until(
+        lambda: count_running(deployment, job_id) == 0, limit_ms
+    )
