Let runs that are almost done count as stalled once nothing waits for others

Callers would see a job stay at its last percent: a confirmed run at 99 percent or more never counted as stalled, as a gang member that has finished its own work waits for the others there. An end that is lost while the minion lists the run was never noticed.

Change: the exception holds for gangs only, until all members are almost done; the time then counts from the last progress of any of them. The limits are those of other runs.

Result: both cases of the new test failed before; a member that waits for a slow one is still not stopped (an older test).

--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -143,13 +143,22 @@
     """Return whether a run has made no progress for too long.
 
     The limit is longer for runs that would lose much work, and at least
-    `STALLED_ESTIMATE_PERCENT` of the step's estimate. Runs that are almost done do not
-    count as stalled: a gang member that has finished its own work waits for the others.
+    `STALLED_ESTIMATE_PERCENT` of the step's estimate. A gang member that is almost done
+    may wait for the others, so it counts as stalled only once all are almost done, from
+    the last progress of any.
     """
-    if task.percent >= ALMOST_DONE_PERCENT:
-        return False
     step = plan.job.steps[task.name.step]
+    changed_ms = task.percent_changed_ms
+    if step.gang and task.percent >= ALMOST_DONE_PERCENT:
+        members = plan.tasks[task.name.step]
+        if not all(_is_almost_done(member) for member in members):
+            return False
+        changed_ms = max(member.percent_changed_ms for member in members)
     estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
     loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
     stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
-    return now_ms - task.percent_changed_ms > max(stall_limit_ms, estimate_limit_ms)
+    return now_ms - changed_ms > max(stall_limit_ms, estimate_limit_ms)
+
+
+def _is_almost_done(task: Task) -> bool:
+    return task.confirmed and task.percent >= ALMOST_DONE_PERCENT
--- a/standins/batch/tests/test_run_monitor.py
+++ b/standins/batch/tests/test_run_monitor.py
@@ -1,5 +1,9 @@
 """Tests of the run monitor: runs that should move, and runs that should not."""
 
+from dataclasses import replace
+
+import pytest
+
 from kingcuppost.batch.tables.job import JobState, RunEnd, StepSpec
 from standins.batch import Deployment
 
@@ -25,6 +29,23 @@
     assert not deployment.checks.violations
 
 
+@pytest.mark.parametrize("gang", [False, True], ids=["single", "gang"])
+def test_a_run_that_does_not_end_after_its_work_is_moved(gang: bool) -> None:
+    """Runs at 99 percent never counted as stalled, though their end may be lost."""
+    deployment = make_ready_deployment()
+    job_id, _ = deployment.submit((replace(STEP, gang=gang),), [4_000])
+    deployment.run_for(1_000)
+    working = [minion for minion in deployment.minions.values() if minion.runs]
+    for minion in working:
+        minion.hangs = True
+        for run in minion.runs.values():
+            run.done_ms = 0.995 * run.work_ms
+    assert deployment.run_until(
+        lambda: deployment.state(job_id) is JobState.COMPLETED, 12_000
+    )
+    assert not deployment.checks.violations
+
+
 def test_checkpointing_run_leaves_a_draining_minion() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((STEP,), [20_000])
