--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,4 +1,4 @@
-"""Monitoring of runs: stops those that are stalled, slow or on draining minions."""
+"""Monitoring of runs: stops those that are stalled, slow, unlisted or to be moved."""
 
 from kingcuppost.batch.systems.plans import request_stop, request_stops
 from kingcuppost.batch.systems.registry import Phase, system
@@ -9,6 +9,10 @@
 )
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.systems.unstarted_runs import (
+    is_unlisted,
+    withdraw_unlisted_run,
+)
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld
@@ -48,8 +52,11 @@
         _record_checkpoints(world)
     for minion in schedule.minions:
         for plan, task in placed_runs(schedule, minion.incarnation):
-            is_checked = task.confirmed and not task.stopping
-            if is_checked and plan.phase is PlanPhase.OPEN:
+            if task.stopping or plan.phase is not PlanPhase.OPEN:
+                continue
+            if is_unlisted(world, minion, task):
+                withdraw_unlisted_run(world, minion, plan, task, now_ms)
+            elif task.confirmed:
                 _check_run(world, minion, plan, task, now_ms)
 
 
@@ -136,13 +143,23 @@
     """Return whether a run has made no progress for too long.
 
     The limit is longer for runs that would lose much work, and at least
-    `STALLED_ESTIMATE_PERCENT` of the step's estimate. Runs that are almost done do not
-    count as stalled: a gang member that has finished its own work waits for the others.
+    `STALLED_ESTIMATE_PERCENT` of the step's estimate. A gang member that is almost done
+    may wait for the others, so it counts as stalled only once all are almost done, from
+    the last progress of any.
     """
-    if task.percent >= ALMOST_DONE_PERCENT:
-        return False
     step = plan.job.steps[task.name.step]
+    changed_ms = task.percent_changed_ms
+    if step.gang and task.percent >= ALMOST_DONE_PERCENT:
+        members = plan.tasks[task.name.step]
+        if not all(_is_almost_done(member) for member in members):
+            return False
+        changed_ms = max(member.percent_changed_ms for member in members)
     estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
     loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
     stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
-    return task.percent_unchanged_ms > max(stall_limit_ms, estimate_limit_ms)
+    unchanged_ms = task.percent_read_ms - changed_ms
+    return unchanged_ms > max(stall_limit_ms, estimate_limit_ms)
+
+
+def _is_almost_done(task: Task) -> bool:
+    return task.confirmed and task.percent >= ALMOST_DONE_PERCENT
