Let all copies of a start be valid until the same time

A start and a stop without an answer kept a task for 2.3 s at its minion, since the second copy of the start was valid for longer than the first. Now one deadline, half of gang_ms after the first copy, holds for all; the run is given back once a stop was sent, and lists lack it that were requested after that time.

--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -101,6 +101,7 @@
 def _send_stop(world: BatchWorld, run: OrderedRun) -> None:
     sidecar_state = world.sidecar_state
     run.is_order_pending = True
+    run.is_stop_sent = True
     order = StopOrder(run.order.task, run.order.run)
     world.outbox.put(
         StopRun(
@@ -118,8 +119,8 @@
     After a failed request for the lists, starts wait for one that succeeds: another
     incarnation may listen there, and would carry them out.
 
-    The start is valid for less than the lease, so that a late copy is void early; the
-    requests for the lists extend the lease.
+    All copies of a start are valid until the same time, well before the lease ends, so
+    that a late copy is void early; the requests for the lists extend the lease.
     """
     sidecar_state = world.sidecar_state
     remaining_ms = remaining_lease_ms(sidecar_state, now_ms)
@@ -127,11 +128,9 @@
         return
     if sidecar_state.hold_failed or sidecar_state.minion.draining:
         return
-    valid_until_ms = minion_time_ms(sidecar_state, now_ms) + start_validity_ms(
-        world.cfg.bounds
-    )
-    deadline_ms = min(sidecar_state.lease_until_ms, valid_until_ms)
-    run.start_deadline_ms = max(run.start_deadline_ms or 0, deadline_ms)
+    if run.start_deadline_ms is None:
+        clock_ms = minion_time_ms(sidecar_state, now_ms)
+        run.start_deadline_ms = clock_ms + start_validity_ms(world.cfg.bounds)
     run.is_order_pending = True
     world.outbox.put(
         StartRun(
@@ -139,6 +138,6 @@
             sidecar_state.minion.incarnation,
             sidecar_state.term,
             run.order,
-            deadline_ms,
+            min(sidecar_state.lease_until_ms, run.start_deadline_ms),
         )
     )
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -7,8 +7,8 @@
   start that was answered as busy, and never otherwise, has not been carried out. The
   same holds for one that was never sent.
 - The minion does not list it, and no copy of its start can be carried out any more:
-  either the minion accepted a stop before these lists were requested, or it answers no
-  stop, and the deadline of each copy had passed on the minion's clock by then.
+  either the minion accepted a stop before these lists were requested, or a stop was
+  sent, and the deadline of the start had passed on the minion's clock by then.
 - The lease of the minion incarnation has certainly expired on the minion's clock.
 - Another incarnation has answered in its place, and no copy of the run's start can be
   carried out there. An order names the minion's identifier only, so an incarnation with
@@ -22,8 +22,8 @@
 
 An order to start comes with the reply that extends the lease for it, and is void once
 that lease has expired: the holder may have given the run up, and placed it elsewhere,
-before the lease is extended again. Each copy of a start has a deadline, which is much
-shorter than the lease, so that a copy that is carried out late is bounded in time.
+before the lease is extended again. All copies of a start have one deadline, which is
+much shorter than the lease, so that none is carried out later than that.
 
 A sidecar that was restarted does not know what an earlier process has sent. For as long
 as such copies may be valid, a refusal ends no run; the run is stopped first. The same
@@ -218,7 +218,7 @@
     """Return whether a run that is missing from lists can't begin any more.
 
     After it has accepted a stop, a minion refuses the start of the run. It also refuses
-    a start whose deadline has passed; that counts only if it answers no stop.
+    a start whose deadline has passed; that counts only once a stop was sent, too.
 
     Parameters
     ----------
@@ -227,7 +227,7 @@
     """
     if run.stop_accepted_ms is not None:
         return lists.sent_ms > run.stop_accepted_ms
-    return run.is_stop_unanswered and is_void_at(run, clock_before_ms)
+    return run.is_stop_sent and is_void_at(run, clock_before_ms)
 
 
 def is_void_at(run: OrderedRun, clock_ms: int | None) -> bool:
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -214,7 +214,6 @@
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
     if answer.outcome is not OrderOutcome.DONE:
-        run.is_stop_unanswered = True
         run.retry_ms = now_ms + RETRY_MS
         return
     if run.stop_accepted_ms is None:
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -32,14 +32,14 @@
     may_still_start : bool
         Whether a start whose outcome is unknown may still be carried out.
     start_deadline_ms : int or None
-        Time on the minion's clock after which no copy of the start that was sent so far
-        is carried out; None if it is unknown.
+        Time on the minion's clock after which no copy of its start is carried out; None
+        if it is unknown.
     should_stop : bool
         Whether the run is to be stopped.
     stop_reason : str
         Why the sidecar itself withdrew the start; empty if it did not.
-    is_stop_unanswered : bool
-        Whether a stop was sent that the minion has not accepted.
+    is_stop_sent : bool
+        Whether a stop was sent to the minion.
     stop_accepted_ms : int or None
         Time at which the minion accepted the stop.
     """
@@ -53,7 +53,7 @@
     start_deadline_ms: int | None = None
     should_stop: bool = False
     stop_reason: str = ""
-    is_stop_unanswered: bool = False
+    is_stop_sent: bool = False
     stop_accepted_ms: int | None = None
 
 
