Count a start as accepted once its run is listed

Callers would see a job begin, be stopped after 1.2 s and begin again, without an end, where a minion carries out starts and its answers do not come in time: one such minion beside five healthy ones sufficed, as the run then ends as stopped, which neither lets its task avoid the minion nor leaves the minion out.

Cause: a start counted as accepted by its own answer only, so that a run which the lists showed as running was withdrawn like one that had not begun.

Ruled out: a longer limit, which such a minion exceeds as well.

Change: lists that show the run count as the acceptance.

The new tests (one of the sidecar, four in simulated time) failed before.

--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -109,8 +109,9 @@
 def _update_running(world: BatchWorld, lists: HoldMinionAnswered, now_ms: int) -> None:
     """Update the running runs from the minion's lists.
 
-    A run that is missing from lists has not begun, or has been lost without an end,
-    unless its start was accepted after the lists were requested.
+    A listed run counts as accepted, also if no answer to its start came. One that is
+    missing has not begun, or has been lost without an end, unless its start was
+    accepted after the lists were requested.
     """
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
@@ -129,6 +130,8 @@
     for key, run in list(sidecar_state.ordered_runs.items()):
         if key not in known_keys:
             _handle_absence(world, run, lists, earlier.get(key))
+        elif key in sidecar_state.running and run.start_accepted_ms is None:
+            run.start_accepted_ms = lists.received_ms
 
 
 def _handle_absence(
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -28,7 +28,7 @@
     retry_ms : int
         Earliest time at which the order is sent again.
     start_accepted_ms : int or None
-        Time at which the minion accepted the start.
+        Time at which the minion accepted the start, or was seen to have done so.
     may_still_start : bool
         Whether a start whose outcome is unknown may still be carried out.
     start_deadline_ms : int or None
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -183,6 +183,18 @@
     assert (KEY in world.sidecar_state.refused) is is_given_back
 
 
+def test_a_run_that_is_listed_is_not_stopped_though_its_start_got_no_answer(
+    world: BatchWorld,
+) -> None:
+    order_start(world, 1)
+    answer(world, True, OrderOutcome.UNKNOWN)
+    list_runs(world, (RunningRun(TASK, 1, "", 0),))
+    answer(world, True, OrderOutcome.UNKNOWN)
+    world.clock.advance(LIMIT_MS)
+    withdraw(world)
+    assert not world.sidecar_state.ordered_runs[KEY].should_stop
+
+
 def test_a_run_that_lists_lack_after_its_start_was_accepted_is_stopped(
     world: BatchWorld,
 ) -> None:
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -199,14 +199,7 @@
     """Carry an order out at a minion that answers; answer for one that does not."""
     minion = process.minion
     if minion.is_up and _is_ignored(minion, message):
-        _deliver_answer(
-            deployment,
-            process,
-            message,
-            OrderOutcome.UNKNOWN,
-            "timeout",
-            ORDER_TIMEOUT_MS,
-        )
+        _deliver_timeout(deployment, process, message)
         return
     if not minion.is_up:
         outcome, reason = OrderOutcome.BUSY, "connection refused"
@@ -217,9 +210,25 @@
     else:
         reason = _carry_out(minion, message)
         outcome = OrderOutcome.REFUSED if reason else OrderOutcome.DONE
+        if isinstance(message, StartRun) and minion.leaves_starts_unanswered:
+            _deliver_timeout(deployment, process, message)
+            return
     _deliver_answer(deployment, process, message, outcome, reason)
 
 
+def _deliver_timeout(
+    deployment: Deployment, process: Process, message: StartRun | StopRun
+) -> None:
+    _deliver_answer(
+        deployment,
+        process,
+        message,
+        OrderOutcome.UNKNOWN,
+        "timeout",
+        ORDER_TIMEOUT_MS,
+    )
+
+
 def _deliver_answer(
     deployment: Deployment,
     process: Process,
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -82,6 +82,8 @@
         Whether it answers starts, or stops, as busy and does nothing.
     ignores_starts, ignores_stops : bool
         Whether starts, or stops, get no answer and are not carried out.
+    leaves_starts_unanswered : bool
+        Whether starts get no answer and are carried out.
     swallows_starts, swallows_stops : bool
         Whether it accepts starts, or stops, and does nothing.
     heartbeats_from_ms : int
@@ -124,6 +126,7 @@
     is_busy_for_stops: bool = False
     ignores_starts: bool = False
     ignores_stops: bool = False
+    leaves_starts_unanswered: bool = False
     swallows_starts: bool = False
     swallows_stops: bool = False
     heartbeats_from_ms: int = 0
--- a/standins/batch/tests/test_unconfirmed_starts.py
+++ b/standins/batch/tests/test_unconfirmed_starts.py
@@ -152,3 +152,17 @@
         lambda: count_running(deployment, job_id) == step.count, START_LIMIT_MS
     )
     assert not deployment.checks.violations
+
+
+@pytest.mark.parametrize("sick", [1, MINIONS])
+@pytest.mark.parametrize("step", [SINGLE, GANG], ids=["single", "gang"])
+def test_a_run_goes_on_though_its_start_gets_no_answer(
+    step: StepSpec, sick: int
+) -> None:
+    """It was withdrawn while lists showed it, and placed there again and again."""
+    deployment, _ = make_sick_deployment(("leaves_starts_unanswered",), sick)
+    job_id, _ = deployment.submit((step,), [GANG_MS])
+    deployment.run_for(GANG_MS * 2)
+    assert is_complete(deployment, job_id, 1)
+    assert deployment.checks.starts == step.count
+    assert not deployment.checks.violations
