Leave out minions that refuse starts also where a run stalled before

Callers would see an accepted job of which nothing runs while a minion is free: its task was placed at once again on a minion that refuses each start, without a pause, for ever.

Cause: the time of a pause after a refusal was replaced by that after the newest stalled run, however long ago that was.

Change: the later of the two counts.

Result: in simulated time, five of six minions refuse starts for lack of room and had a stalled run a minute before: not begun after 20 s, 1514 refused starts; without the stalled runs begun after 100 ms. The new test failed before at all priorities, and passes now.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -175,7 +175,7 @@
     """Return when a minion that refused, failed or stalled a run may be used again."""
     paused_until_ms = minion.backoff_until_ms
     if minion.stalled_ms is not None:
-        paused_until_ms = minion.stalled_ms + SUSPECT_PAUSE_MS
+        paused_until_ms = max(paused_until_ms, minion.stalled_ms + SUSPECT_PAUSE_MS)
     if (
         minion.failures >= SUSPECT_FAILURES
         and len(minion.failed_jobs) >= SUSPECT_FAILURES
--- a/standins/batch/tests/test_unconfirmed_starts.py
+++ b/standins/batch/tests/test_unconfirmed_starts.py
@@ -166,3 +166,20 @@
     assert is_complete(deployment, job_id, 1)
     assert deployment.checks.starts == step.count
     assert not deployment.checks.violations
+
+
+@pytest.mark.parametrize("priority", PRIORITIES)
+def test_a_task_leaves_minions_that_refuse_it_and_where_a_run_stalled_before(
+    priority: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The end of the earlier pause took the place of the new one."""
+    deployment, refusing = make_sick_deployment((), MINIONS - 1)
+    now_ms = deployment.clock.now_ms()
+    for row in deployment.holder().world.schedule.minions:
+        row.stalled_ms = now_ms - SETTLE_MS
+    for minion in refusing:
+        monkeypatch.setattr(minion, "start", lambda *order: "room")
+    job_id, _ = deployment.submit((SINGLE,), [WORK_MS], priority)
+    assert deployment.run_until(
+        lambda: count_running(deployment, job_id) == 1, START_LIMIT_MS
+    )
