Judge work beside machines that flap, and entries that are lost for good

A job is now also left if the machines that nothing disturbs have room for it long enough, so that one flapping minion does not excuse the rest. Violations name the steps whose turn has come.

--- a/standins/batch/fleet_changes.py
+++ b/standins/batch/fleet_changes.py
@@ -5,9 +5,11 @@
 
 from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
 from kingcuppost.tables.config import Address
+from kingcuppost.tables.identity import Role
 from kingcuppost.utils.registry import Registry
 from standins.batch.deployment import Deployment
 from standins.batch.fleets import KIND, RARE_KIND, make_random_minion
+from standins.batch.minions import Minion
 from standins.batch.process import Process
 
 __all__ = ["fleet_changes"]
@@ -17,7 +19,9 @@
 
 DOWN_MS = 3_000
 DRAIN_MS = 2_500
-LOSS_GAP_MS = 1_000
+LOSS_GAPS_MS = (500, 1_000, 4_000)
+FLAP_PERIOD_MS = 4_000
+FLAPS = 6
 MAX_LOST_TOGETHER = 3
 MIN_MINIONS = 4
 NEW_RACK_MINIONS = (1, 2, 4)
@@ -72,9 +76,10 @@
     rack = deployment.rng.choice(sorted(racks))
     in_rack = [item for item in _machines(deployment) if item.minion.rack == rack]
     lost = in_rack[: min(spare, deployment.rng.randint(1, MAX_LOST_TOGETHER))]
+    gap_ms = deployment.rng.choice(LOSS_GAPS_MS)
     for index, machine in enumerate(lost):
         deployment.after(
-            LOSS_GAP_MS * index, lambda machine=machine: _lose(deployment, machine)
+            gap_ms * index, lambda machine=machine: _lose(deployment, machine)
         )
     return _join_names(lost)
 
@@ -95,6 +100,89 @@
     return _join_names(chosen)
 
 
+@fleet_changes.register("its heartbeats are lost for good")
+def _lose_heartbeats(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        machine.minion.loses_heartbeats = True
+    return _join_names(chosen)
+
+
+@fleet_changes.register("sidecar lost for good beside its minion")
+def _lose_sidecar(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        deployment.kill(machine.name)
+    return _join_names(chosen)
+
+
+@fleet_changes.register("minion restarts again and again")
+def _restart_often(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        for index in range(FLAPS):
+            deployment.after(
+                index * FLAP_PERIOD_MS, lambda minion=machine.minion: _flap(minion)
+            )
+    return _join_names(chosen)
+
+
+def _flap(minion: Minion) -> None:
+    if minion.is_up:
+        minion.crash()
+        minion.restart()
+
+
+@fleet_changes.register("minion silent again and again")
+def _silence_often(deployment: Deployment) -> str:
+    chosen = _pick(deployment)
+    for machine in chosen:
+        for index in range(2 * FLAPS):
+            deployment.after(
+                index * FLAP_PERIOD_MS,
+                lambda minion=machine.minion, is_silent=index % 2 == 0: setattr(
+                    minion, "is_frozen", is_silent
+                ),
+            )
+    return _join_names(chosen)
+
+
+def _pick_entry(deployment: Deployment) -> list[Process]:
+    """Return an entry at random; none if it is the last sound one."""
+    sound = [
+        item
+        for item in deployment.processes.values()
+        if item.role is Role.ENTRY
+        and item.is_up
+        and not (item.is_cut_off or item.is_rejected_by_log)
+    ]
+    return [deployment.rng.choice(sound)] if len(sound) > 1 else []
+
+
+@fleet_changes.register("entry lost for good")
+def _lose_entry(deployment: Deployment) -> str:
+    chosen = _pick_entry(deployment)
+    for process in chosen:
+        deployment.kill(process.name)
+    return " ".join(process.name for process in chosen)
+
+
+@fleet_changes.register("entry turned away by the log for good")
+def _turn_entry_away(deployment: Deployment) -> str:
+    chosen = _pick_entry(deployment)
+    for process in chosen:
+        process.is_rejected_by_log = True
+    return " ".join(process.name for process in chosen)
+
+
+@fleet_changes.register("entry cut off for good")
+def _cut_entry_off(deployment: Deployment) -> str:
+    chosen = _pick_entry(deployment)
+    for process in chosen:
+        process.is_cut_off = True
+    return " ".join(process.name for process in chosen)
+
+
 @fleet_changes.register("machine cut off for good")
 def _cut_off(deployment: Deployment) -> str:
     chosen = _pick(deployment)
--- a/standins/batch/room_check.py
+++ b/standins/batch/room_check.py
@@ -3,12 +3,15 @@
 A job is left if for `LEFT_MS` nothing of it runs although it has not ended, the turn
 of one of its steps has come, the minions have room for that step twice over, and less
 than half of the capacity is in use. Members of a gang that is not complete do not run.
-It is judged by what callers are answered and what minions run, and only in calm
-stretches: each fault and each change of the fleet takes a while to be noticed.
-Preferences of racks are no reason to wait.
+It is judged by what callers are answered and what minions run. Preferences of racks are
+no reason to wait.
+
+Each fault and each change of the fleet takes a while to be noticed. Therefore a job is
+judged in calm stretches; or, while only some machines are disturbed, by the room of the
+others, and after that while in addition.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from kingcuppost.batch.systems.run_end_rule import certain_expiry_ms
 from kingcuppost.batch.tables.job import ENDED_STATES, JobState, StepSpec, TaskName
@@ -16,6 +19,7 @@
 from kingcuppost.tables.identity import Role
 from standins.batch.deployment import Deployment
 from standins.batch.minions import Minion
+from standins.batch.process import Process
 from standins.batch.room import busy_ratio, holds_step
 
 __all__ = ["RoomCheck"]
@@ -41,7 +45,8 @@
     asked_ms, answered_ms : int
         Times of that request, and of the newest answer, in ms.
     could_run_since_ms : int or None
-        Time since which nothing of it runs though it could; None if something does.
+        Time since which nothing of it runs though it could, with log and entries
+        undisturbed; None if something does, or it could not.
     is_reported : bool
         Whether its violation is reported.
     """
@@ -66,14 +71,19 @@
         The watched jobs.
     calm_since_ms : int
         Time since which nothing is disturbed and the fleet is the same.
+    core_calm_since_ms : int
+        Time since which that holds for the log, the entries and the zones.
     """
 
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         self.jobs: dict[str, WatchedJob] = {}
         self._cancelled: set[str] = set()
-        self._condition: tuple = ()
+        self._core_condition: tuple = ()
+        self._machine_conditions: dict[str, tuple] = {}
+        self._machine_changed_ms: dict[str, int] = {}
         self.calm_since_ms = deployment.clock.now_ms()
+        self.core_calm_since_ms = deployment.clock.now_ms()
         self._calm_ms = certain_expiry_ms(deployment.bounds.lease_ms) + CALM_MARGIN_MS
         self._observe()
 
@@ -88,11 +98,7 @@
     def note_disturbance(self) -> None:
         """Note a disturbance that does not show in the processes and minions."""
         self.calm_since_ms = self._deployment.clock.now_ms()
-
-    @property
-    def is_calm(self) -> bool:
-        """Return whether there was no disturbance for long enough."""
-        return self._deployment.clock.now_ms() - self.calm_since_ms >= self._calm_ms
+        self.core_calm_since_ms = self.calm_since_ms
 
     def open_jobs(self) -> list[WatchedJob]:
         """Return the accepted jobs that no caller knows as ended or has cancelled."""
@@ -126,50 +132,54 @@
     # disturbances
 
     def _note_disturbances(self) -> None:
-        condition = self._current_condition()
-        if condition != self._condition or self._is_core_disturbed():
-            self.calm_since_ms = self._deployment.clock.now_ms()
-        self._condition = condition
-
-    def _current_condition(self) -> tuple:
-        """Return the condition of all processes and minions; a change is a fault."""
-        deployment = self._deployment
-        processes = tuple(
-            (item.incarnation, item.is_up, item.is_frozen, item.is_cut_off)
-            for item in deployment.processes.values()
-        )
-        minions = tuple(
+        now_ms = self._deployment.clock.now_ms()
+        condition = self._find_core_condition()
+        if condition != self._core_condition or self._is_core_disturbed():
+            self.note_disturbance()
+        self._core_condition = condition
+        for item in self._machines():
+            condition = _find_machine_condition(item)
+            if self._machine_conditions.get(item.name) != condition:
+                self._machine_conditions[item.name] = condition
+                self._machine_changed_ms[item.name] = now_ms
+                self.calm_since_ms = now_ms
+
+    def _machines(self) -> list[Process]:
+        processes = self._deployment.processes.values()
+        return [item for item in processes if item.minion is not None]
+
+    def _entries(self) -> list[Process]:
+        processes = self._deployment.processes.values()
+        return [item for item in processes if item.role is Role.ENTRY]
+
+    def _find_core_condition(self) -> tuple:
+        """Return the condition of the entries and the zones; a change is a fault."""
+        entries = tuple(
             (
                 item.incarnation,
                 item.is_up,
-                item.draining,
-                item.receives_calls,
-                item.loses_heartbeats,
-                item.fails_all_runs,
-                item.hangs,
+                item.is_frozen,
+                item.is_cut_off,
+                item.is_rejected_by_log,
             )
-            for item in deployment.minions.values()
+            for item in self._entries()
         )
-        return processes, minions, frozenset(deployment.closed_zones)
+        return entries, frozenset(self._deployment.closed_zones)
 
     def _is_core_disturbed(self) -> bool:
-        """Return whether the log, the orders or an entry are disturbed."""
+        """Return whether the log or the orders are disturbed, or no entry is sound."""
         deployment = self._deployment
-        entries = [
-            item for item in deployment.processes.values() if item.role is Role.ENTRY
-        ]
+        is_any_sound = any(
+            item.is_up
+            and not (item.is_frozen or item.is_cut_off or item.is_rejected_by_log)
+            for item in self._entries()
+        )
         return (
-            deployment.log_is_down
+            not is_any_sound
+            or deployment.log_is_down
             or deployment.log_delay_ms > 0
             or deployment.lost_answer_ratio > 0
             or deployment.late_order_ratio > 0
-            or any(
-                not item.is_up
-                or item.is_cut_off
-                or item.is_frozen
-                or item.is_rejected_by_log
-                for item in entries
-            )
         )
 
     # what callers and minions see
@@ -189,20 +199,27 @@
         return [item for item in self._deployment.minions.values() if item.is_up]
 
     def _usable_minions(self) -> list[Minion]:
-        """Return the minions that their sidecars reach and that may be given work."""
-        deployment = self._deployment
+        """Return the minions that may be given work, and were so for long enough."""
+        settled_ms = self._deployment.clock.now_ms() - self._calm_ms
         return [
             item.minion
-            for item in deployment.processes.values()
-            if item.minion is not None
-            and item.is_up
-            and not (item.is_frozen or item.is_cut_off)
-            and item.minion.receives_calls
-            and item.minion.sends_heartbeats
-            and not item.minion.draining
-            and item.minion.zone not in deployment.closed_zones
+            for item in self._machines()
+            if self._is_usable(item)
+            and self._machine_changed_ms[item.name] <= settled_ms
         ]
 
+    def _is_usable(self, machine: Process) -> bool:
+        """Return whether a sidecar reaches its minion, which may be given work."""
+        minion = machine.minion
+        return (
+            machine.is_up
+            and not (machine.is_frozen or machine.is_cut_off)
+            and minion.receives_calls
+            and minion.sends_heartbeats
+            and not minion.draining
+            and minion.zone not in self._deployment.closed_zones
+        )
+
     def _working_jobs(self) -> set[str]:
         """Return the jobs with a task that works; a gang does so as a whole."""
         return {
@@ -216,15 +233,20 @@
 
     def _has_room(self, job: WatchedJob, minions: list[Minion]) -> bool:
         """Return whether one of a job's steps could run twice over."""
+        return any(
+            holds_step(step, minions, ROOM_TIMES) for step in self._due_steps(job)
+        )
+
+    def _due_steps(self, job: WatchedJob) -> list[StepSpec]:
+        """Return the steps whose turn has come; of a job without any left, all.
+
+        A job all of whose tasks have ended should be shown as ended.
+        """
         steps = self._deployment.steps[job.id]
         open_steps = [
             step for index, step in enumerate(steps) if not self._is_done(job, index)
         ]
-        # if all ends are known, the job should be shown as ended
-        return any(
-            self._is_due(job, step) and holds_step(step, minions, ROOM_TIMES)
-            for step in open_steps or steps
-        )
+        return [step for step in open_steps or steps if self._is_due(job, step)]
 
     def _is_due(self, job: WatchedJob, step: StepSpec) -> bool:
         return all(self._is_done(job, needed) for needed in step.needs)
@@ -238,14 +260,44 @@
 
     def _judge(self, job: WatchedJob, could_run: bool) -> None:
         now_ms = self._deployment.clock.now_ms()
-        started_ms = self._deployment.checks.last_start_ms.get(job.id, 0)
-        if not could_run or not self.is_calm:
+        if not could_run or now_ms - self.core_calm_since_ms < self._calm_ms:
             job.could_run_since_ms = None
             return
-        since_ms = max(job.could_run_since_ms or now_ms, started_ms)
-        job.could_run_since_ms = since_ms
-        if now_ms - since_ms >= LEFT_MS and not job.is_reported:
+        if job.could_run_since_ms is None:
+            job.could_run_since_ms = now_ms
+        started_ms = self._deployment.checks.last_start_ms.get(job.id, 0)
+        since_ms = max(job.could_run_since_ms, started_ms)
+        calm_ms = now_ms - max(since_ms, self.calm_since_ms + self._calm_ms)
+        is_left = calm_ms >= LEFT_MS or now_ms - since_ms >= self._calm_ms + LEFT_MS
+        if is_left and not job.is_reported:
             job.is_reported = True
             self._deployment.checks.violations.append(
-                f"LOST {job.id} could run since {since_ms} and does not"
+                f"LOST {job.id} could run since {since_ms} and does not: "
+                + "; ".join(_describe(step) for step in self._due_steps(job))
             )
+
+
+def _find_machine_condition(machine: Process) -> tuple:
+    """Return the condition of a machine; a change is a fault or an end of one."""
+    minion = machine.minion
+    return (
+        machine.incarnation,
+        machine.is_up,
+        machine.is_frozen,
+        machine.is_cut_off,
+        minion.incarnation,
+        minion.is_up,
+        minion.draining,
+        minion.receives_calls,
+        minion.loses_heartbeats,
+        minion.fails_all_runs,
+        minion.hangs,
+    )
+
+
+def _describe(step: StepSpec) -> str:
+    """Return the fields of a step that differ from their defaults."""
+    values = ((item.name, getattr(step, item.name), item) for item in fields(step))
+    return " ".join(
+        f"{name}={value}" for name, value, item in values if value != item.default
+    )
