--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -414,9 +414,9 @@
             self.checks.check_shown_state(job_id, reply.state)
         return reply.state
 
-    def ask_state(self, job_id: str, priority: int = 1) -> str:
+    def ask_state(self, job_id: str, priority: int = 1, entry: str = "") -> str:
         """Request a job's state; return the identifier of the exchange."""
-        return self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
+        return self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id, entry)
 
     def cancel(self, job_id: str, priority: int = 1, entry: str = "") -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
