Stop before a refusal also what was sent before a minion came back

Cause: a sidecar removes its minion after a leave notice, if a request for the lists fails, and forgets its orders with it. If the same incarnation came back and the start was ordered again, an answer as busy gave the run back after a quarter of gang_ms, while an unanswered copy from before was valid for up to half of gang_ms. Only a restart of the process counted as a reason to stop such a run first.

Change: the time since which the orders are kept counts in place of the process's start.

Result: the new test failed before (given back after 750 ms, the copy was valid for 1,500 ms). The other tests of kingcuppost/batch and of restarted minions pass.

--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -25,9 +25,10 @@
 before the lease is extended again. Each copy of a start has a deadline, which is much
 shorter than the lease, so that a copy that is carried out late is bounded in time.
 
-A sidecar that was restarted does not know what an earlier process has sent. For as long
-as such copies may be valid, a refusal ends no run; the run is stopped first. The same
-holds for a run that it was ordered to stop, and not to start.
+A sidecar that was restarted does not know what an earlier process has sent, and one
+whose minion was removed and came back has forgotten it. For as long as such copies may
+be valid, a refusal ends no run; the run is stopped first. The same holds for a run that
+it was ordered to stop, and not to start.
 
 A message about the minion that the minion does not confirm is no evidence either. A
 heartbeat may be late, or come from another writer; `heartbeat_source` tells what a
@@ -205,11 +206,17 @@
 
 
 def may_be_started_by_earlier(
-    cfg: DaemonConfig, process_started_ms: int, now_ms: int
+    cfg: DaemonConfig, kept_since_ms: int, now_ms: int
 ) -> bool:
-    """Return whether a start by an earlier process of a sidecar may be carried out."""
+    """Return whether a start from before a sidecar kept its runs may be carried out.
+
+    Parameters
+    ----------
+    kept_since_ms : int
+        Time since which the sidecar knows what it has sent to the minion.
+    """
     validity_ms = certain_expiry_ms(start_validity_ms(cfg.bounds))
-    return now_ms < process_started_ms + validity_ms
+    return now_ms < kept_since_ms + validity_ms
 
 
 def is_absence_final(
--- a/kingcuppost/batch/systems/sidecar_heartbeats.py
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -82,6 +82,7 @@
         last_reply_ms=sidecar_state.last_reply_ms,
         minion=heartbeat.report,
         address=heartbeat.address,
+        known_since_ms=world.clock.now_ms(),
         heartbeat_sequence=heartbeat.sequence,
     )
     world.note(
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -362,9 +362,14 @@
 
 
 def _make_ordered_run(world: BatchWorld, order: StartOrder, now_ms: int) -> OrderedRun:
-    """Return a run to start; an earlier process of the sidecar may have started it."""
+    """Return a run to start; it may have been started before its runs were kept.
+
+    By an earlier process of the sidecar, or by this one before the minion was removed
+    and came back.
+    """
     run = OrderedRun(order, now_ms)
-    if may_be_started_by_earlier(world.cfg, world.started_ms, now_ms):
+    kept_since_ms = max(world.started_ms, world.sidecar_state.known_since_ms)
+    if may_be_started_by_earlier(world.cfg, kept_since_ms, now_ms):
         run.may_still_start = True
         clock_ms = minion_time_ms(world.sidecar_state, now_ms)
         if clock_ms is not None:
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -65,6 +65,8 @@
     ----------
     address : Address or None
         Address at which the minion serves requests.
+    known_since_ms : int
+        Time since which this process keeps the runs of the minion's incarnation.
     heartbeat_sequence : int
         Sequence number of the minion's newest heartbeat.
     listed : bool
@@ -133,6 +135,7 @@
 
     address: Address | None = None
     minion: MinionReport | None = None
+    known_since_ms: int = 0
     heartbeat_sequence: int = -1
     listed: bool = False
     contact_ms: int | None = None
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -4,6 +4,7 @@
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems.run_end_rule import certain_expiry_ms
+from kingcuppost.batch.systems.sidecar_heartbeats import handle_heartbeats
 from kingcuppost.batch.systems.sidecar_inbox import (
     handle_order_answers,
     handle_run_lists,
@@ -16,6 +17,7 @@
 from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
 from kingcuppost.batch.tables.messages import (
     HoldMinionAnswered,
+    MinionHeartbeat,
     MinionReport,
     OrderAnswered,
     OrderOutcome,
@@ -146,6 +148,31 @@
     assert world.sidecar_state.ordered_runs[KEY].should_stop
 
 
+def test_a_minion_that_was_removed_and_came_back_may_carry_out_an_earlier_copy(
+    world: BatchWorld,
+) -> None:
+    """The run was given back while the copy that had no answer was valid."""
+    order_start(world, 1)
+    answer(world, True, OrderOutcome.UNKNOWN)
+    now_ms = world.clock.now_ms()
+    report = world.sidecar_state.minion
+    address = world.sidecar_state.address
+    world.inbox.put(MinionHeartbeat(Address("", 0), report, 0, has_left=True))
+    handle_heartbeats(world, now_ms)
+    world.inbox.put(HoldMinionAnswered(INCARNATION, now_ms, now_ms, reason="timeout"))
+    handle_run_lists(world, now_ms)
+    assert world.sidecar_state.minion is None
+    world.inbox.put(MinionHeartbeat(address, report, 9))
+    handle_heartbeats(world, now_ms)
+    list_runs(world)
+    order_start(world, 2)
+    answer(world, True, OrderOutcome.BUSY)
+    world.clock.advance(LIMIT_MS)
+    withdraw(world)
+    assert not world.sidecar_state.refused
+    assert world.sidecar_state.ordered_runs[KEY].should_stop
+
+
 def test_a_stop_of_an_unknown_run_is_not_taken_for_carried_out(
     world: BatchWorld,
 ) -> None:
