Don't take a pause of the asking process for the holder's silence

An entry that had been paused, or had got no processor, claimed the scheduling lease from a healthy holder as soon as it went on.

Cause: the time without an answer ran on while the asking process was paused, though it had sent no ping and read no answer meanwhile. Found in trials of test_scheduler_paused_through_its_term: with the resumed entry stopped for 1.6 s of each 2.1 s, and nothing wrong with the other, it notes "The holder is unresponsive." in its first tick after a stop and claims the lease.

That the failure seen once came from this is likely, not shown, so the test stays listed.

Change: a gap of more than two ping periods between two ticks that monitor the holder is left out of the time without an answer, but for one period.

--- a/kingcuppost/systems/agreement/scheduling_lease.py
+++ b/kingcuppost/systems/agreement/scheduling_lease.py
@@ -39,6 +39,7 @@
     announced under the name of the holder.
     """
     monitor = world.holder_monitor
+    _exclude_own_pause(world, now_ms)
     _record_holder_answers(world, now_ms)
     if not world.log_view.caught_up or world.stopping or is_scheduler(world):
         return
@@ -56,6 +57,21 @@
     _ping_holder(world, holder, now_ms)
 
 
+def _exclude_own_pause(world: World, now_ms: int) -> None:
+    """Exclude a pause of this process from the time without an answer.
+
+    A process that was paused has sent no pings and read no answers, so it knows nothing
+    of the holder's silence. While it runs, it monitors the holder once a ping period.
+    """
+    monitor = world.holder_monitor
+    period_ms = effective_value(world.agreed, "lease.ping_ms")
+    paused_ms = now_ms - monitor.last_run_ms - period_ms
+    monitor.last_run_ms = now_ms
+    if paused_ms > period_ms:
+        answered_ms = monitor.last_answered_ping_ms + paused_ms
+        monitor.last_answered_ping_ms = min(answered_ms, now_ms)
+
+
 def _holder_timeout_ms(world: World) -> int:
     """Return the time without an answer after which the lease is claimed, in ms.
 
--- a/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
+++ b/kingcuppost/systems/agreement/tests/test_scheduling_lease.py
@@ -74,6 +74,34 @@
     assert clock.now_ms() - start_ms >= LOST_MS
 
 
+def test_a_paused_process_does_not_take_its_pause_for_the_holders_silence(
+    pair, clock
+) -> None:
+    holder, other = pair
+    term = holder.world.agreed.lease.term
+    for _ in range(3):
+        clock.advance(MAX_LOST_MS)
+        advance(other, clock)
+        answer_pings(other, holder)
+    for _ in range(40):
+        advance(other, clock)
+        advance(holder, clock, 0)
+        answer_pings(other, holder)
+    assert other.world.agreed.lease.term == term
+    assert is_scheduler(holder.world)
+
+
+def test_unresponsive_holder_loses_the_lease_to_a_process_that_was_paused(
+    pair, clock
+) -> None:
+    holder, other = pair
+    clock.advance(MAX_LOST_MS)
+    start_ms = clock.now_ms()
+    while not is_scheduler(other.world):
+        advance(other, clock)
+        assert clock.now_ms() - start_ms <= MAX_LOST_MS + 2 * STEP_MS
+
+
 def test_holder_cut_off_from_the_log_loses_the_lease_though_it_answers(
     pair, clock
 ) -> None:
--- a/kingcuppost/tables/agreement.py
+++ b/kingcuppost/tables/agreement.py
@@ -217,6 +217,9 @@
     last_answered_ping_ms : int
         Sending time of the latest ping whose answer from the holder was accepted;
         before any in this term, the time at which this process first observed the term.
+        Later by the time for which this process has been paused since.
+    last_run_ms : int
+        Time at which this process last monitored the holder.
     next_ping_ms : int
         Earliest time of the next ping.
     jitter : float
@@ -225,5 +228,6 @@
 
     term: int = -1
     last_answered_ping_ms: int = 0
+    last_run_ms: int = 0
     next_ping_ms: int = 0
     jitter: float = 0.0
