Tell a refusal for good from a passing one when the log refuses an append

Callers saw a job of 4,000 tasks accepted, and from then on no job of any team started. Cause: the append with its plan exceeds the size that the store takes. The refusal counted as a passing one, and the same append was sent again about 60 times a second for ever. Only one append of plans is under way at a time, so no other plan was written. 64 plans that are valid one by one could do the same through the size of their append.

The outcome INVALID now says that an append can never be carried out: it is too large by the limits in the settings (then it is not sent), its key is too long (that raised an error and was never answered), or the store answers 400, 403 or 413. A call whose append is invalid is answered with 400 and the reason.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -24,7 +24,8 @@
     Record,
     Stream,
 )
-from kingcuppost.batch.tables.world import BatchWorld, PendingCall
+from kingcuppost.batch.tables.pending_calls import PendingCall
+from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.identifiers import new_identifier
 
@@ -231,6 +232,7 @@
     The results of all other appends are moved to `append_results`.
     """
     for answer in world.inbox.take(AppendEnded):
+        _count_failure(world, answer)
         pending = world.pending_calls.get(answer.id)
         if pending is None:
             world.schedule.append_results.append(answer)
@@ -244,6 +246,17 @@
                 CallReply(pending.call.exchange_id, CallOutcome.OK),
                 now_ms,
             )
+        elif not pending.is_sent:
+            _resend_append(world, pending, now_ms)
+
+
+def _count_failure(world: BatchWorld, answer: AppendEnded) -> None:
+    if answer.outcome is not AppendOutcome.DONE:
+        world.tally.add("appends_failed", answer.outcome)
+    if answer.outcome is AppendOutcome.INVALID:
+        world.note(
+            "log", "An append is invalid.", append=answer.id, reason=answer.reason
+        )
 
 
 def _is_recorded(world: BatchWorld, pending: PendingCall) -> bool:
@@ -260,7 +273,7 @@
 
     An append of unknown outcome is resent until it succeeds or the caller's time is
     almost over. A later refusal is not final: an earlier attempt may still have
-    reached the log.
+    reached the log. An invalid append can never be carried out.
     """
     exchange_id = pending.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
@@ -268,21 +281,37 @@
             world, pending, CallReply(exchange_id, CallOutcome.OK), now_ms
         )
         return
+    if answer.outcome is AppendOutcome.INVALID:
+        reply = CallReply(exchange_id, CallOutcome.BAD, reason=answer.reason)
+        _end_pending_call(world, pending, reply, now_ms)
+        return
     pending.has_unknown_outcome = (
         pending.has_unknown_outcome or answer.outcome is AppendOutcome.UNKNOWN
     )
-    remaining_ms = pending.call.received_ms + pending.call.timeout_ms - now_ms
-    if pending.has_unknown_outcome and remaining_ms > ANSWER_MARGIN_MS:
-        pending.attempts += 1
-        world.outbox.put(pending.append)
-    elif pending.has_unknown_outcome:
-        reply = CallReply(exchange_id, CallOutcome.UNKNOWN, reason=answer.reason)
-        _end_pending_call(world, pending, reply, now_ms)
+    if pending.has_unknown_outcome:
+        pending.is_sent = False
+        pending.failure = answer.reason
+        pending.backoff.fail(world.rng, now_ms)
     else:
         reply = _make_not_run_reply(pending.call, answer.reason, RETRY_LATER_MS)
         _end_pending_call(world, pending, reply, now_ms)
 
 
+def _resend_append(world: BatchWorld, pending: PendingCall, now_ms: int) -> None:
+    """Resend an append of unknown outcome after its pause, while the caller waits."""
+    call = pending.call
+    last_ms = call.received_ms + call.timeout_ms - ANSWER_MARGIN_MS
+    if now_ms >= last_ms:
+        reply = CallReply(call.exchange_id, CallOutcome.UNKNOWN, reason=pending.failure)
+        _end_pending_call(world, pending, reply, now_ms)
+    elif now_ms < pending.backoff.until_ms:
+        world.deadlines.add(min(pending.backoff.until_ms, last_ms))
+    else:
+        pending.attempts += 1
+        pending.is_sent = True
+        world.outbox.put(pending.append)
+
+
 def _end_pending_call(
     world: BatchWorld, pending: PendingCall, reply: CallReply, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -6,6 +6,7 @@
 rejects the writes of older terms.
 """
 
+from kingcuppost.batch.systems.append_results import take_append_results
 from kingcuppost.batch.systems.freshness import is_fresh
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
@@ -20,6 +21,7 @@
 )
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 from kingcuppost.tables.identity import Role
+from kingcuppost.utils.backoff import Backoff
 from kingcuppost.utils.identifiers import new_identifier
 
 __all__ = [
@@ -36,8 +38,8 @@
 RENEW_PERIOD_MS = 700
 HOLDER_TIMEOUT_MS = 2_200
 AUTHORITY_MS = 2_000  # below `HOLDER_TIMEOUT_MS`: ends before others claim
-RENEW_RETRY_MS = 200
 JITTER_MS = 500
+MIN_RENEW_PAUSE_MS = 100  # after a renewal that another record came before
 CLAIM_PAUSE_MS = 400
 ANNOUNCE_PAUSE_MS = 1_000
 APPEND_TIMEOUT_MS = 1_000
@@ -63,44 +65,71 @@
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
     """Append this entry's record to the members stream if it is missing or outdated."""
     schedule = world.schedule
+    writes = schedule.lease_writes
+    for answer in take_append_results(world, {writes.announce_id}):
+        _record_outcome(world, writes.announce_backoff, answer, now_ms)
     own_record = world.agreed.entries.get(world.cfg.name)
     if own_record is not None and own_record.incarnation == world.incarnation:
         return
     if world.stopping or world.agreed.views[Stream.MEMBERS].end < 0:
         return
-    if now_ms < schedule.announce_after_ms:
+    due_ms = max(schedule.announce_after_ms, writes.announce_backoff.until_ms)
+    if now_ms < due_ms:
+        world.deadlines.add(due_ms)
         return
     schedule.announce_after_ms = now_ms + ANNOUNCE_PAUSE_MS
     world.deadlines.add(schedule.announce_after_ms)
     cfg = world.cfg
     record = EntryRecord(cfg.name, cfg.peers, cfg.availability_zone, world.incarnation)
-    append_id = new_identifier(world.rng, "announce")
+    writes.announce_id = new_identifier(world.rng, "announce")
     world.outbox.put(
-        Append(append_id, Stream.MEMBERS, (record,), timeout_ms=APPEND_TIMEOUT_MS)
+        Append(
+            writes.announce_id,
+            Stream.MEMBERS,
+            (record,),
+            timeout_ms=APPEND_TIMEOUT_MS,
+        )
     )
 
 
+def _record_outcome(
+    world: BatchWorld, backoff: Backoff, answer: AppendEnded, now_ms: int
+) -> None:
+    """Put the next append off if the log did not decide on this one.
+
+    An append that another one came before is no failure of the log.
+    """
+    if answer.outcome in (AppendOutcome.DONE, AppendOutcome.CONFLICT):
+        backoff.succeed()
+    else:
+        backoff.fail(world.rng, now_ms)
+
+
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=40)
 def claim_lease(world: BatchWorld, now_ms: int) -> None:
     """Claim the lease if it is free or was not renewed for `HOLDER_TIMEOUT_MS`."""
     schedule = world.schedule
+    writes = schedule.lease_writes
+    for answer in take_append_results(world, {writes.claim_id}):
+        _record_outcome(world, writes.claim_backoff, answer, now_ms)
     if world.stopping or holds_lease(world):
         return
     due_ms = _claim_due_ms(world)
     if due_ms is None or not is_fresh(world, Stream.MEMBERS, now_ms):
         return
-    due_ms = max(due_ms, schedule.claim_after_ms)
+    due_ms = max(due_ms, schedule.claim_after_ms, writes.claim_backoff.until_ms)
     if now_ms < due_ms:
         world.deadlines.add(due_ms)
         return
     schedule.claim_after_ms = now_ms + CLAIM_PAUSE_MS
     world.deadlines.add(schedule.claim_after_ms)
     schedule.claim_sent_ms = now_ms
+    writes.claim_id = new_identifier(world.rng, "claim")
     record = ClaimRecord(world.cfg.name, world.cfg.peers, world.incarnation)
     world.note("lease", "Claiming the lease.", after=world.agreed.holder.name)
     world.outbox.put(
         Append(
-            new_identifier(world.rng, "claim"),
+            writes.claim_id,
             Stream.MEMBERS,
             (record,),
             required_end=world.agreed.views[Stream.MEMBERS].end,
@@ -137,10 +166,8 @@
         return
     if schedule.authority_until_ms == 0:
         schedule.authority_until_ms = schedule.claim_sent_ms + AUTHORITY_MS
-    for answer in list(schedule.append_results):
-        if answer.id in schedule.renewals:
-            schedule.append_results.remove(answer)
-            _handle_renewal_answer(world, answer, now_ms)
+    for answer in take_append_results(world, schedule.lease_writes.renewals):
+        _handle_renewal_answer(world, answer, now_ms)
     if now_ms >= schedule.renew_at_ms:
         schedule.renew_at_ms = now_ms + RENEW_PERIOD_MS
         _append_renewal(world, now_ms, released=False)
@@ -149,12 +176,15 @@
 
 def _handle_renewal_answer(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
     schedule = world.schedule
-    sent_ms = schedule.renewals.pop(answer.id)
+    writes = schedule.lease_writes
+    sent_ms = writes.renewals.pop(answer.id)
+    _record_outcome(world, writes.renewal_backoff, answer, now_ms)
     if answer.outcome is AppendOutcome.DONE:
         until_ms = sent_ms + AUTHORITY_MS
         schedule.authority_until_ms = max(schedule.authority_until_ms, until_ms)
     else:
-        schedule.renew_at_ms = min(schedule.renew_at_ms, now_ms + RENEW_RETRY_MS)
+        retry_ms = max(writes.renewal_backoff.until_ms, now_ms + MIN_RENEW_PAUSE_MS)
+        schedule.renew_at_ms = min(schedule.renew_at_ms, retry_ms)
 
 
 def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
@@ -165,7 +195,7 @@
     """
     record = RenewRecord(world.agreed.holder.term, released)
     append_id = new_identifier(world.rng, "renew")
-    world.schedule.renewals[append_id] = now_ms
+    world.schedule.lease_writes.renewals[append_id] = now_ms
     required_end = None if released else world.agreed.views[Stream.MEMBERS].end
     world.outbox.put(
         Append(
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from kingcuppost.batch.systems.append_results import take_append_results
 from kingcuppost.batch.systems.holder_election import holds_lease, step_down
 from kingcuppost.batch.systems.minion_leases import extend_lease
 from kingcuppost.batch.systems.plans import adopt_job, iter_tasks
@@ -34,25 +35,30 @@
         return
     if schedule.term < 0:
         schedule.term = world.agreed.holder.term
-        _send_fence(world)
-    for answer in [
-        answer for answer in schedule.append_results if answer.id == schedule.fence_id
-    ]:
-        schedule.append_results.remove(answer)
-        _handle_fence_answer(world, answer)
+    for answer in take_append_results(world, {schedule.lease_writes.fence_id}):
+        _handle_fence_answer(world, answer, now_ms)
     schedule = world.schedule
+    if schedule.term >= 0 and not schedule.is_open:
+        _send_fence_if_due(world, now_ms)
     is_caught_up = world.agreed.views[Stream.JOBS].end >= schedule.required_offset
     if schedule.is_open and not schedule.is_loaded and is_caught_up:
         _load_plans(world, now_ms)
 
 
-def _send_fence(world: BatchWorld) -> None:
+def _send_fence_if_due(world: BatchWorld, now_ms: int) -> None:
     """Append an empty batch under the new term; the log then rejects older terms."""
     schedule = world.schedule
-    schedule.fence_id = new_identifier(world.rng, "fence")
+    writes = schedule.lease_writes
+    if writes.is_fence_sent:
+        return
+    if now_ms < writes.fence_backoff.until_ms:
+        world.deadlines.add(writes.fence_backoff.until_ms)
+        return
+    writes.is_fence_sent = True
+    writes.fence_id = new_identifier(world.rng, "fence")
     world.outbox.put(
         Append(
-            schedule.fence_id,
+            writes.fence_id,
             Stream.JOBS,
             (),
             term=schedule.term,
@@ -62,16 +68,17 @@
     )
 
 
-def _handle_fence_answer(world: BatchWorld, answer: AppendEnded) -> None:
+def _handle_fence_answer(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
     schedule = world.schedule
+    schedule.lease_writes.is_fence_sent = False
     if answer.outcome is AppendOutcome.DONE:
         schedule.is_open = True
         schedule.required_offset = answer.end
-        schedule.sequence = 0
+        schedule.plan_writes.sequence = 0
     elif answer.outcome is AppendOutcome.FENCED:
         step_down(world, "a newer term has written")
     else:
-        _send_fence(world)
+        schedule.lease_writes.fence_backoff.fail(world.rng, now_ms)
 
 
 def _load_plans(world: BatchWorld, now_ms: int) -> None:
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -205,7 +205,10 @@
     DONE
         The records are in the log.
     REFUSED
-        The append was certainly not carried out.
+        The append was certainly not carried out, but may be when it is sent again.
+    INVALID
+        The append was not carried out and never will be, since it is too large or
+        malformed.
     CONFLICT
         The stream ends elsewhere, or the log expects another sequence number.
     FENCED
@@ -216,6 +219,7 @@
 
     DONE = "done"
     REFUSED = "refused"
+    INVALID = "invalid"
     CONFLICT = "conflict"
     FENCED = "fenced"
     UNKNOWN = "unknown"
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -14,10 +14,9 @@
     Speed,
 )
 from kingcuppost.batch.tables.job import Job, MinionIncarnation, Plan, Task, TaskName
+from kingcuppost.batch.tables.lease_writes import LeaseWrites
 from kingcuppost.batch.tables.messages import (
-    Append,
     AppendEnded,
-    CallerCall,
     EndedRun,
     MinionHeartbeat,
     MinionReport,
@@ -27,6 +26,8 @@
     Stream,
     SyncCall,
 )
+from kingcuppost.batch.tables.pending_calls import PendingCall
+from kingcuppost.batch.tables.plan_writes import PlanWrites
 from kingcuppost.batch.tables.waiting import Wait
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.deadlines import Deadlines
@@ -41,7 +42,6 @@
     "LogLine",
     "OrderedRun",
     "OrphanRun",
-    "PendingCall",
     "PendingSync",
     "Schedule",
     "SidecarState",
@@ -118,27 +118,6 @@
     )
 
 
-@dataclass(slots=True)
-class PendingCall:
-    """A caller's call that waits until its record is in the log.
-
-    Attributes
-    ----------
-    append : Append
-        Append of the call's record.
-    attempts : int
-        How often the append was sent.
-    has_unknown_outcome : bool
-        Whether an earlier attempt may have reached the log.
-    """
-
-    call: CallerCall
-    job_id: str
-    append: Append
-    attempts: int = 1
-    has_unknown_outcome: bool = False
-
-
 @dataclass(slots=True)
 class PendingSync:
     """A sidecar's report whose answer is delayed until there are orders or results.
@@ -178,8 +157,6 @@
     jitter_ms : int
         Random delay of this entry's claims, so that entries do not claim at the same
         time.
-    fence_id : str
-        Identifier of the append after which the log rejects older terms.
     claim_sent_ms : int
         Time at which the newest claim was sent; a new term's authority counts from it.
     is_open : bool
@@ -190,12 +167,10 @@
         Time at which they were loaded, and time at which a minion was last added.
     required_offset : int
         Offset up to which the jobs stream must be folded before the plans are loaded.
-    sequence : int
-        Sequence number of the newest append of the term.
-    in_flight : Append or None
-        The append that is not answered yet.
-    in_flight_versions : dict of str to int
-        Versions of the plans in that append, by job.
+    plan_writes : PlanWrites
+        State of the writing of plans.
+    lease_writes : LeaseWrites
+        State of the writing of announcements, claims, fences and renewals.
     unwritten_jobs : dict of str to None
         Jobs whose plans have changed since the last append.
     lost_term : int
@@ -208,8 +183,6 @@
         Placed runs by minion incarnation, kept up to date by `task_phases`.
     minions : Table of MinionRow
         Minions that sidecars have reported to this process.
-    renewals : dict of str to int
-        Time at which each unanswered renewal was sent, by identifier of its append.
     orphans : dict of str to dict
         Runs that belong to no task, by sidecar, and by task and run.
     removals : dict of str to None
@@ -256,7 +229,6 @@
     jitter_ms: int = 0
     claim_after_ms: int = 0
     announce_after_ms: int = 0
-    fence_id: str = ""
     is_open: bool = False
     required_offset: int = -1
     is_loaded: bool = False
@@ -271,10 +243,8 @@
     removals: dict[str, None] = field(default_factory=dict)
     check_minions_at_ms: int = 0
     write_checkpoints_at_ms: int = 0
-    renewals: dict[str, int] = field(default_factory=dict)
-    sequence: int = 0
-    in_flight: Append | None = None
-    in_flight_versions: dict[str, int] = field(default_factory=dict)
+    plan_writes: PlanWrites = field(default_factory=PlanWrites)
+    lease_writes: LeaseWrites = field(default_factory=LeaseWrites)
     unwritten_jobs: dict[str, None] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     loads: dict[MinionIncarnation, MinionLoad] = field(default_factory=dict)
--- a/kingcuppost/platform/appends.py
+++ b/kingcuppost/platform/appends.py
@@ -9,6 +9,7 @@
 from kingcuppost.batch.tables.messages import Append, AppendEnded, AppendOutcome
 from kingcuppost.exception import PeerError
 from kingcuppost.platform.framing import encode_keyed_record, frame_records
+from kingcuppost.platform.settings import StoreLimits
 from kingcuppost.platform.store import StoreReply
 from kingcuppost.platform.topics import STATUS_OK, TOPICS, make_path
 
@@ -17,6 +18,8 @@
 PRODUCER = "scheduler"
 STATUS_CONFLICT = 409
 STATUS_PRECONDITION_FAILED = 412
+# bad request, forbidden topic, content too large: the same append fails again
+INVALID_STATUSES = (400, 403, 413)
 
 
 class _AppendReplyModel(BaseModel):
@@ -42,9 +45,10 @@
         fields["at"] = message.required_end
     if message.term is not None:
         fields.update(producer=PRODUCER, epoch=message.term, sequence=message.sequence)
-    contents = [
-        encode_keyed_record(*encode_record(record)) for record in message.records
-    ]
+    try:
+        contents = _encode_records(message, context.adapter_state.limits)
+    except ValueError as exc:
+        return AppendEnded(message.id, AppendOutcome.INVALID, reason=str(exc))
     path = make_path("log-append", **fields)
     started_ms = context.world.clock.now_ms()
     try:
@@ -60,6 +64,33 @@
     return _parse_append_reply(message, reply)
 
 
+def _encode_records(message: Append, limits: StoreLimits) -> list[bytes]:
+    """Return the contents of the records.
+
+    Raises
+    ------
+    ValueError
+        If the store does not take a record or their total for their size.
+    """
+    contents = []
+    for record in message.records:
+        key, value = encode_record(record)
+        content = encode_keyed_record(key, value)
+        if len(content) > limits.record_bytes:
+            raise ValueError(
+                f"the record {key} has {len(content)} bytes, the limit is"
+                f" {limits.record_bytes} bytes"
+            )
+        contents.append(content)
+    total_bytes = len(frame_records(contents))
+    if total_bytes > limits.request_bytes:
+        raise ValueError(
+            f"the append has {total_bytes} bytes, the limit is"
+            f" {limits.request_bytes} bytes"
+        )
+    return contents
+
+
 def _parse_append_reply(message: Append, reply: StoreReply) -> AppendEnded:
     try:
         body = _AppendReplyModel.model_validate_json(reply.body or b"{}")
@@ -73,6 +104,8 @@
     elif reply.status in (STATUS_CONFLICT, STATUS_PRECONDITION_FAILED):
         outcome = AppendOutcome.CONFLICT
         reason += f" expected {body.sequence}"
+    elif reply.status in INVALID_STATUSES:
+        outcome = AppendOutcome.INVALID
     elif reply.may_have_run:
         outcome = AppendOutcome.UNKNOWN
     else:
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -13,7 +13,7 @@
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.exception import Failure
 from kingcuppost.platform import streams
-from kingcuppost.platform.settings import PlatformConfig, read_settings
+from kingcuppost.platform.settings import PlatformConfig, StoreLimits, read_settings
 from kingcuppost.platform.store import StoreClient
 from kingcuppost.tables.identity import Role
 
@@ -32,14 +32,17 @@
     ----------
     store : StoreClient
         Client of the platform's store.
+    limits : StoreLimits
+        Limits of the store.
     """
 
-    store: object
+    store: StoreClient
+    limits: StoreLimits
 
 
 def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
-    context.adapter_state = AdapterState(StoreClient(context, cfg.store))
+    context.adapter_state = AdapterState(StoreClient(context, cfg.store), cfg.limits)
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
     listen(context, "peers", cfg.daemon.peers)
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -17,7 +17,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.addresses import parse_address
 
-__all__ = ["PlatformConfig", "read_settings"]
+__all__ = ["PlatformConfig", "StoreLimits", "read_settings"]
 
 MS_PER_SECOND = 1_000
 
@@ -51,6 +51,9 @@
 
 class _StoreModel(_Model):
     address: AddressText
+    # the meaning of the limits is documented at `StoreLimits`
+    record_bytes: int = Field(262_144, alias="recordBytes", gt=0)
+    request_bytes: int = Field(2_097_152, alias="requestBytes", gt=0)
 
 
 class _SettingsModel(_Model):
@@ -69,6 +72,22 @@
     platform: _StoreModel
 
 
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """Sizes above which the store refuses an append for good, in bytes.
+
+    Attributes
+    ----------
+    record_bytes : int
+        Largest record, with its key.
+    request_bytes : int
+        Largest total of the records of one append.
+    """
+
+    record_bytes: int
+    request_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformConfig:
     """Settings of a process, with its addresses on the platform.
@@ -82,6 +101,8 @@
     callers, readiness, heartbeats : Address or None
         Addresses for callers, the balancer's readiness checks and minions'
         heartbeats; None if the process does not serve them.
+    limits : StoreLimits
+        Limits of the store.
     """
 
     daemon: DaemonConfig
@@ -89,6 +110,7 @@
     callers: Address | None
     readiness: Address | None
     heartbeats: Address | None
+    limits: StoreLimits
 
 
 def _parse_optional_address(text: str | None) -> Address | None:
@@ -128,6 +150,7 @@
         _parse_optional_address(model.listen.frontend),
         _parse_optional_address(model.listen.readiness),
         _parse_optional_address(model.listen.control),
+        StoreLimits(model.platform.record_bytes, model.platform.request_bytes),
     )
 
 
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 from kingcuppost.platform.__main__ import main
 from kingcuppost.platform.early_listener import listen_early
-from kingcuppost.platform.settings import read_settings
+from kingcuppost.platform.settings import StoreLimits, read_settings
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
@@ -45,6 +45,7 @@
     assert cfg.daemon.bounds.lease_ms == 6_000
     assert cfg.daemon.bounds.grace_ms == 6_000
     assert cfg.daemon.peers == Address("10.1.0.20", 7000)
+    assert cfg.limits == StoreLimits(262_144, 2_097_152)
 
 
 def test_seeds_have_the_port_for_peers(settings: Path) -> None:
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -7,6 +7,8 @@
 __all__ = ["AppendResult", "Store"]
 
 MAX_RECORD_BYTES = 262_144
+MAX_REQUEST_BYTES = 2_097_152
+LENGTH_BYTES = 4  # precede each record of an append
 
 
 @dataclass(frozen=True)
@@ -34,11 +36,18 @@
     Attributes
     ----------
     max_record_bytes : int
-        Size of the largest value that is taken; an append with a larger one is refused.
+        Size of the largest record that is taken, with its key and the key's length in
+        one byte.
+    max_request_bytes : int
+        Largest total of the records of one append, with their lengths.
+    invalid_count : int
+        Number of appends that were too large.
     """
 
     def __init__(self) -> None:
         self.max_record_bytes = MAX_RECORD_BYTES
+        self.max_request_bytes = MAX_REQUEST_BYTES
+        self.invalid_count = 0
         self._topics = {stream: _Topic() for stream in Stream}
 
     def append(
@@ -69,12 +78,13 @@
         Returns
         -------
         AppendResult
-            ``REFUSED`` for a record that is too large, ``FENCED`` for an outdated
+            ``INVALID`` for an append that is too large, ``FENCED`` for an outdated
             epoch, ``CONFLICT`` for another end or a gap in the sequence.
         """
         topic = self._topics[stream]
-        if any(len(value) > self.max_record_bytes for _, value in records):
-            return AppendResult(AppendOutcome.REFUSED)
+        if self._is_too_large(records):
+            self.invalid_count += 1
+            return AppendResult(AppendOutcome.INVALID)
         if expected_end is not None and expected_end != len(topic.records):
             return AppendResult(AppendOutcome.CONFLICT, end=len(topic.records))
         if epoch is not None:
@@ -96,6 +106,12 @@
             topic.results[epoch, sequence] = result
         return result
 
+    def _is_too_large(self, records: list[tuple[str, bytes]]) -> bool:
+        sizes = [1 + len(key.encode()) + len(value) for key, value in records]
+        total = sum(sizes) + LENGTH_BYTES * len(sizes)
+        largest = max(sizes, default=0)
+        return largest > self.max_record_bytes or total > self.max_request_bytes
+
     def end(self, stream: Stream) -> int:
         """Return the offset after the last record."""
         return len(self._topics[stream].records)
