Name and test the limits above which a job is refused at submission

A job whose record exceeds the store's limit was answered with 503 and a Retry-After, so callers sent it again for ever. The simulated store gives its reason, as the adapter does.

--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -41,3 +41,14 @@
     result = _decode_job(body)
     assert result.is_error()
     assert reason in result.error
+
+
+@pytest.mark.parametrize("counts", [(10_000,), (9_999, 1)], ids=str)
+def test_a_job_with_more_tasks_than_the_limit_is_refused(
+    counts: tuple[int, ...],
+) -> None:
+    steps = [{"count": count} for count in counts]
+    assert _decode_job(json.dumps({"steps": steps}).encode()).is_ok()
+    steps[0]["count"] += 1
+    refused = _decode_job(json.dumps({"steps": steps}).encode())
+    assert "10000" in refused.error
--- a/standins/batch/log_messages.py
+++ b/standins/batch/log_messages.py
@@ -76,7 +76,9 @@
             message.sequence,
         )
         if not lost:
-            answer = AppendEnded(message.id, result.outcome, result.offset, result.end)
+            answer = AppendEnded(
+                message.id, result.outcome, result.offset, result.end, result.reason
+            )
             delay_ms = deployment.delay_ms() + deployment.log_delay_ms
             deployment.deliver_later(process, delay_ms, lambda: answer)
         _notify_entries(deployment, message.stream)
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -18,6 +18,7 @@
     outcome: AppendOutcome
     offset: int = -1
     end: int = -1
+    reason: str = ""
 
 
 @dataclass
@@ -82,9 +83,10 @@
             epoch, ``CONFLICT`` for another end or a gap in the sequence.
         """
         topic = self._topics[stream]
-        if self._is_too_large(records):
+        reason = self._find_excess(records)
+        if reason:
             self.invalid_count += 1
-            return AppendResult(AppendOutcome.INVALID)
+            return AppendResult(AppendOutcome.INVALID, reason=reason)
         if expected_end is not None and expected_end != len(topic.records):
             return AppendResult(AppendOutcome.CONFLICT, end=len(topic.records))
         if epoch is not None:
@@ -106,11 +108,14 @@
             topic.results[epoch, sequence] = result
         return result
 
-    def _is_too_large(self, records: list[tuple[str, bytes]]) -> bool:
+    def _find_excess(self, records: list[tuple[str, bytes]]) -> str:
+        """Return which limit the records of an append exceed; empty for none."""
         sizes = [1 + len(key.encode()) + len(value) for key, value in records]
-        total = sum(sizes) + LENGTH_BYTES * len(sizes)
-        largest = max(sizes, default=0)
-        return largest > self.max_record_bytes or total > self.max_request_bytes
+        if max(sizes, default=0) > self.max_record_bytes:
+            return f"the limit is {self.max_record_bytes} bytes"
+        if sum(sizes) + LENGTH_BYTES * len(sizes) > self.max_request_bytes:
+            return f"the limit is {self.max_request_bytes} bytes"
+        return ""
 
     def end(self, stream: Stream) -> int:
         """Return the offset after the last record."""
