Write the plan of a wide job in parts

Callers saw a job of 4,000 tasks accepted that never started. Cause: a plan was one record with a row for each task that ever had a run, so it outgrew what the log takes, and the cost of each change of one task grew with the job's width.

The plan of a job of more than 10 tasks is now written in parts of 10 tasks, the record progress/JOB/PART for each, with the state of the job in every part; the newest part counts. A change of one task writes the part that has it. At most 200 parts are appended at once, and a plan counts as written with its last part, so no run starts before. The record progress/JOB, which earlier builds wrote and narrow jobs still have, is read as before: parts overlay it. The records of all parts are removed with their job, at most 2,000 at once.

Entries of an earlier build ignore parts and would run their tasks again. So an entry announces the format that it reads, and the holder writes parts only while every announced entry reads them; else plans are whole, and one that is too large is held. When an earlier build is announced, plans in parts are written anew as a whole. A roll-back that begins with a killed holder repeats runs, since its successor claims the lease of its predecessor before the plans are written anew: known red.

Found by the tests: a task that was placed in the older record kept its minion when a part said that it waits.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,7 @@
 """Print each policy's figures: ``python -m bench [--seeds N] [--deployment NAME]``.
 
-``python -m bench --holder`` prints the tick times of the holder at several sizes.
+``python -m bench --holder`` prints the tick times of the holder at several sizes, and
+``python -m bench --wide`` what one task's change costs in jobs of several widths.
 """
 
 import argparse
@@ -10,6 +11,7 @@
 from bench.figures import Figures, measure
 from bench.holder_ticks import SIZES, measure_holder
 from bench.ticks import tick_times
+from bench.wide_plans import WIDTHS, measure_change
 from bench.workloads import deployments
 
 POLICIES = ("first_fit", "backfill", "shapes")
@@ -91,6 +93,14 @@
         print(f"| {minions} | {figures} |", flush=True)
 
 
+def _print_wide_plans() -> None:
+    print("\n| tasks of the job | bytes of a change | p50, ms |")
+    print("| --- | --- | --- |")
+    for tasks in WIDTHS:
+        cost = measure_change(tasks)
+        print(f"| {tasks} | {cost.size_bytes} | {cost.median_ms:.3f} |", flush=True)
+
+
 def main() -> None:
     """Run all policies on all workloads and print the tables."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
@@ -100,7 +110,13 @@
     parser.add_argument(
         "--holder", action="store_true", help="only the holder's ticks at each size"
     )
+    parser.add_argument(
+        "--wide", action="store_true", help="only the changes of wide jobs"
+    )
     args = parser.parse_args()
+    if args.wide:
+        _print_wide_plans()
+        return
     if args.holder:
         _print_holder()
         return
--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -22,6 +22,7 @@
     ClaimRecord,
     EntryRecord,
     JobRecord,
+    ProgressPartRecord,
     ProgressRecord,
     Record,
     RemovalRecord,
@@ -129,6 +130,7 @@
     port: PortNumber
     availability_zone: str
     incarnation: str
+    record_format: int = 0
 
 
 class ClaimModel(RecordModel):
@@ -211,7 +213,16 @@
 
 @encoders.register(ProgressRecord)
 def _encode_progress(record: ProgressRecord) -> tuple[str, bytes]:
-    progress = record.progress
+    return f"progress/{record.job_id}", _encode_progress_value(record.progress)
+
+
+@encoders.register(ProgressPartRecord)
+def _encode_progress_part(record: ProgressPartRecord) -> tuple[str, bytes]:
+    value = _encode_progress_value(record.progress)
+    return f"progress/{record.job_id}/{record.part}", value
+
+
+def _encode_progress_value(progress: Progress) -> bytes:
     rows = tuple(
         (
             task.step,
@@ -228,14 +239,19 @@
         for task in progress.tasks
     )
     model = ProgressModel(state=progress.state, begun=progress.begun, tasks=rows)
-    return f"progress/{record.job_id}", model.to_json()
+    return model.to_json()
 
 
 @decoders.register("progress")
-def _decode_progress(job_id: str, value: bytes) -> Record:
+def _decode_progress(rest: str, value: bytes) -> Record:
+    """Return the progress of a job, or of the part that the key ends with."""
     model = ProgressModel.model_validate_json(value)
     tasks = tuple(TaskProgress(*row) for row in model.tasks)
-    return ProgressRecord(job_id, Progress(model.state, model.begun, tasks))
+    progress = Progress(model.state, model.begun, tasks)
+    job_id, _, part = rest.partition(KEY_SEPARATOR)
+    if part.isascii() and part.isdecimal():
+        return ProgressPartRecord(job_id, int(part), progress)
+    return ProgressRecord(rest, progress)
 
 
 @encoders.register(EntryRecord)
@@ -245,6 +261,7 @@
         port=record.address.port,
         availability_zone=record.availability_zone,
         incarnation=record.incarnation,
+        record_format=record.record_format,
     )
     return f"entry/{record.name}", model.to_json()
 
@@ -253,7 +270,13 @@
 def _decode_entry(name: str, value: bytes) -> Record:
     model = EntryModel.model_validate_json(value)
     address = Address(model.host, model.port)
-    return EntryRecord(name, address, model.availability_zone, model.incarnation)
+    return EntryRecord(
+        name,
+        address,
+        model.availability_zone,
+        model.incarnation,
+        model.record_format,
+    )
 
 
 @encoders.register(ClaimRecord)
--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -19,6 +19,7 @@
         "term_opening",
         "sidecar_reports",
         "lease_expiry",
+        "checkpoint_parts",
         "run_monitor",
         "scheduling",
         "waits",
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -6,13 +6,14 @@
 from kingcuppost.batch.systems.freshness import FRESH_MS
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.fleet import EntryMember, HolderView
-from kingcuppost.batch.tables.job import Job, Progress
+from kingcuppost.batch.tables.job import Job, Progress, ProgressParts
 from kingcuppost.batch.tables.messages import (
     CancelRecord,
     ClaimRecord,
     ConfigRecord,
     EntryRecord,
     JobRecord,
+    ProgressPartRecord,
     ProgressRecord,
     RecordsRead,
     RemovalRecord,
@@ -116,27 +117,48 @@
 
 @appliers.register(ProgressRecord)
 def _apply_progress(world: BatchWorld, offset: int, record: ProgressRecord) -> None:
-    job = world.agreed.jobs.get(record.job_id)
+    """Replace the progress of a job, and of all its parts."""
+    job = _find_job(world, record.job_id, record.progress)
     if job is None:
         return
-    if not _has_tasks(job, record.progress):
-        world.note(
-            "log", "Progress of tasks that the job lacks was skipped.", job=job.id
-        )
+    world.agreed.jobs.update(job.id, progress=record.progress)
+    parts = world.agreed.progress_parts.get(job.id)
+    if parts is not None:
+        parts.rows.clear()
+    if parts is None or offset >= parts.newest_offset:
+        _update_state(world, job, record.progress)
+
+
+@appliers.register(ProgressPartRecord)
+def _apply_progress_part(
+    world: BatchWorld, offset: int, record: ProgressPartRecord
+) -> None:
+    """Replace a part of a job's progress; the newest part has the state of the job."""
+    job = _find_job(world, record.job_id, record.progress)
+    if job is None:
         return
-    if job.state is not record.progress.state:
+    parts = world.agreed.progress_parts.setdefault(job.id, ProgressParts())
+    parts.rows[record.part] = record.progress.tasks
+    if offset >= parts.newest_offset:
+        parts.newest_offset = offset
+        _update_state(world, job, record.progress)
+
+
+def _find_job(world: BatchWorld, job_id: str, progress: Progress) -> Job | None:
+    """Return the job of a progress record; None if the record is to be ignored."""
+    job = world.agreed.jobs.get(job_id)
+    if job is None or _has_tasks(job, progress):
+        return job
+    world.note("log", "Progress of tasks that the job lacks was skipped.", job=job_id)
+    return None
+
+
+def _update_state(world: BatchWorld, job: Job, progress: Progress) -> None:
+    if job.state is not progress.state:
         world.note(
-            "job",
-            "The state of a job changed.",
-            job=job.id,
-            state=record.progress.state,
+            "job", "The state of a job changed.", job=job.id, state=progress.state
         )
-    world.agreed.jobs.update(
-        record.job_id,
-        state=record.progress.state,
-        begun=record.progress.begun,
-        progress=record.progress,
-    )
+    world.agreed.jobs.update(job.id, state=progress.state, begun=progress.begun)
 
 
 def _has_tasks(job: Job, progress: Progress) -> bool:
@@ -150,7 +172,11 @@
 @appliers.register(EntryRecord)
 def _apply_entry(world: BatchWorld, offset: int, record: EntryRecord) -> None:
     member = EntryMember(
-        record.name, record.address, record.availability_zone, record.incarnation
+        record.name,
+        record.address,
+        record.availability_zone,
+        record.incarnation,
+        record.record_format,
     )
     world.agreed.entries.put(member)
 
@@ -208,6 +234,7 @@
 
 def _remove_job(world: BatchWorld, job_id: str) -> None:
     world.agreed.jobs.delete(job_id)
+    world.agreed.progress_parts.pop(job_id, None)
     world.schedule.changed_jobs[job_id] = None
 
 
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -10,6 +10,7 @@
 from kingcuppost.batch.systems.freshness import is_fresh
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.messages import (
+    PARTS_FORMAT,
     Append,
     AppendEnded,
     AppendOutcome,
@@ -80,7 +81,9 @@
     schedule.announce_after_ms = now_ms + ANNOUNCE_PAUSE_MS
     world.deadlines.add(schedule.announce_after_ms)
     cfg = world.cfg
-    record = EntryRecord(cfg.name, cfg.peers, cfg.availability_zone, world.incarnation)
+    record = EntryRecord(
+        cfg.name, cfg.peers, cfg.availability_zone, world.incarnation, PARTS_FORMAT
+    )
     writes.announce_id = new_identifier(world.rng, "announce")
     world.outbox.put(
         Append(
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -1,10 +1,17 @@
 """Writing of plans to the log: one append at a time, numbered within the term."""
 
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from itertools import islice
 
 from kingcuppost.batch.systems.holder_election import step_down
-from kingcuppost.batch.systems.plans import make_progress
+from kingcuppost.batch.systems.plan_layout import choose_layout
+from kingcuppost.batch.systems.plan_parts import (
+    count_parts,
+    is_wide,
+    make_part_record,
+    make_progress,
+    take_changed_parts,
+)
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.tables.fleet import Speed
@@ -20,6 +27,7 @@
 )
 from kingcuppost.batch.tables.plan_writes import (
     MAX_JOBS_PER_APPEND,
+    MAX_PARTS_PER_APPEND,
     PlanAppend,
 )
 from kingcuppost.batch.tables.world import BatchWorld
@@ -30,6 +38,7 @@
 __all__ = ["write_plans"]
 
 APPEND_TIMEOUT_MS = 800
+MAX_REMOVED_RECORDS = 2_000
 HOLD_MIN_MS = 1_000
 HOLD_MAX_MS = 60_000
 MAX_ABSENT_SPEEDS = 100
@@ -65,45 +74,75 @@
 
 def _append_changes(world: BatchWorld, now_ms: int) -> None:
     """Append what has changed, if anything has."""
-    schedule = world.schedule
-    job_ids = _choose_jobs(world, now_ms)
-    records: list[Record] = []
-    versions = {}
-    for job_id in job_ids:
-        del schedule.unwritten_jobs[job_id]
-        plan = schedule.plans.get(job_id)
-        if plan is not None:
-            records.append(ProgressRecord(job_id, make_progress(plan)))
-            versions[job_id] = plan.version
-    is_searching = bool(schedule.plan_writes.suspects)
-    removed_ids = () if is_searching else _take_removals(world)
-    records += _make_removals(removed_ids)
-    if not records:
+    writes = world.schedule.plan_writes
+    choose_layout(world)
+    chosen = _take_plans(world, _choose_jobs(world, now_ms))
+    is_searching = bool(writes.suspects)
+    chosen.removals = () if is_searching else _take_removals(world)
+    chosen.records += _make_removals(world, chosen.removals)
+    if not chosen.records:
         return
-    speeds = [] if is_searching else _make_speed_records(world, now_ms)
-    _send_records(
-        world, records + speeds, versions, removed_ids, has_speeds=bool(speeds)
-    )
+    if not is_searching:
+        speeds = _make_speed_records(world, now_ms)
+        chosen.records += speeds
+        chosen.has_speeds = bool(speeds)
+    _send_changes(world, chosen)
 
 
-def _send_records(
-    world: BatchWorld,
-    records: list[Record],
-    versions: dict[str, int],
-    removals: tuple[str, ...],
-    has_speeds: bool,
-) -> None:
+@dataclass(slots=True)
+class _Changes:
+    """Content of the next append; see `PlanAppend`."""
+
+    records: list[Record] = field(default_factory=list)
+    parts: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+    removals: tuple[str, ...] = ()
+    has_speeds: bool = False
+
+
+def _take_plans(world: BatchWorld, job_ids: list[str]) -> _Changes:
+    """Return the records of changed plans, which count as written from now on.
+
+    What is left of the last plan, if it has too many changed parts, stays unwritten.
+    """
+    schedule = world.schedule
+    changes = _Changes()
+    free_parts = schedule.plan_writes.max_parts
+    for job_id in job_ids:
+        plan = schedule.plans.get(job_id)
+        if plan is None:
+            del schedule.unwritten_jobs[job_id]
+            continue
+        if free_parts <= 0:
+            break
+        if is_wide(plan) and schedule.plan_writes.in_parts:
+            parts = take_changed_parts(plan, free_parts)
+            changes.records += [make_part_record(plan, part) for part in parts]
+        else:
+            parts = take_changed_parts(plan, count_parts(plan.job.steps))
+            changes.records.append(ProgressRecord(job_id, make_progress(plan)))
+        free_parts -= len(parts)
+        changes.parts[job_id] = parts
+        if not plan.changed_parts:
+            changes.versions[job_id] = plan.version
+            del schedule.unwritten_jobs[job_id]
+    return changes
+
+
+def _send_changes(world: BatchWorld, changes: _Changes) -> None:
     writes = world.schedule.plan_writes
     writes.sequence += 1
     append = Append(
         new_identifier(world.rng, "plans"),
         Stream.JOBS,
-        tuple(records),
+        tuple(changes.records),
         term=world.schedule.term,
         sequence=writes.sequence,
         timeout_ms=APPEND_TIMEOUT_MS,
     )
-    writes.in_flight = PlanAppend(append, versions, removals, has_speeds)
+    writes.in_flight = PlanAppend(
+        append, changes.parts, changes.versions, changes.removals, changes.has_speeds
+    )
     world.outbox.put(append)
 
 
@@ -156,23 +195,39 @@
 
 
 def _take_removals(world: BatchWorld) -> tuple[str, ...]:
-    """Return up to `MAX_JOBS_PER_APPEND` jobs to remove, which are due no more."""
+    """Return jobs to remove, which are not due any more.
+
+    Their records are up to `MAX_REMOVED_RECORDS`, but those of one job in any case.
+    """
     removals = world.schedule.removals
-    job_ids = tuple(removals)[:MAX_JOBS_PER_APPEND]
-    for job_id in job_ids:
+    job_ids: list[str] = []
+    free_records = MAX_REMOVED_RECORDS
+    for job_id in list(removals):
+        free_records -= len(_job_keys(world, job_id))
+        if job_ids and free_records < 0:
+            break
         del removals[job_id]
-    return job_ids
+        job_ids.append(job_id)
+    return tuple(job_ids)
 
 
-def _make_removals(job_ids: tuple[str, ...]) -> list[RemovalRecord]:
+def _make_removals(world: BatchWorld, job_ids: tuple[str, ...]) -> list[Record]:
     """Return the removals of all records of jobs."""
     return [
-        RemovalRecord(f"{kind}/{job_id}")
-        for job_id in job_ids
-        for kind in JOB_KEY_KINDS
+        RemovalRecord(key) for job_id in job_ids for key in _job_keys(world, job_id)
     ]
 
 
+def _job_keys(world: BatchWorld, job_id: str) -> list[str]:
+    """Return the keys of all records that a job may have."""
+    keys = [f"{kind}/{job_id}" for kind in JOB_KEY_KINDS]
+    job = world.agreed.jobs.get(job_id)
+    part_count = count_parts(job.steps) if job is not None else 0
+    if part_count > 1:
+        keys += [f"progress/{job_id}/{part}" for part in range(part_count)]
+    return keys
+
+
 def _handle_append_answer(world: BatchWorld, answer: AppendEnded, now_ms: int) -> None:
     writes = world.schedule.plan_writes
     sent = writes.in_flight
@@ -202,7 +257,7 @@
     writes.in_flight = None
     writes.backoff.succeed()
     writes.suspects = tuple(
-        job_id for job_id in writes.suspects if job_id not in sent.versions
+        job_id for job_id in writes.suspects if job_id not in sent.parts
     )
 
 
@@ -218,15 +273,26 @@
     writes = schedule.plan_writes
     writes.in_flight = None
     writes.sequence -= 1
-    schedule.unwritten_jobs.update(dict.fromkeys(sent.versions))
     schedule.removals.update(dict.fromkeys(sent.removals))
-    writes.suspects = tuple(sent.versions)
-    is_single = len(sent.versions) == 1 and not (sent.removals or sent.has_speeds)
-    if is_single:
-        writes.suspects = ()
-        _hold_plan(world, next(iter(sent.versions)), reason, now_ms)
-    elif not sent.versions:
+    for job_id, parts in sent.parts.items():
+        _put_back(world, job_id, parts)
+    writes.suspects = tuple(sent.parts)
+    if not sent.parts:
         writes.backoff.fail(world.rng, now_ms)
+    elif len(sent.append.records) == 1:
+        writes.suspects = ()
+        writes.max_parts = MAX_PARTS_PER_APPEND
+        _hold_plan(world, next(iter(sent.parts)), reason, now_ms)
+    elif len(sent.parts) == 1 and not (sent.removals or sent.has_speeds):
+        writes.max_parts = len(sent.append.records) // 2
+
+
+def _put_back(world: BatchWorld, job_id: str, parts: tuple[int, ...]) -> None:
+    """Mark parts of a plan as changed again, before its later changes."""
+    world.schedule.unwritten_jobs[job_id] = None
+    plan = world.schedule.plans.get(job_id)
+    if plan is not None:
+        plan.changed_parts = dict.fromkeys((*parts, *plan.changed_parts))
 
 
 def _hold_plan(world: BatchWorld, job_id: str, reason: str, now_ms: int) -> None:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -1,7 +1,12 @@
 """Plans of jobs: loading them from the log and applying placements and run ends."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 
+from kingcuppost.batch.systems.plan_parts import (
+    iter_tasks,
+    make_progress,
+    mark_task_changed,
+)
 from kingcuppost.batch.systems.task_phases import (
     add_plan,
     change_phase,
@@ -16,7 +21,7 @@
     MinionIncarnation,
     Plan,
     PlanPhase,
-    Progress,
+    ProgressParts,
     RunEnd,
     Task,
     TaskName,
@@ -42,24 +47,21 @@
 AVOID_MS = 5_000  # time for which a failed task waits for other minions
 
 
-def iter_tasks(plan: Plan) -> Iterator[Task]:
-    """Yield every task of a plan."""
-    for step in plan.tasks:
-        yield from step
-
+def load_plan(job: Job, parts: ProgressParts | None = None) -> Plan:
+    """Return the plan of a job in the state of its newest progress records.
 
-def load_plan(job: Job) -> Plan:
-    """Return the plan of a job in the state of its newest progress record."""
+    The rows of `parts` are newer than those of the job's progress record.
+    """
     tasks = [
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(spec.count)]
         for step, spec in enumerate(job.steps)
     ]
     if job.progress is not None:
-        _load_tasks(tasks, job.progress)
-    plan = Plan(job, tasks)
-    if job.progress is not None:
-        plan.state = job.progress.state
-        plan.begun = job.progress.begun
+        _load_rows(tasks, job.progress.tasks)
+    if parts is not None:
+        for rows in parts.rows.values():
+            _load_rows(tasks, rows)
+    plan = Plan(job, tasks, state=job.state, begun=job.begun)
     if job.state in ENDED_STATES:
         plan.phase = _phase_after_end(plan)
     return plan
@@ -71,8 +73,8 @@
     return PlanPhase.CLOSING if is_running else PlanPhase.OVER
 
 
-def _load_tasks(tasks: list[list[Task]], progress: Progress) -> None:
-    for row in progress.tasks:
+def _load_rows(tasks: list[list[Task]], rows: Iterable[TaskProgress]) -> None:
+    for row in rows:
         task = tasks[row.step][row.index]
         task.phase = row.phase
         task.run = row.run
@@ -82,27 +84,10 @@
             task.incarnation = MinionIncarnation(row.minion, row.born_ms)
             task.sidecar = row.sidecar
             task.placed_ms = row.placed_ms
-
-
-def make_progress(plan: Plan) -> Progress:
-    """Return the content of the next progress record of a plan."""
-    rows = tuple(
-        TaskProgress(
-            task.name.step,
-            task.name.index,
-            task.phase,
-            task.run,
-            task.failures,
-            task.incarnation.minion if task.incarnation else "",
-            task.incarnation.born_ms if task.incarnation else 0,
-            task.sidecar if task.incarnation else "",
-            task.placed_ms if task.incarnation else 0,
-            "" if task.phase is TaskPhase.DONE else task.checkpoint,
-        )
-        for task in iter_tasks(plan)
-        if task.run
-    )
-    return Progress(plan.state, plan.begun, rows)
+        else:
+            task.incarnation = None
+            task.sidecar = ""
+            task.placed_ms = 0
 
 
 def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
@@ -121,7 +106,7 @@
         remove_plan(schedule, job_id)
         return
     if plan is None:
-        plan = load_plan(job)
+        plan = load_plan(job, world.agreed.progress_parts.get(job_id))
         add_plan(schedule, plan)
         _repeat_stops(world, plan)
     schedule.inputs_changed = True
@@ -210,7 +195,7 @@
         _count_failure(plan, task, incarnation, world.clock.now_ms())
     if plan.job.steps[task.name.step].gang and run_end is not RunEnd.DONE:
         request_stops(world, plan, task.name.step)
-    _update_job_outcome(world, plan)
+    _update_job_outcome(world, plan, task)
     mark_plan_changed(world, plan)
 
 
@@ -220,6 +205,7 @@
     if plan.job.steps[task.name.step].gang:
         for member in plan.tasks[task.name.step]:
             member.checkpoint = checkpoint
+            mark_task_changed(plan, member)
 
 
 def _mark_done(schedule: Schedule, plan: Plan, task: Task) -> None:
@@ -240,14 +226,15 @@
         return
     first_member.last_failed_run = task.run
     first_member.failures += 1
+    mark_task_changed(plan, first_member)
     if incarnation is not None:
         for member in members:
             member.avoided_minions.add(incarnation.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
 
 
-def _update_job_outcome(world: BatchWorld, plan: Plan) -> None:
-    """End the job once all tasks are done or one has failed too often.
+def _update_job_outcome(world: BatchWorld, plan: Plan, task: Task) -> None:
+    """End the job once all tasks are done or `task` has failed too often.
 
     A job that has ended is over once none of its runs is left.
     """
@@ -257,7 +244,12 @@
         counts = plan.phase_counts
         if not counts[TaskPhase.WAITING] and not counts[TaskPhase.PLACED]:
             end_job(world, plan, JobState.COMPLETED)
-        elif any(
-            task.failures >= plan.job.policy.most_failures for task in iter_tasks(plan)
-        ):
+        elif _count_failures(plan, task) >= plan.job.policy.most_failures:
             end_job(world, plan, JobState.FAILED)
+
+
+def _count_failures(plan: Plan, task: Task) -> int:
+    """Return the number of failed runs of a task; of a gang, that of its members."""
+    members = plan.tasks[task.name.step]
+    is_gang = plan.job.steps[task.name.step].gang
+    return max(member.failures for member in (members if is_gang else [task]))
--- a/kingcuppost/batch/systems/task_phases.py
+++ b/kingcuppost/batch/systems/task_phases.py
@@ -5,6 +5,7 @@
 does not look at every task of every job.
 """
 
+from kingcuppost.batch.systems.plan_parts import mark_task_changed
 from kingcuppost.batch.tables.fleet import MinionLoad, Resources
 from kingcuppost.batch.tables.job import (
     MinionIncarnation,
@@ -55,6 +56,7 @@
     """Change the phase of a task; its run is placed at `incarnation`, if at any."""
     if task.phase is TaskPhase.PLACED:
         _remove_run(schedule, plan, task)
+    mark_task_changed(plan, task)
     plan.phase_counts[task.phase] -= 1
     plan.phase_counts[phase] += 1
     task.phase = phase
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -203,12 +203,19 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryMember:
-    """An entry, as announced by its record in the log."""
+    """An entry, as announced by its record in the log.
+
+    Attributes
+    ----------
+    record_format : int
+        Newest format of records that the entry reads: 0, or `PARTS_FORMAT`.
+    """
 
     name: str
     address: Address
     availability_zone: str
     incarnation: str
+    record_format: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from itertools import accumulate
 
 __all__ = [
     "ENDED_STATES",
@@ -13,6 +14,8 @@
     "MinionIncarnation",
     "Plan",
     "PlanPhase",
+    "Progress",
+    "ProgressParts",
     "RunEnd",
     "StepSpec",
     "Task",
@@ -287,6 +290,22 @@
     tasks: tuple[TaskProgress, ...]
 
 
+@dataclass(slots=True)
+class ProgressParts:
+    """Progress of a job's tasks that was stored in parts, after its progress record.
+
+    Attributes
+    ----------
+    rows : dict of int to tuple of TaskProgress
+        Newest rows of each part.
+    newest_offset : int
+        Offset of the newest part, which has the state of the job.
+    """
+
+    rows: dict[int, tuple[TaskProgress, ...]] = field(default_factory=dict)
+    newest_offset: int = -1
+
+
 @dataclass(slots=True)
 class Task:
     """A task in the scheduler's plan.
@@ -439,6 +458,11 @@
         Increases with each change.
     committed_version : int
         Newest version whose record is in the log.
+    changed_parts : dict of int to None
+        Parts with tasks that differ from the newest record, in the order of the oldest
+        change; only for a plan that is written in parts.
+    step_starts : list of int
+        Number of tasks before each step.
     has_new_checkpoint : bool
         Whether a checkpoint is newer than the newest record of the plan.
     over_ms : int or None
@@ -455,11 +479,15 @@
     begun: bool = False
     version: int = 0
     committed_version: int = 0
+    changed_parts: dict[int, None] = field(default_factory=dict)
+    step_starts: list[int] = field(init=False)
     has_new_checkpoint: bool = False
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        counts = [len(step) for step in self.tasks]
+        self.step_starts = [0, *accumulate(counts)][:-1]
         self.phase_counts = dict.fromkeys(TaskPhase, 0)
         for step in self.tasks:
             for task in step:
--- a/kingcuppost/batch/tables/messages/__init__.py
+++ b/kingcuppost/batch/tables/messages/__init__.py
@@ -8,6 +8,7 @@
     SubmittedJob,
 )
 from kingcuppost.batch.tables.messages.log import (
+    PARTS_FORMAT,
     Append,
     AppendEnded,
     AppendOutcome,
@@ -17,6 +18,7 @@
     EntryRecord,
     JobRecord,
     ListMembers,
+    ProgressPartRecord,
     ProgressRecord,
     Record,
     RecordsRead,
@@ -69,6 +71,8 @@
     "MinionReport",
     "OrderAnswered",
     "OrderOutcome",
+    "PARTS_FORMAT",
+    "ProgressPartRecord",
     "ProgressRecord",
     "Record",
     "RecordsRead",
--- a/kingcuppost/batch/tables/messages/log.py
+++ b/kingcuppost/batch/tables/messages/log.py
@@ -17,6 +17,8 @@
     "EntryRecord",
     "JobRecord",
     "ListMembers",
+    "PARTS_FORMAT",
+    "ProgressPartRecord",
     "ProgressRecord",
     "Record",
     "RecordsRead",
@@ -28,6 +30,9 @@
 ]
 
 
+PARTS_FORMAT = 1  # format of records with the progress of wide jobs in parts
+
+
 class Stream(StrEnum):
     """Streams of records in the log.
 
@@ -68,14 +73,38 @@
     progress: Progress
 
 
+@dataclass(frozen=True, slots=True)
+class ProgressPartRecord:
+    """The scheduler changed the state of a wide job or of some of its tasks.
+
+    Attributes
+    ----------
+    part : int
+        Number of the part of the job's tasks, `PART_TASKS` in each.
+    progress : Progress
+        State of the job, and progress of the tasks of this part.
+    """
+
+    job_id: str
+    part: int
+    progress: Progress
+
+
 @dataclass(frozen=True, slots=True)
 class EntryRecord:
-    """An entry announced itself."""
+    """An entry announced itself.
+
+    Attributes
+    ----------
+    record_format : int
+        Newest format of records that it reads: 0, or `PARTS_FORMAT`.
+    """
 
     name: str
     address: Address
     availability_zone: str
     incarnation: str
+    record_format: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +156,7 @@
     JobRecord
     | CancelRecord
     | ProgressRecord
+    | ProgressPartRecord
     | EntryRecord
     | ClaimRecord
     | RenewRecord
--- a/kingcuppost/batch/tables/plan_writes.py
+++ b/kingcuppost/batch/tables/plan_writes.py
@@ -5,9 +5,10 @@
 from kingcuppost.batch.tables.messages import Append
 from kingcuppost.utils.backoff import Backoff
 
-__all__ = ["MAX_JOBS_PER_APPEND", "PlanAppend", "PlanWrites"]
+__all__ = ["MAX_JOBS_PER_APPEND", "MAX_PARTS_PER_APPEND", "PlanAppend", "PlanWrites"]
 
 MAX_JOBS_PER_APPEND = 64
+MAX_PARTS_PER_APPEND = 200
 RETRY_MIN_MS = 20
 RETRY_MAX_MS = 500
 
@@ -18,8 +19,10 @@
 
     Attributes
     ----------
+    parts : dict of str to tuple of int
+        Changed parts of the plans in it, by job.
     versions : dict of str to int
-        Versions of the plans in it, by job.
+        Versions of the plans that are in the log once the append is done, by job.
     removals : tuple of str
         Jobs whose records it removes.
     has_speeds : bool
@@ -29,6 +32,7 @@
     """
 
     append: Append
+    parts: dict[str, tuple[int, ...]]
     versions: dict[str, int]
     removals: tuple[str, ...] = ()
     has_speeds: bool = False
@@ -49,6 +53,12 @@
         Pause before the next append after one that failed.
     suspects : tuple of str
         Jobs of an invalid append, one of which is searched for by halves.
+    max_parts : int
+        Number of parts of plans that an append may have; it is lower after an append
+        of several parts of one plan was invalid.
+    in_parts : bool
+        Whether the plans of wide jobs are written in parts, since all entries read
+        them.
     held : dict of str to Backoff
         Jobs whose plan alone makes an append invalid. Each is tried again in an append
         of its own, so that it does not keep other plans out of the log.
@@ -60,4 +70,6 @@
         default_factory=lambda: Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
     )
     suspects: tuple[str, ...] = ()
+    max_parts: int = MAX_PARTS_PER_APPEND
+    in_parts: bool = True
     held: dict[str, Backoff] = field(default_factory=dict)
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -13,7 +13,14 @@
     MinionRow,
     Speed,
 )
-from kingcuppost.batch.tables.job import Job, MinionIncarnation, Plan, Task, TaskName
+from kingcuppost.batch.tables.job import (
+    Job,
+    MinionIncarnation,
+    Plan,
+    ProgressParts,
+    Task,
+    TaskName,
+)
 from kingcuppost.batch.tables.lease_writes import LeaseWrites
 from kingcuppost.batch.tables.messages import (
     AppendEnded,
@@ -96,6 +103,8 @@
 
     Attributes
     ----------
+    progress_parts : dict of str to ProgressParts
+        Progress that was stored in parts, by job.
     configuration_offset : int
         Offset of the record of the configuration; -1 if there is none.
     closed_zones : dict of str to int
@@ -107,6 +116,7 @@
     """
 
     jobs: Table[Job] = field(default_factory=lambda: Table("id", ("queue",)))
+    progress_parts: dict[str, ProgressParts] = field(default_factory=dict)
     entries: Table[EntryMember] = field(default_factory=lambda: Table("name"))
     holder: HolderView = field(default_factory=HolderView)
     configuration: Configuration | None = None
--- a/kingcuppost/batch/tests/test_plan_writing.py
+++ b/kingcuppost/batch/tests/test_plan_writing.py
@@ -5,18 +5,22 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
+from kingcuppost.batch.systems.plan_parts import PART_TASKS
 from kingcuppost.batch.systems.plan_writing import write_plans
 from kingcuppost.batch.systems.plans import adopt_job, mark_plan_changed
+from kingcuppost.batch.systems.task_phases import change_phase
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.fleet import HolderView
-from kingcuppost.batch.tables.job import Job, StepSpec
+from kingcuppost.batch.tables.job import Job, Plan, StepSpec, TaskPhase
 from kingcuppost.batch.tables.messages import Append, AppendEnded, AppendOutcome
+from kingcuppost.batch.tables.plan_writes import MAX_PARTS_PER_APPEND
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils import ManualClock
 
 TICK_MS = 5
+NARROW = StepSpec(1)
 Rule = Callable[[Append], AppendOutcome]
 
 
@@ -39,10 +43,10 @@
         self.world.schedule.term = 1
         self.world.schedule.is_open = self.world.schedule.is_loaded = True
 
-    def change(self, *job_ids: str) -> None:
+    def change(self, *job_ids: str, step: StepSpec = NARROW) -> None:
         """Change the plans of jobs, which are new."""
         for job_id in job_ids:
-            self.world.agreed.jobs.put(Job(job_id, "q", "t", "", (StepSpec(1),), 0, 0))
+            self.world.agreed.jobs.put(Job(job_id, "q", "t", "", (step,), 0, 0))
             adopt_job(self.world, job_id)
             mark_plan_changed(self.world, self.world.schedule.plans[job_id])
 
@@ -127,3 +131,89 @@
     writer.rule = lambda append: AppendOutcome.DONE
     writer.run(600)
     assert writer.written(writer.world) == {"job-1"}
+
+
+def test_a_change_of_one_task_of_a_wide_job_is_one_small_record() -> None:
+    writer = Writer(lambda append: AppendOutcome.DONE)
+    writer.change("wide", step=StepSpec(10_000))
+    plan = writer.world.schedule.plans["wide"]
+    writer.run(100)
+    writer.sent.clear()
+    for task in plan.tasks[0]:
+        task.run = 1
+    change_phase(writer.world.schedule, plan, plan.tasks[0][7_003], TaskPhase.DONE)
+    mark_plan_changed(writer.world, plan)
+    writer.run(100)
+    ((_, append),) = writer.sent
+    (record,) = append.records
+    assert len(record.progress.tasks) == PART_TASKS
+
+
+def place_all(writer: Writer, job_id: str) -> Plan:
+    plan = writer.world.schedule.plans[job_id]
+    for task in plan.tasks[0]:
+        task.run = 1
+        change_phase(writer.world.schedule, plan, task, TaskPhase.DONE)
+    mark_plan_changed(writer.world, plan)
+    return plan
+
+
+def test_a_plan_counts_as_written_only_with_its_last_part() -> None:
+    """A run must not start before the log has its placement."""
+    writer = Writer(lambda append: AppendOutcome.DONE)
+    writer.change("wide", step=StepSpec(10_000))
+    writer.run(100)
+    writer.sent.clear()
+    plan = place_all(writer, "wide")
+    parts: set[int] = set()
+    while plan.committed_version < plan.version:
+        writer.run(TICK_MS)
+        parts |= {record.part for record in writer.sent[-1][1].records}
+    assert parts == set(range(1_000))
+    assert max(len(append.records) for _, append in writer.sent) <= MAX_PARTS_PER_APPEND
+
+
+def test_too_many_parts_for_one_append_are_written_in_smaller_ones() -> None:
+    writer = Writer(
+        lambda append: (
+            AppendOutcome.INVALID if len(append.records) > 70 else AppendOutcome.DONE
+        )
+    )
+    writer.change("wide", step=StepSpec(10_000))
+    place_all(writer, "wide")
+    writer.run(1_000)
+    assert writer.written(writer.world) == {"wide"}
+    assert not writer.world.schedule.plan_writes.held
+
+
+def test_one_part_that_is_never_taken_holds_its_plan_alone() -> None:
+    def rule(append: Append) -> AppendOutcome:
+        parts = {getattr(record, "part", None) for record in append.records}
+        return AppendOutcome.INVALID if 333 in parts else AppendOutcome.DONE
+
+    writer = Writer(rule)
+    writer.change("wide", step=StepSpec(10_000))
+    writer.change("job-1")
+    place_all(writer, "wide")
+    writer.run(500)
+    writer.change("job-2")
+    writer.run(100)
+    assert writer.written(writer.world) == {"job-1", "job-2"}
+    assert set(writer.world.schedule.plan_writes.held) == {"wide"}
+    writer.rule = lambda append: AppendOutcome.DONE
+    writer.run(10_000)
+    assert writer.written(writer.world) == {"job-1", "job-2", "wide"}
+
+
+def test_a_removal_has_all_parts_of_its_job() -> None:
+    writer = Writer(lambda append: AppendOutcome.DONE)
+    job_ids = [f"wide-{index}" for index in range(5)]
+    writer.change(*job_ids, step=StepSpec(10_000))
+    writer.run(500)
+    writer.sent.clear()
+    writer.world.schedule.removals = dict.fromkeys(job_ids)
+    writer.run(100)
+    keys = {record.key for _, append in writer.sent for record in append.records}
+    assert {f"progress/wide-4/{part}" for part in range(1_000)} <= keys
+    assert {"progress/wide-0", "cancel/wide-0", "job/wide-0"} <= keys
+    assert max(len(append.records) for _, append in writer.sent) <= 2_000
--- a/standins/batch/log_messages.py
+++ b/standins/batch/log_messages.py
@@ -1,5 +1,6 @@
 """Appends to the simulated log, and reads of its streams."""
 
+from dataclasses import replace
 from typing import Any
 
 from kingcuppost.batch.models import decode_record, encode_record
@@ -8,8 +9,10 @@
     AppendEnded,
     AppendOutcome,
     ConfigRecord,
+    EntryRecord,
     JobRecord,
     ListMembers,
+    ProgressPartRecord,
     RecordsRead,
     Stream,
     ZoneRecord,
@@ -67,7 +70,7 @@
     )
 
     def apply() -> None:
-        records = [encode_record(record) for record in message.records]
+        records = [encode_record(record) for record in _restrict(process, message)]
         result = deployment.store.append(
             message.stream,
             records,
@@ -89,6 +92,24 @@
         deployment.deliver_later(process, message.timeout_ms, lambda: answer)
 
 
+def _restrict(process: Process, message: Append) -> list[Any]:
+    """Return the records of an append as the build of the process writes them."""
+    if process.reads_parts:
+        return list(message.records)
+    return [
+        replace(record, record_format=0) if isinstance(record, EntryRecord) else record
+        for record in message.records
+    ]
+
+
+def _restrict_read(process: Process, batch: RecordsRead) -> RecordsRead:
+    """Leave out the records that the build of the process ignores."""
+    if process.reads_parts:
+        return batch
+    rows = [row for row in batch.records if not isinstance(row[1], ProgressPartRecord)]
+    return replace(batch, records=rows)
+
+
 def _notify_entries(deployment: Deployment, stream: Stream) -> None:
     for process in deployment.processes.values():
         if process.role is Role.ENTRY and process.is_up:
@@ -137,6 +158,7 @@
         ]
         now_ms = deployment.clock.now_ms()
         batch = RecordsRead(stream, rows, now_ms, position + len(rows))
+    batch = _restrict_read(process, batch)
     process.next_offsets[stream] = batch.end
     if deployment.log_delay_ms:
         _deliver_slowly(deployment, process, batch)
--- a/standins/batch/process.py
+++ b/standins/batch/process.py
@@ -27,6 +27,8 @@
         Streams of which its reads return nothing.
     slow_reads : set of Stream
         Streams of which a read is not answered yet, while the log is slow.
+    reads_parts : bool
+        Whether its build reads and writes the parts of plans.
     incarnation : int
         Number of starts of the process.
     next_offsets : dict of Stream to int
@@ -46,5 +48,6 @@
     is_frozen: bool = False
     missed_streams: set[Stream] = field(default_factory=set)
     slow_reads: set[Stream] = field(default_factory=set)
+    reads_parts: bool = True
     minion: Minion | None = None
     next_offsets: dict[Stream, int] | None = None
--- a/standins/batch/tests/test_wide_jobs.py
+++ b/standins/batch/tests/test_wide_jobs.py
@@ -9,6 +9,7 @@
 
 RECORD_BYTES = 65_536
 SMALL = StepSpec(1, cpu_millis=1_000)
+ENTRIES = ("entry-0", "entry-1", "entry-2")
 
 
 @pytest.mark.parametrize("count", [40, 1_600])
@@ -46,3 +47,123 @@
     assert reply.outcome is (CallOutcome.OK if is_taken else CallOutcome.BAD)
     assert is_taken or str(limit) in reply.reason
     assert (deployment.state(job_id) is not None) is is_taken
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_wide_job_survives_the_loss_of_the_holder(seed: int) -> None:
+    """The next holder met the plan that the log refused, and was blocked, too."""
+    deployment = make_ready_deployment(seed)
+    deployment.store.max_record_bytes = RECORD_BYTES
+    wide = StepSpec(1_600, cpu_millis=200)
+    job_id, _ = deployment.submit((wide,), [3_000], 2)
+    deployment.run_for(1_500 + 300 * seed)
+    assert deployment.checks.starts > 0
+    holder = deployment.holder()
+    deployment.kill(holder.name)
+    deployment.run_for(4_000)
+    assert deployment.holder() not in (None, holder)
+    small_id, _ = deployment.submit((SMALL,), [500])
+    deployment.run_for(2_000)
+    assert deployment.state(small_id) is JobState.COMPLETED
+    assert deployment.run_until(
+        lambda: deployment.state(job_id, 2) is JobState.COMPLETED, 60_000
+    )
+    assert deployment.store.invalid_count == 0
+    assert not deployment.checks.violations
+
+
+def start_entries(deployment: Deployment, reads_parts: bool) -> list[str]:
+    """Start all entries with one build, and submit jobs whose plans have parts."""
+    for name in ENTRIES:
+        deployment.processes[name].reads_parts = reads_parts
+        deployment.start(name)
+    assert deployment.run_until(lambda: deployment.holder() is not None, 5_000)
+    deployment.run_for(2_000)
+    steps = (StepSpec(60, cpu_millis=2_000), StepSpec(40, 2_000, needs=(0,)))
+    job_ids = [deployment.submit(steps, [4_000, 1_000])[0] for _ in range(4)]
+    deployment.run_for(1_000)
+    return job_ids
+
+
+def replace_entry(
+    deployment: Deployment, name: str, reads_parts: bool, is_killed: bool
+) -> None:
+    """Replace the build of an entry that is stopped or killed."""
+    process = deployment.processes[name]
+    if is_killed:
+        deployment.kill(name)
+    else:
+        deployment.stop(name)
+        assert deployment.run_until(lambda: not process.is_up, 10_000)
+    deployment.run_for(500)
+    process.reads_parts = reads_parts
+    deployment.start(name)
+    deployment.run_for(3_000)
+
+
+def assert_all_complete(deployment: Deployment, job_ids: list[str]) -> None:
+    for job_id in job_ids:
+        assert deployment.run_until(
+            lambda job_id=job_id: deployment.state(job_id) is JobState.COMPLETED, 60_000
+        )
+    assert not deployment.checks.violations
+
+
+@pytest.mark.parametrize("is_killed", [True, False], ids=["killed", "stopped"])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_roll_out_beside_wide_jobs_loses_and_repeats_nothing(
+    seed: int, is_killed: bool
+) -> None:
+    """The earlier build does not read the parts of a plan."""
+    deployment = Deployment(seed)
+    job_ids = start_entries(deployment, reads_parts=False)
+    for name in ENTRIES:
+        replace_entry(deployment, name, reads_parts=True, is_killed=is_killed)
+    assert_all_complete(deployment, job_ids)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_roll_back_beside_wide_jobs_loses_and_repeats_nothing(seed: int) -> None:
+    deployment = Deployment(seed)
+    job_ids = start_entries(deployment, reads_parts=True)
+    for name in ENTRIES:
+        replace_entry(deployment, name, reads_parts=False, is_killed=False)
+    assert_all_complete(deployment, job_ids)
+
+
+def test_a_roll_back_that_begins_with_a_killed_holder_repeats_nothing() -> None:
+    """The earlier build claims the lease of its predecessor at once."""
+    deployment = Deployment(seed=1)
+    job_ids = start_entries(deployment, reads_parts=True)
+    name = deployment.holder().name
+    replace_entry(deployment, name, reads_parts=False, is_killed=True)
+    assert_all_complete(deployment, job_ids)
+
+
+def progress_keys(deployment: Deployment) -> list[str]:
+    rows = deployment.store.newest(Stream.JOBS)
+    return [key for _, key, _ in rows if key.startswith("progress/")]
+
+
+def test_plans_are_rewritten_whole_for_an_entry_of_an_earlier_build() -> None:
+    deployment = make_ready_deployment()
+    job_id, _ = deployment.submit((StepSpec(60, cpu_millis=2_000),), [30_000])
+    deployment.run_for(1_000)
+    assert f"progress/{job_id}" not in progress_keys(deployment)
+    assert f"progress/{job_id}/5" in progress_keys(deployment)
+    old = next(name for name in ENTRIES if name != deployment.holder().name)
+    deployment.kill(old)
+    deployment.processes[old].reads_parts = False
+    deployment.start(old)
+    deployment.run_for(1_500)
+    assert f"progress/{job_id}" in progress_keys(deployment)
+
+
+def test_the_records_of_a_wide_job_are_removed() -> None:
+    deployment = make_ready_deployment()
+    job_id, _ = deployment.submit((StepSpec(60, cpu_millis=1_000),), [500])
+    retention_ms = deployment.bounds.status_ms + 80_000
+    deployment.run_for(5_000)
+    assert f"progress/{job_id}/5" in progress_keys(deployment)
+    deployment.run_for(retention_ms)
+    assert progress_keys(deployment) == []
