--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -13,8 +13,9 @@
 
 from kingcuppost.batch.systems.freshness import view_age_ms
 from kingcuppost.batch.systems.wait_ages import longest_waits_ms
-from kingcuppost.batch.tables.job import PlanPhase, TaskPhase
+from kingcuppost.batch.tables.job import TaskPhase
 from kingcuppost.batch.tables.messages import Stream
+from kingcuppost.batch.tables.plan import PlanPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.metrics import DURATION_BOUNDS_MS
 
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -16,7 +16,8 @@
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
-from kingcuppost.batch.tables.job import Plan, Task, TaskPhase
+from kingcuppost.batch.tables.job import TaskPhase
+from kingcuppost.batch.tables.plan import Plan, Task
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 
 __all__ = [
--- a/kingcuppost/batch/systems/job_removal.py
+++ b/kingcuppost/batch/systems/job_removal.py
@@ -3,7 +3,7 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.task_phases import remove_plan
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.tables.job import PlanPhase
+from kingcuppost.batch.tables.plan import PlanPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -1,7 +1,8 @@
 """Work that is lost when a run ends, in core-seconds."""
 
 from kingcuppost.batch.systems.units import task_core_equivalents
-from kingcuppost.batch.tables.job import Plan, RunEnd, Task
+from kingcuppost.batch.tables.job import RunEnd
+from kingcuppost.batch.tables.plan import Plan, Task
 
 __all__ = ["work_lost_by_end", "work_lost_by_stop"]
 
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -6,7 +6,8 @@
 from math import inf
 
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
-from kingcuppost.batch.tables.job import Plan, StepSpec, Task
+from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.plan import Plan, Task
 
 __all__ = [
     "Candidate",
--- a/kingcuppost/batch/systems/reservations.py
+++ b/kingcuppost/batch/systems/reservations.py
@@ -17,7 +17,8 @@
 )
 from kingcuppost.batch.systems.units import PlacementUnit
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
-from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec, Task
+from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec
+from kingcuppost.batch.tables.plan import Task
 
 __all__ = ["Reservation", "hold_reserved", "release_reserved", "reserve_for_tasks"]
 
--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -4,8 +4,9 @@
 from kingcuppost.batch.systems.plans import apply_run_end, request_stop, request_stops
 from kingcuppost.batch.systems.run_end_rule import RunFate, fate_after_restart
 from kingcuppost.batch.systems.task_phases import move_run, placed_runs
-from kingcuppost.batch.tables.job import MinionIncarnation, Plan, RunEnd, Task
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd
 from kingcuppost.batch.tables.messages import SyncCall
+from kingcuppost.batch.tables.plan import Plan, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -14,7 +14,7 @@
     withdraw_unlisted_run,
 )
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -6,7 +6,7 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskPhase
+from kingcuppost.batch.tables.job import MinionIncarnation, TaskPhase
 from kingcuppost.batch.tables.messages import (
     StartOrder,
     StopOrder,
@@ -14,6 +14,7 @@
     SyncCall,
     SyncReply,
 )
+from kingcuppost.batch.tables.plan import Plan, Task
 from kingcuppost.batch.tables.world import (
     BatchWorld,
     OrphanRun,
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -21,15 +21,7 @@
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.systems.unstarted_runs import avoid_after_refusal
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
-from kingcuppost.batch.tables.job import (
-    MinionIncarnation,
-    Plan,
-    PlanPhase,
-    RunEnd,
-    Task,
-    TaskName,
-    TaskPhase,
-)
+from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName, TaskPhase
 from kingcuppost.batch.tables.messages import (
     EndedRun,
     MinionReport,
@@ -38,6 +30,7 @@
     SyncCall,
     SyncReply,
 )
+from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
--- a/kingcuppost/batch/systems/timeliness.py
+++ b/kingcuppost/batch/systems/timeliness.py
@@ -9,7 +9,8 @@
 
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
 from kingcuppost.batch.tables.fleet import Resources
-from kingcuppost.batch.tables.job import Plan, StepSpec
+from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.plan import Plan
 
 __all__ = ["Timeliness", "assess_timeliness", "target_end_ms"]
 
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -10,7 +10,8 @@
     target_end_ms,
 )
 from kingcuppost.batch.tables.fleet import Resources
-from kingcuppost.batch.tables.job import Plan, PlanPhase, StepSpec, Task, TaskPhase
+from kingcuppost.batch.tables.job import StepSpec, TaskPhase
+from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
--- a/kingcuppost/batch/systems/wait_ages.py
+++ b/kingcuppost/batch/systems/wait_ages.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from kingcuppost.batch.tables.job import Task, TaskPhase
+from kingcuppost.batch.tables.job import TaskPhase
+from kingcuppost.batch.tables.plan import Task
 from kingcuppost.batch.tables.waiting import WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
 
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -15,7 +15,8 @@
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.systems.units import PlacementUnit
 from kingcuppost.batch.systems.wait_ages import unanswered_orders
-from kingcuppost.batch.tables.job import Task, TaskPhase
+from kingcuppost.batch.tables.job import TaskPhase
+from kingcuppost.batch.tables.plan import Task
 from kingcuppost.batch.tables.waiting import StepName, Wait, WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tables/__init__.py
+++ b/kingcuppost/batch/tables/__init__.py
@@ -4,14 +4,12 @@
 from kingcuppost.batch.tables.job import (
     Job,
     JobState,
-    Plan,
-    PlanPhase,
     RunEnd,
     StepSpec,
-    Task,
     TaskName,
     TaskPhase,
 )
+from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
 from kingcuppost.batch.tables.world import BatchWorld, LogLine
 
 __all__ = [
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from kingcuppost.batch.tables.job import MinionIncarnation, Plan, Task, TaskName
+from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
+from kingcuppost.batch.tables.plan import Plan, Task
 from kingcuppost.tables.config import Address
 
 __all__ = [
@@ -214,12 +215,19 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryMember:
-    """An entry, as announced by its record in the log."""
+    """An entry, as announced by its record in the log.
+
+    Attributes
+    ----------
+    record_format : int
+        Newest format of records that the entry reads: 0, or `PARTS_FORMAT`.
+    """
 
     name: str
     address: Address
     availability_zone: str
     incarnation: str
+    record_format: int = 0
 
 
 @dataclass(slots=True)
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -17,14 +17,8 @@
     plan_evictions,
 )
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
-from kingcuppost.batch.tables.job import (
-    Job,
-    MinionIncarnation,
-    Plan,
-    StepSpec,
-    Task,
-    TaskName,
-)
+from kingcuppost.batch.tables.job import Job, MinionIncarnation, StepSpec, TaskName
+from kingcuppost.batch.tables.plan import Plan, Task
 
 MINION_CAPACITY = Resources(64_000, 131_072, 8)
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -16,14 +16,13 @@
     JobPolicy,
     JobState,
     MinionIncarnation,
-    Plan,
-    PlanPhase,
     Progress,
     RunEnd,
     StepSpec,
     TaskPhase,
     TaskProgress,
 )
+from kingcuppost.batch.tables.plan import Plan, PlanPhase
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tests/test_timeliness.py
+++ b/kingcuppost/batch/tests/test_timeliness.py
@@ -9,7 +9,8 @@
     target_end_ms,
 )
 from kingcuppost.batch.tables.fleet import Resources
-from kingcuppost.batch.tables.job import EstimateError, Job, JobPolicy, Plan, StepSpec
+from kingcuppost.batch.tables.job import Job, JobPolicy, StepSpec
+from kingcuppost.batch.tables.plan import EstimateError, Plan
 
 CAPACITY = Resources(640_000, 1_280_000, 80)
 ACCEPTED_MS = 50_000
--- a/kingcuppost/platform/adapter_state.py
+++ b/kingcuppost/platform/adapter_state.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 
 from kingcuppost.batch.tables.messages import Stream
+from kingcuppost.platform.settings import StoreLimits
+from kingcuppost.platform.store import StoreClient
 
 __all__ = ["AdapterState"]
 
@@ -15,9 +17,12 @@
     ----------
     store : StoreClient
         Client of the platform's store.
+    limits : StoreLimits
+        Limits of the store.
     positions : dict of Stream to object
         Where each stream is followed next; None while it is listed.
     """
 
-    store: object
+    store: StoreClient
+    limits: StoreLimits
     positions: dict[Stream, object | None] = field(default_factory=dict)
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -26,7 +26,7 @@
 
 def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
-    context.adapter_state = AdapterState(StoreClient(context, cfg.store))
+    context.adapter_state = AdapterState(StoreClient(context, cfg.store), cfg.limits)
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
     listen(context, "peers", cfg.daemon.peers)
--- a/kingcuppost/platform/tests/simulated_store.py
+++ b/kingcuppost/platform/tests/simulated_store.py
@@ -19,6 +19,7 @@
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.platform.adapter_state import AdapterState
 from kingcuppost.platform.framing import encode_keyed_record, frame_records
+from kingcuppost.platform.settings import StoreLimits
 from kingcuppost.platform.store import StoreClient
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
@@ -31,6 +32,8 @@
 OWN_ADDRESS = Address("10.0.0.1", 7000)
 STEP_MS = 5
 BYTES_PER_KB = 1_024
+RECORD_BYTES = 65_536
+REQUEST_BYTES = 1_048_576
 DEFAULT_MAX_KB = 1_024
 OFFSET_BYTES = 8
 STREAMS = {
@@ -105,7 +108,9 @@
         self.world = make_batch_world(cfg, self.clock, seed=1)
         client = JsonClient(self.reactor, self.world.tally)
         self.context = BatchContext(self.world, self.reactor, client, lambda: None)
-        self.context.adapter_state = AdapterState(StoreClient(self.context, STORE))
+        self.context.adapter_state = AdapterState(
+            StoreClient(self.context, STORE), StoreLimits(RECORD_BYTES, REQUEST_BYTES)
+        )
 
     def append(self, stream: Stream, key: str, value: bytes) -> None:
         """Append a record to the store."""
--- a/standins/batch/store.py
+++ b/standins/batch/store.py
@@ -7,6 +7,8 @@
 __all__ = ["AppendResult", "Store"]
 
 MAX_RECORD_BYTES = 262_144
+MAX_REQUEST_BYTES = 2_097_152
+LENGTH_BYTES = 4  # precede each record of an append
 
 
 @dataclass(frozen=True)
@@ -16,6 +18,7 @@
     outcome: AppendOutcome
     offset: int = -1
     end: int = -1
+    reason: str = ""
 
 
 @dataclass
@@ -34,11 +37,18 @@
     Attributes
     ----------
     max_record_bytes : int
-        Size of the largest value that is taken; an append with a larger one is refused.
+        Size of the largest record that is taken, with its key and the key's length in
+        one byte.
+    max_request_bytes : int
+        Largest total of the records of one append, with their lengths.
+    invalid_count : int
+        Number of appends that were too large.
     """
 
     def __init__(self) -> None:
         self.max_record_bytes = MAX_RECORD_BYTES
+        self.max_request_bytes = MAX_REQUEST_BYTES
+        self.invalid_count = 0
         self._topics = {stream: _Topic() for stream in Stream}
 
     def append(
@@ -69,12 +79,14 @@
         Returns
         -------
         AppendResult
-            ``REFUSED`` for a record that is too large, ``FENCED`` for an outdated
+            ``INVALID`` for an append that is too large, ``FENCED`` for an outdated
             epoch, ``CONFLICT`` for another end or a gap in the sequence.
         """
         topic = self._topics[stream]
-        if any(len(value) > self.max_record_bytes for _, value in records):
-            return AppendResult(AppendOutcome.REFUSED)
+        reason = self._find_excess(records)
+        if reason:
+            self.invalid_count += 1
+            return AppendResult(AppendOutcome.INVALID, reason=reason)
         if expected_end is not None and expected_end != len(topic.records):
             return AppendResult(AppendOutcome.CONFLICT, end=len(topic.records))
         if epoch is not None:
@@ -96,6 +108,15 @@
             topic.results[epoch, sequence] = result
         return result
 
+    def _find_excess(self, records: list[tuple[str, bytes]]) -> str:
+        """Return which limit the records of an append exceed; empty for none."""
+        sizes = [1 + len(key.encode()) + len(value) for key, value in records]
+        if max(sizes, default=0) > self.max_record_bytes:
+            return f"the limit is {self.max_record_bytes} bytes"
+        if sum(sizes) + LENGTH_BYTES * len(sizes) > self.max_request_bytes:
+            return f"the limit is {self.max_request_bytes} bytes"
+        return ""
+
     def end(self, stream: Stream) -> int:
         """Return the offset after the last record."""
         return len(self._topics[stream].records)
