Do not count on stops that are overdue

Callers would see urgent work wait for ever, with most minions idle, once it had preempted runs in a rack that it prefers and the stops there were not carried out.

Cause: a run counted as about to end for as long as its stop was requested. Each decision reserved that capacity again at no cost and took the unit for provided for, so the bounded wait for a rack was never asked. The expected release counted such a run as ending within stop_ms, too.

Ruled out: the wait for a rack itself (it was not reached); a bound on the reservation alone (it would be made anew).

Change: what a stop releases is expected for stop_ms and 1 s, as long as a reservation lasts; then it counts as a run without a stop. Another decision is requested for that time.

The six new tests failed before. Tests of kingcuppost/batch and of preferences pass.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -7,7 +7,6 @@
 from kingcuppost.batch.systems.placement import (
     Candidate,
     Victim,
-    add_resources,
     copy_resources,
     subtract_resources,
     subtract_tasks,
@@ -15,9 +14,10 @@
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
+from kingcuppost.batch.tables.config import Bounds
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
 from kingcuppost.batch.tables.job import Plan, Task, TaskPhase
-from kingcuppost.batch.tables.world import BatchWorld, Schedule
+from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
     "Decision",
@@ -26,8 +26,10 @@
     "fast_candidates",
     "find_soon_free",
     "find_victims",
+    "is_stop_expected",
     "list_candidates",
     "request_decision",
+    "stop_limit_ms",
 ]
 
 SUSPECT_FAILURES = 2  # of different jobs, so that the minion is the likely cause
@@ -37,6 +39,7 @@
 FULL_PERCENT = 100
 ENDS_SOON_MS = 600
 PROGRESS_FRESH_MS = 2_500
+REPORT_MARGIN_MS = 1_000  # for the order to stop, and the report of the end
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +76,7 @@
     """
     world = decision.world
     usable = [
-        _make_candidate(world.schedule, minion)
+        _make_candidate(decision, minion)
         for minion in world.schedule.minions
         if _is_usable(world, minion, decision.now_ms)
     ]
@@ -85,18 +88,45 @@
     return usable
 
 
-def _make_candidate(schedule: Schedule, minion: MinionRow) -> Candidate:
+def _make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
     """Return a minion as a candidate, with separate copies of its capacity."""
     free_now = copy_resources(minion.resources)
-    free_after_stops = copy_resources(minion.resources)
-    load = schedule.loads.get(minion.incarnation)
+    load = decision.world.schedule.loads.get(minion.incarnation)
     if load is not None:
         subtract_resources(free_now, load.used)
-        subtract_resources(free_after_stops, load.used)
-        add_resources(free_after_stops, load.stopping)
+    free_after_stops = copy_resources(free_now)
+    if load is not None and load.stopping != Resources():
+        _add_expected_stops(decision, minion, free_after_stops)
     return Candidate(minion, free_after_stops, free_now, rack_free_accelerators=[0])
 
 
+def _add_expected_stops(
+    decision: Decision, minion: MinionRow, free_after_stops: Resources
+) -> None:
+    """Add what stops will release, unless they are overdue.
+
+    Work must not wait for a minion that carries out no stop. Requests another decision
+    for the time at which a stop is overdue.
+    """
+    world = decision.world
+    for plan, task in placed_runs(world.schedule, minion.incarnation):
+        if is_stop_expected(decision, task):
+            limit_ms = stop_limit_ms(world.cfg.bounds)
+            request_decision(world, task.stop_requested_ms + limit_ms)
+            subtract_tasks(free_after_stops, plan.job.steps[task.name.step], -1)
+
+
+def is_stop_expected(decision: Decision, task: Task) -> bool:
+    """Return whether a task's run is being stopped, and its end is not overdue."""
+    limit_ms = stop_limit_ms(decision.world.cfg.bounds)
+    return task.stopping and decision.now_ms < task.stop_requested_ms + limit_ms
+
+
+def stop_limit_ms(bounds: Bounds) -> int:
+    """Return the time within which a stop should be reported as carried out, in ms."""
+    return bounds.stop_ms + REPORT_MARGIN_MS
+
+
 def find_victims(decision: Decision, candidate: Candidate) -> list[Victim]:
     """Return the runs of a candidate that may be preempted, cheapest first.
 
--- a/kingcuppost/batch/systems/release_times.py
+++ b/kingcuppost/batch/systems/release_times.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from kingcuppost.batch.systems.candidates import Decision
+from kingcuppost.batch.systems.candidates import Decision, is_stop_expected
 from kingcuppost.batch.systems.placement import (
     Candidate,
     copy_resources,
@@ -63,7 +63,7 @@
         minion = candidate.minion
         for plan, task in placed_runs(decision.world.schedule, minion.incarnation):
             remaining_ms = expected_remaining_ms(minion, plan, task)
-            if task.stopping:
+            if is_stop_expected(decision, task):
                 remaining_ms = min(remaining_ms, stop_ms)
             ends.append((remaining_ms, index, plan.job.steps[task.name.step]))
     return sorted(ends, key=lambda end: end[:2])
--- a/kingcuppost/batch/systems/reservations.py
+++ b/kingcuppost/batch/systems/reservations.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from kingcuppost.batch.systems.candidates import Decision
+from kingcuppost.batch.systems.candidates import Decision, stop_limit_ms
 from kingcuppost.batch.systems.placement import (
     Candidate,
     add_resources,
@@ -21,8 +21,6 @@
 
 __all__ = ["Reservation", "hold_reserved", "release_reserved", "reserve_for_tasks"]
 
-REPORT_MARGIN_MS = 1_000  # for the order to stop, and the report of the end
-
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
@@ -40,10 +38,10 @@
 
 def reserve_for_tasks(decision: Decision, tasks: list[Task], minion: MinionRow) -> None:
     """Keep capacity of a minion for tasks until stopped runs must have ended there."""
-    bounds = decision.world.cfg.bounds
+    until_ms = decision.now_ms + stop_limit_ms(decision.world.cfg.bounds)
     for task in tasks:
         task.reserved_incarnation = minion.incarnation
-        task.reserved_until_ms = decision.now_ms + bounds.stop_ms + REPORT_MARGIN_MS
+        task.reserved_until_ms = until_ms
 
 
 def hold_reserved(
--- a/standins/batch/tests/test_preferences.py
+++ b/standins/batch/tests/test_preferences.py
@@ -15,6 +15,7 @@
     8, cpu_millis=26_000, accelerators=8, gang=True, one_rack=True, estimate_ms=8_000
 )
 PRIORITIES = (0, 1, 2)
+STOP_SICKNESSES = ("is_busy_for_stops", "ignores_stops", "swallows_stops")
 
 
 def make_racks(racks: int, minions: int = 16) -> Deployment:
@@ -162,3 +163,35 @@
     assert racks_of(deployment, job_id) == []
     assert starts_within(deployment, job_id, 5, 20_000)
     assert set(racks_of(deployment, job_id)) == {"r0-1"}
+
+
+def make_stops_fail(deployment: Deployment, name: str) -> None:
+    """Let the minions that run something carry out no stop."""
+    for minion in deployment.minions.values():
+        if minion.runs:
+            setattr(minion, name, True)
+
+
+@pytest.mark.parametrize("name", STOP_SICKNESSES)
+def test_urgent_work_starts_though_stops_fail_in_the_rack_of_its_data(
+    name: str,
+) -> None:
+    """Its reservation there was renewed for ever, with all other racks free."""
+    deployment = make_racks(8)
+    for _ in range(2):
+        occupy(deployment, "r0-1", WHOLE, LONG_MS)
+    make_stops_fail(deployment, name)
+    step = StepSpec(2, accelerators=4, rack="r0-1", estimate_ms=60_000)
+    job_id, _ = deployment.submit((step,), [60_000], 0)
+    assert starts_within(deployment, job_id, 2, LOST_MS)
+
+
+@pytest.mark.parametrize("name", STOP_SICKNESSES)
+def test_an_urgent_gang_starts_though_stops_fail_in_each_rack(name: str) -> None:
+    """It preempted the tasks there, and waited for their ends for ever."""
+    deployment = make_racks(2)
+    for rack in ("r0-1", "r1-1"):
+        occupy(deployment, rack, SMALL, LONG_MS)
+    make_stops_fail(deployment, name)
+    job_id, _ = deployment.submit((RACK_GANG,), [60_000], 0)
+    assert starts_within(deployment, job_id, 8, 2 * LOST_MS)
