--- a/kingcuppost/batch/systems/unstarted_runs.py
+++ b/kingcuppost/batch/systems/unstarted_runs.py
@@ -90,7 +90,7 @@
     world.tally.add("runs_unstarted", reason)
     world.note(
         "run",
-        "A run did not begin.",
+        "A run has vanished." if task.confirmed else "A run did not begin.",
         task=str(task.name),
         run=task.run,
         minion=minion.incarnation.minion,
