Poll the lists while a start has had no answer

A withdrawn start counts as ended once lists lack it that were requested after its stop. The request that was open then may wait for 1 s: members of a gang without an answer to their starts were given back after 2.1 s.

--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -28,7 +28,8 @@
 def request_run_lists(world: BatchWorld, now_ms: int) -> None:
     """Keep one request for the run lists open; it also extends the minion lease.
 
-    While a stopped run has not ended, the lists are polled every `STOP_POLL_MS`.
+    While a stopped run has not ended, or a start has had no answer, the lists are
+    polled every `STOP_POLL_MS`.
     """
     sidecar_state = world.sidecar_state
     if (
@@ -42,7 +43,7 @@
         return
     sidecar_state.is_hold_open = True
     wait_ms = _wait_ms(sidecar_state, now_ms)
-    if _is_awaiting_stop(world):
+    if any(_needs_new_lists(run) for run in sidecar_state.ordered_runs.values()):
         wait_ms = 0
         sidecar_state.hold_after_ms = now_ms + STOP_POLL_MS
     # after a failure another incarnation may answer, with its own ends and clock
@@ -71,9 +72,9 @@
     return min(MAX_WAIT_MS, max(remaining_ms // WAITS_PER_LEASE, MIN_WAIT_MS))
 
 
-def _is_awaiting_stop(world: BatchWorld) -> bool:
-    """Return whether a run is to be stopped that has not ended yet."""
-    return any(run.should_stop for run in world.sidecar_state.ordered_runs.values())
+def _needs_new_lists(run: OrderedRun) -> bool:
+    """Return whether a run is to be stopped, or may be once its start fails again."""
+    return run.should_stop or (run.may_still_start and run.start_accepted_ms is None)
 
 
 @system(Phase.ACT, (Role.SIDECAR,), order=20)
