--- a/standins/batch/tests/test_fault_orders.py
+++ b/standins/batch/tests/test_fault_orders.py
@@ -73,9 +73,14 @@
     ),
     pytest.param(
         ("late orders", "restart"),
-        5_000,
+        4_800,
         id="a late start reaches the next incarnation before its first heartbeat",
     ),
+    pytest.param(
+        ("late orders", "restart"),
+        5_000,
+        id="the same after a longer pause",
+    ),
 ]
 
 
