Ask for the state of simulated jobs with their submitter's key

Cause: since calls for another team's job are answered as for an unknown one, the state of these jobs was asked with the first team's key. Cancels of these jobs were refused as well.

Change: a deployment keeps the key of each job that it submits, and calls with it.

The new case of the second team failed before.

--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -114,6 +114,7 @@
         self.sequence_numbers = count()
         self.exchanges: dict[tuple[str, int, str], Callable[[bytes], None]] = {}
         self._scheduled_ticks: set[tuple[str, int]] = set()
+        self._submitter_keys: dict[str, str] = {}
         self._call_numbers = count()
         self.cancelled_job_by_call: dict[str, str] = {}
         self._configure()
@@ -400,6 +401,7 @@
             self.configuration.queues[priority].most_failures,
         )
         path = PATH_PREFIXES[priority] + job_id
+        self._submitter_keys.setdefault(job_id, api_key)
         job = SubmittedJob("work", steps)
         return job_id, self.call(CallKind.SUBMIT, path, entry, job, api_key)
 
@@ -415,13 +417,16 @@
         return reply.state
 
     def ask_state(self, job_id: str, priority: int = 1) -> str:
-        """Request a job's state; return the identifier of the exchange."""
-        return self.call(CallKind.STATE, PATH_PREFIXES[priority] + job_id)
+        """Request a job's state as its submitter; return the exchange's identifier."""
+        path = PATH_PREFIXES[priority] + job_id
+        api_key = self._submitter_keys.get(job_id, API_KEY)
+        return self.call(CallKind.STATE, path, api_key=api_key)
 
     def cancel(self, job_id: str, priority: int = 1, entry: str = "") -> str:
         """Send the cancellation of a job; return the identifier of the exchange."""
         path = PATH_PREFIXES[priority] + job_id
-        exchange_id = self.call(CallKind.CANCEL, path, entry)
+        api_key = self._submitter_keys.get(job_id, API_KEY)
+        exchange_id = self.call(CallKind.CANCEL, path, entry, api_key=api_key)
         self.cancelled_job_by_call[exchange_id] = job_id
         return exchange_id
 
--- a/standins/batch/tests/test_room_check.py
+++ b/standins/batch/tests/test_room_check.py
@@ -3,11 +3,12 @@
 import pytest
 
 from kingcuppost.batch.systems.scheduling import schedule_units
-from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.job import JobState, StepSpec
 from kingcuppost.tables.identity import Role
 from standins.batch import Deployment
 from standins.batch.fleets import RARE_KIND
 from standins.batch.room_check import RoomCheck
+from standins.batch.tests.test_jobs import make_ready_deployment
 
 MINIONS = 8
 LONG_MS = 120_000.0
@@ -126,3 +127,13 @@
     check.forget(next(iter(check.jobs)))
     deployment.run_for(WATCHED_MS)
     assert deployment.checks.violations == []
+
+
+@pytest.mark.parametrize("api_key", ["key-a", "key-b"])
+def test_the_state_of_each_teams_job_is_answered(api_key: str) -> None:
+    """The check asked with one team's key, and took the others' jobs for left."""
+    deployment = make_ready_deployment()
+    step = StepSpec(1, cpu_millis=1_000)
+    job_id, _ = deployment.submit((step,), [500], api_key=api_key)
+    deployment.run_for(2_000)
+    assert deployment.state(job_id) is JobState.COMPLETED
