--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -264,3 +264,18 @@
     assert not sidecar_state.refused
     order_start(world, 2)
     assert not sidecar_state.ordered_runs
+
+
+def test_a_run_whose_stop_alone_was_ordered_is_given_back_in_the_end(
+    world: BatchWorld,
+) -> None:
+    """At a minion that answers its lists and no stop, it stayed placed for ever."""
+    world.clock.advance(SETTLED_MS)
+    list_runs(world)
+    order_stop(world, 1)
+    for _ in range(60):
+        answer(world, False, OrderOutcome.BUSY)
+        world.clock.advance(1_000)
+        list_runs(world)
+        withdraw(world)
+    assert list(world.sidecar_state.refused) == [KEY]
