Take no refusal by a relay, and none after an unknown outcome, as one for good

An append of 1 to 2 MiB could go through another entry, whose server takes 1 MiB at most and answers 413; that would count as a refusal by the log for good. No append above the smaller limit is sent now.

After an attempt of unknown outcome an invalid append is no longer final: the holder of the lease steps down rather than give its number to other records, which the log would take for a repeat, and a call is answered as unknown. Found by reading; the tests play both.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -327,7 +327,7 @@
 
     An append of unknown outcome is resent until it succeeds or the caller's time is
     almost over. A later refusal is not final: an earlier attempt may still have
-    reached the log. An invalid append can never be carried out.
+    reached the log.
     """
     exchange_id = pending.call.exchange_id
     if answer.outcome is AppendOutcome.DONE:
@@ -335,7 +335,7 @@
             world, pending, CallReply(exchange_id, CallOutcome.OK), now_ms
         )
         return
-    if answer.outcome is AppendOutcome.INVALID:
+    if answer.outcome is AppendOutcome.INVALID and not pending.has_unknown_outcome:
         reply = CallReply(exchange_id, CallOutcome.BAD, reason=answer.reason)
         _end_pending_call(world, pending, reply, now_ms)
         return
--- a/kingcuppost/batch/systems/plan_writing.py
+++ b/kingcuppost/batch/systems/plan_writing.py
@@ -239,10 +239,17 @@
         step_down(world, "a newer term has written")
     elif answer.outcome is AppendOutcome.CONFLICT:
         step_down(world, f"the log expects another append: {answer.reason}")
+    elif answer.outcome is AppendOutcome.INVALID and sent.has_unknown_outcome:
+        # another append of this number could be taken for a repeat of this one
+        step_down(
+            world, f"an append that may be in the log is invalid: {answer.reason}"
+        )
     elif answer.outcome is AppendOutcome.INVALID:
         _handle_invalid_append(world, sent, answer.reason, now_ms)
     else:
         sent.is_sent = False
+        if answer.outcome is AppendOutcome.UNKNOWN:
+            sent.has_unknown_outcome = True
         writes.backoff.fail(world.rng, now_ms)
 
 
--- a/kingcuppost/batch/tables/plan_writes.py
+++ b/kingcuppost/batch/tables/plan_writes.py
@@ -29,6 +29,8 @@
         Whether it has a record of the machines' speeds.
     is_sent : bool
         Whether it awaits an answer, rather than the time to be sent again.
+    has_unknown_outcome : bool
+        Whether an earlier attempt may have reached the log.
     """
 
     append: Append
@@ -37,6 +39,7 @@
     removals: tuple[str, ...] = ()
     has_speeds: bool = False
     is_sent: bool = True
+    has_unknown_outcome: bool = False
 
 
 @dataclass(slots=True)
--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -3,11 +3,14 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
-from kingcuppost.batch.systems.calls import handle_calls
+from kingcuppost.batch.systems.calls import end_pending_calls, handle_calls
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.batch.tables.fleet import Configuration, Queue
 from kingcuppost.batch.tables.job import Job, StepSpec
 from kingcuppost.batch.tables.messages import (
+    Append,
+    AppendEnded,
+    AppendOutcome,
     CallerCall,
     CallKind,
     CallOutcome,
@@ -147,3 +150,31 @@
     reply = answer(world, CallKind.SUBMIT, "/q/fedcba9876543210")
     assert reply.outcome is CallOutcome.BAD
     assert "advice" in reply.reason
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "expected"),
+    [
+        ([AppendOutcome.INVALID], CallOutcome.BAD),
+        ([AppendOutcome.REFUSED], CallOutcome.NOT_RUN),
+        ([AppendOutcome.UNKNOWN, AppendOutcome.INVALID], CallOutcome.UNKNOWN),
+        ([AppendOutcome.UNKNOWN, AppendOutcome.REFUSED], CallOutcome.UNKNOWN),
+        ([AppendOutcome.UNKNOWN, AppendOutcome.DONE], CallOutcome.OK),
+    ],
+    ids=str,
+)
+def test_a_submission_is_answered_by_what_is_certain_of_its_append(
+    world: BatchWorld, outcomes: list[AppendOutcome], expected: CallOutcome
+) -> None:
+    assert answer(world, CallKind.SUBMIT, "/q/fedcba9876543210") is None
+    replies: list[CallReply] = []
+    sent = world.outbox.take(Append)
+    for _ in range(400):
+        for append in sent:
+            outcome = outcomes.pop(0) if len(outcomes) > 1 else outcomes[0]
+            world.inbox.put(AppendEnded(append.id, outcome, reason="a rule"))
+        world.clock.advance(10)
+        end_pending_calls(world, world.clock.now_ms())
+        sent = world.outbox.take(Append)
+        replies += world.outbox.take(CallReply)
+    assert [reply.outcome for reply in replies] == [expected]
--- a/kingcuppost/batch/tests/test_plan_writing.py
+++ b/kingcuppost/batch/tests/test_plan_writing.py
@@ -218,3 +218,13 @@
     assert {f"progress/wide-4/{part}" for part in range(1_000)} <= keys
     assert {"progress/wide-0", "cancel/wide-0", "job/wide-0"} <= keys
     assert max(len(append.records) for _, append in writer.sent) <= 2_000
+
+
+def test_no_other_append_gets_the_number_of_one_that_may_be_in_the_log() -> None:
+    """The log would take it for a repeat, and its plans would count as written."""
+    outcomes = [AppendOutcome.UNKNOWN, AppendOutcome.INVALID]
+    writer = Writer(lambda append: outcomes[min(len(writer.sent), 2) - 1])
+    writer.change("job-1", "job-2")
+    writer.run(1_000)
+    assert len(writer.sent) == 2
+    assert writer.world.schedule.term == -1
--- a/kingcuppost/platform/appends.py
+++ b/kingcuppost/platform/appends.py
@@ -7,6 +7,7 @@
 from kingcuppost.batch.edges.context import BatchContext, batch_senders, deliver_later
 from kingcuppost.batch.models.records import encode_record
 from kingcuppost.batch.tables.messages import Append, AppendEnded, AppendOutcome
+from kingcuppost.edges.http_limits import MAX_BODY_BYTES
 from kingcuppost.exception import PeerError
 from kingcuppost.platform.framing import encode_keyed_record, frame_records
 from kingcuppost.platform.settings import StoreLimits
@@ -83,10 +84,11 @@
             )
         contents.append(content)
     total_bytes = len(frame_records(contents))
-    if total_bytes > limits.request_bytes:
+    # a relay takes no larger body, whatever the store takes
+    limit_bytes = min(limits.request_bytes, MAX_BODY_BYTES)
+    if total_bytes > limit_bytes:
         raise ValueError(
-            f"the append has {total_bytes} bytes, the limit is"
-            f" {limits.request_bytes} bytes"
+            f"the append has {total_bytes} bytes, the limit is {limit_bytes} bytes"
         )
     return contents
 
--- a/kingcuppost/platform/tests/test_appends.py
+++ b/kingcuppost/platform/tests/test_appends.py
@@ -7,13 +7,16 @@
 from twisted.internet.defer import ensureDeferred
 
 from kingcuppost.batch.models import encode_record
+from kingcuppost.batch.tables.job import Job
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
     AppendOutcome,
     CancelRecord,
+    JobRecord,
     Stream,
 )
+from kingcuppost.edges.http_limits import MAX_BODY_BYTES
 from kingcuppost.exception import PeerError
 from kingcuppost.platform.appends import _append_records
 from kingcuppost.platform.framing import encode_keyed_record
@@ -101,6 +104,23 @@
     assert len(store.calls) == int(is_valid)
 
 
+def make_job_record(spec_bytes: int) -> JobRecord:
+    return JobRecord(Job("0123456789abcdef", "q", "t", "x" * spec_bytes, (), 0, -1))
+
+
+@pytest.mark.parametrize(("excess_bytes", "is_valid"), [(0, True), (1, False)])
+def test_an_append_that_no_relay_takes_is_not_sent(
+    excess_bytes: int, is_valid: bool
+) -> None:
+    """The relay's refusal would be taken for one by the store."""
+    empty_bytes = len(encode_keyed_record(*encode_record(make_job_record(0))))
+    spec_bytes = MAX_BODY_BYTES - LENGTH_BYTES - empty_bytes + excess_bytes
+    store = FakeStore(StoreReply(200, b'{"offset":1,"end":2}'))
+    limits = StoreLimits(10_000_000, 10_000_000)
+    append(store, limits, make_job_record(spec_bytes))
+    assert len(store.calls) == int(is_valid)
+
+
 def test_the_reason_names_the_record_and_the_limit() -> None:
     limits = StoreLimits(RECORD_BYTES - 1, 10_000)
     reason = append(FakeStore(StoreReply(200, b"")), limits, RECORD).reason
