--- a/kingcuppost/batch/tests/test_unstarted_runs.py
+++ b/kingcuppost/batch/tests/test_unstarted_runs.py
@@ -21,9 +21,9 @@
     JobPolicy,
     JobState,
     MinionIncarnation,
-    Plan,
     StepSpec,
 )
+from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
