Refuse a job that only parts can hold while an earlier build is announced

While an entry of an earlier build is announced, plans are written whole, and a job whose plan outgrows one record was accepted and held until the end of the roll-out. A submission of more than 1,000 tasks is now answered with 503 and the reason until then. The test stands at 1,000 and 1,001 tasks.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -7,6 +7,7 @@
     is_fresh,
     view_age_ms,
 )
+from kingcuppost.batch.systems.plan_layout import entries_without_parts
 from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.fleet import Queue
@@ -24,6 +25,7 @@
     ReadStream,
     Record,
     Stream,
+    SubmittedJob,
 )
 from kingcuppost.batch.tables.pending_calls import PendingCall
 from kingcuppost.batch.tables.world import BatchWorld
@@ -38,6 +40,8 @@
 APPEND_TIMEOUT_MS = 1_000
 ANSWER_MARGIN_MS = 200
 STREAM_STALE_REASON = "the log is not followed"
+TOO_WIDE_REASON = "entries of an earlier build cannot hold a job of so many tasks"
+MAX_WHOLE_TASKS = 1_000  # a plan of as many tasks fits into one record
 CONFIGURATION_STALE_REASON = "the configuration may be outdated"
 ADVICE_REASON = "queues with advice are not supported"
 LOGGED_KINDS = (CallKind.SUBMIT, CallKind.CANCEL)
@@ -211,6 +215,8 @@
         return CallReply(call.exchange_id, CallOutcome.BAD, reason=reason)
     if not is_fresh(world, Stream.JOBS, now_ms):
         return _make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+    if _is_too_wide_now(world, call.job):
+        return _make_not_run_reply(call, TOO_WIDE_REASON, RETRY_LATER_MS)
     job = Job(
         job_id,
         queue.name,
@@ -244,6 +250,12 @@
     return job.team == team or (queue.public and job.queue == queue.name)
 
 
+def _is_too_wide_now(world: BatchWorld, job: SubmittedJob) -> bool:
+    """Return whether the plan of a job may be too large while it is written whole."""
+    task_count = sum(step.count for step in job.steps)
+    return task_count > MAX_WHOLE_TASKS and bool(entries_without_parts(world))
+
+
 def _cancel_job(
     world: BatchWorld,
     call: CallerCall,
--- a/kingcuppost/batch/systems/plan_layout.py
+++ b/kingcuppost/batch/systems/plan_layout.py
@@ -4,7 +4,16 @@
 from kingcuppost.batch.tables.messages import PARTS_FORMAT
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["choose_layout"]
+__all__ = ["choose_layout", "entries_without_parts"]
+
+
+def entries_without_parts(world: BatchWorld) -> list[str]:
+    """Return the names of the announced entries that do not read parts of plans."""
+    return sorted(
+        entry.name
+        for entry in world.agreed.entries
+        if entry.record_format < PARTS_FORMAT
+    )
 
 
 def choose_layout(world: BatchWorld) -> None:
@@ -15,11 +24,7 @@
     log are written anew.
     """
     writes = world.schedule.plan_writes
-    old_names = [
-        entry.name
-        for entry in world.agreed.entries
-        if entry.record_format < PARTS_FORMAT
-    ]
+    old_names = entries_without_parts(world)
     if writes.in_parts is not bool(old_names):
         return
     writes.in_parts = not old_names
@@ -28,7 +33,7 @@
         "log",
         "The layout of the plans of wide jobs changed.",
         in_parts=writes.in_parts,
-        entries_without_parts=" ".join(sorted(old_names)),
+        entries_without_parts=" ".join(old_names),
     )
     if not writes.in_parts:
         _rewrite_parts(world)
--- a/standins/batch/tests/test_wide_jobs.py
+++ b/standins/batch/tests/test_wide_jobs.py
@@ -159,6 +159,29 @@
     assert f"progress/{job_id}" in progress_keys(deployment)
 
 
+@pytest.mark.parametrize(("count", "is_taken"), [(1_000, True), (1_001, False)])
+def test_a_job_that_only_parts_can_hold_waits_for_the_end_of_a_roll_out(
+    count: int, is_taken: bool
+) -> None:
+    deployment = make_ready_deployment()
+    deployment.kill("entry-2")
+    deployment.processes["entry-2"].reads_parts = False
+    deployment.start("entry-2")
+    deployment.run_for(3_000)
+    wide = (StepSpec(count, cpu_millis=1),)
+    job_id, exchange_id = deployment.submit(wide, [100], entry="entry-0")
+    deployment.run_for(1_000)
+    outcome = deployment.replies[exchange_id].outcome
+    assert outcome is (CallOutcome.OK if is_taken else CallOutcome.NOT_RUN)
+    deployment.kill("entry-2")
+    deployment.processes["entry-2"].reads_parts = True
+    deployment.start("entry-2")
+    deployment.run_for(3_000)
+    _, exchange_id = deployment.submit(wide, [100], job_id=job_id, entry="entry-0")
+    deployment.run_for(1_000)
+    assert deployment.replies[exchange_id].outcome is CallOutcome.OK
+
+
 def test_the_records_of_a_wide_job_are_removed() -> None:
     deployment = make_ready_deployment()
     job_id, _ = deployment.submit((StepSpec(60, cpu_millis=1_000),), [500])
