--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -3,7 +3,8 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
-from kingcuppost.batch.systems.calls import end_pending_calls, handle_calls
+from kingcuppost.batch.systems.call_appends import end_pending_calls
+from kingcuppost.batch.systems.calls import handle_calls
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.batch.tables.fleet import Configuration, Queue
 from kingcuppost.batch.tables.job import Job, StepSpec
--- a/standins/batch/room_check.py
+++ b/standins/batch/room_check.py
@@ -6,9 +6,9 @@
 It is judged by what callers are answered and what minions run. Preferences of racks are
 no reason to wait.
 
-Each fault and each change of the fleet takes a while to be noticed. Therefore a job is
-judged in calm stretches; or, while only some machines are disturbed, by the room of the
-others, and after that while in addition.
+Each fault and each change of the fleet takes a while to be noticed, so a job is judged
+only after such a while without any. While some machines are disturbed again and again,
+it is judged by the room of the others, and has that while in addition to `LEFT_MS`.
 """
 
 from dataclasses import dataclass, fields
@@ -43,8 +43,10 @@
     ----------
     exchange_id, state_exchange_id : str
         Exchanges of its submission, and of the newest request for its state.
-    asked_ms, answered_ms : int
-        Times of that request, and of the newest answer, in ms.
+    asked_ms : int
+        Time of that request, in ms.
+    state : JobState or None
+        The state that was answered last.
     could_run_since_ms : int or None
         Time since which nothing of it runs though it could, with log and entries
         undisturbed; None if something does, or it could not.
@@ -57,7 +59,6 @@
     exchange_id: str
     state_exchange_id: str = ""
     asked_ms: int = 0
-    answered_ms: int = 0
     state: JobState | None = None
     could_run_since_ms: int | None = None
     is_reported: bool = False
@@ -196,7 +197,6 @@
         reply = self._deployment.replies.pop(job.state_exchange_id, None)
         if reply is not None and reply.outcome is CallOutcome.OK:
             job.state = reply.state
-            job.answered_ms = now_ms
         entries = self._sound_entries()
         if entries and now_ms - job.asked_ms >= ASK_PERIOD_MS:
             job.asked_ms = now_ms
