--- a/standins/batch/tests/test_soak.py
+++ b/standins/batch/tests/test_soak.py
@@ -19,7 +19,9 @@
 ]
 # seeds of days with many faults of single minions
 MANY_MINION_FAULTS_DAYS = [
-    pytest.param(122, id="a late start reaches the next incarnation after its stop"),
+    pytest.param(1125, id="a late start reaches the next incarnation after its stop"),
+    pytest.param(1105, id="a late start reaches the next incarnation after its end"),
+    pytest.param(122, id="seed 122"),
 ]
 OTHER_DAYS = [pytest.param(seed, 6, id=f"seed {seed}") for seed in (1, 2, 3, 4)]
 
