--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -24,10 +24,6 @@
     is_configuration_current,
     view_age_ms,
 )
-from kingcuppost.batch.systems.patience import (
-    waits_for_other_minions,
-    waits_for_rack,
-)
 from kingcuppost.batch.systems.placement import (
     Candidate,
     choose_candidates,
@@ -36,6 +32,10 @@
 )
 from kingcuppost.batch.systems.plans import mark_plan_changed, place_task
 from kingcuppost.batch.systems.preemption import preempt_for_unit
+from kingcuppost.batch.systems.preference_waits import (
+    waits_for_other_minions,
+    waits_for_rack,
+)
 from kingcuppost.batch.systems.queue_order import queue_orders
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.reservations import hold_reserved, release_reserved
