Choose the layout of plans when records of members come, not in every tick

Cause: each tick of the holder in which no append is under way looked at every announced entry, also with nothing to write. Now the entries are looked at once the members stream was read further.

--- a/bench/tests/test_holder.py
+++ b/bench/tests/test_holder.py
@@ -8,7 +8,10 @@
 import pytest
 
 from bench.holder import Holder
+from kingcuppost.batch.tables.fleet import EntryMember
 from kingcuppost.batch.tables.job import StepSpec, TaskPhase
+from kingcuppost.batch.tables.messages import PARTS_FORMAT
+from kingcuppost.tables.config import Address
 
 FEW_MINIONS, MANY_MINIONS = 60, 600
 MAX_GROWTH = 1.3
@@ -100,3 +103,18 @@
     few = lines_of_lost_minion(make_busy_holder(MANY_MINIONS, jobs=1))
     many = lines_of_lost_minion(make_busy_holder(MANY_MINIONS, jobs=10))
     assert many <= MAX_GROWTH * few
+
+
+def lines_of_idle_tick(entries: int) -> int:
+    holder = Holder(FEW_MINIONS)
+    holder.settle()
+    for index in range(entries):
+        address = Address("10.0.0.1", 7000 + index)
+        member = EntryMember(f"entry-{index}", address, "zone-0", "inc", PARTS_FORMAT)
+        holder.world.agreed.entries.put(member)
+    holder.tick()
+    return count_lines(holder.tick)
+
+
+def test_an_idle_tick_does_not_look_at_every_entry() -> None:
+    assert lines_of_idle_tick(300) <= MAX_GROWTH * lines_of_idle_tick(3)
--- a/kingcuppost/batch/systems/plan_layout.py
+++ b/kingcuppost/batch/systems/plan_layout.py
@@ -1,7 +1,7 @@
 """Choice between writing the plans of wide jobs in parts and as a whole."""
 
 from kingcuppost.batch.systems.plans import mark_plan_changed
-from kingcuppost.batch.tables.messages import PARTS_FORMAT
+from kingcuppost.batch.tables.messages import PARTS_FORMAT, Stream
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["choose_layout", "entries_without_parts"]
@@ -21,9 +21,13 @@
 
     An entry of an earlier build would take a task whose progress it does not read for
     one that never ran. When such an entry is announced, plans that are in parts in the
-    log are written anew.
+    log are written anew. The entries are looked at only when records of members came.
     """
     writes = world.schedule.plan_writes
+    members_end = world.agreed.views[Stream.MEMBERS].end
+    if members_end == writes.layout_end:
+        return
+    writes.layout_end = members_end
     old_names = entries_without_parts(world)
     if writes.in_parts is not bool(old_names):
         return
--- a/kingcuppost/batch/tables/plan_writes.py
+++ b/kingcuppost/batch/tables/plan_writes.py
@@ -59,6 +59,9 @@
     max_parts : int
         Number of parts of plans that an append may have; it is lower after an append
         of several parts of one plan was invalid.
+    layout_end : int or None
+        Offset up to which the members stream was read when `in_parts` was last chosen;
+        None if that is still to be done.
     in_parts : bool
         Whether the plans of wide jobs are written in parts, since all entries read
         them.
@@ -74,5 +77,6 @@
     )
     suspects: tuple[str, ...] = ()
     max_parts: int = MAX_PARTS_PER_APPEND
+    layout_end: int | None = None
     in_parts: bool = True
     held: dict[str, Backoff] = field(default_factory=dict)
