Use the product's and the field's words for a queue's policy and for capacity

What the operators' record calls advice is an external placement policy in the product; what was called room in reasons and log fields of waits is capacity (reason no capacity, field fits_ms).

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -39,7 +39,7 @@
 TOO_WIDE_REASON = "entries of an earlier build cannot hold a job of so many tasks"
 MAX_WHOLE_TASKS = 1_000  # a plan of as many tasks fits into one record
 CONFIGURATION_STALE_REASON = "the configuration may be outdated"
-ADVICE_REASON = "queues with advice are not supported"
+EXTERNAL_POLICY_REASON = "an external placement policy is not supported"
 
 
 def visible_state(job: Job) -> JobState:
@@ -187,7 +187,7 @@
         return "the identifier is in use"
     if call.job is None:
         return call.body_error
-    return ADVICE_REASON if queue.needs_advice else ""
+    return EXTERNAL_POLICY_REASON if queue.has_external_policy else ""
 
 
 def _may_access(job: Job, queue: Queue, team: str) -> bool:
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -1,4 +1,4 @@
-"""How long a unit waits for the minions that it prefers while others have room.
+"""How long a unit waits for the minions that it prefers while others have free capacity.
 
 A preference only saves time: one rack for a gang, the rack of the data, and minions
 where no run of the unit has failed. Services, labels and limits per minion are
@@ -48,7 +48,7 @@
     """
     if not fits_now(unit.spec, candidates):
         return False
-    waited_ms = decision.now_ms - _room_since_ms(decision, unit)
+    waited_ms = decision.now_ms - _fits_since_ms(decision, unit)
     gain_ms = _gain_ms(decision, unit)
     limit_ms = gain_ms
     if _is_plentiful(decision, unit, candidates):
@@ -84,7 +84,7 @@
     """
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
     if _is_plentiful(decision, unit, candidates):
-        plentiful_until_ms = _room_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
+        plentiful_until_ms = _fits_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
         until_ms = min(until_ms, plentiful_until_ms)
     if decision.now_ms >= until_ms:
         return False
@@ -92,12 +92,12 @@
     return True
 
 
-def _room_since_ms(decision: Decision, unit: PlacementUnit) -> int:
+def _fits_since_ms(decision: Decision, unit: PlacementUnit) -> int:
     """Return since when the free capacity would have held a unit that fits now."""
     wait = decision.world.schedule.waits.get(StepName(unit.plan.job.id, unit.step))
-    if wait is None or wait.room_since_ms is None:
+    if wait is None or wait.fits_since_ms is None:
         return decision.now_ms
-    return wait.room_since_ms
+    return wait.fits_since_ms
 
 
 def _is_plentiful(
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -1,7 +1,7 @@
 """Why ready work waits: kept for each step, logged and counted when it waits long.
 
-Without it, neither logs nor metrics tell work that finds no room from work that could
-run and does not.
+Without it, neither logs nor metrics tell work that finds no capacity from work that
+could run and does not.
 """
 
 from dataclasses import replace
@@ -55,20 +55,20 @@
     waits = decision.world.schedule.waits
     now_ms = decision.now_ms
     step = StepName(unit.plan.job.id, unit.step)
-    reason, has_room = _find_reason(unit, eligible)
+    reason, fits = _find_reason(unit, eligible)
     old = waits.get(step)
     if old is None:
         old = Wait(step, 0, reason, now_ms, now_ms, None, now_ms)
-    room_since_ms = old.room_since_ms
-    if room_since_ms is None and has_room:
-        room_since_ms = now_ms
+    fits_since_ms = old.fits_since_ms
+    if fits_since_ms is None and fits:
+        fits_since_ms = now_ms
     waits.put(
         replace(
             old,
             tasks=len(waiting) + (old.tasks if old.decided_ms == now_ms else 0),
             reason=reason,
             reason_since_ms=old.reason_since_ms if old.reason is reason else now_ms,
-            room_since_ms=room_since_ms,
+            fits_since_ms=fits_since_ms,
             decided_ms=now_ms,
         )
     )
@@ -83,7 +83,7 @@
     if not eligible:
         return WaitReason.NO_MINION, False
     if not fits_now(unit.spec, eligible):
-        return WaitReason.NO_ROOM, False
+        return WaitReason.NO_CAPACITY, False
     if fits_now(unit.spec, exclude_avoided(unit, eligible)):
         return WaitReason.LOCALITY, True
     return WaitReason.FAILED_MINIONS, True
@@ -109,7 +109,7 @@
         return
     schedule.check_waits_at_ms = now_ms + CHECK_PERIOD_MS
     rows = [wait for wait in schedule.waits if now_ms - wait.since_ms >= LONG_WAIT_MS]
-    rows.sort(key=lambda wait: (wait.room_since_ms is None, wait.since_ms))
+    rows.sort(key=lambda wait: (wait.fits_since_ms is None, wait.since_ms))
     for wait in rows[:MAX_LINES_PER_CHECK]:
         _log_wait(world, wait, now_ms)
     unanswered = sorted(
@@ -124,7 +124,7 @@
 
 
 def _log_wait(world: BatchWorld, wait: Wait, now_ms: int) -> None:
-    room_ms = 0 if wait.room_since_ms is None else now_ms - wait.room_since_ms
+    fits_ms = 0 if wait.fits_since_ms is None else now_ms - wait.fits_since_ms
     world.note(
         "wait",
         "A step waits.",
@@ -134,7 +134,7 @@
         reason=wait.reason,
         waited_ms=now_ms - wait.since_ms,
         reason_ms=now_ms - wait.reason_since_ms,
-        room_ms=room_ms,
+        fits_ms=fits_ms,
     )
 
 
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -38,9 +38,9 @@
         Target time of a job as a multiple of its critical path.
     public : bool
         Whether calls without a valid key are accepted.
-    needs_advice : bool
-        Whether its jobs may run only where a service of the operators allows it, which
-        is not supported.
+    has_external_policy : bool
+        Whether another service decides which minions may run its jobs, which is not
+        supported.
     """
 
     name: str
@@ -51,7 +51,7 @@
     most_failures: int = 1
     slack_factor: float = 1.0
     public: bool = False
-    needs_advice: bool = False
+    has_external_policy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/waiting.py
+++ b/kingcuppost/batch/tables/waiting.py
@@ -13,7 +13,7 @@
     ----------
     NO_MINION
         No minion that may be used now is of its service and has its label.
-    NO_ROOM
+    NO_CAPACITY
         The free capacity does not hold it.
     LOCALITY
         The free capacity holds it, but not in a rack where it runs fast.
@@ -28,7 +28,7 @@
     """
 
     NO_MINION = "no minion"
-    NO_ROOM = "no room"
+    NO_CAPACITY = "no capacity"
     LOCALITY = "locality"
     FAILED_MINIONS = "failed minions"
     PREEMPTION = "preemption"
@@ -60,7 +60,7 @@
         Time of the first decision that left a task of the step waiting.
     reason_since_ms : int
         Time since which the reason is the same.
-    room_since_ms : int or None
+    fits_since_ms : int or None
         Time of the first decision in which the free capacity would have held the
         step; None if there was none.
     decided_ms : int
@@ -72,5 +72,5 @@
     reason: WaitReason
     since_ms: int
     reason_since_ms: int
-    room_since_ms: int | None
+    fits_since_ms: int | None
     decided_ms: int
--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -144,13 +144,15 @@
     assert answer(world, CallKind.STATE, f"/q/{JOB}", "").outcome is CallOutcome.OK
 
 
-def test_a_submission_to_a_queue_with_advice_is_refused(world: BatchWorld) -> None:
+def test_a_submission_to_a_queue_with_an_external_policy_is_refused(
+    world: BatchWorld,
+) -> None:
     """It was accepted, and never ran."""
-    queue = Queue("q", "h", "/q/", "svc", needs_advice=True)
+    queue = Queue("q", "h", "/q/", "svc", has_external_policy=True)
     world.agreed.configuration = Configuration(4, (queue,), {}, {"key": "t"})
     reply = answer(world, CallKind.SUBMIT, "/q/fedcba9876543210")
     assert reply.outcome is CallOutcome.BAD
-    assert "advice" in reply.reason
+    assert "policy" in reply.reason
 
 
 @pytest.mark.parametrize(
--- a/kingcuppost/platform/operators.py
+++ b/kingcuppost/platform/operators.py
@@ -38,6 +38,7 @@
     most_failures: int = Field(1, alias="maxAttempts")
     slack_factor: float = Field(1.0, alias="slackFactor")
     public: bool = False
+    # settings of the service that decides which minions may run the queue's jobs
     advice: Any = None
 
 
--- a/standins/batch/tests/test_waits.py
+++ b/standins/batch/tests/test_waits.py
@@ -20,15 +20,15 @@
     return [line for line in world.log_lines if line.part == "wait"]
 
 
-def test_work_that_finds_no_room_waits_for_room() -> None:
+def test_work_that_finds_no_capacity_waits_for_it() -> None:
     deployment = make_ready_deployment(minions=1)
     deployment.submit((WHOLE,), [LONG_MS])
     deployment.run_for(500)
     job_id, _ = deployment.submit((WHOLE,), [LONG_MS])
     deployment.run_for(500)
     wait = find_wait(deployment, job_id)
-    assert wait.reason is WaitReason.NO_ROOM
-    assert wait.room_since_ms is None
+    assert wait.reason is WaitReason.NO_CAPACITY
+    assert wait.fits_since_ms is None
     assert wait.tasks == 1
 
 
