Split the sidecar's inbox by sender; state a gang's stop and the limits once

The stop of a run with its gang stood three times, the divisors of the limits of starts had no names. Moves and names only; the systems of a sidecar run in the same order.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -31,6 +31,7 @@
     Role.SIDECAR: (
         "sidecar_heartbeats",
         "sidecar_inbox",
+        "scheduler_replies",
         "start_withdrawal",
         "minion_requests",
         "report_sending",
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -38,6 +38,7 @@
     "mark_begun",
     "mark_plan_changed",
     "place_task",
+    "request_run_stop",
     "request_stop",
     "request_stops",
 ]
@@ -155,6 +156,14 @@
         world.schedule.pending_runs[task.name] = (plan, task)
 
 
+def request_run_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
+    """Request the stop of a task's run, with its gang if it belongs to one."""
+    if plan.job.steps[task.name.step].gang:
+        request_stops(world, plan, task.name.step)
+    else:
+        request_stop(world, plan, task)
+
+
 def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
     """Request the stop of all runs of a job, or of one step."""
     for task in iter_tasks(plan):
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -1,4 +1,4 @@
-"""How long a unit waits for the minions that it prefers while others have free capacity.
+"""How long a unit waits for minions that it prefers while others would hold it.
 
 A preference only saves time: one rack for a gang, the rack of the data, and minions
 where no run of the unit has failed. Services, labels and limits per minion are
--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -1,7 +1,7 @@
 """Ends of runs that no minion reports: of expired and of earlier incarnations."""
 
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
-from kingcuppost.batch.systems.plans import apply_run_end, request_stop, request_stops
+from kingcuppost.batch.systems.plans import apply_run_end, request_run_stop
 from kingcuppost.batch.systems.run_end_rule import RunFate, fate_after_restart
 from kingcuppost.batch.systems.task_phases import move_run, placed_runs
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd
@@ -91,7 +91,4 @@
     if fate is RunFate.CONTINUES:
         return
     task.was_lost = True
-    if plan.job.steps[task.name.step].gang:
-        request_stops(world, plan, task.name.step)
-    else:
-        request_stop(world, plan, task)
+    request_run_stop(world, plan, task)
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,6 +1,6 @@
 """Monitoring of runs: stops those that are stalled, slow, unlisted or to be moved."""
 
-from kingcuppost.batch.systems.plans import request_stop, request_stops
+from kingcuppost.batch.systems.plans import request_run_stop
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import (
     corrected_estimate_ms,
@@ -95,10 +95,7 @@
     world.note(
         "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
     )
-    if plan.job.steps[task.name.step].gang:
-        request_stops(world, plan, task.name.step)
-    else:
-        request_stop(world, plan, task)
+    request_run_stop(world, plan, task)
 
 
 def _should_leave_draining(minion: MinionRow, plan: Plan, task: Task) -> bool:
--- a/kingcuppost/batch/systems/start_limits.py
+++ b/kingcuppost/batch/systems/start_limits.py
@@ -14,18 +14,21 @@
     "unlisted_limit_ms",
 ]
 
+LIMIT_DIVISOR = 4  # of the time for which members of a gang wait
+VALIDITY_DIVISOR = 2
+
 
 def start_limit_ms(bounds: Bounds) -> int:
     """Return the time after which a sidecar withdraws a start, in ms.
 
     It counts from the order, and includes one repetition of a start without an answer.
     """
-    return bounds.gang_ms // 4
+    return bounds.gang_ms // LIMIT_DIVISOR
 
 
 def start_validity_ms(bounds: Bounds) -> int:
     """Return the time for which a minion may carry out a copy of a start, in ms."""
-    return bounds.gang_ms // 2
+    return bounds.gang_ms // VALIDITY_DIVISOR
 
 
 def unconfirmed_limit_ms(bounds: Bounds) -> int:
@@ -34,9 +37,9 @@
     It counts from the first order, and is longer than the sidecar's limit, which covers
     most cases.
     """
-    return bounds.gang_ms // 2
+    return bounds.gang_ms // VALIDITY_DIVISOR
 
 
 def unlisted_limit_ms(bounds: Bounds) -> int:
     """Return the time for which reports may lack a run that they had before, in ms."""
-    return bounds.gang_ms // 4
+    return bounds.gang_ms // LIMIT_DIVISOR
--- a/kingcuppost/batch/systems/unstarted_runs.py
+++ b/kingcuppost/batch/systems/unstarted_runs.py
@@ -1,6 +1,6 @@
 """What the holder does about runs that do not begin, or vanish without an end."""
 
-from kingcuppost.batch.systems.plans import request_stop, request_stops
+from kingcuppost.batch.systems.plans import request_run_stop
 from kingcuppost.batch.systems.start_limits import (
     start_limit_ms,
     unconfirmed_limit_ms,
@@ -37,10 +37,7 @@
     """Stop a run that reports lack, with its gang; it ends once that is certain."""
     reason = NOT_LISTED if task.confirmed else NEVER_LISTED
     _avoid_minion(world, minion, plan, task, reason, now_ms)
-    if plan.job.steps[task.name.step].gang:
-        request_stops(world, plan, task.name.step)
-    else:
-        request_stop(world, plan, task)
+    request_run_stop(world, plan, task)
 
 
 def avoid_after_refusal(
--- a/kingcuppost/batch/tests/test_sidecar_heartbeats.py
+++ b/kingcuppost/batch/tests/test_sidecar_heartbeats.py
@@ -3,15 +3,15 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
+from kingcuppost.batch.systems.scheduler_replies import (
+    LEASE_MARGIN_MS,
+    handle_scheduler_replies,
+)
 from kingcuppost.batch.systems.sidecar_heartbeats import (
     ask_successor,
     handle_heartbeats,
 )
-from kingcuppost.batch.systems.sidecar_inbox import (
-    LEASE_MARGIN_MS,
-    handle_run_lists,
-    handle_scheduler_replies,
-)
+from kingcuppost.batch.systems.sidecar_inbox import handle_run_lists
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
--- a/kingcuppost/batch/tests/test_sidecar_inbox.py
+++ b/kingcuppost/batch/tests/test_sidecar_inbox.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
-from kingcuppost.batch.systems.sidecar_inbox import (
+from kingcuppost.batch.systems.scheduler_replies import (
     handle_entry_records,
     handle_scheduler_replies,
 )
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -4,11 +4,11 @@
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems.run_end_rule import certain_expiry_ms
+from kingcuppost.batch.systems.scheduler_replies import handle_scheduler_replies
 from kingcuppost.batch.systems.sidecar_heartbeats import handle_heartbeats
 from kingcuppost.batch.systems.sidecar_inbox import (
     handle_order_answers,
     handle_run_lists,
-    handle_scheduler_replies,
 )
 from kingcuppost.batch.systems.start_limits import start_limit_ms, start_validity_ms
 from kingcuppost.batch.systems.start_withdrawal import withdraw_late_starts
