--- a/standins/batch/tests/test_preferences.py
+++ b/standins/batch/tests/test_preferences.py
@@ -1,5 +1,7 @@
 """How long work waits for the racks and minions that it prefers."""
 
+from dataclasses import replace
+
 import pytest
 
 from kingcuppost.batch.tables.job import StepSpec
@@ -116,6 +118,22 @@
     assert starts_within(deployment, job_id, 8, 12_000)
 
 
+def test_the_wait_for_a_rack_does_not_begin_anew_when_the_fleet_changes() -> None:
+    """Minions that come and go must not put the end of the wait off."""
+    deployment = make_racks(4, minions=24)
+    for index in range(4):
+        occupy(deployment, f"r{index}-1", SMALL, 12_000)
+    gang = replace(RACK_GANG, count=6)
+    job_id, _ = deployment.submit((gang,), [8_000])
+    idle = next(item for item in deployment.minions.values() if not item.runs)
+    deployment.run_for(500)
+    assert racks_of(deployment, job_id) == []
+    for _ in range(5):
+        idle.draining = not idle.draining
+        deployment.run_for(500)
+    assert len(racks_of(deployment, job_id)) == 6
+
+
 def test_a_gang_waits_for_a_rack_that_is_about_to_be_free() -> None:
     deployment = make_racks(2)
     for rack in ("r0-1", "r1-1"):
