--- a/review/harness2/http_io.py
+++ b/review/harness2/http_io.py
@@ -121,7 +121,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             return await _request(host, port, method, path, body, headers or {})
-    except (OSError, EOFError, TimeoutError, ValueError):
+    except (OSError, EOFError, TimeoutError, ValueError, IndexError):
         return 0, b""
 
 
--- a/review/harness2/minion.py
+++ b/review/harness2/minion.py
@@ -130,6 +130,9 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.ends: list[End] = []
         self.is_up = True
+        # seconds after which a call is carried out without an answer; None for others
+        self.order_fate: Callable[[Call], float | None] = lambda call: None
+        self._late: set[asyncio.Task] = set()
         self._events = events
         self._gangs = gangs
         self._control = control
@@ -190,6 +193,11 @@
     async def _handle(self, call: Call) -> Answer:
         if call.headers.get("expect-instance", self.id) != self.id:
             return Answer(421)
+        late_s = self.order_fate(call)
+        if late_s is not None:
+            self._events.record(f"minion {self.id}: no answer to {call.body!r}")
+            self._late.add(asyncio.create_task(self._carry_out_late(call, late_s)))
+            return Answer(-1)
         if call.path == "/kingcuppost/run-start":
             return self._answer(self._start(call.json()))
         if call.path == "/kingcuppost/run-stop":
@@ -198,6 +206,14 @@
             return await self._hold(call.json())
         return Answer(404)
 
+    async def _carry_out_late(self, call: Call, late_s: float) -> None:
+        await asyncio.sleep(late_s)
+        if not self.is_up:
+            return
+        order = self._start if call.path.endswith("start") else self._stop
+        reason = order(call.json())
+        self._events.record(f"minion {self.id}: late {call.body!r}: {reason!r}")
+
     def _answer(self, reason: str) -> Answer:
         fields: dict = {"clockMs": self.clock_ms()}
         if reason:
