--- a/review/harness2/fleet.py
+++ b/review/harness2/fleet.py
@@ -184,7 +184,8 @@
 
     def zone(self, name: str) -> str:
         """Return the zone of a machine."""
-        return "vid-" + "abc"[(int(name.rpartition("-")[2]) - 1) % self._zones]
+        zones = 3 if name.startswith("entry") else self._zones
+        return "vid-" + "abc"[(int(name.rpartition("-")[2]) - 1) % zones]
 
     def start(self, name: str) -> None:
         """Start the process of a machine with the command of the deploy file."""
@@ -264,8 +265,11 @@
         return status, json.loads(answer) if answer else {}
 
     async def submit(self, entry: str, job: str, body: dict) -> None:
-        """Submit a job, again with the same ID until it is accepted."""
-        for _ in range(5):
+        """Submit a job, again with the same ID elsewhere until it is accepted."""
+        entries = [name for name in self.hosts if name.startswith("entry")]
+        first = entries.index(entry)
+        for attempt in range(6):
+            entry = entries[(first + attempt) % len(entries)]
             if (await self.call(entry, "POST", job, body))[0] == 200:
                 return
             await asyncio.sleep(0.5)
@@ -383,6 +387,8 @@
             record.writelines(f"broken: {line}\n" for line in broken)
         return BROKEN if broken else HELD
 
+    # a case that is ended from outside ends its processes, too
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     return asyncio.run(run())
 
 
--- a/review/harness2/minion.py
+++ b/review/harness2/minion.py
@@ -1,7 +1,7 @@
 """Stand-in of a minion and its life, as PROTOCOL.md describes it.
 
-The text of a job (`spec`) is JSON that says how its tasks behave: `work_ms`, and for a
-gang `gang`, the number of its members.
+The text of a job (`spec`) is JSON that says how its tasks behave: `work_ms`, whether
+they fail at the end (`fails`) or checkpoint (`saves`), and the members of a `gang`.
 """
 
 import asyncio
@@ -48,6 +48,7 @@
     done_ms: float = 0.0
     saves: bool = False
     gang: int = 0
+    fails: bool = False
     is_whole: bool = False
     stop_at_ms: int | None = None
 
@@ -208,11 +209,18 @@
 
     async def _carry_out_late(self, call: Call, late_s: float) -> None:
         await asyncio.sleep(late_s)
-        if not self.is_up:
+        if self.is_up:
+            self.carry_out(call)
+
+    def carry_out(self, call: Call) -> None:
+        """Carry out an order that arrives late, and to whose answer nobody listens."""
+        if call.headers.get("expect-instance", self.id) != self.id:
             return
         order = self._start if call.path.endswith("start") else self._stop
         reason = order(call.json())
-        self._events.record(f"minion {self.id}: late {call.body!r}: {reason!r}")
+        self._events.record(
+            f"minion {self.id}, born {self.born}: late {call.body!r}: {reason!r}"
+        )
 
     def _answer(self, reason: str) -> Answer:
         fields: dict = {"clockMs": self.clock_ms()}
@@ -250,6 +258,7 @@
             checkpoint_work_ms(checkpoint),
             behaviour.get("saves", False),
             behaviour.get("gang", 0),
+            behaviour.get("fails", False),
         )
         self.runs[task, run] = new
         self._events.starts.append(
@@ -356,8 +365,11 @@
         else:
             run.done_ms += passed_ms
             saved_ms = checkpoint_work_ms(run.checkpoint)
-            if run.saves and run.done_ms - saved_ms >= self.bounds.checkpoint_ms:
-                run.checkpoint = make_checkpoint(run.task, run.done_ms)
+            # with each whole `checkpoint_ms` of work: equal progress has equal values
+            whole_ms = run.done_ms // self.bounds.checkpoint_ms
+            whole_ms *= self.bounds.checkpoint_ms
+            if run.saves and whole_ms > saved_ms:
+                run.checkpoint = make_checkpoint(run.task, whole_ms)
             if run.done_ms >= run.work_ms:
                 self._gangs.complete(self, run)
 
@@ -394,4 +406,4 @@
         """End a run as done, and with it all members of its gang."""
         members = list(self._members.get(run.group, {}).values())
         for other, member in members if run.gang else [(minion, run)]:
-            other.end(member, "done")
+            other.end(member, "failed" if member.fails else "done")
