--- a/review/7/case.py
+++ b/review/7/case.py
@@ -34,8 +34,10 @@
     step = {"cpu": CPU, "memMb": MEM_MB, "estimateMs": WORK_MS}
     one_task = step | {"count": 1}
     tasks: dict[str, int] = {}
+    entries = ["entry-1", "entry-2", "entry-3"]
+    entries.remove(fleet.holder())  # the others go on answering for a while
     if with_trouble:
-        await fleet.submit("entry-1", LARGE_JOB, make_job([one_task] * STEPS))
+        await fleet.submit(entries[0], LARGE_JOB, make_job([one_task] * STEPS))
         tasks[LARGE_JOB] = STEPS
     else:
         for number in range(STEPS // TASKS_PER_JOB):
@@ -45,7 +47,7 @@
             )
             tasks[job] = TASKS_PER_JOB
     for number, job in enumerate(SMALL_JOBS):
-        await fleet.submit(f"entry-{number + 1}", job, make_job([one_task]))
+        await fleet.submit(entries[number % 2], job, make_job([one_task]))
         tasks[job] = 1
     fleet.record("traffic ends")
     await asyncio.sleep(FINISH_S)
