Log which system makes a tick of 100 ms or more long, and count such ticks

Of a job that stops all scheduling nothing was seen from outside but a long tick in a histogram: neither logs nor metrics told a slow decision from a slow fold, load or write. A tick of 100 ms or more now counts in long_ticks_total by its longest system and is logged at most once a second with that system, its share and the number of messages that it handled.

Tests: test_a_long_tick_names_its_system, test_a_short_tick_is_not_logged.

--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -5,16 +5,23 @@
 from collections.abc import Callable
 from typing import Any
 
-from kingcuppost.utils.ticks import System, run_tick
+from kingcuppost.utils.ticks import System, SystemTime, time_tick
 
 __all__ = ["TickLoop"]
 
 LOGGER_NAME = "kingcuppost"
 EXIT_SOFTWARE_ERROR = 70  # EX_SOFTWARE of sysexits.h
 MS_PER_SECOND = 1_000
+LONG_TICK_MS = 100
+LONG_TICK_LINE_PERIOD_MS = 1_000
 MIN_DELAY_MS = 1  # keeps the loop from spinning on a deadline that has passed
 
 
+def _read_ms() -> float:
+    """Return the reading of a clock that measures durations, in ms."""
+    return time.perf_counter() * MS_PER_SECOND
+
+
 class TickLoop:
     """Runs ticks on the reactor's one thread.
 
@@ -24,6 +31,8 @@
         Twisted's reactor.
     systems : list of System
         Systems of the role, in the order of execution.
+    read_ms : callable, optional
+        Returns the reading of a clock that measures durations, in ms.
 
     Attributes
     ----------
@@ -31,8 +40,15 @@
         Number of ticks that were started.
     """
 
-    def __init__(self, reactor: Any, systems: list[System]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        systems: list[System],
+        read_ms: Callable[[], float] = _read_ms,
+    ) -> None:
         self._reactor = reactor
+        self._read_ms = read_ms
+        self._long_tick_logged_ms: int | None = None
         self._systems = systems
         self._context: Any = None
         self._after_tick: Callable[[], None] = lambda: None
@@ -63,10 +79,7 @@
         world = self._context.world
         self.tick_count += 1
         try:
-            started_s = time.perf_counter()
-            run_tick(world, self._systems, world.clock.now_ms())
-            duration_s = time.perf_counter() - started_s
-            world.tally.observe("tick", duration_s * MS_PER_SECOND)
+            self._run_systems(world)
             for message in world.outbox.take_all():
                 world.tally.add("messages_sent", type(message).__name__)
                 self._context.senders[type(message)](self._context, message)
@@ -78,6 +91,37 @@
         self._set_timer()
         self._after_tick()
 
+    def _run_systems(self, world: Any) -> None:
+        """Run the systems once, and measure how long they take."""
+        message_count = len(world.inbox)
+        now_ms = world.clock.now_ms()
+        started_ms = self._read_ms()
+        longest = time_tick(world, self._systems, now_ms, self._read_ms)
+        duration_ms = self._read_ms() - started_ms
+        world.tally.observe("tick", duration_ms)
+        if duration_ms >= LONG_TICK_MS:
+            world.tally.add("long_ticks", longest.name)
+            self._log_long_tick(duration_ms, longest, message_count, now_ms)
+
+    def _log_long_tick(
+        self, duration_ms: float, longest: SystemTime, message_count: int, now_ms: int
+    ) -> None:
+        """Log which system made a tick long, at most once in a period."""
+        logged_ms = self._long_tick_logged_ms
+        if logged_ms is not None and now_ms - logged_ms < LONG_TICK_LINE_PERIOD_MS:
+            return
+        self._long_tick_logged_ms = now_ms
+        logging.getLogger(LOGGER_NAME).warning(
+            "loop: A tick was long.",
+            extra={
+                "wall_ms": self._context.world.clock.wall_ms(),
+                "took_ms": round(duration_ms),
+                "system": longest.name,
+                "system_ms": round(longest.duration_ms),
+                "messages": message_count,
+            },
+        )
+
     def _exit_after_failure(self) -> None:
         """Log the exception and end the process.
 
--- a/kingcuppost/edges/tests/test_loop.py
+++ b/kingcuppost/edges/tests/test_loop.py
@@ -1,9 +1,18 @@
 """The loop runs ticks on arrivals and deadlines, and ends when a tick fails."""
 
+import logging
+from collections.abc import Iterator
+
+import pytest
 from twisted.internet.task import Clock as TwistedClock
 
 from kingcuppost.edges.context import EdgeContext
-from kingcuppost.edges.loop import EXIT_SOFTWARE_ERROR, TickLoop
+from kingcuppost.edges.loop import (
+    EXIT_SOFTWARE_ERROR,
+    LOGGER_NAME,
+    LONG_TICK_MS,
+    TickLoop,
+)
 from kingcuppost.programs import make_world
 from kingcuppost.systems.registry import Phase, System
 from kingcuppost.tables.config import Address, EntryConfig, LogConfig, ProcessConfig
@@ -35,8 +44,9 @@
     def __init__(self, run: object) -> None:
         self.clock = ManualClock(start_ms=1)
         self.reactor = FakeReactor()
+        self.duration_ms = 0.0
         systems = [System("test.run", Phase.ACT, 10, (Role.ENTRY,), run)]
-        self.loop = TickLoop(self.reactor, systems)
+        self.loop = TickLoop(self.reactor, systems, lambda: self.duration_ms)
         self.context = EdgeContext(
             make_world(CFG, self.clock), self.reactor, None, self.loop.wake
         )
@@ -82,3 +92,44 @@
     harness.advance(0)
     assert harness.reactor.stopped
     assert harness.context.exit_code == EXIT_SOFTWARE_ERROR
+
+
+@pytest.fixture
+def lines() -> Iterator[list[logging.LogRecord]]:
+    """Yield the lines that the process's logger gets during a test."""
+    records: list[logging.LogRecord] = []
+    handler = logging.Handler()
+    handler.emit = records.append
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.addHandler(handler)
+    yield records
+    logger.removeHandler(handler)
+
+
+def test_a_long_tick_names_its_system(lines: list[logging.LogRecord]) -> None:
+    def run(world: World, now_ms: int) -> None:
+        harness.duration_ms += LONG_TICK_MS
+
+    harness = Harness(run)
+    for _ in range(5):
+        harness.loop.wake()
+        harness.advance(10)
+    world = harness.context.world
+    assert world.tally.counts["long_ticks"] == {("test.run",): 5}
+    [line] = [line for line in lines if line.msg == "loop: A tick was long."]
+    assert (line.system, line.took_ms) == ("test.run", LONG_TICK_MS)
+    harness.advance(1_000)
+    harness.loop.wake()
+    harness.advance(0)
+    assert [line.msg for line in lines].count("loop: A tick was long.") == 2
+
+
+def test_a_short_tick_is_not_logged(lines: list[logging.LogRecord]) -> None:
+    def run(world: World, now_ms: int) -> None:
+        harness.duration_ms += LONG_TICK_MS - 1
+
+    harness = Harness(run)
+    harness.loop.wake()
+    harness.advance(0)
+    assert "long_ticks" not in harness.context.world.tally.counts
+    assert not lines
--- a/kingcuppost/utils/ticks.py
+++ b/kingcuppost/utils/ticks.py
@@ -5,7 +5,14 @@
 from enum import IntEnum
 from typing import Any
 
-__all__ = ["Phase", "System", "SystemRegistry", "run_tick"]
+__all__ = [
+    "Phase",
+    "System",
+    "SystemRegistry",
+    "SystemTime",
+    "run_tick",
+    "time_tick",
+]
 
 SystemFunction = Callable[[Any, int], None]
 
@@ -65,6 +72,22 @@
     run: SystemFunction
 
 
+@dataclass(frozen=True, slots=True)
+class SystemTime:
+    """Time that a system took in a tick.
+
+    Attributes
+    ----------
+    name : str
+        Name of the system; empty if the role has none.
+    duration_ms : float
+        The time, in ms.
+    """
+
+    name: str = ""
+    duration_ms: float = 0.0
+
+
 class SystemRegistry:
     """Systems that run over one type of world.
 
@@ -148,3 +171,25 @@
     world.deadlines.drop_due(now_ms)
     for item in systems:
         item.run(world, now_ms)
+
+
+def time_tick(
+    world: Any, systems: list[System], now_ms: int, read_ms: Callable[[], float]
+) -> SystemTime:
+    """Run a tick as `run_tick` does; return the system that took longest.
+
+    Parameters
+    ----------
+    read_ms : callable
+        Returns the reading of a clock, in ms.
+    """
+    longest = SystemTime()
+    world.deadlines.drop_due(now_ms)
+    started_ms = read_ms()
+    for item in systems:
+        item.run(world, now_ms)
+        ended_ms = read_ms()
+        if ended_ms - started_ms > longest.duration_ms:
+            longest = SystemTime(item.name, ended_ms - started_ms)
+        started_ms = ended_ms
+    return longest
