Keep a plan's chains and ready steps with the plan, brought up to date by changes

Cause: each decision computed the chains of work of the whole job anew for each waiting step, twice, and each time compared each step with all later ones: the cube of the number of steps. A decision then took 11 to 14 s (logged as "A tick was long." with system=scheduling.schedule_units and messages=0 or 1); the renewal of the lease waits behind it, so the lease went to the next entry, which loaded the same job and did the same. Ruled out by the same lines: the fold, the load by a new holder, the writing of plans and sidecars' reports; none was the longest system of a long tick.

Change: chains are a row of the plan. They are computed once, and then only for steps whose estimate was corrected, or for all when the capacity has changed; a change goes on only to the steps before whose chain changes with it. The steps that are ready follow from counts that change_phase keeps, so that a decision looks at no edge and at no step that waits for others.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -8,7 +8,7 @@
 
 from kingcuppost.batch.edges.processes import make_batch_world
 from kingcuppost.batch.systems import load_systems, run_tick
-from kingcuppost.batch.systems.holder_election import has_authority
+from kingcuppost.batch.systems.holder_election import has_authority, step_down
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.fleet import (
     Configuration,
@@ -102,12 +102,24 @@
         world.agreed.holder = HolderView(
             1, world.cfg.name, world.incarnation, world.cfg.peers
         )
-        schedule = world.schedule
+        self._open_term()
+        world.schedule.is_loaded = True
+
+    def _open_term(self) -> None:
+        schedule = self.world.schedule
         schedule.term = 1
-        schedule.is_open = schedule.is_loaded = True
+        schedule.lost_term = 0
+        schedule.is_open = True
         schedule.authority_until_ms = self.clock.now_ms() + AUTHORITY_MS
         schedule.renew_at_ms = schedule.authority_until_ms
 
+    def hand_over(self) -> None:
+        """Continue as another holder, which has yet to load the plans of all jobs."""
+        step_down(self.world, "another entry takes over")
+        self.world.schedule.pending_syncs.clear()
+        self.waiting.clear()
+        self._open_term()
+
     @staticmethod
     def _sidecar(index: int) -> str:
         return f"side-{index}"
--- /dev/null
+++ b/bench/tests/test_shapes.py
@@ -0,0 +1,77 @@
+"""What a tick of the holder costs grows no faster than the work, of any shape.
+
+The cost is counted in lines of Python, so that the tests need no clock.
+"""
+
+import pytest
+
+from bench.holder import Holder
+from bench.shapes import shapes
+from bench.tests.test_holder import count_lines
+
+MINIONS = 6
+TASKS = 192
+MAX_GROWTH = 2.4  # when the work doubles; the square of it would grow by 4
+
+
+def make_holder(shape: str, tasks: int) -> Holder:
+    holder = Holder(MINIONS)
+    for steps in shapes[shape](tasks):
+        holder.submit(steps)
+    return holder
+
+
+def lines_of_first_tick(shape: str, tasks: int) -> int:
+    return count_lines(make_holder(shape, tasks).tick)
+
+
+def lines_of_end(shape: str, tasks: int) -> int:
+    """Count the lines of a tick in which one run has ended."""
+    holder = make_holder(shape, tasks)
+    holder.tick()
+    holder.settle()
+    index = next(index for index in range(MINIONS) if holder.running[f"side-{index}"])
+    ended = next(iter(holder.running[f"side-{index}"]))
+    holder.report(index, ended=(ended,))
+    return count_lines(holder.tick)
+
+
+def lines_of_load(shape: str, tasks: int) -> int:
+    """Count the lines of the tick in which a new holder loads the plans."""
+    holder = make_holder(shape, tasks)
+    holder.tick()
+    holder.hand_over()
+    return count_lines(holder.tick)
+
+
+def lines_of_cancel(shape: str, tasks: int) -> int:
+    """Count the lines of a tick in which all jobs are cancelled."""
+    holder = make_holder(shape, tasks)
+    holder.tick()
+    for job in holder.world.agreed.jobs:
+        holder.cancel(job.id)
+    return count_lines(holder.tick)
+
+
+@pytest.mark.parametrize("shape", list(shapes))
+def test_the_first_tick_after_a_submission_grows_with_the_work(shape: str) -> None:
+    once = lines_of_first_tick(shape, TASKS)
+    assert lines_of_first_tick(shape, 2 * TASKS) <= MAX_GROWTH * once
+
+
+@pytest.mark.parametrize("shape", [shape for shape in shapes if shape != "unfit steps"])
+def test_a_tick_with_the_end_of_a_run_grows_with_the_work(shape: str) -> None:
+    once = lines_of_end(shape, TASKS)
+    assert lines_of_end(shape, 2 * TASKS) <= MAX_GROWTH * once
+
+
+@pytest.mark.parametrize("shape", list(shapes))
+def test_the_load_by_a_new_holder_grows_with_the_work(shape: str) -> None:
+    once = lines_of_load(shape, TASKS)
+    assert lines_of_load(shape, 2 * TASKS) <= MAX_GROWTH * once
+
+
+@pytest.mark.parametrize("shape", list(shapes))
+def test_a_cancellation_grows_with_the_work(shape: str) -> None:
+    once = lines_of_cancel(shape, TASKS)
+    assert lines_of_cancel(shape, 2 * TASKS) <= MAX_GROWTH * once
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -32,6 +32,7 @@
     estimate_error = plan.estimate_errors.setdefault(task.name.step, EstimateError())
     estimate_error.log_sum += log(sample_speed / max(speed.value, MIN_SPEED))
     estimate_error.count += 1
+    plan.changed_estimates[task.name.step] = None
     corrected_speed = sample_speed / exp(estimate_error.mean_log)
     corrected_speed = min(max(corrected_speed, MIN_SAMPLE_SPEED), MAX_SAMPLE_SPEED)
     speed.weight = min(speed.weight + 1, MAX_WEIGHT_RUNS)
--- a/kingcuppost/batch/systems/task_phases.py
+++ b/kingcuppost/batch/systems/task_phases.py
@@ -52,15 +52,43 @@
     if task.phase is TaskPhase.PLACED:
         _remove_run(schedule, plan, task)
     mark_task_changed(plan, task)
-    plan.phase_counts[task.phase] -= 1
-    plan.phase_counts[phase] += 1
+    _count_phase(plan, task, -1)
     task.phase = phase
+    _count_phase(plan, task, 1)
+    _update_ready(plan, task.name.step)
+    if phase is TaskPhase.DONE and not plan.step_progress[task.name.step].not_done:
+        _complete_step(plan, task.name.step)
     task.incarnation = incarnation
     task.stopping = False
     if phase is TaskPhase.PLACED:
         _add_run(schedule, plan, task)
 
 
+def _count_phase(plan: Plan, task: Task, change: int) -> None:
+    """Add a task to the counts by phase, or remove it if `change` is -1."""
+    progress = plan.step_progress[task.name.step]
+    plan.phase_counts[task.phase] += change
+    if task.phase is TaskPhase.WAITING:
+        progress.waiting += change
+    if task.phase is not TaskPhase.DONE:
+        progress.not_done += change
+
+
+def _update_ready(plan: Plan, step: int) -> None:
+    """Update whether a step is ready."""
+    if plan.step_progress[step].is_ready:
+        plan.ready_steps[step] = None
+    else:
+        plan.ready_steps.pop(step, None)
+
+
+def _complete_step(plan: Plan, step: int) -> None:
+    """Let the steps that depend on a step whose tasks are all done wait no more."""
+    for dependent in plan.step_progress[step].dependents:
+        plan.step_progress[dependent].open_needs -= 1
+        _update_ready(plan, dependent)
+
+
 def mark_stopping(schedule: Schedule, plan: Plan, task: Task) -> None:
     """Mark a placed run as one that is to be stopped."""
     if task.stopping:
--- a/kingcuppost/batch/systems/timeliness.py
+++ b/kingcuppost/batch/systems/timeliness.py
@@ -5,14 +5,15 @@
 """
 
 from enum import IntEnum
+from heapq import heapify, heappop, heappush
 from math import ceil
 
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
 from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
-from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.plan import Chains, Plan
 
-__all__ = ["Timeliness", "assess_timeliness", "target_end_ms"]
+__all__ = ["Timeliness", "assess_timeliness", "refresh_chains", "target_end_ms"]
 
 LATE_FACTOR = 3  # a result that takes this multiple of its target is of no use
 WAVE_SHARE = 4  # one wave of a step uses at most this fraction of a service
@@ -52,23 +53,62 @@
     return max(1, ceil(max(shares, default=1)))
 
 
-def _chains_ms(plan: Plan, capacity: Resources) -> list[float]:
-    """Return the longest chain of work from each step on, in ms at speed 1.0."""
-    steps = plan.job.steps
-    chains = [0.0] * len(steps)
-    for index in reversed(range(len(steps))):
-        following = [
-            chains[later]
-            for later in range(index + 1, len(steps))
-            if index in steps[later].needs
-        ]
-        waves = _count_waves(steps[index], capacity)
-        chains[index] = waves * corrected_estimate_ms(plan, index) + max(
-            following, default=0.0
-        )
+def refresh_chains(plan: Plan, capacity: Resources) -> Chains:
+    """Return the longest chains of work of a plan, brought up to date.
+
+    Only the steps whose own duration has changed are looked at, and those before them
+    whose chain changes with it.
+
+    Parameters
+    ----------
+    capacity : Resources
+        Capacity of all minions of the job's service.
+    """
+    chains = plan.chains
+    if chains is None:
+        step_count = len(plan.job.steps)
+        chains = Chains(capacity, [0.0] * step_count, [0.0] * step_count, 0.0)
+        changed = list(range(step_count))
+    elif chains.capacity != capacity:
+        changed = list(range(len(chains.work_ms)))
+    else:
+        changed = list(plan.changed_estimates)
+    plan.chains = chains
+    plan.changed_estimates.clear()
+    chains.capacity = capacity
+    changed = [index for index in changed if _update_work(plan, chains, index)]
+    if changed:
+        _update_chains(plan, chains, changed)
     return chains
 
 
+def _update_work(plan: Plan, chains: Chains, index: int) -> bool:
+    """Update the duration of a step; return whether it has changed."""
+    waves = _count_waves(plan.job.steps[index], chains.capacity)
+    work_ms = waves * corrected_estimate_ms(plan, index)
+    is_changed = work_ms != chains.work_ms[index]
+    chains.work_ms[index] = work_ms
+    return is_changed
+
+
+def _update_chains(plan: Plan, chains: Chains, changed: list[int]) -> None:
+    """Update the chains of changed steps, and of those before them, last step first."""
+    queue = [-index for index in changed]
+    heapify(queue)
+    while queue:
+        index = -heappop(queue)
+        if queue and queue[0] == -index:
+            continue
+        dependents = plan.step_progress[index].dependents
+        following_ms = max(map(chains.chains_ms.__getitem__, dependents), default=0.0)
+        chain_ms = chains.work_ms[index] + following_ms
+        if chain_ms != chains.chains_ms[index]:
+            chains.chains_ms[index] = chain_ms
+            for needed in plan.job.steps[index].needs:
+                heappush(queue, -needed)
+    chains.path_ms = max(chains.chains_ms)
+
+
 def target_end_ms(plan: Plan, capacity: Resources) -> float:
     """Return the Unix time by which a job should end, in ms.
 
@@ -79,7 +119,7 @@
     capacity : Resources
         Capacity of all minions of the job's service.
     """
-    path_ms = max(_chains_ms(plan, capacity))
+    path_ms = refresh_chains(plan, capacity).path_ms
     return plan.job.accepted_ms + plan.job.policy.slack_factor * path_ms
 
 
@@ -95,9 +135,9 @@
     wall_ms : int
         Current Unix time, in ms.
     """
-    chains_ms = _chains_ms(plan, capacity)
-    target_ms = plan.job.policy.slack_factor * max(chains_ms)
-    taken_ms = wall_ms - plan.job.accepted_ms + chains_ms[step]
+    chains = refresh_chains(plan, capacity)
+    target_ms = plan.job.policy.slack_factor * chains.path_ms
+    taken_ms = wall_ms - plan.job.accepted_ms + chains.chains_ms[step]
     if taken_ms <= target_ms:
         return Timeliness.IN_TIME
     if taken_ms <= LATE_FACTOR * target_ms:
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -156,11 +156,9 @@
     A gang is ready only once all its members wait. A task that avoids minions is a
     unit of its own, since the others may run there.
     """
-    for index, spec in enumerate(plan.job.steps):
-        tasks = plan.tasks[index]
+    for index in sorted(plan.ready_steps):
+        spec, tasks = plan.job.steps[index], plan.tasks[index]
         waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
-        if not waiting or not _is_unblocked(plan, spec):
-            continue
         if spec.gang:
             if len(waiting) == len(tasks):
                 yield PlacementUnit(plan, index, spec, waiting, rank)
@@ -171,12 +169,3 @@
         for task in waiting:
             if task.avoided_minions:
                 yield PlacementUnit(plan, index, spec, [task], rank)
-
-
-def _is_unblocked(plan: Plan, spec: StepSpec) -> bool:
-    """Return whether all steps that a step depends on are done."""
-    return all(
-        task.phase is TaskPhase.DONE
-        for needed in spec.needs
-        for task in plan.tasks[needed]
-    )
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -4,6 +4,7 @@
 
 from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
 from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.tables.config import Address
 
 __all__ = [
@@ -85,15 +86,6 @@
     keys: dict[str, str]
 
 
-@dataclass(slots=True)
-class Resources:
-    """An amount of processors, memory and accelerators."""
-
-    cpu_millis: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class MinionLease:
     """The lease of a minion incarnation.
--- a/kingcuppost/batch/tables/plan.py
+++ b/kingcuppost/batch/tables/plan.py
@@ -1,5 +1,6 @@
 """The scheduler's working state of jobs: plans and their tasks."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from itertools import accumulate
@@ -11,8 +12,9 @@
     TaskName,
     TaskPhase,
 )
+from kingcuppost.batch.tables.resources import Resources
 
-__all__ = ["EstimateError", "Plan", "PlanPhase", "Task"]
+__all__ = ["Chains", "EstimateError", "Plan", "PlanPhase", "StepProgress", "Task"]
 
 
 @dataclass(slots=True)
@@ -139,6 +141,55 @@
         return self.log_sum / (self.count + 1)
 
 
+@dataclass(slots=True)
+class StepProgress:
+    """How far a step is, kept up to date with the phases of its tasks.
+
+    Attributes
+    ----------
+    waiting : int
+        Number of its tasks that wait.
+    not_done : int
+        Number of its tasks that are not done.
+    open_needs : int
+        Number of the steps that it depends on and that are not done.
+    dependents : list of int
+        Indices of the steps that depend on it, in order.
+    """
+
+    waiting: int = 0
+    not_done: int = 0
+    open_needs: int = 0
+    dependents: list[int] = field(default_factory=list)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether tasks of the step wait for nothing but capacity."""
+        return self.waiting > 0 and not self.open_needs
+
+
+@dataclass(slots=True)
+class Chains:
+    """Longest chains of work of a job, by its estimates and a service's capacity.
+
+    Attributes
+    ----------
+    capacity : Resources
+        Capacity of all minions of the job's service.
+    work_ms : list of float
+        Duration of each step at speed 1.0, in ms.
+    chains_ms : list of float
+        Longest chain of work from each step on, in ms.
+    path_ms : float
+        Longest of these chains, in ms.
+    """
+
+    capacity: Resources
+    work_ms: list[float]
+    chains_ms: list[float]
+    path_ms: float
+
+
 class PlanPhase(StrEnum):
     """Phase of the scheduler's work on a job.
 
@@ -190,6 +241,14 @@
         Time at which this process found that the job is over.
     estimate_errors : dict of int to EstimateError
         Deviation of the runs from the estimates, by step.
+    step_progress : list of StepProgress
+        How far each step is; `task_phases` keeps it up to date.
+    ready_steps : dict of int to None
+        Steps with tasks that wait for nothing but capacity, in no particular order.
+    chains : Chains or None
+        The longest chains of work; None until they are needed.
+    changed_estimates : dict of int to None
+        Steps whose estimate was corrected since the chains were brought up to date.
     """
 
     job: Job
@@ -205,11 +264,36 @@
     has_new_checkpoint: bool = False
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
+    step_progress: list[StepProgress] = field(init=False)
+    ready_steps: dict[int, None] = field(init=False)
+    chains: Chains | None = None
+    changed_estimates: dict[int, None] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         counts = [len(step) for step in self.tasks]
         self.step_starts = [0, *accumulate(counts)][:-1]
         self.phase_counts = dict.fromkeys(TaskPhase, 0)
-        for step in self.tasks:
-            for task in step:
-                self.phase_counts[task.phase] += 1
+        self.step_progress = [self._count_phases(tasks) for tasks in self.tasks]
+        for index, spec in enumerate(self.job.steps):
+            self._count_needs(index, set(spec.needs))
+        self.ready_steps = {
+            index: None
+            for index, progress in enumerate(self.step_progress)
+            if progress.is_ready
+        }
+
+    def _count_phases(self, tasks: list[Task]) -> StepProgress:
+        """Count the phases of a step's tasks, also in `phase_counts`."""
+        counts = Counter(task.phase for task in tasks)
+        for phase, count in counts.items():
+            self.phase_counts[phase] += count
+        not_done = len(tasks) - counts[TaskPhase.DONE]
+        return StepProgress(counts[TaskPhase.WAITING], not_done)
+
+    def _count_needs(self, index: int, needs: set[int]) -> None:
+        """Count the open needs of a step, and add it to their dependents."""
+        for needed in needs:
+            self.step_progress[needed].dependents.append(index)
+        self.step_progress[index].open_needs = sum(
+            self.step_progress[needed].not_done > 0 for needed in needs
+        )
--- a/kingcuppost/batch/tests/test_timeliness.py
+++ b/kingcuppost/batch/tests/test_timeliness.py
@@ -1,11 +1,16 @@
 """Tests of timeliness: targets of jobs, and what can still be reached."""
 
+from dataclasses import replace
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from kingcuppost.batch.systems.plans import load_plan
 from kingcuppost.batch.systems.timeliness import (
     Timeliness,
     assess_timeliness,
+    refresh_chains,
     target_end_ms,
 )
 from kingcuppost.batch.tables.fleet import Resources
@@ -76,3 +81,51 @@
     plan = make_plan(StepSpec(3))
     found = assess_timeliness(plan, 0, CAPACITY, ACCEPTED_MS)
     assert found is Timeliness.IN_TIME
+
+
+@st.composite
+def steps_in_order(draw: st.DrawFn) -> tuple[StepSpec, ...]:
+    """Draw steps, each of which may name earlier ones, also repeatedly."""
+    count = draw(st.integers(1, 8))
+    return tuple(
+        StepSpec(
+            draw(st.integers(1, 40)),
+            accelerators=1,
+            estimate_ms=draw(st.sampled_from((0, 500, 1_000, 3_000))),
+            needs=tuple(draw(st.lists(st.integers(0, index - 1), max_size=4)))
+            if index
+            else (),
+        )
+        for index in range(count)
+    )
+
+
+@given(steps_in_order(), st.data())
+def test_chains_that_are_kept_up_to_date_equal_those_computed_anew(
+    steps: tuple[StepSpec, ...], data: st.DataObject
+) -> None:
+    kept = make_plan(*steps)
+    capacity = CAPACITY
+    for _ in range(3):
+        refresh_chains(kept, capacity)
+        for index in data.draw(st.lists(st.integers(0, len(steps) - 1), max_size=3)):
+            kept.estimate_errors[index] = EstimateError(data.draw(st.floats(-2, 2)), 1)
+            kept.changed_estimates[index] = None
+        if data.draw(st.booleans()):
+            capacity = replace(CAPACITY, accelerators=data.draw(st.integers(1, 200)))
+        anew = make_plan(*steps)
+        anew.estimate_errors = kept.estimate_errors
+        found, expected = refresh_chains(kept, capacity), refresh_chains(anew, capacity)
+        assert found == expected
+        assert expected.chains_ms == [
+            expected.work_ms[index]
+            + max(
+                (
+                    expected.chains_ms[later]
+                    for later, spec in enumerate(steps)
+                    if index in spec.needs
+                ),
+                default=0.0,
+            )
+            for index in range(len(steps))
+        ]
