Request the stops of a gang at the tasks of its own step only

Callers saw: a job of many gangs as steps stops all scheduling (2,400 gangs of 4: nothing starts). Cause: when a plan is adopted, by the holder of the lease or by each next one, the stops of every gang with waiting members are requested again, and each request walked all tasks of the plan: the square of the number of gangs. The same walk ran at each end of a gang's run.

Change: a request for one step walks that step; whether a gang waits is read from the counts of its step.

--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -19,6 +19,7 @@
 
 TASK = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=1_000)
 LAYER_STEPS = 24
+GANG_TASKS = 4
 JOBS = 12
 
 
@@ -58,6 +59,20 @@
     return [tuple(steps)]
 
 
+@shapes.register("gangs")
+def make_gangs(tasks: int) -> list[Steps]:
+    """Return one job of independent gangs."""
+    gang = replace(TASK, count=GANG_TASKS, gang=True)
+    return [(gang,) * (tasks // GANG_TASKS)]
+
+
+@shapes.register("gangs in one rack")
+def make_rack_gangs(tasks: int) -> list[Steps]:
+    """Return one job of independent gangs that run fast only in one rack."""
+    gang = replace(TASK, count=GANG_TASKS, gang=True, one_rack=True)
+    return [(gang,) * (tasks // GANG_TASKS)]
+
+
 @shapes.register("unfit steps")
 def make_unfit_steps(tasks: int) -> list[Steps]:
     """Return one job of independent steps that fit no minion."""
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -133,8 +133,7 @@
     if plan.phase is PlanPhase.CLOSING:
         request_stops(world, plan)
     for index, spec in enumerate(plan.job.steps):
-        phases = {task.phase for task in plan.tasks[index]}
-        if spec.gang and TaskPhase.WAITING in phases:
+        if spec.gang and plan.step_progress[index].waiting:
             request_stops(world, plan, index)
 
 
@@ -166,9 +165,8 @@
 
 def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
     """Request the stop of all runs of a job, or of one step."""
-    for task in iter_tasks(plan):
-        if step in (None, task.name.step):
-            request_stop(world, plan, task)
+    for task in iter_tasks(plan) if step is None else plan.tasks[step]:
+        request_stop(world, plan, task)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
