Read the metrics of tasks from the counts of their plans

A scrape walked all tasks of all open jobs, on the thread that renews the lease. The counts by phase are kept already.

Test: test_a_scrape_of_the_metrics_does_not_look_at_every_task fails before.

--- a/bench/tests/test_shapes.py
+++ b/bench/tests/test_shapes.py
@@ -8,6 +8,7 @@
 from bench.holder import Holder
 from bench.shapes import shapes
 from bench.tests.test_holder import count_lines
+from kingcuppost.batch.edges.metrics import metrics_text
 
 MINIONS = 6
 TASKS = 192
@@ -75,3 +76,12 @@
 def test_a_cancellation_grows_with_the_work(shape: str) -> None:
     once = lines_of_cancel(shape, TASKS)
     assert lines_of_cancel(shape, 2 * TASKS) <= MAX_GROWTH * once
+
+
+def test_a_scrape_of_the_metrics_does_not_look_at_every_task() -> None:
+    few, many = (make_holder("one step", tasks) for tasks in (TASKS, 10 * TASKS))
+    for holder in (few, many):
+        holder.tick()
+        holder.settle()
+    once = count_lines(lambda: metrics_text(few.world))
+    assert count_lines(lambda: metrics_text(many.world)) <= 1.3 * once
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a process, computed from its tables on each request."""
 
+from collections import Counter
 from collections.abc import Iterator
 from itertools import accumulate
 
@@ -67,20 +68,17 @@
 
 def _gauges(world: BatchWorld) -> Iterator[Metric]:
     schedule = world.schedule
-    phases = [
-        task.phase
-        for plan in schedule.plans.values()
-        if plan.phase is not PlanPhase.OVER
-        for step in plan.tasks
-        for task in step
-    ]
+    phases = Counter()
+    for plan in schedule.plans.values():
+        if plan.phase is not PlanPhase.OVER:
+            phases.update(plan.phase_counts)
     configuration = world.agreed.configuration
     values = {
         "holds_lease": int(schedule.is_loaded),
         "jobs": len(world.agreed.jobs),
         "minions": len(schedule.minions),
-        "tasks_placed": phases.count(TaskPhase.PLACED),
-        "tasks_waiting": phases.count(TaskPhase.WAITING),
+        "tasks_placed": phases[TaskPhase.PLACED],
+        "tasks_waiting": phases[TaskPhase.WAITING],
         "configuration_version": configuration.version if configuration else -1,
         "calls_waiting": len(world.pending_calls),
     }
