Let a decision, a load and the adoption of jobs go on in the next tick

Callers saw: work that is wide enough stops all scheduling, whatever its shape, since a decision and the load by a new holder ran to their end in one tick, and the renewal of the lease, replies and orders wait behind it.

Change: a decision is a row, DecisionRound, with the plans still to be listed, the units in the order of the queue and the candidates. A tick goes on with it until its budget is spent, a tenth of the period of renewals, and the next tick continues. The round places on the capacity that was free when it listed its candidates, less what has gone since; what is released later is for the next round, so that the first unit of the queue keeps the first choice. Gangs are placed whole, reservations are held by rank as before. Plans that are added meanwhile join the round in their place, so that urgent work does not wait for its end. Tasks that were placed, cancelled or lost, and minions that may not be used any more, are dropped when their turn comes. The load by a new holder and the adoption of new jobs are cut by the same budget; leases of placed runs are extended once all is loaded. Units whose demand equals that of one that has just found no capacity, or waits for the same rack no longer, are not tried again in the round.

Weighed: to begin each slice anew from the head of the queue (the tail is never reached under steady changes), and candidates listed anew in each slice (the tail then takes capacity that was released for the head).

Observability: the line "A decision goes on in the next tick." (at most one a second) names the job with the most units, and counts what is left; decision_cuts_total.

Scheduling of one unit moved to unit_scheduling.py, its rows to tables/decision.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -61,6 +61,8 @@
     ----------
     minions : int
         Number of minions, each with a sidecar.
+    clock : ManualClock, optional
+        Clock of the holder; one that stands still between ticks if None.
 
     Attributes
     ----------
@@ -72,9 +74,9 @@
         Identifier of the unanswered report of each sidecar.
     """
 
-    def __init__(self, minions: int) -> None:
+    def __init__(self, minions: int, clock: ManualClock | None = None) -> None:
         cfg = DaemonConfig(Role.ENTRY, "entry-0", "zone-0", Address("10.0.0.1", 7000))
-        self.clock = ManualClock(start_ms=100_000)
+        self.clock = clock or ManualClock(start_ms=100_000)
         self.world = make_batch_world(cfg, self.clock, seed=1)
         self.systems = load_systems(Role.ENTRY)
         self.running: dict[str, dict[tuple[TaskName, int], RunningRun]] = {}
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -17,10 +17,11 @@
 ShapeMaker = Callable[[int], list[Steps]]
 shapes: Registry[str, ShapeMaker] = Registry("shape of work")
 
-TASK = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=1_000)
+TASK = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=60_000)
 LAYER_STEPS = 24
 GANG_TASKS = 4
 JOBS = 12
+FIRST_RACK = "r0-0"
 
 
 @shapes.register("one step")
@@ -80,6 +81,12 @@
     return [(replace(TASK, cpu_millis=demand),) * tasks]
 
 
+@shapes.register("steps for one rack")
+def make_steps_for_one_rack(tasks: int) -> list[Steps]:
+    """Return one job of independent steps whose data is in one rack."""
+    return [(replace(TASK, rack=FIRST_RACK),) * tasks]
+
+
 @shapes.register("twelve jobs")
 def make_twelve_jobs(tasks: int) -> list[Steps]:
     """Return `JOBS` jobs of independent steps."""
--- a/bench/tests/test_shapes.py
+++ b/bench/tests/test_shapes.py
@@ -10,8 +10,8 @@
 from bench.tests.test_holder import count_lines
 from kingcuppost.batch.edges.metrics import metrics_text
 
-MINIONS = 6
-TASKS = 192
+MINIONS = 2
+TASKS = 640
 MAX_GROWTH = 2.4  # when the work doubles; the square of it would grow by 4
 
 
--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -10,7 +10,7 @@
     choose_candidates,
     fits_idle,
 )
-from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.decision import PlacementUnit
 from kingcuppost.batch.tables.job import StepSpec
 
 __all__ = ["make_sort_key", "preferred_groups"]
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -5,16 +5,20 @@
 
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
-    Candidate,
-    Victim,
     copy_resources,
     subtract_resources,
     subtract_tasks,
 )
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
-from kingcuppost.batch.systems.units import PlacementUnit, urgency_rank
+from kingcuppost.batch.systems.units import urgency_rank
 from kingcuppost.batch.tables.config import Bounds
+from kingcuppost.batch.tables.decision import (
+    Candidate,
+    DecisionRound,
+    PlacementUnit,
+    Victim,
+)
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
 from kingcuppost.batch.tables.job import TaskPhase
 from kingcuppost.batch.tables.plan import Plan, Task
@@ -28,6 +32,7 @@
     "find_soon_free",
     "find_victims",
     "is_stop_expected",
+    "keep_usable",
     "list_candidates",
     "request_decision",
     "stop_limit_ms",
@@ -45,22 +50,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """One decision on all waiting units, and what it assesses all runs by.
+    """A tick of a decision on all waiting units, and what it assesses all runs by.
 
     Attributes
     ----------
     world : BatchWorld
         Tables of the process.
     now_ms, wall_ms : int
-        Time of the decision by the monotonic clock, and as Unix time in ms.
-    guaranteed_ids : set of str
-        Urgent jobs that fit their team's guarantee.
+        Time of the tick by the monotonic clock, and as Unix time in ms.
+    round : DecisionRound
+        What the decision has done so far.
     """
 
     world: BatchWorld
     now_ms: int
     wall_ms: int
-    guaranteed_ids: set[str]
+    round: DecisionRound
+
+    @property
+    def guaranteed_ids(self) -> set[str]:
+        """Return the urgent jobs that fit their team's guarantee."""
+        return self.round.guaranteed_ids
 
 
 def request_decision(world: BatchWorld, at_ms: int) -> None:
@@ -89,6 +99,25 @@
     return usable
 
 
+def keep_usable(decision: Decision, candidates: list[Candidate]) -> list[Candidate]:
+    """Return the candidates that may still be given tasks in a later tick.
+
+    Which runs they may preempt is found anew. Capacity that was released meanwhile is
+    left out.
+    """
+    world = decision.world
+    minions = world.schedule.minions
+    kept = [
+        candidate
+        for candidate in candidates
+        if minions.get(candidate.minion.sidecar) is candidate.minion
+        and _is_usable(world, candidate.minion, decision.now_ms)
+    ]
+    for candidate in kept:
+        candidate.victims = None
+    return kept
+
+
 def _make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
     """Return a minion as a candidate, with separate copies of its capacity."""
     free_now = copy_resources(minion.resources)
@@ -220,23 +249,29 @@
 ) -> list[Candidate]:
     """Return the candidates whose service and labels suit a unit.
 
-    Sets their number of placed tasks to that of the unit's step.
+    Sets their number of placed tasks to that of the unit's step, if it is limited.
     """
-    placed_counts = Counter(
-        task.incarnation
-        for task in unit.plan.tasks[unit.step]
-        if task.phase is TaskPhase.PLACED
-    )
     eligible = [
         candidate
         for candidate in candidates
         if _matches_requirements(unit, candidate.minion)
     ]
-    for candidate in eligible:
-        candidate.step_task_count = placed_counts[candidate.minion.incarnation]
+    if unit.spec.most_per_minion:
+        _count_step_tasks(unit, eligible)
     return eligible
 
 
+def _count_step_tasks(unit: PlacementUnit, candidates: list[Candidate]) -> None:
+    """Set the number of placed tasks of a unit's step at each candidate."""
+    placed_counts = Counter(
+        task.incarnation
+        for task in unit.plan.tasks[unit.step]
+        if task.phase is TaskPhase.PLACED
+    )
+    for candidate in candidates:
+        candidate.step_task_count = placed_counts[candidate.minion.incarnation]
+
+
 def exclude_avoided(
     unit: PlacementUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -1,13 +1,13 @@
 """Fitting of the tasks of a step into free or preemptible capacity."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import inf
 
-from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.decision import Candidate, Victim
+from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
-from kingcuppost.batch.tables.plan import Plan, Task
 
 __all__ = [
     "Candidate",
@@ -22,79 +22,12 @@
     "fits_now",
     "limit_per_minion",
     "plan_evictions",
+    "reserve_capacity",
     "subtract_resources",
     "subtract_tasks",
 ]
 
 
-@dataclass(slots=True)
-class Victim:
-    """A run that may be preempted for a more urgent placement unit.
-
-    Attributes
-    ----------
-    plan, task : Plan, Task
-        The task that runs, and the plan of its job.
-    rank : int
-        Urgency of the job; 0 is the most urgent.
-    resources : Resources
-        Capacity that stopping the run releases.
-    cost_core_s : float
-        Work that stopping the run loses, in core-seconds.
-    ends_soon : bool
-        Whether the run is expected to end by itself soon.
-    """
-
-    plan: Plan
-    task: Task
-    rank: int
-    resources: Resources
-    cost_core_s: float
-    ends_soon: bool = False
-
-
-@dataclass(slots=True)
-class Candidate:
-    """A minion that may be given tasks, with its capacity during one decision.
-
-    Attributes
-    ----------
-    minion : MinionRow
-        The minion.
-    free_after_stops : Resources
-        Capacity that is free once the runs that are being stopped have ended.
-    free_now : Resources
-        Capacity that is free at once.
-    free_soon : Resources or None
-        Capacity that is free once the runs that end soon have ended; None until it is
-        needed.
-    rack_free_accelerators : list of int
-        Free accelerators of the whole rack in a list of one element, which all
-        candidates of the rack share.
-    step_task_count : int
-        Placed tasks of the step that is being placed.
-    victims : list of Victim or None
-        Runs that may be preempted, cheapest first; None until they are needed.
-    is_slow : bool
-        Whether the minion works much slower than most.
-    """
-
-    minion: MinionRow
-    free_after_stops: Resources
-    free_now: Resources
-    free_soon: Resources | None = None
-    rack_free_accelerators: list[int] = field(default_factory=lambda: [0])
-    step_task_count: int = 0
-    victims: list[Victim] | None = None
-    is_slow: bool = False
-
-    def reserve(self, step: StepSpec, count: int = 1) -> None:
-        """Subtract the demand of `count` tasks of a step from the free capacity."""
-        for resources in (self.free_now, self.free_soon, self.free_after_stops):
-            if resources is not None:
-                subtract_tasks(resources, step, count)
-
-
 def copy_resources(resources: Resources) -> Resources:
     """Return a copy of `resources`."""
     return Resources(resources.cpu_millis, resources.memory_mb, resources.accelerators)
@@ -112,6 +45,17 @@
     )
 
 
+def reserve_capacity(candidate: Candidate, step: StepSpec, count: int = 1) -> None:
+    """Subtract the demand of `count` tasks of a step from a candidate's capacity."""
+    for resources in (
+        candidate.free_now,
+        candidate.free_soon,
+        candidate.free_after_stops,
+    ):
+        if resources is not None:
+            subtract_tasks(resources, step, count)
+
+
 def add_resources(resources: Resources, other: Resources) -> None:
     """Add the released capacity `other` to `resources` in place."""
     resources.cpu_millis += other.cpu_millis
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -37,6 +37,7 @@
     "make_progress",
     "mark_begun",
     "mark_plan_changed",
+    "mark_unwritten",
     "place_task",
     "request_run_stop",
     "request_stop",
@@ -91,10 +92,15 @@
 
 
 def mark_plan_changed(world: BatchWorld, plan: Plan) -> None:
-    """Mark a plan as different from its newest record."""
+    """Mark a plan as different from its newest record; decisions depend on it."""
+    mark_unwritten(world, plan)
+    world.schedule.inputs_changed = True
+
+
+def mark_unwritten(world: BatchWorld, plan: Plan) -> None:
+    """Mark a plan as different from its newest record; no decision depends on it."""
     plan.version += 1
     world.schedule.unwritten_jobs[plan.job.id] = None
-    world.schedule.inputs_changed = True
 
 
 def mark_begun(world: BatchWorld, plan: Plan) -> None:
@@ -104,8 +110,7 @@
     plan.begun = True
     if plan.phase is PlanPhase.OPEN:
         plan.state = JobState.RUNNING
-    plan.version += 1
-    world.schedule.unwritten_jobs[plan.job.id] = None
+    mark_unwritten(world, plan)
 
 
 def adopt_job(world: BatchWorld, job_id: str) -> None:
@@ -119,6 +124,7 @@
     if plan is None:
         plan = load_plan(job, world.agreed.progress_parts.get(job_id))
         add_plan(schedule, plan)
+        schedule.added_plans[job_id] = None
         _repeat_stops(world, plan)
     schedule.inputs_changed = True
     if job.cancelled and plan.phase is PlanPhase.OPEN:
--- a/kingcuppost/batch/systems/preemption.py
+++ b/kingcuppost/batch/systems/preemption.py
@@ -15,10 +15,11 @@
     Eviction,
     add_resources,
     plan_evictions,
+    reserve_capacity,
 )
 from kingcuppost.batch.systems.plans import request_stop
 from kingcuppost.batch.systems.reservations import reserve_for_tasks
-from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.decision import PlacementUnit
 
 __all__ = ["preempt_for_unit"]
 
@@ -45,10 +46,13 @@
         Whether the capacity suffices for all tasks.
     """
     best = _choose_evictions(decision, unit, groups, max_cost_core_s)
+    if best:
+        # more may be released than the unit takes
+        decision.round.failed_tries.clear()
     for eviction in best:
         _stop_victims(decision, unit, eviction)
         # the copy with fewer victims shares these objects with the original candidate
-        eviction.candidate.reserve(unit.spec, eviction.count)
+        reserve_capacity(eviction.candidate, unit.spec, eviction.count)
         tasks = unit.tasks[: eviction.count]
         unit.tasks = unit.tasks[eviction.count :]
         reserve_for_tasks(decision, tasks, eviction.candidate.minion)
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -22,7 +22,7 @@
 from kingcuppost.batch.tables.waiting import StepName
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["waits_for_other_minions", "waits_for_rack"]
+__all__ = ["fits_since_ms", "waits_for_other_minions", "waits_for_rack"]
 
 PLENTIFUL_WAIT_MS = 2_000  # well below the 3 s after which callers count work as lost
 PLENTIFUL_TIMES = 2
@@ -48,7 +48,7 @@
     """
     if not fits_now(unit.spec, candidates):
         return False
-    waited_ms = decision.now_ms - _fits_since_ms(decision, unit)
+    waited_ms = decision.now_ms - fits_since_ms(decision, unit)
     gain_ms = _gain_ms(decision, unit)
     limit_ms = gain_ms
     if _is_plentiful(decision, unit, candidates):
@@ -84,7 +84,7 @@
     """
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
     if _is_plentiful(decision, unit, candidates):
-        plentiful_until_ms = _fits_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
+        plentiful_until_ms = fits_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
         until_ms = min(until_ms, plentiful_until_ms)
     if decision.now_ms >= until_ms:
         return False
@@ -92,7 +92,7 @@
     return True
 
 
-def _fits_since_ms(decision: Decision, unit: PlacementUnit) -> int:
+def fits_since_ms(decision: Decision, unit: PlacementUnit) -> int:
     """Return since when the free capacity would have held a unit that fits now."""
     wait = decision.world.schedule.waits.get(StepName(unit.plan.job.id, unit.step))
     if wait is None or wait.fits_since_ms is None:
--- a/kingcuppost/batch/systems/release_times.py
+++ b/kingcuppost/batch/systems/release_times.py
@@ -12,7 +12,7 @@
 )
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
-from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.decision import PlacementUnit
 from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
 
--- a/kingcuppost/batch/systems/reservations.py
+++ b/kingcuppost/batch/systems/reservations.py
@@ -5,36 +5,19 @@
 nothing.
 """
 
-from dataclasses import dataclass
-
 from kingcuppost.batch.systems.candidates import Decision, stop_limit_ms
 from kingcuppost.batch.systems.placement import (
-    Candidate,
     add_resources,
     copy_resources,
     subtract_resources,
     subtract_tasks,
 )
-from kingcuppost.batch.systems.units import PlacementUnit
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit, Reservation
 from kingcuppost.batch.tables.fleet import MinionRow, Resources
 from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec
 from kingcuppost.batch.tables.plan import Task
 
-__all__ = ["Reservation", "hold_reserved", "release_reserved", "reserve_for_tasks"]
-
-
-@dataclass(frozen=True, slots=True)
-class Reservation:
-    """Capacity of a candidate that is kept for one task during a decision.
-
-    Attributes
-    ----------
-    free_now : Resources
-        The part that other units could have used at once.
-    """
-
-    candidate: Candidate
-    free_now: Resources
+__all__ = ["hold_reserved", "release_reserved", "reserve_for_tasks"]
 
 
 def reserve_for_tasks(decision: Decision, tasks: list[Task], minion: MinionRow) -> None:
@@ -45,18 +28,36 @@
         task.reserved_until_ms = until_ms
 
 
-def hold_reserved(
+def hold_reserved(decision: Decision, rank: int) -> None:
+    """Keep what is reserved for the units of one rank from the other units.
+
+    Capacity that is being released for one of them is kept from the others of its rank,
+    but not from more urgent ones, which are scheduled before. What was held for units
+    of another rank is free again.
+    """
+    round_ = decision.round
+    by_incarnation = {
+        candidate.minion.incarnation: candidate for candidate in round_.candidates
+    }
+    units = round_.units[round_.next_index :]
+    for unit in units:
+        release_reserved(unit)
+    for unit in units:
+        if unit.rank == rank:
+            _hold_for_unit(decision, unit, by_incarnation)
+    round_.held_rank = rank
+
+
+def _hold_for_unit(
     decision: Decision,
     unit: PlacementUnit,
     candidates: dict[MinionIncarnation, Candidate],
-) -> list[Reservation]:
+) -> None:
     """Subtract what is reserved for a unit from the free capacity of candidates."""
-    held = []
     for task in unit.tasks:
         candidate = candidates.get(task.reserved_incarnation)
         if candidate is not None and decision.now_ms < task.reserved_until_ms:
-            held.append(_hold(candidate, unit.spec))
-    return held
+            unit.held.append(_hold(candidate, unit.spec))
 
 
 def _hold(candidate: Candidate, step: StepSpec) -> Reservation:
@@ -75,11 +76,12 @@
     return Reservation(candidate, copy_resources(taken))
 
 
-def release_reserved(unit: PlacementUnit, held: list[Reservation]) -> None:
-    """Add what was reserved for a unit to the free capacity of the candidates again."""
-    for reservation in held:
+def release_reserved(unit: PlacementUnit) -> None:
+    """Add what is held for a unit to the free capacity of the candidates again."""
+    for reservation in unit.held:
         candidate = reservation.candidate
         subtract_tasks(candidate.free_after_stops, unit.spec, -1)
         add_resources(candidate.free_now, reservation.free_now)
         if candidate.free_soon is not None:
             add_resources(candidate.free_soon, reservation.free_now)
+    unit.held.clear()
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,6 +1,6 @@
 """Monitoring of runs: stops those that are stalled, slow, unlisted or to be moved."""
 
-from kingcuppost.batch.systems.plans import request_run_stop
+from kingcuppost.batch.systems.plans import mark_unwritten, request_run_stop
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import (
     corrected_estimate_ms,
@@ -68,8 +68,7 @@
     for plan in world.schedule.plans.values():
         if plan.has_new_checkpoint and plan.phase is PlanPhase.OPEN:
             plan.has_new_checkpoint = False
-            plan.version += 1
-            world.schedule.unwritten_jobs[plan.job.id] = None
+            mark_unwritten(world, plan)
 
 
 def _check_run(
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -19,6 +19,7 @@
 )
 from kingcuppost.batch.systems.speeds import update_speed
 from kingcuppost.batch.systems.term_opening import is_scheduling
+from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.systems.unstarted_runs import avoid_after_refusal
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName, TaskPhase
@@ -41,13 +42,20 @@
 
 @system(Phase.INTAKE, (Role.ENTRY,), order=80)
 def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Update the plans of jobs that log records have changed since the last tick."""
+    """Update the plans of jobs that log records have changed.
+
+    What takes longer than one tick may is left to the next one.
+    """
     schedule = world.schedule
     if not is_scheduling(world):
         return
+    budget = TickBudget(world.clock)
     for job_id in list(schedule.changed_jobs):
+        if budget.is_spent():
+            world.deadlines.add(now_ms)
+            return
+        del schedule.changed_jobs[job_id]
         adopt_job(world, job_id)
-    schedule.changed_jobs.clear()
 
 
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -5,8 +5,9 @@
 from kingcuppost.batch.systems.append_results import take_append_results
 from kingcuppost.batch.systems.holder_election import holds_lease, step_down
 from kingcuppost.batch.systems.minion_leases import extend_lease
-from kingcuppost.batch.systems.plans import adopt_job, iter_tasks
+from kingcuppost.batch.systems.plans import adopt_job
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.tables.messages import (
     Append,
     AppendEnded,
@@ -82,25 +83,41 @@
 
 
 def _load_plans(world: BatchWorld, now_ms: int) -> None:
-    """Load the plans of all jobs from the agreed state.
+    """Load the plans of all jobs from the agreed state, in several ticks if need be.
+
+    Jobs that change meanwhile are adopted once all are loaded.
+    """
+    schedule = world.schedule
+    if schedule.unloaded_jobs is None:
+        schedule.unloaded_jobs = [job.id for job in world.agreed.jobs]
+        schedule.unloaded_jobs.reverse()
+        schedule.changed_jobs.clear()
+    budget = TickBudget(world.clock)
+    while schedule.unloaded_jobs:
+        if budget.is_spent():
+            world.deadlines.add(now_ms)
+            return
+        adopt_job(world, schedule.unloaded_jobs.pop())
+    _begin_scheduling(world, now_ms)
+
+
+def _begin_scheduling(world: BatchWorld, now_ms: int) -> None:
+    """Begin to schedule once the plans of all jobs are loaded.
 
     The previous holder may have extended the minion leases until now, so each minion
     with a placed run counts as expired only after another full lease.
     """
     schedule = world.schedule
+    schedule.unloaded_jobs = None
     schedule.is_loaded = True
     schedule.loaded_ms = schedule.minion_added_ms = now_ms
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
-    for job in world.agreed.jobs:
-        adopt_job(world, job.id)
-        plan = schedule.plans[job.id]
-        for task in iter_tasks(plan):
-            if task.incarnation is not None:
-                schedule.pending_runs[task.name] = (plan, task)
-                extend_lease(world, task.incarnation, task.sidecar, now_ms)
-    schedule.changed_jobs.clear()
+    for incarnation, load in schedule.loads.items():
+        for plan, task in load.runs.values():
+            schedule.pending_runs[task.name] = (plan, task)
+            extend_lease(world, incarnation, task.sidecar, now_ms)
     schedule.inputs_changed = True
     world.note(
         "lease", "The term is open.", term=schedule.term, jobs=len(schedule.plans)
--- a/kingcuppost/batch/systems/timeliness.py
+++ b/kingcuppost/batch/systems/timeliness.py
@@ -4,11 +4,11 @@
 work. A step that is wide compared with the service runs in waves, each of which counts.
 """
 
-from enum import IntEnum
 from heapq import heapify, heappop, heappush
 from math import ceil
 
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
+from kingcuppost.batch.tables.decision import Timeliness
 from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
 from kingcuppost.batch.tables.plan import Chains, Plan
@@ -19,24 +19,6 @@
 WAVE_SHARE = 4  # one wave of a step uses at most this fraction of a service
 
 
-class Timeliness(IntEnum):
-    """What a job can still reach, best first.
-
-    Attributes
-    ----------
-    IN_TIME
-        It can end within its target.
-    LATE
-        It can end within `LATE_FACTOR` of its target.
-    TOO_LATE
-        It ends later than that.
-    """
-
-    IN_TIME = 0
-    LATE = 1
-    TOO_LATE = 2
-
-
 def _count_waves(step: StepSpec, capacity: Resources) -> int:
     """Return in how many waves the tasks of a step run."""
     if step.gang:
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -4,17 +4,15 @@
 could run and does not.
 """
 
-from dataclasses import replace
-
 from kingcuppost.batch.systems.candidates import (
     Decision,
     exclude_avoided,
 )
-from kingcuppost.batch.systems.placement import Candidate, fits_now
+from kingcuppost.batch.systems.placement import fits_now
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.systems.units import PlacementUnit
 from kingcuppost.batch.systems.wait_ages import unanswered_orders
+from kingcuppost.batch.tables.decision import Candidate, FailedTry, PlacementUnit
 from kingcuppost.batch.tables.job import TaskPhase
 from kingcuppost.batch.tables.plan import Task
 from kingcuppost.batch.tables.waiting import StepName, Wait, WaitReason
@@ -25,6 +23,7 @@
     "forget_ended_waits",
     "log_long_waits",
     "note_wait",
+    "put_wait",
 ]
 
 LONG_WAIT_MS = 2_000
@@ -37,7 +36,7 @@
     unit: PlacementUnit,
     tasks: list[Task],
     eligible: list[Candidate],
-) -> None:
+) -> FailedTry | None:
     """Note why tasks still wait after a decision on their unit, if any do.
 
     Parameters
@@ -48,30 +47,52 @@
         Its tasks before the decision.
     eligible : list of Candidate
         Minions that suit the unit and may be given tasks.
+
+    Returns
+    -------
+    FailedTry or None
+        What was noted; None if no task waits.
     """
-    waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
+    waiting = sum(task.phase is TaskPhase.WAITING for task in tasks)
     if not waiting:
-        return
+        return None
+    reason, fits = _find_reason(unit, eligible)
+    return put_wait(decision, unit, waiting, reason, fits)
+
+
+def put_wait(
+    decision: Decision,
+    unit: PlacementUnit,
+    waiting: int,
+    reason: WaitReason,
+    fits: bool,
+) -> FailedTry:
+    """Note that a decision has left a number of tasks of a unit waiting.
+
+    Parameters
+    ----------
+    fits : bool
+        Whether the free capacity would hold the unit.
+    """
     waits = decision.world.schedule.waits
-    now_ms = decision.now_ms
+    now_ms, number = decision.now_ms, decision.round.number
     step = StepName(unit.plan.job.id, unit.step)
-    reason, fits = _find_reason(unit, eligible)
     old = waits.get(step)
     if old is None:
-        old = Wait(step, 0, reason, now_ms, now_ms, None, now_ms)
+        old = Wait(step, 0, reason, now_ms, now_ms, None, number)
+        waits.put(old)
     fits_since_ms = old.fits_since_ms
     if fits_since_ms is None and fits:
         fits_since_ms = now_ms
-    waits.put(
-        replace(
-            old,
-            tasks=len(waiting) + (old.tasks if old.decided_ms == now_ms else 0),
-            reason=reason,
-            reason_since_ms=old.reason_since_ms if old.reason is reason else now_ms,
-            fits_since_ms=fits_since_ms,
-            decided_ms=now_ms,
-        )
+    waits.update(
+        step,
+        tasks=waiting + (old.tasks if old.round_number == number else 0),
+        reason=reason,
+        reason_since_ms=old.reason_since_ms if old.reason is reason else now_ms,
+        fits_since_ms=fits_since_ms,
+        round_number=number,
     )
+    return FailedTry(reason, fits_since_ms)
 
 
 def _find_reason(
@@ -89,11 +110,11 @@
     return WaitReason.FAILED_MINIONS, True
 
 
-def forget_ended_waits(world: BatchWorld, now_ms: int) -> None:
-    """Remove the waits of steps that the decision at `now_ms` left without any."""
+def forget_ended_waits(world: BatchWorld, round_number: int) -> None:
+    """Remove the waits of steps that a round of decisions left without any."""
     waits = world.schedule.waits
     for wait in waits:
-        if wait.decided_ms != now_ms:
+        if wait.round_number != round_number:
             waits.delete(wait.step)
 
 
--- a/kingcuppost/batch/tables/plan.py
+++ b/kingcuppost/batch/tables/plan.py
@@ -243,6 +243,9 @@
         Deviation of the runs from the estimates, by step.
     step_progress : list of StepProgress
         How far each step is; `task_phases` keeps it up to date.
+    widest_accelerators : int
+        Accelerators that the tasks of one step need together; of the step that needs
+        most.
     ready_steps : dict of int to None
         Steps with tasks that wait for nothing but capacity, in no particular order.
     chains : Chains or None
@@ -265,6 +268,7 @@
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
     step_progress: list[StepProgress] = field(init=False)
+    widest_accelerators: int = field(init=False)
     ready_steps: dict[int, None] = field(init=False)
     chains: Chains | None = None
     changed_estimates: dict[int, None] = field(default_factory=dict)
@@ -273,6 +277,9 @@
         counts = [len(step) for step in self.tasks]
         self.step_starts = [0, *accumulate(counts)][:-1]
         self.phase_counts = dict.fromkeys(TaskPhase, 0)
+        self.widest_accelerators = max(
+            step.count * step.accelerators for step in self.job.steps
+        )
         self.step_progress = [self._count_phases(tasks) for tasks in self.tasks]
         for index, spec in enumerate(self.job.steps):
             self._count_needs(index, set(spec.needs))
--- a/kingcuppost/batch/tables/waiting.py
+++ b/kingcuppost/batch/tables/waiting.py
@@ -63,8 +63,8 @@
     fits_since_ms : int or None
         Time of the first decision in which the free capacity would have held the
         step; None if there was none.
-    decided_ms : int
-        Time of the newest decision.
+    round_number : int
+        Number of the newest round of decisions that has left it waiting.
     """
 
     step: StepName
@@ -73,4 +73,4 @@
     since_ms: int
     reason_since_ms: int
     fits_since_ms: int | None
-    decided_ms: int
+    round_number: int
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from kingcuppost.batch.tables.config import DaemonConfig
+from kingcuppost.batch.tables.decision import DecisionRound
 from kingcuppost.batch.tables.fleet import (
     Configuration,
     EntryMember,
@@ -163,6 +164,9 @@
         Whether the log rejects writers of older terms.
     is_loaded : bool
         Whether the plans were loaded from the agreed state.
+    unloaded_jobs : list of str or None
+        Jobs whose plans are not loaded yet, the next one last; None before and after
+        the load.
     loaded_ms, minion_added_ms : int
         Time at which they were loaded, and time at which a minion was last added.
     required_offset : int
@@ -223,6 +227,14 @@
         Time at which long waits are next logged.
     inputs_changed : bool
         Whether something has changed that decisions depend on.
+    decision_round : DecisionRound or None
+        The decision under way, which goes on in the next tick; None between decisions.
+    round_count : int
+        Number of rounds of decisions in this term.
+    cut_logged_ms : int
+        Time at which a decision of several ticks was last logged.
+    added_plans : dict of str to None
+        Jobs whose plans were added since the units of all plans were last listed.
     """
 
     term: int = -1
@@ -232,6 +244,7 @@
     is_open: bool = False
     required_offset: int = -1
     is_loaded: bool = False
+    unloaded_jobs: list[str] | None = None
     loaded_ms: int = 0
     minion_added_ms: int = 0
     lost_term: int = 0
@@ -271,6 +284,10 @@
     is_placement_paused: bool = False
     waits: Table[Wait] = field(default_factory=lambda: Table("step"))
     check_waits_at_ms: int = 0
+    decision_round: DecisionRound | None = None
+    round_count: int = 0
+    cut_logged_ms: int = 0
+    added_plans: dict[str, None] = field(default_factory=dict)
 
 
 @dataclass
