Look at a gang's members once for what happens to all of them

With 10,000 small members a check is 10^8 steps.

Change: a check finds a gang's last progress once; the stop of a gang is requested at the end of the first member only, since the others are being stopped by then; failures are counted anew only when one was added. Whether a plan is written in parts is read from its counts, not summed over its steps.

Left: the checkpoint of a member is copied to all members at each end.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -163,13 +163,18 @@
         read = RecordsRead(Stream.JOBS, rows, self.clock.now_ms(), offset + 1)
         self.world.inbox.put(read)
 
-    def report(self, index: int, ended: tuple[tuple[TaskName, int], ...] = ()) -> None:
-        """Send the report of a sidecar, with the runs in `ended` as done."""
+    def report(
+        self,
+        index: int,
+        ended: tuple[tuple[TaskName, int], ...] = (),
+        run_end: RunEnd = RunEnd.DONE,
+    ) -> None:
+        """Send the report of a sidecar, with the ends of the runs in `ended`."""
         sidecar = self._sidecar(index)
         rows = []
         for key in ended:
             del self.running[sidecar][key]
-            rows.append(self._end_run(sidecar, key, RunEnd.DONE))
+            rows.append(self._end_run(sidecar, key, run_end))
         for key in self.stopped.pop(sidecar, ()):
             rows.append(self._end_run(sidecar, key, RunEnd.STOPPED))
         self._numbers[index] += 1
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -67,6 +67,13 @@
     return [(gang,) * (tasks // GANG_TASKS)]
 
 
+@shapes.register("one gang")
+def make_one_gang(tasks: int) -> list[Steps]:
+    """Return one job of one wide gang, whose members are small."""
+    gang = replace(TASK, count=tasks, cpu_millis=1, memory_mb=1, gang=True)
+    return [(gang,)]
+
+
 @shapes.register("gangs in one rack")
 def make_rack_gangs(tasks: int) -> list[Steps]:
     """Return one job of independent gangs that run fast only in one rack."""
--- a/bench/tests/test_cut_decisions.py
+++ b/bench/tests/test_cut_decisions.py
@@ -21,6 +21,7 @@
 MINIONS = 3
 TASKS = 480
 MAX_TICKS = 200
+SHAPES_OF_FEW_UNITS = ("one step", "one gang", "chain", "layers")
 MAX_READINGS = 3 * TICK_BUDGET_MS  # of a tick: two budgets, and what is not budgeted
 SMALL = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=1_000)
 
@@ -76,7 +77,7 @@
         for steps in shapes[shape](TASKS):
             holder.submit(steps)
         ticks = run_ticks(holder)
-    assert ticks > 1 or shape in ("one step", "chain", "layers")
+    assert ticks > 1 or shape in SHAPES_OF_FEW_UNITS
     assert find_placements(cut).keys() == find_placements(uncut).keys()
     if len(cut.world.schedule.plans) == 1:
         assert find_placements(cut) == find_placements(uncut)
--- a/kingcuppost/batch/systems/plan_parts.py
+++ b/kingcuppost/batch/systems/plan_parts.py
@@ -33,7 +33,7 @@
 
 def is_wide(plan: Plan) -> bool:
     """Return whether a plan has several parts."""
-    return count_parts(plan.job.steps) > 1
+    return sum(plan.phase_counts.values()) > PART_TASKS
 
 
 def iter_tasks(plan: Plan) -> Iterator[Task]:
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -209,17 +209,20 @@
     world: BatchWorld, plan: Plan, task: Task, run_end: RunEnd, checkpoint: str
 ) -> None:
     """Apply the confirmed end of a task's current run to its plan."""
-    incarnation = task.incarnation
+    incarnation, was_stopping = task.incarnation, task.stopping
+    is_counted = False
     change_phase(world.schedule, plan, task, TaskPhase.WAITING)
     if checkpoint:
         _store_checkpoint(plan, task, checkpoint)
     if run_end is RunEnd.DONE:
         _mark_done(world.schedule, plan, task)
     elif run_end is RunEnd.FAILED:
-        _count_failure(plan, task, incarnation, world.clock.now_ms())
-    if plan.job.steps[task.name.step].gang and run_end is not RunEnd.DONE:
+        is_counted = _count_failure(plan, task, incarnation, world.clock.now_ms())
+    is_gang = plan.job.steps[task.name.step].gang
+    if is_gang and run_end is not RunEnd.DONE and not was_stopping:
+        # else the first member that ended has had the stop of all requested
         request_stops(world, plan, task.name.step)
-    _update_job_outcome(world, plan, task)
+    _update_job_outcome(world, plan, task, is_counted)
     mark_plan_changed(world, plan)
 
 
@@ -241,13 +244,19 @@
 
 def _count_failure(
     plan: Plan, task: Task, incarnation: MinionIncarnation | None, now_ms: int
-) -> None:
-    """Count a failed run; a gang counts each run once, at its first member."""
+) -> bool:
+    """Count a failed run; a gang counts each run once, at its first member.
+
+    Returns
+    -------
+    bool
+        Whether the run had not been counted before.
+    """
     gang = plan.job.steps[task.name.step].gang
     members = plan.tasks[task.name.step] if gang else [task]
     first_member = members[0]
     if gang and task.run <= first_member.last_failed_run:
-        return
+        return False
     first_member.last_failed_run = task.run
     first_member.failures += 1
     mark_task_changed(plan, first_member)
@@ -255,12 +264,20 @@
         for member in members:
             member.avoided_minions.add(incarnation.minion)
             member.avoid_until_ms = now_ms + AVOID_MS
+    return True
 
 
-def _update_job_outcome(world: BatchWorld, plan: Plan, task: Task) -> None:
+def _update_job_outcome(
+    world: BatchWorld, plan: Plan, task: Task, has_failed: bool
+) -> None:
     """End the job once all tasks are done or `task` has failed too often.
 
     A job that has ended is over once none of its runs is left.
+
+    Parameters
+    ----------
+    has_failed : bool
+        Whether a failure of `task` was just counted.
     """
     if plan.phase is PlanPhase.CLOSING:
         plan.phase = _phase_after_end(plan)
@@ -268,7 +285,9 @@
         counts = plan.phase_counts
         if not counts[TaskPhase.WAITING] and not counts[TaskPhase.PLACED]:
             end_job(world, plan, JobState.COMPLETED)
-        elif _count_failures(plan, task) >= plan.job.policy.most_failures:
+        elif has_failed and (
+            _count_failures(plan, task) >= plan.job.policy.most_failures
+        ):
             end_job(world, plan, JobState.FAILED)
 
 
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -15,6 +15,7 @@
 )
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.waiting import StepName
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
@@ -50,6 +51,7 @@
     if now_ms >= schedule.write_checkpoints_at_ms:
         schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
         _record_checkpoints(world)
+    gangs = _GangProgress()
     for minion in schedule.minions:
         for plan, task in placed_runs(schedule, minion.incarnation):
             if task.stopping or plan.phase is not PlanPhase.OPEN:
@@ -57,7 +59,29 @@
             if is_unlisted(world, minion, task):
                 withdraw_unlisted_run(world, minion, plan, task, now_ms)
             elif task.confirmed:
-                _check_run(world, minion, plan, task, now_ms)
+                _check_run(world, minion, plan, task, gangs, now_ms)
+
+
+class _GangProgress:
+    """When gangs that are almost done last made progress, found once for each gang."""
+
+    def __init__(self) -> None:
+        self._changed_ms: dict[StepName, int | None] = {}
+
+    def changed_ms(self, plan: Plan, step: int) -> int | None:
+        """Return the time of the last progress of any member, in ms.
+
+        It is None while a member is not almost done.
+        """
+        name = StepName(plan.job.id, step)
+        if name not in self._changed_ms:
+            members = plan.tasks[step]
+            self._changed_ms[name] = (
+                max(member.percent_changed_ms for member in members)
+                if all(_is_almost_done(member) for member in members)
+                else None
+            )
+        return self._changed_ms[name]
 
 
 def _record_checkpoints(world: BatchWorld) -> None:
@@ -72,7 +96,12 @@
 
 
 def _check_run(
-    world: BatchWorld, minion: MinionRow, plan: Plan, task: Task, now_ms: int
+    world: BatchWorld,
+    minion: MinionRow,
+    plan: Plan,
+    task: Task,
+    gangs: _GangProgress,
+    now_ms: int,
 ) -> None:
     if minion.is_unreachable:
         return
@@ -84,7 +113,7 @@
         task.was_migrated = True
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the minion is slow")
-    elif _is_stalled(plan, task):
+    elif _is_stalled(plan, task, gangs):
         minion.stalled_ms = now_ms
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the run is stalled")
@@ -135,7 +164,7 @@
     return expected_remaining_ms(minion, plan, task) > restart_limit_ms + MOVE_COST_MS
 
 
-def _is_stalled(plan: Plan, task: Task) -> bool:
+def _is_stalled(plan: Plan, task: Task, gangs: _GangProgress) -> bool:
     """Return whether a run has made no progress for too long.
 
     The limit is longer for runs that would lose much work, and at least
@@ -146,10 +175,9 @@
     step = plan.job.steps[task.name.step]
     changed_ms = task.percent_changed_ms
     if step.gang and task.percent >= ALMOST_DONE_PERCENT:
-        members = plan.tasks[task.name.step]
-        if not all(_is_almost_done(member) for member in members):
+        changed_ms = gangs.changed_ms(plan, task.name.step)
+        if changed_ms is None:
             return False
-        changed_ms = max(member.percent_changed_ms for member in members)
     estimate_limit_ms = STALLED_ESTIMATE_PERCENT * step.estimate_ms / FULL_PERCENT
     loses_little = step.saves or plan.job.policy.priority == URGENT_PRIORITY
     stall_limit_ms = STALLED_MS if loses_little else STALLED_COSTLY_MS
