Count fitting tasks without a loop

A decision on 3,500 steps and 160 minions counts 560,000 times; the loop over three pairs took a fifth of its time under a profiler.

--- a/kingcuppost/batch/systems/placement.py
+++ b/kingcuppost/batch/systems/placement.py
@@ -80,13 +80,12 @@
     2
     """
     count = limit
-    for available, required in (
-        (resources.cpu_millis, step.cpu_millis),
-        (resources.memory_mb, step.memory_mb),
-        (resources.accelerators, step.accelerators),
-    ):
-        if required:
-            count = min(count, available // required)
+    if step.cpu_millis:
+        count = min(count, resources.cpu_millis // step.cpu_millis)
+    if step.memory_mb:
+        count = min(count, resources.memory_mb // step.memory_mb)
+    if step.accelerators:
+        count = min(count, resources.accelerators // step.accelerators)
     return max(count, 0)
 
 
