--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """Print each policy's figures: ``python -m bench [--seeds N] [--deployment NAME]``.
 
-``python -m bench --holder`` prints the tick times of the holder at several sizes, and
-``python -m bench --wide`` what one task's change costs in jobs of several widths.
+``python -m bench --holder`` prints the tick times of the holder at several sizes,
+``python -m bench --wide`` what one task's change costs in jobs of several widths, and
+``python -m bench --shapes`` the holder's longest ticks for work of any shape.
 """
 
 import argparse
@@ -10,6 +11,8 @@
 from bench.driver import Driver
 from bench.figures import Figures, measure
 from bench.holder_ticks import SIZES, measure_holder
+from bench.shape_ticks import SHAPE_MINIONS, SHAPE_TASKS, measure_shape
+from bench.shapes import shapes
 from bench.ticks import tick_times
 from bench.wide_plans import WIDTHS, measure_change
 from bench.workloads import deployments
@@ -101,6 +104,22 @@
         print(f"| {tasks} | {cost.size_bytes} | {cost.median_ms:.3f} |", flush=True)
 
 
+def _print_shapes() -> None:
+    print(
+        "\n| shape | minions | tasks | first, ms | news, ms | load, ms | cancel, ms |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for shape in shapes:
+        for minions in SHAPE_MINIONS:
+            for tasks in SHAPE_TASKS:
+                times = measure_shape(shape, tasks, minions)
+                parts = (times.first, times.news, times.load, times.cancel)
+                figures = " | ".join(f"{part:.1f}" for part in parts)
+                print(
+                    f"| {shape} | {minions} | {times.tasks} | {figures} |", flush=True
+                )
+
+
 def main() -> None:
     """Run all policies on all workloads and print the tables."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
@@ -113,7 +132,13 @@
     parser.add_argument(
         "--wide", action="store_true", help="only the changes of wide jobs"
     )
+    parser.add_argument(
+        "--shapes", action="store_true", help="only the holder's ticks by shape of work"
+    )
     args = parser.parse_args()
+    if args.shapes:
+        _print_shapes()
+        return
     if args.wide:
         _print_wide_plans()
         return
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from math import isqrt
 
 from bench.holder import MINION_CAPACITY
 from kingcuppost.batch.tables.job import StepSpec
@@ -57,7 +58,14 @@
     for first in range(0, tasks, LAYER_STEPS):
         steps += [replace(TASK, needs=needs)] * LAYER_STEPS
         needs = tuple(range(first, first + LAYER_STEPS))
-    return [tuple(steps)]
+    return [tuple(steps[:tasks])]
+
+
+@shapes.register("each on all before")
+def make_each_on_all(needs: int) -> list[Steps]:
+    """Return one job of steps that need all earlier ones, with `needs` needs in all."""
+    count = isqrt(2 * needs) + 1
+    return [tuple(replace(TASK, needs=tuple(range(index))) for index in range(count))]
 
 
 @shapes.register("gangs")
--- a/bench/tests/test_cut_decisions.py
+++ b/bench/tests/test_cut_decisions.py
@@ -21,7 +21,7 @@
 MINIONS = 3
 TASKS = 480
 MAX_TICKS = 200
-SHAPES_OF_FEW_UNITS = ("one step", "one gang", "chain", "layers")
+SHAPES_OF_FEW_UNITS = ("one step", "one gang", "chain", "layers", "each on all before")
 MAX_READINGS = 3 * TICK_BUDGET_MS  # of a tick: two budgets, and what is not budgeted
 SMALL = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=1_000)
 
