Write the line of a long tick like the process's other lines

It had no instance and no incarnation, so kingcuppost trace could not say whose it was. The batch processes pass their world's note to the loop.

--- a/kingcuppost/batch/edges/processes.py
+++ b/kingcuppost/batch/edges/processes.py
@@ -68,7 +68,7 @@
     world = make_batch_world(cfg)
     loop = TickLoop(reactor, load_systems(cfg.role))
     context = BatchContext(world, reactor, JsonClient(reactor, world.tally), loop.wake)
-    loop.attach(context, LogWriter(world).flush)
+    loop.attach(context, LogWriter(world).flush, world.note)
     return context
 
 
--- a/kingcuppost/edges/loop.py
+++ b/kingcuppost/edges/loop.py
@@ -22,6 +22,11 @@
     return time.perf_counter() * MS_PER_SECOND
 
 
+def _write_note(part: str, text: str, **fields: str | int) -> None:
+    """Write a line to the log of the process."""
+    logging.getLogger(LOGGER_NAME).warning(f"{part}: {text}", extra=fields)
+
+
 class TickLoop:
     """Runs ticks on the reactor's one thread.
 
@@ -52,11 +57,17 @@
         self._systems = systems
         self._context: Any = None
         self._after_tick: Callable[[], None] = lambda: None
+        self._note: Callable[..., None] = _write_note
         self._scheduled_tick: Any = None
         self._timer: Any = None
         self.tick_count = 0
 
-    def attach(self, context: Any, after_tick: Callable[[], None]) -> None:
+    def attach(
+        self,
+        context: Any,
+        after_tick: Callable[[], None],
+        note: Callable[..., None] = _write_note,
+    ) -> None:
         """Set the context whose world the loop runs on.
 
         Parameters
@@ -65,9 +76,12 @@
             Edges of the process, with `world`, `senders` and `exit_code`.
         after_tick : callable
             Called after every tick; writes the new log lines.
+        note : callable, optional
+            Takes part, text and fields of a log line about the loop itself.
         """
         self._context = context
         self._after_tick = after_tick
+        self._note = note
 
     def wake(self) -> None:
         """Request a tick; requests made before it runs share one tick."""
@@ -111,15 +125,13 @@
         if logged_ms is not None and now_ms - logged_ms < LONG_TICK_LINE_PERIOD_MS:
             return
         self._long_tick_logged_ms = now_ms
-        logging.getLogger(LOGGER_NAME).warning(
-            "loop: A tick was long.",
-            extra={
-                "wall_ms": self._context.world.clock.wall_ms(),
-                "took_ms": round(duration_ms),
-                "system": longest.name,
-                "system_ms": round(longest.duration_ms),
-                "messages": message_count,
-            },
+        self._note(
+            "loop",
+            "A tick was long.",
+            took_ms=round(duration_ms),
+            system=longest.name,
+            system_ms=round(longest.duration_ms),
+            messages=message_count,
         )
 
     def _exit_after_failure(self) -> None:
