--- a/standins/batch/__main__.py
+++ b/standins/batch/__main__.py
@@ -5,6 +5,7 @@
 
 from standins.batch.room_days import run_room_day
 from standins.batch.soak import FAULTS_PER_DAY, run_day
+from standins.batch.wide_days import run_wide_day
 
 __all__ = ["main"]
 
@@ -28,10 +29,18 @@
         help="random jobs on fleets that change, instead of faults: "
         "is work left while room is free?",
     )
+    parser.add_argument(
+        "--wide",
+        action="store_true",
+        help="jobs of many steps on entries whose ticks take time: "
+        "is other work kept from running?",
+    )
     args = parser.parse_args()
     has_violations = False
     for seed in range(args.first, args.first + args.days):
-        if args.room:
+        if args.wide:
+            outcome = run_wide_day(seed)
+        elif args.room:
             outcome = run_room_day(seed)
         else:
             outcome = run_day(seed, args.faults, args.minion_faults)
--- a/standins/batch/deployment.py
+++ b/standins/batch/deployment.py
@@ -23,13 +23,14 @@
 )
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
-from kingcuppost.utils import ManualClock
+from kingcuppost.utils import Clock, ManualClock
 from kingcuppost.utils.registry import Registry
 from standins.batch.checks import Checks
 from standins.batch.fleets import MinionSpec, make_default_fleet
 from standins.batch.minions import Minion
 from standins.batch.process import Process
 from standins.batch.store import Store
+from standins.batch.work_clock import WorkClock
 
 __all__ = ["Deployment", "senders", "starters"]
 
@@ -63,6 +64,8 @@
         Number of entries, and of minions with their sidecars.
     fleet : tuple of MinionSpec
         The minions; if empty, `minions` like ones in one rack of each zone.
+    lines_per_ms : int
+        Lines of Python that an entry executes in 1 ms; if 0, its ticks take no time.
 
     Attributes
     ----------
@@ -94,9 +97,11 @@
         entries: int = 3,
         minions: int = 9,
         fleet: tuple[MinionSpec, ...] = (),
+        lines_per_ms: int = 0,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = ManualClock(start_ms=1_000)
+        self._lines_per_ms = lines_per_ms
         self.store = Store()
         self.checks = Checks()
         self.checks.now_ms = self.clock.now_ms
@@ -194,13 +199,21 @@
         cfg = DaemonConfig(
             process.role, name, process.zone, process.address, seeds, self.bounds
         )
-        process.world = make_batch_world(cfg, self.clock, self.rng.getrandbits(32))
+        process.busy_until_ms = 0
+        clock = self._make_clock(process.role)
+        process.world = make_batch_world(cfg, clock, self.rng.getrandbits(32))
         process.systems = load_systems(process.role)
         process.next_offsets = dict.fromkeys(Stream, -1)
         process.slow_reads = set()
         self.request_tick(process)
         starters[process.role](self, process)
 
+    def _make_clock(self, role: Role) -> Clock:
+        """Return the clock of a process."""
+        if role is Role.ENTRY and self._lines_per_ms:
+            return WorkClock(self.clock, self._lines_per_ms)
+        return self.clock
+
     def kill(self, name: str) -> None:
         """Kill a process without notice."""
         self.processes[name].is_up = False
@@ -296,15 +309,38 @@
         if process.is_frozen:
             self.after(
                 FROZEN_POLL_PERIOD_MS,
-                lambda: (
-                    self.request_tick(process)
-                    if process.incarnation == key[1]
-                    else None
-                ),
+                lambda: self._request_same(process, key),
             )
             return
+        wait_ms = process.busy_until_ms - self.clock.now_ms()
+        if wait_ms > 0:
+            self.after(wait_ms, lambda: self._request_same(process, key))
+            return
+        taken_ms = self._run_systems(process)
+        process.busy_until_ms = self.clock.now_ms() + taken_ms
+        if taken_ms:
+            self.after(taken_ms, lambda: self._finish_tick(process, key))
+        else:
+            self._finish_tick(process, key)
+
+    def _request_same(self, process: Process, key: tuple[str, int]) -> None:
+        """Schedule a tick of an incarnation of a process, if it still runs."""
+        if process.incarnation == key[1]:
+            self.request_tick(process)
+
+    def _run_systems(self, process: Process) -> int:
+        """Run the systems of a process once; return the time that it takes, in ms."""
+        world, now_ms = process.world, self.clock.now_ms()
+        if isinstance(world.clock, WorkClock):
+            return world.clock.run(lambda: run_tick(world, process.systems, now_ms))
+        run_tick(world, process.systems, now_ms)
+        return 0
+
+    def _finish_tick(self, process: Process, key: tuple[str, int]) -> None:
+        """Send what a tick has put into the outbox, and schedule the next tick."""
+        if not process.is_up or process.incarnation != key[1]:
+            return
         world = process.world
-        run_tick(world, process.systems, self.clock.now_ms())
         for message in world.outbox.take_all():
             senders[type(message)](self, process, message)
         if len(world.inbox):
--- a/standins/batch/process.py
+++ b/standins/batch/process.py
@@ -29,6 +29,8 @@
         Streams of which a read is not answered yet, while the log is slow.
     reads_parts : bool
         Whether its build reads and writes the parts of plans.
+    busy_until_ms : int
+        Time at which its present tick ends, if its ticks take time.
     incarnation : int
         Number of starts of the process.
     next_offsets : dict of Stream to int
@@ -46,6 +48,7 @@
     is_cut_off: bool = False
     is_rejected_by_log: bool = False
     is_frozen: bool = False
+    busy_until_ms: int = 0
     missed_streams: set[Stream] = field(default_factory=set)
     slow_reads: set[Stream] = field(default_factory=set)
     reads_parts: bool = True
--- a/standins/batch/random_jobs.py
+++ b/standins/batch/random_jobs.py
@@ -1,16 +1,16 @@
 """Random jobs over all combinations of the fields of a step."""
 
 import random
-from dataclasses import dataclass
-from math import exp
+from dataclasses import dataclass, replace
+from math import exp, log
 
-from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.job import MAX_JOB_TASKS, StepSpec
 from standins.batch.deployment import GUARANTEES, PATH_PREFIXES
 from standins.batch.fleets import KIND, RARE_KIND, WHOLE
 from standins.batch.minions import Minion
 from standins.batch.room import holds_when_idle
 
-__all__ = ["RandomJob", "make_random_job"]
+__all__ = ["RandomJob", "make_random_job", "make_random_wide_job"]
 
 MAX_STEPS = 3
 MAX_TRIES = 20
@@ -18,6 +18,13 @@
 MAX_WORK_MS = 6_000
 LONG_WORK_MS = 25_000
 LONG_WORK_RATIO = 0.1
+MIN_WIDE_STEPS = 50
+MAX_WIDE_STEPS = 3_000  # a record takes few more
+MAX_WIDE_NEEDS = 20_000  # likewise
+MAX_LAYER_STEPS = 40
+MAX_GANG_TASKS = 8
+WIDE_CPU_MILLIS = (10, 100, 500)
+WIDE_WORK_MS = 500.0
 SHARES = (0.0, 0.02, 0.1, 0.25, 0.4, 0.5, 0.95, 1.0)  # of a whole minion
 ACCELERATORS = (0, 0, 1, 2, 4, 8)
 LIMITS = (0, 0, 1, 2, 3)
@@ -124,3 +131,40 @@
     if rng.random() < 0.1:
         return UNKNOWN_RACK
     return rng.choice(minions).rack
+
+
+def make_random_wide_job(rng: random.Random) -> RandomJob:
+    """Return a job of many small steps, up to what the interface accepts.
+
+    The steps depend on nothing, or on the layer of steps before theirs.
+    """
+    count = int(exp(rng.uniform(log(MIN_WIDE_STEPS), log(MAX_WIDE_STEPS))))
+    layer = rng.choice((count, rng.randint(1, MAX_LAYER_STEPS)))
+    if layer < count:
+        count = min(count, MAX_WIDE_NEEDS // layer)
+    tasks = rng.choice((1, 1, rng.randint(2, MAX_GANG_TASKS)))
+    count = min(count, MAX_JOB_TASKS // tasks)
+    step = StepSpec(
+        tasks,
+        cpu_millis=rng.choice(WIDE_CPU_MILLIS),
+        memory_mb=1,
+        estimate_ms=int(WIDE_WORK_MS),
+        gang=tasks > 1 and rng.random() < 0.7,
+    )
+    has_equal_steps = rng.random() < 0.7
+    steps = tuple(
+        replace(
+            step,
+            memory_mb=1 if has_equal_steps else 1 + index,
+            needs=_layer_before(index, layer),
+        )
+        for index in range(count)
+    )
+    priority = rng.randrange(len(PATH_PREFIXES))
+    return RandomJob(steps, [WIDE_WORK_MS] * count, priority, "key-a")
+
+
+def _layer_before(index: int, layer: int) -> tuple[int, ...]:
+    """Return the steps of the layer before that of a step."""
+    first = index // layer * layer
+    return tuple(range(max(first - layer, 0), first))
--- a/standins/batch/room_days.py
+++ b/standins/batch/room_days.py
@@ -19,7 +19,7 @@
 from standins.batch.room_check import RoomCheck, WatchedJob
 from standins.batch.soak import Outcome
 
-__all__ = ["run_room_day"]
+__all__ = ["RoomDay", "run_room_day"]
 
 WARM_UP_MS = 5_000
 ROUNDS = 2
@@ -36,13 +36,22 @@
 CANCEL_AFTER_MS = 4_000
 
 
-class _RoomDay:
-    """A day in progress: its deployment, its check and what happened to it."""
+class RoomDay:
+    """A day in progress: its deployment, its check and what happened to it.
 
-    def __init__(self, seed: int) -> None:
+    Parameters
+    ----------
+    seed : int
+        Seed of the fleet, the jobs and the deployment.
+    lines_per_ms : int
+        Lines of Python that an entry executes in 1 ms; if 0, its ticks take no time.
+    """
+
+    def __init__(self, seed: int, lines_per_ms: int = 0) -> None:
         # apart from the deployment's, so that the jobs of a seed do not depend on it
         self.rng = random.Random(seed)
-        self.deployment = Deployment(seed, fleet=make_random_fleet(self.rng))
+        fleet = make_random_fleet(self.rng)
+        self.deployment = Deployment(seed, fleet=fleet, lines_per_ms=lines_per_ms)
         self.deployment.run_for(WARM_UP_MS)
         self.check = RoomCheck(self.deployment)
         self.outcome = Outcome(seed, self.deployment.checks.violations)
@@ -57,7 +66,7 @@
             self._begin_round(jobs_per_round, has_faults)
             self.deployment.run_for(ROUND_MS)
         self.deployment.run_for(END_MS)
-        self._check_jobs()
+        self.check_jobs()
         return self.outcome
 
     def _occupy_racks(self) -> None:
@@ -67,17 +76,18 @@
             step = StepSpec(
                 1, cpu_millis=2_000, accelerators=1, estimate_ms=int(LONG_MS), rack=rack
             )
-            self._submit(RandomJob((step,), [LONG_MS], 1, "key-a"))
+            self.submit(RandomJob((step,), [LONG_MS], 1, "key-a"))
 
     def _begin_round(self, jobs: int, has_faults: bool) -> None:
         for _ in range(jobs):
-            self._at_random(ROUND_MS, self._submit_random)
+            self.at_random(ROUND_MS, self.submit_random)
         for _ in range(self.rng.randint(0, MAX_CHANGES_PER_ROUND)):
-            self._at_random(TROUBLE_MS, self._change_fleet)
+            self.at_random(TROUBLE_MS, self._change_fleet)
         for _ in range(FAULTS_PER_ROUND if has_faults else 0):
-            self._at_random(TROUBLE_MS, self._inject_fault)
+            self.at_random(TROUBLE_MS, self._inject_fault)
 
-    def _at_random(self, span_ms: int, run: Callable[[], None]) -> None:
+    def at_random(self, span_ms: int, run: Callable[[], None]) -> None:
+        """Run a function at a random time within the next `span_ms`."""
         self.deployment.after(self.rng.random() * span_ms, run)
 
     def _change_fleet(self) -> None:
@@ -96,11 +106,13 @@
         at_s = self.deployment.clock.now_ms() / 1_000
         self.outcome.injected_faults.append(f"{at_s:.1f} {name} {target}")
 
-    def _submit_random(self) -> None:
+    def submit_random(self) -> None:
+        """Submit a random job that the fleet could do if it were idle."""
         minions = list(self.deployment.minions.values())
-        self._submit(make_random_job(self.rng, minions))
+        self.submit(make_random_job(self.rng, minions))
 
-    def _submit(self, job: RandomJob) -> None:
+    def submit(self, job: RandomJob) -> None:
+        """Submit a job, and perhaps cancel it later."""
         job_id, exchange_id = self.deployment.submit(
             job.steps, job.work_ms, job.priority, api_key=job.api_key
         )
@@ -114,7 +126,7 @@
         self.check.forget(job_id)
         self.deployment.cancel(job_id, priority)
 
-    def _check_jobs(self) -> None:
+    def check_jobs(self) -> None:
         """Check that the state of each accepted job is answered, and count the jobs."""
         for job in self.check.jobs.values():
             reply = self.deployment.replies.get(job.exchange_id)
@@ -134,4 +146,4 @@
 
 def run_room_day(seed: int) -> Outcome:
     """Run a day of random jobs on a random fleet, and return its outcome."""
-    return _RoomDay(seed).run()
+    return RoomDay(seed).run()
