Split large modules by their job, and give calls for one job a row

No change of behaviour: evictions out of placement, rows of minions and adoption of jobs out of sidecar_reports, Task out of tables/plan, Resources and the rows of a decision imported from where they stand. The three handlers of calls for one job took the same six arguments; they take a _JobCall now. One constant stood twice (URGENT_PRIORITY).

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -10,13 +10,7 @@
 from kingcuppost.batch.systems import load_systems, run_tick
 from kingcuppost.batch.systems.holder_election import has_authority, step_down
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.fleet import (
-    Configuration,
-    HolderView,
-    Queue,
-    Resources,
-    Team,
-)
+from kingcuppost.batch.tables.fleet import Configuration, HolderView, Queue, Team
 from kingcuppost.batch.tables.job import (
     Job,
     JobPolicy,
@@ -40,6 +34,7 @@
     SyncCall,
     SyncReply,
 )
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils import ManualClock
--- a/bench/wide_plans.py
+++ b/bench/wide_plans.py
@@ -22,7 +22,7 @@
     RecordsRead,
     Stream,
 )
-from kingcuppost.batch.tables.plan import Task
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.platform.framing import encode_keyed_record
 
 __all__ = ["WIDTHS", "ChangeCost", "measure_change"]
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -5,7 +5,6 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
     EndedRun,
@@ -17,6 +16,7 @@
     SyncCall,
     SyncReply,
 )
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.exception import Failure
 from kingcuppost.models.base import format_validation_error
 from kingcuppost.utils.addresses import parse_address
--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -17,6 +17,7 @@
         "calls",
         "holder_election",
         "term_opening",
+        "job_adoption",
         "sidecar_reports",
         "lease_expiry",
         "checkpoint_parts",
--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -1,6 +1,7 @@
 """Handling of callers' calls: submissions, cancellations, and reads of job states."""
 
 import string
+from dataclasses import dataclass
 
 from kingcuppost.batch.systems.call_appends import propose_record
 from kingcuppost.batch.systems.call_replies import (
@@ -49,6 +50,34 @@
     return job.state
 
 
+@dataclass(frozen=True, slots=True)
+class _JobCall:
+    """A call for one job, with what its path and its key stand for.
+
+    Attributes
+    ----------
+    queue : Queue
+        Queue that the call addresses.
+    team : str
+        Team of the caller.
+    job_id : str
+        Identifier of the job.
+    """
+
+    call: CallerCall
+    queue: Queue
+    team: str
+    job_id: str
+
+    def may_access(self, job: Job) -> bool:
+        """Return whether the caller may read or cancel a job through the queue.
+
+        A public queue asks for no key, so its own jobs are open to all of its callers.
+        """
+        is_open = self.queue.public and job.queue == self.queue.name
+        return job.team == self.team or is_open
+
+
 @system(Phase.INTAKE, (Role.ENTRY,), order=20)
 def handle_calls(world: BatchWorld, now_ms: int) -> None:
     """Answer calls that need no append; propose the records of the others."""
@@ -76,11 +105,12 @@
         return _make_waiting_count_reply(world, call, queue, now_ms)
     if not is_job_id(job_id):
         return CallReply(call.exchange_id, CallOutcome.BAD, reason="no such identifier")
+    job_call = _JobCall(call, queue, team, job_id)
     if call.kind is CallKind.SUBMIT:
-        return _submit_job(world, call, queue, team, job_id, now_ms)
+        return _submit_job(world, job_call, now_ms)
     if call.kind is CallKind.CANCEL:
-        return _cancel_job(world, call, queue, team, job_id, now_ms)
-    return _make_state_reply(world, call, queue, team, job_id, now_ms)
+        return _cancel_job(world, job_call, now_ms)
+    return _make_state_reply(world, job_call, now_ms)
 
 
 def is_job_id(text: str) -> bool:
@@ -110,15 +140,11 @@
 
 
 def _make_state_reply(
-    world: BatchWorld,
-    call: CallerCall,
-    queue: Queue,
-    team: str,
-    job_id: str,
-    now_ms: int,
+    world: BatchWorld, job_call: _JobCall, now_ms: int
 ) -> CallReply | None:
-    job = world.agreed.jobs.get(job_id)
-    if job is not None and not _may_access(job, queue, team):
+    call = job_call.call
+    job = world.agreed.jobs.get(job_call.job_id)
+    if job is not None and not job_call.may_access(job):
         return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     if job is not None:
         return CallReply(call.exchange_id, CallOutcome.OK, state=visible_state(job))
@@ -147,16 +173,10 @@
     return None
 
 
-def _submit_job(
-    world: BatchWorld,
-    call: CallerCall,
-    queue: Queue,
-    team: str,
-    job_id: str,
-    now_ms: int,
-) -> CallReply | None:
+def _submit_job(world: BatchWorld, job_call: _JobCall, now_ms: int) -> CallReply | None:
+    call, queue, job_id = job_call.call, job_call.queue, job_call.job_id
     known = world.agreed.jobs.get(job_id)
-    if known is not None and _may_access(known, queue, team):
+    if known is not None and job_call.may_access(known):
         return CallReply(call.exchange_id, CallOutcome.OK)
     reason = _refusal_for_good(call, queue, known)
     if reason:
@@ -168,7 +188,7 @@
     job = Job(
         job_id,
         queue.name,
-        team,
+        job_call.team,
         call.job.spec,
         call.job.steps,
         world.clock.wall_ms(),
@@ -190,30 +210,16 @@
     return EXTERNAL_POLICY_REASON if queue.has_external_policy else ""
 
 
-def _may_access(job: Job, queue: Queue, team: str) -> bool:
-    """Return whether callers of a team may read or cancel a job through a queue.
-
-    A public queue asks for no key, so its own jobs are open to all of its callers.
-    """
-    return job.team == team or (queue.public and job.queue == queue.name)
-
-
 def _is_too_wide_now(world: BatchWorld, job: SubmittedJob) -> bool:
     """Return whether the plan of a job may be too large while it is written whole."""
     task_count = sum(step.count for step in job.steps)
     return task_count > MAX_WHOLE_TASKS and bool(entries_without_parts(world))
 
 
-def _cancel_job(
-    world: BatchWorld,
-    call: CallerCall,
-    queue: Queue,
-    team: str,
-    job_id: str,
-    now_ms: int,
-) -> CallReply | None:
+def _cancel_job(world: BatchWorld, job_call: _JobCall, now_ms: int) -> CallReply | None:
+    call, job_id = job_call.call, job_call.job_id
     job = world.agreed.jobs.get(job_id)
-    if job is not None and not _may_access(job, queue, team):
+    if job is not None and not job_call.may_access(job):
         return CallReply(call.exchange_id, CallOutcome.NO_JOB)
     if job is None:
         return _answer_unknown_job(world, call, now_ms)
--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -5,12 +5,11 @@
 """
 
 from kingcuppost.batch.systems.placement import (
-    Candidate,
     CandidateSortKey,
     choose_candidates,
     fits_idle,
 )
-from kingcuppost.batch.tables.decision import PlacementUnit
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 from kingcuppost.batch.tables.job import StepSpec
 
 __all__ = ["make_sort_key", "preferred_groups"]
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -19,9 +19,11 @@
     PlacementUnit,
     Victim,
 )
-from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import TaskPhase
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
--- a/kingcuppost/batch/systems/lost_work.py
+++ b/kingcuppost/batch/systems/lost_work.py
@@ -2,7 +2,8 @@
 
 from kingcuppost.batch.systems.units import task_core_equivalents
 from kingcuppost.batch.tables.job import RunEnd
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 
 __all__ = ["work_lost_by_end", "work_lost_by_stop"]
 
--- a/kingcuppost/batch/systems/plan_parts.py
+++ b/kingcuppost/batch/systems/plan_parts.py
@@ -11,7 +11,8 @@
 
 from kingcuppost.batch.tables.job import Progress, StepSpec, TaskPhase, TaskProgress
 from kingcuppost.batch.tables.messages import ProgressPartRecord
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 
 __all__ = [
     "count_parts",
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -25,7 +25,8 @@
     TaskPhase,
     TaskProgress,
 )
-from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.plan import Plan, PlanPhase
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld, Schedule
 
 __all__ = [
--- a/kingcuppost/batch/systems/preemption.py
+++ b/kingcuppost/batch/systems/preemption.py
@@ -10,16 +10,11 @@
 
 from kingcuppost.batch.systems.candidate_order import make_sort_key
 from kingcuppost.batch.systems.candidates import Decision, find_victims
-from kingcuppost.batch.systems.placement import (
-    Candidate,
-    Eviction,
-    add_resources,
-    plan_evictions,
-    reserve_capacity,
-)
+from kingcuppost.batch.systems.evictions import Eviction, plan_evictions
+from kingcuppost.batch.systems.placement import add_resources, reserve_capacity
 from kingcuppost.batch.systems.plans import request_stop
 from kingcuppost.batch.systems.reservations import reserve_for_tasks
-from kingcuppost.batch.tables.decision import PlacementUnit
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 
 __all__ = ["preempt_for_unit"]
 
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -14,11 +14,12 @@
 from math import ceil
 
 from kingcuppost.batch.systems.candidates import Decision, request_decision
-from kingcuppost.batch.systems.placement import Candidate, add_resources, fits_now
+from kingcuppost.batch.systems.placement import add_resources, fits_now
 from kingcuppost.batch.systems.release_times import expected_release_ms
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
-from kingcuppost.batch.systems.units import PlacementUnit, service_capacity
-from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.systems.units import service_capacity
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.waiting import StepName
 from kingcuppost.batch.tables.world import BatchWorld
 
--- a/kingcuppost/batch/systems/queue_order.py
+++ b/kingcuppost/batch/systems/queue_order.py
@@ -6,8 +6,7 @@
 
 from collections.abc import Callable
 
-from kingcuppost.batch.systems.timeliness import Timeliness
-from kingcuppost.batch.tables.decision import PlacementUnit
+from kingcuppost.batch.tables.decision import PlacementUnit, Timeliness
 from kingcuppost.utils.registry import Registry
 
 __all__ = ["queue_orders"]
--- a/kingcuppost/batch/systems/release_times.py
+++ b/kingcuppost/batch/systems/release_times.py
@@ -4,7 +4,6 @@
 
 from kingcuppost.batch.systems.candidates import Decision, is_stop_expected
 from kingcuppost.batch.systems.placement import (
-    Candidate,
     copy_resources,
     count_fitting_tasks,
     limit_per_minion,
@@ -12,9 +11,9 @@
 )
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
-from kingcuppost.batch.tables.decision import PlacementUnit
-from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.resources import Resources
 
 __all__ = ["expected_release_ms"]
 
--- a/kingcuppost/batch/systems/reservations.py
+++ b/kingcuppost/batch/systems/reservations.py
@@ -13,9 +13,10 @@
     subtract_tasks,
 )
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit, Reservation
-from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec
-from kingcuppost.batch.tables.plan import Task
+from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 
 __all__ = ["hold_reserved", "release_reserved", "reserve_for_tasks"]
 
--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -6,7 +6,8 @@
 from kingcuppost.batch.systems.task_phases import move_run, placed_runs
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd
 from kingcuppost.batch.tables.messages import SyncCall
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -13,8 +13,10 @@
     is_unlisted,
     withdraw_unlisted_run,
 )
+from kingcuppost.batch.tables.decision import URGENT_PRIORITY
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.plan import Plan, PlanPhase
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import StepName
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
@@ -30,7 +32,6 @@
 ALMOST_DONE_PERCENT = 99
 DRAIN_SLACK_RATIO = 1.5
 DRAIN_SLACK_MS = 1_000
-URGENT_PRIORITY = 0
 MIN_OBSERVED_MS = 2_000
 MIN_GAIN_RATIO = 2.5  # estimates may be off by half
 MIN_KNOWN_GAIN_RATIO = 1.4  # once other runs have corrected the estimate
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -14,7 +14,8 @@
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import (
     BatchWorld,
     OrphanRun,
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -3,13 +3,9 @@
 from heapq import heappush
 
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
-from kingcuppost.batch.systems.minion_leases import extend_lease, mark_unreachable
-from kingcuppost.batch.systems.plans import (
-    adopt_job,
-    apply_run_end,
-    find_task,
-    mark_begun,
-)
+from kingcuppost.batch.systems.minion_leases import extend_lease
+from kingcuppost.batch.systems.minion_rows import find_silent_minion, update_minion
+from kingcuppost.batch.systems.plans import apply_run_end, find_task, mark_begun
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.run_ends import (
@@ -19,45 +15,26 @@
 )
 from kingcuppost.batch.systems.speeds import update_speed
 from kingcuppost.batch.systems.term_opening import is_scheduling
-from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.systems.unstarted_runs import avoid_after_refusal
-from kingcuppost.batch.tables.fleet import MinionRow, Speed
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName, TaskPhase
 from kingcuppost.batch.tables.messages import (
     EndedRun,
-    MinionReport,
     RefusedRun,
     RunningRun,
     SyncCall,
     SyncReply,
 )
-from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.plan import Plan, PlanPhase
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld, OrphanRun, PendingSync
 from kingcuppost.tables.identity import Role
 
-__all__ = ["adopt_jobs", "handle_sidecar_reports"]
+__all__ = ["handle_sidecar_reports"]
 
 FULL_PERCENT = 100
 
 
-@system(Phase.INTAKE, (Role.ENTRY,), order=80)
-def adopt_jobs(world: BatchWorld, now_ms: int) -> None:
-    """Update the plans of jobs that log records have changed.
-
-    What takes longer than one tick may is left to the next one.
-    """
-    schedule = world.schedule
-    if not is_scheduling(world):
-        return
-    budget = TickBudget(world.clock)
-    for job_id in list(schedule.changed_jobs):
-        if budget.is_spent():
-            world.deadlines.add(now_ms)
-            return
-        del schedule.changed_jobs[job_id]
-        adopt_job(world, job_id)
-
-
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=60)
 def handle_sidecar_reports(world: BatchWorld, now_ms: int) -> None:
     """Handle reports; a newer report of a sidecar ends the wait of its older one."""
@@ -103,94 +80,16 @@
         old = None
     if extends_lease(call.minion):
         settle_earlier_incarnations(world, call)
-        minion = _update_minion(world, call, old, now_ms)
+        minion = update_minion(world, call, old, now_ms)
         extend_lease(world, minion.incarnation, call.sidecar, now_ms)
     else:
-        minion = _find_silent_minion(world, call, old)
+        minion = find_silent_minion(world, call, old)
     if minion is not None and call.minion.listed:
         if extends_lease(call.minion):
             minion.listed_ms = now_ms
         _handle_run_lists(world, call, minion, now_ms)
 
 
-def _find_silent_minion(
-    world: BatchWorld, call: SyncCall, minion: MinionRow | None
-) -> MinionRow | None:
-    """Return the row of a minion with which its sidecar is not in contact, or None.
-
-    It gets no new runs. A row is created only while the minion may have a lease, for
-    the ends that the sidecar has read before.
-    """
-    schedule = world.schedule
-    if minion is None:
-        if schedule.leases.get(call.minion.incarnation) is None:
-            return None
-        minion = _add_minion(world, call)
-    mark_unreachable(world, minion, "its sidecar has lost contact with it")
-    return minion
-
-
-def _update_minion(
-    world: BatchWorld, call: SyncCall, minion: MinionRow | None, now_ms: int
-) -> MinionRow:
-    """Create or update the row of a reported minion, and return it."""
-    report = call.minion
-    if minion is None:
-        minion = _add_minion(world, call)
-        world.schedule.minion_added_ms = now_ms
-        world.schedule.inputs_changed = True
-        world.note(
-            "minion",
-            "A minion was added.",
-            minion=report.incarnation.minion,
-            sidecar=call.sidecar,
-            availability_zone=report.availability_zone,
-            rack=minion.rack,
-        )
-    if minion.draining != report.draining:
-        world.note(
-            "minion",
-            "The draining state of a minion changed.",
-            minion=report.incarnation.minion,
-        )
-        world.schedule.inputs_changed = True
-    if minion.is_unreachable:
-        world.schedule.inputs_changed = True
-    minion.is_unreachable = False
-    minion.draining = report.draining
-    minion.remaining_ms = report.remaining_ms
-    minion.last_report_ms = now_ms
-    return minion
-
-
-def _add_minion(world: BatchWorld, call: SyncCall) -> MinionRow:
-    """Add the row of a reported minion.
-
-    Every incarnation numbers its ends from 1, so those of an earlier one are forgotten.
-    """
-    schedule = world.schedule
-    schedule.reported_ends.pop(call.sidecar, None)
-    schedule.orphans.pop(call.sidecar, None)
-    minion = _make_minion(world, call, call.minion)
-    schedule.minions.put(minion)
-    return minion
-
-
-def _make_minion(world: BatchWorld, call: SyncCall, report: MinionReport) -> MinionRow:
-    # the first label with a hyphen is the rack, such as r1-1
-    rack = next((label for label in report.labels if "-" in label), "")
-    return MinionRow(
-        call.sidecar,
-        report.incarnation,
-        report.service,
-        report.availability_zone,
-        rack,
-        frozenset(report.labels),
-        report.resources,
-        speed=world.schedule.speeds.setdefault(call.sidecar, Speed()),
-    )
-
-
 def _handle_run_lists(
     world: BatchWorld, call: SyncCall, minion: MinionRow, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/systems/speeds.py
+++ b/kingcuppost/batch/systems/speeds.py
@@ -3,7 +3,8 @@
 from math import exp, log
 
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.plan import EstimateError, Plan, Task
+from kingcuppost.batch.tables.plan import EstimateError, Plan
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["corrected_estimate_ms", "expected_remaining_ms", "update_speed"]
--- a/kingcuppost/batch/systems/task_phases.py
+++ b/kingcuppost/batch/systems/task_phases.py
@@ -6,9 +6,11 @@
 """
 
 from kingcuppost.batch.systems.plan_parts import mark_task_changed
-from kingcuppost.batch.tables.fleet import MinionLoad, Resources
+from kingcuppost.batch.tables.fleet import MinionLoad
 from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec, TaskPhase
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import Schedule
 
 __all__ = [
--- a/kingcuppost/batch/systems/timeliness.py
+++ b/kingcuppost/batch/systems/timeliness.py
@@ -9,11 +9,11 @@
 
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
 from kingcuppost.batch.tables.decision import Timeliness
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
 from kingcuppost.batch.tables.plan import Chains, Plan
+from kingcuppost.batch.tables.resources import Resources
 
-__all__ = ["Timeliness", "assess_timeliness", "refresh_chains", "target_end_ms"]
+__all__ = ["assess_timeliness", "refresh_chains", "target_end_ms"]
 
 LATE_FACTOR = 3  # a result that takes this multiple of its target is of no use
 WAVE_SHARE = 4  # one wave of a step uses at most this fraction of a service
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -9,14 +9,12 @@
     DecisionRound,
     PlacementUnit,
 )
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec, TaskPhase
 from kingcuppost.batch.tables.plan import Plan, PlanPhase
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
-    "URGENT_PRIORITY",
-    "PlacementUnit",
     "find_guaranteed_jobs",
     "list_plan_units",
     "service_capacity",
--- a/kingcuppost/batch/systems/unstarted_runs.py
+++ b/kingcuppost/batch/systems/unstarted_runs.py
@@ -7,7 +7,8 @@
     unlisted_limit_ms,
 )
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["avoid_after_refusal", "is_unlisted", "withdraw_unlisted_run"]
--- a/kingcuppost/batch/systems/wait_ages.py
+++ b/kingcuppost/batch/systems/wait_ages.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from kingcuppost.batch.tables.job import TaskPhase
-from kingcuppost.batch.tables.plan import Task
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
 
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -14,7 +14,7 @@
 from kingcuppost.batch.systems.wait_ages import unanswered_orders
 from kingcuppost.batch.tables.decision import Candidate, FailedTry, PlacementUnit
 from kingcuppost.batch.tables.job import TaskPhase
-from kingcuppost.batch.tables.plan import Task
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import StepName, Wait, WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tables/__init__.py
+++ b/kingcuppost/batch/tables/__init__.py
@@ -9,7 +9,8 @@
     TaskName,
     TaskPhase,
 )
-from kingcuppost.batch.tables.plan import Plan, PlanPhase, Task
+from kingcuppost.batch.tables.plan import Plan, PlanPhase
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld, LogLine
 
 __all__ = [
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -5,8 +5,9 @@
 
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import StepSpec
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import WaitReason
 
 __all__ = [
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass, field
 
 from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.tables.config import Address
 
 __all__ = [
@@ -15,7 +16,6 @@
     "MinionLoad",
     "MinionRow",
     "Queue",
-    "Resources",
     "Speed",
     "Team",
 ]
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.tables.config import Address
 
 __all__ = [
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -24,9 +24,10 @@
     SyncCall,
 )
 from kingcuppost.batch.tables.pending_calls import PendingCall
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.plan_writes import PlanWrites
 from kingcuppost.batch.tables.sidecar import OrderedRun, SidecarState
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import Wait
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.mailbox import Mailbox
--- a/kingcuppost/batch/tests/test_placement.py
+++ b/kingcuppost/batch/tests/test_placement.py
@@ -5,20 +5,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kingcuppost.batch.systems.placement import (
-    Candidate,
+from kingcuppost.batch.systems.evictions import (
     Eviction,
-    Victim,
     _extend_eviction,
+    plan_evictions,
+)
+from kingcuppost.batch.systems.placement import (
     choose_candidates,
     count_fitting_tasks,
     fits_idle,
     fits_now,
-    plan_evictions,
 )
-from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.decision import Candidate, Victim
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Job, MinionIncarnation, StepSpec, TaskName
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.resources import Resources
+from kingcuppost.batch.tables.task import Task
 
 MINION_CAPACITY = Resources(64_000, 131_072, 8)
 STEP = StepSpec(3, cpu_millis=7_500, memory_mb=15_000, accelerators=2)
--- a/kingcuppost/batch/tests/test_plan_parts.py
+++ b/kingcuppost/batch/tests/test_plan_parts.py
@@ -37,7 +37,8 @@
     RecordsRead,
     Stream,
 )
-from kingcuppost.batch.tables.plan import Plan, Task
+from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tests/test_run_end_rule.py
+++ b/kingcuppost/batch/tests/test_run_end_rule.py
@@ -12,9 +12,9 @@
     is_in_contact,
 )
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.world import SidecarState
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -13,7 +13,6 @@
 from kingcuppost.batch.systems.start_limits import start_limit_ms, start_validity_ms
 from kingcuppost.batch.systems.start_withdrawal import withdraw_late_starts
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation, TaskName
 from kingcuppost.batch.tables.messages import (
     HoldMinionAnswered,
@@ -27,6 +26,7 @@
     SyncAnswered,
     SyncReply,
 )
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/batch/tests/test_timeliness.py
+++ b/kingcuppost/batch/tests/test_timeliness.py
@@ -8,14 +8,14 @@
 
 from kingcuppost.batch.systems.plans import load_plan
 from kingcuppost.batch.systems.timeliness import (
-    Timeliness,
     assess_timeliness,
     refresh_chains,
     target_end_ms,
 )
-from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.decision import Timeliness
 from kingcuppost.batch.tables.job import Job, JobPolicy, StepSpec
 from kingcuppost.batch.tables.plan import EstimateError, Plan
+from kingcuppost.batch.tables.resources import Resources
 
 CAPACITY = Resources(640_000, 1_280_000, 80)
 ACCEPTED_MS = 50_000
--- a/kingcuppost/batch/tests/test_unstarted_runs.py
+++ b/kingcuppost/batch/tests/test_unstarted_runs.py
@@ -15,7 +15,7 @@
     is_unlisted,
 )
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.fleet import MinionRow, Resources
+from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import (
     Job,
     JobPolicy,
@@ -24,6 +24,7 @@
     StepSpec,
 )
 from kingcuppost.batch.tables.plan import Plan
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
--- a/kingcuppost/platform/minion_heartbeats.py
+++ b/kingcuppost/platform/minion_heartbeats.py
@@ -5,9 +5,9 @@
 
 from kingcuppost.batch.edges.context import BatchContext
 from kingcuppost.batch.edges.server import answer, surfaces
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import MinionHeartbeat, MinionReport
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.models.addresses import AddressText
 from kingcuppost.models.base import Amount, format_validation_error
 from kingcuppost.platform.minion_models import STATUS_OK, PlatformModel
--- a/standins/batch/fleets.py
+++ b/standins/batch/fleets.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from kingcuppost.batch.tables.fleet import Resources
+from kingcuppost.batch.tables.resources import Resources
 
 __all__ = [
     "KIND",
--- a/standins/batch/host.py
+++ b/standins/batch/host.py
@@ -19,9 +19,9 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec, TaskName
 from kingcuppost.batch.tables.messages import AppendOutcome, Stream
+from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.edges.http_client import JsonClient
 from kingcuppost.exception import PeerError
 from kingcuppost.tables.config import Address
--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, StepSpec, TaskName
 from kingcuppost.batch.tables.messages import EndedRun, RunningRun
+from kingcuppost.batch.tables.resources import Resources
 from standins.batch.checks import Checks
 
 __all__ = ["Minion", "Run"]
--- a/standins/batch/room.py
+++ b/standins/batch/room.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from kingcuppost.batch.tables.fleet import Resources
 from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.resources import Resources
 from standins.batch.minions import Minion
 
 __all__ = ["busy_ratio", "count_tasks", "holds_step", "holds_when_idle"]
