--- a/standins/batch/minions.py
+++ b/standins/batch/minions.py
@@ -11,6 +11,7 @@
 __all__ = ["Minion", "Run"]
 
 CHECKPOINT_WORK_MS = 1_000  # work between two checkpoints, in ms at speed 1
+MAX_LISTED_ENDS = 500  # as many as the platform returns at a time
 STOP_MS = 200
 
 
@@ -256,7 +257,8 @@
     ) -> tuple[tuple[RunningRun, ...], tuple[EndedRun, ...]]:
         """Extend the lease; return the running and the ended runs.
 
-        Ends up to the number `acknowledged_end` are dropped from the list.
+        Ends up to the number `acknowledged_end` are dropped from the list. Of the
+        others, the first `MAX_LISTED_ENDS` are returned.
         """
         self.token = max(token, self.token)
         if until_ms is not None:
@@ -273,7 +275,7 @@
             )
             for run in self.runs.values()
         )
-        return running, tuple(self.ended)
+        return running, tuple(self.ended[:MAX_LISTED_ENDS])
 
     def end(self, run: Run, how: RunEnd) -> None:
         """End a run and add its end to the list."""
