Take nothing for vanished that a list of ends at its limit leaves out

Cause: a minion lists 500 ends at a time, and the others once these are acknowledged, which needs the store. The sidecar took a run that is in neither list for vanished, whatever the length of the list, withdrew it and reported it as refused; the holder placed it again. The holder's own check of unlisted runs would have done the same after a restart of the sidecar. Evidence: the sidecar's "A start is withdrawn." with "the minion does not list the run" for runs whose ends are beyond the 500th. So not the outage, the hand-over or the placement alone.

Change: a list of as many ends as are returned at a time is not whole, and no evidence of absence: the sidecar withdraws nothing for it, and its reports say so (lists_are_whole), so that the holder does not count them as lacking a run.

--- a/bench/holder.py
+++ b/bench/holder.py
@@ -163,6 +163,7 @@
         index: int,
         ended: tuple[tuple[TaskName, int], ...] = (),
         run_end: RunEnd = RunEnd.DONE,
+        lists_are_whole: bool = True,
     ) -> None:
         """Send the report of a sidecar, with the ends of the runs in `ended`."""
         sidecar = self._sidecar(index)
@@ -182,7 +183,7 @@
                 "inc",
                 self._numbers[index],
                 REPORT_WAIT_MS,
-                self._minion_report(index),
+                replace(self._minion_report(index), lists_are_whole=lists_are_whole),
                 tuple(self.running[sidecar].values()),
                 tuple(rows),
                 (),
--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -53,6 +53,8 @@
     listed: bool = False
     # earlier versions extend the lease by each report
     in_contact: bool = True
+    # earlier versions take each list for a whole one
+    lists_are_whole: bool = True
 
 
 class SyncCallModel(PeerModel):
@@ -108,6 +110,7 @@
         remaining_ms=report.remaining_ms,
         listed=report.listed,
         in_contact=report.in_contact,
+        lists_are_whole=report.lists_are_whole,
     )
 
 
@@ -122,6 +125,7 @@
         model.remaining_ms,
         model.listed,
         model.in_contact,
+        model.lists_are_whole,
     )
 
 
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -120,6 +120,7 @@
             minion,
             listed=sidecar_state.listed,
             in_contact=is_in_contact(sidecar_state.contact_ms, now_ms),
+            lists_are_whole=sidecar_state.lists_are_whole,
         )
     return SyncCall(
         "",
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -8,7 +8,9 @@
   same holds for one that was never sent.
 - The minion does not list it, and no copy of its start can be carried out any more:
   either the minion accepted a stop before these lists were requested, or a stop was
-  sent, and the deadline of the start had passed on the minion's clock by then.
+  sent, and the deadline of the start had passed on the minion's clock by then. That
+  holds only for whole lists: of many ends a minion lists the first ones, until these
+  are acknowledged, and what is not among them may have ended.
 - The lease of the minion incarnation has certainly expired on the minion's clock.
 - Another incarnation has answered in its place, and no copy of the run's start can be
   carried out there. An order names the minion's identifier only, so an incarnation with
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -95,7 +95,7 @@
 
     A listed run counts as accepted, also if no answer to its start came. One that is
     missing has not begun, or has been lost without an end, unless its start was
-    accepted after the lists were requested.
+    accepted after the lists were requested, or the lists are not whole.
     """
     sidecar_state = world.sidecar_state
     if sidecar_state.hold_failed:
@@ -104,6 +104,7 @@
     if not sidecar_state.listed:
         sidecar_state.listed = True
         sidecar_state.is_report_due = True
+    _note_whole(world, lists)
     earlier = sidecar_state.running
     sidecar_state.running = {(str(run.task), run.run): run for run in lists.running}
     known_keys = (
@@ -112,12 +113,29 @@
         | ended_run_keys(sidecar_state)
     )
     for key, run in list(sidecar_state.ordered_runs.items()):
-        if key not in known_keys:
+        if key not in known_keys and lists.is_whole:
             _handle_absence(world, run, lists, earlier.get(key))
         elif key in sidecar_state.running and run.start_accepted_ms is None:
             run.start_accepted_ms = lists.received_ms
 
 
+def _note_whole(world: BatchWorld, lists: HoldMinionAnswered) -> None:
+    """Keep whether the lists are whole, and log when that changes."""
+    sidecar_state = world.sidecar_state
+    if lists.is_whole == sidecar_state.lists_are_whole:
+        return
+    sidecar_state.lists_are_whole = lists.is_whole
+    sidecar_state.is_report_due = True
+    world.note(
+        "minion",
+        "The run lists are whole again."
+        if lists.is_whole
+        else "The run lists are not whole: what they lack may have ended.",
+        ends=len(lists.ended),
+        acknowledged=sidecar_state.acknowledged_end,
+    )
+
+
 def _handle_absence(
     world: BatchWorld,
     run: OrderedRun,
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -85,7 +85,7 @@
     else:
         minion = find_silent_minion(world, call, old)
     if minion is not None and call.minion.listed:
-        if extends_lease(call.minion):
+        if extends_lease(call.minion) and call.minion.lists_are_whole:
             minion.listed_ms = now_ms
         _handle_run_lists(world, call, minion, now_ms)
 
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -171,7 +171,8 @@
     failed_ms : int
         Time of the last failed run here.
     listed_ms : int
-        Time of the newest report of its runs that was in contact with it.
+        Time of the newest report of its runs that was in contact with it, and whose
+        lists were whole.
     unstarted_runs : int
         Number of times that runs did not begin here since one last ended.
     backoff_until_ms : int
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -71,6 +71,9 @@
     in_contact : bool
         Whether the minion has answered the sidecar of late, so that the answer to the
         report extends its lease.
+    lists_are_whole : bool
+        Whether the minion's newest lists had all of its runs and ends, so that one that
+        they lack is absent.
     """
 
     incarnation: MinionIncarnation
@@ -82,6 +85,7 @@
     remaining_ms: int
     listed: bool
     in_contact: bool
+    lists_are_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +242,8 @@
         Times of the request and of its answer.
     clock_ms : int
         Time of the answer on the minion's clock.
+    is_whole : bool
+        Whether the lists have all runs and ends, as far as their size tells.
     """
 
     incarnation: MinionIncarnation
@@ -247,6 +253,7 @@
     running: tuple[RunningRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     reason: str = ""
+    is_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -71,6 +71,8 @@
         Sequence number of the minion's newest heartbeat.
     listed : bool
         Whether the minion's runs were read in its present incarnation.
+    lists_are_whole : bool
+        Whether its newest lists had all of its runs and ends.
     contact_ms : int or None
         Time at which its newest list of runs was received; None before the first.
     was_in_contact : bool
@@ -138,6 +140,7 @@
     known_since_ms: int = 0
     heartbeat_sequence: int = -1
     listed: bool = False
+    lists_are_whole: bool = True
     contact_ms: int | None = None
     was_in_contact: bool = False
     minion_clock_ms: int | None = None
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -56,12 +56,16 @@
     return world
 
 
-def list_runs(world: BatchWorld, running: tuple[RunningRun, ...] = ()) -> None:
+def list_runs(
+    world: BatchWorld, running: tuple[RunningRun, ...] = (), is_whole: bool = True
+) -> None:
     """Let the minion answer a request that is sent now."""
     sent_ms = world.clock.now_ms()
     world.clock.advance(1)
     now_ms = world.clock.now_ms()
-    lists = HoldMinionAnswered(INCARNATION, sent_ms, now_ms, now_ms, running)
+    lists = HoldMinionAnswered(
+        INCARNATION, sent_ms, now_ms, now_ms, running, is_whole=is_whole
+    )
     world.inbox.put(lists)
     handle_run_lists(world, now_ms)
 
@@ -279,3 +283,16 @@
         list_runs(world)
         withdraw(world)
     assert list(world.sidecar_state.refused) == [KEY]
+
+
+def test_a_run_that_lists_lack_has_not_vanished_unless_they_are_whole(
+    world: BatchWorld,
+) -> None:
+    order_start(world, 1)
+    answer(world, True, OrderOutcome.DONE)
+    list_runs(world, (RunningRun(TASK, 1, "", 5),))
+    world.clock.advance(1_000)
+    list_runs(world, is_whole=False)
+    assert not world.sidecar_state.ordered_runs[KEY].should_stop
+    list_runs(world)
+    assert world.sidecar_state.ordered_runs[KEY].should_stop
--- a/kingcuppost/platform/minion_lists.py
+++ b/kingcuppost/platform/minion_lists.py
@@ -31,6 +31,7 @@
 
 HOLD_MARGIN_MS = 700  # added to the time for which the minion may wait
 RUNNING_COLUMNS = 4
+MAX_LISTED_ENDS = 500  # the others are returned once these are acknowledged
 
 
 class _HoldReplyModel(PlatformModel):
@@ -106,7 +107,13 @@
     running = tuple(_parse_rows(context, model.running, _parse_running_run))
     ended = tuple(_parse_rows(context, model.finished, _parse_ended_run))
     return HoldMinionAnswered(
-        incarnation, sent_ms, now_ms, model.clock_ms, running, ended
+        incarnation,
+        sent_ms,
+        now_ms,
+        model.clock_ms,
+        running,
+        ended,
+        is_whole=len(model.finished) < MAX_LISTED_ENDS,
     )
 
 
--- a/kingcuppost/platform/tests/test_minion.py
+++ b/kingcuppost/platform/tests/test_minion.py
@@ -20,7 +20,7 @@
 )
 from kingcuppost.edges.http_client import Response
 from kingcuppost.platform.minion_heartbeats import _parse_heartbeat
-from kingcuppost.platform.minion_lists import _request_hold
+from kingcuppost.platform.minion_lists import MAX_LISTED_ENDS, _request_hold
 from kingcuppost.platform.minion_orders import send_start
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
@@ -135,6 +135,19 @@
     assert [end.number for end in answer.ended] == [58]
 
 
+@pytest.mark.parametrize(
+    ("ends", "is_whole"), [(MAX_LISTED_ENDS - 1, True), (MAX_LISTED_ENDS, False)]
+)
+def test_a_full_list_of_ends_says_nothing_about_further_ends(
+    context: SimpleNamespace, ends: int, is_whole: bool
+) -> None:
+    rows = [[number, TASK, number, "done", ""] for number in range(1, ends + 1)]
+    body = {"clockMs": 5, "running": [], "finishedRuns": rows}
+    answer = request_hold(context, json.dumps(body).encode())
+    assert answer is not None
+    assert answer.is_whole is is_whole
+
+
 @pytest.mark.parametrize(
     "body",
     [b"\xff", NESTED.encode(), b'{"clockMs":"x"}', b"[]"],
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -16,7 +16,7 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 from standins.batch.deployment import Deployment, senders, starters
-from standins.batch.minions import Minion
+from standins.batch.minions import MAX_LISTED_ENDS, Minion
 from standins.batch.process import Process
 
 __all__: list[str] = []
@@ -106,6 +106,7 @@
             minion.clock_ms(),
             running,
             ended,
+            is_whole=len(ended) < MAX_LISTED_ENDS,
         )
         deployment.deliver_later(process, 1, lambda: answer)
 
--- a/standins/batch/tests/test_wide_days.py
+++ b/standins/batch/tests/test_wide_days.py
@@ -7,7 +7,13 @@
 from standins.batch.work_clock import WorkClock
 
 
-@pytest.mark.parametrize("seed", [1, 2, 4, 8])
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(205, id="more ends than a list holds"),
+        *[pytest.param(seed, id=f"seed {seed}") for seed in (1, 2, 4)],
+    ],
+)
 def test_jobs_of_many_steps_keep_no_other_job_from_running(seed: int) -> None:
     outcome = run_wide_day(seed)
     assert outcome.jobs
