Keep each unit's own history when an equal one has just failed

A unit that was not tried took over whether the failed one had ever fitted, so its wait for a rack could end too soon. The demand of a unit is a typed row now, not a bare tuple.

--- a/kingcuppost/batch/systems/equivalent_units.py
+++ b/kingcuppost/batch/systems/equivalent_units.py
@@ -17,11 +17,11 @@
 
 
 def _demand_of(unit: PlacementUnit) -> Demand | None:
-    """Return all that the placement of a unit depends on; None for its tasks alone."""
+    """Return the demand of a unit; None if its placement depends on its tasks."""
     spec, policy = unit.spec, unit.plan.job.policy
     if spec.most_per_minion or any(task.avoided_minions for task in unit.tasks):
         return None
-    return (
+    return Demand(
         unit.rank,
         unit.may_preempt,
         policy.priority,
@@ -33,7 +33,6 @@
         spec.accelerators,
         spec.estimate_ms,
         corrected_estimate_ms(unit.plan, unit.step),
-        spec.gang,
         spec.one_rack,
         spec.count if spec.gang else 0,
     )
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -35,6 +35,7 @@
 from kingcuppost.batch.systems.waits import forget_ended_waits, note_wait, put_wait
 from kingcuppost.batch.tables.decision import DecisionRound, PlacementUnit
 from kingcuppost.batch.tables.messages import Stream
+from kingcuppost.batch.tables.waiting import WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.clock import NEVER_MS
@@ -156,7 +157,7 @@
         request_decision(decision.world, decision.now_ms + URGENT_RETRY_MS)
     failed = None if had_reservation else find_failed_try(decision, unit)
     if failed is not None:
-        fits = failed.fits_since_ms is not None
+        fits = failed.reason is WaitReason.LOCALITY
         put_wait(decision, unit, len(unit.tasks), failed.reason, fits)
         return
     tasks = unit.tasks
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import NamedTuple
 
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import StepSpec
@@ -181,8 +182,31 @@
         )
 
 
-Demand = tuple
-"""All that the placement of a unit depends on, for units that are decided alike."""
+class Demand(NamedTuple):
+    """All that the placement of a unit depends on, but for its tasks.
+
+    Attributes
+    ----------
+    estimate_ms, corrected_estimate_ms : float
+        Duration of a task by the caller's estimate, and as corrected by the step's
+        runs.
+    members : int
+        Number of tasks of a gang; 0 for other steps.
+    """
+
+    rank: int
+    may_preempt: bool
+    priority: int
+    service: str
+    label: str
+    rack: str
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    estimate_ms: float
+    corrected_estimate_ms: float
+    one_rack: bool
+    members: int
 
 
 @dataclass(frozen=True, slots=True)
