Let members that fail during a pause of their worker not prolong the pause

Found when the whole check ran beside a load of 20 and test_sidecar_cut_off_from_ the_log_while_start_orders_are_delayed timed out: ten reservations that were under way at one worker went unanswered for 500 ms each, and each doubled the pause again, from 2 s to 128 s within a moment. All 60 jobs ran elsewhere meanwhile. Ruled out: the zone, the log and the proxies (members of other zones started all the time); the logs name worker-0 for eight pauses in a row.

Change: a refusal counts once the worker is used again; what was placed before the pause is no evidence for another one.

Test: test_members_that_fail_during_a_pause_do_not_prolong_it fails before. test_pause_doubles_until_the_worker_reserves asked for three pauses at one moment, which is the fault; it now waits for the end of each, and asks for the same doubling, and for the exclusion during each pause.

--- a/kingcuppost/systems/jobs/faults.py
+++ b/kingcuppost/systems/jobs/faults.py
@@ -40,7 +40,8 @@
     """Exclude a worker from placement for a while after it did not reserve a member.
 
     An unreachable worker appears to be wholly free, and would otherwise attract one
-    gang after the other.
+    gang after the other. Members that were placed before a pause began are not
+    evidence for another one.
 
     Parameters
     ----------
@@ -52,6 +53,8 @@
         Monotonic time.
     """
     faults = world.scheduling.faults.get(worker) or WorkerFaults(worker)
+    if faults.paused:
+        return
     pause_ms = effective_value(world.agreed, "worker.pause_ms")
     faults.resume_ms = now_ms + (pause_ms << min(faults.refusals, MAX_PAUSE_DOUBLINGS))
     faults.refusals += 1
--- a/kingcuppost/systems/jobs/tests/test_gangs.py
+++ b/kingcuppost/systems/jobs/tests/test_gangs.py
@@ -367,17 +367,26 @@
 
 def test_pause_doubles_until_the_worker_reserves(harness: ProcessHarness) -> None:
     harness.settle()
-    resume_times_ms = []
+    faults = harness.world.scheduling.faults
+    pauses_ms = []
     for _ in range(3):
         pause_worker(harness.world, WORKERS[0], harness.now_ms)
-        resume_times_ms.append(
-            harness.world.scheduling.faults.get(WORKERS[0]).resume_ms
-        )
-    assert [at_ms - harness.now_ms for at_ms in resume_times_ms] == [
-        PAUSE_MS,
-        2 * PAUSE_MS,
-        4 * PAUSE_MS,
-    ]
+        pauses_ms.append(faults.get(WORKERS[0]).resume_ms - harness.now_ms)
+        assert harness.world.scheduling.workers.get(WORKERS[0]).free_class < 0
+        harness.run(pauses_ms[-1] + 100)
+        assert not faults.get(WORKERS[0]).paused
+    assert pauses_ms == [PAUSE_MS, 2 * PAUSE_MS, 4 * PAUSE_MS]
+    pause_worker(harness.world, WORKERS[0], harness.now_ms)
     reset_refusals(harness.world, WORKERS[0])
-    assert harness.world.scheduling.faults.get(WORKERS[0]) is None
+    assert faults.get(WORKERS[0]) is None
     assert harness.world.scheduling.workers.get(WORKERS[0]).free_class >= 0
+
+
+def test_members_that_fail_during_a_pause_do_not_prolong_it(
+    harness: ProcessHarness,
+) -> None:
+    harness.settle()
+    for _ in range(8):
+        pause_worker(harness.world, WORKERS[0], harness.now_ms)
+    faults = harness.world.scheduling.faults.get(WORKERS[0])
+    assert faults.resume_ms - harness.now_ms == PAUSE_MS
