--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -1,7 +1,7 @@
 """Messages of peers, workers, callers and operators keep their stored format."""
 
 import json
-from dataclasses import fields, is_dataclass
+from dataclasses import fields, is_dataclass, replace
 from typing import Any
 
 import pytest
@@ -95,6 +95,14 @@
     assert sync.encode_sync_call(call).decode() == text
 
 
+def test_a_report_tells_that_its_lists_are_cut() -> None:
+    text, _ = read_lines("sync_call.jsonl")
+    call = sync.decode_sync_call(text.encode(), "exchange", "peer").ok
+    cut = replace(call, minion=replace(call.minion, lists_are_whole=False))
+    encoded = sync.encode_sync_call(cut)
+    assert sync.decode_sync_call(encoded, "exchange", "peer").ok == cut
+
+
 def test_orders_for_a_sidecar_round_trip() -> None:
     text, values = read_lines("sync_reply.jsonl")
     reply = sync.decode_sync_reply(text.encode(), "peer").ok
