End the runs of a departed minion without waiting for its lease

Cause: a minion that ends as announced reports no ends of its runs. They counted as running until the lease of 10 s had certainly expired, so that a gang with one such member started again 11 s late. Ruled out: trusting a leave notice or a refused connection alone; a notice may be late or of another writer, and a minion that refuses connections may listen again. Change: if the announced end is due and the sidecar's own machine refuses the connection, the sidecar reports the incarnation as ended, and the holder ends its runs. Not while a copy of a start may reach a later incarnation.

--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -74,6 +74,9 @@
     ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
     refused: tuple[tuple[str, int, str], ...] = ()
     lists_age_ms: Annotated[int, Field(ge=0)] = 0
+    # incarnation that has certainly ended; empty for none
+    ended_minion: str = ""
+    ended_born_ms: int = 0
 
 
 class SyncReplyModel(PeerModel):
@@ -147,6 +150,8 @@
         ),
         refused=tuple((str(row.task), row.run, row.reason) for row in call.refused),
         lists_age_ms=call.lists_age_ms,
+        ended_minion=call.ended_minion.minion if call.ended_minion else "",
+        ended_born_ms=call.ended_minion.born_ms if call.ended_minion else 0,
     )
     return model.model_dump_json(exclude_defaults=True).encode()
 
@@ -180,9 +185,16 @@
         ),
         tuple(RefusedRun(parse_task_name(row[0]), *row[1:]) for row in model.refused),
         model.lists_age_ms,
+        _to_ended_minion(model),
     )
 
 
+def _to_ended_minion(model: SyncCallModel) -> MinionIncarnation | None:
+    if not model.ended_minion:
+        return None
+    return MinionIncarnation(model.ended_minion, model.ended_born_ms)
+
+
 def encode_sync_reply(reply: SyncReply) -> bytes:
     """Return the JSON text of the orders for a sidecar."""
     incarnation = reply.incarnation or MinionIncarnation("", 0)
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -133,6 +133,7 @@
         tuple(sidecar_state.ended.values()),
         tuple(sidecar_state.refused.values()),
         _lists_age_ms(sidecar_state, now_ms),
+        sidecar_state.ended_minion,
     )
 
 
--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -15,6 +15,11 @@
 - Another incarnation has answered in its place, and no copy of the run's start can be
   carried out there. An order names the minion's identifier only, so an incarnation with
   the same identifier may carry out what was meant for an earlier one.
+- The minion has announced its end, which is due, and its address refuses connections.
+  The sidecar is on the same machine, so its kernel says that no process listens there:
+  the minion has ended, and its runs with it. A minion that hangs, or is overloaded, or
+  is cut off, lets calls time out instead. A refusal alone is no evidence, as a minion
+  may listen again. Nor is it while a copy of a start may reach a later incarnation.
 
 While the lease may last, silence is no evidence. The lease is extended only while the
 sidecar is in contact with the minion: a minion that is lost for good beside a live
@@ -63,6 +68,7 @@
     "certain_expiry_ms",
     "extends_lease",
     "fate_after_restart",
+    "has_minion_ended",
     "heartbeat_source",
     "is_absence_final",
     "is_in_contact",
@@ -204,6 +210,28 @@
     return run.may_still_start or run.is_order_pending
 
 
+def has_minion_ended(
+    cfg: DaemonConfig, sidecar_state: SidecarState, is_refused: bool, now_ms: int
+) -> bool:
+    """Return whether the minion beside a sidecar has certainly ended, and its runs.
+
+    Parameters
+    ----------
+    is_refused : bool
+        Whether the minion's address has just refused a connection.
+    """
+    drain_end_ms = sidecar_state.drain_end_ms
+    is_end_due = sidecar_state.has_leave_notice or (
+        drain_end_ms is not None and now_ms >= drain_end_ms
+    )
+    if not is_refused or not is_end_due:
+        return False
+    if may_be_started_by_earlier(cfg, sidecar_state.known_since_ms, now_ms):
+        return False
+    runs = sidecar_state.ordered_runs.values()
+    return not any(may_reach_successor(run) for run in runs)
+
+
 def is_refusal_final(run: OrderedRun) -> bool:
     """Return whether a refusal of a start is the end of the run."""
     return not run.may_still_start
--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -11,12 +11,14 @@
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
+    "MINION_ENDED",
     "NEW_INCARNATION",
     "end_incarnation_runs",
     "record_run_end",
     "settle_earlier_incarnations",
 ]
 
+MINION_ENDED = "the minion has ended"
 NEW_INCARNATION = "the minion has a new incarnation"
 
 
--- a/kingcuppost/batch/systems/sidecar_heartbeats.py
+++ b/kingcuppost/batch/systems/sidecar_heartbeats.py
@@ -39,7 +39,7 @@
         elif source is HeartbeatSource.FIRST:
             _begin_incarnation(world, heartbeat)
         else:
-            _update_minion(world.sidecar_state, heartbeat)
+            _update_minion(world.sidecar_state, heartbeat, now_ms)
 
 
 def _ignore_heartbeat(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
@@ -54,7 +54,9 @@
     )
 
 
-def _update_minion(sidecar_state: SidecarState, heartbeat: MinionHeartbeat) -> None:
+def _update_minion(
+    sidecar_state: SidecarState, heartbeat: MinionHeartbeat, now_ms: int
+) -> None:
     """Update the state of the minion, unless the heartbeat is an outdated one."""
     if heartbeat.sequence <= sidecar_state.heartbeat_sequence:
         return
@@ -63,6 +65,13 @@
     if sidecar_state.minion.draining != heartbeat.report.draining:
         sidecar_state.is_report_due = True
     sidecar_state.minion = heartbeat.report
+    sidecar_state.drain_end_ms = _drain_end_ms(heartbeat, now_ms)
+
+
+def _drain_end_ms(heartbeat: MinionHeartbeat, now_ms: int) -> int | None:
+    """Return the time from which a draining minion may end, or None."""
+    report = heartbeat.report
+    return now_ms + report.remaining_ms if report.draining else None
 
 
 def _begin_incarnation(world: BatchWorld, heartbeat: MinionHeartbeat) -> None:
@@ -84,6 +93,7 @@
         address=heartbeat.address,
         known_since_ms=world.clock.now_ms(),
         heartbeat_sequence=heartbeat.sequence,
+        drain_end_ms=_drain_end_ms(heartbeat, world.clock.now_ms()),
     )
     world.note(
         "minion",
@@ -176,12 +186,21 @@
     sidecar_state.has_leave_notice = True
 
 
-def remove_minion(world: BatchWorld) -> None:
-    """Remove a minion that has left."""
+def remove_minion(world: BatchWorld, has_ended: bool) -> None:
+    """Remove a minion that has left.
+
+    Parameters
+    ----------
+    has_ended : bool
+        Whether its incarnation has certainly ended, with all its runs.
+    """
     sidecar_state = world.sidecar_state
+    incarnation = sidecar_state.minion.incarnation
     world.note(
-        "minion", "The minion left.", minion=sidecar_state.minion.incarnation.minion
+        "minion", "The minion left.", minion=incarnation.minion, has_ended=has_ended
     )
+    world.tally.add("minions_left", "ended" if has_ended else "silent")
     sidecar_state.minion = None
+    sidecar_state.ended_minion = incarnation if has_ended else None
     sidecar_state.has_leave_notice = False
     sidecar_state.is_report_due = True
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -2,6 +2,7 @@
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import (
+    has_minion_ended,
     is_absence_final,
     is_in_contact,
     is_refusal_final,
@@ -75,8 +76,9 @@
     if not sidecar_state.hold_failed:
         world.note("minion", "A request for the run lists failed.", reason=lists.reason)
     sidecar_state.hold_failed = True
-    if sidecar_state.has_leave_notice:
-        remove_minion(world)
+    has_ended = has_minion_ended(world.cfg, sidecar_state, lists.is_refused, now_ms)
+    if has_ended or sidecar_state.has_leave_notice:
+        remove_minion(world, has_ended)
 
 
 def _update_minion_clock(
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -9,7 +9,9 @@
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.run_ends import (
+    MINION_ENDED,
     NEW_INCARNATION,
+    end_incarnation_runs,
     record_run_end,
     settle_earlier_incarnations,
 )
@@ -63,16 +65,12 @@
 def _handle_report(world: BatchWorld, call: SyncCall, now_ms: int) -> None:
     """Update a reported minion and its runs, or remove a minion that has left.
 
-    The runs of a minion that has left end at the latest when its lease expires. Reports
-    of an earlier incarnation are ignored.
+    Reports of an earlier incarnation are ignored.
     """
     schedule = world.schedule
     old = schedule.minions.get(call.sidecar)
     if call.minion is None:
-        if old is not None:
-            world.note("minion", "A minion has left.", minion=old.incarnation.minion)
-            schedule.minions.delete(call.sidecar)
-            schedule.inputs_changed = True
+        _remove_minion(world, call, old, now_ms)
         return
     if old is not None and old.incarnation != call.minion.incarnation:
         if call.minion.incarnation.born_ms < old.incarnation.born_ms:
@@ -90,6 +88,25 @@
         _handle_run_lists(world, call, minion, now_ms)
 
 
+def _remove_minion(
+    world: BatchWorld, call: SyncCall, minion: MinionRow | None, now_ms: int
+) -> None:
+    """Remove a minion that has left, and end its runs if it has certainly ended.
+
+    Otherwise its runs end when its lease expires. Ends that it had listed come first.
+    """
+    schedule = world.schedule
+    if minion is not None:
+        world.note("minion", "A minion has left.", minion=minion.incarnation.minion)
+        if minion.incarnation == call.ended_minion:
+            for ended in call.ended:
+                _handle_run_end(world, minion, ended, now_ms)
+        schedule.minions.delete(call.sidecar)
+        schedule.inputs_changed = True
+    if call.ended_minion is not None:
+        end_incarnation_runs(world, call.ended_minion, MINION_ENDED)
+
+
 def _handle_run_lists(
     world: BatchWorld, call: SyncCall, minion: MinionRow, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -106,6 +106,8 @@
         State of the minion; None if there is none beside the sidecar.
     lists_age_ms : int
         Time since the minion listed its runs, when the report was sent.
+    ended_minion : MinionIncarnation or None
+        Incarnation beside the sidecar that has certainly ended, with all its runs.
     """
 
     exchange_id: str
@@ -118,6 +120,7 @@
     ended: tuple[EndedRun, ...]
     refused: tuple[RefusedRun, ...]
     lists_age_ms: int = 0
+    ended_minion: MinionIncarnation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,6 +247,8 @@
         Time of the answer on the minion's clock.
     is_whole : bool
         Whether the lists have all runs and ends, as far as their size tells.
+    is_refused : bool
+        Whether no process listens at the minion's address.
     """
 
     incarnation: MinionIncarnation
@@ -254,6 +259,7 @@
     ended: tuple[EndedRun, ...] = ()
     reason: str = ""
     is_whole: bool = True
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.batch.tables.messages import (
     EndedRun,
     MinionHeartbeat,
@@ -89,7 +90,11 @@
     hold_failed : bool
         Whether the newest `HoldMinion` request failed.
     has_leave_notice : bool
-        Whether the minion is said to leave, so that it has left once a call fails.
+        Whether the minion is said to leave.
+    drain_end_ms : int or None
+        Time from which a draining minion may end; None while it does not drain.
+    ended_minion : MinionIncarnation or None
+        Incarnation that has certainly ended, until another one begins.
     successor : MinionHeartbeat or None
         Heartbeat of another incarnation, which has not answered a call yet.
     is_successor_asked : bool
@@ -150,6 +155,8 @@
     hold_after_ms: int = 0
     hold_failed: bool = False
     has_leave_notice: bool = False
+    drain_end_ms: int | None = None
+    ended_minion: MinionIncarnation | None = None
     successor: MinionHeartbeat | None = None
     is_successor_asked: bool = False
     acknowledged_end: int = 0
--- a/kingcuppost/edges/http_client.py
+++ b/kingcuppost/edges/http_client.py
@@ -226,7 +226,8 @@
             reason = str(exc) or type(exc).__name__
             if not timer.stop():
                 reason = f"no complete answer within {timeout_ms} ms"
-            raise PeerError(reason, step, str(address)) from exc
+            is_refused = isinstance(exc, error.ConnectionRefusedError)
+            raise PeerError(reason, step, str(address), is_refused) from exc
         timer.stop()
         return response
 
--- a/kingcuppost/exception.py
+++ b/kingcuppost/exception.py
@@ -39,7 +39,19 @@
 
 
 class PeerError(KingcuppostError):
-    """An exchange with a peer failed or timed out."""
+    """An exchange with a peer failed or timed out.
+
+    Parameters
+    ----------
+    is_refused : bool
+        Whether the peer's machine refused the connection, as no process listens there.
+    """
+
+    def __init__(
+        self, reason: str, step: str = "", peer: str = "", is_refused: bool = False
+    ) -> None:
+        super().__init__(reason, step, peer)
+        self.is_refused = is_refused
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/platform/minion_lists.py
+++ b/kingcuppost/platform/minion_lists.py
@@ -75,7 +75,13 @@
             {INSTANCE_HEADER: incarnation.minion},
         )
     except PeerError as exc:
-        return HoldMinionAnswered(incarnation, sent_ms, clock.now_ms(), reason=str(exc))
+        return HoldMinionAnswered(
+            incarnation,
+            sent_ms,
+            clock.now_ms(),
+            reason=str(exc),
+            is_refused=exc.is_refused,
+        )
     now_ms = clock.now_ms()
     if response.status != STATUS_OK:
         text = response.body[:MAX_REASON_BYTES].decode("utf-8", "replace")
--- a/kingcuppost/tests/test_formats_messages.py
+++ b/kingcuppost/tests/test_formats_messages.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 
 from kingcuppost.batch.models import sync
+from kingcuppost.batch.tables.job import MinionIncarnation
 from kingcuppost.edges.routes import RouteRequest, find_route, routes
 from kingcuppost.models.base import encode
 from kingcuppost.tests.format_files import list_package_classes, read_lines, to_values
@@ -103,6 +104,14 @@
     assert sync.decode_sync_call(encoded, "exchange", "peer").ok == cut
 
 
+def test_a_report_tells_which_minion_has_ended() -> None:
+    text, _ = read_lines("sync_call.jsonl")
+    call = sync.decode_sync_call(text.encode(), "exchange", "peer").ok
+    ended = replace(call, minion=None, ended_minion=MinionIncarnation("m-1", 7))
+    encoded = sync.encode_sync_call(ended)
+    assert sync.decode_sync_call(encoded, "exchange", "peer").ok == ended
+
+
 def test_orders_for_a_sidecar_round_trip() -> None:
     text, values = read_lines("sync_reply.jsonl")
     reply = sync.decode_sync_reply(text.encode(), "peer").ok
--- a/standins/batch/minion_messages.py
+++ b/standins/batch/minion_messages.py
@@ -83,14 +83,24 @@
             )
             deployment.deliver(process, answer, incarnation)
             return
+        if not minion.is_up:
+            answer = HoldMinionAnswered(
+                message.incarnation,
+                sent_ms,
+                now_ms,
+                reason="connection refused",
+                is_refused=True,
+            )
+            deployment.deliver(process, answer, incarnation)
+            return
         running, ended = (), ()
-        if minion.is_up and minion.id == message.incarnation.minion:
+        if minion.id == message.incarnation.minion:
             # an earlier incarnation under this identifier may have been meant
             until_ms = message.lease_until_ms if is_first else None
             running, ended = minion.renew_lease(
                 message.term, message.acknowledged_end, until_ms
             )
-        if not minion.is_up or minion.incarnation != message.incarnation:
+        if minion.incarnation != message.incarnation:
             answer = HoldMinionAnswered(
                 message.incarnation, sent_ms, now_ms, reason="other incarnation"
             )
