Let the pause of refused callers grow with the age of an outage

Cause: a call that comes while the log is not followed is refused with a pause of 1 s. Change: the pause follows the age of the view, 1 s to 3 s; queues of lower priority come back 1 s and 2 s later. A view of less than 2 s, and one that was never read, keep 1 s. Result: test_retry_after; the old pause fails it for outages of 5 s and 9 s.

--- a/kingcuppost/batch/systems/calls.py
+++ b/kingcuppost/batch/systems/calls.py
@@ -17,6 +17,7 @@
 from kingcuppost.batch.systems.plan_layout import entries_without_parts
 from kingcuppost.batch.systems.queue_lookup import find_queue, find_team
 from kingcuppost.batch.systems.registry import Phase, system
+from kingcuppost.batch.systems.retry_after import outage_pause_ms
 from kingcuppost.batch.tables.fleet import Queue
 from kingcuppost.batch.tables.job import ENDED_STATES, Job, JobPolicy, JobState
 from kingcuppost.batch.tables.messages import (
@@ -92,9 +93,11 @@
     configuration = world.agreed.configuration
     if configuration is None:
         return make_not_run_reply(call, "no configuration yet")
-    if not is_configuration_current(world, now_ms):
-        return make_not_run_reply(call, CONFIGURATION_STALE_REASON, RETRY_LATER_MS)
     queue = find_queue(configuration, call.host, call.path)
+    if not is_configuration_current(world, now_ms):
+        priority = 0 if queue is None else queue.priority
+        pause_ms = outage_pause_ms(world, Stream.OPERATORS, priority, now_ms)
+        return make_not_run_reply(call, CONFIGURATION_STALE_REASON, pause_ms)
     if queue is None:
         return CallReply(call.exchange_id, CallOutcome.NO_QUEUE)
     team = find_team(configuration, queue, call.key)
@@ -182,7 +185,7 @@
     if reason:
         return CallReply(call.exchange_id, CallOutcome.BAD, reason=reason)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+        return _make_stale_reply(world, job_call, now_ms)
     if _is_too_wide_now(world, call.job):
         return make_not_run_reply(call, TOO_WIDE_REASON, RETRY_LATER_MS)
     job = Job(
@@ -201,6 +204,13 @@
     return None
 
 
+def _make_stale_reply(world: BatchWorld, job_call: _JobCall, now_ms: int) -> CallReply:
+    """Return the refusal of a call that the view of the jobs is too old for."""
+    priority = job_call.queue.priority
+    pause_ms = outage_pause_ms(world, Stream.JOBS, priority, now_ms)
+    return make_not_run_reply(job_call.call, STREAM_STALE_REASON, pause_ms)
+
+
 def _refusal_for_good(call: CallerCall, queue: Queue, known: Job | None) -> str:
     """Return why a submission can never be accepted; empty if it may be."""
     if known is not None:
@@ -226,6 +236,6 @@
     if visible_state(job) in ENDED_STATES:
         return CallReply(call.exchange_id, CallOutcome.OK)
     if not is_fresh(world, Stream.JOBS, now_ms):
-        return make_not_run_reply(call, STREAM_STALE_REASON, RETRY_LATER_MS)
+        return _make_stale_reply(world, job_call, now_ms)
     propose_record(world, call, job_id, CancelRecord(job_id))
     return None
