Decide on drained gangs as a whole, and place work away from a rollout's next steps

Whether a gang could end in time was judged by the member at the draining minion alone, again and again while the time ran out, and a stopped gang started again on minions that the next step of the rollout replaced. Change: one decision for a gang, when the drain begins, by its slowest member, the time left until the first of its minions leaves, and what a stop loses. Saving work that ends in time stays. While a wave of departures lasts, work that does not save prefers the minions that started with it. Sidecars report the time that is left at the report, not at the heartbeat before it.

--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -51,15 +51,21 @@
 
     For urgent units, racks where all tasks fit at once come first, and of these the one
     whose slowest chosen minion is fastest. Other racks follow, the fullest first. For
-    other units the fullest rack comes first.
+    other units the fullest rack comes first. In a wave of departures, the fewest chosen
+    minions that may leave come before speed and fullness.
     """
     free = sum(candidate.free_now.accelerators for candidate in rack)
-    if not unit.is_urgent:
-        return (free,)
+    is_in_wave = any(candidate.may_depart for candidate in rack)
+    if not unit.is_urgent and not is_in_wave:
+        return (0, free)
     chosen = choose_candidates(rack, unit.spec, len(unit.tasks), make_sort_key(unit))
+    departing = len({item.minion.sidecar for item in chosen if item.may_depart})
+    if not unit.is_urgent:
+        return (departing, free)
     if len(chosen) < len(unit.tasks):
-        return (1, 0.0, free)
-    return (0, -min(candidate.minion.speed.value for candidate in chosen), free)
+        return (1, 0, 0.0, free)
+    speed = min(candidate.minion.speed.value for candidate in chosen)
+    return (0, departing, -speed, free)
 
 
 def make_sort_key(unit: PlacementUnit) -> CandidateSortKey:
@@ -68,7 +74,8 @@
     Urgent units prefer reliable and fast minions. Other units fill up racks and minions
     that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
     units prefer slow minions and leave the fast ones to others. The last attempt of a
-    task prefers a minion that has completed a run before.
+    task prefers a minion that has completed a run before. Units that do not save their
+    work prefer minions that are not likely to leave.
     """
     is_last_attempt = unit.is_last_attempt
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
@@ -82,12 +89,14 @@
         risk = minion.failures + (
             0 if minion.has_completed_run else 1 if is_last_attempt else 0
         )
+        departs = candidate.may_depart and not step.saves
         if unit.is_urgent:
             speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
-            return (risk, -speed, *free_resources, minion.sidecar)
+            return (risk, departs, -speed, *free_resources, minion.sidecar)
         wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
         return (
             risk,
+            departs,
             wastes_fast_minion,
             candidate.rack_free_accelerators[0],
             *free_resources,
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from kingcuppost.batch.systems.departures.waves import may_depart
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
     copy_resources,
@@ -129,7 +130,13 @@
     free_after_stops = copy_resources(free_now)
     if load is not None and load.stopping != Resources():
         _add_expected_stops(decision, minion, free_after_stops)
-    return Candidate(minion, free_after_stops, free_now, rack_free_accelerators=[0])
+    return Candidate(
+        minion,
+        free_after_stops,
+        free_now,
+        rack_free_accelerators=[0],
+        may_depart=may_depart(decision.world, minion, decision.now_ms),
+    )
 
 
 def _add_expected_stops(
--- a/kingcuppost/batch/systems/minion_rows.py
+++ b/kingcuppost/batch/systems/minion_rows.py
@@ -1,5 +1,6 @@
 """Rows of the minions that sidecars report."""
 
+from kingcuppost.batch.systems.departures.waves import note_departure
 from kingcuppost.batch.systems.minion_leases import mark_unreachable
 from kingcuppost.batch.tables.fleet import MinionRow, Speed
 from kingcuppost.batch.tables.messages import MinionReport, SyncCall
@@ -47,13 +48,18 @@
             "minion",
             "The draining state of a minion changed.",
             minion=report.incarnation.minion,
+            draining=report.draining,
+            remaining_ms=report.remaining_ms,
         )
         world.schedule.inputs_changed = True
+        if report.draining:
+            minion.drain_since_ms = now_ms
+            note_departure(world, minion, now_ms)
     if minion.is_unreachable:
         world.schedule.inputs_changed = True
     minion.is_unreachable = False
     minion.draining = report.draining
-    minion.remaining_ms = report.remaining_ms
+    minion.drain_end_ms = now_ms + report.remaining_ms
     minion.last_report_ms = now_ms
     return minion
 
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -121,6 +121,7 @@
             listed=sidecar_state.listed,
             in_contact=is_in_contact(sidecar_state.contact_ms, now_ms),
             lists_are_whole=sidecar_state.lists_are_whole,
+            remaining_ms=_remaining_ms(sidecar_state, now_ms),
         )
     return SyncCall(
         "",
@@ -137,6 +138,13 @@
     )
 
 
+def _remaining_ms(sidecar_state: SidecarState, now_ms: int) -> int:
+    """Return the time that is left until a draining minion may leave, else 0."""
+    if sidecar_state.drain_end_ms is None:
+        return 0
+    return max(sidecar_state.drain_end_ms - now_ms, 0)
+
+
 def _lists_age_ms(sidecar_state: SidecarState, now_ms: int) -> int:
     """Return the time since the minion's newest lists were read; 0 before the first."""
     if sidecar_state.contact_ms is None:
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -1,5 +1,8 @@
 """Monitoring of runs: stops those that are stalled, slow, unlisted or to be moved."""
 
+from dataclasses import dataclass
+
+from kingcuppost.batch.systems.departures import DrainDecisions
 from kingcuppost.batch.systems.plans import mark_unwritten, request_run_stop
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.speeds import (
@@ -30,8 +33,6 @@
 STALLED_ESTIMATE_PERCENT = 20
 FULL_PERCENT = 100
 ALMOST_DONE_PERCENT = 99
-DRAIN_SLACK_RATIO = 1.5
-DRAIN_SLACK_MS = 1_000
 MIN_OBSERVED_MS = 2_000
 MIN_GAIN_RATIO = 2.5  # estimates may be off by half
 MIN_KNOWN_GAIN_RATIO = 1.4  # once other runs have corrected the estimate
@@ -52,7 +53,7 @@
     if now_ms >= schedule.write_checkpoints_at_ms:
         schedule.write_checkpoints_at_ms = now_ms + CHECKPOINT_PERIOD_MS
         _record_checkpoints(world)
-    gangs = _GangProgress()
+    checks = _Checks(now_ms, _GangProgress(), DrainDecisions(world, now_ms))
     for minion in schedule.minions:
         for plan, task in placed_runs(schedule, minion.incarnation):
             if task.stopping or plan.phase is not PlanPhase.OPEN:
@@ -60,7 +61,7 @@
             if is_unlisted(world, minion, task):
                 withdraw_unlisted_run(world, minion, plan, task, now_ms)
             elif task.confirmed:
-                _check_run(world, minion, plan, task, gangs, now_ms)
+                _check_run(world, minion, plan, task, checks)
 
 
 class _GangProgress:
@@ -85,6 +86,15 @@
         return self._changed_ms[name]
 
 
+@dataclass(frozen=True, slots=True)
+class _Checks:
+    """What one pass over all runs finds out once for each gang."""
+
+    now_ms: int
+    gangs: _GangProgress
+    drains: DrainDecisions
+
+
 def _record_checkpoints(world: BatchWorld) -> None:
     """Mark the plans with new checkpoints for writing to the log.
 
@@ -101,21 +111,20 @@
     minion: MinionRow,
     plan: Plan,
     task: Task,
-    gangs: _GangProgress,
-    now_ms: int,
+    checks: _Checks,
 ) -> None:
     if minion.is_unreachable:
         return
     if minion.speed.weight < 1:
         update_speed(world, minion, plan, task)
-    if minion.draining and _should_leave_draining(minion, plan, task):
+    if minion.draining and checks.drains.should_stop(minion, plan, task):
         _stop_run(world, plan, task, "the minion is draining")
     elif _is_too_slow(minion, plan, task):
         task.was_migrated = True
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the minion is slow")
-    elif _is_stalled(plan, task, gangs):
-        minion.stalled_ms = now_ms
+    elif _is_stalled(plan, task, checks.gangs):
+        minion.stalled_ms = checks.now_ms
         task.avoided_minions.add(minion.incarnation.minion)
         _stop_run(world, plan, task, "the run is stalled")
 
@@ -127,18 +136,6 @@
     request_run_stop(world, plan, task)
 
 
-def _should_leave_draining(minion: MinionRow, plan: Plan, task: Task) -> bool:
-    """Return whether a run should be stopped because its minion is draining.
-
-    It should if it would otherwise be cut off, or if it saves checkpoints and so loses
-    nothing by moving.
-    """
-    if plan.job.steps[task.name.step].saves:
-        return True
-    limit_ms = minion.remaining_ms * DRAIN_SLACK_RATIO + DRAIN_SLACK_MS
-    return expected_remaining_ms(minion, plan, task) > limit_ms
-
-
 def _is_too_slow(minion: MinionRow, plan: Plan, task: Task) -> bool:
     """Return whether an urgent run would end sooner if restarted on another minion.
 
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -94,6 +94,8 @@
         Runs that may be preempted, cheapest first; None until they are needed.
     is_slow : bool
         Whether the minion works much slower than most.
+    may_depart : bool
+        Whether the minion may be among the next that leave in a wave of departures.
     """
 
     minion: MinionRow
@@ -104,6 +106,7 @@
     step_task_count: int = 0
     victims: list[Victim] | None = None
     is_slow: bool = False
+    may_depart: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/kingcuppost/batch/tables/departures.py
@@ -0,0 +1,40 @@
+"""Departures of minions, as the scheduler sees them."""
+
+from dataclasses import dataclass
+
+__all__ = ["DepartureWave", "DrainStake"]
+
+
+@dataclass(slots=True)
+class DepartureWave:
+    """Departures of a service's minions that follow each other closely.
+
+    Attributes
+    ----------
+    began_wall_ms : int
+        Unix time at which its first minion began to drain, in ms.
+    last_ms : int
+        Time at which its newest minion began to drain.
+    """
+
+    began_wall_ms: int
+    last_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStake:
+    """What a run, or a gang as a whole, stakes at minions that are about to leave.
+
+    Attributes
+    ----------
+    lost_ms : float
+        Work that a stop at once loses, as time of the run.
+    expected_ms : float
+        Time that the run still needs; of a gang, that of its slowest member.
+    left_ms : int
+        Time that is left until the first of its draining minions may leave.
+    """
+
+    lost_ms: float
+    expected_ms: float
+    left_ms: int
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -156,8 +156,9 @@
         Its total capacity.
     draining : bool
         Whether it is about to leave.
-    remaining_ms : int
-        Minimum time that is left until it leaves, while it drains.
+    drain_since_ms, drain_end_ms : int
+        Time at which it was first reported as draining, and time from which it may
+        leave; only while it drains.
     last_report_ms : int
         Time of its sidecar's newest report that was in contact with it.
     speed : Speed
@@ -192,7 +193,8 @@
     labels: frozenset[str]
     resources: Resources
     draining: bool = False
-    remaining_ms: int = 0
+    drain_since_ms: int = 0
+    drain_end_ms: int = 0
     last_report_ms: int = 0
     speed: Speed = field(default_factory=Speed)
     stalled_ms: int | None = None
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -5,6 +5,7 @@
 
 from kingcuppost.batch.tables.config import DaemonConfig
 from kingcuppost.batch.tables.decision import DecisionRound
+from kingcuppost.batch.tables.departures import DepartureWave
 from kingcuppost.batch.tables.fleet import (
     Configuration,
     EntryMember,
@@ -188,6 +189,8 @@
         Placed runs by minion incarnation, kept up to date by `task_phases`.
     minions : Table of MinionRow
         Minions that sidecars have reported to this process.
+    departure_waves : dict of str to DepartureWave
+        The newest wave of departures of each service.
     orphans : dict of str to dict
         Runs that belong to no task, by sidecar, and by task and run.
     removals : dict of str to None
@@ -265,6 +268,7 @@
     minions: Table[MinionRow] = field(
         default_factory=lambda: Table("sidecar", ("incarnation",))
     )
+    departure_waves: dict[str, DepartureWave] = field(default_factory=dict)
     pending_runs: dict[TaskName, tuple[Plan, Task]] = field(default_factory=dict)
     leases: Table[MinionLease] = field(
         default_factory=lambda: Table("incarnation", ("sidecar",))
