--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -7,7 +7,9 @@
 from kingcuppost.batch.systems.placement import (
     CandidateSortKey,
     choose_candidates,
+    count_fitting_tasks,
     fits_idle,
+    limit_per_minion,
 )
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 from kingcuppost.batch.tables.job import StepSpec
@@ -75,7 +77,8 @@
     that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
     units prefer slow minions and leave the fast ones to others. The last attempt of a
     task prefers a minion that has completed a run before. Units that do not save their
-    work prefer minions that are not likely to leave.
+    work prefer minions that are not likely to leave. Where minions depart, a gang
+    prefers few minions, since each one that leaves ends the work of all members.
     """
     is_last_attempt = unit.is_last_attempt
     is_delay_tolerant = unit.plan.job.policy.priority >= MIN_DELAY_TOLERANT_PRIORITY
@@ -90,14 +93,16 @@
             0 if minion.has_completed_run else 1 if is_last_attempt else 0
         )
         departs = candidate.may_depart and not step.saves
+        held = _count_members(unit, candidate)
         if unit.is_urgent:
             speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
-            return (risk, departs, -speed, *free_resources, minion.sidecar)
+            return (risk, departs, -speed, -held, *free_resources, minion.sidecar)
         wastes_fast_minion = is_delay_tolerant and not candidate.is_slow
         return (
             risk,
             departs,
             wastes_fast_minion,
+            -held,
             candidate.rack_free_accelerators[0],
             *free_resources,
             -minion.speed.value,
@@ -105,3 +110,11 @@
         )
 
     return sort_key
+
+
+def _count_members(unit: PlacementUnit, candidate: Candidate) -> int:
+    """Return how many members of a gang a candidate holds; 0 if no minions depart."""
+    if not unit.spec.gang or not candidate.in_changing_service:
+        return 0
+    limit = limit_per_minion(candidate, unit.spec, len(unit.tasks))
+    return count_fitting_tasks(candidate.free_now, unit.spec, limit)
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from kingcuppost.batch.systems.departures.waves import may_depart
+from kingcuppost.batch.systems.departures.waves import has_departures, may_depart
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
     copy_resources,
@@ -136,6 +136,7 @@
         free_now,
         rack_free_accelerators=[0],
         may_depart=may_depart(decision.world, minion, decision.now_ms),
+        in_changing_service=has_departures(decision.world, minion.service),
     )
 
 
--- a/kingcuppost/batch/systems/departures/waves.py
+++ b/kingcuppost/batch/systems/departures/waves.py
@@ -10,7 +10,7 @@
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["may_depart", "note_departure"]
+__all__ = ["has_departures", "may_depart", "note_departure"]
 
 WAVE_GAP_MS = 5_000  # without a departure, after which a wave is over
 REPLACEMENT_LEAD_MS = 5_000  # from a replacement's start to the first departure
@@ -26,6 +26,11 @@
         wave.last_ms = now_ms
 
 
+def has_departures(world: BatchWorld, service: str) -> bool:
+    """Return whether minions of a service have departed in this term."""
+    return service in world.schedule.departure_waves
+
+
 def may_depart(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
     """Return whether a minion may be among the next that leave in a wave."""
     wave = world.schedule.departure_waves.get(minion.service)
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -96,6 +96,8 @@
         Whether the minion works much slower than most.
     may_depart : bool
         Whether the minion may be among the next that leave in a wave of departures.
+    in_changing_service : bool
+        Whether minions of its service have departed in this term.
     """
 
     minion: MinionRow
@@ -107,6 +109,7 @@
     victims: list[Victim] | None = None
     is_slow: bool = False
     may_depart: bool = False
+    in_changing_service: bool = False
 
 
 @dataclass(frozen=True, slots=True)
