Extend minion leases for 5 s after the last renewal, without orders

Ruled out: a longer authority (the next holder would wait for orders of the old one). Change: a holder without authority answers reports with the extension alone; sidecars then ask another entry next; the next holder counts leases as extended until 5 s after the last renewal that it has read.

--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -97,6 +97,8 @@
     entries: tuple[str, ...] = ()
     holder_term: int = 0
     members_end: int = -1
+    # earlier versions give orders with each extension of a lease
+    only_extends: bool = False
 
 
 def _to_minion_model(report: MinionReport) -> MinionModel:
@@ -212,6 +214,7 @@
         entries=tuple(str(address) for address in reply.entries),
         holder_term=reply.holder_term,
         members_end=reply.members_end,
+        only_extends=reply.only_extends,
     )
     return model.model_dump_json(exclude_defaults=True).encode()
 
@@ -241,4 +244,5 @@
         tuple(parse_address(text) for text in model.entries),
         model.holder_term,
         model.members_end,
+        model.only_extends,
     )
--- a/kingcuppost/batch/systems/fold.py
+++ b/kingcuppost/batch/systems/fold.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from kingcuppost.batch.systems.freshness import FRESH_MS
+from kingcuppost.batch.systems.holder_election import extension_end_ms
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.tables.fleet import EntryMember, HolderView
 from kingcuppost.batch.tables.job import Job, Progress, ProgressParts
@@ -187,7 +188,12 @@
     if term <= world.agreed.holder.term:
         return
     world.agreed.holder = HolderView(
-        term, record.name, record.incarnation, record.address, world.clock.now_ms()
+        term,
+        record.name,
+        record.incarnation,
+        record.address,
+        world.clock.now_ms(),
+        extended_until_ms=extension_end_ms(world),
     )
     world.note("lease", "A term began.", term=term, holder=record.name)
 
--- a/kingcuppost/batch/systems/holder_election.py
+++ b/kingcuppost/batch/systems/holder_election.py
@@ -28,9 +28,11 @@
 __all__ = [
     "announce_entry",
     "claim_lease",
+    "extension_end_ms",
     "has_authority",
     "holds_lease",
     "make_redirect",
+    "may_extend_leases",
     "release_lease",
     "renew_lease",
     "step_down",
@@ -39,6 +41,7 @@
 RENEW_PERIOD_MS = 700
 HOLDER_TIMEOUT_MS = 2_200
 AUTHORITY_MS = 2_000  # below `HOLDER_TIMEOUT_MS`: ends before others claim
+EXTENSION_MS = 5_000  # with a lease of 6 s, work outlasts a silent log of 8 s
 JITTER_MS = 500
 MIN_RENEW_PAUSE_MS = 100  # after a renewal that another record came before
 CLAIM_PAUSE_MS = 400
@@ -57,11 +60,28 @@
     """Return whether it is certain that no other entry has opened a term yet.
 
     Others claim after `HOLDER_TIMEOUT_MS` without a renewal. A holder whose renewals do
-    not reach the log stops giving orders and extending minion leases before that.
+    not reach the log stops giving orders before that.
     """
     return now_ms < world.schedule.authority_until_ms
 
 
+def may_extend_leases(world: BatchWorld, now_ms: int) -> bool:
+    """Return whether this process may still extend minion leases.
+
+    While the log is silent for all, no other entry can claim, and work should not end
+    for want of an extension. The holder goes on extending for `EXTENSION_MS` from its
+    last renewal; the holder of the next term takes leases for extended until then.
+    """
+    return now_ms < world.schedule.extension_until_ms
+
+
+def extension_end_ms(world: BatchWorld) -> int:
+    """Return the time until which holders of terms so far may extend minion leases."""
+    holder = world.agreed.holder
+    until_ms = holder.last_renewal_ms + EXTENSION_MS if holder.term > 0 else 0
+    return max(holder.extended_until_ms, until_ms)
+
+
 @system(Phase.MEMBERSHIP, (Role.ENTRY,), order=30)
 def announce_entry(world: BatchWorld, now_ms: int) -> None:
     """Append this entry's record to the members stream if it is missing or outdated."""
@@ -168,7 +188,7 @@
     if not holds_lease(world) or world.agreed.holder.released:
         return
     if schedule.authority_until_ms == 0:
-        schedule.authority_until_ms = schedule.claim_sent_ms + AUTHORITY_MS
+        _extend_authority(schedule, schedule.claim_sent_ms)
     for answer in take_append_results(world, schedule.lease_writes.renewals):
         _handle_renewal_answer(world, answer, now_ms)
     if now_ms >= schedule.renew_at_ms:
@@ -183,13 +203,19 @@
     sent_ms = writes.renewals.pop(answer.id)
     _record_outcome(world, writes.renewal_backoff, answer, now_ms)
     if answer.outcome is AppendOutcome.DONE:
-        until_ms = sent_ms + AUTHORITY_MS
-        schedule.authority_until_ms = max(schedule.authority_until_ms, until_ms)
+        _extend_authority(schedule, sent_ms)
     else:
         retry_ms = max(writes.renewal_backoff.until_ms, now_ms + MIN_RENEW_PAUSE_MS)
         schedule.renew_at_ms = min(schedule.renew_at_ms, retry_ms)
 
 
+def _extend_authority(schedule: Schedule, sent_ms: int) -> None:
+    """Extend the authority of the holder from the sending of a claim or renewal on."""
+    authority_ms, extension_ms = sent_ms + AUTHORITY_MS, sent_ms + EXTENSION_MS
+    schedule.authority_until_ms = max(schedule.authority_until_ms, authority_ms)
+    schedule.extension_until_ms = max(schedule.extension_until_ms, extension_ms)
+
+
 def _append_renewal(world: BatchWorld, now_ms: int, released: bool) -> None:
     """Append a renewal or the release of the lease.
 
@@ -234,6 +260,7 @@
         world.note("lease", "Releasing the lease.", term=world.agreed.holder.term)
         world.agreed.holder.released = True
         world.schedule.authority_until_ms = now_ms
+        world.schedule.extension_until_ms = now_ms
         _append_renewal(world, now_ms, released=True)
 
 
--- a/kingcuppost/batch/systems/minion_leases.py
+++ b/kingcuppost/batch/systems/minion_leases.py
@@ -14,11 +14,17 @@
 
 
 def extend_lease(
-    world: BatchWorld, incarnation: MinionIncarnation, sidecar: str, now_ms: int
+    world: BatchWorld, incarnation: MinionIncarnation, sidecar: str, until_ms: int
 ) -> None:
-    """Note that the lease of a minion incarnation may have been extended until now."""
+    """Note that the lease of a minion incarnation may be extended until a time.
+
+    An expiry that is known to be later stays.
+    """
     schedule = world.schedule
-    expiry_ms = now_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
+    expiry_ms = until_ms + certain_expiry_ms(world.cfg.bounds.lease_ms)
+    known = schedule.leases.get(incarnation)
+    if known is not None:
+        expiry_ms = max(expiry_ms, known.expiry_ms)
     schedule.leases.put(MinionLease(incarnation, sidecar, expiry_ms))
     schedule.next_expiry_ms = min(schedule.next_expiry_ms, expiry_ms)
     world.deadlines.add(expiry_ms)
--- a/kingcuppost/batch/systems/scheduler_replies.py
+++ b/kingcuppost/batch/systems/scheduler_replies.py
@@ -22,6 +22,7 @@
 
 RETRY_MS = 100
 NO_HOLDER_PAUSE_MS = 250
+EXTENSION_PAUSE_MS = 500  # a lease needs no more, and the log is out of service
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
@@ -51,6 +52,8 @@
                 _withdraw_starts_of_expired_lease(sidecar_state, now_ms)
                 _extend_lease(world, answer)
             _apply_orders(world, answer, may_extend, now_ms)
+        if reply.only_extends:
+            _look_for_holder(sidecar_state, now_ms)
     _forget_refusals(world.sidecar_state)
 
 
@@ -110,6 +113,17 @@
     sidecar_state.is_report_due = True
 
 
+def _look_for_holder(sidecar_state: SidecarState, now_ms: int) -> None:
+    """Report to another entry next, as the holder may not give orders any more.
+
+    If none has taken its place, the other entry redirects the sidecar back to it.
+    """
+    sidecar_state.holder = None
+    sidecar_state.next_entry_index += 1
+    sidecar_state.sync_after_ms = now_ms + EXTENSION_PAUSE_MS
+    sidecar_state.is_report_due = True
+
+
 def _withdraw_starts_of_expired_lease(sidecar_state: SidecarState, now_ms: int) -> None:
     """Stop what was ordered under a lease that has expired, and has not been accepted.
 
--- a/kingcuppost/batch/systems/sidecar_replies.py
+++ b/kingcuppost/batch/systems/sidecar_replies.py
@@ -2,7 +2,11 @@
 
 from heapq import heappop
 
-from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
+from kingcuppost.batch.systems.holder_election import (
+    has_authority,
+    make_redirect,
+    may_extend_leases,
+)
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import extends_lease
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -36,13 +40,17 @@
 def reply_to_sidecars(world: BatchWorld, now_ms: int) -> None:
     """Answer pending reports that have orders or results, or whose wait is over.
 
-    Results are committed run ends and processed refusals. All reports are redirected
-    while this process may not give orders.
+    Results are committed run ends and processed refusals. While this process may not
+    give orders, all reports are redirected, or answered at once with an extension of
+    the minion lease alone.
     """
     schedule = world.schedule
-    if not is_scheduling(world) or not has_authority(world, now_ms):
+    if not is_scheduling(world) or not may_extend_leases(world, now_ms):
         _redirect_all(world)
         return
+    if not has_authority(world, now_ms):
+        _extend_all(world)
+        return
     world.deadlines.add(schedule.authority_until_ms)
     if not schedule.pending_syncs:
         return
@@ -109,6 +117,28 @@
     """Redirect all waiting sidecars to the holder of the lease."""
     for pending in world.schedule.pending_syncs.values():
         world.outbox.put(make_redirect(world, pending.call.exchange_id))
+    _forget_pending_syncs(world)
+
+
+def _extend_all(world: BatchWorld) -> None:
+    """Answer all waiting sidecars with the extension of their minions' leases."""
+    schedule = world.schedule
+    for pending in schedule.pending_syncs.values():
+        minion = schedule.minions.get(pending.call.sidecar)
+        reply = SyncReply(
+            pending.call.exchange_id,
+            schedule.term,
+            incarnation=minion.incarnation if minion else None,
+            entries=tuple(entry.address for entry in world.agreed.entries),
+            members_end=world.agreed.views[Stream.MEMBERS].end,
+            only_extends=True,
+        )
+        world.tally.add("extensions_without_orders")
+        world.outbox.put(reply)
+    _forget_pending_syncs(world)
+
+
+def _forget_pending_syncs(world: BatchWorld) -> None:
     world.schedule.pending_syncs.clear()
     world.schedule.reported_results.clear()
     world.schedule.sync_ends.clear()
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -2,7 +2,10 @@
 
 from heapq import heappush
 
-from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
+from kingcuppost.batch.systems.holder_election import (
+    make_redirect,
+    may_extend_leases,
+)
 from kingcuppost.batch.systems.minion_leases import extend_lease
 from kingcuppost.batch.systems.minion_rows import find_silent_minion, update_minion
 from kingcuppost.batch.systems.plans import apply_run_end, find_task, mark_begun
@@ -41,7 +44,7 @@
 def handle_sidecar_reports(world: BatchWorld, now_ms: int) -> None:
     """Handle reports; a newer report of a sidecar ends the wait of its older one."""
     for call in world.inbox.take(SyncCall):
-        if not is_scheduling(world) or not has_authority(world, now_ms):
+        if not is_scheduling(world) or not may_extend_leases(world, now_ms):
             world.outbox.put(make_redirect(world, call.exchange_id))
             continue
         older = world.schedule.pending_syncs.pop(call.sidecar, None)
--- a/kingcuppost/batch/systems/term_opening.py
+++ b/kingcuppost/batch/systems/term_opening.py
@@ -104,8 +104,9 @@
 def _begin_scheduling(world: BatchWorld, now_ms: int) -> None:
     """Begin to schedule once the plans of all jobs are loaded.
 
-    The previous holder may have extended the minion leases until now, so each minion
-    with a placed run counts as expired only after another full lease.
+    The previous holder may have extended the minion leases until now, and may go on for
+    a while, so each minion with a placed run counts as expired only a full lease after
+    that.
     """
     schedule = world.schedule
     schedule.unloaded_jobs = None
@@ -114,10 +115,11 @@
     schedule.speeds = {
         name: replace(speed) for name, speed in world.agreed.speeds.items()
     }
+    extended_until_ms = max(now_ms, world.agreed.holder.extended_until_ms)
     for incarnation, load in schedule.loads.items():
         for plan, task in load.runs.values():
             schedule.pending_runs[task.name] = (plan, task)
-            extend_lease(world, incarnation, task.sidecar, now_ms)
+            extend_lease(world, incarnation, task.sidecar, extended_until_ms)
     schedule.inputs_changed = True
     world.note(
         "lease", "The term is open.", term=schedule.term, jobs=len(schedule.plans)
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -241,6 +241,8 @@
         Time at which its newest renewal was read, on this process's clock.
     released : bool
         Whether the holder has released the lease.
+    extended_until_ms : int
+        Time until which holders of earlier terms may extend minion leases.
     """
 
     term: int = 0
@@ -249,3 +251,4 @@
     address: Address | None = None
     last_renewal_ms: int = 0
     released: bool = False
+    extended_until_ms: int = 0
--- a/kingcuppost/batch/tables/messages/runs.py
+++ b/kingcuppost/batch/tables/messages/runs.py
@@ -167,6 +167,9 @@
         Term of the holder that is named; 0 if none is.
     members_end : int
         Offset up to which the sender has read the entries; -1 if it has read none.
+    only_extends : bool
+        Whether the sender may extend minion leases and give no orders, so that the
+        sidecar should look for another holder.
     """
 
     exchange_id: str
@@ -180,6 +183,7 @@
     entries: tuple[Address, ...] = ()
     holder_term: int = 0
     members_end: int = -1
+    only_extends: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -183,6 +183,8 @@
         Newest term that this process held and gave up.
     authority_until_ms : int
         Time before which no other entry can have opened a term.
+    extension_until_ms : int
+        Time until which this process may extend minion leases.
     plans : dict of str to Plan
         Plans of all jobs, by job.
     loads : dict of MinionIncarnation to MinionLoad
@@ -254,6 +256,7 @@
     lost_term: int = 0
     claim_sent_ms: int = 0
     authority_until_ms: int = 0
+    extension_until_ms: int = 0
     renew_at_ms: int = 0
     check_runs_at_ms: int = 0
     remove_jobs_at_ms: int = 0
