--- a/tests/misbehaving_processes.py
+++ b/tests/misbehaving_processes.py
@@ -18,7 +18,7 @@
 
 __all__ = ["LimitedDeployment", "Usage"]
 
-# An idle entry takes about 50 MB, and has about 20 descriptors.
+# An idle entry takes about 53 MB and has about 20 descriptors. Both bounds are fixed.
 MEMORY_MB = 88
 MAX_DESCRIPTORS = 600
 # A process that keeps more than this is restarted before the next test, so that its
