Bound what the parsing of one request can cost

Cause: twisted.web parses query strings and forms into Request.args, and cookies into a dict, at a hundred times their bytes. pydantic makes an error for each wrong step, and a body of 262,144 bytes has room for 87,000 to 131,000 steps.

Validation of lists ends at the first error, and a validation with more than 1,000 errors is answered with their number.

--- a/kingcuppost/batch/models/sync.py
+++ b/kingcuppost/batch/models/sync.py
@@ -3,7 +3,7 @@
 from typing import Annotated
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, FailFast, Field, ValidationError
 
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd, TaskName
 from kingcuppost.batch.tables.messages import (
@@ -44,7 +44,7 @@
     born_ms: int
     service: str
     availability_zone: str
-    labels: tuple[str, ...]
+    labels: Annotated[tuple[str, ...], FailFast()]
     cpu_millis: int
     memory_mb: int
     accelerators: int
@@ -70,9 +70,9 @@
     number: int
     wait_ms: Annotated[int, Field(ge=0, le=MAX_REPLY_WAIT_MS)]
     minion: MinionModel | None = None
-    running: tuple[tuple[str, int, str, int], ...] = ()
-    ended: tuple[tuple[int, str, int, RunEnd, str], ...] = ()
-    refused: tuple[tuple[str, int, str], ...] = ()
+    running: Annotated[tuple[tuple[str, int, str, int], ...], FailFast()] = ()
+    ended: Annotated[tuple[tuple[int, str, int, RunEnd, str], ...], FailFast()] = ()
+    refused: Annotated[tuple[tuple[str, int, str], ...], FailFast()] = ()
     lists_age_ms: Annotated[int, Field(ge=0)] = 0
 
 
--- a/kingcuppost/models/base.py
+++ b/kingcuppost/models/base.py
@@ -11,6 +11,7 @@
 
 Model = TypeVar("Model", bound=BaseModel)
 MAX_ERRORS_SHOWN = 3
+MAX_ERRORS_LISTED = 1_000  # listing more costs more memory than the text itself
 MAX_AMOUNT = 2**53 - 1  # larger integers are not exact in every JSON reader
 
 Amount = Annotated[int, Field(ge=0, le=MAX_AMOUNT)]
@@ -45,8 +46,11 @@
 
 def format_validation_error(exc: ValidationError) -> str:
     """Return the first errors of a validation in one line."""
+    if exc.error_count() > MAX_ERRORS_LISTED:
+        return f"body: {exc.error_count()} errors"
     parts = []
-    for validation_error in exc.errors()[:MAX_ERRORS_SHOWN]:
+    errors = exc.errors(include_url=False, include_context=False, include_input=False)
+    for validation_error in errors[:MAX_ERRORS_SHOWN]:
         location = ".".join(str(part) for part in validation_error["loc"]) or "body"
         parts.append(f"{location}: {validation_error['msg']}")
     return "; ".join(parts)
--- a/kingcuppost/models/peer.py
+++ b/kingcuppost/models/peer.py
@@ -1,6 +1,8 @@
 """Messages between entries and sidecars."""
 
-from pydantic import Field
+from typing import Annotated
+
+from pydantic import FailFast, Field
 
 from kingcuppost.models.base import BorderModel
 from kingcuppost.tables.inbox import (
@@ -160,7 +162,7 @@
     free_slots: int
     leaving: bool
     service_ms: float
-    reports: list[ReportModel]
+    reports: Annotated[list[ReportModel], FailFast()]
 
     @classmethod
     def from_message(cls, message: SendHeartbeat) -> "HeartbeatModel":
@@ -199,7 +201,7 @@
     """Reports of gang members to the gangs' leaders at a sidecar."""
 
     worker: str
-    reports: list[ReportModel]
+    reports: Annotated[list[ReportModel], FailFast()]
 
     @classmethod
     def from_message(cls, message: SendGangReports) -> "GangReportsModel":
@@ -218,8 +220,8 @@
     """A leader's reply to reports: keys of the whole and of the broken gangs."""
 
     worker: str
-    whole: list[str]
-    broken: list[str]
+    whole: Annotated[list[str], FailFast()]
+    broken: Annotated[list[str], FailFast()]
 
     def to_message(self, sent: SendGangReports) -> GangReplyArrived:
         """Return the inbox message."""
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -4,7 +4,7 @@
 from typing import Annotated
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, FailFast, Field, ValidationError
 from twisted.web.server import Request
 
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
@@ -58,7 +58,7 @@
     gpu: Amount = 0
     estimate_ms: Amount = Field(0, alias="estimateMs")
     # indices of the steps that must be completed first
-    needs: tuple[Amount, ...] = Field((), alias="dependsOn")
+    needs: Annotated[tuple[Amount, ...], FailFast()] = Field((), alias="dependsOn")
     gang: bool = False
     one_rack: bool = Field(False, alias="sameRack")
     # label that the minion must have
@@ -80,7 +80,13 @@
 class _JobModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
     spec: str = ""
-    steps: Annotated[tuple[_StepModel, ...], Field(min_length=1)]
+    # an error costs many times the bytes of a step, so validation ends at the first;
+    # each step has at least one task
+    steps: Annotated[
+        tuple[_StepModel, ...],
+        Field(max_length=MAX_JOB_TASKS),
+        FailFast(),
+    ]
     occurrences: int = Field(0, alias="repeatCount")
 
 
@@ -106,6 +112,8 @@
         model = _JobModel.model_validate_json(body)
     except ValidationError as exc:
         return Error(format_validation_error(exc))
+    if not model.steps:
+        return Error("steps: there are none")
     if sum(step.count for step in model.steps) > MAX_JOB_TASKS:
         return Error(f"steps: more than {MAX_JOB_TASKS} tasks")
     for part in (model, *model.steps):
--- a/kingcuppost/platform/minion_heartbeats.py
+++ b/kingcuppost/platform/minion_heartbeats.py
@@ -1,6 +1,8 @@
 """Heartbeats and leave notices of the minion beside a sidecar."""
 
-from pydantic import Field, ValidationError
+from typing import Annotated
+
+from pydantic import FailFast, Field, ValidationError
 from twisted.web.server import Request
 
 from kingcuppost.batch.edges.context import BatchContext
@@ -42,7 +44,7 @@
     # Unix time in ms of the minion's start; 0 if it is not reported
     born: Amount = 0
     capacity: _CapacityModel
-    labels: tuple[str, ...] = ()
+    labels: Annotated[tuple[str, ...], FailFast()] = ()
     # minimum time left while it drains, in ms
     remaining_ms: Amount = Field(0, alias="remainingMs")
 
--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -52,3 +52,12 @@
     steps[0]["count"] += 1
     refused = _decode_job(json.dumps({"steps": steps}).encode())
     assert "10000" in refused.error
+
+
+@pytest.mark.parametrize("step", ["0", '{"count":0}', '{"dependsOn":["x","y"]}'])
+def test_validation_stops_at_the_first_wrong_step(step: str) -> None:
+    """An error object for each of many wrong steps takes 200 MB."""
+    body = f'{{"steps":[{",".join([step] * 50)}]}}'.encode()
+    result = _decode_job(body)
+    assert result.is_error()
+    assert result.error.count("steps.") == 1
