Apply the limits on clients to every address of a process

Cause: a connection was limited in the size and the time of one request only. All connections together could hold any number of unfinished requests, answers that nobody reads, and pipelined requests.

Change: `ConnectionGuard` carries out the decisions of `systems/connections` for all listeners of a process, with one timer. Reading stops where a connection holds more than 16 KiB while memory is short, and goes on when memory is freed. Then the request that has waited longest is answered with 503, "not run" and `Retry-After: 1`, and its connection is closed. A quarter of the memory is left to small requests. At the limit of connections the longest-waiting one is closed. A head may take 4 s, a body 5 s, an answer may be unsent for 10 s. Chunks, their framing and the lines of a head are counted, and a pipelined request is processed after the answer before it was sent. Counters by kind, gauges, and one log line per second and kind report it. The stored lists of metrics get the new names.

--- a/kingcuppost/batch/edges/context.py
+++ b/kingcuppost/batch/edges/context.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Request
 
 from kingcuppost.batch.tables.world import BatchWorld
+from kingcuppost.edges.connection_guard import ConnectionGuard
 from kingcuppost.edges.http_client import JsonClient
+from kingcuppost.systems.connections import RefusalKind
 from kingcuppost.utils.registry import Registry
 
 __all__ = ["BatchContext", "batch_senders", "deliver_later"]
@@ -54,11 +57,29 @@
     exit_code: int = 0
     senders: Registry[type, Sender] = field(default_factory=lambda: batch_senders)
 
+    @cached_property
+    def guard(self) -> ConnectionGuard:
+        """Applies the limits on clients to the connections of all ports."""
+        world = self.world
+        return ConnectionGuard(
+            world.connections,
+            self.reactor,
+            world.clock,
+            world.tally,
+            self._log_refusals,
+        )
+
     def deliver(self, message: Any) -> None:
         """Add a message to the inbox and request a tick."""
         self.world.inbox.put(message)
         self.wake()
 
+    def _log_refusals(self, kind: RefusalKind, peer: str, count: int) -> None:
+        self.world.note(
+            "clients", "Refused clients.", kind=kind, last_peer=peer, count=count
+        )
+        self.wake()
+
 
 def deliver_later(context: BatchContext, coroutine: Coroutine) -> None:
     """Run a coroutine and deliver the message that it returns, unless it is None."""
--- a/kingcuppost/batch/edges/metrics.py
+++ b/kingcuppost/batch/edges/metrics.py
@@ -73,6 +73,7 @@
         if plan.phase is not PlanPhase.OVER:
             phases.update(plan.phase_counts)
     configuration = world.agreed.configuration
+    connections = world.connections
     values = {
         "holds_lease": int(schedule.is_loaded),
         "jobs": len(world.agreed.jobs),
@@ -81,6 +82,9 @@
         "tasks_waiting": phases[TaskPhase.WAITING],
         "configuration_version": configuration.version if configuration else -1,
         "calls_waiting": len(world.pending_calls),
+        "client_connections": connections.count,
+        "client_held_bytes": connections.held_bytes,
+        "client_served_bytes": connections.small_bytes + connections.large_bytes,
     }
     for name, value in values.items():
         yield GaugeMetricFamily(f"{PREFIX}{name}", f"Present {name}.", value=value)
--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -12,7 +12,7 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from kingcuppost.batch.edges.context import BatchContext
-from kingcuppost.edges.http_limits import BoundedChannel, BoundedRequest
+from kingcuppost.edges.http_limits import IDLE_TIMEOUT_S, BoundedChannel, BoundedRequest
 from kingcuppost.edges.sockets import listen_at
 from kingcuppost.tables.config import Address
 from kingcuppost.utils.identifiers import new_identifier
@@ -20,8 +20,6 @@
 
 __all__ = ["answer", "listen", "open_exchange", "surfaces"]
 
-IDLE_TIMEOUT_S = 60
-
 Handler = Callable[[BatchContext, Request], Any]
 surfaces: Registry[str, Handler] = Registry("handler of surface")
 
@@ -55,6 +53,7 @@
         timeout=IDLE_TIMEOUT_S,
     )
     site.protocol = BoundedChannel
+    site.guard = context.guard
     site.displayTracebacks = False
     if listener is None:
         listener = listen_at(address.host, address.port)
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -29,6 +29,7 @@
 from kingcuppost.batch.tables.sidecar import OrderedRun, SidecarState
 from kingcuppost.batch.tables.task import Task
 from kingcuppost.batch.tables.waiting import Wait
+from kingcuppost.tables.connections import Connections
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.mailbox import Mailbox
 from kingcuppost.tables.metrics import Tally
@@ -321,6 +322,8 @@
         State of a sidecar; unused by an entry.
     queue_order : str
         Name of the order in which waiting work of one rank is scheduled.
+    connections : Connections
+        Connections of clients, with their limits; only the edges use them.
     """
 
     cfg: DaemonConfig
@@ -342,6 +345,7 @@
     lookup_read_ms: int = -1
     sidecar_state: SidecarState = field(default_factory=SidecarState)
     queue_order: str = "deadline"
+    connections: Connections = field(default_factory=Connections)
     started_ms: int = field(init=False)
 
     def __post_init__(self) -> None:
--- a/kingcuppost/edges/context.py
+++ b/kingcuppost/edges/context.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 from twisted.protocols.policies import WrappingFactory
 from twisted.web.server import Request
 
+from kingcuppost.edges.connection_guard import ConnectionGuard
 from kingcuppost.edges.http_client import JsonClient
+from kingcuppost.systems.connections import RefusalKind
+from kingcuppost.systems.events import note
 from kingcuppost.tables.world import World
 from kingcuppost.utils.registry import Registry
 
@@ -73,11 +77,28 @@
     exit_code: int = 0
     senders: Registry[type, Sender] = field(default_factory=lambda: senders)
 
+    @cached_property
+    def guard(self) -> ConnectionGuard:
+        """Applies the limits on clients to the connections of all listeners."""
+        world = self.world
+        return ConnectionGuard(
+            world.connections,
+            self.reactor,
+            world.clock,
+            world.tally,
+            self._log_refusals,
+        )
+
     def deliver(self, message: Any) -> None:
         """Add a message to the inbox and request a tick."""
         self.world.inbox.put(message)
         self.wake()
 
+    def _log_refusals(self, kind: RefusalKind, peer: str, count: int) -> None:
+        text = f"Refused {count} clients for the limit {kind}, this one last."
+        note(self.world, "clients.refused", text, peer=peer)
+        self.wake()
+
 
 # Constructors of the external clients by system and driver, such as ("log", "http").
 drivers: Registry[tuple[str, str], Callable[[EdgeContext], Any]] = Registry("driver")
--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the size and the duration of requests from HTTP clients."""
+"""HTTP protocol that keeps clients within the limits of the process."""
 
 from io import BytesIO
 from typing import Any
@@ -6,8 +6,19 @@
 from twisted.web.http import HTTPChannel, parse_qs
 from twisted.web.server import Request
 
-from kingcuppost.systems.connections import count_fields
-from kingcuppost.tables.connections import ClientLimits
+from kingcuppost.edges.connection_guard import ConnectionGuard
+from kingcuppost.systems.connections import (
+    FIELD_BYTES,
+    RefusalKind,
+    are_chunks_too_many,
+    count_fields,
+    is_framing_too_large,
+)
+from kingcuppost.tables.connections import (
+    ClientLimits,
+    Connection,
+    ConnectionPhase,
+)
 
 __all__ = [
     "IDLE_TIMEOUT_S",
@@ -16,74 +27,297 @@
     "BoundedRequest",
 ]
 
-LIMITS = ClientLimits()
-MAX_BODY_BYTES = LIMITS.body_bytes
-MAX_QUERY_FIELDS = 16  # routes use at most one
-RECEIVE_TIMEOUT_S = 5  # from the first to the last byte of a request
+MAX_BODY_BYTES = ClientLimits().body_bytes
 IDLE_TIMEOUT_S = 60
-LINGER_S = 1
-REFUSAL = (
+RETRY_AFTER_S = 1
+MAX_QUERY_FIELDS = 16  # routes use at most one
+HEAD_FIELD_BYTES = 256  # memory of a line of a head, beside its text
+BODY_COPIES = 2  # the body, and the strings in its parsed form
+REFUSAL_HEAD = (
     b"HTTP/1.1 %s\r\n"
     b"Content-Type: application/json\r\n"
     b"Connection: close\r\n"
+    b"%s"
     b"Content-Length: %d\r\n\r\n%s"
 )
-REFUSAL_BODY = b'{"outcome":"not_run","step":"decode","peer":"","reason":"%s"}'
-TOO_LARGE = b"413 Content Too Large"
-TOO_LARGE_REASON = b"the body is larger than %d bytes" % MAX_BODY_BYTES
-TOO_MANY_FIELDS_REASON = b"the body has more than %d fields" % LIMITS.body_fields
-BAD_REQUEST = b"400 Bad Request"
-TOO_LONG_QUERY_REASON = b"the query has more than %d fields" % MAX_QUERY_FIELDS
+REFUSAL_BODY = b'{"outcome":"not_run","step":"%s","peer":"","reason":"%s"}'
+RETRY_AFTER = b"Retry-After: %d\r\n" % RETRY_AFTER_S
+STATUSES = {
+    RefusalKind.MEMORY: b"503 Service Unavailable",
+    RefusalKind.HEAD_FIELDS: b"431 Request Header Fields Too Large",
+    RefusalKind.QUERY_FIELDS: b"400 Bad Request",
+    RefusalKind.BODY_BYTES: b"413 Content Too Large",
+    RefusalKind.BODY_CHUNKS: b"413 Content Too Large",
+    RefusalKind.BODY_FIELDS: b"413 Content Too Large",
+}
+
+
+def _format_reason(limits: ClientLimits, kind: RefusalKind) -> str:
+    return {
+        RefusalKind.MEMORY: "too many requests are held at present",
+        RefusalKind.HEAD_FIELDS: f"the head has more than {limits.head_fields} fields",
+        RefusalKind.QUERY_FIELDS: f"the query has more than {MAX_QUERY_FIELDS} fields",
+        RefusalKind.BODY_BYTES: f"the body is larger than {limits.body_bytes} bytes",
+        RefusalKind.BODY_CHUNKS: "the body has too many or too small chunks",
+        RefusalKind.BODY_FIELDS: f"the body has more than {limits.body_fields} fields",
+    }[kind]
+
+
+def _format_refusal(limits: ClientLimits, kind: RefusalKind) -> bytes:
+    """Return the whole response; each says that the request was not run."""
+    is_busy = kind is RefusalKind.MEMORY
+    step = b"receive" if is_busy else b"decode"
+    body = REFUSAL_BODY % (step, _format_reason(limits, kind).encode("ascii"))
+    retry_after = RETRY_AFTER if is_busy else b""
+    return REFUSAL_HEAD % (STATUSES[kind], retry_after, len(body), body)
+
+
+class _BodyRefusedError(Exception):
+    """Leaves the decoder of a body that was refused."""
 
 
 class BoundedChannel(HTTPChannel):
-    """A connection that is aborted if a request takes too long to arrive.
+    """A connection whose requests and answers are limited in size and in time.
 
-    Each request must arrive completely within `RECEIVE_TIMEOUT_S`.
+    It reports what it holds to the guard of its factory, which decides when to stop
+    reading and whom to refuse. A request that follows another one is processed when
+    the answer to the first one has left the process.
     """
 
-    maxHeaders = LIMITS.head_fields  # noqa: N815
-    _receive_timer: Any = None
-    _is_serving = False
+    factory: Any
+    _guard: ConnectionGuard
+    _row: Connection
+    _is_refused = False
+    _is_registering = False
+    _answered: Request | None = None  # until its answer has been sent
+    _head_lines = 0
+    _head_bytes = 0
+    _body_bytes = 0  # as received, with the framing of chunks
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Add the connection to the guard's."""
+        super().connectionMade()
+        self._guard = self.factory.guard
+        self.maxHeaders = self._guard.limits.head_fields
+        self._row = self._guard.open(self)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Remove the connection from the guard's."""
+        self._is_refused = True
+        self._guard.close(self._row)
+        super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Start the timer with the first byte of a request."""
-        if self._receive_timer is None and not self._is_serving:
-            self._receive_timer = self.callLater(
-                RECEIVE_TIMEOUT_S, self._abort_slow_request
-            )
+        """Count received bytes before they are parsed; discard them after a refusal."""
+        if self._is_refused:
+            return
+        if self._row.phase is ConnectionPhase.IDLE:
+            self._guard.move(self._row, ConnectionPhase.HEAD)
+            self._head_lines = self._head_bytes = self._body_bytes = 0
+        if not self._is_serving():
+            self._guard.hold(self._row, len(data))
+        if self._is_refused:
+            return
         super().dataReceived(data)
+        is_open = not self._is_refused and not self.transport.disconnecting
+        if is_open and not self._is_serving():
+            self._guard.limit_reading(self._row)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Count a line of a head."""
+        self._head_lines += 1
+        self._head_bytes += len(line) + len(self.delimiter)
+        # the first line is no field
+        if line and self._head_lines > self._guard.limits.head_fields + 1:
+            self.refuse(RefusalKind.HEAD_FIELDS)
+            return
+        self._guard.hold(self._row, HEAD_FIELD_BYTES)
+        if not self._is_refused:
+            super().lineReceived(line)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Begin the time of the body."""
+        super().allHeadersReceived()
+        if not self._is_refused and self.length != 0:
+            self._guard.move(self._row, ConnectionPhase.BODY)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Decode a part of a body, or keep what follows the request being served."""
+        if self._is_serving():
+            super().rawDataReceived(data)
+            self._hold_read_ahead(len(data))
+            return
+        self._body_bytes += len(data)
+        try:
+            super().rawDataReceived(data)
+            self._check_framing()
+        except _BodyRefusedError:
+            return
 
     def allContentReceived(self) -> None:  # noqa: N802
-        """Cancel the timer when the request has arrived completely."""
-        self._cancel_receive_timer()
-        self._is_serving = True
+        """Count the request as whole."""
+        if self._is_refused:
+            return
+        self._guard.release_held(self._row)
+        self._guard.move(self._row, ConnectionPhase.SERVING)
+        rest = sum(map(len, self._dataBuffer))
+        if rest:
+            self._hold_read_ahead(rest)
         super().allContentReceived()
 
     def requestDone(self, request: Request) -> None:  # noqa: N802
-        """Accept the next request on the connection."""
-        self._is_serving = False
+        """Wait until the answer has been sent.
+
+        A pull producer is asked to resume whenever everything has been sent, a
+        streaming one only after more than 64 KiB were unsent.
+        """
+        if self._is_refused:
+            return
+        self._answered = request
+        self._guard.move(self._row, ConnectionPhase.UNREAD)
+        self._guard.release_served(self._row)
+        self._guard.hold(self._row, request.sentLength)
+        self._is_registering = True
+        self._networkProducer.unregisterProducer()
+        self._networkProducer.registerProducer(self, False)
+        self._is_registering = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Accept the next request if an answer has been sent."""
+        if self._is_registering or self._is_refused:
+            return
+        if self._answered is not None:
+            self._accept_next()
+            return
+        super().resumeProducing()
+        if self._guard.is_paused(self._row):
+            self._networkProducer.pauseProducing()
+
+    def _accept_next(self) -> None:
+        request, self._answered = self._answered, None
+        self._waitingForTransport = False
+        self._networkProducer.unregisterProducer()
+        if not self.transport.disconnecting:
+            self._networkProducer.registerProducer(self, True)
+        self._guard.release_held(self._row)
+        is_last = not self.persistent
+        phase = ConnectionPhase.CLOSING if is_last else ConnectionPhase.IDLE
+        self._guard.move(self._row, phase)
         super().requestDone(request)
 
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Cancel the timer."""
-        self._cancel_receive_timer()
-        super().connectionLost(reason)
+    def admit(self, body: bytes, query: bytes) -> bool:
+        """Return whether a whole request may be served; refuse it otherwise."""
+        limits = self._guard.limits
+        if query.count(b"&") + query.count(b";") >= MAX_QUERY_FIELDS:
+            self.refuse(RefusalKind.QUERY_FIELDS)
+            return False
+        fields = count_fields(body, limits.body_fields)
+        if fields > limits.body_fields:
+            self.refuse(RefusalKind.BODY_FIELDS)
+            return False
+        size = self._head_bytes + len(body)
+        cost_bytes = (
+            self._head_bytes
+            + self._head_lines * HEAD_FIELD_BYTES
+            + len(body) * BODY_COPIES
+            + fields * FIELD_BYTES
+        )
+        if not self._guard.serve(self._row, size, cost_bytes):
+            self.refuse(RefusalKind.MEMORY)
+            return False
+        return True
+
+    def check_length(self, length: int) -> None:
+        """Refuse a body whose declared length is too large."""
+        if length > self._guard.limits.body_bytes:
+            self.refuse(RefusalKind.BODY_BYTES)
+
+    def check_chunk(self, count: int, size: int) -> None:
+        """Refuse a body that has become too large, or comes in too many chunks."""
+        if size > self._guard.limits.body_bytes:
+            self._refuse_body(RefusalKind.BODY_BYTES)
+        if are_chunks_too_many(self._guard.limits, count, size):
+            self._refuse_body(RefusalKind.BODY_CHUNKS)
+
+    def pause_reading(self) -> None:
+        """Stop reading until memory is freed."""
+        self._networkProducer.pauseProducing()
 
-    def _cancel_receive_timer(self) -> None:
-        if self._receive_timer is not None and self._receive_timer.active():
-            self._receive_timer.cancel()
-        self._receive_timer = None
+    def resume_reading(self) -> None:
+        """Read again, unless the transport has much to send."""
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+
+    def refuse(self, kind: RefusalKind) -> None:
+        """Send the response, then discard input for a while before closing.
+
+        Closing a socket with unread bytes resets the connection, so that the client
+        may lose the response.
+        """
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._guard.count_refusal(self._row, kind)
+        self._forget_input()
+        self.requests.clear()
+        self._transferDecoder = None
+        self.transport.write(_format_refusal(self._guard.limits, kind))
+        self.transport.loseWriteConnection()
+        self._guard.move(self._row, ConnectionPhase.CLOSING)
+        self._guard.release_held(self._row)
+        self._guard.release_served(self._row)
+        self._networkProducer.resumeProducing()
 
-    def _abort_slow_request(self) -> None:
-        self._receive_timer = None
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._is_refused = True
+        self._forget_input()
         self.transport.abortConnection()
 
+    def drop_read_ahead(self) -> None:
+        """Forget what follows the request being served; close after its answer."""
+        self._forget_input()
+        self.persistent = 0
+        for request in self.requests:
+            if not request.startedWriting:
+                request.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        self._guard.release_held(self._row)
+
+    def peer(self) -> str:
+        """Return the address of the client."""
+        address = self.getPeer()
+        return f"{address.host}:{address.port}"
+
+    def _is_serving(self) -> bool:
+        return self._row.phase in (ConnectionPhase.SERVING, ConnectionPhase.UNREAD)
+
+    def _hold_read_ahead(self, size: int) -> None:
+        """Count bytes of a later request, and read no more until this one is done."""
+        self._networkProducer.pauseProducing()
+        self._guard.hold(self._row, size)
+
+    def _forget_input(self) -> None:
+        self.clearLineBuffer()
+        self._dataBuffer = []
+
+    def _refuse_body(self, kind: RefusalKind) -> None:
+        self.refuse(kind)
+        raise _BodyRefusedError
+
+    def _check_framing(self) -> None:
+        """Refuse a body in chunks that has long extensions or trailers."""
+        if self._is_refused or self._is_serving() or self.length is not None:
+            return
+        request = self.requests[-1]
+        framing_bytes = self._body_bytes - request.content.tell()
+        if is_framing_too_large(request.chunk_count, framing_bytes):
+            self._refuse_body(RefusalKind.BODY_CHUNKS)
+
 
 class BoundedRequest(Request):
     """A request whose body is kept in memory and limited in size."""
 
-    _is_refused = False
+    chunk_count = 0
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose declared length is too large, before it is read.
@@ -91,51 +325,28 @@
         The base class would store a body above 100 kB in a temporary file.
         """
         self.content = BytesIO()
-        if length is not None and length > MAX_BODY_BYTES:
-            self._refuse(TOO_LARGE, TOO_LARGE_REASON)
+        if length is not None:
+            self.channel.check_length(length)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Store a chunk of the body, or refuse a body that has become too large."""
-        if self._is_refused:
-            return
-        if self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self._refuse(TOO_LARGE, TOO_LARGE_REASON)
-            return
+        """Store a chunk of the body, unless the body is refused."""
+        self.chunk_count += 1
+        self.channel.check_chunk(self.chunk_count, self.content.tell() + len(data))
         super().handleContentChunk(data)
 
     def parseCookies(self) -> None:  # noqa: N802
         """Ignore cookies, which nothing uses; each would cost many times its bytes."""
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
-        """Process the request unless it was refused or has too many fields.
+        """Process the request if it is admitted.
 
         The base class would parse forms in the body, and any number of fields in the
         query, into objects of a hundred times their bytes.
         """
-        if self._is_refused:
-            return
         self.method, self.uri, self.clientproto = command, path, version
         self.path, _, query = path.partition(b"?")
-        if query.count(b"&") + query.count(b";") >= MAX_QUERY_FIELDS:
-            self._refuse(BAD_REQUEST, TOO_LONG_QUERY_REASON)
-            return
-        fields = count_fields(self.content.getvalue(), LIMITS.body_fields)
-        if fields > LIMITS.body_fields:
-            self._refuse(TOO_LARGE, TOO_MANY_FIELDS_REASON)
+        if not self.channel.admit(self.content.getvalue(), query):
             return
         self.args = parse_qs(query, True)
         self.content.seek(0)
         self.process()
-
-    def _refuse(self, status: bytes, reason: bytes) -> None:
-        """Send the response, then discard input for `LINGER_S` before closing.
-
-        Closing a socket with unread bytes resets the connection, so that the client
-        may lose the response.
-        """
-        self._is_refused = True
-        transport = self.channel.transport
-        body = REFUSAL_BODY % reason
-        transport.write(REFUSAL % (status, len(body), body))
-        transport.loseWriteConnection()
-        self.channel.callLater(LINGER_S, transport.abortConnection)
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -118,6 +118,7 @@
         timeout=IDLE_TIMEOUT_S,
     )
     site.protocol = BoundedChannel
+    site.guard = context.guard
     site.displayTracebacks = False
     return site
 
--- a/kingcuppost/systems/views/metrics.py
+++ b/kingcuppost/systems/views/metrics.py
@@ -107,6 +107,9 @@
     "request", "Time from arrival to outcome of a request.", "team", "outcome"
 )
 declare_counter("bytes", "Bytes over TCP, headers included.", "direction")
+declare_counter(
+    "clients_refused", "Connections refused or closed for a limit on clients.", "kind"
+)
 declare_counter("messages_sent", "Messages to peers, log and worker.", "kind")
 
 declare_counter(
@@ -119,6 +122,20 @@
 declare_histogram("tick", "Time that the systems took in a tick.")
 
 
+@gauge("client_connections", "Open connections of clients.")
+def read_client_connections(world: World) -> Iterable[Sample]:
+    """Read the number of connections."""
+    yield (), float(world.connections.count)
+
+
+@gauge("client_held_bytes", "Bytes that clients' requests hold.", "kind")
+def read_client_held_bytes(world: World) -> Iterable[Sample]:
+    """Read the totals of all connections."""
+    connections = world.connections
+    yield ("unfinished",), float(connections.held_bytes)
+    yield ("served",), float(connections.small_bytes + connections.large_bytes)
+
+
 @gauge("log_folded_offset", "Log offset applied last.")
 def read_folded_offset(world: World) -> Iterable[Sample]:
     """Read the offset of the record folded last."""
--- a/kingcuppost/tables/world.py
+++ b/kingcuppost/tables/world.py
@@ -17,6 +17,7 @@
 )
 from kingcuppost.tables.announcement import Announcement
 from kingcuppost.tables.config import ProcessConfig
+from kingcuppost.tables.connections import Connections
 from kingcuppost.tables.deadline_queue import DeadlineQueue
 from kingcuppost.tables.deadlines import Deadlines
 from kingcuppost.tables.event import Event
@@ -163,6 +164,8 @@
         Whether a graceful stop has begun.
     scheduling : SchedulingState
         State of the scheduler outside the fold: free capacity, shares and the queue.
+    connections : Connections
+        Connections of clients, with their limits; only the edges use them.
     """
 
     cfg: ProcessConfig
@@ -223,3 +226,4 @@
     service_ms: float = 0.0
     stopping: bool = False
     scheduling: SchedulingState = field(default_factory=SchedulingState)
+    connections: Connections = field(default_factory=Connections)
