Let requests that hold much give way before small ones

Cause: a small request whose head and body arrive apart could be refused between the two, when larger ones arrived meanwhile. The memory of a head was counted line by line.

The lines of a head are counted once for each read.

Measured: the unit tests beside the code pass.

--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -32,6 +32,7 @@
 RETRY_AFTER_S = 1
 MAX_QUERY_FIELDS = 16  # routes use at most one
 HEAD_FIELD_BYTES = 256  # memory of a line of a head, beside its text
+HEAD_END = b"\r\n\r\n"
 BODY_COPIES = 2  # the body, and the strings in its parsed form
 REFUSAL_HEAD = (
     b"HTTP/1.1 %s\r\n"
@@ -115,7 +116,7 @@
             self._guard.move(self._row, ConnectionPhase.HEAD)
             self._head_lines = self._head_bytes = self._body_bytes = 0
         if not self._is_serving():
-            self._guard.hold(self._row, len(data))
+            self._guard.hold(self._row, len(data) + self._estimate_fields(data))
         if self._is_refused:
             return
         super().dataReceived(data)
@@ -131,9 +132,7 @@
         if line and self._head_lines > self._guard.limits.head_fields + 1:
             self.refuse(RefusalKind.HEAD_FIELDS)
             return
-        self._guard.hold(self._row, HEAD_FIELD_BYTES)
-        if not self._is_refused:
-            super().lineReceived(line)
+        super().lineReceived(line)
 
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Begin the time of the body."""
@@ -291,6 +290,14 @@
     def _is_serving(self) -> bool:
         return self._row.phase in (ConnectionPhase.SERVING, ConnectionPhase.UNREAD)
 
+    def _estimate_fields(self, data: bytes) -> int:
+        """Return the memory of the lines of a head in received data, without text."""
+        if self._row.phase is not ConnectionPhase.HEAD:
+            return 0
+        end = data.find(HEAD_END)
+        lines = data.count(self.delimiter, 0, len(data) if end < 0 else end)
+        return min(lines, self._guard.limits.head_fields) * HEAD_FIELD_BYTES
+
     def _hold_read_ahead(self, size: int) -> None:
         """Count bytes of a later request, and read no more until this one is done."""
         self._networkProducer.pauseProducing()
--- a/kingcuppost/systems/connections/memory.py
+++ b/kingcuppost/systems/connections/memory.py
@@ -46,6 +46,8 @@
     connections.held_bytes += size
     if row.phase in (ConnectionPhase.SERVING, ConnectionPhase.UNREAD):
         connections.read_ahead[row.number] = row
+    elif row.held_bytes > SMALL_REQUEST_BYTES:
+        connections.bulky[row.number] = row
 
 
 def release_held(connections: Connections, row: Connection) -> None:
@@ -53,6 +55,7 @@
     connections.held_bytes -= row.held_bytes
     row.held_bytes = 0
     connections.read_ahead.pop(row.number, None)
+    connections.bulky.pop(row.number, None)
 
 
 def release_served(connections: Connections, row: Connection) -> None:
@@ -96,9 +99,14 @@
 def find_shed(connections: Connections, keep: Connection) -> Connection | None:
     """Return the connection that gives way when there is no room, or None.
 
-    It is the one that has waited longest for the rest of a request, else the one that
-    has longest held bytes of a request behind another one. `keep` is never returned.
+    It is the one that has longest held much of an unfinished request, so that small
+    requests which arrive in two parts become whole. Else it is the one that has waited
+    longest for the rest of a request, else the one that has longest held bytes of a
+    request behind another one. `keep` is never returned.
     """
+    bulky = _find_first(connections.bulky, keep)
+    if bulky is not None:
+        return bulky
     phases = connections.phases
     waiting = [
         row
--- a/kingcuppost/systems/connections/tests/test_decisions.py
+++ b/kingcuppost/systems/connections/tests/test_decisions.py
@@ -90,6 +90,21 @@
     assert find_shed(connections, ahead) is None
 
 
+def test_a_small_request_in_two_parts_does_not_give_way_to_large_ones(
+    connections: Connections,
+) -> None:
+    """Ordinary clients send head and body apart, and were refused between the two."""
+    small = add(connections, ConnectionPhase.BODY, 0)
+    hold(connections, small, 2 * KIB)
+    large = add(connections, ConnectionPhase.BODY, 1)
+    hold(connections, large, 20 * KIB)
+    newest = add(connections, ConnectionPhase.BODY, 2)
+    hold(connections, newest, 20 * KIB)
+    assert find_shed(connections, newest) is large
+    release_held(connections, large)
+    assert find_shed(connections, newest) is small
+
+
 def test_a_reserved_share_admits_small_requests_only(connections: Connections) -> None:
     first, large, small = (
         add(connections, ConnectionPhase.SERVING, 0) for _ in range(3)
--- a/kingcuppost/tables/connections.py
+++ b/kingcuppost/tables/connections.py
@@ -123,6 +123,8 @@
         Limits that hold for these connections.
     phases : dict of ConnectionPhase to OrderedDict
         Connections by number, for each phase.
+    bulky : OrderedDict
+        Connections that hold much of an unfinished request.
     paused : OrderedDict
         Connections from which nothing is read until memory is released.
     read_ahead : OrderedDict
@@ -141,6 +143,7 @@
     phases: dict[ConnectionPhase, Rows] = field(
         default_factory=lambda: {phase: OrderedDict() for phase in ConnectionPhase}
     )
+    bulky: Rows = field(default_factory=OrderedDict)
     paused: Rows = field(default_factory=OrderedDict)
     read_ahead: Rows = field(default_factory=OrderedDict)
     count: int = 0
