Derive the limits on clients from the machine, and let settings replace them

Cause: the platform's settings file states `[limits]` with `memoryMb` and `maxFds`, which nothing read.

Change: a sixteenth of the memory (at least 2 MiB) is for requests, half of the descriptors beyond 200 for connections. `[clientLimits]` in the platform's file and `[limits]` in the product's replace single limits; a key that is unknown there, or a value that leaves no room for a conforming client, is refused at start. Unknown keys beside `memoryMb` and `maxFds` are still ignored. The stored settings rows and texts get the new fields at their ends.

--- a/kingcuppost/models/files.py
+++ b/kingcuppost/models/files.py
@@ -10,6 +10,7 @@
 from kingcuppost.exception import Failure
 from kingcuppost.models.addresses import AddressText
 from kingcuppost.models.base import BorderModel, format_validation_error
+from kingcuppost.models.limits import LimitsModel
 from kingcuppost.tables.config import (
     EntryConfig,
     LogConfig,
@@ -81,6 +82,7 @@
     log: LogModel
     entry: EntryModel | None = None
     sidecar: SidecarModel | None = None
+    limits: LimitsModel = LimitsModel()
 
     def find_field_error(self) -> str:
         """Return why the file's tables do not match the role; empty if they do."""
@@ -104,6 +106,7 @@
             self.seed,
             self.log_level,
             parse_address(self.advertised) if self.advertised else None,
+            self.limits.to_limits(),
         )
 
     def _make_entry_config(self) -> EntryConfig | None:
--- a/kingcuppost/platform/role.py
+++ b/kingcuppost/platform/role.py
@@ -26,6 +26,7 @@
 
 def _run_process(cfg: PlatformConfig, listener: socket.socket | None) -> int:
     context = processes.build_batch_context(cfg.daemon, reactor)
+    context.world.connections.limits = cfg.client_limits
     context.adapter_state = AdapterState(StoreClient(context, cfg.store), cfg.limits)
     if cfg.daemon.role is Role.ENTRY:
         _serve_callers(context, cfg, listener)
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -7,13 +7,17 @@
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_camel
 
 from kingcuppost.batch.tables.config import Bounds, DaemonConfig
 from kingcuppost.exception import Failure
 from kingcuppost.models.addresses import AddressText
 from kingcuppost.models.base import format_validation_error
+from kingcuppost.models.limits import ClientLimitsModel
 from kingcuppost.platform.early_listener import SETTINGS_VARIABLE
+from kingcuppost.systems.connections import MAX_FDS, MEMORY_MB, derive_limits
 from kingcuppost.tables.config import Address
+from kingcuppost.tables.connections import ClientLimits
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.addresses import parse_address
 
@@ -56,6 +60,16 @@
     request_bytes: int = Field(2_097_152, alias="requestBytes", gt=0)
 
 
+class _LimitsModel(_Model):
+    memory_mb: float = Field(MEMORY_MB, alias="memoryMb", ge=1)
+    max_fds: int = Field(MAX_FDS, alias="maxFds", ge=1)
+
+
+class _ClientLimitsModel(ClientLimitsModel):
+    # the product's own table on this file, so an unknown key is an error
+    model_config = ConfigDict(alias_generator=to_camel)
+
+
 class _SettingsModel(_Model):
     name: str = Field(alias="nodeName")
     ip: str
@@ -70,6 +84,10 @@
     bounds: _BoundsModel = _BoundsModel()
     # the store that holds logs and operators' records
     platform: _StoreModel
+    limits: _LimitsModel = _LimitsModel()
+    client_limits: _ClientLimitsModel = Field(
+        _ClientLimitsModel(), alias="clientLimits"
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +121,8 @@
         heartbeats; None if the process does not serve them.
     limits : StoreLimits
         Limits of the store.
+    client_limits : ClientLimits
+        Limits on what clients' connections may hold.
     """
 
     daemon: DaemonConfig
@@ -111,6 +131,7 @@
     readiness: Address | None
     heartbeats: Address | None
     limits: StoreLimits
+    client_limits: ClientLimits
 
 
 def _parse_optional_address(text: str | None) -> Address | None:
@@ -151,6 +172,11 @@
         _parse_optional_address(model.listen.readiness),
         _parse_optional_address(model.listen.control),
         StoreLimits(model.platform.record_bytes, model.platform.request_bytes),
+        derive_limits(
+            int(model.limits.memory_mb),
+            model.limits.max_fds,
+            model.client_limits.model_dump(),
+        ),
     )
 
 
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -11,6 +11,7 @@
 from kingcuppost.platform.early_listener import listen_early
 from kingcuppost.platform.settings import StoreLimits, read_settings
 from kingcuppost.tables.config import Address
+from kingcuppost.tables.connections import ClientLimits
 from kingcuppost.tables.identity import Role
 
 SIDECAR_SETTINGS = """
@@ -59,6 +60,17 @@
         ('nodeName = "side-a-1"', "", "nodeName"),
         ('address = "10.200.1.7:8524"', 'address = "nowhere"', "platform.address"),
         ("holdMaxMs = 6000", 'holdMaxMs = "long"', "bounds.holdMaxMs"),
+        ("[platform]", "[limits]\nmemoryMb = 0\n[platform]", "limits.memoryMb"),
+        (
+            "[platform]",
+            "[clientLimits]\nbodyTime = 1\n[platform]",
+            "clientLimits.bodyTime",
+        ),
+        (
+            "[platform]",
+            "[clientLimits]\nheadMs = 1\n[platform]",
+            "clientLimits.headMs",
+        ),
     ],
 )
 def test_an_invalid_file_is_refused_with_field_and_reason(
@@ -75,6 +87,18 @@
     assert line.count("\n") == 1
 
 
+def test_limits_on_clients_follow_the_machine_and_may_be_set(settings: Path) -> None:
+    assert read_settings(Role.SIDECAR).ok.client_limits == ClientLimits()
+    settings.write_text(
+        SIDECAR_SETTINGS
+        + "[limits]\nmemoryMb = 320\nmaxFds = 4096\nunknown = 1\n"
+        + "[clientLimits]\nbodyMs = 9000\n"
+    )
+    limits = read_settings(Role.SIDECAR).ok.client_limits
+    assert (limits.held_bytes, limits.connections) == (20_971_520, 1_948)
+    assert limits.body_ms == 9_000
+
+
 def test_a_file_that_is_not_toml_is_refused(
     settings: Path, capsys: pytest.CaptureFixture
 ) -> None:
--- a/kingcuppost/programs/process.py
+++ b/kingcuppost/programs/process.py
@@ -47,6 +47,7 @@
     )
     world = World(cfg, identity, clock or SystemClock(), rng)
     world.holder_monitor.jitter = rng.random()
+    world.connections.limits = cfg.client_limits
     return world
 
 
--- a/kingcuppost/systems/connections/__init__.py
+++ b/kingcuppost/systems/connections/__init__.py
@@ -4,7 +4,7 @@
     are_chunks_too_many,
     is_framing_too_large,
 )
-from kingcuppost.systems.connections.limits import derive_limits
+from kingcuppost.systems.connections.limits import MAX_FDS, MEMORY_MB, derive_limits
 from kingcuppost.systems.connections.memory import (
     admits,
     find_shed,
@@ -30,6 +30,8 @@
 
 __all__ = [
     "FIELD_BYTES",
+    "MAX_FDS",
+    "MEMORY_MB",
     "RefusalKind",
     "add_connection",
     "admits",
--- a/kingcuppost/tables/config.py
+++ b/kingcuppost/tables/config.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from kingcuppost.tables.connections import ClientLimits
 from kingcuppost.tables.identity import Role
 
 __all__ = [
@@ -124,6 +125,8 @@
         Minimum level of log lines.
     advertised : Address or None
         Address at which peers reach the process, if it differs from the bound one.
+    client_limits : ClientLimits
+        Limits on what clients' connections may hold.
     """
 
     role: Role
@@ -137,3 +140,4 @@
     seed: int | None = field(default=None)
     log_level: str = "INFO"
     advertised: Address | None = None
+    client_limits: ClientLimits = ClientLimits()
