Limit the kernel's buffers of clients' connections

Cause: the kernel buffers up to 4 MB for each connection in each direction. A client that pipelines requests and reads nothing is answered until that is full.

--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -13,6 +13,7 @@
     BoundedRequest,
 )
 from kingcuppost.edges.routes import RouteRequest, find_route
+from kingcuppost.edges.sockets import limit_buffers
 from kingcuppost.edges.traffic import CountedFactory
 from kingcuppost.exception import Failure
 from kingcuppost.models import encode
@@ -129,5 +130,6 @@
     bound = context.reactor.listenTCP(
         port, factory, interface=host, backlog=LISTEN_BACKLOG
     )
+    limit_buffers(bound.socket)
     context.listeners.append(Listener(bound, factory))
     return bound.getHost().port
