Do not count JSON values in bodies that are not parsed

Cause: a relayed append is binary and up to 1 MiB long. Its records can have more values than a submission, and a length can look like a quote, so it could have been refused for its number of fields.

Change: the handler of a path says that it does not parse bodies (`unparsed`), and the limit on JSON values does not hold there.

--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -18,10 +19,24 @@
 from kingcuppost.utils.identifiers import new_identifier
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["answer", "listen", "open_exchange", "surfaces"]
+__all__ = ["answer", "listen", "open_exchange", "surfaces", "unparsed"]
 
 Handler = Callable[[BatchContext, Request], Any]
 surfaces: Registry[str, Handler] = Registry("handler of surface")
+_unparsed_paths: defaultdict[str, set[bytes]] = defaultdict(set)
+
+
+def unparsed(surface: str, path: str) -> Callable[[Handler], Handler]:
+    """Return a decorator for the handler of a path that does not parse bodies.
+
+    The limit on the JSON values of a body does not hold there.
+    """
+
+    def register(handler: Handler) -> Handler:
+        _unparsed_paths[surface].add(path.encode("ascii"))
+        return handler
+
+    return register
 
 
 class _SurfaceResource(Resource):
@@ -54,6 +69,7 @@
     )
     site.protocol = BoundedChannel
     site.guard = context.guard
+    site.unparsed_paths = _unparsed_paths[surface]
     site.displayTracebacks = False
     if listener is None:
         listener = listen_at(address.host, address.port)
--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -80,9 +80,10 @@
 class BoundedChannel(HTTPChannel):
     """A connection whose requests and answers are limited in size and in time.
 
-    It reports what it holds to the guard of its factory, which decides when to stop
-    reading and whom to refuse. A request that follows another one is processed when
-    the answer to the first one has left the process.
+    It reports what it holds to the `guard` of its factory, which decides when to stop
+    reading and whom to refuse. Bodies for the factory's `unparsed_paths` are no JSON. A
+    request that follows another one is processed when the answer to the first one has
+    left the process.
     """
 
     factory: Any
@@ -204,13 +205,14 @@
         self._guard.move(self._row, phase)
         super().requestDone(request)
 
-    def admit(self, body: bytes, query: bytes) -> bool:
+    def admit(self, path: bytes, query: bytes, body: bytes) -> bool:
         """Return whether a whole request may be served; refuse it otherwise."""
         limits = self._guard.limits
         if query.count(b"&") + query.count(b";") >= MAX_QUERY_FIELDS:
             self.refuse(RefusalKind.QUERY_FIELDS)
             return False
-        fields = count_fields(body, limits.body_fields)
+        is_parsed = path not in self.factory.unparsed_paths
+        fields = count_fields(body, limits.body_fields) if is_parsed else 0
         if fields > limits.body_fields:
             self.refuse(RefusalKind.BODY_FIELDS)
             return False
@@ -352,7 +354,7 @@
         """
         self.method, self.uri, self.clientproto = command, path, version
         self.path, _, query = path.partition(b"?")
-        if not self.channel.admit(self.content.getvalue(), query):
+        if not self.channel.admit(self.path, query, self.content.getvalue()):
             return
         self.args = parse_qs(query, True)
         self.content.seek(0)
--- a/kingcuppost/edges/http_server.py
+++ b/kingcuppost/edges/http_server.py
@@ -120,6 +120,7 @@
     )
     site.protocol = BoundedChannel
     site.guard = context.guard
+    site.unparsed_paths = frozenset()
     site.displayTracebacks = False
     return site
 
--- a/kingcuppost/edges/tests/test_http_limits.py
+++ b/kingcuppost/edges/tests/test_http_limits.py
@@ -70,6 +70,7 @@
             self.resource, requestFactory=BoundedRequest, reactor=self.reactor
         )
         self.site.protocol = BoundedChannel
+        self.site.unparsed_paths = {b"/relay"}
         self.site.guard = ConnectionGuard(
             self.table,
             self.reactor,
@@ -289,6 +290,14 @@
     assert client.disconnected
 
 
+def test_a_body_that_is_not_parsed_may_have_any_number_of_fields(
+    server: Server,
+) -> None:
+    """A relayed append is binary, and its records may have many short values."""
+    head = REQUEST.replace(b"/x", b"/relay") % 262_144
+    assert status_of(server.connect(head + b"," * 262_144)) == b"200"
+
+
 def test_a_body_in_usual_chunks_is_served(server: Server) -> None:
     chunk = b"400\r\n" + b"x" * 1_024 + b"\r\n"
     head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/kingcuppost/platform/store.py
+++ b/kingcuppost/platform/store.py
@@ -11,7 +11,7 @@
 
 from kingcuppost.batch.edges.context import BatchContext, deliver_later
 from kingcuppost.batch.edges.peers import peer_paths
-from kingcuppost.batch.edges.server import answer
+from kingcuppost.batch.edges.server import answer, unparsed
 from kingcuppost.edges.http_client import Response
 from kingcuppost.exception import PeerError
 from kingcuppost.platform.peer_routes import PeerRoutes
@@ -256,6 +256,7 @@
         return self._peers.choose(known_addresses)
 
 
+@unparsed("peers", RELAY_PATH)
 @peer_paths.register(RELAY_PATH)
 def relay_call(context: BatchContext, request: Request) -> None:
     """Relay a peer's call to the store.
