--- a/kingcuppost/systems/connections/limits.py
+++ b/kingcuppost/systems/connections/limits.py
@@ -38,6 +38,8 @@
     True
     >>> derive_limits(552, 10_250, {"body_ms": 9_000}).connections
     5025
+    >>> derive_limits(max_fds=100).connections
+    16
     """
     values = {
         "held_bytes": max(memory_mb * BYTES_PER_MB // HELD_SHARE, MIN_HELD_BYTES),
