--- a/kingcuppost/batch/edges/server.py
+++ b/kingcuppost/batch/edges/server.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -12,18 +13,30 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from kingcuppost.batch.edges.context import BatchContext
-from kingcuppost.edges.http_limits import BoundedChannel, BoundedRequest
+from kingcuppost.edges.http_limits import IDLE_TIMEOUT_S, BoundedChannel, BoundedRequest
 from kingcuppost.edges.sockets import listen_at
 from kingcuppost.tables.config import Address
 from kingcuppost.utils.identifiers import new_identifier
 from kingcuppost.utils.registry import Registry
 
-__all__ = ["answer", "listen", "open_exchange", "surfaces"]
-
-IDLE_TIMEOUT_S = 60
+__all__ = ["answer", "listen", "open_exchange", "surfaces", "unparsed"]
 
 Handler = Callable[[BatchContext, Request], Any]
 surfaces: Registry[str, Handler] = Registry("handler of surface")
+_unparsed_paths: defaultdict[str, set[bytes]] = defaultdict(set)
+
+
+def unparsed(surface: str, path: str) -> Callable[[Handler], Handler]:
+    """Return a decorator for the handler of a path that does not parse bodies.
+
+    The limit on the JSON values of a body does not hold there.
+    """
+
+    def register(handler: Handler) -> Handler:
+        _unparsed_paths[surface].add(path.encode("ascii"))
+        return handler
+
+    return register
 
 
 class _SurfaceResource(Resource):
@@ -55,6 +68,8 @@
         timeout=IDLE_TIMEOUT_S,
     )
     site.protocol = BoundedChannel
+    site.guard = context.guard
+    site.unparsed_paths = _unparsed_paths[surface]
     site.displayTracebacks = False
     if listener is None:
         listener = listen_at(address.host, address.port)
