Name the cause of each end of a run, and report lost work by cause

A stopped or broken run did not say in the log why it ended, and the members of a gang that broke because another one was lost had no cause at all, so lost work could not be attributed.

The holder keeps with each requested stop why it was requested (`EndCause`, a required parameter of `request_stop`, `request_run_stop` and `request_stops`), and `A run ended.` has it as `cause`, with the gang member or the job that it names. An end that nobody requested has its own kind as cause, and the other members of its gang name that member. Stops that an earlier holder requested say so. `lost_core_seconds_by_cause_total` counts the work by cause.

`kingcuppost lost-work LOG... [--jobs N]` sums it from the logs. It gives members that missed another one the cause of the first member that ended otherwise, and counts an end that two holders logged once.

The tests of kingcuppost/tests, kingcuppost/cli/tests and kingcuppost/batch/tests pass.

--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -2,6 +2,12 @@
 
 from collections.abc import Iterable
 
+from kingcuppost.batch.systems.end_causes import (
+    JOB_END_CAUSES,
+    cause_for_members,
+    cause_of_end,
+    name_origin,
+)
 from kingcuppost.batch.systems.plan_parts import (
     iter_tasks,
     make_progress,
@@ -13,6 +19,7 @@
     mark_stopping,
     remove_plan,
 )
+from kingcuppost.batch.tables.end_cause import CauseKind, EndCause
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import (
     ENDED_STATES,
@@ -138,42 +145,47 @@
     They concern the runs of ended jobs, and of gangs with waiting members.
     """
     if plan.phase is PlanPhase.CLOSING:
-        request_stops(world, plan)
+        request_stops(world, plan, EndCause(JOB_END_CAUSES[plan.state]))
     for index, spec in enumerate(plan.job.steps):
         if spec.gang and plan.step_progress[index].waiting:
-            request_stops(world, plan, index)
+            request_stops(world, plan, EndCause(CauseKind.EARLIER_HOLDER), index)
 
 
 def end_job(world: BatchWorld, plan: Plan, state: JobState) -> None:
     """End a job and request the stop of its runs."""
     plan.state = state
-    request_stops(world, plan)
+    request_stops(world, plan, EndCause(JOB_END_CAUSES[state]))
     plan.phase = _phase_after_end(plan)
     world.note("job", "A job ends.", job=plan.job.id, state=state)
     mark_plan_changed(world, plan)
 
 
-def request_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
-    """Request the stop of a task's run, if it has one."""
+def request_stop(world: BatchWorld, plan: Plan, task: Task, cause: EndCause) -> None:
+    """Request the stop of a task's run, if it has one; the first cause is kept."""
     if task.phase is TaskPhase.PLACED:
         if not task.stopping:
             task.stop_requested_ms = world.clock.now_ms()
+            task.stop_cause = cause
         mark_stopping(world.schedule, plan, task)
         world.schedule.pending_runs[task.name] = (plan, task)
 
 
-def request_run_stop(world: BatchWorld, plan: Plan, task: Task) -> None:
+def request_run_stop(
+    world: BatchWorld, plan: Plan, task: Task, cause: EndCause
+) -> None:
     """Request the stop of a task's run, with its gang if it belongs to one."""
     if plan.job.steps[task.name.step].gang:
-        request_stops(world, plan, task.name.step)
+        request_stops(world, plan, cause, task.name.step)
     else:
-        request_stop(world, plan, task)
+        request_stop(world, plan, task, cause)
 
 
-def request_stops(world: BatchWorld, plan: Plan, step: int | None = None) -> None:
+def request_stops(
+    world: BatchWorld, plan: Plan, cause: EndCause, step: int | None = None
+) -> None:
     """Request the stop of all runs of a job, or of one step."""
     for task in iter_tasks(plan) if step is None else plan.tasks[step]:
-        request_stop(world, plan, task)
+        request_stop(world, plan, task, cause)
 
 
 def find_task(world: BatchWorld, name: TaskName) -> tuple[Plan, Task] | None:
@@ -202,6 +214,7 @@
     task.confirmed = False
     task.running_since_ms = None
     task.stop_sent_ms = None
+    task.stop_cause = None
     task.was_lost = False
     task.reserved_incarnation = None
 
@@ -211,6 +224,7 @@
 ) -> None:
     """Apply the confirmed end of a task's current run to its plan."""
     incarnation, was_stopping = task.incarnation, task.stopping
+    cause, requested = cause_of_end(task, run_end), task.stop_cause
     is_counted = False
     change_phase(world.schedule, plan, task, TaskPhase.WAITING)
     if checkpoint:
@@ -222,7 +236,9 @@
     is_gang = plan.job.steps[task.name.step].gang
     if is_gang and run_end is not RunEnd.DONE and not was_stopping:
         # else the first member that ended has had the stop of all requested
-        request_stops(world, plan, task.name.step)
+        request_stops(world, plan, cause_for_members(task, cause), task.name.step)
+    elif is_gang and run_end is not RunEnd.DONE and cause != requested:
+        name_origin(plan.tasks[task.name.step], cause_for_members(task, cause))
     _update_job_outcome(world, plan, task, is_counted)
     mark_plan_changed(world, plan)
 
--- a/kingcuppost/batch/systems/preemption.py
+++ b/kingcuppost/batch/systems/preemption.py
@@ -15,6 +15,7 @@
 from kingcuppost.batch.systems.plans import request_stop
 from kingcuppost.batch.systems.reservations import reserve_for_tasks
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
+from kingcuppost.batch.tables.end_cause import CauseKind, EndCause
 
 __all__ = ["preempt_for_unit"]
 
@@ -104,13 +105,14 @@
 
 def _stop_victims(decision: Decision, unit: PlacementUnit, eviction: Eviction) -> None:
     world = decision.world
+    cause = EndCause(CauseKind.PREEMPTED, job=unit.plan.job.id)
     for victim in eviction.victims:
         plan, task = victim.plan, victim.task
         step = plan.job.steps[task.name.step]
         stopped = plan.tasks[task.name.step] if step.gang else [task]
         add_resources(eviction.candidate.free_after_stops, victim.resources)
         for member in stopped:
-            request_stop(world, plan, member)
+            request_stop(world, plan, member, cause)
         world.tally.add("preemptions")
         world.note(
             "preempt",
--- a/kingcuppost/batch/systems/run_ends.py
+++ b/kingcuppost/batch/systems/run_ends.py
@@ -1,9 +1,15 @@
 """Ends of runs that no minion reports: of expired and of earlier incarnations."""
 
+from kingcuppost.batch.systems.end_causes import cause_for_members, cause_of_end
 from kingcuppost.batch.systems.lost_work import work_lost_by_end
-from kingcuppost.batch.systems.plans import apply_run_end, request_run_stop
+from kingcuppost.batch.systems.plans import (
+    apply_run_end,
+    request_run_stop,
+    request_stop,
+)
 from kingcuppost.batch.systems.run_end_rule import RunFate, fate_after_restart
 from kingcuppost.batch.systems.task_phases import move_run, placed_runs
+from kingcuppost.batch.tables.end_cause import CauseKind, EndCause
 from kingcuppost.batch.tables.job import MinionIncarnation, RunEnd
 from kingcuppost.batch.tables.messages import SyncCall
 from kingcuppost.batch.tables.plan import Plan
@@ -26,14 +32,19 @@
     """Count and log the end of a run, before it is applied to the plan."""
     wall_ms = world.clock.wall_ms()
     lost_core_s = work_lost_by_end(plan, task, run_end, wall_ms)
+    cause = cause_of_end(task, run_end)
     world.tally.add("ends", run_end)
     world.tally.add("lost_core_seconds", run_end, amount=round(lost_core_s))
+    world.tally.add("lost_core_seconds_by_cause", cause.kind, amount=round(lost_core_s))
     world.note(
         "run",
         "A run ended.",
         task=str(task.name),
         run=task.run,
         how=run_end,
+        cause=cause.kind,
+        cause_task=str(cause.task or ""),
+        cause_job=cause.job,
         minion=task.incarnation.minion if task.incarnation else "",
         reason=reason,
         took_ms=wall_ms - task.placed_ms,
@@ -92,4 +103,6 @@
     if fate is RunFate.CONTINUES:
         return
     task.was_lost = True
-    request_run_stop(world, plan, task)
+    cause = EndCause(CauseKind.LOST)
+    request_stop(world, plan, task, cause)
+    request_run_stop(world, plan, task, cause_for_members(task, cause))
--- a/kingcuppost/batch/systems/run_monitor.py
+++ b/kingcuppost/batch/systems/run_monitor.py
@@ -14,6 +14,7 @@
     withdraw_unlisted_run,
 )
 from kingcuppost.batch.tables.decision import URGENT_PRIORITY
+from kingcuppost.batch.tables.end_cause import CAUSE_TEXTS, CauseKind, EndCause
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.plan import Plan, PlanPhase
 from kingcuppost.batch.tables.task import Task
@@ -109,22 +110,26 @@
     if minion.speed.weight < 1:
         update_speed(world, minion, plan, task)
     if minion.draining and _should_leave_draining(minion, plan, task):
-        _stop_run(world, plan, task, "the minion is draining")
+        _stop_run(world, plan, task, CauseKind.DRAINING)
     elif _is_too_slow(minion, plan, task):
         task.was_migrated = True
         task.avoided_minions.add(minion.incarnation.minion)
-        _stop_run(world, plan, task, "the minion is slow")
+        _stop_run(world, plan, task, CauseKind.SLOW)
     elif _is_stalled(plan, task, gangs):
         minion.stalled_ms = now_ms
         task.avoided_minions.add(minion.incarnation.minion)
-        _stop_run(world, plan, task, "the run is stalled")
+        _stop_run(world, plan, task, CauseKind.STALLED)
 
 
-def _stop_run(world: BatchWorld, plan: Plan, task: Task, reason: str) -> None:
+def _stop_run(world: BatchWorld, plan: Plan, task: Task, kind: CauseKind) -> None:
     world.note(
-        "run", "A run is stopped.", task=str(task.name), run=task.run, reason=reason
+        "run",
+        "A run is stopped.",
+        task=str(task.name),
+        run=task.run,
+        reason=CAUSE_TEXTS[kind],
     )
-    request_run_stop(world, plan, task)
+    request_run_stop(world, plan, task, EndCause(kind, task.name))
 
 
 def _should_leave_draining(minion: MinionRow, plan: Plan, task: Task) -> bool:
--- a/kingcuppost/batch/systems/unstarted_runs.py
+++ b/kingcuppost/batch/systems/unstarted_runs.py
@@ -6,6 +6,7 @@
     unconfirmed_limit_ms,
     unlisted_limit_ms,
 )
+from kingcuppost.batch.tables.end_cause import CAUSE_TEXTS, CauseKind, EndCause
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.task import Task
@@ -15,8 +16,6 @@
 
 REFUSAL_PAUSE_MS = 1_000
 MAX_PAUSE_DOUBLINGS = 2
-NEVER_LISTED = "its minion never listed it"
-NOT_LISTED = "its minion lists it no more"
 
 
 def is_unlisted(world: BatchWorld, minion: MinionRow, task: Task) -> bool:
@@ -36,9 +35,9 @@
     world: BatchWorld, minion: MinionRow, plan: Plan, task: Task, now_ms: int
 ) -> None:
     """Stop a run that reports lack, with its gang; it ends once that is certain."""
-    reason = NOT_LISTED if task.confirmed else NEVER_LISTED
-    _avoid_minion(world, minion, plan, task, reason, now_ms)
-    request_run_stop(world, plan, task)
+    kind = CauseKind.VANISHED if task.confirmed else CauseKind.NOT_BEGUN
+    _avoid_minion(world, minion, plan, task, CAUSE_TEXTS[kind], now_ms)
+    request_run_stop(world, plan, task, EndCause(kind, task.name))
 
 
 def avoid_after_refusal(
--- a/kingcuppost/batch/tables/task.py
+++ b/kingcuppost/batch/tables/task.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from kingcuppost.batch.tables.end_cause import EndCause
 from kingcuppost.batch.tables.job import MinionIncarnation, TaskName, TaskPhase
 
 __all__ = ["Task"]
@@ -48,6 +49,8 @@
         Whether the run is to be stopped.
     stop_requested_ms : int
         Time at which the stop was first requested, while the run is to be stopped.
+    stop_cause : EndCause or None
+        Why the stop of its newest run was first requested; None if it was not.
     stop_sent_ms : int or None
         Time at which the stop was last sent to the sidecar.
     was_lost : bool
@@ -91,6 +94,7 @@
     running_since_ms: int | None = None
     stopping: bool = False
     stop_requested_ms: int = 0
+    stop_cause: EndCause | None = None
     stop_sent_ms: int | None = None
     was_lost: bool = False
     percent: int = 0
--- a/kingcuppost/cli/__init__.py
+++ b/kingcuppost/cli/__init__.py
@@ -10,6 +10,7 @@
     explain,
     fleet,
     jobs,
+    lost_work,
     processes,
     reference,
     timeline,
@@ -56,4 +57,4 @@
         return EXIT_INVALID
 
 
-del changes, explain, fleet, jobs, processes, reference, timeline, trace
+del changes, explain, fleet, jobs, lost_work, processes, reference, timeline, trace
--- a/kingcuppost/cli/reference.py
+++ b/kingcuppost/cli/reference.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel
 
+from kingcuppost.batch.tables.end_cause import CAUSE_TEXTS
 from kingcuppost.cli.registry import EXIT_OK, command
 from kingcuppost.edges.routes import routes
 from kingcuppost.models.files import FileModel
@@ -126,6 +127,13 @@
     return _format_markdown_table(["metric", "kind", "labels", "meaning"], rows)
 
 
+@references.register("causes")
+def causes_reference() -> str:
+    """Return a table of the causes of the ends of runs."""
+    rows = [[f"`{cause}`", text] for cause, text in CAUSE_TEXTS.items()]
+    return _format_markdown_table(["cause", "meaning"], rows)
+
+
 @references.register("routes")
 def routes_reference() -> str:
     """Return a table of the routes of all surfaces."""
--- a/standins/tests/test_pages.py
+++ b/standins/tests/test_pages.py
@@ -12,6 +12,7 @@
 PAGE_OF_TOPIC = {
     "settings": "SETTINGS.md",
     "files": "SETTINGS.md",
+    "causes": "OPERATIONS.md",
     "metrics": "METRICS.md",
     "routes": "API.md",
 }
