Move Decision into a module of its own

The functions that carry out a decision need the class, and `candidates`, where it was defined, will call them. Only the place changes; `candidates` goes on exporting both names.

standins/batch/tests/test_preferences.py and test_waits.py pass.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -1,8 +1,8 @@
 """Candidates for placement: usable minions with free capacity and possible victims."""
 
 from collections import Counter
-from dataclasses import dataclass
 
+from kingcuppost.batch.systems.decision import Decision, request_decision
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
     copy_resources,
@@ -15,7 +15,6 @@
 from kingcuppost.batch.tables.config import Bounds
 from kingcuppost.batch.tables.decision import (
     Candidate,
-    DecisionRound,
     PlacementUnit,
     Victim,
 )
@@ -50,38 +49,6 @@
 REPORT_MARGIN_MS = 1_000  # for the order to stop, and the report of the end
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """A tick of a decision on all waiting units, and what it assesses all runs by.
-
-    Attributes
-    ----------
-    world : BatchWorld
-        Tables of the process.
-    now_ms, wall_ms : int
-        Time of the tick by the monotonic clock, and as Unix time in ms.
-    round : DecisionRound
-        What the decision has done so far.
-    """
-
-    world: BatchWorld
-    now_ms: int
-    wall_ms: int
-    round: DecisionRound
-
-    @property
-    def guaranteed_ids(self) -> set[str]:
-        """Return the urgent jobs that fit their team's guarantee."""
-        return self.round.guaranteed_ids
-
-
-def request_decision(world: BatchWorld, at_ms: int) -> None:
-    """Schedule another decision at `at_ms`, even if nothing changes until then."""
-    schedule = world.schedule
-    schedule.decide_at_ms = min(schedule.decide_at_ms, at_ms)
-    world.deadlines.add(at_ms)
-
-
 def list_candidates(decision: Decision) -> list[Candidate]:
     """Return the minions that may be given tasks, with their free capacity.
 
