Separate the outcomes of a decision from its choices

Choosing minions and runs placed tasks, requested stops and scheduled further decisions on the way, so the decision code could not be run to see what it would do.

What a decision does to the tables is now an outcome row (`TaskPlacements`, `Preemption`, `DecisionRequest`), which `carry_out` applies through the registry `outcome_appliers`, or records if the decision has a list for it. The round remembers which runs it has chosen to stop, so that a decision whose outcomes are not applied does not choose them twice. Decisions that are applied stay the same.

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -2,7 +2,11 @@
 
 from collections import Counter
 
-from kingcuppost.batch.systems.decision import Decision, request_decision
+from kingcuppost.batch.systems.decision import (
+    Decision,
+    decide_again,
+    request_decision,
+)
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
     copy_resources,
@@ -23,7 +27,6 @@
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
-from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
     "Decision",
@@ -58,7 +61,7 @@
     usable = [
         _make_candidate(decision, minion)
         for minion in world.schedule.minions
-        if _is_usable(world, minion, decision.now_ms)
+        if _is_usable(decision, minion)
     ]
     racks: dict[str, list[int]] = {}
     for candidate in usable:
@@ -80,7 +83,7 @@
         candidate
         for candidate in candidates
         if minions.get(candidate.minion.sidecar) is candidate.minion
-        and _is_usable(world, candidate.minion, decision.now_ms)
+        and _is_usable(decision, candidate.minion)
     ]
     for candidate in kept:
         candidate.victims = None
@@ -111,7 +114,7 @@
     for plan, task in placed_runs(world.schedule, minion.incarnation):
         if is_stop_expected(decision, task):
             limit_ms = stop_limit_ms(world.cfg.bounds)
-            request_decision(world, task.stop_requested_ms + limit_ms)
+            decide_again(decision, task.stop_requested_ms + limit_ms)
             subtract_tasks(free_after_stops, plan.job.steps[task.name.step], -1)
 
 
@@ -188,14 +191,14 @@
     )
 
 
-def _is_usable(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+def _is_usable(decision: Decision, minion: MinionRow) -> bool:
     if minion.draining or minion.is_unreachable:
         return False
-    if minion.availability_zone in world.agreed.closed_zones:
+    if minion.availability_zone in decision.world.agreed.closed_zones:
         return False
     paused_until_ms = _paused_until_ms(minion)
-    if now_ms < paused_until_ms:
-        request_decision(world, paused_until_ms)
+    if decision.now_ms < paused_until_ms:
+        decide_again(decision, paused_until_ms)
         return False
     return True
 
--- a/kingcuppost/batch/systems/preemption.py
+++ b/kingcuppost/batch/systems/preemption.py
@@ -10,12 +10,14 @@
 
 from kingcuppost.batch.systems.candidate_order import make_sort_key
 from kingcuppost.batch.systems.candidates import Decision, find_victims
+from kingcuppost.batch.systems.decision import carry_out, outcome_appliers
 from kingcuppost.batch.systems.evictions import Eviction, plan_evictions
 from kingcuppost.batch.systems.placement import add_resources, reserve_capacity
 from kingcuppost.batch.systems.plans import request_stop
 from kingcuppost.batch.systems.reservations import reserve_for_tasks
-from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit, Preemption
 from kingcuppost.batch.tables.end_cause import CauseKind, EndCause
+from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["preempt_for_unit"]
 
@@ -74,7 +76,7 @@
     for group in groups:
         for candidate in group:
             find_victims(decision, candidate)
-        narrowed = [_keep_victims_below(candidate, unit.rank) for candidate in group]
+        narrowed = [_keep_victims_below(decision, item, unit.rank) for item in group]
         found = plan_evictions(
             narrowed, unit.spec, wanted, make_sort_key(unit), max_task_cost_core_s
         )
@@ -88,7 +90,9 @@
     return best
 
 
-def _keep_victims_below(candidate: Candidate, rank: int) -> Candidate:
+def _keep_victims_below(
+    decision: Decision, candidate: Candidate, rank: int
+) -> Candidate:
     """Return a copy of a candidate with only the victims that a rank may preempt.
 
     Victims are less urgent than the rank. Only rank 0 may preempt runs that end soon.
@@ -97,6 +101,7 @@
         victim
         for victim in candidate.victims
         if not victim.task.stopping
+        and victim.task.name not in decision.round.preempted
         and (victim.rank > max(rank, 1) or (rank == 0 and victim.rank == 1))
         and (rank == 0 or not victim.ends_soon)
     ]
@@ -104,21 +109,28 @@
 
 
 def _stop_victims(decision: Decision, unit: PlacementUnit, eviction: Eviction) -> None:
-    world = decision.world
-    cause = EndCause(CauseKind.PREEMPTED, job=unit.plan.job.id)
     for victim in eviction.victims:
         plan, task = victim.plan, victim.task
         step = plan.job.steps[task.name.step]
         stopped = plan.tasks[task.name.step] if step.gang else [task]
         add_resources(eviction.candidate.free_after_stops, victim.resources)
-        for member in stopped:
-            request_stop(world, plan, member, cause)
-        world.tally.add("preemptions")
-        world.note(
-            "preempt",
-            "A run is preempted.",
-            task=str(task.name),
-            run=task.run,
-            lost_core_s=round(victim.cost_core_s, 1),
-            urgent=unit.plan.job.id,
-        )
+        decision.round.preempted.update(member.name for member in stopped)
+        carry_out(decision, Preemption(unit, victim, stopped))
+
+
+@outcome_appliers.register(Preemption)
+def apply_preemption(world: BatchWorld, outcome: Preemption) -> None:
+    """Request the stop of a preempted run, with its gang."""
+    victim, urgent_id = outcome.victim, outcome.unit.plan.job.id
+    cause = EndCause(CauseKind.PREEMPTED, job=urgent_id)
+    for member in outcome.stopped:
+        request_stop(world, victim.plan, member, cause)
+    world.tally.add("preemptions")
+    world.note(
+        "preempt",
+        "A run is preempted.",
+        task=str(victim.task.name),
+        run=victim.task.run,
+        lost_core_s=round(victim.cost_core_s, 1),
+        urgent=urgent_id,
+    )
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -13,7 +13,7 @@
 
 from math import ceil
 
-from kingcuppost.batch.systems.candidates import Decision, request_decision
+from kingcuppost.batch.systems.decision import Decision, decide_again
 from kingcuppost.batch.systems.placement import add_resources, fits_now
 from kingcuppost.batch.systems.release_times import expected_release_ms
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
@@ -59,7 +59,7 @@
     release_ms = min(expected_release_ms(decision, unit, group) for group in groups)
     if waited_ms + release_ms > gain_ms:
         return False
-    request_decision(decision.world, decision.now_ms + ceil(limit_ms - waited_ms))
+    decide_again(decision, decision.now_ms + ceil(limit_ms - waited_ms))
     return True
 
 
@@ -89,7 +89,7 @@
         until_ms = min(until_ms, plentiful_until_ms)
     if decision.now_ms >= until_ms:
         return False
-    request_decision(decision.world, until_ms)
+    decide_again(decision, until_ms)
     return True
 
 
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -11,8 +11,8 @@
     eligible_candidates,
     keep_usable,
     list_candidates,
-    request_decision,
 )
+from kingcuppost.batch.systems.decision import decide_again
 from kingcuppost.batch.systems.decision_rounds import (
     add_new_plans,
     begin_round,
@@ -154,7 +154,7 @@
     if not keep_waiting_tasks(decision.world, unit):
         return
     if unit.is_urgent:
-        request_decision(decision.world, decision.now_ms + URGENT_RETRY_MS)
+        decide_again(decision, decision.now_ms + URGENT_RETRY_MS)
     failed = None if had_reservation else find_failed_try(decision, unit)
     if failed is not None:
         fits = failed.reason is WaitReason.LOCALITY
--- a/kingcuppost/batch/systems/unit_scheduling.py
+++ b/kingcuppost/batch/systems/unit_scheduling.py
@@ -8,11 +8,15 @@
 
 from kingcuppost.batch.systems.candidate_order import make_sort_key, preferred_groups
 from kingcuppost.batch.systems.candidates import (
-    Decision,
     exclude_avoided,
     fast_candidates,
     find_soon_free,
 )
+from kingcuppost.batch.systems.decision import (
+    Decision,
+    carry_out,
+    outcome_appliers,
+)
 from kingcuppost.batch.systems.placement import (
     choose_candidates,
     fits_idle,
@@ -26,7 +30,7 @@
     waits_for_rack,
 )
 from kingcuppost.batch.systems.units import task_core_equivalents
-from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
+from kingcuppost.batch.tables.decision import Candidate, PlacementUnit, TaskPlacements
 from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = ["schedule_unit"]
@@ -75,7 +79,7 @@
         return False
     if not unit.is_guaranteed and waits_for_rack(decision, unit, groups, candidates):
         return False
-    if _place_unit(decision.world, unit, [candidates]):
+    if _place_unit(decision, unit, [candidates]):
         return True
     return unit.is_guaranteed and preempt_for_unit(decision, unit, [candidates])
 
@@ -94,17 +98,17 @@
     units preempt, they wait for capacity that is about to be released.
     """
     if not unit.may_preempt:
-        return _place_unit(decision.world, unit, groups)
+        return _place_unit(decision, unit, groups)
     fast = fast_candidates(candidates)
     fast_groups = preferred_groups(unit, fast) or [fast]
-    if _place_unit(decision.world, unit, fast_groups):
+    if _place_unit(decision, unit, fast_groups):
         return True
     if not unit.is_guaranteed and _reserve_soon_free(decision, unit, fast_groups):
         return True
     max_cost_core_s = MAX_LOSS_RATIO * _task_work_core_s(unit)
     if preempt_for_unit(decision, unit, fast_groups, max_cost_core_s):
         return True
-    if _place_unit(decision.world, unit, groups):
+    if _place_unit(decision, unit, groups):
         return True
     if unit.is_guaranteed:
         max_cost_core_s = inf
@@ -142,7 +146,7 @@
 
 
 def _place_unit(
-    world: BatchWorld, unit: PlacementUnit, groups: list[list[Candidate]]
+    decision: Decision, unit: PlacementUnit, groups: list[list[Candidate]]
 ) -> bool:
     """Place the tasks that fit; return whether these are all tasks of the unit."""
     for group in groups:
@@ -151,7 +155,7 @@
         )
         is_whole = len(chosen) == len(unit.tasks)
         if is_whole or (chosen and not unit.spec.gang):
-            _place_tasks(world, unit, chosen)
+            _place_tasks(decision, unit, chosen)
             if is_whole:
                 return True
             unit.tasks = unit.tasks[len(chosen) :]
@@ -159,20 +163,26 @@
 
 
 def _place_tasks(
-    world: BatchWorld, unit: PlacementUnit, chosen: list[Candidate]
+    decision: Decision, unit: PlacementUnit, chosen: list[Candidate]
 ) -> None:
     """Place one task of a unit on each chosen candidate."""
-    plan = unit.plan
-    tasks = unit.tasks[: len(chosen)]
-    gang_run = 1 + max(task.run for task in tasks)
+    carry_out(decision, TaskPlacements(unit, unit.tasks[: len(chosen)], chosen))
+    for candidate in chosen:
+        reserve_capacity(candidate, unit.spec)
+        candidate.step_task_count += 1
+        candidate.rack_free_accelerators[0] -= unit.spec.accelerators
+
+
+@outcome_appliers.register(TaskPlacements)
+def apply_placements(world: BatchWorld, outcome: TaskPlacements) -> None:
+    """Place tasks of a unit on the minions that were chosen for them."""
+    unit, plan = outcome.unit, outcome.unit.plan
+    gang_run = 1 + max(task.run for task in outcome.tasks)
     mark_unwritten(world, plan)  # a placement is no reason for another decision
     configuration = world.agreed.configuration
-    for task, candidate in zip(tasks, chosen, strict=True):
+    for task, candidate in zip(outcome.tasks, outcome.candidates, strict=True):
         run = gang_run if unit.spec.gang else task.run + 1
         place_task(world, plan, task, run, candidate.minion)
-        reserve_capacity(candidate, unit.spec)
-        candidate.step_task_count += 1
-        candidate.rack_free_accelerators[0] -= unit.spec.accelerators
         world.note(
             "place",
             "A run is placed.",
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from kingcuppost.batch.tables.fleet import MinionRow
-from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.job import StepSpec, TaskName
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
@@ -14,11 +14,15 @@
 __all__ = [
     "URGENT_PRIORITY",
     "Candidate",
-    "Demand",
+    "DecisionOutcome",
+    "DecisionRequest",
     "DecisionRound",
+    "Demand",
     "FailedTry",
     "PlacementUnit",
+    "Preemption",
     "Reservation",
+    "TaskPlacements",
     "Timeliness",
     "Victim",
 ]
@@ -182,6 +186,60 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class TaskPlacements:
+    """Outcome of a decision: tasks of a unit are placed on minions.
+
+    Attributes
+    ----------
+    unit : PlacementUnit
+        The unit.
+    tasks : list of Task
+        The tasks.
+    candidates : list of Candidate
+        The minion of each task.
+    """
+
+    unit: PlacementUnit
+    tasks: list[Task]
+    candidates: list[Candidate]
+
+
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """Outcome of a decision: a run is stopped to make room for a unit.
+
+    Attributes
+    ----------
+    unit : PlacementUnit
+        The unit.
+    victim : Victim
+        The run.
+    stopped : list of Task
+        Its task, with the other members if it belongs to a gang.
+    """
+
+    unit: PlacementUnit
+    victim: Victim
+    stopped: list[Task]
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionRequest:
+    """Outcome of a decision: another one is due at a time even if nothing changes.
+
+    Attributes
+    ----------
+    at_ms : int
+        The time.
+    """
+
+    at_ms: int
+
+
+DecisionOutcome = TaskPlacements | Preemption | DecisionRequest
+
+
 class Demand(NamedTuple):
     """All that the placement of a unit depends on, but for its tasks.
 
@@ -253,6 +311,8 @@
         Rank for whose units capacity is held.
     failed_tries : dict of Demand to FailedTry
         Outcome of units that were left waiting, for others with the same demand.
+    preempted : set of TaskName
+        Tasks whose runs the round has chosen to stop.
     tick_count : int
         Number of ticks that the round has taken.
     """
@@ -266,4 +326,5 @@
     candidates: list[Candidate] | None = None
     held_rank: int | None = None
     failed_tries: dict[Demand, FailedTry] = field(default_factory=dict)
+    preempted: set[TaskName] = field(default_factory=set)
     tick_count: int = 0
