Explain where a job would be placed, without submitting it

An operator could see why submitted work waits, but not where a job would go, or what it would preempt, before it is submitted.

The holder answers `POST /peer/explain` on its peers' address: it runs `schedule_unit`, and what that calls, for each ready step of the job, on candidates of its own and on a plan that is in no table, and records the outcomes. Capacity that is kept for waiting work of the same or a more urgent rank is held as in a decision. The answer names the minions chosen, the runs that would be preempted, or the wait reason with the expected time. Another entry answers with the holder's address, which `kingcuppost explain placement` follows.

--- a/kingcuppost/batch/edges/peers.py
+++ b/kingcuppost/batch/edges/peers.py
@@ -1,4 +1,4 @@
-"""Reports of sidecars to entries, and the metrics endpoint."""
+"""Reports of sidecars to entries, explanations of placements, and the metrics."""
 
 from twisted.web.server import Request
 
@@ -8,22 +8,39 @@
     deliver_later,
 )
 from kingcuppost.batch.edges.server import Handler, answer, open_exchange, surfaces
+from kingcuppost.batch.edges.submissions import CALLERS_SURFACE, submission_decoders
 from kingcuppost.batch.models.sync import (
     decode_sync_call,
     decode_sync_reply,
     encode_sync_call,
     encode_sync_reply,
 )
-from kingcuppost.batch.tables.messages import SendSync, SyncAnswered, SyncReply
+from kingcuppost.batch.tables.messages import (
+    ExplainCall,
+    ExplainOutcome,
+    ExplainReply,
+    SendSync,
+    SyncAnswered,
+    SyncReply,
+)
 from kingcuppost.exception import PeerError
+from kingcuppost.tables.identity import Role
 from kingcuppost.utils.registry import Registry
 
 __all__ = ["peer_paths"]
 
 SYNC_PATH = "/peer/sync"
+EXPLAIN_PATH = "/peer/explain"
 STATUS_OK = 200
 STATUS_BAD = 400
 STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+EXPLAIN_STATUSES = {
+    ExplainOutcome.EXPLAINED: STATUS_OK,
+    ExplainOutcome.REDIRECTED: STATUS_OK,
+    ExplainOutcome.BAD: STATUS_BAD,
+    ExplainOutcome.NOT_NOW: STATUS_UNAVAILABLE,
+}
 
 peer_paths: Registry[str, Handler] = Registry("path for peers")
 
@@ -89,6 +106,43 @@
     return SyncAnswered(number, address, sent_ms, parsed.ok)
 
 
+@peer_paths.register(EXPLAIN_PATH)
+def receive_explain_call(context: BatchContext, request: Request) -> None:
+    """Deliver a request to explain a placement; answer 400 if it is invalid."""
+    if context.world.cfg.role is not Role.ENTRY:
+        answer(request, STATUS_NOT_FOUND)
+        return
+    # imported on the first request, since start-up time is part of every recovery
+    from kingcuppost.batch.models.explanations import decode_explain_call
+
+    exchange_id = open_exchange(context, request)
+    peer = request.getClientAddress().host
+    parsed = decode_explain_call(request.content.read(), peer)
+    if parsed.is_error():
+        _refuse_explain_call(context, exchange_id, parsed.error.reason)
+        return
+    decode = submission_decoders[CALLERS_SURFACE]
+    job = decode(parsed.ok.submission.encode())
+    if job.is_error():
+        _refuse_explain_call(context, exchange_id, job.error)
+        return
+    context.deliver(ExplainCall(exchange_id, parsed.ok.queue, parsed.ok.team, job.ok))
+
+
+def _refuse_explain_call(context: BatchContext, exchange_id: str, reason: str) -> None:
+    send_explain_reply(context, ExplainReply(exchange_id, ExplainOutcome.BAD, reason))
+
+
+@batch_senders.register(ExplainReply)
+def send_explain_reply(context: BatchContext, reply: ExplainReply) -> None:
+    """Answer a request to explain a placement, unless its connection is closed."""
+    from kingcuppost.batch.models.explanations import encode_explain_reply
+
+    request = context.exchanges.pop(reply.exchange_id, None)
+    if request is not None:
+        answer(request, EXPLAIN_STATUSES[reply.outcome], encode_explain_reply(reply))
+
+
 @peer_paths.register("/metrics")
 def serve_metrics(context: BatchContext, request: Request) -> None:
     """Serve the metrics in the Prometheus text format."""
--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -23,6 +23,7 @@
         "checkpoint_parts",
         "run_monitor",
         "scheduling",
+        "explanations",
         "waits",
         "job_removal",
         "plan_writing",
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -40,7 +40,7 @@
 from kingcuppost.tables.identity import Role
 from kingcuppost.utils.clock import NEVER_MS
 
-__all__ = ["schedule_units"]
+__all__ = ["retry_urgent", "schedule_units"]
 
 URGENT_RETRY_MS = 1_000  # the progress of runs alone triggers no decision
 FLEET_QUIET_MS = 100  # without a new minion
@@ -153,8 +153,7 @@
     release_reserved(unit)
     if not keep_waiting_tasks(decision.world, unit):
         return
-    if unit.is_urgent:
-        decide_again(decision, decision.now_ms + URGENT_RETRY_MS)
+    retry_urgent(decision, unit)
     failed = None if had_reservation else find_failed_try(decision, unit)
     if failed is not None:
         fits = failed.reason is WaitReason.LOCALITY
@@ -168,6 +167,12 @@
         remember_failed_try(decision, unit, failed)
 
 
+def retry_urgent(decision: Decision, unit: PlacementUnit) -> None:
+    """Have an urgent unit decided on again soon, since runs may end soon by then."""
+    if unit.is_urgent:
+        decide_again(decision, decision.now_ms + URGENT_RETRY_MS)
+
+
 def _is_paused(world: BatchWorld, now_ms: int) -> bool:
     """Return whether the operators' records are too old to place by; log changes."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/units.py
+++ b/kingcuppost/batch/systems/units.py
@@ -1,6 +1,7 @@
 """Placement units: groups of ready tasks, ranked by urgency."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from itertools import chain
 
 from kingcuppost.batch.systems.placement import add_resources
 from kingcuppost.batch.systems.timeliness import assess_timeliness, target_end_ms
@@ -31,10 +32,15 @@
     return step.cpu_millis / MILLIS_PER_CORE + CORES_PER_ACCELERATOR * step.accelerators
 
 
-def find_guaranteed_jobs(world: BatchWorld) -> set[str]:
+def find_guaranteed_jobs(world: BatchWorld, others: Iterable[Plan] = ()) -> set[str]:
     """Return the identifiers of urgent jobs that fit their team's guarantee.
 
     Older jobs take precedence.
+
+    Parameters
+    ----------
+    others : iterable of Plan, optional
+        Plans that are in no table, and are regarded as well.
     """
     configuration = world.agreed.configuration
     if configuration is None:
@@ -43,7 +49,7 @@
     guaranteed_ids = set()
     urgent = [
         plan
-        for plan in world.schedule.plans.values()
+        for plan in chain(world.schedule.plans.values(), others)
         if plan.job.policy.priority == URGENT_PRIORITY
         and plan.phase is not PlanPhase.OVER
     ]
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -20,6 +20,7 @@
 from kingcuppost.tables.identity import Role
 
 __all__ = [
+    "find_wait_reason",
     "forget_ended_waits",
     "log_long_waits",
     "note_wait",
@@ -56,7 +57,7 @@
     waiting = sum(task.phase is TaskPhase.WAITING for task in tasks)
     if not waiting:
         return None
-    reason, fits = _find_reason(unit, eligible)
+    reason, fits = find_wait_reason(unit, eligible)
     return put_wait(decision, unit, waiting, reason, fits)
 
 
@@ -95,7 +96,7 @@
     return FailedTry(reason, fits_since_ms)
 
 
-def _find_reason(
+def find_wait_reason(
     unit: PlacementUnit, eligible: list[Candidate]
 ) -> tuple[WaitReason, bool]:
     """Return why a unit waits, and whether the free capacity holds it."""
--- a/kingcuppost/batch/tables/messages/__init__.py
+++ b/kingcuppost/batch/tables/messages/__init__.py
@@ -7,6 +7,11 @@
     CallReply,
     SubmittedJob,
 )
+from kingcuppost.batch.tables.messages.explanations import (
+    ExplainCall,
+    ExplainOutcome,
+    ExplainReply,
+)
 from kingcuppost.batch.tables.messages.log import (
     PARTS_FORMAT,
     Append,
@@ -64,6 +69,9 @@
     "ConfigRecord",
     "EndedRun",
     "EntryRecord",
+    "ExplainCall",
+    "ExplainOutcome",
+    "ExplainReply",
     "HoldMinion",
     "HoldMinionAnswered",
     "JobRecord",
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -234,6 +234,8 @@
         Number of rounds of decisions in this term.
     cut_logged_ms : int
         Time at which a decision of several ticks was last logged.
+    explain_after_ms : int
+        Time before which no further placement is explained.
     added_plans : dict of str to None
         Jobs whose plans were added since the units of all plans were last listed.
     """
@@ -288,6 +290,7 @@
     decision_round: DecisionRound | None = None
     round_count: int = 0
     cut_logged_ms: int = 0
+    explain_after_ms: int = 0
     added_plans: dict[str, None] = field(default_factory=dict)
 
 
--- a/kingcuppost/cli/explain.py
+++ b/kingcuppost/cli/explain.py
@@ -1,10 +1,14 @@
-"""The command that explains a job or a request."""
+"""The command that explains a job, a request or a placement."""
 
 import argparse
 from typing import Any
 from urllib.parse import quote
 
 from kingcuppost.cli.client import send_to_entry
+from kingcuppost.cli.explain_placement import (
+    add_placement_options,
+    explain_placement,
+)
 from kingcuppost.cli.jobs import format_jobs, format_members
 from kingcuppost.cli.registry import add_operator_options, command
 
@@ -21,23 +25,30 @@
     request.add_argument("name", metavar="TEAM/KEY", help="team and key of the request")
     for subparser in (job, request):
         add_operator_options(subparser)
+    placement = subparsers.add_parser(
+        "placement", help="where a batch job would be placed now, without submitting it"
+    )
+    add_placement_options(placement)
 
 
 @command(
     "explain",
-    "Explain the outcome of a job or request by its settings and decisions.",
+    "Explain the outcome of a job or request, or the placement of a job.",
     _add_options,
 )
 def run_explain(args: argparse.Namespace) -> int:
     """Show the settings, decisions and outcome of a job or request.
 
-    A decision is shown with the alternatives that it refused.
+    A decision is shown with the alternatives that it refused. For a job that is not
+    submitted, show where it would be placed.
 
     Returns
     -------
     int
         Exit code.
     """
+    if args.action == "placement":
+        return explain_placement(args)
     name = quote(args.name, safe="")
     if args.action == "job":
         return send_to_entry(
--- a/kingcuppost/platform/callers.py
+++ b/kingcuppost/platform/callers.py
@@ -9,6 +9,7 @@
 
 from kingcuppost.batch.edges.context import BatchContext, batch_senders
 from kingcuppost.batch.edges.server import answer, open_exchange, surfaces
+from kingcuppost.batch.edges.submissions import CALLERS_SURFACE, submission_decoders
 from kingcuppost.batch.systems.freshness import is_fresh
 from kingcuppost.batch.tables.job import MAX_JOB_TASKS, StepSpec
 from kingcuppost.batch.tables.messages import (
@@ -101,7 +102,9 @@
     )
 
 
-def _decode_job(body: bytes) -> Result[SubmittedJob, str]:
+@submission_decoders.register(CALLERS_SURFACE)
+def decode_job(body: bytes) -> Result[SubmittedJob, str]:
+    """Return the job in the body of a submission, or why the body is invalid."""
     try:
         model = _JobModel.model_validate_json(body)
     except ValidationError as exc:
@@ -123,7 +126,7 @@
     return int(text) if is_number else DEFAULT_TIMEOUT_MS
 
 
-@surfaces.register("callers")
+@surfaces.register(CALLERS_SURFACE)
 def serve_caller(context: BatchContext, request: Request) -> None:
     """Deliver a caller's request to the systems."""
     method = request.method.decode("ascii", "replace")
@@ -133,7 +136,7 @@
     kind = CALL_KINDS[method]
     job, body_error = None, ""
     if kind is CallKind.SUBMIT:
-        parsed = _decode_job(request.content.read())
+        parsed = decode_job(request.content.read())
         job = parsed.default_value(None)
         body_error = parsed.error if parsed.is_error() else ""
     authorization = request.getHeader("authorization") or ""
