--- a/kingcuppost/batch/models/explanations.py
+++ b/kingcuppost/batch/models/explanations.py
@@ -69,6 +69,7 @@
     tasks: int
     needs: tuple[int, ...] = ()
     eligible: int = 0
+    fits_idle: bool = True
     chosen: tuple[ChosenMinionModel, ...] = ()
     preempted: tuple[PreemptedRunModel, ...] = ()
     waiting: int = 0
--- a/kingcuppost/batch/systems/explanations.py
+++ b/kingcuppost/batch/systems/explanations.py
@@ -15,12 +15,16 @@
 from kingcuppost.batch.tables.world import BatchWorld
 from kingcuppost.tables.identity import Role
 
-__all__ = ["EXPLAIN_PERIOD_MS", "answer_explain_calls"]
+__all__ = ["EXPLAIN_PERIOD_MS", "MAX_EXPLAINED_TASKS", "answer_explain_calls"]
 
 # An explanation costs as much as the decision on one job, so a client that asks without
 # pause must not delay the decisions on work that callers wait for.
 EXPLAIN_PERIOD_MS = 1_000
 
+# A decision on 10,000 tasks takes longer than a tick may, and an explanation is not cut
+# into several ticks.
+MAX_EXPLAINED_TASKS = 1_000
+
 EXPLAINED_ID = "explained"  # no identifier of a job has this form
 NO_HOLDER_REASON = "no entry is known to hold the lease"
 PAUSED_REASON = "placement pauses: the operators' records may be outdated"
@@ -48,6 +52,9 @@
         return ExplainReply(
             call.exchange_id, ExplainOutcome.BAD, EXTERNAL_POLICY_REASON
         )
+    if sum(step.count for step in call.job.steps) > MAX_EXPLAINED_TASKS:
+        reason = f"jobs of more than {MAX_EXPLAINED_TASKS} tasks are not explained"
+        return ExplainReply(call.exchange_id, ExplainOutcome.BAD, reason)
     if not is_configuration_current(world, now_ms):
         return ExplainReply(call.exchange_id, ExplainOutcome.NOT_NOW, PAUSED_REASON)
     if now_ms < world.schedule.explain_after_ms:
--- a/kingcuppost/batch/systems/placement_explanation.py
+++ b/kingcuppost/batch/systems/placement_explanation.py
@@ -15,6 +15,7 @@
     stop_limit_ms,
 )
 from kingcuppost.batch.systems.decision import Decision
+from kingcuppost.batch.systems.placement import fits_idle
 from kingcuppost.batch.systems.plans import load_plan
 from kingcuppost.batch.systems.release_times import expected_release_ms
 from kingcuppost.batch.systems.reservations import hold_reserved
@@ -67,7 +68,8 @@
     """
     plan = load_plan(job)
     round_ = DecisionRound(ROUND_NUMBER, find_guaranteed_jobs(world, [plan]), [])
-    decision = Decision(world, now_ms, world.clock.wall_ms(), round_, recorded=[])
+    # the job is assessed at the time of its acceptance, which is now
+    decision = Decision(world, now_ms, job.accepted_ms, round_, recorded=[])
     units = list_plan_units(world, round_, plan, decision.wall_ms)
     round_.candidates = list_candidates(decision)
     rank = urgency_rank(plan, round_.guaranteed_ids)
@@ -147,6 +149,7 @@
         spec.count,
         (),
         len(eligible),
+        fits_idle(spec, eligible),
         chosen,
         preempted,
         waiting,
--- a/kingcuppost/batch/tables/explanation.py
+++ b/kingcuppost/batch/tables/explanation.py
@@ -78,6 +78,9 @@
         Steps that must be complete before it is decided on; empty for a ready step.
     eligible : int
         Number of usable minions whose service and labels suit it.
+    fits_idle : bool
+        Whether those minions would hold it if no other work ran there; a gang whole,
+        other steps one task.
     chosen : tuple of ChosenMinion
         Minions that would be given tasks.
     preempted : tuple of PreemptedRun
@@ -98,6 +101,7 @@
     tasks: int
     needs: tuple[int, ...] = ()
     eligible: int = 0
+    fits_idle: bool = True
     chosen: tuple[ChosenMinion, ...] = ()
     preempted: tuple[PreemptedRun, ...] = ()
     waiting: int = 0
--- a/kingcuppost/cli/explain_placement.py
+++ b/kingcuppost/cli/explain_placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from expression import Result
+from expression import Error, Result
 
 from kingcuppost.batch.models.explanations import (
     ExplainCallModel,
@@ -53,6 +53,7 @@
     WaitReason.FAILED_MINIONS: "other minions than those where runs of it failed",
     WaitReason.PREEMPTION: "the end of runs that are stopped for it or end soon",
 }
+NEVER_FITS_EVENT = "more or larger minions, since those that suit would be too small"
 
 
 def add_placement_options(parser: argparse.ArgumentParser) -> None:
@@ -107,6 +108,12 @@
 
 
 def _decode(response: Response) -> Result[ExplainReplyModel, Failure]:
+    if not response.body:
+        reason = (
+            f"status {response.status}; is this the peers' address of an entry, and "
+            "does its build explain placements?"
+        )
+        return Error(Failure(reason, "explain placement"))
     return decode_explain_reply(response.body, f"answer of status {response.status}")
 
 
@@ -163,7 +170,10 @@
         )
     if step.reason is not None:
         yield f"  {step.waiting} would wait: {step.reason}"
-        yield f"  until: {WAIT_EVENTS[step.reason]}{_format_times(step)}"
+        event = WAIT_EVENTS[step.reason]
+        if step.eligible and not step.fits_idle:
+            event = NEVER_FITS_EVENT
+        yield f"  until: {event}{_format_times(step)}"
 
 
 def _format_times(step: StepExplanationModel) -> str:
--- a/kingcuppost/cli/lost_work.py
+++ b/kingcuppost/cli/lost_work.py
@@ -140,7 +140,13 @@
         for cause, row in sorted(sums.items(), key=_order_by_loss)
     ]
     rows.append(
-        ["all", len(runs), f"{total_core_s:.1f}", _format_share(1, 1), "all causes"]
+        [
+            "all",
+            len(runs),
+            f"{total_core_s:.1f}",
+            _format_share(total_core_s, total_core_s),
+            "all causes",
+        ]
     )
     return format_table(["CAUSE", "RUNS", "LOST CORE-S", "SHARE", "MEANING"], rows)
 
--- a/kingcuppost/platform/tests/test_callers.py
+++ b/kingcuppost/platform/tests/test_callers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kingcuppost.platform.callers import _decode_job
+from kingcuppost.platform.callers import decode_job
 
 
 def make_body(**fields: object) -> bytes:
@@ -16,7 +16,7 @@
     body = make_body(
         gang=True, sameRack=True, requirements="a", affinity="r1-1", antiAffinity=2
     )
-    step = _decode_job(body).ok.steps[0]
+    step = decode_job(body).ok.steps[0]
     assert (step.cpu_millis, step.memory_mb, step.accelerators) == (500, 64, 1)
     assert step.gang
     assert step.one_rack
@@ -38,7 +38,7 @@
     ],
 )
 def test_an_unsupported_body_is_refused_with_a_reason(body: bytes, reason: str) -> None:
-    result = _decode_job(body)
+    result = decode_job(body)
     assert result.is_error()
     assert reason in result.error
 
@@ -48,7 +48,7 @@
     counts: tuple[int, ...],
 ) -> None:
     steps = [{"count": count} for count in counts]
-    assert _decode_job(json.dumps({"steps": steps}).encode()).is_ok()
+    assert decode_job(json.dumps({"steps": steps}).encode()).is_ok()
     steps[0]["count"] += 1
-    refused = _decode_job(json.dumps({"steps": steps}).encode())
+    refused = decode_job(json.dumps({"steps": steps}).encode())
     assert "10000" in refused.error
--- a/standins/batch/tests/test_explanations.py
+++ b/standins/batch/tests/test_explanations.py
@@ -8,6 +8,7 @@
 from kingcuppost.batch.systems.candidates import stop_limit_ms
 from kingcuppost.batch.systems.explanations import (
     EXPLAIN_PERIOD_MS,
+    MAX_EXPLAINED_TASKS,
     answer_explain_calls,
 )
 from kingcuppost.batch.systems.placement_explanation import (
@@ -153,6 +154,15 @@
     assert (explained.eligible, explained.expected_ms) == (0, None)
 
 
+def test_a_task_that_no_minion_could_hold_is_told() -> None:
+    # it has the same reason as work that only has to wait for the end of runs
+    deployment = make_ready_deployment(minions=3)
+    huge = StepSpec(1, cpu_millis=9_000_000)
+    [explained] = explain(deployment, (huge,), priority=1).steps
+    assert (explained.reason, explained.fits_idle) == (WaitReason.NO_CAPACITY, False)
+    assert explained.expected_ms is None
+
+
 def test_steps_that_need_others_wait_for_them_and_the_list_is_bounded() -> None:
     deployment = make_ready_deployment(minions=3)
     second = StepSpec(2, cpu_millis=1_000, needs=(0,))
@@ -164,8 +174,8 @@
     assert len(many.steps) == MAX_EXPLAINED_STEPS
 
 
-def ask(world: BatchWorld, queue: str) -> ExplainReply:
-    call = ExplainCall("exc", queue, "", SubmittedJob("", (SINGLE,)))
+def ask(world: BatchWorld, queue: str, step: StepSpec = SINGLE) -> ExplainReply:
+    call = ExplainCall("exc", queue, "", SubmittedJob("", (step,)))
     world.inbox.put(call)
     answer_explain_calls(world, world.clock.now_ms())
     replies = world.outbox.take_all()
@@ -184,6 +194,12 @@
     assert ask(world, "no such queue").outcome is ExplainOutcome.BAD
 
 
+def test_a_job_whose_decision_would_take_too_long_is_not_explained() -> None:
+    world = holder_world(make_ready_deployment(minions=3))
+    step = StepSpec(MAX_EXPLAINED_TASKS + 1)
+    assert ask(world, find_queue(world, 1), step).outcome is ExplainOutcome.BAD
+
+
 def test_another_entry_answers_with_the_address_of_the_holder() -> None:
     deployment = make_ready_deployment(minions=3)
     holder = deployment.holder()
