--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -1,8 +1,12 @@
 """Candidates for placement: usable minions with free capacity and possible victims."""
 
 from collections import Counter
-from dataclasses import dataclass
 
+from kingcuppost.batch.systems.decision import (
+    Decision,
+    decide_again,
+    request_decision,
+)
 from kingcuppost.batch.systems.departures.waves import has_departures, may_depart
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
@@ -16,7 +20,6 @@
 from kingcuppost.batch.tables.config import Bounds
 from kingcuppost.batch.tables.decision import (
     Candidate,
-    DecisionRound,
     PlacementUnit,
     Victim,
 )
@@ -25,7 +28,6 @@
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
-from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
     "Decision",
@@ -51,38 +53,6 @@
 REPORT_MARGIN_MS = 1_000  # for the order to stop, and the report of the end
 
 
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """A tick of a decision on all waiting units, and what it assesses all runs by.
-
-    Attributes
-    ----------
-    world : BatchWorld
-        Tables of the process.
-    now_ms, wall_ms : int
-        Time of the tick by the monotonic clock, and as Unix time in ms.
-    round : DecisionRound
-        What the decision has done so far.
-    """
-
-    world: BatchWorld
-    now_ms: int
-    wall_ms: int
-    round: DecisionRound
-
-    @property
-    def guaranteed_ids(self) -> set[str]:
-        """Return the urgent jobs that fit their team's guarantee."""
-        return self.round.guaranteed_ids
-
-
-def request_decision(world: BatchWorld, at_ms: int) -> None:
-    """Schedule another decision at `at_ms`, even if nothing changes until then."""
-    schedule = world.schedule
-    schedule.decide_at_ms = min(schedule.decide_at_ms, at_ms)
-    world.deadlines.add(at_ms)
-
-
 def list_candidates(decision: Decision) -> list[Candidate]:
     """Return the minions that may be given tasks, with their free capacity.
 
@@ -92,7 +62,7 @@
     usable = [
         _make_candidate(decision, minion)
         for minion in world.schedule.minions
-        if _is_usable(world, minion, decision.now_ms)
+        if _is_usable(decision, minion)
     ]
     racks: dict[str, list[int]] = {}
     for candidate in usable:
@@ -114,7 +84,7 @@
         candidate
         for candidate in candidates
         if minions.get(candidate.minion.sidecar) is candidate.minion
-        and _is_usable(world, candidate.minion, decision.now_ms)
+        and _is_usable(decision, candidate.minion)
     ]
     for candidate in kept:
         candidate.victims = None
@@ -152,7 +122,7 @@
     for plan, task in placed_runs(world.schedule, minion.incarnation):
         if is_stop_expected(decision, task):
             limit_ms = stop_limit_ms(world.cfg.bounds)
-            request_decision(world, task.stop_requested_ms + limit_ms)
+            decide_again(decision, task.stop_requested_ms + limit_ms)
             subtract_tasks(free_after_stops, plan.job.steps[task.name.step], -1)
 
 
@@ -229,14 +199,14 @@
     )
 
 
-def _is_usable(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+def _is_usable(decision: Decision, minion: MinionRow) -> bool:
     if minion.draining or minion.is_unreachable:
         return False
-    if minion.availability_zone in world.agreed.closed_zones:
+    if minion.availability_zone in decision.world.agreed.closed_zones:
         return False
     paused_until_ms = _paused_until_ms(minion)
-    if now_ms < paused_until_ms:
-        request_decision(world, paused_until_ms)
+    if decision.now_ms < paused_until_ms:
+        decide_again(decision, paused_until_ms)
         return False
     return True
 
