Let wide gangs wait for the end of a rollout that would probably end them

Cause: in a rollout of six minions a second, gangs of 12 and 17 members were stopped and started again by up to four steps one after the other. Change: the pace of a rollout so far gives each older minion a rate of departure. A gang that does not save and is not urgent is not placed where it would more likely be lost than end; it waits at most for its own duration, 2 s while capacity is plentiful, with the reason rollout. Saving work prefers replacements, too.

--- a/kingcuppost/batch/systems/candidate_order.py
+++ b/kingcuppost/batch/systems/candidate_order.py
@@ -76,8 +76,8 @@
     Urgent units prefer reliable and fast minions. Other units fill up racks and minions
     that are nearly full, so that whole racks stay free for urgent gangs. Delay-tolerant
     units prefer slow minions and leave the fast ones to others. The last attempt of a
-    task prefers a minion that has completed a run before. Units that do not save their
-    work prefer minions that are not likely to leave. Where minions depart, a gang
+    task prefers a minion that has completed a run before. All units
+    prefer minions that are not likely to leave. Where minions depart, a gang
     prefers few minions, since each one that leaves ends the work of all members.
     """
     is_last_attempt = unit.is_last_attempt
@@ -92,7 +92,7 @@
         risk = minion.failures + (
             0 if minion.has_completed_run else 1 if is_last_attempt else 0
         )
-        departs = candidate.may_depart and not step.saves
+        departs = candidate.may_depart
         held = _count_members(unit, candidate)
         if unit.is_urgent:
             speed = round(minion.speed.value * SPEED_STEPS_PER_UNIT)
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -7,7 +7,11 @@
     decide_again,
     request_decision,
 )
-from kingcuppost.batch.systems.departures.waves import has_departures, may_depart
+from kingcuppost.batch.systems.departures.waves import (
+    departure_rate,
+    has_departures,
+    may_depart,
+)
 from kingcuppost.batch.systems.lost_work import work_lost_by_stop
 from kingcuppost.batch.systems.placement import (
     copy_resources,
@@ -69,6 +73,7 @@
         candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
         candidate.rack_free_accelerators[0] += candidate.free_after_stops.accelerators
     _mark_slow_candidates(usable)
+    _set_departure_rates(decision, usable)
     return usable
 
 
@@ -297,3 +302,15 @@
             bool(candidate.minion.speed.weight)
             and candidate.minion.speed.value < slow_speed_limit
         )
+
+
+def _set_departure_rates(decision: Decision, candidates: list[Candidate]) -> None:
+    """Spread the expected departures of a rollout over the minions that may leave."""
+    departing = [candidate for candidate in candidates if candidate.may_depart]
+    counts = Counter(candidate.minion.service for candidate in departing)
+    rates = {
+        service: departure_rate(decision.world, service, decision.now_ms) / count
+        for service, count in counts.items()
+    }
+    for candidate in departing:
+        candidate.departure_rate = rates[candidate.minion.service]
--- a/kingcuppost/batch/systems/preference_waits.py
+++ b/kingcuppost/batch/systems/preference_waits.py
@@ -23,7 +23,13 @@
 from kingcuppost.batch.tables.waiting import StepName
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["fits_since_ms", "waits_for_other_minions", "waits_for_rack"]
+__all__ = [
+    "PLENTIFUL_WAIT_MS",
+    "fits_since_ms",
+    "is_plentiful",
+    "waits_for_other_minions",
+    "waits_for_rack",
+]
 
 PLENTIFUL_WAIT_MS = 2_000  # well below the 3 s after which callers count work as lost
 PLENTIFUL_TIMES = 2
@@ -52,7 +58,7 @@
     waited_ms = decision.now_ms - fits_since_ms(decision, unit)
     gain_ms = _gain_ms(decision, unit)
     limit_ms = gain_ms
-    if _is_plentiful(decision, unit, candidates):
+    if is_plentiful(decision, unit, candidates):
         limit_ms = min(gain_ms, PLENTIFUL_WAIT_MS)
     if waited_ms >= limit_ms:
         return False
@@ -84,7 +90,7 @@
         All minions where it may run.
     """
     until_ms = max(task.avoid_until_ms for task in unit.tasks)
-    if _is_plentiful(decision, unit, candidates):
+    if is_plentiful(decision, unit, candidates):
         plentiful_until_ms = fits_since_ms(decision, unit) + PLENTIFUL_WAIT_MS
         until_ms = min(until_ms, plentiful_until_ms)
     if decision.now_ms >= until_ms:
@@ -101,7 +107,7 @@
     return wait.fits_since_ms
 
 
-def _is_plentiful(
+def is_plentiful(
     decision: Decision, unit: PlacementUnit, candidates: list[Candidate]
 ) -> bool:
     """Return whether the candidates hold a unit several times, and its service is idle.
--- a/kingcuppost/batch/systems/unit_scheduling.py
+++ b/kingcuppost/batch/systems/unit_scheduling.py
@@ -17,6 +17,7 @@
     carry_out,
     outcome_appliers,
 )
+from kingcuppost.batch.systems.departures.rollouts import awaits_rollout
 from kingcuppost.batch.systems.placement import (
     choose_candidates,
     fits_idle,
@@ -148,12 +149,17 @@
 def _place_unit(
     decision: Decision, unit: PlacementUnit, groups: list[list[Candidate]]
 ) -> bool:
-    """Place the tasks that fit; return whether these are all tasks of the unit."""
+    """Place the tasks that fit; return whether these are all tasks of the unit.
+
+    A gang is not placed where it would probably be lost in a rollout.
+    """
     for group in groups:
         chosen = choose_candidates(
             group, unit.spec, len(unit.tasks), make_sort_key(unit)
         )
         is_whole = len(chosen) == len(unit.tasks)
+        if is_whole and awaits_rollout(decision, unit, chosen, group):
+            continue
         if is_whole or (chosen and not unit.spec.gang):
             _place_tasks(decision, unit, chosen)
             if is_whole:
--- a/kingcuppost/batch/systems/waits.py
+++ b/kingcuppost/batch/systems/waits.py
@@ -106,6 +106,8 @@
         return WaitReason.NO_MINION, False
     if not fits_now(unit.spec, eligible):
         return WaitReason.NO_CAPACITY, False
+    if unit.awaits_rollout:
+        return WaitReason.ROLLOUT, True
     if fits_now(unit.spec, exclude_avoided(unit, eligible)):
         return WaitReason.LOCALITY, True
     return WaitReason.FAILED_MINIONS, True
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -100,6 +100,8 @@
         Whether the minion works much slower than most.
     may_depart : bool
         Whether the minion may be among the next that leave in a wave of departures.
+    departure_rate : float
+        Expected departures of this minion in one ms, while a rollout goes on.
     in_changing_service : bool
         Whether minions of its service have departed in this term.
     """
@@ -113,6 +115,7 @@
     victims: list[Victim] | None = None
     is_slow: bool = False
     may_depart: bool = False
+    departure_rate: float = 0.0
     in_changing_service: bool = False
 
 
@@ -153,6 +156,8 @@
         Unix time by which the job should end, in ms.
     held : list of Reservation
         Capacity that is kept for its tasks until they are scheduled.
+    awaits_rollout : bool
+        Whether it was not placed since it would probably be lost in a rollout.
     """
 
     plan: Plan
@@ -163,6 +168,7 @@
     timeliness: Timeliness = Timeliness.IN_TIME
     target_end_ms: float = 0.0
     held: list[Reservation] = field(default_factory=list)
+    awaits_rollout: bool = False
 
     @property
     def is_urgent(self) -> bool:
--- a/kingcuppost/batch/tables/departures.py
+++ b/kingcuppost/batch/tables/departures.py
@@ -13,12 +13,19 @@
     ----------
     began_wall_ms : int
         Unix time at which its first minion began to drain, in ms.
-    last_ms : int
-        Time at which its newest minion began to drain.
+    began_ms, last_ms : int
+        Time at which its first and its newest minion began to drain.
+    departures : int
+        Number of its minions.
+    steps : int
+        Number of times at which minions began to drain, together or alone.
     """
 
     began_wall_ms: int
+    began_ms: int
     last_ms: int
+    departures: int = 1
+    steps: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/waiting.py
+++ b/kingcuppost/batch/tables/waiting.py
@@ -19,6 +19,9 @@
         The free capacity holds it, but not in a rack where it runs fast.
     FAILED_MINIONS
         The free capacity holds it only on minions where runs of it have failed.
+    ROLLOUT
+        The free capacity holds it, but minions there would probably leave before it
+        ends.
     PREEMPTION
         Capacity is about to be released for it.
     START
@@ -31,6 +34,7 @@
     NO_CAPACITY = "no capacity"
     LOCALITY = "locality"
     FAILED_MINIONS = "failed minions"
+    ROLLOUT = "rollout"
     PREEMPTION = "preemption"
     START = "start"
     STOP = "stop"
