Add the order "cost" for waiting work under overload

Cause: under overload "deadline" puts every job that can still be in time before all late ones, so many late jobs become of no use, and the largest of a queue most of all. Change: the registry of orders takes the units of one rank and the inputs of the round. "cost" forecasts the end of each job from the runs of its rank and of more urgent ones, the waiting work and the capacity, and demotes jobs as by Moore and Hodgson. It equals "deadline" while all can be in time, and for units within a guarantee. The work of runs is kept with each start and end. [scheduling] queueOrder selects the order; the default stays "deadline". The recorded rows of the settings get the new field with its default, which an earlier file without the table still reads into.

--- a/kingcuppost/batch/systems/decision_rounds.py
+++ b/kingcuppost/batch/systems/decision_rounds.py
@@ -1,7 +1,11 @@
 """Rounds of decisions: which units one consists of, and their order."""
 
+from itertools import groupby
+
 from kingcuppost.batch.systems.candidates import Decision
-from kingcuppost.batch.systems.queue_order import queue_orders
+from kingcuppost.batch.systems.overload import queue_orders
+from kingcuppost.batch.systems.overload.tried_work import note_tried_work
+from kingcuppost.batch.systems.queue_order import OrderInputs
 from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.systems.units import find_guaranteed_jobs, list_plan_units
 from kingcuppost.batch.tables.decision import DecisionRound, PlacementUnit
@@ -35,7 +39,7 @@
     while round_.unlisted:
         round_.units += _list_plan(decision, round_.unlisted.pop())
         if not round_.unlisted:
-            _sort_units(decision, round_.units)
+            _sort_units(decision)
         elif budget.is_spent():
             return False
     return True
@@ -49,22 +53,30 @@
     plans = [schedule.plans.get(job_id) for job_id in schedule.added_plans]
     schedule.added_plans.clear()
     round_.guaranteed_ids = find_guaranteed_jobs(decision.world)
+    note_tried_work(round_)
     round_.units = round_.units[round_.next_index :]
     round_.next_index = 0
     for plan in plans:
         if plan is not None:
             round_.units += _list_plan(decision, plan)
-    _sort_units(decision, round_.units)
+    _sort_units(decision)
 
 
 def _list_plan(decision: Decision, plan: Plan) -> list[PlacementUnit]:
     return list_plan_units(decision.world, decision.round, plan, decision.wall_ms)
 
 
-def _sort_units(decision: Decision, units: list[PlacementUnit]) -> None:
-    """Put units in the order in which they are scheduled."""
-    order_key = queue_orders[decision.world.queue_order]
-    units.sort(key=lambda unit: (unit.rank, *order_key(unit, decision.wall_ms)))
+def _sort_units(decision: Decision) -> None:
+    """Put the units of a decision in the order in which they are scheduled."""
+    world, round_ = decision.world, decision.round
+    order = queue_orders[world.queue_order]
+    inputs = OrderInputs(world, round_, decision.now_ms, decision.wall_ms)
+    ranks = groupby(sorted(round_.units, key=_rank_of), key=_rank_of)
+    round_.units = [unit for _, rows in ranks for unit in order(list(rows), inputs)]
+
+
+def _rank_of(unit: PlacementUnit) -> int:
+    return unit.rank
 
 
 def keep_waiting_tasks(world: BatchWorld, unit: PlacementUnit) -> bool:
--- a/kingcuppost/batch/systems/task_phases.py
+++ b/kingcuppost/batch/systems/task_phases.py
@@ -5,6 +5,7 @@
 does not look at every task of every job.
 """
 
+from kingcuppost.batch.systems.overload.running_work import add_run, remove_run
 from kingcuppost.batch.systems.plan_parts import mark_task_changed
 from kingcuppost.batch.tables.fleet import MinionLoad
 from kingcuppost.batch.tables.job import MinionIncarnation, StepSpec, TaskPhase
@@ -122,6 +123,7 @@
 def _add_run(schedule: Schedule, plan: Plan, task: Task) -> None:
     load = schedule.loads.setdefault(task.incarnation, MinionLoad())
     load.runs[task.name] = (plan, task)
+    add_run(schedule.running_work, plan, task)
     step = plan.job.steps[task.name.step]
     _add_demand(load.used, step, 1)
     if task.stopping:
@@ -131,6 +133,7 @@
 def _remove_run(schedule: Schedule, plan: Plan, task: Task) -> None:
     load = schedule.loads[task.incarnation]
     del load.runs[task.name]
+    remove_run(schedule.running_work, plan, task)
     if not load.runs:
         del schedule.loads[task.incarnation]
         return
--- a/kingcuppost/batch/tables/config.py
+++ b/kingcuppost/batch/tables/config.py
@@ -5,7 +5,9 @@
 from kingcuppost.tables.config import Address
 from kingcuppost.tables.identity import Role
 
-__all__ = ["Bounds", "DaemonConfig"]
+__all__ = ["DEFAULT_QUEUE_ORDER", "Bounds", "DaemonConfig"]
+
+DEFAULT_QUEUE_ORDER = "deadline"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +66,8 @@
         Address of the minion beside a sidecar; None if the settings do not name it.
     minion_service : str
         Service of that minion; empty if the settings do not name it.
+    queue_order : str
+        Name of the order in which waiting work of one rank is scheduled.
     """
 
     role: Role
@@ -74,3 +78,4 @@
     bounds: Bounds = Bounds()
     minion_address: Address | None = None
     minion_service: str = ""
+    queue_order: str = DEFAULT_QUEUE_ORDER
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -6,6 +6,7 @@
 
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import StepSpec
+from kingcuppost.batch.tables.overload import Rate
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
@@ -243,6 +244,11 @@
         Plans whose units are not listed yet, the next one last.
     capacities : dict of str to Resources
         Capacity of all minions of a service, by service.
+    rates : dict of str to Rate
+        Work that a service does at a time, by service; only of those it was asked for.
+    tried_ms : dict of tuple of int and str to float
+        Work of units that were left waiting before plans were added, by rank and
+        service, as the time for which the service works on it.
     units : list of PlacementUnit
         Units to schedule, in order once all plans are listed.
     next_index : int
@@ -261,6 +267,8 @@
     guaranteed_ids: set[str]
     unlisted: list[Plan]
     capacities: dict[str, Resources] = field(default_factory=dict)
+    rates: dict[str, Rate] = field(default_factory=dict)
+    tried_ms: dict[tuple[int, str], float] = field(default_factory=dict)
     units: list[PlacementUnit] = field(default_factory=list)
     next_index: int = 0
     candidates: list[Candidate] | None = None
--- a/kingcuppost/batch/tables/plan.py
+++ b/kingcuppost/batch/tables/plan.py
@@ -10,6 +10,7 @@
     JobState,
     TaskPhase,
 )
+from kingcuppost.batch.tables.overload import OrderState
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
 
@@ -148,6 +149,8 @@
         The longest chains of work; None until they are needed.
     changed_estimates : dict of int to None
         Steps whose estimate was corrected since the chains were brought up to date.
+    order_state : OrderState or None
+        How the order under overload has treated the job; None before it is first seen.
     """
 
     job: Job
@@ -168,6 +171,7 @@
     ready_steps: dict[int, None] = field(init=False)
     chains: Chains | None = None
     changed_estimates: dict[int, None] = field(default_factory=dict)
+    order_state: OrderState | None = None
 
     def __post_init__(self) -> None:
         counts = [len(step) for step in self.tasks]
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -23,6 +23,7 @@
     Stream,
     SyncCall,
 )
+from kingcuppost.batch.tables.overload import RunningWork, ServedShare
 from kingcuppost.batch.tables.pending_calls import PendingCall
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.plan_writes import PlanWrites
@@ -236,6 +237,13 @@
         Time at which a decision of several ticks was last logged.
     added_plans : dict of str to None
         Jobs whose plans were added since the units of all plans were last listed.
+    running_work : dict of tuple of str and int to RunningWork
+        Remaining work of the runs by service and priority; `task_phases` keeps it up to
+        date.
+    served_shares : dict of int to ServedShare
+        Jobs that the order under overload has seen, by rank.
+    demotion_logged_ms : int
+        Time at which the demotion of a job was last logged.
     """
 
     term: int = -1
@@ -289,6 +297,9 @@
     round_count: int = 0
     cut_logged_ms: int = 0
     added_plans: dict[str, None] = field(default_factory=dict)
+    running_work: dict[tuple[str, int], RunningWork] = field(default_factory=dict)
+    served_shares: dict[int, ServedShare] = field(default_factory=dict)
+    demotion_logged_ms: int = 0
 
 
 @dataclass
@@ -320,7 +331,8 @@
     sidecar_state : SidecarState
         State of a sidecar; unused by an entry.
     queue_order : str
-        Name of the order in which waiting work of one rank is scheduled.
+        Name of the order in which waiting work of one rank is scheduled; at first as in
+        the settings.
     """
 
     cfg: DaemonConfig
@@ -341,10 +353,11 @@
     lookups: list[CallerCall] = field(default_factory=list)
     lookup_read_ms: int = -1
     sidecar_state: SidecarState = field(default_factory=SidecarState)
-    queue_order: str = "deadline"
     started_ms: int = field(init=False)
+    queue_order: str = field(init=False)
 
     def __post_init__(self) -> None:
+        self.queue_order = self.cfg.queue_order
         self.started_ms = self.clock.now_ms()
 
     def note(self, part: str, text: str, **fields: str | int | float) -> None:
--- a/kingcuppost/platform/settings.py
+++ b/kingcuppost/platform/settings.py
@@ -3,12 +3,17 @@
 import os
 import tomllib
 from dataclasses import dataclass
+from importlib import import_module
 from pathlib import Path
 
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-from kingcuppost.batch.tables.config import Bounds, DaemonConfig
+from kingcuppost.batch.tables.config import (
+    DEFAULT_QUEUE_ORDER,
+    Bounds,
+    DaemonConfig,
+)
 from kingcuppost.exception import Failure
 from kingcuppost.models.addresses import AddressText
 from kingcuppost.models.base import format_validation_error
@@ -20,6 +25,7 @@
 __all__ = ["PlatformConfig", "StoreLimits", "read_settings"]
 
 MS_PER_SECOND = 1_000
+QUEUE_ORDERS_MODULE = "kingcuppost.batch.systems.overload"
 
 
 class _Model(BaseModel):
@@ -56,6 +62,20 @@
     request_bytes: int = Field(2_097_152, alias="requestBytes", gt=0)
 
 
+class _SchedulingModel(_Model):
+    # order in which waiting work of one rank is scheduled
+    queue_order: str = Field(DEFAULT_QUEUE_ORDER, alias="queueOrder")
+
+    @field_validator("queue_order")
+    @classmethod
+    def _check_queue_order(cls, name: str) -> str:
+        """Check that the order is registered; most processes never load the orders."""
+        orders = import_module(QUEUE_ORDERS_MODULE).queue_orders
+        if name not in orders:
+            raise ValueError(f"must be one of {', '.join(sorted(orders))}")
+        return name
+
+
 class _SettingsModel(_Model):
     name: str = Field(alias="nodeName")
     ip: str
@@ -68,6 +88,7 @@
     service: str = ""
     listen: _ListenModel
     bounds: _BoundsModel = _BoundsModel()
+    scheduling: _SchedulingModel = _SchedulingModel()
     # the store that holds logs and operators' records
     platform: _StoreModel
 
@@ -143,6 +164,7 @@
         _make_bounds(model.bounds),
         _parse_optional_address(model.app),
         model.service,
+        model.scheduling.queue_order,
     )
     return PlatformConfig(
         daemon,
--- a/kingcuppost/platform/tests/test_settings.py
+++ b/kingcuppost/platform/tests/test_settings.py
@@ -48,6 +48,14 @@
     assert cfg.limits == StoreLimits(262_144, 2_097_152)
 
 
+@pytest.mark.parametrize("name", ["arrival", "cost", "deadline"])
+def test_the_order_of_the_queue_is_read(settings: Path, name: str) -> None:
+    assert read_settings(Role.ENTRY).ok.daemon.queue_order == "deadline"
+    table = f'[scheduling]\nqueueOrder = "{name}"\n[platform]'
+    settings.write_text(SIDECAR_SETTINGS.replace("[platform]", table))
+    assert read_settings(Role.ENTRY).ok.daemon.queue_order == name
+
+
 def test_seeds_have_the_port_for_peers(settings: Path) -> None:
     cfg = read_settings(Role.SIDECAR).ok
     assert cfg.daemon.seeds == (Address("10.1.0.19", 7000), Address("10.2.0.35", 7000))
@@ -59,6 +67,11 @@
         ('nodeName = "side-a-1"', "", "nodeName"),
         ('address = "10.200.1.7:8524"', 'address = "nowhere"', "platform.address"),
         ("holdMaxMs = 6000", 'holdMaxMs = "long"', "bounds.holdMaxMs"),
+        (
+            "[platform]",
+            '[scheduling]\nqueueOrder = "dedline"\n[platform]',
+            "scheduling.queueOrder",
+        ),
     ],
 )
 def test_an_invalid_file_is_refused_with_field_and_reason(
