Count the work of placed runs from the time of their placement

Cause: place_task changed the phase before it set the time of the placement, so the forecast of "cost" counted each run from 0 and its remaining work as none. A job without estimates stayed last under overload even after the limit of overtaking, and work that a cut round had tried counted only for ranks with units left. Change: the time is set first; such a job goes first after the limit; the work tried counts for all ranks behind it. The pass over jobs is functions over a row of the tables.

--- a/bench/tests/test_cost_order_shapes.py
+++ b/bench/tests/test_cost_order_shapes.py
@@ -3,6 +3,8 @@
 The cost is counted in lines of Python, so that the tests need no clock.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from bench.holder import Holder
@@ -10,6 +12,7 @@
 from bench.tests import test_cut_decisions as cut
 from bench.tests.test_holder import count_lines
 from bench.tests.test_shapes import MAX_GROWTH, MINIONS, TASKS
+from kingcuppost.batch.systems.overload.running_work import remaining_work
 from kingcuppost.batch.tables.job import StepSpec
 
 SMALL = StepSpec(1, cpu_millis=1_000, memory_mb=1_000, estimate_ms=1_000)
@@ -72,3 +75,18 @@
     assert schedule.decision_round is round_
     assert schedule.plans[job_id].order_state is not None
     assert job_id in {unit.plan.job.id for unit in round_.units}
+
+
+def test_the_work_of_placed_runs_counts_until_their_estimate_is_over() -> None:
+    # guards against an expected end that counts from the run before, or from 0
+    holder = Holder(1)
+    schedule = holder.world.schedule
+    holder.submit((replace(SMALL, count=3),))
+    holder.settle()
+    [row] = schedule.running_work.values()
+    elapsed_ms = 400
+    [load] = schedule.loads.values()
+    [started_ms] = {task.placed_ms for _, task in load.runs.values()}
+    left = remaining_work(row, started_ms + elapsed_ms)
+    left_ms = SMALL.estimate_ms - elapsed_ms
+    assert left.cpu_millis == 3 * SMALL.cpu_millis * left_ms
--- a/kingcuppost/batch/systems/overload/cost_order.py
+++ b/kingcuppost/batch/systems/overload/cost_order.py
@@ -13,7 +13,7 @@
     service_rate,
     unit_work_ms,
 )
-from kingcuppost.batch.systems.overload.job_order import IN_TIME, JobLoad, order_jobs
+from kingcuppost.batch.systems.overload.job_order import order_jobs
 from kingcuppost.batch.systems.overload.served_shares import may_lose_large, note_job
 from kingcuppost.batch.systems.queue_order import (
     OVERTAKE_LIMIT_MS,
@@ -23,6 +23,7 @@
 )
 from kingcuppost.batch.systems.timeliness import LATE_FACTOR
 from kingcuppost.batch.tables.decision import PlacementUnit
+from kingcuppost.batch.tables.job_load import IN_TIME, JobLoad
 from kingcuppost.batch.tables.overload import Rate, ServedShare
 
 __all__ = ["order_by_cost"]
@@ -56,29 +57,49 @@
     if not rate.cpu_millis:
         return units
     loads = _list_loads(units, inputs, rate)
-    rank = units[0].rank
-    tried_ms = inputs.round.tried_ms.get((rank, service), 0.0)
-    urgent_ms = inputs.urgent_ms.get(service, 0.0) + tried_ms
+    before_ms = _work_before_ms(units, service, inputs, rate)
     work_ms = sum(load.work_ms for load in loads)
-    inputs.urgent_ms[service] = urgent_ms + work_ms
+    inputs.urgent_ms[service] = inputs.urgent_ms.get(service, 0.0) + work_ms
     if units[0].is_guaranteed:
         return units
     schedule = inputs.world.schedule
     priority = units[0].plan.job.policy.priority
-    rows = schedule.running_work
-    before_ms = urgent_ms + running_ms(rows, service, priority, rate, inputs.wall_ms)
-    ahead_ms = before_ms - in_flight_ms(rows, service, priority, units)
-    share = schedule.served_shares.setdefault(rank, ServedShare())
+    in_flight = in_flight_ms(schedule.running_work, service, priority, units)
+    share = schedule.served_shares.setdefault(units[0].rank, ServedShare())
     judged = [load for load in loads if _is_judged(load)]
     _note_jobs(judged, share)
     ordered = order_jobs(
-        judged, ahead_ms, inputs.wall_ms, lambda load: _may_abandon(load, share)
+        judged,
+        before_ms - in_flight,
+        inputs.wall_ms,
+        lambda load: _may_abandon(load, share),
     )
     note_demotions(judged, share, inputs, rate, before_ms + work_ms)
     if all(load.demotions == IN_TIME for load in judged):
         return units
-    unjudged = [load for load in loads if not _is_judged(load)]
-    return [unit for load in [*ordered, *unjudged] for unit in load.units]
+    first = [load for load in loads if load.is_exempt]
+    ordered = [load for load in ordered if not load.is_exempt]
+    last = [load for load in loads if not (load.is_exempt or _is_judged(load))]
+    return [unit for load in [*first, *ordered, *last] for unit in load.units]
+
+
+def _work_before_ms(
+    units: list[PlacementUnit], service: str, inputs: OrderInputs, rate: Rate
+) -> float:
+    """Return the work that precedes units of one rank, as a time of the service, in ms.
+
+    These are the runs of their rank and of more urgent ones, the waiting work of more
+    urgent ranks, and what the decision has left waiting before plans were added.
+    """
+    rank, priority = units[0].rank, units[0].plan.job.policy.priority
+    tried_ms = sum(
+        work_ms
+        for (tried_rank, tried_service), work_ms in inputs.round.tried_ms.items()
+        if tried_rank <= rank and tried_service == service
+    )
+    rows = inputs.world.schedule.running_work
+    run_ms = running_ms(rows, service, priority, rate, inputs.wall_ms)
+    return run_ms + tried_ms + inputs.urgent_ms.get(service, 0.0)
 
 
 def _rate_of(service: str, inputs: OrderInputs) -> Rate:
--- a/kingcuppost/batch/systems/overload/demotions.py
+++ b/kingcuppost/batch/systems/overload/demotions.py
@@ -1,8 +1,8 @@
 """What the order under overload has decided: kept by job, counted and logged."""
 
-from kingcuppost.batch.systems.overload.job_order import NO_USE, JobLoad
 from kingcuppost.batch.systems.overload.served_shares import change_lost
 from kingcuppost.batch.systems.queue_order import OrderInputs
+from kingcuppost.batch.tables.job_load import NO_USE, JobLoad
 from kingcuppost.batch.tables.overload import Rate, ServedShare
 
 __all__ = ["note_demotions"]
--- a/kingcuppost/batch/systems/overload/tests/test_cost_order.py
+++ b/kingcuppost/batch/systems/overload/tests/test_cost_order.py
@@ -143,6 +143,14 @@
     assert orders[0] == orders[1]
 
 
+def test_a_job_without_estimate_goes_first_after_the_limit() -> None:
+    # guards against work without estimate that waits as long as the overload lasts
+    world = make_crowded_world("cost", 60)
+    waited_ms = OVERTAKE_LIMIT_MS + 1
+    plan = add_job(world, gang(1, 0), accepted_ms=world.clock.wall_ms() - waited_ms)
+    assert order_jobs(world)[0] == plan.job.id
+
+
 def test_work_that_needs_what_the_service_lacks_delays_nothing() -> None:
     world = make_world()
     accelerated = StepSpec(1, accelerators=1, estimate_ms=10**6, gang=True)
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -192,10 +192,10 @@
 ) -> None:
     """Assign a task to a minion; its run starts once the plan is in the log."""
     world.schedule.pending_runs[task.name] = (plan, task)
+    task.placed_ms = world.clock.wall_ms()  # the run's expected end counts from it
     change_phase(world.schedule, plan, task, TaskPhase.PLACED, minion.incarnation)
     task.run = run
     task.sidecar = minion.sidecar
-    task.placed_ms = world.clock.wall_ms()
     task.plan_version = plan.version
     task.start_sent_ms = None
     task.reported_ms = None
