--- a/bench/tests/test_burst.py
+++ b/bench/tests/test_burst.py
@@ -46,7 +46,7 @@
     return sum(took <= TARGET_MS + 4 * STEP_MS for took in took_ms)
 
 
-@pytest.mark.parametrize("queue_order", ["arrival", "deadline"])
+@pytest.mark.parametrize("queue_order", ["arrival", "cost", "deadline"])
 def test_all_jobs_of_a_burst_are_done_in_the_end(queue_order: str) -> None:
     assert len(play_burst(queue_order)) == JOBS
 
