--- a/kingcuppost/batch/systems/overload/tests/test_cost_order.py
+++ b/kingcuppost/batch/systems/overload/tests/test_cost_order.py
@@ -90,7 +90,7 @@
     world = make_world()
     large = add_job(world, gang(CORES, 9_000))
     small = [add_job(world, gang(CORES // 2, 8_000)) for _ in range(4)]
-    # the large one is due after the small ones, but would start first by its slack
+    # guards against giving up several small jobs for one that needs as much
     assert order_jobs(world)[-1] == large.job.id
     assert large.order_state.demotions == 1
     assert not any(plan.order_state.demotions for plan in small)
@@ -182,7 +182,7 @@
 
 
 def test_waiting_work_of_a_more_urgent_rank_counts() -> None:
-    # the urgent work takes 15 s, so that the other job can be late at best
+    # guards against a forecast of one rank alone: the urgent work takes 30 s
     for urgent_jobs, expected in ((0, 0), (30, 1)):
         world = make_world()
         for _ in range(urgent_jobs):
