Start all members of a run of a gang from one checkpoint

Cause: the checkpoint of a running member was stored at that member only. Members were made equal only by an end that carried a checkpoint; lost runs end without one, and each member was placed with its own value, also by a new holder. Ruled out: a report that sets all members (a start that is sent again would then carry another value than the run's first copies, and reports would mark every part); a choice at the placement alone (a new holder has no times to choose by). Change: a gang has one newest checkpoint. The stand-ins check the checkpoints of every run of a gang.

--- a/kingcuppost/batch/models/records.py
+++ b/kingcuppost/batch/models/records.py
@@ -1,6 +1,7 @@
 """Encoding of the records in the system's own streams as a key and a JSON value."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Annotated, Any
 
 from expression import Error, Ok, Result
@@ -101,7 +102,8 @@
 
     A task is a row of step, index, phase, run, failures, minion, Unix time of the
     minion's start in ms, sidecar, Unix time of the run's placement in ms, and
-    checkpoint.
+    checkpoint. A row of step and checkpoint says what the placed runs of a gang start
+    from, if that is not the checkpoint of their rows.
     """
 
     state: JobState
@@ -121,6 +123,7 @@
         ],
         ...,
     ] = ()
+    gang_starts: tuple[tuple[Amount, str], ...] = ()
 
 
 class EntryModel(RecordModel):
@@ -238,7 +241,17 @@
         )
         for task in progress.tasks
     )
-    model = ProgressModel(state=progress.state, begun=progress.begun, tasks=rows)
+    gang_starts = {
+        task.step: task.started_from
+        for task in progress.tasks
+        if task.started_from is not None
+    }
+    model = ProgressModel(
+        state=progress.state,
+        begun=progress.begun,
+        tasks=rows,
+        gang_starts=tuple(gang_starts.items()),
+    )
     return model.to_json()
 
 
@@ -246,7 +259,8 @@
 def _decode_progress(rest: str, value: bytes) -> Record:
     """Return the progress of a job, or of the part that the key ends with."""
     model = ProgressModel.model_validate_json(value)
-    tasks = tuple(TaskProgress(*row) for row in model.tasks)
+    gang_starts = dict(model.gang_starts)
+    tasks = tuple(_make_task_progress(row, gang_starts) for row in model.tasks)
     progress = Progress(model.state, model.begun, tasks)
     job_id, _, part = rest.partition(KEY_SEPARATOR)
     if part.isascii() and part.isdecimal():
@@ -254,6 +268,17 @@
     return ProgressRecord(rest, progress)
 
 
+def _make_task_progress(row: tuple, gang_starts: dict[int, str]) -> TaskProgress:
+    """Return the progress of a task, with the start of its gang's run if it is placed.
+
+    All placed members of a gang belong to one run.
+    """
+    progress = TaskProgress(*row)
+    if progress.phase is not TaskPhase.PLACED or progress.step not in gang_starts:
+        return progress
+    return replace(progress, started_from=gang_starts[progress.step])
+
+
 @encoders.register(EntryRecord)
 def _encode_entry(record: EntryRecord) -> tuple[str, bytes]:
     model = EntryModel(
--- a/kingcuppost/batch/systems/checkpoint_parts.py
+++ b/kingcuppost/batch/systems/checkpoint_parts.py
@@ -1,5 +1,6 @@
 """Marking of the parts of plans whose tasks may have new checkpoints."""
 
+from kingcuppost.batch.systems.gang_checkpoints import newest_checkpoint
 from kingcuppost.batch.systems.plan_parts import iter_tasks, mark_task_changed
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.term_opening import is_scheduling
@@ -25,5 +26,5 @@
         if not plan.has_new_checkpoint:
             continue
         for task in iter_tasks(plan):
-            if task.phase is TaskPhase.PLACED and task.checkpoint:
+            if task.phase is TaskPhase.PLACED and newest_checkpoint(plan, task):
                 mark_task_changed(plan, task)
--- a/kingcuppost/batch/systems/plan_parts.py
+++ b/kingcuppost/batch/systems/plan_parts.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from itertools import islice
 
+from kingcuppost.batch.systems.gang_checkpoints import newest_checkpoint, started_from
 from kingcuppost.batch.tables.job import Progress, StepSpec, TaskPhase, TaskProgress
 from kingcuppost.batch.tables.messages import ProgressPartRecord
 from kingcuppost.batch.tables.plan import Plan
@@ -63,7 +64,9 @@
 
 def make_part_record(plan: Plan, part: int) -> ProgressPartRecord:
     """Return the next record of a part of a plan."""
-    progress = Progress(plan.state, plan.begun, _make_rows(_iter_part(plan, part)))
+    progress = Progress(
+        plan.state, plan.begun, _make_rows(plan, _iter_part(plan, part))
+    )
     return ProgressPartRecord(plan.job.id, part, progress)
 
 
@@ -83,15 +86,15 @@
 
 def make_progress(plan: Plan) -> Progress:
     """Return the content of the next progress record of a whole plan."""
-    return Progress(plan.state, plan.begun, _make_rows(iter_tasks(plan)))
+    return Progress(plan.state, plan.begun, _make_rows(plan, iter_tasks(plan)))
 
 
-def _make_rows(tasks: Iterator[Task]) -> tuple[TaskProgress, ...]:
+def _make_rows(plan: Plan, tasks: Iterator[Task]) -> tuple[TaskProgress, ...]:
     """Return the progress of those tasks that ever had a run."""
-    return tuple(_make_row(task) for task in tasks if task.run)
+    return tuple(_make_row(plan, task) for task in tasks if task.run)
 
 
-def _make_row(task: Task) -> TaskProgress:
+def _make_row(plan: Plan, task: Task) -> TaskProgress:
     placed_at = task.incarnation
     return TaskProgress(
         task.name.step,
@@ -103,5 +106,6 @@
         placed_at.born_ms if placed_at else 0,
         task.sidecar if placed_at else "",
         task.placed_ms if placed_at else 0,
-        "" if task.phase is TaskPhase.DONE else task.checkpoint,
+        "" if task.phase is TaskPhase.DONE else newest_checkpoint(plan, task),
+        started_from(plan, task),
     )
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -2,6 +2,11 @@
 
 from collections.abc import Iterable
 
+from kingcuppost.batch.systems.gang_checkpoints import (
+    load_gang_checkpoint,
+    newest_checkpoint,
+    store_gang_checkpoint,
+)
 from kingcuppost.batch.systems.plan_parts import (
     iter_tasks,
     make_progress,
@@ -58,26 +63,50 @@
         [Task(TaskName(job.id, OCCURRENCE, step, index)) for index in range(spec.count)]
         for step, spec in enumerate(job.steps)
     ]
+    starts: dict[TaskName, str] = {}
     if job.progress is not None:
-        _load_rows(tasks, job.progress.tasks)
+        _load_rows(tasks, job.progress.tasks, starts)
     if parts is not None:
         for rows in parts.rows.values():
-            _load_rows(tasks, rows)
+            _load_rows(tasks, rows, starts)
     plan = Plan(job, tasks, state=job.state, begun=job.begun)
+    _load_gang_checkpoints(plan, starts)
     if job.state in ENDED_STATES:
         plan.phase = _phase_after_end(plan)
     return plan
 
 
+def _load_gang_checkpoints(plan: Plan, starts: dict[TaskName, str]) -> None:
+    """Take the newest checkpoints of gangs from their members, as they were loaded.
+
+    The members of placed runs then have what these start from, by task in `starts` if
+    that is not the newest.
+    """
+    for step, spec in enumerate(plan.job.steps):
+        if not spec.gang:
+            continue
+        members = plan.tasks[step]
+        load_gang_checkpoint(plan, step, (member.checkpoint for member in members))
+        for member in members:
+            member.checkpoint = starts.get(member.name, member.checkpoint)
+
+
 def _phase_after_end(plan: Plan) -> PlanPhase:
     """Return the phase of the plan of a job that has ended."""
     is_running = plan.phase_counts[TaskPhase.PLACED] > 0
     return PlanPhase.CLOSING if is_running else PlanPhase.OVER
 
 
-def _load_rows(tasks: list[list[Task]], rows: Iterable[TaskProgress]) -> None:
+def _load_rows(
+    tasks: list[list[Task]],
+    rows: Iterable[TaskProgress],
+    starts: dict[TaskName, str],
+) -> None:
     for row in rows:
         task = tasks[row.step][row.index]
+        starts.pop(task.name, None)
+        if row.started_from is not None:
+            starts[task.name] = row.started_from
         task.phase = row.phase
         task.run = row.run
         task.failures = row.failures
@@ -197,6 +226,8 @@
     task.sidecar = minion.sidecar
     task.placed_ms = world.clock.wall_ms()
     task.plan_version = plan.version
+    task.checkpoint = newest_checkpoint(plan, task)
+    task.listed_checkpoint = ""
     task.start_sent_ms = None
     task.reported_ms = None
     task.confirmed = False
@@ -214,7 +245,7 @@
     is_counted = False
     change_phase(world.schedule, plan, task, TaskPhase.WAITING)
     if checkpoint:
-        _store_checkpoint(plan, task, checkpoint)
+        _store_checkpoint(plan, task, checkpoint, world.clock.now_ms())
     if run_end is RunEnd.DONE:
         _mark_done(world.schedule, plan, task)
     elif run_end is RunEnd.FAILED:
@@ -227,13 +258,15 @@
     mark_plan_changed(world, plan)
 
 
-def _store_checkpoint(plan: Plan, task: Task, checkpoint: str) -> None:
-    """Store a checkpoint; one of any member is valid for the whole gang."""
-    task.checkpoint = checkpoint
-    if plan.job.steps[task.name.step].gang:
-        for member in plan.tasks[task.name.step]:
-            member.checkpoint = checkpoint
-            mark_task_changed(plan, member)
+def _store_checkpoint(plan: Plan, task: Task, checkpoint: str, now_ms: int) -> None:
+    """Store the checkpoint that a run ended with, for its whole gang if it has one."""
+    step = task.name.step
+    if not plan.job.steps[step].gang:
+        task.checkpoint = checkpoint
+        return
+    store_gang_checkpoint(plan, step, checkpoint, now_ms)
+    for member in plan.tasks[step]:
+        mark_task_changed(plan, member)
 
 
 def _mark_done(schedule: Schedule, plan: Plan, task: Task) -> None:
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -2,6 +2,7 @@
 
 from heapq import heappush
 
+from kingcuppost.batch.systems.gang_checkpoints import note_listed_checkpoint
 from kingcuppost.batch.systems.holder_election import has_authority, make_redirect
 from kingcuppost.batch.systems.minion_leases import extend_lease
 from kingcuppost.batch.systems.minion_rows import find_silent_minion, update_minion
@@ -155,10 +156,22 @@
     if running.percent != task.percent:
         task.percent = running.percent
         task.percent_changed_ms = read_ms
-    if running.checkpoint and running.checkpoint != task.checkpoint:
-        task.checkpoint = running.checkpoint
-        task.checkpoint_ms = world.clock.wall_ms()
-        plan.has_new_checkpoint = True
+    _update_checkpoint(world, plan, task, running.checkpoint, read_ms)
+
+
+def _update_checkpoint(
+    world: BatchWorld, plan: Plan, task: Task, checkpoint: str, read_ms: int
+) -> None:
+    """Keep the checkpoint of a reported run, or of its gang, if it is a new one."""
+    if plan.job.steps[task.name.step].gang:
+        if not note_listed_checkpoint(plan, task, checkpoint, read_ms):
+            return
+    elif checkpoint and checkpoint != task.checkpoint:
+        task.checkpoint = checkpoint
+    else:
+        return
+    task.checkpoint_ms = world.clock.wall_ms()
+    plan.has_new_checkpoint = True
 
 
 def _has_ended_elsewhere(world: BatchWorld, running: RunningRun) -> bool:
--- a/kingcuppost/batch/tables/job.py
+++ b/kingcuppost/batch/tables/job.py
@@ -259,6 +259,9 @@
         Unix time at which the run was placed, in ms; 0 if no run is placed.
     checkpoint : str
         Newest checkpoint; empty for none, and for a task that is done.
+    started_from : str or None
+        Checkpoint that the placed run of a gang's member starts from; None if it is the
+        same.
     """
 
     step: int
@@ -271,6 +274,7 @@
     sidecar: str
     placed_ms: int
     checkpoint: str
+    started_from: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/kingcuppost/batch/tables/plan.py
+++ b/kingcuppost/batch/tables/plan.py
@@ -13,7 +13,14 @@
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
 
-__all__ = ["Chains", "EstimateError", "Plan", "PlanPhase", "StepProgress"]
+__all__ = [
+    "Chains",
+    "EstimateError",
+    "GangCheckpoint",
+    "Plan",
+    "PlanPhase",
+    "StepProgress",
+]
 
 
 @dataclass(slots=True)
@@ -37,6 +44,22 @@
         return self.log_sum / (self.count + 1)
 
 
+@dataclass(frozen=True, slots=True)
+class GangCheckpoint:
+    """Newest checkpoint of a gang, from which its next run starts.
+
+    Attributes
+    ----------
+    value : str
+        The checkpoint; one of any member is valid for the whole gang.
+    read_ms : int
+        Time at which a member had it; 0 if it was loaded from the log.
+    """
+
+    value: str
+    read_ms: int = 0
+
+
 @dataclass(slots=True)
 class StepProgress:
     """How far a step is, kept up to date with the phases of its tasks.
@@ -133,6 +156,8 @@
         Number of tasks before each step.
     has_new_checkpoint : bool
         Whether a checkpoint is newer than the newest record of the plan.
+    gang_checkpoints : dict of int to GangCheckpoint
+        Newest checkpoint of each gang that has one, by step.
     over_ms : int or None
         Time at which this process found that the job is over.
     estimate_errors : dict of int to EstimateError
@@ -161,6 +186,7 @@
     changed_parts: dict[int, None] = field(default_factory=dict)
     step_starts: list[int] = field(init=False)
     has_new_checkpoint: bool = False
+    gang_checkpoints: dict[int, GangCheckpoint] = field(default_factory=dict)
     over_ms: int | None = None
     estimate_errors: dict[int, EstimateError] = field(default_factory=dict)
     step_progress: list[StepProgress] = field(init=False)
--- a/kingcuppost/batch/tables/task.py
+++ b/kingcuppost/batch/tables/task.py
@@ -30,9 +30,13 @@
     placed_ms : int
         Unix time at which its run was placed, in ms.
     checkpoint : str
-        Newest checkpoint; empty for none.
+        Newest checkpoint; empty for none. Of a gang's member, the one that its run
+        starts from, which is the same for all members; `Plan.gang_checkpoints` has the
+        newest.
+    listed_checkpoint : str
+        Checkpoint that the run of a gang's member was last reported with.
     checkpoint_ms : int
-        Unix time at which that checkpoint was first reported, in ms.
+        Unix time at which the newest checkpoint was first reported, in ms.
     plan_version : int
         Version of the plan that placed the run.
     start_sent_ms : int or None
@@ -83,6 +87,7 @@
     sidecar: str = ""
     placed_ms: int = 0
     checkpoint: str = ""
+    listed_checkpoint: str = ""
     checkpoint_ms: int = 0
     plan_version: int = 0
     start_sent_ms: int | None = None
--- a/kingcuppost/batch/tests/test_plans.py
+++ b/kingcuppost/batch/tests/test_plans.py
@@ -3,10 +3,15 @@
 import pytest
 
 from kingcuppost.batch.edges.processes import make_batch_world
+from kingcuppost.batch.systems.gang_checkpoints import (
+    newest_checkpoint,
+    note_listed_checkpoint,
+)
 from kingcuppost.batch.systems.plans import (
     adopt_job,
     apply_run_end,
     iter_tasks,
+    load_plan,
     make_progress,
 )
 from kingcuppost.batch.systems.task_phases import change_phase
@@ -107,6 +112,31 @@
     assert plan.state is JobState.FAILED
 
 
+def test_a_gang_loaded_with_unequal_checkpoints_has_one(world: BatchWorld) -> None:
+    """Earlier builds stored one for each member, and each started from its own."""
+    plan = adopt_with_progress(world, GANG, "www")
+    rows = (
+        TaskProgress(0, index, TaskPhase.WAITING, 1, 0, "", 0, "", 0, checkpoint)
+        for index, checkpoint in enumerate(["", "00aa", "00bb"])
+    )
+    plan.job.progress = Progress(plan.state, True, tuple(rows))
+    loaded = load_plan(plan.job)
+    assert {newest_checkpoint(loaded, task) for task in loaded.tasks[0]} == {"00aa"}
+
+
+def test_a_placed_gang_keeps_its_start_when_a_member_saves(world: BatchWorld) -> None:
+    """A new holder may send the start of a member again."""
+    plan = adopt_with_progress(world, GANG, "ppp")
+    for task in plan.tasks[0]:
+        task.checkpoint = "00aa"
+    assert note_listed_checkpoint(plan, plan.tasks[0][2], "00cc", read_ms=9)
+    assert not note_listed_checkpoint(plan, plan.tasks[0][1], "00bb", read_ms=8)
+    plan.job.progress = make_progress(plan)
+    for held in (plan, load_plan(plan.job)):
+        assert {task.checkpoint for task in held.tasks[0]} == {"00aa"}
+        assert newest_checkpoint(held, held.tasks[0][0]) == "00cc"
+
+
 def test_plan_survives_its_progress_record(world: BatchWorld) -> None:
     plan = adopt_with_progress(world, WIDE, "pwd")
     plan.tasks[0][1].checkpoint = "00ff"
--- a/standins/batch/checks.py
+++ b/standins/batch/checks.py
@@ -20,7 +20,8 @@
     ----------
     violations : list of str
         One line for each violated guarantee, which its first word names: ``UNASKED``
-        for a run that no caller has requested, ``TWICE`` for a second run of a task,
+        for a run that no caller has requested, or that does not start from the
+        checkpoint of its gang, ``TWICE`` for a second run of a task,
         ``BUDGET`` for a run after too many failures, ``ORDER`` for a step that starts
         too early, ``GANG`` for a gang member without its gang, ``MIXED`` for a job
         shown as completed before its tasks are.
@@ -45,6 +46,8 @@
         For each step of a job, the steps that must be complete before it starts.
     gangs : dict of str to tuple of bool
         For each step of a job, whether its tasks are a gang.
+    gang_checkpoints : dict of tuple of str, int and int to str
+        Checkpoint that the run of a gang started from, by job, step and run.
     max_failures : dict of str to int
         Number of failed runs after which a task of the job must not start again.
     expects_no_faults : bool
@@ -67,6 +70,7 @@
         self.task_counts: dict[str, list[int]] = {}
         self.needs: dict[str, tuple[tuple[int, ...], ...]] = {}
         self.gangs: dict[str, tuple[bool, ...]] = {}
+        self.gang_checkpoints: dict[tuple[str, int, int], str] = {}
         self.max_failures: dict[str, int] = {}
         self.expects_no_faults = False
         self.cancelled: dict[str, int] = {}
@@ -100,7 +104,9 @@
         if task.job not in self.task_counts:
             self.violations.append(f"UNASKED {task} run {run} at {minion}")
             return
-        if not self.gangs[task.job][task.step]:
+        if self.gangs[task.job][task.step]:
+            self._check_gang_checkpoint(task, run, checkpoint)
+        else:
             self.last_start_ms[task.job] = self.now_ms()
         cancelled_ms = self.cancelled.get(task.job)
         if cancelled_ms is not None and self.now_ms() - cancelled_ms > CANCEL_GRACE_MS:
@@ -120,6 +126,15 @@
                     return
         self.live_runs[task].add(run)
 
+    def _check_gang_checkpoint(self, task: TaskName, run: int, checkpoint: str) -> None:
+        """Check that all members of a run of a gang start from one checkpoint."""
+        key = (task.job, task.step, run)
+        expected = self.gang_checkpoints.setdefault(key, checkpoint)
+        if checkpoint != expected:
+            self.violations.append(
+                f"UNASKED {task} run {run} from {checkpoint!r}, its gang {expected!r}"
+            )
+
     def record_end(self, minion: str, task: TaskName, run: int, how: RunEnd) -> None:
         """Record the end of a run."""
         self.live_runs[task].discard(run)
