Try a task at once where only minions under suspicion could run it

Cause: a minion with failed runs of two jobs, or a stalled run, is left out for 5 s, also if no other minion could hold the waiting work; urgent work began late then. Ruled out: tries while other minions are merely busy (a faulty minion would take an attempt every 5 s), the last attempt (a failure costs the job, the pause 5 s), gangs (one faulty member costs all members their work), an end of the suspicion for all work (a minion that is faulty for good would take as many runs as it has room for). Change: after a unit found nothing, each suspect minion is tried with one of its tasks, once in a pause, if no other minion could hold it even when idle, and no run of the task has failed there. With two minions that stay faulty, six jobs lose two attempts together in a pause; the last attempt, a gang, and work that busy minions could hold wait as before (these three tests pass before, too).

--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -36,6 +36,8 @@
     "is_stop_expected",
     "keep_usable",
     "list_candidates",
+    "make_candidate",
+    "may_be_tried",
     "request_decision",
     "stop_limit_ms",
 ]
@@ -85,14 +87,16 @@
 def list_candidates(decision: Decision) -> list[Candidate]:
     """Return the minions that may be given tasks, with their free capacity.
 
-    Requests another decision for the time at which the pause of a minion ends.
+    Also lists the minions under suspicion that may be tried. Requests another decision
+    for the time at which the pause of a minion ends.
     """
     world = decision.world
-    usable = [
-        _make_candidate(decision, minion)
-        for minion in world.schedule.minions
-        if _is_usable(world, minion, decision.now_ms)
-    ]
+    usable = []
+    for minion in world.schedule.minions:
+        if _is_usable(world, minion, decision.now_ms):
+            usable.append(make_candidate(decision, minion))
+        elif may_be_tried(world, minion, decision.now_ms):
+            decision.round.suspects.append(minion)
     racks: dict[str, list[int]] = {}
     for candidate in usable:
         candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
@@ -120,7 +124,7 @@
     return kept
 
 
-def _make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
+def make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
     """Return a minion as a candidate, with separate copies of its capacity."""
     free_now = copy_resources(minion.resources)
     load = decision.world.schedule.loads.get(minion.incarnation)
@@ -222,9 +226,7 @@
 
 
 def _is_usable(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
-    if minion.draining or minion.is_unreachable:
-        return False
-    if minion.availability_zone in world.agreed.closed_zones:
+    if not _takes_runs(world, minion):
         return False
     paused_until_ms = _paused_until_ms(minion)
     if now_ms < paused_until_ms:
@@ -233,17 +235,42 @@
     return True
 
 
+def _takes_runs(world: BatchWorld, minion: MinionRow) -> bool:
+    """Return whether a minion is neither leaving, unreachable, nor in a closed zone."""
+    if minion.draining or minion.is_unreachable:
+        return False
+    return minion.availability_zone not in world.agreed.closed_zones
+
+
+def may_be_tried(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+    """Return whether one run may be placed on a minion while it is under suspicion.
+
+    That is once in a pause, and not while it is left out for a start that it refused or
+    did not carry out.
+    """
+    if not _takes_runs(world, minion) or now_ms < minion.backoff_until_ms:
+        return False
+    is_suspect = now_ms < _suspect_until_ms(minion)
+    tried_ms = minion.tried_ms
+    return is_suspect and (tried_ms is None or now_ms >= tried_ms + SUSPECT_PAUSE_MS)
+
+
 def _paused_until_ms(minion: MinionRow) -> int:
     """Return when a minion that refused, failed or stalled a run may be used again."""
-    paused_until_ms = minion.backoff_until_ms
+    return max(minion.backoff_until_ms, _suspect_until_ms(minion))
+
+
+def _suspect_until_ms(minion: MinionRow) -> int:
+    """Return when the suspicion against a minion that failed or stalled runs ends."""
+    suspect_until_ms = 0
     if minion.stalled_ms is not None:
-        paused_until_ms = max(paused_until_ms, minion.stalled_ms + SUSPECT_PAUSE_MS)
+        suspect_until_ms = max(suspect_until_ms, minion.stalled_ms + SUSPECT_PAUSE_MS)
     if (
         minion.failures >= SUSPECT_FAILURES
         and len(minion.failed_jobs) >= SUSPECT_FAILURES
     ):
-        paused_until_ms = max(paused_until_ms, minion.failed_ms + SUSPECT_PAUSE_MS)
-    return paused_until_ms
+        suspect_until_ms = max(suspect_until_ms, minion.failed_ms + SUSPECT_PAUSE_MS)
+    return suspect_until_ms
 
 
 def eligible_candidates(
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -29,11 +29,12 @@
 )
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.reservations import hold_reserved, release_reserved
+from kingcuppost.batch.systems.suspect_minions import try_suspect_minions
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.systems.unit_scheduling import schedule_unit
 from kingcuppost.batch.systems.waits import forget_ended_waits, note_wait, put_wait
-from kingcuppost.batch.tables.decision import DecisionRound, PlacementUnit
+from kingcuppost.batch.tables.decision import DecisionRound, FailedTry, PlacementUnit
 from kingcuppost.batch.tables.messages import Stream
 from kingcuppost.batch.tables.waiting import WaitReason
 from kingcuppost.batch.tables.world import BatchWorld
@@ -157,17 +158,28 @@
         request_decision(decision.world, decision.now_ms + URGENT_RETRY_MS)
     failed = None if had_reservation else find_failed_try(decision, unit)
     if failed is not None:
-        fits = failed.reason is WaitReason.LOCALITY
-        put_wait(decision, unit, len(unit.tasks), failed.reason, fits)
+        _wait_as_equivalent(decision, unit, failed)
         return
     tasks = unit.tasks
     eligible = eligible_candidates(unit, decision.round.candidates)
     schedule_unit(decision, unit, eligible)
+    try_suspect_minions(decision, unit, eligible)
     failed = note_wait(decision, unit, tasks, eligible)
     if failed is not None:
         remember_failed_try(decision, unit, failed)
 
 
+def _wait_as_equivalent(
+    decision: Decision, unit: PlacementUnit, failed: FailedTry
+) -> None:
+    """Leave a unit waiting, as one with the same demand has just found no capacity."""
+    if failed.reason is WaitReason.NO_MINION:
+        try_suspect_minions(decision, unit, [])
+    if unit.tasks:
+        fits = failed.reason is WaitReason.LOCALITY
+        put_wait(decision, unit, len(unit.tasks), failed.reason, fits)
+
+
 def _is_paused(world: BatchWorld, now_ms: int) -> bool:
     """Return whether the operators' records are too old to place by; log changes."""
     schedule = world.schedule
--- a/kingcuppost/batch/systems/unit_scheduling.py
+++ b/kingcuppost/batch/systems/unit_scheduling.py
@@ -29,7 +29,7 @@
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["schedule_unit"]
+__all__ = ["place_tasks", "schedule_unit"]
 
 MS_PER_SECOND = 1_000
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -151,14 +151,14 @@
         )
         is_whole = len(chosen) == len(unit.tasks)
         if is_whole or (chosen and not unit.spec.gang):
-            _place_tasks(world, unit, chosen)
+            place_tasks(world, unit, chosen)
             if is_whole:
                 return True
             unit.tasks = unit.tasks[len(chosen) :]
     return False
 
 
-def _place_tasks(
+def place_tasks(
     world: BatchWorld, unit: PlacementUnit, chosen: list[Candidate]
 ) -> None:
     """Place one task of a unit on each chosen candidate."""
--- a/kingcuppost/batch/tables/decision.py
+++ b/kingcuppost/batch/tables/decision.py
@@ -249,6 +249,8 @@
         Index of the unit that is scheduled next.
     candidates : list of Candidate or None
         Minions that may be given tasks; None until the first unit is scheduled.
+    suspects : list of MinionRow
+        Minions under suspicion on which one run each may be tried.
     held_rank : int or None
         Rank for whose units capacity is held.
     failed_tries : dict of Demand to FailedTry
@@ -264,6 +266,7 @@
     units: list[PlacementUnit] = field(default_factory=list)
     next_index: int = 0
     candidates: list[Candidate] | None = None
+    suspects: list[MinionRow] = field(default_factory=list)
     held_rank: int | None = None
     failed_tries: dict[Demand, FailedTry] = field(default_factory=dict)
     tick_count: int = 0
