Give back a run that the sidecar was only told to stop

Cause: a sidecar that is told to stop a run which it does not know, since it was restarted or its minion has a new incarnation, has no deadline of the run's start. At a minion that answers its lists and accepts no stop, the run stayed placed for ever. Ruled out: naming the placement's incarnation in the stop. It tells apart only starts to the present incarnation, whose deadlines its clock voids, and needs a new field. Starts to an earlier incarnation with the same identifier have no deadline there. Change: the sidecar itself sends no start of such a run, so every copy is from before it began to keep what it sends. The platform delivers an order at most 12 s late; after that, with the allowance for clocks, whole lists without the run are its end. An answer to a stop shows that one was sent. Limit: a copy that is later than 12 s and meets a minion which accepted no stop would run beside the next run of its task.

--- a/kingcuppost/batch/systems/run_end_rule.py
+++ b/kingcuppost/batch/systems/run_end_rule.py
@@ -8,8 +8,9 @@
   same holds for one that was never sent.
 - The minion does not list it, and no copy of its start can be carried out any more:
   either the minion accepted a stop before these lists were requested, or a stop was
-  sent, and the deadline of the start had passed on the minion's clock by then. That
-  holds only for whole lists: of many ends a minion lists the first ones, until these
+  sent, and the deadline of the start had passed on the minion's clock by then, or
+  starts could only be from so long ago that none is delivered any more. That holds
+  only for whole lists: of many ends a minion lists the first ones, until these
   are acknowledged, and what is not among them may have ended.
 - The lease of the minion incarnation has certainly expired on the minion's clock.
 - Another incarnation has answered in its place, and no copy of the run's start can be
@@ -60,6 +61,7 @@
     "CONTACT_MS",
     "HeartbeatSource",
     "RunFate",
+    "are_earlier_copies_over",
     "certain_expiry_ms",
     "extends_lease",
     "fate_after_restart",
@@ -74,6 +76,7 @@
 
 CONTACT_MS = 2_000  # more than a request for the lists takes with its timeout
 EXPIRY_MARGIN_MS = 400
+MAX_ORDER_DELAY_MS = 12_000  # after which the platform delivers an order no more
 MAX_CLOCK_DRIFT_RATIO = 1.03
 
 
@@ -241,6 +244,24 @@
     return run.is_stop_sent and is_void_at(run, clock_before_ms)
 
 
+def are_earlier_copies_over(
+    run: OrderedRun, lists: HoldMinionAnswered, kept_since_ms: int
+) -> bool:
+    """Return whether a run that is missing from lists was only started long ago.
+
+    This process has sent no start of it, and copies from before `kept_since_ms` have
+    arrived when the lists are requested. As for other runs, a stop was sent, too.
+
+    Parameters
+    ----------
+    kept_since_ms : int
+        Time since which the sidecar knows what it has sent to the minion.
+    """
+    if not run.is_stop_sent or run.start_deadline_ms is not None:
+        return False
+    return lists.sent_ms > kept_since_ms + certain_expiry_ms(MAX_ORDER_DELAY_MS)
+
+
 def is_void_at(run: OrderedRun, clock_ms: int | None) -> bool:
     """Return whether all copies of a start are void at a time on the minion's clock."""
     if clock_ms is None or run.start_deadline_ms is None:
--- a/kingcuppost/batch/systems/sidecar_inbox.py
+++ b/kingcuppost/batch/systems/sidecar_inbox.py
@@ -2,6 +2,7 @@
 
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.run_end_rule import (
+    are_earlier_copies_over,
     is_absence_final,
     is_in_contact,
     is_refusal_final,
@@ -150,7 +151,10 @@
         The run as it was known before, if it was taken for running.
     """
     sidecar_state = world.sidecar_state
-    if is_absence_final(run, lists, sidecar_state.minion_clock_ms):
+    kept_since_ms = max(world.started_ms, sidecar_state.known_since_ms)
+    if is_absence_final(
+        run, lists, sidecar_state.minion_clock_ms
+    ) or are_earlier_copies_over(run, lists, kept_since_ms):
         record_refusal(world, run, run.stop_reason or STOPPED)
     elif run.start_accepted_ms is None:
         return
@@ -214,6 +218,7 @@
 def _handle_stop_answer(
     world: BatchWorld, run: OrderedRun, answer: OrderAnswered, now_ms: int
 ) -> None:
+    run.is_stop_sent = True
     if answer.outcome is not OrderOutcome.DONE:
         run.retry_ms = now_ms + RETRY_MS
         return
--- a/kingcuppost/batch/tests/test_start_withdrawal.py
+++ b/kingcuppost/batch/tests/test_start_withdrawal.py
@@ -285,6 +285,19 @@
     assert list(world.sidecar_state.refused) == [KEY]
 
 
+def test_a_run_whose_stop_alone_was_ordered_is_kept_while_a_start_may_arrive(
+    world: BatchWorld,
+) -> None:
+    """An earlier process may have sent the start just before it ended."""
+    order_stop(world, 1)
+    for _ in range(9):
+        answer(world, False, OrderOutcome.BUSY)
+        world.clock.advance(1_000)
+        list_runs(world)
+        withdraw(world)
+    assert not world.sidecar_state.refused
+
+
 def test_a_run_that_lists_lack_has_not_vanished_unless_they_are_whole(
     world: BatchWorld,
 ) -> None:
