End runs that their minion does not stop with its lease

Cause: a minion that lists its runs is in contact, which extends its lease, also if it answers stops as busy, not at all, or accepts and does not carry them out. Nothing but the lease ends such a run, and a lease covers all runs of a minion. Ruled out: withholding the lease at once (wanted runs there would lose their work, gangs at all their minions, to free one run), a new field in the holder's replies (an earlier sidecar would extend a lease that the holder takes for expired), exclusion of the minion at the first overdue stop (stops may be 12 s late or fail at many minions at once). Change: the sidecar sends reports that are not in contact, which extend no lease at either side and which earlier builds understand, while every run that the minion lists should have been stopped for half of the lease and stopMs. Once a stop is overdue by two leases, the holder places no new runs there, so that the others end. Limit: beside a wanted run of hours such a run ends hours later.

--- a/kingcuppost/batch/systems/__init__.py
+++ b/kingcuppost/batch/systems/__init__.py
@@ -35,6 +35,7 @@
         "scheduler_replies",
         "start_withdrawal",
         "minion_requests",
+        "lease_withholding",
         "report_sending",
         "shutdown",
     ),
--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -10,6 +10,7 @@
     subtract_tasks,
 )
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
+from kingcuppost.batch.systems.stop_limits import exclusion_limit_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.units import urgency_rank
 from kingcuppost.batch.tables.config import Bounds
@@ -236,10 +237,30 @@
 
 
 def _takes_runs(world: BatchWorld, minion: MinionRow) -> bool:
-    """Return whether a minion is neither leaving, unreachable, nor in a closed zone."""
+    """Return whether a minion may be given runs, apart from pauses.
+
+    It may not if it leaves, is unreachable, is in a closed zone, or has not stopped a
+    run for so long that only the end of its lease will.
+    """
     if minion.draining or minion.is_unreachable:
         return False
-    return minion.availability_zone not in world.agreed.closed_zones
+    if minion.availability_zone in world.agreed.closed_zones:
+        return False
+    return not _has_unstopped_run(world, minion)
+
+
+def _has_unstopped_run(world: BatchWorld, minion: MinionRow) -> bool:
+    """Return whether a minion has not stopped a run for very long."""
+    schedule = world.schedule
+    load = schedule.loads.get(minion.incarnation)
+    if load is None or load.stopping == Resources():
+        return False
+    limit_ms = exclusion_limit_ms(world.cfg.bounds)
+    now_ms = world.clock.now_ms()
+    return any(
+        task.stopping and now_ms >= task.stop_requested_ms + limit_ms
+        for _, task in load.runs.values()
+    )
 
 
 def may_be_tried(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
--- a/kingcuppost/batch/systems/minion_requests.py
+++ b/kingcuppost/batch/systems/minion_requests.py
@@ -94,15 +94,17 @@
             world.deadlines.add(run.retry_ms)
             continue
         if run.should_stop:
-            _send_stop(world, run)
+            _send_stop(world, run, now_ms)
         elif run.start_accepted_ms is None:
             _send_start(world, run, now_ms)
 
 
-def _send_stop(world: BatchWorld, run: OrderedRun) -> None:
+def _send_stop(world: BatchWorld, run: OrderedRun, now_ms: int) -> None:
     sidecar_state = world.sidecar_state
     run.is_order_pending = True
     run.is_stop_sent = True
+    if run.stop_since_ms is None:
+        run.stop_since_ms = now_ms
     order = StopOrder(run.order.task, run.order.run)
     world.outbox.put(
         StopRun(
--- a/kingcuppost/batch/systems/report_sending.py
+++ b/kingcuppost/batch/systems/report_sending.py
@@ -119,7 +119,8 @@
         minion = replace(
             minion,
             listed=sidecar_state.listed,
-            in_contact=is_in_contact(sidecar_state.contact_ms, now_ms),
+            in_contact=is_in_contact(sidecar_state.contact_ms, now_ms)
+            and not sidecar_state.is_lease_withheld,
             lists_are_whole=sidecar_state.lists_are_whole,
         )
     return SyncCall(
--- a/kingcuppost/batch/tables/sidecar.py
+++ b/kingcuppost/batch/tables/sidecar.py
@@ -40,6 +40,8 @@
         Why the sidecar itself withdrew the start; empty if it did not.
     is_stop_sent : bool
         Whether a stop was sent to the minion.
+    stop_since_ms : int or None
+        Time at which a stop was first sent to the minion.
     stop_accepted_ms : int or None
         Time at which the minion accepted the stop.
     """
@@ -54,6 +56,7 @@
     should_stop: bool = False
     stop_reason: str = ""
     is_stop_sent: bool = False
+    stop_since_ms: int | None = None
     stop_accepted_ms: int | None = None
 
 
@@ -82,6 +85,8 @@
     lease_until_ms : int or None
         End of the minion lease as the scheduler's answers allow it, on the minion's
         clock; None before the first extension.
+    is_lease_withheld : bool
+        Whether the lease is not extended, since the minion stops none of its runs.
     is_hold_open : bool
         Whether a `HoldMinion` request is not answered yet.
     hold_after_ms : int
@@ -146,6 +151,7 @@
     minion_clock_ms: int | None = None
     minion_clock_received_ms: int = 0
     lease_until_ms: int | None = None
+    is_lease_withheld: bool = False
     is_hold_open: bool = False
     hold_after_ms: int = 0
     hold_failed: bool = False
