--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -19,6 +19,7 @@
     subtract_tasks,
 )
 from kingcuppost.batch.systems.speeds import expected_remaining_ms
+from kingcuppost.batch.systems.stop_limits import exclusion_limit_ms
 from kingcuppost.batch.systems.task_phases import placed_runs
 from kingcuppost.batch.systems.units import urgency_rank
 from kingcuppost.batch.tables.config import Bounds
@@ -32,6 +33,7 @@
 from kingcuppost.batch.tables.plan import Plan
 from kingcuppost.batch.tables.resources import Resources
 from kingcuppost.batch.tables.task import Task
+from kingcuppost.batch.tables.world import BatchWorld
 
 __all__ = [
     "Decision",
@@ -43,6 +45,8 @@
     "is_stop_expected",
     "keep_usable",
     "list_candidates",
+    "make_candidate",
+    "may_be_tried",
     "request_decision",
     "stop_limit_ms",
 ]
@@ -60,14 +64,16 @@
 def list_candidates(decision: Decision) -> list[Candidate]:
     """Return the minions that may be given tasks, with their free capacity.
 
-    Requests another decision for the time at which the pause of a minion ends.
+    Also lists the minions under suspicion that may be tried. Requests another decision
+    for the time at which the pause of a minion ends.
     """
     world = decision.world
-    usable = [
-        _make_candidate(decision, minion)
-        for minion in world.schedule.minions
-        if _is_usable(decision, minion)
-    ]
+    usable = []
+    for minion in world.schedule.minions:
+        if _is_usable(decision, minion):
+            usable.append(make_candidate(decision, minion))
+        elif may_be_tried(world, minion, decision.now_ms):
+            decision.round.suspects.append(minion)
     racks: dict[str, list[int]] = {}
     for candidate in usable:
         candidate.rack_free_accelerators = racks.setdefault(candidate.minion.rack, [0])
@@ -96,7 +102,7 @@
     return kept
 
 
-def _make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
+def make_candidate(decision: Decision, minion: MinionRow) -> Candidate:
     """Return a minion as a candidate, with separate copies of its capacity."""
     free_now = copy_resources(minion.resources)
     load = decision.world.schedule.loads.get(minion.incarnation)
@@ -205,9 +211,7 @@
 
 
 def _is_usable(decision: Decision, minion: MinionRow) -> bool:
-    if minion.draining or minion.is_unreachable:
-        return False
-    if minion.availability_zone in decision.world.agreed.closed_zones:
+    if not _takes_runs(decision.world, minion):
         return False
     paused_until_ms = _paused_until_ms(minion)
     if decision.now_ms < paused_until_ms:
@@ -216,17 +220,62 @@
     return True
 
 
+def _takes_runs(world: BatchWorld, minion: MinionRow) -> bool:
+    """Return whether a minion may be given runs, apart from pauses.
+
+    It may not if it leaves, is unreachable, is in a closed zone, or has not stopped a
+    run for so long that only the end of its lease will.
+    """
+    if minion.draining or minion.is_unreachable:
+        return False
+    if minion.availability_zone in world.agreed.closed_zones:
+        return False
+    return not _has_unstopped_run(world, minion)
+
+
+def _has_unstopped_run(world: BatchWorld, minion: MinionRow) -> bool:
+    """Return whether a minion has not stopped a run for very long."""
+    schedule = world.schedule
+    load = schedule.loads.get(minion.incarnation)
+    if load is None or load.stopping == Resources():
+        return False
+    limit_ms = exclusion_limit_ms(world.cfg.bounds)
+    now_ms = world.clock.now_ms()
+    return any(
+        task.stopping and now_ms >= task.stop_requested_ms + limit_ms
+        for _, task in load.runs.values()
+    )
+
+
+def may_be_tried(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+    """Return whether one run may be placed on a minion while it is under suspicion.
+
+    That is once in a pause, and not while it is left out for a start that it refused or
+    did not carry out.
+    """
+    if not _takes_runs(world, minion) or now_ms < minion.backoff_until_ms:
+        return False
+    is_suspect = now_ms < _suspect_until_ms(minion)
+    tried_ms = minion.tried_ms
+    return is_suspect and (tried_ms is None or now_ms >= tried_ms + SUSPECT_PAUSE_MS)
+
+
 def _paused_until_ms(minion: MinionRow) -> int:
     """Return when a minion that refused, failed or stalled a run may be used again."""
-    paused_until_ms = minion.backoff_until_ms
+    return max(minion.backoff_until_ms, _suspect_until_ms(minion))
+
+
+def _suspect_until_ms(minion: MinionRow) -> int:
+    """Return when the suspicion against a minion that failed or stalled runs ends."""
+    suspect_until_ms = 0
     if minion.stalled_ms is not None:
-        paused_until_ms = max(paused_until_ms, minion.stalled_ms + SUSPECT_PAUSE_MS)
+        suspect_until_ms = max(suspect_until_ms, minion.stalled_ms + SUSPECT_PAUSE_MS)
     if (
         minion.failures >= SUSPECT_FAILURES
         and len(minion.failed_jobs) >= SUSPECT_FAILURES
     ):
-        paused_until_ms = max(paused_until_ms, minion.failed_ms + SUSPECT_PAUSE_MS)
-    return paused_until_ms
+        suspect_until_ms = max(suspect_until_ms, minion.failed_ms + SUSPECT_PAUSE_MS)
+    return suspect_until_ms
 
 
 def eligible_candidates(
--- a/kingcuppost/batch/systems/unit_scheduling.py
+++ b/kingcuppost/batch/systems/unit_scheduling.py
@@ -34,7 +34,7 @@
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit, TaskPlacements
 from kingcuppost.batch.tables.world import BatchWorld
 
-__all__ = ["schedule_unit"]
+__all__ = ["place_tasks", "schedule_unit"]
 
 MS_PER_SECOND = 1_000
 MAX_LOSS_RATIO = 0.7  # of the work of the task that preempts
@@ -161,14 +161,14 @@
         if is_whole and awaits_rollout(decision, unit, chosen, group):
             continue
         if is_whole or (chosen and not unit.spec.gang):
-            _place_tasks(decision, unit, chosen)
+            place_tasks(decision, unit, chosen)
             if is_whole:
                 return True
             unit.tasks = unit.tasks[len(chosen) :]
     return False
 
 
-def _place_tasks(
+def place_tasks(
     decision: Decision, unit: PlacementUnit, chosen: list[Candidate]
 ) -> None:
     """Place one task of a unit on each chosen candidate."""
