Answer a submission in time though its append is under way

Cause: a call whose append had no answer yet was answered only once that append had ended, up to 1 s after the caller's time. Change: shortly before the caller's time is over the answer is unknown (504); the call stays pending until its append has ended.

--- a/kingcuppost/batch/systems/call_appends.py
+++ b/kingcuppost/batch/systems/call_appends.py
@@ -26,6 +26,7 @@
 __all__ = ["end_pending_calls", "propose_record"]
 
 APPEND_TIMEOUT_MS = 1_000
+NO_ANSWER_REASON = "the log has not answered in time"
 
 
 def propose_record(
@@ -56,6 +57,8 @@
         else:
             _handle_append_answer(world, pending, answer, now_ms)
     for pending in list(world.pending_calls.values()):
+        if pending.is_answered:
+            continue
         if _is_recorded(world, pending):
             _end_pending_call(
                 world,
@@ -63,7 +66,9 @@
                 CallReply(pending.call.exchange_id, CallOutcome.OK),
                 now_ms,
             )
-        elif not pending.is_sent:
+        elif pending.is_sent:
+            _answer_in_time(world, pending, now_ms)
+        else:
             _resend_append(world, pending, now_ms)
 
 
@@ -93,6 +98,9 @@
     reached the log.
     """
     exchange_id = pending.call.exchange_id
+    if pending.is_answered:
+        del world.pending_calls[pending.append.id]
+        return
     if answer.outcome is AppendOutcome.DONE:
         _end_pending_call(
             world, pending, CallReply(exchange_id, CallOutcome.OK), now_ms
@@ -116,11 +124,9 @@
 
 def _resend_append(world: BatchWorld, pending: PendingCall, now_ms: int) -> None:
     """Resend an append of unknown outcome after its pause, while the caller waits."""
-    call = pending.call
-    last_ms = call.received_ms + call.timeout_ms - ANSWER_MARGIN_MS
+    last_ms = _last_answer_ms(pending.call)
     if now_ms >= last_ms:
-        reply = CallReply(call.exchange_id, CallOutcome.UNKNOWN, reason=pending.failure)
-        _end_pending_call(world, pending, reply, now_ms)
+        _end_pending_call(world, pending, _make_unknown_reply(pending), now_ms)
     elif now_ms < pending.backoff.until_ms:
         world.deadlines.add(min(pending.backoff.until_ms, last_ms))
     else:
@@ -129,6 +135,30 @@
         world.outbox.put(pending.append)
 
 
+def _answer_in_time(world: BatchWorld, pending: PendingCall, now_ms: int) -> None:
+    """Answer a call whose append is under way when the caller's time is almost over.
+
+    A caller that gets no answer in time may not ask again. The call stays pending until
+    its append has ended.
+    """
+    last_ms = _last_answer_ms(pending.call)
+    if now_ms < last_ms:
+        world.deadlines.add(last_ms)
+        return
+    pending.is_answered = True
+    send_reply(world, pending.call, _make_unknown_reply(pending), now_ms)
+
+
+def _last_answer_ms(call: CallerCall) -> int:
+    """Return the time at which a call is answered at the latest."""
+    return call.received_ms + call.timeout_ms - ANSWER_MARGIN_MS
+
+
+def _make_unknown_reply(pending: PendingCall) -> CallReply:
+    reason = pending.failure or NO_ANSWER_REASON
+    return CallReply(pending.call.exchange_id, CallOutcome.UNKNOWN, reason=reason)
+
+
 def _end_pending_call(
     world: BatchWorld, pending: PendingCall, reply: CallReply, now_ms: int
 ) -> None:
--- a/kingcuppost/batch/tables/pending_calls.py
+++ b/kingcuppost/batch/tables/pending_calls.py
@@ -29,6 +29,8 @@
         Why the newest attempt failed.
     has_unknown_outcome : bool
         Whether an earlier attempt may have reached the log.
+    is_answered : bool
+        Whether the caller was answered before the append has ended.
     """
 
     call: CallerCall
@@ -41,3 +43,4 @@
     )
     has_unknown_outcome: bool = False
     failure: str = ""
+    is_answered: bool = False
--- a/kingcuppost/batch/tests/test_calls.py
+++ b/kingcuppost/batch/tests/test_calls.py
@@ -181,3 +181,20 @@
         sent = world.outbox.take(Append)
         replies += world.outbox.take(CallReply)
     assert [reply.outcome for reply in replies] == [expected]
+
+
+def test_a_call_is_answered_in_time_though_its_append_is_under_way(
+    world: BatchWorld,
+) -> None:
+    """The append outlasted the caller's time, and the caller did not ask again."""
+    assert answer(world, CallKind.SUBMIT, "/q/fedcba9876543210") is None
+    (append,) = world.outbox.take(Append)
+    world.clock.advance(2_900)
+    end_pending_calls(world, world.clock.now_ms())
+    (reply,) = world.outbox.take(CallReply)
+    assert reply.outcome is CallOutcome.UNKNOWN
+    world.inbox.put(AppendEnded(append.id, AppendOutcome.DONE))
+    end_pending_calls(world, world.clock.now_ms())
+    assert world.outbox.take(CallReply) == []
+    assert not world.pending_calls
+    assert not world.schedule.append_results
