--- a/kingcuppost/edges/http_limits.py
+++ b/kingcuppost/edges/http_limits.py
@@ -7,6 +7,7 @@
 from twisted.web.server import Request
 
 from kingcuppost.edges.connection_guard import ConnectionGuard
+from kingcuppost.edges.http_refusals import MAX_QUERY_FIELDS, format_refusal
 from kingcuppost.systems.connections import (
     FIELD_BYTES,
     RefusalKind,
@@ -29,48 +30,9 @@
 
 MAX_BODY_BYTES = ClientLimits().body_bytes
 IDLE_TIMEOUT_S = 60
-RETRY_AFTER_S = 1
-MAX_QUERY_FIELDS = 16  # routes use at most one
 HEAD_FIELD_BYTES = 256  # memory of a line of a head, beside its text
 HEAD_END = b"\r\n\r\n"
 BODY_COPIES = 2  # the body, and the strings in its parsed form
-REFUSAL_HEAD = (
-    b"HTTP/1.1 %s\r\n"
-    b"Content-Type: application/json\r\n"
-    b"Connection: close\r\n"
-    b"%s"
-    b"Content-Length: %d\r\n\r\n%s"
-)
-REFUSAL_BODY = b'{"outcome":"not_run","step":"%s","peer":"","reason":"%s"}'
-RETRY_AFTER = b"Retry-After: %d\r\n" % RETRY_AFTER_S
-STATUSES = {
-    RefusalKind.MEMORY: b"503 Service Unavailable",
-    RefusalKind.HEAD_FIELDS: b"431 Request Header Fields Too Large",
-    RefusalKind.QUERY_FIELDS: b"400 Bad Request",
-    RefusalKind.BODY_BYTES: b"413 Content Too Large",
-    RefusalKind.BODY_CHUNKS: b"413 Content Too Large",
-    RefusalKind.BODY_FIELDS: b"413 Content Too Large",
-}
-
-
-def _format_reason(limits: ClientLimits, kind: RefusalKind) -> str:
-    return {
-        RefusalKind.MEMORY: "too many requests are held at present",
-        RefusalKind.HEAD_FIELDS: f"the head has more than {limits.head_fields} fields",
-        RefusalKind.QUERY_FIELDS: f"the query has more than {MAX_QUERY_FIELDS} fields",
-        RefusalKind.BODY_BYTES: f"the body is larger than {limits.body_bytes} bytes",
-        RefusalKind.BODY_CHUNKS: "the body has too many or too small chunks",
-        RefusalKind.BODY_FIELDS: f"the body has more than {limits.body_fields} fields",
-    }[kind]
-
-
-def _format_refusal(limits: ClientLimits, kind: RefusalKind) -> bytes:
-    """Return the whole response; each says that the request was not run."""
-    is_busy = kind is RefusalKind.MEMORY
-    step = b"receive" if is_busy else b"decode"
-    body = REFUSAL_BODY % (step, _format_reason(limits, kind).encode("ascii"))
-    retry_after = RETRY_AFTER if is_busy else b""
-    return REFUSAL_HEAD % (STATUSES[kind], retry_after, len(body), body)
 
 
 class _BodyRefusedError(Exception):
@@ -262,7 +224,7 @@
         self._forget_input()
         self.requests.clear()
         self._transferDecoder = None
-        self.transport.write(_format_refusal(self._guard.limits, kind))
+        self.transport.write(format_refusal(self._guard.limits, kind))
         self.transport.loseWriteConnection()
         self._guard.move(self._row, ConnectionPhase.CLOSING)
         self._guard.release_held(self._row)
