--- a/kingcuppost/batch/systems/candidates.py
+++ b/kingcuppost/batch/systems/candidates.py
@@ -46,7 +46,7 @@
     "keep_usable",
     "list_candidates",
     "make_candidate",
-    "may_be_tried",
+    "may_probe",
     "request_decision",
     "stop_limit_ms",
 ]
@@ -72,7 +72,7 @@
     for minion in world.schedule.minions:
         if _is_usable(decision, minion):
             usable.append(make_candidate(decision, minion))
-        elif may_be_tried(world, minion, decision.now_ms):
+        elif may_probe(world, minion, decision.now_ms):
             decision.round.suspects.append(minion)
     racks: dict[str, list[int]] = {}
     for candidate in usable:
@@ -247,7 +247,7 @@
     )
 
 
-def may_be_tried(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
+def may_probe(world: BatchWorld, minion: MinionRow, now_ms: int) -> bool:
     """Return whether one run may be placed on a minion while it is under suspicion.
 
     That is once in a pause, and not while it is left out for a start that it refused or
@@ -256,8 +256,8 @@
     if not _takes_runs(world, minion) or now_ms < minion.backoff_until_ms:
         return False
     is_suspect = now_ms < _suspect_until_ms(minion)
-    tried_ms = minion.tried_ms
-    return is_suspect and (tried_ms is None or now_ms >= tried_ms + SUSPECT_PAUSE_MS)
+    probed_ms = minion.probed_ms
+    return is_suspect and (probed_ms is None or now_ms >= probed_ms + SUSPECT_PAUSE_MS)
 
 
 def _paused_until_ms(minion: MinionRow) -> int:
--- a/kingcuppost/batch/systems/departures/rollouts.py
+++ b/kingcuppost/batch/systems/departures/rollouts.py
@@ -18,14 +18,14 @@
 from kingcuppost.batch.systems.speeds import corrected_estimate_ms
 from kingcuppost.batch.tables.decision import Candidate, PlacementUnit
 
-__all__ = ["awaits_rollout", "survival_chance"]
+__all__ = ["defer_for_rollout", "survival_chance"]
 
 MIN_SURVIVAL_CHANCE = 0.5  # below, the work is more likely lost than done
 CHECK_PERIOD_MS = 500
 MIN_SPEED = 0.05  # smallest speed that is used as a divisor
 
 
-def awaits_rollout(
+def defer_for_rollout(
     decision: Decision,
     unit: PlacementUnit,
     chosen: list[Candidate],
--- a/kingcuppost/batch/systems/departures/tests/test_drains.py
+++ b/kingcuppost/batch/systems/departures/tests/test_drains.py
@@ -7,7 +7,7 @@
 from kingcuppost.batch.systems.plans import load_plan
 from kingcuppost.batch.systems.task_phases import add_plan, change_phase
 from kingcuppost.batch.tables.config import DaemonConfig
-from kingcuppost.batch.tables.departures import DrainStake
+from kingcuppost.batch.tables.departures import DrainCosts
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.job import Job, MinionIncarnation, StepSpec, TaskPhase
 from kingcuppost.batch.tables.plan import Plan
@@ -73,8 +73,8 @@
 def test_a_stop_is_weighed_against_the_chance_to_end(
     lost_ms: int, expected_ms: int, left_ms: int, expected: bool
 ) -> None:
-    stake = DrainStake(lost_ms, expected_ms, left_ms)
-    assert is_stop_better(stake) is expected
+    costs = DrainCosts(lost_ms, expected_ms, left_ms)
+    assert is_stop_better(costs) is expected
 
 
 def test_a_gang_that_ends_in_time_is_not_stopped() -> None:
--- a/kingcuppost/batch/systems/minion_rows.py
+++ b/kingcuppost/batch/systems/minion_rows.py
@@ -31,7 +31,8 @@
 ) -> MinionRow:
     """Create or update the row of a reported minion, and return it."""
     report = call.minion
-    if minion is None:
+    is_new = minion is None
+    if is_new:
         minion = _add_minion(world, call)
         world.schedule.minion_added_ms = now_ms
         world.schedule.inputs_changed = True
@@ -54,6 +55,8 @@
         world.schedule.inputs_changed = True
         if report.draining:
             minion.drain_since_ms = now_ms
+        if report.draining and not is_new:
+            # one that drains when this term first hears of it may have begun long ago
             note_departure(world, minion, now_ms)
     if minion.is_unreachable:
         world.schedule.inputs_changed = True
--- a/kingcuppost/batch/systems/overload/cost_order.py
+++ b/kingcuppost/batch/systems/overload/cost_order.py
@@ -59,14 +59,14 @@
     loads = _list_loads(units, inputs, rate)
     before_ms = _work_before_ms(units, service, inputs, rate)
     work_ms = sum(load.work_ms for load in loads)
-    inputs.urgent_ms[service] = inputs.urgent_ms.get(service, 0.0) + work_ms
+    inputs.preceding_ms[service] = inputs.preceding_ms.get(service, 0.0) + work_ms
     if units[0].is_guaranteed:
         return units
     schedule = inputs.world.schedule
     priority = units[0].plan.job.policy.priority
     in_flight = in_flight_ms(schedule.running_work, service, priority, units)
-    share = schedule.served_shares.setdefault(units[0].rank, ServedShare())
-    judged = [load for load in loads if _is_judged(load)]
+    share = schedule.served_shares.setdefault((units[0].rank, service), ServedShare())
+    judged = [load for load in loads if _has_target(load)]
     _note_jobs(judged, share)
     ordered = order_jobs(
         judged,
@@ -79,7 +79,7 @@
         return units
     first = [load for load in loads if load.is_exempt]
     ordered = [load for load in ordered if not load.is_exempt]
-    last = [load for load in loads if not (load.is_exempt or _is_judged(load))]
+    last = [load for load in loads if not (load.is_exempt or _has_target(load))]
     return [unit for load in [*first, *ordered, *last] for unit in load.units]
 
 
@@ -99,7 +99,7 @@
     )
     rows = inputs.world.schedule.running_work
     run_ms = running_ms(rows, service, priority, rate, inputs.wall_ms)
-    return run_ms + tried_ms + inputs.urgent_ms.get(service, 0.0)
+    return run_ms + tried_ms + inputs.preceding_ms.get(service, 0.0)
 
 
 def _rate_of(service: str, inputs: OrderInputs) -> Rate:
@@ -133,7 +133,7 @@
     return list(loads.values())
 
 
-def _is_judged(load: JobLoad) -> bool:
+def _has_target(load: JobLoad) -> bool:
     """Return whether a job has a target; one without estimates has none."""
     return load.due_ms[0] > load.plan.job.accepted_ms
 
--- a/kingcuppost/batch/systems/plans.py
+++ b/kingcuppost/batch/systems/plans.py
@@ -275,11 +275,18 @@
 
 
 def _store_checkpoint(plan: Plan, task: Task, checkpoint: str, now_ms: int) -> None:
-    """Store the checkpoint that a run ended with, for its whole gang if it has one."""
+    """Store the checkpoint that a run ended with, for its whole gang if it has one.
+
+    A member that has saved none since its start, or since its newest listing, does not
+    set the gang back to it.
+    """
     step = task.name.step
     if not plan.job.steps[step].gang:
         task.checkpoint = checkpoint
         return
+    if checkpoint in (task.checkpoint, task.listed_checkpoint):
+        return
+    task.listed_checkpoint = checkpoint
     store_gang_checkpoint(plan, step, checkpoint, now_ms)
     for member in plan.tasks[step]:
         mark_task_changed(plan, member)
--- a/kingcuppost/batch/systems/queue_order.py
+++ b/kingcuppost/batch/systems/queue_order.py
@@ -38,7 +38,7 @@
         Decision that the units are part of.
     now_ms, wall_ms : int
         Time by the monotonic clock, and as Unix time in ms.
-    urgent_ms : dict of str to float
+    preceding_ms : dict of str to float
         Waiting work of more urgent ranks by service, as the time for which the service
         works on it; orders that forecast ends add that of their own rank.
     """
@@ -47,7 +47,7 @@
     round: DecisionRound
     now_ms: int
     wall_ms: int
-    urgent_ms: dict[str, float] = field(default_factory=dict)
+    preceding_ms: dict[str, float] = field(default_factory=dict)
 
 
 QueueOrder = Callable[[list[PlacementUnit], OrderInputs], list[PlacementUnit]]
--- a/kingcuppost/batch/systems/retry_after.py
+++ b/kingcuppost/batch/systems/retry_after.py
@@ -2,9 +2,9 @@
 
 Designed for outages of some seconds, in which each caller repeats its call a few times
 only. How long an outage will last is unknown; one that has lasted longer is expected
-to last longer. So the pause grows with the age of the view, and the repetitions of a
-caller span several times the age that it met first. Callers of urgent queues come back
-first.
+to last longer. So the pause grows with the age of the view, and a caller's retries
+cover several times the age of the outage at its first refusal. Callers of urgent queues
+come back first.
 """
 
 from kingcuppost.batch.systems.freshness import view_age_ms
--- a/kingcuppost/batch/systems/scheduler_replies.py
+++ b/kingcuppost/batch/systems/scheduler_replies.py
@@ -22,7 +22,7 @@
 
 RETRY_MS = 100
 NO_HOLDER_PAUSE_MS = 250
-EXTENSION_PAUSE_MS = 500  # a lease needs no more, and the log is out of service
+EXTENSION_PAUSE_MS = 500  # between reports while the holder only extends leases
 SKIP_ENTRY_MS = 2_500  # time for which an entry that did not answer is skipped
 LEASE_MARGIN_MS = 100
 SIDECAR_ROLES = (Role.SIDECAR,)
--- a/kingcuppost/batch/systems/scheduling.py
+++ b/kingcuppost/batch/systems/scheduling.py
@@ -29,7 +29,7 @@
 )
 from kingcuppost.batch.systems.registry import Phase, system
 from kingcuppost.batch.systems.reservations import hold_reserved, release_reserved
-from kingcuppost.batch.systems.suspect_minions import try_suspect_minions
+from kingcuppost.batch.systems.suspect_minions import probe_suspect_minions
 from kingcuppost.batch.systems.term_opening import is_scheduling
 from kingcuppost.batch.systems.tick_budget import TickBudget
 from kingcuppost.batch.systems.unit_scheduling import schedule_unit
@@ -162,7 +162,7 @@
     tasks = unit.tasks
     eligible = eligible_candidates(unit, decision.round.candidates)
     schedule_unit(decision, unit, eligible)
-    try_suspect_minions(decision, unit, eligible)
+    probe_suspect_minions(decision, unit, eligible)
     failed = note_wait(decision, unit, tasks, eligible)
     if failed is not None:
         remember_failed_try(decision, unit, failed)
@@ -179,7 +179,7 @@
 ) -> None:
     """Leave a unit waiting, as one with the same demand has just found no capacity."""
     if failed.reason is WaitReason.NO_MINION:
-        try_suspect_minions(decision, unit, [])
+        probe_suspect_minions(decision, unit, [])
     if unit.tasks:
         fits = failed.reason is WaitReason.LOCALITY
         put_wait(decision, unit, len(unit.tasks), failed.reason, fits)
--- a/kingcuppost/batch/systems/sidecar_reports.py
+++ b/kingcuppost/batch/systems/sidecar_reports.py
@@ -100,15 +100,17 @@
     Otherwise its runs end when its lease expires. Ends that it had listed come first.
     """
     schedule = world.schedule
+    if call.ended_minion is not None:
+        row = minion
+        if row is not None and row.incarnation != call.ended_minion:
+            row = None
+        for ended in call.ended:
+            _handle_run_end(world, call.ended_minion, row, ended, now_ms)
+        end_incarnation_runs(world, call.ended_minion, MINION_ENDED)
     if minion is not None:
         world.note("minion", "A minion has left.", minion=minion.incarnation.minion)
-        if minion.incarnation == call.ended_minion:
-            for ended in call.ended:
-                _handle_run_end(world, minion, ended, now_ms)
         schedule.minions.delete(call.sidecar)
         schedule.inputs_changed = True
-    if call.ended_minion is not None:
-        end_incarnation_runs(world, call.ended_minion, MINION_ENDED)
 
 
 def _handle_run_lists(
@@ -128,7 +130,9 @@
         del reported_ends[number]
     for ended in call.ended:
         if ended.number not in reported_ends:
-            reported_ends[ended.number] = _handle_run_end(world, minion, ended, now_ms)
+            reported_ends[ended.number] = _handle_run_end(
+                world, minion.incarnation, minion, ended, now_ms
+            )
     for refused in call.refused:
         _handle_refused_run(world, minion, refused, now_ms)
 
@@ -213,24 +217,34 @@
 
 
 def _handle_run_end(
-    world: BatchWorld, minion: MinionRow, ended: EndedRun, now_ms: int
+    world: BatchWorld,
+    incarnation: MinionIncarnation,
+    minion: MinionRow | None,
+    ended: EndedRun,
+    now_ms: int,
 ) -> tuple[str, int]:
     """Apply the end of a run.
 
+    Parameters
+    ----------
+    minion : MinionRow or None
+        Row of the minion; None if it ended before this term has heard of it.
+
     Returns
     -------
     tuple of str and int
         Job and version of its plan that must be in the log before the sidecar may
         forget the end.
     """
-    found = _find_current_run(world, minion.incarnation, ended.task, ended.run)
+    found = _find_current_run(world, incarnation, ended.task, ended.run)
     if found is None and ended.run_end is RunEnd.DONE:
         found = _find_lost_run(world, ended)
     if found is None:
         plan = world.schedule.plans.get(ended.task.job)
         return ended.task.job, plan.version if plan else 0
     plan, task = found
-    _update_reliability(world, minion, plan, task, ended, now_ms)
+    if minion is not None:
+        _update_reliability(world, minion, plan, task, ended, now_ms)
     mark_begun(world, plan)
     record_run_end(world, plan, task, ended.run_end)
     apply_run_end(world, plan, task, ended.run_end, ended.checkpoint)
--- a/kingcuppost/batch/systems/suspect_minions.py
+++ b/kingcuppost/batch/systems/suspect_minions.py
@@ -15,7 +15,7 @@
 from kingcuppost.batch.systems.candidates import (
     eligible_candidates,
     make_candidate,
-    may_be_tried,
+    may_probe,
 )
 from kingcuppost.batch.systems.decision import Decision
 from kingcuppost.batch.systems.placement import choose_candidates, fits_idle
@@ -24,10 +24,10 @@
 from kingcuppost.batch.tables.fleet import MinionRow
 from kingcuppost.batch.tables.task import Task
 
-__all__ = ["try_suspect_minions"]
+__all__ = ["probe_suspect_minions"]
 
 
-def try_suspect_minions(
+def probe_suspect_minions(
     decision: Decision, unit: PlacementUnit, eligible: list[Candidate]
 ) -> None:
     """Place tasks of a unit on minions under suspicion, one on each.
@@ -41,7 +41,7 @@
     if not suspects or unit.spec.gang or fits_idle(unit.spec, eligible):
         return
     for minion in list(suspects):
-        if not may_be_tried(decision.world, minion, decision.now_ms):
+        if not may_probe(decision.world, minion, decision.now_ms):
             suspects.remove(minion)
             continue
         task = next((task for task in unit.tasks if _may_try(unit, task, minion)), None)
@@ -61,7 +61,7 @@
     )
     if not fitting:
         return
-    minion.tried_ms = decision.now_ms
+    minion.probed_ms = decision.now_ms
     unit.tasks = [task, *(other for other in unit.tasks if other is not task)]
     place_tasks(decision, unit, fitting)
     unit.tasks = unit.tasks[1:]
--- a/kingcuppost/batch/systems/unit_scheduling.py
+++ b/kingcuppost/batch/systems/unit_scheduling.py
@@ -17,7 +17,7 @@
     carry_out,
     outcome_appliers,
 )
-from kingcuppost.batch.systems.departures.rollouts import awaits_rollout
+from kingcuppost.batch.systems.departures.rollouts import defer_for_rollout
 from kingcuppost.batch.systems.placement import (
     choose_candidates,
     fits_idle,
@@ -158,7 +158,7 @@
             group, unit.spec, len(unit.tasks), make_sort_key(unit)
         )
         is_whole = len(chosen) == len(unit.tasks)
-        if is_whole and awaits_rollout(decision, unit, chosen, group):
+        if is_whole and defer_for_rollout(decision, unit, chosen, group):
             continue
         if is_whole or (chosen and not unit.spec.gang):
             place_tasks(decision, unit, chosen)
--- a/kingcuppost/batch/tables/departures.py
+++ b/kingcuppost/batch/tables/departures.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DepartureWave", "DrainStake"]
+__all__ = ["DepartureWave", "DrainCosts"]
 
 
 @dataclass(slots=True)
@@ -29,8 +29,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainStake:
-    """What a run, or a gang as a whole, stakes at minions that are about to leave.
+class DrainCosts:
+    """Times that decide whether a run, or a gang, at draining minions is stopped.
 
     Attributes
     ----------
--- a/kingcuppost/batch/tables/fleet.py
+++ b/kingcuppost/batch/tables/fleet.py
@@ -171,7 +171,7 @@
         Jobs with failed runs here since the last completed one.
     failed_ms : int
         Time of the last failed run here.
-    tried_ms : int or None
+    probed_ms : int or None
         Time at which a run was last placed here while it was under suspicion.
     listed_ms : int
         Time of the newest report of its runs that was in contact with it, and whose
@@ -203,7 +203,7 @@
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     failed_ms: int = 0
-    tried_ms: int | None = None
+    probed_ms: int | None = None
     listed_ms: int = 0
     unstarted_runs: int = 0
     backoff_until_ms: int = 0
--- a/kingcuppost/batch/tables/world.py
+++ b/kingcuppost/batch/tables/world.py
@@ -248,8 +248,8 @@
     running_work : dict of tuple of str and int to RunningWork
         Remaining work of the runs by service and priority; `task_phases` keeps it up to
         date.
-    served_shares : dict of int to ServedShare
-        Jobs that the order under overload has seen, by rank.
+    served_shares : dict of tuple of int and str to ServedShare
+        Jobs that the order under overload has seen, by rank and service.
     demotion_logged_ms : int
         Time at which the demotion of a job was last logged.
     """
@@ -309,7 +309,7 @@
     explain_after_ms: int = 0
     added_plans: dict[str, None] = field(default_factory=dict)
     running_work: dict[tuple[str, int], RunningWork] = field(default_factory=dict)
-    served_shares: dict[int, ServedShare] = field(default_factory=dict)
+    served_shares: dict[tuple[int, str], ServedShare] = field(default_factory=dict)
     demotion_logged_ms: int = 0
 
 
--- a/kingcuppost/systems/connections/limits.py
+++ b/kingcuppost/systems/connections/limits.py
@@ -10,11 +10,11 @@
 MEMORY_MB = 160
 MAX_FDS = 1_638
 BYTES_PER_MB = 1_048_576
-HELD_SHARE = 16  # one part of the memory in so many
+HELD_DIVISOR = 16  # one part of the memory in so many
 MIN_HELD_BYTES = 2_097_152  # one body of 1 MiB, and small requests beside it
 RESERVED_FDS = 200  # for files
 # The other half is for connections to other processes.
-CONNECTIONS_SHARE = 2
+CONNECTIONS_DIVISOR = 2
 MIN_CONNECTIONS = 16
 
 
@@ -42,9 +42,9 @@
     16
     """
     values = {
-        "held_bytes": max(memory_mb * BYTES_PER_MB // HELD_SHARE, MIN_HELD_BYTES),
+        "held_bytes": max(memory_mb * BYTES_PER_MB // HELD_DIVISOR, MIN_HELD_BYTES),
         "connections": max(
-            (max_fds - RESERVED_FDS) // CONNECTIONS_SHARE, MIN_CONNECTIONS
+            (max_fds - RESERVED_FDS) // CONNECTIONS_DIVISOR, MIN_CONNECTIONS
         ),
     }
     for name, value in (overrides or {}).items():
--- a/kingcuppost/systems/connections/memory.py
+++ b/kingcuppost/systems/connections/memory.py
@@ -27,13 +27,13 @@
 SMALL_REQUEST_BYTES = 16_384
 SMALL_REQUEST_COST_BYTES = 131_072  # of a usual request of that size, once parsed
 READ_BYTES = 65_536  # most that one read of a connection adds
-RESERVED_SHARE = 4  # one part of the limit in so many
+RESERVED_DIVISOR = 4  # one part of the limit in so many
 
 
 def _general_bytes(connections: Connections) -> int:
     """Return the share of large and of unfinished requests."""
     held_bytes = connections.limits.held_bytes
-    return held_bytes - held_bytes // RESERVED_SHARE
+    return held_bytes - held_bytes // RESERVED_DIVISOR
 
 
 def _total_bytes(connections: Connections) -> int:
